--- /dev/null
+++ b/catalog/catalog_test.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package catalog
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+const goodShard = `{
+  "bases": [{"name": "advice"}],
+  "classes": [{"name": "counter", "priority": 1, "deadline": "5s"}], // at the till
+  "endpoints": [{"name": "e1", "data_centre": "d1", "base": "advice", "address": "127.0.0.1:1", "slots": 4, "running": 8}],
+  "adapters": [{"name": "roses", "base": "advice", "versions": {"1": "p/1", "2": "p/2"}, "aliases": {"live": "2"}}],
+}`
+
+func build(c *quicktest.C, base Head, text string) (*Catalog, error) {
+	shards := map[string][]byte{"all": []byte(text)}
+	h, err := NewHead(base, shards)
+	c.Assert(err, quicktest.IsNil)
+	return Build(h, shards)
+}
+
+func TestResolveTakesVersionsAndAliases(t *testing.T) {
+	c := quicktest.New(t)
+	k, err := build(c, Head{}, goodShard)
+	c.Assert(err, quicktest.IsNil)
+	for wanted, got := range map[string]string{"roses": "roses@2", "roses@live": "roses@2", "roses@1": "roses@1"} {
+		m, err := k.Resolve(wanted)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(m.String(), quicktest.Equals, got)
+	}
+}
+
+func TestResolveRefusesWhatIsUnknown(t *testing.T) {
+	c := quicktest.New(t)
+	k, err := build(c, Head{}, goodShard)
+	c.Assert(err, quicktest.IsNil)
+	for wanted, kind := range map[string]string{"tulips": "adapter", "roses@9": "version"} {
+		_, err := k.Resolve(wanted)
+		var u *UnknownError
+		c.Assert(errors.As(err, &u), quicktest.IsTrue)
+		c.Assert(u.Kind, quicktest.Equals, kind)
+	}
+}
+
+func TestBuildReportsEveryProblemAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	bad := strings.NewReplacer(`"base": "advice", "address": "127.0.0.1:1", "slots": 4`, `"base": "gone", "address": "x", "slots": 0`,
+		`"live": "2"`, `"live": "9"`).Replace(goodShard)
+	_, err := build(c, Head{}, bad)
+	var e *CheckError
+	c.Assert(errors.As(err, &e), quicktest.IsTrue)
+	c.Assert(e.Problems, quicktest.HasLen, 4)
+	c.Assert(err, quicktest.ErrorMatches, `(?s).*endpoints\[e1\]\.slots: 0: write a whole number above zero.*`)
+}
+
+func TestBuildRefusesUnknownFields(t *testing.T) {
+	c := quicktest.New(t)
+	_, err := build(c, Head{}, `{"clases": []}`)
+	c.Assert(err, quicktest.ErrorMatches, `(?s).*unknown field "clases".*`)
+}
+
+func TestBuildRefusesAShardThatTheHeadDoesNotName(t *testing.T) {
+	c := quicktest.New(t)
+	h, err := NewHead(Head{}, map[string][]byte{"all": []byte(goodShard)})
+	c.Assert(err, quicktest.IsNil)
+	_, err = Build(h, map[string][]byte{"all": []byte("{}")})
+	c.Assert(err, quicktest.ErrorMatches, `(?s).*publish the shard whose digest the head names.*`)
+}
+
+func TestADrainingDataCentreDrainsItsEndpoints(t *testing.T) {
+	c := quicktest.New(t)
+	k, err := build(c, Head{}, strings.Replace(goodShard, "{\n", `{"data_centres": [{"name": "d1", "state": "draining"}],`, 1))
+	c.Assert(err, quicktest.IsNil)
+	e, _ := k.Endpoint("e1")
+	c.Assert(e.State(), quicktest.Equals, Draining)
+}
+
+func TestHeadsFollowTheirAncestors(t *testing.T) {
+	c := quicktest.New(t)
+	shards := map[string][]byte{"all": []byte(goodShard)}
+	first, _ := NewHead(Head{}, shards)
+	second, _ := NewHead(first, shards)
+	rival, _ := NewHead(first, map[string][]byte{"other": []byte("{}")})
+	third, _ := NewHead(second, shards)
+	c.Assert(third.Follows(first), quicktest.IsTrue)
+	c.Assert(third.Follows(rival), quicktest.IsFalse)
+	c.Assert(first.Follows(second), quicktest.IsFalse)
+}
+
+func TestElevenThousandAdaptersFitTheirShards(t *testing.T) {
+	c := quicktest.New(t)
+	const shardCount, each = 8, 1375
+	shards := map[string][]byte{"all": []byte(goodShard)}
+	for i := range shardCount {
+		raw := adapterShard(i*each, each)
+		c.Assert(len(raw) < MaxValue, quicktest.IsTrue, quicktest.Commentf("%d bytes", len(raw)))
+		shards[fmt.Sprintf("adapters-%d", i)] = raw
+	}
+	h, err := NewHead(Head{}, shards)
+	c.Assert(err, quicktest.IsNil)
+	k, err := Build(h, shards)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(k.Adapters(), quicktest.HasLen, shardCount*each+1)
+}
+
+func adapterShard(first, count int) []byte {
+	var b strings.Builder
+	b.WriteString(`{"adapters": [`)
+	for i := first; i < first+count; i++ {
+		fmt.Fprintf(&b, `{"name":"adapter-%05d","base":"advice","versions":{"1":"adapters/adapter-%05d/1","2":"adapters/adapter-%05d/2"},"aliases":{"live":"2"}},`, i, i, i)
+	}
+	b.WriteString("]}")
+	return []byte(b.String())
+}
+
+func TestALargeDocumentIsRefused(t *testing.T) {
+	_, err := ParseShard(adapterShard(0, 11000))
+	quicktest.Assert(t, err, quicktest.ErrorMatches, ".*split it, a document holds 1048576 at most.*")
+}
--- /dev/null
+++ b/engine/report.go
@@ -0,0 +1,79 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// The metrics that endpoints publish, as today's engines name them.
+const (
+	RunningMetric  = "vllm:num_requests_running"
+	WaitingMetric  = "vllm:num_requests_waiting"
+	AdaptersMetric = "vllm:lora_requests_info" // labels list the adapters in use
+	runningLabel   = "running_lora_adapters"
+	waitingLabel   = "waiting_lora_adapters"
+)
+
+// Report is an endpoint's load, as old as its published lag.
+type Report struct {
+	running int
+	waiting int
+	inUse   []string // adapters with running or waiting requests
+	sight   Sight
+}
+
+// Running returns how many requests the engine had in its batch.
+func (r Report) Running() int { return r.running }
+
+// Waiting returns how many requests the engine held back.
+func (r Report) Waiting() int { return r.waiting }
+
+// InUse tells whether the adapter had running or waiting requests.
+func (r Report) InUse(name string) bool { return slices.Contains(r.inUse, name) }
+
+// Sight returns what the answer's headers showed; unlike the rest it is fresh.
+func (r Report) Sight() Sight { return r.sight }
+
+func parseReport(text io.Reader) (Report, error) {
+	p := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := p.TextToMetricFamilies(text)
+	if err != nil {
+		return Report{}, errors.Wrap(err, "engine: metrics")
+	}
+	if families[RunningMetric] == nil || families[AdaptersMetric] == nil {
+		return Report{}, errors.Errorf("engine: metrics lack %s or %s", RunningMetric, AdaptersMetric)
+	}
+	return Report{
+		running: int(gauge(families[RunningMetric])),
+		waiting: int(gauge(families[WaitingMetric])),
+		inUse:   adaptersInUse(families[AdaptersMetric]),
+	}, nil
+}
+
+func gauge(f *dto.MetricFamily) float64 {
+	var sum float64
+	for _, m := range f.GetMetric() {
+		sum += m.GetGauge().GetValue()
+	}
+	return sum
+}
+
+func adaptersInUse(f *dto.MetricFamily) []string {
+	var names []string
+	for _, m := range f.GetMetric() {
+		for _, l := range m.GetLabel() {
+			if (l.GetName() == runningLabel || l.GetName() == waitingLabel) && l.GetValue() != "" {
+				names = append(names, strings.Split(l.GetValue(), ",")...)
+			}
+		}
+	}
+	return names
+}
--- /dev/null
+++ b/keeper/keeper_test.go
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package keeper
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnwick.example/catalog"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// shelf is a Source of documents held in memory.
+type shelf map[string][]byte // shards by digest
+
+func (s shelf) Head(context.Context, []byte) ([]byte, bool, error) {
+	return nil, false, errors.New("no head")
+}
+
+func (s shelf) Shard(_ context.Context, digest string) ([]byte, error) {
+	raw, ok := s[digest]
+	if !ok {
+		return nil, errors.New("no such shard")
+	}
+	return raw, nil
+}
+
+// publish makes a head on base whose class is called name.
+func publish(s shelf, base catalog.Head, name string) catalog.Head {
+	raw := []byte(`{"classes": [{"name": "` + name + `", "deadline": "1s"}], "bases": [{"name": "b"}],
+		"adapters": [{"name": "roses", "base": "b", "versions": {"1": "p1"}}]}`)
+	s[catalog.Digest(raw)] = raw
+	h, err := catalog.NewHead(base, map[string][]byte{"all": raw})
+	if err != nil {
+		panic(err)
+	}
+	return h
+}
+
+func newKeeper() *Keeper { return New(time.Second, logr.Discard()) }
+
+func offer(c *quicktest.C, k *Keeper, s shelf, h catalog.Head, inForce bool) Verdict {
+	v, err := k.Offer(context.Background(), h.Raw(), inForce, s)
+	c.Assert(err, quicktest.IsNil)
+	return v
+}
+
+// settle lets every candidate come into force that can.
+func settle(k *Keeper) { k.Tick(time.Now().Add(time.Minute)) }
+
+func inForce(k *Keeper) string { return k.Catalog().Digest() }
+
+func TestAHeadComesIntoForceAfterSettling(t *testing.T) {
+	c := quicktest.New(t)
+	k, s := newKeeper(), shelf{}
+	h := publish(s, catalog.Head{}, "a")
+	c.Assert(offer(c, k, s, h, false), quicktest.Equals, Candidate)
+	c.Assert(k.Catalog(), quicktest.IsNil)
+	settle(k)
+	c.Assert(inForce(k), quicktest.Equals, h.Digest())
+}
+
+func TestAStalePlatformCannotLowerTheRevision(t *testing.T) {
+	c := quicktest.New(t)
+	k, s := newKeeper(), shelf{}
+	first := publish(s, catalog.Head{}, "a")
+	second := publish(s, first, "b")
+	offer(c, k, s, second, true)
+	c.Assert(offer(c, k, s, first, false), quicktest.Equals, Older)
+	c.Assert(offer(c, k, s, first, true), quicktest.Equals, Older)
+	settle(k)
+	c.Assert(inForce(k), quicktest.Equals, second.Digest())
+}
+
+func TestOfTwoHeadsOnOneBaseTheSameWinsInEveryOrder(t *testing.T) {
+	c := quicktest.New(t)
+	s := shelf{}
+	base := publish(s, catalog.Head{}, "base")
+	one, two := publish(s, base, "one"), publish(s, base, "two")
+	var winners []string
+	for _, order := range [][]catalog.Head{{one, two}, {two, one}} {
+		k := newKeeper()
+		offer(c, k, s, base, true)
+		offer(c, k, s, order[0], false)
+		offer(c, k, s, order[1], false)
+		settle(k)
+		winners = append(winners, inForce(k))
+	}
+	c.Assert(winners[0], quicktest.Equals, winners[1])
+}
+
+func TestTheLoserOfARaceStaysRefused(t *testing.T) {
+	c := quicktest.New(t)
+	k, s := newKeeper(), shelf{}
+	base := publish(s, catalog.Head{}, "base")
+	one, two := publish(s, base, "one"), publish(s, base, "two")
+	offer(c, k, s, base, true)
+	offer(c, k, s, one, false)
+	settle(k)
+	c.Assert(offer(c, k, s, two, false), quicktest.Equals, Rival)
+	c.Assert(offer(c, k, s, publish(s, two, "later"), false), quicktest.Equals, Rival)
+	settle(k)
+	c.Assert(inForce(k), quicktest.Equals, one.Digest())
+}
+
+func TestAWatcherThatMissedAValueTakesTheNext(t *testing.T) {
+	c := quicktest.New(t)
+	k, s := newKeeper(), shelf{}
+	first := publish(s, catalog.Head{}, "a")
+	third := publish(s, publish(s, first, "b"), "c")
+	offer(c, k, s, first, true)
+	c.Assert(offer(c, k, s, third, false), quicktest.Equals, Candidate)
+	settle(k)
+	c.Assert(inForce(k), quicktest.Equals, third.Digest())
+}
+
+func TestBothSidesOfACutEndWithTheSameHead(t *testing.T) {
+	c := quicktest.New(t)
+	s := shelf{}
+	base := publish(s, catalog.Head{}, "base")
+	one, two := publish(s, base, "one"), publish(s, base, "two")
+	left, right := newKeeper(), newKeeper()
+	offer(c, left, s, one, true)
+	offer(c, right, s, two, true)
+	offer(c, left, s, two, true)
+	offer(c, right, s, one, true)
+	c.Assert(inForce(left), quicktest.Equals, inForce(right))
+}
+
+func TestAPublishedVersionNeverChanges(t *testing.T) {
+	c := quicktest.New(t)
+	k, s := newKeeper(), shelf{}
+	first := publish(s, catalog.Head{}, "a")
+	offer(c, k, s, first, true)
+	raw := []byte(strings.Replace(string(s[first.ShardDigest("all")]), "p1", "p9", 1))
+	s[catalog.Digest(raw)] = raw
+	h, err := catalog.NewHead(first, map[string][]byte{"all": raw})
+	c.Assert(err, quicktest.IsNil)
+	v, err := k.Offer(context.Background(), h.Raw(), false, s)
+	c.Assert(v, quicktest.Equals, Invalid)
+	c.Assert(err, quicktest.ErrorMatches, `(?s).*a published version never changes.*`)
+}
+
+func TestAHeadWithoutItsShardsIsOfferedAgainLater(t *testing.T) {
+	c := quicktest.New(t)
+	k, s := newKeeper(), shelf{}
+	h := publish(s, catalog.Head{}, "a")
+	_, err := k.Offer(context.Background(), h.Raw(), false, shelf{})
+	c.Assert(err, quicktest.ErrorMatches, "keeper: shard all of revision 1: no such shard")
+	c.Assert(offer(c, k, s, h, false), quicktest.Equals, Candidate)
+}
--- /dev/null
+++ b/keeper/relay.go
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package keeper
+
+import (
+	"bytes"
+	"context"
+	"encoding/hex"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/platform"
+	"cairnwick.example/wire"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+const prefixBytes = 6 // of a digest, told in every heartbeat
+
+// prefix returns the first bytes of a head's digest.
+func prefix(h catalog.Head) []byte {
+	raw, err := hex.DecodeString(h.Digest()[:2*prefixBytes])
+	if err != nil {
+		return nil // a digest is hexadecimal
+	}
+	return raw
+}
+
+// Find returns the head whose digest begins with the given bytes, or the one in
+// force when there are none given.
+func (k *Keeper) Find(start []byte) (raw []byte, inForce, ok bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.inForce != nil && (len(start) == 0 || bytes.Equal(start, prefix(k.inForce.head))) {
+		return k.inForce.head.Raw(), true, true
+	}
+	for _, d := range k.candidates {
+		if bytes.Equal(start, prefix(d.head)) {
+			return d.head.Raw(), false, true
+		}
+	}
+	return nil, false, false
+}
+
+// Fill adds the heads held here to a heartbeat.
+func (k *Keeper) Fill(h *wire.Heartbeat) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.inForce != nil {
+		h.Head = prefix(k.inForce.head)
+	}
+	for _, d := range k.candidates {
+		h.Candidates = append(h.Candidates, prefix(d.head))
+	}
+}
+
+// unknown returns those heads told by a peer that are not held here. The flag
+// of each says whether the peer has it in force.
+func (k *Keeper) unknown(h *wire.Heartbeat) map[string]bool {
+	want := make(map[string]bool)
+	if len(h.GetHead()) > 0 {
+		want[string(h.GetHead())] = true
+	}
+	for _, c := range h.GetCandidates() {
+		want[string(c)] = false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.inForce != nil {
+		delete(want, string(prefix(k.inForce.head)))
+	}
+	for _, d := range k.candidates {
+		start := string(prefix(d.head))
+		if !want[start] { // one that came into force there is news
+			delete(want, start)
+		}
+	}
+	return want
+}
+
+// PeerSource makes the source for the peer at an address.
+type PeerSource func(address string) Source
+
+// Relay keeps a Keeper current: from peers by what heartbeats tell, and from
+// the platform where this daemon is one of the watchers. Set every field before
+// Run.
+type Relay struct {
+	Keeper   *Keeper
+	Platform *platform.Client
+	Peers    PeerSource
+	Watches  func() bool // whether this daemon watches the platform now
+	Log      logr.Logger
+	Wait     time.Duration // of one watch
+	Pause    time.Duration // before a failed read is tried again
+
+	told chan hint
+}
+
+// hint says that a peer holds a head that may be news.
+type hint struct {
+	address string
+	start   []byte
+}
+
+// Init makes the relay ready for heartbeats; call it before Run.
+func (r *Relay) Init() { r.told = make(chan hint, 64) }
+
+// Fill implements member.Extras.
+func (r *Relay) Fill(h *wire.Heartbeat) { r.Keeper.Fill(h) }
+
+// Heard implements member.Extras: what is not held is fetched by Run.
+func (r *Relay) Heard(h *wire.Heartbeat, address string) {
+	for start := range r.Keeper.unknown(h) {
+		select {
+		case r.told <- hint{address: address, start: []byte(start)}:
+		default: // the next heartbeat tells again
+		}
+	}
+}
+
+// Run follows peers and platform until ctx ends.
+func (r *Relay) Run(ctx context.Context) error {
+	watched := make(chan error, 1)
+	go func() { watched <- r.watch(ctx) }()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		if next := r.Keeper.Tick(time.Now()); !next.IsZero() {
+			timer.Reset(time.Until(next))
+		}
+		select {
+		case <-ctx.Done():
+			return <-watched
+		case h := <-r.told:
+			r.follow(ctx, h)
+		case <-timer.C:
+		case <-time.After(r.Pause):
+		}
+	}
+}
+
+// follow fetches a head that a peer told of.
+func (r *Relay) follow(ctx context.Context, h hint) {
+	if _, inForce, held := r.Keeper.Find(h.start); held && inForce {
+		return
+	}
+	source := r.Peers(h.address)
+	raw, inForce, err := source.Head(ctx, h.start)
+	if err != nil {
+		r.Log.V(1).Info("Peer gave no head", "address", h.address, "err", err.Error())
+		return
+	}
+	r.offer(ctx, raw, inForce, source, "peer "+h.address)
+}
+
+// Ask takes over what the peer at the address has in force.
+func (r *Relay) Ask(ctx context.Context, address string) error {
+	source := r.Peers(address)
+	raw, inForce, err := source.Head(ctx, nil)
+	if err != nil {
+		return errors.Wrap(err, "keeper: ask peer")
+	}
+	r.offer(ctx, raw, inForce, source, "peer "+address)
+	return nil
+}
+
+// offer hands a head to the keeper and tells whether it was judged; one whose
+// shards could not be fetched has to be offered again.
+func (r *Relay) offer(ctx context.Context, raw []byte, inForce bool, from Source, name string) bool {
+	v, err := r.Keeper.Offer(ctx, raw, inForce, from)
+	if err != nil {
+		r.Log.Error(err, "Configuration is not taken", "from", name, "verdict", v.String())
+		return v != 0
+	}
+	r.Log.V(1).Info("Configuration was offered", "from", name, "verdict", v.String())
+	return true
+}
+
+// watch follows the platform's head while this daemon is a watcher.
+func (r *Relay) watch(ctx context.Context) error {
+	source := platformSource{client: r.Platform}
+	var index uint64
+	for ctx.Err() == nil {
+		if !r.Watches() {
+			index = 0
+			sleep(ctx, r.Pause)
+			continue
+		}
+		v, err := r.Platform.Watch(ctx, platform.HeadKey, index, r.Wait)
+		if err != nil {
+			r.Log.V(1).Info("Platform gave no head", "err", err.Error())
+			sleep(ctx, r.Pause)
+			continue
+		}
+		if !r.offer(ctx, v.Body(), false, source, "platform") {
+			sleep(ctx, r.Pause)
+			continue
+		}
+		index = v.Index()
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// platformSource reads documents from the platform.
+type platformSource struct{ client *platform.Client }
+
+// Head implements Source; the platform has no candidates.
+func (s platformSource) Head(ctx context.Context, _ []byte) ([]byte, bool, error) {
+	v, err := s.client.Read(ctx, platform.HeadKey)
+	return v.Body(), false, err
+}
+
+// Shard implements Source.
+func (s platformSource) Shard(ctx context.Context, digest string) ([]byte, error) {
+	v, err := s.client.Read(ctx, platform.ShardPrefix+digest)
+	return v.Body(), err
+}
--- /dev/null
+++ b/member/loop.go
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package member
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"cairnwick.example/wire"
+	"github.com/go-logr/logr"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// Peer is one other daemon, as far as heartbeats need it.
+type Peer interface {
+	// Exchange swaps heartbeats.
+	Exchange(ctx context.Context, h *wire.Heartbeat) (*wire.Heartbeat, error)
+}
+
+// Extras lets the configuration ride on heartbeats.
+type Extras interface {
+	// Fill adds to a heartbeat that is about to be sent.
+	Fill(h *wire.Heartbeat)
+	// Heard takes what a heartbeat from the peer at address carried.
+	Heard(h *wire.Heartbeat, address string)
+}
+
+const maxNews = 8 // members in one heartbeat that is not full
+
+// Loop beats to the ring neighbours of Table. Set every field before Run.
+type Loop struct {
+	Table      *Table
+	Dial       func(address string) Peer
+	Seeds      func() []string // addresses to ask while nobody is known
+	Extras     Extras
+	Log        logr.Logger
+	Interval   time.Duration // between beats; positive
+	Timeout    time.Duration // of one exchange
+	PauseLimit time.Duration // a longer gap between beats is a pause of the process
+	Neighbours int           // watched at a time
+	OnPause    func(gap time.Duration)
+
+	probes chan string // names to probe at once
+	once   sync.Once
+}
+
+func (l *Loop) init() { l.once.Do(func() { l.probes = make(chan string, 16) }) }
+
+// Probe asks for an exchange with a member now, because something else could
+// not reach it.
+func (l *Loop) Probe(name string) {
+	l.init()
+	select {
+	case l.probes <- name:
+	default: // enough probes are waiting
+	}
+}
+
+// Run beats until ctx ends. When it ends the table has told its news, a leave
+// too, to the neighbours.
+func (l *Loop) Run(ctx context.Context) error {
+	l.init()
+	tick := time.NewTicker(l.Interval)
+	defer tick.Stop()
+	last := time.Now()
+	l.beat(ctx)
+	for {
+		changed := l.Table.Changed()
+		select {
+		case <-ctx.Done():
+			return nil
+		case name := <-l.probes:
+			l.probe(ctx, name)
+		case <-changed:
+			l.spread(ctx)
+		case now := <-tick.C:
+			l.watchPause(time.Now().Sub(last))
+			last = time.Now()
+			l.Table.Tick(now)
+			l.beat(ctx)
+		}
+	}
+}
+
+// watchPause distrusts the view when this process did not run for a while.
+func (l *Loop) watchPause(gap time.Duration) {
+	if gap < l.PauseLimit {
+		return
+	}
+	l.Log.Info("Process was paused; what it knew is distrusted", "gap", gap.String())
+	l.Table.Woke(time.Now())
+	if l.OnPause != nil {
+		l.OnPause(gap)
+	}
+}
+
+// beat exchanges with every neighbour, or with a seed when there is none.
+func (l *Loop) beat(ctx context.Context) {
+	neighbours := l.Table.Neighbours(l.Neighbours)
+	if len(neighbours) == 0 {
+		l.beatSeed(ctx)
+		return
+	}
+	l.exchangeAll(ctx, neighbours)
+}
+
+// spread tells a change at once to one random neighbour; the others hear it
+// with the next beats.
+func (l *Loop) spread(ctx context.Context) {
+	neighbours := l.Table.Neighbours(l.Neighbours)
+	if len(neighbours) > 0 {
+		l.exchange(ctx, neighbours[rand.IntN(len(neighbours))])
+	}
+}
+
+func (l *Loop) exchangeAll(ctx context.Context, list []Member) {
+	done := make(chan struct{}, len(list))
+	for _, m := range list {
+		go func() {
+			l.exchange(ctx, m)
+			done <- struct{}{}
+		}()
+	}
+	for range list {
+		<-done
+	}
+}
+
+func (l *Loop) beatSeed(ctx context.Context) {
+	seeds := l.Seeds()
+	if len(seeds) == 0 {
+		return
+	}
+	address := seeds[rand.IntN(len(seeds))]
+	answer, err := l.call(ctx, address)
+	if err != nil {
+		l.Log.V(1).Info("Seed does not answer", "address", address, "err", err.Error())
+		return
+	}
+	l.take(answer, address)
+}
+
+func (l *Loop) probe(ctx context.Context, name string) {
+	m, ok := l.Table.Find(name)
+	if ok && m.State() != Dead {
+		l.exchange(ctx, m)
+	}
+}
+
+func (l *Loop) exchange(ctx context.Context, m Member) {
+	answer, err := l.call(ctx, m.Address())
+	if ctx.Err() != nil {
+		return
+	}
+	if err == nil {
+		l.Table.Exchanged(m.Name(), time.Now())
+		l.take(answer, m.Address())
+		return
+	}
+	if refused(err) {
+		l.Table.Gone(m.Name(), time.Now())
+		l.Log.Info("Member is gone", "member", m.Name(), "err", err.Error())
+		return
+	}
+	l.Table.Missed(m.Name(), time.Now())
+	l.Log.Info("Member does not answer", "member", m.Name(), "err", err.Error())
+}
+
+func (l *Loop) call(ctx context.Context, address string) (*wire.Heartbeat, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
+	defer cancel()
+	return l.Dial(address).Exchange(ctx, l.Heartbeat(false))
+}
+
+// refused tells whether no process listens at the address. gRPC keeps of a
+// refused connection only the system's text, inside the status message.
+func refused(err error) bool {
+	s, ok := status.FromError(err)
+	return ok && s.Code() == codes.Unavailable && strings.Contains(s.Message(), syscall.ECONNREFUSED.Error())
+}
+
+// Heartbeat returns what this daemon tells; full tells its whole view.
+func (l *Loop) Heartbeat(full bool) *wire.Heartbeat {
+	h := &wire.Heartbeat{From: l.Table.Self().Wire(), View: l.Table.Digest(), Full: full}
+	list := l.Table.News(maxNews)
+	if full {
+		list = l.Table.All()
+	}
+	for _, m := range list {
+		h.News = append(h.News, m.Wire())
+	}
+	l.Extras.Fill(h)
+	return h
+}
+
+// Answer takes a heartbeat in and returns this daemon's own, whole when the
+// views differ.
+func (l *Loop) Answer(h *wire.Heartbeat) *wire.Heartbeat {
+	l.take(h, h.GetFrom().GetAddress())
+	l.Table.Exchanged(h.GetFrom().GetName(), time.Now())
+	return l.Heartbeat(h.GetView() != l.Table.Digest())
+}
+
+func (l *Loop) take(h *wire.Heartbeat, address string) {
+	told := []Member{FromWire(h.GetFrom())}
+	for _, m := range h.GetNews() {
+		told = append(told, FromWire(m))
+	}
+	l.Table.Merge(told, time.Now())
+	l.Extras.Heard(h, address)
+}
--- /dev/null
+++ b/member/table_test.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package member
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+var (
+	limits = Limits{SuspectFor: 2 * time.Second, ForgetDead: time.Minute, Fresh: 3 * time.Second}
+	start  = time.Unix(1000, 0)
+)
+
+func box(name string, incarnation uint64) Member {
+	return New(name, name+":1", Scheduler, "d1", incarnation)
+}
+
+func tableOf(self string, others ...string) *Table {
+	t := NewTable(box(self, 1), limits)
+	for _, n := range others {
+		t.Merge([]Member{box(n, 1)}, start)
+	}
+	return t
+}
+
+func stateOf(t *Table, name string) State {
+	m, _ := t.Find(name)
+	return m.State()
+}
+
+func TestASilentMemberIsSuspectedThenDead(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("a", "b")
+	v.Missed("b", start)
+	c.Assert(stateOf(v, "b"), quicktest.Equals, Suspect)
+	c.Assert(v.Serving(Scheduler), quicktest.HasLen, 2)
+	v.Tick(start.Add(3 * time.Second))
+	c.Assert(stateOf(v, "b"), quicktest.Equals, Dead)
+	c.Assert(v.Serving(Scheduler), quicktest.HasLen, 1)
+}
+
+func TestOldNewsOfARestartedBoxIsIgnored(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("a", "b")
+	v.Merge([]Member{box("b", 5)}, start)
+	dead := box("b", 1)
+	dead.state = Dead
+	v.Merge([]Member{dead}, start)
+	c.Assert(stateOf(v, "b"), quicktest.Equals, Alive)
+}
+
+func TestAWronglySuspectedMemberRefutes(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("a", "b")
+	claim := box("a", 1)
+	claim.state = Suspect
+	v.Merge([]Member{claim}, start)
+	c.Assert(v.Self().Incarnation(), quicktest.Equals, uint64(2))
+	c.Assert(v.Self().State(), quicktest.Equals, Alive)
+}
+
+func TestAMemberOfAnotherDataCentreIsNotTakenIn(t *testing.T) {
+	v := tableOf("a")
+	v.Merge([]Member{New("z", "z:1", Scheduler, "d2", 1)}, start)
+	quicktest.Assert(t, v.All(), quicktest.HasLen, 1)
+}
+
+func TestAPauseMakesTheViewStaleUntilAnExchange(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("a", "b")
+	v.Exchanged("b", start)
+	c.Assert(v.Fresh(start.Add(time.Second)), quicktest.IsTrue)
+	v.Woke(start.Add(time.Second))
+	c.Assert(v.Fresh(start.Add(time.Second)), quicktest.IsFalse)
+	v.Exchanged("b", start.Add(2*time.Second))
+	c.Assert(v.Fresh(start.Add(2*time.Second)), quicktest.IsTrue)
+}
+
+func TestNeighboursFollowOnTheRing(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("b", "a", "c", "d")
+	v.Gone("c", start)
+	var names []string
+	for _, m := range v.Neighbours(2) {
+		names = append(names, m.Name())
+	}
+	c.Assert(names, quicktest.DeepEquals, []string{"d", "a"})
+}
+
+func TestNewsIsToldABoundedNumberOfTimes(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("a", "b", "c")
+	told := 0
+	for range 100 {
+		told += len(v.News(maxNews))
+	}
+	c.Assert(told > 0 && told < 40, quicktest.IsTrue, quicktest.Commentf("%d", told))
+	c.Assert(v.News(maxNews), quicktest.HasLen, 0)
+}
+
+func TestEqualViewsHaveEqualDigests(t *testing.T) {
+	c := quicktest.New(t)
+	c.Assert(tableOf("a", "b", "c").Digest(), quicktest.Equals, tableOf("c", "b", "a").Digest())
+	c.Assert(tableOf("a", "b").Digest() == tableOf("a", "c").Digest(), quicktest.IsFalse)
+}
--- /dev/null
+++ b/metrics/metrics.go
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package metrics exports counters and histograms by expvar.
+//
+// Names are bounded: a Family stops making members at its limit and counts
+// the rest under Other, so that callers cannot grow a daemon's memory.
+package metrics
+
+import (
+	"expvar"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Other is the member that holds what came after a family was full.
+const Other = "other"
+
+const (
+	lowestMicros  = 1
+	highestMicros = int64(10 * time.Minute / time.Microsecond)
+	digits        = 2 // significant digits kept
+)
+
+// Histogram counts durations. The zero value is not usable.
+type Histogram struct {
+	mu     sync.Mutex
+	counts *hdrhistogram.Histogram // of microseconds, guarded by mu
+}
+
+// NewHistogram returns an empty histogram from 1 µs to 10 min.
+func NewHistogram() *Histogram {
+	return &Histogram{counts: hdrhistogram.New(lowestMicros, highestMicros, digits)}
+}
+
+// Observe counts d; a duration out of range counts as the nearest in range.
+func (h *Histogram) Observe(d time.Duration) {
+	n := min(max(d.Microseconds(), lowestMicros), highestMicros)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.counts.RecordValue(n) // in range, so it cannot fail
+}
+
+// Quantile returns the duration that q in 100 do not exceed.
+func (h *Histogram) Quantile(q float64) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Duration(h.counts.ValueAtQuantile(q)) * time.Microsecond
+}
+
+// Count returns how many durations were observed.
+func (h *Histogram) Count() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.counts.TotalCount()
+}
+
+// Mean returns the mean of the durations.
+func (h *Histogram) Mean() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Duration(h.counts.Mean() * float64(time.Microsecond))
+}
+
+// String is the JSON form that expvar publishes, in milliseconds.
+func (h *Histogram) String() string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ms := func(q float64) float64 { return float64(h.counts.ValueAtQuantile(q)) / 1000 }
+	return fmt.Sprintf(`{"count":%d,"mean_ms":%.3f,"p50_ms":%.3f,"p95_ms":%.3f,"p99_ms":%.3f,"max_ms":%.3f}`,
+		h.counts.TotalCount(), h.counts.Mean()/1000, ms(50), ms(95), ms(99), float64(h.counts.Max())/1000)
+}
+
+// Family is a bounded set of histograms, one for each class, caller or reason.
+type Family struct {
+	mu      sync.Mutex
+	limit   int
+	members map[string]*Histogram // at most limit, and Other; guarded by mu
+}
+
+// NewFamily returns a family of at most limit members besides Other.
+func NewFamily(limit int) *Family {
+	return &Family{limit: limit, members: make(map[string]*Histogram)}
+}
+
+// Observe counts d for the member called name.
+func (f *Family) Observe(name string, d time.Duration) { f.Member(name).Observe(d) }
+
+// Member returns the histogram of name, or of Other when the family is full.
+func (f *Family) Member(name string) *Histogram {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h, ok := f.members[name]; ok {
+		return h
+	}
+	if len(f.members) >= f.limit {
+		name = Other
+	}
+	if f.members[name] == nil {
+		f.members[name] = NewHistogram()
+	}
+	return f.members[name]
+}
+
+// String is the JSON form that expvar publishes.
+func (f *Family) String() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m := new(expvar.Map).Init()
+	for n, h := range f.members {
+		m.Set(n, h)
+	}
+	return m.String()
+}
--- /dev/null
+++ b/policy/place.go
@@ -0,0 +1,141 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package policy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Facts is what is believed of one endpoint.
+type Facts struct {
+	Running int           // requests in its batch or granted
+	Limit   int           // requests that it can batch
+	Waiting int           // requests that its owner holds back
+	Loaded  bool          // the adapter is believed ready there
+	Known   bool          // anything was ever heard of it
+	Age     time.Duration // of what was heard
+}
+
+// load is how full the endpoint is: 1 when the batch is full and none waits.
+func (f Facts) load() float64 {
+	if f.Limit == 0 {
+		return 0
+	}
+	return float64(f.Running+f.Waiting) / float64(f.Limit)
+}
+
+// Placement orders the endpoints of a request's base model, the best first.
+// The scores go along with the order, larger is better.
+type Placement interface {
+	Order(r PlaceRequest) (order []int, scores []float64)
+}
+
+// PlaceRequest is one request to place. Names and Facts run in parallel.
+type PlaceRequest struct {
+	Key   string // the adapter at its version
+	Names []string
+	Facts []Facts
+	Width int        // how many homes the adapter should have; at least 1
+	Rand  *rand.Rand // for the choices that are random
+}
+
+// The names of the placements, as settings choose them.
+const (
+	PlaceHomes  = "homes"
+	PlaceHash   = "hash"
+	PlaceLeast  = "least_loaded"
+	PlaceRandom = "random"
+)
+
+// NewPlacement returns the placement called name.
+func NewPlacement(name string) (Placement, error) {
+	switch name {
+	case PlaceHomes:
+		return homes{}, nil
+	case PlaceHash:
+		return hashOnly{}, nil
+	case PlaceLeast:
+		return leastLoaded{}, nil
+	case PlaceRandom:
+		return random{}, nil
+	}
+	return nil, errors.Errorf("policy: placement %q: use %s, %s, %s or %s", name, PlaceHomes, PlaceHash, PlaceLeast, PlaceRandom)
+}
+
+// homes sends an adapter to its first Width endpoints of the rendezvous order,
+// of two of them to the better one; the rest follow in order, as a last resort.
+type homes struct{}
+
+// stickiness is how much fuller a home that has the adapter may be before one
+// that would have to load it is preferred.
+const stickiness = 1.0
+
+func (homes) Order(r PlaceRequest) ([]int, []float64) {
+	ranked := indexOf(r.Names, Rank(r.Key, r.Names))
+	width := min(max(r.Width, 1), len(ranked))
+	scores := make([]float64, len(r.Names))
+	for place, i := range ranked {
+		scores[i] = -r.Facts[i].load() - float64(max(0, place-width+1))
+		if r.Facts[i].Loaded {
+			scores[i] += stickiness
+		}
+	}
+	head := ranked[:width]
+	first := twoChoices(head, scores, r.Rand)
+	order := []int{first}
+	for _, i := range sortedBy(head, scores) {
+		if i != first {
+			order = append(order, i)
+		}
+	}
+	return append(order, ranked[width:]...), scores
+}
+
+// twoChoices takes the better of two random members.
+func twoChoices(list []int, scores []float64, r *rand.Rand) int {
+	if len(list) == 1 {
+		return list[0]
+	}
+	a := r.IntN(len(list))
+	b := r.IntN(len(list) - 1)
+	if b >= a {
+		b++
+	}
+	if scores[list[b]] > scores[list[a]] {
+		return list[b]
+	}
+	return list[a]
+}
+
+// hashOnly uses the rendezvous order alone.
+type hashOnly struct{}
+
+func (hashOnly) Order(r PlaceRequest) ([]int, []float64) {
+	ranked := indexOf(r.Names, Rank(r.Key, r.Names))
+	scores := make([]float64, len(r.Names))
+	for place, i := range ranked {
+		scores[i] = -float64(place)
+	}
+	return ranked, scores
+}
+
+// leastLoaded uses the load alone.
+type leastLoaded struct{}
+
+func (leastLoaded) Order(r PlaceRequest) ([]int, []float64) {
+	scores := make([]float64, len(r.Names))
+	for i, f := range r.Facts {
+		scores[i] = -f.load()
+	}
+	return sortedBy(r.Rand.Perm(len(r.Names)), scores), scores
+}
+
+// random uses nothing.
+type random struct{}
+
+func (random) Order(r PlaceRequest) ([]int, []float64) {
+	return r.Rand.Perm(len(r.Names)), make([]float64, len(r.Names))
+}
--- /dev/null
+++ b/standin/complete.go
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cairnwick.example/engine"
+	"github.com/google/uuid"
+)
+
+// ExpectMark stands in a prompt before the adapter@version that the caller
+// means, so that the engine can witness a wrong version.
+const ExpectMark = "expect:"
+
+const defaultTokens = 16
+
+// completion is the part of a request body that the stand-in reads.
+type completion struct {
+	Model    string          `json:"model"`
+	Prompt   string          `json:"prompt"`
+	Messages json.RawMessage `json:"messages"`
+	Tokens   int             `json:"max_tokens"`
+	Stream   bool            `json:"stream"`
+	Priority int             `json:"priority"`
+}
+
+// expected returns the adapter@version after ExpectMark, or "".
+func (q completion) expected() string {
+	_, rest, found := strings.Cut(q.Prompt+string(q.Messages), ExpectMark)
+	if !found {
+		return ""
+	}
+	end := strings.IndexAny(rest, " \"\\")
+	if end < 0 {
+		return rest
+	}
+	return rest[:end]
+}
+
+func (e *Engine) complete(w http.ResponseWriter, q *http.Request) {
+	var body completion
+	if err := json.NewDecoder(io.LimitReader(q.Body, 8<<20)).Decode(&body); err != nil {
+		refuse(w, http.StatusBadRequest, engine.CodeBadRequest, err.Error())
+		return
+	}
+	if body.Tokens <= 0 {
+		body.Tokens = defaultTokens
+	}
+	r, code := e.admit(q, body)
+	if r == nil {
+		refuse(w, statusOf(code), code, fmt.Sprintf("The model `%s` was refused: %s.", body.Model, code))
+		return
+	}
+	r.join()
+	defer r.part()
+	if body.Stream {
+		stream(q.Context(), w, r, 0)
+		return
+	}
+	whole(q.Context(), w, r)
+}
+
+// admit queues a run, or says why not.
+func (e *Engine) admit(q *http.Request, body completion) (*run, engine.Code) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	s := e.slots[body.Model]
+	if s == nil || s.loading {
+		return nil, engine.CodeNotLoaded
+	}
+	if !e.leaving.IsZero() && e.RefusesNew {
+		return nil, engine.CodeLeaving
+	}
+	if len(e.waiting) >= e.QueueLimit {
+		return nil, engine.CodeBusy
+	}
+	request := q.Header.Get(engine.RequestHeader)
+	if request == "" || e.runs[request] != nil {
+		request = uuid.NewString()
+	}
+	r := newRun(request, body.Model, s.content, body.Priority, body.Tokens)
+	e.witnessLocked(q, body, s)
+	e.runs[request] = r
+	e.waiting = append(e.waiting, r)
+	return r, ""
+}
+
+// witnessLocked counts the run and every breach that it shows.
+func (e *Engine) witnessLocked(q *http.Request, body completion, s *slot) {
+	e.counts.Runs++
+	if want := body.expected(); want != "" && want != s.content {
+		e.counts.WrongVersion++
+	}
+	if !e.leaving.IsZero() && time.Since(e.leaving) > e.LeavingGrace {
+		e.counts.NewAfterLeaving++
+	}
+	if key := q.Header.Get(engine.KeyHeader); key != "" {
+		e.keys[key]++
+		if e.keys[key] > 1 {
+			e.counts.KeyTwice++
+		}
+	}
+}
+
+// stream writes the run's tokens as server-sent events, from the given one on.
+func stream(ctx context.Context, w http.ResponseWriter, r *run, from int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set(engine.EventsHeader, strconv.Itoa(from))
+	w.WriteHeader(http.StatusOK)
+	flush := http.NewResponseController(w)
+	_ = flush.Flush()
+	for n := from; ; {
+		have, changed, state := r.progress()
+		for ; n < have; n++ {
+			writeEvent(w, r, n)
+		}
+		if state == nil {
+			_, _ = io.WriteString(w, "data: [DONE]\n\n")
+			return
+		}
+		if state != errRunning {
+			panic(http.ErrAbortHandler) // cut, so that the reader sees no clean end
+		}
+		_ = flush.Flush()
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func writeEvent(w io.Writer, r *run, n int) {
+	fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"text_completion\",\"model\":%q,\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":null}]}\n\n",
+		r.request, r.model, r.token(n))
+}
+
+// whole waits for the run's end and writes one answer.
+func whole(ctx context.Context, w http.ResponseWriter, r *run) {
+	for {
+		have, changed, state := r.progress()
+		if state == nil {
+			writeWhole(w, r, have)
+			return
+		}
+		if state != errRunning {
+			refuse(w, http.StatusInternalServerError, engine.CodeFailed, state.Error())
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+func writeWhole(w http.ResponseWriter, r *run, have int) {
+	var text strings.Builder
+	for n := range have {
+		text.WriteString(r.token(n))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	fmt.Fprintf(w, "{\"id\":%q,\"object\":\"text_completion\",\"model\":%q,\"choices\":[{\"index\":0,\"text\":%q,\"finish_reason\":\"stop\"}],\"usage\":{\"completion_tokens\":%d}}\n",
+		r.request, r.model, text.String(), have)
+}
+
+func (e *Engine) resume(w http.ResponseWriter, q *http.Request) {
+	from, err := strconv.Atoi(q.URL.Query().Get("from"))
+	if err != nil || from < 0 {
+		refuse(w, http.StatusBadRequest, engine.CodeBadRequest, "from: write a whole number, zero or more")
+		return
+	}
+	r := e.find(q.PathValue("request"))
+	if r == nil {
+		refuse(w, http.StatusNotFound, engine.CodeNotLoaded, "no such run")
+		return
+	}
+	r.join()
+	defer r.part()
+	e.mu.Lock()
+	e.counts.Resumed++
+	e.mu.Unlock()
+	stream(q.Context(), w, r, from)
+}
+
+func (e *Engine) cancel(w http.ResponseWriter, q *http.Request) {
+	r := e.find(q.PathValue("request"))
+	if r != nil && !r.ended() {
+		e.mu.Lock()
+		e.counts.Cancelled++
+		e.mu.Unlock()
+		r.finish(errRunCancelled)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) find(request string) *run {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.runs[request]
+}
--- /dev/null
+++ b/standin/orders.go
@@ -0,0 +1,247 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"cairnwick.example/engine"
+	"github.com/pkg/errors"
+)
+
+var errRunCancelled = errors.New("cancelled")
+
+// refuse writes an error in the style of today's engines.
+func refuse(w http.ResponseWriter, status int, code engine.Code, message string) {
+	kind := "BadRequestError"
+	if status == http.StatusNotFound {
+		kind = "NotFoundError"
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(engine.ReasonHeader, string(code))
+	w.WriteHeader(status)
+	fmt.Fprintf(w, "{\"error\":{\"message\":%q,\"type\":%q,\"code\":%d}}\n", message, kind, status)
+}
+
+func statusOf(c engine.Code) int {
+	switch c {
+	case engine.CodeNotLoaded:
+		return http.StatusNotFound
+	case engine.CodeStaleFence, engine.CodeNoSlot:
+		return http.StatusConflict
+	case engine.CodeStoreBusy:
+		return http.StatusTooManyRequests
+	}
+	return http.StatusServiceUnavailable
+}
+
+// allowLocked checks an order's fence and raises the highest one.
+func (e *Engine) allowLocked(w http.ResponseWriter, q *http.Request) bool {
+	if !e.ChecksFences {
+		return true
+	}
+	f, err := engine.ParseFence(q.Header.Get(engine.FenceHeader))
+	if err != nil || f.Less(e.fence) || f == (engine.Fence{}) {
+		e.counts.StaleOrders++
+		refuse(w, http.StatusConflict, engine.CodeStaleFence, "a higher fence was seen")
+		return false
+	}
+	e.fence = f
+	w.Header().Set(engine.FenceHeader, f.String())
+	return true
+}
+
+func (e *Engine) look(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) }
+
+func (e *Engine) claim(w http.ResponseWriter, q *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.allowLocked(w, q) {
+		w.WriteHeader(http.StatusNoContent)
+	}
+}
+
+type loadOrder struct {
+	Name string `json:"lora_name"`
+	Path string `json:"lora_path"`
+}
+
+func readOrder(w http.ResponseWriter, q *http.Request) (loadOrder, bool) {
+	var o loadOrder
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil || o.Name == "" {
+		refuse(w, http.StatusBadRequest, engine.CodeBadRequest, "lora_name: give the adapter's name")
+		return o, false
+	}
+	return o, true
+}
+
+func (e *Engine) load(w http.ResponseWriter, q *http.Request) {
+	o, ok := readOrder(w, q)
+	if !ok || !e.reserve(w, q, o) {
+		return
+	}
+	content, err := e.Store(q.Context(), o.Path)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err == nil && e.failLoads > 0 {
+		e.failLoads--
+		err = errors.New("failed on command")
+	}
+	if err != nil {
+		e.counts.FailedLoads++
+		delete(e.slots, o.Name)
+		refuseLoad(w, err)
+		return
+	}
+	e.counts.Loads++
+	e.slots[o.Name] = &slot{content: content}
+	w.WriteHeader(http.StatusOK)
+	fmt.Fprintf(w, "Success: LoRA adapter '%s' added successfully.\n", o.Name)
+}
+
+// reserve takes a slot for the order, or refuses it.
+func (e *Engine) reserve(w http.ResponseWriter, q *http.Request, o loadOrder) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.counts.OrdersLoads++
+	if !e.allowLocked(w, q) {
+		return false
+	}
+	if e.slots[o.Name] != nil {
+		refuse(w, http.StatusConflict, engine.CodeBadRequest, "already loaded")
+		return false
+	}
+	if len(e.slots) >= e.Slots {
+		refuse(w, http.StatusConflict, engine.CodeNoSlot, "every slot is taken")
+		return false
+	}
+	e.slots[o.Name] = &slot{loading: true}
+	return true
+}
+
+func refuseLoad(w http.ResponseWriter, err error) {
+	var busy *StoreBusyError
+	if errors.As(err, &busy) {
+		w.Header().Set("Retry-After", strconv.Itoa(int(busy.Retry/time.Second)+1))
+		refuse(w, http.StatusTooManyRequests, engine.CodeStoreBusy, err.Error())
+		return
+	}
+	refuse(w, http.StatusServiceUnavailable, engine.CodeLoadFailed, err.Error())
+}
+
+func (e *Engine) unload(w http.ResponseWriter, q *http.Request) {
+	o, ok := readOrder(w, q)
+	if !ok {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.allowLocked(w, q) {
+		return
+	}
+	s := e.slots[o.Name]
+	if s == nil || s.loading {
+		refuse(w, http.StatusNotFound, engine.CodeNotLoaded, "not loaded")
+		return
+	}
+	if e.usedLocked(o.Name) {
+		e.counts.UnloadRunning++
+	}
+	e.counts.Unloads++
+	delete(e.slots, o.Name)
+	w.WriteHeader(http.StatusOK)
+}
+
+func (e *Engine) models(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	type model struct {
+		ID     string  `json:"id"`
+		Object string  `json:"object"`
+		Parent *string `json:"parent"`
+	}
+	list := []model{{ID: e.Base, Object: "model"}}
+	for n, s := range e.slots {
+		if !s.loading {
+			list = append(list, model{ID: n, Object: "model", Parent: &e.Base})
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"object": "list", "data": list})
+}
+
+func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var r report
+	if len(e.reports) > 0 {
+		r = e.reports[0]
+	}
+	fmt.Fprintf(w, "# TYPE %s gauge\n%s{model_name=%q} %d\n", engine.RunningMetric, engine.RunningMetric, e.Base, len(r.running))
+	fmt.Fprintf(w, "# TYPE %s gauge\n%s{model_name=%q} %d\n", engine.WaitingMetric, engine.WaitingMetric, e.Base, len(r.waiting))
+	fmt.Fprintf(w, "# TYPE %s gauge\n%s{max_lora=\"%d\",running_lora_adapters=%q,waiting_lora_adapters=%q} 1\n",
+		engine.AdaptersMetric, engine.AdaptersMetric, e.Slots, list(r.running), list(r.waiting))
+}
+
+func list(names []string) string {
+	names = slices.Clone(names)
+	slices.Sort(names)
+	return strings.Join(slices.Compact(names), ",")
+}
+
+type roleOrder struct {
+	Role string `json:"role"`
+}
+
+func (e *Engine) role(w http.ResponseWriter, q *http.Request) {
+	var o roleOrder
+	if err := json.NewDecoder(q.Body).Decode(&o); err != nil || (o.Role != "serving" && o.Role != "leaving") {
+		refuse(w, http.StatusBadRequest, engine.CodeBadRequest, `role: write "serving" or "leaving"`)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.allowLocked(w, q) {
+		return
+	}
+	e.leaving = time.Time{}
+	if o.Role == "leaving" {
+		e.leaving = time.Now()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) showCounts(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(e.Counts())
+}
+
+func (e *Engine) showKeys(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_ = json.NewEncoder(w).Encode(e.keys)
+}
+
+func (e *Engine) restart(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.restartLocked()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (e *Engine) setFailLoads(w http.ResponseWriter, q *http.Request) {
+	n, err := strconv.Atoi(q.URL.Query().Get("count"))
+	if err != nil || n < 0 {
+		refuse(w, http.StatusBadRequest, engine.CodeBadRequest, "count: write a whole number, zero or more")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.failLoads = n
+	w.WriteHeader(http.StatusNoContent)
+}
