--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+# SPDX-License-Identifier: Apache-2.0
+
+PROGRAMS = cairn-gateway cairn-scheduler cairnctl cairn-demo standin-engine standin-platform standin-service
+
+STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
+REVIVE = github.com/mgechev/revive@v1.17.0
+SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
+
+.PHONY: all build demo test lint generate clean
+
+all: build
+
+build:
+	mkdir -p bin
+	go build -o bin/ $(addprefix ./cmd/,$(PROGRAMS))
+
+demo: build
+	bin/cairn-demo --bin bin
+
+test: build
+	go test -count=1 work
+
+lint:
+	@test -z "$$(gofmt -l $(SOURCES))" || { echo "run gofmt on:"; gofmt -l $(SOURCES); exit 1; }
+	go vet work
+	go run $(STATICCHECK) work
+	go run $(REVIVE) -config revive.toml -exclude ./wire/... ./...
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-grpc.
+generate:
+	cd wire && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative wire.proto
+
+clean:
+	rm -rf bin
--- a/catalog/build.go
+++ b/catalog/build.go
@@ -124,6 +124,16 @@
 		mayWait:  time.Duration(f.MayWait),
 		deadline: time.Duration(f.Deadline),
 	}
+	if f.Default {
+		b.addDefault(f.Name)
+	}
+}
+
+func (b *builder) addDefault(name string) {
+	if b.catalog.class != "" {
+		b.problem("classes["+name+"].default", "true", "only one class can be the default; "+b.catalog.class+" is it already")
+	}
+	b.catalog.class = name
 }
 
 func (b *builder) addCaller(f CallerFormat) {
@@ -218,8 +228,8 @@
 	for _, n := range b.catalog.Adapters() {
 		b.checkBase("adapters["+n+"].base", b.catalog.adapters[n].base)
 	}
-	if len(b.catalog.classes) == 0 {
-		b.problem("classes", "empty", "define at least one class")
+	if b.catalog.class == "" {
+		b.problem("classes", "no default", `define one class with "default": true`)
 	}
 }
 
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -35,6 +35,7 @@
 	digest    string // of the head document
 	bases     map[string]Base
 	classes   map[string]Class
+	class     string // name of the default class
 	callers   map[string]Caller
 	endpoints map[string]Endpoint
 	services  map[string]Service
@@ -270,3 +271,6 @@
 	}
 	return Model{adapter: a, version: v}, nil
 }
+
+// DefaultClass returns the class of requests that name none.
+func (c *Catalog) DefaultClass() Class { return c.classes[c.class] }
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -13,7 +13,7 @@
 
 const goodShard = `{
   "bases": [{"name": "advice"}],
-  "classes": [{"name": "counter", "priority": 1, "deadline": "5s"}], // at the till
+  "classes": [{"name": "counter", "priority": 1, "deadline": "5s", "default": true}], // at the till
   "endpoints": [{"name": "e1", "data_centre": "d1", "base": "advice", "address": "127.0.0.1:1", "slots": 4, "running": 8}],
   "adapters": [{"name": "roses", "base": "advice", "versions": {"1": "p/1", "2": "p/2"}, "aliases": {"live": "2"}}],
 }`
--- a/catalog/shard.go
+++ b/catalog/shard.go
@@ -33,6 +33,7 @@
 	Priority int    `json:"priority,omitempty"`
 	MayWait  Span   `json:"may_wait,omitempty"`
 	Deadline Span   `json:"deadline"`
+	Default  bool   `json:"default,omitempty"`
 }
 
 // CallerFormat is a caller as published.
--- /dev/null
+++ b/cmd/cairnctl/command.go
@@ -0,0 +1,89 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"cairnwick.example/daemon"
+	"cairnwick.example/operator"
+	"github.com/alexflint/go-arg"
+)
+
+// The exit codes.
+const (
+	exitDone        = 0
+	exitFailed      = 1
+	exitUsage       = 2 // the command line does not hold
+	exitUnreachable = 3 // a daemon gave no answer
+	exitNotFound    = 4 // nobody knows what was asked for
+)
+
+type arguments struct {
+	Status  *statusCommand  `arg:"subcommand:status" help:"show boxes, owners, endpoints and slots"`
+	Explain *explainCommand `arg:"subcommand:explain" help:"tell why a request went where it did"`
+	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow decisions as they are made"`
+	Daemons string          `arg:"--daemons,env:CAIRN_DAEMONS" help:"peers' addresses of daemons, with commas" placeholder:"IP:PORT,..."`
+}
+
+// Version implements go-arg.
+func (arguments) Version() string { return "cairnctl " + daemon.Version }
+
+// Description implements go-arg.
+func (arguments) Description() string {
+	return "cairnctl: see what the daemons of cairnwick hold and decide"
+}
+
+// command is one subcommand.
+type command interface {
+	run(ctx context.Context, c *operator.Client, addresses []string, out, errs io.Writer) int
+}
+
+// run parses the command line and carries it out.
+func run(args []string, out, errs io.Writer) int {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "cairnctl"}, &a)
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return exitFailed
+	}
+	switch err := p.Parse(args); {
+	case err == arg.ErrHelp:
+		p.WriteHelp(out)
+		return exitDone
+	case err == arg.ErrVersion:
+		fmt.Fprintln(out, a.Version())
+		return exitDone
+	case err != nil:
+		p.WriteUsage(errs)
+		fmt.Fprintln(errs, err)
+		return exitUsage
+	}
+	chosen, ok := p.Subcommand().(command)
+	if !ok || a.Daemons == "" {
+		p.WriteUsage(errs)
+		fmt.Fprintln(errs, "give a command, and --daemons or CAIRN_DAEMONS")
+		return exitUsage
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	c := operator.New()
+	defer c.Close()
+	return chosen.run(ctx, c, strings.Split(a.Daemons, ","), out, errs)
+}
+
+// report names the daemons that gave no answer.
+func report(errs io.Writer, silent []operator.Silence) int {
+	for _, s := range silent {
+		fmt.Fprintf(errs, "no answer from %s: %v\n", s.Address, s.Cause)
+	}
+	if len(silent) > 0 {
+		return exitUnreachable
+	}
+	return exitDone
+}
--- /dev/null
+++ b/cmd/cairnctl/main.go
@@ -0,0 +1,8 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command cairnctl is the operators' client.
+package main
+
+import "os"
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/cairnctl/watch.go
@@ -0,0 +1,56 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"cairnwick.example/operator"
+	"cairnwick.example/wire"
+)
+
+type watchCommand struct {
+	Class    string `arg:"--class" help:"only this class"`
+	Adapter  string `arg:"--adapter" help:"only this adapter@version"`
+	Endpoint string `arg:"--endpoint" help:"only this endpoint"`
+	Reason   string `arg:"--reason" help:"only this reason, such as AFTER_LOAD"`
+}
+
+func (q *watchCommand) run(ctx context.Context, c *operator.Client, addresses []string, out, errs io.Writer) int {
+	filter := &wire.WatchRequest{Class: q.Class, Adapter: q.Adapter, Endpoint: q.Endpoint}
+	if q.Reason != "" {
+		r, ok := wire.Reason_value["REASON_"+q.Reason]
+		if !ok {
+			fmt.Fprintf(errs, "--reason %s: no such reason\n", q.Reason)
+			return exitUsage
+		}
+		filter.Reason = wire.Reason(r)
+	}
+	seen := make(chan *wire.Decision, 256)
+	ended := make(chan error, len(addresses))
+	for _, a := range addresses {
+		go func() {
+			ended <- c.Watch(ctx, a, filter, func(d *wire.Decision) { seen <- d })
+		}()
+	}
+	left := len(addresses)
+	for left > 0 {
+		select {
+		case d := <-seen:
+			at := time.UnixMicro(d.GetUnixMicros()).Format("15:04:05.000")
+			fmt.Fprintf(out, "%s %s %s %s %s %s %s %s\n", at, d.GetBox(), d.GetStep(), d.GetRequest(), d.GetAdapter(), d.GetEndpoint(), d.GetReason(), d.GetDetail())
+		case err := <-ended:
+			left--
+			if ctx.Err() == nil {
+				fmt.Fprintln(errs, "a daemon ended the watch:", err)
+			}
+		}
+	}
+	if ctx.Err() == nil {
+		return exitUnreachable
+	}
+	return exitDone
+}
--- /dev/null
+++ b/cmd/standin-platform/main.go
@@ -0,0 +1,35 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command standin-platform is a small stand-in for the platform: the key-value
+// service and the weight store.
+package main
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"cairnwick.example/standin"
+	"github.com/alexflint/go-arg"
+)
+
+type arguments struct {
+	Listen   string        `arg:"--listen,required" help:"IP:port"`
+	Lag      time.Duration `arg:"--lag" default:"0s" help:"before a put is seen by readers"`
+	Rate     float64       `arg:"--store-rate" default:"9" help:"loads a second that the store allows"`
+	AtOnce   int           `arg:"--store-at-once" default:"6" help:"loads at full speed"`
+	LoadTime time.Duration `arg:"--load-time" default:"300ms" help:"time of one load at full speed"`
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	p := &standin.Platform{Lag: a.Lag}
+	s := &standin.Store{Rate: a.Rate, AtOnce: a.AtOnce, LoadTime: a.LoadTime}
+	m := http.NewServeMux()
+	m.Handle("/", p.Handler())
+	store := s.Handler()
+	m.Handle("/store/", store)
+	m.Handle("/control/store", store)
+	os.Exit(standin.Main(a.Listen, m, nil))
+}
--- /dev/null
+++ b/cmd/standin-service/main.go
@@ -0,0 +1,24 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command standin-service is a small stand-in for a plain service.
+package main
+
+import (
+	"os"
+	"time"
+
+	"cairnwick.example/standin"
+	"github.com/alexflint/go-arg"
+)
+
+type arguments struct {
+	Listen string        `arg:"--listen,required" help:"IP:port"`
+	Time   time.Duration `arg:"--time" default:"1ms" help:"time of one call"`
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	s := &standin.Service{Time: a.Time}
+	os.Exit(standin.Main(a.Listen, s.Handler(), nil))
+}
--- /dev/null
+++ b/daemon/command.go
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+
+	"cairnwick.example/settings"
+	"github.com/alexflint/go-arg"
+)
+
+// Version is the version of all programs; the build sets it.
+var Version = "0.1.0"
+
+// The exit codes of the daemons.
+const (
+	ExitDone     = 0
+	ExitFailed   = 1
+	ExitSettings = 2 // the command line or the settings do not hold
+)
+
+// Command is the command line that every daemon has.
+type Command struct {
+	Settings string   `arg:"--settings,required" help:"file with the settings, JSON with comments" placeholder:"FILE"`
+	Set      []string `arg:"--set,separate" help:"one setting that wins over the file" placeholder:"NAME=VALUE"`
+	Check    bool     `arg:"--check" help:"check the settings and end"`
+	Print    bool     `arg:"--print" help:"print the effective settings and end"`
+
+	name  string
+	about string
+}
+
+// Description implements go-arg.
+func (c *Command) Description() string { return c.name + ": " + c.about }
+
+// Version implements go-arg.
+func (c *Command) Version() string { return c.name + " " + Version }
+
+// Main parses the command line of a daemon and runs it until SIGTERM or SIGINT;
+// it returns the exit code.
+func Main(name, about string, t settings.Table, args []string, run func(context.Context, settings.Values) error) int {
+	c := &Command{name: name, about: about}
+	p, err := arg.NewParser(arg.Config{Program: name}, c)
+	if err != nil {
+		return complain(err, ExitFailed)
+	}
+	switch err := p.Parse(args); {
+	case err == arg.ErrHelp:
+		p.WriteHelp(os.Stdout)
+		return ExitDone
+	case err == arg.ErrVersion:
+		fmt.Println(c.Version())
+		return ExitDone
+	case err != nil:
+		p.WriteUsage(os.Stderr)
+		return complain(err, ExitSettings)
+	}
+	overrides, err := c.overrides()
+	if err != nil {
+		return complain(err, ExitSettings)
+	}
+	v, err := settings.ReadFile(c.Settings, t, overrides)
+	if err != nil {
+		return complain(err, ExitSettings)
+	}
+	if c.Check || c.Print {
+		return c.show(os.Stdout, t, v)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := run(ctx, v); err != nil {
+		return complain(err, ExitFailed)
+	}
+	return ExitDone
+}
+
+func complain(err error, code int) int {
+	fmt.Fprintln(os.Stderr, err)
+	return code
+}
+
+func (c *Command) show(w io.Writer, t settings.Table, v settings.Values) int {
+	if !c.Print {
+		fmt.Fprintln(w, "settings hold")
+		return ExitDone
+	}
+	if err := settings.Print(w, t, v); err != nil {
+		return complain(err, ExitFailed)
+	}
+	return ExitDone
+}
+
+// overrides reads the --set flags.
+func (c *Command) overrides() (map[string]string, error) {
+	m := make(map[string]string)
+	for _, s := range c.Set {
+		name, value, found := strings.Cut(s, "=")
+		if !found {
+			return nil, fmt.Errorf("--set %s: write NAME=VALUE", s)
+		}
+		m[name] = value
+	}
+	return m, nil
+}
--- /dev/null
+++ b/daemon/options.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package daemon is what the gateway and the scheduler have in common: the
+// command line, settings, membership, the configuration's relay, the operators'
+// port and the orderly end.
+package daemon
+
+import (
+	"time"
+
+	"cairnwick.example/settings"
+)
+
+// The options that every daemon has.
+const (
+	Box         = "box"
+	DataCentre  = "data_centre"
+	PeersListen = "peers_listen"
+	Operators   = "operators_listen"
+	Platform    = "platform"
+	Peers       = "peers"
+	Heartbeat   = "heartbeat"
+	Timeout     = "heartbeat_timeout"
+	SuspectFor  = "suspect_for"
+	FreshFor    = "fresh_for"
+	PauseLimit  = "pause_limit"
+	Neighbours  = "neighbours"
+	Watchers    = "watchers"
+	Settle      = "settle"
+	DrainLimit  = "drain_limit"
+	Decisions   = "decisions"
+	Debug       = "debug"
+)
+
+// Common is the table of the options that every daemon has.
+var Common = settings.Table{
+	{Name: Box, Kind: settings.Text, Required: true, Help: "name of the box, unique in the system"},
+	{Name: DataCentre, Kind: settings.Text, Required: true, Help: "data centre where the box stands"},
+	{Name: PeersListen, Kind: settings.Address, Required: true, Help: "address for the other daemons, which they reach it by"},
+	{Name: Operators, Kind: settings.Address, Required: true, Help: "address for health, metrics and operators"},
+	{Name: Platform, Kind: settings.URL, Required: true, Help: "the platform's key-value service"},
+	{Name: Peers, Kind: settings.Text, Default: "", Help: "addresses of some other daemons, with commas, asked when the platform is down"},
+	{Name: Heartbeat, Kind: settings.Duration, Default: time.Second, Least: 10 * time.Millisecond, Help: "time between heartbeats"},
+	{Name: Timeout, Kind: settings.Duration, Default: 700 * time.Millisecond, Least: 10 * time.Millisecond, Help: "longest wait for a heartbeat's answer"},
+	{Name: SuspectFor, Kind: settings.Duration, Default: 1500 * time.Millisecond, Least: 10 * time.Millisecond, Help: "a suspect that is silent so long is dead"},
+	{Name: FreshFor, Kind: settings.Duration, Default: 3 * time.Second, Least: 10 * time.Millisecond, Help: "how long a heartbeat vouches for the view of the members"},
+	{Name: PauseLimit, Kind: settings.Duration, Default: 2500 * time.Millisecond, Least: 10 * time.Millisecond, Help: "a longer gap between heartbeats is a pause of the process"},
+	{Name: Neighbours, Kind: settings.Count, Default: 2, Least: 1, Help: "daemons that each heartbeat goes to"},
+	{Name: Watchers, Kind: settings.Count, Default: 2, Least: 1, Help: "daemons of the data centre that watch the platform"},
+	{Name: Settle, Kind: settings.Duration, Default: 3 * time.Second, Help: "how long a new configuration waits for a rival before it is in force"},
+	{Name: DrainLimit, Kind: settings.Duration, Default: 10 * time.Minute, Help: "longest wait for running requests at a planned stop"},
+	{Name: Decisions, Kind: settings.Count, Default: 4096, Least: 1, Help: "decisions remembered for operators"},
+	{Name: Debug, Kind: settings.Switch, Default: false, Help: "log each refusal and each small event"},
+}
--- /dev/null
+++ b/daemon/peers.go
@@ -0,0 +1,144 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cairnwick.example/keeper"
+	"cairnwick.example/member"
+	"cairnwick.example/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials"
+)
+
+// Dialer keeps one connection to each daemon that is spoken to. It is safe for
+// concurrent use.
+type Dialer struct {
+	Credentials credentials.TransportCredentials
+
+	mu    sync.Mutex
+	conns map[string]*grpc.ClientConn // by address
+}
+
+const (
+	connBuffer   = 4 << 10 // bytes; the messages are small
+	firstBackoff = 50 * time.Millisecond
+	mostBackoff  = 500 * time.Millisecond
+	dialTimeout  = time.Second
+)
+
+// Conn returns the connection to an address, made when it is first used.
+func (d *Dialer) Conn(address string) *grpc.ClientConn {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c := d.conns[address]; c != nil {
+		return c
+	}
+	c, err := grpc.NewClient("passthrough:///"+address,
+		grpc.WithTransportCredentials(d.Credentials),
+		grpc.WithReadBufferSize(connBuffer),
+		grpc.WithWriteBufferSize(connBuffer),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: firstBackoff, Multiplier: 1.6, Jitter: 0.2, MaxDelay: mostBackoff},
+			MinConnectTimeout: dialTimeout,
+		}))
+	if err != nil {
+		panic(errors.Wrap(err, "daemon: options of a connection")) // a fault of this program, not of the address
+	}
+	if d.conns == nil {
+		d.conns = make(map[string]*grpc.ClientConn)
+	}
+	d.conns[address] = c
+	return c
+}
+
+// Keep closes the connections to addresses that are not in use any more.
+func (d *Dialer) Keep(used map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for a, c := range d.conns {
+		if !used[a] {
+			_ = c.Close() // nothing is lost with it
+			delete(d.conns, a)
+		}
+	}
+}
+
+// Close closes every connection.
+func (d *Dialer) Close() { d.Keep(nil) }
+
+// Scheduler implements gateway.Schedulers.
+func (d *Dialer) Scheduler(address string) wire.SchedulerClient {
+	return wire.NewSchedulerClient(d.Conn(address))
+}
+
+// Peer returns the client for heartbeats.
+func (d *Dialer) Peer(address string) member.Peer {
+	return peer{client: wire.NewPeerClient(d.Conn(address))}
+}
+
+// Source returns the client for configuration.
+func (d *Dialer) Source(address string) keeper.Source {
+	return peer{client: wire.NewPeerClient(d.Conn(address))}
+}
+
+// peer is one other daemon, for heartbeats and for configuration.
+type peer struct{ client wire.PeerClient }
+
+// Exchange implements member.Peer.
+func (p peer) Exchange(ctx context.Context, h *wire.Heartbeat) (*wire.Heartbeat, error) {
+	return p.client.Exchange(ctx, h)
+}
+
+// Head implements keeper.Source.
+func (p peer) Head(ctx context.Context, prefix []byte) ([]byte, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	d, err := p.client.FetchHead(ctx, &wire.FetchHeadRequest{Head: prefix})
+	return d.GetBody(), d.GetInForce(), err
+}
+
+// Shard implements keeper.Source.
+func (p peer) Shard(ctx context.Context, digest string) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	d, err := p.client.FetchShard(ctx, &wire.FetchShardRequest{Digest: digest})
+	return d.GetBody(), err
+}
+
+const fetchTimeout = 3 * time.Second
+
+// peerServer answers other daemons.
+type peerServer struct {
+	wire.UnimplementedPeerServer
+
+	node *Node
+}
+
+// Exchange implements the Peer service.
+func (s peerServer) Exchange(_ context.Context, h *wire.Heartbeat) (*wire.Heartbeat, error) {
+	return s.node.loop.Answer(h), nil
+}
+
+// FetchHead implements the Peer service.
+func (s peerServer) FetchHead(_ context.Context, q *wire.FetchHeadRequest) (*wire.Document, error) {
+	raw, inForce, ok := s.node.Keeper.Find(q.GetHead())
+	if !ok {
+		return nil, errNotHeld
+	}
+	return &wire.Document{Body: raw, InForce: inForce}, nil
+}
+
+// FetchShard implements the Peer service.
+func (s peerServer) FetchShard(_ context.Context, q *wire.FetchShardRequest) (*wire.Document, error) {
+	raw, ok := s.node.Keeper.Shard(q.GetDigest())
+	if !ok {
+		return nil, errNotHeld
+	}
+	return &wire.Document{Body: raw}, nil
+}
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -45,7 +45,7 @@
 
 func TestRefusalsAreTyped(t *testing.T) {
 	c := quicktest.New(t)
-	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(FenceHeader, "9.other")
 		w.Header().Set(ReasonHeader, string(CodeStaleFence))
 		w.WriteHeader(http.StatusConflict)
--- /dev/null
+++ b/engine/transport.go
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrExpired says that a grant was not used in time; nothing was sent.
+var ErrExpired = errors.New("engine: grant expired before the write")
+
+// guardedConn refuses the first write of a request that comes too late, and
+// remembers whether any byte of it was handed to the system.
+type guardedConn struct {
+	net.Conn
+
+	mu     sync.Mutex
+	sendBy time.Time // of the request under way; zero: none
+	sent   bool      // a write of it was begun
+}
+
+func (c *guardedConn) arm(sendBy time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sendBy = sendBy
+	c.sent = false
+}
+
+func (c *guardedConn) wasSent() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent
+}
+
+// Write checks the time just before the system call.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	late := !c.sent && !c.sendBy.IsZero() && time.Now().After(c.sendBy)
+	if !late {
+		c.sent = true
+	}
+	c.mu.Unlock()
+	if late {
+		return 0, ErrExpired
+	}
+	return c.Conn.Write(b)
+}
+
+// NewTransport returns the connections to endpoints: kept open, without
+// compression, each write guarded.
+func NewTransport(dialTimeout time.Duration, idlePerHost int) *http.Transport {
+	d := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &guardedConn{Conn: c}, nil
+		},
+		DisableCompression:  true,
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     90 * time.Second,
+		WriteBufferSize:     4 << 10,
+		ReadBufferSize:      4 << 10,
+	}
+}
+
+// once is a body that can be sent one time only, so that net/http never sends a
+// request again by itself.
+type once struct{ io.Reader }
+
+func (once) Close() error { return nil }
+
+// NewBody wraps a body so that it is sent at most one time.
+func NewBody(r io.Reader) io.ReadCloser { return once{Reader: r} }
+
+// Send gives one request to an endpoint, by sendBy or not at all. Without an
+// answer it returns a *LostError, which says whether a byte may have left. An
+// answer of any status is returned as it is; the caller closes its body.
+func Send(client *http.Client, r *http.Request, sendBy time.Time) (*http.Response, error) {
+	var mu sync.Mutex
+	var conn *guardedConn
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		g, ok := i.Conn.(*guardedConn)
+		if !ok {
+			return
+		}
+		g.arm(sendBy)
+		mu.Lock()
+		conn = g
+		mu.Unlock()
+	}}
+	a, err := client.Do(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil {
+		return a, nil
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	return nil, &LostError{Sent: conn != nil && conn.wasSent(), Cause: err}
+}
--- /dev/null
+++ b/engine/transport_test.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// listen accepts connections and hands each to serve, which ends it.
+func listen(c *quicktest.C, serve func(net.Conn)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	c.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func send(client *http.Client, address string, sendBy time.Time) error {
+	r, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://"+address, NewBody(strings.NewReader("{}")))
+	if err != nil {
+		return err
+	}
+	r.ContentLength = 2
+	r.Header.Set("Idempotency-Key", "k") // which lets net/http send again, if it could
+	a, err := Send(client, r, sendBy)
+	if err == nil {
+		a.Body.Close()
+	}
+	return err
+}
+
+func newClient() *http.Client { return &http.Client{Transport: NewTransport(time.Second, 4)} }
+
+func inTime() time.Time { return time.Now().Add(time.Minute) }
+
+func sentOf(c *quicktest.C, err error) bool {
+	var lost *LostError
+	c.Assert(errors.As(err, &lost), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	return lost.Sent
+}
+
+func TestARefusedConnectionSendsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	l.Close()
+	c.Assert(sentOf(c, send(newClient(), l.Addr().String(), inTime())), quicktest.IsFalse)
+}
+
+func TestAnExpiredGrantSendsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	var bytes atomic.Int64
+	address := listen(c, func(conn net.Conn) {
+		n, _ := conn.Read(make([]byte, 10))
+		bytes.Add(int64(n))
+		conn.Close()
+	})
+	err := send(newClient(), address, time.Now().Add(-time.Millisecond))
+	c.Assert(errors.Is(err, ErrExpired), quicktest.IsTrue)
+	c.Assert(sentOf(c, err), quicktest.IsFalse)
+	c.Assert(bytes.Load(), quicktest.Equals, int64(0))
+}
+
+func TestACutAfterTheWriteMayHaveRun(t *testing.T) {
+	c := quicktest.New(t)
+	address := listen(c, func(conn net.Conn) {
+		_, _ = bufio.NewReader(conn).ReadString('\n')
+		conn.Close()
+	})
+	c.Assert(sentOf(c, send(newClient(), address, inTime())), quicktest.IsTrue)
+}
+
+func TestARequestIsNeverSentAgainOnAReusedConnection(t *testing.T) {
+	c := quicktest.New(t)
+	var requests atomic.Int64
+	address := listen(c, func(conn net.Conn) {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = in.Discard(int(r.ContentLength))
+			if requests.Add(1) > 1 {
+				return // cut after the write, on a connection used before
+			}
+			_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		}
+	})
+	client := newClient()
+	c.Assert(send(client, address, inTime()), quicktest.IsNil)
+	c.Assert(sentOf(c, send(client, address, inTime())), quicktest.IsTrue)
+	c.Assert(requests.Load(), quicktest.Equals, int64(2))
+}
--- /dev/null
+++ b/fleet/caller.go
@@ -0,0 +1,147 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Ask is one request of a caller.
+type Ask struct {
+	Address string // of a gateway
+	Model   string // as a caller writes it
+	Expect  string // adapter@version that must answer; "" when any may
+	Tokens  int
+	Stream  bool
+	Header  map[string]string
+}
+
+// Reply is what a caller got.
+type Reply struct {
+	Status   int
+	Header   http.Header
+	Text     string // of the answer
+	Whole    bool   // the answer ended as it should
+	Code     string // of a failure
+	Ran      string // of a failure
+	Retry    time.Duration
+	Request  string
+	First    time.Duration // until the first byte
+	Duration time.Duration
+}
+
+type replyBody struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Error *struct {
+		Code    string `json:"code"`
+		Ran     string `json:"ran"`
+		Retry   int64  `json:"retry_after_ms"`
+		Request string `json:"request_id"`
+	} `json:"error"`
+}
+
+// Caller sends requests; the zero value is ready.
+type Caller struct{ HTTP http.Client }
+
+// Do sends one request and reads its answer. An error says that the connection
+// gave none.
+func (c *Caller) Do(ctx context.Context, a Ask) (Reply, error) {
+	body := map[string]any{"model": a.Model, "max_tokens": max(a.Tokens, 1), "stream": a.Stream, "prompt": "hello"}
+	if a.Expect != "" {
+		body["prompt"] = "expect:" + a.Expect
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return Reply{}, err
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+"/v1/completions", strings.NewReader(string(raw)))
+	if err != nil {
+		return Reply{}, err
+	}
+	for n, v := range a.Header {
+		r.Header.Set(n, v)
+	}
+	begun := time.Now()
+	w, err := c.HTTP.Do(r)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer w.Body.Close()
+	p := Reply{Status: w.StatusCode, Header: w.Header, Request: w.Header.Get("X-Request-Id"), First: time.Since(begun)}
+	err = p.read(w)
+	p.Duration = time.Since(begun)
+	return p, err
+}
+
+func (p *Reply) read(w *http.Response) error {
+	if strings.HasPrefix(w.Header.Get("Content-Type"), "text/event-stream") {
+		return p.readEvents(bufio.NewReader(w.Body))
+	}
+	var b replyBody
+	if err := json.NewDecoder(w.Body).Decode(&b); err != nil {
+		return errors.Wrap(err, "fleet: answer")
+	}
+	p.take(b)
+	p.Whole = b.Error == nil && len(b.Choices) > 0
+	return nil
+}
+
+func (p *Reply) readEvents(in *bufio.Reader) error {
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return nil // cut: Whole stays false
+		}
+		data, found := strings.CutPrefix(strings.TrimSpace(line), "data: ")
+		if !found {
+			continue
+		}
+		if data == "[DONE]" {
+			p.Whole = true
+			return nil
+		}
+		var b replyBody
+		if err := json.Unmarshal([]byte(data), &b); err != nil {
+			return errors.Wrap(err, "fleet: event")
+		}
+		p.take(b)
+	}
+}
+
+func (p *Reply) take(b replyBody) {
+	for _, c := range b.Choices {
+		p.Text += c.Text
+	}
+	if b.Error != nil {
+		p.Code, p.Ran, p.Retry = b.Error.Code, b.Error.Ran, time.Duration(b.Error.Retry)*time.Millisecond
+	}
+}
+
+// Check tells what is wrong with a whole answer: every token must name the
+// adapter's version and this request, in order.
+func (p *Reply) Check(model string, tokens int) error {
+	words := strings.Fields(p.Text)
+	if len(words) != tokens {
+		return errors.Errorf("fleet: %d tokens instead of %d", len(words), tokens)
+	}
+	for i, w := range words {
+		parts := strings.Split(w, "/")
+		if len(parts) != 3 {
+			return errors.Errorf("fleet: token %q", w)
+		}
+		if parts[0] != model || !strings.HasPrefix(parts[1], p.Request+".") || parts[2] != fmt.Sprint(i) {
+			return errors.Errorf("fleet: token %d is %q; the request is %s on %s", i, w, p.Request, model)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/gateway/attempt.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cairnwick.example/engine"
+	"cairnwick.example/member"
+	"cairnwick.example/wire"
+	"github.com/pkg/errors"
+)
+
+// hold is a grant under which one attempt runs.
+type hold struct {
+	owner    member.Member
+	grant    *wire.Grant
+	endpoint string
+	sendBy   time.Time
+}
+
+const (
+	cancelTimeout = 2 * time.Second
+	maxWhole      = 16 << 20 // bytes of an answer that is not streamed
+	maxRefusal    = 64 << 10 // bytes read of an endpoint's refusal
+)
+
+// attempt runs the request once at the endpoint of a grant, and gives the grant
+// back.
+func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, h hold) *Failure {
+	q.attempts++
+	begun := time.Now()
+	g.stats.Stall.Observe(q.class.Name(), time.Duration(h.grant.GetLoadMicros())*time.Microsecond)
+	r := &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId()}
+	f := g.send(ctx, q, out, h, r)
+	if f == nil {
+		g.Retries.Success()
+	}
+	r.ServiceMicros = time.Since(begun).Microseconds()
+	g.release(h.owner, r)
+	g.recordAttempt(q, h, f)
+	return f
+}
+
+// send writes the request, and passes the answer on. It notes in r what the
+// scheduler must know.
+func (g *Gateway) send(ctx context.Context, q *request, out *answer, h hold, r *wire.ReleaseRequest) *Failure {
+	run := fmt.Sprintf("%s.%d", q.id, q.attempts)
+	e, err := g.engineRequest(ctx, q, h, run)
+	if err != nil {
+		r.Outcome = wire.Outcome_OUTCOME_NOT_SENT
+		return badRequest("body: %v", err)
+	}
+	a, err := engine.Send(g.Engines, e, h.sendBy)
+	if err != nil {
+		return g.lost(ctx, h, run, r, err)
+	}
+	defer a.Body.Close()
+	r.Fence = a.Header.Get(engine.FenceHeader)
+	r.Boot = a.Header.Get(engine.BootHeader)
+	if a.StatusCode >= http.StatusBadRequest {
+		return refusedByEndpoint(a, r)
+	}
+	out.Header().Set(EndpointHeader, h.endpoint)
+	if q.stream {
+		return g.passStream(ctx, out, h, run, a, r)
+	}
+	return g.passWhole(ctx, out, h, run, a, r)
+}
+
+func (g *Gateway) engineRequest(ctx context.Context, q *request, h hold, run string) (*http.Request, error) {
+	body, err := q.engineBody(h.grant.GetPriority())
+	if err != nil {
+		return nil, err
+	}
+	e, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+h.grant.GetAddress()+q.path, engine.NewBody(bytes.NewReader(body)))
+	if err != nil {
+		return nil, err
+	}
+	e.ContentLength = int64(len(body))
+	e.Header.Set("Content-Type", "application/json")
+	e.Header.Set(engine.RequestHeader, run)
+	if q.key != "" {
+		e.Header.Set(engine.KeyHeader, q.key)
+	}
+	return e, nil
+}
+
+// lost answers for an attempt that got no answer.
+func (g *Gateway) lost(ctx context.Context, h hold, run string, r *wire.ReleaseRequest, err error) *Failure {
+	var l *engine.LostError
+	if errors.As(err, &l) && !l.Sent {
+		r.Outcome = wire.Outcome_OUTCOME_NOT_SENT
+		code := CodeLost
+		if errors.Is(err, engine.ErrExpired) {
+			code = CodeRefused // the next grant may be in time
+		}
+		return &Failure{Code: code, Ran: NotRun, Message: h.endpoint + " was not reached", Retry: g.Spans.Retry}
+	}
+	r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+	if ctx.Err() != nil {
+		g.cancel(h, run, r)
+	}
+	return &Failure{Code: CodeLost, Ran: Unknown, Message: h.endpoint + " gave no answer", Retry: g.Spans.Retry}
+}
+
+// cancel ends a run that nobody waits for.
+func (g *Gateway) cancel(h hold, run string, r *wire.ReleaseRequest) {
+	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+	defer stop()
+	c := &engine.Client{Address: h.grant.GetAddress(), HTTP: g.Engines}
+	if err := c.Cancel(ctx, run); err != nil {
+		g.Log.V(1).Info("Run was not cancelled", "request", run, "endpoint", h.endpoint, "err", err.Error())
+		return
+	}
+	r.Outcome = wire.Outcome_OUTCOME_REFUSED // it is over, and its time says nothing
+}
+
+// refusedByEndpoint reads the endpoint's own refusal.
+func refusedByEndpoint(a *http.Response, r *wire.ReleaseRequest) *Failure {
+	text, err := io.ReadAll(io.LimitReader(a.Body, maxRefusal))
+	if err != nil {
+		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+		return &Failure{Code: CodeLost, Ran: Unknown, Message: "the endpoint's refusal broke off"}
+	}
+	e := engine.Refusal(a, text)
+	if !e.NotRun() {
+		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+		return &Failure{Code: CodeLost, Ran: Unknown, Message: e.Message, Retry: e.Retry}
+	}
+	r.Outcome = wire.Outcome_OUTCOME_REFUSED
+	r.NotLoaded = e.Code == engine.CodeNotLoaded
+	r.Busy = e.Code == engine.CodeBusy
+	switch e.Code {
+	case engine.CodeBadRequest:
+		return badRequest("%s", e.Message)
+	case engine.CodeLeaving:
+		return &Failure{Code: CodeLeaving, Ran: NotRun, Message: e.Message, Retry: max(e.Retry, time.Second)}
+	}
+	return &Failure{Code: CodeRefused, Ran: NotRun, Message: e.Message, Retry: max(e.Retry, time.Second)}
+}
+
+// recordAttempt keeps how an attempt went.
+func (g *Gateway) recordAttempt(q *request, h hold, f *Failure) {
+	d := &wire.Decision{
+		Request:      q.id,
+		UnixMicros:   time.Now().UnixMicro(),
+		Box:          g.Name,
+		Step:         "run",
+		Adapter:      q.model.String(),
+		Class:        q.class.Name(),
+		Caller:       q.caller,
+		Endpoint:     h.endpoint,
+		Reason:       h.grant.GetReason(),
+		Revision:     q.catalog.Revision(),
+		WaitedMicros: h.grant.GetWaitedMicros(),
+		Detail:       "answered whole; granted by " + h.owner.Name() + " under fence " + h.grant.GetFence(),
+	}
+	if f != nil {
+		d.Detail = string(f.Code) + " (" + string(f.Ran) + "): " + f.Message
+	}
+	g.Record.Add(d)
+}
--- /dev/null
+++ b/gateway/failure.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// Code names why a request got no answer of its own; docs/ERRORS.md says what a
+// caller may do on each.
+type Code string
+
+// The codes.
+const (
+	CodeBadRequest     Code = "bad_request"
+	CodeBodyTooLarge   Code = "body_too_large"
+	CodeUnknownAdapter Code = "unknown_adapter"
+	CodeUnknownVersion Code = "unknown_version"
+	CodeUnknownClass   Code = "unknown_class"
+	CodeUnknownService Code = "unknown_service"
+	CodeDeadlinePast   Code = "deadline_past"
+	CodeKeyMissing     Code = "key_missing"
+	CodeKeyInvalid     Code = "key_invalid"
+	CodeKeyInProgress  Code = "key_in_progress"
+	CodeKeyRan         Code = "key_ran"
+	CodeKeyUnknown     Code = "key_unknown"
+	CodeKeyTooOld      Code = "key_too_old"
+	CodeKeyHome        Code = "key_home_unreachable"
+	CodeNoEndpoint     Code = "no_endpoint"
+	CodeNoWait         Code = "no_place"
+	CodeQueueFull      Code = "queue_full"
+	CodeDeadline       Code = "deadline_unreachable"
+	CodeLoadFailed     Code = "load_failed"
+	CodeLeaving        Code = "leaving"
+	CodeNotReady       Code = "not_ready"
+	CodeOverloaded     Code = "overloaded"
+	CodeRefused        Code = "refused_by_endpoint"
+	CodeLost           Code = "answer_lost"
+	CodeCut            Code = "answer_cut"
+)
+
+// Ran says whether the request ran.
+type Ran string
+
+// What may be said of a request.
+const (
+	NotRun  Ran = "not_run"
+	Unknown Ran = "unknown"
+	DidRun  Ran = "ran"
+)
+
+// Failure is the final answer to a request that got none of its own.
+type Failure struct {
+	Code    Code
+	Ran     Ran
+	Message string
+	Retry   time.Duration // when to come back; zero: coming back does not help
+}
+
+func (f *Failure) Error() string {
+	return fmt.Sprintf("gateway: %s (%s): %s", f.Code, f.Ran, f.Message)
+}
+
+// status is the HTTP status of a code.
+func (c Code) status() int {
+	switch c {
+	case CodeBadRequest, CodeUnknownClass, CodeDeadlinePast, CodeKeyMissing, CodeKeyInvalid:
+		return http.StatusBadRequest
+	case CodeBodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case CodeUnknownAdapter, CodeUnknownVersion, CodeUnknownService:
+		return http.StatusNotFound
+	case CodeKeyInProgress, CodeKeyRan, CodeKeyUnknown, CodeKeyTooOld:
+		return http.StatusConflict
+	case CodeQueueFull, CodeOverloaded:
+		return http.StatusTooManyRequests
+	case CodeLost, CodeCut, CodeRefused:
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// failureBody is the JSON form, in the style of today's engines with what this
+// layer adds.
+type failureBody struct {
+	Error failureFields `json:"error"`
+}
+
+type failureFields struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    Code   `json:"code"`
+	Ran     Ran    `json:"ran"`
+	Retry   int64  `json:"retry_after_ms,omitempty"`
+	Request string `json:"request_id"`
+}
+
+func (f *Failure) body(request string) []byte {
+	raw, err := json.Marshal(failureBody{Error: failureFields{
+		Message: f.Message,
+		Type:    "cairnwick_error",
+		Code:    f.Code,
+		Ran:     f.Ran,
+		Retry:   f.Retry.Milliseconds(),
+		Request: request,
+	}})
+	if err != nil {
+		return []byte(`{"error":{}}`) // strings and numbers always marshal
+	}
+	return raw
+}
+
+// write sends the failure as the whole answer.
+func (f *Failure) write(w http.ResponseWriter, request string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if f.Retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.Retry.Seconds()))))
+	}
+	w.WriteHeader(f.Code.status())
+	_, _ = w.Write(f.body(request)) // the caller may be gone
+}
+
+// writeEvent sends the failure inside a stream that has begun.
+func (f *Failure) writeEvent(w http.ResponseWriter, request string) {
+	_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", f.body(request))
+}
+
+func badRequest(format string, values ...any) *Failure {
+	return &Failure{Code: CodeBadRequest, Ran: NotRun, Message: fmt.Sprintf(format, values...)}
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,149 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package gateway faces the callers: it holds each request until its final
+// answer, asks a scheduler for a grant, streams straight from the endpoint, and
+// tries again only what provably did not run.
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/decision"
+	"cairnwick.example/member"
+	"cairnwick.example/metrics"
+	"cairnwick.example/policy"
+	"cairnwick.example/wire"
+	"github.com/go-logr/logr"
+)
+
+// Spans are the time spans of a gateway.
+type Spans struct {
+	Failover time.Duration // how long a request looks for an owner that answers
+	Key      time.Duration // longest wait for the home of a key
+	Retry    time.Duration // said to callers when nothing better is known
+	Resume   time.Duration // longest wait for a cut stream to go on
+}
+
+// Schedulers reaches the schedulers by address.
+type Schedulers interface {
+	Scheduler(address string) wire.SchedulerClient
+}
+
+// Remote tells of the schedulers of other data centres, as the platform lists
+// them.
+type Remote interface {
+	Schedulers(dataCentre string) []member.Member
+}
+
+// Gateway serves callers. Set every exported field before Init.
+type Gateway struct {
+	Name        string // as a member
+	Centre      string // its data centre
+	Catalog     func() *catalog.Catalog
+	Members     *member.Table
+	Probe       func(member string) // asks for a heartbeat now
+	Schedulers  Schedulers
+	Remote      Remote
+	Engines     *http.Client // guarded connections to endpoints
+	Placement   policy.Placement
+	Retries     *policy.RetryBudget
+	Spans       Spans
+	MaxBody     int64 // bytes of a caller's body
+	MaxInFlight int   // requests held at a time
+	Record      *decision.Record
+	Log         logr.Logger
+
+	beliefs  *beliefs
+	owners   *owners
+	releases chan release
+	inFlight atomic.Int64
+	leaving  atomic.Bool
+	stats    Stats
+}
+
+// Stats are the gateway's figures for /debug/vars.
+type Stats struct {
+	Total      *metrics.Family // time to the final answer, by class
+	Callers    *metrics.Family // time to the final answer, by caller
+	FirstToken *metrics.Family // time to the first byte of the answer, by class
+	Stall      *metrics.Family // part of it spent on loads, by class
+	Codes      *metrics.Family // time to the final answer, by code
+}
+
+const (
+	familyLimit    = 64
+	releaseBuffer  = 1024
+	releaseWorkers = 8
+)
+
+// Init prepares the tables; call it before the handler serves.
+func (g *Gateway) Init() {
+	g.beliefs = newBeliefs()
+	g.owners = newOwners()
+	g.releases = make(chan release, releaseBuffer)
+	g.stats = Stats{
+		Total:      metrics.NewFamily(familyLimit),
+		Callers:    metrics.NewFamily(familyLimit),
+		FirstToken: metrics.NewFamily(familyLimit),
+		Stall:      metrics.NewFamily(familyLimit),
+		Codes:      metrics.NewFamily(familyLimit),
+	}
+}
+
+// Stats returns the figures to export.
+func (g *Gateway) Stats() Stats { return g.stats }
+
+// InFlight returns how many requests are held now.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// Leave makes readiness false and keep-alive connections end; requests that are
+// held go on.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Run gives grants back and follows owners until ctx ends, and returns when
+// what was to give back is given.
+func (g *Gateway) Run(ctx context.Context) error {
+	done := make(chan error, releaseWorkers)
+	for range releaseWorkers {
+		go func() { done <- g.releaseWorker(ctx) }()
+	}
+	followed := make(chan error, 1)
+	go func() { followed <- g.followOwners(ctx) }()
+	err := <-followed
+	for range releaseWorkers {
+		if e := <-done; e != nil && err == nil {
+			err = e
+		}
+	}
+	return err
+}
+
+// Handler serves the callers' protocol.
+func (g *Gateway) Handler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("POST /v1/completions", g.serveModel)
+	m.HandleFunc("POST /v1/chat/completions", g.serveModel)
+	m.HandleFunc("GET /v1/models", g.serveModels)
+	m.HandleFunc("/services/{service}/{path...}", g.serveService)
+	return g.bound(m)
+}
+
+// bound refuses what would be too much to hold.
+func (g *Gateway) bound(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer g.inFlight.Add(-1)
+		if g.inFlight.Add(1) > int64(g.MaxInFlight) {
+			f := &Failure{Code: CodeOverloaded, Ran: NotRun, Message: "too many requests are held", Retry: g.Spans.Retry}
+			f.write(w, newRequestID())
+			return
+		}
+		if g.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
--- /dev/null
+++ b/gateway/route.go
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/member"
+	"cairnwick.example/policy"
+	"cairnwick.example/wire"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	maxCandidates = 4                     // endpoints asked for one request
+	maxAttempts   = 3                     // runs begun for one request
+	failoverPause = 25 * time.Millisecond // between tries to find an owner that answers
+)
+
+// route brings a request to an endpoint and its answer to the caller. It
+// returns nil when the answer was given whole.
+func (g *Gateway) route(ctx context.Context, q *request, out *answer) *Failure {
+	if q.left() <= 0 {
+		return &Failure{Code: CodeDeadlinePast, Ran: NotRun, Message: "the deadline passed before the request was routed"}
+	}
+	var last *Failure
+	for _, centre := range g.centresFor(q) {
+		f := g.routeIn(ctx, q, out, centre)
+		if f == nil || f.Ran != NotRun || !elsewhere(f.Code) {
+			return f
+		}
+		last = sooner(last, f)
+	}
+	if last == nil {
+		return &Failure{Code: CodeNoEndpoint, Ran: NotRun, Message: "no endpoint serves " + q.model.Adapter().Base(), Retry: g.Spans.Retry}
+	}
+	return last
+}
+
+// elsewhere tells whether another data centre may do better.
+func elsewhere(c Code) bool {
+	switch c {
+	case CodeNoEndpoint, CodeNoWait, CodeQueueFull, CodeDeadline, CodeLeaving, CodeNotReady:
+		return true
+	}
+	return false
+}
+
+// sooner keeps the failure that asks the caller back first.
+func sooner(a, b *Failure) *Failure {
+	if a == nil || (b.Retry > 0 && b.Retry < a.Retry) {
+		return b
+	}
+	return a
+}
+
+// centresFor returns the data centres to try: the own one, then the others with
+// endpoints of the base, in an order that spreads the overflow of many keys.
+func (g *Gateway) centresFor(q *request) []string {
+	var others []string
+	seen := map[string]bool{g.Centre: true}
+	for _, n := range q.catalog.EndpointsOf(q.model.Adapter().Base()) {
+		e, _ := q.catalog.Endpoint(n)
+		if !seen[e.DataCentre()] {
+			seen[e.DataCentre()] = true
+			others = append(others, e.DataCentre())
+		}
+	}
+	return append([]string{g.Centre}, policy.Rank(q.model.String(), others)...)
+}
+
+// routeIn tries the endpoints of one data centre.
+func (g *Gateway) routeIn(ctx context.Context, q *request, out *answer, centre string) *Failure {
+	names := servingIn(q.catalog, q.model.Adapter().Base(), centre)
+	if len(names) == 0 {
+		return &Failure{Code: CodeNoEndpoint, Ran: NotRun, Message: "no endpoint in " + centre, Retry: g.Spans.Retry}
+	}
+	order := g.place(q, names)
+	var last *Failure
+	for _, n := range order[:min(maxCandidates, len(order))] {
+		f := g.tryEndpoint(ctx, q, out, n, centre)
+		if f == nil || f.Ran != NotRun || !another(f.Code) || ctx.Err() != nil {
+			return f
+		}
+		last = sooner(last, f)
+	}
+	return last
+}
+
+// another tells whether another endpoint of the data centre may do better.
+func another(c Code) bool {
+	return elsewhere(c) || c == CodeLoadFailed || c == CodeRefused || c == CodeLost
+}
+
+func servingIn(c *catalog.Catalog, base, centre string) []string {
+	var names []string
+	for _, n := range c.EndpointsOf(base) {
+		e, _ := c.Endpoint(n)
+		if e.DataCentre() == centre && e.State() == catalog.Serving {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// place orders the endpoints and records why.
+func (g *Gateway) place(q *request, names []string) []string {
+	now := time.Now()
+	facts, width := g.beliefs.of(q.model.String(), names, now)
+	order, scores := g.Placement.Order(policy.PlaceRequest{
+		Key:   q.model.String(),
+		Names: names,
+		Facts: facts,
+		Width: width,
+		Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	d := &wire.Decision{
+		Request:    q.id,
+		UnixMicros: now.UnixMicro(),
+		Box:        g.Name,
+		Step:       "place",
+		Adapter:    q.model.String(),
+		Class:      q.class.Name(),
+		Caller:     q.caller,
+		Revision:   q.catalog.Revision(),
+	}
+	ranked := make([]string, len(order))
+	for place, i := range order {
+		ranked[place] = names[i]
+		if place < maxCandidates {
+			d.Candidates = append(d.Candidates, candidate(names[i], scores[i], facts[i]))
+		}
+	}
+	d.Endpoint = ranked[0]
+	g.Record.Add(d)
+	return ranked
+}
+
+func candidate(name string, score float64, f policy.Facts) *wire.Candidate {
+	c := &wire.Candidate{Endpoint: name, Score: score, AgeMicros: f.Age.Microseconds()}
+	switch {
+	case f.Loaded:
+		c.Note = "believed loaded"
+	case !f.Known:
+		c.Note = "nothing heard lately"
+	}
+	return c
+}
+
+// tryEndpoint runs the request at one endpoint, as often as its refusals prove
+// that it did not run and the budget allows.
+func (g *Gateway) tryEndpoint(ctx context.Context, q *request, out *answer, endpoint, centre string) *Failure {
+	q.candidates++
+	for {
+		owner, grant, sendBy, f := g.acquire(ctx, q, endpoint, centre)
+		if f != nil {
+			return f
+		}
+		f = g.attempt(ctx, q, out, hold{owner: owner, grant: grant, endpoint: endpoint, sendBy: sendBy})
+		if f == nil || f.Ran != NotRun || f.Code != CodeRefused || ctx.Err() != nil {
+			return f
+		}
+		if q.attempts >= maxAttempts || !g.Retries.Take() {
+			return f
+		}
+	}
+}
+
+// acquire asks the endpoint's owner for a grant, and looks for the owner while
+// it changes.
+func (g *Gateway) acquire(ctx context.Context, q *request, endpoint, centre string) (member.Member, *wire.Grant, time.Time, *Failure) {
+	until := time.Now().Add(min(g.Spans.Failover, q.left()))
+	hint := ""
+	for {
+		owner, ok := g.ownerOf(endpoint, centre)
+		if hinted, known := byName(hint, g.schedulersOf(centre)); known {
+			owner = hinted
+		}
+		hint = ""
+		if ok {
+			asked := time.Now()
+			a, err := g.ask(ctx, q, owner, endpoint)
+			if err == nil {
+				g.beliefs.hear(endpoint, q.model.String(), a.GetFacts(), time.Now())
+			}
+			if grant := a.GetGrant(); grant != nil {
+				g.beliefs.count(endpoint, 1)
+				return owner, grant, asked.Add(time.Duration(grant.GetSendMicros()) * time.Microsecond), nil
+			}
+			if r := a.GetRefusal(); r != nil && !searching(r.GetReason()) {
+				return owner, nil, time.Time{}, g.refusal(q, endpoint, r)
+			}
+			if r := a.GetRefusal(); r != nil && r.GetOwner() != owner.Name() {
+				hint = r.GetOwner()
+			}
+		}
+		if ctx.Err() != nil || time.Now().After(until) {
+			return owner, nil, time.Time{}, &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no scheduler answers for " + endpoint, Retry: g.Spans.Retry}
+		}
+		g.await(ctx, failoverPause)
+	}
+}
+
+// searching tells whether the owner is only not settled yet.
+func searching(r wire.Reason) bool {
+	return r == wire.Reason_REASON_NOT_OWNER || r == wire.Reason_REASON_NOT_READY
+}
+
+// await waits for the view to change, at most d.
+func (g *Gateway) await(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// ask makes one call for a grant. When it fails the owner is probed, so that
+// the view follows soon.
+func (g *Gateway) ask(ctx context.Context, q *request, owner member.Member, endpoint string) (*wire.AcquireReply, error) {
+	call, cancel := ctx, context.CancelFunc(func() {})
+	if owner.DataCentre() == g.Centre {
+		call, cancel = g.owners.with(ctx, owner.Name())
+	}
+	defer cancel()
+	a, err := g.Schedulers.Scheduler(owner.Address()).Acquire(call, &wire.AcquireRequest{
+		Request:    q.id,
+		Endpoint:   endpoint,
+		Adapter:    q.model.String(),
+		Class:      q.class.Name(),
+		Caller:     q.caller,
+		WaitMicros: q.mayWait().Microseconds(),
+		Revision:   q.catalog.Revision(),
+		Box:        g.Name,
+	})
+	if err != nil && ctx.Err() == nil && status.Code(err) != codes.Canceled {
+		g.Probe(owner.Name())
+	}
+	return a, err
+}
+
+// refusal turns a scheduler's refusal into the caller's answer.
+func (g *Gateway) refusal(q *request, endpoint string, r *wire.Refusal) *Failure {
+	retry := time.Duration(r.GetRetryMicros()) * time.Microsecond
+	f := &Failure{Ran: NotRun, Retry: max(retry, time.Millisecond)}
+	switch r.GetReason() {
+	case wire.Reason_REASON_DEADLINE:
+		f.Code, f.Message = CodeDeadline, "the wait would pass what the class or the deadline allows"
+	case wire.Reason_REASON_NO_WAIT:
+		f.Code, f.Message = CodeNoWait, "class "+q.class.Name()+" may not wait, and no place is free"
+	case wire.Reason_REASON_QUEUE_FULL:
+		f.Code, f.Message = CodeQueueFull, "too many requests wait"
+	case wire.Reason_REASON_LOAD_FAILED:
+		f.Code, f.Message = CodeLoadFailed, q.model.String()+" could not be loaded"
+	case wire.Reason_REASON_LEAVING:
+		f.Code, f.Message = CodeLeaving, endpoint+" is leaving"
+	case wire.Reason_REASON_ENDPOINT_DOWN:
+		f.Code, f.Message = CodeNoEndpoint, endpoint+" does not answer"
+	case wire.Reason_REASON_UNKNOWN_ADAPTER:
+		f.Code, f.Message = CodeNotReady, "the scheduler's configuration does not name "+q.model.String()+" yet"
+	default:
+		f.Code, f.Message = CodeNotReady, "refused as "+r.GetReason().String()
+	}
+	return f
+}
--- /dev/null
+++ b/gateway/services.go
@@ -0,0 +1,154 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/engine"
+	"github.com/pkg/errors"
+)
+
+// call is one caller's call of a plain service, with its body in memory so
+// that it can be sent again where that is allowed.
+type call struct {
+	id         string
+	key        string
+	service    catalog.Service
+	method     string
+	path       string // with its query
+	header     http.Header
+	body       []byte
+	repeatable bool
+}
+
+// serveService routes a call to a plain service.
+func (g *Gateway) serveService(w http.ResponseWriter, r *http.Request) {
+	id := newRequestID()
+	w.Header().Set(RequestHeader, id)
+	begun := time.Now()
+	c, f := g.readCall(w, r, id)
+	out := &answer{writer: w, id: id, begun: begun}
+	if f == nil && c.key != "" {
+		f = g.runKeyed(r.Context(), c.key, id, func() *Failure { return g.callService(r.Context(), c, out) })
+	} else if f == nil {
+		f = g.callService(r.Context(), c, out)
+	}
+	if f != nil {
+		g.finish(out, nil, id, begun, f)
+		return
+	}
+	g.stats.Codes.Observe("ok", time.Since(begun))
+}
+
+func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, id string) (*call, *Failure) {
+	k := g.Catalog()
+	if k == nil {
+		return nil, &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no configuration yet", Retry: time.Second}
+	}
+	s, ok := k.Service(r.PathValue("service"))
+	if !ok {
+		return nil, &Failure{Code: CodeUnknownService, Ran: NotRun, Message: "no service " + strconv.Quote(r.PathValue("service"))}
+	}
+	c := &call{id: id, service: s, method: r.Method, path: "/" + r.PathValue("path"), header: r.Header}
+	c.repeatable = !s.NotRepeatable(r.Method, c.path) && r.Header.Get(RepeatableHeader) != "no"
+	if r.URL.RawQuery != "" {
+		c.path += "?" + r.URL.RawQuery
+	}
+	if !c.repeatable {
+		key, f := keyOf(r)
+		if f != nil {
+			return nil, f
+		}
+		c.key = key
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, &Failure{Code: CodeBodyTooLarge, Ran: NotRun, Message: "body: larger than " + strconv.FormatInt(g.MaxBody, 10) + " bytes"}
+	}
+	if err != nil {
+		return nil, badRequest("body: broken off: %v", err)
+	}
+	c.body = body
+	return c, nil
+}
+
+// callService sends a call to one address after another, as long as it provably
+// did not run or may run again.
+func (g *Gateway) callService(ctx context.Context, c *call, out *answer) *Failure {
+	addresses := c.service.Addresses()
+	var last *Failure
+	for n, i := range rand.Perm(len(addresses)) {
+		if n > 0 && !g.Retries.Take() {
+			return last
+		}
+		last = g.callAt(ctx, c, out, addresses[i])
+		if last == nil || ctx.Err() != nil || !out.first.IsZero() {
+			return last
+		}
+		if last.Ran != NotRun && !c.repeatable {
+			return last
+		}
+	}
+	return last
+}
+
+func (g *Gateway) callAt(ctx context.Context, c *call, out *answer, address string) *Failure {
+	e, err := http.NewRequestWithContext(ctx, c.method, "http://"+address+c.path, engine.NewBody(bytes.NewReader(c.body)))
+	if err != nil {
+		return badRequest("call: %v", err)
+	}
+	e.ContentLength = int64(len(c.body))
+	copyHeader(e.Header, c.header)
+	e.Header.Set(engine.RequestHeader, c.id)
+	if c.key != "" {
+		e.Header.Set(engine.KeyHeader, c.key)
+	}
+	a, err := engine.Send(g.Engines, e, time.Now().Add(g.Spans.Key))
+	if err != nil {
+		return g.lostCall(c, err)
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+	if err != nil || len(body) > maxWhole {
+		return &Failure{Code: CodeLost, Ran: Unknown, Message: "the answer of " + c.service.Name() + " broke off", Retry: g.Spans.Retry}
+	}
+	g.Retries.Success()
+	copyHeader(out.Header(), a.Header)
+	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	out.WriteHeader(a.StatusCode)
+	_, _ = out.Write(body) // it ran; a caller that is gone has lost its answer
+	return nil
+}
+
+func (g *Gateway) lostCall(c *call, err error) *Failure {
+	ran := Unknown
+	var l *engine.LostError
+	if errors.As(err, &l) && !l.Sent {
+		ran = NotRun
+	}
+	return &Failure{Code: CodeLost, Ran: ran, Message: c.service.Name() + " gave no answer", Retry: g.Spans.Retry}
+}
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+	KeyHeader: true, // would let an HTTP client on the way send again by itself
+}
+
+func copyHeader(to, from http.Header) {
+	for n, v := range from {
+		if !hopHeaders[n] {
+			to[n] = v
+		}
+	}
+}
--- /dev/null
+++ b/gateway/serving.go
@@ -0,0 +1,103 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"cairnwick.example/daemon"
+	"cairnwick.example/engine"
+	"cairnwick.example/member"
+	"cairnwick.example/policy"
+	"cairnwick.example/settings"
+	"github.com/pkg/errors"
+)
+
+// The options of a gateway.
+const (
+	optListen    = "callers_listen"
+	optPlacement = "placement"
+	optFailover  = "failover"
+	optKeyWait   = "key_wait"
+	optRetry     = "retry_after"
+	optResume    = "resume_wait"
+	optMaxBody   = "max_body"
+	optInFlight  = "max_in_flight"
+	optShare     = "retry_share"
+	optBurst     = "retry_burst"
+	optDial      = "endpoint_dial_timeout"
+)
+
+// Options is the table of a gateway's settings.
+var Options = append(slices.Clone(daemon.Common), settings.Table{
+	{Name: optListen, Kind: settings.Address, Required: true, Help: "address for callers"},
+	{Name: optPlacement, Kind: settings.Text, Default: policy.PlaceHomes, Help: "homes, hash, least_loaded or random"},
+	{Name: optFailover, Kind: settings.Duration, Default: 4 * time.Second, Help: "how long a request looks for a scheduler that answers"},
+	{Name: optKeyWait, Kind: settings.Duration, Default: time.Second, Help: "longest wait for the home of a key"},
+	{Name: optRetry, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "when refused callers should come back, where nothing better is known"},
+	{Name: optResume, Kind: settings.Duration, Default: time.Second, Help: "longest wait before a cut stream goes on"},
+	{Name: optMaxBody, Kind: settings.Count, Default: 1 << 20, Least: 1, Help: "largest body of a caller, in bytes"},
+	{Name: optInFlight, Kind: settings.Count, Default: 4096, Least: 1, Help: "requests held at a time"},
+	{Name: optShare, Kind: settings.Number, Default: 0.1, Help: "retries allowed for each success"},
+	{Name: optBurst, Kind: settings.Number, Default: 10.0, Help: "retries allowed at once"},
+	{Name: optDial, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "longest wait for a connection to an endpoint"},
+}...)
+
+const idlePerEndpoint = 64
+
+// Serve runs a gateway with checked settings until ctx ends.
+func Serve(ctx context.Context, v settings.Values) error {
+	place, err := policy.NewPlacement(v.Text(optPlacement))
+	if err != nil {
+		return err
+	}
+	n := daemon.New(member.Gateway, v)
+	g := &Gateway{
+		Name:       n.Name(),
+		Centre:     n.Centre(),
+		Catalog:    n.Keeper.Catalog,
+		Members:    n.Table,
+		Probe:      n.Probe,
+		Schedulers: n.Dialer,
+		Remote:     n.Boxes,
+		Engines:    &http.Client{Transport: engine.NewTransport(v.Duration(optDial), idlePerEndpoint)},
+		Placement:  place,
+		Retries:    policy.NewRetryBudget(v.Number(optShare), v.Number(optBurst)),
+		Spans: Spans{
+			Failover: v.Duration(optFailover),
+			Key:      v.Duration(optKeyWait),
+			Retry:    v.Duration(optRetry),
+			Resume:   v.Duration(optResume),
+		},
+		MaxBody:     int64(v.Count(optMaxBody)),
+		MaxInFlight: v.Count(optInFlight),
+		Record:      n.Record,
+		Log:         n.Log,
+	}
+	g.Init()
+	g.publish()
+	l, err := net.Listen("tcp", v.Text(optListen))
+	if err != nil {
+		return errors.Wrap(err, "gateway: callers' port")
+	}
+	n.Leave = g.Leave
+	n.Idle = func() bool { return g.InFlight() == 0 }
+	n.Add(g.Run)
+	n.Add(func(ctx context.Context) error { return daemon.ServeHTTP(ctx, l, g.Handler()) })
+	return n.Run(ctx)
+}
+
+// publish exports the gateway's figures.
+func (g *Gateway) publish() {
+	expvar.Publish("gateway_total", g.stats.Total)
+	expvar.Publish("gateway_callers", g.stats.Callers)
+	expvar.Publish("gateway_first_token", g.stats.FirstToken)
+	expvar.Publish("gateway_load_stall", g.stats.Stall)
+	expvar.Publish("gateway_codes", g.stats.Codes)
+	expvar.Publish("gateway_in_flight", expvar.Func(func() any { return g.InFlight() }))
+}
--- /dev/null
+++ b/gateway/stream.go
@@ -0,0 +1,169 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"cairnwick.example/engine"
+	"cairnwick.example/wire"
+)
+
+// answer is what a caller has got so far.
+type answer struct {
+	writer http.ResponseWriter
+	id     string
+	begun  time.Time
+	first  time.Time // of the first byte; zero: nothing was written
+	gone   bool      // a write failed: the caller is gone
+}
+
+// Header implements http.ResponseWriter.
+func (a *answer) Header() http.Header { return a.writer.Header() }
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answer) WriteHeader(status int) {
+	a.first = time.Now()
+	a.writer.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (a *answer) Write(b []byte) (int, error) {
+	if a.first.IsZero() {
+		a.first = time.Now()
+	}
+	n, err := a.writer.Write(b)
+	a.gone = a.gone || err != nil
+	return n, err
+}
+
+func (a *answer) flush() {
+	if err := http.NewResponseController(a.writer).Flush(); err != nil {
+		a.gone = true
+	}
+}
+
+// fail ends the answer with a failure: as a whole answer, or, when a stream has
+// begun, as an error event and a connection that does not end cleanly.
+func (a *answer) fail(f *Failure) {
+	if a.first.IsZero() {
+		f.write(a, a.id)
+		return
+	}
+	f.writeEvent(a, a.id)
+	a.flush()
+	panic(http.ErrAbortHandler)
+}
+
+// passWhole reads the whole answer, then gives it to the caller: what broke off
+// is never passed on.
+func (g *Gateway) passWhole(ctx context.Context, out *answer, h hold, run string, a *http.Response, r *wire.ReleaseRequest) *Failure {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+	if err != nil || len(body) > maxWhole {
+		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+		if ctx.Err() != nil {
+			g.cancel(h, run, r)
+		}
+		return &Failure{Code: CodeLost, Ran: Unknown, Message: "the answer of " + h.endpoint + " broke off", Retry: g.Spans.Retry}
+	}
+	r.Outcome = wire.Outcome_OUTCOME_COMPLETED
+	out.Header().Set("Content-Type", a.Header.Get("Content-Type"))
+	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	out.WriteHeader(a.StatusCode)
+	_, _ = out.Write(body) // it ran; a caller that is gone has lost its answer
+	return nil
+}
+
+const (
+	maxResumes  = 3
+	resumePause = 50 * time.Millisecond
+)
+
+var (
+	dataMark = []byte("data:")
+	doneMark = []byte("data: [DONE]")
+)
+
+// passStream hands the events on as they come. A stream that is cut goes on by
+// the engine's own resume at the same run, from the event after the last one
+// that was passed on.
+func (g *Gateway) passStream(ctx context.Context, out *answer, h hold, run string, a *http.Response, r *wire.ReleaseRequest) *Failure {
+	out.Header().Set("Content-Type", "text/event-stream")
+	events, done := copyEvents(out, a.Body, 0)
+	for range maxResumes {
+		if done || out.gone || ctx.Err() != nil {
+			break
+		}
+		g.Log.Info("Stream was cut and is resumed", "request", run, "endpoint", h.endpoint, "events", events)
+		events, done = g.resume(ctx, out, h, run, events)
+	}
+	if done {
+		r.Outcome = wire.Outcome_OUTCOME_COMPLETED
+		return nil
+	}
+	r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
+	if out.gone || ctx.Err() != nil {
+		g.cancel(h, run, r)
+	}
+	return &Failure{Code: CodeCut, Ran: Unknown, Message: "the stream of " + h.endpoint + " was cut", Retry: g.Spans.Retry}
+}
+
+// resume opens the run's stream again and passes on what was not passed yet.
+func (g *Gateway) resume(ctx context.Context, out *answer, h hold, run string, events int) (int, bool) {
+	g.await(ctx, resumePause)
+	path := fmt.Sprintf("http://%s/cairn/streams/%s?from=%d", h.grant.GetAddress(), url.PathEscape(run), events)
+	e, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return events, false
+	}
+	a, err := engine.Send(g.Engines, e, time.Now().Add(g.Spans.Resume))
+	if err != nil {
+		return events, false
+	}
+	defer a.Body.Close()
+	same := a.StatusCode == http.StatusOK && a.Header.Get(engine.EventsHeader) == strconv.Itoa(events)
+	if !same {
+		return events, false
+	}
+	return copyEvents(out, a.Body, events)
+}
+
+// copyEvents passes whole events on until the closing one. It returns how many
+// events were passed on in all, and whether the closing one came. An event that
+// is cut inside is not passed on.
+func copyEvents(out *answer, body io.Reader, events int) (int, bool) {
+	in := bufio.NewReader(body)
+	var event []byte
+	for {
+		line, err := in.ReadBytes('\n')
+		if err != nil {
+			return events, false
+		}
+		event = append(event, line...)
+		if len(bytes.TrimSpace(line)) > 0 {
+			continue
+		}
+		if _, err := out.Write(event); err != nil {
+			return events, false
+		}
+		if bytes.HasPrefix(event, doneMark) {
+			out.flush()
+			return events, true
+		}
+		if bytes.HasPrefix(event, dataMark) {
+			events++
+		}
+		event = event[:0]
+		if in.Buffered() == 0 {
+			out.flush()
+		}
+	}
+}
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -31,7 +31,7 @@
 
 // publish makes a head on base whose class is called name.
 func publish(s shelf, base catalog.Head, name string) catalog.Head {
-	raw := []byte(`{"classes": [{"name": "` + name + `", "deadline": "1s"}], "bases": [{"name": "b"}],
+	raw := []byte(`{"classes": [{"name": "` + name + `", "deadline": "1s", "default": true}], "bases": [{"name": "b"}],
 		"adapters": [{"name": "roses", "base": "b", "versions": {"1": "p1"}}]}`)
 	s[catalog.Digest(raw)] = raw
 	h, err := catalog.NewHead(base, map[string][]byte{"all": raw})
--- a/member/loop.go
+++ b/member/loop.go
@@ -79,7 +79,7 @@
 		case <-changed:
 			l.spread(ctx)
 		case now := <-tick.C:
-			l.watchPause(time.Now().Sub(last))
+			l.watchPause(time.Since(last))
 			last = time.Now()
 			l.Table.Tick(now)
 			l.beat(ctx)
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package operator asks daemons on behalf of an operator: what they see, why a
+// request went where it did, and what they decide now.
+package operator
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cairnwick.example/daemon"
+	"cairnwick.example/wire"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// Client speaks to many daemons. New makes it.
+type Client struct {
+	dialer *daemon.Dialer
+}
+
+const callTimeout = 3 * time.Second
+
+// New returns a client without TLS.
+func New() *Client { return &Client{dialer: &daemon.Dialer{Credentials: insecure.NewCredentials()}} }
+
+// Close closes every connection.
+func (c *Client) Close() { c.dialer.Close() }
+
+// Silence is a daemon that gave no answer.
+type Silence struct {
+	Address string
+	Cause   error
+}
+
+func (c *Client) operator(address string) wire.OperatorClient {
+	return wire.NewOperatorClient(c.dialer.Conn(address))
+}
+
+// Status asks every address what it sees. What did not answer is returned too.
+func (c *Client) Status(ctx context.Context, addresses []string) ([]*wire.StatusReply, []Silence) {
+	var list []*wire.StatusReply
+	silent := c.each(ctx, addresses, func(ctx context.Context, o wire.OperatorClient) error {
+		a, err := o.Status(ctx, &wire.StatusRequest{})
+		if err == nil {
+			list = append(list, a)
+		}
+		return err
+	})
+	return list, silent
+}
+
+// Explain gathers the decisions on a request, oldest first.
+func (c *Client) Explain(ctx context.Context, addresses []string, request string) ([]*wire.Decision, []Silence) {
+	var list []*wire.Decision
+	silent := c.each(ctx, addresses, func(ctx context.Context, o wire.OperatorClient) error {
+		a, err := o.Explain(ctx, &wire.ExplainRequest{Request: request})
+		list = append(list, a.GetDecisions()...)
+		return err
+	})
+	slices.SortStableFunc(list, func(a, b *wire.Decision) int { return int(a.UnixMicros - b.UnixMicros) })
+	return list, silent
+}
+
+// each asks one address after another.
+func (c *Client) each(ctx context.Context, addresses []string, ask func(context.Context, wire.OperatorClient) error) []Silence {
+	var silent []Silence
+	for _, a := range addresses {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		if err := ask(call, c.operator(a)); err != nil {
+			silent = append(silent, Silence{Address: a, Cause: err})
+		}
+		cancel()
+	}
+	return silent
+}
+
+// Watch hands the decisions of one daemon to see until ctx ends.
+func (c *Client) Watch(ctx context.Context, address string, q *wire.WatchRequest, see func(*wire.Decision)) error {
+	s, err := c.operator(address).Watch(ctx, q)
+	if err != nil {
+		return err
+	}
+	for {
+		d, err := s.Recv()
+		if err != nil {
+			return err
+		}
+		see(d)
+	}
+}
--- /dev/null
+++ b/operator/tell.go
@@ -0,0 +1,68 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package operator
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"cairnwick.example/wire"
+)
+
+// sentences say what each reason means.
+var sentences = map[wire.Reason]string{
+	wire.Reason_REASON_ADAPTER_READY:   "the adapter was in a slot and a place in the batch was free",
+	wire.Reason_REASON_AFTER_QUEUE:     "it ran after waiting for a place in the batch",
+	wire.Reason_REASON_AFTER_LOAD:      "it ran after its adapter was loaded",
+	wire.Reason_REASON_NOT_OWNER:       "another scheduler owns the endpoint",
+	wire.Reason_REASON_DEADLINE:        "the wait would have passed what the class or the deadline allows",
+	wire.Reason_REASON_QUEUE_FULL:      "too many requests waited",
+	wire.Reason_REASON_LEAVING:         "the endpoint or the daemon was leaving",
+	wire.Reason_REASON_LOAD_FAILED:     "the adapter could not be loaded",
+	wire.Reason_REASON_NO_SLOT:         "every slot held an adapter in use",
+	wire.Reason_REASON_UNKNOWN_ADAPTER: "the scheduler's configuration did not name the adapter",
+	wire.Reason_REASON_ENDPOINT_DOWN:   "the endpoint had not answered lately",
+	wire.Reason_REASON_NOT_READY:       "ownership of the endpoint was not settled",
+	wire.Reason_REASON_NO_WAIT:         "the class may not wait and no place was free",
+}
+
+// Sentence says what a reason means.
+func Sentence(r wire.Reason) string { return sentences[r] }
+
+// Tell writes the decisions on one request as a story.
+func Tell(w io.Writer, list []*wire.Decision) {
+	if len(list) == 0 {
+		fmt.Fprintln(w, "No daemon remembers the request.")
+		return
+	}
+	first := list[0].GetUnixMicros()
+	for _, d := range list {
+		at := time.Duration(d.GetUnixMicros()-first) * time.Microsecond
+		fmt.Fprintf(w, "%9.3f ms  %s\n", float64(at.Microseconds())/1000, line(d))
+		for _, c := range d.GetCandidates() {
+			fmt.Fprintf(w, "%14s%s: score %.2f%s\n", "", c.GetEndpoint(), c.GetScore(), candidateNote(c))
+		}
+	}
+}
+
+func line(d *wire.Decision) string {
+	switch d.GetStep() {
+	case "place":
+		return fmt.Sprintf("%s took revision %d, read the model as %s for class %s and placed it first on %s",
+			d.GetBox(), d.GetRevision(), d.GetAdapter(), d.GetClass(), d.GetEndpoint())
+	case "schedule":
+		return fmt.Sprintf("%s decided on %s after %.3f ms: %s [%s]",
+			d.GetBox(), d.GetEndpoint(), float64(d.GetWaitedMicros())/1000, Sentence(d.GetReason()), d.GetReason())
+	case "run":
+		return fmt.Sprintf("%s ran it on %s: %s", d.GetBox(), d.GetEndpoint(), d.GetDetail())
+	}
+	return fmt.Sprintf("%s gave the final answer: %s", d.GetBox(), d.GetDetail())
+}
+
+func candidateNote(c *wire.Candidate) string {
+	if c.GetNote() == "" {
+		return fmt.Sprintf(", facts %.1f s old", float64(c.GetAgeMicros())/1e6)
+	}
+	return ", " + c.GetNote()
+}
--- /dev/null
+++ b/scheduler/acquire.go
@@ -0,0 +1,293 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/policy"
+	"cairnwick.example/wire"
+)
+
+// waiter is one request that waits at an endpoint.
+type waiter struct {
+	request  *wire.AcquireRequest
+	class    catalog.Class
+	arrived  time.Time
+	deadline time.Time               // of the wait
+	stalled  time.Time               // when it began to wait for a load; zero: never
+	reply    chan *wire.AcquireReply // holds one; written once, under endpoint.mu
+}
+
+func (w *waiter) refuse(r wire.Reason, retry time.Duration, owner string) {
+	w.reply <- refusal(r, retry, owner)
+}
+
+func refusal(r wire.Reason, retry time.Duration, owner string) *wire.AcquireReply {
+	return &wire.AcquireReply{Refusal: &wire.Refusal{Reason: r, RetryMicros: retry.Microseconds(), Owner: owner}}
+}
+
+// Acquire implements the Scheduler service: it answers with a grant at once,
+// after a wait, or with a refusal as soon as it is known.
+func (s *Scheduler) Acquire(ctx context.Context, q *wire.AcquireRequest) (*wire.AcquireReply, error) {
+	arrived := time.Now()
+	a, e := s.acquire(ctx, q, arrived)
+	s.note(q, a, time.Since(arrived))
+	if e != nil {
+		e.mu.Lock()
+		a.Facts = e.factsLocked(q.GetAdapter(), s.widthLocked(e, q.GetAdapter(), time.Now()), time.Now())
+		e.mu.Unlock()
+	}
+	return a, nil
+}
+
+func (s *Scheduler) acquire(ctx context.Context, q *wire.AcquireRequest, arrived time.Time) (*wire.AcquireReply, *endpoint) {
+	e := s.find(q.GetEndpoint())
+	if e == nil {
+		return refusal(wire.Reason_REASON_NOT_OWNER, 0, ""), nil
+	}
+	class, ok := s.Catalog().Class(q.GetClass())
+	if !ok {
+		return refusal(wire.Reason_REASON_UNKNOWN_ADAPTER, s.Spans.Verify, ""), e
+	}
+	w, answer := s.enter(e, q, class, arrived)
+	if answer != nil {
+		return answer, e
+	}
+	return s.wait(ctx, e, w), e
+}
+
+// enter answers a request at once, or makes it wait.
+func (s *Scheduler) enter(e *endpoint, q *wire.AcquireRequest, class catalog.Class, now time.Time) (*waiter, *wire.AcquireReply) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r := s.closedLocked(e, now); r != 0 {
+		return nil, refusal(r, s.Spans.Backoff, e.owner)
+	}
+	if !s.pathKnown(q.GetAdapter()) {
+		return nil, refusal(wire.Reason_REASON_UNKNOWN_ADAPTER, s.Spans.Verify, "")
+	}
+	e.rateLocked(q.GetAdapter(), now, s.Spans.HalfLife).Add(1, now, s.Spans.HalfLife)
+	w := &waiter{
+		request:  q,
+		class:    class,
+		arrived:  now,
+		deadline: now.Add(time.Duration(q.GetWaitMicros()) * time.Microsecond),
+		reply:    make(chan *wire.AcquireReply, 1),
+	}
+	if s.freeLocked(e, q.GetAdapter()) && e.slots[q.GetAdapter()] != nil {
+		return nil, s.grantLocked(e, w, now, wire.Reason_REASON_ADAPTER_READY)
+	}
+	if a := s.admitLocked(e, w, now); a != nil {
+		return nil, a
+	}
+	if !s.readyLocked(e, q.GetAdapter()) {
+		w.stalled = now
+	}
+	e.waiters = append(e.waiters, w)
+	s.moveLocked(e, now)
+	return w, nil
+}
+
+// closedLocked tells why an endpoint takes no request now; zero when it does.
+func (s *Scheduler) closedLocked(e *endpoint, now time.Time) wire.Reason {
+	switch {
+	case e.phase == foreign && e.owner != s.Name:
+		return wire.Reason_REASON_NOT_OWNER
+	case e.phase != owned:
+		return wire.Reason_REASON_NOT_READY
+	case !e.trustedLocked(now, s.Spans.Trust):
+		return wire.Reason_REASON_ENDPOINT_DOWN
+	case e.spec.State() == catalog.Draining:
+		return wire.Reason_REASON_LEAVING
+	}
+	return 0
+}
+
+// pathKnown tells whether the configuration here names the adapter's version.
+func (s *Scheduler) pathKnown(adapter string) bool {
+	_, err := s.Catalog().Resolve(adapter)
+	return err == nil
+}
+
+func (s *Scheduler) readyLocked(e *endpoint, adapter string) bool {
+	sl := e.slots[adapter]
+	return sl != nil && sl.state == ready
+}
+
+// freeLocked tells whether a request for the adapter may run now: its adapter
+// is ready, a place is free and no other ready request waits for it.
+func (s *Scheduler) freeLocked(e *endpoint, adapter string) bool {
+	if !s.readyLocked(e, adapter) || e.running() >= e.limitLocked() {
+		return false
+	}
+	for _, w := range e.waiters {
+		if s.readyLocked(e, w.request.GetAdapter()) {
+			return false
+		}
+	}
+	return true
+}
+
+// admitLocked refuses a request that had better not wait; nil lets it wait.
+func (s *Scheduler) admitLocked(e *endpoint, w *waiter, now time.Time) *wire.AcquireReply {
+	adapter := w.request.GetAdapter()
+	if f := e.failed[adapter]; now.Before(f.until) && !s.readyLocked(e, adapter) {
+		return refusal(wire.Reason_REASON_LOAD_FAILED, f.until.Sub(now), "")
+	}
+	verdict, retry := policy.Admit(policy.Admission{
+		MayWait:   w.deadline.Sub(now),
+		Estimate:  s.estimateLocked(e, w, now),
+		Queue:     len(e.waiters),
+		QueueMost: s.QueueMost,
+		Caller:    callerWaiting(e.waiters, w.request.GetCaller()),
+		CallerMax: s.callerMost(w.request.GetCaller()),
+	})
+	switch verdict {
+	case policy.RefuseNoWait:
+		return refusal(wire.Reason_REASON_NO_WAIT, retry, "")
+	case policy.RefuseQueue:
+		return refusal(wire.Reason_REASON_QUEUE_FULL, retry, "")
+	case policy.RefuseDeadline:
+		return refusal(wire.Reason_REASON_DEADLINE, retry, "")
+	}
+	return nil
+}
+
+func callerWaiting(list []*waiter, caller string) int {
+	n := 0
+	for _, w := range list {
+		if w.request.GetCaller() == caller {
+			n++
+		}
+	}
+	return n
+}
+
+// callerMost is how many requests of a caller may wait here; callers that the
+// configuration does not name get half the queue.
+func (s *Scheduler) callerMost(caller string) int {
+	if k, ok := s.Catalog().Caller(caller); ok {
+		return k.Queue()
+	}
+	return max(1, s.QueueMost/2)
+}
+
+// estimateLocked is how long a new request would wait: for a place, and for
+// its adapter's load behind the loads before it.
+func (s *Scheduler) estimateLocked(e *endpoint, w *waiter, now time.Time) time.Duration {
+	place := policy.WaitForPlace(e.running(), e.limitLocked(), s.aheadLocked(e, w), e.service)
+	sl := e.slots[w.request.GetAdapter()]
+	if sl != nil && sl.state == ready {
+		return place
+	}
+	if sl != nil && sl.state == loading {
+		return max(place, e.loadTime-now.Sub(sl.since))
+	}
+	return max(place, s.loadEstimateLocked(e, now))
+}
+
+// aheadLocked counts the waiting requests that would run before w.
+func (s *Scheduler) aheadLocked(e *endpoint, w *waiter) int {
+	n := 0
+	for _, o := range e.waiters {
+		if o.class.Priority() <= w.class.Priority() {
+			n++
+		}
+	}
+	return n
+}
+
+// loadEstimateLocked is how long a load that is not begun would take.
+func (s *Scheduler) loadEstimateLocked(e *endpoint, now time.Time) time.Duration {
+	queued := 0
+	seen := make(map[string]bool)
+	for _, o := range e.waiters {
+		a := o.request.GetAdapter()
+		if e.slots[a] == nil && !seen[a] {
+			seen[a] = true
+			queued++
+		}
+	}
+	rounds := time.Duration(1 + queued/loadsInFlight)
+	return s.budget.wait(now) + rounds*e.loadTime
+}
+
+// wait holds a request until it is granted, refused or given up.
+func (s *Scheduler) wait(ctx context.Context, e *endpoint, w *waiter) *wire.AcquireReply {
+	timer := time.NewTimer(time.Until(w.deadline))
+	defer timer.Stop()
+	select {
+	case a := <-w.reply:
+		return s.handOver(ctx, e, a)
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	e.mu.Lock()
+	removed := e.removeLocked(w)
+	retry := s.estimateLocked(e, w, time.Now())
+	e.mu.Unlock()
+	if !removed {
+		return s.handOver(ctx, e, <-w.reply)
+	}
+	return refusal(wire.Reason_REASON_DEADLINE, retry, "")
+}
+
+// handOver gives a grant back that nobody will receive.
+func (s *Scheduler) handOver(ctx context.Context, e *endpoint, a *wire.AcquireReply) *wire.AcquireReply {
+	if g := a.GetGrant(); g != nil && ctx.Err() != nil {
+		s.giveBack(e, &wire.ReleaseRequest{Id: g.GetId(), Outcome: wire.Outcome_OUTCOME_NOT_SENT})
+		return refusal(wire.Reason_REASON_DEADLINE, 0, "")
+	}
+	return a
+}
+
+// removeLocked takes a waiter out; false when it was answered already.
+func (e *endpoint) removeLocked(w *waiter) bool {
+	for i, o := range e.waiters {
+		if o == w {
+			e.waiters = append(e.waiters[:i], e.waiters[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// widthLocked is how many homes the adapter should have by its load here.
+func (s *Scheduler) widthLocked(e *endpoint, adapter string, now time.Time) int {
+	p := e.rates[adapter]
+	if p == nil {
+		return 1
+	}
+	return policy.Width(p.Rate(now, s.Spans.HalfLife), e.service, e.spec.Running(), s.HomeShare)
+}
+
+// note counts and records the answer.
+func (s *Scheduler) note(q *wire.AcquireRequest, a *wire.AcquireReply, waited time.Duration) {
+	reason := a.GetGrant().GetReason()
+	if a.GetRefusal() != nil {
+		reason = a.GetRefusal().GetReason()
+	}
+	s.stats.Classes.Observe(q.GetClass(), waited)
+	s.stats.Callers.Observe(q.GetCaller(), waited)
+	s.stats.Reasons.Observe(reason.String(), waited)
+	if g := a.GetGrant(); g != nil {
+		s.stats.Queue.Observe(waited)
+		s.stats.Stall.Observe(time.Duration(g.GetLoadMicros()) * time.Microsecond)
+	}
+	s.Record.Add(&wire.Decision{
+		Request:      q.GetRequest(),
+		UnixMicros:   time.Now().UnixMicro(),
+		Box:          s.Name,
+		Step:         "schedule",
+		Adapter:      q.GetAdapter(),
+		Class:        q.GetClass(),
+		Caller:       q.GetCaller(),
+		Endpoint:     q.GetEndpoint(),
+		Reason:       reason,
+		Revision:     q.GetRevision(),
+		WaitedMicros: waited.Microseconds(),
+	})
+}
--- /dev/null
+++ b/scheduler/endpoint.go
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"sync"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/engine"
+	"cairnwick.example/policy"
+	"cairnwick.example/wire"
+)
+
+// phase says how far ownership of an endpoint is.
+type phase int
+
+const (
+	foreign  phase = iota // another scheduler owns it
+	claiming              // this one wants it and has not seen its own fence there
+	owned                 // the endpoint has this scheduler's fence
+)
+
+func (p phase) String() string { return [...]string{"foreign", "claiming", "owned"}[p] }
+
+// endpoint is what one scheduler knows of one model server.
+type endpoint struct {
+	name   string
+	client engine.Endpoint
+
+	mu       sync.Mutex
+	spec     catalog.Endpoint
+	phase    phase
+	owner    string       // of the scheduler believed to own it; a member's name
+	fence    engine.Fence // this scheduler's, while owned
+	boot     string       // the engine's life that slots describe
+	seen     time.Time    // when a look that showed the own fence was begun
+	looking  bool         // a look is queued or under way
+	nextLook time.Time
+	slots    map[string]*slot  // by adapter@version; at most spec.Slots()
+	grants   map[uint64]*grant // not given back
+	waiters  []*waiter         // in order of arrival
+	rates    map[string]*policy.Popularity
+	limit    float64       // of requests running; adapts below spec.Running()
+	service  time.Duration // moving mean of a request's time at the engine
+	loadTime time.Duration // moving mean of a load's time
+	failed   map[string]failure
+	report   bool // a report is wanted to free slots
+}
+
+// slotState says what a slot holds.
+type slotState int
+
+const (
+	loading slotState = iota
+	ready
+	unloading
+)
+
+func (s slotState) String() string { return [...]string{"loading", "ready", "unloading"}[s] }
+
+// slot is one adapter at the engine.
+type slot struct {
+	state  slotState
+	grants int       // not given back
+	unsure time.Time // a request may begin on it until then, and run after; zero: none unaccounted
+	used   time.Time // when a grant was last given
+	since  time.Time // when the state began
+}
+
+// failure remembers a load that failed, so that it is not repeated at once.
+type failure struct {
+	count int
+	until time.Time // not tried before
+}
+
+const (
+	firstService  = time.Second // assumed until measured
+	firstLoad     = time.Second
+	meanWeight    = 0.1
+	ratesKept     = 4096 // adapters whose popularity is remembered
+	loadsInFlight = 2    // at one endpoint
+)
+
+func newEndpoint(spec catalog.Endpoint, client engine.Endpoint) *endpoint {
+	return &endpoint{
+		name:     spec.Name(),
+		client:   client,
+		spec:     spec,
+		slots:    make(map[string]*slot),
+		grants:   make(map[uint64]*grant),
+		rates:    make(map[string]*policy.Popularity),
+		limit:    float64(spec.Running()),
+		service:  firstService,
+		loadTime: firstLoad,
+		failed:   make(map[string]failure),
+	}
+}
+
+// trustedLocked tells whether the own fence was seen lately enough to act on.
+func (e *endpoint) trustedLocked(now time.Time, trust time.Duration) bool {
+	return e.phase == owned && now.Sub(e.seen) <= trust
+}
+
+// dropLocked gives up ownership: what waits is refused so that the gateways ask
+// the next owner. Grants already given stay good; the endpoint's next owner
+// waits them out.
+func (e *endpoint) dropLocked(r wire.Reason) {
+	if e.phase == foreign && len(e.waiters) == 0 {
+		return
+	}
+	e.phase = foreign
+	e.fence = engine.Fence{}
+	e.slots = make(map[string]*slot)
+	e.grants = make(map[uint64]*grant)
+	waiters := e.waiters
+	e.waiters = nil
+	for _, w := range waiters {
+		w.refuse(r, 0, e.owner)
+	}
+}
+
+// running is how many grants are not given back.
+func (e *endpoint) running() int { return len(e.grants) }
+
+func (e *endpoint) limitLocked() int { return max(1, min(int(e.limit), e.spec.Running())) }
+
+// rateLocked returns the popularity of an adapter, forgetting the faintest when
+// there are too many.
+func (e *endpoint) rateLocked(name string, now time.Time, halfLife time.Duration) *policy.Popularity {
+	if p := e.rates[name]; p != nil {
+		return p
+	}
+	if len(e.rates) >= ratesKept {
+		e.forgetRatesLocked(now, halfLife)
+	}
+	p := new(policy.Popularity)
+	e.rates[name] = p
+	return p
+}
+
+// forgetRatesLocked drops the adapters that are not in a slot and were not
+// asked for in the last half-lives, or arbitrary ones when there are none.
+func (e *endpoint) forgetRatesLocked(now time.Time, halfLife time.Duration) {
+	faint := 0.01 / halfLife.Seconds()
+	for n, p := range e.rates {
+		if e.slots[n] == nil && p.Rate(now, halfLife) < faint {
+			delete(e.rates, n)
+		}
+	}
+	for n := range e.rates {
+		if len(e.rates) < ratesKept {
+			return
+		}
+		if e.slots[n] == nil {
+			delete(e.rates, n)
+		}
+	}
+}
+
+func mean(old, sample time.Duration) time.Duration {
+	return old + time.Duration(meanWeight*float64(sample-old))
+}
+
+// factsLocked is what replies tell of the endpoint.
+func (e *endpoint) factsLocked(adapter string, width int, now time.Time) *wire.EndpointFacts {
+	s := e.slots[adapter]
+	return &wire.EndpointFacts{
+		Running:   int32(e.running()),
+		Limit:     int32(e.limitLocked()),
+		Waiting:   int32(len(e.waiters)),
+		AgeMicros: now.Sub(e.seen).Microseconds(),
+		Width:     int32(width),
+		Loaded:    s != nil && s.state == ready,
+	}
+}
--- /dev/null
+++ b/scheduler/own.go
@@ -0,0 +1,233 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"cairnwick.example/engine"
+	"cairnwick.example/member"
+	"cairnwick.example/policy"
+	"cairnwick.example/wire"
+	"github.com/pkg/errors"
+)
+
+// lostBackoff is how many back-offs a scheduler leaves an endpoint alone that
+// another claimed, so that two views do not make it change hands all the time.
+const lostBackoff = 10
+
+// Owner returns the name of the scheduler that should own an endpoint, among
+// the serving schedulers of its data centre; "" when there is none.
+func Owner(endpoint string, schedulers []string) string { return policy.First(endpoint, schedulers) }
+
+// assign brings the table in line with members and configuration, and queues
+// looks that are due.
+func (s *Scheduler) assign(now time.Time) {
+	c := s.Catalog()
+	if c == nil {
+		return
+	}
+	schedulers := s.schedulers()
+	s.mu.Lock()
+	if !slices.Equal(schedulers, s.known) {
+		s.known = schedulers
+		s.Keys.NewTenure(now) // keys may have got another home
+	}
+	s.syncLocked()
+	leaving := s.leaving
+	s.mu.Unlock()
+	mine := 0
+	for _, e := range s.all() {
+		if s.assignOne(e, Owner(e.name, schedulers), leaving, now) {
+			mine++
+		}
+	}
+	total := len(c.Endpoints())
+	s.budget.share(mine, total, s.Store.Rate)
+}
+
+func (s *Scheduler) schedulers() []string {
+	var names []string
+	for _, m := range s.Members.Serving(member.Scheduler) {
+		names = append(names, m.Name())
+	}
+	return names
+}
+
+// syncLocked adds and removes endpoints as the configuration says.
+func (s *Scheduler) syncLocked() {
+	c := s.Catalog()
+	for _, n := range c.Endpoints() {
+		spec, _ := c.Endpoint(n)
+		if spec.DataCentre() != s.Centre {
+			continue
+		}
+		e := s.endpoints[n]
+		if e != nil && e.spec.Address() == spec.Address() {
+			e.mu.Lock()
+			e.spec = spec
+			e.mu.Unlock()
+			continue
+		}
+		s.endpoints[n] = newEndpoint(spec, s.Dial(spec.Address()))
+	}
+	for n, e := range s.endpoints {
+		if spec, ok := c.Endpoint(n); !ok || spec.DataCentre() != s.Centre {
+			e.mu.Lock()
+			e.dropLocked(wire.Reason_REASON_LEAVING)
+			e.mu.Unlock()
+			delete(s.endpoints, n)
+		}
+	}
+}
+
+// assignOne follows the view's owner for one endpoint and tells whether that is
+// this scheduler.
+func (s *Scheduler) assignOne(e *endpoint, owner string, leaving bool, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	mine := owner == s.Name && !leaving
+	if !mine || !now.Before(e.nextLook) {
+		e.owner = owner // until then a claim that was lost names the winner
+	}
+	if !mine {
+		e.dropLocked(wire.Reason_REASON_NOT_OWNER)
+		return false
+	}
+	if e.phase == foreign && !now.Before(e.nextLook) {
+		e.phase = claiming
+		e.nextLook = now
+	}
+	if e.phase != foreign && !e.looking && !now.Before(e.nextLook) {
+		s.queueLookLocked(e)
+	}
+	return true
+}
+
+func (s *Scheduler) queueLookLocked(e *endpoint) {
+	select {
+	case s.looks <- e:
+		e.looking = true
+	default: // the next tick tries again
+	}
+}
+
+// look sees the endpoint's fence, and claims the endpoint when that is wanted.
+func (s *Scheduler) look(ctx context.Context, e *endpoint) {
+	e.mu.Lock()
+	p, fence, checks := e.phase, e.fence, e.spec.ChecksFences()
+	e.mu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, s.Spans.Verify)
+	defer cancel()
+	begun := time.Now()
+	var err error
+	switch p {
+	case claiming:
+		err = s.claim(ctx, e, checks, begun)
+	case owned:
+		err = s.verify(ctx, e, fence, begun)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.looking = false
+	e.nextLook = begun.Add(s.Spans.Verify)
+	if err != nil {
+		e.nextLook = begun.Add(min(s.Spans.Verify, s.Spans.Backoff))
+		s.Log.V(1).Info("Endpoint gave no sight", "endpoint", e.name, "err", err.Error())
+	}
+}
+
+// claim goes above the endpoint's highest fence and learns what it holds.
+func (s *Scheduler) claim(ctx context.Context, e *endpoint, checks bool, begun time.Time) error {
+	sight, err := e.client.Look(ctx)
+	if err != nil {
+		return errors.Wrap(err, "scheduler: look")
+	}
+	fence := sight.Fence().Above(s.Box)
+	if checks {
+		if sight, err = e.client.Claim(ctx, fence); err != nil {
+			return errors.Wrap(err, "scheduler: claim")
+		}
+	}
+	models, err := e.client.Models(ctx)
+	if err != nil {
+		return errors.Wrap(err, "scheduler: models")
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.phase != claiming {
+		return nil
+	}
+	e.phase = owned
+	e.fence = fence
+	e.seen = begun
+	s.holdLocked(e, sight.Boot(), models, time.Now())
+	s.Log.Info("Endpoint is owned", "endpoint", e.name, "fence", fence.String(), "adapters", len(models))
+	s.moveLocked(e, time.Now())
+	return nil
+}
+
+// holdLocked describes the slots anew. Grants that an earlier owner gave may
+// still be used for its trust and the send window, so each slot is unsure for
+// that long.
+func (s *Scheduler) holdLocked(e *endpoint, boot string, models []string, now time.Time) {
+	e.boot = boot
+	e.slots = make(map[string]*slot)
+	for _, n := range models {
+		e.slots[n] = &slot{state: ready, since: now, used: now, unsure: now.Add(s.Spans.Trust + s.Spans.SendWindow)}
+	}
+}
+
+// verify sees whether the endpoint still has this scheduler's fence and boot.
+func (s *Scheduler) verify(ctx context.Context, e *endpoint, fence engine.Fence, begun time.Time) error {
+	sight, err := e.client.Look(ctx)
+	if err != nil {
+		return errors.Wrap(err, "scheduler: look")
+	}
+	e.mu.Lock()
+	if e.phase != owned || e.fence != fence {
+		e.mu.Unlock()
+		return nil
+	}
+	if e.spec.ChecksFences() && sight.Boot() == e.boot && fence.Less(sight.Fence()) {
+		s.loseLocked(e, sight.Fence(), time.Now())
+		e.mu.Unlock()
+		return nil
+	}
+	if sight.Boot() != e.boot {
+		s.restartedLocked(e, time.Now())
+		e.mu.Unlock()
+		return nil
+	}
+	if e.spec.ChecksFences() || s.Members.Fresh(begun) {
+		e.seen = begun
+	}
+	wanted := e.report || e.oldGrantLocked(begun, s.Spans)
+	s.moveLocked(e, time.Now())
+	e.mu.Unlock()
+	if wanted {
+		return s.readReport(ctx, e)
+	}
+	return nil
+}
+
+// loseLocked drops an endpoint that another scheduler has claimed.
+func (s *Scheduler) loseLocked(e *endpoint, winner engine.Fence, now time.Time) {
+	s.Log.Info("Endpoint was claimed by another scheduler", "endpoint", e.name, "fence", winner.String())
+	e.owner = winner.Box() + "/" + member.Scheduler
+	e.dropLocked(wire.Reason_REASON_NOT_OWNER)
+	e.nextLook = now.Add(lostBackoff * s.Spans.Backoff)
+}
+
+// restartedLocked begins anew with an engine that restarted empty. Its old
+// runs ended with it, so the grants on them are over; requests that waited keep
+// waiting.
+func (s *Scheduler) restartedLocked(e *endpoint, now time.Time) {
+	s.Log.Info("Endpoint restarted empty", "endpoint", e.name)
+	e.phase = claiming
+	e.slots = make(map[string]*slot)
+	e.nextLook = now
+	s.queueLookLocked(e)
+}
--- /dev/null
+++ b/scheduler/status.go
@@ -0,0 +1,43 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"cairnwick.example/wire"
+)
+
+// Status describes the endpoints that this scheduler owns or claims.
+func (s *Scheduler) Status() []*wire.EndpointStatus {
+	var list []*wire.EndpointStatus
+	for _, e := range s.all() {
+		e.mu.Lock()
+		if e.phase != foreign {
+			list = append(list, e.statusLocked(time.Now()))
+		}
+		e.mu.Unlock()
+	}
+	slices.SortFunc(list, func(a, b *wire.EndpointStatus) int { return strings.Compare(a.Name, b.Name) })
+	return list
+}
+
+func (e *endpoint) statusLocked(now time.Time) *wire.EndpointStatus {
+	st := &wire.EndpointStatus{
+		Name:      e.name,
+		Base:      e.spec.Base(),
+		State:     e.phase.String() + ", " + string(e.spec.State()),
+		Fence:     e.fence.String(),
+		Running:   int32(e.running()),
+		Limit:     int32(e.limitLocked()),
+		Waiting:   int32(len(e.waiters)),
+		AgeMicros: now.Sub(e.seen).Microseconds(),
+	}
+	for n, sl := range e.slots {
+		st.Slots = append(st.Slots, &wire.SlotStatus{Adapter: n, State: sl.state.String(), Grants: int32(sl.grants)})
+	}
+	slices.SortFunc(st.Slots, func(a, b *wire.SlotStatus) int { return strings.Compare(a.Adapter, b.Adapter) })
+	return st
+}
--- /dev/null
+++ b/standin/main.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// Main serves a stand-in on an address until SIGTERM or SIGINT, with a task
+// beside it when run is not nil; it returns the exit code.
+func Main(address string, h http.Handler, run func(context.Context) error) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	ended := make(chan error, 1)
+	if run == nil {
+		ended <- nil
+	} else {
+		go func() { ended <- run(ctx) }()
+	}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	<-ctx.Done()
+	_ = s.Close() // a stand-in ends at once
+	<-served
+	<-ended
+	return 0
+}
