Test the whole path by scripts over real processes

Cause: the thin path had no test from end to end. Mended: a daemon is ready only after a first heartbeat or three silent ones, a change of the schedulers makes every look due, and the back-off after a lost claim doubles from one second instead of being ten. Ruled out: reclaiming at once after a lost claim, which makes two lasting views fight for an endpoint.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -90,6 +90,7 @@
 
 const (
 	forgetDead = 10 * time.Minute
+	joinBeats  = 3 // heartbeats that a daemon waits for a first answer
 	boxesLife  = 30 * time.Second
 	watchWait  = 30 * time.Second
 	watchPause = time.Second
@@ -104,6 +105,10 @@
 // Box returns the node's box.
 func (n *Node) Box() string { return n.box }
 
+// Ready tells whether the node has joined its data centre and has a
+// configuration.
+func (n *Node) Ready() bool { return n.ready.Load() }
+
 // Probe asks a member for a heartbeat now.
 func (n *Node) Probe(name string) { n.loop.Probe(name) }
 
@@ -252,6 +257,7 @@
 		case <-time.After(n.values.Duration(Heartbeat)):
 		}
 	}
+	n.awaitPeer(ctx)
 	if ctx.Err() == nil {
 		n.ready.Store(true)
 		n.Log.Info("Daemon is ready", "revision", n.Keeper.Catalog().Revision())
@@ -260,6 +266,21 @@
 	return nil
 }
 
+// awaitPeer waits until a daemon of the data centre answered, so that this one
+// does not act on a view of itself alone; when none does it goes on by itself.
+func (n *Node) awaitPeer(ctx context.Context) {
+	limit := time.After(joinBeats * n.values.Duration(Heartbeat))
+	for len(n.Table.All()) == 1 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit:
+			return
+		case <-n.Table.Changed():
+		}
+	}
+}
+
 // askPeers takes over what any known daemon has in force, of every data centre.
 func (n *Node) askPeers(ctx context.Context) {
 	list := n.peers()
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime"
 	"time"
 
 	"github.com/pkg/errors"
@@ -45,6 +46,7 @@
 		}
 		return count
 	}))
+	expvar.Publish("cairn_goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	expvar.Publish("cairn_platform_calls", expvar.Func(func() any { return n.Boxes.Client.Calls() }))
 }
 
--- /dev/null
+++ b/e2e/ask_test.go
@@ -0,0 +1,201 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"cairnwick.example/fleet"
+	"cairnwick.example/load"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cmdAsk sends a completion and prints what came of it on one line: ask
+// gateway=1.1 model=NAME expect=NAME@VERSION tokens=4 stream=yes class=C key=K
+// deadline=D to=ADDRESS. With !, the answer must be a failure.
+func cmdAsk(ts *testscript.TestScript, neg bool, args []string) {
+	o, _ := options(args)
+	w := worldOf(ts)
+	c, b := place(ts, o["gateway"])
+	tokens := number(ts, o, "tokens", 4)
+	q := fleet.Ask{
+		Address: w.fleet.CallersAddress(c, b),
+		Model:   o["model"],
+		Expect:  o["expect"],
+		Tokens:  tokens,
+		Stream:  o["stream"] == "yes",
+		Header:  map[string]string{},
+	}
+	for name, header := range map[string]string{"class": "Cairn-Class", "deadline": "Cairn-Deadline", "key": "Idempotency-Key", "repeatable": "Cairn-Repeatable", "caller": "Cairn-Caller"} {
+		if o[name] != "" {
+			q.Header[header] = o[name]
+		}
+	}
+	r, err := w.caller.Do(context.Background(), q)
+	ts.Check(err)
+	w.last = r.Request
+	ts.Setenv("REQUEST", r.Request)
+	fmt.Fprintf(ts.Stdout(), "status=%d code=%s ran=%s retry=%v whole=%v model=%s endpoint=%s revision=%s\n",
+		r.Status, r.Code, r.Ran, r.Retry > 0, r.Whole, r.Header.Get("Cairn-Model"), r.Header.Get("Cairn-Endpoint"), r.Header.Get("Cairn-Revision"))
+	if neg == r.Whole {
+		ts.Fatalf("whole=%v code=%s text=%q", r.Whole, r.Code, r.Text)
+	}
+	if r.Whole && q.Expect != "" {
+		ts.Check(r.Check(q.Expect, tokens))
+	}
+}
+
+// cmdCall sends any HTTP request and prints status and body: call METHOD URL
+// body=TEXT header=NAME:VALUE. In the URL, gateway1.1, operators1.1 and
+// engine1.1 stand for addresses.
+func cmdCall(ts *testscript.TestScript, neg bool, args []string) {
+	o, _ := options(args[2:])
+	r, err := http.NewRequest(args[0], "http://"+address(ts, args[1]), strings.NewReader(o["body"]))
+	ts.Check(err)
+	for _, h := range lines(o["header"]) {
+		name, value, _ := strings.Cut(h, ":")
+		r.Header.Set(name, value)
+	}
+	if size := number(ts, o, "size", 0); size > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(bytes.Repeat([]byte(" "), size)))
+		r.ContentLength = int64(size)
+	}
+	a, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	ts.Check(err)
+	fmt.Fprintf(ts.Stdout(), "status=%d %s\n", a.StatusCode, text)
+	if neg != (a.StatusCode >= 400) {
+		ts.Fatalf("status %d: %s", a.StatusCode, text)
+	}
+}
+
+// address turns the first part of a scripts' URL into an IP and a port.
+func address(ts *testscript.TestScript, url string) string {
+	w := worldOf(ts)
+	host, path, _ := strings.Cut(url, "/")
+	switch {
+	case strings.HasPrefix(host, "gateway"):
+		c, b := place(ts, host[len("gateway"):])
+		host = w.fleet.CallersAddress(c, b)
+	case strings.HasPrefix(host, "operators-"):
+		role, at, _ := strings.Cut(host[len("operators-"):], ":")
+		c, b := place(ts, at)
+		host = w.fleet.OperatorsAddress(c, b, role)
+	case strings.HasPrefix(host, "engine"):
+		c, e := place(ts, host[len("engine"):])
+		host = w.fleet.EngineAddress(c, e)
+	case host == "platform":
+		host = w.fleet.PlatformAddress()
+	}
+	return host + "/" + path
+}
+
+// cmdHangup begins a streamed request and goes away after the first events:
+// hangup model=NAME tokens=200.
+func cmdHangup(ts *testscript.TestScript, _ bool, args []string) {
+	o, _ := options(args)
+	w := worldOf(ts)
+	c, b := place(ts, o["gateway"])
+	conn, err := net.Dial("tcp", w.fleet.CallersAddress(c, b))
+	ts.Check(err)
+	defer conn.Close()
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"stream":true,"prompt":"x"}`, o["model"], number(ts, o, "tokens", 200))
+	_, err = fmt.Fprintf(conn, "POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	ts.Check(err)
+	in := bufio.NewReader(conn)
+	for events := 0; events < 3; {
+		line, err := in.ReadString('\n')
+		ts.Check(err)
+		if strings.HasPrefix(line, "data:") {
+			events++
+		}
+	}
+}
+
+// cmdKeys sets environment variables to fresh keys: keys A B. With age=D they
+// were created so long ago.
+func cmdKeys(ts *testscript.TestScript, _ bool, args []string) {
+	_, rest := options(args)
+	for _, n := range rest {
+		ts.Setenv(n, load.NewKey())
+	}
+}
+
+// cmdIdle waits until no daemon holds a request, a grant or a waiter.
+func cmdIdle(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	deadline := time.Now().Add(20 * time.Second)
+	for {
+		left := held(w)
+		if left == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("still held: %s", left)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// held names what daemons that answer still hold.
+func held(w *world) string {
+	s := w.fleet.Spec
+	for c := 1; c <= s.Centres; c++ {
+		for b := 1; b <= s.Boxes; b++ {
+			if v := vars(w.fleet.OperatorsAddress(c, b, "gateway")); v != nil && string(v["gateway_in_flight"]) != "0" {
+				return fmt.Sprintf("gateway %d.%d: %s", c, b, v["gateway_in_flight"])
+			}
+			v := vars(w.fleet.OperatorsAddress(c, b, "scheduler"))
+			if v != nil && string(v["scheduler_outstanding"]) != `{"grants":0,"waiting":0}` {
+				return fmt.Sprintf("scheduler %d.%d: %s", c, b, v["scheduler_outstanding"])
+			}
+		}
+	}
+	return ""
+}
+
+// vars reads a daemon's metrics; nil when it does not answer.
+func vars(address string) map[string]json.RawMessage {
+	raw, err := fleet.Get(context.Background(), "http://"+address+"/debug/vars")
+	if err != nil {
+		return nil
+	}
+	v := make(map[string]json.RawMessage)
+	if json.Unmarshal(raw, &v) != nil {
+		return nil
+	}
+	return v
+}
+
+// cmdCountAtMost checks a number that a daemon exports: countatmost
+// gateway1.1 NAME LIMIT.
+func cmdCountAtMost(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	role, at := "gateway", args[0]
+	for _, r := range []string{"gateway", "scheduler"} {
+		if rest, found := strings.CutPrefix(args[0], r); found {
+			role, at = r, rest
+		}
+	}
+	c, b := place(ts, at)
+	v := vars(w.fleet.OperatorsAddress(c, b, role))
+	n, err := strconv.Atoi(string(v[args[1]]))
+	ts.Check(err)
+	limit, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	if n > limit {
+		ts.Fatalf("%s of %s is %d, above %d", args[1], args[0], n, limit)
+	}
+}
--- /dev/null
+++ b/e2e/faults_test.go
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package e2e
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/fleet"
+	"cairnwick.example/load"
+	"cairnwick.example/standin"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var signals = map[string]syscall.Signal{
+	"kill":   syscall.SIGKILL,
+	"term":   syscall.SIGTERM,
+	"freeze": syscall.SIGSTOP,
+	"thaw":   syscall.SIGCONT,
+}
+
+// cmdSignal sends a signal and does not wait: signal freeze scheduler1.1.
+func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
+	for _, p := range args[1:] {
+		ts.Check(worldOf(ts).fleet.Signal(process(ts, p), signals[args[0]]))
+	}
+}
+
+// cmdEnd sends a signal and waits for the end: end kill scheduler1.1. An orderly
+// end must have exit code 0.
+func cmdEnd(ts *testscript.TestScript, _ bool, args []string) {
+	err := worldOf(ts).fleet.End(process(ts, args[1]), signals[args[0]])
+	if args[0] == "term" {
+		ts.Check(err)
+	}
+}
+
+// cmdStart starts a process again: start scheduler1.1 or start engine1.1.
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	for _, p := range args {
+		if at, found := strings.CutPrefix(p, "engine"); found {
+			c, e := place(ts, at)
+			ts.Check(w.fleet.StartEngine(c, e))
+			continue
+		}
+		for _, role := range []string{"gateway", "scheduler"} {
+			if at, found := strings.CutPrefix(p, role); found {
+				c, b := place(ts, at)
+				ts.Check(w.fleet.StartDaemon(c, b, role))
+			}
+		}
+	}
+	ts.Check(w.fleet.WaitReady(context.Background()))
+}
+
+// cmdControl posts to a control path of a stand-in: control engine1.1
+// /control/restart.
+func cmdControl(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(fleet.Post(context.Background(), "http://"+address(ts, args[0]+args[1])))
+}
+
+// cmdPublish publishes a changed configuration: publish live=ADAPTER:VERSION
+// drain=ENDPOINT serve=ENDPOINT.
+func cmdPublish(ts *testscript.TestScript, _ bool, args []string) {
+	o, _ := options(args)
+	w := worldOf(ts)
+	shards := w.fleet.Shards()
+	changeShards(ts, shards, o)
+	ts.Check(w.fleet.Publish(context.Background(), shards))
+}
+
+func changeShards(ts *testscript.TestScript, shards map[string]catalog.Shard, o map[string]string) {
+	changed := len(o) == 0
+	for _, s := range shards {
+		for i, a := range s.Adapters {
+			if version, found := strings.CutPrefix(o["live"], a.Name+":"); found {
+				s.Adapters[i].Aliases[catalog.LiveAlias] = version
+				changed = true
+			}
+		}
+		for i, e := range s.Endpoints {
+			if e.Name == o["drain"] {
+				s.Endpoints[i].State = catalog.Draining
+				changed = true
+			}
+		}
+	}
+	if !changed {
+		ts.Fatalf("nothing to change by %v", o)
+	}
+}
+
+// cmdInForce waits until every daemon that answers has the revision published
+// last, at most the given time: inforce 12s.
+func cmdInForce(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	limit, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	want := fmt.Sprint(w.fleet.Head().Revision())
+	begun := time.Now()
+	for {
+		behind := ""
+		s := w.fleet.Spec
+		for c := 1; c <= s.Centres; c++ {
+			for b := 1; b <= s.Boxes; b++ {
+				for _, role := range []string{"gateway", "scheduler"} {
+					v := vars(w.fleet.OperatorsAddress(c, b, role))
+					if v != nil && string(v["cairn_revision"]) != want {
+						behind = fmt.Sprintf("%s has %s", fleet.DaemonName(c, b, role), v["cairn_revision"])
+					}
+				}
+			}
+		}
+		if behind == "" {
+			ts.Logf("in force everywhere after %v", time.Since(begun).Round(10*time.Millisecond))
+			return
+		}
+		if time.Since(begun) > limit {
+			ts.Fatalf("revision %s is not in force: %s", want, behind)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// cmdLoad begins a load in the background: load rate=50 for=10s adapters=20
+// skew=1.2 tokens=8 keyed=0.1 gateways=1.1,2.1 seed=1.
+func cmdLoad(ts *testscript.TestScript, _ bool, args []string) {
+	o, _ := options(args)
+	w := worldOf(ts)
+	d, err := time.ParseDuration(o["for"])
+	ts.Check(err)
+	p := load.Plan{
+		Rate:     float64(number(ts, o, "rate", 50)),
+		Duration: d,
+		Seed:     uint64(number(ts, o, "seed", 1)),
+		Adapters: number(ts, o, "adapters", 10),
+		Skew:     1.2,
+		Patience: time.Minute,
+	}
+	tokens := number(ts, o, "tokens", 8)
+	p.Kinds = []load.Mix{
+		{Class: fleet.CounterClass, Caller: "till", Share: 6, Tokens: tokens, Stream: true},
+		{Class: fleet.CounterClass, Caller: "desk", Share: 3, Tokens: tokens},
+		{Class: fleet.NightClass, Caller: "office", Share: 1, Tokens: tokens},
+	}
+	if o["keyed"] != "" {
+		p.Kinds = append(p.Kinds, load.Mix{Class: fleet.CounterClass, Caller: "booking", Share: 2, Tokens: tokens, Keyed: true})
+	}
+	for _, g := range strings.Split(o["gateways"], ",") {
+		c, b := place(ts, g)
+		p.Gateways = append(p.Gateways, w.fleet.CallersAddress(c, b))
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	w.cancel = cancel
+	w.loads = make(chan load.Report, 1)
+	go func() { w.loads <- load.Run(ctx, p) }()
+}
+
+// cmdJoinLoad waits for the load's end and checks its report: joinload
+// broken=0 unknown=0 notrun=0 whole=100 gap=2s. Each is a limit; no answer may
+// ever be wrong.
+func cmdJoinLoad(ts *testscript.TestScript, _ bool, args []string) {
+	o, _ := options(args)
+	w := worldOf(ts)
+	r := <-w.loads
+	text := fmt.Sprintf("sent=%d whole=%d notrun=%d unknown=%d broken=%d wrong=%d gap=%v codes=%v %v",
+		r.Sent, r.Whole, r.NotRun, r.Unknown, r.Broken, r.Wrong, r.Gap.Round(time.Millisecond), r.Codes, r.Complaints)
+	fmt.Fprintln(ts.Stdout(), text)
+	ts.Logf("%s", text)
+	most := func(name string, n int) {
+		if o[name] != "" && n > number(ts, o, name, 0) {
+			ts.Fatalf("%s is %d: %s", name, n, text)
+		}
+	}
+	most("broken", r.Broken)
+	most("unknown", r.Unknown)
+	most("notrun", r.NotRun)
+	if r.Wrong > 0 || r.Sent == 0 || r.Whole < number(ts, o, "whole", 1) {
+		ts.Fatalf("%s", text)
+	}
+	if o["gap"] != "" {
+		limit, err := time.ParseDuration(o["gap"])
+		ts.Check(err)
+		if r.Gap > limit {
+			ts.Fatalf("gap above %v: %s", limit, text)
+		}
+	}
+}
+
+// cmdBreaches sums what the engines and services witnessed; any breach fails.
+// With !, there must be one.
+func cmdBreaches(ts *testscript.TestScript, neg bool, _ []string) {
+	w := worldOf(ts)
+	var sum standin.Counts
+	keys := make(map[string]int)
+	s := w.fleet.Spec
+	for c := 1; c <= s.Centres; c++ {
+		for e := 1; e <= s.Engines; e++ {
+			at := "http://" + w.fleet.EngineAddress(c, e)
+			raw, err := fleet.Get(context.Background(), at+"/control/counts")
+			if err != nil {
+				continue // ended by the script
+			}
+			var n standin.Counts
+			ts.Check(json.Unmarshal(raw, &n))
+			sum.UnloadRunning += n.UnloadRunning
+			sum.WrongVersion += n.WrongVersion
+			sum.NewAfterLeaving += n.NewAfterLeaving
+			sum.Runs += n.Runs
+			sum.Unloads += n.Unloads
+			addKeys(ts, keys, at+"/control/keys")
+		}
+	}
+	for i := 1; i <= s.Services; i++ {
+		addKeys(ts, keys, "http://"+w.fleet.ServiceAddress(i)+"/control/keys")
+	}
+	for _, n := range keys {
+		if n > 1 {
+			sum.KeyTwice++
+		}
+	}
+	fmt.Fprintf(ts.Stdout(), "runs=%d unloads=%d unload_running=%d wrong_version=%d key_twice=%d new_after_leaving=%d\n",
+		sum.Runs, sum.Unloads, sum.UnloadRunning, sum.WrongVersion, sum.KeyTwice, sum.NewAfterLeaving)
+	breached := sum.UnloadRunning+sum.WrongVersion+sum.KeyTwice+sum.NewAfterLeaving > 0
+	if breached != neg {
+		ts.Fatalf("breaches: %+v", sum)
+	}
+}
+
+func addKeys(ts *testscript.TestScript, keys map[string]int, url string) {
+	raw, err := fleet.Get(context.Background(), url)
+	ts.Check(err)
+	more := make(map[string]int)
+	ts.Check(json.Unmarshal(raw, &more))
+	for k, n := range more {
+		keys[k] += n
+	}
+}
+
+func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	time.Sleep(d)
+}
+
+// cmdCairnctl runs the operators' client against every daemon of the fleet.
+func cmdCairnctl(ts *testscript.TestScript, neg bool, args []string) {
+	var list []string
+	for _, b := range worldOf(ts).fleet.Boxes() {
+		list = append(list, b.Address)
+	}
+	runProgram(ts, neg, "cairnctl", append([]string{"--daemons", strings.Join(list, ",")}, args...))
+}
+
+// cmdProgram runs any program under test: program cairn-gateway --help.
+func cmdProgram(ts *testscript.TestScript, neg bool, args []string) {
+	runProgram(ts, neg, args[0], args[1:])
+}
+
+func runProgram(ts *testscript.TestScript, neg bool, name string, args []string) {
+	c := exec.Command(filepath.Join(bin, name), args...)
+	c.Dir = ts.MkAbs(".")
+	var out, errs bytes.Buffer
+	c.Stdout, c.Stderr = &out, &errs
+	err := c.Run()
+	_, _ = ts.Stdout().Write(out.Bytes())
+	_, _ = ts.Stderr().Write(errs.Bytes())
+	fmt.Fprintf(ts.Stdout(), "exit=%d\n", c.ProcessState.ExitCode())
+	if (err != nil) != neg {
+		ts.Fatalf("%s: %v\n%s", name, err, errs.String())
+	}
+}
+
+// cmdEventually waits until a process's log has a text: eventually scheduler1.1
+// TEXT.
+func cmdEventually(ts *testscript.TestScript, _ bool, args []string) {
+	path := logPath(ts, process(ts, args[0]))
+	deadline := time.Now().Add(15 * time.Second)
+	for {
+		raw, err := os.ReadFile(path)
+		ts.Check(err)
+		if strings.Contains(string(raw), args[1]) {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("%s does not say %q", args[0], args[1])
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -69,7 +69,7 @@
 		}
 	}
 	for i := 1; i <= f.Spec.Services; i++ {
-		if err := f.run(fmt.Sprintf("service%d", i), "standin-service", "--listen", f.serviceAddress(i)); err != nil {
+		if err := f.run(fmt.Sprintf("service%d", i), "standin-service", "--listen", f.ServiceAddress(i)); err != nil {
 			return err
 		}
 	}
@@ -186,11 +186,14 @@
 	return nil
 }
 
-// WaitReady returns when every gateway and scheduler is ready.
+// WaitReady returns when every gateway and scheduler that runs is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for c := 1; c <= f.Spec.Centres; c++ {
 		for b := 1; b <= f.Spec.Boxes; b++ {
 			for _, role := range []string{member.Gateway, member.Scheduler} {
+				if f.PID(DaemonName(c, b, role)) == 0 {
+					continue
+				}
 				if err := f.waitFor(ctx, "http://"+f.OperatorsAddress(c, b, role)+"/readyz"); err != nil {
 					return err
 				}
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -78,7 +78,8 @@
 	return fmt.Sprintf("%s.%d", f.net, 40*centre+20+engine)
 }
 
-func (f *Fleet) serviceAddress(i int) string {
+// ServiceAddress returns where a plain service listens.
+func (f *Fleet) ServiceAddress(i int) string {
 	return fmt.Sprintf("%s.%d:%d", f.net, 10+i, standinPort)
 }
 
@@ -152,7 +153,7 @@
 	if f.Spec.Services > 0 {
 		s := catalog.ServiceFormat{Name: ServiceName, NotRepeatable: []string{"POST /bookings"}}
 		for i := 1; i <= f.Spec.Services; i++ {
-			s.Addresses = append(s.Addresses, f.serviceAddress(i))
+			s.Addresses = append(s.Addresses, f.ServiceAddress(i))
 		}
 		shard.Services = []catalog.ServiceFormat{s}
 	}
--- /dev/null
+++ b/load/plan.go
@@ -0,0 +1,120 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package load sends requests to gateways at a steady rate, whether answers
+// come or not, and accounts for every one of them.
+package load
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"cairnwick.example/fleet"
+	"github.com/google/uuid"
+)
+
+// Mix is one kind of request in a plan.
+type Mix struct {
+	Class    string
+	Caller   string
+	Share    float64 // weight among the kinds
+	Tokens   int     // mean; each request draws from half to one and a half
+	Stream   bool
+	Keyed    bool          // not repeatable: each request has a key of its own
+	Deadline time.Duration // zero: that of the class
+}
+
+// Plan describes a load. The same plan with the same seed asks for the same
+// adapters at the same times.
+type Plan struct {
+	Gateways []string
+	Rate     float64 // requests a second
+	Duration time.Duration
+	Seed     uint64
+	Adapters int           // asked for, from the first on
+	Skew     float64       // exponent of the popularity, above 1
+	Shift    time.Duration // after it other adapters are the popular ones; zero: never
+	Kinds    []Mix
+	Patience time.Duration // longest wait for an answer
+}
+
+// arrival is one request of a plan.
+type arrival struct {
+	at      time.Duration // from the begin
+	gateway string
+	adapter string
+	kind    Mix
+	tokens  int
+	key     string
+}
+
+// arrivals draws the whole plan.
+func (p Plan) arrivals() []arrival {
+	r := rand.New(rand.NewPCG(p.Seed, p.Seed+1))
+	zipf := rand.NewZipf(r, p.Skew, 1, uint64(p.Adapters-1))
+	var list []arrival
+	for at := 0.0; at < p.Duration.Seconds(); at += r.ExpFloat64() / p.Rate {
+		k := p.kind(r)
+		a := arrival{
+			at:      time.Duration(at * float64(time.Second)),
+			gateway: p.Gateways[r.IntN(len(p.Gateways))],
+			kind:    k,
+			tokens:  max(1, k.Tokens/2+r.IntN(k.Tokens+1)),
+		}
+		a.adapter = fleet.AdapterName(1 + p.adapter(int(zipf.Uint64()), a.at))
+		list = append(list, a)
+	}
+	return list
+}
+
+// adapter turns a rank of popularity into an adapter: ranks are spread over the
+// adapters, and spread otherwise after a shift.
+func (p Plan) adapter(rank int, at time.Duration) int {
+	if p.Shift > 0 && at >= p.Shift {
+		return (rank + p.Adapters/2) % p.Adapters
+	}
+	return rank
+}
+
+func (p Plan) kind(r *rand.Rand) Mix {
+	whole := 0.0
+	for _, k := range p.Kinds {
+		whole += k.Share
+	}
+	x := r.Float64() * whole
+	for _, k := range p.Kinds {
+		if x -= k.Share; x < 0 {
+			return k
+		}
+	}
+	return p.Kinds[len(p.Kinds)-1]
+}
+
+// ask is the request as a caller sends it.
+func (a arrival) ask() fleet.Ask {
+	q := fleet.Ask{
+		Address: a.gateway,
+		Model:   a.adapter,
+		Expect:  a.adapter + "@2",
+		Tokens:  a.tokens,
+		Stream:  a.kind.Stream,
+		Header:  map[string]string{"Cairn-Class": a.kind.Class, "Cairn-Caller": a.kind.Caller},
+	}
+	if a.kind.Deadline > 0 {
+		q.Header["Cairn-Deadline"] = a.kind.Deadline.String()
+	}
+	if a.kind.Keyed {
+		q.Header["Cairn-Repeatable"] = "no"
+		q.Header["Idempotency-Key"] = NewKey()
+	}
+	return q
+}
+
+// NewKey returns a key for a request that is not repeatable.
+func NewKey() string {
+	u, err := uuid.NewV7()
+	if err != nil {
+		panic(fmt.Sprintf("load: no randomness: %v", err))
+	}
+	return u.String()
+}
--- /dev/null
+++ b/load/run.go
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"cairnwick.example/fleet"
+	"cairnwick.example/metrics"
+)
+
+// Report accounts for every request of a load.
+type Report struct {
+	Sent    int
+	Whole   int // answered whole, each token checked
+	NotRun  int // refused, saying that it did not run
+	Unknown int // failed, saying that it may have run
+	Broken  int // the connection ended without a final answer
+	Wrong   int // an answer that was not the request's own, or not whole
+	Codes   map[string]int
+
+	First *metrics.Family // time to the first byte of whole answers, by class
+	Total *metrics.Family // time to the end of whole answers, by class
+	Gap   time.Duration   // longest time without a whole answer ending
+
+	Complaints []string // what was wrong, the first few
+}
+
+const maxComplaints = 10
+
+// book gathers a report; it is safe for concurrent use.
+type book struct {
+	mu     sync.Mutex
+	report Report
+	last   time.Time // when a whole answer ended last
+}
+
+// Run sends the plan's requests and returns when all have ended.
+func Run(ctx context.Context, p Plan) Report {
+	list := p.arrivals()
+	b := &book{report: Report{
+		Codes: make(map[string]int),
+		First: metrics.NewFamily(classesKept),
+		Total: metrics.NewFamily(classesKept),
+	}}
+	c := &fleet.Caller{HTTP: http.Client{
+		Transport: &http.Transport{MaxIdleConnsPerHost: idlePerGateway},
+		Timeout:   p.Patience,
+	}}
+	defer c.HTTP.CloseIdleConnections()
+	begun := time.Now()
+	b.last = begun
+	var all sync.WaitGroup
+	for _, a := range list {
+		if !sleepUntil(ctx, begun.Add(a.at)) {
+			break
+		}
+		all.Go(func() { b.note(a, send(ctx, c, a)) })
+	}
+	all.Wait()
+	return b.report
+}
+
+const (
+	classesKept    = 16
+	idlePerGateway = 1024
+)
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+// result is what became of one request.
+type result struct {
+	reply fleet.Reply
+	err   error // no final answer
+	wrong error // an answer that is not right
+}
+
+func send(ctx context.Context, c *fleet.Caller, a arrival) result {
+	q := a.ask()
+	r, err := c.Do(ctx, q)
+	if err != nil {
+		return result{err: err}
+	}
+	if !r.Whole {
+		return result{reply: r}
+	}
+	return result{reply: r, wrong: r.Check(q.Expect, a.tokens)}
+}
+
+func (b *book) note(a arrival, r result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	p := &b.report
+	p.Sent++
+	switch {
+	case r.err != nil:
+		p.Broken++
+		b.complainLocked(r.err)
+	case r.wrong != nil:
+		p.Wrong++
+		b.complainLocked(r.wrong)
+	case r.reply.Whole:
+		p.Whole++
+		b.wholeLocked(a, r.reply)
+	case r.reply.Code == "":
+		p.Broken++ // a stream without its end and without an error
+	case r.reply.Ran == "not_run":
+		p.NotRun++
+		p.Codes[r.reply.Code]++
+	default:
+		p.Unknown++
+		p.Codes[r.reply.Code]++
+	}
+}
+
+func (b *book) wholeLocked(a arrival, r fleet.Reply) {
+	now := time.Now()
+	b.report.Gap = max(b.report.Gap, now.Sub(b.last))
+	b.last = now
+	b.report.First.Observe(a.kind.Class, r.First)
+	b.report.Total.Observe(a.kind.Class, r.Duration)
+}
+
+func (b *book) complainLocked(err error) {
+	if len(b.report.Complaints) < maxComplaints {
+		b.report.Complaints = append(b.report.Complaints, err.Error())
+	}
+}
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -35,6 +35,8 @@
 	fence    engine.Fence // this scheduler's, while owned
 	boot     string       // the engine's life that slots describe
 	seen     time.Time    // when a look that showed the own fence was begun
+	claimed  time.Time    // when the claim that holds was begun
+	losses   int          // claims lost to others lately
 	looking  bool         // a look is queued or under way
 	nextLook time.Time
 	slots    map[string]*slot  // by adapter@version; at most spec.Slots()
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -14,9 +14,10 @@
 	"github.com/pkg/errors"
 )
 
-// lostBackoff is how many back-offs a scheduler leaves an endpoint alone that
-// another claimed, so that two views do not make it change hands all the time.
-const lostBackoff = 10
+const (
+	mostLosses = 5                // doublings of the back-off after lost claims
+	longHeld   = 30 * time.Second // an endpoint held so long was not fought for
+)
 
 // Owner returns the name of the scheduler that should own an endpoint, among
 // the serving schedulers of its data centre; "" when there is none.
@@ -26,12 +27,13 @@
 // looks that are due.
 func (s *Scheduler) assign(now time.Time) {
 	c := s.Catalog()
-	if c == nil {
+	if c == nil || !s.Ready() {
 		return
 	}
 	schedulers := s.schedulers()
 	s.mu.Lock()
-	if !slices.Equal(schedulers, s.known) {
+	moved := !slices.Equal(schedulers, s.known)
+	if moved {
 		s.known = schedulers
 		s.Keys.NewTenure(now) // keys may have got another home
 	}
@@ -40,6 +42,9 @@
 	s.mu.Unlock()
 	mine := 0
 	for _, e := range s.all() {
+		if moved {
+			e.lookSoon(now) // another view may have claimed it in between
+		}
 		if s.assignOne(e, Owner(e.name, schedulers), leaving, now) {
 			mine++
 		}
@@ -106,6 +111,13 @@
 	return true
 }
 
+// lookSoon makes the next look due at now.
+func (e *endpoint) lookSoon(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.nextLook = now
+}
+
 func (s *Scheduler) queueLookLocked(e *endpoint) {
 	select {
 	case s.looks <- e:
@@ -163,6 +175,7 @@
 	e.phase = owned
 	e.fence = fence
 	e.seen = begun
+	e.claimed = begun
 	s.holdLocked(e, sight.Boot(), models, time.Now())
 	s.Log.Info("Endpoint is owned", "endpoint", e.name, "fence", fence.String(), "adapters", len(models))
 	s.moveLocked(e, time.Now())
@@ -213,12 +226,18 @@
 	return nil
 }
 
-// loseLocked drops an endpoint that another scheduler has claimed.
+// loseLocked drops an endpoint that another scheduler has claimed. It is left
+// alone for a time that doubles with each loss, so that two views that last do
+// not make it change hands all the time.
 func (s *Scheduler) loseLocked(e *endpoint, winner engine.Fence, now time.Time) {
 	s.Log.Info("Endpoint was claimed by another scheduler", "endpoint", e.name, "fence", winner.String())
 	e.owner = winner.Box() + "/" + member.Scheduler
 	e.dropLocked(wire.Reason_REASON_NOT_OWNER)
-	e.nextLook = now.Add(lostBackoff * s.Spans.Backoff)
+	if now.Sub(e.claimed) > longHeld {
+		e.losses = 0
+	}
+	e.nextLook = now.Add(s.Spans.Backoff << e.losses)
+	e.losses = min(e.losses+1, mostLosses)
 }
 
 // restartedLocked begins anew with an engine that restarted empty. Its old
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -54,6 +54,7 @@
 	Catalog   func() *catalog.Catalog
 	Changed   func() <-chan struct{} // closes when the catalog changes
 	Members   *member.Table
+	Ready     func() bool // whether the daemon has joined its data centre
 	Dial      func(address string) engine.Endpoint
 	Eviction  policy.Eviction
 	Weights   policy.Weights
@@ -183,7 +184,7 @@
 	s.mu.Unlock()
 	for _, e := range s.all() {
 		e.mu.Lock()
-		e.dropLocked(wire.Reason_REASON_LEAVING)
+		e.dropLocked(wire.Reason_REASON_NOT_OWNER)
 		e.mu.Unlock()
 	}
 }
--- a/scheduler/serving.go
+++ b/scheduler/serving.go
@@ -80,6 +80,7 @@
 		Catalog:  n.Keeper.Catalog,
 		Changed:  n.Keeper.Changed,
 		Members:  n.Table,
+		Ready:    n.Ready,
 		Dial:     func(address string) engine.Endpoint { return &engine.Client{Address: address, HTTP: client} },
 		Eviction: evict,
 		Weights:  policy.Weights{Stalls: v.Number(optStalls), Batch: v.Number(optBatch)},
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -37,7 +37,7 @@
 	runs      map[string]*run  // by request, kept for a while after they end
 	waiting   []*run           // not yet in a batch
 	batch     []*run           // at most Batch
-	reports   []report         // recent states, oldest first
+	reports   []report         // recent states, oldest first; at least one
 	leaving   time.Time        // zero while serving
 	failLoads int              // loads still to fail on command
 	counts    Counts
@@ -89,7 +89,7 @@
 	}
 }
 
-// Init prepares the engine's tables; Handler calls it too.
+// init prepares the engine's tables.
 func (e *Engine) init() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -108,7 +108,8 @@
 	e.fence = engine.Fence{}
 	e.slots = make(map[string]*slot)
 	e.runs = make(map[string]*run)
-	e.waiting, e.batch, e.reports = nil, nil, nil
+	e.waiting, e.batch = nil, nil
+	e.reports = []report{{at: time.Now()}}
 }
 
 // step gives one token to every request of the batch.
@@ -156,7 +157,13 @@
 
 func (e *Engine) noteReportLocked(now time.Time) {
 	e.reports = append(e.reports, report{at: now, running: adaptersOf(e.batch), waiting: adaptersOf(e.waiting)})
-	for len(e.reports) > 1 && now.Sub(e.reports[1].at) >= e.ReportLag {
+	e.dropReportsLocked(now)
+}
+
+// dropReportsLocked keeps the reports that are not older than the lag, and the
+// newest one in any case.
+func (e *Engine) dropReportsLocked(now time.Time) {
+	for len(e.reports) > 1 && now.Sub(e.reports[0].at) > e.ReportLag {
 		e.reports = e.reports[1:]
 	}
 }
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -179,10 +179,8 @@
 func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	var r report
-	if len(e.reports) > 0 {
-		r = e.reports[0]
-	}
+	e.dropReportsLocked(time.Now())
+	r := e.reports[0]
 	fmt.Fprintf(w, "# TYPE %s gauge\n%s{model_name=%q} %d\n", engine.RunningMetric, engine.RunningMetric, e.Base, len(r.running))
 	fmt.Fprintf(w, "# TYPE %s gauge\n%s{model_name=%q} %d\n", engine.WaitingMetric, engine.WaitingMetric, e.Base, len(r.waiting))
 	fmt.Fprintf(w, "# TYPE %s gauge\n%s{max_lora=\"%d\",running_lora_adapters=%q,waiting_lora_adapters=%q} 1\n",
