Measure the path: through cairnwick and straight to the engine in one run

Change: cairn-measure path (make bench), an empty hop as a baseline, processor time and memory of the daemons; pprof on the operators' port.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 # SPDX-License-Identifier: Apache-2.0
 
-PROGRAMS = cairn-gateway cairn-scheduler cairnctl cairn-demo standin-engine standin-platform standin-service
+PROGRAMS = cairn-gateway cairn-scheduler cairnctl cairn-demo cairn-measure standin-engine standin-platform standin-service
 
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 REVIVE = github.com/mgechev/revive@v1.17.0
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build demo test lint generate clean
+.PHONY: all build demo test lint bench generate clean
 
 all: build
 
@@ -32,3 +32,6 @@
 
 clean:
 	rm -rf bin
+
+bench: build
+	bin/cairn-measure path
--- /dev/null
+++ b/cmd/cairn-measure/command.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"cairnwick.example/measure"
+	"github.com/alexflint/go-arg"
+)
+
+type pathCommand struct {
+	Rate   int           `arg:"--rate" default:"500" help:"requests a second"`
+	Each   time.Duration `arg:"--each" default:"4s" help:"time of one turn"`
+	Rounds int           `arg:"--rounds" default:"3" help:"turns of each kind"`
+}
+
+type arguments struct {
+	Path *pathCommand `arg:"subcommand:path" help:"latency through cairnwick and straight to the engine"`
+	Bin  string       `arg:"--bin" default:"bin" help:"folder of the programs"`
+}
+
+// Description implements go-arg.
+func (arguments) Description() string {
+	return "cairn-measure: the figures of the documents, with real processes on loopback"
+}
+
+// run parses the command line and carries it out; it returns the exit code.
+func run(args []string) int {
+	var a arguments
+	p, err := arg.NewParser(arg.Config{Program: "cairn-measure"}, &a)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	p.MustParse(args)
+	dir, err := os.MkdirTemp("", "cairn-measure-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	switch {
+	case a.Path != nil:
+		err = measure.Path{Bin: a.Bin, Dir: dir, Rate: a.Path.Rate, Each: a.Path.Each, Rounds: a.Path.Rounds}.Run(ctx, os.Stdout)
+	default:
+		p.WriteUsage(os.Stderr)
+		return 2
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return 0
+}
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"runtime"
 	"time"
 
@@ -20,6 +21,9 @@
 	m.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	m.HandleFunc("GET /readyz", n.showReady)
 	m.Handle("GET /debug/vars", expvar.Handler())
+	m.HandleFunc("GET /debug/pprof/", pprof.Index)
+	m.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	m.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
 	n.publish()
 	return func(ctx context.Context) error { return ServeHTTP(ctx, l, m) }
 }
--- a/load/plan.go
+++ b/load/plan.go
@@ -45,7 +45,6 @@
 	adapter string
 	kind    Mix
 	tokens  int
-	key     string
 }
 
 // arrivals draws the whole plan.
