Merge groups of daemons that do not know each other; fault proxy, TLS, traffic counters

Cause: the first capacity run showed 2 KB/s of endpoint traffic for a scheduler with one endpoint at 32 daemons, against 150 B/s of looks. The logs showed that each of 16 schedulers claimed every endpoint again and again: daemons that started together formed groups that never heard of each other, because seeds were asked only while nobody was known. TestTwoGroupsThatDoNotKnowEachOtherMerge was red. Change: daemons that start, and the watchers of each data centre, exchange with a seed that they do not know at each beat; a daemon is ready only when its view was still for a beat. Besides: standin-proxy with rules by source and target, mutual TLS between daemons with files read again on change, byte counters. Before: 290 claims of 16 endpoints in 8 s. Ruled out: waiting for a still view alone (335 claims).

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 REVIVE = github.com/mgechev/revive@v1.17.0
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build demo test lint bench generate clean
+.PHONY: all build demo test lint bench capacity generate clean
 
 all: build
 
@@ -35,3 +35,6 @@
 
 bench: build
 	bin/cairn-measure path
+
+capacity: build
+	bin/cairn-measure capacity
--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -20,9 +20,14 @@
 	Rounds int           `arg:"--rounds" default:"3" help:"turns of each kind"`
 }
 
+type capacityCommand struct {
+	Time time.Duration `arg:"--time" default:"8s" help:"time of one point"`
+}
+
 type arguments struct {
-	Path *pathCommand `arg:"subcommand:path" help:"latency through cairnwick and straight to the engine"`
-	Bin  string       `arg:"--bin" default:"bin" help:"folder of the programs"`
+	Path     *pathCommand     `arg:"subcommand:path" help:"latency through cairnwick and straight to the engine"`
+	Capacity *capacityCommand `arg:"subcommand:capacity" help:"how what a daemon uses grows"`
+	Bin      string           `arg:"--bin" default:"bin" help:"folder of the programs"`
 }
 
 // Description implements go-arg.
@@ -50,6 +55,8 @@
 	switch {
 	case a.Path != nil:
 		err = measure.Path{Bin: a.Bin, Dir: dir, Rate: a.Path.Rate, Each: a.Path.Each, Rounds: a.Path.Rounds}.Run(ctx, os.Stdout)
+	case a.Capacity != nil:
+		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time}.Run(ctx, os.Stdout)
 	default:
 		p.WriteUsage(os.Stderr)
 		return 2
--- /dev/null
+++ b/daemon/identity.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// PeerName is the DNS name that every daemon's and operator's certificate
+// carries.
+const PeerName = "cairnwick"
+
+// Identity is a certificate with its key and the authority that signed those of
+// the others, in files that are read again when they change. It is safe for
+// concurrent use.
+type Identity struct {
+	Certificate string // path
+	Key         string // path
+	Authority   string // path
+
+	mu      sync.Mutex
+	changed time.Time // newest of the three files when they were read
+	pair    *tls.Certificate
+	pool    *x509.CertPool
+}
+
+// Credentials returns what both sides of a connection use: TLS with mutual
+// authentication, or none when no certificate is named.
+func (i *Identity) Credentials() (credentials.TransportCredentials, error) {
+	if i.Certificate == "" && i.Key == "" && i.Authority == "" {
+		return insecure.NewCredentials(), nil
+	}
+	if _, _, err := i.read(); err != nil {
+		return nil, err
+	}
+	return credentials.NewTLS(&tls.Config{
+		MinVersion:             tls.VersionTLS13,
+		ServerName:             PeerName,
+		InsecureSkipVerify:     true, // verify does it, with the authority as it is now
+		ClientAuth:             tls.RequireAnyClientCert,
+		VerifyConnection:       i.verify,
+		GetCertificate:         func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return i.current() },
+		GetClientCertificate:   func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return i.current() },
+		SessionTicketsDisabled: true, // a resumed session would skip a changed authority
+	}), nil
+}
+
+func (i *Identity) current() (*tls.Certificate, error) {
+	pair, _, err := i.read()
+	return pair, err
+}
+
+// verify checks the other side's certificate against the authority and the name
+// that all carry.
+func (i *Identity) verify(s tls.ConnectionState) error {
+	_, pool, err := i.read()
+	if err != nil {
+		return err
+	}
+	if len(s.PeerCertificates) == 0 {
+		return errors.New("daemon: peer without a certificate")
+	}
+	between := x509.NewCertPool()
+	for _, c := range s.PeerCertificates[1:] {
+		between.AddCert(c)
+	}
+	_, err = s.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots:         pool,
+		Intermediates: between,
+		DNSName:       PeerName,
+		KeyUsages:     []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	return errors.Wrap(err, "daemon: peer's certificate")
+}
+
+// read returns what the files hold. Files that became unreadable leave what was
+// read before in use.
+func (i *Identity) read() (*tls.Certificate, *x509.CertPool, error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	newest, err := i.newest()
+	if err == nil && (i.pair == nil || newest.After(i.changed)) {
+		err = i.loadLocked(newest)
+	}
+	if i.pair == nil {
+		return nil, nil, err
+	}
+	return i.pair, i.pool, nil
+}
+
+func (i *Identity) newest() (time.Time, error) {
+	var newest time.Time
+	for _, path := range []string{i.Certificate, i.Key, i.Authority} {
+		s, err := os.Stat(path)
+		if err != nil {
+			return newest, errors.Wrap(err, "daemon: identity")
+		}
+		if s.ModTime().After(newest) {
+			newest = s.ModTime()
+		}
+	}
+	return newest, nil
+}
+
+func (i *Identity) loadLocked(newest time.Time) error {
+	pair, err := tls.LoadX509KeyPair(i.Certificate, i.Key)
+	if err != nil {
+		return errors.Wrap(err, "daemon: certificate and key")
+	}
+	raw, err := os.ReadFile(i.Authority)
+	if err != nil {
+		return errors.Wrap(err, "daemon: authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(raw) {
+		return errors.Errorf("daemon: authority: %s holds no certificate", i.Authority)
+	}
+	i.pair, i.pool, i.changed = &pair, pool, newest
+	return nil
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -22,7 +22,6 @@
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 )
 
@@ -53,6 +52,7 @@
 	centre  string
 	loop    *member.Loop
 	relay   *keeper.Relay
+	traffic *Traffic
 	tasks   []Task
 	ready   atomic.Bool
 	leaving atomic.Bool
@@ -61,19 +61,29 @@
 // Task is something that runs until its context ends.
 type Task func(context.Context) error
 
-// New makes the node that the settings describe.
-func New(role string, v settings.Values) *Node {
+// New makes the node that the settings describe. It returns an error when the
+// identity's files do not hold.
+func New(role string, v settings.Values) (*Node, error) {
+	identity := &Identity{Certificate: v.Text(TLSCert), Key: v.Text(TLSKey), Authority: v.Text(TLSRoot)}
+	creds, err := identity.Credentials()
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{Role: role, values: v, box: v.Text(Box), centre: v.Text(DataCentre)}
 	n.Log = journal.New(os.Stdout, n.box, n.centre, role, v.Switch(Debug))
 	n.Record = decision.NewRecord(v.Count(Decisions))
-	n.Dialer = &Dialer{Credentials: insecure.NewCredentials()}
+	n.traffic = &Traffic{}
+	n.Dialer = &Dialer{Credentials: creds, Dial: counted(&n.traffic.Peers, dialTimeout, v.Text(Source))}
 	client := &platform.Client{
 		Address: v.Text(Platform),
 		Timeout: 2 * time.Second,
-		HTTP:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+		HTTP: &http.Client{Transport: &http.Transport{
+			DialContext:         counted(&n.traffic.Platform, dialTimeout, v.Text(Source)),
+			MaxIdleConnsPerHost: 2,
+		}},
 	}
 	n.Boxes = &Boxes{Client: client, Life: boxesLife}
-	self := member.New(n.Name(), v.Text(PeersListen), role, n.centre, uint64(time.Now().UnixMicro()))
+	self := member.New(n.Name(), n.advertised(), role, n.centre, uint64(time.Now().UnixMicro()))
 	n.Table = member.NewTable(self, member.Limits{
 		SuspectFor: v.Duration(SuspectFor),
 		ForgetDead: forgetDead,
@@ -82,15 +92,23 @@
 	n.Keeper = keeper.New(v.Duration(Settle), n.Log)
 	n.relay = n.newRelay(client)
 	n.loop = n.newLoop()
-	n.Server = grpc.NewServer(grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer))
+	n.Server = grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer))
 	wire.RegisterPeerServer(n.Server, peerServer{node: n})
 	wire.RegisterOperatorServer(n.Server, operatorServer{node: n})
-	return n
+	return n, nil
+}
+
+// advertised returns the address that the other daemons reach this one by.
+func (n *Node) advertised() string {
+	if a := n.values.Text(Advertise); a != "" {
+		return a
+	}
+	return n.values.Text(PeersListen)
 }
 
 const (
 	forgetDead = 10 * time.Minute
-	joinBeats  = 3 // heartbeats that a daemon waits for a first answer
+	joinBeats  = 4 // heartbeats that a daemon waits at most for a view that is still
 	boxesLife  = 30 * time.Second
 	watchWait  = 30 * time.Second
 	watchPause = time.Second
@@ -120,7 +138,7 @@
 		Keeper:   n.Keeper,
 		Platform: client,
 		Peers:    n.Dialer.Source,
-		Watches:  func() bool { return n.Table.Rank() < n.values.Count(Watchers) },
+		Watches:  n.watches,
 		Log:      n.Log,
 		Wait:     watchWait,
 		Pause:    watchPause,
@@ -129,12 +147,17 @@
 	return r
 }
 
+// watches tells whether this daemon is one of the few of its data centre that
+// read the platform regularly.
+func (n *Node) watches() bool { return n.Table.Rank() < n.values.Count(Watchers) }
+
 func (n *Node) newLoop() *member.Loop {
 	v := n.values
 	return &member.Loop{
 		Table:      n.Table,
 		Dial:       n.Dialer.Peer,
 		Seeds:      n.seeds,
+		Bridges:    func() bool { return !n.ready.Load() || n.watches() },
 		Extras:     n.relay,
 		Log:        n.Log,
 		Interval:   v.Duration(Heartbeat),
@@ -149,7 +172,7 @@
 	}
 }
 
-// seeds lists daemons of the own data centre to ask while nobody is known.
+// seeds lists daemons of the own data centre.
 func (n *Node) seeds() []string {
 	var list []string
 	for _, b := range n.Boxes.List() {
@@ -164,7 +187,7 @@
 func (n *Node) peers() []string {
 	var list []string
 	for _, a := range strings.Split(n.values.Text(Peers), ",") {
-		if a = strings.TrimSpace(a); a != "" && a != n.values.Text(PeersListen) {
+		if a = strings.TrimSpace(a); a != "" && a != n.advertised() {
 			list = append(list, a)
 		}
 	}
@@ -257,7 +280,7 @@
 		case <-time.After(n.values.Duration(Heartbeat)):
 		}
 	}
-	n.awaitPeer(ctx)
+	n.awaitView(ctx)
 	if ctx.Err() == nil {
 		n.ready.Store(true)
 		n.Log.Info("Daemon is ready", "revision", n.Keeper.Catalog().Revision())
@@ -266,17 +289,26 @@
 	return nil
 }
 
-// awaitPeer waits until a daemon of the data centre answered, so that this one
-// does not act on a view of itself alone; when none does it goes on by itself.
-func (n *Node) awaitPeer(ctx context.Context) {
-	limit := time.After(joinBeats * n.values.Duration(Heartbeat))
-	for len(n.Table.All()) == 1 {
+// awaitView waits until the view of the members was still for one heartbeat, so
+// that this daemon does not act on a part of its data centre; after a bounded
+// time it goes on with what it has.
+func (n *Node) awaitView(ctx context.Context) {
+	beat := n.values.Duration(Heartbeat)
+	limit := time.After(joinBeats * beat)
+	for {
+		changed := n.Table.Changed()
+		still := time.After(beat + beat/joinBeats)
+		if len(n.Table.All()) == 1 {
+			still = nil // nobody answered yet
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-limit:
 			return
-		case <-n.Table.Changed():
+		case <-still:
+			return
+		case <-changed:
 		}
 	}
 }
@@ -303,7 +335,7 @@
 func (n *Node) peersTask(l net.Listener) Task {
 	return func(ctx context.Context) error {
 		served := make(chan error, 1)
-		go func() { served <- n.Server.Serve(l) }()
+		go func() { served <- n.Server.Serve(n.traffic.Peers.Listen(l)) }()
 		select {
 		case err := <-served:
 			return errors.Wrap(err, "daemon: serve peers")
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -50,6 +50,7 @@
 		}
 		return count
 	}))
+	n.traffic.publish()
 	expvar.Publish("cairn_goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	expvar.Publish("cairn_platform_calls", expvar.Func(func() any { return n.Boxes.Client.Calls() }))
 }
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -16,6 +16,11 @@
 	Box         = "box"
 	DataCentre  = "data_centre"
 	PeersListen = "peers_listen"
+	Advertise   = "advertise"
+	Source      = "source"
+	TLSCert     = "tls_certificate"
+	TLSKey      = "tls_key"
+	TLSRoot     = "tls_authority"
 	Operators   = "operators_listen"
 	Platform    = "platform"
 	Peers       = "peers"
@@ -36,7 +41,12 @@
 var Common = settings.Table{
 	{Name: Box, Kind: settings.Text, Required: true, Help: "name of the box, unique in the system"},
 	{Name: DataCentre, Kind: settings.Text, Required: true, Help: "data centre where the box stands"},
-	{Name: PeersListen, Kind: settings.Address, Required: true, Help: "address for the other daemons, which they reach it by"},
+	{Name: PeersListen, Kind: settings.Address, Required: true, Help: "address for the other daemons"},
+	{Name: Advertise, Kind: settings.Text, Default: "", Help: "address that the other daemons reach it by, when it is not peers_listen"},
+	{Name: Source, Kind: settings.Text, Default: "", Help: "IP number that connections are made from; empty: any"},
+	{Name: TLSCert, Kind: settings.Text, Default: "", Help: "file with the certificate, PEM; empty: no TLS between daemons"},
+	{Name: TLSKey, Kind: settings.Text, Default: "", Help: "file with the certificate's key, PEM"},
+	{Name: TLSRoot, Kind: settings.Text, Default: "", Help: "file with the authority of the other daemons' certificates, PEM"},
 	{Name: Operators, Kind: settings.Address, Required: true, Help: "address for health, metrics and operators"},
 	{Name: Platform, Kind: settings.URL, Required: true, Help: "the platform's key-value service"},
 	{Name: Peers, Kind: settings.Text, Default: "", Help: "addresses of some other daemons, with commas, asked when the platform is down"},
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,9 +4,11 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"time"
 
+	"cairnwick.example/engine"
 	"cairnwick.example/keeper"
 	"cairnwick.example/member"
 	"cairnwick.example/wire"
@@ -20,6 +22,7 @@
 // concurrent use.
 type Dialer struct {
 	Credentials credentials.TransportCredentials
+	Dial        engine.DialFunc // opens the connections
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
@@ -41,6 +44,7 @@
 	}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(d.Credentials),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return d.Dial(ctx, "tcp", address) }),
 		grpc.WithReadBufferSize(connBuffer),
 		grpc.WithWriteBufferSize(connBuffer),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -54,13 +54,15 @@
 	return c.Conn.Write(b)
 }
 
-// NewTransport returns the connections to endpoints: kept open, without
-// compression, each write guarded.
-func NewTransport(dialTimeout time.Duration, idlePerHost int) *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+// DialFunc opens connections.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// NewTransport returns the connections to endpoints: opened by dial, kept open,
+// without compression, each write guarded.
+func NewTransport(dial DialFunc, idlePerHost int) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			c, err := d.DialContext(ctx, network, address)
+			c, err := dial(ctx, network, address)
 			if err != nil {
 				return nil, err
 			}
--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -47,7 +47,9 @@
 	return err
 }
 
-func newClient() *http.Client { return &http.Client{Transport: NewTransport(time.Second, 4)} }
+func newClient() *http.Client {
+	return &http.Client{Transport: NewTransport((&net.Dialer{}).DialContext, 4)}
+}
 
 func inTime() time.Time { return time.Now().Add(time.Minute) }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,6 +61,11 @@
 	if err := f.StartPlatform(ctx); err != nil {
 		return err
 	}
+	if f.Spec.Proxied {
+		if err := f.startProxy(ctx); err != nil {
+			return err
+		}
+	}
 	for c := 1; c <= f.Spec.Centres; c++ {
 		for e := 1; e <= f.Spec.Engines; e++ {
 			if err := f.StartEngine(c, e); err != nil {
@@ -138,7 +143,9 @@
 		"data_centre":      CentreName(centre),
 		"peers_listen":     f.PeersAddress(centre, box, role),
 		"operators_listen": f.OperatorsAddress(centre, box, role),
-		"platform":         "http://" + f.PlatformAddress(),
+		"platform":         "http://" + f.reached(f.net+".1", standinPort),
+		"advertise":        f.reached(f.boxIP(centre, box), peersPort+offset(role)),
+		"source":           f.boxIP(centre, box),
 		"settle":           "300ms",
 	}
 	more := f.Spec.Scheduler
@@ -205,16 +212,24 @@
 
 // waitFor returns when the URL answers with status 200.
 func (f *Fleet) waitFor(ctx context.Context, url string) error {
+	return f.await(ctx, func() error {
+		_, err := Get(ctx, url)
+		return err
+	})
+}
+
+// await tries until it succeeds, for a bounded time.
+func (f *Fleet) await(ctx context.Context, try func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
-		_, err := Get(ctx, url)
+		err := try()
 		if err == nil {
 			return nil
 		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(err, "fleet: wait for %s", url)
+			return errors.Wrap(err, "fleet: waited in vain")
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -24,6 +24,7 @@
 	Engines    int      // of each data centre
 	Services   int      // plain services, reached from every data centre
 	Adapters   int      // adapters, each with versions 1 and 2 and live on 2
+	PerShard   int      // adapters in one shard; zero: defaultPerShard
 	Slots      int      // of each engine
 	Batch      int      // of each engine
 	EngineArgs []string // more flags of the engines
@@ -32,6 +33,7 @@
 	Scheduler  []string // more settings of schedulers, NAME=VALUE
 	Both       []string // more settings of both
 	NoFences   bool     // engines do not check fences
+	Proxied    bool     // daemons, engines and platform are reached through a fault-injecting proxy
 }
 
 // The names that every fleet's configuration uses.
@@ -43,6 +45,9 @@
 	ServiceName  = "stock"
 )
 
+// defaultPerShard keeps a shard near 30 KB, so that a change moves little.
+const defaultPerShard = 200
+
 // The ports of a fleet's processes; each box and each stand-in has an address
 // of its own.
 const (
@@ -50,6 +55,7 @@
 	peersPort     = 9080 // and one more for the scheduler
 	operatorsPort = 9180 // and one more for the scheduler
 	standinPort   = 7000
+	proxyOffset   = 100 // from a port to the proxy's port for it
 )
 
 var fleets atomic.Int32 // begun by this process
@@ -127,7 +133,10 @@
 		},
 		"endpoints": f.endpointShard(),
 	}
-	const each = 1000
+	each := s.PerShard
+	if each == 0 {
+		each = defaultPerShard
+	}
 	for first := 1; first <= s.Adapters; first += each {
 		shards[fmt.Sprintf("adapters-%05d", first)] = adapterShard(first, min(first+each, s.Adapters+1))
 	}
@@ -142,7 +151,7 @@
 				Name:         EndpointName(c, e),
 				DataCentre:   CentreName(c),
 				Base:         BaseName,
-				Address:      f.EngineAddress(c, e),
+				Address:      f.reached(f.engineIP(c, e), standinPort),
 				Slots:        f.Spec.Slots,
 				Running:      f.Spec.Batch,
 				ChecksFences: !f.Spec.NoFences,
@@ -174,6 +183,18 @@
 	return shard
 }
 
+// reached returns the address by which the daemons reach what listens at ip and
+// port.
+func (f *Fleet) reached(ip string, port int) string {
+	if f.Spec.Proxied {
+		port += proxyOffset
+	}
+	return fmt.Sprintf("%s:%d", ip, port)
+}
+
+// ProxyAddress returns where the proxy takes its rules.
+func (f *Fleet) ProxyAddress() string { return fmt.Sprintf("%s.2:%d", f.net, standinPort) }
+
 // Boxes returns the platform's list of the fleet's daemons.
 func (f *Fleet) Boxes() []platform.Box {
 	var list []platform.Box
@@ -184,7 +205,7 @@
 					Name:       BoxName(c, b) + "/" + role,
 					DataCentre: CentreName(c),
 					Role:       role,
-					Address:    f.PeersAddress(c, b, role),
+					Address:    f.reached(f.boxIP(c, b), peersPort+offset(role)),
 				})
 			}
 		}
--- a/gateway/serving.go
+++ b/gateway/serving.go
@@ -56,7 +56,10 @@
 	if err != nil {
 		return err
 	}
-	n := daemon.New(member.Gateway, v)
+	n, err := daemon.New(member.Gateway, v)
+	if err != nil {
+		return err
+	}
 	g := &Gateway{
 		Name:       n.Name(),
 		Centre:     n.Centre(),
@@ -65,7 +68,7 @@
 		Probe:      n.Probe,
 		Schedulers: n.Dialer,
 		Remote:     n.Boxes,
-		Engines:    &http.Client{Transport: engine.NewTransport(v.Duration(optDial), idlePerEndpoint)},
+		Engines:    &http.Client{Transport: engine.NewTransport(n.DialEndpoints(v.Duration(optDial)), idlePerEndpoint)},
 		Placement:  place,
 		Retries:    policy.NewRetryBudget(v.Number(optShare), v.Number(optBurst)),
 		Spans: Spans{
--- /dev/null
+++ b/measure/capacity.go
@@ -0,0 +1,279 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package measure
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"cairnwick.example/fleet"
+	"cairnwick.example/load"
+	"cairnwick.example/member"
+	"github.com/pkg/errors"
+	"gonum.org/v1/gonum/stat"
+)
+
+// Capacity measures how what a daemon uses grows: with the daemons of its data
+// centre, with endpoints, with adapters, with requests and with tokens. Each is
+// varied over four points with real processes, the rest held.
+type Capacity struct {
+	Bin  string
+	Dir  string
+	Time time.Duration // of one point
+}
+
+// sample is what one daemon of a role used at one point, on average.
+type sample struct {
+	cpu    float64 // share of a core
+	memory float64 // MB
+	peers  float64 // bytes a second to and from peers
+	ends   float64 // bytes a second to and from endpoints
+	writes float64 // messages a second to and from peers and endpoints
+}
+
+// sweep varies one thing.
+type sweep struct {
+	name   string
+	unit   string
+	points []int
+	spec   func(n int) fleet.Spec
+	load   func(f *fleet.Fleet, n int) *load.Plan // nil: idle
+}
+
+const (
+	settleTime = 3 * time.Second
+	sweepSeed  = 11
+)
+
+// base is the fleet that every sweep starts from.
+func (c Capacity) base() fleet.Spec {
+	return fleet.Spec{
+		Bin: c.Bin, Dir: c.Dir,
+		Centres: 1, Boxes: 2, Engines: 2, Adapters: 100, Slots: 8, Batch: 256,
+		EngineArgs: []string{"--step", "5ms", "--queue", "4096"},
+	}
+}
+
+func (c Capacity) sweeps() []sweep {
+	return []sweep{
+		{name: "daemons", unit: "daemons in the data centre", points: []int{4, 8, 16, 32}, spec: func(n int) fleet.Spec {
+			s := c.base()
+			s.Boxes, s.Engines = n/2, n/2
+			return s
+		}},
+		{name: "endpoints", unit: "endpoints of a scheduler", points: []int{1, 4, 8, 16}, spec: func(n int) fleet.Spec {
+			s := c.base()
+			s.Boxes, s.Engines = 1, n
+			return s
+		}},
+		{name: "adapters", unit: "adapters configured", points: []int{100, 3000, 7000, 11000}, spec: func(n int) fleet.Spec {
+			s := c.base()
+			s.Adapters = n
+			return s
+		}},
+		{name: "requests", unit: "requests a second at a gateway and scheduler", points: []int{25, 50, 100, 200}, spec: func(int) fleet.Spec {
+			s := c.base()
+			s.Boxes, s.Engines = 1, 2
+			return s
+		}, load: func(f *fleet.Fleet, n int) *load.Plan { return c.plan(f, float64(n), 4) }},
+		{name: "tokens", unit: "tokens a second streamed by a gateway", points: []int{500, 1000, 2000, 4000}, spec: func(int) fleet.Spec {
+			s := c.base()
+			s.Boxes, s.Engines = 1, 2
+			return s
+		}, load: func(f *fleet.Fleet, n int) *load.Plan { return c.plan(f, float64(n)/tokensEach, tokensEach) }},
+	}
+}
+
+const tokensEach = 200
+
+// plan loads the first gateway with requests on a few adapters.
+func (c Capacity) plan(f *fleet.Fleet, rate float64, tokens int) *load.Plan {
+	return &load.Plan{
+		Gateways: []string{f.CallersAddress(1, 1)},
+		Rate:     rate,
+		Duration: settleTime + c.Time + settleTime,
+		Seed:     sweepSeed,
+		Adapters: 8,
+		Skew:     1.2,
+		Kinds:    []load.Mix{{Class: fleet.CounterClass, Caller: "till", Share: 1, Tokens: tokens, Stream: true}},
+		Patience: time.Minute,
+	}
+}
+
+// Run measures every sweep and writes the tables to w, in Markdown.
+func (c Capacity) Run(ctx context.Context, w io.Writer) error {
+	for _, s := range c.sweeps() {
+		found := make(map[string][]sample)
+		for _, n := range s.points {
+			at, err := c.point(ctx, s, n)
+			if err != nil {
+				return errors.Wrapf(err, "measure: %s at %d", s.name, n)
+			}
+			for role, x := range at {
+				found[role] = append(found[role], x)
+			}
+		}
+		for _, role := range []string{member.Gateway, member.Scheduler} {
+			printSweep(w, s, role, found[role])
+		}
+	}
+	return nil
+}
+
+// point starts a fleet, lets it settle and measures it for a while.
+func (c Capacity) point(ctx context.Context, s sweep, n int) (map[string]sample, error) {
+	spec := s.spec(n)
+	spec.Dir = filepath.Join(c.Dir, fmt.Sprintf("%s-%d", s.name, n))
+	if err := os.MkdirAll(spec.Dir, 0o700); err != nil {
+		return nil, err
+	}
+	f := fleet.New(spec)
+	defer f.Stop()
+	if err := f.Start(ctx); err != nil {
+		return nil, err
+	}
+	done := make(chan load.Report, 1)
+	if s.load != nil {
+		go func() { done <- load.Run(ctx, *s.load(f, n)) }()
+	}
+	time.Sleep(settleTime)
+	before, err := readAll(ctx, f)
+	if err != nil {
+		return nil, err
+	}
+	begun := time.Now()
+	time.Sleep(c.Time)
+	after, err := readAll(ctx, f)
+	if err != nil {
+		return nil, err
+	}
+	took := time.Since(begun)
+	if s.load != nil {
+		if r := <-done; r.Whole != r.Sent {
+			return nil, errors.Errorf("%d of %d requests were answered whole: %v", r.Whole, r.Sent, r.Codes)
+		}
+	}
+	return average(before, after, took), nil
+}
+
+// reading is what one daemon has used so far.
+type reading struct {
+	role  string
+	usage fleet.Usage
+	peers traffic
+	ends  traffic
+}
+
+// traffic is what daemons export of their connections.
+type traffic struct {
+	In     float64 `json:"in"`
+	Out    float64 `json:"out"`
+	Writes float64 `json:"writes"`
+	Reads  float64 `json:"reads"`
+}
+
+type exported struct {
+	Peers     traffic `json:"cairn_traffic_peers"`
+	Endpoints traffic `json:"cairn_traffic_endpoints"`
+}
+
+func readAll(ctx context.Context, f *fleet.Fleet) ([]reading, error) {
+	var list []reading
+	for b := 1; b <= f.Spec.Boxes; b++ {
+		for _, role := range []string{member.Gateway, member.Scheduler} {
+			u, err := f.Usage(fleet.DaemonName(1, b, role))
+			if err != nil {
+				return nil, err
+			}
+			raw, err := fleet.Get(ctx, "http://"+f.OperatorsAddress(1, b, role)+"/debug/vars")
+			if err != nil {
+				return nil, err
+			}
+			var e exported
+			if err := json.Unmarshal(raw, &e); err != nil {
+				return nil, err
+			}
+			list = append(list, reading{role: role, usage: u, peers: e.Peers, ends: e.Endpoints})
+		}
+	}
+	return list, nil
+}
+
+// average returns what a daemon of each role used a second.
+func average(before, after []reading, took time.Duration) map[string]sample {
+	sum := make(map[string]sample)
+	count := make(map[string]float64)
+	for i, a := range after {
+		b := before[i]
+		x := sum[a.role]
+		x.cpu += (a.usage.CPU - b.usage.CPU).Seconds() / took.Seconds()
+		x.memory += float64(a.usage.Memory) / (1 << 20)
+		x.peers += (a.peers.In + a.peers.Out - b.peers.In - b.peers.Out) / took.Seconds()
+		x.ends += (a.ends.In + a.ends.Out - b.ends.In - b.ends.Out) / took.Seconds()
+		x.writes += (a.peers.Writes + a.ends.Writes - b.peers.Writes - b.ends.Writes) / took.Seconds()
+		sum[a.role] = x
+		count[a.role]++
+	}
+	for role, x := range sum {
+		n := count[role]
+		sum[role] = sample{cpu: x.cpu / n, memory: x.memory / n, peers: x.peers / n, ends: x.ends / n, writes: x.writes / n}
+	}
+	return sum
+}
+
+// column is one figure of a table.
+type column struct {
+	name string
+	of   func(sample) float64
+}
+
+var columns = []column{
+	{"% of a core", func(s sample) float64 { return 100 * s.cpu }},
+	{"MB", func(s sample) float64 { return s.memory }},
+	{"peers B/s", func(s sample) float64 { return s.peers }},
+	{"endpoints B/s", func(s sample) float64 { return s.ends }},
+	{"writes/s", func(s sample) float64 { return s.writes }},
+}
+
+// printSweep writes the points, the fitted line and the largest residual.
+func printSweep(w io.Writer, s sweep, role string, list []sample) {
+	fmt.Fprintf(w, "\n%s, by %s\n\n| %s |", role, s.unit, s.name)
+	for _, c := range columns {
+		fmt.Fprintf(w, " %s |", c.name)
+	}
+	fmt.Fprintf(w, "\n|---|---|---|---|---|---|\n")
+	for i, n := range s.points {
+		fmt.Fprintf(w, "| %d |", n)
+		for _, c := range columns {
+			fmt.Fprintf(w, " %.2f |", c.of(list[i]))
+		}
+		fmt.Fprintln(w)
+	}
+	for _, line := range []string{"slope", "at zero", "residual"} {
+		fmt.Fprintf(w, "| %s |", line)
+		for _, c := range columns {
+			fmt.Fprintf(w, " %.4g |", fit(s.points, list, c.of)[line])
+		}
+		fmt.Fprintln(w)
+	}
+}
+
+// fit returns the least squares line and its largest residual.
+func fit(points []int, list []sample, of func(sample) float64) map[string]float64 {
+	x, y := make([]float64, len(points)), make([]float64, len(points))
+	for i, n := range points {
+		x[i], y[i] = float64(n), of(list[i])
+	}
+	zero, slope := stat.LinearRegression(x, y, nil, false)
+	most := 0.0
+	for i := range x {
+		most = max(most, math.Abs(y[i]-zero-slope*x[i]))
+	}
+	return map[string]float64{"slope": slope, "at zero": zero, "residual": most}
+}
--- a/member/loop.go
+++ b/member/loop.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -36,7 +37,8 @@
 type Loop struct {
 	Table      *Table
 	Dial       func(address string) Peer
-	Seeds      func() []string // addresses to ask while nobody is known
+	Seeds      func() []string // addresses of daemons of the data centre, from the platform's list
+	Bridges    func() bool     // whether this daemon looks for seeds that it does not know
 	Extras     Extras
 	Log        logr.Logger
 	Interval   time.Duration // between beats; positive
@@ -99,14 +101,14 @@
 	}
 }
 
-// beat exchanges with every neighbour, or with a seed when there is none.
+// beat exchanges with every neighbour, and with a seed that is not known: groups
+// that do not know each other would else stay apart, after a start together or
+// after a long cut.
 func (l *Loop) beat(ctx context.Context) {
-	neighbours := l.Table.Neighbours(l.Neighbours)
-	if len(neighbours) == 0 {
+	l.exchangeAll(ctx, l.Table.Neighbours(l.Neighbours))
+	if l.Bridges() {
 		l.beatSeed(ctx)
-		return
 	}
-	l.exchangeAll(ctx, neighbours)
 }
 
 // spread tells a change at once to one random neighbour; the others hear it
@@ -131,8 +133,9 @@
 	}
 }
 
+// beatSeed exchanges with a random one of the seeds that are not known to serve.
 func (l *Loop) beatSeed(ctx context.Context) {
-	seeds := l.Seeds()
+	seeds := slices.DeleteFunc(l.Seeds(), l.Table.knows)
 	if len(seeds) == 0 {
 		return
 	}
--- /dev/null
+++ b/member/loop_test.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package member
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// wires connects loops in memory by address.
+type wires map[string]*Loop
+
+type noExtras struct{}
+
+func (noExtras) Fill(*wire.Heartbeat)          {}
+func (noExtras) Heard(*wire.Heartbeat, string) {}
+
+// memoryPeer is the loop at an address.
+type memoryPeer struct {
+	net     wires
+	address string
+}
+
+// Exchange implements Peer.
+func (p memoryPeer) Exchange(_ context.Context, h *wire.Heartbeat) (*wire.Heartbeat, error) {
+	l := p.net[p.address]
+	if l == nil {
+		return nil, errors.New("nobody there")
+	}
+	return l.Answer(h), nil
+}
+
+// join adds a daemon that knows the seeds.
+func (w wires) join(name string, seeds ...string) *Loop {
+	l := &Loop{
+		Table:      NewTable(box(name, 1), limits),
+		Dial:       func(address string) Peer { return memoryPeer{net: w, address: address} },
+		Seeds:      func() []string { return seeds },
+		Bridges:    func() bool { return true },
+		Extras:     noExtras{},
+		Log:        logr.Discard(),
+		Interval:   time.Second,
+		Timeout:    time.Second,
+		Neighbours: 2,
+	}
+	l.init()
+	w[name+":1"] = l
+	return l
+}
+
+// beats lets every daemon beat so many times.
+func (w wires) beats(n int) {
+	for range n {
+		for _, l := range w {
+			l.beat(context.Background())
+		}
+	}
+}
+
+func (w wires) allSee(count int) bool {
+	for _, l := range w {
+		if len(l.Table.Serving(Scheduler)) != count {
+			return false
+		}
+	}
+	return true
+}
+
+func TestDaemonsThatStartTogetherSeeEachOther(t *testing.T) {
+	c := quicktest.New(t)
+	w := make(wires)
+	for i := range 16 {
+		w.join(fmt.Sprintf("box%02d", i), "box00:1")
+	}
+	w.beats(8)
+	c.Assert(w.allSee(16), quicktest.IsTrue)
+}
+
+func TestTwoGroupsThatDoNotKnowEachOtherMerge(t *testing.T) {
+	c := quicktest.New(t)
+	w := make(wires)
+	for i := range 4 {
+		w.join(fmt.Sprintf("left%d", i), "left0:1", "right0:1")
+		w.join(fmt.Sprintf("right%d", i), "left0:1", "right0:1")
+	}
+	for n, l := range w { // each knows its own group alone, as after a long cut
+		for o, m := range w {
+			if n != o && n[0] == o[0] {
+				l.Table.Merge([]Member{m.Table.Self()}, start)
+			}
+		}
+	}
+	w.beats(8)
+	c.Assert(w.allSee(8), quicktest.IsTrue)
+}
--- a/member/table.go
+++ b/member/table.go
@@ -272,6 +272,22 @@
 	return m, ok
 }
 
+// knows tells whether an address is that of this daemon or of one that is not
+// dead.
+func (t *Table) knows(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if address == t.self.address {
+		return true
+	}
+	for _, m := range t.others {
+		if m.address == address && m.state != Dead {
+			return true
+		}
+	}
+	return false
+}
+
 // Digest returns a number that equals another table's when both hold the same
 // view.
 func (t *Table) Digest() uint64 {
--- a/operator/client.go
+++ b/operator/client.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"net"
 	"slices"
 	"time"
 
@@ -22,7 +23,10 @@
 const callTimeout = 3 * time.Second
 
 // New returns a client without TLS.
-func New() *Client { return &Client{dialer: &daemon.Dialer{Credentials: insecure.NewCredentials()}} }
+func New() *Client {
+	d := &net.Dialer{Timeout: callTimeout}
+	return &Client{dialer: &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext}}
+}
 
 // Close closes every connection.
 func (c *Client) Close() { c.dialer.Close() }
--- a/scheduler/serving.go
+++ b/scheduler/serving.go
@@ -71,8 +71,11 @@
 	if err != nil {
 		return err
 	}
-	n := daemon.New(member.Scheduler, v)
-	client := &http.Client{Transport: engine.NewTransport(v.Duration(optDial), idlePerEndpoint)}
+	n, err := daemon.New(member.Scheduler, v)
+	if err != nil {
+		return err
+	}
+	client := &http.Client{Transport: engine.NewTransport(n.DialEndpoints(v.Duration(optDial)), idlePerEndpoint)}
 	s := &Scheduler{
 		Name:     n.Name(),
 		Box:      n.Box(),
--- /dev/null
+++ b/standin/proxy.go
@@ -0,0 +1,241 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Route is one address that the proxy takes connections at, and where it hands
+// them to.
+type Route struct {
+	Listen string `json:"listen"`
+	Target string `json:"target"`
+}
+
+// The modes of a rule.
+const (
+	ModePass = "pass"
+	ModeHold = "hold" // bytes wait, as behind a cut cable
+	ModeCut  = "cut"  // connections are broken, new ones too
+)
+
+// Rule says what happens to bytes from some addresses to some addresses. Both
+// ranges are inclusive; a rule covers both directions of a connection unless
+// OneWay is set, which leaves the answers alone.
+type Rule struct {
+	FromLow  netip.Addr    `json:"from_low"`
+	FromHigh netip.Addr    `json:"from_high"`
+	ToLow    netip.Addr    `json:"to_low"`
+	ToHigh   netip.Addr    `json:"to_high"`
+	Mode     string        `json:"mode"`
+	OneWay   bool          `json:"one_way,omitempty"`
+	Delay    time.Duration `json:"delay,omitempty"`      // of each piece of bytes
+	CutAfter int           `json:"cut_after,omitempty"`  // bytes of the request that pass before a cut; zero: no cut
+	CutReply int           `json:"cut_answer,omitempty"` // bytes of the answer that pass before a cut; zero: no cut
+	Times    int           `json:"times,omitempty"`      // connections cut by CutAfter and CutReply; zero: all
+}
+
+func (r Rule) matches(from, to netip.Addr) bool {
+	return inRange(from, r.FromLow, r.FromHigh) && inRange(to, r.ToLow, r.ToHigh)
+}
+
+func inRange(a, low, high netip.Addr) bool { return !a.Less(low) && !high.Less(a) }
+
+// Proxy passes TCP connections on and injects faults by rules. A later rule
+// goes before an earlier one. Set Routes before Run.
+type Proxy struct {
+	Routes []Route
+
+	mu      sync.Mutex
+	rules   []Rule
+	changed chan struct{} // closed when the rules change
+}
+
+// Handler serves PUT /rules, which replaces the rules by a JSON list.
+func (p *Proxy) Handler() http.Handler {
+	p.changed = make(chan struct{})
+	m := http.NewServeMux()
+	m.HandleFunc("PUT /rules", func(w http.ResponseWriter, q *http.Request) {
+		var rules []Rule
+		if err := json.NewDecoder(q.Body).Decode(&rules); err != nil {
+			http.Error(w, "rules: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		p.setRules(rules)
+	})
+	return m
+}
+
+func (p *Proxy) setRules(rules []Rule) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rules = rules
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// rule returns the rule for a connection and a channel that closes when the
+// rules change.
+func (p *Proxy) rule(from, to netip.Addr) (Rule, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.rules) - 1; i >= 0; i-- {
+		if p.rules[i].matches(from, to) {
+			return p.rules[i], p.changed
+		}
+	}
+	return Rule{Mode: ModePass}, p.changed
+}
+
+// takeCut tells whether a connection shall be cut by byte counts, and counts it.
+func (p *Proxy) takeCut(from, to netip.Addr) Rule {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for i := len(p.rules) - 1; i >= 0; i-- {
+		r := &p.rules[i]
+		if !r.matches(from, to) {
+			continue
+		}
+		if r.CutAfter == 0 && r.CutReply == 0 {
+			return Rule{}
+		}
+		if r.Times < 0 {
+			return Rule{}
+		}
+		if r.Times > 0 {
+			r.Times--
+			if r.Times == 0 {
+				r.Times = -1 // used up
+			}
+		}
+		return *r
+	}
+	return Rule{}
+}
+
+// Run takes connections at every route until ctx ends.
+func (p *Proxy) Run(ctx context.Context) error {
+	ended := make(chan error, len(p.Routes))
+	for _, r := range p.Routes {
+		l, err := net.Listen("tcp", r.Listen)
+		if err != nil {
+			return errors.Wrap(err, "standin: proxy")
+		}
+		context.AfterFunc(ctx, func() { l.Close() })
+		go func() { ended <- p.accept(ctx, l, r) }()
+	}
+	for range p.Routes {
+		<-ended
+	}
+	return nil
+}
+
+func (p *Proxy) accept(ctx context.Context, l net.Listener, r Route) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return err
+		}
+		go p.carry(ctx, c, r)
+	}
+}
+
+// link is one connection through the proxy.
+type link struct {
+	proxy  *Proxy
+	from   netip.Addr
+	to     netip.Addr
+	cut    Rule // by byte counts; zero: none
+	caller net.Conn
+	target net.Conn
+}
+
+// carry passes one connection on until either side ends or a rule cuts it.
+func (p *Proxy) carry(ctx context.Context, c net.Conn, r Route) {
+	defer abort(c)
+	target := netip.MustParseAddrPort(r.Target)
+	from := netip.MustParseAddrPort(c.RemoteAddr().String()).Addr()
+	if rule, _ := p.rule(from, target.Addr()); rule.Mode == ModeCut {
+		return
+	}
+	t, err := net.Dial("tcp", r.Target)
+	if err != nil {
+		return
+	}
+	defer abort(t)
+	k := &link{proxy: p, from: from, to: target.Addr(), cut: p.takeCut(from, target.Addr()), caller: c, target: t}
+	ended := make(chan struct{}, 2)
+	go func() {
+		k.pump(ctx, t, c, false, k.cut.CutAfter)
+		ended <- struct{}{}
+	}()
+	go func() {
+		k.pump(ctx, c, t, true, k.cut.CutReply)
+		ended <- struct{}{}
+	}()
+	<-ended
+}
+
+// abort ends a connection so that the other side sees a break.
+func abort(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
+// pump copies bytes as the rules allow; most bounds them when it is not zero.
+func (k *link) pump(ctx context.Context, to, from net.Conn, answer bool, most int) {
+	buffer := make([]byte, 16<<10)
+	for passed := 0; ; {
+		n, err := from.Read(buffer)
+		if n > 0 && !k.allow(ctx, answer) {
+			return
+		}
+		if most > 0 && passed+n >= most {
+			_, _ = to.Write(buffer[:most-passed]) // the cut follows in any case
+			time.Sleep(cutPause)
+			return
+		}
+		if n > 0 {
+			if _, werr := to.Write(buffer[:n]); werr != nil {
+				return
+			}
+			passed += n
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+const cutPause = 20 * time.Millisecond // lets the last bytes arrive before the break
+
+// allow waits until the rules let bytes pass; false ends the connection.
+func (k *link) allow(ctx context.Context, answer bool) bool {
+	for {
+		r, changed := k.proxy.rule(k.from, k.to)
+		held := r.Mode == ModeHold && !(answer && r.OneWay)
+		switch {
+		case r.Mode == ModeCut:
+			return false
+		case !held:
+			time.Sleep(r.Delay)
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+		}
+	}
+}
