Induce failures against the promises by scripts behind the proxy

Change: scripts for each promise (adapter-and-version, never-unloaded, whole-answer, not-run, unknown-stays-unknown, at-most-once, leaving-endpoint, orderly-end, configuration); the engines list every run by request, so that a refusal that lied is found; heartbeats to other data centres, so that a configuration passes a platform that is cut off; an endpoint's own word that it is leaving closes it at its scheduler; shorter heartbeats while views agree. Found, red first: a request whose first attempt had run was answered not_run when a later attempt was refused (unknown-stays-unknown); the same for services. Ruled out: byte cuts on connections that stay open; the proxy now breaks idle ones when such a rule comes.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -92,7 +92,8 @@
 	n.Keeper = keeper.New(v.Duration(Settle), n.Log)
 	n.relay = n.newRelay(client)
 	n.loop = n.newLoop()
-	n.Server = grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer))
+	n.Server = grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
+		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
 	wire.RegisterPeerServer(n.Server, peerServer{node: n})
 	wire.RegisterOperatorServer(n.Server, operatorServer{node: n})
 	return n, nil
@@ -157,6 +158,7 @@
 		Table:      n.Table,
 		Dial:       n.Dialer.Peer,
 		Seeds:      n.seeds,
+		Remote:     n.remotes,
 		Bridges:    func() bool { return !n.ready.Load() || n.watches() },
 		Extras:     n.relay,
 		Log:        n.Log,
@@ -183,6 +185,17 @@
 	return append(list, n.peers()...)
 }
 
+// remotes lists daemons of the other data centres.
+func (n *Node) remotes() []string {
+	var list []string
+	for _, b := range n.Boxes.List() {
+		if b.DataCentre != n.centre {
+			list = append(list, b.Address)
+		}
+	}
+	return list
+}
+
 // peers lists the addresses that the settings name.
 func (n *Node) peers() []string {
 	var list []string
--- a/daemon/operators.go
+++ b/daemon/operators.go
@@ -43,6 +43,12 @@
 		}
 		return 0
 	}))
+	expvar.Publish("cairn_head", expvar.Func(func() any {
+		if c := n.Keeper.Catalog(); c != nil {
+			return c.Digest()
+		}
+		return ""
+	}))
 	expvar.Publish("cairn_members", expvar.Func(func() any {
 		count := make(map[string]int)
 		for _, m := range n.Table.All() {
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -30,6 +30,7 @@
 
 const (
 	connBuffer   = 4 << 10 // bytes; the messages are small
+	window       = 1 << 20 // bytes in flight; fixed, so that gRPC sends no pings to estimate it
 	firstBackoff = 50 * time.Millisecond
 	mostBackoff  = 500 * time.Millisecond
 	dialTimeout  = time.Second
@@ -45,6 +46,8 @@
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(d.Credentials),
 		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return d.Dial(ctx, "tcp", address) }),
+		grpc.WithStaticStreamWindowSize(window),
+		grpc.WithStaticConnWindowSize(window),
 		grpc.WithReadBufferSize(connBuffer),
 		grpc.WithWriteBufferSize(connBuffer),
 		grpc.WithConnectParams(grpc.ConnectParams{
--- a/e2e/ask_test.go
+++ b/e2e/ask_test.go
@@ -43,7 +43,9 @@
 	}
 	r, err := w.caller.Do(context.Background(), q)
 	ts.Check(err)
-	w.last = r.Request
+	if r.Ran == "not_run" {
+		w.notRun = append(w.notRun, r.Request)
+	}
 	ts.Setenv("REQUEST", r.Request)
 	fmt.Fprintf(ts.Stdout(), "status=%d code=%s ran=%s retry=%v whole=%v model=%s endpoint=%s revision=%s\n",
 		r.Status, r.Code, r.Ran, r.Retry > 0, r.Whole, r.Header.Get("Cairn-Model"), r.Header.Get("Cairn-Endpoint"), r.Header.Get("Cairn-Revision"))
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -17,6 +17,7 @@
 	"cairnwick.example/catalog"
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
+	"cairnwick.example/operator"
 	"cairnwick.example/standin"
 	"github.com/rogpeppe/go-internal/testscript"
 )
@@ -79,6 +80,7 @@
 	ts.Check(w.fleet.Publish(context.Background(), shards))
 }
 
+// changeShards changes a configuration as a script says.
 func changeShards(ts *testscript.TestScript, shards map[string]catalog.Shard, o map[string]string) {
 	changed := len(o) == 0
 	for _, s := range shards {
@@ -146,6 +148,8 @@
 		Adapters: number(ts, o, "adapters", 10),
 		Skew:     1.2,
 		Patience: time.Minute,
+		Explicit: o["explicit"] == "yes",
+		Twice:    o["twice"] == "yes",
 	}
 	tokens := number(ts, o, "tokens", 8)
 	p.Kinds = []load.Mix{
@@ -173,6 +177,7 @@
 	o, _ := options(args)
 	w := worldOf(ts)
 	r := <-w.loads
+	w.notRun = append(w.notRun, r.NotRunIDs...)
 	text := fmt.Sprintf("sent=%d whole=%d notrun=%d unknown=%d broken=%d wrong=%d gap=%v codes=%v %v",
 		r.Sent, r.Whole, r.NotRun, r.Unknown, r.Broken, r.Wrong, r.Gap.Round(time.Millisecond), r.Codes, r.Complaints)
 	fmt.Fprintln(ts.Stdout(), text)
@@ -203,6 +208,7 @@
 	w := worldOf(ts)
 	var sum standin.Counts
 	keys := make(map[string]int)
+	ran := make(map[string]bool)
 	s := w.fleet.Spec
 	for c := 1; c <= s.Centres; c++ {
 		for e := 1; e <= s.Engines; e++ {
@@ -219,6 +225,7 @@
 			sum.Runs += n.Runs
 			sum.Unloads += n.Unloads
 			addKeys(ts, keys, at+"/control/keys")
+			addRuns(ts, ran, at+"/control/runs")
 		}
 	}
 	for i := 1; i <= s.Services; i++ {
@@ -229,9 +236,17 @@
 			sum.KeyTwice++
 		}
 	}
-	fmt.Fprintf(ts.Stdout(), "runs=%d unloads=%d unload_running=%d wrong_version=%d key_twice=%d new_after_leaving=%d\n",
-		sum.Runs, sum.Unloads, sum.UnloadRunning, sum.WrongVersion, sum.KeyTwice, sum.NewAfterLeaving)
-	breached := sum.UnloadRunning+sum.WrongVersion+sum.KeyTwice+sum.NewAfterLeaving > 0
+	lied := 0 // said not run, and ran
+	for _, id := range w.notRun {
+		if ran[id] {
+			lied++
+		}
+	}
+	text := fmt.Sprintf("runs=%d unloads=%d unload_running=%d wrong_version=%d key_twice=%d new_after_leaving=%d not_run=%d lied=%d",
+		sum.Runs, sum.Unloads, sum.UnloadRunning, sum.WrongVersion, sum.KeyTwice, sum.NewAfterLeaving, len(w.notRun), lied)
+	fmt.Fprintln(ts.Stdout(), text)
+	ts.Logf("%s", text)
+	breached := sum.UnloadRunning+sum.WrongVersion+sum.KeyTwice+sum.NewAfterLeaving+lied > 0
 	if breached != neg {
 		ts.Fatalf("breaches: %+v", sum)
 	}
@@ -247,6 +262,101 @@
 	}
 }
 
+// addRuns gathers the ids of the requests that ran; an engine names a run by
+// the request's id and the attempt's number.
+func addRuns(ts *testscript.TestScript, ran map[string]bool, url string) {
+	raw, err := fleet.Get(context.Background(), url)
+	ts.Check(err)
+	var list []string
+	ts.Check(json.Unmarshal(raw, &list))
+	for _, run := range list {
+		id, _, _ := strings.Cut(run, ".")
+		ran[id] = true
+	}
+}
+
+// cmdNet adds a rule to the proxy: net hold dc1 dc2, net cut box1.1 engine1.1
+// after=100 answer=300 times=5 delay=10ms oneway=yes; net clear drops all. What
+// passes between two parts is held both ways by two rules.
+func cmdNet(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	if args[0] == "clear" {
+		w.rules = nil
+		ts.Check(w.fleet.SetRules(context.Background(), nil))
+		return
+	}
+	o, rest := options(args)
+	r, err := w.fleet.NewRule(rest[1], rest[2], rest[0])
+	ts.Check(err)
+	r.OneWay = o["oneway"] == "yes"
+	r.CutAfter = number(ts, o, "after", 0)
+	r.CutReply = number(ts, o, "answer", 0)
+	r.Times = number(ts, o, "times", 0)
+	if o["delay"] != "" {
+		r.Delay, err = time.ParseDuration(o["delay"])
+		ts.Check(err)
+	}
+	w.rules = append(w.rules, r)
+	ts.Check(w.fleet.SetRules(context.Background(), w.rules))
+}
+
+// cmdRace publishes two configurations on the same base, one after the other:
+// race live=ADAPTER:1 live=ADAPTER:2 pause=100ms.
+func cmdRace(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	base := w.fleet.Head()
+	for _, a := range args {
+		o, _ := options([]string{a})
+		if o["pause"] != "" {
+			d, err := time.ParseDuration(o["pause"])
+			ts.Check(err)
+			time.Sleep(d)
+			continue
+		}
+		shards := w.fleet.Shards()
+		changeShards(ts, shards, o)
+		_, err := w.fleet.PublishOn(context.Background(), base, shards)
+		ts.Check(err)
+	}
+}
+
+// cmdOwner sets OWNER to the box that owns an endpoint, as 1.2, and OTHER to
+// another box of its data centre: owner engine1.1.
+func cmdOwner(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	name := process(ts, args[0])
+	centre, _ := place(ts, strings.TrimPrefix(args[0], "engine"))
+	deadline := time.Now().Add(15 * time.Second)
+	for {
+		for b := 1; b <= w.fleet.Spec.Boxes; b++ {
+			if !owns(w, centre, b, name) {
+				continue
+			}
+			ts.Setenv("OWNER", fmt.Sprintf("%d.%d", centre, b))
+			ts.Setenv("OTHER", fmt.Sprintf("%d.%d", centre, b%w.fleet.Spec.Boxes+1))
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("nobody owns %s", name)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func owns(w *world, centre, box int, endpoint string) bool {
+	c := operator.New()
+	defer c.Close()
+	list, _ := c.Status(context.Background(), []string{w.fleet.PeersAddress(centre, box, "scheduler")})
+	for _, a := range list {
+		for _, e := range a.GetEndpoints() {
+			if e.GetName() == endpoint && strings.HasPrefix(e.GetState(), "owned") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 func cmdPause(ts *testscript.TestScript, _ bool, args []string) {
 	d, err := time.ParseDuration(args[0])
 	ts.Check(err)
@@ -298,3 +408,22 @@
 		time.Sleep(20 * time.Millisecond)
 	}
 }
+
+// cmdAgree checks that every daemon has the same head in force.
+func cmdAgree(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	seen := make(map[string][]string)
+	s := w.fleet.Spec
+	for c := 1; c <= s.Centres; c++ {
+		for b := 1; b <= s.Boxes; b++ {
+			for _, role := range []string{"gateway", "scheduler"} {
+				v := vars(w.fleet.OperatorsAddress(c, b, role))
+				digest := string(v["cairn_head"])
+				seen[digest] = append(seen[digest], fleet.DaemonName(c, b, role))
+			}
+		}
+	}
+	if len(seen) != 1 {
+		ts.Fatalf("different heads are in force: %v", seen)
+	}
+}
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -14,6 +14,7 @@
 
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
+	"cairnwick.example/standin"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -63,6 +64,10 @@
 			"program":     cmdProgram,
 			"eventually":  cmdEventually,
 			"countatmost": cmdCountAtMost,
+			"net":         cmdNet,
+			"agree":       cmdAgree,
+			"race":        cmdRace,
+			"owner":       cmdOwner,
 		},
 	})
 }
@@ -73,7 +78,8 @@
 	caller fleet.Caller
 	loads  chan load.Report // of the load that runs in the background
 	cancel context.CancelFunc
-	last   string // id of the last request
+	rules  []standin.Rule // of the proxy
+	notRun []string       // ids of requests that were refused as not run
 }
 
 type worldKey struct{}
@@ -159,6 +165,7 @@
 		Slots:      number(ts, o, "slots", 4),
 		Batch:      number(ts, o, "batch", 8),
 		NoFences:   o["fences"] == "no",
+		Proxied:    o["proxied"] == "yes",
 		EngineArgs: flags(o["engine"]),
 		StoreArgs:  flags(o["store"]),
 		Gateway:    settings(o["gateway"]),
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -55,7 +55,7 @@
 	peersPort     = 9080 // and one more for the scheduler
 	operatorsPort = 9180 // and one more for the scheduler
 	standinPort   = 7000
-	proxyOffset   = 100 // from a port to the proxy's port for it
+	proxyOffset   = 1000 // from a port to the proxy's port for it
 )
 
 var fleets atomic.Int32 // begun by this process
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,6 +40,8 @@
 	f := g.send(ctx, q, out, h, r)
 	if f == nil {
 		g.Retries.Success()
+	} else if f.Ran != NotRun {
+		q.unsure = true
 	}
 	r.ServiceMicros = time.Since(begun).Microseconds()
 	g.release(h.owner, r)
@@ -136,6 +138,7 @@
 	r.Outcome = wire.Outcome_OUTCOME_REFUSED
 	r.NotLoaded = e.Code == engine.CodeNotLoaded
 	r.Busy = e.Code == engine.CodeBusy
+	r.Leaving = e.Code == engine.CodeLeaving
 	switch e.Code {
 	case engine.CodeBadRequest:
 		return badRequest("%s", e.Message)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -46,8 +46,9 @@
 	catalog    *catalog.Catalog // the revision that resolved the model
 	stream     bool
 	body       map[string]json.RawMessage
-	attempts   int // runs begun at endpoints
-	candidates int // endpoints asked
+	attempts   int  // runs begun at endpoints
+	candidates int  // endpoints asked
+	unsure     bool // an attempt may have run and gave no answer
 }
 
 func newRequestID() string {
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -24,6 +24,16 @@
 // route brings a request to an endpoint and its answer to the caller. It
 // returns nil when the answer was given whole.
 func (g *Gateway) route(ctx context.Context, q *request, out *answer) *Failure {
+	f := g.routeAnywhere(ctx, q, out)
+	if f != nil && f.Ran == NotRun && q.unsure {
+		return &Failure{Code: f.Code, Ran: Unknown, Message: "an earlier attempt may have run; the last one: " + f.Message, Retry: f.Retry}
+	}
+	return f
+}
+
+// routeAnywhere tries one data centre after another. What it returns speaks of
+// the last attempts alone.
+func (g *Gateway) routeAnywhere(ctx context.Context, q *request, out *answer) *Failure {
 	if q.left() <= 0 {
 		return &Failure{Code: CodeDeadlinePast, Ran: NotRun, Message: "the deadline passed before the request was routed"}
 	}
@@ -83,7 +93,10 @@
 	var last *Failure
 	for _, n := range order[:min(maxCandidates, len(order))] {
 		f := g.tryEndpoint(ctx, q, out, n, centre)
-		if f == nil || f.Ran != NotRun || !another(f.Code) || ctx.Err() != nil {
+		if f == nil || !another(f.Code) || ctx.Err() != nil {
+			return f
+		}
+		if f.Ran != NotRun && !g.mayRepeat(q, out) {
 			return f
 		}
 		last = sooner(last, f)
@@ -96,6 +109,12 @@
 	return elsewhere(c) || c == CodeLoadFailed || c == CodeRefused || c == CodeLost
 }
 
+// mayRepeat tells whether a request that may have run may run again: it is
+// repeatable, the caller has seen nothing of it, and the budget allows it.
+func (g *Gateway) mayRepeat(q *request, out *answer) bool {
+	return q.key == "" && out.first.IsZero() && q.attempts < maxAttempts && g.Retries.Take()
+}
+
 func servingIn(c *catalog.Catalog, base, centre string) []string {
 	var names []string
 	for _, n := range c.EndpointsOf(base) {
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -86,17 +86,22 @@
 func (g *Gateway) callService(ctx context.Context, c *call, out *answer) *Failure {
 	addresses := c.service.Addresses()
 	var last *Failure
+	unsure := false // an earlier attempt may have run
 	for n, i := range rand.Perm(len(addresses)) {
 		if n > 0 && !g.Retries.Take() {
 			return last
 		}
 		last = g.callAt(ctx, c, out, addresses[i])
+		if last != nil && unsure {
+			last.Ran = Unknown
+		}
 		if last == nil || ctx.Err() != nil || !out.first.IsZero() {
 			return last
 		}
 		if last.Ran != NotRun && !c.repeatable {
 			return last
 		}
+		unsure = last.Ran != NotRun
 	}
 	return last
 }
--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -172,6 +172,11 @@
 		r.Log.Error(err, "Configuration is not taken", "from", name, "verdict", v.String())
 		return v != 0
 	}
+	if v == Rival {
+		r.Log.Info("Published head is refused, another was published on the same base; publish it again on the winner",
+			"from", name, "lost", catalog.Digest(raw), "won", r.Keeper.Catalog().Digest())
+		return true
+	}
 	r.Log.V(1).Info("Configuration was offered", "from", name, "verdict", v.String())
 	return true
 }
--- a/load/plan.go
+++ b/load/plan.go
@@ -36,6 +36,8 @@
 	Shift    time.Duration // after it other adapters are the popular ones; zero: never
 	Kinds    []Mix
 	Patience time.Duration // longest wait for an answer
+	Explicit bool          // name the version, not the adapter alone
+	Twice    bool          // send each request with a key again, at once, through another gateway
 }
 
 // arrival is one request of a plan.
@@ -45,6 +47,8 @@
 	adapter string
 	kind    Mix
 	tokens  int
+	again   string // gateway of a second sending; "" for none
+	version string // asked for; "" leaves it to the alias
 }
 
 // arrivals draws the whole plan.
@@ -60,6 +64,12 @@
 			kind:    k,
 			tokens:  max(1, k.Tokens/2+r.IntN(k.Tokens+1)),
 		}
+		if p.Twice && k.Keyed {
+			a.again = p.Gateways[r.IntN(len(p.Gateways))]
+		}
+		if p.Explicit {
+			a.version = "@2"
+		}
 		a.adapter = fleet.AdapterName(1 + p.adapter(int(zipf.Uint64()), a.at))
 		list = append(list, a)
 	}
@@ -93,7 +103,7 @@
 func (a arrival) ask() fleet.Ask {
 	q := fleet.Ask{
 		Address: a.gateway,
-		Model:   a.adapter,
+		Model:   a.adapter + a.version,
 		Expect:  a.adapter + "@2",
 		Tokens:  a.tokens,
 		Stream:  a.kind.Stream,
--- a/load/run.go
+++ b/load/run.go
@@ -26,6 +26,7 @@
 	Total *metrics.Family // time to the end of whole answers, by class
 	Gap   time.Duration   // longest time without a whole answer ending
 
+	NotRunIDs  []string // of the requests refused as not run
 	Complaints []string // what was wrong, the first few
 }
 
@@ -91,6 +92,9 @@
 
 func send(ctx context.Context, c *fleet.Caller, a arrival) result {
 	q := a.ask()
+	if a.again != "" {
+		defer sendAgain(ctx, c, q, a.again)()
+	}
 	r, err := c.Do(ctx, q)
 	if err != nil {
 		return result{err: err}
@@ -101,6 +105,18 @@
 	return result{reply: r, wrong: r.Check(q.Expect, a.tokens)}
 }
 
+// sendAgain sends the same request at the same time through another gateway, as
+// a balancer or an impatient caller may. The function it returns waits for it.
+func sendAgain(ctx context.Context, c *fleet.Caller, q fleet.Ask, gateway string) func() {
+	q.Address = gateway
+	done := make(chan struct{})
+	go func() {
+		_, _ = c.Do(ctx, q) // the engines' witness tells whether both ran
+		close(done)
+	}()
+	return func() { <-done }
+}
+
 func (b *book) note(a arrival, r result) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -120,6 +136,7 @@
 		p.Broken++ // a stream without its end and without an error
 	case r.reply.Ran == "not_run":
 		p.NotRun++
+		p.NotRunIDs = append(p.NotRunIDs, r.reply.Request)
 		p.Codes[r.reply.Code]++
 	default:
 		p.Unknown++
--- a/member/loop.go
+++ b/member/loop.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +32,10 @@
 	Heard(h *wire.Heartbeat, address string)
 }
 
-const maxNews = 8 // members in one heartbeat that is not full
+const (
+	maxNews     = 8 // members in one heartbeat that is not full
+	remoteBeats = 2 // beats of a watcher between two to other data centres
+)
 
 // Loop beats to the ring neighbours of Table. Set every field before Run.
 type Loop struct {
@@ -39,6 +43,7 @@
 	Dial       func(address string) Peer
 	Seeds      func() []string // addresses of daemons of the data centre, from the platform's list
 	Bridges    func() bool     // whether this daemon looks for seeds that it does not know
+	Remote     func() []string // addresses of daemons of other data centres
 	Extras     Extras
 	Log        logr.Logger
 	Interval   time.Duration // between beats; positive
@@ -48,10 +53,17 @@
 	OnPause    func(gap time.Duration)
 
 	probes chan string // names to probe at once
+	beaten int         // beats so far
+	apart  atomic.Bool // the last heartbeat heard told of another view
 	once   sync.Once
 }
 
-func (l *Loop) init() { l.once.Do(func() { l.probes = make(chan string, 16) }) }
+func (l *Loop) init() {
+	l.once.Do(func() {
+		l.probes = make(chan string, 16)
+		l.apart.Store(true)
+	})
+}
 
 // Probe asks for an exchange with a member now, because something else could
 // not reach it.
@@ -106,8 +118,20 @@
 // after a long cut.
 func (l *Loop) beat(ctx context.Context) {
 	l.exchangeAll(ctx, l.Table.Neighbours(l.Neighbours))
-	if l.Bridges() {
-		l.beatSeed(ctx)
+	if !l.Bridges() {
+		return
+	}
+	l.beatSeed(ctx)
+	if l.beaten++; l.beaten%remoteBeats == 0 {
+		l.beatRemote(ctx)
+	}
+}
+
+// beatRemote exchanges with a random daemon of another data centre: a
+// configuration passes that way when the own platform can't be reached.
+func (l *Loop) beatRemote(ctx context.Context) {
+	if list := l.Remote(); len(list) > 0 {
+		l.beatAddress(ctx, list[rand.IntN(len(list))])
 	}
 }
 
@@ -139,10 +163,13 @@
 	if len(seeds) == 0 {
 		return
 	}
-	address := seeds[rand.IntN(len(seeds))]
+	l.beatAddress(ctx, seeds[rand.IntN(len(seeds))])
+}
+
+func (l *Loop) beatAddress(ctx context.Context, address string) {
 	answer, err := l.call(ctx, address)
 	if err != nil {
-		l.Log.V(1).Info("Seed does not answer", "address", address, "err", err.Error())
+		l.Log.V(1).Info("Daemon does not answer", "address", address, "err", err.Error())
 		return
 	}
 	l.take(answer, address)
@@ -187,9 +214,14 @@
 	return ok && s.Code() == codes.Unavailable && strings.Contains(s.Message(), syscall.ECONNREFUSED.Error())
 }
 
-// Heartbeat returns what this daemon tells; full tells its whole view.
+// Heartbeat returns what this daemon tells; full tells its whole view. While
+// views agree the peers know this daemon, and it tells its name and incarnation
+// alone.
 func (l *Loop) Heartbeat(full bool) *wire.Heartbeat {
 	h := &wire.Heartbeat{From: l.Table.Self().Wire(), View: l.Table.Digest(), Full: full}
+	if !l.apart.Load() {
+		h.From.Address, h.From.Role, h.From.DataCentre = "", "", ""
+	}
 	list := l.Table.News(maxNews)
 	if full {
 		list = l.Table.All()
@@ -204,9 +236,14 @@
 // Answer takes a heartbeat in and returns this daemon's own, whole when the
 // views differ.
 func (l *Loop) Answer(h *wire.Heartbeat) *wire.Heartbeat {
-	l.take(h, h.GetFrom().GetAddress())
+	address := h.GetFrom().GetAddress()
+	if m, ok := l.Table.Find(h.GetFrom().GetName()); ok {
+		address = m.Address()
+	}
+	l.take(h, address)
 	l.Table.Exchanged(h.GetFrom().GetName(), time.Now())
-	return l.Heartbeat(h.GetView() != l.Table.Digest())
+	_, known := l.Table.Find(h.GetFrom().GetName())
+	return l.Heartbeat(known && h.GetView() != l.Table.Digest())
 }
 
 func (l *Loop) take(h *wire.Heartbeat, address string) {
@@ -215,5 +252,8 @@
 		told = append(told, FromWire(m))
 	}
 	l.Table.Merge(told, time.Now())
+	if _, known := l.Table.Find(h.GetFrom().GetName()); known {
+		l.apart.Store(h.GetView() != l.Table.Digest())
+	}
 	l.Extras.Heard(h, address)
 }
--- a/member/loop_test.go
+++ b/member/loop_test.go
@@ -44,6 +44,7 @@
 		Dial:       func(address string) Peer { return memoryPeer{net: w, address: address} },
 		Seeds:      func() []string { return seeds },
 		Bridges:    func() bool { return true },
+		Remote:     func() []string { return nil },
 		Extras:     noExtras{},
 		Log:        logr.Discard(),
 		Interval:   time.Second,
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -100,7 +100,7 @@
 		return wire.Reason_REASON_NOT_READY
 	case !e.trustedLocked(now, s.Spans.Trust):
 		return wire.Reason_REASON_ENDPOINT_DOWN
-	case e.spec.State() == catalog.Draining:
+	case e.spec.State() == catalog.Draining || now.Before(e.closed):
 		return wire.Reason_REASON_LEAVING
 	}
 	return 0
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -47,7 +47,8 @@
 	service  time.Duration // moving mean of a request's time at the engine
 	loadTime time.Duration // moving mean of a load's time
 	failed   map[string]failure
-	report   bool // a report is wanted to free slots
+	report   bool      // a report is wanted to free slots
+	closed   time.Time // until then it gets nothing new: it said that it is leaving
 }
 
 // slotState says what a slot holds.
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -68,6 +68,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.sightedLocked(e, q, now)
+	if q.GetLeaving() {
+		e.closed = now.Add(closedFor)
+	}
 	g := e.grants[q.GetId()]
 	if g == nil {
 		return // of an earlier ownership, or given back already
@@ -109,6 +112,8 @@
 	}
 }
 
+const closedFor = 30 * time.Second // an endpoint that is leaving is asked again after it
+
 const limitCut = 0.8 // of the limit when the endpoint says that it is full
 
 // adaptLocked follows the endpoint's own words about how much it can take.
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -96,6 +96,7 @@
 // witnessLocked counts the run and every breach that it shows.
 func (e *Engine) witnessLocked(q *http.Request, body completion, s *slot) {
 	e.counts.Runs++
+	e.ran = append(e.ran, q.Header.Get(engine.RequestHeader))
 	if want := body.expected(); want != "" && want != s.content {
 		e.counts.WrongVersion++
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -42,6 +42,7 @@
 	failLoads int              // loads still to fail on command
 	counts    Counts
 	keys      map[string]int // runs by key
+	ran       []string       // every run by its request's id
 }
 
 // slot holds one adapter.
@@ -210,6 +211,8 @@
 	m.HandleFunc("POST /cairn/role", e.role)
 	m.HandleFunc("GET /control/counts", e.showCounts)
 	m.HandleFunc("GET /control/keys", e.showKeys)
+	m.HandleFunc("GET /control/runs", e.showRuns)
+	m.HandleFunc("POST /control/leave", e.leave)
 	m.HandleFunc("POST /control/restart", e.restart)
 	m.HandleFunc("POST /control/fail-loads", e.setFailLoads)
 	return e.mark(m)
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -225,6 +225,23 @@
 	_ = json.NewEncoder(w).Encode(e.keys)
 }
 
+func (e *Engine) showRuns(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ran == nil {
+		e.ran = []string{}
+	}
+	_ = json.NewEncoder(w).Encode(e.ran)
+}
+
+// leave makes the engine leave, as its own operators do.
+func (e *Engine) leave(w http.ResponseWriter, _ *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.leaving = time.Now()
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (e *Engine) restart(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -57,12 +57,14 @@
 
 	mu      sync.Mutex
 	rules   []Rule
+	links   map[*link]struct{}
 	changed chan struct{} // closed when the rules change
 }
 
 // Handler serves PUT /rules, which replaces the rules by a JSON list.
 func (p *Proxy) Handler() http.Handler {
 	p.changed = make(chan struct{})
+	p.links = make(map[*link]struct{})
 	m := http.NewServeMux()
 	m.HandleFunc("PUT /rules", func(w http.ResponseWriter, q *http.Request) {
 		var rules []Rule
@@ -81,6 +83,21 @@
 	p.rules = rules
 	close(p.changed)
 	p.changed = make(chan struct{})
+	for k := range p.links {
+		if r := p.ruleLocked(k.from, k.to); r.Mode == ModeCut || r.CutAfter > 0 || r.CutReply > 0 {
+			abort(k.caller) // idle ones too
+			abort(k.target)
+		}
+	}
+}
+
+func (p *Proxy) ruleLocked(from, to netip.Addr) Rule {
+	for i := len(p.rules) - 1; i >= 0; i-- {
+		if p.rules[i].matches(from, to) {
+			return p.rules[i]
+		}
+	}
+	return Rule{Mode: ModePass}
 }
 
 // rule returns the rule for a connection and a channel that closes when the
@@ -88,12 +105,18 @@
 func (p *Proxy) rule(from, to netip.Addr) (Rule, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for i := len(p.rules) - 1; i >= 0; i-- {
-		if p.rules[i].matches(from, to) {
-			return p.rules[i], p.changed
-		}
+	return p.ruleLocked(from, to), p.changed
+}
+
+// keep registers a connection, or takes it out.
+func (p *Proxy) keep(k *link, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if on {
+		p.links[k] = struct{}{}
+		return
 	}
-	return Rule{Mode: ModePass}, p.changed
+	delete(p.links, k)
 }
 
 // takeCut tells whether a connection shall be cut by byte counts, and counts it.
@@ -173,6 +196,8 @@
 	}
 	defer abort(t)
 	k := &link{proxy: p, from: from, to: target.Addr(), cut: p.takeCut(from, target.Addr()), caller: c, target: t}
+	p.keep(k, true)
+	defer p.keep(k, false)
 	ended := make(chan struct{}, 2)
 	go func() {
 		k.pump(ctx, t, c, false, k.cut.CutAfter)
