Plan, confirm and follow: operators see what an intent moves before it does

Change: package plan (intents, effects, documents patched in place so that comments stay), cairnctl plan, confirm and follow with exit codes of their own; patient requests are held for fuller batches by the weight of batch fullness; cairnctl and the gateway show waits and load stalls; cairn-measure policies. Measured: e2e plan.txtar: a live version planned, published and in force on 4 daemons; a stale plan, a plan changed by hand and the loser of a race refused.

--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -30,7 +30,18 @@
 	Rate float64       `arg:"--rate" default:"40" help:"requests a second"`
 }
 
+type policiesCommand struct {
+	Time     time.Duration `arg:"--time" default:"30s" help:"time of one run"`
+	Warm     time.Duration `arg:"--warm" default:"15s" help:"time of warming up before it"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"of the load"`
+	User     string        `arg:"--user" help:"nursery or boundaries; both when not given"`
+	Workload string        `arg:"--workload" help:"one workload; all when not given"`
+	Only     string        `arg:"--policies" help:"one choice of policies; all when not given"`
+	Report   string        `arg:"--report" help:"file for the JSON report"`
+}
+
 type arguments struct {
+	Policies *policiesCommand `arg:"subcommand:policies" help:"the chosen policies and the baselines, in the users' sizes"`
 	Storm    *stormCommand    `arg:"subcommand:storm" help:"mixed failures under load, with the stand-ins as witnesses"`
 	Path     *pathCommand     `arg:"subcommand:path" help:"latency through cairnwick and straight to the engine"`
 	Capacity *capacityCommand `arg:"subcommand:capacity" help:"how what a daemon uses grows"`
@@ -66,6 +77,12 @@
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
 		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate}.Run(ctx, os.Stdout)
+	case a.Policies != nil:
+		q := a.Policies
+		err = measure.Policies{
+			Bin: a.Bin, Dir: dir, Time: q.Time, Warm: q.Warm, Seed: q.Seed,
+			User: q.User, Workload: q.Workload, Only: q.Only, Report: q.Report,
+		}.Run(ctx, os.Stdout)
 	default:
 		p.WriteUsage(os.Stderr)
 		return 2
--- a/cmd/cairnctl/command.go
+++ b/cmd/cairnctl/command.go
@@ -22,11 +22,17 @@
 	exitUsage       = 2 // the command line does not hold
 	exitUnreachable = 3 // a daemon gave no answer
 	exitNotFound    = 4 // nobody knows what was asked for
+	exitRefused     = 5 // the intent or the plan does not hold
+	exitStale       = 6 // the configuration has moved on since the plan
+	exitBehind      = 7 // not in force everywhere in time
 )
 
 type arguments struct {
 	Status  *statusCommand  `arg:"subcommand:status" help:"show boxes, owners, endpoints and slots"`
 	Explain *explainCommand `arg:"subcommand:explain" help:"tell why a request went where it did"`
+	Plan    *planCommand    `arg:"subcommand:plan" help:"state an intent and see what it would move"`
+	Confirm *confirmCommand `arg:"subcommand:confirm" help:"write the documents of a plan, to be published"`
+	Follow  *followCommand  `arg:"subcommand:follow" help:"wait until a published plan is in force"`
 	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow decisions as they are made"`
 	Daemons string          `arg:"--daemons,env:CAIRN_DAEMONS" help:"peers' addresses of daemons, with commas" placeholder:"IP:PORT,..."`
 }
@@ -64,8 +70,8 @@
 		fmt.Fprintln(errs, err)
 		return exitUsage
 	}
-	chosen, ok := p.Subcommand().(command)
-	if !ok || a.Daemons == "" {
+	chosen := a.chosen()
+	if chosen == nil || a.Daemons == "" {
 		p.WriteUsage(errs)
 		fmt.Fprintln(errs, "give a command, and --daemons or CAIRN_DAEMONS")
 		return exitUsage
@@ -77,6 +83,25 @@
 	return chosen.run(ctx, c, strings.Split(a.Daemons, ","), out, errs)
 }
 
+// chosen returns the subcommand that was given, or nil.
+func (a *arguments) chosen() command {
+	switch {
+	case a.Status != nil:
+		return a.Status
+	case a.Explain != nil:
+		return a.Explain
+	case a.Watch != nil:
+		return a.Watch
+	case a.Plan != nil:
+		return a.Plan
+	case a.Confirm != nil:
+		return a.Confirm
+	case a.Follow != nil:
+		return a.Follow
+	}
+	return nil
+}
+
 // report names the daemons that gave no answer.
 func report(errs io.Writer, silent []operator.Silence) int {
 	for _, s := range silent {
--- /dev/null
+++ b/cmd/cairnctl/plan.go
@@ -0,0 +1,139 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"cairnwick.example/operator"
+	"cairnwick.example/plan"
+	"cairnwick.example/wire"
+)
+
+// planCommand states one intent and shows its plan. Nothing moves.
+type planCommand struct {
+	Live     *liveArgs     `arg:"subcommand:live" help:"make a version live"`
+	Create   *createArgs   `arg:"subcommand:create" help:"create an adapter or a version"`
+	Retire   *retireArgs   `arg:"subcommand:retire" help:"take an adapter or a version out of use"`
+	Priority *priorityArgs `arg:"subcommand:priority" help:"set how much an adapter is worth keeping"`
+	Wait     *waitArgs     `arg:"subcommand:wait" help:"set how long a class may wait"`
+	Drain    *nameArgs     `arg:"subcommand:drain" help:"take an endpoint or a data centre out of use"`
+	Undrain  *nameArgs     `arg:"subcommand:undrain" help:"take it back into use"`
+	Move     *moveArgs     `arg:"subcommand:move" help:"give a drained endpoint another base model"`
+	Out      string        `arg:"--out" help:"write the plan to this file, for confirm" placeholder:"FILE"`
+	JSON     bool          `arg:"--json" help:"print the plan as JSON"`
+	Rate     float64       `arg:"--store-rate" default:"9" help:"loads a second that the store allows"`
+}
+
+type liveArgs struct {
+	Adapter string `arg:"positional,required"`
+	Version string `arg:"positional,required"`
+}
+
+type createArgs struct {
+	Adapter string `arg:"positional,required"`
+	Version string `arg:"positional,required"`
+	Path    string `arg:"positional,required" help:"where the store keeps it"`
+	Base    string `arg:"--base" help:"base model of a new adapter"`
+}
+
+type retireArgs struct {
+	Adapter string `arg:"positional,required"`
+	Version string `arg:"positional" help:"one version; the whole adapter when not given"`
+}
+
+type priorityArgs struct {
+	Adapter  string `arg:"positional,required"`
+	Priority int    `arg:"positional,required"`
+}
+
+type waitArgs struct {
+	Class string        `arg:"positional,required"`
+	Wait  time.Duration `arg:"positional,required"`
+}
+
+type nameArgs struct {
+	Name string `arg:"positional,required" help:"an endpoint or a data centre"`
+}
+
+type moveArgs struct {
+	Endpoint string `arg:"positional,required"`
+	Base     string `arg:"positional,required"`
+}
+
+// intent returns what was stated, or nil.
+func (p *planCommand) intent() plan.Intent {
+	switch {
+	case p.Live != nil:
+		return plan.Live{Adapter: p.Live.Adapter, Version: p.Live.Version}
+	case p.Create != nil:
+		return plan.Create{Adapter: p.Create.Adapter, Version: p.Create.Version, Path: p.Create.Path, Base: p.Create.Base}
+	case p.Retire != nil:
+		return plan.Retire{Adapter: p.Retire.Adapter, Version: p.Retire.Version}
+	case p.Priority != nil:
+		return plan.Priority{Adapter: p.Priority.Adapter, Priority: p.Priority.Priority}
+	case p.Wait != nil:
+		return plan.MayWait{Class: p.Wait.Class, Wait: p.Wait.Wait}
+	case p.Drain != nil:
+		return plan.Drain{Name: p.Drain.Name}
+	case p.Undrain != nil:
+		return plan.Drain{Name: p.Undrain.Name, Back: true}
+	case p.Move != nil:
+		return plan.Move{Endpoint: p.Move.Endpoint, Base: p.Move.Base}
+	}
+	return nil
+}
+
+func (p *planCommand) run(ctx context.Context, c *operator.Client, addresses []string, out, errs io.Writer) int {
+	i := p.intent()
+	if i == nil {
+		fmt.Fprintln(errs, "state an intent: live, create, retire, priority, wait, drain, undrain or move")
+		return exitUsage
+	}
+	head, shards, err := c.Configuration(ctx, addresses)
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return exitUnreachable
+	}
+	status, silent := c.Status(ctx, addresses)
+	made, err := plan.Make(i, plan.Seen{Head: head, Shards: shards, Loaded: loaded(status), Rate: p.Rate, Now: time.Now()})
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return exitRefused
+	}
+	raw, err := json.MarshalIndent(made, "", "  ")
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return exitFailed
+	}
+	if p.Out != "" {
+		if err := os.WriteFile(p.Out, append(raw, '\n'), 0o644); err != nil {
+			fmt.Fprintln(errs, err)
+			return exitFailed
+		}
+	}
+	if p.JSON {
+		fmt.Fprintf(out, "%s\n", raw)
+	} else {
+		made.Print(out)
+	}
+	return report(errs, silent)
+}
+
+// loaded lists what each endpoint holds, by the word of its owner.
+func loaded(status []*wire.StatusReply) map[string][]string {
+	at := make(map[string][]string)
+	for _, a := range status {
+		for _, e := range a.GetEndpoints() {
+			for _, s := range e.GetSlots() {
+				at[e.GetName()] = append(at[e.GetName()], s.GetAdapter())
+			}
+		}
+	}
+	return at
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -17,6 +17,7 @@
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
 	"cairnwick.example/operator"
+	"cairnwick.example/platform"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -365,3 +366,43 @@
 		ts.Fatalf("different heads are in force: %v", seen)
 	}
 }
+
+// cmdPut publishes the documents under a folder, the head last, each under its
+// path as key: put documents.
+func cmdPut(ts *testscript.TestScript, _ bool, args []string) {
+	dir := ts.MkAbs(args[0])
+	head := ""
+	ts.Check(filepath.WalkDir(dir, func(path string, entry os.DirEntry, err error) error {
+		if err != nil || entry.IsDir() {
+			return err
+		}
+		key, err := filepath.Rel(dir, path)
+		if err != nil {
+			return err
+		}
+		if key == platform.HeadKey {
+			head = path
+			return nil
+		}
+		return putFile(ts, key, path)
+	}))
+	ts.Check(putFile(ts, platform.HeadKey, head))
+}
+
+func putFile(ts *testscript.TestScript, key, path string) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	return worldOf(ts).fleet.Put(context.Background(), key, raw)
+}
+
+// cmdSed replaces a text in a file and writes another: sed s/OLD/NEW/ FROM TO.
+func cmdSed(ts *testscript.TestScript, _ bool, args []string) {
+	parts := strings.Split(args[0], "/")
+	text := ts.ReadFile(args[1])
+	if !strings.Contains(text, parts[1]) {
+		ts.Fatalf("%s has no %q", args[1], parts[1])
+	}
+	ts.Check(os.WriteFile(ts.MkAbs(args[2]), []byte(strings.Replace(text, parts[1], parts[2], 1)), 0o600))
+}
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -65,6 +65,8 @@
 			"eventually":  cmdEventually,
 			"countatmost": cmdCountAtMost,
 			"net":         cmdNet,
+			"put":         cmdPut,
+			"sed":         cmdSed,
 			"agree":       cmdAgree,
 			"race":        cmdRace,
 			"owner":       cmdOwner,
--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -38,6 +39,16 @@
 	Duration time.Duration
 }
 
+// Stall returns how long the request waited for its adapter's load, as the
+// answer says.
+func (p Reply) Stall() time.Duration {
+	ms, err := strconv.Atoi(p.Header.Get("Cairn-Load-Stall"))
+	if err != nil {
+		return 0 // refused requests have none
+	}
+	return time.Duration(ms) * time.Millisecond
+}
+
 type replyBody struct {
 	Choices []struct {
 		Text string `json:"text"`
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"cairnwick.example/engine"
@@ -69,6 +70,8 @@
 		return refusedByEndpoint(a, r)
 	}
 	out.Header().Set(EndpointHeader, h.endpoint)
+	out.Header().Set(WaitedHeader, strconv.FormatInt(h.grant.GetWaitedMicros()/1000, 10))
+	out.Header().Set(StallHeader, strconv.FormatInt(h.grant.GetLoadMicros()/1000, 10))
 	if q.stream {
 		return g.passStream(ctx, out, h, run, a, r)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -25,6 +25,8 @@
 	ModelHeader      = "Cairn-Model"      // on answers: adapter@version
 	RevisionHeader   = "Cairn-Revision"   // on answers: of the configuration
 	EndpointHeader   = "Cairn-Endpoint"   // on answers
+	WaitedHeader     = "Cairn-Waited"     // on answers: milliseconds until the grant
+	StallHeader      = "Cairn-Load-Stall" // on answers: the part of it spent on a load
 )
 
 const (
--- a/load/run.go
+++ b/load/run.go
@@ -38,6 +38,12 @@
 	At      time.Time
 	Whole   bool
 	Broken  bool // without a final answer
+	Class   string
+	Caller  string
+	Code    string        // of a failure
+	Retry   time.Duration // said by a failure
+	Adapter string
+	Stall   time.Duration // spent waiting for a load
 }
 
 const maxComplaints = 10
@@ -137,7 +143,11 @@
 	p.Sent++
 	right := r.err == nil && r.wrong == nil && r.reply.Whole
 	broken := r.err != nil || (r.wrong == nil && !r.reply.Whole && r.reply.Code == "")
-	p.Ends = append(p.Ends, End{Gateway: a.gateway, Begun: begun, At: time.Now(), Whole: right, Broken: broken})
+	p.Ends = append(p.Ends, End{
+		Gateway: a.gateway, Begun: begun, At: time.Now(), Whole: right, Broken: broken,
+		Class: a.kind.Class, Caller: a.kind.Caller, Code: r.reply.Code, Retry: r.reply.Retry, Adapter: a.adapter,
+		Stall: r.reply.Stall(),
+	})
 	switch {
 	case r.err != nil:
 		p.Broken++
--- /dev/null
+++ b/measure/users.go
@@ -0,0 +1,110 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package measure
+
+import (
+	"time"
+
+	"cairnwick.example/fleet"
+	"cairnwick.example/load"
+)
+
+// user is one of the two users' systems, at the size of today.
+type user struct {
+	name      string
+	spec      fleet.Spec
+	rate      float64 // requests a second that are steady
+	scheduler []string
+	kinds     []load.Mix
+}
+
+// workload is one way of asking.
+type workload struct {
+	name     string
+	times    float64                          // of the user's steady rate
+	shift    bool                             // half-way other adapters become the popular ones
+	disturb  func(f *fleet.Fleet) disturbance // what happens at half-time; nil: nothing
+	failEach int                              // the store fails one load in so many
+}
+
+// disturbance happens once, at half-time.
+type disturbance func() error
+
+// contender is one choice of policies.
+type contender struct {
+	name      string
+	gateway   []string
+	scheduler []string
+}
+
+// contenders are ours first, then the baselines.
+var contenders = []contender{
+	{name: "cairnwick"},
+	{name: "hash, LRU", gateway: []string{"placement=hash"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
+	{name: "least loaded, LRU", gateway: []string{"placement=least_loaded"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
+	{name: "random, LRU", gateway: []string{"placement=random"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
+}
+
+const userAdapters = 5000
+
+// nursery is the family nursery: callers at the till, load stalls first.
+func nursery() user {
+	return user{
+		name: "nursery",
+		spec: fleet.Spec{
+			Centres: 3, Boxes: 2, Engines: 6, Adapters: userAdapters, Slots: 8, Batch: 8,
+			EngineArgs: []string{"--step", "10ms"},
+			StoreArgs:  []string{"--store-rate", "9", "--store-at-once", "6", "--load-time", "400ms"},
+		},
+		rate:      60,
+		scheduler: []string{"store_rate=9", "store_at_once=6", "weight_stalls=1", "weight_batch=0"},
+		kinds: []load.Mix{
+			{Class: fleet.CounterClass, Caller: "till", Share: 6, Tokens: 16, Stream: true},
+			{Class: fleet.CounterClass, Caller: "landscaper", Share: 3, Tokens: 48},
+			{Class: fleet.UrgentClass, Caller: "lookup", Share: 1, Tokens: 8},
+		},
+	}
+}
+
+// boundaries is the boundary practice: much may wait, batch fullness first.
+func boundaries() user {
+	return user{
+		name: "boundaries",
+		spec: fleet.Spec{
+			Centres: 3, Boxes: 2, Engines: 4, Adapters: userAdapters, Slots: 8, Batch: 8,
+			EngineArgs: []string{"--step", "10ms"},
+			StoreArgs:  []string{"--store-rate", "4", "--store-at-once", "8", "--load-time", "400ms"},
+		},
+		rate:      40,
+		scheduler: []string{"store_rate=4", "store_at_once=8", "weight_stalls=0.3", "weight_batch=1"},
+		kinds: []load.Mix{
+			{Class: fleet.CounterClass, Caller: "counter", Share: 3, Tokens: 16, Stream: true},
+			{Class: fleet.NightClass, Caller: "cooperative", Share: 4, Tokens: 32},
+			{Class: fleet.NightClass, Caller: "office", Share: 3, Tokens: 32},
+		},
+	}
+}
+
+const userSkew = 1.35
+
+// plan asks as the user does.
+func (u user) plan(f *fleet.Fleet, l workload, d time.Duration, seed uint64) load.Plan {
+	p := load.Plan{
+		Rate:     u.rate * l.times,
+		Duration: d,
+		Seed:     seed,
+		Adapters: userAdapters,
+		Skew:     userSkew,
+		Kinds:    u.kinds,
+		Patience: 2 * time.Minute,
+	}
+	if l.shift {
+		p.Shift = d / 2
+	}
+	for c := 1; c <= u.spec.Centres; c++ {
+		for b := 1; b <= u.spec.Boxes; b++ {
+			p.Gateways = append(p.Gateways, f.CallersAddress(c, b))
+		}
+	}
+	return p
+}
--- /dev/null
+++ b/operator/configuration.go
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package operator
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/wire"
+	"github.com/pkg/errors"
+)
+
+// Configuration returns the head in force at the first daemon that answers, and
+// its shards by name.
+func (c *Client) Configuration(ctx context.Context, addresses []string) (catalog.Head, map[string][]byte, error) {
+	var last error
+	for _, a := range addresses {
+		h, shards, err := c.configurationAt(ctx, a)
+		if err == nil {
+			return h, shards, nil
+		}
+		last = errors.Wrapf(err, "operator: configuration at %s", a)
+	}
+	return catalog.Head{}, nil, last
+}
+
+func (c *Client) configurationAt(ctx context.Context, address string) (catalog.Head, map[string][]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	p := wire.NewPeerClient(c.dialer.Conn(address))
+	d, err := p.FetchHead(ctx, &wire.FetchHeadRequest{})
+	if err != nil {
+		return catalog.Head{}, nil, err
+	}
+	h, err := catalog.ParseHead(d.GetBody())
+	if err != nil {
+		return catalog.Head{}, nil, err
+	}
+	shards := make(map[string][]byte)
+	for _, n := range h.Shards() {
+		d, err := p.FetchShard(ctx, &wire.FetchShardRequest{Digest: h.ShardDigest(n)})
+		if err != nil {
+			return catalog.Head{}, nil, err
+		}
+		shards[n] = d.GetBody()
+	}
+	return h, shards, nil
+}
+
+// Heads returns the head in force at each address, and who gave no answer.
+func (c *Client) Heads(ctx context.Context, addresses []string) (map[string]catalog.Head, []Silence) {
+	found := make(map[string]catalog.Head)
+	var silent []Silence
+	for _, a := range addresses {
+		call, cancel := context.WithTimeout(ctx, callTimeout)
+		d, err := wire.NewPeerClient(c.dialer.Conn(a)).FetchHead(call, &wire.FetchHeadRequest{})
+		cancel()
+		if err == nil {
+			var h catalog.Head
+			if h, err = catalog.ParseHead(d.GetBody()); err == nil {
+				found[a] = h
+			}
+		}
+		if err != nil {
+			silent = append(silent, Silence{Address: a, Cause: err})
+		}
+	}
+	return found, silent
+}
+
+// Follow asks until every address that answers has the head in force, or one has
+// another that does not follow from it. It returns who has it not, with why.
+func (c *Client) Follow(ctx context.Context, addresses []string, head catalog.Head) (behind map[string]catalog.Head, silent []Silence) {
+	for {
+		var found map[string]catalog.Head
+		found, silent = c.Heads(ctx, addresses)
+		behind = make(map[string]catalog.Head)
+		for a, h := range found {
+			if h.Digest() != head.Digest() && !h.Follows(head) {
+				behind[a] = h
+			}
+		}
+		if len(behind) == 0 || ctx.Err() != nil {
+			return behind, silent
+		}
+		select {
+		case <-ctx.Done():
+			return behind, silent
+		case <-time.After(followPause):
+		}
+	}
+}
+
+const followPause = 100 * time.Millisecond
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -186,3 +186,20 @@
 	b.Success()
 	c.Assert(b.Take(), quicktest.IsTrue)
 }
+
+func TestPatientRequestsWaitForAFullerBatch(t *testing.T) {
+	c := quicktest.New(t)
+	w := Weights{Batch: 0.5}
+	f := HoldFacts{MayWait: time.Hour, Running: 1, Limit: 8, Patient: 1}
+	c.Assert(w.Hold(f), quicktest.IsTrue)
+	f.Patient = 3
+	c.Assert(w.Hold(f), quicktest.IsFalse)
+	f.Patient, f.Waited = 1, 20*time.Second
+	c.Assert(w.Hold(f), quicktest.IsFalse)
+}
+
+func TestNoRequestIsHeldThatMayNotWaitLong(t *testing.T) {
+	c := quicktest.New(t)
+	c.Assert(Weights{Batch: 1}.Hold(HoldFacts{MayWait: time.Second, Limit: 8}), quicktest.IsFalse)
+	c.Assert(Weights{}.Hold(HoldFacts{MayWait: time.Hour, Limit: 8}), quicktest.IsFalse)
+}
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -77,7 +77,7 @@
 		deadline: now.Add(time.Duration(q.GetWaitMicros()) * time.Microsecond),
 		reply:    make(chan *wire.AcquireReply, 1),
 	}
-	if s.freeLocked(e, q.GetAdapter()) && e.slots[q.GetAdapter()] != nil {
+	if s.freeLocked(e, q.GetAdapter()) && !s.heldLocked(e, w, s.patientLocked(e)+1, now) {
 		return nil, s.grantLocked(e, w, now, wire.Reason_REASON_ADAPTER_READY)
 	}
 	if a := s.admitLocked(e, w, now); a != nil {
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -159,18 +159,41 @@
 		shares[g.caller]++
 	}
 	list := make([]policy.WaitFacts, len(e.waiters))
+	patient := s.patientLocked(e)
 	for i, w := range e.waiters {
 		list[i] = policy.WaitFacts{
 			Priority: w.class.Priority(),
 			Waited:   now.Sub(w.arrived),
 			Left:     w.deadline.Sub(now),
 			Share:    shares[w.request.GetCaller()],
-			Ready:    s.readyLocked(e, w.request.GetAdapter()),
+			Ready:    s.readyLocked(e, w.request.GetAdapter()) && !s.heldLocked(e, w, patient, now),
 		}
 	}
 	return list
 }
 
+// patientLocked counts the patient requests that wait and could run.
+func (s *Scheduler) patientLocked(e *endpoint) int {
+	n := 0
+	for _, w := range e.waiters {
+		if policy.Patient(w.class.MayWait()) && s.readyLocked(e, w.request.GetAdapter()) {
+			n++
+		}
+	}
+	return n
+}
+
+// heldLocked tells whether a request is held back to fill a batch.
+func (s *Scheduler) heldLocked(e *endpoint, w *waiter, patient int, now time.Time) bool {
+	return s.Weights.Hold(policy.HoldFacts{
+		MayWait: w.class.MayWait(),
+		Waited:  now.Sub(w.arrived),
+		Running: e.running(),
+		Limit:   e.limitLocked(),
+		Patient: patient,
+	})
+}
+
 // oldGrantLocked tells whether a grant is so old that its gateway may be gone.
 func (e *endpoint) oldGrantLocked(now time.Time, sp Spans) bool {
 	for _, g := range e.grants {
--- a/scheduler/serving.go
+++ b/scheduler/serving.go
@@ -44,7 +44,7 @@
 var Options = append(slices.Clone(daemon.Common), settings.Table{
 	{Name: optEviction, Kind: settings.Text, Default: policy.EvictReturn, Help: "expected_return or least_recently_used"},
 	{Name: optStalls, Kind: settings.Number, Default: 1.0, Help: "weight of load stalls, 0 to 1"},
-	{Name: optBatch, Kind: settings.Number, Default: 0.3, Help: "weight of batch fullness, 0 to 1"},
+	{Name: optBatch, Kind: settings.Number, Default: 0.0, Help: "weight of batch fullness, 0 to 1; above 0 requests that may wait long are held for fuller batches"},
 	{Name: optSendWindow, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "a grant must be used within it"},
 	{Name: optVerify, Kind: settings.Duration, Default: 2 * time.Second, Least: time.Millisecond, Help: "time between looks at an endpoint's fence"},
 	{Name: optTrust, Kind: settings.Duration, Default: 3 * time.Second, Least: time.Millisecond, Help: "how long a look vouches for ownership; above verify"},
