Spread an adapter's homes over the region; end what a silent engine holds

Cause: 48 slots of one data centre for 5,000 adapters let the misses pass the store's rate; and a stream or a whole answer of a frozen engine held its caller without an end (silent-engine.txtar). Change: placement_scope region: homes among all data centres of the region that answer pings; a data centre that falls silent for 2 s loses its calls at once; gateways tell how many homes they believe in, so that each home reckons with the whole load. stream_idle ends a silent stream, the deadline a whole answer. Heads and shards travel compressed.

--- a/catalog/build.go
+++ b/catalog/build.go
@@ -49,7 +49,7 @@
 		endpoints: make(map[string]Endpoint),
 		services:  make(map[string]Service),
 		adapters:  make(map[string]Adapter),
-		centres:   make(map[string]State),
+		centres:   make(map[string]CentreFormat),
 		byBase:    make(map[string][]string),
 		parts:     make(map[string][]Adapter),
 	}
@@ -131,8 +131,7 @@
 		b.addCaller(f)
 	}
 	for _, f := range s.DataCentres {
-		b.checkState("data_centres["+f.Name+"].state", f.State)
-		b.catalog.centres[f.Name] = f.State
+		b.addCentre(f)
 	}
 	for _, f := range s.Endpoints {
 		b.addEndpoint(f)
@@ -180,6 +179,18 @@
 	b.catalog.callers[f.Name] = Caller{name: f.Name, queue: f.Queue}
 }
 
+func (b *builder) addCentre(f CentreFormat) {
+	_, taken := b.catalog.centres[f.Name]
+	if !b.fresh("data_centres", f.Name, taken) {
+		return
+	}
+	if f.State == "" {
+		f.State = Serving
+	}
+	b.checkState("data_centres["+f.Name+"].state", f.State)
+	b.catalog.centres[f.Name] = f
+}
+
 func (b *builder) addEndpoint(f EndpointFormat) {
 	_, taken := b.catalog.endpoints[f.Name]
 	if !b.fresh("endpoints", f.Name, taken) {
@@ -295,7 +306,7 @@
 // drainCentres drains the endpoints of draining data centres.
 func (b *builder) drainCentres() {
 	for n, e := range b.catalog.endpoints {
-		if b.catalog.centres[e.dataCentre] == Draining {
+		if b.catalog.centres[e.dataCentre].State == Draining {
 			e.state = Draining
 			b.catalog.endpoints[n] = e
 		}
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -40,8 +40,8 @@
 	endpoints map[string]Endpoint
 	services  map[string]Service
 	adapters  map[string]Adapter
-	centres   map[string]State    // only those that are named in the documents
-	byBase    map[string][]string // sorted endpoint names of each base
+	centres   map[string]CentreFormat // only those that are named in the documents
+	byBase    map[string][]string     // sorted endpoint names of each base
 
 	// parts holds the checked adapters of each shard that has nothing else, by
 	// its digest, for the next revision to take over.
@@ -268,6 +268,9 @@
 	return slices.Sorted(maps.Keys(seen))
 }
 
+// Region returns the region of a data centre; all that name none are in one.
+func (c *Catalog) Region(dataCentre string) string { return c.centres[dataCentre].Region }
+
 // Model is a resolved model name: an adapter at one version.
 type Model struct {
 	adapter Adapter
--- a/catalog/shard.go
+++ b/catalog/shard.go
@@ -44,8 +44,9 @@
 
 // CentreFormat is a data centre's state as published.
 type CentreFormat struct {
-	Name  string `json:"name"`
-	State State  `json:"state"`
+	Name   string `json:"name"`
+	State  State  `json:"state,omitempty"`
+	Region string `json:"region,omitempty"`
 }
 
 // EndpointFormat is an endpoint as published.
--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -22,6 +22,7 @@
 
 type capacityCommand struct {
 	Time time.Duration `arg:"--time" default:"8s" help:"time of one point"`
+	Only string        `arg:"--sweep" help:"one sweep; all when not given"`
 }
 
 type stormCommand struct {
@@ -74,7 +75,7 @@
 	case a.Path != nil:
 		err = measure.Path{Bin: a.Bin, Dir: dir, Rate: a.Path.Rate, Each: a.Path.Each, Rounds: a.Path.Rounds}.Run(ctx, os.Stdout)
 	case a.Capacity != nil:
-		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time}.Run(ctx, os.Stdout)
+		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
 		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate}.Run(ctx, os.Stdout)
 	case a.Policies != nil:
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/encoding/gzip"
 )
 
 // Dialer keeps one connection to each daemon that is spoken to. It is safe for
@@ -106,7 +107,7 @@
 func (p peer) Head(ctx context.Context, prefix []byte) ([]byte, bool, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	d, err := p.client.FetchHead(ctx, &wire.FetchHeadRequest{Head: prefix})
+	d, err := p.client.FetchHead(ctx, &wire.FetchHeadRequest{Head: prefix}, compressed)
 	return d.GetBody(), d.GetInForce(), err
 }
 
@@ -114,12 +115,15 @@
 func (p peer) Shard(ctx context.Context, digest string) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	d, err := p.client.FetchShard(ctx, &wire.FetchShardRequest{Digest: digest})
+	d, err := p.client.FetchShard(ctx, &wire.FetchShardRequest{Digest: digest}, compressed)
 	return d.GetBody(), err
 }
 
 const fetchTimeout = 3 * time.Second
 
+// compressed makes documents, which are JSON, an eighth as long on the way.
+var compressed = grpc.UseCompressor(gzip.Name)
+
 // peerServer answers other daemons.
 type peerServer struct {
 	wire.UnimplementedPeerServer
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -54,14 +54,16 @@
 // scheduler must know.
 func (g *Gateway) send(ctx context.Context, q *request, out *answer, h hold, r *wire.ReleaseRequest) *Failure {
 	run := fmt.Sprintf("%s.%d", q.id, q.attempts)
-	e, err := g.engineRequest(ctx, q, h, run)
+	live, stop, beat := g.watchdog(ctx, q)
+	defer stop()
+	e, err := g.engineRequest(live, q, h, run)
 	if err != nil {
 		r.Outcome = wire.Outcome_OUTCOME_NOT_SENT
 		return badRequest("body: %v", err)
 	}
 	a, err := engine.Send(g.Engines, e, h.sendBy)
 	if err != nil {
-		return g.lost(ctx, h, run, r, err)
+		return g.lost(live, h, run, r, err)
 	}
 	defer a.Body.Close()
 	r.Fence = a.Header.Get(engine.FenceHeader)
@@ -73,9 +75,26 @@
 	out.Header().Set(WaitedHeader, strconv.FormatInt(h.grant.GetWaitedMicros()/1000, 10))
 	out.Header().Set(StallHeader, strconv.FormatInt(h.grant.GetLoadMicros()/1000, 10))
 	if q.stream {
-		return g.passStream(ctx, out, h, run, a, r)
+		return g.passStream(ctx, out, stream{hold: h, run: run, beat: beat}, a, r)
 	}
-	return g.passWhole(ctx, out, h, run, a, r)
+	return g.passWhole(live, out, h, run, a, r)
+}
+
+// watchdog returns the context of an attempt. That of a stream ends when the
+// endpoint is silent for too long; beat says that it is not. That of a whole
+// answer ends at the request's deadline.
+func (g *Gateway) watchdog(ctx context.Context, q *request) (live context.Context, stop func(), beat func()) {
+	if !q.stream {
+		live, cancel := context.WithDeadline(ctx, q.deadline)
+		return live, cancel, func() {}
+	}
+	live, cancel := context.WithCancel(ctx)
+	timer := time.AfterFunc(g.Spans.Idle, cancel)
+	stop = func() {
+		timer.Stop()
+		cancel()
+	}
+	return live, stop, func() { timer.Reset(g.Spans.Idle) }
 }
 
 func (g *Gateway) engineRequest(ctx context.Context, q *request, h hold, run string) (*http.Request, error) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -26,6 +26,7 @@
 	Key      time.Duration // longest wait for the home of a key
 	Retry    time.Duration // said to callers when nothing better is known
 	Resume   time.Duration // longest wait for a cut stream to go on
+	Idle     time.Duration // a stream that is silent so long is taken for cut
 }
 
 // Schedulers reaches the schedulers by address.
@@ -50,6 +51,7 @@
 	Remote      Remote
 	Engines     *http.Client // guarded connections to endpoints
 	Placement   policy.Placement
+	Scope       string // ScopeCentre or ScopeRegion: how far an adapter's homes spread
 	Retries     *policy.RetryBudget
 	Spans       Spans
 	MaxBody     int64 // bytes of a caller's body
@@ -58,6 +60,7 @@
 	Log         logr.Logger
 
 	beliefs  *beliefs
+	reach    *reach
 	owners   *owners
 	releases chan release
 	inFlight atomic.Int64
@@ -74,6 +77,12 @@
 	Codes      *metrics.Family // time to the final answer, by code
 }
 
+// The scopes of an adapter's homes.
+const (
+	ScopeCentre = "data_centre"
+	ScopeRegion = "region"
+)
+
 const (
 	familyLimit    = 64
 	releaseBuffer  = 1024
@@ -84,6 +93,7 @@
 func (g *Gateway) Init() {
 	g.beliefs = newBeliefs()
 	g.owners = newOwners()
+	g.reach = newReach()
 	g.releases = make(chan release, releaseBuffer)
 	g.stats = Stats{
 		Total:      metrics.NewFamily(familyLimit),
@@ -111,9 +121,13 @@
 	for range releaseWorkers {
 		go func() { done <- g.releaseWorker(ctx) }()
 	}
-	followed := make(chan error, 1)
+	followed := make(chan error, 2)
 	go func() { followed <- g.followOwners(ctx) }()
+	go func() { followed <- g.followReach(ctx) }()
 	err := <-followed
+	if e := <-followed; err == nil {
+		err = e
+	}
 	for range releaseWorkers {
 		if e := <-done; e != nil && err == nil {
 			err = e
--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -61,13 +61,7 @@
 func (g *Gateway) followOwners(ctx context.Context) error {
 	for {
 		changed := g.Members.Changed()
-		serving := make(map[string]bool)
-		for _, m := range g.Members.All() {
-			if m.Role() == member.Scheduler && m.Serving() {
-				serving[m.Name()] = true
-			}
-		}
-		g.owners.keep(serving)
+		g.keepOwners()
 		select {
 		case <-ctx.Done():
 			g.owners.keep(nil)
@@ -77,6 +71,19 @@
 	}
 }
 
+// keepOwners ends calls to schedulers that do not serve any more and to data
+// centres that can't be reached.
+func (g *Gateway) keepOwners() {
+	serving := make(map[string]bool)
+	for _, m := range g.Members.Serving(member.Scheduler) {
+		serving[m.Name()] = true
+	}
+	for _, c := range g.reach.all(time.Now()) {
+		serving[farLife(c)] = true
+	}
+	g.owners.keep(serving)
+}
+
 // ownerOf returns the scheduler that should own an endpoint.
 func (g *Gateway) ownerOf(endpoint, centre string) (member.Member, bool) {
 	return pick(endpoint, g.schedulersOf(centre))
--- /dev/null
+++ b/gateway/reach.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cairnwick.example/wire"
+)
+
+// reach knows which other data centres answer. It is safe for concurrent use.
+type reach struct {
+	mu    sync.Mutex
+	until map[string]time.Time // by data centre: how long the last answered ping vouches for it
+}
+
+const (
+	pingInterval = time.Second
+	pingTimeout  = 700 * time.Millisecond
+	reachFor     = 2 * time.Second // a data centre that is silent so long can't be reached
+	farBeats     = 5               // pings to the own region for each one to another region
+	farReachFor  = (farBeats + 2) * pingInterval
+)
+
+func newReach() *reach { return &reach{until: make(map[string]time.Time)} }
+
+func (r *reach) reached(centre string, now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Before(r.until[centre])
+}
+
+func (r *reach) note(centre string, until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.until[centre] = until
+}
+
+// all returns the data centres that can be reached.
+func (r *reach) all(now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []string
+	for c, until := range r.until {
+		if now.Before(until) {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// farLife names the life of a data centre among the owners.
+func farLife(centre string) string { return "data centre " + centre }
+
+// followReach pings one scheduler of each other data centre, and ends calls to
+// those that can't be reached.
+func (g *Gateway) followReach(ctx context.Context) error {
+	tick := time.NewTicker(pingInterval)
+	defer tick.Stop()
+	for beat := 0; ; beat++ {
+		g.pingAll(ctx, beat%farBeats == 0)
+		g.keepOwners()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+	}
+}
+
+// pingAll pings the data centres of the own region, and with far those of the
+// others.
+func (g *Gateway) pingAll(ctx context.Context, far bool) {
+	c := g.Catalog()
+	if c == nil {
+		return
+	}
+	var all sync.WaitGroup
+	for _, n := range c.DataCentres() {
+		near := c.Region(n) == c.Region(g.Centre)
+		switch {
+		case n == g.Centre:
+		case near:
+			all.Go(func() { g.ping(ctx, n, reachFor) })
+		case far:
+			all.Go(func() { g.ping(ctx, n, farReachFor) })
+		}
+	}
+	all.Wait()
+}
+
+func (g *Gateway) ping(ctx context.Context, centre string, vouches time.Duration) {
+	list := g.Remote.Schedulers(centre)
+	if len(list) == 0 {
+		return
+	}
+	m := list[rand.IntN(len(list))]
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	begun := time.Now()
+	if _, err := g.Schedulers.Scheduler(m.Address()).Ping(ctx, &wire.PingRequest{}); err == nil {
+		g.reach.note(centre, begun.Add(vouches))
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -50,6 +50,7 @@
 	body       map[string]json.RawMessage
 	attempts   int  // runs begun at endpoints
 	candidates int  // endpoints asked
+	width      int  // how many homes the adapter is believed to have
 	unsure     bool // an attempt may have run and gave no answer
 }
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	maxCandidates = 4                     // endpoints asked for one request
-	maxAttempts   = 3                     // runs begun for one request
-	failoverPause = 25 * time.Millisecond // between tries to find an owner that answers
+	maxCandidates  = 4                     // endpoints asked in one stage
+	mostCandidates = 8                     // endpoints asked for one request
+	maxAttempts    = 3                     // runs begun for one request
+	failoverPause  = 25 * time.Millisecond // between tries to find an owner that answers
+	farFailover    = 500 * time.Millisecond
 )
 
 // route brings a request to an endpoint and its answer to the caller. It
@@ -31,15 +33,15 @@
 	return f
 }
 
-// routeAnywhere tries one data centre after another. What it returns speaks of
-// the last attempts alone.
+// routeAnywhere tries one stage of endpoints after another. What it returns
+// speaks of the last attempts alone.
 func (g *Gateway) routeAnywhere(ctx context.Context, q *request, out *answer) *Failure {
 	if q.left() <= 0 {
 		return &Failure{Code: CodeDeadlinePast, Ran: NotRun, Message: "the deadline passed before the request was routed"}
 	}
 	var last *Failure
-	for _, centre := range g.centresFor(q) {
-		f := g.routeIn(ctx, q, out, centre)
+	for _, names := range g.stages(q) {
+		f := g.routeIn(ctx, q, out, names)
 		if f == nil || f.Ran != NotRun || !elsewhere(f.Code) {
 			return f
 		}
@@ -68,31 +70,51 @@
 	return a
 }
 
-// centresFor returns the data centres to try: the own one, then the others with
-// endpoints of the base, in an order that spreads the overflow of many keys.
-func (g *Gateway) centresFor(q *request) []string {
-	var others []string
-	seen := map[string]bool{g.Centre: true}
-	for _, n := range q.catalog.EndpointsOf(q.model.Adapter().Base()) {
-		e, _ := q.catalog.Endpoint(n)
-		if !seen[e.DataCentre()] {
-			seen[e.DataCentre()] = true
-			others = append(others, e.DataCentre())
+// stages returns the endpoints to try, a group after another: where the scope is
+// the region, those of all its data centres that can be reached; then those of
+// the own data centre; then those of the others, in an order that spreads the
+// overflow of many keys.
+func (g *Gateway) stages(q *request) [][]string {
+	base := q.model.Adapter().Base()
+	var stages [][]string
+	add := func(names []string) {
+		if len(names) > 0 {
+			stages = append(stages, names)
+		}
+	}
+	if g.Scope == ScopeRegion {
+		add(servingIn(q.catalog, base, g.near(q.catalog)))
+	}
+	add(servingIn(q.catalog, base, map[string]bool{g.Centre: true}))
+	for _, c := range policy.Rank(q.model.String(), q.catalog.DataCentres()) {
+		if c != g.Centre && g.reach.reached(c, time.Now()) {
+			add(servingIn(q.catalog, base, map[string]bool{c: true}))
 		}
 	}
-	return append([]string{g.Centre}, policy.Rank(q.model.String(), others)...)
+	return stages
 }
 
-// routeIn tries the endpoints of one data centre.
-func (g *Gateway) routeIn(ctx context.Context, q *request, out *answer, centre string) *Failure {
-	names := servingIn(q.catalog, q.model.Adapter().Base(), centre)
-	if len(names) == 0 {
-		return &Failure{Code: CodeNoEndpoint, Ran: NotRun, Message: "no endpoint in " + centre, Retry: g.Spans.Retry}
+// near returns the data centres of the own region that can be reached.
+func (g *Gateway) near(c *catalog.Catalog) map[string]bool {
+	near := map[string]bool{g.Centre: true}
+	for _, n := range c.DataCentres() {
+		if c.Region(n) == c.Region(g.Centre) && g.reach.reached(n, time.Now()) {
+			near[n] = true
+		}
 	}
+	return near
+}
+
+// routeIn tries the endpoints of one stage.
+func (g *Gateway) routeIn(ctx context.Context, q *request, out *answer, names []string) *Failure {
 	order := g.place(q, names)
 	var last *Failure
 	for _, n := range order[:min(maxCandidates, len(order))] {
-		f := g.tryEndpoint(ctx, q, out, n, centre)
+		if q.candidates >= mostCandidates {
+			break
+		}
+		e, _ := q.catalog.Endpoint(n)
+		f := g.tryEndpoint(ctx, q, out, n, e.DataCentre())
 		if f == nil || !another(f.Code) || ctx.Err() != nil {
 			return f
 		}
@@ -101,6 +123,9 @@
 		}
 		last = sooner(last, f)
 	}
+	if last == nil {
+		return &Failure{Code: CodeNoEndpoint, Ran: NotRun, Message: "no endpoint took the request", Retry: g.Spans.Retry}
+	}
 	return last
 }
 
@@ -115,11 +140,12 @@
 	return q.key == "" && out.first.IsZero() && q.attempts < maxAttempts && g.Retries.Take()
 }
 
-func servingIn(c *catalog.Catalog, base, centre string) []string {
+// servingIn returns the endpoints of a base that serve in the data centres.
+func servingIn(c *catalog.Catalog, base string, centres map[string]bool) []string {
 	var names []string
 	for _, n := range c.EndpointsOf(base) {
 		e, _ := c.Endpoint(n)
-		if e.DataCentre() == centre && e.State() == catalog.Serving {
+		if centres[e.DataCentre()] && e.State() == catalog.Serving {
 			names = append(names, n)
 		}
 	}
@@ -130,6 +156,7 @@
 func (g *Gateway) place(q *request, names []string) []string {
 	now := time.Now()
 	facts, width := g.beliefs.of(q.model.String(), names, now)
+	q.width = width
 	order, scores := g.Placement.Order(policy.PlaceRequest{
 		Key:   q.model.String(),
 		Names: names,
@@ -192,7 +219,11 @@
 // acquire asks the endpoint's owner for a grant, and looks for the owner while
 // it changes.
 func (g *Gateway) acquire(ctx context.Context, q *request, endpoint, centre string) (member.Member, *wire.Grant, time.Time, *Failure) {
-	until := time.Now().Add(min(g.Spans.Failover, q.left()))
+	patience := g.Spans.Failover
+	if centre != g.Centre {
+		patience = farFailover // an endpoint of the own data centre is the next to try
+	}
+	until := time.Now().Add(min(patience, q.left()))
 	hint := ""
 	for {
 		owner, ok := g.ownerOf(endpoint, centre)
@@ -240,10 +271,11 @@
 // ask makes one call for a grant. When it fails the owner is probed, so that
 // the view follows soon.
 func (g *Gateway) ask(ctx context.Context, q *request, owner member.Member, endpoint string) (*wire.AcquireReply, error) {
-	call, cancel := ctx, context.CancelFunc(func() {})
-	if owner.DataCentre() == g.Centre {
-		call, cancel = g.owners.with(ctx, owner.Name())
+	life := owner.Name()
+	if owner.DataCentre() != g.Centre {
+		life = farLife(owner.DataCentre())
 	}
+	call, cancel := g.owners.with(ctx, life)
 	defer cancel()
 	a, err := g.Schedulers.Scheduler(owner.Address()).Acquire(call, &wire.AcquireRequest{
 		Request:    q.id,
@@ -254,6 +286,7 @@
 		WaitMicros: q.mayWait().Microseconds(),
 		Revision:   q.catalog.Revision(),
 		Box:        g.Name,
+		Width:      int32(q.width),
 	})
 	if err != nil && ctx.Err() == nil && status.Code(err) != codes.Canceled {
 		g.Probe(owner.Name())
--- a/gateway/serving.go
+++ b/gateway/serving.go
@@ -22,10 +22,12 @@
 const (
 	optListen    = "callers_listen"
 	optPlacement = "placement"
+	optScope     = "placement_scope"
 	optFailover  = "failover"
 	optKeyWait   = "key_wait"
 	optRetry     = "retry_after"
 	optResume    = "resume_wait"
+	optIdle      = "stream_idle"
 	optMaxBody   = "max_body"
 	optInFlight  = "max_in_flight"
 	optShare     = "retry_share"
@@ -37,10 +39,12 @@
 var Options = append(slices.Clone(daemon.Common), settings.Table{
 	{Name: optListen, Kind: settings.Address, Required: true, Help: "address for callers"},
 	{Name: optPlacement, Kind: settings.Text, Default: policy.PlaceHomes, Help: "homes, hash, least_loaded or random"},
+	{Name: optScope, Kind: settings.Text, Default: ScopeRegion, Help: "how far an adapter's homes spread: data_centre or region"},
 	{Name: optFailover, Kind: settings.Duration, Default: 4 * time.Second, Help: "how long a request looks for a scheduler that answers"},
 	{Name: optKeyWait, Kind: settings.Duration, Default: time.Second, Help: "longest wait for the home of a key"},
 	{Name: optRetry, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "when refused callers should come back, where nothing better is known"},
 	{Name: optResume, Kind: settings.Duration, Default: time.Second, Help: "longest wait before a cut stream goes on"},
+	{Name: optIdle, Kind: settings.Duration, Default: 30 * time.Second, Least: 10 * time.Millisecond, Help: "a stream that is silent so long is taken for cut"},
 	{Name: optMaxBody, Kind: settings.Count, Default: 1 << 20, Least: 1, Help: "largest body of a caller, in bytes"},
 	{Name: optInFlight, Kind: settings.Count, Default: 4096, Least: 1, Help: "requests held at a time"},
 	{Name: optShare, Kind: settings.Number, Default: 0.1, Help: "retries allowed for each success"},
@@ -56,6 +60,9 @@
 	if err != nil {
 		return err
 	}
+	if scope := v.Text(optScope); scope != ScopeCentre && scope != ScopeRegion {
+		return errors.Errorf("gateway: %s %q: use %s or %s", optScope, scope, ScopeCentre, ScopeRegion)
+	}
 	n, err := daemon.New(member.Gateway, v)
 	if err != nil {
 		return err
@@ -70,12 +77,14 @@
 		Remote:     n.Boxes,
 		Engines:    &http.Client{Transport: engine.NewTransport(n.DialEndpoints(v.Duration(optDial)), idlePerEndpoint)},
 		Placement:  place,
+		Scope:      v.Text(optScope),
 		Retries:    policy.NewRetryBudget(v.Number(optShare), v.Number(optBurst)),
 		Spans: Spans{
 			Failover: v.Duration(optFailover),
 			Key:      v.Duration(optKeyWait),
 			Retry:    v.Duration(optRetry),
 			Resume:   v.Duration(optResume),
+			Idle:     v.Duration(optIdle),
 		},
 		MaxBody:     int64(v.Count(optMaxBody)),
 		MaxInFlight: v.Count(optInFlight),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -92,18 +92,26 @@
 	doneMark = []byte("data: [DONE]")
 )
 
+// stream is one run whose events are passed on.
+type stream struct {
+	hold hold
+	run  string // its name at the engine
+	beat func() // says that the endpoint is not silent
+}
+
 // passStream hands the events on as they come. A stream that is cut goes on by
 // the engine's own resume at the same run, from the event after the last one
 // that was passed on.
-func (g *Gateway) passStream(ctx context.Context, out *answer, h hold, run string, a *http.Response, r *wire.ReleaseRequest) *Failure {
+func (g *Gateway) passStream(ctx context.Context, out *answer, s stream, a *http.Response, r *wire.ReleaseRequest) *Failure {
 	out.Header().Set("Content-Type", "text/event-stream")
-	events, done := copyEvents(out, a.Body, 0)
+	h, run := s.hold, s.run
+	events, done := copyEvents(out, a.Body, 0, s.beat)
 	for range maxResumes {
 		if done || out.gone || ctx.Err() != nil {
 			break
 		}
 		g.Log.Info("Stream was cut and is resumed", "request", run, "endpoint", h.endpoint, "events", events)
-		events, done = g.resume(ctx, out, h, run, events)
+		events, done = g.resume(ctx, out, s, events)
 	}
 	if done {
 		r.Outcome = wire.Outcome_OUTCOME_COMPLETED
@@ -117,10 +125,14 @@
 }
 
 // resume opens the run's stream again and passes on what was not passed yet.
-func (g *Gateway) resume(ctx context.Context, out *answer, h hold, run string, events int) (int, bool) {
+func (g *Gateway) resume(ctx context.Context, out *answer, s stream, events int) (int, bool) {
 	g.await(ctx, resumePause)
-	path := fmt.Sprintf("http://%s/cairn/streams/%s?from=%d", h.grant.GetAddress(), url.PathEscape(run), events)
-	e, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	live, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(g.Spans.Idle, cancel)
+	defer timer.Stop()
+	path := fmt.Sprintf("http://%s/cairn/streams/%s?from=%d", s.hold.grant.GetAddress(), url.PathEscape(s.run), events)
+	e, err := http.NewRequestWithContext(live, http.MethodGet, path, nil)
 	if err != nil {
 		return events, false
 	}
@@ -133,13 +145,13 @@
 	if !same {
 		return events, false
 	}
-	return copyEvents(out, a.Body, events)
+	return copyEvents(out, a.Body, events, func() { timer.Reset(g.Spans.Idle) })
 }
 
 // copyEvents passes whole events on until the closing one. It returns how many
 // events were passed on in all, and whether the closing one came. An event that
-// is cut inside is not passed on.
-func copyEvents(out *answer, body io.Reader, events int) (int, bool) {
+// is cut inside is not passed on. It calls beat for each line.
+func copyEvents(out *answer, body io.Reader, events int, beat func()) (int, bool) {
 	in := bufio.NewReader(body)
 	var event []byte
 	for {
@@ -147,6 +159,7 @@
 		if err != nil {
 			return events, false
 		}
+		beat()
 		event = append(event, line...)
 		if len(bytes.TrimSpace(line)) > 0 {
 			continue
--- a/measure/capacity.go
+++ b/measure/capacity.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"time"
 
+	"cairnwick.example/catalog"
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
 	"cairnwick.example/member"
@@ -26,6 +27,7 @@
 	Bin  string
 	Dir  string
 	Time time.Duration // of one point
+	Only string        // one sweep; "" for all
 }
 
 // sample is what one daemon of a role used at one point, on average.
@@ -44,6 +46,7 @@
 	points []int
 	spec   func(n int) fleet.Spec
 	load   func(f *fleet.Fleet, n int) *load.Plan // nil: idle
+	during func(ctx context.Context, f *fleet.Fleet, n int)
 }
 
 const (
@@ -78,6 +81,11 @@
 			s.Adapters = n
 			return s
 		}},
+		{name: "changes", unit: "changes of configuration a minute, with 11,000 adapters", points: []int{3, 6, 12, 24}, spec: func(int) fleet.Spec {
+			s := c.base()
+			s.Adapters = 11000
+			return s
+		}, during: changes},
 		{name: "requests", unit: "requests a second at a gateway and scheduler", points: []int{25, 50, 100, 200}, spec: func(int) fleet.Spec {
 			s := c.base()
 			s.Boxes, s.Engines = 1, 2
@@ -91,6 +99,22 @@
 	}
 }
 
+// changes publishes one adapter's live version so many times a minute.
+func changes(ctx context.Context, f *fleet.Fleet, n int) {
+	tick := time.NewTicker(time.Minute / time.Duration(n))
+	defer tick.Stop()
+	for version := 1; ; version++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			shards := f.Shards()
+			shards["adapters-00001"].Adapters[0].Aliases[catalog.LiveAlias] = fmt.Sprint(1 + version%2)
+			_ = f.Publish(ctx, shards) // one that is missed shows as less traffic
+		}
+	}
+}
+
 const tokensEach = 200
 
 // plan loads the first gateway with requests on a few adapters.
@@ -107,9 +131,12 @@
 	}
 }
 
-// Run measures every sweep and writes the tables to w, in Markdown.
+// Run measures every sweep, or the one called Only, and writes the tables to w, in Markdown.
 func (c Capacity) Run(ctx context.Context, w io.Writer) error {
 	for _, s := range c.sweeps() {
+		if c.Only != "" && c.Only != s.name {
+			continue
+		}
 		found := make(map[string][]sample)
 		for _, n := range s.points {
 			at, err := c.point(ctx, s, n)
@@ -148,6 +175,11 @@
 		settle = idleSettle
 	}
 	time.Sleep(settle)
+	if s.during != nil {
+		active, stop := context.WithCancel(ctx)
+		defer stop()
+		go s.during(active, f, n)
+	}
 	before, err := readAll(ctx, f)
 	if err != nil {
 		return nil, err
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -37,7 +37,7 @@
 	s.note(q, a, time.Since(arrived))
 	if e != nil {
 		e.mu.Lock()
-		a.Facts = e.factsLocked(q.GetAdapter(), s.widthLocked(e, q.GetAdapter(), time.Now()), time.Now())
+		a.Facts = e.factsLocked(q.GetAdapter(), s.widthLocked(e, q, time.Now()), time.Now())
 		e.mu.Unlock()
 	}
 	return a, nil
@@ -255,13 +255,15 @@
 	return false
 }
 
-// widthLocked is how many homes the adapter should have by its load here.
-func (s *Scheduler) widthLocked(e *endpoint, adapter string, now time.Time) int {
-	p := e.rates[adapter]
+// widthLocked is how many homes the adapter should have. Its load here is one
+// part of the whole, as many as the gateway believes it has homes.
+func (s *Scheduler) widthLocked(e *endpoint, q *wire.AcquireRequest, now time.Time) int {
+	p := e.rates[q.GetAdapter()]
 	if p == nil {
 		return 1
 	}
-	return policy.Width(p.Rate(now, s.Spans.HalfLife), e.service, e.spec.Running(), s.HomeShare)
+	whole := p.Rate(now, s.Spans.HalfLife) * float64(max(1, q.GetWidth()))
+	return policy.Width(whole, e.service, e.spec.Running(), s.HomeShare)
 }
 
 // note counts and records the answer.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -189,6 +189,11 @@
 	}
 }
 
+// Ping implements the Scheduler service.
+func (s *Scheduler) Ping(context.Context, *wire.PingRequest) (*wire.PingReply, error) {
+	return &wire.PingReply{}, nil
+}
+
 // all returns every endpoint of the data centre.
 func (s *Scheduler) all() []*endpoint {
 	s.mu.Lock()
