Let only the side of a cut that sees most schedulers be the home of keys

Change: a home needs to see more than half of the schedulers that the platform lists (of two halves the one with the first name); daemons that do not watch read that list every five minutes, so that the platform's calls stay few. Ruled out: counting the daemons that were ever seen: a list of the dead grows.

--- a/daemon/boxes.go
+++ b/daemon/boxes.go
@@ -16,7 +16,7 @@
 // data centres.
 type Boxes struct {
 	Client *platform.Client
-	Life   time.Duration // how long a list is used before it is read again
+	Life   func() time.Duration // how long a list is used before it is read again
 
 	mu    sync.Mutex
 	list  []platform.Box
@@ -28,7 +28,7 @@
 func (b *Boxes) List() []platform.Box {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	life := b.Life
+	life := b.Life()
 	if len(b.list) == 0 {
 		life = time.Second
 	}
@@ -56,3 +56,13 @@
 	}
 	return list
 }
+
+// Listed returns the names of the schedulers that the platform lists as staying
+// in a data centre.
+func (b *Boxes) Listed(dataCentre string) []string {
+	var names []string
+	for _, m := range b.Schedulers(dataCentre) {
+		names = append(names, m.Name())
+	}
+	return names
+}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -82,7 +82,7 @@
 			MaxIdleConnsPerHost: 2,
 		}},
 	}
-	n.Boxes = &Boxes{Client: client, Life: boxesLife}
+	n.Boxes = &Boxes{Client: client, Life: n.boxesLife}
 	self := member.New(n.Name(), n.advertised(), role, n.centre, uint64(time.Now().UnixMicro()))
 	n.Table = member.NewTable(self, member.Limits{
 		SuspectFor: v.Duration(SuspectFor),
@@ -109,8 +109,9 @@
 
 const (
 	forgetDead = 10 * time.Minute
-	joinBeats  = 4 // heartbeats that a daemon waits at most for a view that is still
-	boxesLife  = 30 * time.Second
+	joinBeats  = 4                // heartbeats that a daemon waits at most for a view that is still
+	listLife   = 5 * time.Minute  // of the list of boxes
+	watchLife  = 30 * time.Second // of it, at the few that watch the platform
 	watchWait  = 30 * time.Second
 	watchPause = time.Second
 )
@@ -152,6 +153,14 @@
 // read the platform regularly.
 func (n *Node) watches() bool { return n.Table.Rank() < n.values.Count(Watchers) }
 
+// boxesLife keeps the reads of the list few: only the watchers read it often.
+func (n *Node) boxesLife() time.Duration {
+	if n.watches() {
+		return watchLife
+	}
+	return listLife
+}
+
 func (n *Node) newLoop() *member.Loop {
 	v := n.values
 	return &member.Loop{
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -114,6 +114,7 @@
 		Catalog:   func() *catalog.Catalog { return b.catalog },
 		Changed:   func() <-chan struct{} { return nil },
 		Members:   member.NewTable(self, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Fresh: time.Second}),
+		Listed:    func() []string { return []string{"box/scheduler"} },
 		Ready:     func() bool { return true },
 		Dial:      func(string) engine.Endpoint { return b.engine },
 		Eviction:  must(policy.NewEviction(policy.EvictOldest)),
--- a/scheduler/keys.go
+++ b/scheduler/keys.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -148,10 +149,30 @@
 }
 
 // keyHome tells whether this scheduler is the home of a key now: first among
-// the serving schedulers, in a view that is fresh.
+// the serving schedulers, in a view that is fresh and has most of those that the
+// platform lists, so that the two sides of a cut do not both have a home.
 func (s *Scheduler) keyHome(key string) bool {
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
-	return !leaving && s.Members.Fresh(time.Now()) && Owner(key, s.schedulers()) == s.Name
+	serving := s.schedulers()
+	return !leaving && s.Members.Fresh(time.Now()) && Owner(key, serving) == s.Name && most(serving, s.Listed())
+}
+
+// most tells whether the serving are more than half of the listed; of two halves
+// the one with the first name counts as more.
+func most(serving, listed []string) bool {
+	if len(listed) == 0 {
+		return false // nothing is known of how many there are
+	}
+	seen := 0
+	for _, n := range listed {
+		if slices.Contains(serving, n) {
+			seen++
+		}
+	}
+	if 2*seen == len(listed) {
+		return slices.Contains(serving, slices.Min(listed))
+	}
+	return 2*seen > len(listed)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -54,7 +54,8 @@
 	Catalog   func() *catalog.Catalog
 	Changed   func() <-chan struct{} // closes when the catalog changes
 	Members   *member.Table
-	Ready     func() bool // whether the daemon has joined its data centre
+	Listed    func() []string // schedulers of the data centre, as the platform lists them
+	Ready     func() bool     // whether the daemon has joined its data centre
 	Dial      func(address string) engine.Endpoint
 	Eviction  policy.Eviction
 	Weights   policy.Weights
--- a/scheduler/serving.go
+++ b/scheduler/serving.go
@@ -83,6 +83,7 @@
 		Catalog:  n.Keeper.Catalog,
 		Changed:  n.Keeper.Changed,
 		Members:  n.Table,
+		Listed:   func() []string { return n.Boxes.Listed(n.Centre()) },
 		Ready:    n.Ready,
 		Dial:     func(address string) engine.Endpoint { return &engine.Client{Address: address, HTTP: client} },
 		Eviction: evict,
