Load what refused callers wait for; pages that tests keep current; a walk-through

Cause: a caller refused as no_place for want of its adapter was told to come back in some seconds, and found it as unloaded as before: the refusal was not honest (TestTheAdapterOfARefusedRequestIsLoadedMeanwhile was red). Settings and metrics were described by hand, and nothing taught the mechanisms.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 REVIVE = github.com/mgechev/revive@v1.17.0
 SOURCES = $(shell git ls-files '*.go' | grep -v '\.pb\.go$$')
 
-.PHONY: all build demo test lint bench capacity generate clean
+.PHONY: all build demo test lint bench capacity reference generate clean
 
 all: build
 
@@ -38,3 +38,10 @@
 
 capacity: build
 	bin/cairn-measure capacity
+
+# Writes the page of settings anew.
+reference: build
+	{ echo "# Settings"; echo; echo "Written by make reference from the daemons' own tables. Settings are JSON with comments;"; \
+	  echo "\`--set NAME=VALUE\` on the command line wins over the file."; echo; \
+	  echo "## cairn-gateway"; echo; bin/cairn-gateway --reference; echo; \
+	  echo "## cairn-scheduler"; echo; bin/cairn-scheduler --reference; } > docs/SETTINGS.md
--- a/cmd/cairn-demo/main.go
+++ b/cmd/cairn-demo/main.go
@@ -11,13 +11,18 @@
 )
 
 type arguments struct {
-	Bin string `arg:"--bin" default:"bin" help:"folder of the programs"`
+	Bin  string `arg:"--bin" default:"bin" help:"folder of the programs"`
+	Keep bool   `arg:"--keep" help:"start a system for the walk-through and keep it until interrupted"`
 }
 
 func main() {
 	var a arguments
 	arg.MustParse(&a)
-	if err := show(os.Stdout, a.Bin); err != nil {
+	run := show
+	if a.Keep {
+		run = keep
+	}
+	if err := run(os.Stdout, a.Bin); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -37,7 +37,7 @@
 	Seed     uint64        `arg:"--seed" default:"1" help:"of the load"`
 	User     string        `arg:"--user" help:"nursery or boundaries; both when not given"`
 	Workload string        `arg:"--workload" help:"one workload; all when not given"`
-	Only     string        `arg:"--policies" help:"one choice of policies; all when not given"`
+	Only     []string      `arg:"--policies,separate" help:"one choice of policies, can be given again; all when not given"`
 	Report   string        `arg:"--report" help:"file for the JSON report"`
 }
 
--- a/cmd/cairnctl/command.go
+++ b/cmd/cairnctl/command.go
@@ -33,6 +33,7 @@
 	Plan    *planCommand    `arg:"subcommand:plan" help:"state an intent and see what it would move"`
 	Confirm *confirmCommand `arg:"subcommand:confirm" help:"write the documents of a plan, to be published"`
 	Follow  *followCommand  `arg:"subcommand:follow" help:"wait until a published plan is in force"`
+	Key     *keyCommand     `arg:"subcommand:key" help:"print a fresh key for a request that is not repeatable"`
 	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow decisions as they are made"`
 	Daemons string          `arg:"--daemons,env:CAIRN_DAEMONS" help:"peers' addresses of daemons, with commas" placeholder:"IP:PORT,..."`
 }
@@ -92,6 +93,8 @@
 		return a.Explain
 	case a.Watch != nil:
 		return a.Watch
+	case a.Key != nil:
+		return a.Key
 	case a.Plan != nil:
 		return a.Plan
 	case a.Confirm != nil:
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -13,6 +13,7 @@
 
 	"cairnwick.example/settings"
 	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
 )
 
 // Version is the version of all programs; the build sets it.
@@ -27,10 +28,11 @@
 
 // Command is the command line that every daemon has.
 type Command struct {
-	Settings string   `arg:"--settings,required" help:"file with the settings, JSON with comments" placeholder:"FILE"`
+	Settings string   `arg:"--settings" help:"file with the settings, JSON with comments" placeholder:"FILE"`
 	Set      []string `arg:"--set,separate" help:"one setting that wins over the file" placeholder:"NAME=VALUE"`
 	Check    bool     `arg:"--check" help:"check the settings and end"`
 	Print    bool     `arg:"--print" help:"print the effective settings and end"`
+	Table    bool     `arg:"--reference" help:"print every setting with its default in Markdown and end"`
 
 	name  string
 	about string
@@ -60,7 +62,18 @@
 	case err != nil:
 		p.WriteUsage(os.Stderr)
 		return complain(err, ExitSettings)
+	case c.Table:
+		settings.Reference(os.Stdout, t)
+		return ExitDone
+	case c.Settings == "":
+		p.WriteUsage(os.Stderr)
+		return complain(errNoSettings, ExitSettings)
 	}
+	return c.start(t, run)
+}
+
+// start checks the settings and runs the daemon under them.
+func (c *Command) start(t settings.Table, run func(context.Context, settings.Values) error) int {
 	overrides, err := c.overrides()
 	if err != nil {
 		return complain(err, ExitSettings)
@@ -80,6 +93,8 @@
 	return ExitDone
 }
 
+var errNoSettings = errors.New("--settings: name the file with the settings")
+
 func complain(err error, code int) int {
 	fmt.Fprintln(os.Stderr, err)
 	return code
--- /dev/null
+++ b/e2e/pages_test.go
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"cairnwick.example/fleet"
+	"github.com/frankban/quicktest"
+)
+
+func page(c *quicktest.C, name string) string {
+	raw, err := os.ReadFile(filepath.Join("..", "docs", name))
+	c.Assert(err, quicktest.IsNil)
+	return string(raw)
+}
+
+func TestTheSettingsPageIsCurrent(t *testing.T) {
+	c := quicktest.New(t)
+	for _, program := range []string{"cairn-gateway", "cairn-scheduler"} {
+		table, err := exec.Command(filepath.Join(bin, program), "--reference").Output()
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(page(c, "SETTINGS.md"), quicktest.Contains, string(table), quicktest.Commentf("make reference writes it anew"))
+	}
+}
+
+func TestTheMetricsPageIsCurrent(t *testing.T) {
+	c := quicktest.New(t)
+	f := startFleet(c, fleet.Spec{Centres: 1, Boxes: 1, Engines: 1, Adapters: 2})
+	exported := make(map[string]bool)
+	for _, role := range []string{"gateway", "scheduler"} {
+		raw, err := fleet.Get(context.Background(), "http://"+f.OperatorsAddress(1, 1, role)+"/debug/vars")
+		c.Assert(err, quicktest.IsNil)
+		v := make(map[string]json.RawMessage)
+		c.Assert(json.Unmarshal(raw, &v), quicktest.IsNil)
+		for n := range v {
+			if n != "cmdline" && n != "memstats" {
+				exported[n] = true
+			}
+		}
+	}
+	described := make(map[string]bool)
+	for _, m := range regexp.MustCompile("`((?:cairn|gateway|scheduler)_[a-z_]+)`").FindAllStringSubmatch(page(c, "OPERATING.md"), -1) {
+		described[m[1]] = true
+	}
+	c.Assert(slices.Sorted(maps.Keys(described)), quicktest.DeepEquals, slices.Sorted(maps.Keys(exported)))
+}
+
+func TestEveryCommandOfTheWalkthroughRuns(t *testing.T) {
+	c := quicktest.New(t)
+	f := startFleet(c, fleet.Spec{Centres: 2, Boxes: 1, Engines: 2, Services: 1, Adapters: 20, Slots: 2, Batch: 8})
+	var daemons []string
+	for _, b := range f.Boxes() {
+		daemons = append(daemons, b.Address)
+	}
+	environment := append(os.Environ(),
+		"PATH="+bin+":"+os.Getenv("PATH"),
+		"CAIRN_DAEMONS="+strings.Join(daemons, ","),
+		"GATEWAY=http://"+f.CallersAddress(1, 1),
+		"PLATFORM=http://"+f.PlatformAddress(),
+		"ENGINE=http://"+f.EngineAddress(1, 1))
+	var commands []string
+	for _, line := range strings.Split(page(c, "WALKTHROUGH.md"), "\n") {
+		if command, found := strings.CutPrefix(line, "    $ "); found {
+			commands = append(commands, command)
+		}
+	}
+	c.Assert(len(commands) > 8, quicktest.IsTrue)
+	run := exec.Command("sh", "-e", "-u", "-x", "-c", strings.Join(commands, "\n"))
+	run.Env, run.Dir = environment, c.TempDir()
+	out, err := run.CombinedOutput()
+	c.Assert(err, quicktest.IsNil, quicktest.Commentf("%s", out))
+}
+
+// startFleet starts a fleet that stops at the test's end.
+func startFleet(c *quicktest.C, s fleet.Spec) *fleet.Fleet {
+	s.Bin, s.Dir = bin, c.TempDir()
+	s.Slots, s.Batch = max(s.Slots, 2), max(s.Batch, 4)
+	f := fleet.New(s)
+	c.Cleanup(f.Stop)
+	c.Assert(f.Start(context.Background()), quicktest.IsNil)
+	return f
+}
--- a/load/plan.go
+++ b/load/plan.go
@@ -36,6 +36,7 @@
 	Shift    time.Duration // after it other adapters are the popular ones; zero: never
 	Kinds    []Mix
 	Patience time.Duration // longest wait for an answer
+	ComeBack bool          // refused callers come back once, when they were told to
 	Explicit bool          // name the version, not the adapter alone
 	Twice    bool          // send each request with a key again, at once, through another gateway
 }
--- a/load/run.go
+++ b/load/run.go
@@ -21,6 +21,8 @@
 	Broken  int // the connection ended without a final answer
 	Wrong   int // an answer that was not the request's own, or not whole
 	Codes   map[string]int
+	Back    int // refused requests whose callers came back when they were told to
+	Honest  int // of those, answered whole then
 
 	First *metrics.Family // time to the first byte of whole answers, by class
 	Total *metrics.Family // time to the end of whole answers, by class
@@ -77,7 +79,11 @@
 		}
 		all.Go(func() {
 			begun := time.Now()
-			b.note(a, send(ctx, c, a), begun)
+			r := send(ctx, c, a)
+			b.note(a, r, begun)
+			if p.ComeBack && r.reply.Ran == "not_run" && r.reply.Retry > 0 {
+				b.noteBack(ctx, c, a, r.reply.Retry)
+			}
 		})
 	}
 	all.Wait()
@@ -170,6 +176,22 @@
 	}
 }
 
+const longestBack = 10 * time.Second // callers told to come back later are not followed
+
+// noteBack lets a refused caller come back when it was told to.
+func (b *book) noteBack(ctx context.Context, c *fleet.Caller, a arrival, retry time.Duration) {
+	if retry > longestBack || !sleepUntil(ctx, time.Now().Add(retry)) {
+		return
+	}
+	r := send(ctx, c, a)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.report.Back++
+	if r.err == nil && r.reply.Whole {
+		b.report.Honest++
+	}
+}
+
 func (b *book) wholeLocked(a arrival, r fleet.Reply) {
 	now := time.Now()
 	b.report.Gap = max(b.report.Gap, now.Sub(b.last))
--- a/measure/policies.go
+++ b/measure/policies.go
@@ -27,10 +27,10 @@
 	Time     time.Duration // of one run, after the warming up
 	Warm     time.Duration
 	Seed     uint64
-	User     string // "" for both
-	Workload string // "" for all
-	Only     string // one contender; "" for all
-	Report   string // path of the JSON report; "" for none
+	User     string   // "" for both
+	Workload string   // "" for all
+	Only     []string // contenders; none for all
+	Report   string   // path of the JSON report; "" for none
 }
 
 // Figures are what one run gave.
@@ -41,7 +41,9 @@
 	Sent      int     `json:"sent"`
 	InTime    int     `json:"in_time"` // whole within the deadline
 	Refused   int     `json:"refused"`
-	Lost      int     `json:"lost"` // unknown or without an answer
+	Lost      int     `json:"lost"`      // unknown or without an answer
+	Back      int     `json:"came_back"` // refused callers who came back when told to
+	Honest    int     `json:"served_then"`
 	StallMean float64 `json:"stall_mean_ms"`
 	StallP95  float64 `json:"stall_p95_ms"`
 	StallP99  float64 `json:"stall_p99_ms"`
@@ -49,7 +51,7 @@
 	Loads     int     `json:"loads"`
 	Worst     float64 `json:"worst_class_share"` // share in time of the class that fares worst
 	Fair      float64 `json:"fairness"`          // Jain's index over callers' shares in time
-	Back      float64 `json:"back_s"`            // after a shift: until the stall is within 10% again; 0: none
+	Recovery  float64 `json:"recovery_s"`        // after a shift: until the stall is within 10% again; 0: none
 }
 
 var workloads = []workload{
@@ -74,7 +76,7 @@
 			}
 			var list []Figures
 			for _, c := range contenders {
-				if p.Only != "" && p.Only != c.name {
+				if len(p.Only) > 0 && !slices.Contains(p.Only, c.name) {
 					continue
 				}
 				f, err := p.one(ctx, u, l, c)
@@ -134,7 +136,7 @@
 	g := figures(r, before.Counts, after.Counts, spec.Batch)
 	g.User, g.Workload, g.Policies = u.name, l.name, c.name
 	if l.shift {
-		g.Back = back(r.Ends, begun, p.Time).Seconds()
+		g.Recovery = recovery(r.Ends, begun, p.Time).Seconds()
 	}
 	return g, nil
 }
@@ -152,7 +154,7 @@
 
 // figures sums up a run.
 func figures(r load.Report, before, after standin.Counts, batch int) Figures {
-	g := Figures{Sent: r.Sent, Refused: r.NotRun, Lost: r.Unknown + r.Broken + r.Wrong, Loads: after.Loads - before.Loads}
+	g := Figures{Sent: r.Sent, Refused: r.NotRun, Back: r.Back, Honest: r.Honest, Lost: r.Unknown + r.Broken + r.Wrong, Loads: after.Loads - before.Loads}
 	var stalls []time.Duration
 	classes, callers := make(map[string]*share), make(map[string]*share)
 	for _, e := range r.Ends {
@@ -232,9 +234,9 @@
 	return millis(sorted[min(len(sorted)-1, int(q*float64(len(sorted))))])
 }
 
-// back is how long after a shift at half-time the mean stall of a second is
+// recovery is how long after a shift at half-time the mean stall of a second is
 // within a tenth, or 5 ms, of what it was before.
-func back(ends []load.End, begun time.Time, whole time.Duration) time.Duration {
+func recovery(ends []load.End, begun time.Time, whole time.Duration) time.Duration {
 	const window = 2 * time.Second
 	stallIn := func(from, to time.Duration) float64 {
 		var list []time.Duration
@@ -260,10 +262,10 @@
 	}
 	fmt.Fprintf(w, "\n%s, %s\n", list[0].User, list[0].Workload)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "policies\tsent\tin time\trefused\tlost\tstall mean ms\tp95\tp99\tfullness\tloads\tworst class\tfair\tback s\t")
+	fmt.Fprintln(t, "policies\tsent\tin time\trefused\tthen served\tlost\tstall mean ms\tp95\tp99\tfullness\tloads\tworst class\tfair\trecovery s\t")
 	for _, g := range list {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%.1f\t%.0f\t%.0f\t%.3f\t%d\t%.2f\t%.3f\t%.0f\t\n", g.Policies, g.Sent, g.InTime, g.Refused, g.Lost,
-			g.StallMean, g.StallP95, g.StallP99, g.Fullness, g.Loads, g.Worst, g.Fair, g.Back)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d/%d\t%d\t%.1f\t%.0f\t%.0f\t%.3f\t%d\t%.2f\t%.3f\t%.0f\t\n", g.Policies, g.Sent, g.InTime, g.Refused, g.Honest, g.Back, g.Lost,
+			g.StallMean, g.StallP95, g.StallP99, g.Fullness, g.Loads, g.Worst, g.Fair, g.Recovery)
 	}
 	_ = t.Flush() // to the standard output
 }
--- a/measure/users.go
+++ b/measure/users.go
@@ -40,10 +40,10 @@
 // contenders are ours first, then the baselines.
 var contenders = []contender{
 	{name: "cairnwick"},
-	{name: "hash over the region, LRU", gateway: []string{"placement=hash"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
-	{name: "hash, LRU", gateway: []string{"placement=hash", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
-	{name: "least loaded, LRU", gateway: []string{"placement=least_loaded", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
-	{name: "random, LRU", gateway: []string{"placement=random", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
+	{name: "hash over the region + LRU", gateway: []string{"placement=hash"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
+	{name: "hash + LRU", gateway: []string{"placement=hash", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
+	{name: "least loaded + LRU", gateway: []string{"placement=least_loaded", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
+	{name: "random + LRU", gateway: []string{"placement=random", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
 }
 
 const userAdapters = 5000
@@ -98,6 +98,7 @@
 		Skew:     userSkew,
 		Kinds:    u.kinds,
 		Patience: 2 * time.Minute,
+		ComeBack: true,
 	}
 	if l.shift {
 		p.Shift = d / 2
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -145,6 +145,10 @@
 		Caller:    callerWaiting(e.waiters, w.request.GetCaller()),
 		CallerMax: s.callerMost(w.request.GetCaller()),
 	})
+	if verdict != policy.Wait && !s.readyLocked(e, adapter) {
+		e.demandLocked(adapter, now)
+		s.planLocked(e, now)
+	}
 	switch verdict {
 	case policy.RefuseNoWait:
 		return refusal(wire.Reason_REASON_NO_WAIT, retry, "")
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -47,8 +47,9 @@
 	service  time.Duration // moving mean of a request's time at the engine
 	loadTime time.Duration // moving mean of a load's time
 	failed   map[string]failure
-	report   bool      // a report is wanted to free slots
-	closed   time.Time // until then it gets nothing new: it said that it is leaving
+	demands  map[string]*demand // adapters whose requests were refused because they are not loaded
+	report   bool               // a report is wanted to free slots
+	closed   time.Time          // until then it gets nothing new: it said that it is leaving
 }
 
 // slotState says what a slot holds.
@@ -71,6 +72,14 @@
 	since  time.Time // when the state began
 }
 
+// demand is what refused requests would have waited for: they were told when to
+// come back, so their adapter is loaded meanwhile.
+type demand struct {
+	count int
+	first time.Time
+	last  time.Time
+}
+
 // failure remembers a load that failed, so that it is not repeated at once.
 type failure struct {
 	count int
@@ -83,6 +92,8 @@
 	meanWeight    = 0.1
 	ratesKept     = 4096 // adapters whose popularity is remembered
 	loadsInFlight = 2    // at one endpoint
+	demandsKept   = 256  // adapters of refused requests
+	demandLife    = 10 * time.Second
 )
 
 func newEndpoint(spec catalog.Endpoint, client engine.Endpoint) *endpoint {
@@ -97,6 +108,7 @@
 		service:  firstService,
 		loadTime: firstLoad,
 		failed:   make(map[string]failure),
+		demands:  make(map[string]*demand),
 	}
 }
 
@@ -161,6 +173,29 @@
 	}
 }
 
+// demandLocked notes that a request was refused for want of its adapter.
+func (e *endpoint) demandLocked(name string, now time.Time) {
+	d := e.demands[name]
+	if d == nil && len(e.demands) >= demandsKept {
+		return
+	}
+	if d == nil {
+		d = &demand{first: now}
+		e.demands[name] = d
+	}
+	d.count++
+	d.last = now
+}
+
+// dropDemandsLocked forgets demands that are met or old.
+func (e *endpoint) dropDemandsLocked(now time.Time) {
+	for n, d := range e.demands {
+		if e.slots[n] != nil || now.Sub(d.last) > demandLife {
+			delete(e.demands, n)
+		}
+	}
+}
+
 func mean(old, sample time.Duration) time.Duration {
 	return old + time.Duration(meanWeight*float64(sample-old))
 }
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -131,7 +131,8 @@
 // moveLocked lets every waiting request run that can, and plans loads for the
 // others.
 func (s *Scheduler) moveLocked(e *endpoint, now time.Time) {
-	if len(e.waiters) == 0 || !e.trustedLocked(now, s.Spans.Trust) {
+	e.dropDemandsLocked(now)
+	if len(e.waiters)+len(e.demands) == 0 || !e.trustedLocked(now, s.Spans.Trust) {
 		return
 	}
 	for e.running() < e.limitLocked() {
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -54,16 +54,15 @@
 	return n
 }
 
-// wantedLocked lists the adapters that requests wait for and that are in no
-// slot, and may be tried now.
+// wantedLocked lists the adapters that requests wait for, or were refused for,
+// and that are in no slot, and may be tried now.
 func (s *Scheduler) wantedLocked(e *endpoint, now time.Time) ([]string, []policy.LoadFacts) {
 	var names []string
 	var facts []policy.LoadFacts
 	at := make(map[string]int)
-	for _, w := range e.waiters {
-		n := w.request.GetAdapter()
+	want := func(n string, count int, waited time.Duration, urgent bool) {
 		if e.slots[n] != nil || now.Before(e.failed[n].until) {
-			continue
+			return
 		}
 		i, ok := at[n]
 		if !ok {
@@ -72,11 +71,15 @@
 			names = append(names, n)
 			facts = append(facts, s.loadFactsLocked(e, n, now))
 		}
-		facts[i].Waiting++
-		facts[i].Waited = max(facts[i].Waited, now.Sub(w.arrived))
-		if w.deadline.Sub(now) < 2*e.loadTime {
-			facts[i].Urgent = true
-		}
+		facts[i].Waiting += count
+		facts[i].Waited = max(facts[i].Waited, waited)
+		facts[i].Urgent = facts[i].Urgent || urgent
+	}
+	for _, w := range e.waiters {
+		want(w.request.GetAdapter(), 1, now.Sub(w.arrived), w.deadline.Sub(now) < 2*e.loadTime)
+	}
+	for n, d := range e.demands {
+		want(n, d.count, now.Sub(d.first), false)
 	}
 	return names, facts
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -188,3 +188,18 @@
 	b.scheduler.Leave()
 	b.Assert((<-waiting).GetRefusal().GetReason(), quicktest.Equals, wire.Reason_REASON_NOT_OWNER)
 }
+
+func TestTheAdapterOfARefusedRequestIsLoadedMeanwhile(t *testing.T) {
+	b := newBench(t)
+	b.run()
+	for b.ask("b@1", "counter").GetGrant() == nil { // until the endpoint is owned
+	}
+	q := &wire.AcquireRequest{Endpoint: "e1", Adapter: "a@1", Class: "urgent"}
+	a, err := b.scheduler.Acquire(context.Background(), q)
+	b.Assert(err, quicktest.IsNil)
+	b.Assert(a.GetRefusal().GetReason(), quicktest.Equals, wire.Reason_REASON_NO_WAIT)
+	time.Sleep(time.Duration(a.GetRefusal().GetRetryMicros()) * time.Microsecond)
+	a, err = b.scheduler.Acquire(context.Background(), q)
+	b.Assert(err, quicktest.IsNil)
+	b.Assert(a.GetGrant(), quicktest.IsNotNil)
+}
