--- a/cmd/cairn-demo/show.go
+++ b/cmd/cairn-demo/show.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"cairnwick.example/daemon"
 	"cairnwick.example/fleet"
 	"cairnwick.example/operator"
 	"github.com/pkg/errors"
@@ -81,7 +82,10 @@
 		addresses = append(addresses, b.Address)
 	}
 	fmt.Fprintf(w, "\nWhy request %s went where it did:\n", request)
-	c := operator.New()
+	c, err := operator.New(&daemon.Identity{})
+	if err != nil {
+		return err
+	}
 	defer c.Close()
 	found, _ := c.Explain(ctx, addresses, request)
 	if len(found) == 0 {
--- a/cmd/cairnctl/command.go
+++ b/cmd/cairnctl/command.go
@@ -35,6 +35,9 @@
 	Follow  *followCommand  `arg:"subcommand:follow" help:"wait until a published plan is in force"`
 	Key     *keyCommand     `arg:"subcommand:key" help:"print a fresh key for a request that is not repeatable"`
 	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow decisions as they are made"`
+	Cert    string          `arg:"--tls-certificate" help:"file with the operator's certificate, PEM"`
+	CertKey string          `arg:"--tls-key" help:"file with its key, PEM"`
+	Root    string          `arg:"--tls-authority" help:"file with the authority of the daemons' certificates, PEM"`
 	Daemons string          `arg:"--daemons,env:CAIRN_DAEMONS" help:"peers' addresses of daemons, with commas" placeholder:"IP:PORT,..."`
 }
 
@@ -79,7 +82,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	c := operator.New()
+	c, err := operator.New(&daemon.Identity{Certificate: a.Cert, Key: a.CertKey, Authority: a.Root})
+	if err != nil {
+		fmt.Fprintln(errs, err)
+		return exitUsage
+	}
 	defer c.Close()
 	return chosen.run(ctx, c, strings.Split(a.Daemons, ","), out, errs)
 }
--- a/daemon/identity_test.go
+++ b/daemon/identity_test.go
@@ -4,74 +4,28 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"encoding/pem"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
+	"cairnwick.example/fleet"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 	"google.golang.org/grpc"
 )
 
-// authority signs certificates for tests.
-type authority struct {
-	certificate *x509.Certificate
-	key         *ecdsa.PrivateKey
-	raw         []byte
-}
-
-func newAuthority(c *quicktest.C) *authority {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	c.Assert(err, quicktest.IsNil)
-	t := template("authority")
-	t.IsCA, t.BasicConstraintsValid, t.KeyUsage = true, true, x509.KeyUsageCertSign
-	raw, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
-	c.Assert(err, quicktest.IsNil)
-	certificate, err := x509.ParseCertificate(raw)
-	c.Assert(err, quicktest.IsNil)
-	return &authority{certificate: certificate, key: key, raw: raw}
-}
-
-func template(name string) *x509.Certificate {
-	return &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()),
-		Subject:      pkix.Name{CommonName: name},
-		DNSNames:     []string{name},
-		NotBefore:    time.Now().Add(-time.Hour),
-		NotAfter:     time.Now().Add(time.Hour),
-	}
-}
-
 // write makes the files of a daemon in dir.
-func (a *authority) write(c *quicktest.C, dir, name string) *Identity {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+func write(c *quicktest.C, a *fleet.Authority, dir, name string) *Identity {
+	i, err := a.Write(dir, name)
 	c.Assert(err, quicktest.IsNil)
-	raw, err := x509.CreateCertificate(rand.Reader, template(name), a.certificate, key.Public(), a.key)
-	c.Assert(err, quicktest.IsNil)
-	secret, err := x509.MarshalECPrivateKey(key)
-	c.Assert(err, quicktest.IsNil)
-	i := &Identity{
-		Certificate: filepath.Join(dir, "certificate.pem"),
-		Key:         filepath.Join(dir, "key.pem"),
-		Authority:   filepath.Join(dir, "authority.pem"),
-	}
-	writePEM(c, i.Certificate, "CERTIFICATE", raw)
-	writePEM(c, i.Key, "EC PRIVATE KEY", secret)
-	writePEM(c, i.Authority, "CERTIFICATE", a.raw)
-	return i
+	return &Identity{Certificate: i.Certificate, Key: i.Key, Authority: i.Authority}
 }
 
-func writePEM(c *quicktest.C, path, kind string, raw []byte) {
-	c.Assert(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: raw}), 0o600), quicktest.IsNil)
+func newAuthority(c *quicktest.C) *fleet.Authority {
+	a, err := fleet.NewAuthority()
+	c.Assert(err, quicktest.IsNil)
+	return a
 }
 
 // serve answers heartbeats under an identity and returns the address.
@@ -110,16 +64,16 @@
 func TestDaemonsOfOneAuthoritySpeak(t *testing.T) {
 	c := quicktest.New(t)
 	a := newAuthority(c)
-	address := serve(c, a.write(c, t.TempDir(), PeerName))
-	c.Assert(exchange(c, a.write(c, t.TempDir(), PeerName), address), quicktest.IsNil)
+	address := serve(c, write(c, a, t.TempDir(), PeerName))
+	c.Assert(exchange(c, write(c, a, t.TempDir(), PeerName), address), quicktest.IsNil)
 }
 
 func TestAStrangerGivesNoOrders(t *testing.T) {
 	c := quicktest.New(t)
 	a := newAuthority(c)
-	address := serve(c, a.write(c, t.TempDir(), PeerName))
-	c.Assert(exchange(c, newAuthority(c).write(c, t.TempDir(), PeerName), address), quicktest.IsNotNil)
-	c.Assert(exchange(c, a.write(c, t.TempDir(), "somebody"), address), quicktest.IsNotNil)
+	address := serve(c, write(c, a, t.TempDir(), PeerName))
+	c.Assert(exchange(c, write(c, newAuthority(c), t.TempDir(), PeerName), address), quicktest.IsNotNil)
+	c.Assert(exchange(c, write(c, a, t.TempDir(), "somebody"), address), quicktest.IsNotNil)
 	c.Assert(exchange(c, &Identity{}, address), quicktest.IsNotNil)
 }
 
@@ -127,10 +81,10 @@
 	c := quicktest.New(t)
 	old, next := newAuthority(c), newAuthority(c)
 	dir := t.TempDir()
-	address := serve(c, old.write(c, dir, PeerName))
-	client := next.write(c, t.TempDir(), PeerName)
+	address := serve(c, write(c, old, dir, PeerName))
+	client := write(c, next, t.TempDir(), PeerName)
 	c.Assert(exchange(c, client, address), quicktest.IsNotNil)
-	changed := next.write(c, dir, PeerName)
+	changed := write(c, next, dir, PeerName)
 	later := time.Now().Add(time.Second)
 	c.Assert(os.Chtimes(changed.Certificate, later, later), quicktest.IsNil)
 	c.Assert(exchange(c, client, address), quicktest.IsNil)
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -13,6 +13,7 @@
 	"syscall"
 	"time"
 
+	"cairnwick.example/daemon"
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
 	"cairnwick.example/operator"
@@ -197,7 +198,10 @@
 }
 
 func owns(w *world, centre, box int, endpoint string) bool {
-	c := operator.New()
+	c, err := operator.New(&daemon.Identity{})
+	if err != nil {
+		return false
+	}
 	defer c.Close()
 	list, _ := c.Status(context.Background(), []string{w.fleet.PeersAddress(centre, box, "scheduler")})
 	for _, a := range list {
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -169,6 +169,7 @@
 		Batch:      number(ts, o, "batch", 8),
 		NoFences:   o["fences"] == "no",
 		Proxied:    o["proxied"] == "yes",
+		TLS:        o["tls"] == "yes",
 		EngineArgs: flags(o["engine"]),
 		StoreArgs:  flags(o["store"]),
 		Gateway:    settings(o["gateway"]),
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,6 +24,7 @@
 )
 
 const (
+	peerName     = "cairnwick" // in every certificate
 	reportLag    = 200 * time.Millisecond
 	readyTimeout = 30 * time.Second
 	stopTimeout  = 20 * time.Second
@@ -35,7 +36,8 @@
 type Fleet struct {
 	Spec Spec
 
-	net string
+	net      string
+	identity Identity // of every daemon, with TLS
 
 	mu        sync.Mutex
 	processes map[string]*Process // by name, running ones
@@ -58,6 +60,9 @@
 
 // Start starts every process and returns when every daemon is ready.
 func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.identify(); err != nil {
+		return err
+	}
 	if err := f.StartPlatform(ctx); err != nil {
 		return err
 	}
@@ -88,6 +93,19 @@
 	return f.WaitReady(ctx)
 }
 
+// identify makes the identity of the daemons, when they speak TLS.
+func (f *Fleet) identify() error {
+	if !f.Spec.TLS {
+		return nil
+	}
+	a, err := NewAuthority()
+	if err != nil {
+		return err
+	}
+	f.identity, err = a.Write(f.Spec.Dir, peerName)
+	return err
+}
+
 // StartPlatform starts the platform and publishes the fleet's configuration.
 func (f *Fleet) StartPlatform(ctx context.Context) error {
 	args := append([]string{"--listen", f.PlatformAddress()}, f.Spec.StoreArgs...)
@@ -153,6 +171,9 @@
 		s["callers_listen"] = f.CallersAddress(centre, box)
 		more = f.Spec.Gateway
 	}
+	if f.Spec.TLS {
+		s["tls_certificate"], s["tls_key"], s["tls_authority"] = f.identity.Certificate, f.identity.Key, f.identity.Authority
+	}
 	raw, err := json.MarshalIndent(s, "", "  ")
 	if err != nil {
 		return err
--- /dev/null
+++ b/fleet/identity.go
@@ -0,0 +1,92 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Authority signs certificates for tests and demos.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// Identity names the files of one daemon's or operator's identity.
+type Identity struct {
+	Certificate string
+	Key         string
+	Authority   string
+}
+
+const identityLife = 24 * time.Hour
+
+// NewAuthority makes an authority.
+func NewAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet: authority")
+	}
+	t := certificateFor("authority")
+	t.IsCA, t.BasicConstraintsValid, t.KeyUsage = true, true, x509.KeyUsageCertSign
+	raw, err := x509.CreateCertificate(rand.Reader, t, t, key.Public(), key)
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet: authority")
+	}
+	c, err := x509.ParseCertificate(raw)
+	return &Authority{certificate: c, key: key}, errors.Wrap(err, "fleet: authority")
+}
+
+func certificateFor(name string) *x509.Certificate {
+	return &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()),
+		Subject:      pkix.Name{CommonName: name},
+		DNSNames:     []string{name},
+		NotBefore:    time.Now().Add(-time.Hour),
+		NotAfter:     time.Now().Add(identityLife),
+	}
+}
+
+// Write makes a certificate that carries the DNS name, and writes the files of an
+// identity to dir.
+func (a *Authority) Write(dir, name string) (Identity, error) {
+	i := Identity{
+		Certificate: filepath.Join(dir, "certificate.pem"),
+		Key:         filepath.Join(dir, "key.pem"),
+		Authority:   filepath.Join(dir, "authority.pem"),
+	}
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return i, errors.Wrap(err, "fleet: identity")
+	}
+	raw, err := x509.CreateCertificate(rand.Reader, certificateFor(name), a.certificate, key.Public(), a.key)
+	if err != nil {
+		return i, errors.Wrap(err, "fleet: identity")
+	}
+	secret, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		return i, errors.Wrap(err, "fleet: identity")
+	}
+	for _, f := range []struct {
+		path string
+		kind string
+		raw  []byte
+	}{{i.Certificate, "CERTIFICATE", raw}, {i.Key, "EC PRIVATE KEY", secret}, {i.Authority, "CERTIFICATE", a.certificate.Raw}} {
+		text := pem.EncodeToMemory(&pem.Block{Type: f.kind, Bytes: f.raw})
+		if err := os.WriteFile(f.path, text, 0o600); err != nil {
+			return i, errors.Wrap(err, "fleet: identity")
+		}
+	}
+	return i, nil
+}
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -33,6 +33,7 @@
 	Scheduler  []string // more settings of schedulers, NAME=VALUE
 	Both       []string // more settings of both
 	NoFences   bool     // engines do not check fences
+	TLS        bool     // daemons speak TLS; the files are in Dir
 	Proxied    bool     // daemons, engines and platform are reached through a fault-injecting proxy
 }
 
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,7 +12,6 @@
 
 	"cairnwick.example/daemon"
 	"cairnwick.example/wire"
-	"google.golang.org/grpc/credentials/insecure"
 )
 
 // Client speaks to many daemons. New makes it.
@@ -22,10 +21,15 @@
 
 const callTimeout = 3 * time.Second
 
-// New returns a client without TLS.
-func New() *Client {
+// New returns a client that shows the identity; the empty one is for daemons
+// without TLS.
+func New(i *daemon.Identity) (*Client, error) {
+	creds, err := i.Credentials()
+	if err != nil {
+		return nil, err
+	}
 	d := &net.Dialer{Timeout: callTimeout}
-	return &Client{dialer: &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext}}
+	return &Client{dialer: &daemon.Dialer{Credentials: creds, Dial: d.DialContext}}, nil
 }
 
 // Close closes every connection.
