--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -21,6 +21,10 @@
 	StepTime     time.Duration `arg:"--step" default:"10ms" help:"time of one step"`
 	ReportLag    time.Duration `arg:"--report-lag" default:"200ms" help:"age of what /metrics says"`
 	ResumeWindow time.Duration `arg:"--resume-window" default:"5s" help:"how long a run goes on without its reader"`
+	Prefill      int           `arg:"--prefill" default:"0" help:"steps before the first token when the prefix is not cached"`
+	Prefixes     int           `arg:"--prefixes" default:"64" help:"prefixes cached"`
+	EventLag     time.Duration `arg:"--event-lag" default:"1s" help:"before a cache event can be read"`
+	EventGap     int           `arg:"--event-gap" default:"0" help:"every so many-th cache event is lost"`
 	NoFences     bool          `arg:"--no-fences" help:"take orders from anybody"`
 	RefusesNew   bool          `arg:"--refuses-new" help:"when leaving: refuse new work"`
 	LeavingGrace time.Duration `arg:"--leaving-grace" default:"5s" help:"new work this long after leaving is a breach"`
@@ -37,6 +41,10 @@
 		StepTime:     a.StepTime,
 		ReportLag:    a.ReportLag,
 		ResumeWindow: a.ResumeWindow,
+		Prefill:      a.Prefill,
+		Prefixes:     a.Prefixes,
+		EventLag:     a.EventLag,
+		EventGap:     a.EventGap,
 		ChecksFences: !a.NoFences,
 		RefusesNew:   a.RefusesNew,
 		LeavingGrace: a.LeavingGrace,
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -88,6 +88,11 @@
 	}
 	r := newRun(request, body.Model, s.content, body.Priority, body.Tokens)
 	e.witnessLocked(q, body, s)
+	if e.prefixes.touch(body.Model, body.Prompt+string(body.Messages), time.Now()) {
+		e.counts.PrefixHits++
+	} else {
+		r.prefill = e.Prefill
+	}
 	e.runs[request] = r
 	e.waiting = append(e.waiting, r)
 	return r, ""
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -25,6 +25,10 @@
 	StepTime     time.Duration // of one step; every request in it gets one token
 	ReportLag    time.Duration // age of what /metrics says
 	ResumeWindow time.Duration // how long a run goes on without its reader
+	Prefill      int           // steps before the first token of a prompt whose prefix is not cached
+	Prefixes     int           // prefixes cached; zero: none
+	EventLag     time.Duration // before a cache event can be read
+	EventGap     int           // every so many-th cache event is lost; zero: none
 	ChecksFences bool
 	RefusesNew   bool          // when leaving: refuses new work
 	LeavingGrace time.Duration // new work this long after leaving is a breach
@@ -41,6 +45,7 @@
 	leaving   time.Time        // zero while serving
 	failLoads int              // loads still to fail on command
 	counts    Counts
+	prefixes  prefixCache
 	keys      map[string]int // runs by key
 	ran       []string       // every run by its request's id
 }
@@ -73,6 +78,7 @@
 	Resumed         int `json:"resumed"`
 	Steps           int `json:"steps"`        // steps with work
 	StepTokens      int `json:"step_tokens"`  // tokens of those steps
+	PrefixHits      int `json:"prefix_hits"`  // runs whose prefix was cached
 	OrdersLoads     int `json:"orders_loads"` // load orders received
 }
 
@@ -91,6 +97,7 @@
 	n.Resumed += o.Resumed
 	n.Steps += o.Steps
 	n.StepTokens += o.StepTokens
+	n.PrefixHits += o.PrefixHits
 	n.OrdersLoads += o.OrdersLoads
 	return n
 }
@@ -130,6 +137,7 @@
 	e.runs = make(map[string]*run)
 	e.waiting, e.batch = nil, nil
 	e.reports = []report{{at: time.Now()}}
+	e.prefixes = prefixCache{most: e.Prefixes, lag: e.EventLag, gap: e.EventGap, next: e.prefixes.next}
 }
 
 // step gives one token to every request of the batch.
@@ -228,6 +236,7 @@
 	m.HandleFunc("GET /cairn/streams/{request}", e.resume)
 	m.HandleFunc("DELETE /cairn/streams/{request}", e.cancel)
 	m.HandleFunc("POST /cairn/role", e.role)
+	m.HandleFunc("GET /cairn/events", e.showEvents)
 	m.HandleFunc("GET /control/counts", e.showCounts)
 	m.HandleFunc("GET /control/keys", e.showKeys)
 	m.HandleFunc("GET /control/runs", e.showRuns)
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -154,6 +154,7 @@
 		e.counts.UnloadRunning++
 	}
 	e.counts.Unloads++
+	e.prefixes.drop(o.Name, time.Now())
 	delete(e.slots, o.Name)
 	w.WriteHeader(http.StatusOK)
 }
--- /dev/null
+++ b/standin/prefix.go
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"cairnwick.example/engine"
+	"github.com/cespare/xxhash/v2"
+)
+
+// prefixLength is how much of a prompt makes its prefix, in bytes.
+const prefixLength = 64
+
+// prefixCache remembers the prefixes of prompts run lately, for each adapter, and
+// tells of them in events that are late and have gaps.
+type prefixCache struct {
+	most   int           // prefixes kept; zero: no cache
+	lag    time.Duration // before an event can be read
+	gap    int           // every so many-th event is lost; zero: none
+	order  []prefixKey   // least recently used first
+	events []cacheEvent  // of the last ones, oldest first
+	next   uint64        // sequence number of the next event
+	hits   int
+	misses int
+}
+
+type prefixKey struct {
+	adapter string
+	prefix  uint64
+}
+
+type cacheEvent struct {
+	engine.CacheEvent
+
+	at time.Time
+}
+
+const eventsKept = 1024
+
+// touch uses a prefix and tells whether it was cached.
+func (c *prefixCache) touch(adapter, prompt string, now time.Time) bool {
+	if c.most == 0 {
+		return false
+	}
+	k := prefixKey{adapter: adapter, prefix: xxhash.Sum64String(prompt[:min(len(prompt), prefixLength)])}
+	if i := slices.Index(c.order, k); i >= 0 {
+		c.order = append(slices.Delete(c.order, i, i+1), k)
+		c.hits++
+		return true
+	}
+	c.misses++
+	c.order = append(c.order, k)
+	c.tell(engine.CacheStored, k, now)
+	for len(c.order) > c.most {
+		c.tell(engine.CacheRemoved, c.order[0], now)
+		c.order = c.order[1:]
+	}
+	return false
+}
+
+// drop removes the prefixes of an adapter that was unloaded.
+func (c *prefixCache) drop(adapter string, now time.Time) {
+	c.order = slices.DeleteFunc(c.order, func(k prefixKey) bool {
+		if k.adapter == adapter {
+			c.tell(engine.CacheRemoved, k, now)
+		}
+		return k.adapter == adapter
+	})
+}
+
+func (c *prefixCache) tell(kind string, k prefixKey, now time.Time) {
+	c.next++
+	if c.gap > 0 && c.next%uint64(c.gap) == 0 {
+		return // lost; the sequence shows the gap
+	}
+	e := engine.CacheEvent{Sequence: c.next, Kind: kind, Adapter: k.adapter, Prefix: k.prefix}
+	c.events = append(c.events, cacheEvent{CacheEvent: e, at: now})
+	if len(c.events) > eventsKept {
+		c.events = c.events[1:]
+	}
+}
+
+// after returns the events above a sequence number that are old enough.
+func (c *prefixCache) after(sequence uint64, now time.Time) []engine.CacheEvent {
+	list := []engine.CacheEvent{}
+	for _, e := range c.events {
+		if e.Sequence > sequence && now.Sub(e.at) >= c.lag {
+			list = append(list, e.CacheEvent)
+		}
+	}
+	return list
+}
+
+func (e *Engine) showEvents(w http.ResponseWriter, q *http.Request) {
+	after, err := strconv.ParseUint(q.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, engine.CodeBadRequest, "after: write a whole number, zero or more")
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(e.prefixes.after(after, time.Now()))
+}
--- a/standin/run.go
+++ b/standin/run.go
@@ -18,6 +18,7 @@
 	content  string // what the slot held when the run began
 	priority int
 	tokens   int // to produce
+	prefill  int // steps left before the first token; only the engine's step changes it
 
 	mu       sync.Mutex
 	produced int
@@ -51,6 +52,10 @@
 	if !r.endedAt.IsZero() {
 		return
 	}
+	if r.prefill > 0 {
+		r.prefill--
+		return
+	}
 	r.produced++
 	if r.produced == r.tokens {
 		r.endedAt = now
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -235,3 +235,38 @@
 	var busy *StoreBusyError
 	c.Assert(errors.As(err, &busy), quicktest.IsTrue)
 }
+
+func TestACachedPrefixSkipsThePrefill(t *testing.T) {
+	b := newBench(t, func(e *Engine) { e.Prefixes, e.Prefill = 2, 3 })
+	b.load("a@1")
+	b.run("a@1", "how do I prune roses")
+	steps := b.engine.Counts().Steps
+	b.run("a@1", "how do I prune roses")
+	b.Assert(b.engine.Counts().PrefixHits, quicktest.Equals, 1)
+	b.Assert(b.engine.Counts().Steps-steps < steps, quicktest.IsTrue)
+}
+
+func TestCacheEventsComeLateAndWithGaps(t *testing.T) {
+	c := quicktest.New(t)
+	p := prefixCache{most: 2, lag: time.Second, gap: 2}
+	start := time.Unix(1000, 0)
+	for _, prompt := range []string{"one", "two", "three"} { // events 1, 2 (lost), 3, and 4 (lost)
+		p.touch("a@1", prompt, start)
+	}
+	c.Assert(p.after(0, start), quicktest.HasLen, 0)
+	list := p.after(0, start.Add(time.Second))
+	c.Assert(list, quicktest.HasLen, 2)
+	c.Assert(list[1].Sequence, quicktest.Equals, uint64(3))
+	c.Assert(p.after(1, start.Add(time.Second)), quicktest.HasLen, 1)
+}
+
+func TestUnloadingDropsThePrefixes(t *testing.T) {
+	b := newBench(t, func(e *Engine) { e.Prefixes = 2 })
+	b.load("a@1")
+	b.run("a@1", "x")
+	b.Assert(b.client.Unload(context.Background(), fence, "a@1"), quicktest.IsNil)
+	list, err := b.client.Events(context.Background(), 0)
+	b.Assert(err, quicktest.IsNil)
+	b.Assert(list, quicktest.HasLen, 2)
+	b.Assert(list[1].Kind, quicktest.Equals, engine.CacheRemoved)
+}
