--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -33,10 +33,13 @@
 	return now.Before(r.until[centre])
 }
 
+// note remembers that an answer of the data centre vouches for it until then.
 func (r *reach) note(centre string, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.until[centre] = until
+	if until.After(r.until[centre]) {
+		r.until[centre] = until
+	}
 }
 
 // all returns the data centres that can be reached.
@@ -82,7 +85,8 @@
 	for _, n := range c.DataCentres() {
 		near := c.Region(n) == c.Region(g.Centre)
 		switch {
-		case n == g.Centre:
+		case n == g.Centre || g.reach.reached(n, time.Now().Add(pingInterval)):
+			// the own one, or one that answered a request just now
 		case near:
 			all.Go(func() { g.ping(ctx, n, reachFor) })
 		case far:
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -288,6 +288,9 @@
 		Box:        g.Name,
 		Width:      int32(q.width),
 	})
+	if err == nil && owner.DataCentre() != g.Centre {
+		g.reach.note(owner.DataCentre(), time.Now().Add(reachFor))
+	}
 	if err != nil && ctx.Err() == nil && status.Code(err) != codes.Canceled {
 		g.Probe(owner.Name())
 	}
