Estimate a load's wait behind all loads wanted; pass news of a head on at once

Cause: after a shift of popularity 302 callers were refused and told when to come back, and 63 were served then: the estimate looked at the next token of the store's budget, not at the loads queued before. And a change of configuration needed 9 s for 32 daemons, most of it waiting for heartbeats. Change: loads wanted at all endpoints are counted, and the budget says when so many can have begun; a daemon that hears of a head nudges its neighbours. Ruled out: reckoning that every owned endpoint wants as many loads; it refuses callers of a quiet system.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -140,6 +140,7 @@
 		Keeper:   n.Keeper,
 		Platform: client,
 		Peers:    n.Dialer.Source,
+		Nudge:    func() { n.loop.Nudge() },
 		Watches:  n.watches,
 		Log:      n.Log,
 		Wait:     watchWait,
--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -88,6 +88,7 @@
 	Keeper   *Keeper
 	Platform *platform.Client
 	Peers    PeerSource
+	Nudge    func()      // tells the neighbours now that there is news
 	Watches  func() bool // whether this daemon watches the platform now
 	Log      logr.Logger
 	Wait     time.Duration // of one watch
@@ -125,10 +126,16 @@
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	for {
+		changed := r.Keeper.Changed()
 		if next := r.Keeper.Tick(time.Now()); !next.IsZero() {
 			timer.Reset(time.Until(next))
 		}
 		select {
+		case <-changed: // a candidate has settled
+			r.Nudge()
+		default:
+		}
+		select {
 		case <-ctx.Done():
 			return <-watched
 		case h := <-r.told:
@@ -177,6 +184,9 @@
 			"from", name, "lost", catalog.Digest(raw), "won", r.Keeper.Catalog().Digest())
 		return true
 	}
+	if v == Candidate || v == InForce {
+		r.Nudge()
+	}
 	r.Log.V(1).Info("Configuration was offered", "from", name, "verdict", v.String())
 	return true
 }
--- a/member/loop.go
+++ b/member/loop.go
@@ -53,6 +53,7 @@
 	OnPause    func(gap time.Duration)
 
 	probes chan string // names to probe at once
+	nudges chan struct{}
 	beaten int         // beats so far
 	apart  atomic.Bool // the last heartbeat heard told of another view
 	once   sync.Once
@@ -61,6 +62,7 @@
 func (l *Loop) init() {
 	l.once.Do(func() {
 		l.probes = make(chan string, 16)
+		l.nudges = make(chan struct{}, 1)
 		l.apart.Store(true)
 	})
 }
@@ -75,6 +77,15 @@
 	}
 }
 
+// Nudge tells the neighbours now what the extras add to heartbeats.
+func (l *Loop) Nudge() {
+	l.init()
+	select {
+	case l.nudges <- struct{}{}:
+	default: // one is waiting
+	}
+}
+
 // Run beats until ctx ends. When it ends the table has told its news, a leave
 // too, to the neighbours.
 func (l *Loop) Run(ctx context.Context) error {
@@ -90,6 +101,8 @@
 			return nil
 		case name := <-l.probes:
 			l.probe(ctx, name)
+		case <-l.nudges:
+			l.exchangeAll(ctx, l.Table.Neighbours(l.Neighbours))
 		case <-changed:
 			l.spread(ctx)
 		case now := <-tick.C:
--- a/policy/load.go
+++ b/policy/load.go
@@ -74,16 +74,17 @@
 	return true
 }
 
-// Wait returns how long after now the next token comes.
-func (b *Budget) Wait(now time.Time) time.Duration {
+// Wait returns how long after now so many loads can have begun.
+func (b *Budget) Wait(loads int, now time.Time) time.Duration {
 	b.refill(now)
-	if b.tokens >= 1 {
+	missing := float64(loads) - b.tokens
+	if missing <= 0 {
 		return 0
 	}
 	if b.rate <= 0 {
 		return time.Duration(math.MaxInt64)
 	}
-	return time.Duration((1 - b.tokens) / b.rate * float64(time.Second))
+	return time.Duration(missing / b.rate * float64(time.Second))
 }
 
 // Refused notes that the store refused a load for its rate.
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -138,13 +138,13 @@
 		c.Assert(b.Take(now), quicktest.IsTrue)
 	}
 	c.Assert(b.Take(now), quicktest.IsFalse)
-	c.Assert(b.Wait(now), quicktest.Equals, time.Second)
+	c.Assert(b.Wait(1, now), quicktest.Equals, time.Second)
 	for range 9 {
 		b.Loaded()
 	}
-	c.Assert(b.Wait(now), quicktest.Equals, 100*time.Millisecond)
+	c.Assert(b.Wait(1, now), quicktest.Equals, 100*time.Millisecond)
 	b.Refused()
-	c.Assert(b.Wait(now), quicktest.Equals, time.Second)
+	c.Assert(b.Wait(1, now), quicktest.Equals, time.Second)
 }
 
 func TestNextWaiterAgesSoThatNoneStarves(t *testing.T) {
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -204,19 +204,13 @@
 	return n
 }
 
-// loadEstimateLocked is how long a load that is not begun would take.
+// loadEstimateLocked is how long a load that is not begun would take: behind
+// those that are wanted here, and behind those that the store's rate is wanted for
+// at all endpoints.
 func (s *Scheduler) loadEstimateLocked(e *endpoint, now time.Time) time.Duration {
-	queued := 0
-	seen := make(map[string]bool)
-	for _, o := range e.waiters {
-		a := o.request.GetAdapter()
-		if e.slots[a] == nil && !seen[a] {
-			seen[a] = true
-			queued++
-		}
-	}
-	rounds := time.Duration(1 + queued/loadsInFlight)
-	return s.budget.wait(now) + rounds*e.loadTime
+	rounds := time.Duration(e.wanted / loadsInFlight)
+	store := s.budget.wait(1+int(s.wanted.Load()), now)
+	return max(store, rounds*e.loadTime) + e.loadTime
 }
 
 // wait holds a request until it is granted, refused or given up.
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -47,6 +47,7 @@
 	service  time.Duration // moving mean of a request's time at the engine
 	loadTime time.Duration // moving mean of a load's time
 	failed   map[string]failure
+	wanted   int                // adapters to load, as last counted
 	demands  map[string]*demand // adapters whose requests were refused because they are not loaded
 	report   bool               // a report is wanted to free slots
 	closed   time.Time          // until then it gets nothing new: it said that it is leaving
@@ -120,7 +121,7 @@
 // dropLocked gives up ownership: what waits is refused so that the gateways ask
 // the next owner. Grants already given stay good; the endpoint's next owner
 // waits them out.
-func (e *endpoint) dropLocked(r wire.Reason) {
+func (s *Scheduler) dropLocked(e *endpoint, r wire.Reason) {
 	if e.phase == foreign && len(e.waiters) == 0 {
 		return
 	}
@@ -130,6 +131,8 @@
 	e.grants = make(map[uint64]*grant)
 	waiters := e.waiters
 	e.waiters = nil
+	e.demands = make(map[string]*demand)
+	s.countWantedLocked(e, time.Now())
 	for _, w := range waiters {
 		w.refuse(r, 0, e.owner)
 	}
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -132,6 +132,7 @@
 // others.
 func (s *Scheduler) moveLocked(e *endpoint, now time.Time) {
 	e.dropDemandsLocked(now)
+	defer s.countWantedLocked(e, now)
 	if len(e.waiters)+len(e.demands) == 0 || !e.trustedLocked(now, s.Spans.Trust) {
 		return
 	}
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -25,6 +25,7 @@
 
 // planLocked hands out the loads that waiting requests need.
 func (s *Scheduler) planLocked(e *endpoint, now time.Time) {
+	defer s.countWantedLocked(e, now)
 	for e.loadsInFlightLocked() < loadsInFlight {
 		names, facts := s.wantedLocked(e, now)
 		i := policy.NextLoad(facts, e.loadTime)
@@ -44,6 +45,13 @@
 	}
 }
 
+// countWantedLocked keeps the number of loads that are wanted at all endpoints.
+func (s *Scheduler) countWantedLocked(e *endpoint, now time.Time) {
+	names, _ := s.wantedLocked(e, now)
+	s.wanted.Add(int64(len(names) - e.wanted))
+	e.wanted = len(names)
+}
+
 func (e *endpoint) loadsInFlightLocked() int {
 	n := 0
 	for _, sl := range e.slots {
@@ -355,10 +363,10 @@
 	return b.budget.Take(now)
 }
 
-func (b *storeBudget) wait(now time.Time) time.Duration {
+func (b *storeBudget) wait(loads int, now time.Time) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.budget.Wait(now)
+	return b.budget.Wait(loads, now)
 }
 
 func (b *storeBudget) refused() {
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -81,7 +81,7 @@
 	for n, e := range s.endpoints {
 		if spec, ok := c.Endpoint(n); !ok || spec.DataCentre() != s.Centre {
 			e.mu.Lock()
-			e.dropLocked(wire.Reason_REASON_LEAVING)
+			s.dropLocked(e, wire.Reason_REASON_LEAVING)
 			e.mu.Unlock()
 			delete(s.endpoints, n)
 		}
@@ -98,7 +98,7 @@
 		e.owner = owner // until then a claim that was lost names the winner
 	}
 	if !mine {
-		e.dropLocked(wire.Reason_REASON_NOT_OWNER)
+		s.dropLocked(e, wire.Reason_REASON_NOT_OWNER)
 		return false
 	}
 	if e.phase == foreign && !now.Before(e.nextLook) {
@@ -244,7 +244,7 @@
 func (s *Scheduler) loseLocked(e *endpoint, winner engine.Fence, now time.Time) {
 	s.Log.Info("Endpoint was claimed by another scheduler", "endpoint", e.name, "fence", winner.String())
 	e.owner = winner.Box() + "/" + member.Scheduler
-	e.dropLocked(wire.Reason_REASON_NOT_OWNER)
+	s.dropLocked(e, wire.Reason_REASON_NOT_OWNER)
 	if now.Sub(e.claimed) > longHeld {
 		e.losses = 0
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairnwick.example/catalog"
@@ -76,6 +77,7 @@
 	looks  chan *endpoint // to look at
 	orders chan order     // to carry out
 	budget *storeBudget
+	wanted atomic.Int64 // loads wanted at all endpoints, and not begun
 	stats  Stats
 }
 
@@ -185,7 +187,7 @@
 	s.mu.Unlock()
 	for _, e := range s.all() {
 		e.mu.Lock()
-		e.dropLocked(wire.Reason_REASON_NOT_OWNER)
+		s.dropLocked(e, wire.Reason_REASON_NOT_OWNER)
 		e.mu.Unlock()
 	}
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -203,3 +203,16 @@
 	b.Assert(err, quicktest.IsNil)
 	b.Assert(a.GetGrant(), quicktest.IsNotNil)
 }
+
+func TestWantedLoadsAreCountedAndForgotten(t *testing.T) {
+	b := newBench(t)
+	b.own()
+	q := &wire.AcquireRequest{Endpoint: "e1", Adapter: "b@1", Class: "urgent"}
+	for b.scheduler.budget.take(time.Now()) { // so that no load begins
+	}
+	_, err := b.scheduler.Acquire(context.Background(), q)
+	b.Assert(err, quicktest.IsNil)
+	b.Assert(b.scheduler.wanted.Load(), quicktest.Equals, int64(1))
+	b.scheduler.Leave()
+	b.Assert(b.scheduler.wanted.Load(), quicktest.Equals, int64(0))
+}
