Tell refused callers when their load can be done, and admit by the best case

Demands of refused callers counted as waiting and made the estimate grow by itself. Change: admission reckons with the best case again; the time to come back reckons with all loads wanted; demands load after what waits.

--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -148,6 +148,7 @@
 	if verdict != policy.Wait && !s.readyLocked(e, adapter) {
 		e.demandLocked(adapter, now)
 		s.planLocked(e, now)
+		retry = s.comeBackLocked(e, retry, now)
 	}
 	switch verdict {
 	case policy.RefuseNoWait:
@@ -204,13 +205,17 @@
 	return n
 }
 
-// loadEstimateLocked is how long a load that is not begun would take: behind
-// those that are wanted here, and behind those that the store's rate is wanted for
-// at all endpoints.
+// loadEstimateLocked is how long a load that is not begun would take at best:
+// behind those that are wanted here, when the store's rate is there.
 func (s *Scheduler) loadEstimateLocked(e *endpoint, now time.Time) time.Duration {
-	rounds := time.Duration(e.wanted / loadsInFlight)
-	store := s.budget.wait(1+int(s.wanted.Load()), now)
-	return max(store, rounds*e.loadTime) + e.loadTime
+	rounds := time.Duration(1 + e.wanted/loadsInFlight)
+	return s.budget.wait(1, now) + rounds*e.loadTime
+}
+
+// comeBackLocked is when a refused caller had better come back: when the loads
+// that are wanted at all endpoints can have begun, and its own after them.
+func (s *Scheduler) comeBackLocked(e *endpoint, retry time.Duration, now time.Time) time.Duration {
+	return max(retry, s.budget.wait(1+int(s.wanted.Load()), now)+e.loadTime)
 }
 
 // wait holds a request until it is granted, refused or given up.
@@ -226,6 +231,9 @@
 	e.mu.Lock()
 	removed := e.removeLocked(w)
 	retry := s.estimateLocked(e, w, time.Now())
+	if !s.readyLocked(e, w.request.GetAdapter()) {
+		retry = s.comeBackLocked(e, retry, time.Now())
+	}
 	e.mu.Unlock()
 	if !removed {
 		return s.handOver(ctx, e, <-w.reply)
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -87,7 +87,7 @@
 		want(w.request.GetAdapter(), 1, now.Sub(w.arrived), w.deadline.Sub(now) < 2*e.loadTime)
 	}
 	for n, d := range e.demands {
-		want(n, d.count, now.Sub(d.first), false)
+		want(n, 0, now.Sub(d.first), false) // after those that wait here
 	}
 	return names, facts
 }
