--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -39,6 +39,7 @@
 	Workload string        `arg:"--workload" help:"one workload; all when not given"`
 	Only     []string      `arg:"--policies,separate" help:"one choice of policies, can be given again; all when not given"`
 	Report   string        `arg:"--report" help:"file for the JSON report"`
+	Plots    string        `arg:"--plots" help:"folder for a plot of each workload, SVG"`
 }
 
 type arguments struct {
@@ -82,7 +83,7 @@
 		q := a.Policies
 		err = measure.Policies{
 			Bin: a.Bin, Dir: dir, Time: q.Time, Warm: q.Warm, Seed: q.Seed,
-			User: q.User, Workload: q.Workload, Only: q.Only, Report: q.Report,
+			User: q.User, Workload: q.Workload, Only: q.Only, Report: q.Report, Plots: q.Plots,
 		}.Run(ctx, os.Stdout)
 	default:
 		p.WriteUsage(os.Stderr)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -43,14 +43,14 @@
 	return g
 }
 
-func read(c *quicktest.C, g *Gateway, body string) (*request, *Failure) {
+func read(g *Gateway, body string) (*request, *Failure) {
 	r := httptest.NewRequest(http.MethodPost, "/v1/completions", strings.NewReader(body))
 	return g.read(httptest.NewRecorder(), r, "id")
 }
 
 func TestTheBodyNamesTheResolvedVersion(t *testing.T) {
 	c := quicktest.New(t)
-	q, f := read(c, newGateway(c, ScopeCentre), `{"model": "a", "prompt": "x", "temperature": 0.5}`)
+	q, f := read(newGateway(c, ScopeCentre), `{"model": "a", "prompt": "x", "temperature": 0.5}`)
 	c.Assert(f == nil, quicktest.IsTrue)
 	raw, err := q.engineBody(7)
 	c.Assert(err, quicktest.IsNil)
@@ -65,7 +65,7 @@
 	} {
 		g := newGateway(c, scope)
 		g.reach.note("near", time.Now().Add(time.Minute))
-		q, f := read(c, g, `{"model": "a"}`)
+		q, f := read(g, `{"model": "a"}`)
 		c.Assert(f == nil, quicktest.IsTrue)
 		c.Assert(g.stages(q), quicktest.DeepEquals, want)
 	}
@@ -75,7 +75,7 @@
 	c := quicktest.New(t)
 	g := newGateway(c, ScopeRegion)
 	g.reach.note("near", time.Now().Add(-time.Millisecond))
-	q, f := read(c, g, `{"model": "a"}`)
+	q, f := read(g, `{"model": "a"}`)
 	c.Assert(f == nil, quicktest.IsTrue)
 	c.Assert(g.stages(q), quicktest.DeepEquals, [][]string{{"e1"}, {"e1"}})
 }
@@ -160,7 +160,7 @@
 		`{"model": 3}`:                           "model: write adapter.*",
 		string(bytes.Repeat([]byte(" "), 2<<10)): "body: larger than 1024 bytes",
 	} {
-		_, f := read(c, newGateway(c, ScopeCentre), body)
+		_, f := read(newGateway(c, ScopeCentre), body)
 		c.Assert(f.Message, quicktest.Matches, message)
 		c.Assert(f.Ran, quicktest.Equals, NotRun)
 	}
--- a/load/plan.go
+++ b/load/plan.go
@@ -77,6 +77,16 @@
 	return list
 }
 
+// Sequence returns the adapters that the plan asks for, in order.
+func (p Plan) Sequence() []string {
+	list := p.arrivals()
+	names := make([]string, len(list))
+	for i, a := range list {
+		names[i] = a.adapter
+	}
+	return names
+}
+
 // adapter turns a rank of popularity into an adapter: ranks are spread over the
 // adapters, and spread otherwise after a shift.
 func (p Plan) adapter(rank int, at time.Duration) int {
--- a/measure/policies.go
+++ b/measure/policies.go
@@ -31,27 +31,29 @@
 	Workload string   // "" for all
 	Only     []string // contenders; none for all
 	Report   string   // path of the JSON report; "" for none
+	Plots    string   // folder for the plots; "" for none
 }
 
 // Figures are what one run gave.
 type Figures struct {
-	User      string  `json:"user"`
-	Workload  string  `json:"workload"`
-	Policies  string  `json:"policies"`
-	Sent      int     `json:"sent"`
-	InTime    int     `json:"in_time"` // whole within the deadline
-	Refused   int     `json:"refused"`
-	Lost      int     `json:"lost"`      // unknown or without an answer
-	Back      int     `json:"came_back"` // refused callers who came back when told to
-	Honest    int     `json:"served_then"`
-	StallMean float64 `json:"stall_mean_ms"`
-	StallP95  float64 `json:"stall_p95_ms"`
-	StallP99  float64 `json:"stall_p99_ms"`
-	Fullness  float64 `json:"batch_fullness"` // of the steps with work, 0 to 1
-	Loads     int     `json:"loads"`
-	Worst     float64 `json:"worst_class_share"` // share in time of the class that fares worst
-	Fair      float64 `json:"fairness"`          // Jain's index over callers' shares in time
-	Recovery  float64 `json:"recovery_s"`        // after a shift: until the stall is within 10% again; 0: none
+	User      string    `json:"user"`
+	Workload  string    `json:"workload"`
+	Policies  string    `json:"policies"`
+	Sent      int       `json:"sent"`
+	InTime    int       `json:"in_time"` // whole within the deadline
+	Refused   int       `json:"refused"`
+	Lost      int       `json:"lost"`      // unknown or without an answer
+	Back      int       `json:"came_back"` // refused callers who came back when told to
+	Honest    int       `json:"served_then"`
+	StallMean float64   `json:"stall_mean_ms"`
+	StallP95  float64   `json:"stall_p95_ms"`
+	StallP99  float64   `json:"stall_p99_ms"`
+	Fullness  float64   `json:"batch_fullness"` // of the steps with work, 0 to 1
+	Loads     int       `json:"loads"`
+	Worst     float64   `json:"worst_class_share"`  // share in time of the class that fares worst
+	Fair      float64   `json:"fairness"`           // Jain's index over callers' shares in time
+	Recovery  float64   `json:"recovery_s"`         // after a shift: until the stall is within 10% again; 0: none
+	Series    []float64 `json:"stall_by_window_ms"` // mean stall of each window of two seconds
 }
 
 var workloads = []workload{
@@ -86,6 +88,12 @@
 				list = append(list, f)
 			}
 			printFigures(w, list)
+			p.printBound(w, u, l)
+			if p.Plots != "" {
+				if err := drawStalls(p.Plots, list); err != nil {
+					return err
+				}
+			}
 			all = append(all, list...)
 		}
 	}
@@ -135,12 +143,25 @@
 	}
 	g := figures(r, before.Counts, after.Counts, spec.Batch)
 	g.User, g.Workload, g.Policies = u.name, l.name, c.name
+	g.Series = stallSeries(r.Ends, begun, p.Time)
 	if l.shift {
 		g.Recovery = recovery(r.Ends, begun, p.Time).Seconds()
 	}
 	return g, nil
 }
 
+// printBound says what no policy could beat on a workload: with every slot of the
+// region, and knowing the future.
+func (p Policies) printBound(w io.Writer, u user, l workload) {
+	f := fleet.New(u.spec)
+	warm := u.plan(f, workload{times: 1}, p.Warm, p.Seed+1).Sequence()
+	asked := append(warm, u.plan(f, l, p.Time, p.Seed).Sequence()...)
+	slots := u.spec.Centres * u.spec.Engines * u.spec.Slots
+	loads := fewestLoads(asked, slots, len(warm))
+	fmt.Fprintf(w, "no policy could do with fewer than %d loads, a mean stall of %.1f ms; the store allows %.0f loads in this time\n",
+		loads, stallBound(loads, len(asked)-len(warm), loadTime), u.store*p.Time.Seconds())
+}
+
 func restartEngines(f *fleet.Fleet) disturbance {
 	return func() error {
 		for c := 1; c <= f.Spec.Centres; c++ {
--- a/measure/users.go
+++ b/measure/users.go
@@ -14,6 +14,7 @@
 	name      string
 	spec      fleet.Spec
 	rate      float64 // requests a second that are steady
+	store     float64 // loads a second that the store allows
 	scheduler []string
 	kinds     []load.Mix
 }
@@ -46,7 +47,10 @@
 	{name: "random + LRU", gateway: []string{"placement=random", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
 }
 
-const userAdapters = 5000
+const (
+	userAdapters = 5000
+	loadTime     = 400 * time.Millisecond // at the store's full speed
+)
 
 // nursery is the family nursery: callers at the till, load stalls first.
 func nursery() user {
@@ -55,9 +59,10 @@
 		spec: fleet.Spec{
 			Centres: 3, Boxes: 2, Engines: 6, Adapters: userAdapters, Slots: 8, Batch: 8,
 			EngineArgs: []string{"--step", "10ms"},
-			StoreArgs:  []string{"--store-rate", "9", "--store-at-once", "6", "--load-time", "400ms"},
+			StoreArgs:  []string{"--store-rate", "9", "--store-at-once", "6", "--load-time", loadTime.String()},
 		},
 		rate:      60,
+		store:     9,
 		scheduler: []string{"store_rate=9", "store_at_once=6", "weight_stalls=1", "weight_batch=0"},
 		kinds: []load.Mix{
 			{Class: fleet.CounterClass, Caller: "till", Share: 6, Tokens: 16, Stream: true},
@@ -74,9 +79,10 @@
 		spec: fleet.Spec{
 			Centres: 3, Boxes: 2, Engines: 4, Adapters: userAdapters, Slots: 8, Batch: 8,
 			EngineArgs: []string{"--step", "10ms"},
-			StoreArgs:  []string{"--store-rate", "4", "--store-at-once", "8", "--load-time", "400ms"},
+			StoreArgs:  []string{"--store-rate", "4", "--store-at-once", "8", "--load-time", loadTime.String()},
 		},
 		rate:      40,
+		store:     4,
 		scheduler: []string{"store_rate=4", "store_at_once=8", "weight_stalls=0.3", "weight_batch=1"},
 		kinds: []load.Mix{
 			{Class: fleet.CounterClass, Caller: "counter", Share: 3, Tokens: 16, Stream: true},
