--- a/fleet/caller.go
+++ b/fleet/caller.go
@@ -21,6 +21,7 @@
 	Model   string // as a caller writes it
 	Expect  string // adapter@version that must answer; "" when any may
 	Tokens  int
+	Talk    int // conversation: prompts of one begin alike
 	Stream  bool
 	Header  map[string]string
 }
@@ -69,7 +70,7 @@
 func (c *Caller) Do(ctx context.Context, a Ask) (Reply, error) {
 	body := map[string]any{"model": a.Model, "max_tokens": max(a.Tokens, 1), "stream": a.Stream, "prompt": "hello"}
 	if a.Expect != "" {
-		body["prompt"] = "expect:" + a.Expect
+		body["prompt"] = fmt.Sprintf("expect:%s conversation %d", a.Expect, a.Talk)
 	}
 	raw, err := json.Marshal(body)
 	if err != nil {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -41,6 +41,7 @@
 	f := g.send(ctx, q, out, h, r)
 	if f == nil {
 		g.Retries.Success()
+		g.prefixes.note(q.prefix, h.endpoint, time.Now())
 	} else if f.Ran != NotRun {
 		q.unsure = true
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,11 +56,13 @@
 	Spans       Spans
 	MaxBody     int64 // bytes of a caller's body
 	MaxInFlight int   // requests held at a time
+	MaxPrefixes int   // prompts' beginnings whose endpoint is remembered; zero: none
 	Record      *decision.Record
 	Log         logr.Logger
 
 	beliefs  *beliefs
 	reach    *reach
+	prefixes *prefixes
 	owners   *owners
 	releases chan release
 	inFlight atomic.Int64
@@ -94,6 +96,7 @@
 	g.beliefs = newBeliefs()
 	g.owners = newOwners()
 	g.reach = newReach()
+	g.prefixes = newPrefixes(g.MaxPrefixes)
 	g.releases = make(chan release, releaseBuffer)
 	g.stats = Stats{
 		Total:      metrics.NewFamily(familyLimit),
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -165,3 +165,15 @@
 		c.Assert(f.Ran, quicktest.Equals, NotRun)
 	}
 }
+
+func TestPrefixesAreBoundedAndFade(t *testing.T) {
+	c := quicktest.New(t)
+	p, now := newPrefixes(4), time.Now()
+	for i := range 10 {
+		p.note(uint64(i), "e1", now)
+	}
+	c.Assert(p.seen, quicktest.HasLen, 4)
+	c.Assert(p.warm(9, now), quicktest.Equals, "e1")
+	c.Assert(p.warm(9, now.Add(prefixLife+time.Second)), quicktest.Equals, "")
+	c.Assert(prefixOf("a@1", "x") == prefixOf("a@2", "x"), quicktest.IsFalse)
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -48,10 +48,11 @@
 	catalog    *catalog.Catalog // the revision that resolved the model
 	stream     bool
 	body       map[string]json.RawMessage
-	attempts   int  // runs begun at endpoints
-	candidates int  // endpoints asked
-	width      int  // how many homes the adapter is believed to have
-	unsure     bool // an attempt may have run and gave no answer
+	attempts   int    // runs begun at endpoints
+	candidates int    // endpoints asked
+	prefix     uint64 // hash of the adapter and the prompt's beginning
+	width      int    // how many homes the adapter is believed to have
+	unsure     bool   // an attempt may have run and gave no answer
 }
 
 func newRequestID() string {
@@ -181,6 +182,7 @@
 		return &Failure{Code: code, Ran: NotRun, Message: fmt.Sprintf("model: no %s %q", unknown.Kind, unknown.Name)}
 	}
 	q.model = m
+	q.prefix = prefixOf(m.String(), string(q.body["prompt"])+string(q.body["messages"]))
 	return nil
 }
 
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -157,6 +157,10 @@
 	now := time.Now()
 	facts, width := g.beliefs.of(q.model.String(), names, now)
 	q.width = width
+	warm := g.prefixes.warm(q.prefix, now)
+	for i, n := range names {
+		facts[i].Warm = n == warm
+	}
 	order, scores := g.Placement.Order(policy.PlaceRequest{
 		Key:   q.model.String(),
 		Names: names,
@@ -189,6 +193,8 @@
 func candidate(name string, score float64, f policy.Facts) *wire.Candidate {
 	c := &wire.Candidate{Endpoint: name, Score: score, AgeMicros: f.Age.Microseconds()}
 	switch {
+	case f.Warm:
+		c.Note = "prefix believed warm"
 	case f.Loaded:
 		c.Note = "believed loaded"
 	case !f.Known:
--- a/gateway/serving.go
+++ b/gateway/serving.go
@@ -30,6 +30,7 @@
 	optIdle      = "stream_idle"
 	optMaxBody   = "max_body"
 	optInFlight  = "max_in_flight"
+	optPrefixes  = "warm_prefixes"
 	optShare     = "retry_share"
 	optBurst     = "retry_burst"
 	optDial      = "endpoint_dial_timeout"
@@ -47,6 +48,7 @@
 	{Name: optIdle, Kind: settings.Duration, Default: 30 * time.Second, Least: 10 * time.Millisecond, Help: "a stream that is silent so long is taken for cut"},
 	{Name: optMaxBody, Kind: settings.Count, Default: 1 << 20, Least: 1, Help: "largest body of a caller, in bytes"},
 	{Name: optInFlight, Kind: settings.Count, Default: 4096, Least: 1, Help: "requests held at a time"},
+	{Name: optPrefixes, Kind: settings.Count, Default: 8192, Help: "prompts' beginnings whose endpoint is remembered, since its cache may be warm; 0: none"},
 	{Name: optShare, Kind: settings.Number, Default: 0.1, Help: "retries allowed for each success"},
 	{Name: optBurst, Kind: settings.Number, Default: 10.0, Help: "retries allowed at once"},
 	{Name: optDial, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "longest wait for a connection to an endpoint"},
@@ -88,6 +90,7 @@
 		},
 		MaxBody:     int64(v.Count(optMaxBody)),
 		MaxInFlight: v.Count(optInFlight),
+		MaxPrefixes: v.Count(optPrefixes),
 		Record:      n.Record,
 		Log:         n.Log,
 	}
--- a/load/plan.go
+++ b/load/plan.go
@@ -32,6 +32,8 @@
 	Duration time.Duration
 	Seed     uint64
 	Adapters int           // asked for, from the first on
+	Talks    int           // conversations of each adapter, whose prompts begin alike; zero: one
+	Wake     time.Duration // after it a quarter of all adapters wakes; zero: never
 	Skew     float64       // exponent of the popularity, above 1
 	Shift    time.Duration // after it other adapters are the popular ones; zero: never
 	Kinds    []Mix
@@ -48,10 +50,16 @@
 	adapter string
 	kind    Mix
 	tokens  int
+	talk    int    // conversation
 	again   string // gateway of a second sending; "" for none
 	version string // asked for; "" leaves it to the alias
 }
 
+const (
+	wakingAdapters = 0.24 // of all adapters wake
+	wakingRequests = 0.25 // of the requests are then for them
+)
+
 // arrivals draws the whole plan.
 func (p Plan) arrivals() []arrival {
 	r := rand.New(rand.NewPCG(p.Seed, p.Seed+1))
@@ -72,6 +80,12 @@
 			a.version = "@2"
 		}
 		a.adapter = fleet.AdapterName(1 + p.adapter(int(zipf.Uint64()), a.at))
+		if p.Wake > 0 && a.at >= p.Wake && r.Float64() < wakingRequests {
+			a.adapter = fleet.AdapterName(1 + r.IntN(max(1, int(wakingAdapters*float64(p.Adapters)))))
+		}
+		if p.Talks > 0 {
+			a.talk = r.IntN(p.Talks)
+		}
 		list = append(list, a)
 	}
 	return list
@@ -117,6 +131,7 @@
 		Model:   a.adapter + a.version,
 		Expect:  a.adapter + "@2",
 		Tokens:  a.tokens,
+		Talk:    a.talk,
 		Stream:  a.kind.Stream,
 		Header:  map[string]string{"Cairn-Class": a.kind.Class, "Cairn-Caller": a.kind.Caller},
 	}
--- a/measure/policies.go
+++ b/measure/policies.go
@@ -49,6 +49,7 @@
 	StallP95  float64   `json:"stall_p95_ms"`
 	StallP99  float64   `json:"stall_p99_ms"`
 	Fullness  float64   `json:"batch_fullness"` // of the steps with work, 0 to 1
+	Prefixes  float64   `json:"prefix_hits"`    // share of runs whose prefix was cached
 	Loads     int       `json:"loads"`
 	Worst     float64   `json:"worst_class_share"`  // share in time of the class that fares worst
 	Fair      float64   `json:"fairness"`           // Jain's index over callers' shares in time
@@ -59,6 +60,7 @@
 var workloads = []workload{
 	{name: "steady", times: 1},
 	{name: "shift", times: 1, shift: true},
+	{name: "many wake", times: 1, wake: true},
 	{name: "overload", times: 4},
 	{name: "store fails 1 in 5", times: 1, failEach: 5},
 	{name: "engines restart", times: 1, disturb: restartEngines},
@@ -191,6 +193,9 @@
 	}
 	slices.Sort(stalls)
 	g.StallMean, g.StallP95, g.StallP99 = meanMillis(stalls), quantile(stalls, 0.95), quantile(stalls, 0.99)
+	if runs := after.Runs - before.Runs; runs > 0 {
+		g.Prefixes = float64(after.PrefixHits-before.PrefixHits) / float64(runs)
+	}
 	if steps := after.Steps - before.Steps; steps > 0 {
 		g.Fullness = float64(after.StepTokens-before.StepTokens) / float64(steps*batch)
 	}
@@ -283,10 +288,10 @@
 	}
 	fmt.Fprintf(w, "\n%s, %s\n", list[0].User, list[0].Workload)
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "policies\tsent\tin time\trefused\tthen served\tlost\tstall mean ms\tp95\tp99\tfullness\tloads\tworst class\tfair\trecovery s\t")
+	fmt.Fprintln(t, "policies\tsent\tin time\trefused\tthen served\tlost\tstall mean ms\tp95\tp99\tfullness\tprefixes\tloads\tworst class\tfair\trecovery s\t")
 	for _, g := range list {
-		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d/%d\t%d\t%.1f\t%.0f\t%.0f\t%.3f\t%d\t%.2f\t%.3f\t%.0f\t\n", g.Policies, g.Sent, g.InTime, g.Refused, g.Honest, g.Back, g.Lost,
-			g.StallMean, g.StallP95, g.StallP99, g.Fullness, g.Loads, g.Worst, g.Fair, g.Recovery)
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d/%d\t%d\t%.1f\t%.0f\t%.0f\t%.3f\t%.2f\t%d\t%.2f\t%.3f\t%.0f\t\n", g.Policies, g.Sent, g.InTime, g.Refused, g.Honest, g.Back, g.Lost,
+			g.StallMean, g.StallP95, g.StallP99, g.Fullness, g.Prefixes, g.Loads, g.Worst, g.Fair, g.Recovery)
 	}
 	_ = t.Flush() // to the standard output
 }
--- a/measure/users.go
+++ b/measure/users.go
@@ -23,6 +23,7 @@
 type workload struct {
 	name     string
 	times    float64                          // of the user's steady rate
+	wake     bool                             // half-way a quarter of all adapters wakes
 	shift    bool                             // half-way other adapters become the popular ones
 	disturb  func(f *fleet.Fleet) disturbance // what happens at half-time; nil: nothing
 	failEach int                              // the store fails one load in so many
@@ -41,6 +42,7 @@
 // contenders are ours first, then the baselines.
 var contenders = []contender{
 	{name: "cairnwick"},
+	{name: "cairnwick without warm prefixes", gateway: []string{"warm_prefixes=0"}},
 	{name: "hash over the region + LRU", gateway: []string{"placement=hash"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
 	{name: "hash + LRU", gateway: []string{"placement=hash", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
 	{name: "least loaded + LRU", gateway: []string{"placement=least_loaded", "placement_scope=data_centre"}, scheduler: []string{"eviction=least_recently_used", "weight_batch=0"}},
@@ -49,6 +51,7 @@
 
 const (
 	userAdapters = 5000
+	talks        = 20                     // conversations of each adapter at a time
 	loadTime     = 400 * time.Millisecond // at the store's full speed
 )
 
@@ -103,12 +106,16 @@
 		Adapters: userAdapters,
 		Skew:     userSkew,
 		Kinds:    u.kinds,
+		Talks:    talks,
 		Patience: 2 * time.Minute,
 		ComeBack: true,
 	}
 	if l.shift {
 		p.Shift = d / 2
 	}
+	if l.wake {
+		p.Wake = d / 2
+	}
 	for c := 1; c <= u.spec.Centres; c++ {
 		for b := 1; b <= u.spec.Boxes; b++ {
 			p.Gateways = append(p.Gateways, f.CallersAddress(c, b))
--- a/policy/place.go
+++ b/policy/place.go
@@ -15,6 +15,7 @@
 	Limit   int           // requests that it can batch
 	Waiting int           // requests that its owner holds back
 	Loaded  bool          // the adapter is believed ready there
+	Warm    bool          // the request's prefix is believed cached there
 	Known   bool          // anything was ever heard of it
 	Age     time.Duration // of what was heard
 }
@@ -69,9 +70,10 @@
 // of two of them to the better one; the rest follow in order, as a last resort.
 type homes struct{}
 
-// stickiness is how much fuller a home that has the adapter may be before one
-// that would have to load it is preferred.
-const stickiness = 1.0
+const (
+	stickiness = 1.0  // how much fuller a home that has the adapter may be than one that would have to load it
+	warmth     = 0.25 // the same for one that has the prefix: a tie-break, since it is a hint
+)
 
 func (homes) Order(r PlaceRequest) ([]int, []float64) {
 	ranked := indexOf(r.Names, Rank(r.Key, r.Names))
@@ -82,9 +84,15 @@
 		if r.Facts[i].Loaded {
 			scores[i] += stickiness
 		}
+		if r.Facts[i].Warm {
+			scores[i] += warmth
+		}
 	}
 	head := ranked[:width]
 	first := twoChoices(head, scores, r.Rand)
+	if warm := warmest(head, r.Facts, scores); warm >= 0 && scores[warm] >= scores[first] {
+		first = warm
+	}
 	order := []int{first}
 	for _, i := range sortedBy(head, scores) {
 		if i != first {
@@ -94,6 +102,17 @@
 	return append(order, ranked[width:]...), scores
 }
 
+// warmest returns the best member whose prefix is warm, or -1.
+func warmest(list []int, facts []Facts, scores []float64) int {
+	best := -1
+	for _, i := range list {
+		if facts[i].Warm && (best < 0 || scores[i] > scores[best]) {
+			best = i
+		}
+	}
+	return best
+}
+
 // twoChoices takes the better of two random members.
 func twoChoices(list []int, scores []float64, r *rand.Rand) int {
 	if len(list) == 1 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -203,3 +203,13 @@
 	c.Assert(Weights{Batch: 1}.Hold(HoldFacts{MayWait: time.Second, Limit: 8}), quicktest.IsFalse)
 	c.Assert(Weights{}.Hold(HoldFacts{MayWait: time.Hour, Limit: 8}), quicktest.IsFalse)
 }
+
+func TestAWarmPrefixBreaksATie(t *testing.T) {
+	c := quicktest.New(t)
+	facts := make([]Facts, 4)
+	ranked := order(hashOnly{}, 1, facts)
+	facts[ranked[2]] = Facts{Limit: 8, Running: 1, Warm: true}
+	c.Assert(order(homes{}, 3, facts)[0], quicktest.Equals, ranked[2])
+	facts[ranked[2]].Running = 8
+	c.Assert(order(homes{}, 3, facts)[0] == ranked[2], quicktest.IsFalse)
+}
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -206,9 +206,15 @@
 }
 
 // loadEstimateLocked is how long a load that is not begun would take at best:
-// behind those that are wanted here, when the store's rate is there.
+// behind those that requests wait for here, when the store's rate is there.
 func (s *Scheduler) loadEstimateLocked(e *endpoint, now time.Time) time.Duration {
-	rounds := time.Duration(1 + e.wanted/loadsInFlight)
+	queued := make(map[string]bool)
+	for _, w := range e.waiters {
+		if a := w.request.GetAdapter(); e.slots[a] == nil {
+			queued[a] = true
+		}
+	}
+	rounds := time.Duration(1 + len(queued)/loadsInFlight)
 	return s.budget.wait(1, now) + rounds*e.loadTime
 }
 
