--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -84,6 +84,7 @@
 		Patience: time.Minute,
 		Explicit: o["explicit"] == "yes",
 		Twice:    o["twice"] == "yes",
+		Alias:    o["alias"] == "yes",
 	}
 	tokens := number(ts, o, "tokens", 8)
 	p.Kinds = []load.Mix{
--- a/load/plan.go
+++ b/load/plan.go
@@ -40,6 +40,7 @@
 	Patience time.Duration // longest wait for an answer
 	ComeBack bool          // refused callers come back once, when they were told to
 	Explicit bool          // name the version, not the adapter alone
+	Alias    bool          // the live version may change: the answer's own header says which must have run
 	Twice    bool          // send each request with a key again, at once, through another gateway
 }
 
@@ -53,6 +54,7 @@
 	talk    int    // conversation
 	again   string // gateway of a second sending; "" for none
 	version string // asked for; "" leaves it to the alias
+	any     bool   // any version may answer
 }
 
 const (
@@ -76,6 +78,7 @@
 		if p.Twice && k.Keyed {
 			a.again = p.Gateways[r.IntN(len(p.Gateways))]
 		}
+		a.any = p.Alias
 		if p.Explicit {
 			a.version = "@2"
 		}
@@ -135,6 +138,9 @@
 		Stream:  a.kind.Stream,
 		Header:  map[string]string{"Cairn-Class": a.kind.Class, "Cairn-Caller": a.kind.Caller},
 	}
+	if a.any {
+		q.Expect = ""
+	}
 	if a.kind.Deadline > 0 {
 		q.Header["Cairn-Deadline"] = a.kind.Deadline.String()
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -127,7 +127,11 @@
 	if !r.Whole {
 		return result{reply: r}
 	}
-	return result{reply: r, wrong: r.Check(q.Expect, a.tokens)}
+	want := q.Expect
+	if a.any {
+		want = r.Header.Get("Cairn-Model")
+	}
+	return result{reply: r, wrong: r.Check(want, a.tokens)}
 }
 
 // sendAgain sends the same request at the same time through another gateway, as
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -107,7 +107,7 @@
 	for _, n := range loaded {
 		b.engine.slots[n] = true
 	}
-	b.catalog = b.configure("serving")
+	b.catalog = b.configure("serving", true)
 	self := member.New("box/scheduler", "127.0.0.1:1", member.Scheduler, "d1", 1)
 	b.scheduler = &Scheduler{
 		Name: "box/scheduler", Box: "box", Centre: "d1",
@@ -138,13 +138,14 @@
 	return e
 }
 
-// configure makes a configuration in which e1 has the state.
-func (b *bench) configure(state string) *catalog.Catalog {
+// configure makes a configuration in which e1 has the state and checks fences or
+// not.
+func (b *bench) configure(state string, checks bool) *catalog.Catalog {
 	shards := map[string][]byte{"all": []byte(fmt.Sprintf(`{
 		"bases": [{"name": "b"}],
 		"classes": [{"name": "counter", "may_wait": "2s", "deadline": "5s", "default": true}, {"name": "urgent", "deadline": "5s"}],
-		"endpoints": [{"name": "e1", "data_centre": "d1", "base": "b", "address": "127.0.0.1:9", "slots": 2, "running": 2, "checks_fences": true, "state": %q}],
-		"adapters": [{"name": "a", "base": "b", "versions": {"1": "p/a"}}, {"name": "b", "base": "b", "versions": {"1": "p/b"}}, {"name": "c", "base": "b", "versions": {"1": "p/c"}}]}`, state))}
+		"endpoints": [{"name": "e1", "data_centre": "d1", "base": "b", "address": "127.0.0.1:9", "slots": 2, "running": 2, "checks_fences": %v, "state": %q}],
+		"adapters": [{"name": "a", "base": "b", "versions": {"1": "p/a"}}, {"name": "b", "base": "b", "versions": {"1": "p/b"}}, {"name": "c", "base": "b", "versions": {"1": "p/c"}}]}`, checks, state))}
 	h, err := catalog.NewHead(catalog.Head{}, shards)
 	b.Assert(err, quicktest.IsNil)
 	c, err := catalog.Build(h, shards, nil)
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -226,6 +226,11 @@
 		e.mu.Unlock()
 		return nil
 	}
+	if !e.spec.ChecksFences() && begun.Sub(e.seen) > s.Spans.Trust {
+		s.doubtLocked(e, begun)
+		e.mu.Unlock()
+		return nil
+	}
 	if e.spec.ChecksFences() || s.Members.Fresh(begun) {
 		e.seen = begun
 	}
@@ -252,6 +257,14 @@
 	e.losses = min(e.losses+1, mostLosses)
 }
 
+// doubtLocked claims an endpoint anew that does not check fences: another may have
+// owned it while this scheduler did not look, and nothing there would tell.
+func (s *Scheduler) doubtLocked(e *endpoint, now time.Time) {
+	s.Log.Info("Endpoint without fences was not looked at for long and is claimed anew", "endpoint", e.name)
+	e.phase = claiming
+	e.nextLook = now
+}
+
 // restartedLocked begins anew with an engine that restarted empty. Its old
 // runs ended with it, so the grants on them are over; requests that waited keep
 // waiting.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -149,7 +149,7 @@
 func TestADrainingEndpointTakesNothing(t *testing.T) {
 	b := newBench(t, "a@1")
 	b.own()
-	b.catalog = b.configure("draining")
+	b.catalog = b.configure("draining", true)
 	b.scheduler.assign(time.Now())
 	b.Assert(b.ask("a@1", "urgent").GetRefusal().GetReason(), quicktest.Equals, wire.Reason_REASON_LEAVING)
 }
@@ -216,3 +216,12 @@
 	b.scheduler.Leave()
 	b.Assert(b.scheduler.wanted.Load(), quicktest.Equals, int64(0))
 }
+
+func TestAnEndpointWithoutFencesIsClaimedAnewAfterASilence(t *testing.T) {
+	b := newBench(t, "a@1")
+	b.catalog = b.configure("serving", false)
+	e := b.own()
+	e.seen = time.Now().Add(-b.scheduler.Spans.Trust - time.Millisecond)
+	b.Assert(b.scheduler.verify(context.Background(), e, e.fence, time.Now()), quicktest.IsNil)
+	b.Assert(e.phase, quicktest.Equals, claiming)
+}
