Let nobody wait for the platform's list of boxes

Cause: the list was read under a lock by whoever asked when it was old, requests too; with a platform that hangs every request at that gateway waited 2 s for it (TestNobodyWaitsForAPlatformThatHangs). Change: a task of the daemon reads the list; asking for it never waits.

--- a/daemon/boxes.go
+++ b/daemon/boxes.go
@@ -11,38 +11,57 @@
 	"cairnwick.example/platform"
 )
 
-// Boxes reads the platform's list of boxes when it is asked for, and remembers
-// it. The list lags; it serves to find the first peer, and the daemons of other
-// data centres.
+// Boxes keeps the platform's list of boxes, which lags. It serves to find the
+// first peer, and the daemons of other data centres. Nobody who asks waits for the
+// platform. Set the fields before Run.
 type Boxes struct {
 	Client *platform.Client
 	Life   func() time.Duration // how long a list is used before it is read again
 
-	mu    sync.Mutex
-	list  []platform.Box
-	asked time.Time
+	mu   sync.Mutex
+	list []platform.Box // as last read; empty before
 }
 
-// List returns the list, as old as Life, or older while the platform does not
-// answer.
-func (b *Boxes) List() []platform.Box {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	life := b.Life()
-	if len(b.list) == 0 {
-		life = time.Second
-	}
-	if time.Since(b.asked) < life {
-		return b.list
+const (
+	firstRead = 500 * time.Millisecond // longest wait for the list at the start
+	readAgain = time.Second            // after a read that failed
+)
+
+// Run reads the list again and again until ctx ends.
+func (b *Boxes) Run(ctx context.Context) error {
+	for {
+		pause := b.Life()
+		if !b.Refresh(ctx) {
+			pause = readAgain
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(pause):
+		}
 	}
-	b.asked = time.Now()
-	v, err := b.Client.Read(context.Background(), platform.BoxesKey)
+}
+
+// Refresh reads the list once and tells whether the platform gave one.
+func (b *Boxes) Refresh(ctx context.Context) bool {
+	v, err := b.Client.Read(ctx, platform.BoxesKey)
 	if err != nil {
-		return b.list
+		return false
 	}
-	if list, err := platform.ParseBoxes(v.Body()); err == nil {
-		b.list = list
+	list, err := platform.ParseBoxes(v.Body())
+	if err != nil {
+		return false
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.list = list
+	return true
+}
+
+// List returns the list as last read; do not change it.
+func (b *Boxes) List() []platform.Box {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	return b.list
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -241,7 +241,8 @@
 	n.Log.Info("Daemon starts", "peers", peers.Addr().String(), "operators", operators.Addr().String(), "version", Version)
 	inner, end := context.WithCancel(context.Background())
 	defer end()
-	tasks := append([]Task{n.loop.Run, n.relay.Run, n.joinAndServe}, n.tasks...)
+	n.readBoxes(ctx)
+	tasks := append([]Task{n.loop.Run, n.relay.Run, n.Boxes.Run, n.joinAndServe}, n.tasks...)
 	tasks = append(tasks, n.operatorsTask(operators), n.peersTask(peers))
 	ended := make(chan error, len(tasks))
 	for _, t := range tasks {
@@ -265,6 +266,15 @@
 	return err
 }
 
+// readBoxes gives the first heartbeat its seeds, when the platform answers soon.
+func (n *Node) readBoxes(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, firstRead)
+	defer cancel()
+	if !n.Boxes.Refresh(ctx) {
+		n.Log.Info("Platform gave no list of boxes at the start")
+	}
+}
+
 // leave ends the role's work in order.
 func (n *Node) leave(ctx context.Context) {
 	n.Log.Info("Daemon leaves")
