--- a/gateway/owners.go
+++ b/gateway/owners.go
@@ -84,9 +84,16 @@
 	g.owners.keep(serving)
 }
 
-// ownerOf returns the scheduler that should own an endpoint.
-func (g *Gateway) ownerOf(endpoint, centre string) (member.Member, bool) {
-	return pick(endpoint, g.schedulersOf(centre))
+// ownerOf returns the scheduler that should own an endpoint: the one that a hint
+// names, when it serves, else the first in rendezvous order.
+func (g *Gateway) ownerOf(endpoint, centre, hint string) (member.Member, bool) {
+	list := g.schedulersOf(centre)
+	for _, m := range list {
+		if m.Name() == hint {
+			return m, true
+		}
+	}
+	return pick(endpoint, list)
 }
 
 // schedulersOf returns the serving schedulers of a data centre: by heartbeats
@@ -112,15 +119,6 @@
 	return member.Member{}, false
 }
 
-func byName(name string, list []member.Member) (member.Member, bool) {
-	for _, m := range list {
-		if m.Name() == name {
-			return m, true
-		}
-	}
-	return member.Member{}, false
-}
-
 // release is a grant to give back.
 type release struct {
 	owner   member.Member
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -208,11 +208,11 @@
 func (g *Gateway) tryEndpoint(ctx context.Context, q *request, out *answer, endpoint, centre string) *Failure {
 	q.candidates++
 	for {
-		owner, grant, sendBy, f := g.acquire(ctx, q, endpoint, centre)
+		h, f := g.acquire(ctx, q, endpoint, centre)
 		if f != nil {
 			return f
 		}
-		f = g.attempt(ctx, q, out, hold{owner: owner, grant: grant, endpoint: endpoint, sendBy: sendBy})
+		f = g.attempt(ctx, q, out, h)
 		if f == nil || f.Ran != NotRun || f.Code != CodeRefused || ctx.Err() != nil {
 			return f
 		}
@@ -224,43 +224,49 @@
 
 // acquire asks the endpoint's owner for a grant, and looks for the owner while
 // it changes.
-func (g *Gateway) acquire(ctx context.Context, q *request, endpoint, centre string) (member.Member, *wire.Grant, time.Time, *Failure) {
+func (g *Gateway) acquire(ctx context.Context, q *request, endpoint, centre string) (hold, *Failure) {
 	patience := g.Spans.Failover
 	if centre != g.Centre {
 		patience = farFailover // an endpoint of the own data centre is the next to try
 	}
 	until := time.Now().Add(min(patience, q.left()))
-	hint := ""
+	hint := "" // who owns the endpoint, by the word of a scheduler that does not
 	for {
-		owner, ok := g.ownerOf(endpoint, centre)
-		if hinted, known := byName(hint, g.schedulersOf(centre)); known {
-			owner = hinted
-		}
-		hint = ""
-		if ok {
-			asked := time.Now()
-			a, err := g.ask(ctx, q, owner, endpoint)
-			if err == nil {
-				g.beliefs.hear(endpoint, q.model.String(), a.GetFacts(), time.Now())
-			}
-			if grant := a.GetGrant(); grant != nil {
-				g.beliefs.count(endpoint, 1)
-				return owner, grant, asked.Add(time.Duration(grant.GetSendMicros()) * time.Microsecond), nil
+		if owner, ok := g.ownerOf(endpoint, centre, hint); ok {
+			h, refusal := g.askFor(ctx, q, owner, endpoint)
+			if h.grant != nil {
+				return h, nil
 			}
-			if r := a.GetRefusal(); r != nil && !searching(r.GetReason()) {
-				return owner, nil, time.Time{}, g.refusal(q, endpoint, r)
-			}
-			if r := a.GetRefusal(); r != nil && r.GetOwner() != owner.Name() {
-				hint = r.GetOwner()
+			if refusal != nil && !searching(refusal.GetReason()) {
+				return hold{}, g.refusal(q, endpoint, refusal)
 			}
+			hint = refusal.GetOwner()
 		}
 		if ctx.Err() != nil || time.Now().After(until) {
-			return owner, nil, time.Time{}, &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no scheduler answers for " + endpoint, Retry: g.Spans.Retry}
+			return hold{}, &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no scheduler answers for " + endpoint, Retry: g.Spans.Retry}
 		}
 		g.await(ctx, failoverPause)
 	}
 }
 
+// askFor makes one call for a grant and believes what the answer tells. Without
+// an answer it returns neither a grant nor a refusal.
+func (g *Gateway) askFor(ctx context.Context, q *request, owner member.Member, endpoint string) (hold, *wire.Refusal) {
+	asked := time.Now()
+	a, err := g.ask(ctx, q, owner, endpoint)
+	if err != nil {
+		return hold{}, nil
+	}
+	g.beliefs.hear(endpoint, q.model.String(), a.GetFacts(), time.Now())
+	grant := a.GetGrant()
+	if grant == nil {
+		return hold{}, a.GetRefusal()
+	}
+	g.beliefs.count(endpoint, 1)
+	sendBy := asked.Add(time.Duration(grant.GetSendMicros()) * time.Microsecond)
+	return hold{owner: owner, grant: grant, endpoint: endpoint, sendBy: sendBy}, nil
+}
+
 // searching tells whether the owner is only not settled yet.
 func searching(r wire.Reason) bool {
 	return r == wire.Reason_REASON_NOT_OWNER || r == wire.Reason_REASON_NOT_READY
