Let no held request keep others waiting

Cause: read as a newcomer: a patient request that is held for a fuller batch counted as one that waits for a place, so a caller who may not wait was refused as no_place with places free (TestAHeldRequestKeepsNobodyElseWaiting was red). Change: only requests that could run count. Measured: the scheduler's tests are green.

--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -77,7 +77,7 @@
 		deadline: now.Add(time.Duration(q.GetWaitMicros()) * time.Microsecond),
 		reply:    make(chan *wire.AcquireReply, 1),
 	}
-	if s.freeLocked(e, q.GetAdapter()) && !s.heldLocked(e, w, s.patientLocked(e)+1, now) {
+	if s.freeLocked(e, q.GetAdapter(), now) && !s.heldLocked(e, w, s.patientLocked(e)+1, now) {
 		return nil, s.grantLocked(e, w, now, wire.Reason_REASON_ADAPTER_READY)
 	}
 	if a := s.admitLocked(e, w, now); a != nil {
@@ -117,14 +117,14 @@
 	return sl != nil && sl.state == ready
 }
 
-// freeLocked tells whether a request for the adapter may run now: its adapter
-// is ready, a place is free and no other ready request waits for it.
-func (s *Scheduler) freeLocked(e *endpoint, adapter string) bool {
+// freeLocked tells whether a new request for the adapter may run now: its adapter
+// is ready, a place is free and no other request that could run waits for it.
+func (s *Scheduler) freeLocked(e *endpoint, adapter string, now time.Time) bool {
 	if !s.readyLocked(e, adapter) || e.running() >= e.limitLocked() {
 		return false
 	}
-	for _, w := range e.waiters {
-		if s.readyLocked(e, w.request.GetAdapter()) {
+	for _, w := range s.waitFactsLocked(e, now) {
+		if w.Ready {
 			return false
 		}
 	}
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -143,7 +143,7 @@
 func (b *bench) configure(state string, checks bool) *catalog.Catalog {
 	shards := map[string][]byte{"all": []byte(fmt.Sprintf(`{
 		"bases": [{"name": "b"}],
-		"classes": [{"name": "counter", "may_wait": "2s", "deadline": "5s", "default": true}, {"name": "urgent", "deadline": "5s"}],
+		"classes": [{"name": "counter", "may_wait": "2s", "deadline": "5s", "default": true}, {"name": "urgent", "deadline": "5s"}, {"name": "night", "may_wait": "1h", "deadline": "2h"}],
 		"endpoints": [{"name": "e1", "data_centre": "d1", "base": "b", "address": "127.0.0.1:9", "slots": 2, "running": 2, "checks_fences": %v, "state": %q}],
 		"adapters": [{"name": "a", "base": "b", "versions": {"1": "p/a"}}, {"name": "b", "base": "b", "versions": {"1": "p/b"}}, {"name": "c", "base": "b", "versions": {"1": "p/c"}}]}`, checks, state))}
 	h, err := catalog.NewHead(catalog.Head{}, shards)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnwick.example/engine"
+	"cairnwick.example/policy"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 )
@@ -225,3 +226,24 @@
 	b.Assert(b.scheduler.verify(context.Background(), e, e.fence, time.Now()), quicktest.IsNil)
 	b.Assert(e.phase, quicktest.Equals, claiming)
 }
+
+func TestAHeldRequestKeepsNobodyElseWaiting(t *testing.T) {
+	b := newBench(t, "a@1")
+	b.own()
+	b.scheduler.Weights = policy.Weights{Batch: 1}
+	ctx, cancel := context.WithCancel(context.Background())
+	held := make(chan error, 1)
+	go func() {
+		q := &wire.AcquireRequest{Endpoint: "e1", Adapter: "a@1", Class: "night", WaitMicros: time.Hour.Microseconds()}
+		_, err := b.scheduler.Acquire(ctx, q)
+		held <- err
+	}()
+	for n := 0; n == 0; _, n = b.scheduler.Outstanding() {
+		time.Sleep(time.Millisecond)
+	}
+	a, err := b.scheduler.Acquire(context.Background(), &wire.AcquireRequest{Endpoint: "e1", Adapter: "a@1", Class: "urgent"})
+	b.Assert(err, quicktest.IsNil)
+	b.Assert(a.GetGrant(), quicktest.IsNotNil)
+	cancel()
+	b.Assert(<-held, quicktest.IsNil)
+}
