Break ties of expected return by the last use

Cause: after a change of owner every rate is zero, and the victim was whichever slot a map gave first. Measured: TestOfEqualReturnsTheLeastRecentlyUsedGoes.

--- a/policy/evict.go
+++ b/policy/evict.go
@@ -51,7 +51,8 @@
 }
 
 // expectedReturn empties the slot whose adapter saves the least waiting: its
-// rate of requests times what loading it again costs.
+// rate of requests times what loading it again costs. Of equals, as all are after a
+// change of owner, the one unused for the longest time goes.
 type expectedReturn struct{}
 
 // resistance is how many times as valuable as the wanted adapter a resident
@@ -64,7 +65,8 @@
 		if s.Busy {
 			continue
 		}
-		if v := s.value(); best < 0 || v < least {
+		v := s.value()
+		if best < 0 || v < least || (v == least && s.LastUsed.Before(slots[best].LastUsed)) {
 			best, least = i, v
 		}
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -213,3 +213,8 @@
 	facts[ranked[2]].Running = 8
 	c.Assert(order(homes{}, 3, facts)[0] == ranked[2], quicktest.IsFalse)
 }
+
+func TestOfEqualReturnsTheLeastRecentlyUsedGoes(t *testing.T) {
+	slots := []SlotFacts{{LastUsed: start.Add(time.Second)}, {LastUsed: start}, {LastUsed: start.Add(time.Minute)}}
+	quicktest.Assert(t, expectedReturn{}.Victim(slots, WantedFacts{Waiting: 1}), quicktest.Equals, 1)
+}
