Tell changes to a random member, so that news goes round in few steps

Cause: a change was told at once to the ring neighbours alone; round a ring of 64 that is 32 steps. Change: a change of the view goes to one random member, a head to the neighbours and one random member.

--- a/member/loop.go
+++ b/member/loop.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -103,6 +104,7 @@
 			l.probe(ctx, name)
 		case <-l.nudges:
 			l.exchangeAll(ctx, l.Table.Neighbours(l.Neighbours))
+			l.spread(ctx)
 		case <-changed:
 			l.spread(ctx)
 		case now := <-tick.C:
@@ -148,12 +150,12 @@
 	}
 }
 
-// spread tells a change at once to one random neighbour; the others hear it
-// with the next beats.
+// spread tells a change at once to one random member: from there it goes on, and
+// so round the ring in few steps. The others hear it with the next beats.
 func (l *Loop) spread(ctx context.Context) {
-	neighbours := l.Table.Neighbours(l.Neighbours)
-	if len(neighbours) > 0 {
-		l.exchange(ctx, neighbours[rand.IntN(len(neighbours))])
+	others := l.Table.Neighbours(math.MaxInt)
+	if len(others) > 0 {
+		l.exchange(ctx, others[rand.IntN(len(others))])
 	}
 }
 
