Drop the weight of stalls, which nothing read

Cause: read as a newcomer: weight_stalls was a setting without an effect. Change: one scale, weight_batch from 0 (stalls first) to 1 (batches first).

--- a/measure/users.go
+++ b/measure/users.go
@@ -66,7 +66,7 @@
 		},
 		rate:      60,
 		store:     9,
-		scheduler: []string{"store_rate=9", "store_at_once=6", "weight_stalls=1", "weight_batch=0"},
+		scheduler: []string{"store_rate=9", "store_at_once=6", "weight_batch=0"},
 		kinds: []load.Mix{
 			{Class: fleet.CounterClass, Caller: "till", Share: 6, Tokens: 16, Stream: true},
 			{Class: fleet.CounterClass, Caller: "landscaper", Share: 3, Tokens: 48},
@@ -86,7 +86,7 @@
 		},
 		rate:      40,
 		store:     4,
-		scheduler: []string{"store_rate=4", "store_at_once=8", "weight_stalls=0.3", "weight_batch=1"},
+		scheduler: []string{"store_rate=4", "store_at_once=8", "weight_batch=1"},
 		kinds: []load.Mix{
 			{Class: fleet.CounterClass, Caller: "counter", Share: 3, Tokens: 16, Stream: true},
 			{Class: fleet.NightClass, Caller: "cooperative", Share: 4, Tokens: 32},
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -4,11 +4,10 @@
 
 import "time"
 
-// Weights says what the users weigh: load stalls first or batch fullness
-// first. Both are from 0 to 1.
+// Weights says what the users weigh, on one scale: Batch is 0 where load stalls
+// come first and nobody is held back, and 1 where batches had better be full.
 type Weights struct {
-	Stalls float64
-	Batch  float64
+	Batch float64
 }
 
 // WaitFacts is one waiting request.
--- a/scheduler/serving.go
+++ b/scheduler/serving.go
@@ -20,7 +20,6 @@
 // The options of a scheduler.
 const (
 	optEviction   = "eviction"
-	optStalls     = "weight_stalls"
 	optBatch      = "weight_batch"
 	optSendWindow = "send_window"
 	optVerify     = "verify"
@@ -43,8 +42,7 @@
 // Options is the table of a scheduler's settings.
 var Options = append(slices.Clone(daemon.Common), settings.Table{
 	{Name: optEviction, Kind: settings.Text, Default: policy.EvictReturn, Help: "expected_return or least_recently_used"},
-	{Name: optStalls, Kind: settings.Number, Default: 1.0, Help: "weight of load stalls, 0 to 1"},
-	{Name: optBatch, Kind: settings.Number, Default: 0.0, Help: "weight of batch fullness, 0 to 1; above 0 requests that may wait long are held for fuller batches"},
+	{Name: optBatch, Kind: settings.Number, Default: 0.0, Help: "what is weighed: 0 load stalls first, 1 batch fullness first; above 0 requests that may wait long are held for fuller batches"},
 	{Name: optSendWindow, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "a grant must be used within it"},
 	{Name: optVerify, Kind: settings.Duration, Default: 2 * time.Second, Least: time.Millisecond, Help: "time between looks at an endpoint's fence"},
 	{Name: optTrust, Kind: settings.Duration, Default: 3 * time.Second, Least: time.Millisecond, Help: "how long a look vouches for ownership; above verify"},
@@ -87,7 +85,7 @@
 		Ready:    n.Ready,
 		Dial:     func(address string) engine.Endpoint { return &engine.Client{Address: address, HTTP: client} },
 		Eviction: evict,
-		Weights:  policy.Weights{Stalls: v.Number(optStalls), Batch: v.Number(optBatch)},
+		Weights:  policy.Weights{Batch: v.Number(optBatch)},
 		Spans: Spans{
 			SendWindow: v.Duration(optSendWindow),
 			Verify:     v.Duration(optVerify),
