Load for refused callers only while nobody waits for a load

The store's rate binds, and demands took it from requests that waited. Change: demands load only while no load is wanted anywhere, and press for no slot; a data centre's ping vouches for three seconds.

--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -20,7 +20,7 @@
 const (
 	pingInterval = time.Second
 	pingTimeout  = 700 * time.Millisecond
-	reachFor     = 2 * time.Second // a data centre that is silent so long can't be reached
+	reachFor     = 3 * time.Second // a data centre that is silent so long can't be reached
 	farBeats     = 5               // pings to the own region for each one to another region
 	farReachFor  = (farBeats + 2) * pingInterval
 )
@@ -85,7 +85,7 @@
 	for _, n := range c.DataCentres() {
 		near := c.Region(n) == c.Region(g.Centre)
 		switch {
-		case n == g.Centre || g.reach.reached(n, time.Now().Add(pingInterval)):
+		case n == g.Centre || g.reach.reached(n, time.Now().Add(reachFor-pingInterval)):
 			// the own one, or one that answered a request just now
 		case near:
 			all.Go(func() { g.ping(ctx, n, reachFor) })
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -28,6 +28,9 @@
 	defer s.countWantedLocked(e, now)
 	for e.loadsInFlightLocked() < loadsInFlight {
 		names, facts := s.wantedLocked(e, now)
+		if len(names) == 0 {
+			names, facts = s.demandedLocked(e, now)
+		}
 		i := policy.NextLoad(facts, e.loadTime)
 		if i < 0 {
 			return
@@ -62,15 +65,16 @@
 	return n
 }
 
-// wantedLocked lists the adapters that requests wait for, or were refused for,
-// and that are in no slot, and may be tried now.
+// wantedLocked lists the adapters that requests wait for and that are in no slot,
+// and may be tried now.
 func (s *Scheduler) wantedLocked(e *endpoint, now time.Time) ([]string, []policy.LoadFacts) {
 	var names []string
 	var facts []policy.LoadFacts
 	at := make(map[string]int)
-	want := func(n string, count int, waited time.Duration, urgent bool) {
-		if e.slots[n] != nil || now.Before(e.failed[n].until) {
-			return
+	for _, w := range e.waiters {
+		n := w.request.GetAdapter()
+		if !e.loadableLocked(n, now) {
+			continue
 		}
 		i, ok := at[n]
 		if !ok {
@@ -79,19 +83,37 @@
 			names = append(names, n)
 			facts = append(facts, s.loadFactsLocked(e, n, now))
 		}
-		facts[i].Waiting += count
-		facts[i].Waited = max(facts[i].Waited, waited)
-		facts[i].Urgent = facts[i].Urgent || urgent
+		facts[i].Waiting++
+		facts[i].Waited = max(facts[i].Waited, now.Sub(w.arrived))
+		facts[i].Urgent = facts[i].Urgent || w.deadline.Sub(now) < 2*e.loadTime
 	}
-	for _, w := range e.waiters {
-		want(w.request.GetAdapter(), 1, now.Sub(w.arrived), w.deadline.Sub(now) < 2*e.loadTime)
+	return names, facts
+}
+
+// demandedLocked lists the adapters that requests were refused for. They are
+// loaded only while nobody anywhere waits for a load, and press for no slot.
+func (s *Scheduler) demandedLocked(e *endpoint, now time.Time) ([]string, []policy.LoadFacts) {
+	if s.wanted.Load() > 0 {
+		return nil, nil
 	}
+	var names []string
+	var facts []policy.LoadFacts
 	for n, d := range e.demands {
-		want(n, 0, now.Sub(d.first), false) // after those that wait here
+		if e.loadableLocked(n, now) {
+			f := s.loadFactsLocked(e, n, now)
+			f.Waiting = d.count
+			names = append(names, n)
+			facts = append(facts, f)
+		}
 	}
 	return names, facts
 }
 
+// loadableLocked tells whether an adapter is in no slot and may be tried now.
+func (e *endpoint) loadableLocked(name string, now time.Time) bool {
+	return e.slots[name] == nil && !now.Before(e.failed[name].until)
+}
+
 func (s *Scheduler) loadFactsLocked(e *endpoint, name string, now time.Time) policy.LoadFacts {
 	f := policy.LoadFacts{Rate: e.rateLocked(name, now, s.Spans.HalfLife).Rate(now, s.Spans.HalfLife)}
 	if m, err := s.Catalog().Resolve(name); err == nil {
