--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -34,6 +34,23 @@
 	}
 }
 
+// cmdReplace ends both daemons of boxes in order, at once, and starts them again:
+// replace 1.1 1.2.
+func cmdReplace(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	for _, at := range args {
+		c, b := place(ts, at)
+		ended := make(chan error, 2)
+		for _, role := range []string{"gateway", "scheduler"} {
+			go func() { ended <- w.fleet.End(fleet.DaemonName(c, b, role), syscall.SIGTERM) }()
+		}
+		ts.Check(<-ended)
+		ts.Check(<-ended)
+		ts.Check(w.fleet.StartBox(c, b))
+		ts.Check(w.fleet.WaitReady(context.Background()))
+	}
+}
+
 // cmdEnd sends a signal and waits for the end: end kill scheduler1.1. An orderly
 // end must have exit code 0.
 func cmdEnd(ts *testscript.TestScript, _ bool, args []string) {
@@ -82,6 +99,7 @@
 		Adapters: number(ts, o, "adapters", 10),
 		Skew:     1.2,
 		Patience: time.Minute,
+		Health:   make(map[string]string),
 		Explicit: o["explicit"] == "yes",
 		Twice:    o["twice"] == "yes",
 		Alias:    o["alias"] == "yes",
@@ -98,6 +116,9 @@
 	for _, g := range strings.Split(o["gateways"], ",") {
 		c, b := place(ts, g)
 		p.Gateways = append(p.Gateways, w.fleet.CallersAddress(c, b))
+		if o["balanced"] == "yes" {
+			p.Health[w.fleet.CallersAddress(c, b)] = "http://" + w.fleet.OperatorsAddress(c, b, "gateway") + "/readyz"
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	w.cancel = cancel
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -65,6 +65,7 @@
 			"eventually":  cmdEventually,
 			"countatmost": cmdCountAtMost,
 			"net":         cmdNet,
+			"replace":     cmdReplace,
 			"put":         cmdPut,
 			"sed":         cmdSed,
 			"agree":       cmdAgree,
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -202,6 +202,15 @@
 	return json.Marshal(body)
 }
 
+// revision is that of the configuration that resolved the model, or zero when the
+// request was not read so far.
+func (q *request) revision() int64 {
+	if q == nil {
+		return 0
+	}
+	return q.catalog.Revision()
+}
+
 // left is the time until the deadline.
 func (q *request) left() time.Duration { return time.Until(q.deadline) }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -48,7 +48,7 @@
 // finish gives a request its final answer when it has none of its own.
 func (g *Gateway) finish(w failureWriter, q *request, id string, begun time.Time, f *Failure) {
 	g.stats.Codes.Observe(string(f.Code), time.Since(begun))
-	g.Log.V(1).Info("Request was refused", "request", id, "code", f.Code, "ran", f.Ran, "message", f.Message)
+	g.Log.V(1).Info("Request was refused", "request", id, "revision", q.revision(), "code", f.Code, "ran", f.Ran, "message", f.Message)
 	g.record(q, id, f)
 	if a, ok := w.(*answer); ok {
 		a.fail(f)
--- a/load/plan.go
+++ b/load/plan.go
@@ -28,7 +28,8 @@
 // adapters at the same times.
 type Plan struct {
 	Gateways []string
-	Rate     float64 // requests a second
+	Health   map[string]string // URL of readiness by gateway; empty: no balancer stands before them
+	Rate     float64           // requests a second
 	Duration time.Duration
 	Seed     uint64
 	Adapters int           // asked for, from the first on
--- a/load/run.go
+++ b/load/run.go
@@ -72,11 +72,22 @@
 	defer c.HTTP.CloseIdleConnections()
 	begun := time.Now()
 	b.last = begun
+	front := &balancer{health: p.Health, ready: make(map[string]bool)}
+	balanced, stop := context.WithCancel(ctx)
+	ended := make(chan error, 1)
+	go func() { ended <- front.run(balanced) }()
+	defer func() {
+		stop()
+		<-ended
+	}()
 	var all sync.WaitGroup
 	for _, a := range list {
 		if !sleepUntil(ctx, begun.Add(a.at)) {
 			break
 		}
+		if len(p.Health) > 0 {
+			a.gateway = front.choose(a.gateway, p.Gateways)
+		}
 		all.Go(func() {
 			begun := time.Now()
 			r := send(ctx, c, a)
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -27,6 +27,7 @@
 type endpoint struct {
 	name   string
 	client engine.Endpoint
+	home   string // who should own it, in the view that assign last saw; only assign uses it
 
 	mu       sync.Mutex
 	spec     catalog.Endpoint
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -45,7 +45,10 @@
 		if moved {
 			e.lookSoon(now) // another view may have claimed it in between
 		}
-		if s.assignOne(e, Owner(e.name, schedulers), leaving, now) {
+		if moved || e.home == "" {
+			e.home = Owner(e.name, schedulers)
+		}
+		if s.assignOne(e, e.home, leaving, now) {
 			mine++
 		}
 	}
