--- a/e2e/ask_test.go
+++ b/e2e/ask_test.go
@@ -22,7 +22,8 @@
 
 // cmdAsk sends a completion and prints what came of it on one line: ask
 // gateway=1.1 model=NAME expect=NAME@VERSION tokens=4 stream=yes class=C key=K
-// deadline=D to=ADDRESS. With !, the answer must be a failure.
+// deadline=D tries=N. With tries it comes back when it is told to; with !, the
+// answer must be a failure.
 func cmdAsk(ts *testscript.TestScript, neg bool, args []string) {
 	o, _ := options(args)
 	w := worldOf(ts)
@@ -43,6 +44,11 @@
 	}
 	r, err := w.caller.Do(context.Background(), q)
 	ts.Check(err)
+	for tries := number(ts, o, "tries", 1); tries > 1 && r.Ran == "not_run" && r.Retry > 0; tries-- {
+		time.Sleep(r.Retry) // as callers are told to
+		r, err = w.caller.Do(context.Background(), q)
+		ts.Check(err)
+	}
 	if r.Ran == "not_run" {
 		w.notRun = append(w.notRun, r.Request)
 	}
@@ -181,6 +187,34 @@
 	return v
 }
 
+// cmdSettled waits until every daemon that answers sees every one of its data
+// centre alive.
+func cmdSettled(ts *testscript.TestScript, _ bool, _ []string) {
+	w := worldOf(ts)
+	want := fmt.Sprintf(`{"alive":%d}`, 2*w.fleet.Spec.Boxes)
+	deadline := time.Now().Add(30 * time.Second)
+	for {
+		behind := ""
+		for c := 1; c <= w.fleet.Spec.Centres; c++ {
+			for b := 1; b <= w.fleet.Spec.Boxes; b++ {
+				for _, role := range []string{"gateway", "scheduler"} {
+					v := vars(w.fleet.OperatorsAddress(c, b, role))
+					if string(v["cairn_members"]) != want {
+						behind = fmt.Sprintf("%s sees %s", fleet.DaemonName(c, b, role), v["cairn_members"])
+					}
+				}
+			}
+		}
+		if behind == "" {
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("views have not settled: %s", behind)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // cmdCountAtMost checks a number that a daemon exports: countatmost
 // gateway1.1 NAME LIMIT.
 func cmdCountAtMost(ts *testscript.TestScript, _ bool, args []string) {
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -66,6 +66,7 @@
 			"countatmost": cmdCountAtMost,
 			"net":         cmdNet,
 			"replace":     cmdReplace,
+			"settled":     cmdSettled,
 			"put":         cmdPut,
 			"sed":         cmdSed,
 			"agree":       cmdAgree,
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -70,11 +70,15 @@
 }
 
 // Follow asks until every address that answers has the head in force, or one has
-// another that does not follow from it. It returns who has it not, with why.
+// another that does not follow from it, until ctx ends. It returns who had it not
+// in the last whole round, and who gave no answer.
 func (c *Client) Follow(ctx context.Context, addresses []string, head catalog.Head) (behind map[string]catalog.Head, silent []Silence) {
 	for {
-		var found map[string]catalog.Head
-		found, silent = c.Heads(ctx, addresses)
+		found, missing := c.Heads(ctx, addresses)
+		if ctx.Err() != nil && len(behind)+len(silent) > 0 {
+			return behind, silent // of the round before: this one was broken off by the limit
+		}
+		silent = missing
 		behind = make(map[string]catalog.Head)
 		for a, h := range found {
 			if h.Digest() != head.Digest() && !h.Follows(head) {
