Name the sender whole in every heartbeat, so that settled groups merge

Cause: at-most-once was red in a fresh clone: two settled groups never merged, since a heartbeat without the address means nothing to a daemon that does not know it. Change: every heartbeat names its sender whole; about 200 B/s more (not measured).

--- a/member/loop.go
+++ b/member/loop.go
@@ -234,9 +234,6 @@
 // alone.
 func (l *Loop) Heartbeat(full bool) *wire.Heartbeat {
 	h := &wire.Heartbeat{From: l.Table.Self().Wire(), View: l.Table.Digest(), Full: full}
-	if !l.apart.Load() {
-		h.From.Address, h.From.Role, h.From.DataCentre = "", "", ""
-	}
 	list := l.Table.News(maxNews)
 	if full {
 		list = l.Table.All()
