Take out what short heartbeats needed, and keep them whole by a test

Cause: reading the change again: apart and the merging of nameless senders were dead since heartbeats name their sender whole. Change: both removed; TestAHeartbeatNamesItsSenderWhole. Measured: member tests and vet of the workspace.

--- a/member/loop.go
+++ b/member/loop.go
@@ -9,7 +9,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,8 +54,7 @@
 
 	probes chan string // names to probe at once
 	nudges chan struct{}
-	beaten int         // beats so far
-	apart  atomic.Bool // the last heartbeat heard told of another view
+	beaten int // beats so far
 	once   sync.Once
 }
 
@@ -64,7 +62,6 @@
 	l.once.Do(func() {
 		l.probes = make(chan string, 16)
 		l.nudges = make(chan struct{}, 1)
-		l.apart.Store(true)
 	})
 }
 
@@ -229,9 +226,8 @@
 	return ok && s.Code() == codes.Unavailable && strings.Contains(s.Message(), syscall.ECONNREFUSED.Error())
 }
 
-// Heartbeat returns what this daemon tells; full tells its whole view. While
-// views agree the peers know this daemon, and it tells its name and incarnation
-// alone.
+// Heartbeat returns what this daemon tells; full tells its whole view. It names
+// this daemon whole, since the peer may not know it yet.
 func (l *Loop) Heartbeat(full bool) *wire.Heartbeat {
 	h := &wire.Heartbeat{From: l.Table.Self().Wire(), View: l.Table.Digest(), Full: full}
 	list := l.Table.News(maxNews)
@@ -248,11 +244,7 @@
 // Answer takes a heartbeat in and returns this daemon's own, whole when the
 // views differ.
 func (l *Loop) Answer(h *wire.Heartbeat) *wire.Heartbeat {
-	address := h.GetFrom().GetAddress()
-	if m, ok := l.Table.Find(h.GetFrom().GetName()); ok {
-		address = m.Address()
-	}
-	l.take(h, address)
+	l.take(h, h.GetFrom().GetAddress())
 	l.Table.Exchanged(h.GetFrom().GetName(), time.Now())
 	_, known := l.Table.Find(h.GetFrom().GetName())
 	return l.Heartbeat(known && h.GetView() != l.Table.Digest())
@@ -264,8 +256,5 @@
 		told = append(told, FromWire(m))
 	}
 	l.Table.Merge(told, time.Now())
-	if _, known := l.Table.Find(h.GetFrom().GetName()); known {
-		l.apart.Store(h.GetView() != l.Table.Digest())
-	}
 	l.Extras.Heard(h, address)
 }
--- a/member/loop_test.go
+++ b/member/loop_test.go
@@ -101,3 +101,12 @@
 	w.beats(8)
 	c.Assert(w.allSee(8), quicktest.IsTrue)
 }
+
+func TestAHeartbeatNamesItsSenderWhole(t *testing.T) {
+	c := quicktest.New(t)
+	w := make(wires)
+	a := w.join("a", "b:1")
+	w.join("b", "a:1")
+	w.beats(4) // until the views agree
+	c.Assert(FromWire(a.Heartbeat(false).GetFrom()).Address(), quicktest.Equals, "a:1")
+}
--- a/member/table.go
+++ b/member/table.go
@@ -112,9 +112,6 @@
 		return
 	}
 	old, known := t.others[m.name]
-	if known && m.address == "" { // told by its name and incarnation alone
-		m.address, m.role, m.dataCentre = old.address, old.role, old.dataCentre
-	}
 	if m.dataCentre != t.self.dataCentre || m.state < Alive || m.state > Dead {
 		return
 	}
