--- a/cmd/cairnctl/confirm.go
+++ b/cmd/cairnctl/confirm.go
@@ -13,9 +13,9 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/kvstore"
 	"cairnwick.example/operator"
 	"cairnwick.example/plan"
-	"cairnwick.example/platform"
 	"github.com/pkg/errors"
 )
 
@@ -56,9 +56,9 @@
 	if len(heads) == 0 {
 		return report(errs, silent)
 	}
-	files := map[string]string{platform.HeadKey: p.Head}
+	files := map[string]string{kvstore.HeadKey: p.Head}
 	for digest, text := range p.Shards {
-		files[platform.ShardPrefix+digest] = text
+		files[kvstore.ShardPrefix+digest] = text
 	}
 	for _, key := range slices.Sorted(maps.Keys(files)) {
 		path := filepath.Join(q.Dir, key)
--- a/daemon/boxes.go
+++ b/daemon/boxes.go
@@ -7,19 +7,19 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/kvstore"
 	"cairnwick.example/member"
-	"cairnwick.example/platform"
 )
 
 // Boxes keeps the platform's list of boxes, which lags. It serves to find the
 // first peer, and the daemons of other data centres. Nobody who asks waits for the
 // platform. Set the fields before Run.
 type Boxes struct {
-	Client *platform.Client
+	Client *kvstore.Client
 	Life   func() time.Duration // how long a list is used before it is read again
 
 	mu   sync.Mutex
-	list []platform.Box // as last read; empty before
+	list []kvstore.Box // as last read; empty before
 }
 
 const (
@@ -44,11 +44,11 @@
 
 // Refresh reads the list once and tells whether the platform gave one.
 func (b *Boxes) Refresh(ctx context.Context) bool {
-	v, err := b.Client.Read(ctx, platform.BoxesKey)
+	v, err := b.Client.Read(ctx, kvstore.BoxesKey)
 	if err != nil {
 		return false
 	}
-	list, err := platform.ParseBoxes(v.Body())
+	list, err := kvstore.ParseBoxes(v.Body())
 	if err != nil {
 		return false
 	}
@@ -59,7 +59,7 @@
 }
 
 // List returns the list as last read; do not change it.
-func (b *Boxes) List() []platform.Box {
+func (b *Boxes) List() []kvstore.Box {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.list
--- a/daemon/boxes_test.go
+++ b/daemon/boxes_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"cairnwick.example/platform"
+	"cairnwick.example/kvstore"
 	"github.com/frankban/quicktest"
 )
 
@@ -23,9 +23,9 @@
 	defer s.Close()
 	defer close(hang)
 	b := &Boxes{
-		Client: &platform.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()},
+		Client: &kvstore.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()},
 		Life:   func() time.Duration { return time.Minute },
-		list:   []platform.Box{{Name: "b/scheduler", DataCentre: "d", Role: "scheduler"}},
+		list:   []kvstore.Box{{Name: "b/scheduler", DataCentre: "d", Role: "scheduler"}},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -43,7 +43,7 @@
 		_, _ = w.Write([]byte("{"))
 	}))
 	defer s.Close()
-	b := &Boxes{Client: &platform.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()}, list: []platform.Box{{Name: "b"}}}
+	b := &Boxes{Client: &kvstore.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()}, list: []kvstore.Box{{Name: "b"}}}
 	c.Assert(b.Refresh(context.Background()), quicktest.IsFalse)
 	c.Assert(b.List(), quicktest.HasLen, 1)
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -12,10 +12,10 @@
 	"time"
 
 	"cairnwick.example/decision"
-	"cairnwick.example/journal"
 	"cairnwick.example/keeper"
+	"cairnwick.example/kvstore"
+	"cairnwick.example/logging"
 	"cairnwick.example/member"
-	"cairnwick.example/platform"
 	"cairnwick.example/settings"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
@@ -70,11 +70,11 @@
 		return nil, err
 	}
 	n := &Node{Role: role, values: v, box: v.Text(Box), centre: v.Text(DataCentre)}
-	n.Log = journal.New(os.Stdout, n.box, n.centre, role, v.Switch(Debug))
+	n.Log = logging.New(os.Stdout, n.box, n.centre, role, v.Switch(Debug))
 	n.Record = decision.NewRecord(v.Count(Decisions))
 	n.traffic = &Traffic{}
 	n.Dialer = &Dialer{Credentials: creds, Dial: counted(&n.traffic.Peers, dialTimeout, v.Text(Source))}
-	client := &platform.Client{
+	client := &kvstore.Client{
 		Address: v.Text(Platform),
 		Timeout: 2 * time.Second,
 		HTTP: &http.Client{Transport: &http.Transport{
@@ -135,7 +135,7 @@
 // Add makes Run run the task.
 func (n *Node) Add(t Task) { n.tasks = append(n.tasks, t) }
 
-func (n *Node) newRelay(client *platform.Client) *keeper.Relay {
+func (n *Node) newRelay(client *kvstore.Client) *keeper.Relay {
 	r := &keeper.Relay{
 		Keeper:   n.Keeper,
 		Platform: client,
--- a/e2e/configure_test.go
+++ b/e2e/configure_test.go
@@ -12,7 +12,7 @@
 
 	"cairnwick.example/catalog"
 	"cairnwick.example/fleet"
-	"cairnwick.example/platform"
+	"cairnwick.example/kvstore"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -132,13 +132,13 @@
 		if err != nil {
 			return err
 		}
-		if key == platform.HeadKey {
+		if key == kvstore.HeadKey {
 			head = path
 			return nil
 		}
 		return putFile(ts, key, path)
 	}))
-	ts.Check(putFile(ts, platform.HeadKey, head))
+	ts.Check(putFile(ts, kvstore.HeadKey, head))
 }
 
 func putFile(ts *testscript.TestScript, key, path string) error {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -18,8 +18,8 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/kvstore"
 	"cairnwick.example/member"
-	"cairnwick.example/platform"
 	"github.com/pkg/errors"
 )
 
@@ -119,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	if err := f.Put(ctx, platform.BoxesKey, boxes); err != nil {
+	if err := f.Put(ctx, kvstore.BoxesKey, boxes); err != nil {
 		return err
 	}
 	return f.Publish(ctx, f.Shards())
@@ -324,7 +324,7 @@
 			return catalog.Head{}, err
 		}
 		texts[n] = raw
-		if err := f.Put(ctx, platform.ShardPrefix+catalog.Digest(raw), raw); err != nil {
+		if err := f.Put(ctx, kvstore.ShardPrefix+catalog.Digest(raw), raw); err != nil {
 			return catalog.Head{}, err
 		}
 	}
@@ -332,7 +332,7 @@
 	if err != nil {
 		return catalog.Head{}, err
 	}
-	return h, f.Put(ctx, platform.HeadKey, h.Raw())
+	return h, f.Put(ctx, kvstore.HeadKey, h.Raw())
 }
 
 // Signal sends a signal to a process.
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -11,8 +11,8 @@
 	"sync/atomic"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/kvstore"
 	"cairnwick.example/member"
-	"cairnwick.example/platform"
 )
 
 // Spec describes a fleet.
@@ -197,12 +197,12 @@
 func (f *Fleet) ProxyAddress() string { return fmt.Sprintf("%s.2:%d", f.net, standinPort) }
 
 // Boxes returns the platform's list of the fleet's daemons.
-func (f *Fleet) Boxes() []platform.Box {
-	var list []platform.Box
+func (f *Fleet) Boxes() []kvstore.Box {
+	var list []kvstore.Box
 	for c := 1; c <= f.Spec.Centres; c++ {
 		for b := 1; b <= f.Spec.Boxes; b++ {
 			for _, role := range []string{member.Gateway, member.Scheduler} {
-				list = append(list, platform.Box{
+				list = append(list, kvstore.Box{
 					Name:       BoxName(c, b) + "/" + role,
 					DataCentre: CentreName(c),
 					Role:       role,
--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
-	"cairnwick.example/platform"
+	"cairnwick.example/kvstore"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -86,7 +86,7 @@
 // Run.
 type Relay struct {
 	Keeper   *Keeper
-	Platform *platform.Client
+	Platform *kvstore.Client
 	Peers    PeerSource
 	Nudge    func()      // tells the neighbours now that there is news
 	Watches  func() bool // whether this daemon watches the platform now
@@ -201,7 +201,7 @@
 			sleep(ctx, r.Pause)
 			continue
 		}
-		v, err := r.Platform.Watch(ctx, platform.HeadKey, index, r.Wait)
+		v, err := r.Platform.Watch(ctx, kvstore.HeadKey, index, r.Wait)
 		if err != nil {
 			r.Log.V(1).Info("Platform gave no head", "err", err.Error())
 			sleep(ctx, r.Pause)
@@ -224,16 +224,16 @@
 }
 
 // platformSource reads documents from the platform.
-type platformSource struct{ client *platform.Client }
+type platformSource struct{ client *kvstore.Client }
 
 // Head implements Source; the platform has no candidates.
 func (s platformSource) Head(ctx context.Context, _ []byte) ([]byte, bool, error) {
-	v, err := s.client.Read(ctx, platform.HeadKey)
+	v, err := s.client.Read(ctx, kvstore.HeadKey)
 	return v.Body(), false, err
 }
 
 // Shard implements Source.
 func (s platformSource) Shard(ctx context.Context, digest string) ([]byte, error) {
-	v, err := s.client.Read(ctx, platform.ShardPrefix+digest)
+	v, err := s.client.Read(ctx, kvstore.ShardPrefix+digest)
 	return v.Body(), err
 }
--- a/platform/platform.go
+++ b/kvstore/kvstore.go
@@ -1,9 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package platform reads the platform's services: published configuration and
+// Package kvstore reads the platform's services: published configuration and
 // the list of boxes, from a key-value service in Consul's HTTP style with
 // blocking reads. Nothing here writes.
-package platform
+package kvstore
 
 import (
 	"context"
@@ -30,7 +30,7 @@
 const maxAnswer = 2 << 20
 
 // ErrMissing says that the platform answered and has no such key.
-var ErrMissing = errors.New("platform: no such key")
+var ErrMissing = errors.New("kvstore: no such key")
 
 // Value is one value with the index at which it was last changed.
 type Value struct {
@@ -78,11 +78,11 @@
 	address := fmt.Sprintf("%s/v1/kv/%s?%s", c.Address, key, q.Encode())
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform: make request")
+		return Value{}, errors.Wrap(err, "kvstore: make request")
 	}
 	a, err := c.HTTP.Do(r)
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform: no answer")
+		return Value{}, errors.Wrap(err, "kvstore: no answer")
 	}
 	defer a.Body.Close()
 	return readValue(a)
@@ -93,15 +93,15 @@
 		return Value{}, ErrMissing
 	}
 	if a.StatusCode != http.StatusOK {
-		return Value{}, errors.Errorf("platform: status %d", a.StatusCode)
+		return Value{}, errors.Errorf("kvstore: status %d", a.StatusCode)
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxAnswer))
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform: read answer")
+		return Value{}, errors.Wrap(err, "kvstore: read answer")
 	}
 	index, err := strconv.ParseUint(a.Header.Get("X-Consul-Index"), 10, 64)
 	if err != nil {
-		return Value{}, errors.Wrap(err, "platform: index of answer")
+		return Value{}, errors.Wrap(err, "kvstore: index of answer")
 	}
 	return Value{body: body, index: index}, nil
 }
@@ -119,7 +119,7 @@
 func ParseBoxes(raw []byte) ([]Box, error) {
 	var list []Box
 	if err := json.Unmarshal(raw, &list); err != nil {
-		return nil, errors.Wrap(err, "platform: list of boxes")
+		return nil, errors.Wrap(err, "kvstore: list of boxes")
 	}
 	return list, nil
 }
--- a/platform/platform_test.go
+++ b/kvstore/kvstore_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package platform_test
+package kvstore_test
 
 import (
 	"context"
@@ -10,12 +10,12 @@
 	"testing"
 	"time"
 
-	"cairnwick.example/platform"
+	"cairnwick.example/kvstore"
 	"cairnwick.example/standin"
 	"github.com/frankban/quicktest"
 )
 
-func newClient(c *quicktest.C) (*platform.Client, func(key, value string)) {
+func newClient(c *quicktest.C) (*kvstore.Client, func(key, value string)) {
 	s := httptest.NewServer((&standin.Platform{}).Handler())
 	c.Cleanup(s.Close)
 	put := func(key, value string) {
@@ -24,14 +24,14 @@
 		_, err = http.DefaultClient.Do(r)
 		c.Assert(err, quicktest.IsNil)
 	}
-	return &platform.Client{Address: s.URL, Timeout: time.Second, HTTP: http.DefaultClient}, put
+	return &kvstore.Client{Address: s.URL, Timeout: time.Second, HTTP: http.DefaultClient}, put
 }
 
 func TestAMissingKeyIsSaidSo(t *testing.T) {
 	c := quicktest.New(t)
 	p, _ := newClient(c)
 	_, err := p.Read(context.Background(), "none")
-	c.Assert(err, quicktest.Equals, platform.ErrMissing)
+	c.Assert(err, quicktest.Equals, kvstore.ErrMissing)
 }
 
 func TestAWatchReturnsAtTheChange(t *testing.T) {
@@ -40,7 +40,7 @@
 	put("k", "one")
 	v, err := p.Read(context.Background(), "k")
 	c.Assert(err, quicktest.IsNil)
-	seen := make(chan platform.Value, 1)
+	seen := make(chan kvstore.Value, 1)
 	go func() {
 		v, _ := p.Watch(context.Background(), "k", v.Index(), time.Minute)
 		seen <- v
@@ -62,6 +62,6 @@
 }
 
 func TestABrokenListOfBoxesIsAnError(t *testing.T) {
-	_, err := platform.ParseBoxes([]byte("{"))
-	quicktest.Assert(t, err, quicktest.ErrorMatches, "platform: list of boxes.*")
+	_, err := kvstore.ParseBoxes([]byte("{"))
+	quicktest.Assert(t, err, quicktest.ErrorMatches, "kvstore: list of boxes.*")
 }
--- a/journal/journal.go
+++ b/logging/logging.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package journal makes the loggers of the daemons: logr over JSON lines.
-package journal
+// Package logging makes the loggers of the daemons: logr over JSON lines.
+package logging
 
 import (
 	"io"
--- a/journal/journal_test.go
+++ b/logging/logging_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package journal
+package logging
 
 import (
 	"bytes"
