--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 # Needs protoc, protoc-gen-go and protoc-gen-go-grpc.
 generate:
-	cd wire && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative wire.proto
+	cd wire && protoc --go_out=. --go_opt=paths=source_relative --go-grpc_out=. --go-grpc_opt=paths=source_relative wire.proto share.proto
 
 clean:
 	rm -rf bin
--- /dev/null
+++ b/edge/leave.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+)
+
+const (
+	headerTime   = 5 * time.Second         // for the head of a request
+	idleTime     = 90 * time.Second        // callers use connections again that rested for less
+	noticeFor    = 2800 * time.Millisecond // the balancer asks each second and believes the second miss
+	quietFor     = 300 * time.Millisecond  // without any held request, before the end
+	endMargin    = 1500 * time.Millisecond // of the grace that is kept for the end itself
+	leavePause   = 20 * time.Millisecond
+	shutdownTime = time.Second
+)
+
+// leave ends the box's work in order: the balancer and the boxes are told first,
+// requests that still come are served, and connections are kept until they rest.
+func (n *Node) leave() {
+	n.log.Info("Box leaves", "held", n.gateway.Held())
+	begun := time.Now()
+	n.leaving.Store(true)
+	n.gateway.Leave()
+	n.peers.table.Leave()
+	limit := begun.Add(n.Settings.Bounds.Grace - endMargin)
+	quiet := begun
+	for now := begun; now.Before(limit); now = time.Now() {
+		if n.gateway.Held() > 0 {
+			quiet = now
+		}
+		if now.Sub(begun) > noticeFor && now.Sub(quiet) > quietFor {
+			break
+		}
+		time.Sleep(leavePause)
+	}
+	n.log.Info("Box has left", "held", n.gateway.Held(), "took_ms", time.Since(begun).Milliseconds())
+}
+
+// isReady tells whether the box can serve callers.
+func (n *Node) isReady() bool {
+	return !n.leaving.Load() && n.view.Config() != nil && len(n.view.All()) > 0
+}
+
+func (n *Node) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !n.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// metrics serves counters and histograms.
+func (n *Node) metrics() http.Handler {
+	vars := new(expvar.Map).Init()
+	vars.Set("gateway_served", n.gateway.Stats.Routes)
+	vars.Set("gateway_first_byte", n.gateway.Stats.First)
+	vars.Set("gateway_refusals", n.gateway.Stats.Refusals)
+	vars.Set("gateway_failed_attempts", n.gateway.Stats.Attempts)
+	vars.Set("gateway_held", expvar.Func(func() any { return n.gateway.Held() }))
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(vars.String())) // the reader may be gone
+	})
+	return mux
+}
+
+// serveHTTP serves until ctx ends, then closes connections as they rest.
+func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "edge: serve")
+	case <-ctx.Done():
+	}
+	end, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	err := s.Shutdown(end)
+	<-served
+	if err != nil {
+		return errors.Wrap(s.Close(), "edge: close")
+	}
+	return nil
+}
+
+// servePeers serves other boxes until ctx ends.
+func servePeers(ctx context.Context, s *grpc.Server, l net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "edge: serve peers")
+	case <-ctx.Done():
+		s.Stop()
+		return errors.Wrap(<-served, "edge: serve peers")
+	}
+}
--- /dev/null
+++ b/edge/node.go
@@ -0,0 +1,261 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"cairnwick.example/daemon"
+	"cairnwick.example/forward"
+	"cairnwick.example/member"
+	"cairnwick.example/placement"
+	"cairnwick.example/share"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// Node is one box. Set the exported fields before Run.
+type Node struct {
+	Settings Settings
+	Source   Source
+	Decoder  Decoder
+	Protocol forward.Protocol
+	Control  placement.Control
+	Log      logr.Logger
+
+	log     logr.Logger
+	view    *topology.View
+	items   *share.Table
+	state   *state
+	peers   *peers
+	shared  *share.Server
+	gateway *forward.Gateway
+	loader  *placement.Loader
+	usage   *usage
+	leaving atomic.Bool
+	reading atomic.Int32 // collections whose last call went well
+}
+
+const (
+	connBuffer  = 4 << 10 // bytes; messages between boxes are small
+	window      = 1 << 20 // bytes in flight; fixed, so that gRPC sends no pings to estimate it
+	memoryPart  = 0.7     // of the box's memory that the garbage collector aims below
+	heldPart    = 4       // descriptors for one held request: its caller's, the endpoint's, spare
+	collections = 2
+)
+
+// build makes the parts and ties them together.
+func (n *Node) build() {
+	s := n.Settings
+	n.log = n.Log
+	n.view = topology.NewView()
+	n.items = share.NewTable()
+	fences := &placement.Fences{Box: s.Number}
+	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.log}
+	n.items.OnChange = n.state.apply
+	n.peers = n.buildPeers()
+	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.reads}
+	n.usage = &usage{node: n}
+	n.loader = &placement.Loader{
+		Box:     s.Box,
+		View:    n.view,
+		Control: n.Control,
+		Limits:  s.Rate,
+		Log:     n.log,
+		Fences:  fences,
+		Lease:   s.Bounds.Lease,
+		Leaders: func() int { return len(n.peers.centres()) },
+		Owns:    n.owns,
+		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
+			n.state.publish(s.DataCentre, endpoint, version, held)
+		},
+	}
+	n.loader.Init()
+	n.gateway = &forward.Gateway{
+		DataCentre: s.DataCentre,
+		View:       n.view,
+		Protocol:   n.Protocol,
+		Placer:     placer{node: n},
+		Observer:   n.usage,
+		Boxes:      n.peers.boxes,
+		Budget:     s.Budget,
+		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
+		Log:        n.log,
+		Stats:      forward.NewStats(),
+	}
+}
+
+func (n *Node) buildPeers() *peers {
+	s := n.Settings
+	d := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	p := &peers{
+		box:     s.Box,
+		centre:  s.DataCentre,
+		dialer:  &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext},
+		items:   n.items,
+		log:     n.log,
+		started: time.Now(),
+	}
+	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro()))
+	p.table = member.NewTable(self, member.Limits{SuspectFor: suspectFor, ForgetDead: forgetDead, Fresh: freshFor, Wide: true})
+	p.loop = &member.Loop{
+		Table:      p.table,
+		Dial:       p.dialer.Peer,
+		Seeds:      func() []string { return anySeed(s.Seeds, s.Peers) },
+		Bridges:    func() bool { return true },
+		Remote:     p.lost,
+		Extras:     noExtras{},
+		Log:        n.log,
+		Interval:   heartbeat,
+		Timeout:    heartbeat,
+		PauseLimit: pauseLimit,
+		Neighbours: neighbours,
+	}
+	return p
+}
+
+// noExtras adds nothing to heartbeats: facts travel by streams.
+type noExtras struct{}
+
+// Fill implements member.Extras.
+func (noExtras) Fill(*wire.Heartbeat) {}
+
+// Heard implements member.Extras.
+func (noExtras) Heard(*wire.Heartbeat, string) {}
+
+// owns tells whether this box gives orders to an endpoint.
+func (n *Node) owns(e *topology.Endpoint) (bool, time.Time) {
+	if n.leaving.Load() {
+		return false, time.Time{}
+	}
+	return n.peers.leads(e.DataCentre(), n.Settings.Bounds.Lease, time.Now())
+}
+
+// reads tells whether this box hears the source now.
+func (n *Node) reads() bool { return n.reading.Load() == collections }
+
+// mustRead tells whether this box reads the source: it leads its data centre, or
+// its leader does not tell it what it reads.
+func (n *Node) mustRead() bool { return !n.peers.informed(time.Now()) }
+
+// placer asks the leader of the endpoint's data centre.
+type placer struct{ node *Node }
+
+// Want implements forward.Placer.
+func (p placer) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
+	m, ok := p.node.peers.leader(w.Endpoint.DataCentre())
+	if !ok || m.Name() == p.node.peers.box {
+		return p.node.loader.Want(ctx, w)
+	}
+	return p.node.peers.ask(ctx, m, w)
+}
+
+// task is something that runs until its context ends.
+type task func(context.Context) error
+
+// Run serves until ctx ends, then leaves in order.
+func (n *Node) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(int64(float64(n.Settings.Limits.MemoryMB) * memoryPart * (1 << 20)))
+	n.build()
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	n.log.Info("Box starts", "callers", n.Settings.Callers, "peers", n.Settings.Peers)
+	inner, end := context.WithCancel(context.Background())
+	defer end()
+	server := grpc.NewServer(grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
+		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
+	wire.RegisterPeerServer(server, peerServer{node: n})
+	wire.RegisterShareServer(server, shareServer{node: n})
+	callers := &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	tasks := []task{
+		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.gateway.Run,
+		n.reader(Settled).run, n.reader(Endpoints).run,
+		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
+		func(ctx context.Context) error { return serveHTTP(ctx, callers, listeners.callers) },
+		func(ctx context.Context) error {
+			return serveHTTP(ctx, &http.Server{Handler: n.readiness(), ReadHeaderTimeout: headerTime}, listeners.ready)
+		},
+		func(ctx context.Context) error {
+			return serveHTTP(ctx, &http.Server{Handler: n.metrics(), ReadHeaderTimeout: headerTime}, listeners.metrics)
+		},
+	}
+	err = n.runAll(ctx, inner, end, tasks)
+	n.peers.dialer.Close()
+	n.log.Info("Box ends")
+	return err
+}
+
+// runAll runs the tasks until ctx ends or one of them fails.
+func (n *Node) runAll(ctx, inner context.Context, end context.CancelFunc, tasks []task) error {
+	ended := make(chan error, len(tasks))
+	for _, t := range tasks {
+		go func() { ended <- t(inner) }()
+	}
+	running := len(tasks)
+	var err error
+	select {
+	case <-ctx.Done():
+		n.leave()
+	case err = <-ended:
+		running--
+	}
+	end()
+	for range running {
+		if e := <-ended; e != nil && err == nil {
+			err = e
+		}
+	}
+	return err
+}
+
+func (n *Node) reader(c Collection) *reader {
+	ok := false
+	return &reader{
+		collection: c,
+		source:     n.Source,
+		decoder:    n.Decoder,
+		table:      n.items,
+		wanted:     n.mustRead,
+		log:        n.log,
+		heard: func(well bool) {
+			if well != ok {
+				ok = well
+				n.reading.Add(map[bool]int32{true: 1, false: -1}[well])
+			}
+		},
+	}
+}
+
+// listeners are the sockets of a box.
+type listeners struct{ callers, ready, peers, metrics net.Listener }
+
+func (n *Node) listen() (listeners, error) {
+	var l listeners
+	for _, p := range []struct {
+		name, address string
+		into          *net.Listener
+	}{
+		{"callers", n.Settings.Callers, &l.callers},
+		{"readiness", n.Settings.Ready, &l.ready},
+		{"peers", n.Settings.Peers, &l.peers},
+		{"metrics", n.Settings.Metrics, &l.metrics},
+	} {
+		opened, err := net.Listen("tcp", p.address)
+		if err != nil {
+			return l, errors.Wrapf(err, "edge: address for %s", p.name)
+		}
+		*p.into = opened
+	}
+	return l, nil
+}
--- /dev/null
+++ b/edge/peers.go
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"cairnwick.example/daemon"
+	"cairnwick.example/forward"
+	"cairnwick.example/member"
+	"cairnwick.example/share"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// roleBox is the role under which boxes are members.
+const roleBox = "edge"
+
+const (
+	heartbeat   = 300 * time.Millisecond // a dead neighbour is suspected after one and a half
+	suspectFor  = 900 * time.Millisecond // and dead after three more
+	forgetDead  = 10 * time.Minute       // the dead are looked for so long, in case a cut heals
+	freshFor    = 2 * time.Second
+	pauseLimit  = time.Second // a longer gap between two beats is a pause of this process
+	neighbours  = 2
+	settleFor   = 1200 * time.Millisecond // after the start, for the view to become whole
+	askSlack    = 300 * time.Millisecond  // on top of what a request can wait
+	lookPause   = 100 * time.Millisecond  // between two looks at who leads
+	usePause    = 500 * time.Millisecond  // between two reports of use
+	lendTimeout = 200 * time.Millisecond
+)
+
+// peers is this box among the others.
+type peers struct {
+	box     string
+	centre  string
+	table   *member.Table
+	loop    *member.Loop
+	dialer  *daemon.Dialer
+	items   *share.Table
+	log     logr.Logger
+	started time.Time
+
+	mu      sync.Mutex
+	leaders map[string]leadership // by data centre
+	heard   map[string]time.Time  // by leader: when its stream last said that it reads
+}
+
+// leadership is who leads a data centre, and since when.
+type leadership struct {
+	name string
+	from time.Time // when it may give orders
+}
+
+// leader returns the box that leads a data centre: the oldest that serves there,
+// or, where none does, the oldest of all.
+func (p *peers) leader(centre string) (member.Member, bool) {
+	var best member.Member
+	found, near := false, false
+	for _, m := range p.table.Serving(roleBox) {
+		at := m.DataCentre() == centre
+		switch {
+		case !found, at && !near, at == near && older(m, best):
+			best, found, near = m, true, at
+		}
+	}
+	return best, found
+}
+
+func older(a, b member.Member) bool {
+	if a.Incarnation() != b.Incarnation() {
+		return a.Incarnation() < b.Incarnation()
+	}
+	return a.Name() < b.Name()
+}
+
+// leads tells whether this box leads a data centre, and from when on it may give
+// orders there. A new leader waits for the lease of the one before, unless that
+// one is known to have ended.
+func (p *peers) leads(centre string, lease time.Duration, now time.Time) (bool, time.Time) {
+	m, ok := p.leader(centre)
+	if !ok {
+		return false, now
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leaders == nil {
+		p.leaders = make(map[string]leadership)
+	}
+	old, known := p.leaders[centre]
+	if !known || old.name != m.Name() {
+		from := now
+		switch {
+		case !known:
+			from = p.started.Add(settleFor)
+		case p.works(old.name):
+			from = now.Add(lease + lease/4)
+		}
+		p.leaders[centre] = leadership{name: m.Name(), from: from}
+		p.log.Info("Data centre has a leader", "data_centre", centre, "leader", m.Name(), "before", old.name)
+	}
+	return m.Name() == p.box, p.leaders[centre].from
+}
+
+// works tells whether a box is believed to serve.
+func (p *peers) works(name string) bool {
+	m, ok := p.table.Find(name)
+	return ok && m.Serving()
+}
+
+// centres returns the data centres that have a serving box.
+func (p *peers) centres() map[string]bool {
+	c := make(map[string]bool)
+	for _, m := range p.table.Serving(roleBox) {
+		c[m.DataCentre()] = true
+	}
+	return c
+}
+
+// boxes returns how many boxes serve.
+func (p *peers) boxes() int { return max(1, len(p.table.Serving(roleBox))) }
+
+// lost lists boxes that are believed dead: a cut that heals is noticed there.
+func (p *peers) lost() []string {
+	var list []string
+	for _, m := range p.table.All() {
+		if m.State() == member.Dead {
+			list = append(list, m.Address())
+		}
+	}
+	return list
+}
+
+// followAll follows the leaders that this box learns from, until ctx ends: its own
+// data centre's, or, when it leads, those of the others.
+func (p *peers) followAll(ctx context.Context) error {
+	running := make(map[string]context.CancelFunc) // by leader
+	ended := make(chan string)
+	for ctx.Err() == nil {
+		wanted := p.sources()
+		for name, m := range wanted {
+			if running[name] != nil {
+				continue
+			}
+			inner, cancel := context.WithCancel(ctx)
+			running[name] = cancel
+			go func() {
+				p.follow(inner, m)
+				ended <- name
+			}()
+		}
+		for name, cancel := range running {
+			if _, ok := wanted[name]; !ok {
+				cancel()
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case name := <-ended:
+			running[name]()
+			delete(running, name)
+			sleep(ctx, lookPause)
+		case <-time.After(lookPause):
+		}
+	}
+	for range running {
+		<-ended
+	}
+	return nil
+}
+
+// sources returns the leaders to follow now.
+func (p *peers) sources() map[string]member.Member {
+	list := make(map[string]member.Member)
+	own, ok := p.leader(p.centre)
+	if ok && own.Name() != p.box {
+		list[own.Name()] = own
+		return list
+	}
+	for c := range p.centres() {
+		if m, ok := p.leader(c); ok && m.Name() != p.box {
+			list[m.Name()] = m
+		}
+	}
+	return list
+}
+
+// follow merges what one leader tells until the stream ends.
+func (p *peers) follow(ctx context.Context, m member.Member) {
+	q := &wire.FollowRequest{Box: p.box, Everything: true}
+	c := wire.NewShareClient(p.dialer.Conn(m.Address()))
+	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		if p.heard == nil {
+			p.heard = make(map[string]time.Time)
+		}
+		if u.GetReading() {
+			p.heard[m.Name()] = time.Now()
+		}
+	})
+	if ctx.Err() == nil {
+		p.log.Info("Stream from a leader ended", "leader", m.Name(), "err", err.Error())
+		p.loop.Probe(m.Name())
+	}
+}
+
+// informed tells whether a leader that reads the source tells this box what it
+// reads.
+func (p *peers) informed(now time.Time) bool {
+	own, ok := p.leader(p.centre)
+	if !ok || own.Name() == p.box {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.heard[own.Name()]) < share.SilentAfter
+}
+
+// ask asks the leader of an endpoint's data centre to load an adapter.
+func (p *peers) ask(ctx context.Context, m member.Member, w forward.Wanted) (forward.Placed, error) {
+	ctx, cancel := context.WithTimeout(ctx, max(w.Most, w.Wait, 0)+askSlack)
+	defer cancel()
+	a, err := wire.NewShareClient(p.dialer.Conn(m.Address())).Ask(ctx, &wire.AskRequest{
+		Request:    w.Request,
+		Endpoint:   w.Endpoint.ID(),
+		Adapter:    w.Adapter.String(),
+		Version:    w.Version,
+		WaitMicros: w.Wait.Microseconds(),
+		MostMicros: w.Most.Microseconds(),
+		Priority:   int32(w.Priority),
+		Worth:      w.Worth,
+		Denied:     w.Denied,
+	})
+	if err != nil {
+		return forward.Placed{}, errors.Wrapf(err, "edge: leader %s", m.Name())
+	}
+	return forward.Placed{
+		Ready:    a.GetReady(),
+		Endpoint: a.GetEndpoint(),
+		Version:  a.GetVersion(),
+		Retry:    time.Duration(a.GetRetryMicros()) * time.Microsecond,
+		Reason:   a.GetReason(),
+	}, nil
+}
+
+// wanted reads an ask of another box.
+func wanted(q *wire.AskRequest, e *topology.Endpoint) forward.Wanted {
+	return forward.Wanted{
+		Request:  q.GetRequest(),
+		Endpoint: e,
+		Adapter:  topology.ParseAdapter(q.GetAdapter()),
+		Version:  q.GetVersion(),
+		Wait:     time.Duration(q.GetWaitMicros()) * time.Microsecond,
+		Most:     time.Duration(q.GetMostMicros()) * time.Microsecond,
+		Priority: int(q.GetPriority()),
+		Worth:    q.GetWorth(),
+		Denied:   q.GetDenied(),
+	}
+}
+
+// anySeed returns one of the seeds that is not this box.
+func anySeed(seeds []string, self string) []string {
+	var list []string
+	for _, s := range seeds {
+		if s != self {
+			list = append(list, s)
+		}
+	}
+	rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	return list
+}
--- /dev/null
+++ b/edge/reader.go
@@ -0,0 +1,177 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/share"
+	"cairnwick.example/wire"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+const (
+	watchWait   = 4 * time.Second         // of one watch; a silent one is noticed after it
+	watchPause  = 300 * time.Millisecond  // between two watches, so that events come in batches
+	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
+	failMost    = 600 * time.Millisecond  // a source that is back is read within it
+	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
+	standbyLook = 200 * time.Millisecond  // how often a box that does not read looks whether it must
+)
+
+// reader reads one collection of the source into the table, while this box is one
+// that reads.
+type reader struct {
+	collection Collection
+	source     Source
+	decoder    Decoder
+	table      *share.Table
+	wanted     func() bool // whether this box reads now
+	log        logr.Logger
+	heard      func(ok bool) // hears how each call went
+
+	known    map[string]bool // keys of endpoints that were published
+	after    uint64          // revision that is known; zero: nothing
+	failing  bool
+	trusted  time.Time // until then a missing endpoint may be one that lapsed
+	doubtful bool      // something was missing before trusted
+}
+
+// run reads until ctx ends.
+func (r *reader) run(ctx context.Context) error {
+	pause := failPause
+	for ctx.Err() == nil {
+		if r.after != 0 && !r.wanted() {
+			r.after = 0 // what is missed meanwhile is listed later
+			r.standBy(ctx)
+			continue
+		}
+		found, err := r.step(ctx)
+		if ctx.Err() != nil {
+			break
+		}
+		r.note(err)
+		switch {
+		case err != nil:
+			sleep(ctx, pause)
+			pause = min(2*pause, failMost)
+		case found:
+			pause = failPause
+			sleep(ctx, watchPause)
+		default:
+			pause = failPause
+		}
+	}
+	return nil
+}
+
+// standBy waits until this box must read.
+func (r *reader) standBy(ctx context.Context) {
+	for ctx.Err() == nil && !r.wanted() {
+		sleep(ctx, standbyLook)
+	}
+}
+
+// step makes one call; it tells whether anything was found.
+func (r *reader) step(ctx context.Context) (bool, error) {
+	now := time.Now()
+	if r.doubtful && now.After(r.trusted) {
+		r.doubtful = false
+		r.after = 0
+	}
+	if r.after == 0 {
+		b, err := r.source.List(ctx, r.collection)
+		if err != nil {
+			return false, err
+		}
+		r.after = b.Revision
+		r.snapshot(b, time.Now())
+		return false, nil
+	}
+	wait := watchWait
+	if r.doubtful {
+		wait = min(wait, max(time.Until(r.trusted), time.Millisecond))
+	}
+	b, err := r.source.Watch(ctx, r.collection, r.after, wait)
+	if errors.As(err, &ErrForgotten{}) {
+		r.log.Info("Source forgot its history and is listed anew", "collection", r.collection.String(), "revision", r.after)
+		r.after = 0
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	r.after = b.Revision
+	r.take(b.Facts, time.Now())
+	return len(b.Facts) > 0, nil
+}
+
+// note logs when the source is lost and when it is back.
+func (r *reader) note(err error) {
+	r.heard(err == nil)
+	if err == nil && r.failing {
+		r.failing = false
+		r.trusted = time.Now().Add(lapseGrace)
+		r.doubtful = true
+		r.log.Info("Source answers again", "collection", r.collection.String(), "revision", r.after)
+	}
+	if err != nil && !r.failing {
+		r.failing = true
+		r.log.Info("Source does not answer", "collection", r.collection.String(), "revision", r.after, "err", err.Error())
+	}
+}
+
+// take merges facts. An endpoint that is missing soon after an outage is kept
+// until the source can be trusted again.
+func (r *reader) take(facts []Fact, now time.Time) {
+	var items []*wire.Item
+	for _, f := range facts {
+		if f.Removed && r.collection == Endpoints && (now.Before(r.trusted) || r.failing) {
+			r.doubtful = true
+			continue
+		}
+		r.remember(f)
+		items = append(items, &wire.Item{Key: f.Key, Version: f.Revision, Value: f.Value, Removed: f.Removed})
+	}
+	r.table.Merge(items...)
+}
+
+func (r *reader) remember(f Fact) {
+	if r.collection != Endpoints {
+		return
+	}
+	if r.known == nil {
+		r.known = make(map[string]bool)
+	}
+	if f.Removed {
+		delete(r.known, f.Key)
+		return
+	}
+	r.known[f.Key] = true
+}
+
+// snapshot merges a whole list: endpoints that are not in it are gone.
+func (r *reader) snapshot(b Batch, now time.Time) {
+	listed := make(map[string]bool, len(b.Facts))
+	for _, f := range b.Facts {
+		listed[f.Key] = true
+	}
+	facts := b.Facts
+	for _, k := range r.table.Keys() {
+		if r.decoder.Kind(k) == KindEndpoint && !listed[k] && r.collection == Endpoints {
+			facts = append(facts, Fact{Key: k, Revision: b.Revision, Removed: true})
+		}
+	}
+	r.take(facts, now)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/edge/serve.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+)
+
+// peerServer answers the heartbeats of other boxes.
+type peerServer struct {
+	wire.UnimplementedPeerServer
+
+	node *Node
+}
+
+// Exchange implements the Peer service.
+func (s peerServer) Exchange(_ context.Context, h *wire.Heartbeat) (*wire.Heartbeat, error) {
+	return s.node.peers.loop.Answer(h), nil
+}
+
+// shareServer answers what other boxes ask of a leader.
+type shareServer struct {
+	wire.UnimplementedShareServer
+
+	node *Node
+}
+
+// Follow implements the Share service.
+func (s shareServer) Follow(q *wire.FollowRequest, stream wire.Share_FollowServer) error {
+	return s.node.shared.Follow(q, stream)
+}
+
+// Ask implements the Share service.
+func (s shareServer) Ask(ctx context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
+	e := s.node.view.Endpoint(q.GetEndpoint())
+	if e == nil {
+		return nil, status.Error(codes.NotFound, "edge: the endpoint is not known here")
+	}
+	p, err := s.node.loader.Want(ctx, wanted(q, e))
+	if err != nil {
+		return nil, status.FromContextError(err).Err()
+	}
+	return &wire.AskReply{
+		Ready:       p.Ready,
+		Endpoint:    p.Endpoint,
+		Version:     p.Version,
+		RetryMicros: p.Retry.Microseconds(),
+		Reason:      p.Reason,
+	}, nil
+}
+
+// Use implements the Share service.
+func (s shareServer) Use(_ context.Context, q *wire.UseRequest) (*wire.UseReply, error) {
+	now := time.Now()
+	for _, u := range q.GetUsage() {
+		s.node.loader.Used(u.GetEndpoint(), topology.ParseAdapter(u.GetAdapter()), int(u.GetCount()), now)
+	}
+	return &wire.UseReply{}, nil
+}
--- /dev/null
+++ b/edge/settings.go
@@ -0,0 +1,42 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package edge makes one process of an entry box: it answers callers, shares what
+// it knows with the other boxes, and gives orders to endpoints when it leads its
+// data centre.
+package edge
+
+import (
+	"time"
+
+	"cairnwick.example/forward"
+	"cairnwick.example/placement"
+)
+
+// Settings say who a box is, where it listens, and what it must keep to.
+type Settings struct {
+	Box        string
+	DataCentre string
+	Number     uint32 // that no other box has; its low bits go into fences
+	Callers    string // IP:port for callers
+	Ready      string // IP:port for the balancer's questions
+	Peers      string // IP:port for other boxes
+	Metrics    string // IP:port for metrics; empty: not served
+	Seeds      []string
+	Limits     Limits
+	Bounds     Bounds
+	Budget     forward.BudgetLimits
+	Rate       placement.RateLimits
+}
+
+// Limits are what the box may use.
+type Limits struct {
+	MemoryMB    int
+	Descriptors int
+}
+
+// Bounds are the times that the box must keep.
+type Bounds struct {
+	Grace time.Duration // from the request to stop until the process is killed
+	Lease time.Duration // a refused owner keeps away from an endpoint so long
+	Drain time.Duration // an endpoint that leaves gets no requests after it
+}
--- /dev/null
+++ b/edge/source.go
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/topology"
+)
+
+// Collection is one part of what a source of configuration publishes.
+type Collection int
+
+// The collections.
+const (
+	Settled   Collection = iota + 1 // routes and services, and versions of adapters
+	Endpoints                       // lives of endpoints
+)
+
+// String names the collection.
+func (c Collection) String() string {
+	return [...]string{"none", "configuration", "endpoints"}[c]
+}
+
+// Fact is one published fact, not yet decoded.
+type Fact struct {
+	Key      string // unique over all collections
+	Revision uint64 // of the source; rises with each change of anything
+	Value    []byte
+	Removed  bool
+}
+
+// Batch is what a source told, as of a revision.
+type Batch struct {
+	Facts    []Fact
+	Revision uint64
+}
+
+// ErrForgotten says that a source no longer knows what changed since a revision.
+type ErrForgotten struct{}
+
+func (ErrForgotten) Error() string { return "source: the history since that revision is gone" }
+
+// Source publishes configuration. It can only be read.
+type Source interface {
+	// List returns everything in a collection.
+	List(ctx context.Context, c Collection) (Batch, error)
+	// Watch returns what changed after a revision, at the latest after wait.
+	Watch(ctx context.Context, c Collection, after uint64, wait time.Duration) (Batch, error)
+}
+
+// Kind says what a fact describes.
+type Kind int
+
+// The kinds of facts.
+const (
+	KindOther Kind = iota
+	KindConfig
+	KindEndpoint
+	KindVersion
+)
+
+// Decoder reads the facts of a source.
+type Decoder interface {
+	Kind(key string) Kind
+	Config(value []byte) (*topology.Config, error)
+	// Endpoint reads one life of an endpoint.
+	Endpoint(key string, value []byte) (*topology.Endpoint, error)
+	// EndpointID returns the ID in the key of an endpoint's fact.
+	EndpointID(key string) string
+	// Version reads the newest version of an adapter.
+	Version(value []byte) (topology.Adapter, int64, error)
+}
--- /dev/null
+++ b/forward/answer.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// answer is what the caller has got so far.
+type answer struct {
+	writer http.ResponseWriter
+	begun  bool      // something was written
+	first  time.Time // of the first byte
+	gone   bool      // a write failed: the caller is gone
+	status int
+}
+
+// head writes an endpoint's status and headers; length below zero: not known.
+func (a *answer) head(r *http.Response, length int) {
+	h := a.writer.Header()
+	leaving := h.Get("Connection")
+	for n, values := range endToEnd(r.Header) {
+		h[n] = values
+	}
+	if leaving != "" {
+		h.Set("Connection", leaving)
+	}
+	h.Del("Content-Length")
+	if length >= 0 {
+		h.Set("Content-Length", strconv.Itoa(length))
+	}
+	if h["Date"] == nil {
+		h["Date"] = nil // keeps net/http from adding one
+	}
+	if h["Content-Type"] == nil {
+		h["Content-Type"] = nil // and from guessing
+	}
+	a.begun, a.first, a.status = true, time.Now(), r.StatusCode
+	a.writer.WriteHeader(r.StatusCode)
+}
+
+func (a *answer) write(b []byte) {
+	if _, err := a.writer.Write(b); err != nil {
+		a.gone = true
+	}
+}
+
+func (a *answer) flush() {
+	if err := http.NewResponseController(a.writer).Flush(); err != nil {
+		a.gone = true
+	}
+}
+
+// hopByHop are the headers that concern one connection only.
+var hopByHop = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+}
+
+// endToEnd returns the headers without those that concern one connection only.
+func endToEnd(from http.Header) http.Header {
+	h := from.Clone()
+	for _, line := range from["Connection"] {
+		for _, n := range strings.Split(line, ",") {
+			h.Del(strings.TrimSpace(n))
+		}
+	}
+	for _, n := range hopByHop {
+		h.Del(n)
+	}
+	return h
+}
--- /dev/null
+++ b/forward/attempt.go
@@ -0,0 +1,210 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"cairnwick.example/engine"
+	"github.com/pkg/errors"
+)
+
+// maxWhole bounds an answer that is not a stream, in bytes.
+const maxWhole = 16 << 20
+
+// attempt sends the request once and passes the answer on; nil says that the
+// caller got it whole.
+func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, t target) *Refusal {
+	u := g.upstreams.of(t.endpoint)
+	u.begin()
+	defer u.end()
+	q.attempts++
+	q.sentAt, q.sentTo, q.version = time.Now(), t.endpoint, t.version
+	if q.call.Adapter.Name != "" {
+		g.Observer.Used(t.endpoint, q.call.Adapter)
+	}
+	a, f := g.send(ctx, q, u, t, q.call.LastEvent)
+	if f != nil {
+		return f
+	}
+	defer a.Body.Close()
+	return g.pass(ctx, q, out, u, t, a)
+}
+
+// send writes the request and reads the head of the answer. What is no answer to
+// this call is a failure.
+func (g *Gateway) send(ctx context.Context, q *request, u *upstream, t target, lastEvent string) (*http.Response, *Refusal) {
+	r, err := g.outbound(ctx, q, t, lastEvent)
+	if err != nil {
+		return nil, &Refusal{Code: CodeBadRequest, Detail: err.Error()}
+	}
+	begun := time.Now()
+	quiet := watchSilence(u)
+	a, err := engine.Send(u.client(), r, time.Time{})
+	quiet()
+	if err != nil {
+		return nil, g.lost(ctx, q, u, err)
+	}
+	u.answered(time.Since(begun))
+	if f := g.judge(q, u, t, a); f != nil {
+		_ = a.Body.Close() // nothing of it is used
+		return nil, f
+	}
+	return a, nil
+}
+
+// watchSilence counts the request as silent while its answer is long in coming;
+// the function it returns ends that.
+func watchSilence(u *upstream) func() {
+	done := make(chan struct{}, 1)
+	timer := time.AfterFunc(silentAfter, func() {
+		u.quiet(1)
+		done <- struct{}{}
+	})
+	return func() {
+		if !timer.Stop() {
+			<-done
+			u.quiet(-1)
+		}
+	}
+}
+
+// outbound makes the request for an endpoint: method, path and body as the
+// caller sent them.
+func (g *Gateway) outbound(ctx context.Context, q *request, t target, lastEvent string) (*http.Request, error) {
+	path, query, marked := strings.Cut(q.inbound.RequestURI, "?")
+	r, err := http.NewRequestWithContext(ctx, q.inbound.Method, "http://"+t.endpoint.Address()+"/", nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "forward: make request")
+	}
+	r.URL = &url.URL{Scheme: "http", Host: t.endpoint.Address(), Opaque: path, RawQuery: query, ForceQuery: marked && query == ""}
+	r.Host = q.inbound.Host
+	r.Header = endToEnd(q.inbound.Header)
+	if r.Header["User-Agent"] == nil {
+		r.Header["User-Agent"] = nil // keeps net/http from adding its own
+	}
+	r.Body = onceReader{bytes.NewReader(q.body)}
+	r.ContentLength = int64(len(q.body))
+	g.Protocol.Instruct(r.Header, Instruction{
+		Endpoint:  t.endpoint.ID(),
+		Left:      q.left(time.Now()),
+		Priority:  q.route.Priority(),
+		HasModel:  q.service.Engine() != nil,
+		Version:   t.version,
+		LastEvent: lastEvent,
+	})
+	return r, nil
+}
+
+// lost reckons with an attempt that got no answer.
+func (g *Gateway) lost(ctx context.Context, q *request, u *upstream, err error) *Refusal {
+	var l *engine.LostError
+	sent := !errors.As(err, &l) || l.Sent
+	if ctx.Err() == nil {
+		u.outcome(true)
+		u.dropIdle()
+		if !sent {
+			u.unreachable(time.Now())
+		}
+	}
+	g.recordAttempt(q, "lost", err.Error())
+	q.tried[u.endpoint.ID()] = true
+	if !sent {
+		return &Refusal{Code: CodeNoEndpoint, Retry: shedRetry, Detail: err.Error()}
+	}
+	q.unsure = true
+	q.ran++
+	return &Refusal{Code: CodeLost, Ran: true, Detail: err.Error()}
+}
+
+// judge tells whether an answer belongs to the call and whether it ran.
+func (g *Gateway) judge(q *request, u *upstream, t target, a *http.Response) *Refusal {
+	v := g.Protocol.ReadAnswer(a, q.call, t.endpoint.ID())
+	u.heardIdle(v.IdleTimeout)
+	switch {
+	case v.Elsewhere:
+		u.unreachable(time.Now())
+		return g.turnedAway(q, t, CodeNoEndpoint, "another endpoint has the address")
+	case v.NotHeld:
+		g.View.Drop(t.endpoint.ID(), q.call.Adapter)
+		f := g.turnedAway(q, t, CodeNotLoaded, "the endpoint does not hold the adapter")
+		delete(q.tried, t.endpoint.ID()) // it can be loaded there
+		q.denied = t.endpoint.ID()
+		return f
+	case v.NotRun:
+		return g.turnedAway(q, t, CodeShed, "the endpoint refused: "+a.Status)
+	case !v.Own || v.Encoded || (a.StatusCode < http.StatusMultipleChoices && !v.Signed):
+		u.dropIdle()
+		u.outcome(true)
+		q.unsure = true
+		q.ran++
+		q.tried[t.endpoint.ID()] = true
+		g.recordAttempt(q, "spoilt", "the answer belongs to no request of this box")
+		return &Refusal{Code: CodeSpoilt, Ran: true, Detail: "not an answer to this request"}
+	}
+	return nil
+}
+
+// turnedAway reckons with an endpoint's proof that the request did not run.
+func (g *Gateway) turnedAway(q *request, t target, c Code, detail string) *Refusal {
+	q.tried[t.endpoint.ID()] = true
+	g.recordAttempt(q, "refused", detail)
+	return &Refusal{Code: c, Retry: shedRetry, Detail: detail}
+}
+
+// pass gives the caller the answer, whole or event by event.
+func (g *Gateway) pass(ctx context.Context, q *request, out *answer, u *upstream, t target, a *http.Response) *Refusal {
+	if isStream(a) {
+		return g.passStream(ctx, q, out, u, t, a)
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+	failed := err != nil || len(body) > maxWhole
+	u.outcome(failed || a.StatusCode >= http.StatusInternalServerError)
+	if failed {
+		return g.cutShort(ctx, q, u, err)
+	}
+	if a.StatusCode >= http.StatusInternalServerError && g.tryAnother(q, t) {
+		return &Refusal{Code: CodeLost, Ran: true, Detail: "the endpoint failed: " + a.Status}
+	}
+	out.head(a, len(body))
+	out.write(body)
+	return nil
+}
+
+// tryAnother tells whether a repeatable request that an endpoint failed goes to
+// another one. The failure is not passed on then.
+func (g *Gateway) tryAnother(q *request, t target) bool {
+	q.ran++
+	if !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() || q.attempts >= mostAttempts {
+		return false
+	}
+	q.tried[t.endpoint.ID()] = true
+	rest := g.usable(g.View.Endpoints(q.service.Name()), q.tried, time.Now())
+	if len(rest) == 0 || q.left(time.Now()) < firstByte {
+		return false
+	}
+	q.unsure = true
+	return true
+}
+
+// cutShort reckons with an answer that broke off before the caller saw any.
+func (g *Gateway) cutShort(ctx context.Context, q *request, u *upstream, err error) *Refusal {
+	detail := "longer than an answer may be"
+	if err != nil {
+		detail = err.Error()
+	}
+	if ctx.Err() == nil {
+		u.dropIdle()
+	}
+	q.unsure = true
+	q.ran++
+	q.tried[u.endpoint.ID()] = true
+	g.recordAttempt(q, "cut", detail)
+	return &Refusal{Code: CodeCut, Ran: true, Detail: detail}
+}
--- /dev/null
+++ b/forward/budget.go
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"sync"
+	"time"
+)
+
+// BudgetLimits is what all boxes together may send again to one service.
+type BudgetLimits struct {
+	Ratio  float64       // of the first attempts
+	Extra  float64       // besides, in each window
+	Window time.Duration // over which both are counted
+}
+
+// budgetPart keeps this box below its share: the others' shares are reckoned
+// from a view that may be late.
+const budgetPart = 0.7
+
+// mostSaved bounds the retries that unused first attempts have earned.
+const mostSaved = 10.0
+
+// Budget is one box's share of the retries to one service.
+type Budget struct {
+	limits BudgetLimits
+
+	mu     sync.Mutex
+	tokens float64
+	at     time.Time
+}
+
+// NewBudget returns a budget that holds a box's share of the extra retries.
+func NewBudget(l BudgetLimits) *Budget { return &Budget{limits: l, tokens: 1} }
+
+// First notes the first attempt of a request.
+func (b *Budget) First() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(b.tokens+b.limits.Ratio*budgetPart, mostSaved)
+}
+
+// Take tells whether one more attempt may be made at now by one of so many boxes.
+func (b *Budget) Take(now time.Time, boxes int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	share := b.limits.Extra * budgetPart / float64(max(boxes, 1))
+	if !b.at.IsZero() {
+		b.tokens = min(b.tokens+share*now.Sub(b.at).Seconds()/b.limits.Window.Seconds(), mostSaved)
+	}
+	b.at = now
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package forward brings callers' requests to endpoints that guard what they
+// run: an endpoint refuses what it does not hold, so a box sends straight from
+// its own view and asks nobody.
+//
+// A request is held by the box that its caller reached, with its deadline, its
+// attempts and its budget of retries. What an endpoint has not provably refused
+// counts as run.
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"cairnwick.example/topology"
+)
+
+// Call is what a caller's request says of itself.
+type Call struct {
+	ID        string           // of this try of the caller; echoed by endpoints
+	Deadline  time.Duration    // how long the caller waits; zero: not said
+	Adapter   topology.Adapter // empty where the service runs no models
+	TokensIn  int
+	TokensOut int    // the most that may be generated
+	LastEvent string // of a stream that the caller resumes
+}
+
+// Instruction is what a request tells the endpoint besides what its caller said.
+type Instruction struct {
+	Endpoint  string        // the life that must take the request
+	Left      time.Duration // until the request is given up
+	Priority  int           // 0 is the most urgent
+	HasModel  bool          // the service runs models
+	Version   int64         // of the adapter; zero: any
+	LastEvent string        // the stream goes on after it; empty: from the start
+}
+
+// Answer is what the head of an endpoint's answer says.
+type Answer struct {
+	Own         bool          // it answers this call and no other
+	Signed      bool          // an endpoint vouches for it
+	NotRun      bool          // the endpoint says that the request did not run
+	Elsewhere   bool          // another life or service has the address
+	NotHeld     bool          // the endpoint holds no such adapter or version
+	Encoded     bool          // the body is not the endpoint's plain body
+	IdleTimeout time.Duration // after which the endpoint closes an unused connection; zero: not said
+}
+
+// Protocol is how callers and endpoints say these things in headers.
+type Protocol interface {
+	// ReadCall reads a caller's request; an error is the caller's fault.
+	ReadCall(h http.Header) (Call, error)
+	// Instruct adds to the headers of a request to an endpoint.
+	Instruct(h http.Header, i Instruction)
+	// ReadAnswer reads the head of an answer to c that was asked of endpoint.
+	ReadAnswer(a *http.Response, c Call, endpoint string) Answer
+	// ComeBack tells a refused caller when to try again.
+	ComeBack(h http.Header, after time.Duration)
+}
+
+// Wanted is an adapter that a request needs and no endpoint is known to hold.
+type Wanted struct {
+	Request  string
+	Endpoint *topology.Endpoint // where it should be loaded
+	Adapter  topology.Adapter
+	Version  int64         // at least
+	Wait     time.Duration // how long the request can wait and still be in time
+	Most     time.Duration // how long it waits at most once it waits: late is better than never
+	Priority int
+	Worth    float64 // of the request, against others
+	Denied   bool    // the endpoint said that it does not hold the adapter
+}
+
+// Placed is what became of a wish for an adapter.
+type Placed struct {
+	Ready    bool
+	Endpoint string // where it is ready
+	Version  int64
+	Retry    time.Duration // when not ready: when it is expected to be
+	Reason   string        // when not ready: why
+}
+
+// Placer has adapters loaded. It answers when the adapter is ready, or at once
+// when it will not be in time.
+type Placer interface {
+	Want(ctx context.Context, w Wanted) (Placed, error)
+}
+
+// Observer hears where adapters are used.
+type Observer interface {
+	Used(e *topology.Endpoint, a topology.Adapter)
+}
--- /dev/null
+++ b/forward/gateway.go
@@ -0,0 +1,136 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/go-logr/logr"
+)
+
+// Gateway answers callers. Set the exported fields before Run and before the
+// first request.
+type Gateway struct {
+	DataCentre string
+	View       *topology.View
+	Protocol   Protocol
+	Placer     Placer
+	Observer   Observer
+	Boxes      func() int // boxes that share the budget of retries
+	Budget     BudgetLimits
+	MostHeld   int // requests held at a time; more are refused
+	Log        logr.Logger
+	Stats      *Stats
+
+	upstreams upstreams
+	away      away
+	held      atomic.Int64
+	leaving   atomic.Bool
+	sampled   atomic.Uint64
+
+	mu      sync.Mutex
+	budgets map[string]*Budget // by service
+}
+
+// Run forgets endpoints that are gone, until ctx ends.
+func (g *Gateway) Run(ctx context.Context) error {
+	g.upstreams.watch(ctx, g.View)
+	return nil
+}
+
+// Leave makes every further answer ask its caller to use another connection.
+func (g *Gateway) Leave() { g.leaving.Store(true) }
+
+// Held returns how many requests are held now.
+func (g *Gateway) Held() int { return int(g.held.Load()) }
+
+// Pressed tells whether an endpoint of the own data centre could not be reached
+// lately by the requests sent to it.
+func (g *Gateway) Pressed(e *topology.Endpoint) bool {
+	h := g.upstreams.of(e).health(time.Now())
+	return h.down || h.silent >= silentMost
+}
+
+func (g *Gateway) budget(service string) *Budget {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.budgets == nil {
+		g.budgets = make(map[string]*Budget)
+	}
+	b := g.budgets[service]
+	if b == nil {
+		b = NewBudget(g.Budget)
+		g.budgets[service] = b
+	}
+	return b
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	defer g.held.Add(-1)
+	if g.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{received: received, inbound: r}
+	if g.held.Add(1) > int64(g.MostHeld) {
+		g.refuse(w, q, &Refusal{Code: CodeOverloaded, Retry: overloadRetry})
+		return
+	}
+	if f := g.admit(w, q); f != nil {
+		g.refuse(w, q, f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	out := &answer{writer: w}
+	if f := g.serve(ctx, q, out); f != nil {
+		g.fail(ctx, out, q, f)
+		return
+	}
+	g.note(q, out)
+}
+
+// fail gives the caller the final answer of a request that got none of its own.
+func (g *Gateway) fail(ctx context.Context, out *answer, q *request, f *Refusal) {
+	if out.begun {
+		g.recordFailure(q, f, true)
+		panic(http.ErrAbortHandler) // an answer that ends early must not look whole
+	}
+	if q.inbound.Context().Err() != nil {
+		f = &Refusal{Code: CodeCallerGone, Ran: f.Ran}
+	} else if ctx.Err() != nil && q.unsure {
+		f = &Refusal{Code: CodeTimeout, Ran: true, Detail: f.Detail}
+	}
+	g.refuse(out.writer, q, f)
+}
+
+const overloadRetry = 300 * time.Millisecond
+
+// away remembers data centres whose leaders did not answer lately.
+type away struct {
+	mu    sync.Mutex
+	until map[string]time.Time
+}
+
+const awayFor = time.Second // a data centre that did not answer is not asked for so long
+
+func (a *away) note(centre string, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.until == nil {
+		a.until = make(map[string]time.Time)
+	}
+	a.until[centre] = now.Add(awayFor)
+}
+
+func (a *away) is(centre string, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now.Before(a.until[centre])
+}
--- /dev/null
+++ b/forward/pick.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"cairnwick.example/policy"
+	"cairnwick.example/topology"
+)
+
+const (
+	farPenalty     = 0.5  // how much fuller an endpoint of the own data centre may be than one elsewhere
+	failurePenalty = 2.0  // how much fuller an endpoint that always fails would have to be
+	greyMargin     = 0.25 // an endpoint that fails so much more often than the others is avoided
+	silentMost     = 2    // requests without any answer for long that make an endpoint suspect
+	silentAfter    = 700 * time.Millisecond
+)
+
+// usable returns those of the list that are worth a try: not draining, not tried,
+// not avoided. Where most would be avoided it does not believe it and returns
+// all that do not drain.
+func (g *Gateway) usable(list []*topology.Endpoint, tried map[string]bool, now time.Time) []*topology.Endpoint {
+	var serving, good []*topology.Endpoint
+	least := 1.0
+	for _, e := range list {
+		least = min(least, g.upstreams.of(e).health(now).failures)
+	}
+	for _, e := range list {
+		if e.Draining() || tried[e.ID()] {
+			continue
+		}
+		serving = append(serving, e)
+		h := g.upstreams.of(e).health(now)
+		if !h.down && h.silent < silentMost && h.failures < least+greyMargin {
+			good = append(good, e)
+		}
+	}
+	if 2*len(good) <= len(serving) {
+		return serving
+	}
+	return good
+}
+
+// least returns the endpoint that is emptiest, with those of the own data centre
+// before others; nil for none.
+func (g *Gateway) least(list []*topology.Endpoint, now time.Time) *topology.Endpoint {
+	var best *topology.Endpoint
+	most := 0.0
+	for _, e := range list {
+		h := g.upstreams.of(e).health(now)
+		score := float64(h.inFlight)/float64(e.Slots()) + failurePenalty*h.failures + rand.Float64()*0.01
+		if e.DataCentre() != g.DataCentre {
+			score += farPenalty
+		}
+		if h.down || h.silent >= silentMost {
+			score += failurePenalty
+		}
+		if best == nil || score < most {
+			best, most = e, score
+		}
+	}
+	return best
+}
+
+// Home returns where an adapter that nobody holds should be loaded: every box
+// that sees the same endpoints names the same one.
+func Home(a topology.Adapter, list []*topology.Endpoint) *topology.Endpoint {
+	names := make([]string, len(list))
+	byName := make(map[string]*topology.Endpoint, len(list))
+	for i, e := range list {
+		names[i] = e.ID()
+		byName[e.ID()] = e
+	}
+	return byName[policy.First(a.String(), names)]
+}
+
+// Serving returns the endpoints that hold the base model and stay.
+func Serving(list []*topology.Endpoint, model string) []*topology.Endpoint {
+	var some []*topology.Endpoint
+	for _, e := range withModel(list, model) {
+		if !e.Draining() {
+			some = append(some, e)
+		}
+	}
+	return some
+}
+
+// withModel returns those that hold the base model.
+func withModel(list []*topology.Endpoint, model string) []*topology.Endpoint {
+	var some []*topology.Endpoint
+	for _, e := range list {
+		if e.HasModel(model) {
+			some = append(some, e)
+		}
+	}
+	return some
+}
+
+// reachable returns those in data centres whose leaders answer.
+func (g *Gateway) reachable(list []*topology.Endpoint, now time.Time) []*topology.Endpoint {
+	var some []*topology.Endpoint
+	for _, e := range list {
+		if e.DataCentre() == g.DataCentre || !g.away.is(e.DataCentre(), now) {
+			some = append(some, e)
+		}
+	}
+	if len(some) == 0 {
+		return list
+	}
+	return some
+}
--- /dev/null
+++ b/forward/record.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"time"
+
+	"cairnwick.example/metrics"
+)
+
+// sampleEvery is how many ordinary successes share one log line.
+const sampleEvery = 32
+
+// mostRoutes bounds the histograms by route.
+const mostRoutes = 64
+
+// Stats are the gateway's histograms.
+type Stats struct {
+	Routes   *metrics.Family // time to the end of served requests, by route
+	First    *metrics.Family // time to the first byte, by route
+	Refusals *metrics.Family // time to the refusal, by code
+	Attempts *metrics.Family // time of failed attempts, by what became of them
+}
+
+// NewStats returns empty histograms.
+func NewStats() *Stats {
+	return &Stats{
+		Routes:   metrics.NewFamily(mostRoutes),
+		First:    metrics.NewFamily(mostRoutes),
+		Refusals: metrics.NewFamily(mostRoutes),
+		Attempts: metrics.NewFamily(mostRoutes),
+	}
+}
+
+// note records a request that was served.
+func (g *Gateway) note(q *request, out *answer) {
+	now := time.Now()
+	g.Stats.Routes.Observe(q.route.Name(), now.Sub(q.received))
+	g.Stats.First.Observe(q.route.Name(), out.first.Sub(q.received))
+	plain := q.attempts == 1 && out.status < 300 && out.first.Sub(q.received) <= q.route.Target()
+	if plain && g.sampled.Add(1)%sampleEvery != 0 {
+		return
+	}
+	g.Log.Info("Request was answered", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
+		"adapter", q.call.Adapter.String(), "adapter_version", q.version, "config", q.config.Version(),
+		"status", out.status, "attempts", q.attempts, "waited_ms", q.waited.Milliseconds(),
+		"first_ms", out.first.Sub(q.received).Milliseconds(), "took_ms", now.Sub(q.received).Milliseconds())
+}
+
+// recordAttempt records an attempt that brought no answer.
+func (g *Gateway) recordAttempt(q *request, what, detail string) {
+	took := time.Since(q.sentAt)
+	g.Stats.Attempts.Observe(what, took)
+	g.Log.Info("Attempt failed", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
+		"outcome", what, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
+		"took_ms", took.Milliseconds(), "cause", detail)
+}
+
+// recordFailure records the final answer of a request that was not served.
+func (g *Gateway) recordFailure(q *request, f *Refusal, begun bool) {
+	took := time.Since(q.received)
+	g.Stats.Refusals.Observe(string(f.Code), took)
+	route, version, endpoint := "", uint64(0), ""
+	if q.route != nil {
+		route = q.route.Name()
+	}
+	if q.config != nil {
+		version = q.config.Version()
+	}
+	if q.sentTo != nil {
+		endpoint = q.sentTo.ID()
+	}
+	g.Log.Info("Request failed", "request", q.call.ID, "route", route, "reason", string(f.Code),
+		"status", f.status(), "may_have_run", f.Ran, "begun", begun, "adapter", q.call.Adapter.String(),
+		"endpoint", endpoint, "attempts", q.attempts, "config", version,
+		"took_ms", took.Milliseconds(), "retry_ms", f.Retry.Milliseconds(), "cause", f.Detail)
+}
--- /dev/null
+++ b/forward/refusal.go
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+)
+
+// Code names why a request got no answer of an endpoint.
+type Code string
+
+// The codes.
+const (
+	CodeBadRequest  Code = "bad_request"
+	CodeBodyTooLong Code = "body_too_large"
+	CodeNoConfig    Code = "no_configuration"
+	CodeNoRoute     Code = "no_route"
+	CodeOverloaded  Code = "overloaded"
+	CodeNoEndpoint  Code = "no_endpoint"
+	CodeNotLoaded   Code = "adapter_not_loaded"
+	CodeShed        Code = "refused_by_endpoint"
+	CodeLost        Code = "answer_lost"
+	CodeSpoilt      Code = "answer_spoilt"
+	CodeCut         Code = "answer_cut"
+	CodeTimeout     Code = "timeout"
+	CodeCallerGone  Code = "caller_gone"
+)
+
+// Refusal is the final answer to a request that got none of an endpoint.
+type Refusal struct {
+	Code   Code
+	Ran    bool          // it may have run
+	Retry  time.Duration // when to come back; zero: nothing better is known than soon
+	Detail string
+}
+
+func (f *Refusal) Error() string {
+	return fmt.Sprintf("forward: %s (may have run: %t): %s", f.Code, f.Ran, f.Detail)
+}
+
+// soonest is the shortest time that a refused caller is told.
+const soonest = 50 * time.Millisecond
+
+// status is 503 only where the request has provably not run.
+func (f *Refusal) status() int {
+	switch f.Code {
+	case CodeBadRequest:
+		return http.StatusBadRequest
+	case CodeBodyTooLong:
+		return http.StatusRequestEntityTooLarge
+	case CodeNoRoute:
+		return http.StatusNotFound
+	case CodeTimeout:
+		return http.StatusGatewayTimeout
+	}
+	if f.Ran {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// refuse answers at once.
+func (g *Gateway) refuse(w http.ResponseWriter, q *request, f *Refusal) {
+	g.recordFailure(q, f, false)
+	status := f.status()
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if status == http.StatusServiceUnavailable {
+		g.Protocol.ComeBack(h, max(f.Retry, soonest))
+	}
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, "%s\n", f.Code) // the caller may be gone
+}
--- /dev/null
+++ b/forward/request.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/cespare/xxhash/v2"
+)
+
+// request is one try of a caller, held until its final answer.
+type request struct {
+	inbound  *http.Request
+	call     Call
+	received time.Time
+	deadline time.Time // of the caller or of the route, whichever is first
+	route    *topology.Route
+	config   *topology.Config
+	service  *topology.Service
+	body     []byte
+	attempts int             // requests sent to endpoints
+	ran      int             // of these, those that may have run
+	tried    map[string]bool // endpoints that failed it
+	unsure   bool            // an attempt may have run
+	denied   string          // the endpoint that said it does not hold the adapter
+	repeated bool            // the budget of retries was drawn on
+	sentAt   time.Time       // of the last attempt
+	sentTo   *topology.Endpoint
+	version  int64 // of the adapter at the last attempt; zero: any
+	waited   time.Duration
+}
+
+func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
+
+// admit reads a request and finds its route.
+func (g *Gateway) admit(w http.ResponseWriter, q *request) *Refusal {
+	q.config = g.View.Config()
+	if q.config == nil {
+		return &Refusal{Code: CodeNoConfig, Retry: time.Second}
+	}
+	call, err := g.Protocol.ReadCall(q.inbound.Header)
+	if err != nil {
+		return &Refusal{Code: CodeBadRequest, Detail: err.Error()}
+	}
+	q.call = call
+	q.route = q.config.Route(hostOf(q.inbound), pathOf(q.inbound))
+	if q.route == nil {
+		return &Refusal{Code: CodeNoRoute, Detail: q.inbound.Host + q.inbound.RequestURI}
+	}
+	q.deadline = q.received.Add(q.route.Timeout())
+	if call.Deadline > 0 && call.Deadline < q.route.Timeout() {
+		q.deadline = q.received.Add(call.Deadline)
+	}
+	q.service = q.config.Service(q.route.Split(share(call.ID)))
+	if q.service == nil {
+		return &Refusal{Code: CodeNoEndpoint, Retry: time.Second, Detail: "the route's service is not configured"}
+	}
+	return g.readBody(w, q)
+}
+
+// readBody takes the body whole, so that it can be sent again.
+func (g *Gateway) readBody(w http.ResponseWriter, q *request) *Refusal {
+	limit := q.config.Limits().BodyBytes
+	var buffer bytes.Buffer
+	if n := q.inbound.ContentLength; n > 0 && n <= limit {
+		buffer.Grow(int(n))
+	}
+	_, err := buffer.ReadFrom(http.MaxBytesReader(w, q.inbound.Body, limit))
+	if err == nil {
+		q.body = buffer.Bytes()
+		return nil
+	}
+	if tooLong(err) {
+		return &Refusal{Code: CodeBodyTooLong}
+	}
+	return &Refusal{Code: CodeCallerGone, Detail: err.Error()}
+}
+
+func tooLong(err error) bool {
+	_, ok := err.(*http.MaxBytesError)
+	return ok
+}
+
+// hostOf returns the host that the caller named, without a port.
+func hostOf(r *http.Request) string {
+	if h, _, err := net.SplitHostPort(r.Host); err == nil {
+		return h
+	}
+	return r.Host
+}
+
+// pathOf returns the path as the caller wrote it.
+func pathOf(r *http.Request) string {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	return path
+}
+
+// share turns an ID into a number in [0, 1).
+func share(id string) float64 {
+	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
+}
+
+// onceReader is a body that net/http cannot send a second time by itself.
+type onceReader struct{ io.Reader }
+
+// Close implements io.Closer.
+func (onceReader) Close() error { return nil }
--- /dev/null
+++ b/forward/upstream.go
@@ -0,0 +1,218 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"cairnwick.example/engine"
+	"cairnwick.example/topology"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout  = 500 * time.Millisecond // an endpoint a few ms away that takes longer does not answer
+	userTimeout  = 3 * time.Second        // unacknowledged bytes end a connection: a silent peer
+	idleConns    = 64                     // kept for each endpoint
+	idleTimeout  = 20 * time.Second       // until the endpoint says how long it keeps connections
+	idleMargin   = 0.6                    // of what the endpoint says: it must not close first
+	downFirst    = 500 * time.Millisecond // how long an endpoint that could not be reached is avoided
+	downMost     = 4 * time.Second
+	failureShare = 0.1 // weight of one outcome in the failure rate
+)
+
+// upstream is the connections to one life of an endpoint and how it did.
+type upstream struct {
+	endpoint *topology.Endpoint
+
+	mu        sync.Mutex
+	transport *http.Transport
+	idle      time.Duration // of transport
+	inFlight  int
+	silent    int       // of inFlight, those sent over silentAfter ago without any answer
+	failures  float64   // share of requests that failed lately, 0 to 1
+	seen      int       // outcomes counted, up to enoughOutcomes
+	downUntil time.Time // it is avoided until then
+	downFor   time.Duration
+	first     time.Duration // smoothed time to the first byte of an answer
+}
+
+func newUpstream(e *topology.Endpoint) *upstream {
+	u := &upstream{endpoint: e}
+	u.reconnect(idleTimeout)
+	return u
+}
+
+// reconnect replaces the connections by ones that are closed after idle.
+func (u *upstream) reconnect(idle time.Duration) {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	t := engine.NewTransport(d.DialContext, idleConns)
+	t.IdleConnTimeout = idle
+	old := u.transport
+	u.transport, u.idle = t, idle
+	if old != nil {
+		old.CloseIdleConnections()
+	}
+}
+
+// setUserTimeout makes connections end whose peer says nothing any more.
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
+
+func (u *upstream) client() *http.Client {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return &http.Client{Transport: u.transport, CheckRedirect: noRedirect}
+}
+
+// noRedirect passes redirects on instead of following them.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// heardIdle takes what the endpoint says of its connections.
+func (u *upstream) heardIdle(d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	use := time.Duration(float64(d) * idleMargin)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if use < u.idle {
+		u.reconnect(use)
+	}
+}
+
+// dropIdle closes the unused connections, after an answer that was not asked for.
+func (u *upstream) dropIdle() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reconnect(u.idle)
+}
+
+func (u *upstream) begin() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight++
+}
+
+func (u *upstream) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight--
+}
+
+// quiet notes that one request more or less has waited long for its answer.
+func (u *upstream) quiet(n int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.silent += n
+}
+
+const enoughOutcomes = 8 // before the failure rate says anything
+
+// outcome notes how one request went.
+func (u *upstream) outcome(failed bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	value := 0.0
+	if failed {
+		value = 1
+	} else {
+		u.downFor = 0
+	}
+	u.failures += (value - u.failures) * failureShare
+	u.seen = min(u.seen+1, enoughOutcomes)
+}
+
+// unreachable avoids the endpoint for a while, longer each time.
+func (u *upstream) unreachable(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if now.Before(u.downUntil) {
+		return
+	}
+	u.downFor = min(max(2*u.downFor, downFirst), downMost)
+	u.downUntil = now.Add(u.downFor)
+}
+
+// answered notes when the first byte came.
+func (u *upstream) answered(after time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.first += (after - u.first) / 8
+}
+
+// health is what placement must know of an upstream.
+type health struct {
+	inFlight int
+	down     bool
+	silent   int
+	failures float64
+}
+
+func (u *upstream) health(now time.Time) health {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	h := health{inFlight: u.inFlight, down: now.Before(u.downUntil), silent: u.silent}
+	if u.seen >= enoughOutcomes {
+		h.failures = u.failures
+	}
+	return h
+}
+
+// upstreams keeps one for each endpoint that was used.
+type upstreams struct {
+	mu   sync.Mutex
+	byID map[string]*upstream
+}
+
+func (t *upstreams) of(e *topology.Endpoint) *upstream {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.byID == nil {
+		t.byID = make(map[string]*upstream)
+	}
+	u := t.byID[e.ID()]
+	if u == nil {
+		u = newUpstream(e)
+		t.byID[e.ID()] = u
+	}
+	return u
+}
+
+// keep forgets the upstreams of endpoints that are gone; what they still answer
+// goes on.
+func (t *upstreams) keep(known func(id string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, u := range t.byID {
+		if !known(id) {
+			u.client().CloseIdleConnections()
+			delete(t.byID, id)
+		}
+	}
+}
+
+// watch forgets gone endpoints as the view changes, until ctx ends.
+func (t *upstreams) watch(ctx context.Context, v *topology.View) {
+	for ctx.Err() == nil {
+		changed := v.Changed()
+		t.keep(func(id string) bool { return v.Endpoint(id) != nil })
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
--- a/member/table.go
+++ b/member/table.go
@@ -16,6 +16,7 @@
 	SuspectFor time.Duration // a suspect that says nothing for so long is dead
 	ForgetDead time.Duration // how long the dead are remembered
 	Fresh      time.Duration // how long an exchange vouches for the view
+	Wide       bool          // members of every data centre are kept, not only of the own
 }
 
 // Table is one daemon's view of its data centre. It is safe for concurrent
@@ -112,7 +113,8 @@
 		return
 	}
 	old, known := t.others[m.name]
-	if m.dataCentre != t.self.dataCentre || m.state < Alive || m.state > Dead {
+	foreign := !t.limits.Wide && m.dataCentre != t.self.dataCentre
+	if foreign || m.state < Alive || m.state > Dead {
 		return
 	}
 	if known && !m.newer(old) {
--- /dev/null
+++ b/placement/claim.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/topology"
+)
+
+// claimPause is between two tries to learn what an endpoint holds.
+const claimPause = 300 * time.Millisecond
+
+// claim learns what an endpoint holds and then owns it. The report may be older
+// than the last order of the owner before, so it is read after that order shows.
+func (l *Loader) claim(o *owned) func(context.Context) {
+	return func(ctx context.Context) {
+		if !sleep(ctx, reportLag) {
+			return
+		}
+		for ctx.Err() == nil && l.stillClaiming(o) {
+			call, cancel := context.WithTimeout(ctx, callTimeout)
+			h, err := l.Control.Report(call, o.endpoint)
+			cancel()
+			if err == nil {
+				l.own(ctx, o, h)
+				return
+			}
+			l.Log.Info("Endpoint gives no report", "endpoint", o.endpoint.ID(), "err", err.Error())
+			if !sleep(ctx, claimPause) {
+				return
+			}
+		}
+	}
+}
+
+func (l *Loader) stillClaiming(o *owned) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owned[o.endpoint.ID()] == o && o.phase == claiming
+}
+
+// own begins to give orders to an endpoint that holds h.
+func (l *Loader) own(ctx context.Context, o *owned, h Holding) {
+	now := time.Now()
+	l.mu.Lock()
+	if l.owned[o.endpoint.ID()] != o || o.phase != claiming {
+		l.mu.Unlock()
+		return
+	}
+	o.fence = l.Fences.Next(now, o.refused)
+	o.phase, o.since, o.told, o.orders = owning, now, 0, 0
+	o.slots = make(map[topology.Adapter]*slot)
+	for a, v := range h.Ready {
+		o.slots[a] = &slot{version: v, ready: true, used: now}
+	}
+	var pending []topology.Adapter
+	for a, v := range h.Pending {
+		if o.slots[a] != nil {
+			continue
+		}
+		o.slots[a] = &slot{version: v, begun: now, expected: l.cold, done: make(chan struct{}), used: now}
+		o.orders++
+		pending = append(pending, a)
+	}
+	l.publishLocked(o)
+	l.mu.Unlock()
+	l.Log.Info("Endpoint is owned", "endpoint", o.endpoint.ID(), "fence", o.fence, "ready", len(h.Ready), "pending", len(pending))
+	ended := make(chan struct{})
+	for _, a := range pending {
+		go func() {
+			l.finish(ctx, o, a)
+			ended <- struct{}{}
+		}()
+	}
+	for range pending {
+		<-ended
+	}
+	l.nudge()
+}
+
+// yield gives an endpoint up that has seen a higher fence.
+func (l *Loader) yield(o *owned) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.phase != owning {
+		return
+	}
+	l.Log.Info("Endpoint has seen a higher fence and is given up", "endpoint", o.endpoint.ID(), "fence", o.fence)
+	o.phase, o.since = yielded, time.Now()
+	o.refused++
+	l.forgetLocked(o)
+}
+
+// doubt learns anew what an endpoint holds, after an order without an answer.
+func (l *Loader) doubt(o *owned, why string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.phase != owning {
+		return
+	}
+	l.Log.Info("Endpoint is asked anew what it holds", "endpoint", o.endpoint.ID(), "cause", why)
+	o.phase, o.since = claiming, time.Now()
+	l.forgetLocked(o)
+	o.reclaim = true
+}
+
+// reclaimLocked begins the claims that doubts asked for.
+func (l *Loader) reclaimLocked() []func(context.Context) {
+	var tasks []func(context.Context)
+	for _, o := range l.owned {
+		if o.reclaim {
+			o.reclaim = false
+			tasks = append(tasks, l.claim(o))
+		}
+	}
+	return tasks
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/placement/loader.go
@@ -0,0 +1,304 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cairnwick.example/forward"
+	"cairnwick.example/policy"
+	"cairnwick.example/topology"
+	"github.com/go-logr/logr"
+)
+
+// Loader decides for the endpoints that it owns. Set the exported fields before
+// Run.
+type Loader struct {
+	Box     string
+	View    *topology.View
+	Control Control
+	Limits  RateLimits
+	Log     logr.Logger
+
+	// Publish tells all boxes what an endpoint holds. Versions rise over all owners.
+	Publish func(endpoint string, version uint64, held map[topology.Adapter]topology.Held)
+	// Fences makes this box's fences.
+	Fences *Fences
+	// Owns tells whether this box gives orders to the endpoint by its view, and
+	// from when on it may.
+	Owns func(e *topology.Endpoint) (bool, time.Time)
+	// Leaders returns how many boxes give orders.
+	Leaders func() int
+	// Lease is how long a refused owner keeps away from an endpoint.
+	Lease time.Duration
+
+	mu     sync.Mutex
+	owned  map[string]*owned // by endpoint
+	wants  map[wantKey]*want
+	rates  map[topology.Adapter]*policy.Popularity
+	bucket bucket
+	cold   time.Duration // smoothed time of a load from the store
+	warm   time.Duration // smoothed time of a load from an endpoint's memory
+	listed int           // adapters of the configuration that were looked at for loading ahead
+	wake   chan struct{}
+	init   sync.Once
+}
+
+// phase is how far an endpoint's owner is.
+type phase int
+
+const (
+	claiming phase = iota + 1 // what it holds is being learnt
+	owning
+	yielded // another box owns it; wait before claiming it again
+)
+
+// owned is one endpoint that this box gives orders to. Guarded by Loader.mu.
+type owned struct {
+	endpoint *topology.Endpoint
+	phase    phase
+	since    time.Time // of the phase
+	fence    uint64
+	refused  int    // fences refused in a row
+	told     uint64 // publications under this fence
+	slots    map[topology.Adapter]*slot
+	recent   []topology.Adapter // held lately, the newest last; its memory keeps them
+	orders   int                // loads on their way
+	reclaim  bool               // what it holds must be learnt anew
+}
+
+// slot is one adapter that takes room at an endpoint.
+type slot struct {
+	version  int64
+	ready    bool
+	leaving  bool          // it is being unloaded
+	done     chan struct{} // closed when the load under way ended, well or not
+	begun    time.Time     // of the load
+	expected time.Duration // of the load
+	used     time.Time
+}
+
+// Init makes the loader ready for calls before Run.
+func (l *Loader) Init() {
+	l.init.Do(func() {
+		l.owned = make(map[string]*owned)
+		l.wants = make(map[wantKey]*want)
+		l.rates = make(map[topology.Adapter]*policy.Popularity)
+		l.bucket = bucket{limits: l.Limits}
+		l.cold, l.warm = coldLoad, warmLoad
+		l.wake = make(chan struct{}, 1)
+	})
+}
+
+const (
+	ownPause  = 100 * time.Millisecond // between two looks at what is owned
+	pumpPause = 25 * time.Millisecond  // at least between two looks at the queue while it is not empty
+)
+
+// Run claims and drops endpoints as the view changes and starts loads, until ctx
+// ends.
+func (l *Loader) Run(ctx context.Context) error {
+	l.Init()
+	ended := make(chan struct{})
+	running := 0
+	spawn := func(f func(context.Context)) {
+		running++
+		go func() {
+			f(ctx)
+			ended <- struct{}{}
+		}()
+	}
+	next := time.NewTimer(ownPause)
+	defer next.Stop()
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-ended:
+			running--
+		case <-l.wake:
+		case <-next.C:
+		}
+		for _, task := range l.step(time.Now()) {
+			spawn(task)
+		}
+		next.Reset(l.pause(time.Now()))
+	}
+	for range running {
+		<-ended
+	}
+	return nil
+}
+
+// nudge makes Run look at the queue soon.
+func (l *Loader) nudge() {
+	select {
+	case l.wake <- struct{}{}:
+	default: // it will look anyway
+	}
+}
+
+func (l *Loader) pause(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.wants) == 0 {
+		return ownPause
+	}
+	return min(ownPause, max(pumpPause, l.bucket.wait(1, now)))
+}
+
+// step returns what is to be done now.
+func (l *Loader) step(now time.Time) []func(context.Context) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tasks := l.ownLocked(now)
+	l.shareLocked()
+	tasks = append(tasks, l.reclaimLocked()...)
+	tasks = append(tasks, l.pumpLocked(now)...)
+	return append(tasks, l.aheadLocked(now)...)
+}
+
+// ownLocked follows the view: endpoints that are this box's are claimed, others
+// dropped.
+func (l *Loader) ownLocked(now time.Time) []func(context.Context) {
+	var tasks []func(context.Context)
+	for _, e := range l.View.All() {
+		if !l.hasEngine(e) {
+			continue
+		}
+		mine, from := l.Owns(e)
+		o := l.owned[e.ID()]
+		switch {
+		case !mine:
+			l.dropLocked(o)
+		case o == nil && !now.Before(from):
+			o = &owned{endpoint: e, phase: claiming, since: now, slots: make(map[topology.Adapter]*slot)}
+			l.owned[e.ID()] = o
+			tasks = append(tasks, l.claim(o))
+		case o != nil && o.phase == yielded && now.Sub(o.since) > l.Lease+l.Lease/4:
+			o.phase, o.since = claiming, now
+			tasks = append(tasks, l.claim(o))
+		}
+		if o != nil {
+			o.endpoint = e
+		}
+	}
+	for id, o := range l.owned {
+		if l.View.Endpoint(id) == nil {
+			l.dropLocked(o)
+		}
+	}
+	return tasks
+}
+
+func (l *Loader) hasEngine(e *topology.Endpoint) bool {
+	c := l.View.Config()
+	if c == nil {
+		return false
+	}
+	s := c.Service(e.Service())
+	return s != nil && s.Engine() != nil
+}
+
+func (l *Loader) engine(e *topology.Endpoint) *topology.EngineSpec {
+	c := l.View.Config()
+	if c == nil {
+		return nil
+	}
+	s := c.Service(e.Service())
+	if s == nil {
+		return nil
+	}
+	return s.Engine()
+}
+
+// dropLocked stops giving orders to an endpoint; those who wait are answered.
+func (l *Loader) dropLocked(o *owned) {
+	if o == nil {
+		return
+	}
+	l.Log.Info("Endpoint is no longer owned", "endpoint", o.endpoint.ID(), "fence", o.fence)
+	delete(l.owned, o.endpoint.ID())
+	l.forgetLocked(o)
+}
+
+// forgetLocked ends every wait for an endpoint and forgets what it holds.
+func (l *Loader) forgetLocked(o *owned) {
+	for k, w := range l.wants {
+		if k.endpoint == o.endpoint.ID() {
+			delete(l.wants, k)
+			w.end()
+		}
+	}
+	for _, s := range o.slots {
+		s.end()
+	}
+	o.slots = make(map[topology.Adapter]*slot)
+}
+
+func (s *slot) end() {
+	if s.done != nil {
+		close(s.done)
+		s.done = nil
+	}
+}
+
+// shareLocked sets this box's share of the store's rate by the endpoints owned.
+func (l *Loader) shareLocked() {
+	all, mine, whole := 0, 0, 0.0
+	for _, e := range l.View.All() {
+		g := l.engine(e)
+		if g == nil {
+			continue
+		}
+		whole = max(whole, g.LoadsPerSec)
+		all++
+		if o := l.owned[e.ID()]; o != nil && o.phase == owning {
+			mine++
+		}
+	}
+	l.bucket.share(whole, float64(mine)/float64(max(all, 1)), l.Leaders())
+}
+
+// Used notes requests for an adapter at an endpoint.
+func (l *Loader) Used(endpoint string, a topology.Adapter, count int, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.countLocked(a, float64(count), now)
+	if o := l.owned[endpoint]; o != nil && o.slots[a] != nil {
+		o.slots[a].used = now
+	}
+}
+
+func (l *Loader) countLocked(a topology.Adapter, n float64, now time.Time) {
+	r := l.rates[a]
+	if r == nil {
+		r = &policy.Popularity{}
+		l.rates[a] = r
+	}
+	r.Add(n, now, halfLife)
+}
+
+// rateLocked returns requests a second for an adapter.
+func (l *Loader) rateLocked(a topology.Adapter, now time.Time) float64 {
+	r := l.rates[a]
+	if r == nil {
+		return 0
+	}
+	return r.Rate(now, halfLife)
+}
+
+// publishLocked tells all boxes what an endpoint holds.
+func (l *Loader) publishLocked(o *owned) {
+	held := make(map[topology.Adapter]topology.Held, len(o.slots))
+	for a, s := range o.slots {
+		if !s.leaving {
+			held[a] = topology.Held{Version: s.version, Ready: s.ready}
+		}
+	}
+	o.told++
+	l.Publish(o.endpoint.ID(), term(o.fence)<<toldBits|o.told, held)
+}
+
+var _ forward.Placer = (*Loader)(nil)
--- /dev/null
+++ b/placement/rate.go
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import "time"
+
+// RateLimits is what the weight store allows over all endpoints.
+type RateLimits struct {
+	Window    time.Duration // loads are counted over it
+	Overshoot float64       // of the rate, that a window may hold
+	Extra     float64       // loads besides
+}
+
+// DefaultRateLimits is for stores that say nothing of their limits.
+var DefaultRateLimits = RateLimits{Window: 5 * time.Second, Overshoot: 1.1, Extra: 3}
+
+// burstPart keeps the bursts of all leaders together below what a window may hold.
+const burstPart = 0.7
+
+// bucket is one leader's share of the store's rate. Each leader may load at its
+// fair share, so that nobody needs to agree with anybody; what the bursts of all
+// add up to stays within the overshoot.
+type bucket struct {
+	limits RateLimits
+	rate   float64 // loads a second
+	burst  float64
+	tokens float64
+	at     time.Time
+}
+
+// share sets the rate of the store and which part of it is this leader's.
+func (b *bucket) share(rate, part float64, leaders int) {
+	slack := rate*b.limits.Window.Seconds()*(b.limits.Overshoot-1) + b.limits.Extra
+	b.rate = rate * part
+	b.burst = max(1, slack*burstPart/float64(max(leaders, 1)))
+}
+
+func (b *bucket) refill(now time.Time) {
+	if !b.at.IsZero() {
+		b.tokens = min(b.burst, b.tokens+now.Sub(b.at).Seconds()*b.rate)
+	}
+	b.at = now
+}
+
+// take takes one load at now, leaving at least spare.
+func (b *bucket) take(now time.Time, spare float64) bool {
+	b.refill(now)
+	if b.tokens < 1+spare {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// wait returns how long after now so many loads can have begun.
+func (b *bucket) wait(loads float64, now time.Time) time.Duration {
+	b.refill(now)
+	missing := loads - b.tokens
+	if missing <= 0 {
+		return 0
+	}
+	if b.rate <= 0 {
+		return time.Minute
+	}
+	return time.Duration(missing / b.rate * float64(time.Second))
+}
--- /dev/null
+++ b/placement/want.go
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/forward"
+	"cairnwick.example/topology"
+)
+
+// wantKey is an adapter that requests need at an endpoint.
+type wantKey struct {
+	endpoint string
+	adapter  topology.Adapter
+}
+
+// want is a load that requests wait for or were told to come back for. Guarded by
+// Loader.mu.
+type want struct {
+	version int64
+	first   time.Time
+	asked   int           // requests that asked
+	done    chan struct{} // closed when the load has begun or will not
+	ended   bool
+}
+
+func (w *want) end() {
+	if !w.ended {
+		w.ended = true
+		close(w.done)
+	}
+}
+
+// notOwnerRetry is how soon the view of ownership has usually settled.
+const notOwnerRetry = 400 * time.Millisecond
+
+// Want implements forward.Placer for the endpoints of this box.
+func (l *Loader) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
+	l.Init()
+	limit := time.Now().Add(max(w.Wait, 0))
+	most := time.Now().Add(max(w.Most, w.Wait, 0))
+	for {
+		p, wait := l.look(w, time.Now(), limit)
+		if wait == nil {
+			l.Log.V(1).Info("Adapter was asked for", "request", w.Request, "adapter", w.Adapter.String(),
+				"endpoint", w.Endpoint.ID(), "ready", p.Ready, "reason", p.Reason, "retry_ms", p.Retry.Milliseconds())
+			return p, nil
+		}
+		limit = most // a request that was let wait is not given up for being late
+		timer := time.NewTimer(time.Until(limit))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return forward.Placed{}, ctx.Err()
+		case <-timer.C:
+		case <-wait:
+			timer.Stop()
+		}
+		w.Denied = false
+	}
+}
+
+// look answers a wish now, or returns what to wait for.
+func (l *Loader) look(w forward.Wanted, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.owned[w.Endpoint.ID()]
+	if o == nil || o.phase != owning {
+		return forward.Placed{Retry: notOwnerRetry, Reason: "the endpoint's owner has not settled"}, nil
+	}
+	s := o.slots[w.Adapter]
+	if s != nil && s.ready && !s.leaving && s.version >= w.Version && !w.Denied {
+		s.used = now
+		return forward.Placed{Ready: true, Endpoint: o.endpoint.ID(), Version: s.version}, nil
+	}
+	if s != nil && s.done != nil {
+		return l.await(s.expected-now.Sub(s.begun), s.done, now, limit, "it is being loaded")
+	}
+	return l.enqueueLocked(o, w, now, limit)
+}
+
+// await lets a request wait when that will be over by limit, and else says when to
+// come back.
+func (l *Loader) await(left time.Duration, done <-chan struct{}, now, limit time.Time, reason string) (forward.Placed, <-chan struct{}) {
+	left = max(left, 0)
+	if now.Add(left).Before(limit) {
+		return forward.Placed{}, done
+	}
+	return forward.Placed{Retry: left + promiseLate, Reason: reason}, nil
+}
+
+// enqueueLocked queues a load, unless the store's rate has no room for it in any
+// useful time.
+func (l *Loader) enqueueLocked(o *owned, w forward.Wanted, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+	l.countLocked(w.Adapter, 1, now)
+	key := wantKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}
+	q := l.wants[key]
+	if q == nil {
+		if s := o.slots[w.Adapter]; s != nil && w.Denied {
+			s.ready = false // until the endpoint has said again that it holds it
+		}
+		q = &want{version: w.Version, first: now, done: make(chan struct{})}
+		if wait := l.aheadOfLocked(q, now); wait > queueMost {
+			return forward.Placed{Retry: wait, Reason: "too many loads wait for the store"}, nil
+		}
+		l.wants[key] = q
+	}
+	q.version = max(q.version, w.Version)
+	q.asked++
+	l.nudge()
+	load := l.cold
+	wait := l.aheadOfLocked(q, now)
+	if o.isWarm(w.Adapter) {
+		load, wait = l.warm, 0
+	}
+	return l.await(wait+load, q.done, now, limit, "loads before it wait for the store")
+}
+
+// aheadOfLocked is how long a load waits for the store's rate behind those that go
+// first.
+func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
+	n := 1.0
+	for k, w := range l.wants {
+		if w != q && w.before(q) && !l.owned[k.endpoint].isWarm(k.adapter) {
+			n++
+		}
+	}
+	return l.bucket.wait(n, now)
+}
+
+// before tells whether w is loaded before v: what more requests asked for, then
+// what was asked for first.
+func (w *want) before(v *want) bool {
+	if w.asked != v.asked {
+		return w.asked > v.asked
+	}
+	return !w.first.After(v.first)
+}
+
+// isWarm tells whether the endpoint's memory keeps an adapter that it held lately.
+func (o *owned) isWarm(a topology.Adapter) bool {
+	if o == nil {
+		return false
+	}
+	for _, r := range o.recent {
+		if r == a {
+			return true
+		}
+	}
+	return false
+}
+
+// remember notes that the endpoint held an adapter just now.
+func (o *owned) remember(a topology.Adapter) {
+	for i, r := range o.recent {
+		if r == a {
+			o.recent = append(o.recent[:i], o.recent[i+1:]...)
+			break
+		}
+	}
+	o.recent = append(o.recent, a)
+	if len(o.recent) > warmAdapters {
+		o.recent = o.recent[1:]
+	}
+}
--- /dev/null
+++ b/share/follow.go
@@ -0,0 +1,113 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package share
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+)
+
+const (
+	batchPause = 40 * time.Millisecond  // changes of this time travel together
+	beatPause  = 300 * time.Millisecond // a stream says at least so often that it lives
+	batchMost  = 256                    // items in one message, so that it stays far below gRPC's 4 MB
+	// SilentAfter is how long a stream may say nothing before it counts as broken:
+	// two beats lost and some delay.
+	SilentAfter = 750 * time.Millisecond
+)
+
+// Server streams a table to those that follow it.
+type Server struct {
+	Table      *Table
+	DataCentre string      // of this box
+	Reading    func() bool // whether this box hears the store of the configuration
+}
+
+// Follow sends everything that the follower asked for, then each change.
+func (s *Server) Follow(q *wire.FollowRequest, stream grpc.ServerStreamingServer[wire.Update]) error {
+	var seq uint64
+	for {
+		items, last, changed := s.Table.Since(seq)
+		seq = last
+		if err := s.send(q, stream, items); err != nil {
+			return err
+		}
+		if err := pause(stream.Context(), changed); err != nil {
+			return err
+		}
+	}
+}
+
+// pause waits for a change and a little for more of them, or for the next beat.
+func pause(ctx context.Context, changed <-chan struct{}) error {
+	beat := time.NewTimer(beatPause)
+	defer beat.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-beat.C:
+		return nil
+	case <-changed:
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(batchPause):
+		return nil
+	}
+}
+
+// send sends the items that the follower asked for; a message without any is a
+// beat.
+func (s *Server) send(q *wire.FollowRequest, stream grpc.ServerStreamingServer[wire.Update], items []*wire.Item) error {
+	u := &wire.Update{Reading: s.Reading()}
+	for _, i := range items {
+		if !q.GetEverything() && i.GetDataCentre() != s.DataCentre {
+			continue
+		}
+		u.Items = append(u.Items, i)
+		if len(u.Items) == batchMost {
+			if err := stream.Send(u); err != nil {
+				return err
+			}
+			u = &wire.Update{Reading: u.GetReading()}
+		}
+	}
+	return stream.Send(u)
+}
+
+// ErrSilent says that a followed box said nothing for too long.
+var ErrSilent = errors.New("share: the followed box is silent")
+
+// Follow merges what the box behind c tells, until the stream breaks, falls
+// silent, or ctx ends. Each message is told to heard.
+func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, heard func(*wire.Update)) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silent := time.AfterFunc(SilentAfter, func() { cancel(ErrSilent) })
+	defer silent.Stop()
+	stream, err := c.Follow(ctx, q)
+	if err != nil {
+		return broken(ctx, err)
+	}
+	for {
+		u, err := stream.Recv()
+		if err != nil {
+			return broken(ctx, err)
+		}
+		silent.Reset(SilentAfter)
+		t.Merge(u.GetItems()...)
+		heard(u)
+	}
+}
+
+func broken(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return errors.Wrap(err, "share: stream")
+}
--- /dev/null
+++ b/share/table.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package share spreads versioned facts between boxes: each box keeps all of
+// them in memory, streams them to those that follow it, and merges what it
+// hears. Of two facts with the same key the higher version wins, so the order
+// and the path of messages do not matter.
+//
+// Lock order: Table.mu is taken alone; OnChange is called without it.
+package share
+
+import (
+	"container/list"
+	"sync"
+
+	"cairnwick.example/wire"
+)
+
+// Table is one box's copy of the facts. It is safe for concurrent use.
+type Table struct {
+	// OnChange hears every accepted item, in the order of acceptance. Set it
+	// before use.
+	OnChange func(items []*wire.Item)
+
+	mu      sync.Mutex
+	entries map[string]*list.Element // by key
+	log     *list.List               // of *entry, by rising seq
+	seq     uint64                   // of the last accepted item
+	changed chan struct{}            // closed at the next acceptance
+	applied sync.Mutex               // keeps OnChange in order
+}
+
+type entry struct {
+	item *wire.Item
+	seq  uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: make(map[string]*list.Element), log: list.New(), changed: make(chan struct{})}
+}
+
+// Merge takes in items; those that are not newer than what is known change
+// nothing.
+func (t *Table) Merge(items ...*wire.Item) {
+	t.applied.Lock()
+	defer t.applied.Unlock()
+	accepted := t.accept(items)
+	if len(accepted) > 0 && t.OnChange != nil {
+		t.OnChange(accepted)
+	}
+}
+
+func (t *Table) accept(items []*wire.Item) []*wire.Item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var accepted []*wire.Item
+	for _, i := range items {
+		if old := t.entries[i.GetKey()]; old != nil {
+			if old.Value.(*entry).item.GetVersion() >= i.GetVersion() {
+				continue
+			}
+			t.log.Remove(old)
+		}
+		t.seq++
+		t.entries[i.GetKey()] = t.log.PushBack(&entry{item: i, seq: t.seq})
+		accepted = append(accepted, i)
+	}
+	if len(accepted) > 0 {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+	return accepted
+}
+
+// Since returns the items accepted after seq, oldest first, the new seq, and a
+// channel that closes at the next acceptance.
+func (t *Table) Since(seq uint64) ([]*wire.Item, uint64, <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var items []*wire.Item
+	e := t.log.Back()
+	for e != nil && e.Value.(*entry).seq > seq {
+		e = e.Prev()
+	}
+	if e == nil {
+		e = t.log.Front()
+	} else {
+		e = e.Next()
+	}
+	for ; e != nil; e = e.Next() {
+		items = append(items, e.Value.(*entry).item)
+	}
+	return items, t.seq, t.changed
+}
+
+// Version returns the version known of a key; zero when it is not known.
+func (t *Table) Version(key string) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[key]; e != nil {
+		return e.Value.(*entry).item.GetVersion()
+	}
+	return 0
+}
+
+// Forget drops an item that nobody needs any more, without telling others.
+func (t *Table) Forget(key string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[key]; e != nil {
+		t.log.Remove(e)
+		delete(t.entries, key)
+	}
+}
+
+// Keys returns the keys of the items that were not removed.
+func (t *Table) Keys() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var keys []string
+	for k, e := range t.entries {
+		if !e.Value.(*entry).item.GetRemoved() {
+			keys = append(keys, k)
+		}
+	}
+	return keys
+}
--- /dev/null
+++ b/topology/config.go
@@ -0,0 +1,195 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package topology is what a box knows of the services in front of which it
+// stands: routes, services, endpoints, and which adapters the endpoints hold.
+//
+// Its types are values read from a source of configuration; nothing here does
+// input or output.
+package topology
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind says what may be done with a request again.
+type Kind int
+
+// The kinds of routes.
+const (
+	Repeatable Kind = iota + 1 // may run more than once
+	Once                       // may run at most once
+	Stream                     // an answer in events; may run once unless it can be resumed
+)
+
+// Share is one service of a route and its part of the requests.
+type Share struct {
+	Service string
+	Weight  int // against the sum of the route's weights
+}
+
+// RouteSpec is a route as its source describes it.
+type RouteSpec struct {
+	Name        string
+	Host        string
+	Prefix      string // of the path; begins and ends with a slash
+	Kind        Kind
+	Timeout     time.Duration // the longest that a request may be held
+	Target      time.Duration // an answer, or the first event, is in time within it
+	Gap         time.Duration // the longest pause between events that is in time
+	Priority    int           // 0 is the most urgent
+	Shares      []Share       // at least one
+	MaxAttempts int           // endpoints that one request may run at
+	Resumable   bool          // a broken stream may go on at another endpoint
+}
+
+// Route is where requests of a host and a path go.
+type Route struct{ spec RouteSpec }
+
+// NewRoute returns the route that s describes.
+func NewRoute(s RouteSpec) *Route { return &Route{spec: s} }
+
+// Name returns the route's name.
+func (r *Route) Name() string { return r.spec.Name }
+
+// Kind returns what may be done again.
+func (r *Route) Kind() Kind { return r.spec.Kind }
+
+// Timeout returns the longest that a request may be held.
+func (r *Route) Timeout() time.Duration { return r.spec.Timeout }
+
+// Target returns within which time an answer or its first event is in time.
+func (r *Route) Target() time.Duration { return r.spec.Target }
+
+// Priority returns the rank; 0 is the most urgent.
+func (r *Route) Priority() int { return r.spec.Priority }
+
+// Shares returns the services and their parts; do not change it.
+func (r *Route) Shares() []Share { return r.spec.Shares }
+
+// MaxAttempts returns how many endpoints one request may run at.
+func (r *Route) MaxAttempts() int { return max(r.spec.MaxAttempts, 1) }
+
+// Resumable tells whether a broken stream may go on at another endpoint.
+func (r *Route) Resumable() bool { return r.spec.Resumable }
+
+// MayRepeat tells whether a request may run more than once.
+func (r *Route) MayRepeat() bool {
+	return r.spec.Kind == Repeatable || (r.spec.Kind == Stream && r.spec.Resumable)
+}
+
+// Split returns the service of a request by a number in [0, 1) that is its own.
+func (r *Route) Split(point float64) string {
+	whole := 0
+	for _, s := range r.spec.Shares {
+		whole += s.Weight
+	}
+	left := point * float64(whole)
+	for _, s := range r.spec.Shares {
+		left -= float64(s.Weight)
+		if left < 0 {
+			return s.Service
+		}
+	}
+	return r.spec.Shares[len(r.spec.Shares)-1].Service
+}
+
+// ModelSpec is a base model of a service.
+type ModelSpec struct {
+	Name        string
+	Adapters    int                    // how many
+	AdapterName func(place int) string // by place, from zero
+}
+
+// EngineSpec is what a service of model endpoints can do.
+type EngineSpec struct {
+	Batch        int // requests that an endpoint runs at once
+	Models       []ModelSpec
+	AdapterSlots int     // adapters that an endpoint holds
+	LoadsPerSec  float64 // that the weight store allows over all endpoints
+}
+
+// ServiceSpec is a service as its source describes it.
+type ServiceSpec struct {
+	Name           string
+	MaxConnections int         // that an endpoint takes from all callers together
+	Engine         *EngineSpec // nil: the endpoints run no models
+}
+
+// Service is a set of endpoints that do the same.
+type Service struct{ spec ServiceSpec }
+
+// NewService returns the service that s describes.
+func NewService(s ServiceSpec) *Service { return &Service{spec: s} }
+
+// Name returns the service's name.
+func (s *Service) Name() string { return s.spec.Name }
+
+// MaxConnections returns how many connections an endpoint takes in all.
+func (s *Service) MaxConnections() int { return s.spec.MaxConnections }
+
+// Engine returns what its model endpoints can do; nil when it has none.
+func (s *Service) Engine() *EngineSpec { return s.spec.Engine }
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes int
+	BodyBytes   int64
+	HeaderTime  time.Duration
+	IdleTime    time.Duration
+}
+
+// Config is one version of routes and services. It never changes.
+type Config struct {
+	version  uint64
+	hosts    map[string][]*Route // by falling length of prefix
+	services map[string]*Service
+	limits   Limits
+}
+
+// NewConfig returns the configuration of a version.
+func NewConfig(version uint64, routes []*Route, services []*Service, l Limits) *Config {
+	c := &Config{version: version, hosts: make(map[string][]*Route), services: make(map[string]*Service), limits: l}
+	for _, r := range routes {
+		c.hosts[r.spec.Host] = append(c.hosts[r.spec.Host], r)
+	}
+	for _, list := range c.hosts {
+		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.spec.Prefix), len(a.spec.Prefix)) })
+	}
+	for _, s := range services {
+		c.services[s.Name()] = s
+	}
+	return c
+}
+
+// Version returns the configuration's version; a higher one is newer.
+func (c *Config) Version() uint64 { return c.version }
+
+// Limits returns what a caller may send.
+func (c *Config) Limits() Limits { return c.limits }
+
+// Route returns the route of the host whose prefix is the longest that begins
+// the path; nil when there is none.
+func (c *Config) Route(host, path string) *Route {
+	for _, r := range c.hosts[host] {
+		if strings.HasPrefix(path, r.spec.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns the service called name; nil when there is none.
+func (c *Config) Service(name string) *Service { return c.services[name] }
+
+// Services returns every service.
+func (c *Config) Services() []*Service {
+	list := make([]*Service, 0, len(c.services))
+	for _, s := range c.services {
+		list = append(list, s)
+	}
+	slices.SortFunc(list, func(a, b *Service) int { return strings.Compare(a.Name(), b.Name()) })
+	return list
+}
--- /dev/null
+++ b/topology/endpoint.go
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package topology
+
+import (
+	"strings"
+	"time"
+)
+
+// Adapter is one adapter of a base model. The zero Adapter names nothing; one
+// without a name is the base model itself.
+type Adapter struct {
+	Model string
+	Name  string
+}
+
+// ParseAdapter reads the form model/name, or a model alone.
+func ParseAdapter(s string) Adapter {
+	m, n, _ := strings.Cut(s, "/")
+	return Adapter{Model: m, Name: n}
+}
+
+// String returns model/name, or the model alone.
+func (a Adapter) String() string {
+	if a.Name == "" {
+		return a.Model
+	}
+	return a.Model + "/" + a.Name
+}
+
+// EndpointSpec is one life of an endpoint as its source describes it.
+type EndpointSpec struct {
+	ID         string // changes with each start
+	Service    string
+	Address    string // IP:port
+	DataCentre string
+	Slots      int           // requests that it works on at once
+	Draining   bool          // it is about to leave
+	Leaves     time.Duration // with Draining: time until it ends, when it says so; else zero
+	Models     []string      // base models that it holds
+}
+
+// Endpoint is one life of an endpoint. It never changes.
+type Endpoint struct{ spec EndpointSpec }
+
+// NewEndpoint returns the endpoint that s describes.
+func NewEndpoint(s EndpointSpec) *Endpoint { return &Endpoint{spec: s} }
+
+// ID names this life of the endpoint.
+func (e *Endpoint) ID() string { return e.spec.ID }
+
+// Service returns the name of the service.
+func (e *Endpoint) Service() string { return e.spec.Service }
+
+// Address returns IP:port.
+func (e *Endpoint) Address() string { return e.spec.Address }
+
+// DataCentre returns where it runs.
+func (e *Endpoint) DataCentre() string { return e.spec.DataCentre }
+
+// Slots returns how many requests it works on at once.
+func (e *Endpoint) Slots() int { return max(e.spec.Slots, 1) }
+
+// Draining tells whether it is about to leave.
+func (e *Endpoint) Draining() bool { return e.spec.Draining }
+
+// Models returns the base models that it holds; do not change it.
+func (e *Endpoint) Models() []string { return e.spec.Models }
+
+// HasModel tells whether it holds the base model.
+func (e *Endpoint) HasModel(name string) bool {
+	for _, m := range e.spec.Models {
+		if m == name {
+			return true
+		}
+	}
+	return false
+}
+
+// Held is one adapter in a slot of an endpoint.
+type Held struct {
+	Version int64
+	Ready   bool // else it is being loaded
+}
--- /dev/null
+++ b/topology/view.go
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package topology
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+)
+
+// View is what a box believes now. It is safe for concurrent use. A reader gets
+// values that never change.
+type View struct {
+	config atomic.Pointer[Config]
+
+	mu        sync.RWMutex
+	endpoints map[string]*Endpoint        // by ID
+	services  map[string][]*Endpoint      // endpoints of a service by ID; rebuilt at each change
+	newest    map[Adapter]int64           // the newest version that was published
+	held      map[string]map[Adapter]Held // by endpoint
+	holders   map[Adapter]map[string]Held // by adapter, then endpoint
+	changed   chan struct{}               // closed at the next change of endpoints
+}
+
+// NewView returns a view of nothing.
+func NewView() *View {
+	return &View{
+		endpoints: make(map[string]*Endpoint),
+		services:  make(map[string][]*Endpoint),
+		newest:    make(map[Adapter]int64),
+		held:      make(map[string]map[Adapter]Held),
+		holders:   make(map[Adapter]map[string]Held),
+		changed:   make(chan struct{}),
+	}
+}
+
+// Config returns the configuration in force; nil when none is known yet.
+func (v *View) Config() *Config { return v.config.Load() }
+
+// SetConfig brings c into force unless a newer one is; it tells whether it did.
+func (v *View) SetConfig(c *Config) bool {
+	for {
+		old := v.config.Load()
+		if old != nil && old.version >= c.version {
+			return false
+		}
+		if v.config.CompareAndSwap(old, c) {
+			return true
+		}
+	}
+}
+
+// SetEndpoint adds an endpoint or replaces what was known of it.
+func (v *View) SetEndpoint(e *Endpoint) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.endpoints[e.ID()] = e
+	v.rebuildLocked()
+}
+
+// RemoveEndpoint forgets an endpoint and what it held.
+func (v *View) RemoveEndpoint(id string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.endpoints[id] == nil {
+		return
+	}
+	delete(v.endpoints, id)
+	v.setHeldLocked(id, nil)
+	v.rebuildLocked()
+}
+
+func (v *View) rebuildLocked() {
+	services := make(map[string][]*Endpoint)
+	for _, e := range v.endpoints {
+		services[e.Service()] = append(services[e.Service()], e)
+	}
+	for _, list := range services {
+		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID(), b.ID()) })
+	}
+	v.services = services
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Changed returns a channel that closes at the next change of the endpoints.
+func (v *View) Changed() <-chan struct{} {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.changed
+}
+
+// Endpoint returns the endpoint with the ID; nil when it is not known.
+func (v *View) Endpoint(id string) *Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.endpoints[id]
+}
+
+// Endpoints returns the endpoints of a service by ID; do not change the list.
+func (v *View) Endpoints(service string) []*Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.services[service]
+}
+
+// All returns every endpoint.
+func (v *View) All() []*Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	list := make([]*Endpoint, 0, len(v.endpoints))
+	for _, e := range v.endpoints {
+		list = append(list, e)
+	}
+	return list
+}
+
+// Newest returns the newest published version of an adapter; zero when none was
+// published since its first.
+func (v *View) Newest(a Adapter) int64 {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.newest[a]
+}
+
+// SetNewest notes a published version; an older one changes nothing.
+func (v *View) SetNewest(a Adapter, version int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.newest[a] = max(v.newest[a], version)
+}
+
+// SetHeld replaces what an endpoint holds.
+func (v *View) SetHeld(endpoint string, held map[Adapter]Held) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.setHeldLocked(endpoint, held)
+}
+
+func (v *View) setHeldLocked(endpoint string, held map[Adapter]Held) {
+	for a := range v.held[endpoint] {
+		delete(v.holders[a], endpoint)
+		if len(v.holders[a]) == 0 {
+			delete(v.holders, a)
+		}
+	}
+	delete(v.held, endpoint)
+	if held == nil {
+		return
+	}
+	v.held[endpoint] = held
+	for a, h := range held {
+		if v.holders[a] == nil {
+			v.holders[a] = make(map[string]Held)
+		}
+		v.holders[a][endpoint] = h
+	}
+}
+
+// Drop forgets that an endpoint holds an adapter, after its own word.
+func (v *View) Drop(endpoint string, a Adapter) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	delete(v.holders[a], endpoint)
+}
+
+// Holders returns the endpoints where an adapter is ready in its newest version.
+func (v *View) Holders(a Adapter) []*Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	var list []*Endpoint
+	for id, h := range v.holders[a] {
+		if e := v.endpoints[id]; e != nil && h.Ready && h.Version >= v.newest[a] {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID(), b.ID()) })
+	return list
+}
