--- a/edge/peers.go
+++ b/edge/peers.go
@@ -235,6 +235,7 @@
 		MostMicros: w.Most.Microseconds(),
 		Priority:   int32(w.Priority),
 		Worth:      w.Worth,
+		Returned:   w.Returned,
 		Denied:     w.Denied,
 	})
 	if err != nil {
@@ -260,6 +261,7 @@
 		Most:     time.Duration(q.GetMostMicros()) * time.Microsecond,
 		Priority: int(q.GetPriority()),
 		Worth:    q.GetWorth(),
+		Returned: q.GetReturned(),
 		Denied:   q.GetDenied(),
 	}
 }
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -14,7 +14,7 @@
 
 const (
 	watchWait   = 4 * time.Second         // of one watch; a silent one is noticed after it
-	watchPause  = 300 * time.Millisecond  // between two watches, so that events come in batches
+	watchPause  = 600 * time.Millisecond  // between two watches, so that events come in batches
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
 	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,6 +70,7 @@
 	Most     time.Duration // how long it waits at most once it waits: late is better than never
 	Priority int
 	Worth    float64 // of the request, against others
+	Returned bool    // the caller was refused before and has less time left
 	Denied   bool    // the endpoint said that it does not hold the adapter
 }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -38,6 +38,15 @@
 
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
+// usedBefore is how much less time than the route gives a caller must have left to
+// have come back: more than clocks and the way here explain.
+const usedBefore = 40 * time.Millisecond
+
+// returned tells whether the caller spent some of its time before this try.
+func (q *request) returned() bool {
+	return q.call.Deadline > 0 && q.call.Deadline+usedBefore < q.route.Timeout()
+}
+
 // admit reads a request and finds its route.
 func (g *Gateway) admit(w http.ResponseWriter, q *request) *Refusal {
 	q.config = g.View.Config()
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -119,6 +119,7 @@
 		Most:     q.left(time.Now()) / 2,
 		Priority: q.route.Priority(),
 		Worth:    float64(q.call.TokensIn + outputWeight*q.call.TokensOut),
+		Returned: q.returned(),
 		Denied:   q.denied == e.ID(),
 	}
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -9,21 +9,22 @@
 	"cairnwick.example/topology"
 )
 
-// wantLife is how long a load stays queued that could not begin.
-const wantLife = 5 * time.Second
+// wantLife is how long after the last request a load is still worth its while:
+// a refused caller comes back within it.
+const wantLife = 2 * time.Second
 
 // pumpLocked begins the queued loads that may begin now, the most wanted first.
 func (l *Loader) pumpLocked(now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
 	passed := make(map[wantKey]bool)
 	for {
-		key, w := l.nextLocked(passed)
+		key, w := l.nextLocked(passed, now)
 		if w == nil {
 			return tasks
 		}
 		passed[key] = true
 		o := l.owned[key.endpoint]
-		if o == nil || o.phase != owning || now.Sub(w.first) > wantLife {
+		if o == nil || o.phase != owning || (w.waiting == 0 && now.Sub(w.last) > wantLife) {
 			delete(l.wants, key)
 			w.end()
 			continue
@@ -43,12 +44,16 @@
 }
 
 // nextLocked returns the most wanted load that was not passed over yet.
-func (l *Loader) nextLocked(passed map[wantKey]bool) (wantKey, *want) {
+func (l *Loader) nextLocked(passed map[wantKey]bool, now time.Time) (wantKey, *want) {
 	var best *want
 	var at wantKey
+	most := 0.0
 	for k, w := range l.wants {
-		if !passed[k] && (best == nil || w.before(best)) {
-			at, best = k, w
+		if passed[k] {
+			continue
+		}
+		if score := l.scoreLocked(k, w, now); best == nil || score > most {
+			at, best, most = k, w, score
 		}
 	}
 	return at, best
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -41,7 +41,6 @@
 	bucket bucket
 	cold   time.Duration // smoothed time of a load from the store
 	warm   time.Duration // smoothed time of a load from an endpoint's memory
-	listed int           // adapters of the configuration that were looked at for loading ahead
 	wake   chan struct{}
 	init   sync.Once
 }
@@ -155,8 +154,7 @@
 	tasks := l.ownLocked(now)
 	l.shareLocked()
 	tasks = append(tasks, l.reclaimLocked()...)
-	tasks = append(tasks, l.pumpLocked(now)...)
-	return append(tasks, l.aheadLocked(now)...)
+	return append(tasks, l.pumpLocked(now)...)
 }
 
 // ownLocked follows the view: endpoints that are this box's are claimed, others
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -70,7 +70,5 @@
 	reportLag    = 400 * time.Millisecond // a report may be so old
 	halfLife     = 6 * time.Second        // of the rate of requests
 	idleFor      = 400 * time.Millisecond // an adapter used more recently is not evicted
-	queueMost    = 4 * time.Second        // of loads at the store's rate; more are not queued
 	promiseLate  = 60 * time.Millisecond  // added to the time that a refused caller is told
-	preloadSpare = 1.0                    // loads kept for requests when loading ahead
 )
--- a/placement/want.go
+++ b/placement/want.go
@@ -16,12 +16,12 @@
 	adapter  topology.Adapter
 }
 
-// want is a load that requests wait for or were told to come back for. Guarded by
+// want is an adapter that requests asked for and that is not loaded. Guarded by
 // Loader.mu.
 type want struct {
 	version int64
-	first   time.Time
-	asked   int           // requests that asked
+	last    time.Time     // when it was asked for last
+	waiting int           // requests that are held for it
 	done    chan struct{} // closed when the load has begun or will not
 	ended   bool
 }
@@ -91,8 +91,9 @@
 	return forward.Placed{Retry: left + promiseLate, Reason: reason}, nil
 }
 
-// enqueueLocked queues a load, unless the store's rate has no room for it in any
-// useful time.
+// enqueueLocked notes that an adapter is wanted, and lets the request wait when the
+// load will be done in time. A caller that was refused before is let wait for a
+// late answer, since it will not come back again.
 func (l *Loader) enqueueLocked(o *owned, w forward.Wanted, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	l.countLocked(w.Adapter, 1, now)
 	key := wantKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}
@@ -101,42 +102,48 @@
 		if s := o.slots[w.Adapter]; s != nil && w.Denied {
 			s.ready = false // until the endpoint has said again that it holds it
 		}
-		q = &want{version: w.Version, first: now, done: make(chan struct{})}
-		if wait := l.aheadOfLocked(q, now); wait > queueMost {
-			return forward.Placed{Retry: wait, Reason: "too many loads wait for the store"}, nil
-		}
+		q = &want{done: make(chan struct{})}
 		l.wants[key] = q
 	}
 	q.version = max(q.version, w.Version)
-	q.asked++
+	q.last = now
 	l.nudge()
 	load := l.cold
-	wait := l.aheadOfLocked(q, now)
+	wait := l.aheadOfLocked(key, q, now)
 	if o.isWarm(w.Adapter) {
 		load, wait = l.warm, 0
 	}
-	return l.await(wait+load, q.done, now, limit, "loads before it wait for the store")
+	if w.Returned {
+		limit = now.Add(w.Most)
+	}
+	p, done := l.await(wait+load, q.done, now, limit, "loads that more requests ask for go first")
+	if done != nil {
+		q.waiting++
+	}
+	return p, done
 }
 
 // aheadOfLocked is how long a load waits for the store's rate behind those that go
 // first.
-func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
+func (l *Loader) aheadOfLocked(key wantKey, q *want, now time.Time) time.Duration {
+	own := l.scoreLocked(key, q, now)
 	n := 1.0
 	for k, w := range l.wants {
-		if w != q && w.before(q) && !l.owned[k.endpoint].isWarm(k.adapter) {
+		if w != q && l.scoreLocked(k, w, now) > own && !l.owned[k.endpoint].isWarm(k.adapter) {
 			n++
 		}
 	}
 	return l.bucket.wait(n, now)
 }
 
-// before tells whether w is loaded before v: what more requests asked for, then
-// what was asked for first.
-func (w *want) before(v *want) bool {
-	if w.asked != v.asked {
-		return w.asked > v.asked
-	}
-	return !w.first.After(v.first)
+// heldWeight is how many requests a second one held request counts as: what was
+// promised is kept before what may be asked for.
+const heldWeight = 1.0
+
+// scoreLocked ranks the loads that are wanted: by how often the adapter was asked
+// for lately, and by who is held for it.
+func (l *Loader) scoreLocked(k wantKey, w *want, now time.Time) float64 {
+	return l.rateLocked(k.adapter, now) + heldWeight*float64(w.waiting)
 }
 
 // isWarm tells whether the endpoint's memory keeps an adapter that it held lately.
