--- a/cmd/cairnwick/main.go
+++ b/cmd/cairnwick/main.go
@@ -24,6 +24,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // first of all: a process that does not listen would end
 	var c command
 	arg.MustParse(&c)
 	s, store, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
@@ -42,9 +44,35 @@
 		Control:  platform.NewControl(),
 		Log:      log,
 	}
-	if err := n.Run(ctx); err != nil {
+	reloaded := make(chan struct{})
+	go func() {
+		reload(ctx, n, hangups)
+		close(reloaded)
+	}()
+	err = n.Run(ctx)
+	stop()
+	<-reloaded
+	if err != nil {
 		log.Error(err, "Box failed")
 		return daemon.ExitFailed
 	}
 	return daemon.ExitDone
 }
+
+// reload reads the settings again at each SIGHUP, until ctx ends. What cannot be
+// read changes nothing.
+func reload(ctx context.Context, n *edge.Node, hangups <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, _, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+		if err != nil {
+			n.Log.Error(err, "Settings can't be read again; the old ones stay in force")
+			continue
+		}
+		n.Reload(s)
+	}
+}
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -14,32 +14,22 @@
 )
 
 const (
-	headerTime   = 5 * time.Second         // for the head of a request
-	idleTime     = 90 * time.Second        // callers use connections again that rested for less
-	noticeFor    = 2800 * time.Millisecond // the balancer asks each second and believes the second miss
-	quietFor     = 300 * time.Millisecond  // without any held request, before the end
-	endMargin    = 1500 * time.Millisecond // of the grace that is kept for the end itself
-	leavePause   = 20 * time.Millisecond
-	shutdownTime = time.Second
+	headerTime = 5 * time.Second         // for the head of a request
+	idleTime   = 90 * time.Second        // callers use connections again that rested for less
+	noticeFor  = 2800 * time.Millisecond // the balancer asks each second and believes the second miss
+	endMargin  = 300 * time.Millisecond  // of the grace that is kept for the end itself
+	leavePause = 100 * time.Millisecond
 )
 
 // leave ends the box's work in order: the balancer and the boxes are told first,
-// requests that still come are served, and connections are kept until they rest.
+// then connections are closed as they rest, and what is held goes on to its end.
 func (n *Node) leave() {
 	n.log.Info("Box leaves", "held", n.gateway.Held())
 	begun := time.Now()
 	n.leaving.Store(true)
 	n.gateway.Leave()
 	n.peers.table.Leave()
-	limit := begun.Add(n.Settings.Bounds.Grace - endMargin)
-	quiet := begun
-	for now := begun; now.Before(limit); now = time.Now() {
-		if n.gateway.Held() > 0 {
-			quiet = now
-		}
-		if now.Sub(begun) > noticeFor && now.Sub(quiet) > quietFor {
-			break
-		}
+	for time.Since(begun) < noticeFor {
 		time.Sleep(leavePause)
 	}
 	n.log.Info("Box has left", "held", n.gateway.Held(), "took_ms", time.Since(begun).Milliseconds())
@@ -74,8 +64,9 @@
 	return mux
 }
 
-// serveHTTP serves until ctx ends, then closes connections as they rest.
-func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
+// serveHTTP serves until ctx ends, then closes connections as they rest, at most
+// for so long.
+func serveHTTP(ctx context.Context, s *http.Server, l net.Listener, most time.Duration) error {
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	select {
@@ -83,7 +74,7 @@
 		return errors.Wrap(err, "edge: serve")
 	case <-ctx.Done():
 	}
-	end, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	end, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
 	err := s.Shutdown(end)
 	<-served
--- a/edge/node.go
+++ b/edge/node.go
@@ -33,6 +33,7 @@
 	Log      logr.Logger
 
 	log     logr.Logger
+	current atomic.Pointer[Settings] // in force; replaced by Reload
 	view    *topology.View
 	items   *share.Table
 	state   *state
@@ -56,6 +57,7 @@
 // build makes the parts and ties them together.
 func (n *Node) build() {
 	s := n.Settings
+	n.current.Store(&n.Settings)
 	n.log = n.Log
 	n.view = topology.NewView()
 	n.items = share.NewTable()
@@ -69,10 +71,10 @@
 		Box:     s.Box,
 		View:    n.view,
 		Control: n.Control,
-		Limits:  s.Rate,
+		Limits:  func() placement.RateLimits { return n.current.Load().Rate },
 		Log:     n.log,
 		Fences:  fences,
-		Lease:   s.Bounds.Lease,
+		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
 		Leaders: func() int { return len(n.peers.centres()) },
 		Owns:    n.owns,
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
@@ -87,13 +89,20 @@
 		Placer:     placer{node: n},
 		Observer:   n.usage,
 		Boxes:      n.peers.boxes,
-		Budget:     s.Budget,
+		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.log,
 		Stats:      forward.NewStats(),
 	}
 }
 
+// Reload brings new settings into force: seeds, bounds and limits. The name and the
+// addresses of a box stay those that it started with.
+func (n *Node) Reload(s Settings) {
+	n.current.Store(&s)
+	n.Log.Info("Settings are in force", "seeds", len(s.Seeds))
+}
+
 func (n *Node) buildPeers() *peers {
 	s := n.Settings
 	d := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
@@ -110,7 +119,7 @@
 	p.loop = &member.Loop{
 		Table:      p.table,
 		Dial:       p.dialer.Peer,
-		Seeds:      func() []string { return anySeed(s.Seeds, s.Peers) },
+		Seeds:      func() []string { return anySeed(n.current.Load().Seeds, s.Peers) },
 		Bridges:    func() bool { return true },
 		Remote:     p.lost,
 		Extras:     noExtras{},
@@ -137,7 +146,7 @@
 	if n.leaving.Load() {
 		return false, time.Time{}
 	}
-	return n.peers.leads(e.DataCentre(), n.Settings.Bounds.Lease, time.Now())
+	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, time.Now())
 }
 
 // reads tells whether this box hears the source now.
@@ -177,18 +186,14 @@
 		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
 	wire.RegisterPeerServer(server, peerServer{node: n})
 	wire.RegisterShareServer(server, shareServer{node: n})
-	callers := &http.Server{Handler: n.gateway, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	held := n.Settings.Bounds.Grace - noticeFor - endMargin // what is held when the end begins has so long
 	tasks := []task{
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.gateway.Run,
 		n.reader(Settled).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
-		func(ctx context.Context) error { return serveHTTP(ctx, callers, listeners.callers) },
-		func(ctx context.Context) error {
-			return serveHTTP(ctx, &http.Server{Handler: n.readiness(), ReadHeaderTimeout: headerTime}, listeners.ready)
-		},
-		func(ctx context.Context) error {
-			return serveHTTP(ctx, &http.Server{Handler: n.metrics(), ReadHeaderTimeout: headerTime}, listeners.metrics)
-		},
+		httpTask(n.gateway, listeners.callers, held),
+		httpTask(n.readiness(), listeners.ready, held),
+		httpTask(n.metrics(), listeners.metrics, held),
 	}
 	err = n.runAll(ctx, inner, end, tasks)
 	n.peers.dialer.Close()
@@ -196,6 +201,12 @@
 	return err
 }
 
+// httpTask serves one handler.
+func httpTask(h http.Handler, l net.Listener, most time.Duration) task {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+	return func(ctx context.Context) error { return serveHTTP(ctx, s, l, most) }
+}
+
 // runAll runs the tasks until ctx ends or one of them fails.
 func (n *Node) runAll(ctx, inner context.Context, end context.CancelFunc, tasks []task) error {
 	ended := make(chan error, len(tasks))
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -23,30 +23,28 @@
 
 // Budget is one box's share of the retries to one service.
 type Budget struct {
-	limits BudgetLimits
+	Limits func() BudgetLimits
 
 	mu     sync.Mutex
 	tokens float64
 	at     time.Time
 }
 
-// NewBudget returns a budget that holds a box's share of the extra retries.
-func NewBudget(l BudgetLimits) *Budget { return &Budget{limits: l, tokens: 1} }
-
 // First notes the first attempt of a request.
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.limits.Ratio*budgetPart, mostSaved)
+	b.tokens = min(b.tokens+b.Limits().Ratio*budgetPart, mostSaved)
 }
 
 // Take tells whether one more attempt may be made at now by one of so many boxes.
 func (b *Budget) Take(now time.Time, boxes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	share := b.limits.Extra * budgetPart / float64(max(boxes, 1))
+	limits := b.Limits()
+	share := limits.Extra * budgetPart / float64(max(boxes, 1))
 	if !b.at.IsZero() {
-		b.tokens = min(b.tokens+share*now.Sub(b.at).Seconds()/b.limits.Window.Seconds(), mostSaved)
+		b.tokens = min(b.tokens+share*now.Sub(b.at).Seconds()/limits.Window.Seconds(), mostSaved)
 	}
 	b.at = now
 	if b.tokens < 1 {
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -21,9 +21,9 @@
 	Protocol   Protocol
 	Placer     Placer
 	Observer   Observer
-	Boxes      func() int // boxes that share the budget of retries
-	Budget     BudgetLimits
-	MostHeld   int // requests held at a time; more are refused
+	Boxes      func() int          // boxes that share the budget of retries
+	Budget     func() BudgetLimits // by the settings in force
+	MostHeld   int                 // requests held at a time; more are refused
 	Log        logr.Logger
 	Stats      *Stats
 
@@ -64,7 +64,7 @@
 	}
 	b := g.budgets[service]
 	if b == nil {
-		b = NewBudget(g.Budget)
+		b = &Budget{Limits: g.Budget, tokens: 1}
 		g.budgets[service] = b
 	}
 	return b
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -51,6 +51,8 @@
 	}
 	o.fence = l.Fences.Next(now, o.refused)
 	o.phase, o.since, o.told, o.orders = owning, now, 0, 0
+	o.claims++
+	claim := o.claims
 	o.slots = make(map[topology.Adapter]*slot)
 	for a, v := range h.Ready {
 		o.slots[a] = &slot{version: v, ready: true, used: now}
@@ -65,12 +67,14 @@
 		pending = append(pending, a)
 	}
 	l.publishLocked(o)
+	close(l.settled)
+	l.settled = make(chan struct{})
 	l.mu.Unlock()
 	l.Log.Info("Endpoint is owned", "endpoint", o.endpoint.ID(), "fence", o.fence, "ready", len(h.Ready), "pending", len(pending))
 	ended := make(chan struct{})
 	for _, a := range pending {
 		go func() {
-			l.finish(ctx, o, a)
+			l.finish(ctx, o, claim, a)
 			ended <- struct{}{}
 		}()
 	}
@@ -94,10 +98,10 @@
 }
 
 // doubt learns anew what an endpoint holds, after an order without an answer.
-func (l *Loader) doubt(o *owned, why string) {
+func (l *Loader) doubt(o *owned, claim int, why string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if o.phase != owning {
+	if o.phase != owning || o.claims != claim {
 		return
 	}
 	l.Log.Info("Endpoint is asked anew what it holds", "endpoint", o.endpoint.ID(), "cause", why)
--- a/placement/load.go
+++ b/placement/load.go
@@ -3,30 +3,30 @@
 package placement
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"cairnwick.example/topology"
+	"github.com/pkg/errors"
 )
 
-// wantLife is how long after the last request a load is still worth its while:
-// a refused caller comes back within it.
-const wantLife = 2 * time.Second
+const (
+	// wantLife is how long after the last request a load is still worth its while: a
+	// refused caller comes back within it.
+	wantLife = 2 * time.Second
+	// debtLife is how long requests that were not served are remembered.
+	debtLife = time.Minute
+)
 
 // pumpLocked begins the queued loads that may begin now, the most wanted first.
 func (l *Loader) pumpLocked(now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
-	passed := make(map[wantKey]bool)
-	for {
-		key, w := l.nextLocked(passed, now)
-		if w == nil {
-			return tasks
-		}
-		passed[key] = true
+	for _, key := range l.rankedLocked(now) {
+		w := l.wants[key]
 		o := l.owned[key.endpoint]
-		if o == nil || o.phase != owning || (w.waiting == 0 && now.Sub(w.last) > wantLife) {
-			delete(l.wants, key)
-			w.end()
+		if o == nil || o.phase != owning {
 			continue
 		}
 		victim, ok := l.roomLocked(o, key.adapter, now)
@@ -41,22 +41,29 @@
 		tasks = append(tasks, l.beginLocked(o, key.adapter, w.version, victim, cold, now))
 		w.end()
 	}
+	return tasks
 }
 
-// nextLocked returns the most wanted load that was not passed over yet.
-func (l *Loader) nextLocked(passed map[wantKey]bool, now time.Time) (wantKey, *want) {
-	var best *want
-	var at wantKey
-	most := 0.0
+// rankedLocked returns the loads that are wanted now, the most wanted first, and
+// forgets those that nobody asked for in a long time.
+func (l *Loader) rankedLocked(now time.Time) []wantKey {
+	var keys []wantKey
 	for k, w := range l.wants {
-		if passed[k] {
-			continue
-		}
-		if score := l.scoreLocked(k, w, now); best == nil || score > most {
-			at, best, most = k, w, score
+		if w.live(now) {
+			keys = append(keys, k)
+		} else if now.Sub(w.last) > debtLife {
+			delete(l.wants, k)
+			w.end()
 		}
 	}
-	return at, best
+	slices.SortFunc(keys, func(a, b wantKey) int {
+		v, w := l.wants[a], l.wants[b]
+		if c := cmp.Compare(w.score(), v.score()); c != 0 {
+			return c
+		}
+		return v.last.Compare(w.last)
+	})
+	return keys
 }
 
 // roomLocked finds room for one more adapter: a free slot, the adapter's own, or
@@ -101,54 +108,64 @@
 	if victim != nil {
 		l.publishLocked(o)
 	}
-	return func(ctx context.Context) { l.load(ctx, o, a, version, victim) }
+	claim := o.claims
+	return func(ctx context.Context) { l.load(ctx, o, claim, a, victim) }
 }
 
 // load empties a slot where one is needed, and loads the adapter.
-func (l *Loader) load(ctx context.Context, o *owned, a topology.Adapter, version int64, victim *topology.Adapter) {
-	if victim != nil && !l.unload(ctx, o, *victim) {
-		l.abandon(o, a)
+func (l *Loader) load(ctx context.Context, o *owned, claim int, a topology.Adapter, victim *topology.Adapter) {
+	if victim != nil && !l.unload(ctx, o, claim, *victim) {
+		l.abandon(o, claim, a)
 		return
 	}
-	l.finish(ctx, o, a)
+	l.finish(ctx, o, claim, a)
 }
 
 // unload empties a slot. Only the endpoint's word that it is empty counts.
-func (l *Loader) unload(ctx context.Context, o *owned, a topology.Adapter) bool {
+func (l *Loader) unload(ctx context.Context, o *owned, claim int, a topology.Adapter) bool {
 	until := time.Now().Add(loadMost)
-	for time.Now().Before(until) {
-		out, err := l.order(ctx, o, Order{Unload: true, Adapter: a})
+	for pause := askAgain; time.Now().Before(until); pause = min(2*pause, askMost) {
+		out, err := l.order(ctx, o, claim, Order{Unload: true, Adapter: a})
 		if err != nil {
 			return false
 		}
 		if out == Done {
-			l.mu.Lock()
-			delete(o.slots, a)
-			o.remember(a)
-			l.mu.Unlock()
+			l.unloaded(o, claim, a)
 			return true
 		}
 		if out != Begun && out != Busy {
 			return false
 		}
-		if !sleep(ctx, askAgain) {
+		if !sleep(ctx, pause) {
 			return false
 		}
 	}
+	l.doubt(o, claim, "an unload did not end")
 	return false
 }
 
+// unloaded notes that a slot is empty.
+func (l *Loader) unloaded(o *owned, claim int, a topology.Adapter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.claims != claim {
+		return
+	}
+	delete(o.slots, a)
+	o.remember(a)
+}
+
 // finish orders the load and repeats the order until the endpoint says that it
 // holds the adapter; a repeated order changes nothing at the endpoint.
-func (l *Loader) finish(ctx context.Context, o *owned, a topology.Adapter) {
+func (l *Loader) finish(ctx context.Context, o *owned, claim int, a topology.Adapter) {
 	begun := time.Now()
 	s, version, expected := l.slotOf(o, a)
 	if s == nil {
 		return
 	}
-	first := true
+	pause := max(askAgain, expected*4/5)
 	for time.Since(begun) < loadMost {
-		out, err := l.order(ctx, o, Order{Adapter: a, Version: version})
+		out, err := l.order(ctx, o, claim, Order{Adapter: a, Version: version})
 		if err != nil {
 			return
 		}
@@ -158,19 +175,18 @@
 			return
 		case Begun, Busy:
 		default:
-			l.abandon(o, a)
+			l.abandon(o, claim, a)
 			return
 		}
-		pause := askAgain
-		if first && out == Begun {
-			pause = max(askAgain, expected*4/5)
-			first = false
-		}
 		if !sleep(ctx, pause) {
 			return
 		}
+		pause = askAgain
+		if out == Busy || time.Since(begun) > 2*expected {
+			pause = askMost
+		}
 	}
-	l.doubt(o, "a load did not end")
+	l.doubt(o, claim, "a load did not end")
 }
 
 func (l *Loader) slotOf(o *owned, a topology.Adapter) (*slot, int64, time.Duration) {
@@ -183,25 +199,35 @@
 	return s, s.version, s.expected
 }
 
-// order gives one order under the endpoint's fence, and reckons with refusals.
-func (l *Loader) order(ctx context.Context, o *owned, d Order) (Outcome, error) {
+// errLost says that the endpoint is no longer owned as it was when the task began.
+var errLost = errors.New("placement: the endpoint is not owned any more")
+
+// holds tells whether an endpoint is still owned under the claim with the number;
+// what it holds may have changed since any other.
+func (l *Loader) holds(o *owned, claim int) (*topology.Endpoint, uint64, bool) {
 	l.mu.Lock()
-	d.Fence, d.Holder = o.fence, l.Box
-	e, owns := o.endpoint, o.phase == owning && l.owned[o.endpoint.ID()] == o
-	l.mu.Unlock()
+	defer l.mu.Unlock()
+	owns := o.phase == owning && o.claims == claim && l.owned[o.endpoint.ID()] == o
+	return o.endpoint, o.fence, owns
+}
+
+// order gives one order under the endpoint's fence, and reckons with refusals.
+func (l *Loader) order(ctx context.Context, o *owned, claim int, d Order) (Outcome, error) {
+	e, fence, owns := l.holds(o, claim)
 	if !owns {
-		return 0, context.Canceled
+		return 0, errLost
 	}
+	d.Fence, d.Holder = fence, l.Box
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	out, err := l.Control.Order(call, e, d)
 	switch {
 	case err != nil:
-		l.doubt(o, "an order got no answer: "+err.Error())
+		l.doubt(o, claim, "an order got no answer: "+err.Error())
 	case out == Fenced:
 		l.yield(o)
 	case out == Gone:
-		l.doubt(o, "another endpoint has the address")
+		l.doubt(o, claim, "another endpoint has the address")
 	}
 	return out, err
 }
@@ -232,11 +258,11 @@
 const smoothing = 8
 
 // abandon ends a load that will not be.
-func (l *Loader) abandon(o *owned, a topology.Adapter) {
+func (l *Loader) abandon(o *owned, claim int, a topology.Adapter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := o.slots[a]
-	if s == nil {
+	if s == nil || o.claims != claim {
 		return
 	}
 	l.Log.Info("Load is given up", "adapter", a.String(), "endpoint", o.endpoint.ID())
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -19,7 +19,7 @@
 	Box     string
 	View    *topology.View
 	Control Control
-	Limits  RateLimits
+	Limits  func() RateLimits // of the weight store, by the settings in force
 	Log     logr.Logger
 
 	// Publish tells all boxes what an endpoint holds. Versions rise over all owners.
@@ -32,17 +32,18 @@
 	// Leaders returns how many boxes give orders.
 	Leaders func() int
 	// Lease is how long a refused owner keeps away from an endpoint.
-	Lease time.Duration
+	Lease func() time.Duration
 
-	mu     sync.Mutex
-	owned  map[string]*owned // by endpoint
-	wants  map[wantKey]*want
-	rates  map[topology.Adapter]*policy.Popularity
-	bucket bucket
-	cold   time.Duration // smoothed time of a load from the store
-	warm   time.Duration // smoothed time of a load from an endpoint's memory
-	wake   chan struct{}
-	init   sync.Once
+	mu      sync.Mutex
+	owned   map[string]*owned // by endpoint
+	wants   map[wantKey]*want
+	rates   map[topology.Adapter]*policy.Popularity
+	bucket  bucket
+	cold    time.Duration // smoothed time of a load from the store
+	warm    time.Duration // smoothed time of a load from an endpoint's memory
+	wake    chan struct{}
+	settled chan struct{} // closed and replaced when an endpoint is owned
+	init    sync.Once
 }
 
 // phase is how far an endpoint's owner is.
@@ -66,6 +67,7 @@
 	recent   []topology.Adapter // held lately, the newest last; its memory keeps them
 	orders   int                // loads on their way
 	reclaim  bool               // what it holds must be learnt anew
+	claims   int                // how often this box learnt what it holds; tasks of earlier claims stop
 }
 
 // slot is one adapter that takes room at an endpoint.
@@ -85,9 +87,10 @@
 		l.owned = make(map[string]*owned)
 		l.wants = make(map[wantKey]*want)
 		l.rates = make(map[topology.Adapter]*policy.Popularity)
-		l.bucket = bucket{limits: l.Limits}
+		l.bucket = bucket{limits: l.Limits()}
 		l.cold, l.warm = coldLoad, warmLoad
 		l.wake = make(chan struct{}, 1)
+		l.settled = make(chan struct{})
 	})
 }
 
@@ -141,12 +144,21 @@
 func (l *Loader) pause(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.wants) == 0 {
+	if !l.wantedLocked(now) {
 		return ownPause
 	}
 	return min(ownPause, max(pumpPause, l.bucket.wait(1, now)))
 }
 
+func (l *Loader) wantedLocked(now time.Time) bool {
+	for _, w := range l.wants {
+		if w.live(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // step returns what is to be done now.
 func (l *Loader) step(now time.Time) []func(context.Context) {
 	l.mu.Lock()
@@ -174,7 +186,7 @@
 			o = &owned{endpoint: e, phase: claiming, since: now, slots: make(map[topology.Adapter]*slot)}
 			l.owned[e.ID()] = o
 			tasks = append(tasks, l.claim(o))
-		case o != nil && o.phase == yielded && now.Sub(o.since) > l.Lease+l.Lease/4:
+		case o != nil && o.phase == yielded && now.Sub(o.since) > l.Lease()*5/4:
 			o.phase, o.since = claiming, now
 			tasks = append(tasks, l.claim(o))
 		}
@@ -256,6 +268,7 @@
 			mine++
 		}
 	}
+	l.bucket.limits = l.Limits()
 	l.bucket.share(whole, float64(mine)/float64(max(all, 1)), l.Leaders())
 }
 
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -65,6 +65,7 @@
 	coldLoad     = 250 * time.Millisecond // first guess of a load from the store
 	warmLoad     = 40 * time.Millisecond  // first guess of a load from the endpoint's memory
 	askAgain     = 15 * time.Millisecond  // between two questions whether a load is done
+	askMost      = 100 * time.Millisecond // the same when it takes longer than expected
 	loadMost     = 4 * time.Second        // after which a load counts as lost
 	callTimeout  = time.Second            // of one order or report
 	reportLag    = 400 * time.Millisecond // a report may be so old
--- a/placement/want.go
+++ b/placement/want.go
@@ -20,6 +20,7 @@
 // Loader.mu.
 type want struct {
 	version int64
+	debt    float64       // requests that asked and were not served; a caller's return counts less
 	last    time.Time     // when it was asked for last
 	waiting int           // requests that are held for it
 	done    chan struct{} // closed when the load has begun or will not
@@ -33,8 +34,9 @@
 	}
 }
 
-// notOwnerRetry is how soon the view of ownership has usually settled.
-const notOwnerRetry = 400 * time.Millisecond
+// claimTime is how long it usually takes a new owner to learn what an endpoint
+// holds.
+const claimTime = reportLag + 50*time.Millisecond
 
 // Want implements forward.Placer for the endpoints of this box.
 func (l *Loader) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
@@ -68,7 +70,7 @@
 	defer l.mu.Unlock()
 	o := l.owned[w.Endpoint.ID()]
 	if o == nil || o.phase != owning {
-		return forward.Placed{Retry: notOwnerRetry, Reason: "the endpoint's owner has not settled"}, nil
+		return l.await(claimTime, l.settled, now, limit, "the endpoint's owner has not settled")
 	}
 	s := o.slots[w.Adapter]
 	if s != nil && s.ready && !s.leaving && s.version >= w.Version && !w.Denied {
@@ -95,7 +97,6 @@
 // load will be done in time. A caller that was refused before is let wait for a
 // late answer, since it will not come back again.
 func (l *Loader) enqueueLocked(o *owned, w forward.Wanted, now, limit time.Time) (forward.Placed, <-chan struct{}) {
-	l.countLocked(w.Adapter, 1, now)
 	key := wantKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}
 	q := l.wants[key]
 	if q == nil {
@@ -107,9 +108,10 @@
 	}
 	q.version = max(q.version, w.Version)
 	q.last = now
+	q.debt += askWeight(w)
 	l.nudge()
 	load := l.cold
-	wait := l.aheadOfLocked(key, q, now)
+	wait := l.aheadOfLocked(q, now)
 	if o.isWarm(w.Adapter) {
 		load, wait = l.warm, 0
 	}
@@ -125,27 +127,36 @@
 
 // aheadOfLocked is how long a load waits for the store's rate behind those that go
 // first.
-func (l *Loader) aheadOfLocked(key wantKey, q *want, now time.Time) time.Duration {
-	own := l.scoreLocked(key, q, now)
+func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
 	n := 1.0
 	for k, w := range l.wants {
-		if w != q && l.scoreLocked(k, w, now) > own && !l.owned[k.endpoint].isWarm(k.adapter) {
+		if w != q && w.live(now) && w.score() > q.score() && !l.owned[k.endpoint].isWarm(k.adapter) {
 			n++
 		}
 	}
 	return l.bucket.wait(n, now)
 }
 
-// heldWeight is how many requests a second one held request counts as: what was
-// promised is kept before what may be asked for.
-const heldWeight = 1.0
+const (
+	heldWeight   = 1.0 // requests that one held request counts as besides: what was promised goes first
+	returnWeight = 0.5 // requests that the return of a refused caller counts as: the adapter is not wanted by more
+)
 
-// scoreLocked ranks the loads that are wanted: by how often the adapter was asked
-// for lately, and by who is held for it.
-func (l *Loader) scoreLocked(k wantKey, w *want, now time.Time) float64 {
-	return l.rateLocked(k.adapter, now) + heldWeight*float64(w.waiting)
+func askWeight(w forward.Wanted) float64 {
+	if w.Returned {
+		return returnWeight
+	}
+	return 1
 }
 
+// score ranks the loads that are wanted: by how many requests asked in vain since
+// the adapter was last loaded, so that none is passed over for ever, and by who is
+// held for it.
+func (w *want) score() float64 { return w.debt + heldWeight*float64(w.waiting) }
+
+// live tells whether somebody is held for the load or may still come back for it.
+func (w *want) live(now time.Time) bool { return w.waiting > 0 || now.Sub(w.last) <= wantLife }
+
 // isWarm tells whether the endpoint's memory keeps an adapter that it held lately.
 func (o *owned) isWarm(a topology.Adapter) bool {
 	if o == nil {
