--- a/placement/load.go
+++ b/placement/load.go
@@ -73,7 +73,10 @@
 	if g == nil || o.orders >= loadsAtOnce {
 		return nil, false
 	}
-	if o.slots[a] != nil || len(o.slots) < g.AdapterSlots {
+	if s := o.slots[a]; s != nil {
+		return nil, !s.leaving // until its unloading has ended
+	}
+	if len(o.slots) < g.AdapterSlots {
 		return nil, true
 	}
 	least := 0.0
@@ -105,9 +108,13 @@
 	}
 	s.done = make(chan struct{})
 	o.orders++
+	l.publishLocked(o)
+	evicted := ""
 	if victim != nil {
-		l.publishLocked(o)
+		evicted = victim.String()
 	}
+	l.Log.Info("Load begins", "adapter", a.String(), "adapter_version", version, "endpoint", o.endpoint.ID(),
+		"evicted", evicted, "slots", len(o.slots), "on_their_way", o.orders, "from_store", cold, "fence", o.fence)
 	claim := o.claims
 	return func(ctx context.Context) { l.load(ctx, o, claim, a, victim) }
 }
--- /dev/null
+++ b/placement/loader_test.go
@@ -0,0 +1,246 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"cairnwick.example/forward"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+)
+
+const (
+	model     = "base"
+	slotCount = 2
+)
+
+// fakeEndpoint is one endpoint that keeps count of what it was ordered to hold.
+type fakeEndpoint struct {
+	mu       sync.Mutex
+	slots    map[topology.Adapter]bool // true: ready
+	inUse    map[topology.Adapter]bool // unloading waits for these
+	leaving  map[topology.Adapter]bool // they are unloaded once they are not in use
+	overfull bool                      // it was ordered to load more than its slots
+	loads    []topology.Adapter
+	loadTime time.Duration
+}
+
+// Report implements Control.
+func (f *fakeEndpoint) Report(context.Context, *topology.Endpoint) (Holding, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	h := Holding{Ready: make(map[topology.Adapter]int64), Pending: make(map[topology.Adapter]int64)}
+	for a, ready := range f.slots {
+		if ready {
+			h.Ready[a] = 1
+		} else {
+			h.Pending[a] = 1
+		}
+	}
+	return h, nil
+}
+
+// Order implements Control.
+func (f *fakeEndpoint) Order(_ context.Context, _ *topology.Endpoint, o Order) (Outcome, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if o.Unload {
+		if f.inUse[o.Adapter] {
+			f.leaving[o.Adapter] = true
+			return Begun, nil
+		}
+		delete(f.leaving, o.Adapter)
+		delete(f.slots, o.Adapter)
+		return Done, nil
+	}
+	if f.leaving[o.Adapter] {
+		return Busy, nil
+	}
+	if ready, ok := f.slots[o.Adapter]; ok {
+		if ready {
+			return Done, nil
+		}
+		return Begun, nil
+	}
+	if len(f.slots) >= slotCount {
+		f.overfull = true
+	}
+	f.slots[o.Adapter] = false
+	f.loads = append(f.loads, o.Adapter)
+	time.AfterFunc(f.loadTime, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if _, ok := f.slots[o.Adapter]; ok {
+			f.slots[o.Adapter] = true
+		}
+	})
+	return Begun, nil
+}
+
+func (f *fakeEndpoint) hold(a topology.Adapter, used bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.inUse[a] = used
+}
+
+// bench is a loader that owns one fake endpoint.
+type bench struct {
+	loader   *Loader
+	endpoint *topology.Endpoint
+	fake     *fakeEndpoint
+}
+
+func adapter(n int) topology.Adapter {
+	return topology.Adapter{Model: model, Name: fmt.Sprintf("x%d", n)}
+}
+
+func newBench(t *testing.T, rate float64) *bench {
+	v := topology.NewView()
+	engine := &topology.EngineSpec{AdapterSlots: slotCount, LoadsPerSec: rate}
+	v.SetConfig(topology.NewConfig(1, nil, []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "llm", Engine: engine})}, topology.Limits{}))
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", Service: "llm", DataCentre: "dc", Slots: 8, Models: []string{model}})
+	v.SetEndpoint(e)
+	fake := &fakeEndpoint{slots: make(map[topology.Adapter]bool), inUse: make(map[topology.Adapter]bool), leaving: make(map[topology.Adapter]bool), loadTime: 20 * time.Millisecond}
+	l := &Loader{
+		Box:     "box",
+		View:    v,
+		Control: fake,
+		Limits:  func() RateLimits { return DefaultRateLimits },
+		Log:     logr.Discard(),
+		Fences:  &Fences{Box: 1},
+		Lease:   func() time.Duration { return 100 * time.Millisecond },
+		Leaders: func() int { return 1 },
+		Owns:    func(*topology.Endpoint) (bool, time.Time) { return true, time.Time{} },
+		Publish: func(_ string, _ uint64, held map[topology.Adapter]topology.Held) { v.SetHeld("e1", held) },
+	}
+	l.Init()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	b := &bench{loader: l, endpoint: e, fake: fake}
+	b.awaitOwned()
+	return b
+}
+
+func (b *bench) awaitOwned() {
+	for {
+		b.loader.mu.Lock()
+		o := b.loader.owned["e1"]
+		owns := o != nil && o.phase == owning
+		b.loader.mu.Unlock()
+		if owns {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (b *bench) want(a topology.Adapter, wait time.Duration) (forward.Placed, error) {
+	return b.loader.Want(context.Background(), forward.Wanted{Endpoint: b.endpoint, Adapter: a, Wait: wait, Most: wait})
+}
+
+func TestAnAdapterThatIsWantedIsLoaded(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 100)
+	p, err := b.want(adapter(1), 5*time.Second)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p.Ready, quicktest.IsTrue)
+}
+
+// An adapter that is being unloaded, because requests still run on it, was ordered
+// again while its slot counted for two: the endpoint got one load too many.
+func TestAnAdapterThatIsLeavingIsNotLoadedOverItself(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 100)
+	for i := 1; i <= slotCount; i++ {
+		_, err := b.want(adapter(i), 5*time.Second)
+		c.Assert(err, quicktest.IsNil)
+		b.fake.hold(adapter(i), true)
+	}
+	time.Sleep(2 * idleFor) // so that they may be evicted
+	done := make(chan struct{})
+	for _, i := range []int{3, 1, 2, 4} { // one evicts an adapter in use, which is then wanted again
+		go func() {
+			_, _ = b.want(adapter(i), 2*time.Second) // may be refused
+			done <- struct{}{}
+		}()
+		time.Sleep(3 * pumpPause)
+	}
+	for i := 1; i <= slotCount; i++ {
+		b.fake.hold(adapter(i), false)
+	}
+	for range 2 * slotCount {
+		<-done
+	}
+	b.fake.mu.Lock()
+	defer b.fake.mu.Unlock()
+	c.Assert(b.fake.overfull, quicktest.IsFalse)
+}
+
+func TestTheAdapterThatMoreAskedForInVainGoesFirst(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 2)
+	for i := 1; i <= 3; i++ { // uses up the burst
+		_, _ = b.want(adapter(i), 0)
+	}
+	_, _ = b.want(adapter(10), 0)
+	for range 4 {
+		_, _ = b.want(adapter(11), 0)
+	}
+	c.Assert(b.eventuallyLoads(adapter(11)), quicktest.IsTrue)
+	b.fake.mu.Lock()
+	defer b.fake.mu.Unlock()
+	for _, a := range b.fake.loads {
+		c.Assert(a, quicktest.Not(quicktest.Equals), adapter(10))
+	}
+}
+
+func (b *bench) eventuallyLoads(a topology.Adapter) bool {
+	for range 500 {
+		b.fake.mu.Lock()
+		_, ok := b.fake.slots[a]
+		b.fake.mu.Unlock()
+		if ok {
+			return true
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return false
+}
+
+func TestAFenceIsAboveAllThatAreKnown(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	f := &Fences{Box: 7}
+	first := f.Next(now, 0)
+	c.Assert(f.Next(now, 0) > first, quicktest.IsTrue)
+	f.Hear(term(first) + 5000) // of an owner whose clock is ahead
+	c.Assert(term(f.Next(now, 0)), quicktest.Equals, term(first)+5001)
+	c.Assert(f.Next(now, 0) < 1<<53, quicktest.IsTrue)
+	c.Assert(f.Next(now, 0)&(1<<boxBits-1), quicktest.Equals, uint64(7))
+}
+
+func TestTheStoresRateIsSharedByOwnedEndpoints(t *testing.T) {
+	c := quicktest.New(t)
+	b := bucket{limits: DefaultRateLimits}
+	b.share(10, 0.5, 3)
+	now := time.Unix(0, 0)
+	taken := 0
+	for range 1000 { // ten seconds
+		now = now.Add(10 * time.Millisecond)
+		if b.take(now, 0) {
+			taken++
+		}
+	}
+	c.Assert(taken >= 48 && taken <= 51, quicktest.IsTrue, quicktest.Commentf("%d", taken))
+}
--- a/placement/want.go
+++ b/placement/want.go
@@ -109,6 +109,7 @@
 	q.version = max(q.version, w.Version)
 	q.last = now
 	q.debt += askWeight(w)
+	l.countLocked(w.Adapter, askWeight(w), now)
 	l.nudge()
 	load := l.cold
 	wait := l.aheadOfLocked(q, now)
