--- a/edge/node.go
+++ b/edge/node.go
@@ -77,6 +77,7 @@
 		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
 		Leaders: func() int { return len(n.peers.centres()) },
 		Owns:    n.owns,
+		Borrow:  n.peers.borrow,
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
 			n.state.publish(s.DataCentre, endpoint, version, held)
 		},
@@ -89,6 +90,7 @@
 		Placer:     placer{node: n},
 		Observer:   n.usage,
 		Boxes:      n.peers.boxes,
+		Reached:    n.peers.centres,
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.log,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -250,6 +250,27 @@
 	}, nil
 }
 
+// borrow asks the leaders of the other data centres for one load of the store's rate.
+func (p *peers) borrow(ctx context.Context) bool {
+	for c := range p.centres() {
+		m, ok := p.leader(c)
+		if !ok || m.Name() == p.box {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, lendTimeout)
+		a, err := wire.NewShareClient(p.dialer.Conn(m.Address())).Lend(call, &wire.LendRequest{Box: p.box})
+		cancel()
+		if err != nil {
+			p.log.V(1).Info("Leader can't be asked for a load", "leader", m.Name(), "err", err.Error())
+			continue
+		}
+		if a.GetLent() {
+			return true
+		}
+	}
+	return false
+}
+
 // wanted reads an ask of another box.
 func wanted(q *wire.AskRequest, e *topology.Endpoint) forward.Wanted {
 	return forward.Wanted{
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -13,7 +13,8 @@
 )
 
 const (
-	watchWait   = 4 * time.Second         // of one watch; a silent one is noticed after it
+	watchWait   = 2200 * time.Millisecond // of one watch: a lost answer is noticed soon after, in less than a box may be behind
+	watchShort  = 300 * time.Millisecond  // the same after a failure, until the source answers
 	watchPause  = 600 * time.Millisecond  // between two watches, so that events come in batches
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
@@ -91,6 +92,9 @@
 		return false, nil
 	}
 	wait := watchWait
+	if r.failing {
+		wait = watchShort
+	}
 	if r.doubtful {
 		wait = min(wait, max(time.Until(r.trusted), time.Millisecond))
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -55,11 +55,26 @@
 	}, nil
 }
 
+// Lend implements the Share service.
+func (s shareServer) Lend(context.Context, *wire.LendRequest) (*wire.LendReply, error) {
+	return &wire.LendReply{Lent: s.node.loader.Lend(time.Now())}, nil
+}
+
 // Use implements the Share service.
 func (s shareServer) Use(_ context.Context, q *wire.UseRequest) (*wire.UseReply, error) {
+	s.node.use(q)
+	return &wire.UseReply{}, nil
+}
+
+// use counts what a box of this data centre told.
+func (n *Node) use(q *wire.UseRequest) {
 	now := time.Now()
 	for _, u := range q.GetUsage() {
-		s.node.loader.Used(u.GetEndpoint(), topology.ParseAdapter(u.GetAdapter()), int(u.GetCount()), now)
+		a := topology.ParseAdapter(u.GetAdapter())
+		if u.GetFar() > 0 {
+			n.loader.Far(n.Settings.DataCentre, a, int(u.GetFar()), now)
+			continue
+		}
+		n.loader.Used(u.GetEndpoint(), a, int(u.GetCount()), now)
 	}
-	return &wire.UseReply{}, nil
 }
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -48,35 +48,43 @@
 	return nil
 }
 
-// tell sends each leader the counts of its endpoints. What is lost only makes a
-// rate of use look smaller.
+// tell sends each leader the counts of its endpoints, and the own leader besides
+// what went to other data centres. What is lost only makes a rate of use look
+// smaller.
 func (u *usage) tell(ctx context.Context, counts map[useKey]int) {
+	own := u.node.peers.centre
 	byCentre := make(map[string]*wire.UseRequest)
-	for k, n := range counts {
-		q := byCentre[k.centre]
+	add := func(centre string, w *wire.Usage) {
+		q := byCentre[centre]
 		if q == nil {
-			q = &wire.UseRequest{Box: u.node.peers.box, DataCentre: u.node.peers.centre}
-			byCentre[k.centre] = q
+			q = &wire.UseRequest{Box: u.node.peers.box, DataCentre: own}
+			byCentre[centre] = q
 		}
-		far := 0
-		if k.centre != u.node.peers.centre {
-			far = n
+		q.Usage = append(q.Usage, w)
+	}
+	for k, n := range counts {
+		add(k.centre, &wire.Usage{Endpoint: k.endpoint, Adapter: k.adapter.String(), Count: int32(n)})
+		if k.centre != own {
+			add(own, &wire.Usage{Adapter: k.adapter.String(), Far: int32(n)})
 		}
-		q.Usage = append(q.Usage, &wire.Usage{Endpoint: k.endpoint, Adapter: k.adapter.String(), Count: int32(n), Far: int32(far)})
 	}
 	for c, q := range byCentre {
-		m, ok := u.node.peers.leader(c)
-		if !ok {
-			continue
-		}
-		if m.Name() == u.node.peers.box {
-			_, _ = shareServer{node: u.node}.Use(ctx, q) // has no errors
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, usePause)
-		if _, err := wire.NewShareClient(u.node.peers.dialer.Conn(m.Address())).Use(call, q); err != nil {
-			u.node.log.V(1).Info("Leader was not told of use", "leader", m.Name(), "err", err.Error())
-		}
-		cancel()
+		u.tellOne(ctx, c, q)
+	}
+}
+
+func (u *usage) tellOne(ctx context.Context, centre string, q *wire.UseRequest) {
+	m, ok := u.node.peers.leader(centre)
+	if !ok {
+		return
+	}
+	if m.Name() == u.node.peers.box {
+		u.node.use(q)
+		return
+	}
+	call, cancel := context.WithTimeout(ctx, usePause)
+	defer cancel()
+	if _, err := wire.NewShareClient(u.node.peers.dialer.Conn(m.Address())).Use(call, q); err != nil {
+		u.node.log.V(1).Info("Leader was not told of use", "leader", m.Name(), "err", err.Error())
 	}
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -21,9 +21,10 @@
 	Protocol   Protocol
 	Placer     Placer
 	Observer   Observer
-	Boxes      func() int          // boxes that share the budget of retries
-	Budget     func() BudgetLimits // by the settings in force
-	MostHeld   int                 // requests held at a time; more are refused
+	Boxes      func() int             // boxes that share the budget of retries
+	Reached    func() map[string]bool // data centres with a box that this one is in touch with
+	Budget     func() BudgetLimits    // by the settings in force
+	MostHeld   int                    // requests held at a time; more are refused
 	Log        logr.Logger
 	Stats      *Stats
 
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -22,6 +22,7 @@
 // not avoided. Where most would be avoided it does not believe it and returns
 // all that do not drain.
 func (g *Gateway) usable(list []*topology.Endpoint, tried map[string]bool, now time.Time) []*topology.Endpoint {
+	list = g.reachable(list, now)
 	var serving, good []*topology.Endpoint
 	least := 1.0
 	for _, e := range list {
@@ -98,11 +99,14 @@
 	return some
 }
 
-// reachable returns those in data centres whose leaders answer.
+// reachable returns those in data centres that this box is in touch with: it may be
+// cut off from the others while they serve. Where that leaves none it returns all.
 func (g *Gateway) reachable(list []*topology.Endpoint, now time.Time) []*topology.Endpoint {
+	reached := g.Reached()
 	var some []*topology.Endpoint
 	for _, e := range list {
-		if e.DataCentre() == g.DataCentre || !g.away.is(e.DataCentre(), now) {
+		c := e.DataCentre()
+		if c == g.DataCentre || (reached[c] && !g.away.is(c, now)) {
 			some = append(some, e)
 		}
 	}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -91,7 +91,10 @@
 	if e := g.least(among(g.View.Holders(a), list), time.Now()); e != nil {
 		return target{endpoint: e, version: g.View.Newest(a)}, nil
 	}
-	e := Home(a, g.reachable(list, time.Now()))
+	e := Home(a, list)
+	if at := g.least(among(g.View.Loading(a), list), time.Now()); at != nil {
+		e = at
+	}
 	p, err := g.Placer.Want(ctx, g.wanted(q, e))
 	q.waited = time.Since(q.received)
 	if err != nil {
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -67,6 +67,7 @@
 		pending = append(pending, a)
 	}
 	l.publishLocked(o)
+	l.shareLocked()
 	close(l.settled)
 	l.settled = make(chan struct{})
 	l.mu.Unlock()
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -31,19 +31,24 @@
 	Owns func(e *topology.Endpoint) (bool, time.Time)
 	// Leaders returns how many boxes give orders.
 	Leaders func() int
+	// Borrow asks the other leaders for one load of the store's rate that they do not
+	// need; nil where there is nobody to ask.
+	Borrow func(ctx context.Context) bool
 	// Lease is how long a refused owner keeps away from an endpoint.
 	Lease func() time.Duration
 
-	mu      sync.Mutex
-	owned   map[string]*owned // by endpoint
-	wants   map[wantKey]*want
-	rates   map[topology.Adapter]*policy.Popularity
-	bucket  bucket
-	cold    time.Duration // smoothed time of a load from the store
-	warm    time.Duration // smoothed time of a load from an endpoint's memory
-	wake    chan struct{}
-	settled chan struct{} // closed and replaced when an endpoint is owned
-	init    sync.Once
+	mu        sync.Mutex
+	owned     map[string]*owned // by endpoint
+	wants     map[wantKey]*want
+	rates     map[topology.Adapter]*policy.Popularity
+	bucket    bucket
+	worth     map[int]float64 // by priority, smoothed over the requests that asked
+	borrowing bool            // another leader is being asked for a load
+	cold      time.Duration   // smoothed time of a load from the store
+	warm      time.Duration   // smoothed time of a load from an endpoint's memory
+	wake      chan struct{}
+	settled   chan struct{} // closed and replaced when an endpoint is owned
+	init      sync.Once
 }
 
 // phase is how far an endpoint's owner is.
@@ -89,6 +94,7 @@
 		l.rates = make(map[topology.Adapter]*policy.Popularity)
 		l.bucket = bucket{limits: l.Limits()}
 		l.cold, l.warm = coldLoad, warmLoad
+		l.worth = make(map[int]float64)
 		l.wake = make(chan struct{}, 1)
 		l.settled = make(chan struct{})
 	})
@@ -166,7 +172,8 @@
 	tasks := l.ownLocked(now)
 	l.shareLocked()
 	tasks = append(tasks, l.reclaimLocked()...)
-	return append(tasks, l.pumpLocked(now)...)
+	tasks = append(tasks, l.pumpLocked(now)...)
+	return append(tasks, l.borrowLocked(now)...)
 }
 
 // ownLocked follows the view: endpoints that are this box's are claimed, others
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -14,6 +14,10 @@
 // DefaultRateLimits is for stores that say nothing of their limits.
 var DefaultRateLimits = RateLimits{Window: 5 * time.Second, Overshoot: 1.1, Extra: 3}
 
+// overshootPart of what a window may hold beyond the rate is used all the time, the
+// rest by bursts.
+const overshootPart = 0.5
+
 // burstPart keeps the bursts of all leaders together below what a window may hold.
 const burstPart = 0.7
 
@@ -31,8 +35,8 @@
 // share sets the rate of the store and which part of it is this leader's.
 func (b *bucket) share(rate, part float64, leaders int) {
 	slack := rate*b.limits.Window.Seconds()*(b.limits.Overshoot-1) + b.limits.Extra
-	b.rate = rate * part
-	b.burst = max(1, slack*burstPart/float64(max(leaders, 1)))
+	b.rate = rate * part * (1 + (b.limits.Overshoot-1)*overshootPart)
+	b.burst = max(1, (slack-rate*b.limits.Window.Seconds()*(b.limits.Overshoot-1)*overshootPart)*burstPart/float64(max(leaders, 1)))
 }
 
 func (b *bucket) refill(now time.Time) {
--- a/placement/want.go
+++ b/placement/want.go
@@ -38,19 +38,32 @@
 // holds.
 const claimTime = reportLag + 50*time.Millisecond
 
-// Want implements forward.Placer for the endpoints of this box.
+// wish is a request's wish for an adapter.
+type wish struct {
+	forward.Wanted
+
+	again bool // it was counted before
+}
+
+// Want implements forward.Placer for the endpoints of this box. A caller that was
+// refused before is let wait for a late answer, since it will not come back again;
+// and a request that was let wait is not given up for being late.
 func (l *Loader) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
 	l.Init()
-	limit := time.Now().Add(max(w.Wait, 0))
-	most := time.Now().Add(max(w.Most, w.Wait, 0))
-	for {
-		p, wait := l.look(w, time.Now(), limit)
+	begun := time.Now()
+	most := begun.Add(max(w.Most, w.Wait, 0))
+	limit := begun.Add(max(w.Wait, 0))
+	if w.Returned {
+		limit = most
+	}
+	for q := (wish{Wanted: w}); ; q.again = true {
+		p, wait := l.look(q, time.Now(), limit)
 		if wait == nil {
 			l.Log.V(1).Info("Adapter was asked for", "request", w.Request, "adapter", w.Adapter.String(),
 				"endpoint", w.Endpoint.ID(), "ready", p.Ready, "reason", p.Reason, "retry_ms", p.Retry.Milliseconds())
 			return p, nil
 		}
-		limit = most // a request that was let wait is not given up for being late
+		limit = most
 		timer := time.NewTimer(time.Until(limit))
 		select {
 		case <-ctx.Done():
@@ -60,12 +73,12 @@
 		case <-wait:
 			timer.Stop()
 		}
-		w.Denied = false
+		q.Denied = false
 	}
 }
 
 // look answers a wish now, or returns what to wait for.
-func (l *Loader) look(w forward.Wanted, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+func (l *Loader) look(w wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := l.owned[w.Endpoint.ID()]
@@ -94,9 +107,8 @@
 }
 
 // enqueueLocked notes that an adapter is wanted, and lets the request wait when the
-// load will be done in time. A caller that was refused before is let wait for a
-// late answer, since it will not come back again.
-func (l *Loader) enqueueLocked(o *owned, w forward.Wanted, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+// load will be done by limit.
+func (l *Loader) enqueueLocked(o *owned, w wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	key := wantKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}
 	q := l.wants[key]
 	if q == nil {
@@ -108,24 +120,69 @@
 	}
 	q.version = max(q.version, w.Version)
 	q.last = now
-	q.debt += askWeight(w)
-	l.countLocked(w.Adapter, askWeight(w), now)
+	if !w.again {
+		q.debt += l.askWeightLocked(w.Wanted)
+		l.countLocked(w.Adapter, 1, now)
+	}
 	l.nudge()
 	load := l.cold
 	wait := l.aheadOfLocked(q, now)
 	if o.isWarm(w.Adapter) {
 		load, wait = l.warm, 0
 	}
-	if w.Returned {
-		limit = now.Add(w.Most)
-	}
 	p, done := l.await(wait+load, q.done, now, limit, "loads that more requests ask for go first")
-	if done != nil {
+	if done != nil && !w.again {
 		q.waiting++
 	}
 	return p, done
 }
 
+// farWeight is how many requests asked in vain one request that went to another data
+// centre counts as: what its bytes between data centres cost, against an answer
+// that nobody got (docs/PLATFORM.md, prices).
+const farWeight = 0.02
+
+// Far notes requests of a data centre's callers that went to another one: an adapter
+// that is hot there is worth a copy of its own, which also lasts through a cut.
+func (l *Loader) Far(centre string, a topology.Adapter, count int, now time.Time) {
+	e := l.homeIn(centre, a)
+	if e == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.owned[e.ID()]
+	if o == nil || o.phase != owning || o.slots[a] != nil {
+		return
+	}
+	key := wantKey{endpoint: e.ID(), adapter: a}
+	q := l.wants[key]
+	if q == nil {
+		q = &want{done: make(chan struct{}), version: l.View.Newest(a)}
+		l.wants[key] = q
+	}
+	q.debt += farWeight * float64(count)
+	q.last = now
+	l.countLocked(a, float64(count), now)
+}
+
+// homeIn returns the adapter's home among the endpoints of one data centre; nil when
+// it is held there already or has none.
+func (l *Loader) homeIn(centre string, a topology.Adapter) *topology.Endpoint {
+	for _, e := range l.View.Holders(a) {
+		if e.DataCentre() == centre {
+			return nil
+		}
+	}
+	var list []*topology.Endpoint
+	for _, e := range l.View.All() {
+		if e.DataCentre() == centre && e.HasModel(a.Model) && !e.Draining() {
+			list = append(list, e)
+		}
+	}
+	return forward.Home(a, list)
+}
+
 // aheadOfLocked is how long a load waits for the store's rate behind those that go
 // first.
 func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
@@ -140,14 +197,29 @@
 
 const (
 	heldWeight   = 1.0 // requests that one held request counts as besides: what was promised goes first
-	returnWeight = 0.5 // requests that the return of a refused caller counts as: the adapter is not wanted by more
+	returnWeight = 0.5 // part that the return of a refused caller counts for: the adapter is not wanted by more
+	leastWeight  = 0.3 // of the smallest request against a mean one
+	mostWeight   = 4.0 // of the largest
+	worthMemory  = 64  // requests over which the mean is smoothed
 )
 
-func askWeight(w forward.Wanted) float64 {
+// askWeightLocked is how much a request counts that asked in vain: the more work it
+// stands for, against others as urgent, the more is lost with it.
+func (l *Loader) askWeightLocked(w forward.Wanted) float64 {
+	if w.Worth <= 0 {
+		return 1
+	}
+	mean := l.worth[w.Priority]
+	if mean == 0 {
+		mean = w.Worth
+	}
+	mean += (w.Worth - mean) / worthMemory
+	l.worth[w.Priority] = mean
+	weight := min(leastWeight+(1-leastWeight)*w.Worth/mean, mostWeight)
 	if w.Returned {
-		return returnWeight
+		return weight * returnWeight
 	}
-	return 1
+	return weight
 }
 
 // score ranks the loads that are wanted: by how many requests asked in vain since
--- a/topology/view.go
+++ b/topology/view.go
@@ -166,12 +166,17 @@
 }
 
 // Holders returns the endpoints where an adapter is ready in its newest version.
-func (v *View) Holders(a Adapter) []*Endpoint {
+func (v *View) Holders(a Adapter) []*Endpoint { return v.where(a, true) }
+
+// Loading returns the endpoints where an adapter is on its way in its newest version.
+func (v *View) Loading(a Adapter) []*Endpoint { return v.where(a, false) }
+
+func (v *View) where(a Adapter, ready bool) []*Endpoint {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	var list []*Endpoint
 	for id, h := range v.holders[a] {
-		if e := v.endpoints[id]; e != nil && h.Ready && h.Version >= v.newest[a] {
+		if e := v.endpoints[id]; e != nil && h.Ready == ready && h.Version >= v.newest[a] {
 			list = append(list, e)
 		}
 	}
