--- a/cmd/cairnwick/main.go
+++ b/cmd/cairnwick/main.go
@@ -33,7 +33,10 @@
 		fmt.Fprintln(os.Stderr, err)
 		return daemon.ExitSettings
 	}
-	log := logging.New(os.Stdout, s.Box, s.DataCentre, "edge", c.Debug)
+	lines := logging.NewBounded(os.Stdout)
+	log := logging.New(lines, s.Box, s.DataCentre, "edge", c.Debug)
+	flush := write(lines)
+	defer flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	n := &edge.Node{
@@ -43,6 +46,7 @@
 		Protocol: platform.Protocol{},
 		Control:  platform.NewControl(),
 		Log:      log,
+		Lines:    lines,
 	}
 	reloaded := make(chan struct{})
 	go func() {
@@ -59,6 +63,20 @@
 	return daemon.ExitDone
 }
 
+// write writes the log until the function that it returns is called, which writes
+// what is left.
+func write(lines *logging.Bounded) func() {
+	ctx, end := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- lines.Run(ctx) }()
+	return func() {
+		end()
+		if err := <-done; err != nil {
+			fmt.Fprintln(os.Stderr, "log:", err)
+		}
+	}
+}
+
 // reload reads the settings again at each SIGHUP, until ctx ends. What cannot be
 // read changes nothing.
 func reload(ctx context.Context, n *edge.Node, hangups <-chan os.Signal) {
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -55,6 +55,7 @@
 	vars.Set("gateway_first_byte", n.gateway.Stats.First)
 	vars.Set("gateway_refusals", n.gateway.Stats.Refusals)
 	vars.Set("gateway_failed_attempts", n.gateway.Stats.Attempts)
+	vars.Set("log_lines_left_out", expvar.Func(func() any { return n.Lines.Dropped() }))
 	vars.Set("gateway_held", expvar.Func(func() any { return n.gateway.Held() }))
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -12,6 +12,7 @@
 
 	"cairnwick.example/daemon"
 	"cairnwick.example/forward"
+	"cairnwick.example/logging"
 	"cairnwick.example/member"
 	"cairnwick.example/placement"
 	"cairnwick.example/share"
@@ -31,6 +32,7 @@
 	Protocol forward.Protocol
 	Control  placement.Control
 	Log      logr.Logger
+	Lines    *logging.Bounded // what Log writes to
 
 	log     logr.Logger
 	current atomic.Pointer[Settings] // in force; replaced by Reload
@@ -94,6 +96,7 @@
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.log,
+		Pressed:    n.Lines.Pressed,
 		Stats:      forward.NewStats(),
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -226,6 +226,7 @@
 func (p *peers) ask(ctx context.Context, m member.Member, w forward.Wanted) (forward.Placed, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(w.Most, w.Wait, 0)+askSlack)
 	defer cancel()
+	go p.cancelWhenGone(ctx, cancel, m.Name())
 	a, err := wire.NewShareClient(p.dialer.Conn(m.Address())).Ask(ctx, &wire.AskRequest{
 		Request:    w.Request,
 		Endpoint:   w.Endpoint.ID(),
@@ -250,6 +251,22 @@
 	}, nil
 }
 
+// cancelWhenGone ends a call to a box as soon as the box is believed dead: a frozen
+// one would keep its callers until their time is up.
+func (p *peers) cancelWhenGone(ctx context.Context, cancel context.CancelFunc, name string) {
+	for ctx.Err() == nil {
+		changed := p.table.Changed()
+		if !p.works(name) {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
 // borrow asks the leaders of the other data centres for one load of the store's rate.
 func (p *peers) borrow(ctx context.Context) bool {
 	for c := range p.centres() {
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -26,6 +26,7 @@
 	Budget     func() BudgetLimits    // by the settings in force
 	MostHeld   int                    // requests held at a time; more are refused
 	Log        logr.Logger
+	Pressed    func() bool // whether the log is behind: successes are not logged then
 	Stats      *Stats
 
 	upstreams upstreams
@@ -50,13 +51,6 @@
 // Held returns how many requests are held now.
 func (g *Gateway) Held() int { return int(g.held.Load()) }
 
-// Pressed tells whether an endpoint of the own data centre could not be reached
-// lately by the requests sent to it.
-func (g *Gateway) Pressed(e *topology.Endpoint) bool {
-	h := g.upstreams.of(e).health(time.Now())
-	return h.down || h.silent >= silentMost
-}
-
 func (g *Gateway) budget(service string) *Budget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- /dev/null
+++ b/forward/gateway_test.go
@@ -0,0 +1,388 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+)
+
+// plainProtocol is a protocol with names of its own.
+type plainProtocol struct{}
+
+// ReadCall implements Protocol.
+func (plainProtocol) ReadCall(h http.Header) (Call, error) {
+	c := Call{ID: h.Get("Id"), Adapter: topology.ParseAdapter(h.Get("Adapter")), LastEvent: h.Get("Last")}
+	if d, err := time.ParseDuration(h.Get("Within")); err == nil {
+		c.Deadline = d
+	}
+	return c, nil
+}
+
+// Instruct implements Protocol.
+func (plainProtocol) Instruct(h http.Header, i Instruction) {
+	h.Set("Life", i.Endpoint)
+	if i.LastEvent != "" {
+		h.Set("Last", i.LastEvent)
+	}
+}
+
+// ReadAnswer implements Protocol.
+func (plainProtocol) ReadAnswer(a *http.Response, c Call, _ string) Answer {
+	return Answer{
+		Own:     a.Header.Get("Id") == c.ID,
+		Signed:  a.Header.Get("Signed") != "",
+		NotRun:  a.Header.Get("Not-Run") != "",
+		NotHeld: a.Header.Get("Not-Held") != "",
+	}
+}
+
+// ComeBack implements Protocol.
+func (plainProtocol) ComeBack(h http.Header, after time.Duration) {
+	h.Set("Come-Back", after.String())
+}
+
+type noPlacer struct{}
+
+// Want implements Placer.
+func (noPlacer) Want(context.Context, Wanted) (Placed, error) {
+	return Placed{Retry: time.Second, Reason: "nobody loads here"}, nil
+}
+
+type noObserver struct{}
+
+// Used implements Observer.
+func (noObserver) Used(*topology.Endpoint, topology.Adapter) {}
+
+// site is a gateway before endpoints.
+type site struct {
+	c       *quicktest.C
+	gateway *Gateway
+	front   *httptest.Server
+	count   int
+}
+
+func newSite(t *testing.T, routes ...topology.RouteSpec) *site {
+	v := topology.NewView()
+	if len(routes) > 0 {
+		var list []*topology.Route
+		for _, r := range routes {
+			r.Host, r.Shares = "site.example", []topology.Share{{Service: "app", Weight: 1}}
+			list = append(list, topology.NewRoute(r))
+		}
+		services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app"})}
+		v.SetConfig(topology.NewConfig(1, list, services, topology.Limits{BodyBytes: 1 << 10}))
+	}
+	g := &Gateway{
+		DataCentre: "dc",
+		View:       v,
+		Protocol:   plainProtocol{},
+		Placer:     noPlacer{},
+		Observer:   noObserver{},
+		Boxes:      func() int { return 1 },
+		Reached:    func() map[string]bool { return map[string]bool{"dc": true} },
+		Budget:     func() BudgetLimits { return BudgetLimits{Ratio: 0.2, Extra: 1e6, Window: 10 * time.Second} },
+		MostHeld:   100,
+		Log:        logr.Discard(),
+		Pressed:    func() bool { return false },
+		Stats:      NewStats(),
+	}
+	front := httptest.NewServer(g)
+	t.Cleanup(front.Close)
+	return &site{c: quicktest.New(t), gateway: g, front: front}
+}
+
+// endpoint adds one that answers by h, and returns its count of requests.
+func (s *site) endpoint(t *testing.T, h http.HandlerFunc) *atomic.Int64 {
+	var calls atomic.Int64
+	e := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls.Add(1)
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "yes")
+		h(w, r)
+	}))
+	t.Cleanup(e.Close)
+	s.count++
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+		ID:         fmt.Sprintf("e%d", s.count),
+		Service:    "app",
+		Address:    e.Listener.Addr().String(),
+		DataCentre: "dc",
+		Slots:      4,
+	}))
+	return &calls
+}
+
+// ask sends one request and returns the answer with its whole body.
+func (s *site) ask(path string) (*http.Response, string, error) {
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+path, strings.NewReader("the body"))
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	r.Header.Set("Id", "call-1")
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return a, string(body), err
+}
+
+func once(timeout time.Duration) topology.RouteSpec {
+	return topology.RouteSpec{Name: "once", Prefix: "/", Kind: topology.Once, Timeout: timeout, Target: timeout, MaxAttempts: 1}
+}
+
+func repeatable(timeout time.Duration) topology.RouteSpec {
+	return topology.RouteSpec{Name: "rep", Prefix: "/", Kind: topology.Repeatable, Timeout: timeout, Target: timeout, MaxAttempts: 2}
+}
+
+func resumable(timeout time.Duration) topology.RouteSpec {
+	return topology.RouteSpec{Name: "res", Prefix: "/", Kind: topology.Stream, Timeout: timeout, Target: timeout, MaxAttempts: 2, Resumable: true}
+}
+
+func answerOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") }
+
+func refuseUnrun(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Not-Run", "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// hangUp reads the request and closes the connection.
+func hangUp(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func TestWithoutAConfigurationCallersAreAskedToComeBack(t *testing.T) {
+	s := newSite(t)
+	a, _, err := s.ask("/x/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(a.Header.Get("Come-Back"), quicktest.Equals, "1s")
+}
+
+func TestAPathWithoutARouteIsNotFound(t *testing.T) {
+	r := once(time.Second)
+	r.Prefix = "/known/"
+	s := newSite(t, r)
+	a, _, err := s.ask("/unknown/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusNotFound)
+}
+
+func TestARequestArrivesAsItWasSent(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	var got *http.Request
+	var body string
+	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Clone(context.Background())
+		raw, _ := io.ReadAll(r.Body)
+		body = string(raw)
+		answerOK(w, r)
+	})
+	a, text, err := s.ask("/a//b/%2f/?q=1&&p=%20")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	s.c.Assert(text, quicktest.Equals, "fine")
+	s.c.Assert(got.RequestURI, quicktest.Equals, "/a//b/%2f/?q=1&&p=%20")
+	s.c.Assert(got.Host, quicktest.Equals, "site.example")
+	s.c.Assert(got.Method, quicktest.Equals, http.MethodPost)
+	s.c.Assert(got.Header.Get("Life"), quicktest.Equals, "e1")
+	s.c.Assert(body, quicktest.Equals, "the body")
+}
+
+func TestABodyThatIsTooLongIsRefused(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	calls := s.endpoint(t, answerOK)
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/", strings.NewReader(strings.Repeat("x", 2<<10)))
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	a, err := http.DefaultClient.Do(r)
+	s.c.Assert(err, quicktest.IsNil)
+	a.Body.Close()
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusRequestEntityTooLarge)
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(0))
+}
+
+func TestWhatDidNotRunIsTriedElsewhere(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	refused := s.endpoint(t, refuseUnrun)
+	ran := s.endpoint(t, answerOK)
+	for range 10 {
+		a, _, err := s.ask("/")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	}
+	s.c.Assert(ran.Load(), quicktest.Equals, int64(10))
+	s.c.Assert(refused.Load() > 0, quicktest.IsTrue)
+}
+
+func TestARequestThatMayRunOnceIsNotSentAgain(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	first := s.endpoint(t, hangUp)
+	second := s.endpoint(t, hangUp)
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusBadGateway) // not 503: it may have run
+	s.c.Assert(first.Load()+second.Load(), quicktest.Equals, int64(1))
+}
+
+func TestARequestThatMayRepeatIsSentToAnotherEndpoint(t *testing.T) {
+	s := newSite(t, repeatable(2*time.Second))
+	s.endpoint(t, hangUp)
+	s.endpoint(t, answerOK)
+	for range 4 {
+		a, _, err := s.ask("/")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	}
+}
+
+func TestAnAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", "another")
+		answerOK(w, r)
+	})
+	a, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusBadGateway)
+	s.c.Assert(text, quicktest.Not(quicktest.Contains), "fine")
+}
+
+func TestAnAnswerThatBreaksOffIsNotPassedOn(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "100")
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	a, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusBadGateway)
+	s.c.Assert(text, quicktest.Not(quicktest.Contains), "half")
+}
+
+func TestAnEndpointsOwnFailureIsPassedOnUnchanged(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+		_, _ = io.WriteString(w, "its own words")
+	})
+	a, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusInternalServerError)
+	s.c.Assert(a.Header.Get("Signed"), quicktest.Equals, "yes")
+	s.c.Assert(text, quicktest.Equals, "its own words")
+}
+
+func TestARequestThatIsHeldTooLongGetsItsAnswerAtTheRoutesTimeout(t *testing.T) {
+	s := newSite(t, once(200*time.Millisecond))
+	s.endpoint(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // only then does the server see the connection close
+		<-r.Context().Done()
+	})
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusGatewayTimeout)
+}
+
+// sendEvents writes events with the IDs from first to last, and breaks off or ends.
+func sendEvents(w http.ResponseWriter, first, last int, breaks bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+	if breaks {
+		_, _ = io.WriteString(w, "id: 99\ndata: ha") // an event that is cut inside
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestAStreamThatBreaksOffDoesNotLookWhole(t *testing.T) {
+	r := resumable(2 * time.Second)
+	r.Resumable = false
+	s := newSite(t, r)
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) { sendEvents(w, 1, 2, true) })
+	_, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNotNil)
+	s.c.Assert(text, quicktest.Contains, "piece 2")
+	s.c.Assert(text, quicktest.Not(quicktest.Contains), "99")
+}
+
+func TestAResumableStreamGoesOnElsewhereWithoutGapOrRepeat(t *testing.T) {
+	s := newSite(t, resumable(2*time.Second))
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last") == "" {
+			sendEvents(w, 1, 2, true)
+		}
+		s.c.Check(r.Header.Get("Last"), quicktest.Equals, "2")
+		sendEvents(w, 2, 4, false) // one that the caller has already
+	}
+	s.endpoint(t, serve)
+	s.endpoint(t, serve)
+	_, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(text, quicktest.Equals, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n")
+}
+
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	s := newSite(t, resumable(5*time.Second))
+	gate := make(chan struct{})
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		sendEvents(w, 1, 1, false)
+		<-gate
+		sendEvents(w, 2, 2, false)
+	})
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	a, err := http.DefaultClient.Do(r)
+	s.c.Assert(err, quicktest.IsNil)
+	defer a.Body.Close()
+	first := make([]byte, len("id: 1\ndata: piece 1\n\n"))
+	_, err = io.ReadFull(a.Body, first) // would wait for ever if the stream were held back
+	s.c.Assert(err, quicktest.IsNil)
+	close(gate)
+	rest, err := io.ReadAll(a.Body)
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(string(rest), quicktest.Contains, "piece 2")
+}
+
+func TestTheBudgetBoundsRetries(t *testing.T) {
+	c := quicktest.New(t)
+	limits := BudgetLimits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+	b := &Budget{Limits: func() BudgetLimits { return limits }, tokens: 1}
+	now := time.Unix(0, 0)
+	taken := 0
+	for range 1000 { // one window, 100 requests a second, each of which would like a retry
+		now = now.Add(10 * time.Millisecond)
+		b.First()
+		if b.Take(now, 5) {
+			taken++
+		}
+	}
+	c.Assert(float64(taken) <= 0.2*1000+50.0/5, quicktest.IsTrue, quicktest.Commentf("%d", taken))
+	c.Assert(taken > 100, quicktest.IsTrue)
+}
+
+func TestAnEndpointInADataCentreOutOfReachIsNotUsed(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	s.gateway.Reached = func() map[string]bool { return map[string]bool{"dc": true} }
+	near := topology.NewEndpoint(topology.EndpointSpec{ID: "near", Service: "app", DataCentre: "dc", Slots: 1})
+	far := topology.NewEndpoint(topology.EndpointSpec{ID: "far", Service: "app", DataCentre: "cut", Slots: 1})
+	got := s.gateway.usable([]*topology.Endpoint{far, near}, nil, time.Now())
+	s.c.Assert(got, quicktest.HasLen, 1)
+	s.c.Assert(got[0].ID(), quicktest.Equals, "near")
+}
--- a/forward/record.go
+++ b/forward/record.go
@@ -38,7 +38,7 @@
 	g.Stats.Routes.Observe(q.route.Name(), now.Sub(q.received))
 	g.Stats.First.Observe(q.route.Name(), out.first.Sub(q.received))
 	plain := q.attempts == 1 && out.status < 300 && out.first.Sub(q.received) <= q.route.Target()
-	if plain && g.sampled.Add(1)%sampleEvery != 0 {
+	if g.Pressed() || (plain && g.sampled.Add(1)%sampleEvery != 0) {
 		return
 	}
 	g.Log.Info("Request was answered", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -116,8 +116,12 @@
 	}
 }
 
-// ended tells whether the end of the body is the end of the stream.
+// ended tells whether the end of the body is the end of the stream. What was passed
+// on before reaches the caller in any case.
 func (s *events) ended(a *http.Response, rest []byte, err error) error {
+	if s.out.begun {
+		s.out.flush()
+	}
 	if err != io.EOF {
 		return err
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -109,7 +109,7 @@
 
 func (t *Table) mergeLocked(m Member, now time.Time) {
 	if m.name == t.self.name {
-		t.refuteLocked(m)
+		t.refuteLocked(m, now)
 		return
 	}
 	old, known := t.others[m.name]
@@ -126,12 +126,17 @@
 	t.setLocked(m, now)
 }
 
-// refuteLocked raises the own incarnation above a claim that differs.
-func (t *Table) refuteLocked(claim Member) {
+// refuteLocked raises the own incarnation above a claim that differs. A member that
+// was believed dead begins a new life by the clock: the others have gone on without
+// it, and it must not count as the oldest again.
+func (t *Table) refuteLocked(claim Member, now time.Time) {
 	if !claim.newer(t.self) {
 		return
 	}
 	t.self.incarnation = claim.incarnation + 1
+	if claim.state == Dead {
+		t.self.incarnation = max(t.self.incarnation, uint64(max(now.UnixMicro(), 0)))
+	}
 	t.changedLocked(t.self.name)
 }
 
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -106,3 +106,16 @@
 	c.Assert(tableOf("a", "b", "c").Digest(), quicktest.Equals, tableOf("c", "b", "a").Digest())
 	c.Assert(tableOf("a", "b").Digest() == tableOf("a", "c").Digest(), quicktest.IsFalse)
 }
+
+// A box that was frozen came back as the oldest, and the lead of its data centre
+// changed hands twice for one freeze.
+func TestAMemberThatWasBelievedDeadComesBackAsTheYoungest(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	young := uint64(now.Add(-time.Minute).UnixMicro())
+	old := NewTable(box("a", young-1), limits)
+	claim := box("a", young-1)
+	claim.state = Dead
+	old.Merge([]Member{claim}, now)
+	c.Assert(old.Self().Incarnation() > young, quicktest.IsTrue)
+}
--- a/placement/load.go
+++ b/placement/load.go
@@ -34,7 +34,10 @@
 			continue
 		}
 		cold := !o.isWarm(key.adapter)
-		if cold && !l.bucket.take(now, 0) {
+		if w.spare() && w.far < farEnough {
+			continue
+		}
+		if cold && !l.bucket.take(now, spareTokens(w)) {
 			continue
 		}
 		delete(l.wants, key)
@@ -44,6 +47,22 @@
 	return tasks
 }
 
+// farEnough is how many requests must have gone to another data centre for a copy
+// to be worth its load: by the users' prices a load costs as much as the bytes of
+// some ten requests.
+const farEnough = 20
+
+// spareTokens is what a load leaves in the bucket: a copy leaves it all but full.
+func spareTokens(w *want) float64 {
+	if w.spare() {
+		return copySpare
+	}
+	return 0
+}
+
+// copySpare is how many loads must be left for requests when a copy is loaded.
+const copySpare = 0.5
+
 // rankedLocked returns the loads that are wanted now, the most wanted first, and
 // forgets those that nobody asked for in a long time.
 func (l *Loader) rankedLocked(now time.Time) []wantKey {
@@ -58,7 +77,7 @@
 	}
 	slices.SortFunc(keys, func(a, b wantKey) int {
 		v, w := l.wants[a], l.wants[b]
-		if c := cmp.Compare(w.score(), v.score()); c != 0 {
+		if c := cmp.Or(cmp.Compare(w.score(), v.score()), cmp.Compare(w.far, v.far)); c != 0 {
 			return c
 		}
 		return v.last.Compare(w.last)
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -16,7 +16,7 @@
 
 // overshootPart of what a window may hold beyond the rate is used all the time, the
 // rest by bursts.
-const overshootPart = 0.5
+const overshootPart = 0.7
 
 // burstPart keeps the bursts of all leaders together below what a window may hold.
 const burstPart = 0.7
--- a/placement/want.go
+++ b/placement/want.go
@@ -21,6 +21,7 @@
 type want struct {
 	version int64
 	debt    float64       // requests that asked and were not served; a caller's return counts less
+	far     float64       // requests that another data centre served: a copy would save their way
 	last    time.Time     // when it was asked for last
 	waiting int           // requests that are held for it
 	done    chan struct{} // closed when the load has begun or will not
@@ -137,11 +138,6 @@
 	return p, done
 }
 
-// farWeight is how many requests asked in vain one request that went to another data
-// centre counts as: what its bytes between data centres cost, against an answer
-// that nobody got (docs/PLATFORM.md, prices).
-const farWeight = 0.02
-
 // Far notes requests of a data centre's callers that went to another one: an adapter
 // that is hot there is worth a copy of its own, which also lasts through a cut.
 func (l *Loader) Far(centre string, a topology.Adapter, count int, now time.Time) {
@@ -161,7 +157,7 @@
 		q = &want{done: make(chan struct{}), version: l.View.Newest(a)}
 		l.wants[key] = q
 	}
-	q.debt += farWeight * float64(count)
+	q.far += float64(count)
 	q.last = now
 	l.countLocked(a, float64(count), now)
 }
@@ -188,7 +184,7 @@
 func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
 	n := 1.0
 	for k, w := range l.wants {
-		if w != q && w.live(now) && w.score() > q.score() && !l.owned[k.endpoint].isWarm(k.adapter) {
+		if w != q && w.live(now) && !w.spare() && w.score() > q.score() && !l.owned[k.endpoint].isWarm(k.adapter) {
 			n++
 		}
 	}
@@ -198,8 +194,8 @@
 const (
 	heldWeight   = 1.0 // requests that one held request counts as besides: what was promised goes first
 	returnWeight = 0.5 // part that the return of a refused caller counts for: the adapter is not wanted by more
-	leastWeight  = 0.3 // of the smallest request against a mean one
-	mostWeight   = 4.0 // of the largest
+	leastWeight  = 0.7 // of the smallest request against a mean one: size orders what was asked for as often
+	mostWeight   = 1.5 // of the largest
 	worthMemory  = 64  // requests over which the mean is smoothed
 )
 
@@ -222,6 +218,10 @@
 	return weight
 }
 
+// spare tells whether the load would only be a copy: it goes behind all that nobody
+// serves.
+func (w *want) spare() bool { return w.debt == 0 && w.waiting == 0 }
+
 // score ranks the loads that are wanted: by how many requests asked in vain since
 // the adapter was last loaded, so that none is passed over for ever, and by who is
 // held for it.
