--- /dev/null
+++ b/edge/reader_test.go
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnwick.example/share"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// plainDecoder knows endpoints alone, by their prefix.
+type plainDecoder struct{}
+
+// Kind implements Decoder.
+func (plainDecoder) Kind(key string) Kind {
+	if strings.HasPrefix(key, "e/") {
+		return KindEndpoint
+	}
+	return KindOther
+}
+
+// Config implements Decoder.
+func (plainDecoder) Config([]byte) (*topology.Config, error) { return nil, errors.New("none here") }
+
+// Endpoint implements Decoder.
+func (plainDecoder) Endpoint(key string, _ []byte) (*topology.Endpoint, error) {
+	return topology.NewEndpoint(topology.EndpointSpec{ID: key}), nil
+}
+
+// EndpointID implements Decoder.
+func (plainDecoder) EndpointID(key string) string { return key }
+
+// Version implements Decoder.
+func (plainDecoder) Version([]byte) (topology.Adapter, int64, error) {
+	return topology.Adapter{}, 0, errors.New("none here")
+}
+
+// script answers calls in order.
+type script struct {
+	list  []Batch
+	watch []func() (Batch, error)
+	waits []time.Duration // of the watches
+}
+
+// List implements Source.
+func (s *script) List(context.Context, Collection) (Batch, error) {
+	b := s.list[0]
+	if len(s.list) > 1 {
+		s.list = s.list[1:]
+	}
+	return b, nil
+}
+
+// Watch implements Source.
+func (s *script) Watch(_ context.Context, _ Collection, _ uint64, wait time.Duration) (Batch, error) {
+	s.waits = append(s.waits, wait)
+	next := s.watch[0]
+	if len(s.watch) > 1 {
+		s.watch = s.watch[1:]
+	}
+	return next()
+}
+
+func newReader(s Source) (*reader, *share.Table) {
+	t := share.NewTable()
+	return &reader{
+		collection: Endpoints,
+		source:     s,
+		decoder:    plainDecoder{},
+		table:      t,
+		wanted:     func() bool { return true },
+		log:        logr.Discard(),
+		heard:      func(bool) {},
+	}, t
+}
+
+func published(keys ...string) []Fact {
+	var list []Fact
+	for _, k := range keys {
+		list = append(list, Fact{Key: k, Revision: 1})
+	}
+	return list
+}
+
+func step(r *reader) {
+	_, err := r.step(context.Background())
+	r.note(err)
+}
+
+func TestAnEndpointThatIsRemovedIsGoneAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	s := &script{
+		list: []Batch{{Facts: published("e/1", "e/2"), Revision: 5}},
+		watch: []func() (Batch, error){func() (Batch, error) {
+			return Batch{Facts: []Fact{{Key: "e/1", Revision: 6, Removed: true}}, Revision: 6}, nil
+		}},
+	}
+	r, table := newReader(s)
+	step(r)
+	step(r)
+	c.Assert(table.Keys(), quicktest.DeepEquals, []string{"e/2"})
+}
+
+func TestAnEndpointThatIsMissingInANewListIsGone(t *testing.T) {
+	c := quicktest.New(t)
+	s := &script{
+		list: []Batch{{Facts: published("e/1", "e/2"), Revision: 5}, {Facts: published("e/2"), Revision: 9}},
+		watch: []func() (Batch, error){
+			func() (Batch, error) { return Batch{}, ErrForgotten{} },
+		},
+	}
+	r, table := newReader(s)
+	step(r) // lists
+	step(r) // the history is gone
+	step(r) // lists anew
+	c.Assert(table.Keys(), quicktest.DeepEquals, []string{"e/2"})
+}
+
+// The entries of endpoints lapse while the source is away, though they live.
+func TestAnEndpointThatLapsedInAnOutageHasTimeToComeBack(t *testing.T) {
+	c := quicktest.New(t)
+	s := &script{
+		list: []Batch{{Facts: published("e/1"), Revision: 5}, {Facts: nil, Revision: 30}},
+		watch: []func() (Batch, error){
+			func() (Batch, error) { return Batch{}, errors.New("no answer") },
+			func() (Batch, error) {
+				return Batch{Facts: []Fact{{Key: "e/1", Revision: 20, Removed: true}}, Revision: 20}, nil
+			},
+			func() (Batch, error) { return Batch{Revision: 21}, nil },
+		},
+	}
+	r, table := newReader(s)
+	step(r)
+	step(r) // fails
+	step(r) // answers, and the endpoint has lapsed
+	c.Assert(table.Keys(), quicktest.DeepEquals, []string{"e/1"})
+	r.trusted = time.Now().Add(-time.Millisecond) // the grace is over and it is still missing
+	step(r)
+	c.Assert(table.Keys(), quicktest.HasLen, 0)
+}
+
+// A watch that began in an outage hung for its whole time after the end of it.
+func TestAfterAFailureWatchesAreShort(t *testing.T) {
+	c := quicktest.New(t)
+	s := &script{
+		list: []Batch{{Revision: 5}},
+		watch: []func() (Batch, error){
+			func() (Batch, error) { return Batch{}, errors.New("no answer") },
+			func() (Batch, error) { return Batch{Revision: 6}, nil },
+		},
+	}
+	r, _ := newReader(s)
+	for range 4 {
+		step(r)
+		r.doubtful = false
+	}
+	c.Assert(s.waits, quicktest.DeepEquals, []time.Duration{watchWait, watchShort, watchWait})
+}
--- a/placement/lend.go
+++ b/placement/lend.go
@@ -23,7 +23,7 @@
 func (l *Loader) needsLocked(now time.Time) bool {
 	for k, w := range l.wants {
 		o := l.owned[k.endpoint]
-		if !w.live(now) || w.spare() || o == nil || o.phase != owning || o.isWarm(k.adapter) {
+		if !w.worthwhile(now) || w.spare(now) || o == nil || o.phase != owning || o.isWarm(k.adapter) {
 			continue
 		}
 		if _, ok := l.roomLocked(o, k.adapter, now); ok {
--- a/placement/load.go
+++ b/placement/load.go
@@ -16,6 +16,9 @@
 	// wantLife is how long after the last request a load is still worth its while: a
 	// refused caller comes back within it.
 	wantLife = 2 * time.Second
+	// debtHalfLife is after which a request that was not served counts half: popularity
+	// lasts some ten seconds before it shifts.
+	debtHalfLife = 20 * time.Second
 	// debtLife is how long requests that were not served are remembered.
 	debtLife = time.Minute
 )
@@ -34,10 +37,10 @@
 			continue
 		}
 		cold := !o.isWarm(key.adapter)
-		if w.spare() && w.far < farEnough {
+		if w.spare(now) && w.far < farEnough {
 			continue
 		}
-		if cold && !l.bucket.take(now, spareTokens(w)) {
+		if cold && !l.bucket.take(now, spareTokens(w, now)) {
 			continue
 		}
 		delete(l.wants, key)
@@ -53,8 +56,8 @@
 const farEnough = 20
 
 // spareTokens is what a load leaves in the bucket: a copy leaves it all but full.
-func spareTokens(w *want) float64 {
-	if w.spare() {
+func spareTokens(w *want, now time.Time) float64 {
+	if w.spare(now) {
 		return copySpare
 	}
 	return 0
@@ -68,7 +71,7 @@
 func (l *Loader) rankedLocked(now time.Time) []wantKey {
 	var keys []wantKey
 	for k, w := range l.wants {
-		if w.live(now) {
+		if w.worthwhile(now) {
 			keys = append(keys, k)
 		} else if now.Sub(w.last) > debtLife {
 			delete(l.wants, k)
@@ -77,7 +80,7 @@
 	}
 	slices.SortFunc(keys, func(a, b wantKey) int {
 		v, w := l.wants[a], l.wants[b]
-		if c := cmp.Or(cmp.Compare(w.score(), v.score()), cmp.Compare(w.far, v.far)); c != 0 {
+		if c := cmp.Or(cmp.Compare(w.score(now), v.score(now)), cmp.Compare(w.far, v.far)); c != 0 {
 			return c
 		}
 		return v.last.Compare(w.last)
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -158,7 +158,7 @@
 
 func (l *Loader) wantedLocked(now time.Time) bool {
 	for _, w := range l.wants {
-		if w.live(now) {
+		if w.worthwhile(now) {
 			return true
 		}
 	}
--- a/placement/want.go
+++ b/placement/want.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnwick.example/forward"
+	"cairnwick.example/policy"
 	"cairnwick.example/topology"
 )
 
@@ -20,11 +21,11 @@
 // Loader.mu.
 type want struct {
 	version int64
-	debt    float64       // requests that asked and were not served; a caller's return counts less
-	far     float64       // requests that another data centre served: a copy would save their way
-	last    time.Time     // when it was asked for last
-	waiting int           // requests that are held for it
-	done    chan struct{} // closed when the load has begun or will not
+	debt    policy.Popularity // requests that asked in vain, fading; a caller's return counts less
+	far     float64           // requests that another data centre served: a copy would save their way
+	last    time.Time         // when it was asked for last
+	waiting int               // requests that are held for it
+	done    chan struct{}     // closed when the load has begun or will not
 	ended   bool
 }
 
@@ -122,7 +123,7 @@
 	q.version = max(q.version, w.Version)
 	q.last = now
 	if !w.again {
-		q.debt += l.askWeightLocked(w.Wanted)
+		q.debt.Add(l.askWeightLocked(w.Wanted), now, debtHalfLife)
 		l.countLocked(w.Adapter, 1, now)
 	}
 	l.nudge()
@@ -183,8 +184,9 @@
 // first.
 func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
 	n := 1.0
+	own := q.score(now)
 	for k, w := range l.wants {
-		if w != q && w.live(now) && !w.spare() && w.score() > q.score() && !l.owned[k.endpoint].isWarm(k.adapter) {
+		if w != q && w.worthwhile(now) && !w.spare(now) && w.score(now) > own && !l.owned[k.endpoint].isWarm(k.adapter) {
 			n++
 		}
 	}
@@ -192,6 +194,8 @@
 }
 
 const (
+	liveWeight   = 1.0 // requests that one who is there or comes back counts as besides
+	aheadOwed    = 1.6 // owed requests from which a load is made though nobody waits: more than one caller and its return
 	heldWeight   = 1.0 // requests that one held request counts as besides: what was promised goes first
 	returnWeight = 0.5 // part that the return of a refused caller counts for: the adapter is not wanted by more
 	leastWeight  = 0.7 // of the smallest request against a mean one: size orders what was asked for as often
@@ -220,16 +224,29 @@
 
 // spare tells whether the load would only be a copy: it goes behind all that nobody
 // serves.
-func (w *want) spare() bool { return w.debt == 0 && w.waiting == 0 }
+func (w *want) spare(now time.Time) bool { return w.owed(now) == 0 && w.waiting == 0 }
+
+// owed is how many requests asked in vain, those of long ago counting less.
+func (w *want) owed(now time.Time) float64 { return w.debt.Count(now, debtHalfLife) }
 
 // score ranks the loads that are wanted: by how many requests asked in vain since
-// the adapter was last loaded, so that none is passed over for ever, and by who is
-// held for it.
-func (w *want) score() float64 { return w.debt + heldWeight*float64(w.waiting) }
+// the adapter was last loaded, so that none is passed over for ever, and by who
+// would be served by it at once.
+func (w *want) score(now time.Time) float64 {
+	score := w.owed(now) + heldWeight*float64(w.waiting)
+	if w.live(now) {
+		score += liveWeight
+	}
+	return score
+}
 
 // live tells whether somebody is held for the load or may still come back for it.
 func (w *want) live(now time.Time) bool { return w.waiting > 0 || now.Sub(w.last) <= wantLife }
 
+// worthwhile tells whether the load serves somebody soon: who asked just now, or,
+// where several asked before, the next one.
+func (w *want) worthwhile(now time.Time) bool { return w.live(now) || w.owed(now) >= aheadOwed }
+
 // isWarm tells whether the endpoint's memory keeps an adapter that it held lately.
 func (o *owned) isWarm(a topology.Adapter) bool {
 	if o == nil {
--- a/policy/popularity.go
+++ b/policy/popularity.go
@@ -24,6 +24,11 @@
 	return p.faded(now, halfLife) * math.Ln2 / halfLife.Seconds()
 }
 
+// Count returns how many requests there were, those of long ago counting less.
+func (p *Popularity) Count(now time.Time, halfLife time.Duration) float64 {
+	return p.faded(now, halfLife)
+}
+
 func (p *Popularity) faded(now time.Time, halfLife time.Duration) float64 {
 	if p.weight == 0 {
 		return 0
--- /dev/null
+++ b/share/share_test.go
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package share
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+func item(key string, version uint64) *wire.Item {
+	return &wire.Item{Key: key, Version: version, DataCentre: "d1"}
+}
+
+func TestTheHigherVersionWinsInAnyOrder(t *testing.T) {
+	c := quicktest.New(t)
+	a, b := NewTable(), NewTable()
+	a.Merge(item("k", 1), item("k", 2))
+	b.Merge(item("k", 2))
+	b.Merge(item("k", 1))
+	c.Assert(a.Version("k"), quicktest.Equals, uint64(2))
+	c.Assert(b.Version("k"), quicktest.Equals, uint64(2))
+}
+
+func TestOnlyWhatIsNewerIsTold(t *testing.T) {
+	c := quicktest.New(t)
+	var told []string
+	a := NewTable()
+	a.OnChange = func(items []*wire.Item) {
+		for _, i := range items {
+			told = append(told, i.GetKey())
+		}
+	}
+	a.Merge(item("x", 5), item("y", 1))
+	a.Merge(item("x", 4), item("y", 2))
+	c.Assert(told, quicktest.DeepEquals, []string{"x", "y", "y"})
+}
+
+func TestSinceReturnsEachChangedItemOnce(t *testing.T) {
+	c := quicktest.New(t)
+	a := NewTable()
+	a.Merge(item("x", 1), item("y", 1))
+	_, seq, _ := a.Since(0)
+	a.Merge(item("x", 2))
+	a.Merge(item("x", 3))
+	items, _, _ := a.Since(seq)
+	c.Assert(items, quicktest.HasLen, 1)
+	c.Assert(items[0].GetVersion(), quicktest.Equals, uint64(3))
+}
+
+// shareServer serves a table for tests; where it is silent it says nothing at all.
+type shareServer struct {
+	wire.UnimplementedShareServer
+
+	server *Server
+	silent bool
+}
+
+// Follow implements the Share service.
+func (s shareServer) Follow(q *wire.FollowRequest, stream wire.Share_FollowServer) error {
+	if s.silent {
+		<-stream.Context().Done()
+		return nil
+	}
+	return s.server.Follow(q, stream)
+}
+
+func serve(c *quicktest.C, s shareServer) wire.ShareClient {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	g := grpc.NewServer()
+	wire.RegisterShareServer(g, s)
+	done := make(chan error, 1)
+	go func() { done <- g.Serve(l) }()
+	c.Cleanup(func() {
+		g.Stop()
+		<-done
+	})
+	conn, err := grpc.NewClient("passthrough:///"+l.Addr().String(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	c.Assert(err, quicktest.IsNil)
+	c.Cleanup(func() { _ = conn.Close() })
+	return wire.NewShareClient(conn)
+}
+
+func TestAFollowerGetsWhatIsKnownAndEachChange(t *testing.T) {
+	c := quicktest.New(t)
+	from, to := NewTable(), NewTable()
+	from.Merge(item("early", 1), &wire.Item{Key: "foreign", Version: 1, DataCentre: "d2"})
+	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: func() bool { return true }}})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		done <- Follow(ctx, client, &wire.FollowRequest{}, to, func(u *wire.Update) { c.Check(u.GetReading(), quicktest.IsTrue) })
+	}()
+	from.Merge(item("late", 1))
+	for to.Version("early") == 0 || to.Version("late") == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(to.Version("foreign"), quicktest.Equals, uint64(0)) // not asked for
+	cancel()
+	c.Assert(<-done, quicktest.IsNotNil)
+}
+
+func TestAStreamThatSaysNothingCountsAsBroken(t *testing.T) {
+	c := quicktest.New(t)
+	client := serve(c, shareServer{silent: true})
+	err := Follow(context.Background(), client, &wire.FollowRequest{}, NewTable(), func(*wire.Update) {})
+	c.Assert(errors.Is(err, ErrSilent), quicktest.IsTrue)
+}
