--- a/edge/node.go
+++ b/edge/node.go
@@ -79,7 +79,6 @@
 		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
 		Leaders: func() int { return len(n.peers.centres()) },
 		Owns:    n.owns,
-		Borrow:  n.peers.borrow,
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
 			n.state.publish(s.DataCentre, endpoint, version, held)
 		},
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -22,17 +22,16 @@
 const roleBox = "edge"
 
 const (
-	heartbeat   = 300 * time.Millisecond // a dead neighbour is suspected after one and a half
-	suspectFor  = 900 * time.Millisecond // and dead after three more
-	forgetDead  = 10 * time.Minute       // the dead are looked for so long, in case a cut heals
-	freshFor    = 2 * time.Second
-	pauseLimit  = time.Second // a longer gap between two beats is a pause of this process
-	neighbours  = 2
-	settleFor   = 1200 * time.Millisecond // after the start, for the view to become whole
-	askSlack    = 300 * time.Millisecond  // on top of what a request can wait
-	lookPause   = 100 * time.Millisecond  // between two looks at who leads
-	usePause    = 500 * time.Millisecond  // between two reports of use
-	lendTimeout = 200 * time.Millisecond
+	heartbeat  = 300 * time.Millisecond // a dead neighbour is suspected after one and a half
+	suspectFor = 900 * time.Millisecond // and dead after three more
+	forgetDead = 10 * time.Minute       // the dead are looked for so long, in case a cut heals
+	freshFor   = 2 * time.Second
+	pauseLimit = time.Second // a longer gap between two beats is a pause of this process
+	neighbours = 2
+	settleFor  = 1200 * time.Millisecond // after the start, for the view to become whole
+	askSlack   = 300 * time.Millisecond  // on top of what a request can wait
+	lookPause  = 100 * time.Millisecond  // between two looks at who leads
+	usePause   = 500 * time.Millisecond  // between two reports of use
 )
 
 // peers is this box among the others.
@@ -267,27 +266,6 @@
 	}
 }
 
-// borrow asks the leaders of the other data centres for one load of the store's rate.
-func (p *peers) borrow(ctx context.Context) bool {
-	for c := range p.centres() {
-		m, ok := p.leader(c)
-		if !ok || m.Name() == p.box {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, lendTimeout)
-		a, err := wire.NewShareClient(p.dialer.Conn(m.Address())).Lend(call, &wire.LendRequest{Box: p.box})
-		cancel()
-		if err != nil {
-			p.log.V(1).Info("Leader can't be asked for a load", "leader", m.Name(), "err", err.Error())
-			continue
-		}
-		if a.GetLent() {
-			return true
-		}
-	}
-	return false
-}
-
 // wanted reads an ask of another box.
 func wanted(q *wire.AskRequest, e *topology.Endpoint) forward.Wanted {
 	return forward.Wanted{
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -55,11 +55,6 @@
 	}, nil
 }
 
-// Lend implements the Share service.
-func (s shareServer) Lend(context.Context, *wire.LendRequest) (*wire.LendReply, error) {
-	return &wire.LendReply{Lent: s.node.loader.Lend(time.Now())}, nil
-}
-
 // Use implements the Share service.
 func (s shareServer) Use(_ context.Context, q *wire.UseRequest) (*wire.UseReply, error) {
 	s.node.use(q)
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -54,6 +54,10 @@
 	o.claims++
 	claim := o.claims
 	o.slots = make(map[topology.Adapter]*slot)
+	o.models, o.fetching = make(map[string]bool), false
+	for _, m := range h.Models {
+		o.models[m] = true
+	}
 	for a, v := range h.Ready {
 		o.slots[a] = &slot{version: v, ready: true, used: now}
 	}
@@ -71,7 +75,7 @@
 	close(l.settled)
 	l.settled = make(chan struct{})
 	l.mu.Unlock()
-	l.Log.Info("Endpoint is owned", "endpoint", o.endpoint.ID(), "fence", o.fence, "ready", len(h.Ready), "pending", len(pending))
+	l.Log.Info("Endpoint is owned", "endpoint", o.endpoint.ID(), "fence", o.fence, "models", len(h.Models), "ready", len(h.Ready), "pending", len(pending))
 	ended := make(chan struct{})
 	for _, a := range pending {
 		go func() {
--- a/placement/load.go
+++ b/placement/load.go
@@ -40,7 +40,7 @@
 		if w.spare(now) && w.far < farEnough {
 			continue
 		}
-		if cold && !l.bucket.take(now, spareTokens(w, now)) {
+		if cold && !l.pace.take() {
 			continue
 		}
 		delete(l.wants, key)
@@ -53,18 +53,7 @@
 // farEnough is how many requests must have gone to another data centre for a copy
 // to be worth its load: by the users' prices a load costs as much as the bytes of
 // some ten requests.
-const farEnough = 20
-
-// spareTokens is what a load leaves in the bucket: a copy leaves it all but full.
-func spareTokens(w *want, now time.Time) float64 {
-	if w.spare(now) {
-		return copySpare
-	}
-	return 0
-}
-
-// copySpare is how many loads must be left for requests when a copy is loaded.
-const copySpare = 0.5
+const farEnough = 12
 
 // rankedLocked returns the loads that are wanted now, the most wanted first, and
 // forgets those that nobody asked for in a long time.
@@ -92,13 +81,13 @@
 // the slot of the least wanted that nobody uses.
 func (l *Loader) roomLocked(o *owned, a topology.Adapter, now time.Time) (victim *topology.Adapter, ok bool) {
 	g := l.engine(o.endpoint)
-	if g == nil || o.orders >= loadsAtOnce {
+	if g == nil || o.orders >= loadsAtOnce || !o.models[a.Model] {
 		return nil, false
 	}
 	if s := o.slots[a]; s != nil {
 		return nil, !s.leaving // until its unloading has ended
 	}
-	if len(o.slots) < g.AdapterSlots {
+	if len(o.slots) < g.SlotsBeside(o.models) {
 		return nil, true
 	}
 	least := 0.0
@@ -127,6 +116,7 @@
 	s.version = version
 	if cold {
 		s.expected = l.cold
+		s.paced = true
 	}
 	s.done = make(chan struct{})
 	o.orders++
@@ -268,11 +258,12 @@
 	if o.slots[a] != s {
 		return
 	}
-	if s.expected == l.warm {
-		l.warm += (took - l.warm) / smoothing
-	} else {
+	if s.paced {
 		l.cold += (took - l.cold) / smoothing
+	} else {
+		l.warm += (took - l.warm) / smoothing
 	}
+	l.unpaceLocked(s, took)
 	s.ready, s.used = true, time.Now()
 	o.orders--
 	o.refused = 0
@@ -286,6 +277,14 @@
 // smoothing is the weight of the past against one new load time.
 const smoothing = 8
 
+// unpaceLocked ends a load for the pace; took is zero when it did not succeed.
+func (l *Loader) unpaceLocked(s *slot, took time.Duration) {
+	if s.paced {
+		s.paced = false
+		l.pace.end(took)
+	}
+}
+
 // abandon ends a load that will not be.
 func (l *Loader) abandon(o *owned, claim int, a topology.Adapter) {
 	l.mu.Lock()
@@ -295,6 +294,7 @@
 		return
 	}
 	l.Log.Info("Load is given up", "adapter", a.String(), "endpoint", o.endpoint.ID())
+	l.unpaceLocked(s, 0)
 	s.end()
 	delete(o.slots, a)
 	o.orders--
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -31,24 +31,21 @@
 	Owns func(e *topology.Endpoint) (bool, time.Time)
 	// Leaders returns how many boxes give orders.
 	Leaders func() int
-	// Borrow asks the other leaders for one load of the store's rate that they do not
-	// need; nil where there is nobody to ask.
-	Borrow func(ctx context.Context) bool
 	// Lease is how long a refused owner keeps away from an endpoint.
 	Lease func() time.Duration
 
-	mu        sync.Mutex
-	owned     map[string]*owned // by endpoint
-	wants     map[wantKey]*want
-	rates     map[topology.Adapter]*policy.Popularity
-	bucket    bucket
-	worth     map[int]float64 // by priority, smoothed over the requests that asked
-	borrowing bool            // another leader is being asked for a load
-	cold      time.Duration   // smoothed time of a load from the store
-	warm      time.Duration   // smoothed time of a load from an endpoint's memory
-	wake      chan struct{}
-	settled   chan struct{} // closed and replaced when an endpoint is owned
-	init      sync.Once
+	mu      sync.Mutex
+	owned   map[string]*owned // by endpoint
+	wants   map[wantKey]*want
+	rates   map[topology.Adapter]*policy.Popularity
+	bucket  bucket          // of loads of base models
+	pace    pace            // of loads of adapters
+	worth   map[int]float64 // by priority, smoothed over the requests that asked
+	cold    time.Duration   // smoothed time of a load from the store
+	warm    time.Duration   // smoothed time of a load from an endpoint's memory
+	wake    chan struct{}
+	settled chan struct{} // closed and replaced when an endpoint is owned
+	init    sync.Once
 }
 
 // phase is how far an endpoint's owner is.
@@ -72,6 +69,8 @@
 	recent   []topology.Adapter // held lately, the newest last; its memory keeps them
 	orders   int                // loads on their way
 	reclaim  bool               // what it holds must be learnt anew
+	models   map[string]bool    // base models that it holds
+	fetching bool               // a base model is on its way
 	claims   int                // how often this box learnt what it holds; tasks of earlier claims stop
 }
 
@@ -80,6 +79,7 @@
 	version  int64
 	ready    bool
 	leaving  bool          // it is being unloaded
+	paced    bool          // the load under way counts for the pace
 	done     chan struct{} // closed when the load under way ended, well or not
 	begun    time.Time     // of the load
 	expected time.Duration // of the load
@@ -94,6 +94,7 @@
 		l.rates = make(map[topology.Adapter]*policy.Popularity)
 		l.bucket = bucket{limits: l.Limits()}
 		l.cold, l.warm = coldLoad, warmLoad
+		l.pace = newPace()
 		l.worth = make(map[int]float64)
 		l.wake = make(chan struct{}, 1)
 		l.settled = make(chan struct{})
@@ -153,7 +154,7 @@
 	if !l.wantedLocked(now) {
 		return ownPause
 	}
-	return min(ownPause, max(pumpPause, l.bucket.wait(1, now)))
+	return pumpPause
 }
 
 func (l *Loader) wantedLocked(now time.Time) bool {
@@ -172,8 +173,8 @@
 	tasks := l.ownLocked(now)
 	l.shareLocked()
 	tasks = append(tasks, l.reclaimLocked()...)
-	tasks = append(tasks, l.pumpLocked(now)...)
-	return append(tasks, l.borrowLocked(now)...)
+	tasks = append(tasks, l.modelsLocked(now)...)
+	return append(tasks, l.pumpLocked(now)...)
 }
 
 // ownLocked follows the view: endpoints that are this box's are claimed, others
@@ -249,6 +250,7 @@
 		}
 	}
 	for _, s := range o.slots {
+		l.unpaceLocked(s, 0)
 		s.end()
 	}
 	o.slots = make(map[topology.Adapter]*slot)
--- /dev/null
+++ b/placement/model.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/topology"
+)
+
+// modelMost is after how long a base model that was ordered counts as lost: weights
+// take seconds.
+const modelMost = 30 * time.Second
+
+// modelsLocked gives endpoints that hold no base model, as after a restart, the one
+// that the fewest endpoints hold. Base models count for the store's rate.
+func (l *Loader) modelsLocked(now time.Time) []func(context.Context) {
+	var tasks []func(context.Context)
+	for _, o := range l.owned {
+		if o.phase != owning || o.fetching || len(o.models) > 0 || o.endpoint.Draining() {
+			continue
+		}
+		m := l.rarestModel(o)
+		if m == "" || !l.bucket.take(now, 0) {
+			continue
+		}
+		o.fetching = true
+		claim := o.claims
+		l.Log.Info("Base model is ordered", "model", m, "endpoint", o.endpoint.ID(), "fence", o.fence)
+		tasks = append(tasks, func(ctx context.Context) { l.fetchModel(ctx, o, claim, m) })
+	}
+	return tasks
+}
+
+// rarestModel returns the base model that fits and that the fewest endpoints hold;
+// empty when none fits.
+func (l *Loader) rarestModel(o *owned) string {
+	g := l.engine(o.endpoint)
+	if g == nil {
+		return ""
+	}
+	best, fewest := "", 0
+	for _, m := range g.Models {
+		if g.MB > 0 && m.MB > g.MB {
+			continue
+		}
+		n := 0
+		for _, e := range l.View.Endpoints(o.endpoint.Service()) {
+			if e.HasModel(m.Name) && !e.Draining() {
+				n++
+			}
+		}
+		if best == "" || n < fewest {
+			best, fewest = m.Name, n
+		}
+	}
+	return best
+}
+
+// fetchModel orders a base model and repeats the order until the endpoint holds it.
+func (l *Loader) fetchModel(ctx context.Context, o *owned, claim int, model string) {
+	begun := time.Now()
+	for time.Since(begun) < modelMost {
+		out, err := l.order(ctx, o, claim, Order{Adapter: topology.Adapter{Model: model}})
+		if err != nil {
+			return
+		}
+		if out == Done {
+			l.modelLoaded(o, claim, model, time.Since(begun))
+			return
+		}
+		if out != Begun && out != Busy {
+			break
+		}
+		if !sleep(ctx, askMost) {
+			return
+		}
+	}
+	l.doubt(o, claim, "a base model was not loaded")
+}
+
+func (l *Loader) modelLoaded(o *owned, claim int, model string, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.claims != claim {
+		return
+	}
+	o.models[model], o.fetching = true, false
+	l.Log.Info("Base model is loaded", "model", model, "endpoint", o.endpoint.ID(), "took_ms", took.Milliseconds())
+}
--- /dev/null
+++ b/placement/pace.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import "time"
+
+const (
+	paceFirst   = 4.0  // adapters that one leader fetches at once, to begin with
+	paceLeast   = 1.0  // so that a slow store is still asked
+	paceMost    = 16.0 // four endpoints with all that may be on their way to each
+	paceGrowth  = 0.5  // added for each load that was not slowed down
+	paceCut     = 0.8  // of the pace that is kept after one that was
+	paceSlowed  = 1.5  // times the fastest load: the store is pressed
+	paceForgets = 0.01 // part by which the fastest load is raised with each load, in case the store has changed
+)
+
+// pace is how many adapters one leader fetches from the weight store at once. Loads
+// become slower when many come at once; each leader finds by its own loads how many
+// that are, so that nobody needs to agree with anybody.
+type pace struct {
+	limit    float64
+	fastest  time.Duration // of the loads from the store lately
+	underWay int
+}
+
+func newPace() pace { return pace{limit: paceFirst} }
+
+// take begins one load, unless enough are under way.
+func (p *pace) take() bool {
+	if float64(p.underWay)+1 > p.limit {
+		return false
+	}
+	p.underWay++
+	return true
+}
+
+// end notes that a load ended; took is zero when it did not succeed.
+func (p *pace) end(took time.Duration) {
+	p.underWay--
+	if took <= 0 {
+		return
+	}
+	p.fastest += time.Duration(float64(p.fastest) * paceForgets)
+	if p.fastest == 0 || took < p.fastest {
+		p.fastest = took
+	}
+	if float64(took) > paceSlowed*float64(p.fastest) {
+		p.limit = max(paceLeast, p.limit*paceCut)
+		return
+	}
+	p.limit = min(paceMost, p.limit+paceGrowth)
+}
+
+// wait returns how long so many loads before one keep it waiting, when each takes load.
+func (p *pace) wait(before int, load time.Duration) time.Duration {
+	over := float64(p.underWay+before) + 1 - p.limit
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(over / p.limit * float64(load))
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -21,6 +21,7 @@
 // Holding is what an endpoint reports of itself, some hundred ms late.
 type Holding struct {
 	Sequence uint64 // orders that it has taken
+	Models   []string
 	Ready    map[topology.Adapter]int64
 	Pending  map[topology.Adapter]int64 // being loaded; they take slots too
 }
--- a/placement/want.go
+++ b/placement/want.go
@@ -180,17 +180,16 @@
 	return forward.Home(a, list)
 }
 
-// aheadOfLocked is how long a load waits for the store's rate behind those that go
-// first.
+// aheadOfLocked is how long a load waits behind those that go first.
 func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
-	n := 1.0
+	n := 0
 	own := q.score(now)
 	for k, w := range l.wants {
 		if w != q && w.worthwhile(now) && !w.spare(now) && w.score(now) > own && !l.owned[k.endpoint].isWarm(k.adapter) {
 			n++
 		}
 	}
-	return l.bucket.wait(n, now)
+	return l.pace.wait(n, l.cold)
 }
 
 const (
--- a/topology/config.go
+++ b/topology/config.go
@@ -98,17 +98,44 @@
 
 // ModelSpec is a base model of a service.
 type ModelSpec struct {
-	Name        string
-	Adapters    int                    // how many
-	AdapterName func(place int) string // by place, from zero
+	Name      string
+	MB        float64 // its weights
+	AdapterMB float64 // the weights of one adapter
+	Adapters  int     // how many there are
 }
 
 // EngineSpec is what a service of model endpoints can do.
 type EngineSpec struct {
 	Batch        int // requests that an endpoint runs at once
 	Models       []ModelSpec
+	MB           float64 // of weights that an endpoint holds, adapters too
 	AdapterSlots int     // adapters that an endpoint holds
-	LoadsPerSec  float64 // that the weight store allows over all endpoints
+	LoadsPerSec  float64 // of base models that the weight store allows over all endpoints
+}
+
+// Model returns the base model called name; nil when there is none.
+func (e *EngineSpec) Model(name string) *ModelSpec {
+	for i := range e.Models {
+		if e.Models[i].Name == name {
+			return &e.Models[i]
+		}
+	}
+	return nil
+}
+
+// SlotsBeside returns how many adapters an endpoint can hold beside its base models.
+func (e *EngineSpec) SlotsBeside(models map[string]bool) int {
+	left, largest := e.MB, 0.0
+	for _, m := range e.Models {
+		if models[m.Name] {
+			left -= m.MB
+			largest = max(largest, m.AdapterMB)
+		}
+	}
+	if e.MB <= 0 || largest <= 0 {
+		return e.AdapterSlots
+	}
+	return min(e.AdapterSlots, int(max(left, 0)/largest))
 }
 
 // ServiceSpec is a service as its source describes it.
