--- a/e2e/pages_test.go
+++ b/e2e/pages_test.go
@@ -49,7 +49,7 @@
 		}
 	}
 	described := make(map[string]bool)
-	for _, m := range regexp.MustCompile("`((?:cairn|gateway|scheduler)_[a-z_]+)`").FindAllStringSubmatch(page(c, "OPERATING.md"), -1) {
+	for _, m := range regexp.MustCompile("`((?:cairn|gateway|scheduler)_[a-z_]+)`").FindAllStringSubmatch(page(c, "OPERATIONS.md"), -1) {
 		described[m[1]] = true
 	}
 	c.Assert(slices.Sorted(maps.Keys(described)), quicktest.DeepEquals, slices.Sorted(maps.Keys(exported)))
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"expvar"
 	"net"
 	"net/http"
 	"time"
@@ -48,23 +47,6 @@
 	})
 }
 
-// metrics serves counters and histograms.
-func (n *Node) metrics() http.Handler {
-	vars := new(expvar.Map).Init()
-	vars.Set("gateway_served", n.gateway.Stats.Routes)
-	vars.Set("gateway_first_byte", n.gateway.Stats.First)
-	vars.Set("gateway_refusals", n.gateway.Stats.Refusals)
-	vars.Set("gateway_failed_attempts", n.gateway.Stats.Attempts)
-	vars.Set("log_lines_left_out", expvar.Func(func() any { return n.Lines.Dropped() }))
-	vars.Set("gateway_held", expvar.Func(func() any { return n.gateway.Held() }))
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(vars.String())) // the reader may be gone
-	})
-	return mux
-}
-
 // serveHTTP serves until ctx ends, then closes connections as they rest, at most
 // for so long.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener, most time.Duration) error {
--- /dev/null
+++ b/edge/metrics.go
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"expvar"
+	"net/http"
+
+	"cairnwick.example/member"
+)
+
+// variables returns what the box publishes of itself; docs/OPERATIONS.md says what
+// each means.
+func (n *Node) variables() *expvar.Map {
+	stats := n.gateway.Stats
+	m := new(expvar.Map).Init()
+	m.Set("edge_served", stats.Routes)
+	m.Set("edge_first_byte", stats.First)
+	m.Set("edge_refusals", stats.Refusals)
+	m.Set("edge_failed_attempts", stats.Attempts)
+	m.Set("edge_held", expvar.Func(func() any { return n.gateway.Held() }))
+	m.Set("edge_config", expvar.Func(func() any { return n.configVersion() }))
+	m.Set("edge_endpoints", expvar.Func(func() any { return len(n.view.All()) }))
+	m.Set("edge_members", expvar.Func(func() any { return n.membersByState() }))
+	m.Set("edge_leads", expvar.Func(func() any { return n.leads() }))
+	m.Set("edge_loader", expvar.Func(func() any { return n.loader.Counts() }))
+	m.Set("edge_log_lines_left_out", expvar.Func(func() any { return n.Lines.Dropped() }))
+	return m
+}
+
+func (n *Node) configVersion() uint64 {
+	if c := n.view.Config(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+func (n *Node) membersByState() map[string]int {
+	counts := make(map[string]int)
+	for _, m := range n.peers.table.All() {
+		counts[m.State().String()]++
+	}
+	return counts
+}
+
+// leads tells whether this box leads its own data centre.
+func (n *Node) leads() bool {
+	var m member.Member
+	m, ok := n.peers.leader(n.peers.centre)
+	return ok && m.Name() == n.peers.box
+}
+
+// metrics serves the variables as one JSON object.
+func (n *Node) metrics() http.Handler {
+	vars := n.variables()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(vars.String())) // the reader may be gone
+	})
+	return mux
+}
