--- a/edge/serve.go
+++ b/edge/serve.go
@@ -66,7 +66,11 @@
 	now := time.Now()
 	for _, u := range q.GetUsage() {
 		a := topology.ParseAdapter(u.GetAdapter())
-		if u.GetFar() > 0 {
+		switch {
+		case u.GetPressed() > 0:
+			n.loader.Pressed(n.Settings.DataCentre, a, int(u.GetPressed()), now)
+			continue
+		case u.GetFar() > 0:
 			n.loader.Far(n.Settings.DataCentre, a, int(u.GetFar()), now)
 			continue
 		}
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -21,18 +21,23 @@
 type usage struct {
 	node *Node
 
-	mu     sync.Mutex
-	counts map[useKey]int
+	mu      sync.Mutex
+	counts  map[useKey]int
+	pressed map[topology.Adapter]int // requests that went to an endpoint that was full
 }
 
 // Used implements forward.Observer.
-func (u *usage) Used(e *topology.Endpoint, a topology.Adapter) {
+func (u *usage) Used(e *topology.Endpoint, a topology.Adapter, pressed bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.counts == nil {
 		u.counts = make(map[useKey]int)
+		u.pressed = make(map[topology.Adapter]int)
 	}
 	u.counts[useKey{endpoint: e.ID(), centre: e.DataCentre(), adapter: a}]++
+	if pressed {
+		u.pressed[a]++
+	}
 }
 
 // run tells the leaders, until ctx ends.
@@ -40,18 +45,18 @@
 	for ctx.Err() == nil {
 		sleep(ctx, usePause)
 		u.mu.Lock()
-		counts := u.counts
+		counts, pressed := u.counts, u.pressed
 		u.counts = nil
 		u.mu.Unlock()
-		u.tell(ctx, counts)
+		u.tell(ctx, counts, pressed)
 	}
 	return nil
 }
 
 // tell sends each leader the counts of its endpoints, and the own leader besides
-// what went to other data centres. What is lost only makes a rate of use look
+// what went to other data centres or to full endpoints. What is lost only makes a rate of use look
 // smaller.
-func (u *usage) tell(ctx context.Context, counts map[useKey]int) {
+func (u *usage) tell(ctx context.Context, counts map[useKey]int, pressed map[topology.Adapter]int) {
 	own := u.node.peers.centre
 	byCentre := make(map[string]*wire.UseRequest)
 	add := func(centre string, w *wire.Usage) {
@@ -68,6 +73,9 @@
 			add(own, &wire.Usage{Adapter: k.adapter.String(), Far: int32(n)})
 		}
 	}
+	for a, n := range pressed {
+		add(own, &wire.Usage{Adapter: a.String(), Pressed: int32(n)})
+	}
 	for c, q := range byCentre {
 		u.tellOne(ctx, c, q)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,7 +27,7 @@
 	q.attempts++
 	q.sentAt, q.sentTo, q.version = time.Now(), t.endpoint, t.version
 	if q.call.Adapter.Name != "" {
-		g.Observer.Used(t.endpoint, q.call.Adapter)
+		g.Observer.Used(t.endpoint, q.call.Adapter, g.pressed(u))
 	}
 	a, f := g.send(ctx, q, u, t, q.call.LastEvent)
 	if f != nil {
@@ -111,6 +111,7 @@
 		u.dropIdle()
 		if !sent {
 			u.unreachable(time.Now())
+			g.away.strike(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
 		}
 	}
 	g.recordAttempt(q, "lost", err.Error())
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -91,5 +91,7 @@
 
 // Observer hears where adapters are used.
 type Observer interface {
-	Used(e *topology.Endpoint, a topology.Adapter)
+	// Used hears of one request; pressed says that the endpoint is so full that the
+	// adapter should be held elsewhere too.
+	Used(e *topology.Endpoint, a topology.Adapter, pressed bool)
 }
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -84,8 +84,9 @@
 	return g.placeAdapter(ctx, q, list)
 }
 
-// placeAdapter prefers an endpoint that holds the adapter and else has it
-// loaded at its home.
+// placeAdapter prefers an endpoint that holds the adapter and else has it loaded at
+// its home. An endpoint that begins to leave while the request waits for a load there
+// gets it no more; the next home does.
 func (g *Gateway) placeAdapter(ctx context.Context, q *request, list []*topology.Endpoint) (target, *Refusal) {
 	a := q.call.Adapter
 	if e := g.least(among(g.View.Holders(a), list), time.Now()); e != nil {
@@ -103,13 +104,29 @@
 			"endpoint", e.ID(), "data_centre", e.DataCentre(), "adapter", a.String(), "err", err.Error())
 		return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "no leader answers"}
 	}
+	if !g.stays(e.ID()) {
+		return g.placeElsewhere(ctx, q, e)
+	}
 	if !p.Ready {
 		return target{}, &Refusal{Code: CodeNotLoaded, Retry: p.Retry, Detail: p.Reason}
 	}
-	if at := g.View.Endpoint(p.Endpoint); at != nil {
-		return target{endpoint: at, version: max(p.Version, g.View.Newest(a))}, nil
-	}
-	return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "the endpoint left"}
+	return target{endpoint: g.View.Endpoint(e.ID()), version: max(p.Version, g.View.Newest(a))}, nil
+}
+
+// stays tells whether an endpoint is there and does not leave.
+func (g *Gateway) stays(id string) bool {
+	e := g.View.Endpoint(id)
+	return e != nil && !e.Draining()
+}
+
+// placeElsewhere places a request anew whose endpoint began to leave.
+func (g *Gateway) placeElsewhere(ctx context.Context, q *request, left *topology.Endpoint) (target, *Refusal) {
+	g.Log.Info("Endpoint began to leave while a request waited for a load there", "request", q.call.ID, "endpoint", left.ID())
+	q.tried[left.ID()] = true
+	if ctx.Err() != nil {
+		return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "the endpoint left"}
+	}
+	return g.place(ctx, q)
 }
 
 func (g *Gateway) wanted(q *request, e *topology.Endpoint) Wanted {
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -16,7 +16,7 @@
 )
 
 const (
-	dialTimeout  = 500 * time.Millisecond // an endpoint a few ms away that takes longer does not answer
+	dialTimeout  = 300 * time.Millisecond // an endpoint a few ms away that takes longer does not answer
 	userTimeout  = 3 * time.Second        // unacknowledged bytes end a connection: a silent peer
 	idleConns    = 64                     // kept for each endpoint
 	idleTimeout  = 20 * time.Second       // until the endpoint says how long it keeps connections
--- /dev/null
+++ b/placement/copies.go
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"time"
+
+	"cairnwick.example/policy"
+	"cairnwick.example/topology"
+)
+
+// pressedWeight is how many requests asked in vain one request counts as that went to
+// a full endpoint: it may be late for it.
+const pressedWeight = 0.25
+
+// Far notes requests of a data centre's callers that went to another one: an adapter
+// that is hot there is worth a copy of its own, which also lasts through a cut.
+func (l *Loader) Far(centre string, a topology.Adapter, count int, now time.Time) {
+	ranked := l.without(centre, a)
+	if len(ranked) == 0 || len(l.in(centre, a)) > 0 {
+		return
+	}
+	l.copyTo(ranked[0], a, now, func(w *want) { w.far += float64(count) })
+}
+
+// Pressed notes requests that went to full endpoints: one more of the data centre's own
+// is to hold the adapter.
+func (l *Loader) Pressed(centre string, a topology.Adapter, count int, now time.Time) {
+	ranked := l.without(centre, a)
+	if len(ranked) == 0 {
+		return
+	}
+	l.copyTo(ranked[0], a, now, func(w *want) { w.debt.Add(pressedWeight*float64(count), now, debtHalfLife) })
+}
+
+// copyTo counts for a copy of an adapter at an endpoint.
+func (l *Loader) copyTo(endpoint string, a topology.Adapter, now time.Time, count func(*want)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.owned[endpoint]
+	if o == nil || o.phase != owning || o.slots[a] != nil {
+		return
+	}
+	key := wantKey{endpoint: endpoint, adapter: a}
+	w := l.wants[key]
+	if w == nil {
+		w = &want{done: make(chan struct{}), version: l.View.Newest(a)}
+		l.wants[key] = w
+	}
+	w.last = now
+	count(w)
+	l.nudge()
+}
+
+// in returns the endpoints of a data centre that hold an adapter or will soon.
+func (l *Loader) in(centre string, a topology.Adapter) []string {
+	var list []string
+	for _, e := range append(l.View.Holders(a), l.View.Loading(a)...) {
+		if e.DataCentre() == centre {
+			list = append(list, e.ID())
+		}
+	}
+	return list
+}
+
+// without returns the endpoints of a data centre that could hold an adapter and do not,
+// by the adapter's rendezvous order.
+func (l *Loader) without(centre string, a topology.Adapter) []string {
+	held := make(map[string]bool)
+	for _, id := range l.in(centre, a) {
+		held[id] = true
+	}
+	var names []string
+	for _, e := range l.View.All() {
+		if e.DataCentre() == centre && e.HasModel(a.Model) && !e.Draining() && !held[e.ID()] {
+			names = append(names, e.ID())
+		}
+	}
+	return policy.Rank(a.String(), names)
+}
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -199,7 +199,7 @@
 			tasks = append(tasks, l.claim(o))
 		}
 		if o != nil {
-			o.endpoint = e
+			l.followLocked(o, e)
 		}
 	}
 	for id, o := range l.owned {
@@ -210,6 +210,25 @@
 	return tasks
 }
 
+// followLocked takes what is published of an endpoint. Those who wait for a load at
+// one that begins to leave are told, so that they go elsewhere.
+func (l *Loader) followLocked(o *owned, e *topology.Endpoint) {
+	leaves := e.Draining() && !o.endpoint.Draining()
+	o.endpoint = e
+	if !leaves {
+		return
+	}
+	for k, w := range l.wants {
+		if k.endpoint == e.ID() {
+			delete(l.wants, k)
+			w.end()
+		}
+	}
+	for _, s := range o.slots {
+		s.end()
+	}
+}
+
 func (l *Loader) hasEngine(e *topology.Endpoint) bool {
 	c := l.View.Config()
 	if c == nil {
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -305,3 +305,21 @@
 	c.Assert(p.Ready, quicktest.IsTrue)
 	c.Assert(time.Since(begun) < 3*time.Second, quicktest.IsTrue) // it would be four: no bound on speed, but on the rule
 }
+
+func TestAnAdapterAtFullEndpointsGetsACopy(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	b.loader.Pressed("dc", adapter(1), 8, time.Now())
+	c.Assert(b.eventuallyLoads(adapter(1)), quicktest.IsTrue)
+}
+
+func TestACopyForAnotherDataCentresWayComesOnlyAfterManyRequests(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	b.loader.Far("dc", adapter(1), 1, time.Now())
+	b.loader.Far("dc", adapter(2), farEnough, time.Now())
+	c.Assert(b.eventuallyLoads(adapter(2)), quicktest.IsTrue)
+	b.fake.mu.Lock()
+	defer b.fake.mu.Unlock()
+	c.Assert(b.fake.loads, quicktest.DeepEquals, []topology.Adapter{adapter(2)})
+}
--- a/placement/want.go
+++ b/placement/want.go
@@ -87,6 +87,9 @@
 	if o == nil || o.phase != owning {
 		return l.await(claimTime, l.settled, now, limit, "the endpoint's owner has not settled")
 	}
+	if o.endpoint.Draining() {
+		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil
+	}
 	s := o.slots[w.Adapter]
 	if s != nil && s.ready && !s.leaving && s.version >= w.Version && !w.Denied {
 		s.used = now
@@ -139,47 +142,6 @@
 	return p, done
 }
 
-// Far notes requests of a data centre's callers that went to another one: an adapter
-// that is hot there is worth a copy of its own, which also lasts through a cut.
-func (l *Loader) Far(centre string, a topology.Adapter, count int, now time.Time) {
-	e := l.homeIn(centre, a)
-	if e == nil {
-		return
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	o := l.owned[e.ID()]
-	if o == nil || o.phase != owning || o.slots[a] != nil {
-		return
-	}
-	key := wantKey{endpoint: e.ID(), adapter: a}
-	q := l.wants[key]
-	if q == nil {
-		q = &want{done: make(chan struct{}), version: l.View.Newest(a)}
-		l.wants[key] = q
-	}
-	q.far += float64(count)
-	q.last = now
-	l.countLocked(a, float64(count), now)
-}
-
-// homeIn returns the adapter's home among the endpoints of one data centre; nil when
-// it is held there already or has none.
-func (l *Loader) homeIn(centre string, a topology.Adapter) *topology.Endpoint {
-	for _, e := range l.View.Holders(a) {
-		if e.DataCentre() == centre {
-			return nil
-		}
-	}
-	var list []*topology.Endpoint
-	for _, e := range l.View.All() {
-		if e.DataCentre() == centre && e.HasModel(a.Model) && !e.Draining() {
-			list = append(list, e)
-		}
-	}
-	return forward.Home(a, list)
-}
-
 // aheadOfLocked is how long a load waits behind those that go first.
 func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
 	n := 0
