--- a/placement/load.go
+++ b/placement/load.go
@@ -90,15 +90,29 @@
 	if len(o.slots) < g.SlotsBeside(o.models) {
 		return nil, true
 	}
+	return l.victimLocked(o, now)
+}
+
+// victimLocked returns the adapter that leaves: of those that surely no request uses,
+// the one that is asked for least; where there is none, the one unused for longest.
+// Unloading waits for the runs of one in use, and holds its place up.
+func (l *Loader) victimLocked(o *owned, now time.Time) (victim *topology.Adapter, ok bool) {
 	least := 0.0
-	for b, s := range o.slots {
-		if !s.ready || s.leaving || now.Sub(s.used) < idleFor {
+	var oldest *topology.Adapter
+	for a, s := range o.slots {
+		if !s.ready || s.leaving {
 			continue
 		}
-		if r := l.rateLocked(b, now); victim == nil || r < least {
-			victim, least = &b, r
+		if r := l.rateLocked(a, now); now.Sub(s.used) >= idleFor && (victim == nil || r < least) {
+			victim, least = &a, r
+		}
+		if now.Sub(s.used) >= usedAgo && (oldest == nil || s.used.Before(o.slots[*oldest].used)) {
+			oldest = &a
 		}
 	}
+	if victim == nil {
+		victim = oldest
+	}
 	return victim, victim != nil
 }
 
@@ -175,24 +189,32 @@
 }
 
 // finish orders the load and repeats the order until the endpoint says that it
-// holds the adapter; a repeated order changes nothing at the endpoint.
+// holds the adapter; a repeated order changes nothing at the endpoint. The load's time
+// counts from when the endpoint began it.
 func (l *Loader) finish(ctx context.Context, o *owned, claim int, a topology.Adapter) {
-	begun := time.Now()
 	s, version, expected := l.slotOf(o, a)
 	if s == nil {
 		return
 	}
-	pause := l.firstLook(s)
-	for time.Since(begun) < loadMost {
+	ordered, begun := time.Now(), time.Time{}
+	for time.Since(ordered) < loadMost {
 		out, err := l.order(ctx, o, claim, Order{Adapter: a, Version: version})
 		if err != nil {
 			return
 		}
+		now, pause := time.Now(), askAgain
 		switch out {
 		case Done:
-			l.loaded(o, a, s, time.Since(begun))
+			l.loaded(o, a, s, begun, now)
 			return
-		case Begun, Busy:
+		case Begun:
+			if begun.IsZero() {
+				begun, pause = now, l.firstLook(s)
+			} else if now.Sub(begun) > outlier*expected {
+				pause = askMost
+			}
+		case Busy:
+			pause = askMost
 		default:
 			l.abandon(o, claim, a)
 			return
@@ -200,10 +222,6 @@
 		if !sleep(ctx, pause) {
 			return
 		}
-		pause = askAgain
-		if out == Busy || time.Since(begun) > 2*expected {
-			pause = askMost
-		}
 	}
 	l.doubt(o, claim, "a load did not end")
 }
@@ -266,32 +284,46 @@
 	return out, err
 }
 
-// loaded notes that an adapter is ready.
-func (l *Loader) loaded(o *owned, a topology.Adapter, s *slot, took time.Duration) {
+// loaded notes that an adapter is ready; begun is zero when it was so already.
+func (l *Loader) loaded(o *owned, a topology.Adapter, s *slot, begun, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o.slots[a] != s {
 		return
 	}
-	if s.paced {
-		l.cold += (min(took, outlier*l.cold) - l.cold) / smoothing
-	} else {
-		l.warm += (min(took, outlier*l.warm) - l.warm) / smoothing
+	if begun.IsZero() {
+		begun = now
 	}
-	l.unpaceLocked(s, took)
-	s.ready, s.used = true, time.Now()
+	l.timeLocked(s, now.Sub(begun))
+	s.ready, s.used = true, now
 	o.orders--
 	o.refused = 0
 	s.end()
 	l.publishLocked(o)
 	l.nudge()
 	l.Log.Info("Adapter is loaded", "adapter", a.String(), "adapter_version", s.version, "endpoint", o.endpoint.ID(),
-		"took_ms", took.Milliseconds(), "fence", o.fence)
+		"took_ms", now.Sub(begun).Milliseconds(), "pace", l.pace.limit, "fence", o.fence)
+}
+
+// timeLocked learns from how long a load took. One that was thought to come from the
+// store and was far quicker came from the endpoint's memory, which a new owner does
+// not know of; it says nothing of the store.
+func (l *Loader) timeLocked(s *slot, took time.Duration) {
+	if s.paced && took < l.cold*memoryPart/10 {
+		l.unpaceLocked(s, 0)
+	}
+	if !s.paced {
+		l.warm += (min(took, outlier*l.warm) - l.warm) / smoothing
+		return
+	}
+	l.cold += (min(took, outlier*l.cold) - l.cold) / smoothing
+	l.unpaceLocked(s, took)
 }
 
 const (
-	smoothing = 8 // weight of the past against one new load time
-	outlier   = 2 // times the smoothed time that one load may count
+	memoryPart = 6 // tenths of a load from the store: what is quicker, even asked late, came from memory
+	smoothing  = 8 // weight of the past against one new load time
+	outlier    = 2 // times the smoothed time that one load may count
 )
 
 // unpaceLocked ends a load for the pace; took is zero when it did not succeed.
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -323,3 +323,22 @@
 	defer b.fake.mu.Unlock()
 	c.Assert(b.fake.loads, quicktest.DeepEquals, []topology.Adapter{adapter(2)})
 }
+
+// A new owner does not know what an endpoint's memory keeps: such loads, thought to come
+// from the store, made every real one look slow, and the pace fell to one.
+func TestALoadFromMemorySaysNothingOfTheStore(t *testing.T) {
+	c := quicktest.New(t)
+	l := &Loader{Limits: func() RateLimits { return DefaultRateLimits }}
+	l.Init()
+	load := func(took time.Duration) {
+		s := &slot{paced: true}
+		c.Assert(l.pace.take(), quicktest.IsTrue)
+		l.timeLocked(s, took)
+	}
+	load(260 * time.Millisecond)
+	load(30 * time.Millisecond)
+	before := l.pace.limit
+	load(260 * time.Millisecond)
+	c.Assert(l.pace.limit > before, quicktest.IsTrue)
+	c.Assert(l.pace.underWay, quicktest.Equals, 0)
+}
