--- a/edge/serve.go
+++ b/edge/serve.go
@@ -74,6 +74,6 @@
 			n.loader.Far(n.Settings.DataCentre, a, int(u.GetFar()), now)
 			continue
 		}
-		n.loader.Used(u.GetEndpoint(), a, int(u.GetCount()), now)
+		n.loader.Used(u.GetEndpoint(), a, int(u.GetCount()), int(u.GetRunning()), now)
 	}
 }
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"cairnwick.example/topology"
@@ -22,22 +23,38 @@
 	node *Node
 
 	mu      sync.Mutex
-	counts  map[useKey]int
+	counts  map[useKey]int           // requests begun since the last report
+	running map[useKey]int           // requests under way
 	pressed map[topology.Adapter]int // requests that went to an endpoint that was full
 }
 
-// Used implements forward.Observer.
-func (u *usage) Used(e *topology.Endpoint, a topology.Adapter, pressed bool) {
+// Begun implements forward.Observer.
+func (u *usage) Begun(e *topology.Endpoint, a topology.Adapter, pressed bool) func() {
+	k := useKey{endpoint: e.ID(), centre: e.DataCentre(), adapter: a}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.counts == nil {
 		u.counts = make(map[useKey]int)
 		u.pressed = make(map[topology.Adapter]int)
 	}
-	u.counts[useKey{endpoint: e.ID(), centre: e.DataCentre(), adapter: a}]++
+	if u.running == nil {
+		u.running = make(map[useKey]int)
+	}
+	u.counts[k]++
+	u.running[k]++
 	if pressed {
 		u.pressed[a]++
 	}
+	return func() { u.ended(k) }
+}
+
+func (u *usage) ended(k useKey) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running[k]--
+	if u.running[k] <= 0 {
+		delete(u.running, k)
+	}
 }
 
 // run tells the leaders, until ctx ends.
@@ -45,10 +62,10 @@
 	for ctx.Err() == nil {
 		sleep(ctx, usePause)
 		u.mu.Lock()
-		counts, pressed := u.counts, u.pressed
+		counts, pressed, running := u.counts, u.pressed, maps.Clone(u.running)
 		u.counts = nil
 		u.mu.Unlock()
-		u.tell(ctx, counts, pressed)
+		u.tell(ctx, counts, pressed, running)
 	}
 	return nil
 }
@@ -56,7 +73,7 @@
 // tell sends each leader the counts of its endpoints, and the own leader besides
 // what went to other data centres or to full endpoints. What is lost only makes a rate of use look
 // smaller.
-func (u *usage) tell(ctx context.Context, counts map[useKey]int, pressed map[topology.Adapter]int) {
+func (u *usage) tell(ctx context.Context, counts map[useKey]int, pressed map[topology.Adapter]int, running map[useKey]int) {
 	own := u.node.peers.centre
 	byCentre := make(map[string]*wire.UseRequest)
 	add := func(centre string, w *wire.Usage) {
@@ -67,8 +84,13 @@
 		}
 		q.Usage = append(q.Usage, w)
 	}
+	for k, n := range running {
+		if counts[k] == 0 {
+			add(k.centre, &wire.Usage{Endpoint: k.endpoint, Adapter: k.adapter.String(), Running: int32(n)})
+		}
+	}
 	for k, n := range counts {
-		add(k.centre, &wire.Usage{Endpoint: k.endpoint, Adapter: k.adapter.String(), Count: int32(n)})
+		add(k.centre, &wire.Usage{Endpoint: k.endpoint, Adapter: k.adapter.String(), Count: int32(n), Running: int32(running[k])})
 		if k.centre != own {
 			add(own, &wire.Usage{Adapter: k.adapter.String(), Far: int32(n)})
 		}
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -62,8 +62,8 @@
 
 type noObserver struct{}
 
-// Used implements Observer.
-func (noObserver) Used(*topology.Endpoint, topology.Adapter, bool) {}
+// Begun implements Observer.
+func (noObserver) Begun(*topology.Endpoint, topology.Adapter, bool) func() { return func() {} }
 
 // site is a gateway before endpoints.
 type site struct {
--- a/placement/load.go
+++ b/placement/load.go
@@ -147,15 +147,17 @@
 
 // load empties a slot where one is needed, and loads the adapter.
 func (l *Loader) load(ctx context.Context, o *owned, claim int, a topology.Adapter, victim *topology.Adapter) {
-	if victim != nil && !l.unload(ctx, o, claim, *victim) {
+	if victim != nil && !l.unload(ctx, o, claim, *victim, a) {
 		l.abandon(o, claim, a)
 		return
 	}
 	l.finish(ctx, o, claim, a)
 }
 
-// unload empties a slot. Only the endpoint's word that it is empty counts.
-func (l *Loader) unload(ctx context.Context, o *owned, claim int, a topology.Adapter) bool {
+// unload empties a slot for the next adapter. Only the endpoint's word that it is
+// empty counts. While runs hold the slot up, the next load asks nothing of the store
+// and others may.
+func (l *Loader) unload(ctx context.Context, o *owned, claim int, a, next topology.Adapter) bool {
 	until := time.Now().Add(loadMost)
 	for pause := askAgain; time.Now().Before(until); pause = min(2*pause, askMost) {
 		out, err := l.order(ctx, o, claim, Order{Unload: true, Adapter: a})
@@ -169,6 +171,7 @@
 		if out != Begun && out != Busy {
 			return false
 		}
+		l.unpace(o, claim, next)
 		if !sleep(ctx, pause) {
 			return false
 		}
@@ -209,10 +212,9 @@
 			return
 		case Begun:
 			if begun.IsZero() {
-				begun, pause = now, l.firstLook(s)
-			} else if now.Sub(begun) > outlier*expected {
-				pause = askMost
+				begun = now
 			}
+			pause = l.nextLook(s, now.Sub(begun), expected)
 		case Busy:
 			pause = askMost
 		default:
@@ -226,19 +228,22 @@
 	l.doubt(o, claim, "a load did not end")
 }
 
-// firstLook is when a load is first asked after: just before the quickest of its kind
-// were done. A smoothed time would follow its own question upwards.
-func (l *Loader) firstLook(s *slot) time.Duration {
+// nextLook is when a load is asked after again that began so long ago: when it would be
+// done if it came from memory, just before the quickest from the store, and then often.
+// A smoothed time would follow its own question upwards.
+func (l *Loader) nextLook(s *slot, ago, expected time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	quickest := warmLoad
-	if s.paced {
-		quickest = coldLoad
-		if l.pace.fastest > 0 {
-			quickest = l.pace.fastest
-		}
+	quickest := l.pace.quickest() * 9 / 10
+	switch {
+	case ago < warmLook:
+		return warmLook - ago
+	case s.paced && ago < quickest:
+		return quickest - ago
+	case ago > outlier*expected:
+		return askMost
 	}
-	return max(askAgain, quickest*9/10)
+	return askAgain
 }
 
 func (l *Loader) slotOf(o *owned, a topology.Adapter) (*slot, int64, time.Duration) {
@@ -309,11 +314,13 @@
 // store and was far quicker came from the endpoint's memory, which a new owner does
 // not know of; it says nothing of the store.
 func (l *Loader) timeLocked(s *slot, took time.Duration) {
-	if s.paced && took < l.cold*memoryPart/10 {
+	if s.paced && took < l.pace.quickest()*memoryPart/10 {
 		l.unpaceLocked(s, 0)
 	}
 	if !s.paced {
-		l.warm += (min(took, outlier*l.warm) - l.warm) / smoothing
+		if took < l.pace.quickest()*memoryPart/10 {
+			l.warm += (min(took, outlier*l.warm) - l.warm) / smoothing
+		}
 		return
 	}
 	l.cold += (min(took, outlier*l.cold) - l.cold) / smoothing
@@ -321,11 +328,20 @@
 }
 
 const (
-	memoryPart = 6 // tenths of a load from the store: what is quicker, even asked late, came from memory
+	memoryPart = 6 // tenths of the quickest load from the store: what is quicker came from memory
 	smoothing  = 8 // weight of the past against one new load time
 	outlier    = 2 // times the smoothed time that one load may count
 )
 
+// unpace lets others load while a load waits for its slot.
+func (l *Loader) unpace(o *owned, claim int, a topology.Adapter) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := o.slots[a]; s != nil && o.claims == claim {
+		l.unpaceLocked(s, 0)
+	}
+}
+
 // unpaceLocked ends a load for the pace; took is zero when it did not succeed.
 func (l *Loader) unpaceLocked(s *slot, took time.Duration) {
 	if s.paced {
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -300,12 +300,15 @@
 	l.bucket.share(whole, float64(mine)/float64(max(all, 1)), l.Leaders())
 }
 
-// Used notes requests for an adapter at an endpoint.
-func (l *Loader) Used(endpoint string, a topology.Adapter, count int, now time.Time) {
+// Used notes what one box tells of an adapter at an endpoint: requests begun since it
+// told last, and those under way.
+func (l *Loader) Used(endpoint string, a topology.Adapter, begun, running int, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.countLocked(a, float64(count), now)
-	if o := l.owned[endpoint]; o != nil && o.slots[a] != nil {
+	if begun > 0 {
+		l.countLocked(a, float64(begun), now)
+	}
+	if o := l.owned[endpoint]; o != nil && o.slots[a] != nil && begun+running > 0 {
 		o.slots[a].used = now
 	}
 }
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -342,3 +342,25 @@
 	c.Assert(l.pace.limit > before, quicktest.IsTrue)
 	c.Assert(l.pace.underWay, quicktest.Equals, 0)
 }
+
+// A few slow loads raised the smoothed time so far that the next quick ones counted as
+// loads from memory, and the pace stayed where the slow ones had brought it.
+func TestThePaceRecoversAfterSlowLoads(t *testing.T) {
+	c := quicktest.New(t)
+	l := &Loader{Limits: func() RateLimits { return DefaultRateLimits }}
+	l.Init()
+	load := func(took time.Duration) {
+		s := &slot{paced: true}
+		c.Assert(l.pace.take(), quicktest.IsTrue)
+		l.timeLocked(s, took)
+	}
+	load(260 * time.Millisecond)
+	for range 20 {
+		load(time.Second)
+	}
+	slow := l.pace.limit
+	for range 4 {
+		load(260 * time.Millisecond)
+	}
+	c.Assert(l.pace.limit > slow+1, quicktest.IsTrue)
+}
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -23,6 +23,14 @@
 	underWay int
 }
 
+// quickest returns how long a load from the store takes that nothing slows.
+func (p *pace) quickest() time.Duration {
+	if p.fastest == 0 {
+		return coldLoad
+	}
+	return p.fastest
+}
+
 func newPace() pace { return pace{limit: paceFirst} }
 
 // take begins one load, unless enough are under way.
