--- a/edge/serve.go
+++ b/edge/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/placement"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"google.golang.org/grpc/codes"
@@ -61,19 +62,17 @@
 	return &wire.UseReply{}, nil
 }
 
-// use counts what a box of this data centre told.
+// use counts what a box told.
 func (n *Node) use(q *wire.UseRequest) {
 	now := time.Now()
+	var uses []placement.Use
 	for _, u := range q.GetUsage() {
 		a := topology.ParseAdapter(u.GetAdapter())
-		switch {
-		case u.GetPressed() > 0:
-			n.loader.Pressed(n.Settings.DataCentre, a, int(u.GetPressed()), now)
-			continue
-		case u.GetFar() > 0:
+		if u.GetFar() > 0 {
 			n.loader.Far(n.Settings.DataCentre, a, int(u.GetFar()), now)
 			continue
 		}
-		n.loader.Used(u.GetEndpoint(), a, int(u.GetCount()), int(u.GetRunning()), now)
+		uses = append(uses, placement.Use{Endpoint: u.GetEndpoint(), Adapter: a, Begun: int(u.GetCount()), Running: int(u.GetRunning())})
 	}
+	n.loader.Used(q.GetBox(), uses, now)
 }
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -23,28 +23,23 @@
 	node *Node
 
 	mu      sync.Mutex
-	counts  map[useKey]int           // requests begun since the last report
-	running map[useKey]int           // requests under way
-	pressed map[topology.Adapter]int // requests that went to an endpoint that was full
+	counts  map[useKey]int // requests begun since the last report
+	running map[useKey]int // requests under way
 }
 
 // Begun implements forward.Observer.
-func (u *usage) Begun(e *topology.Endpoint, a topology.Adapter, pressed bool) func() {
+func (u *usage) Begun(e *topology.Endpoint, a topology.Adapter) func() {
 	k := useKey{endpoint: e.ID(), centre: e.DataCentre(), adapter: a}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.counts == nil {
 		u.counts = make(map[useKey]int)
-		u.pressed = make(map[topology.Adapter]int)
 	}
 	if u.running == nil {
 		u.running = make(map[useKey]int)
 	}
 	u.counts[k]++
 	u.running[k]++
-	if pressed {
-		u.pressed[a]++
-	}
 	return func() { u.ended(k) }
 }
 
@@ -62,18 +57,18 @@
 	for ctx.Err() == nil {
 		sleep(ctx, usePause)
 		u.mu.Lock()
-		counts, pressed, running := u.counts, u.pressed, maps.Clone(u.running)
+		counts, running := u.counts, maps.Clone(u.running)
 		u.counts = nil
 		u.mu.Unlock()
-		u.tell(ctx, counts, pressed, running)
+		u.tell(ctx, counts, running)
 	}
 	return nil
 }
 
 // tell sends each leader the counts of its endpoints, and the own leader besides
-// what went to other data centres or to full endpoints. What is lost only makes a rate of use look
+// what went to other data centres. What is lost only makes a rate of use look
 // smaller.
-func (u *usage) tell(ctx context.Context, counts map[useKey]int, pressed map[topology.Adapter]int, running map[useKey]int) {
+func (u *usage) tell(ctx context.Context, counts, running map[useKey]int) {
 	own := u.node.peers.centre
 	byCentre := make(map[string]*wire.UseRequest)
 	add := func(centre string, w *wire.Usage) {
@@ -95,9 +90,6 @@
 			add(own, &wire.Usage{Adapter: k.adapter.String(), Far: int32(n)})
 		}
 	}
-	for a, n := range pressed {
-		add(own, &wire.Usage{Adapter: a.String(), Pressed: int32(n)})
-	}
 	for c, q := range byCentre {
 		u.tellOne(ctx, c, q)
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,7 +27,7 @@
 	q.attempts++
 	q.sentAt, q.sentTo, q.version = time.Now(), t.endpoint, t.version
 	if q.call.Adapter.Name != "" {
-		defer g.Observer.Begun(t.endpoint, q.call.Adapter, g.pressed(u))()
+		defer g.Observer.Begun(t.endpoint, q.call.Adapter)()
 	}
 	a, f := g.send(ctx, q, u, t, q.call.LastEvent)
 	if f != nil {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -92,7 +92,6 @@
 // Observer hears where adapters are used.
 type Observer interface {
 	// Begun hears that a request runs at an endpoint; the function that it returns
-	// hears the end. pressed says that the endpoint is so full that the adapter should
-	// be held elsewhere too.
-	Begun(e *topology.Endpoint, a topology.Adapter, pressed bool) (ended func())
+	// hears the end.
+	Begun(e *topology.Endpoint, a topology.Adapter) (ended func())
 }
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -63,7 +63,7 @@
 type noObserver struct{}
 
 // Begun implements Observer.
-func (noObserver) Begun(*topology.Endpoint, topology.Adapter, bool) func() { return func() {} }
+func (noObserver) Begun(*topology.Endpoint, topology.Adapter) func() { return func() {} }
 
 // site is a gateway before endpoints.
 type site struct {
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -65,17 +65,6 @@
 	return best
 }
 
-// pressedPart is how full an endpoint may be before an adapter that it holds should
-// be held elsewhere too: above it batches become slow, and the next burst queues.
-const pressedPart = 0.5
-
-// pressed tells whether an endpoint is full, taking the other boxes to send as much
-// as this one.
-func (g *Gateway) pressed(u *upstream) bool {
-	h := u.health(time.Now())
-	return float64(h.inFlight*g.Boxes()) > pressedPart*float64(u.endpoint.Slots())
-}
-
 // Home returns where an adapter that nobody holds should be loaded: every box
 // that sees the same endpoints names the same one.
 func Home(a topology.Adapter, list []*topology.Endpoint) *topology.Endpoint {
--- a/placement/copies.go
+++ b/placement/copies.go
@@ -9,10 +9,6 @@
 	"cairnwick.example/topology"
 )
 
-// pressedWeight is how many requests asked in vain one request counts as that went to
-// a full endpoint: it may be late for it.
-const pressedWeight = 0.25
-
 // Far notes requests of a data centre's callers that went to another one: an adapter
 // that is hot there is worth a copy of its own, which also lasts through a cut.
 func (l *Loader) Far(centre string, a topology.Adapter, count int, now time.Time) {
@@ -23,14 +19,11 @@
 	l.copyTo(ranked[0], a, now, func(w *want) { w.far += float64(count) })
 }
 
-// Pressed notes requests that went to full endpoints: one more of the data centre's own
-// is to hold the adapter.
-func (l *Loader) Pressed(centre string, a topology.Adapter, count int, now time.Time) {
-	ranked := l.without(centre, a)
-	if len(ranked) == 0 {
-		return
+// pressed asks for one more copy of an adapter in a data centre.
+func (l *Loader) pressed(centre string, a topology.Adapter, now time.Time) {
+	if ranked := l.without(centre, a); len(ranked) > 0 {
+		l.copyTo(ranked[0], a, now, func(w *want) { w.debt.Add(pressedDebt, now, debtHalfLife) })
 	}
-	l.copyTo(ranked[0], a, now, func(w *want) { w.debt.Add(pressedWeight*float64(count), now, debtHalfLife) })
 }
 
 // copyTo counts for a copy of an adapter at an endpoint.
--- a/placement/load.go
+++ b/placement/load.go
@@ -103,7 +103,9 @@
 		if !s.ready || s.leaving {
 			continue
 		}
-		if r := l.rateLocked(a, now); now.Sub(s.used) >= idleFor && (victim == nil || r < least) {
+		r := l.rateLocked(a, now)
+		rather := victim == nil || r < least || (r == least && s.used.Before(o.slots[*victim].used))
+		if now.Sub(s.used) >= idleFor && rather {
 			victim, least = &a, r
 		}
 		if now.Sub(s.used) >= usedAgo && (oldest == nil || s.used.Before(o.slots[*oldest].used)) {
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -38,11 +38,12 @@
 	owned   map[string]*owned // by endpoint
 	wants   map[wantKey]*want
 	rates   map[topology.Adapter]*policy.Popularity
-	bucket  bucket          // of loads of base models
-	pace    pace            // of loads of adapters
-	worth   map[int]float64 // by priority, smoothed over the requests that asked
-	cold    time.Duration   // smoothed time of a load from the store
-	warm    time.Duration   // smoothed time of a load from an endpoint's memory
+	bucket  bucket             // of loads of base models
+	pace    pace               // of loads of adapters
+	running map[string]boxRuns // by box, as it told last
+	worth   map[int]float64    // by priority, smoothed over the requests that asked
+	cold    time.Duration      // smoothed time of a load from the store
+	warm    time.Duration      // smoothed time of a load from an endpoint's memory
 	wake    chan struct{}
 	settled chan struct{} // closed and replaced when an endpoint is owned
 	init    sync.Once
@@ -96,6 +97,7 @@
 		l.cold, l.warm = coldLoad, warmLoad
 		l.pace = newPace()
 		l.worth = make(map[int]float64)
+		l.running = make(map[string]boxRuns)
 		l.wake = make(chan struct{}, 1)
 		l.settled = make(chan struct{})
 	})
@@ -300,19 +302,6 @@
 	l.bucket.share(whole, float64(mine)/float64(max(all, 1)), l.Leaders())
 }
 
-// Used notes what one box tells of an adapter at an endpoint: requests begun since it
-// told last, and those under way.
-func (l *Loader) Used(endpoint string, a topology.Adapter, begun, running int, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if begun > 0 {
-		l.countLocked(a, float64(begun), now)
-	}
-	if o := l.owned[endpoint]; o != nil && o.slots[a] != nil && begun+running > 0 {
-		o.slots[a].used = now
-	}
-}
-
 func (l *Loader) countLocked(a topology.Adapter, n float64, now time.Time) {
 	r := l.rates[a]
 	if r == nil {
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -306,11 +306,24 @@
 	c.Assert(time.Since(begun) < 3*time.Second, quicktest.IsTrue) // it would be four: no bound on speed, but on the rule
 }
 
-func TestAnAdapterAtFullEndpointsGetsACopy(t *testing.T) {
+func TestAnAdapterAtAFullEndpointGetsACopy(t *testing.T) {
 	c := quicktest.New(t)
 	b := newBench(t, 4)
-	b.loader.Pressed("dc", adapter(1), 8, time.Now())
-	c.Assert(b.eventuallyLoads(adapter(1)), quicktest.IsTrue)
+	_, err := b.want(adapter(1), 5*time.Second)
+	c.Assert(err, quicktest.IsNil)
+	second := topology.NewEndpoint(topology.EndpointSpec{ID: "e2", Service: "llm", DataCentre: "dc", Slots: 8, Models: []string{model}})
+	b.loader.View.SetEndpoint(second)
+	for b.loader.Counts().Owned < 2 {
+		time.Sleep(10 * time.Millisecond)
+	}
+	use := []Use{{Endpoint: "e1", Adapter: adapter(1), Begun: 4, Running: 4}}
+	b.loader.Used("box-1", use, time.Now())
+	c.Assert(b.loader.wants, quicktest.HasLen, 0) // half full
+	b.loader.Used("box-2", use, time.Now())
+	b.loader.mu.Lock()
+	defer b.loader.mu.Unlock()
+	copied := b.loader.wants[wantKey{endpoint: "e2", adapter: adapter(1)}] != nil || b.loader.owned["e2"].slots[adapter(1)] != nil
+	c.Assert(copied, quicktest.IsTrue)
 }
 
 func TestACopyForAnotherDataCentresWayComesOnlyAfterManyRequests(t *testing.T) {
