--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -267,7 +267,7 @@
 	taken := 0
 	for range 1000 { // ten seconds
 		now = now.Add(10 * time.Millisecond)
-		if b.take(now, 0) {
+		if b.take(now) {
 			taken++
 		}
 	}
--- a/placement/model.go
+++ b/placement/model.go
@@ -22,7 +22,7 @@
 			continue
 		}
 		m := l.rarestModel(o)
-		if m == "" || !l.bucket.take(now, 0) {
+		if m == "" || !l.bucket.take(now) {
 			continue
 		}
 		o.fetching = true
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -46,25 +46,12 @@
 	b.at = now
 }
 
-// take takes one load at now, leaving at least spare.
-func (b *bucket) take(now time.Time, spare float64) bool {
+// take takes one load at now.
+func (b *bucket) take(now time.Time) bool {
 	b.refill(now)
-	if b.tokens < 1+spare {
+	if b.tokens < 1 {
 		return false
 	}
 	b.tokens--
 	return true
 }
-
-// wait returns how long after now so many loads can have begun.
-func (b *bucket) wait(loads float64, now time.Time) time.Duration {
-	b.refill(now)
-	missing := loads - b.tokens
-	if missing <= 0 {
-		return 0
-	}
-	if b.rate <= 0 {
-		return time.Minute
-	}
-	return time.Duration(missing / b.rate * float64(time.Second))
-}
