--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -93,7 +93,7 @@
 }
 
 // start runs a node until the function that it returns is called.
-func start(c *quicktest.C, n *Node) (stop func() error) {
+func start(n *Node) (stop func() error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- n.Run(ctx) }()
@@ -124,7 +124,7 @@
 func TestTheOperatorsPageDescribesEachVariable(t *testing.T) {
 	c := quicktest.New(t)
 	n := newNode(c, "box-1")
-	stop := start(c, n)
+	stop := start(n)
 	exported := slices.Sorted(maps.Keys(variablesOf(c, n)))
 	c.Assert(stop(), quicktest.IsNil)
 	page, err := os.ReadFile("../docs/OPERATIONS.md")
@@ -139,7 +139,7 @@
 func TestWithoutAConfigurationABoxIsNotReady(t *testing.T) {
 	c := quicktest.New(t)
 	n := newNode(c, "box-1")
-	stop := start(c, n)
+	stop := start(n)
 	variablesOf(c, n)
 	a, err := http.Get("http://" + n.Settings.Ready + "/")
 	c.Assert(err, quicktest.IsNil)
@@ -159,7 +159,7 @@
 	third := newNode(c, "box-3", first.Settings.Peers)
 	var stops []func() error
 	for _, n := range []*Node{first, second, third} {
-		stops = append(stops, start(c, n))
+		stops = append(stops, start(n))
 		variablesOf(c, n)
 	}
 	for _, n := range []*Node{first, second, third} {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -102,7 +102,7 @@
 			from = now.Add(lease + lease/4)
 		}
 		p.leaders[centre] = leadership{name: m.Name(), from: from}
-		p.log.Info("Data centre has a leader", "data_centre", centre, "leader", m.Name(), "before", old.name)
+		p.log.Info("Data centre has a leader", "led_data_centre", centre, "leader", m.Name(), "before", old.name)
 	}
 	return m.Name() == p.box, p.leaders[centre].from
 }
@@ -253,6 +253,7 @@
 	}
 	return forward.Placed{
 		Ready:    a.GetReady(),
+		Settling: a.GetSettling(),
 		Endpoint: a.GetEndpoint(),
 		Version:  a.GetVersion(),
 		Retry:    time.Duration(a.GetRetryMicros()) * time.Microsecond,
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -49,6 +49,7 @@
 	}
 	return &wire.AskReply{
 		Ready:       p.Ready,
+		Settling:    p.Settling,
 		Endpoint:    p.Endpoint,
 		Version:     p.Version,
 		RetryMicros: p.Retry.Microseconds(),
--- a/edge/state.go
+++ b/edge/state.go
@@ -83,7 +83,7 @@
 	}
 	old := s.view.Endpoint(id)
 	if old == nil || old.Draining() != e.Draining() {
-		s.log.Info("Endpoint is known", "endpoint", id, "address", e.Address(), "data_centre", e.DataCentre(),
+		s.log.Info("Endpoint is known", "endpoint", id, "address", e.Address(), "endpoint_data_centre", e.DataCentre(),
 			"draining", e.Draining(), "revision", i.GetVersion())
 	}
 	s.view.SetEndpoint(e)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -77,6 +77,7 @@
 // Placed is what became of a wish for an adapter.
 type Placed struct {
 	Ready    bool
+	Settling bool   // who decides for the endpoint is changing: ask again
 	Endpoint string // where it is ready
 	Version  int64
 	Retry    time.Duration // when not ready: when it is expected to be
--- /dev/null
+++ b/forward/place_test.go
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+func TestTheBudgetBoundsRetries(t *testing.T) {
+	c := quicktest.New(t)
+	limits := BudgetLimits{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}
+	b := &Budget{Limits: func() BudgetLimits { return limits }, tokens: 1}
+	now := time.Unix(0, 0)
+	taken := 0
+	for range 1000 { // one window, 100 requests a second, each of which would like a retry
+		now = now.Add(10 * time.Millisecond)
+		b.First()
+		if b.Take(now, 5) {
+			taken++
+		}
+	}
+	c.Assert(float64(taken) <= 0.2*1000+50.0/5, quicktest.IsTrue, quicktest.Commentf("%d", taken))
+	c.Assert(taken > 100, quicktest.IsTrue)
+}
+
+func TestAnEndpointInADataCentreOutOfReachIsNotUsed(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	s.gateway.Reached = func() map[string]bool { return map[string]bool{"dc": true} }
+	near := topology.NewEndpoint(topology.EndpointSpec{ID: "near", Service: "app", DataCentre: "dc", Slots: 1})
+	far := topology.NewEndpoint(topology.EndpointSpec{ID: "far", Service: "app", DataCentre: "cut", Slots: 1})
+	got := s.gateway.usable([]*topology.Endpoint{far, near}, nil, time.Now())
+	s.c.Assert(got, quicktest.HasLen, 1)
+	s.c.Assert(got[0].ID(), quicktest.Equals, "near")
+}
+
+func TestSeveralUnreachableEndpointsMakeTheirDataCentreAvoided(t *testing.T) {
+	c := quicktest.New(t)
+	var a away
+	now := time.Unix(100, 0)
+	for i := range strikesMost - 1 {
+		a.strike("far", fmt.Sprint(i), now)
+		a.strike("far", "0", now) // the same one again is no more than one
+	}
+	c.Assert(a.is("far", now), quicktest.IsFalse)
+	late := now.Add(2 * strikesIn) // the others are long ago
+	a.strike("far", "9", late)
+	c.Assert(a.is("far", late), quicktest.IsFalse)
+	for i := range strikesMost {
+		a.strike("far", fmt.Sprint(i), late)
+	}
+	c.Assert(a.is("far", late), quicktest.IsTrue)
+	c.Assert(a.is("far", late.Add(2*awayFor)), quicktest.IsFalse)
+}
+
+// leavingPlacer makes the first endpoint that it is asked for leave meanwhile.
+type leavingPlacer struct {
+	view *topology.View
+	left string
+}
+
+// Want implements Placer.
+func (p *leavingPlacer) Want(_ context.Context, w Wanted) (Placed, error) {
+	if p.left == "" {
+		p.left = w.Endpoint.ID()
+		p.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+			ID: p.left, Service: "app", Address: w.Endpoint.Address(), DataCentre: "dc", Slots: 4, Models: []string{"m"}, Draining: true,
+		}))
+	}
+	return Placed{Ready: true, Endpoint: w.Endpoint.ID()}, nil
+}
+
+// A request that waited two seconds for a load reached an endpoint that had begun to
+// leave meanwhile.
+func TestARequestThatWaitedDoesNotGoToAnEndpointThatLeaves(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	engine := &topology.EngineSpec{AdapterSlots: 2}
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app", Engine: engine})}
+	r := once(2 * time.Second)
+	r.Host, r.Shares = "site.example", []topology.Share{{Service: "app", Weight: 1}}
+	s.gateway.View.SetConfig(topology.NewConfig(2, []*topology.Route{topology.NewRoute(r)}, services, topology.Limits{BodyBytes: 1 << 10}))
+	calls := make(map[string]*atomic.Int64)
+	for range 2 {
+		n := s.endpoint(t, answerOK)
+		id := fmt.Sprintf("e%d", s.count)
+		calls[id] = n
+		e := s.gateway.View.Endpoint(id)
+		s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+			ID: id, Service: "app", Address: e.Address(), DataCentre: "dc", Slots: 4, Models: []string{"m"},
+		}))
+	}
+	p := &leavingPlacer{view: s.gateway.View}
+	s.gateway.Placer = p
+	q, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
+	s.c.Assert(err, quicktest.IsNil)
+	q.Host = "site.example"
+	q.Header.Set("Id", "call-1")
+	q.Header.Set("Adapter", "m/a")
+	a, err := http.DefaultClient.Do(q)
+	s.c.Assert(err, quicktest.IsNil)
+	a.Body.Close()
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	s.c.Assert(calls[p.left].Load(), quicktest.Equals, int64(0))
+}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		g.away.note(e.DataCentre(), time.Now())
 		g.Log.Info("Nobody answers for the endpoint that should load the adapter", "request", q.call.ID,
-			"endpoint", e.ID(), "data_centre", e.DataCentre(), "adapter", a.String(), "err", err.Error())
+			"endpoint", e.ID(), "endpoint_data_centre", e.DataCentre(), "adapter", a.String(), "err", err.Error())
 		return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "no leader answers"}
 	}
 	if !g.stays(e.ID()) {
--- /dev/null
+++ b/forward/stream_test.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// sendEvents writes events with the IDs from first to last, and breaks off or ends.
+func sendEvents(w http.ResponseWriter, first, last int, breaks bool) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+	if breaks {
+		_, _ = io.WriteString(w, "id: 99\ndata: ha") // an event that is cut inside
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestAStreamThatBreaksOffDoesNotLookWhole(t *testing.T) {
+	r := resumable(2 * time.Second)
+	r.Resumable = false
+	s := newSite(t, r)
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) { sendEvents(w, 1, 2, true) })
+	_, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNotNil)
+	s.c.Assert(text, quicktest.Contains, "piece 2")
+	s.c.Assert(text, quicktest.Not(quicktest.Contains), "99")
+}
+
+func TestAResumableStreamGoesOnElsewhereWithoutGapOrRepeat(t *testing.T) {
+	s := newSite(t, resumable(2*time.Second))
+	serve := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Last") == "" {
+			sendEvents(w, 1, 2, true)
+		}
+		s.c.Check(r.Header.Get("Last"), quicktest.Equals, "2")
+		sendEvents(w, 2, 4, false) // one that the caller has already
+	}
+	s.endpoint(t, serve)
+	s.endpoint(t, serve)
+	_, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(text, quicktest.Equals, "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\n")
+}
+
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	s := newSite(t, resumable(5*time.Second))
+	gate := make(chan struct{})
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		sendEvents(w, 1, 1, false)
+		<-gate
+		sendEvents(w, 2, 2, false)
+	})
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	a, err := http.DefaultClient.Do(r)
+	s.c.Assert(err, quicktest.IsNil)
+	defer a.Body.Close()
+	first := make([]byte, len("id: 1\ndata: piece 1\n\n"))
+	_, err = io.ReadFull(a.Body, first) // would wait for ever if the stream were held back
+	s.c.Assert(err, quicktest.IsNil)
+	close(gate)
+	rest, err := io.ReadAll(a.Body)
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(string(rest), quicktest.Contains, "piece 2")
+}
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -72,8 +72,6 @@
 	}
 	l.publishLocked(o)
 	l.shareLocked()
-	close(l.settled)
-	l.settled = make(chan struct{})
 	l.mu.Unlock()
 	l.Log.Info("Endpoint is owned", "endpoint", o.endpoint.ID(), "fence", o.fence, "models", len(h.Models), "ready", len(h.Ready), "pending", len(pending))
 	ended := make(chan struct{})
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -45,7 +45,6 @@
 	cold    time.Duration      // smoothed time of a load from the store
 	warm    time.Duration      // smoothed time of a load from an endpoint's memory
 	wake    chan struct{}
-	settled chan struct{} // closed and replaced when an endpoint is owned
 	init    sync.Once
 }
 
@@ -99,7 +98,6 @@
 		l.worth = make(map[int]float64)
 		l.running = make(map[string]boxRuns)
 		l.wake = make(chan struct{}, 1)
-		l.settled = make(chan struct{})
 	})
 }
 
--- a/placement/want.go
+++ b/placement/want.go
@@ -38,7 +38,7 @@
 
 // claimTime is how long it usually takes a new owner to learn what an endpoint
 // holds.
-const claimTime = reportLag + 50*time.Millisecond
+const claimTime = reportLag + 200*time.Millisecond
 
 // wish is a request's wish for an adapter.
 type wish struct {
@@ -85,7 +85,7 @@
 	defer l.mu.Unlock()
 	o := l.owned[w.Endpoint.ID()]
 	if o == nil || o.phase != owning {
-		return l.await(claimTime, l.settled, now, limit, "the endpoint's owner has not settled")
+		return forward.Placed{Settling: true, Retry: claimTime, Reason: "the endpoint's owner has not settled"}, nil
 	}
 	if o.endpoint.Draining() {
 		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil
--- /dev/null
+++ b/topology/topology_test.go
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package topology
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+func route(name, prefix string) *Route {
+	return NewRoute(RouteSpec{Name: name, Host: "h", Prefix: prefix, Shares: []Share{{Service: "s", Weight: 1}}})
+}
+
+func TestTheLongestPrefixOfTheHostWins(t *testing.T) {
+	c := quicktest.New(t)
+	cfg := NewConfig(1, []*Route{route("short", "/a/"), route("long", "/a/b/")}, nil, Limits{})
+	c.Assert(cfg.Route("h", "/a/b/c").Name(), quicktest.Equals, "long")
+	c.Assert(cfg.Route("h", "/a/x").Name(), quicktest.Equals, "short")
+	c.Assert(cfg.Route("h", "/b/"), quicktest.IsNil)
+	c.Assert(cfg.Route("other", "/a/"), quicktest.IsNil)
+}
+
+func TestASplitFollowsItsWeights(t *testing.T) {
+	c := quicktest.New(t)
+	r := NewRoute(RouteSpec{Shares: []Share{{Service: "a", Weight: 3}, {Service: "b", Weight: 1}}})
+	count := make(map[string]int)
+	for i := range 1000 {
+		count[r.Split(float64(i)/1000)]++
+	}
+	c.Assert(count, quicktest.DeepEquals, map[string]int{"a": 750, "b": 250})
+}
+
+func TestAConfigurationNeverGoesBack(t *testing.T) {
+	c := quicktest.New(t)
+	v := NewView()
+	c.Assert(v.SetConfig(NewConfig(5, nil, nil, Limits{})), quicktest.IsTrue)
+	c.Assert(v.SetConfig(NewConfig(4, nil, nil, Limits{})), quicktest.IsFalse)
+	c.Assert(v.Config().Version(), quicktest.Equals, uint64(5))
+}
+
+func TestOnlyTheNewestVersionThatIsReadyIsHeld(t *testing.T) {
+	c := quicktest.New(t)
+	v := NewView()
+	a := Adapter{Model: "m", Name: "x"}
+	for _, id := range []string{"e1", "e2", "e3"} {
+		v.SetEndpoint(NewEndpoint(EndpointSpec{ID: id, Service: "s"}))
+	}
+	v.SetHeld("e1", map[Adapter]Held{a: {Version: 1, Ready: true}})
+	v.SetHeld("e2", map[Adapter]Held{a: {Version: 2, Ready: true}})
+	v.SetHeld("e3", map[Adapter]Held{a: {Version: 2}})
+	c.Assert(v.Holders(a), quicktest.HasLen, 2)
+	v.SetNewest(a, 2)
+	v.SetNewest(a, 1) // an older one changes nothing
+	c.Assert(v.Holders(a), quicktest.HasLen, 1)
+	c.Assert(v.Holders(a)[0].ID(), quicktest.Equals, "e2")
+	c.Assert(v.Loading(a)[0].ID(), quicktest.Equals, "e3")
+	v.RemoveEndpoint("e2")
+	c.Assert(v.Holders(a), quicktest.HasLen, 0)
+}
+
+func TestSlotsBesideTheModelsAreBoundByWeights(t *testing.T) {
+	c := quicktest.New(t)
+	e := &EngineSpec{MB: 100, AdapterSlots: 16, Models: []ModelSpec{{Name: "m", MB: 90, AdapterMB: 3}}}
+	c.Assert(e.SlotsBeside(map[string]bool{"m": true}), quicktest.Equals, 3)
+	c.Assert(e.SlotsBeside(nil), quicktest.Equals, 16)
+}
