--- a/placement/claim.go
+++ b/placement/claim.go
@@ -12,19 +12,28 @@
 // claimPause is between two tries to learn what an endpoint holds.
 const claimPause = 300 * time.Millisecond
 
-// claim learns what an endpoint holds and then owns it. The report may be older
-// than the last order of the owner before, so it is read after that order shows.
+// claim raises the fence at an endpoint, learns what it holds, and then owns it. The
+// fence comes first: from then on the endpoint refuses the owner before, who may not
+// know yet, so that no order comes between the report and the first order here. The
+// report may be some time old, so it is read that much later.
 func (l *Loader) claim(o *owned) func(context.Context) {
 	return func(ctx context.Context) {
-		if !sleep(ctx, reportLag) {
-			return
-		}
 		for ctx.Err() == nil && l.stillClaiming(o) {
+			fence, raised := l.raise(ctx, o)
+			if !raised {
+				if !sleep(ctx, claimPause) {
+					return
+				}
+				continue
+			}
+			if !sleep(ctx, reportLag) {
+				return
+			}
 			call, cancel := context.WithTimeout(ctx, callTimeout)
 			h, err := l.Control.Report(call, o.endpoint)
 			cancel()
 			if err == nil {
-				l.own(ctx, o, h)
+				l.own(ctx, o, fence, h)
 				return
 			}
 			l.Log.Info("Endpoint gives no report", "endpoint", o.endpoint.ID(), "err", err.Error())
@@ -35,6 +44,44 @@
 	}
 }
 
+// raise shows an endpoint a new fence by an order that changes nothing: to load a base
+// model that it holds. One that holds none has nothing that the owner before could
+// order it to add to, and is claimed without.
+func (l *Loader) raise(ctx context.Context, o *owned) (fence uint64, raised bool) {
+	l.mu.Lock()
+	e, refused := o.endpoint, o.refused
+	l.mu.Unlock()
+	fence = l.Fences.Next(time.Now(), refused)
+	if len(e.Models()) == 0 {
+		return fence, true
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	d := Order{Adapter: topology.Adapter{Model: e.Models()[0]}, Fence: fence, Holder: l.Box}
+	out, err := l.Control.Order(call, e, d)
+	switch {
+	case err != nil:
+		l.Log.Info("Endpoint does not answer its new owner", "endpoint", e.ID(), "err", err.Error())
+	case out == Fenced:
+		l.giveUp(o, fence)
+	case out == Done || out == Begun:
+		return fence, true
+	}
+	return 0, false
+}
+
+// giveUp leaves an endpoint to the owner with a higher fence for a while.
+func (l *Loader) giveUp(o *owned, fence uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.phase != claiming {
+		return
+	}
+	l.Log.Info("Endpoint has seen a higher fence and is given up", "endpoint", o.endpoint.ID(), "fence", fence)
+	o.phase, o.since = yielded, time.Now()
+	o.refused++
+}
+
 func (l *Loader) stillClaiming(o *owned) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -42,14 +89,14 @@
 }
 
 // own begins to give orders to an endpoint that holds h.
-func (l *Loader) own(ctx context.Context, o *owned, h Holding) {
+func (l *Loader) own(ctx context.Context, o *owned, fence uint64, h Holding) {
 	now := time.Now()
 	l.mu.Lock()
 	if l.owned[o.endpoint.ID()] != o || o.phase != claiming {
 		l.mu.Unlock()
 		return
 	}
-	o.fence = l.Fences.Next(now, o.refused)
+	o.fence = fence
 	o.phase, o.since, o.told, o.orders = owning, now, 0, 0
 	o.claims++
 	claim := o.claims
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -29,12 +29,18 @@
 	overfull bool                      // it was ordered to load more than its slots
 	loads    []topology.Adapter
 	loadTime time.Duration
+	fence    uint64 // the highest seen
+	claimed  bool   // a fence was seen before the first report
+	reported bool
 }
 
 // Report implements Control.
 func (f *fakeEndpoint) Report(context.Context, *topology.Endpoint) (Holding, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if !f.reported {
+		f.reported, f.claimed = true, f.fence > 0
+	}
 	h := Holding{Models: []string{model}, Ready: make(map[topology.Adapter]int64), Pending: make(map[topology.Adapter]int64)}
 	for a, ready := range f.slots {
 		if ready {
@@ -50,6 +56,13 @@
 func (f *fakeEndpoint) Order(_ context.Context, _ *topology.Endpoint, o Order) (Outcome, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if o.Fence < f.fence {
+		return Fenced, nil
+	}
+	f.fence = o.Fence
+	if o.Adapter.Name == "" && f.loads == nil && !f.reported {
+		return Done, nil // it holds the base model
+	}
 	if o.Unload {
 		if f.inUse[o.Adapter] {
 			f.leaving[o.Adapter] = true
@@ -377,3 +390,17 @@
 	}
 	c.Assert(l.pace.limit > slow+1, quicktest.IsTrue)
 }
+
+// An owner that was slow and did not know that it was replaced ordered a load after the
+// new owner had read the report, and the endpoint got one more than it has slots.
+func TestTheFenceIsRaisedBeforeTheReportIsRead(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	b.fake.mu.Lock()
+	claimed, fence := b.fake.claimed, b.fake.fence
+	b.fake.mu.Unlock()
+	c.Assert(claimed, quicktest.IsTrue)
+	out, err := b.fake.Order(context.Background(), b.endpoint, Order{Adapter: adapter(1), Fence: fence - 1})
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(out, quicktest.Equals, Fenced) // the owner before
+}
