--- a/daemon/node.go
+++ b/daemon/node.go
@@ -92,8 +92,7 @@
 	n.Keeper = keeper.New(v.Duration(Settle), n.Log)
 	n.relay = n.newRelay(client)
 	n.loop = n.newLoop()
-	n.Server = grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
-		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
+	n.Server = NewServer(creds)
 	wire.RegisterPeerServer(n.Server, peerServer{node: n})
 	wire.RegisterOperatorServer(n.Server, operatorServer{node: n})
 	return n, nil
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -37,6 +37,13 @@
 	dialTimeout  = time.Second
 )
 
+// NewServer returns the gRPC server for other daemons, with buffers as small as those
+// of their connections.
+func NewServer(creds credentials.TransportCredentials) *grpc.Server {
+	return grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
+		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
+}
+
 // Conn returns the connection to an address, made when it is first used.
 func (d *Dialer) Conn(address string) *grpc.ClientConn {
 	d.mu.Lock()
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -23,7 +23,7 @@
 // leave ends the box's work in order: the balancer and the boxes are told first,
 // then connections are closed as they rest, and what is held goes on to its end.
 func (n *Node) leave() {
-	n.log.Info("Box leaves", "held", n.gateway.Held())
+	n.Log.Info("Box leaves", "held", n.gateway.Held())
 	begun := time.Now()
 	n.leaving.Store(true)
 	n.gateway.Leave()
@@ -31,7 +31,7 @@
 	for time.Since(begun) < noticeFor {
 		time.Sleep(leavePause)
 	}
-	n.log.Info("Box has left", "held", n.gateway.Held(), "took_ms", time.Since(begun).Milliseconds())
+	n.Log.Info("Box has left", "held", n.gateway.Held(), "took_ms", time.Since(begun).Milliseconds())
 }
 
 // isReady tells whether the box can serve callers.
--- a/edge/node.go
+++ b/edge/node.go
@@ -20,7 +20,6 @@
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 )
 
@@ -34,7 +33,6 @@
 	Log      logr.Logger
 	Lines    *logging.Bounded // what Log writes to
 
-	log     logr.Logger
 	current atomic.Pointer[Settings] // in force; replaced by Reload
 	view    *topology.View
 	items   *share.Table
@@ -49,10 +47,8 @@
 }
 
 const (
-	connBuffer  = 4 << 10 // bytes; messages between boxes are small
-	window      = 1 << 20 // bytes in flight; fixed, so that gRPC sends no pings to estimate it
-	memoryPart  = 0.7     // of the box's memory that the garbage collector aims below
-	heldPart    = 4       // descriptors for one held request: its caller's, the endpoint's, spare
+	memoryPart  = 0.7 // of the box's memory that the garbage collector aims below
+	heldPart    = 4   // descriptors for one held request: its caller's, the endpoint's, spare
 	collections = 2
 )
 
@@ -60,11 +56,10 @@
 func (n *Node) build() {
 	s := n.Settings
 	n.current.Store(&n.Settings)
-	n.log = n.Log
 	n.view = topology.NewView()
 	n.items = share.NewTable()
 	fences := &placement.Fences{Box: s.Number}
-	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.log}
+	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
 	n.items.OnChange = n.state.apply
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.reads}
@@ -74,7 +69,7 @@
 		View:    n.view,
 		Control: n.Control,
 		Limits:  func() placement.RateLimits { return n.current.Load().Rate },
-		Log:     n.log,
+		Log:     n.Log,
 		Fences:  fences,
 		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
 		Leaders: func() int { return len(n.peers.centres()) },
@@ -94,7 +89,7 @@
 		Reached:    n.peers.centres,
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
-		Log:        n.log,
+		Log:        n.Log,
 		Pressed:    n.Lines.Pressed,
 		Stats:      forward.NewStats(),
 	}
@@ -115,7 +110,7 @@
 		centre:  s.DataCentre,
 		dialer:  &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext},
 		items:   n.items,
-		log:     n.log,
+		log:     n.Log,
 		started: time.Now(),
 		reads:   n.reads,
 	}
@@ -128,7 +123,7 @@
 		Bridges:    func() bool { return true },
 		Remote:     p.lost,
 		Extras:     noExtras{},
-		Log:        n.log,
+		Log:        n.Log,
 		Interval:   heartbeat,
 		Timeout:    heartbeat,
 		PauseLimit: pauseLimit,
@@ -201,11 +196,10 @@
 	if err != nil {
 		return err
 	}
-	n.log.Info("Box starts", "callers", n.Settings.Callers, "peers", n.Settings.Peers)
+	n.Log.Info("Box starts", "callers", n.Settings.Callers, "peers", n.Settings.Peers)
 	inner, end := context.WithCancel(context.Background())
 	defer end()
-	server := grpc.NewServer(grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
-		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
+	server := daemon.NewServer(insecure.NewCredentials())
 	wire.RegisterPeerServer(server, peerServer{node: n})
 	wire.RegisterShareServer(server, shareServer{node: n})
 	held := n.Settings.Bounds.Grace - noticeFor - endMargin // what is held when the end begins has so long
@@ -219,7 +213,7 @@
 	}
 	err = n.runAll(ctx, inner, end, tasks)
 	n.peers.dialer.Close()
-	n.log.Info("Box ends")
+	n.Log.Info("Box ends")
 	return err
 }
 
@@ -260,7 +254,7 @@
 		decoder:    n.Decoder,
 		table:      n.items,
 		wanted:     n.mustRead,
-		log:        n.log,
+		log:        n.Log,
 		heard: func(well bool) {
 			if well != ok {
 				ok = well
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -33,8 +33,7 @@
 	log        logr.Logger
 	heard      func(ok bool) // hears how each call went
 
-	known    map[string]bool // keys of endpoints that were published
-	after    uint64          // revision that is known; zero: nothing
+	after    uint64 // revision that is known; zero: nothing
 	failing  bool
 	trusted  time.Time // until then a missing endpoint may be one that lapsed
 	doubtful bool      // something was missing before trusted
@@ -136,26 +135,11 @@
 			r.doubtful = true
 			continue
 		}
-		r.remember(f)
 		items = append(items, &wire.Item{Key: f.Key, Version: f.Revision, Value: f.Value, Removed: f.Removed, Settled: r.collection == Settled})
 	}
 	r.table.Merge(items...)
 }
 
-func (r *reader) remember(f Fact) {
-	if r.collection != Endpoints {
-		return
-	}
-	if r.known == nil {
-		r.known = make(map[string]bool)
-	}
-	if f.Removed {
-		delete(r.known, f.Key)
-		return
-	}
-	r.known[f.Key] = true
-}
-
 // snapshot merges a whole list: endpoints that are not in it are gone.
 func (r *reader) snapshot(b Batch, now time.Time) {
 	listed := make(map[string]bool, len(b.Facts))
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -107,6 +107,6 @@
 	call, cancel := context.WithTimeout(ctx, usePause)
 	defer cancel()
 	if _, err := wire.NewShareClient(u.node.peers.dialer.Conn(m.Address())).Use(call, q); err != nil {
-		u.node.log.V(1).Info("Leader was not told of use", "leader", m.Name(), "err", err.Error())
+		u.node.Log.V(1).Info("Leader was not told of use", "leader", m.Name(), "err", err.Error())
 	}
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -44,14 +44,12 @@
 	if err != nil {
 		return nil, &Refusal{Code: CodeBadRequest, Detail: err.Error()}
 	}
-	begun := time.Now()
 	quiet := watchSilence(u)
 	a, err := engine.Send(u.client(), r, time.Time{})
 	quiet()
 	if err != nil {
 		return nil, g.lost(ctx, q, u, err)
 	}
-	u.answered(time.Since(begun))
 	if f := g.judge(q, u, t, a); f != nil {
 		_ = a.Body.Close() // nothing of it is used
 		return nil, f
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -77,17 +77,6 @@
 	return byName[policy.First(a.String(), names)]
 }
 
-// Serving returns the endpoints that hold the base model and stay.
-func Serving(list []*topology.Endpoint, model string) []*topology.Endpoint {
-	var some []*topology.Endpoint
-	for _, e := range withModel(list, model) {
-		if !e.Draining() {
-			some = append(some, e)
-		}
-	}
-	return some
-}
-
 // withModel returns those that hold the base model.
 func withModel(list []*topology.Endpoint, model string) []*topology.Endpoint {
 	var some []*topology.Endpoint
--- a/forward/request.go
+++ b/forward/request.go
@@ -29,7 +29,6 @@
 	tried    map[string]bool // endpoints that failed it
 	unsure   bool            // an attempt may have run
 	denied   string          // the endpoint that said it does not hold the adapter
-	repeated bool            // the budget of retries was drawn on
 	sentAt   time.Time       // of the last attempt
 	sentTo   *topology.Endpoint
 	version  int64 // of the adapter at the last attempt; zero: any
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -64,8 +64,7 @@
 	if q.left(now) < firstByte/2 {
 		return false
 	}
-	q.repeated = g.budget(q.service.Name()).Take(now, g.Boxes())
-	return q.repeated
+	return g.budget(q.service.Name()).Take(now, g.Boxes())
 }
 
 // place finds the endpoint for the next attempt.
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -39,7 +39,6 @@
 	seen      int       // outcomes counted, up to enoughOutcomes
 	downUntil time.Time // it is avoided until then
 	downFor   time.Duration
-	first     time.Duration // smoothed time to the first byte of an answer
 }
 
 func newUpstream(e *topology.Endpoint) *upstream {
@@ -147,13 +146,6 @@
 	u.downUntil = now.Add(u.downFor)
 }
 
-// answered notes when the first byte came.
-func (u *upstream) answered(after time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.first += (after - u.first) / 8
-}
-
 // health is what placement must know of an upstream.
 type health struct {
 	inFlight int
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -63,25 +63,13 @@
 	case err != nil:
 		l.Log.Info("Endpoint does not answer its new owner", "endpoint", e.ID(), "err", err.Error())
 	case out == Fenced:
-		l.giveUp(o, fence)
+		l.yield(o, claiming, fence)
 	case out == Done || out == Begun:
 		return fence, true
 	}
 	return 0, false
 }
 
-// giveUp leaves an endpoint to the owner with a higher fence for a while.
-func (l *Loader) giveUp(o *owned, fence uint64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if o.phase != claiming {
-		return
-	}
-	l.Log.Info("Endpoint has seen a higher fence and is given up", "endpoint", o.endpoint.ID(), "fence", fence)
-	o.phase, o.since = yielded, time.Now()
-	o.refused++
-}
-
 func (l *Loader) stillClaiming(o *owned) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,14 +122,15 @@
 	l.nudge()
 }
 
-// yield gives an endpoint up that has seen a higher fence.
-func (l *Loader) yield(o *owned) {
+// yield gives an endpoint up, in the phase in which it refused the fence: another owner
+// has a higher one.
+func (l *Loader) yield(o *owned, in phase, fence uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if o.phase != owning {
+	if o.phase != in {
 		return
 	}
-	l.Log.Info("Endpoint has seen a higher fence and is given up", "endpoint", o.endpoint.ID(), "fence", o.fence)
+	l.Log.Info("Endpoint has seen a higher fence and is given up", "endpoint", o.endpoint.ID(), "fence", fence)
 	o.phase, o.since = yielded, time.Now()
 	o.refused++
 	l.forgetLocked(o)
--- a/placement/load.go
+++ b/placement/load.go
@@ -284,7 +284,7 @@
 	case err != nil:
 		l.doubt(o, claim, "an order got no answer: "+err.Error())
 	case out == Fenced:
-		l.yield(o)
+		l.yield(o, owning, d.Fence)
 	case out == Gone:
 		l.doubt(o, claim, "another endpoint has the address")
 	}
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -182,7 +182,7 @@
 func (l *Loader) ownLocked(now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
 	for _, e := range l.View.All() {
-		if !l.hasEngine(e) {
+		if l.engine(e) == nil {
 			continue
 		}
 		mine, from := l.Owns(e)
@@ -218,26 +218,13 @@
 	if !leaves {
 		return
 	}
-	for k, w := range l.wants {
-		if k.endpoint == e.ID() {
-			delete(l.wants, k)
-			w.end()
-		}
-	}
+	l.endWantsLocked(e.ID())
 	for _, s := range o.slots {
 		s.end()
 	}
 }
 
-func (l *Loader) hasEngine(e *topology.Endpoint) bool {
-	c := l.View.Config()
-	if c == nil {
-		return false
-	}
-	s := c.Service(e.Service())
-	return s != nil && s.Engine() != nil
-}
-
+// engine returns what an endpoint's service can do; nil when it runs no models.
 func (l *Loader) engine(e *topology.Endpoint) *topology.EngineSpec {
 	c := l.View.Config()
 	if c == nil {
@@ -262,12 +249,7 @@
 
 // forgetLocked ends every wait for an endpoint and forgets what it holds.
 func (l *Loader) forgetLocked(o *owned) {
-	for k, w := range l.wants {
-		if k.endpoint == o.endpoint.ID() {
-			delete(l.wants, k)
-			w.end()
-		}
-	}
+	l.endWantsLocked(o.endpoint.ID())
 	for _, s := range o.slots {
 		l.unpaceLocked(s, 0)
 		s.end()
@@ -275,6 +257,16 @@
 	o.slots = make(map[topology.Adapter]*slot)
 }
 
+// endWantsLocked ends every wait for a load at an endpoint that has not begun.
+func (l *Loader) endWantsLocked(endpoint string) {
+	for k, w := range l.wants {
+		if k.endpoint == endpoint {
+			delete(l.wants, k)
+			w.end()
+		}
+	}
+}
+
 func (s *slot) end() {
 	if s.done != nil {
 		close(s.done)
