Tell a request whose time ends after a failed load of the load, not of its time

Cause: a load that keeps failing refuses its waiters at the third failure, 1.5 s after the first; a request that waits 2 s met its own deadline first where the tries were late, beside load, and was refused with REASON_DEADLINE though a failing load was the reason. Ruled out: a lost failure (each is counted under the endpoint's lock). Change: at the end of its time a request whose adapter's load failed meanwhile is told so, with the time of the next try.

--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -236,15 +236,26 @@
 	}
 	e.mu.Lock()
 	removed := e.removeLocked(w)
-	retry := s.estimateLocked(e, w, time.Now())
-	if !s.readyLocked(e, w.request.GetAdapter()) {
-		retry = s.comeBackLocked(e, retry, time.Now())
-	}
+	a := s.overdueLocked(e, w, time.Now())
 	e.mu.Unlock()
 	if !removed {
 		return s.handOver(ctx, e, <-w.reply)
 	}
-	return refusal(wire.Reason_REASON_DEADLINE, retry, "")
+	return a
+}
+
+// overdueLocked is the answer to a request whose time to wait has passed. Where loads of
+// its adapter failed meanwhile, that is the reason, however few they were.
+func (s *Scheduler) overdueLocked(e *endpoint, w *waiter, now time.Time) *wire.AcquireReply {
+	adapter := w.request.GetAdapter()
+	retry := s.estimateLocked(e, w, now)
+	if s.readyLocked(e, adapter) {
+		return refusal(wire.Reason_REASON_DEADLINE, retry, "")
+	}
+	if f := e.failed[adapter]; f.count > 0 {
+		return refusal(wire.Reason_REASON_LOAD_FAILED, max(f.until.Sub(now), e.loadTime), "")
+	}
+	return refusal(wire.Reason_REASON_DEADLINE, s.comeBackLocked(e, retry, now), "")
 }
 
 // handOver gives a grant back that nobody will receive.
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -165,7 +165,6 @@
 }
 
 func TestLoadsThatKeepFailingRefuseWhoWaits(t *testing.T) {
-	t.Skip("known red: see KNOWN-RED.txt")
 	b := newBench(t)
 	b.engine.refuse = &engine.RefusedError{Code: engine.CodeLoadFailed}
 	b.run()
@@ -177,6 +176,22 @@
 	b.Assert(r.GetRetryMicros() > 0, quicktest.IsTrue)
 }
 
+func TestARequestWhoseTimeEndsAfterAFailedLoadIsToldOfTheLoad(t *testing.T) {
+	b := newBench(t)
+	e := b.own()
+	answer := make(chan *wire.AcquireReply, 1)
+	go func() { answer <- b.ask("a@1", "counter") }()
+	for n := 0; n == 0; _, n = b.scheduler.Outstanding() {
+		time.Sleep(time.Millisecond)
+	}
+	e.mu.Lock()
+	b.scheduler.loadFailedLocked(e, "a@1", time.Now())
+	e.mu.Unlock()
+	r := (<-answer).GetRefusal()
+	b.Assert(r.GetReason(), quicktest.Equals, wire.Reason_REASON_LOAD_FAILED)
+	b.Assert(r.GetRetryMicros() > 0, quicktest.IsTrue)
+}
+
 func TestALeavingSchedulerSendsItsWaitersOn(t *testing.T) {
 	b := newBench(t, "a@1")
 	b.own()
