Let strong boxes lead, and boxes follow each other in steps

Cause: on the grown sites a data centre has 26 boxes, most with 0.19 of a core and 10 Mbit/s. Its leader is the oldest, so most often a weak one, and it tells each of the others every change of what endpoints hold: what it sends grows with the data centre. Change: members carry their share of a core; the oldest of those with half of the largest share leads. A box is followed by six at most; the others follow those. What is passed on says how long ago the source was heard, so that boxes in a ring of stale views do not take each other for readers. Ruled out: weak boxes as gateways only (they would need another role).

--- /dev/null
+++ b/edge/follow.go
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"cairnwick.example/member"
+	"cairnwick.example/share"
+	"cairnwick.example/wire"
+)
+
+// followAll follows the boxes that this one learns from, until ctx ends.
+func (p *peers) followAll(ctx context.Context) error {
+	running := make(map[source]context.CancelFunc)
+	ended := make(chan source)
+	for ctx.Err() == nil {
+		wanted := p.sources()
+		for s := range wanted {
+			if running[s] != nil {
+				continue
+			}
+			inner, cancel := context.WithCancel(ctx)
+			running[s] = cancel
+			go func() {
+				p.follow(inner, s)
+				ended <- s
+			}()
+		}
+		for s, cancel := range running {
+			if !wanted[s] {
+				cancel()
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case s := <-ended:
+			running[s]()
+			delete(running, s)
+			sleep(ctx, lookPause)
+		case <-time.After(lookPause):
+		}
+	}
+	for range running {
+		<-ended
+	}
+	return nil
+}
+
+// source is a box to follow.
+type source struct {
+	name       string
+	address    string
+	everything bool // else only what this box does not read by itself
+}
+
+// followersMost is how many boxes of its data centre one box tells everything: the
+// others follow those, so that what a box sends does not grow with the data centre.
+const followersMost = 6
+
+// chain returns the boxes of the own data centre in the order in which they follow each
+// other, the leader first and strong ones before weak ones.
+func (p *peers) chain(leader member.Member) []member.Member {
+	list := slices.DeleteFunc(p.table.Serving(roleBox), func(m member.Member) bool {
+		return m.DataCentre() != p.centre || m.Name() == leader.Name()
+	})
+	slices.SortStableFunc(list, func(a, b member.Member) int { return cmp.Compare(b.Capacity(), a.Capacity()) })
+	return append([]member.Member{leader}, list...)
+}
+
+// parent returns the box that this one learns from and how many steps the leader is
+// away; false where this box leads. A box that is not in its own view follows the leader.
+func (p *peers) parent() (m member.Member, steps int, ok bool) {
+	leader, ok := p.leader(p.centre)
+	if !ok || leader.Name() == p.box {
+		return member.Member{}, 0, false
+	}
+	chain := p.chain(leader)
+	i := slices.IndexFunc(chain, func(m member.Member) bool { return m.Name() == p.box })
+	if i < 0 {
+		return leader, 1, true
+	}
+	up := (i - 1) / followersMost
+	for n := i; n > 0; n = (n - 1) / followersMost {
+		steps++
+	}
+	return chain[up], steps, true
+}
+
+// sources returns the boxes to follow now: those of the own data centre follow the
+// leader, some by way of others; leaders follow each other. Bytes between data centres
+// are dear, so a leader that reads the source of the configuration takes from the others
+// only what they alone know.
+func (p *peers) sources() map[source]bool {
+	list := make(map[source]bool)
+	if m, _, ok := p.parent(); ok {
+		list[source{name: m.Name(), address: m.Address(), everything: true}] = true
+		return list
+	}
+	for c := range p.centres() {
+		if m, ok := p.leader(c); ok && m.Name() != p.box {
+			list[source{name: m.Name(), address: m.Address(), everything: !p.reads()}] = true
+		}
+	}
+	return list
+}
+
+// follow merges what one box tells until the stream ends.
+func (p *peers) follow(ctx context.Context, s source) {
+	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
+	c := wire.NewShareClient(p.dialer.Conn(s.address))
+	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update) {
+		if u.GetReading() {
+			p.hear(s.name, time.Now().Add(-time.Duration(u.GetAgeMicros())*time.Microsecond))
+		}
+	})
+	if ctx.Err() == nil {
+		p.log.Info("Stream from a box ended", "followed", s.name, "err", err.Error())
+		p.loop.Probe(s.name)
+	}
+}
+
+// hear notes when the source was last heard, by the word of a box that is followed.
+func (p *peers) hear(name string, at time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.heard == nil {
+		p.heard = make(map[string]time.Time)
+	}
+	if at.After(p.heard[name]) {
+		p.heard[name] = at
+	}
+}
+
+// heardAgo tells how long ago the source was heard by the leader, as far as the box that
+// is followed tells; false where that is too long ago, or where this box leads.
+func (p *peers) heardAgo(now time.Time) (time.Duration, bool) {
+	m, steps, ok := p.parent()
+	if !ok {
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	ago := now.Sub(p.heard[m.Name()])
+	return ago, ago < share.SilentAfter+time.Duration(steps-1)*share.BeatPause
+}
+
+// informed tells whether this box is told what a leader that reads the source reads.
+func (p *peers) informed(now time.Time) bool {
+	_, ok := p.heardAgo(now)
+	return ok
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -62,7 +62,7 @@
 	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
 	n.items.OnChange = n.state.apply
 	n.peers = n.buildPeers()
-	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.reads}
+	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.readAgo}
 	n.usage = &usage{node: n}
 	n.loader = &placement.Loader{
 		Box:     s.Box,
@@ -114,7 +114,8 @@
 		started: time.Now(),
 		reads:   n.reads,
 	}
-	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro()))
+	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro())).
+		WithCapacity(int(s.Limits.Cores * 1000))
 	p.table = member.NewTable(self, member.Limits{SuspectFor: suspectFor, ForgetDead: forgetDead, Fresh: freshFor, Wide: true})
 	p.loop = &member.Loop{
 		Table:      p.table,
@@ -152,6 +153,14 @@
 // reads tells whether this box hears the source now.
 func (n *Node) reads() bool { return n.reading.Load() == collections }
 
+// readAgo tells how long ago this box, or one that it follows, heard the source.
+func (n *Node) readAgo() (time.Duration, bool) {
+	if n.reads() {
+		return 0, true
+	}
+	return n.peers.heardAgo(time.Now())
+}
+
 // mustRead tells whether this box reads the source: it leads its data centre, or
 // its leader does not tell it what it reads.
 func (n *Node) mustRead() bool { return !n.peers.informed(time.Now()) }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -32,6 +33,10 @@
 	askSlack   = 300 * time.Millisecond  // on top of what a request can wait
 	lookPause  = 100 * time.Millisecond  // between two looks at who leads
 	usePause   = 500 * time.Millisecond  // between two reports of use
+
+	// leaderPart: a leader works for the whole data centre, so a box that may use less
+	// than this part of the strongest one's processor does not lead.
+	leaderPart = 2
 )
 
 // peers is this box among the others.
@@ -48,7 +53,7 @@
 
 	mu      sync.Mutex
 	leaders map[string]leadership // by data centre
-	heard   map[string]time.Time  // by leader: when its stream last said that it reads
+	heard   map[string]time.Time  // by box that is followed: when the source was last heard, by its word
 }
 
 // leadership is who leads a data centre, and since when.
@@ -57,16 +62,23 @@
 	from time.Time // when it may give orders
 }
 
-// leader returns the box that leads a data centre: the oldest that serves there,
-// or, where none does, the oldest of all.
+// leader returns the box that leads a data centre: the oldest of the strong ones that
+// serve there, or, where none does, of all.
 func (p *peers) leader(centre string) (member.Member, bool) {
+	serving := p.table.Serving(roleBox)
+	list := slices.DeleteFunc(slices.Clone(serving), func(m member.Member) bool { return m.DataCentre() != centre })
+	if len(list) == 0 {
+		list = serving
+	}
+	most := 0
+	for _, m := range list {
+		most = max(most, m.Capacity())
+	}
 	var best member.Member
-	found, near := false, false
-	for _, m := range p.table.Serving(roleBox) {
-		at := m.DataCentre() == centre
-		switch {
-		case !found, at && !near, at == near && older(m, best):
-			best, found, near = m, true, at
+	found := false
+	for _, m := range list {
+		if leaderPart*m.Capacity() >= most && (!found || older(m, best)) {
+			best, found = m, true
 		}
 	}
 	return best, found
@@ -136,101 +148,6 @@
 	return list
 }
 
-// followAll follows the leaders that this box learns from, until ctx ends: its own
-// data centre's, or, when it leads, those of the others.
-func (p *peers) followAll(ctx context.Context) error {
-	running := make(map[source]context.CancelFunc)
-	ended := make(chan source)
-	for ctx.Err() == nil {
-		wanted := p.sources()
-		for s := range wanted {
-			if running[s] != nil {
-				continue
-			}
-			inner, cancel := context.WithCancel(ctx)
-			running[s] = cancel
-			go func() {
-				p.follow(inner, s)
-				ended <- s
-			}()
-		}
-		for s, cancel := range running {
-			if !wanted[s] {
-				cancel()
-			}
-		}
-		select {
-		case <-ctx.Done():
-		case s := <-ended:
-			running[s]()
-			delete(running, s)
-			sleep(ctx, lookPause)
-		case <-time.After(lookPause):
-		}
-	}
-	for range running {
-		<-ended
-	}
-	return nil
-}
-
-// source is a leader to follow.
-type source struct {
-	name       string
-	address    string
-	everything bool // else only what this box does not read by itself
-}
-
-// sources returns the leaders to follow now. Bytes between data centres are dear, so
-// a leader that reads the source of the configuration takes from the others only what
-// they alone know.
-func (p *peers) sources() map[source]bool {
-	list := make(map[source]bool)
-	own, ok := p.leader(p.centre)
-	if ok && own.Name() != p.box {
-		list[source{name: own.Name(), address: own.Address(), everything: true}] = true
-		return list
-	}
-	for c := range p.centres() {
-		if m, ok := p.leader(c); ok && m.Name() != p.box {
-			list[source{name: m.Name(), address: m.Address(), everything: !p.reads()}] = true
-		}
-	}
-	return list
-}
-
-// follow merges what one leader tells until the stream ends.
-func (p *peers) follow(ctx context.Context, s source) {
-	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
-	c := wire.NewShareClient(p.dialer.Conn(s.address))
-	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update) {
-		p.mu.Lock()
-		defer p.mu.Unlock()
-		if p.heard == nil {
-			p.heard = make(map[string]time.Time)
-		}
-		if u.GetReading() {
-			p.heard[s.name] = time.Now()
-		}
-	})
-	if ctx.Err() == nil {
-		p.log.Info("Stream from a leader ended", "leader", s.name, "err", err.Error())
-		p.loop.Probe(s.name)
-	}
-}
-
-// informed tells whether a leader that reads the source tells this box what it
-// reads.
-func (p *peers) informed(now time.Time) bool {
-	own, ok := p.leader(p.centre)
-	if !ok || own.Name() == p.box {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return now.Sub(p.heard[own.Name()]) < share.SilentAfter
-}
-
 // ask asks the leader of an endpoint's data centre to load an adapter.
 func (p *peers) ask(ctx context.Context, m member.Member, w forward.Wanted) (forward.Placed, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(w.Most, w.Wait, 0)+askSlack)
--- /dev/null
+++ b/edge/peers_test.go
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"cairnwick.example/member"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+)
+
+// box returns a serving box of a data centre with a share of a core in thousandths.
+func box(name, centre string, started uint64, capacity int) member.Member {
+	return member.New(name, name+":1", roleBox, centre, started).WithCapacity(capacity)
+}
+
+// peersOf returns what the first box sees when all the others serve.
+func peersOf(self member.Member, others ...member.Member) *peers {
+	t := member.NewTable(self, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Wide: true})
+	t.Merge(others, time.Now())
+	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }}
+}
+
+func TestTheOldestOfTheStrongBoxesLeads(t *testing.T) {
+	for _, k := range []struct {
+		name   string
+		boxes  []member.Member
+		leader string
+	}{
+		{"alike boxes", []member.Member{box("a", "dc", 3, 400), box("b", "dc", 1, 400), box("c", "dc", 2, 400)}, "b"},
+		{"a weak box is the oldest", []member.Member{box("a", "dc", 3, 800), box("b", "dc", 1, 192), box("c", "dc", 2, 800)}, "c"},
+		{"only weak boxes are left", []member.Member{box("a", "dc", 3, 192), box("b", "dc", 2, 200)}, "b"},
+		{"nothing is known of their share", []member.Member{box("a", "dc", 3, 0), box("b", "dc", 2, 0)}, "b"},
+		{"nobody serves there", []member.Member{box("a", "other", 3, 400), box("b", "other", 2, 192)}, "a"},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			m, ok := peersOf(k.boxes[0], k.boxes[1:]...).leader("dc")
+			c.Assert(ok, quicktest.IsTrue)
+			c.Assert(m.Name(), quicktest.Equals, k.leader)
+		})
+	}
+}
+
+func TestBoxesFollowInSteps(t *testing.T) {
+	c := quicktest.New(t)
+	var boxes []member.Member
+	for i := range 40 {
+		boxes = append(boxes, box(fmt.Sprintf("b%02d", i), "dc", uint64(100-i), 200))
+	}
+	boxes = append(boxes, box("far", "other", 1, 800))
+	followers := make(map[string]int)
+	for i, b := range boxes[:40] {
+		p := peersOf(b, slices.Delete(slices.Clone(boxes), i, i+1)...)
+		m, steps, ok := p.parent()
+		c.Assert(ok, quicktest.Equals, b.Name() != "b39") // the oldest leads
+		if !ok {
+			continue
+		}
+		c.Assert(steps <= 2, quicktest.IsTrue)
+		followers[m.Name()]++
+	}
+	for name, n := range followers {
+		c.Assert(n <= followersMost, quicktest.IsTrue, quicktest.Commentf("%s has %d followers", name, n))
+	}
+}
+
+func TestAnOldWordOfTheSourceIsNotPassedOnAsNew(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
+	now := time.Now()
+	p.hear("b", now.Add(-500*time.Millisecond))
+	ago, ok := p.heardAgo(now)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(ago, quicktest.Equals, 500*time.Millisecond)
+	p.hear("b", now.Add(-time.Second)) // a word that took longer changes nothing
+	_, ok = p.heardAgo(now.Add(300 * time.Millisecond))
+	c.Assert(ok, quicktest.IsFalse)
+}
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -32,6 +32,7 @@
 type Limits struct {
 	MemoryMB    int
 	Descriptors int
+	Cores       float64 // of a processor; zero: not known
 }
 
 // Bounds are the times that the box must keep.
--- a/member/member.go
+++ b/member/member.go
@@ -47,6 +47,7 @@
 	dataCentre  string
 	incarnation uint64
 	state       State
+	capacity    int       // thousandths of a processor core; zero: not known
 	since       time.Time // when the state was heard here
 }
 
@@ -55,6 +56,13 @@
 	return Member{name: name, address: address, role: role, dataCentre: dataCentre, incarnation: incarnation, state: Alive}
 }
 
+// WithCapacity returns the member with the processor share that it may use, in
+// thousandths of a core.
+func (m Member) WithCapacity(thousandths int) Member {
+	m.capacity = thousandths
+	return m
+}
+
 // Name returns the daemon's unique name.
 func (m Member) Name() string { return m.name }
 
@@ -70,6 +78,10 @@
 // Incarnation returns the number of this life of the daemon.
 func (m Member) Incarnation() uint64 { return m.incarnation }
 
+// Capacity returns how many thousandths of a processor core the daemon may use; zero
+// when that is not known.
+func (m Member) Capacity() int { return m.capacity }
+
 // State returns how the daemon is seen.
 func (m Member) State() State { return m.state }
 
@@ -88,6 +100,7 @@
 		DataCentre:  m.dataCentre,
 		Incarnation: m.incarnation,
 		State:       wire.MemberState(m.state),
+		Capacity:    uint32(max(m.capacity, 0)),
 	}
 }
 
@@ -100,6 +113,7 @@
 		dataCentre:  w.GetDataCentre(),
 		incarnation: w.GetIncarnation(),
 		state:       State(w.GetState()),
+		capacity:    int(w.GetCapacity()),
 	}
 }
 
--- a/share/follow.go
+++ b/share/follow.go
@@ -12,9 +12,10 @@
 )
 
 const (
-	batchPause = 40 * time.Millisecond  // changes of this time travel together
-	beatPause  = 300 * time.Millisecond // a stream says at least so often that it lives
-	batchMost  = 256                    // items in one message, so that it stays far below gRPC's 4 MB
+	batchPause = 40 * time.Millisecond // changes of this time travel together
+	batchMost  = 256                   // items in one message, so that it stays far below gRPC's 4 MB
+	// BeatPause is how often a stream says at least that it lives.
+	BeatPause = 300 * time.Millisecond
 	// SilentAfter is how long a stream may say nothing before it counts as broken:
 	// two beats lost and some delay.
 	SilentAfter = 750 * time.Millisecond
@@ -23,8 +24,10 @@
 // Server streams a table to those that follow it.
 type Server struct {
 	Table      *Table
-	DataCentre string      // of this box
-	Reading    func() bool // whether this box hears the store of the configuration
+	DataCentre string // of this box
+	// Reading tells how long ago this box, or one that it follows, heard the store of
+	// the configuration; false: none did, as far as it knows.
+	Reading func() (age time.Duration, ok bool)
 }
 
 // Follow sends everything that the follower asked for, then each change.
@@ -44,7 +47,7 @@
 
 // pause waits for a change and a little for more of them, or for the next beat.
 func pause(ctx context.Context, changed <-chan struct{}) error {
-	beat := time.NewTimer(beatPause)
+	beat := time.NewTimer(BeatPause)
 	defer beat.Stop()
 	select {
 	case <-ctx.Done():
@@ -64,7 +67,8 @@
 // send sends the items that the follower asked for; a message without any is a
 // beat.
 func (s *Server) send(q *wire.FollowRequest, stream grpc.ServerStreamingServer[wire.Update], items []*wire.Item) error {
-	u := &wire.Update{Reading: s.Reading()}
+	age, reading := s.Reading()
+	u := &wire.Update{Reading: reading, AgeMicros: age.Microseconds()}
 	for _, i := range items {
 		if !q.GetEverything() && !i.GetSettled() && i.GetDataCentre() != s.DataCentre {
 			continue
@@ -74,7 +78,7 @@
 			if err := stream.Send(u); err != nil {
 				return err
 			}
-			u = &wire.Update{Reading: u.GetReading()}
+			u = &wire.Update{Reading: reading, AgeMicros: age.Microseconds()}
 		}
 	}
 	return stream.Send(u)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -93,11 +93,14 @@
 	c := quicktest.New(t)
 	from, to := NewTable(), NewTable()
 	from.Merge(item("early", 1), &wire.Item{Key: "foreign", Version: 1, DataCentre: "d2"})
-	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: func() bool { return true }}})
+	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: func() (time.Duration, bool) { return time.Second, true }}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- Follow(ctx, client, &wire.FollowRequest{}, to, func(u *wire.Update) { c.Check(u.GetReading(), quicktest.IsTrue) })
+		done <- Follow(ctx, client, &wire.FollowRequest{}, to, func(u *wire.Update) {
+			c.Check(u.GetReading(), quicktest.IsTrue)
+			c.Check(u.GetAgeMicros(), quicktest.Equals, time.Second.Microseconds())
+		})
 	}()
 	from.Merge(item("late", 1))
 	for to.Version("early") == 0 || to.Version("late") == 0 {
