Keep terms with the clock, and claim at once again where the first fence is refused

Cause: every claim of every endpoint took a new term, and each refusal 64 more, so terms ran a minute ahead of the clock. Ruled out: slow starts (boxes were ready 0.1 s after theirs), the settling time (1.2 s). Change: a term serves all endpoints while it is the highest known; what is dropped gets a new one. The first refusal of a claim is answered at once with a term far above; from the second on the box keeps away as before. Tests: TestTermsDoNotRunAheadOfTheClock, TestAnEndpointThatRefusesTheFirstFenceIsClaimedAgainAtOnce (the latter ran for ever before).

--- a/placement/claim.go
+++ b/placement/claim.go
@@ -49,9 +49,9 @@
 // order it to add to, and is claimed without.
 func (l *Loader) raise(ctx context.Context, o *owned) (fence uint64, raised bool) {
 	l.mu.Lock()
-	e, refused := o.endpoint, o.refused
+	e, past, refused := o.endpoint, o.fence, o.refused
 	l.mu.Unlock()
-	fence = l.Fences.Next(time.Now(), refused)
+	fence = l.Fences.Next(time.Now(), past, refused)
 	if len(e.Models()) == 0 {
 		return fence, true
 	}
@@ -63,7 +63,7 @@
 	case err != nil:
 		l.Log.Info("Endpoint does not answer its new owner", "endpoint", e.ID(), "err", err.Error())
 	case out == Fenced:
-		l.yield(o, claiming, fence)
+		l.outbid(o, fence)
 	case out == Done || out == Begun:
 		return fence, true
 	}
@@ -85,7 +85,7 @@
 		return
 	}
 	o.fence = fence
-	o.phase, o.since, o.told, o.orders = owning, now, 0, 0
+	o.phase, o.since, o.orders = owning, now, 0
 	o.claims++
 	claim := o.claims
 	o.slots = make(map[topology.Adapter]*slot)
@@ -122,6 +122,25 @@
 	l.nudge()
 }
 
+// outbid reckons with a refusal of the fence by which an endpoint was to be claimed. The
+// first may only mean that the clock here is behind the last owner's, who may have ended
+// long ago: it is tried once more at once, with a fence far above. From the second on
+// another box claims it too, and this one keeps away.
+func (l *Loader) outbid(o *owned, fence uint64) {
+	l.mu.Lock()
+	o.fence = fence
+	first := o.refused == 0
+	if first {
+		o.refused = 1
+	}
+	l.mu.Unlock()
+	if !first {
+		l.yield(o, claiming, fence)
+		return
+	}
+	l.Log.Info("Endpoint has seen a higher fence and is claimed with one far above", "endpoint", o.endpoint.ID(), "fence", fence)
+}
+
 // yield gives an endpoint up, in the phase in which it refused the fence: another owner
 // has a higher one.
 func (l *Loader) yield(o *owned, in phase, fence uint64) {
--- a/placement/fence.go
+++ b/placement/fence.go
@@ -18,12 +18,15 @@
 )
 
 // Fences makes the fences of one box. A fence is a term and the box; terms follow
-// the time of day, so that a box that knows nothing yet is usually above all.
+// the time of day, so that a box that knows nothing yet is usually above all. For that
+// they must not run ahead of the clock, so a term serves every endpoint that is claimed
+// while it is the highest.
 type Fences struct {
 	Box uint32 // low bits of a number that no other box has
 
 	mu      sync.Mutex
-	highest uint64 // term heard of or used
+	highest uint64 // term heard of, or used and given up
+	own     uint64 // term in use; zero: none
 }
 
 // Hear notes the term of a fence that another box used.
@@ -33,24 +36,30 @@
 	f.highest = max(f.highest, heard)
 }
 
-// Highest returns the highest term that is known of.
-func (f *Fences) Highest() uint64 {
+// Next returns a fence above every one known of. It is above past, the last fence that
+// this box used at the endpoint (zero: none), which was refused so many times in a row.
+func (f *Fences) Next(now time.Time, past uint64, refusals int) uint64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.highest
+	least := f.highest + 1
+	if past != 0 {
+		raise := uint64(1)
+		for range refusals {
+			raise *= refusedTerms
+		}
+		least = max(least, term(past)+raise)
+	}
+	if f.own < least {
+		f.own = max(uint64(max(now.Unix(), 0)), least) & (1<<termBits - 1)
+	}
+	return f.own<<boxBits | uint64(f.Box)&(1<<boxBits-1)
 }
 
-// Next returns a fence above every one known of, after so many refusals in a row.
-func (f *Fences) Next(now time.Time, refusals int) uint64 {
+// GiveUp makes the next fence a new one: orders under the last may still be on their way.
+func (f *Fences) GiveUp() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	raise := uint64(1)
-	for range refusals {
-		raise *= refusedTerms
-	}
-	t := max(uint64(max(now.Unix(), 0)), f.highest+raise)
-	f.highest = t & (1<<termBits - 1)
-	return f.highest<<boxBits | uint64(f.Box)&(1<<boxBits-1)
+	f.highest = max(f.highest, f.own)
 }
 
 // term returns the part of a fence that rises.
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -62,9 +62,9 @@
 	endpoint *topology.Endpoint
 	phase    phase
 	since    time.Time // of the phase
-	fence    uint64
-	refused  int    // fences refused in a row
-	told     uint64 // publications under this fence
+	fence    uint64    // the last one that the endpoint was shown
+	refused  int       // fences refused in a row
+	told     uint64    // publications so far
 	slots    map[topology.Adapter]*slot
 	recent   []topology.Adapter // held lately, the newest last; its memory keeps them
 	orders   int                // loads on their way
@@ -245,6 +245,7 @@
 	l.Log.Info("Endpoint is no longer owned", "endpoint", o.endpoint.ID(), "fence", o.fence)
 	delete(l.owned, o.endpoint.ID())
 	l.forgetLocked(o)
+	l.Fences.GiveUp()
 }
 
 // forgetLocked ends every wait for an endpoint and forgets what it holds.
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -114,6 +114,14 @@
 }
 
 func newBench(t *testing.T, atOnce float64) *bench {
+	b := prepare(atOnce)
+	b.start(t)
+	b.awaitOwned()
+	return b
+}
+
+// prepare returns a loader that does not run yet.
+func prepare(atOnce float64) *bench {
 	v := topology.NewView()
 	engine := &topology.EngineSpec{Models: []topology.ModelSpec{{Name: model}}, AdapterSlots: slotCount, LoadsPerSec: 10}
 	v.SetConfig(topology.NewConfig(1, nil, []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "llm", Engine: engine})}, topology.Limits{}))
@@ -134,16 +142,17 @@
 	}
 	l.Init()
 	l.pace.limit = atOnce
+	return &bench{loader: l, endpoint: e, fake: fake}
+}
+
+func (b *bench) start(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- l.Run(ctx) }()
+	go func() { ended <- b.loader.Run(ctx) }()
 	t.Cleanup(func() {
 		cancel()
 		<-ended
 	})
-	b := &bench{loader: l, endpoint: e, fake: fake}
-	b.awaitOwned()
-	return b
 }
 
 func (b *bench) awaitOwned() {
@@ -243,12 +252,45 @@
 	c := quicktest.New(t)
 	now := time.Unix(1_800_000_000, 0)
 	f := &Fences{Box: 7}
-	first := f.Next(now, 0)
-	c.Assert(f.Next(now, 0) > first, quicktest.IsTrue)
+	first := f.Next(now, 0, 0)
+	c.Assert(f.Next(now, first, 0) > first, quicktest.IsTrue)
 	f.Hear(term(first) + 5000) // of an owner whose clock is ahead
-	c.Assert(term(f.Next(now, 0)), quicktest.Equals, term(first)+5001)
-	c.Assert(f.Next(now, 0) < 1<<53, quicktest.IsTrue)
-	c.Assert(f.Next(now, 0)&(1<<boxBits-1), quicktest.Equals, uint64(7))
+	c.Assert(term(f.Next(now, 0, 0)), quicktest.Equals, term(first)+5001)
+	c.Assert(f.Next(now, 0, 0) < 1<<53, quicktest.IsTrue)
+	c.Assert(f.Next(now, 0, 0)&(1<<boxBits-1), quicktest.Equals, uint64(7))
+	given := f.Next(now, 0, 0)
+	f.GiveUp()
+	c.Assert(f.Next(now, 0, 0) > given, quicktest.IsTrue)
+}
+
+// Each claim of each endpoint took a term of its own, so that terms ran ahead of the
+// clock by a minute; after a restart of every box the clock was refused as a fence.
+func TestTermsDoNotRunAheadOfTheClock(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	f := &Fences{Box: 7}
+	first := f.Next(now, 0, 0)
+	for range 20 { // endpoints claimed together
+		c.Assert(f.Next(now, 0, 0), quicktest.Equals, first)
+	}
+	for range 20 { // and refused together
+		c.Assert(term(f.Next(now, first, 1)), quicktest.Equals, term(first)+refusedTerms)
+	}
+}
+
+// After a restart of every box the endpoints knew a fence of a box whose clock had been
+// ahead. The new owner kept away from them for the lease, though nobody owned them.
+func TestAnEndpointThatRefusesTheFirstFenceIsClaimedAgainAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	ahead := (&Fences{Box: 2}).Next(time.Now().Add(30*time.Second), 0, 0)
+	b := prepare(4)
+	b.fake.fence = ahead
+	b.loader.Lease = func() time.Duration { return time.Hour }
+	b.start(t)
+	b.awaitOwned()
+	b.fake.mu.Lock()
+	defer b.fake.mu.Unlock()
+	c.Assert(b.fake.fence > ahead, quicktest.IsTrue)
 }
 
 // A caller that had come back was let wait from each moment on anew, so that the
