Keep the lead through cuts and rolling restarts of boxes

(b) After the cut healed at 38.9 s each side claimed the other's endpoints, since their boxes had been believed dead, and each then kept away for its lease: 70 and 96 refusals a second for owners that had not settled. (c) A box that had started again was called gone at 26.1 s for a refusal that gRPC remembered of its life before. (d) Deaths spread by hearsay made a data centre change leaders that it had seen all the time. Change: only a data centre whose boxes are all dead, none leaving, is out of touch; it is led from elsewhere after 20 s; a refusal within a second of a new life makes suspect; a sign of life at first hand goes before hearsay, and a member whose data centre saw it all the time stays as old as it is. Ruled out: a shorter lease (the users' bound). Tests: one for each in member and edge; red without the change.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -113,6 +113,7 @@
 	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
 	c := wire.NewShareClient(p.dialer.Conn(s.address))
 	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update) {
+		p.table.Seen(s.name, time.Now())
 		if u.GetReading() {
 			p.hear(s.name, time.Now().Add(-time.Duration(u.GetAgeMicros())*time.Microsecond))
 		}
--- a/edge/node.go
+++ b/edge/node.go
@@ -86,7 +86,7 @@
 		Placer:     placer{node: n},
 		Observer:   n.usage,
 		Boxes:      n.peers.boxes,
-		Reached:    n.peers.centres,
+		Cut:        n.peers.cut,
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.Log,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -34,6 +35,11 @@
 	lookPause  = 100 * time.Millisecond  // between two looks at who leads
 	usePause   = 500 * time.Millisecond  // between two reports of use
 
+	// takeoverAfter is how long a data centre's boxes must all be dead before a box
+	// elsewhere leads it: boxes start again in a few seconds, and what is cut off for
+	// longer than a link takes to be mended is rare.
+	takeoverAfter = 20 * time.Second
+
 	// leaderPart: a leader works for the whole data centre, so a box that may use less
 	// than this part of the strongest one's processor does not lead.
 	leaderPart = 2
@@ -63,11 +69,15 @@
 }
 
 // leader returns the box that leads a data centre: the oldest of the strong ones that
-// serve there, or, where none does, of all.
+// serve there, or, where all have left or none was ever known, of all. Where they only
+// fell silent the data centre is more often cut off than without boxes, so others wait.
 func (p *peers) leader(centre string) (member.Member, bool) {
 	serving := p.table.Serving(roleBox)
 	list := slices.DeleteFunc(slices.Clone(serving), func(m member.Member) bool { return m.DataCentre() != centre })
 	if len(list) == 0 {
+		if since, silent := p.silent()[centre]; silent && time.Since(since) < takeoverAfter {
+			return member.Member{}, false
+		}
 		list = serving
 	}
 	most := 0
@@ -134,6 +144,29 @@
 	return c
 }
 
+// silent returns the data centres whose boxes are all believed dead, and since when.
+func (p *peers) silent() map[string]time.Time {
+	since := make(map[string]time.Time)
+	works := make(map[string]bool)
+	for _, m := range p.table.All() {
+		c := m.DataCentre()
+		if m.State() != member.Dead {
+			works[c] = true
+		}
+		if m.Since().After(since[c]) {
+			since[c] = m.Since()
+		}
+	}
+	maps.DeleteFunc(since, func(c string, _ time.Time) bool { return works[c] })
+	return since
+}
+
+// cut tells whether a data centre is out of touch, as far as is known here.
+func (p *peers) cut(centre string) bool {
+	_, silent := p.silent()[centre]
+	return silent
+}
+
 // boxes returns how many boxes serve.
 func (p *peers) boxes() int { return max(1, len(p.table.Serving(roleBox))) }
 
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -81,3 +81,37 @@
 	_, ok = p.heardAgo(now.Add(300 * time.Millisecond))
 	c.Assert(ok, quicktest.IsFalse)
 }
+
+// A data centre whose boxes all left for a moment, one after the other, was taken for
+// cut off, and the endpoints there got nothing until one was back.
+func TestADataCentreWhoseBoxesLeaveIsNotCutOff(t *testing.T) {
+	c := quicktest.New(t)
+	far := box("f", "far", 1, 400)
+	p := peersOf(box("a", "dc", 2, 400), far)
+	left := member.New("f", "f:1", roleBox, "far", 1).WithCapacity(400)
+	table := member.NewTable(left, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Wide: true})
+	table.Leave()
+	p.table.Merge([]member.Member{table.Self()}, time.Now())
+	c.Assert(p.cut("far"), quicktest.IsFalse)
+	m, ok := p.leader("far")
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(m.Name(), quicktest.Equals, "a")
+}
+
+// Both sides of a cut claimed the other's endpoints as soon as it healed, and nobody
+// loaded adapters there until their leases had passed.
+func TestADataCentreThatFellSilentIsNotLedFromElsewhereAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 2, 400), box("f", "far", 1, 400))
+	p.table.Gone("f", time.Now())
+	c.Assert(p.cut("far"), quicktest.IsTrue)
+	_, ok := p.leader("far")
+	c.Assert(ok, quicktest.IsFalse)
+	_, ok = p.leader("unheard-of")
+	c.Assert(ok, quicktest.IsTrue)
+	p = peersOf(box("a", "dc", 2, 400), box("f", "far", 1, 400))
+	p.table.Gone("f", time.Now().Add(-takeoverAfter))
+	m, ok := p.leader("far")
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(m.Name(), quicktest.Equals, "a")
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -59,6 +59,7 @@
 
 // Use implements the Share service.
 func (s shareServer) Use(_ context.Context, q *wire.UseRequest) (*wire.UseReply, error) {
+	s.node.peers.table.Seen(q.GetBox(), time.Now())
 	s.node.use(q)
 	return &wire.UseReply{}, nil
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -21,10 +21,10 @@
 	Protocol   Protocol
 	Placer     Placer
 	Observer   Observer
-	Boxes      func() int             // boxes that share the budget of retries
-	Reached    func() map[string]bool // data centres with a box that this one is in touch with
-	Budget     func() BudgetLimits    // by the settings in force
-	MostHeld   int                    // requests held at a time; more are refused
+	Boxes      func() int                   // boxes that share the budget of retries
+	Cut        func(dataCentre string) bool // whether a data centre is out of touch
+	Budget     func() BudgetLimits          // by the settings in force
+	MostHeld   int                          // requests held at a time; more are refused
 	Log        logr.Logger
 	Pressed    func() bool // whether the log is behind: successes are not logged then
 	Stats      *Stats
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -91,11 +91,14 @@
 // reachable returns those in data centres that this box is in touch with: it may be
 // cut off from the others while they serve. Where that leaves none it returns all.
 func (g *Gateway) reachable(list []*topology.Endpoint, now time.Time) []*topology.Endpoint {
-	reached := g.Reached()
+	away := make(map[string]bool)
 	var some []*topology.Endpoint
 	for _, e := range list {
 		c := e.DataCentre()
-		if c == g.DataCentre || (reached[c] && !g.away.is(c, now)) {
+		if _, known := away[c]; !known {
+			away[c] = c != g.DataCentre && (g.Cut(c) || g.away.is(c, now))
+		}
+		if !away[c] {
 			some = append(some, e)
 		}
 	}
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -33,7 +33,7 @@
 
 func TestAnEndpointInADataCentreOutOfReachIsNotUsed(t *testing.T) {
 	s := newSite(t, once(time.Second))
-	s.gateway.Reached = func() map[string]bool { return map[string]bool{"dc": true} }
+	s.gateway.Cut = func(c string) bool { return c == "cut" }
 	near := topology.NewEndpoint(topology.EndpointSpec{ID: "near", Service: "app", DataCentre: "dc", Slots: 1})
 	far := topology.NewEndpoint(topology.EndpointSpec{ID: "far", Service: "app", DataCentre: "cut", Slots: 1})
 	got := s.gateway.usable([]*topology.Endpoint{far, near}, nil, time.Now())
--- a/member/table.go
+++ b/member/table.go
@@ -29,7 +29,8 @@
 	news    map[string]int // how often each name is still to be told
 	version uint64         // grows with each change of the view
 	heard   time.Time      // when a neighbour was last exchanged with
-	notify  chan struct{}  // closed at each change
+	signs   signs
+	notify  chan struct{} // closed at each change
 }
 
 // NewTable returns the view of self alone.
@@ -38,6 +39,7 @@
 		limits: l,
 		self:   self,
 		others: make(map[string]Member),
+		signs:  signs{seen: make(map[string]time.Time), risen: make(map[string]time.Time)},
 		news:   map[string]int{self.name: 1},
 		notify: make(chan struct{}),
 	}
@@ -120,21 +122,28 @@
 	if known && !m.newer(old) {
 		return
 	}
+	if known && m.incarnation == old.incarnation && m.state != Leaving && t.seenLocked(m.name, now) {
+		return // hearsay against a sign of life from the member itself, which will refute it
+	}
 	if !known && m.state == Dead {
 		return // nothing to correct, and it would be told for ever
 	}
+	if known && m.incarnation > old.incarnation {
+		t.signs.risen[m.name] = now
+	}
 	t.setLocked(m, now)
 }
 
 // refuteLocked raises the own incarnation above a claim that differs. A member that
 // was believed dead begins a new life by the clock: the others have gone on without
-// it, and it must not count as the oldest again.
+// it, and it must not count as the oldest again. Where others of its data centre saw it
+// all the time, only the way from elsewhere was cut, and it stays as old as it is.
 func (t *Table) refuteLocked(claim Member, now time.Time) {
 	if !claim.newer(t.self) {
 		return
 	}
 	t.self.incarnation = claim.incarnation + 1
-	if claim.state == Dead {
+	if claim.state == Dead && !t.amongLocked(now) {
 		t.self.incarnation = max(t.self.incarnation, uint64(max(now.UnixMicro(), 0)))
 	}
 	t.changedLocked(t.self.name)
@@ -165,6 +174,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.heard = now
+	t.signs.seen[name] = now
 	if m, ok := t.others[name]; ok && m.state == Suspect {
 		t.news[name] = t.tellLocked() // its refutation will come with its own news
 	}
@@ -183,7 +193,8 @@
 }
 
 // Gone notes that a member's address refuses connections at now: no process
-// listens there, so it is dead at once.
+// listens there, so it is dead at once. Of one that has just come up it may be a
+// refusal of its life before, so it only becomes suspect.
 func (t *Table) Gone(name string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -191,7 +202,14 @@
 	if !ok || m.state == Dead {
 		return
 	}
-	m.state = Dead
+	state := Dead
+	if risen, again := t.signs.risen[name]; again && now.Sub(risen) < refusedLate {
+		state = Suspect
+	}
+	if m.state == state {
+		return
+	}
+	m.state = state
 	t.setLocked(m, now)
 }
 
@@ -199,6 +217,7 @@
 func (t *Table) Tick(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.signs.ticked = now
 	for n, m := range t.others {
 		if m.state == Suspect && now.Sub(m.since) > t.limits.SuspectFor {
 			m.state = Dead
@@ -208,6 +227,7 @@
 		gone := m.state == Dead || m.state == Leaving
 		if gone && now.Sub(m.since) > t.limits.ForgetDead {
 			delete(t.others, n)
+			t.signs.forget(n)
 			delete(t.news, n)
 			t.version++
 		}
@@ -228,7 +248,8 @@
 func (t *Table) Woke(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.heard = time.Time{}
+	t.heard, t.signs.woke = time.Time{}, now
+	clear(t.signs.seen)
 	for n, m := range t.others {
 		if m.state == Suspect {
 			m.since = now
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -119,3 +119,51 @@
 	old.Merge([]Member{claim}, now)
 	c.Assert(old.Self().Incarnation() > young, quicktest.IsTrue)
 }
+
+// After a cut between data centres every box had been believed dead elsewhere, and the
+// lead of a data centre that nobody had left changed hands.
+func TestAMemberThatItsDataCentreSawAllTheTimeStaysAsOldAsItIs(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	old := uint64(now.Add(-time.Minute).UnixMicro())
+	v := NewTable(box("a", old), limits)
+	v.Merge([]Member{box("b", old+1)}, now)
+	claim := box("a", old)
+	claim.state = Dead
+	v.Tick(now)
+	v.Exchanged("b", now)
+	v.Merge([]Member{claim}, now)
+	c.Assert(v.Self().Incarnation(), quicktest.Equals, old+1)
+
+	v.Woke(now) // it stood still, and what it saw before proves nothing
+	claim.incarnation = old + 1
+	v.Exchanged("b", now)
+	v.Merge([]Member{claim}, now)
+	c.Assert(v.Self().Incarnation() > old+2, quicktest.IsTrue)
+}
+
+func TestHearsayOfADeathDoesNotCountAgainstASignOfLife(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("a", "b", "c")
+	v.Exchanged("b", start)
+	v.Seen("c", start.Add(-2*limits.SuspectFor))
+	for _, n := range []string{"b", "c"} {
+		claim := box(n, 1)
+		claim.state = Dead
+		v.Merge([]Member{claim}, start)
+	}
+	c.Assert(stateOf(v, "b"), quicktest.Equals, Alive)
+	c.Assert(stateOf(v, "c"), quicktest.Equals, Dead)
+}
+
+// A box that had started again was called dead for a refusal that its life before had
+// earned, which the connection remembered.
+func TestARememberedRefusalDoesNotEndTheNextLife(t *testing.T) {
+	c := quicktest.New(t)
+	v := tableOf("a", "b")
+	v.Merge([]Member{box("b", 2)}, start)
+	v.Gone("b", start.Add(refusedLate/2))
+	c.Assert(stateOf(v, "b"), quicktest.Equals, Suspect)
+	v.Gone("b", start.Add(refusedLate*2))
+	c.Assert(stateOf(v, "b"), quicktest.Equals, Dead)
+}
