Ask the home in another data centre while an endpoint's owner settles

Cause: while a data centre changed leaders every request whose adapter had its home there was refused ('the endpoint's owner has not settled', 'no leader answers': up to 70 a second), though the other data centres could load it. Change: the gateway asks the homes of the data centres in turn; only when none is settled is a caller refused, with the time when the owner will be, or waits if it came back. A request that is already late waits too, since coming back would not make it in time. Ruled out: waiting for the old owner in the first place (a lease long). Tests: TestAnAdapterWhoseHomeHasNoOwnerIsLoadedInAnotherDataCentre, TestWhileNobodyDecidesOnlyCallersThatCameBackWait.

--- a/edge/node.go
+++ b/edge/node.go
@@ -168,25 +168,8 @@
 // placer asks the leader of the endpoint's data centre.
 type placer struct{ node *Node }
 
-// Want implements forward.Placer. While the leader changes, a caller that may come back
-// is refused at once; one that has come back waits, and the leader of the moment is
-// asked.
+// Want implements forward.Placer.
 func (p placer) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
-	until := time.Now().Add(w.Most)
-	for {
-		placed, err := p.ask(ctx, w)
-		if err != nil || !placed.Settling || !w.Returned || time.Now().After(until) {
-			return placed, err
-		}
-		sleep(ctx, lookPause)
-		if ctx.Err() != nil {
-			return placed, nil
-		}
-		w.Most = time.Until(until)
-	}
-}
-
-func (p placer) ask(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
 	m, ok := p.node.peers.leader(w.Endpoint.DataCentre())
 	if !ok || m.Name() == p.node.peers.box {
 		return p.node.loader.Want(ctx, w)
--- /dev/null
+++ b/forward/home.go
@@ -0,0 +1,158 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/topology"
+)
+
+// settlePause is between two looks whether somebody decides for an endpoint again.
+const settlePause = 100 * time.Millisecond
+
+// placeAdapter prefers an endpoint that holds the adapter and else has it loaded. While
+// nobody decides for any endpoint, a caller that may come back is refused at once; one
+// that has come back waits.
+func (g *Gateway) placeAdapter(ctx context.Context, q *request, list []*topology.Endpoint) (target, *Refusal) {
+	a := q.call.Adapter
+	now := time.Now()
+	if e := g.least(among(g.View.Holders(a), list), now); e != nil {
+		return target{endpoint: e, version: g.View.Newest(a)}, nil
+	}
+	until := now.Add(q.left(now) / 2)
+	for {
+		t, f, settling := g.askHomes(ctx, q, list)
+		if !settling || !q.mayWait() || ctx.Err() != nil || !time.Now().Before(until) {
+			return t, f
+		}
+		sleep(ctx, settlePause)
+	}
+}
+
+// askHomes asks for the adapter at its home. Where nobody decides for that endpoint just
+// now it asks at the home that the adapter has in the other data centres; settling says
+// that this is so for all of them.
+func (g *Gateway) askHomes(ctx context.Context, q *request, list []*topology.Endpoint) (t target, f *Refusal, settling bool) {
+	for len(list) > 0 {
+		e := g.homeOf(q.call.Adapter, list)
+		p, err := g.Placer.Want(ctx, g.wanted(q, e))
+		q.waited = time.Since(q.received)
+		switch {
+		case err != nil:
+			g.away.note(e.DataCentre(), time.Now())
+			g.Log.Info("Nobody answers for the endpoint that should load the adapter", "request", q.call.ID,
+				"endpoint", e.ID(), "endpoint_data_centre", e.DataCentre(), "adapter", q.call.Adapter.String(), "err", err.Error())
+			f = sooner(f, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "no leader answers"})
+		case p.Settling:
+			f = sooner(f, &Refusal{Code: CodeNotLoaded, Retry: p.Retry, Detail: p.Reason})
+		default:
+			t, f = g.placed(ctx, q, e, p)
+			return t, f, false
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		list = outside(list, e.DataCentre())
+	}
+	return target{}, f, true
+}
+
+// sooner returns the refusal whose caller may come back first; a may be nil.
+func sooner(a, b *Refusal) *Refusal {
+	if a != nil && a.Retry <= b.Retry {
+		return a
+	}
+	return b
+}
+
+// outside returns those of other data centres.
+func outside(list []*topology.Endpoint, centre string) []*topology.Endpoint {
+	var some []*topology.Endpoint
+	for _, e := range list {
+		if e.DataCentre() != centre {
+			some = append(some, e)
+		}
+	}
+	return some
+}
+
+// homeOf returns where an adapter is being loaded, or else its home.
+func (g *Gateway) homeOf(a topology.Adapter, list []*topology.Endpoint) *topology.Endpoint {
+	if e := g.least(among(g.View.Loading(a), list), time.Now()); e != nil {
+		return e
+	}
+	return Home(a, list)
+}
+
+// placed goes by the answer of who decides for an endpoint. One that begins to leave
+// while the request waits for a load there gets it no more; the next home does.
+func (g *Gateway) placed(ctx context.Context, q *request, e *topology.Endpoint, p Placed) (target, *Refusal) {
+	if !g.stays(e.ID()) {
+		return g.placeElsewhere(ctx, q, e)
+	}
+	if !p.Ready {
+		return target{}, &Refusal{Code: CodeNotLoaded, Retry: p.Retry, Detail: p.Reason}
+	}
+	return target{endpoint: g.View.Endpoint(e.ID()), version: max(p.Version, g.View.Newest(q.call.Adapter))}, nil
+}
+
+// stays tells whether an endpoint is there and does not leave.
+func (g *Gateway) stays(id string) bool {
+	e := g.View.Endpoint(id)
+	return e != nil && !e.Draining()
+}
+
+// placeElsewhere places a request anew whose endpoint began to leave.
+func (g *Gateway) placeElsewhere(ctx context.Context, q *request, left *topology.Endpoint) (target, *Refusal) {
+	g.Log.Info("Endpoint began to leave while a request waited for a load there", "request", q.call.ID, "endpoint", left.ID())
+	q.tried[left.ID()] = true
+	if ctx.Err() != nil {
+		return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "the endpoint left"}
+	}
+	return g.place(ctx, q)
+}
+
+func (g *Gateway) wanted(q *request, e *topology.Endpoint) Wanted {
+	return Wanted{
+		Request:  q.call.ID,
+		Endpoint: e,
+		Adapter:  q.call.Adapter,
+		Version:  g.View.Newest(q.call.Adapter),
+		Wait:     q.route.Target() - time.Since(q.received) - firstByte,
+		Most:     q.left(time.Now()) / 2,
+		Priority: q.route.Priority(),
+		Worth:    float64(q.call.TokensIn + outputWeight*q.call.TokensOut),
+		Returned: q.mayWait(),
+		Denied:   q.denied == e.ID(),
+	}
+}
+
+// outputWeight is how many tokens of a prompt cost as much as one that is
+// generated.
+const outputWeight = 10
+
+// among returns those of list that are in allowed too.
+func among(list, allowed []*topology.Endpoint) []*topology.Endpoint {
+	in := make(map[string]bool, len(allowed))
+	for _, e := range allowed {
+		in[e.ID()] = true
+	}
+	var some []*topology.Endpoint
+	for _, e := range list {
+		if in[e.ID()] {
+			some = append(some, e)
+		}
+	}
+	return some
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/forward/home_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// settlingPlacer decides for the endpoints of one data centre only.
+type settlingPlacer struct {
+	settled string
+	after   time.Time // nobody decides for any endpoint before
+}
+
+// Want implements Placer.
+func (p settlingPlacer) Want(_ context.Context, w Wanted) (Placed, error) {
+	if w.Endpoint.DataCentre() != p.settled || time.Now().Before(p.after) {
+		return Placed{Settling: true, Retry: time.Second, Reason: "changing"}, nil
+	}
+	return Placed{Ready: true, Endpoint: w.Endpoint.ID()}, nil
+}
+
+// askTwoCentres asks for adapters that nobody holds, at a site with an endpoint in each of
+// two data centres, and returns the statuses; left is what each caller has left of 2 s.
+func askTwoCentres(t *testing.T, p Placer, left string, adapters ...string) (*site, []int) {
+	s := newSite(t, once(2*time.Second))
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app", Engine: &topology.EngineSpec{AdapterSlots: 2}})}
+	r := once(2 * time.Second)
+	r.Host, r.Shares, r.Target = "site.example", []topology.Share{{Service: "app", Weight: 1}}, time.Second
+	s.gateway.View.SetConfig(topology.NewConfig(2, []*topology.Route{topology.NewRoute(r)}, services, topology.Limits{BodyBytes: 1 << 10}))
+	for _, centre := range []string{"dc", "far"} {
+		s.endpoint(t, answerOK)
+		id := fmt.Sprintf("e%d", s.count)
+		s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+			ID: id, Service: "app", Address: s.gateway.View.Endpoint(id).Address(), DataCentre: centre, Slots: 4, Models: []string{"m"},
+		}))
+	}
+	s.gateway.Placer = p
+	var statuses []int
+	for _, a := range adapters {
+		q, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
+		s.c.Assert(err, quicktest.IsNil)
+		q.Host = "site.example"
+		q.Header.Set("Id", "call-1")
+		q.Header.Set("Adapter", "m/"+a)
+		q.Header.Set("Within", left)
+		answer, err := http.DefaultClient.Do(q)
+		s.c.Assert(err, quicktest.IsNil)
+		answer.Body.Close()
+		statuses = append(statuses, answer.StatusCode)
+	}
+	return s, statuses
+}
+
+// While the lead of a data centre changed, every request whose adapter had its home there
+// was refused, though the other data centres could have loaded it.
+func TestAnAdapterWhoseHomeHasNoOwnerIsLoadedInAnotherDataCentre(t *testing.T) {
+	for _, settled := range []string{"dc", "far"} {
+		s, statuses := askTwoCentres(t, settlingPlacer{settled: settled}, "2s", "a", "b", "c", "d", "e", "f")
+		for _, status := range statuses {
+			s.c.Assert(status, quicktest.Equals, http.StatusOK)
+		}
+	}
+}
+
+func TestWhileNobodyDecidesOnlyCallersThatCameBackWait(t *testing.T) {
+	s, statuses := askTwoCentres(t, settlingPlacer{}, "2s", "a")
+	s.c.Assert(statuses[0], quicktest.Equals, http.StatusServiceUnavailable)
+	s, statuses = askTwoCentres(t, settlingPlacer{settled: "far", after: time.Now().Add(400 * time.Millisecond)}, "1500ms", "a")
+	s.c.Assert(statuses[0], quicktest.Equals, http.StatusOK)
+}
--- a/forward/request.go
+++ b/forward/request.go
@@ -46,6 +46,12 @@
 	return q.call.Deadline > 0 && q.call.Deadline+usedBefore < q.route.Timeout()
 }
 
+// mayWait tells whether a late answer is the best that the caller can still get: it came
+// back already, or its answer would be late even if it came back at once.
+func (q *request) mayWait() bool {
+	return q.returned() || time.Since(q.received) > q.route.Target()
+}
+
 // admit reads a request and finds its route.
 func (g *Gateway) admit(w http.ResponseWriter, q *request) *Refusal {
 	q.config = g.View.Config()
--- a/placement/want.go
+++ b/placement/want.go
@@ -85,7 +85,7 @@
 	defer l.mu.Unlock()
 	o := l.owned[w.Endpoint.ID()]
 	if o == nil || o.phase != owning {
-		return forward.Placed{Settling: true, Retry: claimTime, Reason: "the endpoint's owner has not settled"}, nil
+		return forward.Placed{Settling: true, Retry: l.settledInLocked(w.Endpoint, o, now), Reason: "the endpoint's owner has not settled"}, nil
 	}
 	if o.endpoint.Draining() {
 		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil
@@ -101,6 +101,26 @@
 	return l.enqueueLocked(o, w, now, limit)
 }
 
+// settledInLocked is when this box will give an endpoint orders, as far as it is known.
+func (l *Loader) settledInLocked(e *topology.Endpoint, o *owned, now time.Time) time.Duration {
+	claims := now
+	switch {
+	case o == nil:
+		if mine, from := l.Owns(e); mine {
+			claims = from
+		}
+	case o.phase == yielded:
+		claims = o.since.Add(l.Lease() * 5 / 4)
+	default:
+		claims = o.since
+	}
+	left := claims.Add(claimTime).Sub(now)
+	if left <= 0 { // it takes longer than usual
+		left = claimTime
+	}
+	return left + promiseLate
+}
+
 // await lets a request wait when that will be over by limit, and else says when to
 // come back.
 func (l *Loader) await(left time.Duration, done <-chan struct{}, now, limit time.Time, reason string) (forward.Placed, <-chan struct{}) {
