Reckon leadership once a change of members, and scores once a look at the queue

Each request that asked in vain reckoned the score of every wanted load, each wake-up sorted them by scores reckoned anew in each comparison, and looked up the leader of each endpoint in a sorted list of members. Ruled out: the store (other boxes loaded at 16 at once in the same seconds), slow endpoints (all six of the box were late together). Change: scores are reckoned once a look, the wait by a search in the last look's queue; what is owned is looked at each 100 ms; who leads follows once from each version of the members; a step is followed by a pause ten times as long as it took; adapters in an endpoint's memory are a set.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -3,12 +3,9 @@
 package edge
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
-	"cairnwick.example/member"
 	"cairnwick.example/share"
 	"cairnwick.example/wire"
 )
@@ -57,51 +54,19 @@
 	everything bool // else only what this box does not read by itself
 }
 
-// followersMost is how many boxes of its data centre one box tells everything: the
-// others follow those, so that what a box sends does not grow with the data centre.
-const followersMost = 6
-
-// chain returns the boxes of the own data centre in the order in which they follow each
-// other, the leader first and strong ones before weak ones.
-func (p *peers) chain(leader member.Member) []member.Member {
-	list := slices.DeleteFunc(p.table.Serving(roleBox), func(m member.Member) bool {
-		return m.DataCentre() != p.centre || m.Name() == leader.Name()
-	})
-	slices.SortStableFunc(list, func(a, b member.Member) int { return cmp.Compare(b.Capacity(), a.Capacity()) })
-	return append([]member.Member{leader}, list...)
-}
-
-// parent returns the box that this one learns from and how many steps the leader is
-// away; false where this box leads. A box that is not in its own view follows the leader.
-func (p *peers) parent() (m member.Member, steps int, ok bool) {
-	leader, ok := p.leader(p.centre)
-	if !ok || leader.Name() == p.box {
-		return member.Member{}, 0, false
-	}
-	chain := p.chain(leader)
-	i := slices.IndexFunc(chain, func(m member.Member) bool { return m.Name() == p.box })
-	if i < 0 {
-		return leader, 1, true
-	}
-	up := (i - 1) / followersMost
-	for n := i; n > 0; n = (n - 1) / followersMost {
-		steps++
-	}
-	return chain[up], steps, true
-}
-
 // sources returns the boxes to follow now: those of the own data centre follow the
 // leader, some by way of others; leaders follow each other. Bytes between data centres
 // are dear, so a leader that reads the source of the configuration takes from the others
 // only what they alone know.
 func (p *peers) sources() map[source]bool {
 	list := make(map[source]bool)
-	if m, _, ok := p.parent(); ok {
+	if m, _, ok := p.outlook().parent(); ok {
 		list[source{name: m.Name(), address: m.Address(), everything: true}] = true
 		return list
 	}
-	for c := range p.centres() {
-		if m, ok := p.leader(c); ok && m.Name() != p.box {
+	o := p.outlook()
+	for _, c := range o.centres {
+		if m, ok := o.leader(c); ok && m.Name() != p.box {
 			list[source{name: m.Name(), address: m.Address(), everything: !p.reads()}] = true
 		}
 	}
@@ -139,7 +104,7 @@
 // heardAgo tells how long ago the source was heard by the leader, as far as the box that
 // is followed tells; false where that is too long ago, or where this box leads.
 func (p *peers) heardAgo(now time.Time) (time.Duration, bool) {
-	m, steps, ok := p.parent()
+	m, steps, ok := p.outlook().parent()
 	if !ok {
 		return 0, false
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -72,7 +72,7 @@
 		Log:     n.Log,
 		Fences:  fences,
 		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
-		Leaders: func() int { return len(n.peers.centres()) },
+		Leaders: func() int { return len(n.peers.outlook().centres) },
 		Owns:    n.owns,
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
 			n.state.publish(s.DataCentre, endpoint, version, held)
@@ -85,8 +85,8 @@
 		Protocol:   n.Protocol,
 		Placer:     placer{node: n},
 		Observer:   n.usage,
-		Boxes:      n.peers.boxes,
-		Cut:        n.peers.cut,
+		Boxes:      func() int { return n.peers.outlook().boxes },
+		Cut:        func(centre string) bool { return n.peers.outlook().silent[centre] },
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.Log,
@@ -170,7 +170,7 @@
 
 // Want implements forward.Placer.
 func (p placer) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
-	m, ok := p.node.peers.leader(w.Endpoint.DataCentre())
+	m, ok := p.node.peers.outlook().leader(w.Endpoint.DataCentre())
 	if !ok || m.Name() == p.node.peers.box {
 		return p.node.loader.Want(ctx, w)
 	}
--- /dev/null
+++ b/edge/outlook.go
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"cairnwick.example/member"
+)
+
+const (
+	// takeoverAfter is how long a data centre's boxes must all be dead before a box
+	// elsewhere leads it: boxes start again in a few seconds, and what is cut off for
+	// longer than a link takes to be mended is rare.
+	takeoverAfter = 20 * time.Second
+
+	// leaderPart: a leader works for the whole data centre, so a box that may use less
+	// than this part of the strongest one's processor does not lead.
+	leaderPart = 2
+
+	// followersMost is how many boxes of its data centre one box tells everything: the
+	// others follow those, so that what a box sends does not grow with the data centre.
+	followersMost = 6
+
+	// outlookFor is how long an outlook holds while no member changes: only takeovers
+	// depend on the time.
+	outlookFor = time.Second
+)
+
+// outlook is what follows from one version of the view of members. It never changes.
+type outlook struct {
+	version uint64
+	until   time.Time
+	boxes   int                      // that serve; at least one
+	centres []string                 // that have a serving box, sorted
+	silent  map[string]bool          // data centres whose boxes are all believed dead
+	leaders map[string]member.Member // of the data centres that have a known box
+	other   member.Member            // leads data centres of which no box is known
+	found   bool                     // other was found
+	above   member.Member            // the box that this one follows
+	steps   int                      // from this box to the leader of its data centre; zero: it leads
+}
+
+// outlooks keeps the outlook of the present view.
+type outlooks struct {
+	mu     sync.Mutex
+	latest *outlook
+}
+
+// outlook returns what follows from the members as they are seen now.
+func (p *peers) outlook() *outlook {
+	now := time.Now()
+	version := p.table.Version()
+	p.outlooks.mu.Lock()
+	defer p.outlooks.mu.Unlock()
+	if o := p.outlooks.latest; o != nil && o.version == version && now.Before(o.until) {
+		return o
+	}
+	o := newOutlook(p.box, p.centre, p.table.All(), now)
+	o.version, o.until = version, now.Add(outlookFor)
+	p.outlooks.latest = o
+	return o
+}
+
+func newOutlook(box, centre string, all []member.Member, now time.Time) *outlook {
+	o := &outlook{silent: make(map[string]bool), leaders: make(map[string]member.Member)}
+	var serving []member.Member
+	byCentre := make(map[string][]member.Member)
+	for _, m := range all {
+		if m.Role() != roleBox {
+			continue
+		}
+		byCentre[m.DataCentre()] = append(byCentre[m.DataCentre()], m)
+		if m.Serving() {
+			serving = append(serving, m)
+		}
+	}
+	o.boxes = max(1, len(serving))
+	o.other, o.found = oldestStrong(serving)
+	for c, list := range byCentre {
+		o.addCentre(c, list, now)
+	}
+	slices.Sort(o.centres)
+	o.follow(box, centre, serving)
+	return o
+}
+
+// addCentre finds the leader of a data centre: the oldest of the strong boxes that serve
+// there, or, where all have left, of all boxes. Where they only fell silent the data
+// centre is more often cut off than without boxes, so others wait before they lead it.
+func (o *outlook) addCentre(centre string, list []member.Member, now time.Time) {
+	var since time.Time
+	silent := true
+	var serving []member.Member
+	for _, m := range list {
+		silent = silent && m.State() == member.Dead
+		if m.Serving() {
+			serving = append(serving, m)
+		}
+		if m.Since().After(since) {
+			since = m.Since()
+		}
+	}
+	if silent {
+		o.silent[centre] = true
+	}
+	if leader, ok := oldestStrong(serving); ok {
+		o.centres = append(o.centres, centre)
+		o.leaders[centre] = leader
+		return
+	}
+	if o.found && (!silent || now.Sub(since) >= takeoverAfter) {
+		o.leaders[centre] = o.other
+		return
+	}
+	o.leaders[centre] = member.Member{} // nobody
+}
+
+// oldestStrong returns the oldest of the boxes that have a good part of the strongest
+// one's processor.
+func oldestStrong(list []member.Member) (best member.Member, ok bool) {
+	most := 0
+	for _, m := range list {
+		most = max(most, m.Capacity())
+	}
+	for _, m := range list {
+		if leaderPart*m.Capacity() >= most && (!ok || older(m, best)) {
+			best, ok = m, true
+		}
+	}
+	return best, ok
+}
+
+func older(a, b member.Member) bool {
+	if a.Incarnation() != b.Incarnation() {
+		return a.Incarnation() < b.Incarnation()
+	}
+	return a.Name() < b.Name()
+}
+
+// follow finds the box that this one follows. The boxes of a data centre follow each
+// other in steps: the leader first, strong ones before weak ones. A box that is not in
+// its own view follows the leader.
+func (o *outlook) follow(box, centre string, serving []member.Member) {
+	leader, ok := o.leader(centre)
+	if !ok || leader.Name() == box {
+		return
+	}
+	chain := slices.DeleteFunc(slices.Clone(serving), func(m member.Member) bool {
+		return m.DataCentre() != centre || m.Name() == leader.Name()
+	})
+	slices.SortStableFunc(chain, func(a, b member.Member) int { return cmp.Compare(b.Capacity(), a.Capacity()) })
+	chain = slices.Insert(chain, 0, leader)
+	i := slices.IndexFunc(chain, func(m member.Member) bool { return m.Name() == box })
+	if i < 0 {
+		o.above, o.steps = leader, 1
+		return
+	}
+	o.above = chain[(i-1)/followersMost]
+	for ; i > 0; i = (i - 1) / followersMost {
+		o.steps++
+	}
+}
+
+// leader returns the box that leads a data centre; false for none.
+func (o *outlook) leader(centre string) (member.Member, bool) {
+	if m, known := o.leaders[centre]; known {
+		return m, m.Name() != ""
+	}
+	return o.other, o.found
+}
+
+// parent returns the box that this one follows and how many steps the leader is away;
+// false where this box leads.
+func (o *outlook) parent() (m member.Member, steps int, ok bool) {
+	return o.above, o.steps, o.steps > 0
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -4,9 +4,7 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -34,15 +32,6 @@
 	askSlack   = 300 * time.Millisecond  // on top of what a request can wait
 	lookPause  = 100 * time.Millisecond  // between two looks at who leads
 	usePause   = 500 * time.Millisecond  // between two reports of use
-
-	// takeoverAfter is how long a data centre's boxes must all be dead before a box
-	// elsewhere leads it: boxes start again in a few seconds, and what is cut off for
-	// longer than a link takes to be mended is rare.
-	takeoverAfter = 20 * time.Second
-
-	// leaderPart: a leader works for the whole data centre, so a box that may use less
-	// than this part of the strongest one's processor does not lead.
-	leaderPart = 2
 )
 
 // peers is this box among the others.
@@ -57,6 +46,8 @@
 	started time.Time
 	reads   func() bool // whether this box hears the source of the configuration
 
+	outlooks outlooks
+
 	mu      sync.Mutex
 	leaders map[string]leadership // by data centre
 	heard   map[string]time.Time  // by box that is followed: when the source was last heard, by its word
@@ -68,44 +59,11 @@
 	from time.Time // when it may give orders
 }
 
-// leader returns the box that leads a data centre: the oldest of the strong ones that
-// serve there, or, where all have left or none was ever known, of all. Where they only
-// fell silent the data centre is more often cut off than without boxes, so others wait.
-func (p *peers) leader(centre string) (member.Member, bool) {
-	serving := p.table.Serving(roleBox)
-	list := slices.DeleteFunc(slices.Clone(serving), func(m member.Member) bool { return m.DataCentre() != centre })
-	if len(list) == 0 {
-		if since, silent := p.silent()[centre]; silent && time.Since(since) < takeoverAfter {
-			return member.Member{}, false
-		}
-		list = serving
-	}
-	most := 0
-	for _, m := range list {
-		most = max(most, m.Capacity())
-	}
-	var best member.Member
-	found := false
-	for _, m := range list {
-		if leaderPart*m.Capacity() >= most && (!found || older(m, best)) {
-			best, found = m, true
-		}
-	}
-	return best, found
-}
-
-func older(a, b member.Member) bool {
-	if a.Incarnation() != b.Incarnation() {
-		return a.Incarnation() < b.Incarnation()
-	}
-	return a.Name() < b.Name()
-}
-
 // leads tells whether this box leads a data centre, and from when on it may give
 // orders there. A new leader waits for the lease of the one before, unless that
 // one is known to have ended.
 func (p *peers) leads(centre string, lease time.Duration, now time.Time) (bool, time.Time) {
-	m, ok := p.leader(centre)
+	m, ok := p.outlook().leader(centre)
 	if !ok {
 		return false, now
 	}
@@ -135,41 +93,6 @@
 	return ok && m.Serving()
 }
 
-// centres returns the data centres that have a serving box.
-func (p *peers) centres() map[string]bool {
-	c := make(map[string]bool)
-	for _, m := range p.table.Serving(roleBox) {
-		c[m.DataCentre()] = true
-	}
-	return c
-}
-
-// silent returns the data centres whose boxes are all believed dead, and since when.
-func (p *peers) silent() map[string]time.Time {
-	since := make(map[string]time.Time)
-	works := make(map[string]bool)
-	for _, m := range p.table.All() {
-		c := m.DataCentre()
-		if m.State() != member.Dead {
-			works[c] = true
-		}
-		if m.Since().After(since[c]) {
-			since[c] = m.Since()
-		}
-	}
-	maps.DeleteFunc(since, func(c string, _ time.Time) bool { return works[c] })
-	return since
-}
-
-// cut tells whether a data centre is out of touch, as far as is known here.
-func (p *peers) cut(centre string) bool {
-	_, silent := p.silent()[centre]
-	return silent
-}
-
-// boxes returns how many boxes serve.
-func (p *peers) boxes() int { return max(1, len(p.table.Serving(roleBox))) }
-
 // lost lists boxes that are believed dead: a cut that heals is noticed there.
 func (p *peers) lost() []string {
 	var list []string
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -96,7 +96,7 @@
 }
 
 func (u *usage) tellOne(ctx context.Context, centre string, q *wire.UseRequest) {
-	m, ok := u.node.peers.leader(centre)
+	m, ok := u.node.peers.outlook().leader(centre)
 	if !ok {
 		return
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -52,6 +52,13 @@
 	return t.self
 }
 
+// Version returns a number that grows with each change of the view.
+func (t *Table) Version() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.version
+}
+
 // Changed returns a channel that closes at the next change of the view.
 func (t *Table) Changed() <-chan struct{} {
 	t.mu.Lock()
--- a/placement/load.go
+++ b/placement/load.go
@@ -26,17 +26,20 @@
 // pumpLocked begins the queued loads that may begin now, the most wanted first.
 func (l *Loader) pumpLocked(now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
-	for _, key := range l.rankedLocked(now) {
-		w := l.wants[key]
+	for _, r := range l.rankedLocked(now) {
+		key, w := r.key, r.want
 		o := l.owned[key.endpoint]
 		if o == nil || o.phase != owning {
 			continue
 		}
+		cold := !o.isWarm(key.adapter)
+		if cold && !l.pace.free() {
+			continue
+		}
 		victim, ok := l.roomLocked(o, key.adapter, now)
 		if !ok {
 			continue
 		}
-		cold := !o.isWarm(key.adapter)
 		if w.spare(now) && w.far < farEnough {
 			continue
 		}
@@ -55,26 +58,39 @@
 // some ten requests.
 const farEnough = 12
 
+// ranked is a load that is wanted, with its score now.
+type ranked struct {
+	key   wantKey
+	want  *want
+	score float64
+}
+
 // rankedLocked returns the loads that are wanted now, the most wanted first, and
-// forgets those that nobody asked for in a long time.
-func (l *Loader) rankedLocked(now time.Time) []wantKey {
-	var keys []wantKey
+// forgets those that nobody asked for in a long time. Scores fade with time, and
+// thousands of loads may be remembered, so each is reckoned once.
+func (l *Loader) rankedLocked(now time.Time) []ranked {
+	var list []ranked
 	for k, w := range l.wants {
 		if w.worthwhile(now) {
-			keys = append(keys, k)
+			list = append(list, ranked{key: k, want: w, score: w.score(now)})
 		} else if now.Sub(w.last) > debtLife {
 			delete(l.wants, k)
 			w.end()
 		}
 	}
-	slices.SortFunc(keys, func(a, b wantKey) int {
-		v, w := l.wants[a], l.wants[b]
-		if c := cmp.Or(cmp.Compare(w.score(now), v.score(now)), cmp.Compare(w.far, v.far)); c != 0 {
+	slices.SortFunc(list, func(a, b ranked) int {
+		if c := cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(b.want.far, a.want.far)); c != 0 {
 			return c
 		}
-		return v.last.Compare(w.last)
+		return b.want.last.Compare(a.want.last)
 	})
-	return keys
+	l.queue = l.queue[:0]
+	for _, r := range list {
+		if !r.want.spare(now) && !l.owned[r.key.endpoint].isWarm(r.key.adapter) {
+			l.queue = append(l.queue, r.score)
+		}
+	}
+	return list
 }
 
 // roomLocked finds room for one more adapter: a free slot, the adapter's own, or
@@ -190,7 +206,7 @@
 		return
 	}
 	delete(o.slots, a)
-	o.remember(a)
+	o.recent.add(a)
 }
 
 // finish orders the load and repeats the order until the endpoint says that it
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -44,6 +44,8 @@
 	worth   map[int]float64    // by priority, smoothed over the requests that asked
 	cold    time.Duration      // smoothed time of a load from the store
 	warm    time.Duration      // smoothed time of a load from an endpoint's memory
+	looked  time.Time          // when what is owned was last looked at
+	queue   []float64          // scores of the loads from the store that are wanted, falling, as of the last look
 	wake    chan struct{}
 	init    sync.Once
 }
@@ -66,12 +68,12 @@
 	refused  int       // fences refused in a row
 	told     uint64    // publications so far
 	slots    map[topology.Adapter]*slot
-	recent   []topology.Adapter // held lately, the newest last; its memory keeps them
-	orders   int                // loads on their way
-	reclaim  bool               // what it holds must be learnt anew
-	models   map[string]bool    // base models that it holds
-	fetching bool               // a base model is on its way
-	claims   int                // how often this box learnt what it holds; tasks of earlier claims stop
+	recent   recent          // adapters that its memory keeps
+	orders   int             // loads on their way
+	reclaim  bool            // what it holds must be learnt anew
+	models   map[string]bool // base models that it holds
+	fetching bool            // a base model is on its way
+	claims   int             // how often this box learnt what it holds; tasks of earlier claims stop
 }
 
 // slot is one adapter that takes room at an endpoint.
@@ -103,7 +105,9 @@
 
 const (
 	ownPause  = 100 * time.Millisecond // between two looks at what is owned
-	pumpPause = 25 * time.Millisecond  // at least between two looks at the queue while it is not empty
+	pumpPause = 25 * time.Millisecond  // between two looks at the queue while it is not empty
+	stepPause = 5 * time.Millisecond   // at least between two steps: what comes meanwhile is looked at together
+	stepPart  = 10                     // times as long as a step took is the next one's pause: a long queue must not take the whole processor
 )
 
 // Run claims and drops endpoints as the view changes and starts loads, until ctx
@@ -119,6 +123,7 @@
 			ended <- struct{}{}
 		}()
 	}
+	var rested time.Time // when the next step may be
 	next := time.NewTimer(ownPause)
 	defer next.Stop()
 	for ctx.Err() == nil {
@@ -129,10 +134,13 @@
 		case <-l.wake:
 		case <-next.C:
 		}
-		for _, task := range l.step(time.Now()) {
+		sleep(ctx, time.Until(rested))
+		begun := time.Now()
+		for _, task := range l.step(begun) {
 			spawn(task)
 		}
-		next.Reset(l.pause(time.Now()))
+		rested = time.Now().Add(max(stepPause, stepPart*time.Since(begun)))
+		next.Reset(l.pause())
 	}
 	for range running {
 		<-ended
@@ -148,30 +156,25 @@
 	}
 }
 
-func (l *Loader) pause(now time.Time) time.Duration {
+func (l *Loader) pause() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.wantedLocked(now) {
+	if len(l.queue) == 0 {
 		return ownPause
 	}
 	return pumpPause
 }
 
-func (l *Loader) wantedLocked(now time.Time) bool {
-	for _, w := range l.wants {
-		if w.worthwhile(now) {
-			return true
-		}
-	}
-	return false
-}
-
 // step returns what is to be done now.
 func (l *Loader) step(now time.Time) []func(context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	tasks := l.ownLocked(now)
-	l.shareLocked()
+	var tasks []func(context.Context)
+	if now.Sub(l.looked) >= ownPause {
+		l.looked = now
+		tasks = l.ownLocked(now)
+		l.shareLocked()
+	}
 	tasks = append(tasks, l.reclaimLocked()...)
 	tasks = append(tasks, l.modelsLocked(now)...)
 	return append(tasks, l.pumpLocked(now)...)
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -33,9 +33,12 @@
 
 func newPace() pace { return pace{limit: paceFirst} }
 
+// free tells whether one more load may begin.
+func (p *pace) free() bool { return float64(p.underWay)+1 <= p.limit }
+
 // take begins one load, unless enough are under way.
 func (p *pace) take() bool {
-	if float64(p.underWay)+1 > p.limit {
+	if !p.free() {
 		return false
 	}
 	p.underWay++
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -85,3 +85,17 @@
 	}
 	c.Assert(taken >= 50 && taken <= 56, quicktest.IsTrue, quicktest.Commentf("%d", taken))
 }
+
+func TestAnEndpointsMemoryKeepsTheLatestAdapters(t *testing.T) {
+	c := quicktest.New(t)
+	var r recent
+	for n := range warmAdapters {
+		r.add(adapter(n))
+	}
+	r.add(adapter(0)) // held once more
+	r.add(adapter(warmAdapters))
+	c.Assert(r.has(adapter(0)), quicktest.IsTrue)
+	c.Assert(r.has(adapter(1)), quicktest.IsFalse)
+	c.Assert(r.has(adapter(2)), quicktest.IsTrue)
+	c.Assert(len(r.left), quicktest.Equals, warmAdapters)
+}
--- /dev/null
+++ b/placement/queue_test.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// queueOf returns a loader with so many loads that are wanted and cannot begin.
+func queueOf(count int) (*bench, time.Time) {
+	b := prepare(4)
+	now := time.Now()
+	b.loader.owned["e1"] = &owned{endpoint: b.endpoint, phase: claiming}
+	for n := range count {
+		w := &want{done: make(chan struct{}), last: now}
+		w.debt.Add(float64(n+1), now, debtHalfLife)
+		b.loader.wants[wantKey{endpoint: "e1", adapter: adapter(n)}] = w
+	}
+	return b, now
+}
+
+// What a request waits for was counted over every load that is wanted, for each request,
+// and a leader with some thousand of them stood still for a second.
+func TestTheWaitIsReckonedFromTheLastLookAtTheQueue(t *testing.T) {
+	c := quicktest.New(t)
+	b, now := queueOf(20)
+	l := b.loader
+	l.rankedLocked(now)
+	c.Assert(l.queue, quicktest.HasLen, 20)
+	first := l.wants[wantKey{endpoint: "e1", adapter: adapter(19)}]
+	last := l.wants[wantKey{endpoint: "e1", adapter: adapter(0)}]
+	c.Assert(l.aheadOfLocked(first, now), quicktest.Equals, time.Duration(0))
+	c.Assert(l.aheadOfLocked(last, now) >= 4*l.cold, quicktest.IsTrue)
+}
+
+func TestWhatIsOwnedIsNotLookedAtAtEachStep(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	looks := 0
+	owns := b.loader.Owns
+	b.loader.Owns = func(e *topology.Endpoint) (bool, time.Time) { looks++; return owns(e) }
+	now := time.Now()
+	for i := range 10 {
+		b.loader.step(now.Add(time.Duration(i) * time.Millisecond))
+	}
+	c.Assert(looks, quicktest.Equals, 1)
+}
+
+// BenchmarkStep shows what one look at a long queue costs.
+func BenchmarkStep(b *testing.B) {
+	q, now := queueOf(3000)
+	for b.Loop() {
+		q.loader.step(now)
+	}
+}
--- a/placement/want.go
+++ b/placement/want.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sort"
 	"time"
 
 	"cairnwick.example/forward"
@@ -162,15 +163,11 @@
 	return p, done
 }
 
-// aheadOfLocked is how long a load waits behind those that go first.
+// aheadOfLocked is how long a load waits behind those that go first, by the last look at
+// the queue.
 func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
-	n := 0
 	own := q.score(now)
-	for k, w := range l.wants {
-		if w != q && w.worthwhile(now) && !w.spare(now) && w.score(now) > own && !l.owned[k.endpoint].isWarm(k.adapter) {
-			n++
-		}
-	}
+	n := sort.Search(len(l.queue), func(i int) bool { return l.queue[i] <= own })
 	return l.pace.wait(n, l.cold)
 }
 
@@ -227,30 +224,3 @@
 // worthwhile tells whether the load serves somebody soon: who asked just now, or,
 // where several asked before, the next one.
 func (w *want) worthwhile(now time.Time) bool { return w.live(now) || w.owed(now) >= aheadOwed }
-
-// isWarm tells whether the endpoint's memory keeps an adapter that it held lately.
-func (o *owned) isWarm(a topology.Adapter) bool {
-	if o == nil {
-		return false
-	}
-	for _, r := range o.recent {
-		if r == a {
-			return true
-		}
-	}
-	return false
-}
-
-// remember notes that the endpoint held an adapter just now.
-func (o *owned) remember(a topology.Adapter) {
-	for i, r := range o.recent {
-		if r == a {
-			o.recent = append(o.recent[:i], o.recent[i+1:]...)
-			break
-		}
-	}
-	o.recent = append(o.recent, a)
-	if len(o.recent) > warmAdapters {
-		o.recent = o.recent[1:]
-	}
-}
