Empty slots ahead of loads, once no box uses the adapter any more

Cause: an endpoint that is ordered to unload an adapter in use waits for its runs and holds up every other order, loads under way too. Ruled out: the store (other endpoints loaded in 0.25 s in the same seconds), one unload at a time for each load (the unloads that waited were of adapters that had been reported unused: use is told each half second). Change: an adapter leaves its slot ahead of the load; boxes hear it, those that still use it say so at once, and it is unloaded 0.25 s later if none does. One slot in eight is kept empty. Who wants it before that takes it back. What was loaded or given out in the last 0.6 s stays. A new version waits for the old one to leave in the same way. Tests: placement/retire_test.go.

--- a/edge/node.go
+++ b/edge/node.go
@@ -63,7 +63,8 @@
 	n.items.OnChange = n.state.apply
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.readAgo}
-	n.usage = &usage{node: n}
+	n.usage = newUsage(n)
+	n.state.gone = n.usage.gone
 	n.loader = &placement.Loader{
 		Box:     s.Box,
 		View:    n.view,
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -76,5 +76,5 @@
 		}
 		uses = append(uses, placement.Use{Endpoint: u.GetEndpoint(), Adapter: a, Begun: int(u.GetCount()), Running: int(u.GetRunning())})
 	}
-	n.loader.Used(q.GetBox(), uses, now)
+	n.loader.Used(q.GetBox(), uses, q.GetPart(), now)
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -22,6 +22,7 @@
 	table   *share.Table
 	decoder Decoder
 	fences  *placement.Fences
+	gone    func(endpoint string, adapters []topology.Adapter) // hears what is not to be used any more
 	log     logr.Logger
 }
 
@@ -113,8 +114,11 @@
 	for _, t := range w.GetSlots() {
 		held[topology.ParseAdapter(t.GetAdapter())] = topology.Held{Version: t.GetVersion(), Ready: t.GetReady()}
 	}
-	if s.view.Endpoint(id) != nil {
-		s.view.SetHeld(id, held)
+	if s.view.Endpoint(id) == nil {
+		return nil
+	}
+	if gone := s.view.SetHeld(id, held); len(gone) > 0 {
+		s.gone(id, gone)
 	}
 	return nil
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -26,6 +26,7 @@
 // pumpLocked begins the queued loads that may begin now, the most wanted first.
 func (l *Loader) pumpLocked(now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
+	waiting := make(map[*owned]int)
 	for _, r := range l.rankedLocked(now) {
 		key, w := r.key, r.want
 		o := l.owned[key.endpoint]
@@ -36,21 +37,21 @@
 		if cold && !l.pace.free() {
 			continue
 		}
-		victim, ok := l.roomLocked(o, key.adapter, now)
-		if !ok {
+		if w.spare(now) && w.far < farEnough {
 			continue
 		}
-		if w.spare(now) && w.far < farEnough {
+		if !l.roomLocked(o, key.adapter, w.version) {
+			waiting[o]++
 			continue
 		}
 		if cold && !l.pace.take() {
 			continue
 		}
 		delete(l.wants, key)
-		tasks = append(tasks, l.beginLocked(o, key.adapter, w.version, victim, cold, now))
+		tasks = append(tasks, l.beginLocked(o, key.adapter, w.version, cold, now))
 		w.end()
 	}
-	return tasks
+	return append(tasks, l.retireLocked(waiting, now)...)
 }
 
 // farEnough is how many requests must have gone to another data centre for a copy
@@ -93,52 +94,26 @@
 	return list
 }
 
-// roomLocked finds room for one more adapter: a free slot, the adapter's own, or
-// the slot of the least wanted that nobody uses.
-func (l *Loader) roomLocked(o *owned, a topology.Adapter, now time.Time) (victim *topology.Adapter, ok bool) {
+// roomLocked tells whether an adapter may be loaded at an endpoint now: a slot is free, or
+// is the adapter's own. An older version of it that may be in use leaves first, since a
+// replacement would wait for its runs and hold up every other order there.
+func (l *Loader) roomLocked(o *owned, a topology.Adapter, version int64) bool {
 	g := l.engine(o.endpoint)
 	if g == nil || o.orders >= loadsAtOnce || !o.models[a.Model] {
-		return nil, false
-	}
-	if s := o.slots[a]; s != nil {
-		return nil, !s.leaving // until its unloading has ended
+		return false
 	}
-	if len(o.slots) < g.SlotsBeside(o.models) {
-		return nil, true
-	}
-	return l.victimLocked(o, now)
-}
-
-// victimLocked returns the adapter that leaves: of those that surely no request uses,
-// the one that is asked for least; where there is none, the one unused for longest.
-// Unloading waits for the runs of one in use, and holds its place up.
-func (l *Loader) victimLocked(o *owned, now time.Time) (victim *topology.Adapter, ok bool) {
-	least := 0.0
-	var oldest *topology.Adapter
-	for a, s := range o.slots {
-		if !s.ready || s.leaving {
-			continue
-		}
-		r := l.rateLocked(a, now)
-		rather := victim == nil || r < least || (r == least && s.used.Before(o.slots[*victim].used))
-		if now.Sub(s.used) >= idleFor && rather {
-			victim, least = &a, r
-		}
-		if now.Sub(s.used) >= usedAgo && (oldest == nil || s.used.Before(o.slots[*oldest].used)) {
-			oldest = &a
-		}
+	s := o.slots[a]
+	if s == nil {
+		return len(o.slots) < g.SlotsBeside(o.models)
 	}
-	if victim == nil {
-		victim = oldest
+	if s.ready && s.version < version {
+		s.outdated = true
 	}
-	return victim, victim != nil
+	return !s.leaving && !s.outdated
 }
 
 // beginLocked takes the slot and returns the task that gives the orders.
-func (l *Loader) beginLocked(o *owned, a topology.Adapter, version int64, victim *topology.Adapter, cold bool, now time.Time) func(context.Context) {
-	if victim != nil {
-		o.slots[*victim].leaving = true
-	}
+func (l *Loader) beginLocked(o *owned, a topology.Adapter, version int64, cold bool, now time.Time) func(context.Context) {
 	s := o.slots[a]
 	if s == nil {
 		s = &slot{}
@@ -153,60 +128,10 @@
 	s.done = make(chan struct{})
 	o.orders++
 	l.publishLocked(o)
-	evicted := ""
-	if victim != nil {
-		evicted = victim.String()
-	}
 	l.Log.Info("Load begins", "adapter", a.String(), "adapter_version", version, "endpoint", o.endpoint.ID(),
-		"evicted", evicted, "slots", len(o.slots), "on_their_way", o.orders, "from_store", cold, "fence", o.fence)
+		"slots", len(o.slots), "on_their_way", o.orders, "from_store", cold, "fence", o.fence)
 	claim := o.claims
-	return func(ctx context.Context) { l.load(ctx, o, claim, a, victim) }
-}
-
-// load empties a slot where one is needed, and loads the adapter.
-func (l *Loader) load(ctx context.Context, o *owned, claim int, a topology.Adapter, victim *topology.Adapter) {
-	if victim != nil && !l.unload(ctx, o, claim, *victim, a) {
-		l.abandon(o, claim, a)
-		return
-	}
-	l.finish(ctx, o, claim, a)
-}
-
-// unload empties a slot for the next adapter. Only the endpoint's word that it is
-// empty counts. While runs hold the slot up, the next load asks nothing of the store
-// and others may.
-func (l *Loader) unload(ctx context.Context, o *owned, claim int, a, next topology.Adapter) bool {
-	until := time.Now().Add(loadMost)
-	for pause := askAgain; time.Now().Before(until); pause = min(2*pause, askMost) {
-		out, err := l.order(ctx, o, claim, Order{Unload: true, Adapter: a})
-		if err != nil {
-			return false
-		}
-		if out == Done {
-			l.unloaded(o, claim, a)
-			return true
-		}
-		if out != Begun && out != Busy {
-			return false
-		}
-		l.unpace(o, claim, next)
-		if !sleep(ctx, pause) {
-			return false
-		}
-	}
-	l.doubt(o, claim, "an unload did not end")
-	return false
-}
-
-// unloaded notes that a slot is empty.
-func (l *Loader) unloaded(o *owned, claim int, a topology.Adapter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if o.claims != claim {
-		return
-	}
-	delete(o.slots, a)
-	o.recent.add(a)
+	return func(ctx context.Context) { l.finish(ctx, o, claim, a) }
 }
 
 // finish orders the load and repeats the order until the endpoint says that it
@@ -318,7 +243,7 @@
 		begun = now
 	}
 	l.timeLocked(s, now.Sub(begun))
-	s.ready, s.used = true, now
+	s.ready, s.used, s.given = true, now, now // who waited for it is told now
 	o.orders--
 	o.refused = 0
 	s.end()
@@ -351,15 +276,6 @@
 	outlier    = 2 // times the smoothed time that one load may count
 )
 
-// unpace lets others load while a load waits for its slot.
-func (l *Loader) unpace(o *owned, claim int, a topology.Adapter) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if s := o.slots[a]; s != nil && o.claims == claim {
-		l.unpaceLocked(s, 0)
-	}
-}
-
 // unpaceLocked ends a load for the pace; took is zero when it did not succeed.
 func (l *Loader) unpaceLocked(s *slot, took time.Duration) {
 	if s.paced {
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -78,14 +78,18 @@
 
 // slot is one adapter that takes room at an endpoint.
 type slot struct {
-	version  int64
-	ready    bool
-	leaving  bool          // it is being unloaded
-	paced    bool          // the load under way counts for the pace
-	done     chan struct{} // closed when the load under way ended, well or not
-	begun    time.Time     // of the load
-	expected time.Duration // of the load
-	used     time.Time
+	version   int64
+	ready     bool
+	leaving   bool          // boxes are told not to use it; it will be unloaded
+	retired   time.Time     // with leaving: since when
+	unloading bool          // with leaving: the endpoint was ordered to unload it
+	outdated  bool          // a newer version of it is wanted
+	paced     bool          // the load under way counts for the pace
+	done      chan struct{} // closed when the load under way ended, well or not
+	begun     time.Time     // of the load
+	expected  time.Duration // of the load
+	used      time.Time
+	given     time.Time // when a box was last told that it is ready, besides by what is published
 }
 
 // Init makes the loader ready for calls before Run.
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -172,6 +172,11 @@
 	return b.loader.Want(context.Background(), forward.Wanted{Endpoint: b.endpoint, Adapter: a, Wait: wait, Most: wait})
 }
 
+// wish is a request's wish for an adapter that can wait for long.
+func (b *bench) wish(i int) forward.Wanted {
+	return forward.Wanted{Endpoint: b.endpoint, Adapter: adapter(i), Version: 1, Wait: 10 * time.Second, Most: 10 * time.Second}
+}
+
 func TestAnAdapterThatIsWantedIsLoaded(t *testing.T) {
 	c := quicktest.New(t)
 	b := newBench(t, 4)
@@ -190,7 +195,7 @@
 		c.Assert(err, quicktest.IsNil)
 		b.fake.hold(adapter(i), true)
 	}
-	time.Sleep(2 * idleFor) // so that they may be evicted
+	time.Sleep(4 * tellFor) // so that they may be evicted
 	done := make(chan struct{})
 	for _, i := range []int{3, 1, 2, 4} { // one evicts an adapter in use, which is then wanted again
 		go func() {
@@ -336,9 +341,9 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	use := []Use{{Endpoint: "e1", Adapter: adapter(1), Begun: 4, Running: 4}}
-	b.loader.Used("box-1", use, time.Now())
+	b.loader.Used("box-1", use, false, time.Now())
 	c.Assert(b.loader.wants, quicktest.HasLen, 0) // half full
-	b.loader.Used("box-2", use, time.Now())
+	b.loader.Used("box-2", use, false, time.Now())
 	b.loader.mu.Lock()
 	defer b.loader.mu.Unlock()
 	copied := b.loader.wants[wantKey{endpoint: "e2", adapter: adapter(1)}] != nil || b.loader.owned["e2"].slots[adapter(1)] != nil
--- /dev/null
+++ b/placement/retire.go
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/topology"
+)
+
+// An endpoint unloads an adapter that no request uses at once. For one in use it waits
+// until the runs have ended, and holds up all its other orders meanwhile, loads under way
+// too. So a slot is emptied ahead of the load that will need it: the boxes are told not to
+// use the adapter any more, those that still do tell at once, and it is unloaded when none
+// does.
+
+const (
+	// tellFor is how long after an adapter began to leave every box that still uses it
+	// has said so: the news and the answer take a few batches of changes.
+	tellFor = 250 * time.Millisecond
+	// givenFor is how long after a box was told that an adapter is ready it may use it
+	// without having told so: it does each half second.
+	givenFor = 600 * time.Millisecond
+	// tellAgain is between two looks whether an adapter that leaves is still in use.
+	tellAgain = 50 * time.Millisecond
+	// aheadPart: one slot in so many is empty or being emptied at each endpoint though
+	// nothing is wanted there, so that the next loads need not wait. An endpoint with 16
+	// slots begins some four loads a second at the most, and a slot is empty after a
+	// quarter of a second.
+	aheadPart = 8
+	// retiringMost are emptied at a time at one endpoint: as many as it loads at a time.
+	retiringMost = loadsAtOnce
+)
+
+// retireLocked empties slots: as many as loads wait for, and some ahead.
+func (l *Loader) retireLocked(waiting map[*owned]int, now time.Time) []func(context.Context) {
+	var tasks []func(context.Context)
+	for _, o := range l.owned {
+		if o.phase != owning || o.endpoint.Draining() {
+			continue
+		}
+		before := len(tasks)
+		for a, s := range o.slots {
+			if s.outdated && s.ready && !s.leaving {
+				tasks = append(tasks, l.retireOneLocked(o, a, now))
+			}
+		}
+		for range l.shortLocked(o, waiting[o]) {
+			a, ok := l.coldestLocked(o, now)
+			if !ok {
+				break
+			}
+			tasks = append(tasks, l.retireOneLocked(o, a, now))
+		}
+		if len(tasks) > before {
+			l.publishLocked(o)
+		}
+	}
+	return tasks
+}
+
+// shortLocked is how many slots more must be emptied at an endpoint.
+func (l *Loader) shortLocked(o *owned, waiting int) int {
+	g := l.engine(o.endpoint)
+	if g == nil {
+		return 0
+	}
+	slots := g.SlotsBeside(o.models)
+	ahead := slots - len(o.slots)
+	for _, s := range o.slots {
+		if s.leaving {
+			ahead++
+		}
+	}
+	return min(slots/aheadPart+waiting, retiringMost) - ahead
+}
+
+// coldestLocked returns the adapter that leaves next: the one that is asked for least of
+// those that were not in use lately, or, where all were, of all.
+func (l *Loader) coldestLocked(o *owned, now time.Time) (coldest topology.Adapter, ok bool) {
+	least, idle := 0.0, false
+	for a, s := range o.slots {
+		if !s.ready || s.leaving || now.Sub(s.given) < givenFor {
+			continue
+		}
+		r := l.rateLocked(a, now)
+		rests := !l.inUseLocked(o.endpoint.ID(), a, now)
+		first := !ok || (rests && !idle)
+		if first || (rests == idle && (r < least || (r == least && s.used.Before(o.slots[coldest].used)))) {
+			coldest, least, idle, ok = a, r, rests, true
+		}
+	}
+	return coldest, ok
+}
+
+// retireOneLocked marks an adapter as leaving and returns the task that unloads it.
+func (l *Loader) retireOneLocked(o *owned, a topology.Adapter, now time.Time) func(context.Context) {
+	s := o.slots[a]
+	s.leaving, s.retired = true, now
+	l.Log.Info("Adapter leaves its slot", "adapter", a.String(), "adapter_version", s.version, "endpoint", o.endpoint.ID(),
+		"unused_ms", now.Sub(s.used).Milliseconds(), "a_second", l.rateLocked(a, now), "fence", o.fence)
+	claim := o.claims
+	return func(ctx context.Context) { l.retire(ctx, o, claim, a, now) }
+}
+
+// retire unloads an adapter that leaves since the time, when no box uses it any more.
+func (l *Loader) retire(ctx context.Context, o *owned, claim int, a topology.Adapter, since time.Time) {
+	for {
+		rest, leaves := l.quietIn(o, claim, a, since, time.Now())
+		if !leaves {
+			return
+		}
+		if rest <= 0 {
+			break
+		}
+		if !sleep(ctx, rest) {
+			return
+		}
+	}
+	l.unload(ctx, o, claim, a)
+}
+
+// quietIn is how long it takes at least until an adapter that leaves may be unloaded; from
+// zero on it is. False: it was taken back, even if it leaves again since, or is no longer
+// this box's.
+func (l *Loader) quietIn(o *owned, claim int, a topology.Adapter, since, now time.Time) (rest time.Duration, leaves bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := o.slots[a]
+	if o.claims != claim || o.phase != owning || s == nil || !s.leaving || !s.retired.Equal(since) {
+		return 0, false
+	}
+	rest = tellFor - now.Sub(s.retired)
+	if rest <= 0 && l.inUseLocked(o.endpoint.ID(), a, now) {
+		rest = tellAgain
+	}
+	s.unloading = rest <= 0
+	return rest, true
+}
+
+// emptyInLocked is how long it takes until an endpoint has an empty slot.
+func (l *Loader) emptyInLocked(o *owned, now time.Time) time.Duration {
+	g := l.engine(o.endpoint)
+	if g == nil || len(o.slots) < g.SlotsBeside(o.models) {
+		return 0
+	}
+	least := tellFor
+	for _, s := range o.slots {
+		if s.leaving {
+			least = min(least, max(tellFor-now.Sub(s.retired), 0))
+		}
+	}
+	return least
+}
+
+// takeBackLocked lets an adapter stay that was to leave and is wanted again; false where
+// the endpoint was already ordered to unload it.
+func (l *Loader) takeBackLocked(o *owned, a topology.Adapter) bool {
+	s := o.slots[a]
+	if s.unloading || s.outdated {
+		return false
+	}
+	s.leaving = false
+	l.publishLocked(o)
+	return true
+}
+
+// unload empties a slot. Only the endpoint's word that it is empty counts.
+func (l *Loader) unload(ctx context.Context, o *owned, claim int, a topology.Adapter) {
+	begun := time.Now()
+	until := begun.Add(loadMost)
+	for pause := askAgain; time.Now().Before(until); pause = min(2*pause, askMost) {
+		out, err := l.order(ctx, o, claim, Order{Unload: true, Adapter: a})
+		if err != nil {
+			return
+		}
+		if out == Done {
+			l.unloaded(o, claim, a, time.Since(begun))
+			return
+		}
+		if out != Begun && out != Busy {
+			break
+		}
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+	l.doubt(o, claim, "an unload did not end")
+}
+
+// unloaded notes that a slot is empty.
+func (l *Loader) unloaded(o *owned, claim int, a topology.Adapter, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.claims != claim {
+		return
+	}
+	delete(o.slots, a)
+	o.recent.add(a)
+	l.nudge()
+	l.Log.Info("Slot is empty", "adapter", a.String(), "endpoint", o.endpoint.ID(), "took_ms", took.Milliseconds(), "fence", o.fence)
+}
--- /dev/null
+++ b/placement/retire_test.go
@@ -0,0 +1,156 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// fill loads as many adapters as there are slots.
+func (b *bench) fill(c *quicktest.C) {
+	for i := 1; i <= slotCount; i++ {
+		p, err := b.want(adapter(i), 2*time.Second)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(p.Ready, quicktest.IsTrue)
+		b.use(i, 1)
+	}
+}
+
+// use tells the loader that requests for an adapter run at the endpoint.
+func (b *bench) use(i, running int) {
+	b.loader.Used(fmt.Sprintf("box-%d", i), []Use{{Endpoint: "e1", Adapter: adapter(i), Begun: running, Running: running}}, false, time.Now())
+}
+
+// A box tells at once that it uses an adapter that is to leave, and says nothing of others.
+func TestAPartOfTheUseSaysNothingOfTheRest(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	now := time.Now()
+	uses := []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 2}, {Endpoint: "e1", Adapter: adapter(2), Running: 1}}
+	b.loader.Used("box", uses, false, now)
+	b.loader.Used("box", []Use{{Endpoint: "e1", Adapter: adapter(3), Running: 1}}, true, now)
+	for i := 1; i <= 3; i++ {
+		c.Assert(b.loader.inUseLocked("e1", adapter(i), now), quicktest.IsTrue)
+	}
+	c.Assert(b.loader.runsLocked("e1", now), quicktest.Equals, 3)
+	b.loader.Used("box", uses[:1], false, now)
+	c.Assert(b.loader.inUseLocked("e1", adapter(2), now), quicktest.IsFalse)
+	c.Assert(b.loader.inUseLocked("e1", adapter(1), now.Add(runsLife)), quicktest.IsFalse)
+}
+
+func (b *bench) holds(i int) bool {
+	b.fake.mu.Lock()
+	defer b.fake.mu.Unlock()
+	return b.fake.slots[adapter(i)]
+}
+
+// The endpoint was ordered to unload an adapter in use. It waited for the runs, and three
+// loads that it had begun before waited for 2.6 s with it.
+func TestAnAdapterIsNotUnloadedWhileBoxesUseIt(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	b.fill(c)
+	wanted := make(chan bool, 1)
+	go func() {
+		p, _ := b.want(adapter(9), 10*time.Second)
+		wanted <- p.Ready
+	}()
+	for range 8 { // both are in use for longer than it takes to believe that they are not
+		time.Sleep(tellFor / 2)
+		b.use(1, 1)
+		b.use(2, 1)
+		c.Assert(b.holds(1) && b.holds(2), quicktest.IsTrue)
+	}
+	c.Assert(<-wanted, quicktest.IsTrue)
+}
+
+func TestSomeSlotsAreEmptyAheadOfTheNextLoads(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	l := b.loader
+	l.View.SetConfig(topology.NewConfig(2, nil, []*topology.Service{topology.NewService(topology.ServiceSpec{
+		Name: "llm", Engine: &topology.EngineSpec{Models: []topology.ModelSpec{{Name: model}}, AdapterSlots: 16},
+	})}, topology.Limits{}))
+	now := time.Now()
+	o := &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot), models: map[string]bool{model: true}}
+	l.owned["e1"] = o
+	for i := range 15 {
+		o.slots[adapter(i)] = &slot{ready: true, used: now}
+		l.countLocked(adapter(i), float64(16-i), now)
+	}
+	o.slots[adapter(14)].given = now // to a box that has not told of its use yet
+	c.Assert(l.retireLocked(nil, now), quicktest.HasLen, 1)
+	c.Assert(o.slots[adapter(13)].leaving, quicktest.IsTrue) // asked for least of the others
+	c.Assert(l.retireLocked(nil, now), quicktest.HasLen, 0)
+	c.Assert(l.retireLocked(map[*owned]int{o: 1}, now), quicktest.HasLen, 1)
+	c.Assert(l.retireLocked(map[*owned]int{o: 20}, now), quicktest.HasLen, retiringMost-3)
+}
+
+// An adapter left, was wanted again, and left once more; both times an unload followed, and
+// the second one emptied a slot that was being filled anew.
+func TestAnAdapterThatLeavesTwiceIsUnloadedOnce(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	l := b.loader
+	now := time.Now()
+	o := &owned{endpoint: b.endpoint, phase: owning, slots: map[topology.Adapter]*slot{adapter(1): {ready: true}}}
+	l.owned["e1"] = o
+	l.retireOneLocked(o, adapter(1), now)
+	c.Assert(l.takeBackLocked(o, adapter(1)), quicktest.IsTrue)
+	later := now.Add(tellFor / 2)
+	l.retireOneLocked(o, adapter(1), later)
+	_, leaves := l.quietIn(o, 0, adapter(1), now, later.Add(tellFor))
+	c.Assert(leaves, quicktest.IsFalse)
+	rest, leaves := l.quietIn(o, 0, adapter(1), later, later.Add(tellFor))
+	c.Assert(leaves, quicktest.IsTrue)
+	c.Assert(rest <= 0, quicktest.IsTrue)
+}
+
+func TestAnAdapterThatIsWantedAgainBeforeItIsUnloadedStays(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	b.fill(c)
+	go func() { _, _ = b.want(adapter(9), 10*time.Second) }() // needs a slot
+	leaving := 0
+	for leaving == 0 {
+		time.Sleep(time.Millisecond)
+		b.loader.mu.Lock()
+		for i := 1; i <= slotCount; i++ {
+			if s := b.loader.owned["e1"].slots[adapter(i)]; s != nil && s.leaving {
+				leaving = i
+			}
+		}
+		b.loader.mu.Unlock()
+	}
+	p, err := b.loader.Want(context.Background(), b.wish(leaving))
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p.Ready, quicktest.IsTrue)
+	c.Assert(b.holds(leaving), quicktest.IsTrue)
+}
+
+// A newer version of an adapter in use was loaded over the older one: the endpoint waited
+// for its runs, with all that it was ordered meanwhile.
+func TestANewVersionIsLoadedWhenTheOldOneIsNotInUse(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	b.fill(c)
+	ready := make(chan bool, 1)
+	go func() {
+		w := b.wish(1)
+		w.Version = 2
+		p, _ := b.loader.Want(context.Background(), w)
+		ready <- p.Ready && p.Version == 2
+	}()
+	for range 6 {
+		time.Sleep(tellFor / 2)
+		b.use(1, 1)
+		c.Assert(b.holds(1), quicktest.IsTrue)
+	}
+	c.Assert(<-ready, quicktest.IsTrue)
+}
--- a/placement/use.go
+++ b/placement/use.go
@@ -16,10 +16,11 @@
 	Running  int // requests under way
 }
 
-// boxRuns is how many requests one box has under way at each endpoint.
+// boxRuns is how many requests one box has under way, as it told last.
 type boxRuns struct {
-	at   time.Time
-	runs map[string]int
+	at       time.Time
+	runs     map[string]int  // by endpoint
+	adapters map[wantKey]int // by endpoint and adapter
 }
 
 const (
@@ -28,12 +29,19 @@
 	pressedDebt = 1.0             // requests asked in vain that a full endpoint counts as for its hottest adapter, each time
 )
 
-// Used takes what a box tells of the endpoints of this box.
-func (l *Loader) Used(box string, uses []Use, now time.Time) {
+// Used takes what a box tells of the endpoints of this box. What tells only a part says
+// nothing of the rest.
+func (l *Loader) Used(box string, uses []Use, part bool, now time.Time) {
 	l.mu.Lock()
-	runs := make(map[string]int)
+	b := boxRuns{at: now, runs: make(map[string]int), adapters: make(map[wantKey]int)}
+	if old, known := l.running[box]; part && known {
+		b = old
+	}
 	for _, u := range uses {
-		runs[u.Endpoint] += u.Running
+		if !part {
+			b.runs[u.Endpoint] += u.Running
+		}
+		b.adapters[wantKey{endpoint: u.Endpoint, adapter: u.Adapter}] = u.Running
 		if u.Begun > 0 {
 			l.countLocked(u.Adapter, float64(u.Begun), now)
 		}
@@ -41,8 +49,8 @@
 			o.slots[u.Adapter].used = now
 		}
 	}
-	l.running[box] = boxRuns{at: now, runs: runs}
-	full := l.fullLocked(runs, now)
+	l.running[box] = b
+	full := l.fullLocked(b.runs, now)
 	l.mu.Unlock()
 	for centre, a := range full {
 		l.pressed(centre, a, now)
@@ -70,6 +78,16 @@
 	return full
 }
 
+// inUseLocked tells whether a box has requests under way with an adapter at an endpoint.
+func (l *Loader) inUseLocked(id string, a topology.Adapter, now time.Time) bool {
+	for _, b := range l.running {
+		if now.Sub(b.at) < runsLife && b.adapters[wantKey{endpoint: id, adapter: a}] > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // runsLocked returns how many requests all boxes have under way at an endpoint.
 func (l *Loader) runsLocked(id string, now time.Time) int {
 	n := 0
--- a/placement/want.go
+++ b/placement/want.go
@@ -92,8 +92,8 @@
 		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil
 	}
 	s := o.slots[w.Adapter]
-	if s != nil && s.ready && !s.leaving && s.version >= w.Version && !w.Denied {
-		s.used = now
+	if s != nil && s.ready && s.version >= w.Version && !w.Denied && (!s.leaving || l.takeBackLocked(o, w.Adapter)) {
+		s.used, s.given = now, now
 		return forward.Placed{Ready: true, Endpoint: o.endpoint.ID(), Version: s.version}, nil
 	}
 	if s != nil && s.done != nil {
@@ -156,6 +156,7 @@
 	if o.isWarm(w.Adapter) {
 		load, wait = l.warm, 0
 	}
+	wait = max(wait, l.emptyInLocked(o, now))
 	p, done := l.await(wait+load, q.done, now, limit, "loads that more requests ask for go first")
 	if done != nil && !w.again {
 		q.waiting++
