Let resting adapters leave past those in use, and find each other quicker at the start

Change: adapters that leave and are still in use are not counted as room; the first ten beats are three times as fast, and the view settles in 0.7 s. Test: TestAdaptersInUseDoNotKeepOthersFromLeaving.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -28,10 +28,10 @@
 	freshFor   = 2 * time.Second
 	pauseLimit = time.Second // a longer gap between two beats is a pause of this process
 	neighbours = 2
-	settleFor  = 1200 * time.Millisecond // after the start, for the view to become whole
-	askSlack   = 300 * time.Millisecond  // on top of what a request can wait
-	lookPause  = 100 * time.Millisecond  // between two looks at who leads
-	usePause   = 500 * time.Millisecond  // between two reports of use
+	settleFor  = 700 * time.Millisecond // after the start, for the view to become whole: the first second's beats are quick
+	askSlack   = 300 * time.Millisecond // on top of what a request can wait
+	lookPause  = 100 * time.Millisecond // between two looks at who leads
+	usePause   = 500 * time.Millisecond // between two reports of use
 )
 
 // peers is this box among the others.
--- a/member/loop.go
+++ b/member/loop.go
@@ -35,6 +35,11 @@
 const (
 	maxNews     = 8 // members in one heartbeat that is not full
 	remoteBeats = 2 // beats of a watcher between two to other data centres
+
+	// The first beats come faster: daemons that start together find each other by them,
+	// and until they have nobody knows who does what.
+	quickBeats = 10
+	quickPart  = 3 // times as fast
 )
 
 // Loop beats to the ring neighbours of Table. Set every field before Run.
@@ -88,9 +93,10 @@
 // too, to the neighbours.
 func (l *Loop) Run(ctx context.Context) error {
 	l.init()
-	tick := time.NewTicker(l.Interval)
+	tick := time.NewTicker(l.Interval / quickPart)
 	defer tick.Stop()
 	last := time.Now()
+	quick := quickBeats
 	l.beat(ctx)
 	for {
 		changed := l.Table.Changed()
@@ -105,6 +111,9 @@
 		case <-changed:
 			l.spread(ctx)
 		case now := <-tick.C:
+			if quick--; quick == 0 {
+				tick.Reset(l.Interval)
+			}
 			l.watchPause(time.Since(last))
 			last = time.Now()
 			l.Table.Tick(now)
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -30,6 +30,7 @@
 	// quarter of a second.
 	aheadPart = 8
 	// retiringMost are emptied at a time at one endpoint: as many as it loads at a time.
+	// Besides, as many that are still in use may wait for their runs to end.
 	retiringMost = loadsAtOnce
 )
 
@@ -46,9 +47,9 @@
 				tasks = append(tasks, l.retireOneLocked(o, a, now))
 			}
 		}
-		for range l.shortLocked(o, waiting[o]) {
-			a, ok := l.coldestLocked(o, now)
-			if !ok {
+		for range l.shortLocked(o, waiting[o], now) {
+			a, rests, ok := l.coldestLocked(o, now)
+			if !ok || (!rests && l.stuckLocked(o, now) >= retiringMost) {
 				break
 			}
 			tasks = append(tasks, l.retireOneLocked(o, a, now))
@@ -61,7 +62,7 @@
 }
 
 // shortLocked is how many slots more must be emptied at an endpoint.
-func (l *Loader) shortLocked(o *owned, waiting int) int {
+func (l *Loader) shortLocked(o *owned, waiting int, now time.Time) int {
 	g := l.engine(o.endpoint)
 	if g == nil {
 		return 0
@@ -73,13 +74,26 @@
 			ahead++
 		}
 	}
+	ahead -= l.stuckLocked(o, now)
 	return min(slots/aheadPart+waiting, retiringMost) - ahead
 }
 
+// stuckLocked counts the adapters that leave an endpoint and are still in use: their runs
+// may take seconds.
+func (l *Loader) stuckLocked(o *owned, now time.Time) int {
+	n := 0
+	for a, s := range o.slots {
+		if s.leaving && !s.unloading && l.inUseLocked(o.endpoint.ID(), a, now) {
+			n++
+		}
+	}
+	return n
+}
+
 // coldestLocked returns the adapter that leaves next: the one that is asked for least of
-// those that were not in use lately, or, where all were, of all.
-func (l *Loader) coldestLocked(o *owned, now time.Time) (coldest topology.Adapter, ok bool) {
-	least, idle := 0.0, false
+// those that rest, in use at no box, or, where none does, of all.
+func (l *Loader) coldestLocked(o *owned, now time.Time) (coldest topology.Adapter, idle, ok bool) {
+	least := 0.0
 	for a, s := range o.slots {
 		if !s.ready || s.leaving || now.Sub(s.given) < givenFor {
 			continue
@@ -91,7 +105,7 @@
 			coldest, least, idle, ok = a, r, rests, true
 		}
 	}
-	return coldest, ok
+	return coldest, idle, ok
 }
 
 // retireOneLocked marks an adapter as leaving and returns the task that unloads it.
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -92,6 +92,32 @@
 	c.Assert(l.retireLocked(map[*owned]int{o: 20}, now), quicktest.HasLen, retiringMost-3)
 }
 
+// Four adapters in use were to leave, and one that nobody used did not.
+func TestAdaptersInUseDoNotKeepOthersFromLeaving(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	l := b.loader
+	now := time.Now()
+	o := &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot), models: map[string]bool{model: true}}
+	l.owned["e1"] = o
+	var uses []Use
+	for i := range slotCount {
+		o.slots[adapter(i)] = &slot{ready: true}
+		uses = append(uses, Use{Endpoint: "e1", Adapter: adapter(i), Running: 1})
+	}
+	l.Used("box", uses, false, now)
+	waiting := map[*owned]int{o: 1}
+	c.Assert(l.retireLocked(waiting, now), quicktest.HasLen, 1) // nothing rests
+	l.Used("box", uses[:1], false, now)
+	left := adapter(0)
+	if !o.slots[left].leaving {
+		left = adapter(1)
+		l.Used("box", uses[1:], false, now)
+	}
+	c.Assert(l.retireLocked(waiting, now), quicktest.HasLen, 1) // the other one does now
+	c.Assert(o.slots[left].unloading, quicktest.IsFalse)
+}
+
 // An adapter left, was wanted again, and left once more; both times an unload followed, and
 // the second one emptied a slot that was being filled anew.
 func TestAnAdapterThatLeavesTwiceIsUnloadedOnce(t *testing.T) {
