Do not claim endpoints before another box was heard of, and come back soon after a young refusal

One of them dialled seeds that were still dark, heard of nobody for 1.1 s, and claimed every endpoint at 43.4 s; the owners were refused and kept away for 3.75 s: nothing was loaded until 48.0 s. Ruled out: the store and the endpoints (all answered their claims at 43.8). Change: a box that has heard of nobody waits 2 s, one that has heard 0.3 s longer than that at least; what its first views disagree on costs no lease; a refusal within a lease of the start is tried again after 0.4 s; a connection that does not open in 0.4 s is tried anew. Tests: TestABoxThatHasHeardOfNobodyWaitsBeforeItLeads, TestTheFirstViewsDoNotCostALease, TestABoxRefusedSoonAfterItsStartTriesAgainSoon.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -34,7 +34,7 @@
 	window       = 1 << 20 // bytes in flight; fixed, so that gRPC sends no pings to estimate it
 	firstBackoff = 50 * time.Millisecond
 	mostBackoff  = 500 * time.Millisecond
-	dialTimeout  = time.Second
+	dialTimeout  = 500 * time.Millisecond // a peer some ms away that takes longer is dark; the next try may meet it
 )
 
 // NewServer returns the gRPC server for other daemons, with buffers as small as those
--- a/edge/node.go
+++ b/edge/node.go
@@ -105,7 +105,7 @@
 
 func (n *Node) buildPeers() *peers {
 	s := n.Settings
-	d := &net.Dialer{Timeout: time.Second, KeepAlive: -1}
+	d := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
 	p := &peers{
 		box:     s.Box,
 		centre:  s.DataCentre,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -28,7 +28,10 @@
 	freshFor   = 2 * time.Second
 	pauseLimit = time.Second // a longer gap between two beats is a pause of this process
 	neighbours = 2
+	peerDial   = 400 * time.Millisecond // a box that is dark drops the opening packet; the next try may meet it up
 	settleFor  = 700 * time.Millisecond // after the start, for the view to become whole: the first second's beats are quick
+	metFor     = 300 * time.Millisecond // the same after the first other box was heard of
+	aloneFor   = 2 * time.Second        // after the start, where no other box is heard of: the seeds may be late
 	askSlack   = 300 * time.Millisecond // on top of what a request can wait
 	lookPause  = 100 * time.Millisecond // between two looks at who leads
 	usePause   = 500 * time.Millisecond // between two reports of use
@@ -49,6 +52,7 @@
 	outlooks outlooks
 
 	mu      sync.Mutex
+	met     time.Time             // when another box was first heard of
 	leaders map[string]leadership // by data centre
 	heard   map[string]time.Time  // by box that is followed: when the source was last heard, by its word
 }
@@ -72,19 +76,37 @@
 	if p.leaders == nil {
 		p.leaders = make(map[string]leadership)
 	}
+	settled := p.settledLocked(now)
 	old, known := p.leaders[centre]
 	if !known || old.name != m.Name() {
 		from := now
-		switch {
-		case !known:
-			from = p.started.Add(settleFor)
-		case p.works(old.name):
+		if now.After(settled) && p.works(old.name) {
 			from = now.Add(lease + lease/4)
 		}
 		p.leaders[centre] = leadership{name: m.Name(), from: from}
 		p.log.Info("Data centre has a leader", "led_data_centre", centre, "leader", m.Name(), "before", old.name)
 	}
-	return m.Name() == p.box, p.leaders[centre].from
+	from := p.leaders[centre].from
+	if settled.After(from) {
+		from = settled
+	}
+	return m.Name() == p.box, from
+}
+
+// settledLocked is when this box's first view of the others can be trusted. One that
+// claimed endpoints before it had heard of anybody would take them from their owners.
+func (p *peers) settledLocked(now time.Time) time.Time {
+	if p.met.IsZero() && len(p.table.All()) > 1 {
+		p.met = now
+	}
+	if p.met.IsZero() {
+		return p.started.Add(aloneFor)
+	}
+	settled, met := p.started.Add(settleFor), p.met.Add(metFor)
+	if met.After(settled) {
+		return met
+	}
+	return settled
 }
 
 // works tells whether a box is believed to serve.
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -115,3 +115,28 @@
 	c.Assert(ok, quicktest.IsTrue)
 	c.Assert(m.Name(), quicktest.Equals, "a")
 }
+
+// A box that had heard of nobody yet claimed every endpoint 0.7 s after its start, and the
+// others, refused, kept away from them.
+func TestABoxThatHasHeardOfNobodyWaitsBeforeItLeads(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 1, 400))
+	mine, from := p.leads("dc", time.Second, time.Now())
+	c.Assert(mine, quicktest.IsTrue)
+	c.Assert(from.Equal(p.started.Add(aloneFor)), quicktest.IsTrue)
+	late := p.started.Add(settleFor)
+	p.table.Merge([]member.Member{box("b", "dc", 2, 400)}, late)
+	mine, from = p.leads("dc", time.Second, late)
+	c.Assert(mine, quicktest.IsTrue)
+	c.Assert(from.Equal(late.Add(metFor)), quicktest.IsTrue)
+}
+
+func TestTheFirstViewsDoNotCostALease(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
+	_, _ = p.leads("dc", time.Second, p.started)                       // b, as it seems
+	p.table.Merge([]member.Member{box("b", "dc", 3, 400)}, time.Now()) // it started again
+	mine, from := p.leads("dc", time.Second, p.started.Add(settleFor/2))
+	c.Assert(mine, quicktest.IsTrue)
+	c.Assert(from.Equal(p.started.Add(settleFor)), quicktest.IsTrue)
+}
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -155,6 +155,19 @@
 	l.forgetLocked(o)
 }
 
+// youngPause is how long a box keeps away from an endpoint that refused it soon after its
+// start: after a start of many their views differ for a moment, and a refusal says little.
+const youngPause = 400 * time.Millisecond
+
+// keepAwayLocked is how long this box keeps away from an endpoint that refused it: longer
+// than the lease, so that two boxes that both think they own it do not take turns.
+func (l *Loader) keepAwayLocked(o *owned) time.Duration {
+	if o.since.Sub(l.begun) < l.Lease() {
+		return youngPause
+	}
+	return l.Lease() * 5 / 4
+}
+
 // doubt learns anew what an endpoint holds, after an order without an answer.
 func (l *Loader) doubt(o *owned, claim int, why string) {
 	l.mu.Lock()
--- /dev/null
+++ b/placement/claim_test.go
@@ -0,0 +1,22 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// After a start of all boxes a wrong leader took the endpoints for a moment; the right one
+// kept away from them for the lease.
+func TestABoxRefusedSoonAfterItsStartTriesAgainSoon(t *testing.T) {
+	c := quicktest.New(t)
+	l := prepare(4).loader
+	l.Lease = func() time.Duration { return 3 * time.Second }
+	now := time.Now()
+	l.begun = now
+	c.Assert(l.keepAwayLocked(&owned{since: now.Add(time.Second)}), quicktest.Equals, youngPause)
+	c.Assert(l.keepAwayLocked(&owned{since: now.Add(10 * time.Second)}) > 3*time.Second, quicktest.IsTrue)
+}
--- a/placement/fence.go
+++ b/placement/fence.go
@@ -14,7 +14,7 @@
 
 	// refusedTerms is how far a refused box raises its term, times more each time: an
 	// owner whose clock was ahead by an hour is passed after three refusals.
-	refusedTerms = 64
+	refusedTerms = 16
 )
 
 // Fences makes the fences of one box. A fence is a term and the box; terms follow
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -47,6 +47,7 @@
 	looked  time.Time          // when what is owned was last looked at
 	queue   []float64          // scores of the loads from the store that are wanted, falling, as of the last look
 	wake    chan struct{}
+	begun   time.Time // when this box began to look at what it owns
 	init    sync.Once
 }
 
@@ -187,6 +188,9 @@
 // ownLocked follows the view: endpoints that are this box's are claimed, others
 // dropped.
 func (l *Loader) ownLocked(now time.Time) []func(context.Context) {
+	if l.begun.IsZero() {
+		l.begun = now
+	}
 	var tasks []func(context.Context)
 	for _, e := range l.View.All() {
 		if l.engine(e) == nil {
@@ -201,7 +205,7 @@
 			o = &owned{endpoint: e, phase: claiming, since: now, slots: make(map[topology.Adapter]*slot)}
 			l.owned[e.ID()] = o
 			tasks = append(tasks, l.claim(o))
-		case o != nil && o.phase == yielded && now.Sub(o.since) > l.Lease()*5/4:
+		case o != nil && o.phase == yielded && now.Sub(o.since) > l.keepAwayLocked(o):
 			o.phase, o.since = claiming, now
 			tasks = append(tasks, l.claim(o))
 		}
--- a/placement/want.go
+++ b/placement/want.go
@@ -111,7 +111,7 @@
 			claims = from
 		}
 	case o.phase == yielded:
-		claims = o.since.Add(l.Lease() * 5 / 4)
+		claims = o.since.Add(l.keepAwayLocked(o))
 	default:
 		claims = o.since
 	}
