Copy a hot adapter to as many endpoints as its requests fill, at once

Change: as many copies as the requests under way with the adapter would fill at 0.6 of the slots; and before it is loaded, as many as those who ask for it would fill. Requests under way are kept as sums, so that a report's cost does not grow with the boxes.

--- a/placement/copies.go
+++ b/placement/copies.go
@@ -19,10 +19,13 @@
 	l.copyTo(ranked[0], a, now, func(w *want) { w.far += float64(count) })
 }
 
-// pressed asks for one more copy of an adapter in a data centre.
-func (l *Loader) pressed(centre string, a topology.Adapter, now time.Time) {
-	if ranked := l.without(centre, a); len(ranked) > 0 {
-		l.copyTo(ranked[0], a, now, func(w *want) { w.debt.Add(pressedDebt, now, debtHalfLife) })
+// copyMore asks for as many copies of an adapter as its requests would fill, and for one
+// more than there are in any case.
+func (l *Loader) copyMore(f pressure, now time.Time) {
+	more := max(f.copies-len(l.in(f.centre, f.adapter)), 1)
+	ranked := l.without(f.centre, f.adapter)
+	for _, id := range ranked[:min(more, len(ranked))] {
+		l.copyTo(id, f.adapter, now, func(w *want) { w.debt.Add(pressedDebt, now, debtHalfLife) })
 	}
 }
 
@@ -30,6 +33,26 @@
 func (l *Loader) copyTo(endpoint string, a topology.Adapter, now time.Time, count func(*want)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.copyToLocked(endpoint, a, now, count)
+}
+
+// copyAheadLocked asks for copies of an adapter that so many ask for before it is loaded
+// anywhere that they would fill more than its home.
+func (l *Loader) copyAheadLocked(o *owned, q *want, a topology.Adapter, now time.Time) {
+	copies := int(float64(q.asked) / o.comfortable())
+	for _, id := range l.without(o.endpoint.DataCentre(), a) {
+		if q.ahead >= copies {
+			return
+		}
+		if id == o.endpoint.ID() || l.wants[wantKey{endpoint: id, adapter: a}] != nil {
+			continue
+		}
+		q.ahead++
+		l.copyToLocked(id, a, now, func(w *want) { w.debt.Add(o.comfortable(), now, debtHalfLife) })
+	}
+}
+
+func (l *Loader) copyToLocked(endpoint string, a topology.Adapter, now time.Time, count func(*want)) {
 	o := l.owned[endpoint]
 	if o == nil || o.phase != owning || o.slots[a] != nil {
 		return
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -34,21 +34,21 @@
 	// Lease is how long a refused owner keeps away from an endpoint.
 	Lease func() time.Duration
 
-	mu      sync.Mutex
-	owned   map[string]*owned // by endpoint
-	wants   map[wantKey]*want
-	rates   map[topology.Adapter]*policy.Popularity
-	bucket  bucket             // of loads of base models
-	pace    pace               // of loads of adapters
-	running map[string]boxRuns // by box, as it told last
-	worth   map[int]float64    // by priority, smoothed over the requests that asked
-	cold    time.Duration      // smoothed time of a load from the store
-	warm    time.Duration      // smoothed time of a load from an endpoint's memory
-	looked  time.Time          // when what is owned was last looked at
-	queue   []float64          // scores of the loads from the store that are wanted, falling, as of the last look
-	wake    chan struct{}
-	begun   time.Time // when this box began to look at what it owns
-	init    sync.Once
+	mu     sync.Mutex
+	owned  map[string]*owned // by endpoint
+	wants  map[wantKey]*want
+	rates  map[topology.Adapter]*policy.Popularity
+	bucket bucket          // of loads of base models
+	pace   pace            // of loads of adapters
+	runs   runs            // requests under way, as boxes tell
+	worth  map[int]float64 // by priority, smoothed over the requests that asked
+	cold   time.Duration   // smoothed time of a load from the store
+	warm   time.Duration   // smoothed time of a load from an endpoint's memory
+	looked time.Time       // when what is owned was last looked at
+	queue  []float64       // scores of the loads from the store that are wanted, falling, as of the last look
+	wake   chan struct{}
+	begun  time.Time // when this box began to look at what it owns
+	init   sync.Once
 }
 
 // phase is how far an endpoint's owner is.
@@ -103,7 +103,7 @@
 		l.cold, l.warm = coldLoad, warmLoad
 		l.pace = newPace()
 		l.worth = make(map[int]float64)
-		l.running = make(map[string]boxRuns)
+		l.runs = newRuns()
 		l.wake = make(chan struct{}, 1)
 	})
 }
@@ -177,6 +177,7 @@
 	var tasks []func(context.Context)
 	if now.Sub(l.looked) >= ownPause {
 		l.looked = now
+		l.runs.forget(now)
 		tasks = l.ownLocked(now)
 		l.shareLocked()
 	}
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -47,9 +47,9 @@
 				tasks = append(tasks, l.retireOneLocked(o, a, now))
 			}
 		}
-		for range l.shortLocked(o, waiting[o], now) {
+		for range l.shortLocked(o, waiting[o]) {
 			a, rests, ok := l.coldestLocked(o, now)
-			if !ok || (!rests && l.stuckLocked(o, now) >= retiringMost) {
+			if !ok || (!rests && l.stuckLocked(o) >= retiringMost) {
 				break
 			}
 			tasks = append(tasks, l.retireOneLocked(o, a, now))
@@ -62,7 +62,7 @@
 }
 
 // shortLocked is how many slots more must be emptied at an endpoint.
-func (l *Loader) shortLocked(o *owned, waiting int, now time.Time) int {
+func (l *Loader) shortLocked(o *owned, waiting int) int {
 	g := l.engine(o.endpoint)
 	if g == nil {
 		return 0
@@ -74,16 +74,16 @@
 			ahead++
 		}
 	}
-	ahead -= l.stuckLocked(o, now)
+	ahead -= l.stuckLocked(o)
 	return min(slots/aheadPart+waiting, retiringMost) - ahead
 }
 
 // stuckLocked counts the adapters that leave an endpoint and are still in use: their runs
 // may take seconds.
-func (l *Loader) stuckLocked(o *owned, now time.Time) int {
+func (l *Loader) stuckLocked(o *owned) int {
 	n := 0
 	for a, s := range o.slots {
-		if s.leaving && !s.unloading && l.inUseLocked(o.endpoint.ID(), a, now) {
+		if s.leaving && !s.unloading && l.runs.of(o.endpoint.ID(), a) > 0 {
 			n++
 		}
 	}
@@ -99,7 +99,7 @@
 			continue
 		}
 		r := l.rateLocked(a, now)
-		rests := !l.inUseLocked(o.endpoint.ID(), a, now)
+		rests := l.runs.of(o.endpoint.ID(), a) == 0
 		first := !ok || (rests && !idle)
 		if first || (rests == idle && (r < least || (r == least && s.used.Before(o.slots[coldest].used)))) {
 			coldest, least, idle, ok = a, r, rests, true
@@ -146,7 +146,7 @@
 		return 0, false
 	}
 	rest = tellFor - now.Sub(s.retired)
-	if rest <= 0 && l.inUseLocked(o.endpoint.ID(), a, now) {
+	if rest <= 0 && l.runs.of(o.endpoint.ID(), a) > 0 {
 		rest = tellAgain
 	}
 	s.unloading = rest <= 0
--- a/placement/use.go
+++ b/placement/use.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"cairnwick.example/topology"
@@ -16,13 +17,6 @@
 	Running  int // requests under way
 }
 
-// boxRuns is how many requests one box has under way, as it told last.
-type boxRuns struct {
-	at       time.Time
-	runs     map[string]int  // by endpoint
-	adapters map[wantKey]int // by endpoint and adapter
-}
-
 const (
 	runsLife    = 2 * time.Second // a box that says nothing for so long has nothing under way here
 	pressedPart = 0.6             // of an endpoint's slots in use: batches become slow, and the next burst queues
@@ -33,15 +27,10 @@
 // nothing of the rest.
 func (l *Loader) Used(box string, uses []Use, part bool, now time.Time) {
 	l.mu.Lock()
-	b := boxRuns{at: now, runs: make(map[string]int), adapters: make(map[wantKey]int)}
-	if old, known := l.running[box]; part && known {
-		b = old
-	}
+	l.runs.told(box, uses, part, now)
+	endpoints := make(map[string]bool)
 	for _, u := range uses {
-		if !part {
-			b.runs[u.Endpoint] += u.Running
-		}
-		b.adapters[wantKey{endpoint: u.Endpoint, adapter: u.Adapter}] = u.Running
+		endpoints[u.Endpoint] = true
 		if u.Begun > 0 {
 			l.countLocked(u.Adapter, float64(u.Begun), now)
 		}
@@ -49,52 +38,52 @@
 			o.slots[u.Adapter].used = now
 		}
 	}
-	l.running[box] = b
-	full := l.fullLocked(b.runs, now)
+	full := l.fullLocked(endpoints)
 	l.mu.Unlock()
-	for centre, a := range full {
-		l.pressed(centre, a, now)
+	for _, f := range full {
+		l.copyMore(f, now)
 	}
 }
 
-// fullLocked returns, by data centre, the hottest adapter of an endpoint that is full.
-func (l *Loader) fullLocked(endpoints map[string]int, now time.Time) map[string]topology.Adapter {
-	full := make(map[string]topology.Adapter)
+// pressure is an adapter that fills an endpoint.
+type pressure struct {
+	centre  string
+	adapter topology.Adapter
+	copies  int // that its requests under way in the data centre would fill
+}
+
+// fullLocked returns the busiest adapter of each of the endpoints that is full.
+func (l *Loader) fullLocked(endpoints map[string]bool) []pressure {
+	var full []pressure
 	for id := range endpoints {
 		o := l.owned[id]
-		if o == nil || o.phase != owning || float64(l.runsLocked(id, now)) < pressedPart*float64(o.endpoint.Slots()) {
+		if o == nil || o.phase != owning || float64(l.runs.at(id)) < o.comfortable() {
 			continue
 		}
-		hottest, most := topology.Adapter{}, 0.0
+		busiest, most := topology.Adapter{}, 0
 		for a, s := range o.slots {
-			if r := l.rateLocked(a, now); s.ready && r > most {
-				hottest, most = a, r
+			if n := l.runs.of(id, a); s.ready && n > most {
+				busiest, most = a, n
 			}
 		}
 		if most > 0 {
-			full[o.endpoint.DataCentre()] = hottest
+			full = append(full, pressure{centre: o.endpoint.DataCentre(), adapter: busiest, copies: l.copiesLocked(o, busiest)})
 		}
 	}
 	return full
 }
 
-// inUseLocked tells whether a box has requests under way with an adapter at an endpoint.
-func (l *Loader) inUseLocked(id string, a topology.Adapter, now time.Time) bool {
-	for _, b := range l.running {
-		if now.Sub(b.at) < runsLife && b.adapters[wantKey{endpoint: id, adapter: a}] > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// runsLocked returns how many requests all boxes have under way at an endpoint.
-func (l *Loader) runsLocked(id string, now time.Time) int {
+// copiesLocked is how many endpoints like one the requests under way with an adapter in its
+// data centre would fill.
+func (l *Loader) copiesLocked(o *owned, a topology.Adapter) int {
 	n := 0
-	for _, b := range l.running {
-		if now.Sub(b.at) < runsLife {
-			n += b.runs[id]
+	for id, p := range l.owned {
+		if p.endpoint.DataCentre() == o.endpoint.DataCentre() {
+			n += l.runs.of(id, a)
 		}
 	}
-	return n
+	return int(math.Ceil(float64(n) / o.comfortable()))
 }
+
+// comfortable is how many requests an endpoint runs at once before it counts as full.
+func (o *owned) comfortable() float64 { return pressedPart * float64(o.endpoint.Slots()) }
--- a/placement/want.go
+++ b/placement/want.go
@@ -26,6 +26,8 @@
 	far     float64           // requests that another data centre served: a copy would save their way
 	last    time.Time         // when it was asked for last
 	waiting int               // requests that are held for it
+	asked   int               // requests that asked for it in vain
+	ahead   int               // copies that were asked for because of them
 	done    chan struct{}     // closed when the load has begun or will not
 	ended   bool
 }
@@ -149,6 +151,8 @@
 	if !w.again {
 		q.debt.Add(l.askWeightLocked(w.Wanted), now, debtHalfLife)
 		l.countLocked(w.Adapter, 1, now)
+		q.asked++
+		l.copyAheadLocked(o, q, w.Adapter, now)
 	}
 	l.nudge()
 	load := l.cold
