Double the pace of loads until the store slows the first one

Change: until the first load that was slowed the pace grows by one with each load, up to 64. Ruled out: a higher start for all (a slow store would be pressed by every new leader). Test: TestThePaceDoublesUntilTheFirstSlowLoad.

--- a/placement/pace.go
+++ b/placement/pace.go
@@ -7,8 +7,9 @@
 const (
 	paceFirst   = 4.0  // adapters that one leader fetches at once, to begin with
 	paceLeast   = 1.0  // so that a slow store is still asked
-	paceMost    = 16.0 // four endpoints with all that may be on their way to each
-	paceGrowth  = 0.5  // added for each load that was not slowed down
+	paceMost    = 64.0 // sixteen endpoints with all that may be on their way to each
+	paceDoubles = 1.0  // added for each load until the first that was slowed down: the pace doubles in the time of one
+	paceGrowth  = 0.5  // added for each load that was not slowed down, from then on
 	paceCut     = 0.8  // of the pace that is kept after one that was
 	paceSlowed  = 1.5  // times the fastest load: the store is pressed
 	paceForgets = 0.01 // part by which the fastest load is raised with each load, in case the store has changed
@@ -20,6 +21,7 @@
 type pace struct {
 	limit    float64
 	fastest  time.Duration // of the loads from the store lately
+	found    bool          // a load was slowed down: the store's limit is near
 	underWay int
 }
 
@@ -57,9 +59,14 @@
 	}
 	if float64(took) > paceSlowed*float64(p.fastest) {
 		p.limit = max(paceLeast, p.limit*paceCut)
+		p.found = true
 		return
 	}
-	p.limit = min(paceMost, p.limit+paceGrowth)
+	growth := paceDoubles
+	if p.found {
+		growth = paceGrowth
+	}
+	p.limit = min(paceMost, p.limit+growth)
 }
 
 // wait returns how long so many loads before one keep it waiting, when each takes load.
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -99,3 +99,27 @@
 	c.Assert(r.has(adapter(2)), quicktest.IsTrue)
 	c.Assert(len(r.left), quicktest.Equals, warmAdapters)
 }
+
+// Leaders began with four loads at a time and grew by one with every second load: after a
+// start, when nothing is loaded, a second was lost.
+func TestThePaceDoublesUntilTheFirstSlowLoad(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPace()
+	round := func(took time.Duration) {
+		n := 0
+		for p.take() {
+			n++
+		}
+		for range n {
+			p.end(took)
+		}
+	}
+	round(250 * time.Millisecond)
+	c.Assert(p.limit, quicktest.Equals, 2*paceFirst)
+	round(250 * time.Millisecond)
+	c.Assert(p.limit, quicktest.Equals, 4*paceFirst)
+	round(time.Second)
+	slow := p.limit
+	round(250 * time.Millisecond)
+	c.Assert(p.limit < 2*slow, quicktest.IsTrue)
+}
