Give the leader time to tell what it reads before watching the source

Change: after a list a box that does not lead waits up to 0.6 s before it watches. Test: TestABoxThatIsToldSoonDoesNotWatchTheSource.

--- a/edge/node.go
+++ b/edge/node.go
@@ -247,6 +247,7 @@
 		decoder:    n.Decoder,
 		table:      n.items,
 		wanted:     n.mustRead,
+		leads:      func() bool { return n.peers.outlook().steps == 0 && time.Since(n.peers.started) > settleFor },
 		log:        n.Log,
 		heard: func(well bool) {
 			if well != ok {
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -19,6 +19,8 @@
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
 	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
+	wordFor     = 600 * time.Millisecond  // a box finds its leader within it, and hears what that reads
+	wordLook    = 50 * time.Millisecond   // how often it looks meanwhile
 	standbyLook = 200 * time.Millisecond  // how often a box that does not read looks whether it must
 )
 
@@ -30,6 +32,7 @@
 	decoder    Decoder
 	table      *share.Table
 	wanted     func() bool // whether this box reads now
+	leads      func() bool // whether others rely on what it reads
 	log        logr.Logger
 	heard      func(ok bool) // hears how each call went
 
@@ -48,6 +51,7 @@
 			r.standBy(ctx)
 			continue
 		}
+		listed := r.after == 0
 		found, err := r.step(ctx)
 		if ctx.Err() != nil {
 			break
@@ -57,6 +61,9 @@
 		case err != nil:
 			sleep(ctx, pause)
 			pause = min(2*pause, failMost)
+		case listed:
+			pause = failPause
+			r.awaitWord(ctx)
 		case found:
 			pause = failPause
 			sleep(ctx, watchPause)
@@ -67,6 +74,14 @@
 	return nil
 }
 
+// awaitWord gives the leader some time to tell what it reads before this box watches the
+// source as well: after a start of all boxes their watches would be most calls of the day.
+func (r *reader) awaitWord(ctx context.Context) {
+	for until := time.Now().Add(wordFor); ctx.Err() == nil && time.Now().Before(until) && !r.leads() && r.wanted(); {
+		sleep(ctx, wordLook)
+	}
+}
+
 // standBy waits until this box must read.
 func (r *reader) standBy(ctx context.Context) {
 	for ctx.Err() == nil && !r.wanted() {
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -76,6 +76,7 @@
 		decoder:    plainDecoder{},
 		table:      t,
 		wanted:     func() bool { return true },
+		leads:      func() bool { return true },
 		log:        logr.Discard(),
 		heard:      func(bool) {},
 	}, t
@@ -163,3 +164,21 @@
 	}
 	c.Assert(s.waits, quicktest.DeepEquals, []time.Duration{watchWait, watchShort, watchWait})
 }
+
+// After a start every box listed the source and watched it, though its leader told it the
+// same soon: three calls in five of a quiet day.
+func TestABoxThatIsToldSoonDoesNotWatchTheSource(t *testing.T) {
+	c := quicktest.New(t)
+	s := &script{list: []Batch{{Revision: 5}}, watch: []func() (Batch, error){func() (Batch, error) { return Batch{Revision: 6}, nil }}}
+	r, _ := newReader(s)
+	looks := 0
+	r.leads = func() bool { return false }
+	r.wanted = func() bool {
+		looks++
+		return looks < 3
+	}
+	ctx, end := context.WithTimeout(context.Background(), 2*wordFor)
+	defer end()
+	c.Assert(r.run(ctx), quicktest.IsNil)
+	c.Assert(s.waits, quicktest.HasLen, 0)
+}
