Tell a cut by several requests that nothing is heard of

Cause: requests into a data centre that is cut off were lost until the heartbeats told the cut, 1.2 s later, since kept connections open no new one that could fail: some 60 streams in the second after each cut. Change: three endpoints of a data centre with requests unanswered for 0.35 s, while nothing at all came from there, make it avoided for a second. Ruled out: shorter heartbeats (a slow box would be called dead). Test: TestSeveralRequestsIntoSilenceMakeTheirDataCentreAvoided.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -44,12 +44,13 @@
 	if err != nil {
 		return nil, &Refusal{Code: CodeBadRequest, Detail: err.Error()}
 	}
-	quiet := watchSilence(u)
+	quiet := g.watchSilence(u)
 	a, err := engine.Send(u.client(), r, time.Time{})
 	quiet()
 	if err != nil {
 		return nil, g.lost(ctx, q, u, err)
 	}
+	g.away.hear(u.endpoint.DataCentre(), time.Now())
 	if f := g.judge(q, u, t, a); f != nil {
 		_ = a.Body.Close() // nothing of it is used
 		return nil, f
@@ -57,15 +58,20 @@
 	return a, nil
 }
 
-// watchSilence counts the request as silent while its answer is long in coming;
-// the function it returns ends that.
-func watchSilence(u *upstream) func() {
+// watchSilence counts the request as silent while its answer is long in coming, and tells
+// a cut by several that nothing is heard of; the function it returns ends that.
+func (g *Gateway) watchSilence(u *upstream) func() {
+	sent := time.Now()
+	hush := time.AfterFunc(hushAfter, func() {
+		g.away.hush(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
+	})
 	done := make(chan struct{}, 1)
 	timer := time.AfterFunc(silentAfter, func() {
 		u.quiet(1)
 		done <- struct{}{}
 	})
 	return func() {
+		hush.Stop()
 		if !timer.Stop() {
 			<-done
 			u.quiet(-1)
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -60,6 +60,26 @@
 	c.Assert(a.is("far", late.Add(2*awayFor)), quicktest.IsFalse)
 }
 
+// A cut showed only by the heartbeats of boxes, 1.2 s later; every request into it until
+// then was lost.
+func TestSeveralRequestsIntoSilenceMakeTheirDataCentreAvoided(t *testing.T) {
+	c := quicktest.New(t)
+	var a away
+	sent := time.Unix(100, 0)
+	late := sent.Add(hushAfter)
+	a.hear("far", sent.Add(time.Millisecond)) // of another request there
+	for i := range strikesMost {
+		a.hush("far", fmt.Sprint(i), sent, late)
+	}
+	c.Assert(a.is("far", late), quicktest.IsFalse)
+	sent = late
+	late = sent.Add(hushAfter)
+	for i := range strikesMost {
+		a.hush("far", fmt.Sprint(i), sent, late)
+	}
+	c.Assert(a.is("far", late), quicktest.IsTrue)
+}
+
 // leavingPlacer makes the first endpoint that it is asked for leave meanwhile.
 type leavingPlacer struct {
 	view *topology.View
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -26,7 +26,7 @@
 // at another endpoint where its route allows that.
 func (g *Gateway) passStream(ctx context.Context, q *request, out *answer, u *upstream, t target, a *http.Response) *Refusal {
 	s := &events{out: out, last: q.call.LastEvent}
-	err := s.copy(a)
+	err := s.copy(a, g.hears(u))
 	u.outcome(err != nil && ctx.Err() == nil)
 	if err == nil {
 		return nil
@@ -76,11 +76,16 @@
 	if !isStream(a) {
 		return false
 	}
-	err := s.copy(a)
+	err := s.copy(a, g.hears(u))
 	u.outcome(err != nil && ctx.Err() == nil)
 	return err == nil
 }
 
+// hears returns what is told of each event that comes from an endpoint.
+func (g *Gateway) hears(u *upstream) func() {
+	return func() { g.away.hear(u.endpoint.DataCentre(), time.Now()) }
+}
+
 // events passes the events of one answer on, from one run or, where a run went
 // on elsewhere, several.
 type events struct {
@@ -89,8 +94,9 @@
 }
 
 // copy passes whole events on until the stream's end, which it returns as nil.
-// What is left of an event that was cut inside is not passed on.
-func (s *events) copy(a *http.Response) error {
+// What is left of an event that was cut inside is not passed on. Each event is told to
+// heard.
+func (s *events) copy(a *http.Response, heard func()) error {
 	in := bufio.NewReaderSize(a.Body, 4<<10)
 	var event []byte
 	for {
@@ -105,6 +111,7 @@
 		if len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		heard()
 		s.pass(a, event)
 		event = event[:0]
 		if s.out.gone {
