Ask a source that fails less often where nobody relies on the answer

Change: a box that does not lead waits up to 1.5 s between calls that fail, a leader 0.6 s. Ruled out: leaders alone read (the store may turn a leader away and serve the others). Test: TestABoxOnWhomNobodyReliesAsksASourceThatFailsLessOften.

--- a/edge/reader.go
+++ b/edge/reader.go
@@ -18,6 +18,7 @@
 	watchPause  = 600 * time.Millisecond  // between two watches, so that events come in batches
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
+	failStandby = 1500 * time.Millisecond // the same where nobody relies on this box: its leader fails too, and there are many
 	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
 	wordFor     = 600 * time.Millisecond  // a box finds its leader within it, and hears what that reads
 	wordLook    = 50 * time.Millisecond   // how often it looks meanwhile
@@ -60,7 +61,7 @@
 		switch {
 		case err != nil:
 			sleep(ctx, pause)
-			pause = min(2*pause, failMost)
+			pause = min(2*pause, r.longestPause())
 		case listed:
 			pause = failPause
 			r.awaitWord(ctx)
@@ -74,6 +75,14 @@
 	return nil
 }
 
+// longestPause is how long this box waits between two calls to a source that fails.
+func (r *reader) longestPause() time.Duration {
+	if r.leads() {
+		return failMost
+	}
+	return failStandby
+}
+
 // awaitWord gives the leader some time to tell what it reads before this box watches the
 // source as well: after a start of all boxes their watches would be most calls of the day.
 func (r *reader) awaitWord(ctx context.Context) {
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -182,3 +182,12 @@
 	c.Assert(r.run(ctx), quicktest.IsNil)
 	c.Assert(s.waits, quicktest.HasLen, 0)
 }
+
+// When the source was away every box asked it twice a second, as its leader did.
+func TestABoxOnWhomNobodyReliesAsksASourceThatFailsLessOften(t *testing.T) {
+	c := quicktest.New(t)
+	r, _ := newReader(&script{})
+	c.Assert(r.longestPause(), quicktest.Equals, failMost)
+	r.leads = func() bool { return false }
+	c.Assert(r.longestPause(), quicktest.Equals, failStandby)
+}
