--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -42,7 +42,15 @@
 	Plots    string        `arg:"--plots" help:"folder for a plot of each workload, SVG"`
 }
 
+type futureCommand struct {
+	Logs  []string      `arg:"positional" help:"debug logs of all boxes; standard input when none is given"`
+	Slots int           `arg:"--slots,required" help:"adapters that all endpoints hold together"`
+	Rate  float64       `arg:"--rate,required" help:"loads a second that the store gives"`
+	Lead  time.Duration `arg:"--lead" default:"10s" help:"loads may begin so long before the first request"`
+}
+
 type arguments struct {
+	Future   *futureCommand   `arg:"subcommand:future" help:"what a policy that knew the future could have had, from logs"`
 	Policies *policiesCommand `arg:"subcommand:policies" help:"the chosen policies and the baselines, in the users' sizes"`
 	Storm    *stormCommand    `arg:"subcommand:storm" help:"mixed failures under load, with the stand-ins as witnesses"`
 	Path     *pathCommand     `arg:"subcommand:path" help:"latency through cairnwick and straight to the engine"`
@@ -79,6 +87,8 @@
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
 		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate}.Run(ctx, os.Stdout)
+	case a.Future != nil:
+		err = measure.Future{Logs: a.Future.Logs, Slots: a.Future.Slots, Rate: a.Future.Rate, Lead: a.Future.Lead}.Run(os.Stdout)
 	case a.Policies != nil:
 		q := a.Policies
 		err = measure.Policies{
--- a/forward/home.go
+++ b/forward/home.go
@@ -17,6 +17,7 @@
 // that has come back waits.
 func (g *Gateway) placeAdapter(ctx context.Context, q *request, list []*topology.Endpoint) (target, *Refusal) {
 	a := q.call.Adapter
+	g.Log.V(1).Info("Adapter is needed", "request", q.call.ID, "adapter", a.String(), "route", q.route.Name())
 	now := time.Now()
 	if e := g.least(among(g.View.Holders(a), list), now); e != nil {
 		return target{endpoint: e, version: g.View.Newest(a)}, nil
@@ -27,7 +28,10 @@
 		if !settling || !q.mayWait() || ctx.Err() != nil || !time.Now().Before(until) {
 			return t, f
 		}
-		sleep(ctx, settlePause)
+		select {
+		case <-ctx.Done():
+		case <-time.After(settlePause):
+		}
 	}
 }
 
@@ -147,12 +151,3 @@
 	}
 	return some
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/measure/bound.go
+++ b/measure/bound.go
@@ -12,21 +12,30 @@
 // for the latest. Only loads from the request called first on count; those before
 // warm the slots.
 func fewestLoads(asked []string, slots, first int) int {
+	loads := 0
+	for i, m := range missed(asked, slots) {
+		if m && i >= first {
+			loads++
+		}
+	}
+	return loads
+}
+
+// missed tells of each request whether that policy has to load its adapter.
+func missed(asked []string, slots int) []bool {
 	next := nextUse(asked)
 	held := make(map[string]int) // when each adapter in a slot is asked for again
-	loads := 0
+	list := make([]bool, len(asked))
 	for i, a := range asked {
 		if _, ok := held[a]; !ok {
-			if i >= first {
-				loads++
-			}
+			list[i] = true
 			if len(held) >= slots {
 				delete(held, latest(held))
 			}
 		}
 		held[a] = next[i]
 	}
-	return loads
+	return list
 }
 
 // nextUse returns, for each request, when its adapter is asked for again.
--- /dev/null
+++ b/measure/future.go
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package measure
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"cairnwick.example/logging"
+	"github.com/pkg/errors"
+)
+
+// Future reckons, from the debug logs of all boxes, what a policy that knew the future
+// could have had on the same requests: it loads each adapter just before it is needed and
+// evicts the one that is needed again the latest, as fast as the store gives adapters.
+type Future struct {
+	Logs  []string      // paths; none: standard input
+	Slots int           // adapters that all endpoints hold together
+	Rate  float64       // loads a second that the store gives
+	Lead  time.Duration // loads may begin so long before the first request
+}
+
+// need is one request for an adapter.
+type need struct {
+	at      time.Time
+	adapter string
+}
+
+// Run prints the bound beside what the boxes did.
+func (f Future) Run(out io.Writer) error {
+	if f.Slots <= 0 || f.Rate <= 0 {
+		return errors.New("measure: --slots and --rate must be above zero")
+	}
+	log, err := f.read()
+	if err != nil {
+		return err
+	}
+	needs, loads, refused := gather(log)
+	if len(needs) == 0 {
+		return errors.New("measure: no line says that an adapter is needed: run the boxes with --debug")
+	}
+	asked := make([]string, len(needs))
+	kinds := make(map[string]bool)
+	for i, n := range needs {
+		asked[i] = n.adapter
+		kinds[n.adapter] = true
+	}
+	late := f.lateAtLeast(needs, missed(asked, f.Slots))
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "requests for adapters\t%d\n", len(needs))
+	fmt.Fprintf(w, "adapters\t%d\n", len(kinds))
+	fmt.Fprintf(w, "loads at least\t%d\n", fewestLoads(asked, f.Slots, 0))
+	fmt.Fprintf(w, "loads begun, from the store\t%d\n", loads)
+	fmt.Fprintf(w, "requests that wait for a load at least\t%d\n", late)
+	fmt.Fprintf(w, "share that need not wait\t%.3f\n", 1-float64(late)/float64(len(needs)))
+	fmt.Fprintf(w, "refused for a load\t%d\n", refused)
+	return errors.Wrap(w.Flush(), "measure")
+}
+
+func (f Future) read() (*logging.Log, error) {
+	var log logging.Log
+	if len(f.Logs) == 0 {
+		return &log, errors.Wrap(log.Read(os.Stdin), "measure: read log")
+	}
+	for _, p := range f.Logs {
+		file, err := os.Open(p)
+		if err != nil {
+			return nil, errors.Wrap(err, "measure: open log")
+		}
+		err = log.Read(file)
+		file.Close()
+		if err != nil {
+			return nil, errors.Wrapf(err, "measure: read %s", p)
+		}
+	}
+	return &log, nil
+}
+
+// gather returns the requests for adapters by time, the loads that were begun from the
+// store and the requests that were refused for a load.
+func gather(log *logging.Log) (needs []need, loads, refused int) {
+	for _, l := range log.Lines() {
+		switch l.Message() {
+		case "Adapter is needed":
+			needs = append(needs, need{at: l.Time(), adapter: l.Text("adapter")})
+		case "Load begins":
+			if l.Text("from_store") == "true" {
+				loads++
+			}
+		case "Request failed":
+			if l.Text("reason") == "adapter_not_loaded" {
+				refused++
+			}
+		}
+	}
+	return needs, loads, refused
+}
+
+// lateAtLeast is how many loads cannot be done before they are needed: by each moment the
+// store has given no more than its rate.
+func (f Future) lateAtLeast(needs []need, missed []bool) int {
+	begun := needs[0].at.Add(-f.Lead)
+	loads, late := 0, 0
+	for i, n := range needs {
+		if !missed[i] {
+			continue
+		}
+		loads++
+		given := int(n.at.Sub(begun).Seconds() * f.Rate)
+		late = max(late, loads-given)
+	}
+	return late
+}
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -34,7 +34,8 @@
 	retiringMost = loadsAtOnce
 )
 
-// retireLocked empties slots: as many as loads wait for, and some ahead.
+// retireLocked empties slots: as many as loads wait for, and some ahead. Adapters in use
+// leave only where a load waits.
 func (l *Loader) retireLocked(waiting map[*owned]int, now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
 	for _, o := range l.owned {
@@ -49,7 +50,7 @@
 		}
 		for range l.shortLocked(o, waiting[o]) {
 			a, rests, ok := l.coldestLocked(o, now)
-			if !ok || (!rests && l.stuckLocked(o) >= retiringMost) {
+			if !ok || (!rests && (waiting[o] == 0 || l.stuckLocked(o) >= retiringMost)) {
 				break
 			}
 			tasks = append(tasks, l.retireOneLocked(o, a, now))
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -111,6 +111,7 @@
 		uses = append(uses, Use{Endpoint: "e1", Adapter: adapter(i), Running: 1})
 	}
 	l.Used("box", uses, false, now)
+	c.Assert(l.retireLocked(nil, now), quicktest.HasLen, 0) // no load waits
 	waiting := map[*owned]int{o: 1}
 	c.Assert(l.retireLocked(waiting, now), quicktest.HasLen, 1) // nothing rests
 	l.Used("box", uses[:1], false, now)
