Let a member hear of its death from those who know better

Ruled out: load (the new test has no timing and was red). Change: what is passed over is kept and told to the member itself, as is what a daemon itself believes of the one that it speaks to.

--- /dev/null
+++ b/forward/leave_test.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestTheEndpointIsLeftWhenItsCallerLeaves(t *testing.T) {
+	s := newSite(t, once(time.Minute))
+	begun, left := make(chan struct{}), make(chan struct{})
+	s.endpoint(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // a server notices that its caller leaves only after the body
+		close(begun)
+		<-r.Context().Done()
+		close(left)
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.front.URL+"/", nil)
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	r.Header.Set("Id", "call-1")
+	ended := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(r)
+		ended <- err
+	}()
+	<-begun
+	leave()
+	s.c.Assert(<-ended, quicktest.IsNotNil)
+	<-left // the test does not end while the endpoint works on
+}
+
+func TestABoxThatLeavesAnswersAndAsksForAnotherConnection(t *testing.T) {
+	s := newSite(t, once(time.Minute))
+	calls := s.endpoint(t, answerOK)
+	s.gateway.Leave()
+	a, body, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(body, quicktest.Equals, "fine")
+	s.c.Assert(a.Close, quicktest.IsTrue)
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(1))
+}
--- a/member/loop.go
+++ b/member/loop.go
@@ -225,7 +225,7 @@
 func (l *Loop) call(ctx context.Context, address string) (*wire.Heartbeat, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 	defer cancel()
-	return l.Dial(address).Exchange(ctx, l.Heartbeat(false))
+	return l.Dial(address).Exchange(ctx, l.telling(l.Heartbeat(false), address))
 }
 
 // refused tells whether no process listens at the address. gRPC keeps of a
@@ -256,7 +256,15 @@
 	l.take(h, h.GetFrom().GetAddress())
 	l.Table.Exchanged(h.GetFrom().GetName(), time.Now())
 	_, known := l.Table.Find(h.GetFrom().GetName())
-	return l.Heartbeat(known && h.GetView() != l.Table.Digest())
+	return l.telling(l.Heartbeat(known && h.GetView() != l.Table.Digest()), h.GetFrom().GetAddress())
+}
+
+// telling adds to a heartbeat what the daemon at the address must hear of itself.
+func (l *Loop) telling(h *wire.Heartbeat, address string) *wire.Heartbeat {
+	for _, m := range l.Table.Claims(address) {
+		h.News = append(h.News, m.Wire())
+	}
+	return h
 }
 
 func (l *Loop) take(h *wire.Heartbeat, address string) {
--- a/member/loop_test.go
+++ b/member/loop_test.go
@@ -102,6 +102,21 @@
 	c.Assert(w.allSee(8), quicktest.IsTrue)
 }
 
+// One daemon believed another dead. Those who saw that one themselves passed the hearsay
+// over, so it never heard of its death and never refuted it.
+func TestAMemberHearsOfItsDeathFromThoseWhoKnowBetter(t *testing.T) {
+	c := quicktest.New(t)
+	w := make(wires)
+	for i := range 6 {
+		w.join(fmt.Sprintf("box%d", i), "box0:1")
+	}
+	w.beats(8)
+	c.Assert(w.allSee(6), quicktest.IsTrue)
+	w["box0:1"].Table.Gone("box3", time.Now())
+	w.beats(6)
+	c.Assert(w.allSee(6), quicktest.IsTrue)
+}
+
 func TestAHeartbeatNamesItsSenderWhole(t *testing.T) {
 	c := quicktest.New(t)
 	w := make(wires)
--- a/member/signs.go
+++ b/member/signs.go
@@ -8,6 +8,7 @@
 type signs struct {
 	seen   map[string]time.Time // by name: when a sign of life last came from the member itself
 	risen  map[string]time.Time // by name: when a later life of the member was first heard of
+	claims map[string]Member    // by name: what others say of a member that was seen to live
 	ticked time.Time            // of the last tick
 	woke   time.Time            // of the last pause's end
 }
@@ -15,6 +16,7 @@
 func (s *signs) forget(name string) {
 	delete(s.seen, name)
 	delete(s.risen, name)
+	delete(s.claims, name)
 }
 
 const (
@@ -48,6 +50,25 @@
 	return false
 }
 
+// Claims returns what a member at an address must hear of itself, so that it can refute it:
+// that it is believed dead or suspect here, or elsewhere by what was heard.
+func (t *Table) Claims(address string) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	for n, m := range t.others {
+		if m.address != address {
+			continue
+		}
+		if claim, ok := t.signs.claims[n]; ok {
+			list = append(list, claim)
+		} else if m.state == Suspect || m.state == Dead {
+			list = append(list, m)
+		}
+	}
+	return list
+}
+
 // Seen notes a sign of life at now that came from a member by another way than
 // heartbeats, as a stream that it feeds.
 func (t *Table) Seen(name string, now time.Time) {
--- a/member/table.go
+++ b/member/table.go
@@ -39,7 +39,7 @@
 		limits: l,
 		self:   self,
 		others: make(map[string]Member),
-		signs:  signs{seen: make(map[string]time.Time), risen: make(map[string]time.Time)},
+		signs:  signs{seen: make(map[string]time.Time), risen: make(map[string]time.Time), claims: make(map[string]Member)},
 		news:   map[string]int{self.name: 1},
 		notify: make(chan struct{}),
 	}
@@ -130,7 +130,8 @@
 		return
 	}
 	if known && m.incarnation == old.incarnation && m.state != Leaving && t.seenLocked(m.name, now) {
-		return // hearsay against a sign of life from the member itself, which will refute it
+		t.signs.claims[m.name] = m // hearsay against a sign of life from the member itself, which will refute it
+		return
 	}
 	if !known && m.state == Dead {
 		return // nothing to correct, and it would be told for ever
@@ -157,6 +158,7 @@
 }
 
 func (t *Table) setLocked(m Member, now time.Time) {
+	delete(t.signs.claims, m.name)
 	m.since = now
 	t.others[m.name] = m
 	t.changedLocked(m.name)
