--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -30,17 +30,23 @@
 	c.Assert(p.limit > slow, quicktest.IsTrue)
 }
 
-// A new owner does not know what an endpoint's memory keeps: such loads, thought to come
-// from the store, made every real one look slow, and the pace fell to one.
-func TestALoadFromMemorySaysNothingOfTheStore(t *testing.T) {
-	c := quicktest.New(t)
+// pacedLoads returns a loader and what tells it of a load that was thought to come from
+// the store and took so long.
+func pacedLoads(c *quicktest.C) (*Loader, func(took time.Duration)) {
 	l := &Loader{Limits: func() RateLimits { return DefaultRateLimits }}
 	l.Init()
-	load := func(took time.Duration) {
+	return l, func(took time.Duration) {
 		s := &slot{paced: true}
 		c.Assert(l.pace.take(), quicktest.IsTrue)
 		l.timeLocked(s, took)
 	}
+}
+
+// A new owner does not know what an endpoint's memory keeps: such loads, thought to come
+// from the store, made every real one look slow, and the pace fell to one.
+func TestALoadFromMemorySaysNothingOfTheStore(t *testing.T) {
+	c := quicktest.New(t)
+	l, load := pacedLoads(c)
 	load(260 * time.Millisecond)
 	load(30 * time.Millisecond)
 	before := l.pace.limit
@@ -53,13 +59,7 @@
 // loads from memory, and the pace stayed where the slow ones had brought it.
 func TestThePaceRecoversAfterSlowLoads(t *testing.T) {
 	c := quicktest.New(t)
-	l := &Loader{Limits: func() RateLimits { return DefaultRateLimits }}
-	l.Init()
-	load := func(took time.Duration) {
-		s := &slot{paced: true}
-		c.Assert(l.pace.take(), quicktest.IsTrue)
-		l.timeLocked(s, took)
-	}
+	l, load := pacedLoads(c)
 	load(260 * time.Millisecond)
 	for range 20 {
 		load(time.Second)
