Keep what only a box may tell an endpoint out of callers' requests

Cause: callers of the lighting co-op send Cache-Retention, Pin-Duration-Ms, Kv-Backup and Kv-From of their own; they were passed on as any header, endpoints ran them as told or refused them.

Change: Protocol.Instruct replaces every instruction that the caller wrote; the names stay in platform/. Expected-Version and Request-Priority of a caller went on too where the box gave none itself. Weighed: a list of what may pass. A Connection header that lists what describes the call (its ID, model, tokens, prefix) no longer takes it away.

Other letter case and doubled names are one name to net/http; tests have both.

--- a/forward/answer.go
+++ b/forward/answer.go
@@ -11,18 +11,19 @@
 
 // answer is what the caller has got so far.
 type answer struct {
-	writer http.ResponseWriter
-	begun  bool      // something was written
-	first  time.Time // of the first byte
-	gone   bool      // a write failed: the caller is gone
-	status int
+	writer    http.ResponseWriter
+	describes func(header string) bool // whether it says what the call is
+	begun     bool                     // something was written
+	first     time.Time                // of the first byte
+	gone      bool                     // a write failed: the caller is gone
+	status    int
 }
 
 // head writes an endpoint's status and headers; length below zero: not known.
 func (a *answer) head(r *http.Response, length int) {
 	h := a.writer.Header()
 	leaving := h.Get("Connection")
-	for n, values := range endToEnd(r.Header) {
+	for n, values := range endToEnd(r.Header, a.describes) {
 		h[n] = values
 	}
 	if leaving != "" {
@@ -60,12 +61,15 @@
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
 }
 
-// endToEnd returns the headers without those that concern one connection only.
-func endToEnd(from http.Header) http.Header {
+// endToEnd returns the headers without those that concern one connection only: the usual
+// ones, and those that the sender lists, unless they describe the call.
+func endToEnd(from http.Header, describes func(name string) bool) http.Header {
 	h := from.Clone()
 	for _, line := range from["Connection"] {
 		for _, n := range strings.Split(line, ",") {
-			h.Del(strings.TrimSpace(n))
+			if n = http.CanonicalHeaderKey(strings.TrimSpace(n)); !describes(n) {
+				h.Del(n)
+			}
 		}
 	}
 	for _, n := range hopByHop {
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -89,7 +89,7 @@
 	}
 	r.URL = &url.URL{Scheme: "http", Host: t.endpoint.Address(), Opaque: path, RawQuery: query, ForceQuery: marked && query == ""}
 	r.Host = q.inbound.Host
-	r.Header = endToEnd(q.inbound.Header)
+	r.Header = endToEnd(q.inbound.Header, g.Protocol.Describes)
 	if r.Header["User-Agent"] == nil {
 		r.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -52,8 +52,13 @@
 type Protocol interface {
 	// ReadCall reads a caller's request; an error is the caller's fault.
 	ReadCall(h http.Header) (Call, error)
-	// Instruct adds to the headers of a request to an endpoint.
+	// Instruct puts i into the headers of a request to an endpoint, in place of every
+	// instruction that the caller wrote there: those are a box's to give. All other
+	// headers stay, whatever their names.
 	Instruct(h http.Header, i Instruction)
+	// Describes tells whether a header says what the call is. Endpoints get it as the
+	// caller wrote it, in any case.
+	Describes(name string) bool
 	// ReadAnswer reads the head of an answer to c that was asked of endpoint.
 	ReadAnswer(a *http.Response, c Call, endpoint string) Answer
 	// ComeBack tells a refused caller when to try again.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -83,7 +83,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	out := &answer{writer: w}
+	out := &answer{writer: w, describes: g.Protocol.Describes}
 	if f := g.serve(ctx, q, out); f != nil {
 		g.fail(ctx, out, q, f)
 		return
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -32,12 +32,16 @@
 
 // Instruct implements Protocol.
 func (plainProtocol) Instruct(h http.Header, i Instruction) {
+	h.Del("Order-Endpoint")
 	h.Set("Life", i.Endpoint)
 	if i.LastEvent != "" {
 		h.Set("Last", i.LastEvent)
 	}
 }
 
+// Describes implements Protocol.
+func (plainProtocol) Describes(name string) bool { return name == "Id" || name == "Adapter" }
+
 // ReadAnswer implements Protocol.
 func (plainProtocol) ReadAnswer(a *http.Response, c Call, _ string) Answer {
 	return Answer{
--- /dev/null
+++ b/forward/headers_test.go
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// received returns the headers that an endpoint gets of a request with these.
+func received(t *testing.T, h http.Header) http.Header {
+	s := newSite(t, once(time.Second))
+	got := make(chan http.Header, 1)
+	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) { got <- r.Header })
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host, r.Header = "site.example", h
+	a, err := http.DefaultClient.Do(r)
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.Body.Close(), quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	return <-got
+}
+
+func TestInstructionsOfCallersDoNotReachEndpoints(t *testing.T) {
+	h := received(t, http.Header{"Id": {"call-1"}, "order-endpoint": {"a"}, "Order-Endpoint": {"b", "c"}, "Connection": {"order-endpoint"}})
+	quicktest.Assert(t, h["Order-Endpoint"], quicktest.HasLen, 0)
+}
+
+func TestACallersConnectionHeaderTakesNothingFromTheCall(t *testing.T) {
+	h := received(t, http.Header{"Id": {"call-1"}, "Adapter": {"m/a1"}, "Mine": {"x"}, "Connection": {"adapter, id, mine"}})
+	quicktest.Assert(t, h.Get("Id"), quicktest.Equals, "call-1")
+	quicktest.Assert(t, h.Get("Adapter"), quicktest.Equals, "m/a1")
+	quicktest.Assert(t, h["Mine"], quicktest.HasLen, 0)
+}
