Tell leaders of use as it changes, and empty slots that rest at once

A place that is being emptied is lost as long as a load from the store takes.

Change: a box tells an endpoint's leader within 20 ms when requests begin, have their first event, and end; reports to one leader keep their order. A slot whose adapter nobody has used for 60 ms is unloaded at once when a load needs it. A request that meets the unload on its way is refused by the endpoint as not run. The wait of 250 ms stays for adapters in use. A resumed stream counts as a use too: it did not before.

The time to the first token is predicted at each send, from the tokens that the endpoint reads until then; answers log predicted and seen, the error is a metric.

--- a/edge/node.go
+++ b/edge/node.go
@@ -64,7 +64,6 @@
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.readAgo}
 	n.usage = newUsage(n)
-	n.state.gone = n.usage.gone
 	n.loader = &placement.Loader{
 		Box:     s.Box,
 		View:    n.view,
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -34,7 +34,10 @@
 	aloneFor   = 2 * time.Second        // after the start, where no other box is heard of: the seeds may be late
 	askSlack   = 300 * time.Millisecond // on top of what a request can wait
 	lookPause  = 100 * time.Millisecond // between two looks at who leads
-	usePause   = 500 * time.Millisecond // between two reports of use
+	usePause   = 500 * time.Millisecond // between two whole reports of use
+	// changePause is how long a change of use waits for others: a leader must know what is
+	// in use before it empties a slot, and calls cost processor time.
+	changePause = 20 * time.Millisecond
 )
 
 // peers is this box among the others.
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -74,7 +74,13 @@
 			n.loader.Far(n.Settings.DataCentre, a, int(u.GetFar()), now)
 			continue
 		}
-		uses = append(uses, placement.Use{Endpoint: u.GetEndpoint(), Adapter: a, Begun: int(u.GetCount()), Running: int(u.GetRunning())})
+		uses = append(uses, placement.Use{
+			Endpoint: u.GetEndpoint(),
+			Adapter:  a,
+			Begun:    int(u.GetCount()),
+			Running:  int(u.GetRunning()),
+			Reading:  int(u.GetReading()),
+		})
 	}
 	n.loader.Used(q.GetBox(), uses, q.GetPart(), now)
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -22,7 +22,6 @@
 	table   *share.Table
 	decoder Decoder
 	fences  *placement.Fences
-	gone    func(endpoint string, adapters []topology.Adapter) // hears what is not to be used any more
 	log     logr.Logger
 }
 
@@ -117,9 +116,7 @@
 	if s.view.Endpoint(id) == nil {
 		return nil
 	}
-	if gone := s.view.SetHeld(id, held); len(gone) > 0 {
-		s.gone(id, gone)
-	}
+	s.view.SetHeld(id, held)
 	return nil
 }
 
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/forward"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 )
@@ -21,116 +22,187 @@
 
 // usage counts where adapters are used and tells the endpoints' leaders.
 type usage struct {
-	node   *Node
-	urgent chan map[useKey]int // requests under way with adapters that are to leave
+	node *Node
+	wake chan struct{} // holds one when something changed
+	told chan string   // data centres whose leader was told
 
 	mu      sync.Mutex
-	counts  map[useKey]int // requests begun since the last report
-	running map[useKey]int // requests under way
+	counts  map[useKey]int      // requests begun since the last whole report
+	running map[useKey]underWay // requests under way
+	changed map[useKey]bool     // what its leader has not been told
+	telling map[string]bool     // data centres whose leader is being told
 }
 
-// urgentMost reports of adapters that leave wait to be told; more are told with the next
-// whole report.
-const urgentMost = 64
+// underWay is the requests under way with an adapter at an endpoint.
+type underWay struct {
+	requests int
+	reading  int // tokens of prompts that the endpoint has not read
+}
 
 func newUsage(n *Node) *usage {
-	return &usage{node: n, urgent: make(chan map[useKey]int, urgentMost), counts: make(map[useKey]int), running: make(map[useKey]int)}
+	return &usage{
+		node:    n,
+		wake:    make(chan struct{}, 1),
+		told:    make(chan string),
+		counts:  make(map[useKey]int),
+		running: make(map[useKey]underWay),
+		changed: make(map[useKey]bool),
+		telling: make(map[string]bool),
+	}
 }
 
 // Begun implements forward.Observer.
-func (u *usage) Begun(e *topology.Endpoint, a topology.Adapter) func() {
-	k := useKey{endpoint: e.ID(), centre: e.DataCentre(), adapter: a}
+func (u *usage) Begun(e *topology.Endpoint, c forward.Call) forward.Run {
+	r := &run{usage: u, key: useKey{endpoint: e.ID(), centre: e.DataCentre(), adapter: c.Adapter}, reading: c.TokensIn}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.counts[k]++
-	u.running[k]++
-	return func() { u.ended(k) }
+	u.counts[r.key]++
+	u.changeLocked(r.key, 1, r.reading)
+	return r
 }
 
-func (u *usage) ended(k useKey) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.running[k]--
-	if u.running[k] <= 0 {
-		delete(u.running, k)
-	}
+// run implements forward.Run. Guarded by usage.mu.
+type run struct {
+	usage   *usage
+	key     useKey
+	reading int // tokens of its prompt that the endpoint has not read
+	over    bool
 }
 
-// gone hears that adapters are not to be used at an endpoint any more. Its leader is told
-// soon which of them are in use here, since it waits for that before it unloads them.
-func (u *usage) gone(endpoint string, adapters []topology.Adapter) {
-	e := u.node.view.Endpoint(endpoint)
-	if e == nil {
-		return
+// Read implements forward.Run.
+func (r *run) Read() {
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
+	if r.reading > 0 {
+		r.usage.changeLocked(r.key, 0, -r.reading)
+		r.reading = 0
 	}
-	running := make(map[useKey]int)
-	u.mu.Lock()
-	for _, a := range adapters {
-		k := useKey{endpoint: endpoint, centre: e.DataCentre(), adapter: a}
-		if n := u.running[k]; n > 0 {
-			running[k] = n
-		}
+}
+
+// Ended implements forward.Run.
+func (r *run) Ended() {
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
+	if !r.over {
+		r.over = true
+		r.usage.changeLocked(r.key, -1, -r.reading)
 	}
-	u.mu.Unlock()
-	if len(running) == 0 {
-		return
+}
+
+// changeLocked counts requests and tokens; the endpoint's leader is told soon.
+func (u *usage) changeLocked(k useKey, requests, reading int) {
+	w := u.running[k]
+	w.requests += requests
+	w.reading += reading
+	u.running[k] = w
+	if w.requests <= 0 {
+		delete(u.running, k)
 	}
+	u.changed[k] = true
+	u.wakeUp()
+}
+
+func (u *usage) wakeUp() {
 	select {
-	case u.urgent <- running:
-	default: // the next whole report tells it
+	case u.wake <- struct{}{}:
+	default: // it will look anyway
 	}
 }
 
-// run tells the leaders, until ctx ends.
+// run tells the leaders of changes soon, and of everything now and then, until ctx ends.
 func (u *usage) run(ctx context.Context) error {
-	tick := time.NewTicker(usePause)
-	defer tick.Stop()
-	for {
+	whole := time.NewTicker(usePause)
+	defer whole.Stop()
+	soon := time.NewTimer(0)
+	defer soon.Stop()
+	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
-			return nil
-		case running := <-u.urgent:
-			u.tell(ctx, nil, running, true)
-		case <-tick.C:
-			u.mu.Lock()
-			counts, running := u.counts, maps.Clone(u.running)
-			u.counts = make(map[useKey]int)
-			u.mu.Unlock()
-			u.tell(ctx, counts, running, false)
+		case <-u.wake:
+			soon.Reset(changePause)
+		case <-soon.C:
+			u.tell(ctx, false)
+		case <-whole.C:
+			u.tell(ctx, true)
+		case c := <-u.told:
+			u.ended(c)
 		}
 	}
+	for range u.telling {
+		<-u.told
+	}
+	return nil
 }
 
-// tell sends each leader the counts of its endpoints, and the own leader besides
-// what went to other data centres. What is lost only makes a rate of use look
-// smaller.
-func (u *usage) tell(ctx context.Context, counts, running map[useKey]int, part bool) {
-	own := u.node.peers.centre
-	byCentre := make(map[string]*wire.UseRequest)
+// ended notes that a data centre's leader was told. What changed meanwhile is told next.
+func (u *usage) ended(centre string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.telling, centre)
+	if len(u.changed) > 0 {
+		u.wakeUp()
+	}
+}
+
+// tell sends each leader what changed at its endpoints, or, with whole, all that is under
+// way there. A leader that is still being told is told later, so that its reports keep
+// their order; one that does not answer holds up no other.
+func (u *usage) tell(ctx context.Context, whole bool) {
+	u.mu.Lock()
+	list := u.collectLocked(whole)
+	for c := range list {
+		u.telling[c] = true
+	}
+	u.mu.Unlock()
+	for c, q := range list {
+		go func() {
+			u.tellOne(ctx, c, q)
+			u.told <- c
+		}()
+	}
+}
+
+// collectLocked takes the reports for the leaders that are not being told.
+func (u *usage) collectLocked(whole bool) map[string]*wire.UseRequest {
+	list := make(map[string]*wire.UseRequest)
 	add := func(centre string, w *wire.Usage) {
-		q := byCentre[centre]
-		if q == nil {
-			q = &wire.UseRequest{Box: u.node.peers.box, DataCentre: own, Part: part}
-			byCentre[centre] = q
+		if list[centre] == nil {
+			list[centre] = &wire.UseRequest{Box: u.node.peers.box, DataCentre: u.node.peers.centre, Part: !whole}
 		}
-		q.Usage = append(q.Usage, w)
+		list[centre].Usage = append(list[centre].Usage, w)
 	}
-	for k, n := range running {
-		if counts[k] == 0 {
-			add(k.centre, &wire.Usage{Endpoint: k.endpoint, Adapter: k.adapter.String(), Running: int32(n)})
+	keys := maps.Clone(u.changed)
+	if whole {
+		for k := range u.running {
+			keys[k] = true
+		}
+		for k := range u.counts {
+			keys[k] = true
 		}
 	}
-	for k, n := range counts {
-		add(k.centre, &wire.Usage{Endpoint: k.endpoint, Adapter: k.adapter.String(), Count: int32(n), Running: int32(running[k])})
-		if k.centre != own {
+	own := u.node.peers.centre
+	for k := range keys {
+		if u.telling[k.centre] {
+			continue
+		}
+		w := u.running[k]
+		add(k.centre, &wire.Usage{
+			Endpoint: k.endpoint,
+			Adapter:  k.adapter.String(),
+			Count:    int32(u.counts[k]),
+			Running:  int32(w.requests),
+			Reading:  int64(w.reading),
+		})
+		if n := u.counts[k]; whole && k.centre != own && n > 0 && !u.telling[own] {
 			add(own, &wire.Usage{Adapter: k.adapter.String(), Far: int32(n)})
 		}
+		delete(u.changed, k)
+		delete(u.counts, k)
 	}
-	for c, q := range byCentre {
-		u.tellOne(ctx, c, q)
-	}
+	return list
 }
 
+// tellOne tells one leader. What is lost is told with the next whole report.
 func (u *usage) tellOne(ctx context.Context, centre string, q *wire.UseRequest) {
 	m, ok := u.node.peers.outlook().leader(centre)
 	if !ok {
--- /dev/null
+++ b/edge/usage_test.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"testing"
+
+	"cairnwick.example/forward"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+)
+
+// told takes what would be told to the leader of data centre far.
+func told(u *usage, whole bool) *wire.UseRequest {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.collectLocked(whole)["far"]
+}
+
+func TestALeaderIsToldOfEachChangeOfUse(t *testing.T) {
+	c := quicktest.New(t)
+	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
+	r := u.Begun(e, forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}, TokensIn: 900})
+	for _, step := range []struct {
+		change           func()
+		running, reading int
+	}{
+		{func() {}, 1, 900},
+		{r.Read, 1, 0},
+		{r.Ended, 0, 0},
+	} {
+		step.change()
+		q := told(u, false)
+		c.Assert(q.GetPart(), quicktest.IsTrue)
+		c.Assert(q.GetUsage(), quicktest.HasLen, 1)
+		c.Assert(int(q.GetUsage()[0].GetRunning()), quicktest.Equals, step.running)
+		c.Assert(int(q.GetUsage()[0].GetReading()), quicktest.Equals, step.reading)
+		c.Assert(told(u, false), quicktest.IsNil) // it was told
+	}
+	r.Read() // both change nothing any more
+	r.Ended()
+	c.Assert(told(u, false), quicktest.IsNil)
+	c.Assert(told(u, true), quicktest.IsNil) // nothing is under way
+}
+
+// Reports that overtook each other would leave an adapter in use for ever.
+func TestALeaderIsToldOfOneChangeAfterTheOther(t *testing.T) {
+	c := quicktest.New(t)
+	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
+	call := forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}}
+	r := u.Begun(e, call)
+	u.telling["far"] = true
+	c.Assert(told(u, false), quicktest.IsNil)
+	c.Assert(told(u, true), quicktest.IsNil)
+	r.Ended()
+	u.ended("far")
+	q := told(u, false)
+	c.Assert(q.GetUsage(), quicktest.HasLen, 1)
+	c.Assert(int(q.GetUsage()[0].GetRunning()), quicktest.Equals, 0)
+	c.Assert(int(q.GetUsage()[0].GetCount()), quicktest.Equals, 1)
+}
--- a/engine/client.go
+++ b/engine/client.go
@@ -35,15 +35,23 @@
 	// Claim raises the highest fence to f.
 	Claim(ctx context.Context, f Fence) (Sight, error)
 	// Load puts an adapter into a slot, under the name that requests will use.
-	Load(ctx context.Context, f Fence, name, path string) error
+	Load(ctx context.Context, a Authority, name, path string) error
 	// Unload empties the adapter's slot.
-	Unload(ctx context.Context, f Fence, name string) error
+	Unload(ctx context.Context, a Authority, name string) error
 	// Models lists the adapters in the slots.
 	Models(ctx context.Context) ([]string, error)
 	// Report reads the endpoint's load, as old as its published lag.
 	Report(ctx context.Context) (Report, error)
 }
 
+// Authority is what an order is given under. An order that could not be written by
+// its end is not given: whoever gave it may not own the endpoint any more, and an
+// endpoint that checks no fences would carry it out.
+type Authority struct {
+	Fence Fence
+	Until time.Time // zero: for ever
+}
+
 // Sight is what every answer of an endpoint shows.
 type Sight struct {
 	fence Fence
@@ -77,7 +85,7 @@
 
 // Look implements Endpoint.
 func (c *Client) Look(ctx context.Context) (Sight, error) {
-	a, _, err := c.call(ctx, http.MethodGet, "/cairn/fence", Fence{}, nil)
+	a, _, err := c.call(ctx, http.MethodGet, "/cairn/fence", Authority{}, nil)
 	if err != nil {
 		return Sight{}, err
 	}
@@ -86,7 +94,7 @@
 
 // Claim implements Endpoint.
 func (c *Client) Claim(ctx context.Context, f Fence) (Sight, error) {
-	a, _, err := c.call(ctx, http.MethodPut, "/cairn/fence", f, nil)
+	a, _, err := c.call(ctx, http.MethodPut, "/cairn/fence", Authority{Fence: f}, nil)
 	if err != nil {
 		return Sight{}, err
 	}
@@ -99,14 +107,14 @@
 }
 
 // Load implements Endpoint.
-func (c *Client) Load(ctx context.Context, f Fence, name, path string) error {
-	_, _, err := c.call(ctx, http.MethodPost, "/v1/load_lora_adapter", f, adapterOrder{Name: name, Path: path})
+func (c *Client) Load(ctx context.Context, a Authority, name, path string) error {
+	_, _, err := c.call(ctx, http.MethodPost, "/v1/load_lora_adapter", a, adapterOrder{Name: name, Path: path})
 	return err
 }
 
 // Unload implements Endpoint.
-func (c *Client) Unload(ctx context.Context, f Fence, name string) error {
-	_, _, err := c.call(ctx, http.MethodPost, "/v1/unload_lora_adapter", f, adapterOrder{Name: name})
+func (c *Client) Unload(ctx context.Context, a Authority, name string) error {
+	_, _, err := c.call(ctx, http.MethodPost, "/v1/unload_lora_adapter", a, adapterOrder{Name: name})
 	return err
 }
 
@@ -119,7 +127,7 @@
 
 // Models implements Endpoint.
 func (c *Client) Models(ctx context.Context) ([]string, error) {
-	_, body, err := c.call(ctx, http.MethodGet, "/v1/models", Fence{}, nil)
+	_, body, err := c.call(ctx, http.MethodGet, "/v1/models", Authority{}, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -138,7 +146,7 @@
 
 // Report implements Endpoint.
 func (c *Client) Report(ctx context.Context) (Report, error) {
-	a, body, err := c.call(ctx, http.MethodGet, "/metrics", Fence{}, nil)
+	a, body, err := c.call(ctx, http.MethodGet, "/metrics", Authority{}, nil)
 	if err != nil {
 		return Report{}, err
 	}
@@ -152,18 +160,18 @@
 
 // Cancel ends the run of a request, if it is still running.
 func (c *Client) Cancel(ctx context.Context, request string) error {
-	_, _, err := c.call(ctx, http.MethodDelete, "/cairn/streams/"+url.PathEscape(request), Fence{}, nil)
+	_, _, err := c.call(ctx, http.MethodDelete, "/cairn/streams/"+url.PathEscape(request), Authority{}, nil)
 	return err
 }
 
-func (c *Client) call(ctx context.Context, method, path string, f Fence, body any) (*http.Response, []byte, error) {
-	r, err := c.request(ctx, method, path, f, body)
+func (c *Client) call(ctx context.Context, method, path string, u Authority, body any) (*http.Response, []byte, error) {
+	r, err := c.request(ctx, method, path, u.Fence, body)
 	if err != nil {
 		return nil, nil, &LostError{Cause: err}
 	}
-	a, err := c.HTTP.Do(r)
+	a, err := Send(c.HTTP, r, u.Until)
 	if err != nil {
-		return nil, nil, &LostError{Sent: true, Cause: err}
+		return nil, nil, err
 	}
 	defer a.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(a.Body, maxOrderAnswer))
--- a/engine/engine_test.go
+++ b/engine/engine_test.go
@@ -7,7 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -52,7 +54,7 @@
 	}))
 	defer s.Close()
 	client := &Client{Address: s.Listener.Addr().String(), HTTP: s.Client()}
-	err := client.Load(context.Background(), NewFence(1, "a"), "x@1", "p")
+	err := client.Load(context.Background(), Authority{Fence: NewFence(1, "a")}, "x@1", "p")
 	var refused *RefusedError
 	c.Assert(errors.As(err, &refused), quicktest.IsTrue)
 	c.Assert(refused.Code, quicktest.Equals, CodeStaleFence)
@@ -63,3 +65,15 @@
 	a := &http.Response{StatusCode: http.StatusInternalServerError, Header: http.Header{}}
 	quicktest.Assert(t, Refusal(a, nil).NotRun(), quicktest.IsFalse)
 }
+
+func TestAnOrderThatComesTooLateIsNotWritten(t *testing.T) {
+	c := quicktest.New(t)
+	var asked atomic.Int32
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+	defer s.Close()
+	client := &Client{Address: s.Listener.Addr().String(), HTTP: newClient()}
+	over := Authority{Fence: NewFence(1, "a"), Until: time.Now().Add(-time.Millisecond)}
+	c.Assert(sentOf(c, client.Unload(context.Background(), over, "x@1")), quicktest.IsFalse)
+	c.Assert(sentOf(c, client.Load(context.Background(), over, "x@1", "p")), quicktest.IsFalse)
+	c.Assert(asked.Load(), quicktest.Equals, int32(0))
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -21,20 +21,14 @@
 // attempt sends the request once and passes the answer on; nil says that the
 // caller got it whole.
 func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, t target) *Refusal {
-	u := g.upstreams.of(t.endpoint)
-	u.begin()
-	defer u.end()
-	q.attempts++
-	q.sentAt, q.sentTo, q.version = time.Now(), t.endpoint, t.version
-	if q.call.Adapter.Name != "" {
-		defer g.Observer.Begun(t.endpoint, q.call.Adapter)()
-	}
-	a, f := g.send(ctx, q, u, t, q.call.LastEvent)
+	d := g.dispatchTo(q, t)
+	defer d.ended()
+	a, f := g.send(ctx, q, d.upstream, t, q.call.LastEvent)
 	if f != nil {
 		return f
 	}
 	defer a.Body.Close()
-	return g.pass(ctx, q, out, u, t, a)
+	return g.pass(ctx, q, out, d, t, a)
 }
 
 // send writes the request and reads the head of the answer. What is no answer to
@@ -164,10 +158,11 @@
 }
 
 // pass gives the caller the answer, whole or event by event.
-func (g *Gateway) pass(ctx context.Context, q *request, out *answer, u *upstream, t target, a *http.Response) *Refusal {
+func (g *Gateway) pass(ctx context.Context, q *request, out *answer, d *dispatch, t target, a *http.Response) *Refusal {
 	if isStream(a) {
-		return g.passStream(ctx, q, out, u, t, a)
+		return g.passStream(ctx, q, out, d, t, a)
 	}
+	u := d.upstream
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
 	failed := err != nil || len(body) > maxWhole
 	u.outcome(failed || a.StatusCode >= http.StatusInternalServerError)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -97,7 +97,12 @@
 
 // Observer hears where adapters are used.
 type Observer interface {
-	// Begun hears that a request runs at an endpoint; the function that it returns
-	// hears the end.
-	Begun(e *topology.Endpoint, a topology.Adapter) (ended func())
+	// Begun hears that a call is being sent to an endpoint.
+	Begun(e *topology.Endpoint, c Call) Run
+}
+
+// Run is one call at an endpoint.
+type Run interface {
+	Read()  // the endpoint answers, so it has read the prompt; later calls change nothing
+	Ended() // later calls change nothing
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairnwick.example/policy"
 	"cairnwick.example/topology"
 	"github.com/go-logr/logr"
 )
@@ -37,6 +38,7 @@
 
 	mu      sync.Mutex
 	budgets map[string]*Budget // by service
+	first   policy.FirstToken  // of all endpoints that run models
 }
 
 // Run forgets endpoints that are gone, until ctx ends.
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -67,7 +67,15 @@
 type noObserver struct{}
 
 // Begun implements Observer.
-func (noObserver) Begun(*topology.Endpoint, topology.Adapter) func() { return func() {} }
+func (noObserver) Begun(*topology.Endpoint, Call) Run { return noRun{} }
+
+type noRun struct{}
+
+// Read implements Run.
+func (noRun) Read() {}
+
+// Ended implements Run.
+func (noRun) Ended() {}
 
 // site is a gateway before endpoints.
 type site struct {
--- a/forward/record.go
+++ b/forward/record.go
@@ -20,6 +20,7 @@
 	First    *metrics.Family // time to the first byte, by route
 	Refusals *metrics.Family // time to the refusal, by code
 	Attempts *metrics.Family // time of failed attempts, by what became of them
+	Error    *metrics.Family // how far the predicted time to the first token was off, by which way
 }
 
 // NewStats returns empty histograms.
@@ -29,6 +30,7 @@
 		First:    metrics.NewFamily(mostRoutes),
 		Refusals: metrics.NewFamily(mostRoutes),
 		Attempts: metrics.NewFamily(mostRoutes),
+		Error:    metrics.NewFamily(mostRoutes),
 	}
 }
 
@@ -38,15 +40,30 @@
 	g.Stats.Routes.Observe(q.route.Name(), now.Sub(q.received))
 	g.Stats.First.Observe(q.route.Name(), out.first.Sub(q.received))
 	plain := q.attempts == 1 && out.status < 300 && out.first.Sub(q.received) <= q.route.Target()
-	if g.Pressed() || (plain && g.sampled.Add(1)%sampleEvery != 0) {
+	g.notePrediction(q)
+	if g.Pressed() || (plain && g.sampled.Add(1)%sampleEvery != 0 && !g.Log.V(1).Enabled()) {
 		return
 	}
 	g.Log.Info("Request was answered", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
 		"adapter", q.call.Adapter.String(), "adapter_version", q.version, "config", q.config.Version(),
 		"status", out.status, "attempts", q.attempts, "waited_ms", q.waited.Milliseconds(),
+		"sent_ms", q.sentAt.Sub(q.received).Milliseconds(), "predicted_ms", q.predicted.Milliseconds(),
 		"first_ms", out.first.Sub(q.received).Milliseconds(), "took_ms", now.Sub(q.received).Milliseconds())
 }
 
+// notePrediction records how far off the predicted time to the first token was.
+func (g *Gateway) notePrediction(q *request) {
+	if q.call.Adapter.Name == "" || q.firstAt.IsZero() {
+		return
+	}
+	seen := q.firstAt.Sub(q.sentAt)
+	if seen > q.predicted {
+		g.Stats.Error.Observe("later", seen-q.predicted)
+		return
+	}
+	g.Stats.Error.Observe("sooner", q.predicted-seen)
+}
+
 // recordAttempt records an attempt that brought no answer.
 func (g *Gateway) recordAttempt(q *request, what, detail string) {
 	took := time.Since(q.sentAt)
--- a/forward/request.go
+++ b/forward/request.go
@@ -31,8 +31,12 @@
 	denied   string          // the endpoint that said it does not hold the adapter
 	sentAt   time.Time       // of the last attempt
 	sentTo   *topology.Endpoint
-	version  int64 // of the adapter at the last attempt; zero: any
-	waited   time.Duration
+	version  int64         // of the adapter at the last attempt; zero: any
+	waited   time.Duration // until its adapter was ready somewhere, or was found not to be
+	// predicted is how long the endpoint of the last attempt was expected to take to its
+	// first token.
+	predicted time.Duration
+	firstAt   time.Time // when the endpoint of the last attempt began to answer; zero: it has not
 }
 
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -24,9 +24,10 @@
 
 // passStream hands whole events on as they come. A stream that breaks off goes on
 // at another endpoint where its route allows that.
-func (g *Gateway) passStream(ctx context.Context, q *request, out *answer, u *upstream, t target, a *http.Response) *Refusal {
+func (g *Gateway) passStream(ctx context.Context, q *request, out *answer, d *dispatch, t target, a *http.Response) *Refusal {
+	u := d.upstream
 	s := &events{out: out, last: q.call.LastEvent}
-	err := s.copy(a, g.hears(u))
+	err := s.copy(a, d.heard)
 	u.outcome(err != nil && ctx.Err() == nil)
 	if err == nil {
 		return nil
@@ -61,11 +62,9 @@
 		q.ran = q.route.MaxAttempts() // nowhere to go
 		return false
 	}
-	u := g.upstreams.of(t.endpoint)
-	u.begin()
-	defer u.end()
-	q.attempts++
-	q.sentAt, q.sentTo, q.version = time.Now(), t.endpoint, t.version
+	d := g.dispatchTo(q, t)
+	defer d.ended()
+	u := d.upstream
 	a, f := g.send(ctx, q, u, t, s.last)
 	if f != nil {
 		return false
@@ -76,16 +75,11 @@
 	if !isStream(a) {
 		return false
 	}
-	err := s.copy(a, g.hears(u))
+	err := s.copy(a, d.heard)
 	u.outcome(err != nil && ctx.Err() == nil)
 	return err == nil
 }
 
-// hears returns what is told of each event that comes from an endpoint.
-func (g *Gateway) hears(u *upstream) func() {
-	return func() { g.away.hear(u.endpoint.DataCentre(), time.Now()) }
-}
-
 // events passes the events of one answer on, from one run or, where a run went
 // on elsewhere, several.
 type events struct {
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -34,6 +34,7 @@
 	transport *http.Transport
 	idle      time.Duration // of transport
 	inFlight  int
+	reading   int       // tokens of the prompts of inFlight that the endpoint has not read
 	silent    int       // of inFlight, those sent over silentAfter ago without any answer
 	failures  float64   // share of requests that failed lately, 0 to 1
 	seen      int       // outcomes counted, up to enoughOutcomes
@@ -100,10 +101,21 @@
 	u.reconnect(u.idle)
 }
 
-func (u *upstream) begin() {
+// begin counts one request more, and returns how many tokens of prompts the endpoint has
+// not read then.
+func (u *upstream) begin(tokens int) (reading int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.inFlight++
+	u.reading += tokens
+	return u.reading
+}
+
+// read notes that the endpoint has read a prompt of so many tokens, or will not.
+func (u *upstream) read(tokens int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.reading -= tokens
 }
 
 func (u *upstream) end() {
@@ -149,6 +161,7 @@
 // health is what placement must know of an upstream.
 type health struct {
 	inFlight int
+	reading  int // tokens of prompts
 	down     bool
 	silent   int
 	failures float64
@@ -157,7 +170,7 @@
 func (u *upstream) health(now time.Time) health {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	h := health{inFlight: u.inFlight, down: now.Before(u.downUntil), silent: u.silent}
+	h := health{inFlight: u.inFlight, reading: u.reading, down: now.Before(u.downUntil), silent: u.silent}
 	if u.seen >= enoughOutcomes {
 		h.failures = u.failures
 	}
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -11,17 +11,22 @@
 
 // An endpoint unloads an adapter that no request uses at once. For one in use it waits
 // until the runs have ended, and holds up all its other orders meanwhile, loads under way
-// too. So a slot is emptied ahead of the load that will need it: the boxes are told not to
-// use the adapter any more, those that still do tell at once, and it is unloaded when none
-// does.
+// too. Boxes tell within some 20 ms what they begin to use and use no more, so a slot that
+// rests is emptied at once when a load needs it; a request that meets the unload on its way
+// is refused by the endpoint as not run, and its adapter comes back from memory. One in use
+// leaves only for a newer version of itself, or where nothing rests: the boxes are told not
+// to use it any more, and it is unloaded when none does.
 
 const (
-	// tellFor is how long after an adapter began to leave every box that still uses it
-	// has said so: the news and the answer take a few batches of changes.
+	// tellFor is how long after an adapter in use began to leave every box has heard of it
+	// and told what it uses: the news and the answer take a few batches of changes.
 	tellFor = 250 * time.Millisecond
-	// givenFor is how long after a box was told that an adapter is ready it may use it
-	// without having told so: it does each half second.
-	givenFor = 600 * time.Millisecond
+	// restFor is how long an adapter must not have been used, and no box been told that it
+	// is ready, to count as resting: a request on its way there is told of within 20 ms and
+	// the way to the leader.
+	restFor = 60 * time.Millisecond
+	// emptyNow is how long it takes to empty a slot that rests: the order and its answer.
+	emptyNow = 10 * time.Millisecond
 	// tellAgain is between two looks whether an adapter that leaves is still in use.
 	tellAgain = 50 * time.Millisecond
 	// aheadPart: one slot in so many is empty or being emptied at each endpoint though
@@ -96,11 +101,11 @@
 func (l *Loader) coldestLocked(o *owned, now time.Time) (coldest topology.Adapter, idle, ok bool) {
 	least := 0.0
 	for a, s := range o.slots {
-		if !s.ready || s.leaving || now.Sub(s.given) < givenFor {
+		if !s.ready || s.leaving || now.Sub(s.given) < restFor {
 			continue
 		}
 		r := l.rateLocked(a, now)
-		rests := l.runs.of(o.endpoint.ID(), a) == 0
+		rests := l.restsLocked(o, a, s, now)
 		first := !ok || (rests && !idle)
 		if first || (rests == idle && (r < least || (r == least && s.used.Before(o.slots[coldest].used)))) {
 			coldest, least, idle, ok = a, r, rests, true
@@ -109,13 +114,22 @@
 	return coldest, idle, ok
 }
 
+// restsLocked tells whether no box uses an adapter, nor is about to.
+func (l *Loader) restsLocked(o *owned, a topology.Adapter, s *slot, now time.Time) bool {
+	return l.runs.of(o.endpoint.ID(), a) == 0 && now.Sub(s.used) >= restFor && now.Sub(s.given) >= restFor
+}
+
 // retireOneLocked marks an adapter as leaving and returns the task that unloads it.
 func (l *Loader) retireOneLocked(o *owned, a topology.Adapter, now time.Time) func(context.Context) {
 	s := o.slots[a]
+	s.unloading = l.restsLocked(o, a, s, now)
 	s.leaving, s.retired = true, now
 	l.Log.Info("Adapter leaves its slot", "adapter", a.String(), "adapter_version", s.version, "endpoint", o.endpoint.ID(),
 		"unused_ms", now.Sub(s.used).Milliseconds(), "a_second", l.rateLocked(a, now), "fence", o.fence)
 	claim := o.claims
+	if s.unloading {
+		return func(ctx context.Context) { l.unload(ctx, o, claim, a) }
+	}
 	return func(ctx context.Context) { l.retire(ctx, o, claim, a, now) }
 }
 
@@ -161,8 +175,11 @@
 		return 0
 	}
 	least := tellFor
-	for _, s := range o.slots {
-		if s.leaving {
+	for a, s := range o.slots {
+		switch {
+		case s.unloading || (s.ready && !s.leaving && l.restsLocked(o, a, s, now)):
+			return emptyNow
+		case s.leaving:
 			least = min(least, max(tellFor-now.Sub(s.retired), 0))
 		}
 	}
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -86,7 +86,7 @@
 	o := &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot), models: map[string]bool{model: true}}
 	l.owned["e1"] = o
 	for i := range 15 {
-		o.slots[adapter(i)] = &slot{ready: true, used: now}
+		o.slots[adapter(i)] = &slot{ready: true, used: now.Add(-restFor)}
 		l.countLocked(adapter(i), float64(16-i), now)
 	}
 	o.slots[adapter(14)].given = now // to a box that has not told of its use yet
@@ -124,6 +124,24 @@
 	c.Assert(o.slots[left].unloading, quicktest.IsFalse)
 }
 
+// A slot that nobody used was emptied only 250 ms after its adapter began to leave, as long
+// as a load from the store takes.
+func TestASlotThatRestsIsEmptiedAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	l := b.loader
+	now := time.Now()
+	o := &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot), models: map[string]bool{model: true}}
+	l.owned["e1"] = o
+	o.slots[adapter(1)] = &slot{ready: true, used: now.Add(-restFor)}
+	o.slots[adapter(2)] = &slot{ready: true, used: now.Add(-restFor), given: now} // a box was just told of it
+	c.Assert(l.emptyInLocked(o, now), quicktest.Equals, emptyNow)
+	c.Assert(l.retireLocked(map[*owned]int{o: 1}, now), quicktest.HasLen, 1)
+	c.Assert(o.slots[adapter(1)].unloading, quicktest.IsTrue)
+	c.Assert(o.slots[adapter(2)].leaving, quicktest.IsFalse)
+	c.Assert(l.takeBackLocked(o, adapter(1)), quicktest.IsFalse)
+}
+
 // An adapter left, was wanted again, and left once more; both times an unload followed, and
 // the second one emptied a slot that was being filled anew.
 func TestAnAdapterThatLeavesTwiceIsUnloadedOnce(t *testing.T) {
@@ -133,10 +151,12 @@
 	now := time.Now()
 	o := &owned{endpoint: b.endpoint, phase: owning, slots: map[topology.Adapter]*slot{adapter(1): {ready: true}}}
 	l.owned["e1"] = o
+	b.use(1, 1)
 	l.retireOneLocked(o, adapter(1), now)
 	c.Assert(l.takeBackLocked(o, adapter(1)), quicktest.IsTrue)
 	later := now.Add(tellFor / 2)
 	l.retireOneLocked(o, adapter(1), later)
+	b.use(1, 0)
 	_, leaves := l.quietIn(o, 0, adapter(1), now, later.Add(tellFor))
 	c.Assert(leaves, quicktest.IsFalse)
 	rest, leaves := l.quietIn(o, 0, adapter(1), later, later.Add(tellFor))
--- a/placement/use.go
+++ b/placement/use.go
@@ -15,6 +15,7 @@
 	Adapter  topology.Adapter
 	Begun    int // requests begun since the box told last
 	Running  int // requests under way
+	Reading  int // tokens of their prompts that the endpoint has not read
 }
 
 const (
@@ -39,6 +40,9 @@
 		}
 	}
 	full := l.fullLocked(endpoints)
+	if len(l.wants) > 0 {
+		l.nudge() // a slot may rest now
+	}
 	l.mu.Unlock()
 	for _, f := range full {
 		l.copyMore(f, now)
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -37,6 +37,7 @@
 	boot     string       // the engine's life that slots describe
 	seen     time.Time    // when a look that showed the own fence was begun
 	claimed  time.Time    // when the claim that holds was begun
+	taken    time.Time    // when this scheduler began to claim it, while another may have owned it; zero: none may
 	losses   int          // claims lost to others lately
 	looking  bool         // a look is queued or under way
 	nextLook time.Time
--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -47,11 +47,11 @@
 }
 
 // Load implements engine.Endpoint.
-func (f *fakeEngine) Load(_ context.Context, x engine.Fence, name, _ string) error {
+func (f *fakeEngine) Load(_ context.Context, u engine.Authority, name, _ string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, "load "+name)
-	if x.Less(f.fence) {
+	if u.Fence.Less(f.fence) {
 		return &engine.RefusedError{Code: engine.CodeStaleFence, Highest: f.fence}
 	}
 	if f.refuse == nil {
@@ -61,7 +61,7 @@
 }
 
 // Unload implements engine.Endpoint.
-func (f *fakeEngine) Unload(_ context.Context, _ engine.Fence, name string) error {
+func (f *fakeEngine) Unload(_ context.Context, _ engine.Authority, name string) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.orders = append(f.orders, "unload "+name)
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -40,23 +40,25 @@
 	s.load(ctx, o)
 }
 
-// mayOrder checks just before a write that the order still holds: this
-// scheduler is the owner it was when it planned, and has seen so lately.
-func (s *Scheduler) mayOrder(o order) bool {
+// authority checks that the order still holds: this scheduler is the owner it was when
+// it planned, and has seen so lately. What it returns is checked once more in the write.
+func (s *Scheduler) authority(o order) (u engine.Authority, ok bool) {
 	e := o.endpoint
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.fence == o.fence && e.boot == o.boot && e.trustedLocked(time.Now(), s.Spans.Trust)
+	u = engine.Authority{Fence: o.fence, Until: e.seen.Add(s.Spans.Trust)}
+	return u, e.fence == o.fence && e.boot == o.boot && e.trustedLocked(time.Now(), s.Spans.Trust)
 }
 
 // unload empties a slot and reserves it for the load; false ends the order.
 func (s *Scheduler) unload(ctx context.Context, o order) bool {
 	e := o.endpoint
-	if !s.mayOrder(o) {
+	u, ok := s.authority(o)
+	if !ok {
 		s.undo(o)
 		return false
 	}
-	err := e.client.Unload(ctx, o.fence, o.unload)
+	err := e.client.Unload(ctx, u, o.unload)
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.fence != o.fence || e.boot != o.boot {
@@ -93,12 +95,13 @@
 
 func (s *Scheduler) load(ctx context.Context, o order) {
 	e := o.endpoint
-	if !s.mayOrder(o) {
+	u, ok := s.authority(o)
+	if !ok {
 		s.undo(o)
 		return
 	}
 	begun := time.Now()
-	err := e.client.Load(ctx, o.fence, o.load, o.path)
+	err := e.client.Load(ctx, u, o.load, o.path)
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -106,6 +106,7 @@
 	}
 	if e.phase == foreign && !now.Before(e.nextLook) {
 		e.phase = claiming
+		e.taken = now
 		e.nextLook = now
 	}
 	if e.phase != foreign && !e.looking && !now.Before(e.nextLook) {
@@ -154,8 +155,20 @@
 	}
 }
 
-// claim goes above the endpoint's highest fence and learns what it holds.
+// outlasted tells whether the trust of whoever owned an endpoint without fences before is
+// over. Until then its orders would still be carried out, and unload what is granted here.
+func (s *Scheduler) outlasted(e *endpoint, now time.Time) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.taken.IsZero() || now.Sub(e.taken) > s.Spans.Trust
+}
+
+// claim goes above the endpoint's highest fence and learns what it holds. One that checks
+// no fences is claimed only when the owner before can give it no orders any more.
 func (s *Scheduler) claim(ctx context.Context, e *endpoint, checks bool, begun time.Time) error {
+	if !checks && !s.outlasted(e, begun) {
+		return nil
+	}
 	sight, err := e.client.Look(ctx)
 	if err != nil {
 		return errors.Wrap(err, "scheduler: look")
@@ -179,7 +192,7 @@
 	e.phase = owned
 	e.fence = fence
 	e.seen = begun
-	e.claimed = begun
+	e.claimed, e.taken = begun, time.Time{}
 	s.holdLocked(e, sight.Boot(), models, time.Now().Add(s.grantsOutlive(before)))
 	s.Log.Info("Endpoint is owned", "endpoint", e.name, "fence", fence.String(), "adapters", len(models))
 	s.moveLocked(e, time.Now())
@@ -265,6 +278,7 @@
 func (s *Scheduler) doubtLocked(e *endpoint, now time.Time) {
 	s.Log.Info("Endpoint without fences was not looked at for long and is claimed anew", "endpoint", e.name)
 	e.phase = claiming
+	e.taken = now
 	e.nextLook = now
 }
 
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -244,11 +244,37 @@
 	b := newBench(t, "a@1")
 	b.catalog = b.configure("serving", false)
 	e := b.own()
+	e.taken = time.Now().Add(-b.scheduler.Spans.Trust - time.Millisecond)
+	b.scheduler.look(context.Background(), e)
+	b.Assert(e.phase, quicktest.Equals, owned)
 	e.seen = time.Now().Add(-b.scheduler.Spans.Trust - time.Millisecond)
 	b.Assert(b.scheduler.verify(context.Background(), e, e.fence, time.Now()), quicktest.IsNil)
 	b.Assert(e.phase, quicktest.Equals, claiming)
 }
 
+func TestANewOwnerOfAnEndpointWithoutFencesWaitsOutTheTrustOfTheOneBefore(t *testing.T) {
+	b := newBench(t, "a@1")
+	b.catalog = b.configure("serving", false)
+	e := b.own()
+	b.Assert(b.ask("a@1", "urgent").GetRefusal().GetReason(), quicktest.Equals, wire.Reason_REASON_NOT_READY)
+	e.taken = time.Now().Add(-b.scheduler.Spans.Trust - time.Millisecond)
+	b.scheduler.look(context.Background(), e)
+	b.Assert(b.ask("a@1", "urgent").GetGrant(), quicktest.IsNotNil)
+}
+
+func TestAnOwnerThatReadsAnEndpointWithoutFencesAnewDoesNotWait(t *testing.T) {
+	b := newBench(t, "a@1")
+	b.catalog = b.configure("serving", false)
+	e := b.own()
+	e.taken = time.Now().Add(-b.scheduler.Spans.Trust - time.Millisecond)
+	b.scheduler.look(context.Background(), e)
+	e.mu.Lock()
+	b.scheduler.unclearLocked(e, time.Now())
+	e.mu.Unlock()
+	b.scheduler.look(context.Background(), e)
+	b.Assert(e.phase, quicktest.Equals, owned)
+}
+
 func TestAHeldRequestKeepsNobodyElseWaiting(t *testing.T) {
 	b := newBench(t, "a@1")
 	b.own()
--- a/topology/view.go
+++ b/topology/view.go
@@ -131,18 +131,11 @@
 	v.newest[a] = max(v.newest[a], version)
 }
 
-// SetHeld replaces what an endpoint holds. It returns the adapters that were ready there
-// and are not any more.
-func (v *View) SetHeld(endpoint string, held map[Adapter]Held) (gone []Adapter) {
+// SetHeld replaces what an endpoint holds.
+func (v *View) SetHeld(endpoint string, held map[Adapter]Held) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	for a, h := range v.held[endpoint] {
-		if h.Ready && !held[a].Ready {
-			gone = append(gone, a)
-		}
-	}
 	v.setHeldLocked(endpoint, held)
-	return gone
 }
 
 func (v *View) setHeldLocked(endpoint string, held map[Adapter]Held) {
