Load an adapter where it costs the least, by one model of time and slots

Change: policy.SiteFacts weighs the wait for a slot, the load (memory or store), prompts to be read there and the part of slots taken; the leader chooses over its endpoints, tells the box where the adapter is, and moves a load that waits when another endpoint got cheaper. How long a full endpoint stays full is taken from how fast slots change hands.

--- a/edge/node.go
+++ b/edge/node.go
@@ -74,6 +74,7 @@
 		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
 		Leaders: func() int { return len(n.peers.outlook().centres) },
 		Owns:    n.owns,
+		Reads:   func(tokens int) time.Duration { return n.gateway.Reads(tokens) },
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
 			n.state.publish(s.DataCentre, endpoint, version, held)
 		},
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -64,6 +64,10 @@
 	g.first.Observe(tokens, took)
 }
 
+// Reads returns how long endpoints take to read so many tokens of prompts, by the answers
+// that this box saw.
+func (g *Gateway) Reads(tokens int) time.Duration { return g.predict(tokens) - g.predict(0) }
+
 // predict returns how long an endpoint takes to its first token after so many tokens.
 func (g *Gateway) predict(tokens int) time.Duration {
 	g.mu.Lock()
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -83,6 +83,7 @@
 	gateway *Gateway
 	front   *httptest.Server
 	count   int
+	calls   map[string]*atomic.Int64 // by endpoint
 }
 
 func newSite(t *testing.T, routes ...topology.RouteSpec) *site {
@@ -112,7 +113,7 @@
 	}
 	front := httptest.NewServer(g)
 	t.Cleanup(front.Close)
-	return &site{c: quicktest.New(t), gateway: g, front: front}
+	return &site{c: quicktest.New(t), gateway: g, front: front, calls: make(map[string]*atomic.Int64)}
 }
 
 // endpoint adds one that answers by h, and returns its count of requests.
@@ -126,6 +127,7 @@
 	}))
 	t.Cleanup(e.Close)
 	s.count++
+	s.calls[fmt.Sprintf("e%d", s.count)] = &calls
 	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
 		ID:         fmt.Sprintf("e%d", s.count),
 		Service:    "app",
--- a/forward/home.go
+++ b/forward/home.go
@@ -93,12 +93,17 @@
 // placed goes by the answer of who decides for an endpoint. One that begins to leave
 // while the request waits for a load there gets it no more; the next home does.
 func (g *Gateway) placed(ctx context.Context, q *request, e *topology.Endpoint, p Placed) (target, *Refusal) {
+	if !p.Ready && g.stays(e.ID()) {
+		return target{}, &Refusal{Code: CodeNotLoaded, Retry: p.Retry, Detail: p.Reason}
+	}
+	if p.Ready && p.Endpoint != e.ID() { // who decides chose another one
+		if e = g.View.Endpoint(p.Endpoint); e == nil {
+			return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "the endpoint is not known here"}
+		}
+	}
 	if !g.stays(e.ID()) {
 		return g.placeElsewhere(ctx, q, e)
 	}
-	if !p.Ready {
-		return target{}, &Refusal{Code: CodeNotLoaded, Retry: p.Retry, Detail: p.Reason}
-	}
 	return target{endpoint: g.View.Endpoint(e.ID()), version: max(p.Version, g.View.Newest(q.call.Adapter))}, nil
 }
 
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -129,3 +129,19 @@
 	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
 	s.c.Assert(calls[p.left].Load(), quicktest.Equals, int64(0))
 }
+
+// elsewherePlacer has every adapter loaded at one endpoint, whichever it is asked for.
+type elsewherePlacer string
+
+// Want implements Placer.
+func (p elsewherePlacer) Want(context.Context, Wanted) (Placed, error) {
+	return Placed{Ready: true, Endpoint: string(p)}, nil
+}
+
+func TestARequestGoesWhereItsAdapterWasLoaded(t *testing.T) {
+	for _, id := range []string{"e1", "e2"} {
+		s, statuses := askTwoCentres(t, elsewherePlacer(id), "2s", "a", "b", "c", "d")
+		s.c.Assert(statuses, quicktest.DeepEquals, []int{http.StatusOK, http.StatusOK, http.StatusOK, http.StatusOK})
+		s.c.Assert(s.calls[id].Load(), quicktest.Equals, int64(4))
+	}
+}
--- a/placement/copies.go
+++ b/placement/copies.go
@@ -60,7 +60,7 @@
 	key := wantKey{endpoint: endpoint, adapter: a}
 	w := l.wants[key]
 	if w == nil {
-		w = &want{done: make(chan struct{}), version: l.View.Newest(a)}
+		w = &want{done: make(chan struct{}), version: l.View.Newest(a), copies: true}
 		l.wants[key] = w
 	}
 	w.last = now
--- a/placement/load.go
+++ b/placement/load.go
@@ -41,8 +41,13 @@
 			continue
 		}
 		if !l.roomLocked(o, key.adapter, w.version) {
-			waiting[o]++
-			continue
+			o = l.moveLocked(w, key, o, now)
+			key.endpoint = o.endpoint.ID()
+			if !l.roomLocked(o, key.adapter, w.version) {
+				waiting[o]++
+				continue
+			}
+			cold = !o.isWarm(key.adapter)
 		}
 		if cold && !l.pace.take() {
 			continue
@@ -54,6 +59,22 @@
 	return append(tasks, l.retireLocked(waiting, now)...)
 }
 
+// moveLocked moves a load that waits for a slot to where it costs less by now, and returns
+// the endpoint. Copies stay: they are for one endpoint.
+func (l *Loader) moveLocked(w *want, key wantKey, o *owned, now time.Time) *owned {
+	if w.copies || o.slots[key.adapter] != nil {
+		return o
+	}
+	better := l.siteLocked(key.adapter, o, now)
+	to := wantKey{endpoint: better.endpoint.ID(), adapter: key.adapter}
+	if better == o || l.wants[to] != nil || better.slots[key.adapter] != nil {
+		return o
+	}
+	delete(l.wants, key)
+	l.wants[to] = w
+	return better
+}
+
 // farEnough is how many requests must have gone to another data centre for a copy
 // to be worth its load: by the users' prices a load costs as much as the bytes of
 // some ten requests.
@@ -86,7 +107,13 @@
 		return b.want.last.Compare(a.want.last)
 	})
 	l.queue = l.queue[:0]
+	for _, o := range l.owned {
+		o.queued = 0
+	}
 	for _, r := range list {
+		if o := l.owned[r.key.endpoint]; o != nil && !r.want.spare(now) {
+			o.queued++
+		}
 		if !r.want.spare(now) && !l.owned[r.key.endpoint].isWarm(r.key.adapter) {
 			l.queue = append(l.queue, r.score)
 		}
@@ -127,6 +154,7 @@
 	}
 	s.done = make(chan struct{})
 	o.orders++
+	l.begins.Add(1, now, turnoverHalf)
 	l.publishLocked(o)
 	l.Log.Info("Load begins", "adapter", a.String(), "adapter_version", version, "endpoint", o.endpoint.ID(),
 		"slots", len(o.slots), "on_their_way", o.orders, "from_store", cold, "fence", o.fence)
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -31,6 +31,9 @@
 	Owns func(e *topology.Endpoint) (bool, time.Time)
 	// Leaders returns how many boxes give orders.
 	Leaders func() int
+	// Reads returns how long an endpoint takes to read so many tokens of prompts, as it
+	// was seen lately.
+	Reads func(tokens int) time.Duration
 	// Lease is how long a refused owner keeps away from an endpoint.
 	Lease func() time.Duration
 
@@ -38,14 +41,15 @@
 	owned  map[string]*owned // by endpoint
 	wants  map[wantKey]*want
 	rates  map[topology.Adapter]*policy.Popularity
-	bucket bucket          // of loads of base models
-	pace   pace            // of loads of adapters
-	runs   runs            // requests under way, as boxes tell
-	worth  map[int]float64 // by priority, smoothed over the requests that asked
-	cold   time.Duration   // smoothed time of a load from the store
-	warm   time.Duration   // smoothed time of a load from an endpoint's memory
-	looked time.Time       // when what is owned was last looked at
-	queue  []float64       // scores of the loads from the store that are wanted, falling, as of the last look
+	bucket bucket            // of loads of base models
+	pace   pace              // of loads of adapters
+	runs   runs              // requests under way, as boxes tell
+	begins policy.Popularity // loads that began
+	worth  map[int]float64   // by priority, smoothed over the requests that asked
+	cold   time.Duration     // smoothed time of a load from the store
+	warm   time.Duration     // smoothed time of a load from an endpoint's memory
+	looked time.Time         // when what is owned was last looked at
+	queue  []float64         // scores of the loads from the store that are wanted, falling, as of the last look
 	wake   chan struct{}
 	begun  time.Time // when this box began to look at what it owns
 	init   sync.Once
@@ -71,6 +75,7 @@
 	slots    map[topology.Adapter]*slot
 	recent   recent          // adapters that its memory keeps
 	orders   int             // loads on their way
+	queued   int             // loads that wait for a slot here, as of the last look
 	reclaim  bool            // what it holds must be learnt anew
 	models   map[string]bool // base models that it holds
 	fetching bool            // a base model is on its way
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -174,7 +174,7 @@
 	if g == nil || len(o.slots) < g.SlotsBeside(o.models) {
 		return 0
 	}
-	least := tellFor
+	least := l.busyLocked(o, now)
 	for a, s := range o.slots {
 		switch {
 		case s.unloading || (s.ready && !s.leaving && l.restsLocked(o, a, s, now)):
--- /dev/null
+++ b/placement/site.go
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"time"
+
+	"cairnwick.example/policy"
+	"cairnwick.example/topology"
+)
+
+const (
+	turnoverHalf  = 2 * time.Second        // half-life of the rate at which slots change hands
+	turnoverLeast = 0.5                    // slots a second, where none changed hands lately
+	busyMost      = 2 * time.Second        // the longest wait that is expected of a full endpoint: a run's time
+	busyLeast     = 100 * time.Millisecond // the shortest
+)
+
+// siteLocked returns where an adapter is loaded: the endpoint of the usual one's data centre
+// at which it costs the least. Only endpoints that this box owns count.
+func (l *Loader) siteLocked(a topology.Adapter, usual *owned, now time.Time) *owned {
+	best, least := usual, l.factsLocked(usual, a, true, now).Cost()
+	for _, o := range l.owned {
+		if o == usual || o.phase != owning || o.endpoint.Draining() || !o.models[a.Model] || o.endpoint.DataCentre() != usual.endpoint.DataCentre() {
+			continue
+		}
+		if cost := l.factsLocked(o, a, false, now).Cost(); cost < least {
+			best, least = o, cost
+		}
+	}
+	return best
+}
+
+// wantedAtLocked returns the endpoint of a data centre where a load of an adapter waits
+// already; nil for none.
+func (l *Loader) wantedAtLocked(a topology.Adapter, centre string) *owned {
+	for id, o := range l.owned {
+		if w := l.wants[wantKey{endpoint: id, adapter: a}]; w != nil && !w.copies && o.endpoint.DataCentre() == centre {
+			return o
+		}
+	}
+	return nil
+}
+
+// factsLocked is what is known of an endpoint where an adapter may be loaded.
+func (l *Loader) factsLocked(o *owned, a topology.Adapter, usual bool, now time.Time) policy.SiteFacts {
+	f := policy.SiteFacts{
+		Empty:   l.emptyInLocked(o, now),
+		Load:    l.warm,
+		Read:    l.Reads(l.runs.reading(o.endpoint.ID())),
+		Taken:   l.takenLocked(o, now),
+		Fetched: !o.isWarm(a),
+		Usual:   usual,
+	}
+	if f.Fetched {
+		f.Load = l.cold
+	}
+	if o.orders >= loadsAtOnce {
+		f.Load += l.cold / loadsAtOnce
+	}
+	return f
+}
+
+// takenLocked is which part of an endpoint's slots is in use, being filled or wanted.
+func (l *Loader) takenLocked(o *owned, now time.Time) float64 {
+	g := l.engine(o.endpoint)
+	if g == nil {
+		return 1
+	}
+	taken := o.queued
+	for a, s := range o.slots {
+		if !s.ready || !l.restsLocked(o, a, s, now) {
+			taken++
+		}
+	}
+	return float64(taken) / float64(max(g.SlotsBeside(o.models), 1))
+}
+
+// heldLocked returns the endpoint of a data centre where an adapter is ready in a version,
+// the one that reads the least, or, where none is, one where it is being loaded.
+func (l *Loader) heldLocked(centre string, a topology.Adapter, version int64, denied *owned) (o *owned, s *slot) {
+	for id, p := range l.owned {
+		t := p.slots[a]
+		if t == nil || p == denied || p.phase != owning || p.endpoint.Draining() || p.endpoint.DataCentre() != centre {
+			continue
+		}
+		serves := t.ready && t.version >= version && !(t.leaving && (t.unloading || t.outdated))
+		loads := !t.ready && t.done != nil
+		switch {
+		case !serves && !loads:
+			continue
+		case s == nil, serves && !s.ready, serves == s.ready && l.runs.reading(id) < l.runs.reading(o.endpoint.ID()):
+			o, s = p, t
+		}
+	}
+	return o, s
+}
+
+// busyLocked is how long it takes until a slot of an endpoint whose slots are all in use
+// is free for one more load, by how fast slots change hands lately.
+func (l *Loader) busyLocked(o *owned, now time.Time) time.Duration {
+	rate := max(l.begins.Rate(now, turnoverHalf)/float64(max(len(l.owned), 1)), turnoverLeast)
+	wait := time.Duration(float64(o.queued+1) / rate * float64(time.Second))
+	return min(max(wait, busyLeast), busyMost)
+}
--- a/placement/want.go
+++ b/placement/want.go
@@ -28,6 +28,7 @@
 	waiting int               // requests that are held for it
 	asked   int               // requests that asked for it in vain
 	ahead   int               // copies that were asked for because of them
+	copies  bool              // it is a copy, for this endpoint and no other
 	done    chan struct{}     // closed when the load has begun or will not
 	ended   bool
 }
@@ -93,13 +94,23 @@
 	if o.endpoint.Draining() {
 		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil
 	}
-	s := o.slots[w.Adapter]
-	if s != nil && s.ready && s.version >= w.Version && !w.Denied && (!s.leaving || l.takeBackLocked(o, w.Adapter)) {
-		s.used, s.given = now, now
-		return forward.Placed{Ready: true, Endpoint: o.endpoint.ID(), Version: s.version}, nil
+	var denied *owned
+	if w.Denied {
+		denied = o
 	}
-	if s != nil && s.done != nil {
-		return l.await(s.expected-now.Sub(s.begun), s.done, now, limit, "it is being loaded")
+	if p, s := l.heldLocked(o.endpoint.DataCentre(), w.Adapter, w.Version, denied); s != nil {
+		if !s.ready {
+			return l.await(s.expected-now.Sub(s.begun), s.done, now, limit, "it is being loaded")
+		}
+		if !s.leaving || l.takeBackLocked(p, w.Adapter) {
+			s.used, s.given = now, now
+			return forward.Placed{Ready: true, Endpoint: p.endpoint.ID(), Version: s.version}, nil
+		}
+	}
+	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil {
+		o = at
+	} else if !w.Denied {
+		o = l.siteLocked(w.Adapter, o, now)
 	}
 	return l.enqueueLocked(o, w, now, limit)
 }
@@ -145,6 +156,7 @@
 		}
 		q = &want{done: make(chan struct{})}
 		l.wants[key] = q
+		o.queued++
 	}
 	q.version = max(q.version, w.Version)
 	q.last = now
--- /dev/null
+++ b/policy/site.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package policy
+
+import "time"
+
+// SiteFacts is what is known of an endpoint where an adapter may be loaded.
+type SiteFacts struct {
+	Empty   time.Duration // until a slot there is empty
+	Load    time.Duration // of the adapter into it
+	Read    time.Duration // until the prompts that wait there are read
+	Taken   float64       // part of its slots that are in use or being filled, 0 to 1
+	Fetched bool          // the load comes from the weight store, not from the endpoint's memory
+	Usual   bool          // where the adapter is loaded when nothing else speaks for another
+}
+
+const (
+	// takenCost is what a full endpoint counts besides an empty one: the next request that
+	// needs a slot there waits for a run to end, which takes a second or two.
+	takenCost = 300 * time.Millisecond
+	// fetchCost is what a load from the store counts besides its time: it presses on the
+	// store, which all share, and the adapter takes room in another endpoint's memory.
+	fetchCost = 100 * time.Millisecond
+	// unusualCost keeps an adapter at its usual endpoint, whose memory may have it though
+	// a new owner does not know so.
+	unusualCost = 30 * time.Millisecond
+)
+
+// Cost is the time to the first token there, prompt aside, and what it takes from others.
+func (s SiteFacts) Cost() time.Duration {
+	cost := max(s.Empty+s.Load, s.Read)
+	cost += time.Duration(s.Taken * float64(takenCost))
+	if s.Fetched {
+		cost += fetchCost
+	}
+	if !s.Usual {
+		cost += unusualCost
+	}
+	return cost
+}
