Hold a request as long as its load is expected while that is of use

Cause: a first try was refused when its load would be late, and a caller that came back waited for half of what it had left.

Change: routes know their callers' patience (the platform's pages say it); a request waits while its load is expected in time to be of use, is looked at again each 0.1 s, and is refused as soon as it is not, with the time that the load will be done. The same while nobody decides for an endpoint. Half of the time left, and the difference between first and later tries, are gone from waiting.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -72,7 +72,7 @@
 	Adapter  topology.Adapter
 	Version  int64         // at least
 	Wait     time.Duration // how long the request can wait and still be in time
-	Most     time.Duration // how long it waits at most once it waits: late is better than never
+	Most     time.Duration // how long it can wait and still be served: late is better than never
 	Priority int
 	Worth    float64 // of the request, against others
 	Returned bool    // the caller was refused before and has less time left
@@ -89,8 +89,8 @@
 	Reason   string        // when not ready: why
 }
 
-// Placer has adapters loaded. It answers when the adapter is ready, or at once
-// when it will not be in time.
+// Placer has adapters loaded. It answers when the adapter is ready, or as soon as it
+// is known that it will not be while that is of use.
 type Placer interface {
 	Want(ctx context.Context, w Wanted) (Placed, error)
 }
--- a/forward/home.go
+++ b/forward/home.go
@@ -13,8 +13,8 @@
 const settlePause = 100 * time.Millisecond
 
 // placeAdapter prefers an endpoint that holds the adapter and else has it loaded. While
-// nobody decides for any endpoint, a caller that may come back is refused at once; one
-// that has come back waits.
+// nobody decides for any endpoint a request waits, as long as somebody is expected to in
+// time for its caller to be served.
 func (g *Gateway) placeAdapter(ctx context.Context, q *request, list []*topology.Endpoint) (target, *Refusal) {
 	a := q.call.Adapter
 	g.Log.V(1).Info("Adapter is needed", "request", q.call.ID, "adapter", a.String(), "route", q.route.Name())
@@ -22,10 +22,9 @@
 	if e := g.least(among(g.View.Holders(a), list), now); e != nil {
 		return target{endpoint: e, version: g.View.Newest(a)}, nil
 	}
-	until := now.Add(q.left(now) / 2)
 	for {
 		t, f, settling := g.askHomes(ctx, q, list)
-		if !settling || !q.mayWait() || ctx.Err() != nil || !time.Now().Before(until) {
+		if !settling || ctx.Err() != nil || f.Retry > q.useful(time.Now())-g.predict(q.call.TokensIn) {
 			return t, f
 		}
 		select {
@@ -124,16 +123,18 @@
 }
 
 func (g *Gateway) wanted(q *request, e *topology.Endpoint) Wanted {
+	now := time.Now()
+	answers := g.predict(q.call.TokensIn)
 	return Wanted{
 		Request:  q.call.ID,
 		Endpoint: e,
 		Adapter:  q.call.Adapter,
 		Version:  g.View.Newest(q.call.Adapter),
-		Wait:     q.route.Target() - time.Since(q.received) - firstByte,
-		Most:     q.left(time.Now()) / 2,
+		Wait:     q.route.Target() - now.Sub(q.received) - answers,
+		Most:     q.useful(now) - answers,
 		Priority: q.route.Priority(),
 		Worth:    float64(q.call.TokensIn + outputWeight*q.call.TokensOut),
-		Returned: q.mayWait(),
+		Returned: q.returned(),
 		Denied:   q.denied == e.ID(),
 	}
 }
--- a/forward/home_test.go
+++ b/forward/home_test.go
@@ -17,12 +17,13 @@
 type settlingPlacer struct {
 	settled string
 	after   time.Time // nobody decides for any endpoint before
+	retry   time.Duration
 }
 
 // Want implements Placer.
 func (p settlingPlacer) Want(_ context.Context, w Wanted) (Placed, error) {
 	if w.Endpoint.DataCentre() != p.settled || time.Now().Before(p.after) {
-		return Placed{Settling: true, Retry: time.Second, Reason: "changing"}, nil
+		return Placed{Settling: true, Retry: p.retry, Reason: "changing"}, nil
 	}
 	return Placed{Ready: true, Endpoint: w.Endpoint.ID()}, nil
 }
@@ -70,9 +71,17 @@
 	}
 }
 
-func TestWhileNobodyDecidesOnlyCallersThatCameBackWait(t *testing.T) {
-	s, statuses := askTwoCentres(t, settlingPlacer{}, "2s", "a")
-	s.c.Assert(statuses[0], quicktest.Equals, http.StatusServiceUnavailable)
-	s, statuses = askTwoCentres(t, settlingPlacer{settled: "far", after: time.Now().Add(400 * time.Millisecond)}, "1500ms", "a")
-	s.c.Assert(statuses[0], quicktest.Equals, http.StatusOK)
+// A request was refused at once while nobody decided, though somebody would soon.
+func TestWhileNobodyDecidesARequestWaits(t *testing.T) {
+	for _, left := range []string{"2s", "1500ms"} { // at first, and after a refusal
+		s, statuses := askTwoCentres(t, settlingPlacer{settled: "far", after: time.Now().Add(400 * time.Millisecond), retry: 200 * time.Millisecond}, left, "a")
+		s.c.Assert(statuses[0], quicktest.Equals, http.StatusOK)
+	}
+}
+
+func TestARequestThatCannotBeServedInTimeDoesNotWait(t *testing.T) {
+	begun := time.Now()
+	s, statuses := askTwoCentres(t, settlingPlacer{retry: time.Minute}, "2s", "a", "b", "c")
+	s.c.Assert(statuses, quicktest.DeepEquals, []int{http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusServiceUnavailable})
+	s.c.Assert(time.Since(begun) < 3*time.Second, quicktest.IsTrue) // each would have waited for two: no bound on speed, but on the rule
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -50,10 +50,14 @@
 	return q.call.Deadline > 0 && q.call.Deadline+usedBefore < q.route.Timeout()
 }
 
-// mayWait tells whether a late answer is the best that the caller can still get: it came
-// back already, or its answer would be late even if it came back at once.
-func (q *request) mayWait() bool {
-	return q.returned() || time.Since(q.received) > q.route.Target()
+// useful is how much longer the first part of an answer is of use to the caller: it leaves
+// when it has heard nothing for some time, long before its deadline.
+func (q *request) useful(now time.Time) time.Duration {
+	left := q.left(now)
+	if p := q.route.Patience(); p > 0 {
+		left = min(left, q.received.Add(p).Sub(now))
+	}
+	return left
 }
 
 // admit reads a request and finds its route.
--- a/placement/want.go
+++ b/placement/want.go
@@ -51,17 +51,13 @@
 	again bool // it was counted before
 }
 
-// Want implements forward.Placer for the endpoints of this box. A caller that was
-// refused before is let wait for a late answer, since it will not come back again;
-// and a request that was let wait is not given up for being late.
+// Want implements forward.Placer for the endpoints of this box. A request waits as long as
+// its load is expected while that is of use to its caller. What is expected changes with
+// what else is wanted, so it is looked at again and again; as soon as it comes too late the
+// caller is told when to come back instead.
 func (l *Loader) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
 	l.Init()
-	begun := time.Now()
-	most := begun.Add(max(w.Most, w.Wait, 0))
-	limit := begun.Add(max(w.Wait, 0))
-	if w.Returned {
-		limit = most
-	}
+	limit := time.Now().Add(max(w.Most, 0))
 	for q := (wish{Wanted: w}); ; q.again = true {
 		p, wait := l.look(q, time.Now(), limit)
 		if wait == nil {
@@ -69,8 +65,7 @@
 				"endpoint", w.Endpoint.ID(), "ready", p.Ready, "reason", p.Reason, "retry_ms", p.Retry.Milliseconds())
 			return p, nil
 		}
-		limit = most
-		timer := time.NewTimer(time.Until(limit))
+		timer := time.NewTimer(min(time.Until(limit), lookAgain))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
@@ -83,6 +78,10 @@
 	}
 }
 
+// lookAgain is how soon a request that waits is looked at again. A caller that is refused
+// late loses more; a look costs some microseconds.
+const lookAgain = 100 * time.Millisecond
+
 // look answers a wish now, or returns what to wait for.
 func (l *Loader) look(w wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	l.mu.Lock()
--- a/topology/config.go
+++ b/topology/config.go
@@ -39,6 +39,7 @@
 	Timeout     time.Duration // the longest that a request may be held
 	Target      time.Duration // an answer, or the first event, is in time within it
 	Gap         time.Duration // the longest pause between events that is in time
+	Patience    time.Duration // a caller leaves when it has heard nothing for so long; zero: only at its deadline
 	Priority    int           // 0 is the most urgent
 	Shares      []Share       // at least one
 	MaxAttempts int           // endpoints that one request may run at
@@ -63,6 +64,9 @@
 // Target returns within which time an answer or its first event is in time.
 func (r *Route) Target() time.Duration { return r.spec.Target }
 
+// Patience returns how long a caller waits to hear anything; zero: until its deadline.
+func (r *Route) Patience() time.Duration { return r.spec.Patience }
+
 // Priority returns the rank; 0 is the most urgent.
 func (r *Route) Priority() int { return r.spec.Priority }
 
