--- a/edge/peers.go
+++ b/edge/peers.go
@@ -145,6 +145,9 @@
 		Worth:      w.Worth,
 		Returned:   w.Returned,
 		Denied:     w.Denied,
+		Tokens:     int64(w.Tokens),
+		Held:       w.Held,
+		Only:       w.Only,
 	})
 	if err != nil {
 		return forward.Placed{}, errors.Wrapf(err, "edge: leader %s", m.Name())
@@ -188,6 +191,9 @@
 		Worth:    q.GetWorth(),
 		Returned: q.GetReturned(),
 		Denied:   q.GetDenied(),
+		Tokens:   int(q.GetTokens()),
+		Held:     q.GetHeld(),
+		Only:     q.GetOnly(),
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -77,13 +77,16 @@
 	Worth    float64 // of the request, against others
 	Returned bool    // the caller was refused before and has less time left
 	Denied   bool    // the endpoint said that it does not hold the adapter
+	Tokens   int     // of its prompt
+	Held     bool    // the endpoint holds the adapter, as far as this box knows: where is it best sent to
+	Only     bool    // load it at this endpoint, even where another one holds it
 }
 
 // Placed is what became of a wish for an adapter.
 type Placed struct {
 	Ready    bool
 	Settling bool   // who decides for the endpoint is changing: ask again
-	Endpoint string // where it is ready
+	Endpoint string // where it is ready; for a Held one that is not ready, where it is best loaded
 	Version  int64
 	Retry    time.Duration // when not ready: when it is expected to be
 	Reason   string        // when not ready: why
--- a/forward/home.go
+++ b/forward/home.go
@@ -19,11 +19,16 @@
 	a := q.call.Adapter
 	g.Log.V(1).Info("Adapter is needed", "request", q.call.ID, "adapter", a.String(), "route", q.route.Name())
 	now := time.Now()
+	first, held := g.homeOf(a, list), false
 	if e := g.least(among(g.View.Holders(a), list), now); e != nil {
-		return target{endpoint: e, version: g.View.Newest(a)}, nil
+		t, better := g.spread(ctx, q, e)
+		if better == nil {
+			return t, nil
+		}
+		first, held = better, true
 	}
 	for {
-		t, f, settling := g.askHomes(ctx, q, list)
+		t, f, settling := g.askHomes(ctx, q, list, first, held)
 		if !settling || ctx.Err() != nil || f.Retry > q.useful(time.Now())-g.predict(q.call.TokensIn) {
 			return t, f
 		}
@@ -34,13 +39,49 @@
 	}
 }
 
-// askHomes asks for the adapter at its home. Where nobody decides for that endpoint just
+const (
+	// spreadFrom is the time to read a prompt from which on its endpoint is chosen by who
+	// knows of the prompts of all boxes. Asking takes a few milliseconds.
+	spreadFrom = 60 * time.Millisecond
+	// spreadFor is how long that answer is waited for: it is given at once or never.
+	spreadFor = 40 * time.Millisecond
+)
+
+// spread asks whether a long prompt had better go to another endpoint than e, which holds
+// the adapter: prompts are read one behind the other. It returns where to send the request,
+// or an endpoint where the adapter is better loaded first.
+func (g *Gateway) spread(ctx context.Context, q *request, e *topology.Endpoint) (t target, better *topology.Endpoint) {
+	t = target{endpoint: e, version: g.View.Newest(q.call.Adapter)}
+	if g.Reads(q.call.TokensIn) < spreadFrom {
+		return t, nil
+	}
+	w := g.wanted(q, e)
+	w.Held = true
+	call, cancel := context.WithTimeout(ctx, spreadFor)
+	defer cancel()
+	p, err := g.Placer.Want(call, w)
+	if err != nil || p.Settling {
+		return t, nil
+	}
+	other := g.View.Endpoint(p.Endpoint)
+	if other == nil || other.Draining() || q.tried[p.Endpoint] {
+		return t, nil
+	}
+	if !p.Ready {
+		return t, other
+	}
+	t.endpoint = other
+	return t, nil
+}
+
+// askHomes asks for the adapter at first, its home or another endpoint. Where nobody decides for that endpoint just
 // now it asks at the home that the adapter has in the other data centres; settling says
 // that this is so for all of them.
-func (g *Gateway) askHomes(ctx context.Context, q *request, list []*topology.Endpoint) (t target, f *Refusal, settling bool) {
-	for len(list) > 0 {
-		e := g.homeOf(q.call.Adapter, list)
-		p, err := g.Placer.Want(ctx, g.wanted(q, e))
+func (g *Gateway) askHomes(ctx context.Context, q *request, list []*topology.Endpoint, first *topology.Endpoint, held bool) (t target, f *Refusal, settling bool) {
+	for e := first; len(list) > 0; e = g.homeOf(q.call.Adapter, list) {
+		w := g.wanted(q, e)
+		w.Only = held && e == first
+		p, err := g.Placer.Want(ctx, w)
 		q.waited = time.Since(q.received)
 		switch {
 		case err != nil:
@@ -136,6 +177,7 @@
 		Worth:    float64(q.call.TokensIn + outputWeight*q.call.TokensOut),
 		Returned: q.returned(),
 		Denied:   q.denied == e.ID(),
+		Tokens:   q.call.TokensIn,
 	}
 }
 
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -73,13 +73,14 @@
 	refused  int       // fences refused in a row
 	told     uint64    // publications so far
 	slots    map[topology.Adapter]*slot
-	recent   recent          // adapters that its memory keeps
-	orders   int             // loads on their way
-	queued   int             // loads that wait for a slot here, as of the last look
-	reclaim  bool            // what it holds must be learnt anew
-	models   map[string]bool // base models that it holds
-	fetching bool            // a base model is on its way
-	claims   int             // how often this box learnt what it holds; tasks of earlier claims stop
+	recent   recent            // adapters that its memory keeps
+	orders   int               // loads on their way
+	promised policy.Popularity // tokens of prompts that boxes were told to send here and have not told of
+	queued   int               // loads that wait for a slot here, as of the last look
+	reclaim  bool              // what it holds must be learnt anew
+	models   map[string]bool   // base models that it holds
+	fetching bool              // a base model is on its way
+	claims   int               // how often this box learnt what it holds; tasks of earlier claims stop
 }
 
 // slot is one adapter that takes room at an endpoint.
--- a/placement/site.go
+++ b/placement/site.go
@@ -47,7 +47,7 @@
 	f := policy.SiteFacts{
 		Empty:   l.emptyInLocked(o, now),
 		Load:    l.warm,
-		Read:    l.Reads(l.runs.reading(o.endpoint.ID())),
+		Read:    l.readsLocked(o, now),
 		Taken:   l.takenLocked(o, now),
 		Fetched: !o.isWarm(a),
 		Usual:   usual,
@@ -76,15 +76,17 @@
 	return float64(taken) / float64(max(g.SlotsBeside(o.models), 1))
 }
 
-// heldLocked returns the endpoint of a data centre where an adapter is ready in a version,
-// the one that reads the least, or, where none is, one where it is being loaded.
-func (l *Loader) heldLocked(centre string, a topology.Adapter, version int64, denied *owned) (o *owned, s *slot) {
+// heldLocked returns the endpoint of a data centre where the adapter is ready in the version
+// that a request needs, the one that reads the least, or, where none is, one where it is
+// being loaded. A request for one endpoint only gets that one.
+func (l *Loader) heldLocked(asked *owned, w wish, denied *owned) (o *owned, s *slot) {
+	a, centre := w.Adapter, asked.endpoint.DataCentre()
 	for id, p := range l.owned {
 		t := p.slots[a]
-		if t == nil || p == denied || p.phase != owning || p.endpoint.Draining() || p.endpoint.DataCentre() != centre {
+		if t == nil || p == denied || (w.Only && p != asked) || p.phase != owning || p.endpoint.Draining() || p.endpoint.DataCentre() != centre {
 			continue
 		}
-		serves := t.ready && t.version >= version && !(t.leaving && (t.unloading || t.outdated))
+		serves := t.ready && t.version >= w.Version && !(t.leaving && (t.unloading || t.outdated))
 		loads := !t.ready && t.done != nil
 		switch {
 		case !serves && !loads:
--- a/placement/want.go
+++ b/placement/want.go
@@ -93,22 +93,26 @@
 	if o.endpoint.Draining() {
 		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil
 	}
+	if w.Held {
+		return l.spreadLocked(o, w, now), nil
+	}
 	var denied *owned
 	if w.Denied {
 		denied = o
 	}
-	if p, s := l.heldLocked(o.endpoint.DataCentre(), w.Adapter, w.Version, denied); s != nil {
+	if p, s := l.heldLocked(o, w, denied); s != nil {
 		if !s.ready {
 			return l.await(s.expected-now.Sub(s.begun), s.done, now, limit, "it is being loaded")
 		}
 		if !s.leaving || l.takeBackLocked(p, w.Adapter) {
 			s.used, s.given = now, now
+			p.promised.Add(float64(w.Tokens), now, promisedHalf)
 			return forward.Placed{Ready: true, Endpoint: p.endpoint.ID(), Version: s.version}, nil
 		}
 	}
-	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil {
+	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil && !w.Only {
 		o = at
-	} else if !w.Denied {
+	} else if !w.Denied && !w.Only {
 		o = l.siteLocked(w.Adapter, o, now)
 	}
 	return l.enqueueLocked(o, w, now, limit)
