--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -49,7 +49,13 @@
 	Lead  time.Duration `arg:"--lead" default:"10s" help:"loads may begin so long before the first request"`
 }
 
+type whereCommand struct {
+	Logs    []string `arg:"positional" help:"debug logs of all boxes; standard input when none is given"`
+	Seconds bool     `arg:"--seconds" help:"by second too"`
+}
+
 type arguments struct {
+	Where    *whereCommand    `arg:"subcommand:where" help:"where the time of requests went, from logs"`
 	Future   *futureCommand   `arg:"subcommand:future" help:"what a policy that knew the future could have had, from logs"`
 	Policies *policiesCommand `arg:"subcommand:policies" help:"the chosen policies and the baselines, in the users' sizes"`
 	Storm    *stormCommand    `arg:"subcommand:storm" help:"mixed failures under load, with the stand-ins as witnesses"`
@@ -87,6 +93,8 @@
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
 		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate}.Run(ctx, os.Stdout)
+	case a.Where != nil:
+		err = measure.Where{Logs: a.Where.Logs, Seconds: a.Where.Seconds}.Run(os.Stdout)
 	case a.Future != nil:
 		err = measure.Future{Logs: a.Future.Logs, Slots: a.Future.Slots, Rate: a.Future.Rate, Lead: a.Future.Lead}.Run(os.Stdout)
 	case a.Policies != nil:
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -157,6 +157,7 @@
 		Settling: a.GetSettling(),
 		Endpoint: a.GetEndpoint(),
 		Version:  a.GetVersion(),
+		Queued:   time.Duration(a.GetQueuedMicros()) * time.Microsecond,
 		Retry:    time.Duration(a.GetRetryMicros()) * time.Microsecond,
 		Reason:   a.GetReason(),
 	}, nil
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -54,6 +54,8 @@
 		Version:     p.Version,
 		RetryMicros: p.Retry.Microseconds(),
 		Reason:      p.Reason,
+
+		QueuedMicros: p.Queued.Microseconds(),
 	}, nil
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,6 +88,7 @@
 	Settling bool   // who decides for the endpoint is changing: ask again
 	Endpoint string // where it is ready; for a Held one that is not ready, where it is best loaded
 	Version  int64
+	Queued   time.Duration // of the wait, until the load began
 	Retry    time.Duration // when not ready: when it is expected to be
 	Reason   string        // when not ready: why
 }
--- a/forward/home.go
+++ b/forward/home.go
@@ -82,7 +82,7 @@
 		w := g.wanted(q, e)
 		w.Only = held && e == first
 		p, err := g.Placer.Want(ctx, w)
-		q.waited = time.Since(q.received)
+		q.waited, q.queued = time.Since(q.received), p.Queued
 		switch {
 		case err != nil:
 			g.away.note(e.DataCentre(), time.Now())
--- a/forward/record.go
+++ b/forward/record.go
@@ -46,9 +46,9 @@
 	}
 	g.Log.Info("Request was answered", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
 		"adapter", q.call.Adapter.String(), "adapter_version", q.version, "config", q.config.Version(),
-		"status", out.status, "attempts", q.attempts, "waited_ms", q.waited.Milliseconds(),
+		"status", out.status, "attempts", q.attempts, "waited_ms", q.waited.Milliseconds(), "queued_ms", q.queued.Milliseconds(),
 		"sent_ms", q.sentAt.Sub(q.received).Milliseconds(), "predicted_ms", q.predicted.Milliseconds(),
-		"first_ms", out.first.Sub(q.received).Milliseconds(), "took_ms", now.Sub(q.received).Milliseconds())
+		"first_ms", out.first.Sub(q.received).Milliseconds(), "target_ms", q.route.Target().Milliseconds(), "took_ms", now.Sub(q.received).Milliseconds())
 }
 
 // notePrediction records how far off the predicted time to the first token was.
@@ -89,6 +89,6 @@
 	}
 	g.Log.Info("Request failed", "request", q.call.ID, "route", route, "reason", string(f.Code),
 		"status", f.status(), "may_have_run", f.Ran, "begun", begun, "adapter", q.call.Adapter.String(),
-		"endpoint", endpoint, "attempts", q.attempts, "config", version,
+		"endpoint", endpoint, "attempts", q.attempts, "config", version, "waited_ms", q.waited.Milliseconds(),
 		"took_ms", took.Milliseconds(), "retry_ms", f.Retry.Milliseconds(), "cause", f.Detail)
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -32,6 +32,7 @@
 	sentAt   time.Time       // of the last attempt
 	sentTo   *topology.Endpoint
 	version  int64         // of the adapter at the last attempt; zero: any
+	queued   time.Duration // of waited, until the load began
 	waited   time.Duration // until its adapter was ready somewhere, or was found not to be
 	// predicted is how long the endpoint of the last attempt was expected to take to its
 	// first token.
--- a/measure/future.go
+++ b/measure/future.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"text/tabwriter"
 	"time"
 
@@ -34,7 +33,7 @@
 	if f.Slots <= 0 || f.Rate <= 0 {
 		return errors.New("measure: --slots and --rate must be above zero")
 	}
-	log, err := f.read()
+	log, err := readLogs(f.Logs)
 	if err != nil {
 		return err
 	}
@@ -60,25 +59,6 @@
 	return errors.Wrap(w.Flush(), "measure")
 }
 
-func (f Future) read() (*logging.Log, error) {
-	var log logging.Log
-	if len(f.Logs) == 0 {
-		return &log, errors.Wrap(log.Read(os.Stdin), "measure: read log")
-	}
-	for _, p := range f.Logs {
-		file, err := os.Open(p)
-		if err != nil {
-			return nil, errors.Wrap(err, "measure: open log")
-		}
-		err = log.Read(file)
-		file.Close()
-		if err != nil {
-			return nil, errors.Wrapf(err, "measure: read %s", p)
-		}
-	}
-	return &log, nil
-}
-
 // gather returns the requests for adapters by time, the loads that were begun from the
 // store and the requests that were refused for a load.
 func gather(log *logging.Log) (needs []need, loads, refused int) {
--- a/placement/want.go
+++ b/placement/want.go
@@ -48,17 +48,27 @@
 type wish struct {
 	forward.Wanted
 
+	asked time.Time
 	again bool // it was counted before
 }
 
+// queued is how much of the wait passed before the load began.
+func (w wish) queued(s *slot) time.Duration {
+	if !w.again || s.begun.Before(w.asked) {
+		return 0
+	}
+	return s.begun.Sub(w.asked)
+}
+
 // Want implements forward.Placer for the endpoints of this box. A request waits as long as
 // its load is expected while that is of use to its caller. What is expected changes with
 // what else is wanted, so it is looked at again and again; as soon as it comes too late the
 // caller is told when to come back instead.
 func (l *Loader) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
 	l.Init()
-	limit := time.Now().Add(max(w.Most, 0))
-	for q := (wish{Wanted: w}); ; q.again = true {
+	now := time.Now()
+	limit := now.Add(max(w.Most, 0))
+	for q := (wish{Wanted: w, asked: now}); ; q.again = true {
 		p, wait := l.look(q, time.Now(), limit)
 		if wait == nil {
 			l.Log.V(1).Info("Adapter was asked for", "request", w.Request, "adapter", w.Adapter.String(),
@@ -107,7 +117,7 @@
 		if !s.leaving || l.takeBackLocked(p, w.Adapter) {
 			s.used, s.given = now, now
 			p.promised.Add(float64(w.Tokens), now, promisedHalf)
-			return forward.Placed{Ready: true, Endpoint: p.endpoint.ID(), Version: s.version}, nil
+			return forward.Placed{Ready: true, Endpoint: p.endpoint.ID(), Version: s.version, Queued: w.queued(s)}, nil
 		}
 	}
 	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil && !w.Only {
