Send on what reached nobody without budget, and leave out what refuses connections

With two of three endpoints down, all three counted as usable again.

Change: an attempt of which no byte left the box takes nothing from the budget, which is for arrivals at endpoints. Endpoints that refuse connections are left out as long as any other is there; only how endpoints answer is not believed of most of a service.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -115,7 +115,7 @@
 	g.recordAttempt(q, "lost", err.Error())
 	q.tried[u.endpoint.ID()] = true
 	if !sent {
-		return &Refusal{Code: CodeNoEndpoint, Retry: shedRetry, Detail: err.Error()}
+		return &Refusal{Code: CodeNoEndpoint, Unsent: true, Retry: shedRetry, Detail: err.Error()}
 	}
 	q.unsure = true
 	q.ran++
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -18,12 +18,12 @@
 	silentAfter    = 700 * time.Millisecond
 )
 
-// usable returns those of the list that are worth a try: not draining, not tried,
-// not avoided. Where most would be avoided it does not believe it and returns
-// all that do not drain.
+// usable returns those of the list that are worth a try: not draining, not tried, and not
+// avoided. Those that refused a connection lately are left out as long as there are others;
+// where most would be left out for how they answer, it does not believe that.
 func (g *Gateway) usable(list []*topology.Endpoint, tried map[string]bool, now time.Time) []*topology.Endpoint {
 	list = g.reachable(list, now)
-	var serving, good []*topology.Endpoint
+	var serving, up, good []*topology.Endpoint
 	least := 1.0
 	for _, e := range list {
 		least = min(least, g.upstreams.of(e).health(now).failures)
@@ -34,12 +34,19 @@
 		}
 		serving = append(serving, e)
 		h := g.upstreams.of(e).health(now)
-		if !h.down && h.silent < silentMost && h.failures < least+greyMargin {
+		if h.down {
+			continue
+		}
+		up = append(up, e)
+		if h.silent < silentMost && h.failures < least+greyMargin {
 			good = append(good, e)
 		}
 	}
-	if 2*len(good) <= len(serving) {
+	switch {
+	case len(up) == 0:
 		return serving
+	case 2*len(good) <= len(up):
+		return up
 	}
 	return good
 }
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -145,3 +145,43 @@
 		s.c.Assert(s.calls[id].Load(), quicktest.Equals, int64(4))
 	}
 }
+
+// dark adds an endpoint that refuses connections.
+func (s *site) dark(t *testing.T) string {
+	s.endpoint(t, answerOK)
+	id := fmt.Sprintf("e%d", s.count)
+	e := s.gateway.View.Endpoint(id)
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "app", Address: "127.0.0.1:1", DataCentre: e.DataCentre(), Slots: 100}))
+	return id
+}
+
+// While a data centre was cut off, its boxes refused requests that had reached nobody,
+// since the budget of retries was used up, though an endpoint beside them served.
+func TestARequestThatReachedNobodyNeedsNoBudget(t *testing.T) {
+	s := newSite(t, once(5*time.Second))
+	s.gateway.Budget = func() BudgetLimits { return BudgetLimits{Window: time.Second} }
+	for range 2 {
+		s.dark(t)
+	}
+	s.endpoint(t, answerOK)
+	for range 3 {
+		a, _, err := s.ask("/")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	}
+}
+
+// Two of three endpoints were cut off, and were asked again and again, since no more than
+// half of a service is avoided.
+func TestEndpointsThatRefuseConnectionsAreAvoidedAsLongAsOthersServe(t *testing.T) {
+	s := newSite(t, once(5*time.Second))
+	now := time.Now()
+	for range 2 {
+		s.gateway.upstreams.of(s.gateway.View.Endpoint(s.dark(t))).unreachable(now)
+	}
+	list := s.gateway.View.Endpoints("app")
+	s.c.Assert(s.gateway.usable(list, nil, now), quicktest.HasLen, 2) // nothing else is there
+	s.endpoint(t, answerOK)
+	list = s.gateway.View.Endpoints("app")
+	s.c.Assert(s.gateway.usable(list, nil, now), quicktest.HasLen, 1)
+}
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -32,6 +32,7 @@
 type Refusal struct {
 	Code   Code
 	Ran    bool          // it may have run
+	Unsent bool          // no byte of it left this box
 	Retry  time.Duration // when to come back; zero: nothing better is known than soon
 	Detail string
 }
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -52,7 +52,8 @@
 	return f
 }
 
-// another tells whether a failed request may be sent once more.
+// another tells whether a failed request may be sent once more. One that reached nobody
+// takes nothing from the budget, which keeps endpoints from being asked too often.
 func (g *Gateway) another(q *request, out *answer, f *Refusal) bool {
 	if out.begun || f.Code == CodeCallerGone {
 		return false
@@ -64,7 +65,7 @@
 	if q.left(now) < firstByte/2 {
 		return false
 	}
-	return g.budget(q.service.Name()).Take(now, g.Boxes())
+	return f.Unsent || g.budget(q.service.Name()).Take(now, g.Boxes())
 }
 
 // place finds the endpoint for the next attempt.
