--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -13,7 +13,8 @@
 	before    int // tokens of prompts of this box that the endpoint had not read, the own ones too
 	predicted time.Duration
 	sent      time.Time
-	read      bool // something of the answer came
+	read      bool      // something of the answer came
+	last      time.Time // when the latest part of it came
 }
 
 // dispatchTo notes that a request is being sent to an endpoint.
@@ -35,9 +36,11 @@
 	now := time.Now()
 	d.gateway.away.hear(d.upstream.endpoint.DataCentre(), now)
 	if d.read {
+		d.request.pause = max(d.request.pause, now.Sub(d.last))
+		d.last = now
 		return
 	}
-	d.read = true
+	d.read, d.last = true, now
 	d.request.firstAt = now
 	d.upstream.read(d.request.call.TokensIn)
 	if d.run != nil {
--- a/forward/record.go
+++ b/forward/record.go
@@ -48,7 +48,8 @@
 		"adapter", q.call.Adapter.String(), "adapter_version", q.version, "config", q.config.Version(),
 		"status", out.status, "attempts", q.attempts, "waited_ms", q.waited.Milliseconds(), "queued_ms", q.queued.Milliseconds(),
 		"sent_ms", q.sentAt.Sub(q.received).Milliseconds(), "predicted_ms", q.predicted.Milliseconds(),
-		"first_ms", out.first.Sub(q.received).Milliseconds(), "target_ms", q.route.Target().Milliseconds(), "took_ms", now.Sub(q.received).Milliseconds())
+		"first_ms", out.first.Sub(q.received).Milliseconds(), "target_ms", q.route.Target().Milliseconds(),
+		"pause_ms", q.pause.Milliseconds(), "took_ms", now.Sub(q.received).Milliseconds())
 }
 
 // notePrediction records how far off the predicted time to the first token was.
--- a/forward/request.go
+++ b/forward/request.go
@@ -37,7 +37,8 @@
 	// predicted is how long the endpoint of the last attempt was expected to take to its
 	// first token.
 	predicted time.Duration
-	firstAt   time.Time // when the endpoint of the last attempt began to answer; zero: it has not
+	pause     time.Duration // the longest between two events of its stream
+	firstAt   time.Time     // when the endpoint of the last attempt began to answer; zero: it has not
 }
 
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
