--- a/placement/retire.go
+++ b/placement/retire.go
@@ -14,8 +14,8 @@
 // too. Boxes tell within some 20 ms what they begin to use and use no more, so a slot that
 // rests is emptied at once when a load needs it; a request that meets the unload on its way
 // is refused by the endpoint as not run, and its adapter comes back from memory. One in use
-// leaves only for a newer version of itself, or where nothing rests: the boxes are told not
-// to use it any more, and it is unloaded when none does.
+// leaves only for a newer version of itself: the boxes are told not to use it any more, and
+// it is unloaded when none does.
 
 const (
 	// tellFor is how long after an adapter in use began to leave every box has heard of it
@@ -35,12 +35,12 @@
 	// quarter of a second.
 	aheadPart = 8
 	// retiringMost are emptied at a time at one endpoint: as many as it loads at a time.
-	// Besides, as many that are still in use may wait for their runs to end.
 	retiringMost = loadsAtOnce
 )
 
-// retireLocked empties slots: as many as loads wait for, and some ahead. Adapters in use
-// leave only where a load waits.
+// retireLocked empties slots that rest: as many as loads wait for, and some ahead. An
+// adapter in use stays, unless it is to be replaced by a newer version: it would still take
+// its slot until its runs end, and be asked for again meanwhile.
 func (l *Loader) retireLocked(waiting map[*owned]int, now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
 	for _, o := range l.owned {
@@ -54,8 +54,8 @@
 			}
 		}
 		for range l.shortLocked(o, waiting[o]) {
-			a, rests, ok := l.coldestLocked(o, now)
-			if !ok || (!rests && (waiting[o] == 0 || l.stuckLocked(o) >= retiringMost)) {
+			a, ok := l.coldestLocked(o, now)
+			if !ok {
 				break
 			}
 			tasks = append(tasks, l.retireOneLocked(o, a, now))
@@ -96,22 +96,20 @@
 	return n
 }
 
-// coldestLocked returns the adapter that leaves next: the one that is asked for least of
-// those that rest, in use at no box, or, where none does, of all.
-func (l *Loader) coldestLocked(o *owned, now time.Time) (coldest topology.Adapter, idle, ok bool) {
+// coldestLocked returns the adapter that leaves next: of those that rest, the one that is
+// asked for least.
+func (l *Loader) coldestLocked(o *owned, now time.Time) (coldest topology.Adapter, ok bool) {
 	least := 0.0
 	for a, s := range o.slots {
-		if !s.ready || s.leaving || now.Sub(s.given) < restFor {
+		if !s.ready || s.leaving || !l.restsLocked(o, a, s, now) {
 			continue
 		}
 		r := l.rateLocked(a, now)
-		rests := l.restsLocked(o, a, s, now)
-		first := !ok || (rests && !idle)
-		if first || (rests == idle && (r < least || (r == least && s.used.Before(o.slots[coldest].used)))) {
-			coldest, least, idle, ok = a, r, rests, true
+		if !ok || r < least || (r == least && s.used.Before(o.slots[coldest].used)) {
+			coldest, least, ok = a, r, true
 		}
 	}
-	return coldest, idle, ok
+	return coldest, ok
 }
 
 // restsLocked tells whether no box uses an adapter, nor is about to.
