--- a/placement/loader.go
+++ b/placement/loader.go
@@ -76,6 +76,7 @@
 	recent   recent            // adapters that its memory keeps
 	orders   int               // loads on their way
 	promised policy.Popularity // tokens of prompts that boxes were told to send here and have not told of
+	pending  int               // tokens of prompts that wait for loads here
 	queued   int               // loads that wait for a slot here, as of the last look
 	reclaim  bool              // what it holds must be learnt anew
 	models   map[string]bool   // base models that it holds
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -20,7 +20,7 @@
 // spreadLocked answers a request whose adapter is ready at an endpoint, as far as its box
 // knows: it goes where its prompt is read first, of the endpoints that hold the adapter; or
 // it says where the adapter is better loaded, when that is much sooner.
-func (l *Loader) spreadLocked(o *owned, w wish, now time.Time) forward.Placed {
+func (l *Loader) spreadLocked(o *owned, w *wish, now time.Time) forward.Placed {
 	centre := o.endpoint.DataCentre()
 	var best *owned
 	var soonest time.Duration
@@ -47,8 +47,18 @@
 	return forward.Placed{Ready: true, Endpoint: best.endpoint.ID(), Version: s.version}
 }
 
-// readsLocked is how long an endpoint takes to read the prompts that wait there, those that
-// are on their way too.
+// readsLocked is how long an endpoint takes to read the prompts that wait there, those on
+// their way and those that wait for loads there too.
 func (l *Loader) readsLocked(o *owned, now time.Time) time.Duration {
-	return l.Reads(l.runs.reading(o.endpoint.ID()) + int(o.promised.Count(now, promisedHalf)))
+	return l.Reads(l.runs.reading(o.endpoint.ID()) + int(o.promised.Count(now, promisedHalf)) + o.pending)
+}
+
+// waitAtLocked notes where a request waits for a load; nil: nowhere.
+func (l *Loader) waitAtLocked(w *wish, o *owned) {
+	if w.at != nil {
+		w.at.pending -= w.Tokens
+	}
+	if w.at = o; o != nil {
+		o.pending += w.Tokens
+	}
 }
--- a/placement/want.go
+++ b/placement/want.go
@@ -49,11 +49,12 @@
 	forward.Wanted
 
 	asked time.Time
-	again bool // it was counted before
+	again bool   // it was counted before
+	at    *owned // where it waits for a load; nil: nowhere
 }
 
 // queued is how much of the wait passed before the load began.
-func (w wish) queued(s *slot) time.Duration {
+func (w *wish) queued(s *slot) time.Duration {
 	if !w.again || s.begun.Before(w.asked) {
 		return 0
 	}
@@ -68,7 +69,7 @@
 	l.Init()
 	now := time.Now()
 	limit := now.Add(max(w.Most, 0))
-	for q := (wish{Wanted: w, asked: now}); ; q.again = true {
+	for q := (&wish{Wanted: w, asked: now}); ; q.again = true {
 		p, wait := l.look(q, time.Now(), limit)
 		if wait == nil {
 			l.Log.V(1).Info("Adapter was asked for", "request", w.Request, "adapter", w.Adapter.String(),
@@ -79,6 +80,7 @@
 		select {
 		case <-ctx.Done():
 			timer.Stop()
+			l.giveUp(q)
 			return forward.Placed{}, ctx.Err()
 		case <-timer.C:
 		case <-wait:
@@ -92,32 +94,50 @@
 // late loses more; a look costs some microseconds.
 const lookAgain = 100 * time.Millisecond
 
+// giveUp notes that a request waits no more.
+func (l *Loader) giveUp(w *wish) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.waitAtLocked(w, nil)
+}
+
 // look answers a wish now, or returns what to wait for.
-func (l *Loader) look(w wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+func (l *Loader) look(w *wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.waitAtLocked(w, nil)
+	p, wait, at := l.lookLocked(w, now, limit)
+	if wait != nil {
+		l.waitAtLocked(w, at)
+	}
+	return p, wait
+}
+
+// lookLocked answers a wish, or returns what to wait for and the endpoint of the load.
+func (l *Loader) lookLocked(w *wish, now, limit time.Time) (forward.Placed, <-chan struct{}, *owned) {
 	o := l.owned[w.Endpoint.ID()]
 	if o == nil || o.phase != owning {
-		return forward.Placed{Settling: true, Retry: l.settledInLocked(w.Endpoint, o, now), Reason: "the endpoint's owner has not settled"}, nil
+		return forward.Placed{Settling: true, Retry: l.settledInLocked(w.Endpoint, o, now), Reason: "the endpoint's owner has not settled"}, nil, nil
 	}
 	if o.endpoint.Draining() {
-		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil
+		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil, nil
 	}
 	if w.Held {
-		return l.spreadLocked(o, w, now), nil
+		return l.spreadLocked(o, w, now), nil, nil
 	}
 	var denied *owned
 	if w.Denied {
 		denied = o
 	}
-	if p, s := l.heldLocked(o, w, denied); s != nil {
+	if at, s := l.heldLocked(o, w, denied); s != nil {
 		if !s.ready {
-			return l.await(s.expected-now.Sub(s.begun), s.done, now, limit, "it is being loaded")
+			p, done := l.await(s.expected-now.Sub(s.begun), s.done, now, limit, "it is being loaded")
+			return p, done, at
 		}
-		if !s.leaving || l.takeBackLocked(p, w.Adapter) {
+		if !s.leaving || l.takeBackLocked(at, w.Adapter) {
 			s.used, s.given = now, now
-			p.promised.Add(float64(w.Tokens), now, promisedHalf)
-			return forward.Placed{Ready: true, Endpoint: p.endpoint.ID(), Version: s.version, Queued: w.queued(s)}, nil
+			at.promised.Add(float64(w.Tokens), now, promisedHalf)
+			return forward.Placed{Ready: true, Endpoint: at.endpoint.ID(), Version: s.version, Queued: w.queued(s)}, nil, nil
 		}
 	}
 	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil && !w.Only {
@@ -125,7 +145,8 @@
 	} else if !w.Denied && !w.Only {
 		o = l.siteLocked(w.Adapter, o, now)
 	}
-	return l.enqueueLocked(o, w, now, limit)
+	answer, done := l.enqueueLocked(o, w, now, limit)
+	return answer, done, o
 }
 
 // settledInLocked is when this box will give an endpoint orders, as far as it is known.
@@ -160,7 +181,7 @@
 
 // enqueueLocked notes that an adapter is wanted, and lets the request wait when the
 // load will be done by limit.
-func (l *Loader) enqueueLocked(o *owned, w wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+func (l *Loader) enqueueLocked(o *owned, w *wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	key := wantKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}
 	q := l.wants[key]
 	if q == nil {
--- a/policy/site.go
+++ b/policy/site.go
@@ -8,7 +8,7 @@
 type SiteFacts struct {
 	Empty   time.Duration // until a slot there is empty
 	Load    time.Duration // of the adapter into it
-	Read    time.Duration // until the prompts that wait there are read
+	Read    time.Duration // of the prompts that wait there, or for loads there
 	Taken   float64       // part of its slots that are in use or being filled, 0 to 1
 	Fetched bool          // the load comes from the weight store, not from the endpoint's memory
 	Usual   bool          // where the adapter is loaded when nothing else speaks for another
@@ -26,9 +26,11 @@
 	unusualCost = 30 * time.Millisecond
 )
 
-// Cost is the time to the first token there, prompt aside, and what it takes from others.
+// Cost is the time to the first token there, the own prompt aside, and what it takes from
+// others. Prompts count in full, though they are read during a load: as many more come by
+// its end.
 func (s SiteFacts) Cost() time.Duration {
-	cost := max(s.Empty+s.Load, s.Read)
+	cost := s.Empty + s.Load + s.Read
 	cost += time.Duration(s.Taken * float64(takenCost))
 	if s.Fetched {
 		cost += fetchCost
