--- a/edge/node.go
+++ b/edge/node.go
@@ -42,6 +42,7 @@
 	gateway *forward.Gateway
 	loader  *placement.Loader
 	usage   *usage
+	levels  levels
 	leaving atomic.Bool
 	reading atomic.Int32 // collections whose last call went well
 }
@@ -87,6 +88,7 @@
 		Placer:     placer{node: n},
 		Observer:   n.usage,
 		Boxes:      func() int { return n.peers.outlook().boxes },
+		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, time.Now()) },
 		Cut:        func(centre string) bool { return n.peers.outlook().silent[centre] },
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -62,12 +62,11 @@
 // Use implements the Share service.
 func (s shareServer) Use(_ context.Context, q *wire.UseRequest) (*wire.UseReply, error) {
 	s.node.peers.table.Seen(q.GetBox(), time.Now())
-	s.node.use(q)
-	return &wire.UseReply{}, nil
+	return s.node.use(q), nil
 }
 
-// use counts what a box told.
-func (n *Node) use(q *wire.UseRequest) {
+// use counts what a box told, and answers what a load costs here.
+func (n *Node) use(q *wire.UseRequest) *wire.UseReply {
 	now := time.Now()
 	var uses []placement.Use
 	for _, u := range q.GetUsage() {
@@ -85,4 +84,6 @@
 		})
 	}
 	n.loader.Used(q.GetBox(), uses, q.GetPart(), now)
+	cost, known := n.loader.Level(now)
+	return &wire.UseReply{LevelMicros: cost.Microseconds(), LevelKnown: known}
 }
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -209,12 +209,15 @@
 		return
 	}
 	if m.Name() == u.node.peers.box {
-		u.node.use(q)
+		u.node.levels.hear(centre, u.node.use(q), time.Now())
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, usePause)
 	defer cancel()
-	if _, err := wire.NewShareClient(u.node.peers.dialer.Conn(m.Address())).Use(call, q); err != nil {
+	a, err := wire.NewShareClient(u.node.peers.dialer.Conn(m.Address())).Use(call, q)
+	if err != nil {
 		u.node.Log.V(1).Info("Leader was not told of use", "leader", m.Name(), "err", err.Error())
+		return
 	}
+	u.node.levels.hear(centre, a, time.Now())
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -22,10 +22,11 @@
 	Protocol   Protocol
 	Placer     Placer
 	Observer   Observer
-	Boxes      func() int                   // boxes that share the budget of retries
-	Cut        func(dataCentre string) bool // whether a data centre is out of touch
-	Budget     func() BudgetLimits          // by the settings in force
-	MostHeld   int                          // requests held at a time; more are refused
+	Boxes      func() int                                               // boxes that share the budget of retries
+	Level      func(dataCentre string) (cost time.Duration, known bool) // of a load there, by who decides for its endpoints
+	Cut        func(dataCentre string) bool                             // whether a data centre is out of touch
+	Budget     func() BudgetLimits                                      // by the settings in force
+	MostHeld   int                                                      // requests held at a time; more are refused
 	Log        logr.Logger
 	Pressed    func() bool // whether the log is behind: successes are not logged then
 	Stats      *Stats
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -104,6 +104,7 @@
 		Placer:     noPlacer{},
 		Observer:   noObserver{},
 		Boxes:      func() int { return 1 },
+		Level:      func(string) (time.Duration, bool) { return 0, false },
 		Cut:        func(string) bool { return false },
 		Budget:     func() BudgetLimits { return BudgetLimits{Ratio: 0.2, Extra: 1e6, Window: 10 * time.Second} },
 		MostHeld:   100,
--- a/forward/home.go
+++ b/forward/home.go
@@ -4,8 +4,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"cairnwick.example/policy"
 	"cairnwick.example/topology"
 )
 
@@ -122,12 +125,52 @@
 	return some
 }
 
-// homeOf returns where an adapter is being loaded, or else its home.
+const (
+	// farCost is how much less a load must cost in another data centre: what is far away
+	// takes some milliseconds and bytes between data centres, for each request.
+	farCost = 40 * time.Millisecond
+	// memoryGain is how much less a load costs where the adapter was held last: its memory
+	// likely has it, and a load takes some 35 ms instead of 250.
+	memoryGain = 200 * time.Millisecond
+	// unknownCost is what a load counts for in a data centre whose leader has told nothing
+	// lately: it may be cut off, or be changing.
+	unknownCost = 600 * time.Millisecond
+)
+
+// homeOf returns where an adapter is being loaded, or else an endpoint in the data centre
+// where its load costs the least: where it was held last, if that is there.
 func (g *Gateway) homeOf(a topology.Adapter, list []*topology.Endpoint) *topology.Endpoint {
 	if e := g.least(among(g.View.Loading(a), list), time.Now()); e != nil {
 		return e
 	}
-	return Home(a, list)
+	latest := g.View.Latest(a)
+	if latest != nil && !slices.Contains(list, latest) {
+		latest = nil
+	}
+	byCentre := make(map[string][]*topology.Endpoint)
+	for _, e := range list {
+		byCentre[e.DataCentre()] = append(byCentre[e.DataCentre()], e)
+	}
+	best, least := "", time.Duration(0)
+	for _, c := range policy.Rank(a.String(), slices.Collect(maps.Keys(byCentre))) {
+		cost, known := g.Level(c)
+		if !known {
+			cost = unknownCost
+		}
+		if c != g.DataCentre {
+			cost += farCost
+		}
+		if latest != nil && c == latest.DataCentre() {
+			cost -= memoryGain
+		}
+		if best == "" || cost < least {
+			best, least = c, cost
+		}
+	}
+	if latest != nil && best == latest.DataCentre() {
+		return latest
+	}
+	return Home(a, byCentre[best])
 }
 
 // placed goes by the answer of who decides for an endpoint. One that begins to leave
--- a/forward/home_test.go
+++ b/forward/home_test.go
@@ -85,3 +85,31 @@
 	s.c.Assert(statuses, quicktest.DeepEquals, []int{http.StatusServiceUnavailable, http.StatusServiceUnavailable, http.StatusServiceUnavailable})
 	s.c.Assert(time.Since(begun) < 3*time.Second, quicktest.IsTrue) // each would have waited for two: no bound on speed, but on the rule
 }
+
+// Adapters were loaded in the data centre that their names gave, whether its endpoints had
+// slots to spare or none.
+func TestAnAdapterIsLoadedInTheDataCentreWhereItCostsLeast(t *testing.T) {
+	const ms = time.Millisecond
+	for name, f := range map[string]struct {
+		levels map[string]time.Duration
+		latest string // endpoint
+		want   string // data centre
+	}{
+		"the own one, of equals":               {levels: map[string]time.Duration{"dc": 300 * ms, "far": 300 * ms}, want: "dc"},
+		"another one that costs much less":     {levels: map[string]time.Duration{"dc": 900 * ms, "far": 300 * ms}, want: "far"},
+		"not one whose leader says nothing":    {levels: map[string]time.Duration{"far": 300 * ms}, want: "far"},
+		"where it was held last":               {levels: map[string]time.Duration{"dc": 300 * ms, "far": 400 * ms}, latest: "e2", want: "far"},
+		"not there if that costs much more":    {levels: map[string]time.Duration{"dc": 300 * ms, "far": 900 * ms}, latest: "e2", want: "dc"},
+		"nowhere else if nobody says anything": {want: "dc"},
+	} {
+		s, _ := askTwoCentres(t, elsewherePlacer("e1"), "2s")
+		s.gateway.Level = func(c string) (time.Duration, bool) { l, ok := f.levels[c]; return l, ok }
+		a := topology.Adapter{Model: "m", Name: "a"}
+		if f.latest != "" {
+			s.gateway.View.SetHeld(f.latest, map[topology.Adapter]topology.Held{a: {Ready: true}})
+			s.gateway.View.SetHeld(f.latest, nil)
+		}
+		got := s.gateway.homeOf(a, s.gateway.View.Endpoints("app"))
+		s.c.Check(got.DataCentre(), quicktest.Equals, f.want, quicktest.Commentf(name))
+	}
+}
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -37,22 +37,25 @@
 	// Lease is how long a refused owner keeps away from an endpoint.
 	Lease func() time.Duration
 
-	mu     sync.Mutex
-	owned  map[string]*owned // by endpoint
-	wants  map[wantKey]*want
-	rates  map[topology.Adapter]*policy.Popularity
-	bucket bucket            // of loads of base models
-	pace   pace              // of loads of adapters
-	runs   runs              // requests under way, as boxes tell
-	begins policy.Popularity // loads that began
-	worth  map[int]float64   // by priority, smoothed over the requests that asked
-	cold   time.Duration     // smoothed time of a load from the store
-	warm   time.Duration     // smoothed time of a load from an endpoint's memory
-	looked time.Time         // when what is owned was last looked at
-	queue  []float64         // scores of the loads from the store that are wanted, falling, as of the last look
-	wake   chan struct{}
-	begun  time.Time // when this box began to look at what it owns
-	init   sync.Once
+	mu         sync.Mutex
+	owned      map[string]*owned // by endpoint
+	wants      map[wantKey]*want
+	rates      map[topology.Adapter]*policy.Popularity
+	bucket     bucket            // of loads of base models
+	pace       pace              // of loads of adapters
+	runs       runs              // requests under way, as boxes tell
+	begins     policy.Popularity // loads that began
+	worth      map[int]float64   // by priority, smoothed over the requests that asked
+	cold       time.Duration     // smoothed time of a load from the store
+	warm       time.Duration     // smoothed time of a load from an endpoint's memory
+	level      time.Duration     // what a load costs here at least, as of levelAt
+	levelKnown bool
+	levelAt    time.Time
+	looked     time.Time // when what is owned was last looked at
+	queue      []float64 // scores of the loads from the store that are wanted, falling, as of the last look
+	wake       chan struct{}
+	begun      time.Time // when this box began to look at what it owns
+	init       sync.Once
 }
 
 // phase is how far an endpoint's owner is.
--- a/placement/site.go
+++ b/placement/site.go
@@ -76,6 +76,30 @@
 	return float64(taken) / float64(max(g.SlotsBeside(o.models), 1))
 }
 
+// levelFor is how long a level is good for: it changes with each load and each prompt, and
+// boxes ask for it with each report of use.
+const levelFor = 20 * time.Millisecond
+
+// Level returns what a load from the store costs now at the cheapest endpoint of this box;
+// false where it owns none.
+func (l *Loader) Level(now time.Time) (cost time.Duration, known bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.levelAt) < levelFor {
+		return l.level, l.levelKnown
+	}
+	for _, o := range l.owned {
+		if o.phase != owning || o.endpoint.Draining() || len(o.models) == 0 {
+			continue
+		}
+		if c := l.factsLocked(o, topology.Adapter{}, false, now).Cost(); !known || c < cost {
+			cost, known = c, true
+		}
+	}
+	l.level, l.levelKnown, l.levelAt = cost, known, now
+	return cost, known
+}
+
 // heldLocked returns the endpoint of a data centre where the adapter is ready in the version
 // that a request needs, the one that reads the least, or, where none is, one where it is
 // being loaded. A request for one endpoint only gets that one.
--- a/placement/site_test.go
+++ b/placement/site_test.go
@@ -105,3 +105,19 @@
 	l.giveUp(first)
 	c.Assert([]int{list["e1"].pending, list["e2"].pending}, quicktest.DeepEquals, []int{0, 9000})
 }
+
+func TestALevelIsTheCostAtTheCheapestEndpoint(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := owningSome("e1", "e2")
+	now := time.Now()
+	occupy(l, list["e1"], 10, now)
+	empty, known := l.Level(now)
+	c.Assert(known, quicktest.IsTrue)
+	occupy(l, list["e2"], 20, now)
+	later := now.Add(levelFor)
+	full, _ := l.Level(later)
+	c.Assert(full > empty, quicktest.IsTrue)
+	l.owned = nil
+	_, known = l.Level(later.Add(levelFor))
+	c.Assert(known, quicktest.IsFalse)
+}
--- a/topology/view.go
+++ b/topology/view.go
@@ -20,6 +20,7 @@
 	newest    map[Adapter]int64           // the newest version that was published
 	held      map[string]map[Adapter]Held // by endpoint
 	holders   map[Adapter]map[string]Held // by adapter, then endpoint
+	latest    map[Adapter]string          // endpoint that began to hold an adapter last, though it may not any more
 	changed   chan struct{}               // closed at the next change of endpoints
 }
 
@@ -31,6 +32,7 @@
 		newest:    make(map[Adapter]int64),
 		held:      make(map[string]map[Adapter]Held),
 		holders:   make(map[Adapter]map[string]Held),
+		latest:    make(map[Adapter]string),
 		changed:   make(chan struct{}),
 	}
 }
@@ -151,6 +153,7 @@
 	}
 	v.held[endpoint] = held
 	for a, h := range held {
+		v.latest[a] = endpoint
 		if v.holders[a] == nil {
 			v.holders[a] = make(map[string]Held)
 		}
@@ -165,6 +168,14 @@
 	delete(v.holders[a], endpoint)
 }
 
+// Latest returns the endpoint that held an adapter last, of those that are there; nil when
+// none is known. Its memory may still keep the adapter.
+func (v *View) Latest(a Adapter) *Endpoint {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+	return v.endpoints[v.latest[a]]
+}
+
 // Holders returns the endpoints where an adapter is ready in its newest version.
 func (v *View) Holders(a Adapter) []*Endpoint { return v.where(a, true) }
 
