--- a/placement/loader.go
+++ b/placement/loader.go
@@ -52,7 +52,7 @@
 	levelKnown bool
 	levelAt    time.Time
 	looked     time.Time // when what is owned was last looked at
-	queue      []float64 // scores of the loads from the store that are wanted, falling, as of the last look
+	queue      []rank    // of the loads from the store that are wanted, the first one first, as of the last look
 	wake       chan struct{}
 	begun      time.Time // when this box began to look at what it owns
 	init       sync.Once
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -31,10 +31,20 @@
 	l := b.loader
 	l.rankedLocked(now)
 	c.Assert(l.queue, quicktest.HasLen, 20)
-	first := l.wants[wantKey{endpoint: "e1", adapter: adapter(19)}]
-	last := l.wants[wantKey{endpoint: "e1", adapter: adapter(0)}]
-	c.Assert(l.aheadOfLocked(first, now), quicktest.Equals, time.Duration(0))
-	c.Assert(l.aheadOfLocked(last, now) >= 4*l.cold, quicktest.IsTrue)
+	first, last := wantKey{endpoint: "e1", adapter: adapter(19)}, wantKey{endpoint: "e1", adapter: adapter(0)}
+	c.Assert(l.aheadOfLocked(first, l.wants[first], now), quicktest.Equals, time.Duration(0))
+	c.Assert(l.aheadOfLocked(last, l.wants[last], now) >= 4*l.cold, quicktest.IsTrue)
+}
+
+// A request that was late already took the slot of one that could still be in time.
+func TestALoadThatIsInTimeForSomebodyGoesFirst(t *testing.T) {
+	c := quicktest.New(t)
+	b, now := queueOf(3)
+	l := b.loader
+	timely := wantKey{endpoint: "e1", adapter: adapter(0)} // the fewest asked for it
+	l.wants[timely].waiting, l.wants[timely].inTime = 1, now.Add(2*l.cold)
+	c.Assert(l.rankedLocked(now)[0].key, quicktest.Equals, timely)
+	c.Assert(l.rankedLocked(now.Add(2 * l.cold))[0].key, quicktest.Not(quicktest.Equals), timely)
 }
 
 func TestWhatIsOwnedIsNotLookedAtAtEachStep(t *testing.T) {
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -166,13 +166,14 @@
 	return rest, true
 }
 
-// emptyInLocked is how long it takes until an endpoint has an empty slot.
-func (l *Loader) emptyInLocked(o *owned, now time.Time) time.Duration {
+// emptyInLocked is how long it takes until an endpoint has an empty slot for a load that
+// goes after so many others there.
+func (l *Loader) emptyInLocked(o *owned, before int, now time.Time) time.Duration {
 	g := l.engine(o.endpoint)
 	if g == nil || len(o.slots) < g.SlotsBeside(o.models) {
 		return 0
 	}
-	least := l.busyLocked(o, now)
+	least := l.busyLocked(before, now)
 	for a, s := range o.slots {
 		switch {
 		case s.unloading || (s.ready && !s.leaving && l.restsLocked(o, a, s, now)):
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -132,7 +132,7 @@
 	l.owned["e1"] = o
 	o.slots[adapter(1)] = &slot{ready: true, used: now.Add(-restFor)}
 	o.slots[adapter(2)] = &slot{ready: true, used: now.Add(-restFor), given: now} // a box was just told of it
-	c.Assert(l.emptyInLocked(o, now), quicktest.Equals, emptyNow)
+	c.Assert(l.emptyInLocked(o, 0, now), quicktest.Equals, emptyNow)
 	c.Assert(l.retireLocked(map[*owned]int{o: 1}, now), quicktest.HasLen, 1)
 	c.Assert(o.slots[adapter(1)].unloading, quicktest.IsTrue)
 	c.Assert(o.slots[adapter(2)].leaving, quicktest.IsFalse)
--- a/placement/site.go
+++ b/placement/site.go
@@ -12,7 +12,7 @@
 const (
 	turnoverHalf  = 2 * time.Second        // half-life of the rate at which slots change hands
 	turnoverLeast = 0.5                    // slots a second, where none changed hands lately
-	busyMost      = 2 * time.Second        // the longest wait that is expected of a full endpoint: a run's time
+	busyMost      = 10 * time.Second       // the longest wait that is expected of a full endpoint
 	busyLeast     = 100 * time.Millisecond // the shortest
 )
 
@@ -45,7 +45,7 @@
 // factsLocked is what is known of an endpoint where an adapter may be loaded.
 func (l *Loader) factsLocked(o *owned, a topology.Adapter, usual bool, now time.Time) policy.SiteFacts {
 	f := policy.SiteFacts{
-		Empty:   l.emptyInLocked(o, now),
+		Empty:   l.emptyInLocked(o, o.queued, now),
 		Load:    l.warm,
 		Read:    l.readsLocked(o, now),
 		Taken:   l.takenLocked(o, now),
@@ -123,9 +123,9 @@
 }
 
 // busyLocked is how long it takes until a slot of an endpoint whose slots are all in use
-// is free for one more load, by how fast slots change hands lately.
-func (l *Loader) busyLocked(o *owned, now time.Time) time.Duration {
+// is free, with so many loads before, by how fast slots change hands lately.
+func (l *Loader) busyLocked(before int, now time.Time) time.Duration {
 	rate := max(l.begins.Rate(now, turnoverHalf)/float64(max(len(l.owned), 1)), turnoverLeast)
-	wait := time.Duration(float64(o.queued+1) / rate * float64(time.Second))
+	wait := time.Duration(float64(before+1) / rate * float64(time.Second))
 	return min(max(wait, busyLeast), busyMost)
 }
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -36,7 +36,7 @@
 	if best == nil {
 		return forward.Placed{Settling: true, Reason: "the adapter is not ready here"}
 	}
-	if p := l.siteLocked(w.Adapter, best, now); p.slots[w.Adapter] == nil && l.emptyInLocked(p, now) <= emptyNow && l.pace.free() {
+	if p := l.siteLocked(w.Adapter, best, now); p.slots[w.Adapter] == nil && l.emptyInLocked(p, p.queued, now) <= emptyNow && l.pace.free() {
 		if l.factsLocked(p, w.Adapter, false, now).Cost()+spreadMargin < soonest {
 			return forward.Placed{Endpoint: p.endpoint.ID(), Reason: "prompts are read much sooner there"}
 		}
--- a/placement/want.go
+++ b/placement/want.go
@@ -25,6 +25,8 @@
 	debt    policy.Popularity // requests that asked in vain, fading; a caller's return counts less
 	far     float64           // requests that another data centre served: a copy would save their way
 	last    time.Time         // when it was asked for last
+	inTime  time.Time         // loaded by then, somebody who waited is answered in time
+	before  int               // loads that wait for a slot of the endpoint and go first, as of the last look
 	waiting int               // requests that are held for it
 	asked   int               // requests that asked for it in vain
 	ahead   int               // copies that were asked for because of them
@@ -194,6 +196,9 @@
 	}
 	q.version = max(q.version, w.Version)
 	q.last = now
+	if t := w.asked.Add(w.Wait); t.After(q.inTime) {
+		q.inTime = t
+	}
 	if !w.again {
 		q.debt.Add(l.askWeightLocked(w.Wanted), now, debtHalfLife)
 		l.countLocked(w.Adapter, 1, now)
@@ -202,11 +207,11 @@
 	}
 	l.nudge()
 	load := l.cold
-	wait := l.aheadOfLocked(q, now)
+	wait := l.aheadOfLocked(key, q, now)
 	if o.isWarm(w.Adapter) {
 		load, wait = l.warm, 0
 	}
-	wait = max(wait, l.emptyInLocked(o, now))
+	wait = max(wait, l.emptyInLocked(o, q.before, now))
 	p, done := l.await(wait+load, q.done, now, limit, "loads that more requests ask for go first")
 	if done != nil && !w.again {
 		q.waiting++
@@ -216,9 +221,9 @@
 
 // aheadOfLocked is how long a load waits behind those that go first, by the last look at
 // the queue.
-func (l *Loader) aheadOfLocked(q *want, now time.Time) time.Duration {
-	own := q.score(now)
-	n := sort.Search(len(l.queue), func(i int) bool { return l.queue[i] <= own })
+func (l *Loader) aheadOfLocked(key wantKey, q *want, now time.Time) time.Duration {
+	own := l.rankLocked(key, q, now)
+	n := sort.Search(len(l.queue), func(i int) bool { return !l.queue[i].before(own) })
 	return l.pace.wait(n, l.cold)
 }
 
