--- a/placement/load.go
+++ b/placement/load.go
@@ -181,7 +181,6 @@
 	}
 	s.done = make(chan struct{})
 	o.orders++
-	l.begins.Add(1, now, turnoverHalf)
 	l.publishLocked(o)
 	l.Log.Info("Load begins", "adapter", a.String(), "adapter_version", version, "endpoint", o.endpoint.ID(),
 		"slots", len(o.slots), "on_their_way", o.orders, "from_store", cold, "fence", o.fence)
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -44,7 +44,7 @@
 	bucket     bucket            // of loads of base models
 	pace       pace              // of loads of adapters
 	runs       runs              // requests under way, as boxes tell
-	begins     policy.Popularity // loads that began
+	rests      policy.Popularity // adapters that came to rest
 	worth      map[int]float64   // by priority, smoothed over the requests that asked
 	cold       time.Duration     // smoothed time of a load from the store
 	warm       time.Duration     // smoothed time of a load from an endpoint's memory
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -49,6 +49,26 @@
 	c.Assert(r.endpoints, quicktest.HasLen, 0)
 }
 
+// The wait for a slot was taken from how many loads began, which says nothing of how many
+// could have.
+func TestTheWaitForASlotFollowsHowFastSlotsComeToRest(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	l := b.loader
+	now := time.Now()
+	l.owned["e1"] = &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot)}
+	slow := l.busyLocked(0, now)
+	for range 40 {
+		for running := range 2 {
+			l.Used("box", []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 1 - running}}, true, now)
+		}
+	}
+	c.Assert(l.rests.Count(now, turnoverHalf) > 35, quicktest.IsTrue)
+	quick := l.busyLocked(0, now)
+	c.Assert(quick < slow, quicktest.IsTrue)
+	c.Assert(l.busyLocked(5, now) > quick, quicktest.IsTrue)
+}
+
 func (b *bench) holds(i int) bool {
 	b.fake.mu.Lock()
 	defer b.fake.mu.Unlock()
--- a/placement/runs.go
+++ b/placement/runs.go
@@ -43,8 +43,9 @@
 	return r.adapters[wantKey{endpoint: endpoint, adapter: a}].requests
 }
 
-// told takes a report; one that is only a part says nothing of the rest.
-func (r *runs) told(box string, uses []Use, part bool, now time.Time) {
+// told takes a report; one that is only a part says nothing of the rest. It returns how many
+// adapters came to rest at their endpoints by it.
+func (r *runs) told(box string, uses []Use, part bool, now time.Time) (rested int) {
 	b, known := r.boxes[box]
 	if !part || !known {
 		r.forgetBox(box)
@@ -54,10 +55,15 @@
 	for _, u := range uses {
 		k := wantKey{endpoint: u.Endpoint, adapter: u.Adapter}
 		w := load{requests: u.Running, reading: u.Reading}
+		ran := r.adapters[k].requests > 0 || b.adapters[k].requests > 0
 		r.add(k, w.minus(b.adapters[k]))
 		b.adapters[k] = w
+		if ran && r.adapters[k].requests == 0 {
+			rested++
+		}
 	}
 	r.boxes[box] = b
+	return rested
 }
 
 // forget drops what boxes told that have said nothing for long.
--- a/placement/site.go
+++ b/placement/site.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	turnoverHalf  = 2 * time.Second        // half-life of the rate at which slots change hands
-	turnoverLeast = 0.5                    // slots a second, where none changed hands lately
+	turnoverHalf  = 2 * time.Second        // half-life of the rate at which slots come to rest
+	turnoverLeast = 0.5                    // slots a second, where none came to rest lately
 	busyMost      = 10 * time.Second       // the longest wait that is expected of a full endpoint
 	busyLeast     = 100 * time.Millisecond // the shortest
 )
@@ -123,9 +123,9 @@
 }
 
 // busyLocked is how long it takes until a slot of an endpoint whose slots are all in use
-// is free, with so many loads before, by how fast slots change hands lately.
+// is free, with so many loads before, by how fast slots come to rest lately.
 func (l *Loader) busyLocked(before int, now time.Time) time.Duration {
-	rate := max(l.begins.Rate(now, turnoverHalf)/float64(max(len(l.owned), 1)), turnoverLeast)
+	rate := max(l.rests.Rate(now, turnoverHalf)/float64(max(len(l.owned), 1)), turnoverLeast)
 	wait := time.Duration(float64(before+1) / rate * float64(time.Second))
 	return min(max(wait, busyLeast), busyMost)
 }
--- a/placement/use.go
+++ b/placement/use.go
@@ -28,7 +28,9 @@
 // nothing of the rest.
 func (l *Loader) Used(box string, uses []Use, part bool, now time.Time) {
 	l.mu.Lock()
-	l.runs.told(box, uses, part, now)
+	if n := l.runs.told(box, uses, part, now); n > 0 {
+		l.rests.Add(float64(n), now, turnoverHalf)
+	}
 	endpoints := make(map[string]bool)
 	for _, u := range uses {
 		endpoints[u.Endpoint] = true
