Let the pace of loads rise only while it is used, and a new owner hear before it empties

The pace of loads from the store rose in a calm to 30 to 48 for each leader, where the store gives 8 in all at full speed; the next burst made every load take 600 ms, and each of fifteen cut the pace, down to 1.4. Now it rises only when it was used while the load was under way, and is cut once for loads slowed together.

A new owner took adapters for unused whose boxes had not told it yet, since they tell all they use each half second: an endpoint that was ordered to unload one in use held up its other orders for 1 to 4 s ("an unload did not end"). It waits 0.7 s now.

--- a/placement/load.go
+++ b/placement/load.go
@@ -49,7 +49,7 @@
 			}
 			cold = !l.isWarmLocked(o, key.adapter)
 		}
-		if cold && !l.pace.take() {
+		if cold && !l.pace.take(now) {
 			continue
 		}
 		delete(l.wants, key)
@@ -297,7 +297,7 @@
 	if begun.IsZero() {
 		begun = now
 	}
-	l.timeLocked(s, now.Sub(begun))
+	l.timeLocked(s, now.Sub(begun), now)
 	s.ready, s.used, s.given = true, now, now // who waited for it is told now
 	o.orders--
 	o.refused = 0
@@ -311,10 +311,10 @@
 // timeLocked learns from how long a load took. One that was thought to come from the
 // store and was far quicker came from the endpoint's memory, which a new owner does
 // not know of; it says nothing of the store.
-func (l *Loader) timeLocked(s *slot, took time.Duration) {
+func (l *Loader) timeLocked(s *slot, took time.Duration, now time.Time) {
 	l.rememberLocked(s, took)
 	if s.paced && took < l.pace.quickest()*memoryPart/10 {
-		l.unpaceLocked(s, 0)
+		l.unpaceLocked(s, 0, now)
 	}
 	if !s.paced {
 		if took < l.pace.quickest()*memoryPart/10 {
@@ -323,7 +323,7 @@
 		return
 	}
 	l.cold += (min(took, outlier*l.cold) - l.cold) / smoothing
-	l.unpaceLocked(s, took)
+	l.unpaceLocked(s, took, now)
 }
 
 // isWarmLocked tells whether an endpoint's memory keeps an adapter that it held lately.
@@ -356,10 +356,10 @@
 )
 
 // unpaceLocked ends a load for the pace; took is zero when it did not succeed.
-func (l *Loader) unpaceLocked(s *slot, took time.Duration) {
+func (l *Loader) unpaceLocked(s *slot, took time.Duration, now time.Time) {
 	if s.paced {
 		s.paced = false
-		l.pace.end(took)
+		l.pace.end(took, now)
 	}
 }
 
@@ -372,7 +372,7 @@
 		return
 	}
 	l.Log.Info("Load is given up", "adapter", a.String(), "endpoint", o.endpoint.ID())
-	l.unpaceLocked(s, 0)
+	l.unpaceLocked(s, 0, time.Now())
 	s.end()
 	delete(o.slots, a)
 	o.orders--
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -277,7 +277,7 @@
 func (l *Loader) forgetLocked(o *owned) {
 	l.endWantsLocked(o.endpoint.ID())
 	for _, s := range o.slots {
-		l.unpaceLocked(s, 0)
+		l.unpaceLocked(s, 0, time.Now())
 		s.end()
 	}
 	o.slots = make(map[topology.Adapter]*slot)
--- a/placement/pace.go
+++ b/placement/pace.go
@@ -11,6 +11,7 @@
 	paceDoubles = 1.0  // added for each load until the first that was slowed down: the pace doubles in the time of one
 	paceGrowth  = 0.5  // added for each load that was not slowed down, from then on
 	paceCut     = 0.8  // of the pace that is kept after one that was
+	paceUsed    = 0.75 // part of the limit that must be under way for it to rise
 	paceSlowed  = 1.5  // times the fastest load: the store is pressed
 	paceForgets = 0.01 // part by which the fastest load is raised with each load, in case the store has changed
 )
@@ -23,6 +24,8 @@
 	fastest  time.Duration // of the loads from the store lately
 	found    bool          // a load was slowed down: the store's limit is near
 	underWay int
+	cut      time.Time // when the limit was cut last
+	used     time.Time // when so many were under way last that the limit mattered
 }
 
 // quickest returns how long a load from the store takes that nothing slows.
@@ -38,17 +41,22 @@
 // free tells whether one more load may begin.
 func (p *pace) free() bool { return float64(p.underWay)+1 <= p.limit }
 
-// take begins one load, unless enough are under way.
-func (p *pace) take() bool {
+// take begins one load at now, unless enough are under way.
+func (p *pace) take(now time.Time) bool {
 	if !p.free() {
 		return false
 	}
 	p.underWay++
+	if !p.free() || float64(p.underWay) >= paceUsed*p.limit {
+		p.used = now
+	}
 	return true
 }
 
-// end notes that a load ended; took is zero when it did not succeed.
-func (p *pace) end(took time.Duration) {
+// end notes that a load ended at now; took is zero when it did not succeed. The limit rises
+// only while it is used: one that had risen in a calm let a burst press the store. It is
+// cut once for all loads that were slowed together.
+func (p *pace) end(took time.Duration, now time.Time) {
 	p.underWay--
 	if took <= 0 {
 		return
@@ -58,10 +66,15 @@
 		p.fastest = took
 	}
 	if float64(took) > paceSlowed*float64(p.fastest) {
-		p.limit = max(paceLeast, p.limit*paceCut)
+		if now.Add(-took).After(p.cut) {
+			p.limit, p.cut = max(paceLeast, p.limit*paceCut), now
+		}
 		p.found = true
 		return
 	}
+	if p.used.Before(now.Add(-took)) {
+		return
+	}
 	growth := paceDoubles
 	if p.found {
 		growth = paceGrowth
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -12,9 +12,16 @@
 func TestThePaceFallsWhenLoadsBecomeSlowAndRisesAgain(t *testing.T) {
 	c := quicktest.New(t)
 	p := newPace()
-	load := func(took time.Duration) {
-		c.Assert(p.take(), quicktest.IsTrue)
-		p.end(took)
+	now := time.Unix(100, 0)
+	load := func(took time.Duration) { // as many at once as may be
+		n := 0
+		for p.take(now) {
+			n++
+		}
+		now = now.Add(took)
+		for range n {
+			p.end(took, now)
+		}
 	}
 	load(250 * time.Millisecond)
 	quick := p.limit
@@ -30,15 +37,21 @@
 	c.Assert(p.limit > slow, quicktest.IsTrue)
 }
 
-// pacedLoads returns a loader and what tells it of a load that was thought to come from
-// the store and took so long.
-func pacedLoads(c *quicktest.C) (*Loader, func(took time.Duration)) {
+// pacedLoads returns a loader and what makes it begin as many loads from the store as it
+// may, as far as it knows, which all take so long.
+func pacedLoads(*quicktest.C) (*Loader, func(took time.Duration)) {
 	l := &Loader{Limits: func() RateLimits { return DefaultRateLimits }}
 	l.Init()
+	now := time.Unix(100, 0)
 	return l, func(took time.Duration) {
-		s := &slot{paced: true}
-		c.Assert(l.pace.take(), quicktest.IsTrue)
-		l.timeLocked(s, took)
+		var slots []*slot
+		for l.pace.take(now) {
+			slots = append(slots, &slot{paced: true})
+		}
+		now = now.Add(took)
+		for _, s := range slots {
+			l.timeLocked(s, took, now)
+		}
 	}
 }
 
@@ -93,15 +106,16 @@
 	l, load := pacedLoads(c)
 	load(260 * time.Millisecond)
 	c.Assert(l.memory, quicktest.Equals, memoryFirst)
-	l.timeLocked(&slot{remembered: true, left: 60}, 250*time.Millisecond) // it was not there any more
+	now := time.Now()
+	l.timeLocked(&slot{remembered: true, left: 60}, 250*time.Millisecond, now) // it was not there any more
 	c.Assert(l.memory, quicktest.Equals, 60)
-	l.timeLocked(&slot{remembered: true, left: 40}, 30*time.Millisecond)
+	l.timeLocked(&slot{remembered: true, left: 40}, 30*time.Millisecond, now)
 	c.Assert(l.memory, quicktest.Equals, 60)
-	l.timeLocked(&slot{left: 2}, 250*time.Millisecond) // it had never been there
+	l.timeLocked(&slot{left: 2}, 250*time.Millisecond, now) // it had never been there
 	c.Assert(l.memory, quicktest.Equals, 60)
-	l.timeLocked(&slot{remembered: true, left: 70}, 30*time.Millisecond) // it was there after all
+	l.timeLocked(&slot{remembered: true, left: 70}, 30*time.Millisecond, now) // it was there after all
 	c.Assert(l.memory, quicktest.Equals, 71)
-	l.timeLocked(&slot{remembered: true, left: 1}, time.Second)
+	l.timeLocked(&slot{remembered: true, left: 1}, time.Second, now)
 	c.Assert(l.memory, quicktest.Equals, memoryLeast)
 }
 
@@ -110,13 +124,15 @@
 func TestThePaceDoublesUntilTheFirstSlowLoad(t *testing.T) {
 	c := quicktest.New(t)
 	p := newPace()
+	now := time.Unix(100, 0)
 	round := func(took time.Duration) {
 		n := 0
-		for p.take() {
+		for p.take(now) {
 			n++
 		}
+		now = now.Add(took)
 		for range n {
-			p.end(took)
+			p.end(took, now)
 		}
 	}
 	round(250 * time.Millisecond)
@@ -128,3 +144,25 @@
 	round(250 * time.Millisecond)
 	c.Assert(p.limit < 2*slow, quicktest.IsTrue)
 }
+
+// In a calm the limit rose to forty though a few loads were under way; the next burst made
+// every load take 600 ms, and each of them cut the limit, down to one.
+func TestThePaceFollowsOnlyWhatItLimits(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPace()
+	now := time.Unix(100, 0)
+	for range 100 {
+		c.Assert(p.take(now), quicktest.IsTrue)
+		now = now.Add(250 * time.Millisecond)
+		p.end(250*time.Millisecond, now)
+	}
+	c.Assert(p.limit, quicktest.Equals, paceFirst)
+	for range 4 {
+		c.Assert(p.take(now), quicktest.IsTrue)
+	}
+	now = now.Add(time.Second)
+	for range 4 {
+		p.end(time.Second, now)
+	}
+	c.Assert(p.limit, quicktest.Equals, paceFirst*paceCut)
+}
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -25,6 +25,9 @@
 	// is ready, to count as resting: a request on its way there is told of within 20 ms and
 	// the way to the leader.
 	restFor = 60 * time.Millisecond
+	// heardAfter is how long after it began to own an endpoint a box has heard what all
+	// boxes use there: they tell everything each half second.
+	heardAfter = 700 * time.Millisecond
 	// emptyNow is how long it takes to empty a slot that rests: the order and its answer.
 	emptyNow = 10 * time.Millisecond
 	// tellAgain is between two looks whether an adapter that leaves is still in use.
@@ -112,8 +115,12 @@
 	return coldest, ok
 }
 
-// restsLocked tells whether no box uses an adapter, nor is about to.
+// restsLocked tells whether no box uses an adapter, nor is about to. A new owner waits until
+// every box has told it what it uses.
 func (l *Loader) restsLocked(o *owned, a topology.Adapter, s *slot, now time.Time) bool {
+	if now.Sub(o.since) < heardAfter {
+		return false
+	}
 	return l.runs.of(o.endpoint.ID(), a) == 0 && now.Sub(s.used) >= restFor && now.Sub(s.given) >= restFor
 }
 
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -159,6 +159,23 @@
 	c.Assert(l.takeBackLocked(o, adapter(1)), quicktest.IsFalse)
 }
 
+// A new owner unloaded adapters in use before the boxes had told it of them; the endpoint
+// held up its other orders for up to four seconds.
+func TestANewOwnerEmptiesNoSlotBeforeItHasHeardWhatIsInUse(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	l := b.loader
+	now := time.Now()
+	o := &owned{endpoint: b.endpoint, phase: owning, since: now, slots: make(map[topology.Adapter]*slot), models: map[string]bool{model: true}}
+	l.owned["e1"] = o
+	for i := range slotCount {
+		o.slots[adapter(i)] = &slot{ready: true}
+	}
+	waiting := map[*owned]int{o: 1}
+	c.Assert(l.retireLocked(waiting, now.Add(heardAfter/2)), quicktest.HasLen, 0)
+	c.Assert(l.retireLocked(waiting, now.Add(heardAfter)), quicktest.HasLen, 1)
+}
+
 // An adapter left, was wanted again, and left once more; both times an unload followed, and
 // the second one emptied a slot that was being filled anew.
 func TestAnAdapterThatLeavesTwiceIsUnloadedOnce(t *testing.T) {
