--- a/placement/pace.go
+++ b/placement/pace.go
@@ -13,7 +13,7 @@
 	paceCut     = 0.8  // of the pace that is kept after one that was
 	paceUsed    = 0.75 // part of the limit that must be under way for it to rise
 	paceSlowed  = 1.5  // times the fastest load: the store is pressed
-	paceForgets = 0.01 // part by which the fastest load is raised with each load, in case the store has changed
+	paceForgets = 0.01 // part by which the fastest load is raised in the time of one, in case the store has changed
 )
 
 // pace is how many adapters one leader fetches from the weight store at once. Loads
@@ -23,6 +23,7 @@
 	limit    float64
 	fastest  time.Duration // of the loads from the store lately
 	found    bool          // a load was slowed down: the store's limit is near
+	raised   time.Time     // when fastest was raised last
 	underWay int
 	cut      time.Time // when the limit was cut last
 	used     time.Time // when so many were under way last that the limit mattered
@@ -61,7 +62,10 @@
 	if took <= 0 {
 		return
 	}
-	p.fastest += time.Duration(float64(p.fastest) * paceForgets)
+	if now.Sub(p.raised) >= p.fastest {
+		p.fastest += time.Duration(float64(p.fastest) * paceForgets)
+		p.raised = now
+	}
 	if p.fastest == 0 || took < p.fastest {
 		p.fastest = took
 	}
