--- a/placement/retire.go
+++ b/placement/retire.go
@@ -180,7 +180,7 @@
 	if g == nil || len(o.slots) < g.SlotsBeside(o.models) {
 		return 0
 	}
-	least := l.busyLocked(before, now)
+	least := l.busyLocked(o, before, now)
 	for a, s := range o.slots {
 		switch {
 		case s.unloading || (s.ready && !s.leaving && l.restsLocked(o, a, s, now)):
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -56,17 +56,18 @@
 	b := prepare(4)
 	l := b.loader
 	now := time.Now()
-	l.owned["e1"] = &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot)}
-	slow := l.busyLocked(0, now)
+	o := &owned{endpoint: b.endpoint, phase: owning, slots: map[topology.Adapter]*slot{adapter(1): {ready: true}}}
+	l.owned["e1"] = o
+	slow := l.busyLocked(o, 0, now)
 	for range 40 {
 		for running := range 2 {
 			l.Used("box", []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 1 - running}}, true, now)
 		}
 	}
 	c.Assert(l.rests.Count(now, turnoverHalf) > 35, quicktest.IsTrue)
-	quick := l.busyLocked(0, now)
+	quick := l.busyLocked(o, 0, now)
 	c.Assert(quick < slow, quicktest.IsTrue)
-	c.Assert(l.busyLocked(5, now) > quick, quicktest.IsTrue)
+	c.Assert(l.busyLocked(o, 5, now) > quick, quicktest.IsTrue)
 }
 
 func (b *bench) holds(i int) bool {
--- a/placement/site.go
+++ b/placement/site.go
@@ -11,7 +11,7 @@
 
 const (
 	turnoverHalf  = 2 * time.Second        // half-life of the rate at which slots come to rest
-	turnoverLeast = 0.5                    // slots a second, where none came to rest lately
+	turnoverLeast = 0.2                    // of an endpoint's slots a second, where none came to rest lately: runs take up to some five seconds
 	busyMost      = 10 * time.Second       // the longest wait that is expected of a full endpoint
 	busyLeast     = 100 * time.Millisecond // the shortest
 )
@@ -124,8 +124,8 @@
 
 // busyLocked is how long it takes until a slot of an endpoint whose slots are all in use
 // is free, with so many loads before, by how fast slots come to rest lately.
-func (l *Loader) busyLocked(before int, now time.Time) time.Duration {
-	rate := max(l.rests.Rate(now, turnoverHalf)/float64(max(len(l.owned), 1)), turnoverLeast)
+func (l *Loader) busyLocked(o *owned, before int, now time.Time) time.Duration {
+	rate := max(l.rests.Rate(now, turnoverHalf)/float64(max(len(l.owned), 1)), turnoverLeast*float64(len(o.slots)))
 	wait := time.Duration(float64(before+1) / rate * float64(time.Second))
 	return min(max(wait, busyLeast), busyMost)
 }
