--- a/placement/pace.go
+++ b/placement/pace.go
@@ -11,7 +11,7 @@
 	paceDoubles = 1.0  // added for each load until the first that was slowed down: the pace doubles in the time of one
 	paceGrowth  = 0.5  // added for each load that was not slowed down, from then on
 	paceCut     = 0.8  // of the pace that is kept after one that was
-	paceUsed    = 0.75 // part of the limit that must be under way for it to rise
+	paceUsed    = 0.33 // part of the limit that must be under way for it to rise: a burst finds room for three times as much
 	paceSlowed  = 1.5  // times the fastest load: the store is pressed
 	paceForgets = 0.01 // part by which the fastest load is raised in the time of one, in case the store has changed
 )
