--- /dev/null
+++ b/edge/state_test.go
@@ -0,0 +1,58 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"testing"
+
+	"cairnwick.example/placement"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+)
+
+// leavingDecoder reads from an endpoint's value whether it leaves.
+type leavingDecoder struct{ plainDecoder }
+
+// Endpoint implements Decoder.
+func (leavingDecoder) Endpoint(key string, value []byte) (*topology.Endpoint, error) {
+	return topology.NewEndpoint(topology.EndpointSpec{ID: key, Service: "s", Draining: string(value) == "leaves"}), nil
+}
+
+// What a box has once heard of an endpoint's leaving binds it, also while the source is
+// away and after it, whatever older news comes by way of other boxes.
+func TestAnEndpointThatLeavesStaysSoWhileTheSourceIsAway(t *testing.T) {
+	c := quicktest.New(t)
+	fact := func(revision uint64, value string) Fact {
+		return Fact{Key: "e/1", Revision: revision, Value: []byte(value)}
+	}
+	s := &script{
+		list: []Batch{{Facts: []Fact{fact(3, "serves")}, Revision: 3}},
+		watch: []func() (Batch, error){
+			func() (Batch, error) { return Batch{Facts: []Fact{fact(7, "leaves")}, Revision: 7}, nil },
+			func() (Batch, error) { return Batch{}, errors.New("no answer") },
+			func() (Batch, error) { return Batch{Facts: []Fact{fact(5, "serves")}, Revision: 5}, nil },
+			func() (Batch, error) {
+				return Batch{Facts: []Fact{{Key: "e/1", Revision: 20, Removed: true}}, Revision: 20}, nil
+			},
+		},
+	}
+	r, table := newReader(s)
+	r.decoder = leavingDecoder{}
+	v := topology.NewView()
+	st := &state{view: v, table: table, decoder: leavingDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+	table.OnChange = st.apply
+	step(r)
+	c.Assert(v.Endpoint("e/1").Draining(), quicktest.IsFalse)
+	step(r)
+	c.Assert(v.Endpoint("e/1").Draining(), quicktest.IsTrue)
+	for range 3 { // a failure, older news, and its entry lapses
+		_, err := r.step(context.Background())
+		r.note(err)
+		if e := v.Endpoint("e/1"); e != nil {
+			c.Assert(e.Draining(), quicktest.IsTrue)
+		}
+	}
+}
--- a/forward/headers_test.go
+++ b/forward/headers_test.go
@@ -14,7 +14,7 @@
 func received(t *testing.T, h http.Header) http.Header {
 	s := newSite(t, once(time.Second))
 	got := make(chan http.Header, 1)
-	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) { got <- r.Header })
+	s.endpoint(t, func(_ http.ResponseWriter, r *http.Request) { got <- r.Header })
 	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
 	s.c.Assert(err, quicktest.IsNil)
 	r.Host, r.Header = "site.example", h
