--- a/edge/outlook.go
+++ b/edge/clusterview.go
@@ -25,13 +25,13 @@
 	// others follow those, so that what a box sends does not grow with the data centre.
 	followersMost = 6
 
-	// outlookFor is how long an outlook holds while no member changes: only takeovers
+	// clusterViewFor is how long a clusterView holds while no member changes: only takeovers
 	// depend on the time.
-	outlookFor = time.Second
+	clusterViewFor = time.Second
 )
 
-// outlook is what follows from one version of the view of members. It never changes.
-type outlook struct {
+// clusterView is what follows from one version of the view of members. It never changes.
+type clusterView struct {
 	version uint64
 	until   time.Time
 	boxes   int                      // that serve; at least one
@@ -44,29 +44,29 @@
 	steps   int                      // from this box to the leader of its data centre; zero: it leads
 }
 
-// outlooks keeps the outlook of the present view.
-type outlooks struct {
+// clusterViews keeps the clusterView of the present view.
+type clusterViews struct {
 	mu     sync.Mutex
-	latest *outlook
+	latest *clusterView
 }
 
-// outlook returns what follows from the members as they are seen now.
-func (p *peers) outlook() *outlook {
+// clusterView returns what follows from the members as they are seen now.
+func (p *peers) clusterView() *clusterView {
 	now := time.Now()
 	version := p.table.Version()
-	p.outlooks.mu.Lock()
-	defer p.outlooks.mu.Unlock()
-	if o := p.outlooks.latest; o != nil && o.version == version && now.Before(o.until) {
+	p.clusterViews.mu.Lock()
+	defer p.clusterViews.mu.Unlock()
+	if o := p.clusterViews.latest; o != nil && o.version == version && now.Before(o.until) {
 		return o
 	}
-	o := newOutlook(p.box, p.centre, p.table.All(), now)
-	o.version, o.until = version, now.Add(outlookFor)
-	p.outlooks.latest = o
+	o := newClusterView(p.box, p.centre, p.table.All(), now)
+	o.version, o.until = version, now.Add(clusterViewFor)
+	p.clusterViews.latest = o
 	return o
 }
 
-func newOutlook(box, centre string, all []member.Member, now time.Time) *outlook {
-	o := &outlook{silent: make(map[string]bool), leaders: make(map[string]member.Member)}
+func newClusterView(box, centre string, all []member.Member, now time.Time) *clusterView {
+	o := &clusterView{silent: make(map[string]bool), leaders: make(map[string]member.Member)}
 	var serving []member.Member
 	byCentre := make(map[string][]member.Member)
 	for _, m := range all {
@@ -91,7 +91,7 @@
 // addCentre finds the leader of a data centre: the oldest of the strong boxes that serve
 // there, or, where all have left, of all boxes. Where they only fell silent the data
 // centre is more often cut off than without boxes, so others wait before they lead it.
-func (o *outlook) addCentre(centre string, list []member.Member, now time.Time) {
+func (o *clusterView) addCentre(centre string, list []member.Member, now time.Time) {
 	var since time.Time
 	silent := true
 	var serving []member.Member
@@ -144,7 +144,7 @@
 // follow finds the box that this one follows. The boxes of a data centre follow each
 // other in steps: the leader first, strong ones before weak ones. A box that is not in
 // its own view follows the leader.
-func (o *outlook) follow(box, centre string, serving []member.Member) {
+func (o *clusterView) follow(box, centre string, serving []member.Member) {
 	leader, ok := o.leader(centre)
 	if !ok || leader.Name() == box {
 		return
@@ -166,7 +166,7 @@
 }
 
 // leader returns the box that leads a data centre; false for none.
-func (o *outlook) leader(centre string) (member.Member, bool) {
+func (o *clusterView) leader(centre string) (member.Member, bool) {
 	if m, known := o.leaders[centre]; known {
 		return m, m.Name() != ""
 	}
@@ -175,6 +175,6 @@
 
 // parent returns the box that this one follows and how many steps the leader is away;
 // false where this box leads.
-func (o *outlook) parent() (m member.Member, steps int, ok bool) {
+func (o *clusterView) parent() (m member.Member, steps int, ok bool) {
 	return o.above, o.steps, o.steps > 0
 }
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -60,11 +60,11 @@
 // only what they alone know.
 func (p *peers) sources() map[source]bool {
 	list := make(map[source]bool)
-	if m, _, ok := p.outlook().parent(); ok {
+	if m, _, ok := p.clusterView().parent(); ok {
 		list[source{name: m.Name(), address: m.Address(), everything: true}] = true
 		return list
 	}
-	o := p.outlook()
+	o := p.clusterView()
 	for _, c := range o.centres {
 		if m, ok := o.leader(c); ok && m.Name() != p.box {
 			list[source{name: m.Name(), address: m.Address(), everything: !p.reads()}] = true
@@ -104,7 +104,7 @@
 // heardAgo tells how long ago the source was heard by the leader, as far as the box that
 // is followed tells; false where that is too long ago, or where this box leads.
 func (p *peers) heardAgo(now time.Time) (time.Duration, bool) {
-	m, steps, ok := p.outlook().parent()
+	m, steps, ok := p.clusterView().parent()
 	if !ok {
 		return 0, false
 	}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -47,7 +47,7 @@
 // leads tells whether this box leads its own data centre.
 func (n *Node) leads() bool {
 	var m member.Member
-	m, ok := n.peers.outlook().leader(n.peers.centre)
+	m, ok := n.peers.clusterView().leader(n.peers.centre)
 	return ok && m.Name() == n.peers.box
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -73,7 +73,7 @@
 		Log:     n.Log,
 		Fences:  fences,
 		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
-		Leaders: func() int { return len(n.peers.outlook().centres) },
+		Leaders: func() int { return len(n.peers.clusterView().centres) },
 		Owns:    n.owns,
 		Reads:   func(tokens int) time.Duration { return n.gateway.Reads(tokens) },
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
@@ -87,9 +87,9 @@
 		Protocol:   n.Protocol,
 		Placer:     placer{node: n},
 		Observer:   n.usage,
-		Boxes:      func() int { return n.peers.outlook().boxes },
+		Boxes:      func() int { return n.peers.clusterView().boxes },
 		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, time.Now()) },
-		Cut:        func(centre string) bool { return n.peers.outlook().silent[centre] },
+		Cut:        func(centre string) bool { return n.peers.clusterView().silent[centre] },
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.Log,
@@ -173,7 +173,7 @@
 
 // Want implements forward.Placer.
 func (p placer) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
-	m, ok := p.node.peers.outlook().leader(w.Endpoint.DataCentre())
+	m, ok := p.node.peers.clusterView().leader(w.Endpoint.DataCentre())
 	if !ok || m.Name() == p.node.peers.box {
 		return p.node.loader.Want(ctx, w)
 	}
@@ -249,7 +249,7 @@
 		decoder:    n.Decoder,
 		table:      n.items,
 		wanted:     n.mustRead,
-		leads:      func() bool { return n.peers.outlook().steps == 0 && time.Since(n.peers.started) > settleFor },
+		leads:      func() bool { return n.peers.clusterView().steps == 0 && time.Since(n.peers.started) > settleFor },
 		log:        n.Log,
 		heard: func(well bool) {
 			if well != ok {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -52,7 +52,7 @@
 	started time.Time
 	reads   func() bool // whether this box hears the source of the configuration
 
-	outlooks outlooks
+	clusterViews clusterViews
 
 	mu      sync.Mutex
 	met     time.Time             // when another box was first heard of
@@ -70,7 +70,7 @@
 // orders there. A new leader waits for the lease of the one before, unless that
 // one is known to have ended.
 func (p *peers) leads(centre string, lease time.Duration, now time.Time) (bool, time.Time) {
-	m, ok := p.outlook().leader(centre)
+	m, ok := p.clusterView().leader(centre)
 	if !ok {
 		return false, now
 	}
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -39,7 +39,7 @@
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			c := quicktest.New(t)
-			m, ok := peersOf(k.boxes[0], k.boxes[1:]...).outlook().leader("dc")
+			m, ok := peersOf(k.boxes[0], k.boxes[1:]...).clusterView().leader("dc")
 			c.Assert(ok, quicktest.IsTrue)
 			c.Assert(m.Name(), quicktest.Equals, k.leader)
 		})
@@ -56,7 +56,7 @@
 	followers := make(map[string]int)
 	for i, b := range boxes[:40] {
 		p := peersOf(b, slices.Delete(slices.Clone(boxes), i, i+1)...)
-		m, steps, ok := p.outlook().parent()
+		m, steps, ok := p.clusterView().parent()
 		c.Assert(ok, quicktest.Equals, b.Name() != "b39") // the oldest leads
 		if !ok {
 			continue
@@ -92,8 +92,8 @@
 	table := member.NewTable(left, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Wide: true})
 	table.Leave()
 	p.table.Merge([]member.Member{table.Self()}, time.Now())
-	c.Assert(p.outlook().silent["far"], quicktest.IsFalse)
-	m, ok := p.outlook().leader("far")
+	c.Assert(p.clusterView().silent["far"], quicktest.IsFalse)
+	m, ok := p.clusterView().leader("far")
 	c.Assert(ok, quicktest.IsTrue)
 	c.Assert(m.Name(), quicktest.Equals, "a")
 }
@@ -104,14 +104,14 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("f", "far", 1, 400))
 	p.table.Gone("f", time.Now())
-	c.Assert(p.outlook().silent["far"], quicktest.IsTrue)
-	_, ok := p.outlook().leader("far")
+	c.Assert(p.clusterView().silent["far"], quicktest.IsTrue)
+	_, ok := p.clusterView().leader("far")
 	c.Assert(ok, quicktest.IsFalse)
-	_, ok = p.outlook().leader("unheard-of")
+	_, ok = p.clusterView().leader("unheard-of")
 	c.Assert(ok, quicktest.IsTrue)
 	p = peersOf(box("a", "dc", 2, 400), box("f", "far", 1, 400))
 	p.table.Gone("f", time.Now().Add(-takeoverAfter))
-	m, ok := p.outlook().leader("far")
+	m, ok := p.clusterView().leader("far")
 	c.Assert(ok, quicktest.IsTrue)
 	c.Assert(m.Name(), quicktest.Equals, "a")
 }
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -37,10 +37,10 @@
 	log        logr.Logger
 	heard      func(ok bool) // hears how each call went
 
-	after    uint64 // revision that is known; zero: nothing
-	failing  bool
-	trusted  time.Time // until then a missing endpoint may be one that lapsed
-	doubtful bool      // something was missing before trusted
+	after     uint64 // revision that is known; zero: nothing
+	failing   bool
+	trusted   time.Time // until then a missing endpoint may be one that lapsed
+	uncertain bool      // something was missing before trusted
 }
 
 // run reads until ctx ends.
@@ -101,8 +101,8 @@
 // step makes one call; it tells whether anything was found.
 func (r *reader) step(ctx context.Context) (bool, error) {
 	now := time.Now()
-	if r.doubtful && now.After(r.trusted) {
-		r.doubtful = false
+	if r.uncertain && now.After(r.trusted) {
+		r.uncertain = false
 		r.after = 0
 	}
 	if r.after == 0 {
@@ -118,7 +118,7 @@
 	if r.failing {
 		wait = watchShort
 	}
-	if r.doubtful {
+	if r.uncertain {
 		wait = min(wait, max(time.Until(r.trusted), time.Millisecond))
 	}
 	b, err := r.source.Watch(ctx, r.collection, r.after, wait)
@@ -141,7 +141,7 @@
 	if err == nil && r.failing {
 		r.failing = false
 		r.trusted = time.Now().Add(lapseGrace)
-		r.doubtful = true
+		r.uncertain = true
 		r.log.Info("Source answers again", "collection", r.collection.String(), "revision", r.after)
 	}
 	if err != nil && !r.failing {
@@ -156,7 +156,7 @@
 	var items []*wire.Item
 	for _, f := range facts {
 		if f.Removed && r.collection == Endpoints && (now.Before(r.trusted) || r.failing) {
-			r.doubtful = true
+			r.uncertain = true
 			continue
 		}
 		items = append(items, &wire.Item{Key: f.Key, Version: f.Revision, Value: f.Value, Removed: f.Removed, Settled: r.collection == Settled})
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -160,7 +160,7 @@
 	r, _ := newReader(s)
 	for range 4 {
 		step(r)
-		r.doubtful = false
+		r.uncertain = false
 	}
 	c.Assert(s.waits, quicktest.DeepEquals, []time.Duration{watchWait, watchShort, watchWait})
 }
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -204,7 +204,7 @@
 
 // tellOne tells one leader. What is lost is told with the next whole report.
 func (u *usage) tellOne(ctx context.Context, centre string, q *wire.UseRequest) {
-	m, ok := u.node.peers.outlook().leader(centre)
+	m, ok := u.node.peers.clusterView().leader(centre)
 	if !ok {
 		return
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -56,8 +56,8 @@
 // a cut by several that nothing is heard of; the function it returns ends that.
 func (g *Gateway) watchSilence(u *upstream) func() {
 	sent := time.Now()
-	hush := time.AfterFunc(hushAfter, func() {
-		g.away.hush(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
+	silence := time.AfterFunc(silenceTimeout, func() {
+		g.away.silence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
 	})
 	done := make(chan struct{}, 1)
 	timer := time.AfterFunc(silentAfter, func() {
@@ -65,7 +65,7 @@
 		done <- struct{}{}
 	})
 	return func() {
-		hush.Stop()
+		silence.Stop()
 		if !timer.Stop() {
 			<-done
 			u.quiet(-1)
@@ -100,7 +100,7 @@
 	return r, nil
 }
 
-// lost reckons with an attempt that got no answer.
+// lost records an attempt that got no answer.
 func (g *Gateway) lost(ctx context.Context, q *request, u *upstream, err error) *Refusal {
 	var l *engine.LostError
 	sent := !errors.As(err, &l) || l.Sent
@@ -109,7 +109,7 @@
 		u.dropIdle()
 		if !sent {
 			u.unreachable(time.Now())
-			g.away.strike(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
+			g.away.fail(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
 		}
 	}
 	g.recordAttempt(q, "lost", err.Error())
@@ -150,7 +150,7 @@
 	return nil
 }
 
-// turnedAway reckons with an endpoint's proof that the request did not run.
+// turnedAway records an endpoint's proof that the request did not run.
 func (g *Gateway) turnedAway(q *request, t target, c Code, detail string) *Refusal {
 	q.tried[t.endpoint.ID()] = true
 	g.recordAttempt(q, "refused", detail)
@@ -193,7 +193,7 @@
 	return true
 }
 
-// cutShort reckons with an answer that broke off before the caller saw any.
+// cutShort records an answer that broke off before the caller saw any.
 func (g *Gateway) cutShort(ctx context.Context, q *request, u *upstream, err error) *Refusal {
 	detail := "longer than an answer may be"
 	if err != nil {
--- a/forward/away.go
+++ b/forward/away.go
@@ -8,18 +8,18 @@
 )
 
 const (
-	awayFor     = time.Second            // a data centre that did not answer is not asked for so long
-	strikesMost = 3                      // endpoints of one data centre that could not be reached
-	strikesIn   = 700 * time.Millisecond // within so long mean that the way there is cut
-	hushAfter   = 350 * time.Millisecond // a request without any answer for so long, while nothing else came from its data centre either, counts as a strike: a first event takes some 50 ms
+	awayFor        = time.Second            // a data centre that did not answer is not asked for so long
+	failuresMost   = 3                      // endpoints of one data centre that could not be reached
+	failuresWithin = 700 * time.Millisecond // within so long mean that the way there is cut
+	silenceTimeout = 350 * time.Millisecond // a request without any answer for so long, while nothing else came from its data centre either, counts as a failure: a first event takes some 50 ms
 )
 
 // away remembers data centres that did not answer lately.
 type away struct {
-	mu      sync.Mutex
-	until   map[string]time.Time
-	strikes map[string]map[string]time.Time // by data centre and endpoint
-	heard   map[string]time.Time            // by data centre: when anything came from an endpoint there
+	mu       sync.Mutex
+	until    map[string]time.Time
+	failures map[string]map[string]time.Time // by data centre and endpoint
+	heard    map[string]time.Time            // by data centre: when anything came from an endpoint there
 }
 
 // hear notes that something came from an endpoint of a data centre.
@@ -32,14 +32,14 @@
 	a.heard[centre] = now
 }
 
-// hush notes that a request sent some time ago has had no answer: a strike, where nothing
+// silence notes that a request sent some time ago has had no answer: a failure, where nothing
 // at all came from the data centre meanwhile.
-func (a *away) hush(centre, endpoint string, sent, now time.Time) {
+func (a *away) silence(centre, endpoint string, sent, now time.Time) {
 	a.mu.Lock()
 	heard := a.heard[centre].After(sent)
 	a.mu.Unlock()
 	if !heard {
-		a.strike(centre, endpoint, now)
+		a.fail(centre, endpoint, now)
 	}
 }
 
@@ -57,24 +57,24 @@
 	a.until[centre] = now.Add(awayFor)
 }
 
-// strike notes that an endpoint of a data centre could not be reached: several in a
+// fail notes that an endpoint of a data centre could not be reached: several in a
 // short time are a cut, which other boxes' heartbeats show only later.
-func (a *away) strike(centre, endpoint string, now time.Time) {
+func (a *away) fail(centre, endpoint string, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.strikes == nil {
-		a.strikes = make(map[string]map[string]time.Time)
+	if a.failures == nil {
+		a.failures = make(map[string]map[string]time.Time)
 	}
-	if a.strikes[centre] == nil {
-		a.strikes[centre] = make(map[string]time.Time)
+	if a.failures[centre] == nil {
+		a.failures[centre] = make(map[string]time.Time)
 	}
-	a.strikes[centre][endpoint] = now
-	for e, at := range a.strikes[centre] {
-		if now.Sub(at) >= strikesIn {
-			delete(a.strikes[centre], e)
+	a.failures[centre][endpoint] = now
+	for e, at := range a.failures[centre] {
+		if now.Sub(at) >= failuresWithin {
+			delete(a.failures[centre], e)
 		}
 	}
-	if len(a.strikes[centre]) >= strikesMost {
+	if len(a.failures[centre]) >= failuresMost {
 		a.noteLocked(centre, now)
 	}
 }
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -14,7 +14,7 @@
 	Window time.Duration // over which both are counted
 }
 
-// budgetPart keeps this box below its share: the others' shares are reckoned
+// budgetPart keeps this box below its share: the others' shares are taken
 // from a view that may be late.
 const budgetPart = 0.7
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -82,7 +82,7 @@
 	Only     bool    // load it at this endpoint, even where another one holds it
 }
 
-// Placed is what became of a wish for an adapter.
+// Placed is what became of a request for an adapter.
 type Placed struct {
 	Ready    bool
 	Settling bool   // who decides for the endpoint is changing: ask again
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -45,16 +45,16 @@
 	c := quicktest.New(t)
 	var a away
 	now := time.Unix(100, 0)
-	for i := range strikesMost - 1 {
-		a.strike("far", fmt.Sprint(i), now)
-		a.strike("far", "0", now) // the same one again is no more than one
+	for i := range failuresMost - 1 {
+		a.fail("far", fmt.Sprint(i), now)
+		a.fail("far", "0", now) // the same one again is no more than one
 	}
 	c.Assert(a.is("far", now), quicktest.IsFalse)
-	late := now.Add(2 * strikesIn) // the others are long ago
-	a.strike("far", "9", late)
+	late := now.Add(2 * failuresWithin) // the others are long ago
+	a.fail("far", "9", late)
 	c.Assert(a.is("far", late), quicktest.IsFalse)
-	for i := range strikesMost {
-		a.strike("far", fmt.Sprint(i), late)
+	for i := range failuresMost {
+		a.fail("far", fmt.Sprint(i), late)
 	}
 	c.Assert(a.is("far", late), quicktest.IsTrue)
 	c.Assert(a.is("far", late.Add(2*awayFor)), quicktest.IsFalse)
@@ -66,16 +66,16 @@
 	c := quicktest.New(t)
 	var a away
 	sent := time.Unix(100, 0)
-	late := sent.Add(hushAfter)
+	late := sent.Add(silenceTimeout)
 	a.hear("far", sent.Add(time.Millisecond)) // of another request there
-	for i := range strikesMost {
-		a.hush("far", fmt.Sprint(i), sent, late)
+	for i := range failuresMost {
+		a.silence("far", fmt.Sprint(i), sent, late)
 	}
 	c.Assert(a.is("far", late), quicktest.IsFalse)
 	sent = late
-	late = sent.Add(hushAfter)
-	for i := range strikesMost {
-		a.hush("far", fmt.Sprint(i), sent, late)
+	late = sent.Add(silenceTimeout)
+	for i := range failuresMost {
+		a.silence("far", fmt.Sprint(i), sent, late)
 	}
 	c.Assert(a.is("far", late), quicktest.IsTrue)
 }
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -10,7 +10,7 @@
 )
 
 const (
-	firstByte    = 100 * time.Millisecond // from sending to the first event, reckoned when a wait is allowed
+	firstByte    = 100 * time.Millisecond // from sending to the first event, assumed when a wait is allowed
 	shedRetry    = 200 * time.Millisecond // a full endpoint has room again
 	noneRetry    = 500 * time.Millisecond // an endpoint may be back
 	mostAttempts = 4                      // sends for one request, refused ones included
--- a/measure/faults.go
+++ b/measure/faults.go
@@ -16,10 +16,10 @@
 	"cairnwick.example/standin"
 )
 
-// fault is one kind of failure at one place. Strike begins it and calm ends it.
+// fault is one kind of failure at one place. Inject begins it and calm ends it.
 type fault struct {
 	name   string
-	strike func(context.Context, int) error
+	inject func(context.Context, int) error
 	calm   func(context.Context, int) error
 }
 
@@ -54,10 +54,10 @@
 	return r.drain(c, e)
 }
 
-// strike begins a fault and notes when.
-func (r *storm) strike(ctx context.Context, n int, f fault) error {
+// inject begins a fault and notes when.
+func (r *storm) inject(ctx context.Context, n int, f fault) error {
 	r.done = append(r.done, struckFault{name: f.name, begun: time.Now()})
-	return f.strike(ctx, n)
+	return f.inject(ctx, n)
 }
 
 // calm ends a fault and notes when.
@@ -78,7 +78,7 @@
 	name := fleet.DaemonName(c, b, role)
 	return fault{
 		name: "kill " + name,
-		strike: func(context.Context, int) error {
+		inject: func(context.Context, int) error {
 			_ = r.fleet.End(name, syscall.SIGKILL) // a killed process ends with an error
 			return nil
 		},
@@ -90,7 +90,7 @@
 	name := fleet.DaemonName(c, b, role)
 	return fault{
 		name:   "freeze " + name,
-		strike: func(context.Context, int) error { return r.fleet.Signal(name, syscall.SIGSTOP) },
+		inject: func(context.Context, int) error { return r.fleet.Signal(name, syscall.SIGSTOP) },
 		calm:   func(context.Context, int) error { return r.fleet.Signal(name, syscall.SIGCONT) },
 	}
 }
@@ -117,7 +117,7 @@
 	}
 	return fault{
 		name:   name,
-		strike: func(ctx context.Context, n int) error { return set(ctx, n, true) },
+		inject: func(ctx context.Context, n int) error { return set(ctx, n, true) },
 		calm:   func(ctx context.Context, n int) error { return set(ctx, n, false) },
 	}
 }
@@ -126,7 +126,7 @@
 	url := "http://" + r.fleet.PlatformAddress() + path
 	return fault{
 		name: name,
-		strike: func(ctx context.Context, _ int) error {
+		inject: func(ctx context.Context, _ int) error {
 			return fleet.Post(ctx, url+strings.TrimPrefix(name, "platform "))
 		},
 		calm: func(ctx context.Context, _ int) error { return fleet.Post(ctx, url+standin.ModeUp) },
@@ -137,7 +137,7 @@
 	url := "http://" + r.fleet.EngineAddress(c, e)
 	return fault{
 		name: "restart empty, fail two loads of " + fleet.EndpointName(c, e),
-		strike: func(ctx context.Context, _ int) error {
+		inject: func(ctx context.Context, _ int) error {
 			if err := fleet.Post(ctx, url+"/control/fail-loads?count=2"); err != nil {
 				return err
 			}
@@ -151,7 +151,7 @@
 func (r *storm) change() fault {
 	return fault{
 		name: "publish a live version",
-		strike: func(ctx context.Context, _ int) error {
+		inject: func(ctx context.Context, _ int) error {
 			r.shards++
 			return r.publish(ctx, func(s map[string]catalog.Shard) {
 				s["adapters-00001"].Adapters[0].Aliases[catalog.LiveAlias] = fmt.Sprint(1 + r.shards%2)
@@ -166,7 +166,7 @@
 	name := fleet.EndpointName(c, e)
 	return fault{
 		name: "drain " + name,
-		strike: func(ctx context.Context, _ int) error {
+		inject: func(ctx context.Context, _ int) error {
 			return r.publish(ctx, func(s map[string]catalog.Shard) {
 				for i, x := range s["endpoints"].Endpoints {
 					if x.Name == name {
--- a/measure/future.go
+++ b/measure/future.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// Future reckons, from the debug logs of all boxes, what a policy that knew the future
+// Future computes, from the debug logs of all boxes, what a policy that knew the future
 // could have had on the same requests: it loads each adapter just before it is needed and
 // evicts the one that is needed again the latest, as fast as the store gives adapters.
 type Future struct {
--- a/measure/future_test.go
+++ b/measure/future_test.go
@@ -21,7 +21,7 @@
 box-a {"time":"2026-05-01T10:00:09Z","msg":"Load begins","adapter":"m/a","from_store":false}
 `
 
-func TestTheFutureIsReckonedFromLogs(t *testing.T) {
+func TestTheFutureIsComputedFromLogs(t *testing.T) {
 	c := quicktest.New(t)
 	path := filepath.Join(t.TempDir(), "box.log")
 	c.Assert(os.WriteFile(path, []byte(futureLog), 0o600), quicktest.IsNil)
--- a/measure/storm.go
+++ b/measure/storm.go
@@ -115,11 +115,11 @@
 	begun := time.Now()
 	for n := 0; time.Since(begun) < r.Time-stormCalm; n++ {
 		first, second := r.draw(), r.draw()
-		if err := r.strike(ctx, n, first); err != nil {
+		if err := r.inject(ctx, n, first); err != nil {
 			return err
 		}
 		if second.name != first.name && r.rand.IntN(3) == 0 {
-			if err := r.strike(ctx, n+1000, second); err != nil {
+			if err := r.inject(ctx, n+1000, second); err != nil {
 				return err
 			}
 			time.Sleep(r.lasting())
--- a/member/loop_test.go
+++ b/member/loop_test.go
@@ -102,7 +102,7 @@
 	c.Assert(w.allSee(8), quicktest.IsTrue)
 }
 
-// One daemon believed another dead. Those who saw that one themselves passed the hearsay
+// One daemon believed another dead. Those who saw that one themselves passed the gossip
 // over, so it never heard of its death and never refuted it.
 func TestAMemberHearsOfItsDeathFromThoseWhoKnowBetter(t *testing.T) {
 	c := quicktest.New(t)
--- a/member/table.go
+++ b/member/table.go
@@ -130,7 +130,7 @@
 		return
 	}
 	if known && m.incarnation == old.incarnation && m.state != Leaving && t.seenLocked(m.name, now) {
-		t.signs.claims[m.name] = m // hearsay against a sign of life from the member itself, which will refute it
+		t.signs.claims[m.name] = m // gossip against a sign of life from the member itself, which will refute it
 		return
 	}
 	if !known && m.state == Dead {
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -142,7 +142,7 @@
 	c.Assert(v.Self().Incarnation() > old+2, quicktest.IsTrue)
 }
 
-func TestHearsayOfADeathDoesNotCountAgainstASignOfLife(t *testing.T) {
+func TestGossipOfADeathDoesNotCountAgainstASignOfLife(t *testing.T) {
 	c := quicktest.New(t)
 	v := tableOf("a", "b", "c")
 	v.Exchanged("b", start)
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -122,7 +122,7 @@
 	l.nudge()
 }
 
-// outbid reckons with a refusal of the fence by which an endpoint was to be claimed. The
+// outbid handles a refusal of the fence by which an endpoint was to be claimed. The
 // first may only mean that the clock here is behind the last owner's, who may have ended
 // long ago: it is tried once more at once, with a fence far above. From the second on
 // another box claims it too, and this one keeps away.
@@ -168,8 +168,8 @@
 	return l.Lease() * 5 / 4
 }
 
-// doubt learns anew what an endpoint holds, after an order without an answer.
-func (l *Loader) doubt(o *owned, claim int, why string) {
+// relearn learns anew what an endpoint holds, after an order without an answer.
+func (l *Loader) relearn(o *owned, claim int, why string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o.phase != owning || o.claims != claim {
@@ -181,7 +181,7 @@
 	o.reclaim = true
 }
 
-// reclaimLocked begins the claims that doubts asked for.
+// reclaimLocked begins the claims that relearn asked for.
 func (l *Loader) reclaimLocked() []func(context.Context) {
 	var tasks []func(context.Context)
 	for _, o := range l.owned {
--- a/placement/copies.go
+++ b/placement/copies.go
@@ -25,7 +25,7 @@
 	more := max(f.copies-len(l.in(f.centre, f.adapter)), 1)
 	ranked := l.without(f.centre, f.adapter)
 	for _, id := range ranked[:min(more, len(ranked))] {
-		l.copyTo(id, f.adapter, now, func(w *want) { w.debt.Add(pressedDebt, now, debtHalfLife) })
+		l.copyTo(id, f.adapter, now, func(w *want) { w.demand.Add(pressedDemand, now, demandHalfLife) })
 	}
 }
 
@@ -48,7 +48,7 @@
 			continue
 		}
 		q.ahead++
-		l.copyToLocked(id, a, now, func(w *want) { w.debt.Add(o.comfortable(), now, debtHalfLife) })
+		l.copyToLocked(id, a, now, func(w *want) { w.demand.Add(o.comfortable(), now, demandHalfLife) })
 	}
 }
 
--- a/placement/load.go
+++ b/placement/load.go
@@ -16,15 +16,15 @@
 	// wantLife is how long after the last request a load is still worth its while: a
 	// refused caller comes back within it.
 	wantLife = 2 * time.Second
-	// debtHalfLife is after which a request that was not served counts half: popularity
+	// demandHalfLife is after which a request that was not served counts half: popularity
 	// lasts some ten seconds before it shifts.
-	debtHalfLife = 20 * time.Second
-	// debtLife is how long requests that were not served are remembered.
-	debtLife = time.Minute
+	demandHalfLife = 20 * time.Second
+	// demandLife is how long requests that were not served are remembered.
+	demandLife = time.Minute
 )
 
-// pumpLocked begins the queued loads that may begin now, the most wanted first.
-func (l *Loader) pumpLocked(now time.Time) []func(context.Context) {
+// startLoadsLocked begins the queued loads that may begin now, the most wanted first.
+func (l *Loader) startLoadsLocked(now time.Time) []func(context.Context) {
 	var tasks []func(context.Context)
 	waiting := make(map[*owned]int)
 	for _, r := range l.rankedLocked(now) {
@@ -112,13 +112,13 @@
 
 // rankedLocked returns the loads that are wanted now, the most wanted first, and
 // forgets those that nobody asked for in a long time. Scores fade with time, and
-// thousands of loads may be remembered, so each is reckoned once.
+// thousands of loads may be remembered, so each is ranked once.
 func (l *Loader) rankedLocked(now time.Time) []ranked {
 	var list []ranked
 	for k, w := range l.wants {
 		if w.worthwhile(now) {
 			list = append(list, ranked{key: k, want: w, rank: l.rankLocked(k, w, now)})
-		} else if now.Sub(w.last) > debtLife {
+		} else if now.Sub(w.last) > demandLife {
 			delete(l.wants, k)
 			w.end()
 		}
@@ -223,7 +223,7 @@
 			return
 		}
 	}
-	l.doubt(o, claim, "a load did not end")
+	l.relearn(o, claim, "a load did not end")
 }
 
 // nextLook is when a load is asked after again that began so long ago: when it would be
@@ -266,7 +266,7 @@
 	return o.endpoint, o.fence, owns
 }
 
-// order gives one order under the endpoint's fence, and reckons with refusals.
+// order gives one order under the endpoint's fence, and handles refusals.
 func (l *Loader) order(ctx context.Context, o *owned, claim int, d Order) (Outcome, error) {
 	e, fence, owns := l.holds(o, claim)
 	if !owns {
@@ -278,11 +278,11 @@
 	out, err := l.Control.Order(call, e, d)
 	switch {
 	case err != nil:
-		l.doubt(o, claim, "an order got no answer: "+err.Error())
+		l.relearn(o, claim, "an order got no answer: "+err.Error())
 	case out == Fenced:
 		l.yield(o, owning, d.Fence)
 	case out == Gone:
-		l.doubt(o, claim, "another endpoint has the address")
+		l.relearn(o, claim, "another endpoint has the address")
 	}
 	return out, err
 }
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -122,10 +122,10 @@
 }
 
 const (
-	ownPause  = 100 * time.Millisecond // between two looks at what is owned
-	pumpPause = 25 * time.Millisecond  // between two looks at the queue while it is not empty
-	stepPause = 5 * time.Millisecond   // at least between two steps: what comes meanwhile is looked at together
-	stepPart  = 10                     // times as long as a step took is the next one's pause: a long queue must not take the whole processor
+	ownPause   = 100 * time.Millisecond // between two looks at what is owned
+	queuePause = 25 * time.Millisecond  // between two looks at the queue while it is not empty
+	stepPause  = 5 * time.Millisecond   // at least between two steps: what comes meanwhile is looked at together
+	stepPart   = 10                     // times as long as a step took is the next one's pause: a long queue must not take the whole processor
 )
 
 // Run claims and drops endpoints as the view changes and starts loads, until ctx
@@ -180,7 +180,7 @@
 	if len(l.queue) == 0 {
 		return ownPause
 	}
-	return pumpPause
+	return queuePause
 }
 
 // step returns what is to be done now.
@@ -196,7 +196,7 @@
 	}
 	tasks = append(tasks, l.reclaimLocked()...)
 	tasks = append(tasks, l.modelsLocked(now)...)
-	return append(tasks, l.pumpLocked(now)...)
+	return append(tasks, l.startLoadsLocked(now)...)
 }
 
 // ownLocked follows the view: endpoints that are this box's are claimed, others
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -173,8 +173,8 @@
 	return b.loader.Want(context.Background(), forward.Wanted{Endpoint: b.endpoint, Adapter: a, Wait: wait, Most: wait})
 }
 
-// wish is a request's wish for an adapter that can wait for long.
-func (b *bench) wish(i int) forward.Wanted {
+// patient is a request for an adapter that can wait for long.
+func (b *bench) patient(i int) forward.Wanted {
 	return forward.Wanted{Endpoint: b.endpoint, Adapter: adapter(i), Version: 1, Wait: 10 * time.Second, Most: 10 * time.Second}
 }
 
@@ -203,7 +203,7 @@
 			_, _ = b.want(adapter(i), 2*time.Second) // may be refused
 			done <- struct{}{}
 		}()
-		time.Sleep(3 * pumpPause)
+		time.Sleep(3 * queuePause)
 	}
 	for i := 1; i <= slotCount; i++ {
 		b.fake.hold(adapter(i), false)
--- a/placement/model.go
+++ b/placement/model.go
@@ -77,7 +77,7 @@
 			return
 		}
 	}
-	l.doubt(o, claim, "a base model was not loaded")
+	l.relearn(o, claim, "a base model was not loaded")
 }
 
 func (l *Loader) modelLoaded(o *owned, claim int, model string, took time.Duration) {
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -17,7 +17,7 @@
 	b.loader.owned["e1"] = &owned{endpoint: b.endpoint, phase: claiming}
 	for n := range count {
 		w := &want{done: make(chan struct{}), last: now}
-		w.debt.Add(float64(n+1), now, debtHalfLife)
+		w.demand.Add(float64(n+1), now, demandHalfLife)
 		b.loader.wants[wantKey{endpoint: "e1", adapter: adapter(n)}] = w
 	}
 	return b, now
@@ -25,7 +25,7 @@
 
 // What a request waits for was counted over every load that is wanted, for each request,
 // and a leader with some thousand of them stood still for a second.
-func TestTheWaitIsReckonedFromTheLastLookAtTheQueue(t *testing.T) {
+func TestTheWaitIsTakenFromTheLastLookAtTheQueue(t *testing.T) {
 	c := quicktest.New(t)
 	b, now := queueOf(20)
 	l := b.loader
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -226,7 +226,7 @@
 			return
 		}
 	}
-	l.doubt(o, claim, "an unload did not end")
+	l.relearn(o, claim, "an unload did not end")
 }
 
 // unloaded notes that a slot is empty.
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -226,7 +226,7 @@
 	b.fill(c)
 	ready := make(chan bool, 1)
 	go func() {
-		w := b.wish(1)
+		w := b.patient(1)
 		w.Version = 2
 		p, _ := b.loader.Want(context.Background(), w)
 		ready <- p.Ready && p.Version == 2
--- a/placement/site.go
+++ b/placement/site.go
@@ -103,7 +103,7 @@
 // heldLocked returns the endpoint of a data centre where the adapter is ready in the version
 // that a request needs, the one that reads the least, or, where none is, one where it is
 // being loaded. A request for one endpoint only gets that one.
-func (l *Loader) heldLocked(asked *owned, w *wish, denied *owned) (o *owned, s *slot) {
+func (l *Loader) heldLocked(asked *owned, w *waiter, denied *owned) (o *owned, s *slot) {
 	a, centre := w.Adapter, asked.endpoint.DataCentre()
 	for id, p := range l.owned {
 		t := p.slots[a]
--- a/placement/site_test.go
+++ b/placement/site_test.go
@@ -36,8 +36,8 @@
 }
 
 // asked is a request for an adapter that asks at endpoint e1 and can wait for long.
-func asked(o *owned, i int) *wish {
-	return &wish{Wanted: forward.Wanted{Endpoint: o.endpoint, Adapter: adapter(i), Wait: time.Minute, Most: time.Minute}}
+func asked(o *owned, i int) *waiter {
+	return &waiter{Wanted: forward.Wanted{Endpoint: o.endpoint, Adapter: adapter(i), Wait: time.Minute, Most: time.Minute}}
 }
 
 // A request waited at its adapter's usual endpoint, where every slot was in use, while
@@ -75,7 +75,7 @@
 	later := now.Add(time.Second)
 	l.Used("box-e2", nil, false, later) // nothing is in use there any more
 	l.Used("box-e1", []Use{{Endpoint: "e1", Adapter: adapter(10), Running: 1}, {Endpoint: "e1", Adapter: adapter(11), Running: 1}}, false, later)
-	l.pumpLocked(later)
+	l.startLoadsLocked(later)
 	c.Assert(l.wants[wantKey{endpoint: "e2", adapter: adapter(1)}], quicktest.IsNotNil)
 }
 
@@ -97,7 +97,7 @@
 	now := time.Now()
 	first, second := asked(list["e1"], 1), asked(list["e1"], 2)
 	first.Tokens, second.Tokens = 9000, 9000
-	for _, w := range []*wish{first, second} {
+	for _, w := range []*waiter{first, second} {
 		_, wait := l.look(w, now, now.Add(time.Minute))
 		c.Assert(wait, quicktest.IsNotNil)
 	}
--- a/placement/spread.go
+++ b/placement/spread.go
@@ -20,7 +20,7 @@
 // spreadLocked answers a request whose adapter is ready at an endpoint, as far as its box
 // knows: it goes where its prompt is read first, of the endpoints that hold the adapter; or
 // it says where the adapter is better loaded, when that is much sooner.
-func (l *Loader) spreadLocked(o *owned, w *wish, now time.Time) forward.Placed {
+func (l *Loader) spreadLocked(o *owned, w *waiter, now time.Time) forward.Placed {
 	centre := o.endpoint.DataCentre()
 	var best *owned
 	var soonest time.Duration
@@ -54,7 +54,7 @@
 }
 
 // waitAtLocked notes where a request waits for a load; nil: nowhere.
-func (l *Loader) waitAtLocked(w *wish, o *owned) {
+func (l *Loader) waitAtLocked(w *waiter, o *owned) {
 	if w.at != nil {
 		w.at.pending -= w.Tokens
 	}
--- a/placement/use.go
+++ b/placement/use.go
@@ -19,9 +19,9 @@
 }
 
 const (
-	runsLife    = 2 * time.Second // a box that says nothing for so long has nothing under way here
-	pressedPart = 0.6             // of an endpoint's slots in use: batches become slow, and the next burst queues
-	pressedDebt = 1.0             // requests asked in vain that a full endpoint counts as for its hottest adapter, each time
+	runsLife      = 2 * time.Second // a box that says nothing for so long has nothing under way here
+	pressedPart   = 0.6             // of an endpoint's slots in use: batches become slow, and the next burst queues
+	pressedDemand = 1.0             // requests asked in vain that a full endpoint counts as for its hottest adapter, each time
 )
 
 // Used takes what a box tells of the endpoints of this box. What tells only a part says
--- a/placement/want.go
+++ b/placement/want.go
@@ -22,7 +22,7 @@
 // Loader.mu.
 type want struct {
 	version int64
-	debt    policy.Popularity // requests that asked in vain, fading; a caller's return counts less
+	demand  policy.Popularity // requests that asked in vain, fading; a caller's return counts less
 	far     float64           // requests that another data centre served: a copy would save their way
 	last    time.Time         // when it was asked for last
 	inTime  time.Time         // loaded by then, somebody who waited is answered in time
@@ -46,8 +46,8 @@
 // holds.
 const claimTime = reportLag + 200*time.Millisecond
 
-// wish is a request's wish for an adapter.
-type wish struct {
+// waiter is one request that needs an adapter.
+type waiter struct {
 	forward.Wanted
 
 	asked time.Time
@@ -56,7 +56,7 @@
 }
 
 // queued is how much of the wait passed before the load began.
-func (w *wish) queued(s *slot) time.Duration {
+func (w *waiter) queued(s *slot) time.Duration {
 	if !w.again || s.begun.Before(w.asked) {
 		return 0
 	}
@@ -71,7 +71,7 @@
 	l.Init()
 	now := time.Now()
 	limit := now.Add(max(w.Most, 0))
-	for q := (&wish{Wanted: w, asked: now}); ; q.again = true {
+	for q := (&waiter{Wanted: w, asked: now}); ; q.again = true {
 		p, wait := l.look(q, time.Now(), limit)
 		if wait == nil {
 			l.Log.V(1).Info("Adapter was asked for", "request", w.Request, "adapter", w.Adapter.String(),
@@ -97,14 +97,14 @@
 const lookAgain = 100 * time.Millisecond
 
 // giveUp notes that a request waits no more.
-func (l *Loader) giveUp(w *wish) {
+func (l *Loader) giveUp(w *waiter) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waitAtLocked(w, nil)
 }
 
-// look answers a wish now, or returns what to wait for.
-func (l *Loader) look(w *wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+// look answers a request now, or returns what to wait for.
+func (l *Loader) look(w *waiter, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waitAtLocked(w, nil)
@@ -115,8 +115,8 @@
 	return p, wait
 }
 
-// lookLocked answers a wish, or returns what to wait for and the endpoint of the load.
-func (l *Loader) lookLocked(w *wish, now, limit time.Time) (forward.Placed, <-chan struct{}, *owned) {
+// lookLocked answers a request, or returns what to wait for and the endpoint of the load.
+func (l *Loader) lookLocked(w *waiter, now, limit time.Time) (forward.Placed, <-chan struct{}, *owned) {
 	o := l.owned[w.Endpoint.ID()]
 	if o == nil || o.phase != owning {
 		return forward.Placed{Settling: true, Retry: l.settledInLocked(w.Endpoint, o, now), Reason: "the endpoint's owner has not settled"}, nil, nil
@@ -183,7 +183,7 @@
 
 // enqueueLocked notes that an adapter is wanted, and lets the request wait when the
 // load will be done by limit.
-func (l *Loader) enqueueLocked(o *owned, w *wish, now, limit time.Time) (forward.Placed, <-chan struct{}) {
+func (l *Loader) enqueueLocked(o *owned, w *waiter, now, limit time.Time) (forward.Placed, <-chan struct{}) {
 	key := wantKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}
 	q := l.wants[key]
 	if q == nil {
@@ -200,7 +200,7 @@
 		q.inTime = t
 	}
 	if !w.again {
-		q.debt.Add(l.askWeightLocked(w.Wanted), now, debtHalfLife)
+		q.demand.Add(l.askWeightLocked(w.Wanted), now, demandHalfLife)
 		l.countLocked(w.Adapter, 1, now)
 		q.asked++
 		l.copyAheadLocked(o, q, w.Adapter, now)
@@ -261,7 +261,7 @@
 func (w *want) spare(now time.Time) bool { return w.owed(now) == 0 && w.waiting == 0 }
 
 // owed is how many requests asked in vain, those of long ago counting less.
-func (w *want) owed(now time.Time) float64 { return w.debt.Count(now, debtHalfLife) }
+func (w *want) owed(now time.Time) float64 { return w.demand.Count(now, demandHalfLife) }
 
 // score ranks the loads that are wanted: by how many requests asked in vain since
 // the adapter was last loaded, so that none is passed over for ever, and by who
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -243,7 +243,7 @@
 		return nil
 	}
 	if !e.spec.ChecksFences() && begun.Sub(e.seen) > s.Spans.Trust {
-		s.doubtLocked(e, begun)
+		s.relearnLocked(e, begun)
 		e.mu.Unlock()
 		return nil
 	}
@@ -273,9 +273,9 @@
 	e.losses = min(e.losses+1, mostLosses)
 }
 
-// doubtLocked claims an endpoint anew that does not check fences: another may have
+// relearnLocked claims an endpoint anew that does not check fences: another may have
 // owned it while this scheduler did not look, and nothing there would tell.
-func (s *Scheduler) doubtLocked(e *endpoint, now time.Time) {
+func (s *Scheduler) relearnLocked(e *endpoint, now time.Time) {
 	s.Log.Info("Endpoint without fences was not looked at for long and is claimed anew", "endpoint", e.name)
 	e.phase = claiming
 	e.taken = now
--- a/standin/proxy.go
+++ b/standin/proxy.go
@@ -200,11 +200,11 @@
 	defer p.keep(k, false)
 	ended := make(chan struct{}, 2)
 	go func() {
-		k.pump(ctx, t, c, false, k.cut.CutAfter)
+		k.relay(ctx, t, c, false, k.cut.CutAfter)
 		ended <- struct{}{}
 	}()
 	go func() {
-		k.pump(ctx, c, t, true, k.cut.CutReply)
+		k.relay(ctx, c, t, true, k.cut.CutReply)
 		ended <- struct{}{}
 	}()
 	<-ended
@@ -218,8 +218,8 @@
 	_ = c.Close()
 }
 
-// pump copies bytes as the rules allow; most bounds them when it is not zero.
-func (k *link) pump(ctx context.Context, to, from net.Conn, answer bool, most int) {
+// relay copies bytes as the rules allow; most bounds them when it is not zero.
+func (k *link) relay(ctx context.Context, to, from net.Conn, answer bool, most int) {
 	buffer := make([]byte, 16<<10)
 	for passed := 0; ; {
 		n, err := from.Read(buffer)
