--- a/edge/usage.go
+++ b/edge/usage.go
@@ -27,6 +27,7 @@
 	told chan string   // data centres whose leader was told
 
 	mu      sync.Mutex
+	leaders map[string]string   // by data centre: who was its leader at the last look
 	counts  map[useKey]int      // requests begun since the last whole report
 	running map[useKey]underWay // requests under way
 	changed map[useKey]bool     // what its leader has not been told
@@ -44,6 +45,7 @@
 		node:    n,
 		wake:    make(chan struct{}, 1),
 		told:    make(chan string),
+		leaders: make(map[string]string),
 		counts:  make(map[useKey]int),
 		running: make(map[useKey]underWay),
 		changed: make(map[useKey]bool),
@@ -115,6 +117,8 @@
 	defer whole.Stop()
 	soon := time.NewTimer(0)
 	defer soon.Stop()
+	look := time.NewTicker(lookPause)
+	defer look.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
@@ -122,6 +126,8 @@
 			soon.Reset(changePause)
 		case <-soon.C:
 			u.tell(ctx, false)
+		case <-look.C:
+			u.follow(u.node.peers.clusterView())
 		case <-whole.C:
 			u.tell(ctx, true)
 		case c := <-u.told:
@@ -134,6 +140,25 @@
 	return nil
 }
 
+// follow has a data centre's new leader told of all that is under way there: it empties no
+// slot before it knows what is in use.
+func (u *usage) follow(v *clusterView) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	moved := make(map[string]string)
+	for k := range u.running {
+		m, ok := v.leader(k.centre)
+		if ok && u.leaders[k.centre] != m.Name() {
+			moved[k.centre] = m.Name()
+			u.changed[k] = true
+		}
+	}
+	for c, name := range moved {
+		u.leaders[c] = name
+		u.wakeUp()
+	}
+}
+
 // ended notes that a data centre's leader was told. What changed meanwhile is told next.
 func (u *usage) ended(centre string) {
 	u.mu.Lock()
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"cairnwick.example/forward"
+	"cairnwick.example/member"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
@@ -62,3 +63,21 @@
 	c.Assert(int(q.GetUsage()[0].GetRunning()), quicktest.Equals, 0)
 	c.Assert(int(q.GetUsage()[0].GetCount()), quicktest.Equals, 1)
 }
+
+// A new leader heard of what was in use only with the next whole report, and emptied slots
+// before it or waited for it.
+func TestANewLeaderIsToldOfAllThatIsUnderWay(t *testing.T) {
+	c := quicktest.New(t)
+	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
+	u.Begun(e, forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}})
+	led := func(name string) *clusterView {
+		return &clusterView{leaders: map[string]member.Member{"far": member.New(name, "127.0.0.1:1", roleBox, "far", 1)}}
+	}
+	u.follow(led("first"))
+	c.Assert(told(u, false).GetUsage(), quicktest.HasLen, 1)
+	u.follow(led("first"))
+	c.Assert(told(u, false), quicktest.IsNil) // it was told
+	u.follow(led("second"))
+	c.Assert(told(u, false).GetUsage(), quicktest.HasLen, 1)
+}
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -28,8 +28,9 @@
 	// stood still for 791 s in all of a day of 58 s with 18 of them.
 	restFor = 250 * time.Millisecond
 	// heardAfter is how long after it began to own an endpoint a box has heard what all
-	// boxes use there: they tell everything each half second.
-	heardAfter = 700 * time.Millisecond
+	// boxes use there: they tell a new leader within some 0.3 s of hearing of it, and it
+	// owns nothing before it has waited for a report of 0.4 s.
+	heardAfter = 200 * time.Millisecond
 	// emptyNow is how long it takes to empty a slot that rests: the order and its answer.
 	emptyNow = 10 * time.Millisecond
 	// tellAgain is between two looks whether an adapter that leaves is still in use.
