Count a load as waited for only by requests that still wait

Cause, by reading: a request that was refused, or whose caller left, went on counting as waiting for its load. So loads were made for nobody, ahead of others, and took slots.

Change: a request that leaves takes its count with it; it counts once however often it is looked at again, and where it waits now.

--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -47,6 +47,31 @@
 	c.Assert(l.rankedLocked(now.Add(2 * l.cold))[0].key, quicktest.Not(quicktest.Equals), timely)
 }
 
+// Loads were made for requests that had been refused or given up long before, and took slots
+// from others.
+func TestALoadForWhichNobodyWaitsAnyMoreDoesNotCountAsWaitedFor(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := owningSome("e1")
+	now := time.Now()
+	occupy(l, list["e1"], 10, now)
+	gone, refused, stays := asked(list["e1"], 1), asked(list["e1"], 1), asked(list["e1"], 1)
+	for _, w := range []*waiter{gone, refused, stays} {
+		for range 2 { // looked at again, each counts once
+			_, wait := l.look(w, now, now.Add(time.Minute))
+			c.Assert(wait, quicktest.IsNotNil)
+			w.again = true
+		}
+	}
+	q := l.wants[wantKey{endpoint: "e1", adapter: adapter(1)}]
+	c.Assert(q.waiting, quicktest.Equals, 3)
+	l.giveUp(gone)
+	_, wait := l.look(refused, now, now) // it comes too late for this one
+	c.Assert(wait, quicktest.IsNil)
+	c.Assert(q.waiting, quicktest.Equals, 1)
+	l.giveUp(stays)
+	c.Assert(q.waiting, quicktest.Equals, 0)
+}
+
 func TestWhatIsOwnedIsNotLookedAtAtEachStep(t *testing.T) {
 	c := quicktest.New(t)
 	b := prepare(4)
--- a/placement/want.go
+++ b/placement/want.go
@@ -53,6 +53,7 @@
 	asked time.Time
 	again bool   // it was counted before
 	at    *owned // where it waits for a load; nil: nowhere
+	load  *want  // the load that it counts as waiting for; nil: none
 }
 
 // queued is how much of the wait passed before the load began.
@@ -101,6 +102,16 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.waitAtLocked(w, nil)
+	w.leave()
+}
+
+// leave ends the wait for a load that has not begun: one for which nobody waits any more
+// goes behind the others.
+func (w *waiter) leave() {
+	if w.load != nil {
+		w.load.waiting--
+		w.load = nil
+	}
 }
 
 // look answers a request now, or returns what to wait for.
@@ -109,9 +120,11 @@
 	defer l.mu.Unlock()
 	l.waitAtLocked(w, nil)
 	p, wait, at := l.lookLocked(w, now, limit)
-	if wait != nil {
-		l.waitAtLocked(w, at)
+	if wait == nil {
+		w.leave()
+		return p, nil
 	}
+	l.waitAtLocked(w, at)
 	return p, wait
 }
 
@@ -213,7 +226,9 @@
 	}
 	wait = max(wait, l.emptyInLocked(o, q.before, now))
 	p, done := l.await(wait+load, q.done, now, limit, "loads that more requests ask for go first")
-	if done != nil && !w.again {
+	if done != nil && w.load != q {
+		w.leave()
+		w.load = q
 		q.waiting++
 	}
 	return p, done
