Send a prompt to the holder when its load elsewhere comes to nothing

Cause, by reading: a long prompt that was told of a better endpoint was refused when the load there came too late, though another endpoint held its adapter.

Change: such a request goes to the holder. TestALongPromptGoesWhereItIsReadFirst, red without; also the test that long prompts, and only those, ask where to go.

--- a/forward/home.go
+++ b/forward/home.go
@@ -22,16 +22,15 @@
 	a := q.call.Adapter
 	g.Log.V(1).Info("Adapter is needed", "request", q.call.ID, "adapter", a.String(), "route", q.route.Name())
 	now := time.Now()
-	first, held := g.homeOf(a, list), false
 	if e := g.least(among(g.View.Holders(a), list), now); e != nil {
-		t, better := g.spread(ctx, q, e)
-		if better == nil {
-			return t, nil
+		t := g.placeHeld(ctx, q, e)
+		if !g.stays(t.endpoint.ID()) {
+			return g.placeElsewhere(ctx, q, t.endpoint)
 		}
-		first, held = better, true
+		return t, nil
 	}
 	for {
-		t, f, settling := g.askHomes(ctx, q, list, first, held)
+		t, f, settling := g.askHomes(ctx, q, list)
 		if !settling || ctx.Err() != nil || f.Retry > q.useful(time.Now())-g.predict(q.call.TokensIn) {
 			return t, f
 		}
@@ -50,6 +49,23 @@
 	spreadFor = 40 * time.Millisecond
 )
 
+// placeHeld places a request whose adapter is ready at e: there, or, if its prompt is read
+// much sooner elsewhere, where that is. Where a load there comes to nothing it goes to e.
+func (g *Gateway) placeHeld(ctx context.Context, q *request, e *topology.Endpoint) target {
+	t, better := g.spread(ctx, q, e)
+	if better == nil {
+		return t
+	}
+	w := g.wanted(q, better)
+	w.Only = true
+	p, err := g.Placer.Want(ctx, w)
+	q.waited, q.queued = time.Since(q.received), p.Queued
+	if err != nil || !p.Ready || !g.stays(better.ID()) {
+		return t
+	}
+	return target{endpoint: better, version: max(p.Version, t.version)}
+}
+
 // spread asks whether a long prompt had better go to another endpoint than e, which holds
 // the adapter: prompts are read one behind the other. It returns where to send the request,
 // or an endpoint where the adapter is better loaded first.
@@ -77,14 +93,13 @@
 	return t, nil
 }
 
-// askHomes asks for the adapter at first, its home or another endpoint. Where nobody decides for that endpoint just
+// askHomes asks for the adapter at its home. Where nobody decides for that endpoint just
 // now it asks at the home that the adapter has in the other data centres; settling says
 // that this is so for all of them.
-func (g *Gateway) askHomes(ctx context.Context, q *request, list []*topology.Endpoint, first *topology.Endpoint, held bool) (t target, f *Refusal, settling bool) {
-	for e := first; len(list) > 0; e = g.homeOf(q.call.Adapter, list) {
-		w := g.wanted(q, e)
-		w.Only = held && e == first
-		p, err := g.Placer.Want(ctx, w)
+func (g *Gateway) askHomes(ctx context.Context, q *request, list []*topology.Endpoint) (t target, f *Refusal, settling bool) {
+	for len(list) > 0 {
+		e := g.homeOf(q.call.Adapter, list)
+		p, err := g.Placer.Want(ctx, g.wanted(q, e))
 		q.waited, q.queued = time.Since(q.received), p.Queued
 		switch {
 		case err != nil:
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -185,3 +185,44 @@
 	list = s.gateway.View.Endpoints("app")
 	s.c.Assert(s.gateway.usable(list, nil, now), quicktest.HasLen, 1)
 }
+
+// spreadPlacer sends long prompts to another endpoint that holds their adapter, or says
+// that it is better loaded there and then does not load it.
+type spreadPlacer struct {
+	to    string
+	ready bool
+	asked atomic.Int64 // times that it was asked where to send a prompt
+}
+
+// Want implements Placer.
+func (p *spreadPlacer) Want(_ context.Context, w Wanted) (Placed, error) {
+	if w.Held {
+		p.asked.Add(1)
+		return Placed{Ready: p.ready, Endpoint: p.to}, nil
+	}
+	return Placed{Retry: time.Second, Reason: "too late"}, nil
+}
+
+func TestALongPromptGoesWhereItIsReadFirst(t *testing.T) {
+	for _, f := range []struct {
+		tokens int
+		ready  bool
+		want   string
+	}{
+		{tokens: 9000, ready: true, want: "e2"},
+		{tokens: 9000, want: "e1"}, // the load elsewhere comes to nothing
+		{tokens: 100, ready: true, want: "e1"},
+	} {
+		p := &spreadPlacer{to: "e2", ready: f.ready}
+		s, _ := askTwoCentres(t, p, "2s")
+		a := topology.Adapter{Model: "m", Name: "a"}
+		s.gateway.View.SetHeld("e1", map[topology.Adapter]topology.Held{a: {Ready: true}})
+		r := topology.NewRoute(topology.RouteSpec{Timeout: 2 * time.Second, Target: time.Second})
+		now := time.Now()
+		q := &request{call: Call{ID: "call-1", Adapter: a, TokensIn: f.tokens}, route: r, received: now, deadline: now.Add(2 * time.Second)}
+		got, refusal := s.gateway.placeAdapter(context.Background(), q, s.gateway.View.Endpoints("app"))
+		s.c.Assert(refusal == nil, quicktest.IsTrue)
+		s.c.Check(got.endpoint.ID(), quicktest.Equals, f.want)
+		s.c.Check(p.asked.Load() > 0, quicktest.Equals, f.tokens > 1000)
+	}
+}
