Take out the asking for long prompts: it was worth nothing

Few adapters have two holders in a data centre, and a copy pays only from some 660 ms of prompts ahead. What counts the prompts that wait stays: it decides where loads go.

--- a/edge/peers.go
+++ b/edge/peers.go
@@ -146,8 +146,6 @@
 		Returned:   w.Returned,
 		Denied:     w.Denied,
 		Tokens:     int64(w.Tokens),
-		Held:       w.Held,
-		Only:       w.Only,
 	})
 	if err != nil {
 		return forward.Placed{}, errors.Wrapf(err, "edge: leader %s", m.Name())
@@ -193,8 +191,6 @@
 		Returned: q.GetReturned(),
 		Denied:   q.GetDenied(),
 		Tokens:   int(q.GetTokens()),
-		Held:     q.GetHeld(),
-		Only:     q.GetOnly(),
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -78,15 +78,13 @@
 	Returned bool    // the caller was refused before and has less time left
 	Denied   bool    // the endpoint said that it does not hold the adapter
 	Tokens   int     // of its prompt
-	Held     bool    // the endpoint holds the adapter, as far as this box knows: where is it best sent to
-	Only     bool    // load it at this endpoint, even where another one holds it
 }
 
 // Placed is what became of a request for an adapter.
 type Placed struct {
 	Ready    bool
 	Settling bool   // who decides for the endpoint is changing: ask again
-	Endpoint string // where it is ready; for a Held one that is not ready, where it is best loaded
+	Endpoint string // where it is ready
 	Version  int64
 	Queued   time.Duration // of the wait, until the load began
 	Retry    time.Duration // when not ready: when it is expected to be
--- a/forward/home.go
+++ b/forward/home.go
@@ -23,11 +23,7 @@
 	g.Log.V(1).Info("Adapter is needed", "request", q.call.ID, "adapter", a.String(), "route", q.route.Name())
 	now := time.Now()
 	if e := g.least(among(g.View.Holders(a), list), now); e != nil {
-		t := g.placeHeld(ctx, q, e)
-		if !g.stays(t.endpoint.ID()) {
-			return g.placeElsewhere(ctx, q, t.endpoint)
-		}
-		return t, nil
+		return target{endpoint: e, version: g.View.Newest(a)}, nil
 	}
 	for {
 		t, f, settling := g.askHomes(ctx, q, list)
@@ -49,50 +45,6 @@
 	spreadFor = 40 * time.Millisecond
 )
 
-// placeHeld places a request whose adapter is ready at e: there, or, if its prompt is read
-// much sooner elsewhere, where that is. Where a load there comes to nothing it goes to e.
-func (g *Gateway) placeHeld(ctx context.Context, q *request, e *topology.Endpoint) target {
-	t, better := g.spread(ctx, q, e)
-	if better == nil {
-		return t
-	}
-	w := g.wanted(q, better)
-	w.Only = true
-	p, err := g.Placer.Want(ctx, w)
-	q.waited, q.queued = time.Since(q.received), p.Queued
-	if err != nil || !p.Ready || !g.stays(better.ID()) {
-		return t
-	}
-	return target{endpoint: better, version: max(p.Version, t.version)}
-}
-
-// spread asks whether a long prompt had better go to another endpoint than e, which holds
-// the adapter: prompts are read one behind the other. It returns where to send the request,
-// or an endpoint where the adapter is better loaded first.
-func (g *Gateway) spread(ctx context.Context, q *request, e *topology.Endpoint) (t target, better *topology.Endpoint) {
-	t = target{endpoint: e, version: g.View.Newest(q.call.Adapter)}
-	if g.Reads(q.call.TokensIn) < spreadFrom {
-		return t, nil
-	}
-	w := g.wanted(q, e)
-	w.Held = true
-	call, cancel := context.WithTimeout(ctx, spreadFor)
-	defer cancel()
-	p, err := g.Placer.Want(call, w)
-	if err != nil || p.Settling {
-		return t, nil
-	}
-	other := g.View.Endpoint(p.Endpoint)
-	if other == nil || other.Draining() || q.tried[p.Endpoint] {
-		return t, nil
-	}
-	if !p.Ready {
-		return t, other
-	}
-	t.endpoint = other
-	return t, nil
-}
-
 // askHomes asks for the adapter at its home. Where nobody decides for that endpoint just
 // now it asks at the home that the adapter has in the other data centres; settling says
 // that this is so for all of them.
--- a/placement/site.go
+++ b/placement/site.go
@@ -102,12 +102,12 @@
 
 // heldLocked returns the endpoint of a data centre where the adapter is ready in the version
 // that a request needs, the one that reads the least, or, where none is, one where it is
-// being loaded. A request for one endpoint only gets that one.
+// being loaded.
 func (l *Loader) heldLocked(asked *owned, w *waiter, denied *owned) (o *owned, s *slot) {
 	a, centre := w.Adapter, asked.endpoint.DataCentre()
 	for id, p := range l.owned {
 		t := p.slots[a]
-		if t == nil || p == denied || (w.Only && p != asked) || p.phase != owning || p.endpoint.Draining() || p.endpoint.DataCentre() != centre {
+		if t == nil || p == denied || p.phase != owning || p.endpoint.Draining() || p.endpoint.DataCentre() != centre {
 			continue
 		}
 		serves := t.ready && t.version >= w.Version && !(t.leaving && (t.unloading || t.outdated))
--- a/placement/want.go
+++ b/placement/want.go
@@ -137,9 +137,6 @@
 	if o.endpoint.Draining() {
 		return forward.Placed{Retry: promiseLate, Reason: "the endpoint leaves"}, nil, nil
 	}
-	if w.Held {
-		return l.spreadLocked(o, w, now), nil, nil
-	}
 	var denied *owned
 	if w.Denied {
 		denied = o
@@ -155,9 +152,9 @@
 			return forward.Placed{Ready: true, Endpoint: at.endpoint.ID(), Version: s.version, Queued: w.queued(s)}, nil, nil
 		}
 	}
-	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil && !w.Only {
+	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil {
 		o = at
-	} else if !w.Denied && !w.Only {
+	} else if !w.Denied {
 		o = l.siteLocked(w.Adapter, o, now)
 	}
 	answer, done := l.enqueueLocked(o, w, now, limit)
