--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -54,7 +54,14 @@
 	Seconds bool     `arg:"--seconds" help:"by second too"`
 }
 
+type scarceCommand struct {
+	Seed uint64        `arg:"--seed" default:"1" help:"of the requests"`
+	Time time.Duration `arg:"--time" default:"40s" help:"simulated time"`
+	Rate float64       `arg:"--rate" default:"55" help:"requests a second"`
+}
+
 type arguments struct {
+	Scarce   *scarceCommand   `arg:"subcommand:scarce" help:"where loads go when slots are scarce and prompts long, simulated"`
 	Where    *whereCommand    `arg:"subcommand:where" help:"where the time of requests went, from logs"`
 	Future   *futureCommand   `arg:"subcommand:future" help:"what a policy that knew the future could have had, from logs"`
 	Policies *policiesCommand `arg:"subcommand:policies" help:"the chosen policies and the baselines, in the users' sizes"`
@@ -93,6 +100,8 @@
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
 		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate}.Run(ctx, os.Stdout)
+	case a.Scarce != nil:
+		err = measure.Scarce{Seed: a.Scarce.Seed, Time: a.Scarce.Time, Rate: a.Scarce.Rate}.Run(os.Stdout)
 	case a.Where != nil:
 		err = measure.Where{Logs: a.Where.Logs, Seconds: a.Where.Seconds}.Run(os.Stdout)
 	case a.Future != nil:
--- a/forward/home.go
+++ b/forward/home.go
@@ -37,14 +37,6 @@
 	}
 }
 
-const (
-	// spreadFrom is the time to read a prompt from which on its endpoint is chosen by who
-	// knows of the prompts of all boxes. Asking takes a few milliseconds.
-	spreadFrom = 60 * time.Millisecond
-	// spreadFor is how long that answer is waited for: it is given at once or never.
-	spreadFor = 40 * time.Millisecond
-)
-
 // askHomes asks for the adapter at its home. Where nobody decides for that endpoint just
 // now it asks at the home that the adapter has in the other data centres; settling says
 // that this is so for all of them.
