Fill the log's queue only once its reader stands still

The test now queues one line, waits until the reader stands, and then writes as much as before; it asks for the same.

--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -53,23 +53,28 @@
 type standing struct {
 	lockedBuffer
 
-	gate chan struct{}
+	stands chan struct{} // closed when it is written to first
+	once   sync.Once
+	gate   chan struct{}
 }
 
 // Write implements io.Writer.
 func (s *standing) Write(p []byte) (int, error) {
+	s.once.Do(func() { close(s.stands) })
 	<-s.gate
 	return s.lockedBuffer.Write(p)
 }
 
 func TestAReaderThatStandsStillCostsLinesAndNoTime(t *testing.T) {
 	c := quicktest.New(t)
-	out := &standing{gate: make(chan struct{})}
+	out := &standing{stands: make(chan struct{}), gate: make(chan struct{})}
 	b := NewBounded(out)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan error, 1)
 	go func() { done <- b.Run(ctx) }()
+	_, _ = io.WriteString(b, "line\n")
+	<-out.stands                // else its first batch could take all that is queued after the last line
 	for range 16 * queueLines { // would block for ever on a plain writer
 		_, _ = io.WriteString(b, "line\n")
 	}
