--- a/forward/pick.go
+++ b/forward/pick.go
@@ -95,7 +95,7 @@
 	return some
 }
 
-// reachable returns those in data centres that this box is in touch with: it may be
+// reachable returns those in data centres that this box can reach: it may be
 // cut off from the others while they serve. Where that leaves none it returns all.
 func (g *Gateway) reachable(list []*topology.Endpoint, now time.Time) []*topology.Endpoint {
 	away := make(map[string]bool)
--- a/member/signs.go
+++ b/member/signs.go
@@ -36,7 +36,7 @@
 	return ok && now.Sub(at) < t.limits.SuspectFor
 }
 
-// amongLocked tells whether this daemon was in touch with another of its data centre
+// amongLocked tells whether this daemon heard from another of its data centre
 // all the time, without a pause.
 func (t *Table) amongLocked(now time.Time) bool {
 	if now.Sub(t.signs.ticked) > tickLate || now.Sub(t.signs.woke) < wokeFor {
--- a/placement/pace_test.go
+++ b/placement/pace_test.go
@@ -9,11 +9,11 @@
 	"github.com/frankban/quicktest"
 )
 
-func TestThePaceFallsWhenLoadsBecomeSlowAndRisesAgain(t *testing.T) {
-	c := quicktest.New(t)
-	p := newPace()
+// roundsOf returns what begins as many loads at once as the pace allows, which all take so
+// long.
+func roundsOf(p *pace) func(took time.Duration) {
 	now := time.Unix(100, 0)
-	load := func(took time.Duration) { // as many at once as may be
+	return func(took time.Duration) {
 		n := 0
 		for p.take(now) {
 			n++
@@ -23,6 +23,12 @@
 			p.end(took, now)
 		}
 	}
+}
+
+func TestThePaceFallsWhenLoadsBecomeSlowAndRisesAgain(t *testing.T) {
+	c := quicktest.New(t)
+	p := newPace()
+	load := roundsOf(&p)
 	load(250 * time.Millisecond)
 	quick := p.limit
 	c.Assert(quick > paceFirst, quicktest.IsTrue)
@@ -124,17 +130,7 @@
 func TestThePaceDoublesUntilTheFirstSlowLoad(t *testing.T) {
 	c := quicktest.New(t)
 	p := newPace()
-	now := time.Unix(100, 0)
-	round := func(took time.Duration) {
-		n := 0
-		for p.take(now) {
-			n++
-		}
-		now = now.Add(took)
-		for range n {
-			p.end(took, now)
-		}
-	}
+	round := roundsOf(&p)
 	round(250 * time.Millisecond)
 	c.Assert(p.limit, quicktest.Equals, 2*paceFirst)
 	round(250 * time.Millisecond)
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -122,11 +122,9 @@
 // them: no new request used them, and they were loaded once more elsewhere.
 func TestAdaptersInUseStay(t *testing.T) {
 	c := quicktest.New(t)
-	b := prepare(4)
-	l := b.loader
+	l, list := owningSome("e1")
+	o := list["e1"]
 	now := time.Now()
-	o := &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot), models: map[string]bool{model: true}}
-	l.owned["e1"] = o
 	var uses []Use
 	for i := range slotCount {
 		o.slots[adapter(i)] = &slot{ready: true}
@@ -146,11 +144,9 @@
 // as a load from the store takes.
 func TestASlotThatRestsIsEmptiedAtOnce(t *testing.T) {
 	c := quicktest.New(t)
-	b := prepare(4)
-	l := b.loader
+	l, list := owningSome("e1")
+	o := list["e1"]
 	now := time.Now()
-	o := &owned{endpoint: b.endpoint, phase: owning, slots: make(map[topology.Adapter]*slot), models: map[string]bool{model: true}}
-	l.owned["e1"] = o
 	o.slots[adapter(1)] = &slot{ready: true, used: now.Add(-restFor)}
 	o.slots[adapter(2)] = &slot{ready: true, used: now.Add(-restFor), given: now} // a box was just told of it
 	c.Assert(l.emptyInLocked(o, 0, now), quicktest.Equals, emptyNow)
