Let many boxes save no more retries than a window allows

Each of 75 boxes may save ten retries whatever the number of boxes, 750 in all, and a cut makes them spend those together.

Change: a box saves no more than its share of a window's extra retries, at least one. The test is red without.

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -18,7 +18,9 @@
 // from a view that may be late.
 const budgetPart = 0.7
 
-// mostSaved bounds the retries that unused first attempts have earned.
+// mostSaved bounds the retries that unused first attempts have earned. Where boxes are many
+// it is their share of a window's extra ones: 75 boxes that each spent ten at once, after a
+// cut, sent 1,004 in a window that allowed 938.
 const mostSaved = 10.0
 
 // Budget is one box's share of the retries to one service.
@@ -27,6 +29,7 @@
 
 	mu     sync.Mutex
 	tokens float64
+	saved  float64 // that tokens may rise to, as of the last retry; zero: one
 	at     time.Time
 }
 
@@ -34,7 +37,7 @@
 func (b *Budget) First() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.Limits().Ratio*budgetPart, mostSaved)
+	b.tokens = min(b.tokens+b.Limits().Ratio*budgetPart, max(b.saved, 1))
 }
 
 // Take tells whether one more attempt may be made at now by one of so many boxes.
@@ -43,9 +46,11 @@
 	defer b.mu.Unlock()
 	limits := b.Limits()
 	share := limits.Extra * budgetPart / float64(max(boxes, 1))
+	b.saved = max(min(share, mostSaved), 1)
 	if !b.at.IsZero() {
-		b.tokens = min(b.tokens+share*now.Sub(b.at).Seconds()/limits.Window.Seconds(), mostSaved)
+		b.tokens = b.tokens + share*now.Sub(b.at).Seconds()/limits.Window.Seconds()
 	}
+	b.tokens = min(b.tokens, b.saved)
 	b.at = now
 	if b.tokens < 1 {
 		return false
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -31,6 +31,33 @@
 	c.Assert(taken > 100, quicktest.IsTrue)
 }
 
+// Each of 75 boxes had saved ten retries, and spent them in the same window.
+func TestManyBoxesSaveNoMoreRetriesThanAWindowAllows(t *testing.T) {
+	c := quicktest.New(t)
+	const boxes, requests = 75, 50 // in a window, of each box
+	limits := BudgetLimits{Ratio: 0.2, Extra: 190, Window: 10 * time.Second}
+	b := &Budget{Limits: func() BudgetLimits { return limits }, tokens: 1}
+	now := time.Unix(0, 0)
+	calm := func() {
+		for range requests {
+			now = now.Add(limits.Window / requests)
+			b.First()
+		}
+	}
+	b.Take(now, boxes)
+	calm()
+	calm()
+	taken := 0
+	for range requests { // all of them would like a retry
+		now = now.Add(limits.Window / requests)
+		b.First()
+		for b.Take(now, boxes) {
+			taken++
+		}
+	}
+	c.Assert(float64(taken*boxes) <= limits.Ratio*requests*boxes+limits.Extra, quicktest.IsTrue, quicktest.Commentf("%d", taken))
+}
+
 func TestAnEndpointInADataCentreOutOfReachIsNotUsed(t *testing.T) {
 	s := newSite(t, once(time.Second))
 	s.gateway.Cut = func(c string) bool { return c == "cut" }
