Show how old the word of the source is, and what was done with the budget of retries

No line said when a box began to read by itself or how old its leader's word was, and nothing counted retries: the lines of the seconds in question were not kept. Change: two lines when a box begins and ends to read by itself, with both ages; the metrics edge_source_age and edge_retries; retry_withheld on the line of a failed request. Nothing decides by them.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -19,6 +19,8 @@
 	m.Set("edge_refusals", stats.Refusals)
 	m.Set("edge_failed_attempts", stats.Attempts)
 	m.Set("edge_prediction_error", stats.Error)
+	m.Set("edge_retries", expvar.Func(func() any { return n.gateway.Retries() }))
+	m.Set("edge_source_age", expvar.Func(func() any { return n.sourceAges() }))
 	m.Set("edge_held", expvar.Func(func() any { return n.gateway.Held() }))
 	m.Set("edge_config", expvar.Func(func() any { return n.configVersion() }))
 	m.Set("edge_endpoints", expvar.Func(func() any { return len(n.view.All()) }))
--- a/edge/node.go
+++ b/edge/node.go
@@ -45,6 +45,7 @@
 	levels  levels
 	leaving atomic.Bool
 	reading atomic.Int32 // collections whose last call went well
+	fresh   freshness
 }
 
 const (
@@ -168,6 +169,20 @@
 // its leader does not tell it what it reads.
 func (n *Node) mustRead() bool { return !n.peers.informed(time.Now()) }
 
+// sourceAges tells how long ago the source was heard: by this box, and by its leader as
+// the box that it follows tells; a box that was not heard of is missing.
+func (n *Node) sourceAges() map[string]int64 {
+	now := time.Now()
+	ages := make(map[string]int64)
+	if ago, ok := n.fresh.ago(now); ok {
+		ages["own_ms"] = ago.Milliseconds()
+	}
+	if ago, ok := n.peers.heardAgo(now); ok {
+		ages["told_ms"] = ago.Milliseconds()
+	}
+	return ages
+}
+
 // placer asks the leader of the endpoint's data centre.
 type placer struct{ node *Node }
 
@@ -251,7 +266,9 @@
 		wanted:     n.mustRead,
 		leads:      func() bool { return n.peers.clusterView().steps == 0 && time.Since(n.peers.started) > settleFor },
 		log:        n.Log,
+		ages:       n.sourceAges,
 		heard: func(well bool) {
+			n.fresh.note(c, well, time.Now())
 			if well != ok {
 				ok = well
 				n.reading.Add(map[bool]int32{true: 1, false: -1}[well])
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -36,6 +36,7 @@
 	leads      func() bool // whether others rely on what it reads
 	log        logr.Logger
 	heard      func(ok bool) // hears how each call went
+	ages       func() map[string]int64
 
 	after     uint64 // revision that is known; zero: nothing
 	failing   bool
@@ -93,9 +94,11 @@
 
 // standBy waits until this box must read.
 func (r *reader) standBy(ctx context.Context) {
+	r.log.Info("Box relies on what its leader reads", "collection", r.collection.String(), "source_age", r.ages())
 	for ctx.Err() == nil && !r.wanted() {
 		sleep(ctx, standbyLook)
 	}
+	r.log.Info("Box reads the source by itself", "collection", r.collection.String(), "source_age", r.ages())
 }
 
 // step makes one call; it tells whether anything was found.
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -79,6 +79,7 @@
 		leads:      func() bool { return true },
 		log:        logr.Discard(),
 		heard:      func(bool) {},
+		ages:       func() map[string]int64 { return nil },
 	}, t
 }
 
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -31,6 +31,16 @@
 	tokens float64
 	saved  float64 // that tokens may rise to, as of the last retry; zero: one
 	at     time.Time
+	counts RetryCounts
+}
+
+// RetryCounts is what one box did with its share of the retries to one service.
+type RetryCounts struct {
+	Made     int64   `json:"made"`     // out of the budget
+	Withheld int64   `json:"withheld"` // since the budget was used up
+	Unsent   int64   `json:"unsent"`   // outside it: the attempt before had reached nobody
+	Left     float64 `json:"left"`     // that may be made now
+	Boxes    int     `json:"boxes"`    // that share the budget, as of the last retry
 }
 
 // First notes the first attempt of a request.
@@ -52,9 +62,28 @@
 	}
 	b.tokens = min(b.tokens, b.saved)
 	b.at = now
+	b.counts.Boxes = boxes
 	if b.tokens < 1 {
+		b.counts.Withheld++
 		return false
 	}
 	b.tokens--
+	b.counts.Made++
 	return true
 }
+
+// Unsent notes an attempt that is made anew since the one before reached nobody.
+func (b *Budget) Unsent() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts.Unsent++
+}
+
+// Counts returns what was done so far.
+func (b *Budget) Counts() RetryCounts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.counts
+	c.Left = b.tokens
+	return c
+}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -38,7 +38,7 @@
 	sampled   atomic.Uint64
 
 	mu      sync.Mutex
-	budgets map[string]*Budget // by service
+	budgets map[string]*Budget // by service; mu is taken before a Budget's
 	first   policy.FirstToken  // of all endpoints that run models
 }
 
@@ -68,6 +68,17 @@
 	return b
 }
 
+// Retries returns what this box did with its shares of the retries, by service.
+func (g *Gateway) Retries() map[string]RetryCounts {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := make(map[string]RetryCounts, len(g.budgets))
+	for s, b := range g.budgets {
+		counts[s] = b.Counts()
+	}
+	return counts
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := time.Now()
--- a/forward/record.go
+++ b/forward/record.go
@@ -90,6 +90,6 @@
 	}
 	g.Log.Info("Request failed", "request", q.call.ID, "route", route, "reason", string(f.Code),
 		"status", f.status(), "may_have_run", f.Ran, "begun", begun, "adapter", q.call.Adapter.String(),
-		"endpoint", endpoint, "attempts", q.attempts, "config", version, "waited_ms", q.waited.Milliseconds(),
+		"endpoint", endpoint, "attempts", q.attempts, "retry_withheld", q.withheld, "config", version, "waited_ms", q.waited.Milliseconds(),
 		"took_ms", took.Milliseconds(), "retry_ms", f.Retry.Milliseconds(), "cause", f.Detail)
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -28,6 +28,7 @@
 	ran      int             // of these, those that may have run
 	tried    map[string]bool // endpoints that failed it
 	unsure   bool            // an attempt may have run
+	withheld bool            // the budget of retries kept it from another attempt
 	denied   string          // the endpoint that said it does not hold the adapter
 	sentAt   time.Time       // of the last attempt
 	sentTo   *topology.Endpoint
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -65,7 +65,13 @@
 	if q.left(now) < firstByte/2 {
 		return false
 	}
-	return f.Unsent || g.budget(q.service.Name()).Take(now, g.Boxes())
+	b := g.budget(q.service.Name())
+	if f.Unsent {
+		b.Unsent()
+		return true
+	}
+	q.withheld = !b.Take(now, g.Boxes())
+	return !q.withheld
 }
 
 // place finds the endpoint for the next attempt.
