Believe a leader only as far as it has heard the source, and read sooner than a box may be behind

Cause: a leader told its followers that it hears the source as long as its last finished call went well. A source that stops answering without a word leaves a watch unfinished for 2.7 s; so long the followers waited for news of it, 2.3 s in the record, where 2 s are allowed. Class: trust without evidence of its age. Two more places of it: a box that had once listed the source said for good that it hears it (all do at their start), so boxes two steps below a leader were told so whatever the leader heard; and a leader that came back from a cut of its own kept endpoints that had left for up to 2.5 s, and its followers, who had been in touch, with it. Ruled out: removals held back in this case (no line that the source answers again); a request that waited for a load (11 ms from the caller to the endpoint). Change: the word carries the time at which the source last answered; a box reads by itself when it is older than three quarters of what it may be behind, which the settings give (drain and configuration); a watch waits for a third of that; a box that holds something back says that it does not read, and takes everything from the other leaders meanwhile. The test of an old word asserts the same of the new limit: words were always new before, now they say their age.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -80,7 +80,8 @@
 	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update) {
 		p.table.Seen(s.name, time.Now())
 		if u.GetReading() {
-			p.hear(s.name, time.Now().Add(-time.Duration(u.GetAgeMicros())*time.Microsecond))
+			now := time.Now()
+			p.hear(s.name, now.Add(-time.Duration(u.GetAgeMicros())*time.Microsecond), now)
 		}
 	})
 	if ctx.Err() == nil {
@@ -89,29 +90,34 @@
 	}
 }
 
-// hear notes when the source was last heard, by the word of a box that is followed.
-func (p *peers) hear(name string, at time.Time) {
+// hear notes when the source was last heard, by what a box that is followed said at now.
+func (p *peers) hear(name string, heard, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.heard == nil {
-		p.heard = make(map[string]time.Time)
+	if p.words == nil {
+		p.words = make(map[string]word)
 	}
-	if at.After(p.heard[name]) {
-		p.heard[name] = at
+	w := p.words[name]
+	w.told = now
+	if heard.After(w.heard) {
+		w.heard = heard
 	}
+	p.words[name] = w
 }
 
 // heardAgo tells how long ago the source was heard by the leader, as far as the box that
-// is followed tells; false where that is too long ago, or where this box leads.
+// is followed tells; false where that is too long ago, where that box has said nothing for
+// long, or where this box leads.
 func (p *peers) heardAgo(now time.Time) (time.Duration, bool) {
-	m, steps, ok := p.clusterView().parent()
+	m, _, ok := p.clusterView().parent()
 	if !ok {
 		return 0, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	ago := now.Sub(p.heard[m.Name()])
-	return ago, ago < share.SilentAfter+time.Duration(steps-1)*share.BeatPause
+	w := p.words[m.Name()]
+	ago := now.Sub(w.heard)
+	return ago, ago < wordTime(p.behind()) && now.Sub(w.told) < share.SilentAfter
 }
 
 // informed tells whether this box is told what a leader that reads the source reads.
--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -7,10 +7,29 @@
 	"time"
 )
 
-// freshness is when the source last answered this box.
+// How far a box may be behind its source is divided between the parts of the way of a fact:
+// a leader's watch, the steps to a follower, and, where the source stops answering the leader
+// without a word, the follower's own call. Of 2 s: 0.67 s for the watch, so that a word is at
+// most 0.75 s old at the leader and 1.35 s two steps below it; at 1.5 s a box reads by itself,
+// 0.1 s later at most, which leaves 0.4 s for the call.
+const (
+	watchParts = 3    // a watch waits for a third of it
+	wordPart   = 0.75 // a word that is older than this part of it is none
+)
+
+// watchTime returns how long a watch waits for news.
+func watchTime(behind time.Duration) time.Duration { return behind / watchParts }
+
+// wordTime returns how old the word of a box that hears the source may be.
+func wordTime(behind time.Duration) time.Duration {
+	return time.Duration(float64(behind) * wordPart)
+}
+
+// freshness is when the source last answered this box. A call that gets no answer says
+// nothing of the source until it fails, so the time counts, not how the last call ended.
 type freshness struct {
 	mu       sync.Mutex
-	answered map[Collection]time.Time // a collection that is missing was not heard, or its last call failed
+	answered map[Collection]time.Time // a collection that is missing was not heard, its last call failed, or what it said is held back
 }
 
 // note notes how a call for a collection went.
--- a/edge/node.go
+++ b/edge/node.go
@@ -44,14 +44,12 @@
 	usage   *usage
 	levels  levels
 	leaving atomic.Bool
-	reading atomic.Int32 // collections whose last call went well
 	fresh   freshness
 }
 
 const (
-	memoryPart  = 0.7 // of the box's memory that the garbage collector aims below
-	heldPart    = 4   // descriptors for one held request: its caller's, the endpoint's, spare
-	collections = 2
+	memoryPart = 0.7 // of the box's memory that the garbage collector aims below
+	heldPart   = 4   // descriptors for one held request: its caller's, the endpoint's, spare
 )
 
 // build makes the parts and ties them together.
@@ -117,6 +115,7 @@
 		log:     n.Log,
 		started: time.Now(),
 		reads:   n.reads,
+		behind:  n.behind,
 	}
 	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro())).
 		WithCapacity(int(s.Limits.Cores * 1000))
@@ -154,15 +153,27 @@
 	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, time.Now())
 }
 
-// reads tells whether this box hears the source now.
-func (n *Node) reads() bool { return n.reading.Load() == collections }
+// behind returns how far this box may be behind the source.
+func (n *Node) behind() time.Duration { return n.current.Load().Bounds.Behind() }
+
+// reads tells whether this box hears the source by itself.
+func (n *Node) reads() bool {
+	ago, ok := n.fresh.ago(time.Now())
+	return ok && ago < wordTime(n.behind())
+}
 
 // readAgo tells how long ago this box, or one that it follows, heard the source.
 func (n *Node) readAgo() (time.Duration, bool) {
-	if n.reads() {
-		return 0, true
+	now := time.Now()
+	own, reads := n.fresh.ago(now)
+	told, informed := n.peers.heardAgo(now)
+	switch {
+	case reads && informed:
+		return min(own, told), true
+	case reads:
+		return own, true
 	}
-	return n.peers.heardAgo(time.Now())
+	return told, informed
 }
 
 // mustRead tells whether this box reads the source: it leads its data centre, or
@@ -257,7 +268,6 @@
 }
 
 func (n *Node) reader(c Collection) *reader {
-	ok := false
 	return &reader{
 		collection: c,
 		source:     n.Source,
@@ -267,13 +277,8 @@
 		leads:      func() bool { return n.peers.clusterView().steps == 0 && time.Since(n.peers.started) > settleFor },
 		log:        n.Log,
 		ages:       n.sourceAges,
-		heard: func(well bool) {
-			n.fresh.note(c, well, time.Now())
-			if well != ok {
-				ok = well
-				n.reading.Add(map[bool]int32{true: 1, false: -1}[well])
-			}
-		},
+		watchTime:  func() time.Duration { return watchTime(n.behind()) },
+		heard:      func(ok bool) { n.fresh.note(c, ok, time.Now()) },
 	}
 }
 
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -50,14 +50,21 @@
 	items   *share.Table
 	log     logr.Logger
 	started time.Time
-	reads   func() bool // whether this box hears the source of the configuration
+	reads   func() bool          // whether this box hears the source of the configuration
+	behind  func() time.Duration // how far this box may be behind that source
 
 	clusterViews clusterViews
 
 	mu      sync.Mutex
 	met     time.Time             // when another box was first heard of
 	leaders map[string]leadership // by data centre
-	heard   map[string]time.Time  // by box that is followed: when the source was last heard, by its word
+	words   map[string]word       // by box that is followed
+}
+
+// word is what a followed box said of the source.
+type word struct {
+	told  time.Time // when it last said that it is heard
+	heard time.Time // when it was heard, by its word
 }
 
 // leadership is who leads a data centre, and since when.
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cairnwick.example/member"
+	"cairnwick.example/share"
 	"github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 )
@@ -22,7 +23,7 @@
 func peersOf(self member.Member, others ...member.Member) *peers {
 	t := member.NewTable(self, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Wide: true})
 	t.Merge(others, time.Now())
-	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }}
+	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }, behind: func() time.Duration { return defaultBehind }}
 }
 
 func TestTheOldestOfTheStrongBoxesLeads(t *testing.T) {
@@ -73,12 +74,26 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.hear("b", now.Add(-500*time.Millisecond))
+	p.hear("b", now.Add(-500*time.Millisecond), now)
 	ago, ok := p.heardAgo(now)
 	c.Assert(ok, quicktest.IsTrue)
 	c.Assert(ago, quicktest.Equals, 500*time.Millisecond)
-	p.hear("b", now.Add(-time.Second)) // a word that took longer changes nothing
-	_, ok = p.heardAgo(now.Add(300 * time.Millisecond))
+	late := now.Add(wordTime(defaultBehind) - 500*time.Millisecond)
+	p.hear("b", now.Add(-time.Second), late) // a word that took longer changes nothing
+	_, ok = p.heardAgo(late.Add(-time.Millisecond))
+	c.Assert(ok, quicktest.IsTrue)
+	_, ok = p.heardAgo(late)
+	c.Assert(ok, quicktest.IsFalse)
+}
+
+func TestABoxThatSaysNothingMoreIsNotBelieved(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
+	now := time.Now()
+	p.hear("b", now, now)
+	_, ok := p.heardAgo(now.Add(share.SilentAfter - time.Millisecond))
+	c.Assert(ok, quicktest.IsTrue)
+	_, ok = p.heardAgo(now.Add(share.SilentAfter))
 	c.Assert(ok, quicktest.IsFalse)
 }
 
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -13,7 +13,6 @@
 )
 
 const (
-	watchWait   = 2200 * time.Millisecond // of one watch: a lost answer is noticed soon after, in less than a box may be behind
 	watchShort  = 300 * time.Millisecond  // the same after a failure, until the source answers
 	watchPause  = 600 * time.Millisecond  // between two watches, so that events come in batches
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
@@ -22,7 +21,7 @@
 	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
 	wordFor     = 600 * time.Millisecond  // a box finds its leader within it, and hears what that reads
 	wordLook    = 50 * time.Millisecond   // how often it looks meanwhile
-	standbyLook = 200 * time.Millisecond  // how often a box that does not read looks whether it must
+	standbyLook = 100 * time.Millisecond  // how often a box that does not read looks whether it must
 )
 
 // reader reads one collection of the source into the table, while this box is one
@@ -35,13 +34,15 @@
 	wanted     func() bool // whether this box reads now
 	leads      func() bool // whether others rely on what it reads
 	log        logr.Logger
-	heard      func(ok bool) // hears how each call went
+	watchTime  func() time.Duration // how long a watch waits for news
+	heard      func(ok bool)        // hears whether the table is as the source says now
 	ages       func() map[string]int64
 
 	after     uint64 // revision that is known; zero: nothing
 	failing   bool
 	trusted   time.Time // until then a missing endpoint may be one that lapsed
 	uncertain bool      // something was missing before trusted
+	holding   bool      // the source said that something is gone, which is not believed yet
 }
 
 // run reads until ctx ends.
@@ -106,6 +107,7 @@
 	now := time.Now()
 	if r.uncertain && now.After(r.trusted) {
 		r.uncertain = false
+		r.holding = false
 		r.after = 0
 	}
 	if r.after == 0 {
@@ -117,7 +119,7 @@
 		r.snapshot(b, time.Now())
 		return false, nil
 	}
-	wait := watchWait
+	wait := r.watchTime()
 	if r.failing {
 		wait = watchShort
 	}
@@ -138,9 +140,10 @@
 	return len(b.Facts) > 0, nil
 }
 
-// note logs when the source is lost and when it is back.
+// note logs when the source is lost and when it is back. A box that holds something back is
+// no source for others: the outage may have been its own alone.
 func (r *reader) note(err error) {
-	r.heard(err == nil)
+	r.heard(err == nil && r.after != 0 && !r.holding)
 	if err == nil && r.failing {
 		r.failing = false
 		r.trusted = time.Now().Add(lapseGrace)
@@ -160,6 +163,7 @@
 	for _, f := range facts {
 		if f.Removed && r.collection == Endpoints && (now.Before(r.trusted) || r.failing) {
 			r.uncertain = true
+			r.holding = true
 			continue
 		}
 		items = append(items, &wire.Item{Key: f.Key, Version: f.Revision, Value: f.Value, Removed: f.Removed, Settled: r.collection == Settled})
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -78,6 +78,7 @@
 		wanted:     func() bool { return true },
 		leads:      func() bool { return true },
 		log:        logr.Discard(),
+		watchTime:  func() time.Duration { return watchTime(defaultBehind) },
 		heard:      func(bool) {},
 		ages:       func() map[string]int64 { return nil },
 	}, t
@@ -148,6 +149,31 @@
 	c.Assert(table.Keys(), quicktest.HasLen, 0)
 }
 
+// A leader that had been cut off from the source alone kept an endpoint that had left for
+// 2.5 s after its return, and with it all that relied on its word, who had been in touch.
+func TestABoxThatHoldsBackWhatTheSourceSaidIsNoSourceForOthers(t *testing.T) {
+	c := quicktest.New(t)
+	s := &script{
+		list: []Batch{{Facts: published("e/1"), Revision: 5}, {Facts: nil, Revision: 30}},
+		watch: []func() (Batch, error){
+			func() (Batch, error) { return Batch{}, errors.New("no answer") },
+			func() (Batch, error) { return Batch{Revision: 10}, nil },
+			func() (Batch, error) {
+				return Batch{Facts: []Fact{{Key: "e/1", Revision: 20, Removed: true}}, Revision: 20}, nil
+			},
+		},
+	}
+	r, _ := newReader(s)
+	var heard []bool
+	r.heard = func(ok bool) { heard = append(heard, ok) }
+	for range 4 {
+		step(r)
+	}
+	r.trusted = time.Now().Add(-time.Millisecond)
+	step(r)
+	c.Assert(heard, quicktest.DeepEquals, []bool{true, false, true, false, true})
+}
+
 // A watch that began in an outage hung for its whole time after the end of it.
 func TestAfterAFailureWatchesAreShort(t *testing.T) {
 	c := quicktest.New(t)
@@ -163,7 +189,7 @@
 		step(r)
 		r.uncertain = false
 	}
-	c.Assert(s.waits, quicktest.DeepEquals, []time.Duration{watchWait, watchShort, watchWait})
+	c.Assert(s.waits, quicktest.DeepEquals, []time.Duration{watchTime(defaultBehind), watchShort, watchTime(defaultBehind)})
 }
 
 // After a start every box listed the source and watched it, though its leader told it the
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -40,4 +40,19 @@
 	Grace time.Duration // from the request to stop until the process is killed
 	Lease time.Duration // a refused owner keeps away from an endpoint so long
 	Drain time.Duration // an endpoint that leaves gets no requests after it
+	Apply time.Duration // a configuration is in force after it
+}
+
+// defaultBehind is how far a box may be behind its source where no bound is set.
+const defaultBehind = 2 * time.Second
+
+// Behind returns how far the box may be behind what the source has published.
+func (b Bounds) Behind() time.Duration {
+	switch {
+	case b.Drain > 0 && b.Apply > 0:
+		return min(b.Drain, b.Apply)
+	case b.Drain > 0 || b.Apply > 0:
+		return max(b.Drain, b.Apply)
+	}
+	return defaultBehind
 }
