Pass an endpoint's failure on when the budget keeps the request from another endpoint

A repeatable request that an endpoint had failed was to go elsewhere, so its answer was dropped; then the budget withheld the attempt, and the caller got a 502 of the box's own in place of the answer that was there. Change: the budget is asked before the answer is dropped. The test is red without it (502 for 500).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -178,18 +178,19 @@
 }
 
 // tryAnother tells whether a repeatable request that an endpoint failed goes to
-// another one. The failure is not passed on then.
+// another one. The failure is not passed on then, so the budget is asked first.
 func (g *Gateway) tryAnother(q *request, t target) bool {
 	q.ran++
 	if !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() || q.attempts >= mostAttempts {
 		return false
 	}
 	q.tried[t.endpoint.ID()] = true
-	rest := g.usable(g.View.Endpoints(q.service.Name()), q.tried, time.Now())
-	if len(rest) == 0 || q.left(time.Now()) < firstByte {
+	now := time.Now()
+	rest := g.usable(g.View.Endpoints(q.service.Name()), q.tried, now)
+	if len(rest) == 0 || q.left(now) < firstByte || !g.mayRetry(q, now) {
 		return false
 	}
-	q.unsure = true
+	q.granted, q.unsure = true, true
 	return true
 }
 
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -261,6 +261,23 @@
 	}
 }
 
+// An endpoint failed a repeatable request, the budget of retries kept it from a second one,
+// and its caller got an answer of the box's own in place of the endpoint's.
+func TestAFailureThatIsNotTriedElsewhereIsPassedOn(t *testing.T) {
+	s := newSite(t, repeatable(2*time.Second))
+	s.gateway.Budget = func() BudgetLimits { return BudgetLimits{Window: time.Second} }
+	fail := func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }
+	first := s.endpoint(t, fail)
+	second := s.endpoint(t, fail)
+	for _, calls := range []int64{2, 3} { // the first may be tried twice, by the budget's first retry
+		a, _, err := s.ask("/")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusInternalServerError)
+		s.c.Assert(a.Header.Get("Signed"), quicktest.Equals, "yes")
+		s.c.Assert(first.Load()+second.Load(), quicktest.Equals, calls)
+	}
+}
+
 func TestAnAnswerToAnotherRequestIsNotPassedOn(t *testing.T) {
 	s := newSite(t, once(2*time.Second))
 	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
--- a/forward/request.go
+++ b/forward/request.go
@@ -28,7 +28,8 @@
 	ran      int             // of these, those that may have run
 	tried    map[string]bool // endpoints that failed it
 	unsure   bool            // an attempt may have run
-	withheld bool            // the budget of retries kept it from another attempt
+	granted  bool            // the next attempt was taken from the budget of retries
+	withheld bool            // the budget kept it from another attempt
 	denied   string          // the endpoint that said it does not hold the adapter
 	sentAt   time.Time       // of the last attempt
 	sentTo   *topology.Endpoint
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -65,12 +65,20 @@
 	if q.left(now) < firstByte/2 {
 		return false
 	}
-	b := g.budget(q.service.Name())
-	if f.Unsent {
-		b.Unsent()
+	switch {
+	case q.granted:
+		q.granted = false
+		return true
+	case f.Unsent:
+		g.budget(q.service.Name()).Unsent()
 		return true
 	}
-	q.withheld = !b.Take(now, g.Boxes())
+	return g.mayRetry(q, now)
+}
+
+// mayRetry takes one more attempt from the budget, or notes that it was withheld.
+func (g *Gateway) mayRetry(q *request, now time.Time) bool {
+	q.withheld = !g.budget(q.service.Name()).Take(now, g.Boxes())
 	return !q.withheld
 }
 
