Hold removals back after real outages alone, say a word's age from its evidence, keep shares of boxes that leave

What only holds while a box reads is forgotten as it stands by. - One failed call counted as an outage in which entries may lapse, and kept an endpoint that left just after it for 2.4 s. The watch makes up for the pause. - The age of a word was asked after its items were taken, and told in each message of a round; it goes before them, and with the last.

--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -34,7 +34,7 @@
 type clusterView struct {
 	version uint64
 	until   time.Time
-	boxes   int                      // that have not left: who only fell silent may serve on the other side of a cut
+	boxes   int                      // that are known: who fell silent may serve on the other side of a cut, who leaves still holds requests
 	centres []string                 // that have a serving box, sorted
 	silent  map[string]bool          // data centres whose boxes are all believed dead
 	leaders map[string]member.Member // of the data centres that have a known box
@@ -73,9 +73,7 @@
 		if m.Role() != roleBox {
 			continue
 		}
-		if m.State() != member.Leaving {
-			o.boxes++
-		}
+		o.boxes++
 		byCentre[m.DataCentre()] = append(byCentre[m.DataCentre()], m)
 		if m.Serving() {
 			serving = append(serving, m)
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -77,11 +77,10 @@
 func (p *peers) follow(ctx context.Context, s source) {
 	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
 	c := wire.NewShareClient(p.dialer.Conn(s.address))
-	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update) {
-		p.table.Seen(s.name, time.Now())
+	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update, came time.Time) {
+		p.table.Seen(s.name, came)
 		if u.GetReading() {
-			now := time.Now()
-			p.hear(s.name, now.Add(-time.Duration(u.GetAgeMicros())*time.Microsecond), now)
+			p.hear(s.name, came.Add(-time.Duration(u.GetAgeMicros())*time.Microsecond), came)
 		}
 	})
 	if ctx.Err() == nil {
@@ -120,6 +119,19 @@
 	return ago, ago < wordTime(p.behind()) && now.Sub(w.told) < share.SilentAfter
 }
 
+// toldAgo tells how long ago the source was heard by the word of the box that is followed,
+// however old; false where it has said nothing yet, or where this box leads.
+func (p *peers) toldAgo(now time.Time) (time.Duration, bool) {
+	m, _, ok := p.clusterView().parent()
+	if !ok {
+		return 0, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	w, ok := p.words[m.Name()]
+	return now.Sub(w.heard), ok
+}
+
 // informed tells whether this box is told what a leader that reads the source reads.
 func (p *peers) informed(now time.Time) bool {
 	_, ok := p.heardAgo(now)
--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -9,15 +9,16 @@
 
 // How far a box may be behind its source is divided between the parts of the way of a fact:
 // a leader's watch, the steps to a follower, and, where the source stops answering the leader
-// without a word, the follower's own call. Of 2 s: 0.67 s for the watch, so that a word is at
-// most 0.75 s old at the leader and 1.35 s two steps below it; at 1.5 s a box reads by itself,
-// 0.1 s later at most, which leaves 0.4 s for the call.
+// without a word, the follower's own call. Of 2 s: 0.67 s between two answers to the leader,
+// and 0.3 s for each step; so a word is at most 0.75 s old at the leader and 1.35 s two steps
+// below it. At 1.5 s a box reads by itself, 0.1 s later at most, which leaves 0.4 s for the
+// call and for a leader whose link is slow.
 const (
-	watchParts = 3    // a watch waits for a third of it
+	watchParts = 3    // the time between two answers is a third of it
 	wordPart   = 0.75 // a word that is older than this part of it is none
 )
 
-// watchTime returns how long a watch waits for news.
+// watchTime returns how long a box that reads goes without an answer.
 func watchTime(behind time.Duration) time.Duration { return behind / watchParts }
 
 // wordTime returns how old the word of a box that hears the source may be.
@@ -33,14 +34,14 @@
 }
 
 // note notes how a call for a collection went.
-func (f *freshness) note(c Collection, ok bool, now time.Time) {
+func (f *freshness) note(c Collection, w sourceWord) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.answered == nil {
 		f.answered = make(map[Collection]time.Time)
 	}
-	if ok {
-		f.answered[c] = now
+	if w.heard {
+		f.answered[c] = w.asOf
 		return
 	}
 	delete(f.answered, c)
--- a/edge/node.go
+++ b/edge/node.go
@@ -189,7 +189,7 @@
 	if ago, ok := n.fresh.ago(now); ok {
 		ages["own_ms"] = ago.Milliseconds()
 	}
-	if ago, ok := n.peers.heardAgo(now); ok {
+	if ago, ok := n.peers.toldAgo(now); ok {
 		ages["told_ms"] = ago.Milliseconds()
 	}
 	return ages
@@ -279,7 +279,8 @@
 		log:        n.Log,
 		ages:       n.sourceAges,
 		watchTime:  func() time.Duration { return watchTime(n.behind()) },
-		heard:      func(ok bool) { n.fresh.note(c, ok, time.Now()) },
+		lapse:      func() time.Duration { return n.current.Load().Bounds.Lapse },
+		heard:      func(w sourceWord) { n.fresh.note(c, w) },
 	}
 }
 
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -14,7 +14,7 @@
 
 const (
 	watchShort  = 300 * time.Millisecond  // the same after a failure, until the source answers
-	watchPause  = 600 * time.Millisecond  // between two watches, so that events come in batches
+	watchLeast  = 50 * time.Millisecond   // of a watch that makes up for the time since the last answer
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
 	failStandby = 1500 * time.Millisecond // the same where nobody relies on this box: its leader fails too, and there are many
@@ -34,24 +34,33 @@
 	wanted     func() bool // whether this box reads now
 	leads      func() bool // whether others rely on what it reads
 	log        logr.Logger
-	watchTime  func() time.Duration // how long a watch waits for news
-	heard      func(ok bool)        // hears whether the table is as the source says now
+	watchTime  func() time.Duration // at most between two answers of the source
+	lapse      func() time.Duration // entries of endpoints may lapse where the source is away for so long
+	heard      func(word sourceWord)
 	ages       func() map[string]int64
 
-	after     uint64 // revision that is known; zero: nothing
+	after     uint64    // revision that is known; zero: nothing
+	asOf      time.Time // the table is as the source said then; zero: never
 	failing   bool
 	trusted   time.Time // until then a missing endpoint may be one that lapsed
 	uncertain bool      // something was missing before trusted
 	holding   bool      // the source said that something is gone, which is not believed yet
 }
 
+// sourceWord is what a reader says of the source after each call.
+type sourceWord struct {
+	asOf  time.Time // the table is as the source said then
+	heard bool      // the call went well, and nothing that it told is held back
+}
+
 // run reads until ctx ends.
 func (r *reader) run(ctx context.Context) error {
 	pause := failPause
 	for ctx.Err() == nil {
 		if r.after != 0 && !r.wanted() {
-			r.after = 0 // what is missed meanwhile is listed later
+			r.rest(time.Now())
 			r.standBy(ctx)
+			pause = failPause
 			continue
 		}
 		listed := r.after == 0
@@ -69,7 +78,7 @@
 			r.awaitWord(ctx)
 		case found:
 			pause = failPause
-			sleep(ctx, watchPause)
+			sleep(ctx, r.batchPause())
 		default:
 			pause = failPause
 		}
@@ -93,6 +102,15 @@
 	}
 }
 
+// rest forgets what only holds while this box reads: what it misses meanwhile is listed
+// later. Endpoints that may have lapsed keep their time to come back.
+func (r *reader) rest(now time.Time) {
+	if r.failing && now.Sub(r.asOf) >= r.lapse() {
+		r.trusted = now.Add(lapseGrace)
+	}
+	r.after, r.failing, r.uncertain, r.holding = 0, false, false, false
+}
+
 // standBy waits until this box must read.
 func (r *reader) standBy(ctx context.Context) {
 	r.log.Info("Box relies on what its leader reads", "collection", r.collection.String(), "source_age", r.ages())
@@ -104,52 +122,86 @@
 
 // step makes one call; it tells whether anything was found.
 func (r *reader) step(ctx context.Context) (bool, error) {
-	now := time.Now()
-	if r.uncertain && now.After(r.trusted) {
-		r.uncertain = false
-		r.holding = false
-		r.after = 0
+	begun := time.Now()
+	if r.uncertain && begun.After(r.trusted) {
+		r.after, r.uncertain, r.holding = 0, false, false
 	}
 	if r.after == 0 {
-		b, err := r.source.List(ctx, r.collection)
-		if err != nil {
-			return false, err
-		}
-		r.after = b.Revision
-		r.snapshot(b, time.Now())
-		return false, nil
-	}
-	wait := r.watchTime()
-	if r.failing {
-		wait = watchShort
-	}
-	if r.uncertain {
-		wait = min(wait, max(time.Until(r.trusted), time.Millisecond))
+		return false, r.list(ctx, begun)
 	}
+	wait := r.watchWait(begun)
 	b, err := r.source.Watch(ctx, r.collection, r.after, wait)
+	now := time.Now()
 	if errors.As(err, &ErrForgotten{}) {
 		r.log.Info("Source forgot its history and is listed anew", "collection", r.collection.String(), "revision", r.after)
+		r.back(now)
 		r.after = 0
 		return false, nil
 	}
 	if err != nil {
 		return false, err
 	}
+	r.back(now)
 	r.after = b.Revision
-	r.take(b.Facts, time.Now())
+	r.take(b.Facts, now)
+	r.asOf = now
+	if quiet := begun.Add(wait); len(b.Facts) == 0 && quiet.Before(now) {
+		r.asOf = quiet // the rest of the time is the answer's way
+	}
 	return len(b.Facts) > 0, nil
 }
 
-// note logs when the source is lost and when it is back. A box that holds something back is
-// no source for others: the outage may have been its own alone.
-func (r *reader) note(err error) {
-	r.heard(err == nil && r.after != 0 && !r.holding)
-	if err == nil && r.failing {
-		r.failing = false
-		r.trusted = time.Now().Add(lapseGrace)
+// list reads the whole collection. Its pages are as of their reading, the first at begun.
+func (r *reader) list(ctx context.Context, begun time.Time) error {
+	b, err := r.source.List(ctx, r.collection)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	r.back(now)
+	r.after = b.Revision
+	r.snapshot(b, now)
+	r.asOf = begun
+	return nil
+}
+
+// watchWait returns how long the next watch may wait: others rely on an answer now and then,
+// and the pause after the last one counts.
+func (r *reader) watchWait(now time.Time) time.Duration {
+	wait := max(r.watchTime()-now.Sub(r.asOf), watchLeast)
+	if r.failing {
+		wait = watchShort
+	}
+	if r.uncertain {
+		wait = min(wait, max(r.trusted.Sub(now), time.Millisecond))
+	}
+	return wait
+}
+
+// batchPause returns how long to wait after an answer that brought facts, so that the next
+// ones come together.
+func (r *reader) batchPause() time.Duration { return r.watchTime() * 3 / 4 }
+
+// back notes that the source answers. Where it was away for so long that entries of endpoints
+// may have lapsed, what is missing gets some time to come back. A call that failed alone is no
+// reason to keep an endpoint that has left.
+func (r *reader) back(now time.Time) {
+	if !r.failing {
+		return
+	}
+	r.failing = false
+	away := now.Sub(r.asOf)
+	if away >= r.lapse() {
+		r.trusted = now.Add(lapseGrace)
 		r.uncertain = true
-		r.log.Info("Source answers again", "collection", r.collection.String(), "revision", r.after)
 	}
+	r.log.Info("Source answers again", "collection", r.collection.String(), "revision", r.after, "away_ms", away.Milliseconds())
+}
+
+// note tells how a call went, and logs when the source is lost. A box that holds something
+// back is no source for others: the outage may have been its own alone.
+func (r *reader) note(err error) {
+	r.heard(sourceWord{asOf: r.asOf, heard: err == nil && r.after != 0 && !r.holding})
 	if err != nil && !r.failing {
 		r.failing = true
 		r.log.Info("Source does not answer", "collection", r.collection.String(), "revision", r.after, "err", err.Error())
@@ -161,7 +213,7 @@
 func (r *reader) take(facts []Fact, now time.Time) {
 	var items []*wire.Item
 	for _, f := range facts {
-		if f.Removed && r.collection == Endpoints && (now.Before(r.trusted) || r.failing) {
+		if f.Removed && r.collection == Endpoints && now.Before(r.trusted) {
 			r.uncertain = true
 			r.holding = true
 			continue
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -41,6 +41,7 @@
 	Lease time.Duration // a refused owner keeps away from an endpoint so long
 	Drain time.Duration // an endpoint that leaves gets no requests after it
 	Apply time.Duration // a configuration is in force after it
+	Lapse time.Duration // entries of endpoints may lapse where the source is away for so long
 }
 
 // defaultBehind is how far a box may be behind its source where no bound is set.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -62,7 +62,7 @@
 	}
 	b := g.budgets[service]
 	if b == nil {
-		b = &Budget{Limits: g.Budget, tokens: 1}
+		b = &Budget{Limits: g.Budget, at: time.Now()}
 		g.budgets[service] = b
 	}
 	return b
--- a/share/follow.go
+++ b/share/follow.go
@@ -34,9 +34,11 @@
 func (s *Server) Follow(q *wire.FollowRequest, stream grpc.ServerStreamingServer[wire.Update]) error {
 	var seq uint64
 	for {
+		age, reading := s.Reading() // before the items: what was heard by then is among them
 		items, last, changed := s.Table.Since(seq)
 		seq = last
-		if err := s.send(q, stream, items); err != nil {
+		word := &wire.Update{Reading: reading, AgeMicros: age.Microseconds()}
+		if err := s.send(q, stream, items, word); err != nil {
 			return err
 		}
 		if err := pause(stream.Context(), changed); err != nil {
@@ -64,11 +66,10 @@
 	}
 }
 
-// send sends the items that the follower asked for; a message without any is a
-// beat.
-func (s *Server) send(q *wire.FollowRequest, stream grpc.ServerStreamingServer[wire.Update], items []*wire.Item) error {
-	age, reading := s.Reading()
-	u := &wire.Update{Reading: reading, AgeMicros: age.Microseconds()}
+// send sends the items that the follower asked for, and word with the last of them: it
+// holds of them all. A message without any is a beat.
+func (s *Server) send(q *wire.FollowRequest, stream grpc.ServerStreamingServer[wire.Update], items []*wire.Item, word *wire.Update) error {
+	u := &wire.Update{}
 	for _, i := range items {
 		if !q.GetEverything() && !i.GetSettled() && i.GetDataCentre() != s.DataCentre {
 			continue
@@ -78,18 +79,20 @@
 			if err := stream.Send(u); err != nil {
 				return err
 			}
-			u = &wire.Update{Reading: reading, AgeMicros: age.Microseconds()}
+			u = &wire.Update{}
 		}
 	}
-	return stream.Send(u)
+	word.Items = u.Items
+	return stream.Send(word)
 }
 
 // ErrSilent says that a followed box said nothing for too long.
 var ErrSilent = errors.New("share: the followed box is silent")
 
 // Follow merges what the box behind c tells, until the stream breaks, falls
-// silent, or ctx ends. Each message is told to heard.
-func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, heard func(*wire.Update)) error {
+// silent, or ctx ends. Each message is told to heard after it was merged, with the time at
+// which it came.
+func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, heard func(u *wire.Update, came time.Time)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silent := time.AfterFunc(SilentAfter, func() { cancel(ErrSilent) })
@@ -103,9 +106,10 @@
 		if err != nil {
 			return broken(ctx, err)
 		}
+		came := time.Now()
 		silent.Reset(SilentAfter)
 		t.Merge(u.GetItems()...)
-		heard(u)
+		heard(u, came)
 	}
 }
 
