--- a/share/share_test.go
+++ b/share/share_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -117,3 +118,31 @@
 	err := Follow(context.Background(), client, &wire.FollowRequest{}, NewTable(), func(*wire.Update, time.Time) {})
 	c.Assert(errors.Is(err, ErrSilent), quicktest.IsTrue)
 }
+
+// A box was told that the store had just been heard, and an endpoint's removal that had been
+// read by then came with the next message.
+func TestAWordHoldsOfWhatWasToldWithIt(t *testing.T) {
+	c := quicktest.New(t)
+	from, to := NewTable(), NewTable()
+	for i := range batchMost + 1 {
+		from.Merge(item(fmt.Sprint("k", i), 1))
+	}
+	read := func() (time.Duration, bool) { // the store is read at the last moment
+		from.Merge(item("removal", 2))
+		return 0, true
+	}
+	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: read}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	messages := 0
+	err := Follow(ctx, client, &wire.FollowRequest{}, to, func(u *wire.Update, _ time.Time) {
+		messages++
+		if u.GetReading() {
+			c.Check(to.Version("removal"), quicktest.Equals, uint64(2))
+			c.Check(to.Keys(), quicktest.HasLen, batchMost+2)
+			cancel()
+		}
+	})
+	c.Assert(err, quicktest.IsNotNil)
+	c.Assert(messages, quicktest.Equals, 2)
+}
