Keep out endpoints that had left when this box listed the source, whoever tells of them

Cause: found by a model of facts and words, at depth 8 from nothing. A box that lists the source hears of no removal of what it never knew. Its leader, which does not hear the source just then, tells it all that it knows, and with that an endpoint that has left; the box takes it in, watches from its list on, and keeps it until the leader hears the source again, while it says that it heard the source just now. Change: a table asks of an item that another box told and that it does not know whether this box knows that it is over; for endpoints, those that are not newer than the source's revision at the last list. The revision is noted before the list is taken, so that nothing slips in between; what the box reads itself is not asked for, so a source that begins anew is taken in. Removals are always taken: boxes that follow this one may need them. Ruled out: the highest revision ever listed, which would shut out a source that begins anew.

--- a/edge/node.go
+++ b/edge/node.go
@@ -45,6 +45,7 @@
 	levels  levels
 	leaving atomic.Bool
 	fresh   freshness
+	listed  atomic.Uint64 // the source's revision when this box listed the endpoints last
 }
 
 const (
@@ -61,6 +62,7 @@
 	fences := &placement.Fences{Box: s.Number}
 	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
 	n.items.OnChange = n.state.apply
+	n.items.Stale = n.isOver
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.readAgo}
 	n.usage = newUsage(n)
@@ -163,6 +165,19 @@
 	return ok && ago < wordTime(n.behind())
 }
 
+// noteListed notes the revision of a list of the source.
+func (n *Node) noteListed(c Collection, revision uint64) {
+	if c == Endpoints {
+		n.listed.Store(revision)
+	}
+}
+
+// isOver tells of an endpoint that this box has not heard of whether it had left when this
+// box listed the source. A box that has not heard that may still tell of it.
+func (n *Node) isOver(i *wire.Item) bool {
+	return n.Decoder.Kind(i.GetKey()) == KindEndpoint && !i.GetRemoved() && i.GetVersion() <= n.listed.Load()
+}
+
 // readAgo tells how long ago this box, or one that it follows, heard the source.
 func (n *Node) readAgo() (time.Duration, bool) {
 	now := time.Now()
@@ -281,6 +296,7 @@
 		watchTime:  func() time.Duration { return watchTime(n.behind()) },
 		lapse:      func() time.Duration { return n.current.Load().Bounds.Lapse },
 		heard:      func(w sourceWord) { n.fresh.note(c, w) },
+		listed:     func(revision uint64) { n.noteListed(c, revision) },
 	}
 }
 
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -38,6 +38,7 @@
 	lapse      func() time.Duration // entries of endpoints may lapse where the source is away for so long
 	heard      func(word sourceWord)
 	ages       func() map[string]int64
+	listed     func(revision uint64) // hears of a list before it is taken
 
 	after     uint64    // revision that is known; zero: nothing
 	asOf      time.Time // the table is as the source said then; zero: never
@@ -160,6 +161,7 @@
 	now := time.Now()
 	r.back(now)
 	r.after = b.Revision
+	r.listed(b.Revision)
 	r.snapshot(b, now)
 	r.asOf = begun
 	return nil
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"cairnwick.example/share"
 	"cairnwick.example/topology"
+	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -82,6 +84,7 @@
 		lapse:      func() time.Duration { return time.Second },
 		heard:      func(sourceWord) {},
 		ages:       func() map[string]int64 { return nil },
+		listed:     func(uint64) {},
 	}, t
 }
 
@@ -280,3 +283,25 @@
 	r.leads = func() bool { return false }
 	c.Assert(r.longestPause(), quicktest.Equals, failStandby)
 }
+
+// Found by the model of facts and words, with a box that had just started and a leader that
+// was behind.
+//
+// The order of events: an endpoint leaves while the leader does not hear the source. A box
+// starts and lists the source: the endpoint is not there, so it hears of no removal. Then its
+// leader tells it all that it knows, the endpoint too. The box takes it in, goes on watching
+// from its list, and sends requests there until the leader hears the source again.
+func TestAnEndpointThatLeftBeforeABoxStartedIsNotBroughtBackByAnother(t *testing.T) {
+	c := quicktest.New(t)
+	n := &Node{Decoder: plainDecoder{}}
+	r, table := newReader(&script{list: []Batch{{Facts: published("e/2"), Revision: 5}}})
+	r.listed = func(revision uint64) { n.noteListed(Endpoints, revision) }
+	table.Stale = n.isOver
+	step(r)
+	table.Hear(&wire.Item{Key: "e/1", Version: 4}, &wire.Item{Key: "e/3", Version: 6})
+	keys := table.Keys()
+	slices.Sort(keys)
+	c.Assert(keys, quicktest.DeepEquals, []string{"e/2", "e/3"})
+	table.Hear(&wire.Item{Key: "e/4", Version: 4, Removed: true}) // others may still need it
+	c.Assert(table.Version("e/4"), quicktest.Equals, uint64(4))
+}
--- a/share/follow.go
+++ b/share/follow.go
@@ -108,7 +108,7 @@
 		}
 		came := time.Now()
 		silent.Reset(SilentAfter)
-		t.Merge(u.GetItems()...)
+		t.Hear(u.GetItems()...)
 		heard(u, came)
 	}
 }
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -44,6 +44,17 @@
 	c.Assert(told, quicktest.DeepEquals, []string{"x", "y", "y"})
 }
 
+func TestWhatAnotherBoxToldIsNotTakenInWhereItIsKnownToBeOver(t *testing.T) {
+	c := quicktest.New(t)
+	a := NewTable()
+	a.Stale = func(i *wire.Item) bool { return i.GetVersion() <= 2 }
+	a.Hear(item("x", 2), item("y", 3))
+	c.Assert(a.Keys(), quicktest.DeepEquals, []string{"y"})
+	a.Merge(item("x", 2)) // this box's own word
+	a.Hear(item("x", 1))
+	c.Assert(a.Version("x"), quicktest.Equals, uint64(2))
+}
+
 func TestSinceReturnsEachChangedItemOnce(t *testing.T) {
 	c := quicktest.New(t)
 	a := NewTable()
--- a/share/table.go
+++ b/share/table.go
@@ -20,6 +20,9 @@
 	// OnChange hears every accepted item, in the order of acceptance. Set it
 	// before use.
 	OnChange func(items []*wire.Item)
+	// Stale tells of a fact that another box has told and that is not known whether this box
+	// knows that it is over. Set it before use; nil: none is.
+	Stale func(i *wire.Item) bool
 
 	mu      sync.Mutex
 	entries map[string]*list.Element // by key
@@ -41,16 +44,21 @@
 
 // Merge takes in items; those that are not newer than what is known change
 // nothing.
-func (t *Table) Merge(items ...*wire.Item) {
+func (t *Table) Merge(items ...*wire.Item) { t.merge(items, nil) }
+
+// Hear takes in what another box told, as Merge does. It may be of long ago.
+func (t *Table) Hear(items ...*wire.Item) { t.merge(items, t.Stale) }
+
+func (t *Table) merge(items []*wire.Item, stale func(*wire.Item) bool) {
 	t.applied.Lock()
 	defer t.applied.Unlock()
-	accepted := t.accept(items)
+	accepted := t.accept(items, stale)
 	if len(accepted) > 0 && t.OnChange != nil {
 		t.OnChange(accepted)
 	}
 }
 
-func (t *Table) accept(items []*wire.Item) []*wire.Item {
+func (t *Table) accept(items []*wire.Item, stale func(*wire.Item) bool) []*wire.Item {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var accepted []*wire.Item
@@ -60,6 +68,8 @@
 				continue
 			}
 			t.log.Remove(old)
+		} else if stale != nil && stale(i) {
+			continue
 		}
 		t.seq++
 		t.entries[i.GetKey()] = t.log.PushBack(&entry{item: i, seq: t.seq})
