Rely on a box's word of the source once this box has read as late itself

A box that has just started lists the source and hears of no removal of what had left by then. Its word that it hears the source is true, and it has nothing to tell; a box that knew the endpoint from before, by its own list of a moment ago or by the life before of its leader, relies on that word, reads no more, and keeps the endpoint for good. Change: the word of a box counts once this box has itself read the endpoints as late as the first word since it follows that box is. Each change of leader costs each follower one answer of the source, which most have begun to ask for by then anyway. Ruled out: to tell followers what the leader listed, with its revision: exact and without the call, but a change of the wire and of what streams carry. To tell the leader's life by the members: their news may come after its stream. Left: a box that can't reach the source and is followed anew has no word for its followers until it can; they read by themselves.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -77,6 +77,7 @@
 func (p *peers) follow(ctx context.Context, s source) {
 	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
 	c := wire.NewShareClient(p.dialer.Conn(s.address))
+	p.begin(s.name)
 	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update, came time.Time) {
 		p.table.Seen(s.name, came)
 		if u.GetReading() {
@@ -89,6 +90,18 @@
 	}
 }
 
+// begin notes that a box is followed anew. It may have started again since, and list the
+// source without what has left; what this box kept meanwhile it would never tell of. So its
+// word counts once this box has read the source as late as the first word of it is.
+func (p *peers) begin(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if w, ok := p.words[name]; ok {
+		w.first = time.Time{}
+		p.words[name] = w
+	}
+}
+
 // hear notes when the source was last heard, by what a box that is followed said at now.
 func (p *peers) hear(name string, heard, now time.Time) {
 	p.mu.Lock()
@@ -101,12 +114,15 @@
 	if heard.After(w.heard) {
 		w.heard = heard
 	}
+	if w.first.IsZero() {
+		w.first = heard
+	}
 	p.words[name] = w
 }
 
 // heardAgo tells how long ago the source was heard by the leader, as far as the box that
 // is followed tells; false where that is too long ago, where that box has said nothing for
-// long, or where this box leads.
+// long, where this box may have missed what left before, or where it leads.
 func (p *peers) heardAgo(now time.Time) (time.Duration, bool) {
 	m, _, ok := p.clusterView().parent()
 	if !ok {
@@ -116,7 +132,8 @@
 	defer p.mu.Unlock()
 	w := p.words[m.Name()]
 	ago := now.Sub(w.heard)
-	return ago, ago < wordTime(p.behind()) && now.Sub(w.told) < share.SilentAfter
+	whole := !w.first.After(p.whole())
+	return ago, whole && ago < wordTime(p.behind()) && now.Sub(w.told) < share.SilentAfter
 }
 
 // toldAgo tells how long ago the source was heard by the word of the box that is followed,
--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -31,6 +31,7 @@
 type freshness struct {
 	mu       sync.Mutex
 	answered map[Collection]time.Time // a collection that is missing was not heard, its last call failed, or what it said is held back
+	whole    time.Time                // of the latest answer about endpoints, whatever came after it
 }
 
 // note notes how a call for a collection went.
@@ -42,11 +43,22 @@
 	}
 	if w.heard {
 		f.answered[c] = w.asOf
+		if c == Endpoints {
+			f.whole = w.asOf
+		}
 		return
 	}
 	delete(f.answered, c)
 }
 
+// wholeAsOf returns when the source was read last without an endpoint's removal that is not
+// known here; zero: never.
+func (f *freshness) wholeAsOf() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.whole
+}
+
 // ago returns how long ago the collection was heard that was heard the longest ago; false
 // where one was not.
 func (f *freshness) ago(now time.Time) (time.Duration, bool) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -119,6 +119,7 @@
 		reads:   n.reads,
 		seeds:   func() []string { return anySeed(n.current.Load().Seeds, s.Peers) },
 		behind:  n.behind,
+		whole:   n.fresh.wholeAsOf,
 	}
 	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro())).
 		WithCapacity(int(s.Limits.Cores * 1000))
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -53,6 +53,7 @@
 	reads   func() bool          // whether this box hears the source of the configuration
 	seeds   func() []string      // other boxes that should be there, at their addresses
 	behind  func() time.Duration // how far this box may be behind that source
+	whole   func() time.Time     // this box itself read of all endpoints then that had left
 
 	clusterViews clusterViews
 
@@ -66,6 +67,7 @@
 type word struct {
 	told  time.Time // when it last said that it is heard
 	heard time.Time // when it was heard, by its word
+	first time.Time // the same, by the first word since it is followed; zero: none yet
 }
 
 // leadership is who leads a data centre, and since when.
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -23,7 +23,7 @@
 func peersOf(self member.Member, others ...member.Member) *peers {
 	t := member.NewTable(self, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Wide: true})
 	t.Merge(others, time.Now())
-	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }, seeds: func() []string { return nil }, behind: func() time.Duration { return defaultBehind }}
+	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }, seeds: func() []string { return nil }, behind: func() time.Duration { return defaultBehind }, whole: func() time.Time { return time.Now().Add(time.Hour) }}
 }
 
 func TestTheOldestOfTheStrongBoxesLeads(t *testing.T) {
@@ -97,6 +97,30 @@
 	c.Assert(ok, quicktest.IsFalse)
 }
 
+// Found by the model of facts and words, with boxes that start together and one that starts
+// again.
+//
+// The order of events: a box lists the source; an endpoint leaves; its leader lists the source
+// for the first time, so it hears of no removal. It tells the box that it hears the source,
+// and the box relies on it and reads no more. It keeps the endpoint for good.
+func TestAWordCountsOnceTheBoxItselfReadAsLate(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
+	now := time.Now()
+	read := now.Add(-time.Second)
+	p.whole = func() time.Time { return read }
+	for range 2 { // it is followed, and followed anew
+		p.begin("b")
+		p.hear("b", now.Add(-300*time.Millisecond), now)
+		c.Assert(p.informed(now), quicktest.IsFalse)
+		read = now.Add(-300 * time.Millisecond)
+		c.Assert(p.informed(now), quicktest.IsTrue)
+		p.hear("b", now, now) // later words need no later reading
+		c.Assert(p.informed(now), quicktest.IsTrue)
+		now = now.Add(time.Second)
+	}
+}
+
 // A data centre whose boxes all left for a moment, one after the other, was taken for
 // cut off, and the endpoints there got nothing until one was back.
 func TestADataCentreWhoseBoxesLeaveIsNotCutOff(t *testing.T) {
