Hand endpoints over when a leader is told to stop

Cause, by the code: at the stop Node.owns turned false, and the loader's next look (at most 0.1 s later) dropped all endpoints and sent away who waited there, though the box served on for 2.8 s. Its leave was told to one random member at once and went on from there, at the latest with the beats 0.3 s apart. The next leader saw it at its own next look (0.1 s), raised its fence (a call), slept 0.4 s so that the report was new enough, and read it (a call): no loads for 0.4 to 0.9 s by the constants. Change: the leader that leaves gives orders until the next one asks it, endpoint by endpoint, to resign (a call of the Share service). Before it answers, its orders under way are answered and the endpoint has taken its fence once more; it never orders there again. The next owner shows its fence and orders by what it was told, without a report: who else may have raised a fence since gives no order for 0.4 s, and a handover that took longer is not believed. ONE: the box before stops before the next one's first order. One that is not asked stops after 1 s, and one that does not answer is waited for so long: its refused orders would be turns. LIMIT: nothing is handed over after an order without an answer, under another's fence, with an unload that waits for runs or with a base model on its way. A slot that an order emptied is counted as empty with the answer, not later by its task. A new owner that did not wait for a report empties slots 0.4 s later, as boxes need that time to tell it what they use. Ruled out: the published slots in place of the call (a successor follows the leaver no more when it hears of the leave, and slots that leave are not published); a stop at a set time alone (the report must still be new enough).

--- a/edge/leave.go
+++ b/edge/leave.go
@@ -21,12 +21,14 @@
 )
 
 // leave ends the box's work in order: the balancer and the boxes are told first,
-// then connections are closed as they rest, and what is held goes on to its end.
+// then connections are closed as they rest, and what is held goes on to its end. The box
+// orders until the next leader takes its endpoints over.
 func (n *Node) leave() {
 	n.Log.Info("Box leaves", "held", n.gateway.Held())
 	begun := time.Now()
 	n.leaving.Store(true)
 	n.gateway.Leave()
+	n.loader.Leave(begun) // before its own view says that another box leads
 	n.peers.table.Leave()
 	for time.Since(begun) < noticeFor {
 		time.Sleep(leavePause)
--- a/edge/node.go
+++ b/edge/node.go
@@ -76,6 +76,7 @@
 		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
 		Leaders: func() int { return len(n.peers.clusterView().centres) },
 		Owns:    n.owns,
+		Before:  n.peers.takeOver,
 		Reads:   func(tokens int) time.Duration { return n.gateway.Reads(tokens) },
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
 			n.state.publish(s.DataCentre, endpoint, version, held)
@@ -151,9 +152,6 @@
 
 // owns tells whether this box gives orders to an endpoint.
 func (n *Node) owns(e *topology.Endpoint) (bool, time.Time) {
-	if n.leaving.Load() {
-		return false, time.Time{}
-	}
 	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, time.Now())
 }
 
@@ -217,7 +215,7 @@
 // Want implements forward.Placer.
 func (p placer) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
 	m, ok := p.node.peers.clusterView().leader(w.Endpoint.DataCentre())
-	if !ok || m.Name() == p.node.peers.box {
+	if !ok || m.Name() == p.node.peers.box || p.node.loader.Keeps(w.Endpoint.ID()) {
 		return p.node.loader.Want(ctx, w)
 	}
 	return p.node.peers.ask(ctx, m, w)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -72,8 +72,9 @@
 
 // leadership is who leads a data centre, and since when.
 type leadership struct {
-	name string
-	from time.Time // when it may give orders
+	name   string
+	before string    // who led before; empty: not known
+	from   time.Time // when it may give orders
 }
 
 // leads tells whether this box leads a data centre, and from when on it may give
@@ -96,7 +97,7 @@
 		if now.After(settled) && p.works(old.name) {
 			from = now.Add(lease + lease/4)
 		}
-		p.leaders[centre] = leadership{name: m.Name(), from: from}
+		p.leaders[centre] = leadership{name: m.Name(), before: old.name, from: from}
 		p.log.Info("Data centre has a leader", "led_data_centre", centre, "leader", m.Name(), "before", old.name)
 	}
 	from := p.leaders[centre].from
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -65,6 +65,19 @@
 	return s.node.use(q), nil
 }
 
+// Resign implements the Share service.
+func (s shareServer) Resign(ctx context.Context, q *wire.ResignRequest) (*wire.ResignReply, error) {
+	h := s.node.loader.Resign(ctx, q.GetEndpoint())
+	a := &wire.ResignReply{Resigned: h.Resigned, Fence: h.Fence, Models: h.Models}
+	for r, v := range h.Ready {
+		a.Slots = append(a.Slots, &wire.Slot{Adapter: r.String(), Version: v, Ready: true})
+	}
+	for p, v := range h.Pending {
+		a.Slots = append(a.Slots, &wire.Slot{Adapter: p.String(), Version: v})
+	}
+	return a, nil
+}
+
 // use counts what a box told, and answers what a load costs here.
 func (n *Node) use(q *wire.UseRequest) *wire.UseReply {
 	now := time.Now()
--- /dev/null
+++ b/edge/takeover_test.go
@@ -0,0 +1,193 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"cairnwick.example/daemon"
+	"cairnwick.example/forward"
+	"cairnwick.example/member"
+	"cairnwick.example/placement"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+	"google.golang.org/grpc/credentials/insecure"
+)
+
+// modelSource publishes a configuration and one endpoint that holds a base model.
+type modelSource struct{ emptySource }
+
+// List implements Source.
+func (modelSource) List(_ context.Context, c Collection) (Batch, error) {
+	if c == Settled {
+		return Batch{Facts: []Fact{{Key: "c/1", Revision: 1}}, Revision: 1}, nil
+	}
+	return Batch{Facts: []Fact{{Key: "e/1", Revision: 1}}, Revision: 1}, nil
+}
+
+// modelDecoder decodes what modelSource publishes.
+type modelDecoder struct{ plainDecoder }
+
+// Kind implements Decoder.
+func (d modelDecoder) Kind(key string) Kind {
+	if key == "c/1" {
+		return KindConfig
+	}
+	return d.plainDecoder.Kind(key)
+}
+
+// Config implements Decoder.
+func (modelDecoder) Config([]byte) (*topology.Config, error) {
+	engine := &topology.EngineSpec{Models: []topology.ModelSpec{{Name: "m"}}, AdapterSlots: 8, LoadsPerSec: 10}
+	service := topology.NewService(topology.ServiceSpec{Name: "llm", Engine: engine})
+	return topology.NewConfig(1, nil, []*topology.Service{service}, topology.Limits{}), nil
+}
+
+// Endpoint implements Decoder.
+func (modelDecoder) Endpoint(key string, _ []byte) (*topology.Endpoint, error) {
+	return topology.NewEndpoint(topology.EndpointSpec{ID: key, Service: "llm", DataCentre: "dc", Slots: 8, Models: []string{"m"}}), nil
+}
+
+// heldEndpoint is an endpoint whose adapters are loaded at once.
+type heldEndpoint struct {
+	mu      sync.Mutex
+	ready   map[topology.Adapter]int64
+	fence   uint64
+	holders []string       // boxes in the order in which their orders came, refused ones too
+	reports map[string]int // read by each box
+}
+
+// controlOf is one box's way to it.
+type controlOf struct {
+	box      string
+	endpoint *heldEndpoint
+}
+
+// Report implements placement.Control.
+func (o controlOf) Report(context.Context, *topology.Endpoint) (placement.Holding, error) {
+	h := o.endpoint
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.reports[o.box]++
+	ready := make(map[topology.Adapter]int64)
+	for a, v := range h.ready {
+		ready[a] = v
+	}
+	return placement.Holding{Models: []string{"m"}, Ready: ready}, nil
+}
+
+// Order implements placement.Control.
+func (o controlOf) Order(_ context.Context, _ *topology.Endpoint, d placement.Order) (placement.Outcome, error) {
+	h := o.endpoint
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if n := len(h.holders); n == 0 || h.holders[n-1] != d.Holder {
+		h.holders = append(h.holders, d.Holder)
+	}
+	if d.Fence < h.fence {
+		return placement.Fenced, nil
+	}
+	h.fence = d.Fence
+	switch {
+	case d.Adapter.Name == "":
+	case d.Unload:
+		delete(h.ready, d.Adapter)
+	default:
+		h.ready[d.Adapter] = 1
+	}
+	return placement.Done, nil
+}
+
+// awaitLoad asks for an adapter until it is loaded.
+func awaitLoad(n *Node, name string) {
+	for {
+		if e := n.view.Endpoint("e/1"); e != nil {
+			w := forward.Wanted{Endpoint: e, Adapter: topology.Adapter{Model: "m", Name: name}, Version: 1, Wait: time.Second, Most: time.Second}
+			if p, err := (placer{node: n}).Want(context.Background(), w); err == nil && p.Ready {
+				return
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// A leader that was told to stop gave its endpoints up at once, though it served on for 2.8 s.
+// The next one claimed them when it had heard of that, and loaded nothing before a report was
+// new enough.
+func TestALeaderThatStopsHandsItsEndpointsOver(t *testing.T) {
+	c := quicktest.New(t)
+	h := &heldEndpoint{ready: make(map[topology.Adapter]int64), reports: make(map[string]int)}
+	first := newNode(c, "box-1")
+	second := newNode(c, "box-2", first.Settings.Peers)
+	var stops []func() error
+	for i, n := range []*Node{first, second} {
+		n.Settings.Number = uint32(9 - i) // of two terms alike the second box's fence is the lower one
+		n.Source, n.Decoder, n.Control = modelSource{}, modelDecoder{}, controlOf{box: n.Settings.Box, endpoint: h}
+		stops = append(stops, start(n))
+		variablesOf(c, n)
+	}
+	awaitLoad(first, "a")
+	awaitLoad(second, "b") // by way of the first
+	stopped := make(chan error, 1)
+	go func() { stopped <- stops[0]() }()
+	for second.loader.Counts().Owned == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	awaitLoad(second, "d")
+	h.mu.Lock()
+	reports, holders := h.reports["box-2"], slices.Clone(h.holders)
+	h.mu.Unlock()
+	c.Check(reports, quicktest.Equals, 0) // it was told what the endpoint holds
+	c.Check(holders, quicktest.DeepEquals, []string{"box-1", "box-2"})
+	c.Check(second.view.Holders(topology.Adapter{Model: "m", Name: "b"}), quicktest.HasLen, 1)
+	c.Assert(<-stopped, quicktest.IsNil)
+	c.Assert(stops[1](), quicktest.IsNil)
+	c.Assert(h.holders, quicktest.DeepEquals, []string{"box-1", "box-2"}) // no turns
+}
+
+// leave tells the others of a box that it leaves.
+func leave(p *peers, m member.Member, heard time.Time) {
+	t := member.NewTable(m, member.Limits{})
+	t.Leave()
+	p.table.Merge([]member.Member{t.Self()}, heard)
+}
+
+func TestABoxThatLeavesIsAskedWhileItMayStillGiveOrders(t *testing.T) {
+	c := quicktest.New(t)
+	first, far := box("first", "dc", 1, 400), box("far", "other", 1, 400)
+	p := peersOf(box("second", "dc", 2, 400), first, far, box("third", "dc", 3, 400))
+	now := time.Now()
+	c.Assert(p.leaversOf("dc", now), quicktest.HasLen, 0)
+	leave(p, first, now)
+	leave(p, far, now)
+	list := p.leaversOf("dc", now.Add(placement.KeepMost))
+	c.Assert(list, quicktest.HasLen, 1)
+	c.Assert(list[0].Name(), quicktest.Equals, "first")
+	c.Assert(p.leaversOf("dc", now.Add(placement.KeepMost+keepMargin)), quicktest.HasLen, 0)
+	p.leaders = map[string]leadership{"dc": {name: "second", before: "far"}} // as no box of dc had served
+	c.Assert(p.leaversOf("dc", now), quicktest.HasLen, 2)
+}
+
+// Its orders and those of the next leader would take turns.
+func TestABoxThatLeavesAndDoesNotAnswerIsWaitedFor(t *testing.T) {
+	c := quicktest.New(t)
+	first := member.New("first", freeAddress(c), roleBox, "dc", 1)
+	p := peersOf(box("second", "dc", 2, 400), first)
+	d := &net.Dialer{Timeout: peerDial}
+	p.dialer = &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext}
+	defer p.dialer.Close()
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e/1", DataCentre: "dc"})
+	h, wait := p.takeOver(context.Background(), e)
+	c.Assert(h.Resigned, quicktest.IsFalse)
+	c.Assert(wait, quicktest.Equals, time.Duration(0)) // it does not leave
+	heard := time.Now().Add(time.Minute)               // the time that is left is compared with it
+	leave(p, first, heard)
+	h, wait = p.takeOver(context.Background(), e)
+	c.Assert(h.Resigned, quicktest.IsFalse)
+	c.Assert(wait > placement.KeepMost, quicktest.IsTrue)
+}
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -15,9 +15,13 @@
 // claim raises the fence at an endpoint, learns what it holds, and then owns it. The
 // fence comes first: from then on the endpoint refuses the owner before, who may not
 // know yet, so that no order comes between the report and the first order here. The
-// report may be some time old, so it is read that much later.
+// report may be some time old, so it is read that much later. Where the owner before leaves
+// and says what the endpoint holds, no report is needed: that owner had the highest fence when
+// it was asked, and who raised one since gives no order before its report is new enough.
 func (l *Loader) claim(o *owned) func(context.Context) {
 	return func(ctx context.Context) {
+		asked := time.Now()
+		handed := l.takeOver(ctx, o)
 		for ctx.Err() == nil && l.stillClaiming(o) {
 			e, fence, raised := l.raise(ctx, o)
 			if !raised {
@@ -26,6 +30,10 @@
 				}
 				continue
 			}
+			if handed.Resigned && time.Since(asked) < reportLag {
+				l.own(ctx, o, fence, handed.Holding, true)
+				return
+			}
 			if !sleep(ctx, reportLag) {
 				return
 			}
@@ -33,7 +41,7 @@
 			h, err := l.Control.Report(call, e)
 			cancel()
 			if err == nil {
-				l.own(ctx, o, fence, h)
+				l.own(ctx, o, fence, h, false)
 				return
 			}
 			l.Log.Info("Endpoint gives no report", "endpoint", e.ID(), "err", err.Error())
@@ -44,6 +52,28 @@
 	}
 }
 
+// takeOver asks the owner before for an endpoint that this box has not owned. An owner that
+// does not answer may still give orders, and a fence would make it take turns with this box,
+// so that takes as long as it may.
+func (l *Loader) takeOver(ctx context.Context, o *owned) Handover {
+	l.mu.Lock()
+	e, first := o.endpoint, o.claims == 0
+	l.mu.Unlock()
+	if !first || len(e.Models()) == 0 {
+		return Handover{}
+	}
+	h, wait := l.Before(ctx, e)
+	if h.Resigned {
+		l.Fences.Hear(term(h.Fence))
+		return h
+	}
+	if wait > 0 {
+		l.Log.Info("Endpoint's owner leaves and does not answer", "endpoint", e.ID(), "wait_ms", wait.Milliseconds())
+		sleep(ctx, wait)
+	}
+	return Handover{}
+}
+
 // raise shows an endpoint a new fence by an order that changes nothing: to load a base
 // model that it holds. One that holds none has nothing that the owner before could
 // order it to add to, and is claimed without.
@@ -76,8 +106,8 @@
 	return l.owned[o.endpoint.ID()] == o && o.phase == claiming
 }
 
-// own begins to give orders to an endpoint that holds h.
-func (l *Loader) own(ctx context.Context, o *owned, fence uint64, h Holding) {
+// own begins to give orders to an endpoint that holds h, by its report or as handed over.
+func (l *Loader) own(ctx context.Context, o *owned, fence uint64, h Holding, handed bool) {
 	now := time.Now()
 	l.mu.Lock()
 	if l.owned[o.endpoint.ID()] != o || o.phase != claiming {
@@ -86,6 +116,7 @@
 	}
 	o.fence = fence
 	o.phase, o.since, o.orders = owning, now, 0
+	o.handed, o.unsure = handed, false
 	o.claims++
 	claim := o.claims
 	o.slots = make(map[topology.Adapter]*slot)
@@ -107,7 +138,8 @@
 	}
 	l.publishLocked(o)
 	l.shareLocked()
-	l.Log.Info("Endpoint is owned", "endpoint", o.endpoint.ID(), "fence", o.fence, "models", len(h.Models), "ready", len(h.Ready), "pending", len(pending))
+	l.Log.Info("Endpoint is owned", "endpoint", o.endpoint.ID(), "fence", o.fence, "handed_over", handed,
+		"models", len(h.Models), "ready", len(h.Ready), "pending", len(pending))
 	l.mu.Unlock()
 	ended := make(chan struct{})
 	for _, a := range pending {
@@ -181,8 +213,11 @@
 	o.reclaim = true
 }
 
-// reclaimLocked begins the claims that relearn asked for.
+// reclaimLocked begins the claims that relearn asked for. A box that leaves claims nothing.
 func (l *Loader) reclaimLocked() []func(context.Context) {
+	if !l.left.IsZero() {
+		return nil
+	}
 	var tasks []func(context.Context)
 	for _, o := range l.owned {
 		if o.reclaim {
--- a/placement/load.go
+++ b/placement/load.go
@@ -257,18 +257,9 @@
 // errLost says that the endpoint is no longer owned as it was when the task began.
 var errLost = errors.New("placement: the endpoint is not owned any more")
 
-// holds tells whether an endpoint is still owned under the claim with the number;
-// what it holds may have changed since any other.
-func (l *Loader) holds(o *owned, claim int) (*topology.Endpoint, uint64, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	owns := o.phase == owning && o.claims == claim && l.owned[o.endpoint.ID()] == o
-	return o.endpoint, o.fence, owns
-}
-
 // order gives one order under the endpoint's fence, and handles refusals.
 func (l *Loader) order(ctx context.Context, o *owned, claim int, d Order) (Outcome, error) {
-	e, fence, owns := l.holds(o, claim)
+	e, fence, owns := l.callBegins(o, claim)
 	if !owns {
 		return 0, errLost
 	}
@@ -276,6 +267,7 @@
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	out, err := l.Control.Order(call, e, d)
+	l.callEnded(o, claim, d, out, err)
 	switch {
 	case err != nil:
 		l.relearn(o, claim, "an order got no answer: "+err.Error())
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -34,6 +34,10 @@
 	// Reads returns how long an endpoint takes to read so many tokens of prompts, as it
 	// was seen lately.
 	Reads func(tokens int) time.Duration
+	// Before asks the box that gave an endpoint its orders and leaves to resign from it.
+	// Where that one may still give orders and did not answer, it does so for this long at
+	// most. Nobody leaves: nothing, at once.
+	Before func(ctx context.Context, e *topology.Endpoint) (Handover, time.Duration)
 	// Lease is how long a refused owner keeps away from an endpoint.
 	Lease func() time.Duration
 
@@ -56,6 +60,7 @@
 	queue      []rank    // of the loads from the store that are wanted, the first one first, as of the last look
 	wake       chan struct{}
 	begun      time.Time // when this box began to look at what it owns
+	left       time.Time // when this box began to leave; zero: it has not
 	init       sync.Once
 }
 
@@ -65,7 +70,8 @@
 const (
 	claiming phase = iota + 1 // what it holds is being learnt
 	owning
-	yielded // another box owns it; wait before claiming it again
+	yielded  // another box owns it; wait before claiming it again
+	resigned // this box leaves, and has told the next owner what it holds
 )
 
 // owned is one endpoint that this box gives orders to. Guarded by Loader.mu.
@@ -85,6 +91,10 @@
 	models   map[string]bool   // base models that it holds
 	fetching bool              // a base model is on its way
 	claims   int               // how often this box learnt what it holds; tasks of earlier claims stop
+	handed   bool              // what it holds was told by the owner before, as of the last claim
+	calls    int               // orders that it has not answered
+	answered chan struct{}     // closed when it has; nil: nobody waits
+	unsure   bool              // an order got no answer since the last claim, or another owner's stands
 }
 
 // slot is one adapter that takes room at an endpoint.
@@ -191,7 +201,11 @@
 	if now.Sub(l.looked) >= ownPause {
 		l.looked = now
 		l.runs.forget(now)
-		tasks = l.ownLocked(now)
+		if l.left.IsZero() {
+			tasks = l.ownLocked(now)
+		} else {
+			l.keepLocked(now)
+		}
 		l.shareLocked()
 	}
 	tasks = append(tasks, l.reclaimLocked()...)
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -139,6 +139,7 @@
 		Leaders: func() int { return 1 },
 		Reads:   func(tokens int) time.Duration { return time.Duration(tokens) * 25 * time.Microsecond },
 		Owns:    func(*topology.Endpoint) (bool, time.Time) { return true, time.Time{} },
+		Before:  func(context.Context, *topology.Endpoint) (Handover, time.Duration) { return Handover{}, 0 },
 		Publish: func(_ string, _ uint64, held map[topology.Adapter]topology.Held) { v.SetHeld("e1", held) },
 	}
 	l.Init()
--- /dev/null
+++ b/placement/resign.go
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/topology"
+)
+
+// A box that leaves goes on with its endpoints until the next owner of each asks it to
+// resign. It then gives no order there any more and tells what the endpoint holds, so that
+// the next owner need not wait until a report is new enough: between the last order of the
+// one and the first of the other lie a few calls.
+
+// KeepMost is how long a box that leaves gives orders at most. The news that it leaves
+// reaches every box in some 0.3 s, and the next owner asks 0.1 s later; where it can't ask,
+// it waits for so long, so that the two do not take turns.
+const KeepMost = time.Second
+
+// Handover is what a box tells of an endpoint to which it gives no orders any more.
+type Handover struct {
+	Holding
+
+	Resigned bool   // it gave the last orders and knows what the endpoint holds; else the rest is empty
+	Fence    uint64 // of its orders
+}
+
+// Leave ends the claims of this box: it gives orders only to the endpoints that it owns,
+// until others ask for them, and for KeepMost at most.
+func (l *Loader) Leave(now time.Time) {
+	l.Init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left = now
+	l.keepLocked(now)
+}
+
+// keepLocked drops what a box that leaves does not own, or has owned for long enough.
+func (l *Loader) keepLocked(now time.Time) {
+	for id, o := range l.owned {
+		e := l.View.Endpoint(id)
+		if e == nil || now.Sub(l.left) >= KeepMost || (o.phase != owning && o.phase != resigned) {
+			l.dropLocked(o)
+			continue
+		}
+		l.followLocked(o, e)
+	}
+}
+
+// Keeps tells whether this box leaves and still gives orders to an endpoint.
+func (l *Loader) Keeps(endpoint string) bool {
+	l.Init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.owned[endpoint]
+	return !l.left.IsZero() && o != nil && o.phase == owning
+}
+
+// Resign ends this box's orders to an endpoint for good, when it leaves. Those under way are
+// answered first, and the endpoint must still know no higher fence: then nobody has given it
+// other orders.
+func (l *Loader) Resign(ctx context.Context, endpoint string) Handover {
+	l.Init()
+	o, e, answered := l.endOrders(endpoint)
+	if o == nil {
+		return Handover{}
+	}
+	defer l.forget(o)
+	select {
+	case <-ctx.Done():
+	case <-answered:
+		if l.isHighest(ctx, e, o.fence) {
+			return l.handOver(o)
+		}
+	}
+	l.Log.Info("Endpoint is left without a word of what it holds", "endpoint", endpoint, "fence", o.fence)
+	return Handover{}
+}
+
+// endOrders begins no more orders to an endpoint. The channel closes when those under way
+// are answered; without an endpoint there is nothing to resign from.
+func (l *Loader) endOrders(endpoint string) (*owned, *topology.Endpoint, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.owned[endpoint]
+	if l.left.IsZero() || o == nil || o.phase != owning {
+		return nil, nil, nil
+	}
+	o.phase, o.since = resigned, time.Now()
+	answered := make(chan struct{})
+	if o.calls == 0 {
+		close(answered)
+	} else {
+		o.answered = answered
+	}
+	return o, o.endpoint, answered
+}
+
+// isHighest tells whether an endpoint knows no fence above one of this box, by an order that
+// changes nothing.
+func (l *Loader) isHighest(ctx context.Context, e *topology.Endpoint, fence uint64) bool {
+	models := e.Models()
+	if len(models) == 0 {
+		return false
+	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	out, err := l.Control.Order(call, e, Order{Adapter: topology.Adapter{Model: models[0]}, Fence: fence, Holder: l.Box})
+	return err == nil && out == Done
+}
+
+// handOver tells what an endpoint holds, unless that is not certain: an order got no answer,
+// or the endpoint unloads an adapter when its runs have ended.
+func (l *Loader) handOver(o *owned) Handover {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	h := Handover{Resigned: !o.unsure && !o.fetching, Fence: o.fence}
+	h.Ready, h.Pending = make(map[topology.Adapter]int64), make(map[topology.Adapter]int64)
+	for m := range o.models {
+		h.Models = append(h.Models, m)
+	}
+	for a, s := range o.slots {
+		switch {
+		case s.unloading:
+			h.Resigned = false
+		case s.ready:
+			h.Ready[a] = s.version
+		default:
+			h.Pending[a] = s.version
+		}
+	}
+	if !h.Resigned {
+		return Handover{}
+	}
+	l.Log.Info("Endpoint is handed over", "endpoint", o.endpoint.ID(), "fence", o.fence, "ready", len(h.Ready), "pending", len(h.Pending))
+	return h
+}
+
+func (l *Loader) forget(o *owned) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.forgetLocked(o)
+}
+
+// callBegins notes that an order is on its way to an endpoint that is still owned under the
+// claim with the number; what the endpoint holds may have changed since any other.
+func (l *Loader) callBegins(o *owned, claim int) (*topology.Endpoint, uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	owns := o.phase == owning && o.claims == claim && l.owned[o.endpoint.ID()] == o
+	if owns {
+		o.calls++
+	}
+	return o.endpoint, o.fence, owns
+}
+
+// callEnded notes an order's end. Of an endpoint that did not answer, or follows another
+// owner, this box no longer knows what it holds; a slot that is empty is known at once, as
+// its task may come too late for the next owner.
+func (l *Loader) callEnded(o *owned, claim int, d Order, out Outcome, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o.calls--
+	switch {
+	case err != nil || out == Fenced || out == Gone:
+		o.unsure = true
+	case d.Unload && out == Done && o.claims == claim:
+		delete(o.slots, d.Adapter)
+	}
+	if o.calls == 0 && o.answered != nil {
+		close(o.answered)
+		o.answered = nil
+	}
+}
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -29,7 +29,8 @@
 	restFor = 250 * time.Millisecond
 	// heardAfter is how long after it began to own an endpoint a box has heard what all
 	// boxes use there: they tell a new leader within some 0.3 s of hearing of it, and it
-	// owns nothing before it has waited for a report of 0.4 s.
+	// owns nothing before it has waited for a report of 0.4 s. Where that was not needed, it
+	// waits for so long here.
 	heardAfter = 200 * time.Millisecond
 	// emptyNow is how long it takes to empty a slot that rests: the order and its answer.
 	emptyNow = 10 * time.Millisecond
@@ -121,7 +122,11 @@
 // restsLocked tells whether no box uses an adapter, nor is about to. A new owner waits until
 // every box has told it what it uses.
 func (l *Loader) restsLocked(o *owned, a topology.Adapter, s *slot, now time.Time) bool {
-	if now.Sub(o.since) < heardAfter {
+	heard := heardAfter
+	if o.handed {
+		heard += reportLag
+	}
+	if now.Sub(o.since) < heard {
 		return false
 	}
 	return l.runs.of(o.endpoint.ID(), a) == 0 && now.Sub(s.used) >= restFor && now.Sub(s.given) >= restFor
@@ -230,14 +235,13 @@
 	l.relearn(o, claim, "an unload did not end")
 }
 
-// unloaded notes that a slot is empty.
+// unloaded follows an order that emptied a slot.
 func (l *Loader) unloaded(o *owned, claim int, a topology.Adapter, took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if o.claims != claim {
 		return
 	}
-	delete(o.slots, a)
 	l.nudge()
 	l.Log.Info("Slot is empty", "adapter", a.String(), "endpoint", o.endpoint.ID(), "took_ms", took.Milliseconds(), "fence", o.fence)
 }
