--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -179,3 +179,30 @@
 	c.Assert(mine, quicktest.IsTrue)
 	c.Assert(from.Equal(p.started.Add(settleFor)), quicktest.IsTrue)
 }
+
+// Two boxes whose views differ would take turns at an endpoint.
+func TestANewLeaderWaitsForTheLeaseOfOneThatServes(t *testing.T) {
+	c := quicktest.New(t)
+	for _, k := range []struct {
+		name  string
+		leave bool
+		wait  time.Duration
+	}{
+		{"the one before serves", false, time.Second * 5 / 4},
+		{"the one before leaves", true, 0},
+	} {
+		first := box("b", "dc", 1, 400)
+		p := peersOf(box("a", "dc", 2, 400), first)
+		now := p.started.Add(time.Minute)
+		_, _ = p.leads("dc", time.Second, now) // it settles
+		now = now.Add(time.Minute)
+		_, _ = p.leads("dc", time.Second, now) // b
+		if k.leave {
+			leave(p, first, now)
+		} else {
+			p.table.Merge([]member.Member{box("strong", "dc", 3, 900)}, now)
+		}
+		_, from := p.leads("dc", time.Second, now)
+		c.Assert(from.Sub(now), quicktest.Equals, k.wait, quicktest.Commentf(k.name))
+	}
+}
