Replace a connection between boxes that has fallen silent

Heartbeats, reports of use and streams timed out on it, each next one took the same connection, and the other box was believed dead for as long. Change: daemon.Dialer watches what is read on a connection. A call that timed out, or a stream that its reader cancelled, after SilentFor without a byte while calls waited closes it; the next call dials. The boxes set 550 ms, just below two heartbeats; our own interface, whose calls may wait long on a quiet connection, sets none. Ruled out: gRPC's keepalive alone (10 s); a health call of its own (bytes between data centres); TCP_USER_TIMEOUT alone (a peer that acknowledges and says nothing).

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"net"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/grpc/keepalive"
 )
 
 // Dialer keeps one connection to each daemon that is spoken to. It is safe for
@@ -24,11 +24,21 @@
 type Dialer struct {
 	Credentials credentials.TransportCredentials
 	Dial        engine.DialFunc // opens the connections
+	// SilentFor is how long calls may wait without a byte from the other side until their
+	// connection is replaced; zero: for ever.
+	SilentFor time.Duration
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
 }
 
+// How the server's side of a connection ends whose other side has gone without a word; the
+// other side finds a silent connection by its calls, see silence.go.
+const (
+	serverPing   = 10 * time.Second // after so long without a byte: a ping is 17 bytes, and nobody waits for what it frees
+	serverAnswer = 3 * time.Second  // for the answer, and for what was written to be acknowledged: streams to the other side hold up to a window each
+)
+
 const (
 	connBuffer   = 4 << 10 // bytes; the messages are small
 	window       = 1 << 20 // bytes in flight; fixed, so that gRPC sends no pings to estimate it
@@ -41,7 +51,8 @@
 // of their connections.
 func NewServer(creds credentials.TransportCredentials) *grpc.Server {
 	return grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
-		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window))
+		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPing, Timeout: serverAnswer}))
 }
 
 // Conn returns the connection to an address, made when it is first used.
@@ -51,9 +62,12 @@
 	if c := d.conns[address]; c != nil {
 		return c
 	}
+	w := &silence{dial: d.Dial, most: d.SilentFor}
 	c, err := grpc.NewClient("passthrough:///"+address,
 		grpc.WithTransportCredentials(d.Credentials),
-		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) { return d.Dial(ctx, "tcp", address) }),
+		grpc.WithContextDialer(w.connect),
+		grpc.WithUnaryInterceptor(w.unary),
+		grpc.WithStreamInterceptor(w.stream),
 		grpc.WithStaticStreamWindowSize(window),
 		grpc.WithStaticConnWindowSize(window),
 		grpc.WithReadBufferSize(connBuffer),
--- a/edge/node.go
+++ b/edge/node.go
@@ -113,7 +113,7 @@
 	p := &peers{
 		box:     s.Box,
 		centre:  s.DataCentre,
-		dialer:  &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext},
+		dialer:  &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext, SilentFor: silentFor},
 		items:   n.items,
 		log:     n.Log,
 		started: time.Now(),
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -29,6 +29,7 @@
 	pauseLimit = time.Second // a longer gap between two beats is a pause of this process
 	neighbours = 2
 	peerDial   = 400 * time.Millisecond // a box that is dark drops the opening packet; the next try may meet it up
+	silentFor  = 550 * time.Millisecond // just below two heartbeats in a row without a byte: the connection may be silent for good while new ones work; what is lost once comes again after 200 ms
 	settleFor  = 700 * time.Millisecond // after the start, for the view to become whole: the first second's beats are quick
 	metFor     = 300 * time.Millisecond // the same after the first other box was heard of
 	aloneFor   = 2 * time.Second        // after the start, where no other box is heard of: the seeds may be late
