Find connections to endpoints that have fallen silent

Cause: kept connections to an endpoint may go silent for good, without a reset. A request on one waited until its deadline, or 3 s where nothing was acknowledged; each later request took another of up to 64 kept ones and waited as long. Change: a request without an answer for 350 ms, while nothing at all came from its endpoint, closes that endpoint's resting connections; those in use may still answer. The system asks after connections that rest for 1 s, so that silent ones end within 2 s, and ends those whose bytes are not acknowledged after 1.5 s in place of 3. Ruled out: replacing the transport on doubt (connections in use would not be used again, and a slow endpoint would get a new one for each request); giving a request up because its endpoint is silent (an answer that is only slow would be cut).

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return nil, g.lost(ctx, q, u, err)
 	}
-	g.away.hear(u.endpoint.DataCentre(), time.Now())
+	g.hear(u, time.Now())
 	if f := g.judge(q, u, t, a); f != nil {
 		_ = a.Body.Close() // nothing of it is used
 		return nil, f
@@ -52,12 +52,20 @@
 	return a, nil
 }
 
+// hear notes that something came from an endpoint.
+func (g *Gateway) hear(u *upstream, now time.Time) {
+	u.hear(now)
+	g.away.hear(u.endpoint.DataCentre(), now)
+}
+
 // watchSilence counts the request as silent while its answer is long in coming, and tells
-// a cut by several that nothing is heard of; the function it returns ends that.
+// a cut by several that nothing is heard of, and a silent connection; the function it returns
+// ends that.
 func (g *Gateway) watchSilence(u *upstream) func() {
 	sent := time.Now()
 	silence := time.AfterFunc(silenceTimeout, func() {
 		g.away.silence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
+		u.doubt(sent)
 	})
 	done := make(chan struct{}, 1)
 	timer := time.AfterFunc(silentAfter, func() {
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -34,7 +34,7 @@
 // heard notes that a part of the answer came. The first one says that the prompt is read.
 func (d *dispatch) heard() {
 	now := time.Now()
-	d.gateway.away.hear(d.upstream.endpoint.DataCentre(), now)
+	d.gateway.hear(d.upstream, now)
 	if d.read {
 		d.request.pause = max(d.request.pause, now.Sub(d.last))
 		d.last = now
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -16,8 +16,15 @@
 )
 
 const (
-	dialTimeout  = 300 * time.Millisecond // an endpoint a few ms away that takes longer does not answer
-	userTimeout  = 3 * time.Second        // unacknowledged bytes end a connection: a silent peer
+	dialTimeout = 300 * time.Millisecond // an endpoint a few ms away that takes longer does not answer
+	// userTimeout ends a connection whose bytes the other side has not acknowledged for so
+	// long: a silent one takes no more of what its callers wait for. It leaves room for four
+	// sends, 0.2, 0.6 and 1.4 s after the first, by the system's least retransmission time.
+	userTimeout = 1500 * time.Millisecond
+	// keepIdle is how long a connection rests, or its answer pauses, until the system asks
+	// the other side whether it is there, and how long it waits for that: one that is silent
+	// ends after two of them, by a packet of 52 bytes each way for each second of rest.
+	keepIdle     = time.Second
 	idleConns    = 64                     // kept for each endpoint
 	idleTimeout  = 20 * time.Second       // until the endpoint says how long it keeps connections
 	idleMargin   = 0.6                    // of what the endpoint says: it must not close first
@@ -36,6 +43,7 @@
 	inFlight  int
 	reading   int       // tokens of the prompts of inFlight that the endpoint has not read
 	silent    int       // of inFlight, those sent over silentAfter ago without any answer
+	heard     time.Time // when anything came from it
 	failures  float64   // share of requests that failed lately, 0 to 1
 	seen      int       // outcomes counted, up to enoughOutcomes
 	downUntil time.Time // it is avoided until then
@@ -50,8 +58,7 @@
 
 // reconnect replaces the connections by ones that are closed after idle.
 func (u *upstream) reconnect(idle time.Duration) {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	t := engine.NewTransport(d.DialContext, idleConns)
+	t := engine.NewTransport(newDialer().DialContext, idleConns)
 	t.IdleConnTimeout = idle
 	old := u.transport
 	u.transport, u.idle = t, idle
@@ -60,6 +67,12 @@
 	}
 }
 
+// newDialer returns what opens connections that end when they are silent.
+func newDialer() *net.Dialer {
+	keep := net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepIdle, Count: 1}
+	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keep, Control: setUserTimeout}
+}
+
 // setUserTimeout makes connections end whose peer says nothing any more.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
 	var failed error
@@ -131,6 +144,24 @@
 	u.silent += n
 }
 
+// hear notes that something came from the endpoint.
+func (u *upstream) hear(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.heard = now
+}
+
+// doubt closes the connections that rest, where nothing at all came from the endpoint since
+// sent: they may be as silent as the one that a request has waited on in vain. Those in use
+// may still answer.
+func (u *upstream) doubt(sent time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if !u.heard.After(sent) {
+		u.transport.CloseIdleConnections()
+	}
+}
+
 const enoughOutcomes = 8 // before the failure rate says anything
 
 // outcome notes how one request went.
