Answer requests at a fault, at the end of a stop and over a silent caller

Cause: four ways for a request to end without an answer, or never. A panic in a handler closed the connection; so did the end of the time to stop for what was still held; a body that stayed away, and a caller that read no more of its stream, held their requests for good, since neither side of the connection had a deadline. Change: a panic before an answer began is a 503 if nothing was sent and else a 502; 0.3 s before the time to stop is over held requests end with ErrEnding and are answered; a body has until its request's deadline (408: it has not run), the answer 1 s more. Green from the start: TestABodyFarTooLongGetsItsAnswer, TestWhatIsHeldWhenTheBoxEndsIsAnswered (its statuses were there, for callers that leave), TestARequestMayRunLongerThanItsBodyMayTake (guards the deadline for the body, which would look like a caller that leaves). Ruled out: http.Server's ReadTimeout and WriteTimeout, which are the same for all routes and would end streams.

--- a/edge/leave.go
+++ b/edge/leave.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"cairnwick.example/forward"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 )
@@ -18,6 +19,10 @@
 	noticeFor  = 2800 * time.Millisecond // the balancer asks each second and believes the second miss
 	endMargin  = 300 * time.Millisecond  // of the grace that is kept for the end itself
 	leavePause = 100 * time.Millisecond
+	// answerTime is the last of what the held requests have: those that are still held are
+	// told then, and their answers written, in place of connections that are closed. An
+	// answer is a few hundred bytes to a caller some ms away, for up to a thousand of them.
+	answerTime = 300 * time.Millisecond
 )
 
 // leave ends the box's work in order: the balancer and the boxes are told first,
@@ -50,8 +55,11 @@
 }
 
 // serveHTTP serves until ctx ends, then closes connections as they rest, at most
-// for so long.
+// for so long. Requests that are held even then end with forward.ErrEnding just before.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener, most time.Duration) error {
+	base, endRequests := context.WithCancelCause(context.Background())
+	defer endRequests(nil)
+	s.BaseContext = func(net.Listener) context.Context { return base }
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	select {
@@ -61,6 +69,8 @@
 	}
 	end, cancel := context.WithTimeout(context.Background(), most)
 	defer cancel()
+	told := time.AfterFunc(most-answerTime, func() { endRequests(forward.ErrEnding) })
+	defer told.Stop()
 	err := s.Shutdown(end)
 	<-served
 	if err != nil {
--- a/edge/leave_test.go
+++ b/edge/leave_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/forward"
 	"cairnwick.example/placement"
 	"cairnwick.example/share"
 	"cairnwick.example/topology"
@@ -49,6 +50,37 @@
 	c.Assert(<-ended, quicktest.IsNil)
 }
 
+// The time to stop was over while a request was held, and its connection was closed.
+func TestARequestThatIsHeldToTheEndOfAStopIsToldBeforeIt(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	held := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(held)
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, context.Cause(r.Context()).Error())
+	})}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- serveHTTP(ctx, server, l, 2*answerTime) }()
+	body := make(chan string, 1)
+	go func() {
+		a, err := http.Get("http://" + l.Addr().String() + "/")
+		if err != nil {
+			body <- err.Error()
+			return
+		}
+		defer a.Body.Close()
+		raw, _ := io.ReadAll(a.Body) // what is missing shows below
+		body <- string(raw)
+	}()
+	<-held
+	stop()
+	c.Assert(<-body, quicktest.Equals, forward.ErrEnding.Error())
+	c.Assert(<-ended, quicktest.IsNil)
+}
+
 // adapterDecoder decodes every value as an endpoint that holds an adapter.
 type adapterDecoder struct{ plainDecoder }
 
--- /dev/null
+++ b/forward/caller_test.go
@@ -0,0 +1,153 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// patience is how long a test waits for what must come.
+const patience = 10 * time.Second
+
+// callByHand opens a connection and writes on it.
+func (s *site) callByHand(t *testing.T, text string) net.Conn {
+	c, err := net.Dial("tcp", s.front.Listener.Addr().String())
+	s.c.Assert(err, quicktest.IsNil)
+	t.Cleanup(func() { c.Close() })
+	s.c.Assert(c.SetDeadline(time.Now().Add(patience)), quicktest.IsNil)
+	_, err = io.WriteString(c, text)
+	s.c.Assert(err, quicktest.IsNil)
+	return c
+}
+
+const headByHand = "POST / HTTP/1.1\r\nHost: site.example\r\nId: call-1\r\n"
+
+// A caller sent the head of a request and half of its body, and then nothing for good.
+func TestABodyThatStaysAwayEndsAtTheDeadline(t *testing.T) {
+	s := newSite(t, once(200*time.Millisecond))
+	calls := s.endpoint(t, answerOK)
+	c := s.callByHand(t, headByHand+"Content-Length: 8\r\n\r\nhalf")
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	s.c.Assert(err, quicktest.IsNil)
+	a.Body.Close()
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusRequestTimeout) // a promise: it has not run
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(0))
+}
+
+// What bounds the reading of a body went on while the request ran, and looked like a caller
+// that leaves.
+func TestARequestMayRunLongerThanItsBodyMayTake(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, once(time.Minute))
+	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		select {
+		case <-time.After(refusedTime + 100*time.Millisecond):
+			answerOK(w, r)
+		case <-r.Context().Done():
+		}
+	})
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+}
+
+// A caller fell silent in the middle of its stream. The box waited for ever to write on, and
+// held the request for as long.
+func TestACallerThatReadsNoMoreIsGivenUpAfterTheDeadline(t *testing.T) {
+	s := newSite(t, resumable(200*time.Millisecond))
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		event := "data: " + strings.Repeat("x", 64<<10) + "\n\n"
+		for {
+			if _, err := io.WriteString(w, event); err != nil {
+				return
+			}
+		}
+	})
+	s.callByHand(t, headByHand+"Content-Length: 0\r\n\r\n")
+	s.eventually(func() bool { return s.gateway.Held() == 1 })
+	s.eventually(func() bool { return s.gateway.Held() == 0 })
+}
+
+// eventually waits until what must come has come.
+func (s *site) eventually(done func() bool) {
+	for until := time.Now().Add(patience); !done(); time.Sleep(time.Millisecond) {
+		s.c.Assert(time.Now().Before(until), quicktest.IsTrue, quicktest.Commentf("it has not come"))
+	}
+}
+
+// faultyPlacer panics.
+type faultyPlacer struct{}
+
+// Want implements Placer.
+func (faultyPlacer) Want(context.Context, Wanted) (Placed, error) { panic("a fault") }
+
+// A fault of the program in a handler closed the caller's connection without an answer.
+func TestAPanicBeforeTheRequestIsSentIsAnsweredAsNotRun(t *testing.T) {
+	s, statuses := askTwoCentres(t, faultyPlacer{}, "2s", "a")
+	s.c.Assert(statuses, quicktest.DeepEquals, []int{http.StatusServiceUnavailable})
+}
+
+// faultyProtocol panics over the head of an answer.
+type faultyProtocol struct{ plainProtocol }
+
+// ReadAnswer implements Protocol.
+func (faultyProtocol) ReadAnswer(*http.Response, Call, string) Answer { panic("a fault") }
+
+func TestAPanicAfterTheRequestWasSentIsNotAnsweredAsNotRun(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	s.endpoint(t, answerOK)
+	s.gateway.Protocol = faultyProtocol{}
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusBadGateway)
+}
+
+// The body of a request was so much longer than allowed that most of it was never read.
+func TestABodyFarTooLongGetsItsAnswer(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	for range 5 {
+		r, err := http.NewRequest(http.MethodPost, s.front.URL+"/", strings.NewReader(strings.Repeat("x", 1<<20)))
+		s.c.Assert(err, quicktest.IsNil)
+		r.Host = "site.example"
+		a, err := http.DefaultClient.Do(r)
+		s.c.Assert(err, quicktest.IsNil)
+		a.Body.Close()
+		s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusRequestEntityTooLarge)
+	}
+}
+
+// A stop's time was over while requests were held; their connections were closed.
+func TestWhatIsHeldWhenTheBoxEndsIsAnswered(t *testing.T) {
+	s := newSite(t, once(time.Minute))
+	base, end := context.WithCancelCause(context.Background())
+	s.front.Close()
+	s.front = httptest.NewUnstartedServer(s.gateway)
+	s.front.Config.BaseContext = func(net.Listener) context.Context { return base }
+	s.front.Start()
+	defer s.front.Close()
+	calls := s.endpoint(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+	})
+	status := make(chan int, 1)
+	go func() {
+		a, _, err := s.ask("/")
+		s.c.Check(err, quicktest.IsNil)
+		status <- a.StatusCode
+	}()
+	s.eventually(func() bool { return calls.Load() == 1 })
+	end(ErrEnding)
+	s.c.Assert(<-status, quicktest.Equals, http.StatusBadGateway) // it may have run
+}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -86,7 +86,10 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{received: received, inbound: r}
+	q := &request{received: received, inbound: r, caller: newCaller(w)}
+	q.caller.begin(received)
+	out := &answer{writer: w, describes: g.Protocol.Describes}
+	defer g.recovered(out, q)
 	if g.held.Add(1) > int64(g.MostHeld) {
 		g.refuse(w, q, &Refusal{Code: CodeOverloaded, Retry: overloadRetry})
 		return
@@ -95,9 +98,9 @@
 		g.refuse(w, q, f)
 		return
 	}
+	q.caller.admitted(q.deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	out := &answer{writer: w, describes: g.Protocol.Describes}
 	if f := g.serve(ctx, q, out); f != nil {
 		g.fail(ctx, out, q, f)
 		return
@@ -113,6 +116,9 @@
 	}
 	if q.inbound.Context().Err() != nil {
 		f = &Refusal{Code: CodeCallerGone, Ran: f.Ran}
+		if context.Cause(q.inbound.Context()) == ErrEnding {
+			f.Code = CodeEnding
+		}
 	} else if ctx.Err() != nil && q.unsure {
 		f = &Refusal{Code: CodeTimeout, Ran: true, Detail: f.Detail}
 	}
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -26,6 +26,9 @@
 	CodeCut         Code = "answer_cut"
 	CodeTimeout     Code = "timeout"
 	CodeCallerGone  Code = "caller_gone"
+	CodeBodyLate    Code = "body_too_late" // the body was not there by the request's deadline
+	CodeEnding      Code = "box_ends"      // the time that the box had to stop is over
+	CodeFault       Code = "fault"         // of this program
 )
 
 // Refusal is the final answer to a request that got none of an endpoint.
@@ -53,6 +56,8 @@
 		return http.StatusRequestEntityTooLarge
 	case CodeNoRoute:
 		return http.StatusNotFound
+	case CodeBodyLate:
+		return http.StatusRequestTimeout
 	case CodeTimeout:
 		return http.StatusGatewayTimeout
 	}
--- a/forward/request.go
+++ b/forward/request.go
@@ -7,16 +7,19 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
 	"cairnwick.example/topology"
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 )
 
 // request is one try of a caller, held until its final answer.
 type request struct {
 	inbound  *http.Request
+	caller   caller
 	call     Call
 	received time.Time
 	deadline time.Time // of the caller or of the route, whichever is first
@@ -92,6 +95,7 @@
 
 // readBody takes the body whole, so that it can be sent again.
 func (g *Gateway) readBody(w http.ResponseWriter, q *request) *Refusal {
+	q.caller.bodyBy(q.deadline)
 	limit := q.config.Limits().BodyBytes
 	var buffer bytes.Buffer
 	if n := q.inbound.ContentLength; n > 0 && n <= limit {
@@ -105,6 +109,9 @@
 	if tooLong(err) {
 		return &Refusal{Code: CodeBodyTooLong}
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return &Refusal{Code: CodeBodyLate, Detail: err.Error()}
+	}
 	return &Refusal{Code: CodeCallerGone, Detail: err.Error()}
 }
 
