Split the table of members: gossip, failure detection, the ring

Change: table.go is the view, gossip.go what is told and taken in, failure.go what this daemon sees itself, ring.go the order by names; claims to refute go from signs.go to gossip.go. Comments that did not hold: News is in no order, and Rank counts names, not places on the ring. Ruled out: one type for each part; all of them change the members, the news and the version under one lock.

--- /dev/null
+++ b/member/failure.go
@@ -0,0 +1,108 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package member
+
+import "time"
+
+// Exchanged notes that a neighbour answered at now.
+func (t *Table) Exchanged(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard = now
+	t.signs.seen[name] = now
+	if m, ok := t.others[name]; ok && m.state == Suspect {
+		t.news[name] = t.tellLocked() // its refutation will come with its own news
+	}
+}
+
+// Missed notes that a member did not answer at now: it becomes suspect.
+func (t *Table) Missed(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.others[name]
+	if !ok || m.state != Alive {
+		return
+	}
+	m.state = Suspect
+	t.setLocked(m, now)
+}
+
+// Gone notes that a member's address refuses connections at now: no process
+// listens there, so it is dead at once. Of one that has just come up it may be a
+// refusal of its life before, so it only becomes suspect.
+func (t *Table) Gone(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m, ok := t.others[name]
+	if !ok || m.state == Dead {
+		return
+	}
+	state := Dead
+	if risen, again := t.signs.risen[name]; again && now.Sub(risen) < refusedLate {
+		state = Suspect
+	}
+	if m.state == state {
+		return
+	}
+	m.state = state
+	t.setLocked(m, now)
+}
+
+// Tick turns silent suspects into dead members and forgets the long dead.
+func (t *Table) Tick(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.signs.ticked = now
+	for n, m := range t.others {
+		if m.state == Suspect && now.Sub(m.since) > t.limits.SuspectFor {
+			m.state = Dead
+			t.setLocked(m, now)
+			continue
+		}
+		gone := m.state == Dead || m.state == Leaving
+		if gone && now.Sub(m.since) > t.limits.ForgetDead {
+			delete(t.others, n)
+			t.signs.forget(n)
+			delete(t.news, n)
+			t.version++
+		}
+	}
+}
+
+// Woke distrusts the view after a pause of this process: it is not fresh until
+// a neighbour was exchanged with again, and suspects get their time anew.
+func (t *Table) Woke(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.heard, t.signs.woke = time.Time{}, now
+	clear(t.signs.seen)
+	for n, m := range t.others {
+		if m.state == Suspect {
+			m.since = now
+			t.others[n] = m
+		}
+	}
+}
+
+// Fresh tells whether a neighbour was exchanged with lately. A daemon that
+// knows of no other has nobody to be told by, and counts as fresh.
+func (t *Table) Fresh(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.others {
+		if m.state != Dead {
+			return now.Sub(t.heard) <= t.limits.Fresh
+		}
+	}
+	return true
+}
+
+// Seen notes a sign of life at now that came from a member by another way than
+// heartbeats, as a stream that it feeds.
+func (t *Table) Seen(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.After(t.signs.seen[name]) {
+		t.signs.seen[name] = now
+	}
+}
--- /dev/null
+++ b/member/gossip.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package member
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Merge takes in what a peer told at now. What is told about this daemon and
+// is not true is answered with a higher incarnation.
+func (t *Table) Merge(told []Member, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range told {
+		t.mergeLocked(m, now)
+	}
+}
+
+// mergeLocked takes in one member unless what is known is as new, or the member was
+// seen to live by this daemon itself.
+func (t *Table) mergeLocked(m Member, now time.Time) {
+	if m.name == t.self.name {
+		t.refuteLocked(m, now)
+		return
+	}
+	old, known := t.others[m.name]
+	foreign := !t.limits.Wide && m.dataCentre != t.self.dataCentre
+	if foreign || m.state < Alive || m.state > Dead {
+		return
+	}
+	if known && !m.newer(old) {
+		return
+	}
+	if known && m.incarnation == old.incarnation && m.state != Leaving && t.seenLocked(m.name, now) {
+		t.signs.claims[m.name] = m // gossip against a sign of life from the member itself, which will refute it
+		return
+	}
+	if !known && m.state == Dead {
+		return // nothing to correct, and it would be told for ever
+	}
+	if known && m.incarnation > old.incarnation {
+		t.signs.risen[m.name] = now
+	}
+	t.setLocked(m, now)
+}
+
+// refuteLocked raises the own incarnation above a claim that differs. A member that
+// was believed dead begins a new life by the clock: the others have gone on without
+// it, and it must not count as the oldest again. Where others of its data centre saw it
+// all the time, only the way from elsewhere was cut, and it stays as old as it is.
+func (t *Table) refuteLocked(claim Member, now time.Time) {
+	if !claim.newer(t.self) {
+		return
+	}
+	t.self.incarnation = claim.incarnation + 1
+	if claim.state == Dead && !t.amongLocked(now) {
+		t.self.incarnation = max(t.self.incarnation, uint64(max(now.UnixMicro(), 0)))
+	}
+	t.changedLocked(t.self.name)
+}
+
+// News returns at most limit pieces of news that are still to be told, in no
+// order, and counts them as told once more.
+func (t *Table) News(limit int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	for n, left := range t.news {
+		if len(list) == limit {
+			break
+		}
+		if m, ok := t.lookupLocked(n); ok {
+			list = append(list, m)
+		}
+		t.news[n] = left - 1
+		if left <= 1 {
+			delete(t.news, n)
+		}
+	}
+	return list
+}
+
+// tellLocked is how often one piece of news is told: enough to reach everyone
+// with high probability.
+func (t *Table) tellLocked() int {
+	return 3 + int(math.Ceil(2*math.Log2(float64(len(t.others)+1))))
+}
+
+// Digest returns a number that equals another table's when both hold the same
+// view.
+func (t *Table) Digest() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := xxhash.New()
+	var number [8]byte
+	for _, m := range t.allLocked() {
+		if m.state == Dead {
+			continue
+		}
+		_, _ = h.WriteString(m.name)
+		binary.LittleEndian.PutUint64(number[:], m.incarnation<<3|uint64(m.state))
+		_, _ = h.Write(number[:])
+	}
+	return h.Sum64()
+}
+
+// Claims returns what a member at an address must hear of itself, so that it can refute it:
+// that it is believed dead or suspect here, or elsewhere by what was heard.
+func (t *Table) Claims(address string) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var list []Member
+	for n, m := range t.others {
+		if m.address != address {
+			continue
+		}
+		if claim, ok := t.signs.claims[n]; ok {
+			list = append(list, claim)
+		} else if m.state == Suspect || m.state == Dead {
+			list = append(list, m)
+		}
+	}
+	return list
+}
--- a/member/member.go
+++ b/member/member.go
@@ -7,6 +7,10 @@
 // the same incarnation the worse state wins. Only a member itself raises its
 // incarnation, so that a restarted box is not its earlier self and a wrongly
 // suspected one can say so.
+//
+// Loop sends and answers heartbeats. Table is the view that they keep: what peers
+// tell of others is taken in by Merge and passed on by News; what this daemon sees
+// itself is noted by Exchanged, Missed, Gone and Seen.
 package member
 
 import (
--- /dev/null
+++ b/member/ring.go
@@ -0,0 +1,36 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package member
+
+// Neighbours returns the next count members that are not dead, after self on
+// the ring of names.
+func (t *Table) Neighbours(count int) []Member {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var after, before []Member
+	for _, m := range t.allLocked() {
+		if m.name == t.self.name || m.state == Dead {
+			continue
+		}
+		if m.name > t.self.name {
+			after = append(after, m)
+		} else {
+			before = append(before, m)
+		}
+	}
+	ring := append(after, before...)
+	return ring[:min(count, len(ring))]
+}
+
+// Rank returns how many serving members come before this daemon by name.
+func (t *Table) Rank() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	rank := 0
+	for _, m := range t.others {
+		if m.Serving() && m.name < t.self.name {
+			rank++
+		}
+	}
+	return rank
+}
--- a/member/signs.go
+++ b/member/signs.go
@@ -49,32 +49,3 @@
 	}
 	return false
 }
-
-// Claims returns what a member at an address must hear of itself, so that it can refute it:
-// that it is believed dead or suspect here, or elsewhere by what was heard.
-func (t *Table) Claims(address string) []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []Member
-	for n, m := range t.others {
-		if m.address != address {
-			continue
-		}
-		if claim, ok := t.signs.claims[n]; ok {
-			list = append(list, claim)
-		} else if m.state == Suspect || m.state == Dead {
-			list = append(list, m)
-		}
-	}
-	return list
-}
-
-// Seen notes a sign of life at now that came from a member by another way than
-// heartbeats, as a stream that it feeds.
-func (t *Table) Seen(name string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if now.After(t.signs.seen[name]) {
-		t.signs.seen[name] = now
-	}
-}
