Split the daemon: its making, its run and stop, joining, both sides of the peers' port

The running of the tasks is a function of its own; joinAndServe, which serves nothing, is join. Nothing else but moves. Ruled out: the running of the tasks shared with edge, whose tasks are of another kind.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -3,11 +3,8 @@
 package daemon
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,14 +16,9 @@
 	"cairnwick.example/settings"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
-	"github.com/pkg/errors"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 )
 
-var errNotHeld = status.Error(codes.NotFound, "daemon: no such document here")
-
 // Node is one daemon: a member of its data centre that keeps the configuration
 // and answers operators. New makes it; the role adds its own services and tasks
 // before Run.
@@ -58,9 +50,6 @@
 	leaving atomic.Bool
 }
 
-// Task is something that runs until its context ends.
-type Task func(context.Context) error
-
 // New makes the node that the settings describe. It returns an error when the
 // identity's files do not hold.
 func New(role string, v settings.Values) (*Node, error) {
@@ -108,7 +97,6 @@
 
 const (
 	forgetDead = 10 * time.Minute
-	joinBeats  = 4                // heartbeats that a daemon waits at most for a view that is still
 	listLife   = 5 * time.Minute  // of the list of boxes
 	watchLife  = 30 * time.Second // of it, at the few that watch the platform
 	watchWait  = 30 * time.Second
@@ -182,198 +170,3 @@
 		},
 	}
 }
-
-// seeds lists daemons of the own data centre.
-func (n *Node) seeds() []string {
-	var list []string
-	for _, b := range n.Boxes.List() {
-		if b.DataCentre == n.centre && b.Name != n.Name() {
-			list = append(list, b.Address)
-		}
-	}
-	return append(list, n.peers()...)
-}
-
-// remotes lists daemons of the other data centres.
-func (n *Node) remotes() []string {
-	var list []string
-	for _, b := range n.Boxes.List() {
-		if b.DataCentre != n.centre {
-			list = append(list, b.Address)
-		}
-	}
-	return list
-}
-
-// peers lists the addresses that the settings name.
-func (n *Node) peers() []string {
-	var list []string
-	for _, a := range strings.Split(n.values.Text(Peers), ",") {
-		if a = strings.TrimSpace(a); a != "" && a != n.advertised() {
-			list = append(list, a)
-		}
-	}
-	return list
-}
-
-func (n *Node) state() string {
-	switch {
-	case n.leaving.Load():
-		return "leaving"
-	case n.ready.Load():
-		return "ready"
-	}
-	return "starting"
-}
-
-// Run serves until ctx ends, then leaves in order: readiness goes false, the
-// peers are told, what is held ends, and then the process.
-func (n *Node) Run(ctx context.Context) error {
-	peers, err := net.Listen("tcp", n.values.Text(PeersListen))
-	if err != nil {
-		return errors.Wrap(err, "daemon: peers' port")
-	}
-	operators, err := net.Listen("tcp", n.values.Text(Operators))
-	if err != nil {
-		return errors.Wrap(err, "daemon: operators' port")
-	}
-	n.Log.Info("Daemon starts", "peers", peers.Addr().String(), "operators", operators.Addr().String(), "version", Version)
-	inner, end := context.WithCancel(context.Background())
-	defer end()
-	n.readBoxes(ctx)
-	tasks := append([]Task{n.loop.Run, n.relay.Run, n.Boxes.Run, n.joinAndServe}, n.tasks...)
-	tasks = append(tasks, n.operatorsTask(operators), n.peersTask(peers))
-	ended := make(chan error, len(tasks))
-	for _, t := range tasks {
-		go func() { ended <- t(inner) }()
-	}
-	running := len(tasks)
-	select {
-	case <-ctx.Done():
-		n.leave(inner)
-	case err = <-ended:
-		running--
-	}
-	end()
-	for range running {
-		if e := <-ended; e != nil && err == nil {
-			err = e
-		}
-	}
-	n.Dialer.Close()
-	n.Log.Info("Daemon ends")
-	return err
-}
-
-// readBoxes gives the first heartbeat its seeds, when the platform answers soon.
-func (n *Node) readBoxes(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, firstRead)
-	defer cancel()
-	if !n.Boxes.Refresh(ctx) {
-		n.Log.Info("Platform gave no list of boxes at the start")
-	}
-}
-
-// leave ends the role's work in order.
-func (n *Node) leave(ctx context.Context) {
-	n.Log.Info("Daemon leaves")
-	n.leaving.Store(true)
-	n.ready.Store(false)
-	n.Leave()
-	n.Table.Leave() // only now: whoever hears it may rely on the role's having left
-	limit := time.After(n.values.Duration(DrainLimit))
-	settled := time.Now().Add(2 * n.values.Duration(Heartbeat)) // so that the peers have heard
-	tick := time.NewTicker(20 * time.Millisecond)
-	defer tick.Stop()
-	for {
-		select {
-		case <-limit:
-			n.Log.Info("Drain limit passed with requests still held")
-			return
-		case <-ctx.Done():
-			return
-		case now := <-tick.C:
-			if now.After(settled) && n.Idle() {
-				return
-			}
-		}
-	}
-}
-
-// joinAndServe makes the node ready once it has a configuration: what peers
-// have in force when any answers, else what the platform gives.
-func (n *Node) joinAndServe(ctx context.Context) error {
-	for ctx.Err() == nil && n.Keeper.Catalog() == nil {
-		n.askPeers(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-n.Keeper.Changed():
-		case <-time.After(n.values.Duration(Heartbeat)):
-		}
-	}
-	n.awaitView(ctx)
-	if ctx.Err() == nil {
-		n.ready.Store(true)
-		n.Log.Info("Daemon is ready", "revision", n.Keeper.Catalog().Revision())
-	}
-	<-ctx.Done()
-	return nil
-}
-
-// awaitView waits until the view of the members was still for one heartbeat, so
-// that this daemon does not act on a part of its data centre; after a bounded
-// time it goes on with what it has.
-func (n *Node) awaitView(ctx context.Context) {
-	beat := n.values.Duration(Heartbeat)
-	limit := time.After(joinBeats * beat)
-	for {
-		changed := n.Table.Changed()
-		still := time.After(beat + beat/joinBeats)
-		if len(n.Table.All()) == 1 {
-			still = nil // nobody answered yet
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-limit:
-			return
-		case <-still:
-			return
-		case <-changed:
-		}
-	}
-}
-
-// askPeers takes over what any known daemon has in force, of every data centre.
-func (n *Node) askPeers(ctx context.Context) {
-	list := n.peers()
-	for _, b := range n.Boxes.List() {
-		if b.Name != n.Name() {
-			list = append(list, b.Address)
-		}
-	}
-	for _, a := range list {
-		if n.Keeper.Catalog() != nil {
-			return
-		}
-		if err := n.relay.Ask(ctx, a); err != nil {
-			n.Log.V(1).Info("Peer gave no configuration", "address", a, "err", err.Error())
-		}
-	}
-}
-
-// peersTask serves the peers' port.
-func (n *Node) peersTask(l net.Listener) Task {
-	return func(ctx context.Context) error {
-		served := make(chan error, 1)
-		go func() { served <- n.Server.Serve(n.traffic.Peers.Listen(l)) }()
-		select {
-		case err := <-served:
-			return errors.Wrap(err, "daemon: serve peers")
-		case <-ctx.Done():
-			n.Server.Stop()
-			return errors.Wrap(<-served, "daemon: serve peers")
-		}
-	}
-}
--- /dev/null
+++ b/daemon/run.go
@@ -0,0 +1,98 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package daemon
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Task is something that runs until its context ends.
+type Task func(context.Context) error
+
+// Run serves until ctx ends, then leaves in order: readiness goes false, the
+// peers are told, what is held ends, and then the process.
+func (n *Node) Run(ctx context.Context) error {
+	peers, err := net.Listen("tcp", n.values.Text(PeersListen))
+	if err != nil {
+		return errors.Wrap(err, "daemon: peers' port")
+	}
+	operators, err := net.Listen("tcp", n.values.Text(Operators))
+	if err != nil {
+		return errors.Wrap(err, "daemon: operators' port")
+	}
+	n.Log.Info("Daemon starts", "peers", peers.Addr().String(), "operators", operators.Addr().String(), "version", Version)
+	inner, end := context.WithCancel(context.Background())
+	defer end()
+	n.readBoxes(ctx)
+	tasks := append([]Task{n.loop.Run, n.relay.Run, n.Boxes.Run, n.join}, n.tasks...)
+	tasks = append(tasks, n.operatorsTask(operators), n.peersTask(peers))
+	err = n.runAll(ctx, inner, end, tasks)
+	n.Dialer.Close()
+	n.Log.Info("Daemon ends")
+	return err
+}
+
+// runAll runs the tasks under inner until one of them ends, or ctx does and the node
+// has left; then it ends inner and returns the first error when all have ended.
+func (n *Node) runAll(ctx, inner context.Context, end context.CancelFunc, tasks []Task) error {
+	ended := make(chan error, len(tasks))
+	for _, t := range tasks {
+		go func() { ended <- t(inner) }()
+	}
+	running := len(tasks)
+	var err error
+	select {
+	case <-ctx.Done():
+		n.leave(inner)
+	case err = <-ended:
+		running--
+	}
+	end()
+	for range running {
+		if e := <-ended; e != nil && err == nil {
+			err = e
+		}
+	}
+	return err
+}
+
+// leave ends the role's work in order.
+func (n *Node) leave(ctx context.Context) {
+	n.Log.Info("Daemon leaves")
+	n.leaving.Store(true)
+	n.ready.Store(false)
+	n.Leave()
+	n.Table.Leave() // only now: whoever hears it may rely on the role's having left
+	limit := time.After(n.values.Duration(DrainLimit))
+	settled := time.Now().Add(2 * n.values.Duration(Heartbeat)) // so that the peers have heard
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	for {
+		select {
+		case <-limit:
+			n.Log.Info("Drain limit passed with requests still held")
+			return
+		case <-ctx.Done():
+			return
+		case now := <-tick.C:
+			if now.After(settled) && n.Idle() {
+				return
+			}
+		}
+	}
+}
+
+// state names how far the node is, for operators.
+func (n *Node) state() string {
+	switch {
+	case n.leaving.Load():
+		return "leaving"
+	case n.ready.Load():
+		return "ready"
+	}
+	return "starting"
+}
