Split the keeper: what is held, how heads are judged, documents, what heartbeats carry

Change: keeper.go is what is held and how it changes, judge.go the verdicts, document.go a head with its shards, heartbeat.go the prefixes of digests; relay.go is the Relay alone. Only moves and doc comments. Ruled out: a type of its own for the judging; it reads the head in force and the candidates under the keeper's lock.

--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -19,45 +19,8 @@
 
 	"cairnwick.example/catalog"
 	"github.com/go-logr/logr"
-	"github.com/pkg/errors"
 )
 
-// Source gives documents: the platform or a peer.
-type Source interface {
-	// Head returns a head document, and whether it is in force at the source.
-	// An empty prefix asks for the newest, another for the head whose digest
-	// begins with it.
-	Head(ctx context.Context, prefix []byte) (raw []byte, inForce bool, err error)
-	// Shard returns the shard of a digest.
-	Shard(ctx context.Context, digest string) ([]byte, error)
-}
-
-// Verdict says what became of an offered head.
-type Verdict int
-
-// The verdicts.
-const (
-	Known     Verdict = iota + 1 // in force already, or a candidate already
-	Older                        // the head in force follows it
-	Candidate                    // waits for the settling time
-	InForce                      // accepted
-	Rival                        // made from another head than the one in force
-	Invalid                      // it does not hold
-)
-
-// String names the verdict.
-func (v Verdict) String() string {
-	return [...]string{"none", "known", "older", "candidate", "in force", "rival", "invalid"}[v]
-}
-
-// document is a head with all its shards, checked.
-type document struct {
-	head    catalog.Head
-	shards  map[string][]byte // by name
-	catalog *catalog.Catalog
-	until   time.Time // of a candidate: when it may come into force
-}
-
 // Keeper is safe for concurrent use. Set the exported fields before use.
 type Keeper struct {
 	Settle time.Duration
@@ -71,8 +34,6 @@
 	changed    chan struct{}        // closed when another head comes into force
 }
 
-const maxRefused = 64 // verdicts remembered
-
 // New returns a keeper that holds nothing.
 func New(settle time.Duration, log logr.Logger) *Keeper {
 	return &Keeper{
@@ -134,113 +95,6 @@
 	return k.take(&document{head: h, shards: shards, catalog: c}, peerInForce), nil
 }
 
-// judge tells what a head would become now.
-func (k *Keeper) judge(h catalog.Head, peerInForce bool) Verdict {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.judgeLocked(h, peerInForce)
-}
-
-func (k *Keeper) judgeLocked(h catalog.Head, peerInForce bool) Verdict {
-	if k.inForce == nil {
-		if peerInForce {
-			return InForce
-		}
-		return k.candidateLocked(h)
-	}
-	mine := k.inForce.head
-	switch {
-	case mine.Digest() == h.Digest():
-		return Known
-	case h.Follows(mine) && peerInForce:
-		return InForce
-	case h.Follows(mine):
-		return k.candidateLocked(h)
-	case mine.Follows(h):
-		return Older
-	case peerInForce && winsFork(h, mine):
-		return InForce
-	case h.Revision() < mine.Revision():
-		return Older
-	}
-	return Rival
-}
-
-func (k *Keeper) candidateLocked(h catalog.Head) Verdict {
-	if k.candidates[h.Digest()] != nil {
-		return Known
-	}
-	if v, ok := k.refused[h.Digest()]; ok {
-		return v
-	}
-	return Candidate
-}
-
-// winsFork decides between two heads that came into force on two sides of a
-// cut: the higher revision wins, then the lower digest, on both sides alike.
-func winsFork(h, mine catalog.Head) bool {
-	if h.Revision() != mine.Revision() {
-		return h.Revision() > mine.Revision()
-	}
-	return h.Digest() < mine.Digest()
-}
-
-// fetch gathers the shards that a head names.
-func (k *Keeper) fetch(ctx context.Context, h catalog.Head, from Source) (map[string][]byte, error) {
-	shards := make(map[string][]byte)
-	for _, n := range h.Shards() {
-		digest := h.ShardDigest(n)
-		if raw, ok := k.Shard(digest); ok {
-			shards[n] = raw
-			continue
-		}
-		raw, err := from.Shard(ctx, digest)
-		if err != nil {
-			return nil, errors.Wrapf(err, "keeper: shard %s of revision %d", n, h.Revision())
-		}
-		shards[n] = raw
-	}
-	return shards, nil
-}
-
-// checkVersions refuses a catalog that changes what a published version is.
-func (k *Keeper) checkVersions(next *catalog.Catalog) error {
-	old := k.Catalog()
-	if old == nil {
-		return nil
-	}
-	var found []catalog.Problem
-	for _, n := range next.Adapters() {
-		now, _ := next.Adapter(n)
-		before, known := old.Adapter(n)
-		if !known {
-			continue
-		}
-		found = append(found, changedVersions(before, now)...)
-	}
-	if len(found) > 0 {
-		return &catalog.CheckError{Revision: next.Revision(), Problems: found}
-	}
-	return nil
-}
-
-func changedVersions(before, now catalog.Adapter) []catalog.Problem {
-	var found []catalog.Problem
-	for _, v := range now.Versions() {
-		path, _ := now.Path(v)
-		old, had := before.Path(v)
-		if had && (old != path || before.Base() != now.Base()) {
-			found = append(found, catalog.Problem{
-				Document: "all shards",
-				Field:    "adapters[" + now.Name() + "].versions[" + v + "]",
-				Value:    path,
-				Mend:     "a published version never changes; publish a new version",
-			})
-		}
-	}
-	return found
-}
-
 // take makes a checked document a candidate or puts it in force.
 func (k *Keeper) take(d *document, peerInForce bool) Verdict {
 	k.mu.Lock()
@@ -256,6 +110,7 @@
 	return v
 }
 
+// acceptLocked puts a document in force and drops the candidates that cannot follow it.
 func (k *Keeper) acceptLocked(d *document) {
 	k.inForce = d
 	k.since = time.Now()
@@ -271,6 +126,7 @@
 	k.Log.Info("Configuration is in force", "revision", d.head.Revision(), "digest", d.head.Digest())
 }
 
+// loseLocked refuses a candidate that another was preferred to.
 func (k *Keeper) loseLocked(lost, won catalog.Head) {
 	if lost.Digest() == won.Digest() {
 		return
@@ -280,19 +136,6 @@
 		"revision", lost.Revision(), "lost", lost.Digest(), "won", won.Digest())
 }
 
-func (k *Keeper) refuse(h catalog.Head, v Verdict) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.refuseLocked(h, v)
-}
-
-func (k *Keeper) refuseLocked(h catalog.Head, v Verdict) {
-	if len(k.refused) >= maxRefused {
-		clear(k.refused)
-	}
-	k.refused[h.Digest()] = v
-}
-
 // Tick puts the winning candidate in force once the first has settled, and
 // returns when to call again; the zero time says that nothing waits.
 func (k *Keeper) Tick(now time.Time) time.Time {
@@ -309,55 +152,3 @@
 	next, _ := k.winnerLocked()
 	return next
 }
-
-// winnerLocked returns when the first candidate has settled and which one wins
-// then: among those made from the head in force the lowest digest. A candidate
-// that only follows another candidate waits for it.
-func (k *Keeper) winnerLocked() (time.Time, *document) {
-	var first time.Time
-	var winner *document
-	for _, d := range k.candidates {
-		if first.IsZero() || d.until.Before(first) {
-			first = d.until
-		}
-		if winner == nil || precedes(d.head, winner.head) {
-			winner = d
-		}
-	}
-	return first, winner
-}
-
-// precedes orders candidates: a lower revision first, then the lower digest.
-func precedes(a, b catalog.Head) bool {
-	if a.Revision() != b.Revision() {
-		return a.Revision() < b.Revision()
-	}
-	return a.Digest() < b.Digest()
-}
-
-// Shard returns a shard's text by digest, when it is held.
-func (k *Keeper) Shard(digest string) ([]byte, bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if raw, ok := k.inForce.shard(digest); ok {
-		return raw, true
-	}
-	for _, d := range k.candidates {
-		if raw, ok := d.shard(digest); ok {
-			return raw, true
-		}
-	}
-	return nil, false
-}
-
-func (d *document) shard(digest string) ([]byte, bool) {
-	if d == nil {
-		return nil, false
-	}
-	for _, n := range d.head.Shards() {
-		if d.head.ShardDigest(n) == digest {
-			return d.shards[n], true
-		}
-	}
-	return nil, false
-}
