Split the fleet: addresses, processes, what is published, calls by HTTP

Cause: fleet/fleet.go started the system, ran and ended processes, published configuration and made HTTP calls in 390 lines; the plan of the addresses stood as bare numbers in spec.go and proxy.go. Change: fleet.go starts the parts, process.go runs and ends one, publish.go has the published documents, http.go the calls, address.go where everything is, with a name for each number of the plan. Process, which nobody outside used, is not exported and lost two fields that nobody read. The same addresses, files and flags as before: e2e passed (109 s).

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -3,59 +3,38 @@
 package fleet
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
-	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"cairnwick.example/catalog"
 	"cairnwick.example/kvstore"
 	"cairnwick.example/member"
-	"github.com/pkg/errors"
 )
 
 const (
-	peerName     = "cairnwick" // in every certificate
-	reportLag    = 200 * time.Millisecond
-	readyTimeout = 30 * time.Second
-	stopTimeout  = 20 * time.Second
+	peerName  = "cairnwick" // in every certificate
+	reportLag = 200 * time.Millisecond
 )
 
-func seconds(n int) catalog.Span { return catalog.Span(time.Duration(n) * time.Second) }
-
 // Fleet is a system of processes. Start it, and Stop it at the end.
 type Fleet struct {
 	Spec Spec
 
-	net      string
+	network  string   // first three numbers of every address
 	identity Identity // of every daemon, with TLS
 
 	mu        sync.Mutex
-	processes map[string]*Process // by name, running ones
+	processes map[string]*process // by name, running ones
 	head      catalog.Head        // as last published
 }
 
-// Process is one running program.
-type Process struct {
-	Name string
-
-	command *exec.Cmd
-	log     *os.File
-	ended   chan error // receives once
-}
-
 // New returns a fleet that is not started.
 func New(s Spec) *Fleet {
-	return &Fleet{Spec: s, net: network(), processes: make(map[string]*Process)}
+	return &Fleet{Spec: s, network: newNetwork(), processes: make(map[string]*process)}
 }
 
 // Start starts every process and returns when every daemon is ready.
@@ -161,7 +140,7 @@
 		"data_centre":      CentreName(centre),
 		"peers_listen":     f.PeersAddress(centre, box, role),
 		"operators_listen": f.OperatorsAddress(centre, box, role),
-		"platform":         "http://" + f.reached(f.net+".1", standinPort),
+		"platform":         "http://" + f.reached(f.platformIP(), standinPort),
 		"advertise":        f.reached(f.boxIP(centre, box), peersPort+offset(role)),
 		"source":           f.boxIP(centre, box),
 		"settle":           "300ms",
@@ -178,7 +157,7 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(f.Spec.Dir, strings.ReplaceAll(DaemonName(centre, box, role), "/", "-")+".json")
+	path := f.file(DaemonName(centre, box, role), ".json")
 	if err := os.WriteFile(path, raw, 0o600); err != nil {
 		return err
 	}
@@ -189,31 +168,6 @@
 	return f.run(DaemonName(centre, box, role), "cairn-"+role, args...)
 }
 
-// run starts a program under a name; its output goes to a log in Dir.
-func (f *Fleet) run(name, program string, args ...string) error {
-	path := filepath.Join(f.Spec.Dir, strings.ReplaceAll(name, "/", "-")+".log")
-	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
-	if err != nil {
-		return err
-	}
-	c := exec.Command(filepath.Join(f.Spec.Bin, program), args...)
-	c.Stdout, c.Stderr = out, out
-	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := c.Start(); err != nil {
-		out.Close()
-		return errors.Wrapf(err, "fleet: start %s", name)
-	}
-	p := &Process{Name: name, command: c, log: out, ended: make(chan error, 1)}
-	go func() {
-		p.ended <- c.Wait()
-		out.Close()
-	}()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.processes[name] = p
-	return nil
-}
-
 // WaitReady returns when every gateway and scheduler that runs is ready.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for c := 1; c <= f.Spec.Centres; c++ {
@@ -230,161 +184,3 @@
 	}
 	return nil
 }
-
-// waitFor returns when the URL answers with status 200.
-func (f *Fleet) waitFor(ctx context.Context, url string) error {
-	return f.await(ctx, func() error {
-		_, err := Get(ctx, url)
-		return err
-	})
-}
-
-// await tries until it succeeds, for a bounded time.
-func (f *Fleet) await(ctx context.Context, try func() error) error {
-	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
-	defer cancel()
-	for {
-		err := try()
-		if err == nil {
-			return nil
-		}
-		select {
-		case <-ctx.Done():
-			return errors.Wrap(err, "fleet: waited in vain")
-		case <-time.After(20 * time.Millisecond):
-		}
-	}
-}
-
-// Get reads a URL that answers with status 200 or 204.
-func Get(ctx context.Context, url string) ([]byte, error) {
-	return exchange(ctx, http.MethodGet, url, nil)
-}
-
-// Post sends an empty body to a control path.
-func Post(ctx context.Context, url string) error {
-	_, err := exchange(ctx, http.MethodPost, url, nil)
-	return err
-}
-
-func exchange(ctx context.Context, method, url string, body []byte) ([]byte, error) {
-	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	a, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return nil, err
-	}
-	defer a.Body.Close()
-	text, err := io.ReadAll(a.Body)
-	if err != nil {
-		return nil, err
-	}
-	if a.StatusCode >= http.StatusMultipleChoices {
-		return nil, errors.Errorf("fleet: %s %s: status %d: %s", method, url, a.StatusCode, text)
-	}
-	return text, nil
-}
-
-// Put publishes one value, as the users do.
-func (f *Fleet) Put(ctx context.Context, key string, value []byte) error {
-	_, err := exchange(ctx, http.MethodPut, "http://"+f.PlatformAddress()+"/v1/kv/"+key, value)
-	return err
-}
-
-// Publish publishes a configuration that follows the last one.
-func (f *Fleet) Publish(ctx context.Context, shards map[string]catalog.Shard) error {
-	f.mu.Lock()
-	base := f.head
-	f.mu.Unlock()
-	h, err := f.PublishOn(ctx, base, shards)
-	if err != nil {
-		return err
-	}
-	f.mu.Lock()
-	f.head = h
-	f.mu.Unlock()
-	return nil
-}
-
-// Head returns the head that Publish published last.
-func (f *Fleet) Head() catalog.Head {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.head
-}
-
-// PublishOn publishes a configuration that follows base.
-func (f *Fleet) PublishOn(ctx context.Context, base catalog.Head, shards map[string]catalog.Shard) (catalog.Head, error) {
-	texts := make(map[string][]byte, len(shards))
-	for n, s := range shards {
-		raw, err := json.Marshal(s)
-		if err != nil {
-			return catalog.Head{}, err
-		}
-		texts[n] = raw
-		if err := f.Put(ctx, kvstore.ShardPrefix+catalog.Digest(raw), raw); err != nil {
-			return catalog.Head{}, err
-		}
-	}
-	h, err := catalog.NewHead(base, texts)
-	if err != nil {
-		return catalog.Head{}, err
-	}
-	return h, f.Put(ctx, kvstore.HeadKey, h.Raw())
-}
-
-// Signal sends a signal to a process.
-func (f *Fleet) Signal(name string, s syscall.Signal) error {
-	f.mu.Lock()
-	p := f.processes[name]
-	f.mu.Unlock()
-	if p == nil {
-		return errors.Errorf("fleet: no process %s", name)
-	}
-	return p.command.Process.Signal(s)
-}
-
-// End sends a signal to a process and waits for its end; the error is that of
-// its exit.
-func (f *Fleet) End(name string, s syscall.Signal) error {
-	if err := f.Signal(name, s); err != nil {
-		return err
-	}
-	f.mu.Lock()
-	p := f.processes[name]
-	delete(f.processes, name)
-	f.mu.Unlock()
-	select {
-	case err := <-p.ended:
-		return err
-	case <-time.After(stopTimeout):
-		_ = p.command.Process.Kill()
-		return errors.Errorf("fleet: %s did not end in time", name)
-	}
-}
-
-// PID returns the process number of a process.
-func (f *Fleet) PID(name string) int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if p := f.processes[name]; p != nil {
-		return p.command.Process.Pid
-	}
-	return 0
-}
-
-// Stop ends every process, at once.
-func (f *Fleet) Stop() {
-	f.mu.Lock()
-	list := f.processes
-	f.processes = make(map[string]*Process)
-	f.mu.Unlock()
-	for _, p := range list {
-		_ = p.command.Process.Kill() // it may have ended
-	}
-	for _, p := range list {
-		<-p.ended
-	}
-}
--- a/fleet/proxy.go
+++ b/fleet/proxy.go
@@ -5,24 +5,19 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
-	"net/netip"
-	"strconv"
-	"strings"
 
 	"cairnwick.example/member"
 	"cairnwick.example/standin"
-	"github.com/pkg/errors"
 )
 
 // startProxy starts the proxy with a route to everything that daemons reach.
 func (f *Fleet) startProxy(ctx context.Context) error {
 	args := []string{"--listen", f.ProxyAddress()}
 	route := func(ip string, port int) {
-		args = append(args, "--route", fmt.Sprintf("%s:%d=%s:%d", ip, port+proxyOffset, ip, port))
+		args = append(args, "--route", join(ip, port+proxyOffset)+"="+join(ip, port))
 	}
-	route(f.net+".1", standinPort)
+	route(f.platformIP(), standinPort)
 	for c := 1; c <= f.Spec.Centres; c++ {
 		for b := 1; b <= f.Spec.Boxes; b++ {
 			route(f.boxIP(c, b), peersPort+offset(member.Gateway))
@@ -48,34 +43,6 @@
 	return err
 }
 
-// Range returns the addresses of a part of the fleet: platform, dc1 (its boxes
-// and engines), boxes1 (the boxes of a data centre), box1.2, engine1.2 or all.
-func (f *Fleet) Range(part string) (low, high netip.Addr, err error) {
-	at := func(first, last int) (netip.Addr, netip.Addr, error) {
-		return netip.MustParseAddr(fmt.Sprintf("%s.%d", f.net, first)), netip.MustParseAddr(fmt.Sprintf("%s.%d", f.net, last)), nil
-	}
-	numbers := strings.TrimLeft(part, "abcdefghijklmnopqrstuvwxyz")
-	kind := strings.TrimSuffix(part, numbers)
-	first, second, _ := strings.Cut(numbers, ".")
-	c, _ := strconv.Atoi(first)  // zero for parts without a number
-	n, _ := strconv.Atoi(second) // the same
-	switch kind {
-	case "all":
-		return at(1, 254)
-	case "platform":
-		return at(1, 1)
-	case "dc":
-		return at(40*c, 40*c+39)
-	case "boxes":
-		return at(40*c, 40*c+19)
-	case "box":
-		return at(40*c+n, 40*c+n)
-	case "engine":
-		return at(40*c+20+n, 40*c+20+n)
-	}
-	return low, high, errors.Errorf("fleet: part %q: write all, platform, dc1, boxes1, box1.2 or engine1.2", part)
-}
-
 // NewRule returns a rule for what passes from one part to another.
 func (f *Fleet) NewRule(from, to, mode string) (standin.Rule, error) {
 	r := standin.Rule{Mode: mode}
--- /dev/null
+++ b/fleet/publish.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"cairnwick.example/catalog"
+	"cairnwick.example/kvstore"
+)
+
+// Put publishes one value, as the users do.
+func (f *Fleet) Put(ctx context.Context, key string, value []byte) error {
+	_, err := exchange(ctx, http.MethodPut, "http://"+f.PlatformAddress()+"/v1/kv/"+key, value)
+	return err
+}
+
+// Publish publishes a configuration that follows the last one.
+func (f *Fleet) Publish(ctx context.Context, shards map[string]catalog.Shard) error {
+	f.mu.Lock()
+	base := f.head
+	f.mu.Unlock()
+	h, err := f.PublishOn(ctx, base, shards)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	f.head = h
+	f.mu.Unlock()
+	return nil
+}
+
+// Head returns the head that Publish published last.
+func (f *Fleet) Head() catalog.Head {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.head
+}
+
+// PublishOn publishes a configuration that follows base.
+func (f *Fleet) PublishOn(ctx context.Context, base catalog.Head, shards map[string]catalog.Shard) (catalog.Head, error) {
+	texts := make(map[string][]byte, len(shards))
+	for n, s := range shards {
+		raw, err := json.Marshal(s)
+		if err != nil {
+			return catalog.Head{}, err
+		}
+		texts[n] = raw
+		if err := f.Put(ctx, kvstore.ShardPrefix+catalog.Digest(raw), raw); err != nil {
+			return catalog.Head{}, err
+		}
+	}
+	h, err := catalog.NewHead(base, texts)
+	if err != nil {
+		return catalog.Head{}, err
+	}
+	return h, f.Put(ctx, kvstore.HeadKey, h.Raw())
+}
+
+// Shards returns the configuration that describes the fleet, by shard name.
+func (f *Fleet) Shards() map[string]catalog.Shard {
+	s := f.Spec
+	shards := map[string]catalog.Shard{
+		"classes": {
+			Bases: []catalog.BaseFormat{{Name: BaseName}},
+			Classes: []catalog.ClassFormat{
+				{Name: CounterClass, Priority: 1, MayWait: seconds(5), Deadline: seconds(20), Default: true},
+				{Name: NightClass, Priority: 9, MayWait: seconds(600), Deadline: seconds(3600)},
+				{Name: UrgentClass, Priority: 0, Deadline: seconds(10)},
+			},
+		},
+		"endpoints": f.endpointShard(),
+	}
+	each := s.PerShard
+	if each == 0 {
+		each = defaultPerShard
+	}
+	for first := 1; first <= s.Adapters; first += each {
+		shards[fmt.Sprintf("adapters-%05d", first)] = adapterShard(first, min(first+each, s.Adapters+1))
+	}
+	return shards
+}
+
+func (f *Fleet) endpointShard() catalog.Shard {
+	var shard catalog.Shard
+	for c := 1; c <= f.Spec.Centres; c++ {
+		for e := 1; e <= f.Spec.Engines; e++ {
+			shard.Endpoints = append(shard.Endpoints, catalog.EndpointFormat{
+				Name:         EndpointName(c, e),
+				DataCentre:   CentreName(c),
+				Base:         BaseName,
+				Address:      f.reached(f.engineIP(c, e), standinPort),
+				Slots:        f.Spec.Slots,
+				Running:      f.Spec.Batch,
+				ChecksFences: !f.Spec.NoFences,
+				ReportLag:    catalog.Span(reportLag),
+			})
+		}
+	}
+	if f.Spec.Services > 0 {
+		s := catalog.ServiceFormat{Name: ServiceName, NotRepeatable: []string{"POST /bookings"}}
+		for i := 1; i <= f.Spec.Services; i++ {
+			s.Addresses = append(s.Addresses, f.ServiceAddress(i))
+		}
+		shard.Services = []catalog.ServiceFormat{s}
+	}
+	return shard
+}
+
+func adapterShard(first, end int) catalog.Shard {
+	var shard catalog.Shard
+	for i := first; i < end; i++ {
+		n := AdapterName(i)
+		shard.Adapters = append(shard.Adapters, catalog.AdapterFormat{
+			Name:     n,
+			Base:     BaseName,
+			Versions: map[string]string{"1": "adapters/" + n + "/1", "2": "adapters/" + n + "/2"},
+			Aliases:  map[string]string{catalog.LiveAlias: "2"},
+		})
+	}
+	return shard
+}
+
+func seconds(n int) catalog.Span { return catalog.Span(time.Duration(n) * time.Second) }
--- a/fleet/witness.go
+++ b/fleet/witness.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strings"
 
@@ -76,14 +75,6 @@
 	return nil
 }
 
-func getJSON(ctx context.Context, url string, into any) error {
-	raw, err := Get(ctx, url)
-	if err != nil {
-		return err
-	}
-	return json.Unmarshal(raw, into)
-}
-
 // Lied counts the requests that ran although they were refused as not run.
 func (w Witness) Lied(notRun []string) int {
 	n := 0
