Set up the reach of endpoints once for gateway and scheduler

Cause: both set-ups wrote the option endpoint_dial_timeout with its default and help, put it behind the common ones, and built the same client from it. Change: daemon.Options makes the whole table from a daemon's own options, Node.EndpointClient the client. What the connections that are kept idle are for stands at both counts. Ruled out: one set-up for both; what is left alike are names of fields, and the figures that each exports are its own.

--- a/daemon/options.go
+++ b/daemon/options.go
@@ -6,6 +6,7 @@
 package daemon
 
 import (
+	"slices"
 	"time"
 
 	"cairnwick.example/settings"
@@ -35,10 +36,22 @@
 	DrainLimit  = "drain_limit"
 	Decisions   = "decisions"
 	Debug       = "debug"
+
+	EndpointDial = "endpoint_dial_timeout"
 )
 
-// Common is the table of the options that every daemon has.
-var Common = settings.Table{
+// Options returns the whole table of a daemon: what every daemon has, its own options,
+// and last the wait for endpoints.
+func Options(own settings.Table) settings.Table {
+	return slices.Concat(common, own, settings.Table{endpointDial})
+}
+
+var endpointDial = settings.Option{
+	Name: EndpointDial, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond,
+	Help: "longest wait for a connection to an endpoint",
+}
+
+var common = settings.Table{
 	{Name: Box, Kind: settings.Text, Required: true, Help: "name of the box, unique in the system"},
 	{Name: DataCentre, Kind: settings.Text, Required: true, Help: "data centre where the box stands"},
 	{Name: PeersListen, Kind: settings.Address, Required: true, Help: "address for the other daemons"},
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -6,6 +6,7 @@
 	"context"
 	"expvar"
 	"net"
+	"net/http"
 	"time"
 
 	"cairnwick.example/engine"
@@ -41,7 +42,9 @@
 	}
 }
 
-// DialEndpoints returns how the node reaches endpoints.
-func (n *Node) DialEndpoints(timeout time.Duration) engine.DialFunc {
-	return counted(&n.traffic.Endpoints, timeout, n.values.Text(Source))
+// EndpointClient returns the client that reaches endpoints and keeps so many idle
+// connections to each.
+func (n *Node) EndpointClient(idle int) *http.Client {
+	dial := counted(&n.traffic.Endpoints, n.values.Duration(EndpointDial), n.values.Text(Source))
+	return &http.Client{Transport: engine.NewTransport(dial, idle)}
 }
--- a/gateway/serving.go
+++ b/gateway/serving.go
@@ -6,12 +6,9 @@
 	"context"
 	"expvar"
 	"net"
-	"net/http"
-	"slices"
 	"time"
 
 	"cairnwick.example/daemon"
-	"cairnwick.example/engine"
 	"cairnwick.example/member"
 	"cairnwick.example/policy"
 	"cairnwick.example/settings"
@@ -33,11 +30,10 @@
 	optPrefixes  = "warm_prefixes"
 	optShare     = "retry_share"
 	optBurst     = "retry_burst"
-	optDial      = "endpoint_dial_timeout"
 )
 
 // Options is the table of a gateway's settings.
-var Options = append(slices.Clone(daemon.Common), settings.Table{
+var Options = daemon.Options(settings.Table{
 	{Name: optListen, Kind: settings.Address, Required: true, Help: "address for callers"},
 	{Name: optPlacement, Kind: settings.Text, Default: policy.PlaceHomes, Help: "homes, hash, least_loaded or random"},
 	{Name: optScope, Kind: settings.Text, Default: ScopeRegion, Help: "how far an adapter's homes spread: data_centre or region"},
@@ -51,9 +47,9 @@
 	{Name: optPrefixes, Kind: settings.Count, Default: 8192, Help: "prompts' beginnings whose endpoint is remembered, since its cache may be warm; 0: none"},
 	{Name: optShare, Kind: settings.Number, Default: 0.1, Help: "retries allowed for each success"},
 	{Name: optBurst, Kind: settings.Number, Default: 10.0, Help: "retries allowed at once"},
-	{Name: optDial, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "longest wait for a connection to an endpoint"},
-}...)
+})
 
+// idlePerEndpoint spares so many requests that come at once the opening of a connection.
 const idlePerEndpoint = 64
 
 // Serve runs a gateway with checked settings until ctx ends.
@@ -77,7 +73,7 @@
 		Probe:      n.Probe,
 		Schedulers: n.Dialer,
 		Remote:     n.Boxes,
-		Engines:    &http.Client{Transport: engine.NewTransport(n.DialEndpoints(v.Duration(optDial)), idlePerEndpoint)},
+		Engines:    n.EndpointClient(idlePerEndpoint),
 		Placement:  place,
 		Scope:      v.Text(optScope),
 		Retries:    policy.NewRetryBudget(v.Number(optShare), v.Number(optBurst)),
--- a/scheduler/serving.go
+++ b/scheduler/serving.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"expvar"
-	"net/http"
-	"slices"
 	"time"
 
 	"cairnwick.example/daemon"
@@ -36,11 +34,10 @@
 	optKeyMargin  = "key_margin"
 	optKeyKeep    = "key_keep"
 	optKeys       = "keys"
-	optDial       = "endpoint_dial_timeout"
 )
 
 // Options is the table of a scheduler's settings.
-var Options = append(slices.Clone(daemon.Common), settings.Table{
+var Options = daemon.Options(settings.Table{
 	{Name: optEviction, Kind: settings.Text, Default: policy.EvictReturn, Help: "expected_return or least_recently_used"},
 	{Name: optBatch, Kind: settings.Number, Default: 0.0, Help: "what is weighed: 0 load stalls first, 1 batch fullness first; above 0 requests that may wait long are held for fuller batches"},
 	{Name: optSendWindow, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "a grant must be used within it"},
@@ -58,9 +55,9 @@
 	{Name: optKeyMargin, Kind: settings.Duration, Default: 3 * time.Second, Help: "allowance for clocks and views that differ, for keys"},
 	{Name: optKeyKeep, Kind: settings.Duration, Default: 10 * time.Minute, Least: time.Second, Help: "how long the outcome of a key is remembered"},
 	{Name: optKeys, Kind: settings.Count, Default: 50000, Least: 1, Help: "keys remembered"},
-	{Name: optDial, Kind: settings.Duration, Default: time.Second, Least: time.Millisecond, Help: "longest wait for a connection to an endpoint"},
-}...)
+})
 
+// idlePerEndpoint is for looks at the fence and orders, of which few go at once.
 const idlePerEndpoint = 4
 
 // Serve runs a scheduler with checked settings until ctx ends.
@@ -73,7 +70,7 @@
 	if err != nil {
 		return err
 	}
-	client := &http.Client{Transport: engine.NewTransport(n.DialEndpoints(v.Duration(optDial)), idlePerEndpoint)}
+	client := n.EndpointClient(idlePerEndpoint)
 	s := &Scheduler{
 		Name:     n.Name(),
 		Box:      n.Box(),
