Start the systems of the demos in one place

Change: withFleet of cairn-demo, fleet.Daemons, fleet.Walkthrough. The test of the page asserts what it did.

--- a/cmd/cairn-demo/main.go
+++ b/cmd/cairn-demo/main.go
@@ -4,9 +4,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 
+	"cairnwick.example/fleet"
 	"github.com/alexflint/go-arg"
 )
 
@@ -27,3 +29,20 @@
 		os.Exit(1)
 	}
 }
+
+// withFleet starts a fleet of the programs in bin, with a folder of its own, hands it
+// over when it is ready, and removes both afterwards.
+func withFleet(ctx context.Context, bin string, s fleet.Spec, use func(*fleet.Fleet) error) error {
+	dir, err := os.MkdirTemp("", "cairn-demo-")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	s.Bin, s.Dir = bin, dir
+	f := fleet.New(s)
+	defer f.Stop()
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	return use(f)
+}
--- a/cmd/cairn-demo/show.go
+++ b/cmd/cairn-demo/show.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
 	"time"
 
 	"cairnwick.example/daemon"
@@ -22,26 +21,15 @@
 func show(w io.Writer, bin string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), demoTimeout)
 	defer cancel()
-	dir, err := os.MkdirTemp("", "cairn-demo-")
-	if err != nil {
-		return err
-	}
-	defer os.RemoveAll(dir)
-	f := fleet.New(fleet.Spec{
-		Bin: bin, Dir: dir,
-		Centres: 3, Boxes: 1, Engines: 2, Services: 1,
-		Adapters: 100, Slots: 4, Batch: 8,
-	})
-	defer f.Stop()
+	spec := fleet.Spec{Centres: 3, Boxes: 1, Engines: 2, Services: 1, Adapters: 100, Slots: 4, Batch: 8}
 	fmt.Fprintln(w, "Starting three data centres: a gateway, a scheduler and two engines in each, the platform and a plain service.")
-	if err := f.Start(ctx); err != nil {
-		return err
-	}
-	last, err := askSome(ctx, w, f)
-	if err != nil {
-		return err
-	}
-	return tell(ctx, w, f, last)
+	return withFleet(ctx, bin, spec, func(f *fleet.Fleet) error {
+		last, err := askSome(ctx, w, f)
+		if err != nil {
+			return err
+		}
+		return tell(ctx, w, f, last)
+	})
 }
 
 // askSome sends requests of several kinds and returns the id of the last one.
@@ -77,17 +65,13 @@
 
 // tell prints the story of one request.
 func tell(ctx context.Context, w io.Writer, f *fleet.Fleet, request string) error {
-	var addresses []string
-	for _, b := range f.Boxes() {
-		addresses = append(addresses, b.Address)
-	}
 	fmt.Fprintf(w, "\nWhy request %s went where it did:\n", request)
 	c, err := operator.New(&daemon.Identity{})
 	if err != nil {
 		return err
 	}
 	defer c.Close()
-	found, _ := c.Explain(ctx, addresses, request)
+	found, _ := c.Explain(ctx, f.Daemons(), request)
 	if len(found) == 0 {
 		return errors.New("demo: no daemon remembers the request")
 	}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -244,11 +244,8 @@
 
 // cmdCairnctl runs the operators' client against every daemon of the fleet.
 func cmdCairnctl(ts *testscript.TestScript, neg bool, args []string) {
-	var list []string
-	for _, b := range worldOf(ts).fleet.Boxes() {
-		list = append(list, b.Address)
-	}
-	runProgram(ts, neg, "cairnctl", append([]string{"--daemons", strings.Join(list, ",")}, args...))
+	daemons := strings.Join(worldOf(ts).fleet.Daemons(), ",")
+	runProgram(ts, neg, "cairnctl", append([]string{"--daemons", daemons}, args...))
 }
 
 // cmdProgram runs any program under test: program cairn-gateway --help.
--- a/e2e/pages_test.go
+++ b/e2e/pages_test.go
@@ -57,14 +57,10 @@
 
 func TestEveryCommandOfTheWalkthroughRuns(t *testing.T) {
 	c := quicktest.New(t)
-	f := startFleet(c, fleet.Spec{Centres: 2, Boxes: 1, Engines: 2, Services: 1, Adapters: 20, Slots: 2, Batch: 8})
-	var daemons []string
-	for _, b := range f.Boxes() {
-		daemons = append(daemons, b.Address)
-	}
+	f := startFleet(c, fleet.Walkthrough())
 	environment := append(os.Environ(),
 		"PATH="+bin+":"+os.Getenv("PATH"),
-		"CAIRN_DAEMONS="+strings.Join(daemons, ","),
+		"CAIRN_DAEMONS="+strings.Join(f.Daemons(), ","),
 		"GATEWAY=http://"+f.CallersAddress(1, 1),
 		"PLATFORM=http://"+f.PlatformAddress(),
 		"ENGINE=http://"+f.EngineAddress(1, 1))
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -34,6 +34,11 @@
 	Proxied    bool     // daemons, engines and platform are reached through a fault-injecting proxy
 }
 
+// Walkthrough returns the system that the page of the walk-through is about.
+func Walkthrough() Spec {
+	return Spec{Centres: 2, Boxes: 1, Engines: 2, Services: 1, Adapters: 20, Slots: 2, Batch: 8}
+}
+
 // The names that every fleet's configuration uses.
 const (
 	BaseName     = "advice"
@@ -58,6 +63,15 @@
 // AdapterName returns the name of the i-th adapter, from 1.
 func AdapterName(i int) string { return fmt.Sprintf("adapter-%05d", i) }
 
+// Daemons returns the addresses of all daemons for their peers and for operators.
+func (f *Fleet) Daemons() []string {
+	var list []string
+	for _, b := range f.Boxes() {
+		list = append(list, b.Address)
+	}
+	return list
+}
+
 // Boxes returns the platform's list of the fleet's daemons.
 func (f *Fleet) Boxes() []kvstore.Box {
 	var list []kvstore.Box
