Run the tasks of gateway, scheduler and daemon by one function

Cause: each gathered the ends of its tasks by a loop of its own: the gateway with two channels, the scheduler with one for each task. Change: daemon.RunAll runs tasks until all have ended and returns the first error; the daemon's own tasks, of which the first end stops the others, use its second half.

--- a/daemon/run.go
+++ b/daemon/run.go
@@ -30,15 +30,35 @@
 	n.readBoxes(ctx)
 	tasks := append([]Task{n.loop.Run, n.relay.Run, n.Boxes.Run, n.join}, n.tasks...)
 	tasks = append(tasks, n.operatorsTask(operators), n.peersTask(peers))
-	err = n.runAll(ctx, inner, end, tasks)
+	err = n.runTasks(ctx, inner, end, tasks)
 	n.Dialer.Close()
 	n.Log.Info("Daemon ends")
 	return err
 }
 
-// runAll runs the tasks under inner until one of them ends, or ctx does and the node
+// RunAll runs tasks until all have ended, and returns the first error.
+func RunAll(ctx context.Context, tasks ...Task) error {
+	ended := make(chan error, len(tasks))
+	for _, t := range tasks {
+		go func() { ended <- t(ctx) }()
+	}
+	return firstError(ended, len(tasks))
+}
+
+// firstError waits for the ends of so many tasks.
+func firstError(ended <-chan error, running int) error {
+	var first error
+	for range running {
+		if err := <-ended; err != nil && first == nil {
+			first = err
+		}
+	}
+	return first
+}
+
+// runTasks runs the tasks under inner until one of them ends, or ctx does and the node
 // has left; then it ends inner and returns the first error when all have ended.
-func (n *Node) runAll(ctx, inner context.Context, end context.CancelFunc, tasks []Task) error {
+func (n *Node) runTasks(ctx, inner context.Context, end context.CancelFunc, tasks []Task) error {
 	ended := make(chan error, len(tasks))
 	for _, t := range tasks {
 		go func() { ended <- t(inner) }()
@@ -52,10 +72,8 @@
 		running--
 	}
 	end()
-	for range running {
-		if e := <-ended; e != nil && err == nil {
-			err = e
-		}
+	if e := firstError(ended, running); err == nil {
+		err = e
 	}
 	return err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/daemon"
 	"cairnwick.example/decision"
 	"cairnwick.example/member"
 	"cairnwick.example/metrics"
@@ -120,23 +121,11 @@
 // Run gives grants back and follows owners until ctx ends, and returns when
 // what was to give back is given.
 func (g *Gateway) Run(ctx context.Context) error {
-	done := make(chan error, releaseWorkers)
+	tasks := []daemon.Task{g.followOwners, g.followReach}
 	for range releaseWorkers {
-		go func() { done <- g.releaseWorker(ctx) }()
+		tasks = append(tasks, g.releaseWorker)
 	}
-	followed := make(chan error, 2)
-	go func() { followed <- g.followOwners(ctx) }()
-	go func() { followed <- g.followReach(ctx) }()
-	err := <-followed
-	if e := <-followed; err == nil {
-		err = e
-	}
-	for range releaseWorkers {
-		if e := <-done; e != nil && err == nil {
-			err = e
-		}
-	}
-	return err
+	return daemon.RunAll(ctx, tasks...)
 }
 
 // Handler serves the callers' protocol.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/daemon"
 	"cairnwick.example/decision"
 	"cairnwick.example/engine"
 	"cairnwick.example/member"
@@ -119,26 +120,14 @@
 
 // Run keeps ownership, looks and orders going until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
-	var done []chan error
-	start := func(f func(context.Context) error) {
-		c := make(chan error, 1)
-		done = append(done, c)
-		go func() { c <- f(ctx) }()
-	}
+	tasks := []daemon.Task{s.ownLoop}
 	for range lookWorkers {
-		start(s.lookWorker)
+		tasks = append(tasks, s.lookWorker)
 	}
 	for range s.Workers {
-		start(s.orderWorker)
-	}
-	start(s.ownLoop)
-	var first error
-	for _, c := range done {
-		if err := <-c; err != nil && first == nil {
-			first = err
-		}
+		tasks = append(tasks, s.orderWorker)
 	}
-	return first
+	return daemon.RunAll(ctx, tasks...)
 }
 
 func (s *Scheduler) lookWorker(ctx context.Context) error {
