Write what requests for models and calls of services share once

Cause: the gateway read bodies and whole answers, refused for want of a configuration, kept the rule of keys and described decisions in two or three places each, word for word. Change: readBounded, readWhole, answer.give, noConfiguration, runKeyed for requests with and without a key, and decision. finish takes http.ResponseWriter, of which failureWriter was a copy. Answers and decisions are the same; six scripts of e2e on them pass. Ruled out: one type for a request and a call; they share an id and a key, and nothing of how they are routed.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -172,22 +172,13 @@
 
 // recordAttempt keeps how an attempt went.
 func (g *Gateway) recordAttempt(q *request, h hold, f *Failure) {
-	d := &wire.Decision{
-		Request:      q.id,
-		UnixMicros:   time.Now().UnixMicro(),
-		Box:          g.Name,
-		Step:         "run",
-		Adapter:      q.model.String(),
-		Class:        q.class.Name(),
-		Caller:       q.caller,
-		Endpoint:     h.endpoint,
-		Reason:       h.grant.GetReason(),
-		Revision:     q.catalog.Revision(),
-		WaitedMicros: h.grant.GetWaitedMicros(),
-		Detail:       "answered whole; granted by " + h.owner.Name() + " under fence " + h.grant.GetFence(),
-	}
+	d := g.decision(q, "run", time.Now())
+	d.Endpoint = h.endpoint
+	d.Reason = h.grant.GetReason()
+	d.WaitedMicros = h.grant.GetWaitedMicros()
+	d.Detail = "answered whole; granted by " + h.owner.Name() + " under fence " + h.grant.GetFence()
 	if f != nil {
-		d.Detail = string(f.Code) + " (" + string(f.Ran) + "): " + f.Message
+		d.Detail = f.detail()
 	}
 	g.Record.Add(d)
 }
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -66,6 +66,9 @@
 	return fmt.Sprintf("gateway: %s (%s): %s", f.Code, f.Ran, f.Message)
 }
 
+// detail is what decisions say of the failure.
+func (f *Failure) detail() string { return string(f.Code) + " (" + string(f.Ran) + "): " + f.Message }
+
 // status is the HTTP status of a code.
 func (c Code) status() int {
 	switch c {
@@ -131,6 +134,10 @@
 	_, _ = fmt.Fprintf(w, "event: error\ndata: %s\n\n", f.body(request))
 }
 
+func noConfiguration() *Failure {
+	return &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no configuration yet", Retry: time.Second}
+}
+
 func badRequest(format string, values ...any) *Failure {
 	return &Failure{Code: CodeBadRequest, Ran: NotRun, Message: fmt.Sprintf(format, values...)}
 }
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -11,16 +11,12 @@
 	"cairnwick.example/wire"
 )
 
-// once runs a request. One that is not repeatable runs only when the home of
-// its key lets this attempt run it, and the home is told how it ended.
-func (g *Gateway) once(ctx context.Context, q *request, run func() *Failure) *Failure {
-	if q.key == "" {
+// runKeyed runs a request. One that is not repeatable, which a key says, runs only
+// when the home of the key lets this attempt run it, and the home is told how it ended.
+func (g *Gateway) runKeyed(ctx context.Context, key, id string, run func() *Failure) *Failure {
+	if key == "" {
 		return run()
 	}
-	return g.runKeyed(ctx, q.key, q.id, run)
-}
-
-func (g *Gateway) runKeyed(ctx context.Context, key, id string, run func() *Failure) *Failure {
 	home, f := g.beginKey(ctx, key, id)
 	if f != nil {
 		return f
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -67,7 +67,7 @@
 func (g *Gateway) read(w http.ResponseWriter, r *http.Request, id string) (*request, *Failure) {
 	c := g.Catalog()
 	if c == nil {
-		return nil, &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no configuration yet", Retry: time.Second}
+		return nil, noConfiguration()
 	}
 	q := &request{id: id, path: r.URL.Path, arrived: time.Now(), catalog: c}
 	for _, step := range []func(*http.Request) *Failure{q.readClass, q.readKey} {
@@ -146,14 +146,23 @@
 	return u.String(), nil
 }
 
-func (q *request) readBody(w http.ResponseWriter, r *http.Request, most int64) *Failure {
+// readBounded reads a caller's body, of at most so many bytes.
+func readBounded(w http.ResponseWriter, r *http.Request, most int64) ([]byte, *Failure) {
 	raw, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		return &Failure{Code: CodeBodyTooLarge, Ran: NotRun, Message: fmt.Sprintf("body: larger than %d bytes", most)}
+		return nil, &Failure{Code: CodeBodyTooLarge, Ran: NotRun, Message: fmt.Sprintf("body: larger than %d bytes", most)}
 	}
 	if err != nil {
-		return badRequest("body: broken off: %v", err)
+		return nil, badRequest("body: broken off: %v", err)
+	}
+	return raw, nil
+}
+
+func (q *request) readBody(w http.ResponseWriter, r *http.Request, most int64) *Failure {
+	raw, f := readBounded(w, r, most)
+	if f != nil {
+		return f
 	}
 	if err := json.Unmarshal(raw, &q.body); err != nil {
 		return badRequest("body: not a JSON object: %v", err)
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -168,16 +168,7 @@
 		Width: width,
 		Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	d := &wire.Decision{
-		Request:    q.id,
-		UnixMicros: now.UnixMicro(),
-		Box:        g.Name,
-		Step:       "place",
-		Adapter:    q.model.String(),
-		Class:      q.class.Name(),
-		Caller:     q.caller,
-		Revision:   q.catalog.Revision(),
-	}
+	d := g.decision(q, "place", now)
 	ranked := make([]string, len(order))
 	for place, i := range order {
 		ranked[place] = names[i]
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -25,7 +25,7 @@
 	h.Set(ModelHeader, q.model.String())
 	h.Set(RevisionHeader, strconv.FormatInt(q.catalog.Revision(), 10))
 	out := &answer{writer: w, id: id, begun: begun}
-	f = g.once(r.Context(), q, func() *Failure { return g.route(r.Context(), q, out) })
+	f = g.runKeyed(r.Context(), q.key, id, func() *Failure { return g.route(r.Context(), q, out) })
 	g.stats.Total.Observe(q.class.Name(), time.Since(begun))
 	g.stats.Callers.Observe(q.caller, time.Since(begun))
 	if !out.first.IsZero() {
@@ -38,15 +38,9 @@
 	g.stats.Codes.Observe("ok", time.Since(begun))
 }
 
-// failureWriter is where a failure goes: a plain writer or a begun answer.
-type failureWriter interface {
-	Header() http.Header
-	Write([]byte) (int, error)
-	WriteHeader(int)
-}
-
-// finish gives a request its final answer when it has none of its own.
-func (g *Gateway) finish(w failureWriter, q *request, id string, begun time.Time, f *Failure) {
+// finish gives a request its final answer when it has none of its own. The writer is
+// an *answer when one may have begun.
+func (g *Gateway) finish(w http.ResponseWriter, q *request, id string, begun time.Time, f *Failure) {
 	g.stats.Codes.Observe(string(f.Code), time.Since(begun))
 	g.Log.V(1).Info("Request was refused", "request", id, "revision", q.revision(), "code", f.Code, "ran", f.Ran, "message", f.Message)
 	g.record(q, id, f)
@@ -59,23 +53,29 @@
 
 // record keeps why a request got no answer.
 func (g *Gateway) record(q *request, id string, f *Failure) {
-	d := &wire.Decision{
-		Request:    id,
-		UnixMicros: time.Now().UnixMicro(),
-		Box:        g.Name,
-		Step:       "answer",
-		Detail:     string(f.Code) + " (" + string(f.Ran) + "): " + f.Message,
-	}
+	d := &wire.Decision{Request: id, UnixMicros: time.Now().UnixMicro(), Box: g.Name, Step: "answer"}
 	if q != nil {
-		d.Adapter = q.model.String()
-		d.Class = q.class.Name()
-		d.Caller = q.caller
-		d.Revision = q.catalog.Revision()
+		d = g.decision(q, "answer", time.Now())
 		d.WaitedMicros = time.Since(q.arrived).Microseconds()
 	}
+	d.Detail = f.detail()
 	g.Record.Add(d)
 }
 
+// decision returns what every decision about a request for a model says.
+func (g *Gateway) decision(q *request, step string, now time.Time) *wire.Decision {
+	return &wire.Decision{
+		Request:    q.id,
+		UnixMicros: now.UnixMicro(),
+		Box:        g.Name,
+		Step:       step,
+		Adapter:    q.model.String(),
+		Class:      q.class.Name(),
+		Caller:     q.caller,
+		Revision:   q.catalog.Revision(),
+	}
+}
+
 // modelEntry is one line of the list of models.
 type modelEntry struct {
 	ID      string `json:"id"`
@@ -93,8 +93,7 @@
 func (g *Gateway) serveModels(w http.ResponseWriter, _ *http.Request) {
 	c := g.Catalog()
 	if c == nil {
-		f := &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no configuration yet", Retry: time.Second}
-		f.write(w, newRequestID())
+		noConfiguration().write(w, newRequestID())
 		return
 	}
 	list := modelList{Object: "list", Data: []modelEntry{}}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -36,10 +35,8 @@
 	begun := time.Now()
 	c, f := g.readCall(w, r, id)
 	out := &answer{writer: w, id: id, begun: begun}
-	if f == nil && c.key != "" {
+	if f == nil {
 		f = g.runKeyed(r.Context(), c.key, id, func() *Failure { return g.callService(r.Context(), c, out) })
-	} else if f == nil {
-		f = g.callService(r.Context(), c, out)
 	}
 	if f != nil {
 		g.finish(out, nil, id, begun, f)
@@ -51,7 +48,7 @@
 func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, id string) (*call, *Failure) {
 	k := g.Catalog()
 	if k == nil {
-		return nil, &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no configuration yet", Retry: time.Second}
+		return nil, noConfiguration()
 	}
 	s, ok := k.Service(r.PathValue("service"))
 	if !ok {
@@ -69,15 +66,11 @@
 		}
 		c.key = key
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.MaxBody))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, &Failure{Code: CodeBodyTooLarge, Ran: NotRun, Message: "body: larger than " + strconv.FormatInt(g.MaxBody, 10) + " bytes"}
-	}
-	if err != nil {
-		return nil, badRequest("body: broken off: %v", err)
+	var f *Failure
+	c.body, f = readBounded(w, r, g.MaxBody)
+	if f != nil {
+		return nil, f
 	}
-	c.body = body
 	return c, nil
 }
 
@@ -121,15 +114,13 @@
 		return g.lostCall(c, err)
 	}
 	defer a.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
-	if err != nil || len(body) > maxWhole {
+	body, whole := readWhole(a)
+	if !whole {
 		return &Failure{Code: CodeLost, Ran: Unknown, Message: "the answer of " + c.service.Name() + " broke off", Retry: g.Spans.Retry}
 	}
 	g.Retries.Success()
 	copyHeader(out.Header(), a.Header)
-	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	out.WriteHeader(a.StatusCode)
-	_, _ = out.Write(body) // it ran; a caller that is gone has lost its answer
+	out.give(a.StatusCode, body)
 	return nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -51,6 +51,13 @@
 	}
 }
 
+// give writes a whole answer.
+func (a *answer) give(status int, body []byte) {
+	a.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	a.WriteHeader(status)
+	_, _ = a.Write(body) // it ran; a caller that is gone has lost its answer
+}
+
 // fail ends the answer with a failure: as a whole answer, or, when a stream has
 // begun, as an error event and a connection that does not end cleanly.
 func (a *answer) fail(f *Failure) {
@@ -63,11 +70,17 @@
 	panic(http.ErrAbortHandler)
 }
 
+// readWhole reads an endpoint's answer; false when it broke off or is too long.
+func readWhole(a *http.Response) ([]byte, bool) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
+	return body, err == nil && len(body) <= maxWhole
+}
+
 // passWhole reads the whole answer, then gives it to the caller: what broke off
 // is never passed on.
 func (g *Gateway) passWhole(ctx context.Context, out *answer, h hold, run string, a *http.Response, r *wire.ReleaseRequest) *Failure {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxWhole+1))
-	if err != nil || len(body) > maxWhole {
+	body, whole := readWhole(a)
+	if !whole {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 		if ctx.Err() != nil {
 			g.cancel(h, run, r)
@@ -76,9 +89,7 @@
 	}
 	r.Outcome = wire.Outcome_OUTCOME_COMPLETED
 	out.Header().Set("Content-Type", a.Header.Get("Content-Type"))
-	out.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	out.WriteHeader(a.StatusCode)
-	_, _ = out.Write(body) // it ran; a caller that is gone has lost its answer
+	out.give(a.StatusCode, body)
 	return nil
 }
 
