Ask once whether an order still holds, and for an adapter's priority

Cause: orders.go compared fence and boot in four places, planning.go looked up the published priority in two, each with its own handling of an adapter that is not published. Change: order.currentLocked and Scheduler.priorityOf.

--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -21,6 +21,12 @@
 	path     string // where the store keeps it
 }
 
+// currentLocked tells whether the order is still this scheduler's to give: its ownership
+// is the one it planned under, and the endpoint did not restart.
+func (o order) currentLocked() bool {
+	return o.endpoint.fence == o.fence && o.endpoint.boot == o.boot
+}
+
 // begunLocked notes in the slots that an order is on its way.
 func (s *Scheduler) begunLocked(e *endpoint, o order, now time.Time) {
 	if o.unload != "" {
@@ -47,7 +53,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u = engine.Authority{Fence: o.fence, Until: e.seen.Add(s.Spans.Trust)}
-	return u, e.fence == o.fence && e.boot == o.boot && e.trustedLocked(time.Now(), s.Spans.Trust)
+	return u, o.currentLocked() && e.trustedLocked(time.Now(), s.Spans.Trust)
 }
 
 // unload empties a slot and reserves it for the load; false ends the order.
@@ -61,7 +67,7 @@
 	err := e.client.Unload(ctx, u, o.unload)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.fence != o.fence || e.boot != o.boot {
+	if !o.currentLocked() {
 		return false
 	}
 	var refused *engine.RefusedError
@@ -82,7 +88,7 @@
 	e := o.endpoint
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.fence != o.fence || e.boot != o.boot {
+	if !o.currentLocked() {
 		return
 	}
 	if sl := e.slots[o.load]; sl != nil && sl.state == loading {
@@ -105,7 +111,7 @@
 	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.fence != o.fence || e.boot != o.boot {
+	if !o.currentLocked() {
 		return
 	}
 	if err != nil {
--- a/scheduler/planning.go
+++ b/scheduler/planning.go
@@ -100,11 +100,19 @@
 }
 
 func (s *Scheduler) loadFactsLocked(e *endpoint, name string, now time.Time) policy.LoadFacts {
-	f := policy.LoadFacts{Rate: e.rateLocked(name, now, s.Spans.HalfLife).Rate(now, s.Spans.HalfLife)}
-	if m, err := s.Catalog().Resolve(name); err == nil {
-		f.Priority = m.Adapter().Priority()
+	return policy.LoadFacts{
+		Rate:     e.rateLocked(name, now, s.Spans.HalfLife).Rate(now, s.Spans.HalfLife),
+		Priority: s.priorityOf(name),
 	}
-	return f
+}
+
+// priorityOf returns an adapter's published priority; zero when it is not published.
+func (s *Scheduler) priorityOf(name string) int {
+	m, err := s.Catalog().Resolve(name)
+	if err != nil {
+		return 0
+	}
+	return m.Adapter().Priority()
 }
 
 // orderLocked makes the order for one load, if a slot and the budget allow it.
@@ -149,16 +157,13 @@
 }
 
 func (s *Scheduler) slotFactsLocked(e *endpoint, name string, sl *slot, now time.Time) policy.SlotFacts {
-	f := policy.SlotFacts{
+	return policy.SlotFacts{
 		Busy:     sl.state != ready || sl.grants > 0 || !sl.unsure.IsZero() || e.wantsLocked(name),
 		LastUsed: sl.used,
 		LoadCost: e.loadTime,
 		Rate:     e.rateLocked(name, now, s.Spans.HalfLife).Rate(now, s.Spans.HalfLife),
+		Priority: s.priorityOf(name),
 	}
-	if m, err := s.Catalog().Resolve(name); err == nil {
-		f.Priority = m.Adapter().Priority()
-	}
-	return f
 }
 
 // wantsLocked tells whether a request waits for the adapter.
