--- a/e2e/ask_test.go
+++ b/e2e/ask_test.go
@@ -144,34 +144,21 @@
 // cmdIdle waits until no daemon holds a request, a grant or a waiter.
 func cmdIdle(ts *testscript.TestScript, _ bool, _ []string) {
 	w := worldOf(ts)
-	deadline := time.Now().Add(20 * time.Second)
-	for {
-		left := held(w)
-		if left == "" {
-			return
-		}
-		if time.Now().After(deadline) {
-			ts.Fatalf("still held: %s", left)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
+	await(ts, 20*time.Second, "still held", func() string { return held(w) })
 }
 
 // held names what daemons that answer still hold.
 func held(w *world) string {
-	s := w.fleet.Spec
-	for c := 1; c <= s.Centres; c++ {
-		for b := 1; b <= s.Boxes; b++ {
-			if v := vars(w.fleet.OperatorsAddress(c, b, "gateway")); v != nil && string(v["gateway_in_flight"]) != "0" {
-				return fmt.Sprintf("gateway %d.%d: %s", c, b, v["gateway_in_flight"])
-			}
-			v := vars(w.fleet.OperatorsAddress(c, b, "scheduler"))
-			if v != nil && string(v["scheduler_outstanding"]) != `{"grants":0,"waiting":0}` {
-				return fmt.Sprintf("scheduler %d.%d: %s", c, b, v["scheduler_outstanding"])
-			}
+	names := map[string]string{"gateway": "gateway_in_flight", "scheduler": "scheduler_outstanding"}
+	idle := map[string]string{"gateway": "0", "scheduler": `{"grants":0,"waiting":0}`}
+	left := ""
+	eachDaemon(w, func(c, b int, role string) {
+		v := vars(w.fleet.OperatorsAddress(c, b, role))
+		if now := string(v[names[role]]); v != nil && now != idle[role] {
+			left = fmt.Sprintf("%s has %s", fleet.DaemonName(c, b, role), now)
 		}
-	}
-	return ""
+	})
+	return left
 }
 
 // vars reads a daemon's metrics; nil when it does not answer.
@@ -192,27 +179,16 @@
 func cmdSettled(ts *testscript.TestScript, _ bool, _ []string) {
 	w := worldOf(ts)
 	want := fmt.Sprintf(`{"alive":%d}`, 2*w.fleet.Spec.Boxes)
-	deadline := time.Now().Add(30 * time.Second)
-	for {
+	await(ts, 30*time.Second, "views have not settled", func() string {
 		behind := ""
-		for c := 1; c <= w.fleet.Spec.Centres; c++ {
-			for b := 1; b <= w.fleet.Spec.Boxes; b++ {
-				for _, role := range []string{"gateway", "scheduler"} {
-					v := vars(w.fleet.OperatorsAddress(c, b, role))
-					if string(v["cairn_members"]) != want {
-						behind = fmt.Sprintf("%s sees %s", fleet.DaemonName(c, b, role), v["cairn_members"])
-					}
-				}
+		eachDaemon(w, func(c, b int, role string) {
+			v := vars(w.fleet.OperatorsAddress(c, b, role))
+			if string(v["cairn_members"]) != want {
+				behind = fmt.Sprintf("%s sees %s", fleet.DaemonName(c, b, role), v["cairn_members"])
 			}
-		}
-		if behind == "" {
-			return
-		}
-		if time.Now().After(deadline) {
-			ts.Fatalf("views have not settled: %s", behind)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
+		})
+		return behind
+	})
 }
 
 // cmdCountAtMost checks a number that a daemon exports: countatmost
--- a/e2e/configure_test.go
+++ b/e2e/configure_test.go
@@ -56,28 +56,17 @@
 	ts.Check(err)
 	want := fmt.Sprint(w.fleet.Head().Revision())
 	begun := time.Now()
-	for {
+	await(ts, limit, "revision "+want+" is not in force", func() string {
 		behind := ""
-		s := w.fleet.Spec
-		for c := 1; c <= s.Centres; c++ {
-			for b := 1; b <= s.Boxes; b++ {
-				for _, role := range []string{"gateway", "scheduler"} {
-					v := vars(w.fleet.OperatorsAddress(c, b, role))
-					if v != nil && string(v["cairn_revision"]) != want {
-						behind = fmt.Sprintf("%s has %s", fleet.DaemonName(c, b, role), v["cairn_revision"])
-					}
-				}
+		eachDaemon(w, func(c, b int, role string) {
+			v := vars(w.fleet.OperatorsAddress(c, b, role))
+			if v != nil && string(v["cairn_revision"]) != want {
+				behind = fmt.Sprintf("%s has %s", fleet.DaemonName(c, b, role), v["cairn_revision"])
 			}
-		}
-		if behind == "" {
-			ts.Logf("in force everywhere after %v", time.Since(begun).Round(10*time.Millisecond))
-			return
-		}
-		if time.Since(begun) > limit {
-			ts.Fatalf("revision %s is not in force: %s", want, behind)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+		})
+		return behind
+	})
+	ts.Logf("in force everywhere after %v", time.Since(begun).Round(10*time.Millisecond))
 }
 
 // cmdRace publishes two configurations on the same base, one after the other:
@@ -104,16 +93,11 @@
 func cmdAgree(ts *testscript.TestScript, _ bool, _ []string) {
 	w := worldOf(ts)
 	seen := make(map[string][]string)
-	s := w.fleet.Spec
-	for c := 1; c <= s.Centres; c++ {
-		for b := 1; b <= s.Boxes; b++ {
-			for _, role := range []string{"gateway", "scheduler"} {
-				v := vars(w.fleet.OperatorsAddress(c, b, role))
-				digest := string(v["cairn_head"])
-				seen[digest] = append(seen[digest], fleet.DaemonName(c, b, role))
-			}
-		}
-	}
+	eachDaemon(w, func(c, b int, role string) {
+		v := vars(w.fleet.OperatorsAddress(c, b, role))
+		digest := string(v["cairn_head"])
+		seen[digest] = append(seen[digest], fleet.DaemonName(c, b, role))
+	})
 	if len(seen) != 1 {
 		ts.Fatalf("different heads are in force: %v", seen)
 	}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -202,21 +202,17 @@
 	w := worldOf(ts)
 	name := process(ts, args[0])
 	centre, _ := place(ts, strings.TrimPrefix(args[0], "engine"))
-	deadline := time.Now().Add(15 * time.Second)
-	for {
+	await(ts, 15*time.Second, "not owned", func() string {
 		for b := 1; b <= w.fleet.Spec.Boxes; b++ {
 			if !owns(w, centre, b, name) {
 				continue
 			}
 			ts.Setenv("OWNER", fmt.Sprintf("%d.%d", centre, b))
 			ts.Setenv("OTHER", fmt.Sprintf("%d.%d", centre, b%w.fleet.Spec.Boxes+1))
-			return
+			return ""
 		}
-		if time.Now().After(deadline) {
-			ts.Fatalf("nobody owns %s", name)
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
+		return name
+	})
 }
 
 func owns(w *world, centre, box int, endpoint string) bool {
@@ -271,16 +267,12 @@
 // TEXT.
 func cmdEventually(ts *testscript.TestScript, _ bool, args []string) {
 	path := logPath(ts, process(ts, args[0]))
-	deadline := time.Now().Add(15 * time.Second)
-	for {
+	await(ts, 15*time.Second, args[0]+" does not say", func() string {
 		raw, err := os.ReadFile(path)
 		ts.Check(err)
 		if strings.Contains(string(raw), args[1]) {
-			return
+			return ""
 		}
-		if time.Now().After(deadline) {
-			ts.Fatalf("%s does not say %q", args[0], args[1])
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
+		return args[1]
+	})
 }
