Say in plain words what a member's table remembers

Cause: risen, woke, among and telling had to be looked up in the comments of their fields. Change: restarted, paused, inTouchLocked, withClaims; Table.Woke is Paused, tellLocked is timesToTellLocked. Left: the name Bridges, which edge sets and which others change now.

--- a/member/failure.go
+++ b/member/failure.go
@@ -11,7 +11,7 @@
 	t.heard = now
 	t.signs.seen[name] = now
 	if m, ok := t.others[name]; ok && m.state == Suspect {
-		t.news[name] = t.tellLocked() // its refutation will come with its own news
+		t.news[name] = t.timesToTellLocked() // its refutation will come with its own news
 	}
 }
 
@@ -38,7 +38,7 @@
 		return
 	}
 	state := Dead
-	if risen, again := t.signs.risen[name]; again && now.Sub(risen) < refusedLate {
+	if at, again := t.signs.restarted[name]; again && now.Sub(at) < refusalRemembered {
 		state = Suspect
 	}
 	if m.state == state {
@@ -69,12 +69,12 @@
 	}
 }
 
-// Woke distrusts the view after a pause of this process: it is not fresh until
+// Paused distrusts the view after a pause of this process: it is not fresh until
 // a neighbour was exchanged with again, and suspects get their time anew.
-func (t *Table) Woke(now time.Time) {
+func (t *Table) Paused(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.heard, t.signs.woke = time.Time{}, now
+	t.heard, t.signs.paused = time.Time{}, now
 	clear(t.signs.seen)
 	for n, m := range t.others {
 		if m.state == Suspect {
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -35,7 +35,7 @@
 	if known && !m.newer(old) {
 		return
 	}
-	if known && m.incarnation == old.incarnation && m.state != Leaving && t.seenLocked(m.name, now) {
+	if known && m.incarnation == old.incarnation && m.state != Leaving && t.seenLatelyLocked(m.name, now) {
 		t.signs.claims[m.name] = m // gossip against a sign of life from the member itself, which will refute it
 		return
 	}
@@ -43,7 +43,7 @@
 		return // nothing to correct, and it would be told for ever
 	}
 	if known && m.incarnation > old.incarnation {
-		t.signs.risen[m.name] = now
+		t.signs.restarted[m.name] = now
 	}
 	t.setLocked(m, now)
 }
@@ -57,7 +57,7 @@
 		return
 	}
 	t.self.incarnation = claim.incarnation + 1
-	if claim.state == Dead && !t.amongLocked(now) {
+	if claim.state == Dead && !t.inTouchLocked(now) {
 		t.self.incarnation = max(t.self.incarnation, uint64(max(now.UnixMicro(), 0)))
 	}
 	t.changedLocked(t.self.name)
@@ -84,9 +84,9 @@
 	return list
 }
 
-// tellLocked is how often one piece of news is told: enough to reach everyone
+// timesToTellLocked is how often one piece of news is told: enough to reach everyone
 // with high probability.
-func (t *Table) tellLocked() int {
+func (t *Table) timesToTellLocked() int {
 	return 3 + int(math.Ceil(2*math.Log2(float64(len(t.others)+1))))
 }
 
--- a/member/loop.go
+++ b/member/loop.go
@@ -24,7 +24,7 @@
 	Exchange(ctx context.Context, h *wire.Heartbeat) (*wire.Heartbeat, error)
 }
 
-// Extras lets the configuration ride on heartbeats.
+// Extras is what heartbeats carry besides members, such as heads of configuration.
 type Extras interface {
 	// Fill adds to a heartbeat that is about to be sent.
 	Fill(h *wire.Heartbeat)
@@ -47,7 +47,7 @@
 	Table      *Table
 	Dial       func(address string) Peer
 	Seeds      func() []string // addresses of daemons of the data centre, from the platform's list
-	Bridges    func() bool     // whether this daemon looks for seeds that it does not know
+	Bridges    func() bool     // whether it also exchanges with seeds that it does not know, and with Remote
 	Remote     func() []string // addresses of daemons of other data centres
 	Extras     Extras
 	Log        logr.Logger
@@ -128,7 +128,7 @@
 		return
 	}
 	l.Log.Info("Process was paused; what it knew is distrusted", "gap", gap.String())
-	l.Table.Woke(time.Now())
+	l.Table.Paused(time.Now())
 	if l.OnPause != nil {
 		l.OnPause(gap)
 	}
@@ -225,7 +225,7 @@
 func (l *Loop) call(ctx context.Context, address string) (*wire.Heartbeat, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.Timeout)
 	defer cancel()
-	return l.Dial(address).Exchange(ctx, l.telling(l.Heartbeat(false), address))
+	return l.Dial(address).Exchange(ctx, l.withClaims(l.Heartbeat(false), address))
 }
 
 // refused tells whether no process listens at the address. gRPC keeps of a
@@ -256,11 +256,11 @@
 	l.take(h, h.GetFrom().GetAddress())
 	l.Table.Exchanged(h.GetFrom().GetName(), time.Now())
 	_, known := l.Table.Find(h.GetFrom().GetName())
-	return l.telling(l.Heartbeat(known && h.GetView() != l.Table.Digest()), h.GetFrom().GetAddress())
+	return l.withClaims(l.Heartbeat(known && h.GetView() != l.Table.Digest()), h.GetFrom().GetAddress())
 }
 
-// telling adds to a heartbeat what the daemon at the address must hear of itself.
-func (l *Loop) telling(h *wire.Heartbeat, address string) *wire.Heartbeat {
+// withClaims adds to a heartbeat what the daemon at the address must hear of itself.
+func (l *Loop) withClaims(h *wire.Heartbeat, address string) *wire.Heartbeat {
 	for _, m := range l.Table.Claims(address) {
 		h.News = append(h.News, m.Wire())
 	}
--- a/member/table.go
+++ b/member/table.go
@@ -35,7 +35,7 @@
 		limits: l,
 		self:   self,
 		others: make(map[string]Member),
-		signs:  signs{seen: make(map[string]time.Time), risen: make(map[string]time.Time), claims: make(map[string]Member)},
+		signs:  signs{seen: make(map[string]time.Time), restarted: make(map[string]time.Time), claims: make(map[string]Member)},
 		news:   map[string]int{self.name: 1},
 		notify: make(chan struct{}),
 	}
@@ -108,7 +108,7 @@
 
 // changedLocked schedules the news of name and wakes those who wait.
 func (t *Table) changedLocked(name string) {
-	t.news[name] = t.tellLocked()
+	t.news[name] = t.timesToTellLocked()
 	t.version++
 	close(t.notify)
 	t.notify = make(chan struct{})
--- a/member/table_test.go
+++ b/member/table_test.go
@@ -73,7 +73,7 @@
 	v := tableOf("a", "b")
 	v.Exchanged("b", start)
 	c.Assert(v.Fresh(start.Add(time.Second)), quicktest.IsTrue)
-	v.Woke(start.Add(time.Second))
+	v.Paused(start.Add(time.Second))
 	c.Assert(v.Fresh(start.Add(time.Second)), quicktest.IsFalse)
 	v.Exchanged("b", start.Add(2*time.Second))
 	c.Assert(v.Fresh(start.Add(2*time.Second)), quicktest.IsTrue)
@@ -135,7 +135,7 @@
 	v.Merge([]Member{claim}, now)
 	c.Assert(v.Self().Incarnation(), quicktest.Equals, old+1)
 
-	v.Woke(now) // it stood still, and what it saw before proves nothing
+	v.Paused(now) // it stood still, and what it saw before proves nothing
 	claim.incarnation = old + 1
 	v.Exchanged("b", now)
 	v.Merge([]Member{claim}, now)
@@ -162,8 +162,8 @@
 	c := quicktest.New(t)
 	v := tableOf("a", "b")
 	v.Merge([]Member{box("b", 2)}, start)
-	v.Gone("b", start.Add(refusedLate/2))
+	v.Gone("b", start.Add(refusalRemembered/2))
 	c.Assert(stateOf(v, "b"), quicktest.Equals, Suspect)
-	v.Gone("b", start.Add(refusedLate*2))
+	v.Gone("b", start.Add(refusalRemembered*2))
 	c.Assert(stateOf(v, "b"), quicktest.Equals, Dead)
 }
