Name daemons, options and limits of the daemon for what they are

Cause: an entry of the platform's list was called Box, which the glossary keeps for the machine that runs two daemons; the options Operators and Timeout did not say which address and which time; peers were other daemons, an option and a function; joinBeats also stood for the margin of a still view; six limits had no reason. Change: kvstore.Daemon, OperatorsListen, HeartbeatTimeout, namedPeers, stillPart; the limits of the node say what they bound, the two of the platform's client have names.

--- a/daemon/boxes.go
+++ b/daemon/boxes.go
@@ -19,7 +19,7 @@
 	Life   func() time.Duration // how long a list is used before it is read again
 
 	mu   sync.Mutex
-	list []kvstore.Box // as last read; empty before
+	list []kvstore.Daemon // as last read; empty before
 }
 
 const (
@@ -59,7 +59,7 @@
 }
 
 // List returns the list as last read; do not change it.
-func (b *Boxes) List() []kvstore.Box {
+func (b *Boxes) List() []kvstore.Daemon {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.list
--- a/daemon/boxes_test.go
+++ b/daemon/boxes_test.go
@@ -25,7 +25,7 @@
 	b := &Boxes{
 		Client: &kvstore.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()},
 		Life:   func() time.Duration { return time.Minute },
-		list:   []kvstore.Box{{Name: "b/scheduler", DataCentre: "d", Role: "scheduler"}},
+		list:   []kvstore.Daemon{{Name: "b/scheduler", DataCentre: "d", Role: "scheduler"}},
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -43,7 +43,7 @@
 		_, _ = w.Write([]byte("{"))
 	}))
 	defer s.Close()
-	b := &Boxes{Client: &kvstore.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()}, list: []kvstore.Box{{Name: "b"}}}
+	b := &Boxes{Client: &kvstore.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()}, list: []kvstore.Daemon{{Name: "b"}}}
 	c.Assert(b.Refresh(context.Background()), quicktest.IsFalse)
 	c.Assert(b.List(), quicktest.HasLen, 1)
 }
--- a/daemon/join.go
+++ b/daemon/join.go
@@ -8,8 +8,14 @@
 	"time"
 )
 
-// joinBeats is how many heartbeats a daemon waits at most for a view that is still.
-const joinBeats = 4
+const (
+	// joinBeats bounds the wait for a view that is still, in heartbeats: a view that
+	// changes all the time must not keep a daemon from serving.
+	joinBeats = 4
+	// stillPart of a heartbeat more than one is how long a still view has no change, so
+	// that the news of the last beat is in it.
+	stillPart = 4
+)
 
 // join makes the node ready once it has a configuration: what peers
 // have in force when any answers, else what the platform gives.
@@ -40,7 +46,7 @@
 	limit := time.After(joinBeats * beat)
 	for {
 		changed := n.Table.Changed()
-		still := time.After(beat + beat/joinBeats)
+		still := time.After(beat + beat/stillPart)
 		if len(n.Table.All()) == 1 {
 			still = nil // nobody answered yet
 		}
@@ -58,7 +64,7 @@
 
 // askPeers takes over what any known daemon has in force, of every data centre.
 func (n *Node) askPeers(ctx context.Context) {
-	list := n.peers()
+	list := n.namedPeers()
 	for _, b := range n.Boxes.List() {
 		if b.Name != n.Name() {
 			list = append(list, b.Address)
@@ -91,7 +97,7 @@
 			list = append(list, b.Address)
 		}
 	}
-	return append(list, n.peers()...)
+	return append(list, n.namedPeers()...)
 }
 
 // remotes lists daemons of the other data centres.
@@ -105,8 +111,8 @@
 	return list
 }
 
-// peers lists the addresses that the settings name.
-func (n *Node) peers() []string {
+// namedPeers lists the addresses that the settings name.
+func (n *Node) namedPeers() []string {
 	var list []string
 	for _, a := range strings.Split(n.values.Text(Peers), ",") {
 		if a = strings.TrimSpace(a); a != "" && a != n.advertised() {
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -1,5 +1,13 @@
 // SPDX-License-Identifier: Apache-2.0
 
+// Package daemon is what the gateway and the scheduler have in common: the
+// command line, settings, membership, the configuration's relay, the operators'
+// port and the orderly end.
+//
+// Main reads the command line and the settings; New makes the Node that they
+// describe, to which the role adds what it serves; Node.Run joins the data centre,
+// serves and leaves it. Peers, which are other daemons, are called through a Dialer
+// and answered by the Node's gRPC server.
 package daemon
 
 import (
@@ -65,10 +73,10 @@
 	n.Dialer = &Dialer{Credentials: creds, Dial: counted(&n.traffic.Peers, dialTimeout, v.Text(Source))}
 	client := &kvstore.Client{
 		Address: v.Text(Platform),
-		Timeout: 2 * time.Second,
+		Timeout: platformTimeout,
 		HTTP: &http.Client{Transport: &http.Transport{
 			DialContext:         counted(&n.traffic.Platform, dialTimeout, v.Text(Source)),
-			MaxIdleConnsPerHost: 2,
+			MaxIdleConnsPerHost: platformIdle,
 		}},
 	}
 	n.Boxes = &Boxes{Client: client, Life: n.boxesLife}
@@ -96,11 +104,13 @@
 }
 
 const (
-	forgetDead = 10 * time.Minute
-	listLife   = 5 * time.Minute  // of the list of boxes
-	watchLife  = 30 * time.Second // of it, at the few that watch the platform
-	watchWait  = 30 * time.Second
-	watchPause = time.Second
+	forgetDead      = 10 * time.Minute // so long no late news can bring a dead member back
+	listLife        = 5 * time.Minute  // of the list of boxes
+	watchLife       = 30 * time.Second // of it, at the few that watch the platform
+	watchWait       = 30 * time.Second // longest wait of the platform for a new head
+	watchPause      = time.Second      // before it is asked again after it gave none
+	platformTimeout = 2 * time.Second  // of a read
+	platformIdle    = 2                // connections kept: for the watch of the head and for reads
 )
 
 // Name returns the node's name as a member.
@@ -160,7 +170,7 @@
 		Extras:     n.relay,
 		Log:        n.Log,
 		Interval:   v.Duration(Heartbeat),
-		Timeout:    v.Duration(Timeout),
+		Timeout:    v.Duration(HeartbeatTimeout),
 		PauseLimit: v.Duration(PauseLimit),
 		Neighbours: v.Count(Neighbours),
 		OnPause: func(gap time.Duration) {
--- a/daemon/options.go
+++ b/daemon/options.go
@@ -1,8 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package daemon is what the gateway and the scheduler have in common: the
-// command line, settings, membership, the configuration's relay, the operators'
-// port and the orderly end.
 package daemon
 
 import (
@@ -14,28 +11,28 @@
 
 // The options that every daemon has.
 const (
-	Box         = "box"
-	DataCentre  = "data_centre"
-	PeersListen = "peers_listen"
-	Advertise   = "advertise"
-	Source      = "source"
-	TLSCert     = "tls_certificate"
-	TLSKey      = "tls_key"
-	TLSRoot     = "tls_authority"
-	Operators   = "operators_listen"
-	Platform    = "platform"
-	Peers       = "peers"
-	Heartbeat   = "heartbeat"
-	Timeout     = "heartbeat_timeout"
-	SuspectFor  = "suspect_for"
-	FreshFor    = "fresh_for"
-	PauseLimit  = "pause_limit"
-	Neighbours  = "neighbours"
-	Watchers    = "watchers"
-	Settle      = "settle"
-	DrainLimit  = "drain_limit"
-	Decisions   = "decisions"
-	Debug       = "debug"
+	Box              = "box"
+	DataCentre       = "data_centre"
+	PeersListen      = "peers_listen"
+	Advertise        = "advertise"
+	Source           = "source"
+	TLSCert          = "tls_certificate"
+	TLSKey           = "tls_key"
+	TLSRoot          = "tls_authority"
+	OperatorsListen  = "operators_listen"
+	Platform         = "platform"
+	Peers            = "peers"
+	Heartbeat        = "heartbeat"
+	HeartbeatTimeout = "heartbeat_timeout"
+	SuspectFor       = "suspect_for"
+	FreshFor         = "fresh_for"
+	PauseLimit       = "pause_limit"
+	Neighbours       = "neighbours"
+	Watchers         = "watchers"
+	Settle           = "settle"
+	DrainLimit       = "drain_limit"
+	Decisions        = "decisions"
+	Debug            = "debug"
 
 	EndpointDial = "endpoint_dial_timeout"
 )
@@ -60,11 +57,11 @@
 	{Name: TLSCert, Kind: settings.Text, Default: "", Help: "file with the certificate, PEM; empty: no TLS between daemons"},
 	{Name: TLSKey, Kind: settings.Text, Default: "", Help: "file with the certificate's key, PEM"},
 	{Name: TLSRoot, Kind: settings.Text, Default: "", Help: "file with the authority of the other daemons' certificates, PEM"},
-	{Name: Operators, Kind: settings.Address, Required: true, Help: "address for health, metrics and operators"},
+	{Name: OperatorsListen, Kind: settings.Address, Required: true, Help: "address for health, metrics and operators"},
 	{Name: Platform, Kind: settings.URL, Required: true, Help: "the platform's key-value service"},
 	{Name: Peers, Kind: settings.Text, Default: "", Help: "addresses of some other daemons, with commas, asked when the platform is down"},
 	{Name: Heartbeat, Kind: settings.Duration, Default: time.Second, Least: 10 * time.Millisecond, Help: "time between heartbeats"},
-	{Name: Timeout, Kind: settings.Duration, Default: 700 * time.Millisecond, Least: 10 * time.Millisecond, Help: "longest wait for a heartbeat's answer"},
+	{Name: HeartbeatTimeout, Kind: settings.Duration, Default: 700 * time.Millisecond, Least: 10 * time.Millisecond, Help: "longest wait for a heartbeat's answer"},
 	{Name: SuspectFor, Kind: settings.Duration, Default: 1500 * time.Millisecond, Least: 10 * time.Millisecond, Help: "a suspect that is silent so long is dead"},
 	{Name: FreshFor, Kind: settings.Duration, Default: 3 * time.Second, Least: 10 * time.Millisecond, Help: "how long a heartbeat vouches for the view of the members"},
 	{Name: PauseLimit, Kind: settings.Duration, Default: 2500 * time.Millisecond, Least: 10 * time.Millisecond, Help: "a longer gap between heartbeats is a pause of the process"},
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return errors.Wrap(err, "daemon: peers' port")
 	}
-	operators, err := net.Listen("tcp", n.values.Text(Operators))
+	operators, err := net.Listen("tcp", n.values.Text(OperatorsListen))
 	if err != nil {
 		return errors.Wrap(err, "daemon: operators' port")
 	}
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -73,12 +73,12 @@
 }
 
 // Boxes returns the platform's list of the fleet's daemons.
-func (f *Fleet) Boxes() []kvstore.Box {
-	var list []kvstore.Box
+func (f *Fleet) Boxes() []kvstore.Daemon {
+	var list []kvstore.Daemon
 	for c := 1; c <= f.Spec.Centres; c++ {
 		for b := 1; b <= f.Spec.Boxes; b++ {
 			for _, role := range []string{member.Gateway, member.Scheduler} {
-				list = append(list, kvstore.Box{
+				list = append(list, kvstore.Daemon{
 					Name:       BoxName(c, b) + "/" + role,
 					DataCentre: CentreName(c),
 					Role:       role,
--- a/kvstore/kvstore.go
+++ b/kvstore/kvstore.go
@@ -106,8 +106,8 @@
 	return Value{body: body, index: index}, nil
 }
 
-// Box is one daemon in the platform's list, which lags.
-type Box struct {
+// Daemon is one daemon in the platform's list of boxes, which lags.
+type Daemon struct {
 	Name       string `json:"name"`
 	DataCentre string `json:"data_centre"`
 	Role       string `json:"role"`
@@ -116,8 +116,8 @@
 }
 
 // ParseBoxes reads the list of boxes.
-func ParseBoxes(raw []byte) ([]Box, error) {
-	var list []Box
+func ParseBoxes(raw []byte) ([]Daemon, error) {
+	var list []Daemon
 	if err := json.Unmarshal(raw, &list); err != nil {
 		return nil, errors.Wrap(err, "kvstore: list of boxes")
 	}
