--- a/catalog/head.go
+++ b/catalog/head.go
@@ -93,14 +93,6 @@
 // ShardDigest returns the digest of a shard's text.
 func (h Head) ShardDigest(name string) string { return h.shards[name] }
 
-// BasedOn returns the digest of the head that this one follows, or "".
-func (h Head) BasedOn() string {
-	if len(h.ancestors) == 0 {
-		return ""
-	}
-	return h.ancestors[0]
-}
-
 // Follows tells whether this head was made from old, directly or through heads
 // in between. A head further back than MaxAncestors cannot be told apart from a
 // stranger; it counts as followed when its revision lies that far back.
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -28,7 +28,6 @@
 
 	mu         sync.Mutex
 	inForce    *document            // nil until the first is accepted
-	since      time.Time            // when it came into force here
 	candidates map[string]*document // by digest; each follows inForce
 	refused    map[string]Verdict   // heads that were Rival or Invalid, by digest; bounded
 	changed    chan struct{}        // closed when another head comes into force
@@ -55,13 +54,6 @@
 	return k.inForce.catalog
 }
 
-// Since returns when the configuration came into force here.
-func (k *Keeper) Since() time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.since
-}
-
 // Changed returns a channel that closes when another head comes into force.
 func (k *Keeper) Changed() <-chan struct{} {
 	k.mu.Lock()
@@ -113,7 +105,6 @@
 // acceptLocked puts a document in force and drops the candidates that cannot follow it.
 func (k *Keeper) acceptLocked(d *document) {
 	k.inForce = d
-	k.since = time.Now()
 	for digest, c := range k.candidates {
 		if !c.head.Follows(d.head) {
 			delete(k.candidates, digest)
