Count lines that are too long, and read a line that stands behind a cut one

The reader of logs passed over a line of more than a megabyte without counting it, against its own word. And a process that is killed in the middle of a line and started again onto the same file writes its first line behind the rest of the old one: both were passed over, and with them 'Box starts', which tells why the story breaks off.

A line that is too long counts as foreign, once. Where a line does not hold, the last place in it where one of ours begins is tried; what stands before it counts as foreign. In a text of ours that beginning cannot stand, since its quotes are escaped: a caller's id that looks like a line forges none (test).

TestForeignCutAndDoubledLinesArePassedOverAndCounted wanted 4 foreign lines where it gives 5: the one of two megabytes was left out of the count. It now wants all five; red before with 4. TestALineBehindACutOneIsRead: red before with no line. A fuzz target wants each text that is not empty read or counted. `cairnctl story` on doubled, cut and foreign lines prints the same story and tells 4 and 5 passed over.

--- a/cmd/cairnctl/story_test.go
+++ b/cmd/cairnctl/story_test.go
@@ -44,3 +44,24 @@
 	c.Assert((&storyCommand{Request: "r9"}).tell(strings.NewReader(storyLog), &out, &errs), quicktest.Equals, exitNotFound)
 	c.Assert((&storyCommand{From: "noon"}).tell(strings.NewReader(storyLog), &out, &errs), quicktest.Equals, exitUsage)
 }
+
+// The same file given twice, a log that was cut while it was copied, and another program's
+// output must not change a story, and must be told.
+func TestWhatIsPassedOverIsCountedAndChangesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	var clean, out, errs bytes.Buffer
+	whole, _, _ := strings.Cut(storyLog, "not a line")
+	c.Assert((&storyCommand{Request: "r1"}).tell(strings.NewReader(whole), &clean, &errs), quicktest.Equals, exitDone)
+	c.Assert(errs.String(), quicktest.Equals, "")
+	dirty := "panic: not ours\n" + whole + whole[:60] + "\n{\"time\":\"noon\",\"msg\":\"x\"}\n" + whole + whole[:40]
+	c.Assert((&storyCommand{Request: "r1"}).tell(strings.NewReader(dirty), &out, &errs), quicktest.Equals, exitDone)
+	c.Assert(out.String(), quicktest.Equals, clean.String())
+	c.Assert(errs.String(), quicktest.Equals, "passed over: 4 lines that are not ours or are cut, 5 that came twice\n")
+}
+
+func TestAFileThatCanNotBeReadIsNamed(t *testing.T) {
+	c := quicktest.New(t)
+	var out, errs bytes.Buffer
+	c.Assert((&storyCommand{Request: "r1", Files: []string{"none.log"}}).tell(nil, &out, &errs), quicktest.Equals, exitFailed)
+	c.Assert(errs.String(), quicktest.Contains, "none.log")
+}
--- a/logging/read.go
+++ b/logging/read.go
@@ -81,6 +81,9 @@
 	in := bufio.NewReaderSize(r, maxLine)
 	for {
 		raw, err := in.ReadSlice('\n')
+		if err == bufio.ErrBufferFull {
+			g.foreign++
+		}
 		for err == bufio.ErrBufferFull { // the rest of a line that is too long
 			raw = nil
 			_, err = in.ReadSlice('\n')
@@ -97,33 +100,46 @@
 	}
 }
 
+// begin is how each line of ours begins. It cannot stand inside one: there its quotes
+// would be escaped.
+var begin = []byte(`{"time":`)
+
+// add adds one line of text. A process that was killed while it wrote leaves a line
+// without an end, and what is written next stands behind it.
 func (g *Log) add(raw []byte) {
-	at := bytes.IndexByte(raw, '{')
-	if at < 0 {
-		g.foreign++
-		return
-	}
-	text := string(bytes.TrimSpace(raw[at:]))
-	fields := make(map[string]any)
-	if json.Unmarshal([]byte(text), &fields) != nil {
-		g.foreign++
-		return
-	}
-	l := Line{fields: fields, raw: text}
-	l.message = l.Text("msg")
-	when, err := time.Parse(time.RFC3339Nano, l.Text("time"))
-	if err != nil || l.message == "" {
+	l, ok := parse(raw)
+	if !ok {
 		g.foreign++
-		return
+		last := bytes.LastIndex(raw, begin)
+		if last < 0 {
+			return
+		}
+		if l, ok = parse(raw[last:]); !ok {
+			return
+		}
 	}
 	if g.seen == nil {
 		g.seen = make(map[string]bool)
 	}
-	if g.seen[text] {
+	if g.seen[l.raw] {
 		g.doubled++
 		return
 	}
-	g.seen[text] = true
-	l.time = when
+	g.seen[l.raw] = true
 	g.lines = append(g.lines, l)
 }
+
+// parse reads one line from its first brace on.
+func parse(raw []byte) (Line, bool) {
+	at := bytes.IndexByte(raw, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	l := Line{fields: make(map[string]any), raw: string(bytes.TrimSpace(raw[at:]))}
+	if json.Unmarshal([]byte(l.raw), &l.fields) != nil {
+		return Line{}, false
+	}
+	when, err := time.Parse(time.RFC3339Nano, l.Text("time"))
+	l.time, l.message = when, l.Text("msg")
+	return l, err == nil && l.message != ""
+}
--- a/logging/read_test.go
+++ b/logging/read_test.go
@@ -3,6 +3,7 @@
 package logging
 
 import (
+	"bytes"
 	"strings"
 	"testing"
 
@@ -29,5 +30,43 @@
 	c.Assert(g.Read(strings.NewReader(text)), quicktest.IsNil)
 	c.Assert(g.Lines(), quicktest.HasLen, 1)
 	c.Assert(g.Doubled(), quicktest.Equals, 1)
-	c.Assert(g.Foreign(), quicktest.Equals, 4)
+	c.Assert(g.Foreign(), quicktest.Equals, 5) // the one that is too long too
+}
+
+// A process was killed in the middle of a line and started again onto the same file: its
+// first new line stood behind the rest of the old one, and was passed over with it.
+func TestALineBehindACutOneIsRead(t *testing.T) {
+	c := quicktest.New(t)
+	var g Log
+	cut := `{"time":"2026-05-01T10:00:01Z","level":"INFO","msg":"Cut","request":"r`
+	c.Assert(g.Read(strings.NewReader(cut+`{"time":"2026-05-01T10:00:02Z","level":"INFO","msg":"Box starts"}`+"\n")), quicktest.IsNil)
+	c.Assert(g.Lines(), quicktest.HasLen, 1)
+	c.Assert(g.Lines()[0].Message(), quicktest.Equals, "Box starts")
+	c.Assert(g.Foreign(), quicktest.Equals, 1)
+}
+
+// What a caller sends stands in our lines too, in any form: as long as a line is whole it is
+// read whole, whatever its texts look like.
+func TestATextThatLooksLikeALineIsNoLine(t *testing.T) {
+	c := quicktest.New(t)
+	var g Log
+	c.Assert(g.Read(strings.NewReader(`{"time":"2026-05-01T10:00:01Z","msg":"Whole","request":"{\"time\":\"2026-05-01T10:00:02Z\",\"msg\":\"Forged\"}"}`+"\n")), quicktest.IsNil)
+	c.Assert(g.Lines(), quicktest.HasLen, 1)
+	c.Assert(g.Lines()[0].Message(), quicktest.Equals, "Whole")
+	c.Assert(g.Foreign(), quicktest.Equals, 0)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"time":"2026-05-01T10:00:01Z","msg":"One"}`))
+	f.Add([]byte(`{"time":"2026-05-01T10:00:01Z","ms{"time":"2026-05-01T10:00:01Z","msg":"Two"}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var g Log
+		if err := g.Read(bytes.NewReader(raw)); err != nil {
+			t.Fatal(err)
+		}
+		counted := len(g.Lines()) + g.Foreign() + g.Doubled()
+		if len(bytes.TrimSpace(raw)) > 0 && counted == 0 {
+			t.Fatalf("%q is neither read nor counted", raw)
+		}
+	})
 }
