--- /dev/null
+++ b/e2e/keys_test.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package e2e
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+// keysBegin gives, by the name of a method of a logger, where its keys and values begin.
+var keysBegin = map[string]int{"Info": 1, "Error": 2, "WithValues": 0}
+
+// loggedKeys returns the keys that a file's calls of loggers name.
+func loggedKeys(c *quicktest.C, path string) []string {
+	files := token.NewFileSet()
+	f, err := parser.ParseFile(files, path, nil, 0)
+	c.Assert(err, quicktest.IsNil)
+	var keys []string
+	ast.Inspect(f, func(n ast.Node) bool {
+		call, ok := n.(*ast.CallExpr)
+		if !ok {
+			return true
+		}
+		method, ok := call.Fun.(*ast.SelectorExpr)
+		if !ok {
+			return true
+		}
+		first, ok := keysBegin[method.Sel.Name]
+		if on, _ := method.X.(*ast.Ident); !ok || len(call.Args) <= first || (on != nil && on.Name == "http") {
+			return true // http.Error has the name alone in common
+		}
+		rest := call.Args[first:]
+		if len(rest)%2 != 0 {
+			c.Errorf("%s: a key without a value", files.Position(call.Pos()))
+			return true
+		}
+		for i := 0; i < len(rest); i += 2 {
+			key, ok := rest[i].(*ast.BasicLit)
+			if !ok || key.Kind != token.STRING {
+				c.Errorf("%s: a key is not a plain text", files.Position(rest[i].Pos()))
+				continue
+			}
+			text, err := strconv.Unquote(key.Value)
+			c.Assert(err, quicktest.IsNil)
+			keys = append(keys, text)
+		}
+		return true
+	})
+	return keys
+}
+
+// The page of operators lists every key that a line of ours may have, and none besides.
+func TestTheOperatorsPageListsEachKeyOfTheLogs(t *testing.T) {
+	c := quicktest.New(t)
+	written := map[string]bool{
+		"time": true, "level": true, "msg": true, "err": true, // by the logger itself
+		"lines": true, // by the notice of lines that were left out
+	}
+	c.Assert(filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		for _, k := range loggedKeys(c, path) {
+			written[k] = true
+		}
+		return nil
+	}), quicktest.IsNil)
+	_, table, found := strings.Cut(page(c, "OPERATIONS.md"), "| keys | are |\n")
+	c.Assert(found, quicktest.IsTrue, quicktest.Commentf("the table of keys"))
+	table, _, _ = strings.Cut(table, "\n\n")
+	listed := make(map[string]bool)
+	for _, row := range strings.Split(table, "\n") {
+		names := strings.SplitN(row, "|", 3)[1]
+		for _, m := range regexp.MustCompile("`([a-z_]+)`").FindAllStringSubmatch(names, -1) {
+			c.Check(listed[m[1]], quicktest.IsFalse, quicktest.Commentf("%s is listed twice", m[1]))
+			listed[m[1]] = true
+		}
+	}
+	c.Assert(slices.Sorted(maps.Keys(listed)), quicktest.DeepEquals, slices.Sorted(maps.Keys(written)))
+}
