Let the stand-ins speak as the users' platform does, so that the real cairnwick runs on them

Cause. cairnwick could only be started on the users' bench: the stand-in store had no lists by prefix and no watches from a revision, and the stand-in engine took no orders, gave no reports and answered no request in the platform's form. So what the real process writes was tested nowhere.

The same stand-ins grow by it, no second ones: the key-value service lists and watches the keys that it has (pages of 500, 4,096 changes of history, then 410; down is 503), keys can be removed; the engine reports, takes orders under a fence and for one life, loads behind its answer from the stand-in store of weights, and runs requests to any path. They spell the platform's names once more, so that a wrong one in package platform shows.

Left out: draining, heartbeats and entries of the engine's own (scripts publish them), rates and prices of the store, models to load, kept prompts, holds, moves.

Tests: pages, watches of what is put and removed, forgotten history, a store that is down, an order that is found by report and request, other lives, lower fences, no room.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -43,6 +43,8 @@
 	batch     []*run           // at most Batch
 	reports   []report         // recent states, oldest first; at least one
 	leaving   time.Time        // zero while serving
+	orders    uint64           // taken since the start, of the users' platform
+	fetches   chan fetch       // loads that Run begins; has room for every slot
 	failLoads int              // loads still to fail on command
 	counts    Counts
 	prefixes  prefixCache
@@ -104,12 +106,25 @@
 
 // Run steps the engine until ctx ends. It must be called once.
 func (e *Engine) Run(ctx context.Context) error {
+	e.init()
 	tick := time.NewTicker(e.StepTime)
 	defer tick.Stop()
-	for {
+	ended := make(chan struct{})
+	for fetching := 0; ; {
 		select {
 		case <-ctx.Done():
+			for range fetching {
+				<-ended
+			}
 			return nil
+		case f := <-e.fetches:
+			fetching++
+			go func() {
+				e.end(ctx, f)
+				ended <- struct{}{}
+			}()
+		case <-ended:
+			fetching--
 		case <-tick.C:
 			e.step(time.Now())
 		}
@@ -123,6 +138,7 @@
 	if e.slots == nil {
 		e.restartLocked()
 		e.keys = make(map[string]int)
+		e.fetches = make(chan fetch, e.Slots)
 	}
 }
 
@@ -133,6 +149,7 @@
 	}
 	e.boot = uuid.NewString()
 	e.fence = engine.Fence{}
+	e.orders = 0
 	e.slots = make(map[string]*slot)
 	e.runs = make(map[string]*run)
 	e.waiting, e.batch = nil, nil
@@ -237,6 +254,9 @@
 	m.HandleFunc("DELETE /cairn/streams/{request}", e.cancel)
 	m.HandleFunc("POST /cairn/role", e.role)
 	m.HandleFunc("GET /cairn/events", e.showEvents)
+	m.HandleFunc("GET /api/report", e.showReport)
+	m.HandleFunc("POST /api/order", e.order)
+	m.HandleFunc("/", e.serveRequest)
 	m.HandleFunc("GET /control/counts", e.showCounts)
 	m.HandleFunc("GET /control/keys", e.showKeys)
 	m.HandleFunc("GET /control/runs", e.showRuns)
--- /dev/null
+++ b/standin/instance_test.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// exchange makes one call and returns the status and the body.
+func exchange(c *quicktest.C, method, url, body string, header ...string) (int, string) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
+	c.Assert(err, quicktest.IsNil)
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	a, err := http.DefaultClient.Do(r)
+	c.Assert(err, quicktest.IsNil)
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	c.Assert(err, quicktest.IsNil)
+	return a.StatusCode, string(text)
+}
+
+func newStore(c *quicktest.C) string {
+	s := httptest.NewServer((&Platform{}).Handler())
+	c.Cleanup(s.Close)
+	return s.URL
+}
+
+func TestAListHasItsPages(t *testing.T) {
+	c := quicktest.New(t)
+	url := newStore(c)
+	for i := range rangeItems + 1 {
+		exchange(c, http.MethodPut, fmt.Sprintf("%s/v1/kv/a/%04d", url, i), "v")
+	}
+	exchange(c, http.MethodPut, url+"/v1/kv/b", "v")
+	_, first := exchange(c, http.MethodGet, url+"/api/kv-range?path_prefix=a/", "")
+	c.Assert(strings.Count(first, "private_key"), quicktest.Equals, rangeItems)
+	c.Assert(first, quicktest.Contains, `"has_more":true,"timestamp":502`)
+	_, second := exchange(c, http.MethodGet, url+"/api/kv-range?path_prefix=a/&after=a/0499", "")
+	c.Assert(second, quicktest.Equals, `{"items":[{"private_key":"a/0500","value":"dg==","revision":501}],"has_more":false,"timestamp":502}`+"\n")
+}
+
+func TestAWatchTellsOfWhatIsPutAndRemoved(t *testing.T) {
+	c := quicktest.New(t)
+	url := newStore(c)
+	told := make(chan string, 1)
+	go func() {
+		_, text := exchange(c, http.MethodGet, url+"/api/kv-watch?path_prefix=a&after=0&wait_ms=10000", "")
+		told <- text
+	}()
+	exchange(c, http.MethodPut, url+"/v1/kv/b", "v")
+	exchange(c, http.MethodPut, url+"/v1/kv/a", "v")
+	c.Assert(<-told, quicktest.Contains, `"events":[{"private_key":"a","value":"dg==","revision":2}]`)
+	exchange(c, http.MethodDelete, url+"/v1/kv/a", "")
+	_, text := exchange(c, http.MethodGet, url+"/api/kv-watch?path_prefix=a&after=2&wait_ms=10000", "")
+	c.Assert(text, quicktest.Equals, `{"events":[{"private_key":"a","revision":3,"deleted":true}],"timestamp":3}`+"\n")
+	_, text = exchange(c, http.MethodGet, url+"/api/kv-watch?path_prefix=a&after=3&wait_ms=1", "")
+	c.Assert(text, quicktest.Equals, `{"events":[],"timestamp":3}`+"\n")
+	_, text = exchange(c, http.MethodGet, url+"/api/kv-range?path_prefix=a", "")
+	c.Assert(text, quicktest.Contains, `"items":[]`)
+}
+
+func TestAStoreThatIsDownOrHasForgottenSaysSo(t *testing.T) {
+	c := quicktest.New(t)
+	url := newStore(c)
+	for range historyKept + 1 {
+		exchange(c, http.MethodPut, url+"/v1/kv/a", "v")
+	}
+	status, _ := exchange(c, http.MethodGet, url+"/api/kv-watch?path_prefix=a&after=0&wait_ms=1", "")
+	c.Assert(status, quicktest.Equals, http.StatusGone)
+	exchange(c, http.MethodPost, url+"/control/mode?mode=down", "")
+	for _, path := range []string{"/api/kv-range?path_prefix=a", "/api/kv-watch?path_prefix=a&after=9&wait_ms=10000"} {
+		status, _ = exchange(c, http.MethodGet, url+path, "")
+		c.Assert(status, quicktest.Equals, http.StatusServiceUnavailable)
+	}
+}
+
+const loadA1 = `{"operation":"loading","model":"base","adapter":"a1","version":3,"holder":"box","fencing_token":5}`
+
+func TestAnOrderLoadsWhatReportsAndRequestsFind(t *testing.T) {
+	b := newBench(t, nil)
+	asked := []string{"Model", "base/a1", "Token-Usage", "10,2", "Attempt-Id", "r1"}
+	status, _ := exchange(b.C, http.MethodPost, b.url+"/any/path", "{}", asked...)
+	b.Assert(status, quicktest.Equals, http.StatusMisdirectedRequest) // it does not hold the adapter
+	status, _ = exchange(b.C, http.MethodPost, b.url+"/api/order", loadA1)
+	b.Assert(status, quicktest.Equals, http.StatusAccepted)
+	for status != http.StatusOK {
+		status, _ = exchange(b.C, http.MethodPost, b.url+"/api/order", loadA1)
+	}
+	_, text := exchange(b.C, http.MethodGet, b.url+"/api/report", "")
+	b.Assert(text, quicktest.Contains, `"models":[{"name":"base","version":1,"adapters":["a1@3"]}],"pending":[]`)
+	status, text = exchange(b.C, http.MethodPost, b.url+"/any/path", "{}", asked...)
+	b.Assert(status, quicktest.Equals, http.StatusOK)
+	b.Assert(text, quicktest.Contains, "a1@3/")
+	status, _ = exchange(b.C, http.MethodPost, b.url+"/api/order", strings.Replace(loadA1, "loading", "unloading", 1))
+	b.Assert(status, quicktest.Equals, http.StatusOK)
+	b.Assert(b.engine.Counts().Unloads, quicktest.Equals, 1)
+}
+
+func TestOrdersOfAnotherLifeAndOfALowerFenceAreRefused(t *testing.T) {
+	b := newBench(t, nil)
+	status, _ := exchange(b.C, http.MethodPost, b.url+"/api/order", loadA1, "Expected-Instance", "another")
+	b.Assert(status, quicktest.Equals, http.StatusMisdirectedRequest)
+	status, _ = exchange(b.C, http.MethodPost, b.url+"/api/order", loadA1)
+	b.Assert(status, quicktest.Equals, http.StatusAccepted)
+	status, _ = exchange(b.C, http.MethodPost, b.url+"/api/order", strings.Replace(loadA1, ":5", ":4", 1))
+	b.Assert(status, quicktest.Equals, http.StatusPreconditionFailed)
+	status, _ = exchange(b.C, http.MethodPost, b.url+"/api/order", strings.Replace(loadA1, `"box"`, `""`, 1))
+	b.Assert(status, quicktest.Equals, http.StatusBadRequest)
+}
+
+func TestARequestThatFindsNoRoomHasProvablyNotRun(t *testing.T) {
+	b := newBench(t, func(e *Engine) { e.QueueLimit, e.StepTime = 0, time.Hour })
+	exchange(b.C, http.MethodPost, b.url+"/api/order", loadA1)
+	asked := []string{"Model", "base/a1", "Attempt-Id", "r1"}
+	status := http.StatusMisdirectedRequest
+	for status == http.StatusMisdirectedRequest { // until it is loaded
+		status, _ = exchange(b.C, http.MethodPost, b.url+"/any/path", "{}", asked...)
+	}
+	b.Assert(status, quicktest.Equals, http.StatusServiceUnavailable)
+}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,8 +11,8 @@
 )
 
 // Platform is a stand-in key-value service in Consul's HTTP style with
-// blocking reads. Users put values; it can be down or stale on command. The
-// zero value is ready.
+// blocking reads, and in the form of the users' platform. Users put values; it can be
+// down or stale on command. The zero value is ready.
 type Platform struct {
 	Lag time.Duration // before a put is seen by readers
 
@@ -22,6 +22,8 @@
 	mode    string // "", "down" or "stale"
 	calls   int
 	changed chan struct{}
+	history []fact // the newest changes, oldest first; at most historyKept
+	forgot  uint64 // revision of the newest change that history has lost
 }
 
 // platformValue keeps the value before, for a stale platform to serve.
@@ -47,6 +49,9 @@
 	m := http.NewServeMux()
 	m.HandleFunc("GET /v1/kv/{key...}", p.get)
 	m.HandleFunc("PUT /v1/kv/{key...}", p.put)
+	m.HandleFunc("DELETE /v1/kv/{key...}", p.remove)
+	m.HandleFunc("GET /api/kv-range", p.kvRange)
+	m.HandleFunc("GET /api/kv-watch", p.kvWatch)
 	m.HandleFunc("POST /control/mode", p.setMode)
 	m.HandleFunc("GET /control/calls", p.showCalls)
 	return m
@@ -87,7 +92,7 @@
 		old.old = nil // one step back is enough
 	}
 	p.values[key] = &platformValue{body: body, index: p.index, old: old}
-	p.wakeLocked()
+	p.changedLocked(fact{Key: key, Value: body, Revision: p.index})
 	return true
 }
 
