Tell beside a request what its box believed, and long loads from begin to end

`cairnctl story` showed lines within 2 s of a request that name its endpoint or adapter. Not seen were: a load that began 3 s before or ended 3 s after it; what the box itself believed, since those lines name no endpoint (Box reads the source by itself, Box relies on what its leader reads, Source does not answer, Data centre has a leader, Configuration is in force, Log lines were left out); the owner and the draining of the endpoint where its adapter was being loaded, since a refused request names none. Each box tells of a change of the store, so with 79 boxes the story was theirs.

The story tells lines of the request's boxes that name nobody else, the endpoints that loaded its adapter, and of what lies further away than 2 s the last line of each kind before and the first after. The same revision at other boxes is told once, with how many and until when. Only 'Request failed' counts as a failure.

--- /dev/null
+++ b/cmd/cairnctl/request_test.go
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+func tellOf(c *quicktest.C, request, text string) string {
+	var out, errs bytes.Buffer
+	code := (&storyCommand{Request: request}).tell(strings.NewReader(text), &out, &errs)
+	c.Assert(code, quicktest.Equals, exitDone, quicktest.Commentf("%s", &errs))
+	return out.String()
+}
+
+const slowLoadLog = `{"time":"2026-05-01T10:00:00Z","msg":"Load begins","box":"lead","adapter":"m/a1","endpoint":"e1"}
+{"time":"2026-05-01T10:00:03Z","msg":"Request failed","box":"b1","request":"r1","adapter":"m/a1","reason":"adapter_not_loaded","cause":"it is being loaded"}
+{"time":"2026-05-01T10:00:06Z","msg":"Adapter is loaded","box":"lead","adapter":"m/a1","endpoint":"e1","took_ms":6000}
+{"time":"2026-05-01T10:00:50Z","msg":"Adapter leaves its slot","box":"lead","adapter":"m/a1","endpoint":"e1"}
+{"time":"2026-05-01T10:00:59Z","msg":"Load begins","box":"lead","adapter":"m/a1","endpoint":"e1"}
+{"time":"2026-05-01T10:01:00Z","msg":"Adapter is loaded","box":"lead","adapter":"m/a1","endpoint":"e1","took_ms":1000}
+`
+
+// A request was refused while its adapter was being loaded, the store was slow, and the load
+// had begun 3 s before and ended 3 s after: the story showed the refusal alone.
+func TestALoadThatTookLongIsTold(t *testing.T) {
+	c := quicktest.New(t)
+	told := tellOf(c, "r1", slowLoadLog)
+	c.Assert(told, quicktest.Contains, "10:00:00.000 Load begins")
+	c.Assert(told, quicktest.Contains, "took_ms=6000")
+	c.Assert(told, quicktest.Not(quicktest.Contains), "took_ms=1000") // long after, of another load
+}
+
+// A request was refused while its adapter's endpoint was being taken over; it names no
+// endpoint itself, so the story told neither the owner nor the endpoint's draining.
+func TestTheEndpointThatLoadsTheAdapterIsTold(t *testing.T) {
+	c := quicktest.New(t)
+	told := tellOf(c, "r1", `{"time":"2026-05-01T10:00:00Z","msg":"Endpoint is owned","box":"lead","endpoint":"e1","fence":3}
+{"time":"2026-05-01T10:00:00.1Z","msg":"Endpoint is owned","box":"lead","endpoint":"e2","fence":4}
+{"time":"2026-05-01T10:00:00.2Z","msg":"Load begins","box":"lead","adapter":"m/a1","endpoint":"e1"}
+{"time":"2026-05-01T10:00:01Z","msg":"Request failed","box":"b1","request":"r1","adapter":"m/a1","reason":"adapter_not_loaded"}
+`)
+	c.Assert(told, quicktest.Contains, "Endpoint is owned  box=lead  endpoint=e1")
+	c.Assert(told, quicktest.Not(quicktest.Contains), "endpoint=e2")
+}
+
+const beliefLog = `{"time":"2026-05-01T10:00:00Z","msg":"Box relies on what its leader reads","box":"b1","collection":"endpoints","source_age":{"told_ms":90}}
+{"time":"2026-05-01T10:00:01Z","msg":"Box reads the source by itself","box":"b1","collection":"endpoints","source_age":{"told_ms":1100}}
+{"time":"2026-05-01T10:00:01Z","msg":"Box reads the source by itself","box":"b2","collection":"endpoints","source_age":{"told_ms":1100}}
+{"time":"2026-05-01T10:00:02Z","msg":"Source does not answer","box":"b1","collection":"endpoints","err":"refused"}
+{"time":"2026-05-01T10:00:30Z","msg":"Endpoint is gone","box":"b2","endpoint":"e1","revision":9}
+{"time":"2026-05-01T10:00:30.1Z","msg":"Attempt failed","box":"b1","request":"r1","endpoint":"e1","outcome":"lost","cause":"refused"}
+{"time":"2026-05-01T10:00:30.1Z","msg":"Attempt failed","box":"b1","request":"r2","endpoint":"e1","outcome":"lost","cause":"refused"}
+{"time":"2026-05-01T10:00:30.2Z","msg":"Request failed","box":"b1","request":"r1","endpoint":"e1","reason":"answer_lost"}
+{"time":"2026-05-01T10:00:30.3Z","msg":"Endpoint is gone","box":"b3","endpoint":"e1","revision":9}
+{"time":"2026-05-01T10:00:30.5Z","msg":"Log lines were left out","lines":4}
+{"time":"2026-05-01T10:00:31Z","msg":"Source answers again","box":"b1","collection":"endpoints","away_ms":29000}
+{"time":"2026-05-01T10:00:31Z","msg":"Endpoint is gone","box":"b1","endpoint":"e1","revision":9}
+`
+
+// A request was sent to an endpoint that had left, and the story did not show that its box
+// had not heard the store: lines about the box itself name no endpoint.
+func TestWhatABoxBelievedOfItsSourceIsTold(t *testing.T) {
+	c := quicktest.New(t)
+	told := tellOf(c, "r1", beliefLog)
+	c.Assert(told, quicktest.Contains, "10:00:01.000 Box reads the source by itself  box=b1")
+	c.Assert(told, quicktest.Contains, `source_age={"told_ms":1100}`)
+	c.Assert(told, quicktest.Contains, "Source does not answer")
+	c.Assert(told, quicktest.Contains, "Source answers again")
+	c.Assert(told, quicktest.Contains, "Log lines were left out")
+	c.Assert(told, quicktest.Not(quicktest.Contains), "by itself  box=b2") // another box's beliefs of itself
+	c.Assert(strings.Count(told, "Attempt failed"), quicktest.Equals, 1)   // nor another request
+}
+
+// Each box tells of an endpoint that left as it hears of it: with tens of boxes the story
+// was theirs.
+func TestTheSameChangeAtOtherBoxesIsToldOnce(t *testing.T) {
+	c := quicktest.New(t)
+	told := tellOf(c, "r1", beliefLog)
+	c.Assert(strings.Count(told, "Endpoint is gone"), quicktest.Equals, 2) // at others, and at its own box
+	c.Assert(told, quicktest.Contains, "box=b2  endpoint=e1  revision=9  (and at 1 more boxes until 10:00:30.300)")
+	c.Assert(told, quicktest.Contains, "10:00:31.000 Endpoint is gone  box=b1")
+}
+
+// With --debug a box also tells what it was answered about an adapter: the counts took each
+// of these for a failure of its own.
+func TestAnAnswerAboutAnAdapterIsNoFailure(t *testing.T) {
+	c := quicktest.New(t)
+	var out, errs bytes.Buffer
+	text := `{"time":"2026-05-01T10:00:00Z","level":"DEBUG","msg":"Adapter was asked for","request":"r1","ready":false,"reason":"it is being loaded"}
+{"time":"2026-05-01T10:00:01Z","msg":"Request failed","request":"r1","reason":"adapter_not_loaded","cause":"it is being loaded"}
+`
+	c.Assert((&storyCommand{}).tell(strings.NewReader(text), &out, &errs), quicktest.Equals, exitDone)
+	c.Assert(out.String(), quicktest.Equals, "     1  adapter_not_loaded     it is being loaded (such as r1)\n")
+}
--- a/cmd/cairnctl/story.go
+++ b/cmd/cairnctl/story.go
@@ -8,7 +8,6 @@
 	"io"
 	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"cairnwick.example/logging"
@@ -89,55 +88,9 @@
 	return g.Read(f)
 }
 
-// around is how long before and after a request's lines changes of belief about its
-// endpoint and adapter are told.
-const around = 2 * time.Second
-
-// tellRequest prints the request's own lines, and between them what changed about the
-// endpoints and adapters that they name. It returns how many lines are the request's.
-func tellRequest(out io.Writer, lines []logging.Line, request string) int {
-	names := make(map[string]bool) // endpoints and adapters
-	var first, last time.Time
-	own := 0
-	for _, l := range lines {
-		if l.Text("request") != request {
-			continue
-		}
-		if own++; own == 1 {
-			first = l.Time()
-		}
-		last = l.Time()
-		names[l.Text("endpoint")] = true
-		names[l.Text("adapter")] = true
-	}
-	delete(names, "")
-	for _, l := range lines {
-		if l.Time().Before(first.Add(-around)) || l.Time().After(last.Add(around)) {
-			continue
-		}
-		mark := "    "
-		switch {
-		case l.Text("request") == request:
-			mark = "  > "
-		case l.Text("request") != "" || !(names[l.Text("endpoint")] || names[l.Text("adapter")]):
-			continue
-		}
-		fmt.Fprintf(out, "%s%s %s\n", mark, l.Time().Format("15:04:05.000"), sentence(l))
-	}
-	return own
-}
-
-// sentence is a line in one line of text.
-func sentence(l logging.Line) string {
-	var b strings.Builder
-	b.WriteString(l.Message())
-	for _, n := range l.Names() {
-		if v := l.Text(n); v != "" && n != "role" && n != "request" {
-			fmt.Fprintf(&b, "  %s=%s", n, v)
-		}
-	}
-	return b.String()
-}
+// failedMessage is the sentence of a request's final answer where it got none of an
+// endpoint.
+const failedMessage = "Request failed"
 
 // failure is a cause of failed requests.
 type failure struct{ reason, cause string }
@@ -148,7 +101,7 @@
 	counts := make(map[failure]int)
 	example := make(map[failure]string)
 	for _, l := range lines {
-		if l.Text("reason") == "" || l.Text("request") == "" || l.Time().Before(from) || l.Time().After(to) {
+		if l.Message() != failedMessage || l.Time().Before(from) || l.Time().After(to) {
 			continue
 		}
 		f := failure{reason: l.Text("reason"), cause: l.Text("cause")}
