--- /dev/null
+++ b/e2e/edge_test.go
@@ -0,0 +1,145 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"cairnwick.example/engine"
+	"cairnwick.example/fleet"
+	"cairnwick.example/load"
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cmdEdge starts a box's one process on the users' platform, with the settings in a file,
+// and waits until it is ready: edge 1.1 settings.toml.
+func cmdEdge(ts *testscript.TestScript, _ bool, args []string) {
+	c, b := place(ts, args[0])
+	ts.Check(worldOf(ts).fleet.StartEdge(context.Background(), c, b, ts.ReadFile(args[1])))
+}
+
+// cmdFact publishes a file under a key: fact KEY FILE engine=1.1. With an engine, its present
+// life is added to the key and set as ENDPOINT, and $ADDRESS in the file is where it is.
+func cmdFact(ts *testscript.TestScript, _ bool, args []string) {
+	o, rest := options(args)
+	w := worldOf(ts)
+	key, text := rest[0], ts.ReadFile(rest[1])
+	if o["engine"] != "" {
+		c, n := place(ts, o["engine"])
+		at := w.fleet.EngineAddress(c, n)
+		life := bootOf(ts, at)
+		key, text = key+life, strings.ReplaceAll(text, "$ADDRESS", at)
+		ts.Setenv("ENDPOINT", life)
+	}
+	ts.Check(w.fleet.Put(context.Background(), key, []byte(text)))
+}
+
+// bootOf waits until an engine answers, and returns which life of it does.
+func bootOf(ts *testscript.TestScript, at string) string {
+	deadline := time.Now().Add(15 * time.Second)
+	for {
+		a, err := http.Get("http://" + at + "/control/counts")
+		if err == nil {
+			a.Body.Close()
+			return a.Header.Get(engine.BootHeader)
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("engine at %s: %v", at, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// cmdRemove takes a key away: remove servers/$ENDPOINT.
+func cmdRemove(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(worldOf(ts).fleet.Remove(context.Background(), args[0]))
+}
+
+// sent is what came of a request to a box on the users' platform.
+type sent struct {
+	status int
+	retry  string
+	whole  bool // the body came to its end
+	text   string
+	err    error // no answer at all
+}
+
+func (s sent) String() string {
+	return fmt.Sprintf("status=%d retry=%t whole=%t %v %s", s.status, s.retry != "", s.whole, s.err, s.text)
+}
+
+// cmdSend sends a request to a box on the users' platform and prints what came of it: send
+// edge=1.1 path=/a/x header=NAME:VALUE. Its id is set as REQUEST. With later=yes it
+// goes on in the background, until answered; with until=CODE it is sent again, under new
+// ids, until it fails so.
+func cmdSend(ts *testscript.TestScript, _ bool, args []string) {
+	o, _ := options(args)
+	w := worldOf(ts)
+	c, b := place(ts, o["edge"])
+	url := "http://" + w.fleet.CallersAddress(c, b) + o["path"]
+	deadline := time.Now().Add(15 * time.Second)
+	for {
+		id := load.NewKey()
+		ts.Setenv("REQUEST", id)
+		if o["later"] == "yes" {
+			w.sent = make(chan sent, 1)
+			go func() { w.sent <- send(url, id, lines(o["header"])) }()
+			return
+		}
+		s := send(url, id, lines(o["header"]))
+		if o["until"] == "" || strings.Contains(s.text, o["until"]) {
+			fmt.Fprintln(ts.Stdout(), s)
+			return
+		}
+		if time.Now().After(deadline) {
+			ts.Fatalf("last: %s", s)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// cmdAnswered waits for the request that was sent in the background.
+func cmdAnswered(ts *testscript.TestScript, _ bool, _ []string) {
+	fmt.Fprintln(ts.Stdout(), <-worldOf(ts).sent)
+}
+
+func send(url, id string, headers []string) sent {
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader("{}"))
+	if err != nil {
+		return sent{err: err}
+	}
+	r.Header.Set("Attempt-Id", id)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ":")
+		r.Header.Set(name, value)
+		if name == "Host" {
+			r.Host = value
+		}
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return sent{err: err}
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	return sent{status: a.StatusCode, retry: a.Header.Get("Retry-After"), whole: err == nil, text: string(text)}
+}
+
+// cmdMetric prints a metric of a box on the users' platform: metric edge1.1 edge_refusals.
+func cmdMetric(ts *testscript.TestScript, _ bool, args []string) {
+	c, b := place(ts, strings.TrimPrefix(args[0], "edge"))
+	raw, err := fleet.Get(context.Background(), "http://"+worldOf(ts).fleet.OperatorsAddress(c, b, "gateway")+"/metrics")
+	ts.Check(err)
+	all := make(map[string]json.RawMessage)
+	ts.Check(json.Unmarshal(raw, &all))
+	if all[args[1]] == nil {
+		ts.Fatalf("no metric %s", args[1])
+	}
+	fmt.Fprintf(ts.Stdout(), "%s\n", all[args[1]])
+}
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -72,6 +72,12 @@
 			"agree":       cmdAgree,
 			"race":        cmdRace,
 			"owner":       cmdOwner,
+			"edge":        cmdEdge,
+			"fact":        cmdFact,
+			"remove":      cmdRemove,
+			"send":        cmdSend,
+			"answered":    cmdAnswered,
+			"metric":      cmdMetric,
 		},
 	})
 }
@@ -84,6 +90,7 @@
 	cancel context.CancelFunc
 	rules  []standin.Rule // of the proxy
 	notRun []string       // ids of requests that were refused as not run
+	sent   chan sent      // of the request that runs in the background
 }
 
 type worldKey struct{}
@@ -91,7 +98,12 @@
 func setup(e *testscript.Env) error {
 	w := &world{}
 	e.Values[worldKey{}] = w
+	users, err := filepath.Abs(filepath.Join("testdata", "users"))
+	if err != nil {
+		return err
+	}
 	e.Setenv("BIN", bin)
+	e.Setenv("USERS", users) // files in the form of the users' platform
 	e.Defer(func() {
 		if w.cancel != nil {
 			w.cancel()
@@ -200,7 +212,7 @@
 // process turns the scripts' short names into process names: gateway1.1,
 // scheduler1.1, engine1.1, platform, service1.
 func process(ts *testscript.TestScript, short string) string {
-	for _, role := range []string{"gateway", "scheduler"} {
+	for _, role := range []string{"gateway", "scheduler", "edge"} {
 		if at, found := strings.CutPrefix(short, role); found {
 			c, b := place(ts, at)
 			return fleet.DaemonName(c, b, role)
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -26,6 +26,11 @@
 
 // run starts a program under a name; its output goes to a log in Dir.
 func (f *Fleet) run(name, program string, args ...string) error {
+	return f.runWith(nil, name, program, args...)
+}
+
+// runWith is run with more variables in the environment, NAME=VALUE.
+func (f *Fleet) runWith(environment []string, name, program string, args ...string) error {
 	path := f.file(name, ".log")
 	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -33,6 +38,7 @@
 	}
 	c := exec.Command(filepath.Join(f.Spec.Bin, program), args...)
 	c.Stdout, c.Stderr = out, out
+	c.Env = append(os.Environ(), environment...)
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		out.Close()
