Claim endpoints as soon as a box leads, not two looks later

Cause: the loader looks each 0.1 s at what it owns, so a new leader began up to 0.1 s after it knew that it leads. Its first look then asked from when on it may order by a clock of its own: the answer was just after the look's time, and the claim waited for the next look, 0.1 s more after each change of leader. Change: the loader looks when the data centres that this box leads change, and asks by the time of its look.

--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -173,6 +173,18 @@
 	return o.other, o.found
 }
 
+// ledBy returns the data centres with a known box that a box leads, sorted.
+func (o *clusterView) ledBy(box string) []string {
+	var list []string
+	for c, m := range o.leaders {
+		if m.Name() == box {
+			list = append(list, c)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // parent returns the box that this one follows and how many steps the leader is away;
 // false where this box leads.
 func (o *clusterView) parent() (m member.Member, steps int, ok bool) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -151,8 +151,8 @@
 func (noExtras) Heard(*wire.Heartbeat, string) {}
 
 // owns tells whether this box gives orders to an endpoint.
-func (n *Node) owns(e *topology.Endpoint) (bool, time.Time) {
-	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, time.Now())
+func (n *Node) owns(e *topology.Endpoint, now time.Time) (bool, time.Time) {
+	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, now)
 }
 
 // behind returns how far this box may be behind the source.
@@ -240,7 +240,7 @@
 	wire.RegisterShareServer(server, shareServer{node: n})
 	held := n.Settings.Bounds.Grace - noticeFor - endMargin // what is held when the end begins has so long
 	tasks := []task{
-		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.gateway.Run,
+		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLead, n.gateway.Run,
 		n.reader(Settled).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
 		httpTask(n.gateway, listeners.callers, held),
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cairnwick.example/member"
@@ -24,6 +25,24 @@
 	keepMargin = 200 * time.Millisecond
 )
 
+// watchLead has the loader look at what this box owns as soon as it leads other data centres
+// than before, until ctx ends: who heard of it before gets no load meanwhile.
+func (n *Node) watchLead(ctx context.Context) error {
+	var before []string
+	for ctx.Err() == nil {
+		changed := n.peers.table.Changed()
+		if led := n.peers.clusterView().ledBy(n.peers.box); !slices.Equal(led, before) {
+			before = led
+			n.loader.Look()
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+	return nil
+}
+
 // takeOver asks the boxes that leave to resign from an endpoint. Any of its data centre may
 // have led there, and the one that this box saw lead. Where none resigns and one did not
 // answer, that one may give orders for so long.
--- a/edge/takeover_test.go
+++ b/edge/takeover_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cairnwick.example/daemon"
@@ -16,6 +17,7 @@
 	"cairnwick.example/placement"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 	"google.golang.org/grpc/credentials/insecure"
 )
 
@@ -191,3 +193,61 @@
 	c.Assert(h.Resigned, quicktest.IsFalse)
 	c.Assert(wait > placement.KeepMost, quicktest.IsTrue)
 }
+
+// The next leader claimed its endpoints only at its next look at what it owns; boxes that had
+// heard of it before got no load meanwhile.
+func TestABoxThatBeginsToLeadClaimsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		h := &heldEndpoint{ready: make(map[topology.Adapter]int64), reports: make(map[string]int)}
+		first := box("first", "dc", 1, 400)
+		n := &Node{peers: peersOf(box("second", "dc", 2, 400), first), view: topology.NewView()}
+		n.Settings.Bounds.Lease = time.Second
+		n.current.Store(&n.Settings)
+		config, err := modelDecoder{}.Config(nil)
+		c.Assert(err, quicktest.IsNil)
+		n.view.SetConfig(config)
+		e, err := modelDecoder{}.Endpoint("e/1", nil)
+		c.Assert(err, quicktest.IsNil)
+		n.view.SetEndpoint(e)
+		n.loader = &placement.Loader{
+			Box:     "second",
+			View:    n.view,
+			Control: controlOf{box: "second", endpoint: h},
+			Limits:  func() placement.RateLimits { return placement.DefaultRateLimits },
+			Log:     logr.Discard(),
+			Fences:  &placement.Fences{Box: 2},
+			Lease:   func() time.Duration { return time.Second },
+			Leaders: func() int { return 1 },
+			Owns:    n.owns,
+			Before: func(context.Context, *topology.Endpoint) (placement.Handover, time.Duration) {
+				return placement.Handover{}, 0
+			},
+			Publish: func(string, uint64, map[topology.Adapter]topology.Held) {},
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		ended := make(chan error, 2)
+		for _, run := range []task{n.loader.Run, n.watchLead} {
+			go func() { ended <- run(ctx) }()
+		}
+		time.Sleep(time.Minute + lookPause/2) // looks are as long apart as those at who leads
+		leave(n.peers, first, time.Now())
+		time.Sleep(lookPause / 10)
+		h.mu.Lock()
+		holders := slices.Clone(h.holders)
+		h.mu.Unlock()
+		c.Check(holders, quicktest.DeepEquals, []string{"second"})
+		stop()
+		c.Assert(<-ended, quicktest.IsNil)
+		c.Assert(<-ended, quicktest.IsNil)
+	})
+}
+
+func TestABoxLeadsTheDataCentresThatItsViewSays(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 1, 400), box("b", "dc", 2, 400), box("f", "far", 3, 400))
+	c.Assert(p.clusterView().ledBy("a"), quicktest.DeepEquals, []string{"dc"})
+	c.Assert(p.clusterView().ledBy("b"), quicktest.HasLen, 0)
+	leave(p, box("f", "far", 3, 400), time.Now())
+	c.Assert(p.clusterView().ledBy("a"), quicktest.DeepEquals, []string{"dc", "far"})
+}
--- a/placement/claim_test.go
+++ b/placement/claim_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
 
@@ -20,3 +21,12 @@
 	c.Assert(l.keepAwayLocked(&owned{since: now.Add(time.Second)}), quicktest.Equals, youngPause)
 	c.Assert(l.keepAwayLocked(&owned{since: now.Add(10 * time.Second)}) > 3*time.Second, quicktest.IsTrue)
 }
+
+// A new leader asked at the time after its look's from when on it leads; that came after the
+// look, so it claimed its endpoints a look later.
+func TestANewLeaderClaimsAtItsFirstLook(t *testing.T) {
+	c := quicktest.New(t)
+	l := prepare(4).loader
+	l.Owns = func(_ *topology.Endpoint, now time.Time) (bool, time.Time) { return true, now }
+	c.Assert(l.step(time.Now().Add(-time.Millisecond)), quicktest.HasLen, 1)
+}
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -26,9 +26,9 @@
 	Publish func(endpoint string, version uint64, held map[topology.Adapter]topology.Held)
 	// Fences makes this box's fences.
 	Fences *Fences
-	// Owns tells whether this box gives orders to the endpoint by its view, and
+	// Owns tells whether this box gives orders to the endpoint by its view of now, and
 	// from when on it may.
-	Owns func(e *topology.Endpoint) (bool, time.Time)
+	Owns func(e *topology.Endpoint, now time.Time) (bool, time.Time)
 	// Leaders returns how many boxes give orders.
 	Leaders func() int
 	// Reads returns how long an endpoint takes to read so many tokens of prompts, as it
@@ -176,6 +176,15 @@
 	return nil
 }
 
+// Look makes Run look soon at what this box owns.
+func (l *Loader) Look() {
+	l.Init()
+	l.mu.Lock()
+	l.looked = time.Time{}
+	l.mu.Unlock()
+	l.nudge()
+}
+
 // nudge makes Run look at the queue soon.
 func (l *Loader) nudge() {
 	select {
@@ -224,7 +233,7 @@
 		if l.engine(e) == nil {
 			continue
 		}
-		mine, from := l.Owns(e)
+		mine, from := l.Owns(e, now)
 		o := l.owned[e.ID()]
 		switch {
 		case !mine:
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -138,7 +138,7 @@
 		Lease:   func() time.Duration { return 100 * time.Millisecond },
 		Leaders: func() int { return 1 },
 		Reads:   func(tokens int) time.Duration { return time.Duration(tokens) * 25 * time.Microsecond },
-		Owns:    func(*topology.Endpoint) (bool, time.Time) { return true, time.Time{} },
+		Owns:    func(*topology.Endpoint, time.Time) (bool, time.Time) { return true, time.Time{} },
 		Before:  func(context.Context, *topology.Endpoint) (Handover, time.Duration) { return Handover{}, 0 },
 		Publish: func(_ string, _ uint64, held map[topology.Adapter]topology.Held) { v.SetHeld("e1", held) },
 	}
--- a/placement/queue_test.go
+++ b/placement/queue_test.go
@@ -77,7 +77,7 @@
 	b := prepare(4)
 	looks := 0
 	owns := b.loader.Owns
-	b.loader.Owns = func(e *topology.Endpoint) (bool, time.Time) { looks++; return owns(e) }
+	b.loader.Owns = func(e *topology.Endpoint, now time.Time) (bool, time.Time) { looks++; return owns(e, now) }
 	now := time.Now()
 	for i := range 10 {
 		b.loader.step(now.Add(time.Duration(i) * time.Millisecond))
--- a/placement/want.go
+++ b/placement/want.go
@@ -166,7 +166,7 @@
 	claims := now
 	switch {
 	case o == nil:
-		if mine, from := l.Owns(e); mine {
+		if mine, from := l.Owns(e, now); mine {
 			claims = from
 		}
 	case o.phase == yielded:
