Close connections at rest before a box runs out of descriptors

Connections in use are bounded by the requests that may be held. Change: half of the descriptors are for callers; where more connections are open, each new one ends the one that has rested longest, by a read that ends, so that a request that has just come is still answered. All connections are taken, and none in use is closed. Red without it: TestConnectionsAtRestMakeRoomForNewOnes (5 connections open of 4, for 5 s). Ruled out: a limit on accepting, which refuses the new one; a shorter time at rest for all, which costs callers connections on quiet boxes.

--- /dev/null
+++ b/edge/connections_test.go
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// keptConn is a caller's connection that is used again.
+type keptConn struct {
+	net.Conn
+
+	in *bufio.Reader
+}
+
+func dialKept(c *quicktest.C, address string) keptConn {
+	conn, err := net.Dial("tcp", address)
+	c.Assert(err, quicktest.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	c.Assert(conn.SetDeadline(time.Now().Add(10*time.Second)), quicktest.IsNil)
+	return keptConn{Conn: conn, in: bufio.NewReader(conn)}
+}
+
+// ask sends one request and reads its answer.
+func (k keptConn) ask() error {
+	if _, err := io.WriteString(k, "GET / HTTP/1.1\r\nHost: site.example\r\n\r\n"); err != nil {
+		return err
+	}
+	a, err := http.ReadResponse(k.in, nil)
+	if err != nil {
+		return err
+	}
+	_, err = io.Copy(io.Discard, a.Body)
+	return err
+}
+
+// Callers left so many connections at rest that the box had no descriptors left: it took no
+// new one, though it said that it was ready.
+func TestConnectionsAtRestMakeRoomForNewOnes(t *testing.T) {
+	const most, more = 4, 3
+	c := quicktest.New(t)
+	used := make(chan struct{})
+	n := newConnections(most)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/held" {
+			<-used
+		}
+	}))
+	s.Config.ConnState = n.changed
+	s.Start()
+	defer s.Close()
+	free := sync.OnceFunc(func() { close(used) })
+	defer free()
+	address := s.Listener.Addr().String()
+	held := dialKept(c, address) // the oldest, but in use
+	_, err := io.WriteString(held, "GET /held HTTP/1.1\r\nHost: site.example\r\n\r\n")
+	c.Assert(err, quicktest.IsNil)
+	n.await(c, 1, 0)
+	var kept []keptConn
+	for i := range most + more - 1 {
+		k := dialKept(c, address)
+		c.Assert(k.ask(), quicktest.IsNil)
+		kept = append(kept, k)
+		n.await(c, min(i+2, most), min(i+1, most-1))
+	}
+	for i, k := range kept {
+		if i < more {
+			_, err := k.in.ReadByte()
+			c.Check(err, quicktest.Equals, io.EOF)
+			continue
+		}
+		c.Check(k.ask(), quicktest.IsNil)
+	}
+	free()
+	a, err := http.ReadResponse(held.in, nil)
+	c.Assert(err, quicktest.IsNil)
+	a.Body.Close()
+}
+
+// await waits until so many are open, and at rest: the server notes both after an answer.
+func (c *connections) await(t *quicktest.C, open, rest int) {
+	counts := func() [2]int {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return [2]int{c.open, c.rest.Len()}
+	}
+	for until := time.Now().Add(5 * time.Second); counts() != [2]int{open, rest}; time.Sleep(time.Millisecond) {
+		t.Assert(time.Now().Before(until), quicktest.IsTrue, quicktest.Commentf("%v are open and at rest", counts()))
+	}
+}
--- a/edge/node.go
+++ b/edge/node.go
@@ -243,9 +243,9 @@
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLead, n.gateway.Run,
 		n.reader(Settled).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
-		httpTask(n.gateway, listeners.callers, held),
-		httpTask(n.readiness(), listeners.ready, held),
-		httpTask(n.metrics(), listeners.metrics, held),
+		httpTask(n.gateway, listeners.callers, held, max(n.Settings.Limits.Descriptors/callerPart, mostAsking)),
+		httpTask(n.readiness(), listeners.ready, held, mostAsking),
+		httpTask(n.metrics(), listeners.metrics, held, mostAsking),
 	}
 	err = n.runAll(ctx, inner, end, tasks)
 	n.peers.dialer.Close()
@@ -253,9 +253,9 @@
 	return err
 }
 
-// httpTask serves one handler.
-func httpTask(h http.Handler, l net.Listener, most time.Duration) task {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime}
+// httpTask serves one handler; it closes connections that rest where more than so many are open.
+func httpTask(h http.Handler, l net.Listener, most time.Duration, open int) task {
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnState: newConnections(open).changed}
 	return func(ctx context.Context) error { return serveHTTP(ctx, s, l, most) }
 }
 
