Offer a request to an avoided data centre before it is refused

Cause: looked for refusals that are made without offering a request to an endpoint that could run it. A data centre that did not answer for a moment is avoided as long as there is an endpoint elsewhere; but those that the request had tried, that leave, or that do not hold its base model counted as there, so that it was refused beside empty endpoints. Change: only endpoints that can still serve the request count. A data centre that is out of touch by the members' word is left out as before: a request that was turned away would wait 0.3 s for each connection there. Red without it: TestARequestThatWasTurnedAwayIsOfferedToADataCentreThatIsAvoided and TestARequestIsOfferedWhereItsModelIsThoughThatIsAvoided (503 for 200). Green from the start: TestARequestThatWasTurnedAwayIsNotOfferedToADataCentreThatIsCutOff. Ruled out: the same for data centres that are out of touch, see above.

--- /dev/null
+++ b/forward/offer_test.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// move puts the site's endpoint into a data centre, with base models.
+func (s *site) move(id, centre string, models ...string) {
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+		ID: id, Service: "app", Address: s.gateway.View.Endpoint(id).Address(), DataCentre: centre, Slots: 4, Models: models,
+	}))
+}
+
+// Another data centre was avoided, since three of its endpoints had not answered for a
+// moment. The endpoint beside the box turned a request away, and the request was refused,
+// though endpoints of the other one were empty: it was avoided as long as there was any
+// endpoint here, those that the request had tried too.
+func TestARequestThatWasTurnedAwayIsOfferedToADataCentreThatIsAvoided(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	refused, ran := s.endpoint(t, refuseUnrun), s.endpoint(t, answerOK)
+	s.move("e2", "far")
+	s.gateway.away.note("far", time.Now().Add(time.Minute))
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	s.c.Assert([]int64{refused.Load(), ran.Load()}, quicktest.DeepEquals, []int64{1, 1})
+}
+
+// A data centre that is out of touch is not waited for by a request that was turned away.
+func TestARequestThatWasTurnedAwayIsNotOfferedToADataCentreThatIsCutOff(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	s.endpoint(t, refuseUnrun)
+	ran := s.endpoint(t, answerOK)
+	s.move("e2", "far")
+	s.gateway.Cut = func(centre string) bool { return centre == "far" }
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(ran.Load(), quicktest.Equals, int64(0))
+}
+
+// A data centre was avoided, no endpoint beside the box held the base model, and the request
+// was refused.
+func TestARequestIsOfferedWhereItsModelIsThoughThatIsAvoided(t *testing.T) {
+	s, _ := askTwoCentres(t, settlingPlacer{settled: "far"}, "2s")
+	s.move("e1", "dc")
+	s.gateway.away.note("far", time.Now().Add(time.Minute))
+	q, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
+	s.c.Assert(err, quicktest.IsNil)
+	q.Host = "site.example"
+	q.Header.Set("Id", "call-1")
+	q.Header.Set("Adapter", "m/a")
+	a, err := http.DefaultClient.Do(q)
+	s.c.Assert(err, quicktest.IsNil)
+	a.Body.Close()
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	s.c.Assert(s.calls["e2"].Load(), quicktest.Equals, int64(1))
+}
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -22,17 +22,13 @@
 // avoided. Those that refused a connection lately are left out as long as there are others;
 // where most would be left out for how they answer, it does not believe that.
 func (g *Gateway) usable(list []*topology.Endpoint, tried map[string]bool, now time.Time) []*topology.Endpoint {
-	list = g.reachable(list, now)
-	var serving, up, good []*topology.Endpoint
+	serving := g.reachable(list, tried, now)
+	var up, good []*topology.Endpoint
 	least := 1.0
-	for _, e := range list {
+	for _, e := range serving {
 		least = min(least, g.upstreams.of(e).health(now).failures)
 	}
-	for _, e := range list {
-		if e.Draining() || tried[e.ID()] {
-			continue
-		}
-		serving = append(serving, e)
+	for _, e := range serving {
 		h := g.upstreams.of(e).health(now)
 		if h.down {
 			continue
@@ -51,6 +47,17 @@
 	return good
 }
 
+// untried returns those that do not leave and that a request has not tried.
+func untried(list []*topology.Endpoint, tried map[string]bool) []*topology.Endpoint {
+	var some []*topology.Endpoint
+	for _, e := range list {
+		if !e.Draining() && !tried[e.ID()] {
+			some = append(some, e)
+		}
+	}
+	return some
+}
+
 // least returns the endpoint that is emptiest, with those of the own data centre
 // before others; nil for none.
 func (g *Gateway) least(list []*topology.Endpoint, now time.Time) *topology.Endpoint {
@@ -95,17 +102,26 @@
 	return some
 }
 
-// reachable returns those in data centres that this box can reach: it may be
-// cut off from the others while they serve. Where that leaves none it returns all.
-func (g *Gateway) reachable(list []*topology.Endpoint, now time.Time) []*topology.Endpoint {
-	away := make(map[string]bool)
+// reachable returns those that do not leave and that a request has not tried, in data centres
+// that this box can reach: it may be cut off from the others while they serve. One that is
+// out of touch is asked only where no other has endpoints at all; one that did not answer
+// lately, also where those elsewhere have been tried.
+func (g *Gateway) reachable(list []*topology.Endpoint, tried map[string]bool, now time.Time) []*topology.Endpoint {
+	list = g.unavoided(list, g.Cut)
+	return g.unavoided(untried(list, tried), func(centre string) bool { return g.away.is(centre, now) })
+}
+
+// unavoided returns those of the own data centre and of others that are not avoided; where
+// that leaves none it returns all.
+func (g *Gateway) unavoided(list []*topology.Endpoint, avoided func(centre string) bool) []*topology.Endpoint {
+	avoid := make(map[string]bool)
 	var some []*topology.Endpoint
 	for _, e := range list {
 		c := e.DataCentre()
-		if _, known := away[c]; !known {
-			away[c] = c != g.DataCentre && (g.Cut(c) || g.away.is(c, now))
+		if _, known := avoid[c]; !known {
+			avoid[c] = c != g.DataCentre && avoided(c)
 		}
-		if !away[c] {
+		if !avoid[c] {
 			some = append(some, e)
 		}
 	}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -85,10 +85,11 @@
 // place finds the endpoint for the next attempt.
 func (g *Gateway) place(ctx context.Context, q *request) (target, *Refusal) {
 	now := time.Now()
-	list := g.usable(g.View.Endpoints(q.service.Name()), q.tried, now)
+	list := g.View.Endpoints(q.service.Name())
 	if q.service.Engine() != nil && q.call.Adapter.Model != "" {
 		list = withModel(list, q.call.Adapter.Model)
 	}
+	list = g.usable(list, q.tried, now) // of those that can serve it: it avoids none without another
 	if len(list) == 0 {
 		return target{}, &Refusal{Code: CodeNoEndpoint, Retry: noneRetry}
 	}
