End an event of a stream at an empty line alone, and bound events of many lines

Cause: found by fuzzing streams. A line that filled the reader's buffer of 4 KiB but for its end came in two pieces, and the second, its end alone, counted as an empty line. So the event counted as whole: the caller got its first part, and where the stream then broke, the run that went on at another endpoint left the rest out, since the event's ID counted as passed on. The bound of one event was asked for single lines alone. Change: a line is looked at whole, and the bound holds for the event. The fuzz target compares with events cut at empty lines by the whole text, for bytes that come at once and one by one.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -93,18 +93,24 @@
 func (s *events) copy(a *http.Response, heard func()) error {
 	in := bufio.NewReaderSize(a.Body, 4<<10)
 	var event []byte
+	begun := 0 // where the last line begins: a long one comes in pieces
 	for {
-		line, err := in.ReadSlice('\n')
-		event = append(event, line...)
-		if err == bufio.ErrBufferFull && len(event) <= maxEvent {
+		piece, err := in.ReadSlice('\n')
+		event = append(event, piece...)
+		if len(event) > maxEvent {
+			return s.ended(a, event, bufio.ErrBufferFull)
+		}
+		if err == bufio.ErrBufferFull {
 			continue
 		}
 		if err != nil {
 			return s.ended(a, event, err)
 		}
-		if len(bytes.TrimRight(line, "\r\n")) > 0 {
+		line := event[begun:]
+		if begun = len(event); len(bytes.TrimRight(line, "\r\n")) > 0 {
 			continue
 		}
+		begun = 0
 		heard()
 		s.pass(a, event)
 		event = event[:0]
