--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -12,19 +12,10 @@
 	"time"
 
 	"cairnwick.example/engine"
-	"cairnwick.example/member"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
 )
 
-// hold is a grant under which one attempt runs.
-type hold struct {
-	owner    member.Member
-	grant    *wire.Grant
-	endpoint string
-	sendBy   time.Time
-}
-
 const (
 	cancelTimeout = 2 * time.Second
 	maxWhole      = 16 << 20 // bytes of an answer that is not streamed
@@ -33,7 +24,7 @@
 
 // attempt runs the request once at the endpoint of a grant, and gives the grant
 // back.
-func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, h hold) *Failure {
+func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, h heldGrant) *Failure {
 	q.attempts++
 	begun := time.Now()
 	g.stats.Stall.Observe(q.class.Name(), time.Duration(h.grant.GetLoadMicros())*time.Microsecond)
@@ -53,7 +44,7 @@
 
 // send writes the request, and passes the answer on. It notes in r what the
 // scheduler must know.
-func (g *Gateway) send(ctx context.Context, q *request, out *answer, h hold, r *wire.ReleaseRequest) *Failure {
+func (g *Gateway) send(ctx context.Context, q *request, out *answer, h heldGrant, r *wire.ReleaseRequest) *Failure {
 	run := fmt.Sprintf("%s.%d", q.id, q.attempts)
 	live, stop, beat := g.watchdog(ctx, q)
 	defer stop()
@@ -76,7 +67,7 @@
 	out.Header().Set(WaitedHeader, strconv.FormatInt(h.grant.GetWaitedMicros()/1000, 10))
 	out.Header().Set(StallHeader, strconv.FormatInt(h.grant.GetLoadMicros()/1000, 10))
 	if q.stream {
-		return g.passStream(ctx, out, stream{hold: h, run: run, beat: beat}, a, r)
+		return g.passStream(ctx, out, stream{held: h, run: run, beat: beat}, a, r)
 	}
 	return g.passWhole(live, out, h, run, a, r)
 }
@@ -98,7 +89,7 @@
 	return live, stop, func() { timer.Reset(g.Spans.Idle) }
 }
 
-func (g *Gateway) engineRequest(ctx context.Context, q *request, h hold, run string) (*http.Request, error) {
+func (g *Gateway) engineRequest(ctx context.Context, q *request, h heldGrant, run string) (*http.Request, error) {
 	body, err := q.engineBody(h.grant.GetPriority())
 	if err != nil {
 		return nil, err
@@ -116,7 +107,7 @@
 }
 
 // lost answers for an attempt that got no answer.
-func (g *Gateway) lost(ctx context.Context, h hold, run string, r *wire.ReleaseRequest, err error) *Failure {
+func (g *Gateway) lost(ctx context.Context, h heldGrant, run string, r *wire.ReleaseRequest, err error) *Failure {
 	var l *engine.LostError
 	if errors.As(err, &l) && !l.Sent {
 		r.Outcome = wire.Outcome_OUTCOME_NOT_SENT
@@ -134,7 +125,7 @@
 }
 
 // cancel ends a run that nobody waits for.
-func (g *Gateway) cancel(h hold, run string, r *wire.ReleaseRequest) {
+func (g *Gateway) cancel(h heldGrant, run string, r *wire.ReleaseRequest) {
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	c := &engine.Client{Address: h.grant.GetAddress(), HTTP: g.Engines}
@@ -171,7 +162,7 @@
 }
 
 // recordAttempt keeps how an attempt went.
-func (g *Gateway) recordAttempt(q *request, h hold, f *Failure) {
+func (g *Gateway) recordAttempt(q *request, h heldGrant, f *Failure) {
 	d := g.decision(q, "run", time.Now())
 	d.Endpoint = h.endpoint
 	d.Reason = h.grant.GetReason()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -3,6 +3,13 @@
 // Package gateway faces the callers: it holds each request until its final
 // answer, asks a scheduler for a grant, streams straight from the endpoint, and
 // tries again only what provably did not run.
+//
+// A request for a model goes through read, runKeyed, route, acquire and attempt; a call
+// of a plain service through readCall, runKeyed and callService. What the gateway
+// knows of endpoints are hints (beliefs, prefixes, reach), which replies and pings
+// refresh; the scheduler that owns an endpoint decides.
+//
+// Lock order: each table has a lock of its own, taken alone.
 package gateway
 
 import (
@@ -64,15 +71,15 @@
 	beliefs  *beliefs
 	reach    *reach
 	prefixes *prefixes
-	owners   *owners
+	calls    *schedulerCalls
 	releases chan release
 	inFlight atomic.Int64
 	leaving  atomic.Bool
-	stats    Stats
+	stats    stats
 }
 
-// Stats are the gateway's figures for /debug/vars.
-type Stats struct {
+// stats are the gateway's figures for /debug/vars.
+type stats struct {
 	Total      *metrics.Family // time to the final answer, by class
 	Callers    *metrics.Family // time to the final answer, by caller
 	FirstToken *metrics.Family // time to the first byte of the answer, by class
@@ -95,11 +102,11 @@
 // Init prepares the tables; call it before the handler serves.
 func (g *Gateway) Init() {
 	g.beliefs = newBeliefs()
-	g.owners = newOwners()
+	g.calls = newSchedulerCalls()
 	g.reach = newReach()
 	g.prefixes = newPrefixes(g.MaxPrefixes)
 	g.releases = make(chan release, releaseBuffer)
-	g.stats = Stats{
+	g.stats = stats{
 		Total:      metrics.NewFamily(familyLimit),
 		Callers:    metrics.NewFamily(familyLimit),
 		FirstToken: metrics.NewFamily(familyLimit),
@@ -108,9 +115,6 @@
 	}
 }
 
-// Stats returns the figures to export.
-func (g *Gateway) Stats() Stats { return g.stats }
-
 // InFlight returns how many requests are held now.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
@@ -118,10 +122,10 @@
 // held go on.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
-// Run gives grants back and follows owners until ctx ends, and returns when
+// Run gives grants back and follows members and reach until ctx ends, and returns when
 // what was to give back is given.
 func (g *Gateway) Run(ctx context.Context) error {
-	tasks := []daemon.Task{g.followOwners, g.followReach}
+	tasks := []daemon.Task{g.followMembers, g.followReach}
 	for range releaseWorkers {
 		tasks = append(tasks, g.releaseWorker)
 	}
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -43,7 +43,7 @@
 		if late || ctx.Err() != nil {
 			return home, &Failure{Code: CodeKeyHome, Ran: NotRun, Message: "the home of the key does not answer", Retry: g.Spans.Retry}
 		}
-		g.await(ctx, failoverPause)
+		pause(ctx, failoverPause)
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/models.go
@@ -28,7 +28,7 @@
 	f = g.runKeyed(r.Context(), q.key, id, func() *Failure { return g.route(r.Context(), q, out) })
 	g.stats.Total.Observe(q.class.Name(), time.Since(begun))
 	g.stats.Callers.Observe(q.caller, time.Since(begun))
-	if !out.first.IsZero() {
+	if !out.untouched() {
 		g.stats.FirstToken.Observe(q.class.Name(), out.first.Sub(begun))
 	}
 	if f != nil {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -55,9 +55,6 @@
 	return list
 }
 
-// farLife names the life of a data centre among the owners.
-func farLife(centre string) string { return "data centre " + centre }
-
 // followReach pings one scheduler of each other data centre, and ends calls to
 // those that can't be reached.
 func (g *Gateway) followReach(ctx context.Context) error {
@@ -65,7 +62,7 @@
 	defer tick.Stop()
 	for beat := 0; ; beat++ {
 		g.pingAll(ctx, beat%farBeats == 0)
-		g.keepOwners()
+		g.endStaleCalls()
 		select {
 		case <-ctx.Done():
 			return nil
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -88,7 +88,7 @@
 		if last != nil && unsure {
 			last.Ran = Unknown
 		}
-		if last == nil || ctx.Err() != nil || !out.first.IsZero() {
+		if last == nil || ctx.Err() != nil || !out.untouched() {
 			return last
 		}
 		if last.Ran != NotRun && !c.repeatable {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -45,6 +45,9 @@
 	return n, err
 }
 
+// untouched tells whether the caller has got nothing of the answer.
+func (a *answer) untouched() bool { return a.first.IsZero() }
+
 func (a *answer) flush() {
 	if err := http.NewResponseController(a.writer).Flush(); err != nil {
 		a.gone = true
@@ -61,7 +64,7 @@
 // fail ends the answer with a failure: as a whole answer, or, when a stream has
 // begun, as an error event and a connection that does not end cleanly.
 func (a *answer) fail(f *Failure) {
-	if a.first.IsZero() {
+	if a.untouched() {
 		f.write(a, a.id)
 		return
 	}
@@ -78,7 +81,7 @@
 
 // passWhole reads the whole answer, then gives it to the caller: what broke off
 // is never passed on.
-func (g *Gateway) passWhole(ctx context.Context, out *answer, h hold, run string, a *http.Response, r *wire.ReleaseRequest) *Failure {
+func (g *Gateway) passWhole(ctx context.Context, out *answer, h heldGrant, run string, a *http.Response, r *wire.ReleaseRequest) *Failure {
 	body, whole := readWhole(a)
 	if !whole {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
@@ -105,7 +108,7 @@
 
 // stream is one run whose events are passed on.
 type stream struct {
-	hold hold
+	held heldGrant
 	run  string // its name at the engine
 	beat func() // says that the endpoint is not silent
 }
@@ -115,7 +118,7 @@
 // that was passed on.
 func (g *Gateway) passStream(ctx context.Context, out *answer, s stream, a *http.Response, r *wire.ReleaseRequest) *Failure {
 	out.Header().Set("Content-Type", "text/event-stream")
-	h, run := s.hold, s.run
+	h, run := s.held, s.run
 	events, done := copyEvents(out, a.Body, 0, s.beat)
 	for range maxResumes {
 		if done || out.gone || ctx.Err() != nil {
@@ -137,12 +140,12 @@
 
 // resume opens the run's stream again and passes on what was not passed yet.
 func (g *Gateway) resume(ctx context.Context, out *answer, s stream, events int) (int, bool) {
-	g.await(ctx, resumePause)
+	pause(ctx, resumePause)
 	live, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timer := time.AfterFunc(g.Spans.Idle, cancel)
 	defer timer.Stop()
-	path := fmt.Sprintf("http://%s/cairn/streams/%s?from=%d", s.hold.grant.GetAddress(), url.PathEscape(s.run), events)
+	path := fmt.Sprintf("http://%s/cairn/streams/%s?from=%d", s.held.grant.GetAddress(), url.PathEscape(s.run), events)
 	e, err := http.NewRequestWithContext(live, http.MethodGet, path, nil)
 	if err != nil {
 		return events, false
