--- a/gateway/models.go
+++ b/gateway/models.go
@@ -24,7 +24,7 @@
 	h := w.Header()
 	h.Set(ModelHeader, q.model.String())
 	h.Set(RevisionHeader, strconv.FormatInt(q.catalog.Revision(), 10))
-	out := &answer{writer: w, id: id, begun: begun}
+	out := &answer{writer: w, id: id}
 	f = g.runKeyed(r.Context(), q.key, id, func() *Failure { return g.route(r.Context(), q, out) })
 	g.stats.Total.Observe(q.class.Name(), time.Since(begun))
 	g.stats.Callers.Observe(q.caller, time.Since(begun))
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -34,7 +34,7 @@
 	w.Header().Set(RequestHeader, id)
 	begun := time.Now()
 	c, f := g.readCall(w, r, id)
-	out := &answer{writer: w, id: id, begun: begun}
+	out := &answer{writer: w, id: id}
 	if f == nil {
 		f = g.runKeyed(r.Context(), c.key, id, func() *Failure { return g.callService(r.Context(), c, out) })
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -21,7 +21,6 @@
 type answer struct {
 	writer http.ResponseWriter
 	id     string
-	begun  time.Time
 	first  time.Time // of the first byte; zero: nothing was written
 	gone   bool      // a write failed: the caller is gone
 }
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -79,7 +79,6 @@
 // come back, so their adapter is loaded meanwhile.
 type demand struct {
 	count int
-	first time.Time
 	last  time.Time
 }
 
@@ -185,7 +184,7 @@
 		return
 	}
 	if d == nil {
-		d = &demand{first: now}
+		d = new(demand)
 		e.demands[name] = d
 	}
 	d.count++
