Name what the scheduler's functions do

Cause: holdLocked described slots and heldLocked told of requests held back; moveLocked granted, closedLocked gave a reason, most was a majority, keyHome was one thing here and another in the gateway; wanted, report and closed of an endpoint read as what they are not. Change: setSlotsLocked, heldBackLocked, serveWaitersLocked, closedReasonLocked, majority, isKeyHome, loadsWanted, reportWanted, closedUntil and some more; the package comment tells how a request and an order go through it; limits without a word have one. The tests call the new names and assert the same. Stats, which nobody read from outside, is not exported.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -94,9 +94,9 @@
 )
 
 const (
-	familyLimit    = 64
-	releaseBuffer  = 1024
-	releaseWorkers = 8
+	familyLimit    = 64   // callers, classes or codes counted apart
+	releaseBuffer  = 1024 // grants that wait for a worker; above it a request gives its own back
+	releaseWorkers = 8    // grants given back at a time
 )
 
 // Init prepares the tables; call it before the handler serves.
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -63,10 +63,10 @@
 func (s *Scheduler) enter(e *endpoint, q *wire.AcquireRequest, class catalog.Class, now time.Time) (*waiter, *wire.AcquireReply) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if r := s.closedLocked(e, now); r != 0 {
+	if r := s.closedReasonLocked(e, now); r != 0 {
 		return nil, refusal(r, s.Spans.Backoff, e.owner)
 	}
-	if !s.pathKnown(q.GetAdapter()) {
+	if !s.adapterKnown(q.GetAdapter()) {
 		return nil, refusal(wire.Reason_REASON_UNKNOWN_ADAPTER, s.Spans.Verify, "")
 	}
 	e.rateLocked(q.GetAdapter(), now, s.Spans.HalfLife).Add(1, now, s.Spans.HalfLife)
@@ -77,7 +77,7 @@
 		deadline: now.Add(time.Duration(q.GetWaitMicros()) * time.Microsecond),
 		reply:    make(chan *wire.AcquireReply, 1),
 	}
-	if s.freeLocked(e, q.GetAdapter(), now) && !s.heldLocked(e, w, s.patientLocked(e)+1, now) {
+	if s.freeLocked(e, q.GetAdapter(), now) && !s.heldBackLocked(e, w, s.patientLocked(e)+1, now) {
 		return nil, s.grantLocked(e, w, now, wire.Reason_REASON_ADAPTER_READY)
 	}
 	if a := s.admitLocked(e, w, now); a != nil {
@@ -87,12 +87,12 @@
 		w.stalled = now
 	}
 	e.waiters = append(e.waiters, w)
-	s.moveLocked(e, now)
+	s.serveWaitersLocked(e, now)
 	return w, nil
 }
 
-// closedLocked tells why an endpoint takes no request now; zero when it does.
-func (s *Scheduler) closedLocked(e *endpoint, now time.Time) wire.Reason {
+// closedReasonLocked tells why an endpoint takes no request now; zero when it does.
+func (s *Scheduler) closedReasonLocked(e *endpoint, now time.Time) wire.Reason {
 	switch {
 	case e.phase == foreign && e.owner != s.Name:
 		return wire.Reason_REASON_NOT_OWNER
@@ -100,14 +100,14 @@
 		return wire.Reason_REASON_NOT_READY
 	case !e.trustedLocked(now, s.Spans.Trust):
 		return wire.Reason_REASON_ENDPOINT_DOWN
-	case e.spec.State() == catalog.Draining || now.Before(e.closed):
+	case e.spec.State() == catalog.Draining || now.Before(e.closedUntil):
 		return wire.Reason_REASON_LEAVING
 	}
 	return 0
 }
 
-// pathKnown tells whether the configuration here names the adapter's version.
-func (s *Scheduler) pathKnown(adapter string) bool {
+// adapterKnown tells whether the configuration here names the adapter's version.
+func (s *Scheduler) adapterKnown(adapter string) bool {
 	_, err := s.Catalog().Resolve(adapter)
 	return err == nil
 }
@@ -142,7 +142,7 @@
 		Estimate:  s.estimateLocked(e, w, now),
 		Queue:     len(e.waiters),
 		QueueMost: s.QueueMost,
-		Caller:    callerWaiting(e.waiters, w.request.GetCaller()),
+		Caller:    waitingOf(e.waiters, w.request.GetCaller()),
 		CallerMax: s.callerMost(w.request.GetCaller()),
 	})
 	if verdict != policy.Wait && !s.readyLocked(e, adapter) {
@@ -161,7 +161,8 @@
 	return nil
 }
 
-func callerWaiting(list []*waiter, caller string) int {
+// waitingOf counts the requests of a caller that wait.
+func waitingOf(list []*waiter, caller string) int {
 	n := 0
 	for _, w := range list {
 		if w.request.GetCaller() == caller {
@@ -221,7 +222,7 @@
 // comeBackLocked is when a refused caller had better come back: when the loads
 // that are wanted at all endpoints can have begun, and its own after them.
 func (s *Scheduler) comeBackLocked(e *endpoint, retry time.Duration, now time.Time) time.Duration {
-	return max(retry, s.budget.wait(1+int(s.wanted.Load()), now)+e.loadTime)
+	return max(retry, s.budget.wait(1+int(s.loadsWanted.Load()), now)+e.loadTime)
 }
 
 // wait holds a request until it is granted, refused or given up.
@@ -230,7 +231,7 @@
 	defer timer.Stop()
 	select {
 	case a := <-w.reply:
-		return s.handOver(ctx, e, a)
+		return s.deliver(ctx, e, a)
 	case <-ctx.Done():
 	case <-timer.C:
 	}
@@ -239,7 +240,7 @@
 	a := s.overdueLocked(e, w, time.Now())
 	e.mu.Unlock()
 	if !removed {
-		return s.handOver(ctx, e, <-w.reply)
+		return s.deliver(ctx, e, <-w.reply)
 	}
 	return a
 }
@@ -258,8 +259,8 @@
 	return refusal(wire.Reason_REASON_DEADLINE, s.comeBackLocked(e, retry, now), "")
 }
 
-// handOver gives a grant back that nobody will receive.
-func (s *Scheduler) handOver(ctx context.Context, e *endpoint, a *wire.AcquireReply) *wire.AcquireReply {
+// deliver passes an answer on, and gives a grant back that nobody will receive.
+func (s *Scheduler) deliver(ctx context.Context, e *endpoint, a *wire.AcquireReply) *wire.AcquireReply {
 	if g := a.GetGrant(); g != nil && ctx.Err() != nil {
 		s.giveBack(e, &wire.ReleaseRequest{Id: g.GetId(), Outcome: wire.Outcome_OUTCOME_NOT_SENT})
 		return refusal(wire.Reason_REASON_DEADLINE, 0, "")
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -29,30 +29,30 @@
 	client engine.Endpoint
 	home   string // who should own it, in the view that assign last saw; only assign uses it
 
-	mu       sync.Mutex
-	spec     catalog.Endpoint
-	phase    phase
-	owner    string       // of the scheduler believed to own it; a member's name
-	fence    engine.Fence // this scheduler's, while owned
-	boot     string       // the engine's life that slots describe
-	seen     time.Time    // when a look that showed the own fence was begun
-	claimed  time.Time    // when the claim that holds was begun
-	taken    time.Time    // when this scheduler began to claim it, while another may have owned it; zero: none may
-	losses   int          // claims lost to others lately
-	looking  bool         // a look is queued or under way
-	nextLook time.Time
-	slots    map[string]*slot  // by adapter@version; at most spec.Slots()
-	grants   map[uint64]*grant // not given back
-	waiters  []*waiter         // in order of arrival
-	rates    map[string]*policy.Popularity
-	limit    float64       // of requests running; adapts below spec.Running()
-	service  time.Duration // moving mean of a request's time at the engine
-	loadTime time.Duration // moving mean of a load's time
-	failed   map[string]failure
-	wanted   int                // adapters to load, as last counted
-	demands  map[string]*demand // adapters whose requests were refused because they are not loaded
-	report   bool               // a report is wanted to free slots
-	closed   time.Time          // until then it gets nothing new: it said that it is leaving
+	mu           sync.Mutex
+	spec         catalog.Endpoint
+	phase        phase
+	owner        string       // of the scheduler believed to own it; a member's name
+	fence        engine.Fence // this scheduler's, while owned
+	boot         string       // the engine's life that slots describe
+	seen         time.Time    // when a look that showed the own fence was begun
+	claimed      time.Time    // when the claim that holds was begun
+	taken        time.Time    // when this scheduler began to claim it, while another may have owned it; zero: none may
+	losses       int          // claims lost to others lately
+	looking      bool         // a look is queued or under way
+	nextLook     time.Time
+	slots        map[string]*slot  // by adapter@version; at most spec.Slots()
+	grants       map[uint64]*grant // not given back
+	waiters      []*waiter         // in order of arrival
+	rates        map[string]*policy.Popularity
+	limit        float64       // of requests running; adapts below spec.Running()
+	service      time.Duration // moving mean of a request's time at the engine
+	loadTime     time.Duration // moving mean of a load's time
+	failed       map[string]failure
+	loadsWanted  int                // adapters to load, as last counted
+	demands      map[string]*demand // adapters whose requests were refused because they are not loaded
+	reportWanted bool               // a report may show slots to be free
+	closedUntil  time.Time          // until then it gets nothing new: it said that it is leaving
 }
 
 // slotState says what a slot holds.
@@ -89,12 +89,12 @@
 }
 
 const (
-	firstService  = time.Second // assumed until measured
-	firstLoad     = time.Second
-	meanWeight    = 0.1
-	ratesKept     = 4096 // adapters whose popularity is remembered
-	loadsInFlight = 2    // at one endpoint
-	demandsKept   = 256  // adapters of refused requests
+	firstService  = time.Second // of a request's time, assumed until measured
+	firstLoad     = time.Second // of a load's time, assumed until measured
+	meanWeight    = 0.1         // of a new sample in a moving mean
+	ratesKept     = 4096        // adapters whose popularity is remembered
+	loadsInFlight = 2           // at one endpoint
+	demandsKept   = 256         // adapters of refused requests
 	demandLife    = 10 * time.Second
 )
 
@@ -142,6 +142,7 @@
 // running is how many grants are not given back.
 func (e *endpoint) running() int { return len(e.grants) }
 
+// limitLocked is how many requests may run.
 func (e *endpoint) limitLocked() int { return max(1, min(int(e.limit), e.spec.Running())) }
 
 // rateLocked returns the popularity of an adapter, forgetting the faintest when
@@ -200,7 +201,8 @@
 	}
 }
 
-func mean(old, sample time.Duration) time.Duration {
+// movingMean moves a mean by one sample.
+func movingMean(old, sample time.Duration) time.Duration {
 	return old + time.Duration(meanWeight*float64(sample-old))
 }
 
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -69,7 +69,7 @@
 	defer e.mu.Unlock()
 	s.sightedLocked(e, q, now)
 	if q.GetLeaving() {
-		e.closed = now.Add(closedFor)
+		e.closedUntil = now.Add(closedFor)
 	}
 	g := e.grants[q.GetId()]
 	if g == nil {
@@ -78,7 +78,7 @@
 	delete(e.grants, q.GetId())
 	s.endLocked(e, g, q, now)
 	s.adaptLocked(e, q)
-	s.moveLocked(e, now)
+	s.serveWaitersLocked(e, now)
 }
 
 // endLocked updates the slot that a grant was for.
@@ -124,13 +124,13 @@
 	}
 	if q.GetOutcome() == wire.Outcome_OUTCOME_COMPLETED {
 		e.limit = min(float64(e.spec.Running()), e.limit+1/max(1, e.limit))
-		e.service = mean(e.service, time.Duration(q.GetServiceMicros())*time.Microsecond)
+		e.service = movingMean(e.service, time.Duration(q.GetServiceMicros())*time.Microsecond)
 	}
 }
 
-// moveLocked lets every waiting request run that can, and plans loads for the
+// serveWaitersLocked lets every waiting request run that can, and plans loads for the
 // others.
-func (s *Scheduler) moveLocked(e *endpoint, now time.Time) {
+func (s *Scheduler) serveWaitersLocked(e *endpoint, now time.Time) {
 	e.dropDemandsLocked(now)
 	defer s.countWantedLocked(e, now)
 	if len(e.waiters)+len(e.demands) == 0 || !e.trustedLocked(now, s.Spans.Trust) {
@@ -168,7 +168,7 @@
 			Waited:   now.Sub(w.arrived),
 			Left:     w.deadline.Sub(now),
 			Share:    shares[w.request.GetCaller()],
-			Ready:    s.readyLocked(e, w.request.GetAdapter()) && !s.heldLocked(e, w, patient, now),
+			Ready:    s.readyLocked(e, w.request.GetAdapter()) && !s.heldBackLocked(e, w, patient, now),
 		}
 	}
 	return list
@@ -185,8 +185,8 @@
 	return n
 }
 
-// heldLocked tells whether a request is held back to fill a batch.
-func (s *Scheduler) heldLocked(e *endpoint, w *waiter, patient int, now time.Time) bool {
+// heldBackLocked tells whether a request is held back to fill a batch.
+func (s *Scheduler) heldBackLocked(e *endpoint, w *waiter, patient int, now time.Time) bool {
 	return s.Weights.Hold(policy.HoldFacts{
 		MayWait: w.class.MayWait(),
 		Waited:  now.Sub(w.arrived),
@@ -219,7 +219,7 @@
 	if e.phase != owned || r.Sight().Boot() != e.boot {
 		return nil
 	}
-	e.report = false
+	e.reportWanted = false
 	shown := begun.Add(-e.spec.ReportLag()) // the state shown is at least this new
 	for id, g := range e.grants {
 		if g.sendBy.Before(shown) && !r.InUse(g.adapter) {
@@ -234,6 +234,6 @@
 			sl.unsure = time.Time{}
 		}
 	}
-	s.moveLocked(e, time.Now())
+	s.serveWaitersLocked(e, time.Now())
 	return nil
 }
--- a/scheduler/keys.go
+++ b/scheduler/keys.go
@@ -135,7 +135,7 @@
 
 // BeginKey implements the Scheduler service.
 func (s *Scheduler) BeginKey(_ context.Context, q *wire.BeginKeyRequest) (*wire.BeginKeyReply, error) {
-	if !s.keyHome(q.GetKey()) {
+	if !s.isKeyHome(q.GetKey()) {
 		return &wire.BeginKeyReply{State: wire.KeyState_KEY_STATE_NOT_HOME}, nil
 	}
 	state, holder := s.Keys.Begin(q.GetKey(), q.GetRequest(), time.Now())
@@ -148,20 +148,20 @@
 	return &wire.EndKeyReply{}, nil
 }
 
-// keyHome tells whether this scheduler is the home of a key now: first among
+// isKeyHome tells whether this scheduler is the home of a key now: first among
 // the serving schedulers, in a view that is fresh and has most of those that the
 // platform lists, so that the two sides of a cut do not both have a home.
-func (s *Scheduler) keyHome(key string) bool {
+func (s *Scheduler) isKeyHome(key string) bool {
 	s.mu.Lock()
 	leaving := s.leaving
 	s.mu.Unlock()
 	serving := s.schedulers()
-	return !leaving && s.Members.Fresh(time.Now()) && Owner(key, serving) == s.Name && most(serving, s.Listed())
+	return !leaving && s.Members.Fresh(time.Now()) && Owner(key, serving) == s.Name && majority(serving, s.Listed())
 }
 
-// most tells whether the serving are more than half of the listed; of two halves
+// majority tells whether the serving are more than half of the listed; of two halves
 // the one with the first name counts as more.
-func most(serving, listed []string) bool {
+func majority(serving, listed []string) bool {
 	if len(listed) == 0 {
 		return false // nothing is known of how many there are
 	}
--- a/scheduler/keys_test.go
+++ b/scheduler/keys_test.go
@@ -88,18 +88,18 @@
 func TestOnlyOneSideOfACutHasMost(t *testing.T) {
 	c := quicktest.New(t)
 	listed := []string{"a", "b", "c", "d"}
-	c.Assert(most([]string{"a", "b", "c"}, listed), quicktest.IsTrue)
-	c.Assert(most([]string{"d"}, listed), quicktest.IsFalse)
-	c.Assert(most([]string{"a", "d"}, listed), quicktest.IsTrue)
-	c.Assert(most([]string{"b", "c"}, listed), quicktest.IsFalse)
-	c.Assert(most([]string{"a", "b", "x", "y", "z"}, listed), quicktest.IsTrue)
-	c.Assert(most([]string{"a"}, nil), quicktest.IsFalse)
+	c.Assert(majority([]string{"a", "b", "c"}, listed), quicktest.IsTrue)
+	c.Assert(majority([]string{"d"}, listed), quicktest.IsFalse)
+	c.Assert(majority([]string{"a", "d"}, listed), quicktest.IsTrue)
+	c.Assert(majority([]string{"b", "c"}, listed), quicktest.IsFalse)
+	c.Assert(majority([]string{"a", "b", "x", "y", "z"}, listed), quicktest.IsTrue)
+	c.Assert(majority([]string{"a"}, nil), quicktest.IsFalse)
 }
 
 func TestASchedulerThatSeesFewIsNoHome(t *testing.T) {
 	b := newBench(t)
 	key := newKey(b.C)
-	b.Assert(b.scheduler.keyHome(key), quicktest.IsTrue)
+	b.Assert(b.scheduler.isKeyHome(key), quicktest.IsTrue)
 	b.scheduler.Listed = func() []string { return []string{"a/scheduler", "b/scheduler", "box/scheduler"} }
-	b.Assert(b.scheduler.keyHome(key), quicktest.IsFalse)
+	b.Assert(b.scheduler.isKeyHome(key), quicktest.IsFalse)
 }
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -27,8 +27,8 @@
 	return o.endpoint.fence == o.fence && o.endpoint.boot == o.boot
 }
 
-// begunLocked notes in the slots that an order is on its way.
-func (s *Scheduler) begunLocked(e *endpoint, o order, now time.Time) {
+// noteOrderLocked notes in the slots that an order is on its way.
+func (s *Scheduler) noteOrderLocked(e *endpoint, o order, now time.Time) {
 	if o.unload != "" {
 		e.slots[o.unload].state = unloading
 		return
@@ -120,10 +120,10 @@
 	}
 	s.budget.loaded()
 	s.stats.Load.Observe(now.Sub(begun))
-	e.loadTime = mean(e.loadTime, now.Sub(begun))
+	e.loadTime = movingMean(e.loadTime, now.Sub(begun))
 	e.slots[o.load] = &slot{state: ready, since: now, used: now}
 	delete(e.failed, o.load)
-	s.moveLocked(e, now)
+	s.serveWaitersLocked(e, now)
 }
 
 // failedLocked takes in an order that was refused or got no answer.
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -155,9 +155,9 @@
 	}
 }
 
-// outlasted tells whether the trust of whoever owned an endpoint without fences before is
+// trustBeforeOver tells whether the trust of whoever owned an endpoint without fences before is
 // over. Until then its orders would still be carried out, and unload what is granted here.
-func (s *Scheduler) outlasted(e *endpoint, now time.Time) bool {
+func (s *Scheduler) trustBeforeOver(e *endpoint, now time.Time) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return e.taken.IsZero() || now.Sub(e.taken) > s.Spans.Trust
@@ -166,7 +166,7 @@
 // claim goes above the endpoint's highest fence and learns what it holds. One that checks
 // no fences is claimed only when the owner before can give it no orders any more.
 func (s *Scheduler) claim(ctx context.Context, e *endpoint, checks bool, begun time.Time) error {
-	if !checks && !s.outlasted(e, begun) {
+	if !checks && !s.trustBeforeOver(e, begun) {
 		return nil
 	}
 	sight, err := e.client.Look(ctx)
@@ -193,9 +193,9 @@
 	e.fence = fence
 	e.seen = begun
 	e.claimed, e.taken = begun, time.Time{}
-	s.holdLocked(e, sight.Boot(), models, time.Now().Add(s.grantsOutlive(before)))
+	s.setSlotsLocked(e, sight.Boot(), models, time.Now().Add(s.grantsOutlive(before)))
 	s.Log.Info("Endpoint is owned", "endpoint", e.name, "fence", fence.String(), "adapters", len(models))
-	s.moveLocked(e, time.Now())
+	s.serveWaitersLocked(e, time.Now())
 	return nil
 }
 
@@ -210,9 +210,9 @@
 	return s.Spans.Trust + s.Spans.SendWindow
 }
 
-// holdLocked describes the slots anew. Each is unsure for as long as grants of
+// setSlotsLocked describes the slots anew. Each is unsure for as long as grants of
 // an earlier owner may still be used.
-func (s *Scheduler) holdLocked(e *endpoint, boot string, models []string, unsure time.Time) {
+func (s *Scheduler) setSlotsLocked(e *endpoint, boot string, models []string, unsure time.Time) {
 	now := time.Now()
 	e.boot = boot
 	e.slots = make(map[string]*slot)
@@ -250,8 +250,8 @@
 	if e.spec.ChecksFences() || s.Members.Fresh(begun) {
 		e.seen = begun
 	}
-	wanted := e.report || e.oldGrantLocked(begun, s.Spans)
-	s.moveLocked(e, time.Now())
+	wanted := e.reportWanted || e.oldGrantLocked(begun, s.Spans)
+	s.serveWaitersLocked(e, time.Now())
 	e.mu.Unlock()
 	if wanted {
 		return s.readReport(ctx, e)
--- a/scheduler/planning.go
+++ b/scheduler/planning.go
@@ -26,7 +26,7 @@
 		}
 		select {
 		case s.orders <- o:
-			s.begunLocked(e, o, now)
+			s.noteOrderLocked(e, o, now)
 		default: // every worker is busy; the next event plans again
 			return
 		}
@@ -36,8 +36,8 @@
 // countWantedLocked keeps the number of loads that are wanted at all endpoints.
 func (s *Scheduler) countWantedLocked(e *endpoint, now time.Time) {
 	names, _ := s.wantedLocked(e, now)
-	s.wanted.Add(int64(len(names) - e.wanted))
-	e.wanted = len(names)
+	s.loadsWanted.Add(int64(len(names) - e.loadsWanted))
+	e.loadsWanted = len(names)
 }
 
 func (e *endpoint) loadsInFlightLocked() int {
@@ -78,7 +78,7 @@
 // demandedLocked lists the adapters that requests were refused for. They are
 // loaded only while nobody anywhere waits for a load, and press for no slot.
 func (s *Scheduler) demandedLocked(e *endpoint, now time.Time) ([]string, []policy.LoadFacts) {
-	if s.wanted.Load() > 0 {
+	if s.loadsWanted.Load() > 0 {
 		return nil, nil
 	}
 	var names []string
@@ -188,7 +188,7 @@
 	if first.IsZero() {
 		return
 	}
-	e.report = true
+	e.reportWanted = true
 	due := first.Add(e.spec.ReportLag() + time.Millisecond)
 	if due.Before(now) {
 		due = now
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -8,6 +8,11 @@
 // so two may believe it: the endpoint arbitrates by its fence, and a scheduler
 // hands out grants only while it has lately seen its own fence there.
 //
+// assign says which endpoints to own; a look claims one, or sees that it is still owned.
+// Acquire answers a request at once or makes it wait; whatever may let a waiting request
+// run (a grant given back, a load that ended, a look) calls serveWaitersLocked, which
+// hands out grants and plans loads. Orders are carried out by workers.
+//
 // Lock order: Scheduler.mu before endpoint.mu; neither is held during a call to
 // an endpoint. Keys.mu and storeBudget.mu are taken last and alone.
 package scheduler
@@ -75,15 +80,15 @@
 	known     []string             // serving schedulers as assign last saw them
 	leaving   bool                 // hands out no new ownership
 
-	looks  chan *endpoint // to look at
-	orders chan order     // to carry out
-	budget *storeBudget
-	wanted atomic.Int64 // loads wanted at all endpoints, and not begun
-	stats  Stats
+	looks       chan *endpoint // to look at
+	orders      chan order     // to carry out
+	budget      *storeBudget
+	loadsWanted atomic.Int64 // at all endpoints, and not begun
+	stats       stats
 }
 
-// Stats are the scheduler's figures for /debug/vars.
-type Stats struct {
+// stats are the scheduler's figures for /debug/vars.
+type stats struct {
 	Stall   *metrics.Histogram // time that requests waited for a load
 	Queue   *metrics.Histogram // time that requests waited for a place
 	Classes *metrics.Family    // waits by class
@@ -93,10 +98,10 @@
 }
 
 const (
-	familyLimit = 64
-	lookWorkers = 4
-	jobBuffer   = 256
-	ownInterval = 250 * time.Millisecond
+	familyLimit = 64                     // callers, classes or reasons counted apart
+	lookWorkers = 4                      // looks at a time, so that an endpoint that hangs delays few others
+	jobBuffer   = 256                    // looks or orders that wait for a worker
+	ownInterval = 250 * time.Millisecond // between checks for looks that are due
 )
 
 // Init prepares the tables; call it before the server takes requests.
@@ -105,7 +110,7 @@
 	s.looks = make(chan *endpoint, jobBuffer)
 	s.orders = make(chan order, jobBuffer)
 	s.budget = &storeBudget{}
-	s.stats = Stats{
+	s.stats = stats{
 		Stall:   metrics.NewHistogram(),
 		Queue:   metrics.NewHistogram(),
 		Classes: metrics.NewFamily(familyLimit),
@@ -115,9 +120,6 @@
 	}
 }
 
-// Stats returns the figures to export.
-func (s *Scheduler) Stats() Stats { return s.stats }
-
 // Run keeps ownership, looks and orders going until ctx ends.
 func (s *Scheduler) Run(ctx context.Context) error {
 	tasks := []daemon.Task{s.ownLoop}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -229,15 +229,15 @@
 	}
 	_, err := b.scheduler.Acquire(context.Background(), q)
 	b.Assert(err, quicktest.IsNil)
-	b.Assert(b.scheduler.wanted.Load(), quicktest.Equals, int64(0)) // a refused request presses for nothing
+	b.Assert(b.scheduler.loadsWanted.Load(), quicktest.Equals, int64(0)) // a refused request presses for nothing
 	waiting := make(chan *wire.AcquireReply, 1)
 	go func() { waiting <- b.ask("b@1", "counter") }()
-	for b.scheduler.wanted.Load() == 0 {
+	for b.scheduler.loadsWanted.Load() == 0 {
 		time.Sleep(time.Millisecond)
 	}
 	b.scheduler.Leave()
 	<-waiting
-	b.Assert(b.scheduler.wanted.Load(), quicktest.Equals, int64(0))
+	b.Assert(b.scheduler.loadsWanted.Load(), quicktest.Equals, int64(0))
 }
 
 func TestAnEndpointWithoutFencesIsClaimedAnewAfterASilence(t *testing.T) {
