Ask daemons for their heads by the loop that asks for everything else

Cause: operator.Client.Heads had its own loop over addresses beside each, and read heads as configurationAt does. Change: each hands the address on, headAt reads one head. The walk-through and two scripts of e2e pass.

--- a/operator/client.go
+++ b/operator/client.go
@@ -48,8 +48,8 @@
 // Status asks every address what it sees. What did not answer is returned too.
 func (c *Client) Status(ctx context.Context, addresses []string) ([]*wire.StatusReply, []Silence) {
 	var list []*wire.StatusReply
-	silent := c.each(ctx, addresses, func(ctx context.Context, o wire.OperatorClient) error {
-		a, err := o.Status(ctx, &wire.StatusRequest{})
+	silent := c.each(ctx, addresses, func(ctx context.Context, address string) error {
+		a, err := c.operator(address).Status(ctx, &wire.StatusRequest{})
 		if err == nil {
 			list = append(list, a)
 		}
@@ -61,8 +61,8 @@
 // Explain gathers the decisions on a request, oldest first.
 func (c *Client) Explain(ctx context.Context, addresses []string, request string) ([]*wire.Decision, []Silence) {
 	var list []*wire.Decision
-	silent := c.each(ctx, addresses, func(ctx context.Context, o wire.OperatorClient) error {
-		a, err := o.Explain(ctx, &wire.ExplainRequest{Request: request})
+	silent := c.each(ctx, addresses, func(ctx context.Context, address string) error {
+		a, err := c.operator(address).Explain(ctx, &wire.ExplainRequest{Request: request})
 		list = append(list, a.GetDecisions()...)
 		return err
 	})
@@ -70,12 +70,12 @@
 	return list, silent
 }
 
-// each asks one address after another.
-func (c *Client) each(ctx context.Context, addresses []string, ask func(context.Context, wire.OperatorClient) error) []Silence {
+// each asks one address after another, and returns those that gave no answer.
+func (c *Client) each(ctx context.Context, addresses []string, ask func(ctx context.Context, address string) error) []Silence {
 	var silent []Silence
 	for _, a := range addresses {
 		call, cancel := context.WithTimeout(ctx, callTimeout)
-		if err := ask(call, c.operator(a)); err != nil {
+		if err := ask(call, a); err != nil {
 			silent = append(silent, Silence{Address: a, Cause: err})
 		}
 		cancel()
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -28,15 +28,11 @@
 func (c *Client) configurationAt(ctx context.Context, address string) (catalog.Head, map[string][]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	p := wire.NewPeerClient(c.dialer.Conn(address))
-	d, err := p.FetchHead(ctx, &wire.FetchHeadRequest{})
-	if err != nil {
-		return catalog.Head{}, nil, err
-	}
-	h, err := catalog.ParseHead(d.GetBody())
+	h, err := c.headAt(ctx, address)
 	if err != nil {
 		return catalog.Head{}, nil, err
 	}
+	p := wire.NewPeerClient(c.dialer.Conn(address))
 	shards := make(map[string][]byte)
 	for _, n := range h.Shards() {
 		d, err := p.FetchShard(ctx, &wire.FetchShardRequest{Digest: h.ShardDigest(n)})
@@ -51,24 +47,25 @@
 // Heads returns the head in force at each address, and who gave no answer.
 func (c *Client) Heads(ctx context.Context, addresses []string) (map[string]catalog.Head, []Silence) {
 	found := make(map[string]catalog.Head)
-	var silent []Silence
-	for _, a := range addresses {
-		call, cancel := context.WithTimeout(ctx, callTimeout)
-		d, err := wire.NewPeerClient(c.dialer.Conn(a)).FetchHead(call, &wire.FetchHeadRequest{})
-		cancel()
+	silent := c.each(ctx, addresses, func(ctx context.Context, address string) error {
+		h, err := c.headAt(ctx, address)
 		if err == nil {
-			var h catalog.Head
-			if h, err = catalog.ParseHead(d.GetBody()); err == nil {
-				found[a] = h
-			}
+			found[address] = h
 		}
-		if err != nil {
-			silent = append(silent, Silence{Address: a, Cause: err})
-		}
-	}
+		return err
+	})
 	return found, silent
 }
 
+// headAt returns the head that one daemon has in force.
+func (c *Client) headAt(ctx context.Context, address string) (catalog.Head, error) {
+	d, err := wire.NewPeerClient(c.dialer.Conn(address)).FetchHead(ctx, &wire.FetchHeadRequest{})
+	if err != nil {
+		return catalog.Head{}, err
+	}
+	return catalog.ParseHead(d.GetBody())
+}
+
 // Follow asks until every address that answers has the head in force, or one has
 // another that does not follow from it, until ctx ends. It returns who had it not
 // in the last whole round, and who gave no answer.
