--- a/logging/logging.go
+++ b/logging/logging.go
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package logging makes the loggers of the daemons: logr over JSON lines.
+// Package logging makes the loggers of the daemons, logr over JSON lines, with a writer
+// that never blocks on a slow reader, and reads such lines again.
 package logging
 
 import (
--- a/measure/path.go
+++ b/measure/path.go
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package measure gives the figures of the documents: each by one command, with
-// real processes, compared within one run.
+// Package measure gives the figures of the documents, each by one command. Those of
+// speed and cost come from real processes on loopback and are compared within one run;
+// where and future read logs of boxes, and scarce is a simulation.
 package measure
 
 import (
--- a/policy/place.go
+++ b/policy/place.go
@@ -3,6 +3,7 @@
 package policy
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -158,3 +159,14 @@
 func (random) Order(r PlaceRequest) ([]int, []float64) {
 	return r.Rand.Perm(len(r.Names)), make([]float64, len(r.Names))
 }
+
+// Width returns how many homes an adapter should have: enough that its own
+// load, in requests running at a time, fills no home by more than share of its
+// limit.
+func Width(rate float64, service time.Duration, limit int, share float64) int {
+	if limit <= 0 || share <= 0 {
+		return 1
+	}
+	homes := rate * service.Seconds() / (float64(limit) * share)
+	return max(1, int(math.Ceil(homes)))
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -156,7 +156,7 @@
 }
 
 func TestNextWaiterIsFairBetweenCallers(t *testing.T) {
-	list := []WaitFacts{{Ready: true, Share: 6, Waited: time.Second}, {Ready: true, Share: 1}}
+	list := []WaitFacts{{Ready: true, CallerRuns: 6, Waited: time.Second}, {Ready: true, CallerRuns: 1}}
 	quicktest.Assert(t, NextWaiter(list), quicktest.Equals, 1)
 }
 
--- a/policy/popularity.go
+++ b/policy/popularity.go
@@ -36,14 +36,3 @@
 	age := now.Sub(p.at).Seconds()
 	return p.weight * math.Exp2(-age/halfLife.Seconds())
 }
-
-// Width returns how many homes an adapter should have: enough that its own
-// load, in requests running at a time, fills no home by more than share of its
-// limit.
-func Width(rate float64, service time.Duration, limit int, share float64) int {
-	if limit <= 0 || share <= 0 {
-		return 1
-	}
-	homes := rate * service.Seconds() / (float64(limit) * share)
-	return max(1, int(math.Ceil(homes)))
-}
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -12,11 +12,11 @@
 
 // WaitFacts is one waiting request.
 type WaitFacts struct {
-	Priority int           // of its class; smaller runs earlier
-	Waited   time.Duration // so far
-	Left     time.Duration // until its deadline
-	Share    int           // requests of its caller that run now
-	Ready    bool          // its adapter is in a slot
+	Priority   int           // of its class; smaller runs earlier
+	Waited     time.Duration // so far
+	Left       time.Duration // until its deadline
+	CallerRuns int           // requests of its caller that run now
+	Ready      bool          // its adapter is in a slot
 }
 
 // aging is how long a request waits to gain one step of priority, so that no
@@ -44,8 +44,8 @@
 	if a != b {
 		return a < b
 	}
-	if w.Share != o.Share {
-		return w.Share < o.Share
+	if w.CallerRuns != o.CallerRuns {
+		return w.CallerRuns < o.CallerRuns
 	}
 	return w.Waited > o.Waited
 }
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -156,19 +156,19 @@
 }
 
 func (s *Scheduler) waitFactsLocked(e *endpoint, now time.Time) []policy.WaitFacts {
-	shares := make(map[string]int)
+	running := make(map[string]int) // by caller
 	for _, g := range e.grants {
-		shares[g.caller]++
+		running[g.caller]++
 	}
 	list := make([]policy.WaitFacts, len(e.waiters))
 	patient := s.patientLocked(e)
 	for i, w := range e.waiters {
 		list[i] = policy.WaitFacts{
-			Priority: w.class.Priority(),
-			Waited:   now.Sub(w.arrived),
-			Left:     w.deadline.Sub(now),
-			Share:    shares[w.request.GetCaller()],
-			Ready:    s.readyLocked(e, w.request.GetAdapter()) && !s.heldBackLocked(e, w, patient, now),
+			Priority:   w.class.Priority(),
+			Waited:     now.Sub(w.arrived),
+			Left:       w.deadline.Sub(now),
+			CallerRuns: running[w.request.GetCaller()],
+			Ready:      s.readyLocked(e, w.request.GetAdapter()) && !s.heldBackLocked(e, w, patient, now),
 		}
 	}
 	return list
--- a/share/follow.go
+++ b/share/follow.go
@@ -12,9 +12,9 @@
 )
 
 const (
-	batchPause = 40 * time.Millisecond // changes of this time travel together
+	batchPause = 40 * time.Millisecond // changes of this time go in one message
 	batchMost  = 256                   // items in one message, so that it stays far below gRPC's 4 MB
-	// BeatPause is how often a stream says at least that it lives.
+	// BeatPause is after how long without a change a stream sends a message all the same.
 	BeatPause = 300 * time.Millisecond
 	// SilentAfter is how long a stream may say nothing before it counts as broken:
 	// two beats lost and some delay.
--- a/topology/config.go
+++ b/topology/config.go
@@ -3,8 +3,10 @@
 // Package topology is what a box knows of the services in front of which it
 // stands: routes, services, endpoints, and which adapters the endpoints hold.
 //
-// Its types are values read from a source of configuration; nothing here does
-// input or output.
+// Config, Route, Service and Endpoint are values read from a source of configuration and
+// never change; View is the table of those in force. Nothing here does input or output.
+//
+// Lock order: View.mu is taken alone.
 package topology
 
 import (
