--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -60,7 +60,14 @@
 	Rate float64       `arg:"--rate" default:"55" help:"requests a second"`
 }
 
+type blockedCommand struct {
+	Rate   int           `arg:"--rate" default:"27" help:"requests a second, every second one refused: twice what a box has at the peak"`
+	Each   time.Duration `arg:"--each" default:"10s" help:"time of one turn"`
+	Rounds int           `arg:"--rounds" default:"3" help:"turns of each kind"`
+}
+
 type arguments struct {
+	Blocked  *blockedCommand  `arg:"subcommand:blocked" help:"requests while the reader of the log reads, and while it stands still"`
 	Scarce   *scarceCommand   `arg:"subcommand:scarce" help:"where loads go when slots are scarce and prompts long, simulated"`
 	Where    *whereCommand    `arg:"subcommand:where" help:"where the time of requests went, from logs"`
 	Future   *futureCommand   `arg:"subcommand:future" help:"what a policy that knew the future could have had, from logs"`
@@ -96,6 +103,8 @@
 	switch {
 	case a.Path != nil:
 		err = measure.Path{Bin: a.Bin, Dir: dir, Rate: a.Path.Rate, Each: a.Path.Each, Rounds: a.Path.Rounds}.Run(ctx, os.Stdout)
+	case a.Blocked != nil:
+		err = measure.Blocked{Bin: a.Bin, Dir: dir, Rate: a.Blocked.Rate, Each: a.Blocked.Each, Rounds: a.Blocked.Rounds}.Run(ctx, os.Stdout)
 	case a.Capacity != nil:
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -11,7 +11,6 @@
 	"strings"
 	"time"
 
-	"cairnwick.example/engine"
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
 	"github.com/rogpeppe/go-internal/testscript"
@@ -21,7 +20,7 @@
 // and waits until it is ready: edge 1.1 settings.toml.
 func cmdEdge(ts *testscript.TestScript, _ bool, args []string) {
 	c, b := place(ts, args[0])
-	ts.Check(worldOf(ts).fleet.StartEdge(context.Background(), c, b, ts.ReadFile(args[1])))
+	ts.Check(worldOf(ts).fleet.StartEdge(context.Background(), c, b, ts.ReadFile(args[1]), nil))
 }
 
 // cmdFact publishes a file under a key: fact KEY FILE engine=1.1. With an engine, its present
@@ -32,30 +31,14 @@
 	key, text := rest[0], ts.ReadFile(rest[1])
 	if o["engine"] != "" {
 		c, n := place(ts, o["engine"])
-		at := w.fleet.EngineAddress(c, n)
-		life := bootOf(ts, at)
-		key, text = key+life, strings.ReplaceAll(text, "$ADDRESS", at)
+		life, err := w.fleet.Life(context.Background(), c, n)
+		ts.Check(err)
+		key, text = key+life, strings.ReplaceAll(text, "$ADDRESS", w.fleet.EngineAddress(c, n))
 		ts.Setenv("ENDPOINT", life)
 	}
 	ts.Check(w.fleet.Put(context.Background(), key, []byte(text)))
 }
 
-// bootOf waits until an engine answers, and returns which life of it does.
-func bootOf(ts *testscript.TestScript, at string) string {
-	deadline := time.Now().Add(15 * time.Second)
-	for {
-		a, err := http.Get("http://" + at + "/control/counts")
-		if err == nil {
-			a.Body.Close()
-			return a.Header.Get(engine.BootHeader)
-		}
-		if time.Now().After(deadline) {
-			ts.Fatalf("engine at %s: %v", at, err)
-		}
-		time.Sleep(20 * time.Millisecond)
-	}
-}
-
 // cmdRemove takes a key away: remove servers/$ENDPOINT.
 func cmdRemove(ts *testscript.TestScript, _ bool, args []string) {
 	ts.Check(worldOf(ts).fleet.Remove(context.Background(), args[0]))
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -98,7 +98,7 @@
 func setup(e *testscript.Env) error {
 	w := &world{}
 	e.Values[worldKey{}] = w
-	users, err := filepath.Abs(filepath.Join("testdata", "users"))
+	users, err := filepath.Abs(filepath.Join("..", "fleet", "users"))
 	if err != nil {
 		return err
 	}
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -26,11 +26,17 @@
 
 // run starts a program under a name; its output goes to a log in Dir.
 func (f *Fleet) run(name, program string, args ...string) error {
-	return f.runWith(nil, name, program, args...)
+	return f.runWith(surroundings{}, name, program, args...)
 }
 
-// runWith is run with more variables in the environment, NAME=VALUE.
-func (f *Fleet) runWith(environment []string, name, program string, args ...string) error {
+// surroundings are what a program gets besides its arguments.
+type surroundings struct {
+	environment []string // more variables, NAME=VALUE
+	stdout      *os.File // nil: its log
+}
+
+// runWith is run with what the program gets besides.
+func (f *Fleet) runWith(s surroundings, name, program string, args ...string) error {
 	path := f.file(name, ".log")
 	out, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
@@ -38,7 +44,10 @@
 	}
 	c := exec.Command(filepath.Join(f.Spec.Bin, program), args...)
 	c.Stdout, c.Stderr = out, out
-	c.Env = append(os.Environ(), environment...)
+	if s.stdout != nil {
+		c.Stdout = s.stdout
+	}
+	c.Env = append(os.Environ(), s.environment...)
 	c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := c.Start(); err != nil {
 		out.Close()
--- /dev/null
+++ b/measure/blocked.go
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package measure
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"cairnwick.example/fleet"
+	"cairnwick.example/metrics"
+	"github.com/pkg/errors"
+)
+
+// Blocked compares the requests of one box while the reader of its standard output reads
+// with those while it stands still, in turn within one run. Set the fields before Run.
+type Blocked struct {
+	Bin    string
+	Dir    string
+	Rate   int           // requests a second, every second one refused
+	Each   time.Duration // of one turn
+	Rounds int           // turns of each kind
+}
+
+const (
+	// floodRequests are sent before each turn, so that a reader that stands still has the
+	// pipe's 64 KB and the queue's 2,048 lines full: each is refused and writes a line.
+	floodRequests = 3072
+	floodAtOnce   = 16
+	blockedLimit  = 10 * time.Second       // for one answer; some take 50 ms
+	settleLines   = 300 * time.Millisecond // for the lines of a turn to arrive
+)
+
+// blockedSide is what the requests saw while the reader read, or while it stood still.
+type blockedSide struct {
+	name            string
+	served, refused *metrics.Histogram
+	lost            atomic.Int64
+	lines, bytes    int64 // that were read in its turns
+	leftOut         int64 // lines, floods included
+	took            time.Duration
+}
+
+func newBlockedSide(name string) *blockedSide {
+	return &blockedSide{name: name, served: metrics.NewHistogram(), refused: metrics.NewHistogram()}
+}
+
+// gatedReader reads a pipe and counts. Who holds its gate keeps it from reading on.
+type gatedReader struct {
+	gate         sync.Mutex
+	lines, bytes atomic.Int64
+}
+
+// run reads until the pipe ends.
+func (r *gatedReader) run(from io.Reader) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		r.gate.Lock()
+		r.lines.Add(int64(bytes.Count(buffer[:n], []byte{'\n'})))
+		r.bytes.Add(int64(n))
+		r.gate.Unlock()
+		if err != nil {
+			return
+		}
+	}
+}
+
+// Run writes the comparison to w.
+func (b Blocked) Run(ctx context.Context, w io.Writer) error {
+	f := fleet.New(fleet.Spec{Bin: b.Bin, Dir: b.Dir, Centres: 1, Engines: 1, Slots: 4, Batch: 64})
+	defer f.Stop()
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	if err := f.PublishEdge(ctx); err != nil {
+		return err
+	}
+	from, to, err := os.Pipe()
+	if err != nil {
+		return errors.Wrap(err, "measure: pipe")
+	}
+	r := &gatedReader{}
+	ended := make(chan struct{})
+	go func() {
+		r.run(from)
+		close(ended)
+	}()
+	err = f.StartEdge(ctx, 1, 1, fleet.EdgeSettings, to)
+	to.Close()
+	if err == nil {
+		err = b.compare(ctx, w, f, r)
+	}
+	f.Stop()
+	<-ended
+	from.Close()
+	return err
+}
+
+// compare takes the turns and prints what came of them.
+func (b Blocked) compare(ctx context.Context, w io.Writer, f *fleet.Fleet, r *gatedReader) error {
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}, Timeout: blockedLimit}
+	defer c.CloseIdleConnections()
+	u := &blockedRun{Blocked: b, fleet: f, client: c, reader: r}
+	if err := u.warm(ctx); err != nil {
+		return err
+	}
+	reads, stands := newBlockedSide("reads"), newBlockedSide("stands still")
+	for range b.Rounds {
+		if err := u.turn(ctx, reads); err != nil {
+			return err
+		}
+		r.gate.Lock()
+		err := u.turn(ctx, stands)
+		r.gate.Unlock()
+		if err != nil {
+			return err
+		}
+		time.Sleep(settleLines)
+	}
+	return printBlocked(w, reads, stands)
+}
+
+// blockedRun is one run.
+type blockedRun struct {
+	Blocked
+
+	fleet  *fleet.Fleet
+	client *http.Client
+	reader *gatedReader
+}
+
+// warm asks until the adapter is loaded.
+func (u *blockedRun) warm(ctx context.Context) error {
+	deadline := time.Now().Add(blockedLimit)
+	for {
+		status, err := u.ask(ctx, true)
+		if err == nil && status == http.StatusOK {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Errorf("measure: the box serves nothing: status %d, %v", status, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// ask sends one request that is served, or one that is refused since it has no route.
+func (u *blockedRun) ask(ctx context.Context, served bool) (int, error) {
+	path := "/no-route/"
+	if served {
+		path = "/a/"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.fleet.CallersAddress(1, 1)+path, strings.NewReader("{}"))
+	if err != nil {
+		return 0, err
+	}
+	r.Host = "h.example"
+	for n, v := range map[string]string{"Attempt-Id": "0123456789abcdef", "Model": fleet.BaseName + "/a1", "Token-Usage": "100,4"} {
+		r.Header.Set(n, v)
+	}
+	a, err := u.client.Do(r)
+	if err != nil {
+		return 0, err
+	}
+	defer a.Body.Close()
+	_, err = io.Copy(io.Discard, a.Body)
+	return a.StatusCode, err
+}
+
+// turn floods the log, and then sends requests at the steady rate for a while.
+func (u *blockedRun) turn(ctx context.Context, s *blockedSide) error {
+	before, err := u.leftOut(ctx)
+	if err != nil {
+		return err
+	}
+	u.flood(ctx, s)
+	time.Sleep(settleLines)
+	lines, size, begun := u.reader.lines.Load(), u.reader.bytes.Load(), time.Now()
+	u.steady(ctx, s)
+	s.took += time.Since(begun)
+	time.Sleep(settleLines)
+	s.lines += u.reader.lines.Load() - lines
+	s.bytes += u.reader.bytes.Load() - size
+	after, err := u.leftOut(ctx)
+	s.leftOut += after - before
+	return err
+}
+
+// flood sends many requests that are refused, as fast as they are answered.
+func (u *blockedRun) flood(ctx context.Context, s *blockedSide) {
+	var all sync.WaitGroup
+	for range floodAtOnce {
+		all.Go(func() {
+			for range floodRequests / floodAtOnce {
+				if status, err := u.ask(ctx, false); err != nil || status != http.StatusNotFound {
+					s.lost.Add(1)
+				}
+			}
+		})
+	}
+	all.Wait()
+}
+
+// steady sends requests at the rate, every second one refused.
+func (u *blockedRun) steady(ctx context.Context, s *blockedSide) {
+	var all sync.WaitGroup
+	begun := time.Now()
+	for i := range int(u.Each.Seconds() * float64(u.Rate)) {
+		time.Sleep(time.Until(begun.Add(time.Duration(i) * time.Second / time.Duration(u.Rate))))
+		all.Go(func() { u.observe(ctx, s, i%2 == 0) })
+	}
+	all.Wait()
+}
+
+func (u *blockedRun) observe(ctx context.Context, s *blockedSide, served bool) {
+	times, want := s.refused, http.StatusNotFound
+	if served {
+		times, want = s.served, http.StatusOK
+	}
+	begun := time.Now()
+	status, err := u.ask(ctx, served)
+	if err != nil || status != want {
+		s.lost.Add(1)
+		return
+	}
+	times.Observe(time.Since(begun))
+}
+
+// leftOut reads how many lines the box has left out.
+func (u *blockedRun) leftOut(ctx context.Context) (int64, error) {
+	raw, err := fleet.Get(ctx, "http://"+u.fleet.OperatorsAddress(1, 1, "gateway")+"/metrics")
+	if err != nil {
+		return 0, err
+	}
+	v := struct {
+		LeftOut int64 `json:"edge_log_lines_left_out"`
+	}{}
+	return v.LeftOut, errors.Wrap(json.Unmarshal(raw, &v), "measure: metrics")
+}
+
+// printBlocked prints both sides and their ratios. A side that lost a request is a failure,
+// and so is a reader that did not stand still.
+func printBlocked(w io.Writer, reads, stands *blockedSide) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(t, "reader\trequests\tserved p50 ms\tp99 ms\trefused p50 ms\tp99 ms\tlines/s\tbytes/s\tleft out\t\n")
+	for _, s := range []*blockedSide{reads, stands} {
+		fmt.Fprintf(t, "%s\t%d\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.0f\t%d\t\n", s.name, s.served.Count()+s.refused.Count(),
+			millis(s.served.Quantile(50)), millis(s.served.Quantile(99)), millis(s.refused.Quantile(50)), millis(s.refused.Quantile(99)),
+			float64(s.lines)/s.took.Seconds(), float64(s.bytes)/s.took.Seconds(), s.leftOut)
+	}
+	ratio := func(a, b *metrics.Histogram, q float64) float64 { return millis(a.Quantile(q)) / millis(b.Quantile(q)) }
+	fmt.Fprintf(t, "stands still / reads\t\t%.2f\t%.2f\t%.2f\t%.2f\t\t\t\t\n",
+		ratio(stands.served, reads.served, 50), ratio(stands.served, reads.served, 99),
+		ratio(stands.refused, reads.refused, 50), ratio(stands.refused, reads.refused, 99))
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	if lost := reads.lost.Load() + stands.lost.Load(); lost > 0 {
+		return errors.Errorf("measure: %d requests got not the answer that was due", lost)
+	}
+	if stands.leftOut == 0 {
+		return errors.New("measure: no line was left out while the reader stood still")
+	}
+	return nil
+}
