Check facts and words of boxes in all orders up to a depth

The real reader, table, words and freshness of one to three boxes, in chains and in rings, go through all orders of calls (answered, answered late, failed, with a forgotten history), messages, streams that break, restarts and changes at the source, breadth-first, each state once. Asked in each: no version goes back within a life; who says that it heard the source so long ago has all that was published by then; nothing that left comes back by an older item; no removal is held back without a failed call; words in a ring die. The seam: none. The code asks time.Now() in the reader; a state is kept as values in model time and its boxes are made anew for one event in a bubble of testing/synctest, with the times moved so that the bubble's now is the model's. A clock as a field of the reader and the node was the other way, and would be code for the sake of the test.

--- /dev/null
+++ b/edge/explore_test.go
@@ -0,0 +1,346 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+)
+
+// event makes a follower of the state; nil: it can't happen.
+type event struct {
+	name string
+	run  func(s *modelState) bool
+}
+
+func (w *modelWorld) events(s *modelState) []event {
+	var list []event
+	if !w.silent || s.prompt() {
+		list = append(list, event{"time", w.time})
+	}
+	if s.left.changes > 0 {
+		list = append(list, event{"change", func(n *modelState) bool {
+			n.left.changes--
+			n.changes = append(n.changes, modelChange{at: n.now, removed: !n.changes[len(n.changes)-1].removed})
+			return true
+		}})
+	}
+	for i := range s.boxes {
+		list = append(list, w.calls(s, i)...)
+		list = append(list, w.streams(s, i)...)
+	}
+	slices.SortFunc(list, func(a, b event) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// prompt tells whether no message has been on its way for a tick.
+func (s *modelState) prompt() bool {
+	for _, l := range s.links {
+		if len(l.queue) > 0 && s.now.Sub(l.queue[0].sent) >= modelTick {
+			return false
+		}
+	}
+	return true
+}
+
+// calls are what can happen to a box and its calls.
+func (w *modelWorld) calls(s *modelState, i int) []event {
+	var list []event
+	if w.silent {
+		return nil
+	}
+	if s.boxes[i].begun.IsZero() {
+		list = append(list, event{"ask " + boxName(i), func(n *modelState) bool { return w.ask(n, i) }})
+	} else {
+		for name, err := range map[string]error{"answer ": nil, "fail ": errModelSource, "forget ": ErrForgotten{}} {
+			list = append(list, event{name + boxName(i), func(n *modelState) bool { return w.answer(n, i, err, false) }})
+		}
+		if s.boxes[i].begun.Before(s.now) {
+			list = append(list, event{"late-answer " + boxName(i), func(n *modelState) bool { return w.answer(n, i, nil, true) }})
+		}
+	}
+	if s.left.restarts > 0 {
+		list = append(list, event{"restart " + boxName(i), func(n *modelState) bool { return w.restart(n, i) }})
+	}
+	return list
+}
+
+// streams are what can happen to the stream to a box.
+func (w *modelWorld) streams(s *modelState, i int) []event {
+	var list []event
+	if w.parents[i] < 0 {
+		return nil
+	}
+	if l := &s.links[i]; l.down {
+		list = append(list, event{"connect " + boxName(i), func(n *modelState) bool { return w.connect(n, i) }})
+	} else if len(l.queue) > 0 {
+		list = append(list, event{"hear " + boxName(i), func(n *modelState) bool { return w.hear(n, i) }})
+	}
+	if s.left.breaks > 0 && !s.links[i].down {
+		list = append(list, event{"break " + boxName(i), func(n *modelState) bool {
+			n.left.breaks--
+			n.links[i] = modelLink{down: true}
+			return true
+		}})
+	}
+	return list
+}
+
+// check returns what a state breaks; empty: nothing. was is the state before the event.
+func (w *modelWorld) check(was, s *modelState, restarted int) string {
+	if s.fault != "" {
+		return s.fault
+	}
+	for i := range s.boxes {
+		if fault := s.wentBack(was, i); fault != "" && i != restarted {
+			return fault
+		}
+		b := w.make(s, i, time.Since(s.now))
+		age, ok := b.node.readAgo()
+		if !ok {
+			continue
+		}
+		known := s.now.Add(-age - w.way(s, i, b))
+		for r, c := range s.changes {
+			if version := b.table.Version("e/1"); c.at.Before(known) && version < uint64(r+1) && (version != 0 || !s.leftSince(r)) {
+				return fmt.Sprintf("%s says that it heard the source %v ago, and has not heard of revision %d of %v ago", boxName(i), age, r+1, s.now.Sub(c.at))
+			}
+		}
+	}
+	return ""
+}
+
+// leftSince tells whether a change, or one after it, took the endpoint away: who never heard
+// of it may know nothing of that.
+func (s *modelState) leftSince(revision int) bool {
+	return slices.ContainsFunc(s.changes[revision:], func(c modelChange) bool { return c.removed })
+}
+
+// wentBack tells whether a box knows something older than before, or lost it.
+func (s *modelState) wentBack(was *modelState, i int) string {
+	now := make(map[string]*wire.Item)
+	for _, t := range s.boxes[i].items {
+		now[t.GetKey()] = t
+	}
+	for _, t := range was.boxes[i].items {
+		n := now[t.GetKey()]
+		switch {
+		case n.GetVersion() < t.GetVersion():
+			return fmt.Sprintf("%s knew version %d of %s and knows %d", boxName(i), t.GetVersion(), t.GetKey(), n.GetVersion())
+		case n.GetVersion() == t.GetVersion() && n.GetRemoved() != t.GetRemoved():
+			return fmt.Sprintf("%s has %s back by an item of the same version", boxName(i), t.GetKey())
+		}
+	}
+	return ""
+}
+
+// agesMost: what is older than every limit is as good as any older.
+const agesMost = 4 * time.Second
+
+// key names a state by what is known and how old it is.
+func (s *modelState) key() string {
+	var k strings.Builder
+	age := func(t time.Time) int64 {
+		if t.IsZero() {
+			return -1
+		}
+		return min(s.now.Sub(t), agesMost).Milliseconds()
+	}
+	items := func(list []*wire.Item) {
+		for _, i := range list {
+			fmt.Fprint(&k, i.GetVersion(), i.GetRemoved(), ",")
+		}
+	}
+	for _, c := range s.changes {
+		fmt.Fprint(&k, age(c.at), ",")
+	}
+	fmt.Fprint(&k, s.left)
+	for _, b := range s.boxes {
+		fmt.Fprint(&k, "|", b.after, " ", b.listed, " ", age(b.whole), " ", age(b.asOf), b.failing, age(b.trusted), b.unsure, b.holding, age(b.answered), age(b.begun), age(b.failed), b.held, ";")
+		items(b.items)
+		for _, n := range slices.Sorted(maps.Keys(b.words)) {
+			fmt.Fprint(&k, n, age(b.words[n].told), " ", age(b.words[n].heard), " ", age(b.words[n].first), " ", b.words[n].way)
+		}
+	}
+	for _, l := range s.links {
+		fmt.Fprint(&k, "|", l.down, age(l.heard), " ", l.unsent)
+		for _, m := range l.queue {
+			fmt.Fprint(&k, ";", m.reading, m.age, age(m.sent), " ", m.way)
+			items(m.items)
+		}
+	}
+	return k.String()
+}
+
+func newModelWorld(parents []int, depth int) *modelWorld {
+	w := &modelWorld{parents: parents, depth: depth}
+	for i := range parents {
+		w.peers = append(w.peers, peersOf(box(boxName(i), "dc", 1, 400)))
+	}
+	return w
+}
+
+// start is the state in which nobody knows anything and one endpoint is published.
+func (w *modelWorld) start(left modelBudget) *modelState {
+	now := time.Now()
+	s := &modelState{now: now, changes: []modelChange{{at: now.Add(-time.Minute)}}, left: left, links: make([]modelLink, len(w.parents))}
+	for i := range w.parents {
+		s.boxes = append(s.boxes, modelBox{words: make(map[string]modelWord)})
+		s.links[i].down = true
+	}
+	return s
+}
+
+// explore visits every state up to the depth, the nearest first; it returns the first fault
+// with the way to it, and the depth at which it was found.
+func (w *modelWorld) explore(from *modelState) (fault string, depth int) {
+	seen := map[string]bool{from.key(): true}
+	level := []*modelState{from}
+	for depth = 1; depth <= w.depth && len(level) > 0; depth++ {
+		var next []*modelState
+		for _, s := range level {
+			for _, e := range w.events(s) {
+				n := s.clone()
+				if !e.run(n) {
+					continue
+				}
+				n.path = append(n.path, e.name)
+				restarted := -1
+				_, _ = fmt.Sscanf(e.name, "restart b%d", &restarted)
+				if fault := w.check(s, n, restarted); fault != "" {
+					return fmt.Sprintf("%s\nby: %s", fault, strings.Join(n.path, ", ")), depth
+				}
+				if k := n.key(); !seen[k] {
+					seen[k] = true
+					next = append(next, n)
+				}
+			}
+		}
+		level = next
+	}
+	w.states = len(seen)
+	return "", w.depth
+}
+
+// run takes the events of the names, one after the other.
+func (w *modelWorld) run(s *modelState, names []string) *modelState {
+	for _, name := range names {
+		i := slices.IndexFunc(w.events(s), func(e event) bool { return e.name == name })
+		n := s.clone()
+		if i < 0 || !w.events(s)[i].run(n) {
+			panic("no such event now: " + name)
+		}
+		s = n
+	}
+	return s
+}
+
+// settled are the events after which a leader and its follower know all.
+var settled = []string{"ask b0", "answer b0", "connect b1", "hear b1"}
+
+// modelWorlds are chains of boxes, and rings: views may differ, so that boxes follow each
+// other.
+var modelWorlds = []struct {
+	name    string
+	parents []int
+	before  []string
+	left    modelBudget
+	depth   int
+}{
+	{"one box", []int{-1}, nil, modelBudget{changes: 3}, 10},
+	{"a leader and a follower", []int{-1, 0}, nil, modelBudget{changes: 1, restarts: 1, breaks: 1}, 8},
+	{"a leader and a follower that know all", []int{-1, 0}, settled, modelBudget{changes: 2, restarts: 1}, 7},
+	{"a follower that is told again after a failed call", []int{-1, 0}, []string{"ask b0", "answer b0", "ask b1", "answer b1", "ask b1", "fail b1", "connect b1", "hear b1", "ask b1"}, modelBudget{changes: 1}, 7},
+	{"a chain of three", []int{-1, 0, 1}, nil, modelBudget{changes: 1}, 6},
+	{"a chain of three that know all", []int{-1, 0, 1}, append(slices.Clone(settled), "connect b2", "hear b2"), modelBudget{changes: 1, breaks: 1}, 6},
+	{"two that follow each other", []int{1, 0}, nil, modelBudget{changes: 1, restarts: 1}, 7},
+	{"a ring of three", []int{2, 0, 1}, nil, modelBudget{changes: 1}, 6},
+}
+
+func TestFactsAndWordsInAllOrders(t *testing.T) {
+	for _, k := range modelWorlds {
+		t.Run(k.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newModelWorld(k.parents, k.depth)
+				fault, depth := w.explore(w.run(w.start(k.left), k.before))
+				quicktest.Assert(t, fault, quicktest.Equals, "", quicktest.Commentf("depth %d", depth))
+				t.Logf("%d states to depth %d after %d events", w.states, depth, len(k.before))
+			})
+		})
+	}
+}
+
+// wordDies is how long a word may live on between boxes that follow each other in a ring. A
+// message of a stream says how old its word is when it is sent, and nobody knows how long it
+// takes; as long as that is no longer than a word rests at each box, its life is at most
+// doubled. The last tick is that of its end.
+const wordDies = 2*3*time.Second/2 + modelTick
+
+// Boxes that follow each other in a ring tell each other's word. It must not live by that.
+func TestAWordDiesInARing(t *testing.T) {
+	t.Parallel()
+	for _, k := range []struct {
+		parents []int
+		before  []string
+	}{
+		{[]int{1, 0}, []string{"ask b0", "answer b0", "ask b1", "answer b1", "connect b0", "connect b1", "hear b0", "hear b1"}},
+		{[]int{2, 0, 1}, []string{"ask b0", "answer b0", "ask b1", "answer b1", "ask b2", "answer b2", "connect b0", "connect b1", "connect b2"}},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			c := quicktest.New(t)
+			w := newModelWorld(k.parents, 0)
+			from := w.run(w.start(modelBudget{}), k.before)
+			w.silent = true
+			longest := w.lives(from)
+			c.Assert(longest < wordDies, quicktest.IsTrue, quicktest.Commentf("%v", longest))
+			t.Logf("%d boxes: %d states, a word lived for %v", len(k.parents), w.states, longest)
+		})
+	}
+}
+
+// lives visits the states in which any box goes by what it read or was told, and tells how long
+// after the first one the last one is.
+func (w *modelWorld) lives(from *modelState) time.Duration {
+	seen := map[string]bool{}
+	var longest time.Duration
+	for level := []*modelState{from}; len(level) > 0; {
+		var next []*modelState
+		for _, s := range level {
+			k := s.key()
+			if seen[k] || !w.anyHears(s) {
+				continue
+			}
+			seen[k] = true
+			longest = max(longest, s.now.Sub(from.now))
+			if longest > 2*wordDies {
+				return longest
+			}
+			for _, e := range w.events(s) {
+				if n := s.clone(); e.run(n) {
+					next = append(next, n)
+				}
+			}
+		}
+		level = next
+	}
+	w.states = len(seen)
+	return longest
+}
+
+func (w *modelWorld) anyHears(s *modelState) bool {
+	for i := range s.boxes {
+		if n := w.make(s, i, time.Since(s.now)).node; n.reads() || n.peers.informed(time.Now()) {
+			return true
+		}
+	}
+	return false
+}
