Let a fence rise after any number of refusals, and hear no term that no box makes

Cause: found while orders were modelled. A refused box raises its term by 16 times more each time; at the eighth refusal in a row that is 2^32, and cut to the 31 bits of a term it began again at zero. Two boxes that both think that they own an endpoint refuse each other all the time that a cut lasts, so that is some half a minute; from then on the endpoint refused the box. A publication with a version that no box makes did the same to every box that heard it. Change: the raise grows up to the fourth refusal (18 hours each, as many as last for five hours of refusals), a term stops at the last there is, and a higher one is not heard.

--- a/placement/fence.go
+++ b/placement/fence.go
@@ -15,6 +15,11 @@
 	// refusedTerms is how far a refused box raises its term, times more each time: an
 	// owner whose clock was ahead by an hour is passed after three refusals.
 	refusedTerms = 16
+	// refusedMost is up to how many refusals it is times more. Two boxes that think that they
+	// own an endpoint refuse each other as long as a cut lasts, every lease and a quarter; with
+	// 18 hours of terms each time they last for five hours of that.
+	refusedMost = 4
+	mostTerm    = 1<<termBits - 1
 )
 
 // Fences makes the fences of one box. A fence is a term and the box; terms follow
@@ -29,11 +34,14 @@
 	own     uint64 // term in use; zero: none
 }
 
-// Hear notes the term of a fence that another box used.
+// Hear notes the term of a fence that another box used. One that no box makes is none: with
+// the last there is, nobody could raise a fence any more.
 func (f *Fences) Hear(heard uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.highest = max(f.highest, heard)
+	if heard < mostTerm {
+		f.highest = max(f.highest, heard)
+	}
 }
 
 // Next returns a fence above every one known of. It is above past, the last fence that
@@ -44,13 +52,13 @@
 	least := f.highest + 1
 	if past != 0 {
 		raise := uint64(1)
-		for range refusals {
+		for range min(refusals, refusedMost) {
 			raise *= refusedTerms
 		}
 		least = max(least, term(past)+raise)
 	}
 	if f.own < least {
-		f.own = max(uint64(max(now.Unix(), 0)), least) & (1<<termBits - 1)
+		f.own = min(max(uint64(max(now.Unix(), 0)), least), mostTerm)
 	}
 	return f.own<<boxBits | uint64(f.Box)&(1<<boxBits-1)
 }
