--- a/edge/takeover_test.go
+++ b/edge/takeover_test.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -118,38 +120,53 @@
 	}
 }
 
+// startAt starts boxes of one data centre at an endpoint, the next leader after the one before.
+func startAt(c *quicktest.C, h *heldEndpoint, count int) (nodes []*Node, stops []func() error) {
+	for i := range count {
+		n := newNode(c, fmt.Sprintf("box-%d", i+1))
+		if i > 0 {
+			n.Settings.Seeds = []string{nodes[0].Settings.Peers}
+		}
+		n.Settings.Number = uint32(9 - i) // of two terms alike the later box's fence is the lower one
+		n.Source, n.Decoder, n.Control = modelSource{}, modelDecoder{}, controlOf{box: n.Settings.Box, endpoint: h}
+		nodes, stops = append(nodes, n), append(stops, start(n))
+		variablesOf(c, n)
+	}
+	for i, n := range nodes {
+		awaitLoad(n, fmt.Sprintf("first-%d", i)) // by way of the leader
+	}
+	return nodes, stops
+}
+
+// handsOver stops a leader and returns when the next one has loaded an adapter.
+func handsOver(stop func() error, next *Node) (stopped chan error) {
+	stopped = make(chan error, 1)
+	go func() { stopped <- stop() }()
+	for next.loader.Counts().Owned == 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	awaitLoad(next, "of-"+next.Settings.Box)
+	return stopped
+}
+
 // A leader that was told to stop gave its endpoints up at once, though it served on for 2.8 s.
 // The next one claimed them when it had heard of that, and loaded nothing before a report was
 // new enough.
 func TestALeaderThatStopsHandsItsEndpointsOver(t *testing.T) {
 	c := quicktest.New(t)
 	h := &heldEndpoint{ready: make(map[topology.Adapter]int64), reports: make(map[string]int)}
-	first := newNode(c, "box-1")
-	second := newNode(c, "box-2", first.Settings.Peers)
-	var stops []func() error
-	for i, n := range []*Node{first, second} {
-		n.Settings.Number = uint32(9 - i) // of two terms alike the second box's fence is the lower one
-		n.Source, n.Decoder, n.Control = modelSource{}, modelDecoder{}, controlOf{box: n.Settings.Box, endpoint: h}
-		stops = append(stops, start(n))
-		variablesOf(c, n)
-	}
-	awaitLoad(first, "a")
-	awaitLoad(second, "b") // by way of the first
-	stopped := make(chan error, 1)
-	go func() { stopped <- stops[0]() }()
-	for second.loader.Counts().Owned == 0 {
-		time.Sleep(5 * time.Millisecond)
-	}
-	awaitLoad(second, "d")
+	nodes, stops := startAt(c, h, 3)
+	first := handsOver(stops[0], nodes[1])
+	second := handsOver(stops[1], nodes[2]) // while the first one still serves
 	h.mu.Lock()
-	reports, holders := h.reports["box-2"], slices.Clone(h.holders)
+	reports := maps.Clone(h.reports)
 	h.mu.Unlock()
-	c.Check(reports, quicktest.Equals, 0) // it was told what the endpoint holds
-	c.Check(holders, quicktest.DeepEquals, []string{"box-1", "box-2"})
-	c.Check(second.view.Holders(topology.Adapter{Model: "m", Name: "b"}), quicktest.HasLen, 1)
-	c.Assert(<-stopped, quicktest.IsNil)
-	c.Assert(stops[1](), quicktest.IsNil)
-	c.Assert(h.holders, quicktest.DeepEquals, []string{"box-1", "box-2"}) // no turns
+	c.Check(reports, quicktest.DeepEquals, map[string]int{"box-1": 1}) // the others were told what the endpoint holds
+	c.Check(nodes[2].view.Holders(topology.Adapter{Model: "m", Name: "first-1"}), quicktest.HasLen, 1)
+	c.Assert(<-first, quicktest.IsNil)
+	c.Assert(<-second, quicktest.IsNil)
+	c.Assert(stops[2](), quicktest.IsNil)
+	c.Assert(h.holders, quicktest.DeepEquals, []string{"box-1", "box-2", "box-3"}) // no turns
 }
 
 // leave tells the others of a box that it leaves.
