--- a/forward/offer_test.go
+++ b/forward/offer_test.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"bufio"
 	"net/http"
 	"testing"
 	"time"
@@ -63,3 +64,24 @@
 	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
 	s.c.Assert(s.calls["e2"].Load(), quicktest.Equals, int64(1))
 }
+
+// A box that holds as many requests as it may still takes new connections, and says at once
+// when to come back.
+func TestABoxThatHoldsItsMostAnswersOnNewConnections(t *testing.T) {
+	s := newSite(t, once(time.Minute))
+	s.gateway.MostHeld = 1
+	r := newRuns()
+	s.endpoint(t, r.work(func(http.ResponseWriter) {}))
+	caller := s.callByHand(t, wholeByHand)
+	s.await(r.begun)
+	for range 7 {
+		a, err := http.ReadResponse(bufio.NewReader(s.callByHand(t, wholeByHand)), nil)
+		s.c.Assert(err, quicktest.IsNil)
+		a.Body.Close()
+		s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+		s.c.Assert(a.Header.Get("Come-Back"), quicktest.Equals, overloadRetry.String())
+	}
+	s.c.Assert(s.calls["e1"].Load(), quicktest.Equals, int64(1))
+	s.c.Assert(caller.Close(), quicktest.IsNil)
+	s.await(r.left)
+}
