Say which box left lines out, and show it in each story near it

The notice of lines that were left out named no box: in the merged logs of many boxes nobody could tell whose story has a gap.

Red before: TestAReaderThatStandsStillCostsLinesAndNoTime, which now reads the notice with the reader of logs and wants its box (it only looked for the sentence before), and TestWhatABoxBelievedOfItsSourceIsTold with the notice of a box that the request did not meet.

--- a/cmd/cairnctl/request.go
+++ b/cmd/cairnctl/request.go
@@ -65,12 +65,14 @@
 func (s *requestStory) concerns(l logging.Line) bool {
 	endpoint, adapter := l.Text("endpoint"), l.Text("adapter")
 	switch {
+	case l.Message() == logging.LeftOut:
+		return true // the story may have a gap there, whichever box it is
 	case l.Text("request") != "":
 		return false
 	case endpoint+adapter != "":
 		return s.names[endpoint] || s.names[adapter]
 	}
-	return s.boxes[l.Text("box")] || l.Text("box") == "" // a notice of lines that were left out names no box
+	return s.boxes[l.Text("box")]
 }
 
 // kind is what a line tells about what, by whom.
--- a/cmd/cairnctl/request_test.go
+++ b/cmd/cairnctl/request_test.go
@@ -57,7 +57,7 @@
 {"time":"2026-05-01T10:00:30.1Z","msg":"Attempt failed","box":"b1","request":"r2","endpoint":"e1","outcome":"lost","cause":"refused"}
 {"time":"2026-05-01T10:00:30.2Z","msg":"Request failed","box":"b1","request":"r1","endpoint":"e1","reason":"answer_lost"}
 {"time":"2026-05-01T10:00:30.3Z","msg":"Endpoint is gone","box":"b3","endpoint":"e1","revision":9}
-{"time":"2026-05-01T10:00:30.5Z","msg":"Log lines were left out","lines":4}
+{"time":"2026-05-01T10:00:30.5Z","msg":"Log lines were left out","box":"b7","lines":4}
 {"time":"2026-05-01T10:00:31Z","msg":"Source answers again","box":"b1","collection":"endpoints","away_ms":29000}
 {"time":"2026-05-01T10:00:31Z","msg":"Endpoint is gone","box":"b1","endpoint":"e1","revision":9}
 `
@@ -71,7 +71,7 @@
 	c.Assert(told, quicktest.Contains, `source_age={"told_ms":1100}`)
 	c.Assert(told, quicktest.Contains, "Source does not answer")
 	c.Assert(told, quicktest.Contains, "Source answers again")
-	c.Assert(told, quicktest.Contains, "Log lines were left out")
+	c.Assert(told, quicktest.Contains, "Log lines were left out  box=b7")  // any box's: it may have led
 	c.Assert(told, quicktest.Not(quicktest.Contains), "by itself  box=b2") // another box's beliefs of itself
 	c.Assert(strings.Count(told, "Attempt failed"), quicktest.Equals, 1)   // nor another request
 }
--- a/cmd/cairnwick/main.go
+++ b/cmd/cairnwick/main.go
@@ -34,6 +34,7 @@
 		return daemon.ExitSettings
 	}
 	lines := logging.NewBounded(os.Stdout)
+	lines.Box = s.Box
 	log := logging.New(lines, s.Box, s.DataCentre, "edge", c.Debug)
 	flush := write(lines)
 	defer flush()
--- a/logging/bounded.go
+++ b/logging/bounded.go
@@ -18,10 +18,14 @@
 	dropNotice = 10 * time.Second // at most so often a line tells how many were left out
 )
 
+// LeftOut is the sentence of the notice of lines that were left out.
+const LeftOut = "Log lines were left out"
+
 // Bounded is a writer of lines that never blocks: a reader that stands still costs
-// lines, not requests. Set Out before Run.
+// lines, not requests. Set the exported fields before Run.
 type Bounded struct {
 	Out io.Writer
+	Box string // that writes; stands in the notice of lines that were left out
 
 	lines   chan []byte
 	dropped atomic.Int64 // since the last notice
@@ -78,7 +82,7 @@
 		if n := b.dropped.Load(); n > 0 && time.Since(told) > dropNotice {
 			b.dropped.Add(-n)
 			told = time.Now()
-			batch = fmt.Appendf(batch, `{"time":%q,"level":"WARN","msg":"Log lines were left out","lines":%d}`+"\n", told.Format(time.RFC3339Nano), n)
+			batch = fmt.Appendf(batch, `{"time":%q,"level":"WARN","msg":%q,"box":%q,"lines":%d}`+"\n", told.Format(time.RFC3339Nano), LeftOut, b.Box, n)
 		}
 		if _, err := b.Out.Write(batch); err != nil {
 			return err
--- a/logging/bounded_test.go
+++ b/logging/bounded_test.go
@@ -69,6 +69,7 @@
 	c := quicktest.New(t)
 	out := &standing{stands: make(chan struct{}), gate: make(chan struct{})}
 	b := NewBounded(out)
+	b.Box = "box-1"
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	done := make(chan error, 1)
@@ -81,11 +82,13 @@
 	c.Assert(b.Dropped() >= 8*queueLines, quicktest.IsTrue, quicktest.Commentf("%d", b.Dropped()))
 	c.Assert(b.Pressed(), quicktest.IsTrue)
 	close(out.gate)
-	for range 1000 {
-		if strings.Contains(out.text(), "Log lines were left out") {
-			return
-		}
+	for tries := 0; !strings.Contains(out.text(), LeftOut); tries++ {
+		c.Assert(tries < 1000, quicktest.IsTrue, quicktest.Commentf("what was left out is not told"))
 		time.Sleep(time.Millisecond)
 	}
-	c.Fatal("what was left out is not told")
+	var g Log
+	c.Assert(g.Read(strings.NewReader(out.text())), quicktest.IsNil)
+	c.Assert(g.Lines(), quicktest.HasLen, 1) // a line of ours, once
+	c.Assert(g.Lines()[0].Message(), quicktest.Equals, LeftOut)
+	c.Assert(g.Lines()[0].Text("box"), quicktest.Equals, "box-1")
 }
