--- a/edge/model_test.go
+++ b/edge/model_test.go
@@ -361,16 +361,16 @@
 
 // outage notes how long calls of a box fail. Where none did since it reads, nothing may be
 // kept for the sake of an outage.
-func (n *modelState) outage(i int, err error) {
-	b := &n.boxes[i]
+func (s *modelState) outage(i int, err error) {
+	b := &s.boxes[i]
 	if err != nil && !errors.As(err, &ErrForgotten{}) {
 		if b.failed.IsZero() {
-			b.failed = n.now
+			b.failed = s.now
 		}
 		return
 	}
 	if b.unsure && b.failed.IsZero() && !b.held {
-		n.fault = boxName(i) + " holds removals back though no call had failed"
+		s.fault = boxName(i) + " holds removals back though no call had failed"
 	}
 	b.failed, b.held = time.Time{}, b.unsure
 }
