Log refusals by their request's ID, silence of a leader once a request, and why nobody is left to try

Cause: found by a reader of the logs. Requests refused for overload, or before a configuration was known, were logged without their ID, since the head was read after; a waiting request whose adapter's leader did not answer wrote its line ten times a second, beyond the stated bound; refusals for want of an endpoint had no cause; a stream that was not resumed for want of budget did not say so. Tests: both red before (no ID; three lines).

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -86,7 +86,8 @@
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{received: received, inbound: r, caller: newCaller(w)}
+	call, malformed := g.Protocol.ReadCall(r.Header) // first: a refusal is logged under its ID
+	q := &request{received: received, inbound: r, caller: newCaller(w), call: call}
 	q.caller.begin(received)
 	out := &answer{writer: w, describes: g.Protocol.Describes}
 	defer g.recovered(out, q)
@@ -94,7 +95,7 @@
 		g.refuse(w, q, &Refusal{Code: CodeOverloaded, Retry: overloadRetry})
 		return
 	}
-	if f := g.admit(w, q); f != nil {
+	if f := g.admit(w, q, malformed); f != nil {
 		g.refuse(w, q, f)
 		return
 	}
--- a/forward/home.go
+++ b/forward/home.go
@@ -48,8 +48,7 @@
 		switch {
 		case err != nil:
 			g.away.note(e.DataCentre(), time.Now())
-			g.Log.Info("Nobody answers for the endpoint that should load the adapter", "request", q.call.ID,
-				"endpoint", e.ID(), "endpoint_data_centre", e.DataCentre(), "adapter", q.call.Adapter.String(), "err", err.Error())
+			g.noteUnheard(q, e, err)
 			f = sooner(f, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "no leader answers"})
 		case p.Settling:
 			f = sooner(f, &Refusal{Code: CodeNotLoaded, Retry: p.Retry, Detail: p.Reason})
@@ -65,6 +64,16 @@
 	return target{}, f, true
 }
 
+// noteUnheard logs once for a request that nobody answers: it asks again ten times a second.
+func (g *Gateway) noteUnheard(q *request, e *topology.Endpoint, err error) {
+	if q.unheard {
+		return
+	}
+	q.unheard = true
+	g.Log.Info("Nobody answers for the endpoint that should load the adapter", "request", q.call.ID,
+		"endpoint", e.ID(), "endpoint_data_centre", e.DataCentre(), "adapter", q.call.Adapter.String(), "err", err.Error())
+}
+
 // sooner returns the refusal whose caller may come back first; a may be nil.
 func sooner(a, b *Refusal) *Refusal {
 	if a != nil && a.Retry <= b.Retry {
--- /dev/null
+++ b/forward/record_test.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr/funcr"
+	"github.com/pkg/errors"
+)
+
+// logged keeps a gateway's lines.
+type logged struct {
+	mu    sync.Mutex
+	lines []string
+}
+
+func (l *logged) add(_, line string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lines = append(l.lines, line)
+}
+
+// with returns the lines that hold a text.
+func (l *logged) with(text string) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var some []string
+	for _, k := range l.lines {
+		if strings.Contains(k, text) {
+			some = append(some, k)
+		}
+	}
+	return some
+}
+
+// A caller complained of a request that was refused for overload, and no line had its ID.
+func TestARequestThatIsRefusedAtOnceIsLoggedByItsID(t *testing.T) {
+	for _, k := range []struct {
+		name  string
+		site  *site
+		held  int
+		cause string
+	}{
+		{"overload", newSite(t, once(time.Second)), 0, "overloaded"},
+		{"no configuration", newSite(t), 100, "no_configuration"},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			var l logged
+			k.site.gateway.Log = funcr.New(l.add, funcr.Options{})
+			k.site.gateway.MostHeld = k.held
+			a, _, err := k.site.ask("/")
+			c := quicktest.New(t)
+			c.Assert(err, quicktest.IsNil)
+			c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+			failed := l.with("Request failed")
+			c.Assert(failed, quicktest.HasLen, 1)
+			c.Assert(failed[0], quicktest.Contains, `"request"="call-1"`)
+			c.Assert(failed[0], quicktest.Contains, k.cause)
+		})
+	}
+}
+
+// silentPlacer reaches nobody.
+type silentPlacer struct{}
+
+// Want implements Placer.
+func (silentPlacer) Want(context.Context, Wanted) (Placed, error) {
+	return Placed{}, errors.New("nobody answers")
+}
+
+// While a leader changed each waiting request wrote the same line ten times a second.
+func TestARequestThatNobodyAnswersIsLoggedOnce(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	var l logged
+	s.gateway.Log = funcr.New(l.add, funcr.Options{})
+	s.gateway.Placer = silentPlacer{}
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "dc", Slots: 1})
+	q := &request{call: Call{ID: "call-1", Adapter: topology.Adapter{Model: "m", Name: "a"}}, received: time.Now(),
+		deadline: time.Now().Add(time.Second), route: topology.NewRoute(once(time.Second))}
+	for range 3 {
+		_, _, settling := s.gateway.askHomes(context.Background(), q, []*topology.Endpoint{e})
+		s.c.Assert(settling, quicktest.IsTrue)
+	}
+	s.c.Assert(l.with("Nobody answers"), quicktest.HasLen, 1)
+}
--- a/forward/request.go
+++ b/forward/request.go
@@ -31,6 +31,7 @@
 	ran      int             // of these, those that may have run
 	tried    map[string]bool // endpoints that failed it
 	unsure   bool            // an attempt may have run
+	unheard  bool            // a line tells that nobody answered for an endpoint that should load its adapter
 	granted  bool            // the next attempt was taken from the budget of retries
 	withheld bool            // the budget kept it from another attempt
 	denied   string          // the endpoint that said it does not hold the adapter
@@ -67,26 +68,24 @@
 	return left
 }
 
-// admit reads a request and finds its route.
-func (g *Gateway) admit(w http.ResponseWriter, q *request) *Refusal {
+// admit finds a request's route and reads its body; malformed is what is wrong with its head.
+func (g *Gateway) admit(w http.ResponseWriter, q *request, malformed error) *Refusal {
 	q.config = g.View.Config()
 	if q.config == nil {
 		return &Refusal{Code: CodeNoConfig, Retry: time.Second}
 	}
-	call, err := g.Protocol.ReadCall(q.inbound.Header)
-	if err != nil {
-		return &Refusal{Code: CodeBadRequest, Detail: err.Error()}
+	if malformed != nil {
+		return &Refusal{Code: CodeBadRequest, Detail: malformed.Error()}
 	}
-	q.call = call
 	q.route = q.config.Route(hostOf(q.inbound), pathOf(q.inbound))
 	if q.route == nil {
 		return &Refusal{Code: CodeNoRoute, Detail: q.inbound.Host + q.inbound.RequestURI}
 	}
 	q.deadline = q.received.Add(q.route.Timeout())
-	if call.Deadline > 0 && call.Deadline < q.route.Timeout() {
-		q.deadline = q.received.Add(call.Deadline)
+	if d := q.call.Deadline; d > 0 && d < q.route.Timeout() {
+		q.deadline = q.received.Add(d)
 	}
-	q.service = q.config.Service(q.route.Split(share(call.ID)))
+	q.service = q.config.Service(q.route.Split(share(q.call.ID)))
 	if q.service == nil {
 		return &Refusal{Code: CodeNoEndpoint, Retry: time.Second, Detail: "the route's service is not configured"}
 	}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -91,7 +91,7 @@
 	}
 	list = g.usable(list, q.tried, now) // of those that can serve it: it avoids none without another
 	if len(list) == 0 {
-		return target{}, &Refusal{Code: CodeNoEndpoint, Retry: noneRetry}
+		return target{}, &Refusal{Code: CodeNoEndpoint, Retry: noneRetry, Detail: "no endpoint of the service that is left can be used"}
 	}
 	if q.call.Adapter.Name == "" || q.service.Engine() == nil {
 		return target{endpoint: g.least(list, now)}, nil
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -51,7 +51,8 @@
 	if out.gone || ctx.Err() != nil || !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() {
 		return false
 	}
-	return q.left(time.Now()) > firstByte && g.budget(q.service.Name()).Take(time.Now(), g.Boxes())
+	now := time.Now()
+	return q.left(now) > firstByte && g.mayRetry(q, now)
 }
 
 // resume goes on with a broken stream at another endpoint, after the last event
