Test daemons' identities from outside their package

Cause: the test is in package daemon and takes its certificates from fleet, so fleet can import nothing that imports daemon, as platform does by edge. Change: it is in package daemon_test; it used only what is exported. Each assertion is as before.

--- a/daemon/identity_test.go
+++ b/daemon/identity_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 
-package daemon
+package daemon_test
 
 import (
 	"context"
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/daemon"
 	"cairnwick.example/fleet"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
@@ -16,10 +17,10 @@
 )
 
 // write makes the files of a daemon in dir.
-func write(c *quicktest.C, a *fleet.Authority, dir, name string) *Identity {
+func write(c *quicktest.C, a *fleet.Authority, dir, name string) *daemon.Identity {
 	i, err := a.Write(dir, name)
 	c.Assert(err, quicktest.IsNil)
-	return &Identity{Certificate: i.Certificate, Key: i.Key, Authority: i.Authority}
+	return &daemon.Identity{Certificate: i.Certificate, Key: i.Key, Authority: i.Authority}
 }
 
 func newAuthority(c *quicktest.C) *fleet.Authority {
@@ -29,7 +30,7 @@
 }
 
 // serve answers heartbeats under an identity and returns the address.
-func serve(c *quicktest.C, i *Identity) string {
+func serve(c *quicktest.C, i *daemon.Identity) string {
 	creds, err := i.Credentials()
 	c.Assert(err, quicktest.IsNil)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -50,10 +51,10 @@
 // Exchange implements the Peer service.
 func (echo) Exchange(_ context.Context, h *wire.Heartbeat) (*wire.Heartbeat, error) { return h, nil }
 
-func exchange(c *quicktest.C, i *Identity, address string) error {
+func exchange(c *quicktest.C, i *daemon.Identity, address string) error {
 	creds, err := i.Credentials()
 	c.Assert(err, quicktest.IsNil)
-	d := &Dialer{Credentials: creds, Dial: (&net.Dialer{}).DialContext}
+	d := &daemon.Dialer{Credentials: creds, Dial: (&net.Dialer{}).DialContext}
 	defer d.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
@@ -64,33 +65,33 @@
 func TestDaemonsOfOneAuthoritySpeak(t *testing.T) {
 	c := quicktest.New(t)
 	a := newAuthority(c)
-	address := serve(c, write(c, a, t.TempDir(), PeerName))
-	c.Assert(exchange(c, write(c, a, t.TempDir(), PeerName), address), quicktest.IsNil)
+	address := serve(c, write(c, a, t.TempDir(), daemon.PeerName))
+	c.Assert(exchange(c, write(c, a, t.TempDir(), daemon.PeerName), address), quicktest.IsNil)
 }
 
 func TestAStrangerGivesNoOrders(t *testing.T) {
 	c := quicktest.New(t)
 	a := newAuthority(c)
-	address := serve(c, write(c, a, t.TempDir(), PeerName))
-	c.Assert(exchange(c, write(c, newAuthority(c), t.TempDir(), PeerName), address), quicktest.IsNotNil)
+	address := serve(c, write(c, a, t.TempDir(), daemon.PeerName))
+	c.Assert(exchange(c, write(c, newAuthority(c), t.TempDir(), daemon.PeerName), address), quicktest.IsNotNil)
 	c.Assert(exchange(c, write(c, a, t.TempDir(), "somebody"), address), quicktest.IsNotNil)
-	c.Assert(exchange(c, &Identity{}, address), quicktest.IsNotNil)
+	c.Assert(exchange(c, &daemon.Identity{}, address), quicktest.IsNotNil)
 }
 
 func TestChangedFilesAreReadAgain(t *testing.T) {
 	c := quicktest.New(t)
 	old, next := newAuthority(c), newAuthority(c)
 	dir := t.TempDir()
-	address := serve(c, write(c, old, dir, PeerName))
-	client := write(c, next, t.TempDir(), PeerName)
+	address := serve(c, write(c, old, dir, daemon.PeerName))
+	client := write(c, next, t.TempDir(), daemon.PeerName)
 	c.Assert(exchange(c, client, address), quicktest.IsNotNil)
-	changed := write(c, next, dir, PeerName)
+	changed := write(c, next, dir, daemon.PeerName)
 	later := time.Now().Add(time.Second)
 	c.Assert(os.Chtimes(changed.Certificate, later, later), quicktest.IsNil)
 	c.Assert(exchange(c, client, address), quicktest.IsNil)
 }
 
 func TestABrokenIdentityIsAnErrorAtStart(t *testing.T) {
-	_, err := (&Identity{Certificate: "none", Key: "none", Authority: "none"}).Credentials()
+	_, err := (&daemon.Identity{Certificate: "none", Key: "none", Authority: "none"}).Credentials()
 	quicktest.Assert(t, err, quicktest.ErrorMatches, "daemon: identity: .*")
 }
