Keep the platform's names in platform/, the stand-ins' and the tests' too

Cause: the stand-ins of the store and of endpoints, and a few lines of fleet, e2e and measure, spelled the users' platform's headers, paths, fields and variable, which platform/ alone should know: 23 lines of Go outside it by a search for eight of the names. Change: platform/platformtest speaks that dialect over methods of the stand-ins in the product's words: an engine's boot, holding, orders under a fence and answers; the store's list and watch. An engine serves another dialect on the paths that are not its own (field Other). standin-engine and standin-platform serve both dialects as before. fleet and the start test take the variable from platform, fleet the store's keys and e2e and measure the headers from platformtest. The search now finds nothing; no program of the product links platformtest.

Trial: with Attempt-Id misspelled in platform/headers.go the script explained-change fails (no load begins), and it passes with the name as it is. Ruled out: to import platform's own constants, since a wrong one would then agree with itself.

Differs from before, and nothing calls it: a call of the two store paths by another method gets status 404, no longer 405; an engine of package standin without Other gives 404 on paths that it does not know.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"cairnwick.example/platform/platformtest"
 	"cairnwick.example/standin"
 	"github.com/alexflint/go-arg"
 )
@@ -50,5 +51,6 @@
 		LeavingGrace: a.LeavingGrace,
 		Store:        standin.FetchFrom(a.Store),
 	}
+	e.Other = platformtest.EndpointHandler(e)
 	os.Exit(standin.Main(a.Listen, e.Handler(), e.Run))
 }
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"time"
 
+	"cairnwick.example/platform/platformtest"
 	"cairnwick.example/standin"
 	"github.com/alexflint/go-arg"
 )
@@ -27,7 +28,7 @@
 	p := &standin.Platform{Lag: a.Lag}
 	s := &standin.Store{Rate: a.Rate, AtOnce: a.AtOnce, LoadTime: a.LoadTime}
 	m := http.NewServeMux()
-	m.Handle("/", p.Handler())
+	m.Handle("/", platformtest.StoreHandler(p))
 	store := s.Handler()
 	m.Handle("/store/", store)
 	m.Handle("/control/store", store)
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -13,6 +13,7 @@
 
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
+	"cairnwick.example/platform/platformtest"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -97,7 +98,7 @@
 	if err != nil {
 		return sent{err: err}
 	}
-	r.Header.Set("Attempt-Id", id)
+	platformtest.SetID(r.Header, id)
 	for _, h := range headers {
 		name, value, _ := strings.Cut(h, ":")
 		r.Header.Set(name, value)
--- a/e2e/start_test.go
+++ b/e2e/start_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/platform"
 	"github.com/frankban/quicktest"
 )
 
@@ -90,7 +91,7 @@
 		port, port, freeAddress(c), freeAddress(c), freeAddress(c), freeAddress(c))
 	path := filepath.Join(c.TempDir(), "settings.toml")
 	c.Assert(os.WriteFile(path, []byte(settings), 0o600), quicktest.IsNil)
-	said := startFails(c, "cairnwick", []string{"CAIRNWICK_BOOT=" + path})
+	said := startFails(c, "cairnwick", []string{platform.SettingsVariable + "=" + path})
 	c.Assert(said, quicktest.Contains, "address for metrics")
 	c.Assert(said, quicktest.Contains, taken)
 	c.Assert(said, quicktest.Contains, "address already in use")
--- a/fleet/edge.go
+++ b/fleet/edge.go
@@ -12,15 +12,14 @@
 	"strings"
 
 	"cairnwick.example/engine"
+	"cairnwick.example/platform"
+	"cairnwick.example/platform/platformtest"
 	"github.com/pkg/errors"
 )
 
 // edgeRole is the part of the name of a box's one process on the users' platform.
 const edgeRole = "edge"
 
-// edgeSettings is the environment variable with the path of that process's settings.
-const edgeSettings = "CAIRNWICK_BOOT"
-
 // readyPort takes the balancer's questions; the other ports are those of a gateway.
 const readyPort = 8081
 
@@ -40,12 +39,6 @@
 	edgeServer string
 )
 
-// The keys of the users' platform.
-const (
-	edgeConfigKey    = "op/config"
-	edgeServerPrefix = "servers/"
-)
-
 // StartEdge starts the one process of a box on the users' platform, with settings in that
 // platform's form, in which $BOX, $ZONE, $IP, $CALLERS, $READY, $PEERS, $PEERSPORT,
 // $METRICSPORT and $STORE stand for what is this box's, and $SEED for its first data centre's
@@ -69,7 +62,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
 	}
-	o := surroundings{environment: []string{edgeSettings + "=" + path}, stdout: out}
+	o := surroundings{environment: []string{platform.SettingsVariable + "=" + path}, stdout: out}
 	if err := f.runWith(o, DaemonName(centre, box, edgeRole), "cairnwick"); err != nil {
 		return err
 	}
@@ -78,7 +71,7 @@
 
 // PublishEdge publishes the configuration and an entry for each engine.
 func (f *Fleet) PublishEdge(ctx context.Context) error {
-	if err := f.Put(ctx, edgeConfigKey, []byte(edgeConfig)); err != nil {
+	if err := f.Put(ctx, platformtest.ConfigKey, []byte(edgeConfig)); err != nil {
 		return err
 	}
 	for c := 1; c <= f.Spec.Centres; c++ {
@@ -88,7 +81,7 @@
 				return err
 			}
 			entry := strings.ReplaceAll(edgeServer, "$ADDRESS", f.EngineAddress(c, e))
-			if err := f.Put(ctx, edgeServerPrefix+life, []byte(entry)); err != nil {
+			if err := f.Put(ctx, platformtest.EndpointKey(life), []byte(entry)); err != nil {
 				return err
 			}
 		}
--- a/measure/blocked.go
+++ b/measure/blocked.go
@@ -18,6 +18,7 @@
 
 	"cairnwick.example/fleet"
 	"cairnwick.example/metrics"
+	"cairnwick.example/platform/platformtest"
 	"github.com/pkg/errors"
 )
 
@@ -165,9 +166,8 @@
 		return 0, err
 	}
 	r.Host = "h.example"
-	for n, v := range map[string]string{"Attempt-Id": "0123456789abcdef", "Model": fleet.BaseName + "/a1", "Token-Usage": "100,4"} {
-		r.Header.Set(n, v)
-	}
+	platformtest.SetID(r.Header, "0123456789abcdef")
+	platformtest.SetModel(r.Header, fleet.BaseName+"/a1", 100, 4)
 	a, err := u.client.Do(r)
 	if err != nil {
 		return 0, err
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,6 +33,7 @@
 	RefusesNew   bool          // when leaving: refuses new work
 	LeavingGrace time.Duration // new work this long after leaving is a breach
 	Store        func(ctx context.Context, path string) (string, error)
+	Other        http.Handler // serves another dialect on all paths that are not the engine's; nil: nobody does
 
 	mu        sync.Mutex
 	boot      string
@@ -43,7 +44,7 @@
 	batch     []*run           // at most Batch
 	reports   []report         // recent states, oldest first; at least one
 	leaving   time.Time        // zero while serving
-	orders    uint64           // taken since the start, of the users' platform
+	orders    uint64           // taken by Order since the start
 	fetches   chan fetch       // loads that Run begins; has room for every slot
 	failLoads int              // loads still to fail on command
 	counts    Counts
@@ -254,15 +255,15 @@
 	m.HandleFunc("DELETE /cairn/streams/{request}", e.cancel)
 	m.HandleFunc("POST /cairn/role", e.role)
 	m.HandleFunc("GET /cairn/events", e.showEvents)
-	m.HandleFunc("GET /api/report", e.showReport)
-	m.HandleFunc("POST /api/order", e.order)
-	m.HandleFunc("/", e.serveRequest)
 	m.HandleFunc("GET /control/counts", e.showCounts)
 	m.HandleFunc("GET /control/keys", e.showKeys)
 	m.HandleFunc("GET /control/runs", e.showRuns)
 	m.HandleFunc("POST /control/leave", e.leave)
 	m.HandleFunc("POST /control/restart", e.restart)
 	m.HandleFunc("POST /control/fail-loads", e.setFailLoads)
+	if e.Other != nil {
+		m.Handle("/", e.Other)
+	}
 	return e.mark(m)
 }
 
--- a/standin/facts.go
+++ b/standin/facts.go
@@ -3,47 +3,43 @@
 package standin
 
 import (
-	"encoding/json"
+	"context"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
-// The same keys are served as the users' platform serves its store: lists by prefix and
-// watches from a revision on. Its names are spelled here once more, so that a wrong one in
-// the platform's own package shows.
+// HistoryKept is how many changes a watch can go back.
+const HistoryKept = 4096
 
-const (
-	rangeItems  = 500  // in one page of a list
-	historyKept = 4096 // changes that a watch can go back
-	watchMost   = 30 * time.Second
+// What List and Watch fail with, besides the end of their context.
+var (
+	ErrDown      = errors.New("standin: down")
+	ErrForgotten = errors.New("standin: that history is gone")
 )
 
-// fact is one key as it is told; of a removed one only the revision counts.
-type fact struct {
-	Key      string `json:"private_key"`
-	Value    []byte `json:"value,omitempty"`
-	Revision uint64 `json:"revision"`
-	Deleted  bool   `json:"deleted,omitempty"`
-}
-
-type rangeAnswer struct {
-	Items    []fact `json:"items"`
-	More     bool   `json:"has_more"`
-	Revision uint64 `json:"timestamp"`
+// Fact is one key as it is told; of a removed one only the revision counts.
+type Fact struct {
+	Key      string
+	Value    []byte
+	Revision uint64
+	Removed  bool
 }
 
-type watchAnswer struct {
-	Events   []fact `json:"events"`
-	Revision uint64 `json:"timestamp"`
+// Page is a part of a list.
+type Page struct {
+	Facts    []Fact // by key
+	More     bool   // keys follow
+	Revision uint64 // of the newest change of any key
 }
 
 // changedLocked keeps a change for those who watch, and wakes them.
-func (p *Platform) changedLocked(f fact) {
+func (p *Platform) changedLocked(f Fact) {
 	p.history = append(p.history, f)
-	if len(p.history) > historyKept {
+	if len(p.history) > HistoryKept {
 		p.forgot = p.history[0].Revision
 		p.history = p.history[1:]
 	}
@@ -61,63 +57,55 @@
 	}
 	p.index++
 	delete(p.values, key)
-	p.changedLocked(fact{Key: key, Revision: p.index, Deleted: true})
+	p.changedLocked(Fact{Key: key, Revision: p.index, Removed: true})
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// kvRange lists the keys with a prefix, page by page.
-func (p *Platform) kvRange(w http.ResponseWriter, q *http.Request) {
-	prefix, after := q.URL.Query().Get("path_prefix"), q.URL.Query().Get("after")
+// List returns the first keys with a prefix that come after a key, at most so many.
+func (p *Platform) List(prefix, after string, most int) (Page, error) {
+	a, err := p.all(prefix, after)
+	if err != nil {
+		return Page{}, err
+	}
+	slices.SortFunc(a.Facts, func(x, y Fact) int { return strings.Compare(x.Key, y.Key) })
+	if len(a.Facts) > most {
+		a.Facts, a.More = a.Facts[:most], true
+	}
+	return a, nil
+}
+
+// all returns every key with a prefix that comes after a key, in no order.
+func (p *Platform) all(prefix, after string) (Page, error) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.calls++
 	if p.mode == ModeDown {
-		p.mu.Unlock()
-		http.Error(w, "down", http.StatusServiceUnavailable)
-		return
+		return Page{}, ErrDown
 	}
-	a := rangeAnswer{Items: []fact{}, Revision: p.index}
+	a := Page{Revision: p.index}
 	for k, v := range p.values {
 		if strings.HasPrefix(k, prefix) && k > after {
-			a.Items = append(a.Items, fact{Key: k, Value: v.body, Revision: v.index})
+			a.Facts = append(a.Facts, Fact{Key: k, Value: v.body, Revision: v.index})
 		}
 	}
-	p.mu.Unlock()
-	slices.SortFunc(a.Items, func(x, y fact) int { return strings.Compare(x.Key, y.Key) })
-	if len(a.Items) > rangeItems {
-		a.Items, a.More = a.Items[:rangeItems], true
-	}
-	writeJSON(w, a)
+	return a, nil
 }
 
-// kvWatch answers with the changes after a revision, once there is one or the time is over.
-func (p *Platform) kvWatch(w http.ResponseWriter, q *http.Request) {
-	v := q.URL.Query()
-	after, err := strconv.ParseUint(v.Get("after"), 10, 64)
-	ms, waitErr := strconv.Atoi(v.Get("wait_ms"))
-	if err != nil || waitErr != nil || ms < 0 || time.Duration(ms)*time.Millisecond > watchMost {
-		http.Error(w, "after, wait_ms: write whole numbers", http.StatusBadRequest)
-		return
-	}
+// Watch returns the changes under a prefix after a revision and the newest revision, once
+// there is a change or the time is over.
+func (p *Platform) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Fact, uint64, error) {
 	p.mu.Lock()
 	p.calls++
 	p.mu.Unlock()
-	over := time.After(time.Duration(ms) * time.Millisecond)
+	over := time.After(wait)
 	for ended := false; ; {
-		events, revision, mode, changed := p.since(v.Get("path_prefix"), after)
-		switch {
-		case mode == ModeDown:
-			http.Error(w, "down", http.StatusServiceUnavailable)
-			return
-		case events == nil:
-			http.Error(w, "that history is gone", http.StatusGone)
-			return
-		case len(events) > 0 || ended:
-			writeJSON(w, watchAnswer{Events: events, Revision: revision})
-			return
+		facts, revision, changed, err := p.since(prefix, after)
+		if err != nil || len(facts) > 0 || ended {
+			return facts, revision, err
 		}
 		select {
-		case <-q.Context().Done():
-			return
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
 		case <-changed:
 		case <-over:
 			ended = true
@@ -125,23 +113,20 @@
 	}
 }
 
-// since returns the changes under a prefix after a revision; nil when they are forgotten.
-func (p *Platform) since(prefix string, after uint64) (list []fact, revision uint64, mode string, changed <-chan struct{}) {
+// since returns the changes under a prefix after a revision.
+func (p *Platform) since(prefix string, after uint64) (list []Fact, revision uint64, changed <-chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.mode == ModeDown {
+		return nil, 0, nil, ErrDown
+	}
 	if after < p.forgot {
-		return nil, p.index, p.mode, p.changed
+		return nil, 0, nil, ErrForgotten
 	}
-	list = []fact{}
 	for _, f := range p.history {
 		if f.Revision > after && strings.HasPrefix(f.Key, prefix) {
 			list = append(list, f)
 		}
 	}
-	return list, p.index, p.mode, p.changed
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v) // the reader may be gone
+	return list, p.index, p.changed, nil
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -11,8 +11,8 @@
 )
 
 // Platform is a stand-in key-value service in Consul's HTTP style with
-// blocking reads, and in the form of the users' platform. Users put values; it can be
-// down or stale on command. The zero value is ready.
+// blocking reads; List and Watch are for other dialects. Users put values; it can be
+// down or stale on command. The zero value is ready for Handler.
 type Platform struct {
 	Lag time.Duration // before a put is seen by readers
 
@@ -22,7 +22,7 @@
 	mode    string // "", "down" or "stale"
 	calls   int
 	changed chan struct{}
-	history []fact // the newest changes, oldest first; at most historyKept
+	history []Fact // the newest changes, oldest first; at most HistoryKept
 	forgot  uint64 // revision of the newest change that history has lost
 }
 
@@ -50,8 +50,6 @@
 	m.HandleFunc("GET /v1/kv/{key...}", p.get)
 	m.HandleFunc("PUT /v1/kv/{key...}", p.put)
 	m.HandleFunc("DELETE /v1/kv/{key...}", p.remove)
-	m.HandleFunc("GET /api/kv-range", p.kvRange)
-	m.HandleFunc("GET /api/kv-watch", p.kvWatch)
 	m.HandleFunc("POST /control/mode", p.setMode)
 	m.HandleFunc("GET /control/calls", p.showCalls)
 	return m
@@ -92,7 +90,7 @@
 		old.old = nil // one step back is enough
 	}
 	p.values[key] = &platformValue{body: body, index: p.index, old: old}
-	p.changedLocked(fact{Key: key, Value: body, Revision: p.index})
+	p.changedLocked(Fact{Key: key, Value: body, Revision: p.index})
 	return true
 }
 
