--- a/topology/config.go
+++ b/topology/config.go
@@ -141,7 +141,7 @@
 	if e.MB <= 0 || largest <= 0 {
 		return e.AdapterSlots
 	}
-	return min(e.AdapterSlots, int(max(left, 0)/largest))
+	return int(min(float64(max(e.AdapterSlots, 0)), max(left, 0)/largest)) // as a whole number the part may run over
 }
 
 // ServiceSpec is a service as its source describes it.
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -65,3 +65,11 @@
 	c.Assert(e.SlotsBeside(map[string]bool{"m": true}), quicktest.Equals, 3)
 	c.Assert(e.SlotsBeside(nil), quicktest.Equals, 16)
 }
+
+// Found by fuzzing configurations: adapters that are said to weigh next to nothing left room
+// for fewer than none.
+func TestAdaptersThatWeighNothingLeaveEverySlot(t *testing.T) {
+	c := quicktest.New(t)
+	e := &EngineSpec{MB: 1e300, AdapterSlots: 16, Models: []ModelSpec{{Name: "m", MB: 1, AdapterMB: 1e-300}}}
+	c.Assert(e.SlotsBeside(map[string]bool{"m": true}), quicktest.Equals, 16)
+}
