--- /dev/null
+++ b/edge/items_fuzz_test.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"cairnwick.example/placement"
+	"cairnwick.example/share"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+)
+
+// FuzzItems: whatever another box tells, a good item is taken in, no known version goes back,
+// and this box's fences keep to the clock.
+func FuzzItems(f *testing.F) {
+	slots, err := proto.Marshal(&wire.Slots{Endpoint: "e/1", Slots: []*wire.Slot{{Adapter: "m/a", Version: 2, Ready: true}, {Adapter: "/"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, u := range []*wire.Update{
+		{Items: []*wire.Item{{Key: "slots/e/1", Version: 9 << 24, Value: slots}, {Key: "e/1", Version: 3, Removed: true}}},
+		{Items: []*wire.Item{{Key: "slots/e/1", Version: 1<<64 - 1, Value: []byte{255}}, {}, {Key: "e/"}}, Reading: true, AgeMicros: -1},
+	} {
+		raw, err := proto.Marshal(u)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var u wire.Update
+		if proto.Unmarshal(raw, &u) != nil {
+			return
+		}
+		table := share.NewTable()
+		s := &state{view: topology.NewView(), table: table, decoder: plainDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+		table.OnChange = s.apply
+		table.Hear(&wire.Item{Key: "e/1", Version: 2})
+		table.Hear(u.GetItems()...)
+		table.Hear(&wire.Item{Key: "e/good", Version: 1<<64 - 1})
+		if table.Version("e/1") < 2 || s.view.Endpoint("e/good") == nil {
+			t.Error("a good item is lost")
+		}
+		for _, i := range u.GetItems() {
+			if table.Version(i.GetKey()) < i.GetVersion() && i.GetKey() != "slots/e/1" {
+				t.Errorf("%q is known in version %d and was told in %d", i.GetKey(), table.Version(i.GetKey()), i.GetVersion())
+			}
+		}
+		now := time.Unix(1_800_000_000, 0)
+		first := s.fences.Next(now, 0, 0)
+		if next := s.fences.Next(now, first, 1); next <= first {
+			t.Errorf("fence %d after %d", next, first)
+		}
+	})
+}
--- /dev/null
+++ b/settings/fuzz_test.go
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+)
+
+// FuzzRead: what is accepted holds and can be printed and read again, and what is refused
+// names a field, or the file that is no object.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"box": "a", /* why */ "queue": 3, "patience": "250ms", "share": 1e300,}`))
+	f.Add([]byte(`{"listen":"x","platform":"ftp://a","patience":"0s","queue":-1,"share":"a","loud":1,"more":2}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		v, err := Read("f", raw, table, nil)
+		if err != nil {
+			var e *Error
+			if errors.As(err, &e) {
+				for _, p := range e.Problems {
+					if p.Mend == "" {
+						t.Fatalf("a problem without its mend: %+v", p)
+					}
+				}
+			} else if !strings.HasPrefix(err.Error(), "settings: f ") {
+				t.Fatalf("an error without its place: %v", err)
+			}
+			return
+		}
+		if v.Duration("patience") < time.Millisecond || v.Count("queue") < 1 || !(v.Number("share") >= 0) {
+			t.Errorf("%v", v)
+		}
+		var b bytes.Buffer
+		if err := Print(&b, table, v); err != nil {
+			t.Fatal(err)
+		}
+		again, err := Read("printed", b.Bytes(), table, nil)
+		if err != nil || again.Text("box") != v.Text("box") || again.Number("share") != v.Number("share") {
+			t.Errorf("printed and read again: %v\n%s", err, b.Bytes())
+		}
+	})
+}
