--- a/engine/client.go
+++ b/engine/client.go
@@ -244,10 +244,13 @@
 	return CodeFailed
 }
 
+// mostRetry bounds the seconds after which an engine may ask to come back: nobody waits a day.
+const mostRetry = 24 * 60 * 60
+
 func retryOf(a *http.Response) time.Duration {
 	n, err := strconv.Atoi(a.Header.Get("Retry-After"))
 	if err != nil {
 		return 0
 	}
-	return time.Duration(n) * time.Second
+	return time.Duration(min(max(n, 0), mostRetry)) * time.Second
 }
--- /dev/null
+++ b/engine/fuzz_test.go
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"net/http"
+	"testing"
+	"time"
+)
+
+// FuzzRetry: the time after which to come back is none below zero, and whole seconds.
+func FuzzRetry(f *testing.F) {
+	f.Add("2")
+	f.Add("18446744074")
+	f.Add("Wed, 21 Oct 2015 07:28:00 GMT")
+	f.Fuzz(func(t *testing.T, s string) {
+		h := http.Header{}
+		h.Set("Retry-After", s)
+		if d := retryOf(&http.Response{Header: h}); d < 0 || d%time.Second != 0 {
+			t.Errorf("%q is %v", s, d)
+		}
+	})
+}
