--- a/member/failure.go
+++ b/member/failure.go
@@ -41,8 +41,8 @@
 	if at, again := t.signs.restarted[name]; again && now.Sub(at) < refusalRemembered {
 		state = Suspect
 	}
-	if m.state == state {
-		return
+	if m.state >= state {
+		return // a suspect, or one that leaves and does not come back for that
 	}
 	m.state = state
 	t.setLocked(m, now)
