--- a/placement/resign.go
+++ b/placement/resign.go
@@ -14,9 +14,9 @@
 // the next owner need not wait until a report is new enough: between the last order of the
 // one and the first of the other lie a few calls.
 
-// KeepMost is how long a box that leaves gives orders at most. The news that it leaves
-// reaches every box in some 0.3 s, and the next owner asks 0.1 s later; where it can't ask,
-// it waits for so long, so that the two do not take turns.
+// KeepMost is how long a box that leaves gives orders at most: three times as long as the
+// news that it leaves takes to the next owner, by the time between two heartbeats. Where that
+// one can't ask, it waits for so long, so that the two do not take turns.
 const KeepMost = time.Second
 
 // Handover is what a box tells of an endpoint to which it gives no orders any more.
