--- a/member/model_test.go
+++ b/member/model_test.go
@@ -43,7 +43,7 @@
 func copyTable(t *Table) *Table {
 	n := *NewTable(t.self, t.limits)
 	n.others, n.news, n.version, n.heard = maps.Clone(t.others), maps.Clone(t.news), t.version, t.heard
-	n.signs = signs{seen: maps.Clone(t.signs.seen), risen: maps.Clone(t.signs.risen), claims: maps.Clone(t.signs.claims), ticked: t.signs.ticked, woke: t.signs.woke}
+	n.signs = signs{seen: maps.Clone(t.signs.seen), restarted: maps.Clone(t.signs.restarted), claims: maps.Clone(t.signs.claims), ticked: t.signs.ticked, paused: t.signs.paused}
 	return &n
 }
 
@@ -161,7 +161,7 @@
 	for _, t := range s.tables {
 		k.WriteString("|")
 		members(t.All())
-		for _, m := range []map[string]time.Time{t.signs.seen, t.signs.risen} {
+		for _, m := range []map[string]time.Time{t.signs.seen, t.signs.restarted} {
 			for _, n := range slices.Sorted(maps.Keys(m)) {
 				fmt.Fprint(&k, n, age(m[n]))
 			}
