Ask every owner that leaves, stop in time without a look, answer late bodies, suspect no connection for a call given up

Red before. - A call that was given up left its suspicion on a sound connection. Red before (two for one). - Bytes without acknowledgement end a connection after 2.5 s, not 1.5: the system asks after a rest in whole seconds, and one lost packet must not end a connection in use. Left: each stream that breaks makes its follower list the source once.

--- a/daemon/silence.go
+++ b/daemon/silence.go
@@ -20,9 +20,10 @@
 	dial engine.DialFunc
 	most time.Duration // without a byte while calls wait; zero: for ever
 
-	mu    sync.Mutex
-	conn  *heardConn // the latest one; nil before the first
-	asked time.Time  // since then nothing was read on conn, though calls were begun
+	mu      sync.Mutex
+	conn    *heardConn // the latest one; nil before the first
+	waiting int        // calls and streams that wait for something from the other side
+	asked   time.Time  // since then nothing was read on conn, though calls wait; zero: none does, or something was
 }
 
 // heardConn tells when something is read.
@@ -67,37 +68,42 @@
 func (s *silence) begin() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.waiting++
 	if s.asked.IsZero() {
 		s.asked = time.Now()
 	}
 }
 
-// timedOut closes the connection if nothing was read for long while calls waited. It is
-// asked when one of them has ended without an answer: a call may wait long for good reason.
-func (s *silence) timedOut() {
+// ended notes how a call or a wait ended. Without an answer, the connection is closed if
+// nothing was read for long while calls waited: one may wait long for good reason. A call
+// that its caller gave up says nothing of a connection on which no other waits; one that
+// timed out does.
+func (s *silence) ended(c codes.Code) {
 	s.mu.Lock()
-	c, silent := s.conn, s.most > 0 && !s.asked.IsZero() && time.Since(s.asked) >= s.most
-	if silent {
+	s.waiting--
+	unanswered := c == codes.DeadlineExceeded || c == codes.Canceled
+	silent := unanswered && s.most > 0 && !s.asked.IsZero() && time.Since(s.asked) >= s.most
+	if silent || (s.waiting == 0 && c != codes.DeadlineExceeded) {
 		s.asked = time.Time{}
 	}
+	conn := s.conn
 	s.mu.Unlock()
-	if silent && c != nil {
-		_ = c.Close() // gRPC sees it and tells those who wait
+	if silent && conn != nil {
+		_ = conn.Close() // gRPC sees it and tells those who wait
 	}
 }
 
 func (s *silence) unary(ctx context.Context, method string, question, answer any, c *grpc.ClientConn, call grpc.UnaryInvoker, o ...grpc.CallOption) error {
 	s.begin()
 	err := call(ctx, method, question, answer, c, o...)
-	if status.Code(err) == codes.DeadlineExceeded {
-		s.timedOut()
-	}
+	s.ended(status.Code(err))
 	return err
 }
 
 func (s *silence) stream(ctx context.Context, d *grpc.StreamDesc, c *grpc.ClientConn, method string, open grpc.Streamer, o ...grpc.CallOption) (grpc.ClientStream, error) {
 	s.begin()
 	stream, err := open(ctx, d, c, method, o...)
+	s.ended(status.Code(err))
 	if err != nil {
 		return nil, err
 	}
@@ -116,8 +122,6 @@
 func (s *heardStream) RecvMsg(m any) error {
 	s.silence.begin()
 	err := s.ClientStream.RecvMsg(m)
-	if c := status.Code(err); c == codes.DeadlineExceeded || c == codes.Canceled {
-		s.silence.timedOut()
-	}
+	s.silence.ended(status.Code(err))
 	return err
 }
--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -135,3 +135,23 @@
 	c.Assert(beat(d, address, time.Minute), quicktest.IsNil)
 	c.Assert(proxy.Taken(), quicktest.Equals, 1)
 }
+
+// A stream was given up by its reader on a connection in order, and nothing came on it for a
+// while; the next call that timed out closed the connection, though it had waited for less
+// than makes one silent.
+func TestACallThatWasGivenUpLeavesNoSuspicion(t *testing.T) {
+	c := quicktest.New(t)
+	proxy, d, address := silentPeer(t, oneBeat)
+	ctx, cancel := context.WithCancel(context.Background())
+	s, err := wire.NewShareClient(d.Conn(address)).Follow(ctx, &wire.FollowRequest{})
+	c.Assert(err, quicktest.IsNil)
+	_, err = s.Recv()
+	c.Assert(err, quicktest.IsNil)
+	time.AfterFunc(oneBeat/4, cancel)
+	_, err = s.Recv()
+	c.Assert(status.Code(err), quicktest.Equals, codes.Canceled)
+	time.Sleep(2 * oneBeat)
+	c.Assert(beat(d, address, time.Microsecond), quicktest.IsNotNil)
+	c.Assert(beat(d, address, time.Minute), quicktest.IsNil)
+	c.Assert(proxy.Taken(), quicktest.Equals, 1)
+}
--- a/forward/caller.go
+++ b/forward/caller.go
@@ -36,8 +36,11 @@
 	_ = c.connection.SetWriteDeadline(now.Add(refusedTime))
 }
 
-// bodyBy bounds the reading of the body.
-func (c caller) bodyBy(deadline time.Time) { _ = c.connection.SetReadDeadline(deadline) }
+// bodyBy bounds the reading of the body, and leaves time for the answer where it is late.
+func (c caller) bodyBy(deadline time.Time) {
+	_ = c.connection.SetReadDeadline(deadline)
+	_ = c.connection.SetWriteDeadline(deadline.Add(answerSlack))
+}
 
 // admitted bounds the answer. What is read from now on only tells that the caller leaves,
 // and a deadline would look like that.
--- a/forward/caller_test.go
+++ b/forward/caller_test.go
@@ -44,6 +44,19 @@
 	s.c.Assert(calls.Load(), quicktest.Equals, int64(0))
 }
 
+// The answer to a body that was late by seconds was written after the time that bounds
+// requests of which nothing is known, and the caller got a closed connection.
+func TestABodyThatIsLateBySecondsGetsItsAnswer(t *testing.T) {
+	t.Parallel()
+	s := newSite(t, once(refusedTime+500*time.Millisecond))
+	s.endpoint(t, answerOK)
+	c := s.callByHand(t, headByHand+"Content-Length: 8\r\n\r\nhalf")
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	s.c.Assert(err, quicktest.IsNil)
+	a.Body.Close()
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusRequestTimeout)
+}
+
 // What bounds the reading of a body went on while the request ran, and looked like a caller
 // that leaves.
 func TestARequestMayRunLongerThanItsBodyMayTake(t *testing.T) {
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -19,11 +19,13 @@
 	dialTimeout = 300 * time.Millisecond // an endpoint a few ms away that takes longer does not answer
 	// userTimeout ends a connection whose bytes the other side has not acknowledged for so
 	// long: a silent one takes no more of what its callers wait for. It leaves room for four
-	// sends, 0.2, 0.6 and 1.4 s after the first, by the system's least retransmission time.
-	userTimeout = 1500 * time.Millisecond
+	// sends, 0.2, 0.6 and 1.4 s after the first, by the system's least retransmission time,
+	// and for two questions after a rest, 1 and 2 s after the last byte.
+	userTimeout = 2500 * time.Millisecond
 	// keepIdle is how long a connection rests, or its answer pauses, until the system asks
-	// the other side whether it is there, and how long it waits for that: one that is silent
-	// ends after two of them, by a packet of 52 bytes each way for each second of rest.
+	// the other side whether it is there, and how long it waits for that, by a packet of 52
+	// bytes each way; the system knows whole seconds. One that is silent ends after
+	// userTimeout, which leaves room for a second question: a packet that is lost ends nothing.
 	keepIdle     = time.Second
 	idleConns    = 64                     // kept for each endpoint
 	idleTimeout  = 20 * time.Second       // until the endpoint says how long it keeps connections
@@ -69,7 +71,7 @@
 
 // newDialer returns what opens connections that end when they are silent.
 func newDialer() *net.Dialer {
-	keep := net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepIdle, Count: 1}
+	keep := net.KeepAliveConfig{Enable: true, Idle: keepIdle, Interval: keepIdle, Count: 2}
 	return &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keep, Control: setUserTimeout}
 }
 
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -59,7 +59,7 @@
 	l.mu.Lock()
 	e, first := o.endpoint, o.claims == 0
 	l.mu.Unlock()
-	if !first || len(e.Models()) == 0 {
+	if !first {
 		return Handover{}
 	}
 	h, wait := l.Before(ctx, e)
--- a/placement/resign.go
+++ b/placement/resign.go
@@ -85,7 +85,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := l.owned[endpoint]
-	if l.left.IsZero() || o == nil || o.phase != owning {
+	if l.left.IsZero() || o == nil || o.phase != owning || !l.ordersLocked(time.Now()) {
 		return nil, nil, nil
 	}
 	o.phase, o.since = resigned, time.Now()
@@ -144,12 +144,18 @@
 	l.forgetLocked(o)
 }
 
+// ordersLocked tells whether this box gives orders at all. One that leaves looks at what it
+// owns only now and then, and must have stopped when the next owner has waited.
+func (l *Loader) ordersLocked(now time.Time) bool {
+	return l.left.IsZero() || now.Sub(l.left) < KeepMost
+}
+
 // callBegins notes that an order is on its way to an endpoint that is still owned under the
 // claim with the number; what the endpoint holds may have changed since any other.
 func (l *Loader) callBegins(o *owned, claim int) (*topology.Endpoint, uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	owns := o.phase == owning && o.claims == claim && l.owned[o.endpoint.ID()] == o
+	owns := o.phase == owning && o.claims == claim && l.owned[o.endpoint.ID()] == o && l.ordersLocked(time.Now())
 	if owns {
 		o.calls++
 	}
--- a/placement/resign_test.go
+++ b/placement/resign_test.go
@@ -313,3 +313,50 @@
 	c.Assert(b.loader.restsLocked(o, adapter(1), s, now), quicktest.IsFalse)
 	c.Assert(b.loader.restsLocked(o, adapter(1), s, now.Add(reportLag)), quicktest.IsTrue)
 }
+
+// An endpoint that holds no base model, as after its restart, was not asked for: the owner
+// that left went on fetching the model while the next one ordered too.
+func TestAnEndpointWithoutABaseModelIsAskedForToo(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	b.loader.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: "e1", Service: "llm", DataCentre: "dc", Slots: 8}))
+	asked := make(chan string, 1)
+	b.loader.Before = func(_ context.Context, e *topology.Endpoint) (Handover, time.Duration) {
+		select {
+		case asked <- e.ID():
+		default: // once is enough
+		}
+		return Handover{}, 0
+	}
+	b.start(t)
+	b.awaitOwned()
+	select {
+	case id := <-asked:
+		c.Assert(id, quicktest.Equals, "e1")
+	default:
+		c.Fatal("nobody was asked")
+	}
+}
+
+// A box that leaves looked late at what it owns, since its queue was long, and went on with
+// its orders while the next owner, which had waited for it, gave its own.
+func TestABoxThatLeavesStopsInTimeWithoutALook(t *testing.T) {
+	c := quicktest.New(t)
+	f := newSharedEndpoint()
+	first := leaver(t, c, f)
+	l := first.loader
+	l.mu.Lock()
+	o := l.owned["e1"]
+	claim := o.claims
+	l.mu.Unlock()
+	_, _, owns := l.callBegins(o, claim)
+	c.Assert(owns, quicktest.IsTrue)
+	l.callEnded(o, claim, Order{}, Done, nil)
+	l.mu.Lock()
+	l.left = l.left.Add(-KeepMost)
+	o.phase, l.owned["e1"] = owning, o // as before the look
+	l.mu.Unlock()
+	_, _, owns = l.callBegins(o, claim)
+	c.Assert(owns, quicktest.IsFalse)
+	c.Assert(l.Resign(context.Background(), "e1").Resigned, quicktest.IsFalse)
+}
