Put the comment of mergeLocked back above it

A constant with its own comment stood between the two. Comments only: the declarations of member, printed without comments, are the same to the letter.

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -20,12 +20,12 @@
 	}
 }
 
-// mergeLocked takes in one member unless what is known is as new, or the member was
-// seen to live by this daemon itself.
 // mostIncarnation is above the microseconds of any clock; the own incarnation rises by one
 // above what others claim, and must not run over.
 const mostIncarnation = 1 << 62
 
+// mergeLocked takes in one member unless what is known is as new, or the member was
+// seen to live by this daemon itself.
 func (t *Table) mergeLocked(m Member, now time.Time) {
 	if m.incarnation > mostIncarnation {
 		return
