Name share.Table's question as its answer: IsOver

Stale in share was isOver in edge, and its comment could be read three ways. Names and comments only: with the name mapped, each declaration of share and edge printed without comments is the same to the letter as before. Tests: the field's name, no assertion.

--- a/edge/model_test.go
+++ b/edge/model_test.go
@@ -142,7 +142,7 @@
 	n.listed.Store(b.listed)
 	n.fresh.whole = moved(b.whole, by)
 	r.listed = func(revision uint64) { n.noteListed(Endpoints, revision) }
-	t.Stale = n.isOver
+	t.IsOver = n.isOver
 	n.current.Store(&Settings{}) // bounds as where none is set
 	if !b.answered.IsZero() {
 		n.fresh.note(Endpoints, sourceWord{asOf: moved(b.answered, by), heard: true})
--- a/edge/node.go
+++ b/edge/node.go
@@ -62,7 +62,7 @@
 	fences := &placement.Fences{Box: s.Number}
 	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
 	n.items.OnChange = n.state.apply
-	n.items.Stale = n.isOver
+	n.items.IsOver = n.isOver
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.readAgo}
 	n.usage = newUsage(n)
@@ -171,8 +171,8 @@
 	}
 }
 
-// isOver tells of an endpoint that this box has not heard of whether it had left when this
-// box listed the source. A box that has not heard that may still tell of it.
+// isOver tells of an endpoint that is not in the table whether it had left when this box
+// listed the source: its last change is not after the list, which did not have it.
 func (n *Node) isOver(i *wire.Item) bool {
 	return n.Decoder.Kind(i.GetKey()) == KindEndpoint && !i.GetRemoved() && i.GetVersion() <= n.listed.Load()
 }
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -296,7 +296,7 @@
 	n := &Node{Decoder: plainDecoder{}}
 	r, table := newReader(&script{list: []Batch{{Facts: published("e/2"), Revision: 5}}})
 	r.listed = func(revision uint64) { n.noteListed(Endpoints, revision) }
-	table.Stale = n.isOver
+	table.IsOver = n.isOver
 	step(r)
 	table.Hear(&wire.Item{Key: "e/1", Version: 4}, &wire.Item{Key: "e/3", Version: 6})
 	keys := table.Keys()
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -47,7 +47,7 @@
 func TestWhatAnotherBoxToldIsNotTakenInWhereItIsKnownToBeOver(t *testing.T) {
 	c := quicktest.New(t)
 	a := NewTable()
-	a.Stale = func(i *wire.Item) bool { return i.GetVersion() <= 2 }
+	a.IsOver = func(i *wire.Item) bool { return i.GetVersion() <= 2 }
 	a.Hear(item("x", 2), item("y", 3))
 	c.Assert(a.Keys(), quicktest.DeepEquals, []string{"y"})
 	a.Merge(item("x", 2)) // this box's own word
--- a/share/table.go
+++ b/share/table.go
@@ -20,9 +20,10 @@
 	// OnChange hears every accepted item, in the order of acceptance. Set it
 	// before use.
 	OnChange func(items []*wire.Item)
-	// Stale tells of a fact that another box has told and that is not known whether this box
-	// knows that it is over. Set it before use; nil: none is.
-	Stale func(i *wire.Item) bool
+	// IsOver tells of a fact that is not in the table whether it had ended before this box
+	// began to know of it: another box that has not heard of the end may still tell of the
+	// fact, and Hear passes it over. Set it before use; nil: none is over.
+	IsOver func(i *wire.Item) bool
 
 	mu      sync.Mutex
 	entries map[string]*list.Element // by key
@@ -46,19 +47,19 @@
 // nothing.
 func (t *Table) Merge(items ...*wire.Item) { t.merge(items, nil) }
 
-// Hear takes in what another box told, as Merge does. It may be of long ago.
-func (t *Table) Hear(items ...*wire.Item) { t.merge(items, t.Stale) }
+// Hear takes in what another box told, as Merge does, without new facts that are over.
+func (t *Table) Hear(items ...*wire.Item) { t.merge(items, t.IsOver) }
 
-func (t *Table) merge(items []*wire.Item, stale func(*wire.Item) bool) {
+func (t *Table) merge(items []*wire.Item, isOver func(*wire.Item) bool) {
 	t.applied.Lock()
 	defer t.applied.Unlock()
-	accepted := t.accept(items, stale)
+	accepted := t.accept(items, isOver)
 	if len(accepted) > 0 && t.OnChange != nil {
 		t.OnChange(accepted)
 	}
 }
 
-func (t *Table) accept(items []*wire.Item, stale func(*wire.Item) bool) []*wire.Item {
+func (t *Table) accept(items []*wire.Item, isOver func(*wire.Item) bool) []*wire.Item {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var accepted []*wire.Item
@@ -68,7 +69,7 @@
 				continue
 			}
 			t.log.Remove(old)
-		} else if stale != nil && stale(i) {
+		} else if isOver != nil && isOver(i) {
 			continue
 		}
 		t.seq++
