Give edge's two kinds of whole, and its two kinds of rest, names of their own

'rest' is what connections do; a reader that is not needed has stopReading. What a reader says of a call (sourceWord) is a readOutcome, since a word is what another box says. anySeed returned all others: otherSeeds. Names and comments only: with the names mapped, each declaration of edge printed without comments is the same to the letter. Tests: names alone.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -132,8 +132,8 @@
 	defer p.mu.Unlock()
 	w := p.words[m.Name()]
 	ago := now.Sub(w.heard)
-	whole := !w.first.After(p.whole())
-	return ago, whole && ago < wordTime(p.behind()) && now.Sub(w.told) < share.SilentAfter
+	complete := !w.first.After(p.removalsAsOf())
+	return ago, complete && ago < wordTime(p.behind()) && now.Sub(w.told) < share.SilentAfter
 }
 
 // toldAgo tells how long ago the source was heard by the word of the box that is followed,
--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -8,7 +8,7 @@
 )
 
 // How far a box may be behind its source is divided between the parts of the way of a fact:
-// a leader's watch, the steps to a follower, and, where the source stops answering the leader
+// a leader's watch, the steps to a follower (a word each: how long ago the source was heard), and, where the source stops answering the leader
 // without a word, the follower's own call. Of 2 s: 0.67 s between two answers to the leader,
 // and 0.3 s for each step; so a word is at most 0.75 s old at the leader and 1.35 s two steps
 // below it. At 1.5 s a box reads by itself, 0.1 s later at most, which leaves 0.4 s for the
@@ -31,11 +31,11 @@
 type freshness struct {
 	mu       sync.Mutex
 	answered map[Collection]time.Time // a collection that is missing was not heard, its last call failed, or what it said is held back
-	whole    time.Time                // of the latest answer about endpoints, whatever came after it
+	removals time.Time                // of the latest answer about endpoints, whatever came after it
 }
 
 // note notes how a call for a collection went.
-func (f *freshness) note(c Collection, w sourceWord) {
+func (f *freshness) note(c Collection, w readOutcome) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.answered == nil {
@@ -44,19 +44,19 @@
 	if w.heard {
 		f.answered[c] = w.asOf
 		if c == Endpoints {
-			f.whole = w.asOf
+			f.removals = w.asOf
 		}
 		return
 	}
 	delete(f.answered, c)
 }
 
-// wholeAsOf returns when the source was read last without an endpoint's removal that is not
-// known here; zero: never.
-func (f *freshness) wholeAsOf() time.Time {
+// removalsAsOf returns until when this box knows of every removal of an endpoint: its latest
+// reading of which nothing was held back; zero: there was none.
+func (f *freshness) removalsAsOf() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.whole
+	return f.removals
 }
 
 // ago returns how long ago the collection was heard that was heard the longest ago; false
--- a/edge/freshness_test.go
+++ b/edge/freshness_test.go
@@ -14,14 +14,14 @@
 	c := quicktest.New(t)
 	var f freshness
 	now := time.Unix(100, 0)
-	f.note(Settled, sourceWord{asOf: now, heard: true})
+	f.note(Settled, readOutcome{asOf: now, heard: true})
 	_, ok := f.ago(now)
 	c.Assert(ok, quicktest.IsFalse) // endpoints were not heard
-	f.note(Endpoints, sourceWord{asOf: now.Add(time.Second), heard: true})
+	f.note(Endpoints, readOutcome{asOf: now.Add(time.Second), heard: true})
 	ago, ok := f.ago(now.Add(3 * time.Second))
 	c.Assert(ok, quicktest.IsTrue)
 	c.Assert(ago, quicktest.Equals, 3*time.Second)
-	f.note(Settled, sourceWord{asOf: now})
+	f.note(Settled, readOutcome{asOf: now})
 	_, ok = f.ago(now.Add(3 * time.Second))
 	c.Assert(ok, quicktest.IsFalse)
 }
--- a/edge/model_test.go
+++ b/edge/model_test.go
@@ -140,17 +140,17 @@
 	r.trusted, r.uncertain, r.holding = moved(b.trusted, by), b.unsure, b.holding
 	n := &Node{Decoder: plainDecoder{}}
 	n.listed.Store(b.listed)
-	n.fresh.whole = moved(b.whole, by)
+	n.fresh.removals = moved(b.whole, by)
 	r.listed = func(revision uint64) { n.noteListed(Endpoints, revision) }
 	t.IsOver = n.isOver
 	n.current.Store(&Settings{}) // bounds as where none is set
 	if !b.answered.IsZero() {
-		n.fresh.note(Endpoints, sourceWord{asOf: moved(b.answered, by), heard: true})
-		n.fresh.note(Settled, sourceWord{asOf: moved(s.now, by), heard: true})
+		n.fresh.note(Endpoints, readOutcome{asOf: moved(b.answered, by), heard: true})
+		n.fresh.note(Settled, readOutcome{asOf: moved(s.now, by), heard: true})
 	}
-	r.heard = func(word sourceWord) {
+	r.heard = func(word readOutcome) {
 		n.fresh.note(Endpoints, word)
-		n.fresh.note(Settled, sourceWord{asOf: time.Now(), heard: true})
+		n.fresh.note(Settled, readOutcome{asOf: time.Now(), heard: true})
 	}
 	v := &clusterView{until: time.Unix(math.MaxInt32, 0)}
 	if p := w.parents[i]; p >= 0 {
@@ -159,7 +159,7 @@
 	p := w.peers[i]
 	v.version = p.table.Version()
 	p.clusterViews.latest = v
-	p.words, p.whole = make(map[string]word), n.fresh.wholeAsOf
+	p.words, p.removalsAsOf = make(map[string]word), n.fresh.removalsAsOf
 	for k, m := range b.words {
 		p.words[k] = word{told: moved(m.told, by), heard: moved(m.heard, by), first: moved(m.first, by)}
 	}
@@ -174,7 +174,7 @@
 	r := l.reader
 	b.after, b.asOf, b.failing = r.after, moved(r.asOf, -by), r.failing
 	b.trusted, b.unsure, b.holding = moved(r.trusted, -by), r.uncertain, r.holding
-	b.listed, b.whole, b.answered = l.node.listed.Load(), moved(l.node.fresh.whole, -by), time.Time{}
+	b.listed, b.whole, b.answered = l.node.listed.Load(), moved(l.node.fresh.removals, -by), time.Time{}
 	if at, ok := l.node.fresh.answered[Endpoints]; ok {
 		b.answered = moved(at, -by)
 	}
@@ -328,7 +328,7 @@
 	by := time.Since(n.now)
 	b := w.make(n, i, by)
 	if b.reader.after != 0 && !b.node.mustRead() {
-		b.reader.rest(time.Now())
+		b.reader.stopReading(time.Now())
 		n.keep(i, b, by)
 		n.boxes[i].failed, n.boxes[i].held = time.Time{}, false
 		return true
--- a/edge/node.go
+++ b/edge/node.go
@@ -111,16 +111,16 @@
 	s := n.Settings
 	d := &net.Dialer{Timeout: peerDial, KeepAlive: -1}
 	p := &peers{
-		box:     s.Box,
-		centre:  s.DataCentre,
-		dialer:  &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext, SilentFor: silentFor},
-		items:   n.items,
-		log:     n.Log,
-		started: time.Now(),
-		reads:   n.reads,
-		seeds:   func() []string { return anySeed(n.current.Load().Seeds, s.Peers) },
-		behind:  n.behind,
-		whole:   n.fresh.wholeAsOf,
+		box:          s.Box,
+		centre:       s.DataCentre,
+		dialer:       &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext, SilentFor: silentFor},
+		items:        n.items,
+		log:          n.Log,
+		started:      time.Now(),
+		reads:        n.reads,
+		seeds:        func() []string { return otherSeeds(n.current.Load().Seeds, s.Peers) },
+		behind:       n.behind,
+		removalsAsOf: n.fresh.removalsAsOf,
 	}
 	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro())).
 		WithCapacity(int(s.Limits.Cores * 1000))
@@ -294,7 +294,7 @@
 		ages:       n.sourceAges,
 		watchTime:  func() time.Duration { return watchTime(n.behind()) },
 		lapse:      func() time.Duration { return n.current.Load().Bounds.Lapse },
-		heard:      func(w sourceWord) { n.fresh.note(c, w) },
+		heard:      func(w readOutcome) { n.fresh.note(c, w) },
 		listed:     func(revision uint64) { n.noteListed(c, revision) },
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -54,7 +54,8 @@
 	reads   func() bool          // whether this box hears the source of the configuration
 	seeds   func() []string      // other boxes that should be there, at their addresses
 	behind  func() time.Duration // how far this box may be behind that source
-	whole   func() time.Time     // this box itself read of all endpoints then that had left
+	// removalsAsOf is until when this box itself has read of every endpoint that had left.
+	removalsAsOf func() time.Time
 
 	clusterViews clusterViews
 
@@ -155,7 +156,7 @@
 	return list
 }
 
-// ask asks the leader of an endpoint's data centre to load an adapter.
+// ask asks the leader of an endpoint's data centre to load an adapter, and waits for it.
 func (p *peers) ask(ctx context.Context, m member.Member, w forward.Wanted) (forward.Placed, error) {
 	ctx, cancel := context.WithTimeout(ctx, max(w.Most, w.Wait, 0)+askSlack)
 	defer cancel()
@@ -220,8 +221,8 @@
 	}
 }
 
-// anySeed returns one of the seeds that is not this box.
-func anySeed(seeds []string, self string) []string {
+// otherSeeds returns the seeds that are not this box, in a random order.
+func otherSeeds(seeds []string, self string) []string {
 	var list []string
 	for _, s := range seeds {
 		if s != self {
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -23,7 +23,7 @@
 func peersOf(self member.Member, others ...member.Member) *peers {
 	t := member.NewTable(self, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Wide: true})
 	t.Merge(others, time.Now())
-	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }, seeds: func() []string { return nil }, behind: func() time.Duration { return defaultBehind }, whole: func() time.Time { return time.Now().Add(time.Hour) }}
+	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }, seeds: func() []string { return nil }, behind: func() time.Duration { return defaultBehind }, removalsAsOf: func() time.Time { return time.Now().Add(time.Hour) }}
 }
 
 func TestTheOldestOfTheStrongBoxesLeads(t *testing.T) {
@@ -108,7 +108,7 @@
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
 	read := now.Add(-time.Second)
-	p.whole = func() time.Time { return read }
+	p.removalsAsOf = func() time.Time { return read }
 	for range 2 { // it is followed, and followed anew
 		p.begin("b")
 		p.hear("b", now.Add(-300*time.Millisecond), now)
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -36,7 +36,7 @@
 	log        logr.Logger
 	watchTime  func() time.Duration // at most between two answers of the source
 	lapse      func() time.Duration // entries of endpoints may lapse where the source is away for so long
-	heard      func(word sourceWord)
+	heard      func(word readOutcome)
 	ages       func() map[string]int64
 	listed     func(revision uint64) // hears of a list before it is taken
 
@@ -48,8 +48,8 @@
 	holding   bool      // the source said that something is gone, which is not believed yet
 }
 
-// sourceWord is what a reader says of the source after each call.
-type sourceWord struct {
+// readOutcome is how a reader's call went.
+type readOutcome struct {
 	asOf  time.Time // the table is as the source said then
 	heard bool      // the call went well, and nothing that it told is held back
 }
@@ -59,7 +59,7 @@
 	pause := failPause
 	for ctx.Err() == nil {
 		if r.after != 0 && !r.wanted() {
-			r.rest(time.Now())
+			r.stopReading(time.Now())
 			r.standBy(ctx)
 			pause = failPause
 			continue
@@ -96,16 +96,16 @@
 }
 
 // awaitWord gives the leader some time to tell what it reads before this box watches the
-// source as well: after a start of all boxes their watches would be most calls of the day.
+// source as well: after a start of all boxes their watches would be most of the calls to it.
 func (r *reader) awaitWord(ctx context.Context) {
 	for until := time.Now().Add(wordFor); ctx.Err() == nil && time.Now().Before(until) && !r.leads() && r.wanted(); {
 		sleep(ctx, wordLook)
 	}
 }
 
-// rest forgets what only holds while this box reads: what it misses meanwhile is listed
+// stopReading forgets what only holds while this box reads: what it misses meanwhile is listed
 // later. Endpoints that may have lapsed keep their time to come back.
-func (r *reader) rest(now time.Time) {
+func (r *reader) stopReading(now time.Time) {
 	if r.failing && now.Sub(r.asOf) >= r.lapse() {
 		r.trusted = now.Add(lapseGrace)
 	}
@@ -203,7 +203,7 @@
 // note tells how a call went, and logs when the source is lost. A box that holds something
 // back is no source for others: the outage may have been its own alone.
 func (r *reader) note(err error) {
-	r.heard(sourceWord{asOf: r.asOf, heard: err == nil && r.after != 0 && !r.holding})
+	r.heard(readOutcome{asOf: r.asOf, heard: err == nil && r.after != 0 && !r.holding})
 	if err != nil && !r.failing {
 		r.failing = true
 		r.log.Info("Source does not answer", "collection", r.collection.String(), "revision", r.after, "err", err.Error())
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -82,7 +82,7 @@
 		log:        logr.Discard(),
 		watchTime:  func() time.Duration { return watchTime(defaultBehind) },
 		lapse:      func() time.Duration { return time.Second },
-		heard:      func(sourceWord) {},
+		heard:      func(readOutcome) {},
 		ages:       func() map[string]int64 { return nil },
 		listed:     func(uint64) {},
 	}, t
@@ -189,10 +189,10 @@
 	step(r)
 	r.asOf = time.Now().Add(-r.lapse())
 	step(r) // fails
-	r.rest(time.Now().Add(-lapseGrace))
+	r.stopReading(time.Now().Add(-lapseGrace))
 	step(r) // lists, long after
 	c.Assert(table.Keys(), quicktest.HasLen, 0)
-	r.rest(time.Now())
+	r.stopReading(time.Now())
 	c.Assert(r.failing || r.uncertain || r.holding, quicktest.IsFalse)
 }
 
@@ -224,7 +224,7 @@
 	}
 	r, _ := newReader(s)
 	var heard []bool
-	r.heard = func(w sourceWord) { heard = append(heard, w.heard) }
+	r.heard = func(w readOutcome) { heard = append(heard, w.heard) }
 	step(r)
 	r.asOf = time.Now().Add(-r.lapse())
 	for range 3 {
