--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"cairnwick.example/wire"
 )
 
 // How far a box may be behind its source is divided between the parts of the way of a fact:
@@ -74,3 +76,57 @@
 	}
 	return most, true
 }
+
+// behind returns how far this box may be behind the source.
+func (n *Node) behind() time.Duration { return n.current.Load().Bounds.Behind() }
+
+// reads tells whether this box hears the source by itself.
+func (n *Node) reads() bool {
+	ago, ok := n.fresh.ago(time.Now())
+	return ok && ago < wordTime(n.behind())
+}
+
+// noteListed notes the revision of a list of the source.
+func (n *Node) noteListed(c Collection, revision uint64) {
+	if c == Endpoints {
+		n.listed.Store(revision)
+	}
+}
+
+// isOver tells of an endpoint that is not in the table whether it had left when this box
+// listed the source: its last change is not after the list, which did not have it.
+func (n *Node) isOver(i *wire.Item) bool {
+	return n.Decoder.Kind(i.GetKey()) == KindEndpoint && !i.GetRemoved() && i.GetVersion() <= n.listed.Load()
+}
+
+// readAgo tells how long ago this box, or one that it follows, heard the source.
+func (n *Node) readAgo() (time.Duration, bool) {
+	now := time.Now()
+	own, reads := n.fresh.ago(now)
+	told, informed := n.peers.heardAgo(now)
+	switch {
+	case reads && informed:
+		return min(own, told), true
+	case reads:
+		return own, true
+	}
+	return told, informed
+}
+
+// mustRead tells whether this box reads the source: it leads its data centre, or
+// its leader does not tell it what it reads.
+func (n *Node) mustRead() bool { return !n.peers.informed(time.Now()) }
+
+// sourceAges tells how long ago the source was heard: by this box, and by its leader as
+// the box that it follows tells; a box that was not heard of is missing.
+func (n *Node) sourceAges() map[string]int64 {
+	now := time.Now()
+	ages := make(map[string]int64)
+	if ago, ok := n.fresh.ago(now); ok {
+		ages["own_ms"] = ago.Milliseconds()
+	}
+	if ago, ok := n.peers.toldAgo(now); ok {
+		ages["told_ms"] = ago.Milliseconds()
+	}
+	return ages
+}
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -3,14 +3,8 @@
 package edge
 
 import (
-	"context"
-	"net"
 	"net/http"
 	"time"
-
-	"cairnwick.example/forward"
-	"github.com/pkg/errors"
-	"google.golang.org/grpc"
 )
 
 const (
@@ -53,41 +47,3 @@
 		}
 	})
 }
-
-// serveHTTP serves until ctx ends, then closes connections as they rest, at most
-// for so long. Requests that are held even then end with forward.ErrEnding just before.
-func serveHTTP(ctx context.Context, s *http.Server, l net.Listener, most time.Duration) error {
-	base, endRequests := context.WithCancelCause(context.Background())
-	defer endRequests(nil)
-	s.BaseContext = func(net.Listener) context.Context { return base }
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
-	select {
-	case err := <-served:
-		return errors.Wrap(err, "edge: serve")
-	case <-ctx.Done():
-	}
-	end, cancel := context.WithTimeout(context.Background(), most)
-	defer cancel()
-	told := time.AfterFunc(most-answerTime, func() { endRequests(forward.ErrEnding) })
-	defer told.Stop()
-	err := s.Shutdown(end)
-	<-served
-	if err != nil {
-		return errors.Wrap(s.Close(), "edge: close")
-	}
-	return nil
-}
-
-// servePeers serves other boxes until ctx ends.
-func servePeers(ctx context.Context, s *grpc.Server, l net.Listener) error {
-	served := make(chan error, 1)
-	go func() { served <- s.Serve(l) }()
-	select {
-	case err := <-served:
-		return errors.Wrap(err, "edge: serve peers")
-	case <-ctx.Done():
-		s.Stop()
-		return errors.Wrap(<-served, "edge: serve peers")
-	}
-}
--- a/edge/node.go
+++ b/edge/node.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"runtime/debug"
 	"sync/atomic"
 	"time"
@@ -19,7 +18,6 @@
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
-	"github.com/pkg/errors"
 	"google.golang.org/grpc/credentials/insecure"
 )
 
@@ -155,72 +153,6 @@
 	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, now)
 }
 
-// behind returns how far this box may be behind the source.
-func (n *Node) behind() time.Duration { return n.current.Load().Bounds.Behind() }
-
-// reads tells whether this box hears the source by itself.
-func (n *Node) reads() bool {
-	ago, ok := n.fresh.ago(time.Now())
-	return ok && ago < wordTime(n.behind())
-}
-
-// noteListed notes the revision of a list of the source.
-func (n *Node) noteListed(c Collection, revision uint64) {
-	if c == Endpoints {
-		n.listed.Store(revision)
-	}
-}
-
-// isOver tells of an endpoint that is not in the table whether it had left when this box
-// listed the source: its last change is not after the list, which did not have it.
-func (n *Node) isOver(i *wire.Item) bool {
-	return n.Decoder.Kind(i.GetKey()) == KindEndpoint && !i.GetRemoved() && i.GetVersion() <= n.listed.Load()
-}
-
-// readAgo tells how long ago this box, or one that it follows, heard the source.
-func (n *Node) readAgo() (time.Duration, bool) {
-	now := time.Now()
-	own, reads := n.fresh.ago(now)
-	told, informed := n.peers.heardAgo(now)
-	switch {
-	case reads && informed:
-		return min(own, told), true
-	case reads:
-		return own, true
-	}
-	return told, informed
-}
-
-// mustRead tells whether this box reads the source: it leads its data centre, or
-// its leader does not tell it what it reads.
-func (n *Node) mustRead() bool { return !n.peers.informed(time.Now()) }
-
-// sourceAges tells how long ago the source was heard: by this box, and by its leader as
-// the box that it follows tells; a box that was not heard of is missing.
-func (n *Node) sourceAges() map[string]int64 {
-	now := time.Now()
-	ages := make(map[string]int64)
-	if ago, ok := n.fresh.ago(now); ok {
-		ages["own_ms"] = ago.Milliseconds()
-	}
-	if ago, ok := n.peers.toldAgo(now); ok {
-		ages["told_ms"] = ago.Milliseconds()
-	}
-	return ages
-}
-
-// placer asks the leader of the endpoint's data centre.
-type placer struct{ node *Node }
-
-// Want implements forward.Placer.
-func (p placer) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
-	m, ok := p.node.peers.clusterView().leader(w.Endpoint.DataCentre())
-	if !ok || m.Name() == p.node.peers.box || p.node.loader.Keeps(w.Endpoint.ID()) {
-		return p.node.loader.Want(ctx, w)
-	}
-	return p.node.peers.ask(ctx, m, w)
-}
-
 // task is something that runs until its context ends.
 type task func(context.Context) error
 
@@ -253,12 +185,6 @@
 	return err
 }
 
-// httpTask serves one handler; it closes connections that rest where more than so many are open.
-func httpTask(h http.Handler, l net.Listener, most time.Duration, open int) task {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, ConnState: newConnections(open).changed}
-	return func(ctx context.Context) error { return serveHTTP(ctx, s, l, most) }
-}
-
 // runAll runs the tasks until ctx ends or one of them fails.
 func (n *Node) runAll(ctx, inner context.Context, end context.CancelFunc, tasks []task) error {
 	ended := make(chan error, len(tasks))
@@ -298,26 +224,3 @@
 		listed:     func(revision uint64) { n.noteListed(c, revision) },
 	}
 }
-
-// listeners are the sockets of a box.
-type listeners struct{ callers, ready, peers, metrics net.Listener }
-
-func (n *Node) listen() (listeners, error) {
-	var l listeners
-	for _, p := range []struct {
-		name, address string
-		into          *net.Listener
-	}{
-		{"callers", n.Settings.Callers, &l.callers},
-		{"readiness", n.Settings.Ready, &l.ready},
-		{"peers", n.Settings.Peers, &l.peers},
-		{"metrics", n.Settings.Metrics, &l.metrics},
-	} {
-		opened, err := net.Listen("tcp", p.address)
-		if err != nil {
-			return l, errors.Wrapf(err, "edge: address for %s", p.name)
-		}
-		*p.into = opened
-	}
-	return l, nil
-}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -3,19 +3,14 @@
 package edge
 
 import (
-	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"cairnwick.example/daemon"
-	"cairnwick.example/forward"
 	"cairnwick.example/member"
 	"cairnwick.example/share"
-	"cairnwick.example/topology"
-	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
-	"github.com/pkg/errors"
 )
 
 // roleBox is the role under which boxes are members.
@@ -156,71 +151,6 @@
 	return list
 }
 
-// ask asks the leader of an endpoint's data centre to load an adapter, and waits for it.
-func (p *peers) ask(ctx context.Context, m member.Member, w forward.Wanted) (forward.Placed, error) {
-	ctx, cancel := context.WithTimeout(ctx, max(w.Most, w.Wait, 0)+askSlack)
-	defer cancel()
-	go p.cancelWhenGone(ctx, cancel, m.Name())
-	a, err := wire.NewShareClient(p.dialer.Conn(m.Address())).Ask(ctx, &wire.AskRequest{
-		Request:    w.Request,
-		Endpoint:   w.Endpoint.ID(),
-		Adapter:    w.Adapter.String(),
-		Version:    w.Version,
-		WaitMicros: w.Wait.Microseconds(),
-		MostMicros: w.Most.Microseconds(),
-		Priority:   int32(w.Priority),
-		Worth:      w.Worth,
-		Returned:   w.Returned,
-		Denied:     w.Denied,
-		Tokens:     int64(w.Tokens),
-	})
-	if err != nil {
-		return forward.Placed{}, errors.Wrapf(err, "edge: leader %s", m.Name())
-	}
-	return forward.Placed{
-		Ready:    a.GetReady(),
-		Settling: a.GetSettling(),
-		Endpoint: a.GetEndpoint(),
-		Version:  a.GetVersion(),
-		Queued:   time.Duration(a.GetQueuedMicros()) * time.Microsecond,
-		Retry:    time.Duration(a.GetRetryMicros()) * time.Microsecond,
-		Reason:   a.GetReason(),
-	}, nil
-}
-
-// cancelWhenGone ends a call to a box as soon as the box is believed dead: a frozen
-// one would keep its callers until their time is up.
-func (p *peers) cancelWhenGone(ctx context.Context, cancel context.CancelFunc, name string) {
-	for ctx.Err() == nil {
-		changed := p.table.Changed()
-		if !p.works(name) {
-			cancel()
-			return
-		}
-		select {
-		case <-ctx.Done():
-		case <-changed:
-		}
-	}
-}
-
-// wanted reads an ask of another box.
-func wanted(q *wire.AskRequest, e *topology.Endpoint) forward.Wanted {
-	return forward.Wanted{
-		Request:  q.GetRequest(),
-		Endpoint: e,
-		Adapter:  topology.ParseAdapter(q.GetAdapter()),
-		Version:  q.GetVersion(),
-		Wait:     time.Duration(q.GetWaitMicros()) * time.Microsecond,
-		Most:     time.Duration(q.GetMostMicros()) * time.Microsecond,
-		Priority: int(q.GetPriority()),
-		Worth:    q.GetWorth(),
-		Returned: q.GetReturned(),
-		Denied:   q.GetDenied(),
-		Tokens:   int(q.GetTokens()),
-	}
-}
-
 // otherSeeds returns the seeds that are not this box, in a random order.
 func otherSeeds(seeds []string, self string) []string {
 	var list []string
