Say in forward's names what they hold: centres, budgeted, mayHaveRun, noOwnerLogged

A Gateway had an 'away' whose data centres were avoided, not away, and that also remembers who was heard; 'granted' was the budget's word though a grant is a scheduler's (GLOSSARY); 'unsure' did not say of what, and the log's key is may_have_run; 'unheard' was that a line is written; 'rest' was the other endpoints, and a part of an event. Tests: names alone.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -55,7 +55,7 @@
 // hear notes that something came from an endpoint.
 func (g *Gateway) hear(u *upstream, now time.Time) {
 	u.hear(now)
-	g.away.hear(u.endpoint.DataCentre(), now)
+	g.centres.hear(u.endpoint.DataCentre(), now)
 }
 
 // watchSilence counts the request as silent while its answer is long in coming, and tells
@@ -64,7 +64,7 @@
 func (g *Gateway) watchSilence(u *upstream) func() {
 	sent := time.Now()
 	silence := time.AfterFunc(silenceTimeout, func() {
-		g.away.silence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
+		g.centres.silence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
 		u.doubt(sent)
 	})
 	done := make(chan struct{}, 1)
@@ -117,7 +117,7 @@
 		u.dropIdle()
 		if !sent {
 			u.unreachable(time.Now())
-			g.away.fail(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
+			g.centres.fail(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
 		}
 	}
 	g.recordAttempt(q, "lost", err.Error())
@@ -125,7 +125,7 @@
 	if !sent {
 		return &Refusal{Code: CodeNoEndpoint, Unsent: true, Retry: shedRetry, Detail: err.Error()}
 	}
-	q.unsure = true
+	q.mayHaveRun = true
 	q.ran++
 	return &Refusal{Code: CodeLost, Ran: true, Detail: err.Error()}
 }
@@ -149,7 +149,7 @@
 	case !v.Own || v.Encoded || (a.StatusCode < http.StatusMultipleChoices && !v.Signed):
 		u.dropIdle()
 		u.outcome(true)
-		q.unsure = true
+		q.mayHaveRun = true
 		q.ran++
 		q.tried[t.endpoint.ID()] = true
 		g.recordAttempt(q, "spoilt", "the answer belongs to no request of this box")
@@ -194,11 +194,11 @@
 	}
 	q.tried[t.endpoint.ID()] = true
 	now := time.Now()
-	rest := g.usable(g.View.Endpoints(q.service.Name()), q.tried, now)
-	if len(rest) == 0 || q.left(now) < firstByte || !g.mayRetry(q, now) {
+	others := g.usable(g.View.Endpoints(q.service.Name()), q.tried, now)
+	if len(others) == 0 || q.left(now) < firstByte || !g.mayRetry(q, now) {
 		return false
 	}
-	q.granted, q.unsure = true, true
+	q.budgeted, q.mayHaveRun = true, true
 	return true
 }
 
@@ -211,7 +211,7 @@
 	if ctx.Err() == nil {
 		u.dropIdle()
 	}
-	q.unsure = true
+	q.mayHaveRun = true
 	q.ran++
 	q.tried[u.endpoint.ID()] = true
 	g.recordAttempt(q, "cut", detail)
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -32,7 +32,7 @@
 	Stats      *Stats
 
 	upstreams upstreams
-	away      away
+	centres   centres
 	held      atomic.Int64
 	leaving   atomic.Bool
 	sampled   atomic.Uint64
@@ -120,7 +120,7 @@
 		if context.Cause(q.inbound.Context()) == ErrEnding {
 			f.Code = CodeEnding
 		}
-	} else if ctx.Err() != nil && q.unsure {
+	} else if ctx.Err() != nil && q.mayHaveRun {
 		f = &Refusal{Code: CodeTimeout, Ran: true, Detail: f.Detail}
 	}
 	g.refuse(out.writer, q, f)
--- a/forward/home.go
+++ b/forward/home.go
@@ -47,8 +47,8 @@
 		q.waited, q.queued = time.Since(q.received), p.Queued
 		switch {
 		case err != nil:
-			g.away.note(e.DataCentre(), time.Now())
-			g.noteUnheard(q, e, err)
+			g.centres.avoid(e.DataCentre(), time.Now())
+			g.noteNoOwner(q, e, err)
 			f = sooner(f, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "no leader answers"})
 		case p.Settling:
 			f = sooner(f, &Refusal{Code: CodeNotLoaded, Retry: p.Retry, Detail: p.Reason})
@@ -64,12 +64,13 @@
 	return target{}, f, true
 }
 
-// noteUnheard logs once for a request that nobody answers: it asks again ten times a second.
-func (g *Gateway) noteUnheard(q *request, e *topology.Endpoint, err error) {
-	if q.unheard {
+// noteNoOwner logs once for a request that nobody answers for the endpoint: it asks again ten
+// times a second.
+func (g *Gateway) noteNoOwner(q *request, e *topology.Endpoint, err error) {
+	if q.noOwnerLogged {
 		return
 	}
-	q.unheard = true
+	q.noOwnerLogged = true
 	g.Log.Info("Nobody answers for the endpoint that should load the adapter", "request", q.call.ID,
 		"endpoint", e.ID(), "endpoint_data_centre", e.DataCentre(), "adapter", q.call.Adapter.String(), "err", err.Error())
 }
--- a/forward/offer_test.go
+++ b/forward/offer_test.go
@@ -27,7 +27,7 @@
 	s := newSite(t, once(2*time.Second))
 	refused, ran := s.endpoint(t, refuseUnrun), s.endpoint(t, answerOK)
 	s.move("e2", "far")
-	s.gateway.away.note("far", time.Now().Add(time.Minute))
+	s.gateway.centres.avoid("far", time.Now().Add(time.Minute))
 	a, _, err := s.ask("/")
 	s.c.Assert(err, quicktest.IsNil)
 	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
@@ -52,7 +52,7 @@
 func TestARequestIsOfferedWhereItsModelIsThoughThatIsAvoided(t *testing.T) {
 	s, _ := askTwoCentres(t, settlingPlacer{settled: "far"}, "2s")
 	s.move("e1", "dc")
-	s.gateway.away.note("far", time.Now().Add(time.Minute))
+	s.gateway.centres.avoid("far", time.Now().Add(time.Minute))
 	q, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
 	s.c.Assert(err, quicktest.IsNil)
 	q.Host = "site.example"
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -108,7 +108,7 @@
 // lately, also where those elsewhere have been tried.
 func (g *Gateway) reachable(list []*topology.Endpoint, tried map[string]bool, now time.Time) []*topology.Endpoint {
 	list = g.unavoided(list, g.Cut)
-	return g.unavoided(untried(list, tried), func(centre string) bool { return g.away.is(centre, now) })
+	return g.unavoided(untried(list, tried), func(centre string) bool { return g.centres.isAvoided(centre, now) })
 }
 
 // unavoided returns those of the own data centre and of others that are not avoided; where
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -70,41 +70,41 @@
 
 func TestSeveralUnreachableEndpointsMakeTheirDataCentreAvoided(t *testing.T) {
 	c := quicktest.New(t)
-	var a away
+	var a centres
 	now := time.Unix(100, 0)
 	for i := range failuresMost - 1 {
 		a.fail("far", fmt.Sprint(i), now)
 		a.fail("far", "0", now) // the same one again is no more than one
 	}
-	c.Assert(a.is("far", now), quicktest.IsFalse)
+	c.Assert(a.isAvoided("far", now), quicktest.IsFalse)
 	late := now.Add(2 * failuresWithin) // the others are long ago
 	a.fail("far", "9", late)
-	c.Assert(a.is("far", late), quicktest.IsFalse)
+	c.Assert(a.isAvoided("far", late), quicktest.IsFalse)
 	for i := range failuresMost {
 		a.fail("far", fmt.Sprint(i), late)
 	}
-	c.Assert(a.is("far", late), quicktest.IsTrue)
-	c.Assert(a.is("far", late.Add(2*awayFor)), quicktest.IsFalse)
+	c.Assert(a.isAvoided("far", late), quicktest.IsTrue)
+	c.Assert(a.isAvoided("far", late.Add(2*avoidFor)), quicktest.IsFalse)
 }
 
 // A cut showed only by the heartbeats of boxes, 1.2 s later; every request into it until
 // then was lost.
 func TestSeveralRequestsIntoSilenceMakeTheirDataCentreAvoided(t *testing.T) {
 	c := quicktest.New(t)
-	var a away
+	var a centres
 	sent := time.Unix(100, 0)
 	late := sent.Add(silenceTimeout)
 	a.hear("far", sent.Add(time.Millisecond)) // of another request there
 	for i := range failuresMost {
 		a.silence("far", fmt.Sprint(i), sent, late)
 	}
-	c.Assert(a.is("far", late), quicktest.IsFalse)
+	c.Assert(a.isAvoided("far", late), quicktest.IsFalse)
 	sent = late
 	late = sent.Add(silenceTimeout)
 	for i := range failuresMost {
 		a.silence("far", fmt.Sprint(i), sent, late)
 	}
-	c.Assert(a.is("far", late), quicktest.IsTrue)
+	c.Assert(a.isAvoided("far", late), quicktest.IsTrue)
 }
 
 // leavingPlacer makes the first endpoint that it is asked for leave meanwhile.
--- a/forward/request.go
+++ b/forward/request.go
@@ -18,28 +18,28 @@
 
 // request is one try of a caller, held until its final answer.
 type request struct {
-	inbound  *http.Request
-	caller   caller
-	call     Call
-	received time.Time
-	deadline time.Time // of the caller or of the route, whichever is first
-	route    *topology.Route
-	config   *topology.Config
-	service  *topology.Service
-	body     []byte
-	attempts int             // requests sent to endpoints
-	ran      int             // of these, those that may have run
-	tried    map[string]bool // endpoints that failed it
-	unsure   bool            // an attempt may have run
-	unheard  bool            // a line tells that nobody answered for an endpoint that should load its adapter
-	granted  bool            // the next attempt was taken from the budget of retries
-	withheld bool            // the budget kept it from another attempt
-	denied   string          // the endpoint that said it does not hold the adapter
-	sentAt   time.Time       // of the last attempt
-	sentTo   *topology.Endpoint
-	version  int64         // of the adapter at the last attempt; zero: any
-	queued   time.Duration // of waited, until the load began
-	waited   time.Duration // until its adapter was ready somewhere, or was found not to be
+	inbound       *http.Request
+	caller        caller
+	call          Call
+	received      time.Time
+	deadline      time.Time // of the caller or of the route, whichever is first
+	route         *topology.Route
+	config        *topology.Config
+	service       *topology.Service
+	body          []byte
+	attempts      int             // requests sent to endpoints
+	ran           int             // of these, those that may have run
+	tried         map[string]bool // endpoints that failed it
+	mayHaveRun    bool            // an attempt may have run
+	noOwnerLogged bool            // a line tells that nobody answered for an endpoint that should load its adapter
+	budgeted      bool            // the next attempt has been taken from the budget of retries already
+	withheld      bool            // the budget kept it from another attempt
+	denied        string          // the endpoint that said it does not hold the adapter
+	sentAt        time.Time       // of the last attempt
+	sentTo        *topology.Endpoint
+	version       int64         // of the adapter at the last attempt; zero: any
+	queued        time.Duration // of waited, until the load began
+	waited        time.Duration // until its adapter was ready somewhere, or was found not to be
 	// predicted is how long the endpoint of the last attempt was expected to take to its
 	// first token.
 	predicted time.Duration
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -46,7 +46,7 @@
 
 // sum says of the whole request what its attempts together allow.
 func (g *Gateway) sum(q *request, f *Refusal) *Refusal {
-	if q.unsure {
+	if q.mayHaveRun {
 		f.Ran = true
 	}
 	return f
@@ -66,8 +66,8 @@
 		return false
 	}
 	switch {
-	case q.granted:
-		q.granted = false
+	case q.budgeted:
+		q.budgeted = false
 		return true
 	case f.Unsent:
 		g.budget(q.service.Name()).Unsent()
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	q.ran++
-	q.unsure = true
+	q.mayHaveRun = true
 	q.tried[t.endpoint.ID()] = true
 	if ctx.Err() == nil {
 		u.dropIdle()
@@ -126,14 +126,14 @@
 
 // ended tells whether the end of the body is the end of the stream. What was passed
 // on before reaches the caller in any case.
-func (s *events) ended(a *http.Response, rest []byte, err error) error {
+func (s *events) ended(a *http.Response, partial []byte, err error) error {
 	if s.out.begun {
 		s.out.flush()
 	}
 	if err != io.EOF {
 		return err
 	}
-	if len(rest) > 0 {
+	if len(partial) > 0 {
 		return io.ErrUnexpectedEOF
 	}
 	if !s.out.begun {
