Name what a Loader asks of boxes that leave, and what it counts, as they are

Loader.Before said neither who nor what: AskToResign. 'told' was a count of publications: published. 'rest' was a duration beside slots that rest, 'rested' the time of the next step. Names and comments only: with the names mapped, each declaration of placement and edge printed without comments is the same to the letter. Tests: names alone.

--- a/edge/node.go
+++ b/edge/node.go
@@ -65,17 +65,17 @@
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.readAgo}
 	n.usage = newUsage(n)
 	n.loader = &placement.Loader{
-		Box:     s.Box,
-		View:    n.view,
-		Control: n.Control,
-		Limits:  func() placement.RateLimits { return n.current.Load().Rate },
-		Log:     n.Log,
-		Fences:  fences,
-		Lease:   func() time.Duration { return n.current.Load().Bounds.Lease },
-		Leaders: func() int { return len(n.peers.clusterView().centres) },
-		Owns:    n.owns,
-		Before:  n.peers.takeOver,
-		Reads:   func(tokens int) time.Duration { return n.gateway.Reads(tokens) },
+		Box:         s.Box,
+		View:        n.view,
+		Control:     n.Control,
+		Limits:      func() placement.RateLimits { return n.current.Load().Rate },
+		Log:         n.Log,
+		Fences:      fences,
+		Lease:       func() time.Duration { return n.current.Load().Bounds.Lease },
+		Leaders:     func() int { return len(n.peers.clusterView().centres) },
+		Owns:        n.owns,
+		AskToResign: n.peers.takeOver,
+		Reads:       func(tokens int) time.Duration { return n.gateway.Reads(tokens) },
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
 			n.state.publish(s.DataCentre, endpoint, version, held)
 		},
--- a/edge/takeover_test.go
+++ b/edge/takeover_test.go
@@ -237,7 +237,7 @@
 			Lease:   func() time.Duration { return time.Second },
 			Leaders: func() int { return 1 },
 			Owns:    n.owns,
-			Before: func(context.Context, *topology.Endpoint) (placement.Handover, time.Duration) {
+			AskToResign: func(context.Context, *topology.Endpoint) (placement.Handover, time.Duration) {
 				return placement.Handover{}, 0
 			},
 			Publish: func(string, uint64, map[topology.Adapter]topology.Held) {},
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -62,7 +62,7 @@
 	if !first {
 		return Handover{}
 	}
-	h, wait := l.Before(ctx, e)
+	h, wait := l.AskToResign(ctx, e)
 	if h.Resigned {
 		l.Fences.Hear(term(h.Fence))
 		return h
--- a/placement/fence.go
+++ b/placement/fence.go
@@ -8,9 +8,9 @@
 )
 
 const (
-	boxBits  = 22 // of a fence name the box, so that no two boxes share a fence
-	termBits = 31 // seconds until 2038 and later: a fence stays below 2^53, as JSON numbers must
-	toldBits = 24 // publications under one fence
+	boxBits       = 22 // of a fence name the box, so that no two boxes share a fence
+	termBits      = 31 // seconds until 2038 and later: a fence stays below 2^53, as JSON numbers must
+	publishedBits = 24 // of a publication's version count the publications under one fence; its term is above them
 
 	// refusedTerms is how far a refused box raises its term, times more each time: an
 	// owner whose clock was ahead by an hour is passed after three refusals.
@@ -74,4 +74,4 @@
 func term(fence uint64) uint64 { return fence >> boxBits }
 
 // Term returns the part of a publication's version that rises with each owner.
-func Term(version uint64) uint64 { return version >> toldBits }
+func Term(version uint64) uint64 { return version >> publishedBits }
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -34,11 +34,12 @@
 	// Reads returns how long an endpoint takes to read so many tokens of prompts, as it
 	// was seen lately.
 	Reads func(tokens int) time.Duration
-	// Before asks the box that gave an endpoint its orders and leaves to resign from it.
-	// Where that one may still give orders and did not answer, it does so for this long at
-	// most. Nobody leaves: nothing, at once.
-	Before func(ctx context.Context, e *topology.Endpoint) (Handover, time.Duration)
-	// Lease is how long a refused owner keeps away from an endpoint.
+	// AskToResign asks the boxes that leave and may have given an endpoint its orders to resign
+	// from it. Where none did and one did not answer, that one may give orders for so long.
+	// Nobody leaves: nothing, at once.
+	AskToResign func(ctx context.Context, e *topology.Endpoint) (Handover, time.Duration)
+	// Lease is how long two boxes that both think that they own an endpoint must not take
+	// turns; a refused one keeps away for somewhat longer.
 	Lease func() time.Duration
 
 	mu         sync.Mutex
@@ -77,25 +78,25 @@
 
 // owned is one endpoint that this box gives orders to. Guarded by Loader.mu.
 type owned struct {
-	endpoint *topology.Endpoint
-	phase    phase
-	since    time.Time // of the phase
-	fence    uint64    // the last one that the endpoint was shown
-	refused  int       // fences refused in a row
-	told     uint64    // publications so far
-	slots    map[topology.Adapter]*slot
-	orders   int               // loads on their way
-	promised policy.Popularity // tokens of prompts that boxes were told to send here and have not told of
-	pending  int               // tokens of prompts that wait for loads here
-	queued   int               // loads that wait for a slot here, as of the last look
-	reclaim  bool              // what it holds must be learnt anew
-	models   map[string]bool   // base models that it holds
-	fetching bool              // a base model is on its way
-	claims   int               // how often this box learnt what it holds; tasks of earlier claims stop
-	handed   bool              // what it holds was told by the owner before, as of the last claim
-	calls    int               // orders that it has not answered
-	answered chan struct{}     // closed when it has; nil: nobody waits
-	unsure   bool              // an order got no answer since the last claim, or another owner's stands
+	endpoint  *topology.Endpoint
+	phase     phase
+	since     time.Time // of the phase
+	fence     uint64    // the last one that the endpoint was shown
+	refused   int       // fences refused in a row
+	published uint64    // publications so far
+	slots     map[topology.Adapter]*slot
+	orders    int               // loads on their way
+	promised  policy.Popularity // tokens of prompts that boxes were told to send here and have not told of
+	pending   int               // tokens of prompts that wait for loads here
+	queued    int               // loads that wait for a slot here, as of the last look
+	reclaim   bool              // what it holds must be learnt anew
+	models    map[string]bool   // base models that it holds
+	fetching  bool              // a base model is on its way
+	claims    int               // how often this box learnt what it holds; tasks of earlier claims stop
+	handed    bool              // what it holds was told by the owner before, as of the last claim
+	calls     int               // orders that it has not answered
+	answered  chan struct{}     // closed when it has; nil: nobody waits
+	unsure    bool              // an order got no answer since the last claim, or another owner's stands
 }
 
 // slot is one adapter that takes room at an endpoint.
@@ -152,7 +153,7 @@
 			ended <- struct{}{}
 		}()
 	}
-	var rested time.Time // when the next step may be
+	var nextStep time.Time // not before it
 	next := time.NewTimer(ownPause)
 	defer next.Stop()
 	for ctx.Err() == nil {
@@ -163,12 +164,12 @@
 		case <-l.wake:
 		case <-next.C:
 		}
-		sleep(ctx, time.Until(rested))
+		sleep(ctx, time.Until(nextStep))
 		begun := time.Now()
 		for _, task := range l.step(begun) {
 			spawn(task)
 		}
-		rested = time.Now().Add(max(stepPause, stepPart*time.Since(begun)))
+		nextStep = time.Now().Add(max(stepPause, stepPart*time.Since(begun)))
 		next.Reset(l.pause())
 	}
 	for range running {
@@ -375,8 +376,8 @@
 			held[a] = topology.Held{Version: s.version, Ready: s.ready}
 		}
 	}
-	o.told++
-	l.Publish(o.endpoint.ID(), term(o.fence)<<toldBits|o.told, held)
+	o.published++
+	l.Publish(o.endpoint.ID(), term(o.fence)<<publishedBits|o.published, held)
 }
 
 var _ forward.Placer = (*Loader)(nil)
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -129,18 +129,18 @@
 	v.SetEndpoint(e)
 	fake := &fakeEndpoint{slots: make(map[topology.Adapter]bool), inUse: make(map[topology.Adapter]bool), leaving: make(map[topology.Adapter]bool), loadTime: 20 * time.Millisecond}
 	l := &Loader{
-		Box:     "box",
-		View:    v,
-		Control: fake,
-		Limits:  func() RateLimits { return DefaultRateLimits },
-		Log:     logr.Discard(),
-		Fences:  &Fences{Box: 1},
-		Lease:   func() time.Duration { return 100 * time.Millisecond },
-		Leaders: func() int { return 1 },
-		Reads:   func(tokens int) time.Duration { return time.Duration(tokens) * 25 * time.Microsecond },
-		Owns:    func(*topology.Endpoint, time.Time) (bool, time.Time) { return true, time.Time{} },
-		Before:  func(context.Context, *topology.Endpoint) (Handover, time.Duration) { return Handover{}, 0 },
-		Publish: func(_ string, _ uint64, held map[topology.Adapter]topology.Held) { v.SetHeld("e1", held) },
+		Box:         "box",
+		View:        v,
+		Control:     fake,
+		Limits:      func() RateLimits { return DefaultRateLimits },
+		Log:         logr.Discard(),
+		Fences:      &Fences{Box: 1},
+		Lease:       func() time.Duration { return 100 * time.Millisecond },
+		Leaders:     func() int { return 1 },
+		Reads:       func(tokens int) time.Duration { return time.Duration(tokens) * 25 * time.Microsecond },
+		Owns:        func(*topology.Endpoint, time.Time) (bool, time.Time) { return true, time.Time{} },
+		AskToResign: func(context.Context, *topology.Endpoint) (Handover, time.Duration) { return Handover{}, 0 },
+		Publish:     func(_ string, _ uint64, held map[topology.Adapter]topology.Held) { v.SetHeld("e1", held) },
 	}
 	l.Init()
 	l.pace.limit = atOnce
--- a/placement/resign_test.go
+++ b/placement/resign_test.go
@@ -114,7 +114,7 @@
 	b.loader.Box, b.loader.Control = name, f
 	b.loader.Fences = &Fences{Box: number}
 	if before != nil {
-		b.loader.Before = func(ctx context.Context, e *topology.Endpoint) (Handover, time.Duration) {
+		b.loader.AskToResign = func(ctx context.Context, e *topology.Endpoint) (Handover, time.Duration) {
 			return before.Resign(ctx, e.ID()), 0
 		}
 	}
@@ -266,7 +266,7 @@
 	f := newSharedEndpoint()
 	f.slots[adapter(7)] = true // loaded by a third box meanwhile
 	b := boxAt(f, "second", 1, nil)
-	b.loader.Before = func(context.Context, *topology.Endpoint) (Handover, time.Duration) {
+	b.loader.AskToResign = func(context.Context, *topology.Endpoint) (Handover, time.Duration) {
 		time.Sleep(reportLag)
 		return Handover{Resigned: true, Fence: 1, Holding: Holding{Models: []string{model}}}, 0
 	}
@@ -285,7 +285,7 @@
 	first := leaver(t, c, f)
 	left := time.Now()
 	second := boxAt(f, "second", 1, nil)
-	second.loader.Before = func(context.Context, *topology.Endpoint) (Handover, time.Duration) {
+	second.loader.AskToResign = func(context.Context, *topology.Endpoint) (Handover, time.Duration) {
 		return Handover{}, time.Until(left.Add(KeepMost + 2*ownPause))
 	}
 	second.start(t)
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -149,14 +149,14 @@
 // retire unloads an adapter that leaves since the time, when no box uses it any more.
 func (l *Loader) retire(ctx context.Context, o *owned, claim int, a topology.Adapter, since time.Time) {
 	for {
-		rest, leaves := l.quietIn(o, claim, a, since, time.Now())
+		wait, leaves := l.quietIn(o, claim, a, since, time.Now())
 		if !leaves {
 			return
 		}
-		if rest <= 0 {
+		if wait <= 0 {
 			break
 		}
-		if !sleep(ctx, rest) {
+		if !sleep(ctx, wait) {
 			return
 		}
 	}
@@ -166,19 +166,19 @@
 // quietIn is how long it takes at least until an adapter that leaves may be unloaded; from
 // zero on it is. False: it was taken back, even if it leaves again since, or is no longer
 // this box's.
-func (l *Loader) quietIn(o *owned, claim int, a topology.Adapter, since, now time.Time) (rest time.Duration, leaves bool) {
+func (l *Loader) quietIn(o *owned, claim int, a topology.Adapter, since, now time.Time) (wait time.Duration, leaves bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := o.slots[a]
 	if o.claims != claim || o.phase != owning || s == nil || !s.leaving || !s.retired.Equal(since) {
 		return 0, false
 	}
-	rest = tellFor - now.Sub(s.retired)
-	if rest <= 0 && l.runs.of(o.endpoint.ID(), a) > 0 {
-		rest = tellAgain
+	wait = tellFor - now.Sub(s.retired)
+	if wait <= 0 && l.runs.of(o.endpoint.ID(), a) > 0 {
+		wait = tellAgain
 	}
-	s.unloading = rest <= 0
-	return rest, true
+	s.unloading = wait <= 0
+	return wait, true
 }
 
 // emptyInLocked is how long it takes until an endpoint has an empty slot for a load that
--- a/placement/retire_test.go
+++ b/placement/retire_test.go
@@ -190,9 +190,9 @@
 	b.use(1, 0)
 	_, leaves := l.quietIn(o, 0, adapter(1), now, later.Add(tellFor))
 	c.Assert(leaves, quicktest.IsFalse)
-	rest, leaves := l.quietIn(o, 0, adapter(1), later, later.Add(tellFor))
+	wait, leaves := l.quietIn(o, 0, adapter(1), later, later.Add(tellFor))
 	c.Assert(leaves, quicktest.IsTrue)
-	c.Assert(rest <= 0, quicktest.IsTrue)
+	c.Assert(wait <= 0, quicktest.IsTrue)
 }
 
 func TestAnAdapterThatIsWantedAgainBeforeItIsUnloadedStays(t *testing.T) {
