--- a/placement/load.go
+++ b/placement/load.go
@@ -3,9 +3,7 @@
 package placement
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
 
 	"cairnwick.example/topology"
@@ -80,74 +78,6 @@
 // some ten requests.
 const farEnough = 12
 
-// ranked is a load that is wanted, with its rank now.
-type ranked struct {
-	key  wantKey
-	want *want
-	rank rank
-}
-
-// rank orders the loads that are wanted.
-type rank struct {
-	timely bool // begun now, it ends in time for somebody who waits: what is late already waits for those
-	score  float64
-}
-
-// before tells whether a load goes before one of another rank.
-func (r rank) before(o rank) bool {
-	if r.timely != o.timely {
-		return r.timely
-	}
-	return r.score > o.score
-}
-
-// rankLocked returns the rank of a load that is wanted at an endpoint.
-func (l *Loader) rankLocked(k wantKey, w *want, now time.Time) rank {
-	load := l.cold
-	if l.isWarmLocked(l.owned[k.endpoint], k.adapter) {
-		load = l.warm
-	}
-	return rank{timely: w.waiting > 0 && !now.Add(load).After(w.inTime), score: w.score(now)}
-}
-
-// rankedLocked returns the loads that are wanted now, the most wanted first, and
-// forgets those that nobody asked for in a long time. Scores fade with time, and
-// thousands of loads may be remembered, so each is ranked once.
-func (l *Loader) rankedLocked(now time.Time) []ranked {
-	var list []ranked
-	for k, w := range l.wants {
-		if w.worthwhile(now) {
-			list = append(list, ranked{key: k, want: w, rank: l.rankLocked(k, w, now)})
-		} else if now.Sub(w.last) > demandLife {
-			delete(l.wants, k)
-			w.end()
-		}
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		switch {
-		case a.rank.before(b.rank):
-			return -1
-		case b.rank.before(a.rank):
-			return 1
-		}
-		return cmp.Or(cmp.Compare(b.want.far, a.want.far), b.want.last.Compare(a.want.last))
-	})
-	l.queue = l.queue[:0]
-	for _, o := range l.owned {
-		o.queued = 0
-	}
-	for _, r := range list {
-		if o := l.owned[r.key.endpoint]; o != nil && !r.want.spare(now) {
-			r.want.before = o.queued
-			o.queued++
-		}
-		if !r.want.spare(now) && !l.isWarmLocked(l.owned[r.key.endpoint], r.key.adapter) {
-			l.queue = append(l.queue, r.rank)
-		}
-	}
-	return list
-}
-
 // roomLocked tells whether an adapter may be loaded at an endpoint now: a slot is free, or
 // is the adapter's own. An older version of it that may be in use leaves first, since a
 // replacement would wait for its runs and hold up every other order there.
@@ -300,61 +230,6 @@
 		"took_ms", now.Sub(begun).Milliseconds(), "pace", l.pace.limit, "fence", o.fence)
 }
 
-// timeLocked learns from how long a load took. One that was thought to come from the
-// store and was far quicker came from the endpoint's memory, which a new owner does
-// not know of; it says nothing of the store.
-func (l *Loader) timeLocked(s *slot, took time.Duration, now time.Time) {
-	l.rememberLocked(s, took)
-	if s.paced && took < l.pace.quickest()*memoryPart/10 {
-		l.unpaceLocked(s, 0, now)
-	}
-	if !s.paced {
-		if took < l.pace.quickest()*memoryPart/10 {
-			l.warm += (min(took, outlier*l.warm) - l.warm) / smoothing
-		}
-		return
-	}
-	l.cold += (min(took, outlier*l.cold) - l.cold) / smoothing
-	l.unpaceLocked(s, took, now)
-}
-
-// isWarmLocked tells whether an endpoint's memory keeps an adapter that it held lately.
-func (l *Loader) isWarmLocked(o *owned, a topology.Adapter) bool {
-	if o == nil {
-		return false
-	}
-	since, known := l.View.Left(o.endpoint.ID(), a)
-	return known && since < l.memory
-}
-
-// rememberLocked learns from how long a load took how many adapters an endpoint's memory
-// keeps: one that had left so many times ago was there still, or was not.
-func (l *Loader) rememberLocked(s *slot, took time.Duration) {
-	if !s.remembered {
-		return
-	}
-	quick := took < l.pace.quickest()*memoryPart/10
-	if quick {
-		l.memory = max(l.memory, s.left+1)
-	} else if !s.paced {
-		l.memory = max(min(l.memory, s.left), memoryLeast)
-	}
-}
-
-const (
-	memoryPart = 6 // tenths of the quickest load from the store: what is quicker came from memory
-	smoothing  = 8 // weight of the past against one new load time
-	outlier    = 2 // times the smoothed time that one load may count
-)
-
-// unpaceLocked ends a load for the pace; took is zero when it did not succeed.
-func (l *Loader) unpaceLocked(s *slot, took time.Duration, now time.Time) {
-	if s.paced {
-		s.paced = false
-		l.pace.end(took, now)
-	}
-}
-
 // abandon ends a load that will not be.
 func (l *Loader) abandon(o *owned, claim int, a topology.Adapter) {
 	l.mu.Lock()
