Take history out of comments, and say what some constants and fields are

Comments only: each declaration of edge, forward and placement, printed without comments, is the same to the letter.

--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -38,8 +38,8 @@
 	centres []string                 // that have a serving box, sorted
 	silent  map[string]bool          // data centres whose boxes are all believed dead
 	leaders map[string]member.Member // of the data centres that have a known box
-	other   member.Member            // leads data centres of which no box is known
-	found   bool                     // other was found
+	other   member.Member            // the oldest strong box of all: leads where no box is known, and where all have left
+	found   bool                     // there is one
 	above   member.Member            // the box that this one follows
 	steps   int                      // from this box to the leader of its data centre; zero: it leads
 }
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -12,7 +12,7 @@
 	idleTime   = 90 * time.Second        // callers use connections again that rested for less
 	noticeFor  = 2800 * time.Millisecond // the balancer asks each second and believes the second miss
 	endMargin  = 300 * time.Millisecond  // of the grace that is kept for the end itself
-	leavePause = 100 * time.Millisecond
+	leavePause = 100 * time.Millisecond  // between two looks whether noticeFor is over
 	// answerTime is the last of what the held requests have: those that are still held are
 	// told then, and their answers written, in place of connections that are closed. An
 	// answer is a few hundred bytes to a caller some ms away, for up to a thousand of them.
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -20,9 +20,9 @@
 	heartbeat  = 300 * time.Millisecond // a dead neighbour is suspected after one and a half
 	suspectFor = 900 * time.Millisecond // and dead after three more
 	forgetDead = 10 * time.Minute       // the dead are looked for so long, in case a cut heals
-	freshFor   = 2 * time.Second
-	pauseLimit = time.Second // a longer gap between two beats is a pause of this process
-	neighbours = 2
+	freshFor   = 2 * time.Second        // how long an exchange would vouch for the view; no box asks
+	pauseLimit = time.Second            // a longer gap between two beats is a pause of this process
+	neighbours = 2                      // the next ones on the ring, to which heartbeats go
 	peerDial   = 400 * time.Millisecond // a box that is dark drops the opening packet; the next try may meet it up
 	silentFor  = 550 * time.Millisecond // just below two heartbeats in a row without a byte: the connection may be silent for good while new ones work; what is lost once comes again after 200 ms
 	settleFor  = 700 * time.Millisecond // after the start, for the view to become whole: the first second's beats are quick
@@ -128,8 +128,8 @@
 
 // budgetBoxes returns how many boxes share what all may send again; zero as long as the
 // first view of the others is not whole, and where this box should know others and does not.
-// Boxes that took their shares by those in touch made 1,008 of 182 extra retries on four
-// sides of a cut.
+// Boxes out of touch count too: on four sides of a cut, shares by those in touch alone added
+// up to 1,008 extra retries where 182 were allowed.
 func (p *peers) budgetBoxes(now time.Time) int {
 	p.mu.Lock()
 	settled, met := p.settledLocked(now), !p.met.IsZero()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -20,7 +20,7 @@
 	Callers    string // IP:port for callers
 	Ready      string // IP:port for the balancer's questions
 	Peers      string // IP:port for other boxes
-	Metrics    string // IP:port for metrics; empty: not served
+	Metrics    string // IP:port for metrics; empty: a free port
 	Seeds      []string
 	Limits     Limits
 	Bounds     Bounds
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -24,7 +24,7 @@
 	Observer   Observer
 	Boxes      func() int                                               // boxes that share the budget of retries; zero: not known yet
 	Level      func(dataCentre string) (cost time.Duration, known bool) // of a load there, by who decides for its endpoints
-	Cut        func(dataCentre string) bool                             // whether a data centre is out of touch
+	Cut        func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead: it is out of touch
 	Budget     func() BudgetLimits                                      // by the settings in force
 	MostHeld   int                                                      // requests held at a time; more are refused
 	Log        logr.Logger
--- a/forward/home.go
+++ b/forward/home.go
@@ -94,9 +94,7 @@
 	return some
 }
 
-// What a load costs in one data centre or another. Where the data centre followed from the
-// adapter's name alone the troubled days of a site short of slots gave 0.493 of worth, with
-// these 0.508 (one play, two plays).
+// What a load costs in one data centre or another, on top of what its leader tells.
 const (
 	// rankCost is how much more a load may cost in an adapter's first data centre than in
 	// its second before it goes there: where costs are alike, boxes agree.
--- a/forward/pick.go
+++ b/forward/pick.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	farPenalty     = 0.5  // how much fuller an endpoint of the own data centre may be than one elsewhere
-	failurePenalty = 2.0  // how much fuller an endpoint that always fails would have to be
-	greyMargin     = 0.25 // an endpoint that fails so much more often than the others is avoided
-	silentMost     = 2    // requests without any answer for long that make an endpoint suspect
-	silentAfter    = 700 * time.Millisecond
+	farPenalty     = 0.5                    // how much fuller an endpoint of the own data centre may be than one elsewhere
+	failurePenalty = 2.0                    // how much fuller an endpoint that always fails would have to be
+	greyMargin     = 0.25                   // an endpoint that fails so much more often than the others is avoided
+	silentMost     = 2                      // requests without any answer for long that make an endpoint suspect
+	silentAfter    = 700 * time.Millisecond // after which a request without any answer counts as one of them: a first event takes some 50 ms
 )
 
 // usable returns those of the list that are worth a try: not draining, not tried, and not
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -31,8 +31,8 @@
 	idleTimeout  = 20 * time.Second       // until the endpoint says how long it keeps connections
 	idleMargin   = 0.6                    // of what the endpoint says: it must not close first
 	downFirst    = 500 * time.Millisecond // how long an endpoint that could not be reached is avoided
-	downMost     = 4 * time.Second
-	failureShare = 0.1 // weight of one outcome in the failure rate
+	downMost     = 4 * time.Second        // the longest, after some refusals in a row
+	failureShare = 0.1                    // weight of one outcome in the failure rate
 )
 
 // upstream is the connections to one life of an endpoint and how it did.
--- a/placement/load.go
+++ b/placement/load.go
@@ -74,8 +74,8 @@
 }
 
 // farEnough is how many requests must have gone to another data centre for a copy
-// to be worth its load: by the users' prices a load costs as much as the bytes of
-// some ten requests.
+// to be worth its load: a load is priced like the bytes of some ten requests between data
+// centres.
 const farEnough = 12
 
 // roomLocked tells whether an adapter may be loaded at an endpoint now: a slot is free, or
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -24,8 +24,8 @@
 	// restFor is how long an adapter must not have been used, and no box been told that it
 	// is ready, to count as resting. A box tells of what it begins within 20 ms and the way
 	// to the leader, but one whose share of the processor is used up stands still for a
-	// tenth of a second. With 60 ms a quarter of the unloads met a request, and endpoints
-	// stood still for 791 s in all of a day of 58 s with 18 of them.
+	// tenth of a second. With 60 ms a quarter of the unloads met a request, and 18 endpoints
+	// together stood still for 791 of 1,044 s.
 	restFor = 250 * time.Millisecond
 	// heardAfter is how long after it began to own an endpoint a box has heard what all
 	// boxes use there: they tell a new leader within some 0.3 s of hearing of it, and it
