--- a/placement/resign_test.go
+++ b/placement/resign_test.go
@@ -321,7 +321,7 @@
 	b := prepare(4)
 	b.loader.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: "e1", Service: "llm", DataCentre: "dc", Slots: 8}))
 	asked := make(chan string, 1)
-	b.loader.Before = func(_ context.Context, e *topology.Endpoint) (Handover, time.Duration) {
+	b.loader.AskToResign = func(_ context.Context, e *topology.Endpoint) (Handover, time.Duration) {
 		select {
 		case asked <- e.ID():
 		default: // once is enough
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -223,6 +223,7 @@
 
 func TestWantedLoadsAreCountedAndForgotten(t *testing.T) {
 	b := newBench(t)
+	b.scheduler.Store.Rate = 1 // at a thousand a load was allowed again 1 ms after the budget was emptied
 	b.own()
 	q := &wire.AcquireRequest{Endpoint: "e1", Adapter: "b@1", Class: "urgent"}
 	for b.scheduler.budget.take(time.Now()) { // so that no load begins
