--- a/edge/budget_test.go
+++ b/edge/budget_test.go
@@ -40,7 +40,7 @@
 //
 // The evidence: with ten saved retries each, 71 boxes may send 710 on top of their shares of
 // 715, where 1,021 are allowed. With no more saved than a share, this test counted 216 extra
-// ones of 72 boxes in touch, and 1,008 of the same on four sides of a cut; 182 are allowed.
+// ones of 72 boxes that hear each other, and 1,008 of the same on four sides of a cut; 182 are allowed.
 func TestSidesOfACutShareOneBudgetOfRetries(t *testing.T) {
 	limits := forward.BudgetLimits{Ratio: 0.2, Extra: 182, Window: 10 * time.Second}
 	var all []member.Member
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -209,7 +209,7 @@
 }
 
 // A leader that had been cut off from the source alone kept an endpoint that had left for
-// 2.5 s after its return, and with it all that relied on its word, who had been in touch.
+// 2.5 s after its return, and with it all that relied on its word, though the source answered them.
 func TestABoxThatHoldsBackWhatTheSourceSaidIsNoSourceForOthers(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -65,7 +65,7 @@
 	sent := time.Now()
 	silence := time.AfterFunc(silenceTimeout, func() {
 		g.centres.silence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
-		u.doubt(sent)
+		u.closeResting(sent)
 	})
 	done := make(chan struct{}, 1)
 	timer := time.AfterFunc(silentAfter, func() {
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -153,10 +153,10 @@
 	u.heard = now
 }
 
-// doubt closes the connections that rest, where nothing at all came from the endpoint since
+// closeResting closes the connections that rest, where nothing at all came from the endpoint since
 // sent: they may be as silent as the one that a request has waited on in vain. Those in use
 // may still answer.
-func (u *upstream) doubt(sent time.Time) {
+func (u *upstream) closeResting(sent time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if !u.heard.After(sent) {
