--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -10,8 +10,9 @@
 )
 
 // How far a box may be behind its source is divided between the parts of the way of a fact:
-// a leader's watch, the steps to a follower (a word each: how long ago the source was heard), and, where the source stops answering the leader
-// without a word, the follower's own call. Of 2 s: 0.67 s between two answers to the leader,
+// a leader's watch, the steps to a follower (at each a word of how long ago the source was
+// heard), and, where the source stops answering the leader without an error, the follower's
+// own call. Of 2 s: 0.67 s between two answers to the leader,
 // and 0.3 s for each step; so a word is at most 0.75 s old at the leader and 1.35 s two steps
 // below it. At 1.5 s a box reads by itself, 0.1 s later at most, which leaves 0.4 s for the
 // call and for a leader whose link is slow.
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	watchShort  = 300 * time.Millisecond  // the same after a failure, until the source answers
+	watchShort  = 300 * time.Millisecond  // of a watch after a failure, until the source answers
 	watchLeast  = 50 * time.Millisecond   // of a watch that makes up for the time since the last answer
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
@@ -36,8 +36,8 @@
 	log        logr.Logger
 	watchTime  func() time.Duration // at most between two answers of the source
 	lapse      func() time.Duration // entries of endpoints may lapse where the source is away for so long
-	heard      func(word readOutcome)
-	ages       func() map[string]int64
+	heard      func(o readOutcome)
+	ages       func() map[string]int64 // of the source's word, for the log
 	listed     func(revision uint64) // hears of a list before it is taken
 
 	after     uint64    // revision that is known; zero: nothing
