--- a/edge/reader.go
+++ b/edge/reader.go
@@ -38,7 +38,7 @@
 	lapse      func() time.Duration // entries of endpoints may lapse where the source is away for so long
 	heard      func(o readOutcome)
 	ages       func() map[string]int64 // of the source's word, for the log
-	listed     func(revision uint64) // hears of a list before it is taken
+	listed     func(revision uint64)   // hears of a list before it is taken
 
 	after     uint64    // revision that is known; zero: nothing
 	asOf      time.Time // the table is as the source said then; zero: never
