--- a/forward/gone_test.go
+++ b/forward/gone_test.go
@@ -56,22 +56,14 @@
 			r := newRuns()
 			s.endpoint(t, r.work(begin))
 			s.endpoint(t, r.work(begin)) // it may be resumed there, but not for nobody
-			caller := s.callByHand(t, wholeByHand)
-			s.await(r.begun)
-			s.c.Assert(caller.Close(), quicktest.IsNil)
-			s.await(r.left)
-			s.eventually(func() bool { return s.gateway.Held() == 0 })
-			s.c.Assert(s.calls["e1"].Load()+s.calls["e2"].Load(), quicktest.Equals, int64(1))
+			s.leavesOneOfTwo(t, r)
 		})
 	}
 }
 
-func TestARepeatableRequestIsNotRepeatedForACallerThatLeft(t *testing.T) {
-	s := newSite(t, repeatable(time.Minute))
-	r := newRuns()
-	for range 2 {
-		s.endpoint(t, r.work(func(http.ResponseWriter) {}))
-	}
+// leavesOneOfTwo checks that a caller that leaves while the first endpoint works is left
+// there, and that the second one is not asked.
+func (s *site) leavesOneOfTwo(t *testing.T, r runs) {
 	caller := s.callByHand(t, wholeByHand)
 	s.await(r.begun)
 	s.c.Assert(caller.Close(), quicktest.IsNil)
@@ -80,6 +72,15 @@
 	s.c.Assert(s.calls["e1"].Load()+s.calls["e2"].Load(), quicktest.Equals, int64(1))
 }
 
+func TestARepeatableRequestIsNotRepeatedForACallerThatLeft(t *testing.T) {
+	s := newSite(t, repeatable(time.Minute))
+	r := newRuns()
+	for range 2 {
+		s.endpoint(t, r.work(func(http.ResponseWriter) {}))
+	}
+	s.leavesOneOfTwo(t, r)
+}
+
 func TestACallerThatLeavesInItsBodyIsLeft(t *testing.T) {
 	s := newSite(t, once(time.Minute))
 	calls := s.endpoint(t, answerOK)
