--- a/cmd/cairnwick/main.go
+++ b/cmd/cairnwick/main.go
@@ -18,7 +18,8 @@
 )
 
 type command struct {
-	Debug bool `arg:"--debug" help:"log every step"`
+	Debug   bool `arg:"--debug" help:"log every step"`
+	Profile bool `arg:"--profile" help:"serve profiles of the process on the metrics address, under /debug/pprof/"`
 }
 
 func main() { os.Exit(run()) }
@@ -48,6 +49,7 @@
 		Control:  platform.NewControl(),
 		Log:      log,
 		Lines:    lines,
+		Profile:  c.Profile,
 	}
 	reloaded := make(chan struct{})
 	go func() {
--- a/daemon/dialer.go
+++ b/daemon/dialer.go
@@ -26,6 +26,7 @@
 	// SilentFor is how long calls may wait without a byte from the other side until their
 	// connection is replaced; zero: for ever.
 	SilentFor time.Duration
+	Messages  *Messages // counts what passes; nil: nothing is counted
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
@@ -47,7 +48,7 @@
 		return c
 	}
 	w := &silence{dial: d.Dial, most: d.SilentFor}
-	c, err := grpc.NewClient("passthrough:///"+address,
+	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(d.Credentials),
 		grpc.WithContextDialer(w.connect),
 		grpc.WithUnaryInterceptor(w.unary),
@@ -59,7 +60,12 @@
 		grpc.WithConnectParams(grpc.ConnectParams{
 			Backoff:           backoff.Config{BaseDelay: firstBackoff, Multiplier: 1.6, Jitter: 0.2, MaxDelay: mostBackoff},
 			MinConnectTimeout: dialTimeout,
-		}))
+		}),
+	}
+	if d.Messages != nil {
+		options = append(options, grpc.WithStatsHandler(d.Messages.with(address)))
+	}
+	c, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
 		panic(errors.Wrap(err, "daemon: options of a connection")) // a fault of this program, not of the address
 	}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -89,7 +89,7 @@
 	n.Keeper = keeper.New(v.Duration(Settle), n.Log)
 	n.relay = n.newRelay(client)
 	n.loop = n.newLoop()
-	n.Server = NewServer(creds)
+	n.Server = NewServer(creds, nil)
 	wire.RegisterPeerServer(n.Server, peerServer{node: n})
 	wire.RegisterOperatorServer(n.Server, operatorServer{node: n})
 	return n, nil
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -26,11 +26,20 @@
 )
 
 // NewServer returns the gRPC server for other daemons, with buffers as small as those
-// of their connections.
-func NewServer(creds credentials.TransportCredentials) *grpc.Server {
-	return grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(connBuffer), grpc.WriteBufferSize(connBuffer),
-		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPing, Timeout: serverAnswer}))
+// of their connections. Messages counts what passes; nil: nothing is counted.
+func NewServer(creds credentials.TransportCredentials, m *Messages) *grpc.Server {
+	options := []grpc.ServerOption{
+		grpc.Creds(creds),
+		grpc.ReadBufferSize(connBuffer),
+		grpc.WriteBufferSize(connBuffer),
+		grpc.StaticStreamWindowSize(window),
+		grpc.StaticConnWindowSize(window),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: serverPing, Timeout: serverAnswer}),
+	}
+	if m != nil {
+		options = append(options, grpc.StatsHandler(servedMessages{messages: m}))
+	}
+	return grpc.NewServer(options...)
 }
 
 // peerServer answers other daemons.
--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -44,7 +44,7 @@
 	c.Assert(err, quicktest.IsNil)
 	front, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
-	s := NewServer(insecure.NewCredentials())
+	s := NewServer(insecure.NewCredentials(), nil)
 	wire.RegisterPeerServer(s, answering{})
 	wire.RegisterShareServer(s, answering{})
 	proxy := &standin.SilentProxy{Target: back.Addr().String()}
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -5,6 +5,7 @@
 import (
 	"expvar"
 	"net/http"
+	"net/http/pprof"
 
 	"cairnwick.example/member"
 )
@@ -27,6 +28,8 @@
 	m.Set("edge_members", expvar.Func(func() any { return n.membersByState() }))
 	m.Set("edge_leads", expvar.Func(func() any { return n.leads() }))
 	m.Set("edge_loader", expvar.Func(func() any { return n.loader.Counts() }))
+	m.Set("edge_messages", n.messages)
+	m.Set("edge_source_calls", expvar.Func(func() any { return n.calls.counts() }))
 	m.Set("edge_log_lines_left_out", expvar.Func(func() any { return n.Lines.Dropped() }))
 	return m
 }
@@ -61,5 +64,9 @@
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(vars.String())) // the reader may be gone
 	})
+	if n.Profile {
+		mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+		mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	}
 	return mux
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -30,6 +30,7 @@
 	Control  placement.Control
 	Log      logr.Logger
 	Lines    *logging.Bounded // what Log writes to
+	Profile  bool             // whether the metrics address serves profiles of the process
 
 	current atomic.Pointer[Settings] // in force; replaced by Reload
 	view    *topology.View
@@ -37,13 +38,16 @@
 	state   *state
 	peers   *peers
 	shared  *share.Server
-	gateway *forward.Gateway
-	loader  *placement.Loader
-	usage   *usage
-	levels  levels
-	leaving atomic.Bool
-	fresh   freshness
-	listed  atomic.Uint64 // the source's revision when this box listed the endpoints last
+
+	messages *daemon.Messages
+	gateway  *forward.Gateway
+	loader   *placement.Loader
+	usage    *usage
+	levels   levels
+	leaving  atomic.Bool
+	fresh    freshness
+	calls    calls
+	listed   atomic.Uint64 // the source's revision when this box listed the endpoints last
 }
 
 const (
@@ -61,6 +65,7 @@
 	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
 	n.items.OnChange = n.state.apply
 	n.items.IsOver = n.isOver
+	n.messages = &daemon.Messages{Kind: n.messageKind, Near: func(ip string) (bool, bool) { return n.peers.near(ip) }}
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.readAgo}
 	n.usage = newUsage(n)
@@ -111,7 +116,7 @@
 	p := &peers{
 		box:          s.Box,
 		centre:       s.DataCentre,
-		dialer:       &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext, SilentFor: silentFor},
+		dialer:       &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext, SilentFor: silentFor, Messages: n.messages},
 		items:        n.items,
 		log:          n.Log,
 		started:      time.Now(),
@@ -167,12 +172,12 @@
 	n.Log.Info("Box starts", "callers", n.Settings.Callers, "peers", n.Settings.Peers)
 	inner, end := context.WithCancel(context.Background())
 	defer end()
-	server := daemon.NewServer(insecure.NewCredentials())
+	server := daemon.NewServer(insecure.NewCredentials(), n.messages)
 	wire.RegisterPeerServer(server, peerServer{node: n})
 	wire.RegisterShareServer(server, shareServer{node: n})
 	held := n.Settings.Bounds.Grace - noticeFor - endMargin // what is held when the end begins has so long
 	tasks := []task{
-		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLead, n.gateway.Run,
+		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLead, n.gateway.Run, n.logTraffic,
 		n.reader(Settled).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
 		httpTask(n.gateway, listeners.callers, held, max(n.Settings.Limits.Descriptors/callerPart, mostAsking)),
@@ -222,5 +227,6 @@
 		lapse:      func() time.Duration { return n.current.Load().Bounds.Lapse },
 		heard:      func(w readOutcome) { n.fresh.note(c, w) },
 		listed:     func(revision uint64) { n.noteListed(c, revision) },
+		counted:    n.calls.count,
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -140,6 +141,17 @@
 	return max(p.clusterView().boxes, 1)
 }
 
+// near tells whether the box at an IP number is of the own data centre; known is false for one
+// that has not been heard of.
+func (p *peers) near(ip string) (near, known bool) {
+	for _, m := range p.table.All() {
+		if host, _, err := net.SplitHostPort(m.Address()); err == nil && host == ip {
+			return m.DataCentre() == p.centre, true
+		}
+	}
+	return false, false
+}
+
 // lost lists boxes that are believed dead: a cut that heals is noticed there.
 func (p *peers) lost() []string {
 	var list []string
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -39,6 +39,7 @@
 	heard      func(o readOutcome)
 	ages       func() map[string]int64 // of the source's word, for the log
 	listed     func(revision uint64)   // hears of a list before it is taken
+	counted    func(reason string)     // hears of each call before it is made
 
 	after     uint64    // revision that is known; zero: nothing
 	asOf      time.Time // the table is as the source said then; zero: never
@@ -46,6 +47,8 @@
 	trusted   time.Time // until then a missing endpoint may be one that lapsed
 	uncertain bool      // something was missing before trusted
 	holding   bool      // the source said that something is gone, which is not believed yet
+	forgotten bool      // the next list makes up for history that the source has forgotten
+	recounted bool      // the next list tells which endpoints have lapsed
 }
 
 // readOutcome is how a reader's call went.
@@ -125,8 +128,9 @@
 func (r *reader) step(ctx context.Context) (bool, error) {
 	begun := time.Now()
 	if r.uncertain && begun.After(r.trusted) {
-		r.after, r.uncertain, r.holding = 0, false, false
+		r.after, r.uncertain, r.holding, r.recounted = 0, false, false, true
 	}
+	r.counted(r.reason())
 	if r.after == 0 {
 		return false, r.list(ctx, begun)
 	}
@@ -136,7 +140,7 @@
 	if errors.As(err, &ErrForgotten{}) {
 		r.log.Info("Source forgot its history and is listed anew", "collection", r.collection.String(), "revision", r.after)
 		r.back(now)
-		r.after = 0
+		r.after, r.forgotten = 0, true
 		return false, nil
 	}
 	if err != nil {
@@ -152,6 +156,21 @@
 	return len(b.Facts) > 0, nil
 }
 
+// reason tells why the next call is made.
+func (r *reader) reason() string {
+	switch {
+	case r.asOf.IsZero():
+		return readFirst
+	case r.forgotten:
+		return readForgotten
+	case r.recounted:
+		return readRemovals
+	case r.leads():
+		return readLeads
+	}
+	return readNotTold
+}
+
 // list reads the whole collection. Its pages are as of their reading, the first at begun.
 func (r *reader) list(ctx context.Context, begun time.Time) error {
 	b, err := r.source.List(ctx, r.collection)
@@ -160,7 +179,7 @@
 	}
 	now := time.Now()
 	r.back(now)
-	r.after = b.Revision
+	r.after, r.forgotten, r.recounted = b.Revision, false, false
 	r.listed(b.Revision)
 	r.snapshot(b, now)
 	r.asOf = begun
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -85,6 +85,7 @@
 		heard:      func(readOutcome) {},
 		ages:       func() map[string]int64 { return nil },
 		listed:     func(uint64) {},
+		counted:    func(string) {},
 	}, t
 }
 
--- /dev/null
+++ b/edge/traffic_test.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"testing"
+
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+)
+
+func TestMessagesAreCountedByWhatTheyAreFor(t *testing.T) {
+	n := &Node{Decoder: plainDecoder{}}
+	update := func(keys ...string) *wire.Update {
+		u := &wire.Update{}
+		for _, k := range keys {
+			u.Items = append(u.Items, &wire.Item{Key: k})
+		}
+		return u
+	}
+	for _, k := range []struct {
+		message any
+		kind    string
+	}{
+		{&wire.Heartbeat{}, kindHeartbeat},
+		{&wire.Heartbeat{Full: true}, kindWholeView},
+		{&wire.FollowRequest{}, kindFollow},
+		{update(), kindBeat},
+		{update(slotsPrefix + "1"), kindSlots},
+		{update(slotsPrefix+"1", "e/1"), kindEndpoints},
+		{&wire.UseRequest{Part: true}, kindUse},
+		{&wire.UseRequest{}, kindWholeUse},
+		{&wire.UseReply{}, kindLevel},
+		{&wire.AskRequest{}, kindAsk},
+		{&wire.AskReply{}, kindAsk},
+		{&wire.ResignReply{}, kindResign},
+		{nil, kindUnknown},
+	} {
+		quicktest.Check(t, n.messageKind("", k.message), quicktest.Equals, k.kind)
+	}
+}
+
+// A box that has just started calls the source for its first list, whoever leads; after that
+// it says whether others rely on the call.
+func TestCallsToTheSourceAreCountedByTheirReason(t *testing.T) {
+	c := quicktest.New(t)
+	s := &script{
+		list: []Batch{{Facts: published("e/1"), Revision: 5}, {Facts: published("e/1"), Revision: 9}},
+		watch: []func() (Batch, error){
+			func() (Batch, error) { return Batch{Revision: 6}, nil },
+			func() (Batch, error) { return Batch{}, ErrForgotten{} },
+		},
+	}
+	var made calls
+	r, _ := newReader(s)
+	r.counted = made.count
+	for range 4 {
+		step(r)
+	}
+	c.Assert(made.counts(), quicktest.DeepEquals, map[string]int64{readFirst: 1, readLeads: 2, readForgotten: 1})
+}
