Few boxes follow another one when a box restarts

Cause: whom a box follows was its place in the list of its data centre's boxes, so one that went moved all behind it. Who follows another box reads the source to learn what it may have missed. By count a restart moved 5.8 of 39 boxes, itself not counted, in the mean.

Change: each step of the tree chooses whom it follows in an order of its own, by rendezvous hashing, up to the same number of followers; old boxes come before young ones of the same strength, so that one that comes back does not take its old place at once.

Test first: red at 5.8, 3.3 now; most of what is left is where the leader restarts. Ruled out: no bound on followers (fewer moves, but up to twice as many copies a link).

--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cairnwick.example/member"
+	"cairnwick.example/policy"
 )
 
 const (
@@ -141,28 +142,53 @@
 	return a.Name() < b.Name()
 }
 
-// follow finds the box that this one follows. The boxes of a data centre follow each
-// other in steps: the leader first, strong ones before weak ones. A box that is not in
-// its own view follows the leader.
+// follow finds the box that this one follows. The boxes of a data centre follow each other in
+// steps: the leader first, strong ones before weak ones, old ones before young ones. A box that
+// is not in its own view follows the leader.
+//
+// Who changes the box that it follows must learn what it may have missed, so few others may be
+// moved by one that comes or goes. When each took its place in a list of all, a restart moved
+// 5.8 of 39 boxes in the mean; now it moves 3.3, most of them where the leader restarts.
 func (o *clusterView) follow(box, centre string, serving []member.Member) {
 	leader, ok := o.leader(centre)
 	if !ok || leader.Name() == box {
 		return
 	}
-	chain := slices.DeleteFunc(slices.Clone(serving), func(m member.Member) bool {
+	others := slices.DeleteFunc(slices.Clone(serving), func(m member.Member) bool {
 		return m.DataCentre() != centre || m.Name() == leader.Name()
 	})
-	slices.SortStableFunc(chain, func(a, b member.Member) int { return cmp.Compare(b.Capacity(), a.Capacity()) })
-	chain = slices.Insert(chain, 0, leader)
-	i := slices.IndexFunc(chain, func(m member.Member) bool { return m.Name() == box })
-	if i < 0 {
-		o.above, o.steps = leader, 1
+	slices.SortFunc(others, func(a, b member.Member) int {
+		return cmp.Or(cmp.Compare(b.Capacity(), a.Capacity()), cmp.Compare(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Name(), b.Name()))
+	})
+	o.above, o.steps = leader, 1
+	i := slices.IndexFunc(others, func(m member.Member) bool { return m.Name() == box })
+	if i < followersMost {
 		return
 	}
-	o.above = chain[(i-1)/followersMost]
-	for ; i > 0; i = (i - 1) / followersMost {
+	begin, end := 0, followersMost // of the boxes that are so many steps from the leader
+	for i >= end {
 		o.steps++
+		begin, end = end, end+followersMost*(end-begin)
+	}
+	aboveFrom := begin - (end-begin)/followersMost
+	o.above = followed(others[begin:i+1], others[aboveFrom:begin])
+}
+
+// followed returns whom the last of the boxes follows. They choose in turn, each the first in
+// an order of its own that has not enough followers yet.
+func followed(boxes, above []member.Member) member.Member {
+	names := make([]string, len(above))
+	for i, m := range above {
+		names[i] = m.Name()
+	}
+	followers := make(map[string]int, len(above))
+	chosen := ""
+	for _, b := range boxes {
+		ranked := policy.Rank(b.Name(), names)
+		chosen = ranked[slices.IndexFunc(ranked, func(n string) bool { return followers[n] < followersMost })]
+		followers[chosen]++
 	}
+	return above[slices.Index(names, chosen)]
 }
 
 // leader returns the box that leads a data centre; false for none.
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -206,3 +206,52 @@
 		c.Assert(from.Sub(now), quicktest.Equals, k.wait, quicktest.Commentf(k.name))
 	}
 }
+
+// followedBy returns whom each box follows, by name; the leader follows nobody.
+func followedBy(boxes []member.Member) map[string]string {
+	by := make(map[string]string)
+	for i, b := range boxes {
+		m, _, ok := peersOf(b, slices.Delete(slices.Clone(boxes), i, i+1)...).clusterView().parent()
+		if ok {
+			by[b.Name()] = m.Name()
+		}
+	}
+	return by
+}
+
+// In a data centre of 39 boxes of which a third was restarted one after the other, others that
+// were not touched listed the whole source anew.
+//
+// The order of events: a box goes, and comes back with the same name. Whom a box followed was
+// its place in the list of all by name, so all behind the one that went moved up; those at each
+// sixth place followed another box, or the box that they followed had itself moved. Who follows
+// another box may have missed removals, and reads the source to learn them.
+//
+// The evidence: by count, a restart moved 5.8 boxes in the mean.
+func TestARestartMovesFewOtherBoxes(t *testing.T) {
+	c := quicktest.New(t)
+	const count = 39
+	var boxes []member.Member
+	for i := range count {
+		capacity := 192
+		if i < 3 {
+			capacity = 800
+		}
+		boxes = append(boxes, box(fmt.Sprintf("b%02d", i), "dc", uint64(1000+(i*17)%count), capacity))
+	}
+	before := followedBy(boxes)
+	movedInAll := 0
+	for i := range boxes {
+		without := followedBy(slices.Delete(slices.Clone(boxes), i, i+1))
+		restarted := slices.Clone(boxes)
+		restarted[i] = box(boxes[i].Name(), "dc", 2000, boxes[i].Capacity())
+		again := followedBy(restarted)
+		for name := range before {
+			if name != boxes[i].Name() && (without[name] != before[name] || again[name] != without[name]) {
+				movedInAll++
+			}
+		}
+	}
+	t.Logf("%.1f boxes moved by a restart", float64(movedInAll)/count)
+	c.Assert(movedInAll < 4*count, quicktest.IsTrue, quicktest.Commentf("%d moves by %d restarts", movedInAll, count))
+}
