Sort and hash the members once for each change of them

Cause: each heartbeat asked several times for all members, which were copied and sorted by name each time: for the digest of what is told and what is heard, for the neighbours on the ring, for the dead.

The digest is the same number as before, so boxes of unlike versions still agree.

--- a/member/failure.go
+++ b/member/failure.go
@@ -62,6 +62,7 @@
 		gone := m.state == Dead || m.state == Leaving
 		if gone && now.Sub(m.since) > t.limits.ForgetDead {
 			delete(t.others, n)
+			t.names, t.latest = nil, nil
 			t.signs.forget(n)
 			delete(t.news, n)
 			t.version++
@@ -80,6 +81,7 @@
 		if m.state == Suspect {
 			m.since = now
 			t.others[n] = m
+			t.latest = nil
 		}
 	}
 }
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -3,11 +3,8 @@
 package member
 
 import (
-	"encoding/binary"
 	"math"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // Merge takes in what a peer told at now. What is told about this daemon and
@@ -102,17 +99,7 @@
 func (t *Table) Digest() uint64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := xxhash.New()
-	var number [8]byte
-	for _, m := range t.allLocked() {
-		if m.state == Dead {
-			continue
-		}
-		_, _ = h.WriteString(m.name)
-		binary.LittleEndian.PutUint64(number[:], m.incarnation<<3|uint64(m.state))
-		_, _ = h.Write(number[:])
-	}
-	return h.Sum64()
+	return t.snapshotLocked().digest
 }
 
 // Claims returns what a member at an address must hear of itself, so that it can refute it:
--- a/member/member.go
+++ b/member/member.go
@@ -14,8 +14,6 @@
 package member
 
 import (
-	"slices"
-	"strings"
 	"time"
 
 	"cairnwick.example/wire"
@@ -128,7 +126,3 @@
 	}
 	return m.state > old.state
 }
-
-func sortByName(list []Member) {
-	slices.SortFunc(list, func(a, b Member) int { return strings.Compare(a.name, b.name) })
-}
--- a/member/table.go
+++ b/member/table.go
@@ -23,6 +23,8 @@
 	self    Member // state Alive or Leaving
 	others  map[string]Member
 	news    map[string]int // how often each name is still to be told
+	names   []string       // of all, sorted; nil: to be made anew, since one came or went
+	latest  *snapshot      // of the present state; nil: to be made anew
 	version uint64         // grows with each change of the view
 	heard   time.Time      // when a neighbour was last exchanged with
 	signs   signs
@@ -62,22 +64,15 @@
 	return t.notify
 }
 
-// All returns every member that is remembered, self too, sorted by name.
+// All returns every member that is remembered, self too, sorted by name. Do not change the
+// list.
 func (t *Table) All() []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.allLocked()
 }
 
-func (t *Table) allLocked() []Member {
-	list := make([]Member, 0, len(t.others)+1)
-	list = append(list, t.self)
-	for _, m := range t.others {
-		list = append(list, m)
-	}
-	sortByName(list)
-	return list
-}
+func (t *Table) allLocked() []Member { return t.snapshotLocked().members }
 
 // Serving returns the members of a role that are believed to work and stay,
 // sorted by name.
@@ -102,6 +97,9 @@
 func (t *Table) setLocked(m Member, now time.Time) {
 	delete(t.signs.claims, m.name)
 	m.since = now
+	if _, known := t.others[m.name]; !known {
+		t.names = nil
+	}
 	t.others[m.name] = m
 	t.changedLocked(m.name)
 }
@@ -109,6 +107,7 @@
 // changedLocked schedules the news of name and wakes those who wait.
 func (t *Table) changedLocked(name string) {
 	t.news[name] = t.timesToTellLocked()
+	t.latest = nil
 	t.version++
 	close(t.notify)
 	t.notify = make(chan struct{})
