Tell fresh news of members before old, what a beat brought too, and whole views seldom

Cause: after a start of 195 boxes each has news of 195 members to tell some twenty times. Eight go with a heartbeat, chosen at random among them, so that for half a minute fresh news waited behind old: one second after a restart 27 of 195 boxes knew of it. What a box learnt by its own beat it did not pass on at once at all: the signal of the change was missed.

Change: what was told least goes first; a change is spread whoever brought it, at most each 50 ms; a peer gets the whole view where it is new or comes back, where views are more than a heartbeat's news apart in size, or where they differ twice in a row in the same way. Heartbeats say how many members the view has; older boxes do not, and are answered as before.

Ruled out: whole views alone are not the cause (told seldom, a restart still took seconds).

--- a/member/gossip.go
+++ b/member/gossip.go
@@ -3,7 +3,10 @@
 package member
 
 import (
+	"cmp"
+	"maps"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -67,21 +70,25 @@
 	t.changedLocked(t.self.name)
 }
 
-// News returns at most limit pieces of news that are still to be told, in no
-// order, and counts them as told once more.
+// News returns at most limit pieces of news that are still to be told, those that were told least
+// first, and counts them as told once more. After a start of 195 daemons each has 195 pieces to
+// tell some twenty times: chosen at random among them, a change took more than 2 s to reach half
+// of the daemons, and told before them it takes 0.5 s to reach nearly all.
 func (t *Table) News(limit int) []Member {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	names := slices.Collect(maps.Keys(t.news))
+	if len(names) > limit {
+		slices.SortFunc(names, func(a, b string) int { return cmp.Compare(t.news[b], t.news[a]) })
+		names = names[:limit]
+	}
 	var list []Member
-	for n, left := range t.news {
-		if len(list) == limit {
-			break
-		}
+	for _, n := range names {
 		if m, ok := t.lookupLocked(n); ok {
 			list = append(list, m)
 		}
-		t.news[n] = left - 1
-		if left <= 1 {
+		t.news[n]--
+		if t.news[n] <= 0 {
 			delete(t.news, n)
 		}
 	}
@@ -96,10 +103,12 @@
 
 // Digest returns a number that equals another table's when both hold the same
 // view.
-func (t *Table) Digest() uint64 {
+func (t *Table) Digest() uint64 { return t.view().digest }
+
+func (t *Table) view() view {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.snapshotLocked().digest
+	return t.snapshotLocked().view
 }
 
 // Claims returns what a member at an address must hear of itself, so that it can refute it:
--- a/member/loop.go
+++ b/member/loop.go
@@ -40,6 +40,10 @@
 	// and until they have nobody knows who does what.
 	quickBeats = 10
 	quickPart  = 3 // times as fast
+
+	// spreadPause is the least time between two tellings of changes to a random member: where
+	// dozens come or go together, what comes within it is told at once.
+	spreadPause = 50 * time.Millisecond
 )
 
 // Loop beats to the ring neighbours of Table. Set every field before Run.
@@ -57,6 +61,8 @@
 	Neighbours int           // watched at a time
 	OnPause    func(gap time.Duration)
 
+	disagreements disagreements
+
 	probes chan string // names to probe at once
 	nudges chan struct{}
 	beaten int // beats so far
@@ -98,18 +104,29 @@
 	last := time.Now()
 	quick := quickBeats
 	l.beat(ctx)
-	for {
+	spread := l.Table.Version() // of the view whose changes were spread
+	var paused <-chan time.Time // until then no change is spread; nil: one may be
+	for ctx.Err() == nil {
 		changed := l.Table.Changed()
+		if v := l.Table.Version(); paused == nil && v != spread { // also what a beat brought
+			spread = v
+			l.spread(ctx)
+			paused = time.After(spreadPause)
+			continue
+		}
+		if paused != nil {
+			changed = nil
+		}
 		select {
 		case <-ctx.Done():
-			return nil
 		case name := <-l.probes:
 			l.probe(ctx, name)
 		case <-l.nudges:
 			l.exchangeAll(ctx, l.Table.Neighbours(l.Neighbours))
 			l.spread(ctx)
 		case <-changed:
-			l.spread(ctx)
+		case <-paused:
+			paused = nil
 		case now := <-tick.C:
 			if quick--; quick == 0 {
 				tick.Reset(l.Interval)
@@ -120,6 +137,7 @@
 			l.beat(ctx)
 		}
 	}
+	return nil
 }
 
 // watchPause distrusts the view when this process did not run for a while.
@@ -156,8 +174,8 @@
 	}
 }
 
-// spread tells a change at once to one random member: from there it goes on, and
-// so round the ring in few steps. The others hear it with the next beats.
+// spread tells changes to one random member: from there they go on, and so round the ring in few
+// steps. The others hear of them with the next beats.
 func (l *Loop) spread(ctx context.Context) {
 	others := l.Table.Neighbours(math.MaxInt)
 	if len(others) > 0 {
@@ -238,7 +256,8 @@
 // Heartbeat returns what this daemon tells; full tells its whole view. It names
 // this daemon whole, since the peer may not know it yet.
 func (l *Loop) Heartbeat(full bool) *wire.Heartbeat {
-	h := &wire.Heartbeat{From: l.Table.Self().Wire(), View: l.Table.Digest(), Full: full}
+	view := l.Table.view()
+	h := &wire.Heartbeat{From: l.Table.Self().Wire(), View: view.digest, Members: uint32(view.living), Full: full}
 	list := l.Table.News(maxNews)
 	if full {
 		list = l.Table.All()
@@ -250,13 +269,16 @@
 	return h
 }
 
-// Answer takes a heartbeat in and returns this daemon's own, whole when the
-// views differ.
+// Answer takes a heartbeat in and returns this daemon's own, whole where the peer needs that.
 func (l *Loop) Answer(h *wire.Heartbeat) *wire.Heartbeat {
-	l.take(h, h.GetFrom().GetAddress())
-	l.Table.Exchanged(h.GetFrom().GetName(), time.Now())
-	_, known := l.Table.Find(h.GetFrom().GetName())
-	return l.withClaims(l.Heartbeat(known && h.GetView() != l.Table.Digest()), h.GetFrom().GetAddress())
+	from := FromWire(h.GetFrom())
+	before, _ := l.Table.Find(from.name)
+	l.take(h, from.address)
+	l.Table.Exchanged(from.name, time.Now())
+	_, known := l.Table.Find(from.name)
+	theirs := view{digest: h.GetView(), living: int(h.GetMembers())}
+	whole := l.disagreements.note(before, from, theirs, l.Table.view())
+	return l.withClaims(l.Heartbeat(known && whole), from.address)
 }
 
 // withClaims adds to a heartbeat what the daemon at the address must hear of itself.
--- a/member/snapshot.go
+++ b/member/snapshot.go
@@ -15,7 +15,13 @@
 // two of 195 members takes 0.009 ms in place of 0.16 ms (BenchmarkExchangeAtRest).
 type snapshot struct {
 	members []Member // every one that is remembered, self too, sorted by name
-	digest  uint64   // of those that are not dead
+	view    view
+}
+
+// view stands for the members that are not dead.
+type view struct {
+	digest uint64 // equals another table's where both hold the same view
+	living int    // how many they are, self too
 }
 
 func (t *Table) snapshotLocked() *snapshot {
@@ -39,10 +45,11 @@
 		if m.state == Dead {
 			continue
 		}
+		s.view.living++
 		_, _ = h.WriteString(m.name)
 		binary.LittleEndian.PutUint64(number[:], m.incarnation<<3|uint64(m.state))
 		_, _ = h.Write(number[:])
 	}
-	s.digest = h.Sum64()
+	s.view.digest = h.Sum64()
 	return s
 }
