Let a box save the retries that its own requests earn

All boxes together made some 20 retries a second of 173 allowed. 430 extra retries are some two for each of 195 boxes, and a box could save one, whatever its callers asked.

Change: besides, a box saves a quarter of what its first attempts of the last window earn; what is saved and what is earned stays below what either window allows.

Open: more boxes than extra retries (one each is too many then).

--- a/forward/budget.go
+++ b/forward/budget.go
@@ -19,18 +19,24 @@
 // 1,004 in a window that allowed 938.
 const (
 	ratioPart = 0.7  // of the retries that first attempts earn: requests are counted elsewhere too
+	ratioKept = 0.25 // of the same, by the first attempts of the last window: so much may be saved, and both together stay below what either window allows
 	sharePart = 0.95 // of its share of the extra retries; the rest is for boxes that are still unknown
 	savedPart = 0.35 // of that share may be saved and spent at once
-	mostSaved = 10.0 // retries, so that few boxes spread theirs as well
+	mostSaved = 10.0 // retries of the share, so that few boxes spread theirs as well
 )
 
-// Budget is one box's share of the retries to one service.
+// Budget is one box's share of the retries to one service. A box with many callers earns more
+// by their requests than its share of the extra ones, and needs them together: an endpoint that
+// refuses one of its requests refuses the next ones too. Where each of 195 boxes could save
+// one retry alone, every second request that an endpoint refused was given up, with a tenth of what
+// all may send again in use.
 type Budget struct {
 	Limits func() BudgetLimits
 
 	mu     sync.Mutex
 	tokens float64
-	saved  float64 // that tokens may rise to, as of the last retry; zero: one
+	saved  float64 // of its share of the extra ones, that tokens may rise to, as of the last retry; zero: one
+	recent recent  // first attempts
 	at     time.Time
 	counts RetryCounts
 }
@@ -44,11 +50,18 @@
 	Boxes    int     `json:"boxes"`    // that share the budget, as of the last retry
 }
 
-// First notes the first attempt of a request.
-func (b *Budget) First() {
+// First notes the first attempt of a request at now.
+func (b *Budget) First(now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.tokens = min(b.tokens+b.Limits().Ratio*ratioPart, max(b.saved, 1))
+	limits := b.Limits()
+	b.recent.add(now, limits.Window)
+	b.tokens = min(b.tokens+limits.Ratio*ratioPart, b.mostLocked(now, limits))
+}
+
+// mostLocked is how many retries may be saved at now.
+func (b *Budget) mostLocked(now time.Time, limits BudgetLimits) float64 {
+	return max(b.saved, 1) + limits.Ratio*ratioKept*float64(b.recent.count(now, limits.Window))
 }
 
 // Take tells whether one more attempt may be made at now by one of so many boxes. Where it
@@ -66,7 +79,7 @@
 	if !b.at.IsZero() {
 		b.tokens += earned * now.Sub(b.at).Seconds() / limits.Window.Seconds()
 	}
-	b.tokens = min(b.tokens, b.saved)
+	b.tokens = min(b.tokens, b.mostLocked(now, limits))
 	b.at = now
 	b.counts.Boxes = boxes
 	if b.tokens < 1 {
@@ -93,3 +106,42 @@
 	c.Left = b.tokens
 	return c
 }
+
+// recentParts is into how many parts a window is divided to count what lies in the last one.
+const recentParts = 10
+
+// recent counts what happened within the last window, by parts of it; the part that has begun
+// and the oldest one that is not whole any more do not count. The zero value has counted nothing.
+type recent struct {
+	parts [recentParts + 1]int
+	begun time.Time // when the first part began; the steady clock goes on from it
+	last  int64     // number of the latest part
+}
+
+// add counts one at now.
+func (r *recent) add(now time.Time, window time.Duration) {
+	r.turn(now, window)
+	r.parts[r.last%int64(len(r.parts))]++
+}
+
+// count returns how many lie within the whole parts of the last window.
+func (r *recent) count(now time.Time, window time.Duration) int {
+	r.turn(now, window)
+	n := 0
+	for _, p := range r.parts {
+		n += p
+	}
+	return n - r.parts[r.last%int64(len(r.parts))] - r.parts[(r.last+1)%int64(len(r.parts))]
+}
+
+// turn begins the part of now and empties those that have passed since.
+func (r *recent) turn(now time.Time, window time.Duration) {
+	if r.begun.IsZero() {
+		r.begun = now
+	}
+	part := max(int64(now.Sub(r.begun)), 0) / max(int64(window)/recentParts, 1)
+	for i := max(r.last+1, part-recentParts); i <= part; i++ {
+		r.parts[i%int64(len(r.parts))] = 0
+	}
+	r.last = max(r.last, part)
+}
--- a/forward/place_test.go
+++ b/forward/place_test.go
@@ -22,7 +22,7 @@
 	taken := 0
 	for range 1000 { // one window, 100 requests a second, each of which would like a retry
 		now = now.Add(10 * time.Millisecond)
-		b.First()
+		b.First(now)
 		if b.Take(now, 5) {
 			taken++
 		}
@@ -41,7 +41,7 @@
 	calm := func() {
 		for range requests {
 			now = now.Add(limits.Window / requests)
-			b.First()
+			b.First(now)
 		}
 	}
 	b.Take(now, boxes)
@@ -50,7 +50,7 @@
 	taken := 0
 	for range requests { // all of them would like a retry
 		now = now.Add(limits.Window / requests)
-		b.First()
+		b.First(now)
 		for b.Take(now, boxes) {
 			taken++
 		}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -24,7 +24,7 @@
 
 // serve tries endpoints until the answer was given, which it returns as nil.
 func (g *Gateway) serve(ctx context.Context, q *request, out *answer) *Refusal {
-	g.budget(q.service.Name()).First()
+	g.budget(q.service.Name()).First(time.Now())
 	q.tried = make(map[string]bool)
 	var last *Refusal
 	for q.attempts < mostAttempts {
