Tell the leader of all requests that went to another data centre

Cause: a box tells its leader with its whole reports how many requests for an adapter went elsewhere, and twelve of them are worth a copy.

Change: these requests are counted apart until a whole report tells them.

Test: red before (0 told of 3).

--- a/edge/usage.go
+++ b/edge/usage.go
@@ -27,11 +27,12 @@
 	told chan string   // data centres whose leader was told
 
 	mu      sync.Mutex
-	leaders map[string]string   // by data centre: who was its leader at the last look
-	counts  map[useKey]int      // requests begun since the last whole report
-	running map[useKey]underWay // requests under way
-	changed map[useKey]bool     // what its leader has not been told
-	telling map[string]bool     // data centres whose leader is being told
+	leaders map[string]string        // by data centre: who was its leader at the last look
+	counts  map[useKey]int           // requests begun since the last report
+	running map[useKey]underWay      // requests under way
+	changed map[useKey]bool          // what its leader has not been told
+	far     map[topology.Adapter]int // requests begun in other data centres, of which the own leader has not been told
+	telling map[string]bool          // data centres whose leader is being told
 }
 
 // underWay is the requests under way with an adapter at an endpoint.
@@ -49,6 +50,7 @@
 		counts:  make(map[useKey]int),
 		running: make(map[useKey]underWay),
 		changed: make(map[useKey]bool),
+		far:     make(map[topology.Adapter]int),
 		telling: make(map[string]bool),
 	}
 }
@@ -59,6 +61,9 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.counts[r.key]++
+	if r.key.centre != u.node.peers.centre {
+		u.far[c.Adapter]++
+	}
 	u.changeLocked(r.key, 1, r.reading)
 	return r
 }
@@ -207,7 +212,6 @@
 			keys[k] = true
 		}
 	}
-	own := u.node.peers.centre
 	for k := range keys {
 		if u.telling[k.centre] {
 			continue
@@ -220,12 +224,15 @@
 			Running:  int32(w.requests),
 			Reading:  int64(w.reading),
 		})
-		if n := u.counts[k]; whole && k.centre != own && n > 0 && !u.telling[own] {
-			add(own, &wire.Usage{Adapter: k.adapter.String(), Far: int32(n)})
-		}
 		delete(u.changed, k)
 		delete(u.counts, k)
 	}
+	if own := u.node.peers.centre; whole && !u.telling[own] {
+		for a, n := range u.far {
+			add(own, &wire.Usage{Adapter: a.String(), Far: int32(n)})
+		}
+		clear(u.far)
+	}
 	return list
 }
 
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -68,6 +68,40 @@
 	c.Assert(int(q.GetUsage()[0].GetCount()), quicktest.Equals, 1)
 }
 
+// Adapters that all callers of a data centre asked for got no copy there, and two of three requests
+// to models went to another data centre, of the most wanted adapter one of three.
+//
+// The order of events: a box tells its leader in its whole reports, each 0.5 s, how many requests
+// went elsewhere. Each report of a change, 20 ms after it, took the count away before.
+//
+// The evidence: of 41,772 requests to models on a day of 195 boxes 28,318 went to another data
+// centre.
+func TestRequestsThatWentElsewhereAreToldWithTheNextWholeReport(t *testing.T) {
+	c := quicktest.New(t)
+	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
+	near := topology.NewEndpoint(topology.EndpointSpec{ID: "e2", DataCentre: "near"})
+	call := forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}}
+	toldFar := func(whole bool) (n int) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		for _, w := range u.collectLocked(whole)["near"].GetUsage() {
+			n += int(w.GetFar())
+		}
+		return n
+	}
+	for range 3 {
+		u.Begun(e, call)
+		u.Begun(near, call)
+		c.Assert(toldFar(false), quicktest.Equals, 0)
+	}
+	u.telling["near"] = true
+	c.Assert(toldFar(true), quicktest.Equals, 0) // later, so that reports keep their order
+	u.ended("near")
+	c.Assert(toldFar(true), quicktest.Equals, 3)
+	c.Assert(toldFar(true), quicktest.Equals, 0)
+}
+
 // A new leader heard of what was in use only with the next whole report, and emptied slots
 // before it or waited for it.
 func TestANewLeaderIsToldOfAllThatIsUnderWay(t *testing.T) {
