Wait before leading a data centre of which a box left and the others fell silent

Since not all were believed dead the data centre counted as one whose boxes had left, and 140 boxes took another one's box for its leader at 35.5 s; after the cut its endpoints wait for the lease.

Tests: red before; a data centre whose boxes leave is led from elsewhere at once as before, also where one crashed long ago.

--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -37,7 +37,7 @@
 	until   time.Time
 	boxes   int                      // that are known: who fell silent may serve on the other side of a cut, who leaves still holds requests
 	centres []string                 // that have a serving box, sorted
-	silent  map[string]bool          // data centres whose boxes are all believed dead
+	silent  map[string]bool          // data centres without a serving box, of which some fell silent lately or all did
 	leaders map[string]member.Member // of the data centres that have a known box
 	other   member.Member            // the oldest strong box of all: leads where no box is known, and where all have left
 	found   bool                     // there is one
@@ -90,30 +90,34 @@
 }
 
 // addCentre finds the leader of a data centre: the oldest of the strong boxes that serve
-// there, or, where all have left, of all boxes. Where they only fell silent the data
+// there, or, where all have left, of all boxes. Where some only fell silent lately the data
 // centre is more often cut off than without boxes, so others wait before they lead it.
 func (o *clusterView) addCentre(centre string, list []member.Member, now time.Time) {
-	var since time.Time
-	silent := true
+	var died time.Time // when the latest one of them did
+	dead := 0
 	var serving []member.Member
 	for _, m := range list {
-		silent = silent && m.State() == member.Dead
 		if m.Serving() {
 			serving = append(serving, m)
 		}
-		if m.Since().After(since) {
-			since = m.Since()
+		if m.State() != member.Dead {
+			continue
+		}
+		dead++
+		if m.Since().After(died) {
+			died = m.Since()
 		}
-	}
-	if silent {
-		o.silent[centre] = true
 	}
 	if leader, ok := oldestStrong(serving); ok {
 		o.centres = append(o.centres, centre)
 		o.leaders[centre] = leader
 		return
 	}
-	if o.found && (!silent || now.Sub(since) >= takeoverAfter) {
+	fellSilent := now.Sub(died) < takeoverAfter
+	if fellSilent || dead == len(list) {
+		o.silent[centre] = true
+	}
+	if o.found && !fellSilent {
 		o.leaders[centre] = o.other
 		return
 	}
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -223,6 +223,39 @@
 	}
 }
 
+// A data centre was cut off while one of its boxes was being replaced. 140 boxes elsewhere took
+// another box for its leader at once, and its endpoints got no loads for the lease and more after
+// the cut.
+//
+// The order of events: a box leaves in order; 2 s later nothing is heard of the others. Since not all
+// were believed dead the data centre counted as one whose boxes had left.
+//
+// The evidence: "Data centre has a leader" of 151 boxes, from 2 s after the begin of the cut on.
+func TestADataCentreThatIsCutOffWhileABoxLeavesIsNotLedFromElsewhere(t *testing.T) {
+	c := quicktest.New(t)
+	left := box("g", "far", 1, 400)
+	p := peersOf(box("a", "dc", 2, 400), box("f", "far", 1, 400), left)
+	now := time.Now()
+	leave(p, left, now)
+	p.table.Gone("f", now)
+	c.Assert(p.clusterView().silent["far"], quicktest.IsTrue)
+	_, ok := p.clusterView().leader("far")
+	c.Assert(ok, quicktest.IsFalse)
+}
+
+// One box of a data centre had crashed long ago, and all others leave now.
+func TestADataCentreWhoseBoxesLeaveIsLedFromElsewhereThoughOneCrashedBefore(t *testing.T) {
+	c := quicktest.New(t)
+	left := box("g", "far", 1, 400)
+	p := peersOf(box("a", "dc", 2, 400), box("f", "far", 1, 400), left)
+	p.table.Gone("f", time.Now().Add(-takeoverAfter))
+	leave(p, left, time.Now())
+	c.Assert(p.clusterView().silent["far"], quicktest.IsFalse)
+	m, ok := p.clusterView().leader("far")
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(m.Name(), quicktest.Equals, "a")
+}
+
 // followedBy returns whom each box follows, by name; the leader follows nobody.
 func followedBy(boxes []member.Member) map[string]string {
 	by := make(map[string]string)
