Tell of the slot that changed, not of all that an endpoint holds

Change: each slot is a fact of its own, 90 bytes at most for 260; an owner tells the slots that changed, and all of them under a new fence. What an earlier owner told does not count beside what a later one did.

Tests: 3,000 random changes by two owners in turn, facts in any order, twice and late: every box sees what the latest owner holds, and one change tells one slot.

--- /dev/null
+++ b/edge/slots_test.go
@@ -0,0 +1,124 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"testing"
+
+	"cairnwick.example/placement"
+	"cairnwick.example/share"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+	"google.golang.org/protobuf/proto"
+)
+
+// newState returns the state of a box that knows the endpoint e/1.
+func newState() *state {
+	t := share.NewTable()
+	s := &state{view: topology.NewView(), table: t, decoder: plainDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+	t.OnChange = s.apply
+	t.Merge(&wire.Item{Key: "e/1", Version: 1})
+	return s
+}
+
+// holds returns what a box believes that e/1 holds, of ten adapters.
+func (s *state) holds() map[topology.Adapter]topology.Held {
+	held := make(map[topology.Adapter]topology.Held)
+	for i := range 10 {
+		a := topology.Adapter{Model: "m", Name: fmt.Sprint("a", i)}
+		if len(s.view.Holders(a)) > 0 {
+			held[a] = topology.Held{Ready: true}
+		} else if len(s.view.Loading(a)) > 0 {
+			held[a] = topology.Held{}
+		}
+	}
+	return held
+}
+
+// Whatever an owner does, and whoever owns after it, all boxes hear the same: in any order of the
+// facts, and also one that hears of an earlier owner late.
+func TestBoxesHearWhatTheLatestOwnerTold(t *testing.T) {
+	c := quicktest.New(t)
+	r := rand.New(rand.NewPCG(3, 4))
+	owners := []*state{newState(), newState()}
+	other := newState()
+	held := make(map[topology.Adapter]topology.Held)
+	term, published := uint64(1), uint64(0)
+	var late []*wire.Item
+	for step := range 3000 {
+		if step%97 == 0 { // another box takes over, and learns what is held
+			term++
+			published = 0
+			for _, o := range owners {
+				o.table.Hear(late...)
+			}
+		}
+		a := topology.Adapter{Model: "m", Name: fmt.Sprint("a", r.IntN(10))}
+		switch h, there := held[a]; {
+		case !there && len(held) < 6:
+			held[a] = topology.Held{}
+		case there && !h.Ready:
+			held[a] = topology.Held{Ready: true}
+		default:
+			delete(held, a)
+		}
+		published++
+		o := owners[term%2]
+		_, before, _ := o.table.Since(0)
+		o.publish("dc", "e/1", term<<24|published, maps.Clone(held))
+		items, _, _ := o.table.Since(before)
+		most := 1
+		if published == 1 { // a new owner tells all
+			most += len(held)
+		}
+		c.Assert(len(items) <= most, quicktest.IsTrue, quicktest.Commentf("step %d told %d slots", step, len(items)))
+		r.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
+		other.table.Hear(items...)
+		late = append(late, items...)
+		if r.IntN(3) == 0 && len(late) > 9 {
+			other.table.Hear(late[r.IntN(len(late))]) // again
+		}
+		c.Assert(other.holds(), quicktest.DeepEquals, held, quicktest.Commentf("step %d", step))
+		c.Assert(o.holds(), quicktest.DeepEquals, held, quicktest.Commentf("step %d, the owner", step))
+	}
+}
+
+func TestAnEndpointWhoseOwnerToldThatItHoldsNothingHoldsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	s := newState()
+	c.Assert(s.showSlots("e/1"), quicktest.IsFalse)
+	s.publish("dc", "e/1", 5<<24|1, nil)
+	c.Assert(s.showSlots("e/1"), quicktest.IsTrue)
+}
+
+func TestWhatWasToldOfAnEndpointThatIsGoneIsForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	s := newState()
+	s.publish("dc", "e/1", 5<<24|1, map[topology.Adapter]topology.Held{{Model: "m", Name: "a1"}: {Ready: true}, {Model: "m", Name: "a2"}: {}})
+	c.Assert(s.table.Keys(), quicktest.HasLen, 3)
+	s.table.Merge(&wire.Item{Key: "e/1", Version: 2, Removed: true})
+	c.Assert(s.table.Keys(), quicktest.HasLen, 0)
+}
+
+// A load told each box all nine adapters of the endpoint, three times: 260 bytes each, 20 KB a second
+// and box on a quiet day of 195 boxes, with 100 loads a second.
+func TestAChangeOfOneSlotIsToldInFewBytes(t *testing.T) {
+	c := quicktest.New(t)
+	s := newState()
+	held := make(map[topology.Adapter]topology.Held)
+	for i := range 9 {
+		held[topology.Adapter{Model: "dawu412ccf", Name: fmt.Sprint("a", 10000+i)}] = topology.Held{Version: 3, Ready: true}
+	}
+	s.publish("kg-kimihurura", "i-2fa099c1e3", 1785000000<<24|1, held)
+	_, before, _ := s.table.Since(0)
+	held[topology.Adapter{Model: "dawu412ccf", Name: "a10004"}] = topology.Held{Version: 4, Ready: true}
+	s.publish("kg-kimihurura", "i-2fa099c1e3", 1785000000<<24|2, held)
+	items, _, _ := s.table.Since(before)
+	c.Assert(items, quicktest.HasLen, 1)
+	c.Assert(proto.Size(items[0]) <= 90, quicktest.IsTrue, quicktest.Commentf("%d bytes", proto.Size(items[0])))
+}
--- a/edge/state.go
+++ b/edge/state.go
@@ -10,12 +10,8 @@
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
-	"google.golang.org/protobuf/proto"
 )
 
-// slotsPrefix begins the keys of what endpoints hold; their IDs follow.
-const slotsPrefix = "slots/"
-
 // state keeps the view as the table says.
 type state struct {
 	view    *topology.View
@@ -23,16 +19,26 @@
 	decoder Decoder
 	fences  *placement.Fences
 	log     logr.Logger
+
+	slots slots
 }
 
 // apply takes accepted items into the view. One that cannot be read changes
 // nothing: the last good one stays.
 func (s *state) apply(items []*wire.Item) {
+	touched := make(map[string]bool) // endpoints whose slots were told
 	for _, i := range items {
+		if rest, ok := strings.CutPrefix(i.GetKey(), slotsPrefix); ok {
+			touched[s.applySlot(rest, i)] = true
+			continue
+		}
 		if err := s.applyOne(i); err != nil {
 			s.log.Info("Fact can't be read; the last good one stays", "key", i.GetKey(), "version", i.GetVersion(), "err", err.Error())
 		}
 	}
+	for id := range touched {
+		s.showSlots(id)
+	}
 }
 
 func (s *state) applyOne(i *wire.Item) error {
@@ -40,9 +46,6 @@
 	if err != nil {
 		return err
 	}
-	if id, ok := strings.CutPrefix(i.GetKey(), slotsPrefix); ok {
-		return s.applySlots(id, i.GetVersion(), value)
-	}
 	switch s.decoder.Kind(i.GetKey()) {
 	case KindConfig:
 		return s.applyConfig(i, value)
@@ -77,7 +80,7 @@
 	id := s.decoder.EndpointID(i.GetKey())
 	if i.GetRemoved() {
 		s.view.RemoveEndpoint(id)
-		s.table.Forget(slotsPrefix + id)
+		s.forgetSlots(id)
 		s.log.Info("Endpoint is gone", "endpoint", id, "revision", i.GetVersion())
 		return nil
 	}
@@ -91,7 +94,7 @@
 			"draining", e.Draining(), "revision", i.GetVersion())
 	}
 	s.view.SetEndpoint(e)
-	if s.table.Version(slotsPrefix+id) == 0 {
+	if !s.showSlots(id) {
 		s.view.SetHeld(id, heldLongAgo(e)) // better than nothing until its owner tells
 	}
 	return nil
@@ -106,34 +109,3 @@
 	}
 	return held
 }
-
-func (s *state) applySlots(id string, version uint64, value []byte) error {
-	var w wire.Slots
-	if err := proto.Unmarshal(value, &w); err != nil {
-		return err
-	}
-	s.fences.Hear(placement.Term(version))
-	held := make(map[topology.Adapter]topology.Held, len(w.GetSlots()))
-	for _, t := range w.GetSlots() {
-		held[topology.ParseAdapter(t.GetAdapter())] = topology.Held{Version: t.GetVersion(), Ready: t.GetReady()}
-	}
-	if s.view.Endpoint(id) == nil {
-		return nil
-	}
-	s.view.SetHeld(id, held)
-	return nil
-}
-
-// publish tells all boxes what an endpoint of this data centre holds.
-func (s *state) publish(centre, endpoint string, version uint64, held map[topology.Adapter]topology.Held) {
-	w := &wire.Slots{Endpoint: endpoint}
-	for a, h := range held {
-		w.Slots = append(w.Slots, &wire.Slot{Adapter: a.String(), Version: h.Version, Ready: h.Ready})
-	}
-	raw, err := proto.Marshal(w)
-	if err != nil {
-		s.log.Error(err, "Slots can't be encoded", "endpoint", endpoint)
-		return
-	}
-	s.table.Merge(&wire.Item{Key: slotsPrefix + endpoint, Version: version, Value: raw, DataCentre: centre})
-}
