Two tries and then one each bound while the store is away; shares of retries count from the start

Change: after a second try such a box tries as often as it may be behind; the share counts from the start of the box, not saved up beyond what it may be.

--- a/edge/reader.go
+++ b/edge/reader.go
@@ -19,7 +19,6 @@
 	failPause   = 150 * time.Millisecond  // after a failed call, doubled up to failMost
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
 	failGrowth  = 2                       // times as long is the pause after the next one
-	fewGrowth   = 4                       // the same where nobody relies on this box: its leader tries too, and there are many
 	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
 	wordFor     = 600 * time.Millisecond  // a box finds its leader within it, and hears what that reads
 	wordLook    = 50 * time.Millisecond   // how often it looks meanwhile
@@ -98,13 +97,15 @@
 
 // nextPause is how long this box waits after the next call to a source that fails. A leader is
 // relied upon. Any other box is told as soon as its leader hears the source, and needs its own
-// calls only where its way to the source alone is open: it finds that out within the time that
-// it may be behind. So 200 boxes make 45 calls a second while the source is silent, not 180.
+// calls only where its way to the source alone is open: after a second try, in case an answer was
+// lost, it finds that out within the time that it may be behind. In an outage of 8 s a box that
+// may be 2 s behind makes 6 calls by both readers, where tries each 1.5 s made 16 (counted under
+// simulated time).
 func (r *reader) nextPause(pause time.Duration) time.Duration {
 	if r.leads() {
 		return min(failGrowth*pause, failMost)
 	}
-	return min(fewGrowth*pause, r.behind())
+	return r.behind()
 }
 
 // awaitAnswer leaves it to the reader of endpoints to find out that the source answers again.
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -345,7 +345,8 @@
 		c.Check(calls >= 2*int64(away/failMost)-4, quicktest.IsTrue, quicktest.Commentf("%d calls of a leader", calls))
 		c.Check(late <= failMost, quicktest.IsTrue, quicktest.Commentf("a leader heard it %v late", late))
 		calls, late = readAway(c, false, away)
-		c.Check(calls <= 7, quicktest.IsTrue, quicktest.Commentf("%d calls of another box", calls))
+		t.Logf("%d calls of a box on whom nobody relies", calls)
+		c.Check(calls <= 6, quicktest.IsTrue, quicktest.Commentf("%d calls of another box", calls))
 		c.Check(late <= defaultBehind+2*standbyLook, quicktest.IsTrue, quicktest.Commentf("another box heard it %v late", late))
 	})
 }
--- a/forward/budget_test.go
+++ b/forward/budget_test.go
@@ -77,3 +77,19 @@
 		}
 	}
 }
+
+// In the first second of traffic after a start of all boxes endpoints held no adapters yet and
+// refused many; each box had run for seconds, and had no retry saved: its share counted from its
+// first request.
+func TestABoxSavesItsShareBeforeItsFirstRequest(t *testing.T) {
+	c := quicktest.New(t)
+	limits := BudgetLimits{Ratio: 0.2, Extra: 430, Window: 10 * time.Second}
+	g := &Gateway{Budget: func() BudgetLimits { return limits }}
+	started := time.Unix(1000, 0)
+	g.begin(started)
+	later := started.Add(limits.Window)
+	b := g.budget("service")
+	b.First(later)
+	c.Assert(b.Take(later, 195), quicktest.IsTrue)
+	c.Assert(b.Take(later, 195), quicktest.IsFalse)
+}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -31,6 +31,7 @@
 	Pressed    func() bool // whether the log is behind: successes are not logged then
 	Stats      *Stats
 
+	begun     time.Time // when this box began to count its shares of the retries
 	upstreams upstreams
 	centres   centres
 	held      atomic.Int64
@@ -44,10 +45,20 @@
 
 // Run forgets endpoints that are gone, until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
+	g.begin(time.Now())
 	g.upstreams.watch(ctx, g.View)
 	return nil
 }
 
+// begin notes since when this box may save what its share of the extra retries earns.
+func (g *Gateway) begin(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.begun.IsZero() {
+		g.begun = now
+	}
+}
+
 // Leave makes every further answer ask its caller to use another connection.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
@@ -62,7 +73,7 @@
 	}
 	b := g.budgets[service]
 	if b == nil {
-		b = &Budget{Limits: g.Budget, at: time.Now()}
+		b = &Budget{Limits: g.Budget, at: g.begun}
 		g.budgets[service] = b
 	}
 	return b
