A box that has begun to lead tries a source that fails as often as a leader

Cause, found in reading: where all boxes start while the store is away nobody leads for 0.7 s; who failed twice by then slept for as long as it may be behind, 2 to 4 s, also where it led meanwhile.

Change: the pause is cut short to a leader's.

--- a/edge/reader.go
+++ b/edge/reader.go
@@ -79,7 +79,7 @@
 		r.note(err)
 		switch {
 		case err != nil:
-			sleep(ctx, pause)
+			r.pauseFor(ctx, pause)
 			pause = r.nextPause(pause)
 			r.awaitAnswer(ctx)
 		case listed:
@@ -108,6 +108,18 @@
 	return r.behind()
 }
 
+// pauseFor waits after a call that failed, no longer than a leader where the box has begun to lead
+// meanwhile.
+func (r *reader) pauseFor(ctx context.Context, pause time.Duration) {
+	begun := time.Now()
+	for waited := time.Duration(0); ctx.Err() == nil && waited < pause; waited = time.Since(begun) {
+		if waited >= failMost && r.leads() {
+			return
+		}
+		sleep(ctx, min(standbyLook, pause-waited))
+	}
+}
+
 // awaitAnswer leaves it to the reader of endpoints to find out that the source answers again.
 func (r *reader) awaitAnswer(ctx context.Context) {
 	for ctx.Err() == nil && r.collection != Endpoints && r.away.Load() && r.wanted() && !r.leads() {
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -305,7 +305,7 @@
 
 // readAway runs both readers of a box whose source is away for a while. It returns how many
 // calls they made meanwhile, and how long after the end of it the box had heard both.
-func readAway(c *quicktest.C, leads bool, away time.Duration) (calls int64, late time.Duration) {
+func readAway(c *quicktest.C, leads func() bool, away time.Duration) (calls int64, late time.Duration) {
 	s := &awaySource{back: time.Now().Add(away)}
 	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
@@ -314,7 +314,7 @@
 	for i, collection := range []Collection{Settled, Endpoints} {
 		r, _ := newReader(s)
 		r.collection, r.away = collection, asked
-		r.leads = func() bool { return leads }
+		r.leads = leads
 		r.heard = func(w readOutcome) {
 			if w.heard {
 				heard[i].CompareAndSwap(0, int64(time.Since(s.back)))
@@ -341,16 +341,28 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
 		const away = 8 * time.Second
-		calls, late := readAway(c, true, away)
+		calls, late := readAway(c, func() bool { return true }, away)
 		c.Check(calls >= 2*int64(away/failMost)-4, quicktest.IsTrue, quicktest.Commentf("%d calls of a leader", calls))
 		c.Check(late <= failMost, quicktest.IsTrue, quicktest.Commentf("a leader heard it %v late", late))
-		calls, late = readAway(c, false, away)
+		calls, late = readAway(c, func() bool { return false }, away)
 		t.Logf("%d calls of a box on whom nobody relies", calls)
 		c.Check(calls <= 6, quicktest.IsTrue, quicktest.Commentf("%d calls of another box", calls))
 		c.Check(late <= defaultBehind+2*standbyLook, quicktest.IsTrue, quicktest.Commentf("another box heard it %v late", late))
 	})
 }
 
+// All boxes start while the source is away, and none leads until they know each other. A box that
+// has failed twice by then and leads now must not wait as one that leaves it to its leader.
+func TestABoxThatHasBegunToLeadAsksASourceThatFailsAsOftenAsALeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		begun := time.Now()
+		leads := func() bool { return time.Since(begun) > settleFor }
+		_, late := readAway(c, leads, time.Second)
+		c.Check(late <= failMost+standbyLook, quicktest.IsTrue, quicktest.Commentf("it heard the source %v late", late))
+	})
+}
+
 // Found by the model of facts and words, with a box that had just started and a leader that
 // was behind.
 //
