Count a box's share of the retries from its first request, where that comes before Run

Cause: the count from the start of the box was begun by Run alone.

Change: the first request begins the count too.

--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -54,6 +54,10 @@
 func (g *Gateway) begin(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.beginLocked(now)
+}
+
+func (g *Gateway) beginLocked(now time.Time) {
 	if g.begun.IsZero() {
 		g.begun = now
 	}
@@ -71,6 +75,7 @@
 	if g.budgets == nil {
 		g.budgets = make(map[string]*Budget)
 	}
+	g.beginLocked(time.Now()) // a request may come before Run
 	b := g.budgets[service]
 	if b == nil {
 		b = &Budget{Limits: g.Budget, at: g.begun}
