--- a/daemon/dialer.go
+++ b/daemon/dialer.go
@@ -63,7 +63,7 @@
 		}),
 	}
 	if d.Messages != nil {
-		options = append(options, grpc.WithStatsHandler(d.Messages.with(address)))
+		options = append(options, grpc.WithStatsHandler(d.Messages.forPeer(address)))
 	}
 	c, err := grpc.NewClient("passthrough:///"+address, options...)
 	if err != nil {
--- a/daemon/messages.go
+++ b/daemon/messages.go
@@ -104,8 +104,8 @@
 	near  bool
 }
 
-// with returns what counts the messages with the daemon at an address, IP:port.
-func (m *Messages) with(address string) *peerMessages {
+// forPeer returns what counts the messages with the daemon at an address, IP:port.
+func (m *Messages) forPeer(address string) *peerMessages {
 	ip, _, err := net.SplitHostPort(address)
 	if err != nil {
 		ip = address
@@ -155,7 +155,7 @@
 
 // TagConn implements stats.Handler.
 func (s servedMessages) TagConn(ctx context.Context, t *stats.ConnTagInfo) context.Context {
-	return context.WithValue(ctx, peerKey{}, s.messages.with(t.RemoteAddr.String()))
+	return context.WithValue(ctx, peerKey{}, s.messages.forPeer(t.RemoteAddr.String()))
 }
 
 // HandleConn implements stats.Handler.
--- a/edge/model_test.go
+++ b/edge/model_test.go
@@ -178,7 +178,7 @@
 	r := l.reader
 	b.after, b.asOf, b.failing = r.after, moved(r.asOf, -by), r.failing
 	b.trusted, b.unsure, b.holding = moved(r.trusted, -by), r.uncertain, r.holding
-	b.relist = r.forgotten || r.recounted
+	b.relist = r.forgotten || r.afterOutage
 	k := l.node.known.of(Endpoints)
 	b.known = mark{revision: k.revision, asOf: moved(k.asOf, -by)}
 	b.listed, b.answered = l.node.listed.Load(), time.Time{}
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -44,14 +44,14 @@
 	listed     func(revision uint64)   // hears of a list before it is taken
 	counted    func(reason string)     // hears of each call before it is made
 
-	after     uint64    // revision that is known; zero: nothing
-	asOf      time.Time // the table is as the source said then; zero: never
-	failing   bool
-	trusted   time.Time // until then a missing endpoint may be one that lapsed
-	uncertain bool      // something was missing before trusted
-	holding   bool      // the source said that something is gone, which is not believed yet
-	forgotten bool      // the next list makes up for history that the source has forgotten
-	recounted bool      // the next list tells which endpoints have lapsed
+	after       uint64    // revision that is known; zero: nothing
+	asOf        time.Time // the table is as the source said then; zero: never
+	failing     bool
+	trusted     time.Time // until then a missing endpoint may be one that lapsed
+	uncertain   bool      // something was missing before trusted
+	holding     bool      // the source said that something is gone, which is not believed yet
+	forgotten   bool      // the next list makes up for history that the source has forgotten
+	afterOutage bool      // the next list tells which endpoints have lapsed
 }
 
 // readOutcome is how a reader's call went.
@@ -142,7 +142,7 @@
 	if r.failing && now.Sub(r.asOf) >= r.lapse() {
 		r.trusted = now.Add(lapseGrace)
 	}
-	r.recounted = r.recounted || r.uncertain
+	r.afterOutage = r.afterOutage || r.uncertain
 	r.after, r.failing, r.uncertain, r.holding = 0, false, false, false
 	r.noteAway()
 }
@@ -157,7 +157,7 @@
 // resume goes on from what this box was told while it did not read, unless only a list tells
 // what it may have missed.
 func (r *reader) resume() {
-	if r.after != 0 || r.forgotten || r.recounted {
+	if r.after != 0 || r.forgotten || r.afterOutage {
 		return
 	}
 	if m := r.known(); m.revision != 0 {
@@ -178,7 +178,7 @@
 func (r *reader) step(ctx context.Context) (bool, error) {
 	begun := time.Now()
 	if r.uncertain && begun.After(r.trusted) {
-		r.after, r.uncertain, r.holding, r.recounted = 0, false, false, true
+		r.after, r.uncertain, r.holding, r.afterOutage = 0, false, false, true
 	}
 	r.resume()
 	r.counted(r.reason())
@@ -214,8 +214,8 @@
 		return readFirst
 	case r.forgotten:
 		return readForgotten
-	case r.recounted:
-		return readRemovals
+	case r.afterOutage:
+		return readAfterOutage
 	case r.leads():
 		return readLeads
 	}
@@ -230,7 +230,7 @@
 	}
 	now := time.Now()
 	r.back(now)
-	r.after, r.forgotten, r.recounted = b.Revision, false, false
+	r.after, r.forgotten, r.afterOutage = b.Revision, false, false
 	r.listed(b.Revision)
 	r.snapshot(b, now)
 	r.asOf = begun
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -80,11 +80,11 @@
 
 // Why the source is called, as the calls are counted.
 const (
-	readFirst     = "first_list"   // of a box that has just started
-	readLeads     = "leads"        // others rely on it
-	readNotTold   = "not_told"     // the word of the box that is followed is missing or too old
-	readForgotten = "forgotten"    // a list, since the source forgot its history
-	readRemovals  = "after_outage" // a list, since endpoints may have lapsed in an outage
+	readFirst       = "first_list"   // of a box that has just started
+	readLeads       = "leads"        // others rely on it
+	readNotTold     = "not_told"     // the word of the box that is followed is missing or too old
+	readForgotten   = "forgotten"    // a list, since the source forgot its history
+	readAfterOutage = "after_outage" // a list, since endpoints may have lapsed in an outage
 )
 
 // calls counts the calls to the source by their reason.
--- a/member/loop.go
+++ b/member/loop.go
@@ -104,12 +104,12 @@
 	last := time.Now()
 	quick := quickBeats
 	l.beat(ctx)
-	spread := l.Table.Version() // of the view whose changes were spread
-	var paused <-chan time.Time // until then no change is spread; nil: one may be
+	spreadVersion := l.Table.Version() // of the view whose changes were spread
+	var paused <-chan time.Time        // until then no change is spread; nil: one may be
 	for ctx.Err() == nil {
 		changed := l.Table.Changed()
-		if v := l.Table.Version(); paused == nil && v != spread { // also what a beat brought
-			spread = v
+		if v := l.Table.Version(); paused == nil && v != spreadVersion { // also what a beat brought
+			spreadVersion = v
 			l.spread(ctx)
 			paused = time.After(spreadPause)
 			continue
