--- /dev/null
+++ b/access/access_test.go
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package access
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestAKeyStandsForTheFirstOrganisationThatListsIt(t *testing.T) {
+	c := quicktest.New(t)
+	k, l := KeyDigest("k"), KeyDigest("l")
+	d, err := NewDirectory([]Spec{{Name: "b", Keys: []Digest{k}}, {Name: "a", Keys: []Digest{k, l}}})
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(d.Find(Show([]string{"k"})).Name(), quicktest.Equals, "b")
+	c.Assert(d.Find(Show([]string{"l"})).Name(), quicktest.Equals, "a")
+	c.Assert(d.Find(Show([]string{"other"})), quicktest.IsNil)
+	c.Assert(d.Find(Credential{}), quicktest.IsNil)
+	c.Assert(d.Named("a").Keys(), quicktest.HasLen, 2)
+}
+
+func TestWithoutOrganisationsNobodyIsFound(t *testing.T) {
+	c := quicktest.New(t)
+	d, err := NewDirectory(nil)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(d, quicktest.IsNil)
+	c.Assert(d.Find(Show([]string{"k"})), quicktest.IsNil)
+	c.Assert(d.Named("a"), quicktest.IsNil)
+	c.Assert(d.All(), quicktest.HasLen, 0)
+}
+
+func TestChangesNameTheKeysThatCameWentAndMoved(t *testing.T) {
+	c := quicktest.New(t)
+	directory := func(specs ...Spec) *Directory {
+		d, err := NewDirectory(specs)
+		c.Assert(err, quicktest.IsNil)
+		return d
+	}
+	came, went, moved, stays := KeyDigest("came"), KeyDigest("went"), KeyDigest("moved"), KeyDigest("stays")
+	before := directory(Spec{Name: "a", Keys: []Digest{went, moved, stays}}, Spec{Name: "b"})
+	after := directory(Spec{Name: "a", Keys: []Digest{stays, came}}, Spec{Name: "b", Keys: []Digest{moved}})
+	c.Assert(Changes(before, after), quicktest.DeepEquals, []Change{
+		{Key: went, Before: "a"}, {Key: moved, Before: "a", Now: "b"}, {Key: came, Now: "a"},
+	})
+	c.Assert(Changes(after, after), quicktest.HasLen, 0)
+}
+
+func TestNoRequestIsFree(t *testing.T) {
+	c := quicktest.New(t)
+	tokens := Quota{Unit: Tokens, Unspecified: 200}
+	c.Assert(tokens.Cost(1540, true), quicktest.Equals, 1540.0)
+	c.Assert(tokens.Cost(0, true), quicktest.Equals, 1.0)
+	c.Assert(tokens.Cost(7, false), quicktest.Equals, 200.0)
+	c.Assert(Quota{Unit: Tokens}.Cost(7, false), quicktest.Equals, 1.0)
+	c.Assert(tokens.Cost(math.MaxInt, true), quicktest.Equals, float64(mostUnits))
+	c.Assert(Quota{}.Cost(1540, true), quicktest.Equals, 1.0)
+}
+
+func TestAPoolHandsOutItsShareAndSaysWhenMoreComes(t *testing.T) {
+	c := quicktest.New(t)
+	l := Limit{Rate: 500, Most: 500}
+	var p Pool
+	now := time.Now()
+	c.Assert(p.Draw(Demand{Organisation: "o", Owed: 10}, l, now).Paid, quicktest.Equals, 0.0) // it begins empty
+	p.Borrowed("o", 0, now, time.Hour)                                                        // nor do others have any
+	now = now.Add(time.Minute)
+	a := p.Draw(Demand{Organisation: "o", Owed: 100, Wanted: []float64{200, 200, 200}}, l, now)
+	c.Assert(a.Paid, quicktest.Equals, 100.0)
+	c.Assert(a.Granted, quicktest.Equals, 2)
+	c.Assert(a.Wait, quicktest.Equals, 400*time.Millisecond) // at 500 units a second
+	again := Demand{Organisation: "o", Wanted: []float64{200}, Again: 1}
+	c.Assert(p.Draw(again, l, now.Add(100*time.Millisecond)).Wait, quicktest.Equals, 300*time.Millisecond)
+	other := Demand{Organisation: "o", Wanted: []float64{100}}
+	c.Assert(p.Draw(other, l, now.Add(150*time.Millisecond)).Wait, quicktest.Equals, 450*time.Millisecond) // after the one before
+	c.Assert(p.Draw(again, l, now.Add(a.Wait)), quicktest.Equals, Allowance{Organisation: "o", Granted: 1})
+}
+
+func TestARequestLargerThanTheBucketIsGranted(t *testing.T) {
+	c := quicktest.New(t)
+	l := Limit{Rate: 100, Most: 100}
+	var p Pool
+	now := time.Now()
+	p.Draw(Demand{Organisation: "o"}, l, now)
+	now = now.Add(time.Second)
+	c.Assert(p.Draw(Demand{Organisation: "o", Wanted: []float64{900}}, l, now).Granted, quicktest.Equals, 1)
+	c.Assert(p.Draw(Demand{Organisation: "o", Wanted: []float64{1}}, l, now.Add(7*time.Second)).Granted, quicktest.Equals, 0)
+	c.Assert(p.Draw(Demand{Organisation: "o", Wanted: []float64{1}}, l, now.Add(9*time.Second)).Granted, quicktest.Equals, 1)
+}
+
+func TestWhatAPoolLendsItHasNoMore(t *testing.T) {
+	c := quicktest.New(t)
+	l := Limit{Rate: 500, Most: 500}
+	var from, to Pool
+	now := time.Now()
+	from.Draw(Demand{Organisation: "o"}, l, now)
+	to.Draw(Demand{Organisation: "o", Owed: 400}, l, now)
+	c.Assert(to.Short(), quicktest.DeepEquals, map[string]float64{"o": 400})
+	c.Assert(to.Short(), quicktest.HasLen, 0)
+	now = now.Add(time.Minute)
+	lent := from.Lend("o", 400, l, now)
+	c.Assert(lent, quicktest.Equals, 250.0) // half of its 500 stays
+	c.Assert(from.Lend("o", 400, l, now), quicktest.Equals, 0.0)
+	c.Assert(from.Levels()["o"].Left, quicktest.Equals, 250.0)
+}
+
+// A data centre's part was used up while another had plenty; those that were told how long the own
+// part takes to refill went away.
+func TestWhileOthersMayLendAWaitIsShort(t *testing.T) {
+	c := quicktest.New(t)
+	l := Limit{Rate: 100, Most: 100}
+	var p Pool
+	now := time.Now()
+	d := Demand{Organisation: "o", Wanted: []float64{50}}
+	c.Assert(p.Draw(d, l, now).Wait, quicktest.Equals, borrowTime)
+	p.Borrowed("o", 0, now, time.Second)
+	c.Assert(p.Draw(d, l, now).Wait > 400*time.Millisecond, quicktest.IsTrue)
+	p.Borrowed("o", 60, now, time.Second)
+	c.Assert(p.Draw(d, l, now).Granted, quicktest.Equals, 1)
+}
+
+func TestAPoolThatIsOpenedFillsBeforeItsFirstDraw(t *testing.T) {
+	c := quicktest.New(t)
+	l := Limit{Rate: 100, Most: 100}
+	var p Pool
+	now := time.Now()
+	p.Open("o", l, now)
+	p.Open("o", l, now.Add(time.Second)) // changes nothing
+	c.Assert(p.Draw(Demand{Organisation: "o", Owed: 100}, l, now.Add(time.Second)).Paid, quicktest.Equals, 100.0)
+	p.Clear()
+	c.Assert(p.Draw(Demand{Organisation: "o", Owed: 100}, l, now.Add(time.Hour)).Paid, quicktest.Equals, 0.0)
+}
+
+func TestAnAccountGivesBackWhatItDrewForNothing(t *testing.T) {
+	c := quicktest.New(t)
+	var a Account
+	c.Assert(a.Admit(60, 100), quicktest.IsTrue)
+	c.Assert(a.Admit(60, 100), quicktest.IsFalse)
+	owed, returned := a.Demand()
+	c.Assert(owed, quicktest.Equals, 60.0)
+	c.Assert(returned, quicktest.Equals, 0.0)
+	a.Settle(60)
+	a.Return(60)
+	owed, returned = a.Demand()
+	c.Assert(owed, quicktest.Equals, 0.0)
+	c.Assert(returned, quicktest.Equals, 60.0)
+	a.Settle(0)
+	c.Assert(a.Owed(), quicktest.Equals, 0.0)
+}
--- /dev/null
+++ b/access/bound_test.go
@@ -0,0 +1,283 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package access
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// This file drives real pools and accounts of a whole fleet through cuts, lost answers, leaders
+// that are killed, stand still and wake beside their successors, and floods, by seeds, and counts
+// what is spent in every window.
+
+const (
+	fleetTick   = 20 * time.Millisecond
+	fleetTime   = 60 * time.Second
+	settleTicks = 15 // between two settlements of a box
+	drawnTicks  = 55 // for which a box counts as one that draws
+)
+
+// fleetBox is a box with its account, and its pool while it believes that it leads.
+type fleetBox struct {
+	centre  int
+	account Account
+	pool    *Pool
+	drawn   map[int]int // tick of the last draw, by box
+	leader  int         // the box that this one draws from
+	alone   int         // cut off from all others until that tick
+	frozen  int         // stands still until that tick
+	mute    int         // tick at which a leader last answered
+}
+
+// fleet is the world of one seed.
+type fleet struct {
+	random  *rand.Rand
+	quota   Quota
+	bounds  Bounds
+	boxes   []*fleetBox
+	centres int
+	cut     []int // by data centre: cut off until that tick
+	now     int
+	spent   []float64 // by tick
+	begin   time.Time
+}
+
+func newFleet(seed uint64, boxes, centres int, q Quota, b Bounds) *fleet {
+	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), quota: q, bounds: b, centres: centres, cut: make([]int, centres), begin: time.Now()}
+	for i := range boxes {
+		f.boxes = append(f.boxes, &fleetBox{centre: i % centres, leader: i % centres})
+	}
+	return f
+}
+
+func (f *fleet) time() time.Time { return f.begin.Add(time.Duration(f.now) * fleetTick) }
+
+// runs tells whether a box works now.
+func (f *fleet) runs(i int) bool { return f.boxes[i].frozen <= f.now }
+
+// reach tells whether two boxes hear each other.
+func (f *fleet) reach(i, j int) bool {
+	a, b := f.boxes[i], f.boxes[j]
+	if i == j {
+		return f.runs(i)
+	}
+	if !f.runs(i) || !f.runs(j) || a.alone > f.now || b.alone > f.now {
+		return false
+	}
+	return a.centre == b.centre || (f.cut[a.centre] <= f.now && f.cut[b.centre] <= f.now)
+}
+
+// known is how many boxes of a data centre a box knows: those that fell silent too.
+func (f *fleet) known(centre int) int {
+	n := 0
+	for _, b := range f.boxes {
+		if b.centre == centre {
+			n++
+		}
+	}
+	return n
+}
+
+// limit is what a box hands out.
+func (f *fleet) limit(i int) Limit {
+	b := f.boxes[i]
+	drawing := 0
+	for _, at := range b.drawn {
+		if f.now-at <= drawnTicks {
+			drawing++
+		}
+	}
+	return f.bounds.Limit(f.quota, Share(drawing, f.known(b.centre), f.centres))
+}
+
+// disturb has something go wrong now and then.
+func (f *fleet) disturb() {
+	i := f.random.IntN(len(f.boxes))
+	if f.random.IntN(2) == 0 {
+		i = f.boxes[i].leader // those that count, more often than chance
+	}
+	b := f.boxes[i]
+	length := 50 + f.random.IntN(300)
+	switch f.random.IntN(5) {
+	case 0: // killed, and started again with nothing
+		f.boxes[i] = &fleetBox{centre: b.centre, leader: b.leader, frozen: f.now + 50}
+	case 1:
+		b.frozen = f.now + length
+	case 2:
+		b.alone = f.now + length
+	case 3:
+		f.cut[f.random.IntN(f.centres)] = f.now + length
+	case 4: // others believe in another leader, each for itself
+		for _, o := range f.boxes {
+			if o.centre == b.centre && f.random.IntN(2) == 0 {
+				o.leader = i
+			}
+		}
+	}
+}
+
+// follow has a box that has heard of no leader for a while look for another one.
+func (f *fleet) follow(i int) {
+	b := f.boxes[i]
+	if f.reach(i, b.leader) || f.now-b.mute < 60 {
+		return
+	}
+	for j, o := range f.boxes {
+		if o.centre == b.centre && f.reach(i, j) {
+			b.leader = j
+			return
+		}
+	}
+}
+
+// settle draws from the leader that a box believes in; its answer may be lost.
+func (f *fleet) settle(i int) {
+	b := f.boxes[i]
+	if !f.reach(i, b.leader) {
+		b.account.Forgive(f.bounds.Float(f.quota, len(f.boxes)), f.bounds.Window, f.time())
+		return
+	}
+	l := f.boxes[b.leader]
+	if l.pool == nil {
+		l.pool, l.drawn = new(Pool), make(map[int]int)
+	}
+	l.drawn[i] = f.now
+	owed, returned := b.account.Demand()
+	a := l.pool.Draw(Demand{Organisation: "o", Owed: owed, Returned: returned}, f.limit(b.leader), f.time())
+	if f.random.IntN(20) == 0 {
+		return // the answer is lost
+	}
+	b.mute = f.now
+	b.account.Settle(a.Paid)
+	b.account.Answered()
+	f.lend(b.leader, l)
+}
+
+// lend moves units between data centres where one lacks some.
+func (f *fleet) lend(i int, l *fleetBox) {
+	short := l.pool.Short()["o"]
+	for j, o := range f.boxes {
+		if short > 0 && o.pool != nil && o.centre != l.centre && f.reach(i, j) {
+			got := o.pool.Lend("o", short, f.limit(j), f.time())
+			if f.random.IntN(20) > 0 {
+				l.pool.Borrowed("o", got, f.time(), 0)
+			}
+		}
+	}
+}
+
+// run plays the day with so many times the quota asked for, and returns the part of the quota that
+// was served and the most that was spent in a window.
+func (f *fleet) run(load float64, rough bool) (served, most float64) {
+	ticks := int(fleetTime / fleetTick)
+	f.spent = make([]float64, ticks)
+	asked := 0.0
+	for ; f.now < ticks; f.now++ {
+		if rough && f.random.IntN(25) == 0 {
+			f.disturb()
+		}
+		for due := load * f.quota.Rate * fleetTick.Seconds(); due > 0; {
+			cost := 200 + 900*f.random.Float64()
+			due -= cost
+			i := f.random.IntN(len(f.boxes))
+			if !f.runs(i) || (due < 0 && f.random.Float64()*cost > due+cost) {
+				continue
+			}
+			asked += cost
+			f.serve(i, cost)
+		}
+		for i := range f.boxes {
+			if f.runs(i) && (f.now+i)%settleTicks == 0 {
+				f.follow(i)
+				f.settle(i)
+			}
+		}
+	}
+	return f.total() / min(asked, f.quota.Rate*fleetTime.Seconds()), f.mostInAWindow()
+}
+
+// serve spends a request's units at a box, at once or by a settlement for it alone.
+func (f *fleet) serve(i int, cost float64) {
+	b := f.boxes[i]
+	if b.account.Admit(cost, f.bounds.Float(f.quota, len(f.boxes))) {
+		f.spent[f.now] += cost
+		return
+	}
+	if !f.reach(i, b.leader) || f.boxes[b.leader].pool == nil {
+		return
+	}
+	l := f.boxes[b.leader]
+	l.drawn[i] = f.now
+	owed, returned := b.account.Demand()
+	a := l.pool.Draw(Demand{Organisation: "o", Owed: owed, Returned: returned, Wanted: []float64{cost}}, f.limit(b.leader), f.time())
+	b.account.Settle(a.Paid)
+	b.account.Answered()
+	f.lend(b.leader, l)
+	if a.Granted == 1 {
+		f.spent[f.now] += cost
+	}
+}
+
+func (f *fleet) total() float64 {
+	sum := 0.0
+	for _, s := range f.spent {
+		sum += s
+	}
+	return sum
+}
+
+func (f *fleet) mostInAWindow() float64 {
+	window := int(f.bounds.Window / fleetTick)
+	sum, most := 0.0, 0.0
+	for i, s := range f.spent {
+		sum += s
+		if i >= window {
+			sum -= f.spent[i-window]
+		}
+		most = max(most, sum)
+	}
+	return most
+}
+
+// fleets are the sizes and quotas for which the bound is checked: the slack is what an operator
+// may allow for all boxes together, some long prompts.
+var fleets = []struct {
+	boxes, centres int
+	rate           float64
+}{{6, 3, 29_000}, {74, 3, 29_000}, {74, 3, 280_000}, {300, 5, 100_000}}
+
+var allowed = Bounds{Window: 8 * time.Second, Overshoot: 0.25, Slack: 110_000}
+
+// However boxes are cut off, stand still, are killed or believe in leaders that are none, no more
+// than the operator allows is spent in any window, with six times the quota asked for.
+func TestNoWindowHoldsMoreThanAQuotaAllows(t *testing.T) {
+	for _, k := range fleets {
+		for seed := range uint64(8) {
+			q := Quota{Unit: Tokens, Rate: k.rate, Burst: k.rate}
+			t.Run(fmt.Sprint(k.boxes, "boxes", k.rate, "seed", seed), func(t *testing.T) {
+				_, most := newFleet(seed, k.boxes, k.centres, q, allowed).run(6, true)
+				quicktest.Assert(t, most <= allowed.Most(q), quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f", most, allowed.Most(q)))
+			})
+		}
+	}
+}
+
+// An organisation that asks less than its quota is served whole where nothing goes wrong, and one
+// that asks more gets its quota, but for the first second, in which the pools fill.
+func TestWhatIsWithinAQuotaIsServed(t *testing.T) {
+	for _, k := range fleets {
+		q := Quota{Unit: Tokens, Rate: k.rate, Burst: k.rate}
+		for _, load := range []float64{0.6, 0.85, 3} {
+			t.Run(fmt.Sprint(k.boxes, "boxes", k.rate, "load", load), func(t *testing.T) {
+				served, _ := newFleet(1, k.boxes, k.centres, q, allowed).run(load, false)
+				t.Logf("served %.3f", served)
+				quicktest.Assert(t, served > 0.98 || (load > 1 && served > 0.96), quicktest.IsTrue, quicktest.Commentf("%.3f", served))
+			})
+		}
+	}
+}
--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -82,6 +82,9 @@
 	if w.heard {
 		n.known.raise(c, mark{revision: w.revision, asOf: w.asOf})
 	}
+	if w.heard && c == Settled && !n.state.unread() {
+		n.vouched.raise(w.begun)
+	}
 }
 
 // noteListed notes the revision of a list of the source.
@@ -123,8 +126,9 @@
 // removed, so what a followed box tells of it is complete from its first word on.
 func (n *Node) mustRead(c Collection) bool {
 	if c == Settled {
-		_, told := n.peers.wordAgo(time.Now())
-		return !told
+		now := time.Now()
+		_, told := n.peers.wordAgo(now)
+		return !told || n.mustVouch(now)
 	}
 	return !n.peers.informed(time.Now())
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -43,6 +43,8 @@
 	loader   *placement.Loader
 	usage    *usage
 	levels   levels
+	spending *spending
+	vouched  vouched
 	leaving  atomic.Bool
 	fresh    freshness
 	calls    calls
@@ -70,6 +72,7 @@
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.word}
 	n.usage = newUsage(n)
+	n.spending = newSpending(n)
 	n.loader = &placement.Loader{
 		Box:         s.Box,
 		View:        n.view,
@@ -93,6 +96,7 @@
 		Protocol:   n.Protocol,
 		Placer:     placer{node: n},
 		Observer:   n.usage,
+		Admission:  admission{node: n},
 		Boxes:      func() int { return n.peers.budgetBoxes(time.Now()) },
 		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, time.Now()) },
 		Cut:        func(centre string) bool { return n.peers.clusterView().silent[centre] },
@@ -179,6 +183,7 @@
 	held := n.Settings.Bounds.Grace - noticeFor - endMargin // what is held when the end begins has so long
 	tasks := []task{
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLead, n.gateway.Run, n.logTraffic,
+		n.spending.run, n.spending.borrow,
 		n.reader(Settled).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
 		httpTask(n.gateway, listeners.callers, held, max(n.Settings.Limits.Descriptors/callerPart, mostAsking)),
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -125,6 +125,13 @@
 	return settled
 }
 
+// settled is when this box's first view of the others can be trusted.
+func (p *peers) settled(now time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settledLocked(now)
+}
+
 // works tells whether a box is believed to serve.
 func (p *peers) works(name string) bool {
 	m, ok := p.table.Find(name)
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -45,6 +45,7 @@
 	counted    func(reason string)     // hears of each call before it is made
 
 	after       uint64    // revision that is known; zero: nothing
+	begun       time.Time // of the last call
 	asOf        time.Time // the table is as the source said then; zero: never
 	failing     bool
 	trusted     time.Time // until then a missing endpoint may be one that lapsed
@@ -56,6 +57,7 @@
 
 // readOutcome is how a reader's call went.
 type readOutcome struct {
+	begun    time.Time // when the call was made: the source answered later, however long its answer took
 	asOf     time.Time // the table is as the source said then
 	revision uint64    // of the source, as of then
 	heard    bool      // the call went well, and nothing that it told is held back
@@ -177,6 +179,7 @@
 // step makes one call; it tells whether anything was found.
 func (r *reader) step(ctx context.Context) (bool, error) {
 	begun := time.Now()
+	r.begun = begun
 	if r.uncertain && begun.After(r.trusted) {
 		r.after, r.uncertain, r.holding, r.afterOutage = 0, false, false, true
 	}
@@ -273,7 +276,7 @@
 // note tells how a call went, and logs when the source is lost. A box that holds something
 // back is no source for others: the outage may have been its own alone.
 func (r *reader) note(err error) {
-	r.heard(readOutcome{asOf: r.asOf, revision: r.after, heard: err == nil && r.after != 0 && !r.holding})
+	r.heard(readOutcome{begun: r.begun, asOf: r.asOf, revision: r.after, heard: err == nil && r.after != 0 && !r.holding})
 	if err != nil && !r.failing {
 		r.failing = true
 		r.log.Info("Source does not answer", "collection", r.collection.String(), "revision", r.after, "err", err.Error())
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -38,9 +38,6 @@
 	return topology.NewEndpoint(topology.EndpointSpec{ID: key}), nil
 }
 
-// EndpointID implements Decoder.
-func (plainDecoder) EndpointID(key string) string { return key }
-
 // Version implements Decoder.
 func (plainDecoder) Version([]byte) (topology.Adapter, int64, error) {
 	return topology.Adapter{}, 0, errors.New("none here")
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -78,6 +78,17 @@
 	return a, nil
 }
 
+// Settle implements the Share service.
+func (s shareServer) Settle(_ context.Context, q *wire.SettleRequest) (*wire.SettleReply, error) {
+	s.node.peers.table.Seen(q.GetBox(), time.Now())
+	return s.node.spending.answer(q, time.Now()), nil
+}
+
+// Lend implements the Share service.
+func (s shareServer) Lend(_ context.Context, q *wire.LendRequest) (*wire.LendReply, error) {
+	return s.node.spending.lend(q, time.Now()), nil
+}
+
 // use counts what a box told, and answers what a load costs here.
 func (n *Node) use(q *wire.UseRequest) *wire.UseReply {
 	now := time.Now()
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -8,6 +8,7 @@
 import (
 	"time"
 
+	"cairnwick.example/access"
 	"cairnwick.example/forward"
 	"cairnwick.example/placement"
 )
@@ -26,6 +27,9 @@
 	Bounds     Bounds
 	Budget     forward.BudgetLimits
 	Rate       placement.RateLimits
+
+	DataCentres int           // that there are; zero: as many as have boxes
+	Quota       access.Bounds // that organisations' quotas are kept to
 }
 
 // Limits are what the box may use.
@@ -42,6 +46,9 @@
 	Drain time.Duration // an endpoint that leaves gets no requests after it
 	Apply time.Duration // a configuration is in force after it
 	Lapse time.Duration // entries of endpoints may lapse where the source is away for so long
+
+	StrictKeys bool          // a key that was taken away ends everywhere within Revocation; else where the source is heard
+	Revocation time.Duration // with StrictKeys: a configuration that is older may not say who calls
 }
 
 // defaultBehind is how far a box may be behind its source where no bound is set.
--- a/edge/source.go
+++ b/edge/source.go
@@ -67,8 +67,6 @@
 	Config(value []byte) (*topology.Config, error)
 	// Endpoint reads one life of an endpoint.
 	Endpoint(key string, value []byte) (*topology.Endpoint, error)
-	// EndpointID returns the ID in the key of an endpoint's fact.
-	EndpointID(key string) string
 	// Version reads the newest version of an adapter.
 	Version(value []byte) (topology.Adapter, int64, error)
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -4,6 +4,7 @@
 
 import (
 	"strings"
+	"sync"
 
 	"cairnwick.example/placement"
 	"cairnwick.example/share"
@@ -21,6 +22,17 @@
 	log     logr.Logger
 
 	slots slots
+
+	mu           sync.Mutex
+	lives        map[string]string // by the key of an endpoint's fact: the ID of the life that it told of last
+	unreadConfig uint64            // revision of the latest configuration that can't be read; zero: the latest one could
+}
+
+// unread tells whether a newer configuration than that in force could not be read.
+func (s *state) unread() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.unreadConfig != 0
 }
 
 // apply takes accepted items into the view. One that cannot be read changes
@@ -67,27 +79,38 @@
 		return nil // the last one stays in force
 	}
 	c, err := s.decoder.Config(value)
+	s.mu.Lock()
+	s.unreadConfig = 0
+	if err != nil {
+		s.unreadConfig = i.GetVersion()
+	}
+	s.mu.Unlock()
 	if err != nil {
 		return err
 	}
+	before := s.view.Config()
 	if s.view.SetConfig(c) {
 		s.log.Info("Configuration is in force", "config", c.Version(), "revision", i.GetVersion())
+		s.logKeys(before, c)
 	}
 	return nil
 }
 
+// applyEndpoint takes in what the source says under an endpoint's key. What can't be read names no
+// endpoint to use, also where it takes the place of a good entry: other writers than endpoints may
+// write there, and an endpoint that lives writes its own entry again within a heartbeat.
 func (s *state) applyEndpoint(i *wire.Item, value []byte) error {
-	id := s.decoder.EndpointID(i.GetKey())
 	if i.GetRemoved() {
-		s.view.RemoveEndpoint(id)
-		s.forgetSlots(id)
-		s.log.Info("Endpoint is gone", "endpoint", id, "revision", i.GetVersion())
+		s.endLife(i, "", "Endpoint is gone")
 		return nil
 	}
 	e, err := s.decoder.Endpoint(i.GetKey(), value)
 	if err != nil {
+		s.endLife(i, "", "Endpoint's entry can't be read; the endpoint is not used")
 		return err
 	}
+	id := e.ID()
+	s.endLife(i, id, "Endpoint has started again")
 	old := s.view.Endpoint(id)
 	if old == nil || old.Draining() != e.Draining() {
 		s.log.Info("Endpoint is known", "endpoint", id, "address", e.Address(), "endpoint_data_centre", e.DataCentre(),
@@ -100,6 +123,27 @@
 	return nil
 }
 
+// endLife notes which life of an endpoint its key tells of now, empty for none. All that was
+// known of the life before is forgotten: one that started again holds and runs nothing of it.
+func (s *state) endLife(i *wire.Item, id, why string) {
+	s.mu.Lock()
+	if s.lives == nil {
+		s.lives = make(map[string]string)
+	}
+	before := s.lives[i.GetKey()]
+	s.lives[i.GetKey()] = id
+	if id == "" {
+		delete(s.lives, i.GetKey())
+	}
+	s.mu.Unlock()
+	if before == "" || before == id {
+		return
+	}
+	s.view.RemoveEndpoint(before)
+	s.forgetSlots(before)
+	s.log.Info(why, "endpoint", before, "revision", i.GetVersion())
+}
+
 // heldLongAgo returns what an endpoint published that it holds. It may be wrong by
 // now, which the endpoint says when it is asked.
 func heldLongAgo(e *topology.Endpoint) map[topology.Adapter]topology.Held {
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -27,6 +27,8 @@
 	kindLevel     = "level"          // the answer to either
 	kindAsk       = "ask"            // for a load, and the answer
 	kindResign    = "resign"         // and the answer
+	kindSettle    = "settle"         // draws from quotas, and the answer
+	kindLend      = "lend"           // moves a part of the quotas between data centres, and the answer
 	kindUnknown   = "other"          // of a newer version
 )
 
@@ -53,6 +55,10 @@
 		return kindAsk
 	case *wire.ResignRequest, *wire.ResignReply:
 		return kindResign
+	case *wire.SettleRequest, *wire.SettleReply:
+		return kindSettle
+	case *wire.LendRequest, *wire.LendReply:
+		return kindLend
 	}
 	return kindUnknown
 }
--- /dev/null
+++ b/edge/vouch.go
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"sync"
+	"time"
+)
+
+// vouched is as of when the source is known to have published no newer configuration than the one
+// in force here. Unlike the ages of streams it holds however long a message was on its way, and
+// however long this process stood still: it is the time at which this box began the call whose
+// answer says so, less the age that the answer gives.
+type vouched struct {
+	mu   sync.Mutex
+	asOf time.Time // the latest one; zero: never
+}
+
+// raise notes that nothing newer had been published at a time.
+func (v *vouched) raise(asOf time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if asOf.After(v.asOf) {
+		v.asOf = asOf
+	}
+}
+
+// ago returns how long ago that was; false where it never was.
+func (v *vouched) ago(now time.Time) (time.Duration, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return now.Sub(v.asOf), !v.asOf.IsZero()
+}
+
+const (
+	// keyMargin is how much sooner than the bound a box stops to serve by its keys: a request
+	// takes some milliseconds from its last check to its endpoint.
+	keyMargin = 100 * time.Millisecond
+	// vouchPart is the part of the bound after which a box asks the source itself: the calls that
+	// are lost on the way leave time for others.
+	vouchPart = 0.5
+	// askOthersAfter is how old a leader's own word is before it asks the other leaders for
+	// theirs: longer than the source takes to answer one that it hears.
+	askOthersAfter = 1500 * time.Millisecond
+)
+
+// strictKeys tells whether the age of what this box knows of keys bounds what it serves.
+func (n *Node) strictKeys() bool {
+	return n.current.Load().Bounds.StrictKeys && n.view.Config().Callers() != nil
+}
+
+// mustVouch tells whether this box must hear the source itself to go on with its keys.
+func (n *Node) mustVouch(now time.Time) bool {
+	if n.view.Config() == nil || !n.strictKeys() {
+		return false
+	}
+	ago, ok := n.vouched.ago(now)
+	return !ok || ago > time.Duration(vouchPart*float64(n.current.Load().Bounds.Revocation))
+}
+
+// trustsKeys tells whether what this box knows of keys is recent enough to serve by.
+func (n *Node) trustsKeys(now time.Time) bool {
+	if !n.strictKeys() {
+		return true
+	}
+	ago, ok := n.vouched.ago(now)
+	return ok && ago < n.current.Load().Bounds.Revocation-keyMargin
+}
+
+// servesKeys tells whether callers with keys are served here. The balancer sends them where they
+// are if this box says it is not ready; where no box of the data centre is, it asks all.
+func (n *Node) servesKeys(now time.Time) bool {
+	return n.trustsKeys(now)
+}
+
+// keysReport is what the metrics tell of callers' keys.
+type keysReport struct {
+	Organisations int   `json:"organisations"`
+	AgeMS         int64 `json:"age_ms"` // since no newer configuration was published, as far as is known; below zero: not known
+	Served        bool  `json:"served"` // whether callers with keys are served
+}
+
+func (n *Node) keysReport() keysReport {
+	now := time.Now()
+	r := keysReport{AgeMS: -1}
+	if ago, ok := n.vouched.ago(now); ok {
+		r.AgeMS = ago.Milliseconds()
+	}
+	if c := n.view.Config(); c != nil {
+		r.Organisations, r.Served = len(c.Callers().All()), n.trustsKeys(now)
+	}
+	return r
+}
--- /dev/null
+++ b/forward/admission.go
@@ -0,0 +1,130 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"time"
+
+	"cairnwick.example/access"
+)
+
+// Admission knows what holds for organisations over all boxes.
+type Admission interface {
+	// Trusted tells whether what this box knows of keys is recent enough to serve by: a key that
+	// was taken away since may not be served for long.
+	Trusted(now time.Time) bool
+	// Current tells whether it is recent enough to say that a key stands for nobody: one that was
+	// put in since does.
+	Current(now time.Time) bool
+	// Spend takes units from an organisation's quota. It waits as long as p says.
+	Spend(ctx context.Context, o *access.Organisation, units float64, p Patience) Spent
+	// SpendAgain takes units that are used in any case.
+	SpendAgain(o *access.Organisation, units float64)
+	// Return gives back units of a request that did not run.
+	Return(o *access.Organisation, units float64)
+}
+
+// Patience is how long a request waits for a quota.
+type Patience struct {
+	Over    time.Duration // where the quota is used up and known to have room again within it
+	Unknown time.Duration // for somebody who counts the quota
+}
+
+// Spent is what became of a request for units of a quota.
+type Spent struct {
+	OK    bool
+	Over  bool          // not OK: the quota is used up; else nobody who counts it answers
+	Retry time.Duration // not OK: when it is likely granted
+}
+
+// The parts of a route's target that a request waits for its organisation's quota at the most.
+const (
+	// overPart is little: what is beyond a quota is told so at once, and a wait that others of
+	// the same organisation may use up is not worth more of the time in which it must be answered.
+	overPart = 0.125
+	// unknownPart leaves half of the target for the answer: boxes agree anew within a second on
+	// who counts.
+	unknownPart = 0.5
+)
+
+// identify finds whose request it is, by the configuration that is in force now. It is asked
+// before each send: a key may have been taken away, and this box may have stood still, since the
+// request came.
+func (g *Gateway) identify(q *request, now time.Time) *Refusal {
+	d := g.View.Config().Callers()
+	if d == nil || q.route.Public() {
+		q.organisation = nil
+		return nil
+	}
+	c := q.call.Credential
+	if !c.Given() {
+		return &Refusal{Code: CodeNoKey, Detail: "the caller shows no key, or several"}
+	}
+	if !g.Admission.Trusted(now) {
+		return &Refusal{Code: CodeOldWord, Retry: noneRetry, Detail: "a key that was taken away may not be known here"}
+	}
+	o := d.Find(c)
+	if o != nil {
+		q.organisation = o
+		return nil
+	}
+	if !g.Admission.Current(now) {
+		return &Refusal{Code: CodeOldWord, Retry: noneRetry, Detail: "a key that was put in may not be known here"}
+	}
+	return &Refusal{Code: CodeNoKey, Detail: "no organisation has the key"}
+}
+
+// payer returns the name of the organisation whose request it is; empty for nobody's.
+func (q *request) payer() string {
+	if q.organisation == nil {
+		return ""
+	}
+	return q.organisation.Name()
+}
+
+// limited tells whether the request counts against a quota.
+func (q *request) limited() bool { return q.organisation != nil && q.organisation.Quota().Limits() }
+
+// cost returns what one run of the request counts.
+func (q *request) cost() float64 {
+	return q.organisation.Quota().Cost(q.call.TokensIn+q.call.TokensOut, q.call.TokensStated)
+}
+
+// spend takes a run of the request from its organisation's quota, before anything else is used
+// for it: what is beyond a quota costs the others no slot, load or retry.
+func (g *Gateway) spend(ctx context.Context, q *request) *Refusal {
+	if !q.limited() {
+		return nil
+	}
+	target := float64(q.route.Target())
+	s := g.Admission.Spend(ctx, q.organisation, q.cost(), Patience{
+		Over:    time.Duration(overPart * target),
+		Unknown: time.Duration(unknownPart * target),
+	})
+	switch {
+	case s.OK:
+		q.spent = q.cost()
+		return nil
+	case s.Over:
+		return &Refusal{Code: CodeOverQuota, Retry: s.Retry, Detail: "the organisation asks more than its quota"}
+	}
+	return &Refusal{Code: CodeQuotaUnknown, Retry: s.Retry, Detail: "nobody who counts the organisation's quota answers"}
+}
+
+// spendAgain takes one more run from the quota where the one before began.
+func (g *Gateway) spendAgain(q *request) {
+	if !q.limited() || q.spent > 0 {
+		return
+	}
+	q.spent = q.cost()
+	g.Admission.SpendAgain(q.organisation, q.spent)
+}
+
+// giveBack returns what was spent for a run that never began.
+func (g *Gateway) giveBack(q *request) {
+	if q.spent > 0 && q.organisation != nil {
+		g.Admission.Return(q.organisation, q.spent)
+		q.spent = 0
+	}
+}
--- /dev/null
+++ b/forward/admission_test.go
@@ -0,0 +1,205 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cairnwick.example/access"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// fakeAdmission grants what is left.
+type fakeAdmission struct {
+	mu             sync.Mutex
+	old, outdated  bool
+	left           float64
+	again, returns float64
+	noLeader       bool
+}
+
+// Trusted implements Admission.
+func (a *fakeAdmission) Trusted(time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.old
+}
+
+// Current implements Admission.
+func (a *fakeAdmission) Current(time.Time) bool { return !a.outdated }
+
+// Spend implements Admission.
+func (a *fakeAdmission) Spend(_ context.Context, _ *access.Organisation, units float64, _ Patience) Spent {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.noLeader || a.left < units {
+		return Spent{Over: !a.noLeader, Retry: 300 * time.Millisecond}
+	}
+	a.left -= units
+	return Spent{OK: true}
+}
+
+// SpendAgain implements Admission.
+func (a *fakeAdmission) SpendAgain(_ *access.Organisation, units float64) { a.again += units }
+
+// Return implements Admission.
+func (a *fakeAdmission) Return(_ *access.Organisation, units float64) { a.returns += units }
+
+// newKeyedSite is a site whose callers need keys: organisation "org" has the key "good".
+func newKeyedSite(t *testing.T, r topology.RouteSpec, q access.Quota) (*site, *fakeAdmission) {
+	s := newSite(t, r)
+	s.allow(access.Spec{Name: "org", Keys: []access.Digest{access.KeyDigest("good")}, Quota: q})
+	a := &fakeAdmission{left: 1e9}
+	s.gateway.Admission = a
+	return s, a
+}
+
+// allow brings a configuration into force whose only organisations these are.
+func (s *site) allow(specs ...access.Spec) {
+	d, err := access.NewDirectory(specs)
+	s.c.Assert(err, quicktest.IsNil)
+	old := s.gateway.View.Config()
+	route := old.Route("site.example", "/")
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app"})}
+	n := topology.NewConfig(old.Version()+1, []*topology.Route{route}, services, old.Limits())
+	s.gateway.View.SetConfig(n.WithCallers(d))
+}
+
+// askWith sends one request with a key and returns the status and the time to come back.
+func (s *site) askWith(key string) (status int, back string) {
+	r, err := http.NewRequest(http.MethodPost, s.front.URL+"/", strings.NewReader("the body"))
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	r.Header.Set("Id", "call-1")
+	if key != "" {
+		r.Header.Set("Key", key)
+	}
+	a, err := http.DefaultClient.Do(r)
+	s.c.Assert(err, quicktest.IsNil)
+	defer a.Body.Close()
+	return a.StatusCode, a.Header.Get("Come-Back")
+}
+
+func TestOnlyCallersWithAKnownKeyAreServed(t *testing.T) {
+	s, _ := newKeyedSite(t, once(time.Second), access.Quota{})
+	var payer string
+	calls := s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		payer = r.Header.Get("Payer")
+		answerOK(w, r)
+	})
+	for _, key := range []string{"", "bad"} {
+		status, _ := s.askWith(key)
+		s.c.Assert(status, quicktest.Equals, http.StatusUnauthorized)
+	}
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(0))
+	status, _ := s.askWith("good")
+	s.c.Assert(status, quicktest.Equals, http.StatusOK)
+	s.c.Assert(payer, quicktest.Equals, "org")
+}
+
+func TestAPublicRouteAsksForNoKey(t *testing.T) {
+	r := once(time.Second)
+	r.Public = true
+	s, a := newKeyedSite(t, r, access.Quota{Rate: 1})
+	a.old = true
+	var payer string
+	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		payer = r.Header.Get("Payer")
+		answerOK(w, r)
+	})
+	for _, key := range []string{"", "bad", "good"} {
+		status, _ := s.askWith(key)
+		s.c.Assert(status, quicktest.Equals, http.StatusOK)
+		s.c.Assert(payer, quicktest.Equals, "")
+	}
+}
+
+// What a box knows of keys is as old as the last word of the source. Where a key that was taken away
+// since may not be served any more, the box serves nobody by keys, and says that nothing ran.
+func TestByWordThatIsTooOldNoKeyIsServedAndNoneIsDenied(t *testing.T) {
+	s, a := newKeyedSite(t, once(time.Second), access.Quota{})
+	calls := s.endpoint(t, answerOK)
+	a.old = true
+	for _, key := range []string{"good", "bad"} {
+		status, back := s.askWith(key)
+		s.c.Assert(status, quicktest.Equals, http.StatusServiceUnavailable)
+		s.c.Assert(back, quicktest.Equals, noneRetry.String())
+	}
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(0))
+	a.old, a.outdated = false, true // recent enough to serve by, not to deny by
+	status, _ := s.askWith("good")
+	s.c.Assert(status, quicktest.Equals, http.StatusOK)
+	status, _ = s.askWith("new")
+	s.c.Assert(status, quicktest.Equals, http.StatusServiceUnavailable)
+}
+
+// A request waited for its adapter; meanwhile its key was taken away, or the box stood still until
+// what it knew of keys was too old. The send that followed asked nobody.
+func TestTheKeyIsLookedAtAgainBeforeEachSend(t *testing.T) {
+	for name, change := range map[string]func(*site, *fakeAdmission){
+		"taken away": func(s *site, _ *fakeAdmission) { s.allow(access.Spec{Name: "org"}) },
+		"too old": func(_ *site, a *fakeAdmission) {
+			a.mu.Lock()
+			defer a.mu.Unlock()
+			a.old = true
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, a := newKeyedSite(t, repeatable(2*time.Second), access.Quota{Rate: 1})
+			first := func(w http.ResponseWriter, r *http.Request) {
+				change(s, a)
+				refuseUnrun(w, r)
+			}
+			one, two := s.endpoint(t, first), s.endpoint(t, first)
+			status, _ := s.askWith("good")
+			s.c.Assert(status >= 400, quicktest.IsTrue)
+			s.c.Assert(one.Load()+two.Load(), quicktest.Equals, int64(1))
+			s.c.Assert(a.returns, quicktest.Equals, 1.0) // it never ran
+		})
+	}
+}
+
+func TestWhatIsBeyondAQuotaIsToldSoAndReachesNoEndpoint(t *testing.T) {
+	s, a := newKeyedSite(t, once(time.Second), access.Quota{Rate: 10})
+	calls := s.endpoint(t, answerOK)
+	a.left = 2
+	for range 2 {
+		status, _ := s.askWith("good")
+		s.c.Assert(status, quicktest.Equals, http.StatusOK)
+	}
+	status, back := s.askWith("good")
+	s.c.Assert(status, quicktest.Equals, http.StatusTooManyRequests)
+	s.c.Assert(back, quicktest.Equals, "300ms")
+	a.noLeader = true
+	status, back = s.askWith("good")
+	s.c.Assert(status, quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(back, quicktest.Equals, "300ms")
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(2))
+	s.c.Assert(a.returns, quicktest.Equals, 0.0)
+}
+
+func TestEachRunCountsAndWhatDidNotRunIsGivenBack(t *testing.T) {
+	for name, k := range map[string]struct {
+		handler        http.HandlerFunc
+		again, returns float64
+	}{
+		"runs":         {answerOK, 0, 0},
+		"never runs":   {refuseUnrun, 0, 1},
+		"breaks twice": {hangUp, 1, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, a := newKeyedSite(t, repeatable(2*time.Second), access.Quota{Rate: 10})
+			s.endpoint(t, k.handler)
+			s.endpoint(t, k.handler)
+			s.askWith("good")
+			s.c.Assert(a.again, quicktest.Equals, k.again)
+			s.c.Assert(a.returns, quicktest.Equals, k.returns)
+		})
+	}
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -31,9 +31,19 @@
 	return g.pass(ctx, q, out, d, t, a)
 }
 
-// send writes the request and reads the head of the answer. What is no answer to
-// this call is a failure.
+// send sends the request, which counts against its organisation's quota unless it is known not to
+// have run. What is no answer to this call is a failure.
 func (g *Gateway) send(ctx context.Context, q *request, u *upstream, t target, lastEvent string) (*http.Response, *Refusal) {
+	g.spendAgain(q)
+	a, f := g.exchange(ctx, q, u, t, lastEvent)
+	if f == nil || f.Ran {
+		q.spent = 0
+	}
+	return a, f
+}
+
+// exchange writes the request and reads the head of the answer.
+func (g *Gateway) exchange(ctx context.Context, q *request, u *upstream, t target, lastEvent string) (*http.Response, *Refusal) {
 	r, err := g.outbound(ctx, q, t, lastEvent)
 	if err != nil {
 		return nil, &Refusal{Code: CodeBadRequest, Detail: err.Error()}
@@ -100,10 +110,12 @@
 	g.Protocol.Instruct(r.Header, Instruction{
 		Endpoint:  t.endpoint.ID(),
 		Left:      q.left(time.Now()),
-		Priority:  q.route.Priority(),
+		Priority:  q.config.Rank(q.route, q.organisation),
 		HasModel:  q.service.Engine() != nil,
 		Version:   t.version,
 		LastEvent: lastEvent,
+
+		Organisation: q.payer(),
 	})
 	return r, nil
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"time"
 
+	"cairnwick.example/access"
 	"cairnwick.example/topology"
 )
 
@@ -25,6 +26,9 @@
 	TokensIn  int
 	TokensOut int    // the most that may be generated
 	LastEvent string // of a stream that the caller resumes
+
+	TokensStated bool // the caller says how many tokens the call uses
+	Credential   access.Credential
 }
 
 // Instruction is what a request tells the endpoint besides what its caller said.
@@ -35,6 +39,8 @@
 	HasModel  bool          // the service runs models
 	Version   int64         // of the adapter; zero: any
 	LastEvent string        // the stream goes on after it; empty: from the start
+
+	Organisation string // whose request it is; empty: nobody's
 }
 
 // Answer is what the head of an endpoint's answer says.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -22,6 +22,7 @@
 	Protocol   Protocol
 	Placer     Placer
 	Observer   Observer
+	Admission  Admission
 	Boxes      func() int                                               // boxes that share the budget of retries; zero: not known yet
 	Level      func(dataCentre string) (cost time.Duration, known bool) // of a load there, by who decides for its endpoints
 	Cut        func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead: it is out of touch
@@ -118,7 +119,12 @@
 	q.caller.admitted(q.deadline)
 	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
 	defer cancel()
-	if f := g.serve(ctx, q, out); f != nil {
+	f := g.spend(ctx, q)
+	if f == nil {
+		f = g.serve(ctx, q, out)
+		g.giveBack(q)
+	}
+	if f != nil {
 		g.fail(ctx, out, q, f)
 		return
 	}
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/access"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -24,6 +25,7 @@
 // ReadCall implements Protocol.
 func (plainProtocol) ReadCall(h http.Header) (Call, error) {
 	c := Call{ID: h.Get("Id"), Adapter: topology.ParseAdapter(h.Get("Adapter")), LastEvent: h.Get("Last")}
+	c.Credential = access.Show(h.Values("Key"))
 	if d, err := time.ParseDuration(h.Get("Within")); err == nil {
 		c.Deadline = d
 	}
@@ -34,6 +36,7 @@
 func (plainProtocol) Instruct(h http.Header, i Instruction) {
 	h.Del("Order-Endpoint")
 	h.Set("Life", i.Endpoint)
+	h.Set("Payer", i.Organisation)
 	if i.LastEvent != "" {
 		h.Set("Last", i.LastEvent)
 	}
--- a/forward/home.go
+++ b/forward/home.go
@@ -184,7 +184,7 @@
 		Version:  g.View.Newest(q.call.Adapter),
 		Wait:     q.route.Target() - now.Sub(q.received) - answers,
 		Most:     q.useful(now) - answers,
-		Priority: q.route.Priority(),
+		Priority: q.config.Rank(q.route, q.organisation),
 		Worth:    float64(q.call.TokensIn + outputWeight*q.call.TokensOut),
 		Returned: q.returned(),
 		Denied:   q.denied == e.ID(),
--- a/forward/record.go
+++ b/forward/record.go
@@ -14,6 +14,10 @@
 // mostRoutes bounds the histograms by route.
 const mostRoutes = 64
 
+// mostOrganisations bounds the histograms by organisation; the rest share one. A histogram takes
+// some kilobytes.
+const mostOrganisations = 64
+
 // Stats are the gateway's histograms.
 type Stats struct {
 	Routes   *metrics.Family // time to the end of served requests, by route
@@ -21,6 +25,9 @@
 	Refusals *metrics.Family // time to the refusal, by code
 	Attempts *metrics.Family // time of failed attempts, by what became of them
 	Error    *metrics.Family // how far the predicted time to the first token was off, by which way
+
+	Organisations *metrics.Family // time to the end of served requests, by organisation
+	Unserved      *metrics.Family // time to the refusal, by organisation and code
 }
 
 // NewStats returns empty histograms.
@@ -31,6 +38,9 @@
 		Refusals: metrics.NewFamily(mostRoutes),
 		Attempts: metrics.NewFamily(mostRoutes),
 		Error:    metrics.NewFamily(mostRoutes),
+
+		Organisations: metrics.NewFamily(mostOrganisations),
+		Unserved:      metrics.NewFamily(mostOrganisations),
 	}
 }
 
@@ -39,12 +49,15 @@
 	now := time.Now()
 	g.Stats.Routes.Observe(q.route.Name(), now.Sub(q.received))
 	g.Stats.First.Observe(q.route.Name(), out.first.Sub(q.received))
+	if q.organisation != nil {
+		g.Stats.Organisations.Observe(q.payer(), now.Sub(q.received))
+	}
 	plain := q.attempts == 1 && out.status < 300 && out.first.Sub(q.received) <= q.route.Target()
 	g.notePrediction(q)
 	if g.Pressed() || (plain && g.sampled.Add(1)%sampleEvery != 0 && !g.Log.V(1).Enabled()) {
 		return
 	}
-	g.Log.Info("Request was answered", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
+	g.Log.Info("Request was answered", "request", q.call.ID, "route", q.route.Name(), "organisation", q.payer(), "endpoint", q.sentTo.ID(),
 		"adapter", q.call.Adapter.String(), "adapter_version", q.version, "config", q.config.Version(),
 		"status", out.status, "attempts", q.attempts, "waited_ms", q.waited.Milliseconds(), "queued_ms", q.queued.Milliseconds(),
 		"sent_ms", q.sentAt.Sub(q.received).Milliseconds(), "predicted_ms", q.predicted.Milliseconds(),
@@ -78,6 +91,9 @@
 func (g *Gateway) recordFailure(q *request, f *Refusal, begun bool) {
 	took := time.Since(q.received)
 	g.Stats.Refusals.Observe(string(f.Code), took)
+	if q.organisation != nil {
+		g.Stats.Unserved.Observe(q.payer()+" "+string(f.Code), took)
+	}
 	route, version, endpoint := "", uint64(0), ""
 	if q.route != nil {
 		route = q.route.Name()
@@ -88,7 +104,7 @@
 	if q.sentTo != nil {
 		endpoint = q.sentTo.ID()
 	}
-	g.Log.Info("Request failed", "request", q.call.ID, "route", route, "reason", string(f.Code),
+	g.Log.Info("Request failed", "request", q.call.ID, "route", route, "organisation", q.payer(), "reason", string(f.Code),
 		"status", f.status(), "may_have_run", f.Ran, "begun", begun, "adapter", q.call.Adapter.String(),
 		"endpoint", endpoint, "attempts", q.attempts, "retry_withheld", q.withheld, "config", version, "waited_ms", q.waited.Milliseconds(),
 		"took_ms", took.Milliseconds(), "retry_ms", f.Retry.Milliseconds(), "cause", f.Detail)
--- a/forward/record_test.go
+++ b/forward/record_test.go
@@ -83,7 +83,7 @@
 	s.gateway.Log = funcr.New(l.add, funcr.Options{})
 	s.gateway.Placer = silentPlacer{}
 	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "dc", Slots: 1})
-	q := &request{call: Call{ID: "call-1", Adapter: topology.Adapter{Model: "m", Name: "a"}}, received: time.Now(),
+	q := &request{config: s.gateway.View.Config(), call: Call{ID: "call-1", Adapter: topology.Adapter{Model: "m", Name: "a"}}, received: time.Now(),
 		deadline: time.Now().Add(time.Second), route: topology.NewRoute(once(time.Second))}
 	for range 3 {
 		_, _, settling := s.gateway.askHomes(context.Background(), q, []*topology.Endpoint{e})
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -29,6 +29,11 @@
 	CodeBodyLate    Code = "body_too_late" // the body was not there by the request's deadline
 	CodeEnding      Code = "box_ends"      // the time that the box had to stop is over
 	CodeFault       Code = "fault"         // of this program
+
+	CodeNoKey        Code = "key_unknown"      // the caller shows no key that stands for an organisation
+	CodeOldWord      Code = "keys_not_current" // what this box knows of keys is too old to go by
+	CodeOverQuota    Code = "quota_used_up"    // of the caller's organisation
+	CodeQuotaUnknown Code = "quota_not_known"  // nobody who counts the organisation's quota answers
 )
 
 // Refusal is the final answer to a request that got none of an endpoint.
@@ -56,6 +61,14 @@
 		return http.StatusRequestEntityTooLarge
 	case CodeNoRoute:
 		return http.StatusNotFound
+	case CodeNoKey:
+		if !f.Ran {
+			return http.StatusUnauthorized
+		}
+	case CodeOverQuota:
+		if !f.Ran {
+			return http.StatusTooManyRequests
+		}
 	case CodeBodyLate:
 		return http.StatusRequestTimeout
 	case CodeTimeout:
@@ -73,9 +86,12 @@
 	status := f.status()
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		g.Protocol.ComeBack(h, max(f.Retry, soonest))
 	}
+	if f.Code == CodeOldWord {
+		h.Set("Connection", "close") // another box may know more
+	}
 	w.WriteHeader(status)
 	_, _ = fmt.Fprintf(w, "%s\n", f.Code) // the caller may be gone
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"cairnwick.example/access"
 	"cairnwick.example/topology"
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -26,6 +27,8 @@
 	route         *topology.Route
 	config        *topology.Config
 	service       *topology.Service
+	organisation  *access.Organisation // nil: the route asks for no key
+	spent         float64              // of the organisation's quota, for a run that has not begun
 	body          []byte
 	attempts      int             // requests sent to endpoints
 	ran           int             // of these, those that may have run
@@ -81,6 +84,9 @@
 	if q.route == nil {
 		return &Refusal{Code: CodeNoRoute, Detail: q.inbound.Host + q.inbound.RequestURI}
 	}
+	if f := g.identify(q, time.Now()); f != nil {
+		return f
+	}
 	q.deadline = q.received.Add(q.route.Timeout())
 	if d := q.call.Deadline; d > 0 && d < q.route.Timeout() {
 		q.deadline = q.received.Add(d)
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -29,6 +29,9 @@
 	var last *Refusal
 	for q.attempts < mostAttempts {
 		t, f := g.place(ctx, q)
+		if f == nil {
+			f = g.identify(q, time.Now())
+		}
 		if f != nil {
 			return g.sum(q, f)
 		}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -59,6 +59,9 @@
 // that the caller got; it tells whether the stream came to its end.
 func (g *Gateway) resume(ctx context.Context, q *request, s *events) bool {
 	t, f := g.place(ctx, q)
+	if f == nil {
+		f = g.identify(q, time.Now())
+	}
 	if f != nil {
 		q.ran = q.route.MaxAttempts() // nowhere to go
 		return false
--- a/topology/config.go
+++ b/topology/config.go
@@ -14,6 +14,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"cairnwick.example/access"
 )
 
 // Kind says what may be done with a request again.
@@ -46,6 +48,7 @@
 	Shares      []Share       // at least one
 	MaxAttempts int           // endpoints that one request may run at
 	Resumable   bool          // a broken stream may go on at another endpoint
+	Public      bool          // callers need no key
 }
 
 // Route is where requests of a host and a path go.
@@ -86,6 +89,9 @@
 	return r.spec.Kind == Repeatable || (r.spec.Kind == Stream && r.spec.Resumable)
 }
 
+// Public tells whether callers need no key, whatever the configuration says of organisations.
+func (r *Route) Public() bool { return r.spec.Public }
+
 // Split returns the service of a request by a number in [0, 1) that is its own.
 func (r *Route) Split(point float64) string {
 	whole := 0
@@ -180,6 +186,8 @@
 	hosts    map[string][]*Route // by falling length of prefix
 	services map[string]*Service
 	limits   Limits
+	callers  *access.Directory // nil: callers need no keys
+	ranks    ranks
 }
 
 // NewConfig returns the configuration of a version.
@@ -194,9 +202,34 @@
 	for _, s := range services {
 		c.services[s.Name()] = s
 	}
+	c.ranks = newRanks(routes, nil)
 	return c
 }
 
+// WithCallers returns the configuration with the organisations that may call.
+func (c *Config) WithCallers(d *access.Directory) *Config {
+	n := *c
+	n.callers = d
+	n.ranks = newRanks(n.routes(), d)
+	return &n
+}
+
+// routes returns every route.
+func (c *Config) routes() []*Route {
+	var list []*Route
+	for _, some := range c.hosts {
+		list = append(list, some...)
+	}
+	return list
+}
+
+// Callers returns the organisations that may call; nil where callers need no keys.
+func (c *Config) Callers() *access.Directory { return c.callers }
+
+// Rank returns how urgent a request of an organisation on a route is; 0 is the most urgent. The
+// organisation is nil for a route that asks for no key.
+func (c *Config) Rank(r *Route, o *access.Organisation) int { return c.ranks.of(r, o) }
+
 // Version returns the configuration's version; a higher one is newer.
 func (c *Config) Version() uint64 { return c.version }
 
