Wait for whoever counts a quota as long as the answer is of use; count from the start of a fresh fleet

Requests for adapters wait in the same state as long as that is of use.

Change: so do these; a pool whose box has just started holds what its quota brought since then; a float is used as if requests could be divided, by chance, also before the boxes are counted.

Not measured yet.

--- a/access/access_test.go
+++ b/access/access_test.go
@@ -133,11 +133,24 @@
 	c.Assert(p.Draw(Demand{Organisation: "o", Owed: 100}, l, now.Add(time.Hour)).Paid, quicktest.Equals, 0.0)
 }
 
+func TestChanceDecidesOnceOnTheRestOfAFloat(t *testing.T) {
+	c := quicktest.New(t)
+	var a Account
+	c.Assert(a.Admit(200, 100, 0.6), quicktest.IsFalse)
+	c.Assert(a.Admit(200, 100, 0.1), quicktest.IsFalse) // not again
+	c.Assert(a.Admit(40, 100, 0.9), quicktest.IsTrue)
+	a.Demand()
+	a.Settle(40)
+	c.Assert(a.Admit(200, 100, 0.4), quicktest.IsTrue)
+	c.Assert(a.Owed(), quicktest.Equals, 200.0)
+	c.Assert(a.Admit(1, 100, 0), quicktest.IsFalse)
+}
+
 func TestAnAccountGivesBackWhatItDrewForNothing(t *testing.T) {
 	c := quicktest.New(t)
 	var a Account
-	c.Assert(a.Admit(60, 100), quicktest.IsTrue)
-	c.Assert(a.Admit(60, 100), quicktest.IsFalse)
+	c.Assert(a.Admit(60, 100, 0.9), quicktest.IsTrue)
+	c.Assert(a.Admit(60, 100, 0.9), quicktest.IsFalse)
 	owed, returned := a.Demand()
 	c.Assert(owed, quicktest.Equals, 60.0)
 	c.Assert(returned, quicktest.Equals, 0.0)
--- a/access/account.go
+++ b/access/account.go
@@ -7,15 +7,27 @@
 // Account is what one box spent of an organisation's quota and has not drawn. It is not safe for
 // concurrent use. The zero value owes nothing.
 type Account struct {
-	owed float64   // units; below zero: drawn ahead, of requests that never ran
-	told float64   // of owed, that is being asked for
-	at   time.Time // when it was last forgiven
+	owed  float64   // units; below zero: drawn ahead, of requests that never ran
+	told  float64   // of owed, that is being asked for
+	at    time.Time // when it was last forgiven
+	tried bool      // chance decided on what is left of the float
 }
 
-// Admit spends a request's units at once, where so little is owed that the float allows it.
-func (a *Account) Admit(cost, float float64) bool {
-	if a.owed+cost > float {
-		return false
+// Admit spends a request's units at once, where so little is owed that the float allows it. Where a
+// part of the float is left that is smaller than the request, chance, a number in [0, 1), decides
+// once: over all boxes the floats are used then as if requests could be divided. A float is some
+// hundred units where a request counts 700, so that without it a fleet that has just started had
+// nothing to go by until its leaders were known.
+func (a *Account) Admit(cost, float, chance float64) bool {
+	left := float - a.owed
+	if cost > left {
+		if a.tried || left <= 0 {
+			return false
+		}
+		a.tried = true
+		if chance >= left/cost {
+			return false
+		}
 	}
 	a.owed += cost
 	return true
@@ -40,6 +52,7 @@
 	}
 	a.owed -= paid
 	a.told = 0
+	a.tried = a.tried && paid <= 0
 }
 
 // Forgive drops what is owed while no pool answers, a float in each window: the box then goes on
@@ -47,6 +60,7 @@
 func (a *Account) Forgive(float float64, window time.Duration, now time.Time) {
 	if !a.at.IsZero() && window > 0 && a.owed > 0 {
 		a.owed = max(a.owed-float*now.Sub(a.at).Seconds()/window.Seconds(), 0)
+		a.tried = a.tried && a.owed > 0
 	}
 	a.at = now
 }
--- a/access/bound_test.go
+++ b/access/bound_test.go
@@ -204,7 +204,7 @@
 // serve spends a request's units at a box, at once or by a settlement for it alone.
 func (f *fleet) serve(i int, cost float64) {
 	b := f.boxes[i]
-	if b.account.Admit(cost, f.bounds.Float(f.quota, len(f.boxes))) {
+	if b.account.Admit(cost, f.bounds.Float(f.quota, len(f.boxes)), f.random.Float64()) {
 		f.spent[f.now] += cost
 		return
 	}
--- a/edge/keys_test.go
+++ b/edge/keys_test.go
@@ -291,3 +291,21 @@
 	r.take([]Fact{{Key: "e/1", Revision: 12, Removed: true}}, time.Now())
 	c.Assert(v.All(), quicktest.HasLen, 0)
 }
+
+// All boxes had been killed; the first that led began to count from nothing as it led, and refused
+// what the quota had brought since the boxes were up.
+func TestAPoolCountsFromTheStartOfAFreshFleet(t *testing.T) {
+	c := quicktest.New(t)
+	config, err := keyedDecoder{}.Config([]byte("v"))
+	c.Assert(err, quicktest.IsNil)
+	now := time.Now()
+	for age, want := range map[time.Duration]float64{300 * time.Millisecond: 60, time.Hour: 0} {
+		n := &Node{view: topology.NewView(), peers: &peers{started: now.Add(-age)}}
+		n.current.Store(&n.Settings)
+		n.view.SetConfig(config)
+		s := newSpending(n)
+		s.open(1, now)
+		l := access.Bounds{}.Limit(orgSpec.Quota, 1)
+		c.Check(s.pool.Draw(access.Demand{Organisation: "org", Owed: 1000}, l, now).Paid, quicktest.Equals, want)
+	}
+}
--- a/edge/pool.go
+++ b/edge/pool.go
@@ -108,6 +108,9 @@
 	if s.opened.Swap(version) == version {
 		return
 	}
+	if started := s.node.peers.started; now.Sub(started) < freshFleet {
+		now = started
+	}
 	bounds := s.node.current.Load().Quota
 	for _, o := range s.node.view.Config().Callers().All() {
 		if o.Quota().Limits() {
@@ -116,6 +119,10 @@
 	}
 }
 
+// freshFleet is the age of a leader below which all boxes of its data centre have just started, since
+// the oldest leads: nobody has counted since this one started.
+const freshFleet = 3 * time.Second
+
 // close forgets what this box counted: another one leads.
 func (s *spending) close() {
 	if s.opened.Swap(0) != 0 {
--- a/edge/spending.go
+++ b/edge/spending.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -83,9 +84,18 @@
 	return a
 }
 
+// boxesAssumed is how many boxes share what is allowed beyond the quotas as long as a box that has just
+// started does not know: a new account has spent nothing yet, and can spend a third of what others
+// can, so that this covers thrice as many.
+const boxesAssumed = 128
+
 // float is how much of a quota this box may have spent and not drawn.
 func (s *spending) float(q access.Quota) float64 {
-	return s.node.current.Load().Quota.Float(q, s.node.peers.budgetBoxes(time.Now()))
+	boxes := s.node.peers.budgetBoxes(time.Now())
+	if boxes == 0 {
+		boxes = boxesAssumed
+	}
+	return s.node.current.Load().Quota.Float(q, boxes)
 }
 
 // change adds to what this box spent, without asking.
@@ -101,7 +111,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	a := s.accountLocked(o.Name())
-	if len(a.waiting) == 0 && a.Admit(units, s.float(o.Quota())) {
+	if len(a.waiting) == 0 && a.Admit(units, s.float(o.Quota()), rand.Float64()) {
 		s.mu.Unlock()
 		return forward.Spent{OK: true}
 	}
@@ -269,7 +279,7 @@
 	}
 	float := s.float(o.Quota())
 	a.Forgive(float, s.node.current.Load().Quota.Window, now)
-	for len(a.waiting) > 0 && a.Admit(a.waiting[0].units, float) {
+	for len(a.waiting) > 0 && a.Admit(a.waiting[0].units, float, 1) {
 		a.finish(a.waiting[0], forward.Spent{OK: true})
 	}
 }
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -38,15 +38,10 @@
 	Retry time.Duration // not OK: when it is likely granted
 }
 
-// The parts of a route's target that a request waits for its organisation's quota at the most.
-const (
-	// overPart is little: what is beyond a quota is told so at once, and a wait that others of
-	// the same organisation may use up is not worth more of the time in which it must be answered.
-	overPart = 0.125
-	// unknownPart leaves half of the target for the answer: boxes agree anew within a second on
-	// who counts.
-	unknownPart = 0.5
-)
+// overPart is the part of a route's target that a request waits for a quota that is used up: what is
+// beyond a quota is told so at once, and a wait that others of the same organisation may use up is not
+// worth more of the time in which it must be answered.
+const overPart = 0.125
 
 // identify finds whose request it is, by the configuration that is in force now. It is asked
 // before each send: a key may have been taken away, and this box may have stood still, since the
@@ -97,10 +92,9 @@
 	if !q.limited() {
 		return nil
 	}
-	target := float64(q.route.Target())
 	s := g.Admission.Spend(ctx, q.organisation, q.cost(), Patience{
-		Over:    time.Duration(overPart * target),
-		Unknown: time.Duration(unknownPart * target),
+		Over:    time.Duration(overPart * float64(q.route.Target())),
+		Unknown: q.useful(time.Now()) - g.predict(q.call.TokensIn), // boxes agree anew within a second on who counts
 	})
 	switch {
 	case s.OK:
