Say that a box is not ready before its word on keys is too old

The balancer takes two seconds to believe a box; from seven tenths of the bound on callers go where they will be served. Two ways, the other one being to say so at the bound. Not measured yet.

--- a/edge/keys_test.go
+++ b/edge/keys_test.go
@@ -194,6 +194,8 @@
 	c.Assert(n.trustsKeys(now), quicktest.IsFalse)
 	n.vouched.raise(asked.Add(-time.Hour)) // an older answer changes nothing
 	c.Assert(n.trustsKeys(now.Add(-time.Second)), quicktest.IsTrue)
+	c.Assert(n.expectsKeys(now.Add(-time.Second)), quicktest.IsFalse) // callers are sent elsewhere before they are refused
+	c.Assert(n.expectsKeys(now.Add(-2*time.Second)), quicktest.IsTrue)
 	c.Assert(n.mustVouch(now.Add(-time.Second)), quicktest.IsTrue)
 }
 
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -37,7 +37,7 @@
 
 // isReady tells whether the box can serve callers.
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.view.Config() != nil && len(n.view.All()) > 0 && n.servesKeys(time.Now())
+	return !n.leaving.Load() && n.view.Config() != nil && len(n.view.All()) > 0 && n.expectsKeys(time.Now())
 }
 
 func (n *Node) readiness() http.Handler {
--- a/edge/vouch.go
+++ b/edge/vouch.go
@@ -67,10 +67,19 @@
 	return ok && ago < n.current.Load().Bounds.Revocation-keyMargin
 }
 
-// servesKeys tells whether callers with keys are served here. The balancer sends them where they
-// are if this box says it is not ready; where no box of the data centre is, it asks all.
-func (n *Node) servesKeys(now time.Time) bool {
-	return n.trustsKeys(now)
+// readyPart is the part of the bound after which a box says that it is not ready. The balancer takes
+// some two seconds to believe it, and sends callers where they are served by the time that they would
+// be refused here. A word is some 2 s old at the most where nothing is wrong, of 5 s.
+const readyPart = 0.7
+
+// expectsKeys tells whether callers with keys will be served here for some more time. Where no box of
+// the data centre says so, the balancer asks all.
+func (n *Node) expectsKeys(now time.Time) bool {
+	if !n.strictKeys() {
+		return true
+	}
+	ago, ok := n.vouched.ago(now)
+	return ok && ago < time.Duration(readyPart*float64(n.current.Load().Bounds.Revocation))
 }
 
 // keysReport is what the metrics tell of callers' keys.
