Put an endpoint into its service's list without sorting all anew

Also: upstreams look for endpoints that are gone a quarter of a second after a change, not at each.

Ruled out by count: reading the pages of the list, some 30 ms a box.

--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -243,6 +243,11 @@
 	}
 }
 
+// forgetPause is between two looks for endpoints that are gone: where thousands change, each change
+// alone would cost a look at all that this box has used. A connection at rest to one that is gone does
+// no harm meanwhile.
+const forgetPause = 250 * time.Millisecond
+
 // watch forgets gone endpoints as the view changes, until ctx ends.
 func (t *upstreams) watch(ctx context.Context, v *topology.View) {
 	for ctx.Err() == nil {
@@ -250,7 +255,12 @@
 		t.keep(func(id string) bool { return v.Endpoint(id) != nil })
 		select {
 		case <-ctx.Done():
+			return
 		case <-changed:
 		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(forgetPause):
+		}
 	}
 }
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -59,6 +59,33 @@
 	c.Assert(v.Holders(a), quicktest.HasLen, 0)
 }
 
+func TestEndpointsOfAServiceStaySortedAndListsThatWereReadStay(t *testing.T) {
+	c := quicktest.New(t)
+	v := NewView()
+	ids := func(service string) (names []string) {
+		for _, e := range v.Endpoints(service) {
+			names = append(names, e.ID())
+		}
+		return names
+	}
+	set := func(id, service string) { v.SetEndpoint(NewEndpoint(EndpointSpec{ID: id, Service: service})) }
+	for _, id := range []string{"c", "a", "b", "a"} {
+		set(id, "s")
+	}
+	c.Assert(ids("s"), quicktest.DeepEquals, []string{"a", "b", "c"})
+	read := v.Endpoints("s")
+	set("b", "other")
+	v.RemoveEndpoint("a")
+	c.Assert(ids("s"), quicktest.DeepEquals, []string{"c"})
+	c.Assert(ids("other"), quicktest.DeepEquals, []string{"b"})
+	c.Assert(read, quicktest.HasLen, 3)
+	c.Assert(read[1].ID()+read[1].Service(), quicktest.Equals, "bs")
+	v.RemoveEndpoint("c")
+	v.RemoveEndpoint("c")
+	c.Assert(v.Endpoints("s"), quicktest.HasLen, 0)
+	c.Assert(v.All(), quicktest.HasLen, 1)
+}
+
 func TestSlotsBesideTheModelsAreBoundByWeights(t *testing.T) {
 	c := quicktest.New(t)
 	e := &EngineSpec{MB: 100, AdapterSlots: 16, Models: []ModelSpec{{Name: "m", MB: 90, AdapterMB: 3}}}
--- a/topology/view.go
+++ b/topology/view.go
@@ -16,7 +16,7 @@
 
 	mu        sync.RWMutex
 	endpoints map[string]*Endpoint        // by ID
-	services  map[string][]*Endpoint      // endpoints of a service by ID; rebuilt at each change
+	services  map[string][]*Endpoint      // endpoints of a service, sorted by ID; a list never changes
 	newest    map[Adapter]int64           // the newest version that was published
 	held      map[string]map[Adapter]Held // by endpoint
 	holders   map[Adapter]map[string]Held // by adapter, then endpoint
@@ -59,32 +59,63 @@
 func (v *View) SetEndpoint(e *Endpoint) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	if old := v.endpoints[e.ID()]; old != nil && old.Service() != e.Service() {
+		v.unlistLocked(old)
+	}
 	v.endpoints[e.ID()] = e
-	v.rebuildLocked()
+	v.listLocked(e)
+	v.changedLocked()
 }
 
 // RemoveEndpoint forgets an endpoint and what it held.
 func (v *View) RemoveEndpoint(id string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if v.endpoints[id] == nil {
+	e := v.endpoints[id]
+	if e == nil {
 		return
 	}
 	delete(v.endpoints, id)
 	v.setHeldLocked(id, nil)
 	delete(v.memories, id)
-	v.rebuildLocked()
-}
-
-func (v *View) rebuildLocked() {
-	services := make(map[string][]*Endpoint)
-	for _, e := range v.endpoints {
-		services[e.Service()] = append(services[e.Service()], e)
+	v.unlistLocked(e)
+	v.changedLocked()
+}
+
+// findLocked returns where an endpoint is in its service's list, or belongs there.
+func (v *View) findLocked(e *Endpoint) (list []*Endpoint, place int, found bool) {
+	list = v.services[e.Service()]
+	place, found = slices.BinarySearchFunc(list, e.ID(), func(o *Endpoint, id string) int { return strings.Compare(o.ID(), id) })
+	return list, place, found
+}
+
+// listLocked puts an endpoint into a new list of its service. To sort all anew for each one took a
+// box that starts before 3,000 endpoints 1.25 s of a whole core, and six of its part of one.
+func (v *View) listLocked(e *Endpoint) {
+	list, place, found := v.findLocked(e)
+	list = slices.Clone(list) // readers keep the old one
+	if found {
+		list[place] = e
+	} else {
+		list = slices.Insert(list, place, e)
 	}
-	for _, list := range services {
-		slices.SortFunc(list, func(a, b *Endpoint) int { return strings.Compare(a.ID(), b.ID()) })
+	v.services[e.Service()] = list
+}
+
+// unlistLocked takes an endpoint out of a new list of its service.
+func (v *View) unlistLocked(e *Endpoint) {
+	list, place, found := v.findLocked(e)
+	switch {
+	case !found:
+	case len(list) == 1:
+		delete(v.services, e.Service())
+	default:
+		v.services[e.Service()] = slices.Delete(slices.Clone(list), place, place+1)
 	}
-	v.services = services
+}
+
+// changedLocked wakes those who wait for a change of the endpoints.
+func (v *View) changedLocked() {
 	close(v.changed)
 	v.changed = make(chan struct{})
 }
