--- a/access/bound_test.go
+++ b/access/bound_test.go
@@ -253,6 +253,9 @@
 
 var allowed = Bounds{Window: 8 * time.Second, Overshoot: 0.25, Slack: 110_000}
 
+// mostOf returns how many units of a quota may be spent in a window over all boxes.
+func mostOf(q Quota, b Bounds) float64 { return q.Rate*b.Window.Seconds() + q.Burst + b.beyond(q) }
+
 // However boxes are cut off, stand still, are killed or believe in leaders that are none, no more
 // than the operator allows is spent in any window, with six times the quota asked for.
 func TestNoWindowHoldsMoreThanAQuotaAllows(t *testing.T) {
@@ -261,7 +264,7 @@
 			q := Quota{Unit: Tokens, Rate: k.rate, Burst: k.rate}
 			t.Run(fmt.Sprint(k.boxes, "boxes", k.rate, "seed", seed), func(t *testing.T) {
 				_, most := newFleet(seed, k.boxes, k.centres, q, allowed).run(6, true)
-				quicktest.Assert(t, most <= allowed.Most(q), quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f", most, allowed.Most(q)))
+				quicktest.Assert(t, most <= mostOf(q, allowed), quicktest.IsTrue, quicktest.Commentf("%.0f of %.0f", most, mostOf(q, allowed)))
 			})
 		}
 	}
--- a/access/quota.go
+++ b/access/quota.go
@@ -146,11 +146,6 @@
 	return min(float64(drawing)/float64(max(known, 1)), 1) / float64(max(centres, 1))
 }
 
-// Most returns how many units may be spent in a window over all boxes.
-func (b Bounds) Most(q Quota) float64 {
-	return q.Rate*b.Window.Seconds() + q.Burst + b.beyond(q)
-}
-
 // waitFor returns how long so many units take at a rate; what would take longer than a minute is
 // not worth telling apart.
 func waitFor(units, rate float64) time.Duration {
--- a/edge/admission.go
+++ b/edge/admission.go
@@ -8,7 +8,6 @@
 
 	"cairnwick.example/access"
 	"cairnwick.example/forward"
-	"cairnwick.example/topology"
 )
 
 // admission implements forward.Admission.
@@ -37,26 +36,3 @@
 func (a admission) Return(o *access.Organisation, units float64) {
 	a.node.spending.change(o.Name(), -units)
 }
-
-// mostKeyLines bounds the lines about keys that one configuration brings.
-const mostKeyLines = 32
-
-// digestShown is how many bytes of a key's digest a log line shows: enough to find it by.
-const digestShown = 6
-
-// logKeys logs which keys came and went with a configuration.
-func (s *state) logKeys(before, after *topology.Config) {
-	if before == nil {
-		s.log.Info("Organisations may call", "config", after.Version(), "organisations", len(after.Callers().All()))
-		return
-	}
-	changes := access.Changes(before.Callers(), after.Callers())
-	for i, c := range changes {
-		if i == mostKeyLines {
-			s.log.Info("Further keys came or went", "config", after.Version(), "keys", len(changes)-mostKeyLines)
-			return
-		}
-		s.log.Info("Key stands for another organisation", "config", after.Version(), "key_digest", c.Key.Short(digestShown),
-			"before", c.Before, "now", c.Now)
-	}
-}
--- a/edge/state.go
+++ b/edge/state.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 
+	"cairnwick.example/access"
 	"cairnwick.example/placement"
 	"cairnwick.example/share"
 	"cairnwick.example/topology"
@@ -153,3 +154,26 @@
 	}
 	return held
 }
+
+// mostKeyLines bounds the lines about keys that one configuration brings.
+const mostKeyLines = 32
+
+// digestShown is how many bytes of a key's digest a log line shows: enough to find it by.
+const digestShown = 6
+
+// logKeys logs which keys came and went with a configuration.
+func (s *state) logKeys(before, after *topology.Config) {
+	if before == nil {
+		s.log.Info("Organisations may call", "config", after.Version(), "organisations", len(after.Callers().All()))
+		return
+	}
+	changes := access.Changes(before.Callers(), after.Callers())
+	for i, c := range changes {
+		if i == mostKeyLines {
+			s.log.Info("Further keys came or went", "config", after.Version(), "keys", len(changes)-mostKeyLines)
+			return
+		}
+		s.log.Info("Key stands for another organisation", "config", after.Version(), "key_digest", c.Key.Short(digestShown),
+			"before", c.Before, "now", c.Now)
+	}
+}
