--- a/edge/spending.go
+++ b/edge/spending.go
@@ -43,6 +43,7 @@
 	opened atomic.Uint64 // the configuration for which the pool is filled; zero: this box does not lead
 	short  chan struct{} // holds one when the pool lacks units
 	urgent chan struct{} // holds one when a request waits
+	serves bool          // callers were served by their keys at the last look; of run alone
 
 	mu       sync.Mutex
 	accounts map[string]*account // by organisation
@@ -164,18 +165,42 @@
 		case <-s.urgent:
 		case <-period.C:
 		}
-		pause := settlePeriod
-		if s.node.countsCallers() && s.settle(ctx) {
-			pause = settleAgain
-			if s.isSilent() {
-				pause = leaderAgain
-			}
-		}
-		period.Reset(pause)
+		period.Reset(s.step(ctx))
 	}
 	return nil
 }
 
+// step settles once, where there are organisations; it returns how long to wait for the next time.
+func (s *spending) step(ctx context.Context) time.Duration {
+	if !s.node.countsCallers() {
+		return settlePeriod
+	}
+	waiting := s.settle(ctx)
+	s.noteKeys(time.Now())
+	switch {
+	case !waiting:
+		return settlePeriod
+	case s.isSilent():
+		return leaderAgain
+	}
+	return settleAgain
+}
+
+// noteKeys logs when this box begins or ceases to serve callers by their keys.
+func (s *spending) noteKeys(now time.Time) {
+	serves := s.node.trustsKeys(now)
+	if serves == s.serves {
+		return
+	}
+	s.serves = serves
+	ago, _ := s.node.vouched.ago(now)
+	if serves {
+		s.node.Log.Info("Callers are served by their keys", "config", s.node.configVersion(), "age_ms", ago.Milliseconds())
+		return
+	}
+	s.node.Log.Info("Callers with keys are refused: a newer configuration may have taken keys away", "config", s.node.configVersion(), "age_ms", ago.Milliseconds())
+}
+
 // countsCallers tells whether there are organisations whose requests and keys are counted.
 func (n *Node) countsCallers() bool {
 	c := n.view.Config()
