--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -156,8 +156,8 @@
 }
 
 // isSameEndpoint tells whether two versions of a fact describe an endpoint alike. An endpoint writes
-// its entry anew whenever an adapter comes or goes, which boxes hear from its owner: told to all
-// boxes, the entries of 3,000 endpoints were most of what a box of 300 heard.
+// its entry anew whenever an adapter comes or goes, which boxes hear from its owner: such an entry
+// need not be told to all boxes as well.
 func (n *Node) isSameEndpoint(old, now *wire.Item) bool {
 	if n.Decoder.Kind(now.GetKey()) != KindEndpoint || old.GetRemoved() || now.GetRemoved() {
 		return false
--- a/forward/record.go
+++ b/forward/record.go
@@ -15,7 +15,7 @@
 const mostRoutes = 64
 
 // mostOrganisations bounds the histograms by organisation; the rest share one. A histogram takes
-// some kilobytes.
+// 25 KB of heap, so that both families stay below 4 MB.
 const mostOrganisations = 64
 
 // Stats are the gateway's histograms.
