Rank routes once: a configuration without organisations needs no ranks

Work done twice: a configuration ranked its routes when it was made and again when its organisations were added, and without organisations a rank is the route's priority in any case. Behaviour is the same.

--- a/topology/config.go
+++ b/topology/config.go
@@ -187,7 +187,7 @@
 	services map[string]*Service
 	limits   Limits
 	callers  *access.Directory // nil: callers need no keys
-	ranks    ranks
+	ranks    ranks             // the zero value where callers need no keys: by the routes alone
 }
 
 // NewConfig returns the configuration of a version.
@@ -202,7 +202,6 @@
 	for _, s := range services {
 		c.services[s.Name()] = s
 	}
-	c.ranks = newRanks(routes, nil)
 	return c
 }
 
