Show what a request asks for, and under which requests endpoints ended

Logs named a request by its ID, which is new with each try, and an endpoint that ended looked like an answer that broke off. Lines of attempts and failures have the digest of the request's content now; a box looks whether an endpoint that cut a request off still listens, and logs and counts what it finds. No decision depends on it yet.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -130,6 +130,8 @@
 		if !sent {
 			u.unreachable(time.Now())
 			g.centres.fail(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
+		} else {
+			g.endings.cut(u, q.content)
 		}
 	}
 	g.recordAttempt(q, "lost", err.Error())
@@ -222,6 +224,7 @@
 	}
 	if ctx.Err() == nil {
 		u.dropIdle()
+		g.endings.cut(u, q.content)
 	}
 	q.mayHaveRun = true
 	q.ran++
--- /dev/null
+++ b/forward/endings_test.go
@@ -0,0 +1,70 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// fragile adds an endpoint that ends when it begins to run a request whose body holds a text.
+func (s *site) fragile(t *testing.T, id, text string) {
+	var server *httptest.Server
+	server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if strings.Contains(string(body), text) {
+			_ = server.Listener.Close()
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signed", "yes")
+	}))
+	t.Cleanup(server.Close)
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+		ID: id, Service: "app", Address: server.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
+	}))
+}
+
+// runs runs the site's gateway until the test ends.
+func (s *site) runs(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.gateway.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		s.c.Check(<-done, quicktest.IsNil)
+	})
+}
+
+// sees waits until the gateway counted as many ends.
+func (s *site) sees(want EndCounts) {
+	for range 500 {
+		if s.gateway.Ends() == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.c.Fatalf("counted %+v, not %+v", s.gateway.Ends(), want)
+}
+
+func TestAnEndpointThatEndedIsToldFromAnAnswerThatBrokeOff(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	s.runs(t)
+	s.endpoint(t, hangUp)
+	_, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.sees(EndCounts{Alive: 1})
+	s.gateway.View.RemoveEndpoint("e1")
+	s.fragile(t, "e2", "the body")
+	_, _, err = s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.sees(EndCounts{Alive: 1, Endpoints: 1, Requests: 1})
+}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -34,6 +34,7 @@
 
 	begun     time.Time // when this box began to count its shares of the retries
 	upstreams upstreams
+	endings   endings
 	centres   centres
 	held      atomic.Int64
 	leaving   atomic.Bool
@@ -44,13 +45,18 @@
 	first   policy.FirstToken  // of all endpoints that run models
 }
 
-// Run forgets endpoints that are gone, until ctx ends.
+// Run forgets endpoints that are gone and looks which ones ended, until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.begin(time.Now())
-	g.upstreams.watch(ctx, g.View)
-	return nil
+	watched := make(chan error, 1)
+	go func() { watched <- g.upstreams.watch(ctx, g.View) }()
+	g.runEndings(ctx)
+	return <-watched
 }
 
+// Ends returns what this box saw of endpoints that ended.
+func (g *Gateway) Ends() EndCounts { return g.endings.countsNow() }
+
 // begin notes since when this box may save what its share of the extra retries earns.
 func (g *Gateway) begin(now time.Time) {
 	g.mu.Lock()
--- a/forward/record.go
+++ b/forward/record.go
@@ -83,7 +83,7 @@
 	took := time.Since(q.sentAt)
 	g.Stats.Attempts.Observe(what, took)
 	g.Log.Info("Attempt failed", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
-		"outcome", what, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
+		"content", q.content.String(), "outcome", what, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
 		"took_ms", took.Milliseconds(), "cause", detail)
 }
 
@@ -104,7 +104,7 @@
 	if q.sentTo != nil {
 		endpoint = q.sentTo.ID()
 	}
-	g.Log.Info("Request failed", "request", q.call.ID, "route", route, "organisation", q.payer(), "reason", string(f.Code),
+	g.Log.Info("Request failed", "request", q.call.ID, "content", q.content.String(), "route", route, "organisation", q.payer(), "reason", string(f.Code),
 		"status", f.status(), "may_have_run", f.Ran, "begun", begun, "adapter", q.call.Adapter.String(),
 		"endpoint", endpoint, "attempts", q.attempts, "retry_withheld", q.withheld, "config", version, "waited_ms", q.waited.Milliseconds(),
 		"took_ms", took.Milliseconds(), "retry_ms", f.Retry.Milliseconds(), "cause", f.Detail)
--- a/forward/request.go
+++ b/forward/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -30,15 +31,16 @@
 	organisation  *access.Organisation // nil: the route asks for no key
 	spent         float64              // of the organisation's quota, for a run that has not begun
 	body          []byte
-	attempts      int             // requests sent to endpoints
-	ran           int             // of these, those that may have run
-	tried         map[string]bool // endpoints that failed it
-	mayHaveRun    bool            // an attempt may have run
-	noOwnerLogged bool            // a line tells that nobody answered for an endpoint that should load its adapter
-	budgeted      bool            // the next attempt has been taken from the budget of retries already
-	withheld      bool            // the budget kept it from another attempt
-	denied        string          // the endpoint that said it does not hold the adapter
-	sentAt        time.Time       // of the last attempt
+	content       quarantine.Content // zero: the body has not been read
+	attempts      int                // requests sent to endpoints
+	ran           int                // of these, those that may have run
+	tried         map[string]bool    // endpoints that failed it
+	mayHaveRun    bool               // an attempt may have run
+	noOwnerLogged bool               // a line tells that nobody answered for an endpoint that should load its adapter
+	budgeted      bool               // the next attempt has been taken from the budget of retries already
+	withheld      bool               // the budget kept it from another attempt
+	denied        string             // the endpoint that said it does not hold the adapter
+	sentAt        time.Time          // of the last attempt
 	sentTo        *topology.Endpoint
 	version       int64         // of the adapter at the last attempt; zero: any
 	queued        time.Duration // of waited, until the load began
@@ -109,6 +111,7 @@
 	_, err := buffer.ReadFrom(http.MaxBytesReader(w, q.inbound.Body, limit))
 	if err == nil {
 		q.body = buffer.Bytes()
+		q.content = quarantine.ContentOf(q.inbound.Method, hostOf(q.inbound), q.inbound.RequestURI, q.payer(), q.body)
 		return nil
 	}
 	if tooLong(err) {
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -249,13 +249,13 @@
 const forgetPause = 250 * time.Millisecond
 
 // watch forgets gone endpoints as the view changes, until ctx ends.
-func (t *upstreams) watch(ctx context.Context, v *topology.View) {
+func (t *upstreams) watch(ctx context.Context, v *topology.View) error {
 	for ctx.Err() == nil {
 		changed := v.Changed()
 		t.keep(func(id string) bool { return v.Endpoint(id) != nil })
 		select {
 		case <-ctx.Done():
-			return
+			return nil
 		case <-changed:
 		}
 		select {
@@ -263,4 +263,5 @@
 		case <-time.After(forgetPause):
 		}
 	}
+	return nil
 }
--- /dev/null
+++ b/quarantine/content.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package quarantine finds requests under which one endpoint ends after the other, and keeps
+// them from the rest. Nothing here does input or output.
+//
+// A caller that gets no answer sends its request again, under a new ID and at any box; so a
+// request is known by its Content.
+//
+// Lock order: each lock is taken alone.
+package quarantine
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// contentSize is how many bytes of a SHA-256 make a Content: two requests that differ do not
+// meet in 128 bits, also where somebody looks for such a pair.
+const contentSize = 16
+
+// Content names what a request asks for: its method, host and target, whose it is, and its body.
+// Requests that differ in nothing else, such as their IDs, have the same one.
+type Content [contentSize]byte
+
+// ContentOf returns the content of a request; target is the path and the query as the caller
+// wrote them, organisation is empty for nobody's. Whose it is counts, so that no caller can have
+// the requests of others kept away.
+func ContentOf(method, host, target, organisation string, body []byte) Content {
+	h := sha256.New()
+	for _, t := range []string{method, host, target, organisation} {
+		h.Write(binary.AppendUvarint(nil, uint64(len(t)))) // no field runs into the next
+		h.Write([]byte(t))
+	}
+	h.Write(body)
+	return Content(h.Sum(nil)[:contentSize])
+}
+
+// ParseContent reads what String returned; false where it is none.
+func ParseContent(text string) (c Content, ok bool) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != contentSize {
+		return Content{}, false
+	}
+	return Content(raw), true
+}
+
+// String returns the content in hexadecimal digits.
+func (c Content) String() string { return hex.EncodeToString(c[:]) }
--- /dev/null
+++ b/quarantine/content_test.go
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestRequestsThatAskForTheSameHaveTheSameContent(t *testing.T) {
+	c := quicktest.New(t)
+	one := ContentOf("POST", "h", "/a?q=1", "org", []byte("body"))
+	c.Assert(ContentOf("POST", "h", "/a?q=1", "org", []byte("body")), quicktest.Equals, one)
+	for _, other := range []Content{
+		ContentOf("PUT", "h", "/a?q=1", "org", []byte("body")),
+		ContentOf("POST", "g", "/a?q=1", "org", []byte("body")),
+		ContentOf("POST", "h", "/a?q=2", "org", []byte("body")),
+		ContentOf("POST", "h", "/a?q=1", "", []byte("body")),
+		ContentOf("POST", "h", "/a?q=1", "org", []byte("other")),
+		ContentOf("POST", "h", "/a?q=1o", "rg", []byte("body")),
+	} {
+		c.Check(other, quicktest.Not(quicktest.Equals), one)
+	}
+	read, ok := ParseContent(one.String())
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(read, quicktest.Equals, one)
+	for _, bad := range []string{"", "00", "zz" + one.String()[2:], one.String() + "00"} {
+		_, ok := ParseContent(bad)
+		c.Check(ok, quicktest.IsFalse)
+	}
+}
