Keep a request from endpoints under which three of them ended

Cause: a request whose endpoint ends comes again under a new ID at any box, and each box took it for a new one; nothing remembered by its content what an endpoint ended under, and no box told another. Class: a decision that must hold over all boxes and tries was taken for each try alone.

Now a box looks whether an endpoint that cut requests off still listens, and tells the leaders of all data centres what ended under which requests. Who counts three endpoints under one content tells all boxes by a fact; they refuse it at once, 503 with the time that is left of an hour. Requests that were answered lately, and those that only ran beside one that explains the ends, are cleared.

Ruled out: own retries (the reported requests ran once each), endpoints falling one after the other under load (two ended under one request alone).

--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -96,8 +96,12 @@
 }
 
 // isOver tells of an endpoint that is not in the table whether it had left when this box
-// listed the source: its last change is not after the list, which did not have it.
+// listed the source: its last change is not after the list, which did not have it. It tells of a
+// request that is kept from endpoints whether its time is over.
 func (n *Node) isOver(i *wire.Item) bool {
+	if isQuarantineOver(i, time.Now()) {
+		return true
+	}
 	return n.Decoder.Kind(i.GetKey()) == KindEndpoint && !i.GetRemoved() && i.GetVersion() <= n.listed.Load()
 }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -44,6 +44,7 @@
 	usage    *usage
 	levels   levels
 	spending *spending
+	kept     *quarantined
 	vouched  vouched
 	leaving  atomic.Bool
 	fresh    freshness
@@ -74,6 +75,7 @@
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.word}
 	n.usage = newUsage(n)
 	n.spending = newSpending(n)
+	n.kept = newQuarantined(n)
 	n.loader = &placement.Loader{
 		Box:         s.Box,
 		View:        n.view,
@@ -98,6 +100,7 @@
 		Placer:     placer{node: n},
 		Observer:   n.usage,
 		Admission:  admission{node: n},
+		Quarantine: n.kept,
 		Boxes:      func() int { return n.peers.budgetBoxes(time.Now()) },
 		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, time.Now()) },
 		Cut:        func(centre string) bool { return n.peers.clusterView().silent[centre] },
@@ -184,7 +187,7 @@
 	held := n.Settings.Bounds.Grace - noticeFor - endMargin // what is held when the end begins has so long
 	tasks := []task{
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLead, n.gateway.Run, n.logTraffic,
-		n.spending.run, n.spending.borrow,
+		n.spending.run, n.spending.borrow, n.kept.run,
 		n.reader(Settled).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
 		httpTask(n.gateway, listeners.callers, held, max(n.Settings.Limits.Descriptors/callerPart, mostAsking)),
--- /dev/null
+++ b/edge/quarantine_test.go
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"cairnwick.example/member"
+	"cairnwick.example/quarantine"
+	"cairnwick.example/share"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+)
+
+func contentOf(body string) quarantine.Content {
+	return quarantine.ContentOf("POST", "h", "/", "", []byte(body))
+}
+
+// newKeepingNode returns the parts of a node that keep requests away.
+func newKeepingNode() *Node {
+	n := &Node{Settings: Settings{DataCentre: "dc"}, Decoder: plainDecoder{}, Log: logr.Discard()}
+	n.items = share.NewTable()
+	n.state = &state{view: topology.NewView(), table: n.items, decoder: n.Decoder, log: n.Log}
+	n.items.OnChange, n.items.IsOver = n.state.apply, n.isOver
+	n.kept = newQuarantined(n)
+	return n
+}
+
+func keeps(n *Node, body string, now time.Time) bool {
+	_, kept := n.kept.Left(contentOf(body), now)
+	return kept
+}
+
+func ended(endpoint string, bodies ...string) *wire.EndedRequest {
+	e := &wire.EndpointEnd{Endpoint: endpoint}
+	for _, b := range bodies {
+		c := contentOf(b)
+		e.Contents = append(e.Contents, c[:])
+	}
+	return &wire.EndedRequest{Box: "other", Ends: []*wire.EndpointEnd{e}}
+}
+
+func TestWhatSeveralBoxesSawTogetherKeepsARequestAwayEverywhere(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	leader, follower := newKeepingNode(), newKeepingNode()
+	leader.kept.hear(ended("e1", "fatal", "beside"), now)
+	leader.kept.hear(ended("e2", "fatal"), now)
+	leader.kept.hear(ended("e2", "fatal", "beside"), now) // of another box: the same end
+	c.Assert(keeps(leader, "fatal", now), quicktest.IsFalse)
+	leader.kept.hear(ended("e3", "fatal"), now)
+	c.Assert(keeps(leader, "fatal", now), quicktest.IsTrue)
+	c.Assert(keeps(leader, "beside", now), quicktest.IsFalse)
+	items, _, _ := leader.items.Since(0)
+	follower.items.Hear(items...)
+	c.Assert(keeps(follower, "fatal", now), quicktest.IsTrue)
+}
+
+// Each box forgets by itself; one that has not yet must not bring the request back for the others.
+func TestAQuarantineThatIsOverIsNotTakenInAgain(t *testing.T) {
+	c := quicktest.New(t)
+	n := newKeepingNode()
+	begun := time.Now().Add(-quarantine.KeptFor - time.Second)
+	over := &wire.Item{Key: quarantinePrefix + contentOf("fatal").String(), Version: uint64(begun.Add(quarantine.KeptFor).UnixMicro())}
+	n.items.Merge(over)
+	c.Assert(n.state.kept.Len(), quicktest.Equals, 1)
+	n.kept.expire(time.Now())
+	c.Assert(n.state.kept.Len(), quicktest.Equals, 0)
+	c.Assert(n.items.Keys(), quicktest.HasLen, 0)
+	n.items.Hear(over)
+	c.Assert(n.items.Keys(), quicktest.HasLen, 0)
+}
+
+func TestWhatCannotBeReadOfAnEndIsPassedOver(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	n := newKeepingNode()
+	for _, e := range []string{"e1", "e2", "e3"} {
+		m := ended(e, "fatal")
+		m.Ends[0].Contents = append(m.Ends[0].Contents, nil, []byte("short"), make([]byte, 1<<10))
+		n.kept.hear(m, now)
+	}
+	n.kept.hear(&wire.EndedRequest{Ends: []*wire.EndpointEnd{nil, {}}}, now)
+	n.items.Merge(&wire.Item{Key: quarantinePrefix + "no content", Version: 1 << 62})
+	c.Assert(n.state.kept.Len(), quicktest.Equals, 1)
+	c.Assert(keeps(n, "fatal", now), quicktest.IsTrue)
+}
+
+// A leader that does not answer is told anew, and those that did are not.
+func TestAnEndIsToldUntilEachLeaderHasItOrItIsTooOld(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-1")
+	n.build()
+	now := time.Now()
+	n.kept.Ended("e1", []quarantine.Content{contentOf("fatal")})
+	gone := member.New("gone", "", roleBox, "dc", 1)
+	answers := member.New("answers", "", roleBox, "dc", 1)
+	e := n.kept.waiting()[0]
+	e.told["answers"] = true
+	c.Assert(n.kept.drop([]member.Member{answers, gone}, now), quicktest.IsFalse)
+	c.Assert(n.kept.drop([]member.Member{answers, gone}, now.Add(endsFor-time.Second)), quicktest.IsFalse)
+	e.told["gone"] = true
+	c.Assert(n.kept.drop([]member.Member{answers, gone}, now), quicktest.IsTrue)
+	n.kept.Ended("e2", []quarantine.Content{contentOf("fatal")})
+	c.Assert(n.kept.drop([]member.Member{gone}, now.Add(2*endsFor)), quicktest.IsTrue)
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -25,6 +25,14 @@
 	return s.node.peers.loop.Answer(h), nil
 }
 
+// Ended implements the Peer service.
+func (s peerServer) Ended(_ context.Context, q *wire.EndedRequest) (*wire.EndedReply, error) {
+	now := time.Now()
+	s.node.peers.table.Seen(q.GetBox(), now)
+	s.node.kept.hear(q, now)
+	return &wire.EndedReply{}, nil
+}
+
 // shareServer answers what other boxes ask of a leader.
 type shareServer struct {
 	wire.UnimplementedShareServer
--- a/edge/state.go
+++ b/edge/state.go
@@ -8,6 +8,7 @@
 
 	"cairnwick.example/access"
 	"cairnwick.example/placement"
+	"cairnwick.example/quarantine"
 	"cairnwick.example/share"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
@@ -23,6 +24,7 @@
 	log     logr.Logger
 
 	slots slots
+	kept  quarantine.List // requests that are kept from endpoints
 
 	mu           sync.Mutex
 	lives        map[string]string // by the key of an endpoint's fact: the ID of the life that it told of last
@@ -45,6 +47,10 @@
 			touched[s.applySlot(rest, i)] = true
 			continue
 		}
+		if rest, ok := strings.CutPrefix(i.GetKey(), quarantinePrefix); ok {
+			s.applyQuarantine(rest, i)
+			continue
+		}
 		if err := s.applyOne(i); err != nil {
 			s.log.Info("Fact can't be read; the last good one stays", "key", i.GetKey(), "version", i.GetVersion(), "err", err.Error())
 		}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -29,6 +29,7 @@
 	kindResign    = "resign"         // and the answer
 	kindSettle    = "settle"         // draws from quotas, and the answer
 	kindLend      = "lend"           // moves a part of the quotas between data centres, and the answer
+	kindEnded     = "ended"          // endpoints that ended while they ran requests, and the answer
 	kindUnknown   = "other"          // of a newer version
 )
 
@@ -59,6 +60,8 @@
 		return kindSettle
 	case *wire.LendRequest, *wire.LendReply:
 		return kindLend
+	case *wire.EndedRequest, *wire.EndedReply:
+		return kindEnded
 	}
 	return kindUnknown
 }
--- a/forward/endings.go
+++ b/forward/endings.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"syscall"
+	"time"
 
 	"cairnwick.example/quarantine"
 	"github.com/pkg/errors"
@@ -85,7 +87,7 @@
 			}
 			waiting[c.upstream] = append(waiting[c.upstream], c.content)
 		case l := <-looked:
-			g.judgeEnd(l, waiting[l.upstream])
+			g.judgeEnd(l, waiting[l.upstream], time.Now())
 			delete(waiting, l.upstream)
 		}
 	}
@@ -103,17 +105,32 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// judgeEnd notes what a look at an endpoint showed for the requests that it cut off.
-func (g *Gateway) judgeEnd(l lookedAt, cut []quarantine.Content) {
-	g.endings.mu.Lock()
-	defer g.endings.mu.Unlock()
+// judgeEnd notes what a look at an endpoint showed for the requests that it cut off. Requests that
+// endpoints answered lately are cleared: much that callers ask for is asked for by many of them.
+func (g *Gateway) judgeEnd(l lookedAt, cut []quarantine.Content, now time.Time) {
+	g.endings.count(l.ended, len(cut))
 	if !l.ended {
-		g.endings.counts.Alive += int64(len(cut))
 		return
 	}
-	g.endings.counts.Endpoints++
-	g.endings.counts.Requests += int64(len(cut))
-	g.Log.Info("Endpoint ended under requests", "endpoint", l.upstream.endpoint.ID(), "contents", texts(cut))
+	l.upstream.unreachable(now)
+	id := l.upstream.endpoint.ID()
+	suspects := slices.DeleteFunc(cut, func(c quarantine.Content) bool { return g.answered.Has(c, now) })
+	g.Log.Info("Endpoint ended under requests", "endpoint", id, "contents", texts(suspects))
+	if len(suspects) > 0 {
+		g.Quarantine.Ended(id, suspects)
+	}
+}
+
+// count counts what a look at an endpoint showed that cut off so many requests.
+func (e *endings) count(ended bool, requests int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !ended {
+		e.counts.Alive += int64(requests)
+		return
+	}
+	e.counts.Endpoints++
+	e.counts.Requests += int64(requests)
 }
 
 // mostContents bounds the contents that one line names.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
 )
 
@@ -109,6 +110,14 @@
 	Begun(e *topology.Endpoint, c Call) Run
 }
 
+// Quarantine knows the requests under which endpoints end, by the word of all boxes.
+type Quarantine interface {
+	// Left tells how much longer a request is kept from endpoints; false: it is not.
+	Left(c quarantine.Content, now time.Time) (time.Duration, bool)
+	// Ended hears that an endpoint ended while it ran requests of this box.
+	Ended(endpoint string, contents []quarantine.Content)
+}
+
 // Run is one call at an endpoint.
 type Run interface {
 	Read()  // the endpoint answers, so it has read the prompt; later calls change nothing
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cairnwick.example/policy"
+	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
 	"github.com/go-logr/logr"
 )
@@ -23,6 +24,7 @@
 	Placer     Placer
 	Observer   Observer
 	Admission  Admission
+	Quarantine Quarantine
 	Boxes      func() int                                               // boxes that share the budget of retries; zero: not known yet
 	Level      func(dataCentre string) (cost time.Duration, known bool) // of a load there, by who decides for its endpoints
 	Cut        func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead: it is out of touch
@@ -35,6 +37,7 @@
 	begun     time.Time // when this box began to count its shares of the retries
 	upstreams upstreams
 	endings   endings
+	answered  quarantine.Answered
 	centres   centres
 	held      atomic.Int64
 	leaving   atomic.Bool
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -67,6 +68,14 @@
 	return Placed{Retry: time.Second, Reason: "nobody loads here"}, nil
 }
 
+type noQuarantine struct{}
+
+// Left implements Quarantine.
+func (noQuarantine) Left(quarantine.Content, time.Time) (time.Duration, bool) { return 0, false }
+
+// Ended implements Quarantine.
+func (noQuarantine) Ended(string, []quarantine.Content) {}
+
 type noObserver struct{}
 
 // Begun implements Observer.
@@ -106,6 +115,7 @@
 		Protocol:   plainProtocol{},
 		Placer:     noPlacer{},
 		Observer:   noObserver{},
+		Quarantine: noQuarantine{},
 		Boxes:      func() int { return 1 },
 		Level:      func(string) (time.Duration, bool) { return 0, false },
 		Cut:        func(string) bool { return false },
--- /dev/null
+++ b/forward/quarantine_test.go
@@ -0,0 +1,132 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"cairnwick.example/quarantine"
+	"github.com/frankban/quicktest"
+)
+
+// keeper keeps requests away as a test says, and remembers what ended.
+type keeper struct {
+	mu    sync.Mutex
+	left  time.Duration // for every request; zero: none is kept away
+	ended map[string][]quarantine.Content
+}
+
+// Left implements Quarantine.
+func (k *keeper) Left(quarantine.Content, time.Time) (time.Duration, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.left, k.left > 0
+}
+
+// Ended implements Quarantine.
+func (k *keeper) Ended(endpoint string, contents []quarantine.Content) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ended == nil {
+		k.ended = make(map[string][]quarantine.Content)
+	}
+	k.ended[endpoint] = append(k.ended[endpoint], contents...)
+}
+
+func (k *keeper) keep(left time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.left = left
+}
+
+func (k *keeper) of(endpoint string) []quarantine.Content {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ended[endpoint]
+}
+
+func TestARequestInQuarantineIsRefusedAtOnceAndToldWhenToComeBack(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	calls := s.endpoint(t, answerOK)
+	k := &keeper{left: 40 * time.Minute}
+	s.gateway.Quarantine = k
+	a, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(a.Header.Get("Come-Back"), quicktest.Equals, "40m0s")
+	s.c.Assert(text, quicktest.Equals, string(CodeQuarantined)+"\n")
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(0))
+	k.keep(0)
+	a, _, err = s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+}
+
+// The word of another box may come while a request waits, here while its first endpoint refuses it.
+func TestARequestThatComesIntoQuarantineIsSentNoMore(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	k := &keeper{}
+	s.gateway.Quarantine = k
+	refuse := func(w http.ResponseWriter, r *http.Request) {
+		k.keep(time.Hour)
+		refuseUnrun(w, r)
+	}
+	first, second := s.endpoint(t, refuse), s.endpoint(t, refuse)
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(first.Load()+second.Load(), quicktest.Equals, int64(1))
+}
+
+// It has run, so its caller is not told that it has not.
+func TestARequestThatRanBeforeItsQuarantineIsNotCalledUnrun(t *testing.T) {
+	s := newSite(t, repeatable(2*time.Second))
+	k := &keeper{}
+	s.gateway.Quarantine = k
+	cut := func(w http.ResponseWriter, r *http.Request) {
+		k.keep(time.Hour)
+		hangUp(w, r)
+	}
+	first, second := s.endpoint(t, cut), s.endpoint(t, cut)
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusBadGateway)
+	s.c.Assert(first.Load()+second.Load(), quicktest.Equals, int64(1))
+}
+
+func TestAnEndIsToldWithTheRequestsThatRanThere(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	k := &keeper{}
+	s.gateway.Quarantine = k
+	s.runs(t)
+	s.fragile(t, "e1", "the body")
+	_, _, err := s.ask("/x?y")
+	s.c.Assert(err, quicktest.IsNil)
+	s.sees(EndCounts{Endpoints: 1, Requests: 1})
+	for k.of("e1") == nil {
+		time.Sleep(time.Millisecond)
+	}
+	want := quarantine.ContentOf(http.MethodPost, "site.example", "/x?y", "", []byte("the body"))
+	s.c.Assert(k.of("e1"), quicktest.DeepEquals, []quarantine.Content{want})
+}
+
+// Endpoints of a rack end together while each runs a page that all callers open. It was answered
+// again and again before, so it is not what they ended under.
+func TestARequestThatWasAnsweredLatelyIsNotSuspect(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	k := &keeper{}
+	s.gateway.Quarantine = k
+	s.runs(t)
+	s.endpoint(t, answerOK)
+	_, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.gateway.View.RemoveEndpoint("e1")
+	s.fragile(t, "e2", "the body")
+	_, _, err = s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.sees(EndCounts{Endpoints: 1, Requests: 1})
+	s.c.Assert(k.of("e2"), quicktest.HasLen, 0)
+}
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -29,6 +29,7 @@
 	CodeBodyLate    Code = "body_too_late" // the body was not there by the request's deadline
 	CodeEnding      Code = "box_ends"      // the time that the box had to stop is over
 	CodeFault       Code = "fault"         // of this program
+	CodeQuarantined Code = "quarantined"   // endpoints ended while they ran such a request
 
 	CodeNoKey        Code = "key_unknown"      // the caller shows no key that stands for an organisation
 	CodeOldWord      Code = "keys_not_current" // what this box knows of keys is too old to go by
--- a/forward/request.go
+++ b/forward/request.go
@@ -97,7 +97,30 @@
 	if q.service == nil {
 		return &Refusal{Code: CodeNoEndpoint, Retry: time.Second, Detail: "the route's service is not configured"}
 	}
-	return g.readBody(w, q)
+	if f := g.readBody(w, q); f != nil {
+		return f
+	}
+	return g.quarantined(q, time.Now())
+}
+
+// maySend tells whether a request may be given to an endpoint now: a configuration, or the word of
+// another box, may have come while it waited.
+func (g *Gateway) maySend(q *request, now time.Time) *Refusal {
+	if f := g.quarantined(q, now); f != nil {
+		return f
+	}
+	return g.identify(q, now)
+}
+
+// quarantined refuses a request under which endpoints ended. The next endpoint would end too, with
+// the requests of others that it runs: 20 endpoints ended under one request within ten seconds,
+// and one request in five was lost meanwhile.
+func (g *Gateway) quarantined(q *request, now time.Time) *Refusal {
+	left, kept := g.Quarantine.Left(q.content, now)
+	if !kept {
+		return nil
+	}
+	return &Refusal{Code: CodeQuarantined, Retry: left, Detail: "endpoints ended while they ran such a request"}
 }
 
 // readBody takes the body whole, so that it can be sent again.
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -30,7 +30,7 @@
 	for q.attempts < mostAttempts {
 		t, f := g.place(ctx, q)
 		if f == nil {
-			f = g.identify(q, time.Now())
+			f = g.maySend(q, time.Now())
 		}
 		if f != nil {
 			return g.sum(q, f)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -61,7 +61,7 @@
 func (g *Gateway) resume(ctx context.Context, q *request, s *events) bool {
 	t, f := g.place(ctx, q)
 	if f == nil {
-		f = g.identify(q, time.Now())
+		f = g.maySend(q, time.Now())
 	}
 	if f != nil {
 		q.ran = q.route.MaxAttempts() // nowhere to go
--- /dev/null
+++ b/quarantine/answered.go
@@ -0,0 +1,47 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// answeredFor is how long an answer clears a request: what many callers ask for, such as a page
+	// that all of them open, is answered many times a minute.
+	answeredFor = time.Minute
+	// mostAnswered bounds what is remembered; at 60 bytes each two generations take 0.5 MB. A box with
+	// 100 requests a second remembers 40 s.
+	mostAnswered = 4096
+)
+
+// Answered is the requests that endpoints lately answered whole, which clears them: they did not end
+// under those. It is safe for concurrent use; the zero value is empty.
+type Answered struct {
+	mu     sync.Mutex
+	memory *memory
+}
+
+// Add notes that an endpoint answered a request.
+func (a *Answered) Add(c Content, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.initLocked()
+	a.memory.put(string(c[:]), nil, now)
+}
+
+// Has tells whether an endpoint answered a request lately.
+func (a *Answered) Has(c Content, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.initLocked()
+	_, ok := a.memory.get(string(c[:]), now)
+	return ok
+}
+
+func (a *Answered) initLocked() {
+	if a.memory == nil {
+		a.memory = &memory{span: answeredFor, most: mostAnswered}
+	}
+}
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -39,7 +39,15 @@
 // ParseContent reads what String returned; false where it is none.
 func ParseContent(text string) (c Content, ok bool) {
 	raw, err := hex.DecodeString(text)
-	if err != nil || len(raw) != contentSize {
+	if err != nil {
+		return Content{}, false
+	}
+	return ContentOfBytes(raw)
+}
+
+// ContentOfBytes reads the bytes of a content; false where they are none.
+func ContentOfBytes(raw []byte) (c Content, ok bool) {
+	if len(raw) != contentSize {
 		return Content{}, false
 	}
 	return Content(raw), true
--- /dev/null
+++ b/quarantine/counter.go
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// MostEnds is how many endpoints may end under one request before it is kept from the rest. One
+	// says nothing: an endpoint runs some ten requests at a time, and ends under all of them. Two
+	// happen to requests that are sent again while endpoints end for another cause; that a request
+	// without a part in it is there three times, and the one that has not found before, is rare.
+	MostEnds = 3
+
+	// suspectFor is how long an end counts. Callers come back within seconds or by a schedule of
+	// minutes; endpoints that end hours apart under one request do so by chance more often than by it.
+	suspectFor = time.Hour
+	// mostSuspects bounds what is counted: requests that ran at endpoints that ended. At 160
+	// bytes each the two generations take 2.6 MB at the most.
+	mostSuspects = 8192
+	// mostExplained bounds the endpoints of which it is known under what they ended.
+	mostExplained = 1024
+)
+
+// endsKept bounds the endpoints that are remembered for one request: some that others explain, and
+// those that count.
+const endsKept = 2 * MostEnds
+
+// Counter counts the endpoints that ended under each request, by the word of many boxes, and finds
+// the requests to keep away. It is safe for concurrent use; the zero value has counted nothing.
+type Counter struct {
+	mu       sync.Mutex
+	suspects *memory // by content: endpoints that ended under it, oldest first
+	// explained has, by endpoint, the ends for which a request was found that explains them; none
+	// where that one was kept away already, and was still on its way.
+	explained *memory
+}
+
+func (k *Counter) initLocked() {
+	if k.suspects == nil {
+		k.suspects = &memory{span: suspectFor, most: mostSuspects}
+		k.explained = &memory{span: suspectFor, most: mostExplained}
+	}
+}
+
+// Note takes in that an endpoint ended while it ran the requests of these contents, as one box saw
+// it. It returns those that have to be kept from endpoints from now on. kept tells which ones are
+// already: what ended under one of them says nothing of the others that ran there.
+func (k *Counter) Note(endpoint string, contents []Content, kept func(Content) bool, now time.Time) []Content {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.initLocked()
+	if slices.ContainsFunc(contents, kept) {
+		k.explained.put(endpoint, nil, now)
+	}
+	var found []Content
+	for _, c := range contents {
+		if !kept(c) && k.addLocked(c, endpoint, now) >= MostEnds {
+			found = append(found, c)
+		}
+	}
+	for _, c := range found {
+		k.explainLocked(c, now)
+	}
+	return found
+}
+
+// addLocked adds an endpoint to those that ended under a content, and returns how many count.
+func (k *Counter) addLocked(c Content, endpoint string, now time.Time) int {
+	key := string(c[:])
+	ends, _ := k.suspects.get(key, now)
+	if !slices.Contains(ends, endpoint) {
+		ends = append(slices.Clone(ends), endpoint)
+		ends = ends[max(len(ends)-endsKept, 0):]
+		k.suspects.put(key, ends, now)
+	}
+	count := 0
+	for _, e := range ends {
+		if !k.isExplainedLocked(e, ends, now) {
+			count++
+		}
+	}
+	return count
+}
+
+// isExplainedLocked tells whether the end of an endpoint is explained by another request than one
+// under which those of ends ended. A request that was there each time explains it as well: the one
+// that was found may have run beside it, and have been told first.
+func (k *Counter) isExplainedLocked(endpoint string, ends []string, now time.Time) bool {
+	by, ok := k.explained.get(endpoint, now)
+	if !ok {
+		return false
+	}
+	missing := func(e string) bool { return !slices.Contains(ends, e) }
+	return len(by) == 0 || slices.ContainsFunc(by, missing)
+}
+
+// explainLocked notes that a content explains the ends of all endpoints that ended under it.
+func (k *Counter) explainLocked(c Content, now time.Time) {
+	key := string(c[:])
+	ends, _ := k.suspects.get(key, now)
+	for _, e := range ends {
+		k.explained.put(e, ends, now)
+	}
+	k.suspects.drop(key)
+}
--- /dev/null
+++ b/quarantine/list.go
@@ -0,0 +1,87 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// KeptFor is how long a request is kept from endpoints. Three endpoints an hour is what a request
+	// that a caller sends all day can end then; a shorter time ends more, each with some ten
+	// requests of others. A request that was repaired has other content, and an endpoint that was runs
+	// it an hour later.
+	KeptFor = time.Hour
+	// mostKept bounds the list; a new one takes the place of the one that ends first. At 100 bytes
+	// each it takes 0.4 MB.
+	mostKept = 4096
+)
+
+// List is the requests that no endpoint is to run. It is safe for concurrent use; the zero value is
+// empty. Its times are those of the day: boxes tell each other until when a request is kept away.
+type List struct {
+	mu    sync.Mutex
+	until map[Content]time.Time
+}
+
+// Add keeps a request from endpoints until a time; it tells whether that is news.
+func (l *List) Add(c Content, until time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.until == nil {
+		l.until = make(map[Content]time.Time)
+	}
+	_, known := l.until[c]
+	if !known && len(l.until) >= mostKept {
+		l.dropFirstLocked()
+	}
+	if until.After(l.until[c]) {
+		l.until[c] = until
+	}
+	return !known
+}
+
+// dropFirstLocked drops the request whose time ends first.
+func (l *List) dropFirstLocked() {
+	var first Content
+	var ends time.Time
+	for c, u := range l.until {
+		if ends.IsZero() || u.Before(ends) {
+			first, ends = c, u
+		}
+	}
+	delete(l.until, first)
+}
+
+// Left tells how much longer a request is kept from endpoints; false: it is not.
+func (l *List) Left(c Content, now time.Time) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u, ok := l.until[c]
+	if !ok || !now.Before(u) {
+		return 0, false
+	}
+	return u.Sub(now.Round(0)), true // by the time of day, as u is
+}
+
+// Expire drops the requests whose time is over, and returns them.
+func (l *List) Expire(now time.Time) []Content {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var over []Content
+	for c, u := range l.until {
+		if !now.Before(u) {
+			over = append(over, c)
+			delete(l.until, c)
+		}
+	}
+	return over
+}
+
+// Len returns how many requests are kept away.
+func (l *List) Len() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.until)
+}
