Move what watches for ended endpoints to package quarantine, for both interfaces

No change of what is done: the forwarding of the users' platform keeps the dial and what an end means for its endpoints; the own interface will use the same.

--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -36,9 +36,8 @@
 // others. Each box tells the leaders of all data centres what ended under its requests, so what one
 // leader knew is lost with it alone; who has counted enough tells all boxes by a fact.
 type quarantined struct {
-	node    *Node
-	counter quarantine.Counter
-	wake    chan struct{} // holds one when an end is to be told
+	node *Node
+	wake chan struct{} // holds one when an end is to be told
 
 	mu   sync.Mutex
 	ends []*endpointEnd // that some leaders have not been told
@@ -57,7 +56,7 @@
 
 // Left implements forward.Quarantine.
 func (q *quarantined) Left(c quarantine.Content, now time.Time) (time.Duration, bool) {
-	return q.node.state.kept.Left(c, now)
+	return q.node.state.judge.Kept().Left(c, now)
 }
 
 // Ended implements forward.Quarantine.
@@ -96,11 +95,7 @@
 
 // count counts an end of an endpoint, and tells all boxes of the requests that it convicts.
 func (q *quarantined) count(endpoint string, contents []quarantine.Content, now time.Time) {
-	kept := func(c quarantine.Content) bool {
-		_, held := q.node.state.kept.Left(c, now)
-		return held
-	}
-	for _, c := range q.counter.Note(endpoint, contents, kept, now) {
+	for _, c := range q.node.state.judge.Note(endpoint, contents, now) {
 		q.node.items.Merge(&wire.Item{
 			Key:        quarantinePrefix + c.String(),
 			Version:    uint64(now.Add(quarantine.KeptFor).UnixMicro()),
@@ -117,7 +112,7 @@
 		return
 	}
 	until := time.UnixMicro(int64(i.GetVersion()))
-	if s.kept.Add(c, until) {
+	if s.judge.Kept().Add(c, until) {
 		s.log.Info("Request is kept from endpoints", "content", c.String(), "until", until.UTC().Format(time.RFC3339))
 	}
 }
@@ -151,7 +146,7 @@
 }
 
 func (q *quarantined) expire(now time.Time) {
-	for _, c := range q.node.state.kept.Expire(now) {
+	for _, c := range q.node.state.judge.Kept().Expire(now) {
 		q.node.items.Forget(quarantinePrefix + c.String())
 		q.node.Log.Info("Request may reach endpoints again", "content", c.String())
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -24,7 +24,7 @@
 	log     logr.Logger
 
 	slots slots
-	kept  quarantine.List // requests that are kept from endpoints
+	judge quarantine.Judge // of requests under which endpoints ended
 
 	mu           sync.Mutex
 	lives        map[string]string // by the key of an endpoint's fact: the ID of the life that it told of last
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -131,7 +131,7 @@
 			u.unreachable(time.Now())
 			g.centres.fail(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
 		} else {
-			g.endings.cut(u, q.content)
+			g.wasCut(u, q)
 		}
 	}
 	g.recordAttempt(q, "lost", err.Error())
@@ -224,7 +224,7 @@
 	}
 	if ctx.Err() == nil {
 		u.dropIdle()
-		g.endings.cut(u, q.content)
+		g.wasCut(u, q)
 	}
 	q.mayHaveRun = true
 	q.ran++
--- a/forward/endings_test.go
+++ b/forward/endings_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
@@ -45,7 +46,7 @@
 }
 
 // sees waits until the gateway counted as many ends.
-func (s *site) sees(want EndCounts) {
+func (s *site) sees(want quarantine.Ends) {
 	for range 500 {
 		if s.gateway.Ends() == want {
 			return
@@ -61,10 +62,10 @@
 	s.endpoint(t, hangUp)
 	_, _, err := s.ask("/")
 	s.c.Assert(err, quicktest.IsNil)
-	s.sees(EndCounts{Alive: 1})
+	s.sees(quarantine.Ends{Alive: 1})
 	s.gateway.View.RemoveEndpoint("e1")
 	s.fragile(t, "e2", "the body")
 	_, _, err = s.ask("/")
 	s.c.Assert(err, quicktest.IsNil)
-	s.sees(EndCounts{Alive: 1, Endpoints: 1, Requests: 1})
+	s.sees(quarantine.Ends{Alive: 1, Endpoints: 1, Requests: 1})
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -36,8 +36,8 @@
 
 	begun     time.Time // when this box began to count its shares of the retries
 	upstreams upstreams
-	endings   endings
-	answered  quarantine.Answered
+	watchOnce sync.Once
+	watched   *quarantine.Watch // by watch
 	centres   centres
 	held      atomic.Int64
 	leaving   atomic.Bool
@@ -51,14 +51,20 @@
 // Run forgets endpoints that are gone and looks which ones ended, until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.begin(time.Now())
-	watched := make(chan error, 1)
-	go func() { watched <- g.upstreams.watch(ctx, g.View) }()
-	g.runEndings(ctx)
-	return <-watched
+	ended := make(chan error, 1)
+	go func() { ended <- g.watch().Run(ctx) }()
+	g.upstreams.watch(ctx, g.View)
+	return <-ended
+}
+
+// watch returns what finds out which endpoints ended; a request may come before Run.
+func (g *Gateway) watch() *quarantine.Watch {
+	g.watchOnce.Do(func() { g.watched = g.newWatch() })
+	return g.watched
 }
 
 // Ends returns what this box saw of endpoints that ended.
-func (g *Gateway) Ends() EndCounts { return g.endings.countsNow() }
+func (g *Gateway) Ends() quarantine.Ends { return g.watch().Counts() }
 
 // begin notes since when this box may save what its share of the extra retries earns.
 func (g *Gateway) begin(now time.Time) {
--- a/forward/quarantine_test.go
+++ b/forward/quarantine_test.go
@@ -105,7 +105,7 @@
 	s.fragile(t, "e1", "the body")
 	_, _, err := s.ask("/x?y")
 	s.c.Assert(err, quicktest.IsNil)
-	s.sees(EndCounts{Endpoints: 1, Requests: 1})
+	s.sees(quarantine.Ends{Endpoints: 1, Requests: 1})
 	for k.of("e1") == nil {
 		time.Sleep(time.Millisecond)
 	}
@@ -127,6 +127,6 @@
 	s.fragile(t, "e2", "the body")
 	_, _, err = s.ask("/")
 	s.c.Assert(err, quicktest.IsNil)
-	s.sees(EndCounts{Endpoints: 1, Requests: 1})
+	s.sees(quarantine.Ends{Endpoints: 1, Requests: 1})
 	s.c.Assert(k.of("e2"), quicktest.HasLen, 0)
 }
--- a/forward/record.go
+++ b/forward/record.go
@@ -47,7 +47,7 @@
 // note records a request that was served.
 func (g *Gateway) note(q *request, out *answer) {
 	now := time.Now()
-	g.answered.Add(q.content, now)
+	g.watch().Answered(q.content, now)
 	g.Stats.Routes.Observe(q.route.Name(), now.Sub(q.received))
 	g.Stats.First.Observe(q.route.Name(), out.first.Sub(q.received))
 	if q.organisation != nil {
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -37,7 +37,7 @@
 	q.tried[t.endpoint.ID()] = true
 	if ctx.Err() == nil {
 		u.dropIdle()
-		g.endings.cut(u, q.content)
+		g.wasCut(u, q)
 	}
 	g.recordAttempt(q, "cut", err.Error())
 	for g.mayResume(ctx, q, out) {
@@ -83,7 +83,7 @@
 	err := s.copy(a, d.heard)
 	u.outcome(err != nil && ctx.Err() == nil)
 	if err != nil && ctx.Err() == nil {
-		g.endings.cut(u, q.content)
+		g.wasCut(u, q)
 	}
 	return err == nil
 }
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -249,13 +249,13 @@
 const forgetPause = 250 * time.Millisecond
 
 // watch forgets gone endpoints as the view changes, until ctx ends.
-func (t *upstreams) watch(ctx context.Context, v *topology.View) error {
+func (t *upstreams) watch(ctx context.Context, v *topology.View) {
 	for ctx.Err() == nil {
 		changed := v.Changed()
 		t.keep(func(id string) bool { return v.Endpoint(id) != nil })
 		select {
 		case <-ctx.Done():
-			return nil
+			return
 		case <-changed:
 		}
 		select {
@@ -263,5 +263,4 @@
 		case <-time.After(forgetPause):
 		}
 	}
-	return nil
 }
--- /dev/null
+++ b/quarantine/watch.go
@@ -0,0 +1,131 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+// mostCuts is how many requests that were cut off wait to be looked into: as many as a box holds
+// where several endpoints end together. More are left out, and counted.
+const mostCuts = 1024
+
+// Watch finds out which endpoints ended while they ran requests of this process. An answer that
+// breaks off says nothing of that: a link may be cut, one answer may be spoilt. Set the exported
+// fields before Run and before the first call.
+type Watch struct {
+	// HasEnded tells whether nothing listens at an address any more.
+	HasEnded func(ctx context.Context, address string) bool
+	// Ended hears that an endpoint ended, and which requests it cut off then, without those that an
+	// endpoint answered lately: much that callers ask for is asked for by many of them.
+	Ended func(endpoint string, suspects []Content)
+
+	answered Answered
+
+	mu     sync.Mutex
+	queue  chan cutOff // made at its first use
+	counts Ends
+}
+
+// Ends counts what one process saw of endpoints that ended.
+type Ends struct {
+	Endpoints int64 `json:"endpoints"` // that ended while they ran requests of this process
+	Requests  int64 `json:"requests"`  // that were cut off then
+	Alive     int64 `json:"alive"`     // answers that broke off while their endpoint lived on
+	LeftOut   int64 `json:"left_out"`  // requests that were not looked into, since too many waited
+}
+
+// place is one life of an endpoint, and where it is.
+type place struct {
+	endpoint string
+	address  string
+}
+
+// cutOff is a request whose answer broke off.
+type cutOff struct {
+	place   place
+	content Content
+}
+
+// look is what a look at an endpoint showed.
+type look struct {
+	place place
+	ended bool
+}
+
+// Answered notes that an endpoint answered a request whole.
+func (w *Watch) Answered(c Content, now time.Time) { w.answered.Add(c, now) }
+
+// Cut notes that an endpoint broke off the answer to a request.
+func (w *Watch) Cut(endpoint, address string, c Content) {
+	select {
+	case w.cuts() <- cutOff{place: place{endpoint: endpoint, address: address}, content: c}:
+	default:
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.counts.LeftOut++
+	}
+}
+
+// Counts returns what was seen so far.
+func (w *Watch) Counts() Ends {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counts
+}
+
+// cuts returns the requests that were cut off and wait to be looked into.
+func (w *Watch) cuts() chan cutOff {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.queue == nil {
+		w.queue = make(chan cutOff, mostCuts)
+	}
+	return w.queue
+}
+
+// Run looks at each endpoint that cut off requests, until ctx ends. What an endpoint cuts off
+// during a look is judged by it too.
+func (w *Watch) Run(ctx context.Context) error {
+	waiting := make(map[place][]Content)
+	looked := make(chan look)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case c := <-w.cuts():
+			if waiting[c.place] == nil {
+				go func() { looked <- look{place: c.place, ended: w.HasEnded(ctx, c.place.address)} }()
+			}
+			waiting[c.place] = append(waiting[c.place], c.content)
+		case l := <-looked:
+			w.judge(l, waiting[l.place], time.Now())
+			delete(waiting, l.place)
+		}
+	}
+	for range waiting {
+		<-looked
+	}
+	return nil
+}
+
+// judge notes what a look at an endpoint showed for the requests that it cut off.
+func (w *Watch) judge(l look, cut []Content, now time.Time) {
+	w.count(l.ended, len(cut))
+	if l.ended {
+		w.Ended(l.place.endpoint, slices.DeleteFunc(cut, func(c Content) bool { return w.answered.Has(c, now) }))
+	}
+}
+
+func (w *Watch) count(ended bool, requests int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !ended {
+		w.counts.Alive += int64(requests)
+		return
+	}
+	w.counts.Endpoints++
+	w.counts.Requests += int64(requests)
+}
