Own interface: keep a request from endpoints under which three of them ended

Gateways tell each other of their data centre what ended; each counts by itself and refuses at once. The plain services go the same way.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -28,9 +28,13 @@
 	EventGap     int           `arg:"--event-gap" default:"0" help:"every so many-th cache event is lost"`
 	NoFences     bool          `arg:"--no-fences" help:"take orders from anybody"`
 	RefusesNew   bool          `arg:"--refuses-new" help:"when leaving: refuse new work"`
+	EndsUnder    string        `arg:"--ends-under" help:"end when a request's body holds this text; empty: never"`
 	LeavingGrace time.Duration `arg:"--leaving-grace" default:"5s" help:"new work this long after leaving is a breach"`
 }
 
+// endedUnder is the exit code of an engine that ended under a request.
+const endedUnder = 3
+
 func main() {
 	var a arguments
 	arg.MustParse(&a)
@@ -52,5 +56,9 @@
 		Store:        standin.FetchFrom(a.Store),
 	}
 	e.Other = platformtest.EndpointHandler(e)
-	os.Exit(standin.Main(a.Listen, e.Handler(), e.Run))
+	h := e.Handler()
+	if a.EndsUnder != "" {
+		h = standin.Fragile(h, a.EndsUnder, func() { os.Exit(endedUnder) })
+	}
+	os.Exit(standin.Main(a.Listen, h, e.Run))
 }
--- a/daemon/dialer.go
+++ b/daemon/dialer.go
@@ -101,6 +101,12 @@
 	return peer{client: wire.NewPeerClient(d.Conn(address))}
 }
 
+// TellEnded implements gateway.Peers.
+func (d *Dialer) TellEnded(ctx context.Context, address string, q *wire.EndedRequest) error {
+	_, err := wire.NewPeerClient(d.Conn(address)).Ended(ctx, q)
+	return errors.Wrap(err, "daemon: tell of ended endpoints")
+}
+
 // Source returns the client for configuration.
 func (d *Dialer) Source(address string) keeper.Source {
 	return peer{client: wire.NewPeerClient(d.Conn(address))}
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -41,6 +41,7 @@
 	Server    *grpc.Server // for the peers' port; register before Run
 	Endpoints func() []*wire.EndpointStatus
 	OnPause   func(gap time.Duration)
+	OnEnded   func(q *wire.EndedRequest) // hears under which requests endpoints ended; nil: nobody does
 
 	// Leave begins the role's orderly end; Idle tells whether nothing is held
 	// any more. Both are called at a planned stop.
--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -54,6 +54,14 @@
 	return s.node.loop.Answer(h), nil
 }
 
+// Ended implements the Peer service.
+func (s peerServer) Ended(_ context.Context, q *wire.EndedRequest) (*wire.EndedReply, error) {
+	if s.node.OnEnded != nil {
+		s.node.OnEnded(q)
+	}
+	return &wire.EndedReply{}, nil
+}
+
 // FetchHead implements the Peer service.
 func (s peerServer) FetchHead(_ context.Context, q *wire.FetchHeadRequest) (*wire.Document, error) {
 	raw, inForce, ok := s.node.Keeper.Find(q.GetHead())
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -45,6 +45,10 @@
 // EndpointClient returns the client that reaches endpoints and keeps so many idle
 // connections to each.
 func (n *Node) EndpointClient(idle int) *http.Client {
-	dial := counted(&n.traffic.Endpoints, n.values.Duration(EndpointDial), n.values.Text(Source))
-	return &http.Client{Transport: engine.NewTransport(dial, idle)}
+	return &http.Client{Transport: engine.NewTransport(n.EndpointDial(), idle)}
+}
+
+// EndpointDial returns what opens connections to endpoints.
+func (n *Node) EndpointDial() engine.DialFunc {
+	return counted(&n.traffic.Endpoints, n.values.Duration(EndpointDial), n.values.Text(Source))
 }
--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -59,24 +59,27 @@
 }
 
 // cmdSend sends a request to a box on the users' platform and prints what came of it: send
-// edge=1.1 path=/a/x header=NAME:VALUE. Its id is set as REQUEST. With later=yes it
+// edge=1.1 path=/a/x body=TEXT header=NAME:VALUE. Its id is set as REQUEST. With later=yes it
 // goes on in the background, until answered; with until=CODE it is sent again, under new
 // ids, until it fails so.
 func cmdSend(ts *testscript.TestScript, _ bool, args []string) {
 	o, _ := options(args)
 	w := worldOf(ts)
 	c, b := place(ts, o["edge"])
-	url := "http://" + w.fleet.CallersAddress(c, b) + o["path"]
+	url, body := "http://"+w.fleet.CallersAddress(c, b)+o["path"], "{}"
+	if o["body"] != "" {
+		body = o["body"]
+	}
 	deadline := time.Now().Add(15 * time.Second)
 	for {
 		id := load.NewKey()
 		ts.Setenv("REQUEST", id)
 		if o["later"] == "yes" {
 			w.sent = make(chan sent, 1)
-			go func() { w.sent <- send(url, id, lines(o["header"])) }()
+			go func() { w.sent <- send(url, id, body, lines(o["header"])) }()
 			return
 		}
-		s := send(url, id, lines(o["header"]))
+		s := send(url, id, body, lines(o["header"]))
 		if o["until"] == "" || strings.Contains(s.text, o["until"]) {
 			fmt.Fprintln(ts.Stdout(), s)
 			return
@@ -93,8 +96,8 @@
 	fmt.Fprintln(ts.Stdout(), <-worldOf(ts).sent)
 }
 
-func send(url, id string, headers []string) sent {
-	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader("{}"))
+func send(url, id, body string, headers []string) sent {
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		return sent{err: err}
 	}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -276,3 +276,19 @@
 		return args[1]
 	})
 }
+
+// cmdEnginesLeft checks how many engines still answer: enginesleft 2.
+func cmdEnginesLeft(ts *testscript.TestScript, _ bool, args []string) {
+	w := worldOf(ts)
+	left := 0
+	for c := 1; c <= w.fleet.Spec.Centres; c++ {
+		for e := 1; e <= w.fleet.Spec.Engines; e++ {
+			if _, err := fleet.Get(context.Background(), "http://"+w.fleet.EngineAddress(c, e)+"/control/counts"); err == nil {
+				left++
+			}
+		}
+	}
+	if fmt.Sprint(left) != args[0] {
+		ts.Fatalf("%d engines are left", left)
+	}
+}
--- a/forward/endings.go
+++ b/forward/endings.go
@@ -22,7 +22,7 @@
 
 // endpointEnded takes in that an endpoint ended, and under which requests it may have.
 func (g *Gateway) endpointEnded(endpoint string, suspects []quarantine.Content) {
-	g.Log.Info("Endpoint ended under requests", "endpoint", endpoint, "contents", texts(suspects))
+	g.Log.Info("Endpoint ended under requests", "endpoint", endpoint, "contents", quarantine.Texts(suspects))
 	if e := g.View.Endpoint(endpoint); e != nil {
 		g.upstreams.of(e).unreachable(time.Now())
 	}
@@ -35,15 +35,3 @@
 func (g *Gateway) wasCut(u *upstream, q *request) {
 	g.watch().Cut(u.endpoint.ID(), u.endpoint.Address(), q.content)
 }
-
-// mostContents bounds the contents that one line names.
-const mostContents = 32
-
-// texts returns contents for a line.
-func texts(list []quarantine.Content) []string {
-	var some []string
-	for _, c := range list[:min(len(list), mostContents)] {
-		some = append(some, c.String())
-	}
-	return some
-}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -30,6 +30,7 @@
 	g.stats.Stall.Observe(q.class.Name(), time.Duration(h.grant.GetLoadMicros())*time.Microsecond)
 	r := &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId()}
 	f := g.send(ctx, q, out, h, r)
+	g.watchAttempt(ctx, q, h, f)
 	if f == nil {
 		g.Retries.Success()
 		g.prefixes.note(q.prefix, h.endpoint, time.Now())
@@ -42,6 +43,16 @@
 	return f
 }
 
+// watchAttempt has the endpoint looked at that broke off an answer, and clears what one answered.
+func (g *Gateway) watchAttempt(ctx context.Context, q *request, h heldGrant, f *Failure) {
+	switch {
+	case f == nil:
+		g.watch.Answered(q.content, time.Now())
+	case ctx.Err() == nil && f.Ran == Unknown && (f.Code == CodeLost || f.Code == CodeCut):
+		g.watch.Cut(lifeOf(h), h.grant.GetAddress(), q.content)
+	}
+}
+
 // send writes the request, and passes the answer on. It notes in r what the
 // scheduler must know.
 func (g *Gateway) send(ctx context.Context, q *request, out *answer, h heldGrant, r *wire.ReleaseRequest) *Failure {
--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -42,6 +42,7 @@
 	CodeRefused        Code = "refused_by_endpoint"
 	CodeLost           Code = "answer_lost"
 	CodeCut            Code = "answer_cut"
+	CodeQuarantined    Code = "quarantined"
 )
 
 // Ran says whether the request ran.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -21,9 +21,11 @@
 	"cairnwick.example/catalog"
 	"cairnwick.example/daemon"
 	"cairnwick.example/decision"
+	"cairnwick.example/engine"
 	"cairnwick.example/member"
 	"cairnwick.example/metrics"
 	"cairnwick.example/policy"
+	"cairnwick.example/quarantine"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 )
@@ -56,8 +58,10 @@
 	Members     *member.Table
 	Probe       func(member string) // asks for a heartbeat now
 	Schedulers  Schedulers
+	Peers       Peers
 	Remote      Remote
-	Engines     *http.Client // guarded connections to endpoints
+	Engines     *http.Client    // guarded connections to endpoints
+	Dial        engine.DialFunc // opens a connection to an endpoint
 	Placement   policy.Placement
 	Scope       string // ScopeCentre or ScopeRegion: how far an adapter's homes spread
 	Retries     *policy.RetryBudget
@@ -73,6 +77,9 @@
 	prefixes *prefixes
 	calls    *schedulerCalls
 	releases chan release
+	watch    *quarantine.Watch
+	judge    quarantine.Judge
+	ends     chan *wire.EndpointEnd // that the other gateways have not been told
 	inFlight atomic.Int64
 	leaving  atomic.Bool
 	stats    stats
@@ -106,6 +113,8 @@
 	g.reach = newReach()
 	g.prefixes = newPrefixes(g.MaxPrefixes)
 	g.releases = make(chan release, releaseBuffer)
+	g.watch = g.newWatch()
+	g.ends = make(chan *wire.EndpointEnd, endsBuffer)
 	g.stats = stats{
 		Total:      metrics.NewFamily(familyLimit),
 		Callers:    metrics.NewFamily(familyLimit),
@@ -122,10 +131,10 @@
 // held go on.
 func (g *Gateway) Leave() { g.leaving.Store(true) }
 
-// Run gives grants back and follows members and reach until ctx ends, and returns when
-// what was to give back is given.
+// Run gives grants back, follows members and reach, and watches for endpoints that end under
+// requests, until ctx ends. It returns when what was to give back is given.
 func (g *Gateway) Run(ctx context.Context) error {
-	tasks := []daemon.Task{g.followMembers, g.followReach}
+	tasks := []daemon.Task{g.followMembers, g.followReach, g.watch.Run, g.tellEnds}
 	for range releaseWorkers {
 		tasks = append(tasks, g.releaseWorker)
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/quarantine"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 )
@@ -48,8 +49,9 @@
 	catalog    *catalog.Catalog // the revision that resolved the model
 	stream     bool
 	body       map[string]json.RawMessage
-	attempts   int    // runs begun at endpoints
-	candidates int    // endpoints asked
+	attempts   int // runs begun at endpoints
+	candidates int // endpoints asked
+	content    quarantine.Content
 	prefix     uint64 // hash of the adapter and the prompt's beginning
 	width      int    // how many homes the adapter is believed to have
 	unsure     bool   // an attempt may have run and gave no answer
@@ -164,6 +166,7 @@
 	if f != nil {
 		return f
 	}
+	q.content = quarantine.ContentOf(r.Method, "", r.URL.RequestURI(), q.caller, raw)
 	if err := json.Unmarshal(raw, &q.body); err != nil {
 		return badRequest("body: not a JSON object: %v", err)
 	}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"time"
+
+	"cairnwick.example/wire"
 )
 
 const (
@@ -28,6 +30,9 @@
 // routeAnywhere tries one stage of endpoints after another. What it returns
 // speaks of the last attempts alone.
 func (g *Gateway) routeAnywhere(ctx context.Context, q *request, out *answer) *Failure {
+	if f := g.quarantined(q.content); f != nil {
+		return f
+	}
 	if q.left() <= 0 {
 		return &Failure{Code: CodeDeadlinePast, Ran: NotRun, Message: "the deadline passed before the request was routed"}
 	}
@@ -106,6 +111,10 @@
 		if f != nil {
 			return f
 		}
+		if f = g.quarantined(q.content); f != nil { // it came so far while the request waited
+			g.release(h.owner, &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId(), Outcome: wire.Outcome_OUTCOME_NOT_SENT})
+			return f
+		}
 		f = g.attempt(ctx, q, out, h)
 		if f == nil || f.Ran != NotRun || f.Code != CodeRefused || ctx.Err() != nil {
 			return f
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -12,6 +12,7 @@
 
 	"cairnwick.example/catalog"
 	"cairnwick.example/engine"
+	"cairnwick.example/quarantine"
 	"github.com/pkg/errors"
 )
 
@@ -25,6 +26,7 @@
 	path       string // with its query
 	header     http.Header
 	body       []byte
+	content    quarantine.Content
 	repeatable bool
 }
 
@@ -71,6 +73,7 @@
 	if f != nil {
 		return nil, f
 	}
+	c.content = quarantine.ContentOf(r.Method, s.Name(), c.path, r.Header.Get(CallerHeader), c.body)
 	return c, nil
 }
 
@@ -84,11 +87,14 @@
 		if n > 0 && !g.Retries.Take() {
 			return last
 		}
-		last = g.callAt(ctx, c, out, addresses[i])
+		last = g.quarantined(c.content)
+		if last == nil {
+			last = g.callAt(ctx, c, out, addresses[i])
+		}
 		if last != nil && unsure {
 			last.Ran = Unknown
 		}
-		if last == nil || ctx.Err() != nil || !out.untouched() {
+		if last == nil || last.Code == CodeQuarantined || ctx.Err() != nil || !out.untouched() {
 			return last
 		}
 		if last.Ran != NotRun && !c.repeatable {
@@ -111,24 +117,36 @@
 	}
 	a, err := engine.Send(g.Engines, e, time.Now().Add(g.Spans.Key))
 	if err != nil {
-		return g.lostCall(c, err)
+		return g.lostCall(ctx, c, address, err)
 	}
 	defer a.Body.Close()
 	body, whole := readWhole(a)
 	if !whole {
+		g.watchCall(ctx, c, address)
 		return &Failure{Code: CodeLost, Ran: Unknown, Message: "the answer of " + c.service.Name() + " broke off", Retry: g.Spans.Retry}
 	}
 	g.Retries.Success()
+	g.watch.Answered(c.content, time.Now())
 	copyHeader(out.Header(), a.Header)
 	out.give(a.StatusCode, body)
 	return nil
 }
 
-func (g *Gateway) lostCall(c *call, err error) *Failure {
+// watchCall has the address looked at that broke off an answer. Nothing tells the lives of a service
+// apart that start at one address, so each call that is cut off stands for one.
+func (g *Gateway) watchCall(ctx context.Context, c *call, address string) {
+	if ctx.Err() == nil {
+		g.watch.Cut(address+" under "+c.id, address, c.content)
+	}
+}
+
+func (g *Gateway) lostCall(ctx context.Context, c *call, address string, err error) *Failure {
 	ran := Unknown
 	var l *engine.LostError
 	if errors.As(err, &l) && !l.Sent {
 		ran = NotRun
+	} else {
+		g.watchCall(ctx, c, address)
 	}
 	return &Failure{Code: CodeLost, Ran: ran, Message: c.service.Name() + " gave no answer", Retry: g.Spans.Retry}
 }
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -72,8 +72,10 @@
 		Members:    n.Table,
 		Probe:      n.Probe,
 		Schedulers: n.Dialer,
+		Peers:      n.Dialer,
 		Remote:     n.Boxes,
 		Engines:    n.EndpointClient(idlePerEndpoint),
+		Dial:       n.EndpointDial(),
 		Placement:  place,
 		Scope:      v.Text(optScope),
 		Retries:    policy.NewRetryBudget(v.Number(optShare), v.Number(optBurst)),
@@ -97,6 +99,7 @@
 		return errors.Wrap(err, "gateway: callers' port")
 	}
 	n.Leave = g.Leave
+	n.OnEnded = g.Ended
 	n.Idle = func() bool { return g.InFlight() == 0 }
 	n.Add(g.Run)
 	n.Add(func(ctx context.Context) error { return daemon.ServeHTTP(ctx, l, g.Handler()) })
@@ -110,5 +113,7 @@
 	expvar.Publish("gateway_first_token", g.stats.FirstToken)
 	expvar.Publish("gateway_load_stall", g.stats.Stall)
 	expvar.Publish("gateway_codes", g.stats.Codes)
+	expvar.Publish("gateway_endpoint_ends", expvar.Func(func() any { return g.watch.Counts() }))
+	expvar.Publish("gateway_quarantined", expvar.Func(func() any { return g.judge.Kept().Len() }))
 	expvar.Publish("gateway_in_flight", expvar.Func(func() any { return g.InFlight() }))
 }
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -55,3 +55,15 @@
 
 // String returns the content in hexadecimal digits.
 func (c Content) String() string { return hex.EncodeToString(c[:]) }
+
+// mostTexts bounds the contents that one line of a log names.
+const mostTexts = 32
+
+// Texts returns contents for a line of a log.
+func Texts(list []Content) []string {
+	some := make([]string, 0, min(len(list), mostTexts))
+	for _, c := range list[:min(len(list), mostTexts)] {
+		some = append(some, c.String())
+	}
+	return some
+}
--- /dev/null
+++ b/standin/fragile.go
@@ -0,0 +1,26 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+)
+
+// Fragile serves a stand-in that ends when it gets a request whose body holds a text: end is called
+// then, and must not return.
+func Fragile(h http.Handler, text string, end func()) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		body, err := io.ReadAll(q.Body)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		if bytes.Contains(body, []byte(text)) {
+			end()
+		}
+		q.Body = io.NopCloser(bytes.NewReader(body))
+		h.ServeHTTP(w, q)
+	})
+}
