Leaders bring nothing to an endpoint that ended, until its entry has lapsed

Cause: who led an endpoint's data centre did not hear that boxes found it ended, and named it for each adapter that it had held, for the 3.6 s that its entry takes to lapse: one request went there ten times in 20 ms, took ten retries and was refused. Now the word of an ended endpoint reaches its leader, which has the adapter loaded elsewhere, or sends the caller's box to another data centre.

--- a/forward/endings.go
+++ b/forward/endings.go
@@ -26,9 +26,7 @@
 	if e := g.View.Endpoint(endpoint); e != nil {
 		g.upstreams.of(e).unreachable(time.Now())
 	}
-	if len(suspects) > 0 {
-		g.Quarantine.Ended(endpoint, suspects)
-	}
+	g.Quarantine.Ended(endpoint, suspects)
 }
 
 // wasCut notes that an endpoint broke off the answer to a request.
--- /dev/null
+++ b/placement/ended.go
@@ -0,0 +1,30 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import "time"
+
+// Ended hears that an endpoint ended, as a box found out that sent it requests. Its entry stays until
+// it lapses; until then no request is brought to it and nothing is loaded there. Who asked for an
+// adapter that it held was named the same endpoint again, ten times in 20 ms, and refused at last.
+func (l *Loader) Ended(endpoint string, until time.Time) {
+	l.Init()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.owned[endpoint]
+	if o == nil {
+		return
+	}
+	if until.After(o.goneUntil) {
+		o.goneUntil = until
+	}
+	l.endWantsLocked(endpoint) // who waits for a load there is looked at again
+	for _, s := range o.slots {
+		s.end()
+	}
+}
+
+// serves tells whether an endpoint can take requests and loads at now, as far as is known.
+func (o *owned) serves(now time.Time) bool {
+	return o.phase == owning && !o.endpoint.Draining() && !now.Before(o.goneUntil)
+}
--- a/placement/load.go
+++ b/placement/load.go
@@ -38,10 +38,10 @@
 		if w.spare(now) && w.far < farEnough {
 			continue
 		}
-		if !l.roomLocked(o, key.adapter, w.version) {
+		if !o.serves(now) || !l.roomLocked(o, key.adapter, w.version) {
 			o = l.moveLocked(w, key, o, now)
 			key.endpoint = o.endpoint.ID()
-			if !l.roomLocked(o, key.adapter, w.version) {
+			if !o.serves(now) || !l.roomLocked(o, key.adapter, w.version) {
 				waiting[o]++
 				continue
 			}
--- a/placement/own.go
+++ b/placement/own.go
@@ -40,6 +40,7 @@
 	handed    bool              // what it holds was told by the owner before, as of the last claim
 	calls     int               // orders that it has not answered
 	answered  chan struct{}     // closed when it has; nil: nobody waits
+	goneUntil time.Time         // a box found that it ended: it is not used until then, by which its entry has lapsed
 	unsure    bool              // an order got no answer since the last claim, or another owner's stands
 }
 
--- a/placement/site.go
+++ b/placement/site.go
@@ -21,10 +21,11 @@
 func (l *Loader) siteLocked(a topology.Adapter, usual *owned, now time.Time) *owned {
 	best, least := usual, l.factsLocked(usual, a, true, now).Cost()
 	for _, o := range l.owned {
-		if o == usual || o.phase != owning || o.endpoint.Draining() || !o.models[a.Model] || o.endpoint.DataCentre() != usual.endpoint.DataCentre() {
+		if o == usual || !o.serves(now) || !o.models[a.Model] || o.endpoint.DataCentre() != usual.endpoint.DataCentre() {
 			continue
 		}
-		if cost := l.factsLocked(o, a, false, now).Cost(); cost < least {
+		cost := l.factsLocked(o, a, false, now).Cost()
+		if cost < least || (best == usual && !usual.serves(now)) {
 			best, least = o, cost
 		}
 	}
@@ -33,9 +34,9 @@
 
 // wantedAtLocked returns the endpoint of a data centre where a load of an adapter waits
 // already; nil for none.
-func (l *Loader) wantedAtLocked(a topology.Adapter, centre string) *owned {
+func (l *Loader) wantedAtLocked(a topology.Adapter, centre string, now time.Time) *owned {
 	for id, o := range l.owned {
-		if w := l.wants[wantKey{endpoint: id, adapter: a}]; w != nil && !w.copies && o.endpoint.DataCentre() == centre {
+		if w := l.wants[wantKey{endpoint: id, adapter: a}]; w != nil && !w.copies && o.serves(now) && o.endpoint.DataCentre() == centre {
 			return o
 		}
 	}
@@ -103,11 +104,11 @@
 // heldLocked returns the endpoint of a data centre where the adapter is ready in the version
 // that a request needs, the one that reads the least, or, where none is, one where it is
 // being loaded.
-func (l *Loader) heldLocked(asked *owned, w *waiter, denied *owned) (o *owned, s *slot) {
+func (l *Loader) heldLocked(asked *owned, w *waiter, denied *owned, now time.Time) (o *owned, s *slot) {
 	a, centre := w.Adapter, asked.endpoint.DataCentre()
 	for id, p := range l.owned {
 		t := p.slots[a]
-		if t == nil || p == denied || p.phase != owning || p.endpoint.Draining() || p.endpoint.DataCentre() != centre {
+		if t == nil || p == denied || !p.serves(now) || p.endpoint.DataCentre() != centre {
 			continue
 		}
 		serves := t.ready && t.version >= w.Version && !(t.leaving && (t.unloading || t.outdated))
--- a/placement/want.go
+++ b/placement/want.go
@@ -141,7 +141,7 @@
 	if w.Denied {
 		denied = o
 	}
-	if at, s := l.heldLocked(o, w, denied); s != nil {
+	if at, s := l.heldLocked(o, w, denied, now); s != nil {
 		if !s.ready {
 			p, done := l.await(s.expected-now.Sub(s.begun), s.done, now, limit, "it is being loaded")
 			return p, done, at
@@ -152,11 +152,14 @@
 			return forward.Placed{Ready: true, Endpoint: at.endpoint.ID(), Version: s.version, Queued: w.queued(s)}, nil, nil
 		}
 	}
-	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre()); at != nil {
+	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre(), now); at != nil {
 		o = at
 	} else if !w.Denied {
 		o = l.siteLocked(w.Adapter, o, now)
 	}
+	if !o.serves(now) { // no other one of the data centre does: those elsewhere may
+		return forward.Placed{Settling: true, Retry: o.goneUntil.Sub(now), Reason: "the endpoint ended"}, nil, nil
+	}
 	answer, done := l.enqueueLocked(o, w, now, limit)
 	return answer, done, o
 }
