A stream that goes on at nobody takes one retry, and few attempts

Cause: each try to go on with a cut stream took a retry from the budget, also where nothing had been sent, and no bound of attempts held there. Nine retries for one stream before, one now; what reached nobody is counted as such, as for other requests.

--- a/forward/stream.go
+++ b/forward/stream.go
@@ -49,11 +49,19 @@
 }
 
 func (g *Gateway) mayResume(ctx context.Context, q *request, out *answer) bool {
-	if out.gone || ctx.Err() != nil || !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() {
+	if out.gone || ctx.Err() != nil || !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() || q.attempts >= mostAttempts {
 		return false
 	}
 	now := time.Now()
-	return q.left(now) > firstByte && g.mayRetry(q, now)
+	if q.left(now) <= firstByte {
+		return false
+	}
+	if q.budgeted { // the attempt before reached nobody
+		q.budgeted = false
+		g.budget(q.service.Name()).Unsent()
+		return true
+	}
+	return g.mayRetry(q, now)
 }
 
 // resume goes on with a broken stream at another endpoint, after the last event
@@ -72,6 +80,7 @@
 	u := d.upstream
 	a, f := g.send(ctx, q, u, t, s.last)
 	if f != nil {
+		q.budgeted = f.Unsent
 		return false
 	}
 	defer a.Body.Close()
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -5,10 +5,12 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
 
@@ -75,3 +77,36 @@
 	s.c.Assert(err, quicktest.IsNil)
 	s.c.Assert(string(rest), quicktest.Contains, "piece 2")
 }
+
+// A stream that was cut off when its endpoint ended was sent ten times within 20 ms to nobody, and
+// took a retry from the budget each time.
+//
+// The order of events: the endpoint ends in the middle of the stream. The endpoints that the box tries
+// next have ended too; each refuses the connection, so nothing is sent, and the next is tried at once.
+//
+// The evidence: ten lines of one request, attempts 2 to 10, "not reached: connection refused".
+func TestAStreamThatReachesNobodyTakesOneRetryAndFewAttempts(t *testing.T) {
+	s := newSite(t, resumable(2*time.Second))
+	s.endpoint(t, func(w http.ResponseWriter, _ *http.Request) {
+		for i := range 2 * mostAttempts {
+			s.ended(fmt.Sprintf("gone-%d", i))
+		}
+		sendEvents(w, 1, 2, true)
+	})
+	_, text, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNotNil)
+	s.c.Assert(text, quicktest.Contains, "piece 2")
+	counts := s.gateway.Retries()["app"]
+	s.c.Assert(counts.Made, quicktest.Equals, int64(1))
+	s.c.Assert(counts.Unsent <= mostAttempts, quicktest.IsTrue, quicktest.Commentf("%d attempts that reached nobody", counts.Unsent))
+}
+
+// ended adds an endpoint at whose address nobody listens.
+func (s *site) ended(id string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	s.c.Check(err, quicktest.IsNil)
+	s.c.Check(l.Close(), quicktest.IsNil)
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+		ID: id, Service: "app", Address: l.Addr().String(), DataCentre: "dc", Slots: 4,
+	}))
+}
