--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,86 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Package clock tells the time for decisions that hang on an age: how recent a word of another box
+// is, how long a lease still runs, whether a request is still in time.
+//
+// The steady reading of time.Time stands still while the machine is suspended, and the time of day
+// may jump. A box that was suspended for five seconds would take what it heard before for news: it
+// would serve by keys that were taken away, and write under grants that have ended. Times of this
+// package count a suspension. They are for each other: a timer, a deadline of a connection or of a
+// context and the time of day need those of package time.
+package clock
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Now returns the present time. The difference of two counts time in which the machine was suspended.
+func Now() time.Time {
+	now := time.Now()
+	return now.Add(process.suspended(now))
+}
+
+// Since returns how long ago a time of Now was.
+func Since(t time.Time) time.Duration { return Now().Sub(t) }
+
+// Until returns how long it is until a time of Now.
+func Until(t time.Time) time.Duration { return t.Sub(Now()) }
+
+// Timer returns the time of package time that is as far away as a time of Now.
+func Timer(t time.Time) time.Time { return time.Now().Add(Until(t)) }
+
+// Suspend has all later times be as after a suspension of the machine. It is for tests.
+func Suspend(d time.Duration) {
+	process.mu.Lock()
+	defer process.mu.Unlock()
+	process.simulated += d
+}
+
+// lookAgain is how long what is known of suspensions holds: a look is a call of the system, and a
+// box takes hundreds of times in a second. It is far below any age that decides.
+const lookAgain = time.Millisecond
+
+// counter counts how long the machine was suspended since the counter was made.
+type counter struct {
+	boot func() time.Duration // since the machine started, suspensions included
+
+	mu        sync.Mutex
+	began     time.Time     // when it was made, and
+	beganBoot time.Duration // the same by boot
+	looked    time.Time     // when boot was asked last
+	total     time.Duration // never falls
+	simulated time.Duration
+}
+
+var process = newCounter(sinceBoot)
+
+func newCounter(boot func() time.Duration) *counter {
+	began := time.Now() // first: what passes before the other reading must not count as a suspension
+	return &counter{boot: boot, began: began, beganBoot: boot()}
+}
+
+// suspended returns how long the machine was suspended until now, or somewhat less: what passes
+// between the readings of two clocks must not count.
+func (c *counter) suspended(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.looked) >= lookAgain {
+		boot := c.boot()
+		c.looked = time.Now()
+		c.total = max(c.total, boot-c.beganBoot-c.looked.Sub(c.began))
+	}
+	return c.total + c.simulated
+}
+
+// sinceBoot returns how long ago the machine started; zero where the system does not tell, and
+// suspensions then don't count.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,38 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package clock
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestATimeInWhichTheMachineWasSuspendedCounts(t *testing.T) {
+	c := quicktest.New(t)
+	asleep := time.Duration(0)
+	k := newCounter(func() time.Duration { return sinceBoot() + asleep })
+	c.Assert(k.suspended(time.Now()), quicktest.Equals, time.Duration(0))
+	asleep = 5 * time.Second
+	counted := time.Duration(0)
+	for counted < 5*time.Second-time.Millisecond { // less where this test stood still between two clocks
+		time.Sleep(2 * lookAgain)
+		counted = k.suspended(time.Now())
+	}
+	c.Assert(counted <= 5*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", counted))
+	asleep = 4 * time.Second // a reading that was held up between the clocks
+	time.Sleep(2 * lookAgain)
+	c.Assert(k.suspended(time.Now()) >= counted, quicktest.IsTrue)
+}
+
+func TestTimesCountASimulatedSuspension(t *testing.T) {
+	c := quicktest.New(t)
+	deadline := Now().Add(10 * time.Second)
+	Suspend(8 * time.Second)
+	c.Cleanup(func() { Suspend(-8 * time.Second) })
+	left := Until(deadline)
+	c.Assert(left <= 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", left))
+	timer := time.Until(Timer(deadline))
+	c.Assert(timer <= 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", timer))
+}
--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/member"
 	"cairnwick.example/policy"
 )
@@ -53,7 +54,7 @@
 
 // clusterView returns what follows from the members as they are seen now.
 func (p *peers) clusterView() *clusterView {
-	now := time.Now()
+	now := clock.Now()
 	version := p.table.Version()
 	p.clusterViews.mu.Lock()
 	defer p.clusterViews.mu.Unlock()
--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/share"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
@@ -73,7 +74,7 @@
 
 // reads tells whether this box hears the source by itself.
 func (n *Node) reads() bool {
-	ago, ok := n.fresh.ago(time.Now())
+	ago, ok := n.fresh.ago(clock.Now())
 	return ok && ago < wordTime(n.behind())
 }
 
@@ -107,7 +108,7 @@
 
 // readAgo tells how long ago this box, or one that it follows, heard the source.
 func (n *Node) readAgo() (time.Duration, bool) {
-	now := time.Now()
+	now := clock.Now()
 	own, reads := n.fresh.ago(now)
 	told, informed := n.peers.heardAgo(now)
 	switch {
@@ -131,17 +132,17 @@
 // removed, so what a followed box tells of it is complete from its first word on.
 func (n *Node) mustRead(c Collection) bool {
 	if c == Settled {
-		now := time.Now()
+		now := clock.Now()
 		_, told := n.peers.wordAgo(now)
 		return !told || n.mustVouch(now)
 	}
-	return !n.peers.informed(time.Now())
+	return !n.peers.informed(clock.Now())
 }
 
 // sourceAges tells how long ago the source was heard: by this box, and by its leader as
 // the box that it follows tells; a box that was not heard of is missing.
 func (n *Node) sourceAges() map[string]int64 {
-	now := time.Now()
+	now := clock.Now()
 	ages := make(map[string]int64)
 	if ago, ok := n.fresh.ago(now); ok {
 		ages["own_ms"] = ago.Milliseconds()
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -5,6 +5,8 @@
 import (
 	"net/http"
 	"time"
+
+	"cairnwick.example/clock"
 )
 
 const (
@@ -24,20 +26,20 @@
 // orders until the next leader takes its endpoints over.
 func (n *Node) leave() {
 	n.Log.Info("Box leaves", "held", n.gateway.Held())
-	begun := time.Now()
+	begun := clock.Now()
 	n.leaving.Store(true)
 	n.gateway.Leave()
 	n.loader.Leave(begun) // before its own view says that another box leads
 	n.peers.table.Leave()
-	for time.Since(begun) < noticeFor {
+	for clock.Since(begun) < noticeFor {
 		time.Sleep(leavePause)
 	}
-	n.Log.Info("Box has left", "held", n.gateway.Held(), "took_ms", time.Since(begun).Milliseconds())
+	n.Log.Info("Box has left", "held", n.gateway.Held(), "took_ms", clock.Since(begun).Milliseconds())
 }
 
 // isReady tells whether the box can serve callers.
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.view.Config() != nil && len(n.view.All()) > 0 && n.expectsKeys(time.Now())
+	return !n.leaving.Load() && n.view.Config() != nil && len(n.view.All()) > 0 && n.expectsKeys(clock.Now())
 }
 
 func (n *Node) readiness() http.Handler {
--- a/edge/node.go
+++ b/edge/node.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/daemon"
 	"cairnwick.example/forward"
 	"cairnwick.example/logging"
@@ -101,8 +102,8 @@
 		Observer:   n.usage,
 		Admission:  admission{node: n},
 		Quarantine: n.kept,
-		Boxes:      func() int { return n.peers.budgetBoxes(time.Now()) },
-		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, time.Now()) },
+		Boxes:      func() int { return n.peers.budgetBoxes(clock.Now()) },
+		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, clock.Now()) },
 		Cut:        func(centre string) bool { return n.peers.clusterView().silent[centre] },
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
@@ -128,7 +129,7 @@
 		dialer:  &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext, SilentFor: silentFor, Messages: n.messages},
 		items:   n.items,
 		log:     n.Log,
-		started: time.Now(),
+		started: clock.Now(),
 		reads:   n.reads,
 		seeds:   func() []string { return otherSeeds(n.current.Load().Seeds, s.Peers) },
 		behind:  n.behind,
@@ -231,7 +232,7 @@
 		table:      n.items,
 		wanted:     func() bool { return n.mustRead(c) },
 		known:      func() mark { return n.known.of(c) },
-		leads:      func() bool { return n.peers.clusterView().steps == 0 && time.Since(n.peers.started) > settleFor },
+		leads:      func() bool { return n.peers.clusterView().steps == 0 && clock.Since(n.peers.started) > settleFor },
 		log:        n.Log,
 		ages:       n.sourceAges,
 		behind:     n.behind,
--- a/edge/pool.go
+++ b/edge/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/clock"
 	"cairnwick.example/member"
 	"cairnwick.example/wire"
 )
@@ -207,7 +208,7 @@
 			lent[l.GetOrganisation()] += l.GetUnits()
 		}
 	}
-	now := time.Now()
+	now := clock.Now()
 	for _, l := range q.GetLoans() {
 		s.pool.Borrowed(l.GetOrganisation(), float64(lent[l.GetOrganisation()]), now, lendRest)
 	}
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnwick.example/member"
+	"cairnwick.example/placement"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/share"
 	"cairnwick.example/topology"
@@ -26,6 +27,8 @@
 	n.state = &state{view: topology.NewView(), table: n.items, decoder: n.Decoder, log: n.Log}
 	n.items.OnChange, n.items.IsOver = n.state.apply, n.isOver
 	n.kept = newQuarantined(n)
+	n.current.Store(&n.Settings)
+	n.loader = &placement.Loader{Limits: func() placement.RateLimits { return placement.DefaultRateLimits }}
 	return n
 }
 
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/share"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
@@ -68,7 +69,7 @@
 	pause := failPause
 	for ctx.Err() == nil {
 		if r.after != 0 && !r.wanted() {
-			r.stopReading(time.Now())
+			r.stopReading(clock.Now())
 			r.standBy(ctx)
 			pause = failPause
 			continue
@@ -113,8 +114,8 @@
 // pauseFor waits after a call that failed, no longer than a leader where the box has begun to lead
 // meanwhile.
 func (r *reader) pauseFor(ctx context.Context, pause time.Duration) {
-	begun := time.Now()
-	for waited := time.Duration(0); ctx.Err() == nil && waited < pause; waited = time.Since(begun) {
+	begun := clock.Now()
+	for waited := time.Duration(0); ctx.Err() == nil && waited < pause; waited = clock.Since(begun) {
 		if waited >= failMost && r.leads() {
 			return
 		}
@@ -132,7 +133,7 @@
 // awaitWord gives the leader some time to tell what it reads before this box watches the
 // source as well: after a start of all boxes their watches would be most of the calls to it.
 func (r *reader) awaitWord(ctx context.Context) {
-	for until := time.Now().Add(wordFor); ctx.Err() == nil && time.Now().Before(until) && !r.leads() && r.wanted(); {
+	for until := clock.Now().Add(wordFor); ctx.Err() == nil && clock.Now().Before(until) && !r.leads() && r.wanted(); {
 		sleep(ctx, wordLook)
 	}
 }
@@ -178,7 +179,7 @@
 
 // step makes one call; it tells whether anything was found.
 func (r *reader) step(ctx context.Context) (bool, error) {
-	begun := time.Now()
+	begun := clock.Now()
 	r.begun = begun
 	if r.uncertain && begun.After(r.trusted) {
 		r.after, r.uncertain, r.holding, r.afterOutage = 0, false, false, true
@@ -190,7 +191,7 @@
 	}
 	wait := r.watchWait(begun)
 	b, err := r.source.Watch(ctx, r.collection, r.after, wait)
-	now := time.Now()
+	now := clock.Now()
 	if errors.As(err, &ErrForgotten{}) {
 		r.log.Info("Source forgot its history and is listed anew", "collection", r.collection.String(), "revision", r.after)
 		r.back(now)
@@ -231,7 +232,7 @@
 	if err != nil {
 		return err
 	}
-	now := time.Now()
+	now := clock.Now()
 	r.back(now)
 	r.after, r.forgotten, r.afterOutage = b.Revision, false, false
 	r.listed(b.Revision)
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/placement"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
@@ -27,9 +28,8 @@
 
 // Ended implements the Peer service.
 func (s peerServer) Ended(_ context.Context, q *wire.EndedRequest) (*wire.EndedReply, error) {
-	now := time.Now()
-	s.node.peers.table.Seen(q.GetBox(), now)
-	s.node.kept.hear(q, now)
+	s.node.peers.table.Seen(q.GetBox(), clock.Now())
+	s.node.kept.hear(q, time.Now())
 	return &wire.EndedReply{}, nil
 }
 
@@ -69,7 +69,7 @@
 
 // Use implements the Share service.
 func (s shareServer) Use(_ context.Context, q *wire.UseRequest) (*wire.UseReply, error) {
-	s.node.peers.table.Seen(q.GetBox(), time.Now())
+	s.node.peers.table.Seen(q.GetBox(), clock.Now())
 	return s.node.use(q), nil
 }
 
@@ -88,18 +88,18 @@
 
 // Settle implements the Share service.
 func (s shareServer) Settle(_ context.Context, q *wire.SettleRequest) (*wire.SettleReply, error) {
-	s.node.peers.table.Seen(q.GetBox(), time.Now())
-	return s.node.spending.answer(q, time.Now()), nil
+	s.node.peers.table.Seen(q.GetBox(), clock.Now())
+	return s.node.spending.answer(q, clock.Now()), nil
 }
 
 // Lend implements the Share service.
 func (s shareServer) Lend(_ context.Context, q *wire.LendRequest) (*wire.LendReply, error) {
-	return s.node.spending.lend(q, time.Now()), nil
+	return s.node.spending.lend(q, clock.Now()), nil
 }
 
 // use counts what a box told, and answers what a load costs here.
 func (n *Node) use(q *wire.UseRequest) *wire.UseReply {
-	now := time.Now()
+	now := clock.Now()
 	var uses []placement.Use
 	for _, u := range q.GetUsage() {
 		a := topology.ParseAdapter(u.GetAdapter())
--- a/edge/spending.go
+++ b/edge/spending.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/wire"
 )
@@ -92,7 +93,7 @@
 
 // float is how much of a quota this box may have spent and not drawn.
 func (s *spending) float(q access.Quota) float64 {
-	boxes := s.node.peers.budgetBoxes(time.Now())
+	boxes := s.node.peers.budgetBoxes(clock.Now())
 	if boxes == 0 {
 		boxes = boxesAssumed
 	}
@@ -109,7 +110,7 @@
 // spend takes units of an organisation's quota for a request: at once where this box owes
 // little, else when its leader hands them out.
 func (s *spending) spend(ctx context.Context, o *access.Organisation, units float64, p forward.Patience) forward.Spent {
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	a := s.accountLocked(o.Name())
 	if len(a.waiting) == 0 && a.Admit(units, s.float(o.Quota()), rand.Float64()) {
@@ -176,7 +177,7 @@
 		return settlePeriod
 	}
 	waiting := s.settle(ctx)
-	s.noteKeys(time.Now())
+	s.noteKeys(clock.Now())
 	switch {
 	case !waiting:
 		return settlePeriod
@@ -218,7 +219,7 @@
 func (s *spending) settle(ctx context.Context) bool {
 	q, asked := s.demand()
 	a, ok := s.ask(ctx, q)
-	now := time.Now()
+	now := clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.silent = !ok
@@ -329,8 +330,8 @@
 
 // askSelf answers this box's own settlement, and makes up for a source that it does not hear.
 func (s *spending) askSelf(ctx context.Context, q *wire.SettleRequest) (*wire.SettleReply, bool) {
-	a := s.answer(q, time.Now())
-	if ago, ok := s.node.vouched.ago(time.Now()); !ok || ago > askOthersAfter {
+	a := s.answer(q, clock.Now())
+	if ago, ok := s.node.vouched.ago(clock.Now()); !ok || ago > askOthersAfter {
 		s.askOthers(ctx)
 	}
 	return a, a.GetLeads()
@@ -340,7 +341,7 @@
 func (s *spending) call(ctx context.Context, address string, q *wire.SettleRequest) (*wire.SettleReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, settleCall)
 	defer cancel()
-	begun := time.Now()
+	begun := clock.Now()
 	a, err := wire.NewShareClient(s.node.peers.dialer.Conn(address)).Settle(ctx, q)
 	if err != nil {
 		return nil, err
@@ -375,7 +376,7 @@
 }
 
 func (s *spending) report() quotaReport {
-	now := time.Now()
+	now := clock.Now()
 	r := quotaReport{Owed: make(map[string]float64)}
 	if s.leads(now) {
 		r.Pool, r.Draws = s.pool.Levels(), s.drawn.count(now)
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/member"
 	"cairnwick.example/placement"
 	"cairnwick.example/topology"
@@ -47,7 +48,7 @@
 // have led there, and the one that this box saw lead. Where none resigns and one did not
 // answer, that one may give orders for so long.
 func (p *peers) takeOver(ctx context.Context, e *topology.Endpoint) (placement.Handover, time.Duration) {
-	list := p.leaversOf(e.DataCentre(), time.Now())
+	list := p.leaversOf(e.DataCentre(), clock.Now())
 	answers := make(chan resignation, len(list))
 	for _, m := range list {
 		go func() { answers <- p.resign(ctx, m, e.ID()) }()
@@ -60,7 +61,7 @@
 			handed = r.handover
 		}
 		if r.failed {
-			wait = max(wait, time.Until(r.box.Since().Add(placement.KeepMost+keepMargin)))
+			wait = max(wait, clock.Until(r.box.Since().Add(placement.KeepMost+keepMargin)))
 		}
 	}
 	return handed, wait
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
@@ -243,7 +244,7 @@
 		return
 	}
 	if m.Name() == u.node.peers.box {
-		u.node.levels.hear(centre, u.node.use(q), time.Now())
+		u.node.levels.hear(centre, u.node.use(q), clock.Now())
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, usePause)
@@ -253,5 +254,5 @@
 		u.node.Log.V(1).Info("Leader was not told of use", "leader", m.Name(), "err", err.Error())
 		return
 	}
-	u.node.levels.hear(centre, a, time.Now())
+	u.node.levels.hear(centre, a, clock.Now())
 }
--- a/edge/vouch.go
+++ b/edge/vouch.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"cairnwick.example/clock"
 )
 
 // vouched is as of when the source is known to have published no newer configuration than the one
@@ -90,7 +92,7 @@
 }
 
 func (n *Node) keysReport() keysReport {
-	now := time.Now()
+	now := clock.Now()
 	r := keysReport{AgeMS: -1}
 	if ago, ok := n.vouched.ago(now); ok {
 		r.AgeMS = ago.Milliseconds()
--- /dev/null
+++ b/engine/suspend_test.go
@@ -0,0 +1,32 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnwick.example/clock"
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// A grant ends while the machine is suspended, between the call for it and the write: nothing may
+// be written under it, though the steady clock says that it is in time.
+func TestAGrantThatEndedInASuspensionSendsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	l := newListener(c)
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		clock.Suspend(time.Minute)
+		c.Cleanup(func() { clock.Suspend(-time.Minute) })
+		return plainDial(ctx, network, address)
+	}
+	r, err := http.NewRequest(http.MethodPost, "http://"+l.Addr().String()+"/", strings.NewReader("x"))
+	c.Assert(err, quicktest.IsNil)
+	_, err = Send(&http.Client{Transport: NewTransport(dial, 1)}, r, clock.Now().Add(10*time.Second))
+	c.Assert(errors.Is(err, ErrExpired), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"github.com/pkg/errors"
 )
 
@@ -42,7 +43,7 @@
 // Write checks the time just before the system call.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	late := !c.sent && !c.sendBy.IsZero() && time.Now().After(c.sendBy)
+	late := !c.sent && !c.sendBy.IsZero() && clock.Now().After(c.sendBy)
 	if !late {
 		c.sent = true
 	}
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/clock"
 )
 
 // Admission knows what holds for organisations over all boxes.
@@ -94,7 +95,7 @@
 	}
 	s := g.Admission.Spend(ctx, q.organisation, q.cost(), Patience{
 		Over:    time.Duration(overPart * float64(q.route.Target())),
-		Unknown: q.useful(time.Now()) - g.predict(q.call.TokensIn), // boxes agree anew within a second on who counts
+		Unknown: q.useful(clock.Now()) - g.predict(q.call.TokensIn), // boxes agree anew within a second on who counts
 	})
 	switch {
 	case s.OK:
--- a/forward/answer.go
+++ b/forward/answer.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"cairnwick.example/clock"
 )
 
 // answer is what the caller has got so far.
@@ -39,7 +41,7 @@
 	if h["Content-Type"] == nil {
 		h["Content-Type"] = nil // and from guessing
 	}
-	a.begun, a.first, a.status = true, time.Now(), r.StatusCode
+	a.begun, a.first, a.status = true, clock.Now(), r.StatusCode
 	a.writer.WriteHeader(r.StatusCode)
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"github.com/pkg/errors"
 )
@@ -54,7 +55,7 @@
 	if err != nil {
 		return nil, g.lost(ctx, q, u, err)
 	}
-	g.hear(u, time.Now())
+	g.hear(u, clock.Now())
 	if f := g.judge(q, u, t, a); f != nil {
 		_ = a.Body.Close() // nothing of it is used
 		return nil, f
@@ -72,9 +73,9 @@
 // a cut by several that nothing is heard of, and a silent connection; the function it returns
 // ends that.
 func (g *Gateway) watchSilence(u *upstream) func() {
-	sent := time.Now()
+	sent := clock.Now()
 	silence := time.AfterFunc(silenceTimeout, func() {
-		g.centres.silence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, time.Now())
+		g.centres.silence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, clock.Now())
 		u.closeResting(sent)
 	})
 	done := make(chan struct{}, 1)
@@ -109,7 +110,7 @@
 	r.ContentLength = int64(len(q.body))
 	g.Protocol.Instruct(r.Header, Instruction{
 		Endpoint:  t.endpoint.ID(),
-		Left:      q.left(time.Now()),
+		Left:      q.left(clock.Now()),
 		Priority:  q.config.Rank(q.route, q.organisation),
 		HasModel:  q.service.Engine() != nil,
 		Version:   t.version,
@@ -128,8 +129,8 @@
 		u.outcome(true)
 		u.dropIdle()
 		if !sent {
-			u.unreachable(time.Now())
-			g.centres.fail(u.endpoint.DataCentre(), u.endpoint.ID(), time.Now())
+			u.unreachable(clock.Now())
+			g.centres.fail(u.endpoint.DataCentre(), u.endpoint.ID(), clock.Now())
 		} else {
 			g.wasCut(u, q)
 		}
@@ -150,7 +151,7 @@
 	u.heardIdle(v.IdleTimeout)
 	switch {
 	case v.Elsewhere:
-		u.unreachable(time.Now())
+		u.unreachable(clock.Now())
 		return g.turnedAway(q, t, CodeNoEndpoint, "another endpoint has the address")
 	case v.NotHeld:
 		g.View.Drop(t.endpoint.ID(), q.call.Adapter)
@@ -207,7 +208,7 @@
 		return false
 	}
 	q.tried[t.endpoint.ID()] = true
-	now := time.Now()
+	now := clock.Now()
 	others := g.usable(g.View.Endpoints(q.service.Name()), q.tried, now)
 	if len(others) == 0 || q.left(now) < firstByte || !g.mayRetry(q, now) {
 		return false
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -2,7 +2,11 @@
 
 package forward
 
-import "time"
+import (
+	"time"
+
+	"cairnwick.example/clock"
+)
 
 // dispatch is one request at one endpoint. It counts there until it has ended.
 type dispatch struct {
@@ -20,7 +24,7 @@
 // dispatchTo notes that a request is being sent to an endpoint.
 func (g *Gateway) dispatchTo(q *request, t target) *dispatch {
 	u := g.upstreams.of(t.endpoint)
-	d := &dispatch{gateway: g, request: q, upstream: u, sent: time.Now()}
+	d := &dispatch{gateway: g, request: q, upstream: u, sent: clock.Now()}
 	d.before = u.begin(q.call.TokensIn)
 	d.predicted = g.predict(d.before)
 	if q.call.Adapter.Name != "" {
@@ -33,7 +37,7 @@
 
 // heard notes that a part of the answer came. The first one says that the prompt is read.
 func (d *dispatch) heard() {
-	now := time.Now()
+	now := clock.Now()
 	d.gateway.hear(d.upstream, now)
 	if d.read {
 		d.request.pause = max(d.request.pause, now.Sub(d.last))
--- a/forward/endings.go
+++ b/forward/endings.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
-	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/quarantine"
 )
@@ -24,7 +24,7 @@
 func (g *Gateway) endpointEnded(endpoint string, suspects []quarantine.Content) {
 	g.Log.Info("Endpoint ended under requests", "endpoint", endpoint, "contents", quarantine.Texts(suspects))
 	if e := g.View.Endpoint(endpoint); e != nil {
-		g.upstreams.of(e).unreachable(time.Now())
+		g.upstreams.of(e).unreachable(clock.Now())
 	}
 	g.Quarantine.Ended(endpoint, suspects)
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/policy"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
@@ -50,7 +51,7 @@
 
 // Run forgets endpoints that are gone and looks which ones ended, until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
-	g.begin(time.Now())
+	g.begin(clock.Now())
 	ended := make(chan error, 1)
 	go func() { ended <- g.watch().Run(ctx) }()
 	g.upstreams.watch(ctx, g.View)
@@ -91,7 +92,7 @@
 	if g.budgets == nil {
 		g.budgets = make(map[string]*Budget)
 	}
-	g.beginLocked(time.Now()) // a request may come before Run
+	g.beginLocked(clock.Now()) // a request may come before Run
 	b := g.budgets[service]
 	if b == nil {
 		b = &Budget{Limits: g.Budget, at: g.begun}
@@ -113,14 +114,14 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	received := time.Now()
+	received := clock.Now()
 	defer g.held.Add(-1)
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	call, malformed := g.Protocol.ReadCall(r.Header) // first: a refusal is logged under its ID
 	q := &request{received: received, inbound: r, caller: newCaller(w), call: call}
-	q.caller.begin(received)
+	q.caller.begin(clock.Timer(received))
 	out := &answer{writer: w, describes: g.Protocol.Describes}
 	defer g.recovered(out, q)
 	if g.held.Add(1) > int64(g.MostHeld) {
@@ -131,8 +132,8 @@
 		g.refuse(w, q, f)
 		return
 	}
-	q.caller.admitted(q.deadline)
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	q.caller.admitted(clock.Timer(q.deadline))
+	ctx, cancel := context.WithDeadline(r.Context(), clock.Timer(q.deadline))
 	defer cancel()
 	f := g.spend(ctx, q)
 	if f == nil {
--- a/forward/home.go
+++ b/forward/home.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/policy"
 	"cairnwick.example/topology"
 )
@@ -21,13 +22,13 @@
 func (g *Gateway) placeAdapter(ctx context.Context, q *request, list []*topology.Endpoint) (target, *Refusal) {
 	a := q.call.Adapter
 	g.Log.V(1).Info("Adapter is needed", "request", q.call.ID, "adapter", a.String(), "route", q.route.Name())
-	now := time.Now()
+	now := clock.Now()
 	if e := g.least(among(g.View.Holders(a), list), now); e != nil {
 		return target{endpoint: e, version: g.View.Newest(a)}, nil
 	}
 	for {
 		t, f, settling := g.askHomes(ctx, q, list)
-		if !settling || ctx.Err() != nil || f.Retry > q.useful(time.Now())-g.predict(q.call.TokensIn) {
+		if !settling || ctx.Err() != nil || f.Retry > q.useful(clock.Now())-g.predict(q.call.TokensIn) {
 			return t, f
 		}
 		select {
@@ -44,10 +45,10 @@
 	for len(list) > 0 {
 		e := g.homeOf(q.call.Adapter, list)
 		p, err := g.Placer.Want(ctx, g.wanted(q, e))
-		q.waited, q.queued = time.Since(q.received), p.Queued
+		q.waited, q.queued = clock.Since(q.received), p.Queued
 		switch {
 		case err != nil:
-			g.centres.avoid(e.DataCentre(), time.Now())
+			g.centres.avoid(e.DataCentre(), clock.Now())
 			g.noteNoOwner(q, e, err)
 			f = sooner(f, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "no leader answers"})
 		case p.Settling:
@@ -110,7 +111,7 @@
 // homeOf returns where an adapter is being loaded, or else an endpoint in the data centre
 // where its load costs the least: where it was held last, if that is there.
 func (g *Gateway) homeOf(a topology.Adapter, list []*topology.Endpoint) *topology.Endpoint {
-	if e := g.least(among(g.View.Loading(a), list), time.Now()); e != nil {
+	if e := g.least(among(g.View.Loading(a), list), clock.Now()); e != nil {
 		return e
 	}
 	latest := g.View.Latest(a)
@@ -175,7 +176,7 @@
 }
 
 func (g *Gateway) wanted(q *request, e *topology.Endpoint) Wanted {
-	now := time.Now()
+	now := clock.Now()
 	answers := g.predict(q.call.TokensIn)
 	return Wanted{
 		Request:  q.call.ID,
--- a/forward/record.go
+++ b/forward/record.go
@@ -3,8 +3,7 @@
 package forward
 
 import (
-	"time"
-
+	"cairnwick.example/clock"
 	"cairnwick.example/metrics"
 )
 
@@ -46,7 +45,7 @@
 
 // note records a request that was served.
 func (g *Gateway) note(q *request, out *answer) {
-	now := time.Now()
+	now := clock.Now()
 	g.watch().Answered(q.content, now)
 	g.Stats.Routes.Observe(q.route.Name(), now.Sub(q.received))
 	g.Stats.First.Observe(q.route.Name(), out.first.Sub(q.received))
@@ -81,7 +80,7 @@
 
 // recordAttempt records an attempt that brought no answer.
 func (g *Gateway) recordAttempt(q *request, what, detail string) {
-	took := time.Since(q.sentAt)
+	took := clock.Since(q.sentAt)
 	g.Stats.Attempts.Observe(what, took)
 	g.Log.Info("Attempt failed", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
 		"content", q.content.String(), "outcome", what, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
@@ -90,7 +89,7 @@
 
 // recordFailure records the final answer of a request that was not served.
 func (g *Gateway) recordFailure(q *request, f *Refusal, begun bool) {
-	took := time.Since(q.received)
+	took := clock.Since(q.received)
 	g.Stats.Refusals.Observe(string(f.Code), took)
 	if q.organisation != nil {
 		g.Stats.Unserved.Observe(q.payer()+" "+string(f.Code), took)
--- a/forward/request.go
+++ b/forward/request.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/clock"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
 	"github.com/cespare/xxhash/v2"
@@ -86,7 +87,7 @@
 	if q.route == nil {
 		return &Refusal{Code: CodeNoRoute, Detail: q.inbound.Host + q.inbound.RequestURI}
 	}
-	if f := g.identify(q, time.Now()); f != nil {
+	if f := g.identify(q, clock.Now()); f != nil {
 		return f
 	}
 	q.deadline = q.received.Add(q.route.Timeout())
@@ -100,12 +101,16 @@
 	if f := g.readBody(w, q); f != nil {
 		return f
 	}
-	return g.quarantined(q, time.Now())
+	return g.quarantined(q, clock.Now())
 }
 
 // maySend tells whether a request may be given to an endpoint now: a configuration, or the word of
-// another box, may have come while it waited.
+// another box, may have come while it waited. Its context does not end while the machine is suspended,
+// so its time is looked at too.
 func (g *Gateway) maySend(q *request, now time.Time) *Refusal {
+	if q.left(now) <= 0 {
+		return &Refusal{Code: CodeTimeout, Detail: "its time was over before it could be sent"}
+	}
 	if f := g.quarantined(q, now); f != nil {
 		return f
 	}
@@ -125,7 +130,7 @@
 
 // readBody takes the body whole, so that it can be sent again.
 func (g *Gateway) readBody(w http.ResponseWriter, q *request) *Refusal {
-	q.caller.bodyBy(q.deadline)
+	q.caller.bodyBy(clock.Timer(q.deadline))
 	limit := q.config.Limits().BodyBytes
 	var buffer bytes.Buffer
 	if n := q.inbound.ContentLength; n > 0 && n <= limit {
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/topology"
 )
 
@@ -24,13 +25,13 @@
 
 // serve tries endpoints until the answer was given, which it returns as nil.
 func (g *Gateway) serve(ctx context.Context, q *request, out *answer) *Refusal {
-	g.budget(q.service.Name()).First(time.Now())
+	g.budget(q.service.Name()).First(clock.Now())
 	q.tried = make(map[string]bool)
 	var last *Refusal
 	for q.attempts < mostAttempts {
 		t, f := g.place(ctx, q)
 		if f == nil {
-			f = g.maySend(q, time.Now())
+			f = g.maySend(q, clock.Now())
 		}
 		if f != nil {
 			return g.sum(q, f)
@@ -64,7 +65,7 @@
 	if f.Ran && (!q.route.MayRepeat() || q.ran >= q.route.MaxAttempts()) {
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	if q.left(now) < firstByte/2 {
 		return false
 	}
@@ -87,7 +88,7 @@
 
 // place finds the endpoint for the next attempt.
 func (g *Gateway) place(ctx context.Context, q *request) (target, *Refusal) {
-	now := time.Now()
+	now := clock.Now()
 	list := g.View.Endpoints(q.service.Name())
 	if q.service.Engine() != nil && q.call.Adapter.Model != "" {
 		list = withModel(list, q.call.Adapter.Model)
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -10,7 +10,8 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
+
+	"cairnwick.example/clock"
 )
 
 const streamType = "text/event-stream"
@@ -52,7 +53,7 @@
 	if out.gone || ctx.Err() != nil || !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() || q.attempts >= mostAttempts {
 		return false
 	}
-	now := time.Now()
+	now := clock.Now()
 	if q.left(now) <= firstByte {
 		return false
 	}
@@ -69,7 +70,7 @@
 func (g *Gateway) resume(ctx context.Context, q *request, s *events) bool {
 	t, f := g.place(ctx, q)
 	if f == nil {
-		f = g.maySend(q, time.Now())
+		f = g.maySend(q, clock.Now())
 	}
 	if f != nil {
 		q.ran = q.route.MaxAttempts() // nowhere to go
--- /dev/null
+++ b/forward/suspend_test.go
@@ -0,0 +1,50 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"cairnwick.example/clock"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// sleepyPlacer has the machine suspended while a request waits for its adapter.
+type sleepyPlacer struct{ pass time.Duration }
+
+// Want implements Placer.
+func (p sleepyPlacer) Want(_ context.Context, w Wanted) (Placed, error) {
+	clock.Suspend(p.pass)
+	return Placed{Ready: true, Endpoint: w.Endpoint.ID()}, nil
+}
+
+// A box was suspended while it held a request. Its timers and its steady clock stood still, so it
+// gave the request to an endpoint long after its caller had left.
+func TestARequestWhoseTimePassedInASuspensionIsNotSent(t *testing.T) {
+	s := newSite(t, once(2*time.Second))
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app", Engine: &topology.EngineSpec{AdapterSlots: 2}})}
+	r := once(2 * time.Second)
+	r.Host, r.Shares = "site.example", []topology.Share{{Service: "app", Weight: 1}}
+	s.gateway.View.SetConfig(topology.NewConfig(2, []*topology.Route{topology.NewRoute(r)}, services, topology.Limits{BodyBytes: 1 << 10}))
+	calls := s.endpoint(t, answerOK)
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+		ID: "e1", Service: "app", Address: s.gateway.View.Endpoint("e1").Address(), DataCentre: "dc", Slots: 4, Models: []string{"m"},
+	}))
+	pass := 5 * time.Second
+	s.gateway.Placer = sleepyPlacer{pass: pass}
+	t.Cleanup(func() { clock.Suspend(-pass) })
+	q, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
+	s.c.Assert(err, quicktest.IsNil)
+	q.Host = "site.example"
+	q.Header.Set("Id", "call-1")
+	q.Header.Set("Adapter", "m/a")
+	a, err := http.DefaultClient.Do(q)
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.Body.Close(), quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusGatewayTimeout)
+	s.c.Assert(calls.Load(), quicktest.Equals, int64(0))
+}
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/member"
 	"cairnwick.example/wire"
 	"google.golang.org/grpc/codes"
@@ -19,7 +20,7 @@
 	if centre != g.Centre {
 		limit = farFailover // an endpoint of the own data centre is the next to try
 	}
-	until := time.Now().Add(min(limit, q.left()))
+	until := clock.Now().Add(min(limit, q.left()))
 	hint := "" // who owns the endpoint, by the word of a scheduler that does not
 	for {
 		if owner, ok := g.ownerOf(endpoint, centre, hint); ok {
@@ -32,7 +33,7 @@
 			}
 			hint = refusal.GetOwner()
 		}
-		if ctx.Err() != nil || time.Now().After(until) {
+		if ctx.Err() != nil || clock.Now().After(until) {
 			return heldGrant{}, &Failure{Code: CodeNotReady, Ran: NotRun, Message: "no scheduler answers for " + endpoint, Retry: g.Spans.Retry}
 		}
 		pause(ctx, failoverPause)
@@ -42,12 +43,12 @@
 // askFor makes one call for a grant and remembers what the answer tells of the
 // endpoint. Without an answer it returns neither a grant nor a refusal.
 func (g *Gateway) askFor(ctx context.Context, q *request, owner member.Member, endpoint string) (heldGrant, *wire.Refusal) {
-	asked := time.Now()
+	asked := clock.Now()
 	a, err := g.ask(ctx, q, owner, endpoint)
 	if err != nil {
 		return heldGrant{}, nil
 	}
-	g.beliefs.hear(endpoint, q.model.String(), a.GetFacts(), time.Now())
+	g.beliefs.hear(endpoint, q.model.String(), a.GetFacts(), clock.Now())
 	grant := a.GetGrant()
 	if grant == nil {
 		return heldGrant{}, a.GetRefusal()
@@ -78,7 +79,7 @@
 		Width:      int32(q.width),
 	})
 	if err == nil && owner.DataCentre() != g.Centre {
-		g.reach.note(owner.DataCentre(), time.Now().Add(reachFor))
+		g.reach.note(owner.DataCentre(), clock.Now().Add(reachFor))
 	}
 	if err != nil && ctx.Err() == nil && status.Code(err) != codes.Canceled {
 		g.Probe(owner.Name())
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
@@ -26,18 +27,18 @@
 // back.
 func (g *Gateway) attempt(ctx context.Context, q *request, out *answer, h heldGrant) *Failure {
 	q.attempts++
-	begun := time.Now()
+	begun := clock.Now()
 	g.stats.Stall.Observe(q.class.Name(), time.Duration(h.grant.GetLoadMicros())*time.Microsecond)
 	r := &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId()}
 	f := g.send(ctx, q, out, h, r)
 	g.watchAttempt(ctx, q, h, f)
 	if f == nil {
 		g.Retries.Success()
-		g.prefixes.note(q.prefix, h.endpoint, time.Now())
+		g.prefixes.note(q.prefix, h.endpoint, clock.Now())
 	} else if f.Ran != NotRun {
 		q.unsure = true
 	}
-	r.ServiceMicros = time.Since(begun).Microseconds()
+	r.ServiceMicros = clock.Since(begun).Microseconds()
 	g.release(h.owner, r)
 	g.recordAttempt(q, h, f)
 	return f
@@ -47,7 +48,7 @@
 func (g *Gateway) watchAttempt(ctx context.Context, q *request, h heldGrant, f *Failure) {
 	switch {
 	case f == nil:
-		g.watch.Answered(q.content, time.Now())
+		g.watch.Answered(q.content, clock.Now())
 	case ctx.Err() == nil && f.Ran == Unknown && (f.Code == CodeLost || f.Code == CodeCut):
 		g.watch.Cut(lifeOf(h), h.grant.GetAddress(), q.content)
 	}
@@ -88,7 +89,7 @@
 // answer ends at the request's deadline.
 func (g *Gateway) watchdog(ctx context.Context, q *request) (live context.Context, stop func(), beat func()) {
 	if !q.stream {
-		live, cancel := context.WithDeadline(ctx, q.deadline)
+		live, cancel := context.WithDeadline(ctx, clock.Timer(q.deadline))
 		return live, cancel, func() {}
 	}
 	live, cancel := context.WithCancel(ctx)
--- a/gateway/calls.go
+++ b/gateway/calls.go
@@ -5,8 +5,8 @@
 import (
 	"context"
 	"sync"
-	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/member"
 )
 
@@ -78,7 +78,7 @@
 	for _, m := range g.Members.Serving(member.Scheduler) {
 		serving[m.Name()] = true
 	}
-	for _, c := range g.reach.all(time.Now()) {
+	for _, c := range g.reach.all(clock.Now()) {
 		serving[centreKey(c)] = true
 	}
 	g.calls.keep(serving)
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/member"
 	"cairnwick.example/policy"
 	"cairnwick.example/wire"
@@ -28,7 +29,7 @@
 
 // beginKey claims the key at its home.
 func (g *Gateway) beginKey(ctx context.Context, key, id string) (member.Member, *Failure) {
-	asked := time.Now()
+	asked := clock.Now()
 	until := asked.Add(g.Spans.Key)
 	for {
 		home, ok := g.keyHome(key)
@@ -36,7 +37,7 @@
 		if ok {
 			state = g.askHome(ctx, home, key, id, until)
 		}
-		late := time.Now().After(until)
+		late := clock.Now().After(until)
 		if state != wire.KeyState_KEY_STATE_NOT_HOME {
 			return home, keyFailure(state, late, g.Spans.Retry)
 		}
@@ -55,7 +56,7 @@
 }
 
 func (g *Gateway) askHome(ctx context.Context, home member.Member, key, id string, until time.Time) wire.KeyState {
-	call, cancel := context.WithDeadline(ctx, until)
+	call, cancel := context.WithDeadline(ctx, clock.Timer(until))
 	defer cancel()
 	a, err := g.Schedulers.Scheduler(home.Address()).BeginKey(call, &wire.BeginKeyRequest{Key: key, Request: id})
 	if err != nil {
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 )
 
@@ -15,7 +16,7 @@
 func (g *Gateway) serveModel(w http.ResponseWriter, r *http.Request) {
 	id := newRequestID()
 	w.Header().Set(RequestHeader, id)
-	begun := time.Now()
+	begun := clock.Now()
 	q, f := g.read(w, r, id)
 	if f != nil {
 		g.finish(w, nil, id, begun, f)
@@ -26,8 +27,8 @@
 	h.Set(RevisionHeader, strconv.FormatInt(q.catalog.Revision(), 10))
 	out := &answer{writer: w, id: id}
 	f = g.runKeyed(r.Context(), q.key, id, func() *Failure { return g.route(r.Context(), q, out) })
-	g.stats.Total.Observe(q.class.Name(), time.Since(begun))
-	g.stats.Callers.Observe(q.caller, time.Since(begun))
+	g.stats.Total.Observe(q.class.Name(), clock.Since(begun))
+	g.stats.Callers.Observe(q.caller, clock.Since(begun))
 	if !out.untouched() {
 		g.stats.FirstToken.Observe(q.class.Name(), out.first.Sub(begun))
 	}
@@ -35,13 +36,13 @@
 		g.finish(out, q, id, begun, f)
 		return
 	}
-	g.stats.Codes.Observe("ok", time.Since(begun))
+	g.stats.Codes.Observe("ok", clock.Since(begun))
 }
 
 // finish gives a request its final answer when it has none of its own. The writer is
 // an *answer when one may have begun.
 func (g *Gateway) finish(w http.ResponseWriter, q *request, id string, begun time.Time, f *Failure) {
-	g.stats.Codes.Observe(string(f.Code), time.Since(begun))
+	g.stats.Codes.Observe(string(f.Code), clock.Since(begun))
 	g.Log.V(1).Info("Request was refused", "request", id, "revision", q.revision(), "code", f.Code, "ran", f.Ran, "message", f.Message)
 	g.record(q, id, f)
 	if a, ok := w.(*answer); ok {
@@ -56,7 +57,7 @@
 	d := &wire.Decision{Request: id, UnixMicros: time.Now().UnixMicro(), Box: g.Name, Step: "answer"}
 	if q != nil {
 		d = g.decision(q, "answer", time.Now())
-		d.WaitedMicros = time.Since(q.arrived).Microseconds()
+		d.WaitedMicros = clock.Since(q.arrived).Microseconds()
 	}
 	d.Detail = f.detail()
 	g.Record.Add(d)
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -7,13 +7,14 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/clock"
 	"cairnwick.example/policy"
 	"cairnwick.example/wire"
 )
 
 // place orders the endpoints and records why.
 func (g *Gateway) place(q *request, names []string) []string {
-	now := time.Now()
+	now := clock.Now()
 	facts, width := g.beliefs.of(q.model.String(), names, now)
 	q.width = width
 	warm := g.prefixes.warm(q.prefix, now)
@@ -27,7 +28,7 @@
 		Width: width,
 		Rand:  rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	})
-	d := g.decision(q, "place", now)
+	d := g.decision(q, "place", time.Now())
 	ranked := make([]string, len(order))
 	for place, i := range order {
 		ranked[place] = names[i]
@@ -70,7 +71,7 @@
 	}
 	add(servingIn(q.catalog, base, map[string]bool{g.Centre: true}))
 	for _, c := range policy.Rank(q.model.String(), q.catalog.DataCentres()) {
-		if c != g.Centre && g.reach.reached(c, time.Now()) {
+		if c != g.Centre && g.reach.reached(c, clock.Now()) {
 			add(servingIn(q.catalog, base, map[string]bool{c: true}))
 		}
 	}
@@ -81,7 +82,7 @@
 func (g *Gateway) near(c *catalog.Catalog) map[string]bool {
 	near := map[string]bool{g.Centre: true}
 	for _, n := range c.DataCentres() {
-		if c.Region(n) == c.Region(g.Centre) && g.reach.reached(n, time.Now()) {
+		if c.Region(n) == c.Region(g.Centre) && g.reach.reached(n, clock.Now()) {
 			near[n] = true
 		}
 	}
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 )
 
@@ -82,7 +83,7 @@
 	for _, n := range c.DataCentres() {
 		near := c.Region(n) == c.Region(g.Centre)
 		switch {
-		case n == g.Centre || g.reach.reached(n, time.Now().Add(reachFor-pingInterval)):
+		case n == g.Centre || g.reach.reached(n, clock.Now().Add(reachFor-pingInterval)):
 			// the own one, or one that answered a request just now
 		case near:
 			all.Go(func() { g.ping(ctx, n, reachFor) })
@@ -101,7 +102,7 @@
 	m := list[rand.IntN(len(list))]
 	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
 	defer cancel()
-	begun := time.Now()
+	begun := clock.Now()
 	if _, err := g.Schedulers.Scheduler(m.Address()).Ping(ctx, &wire.PingRequest{}); err == nil {
 		g.reach.note(centre, begun.Add(vouches))
 	}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/clock"
 	"cairnwick.example/quarantine"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -71,7 +72,7 @@
 	if c == nil {
 		return nil, noConfiguration()
 	}
-	q := &request{id: id, path: r.URL.Path, arrived: time.Now(), catalog: c}
+	q := &request{id: id, path: r.URL.Path, arrived: clock.Now(), catalog: c}
 	for _, step := range []func(*http.Request) *Failure{q.readClass, q.readKey} {
 		if f := step(r); f != nil {
 			return nil, f
@@ -224,9 +225,9 @@
 }
 
 // left is the time until the deadline.
-func (q *request) left() time.Duration { return time.Until(q.deadline) }
+func (q *request) left() time.Duration { return clock.Until(q.deadline) }
 
 // mayWait is how long the request may still wait for its turn.
 func (q *request) mayWait() time.Duration {
-	return min(q.class.MayWait()-time.Since(q.arrived), q.left())
+	return min(q.class.MayWait()-clock.Since(q.arrived), q.left())
 }
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -8,9 +8,9 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/quarantine"
 	"github.com/pkg/errors"
@@ -34,7 +34,7 @@
 func (g *Gateway) serveService(w http.ResponseWriter, r *http.Request) {
 	id := newRequestID()
 	w.Header().Set(RequestHeader, id)
-	begun := time.Now()
+	begun := clock.Now()
 	c, f := g.readCall(w, r, id)
 	out := &answer{writer: w, id: id}
 	if f == nil {
@@ -44,7 +44,7 @@
 		g.finish(out, nil, id, begun, f)
 		return
 	}
-	g.stats.Codes.Observe("ok", time.Since(begun))
+	g.stats.Codes.Observe("ok", clock.Since(begun))
 }
 
 func (g *Gateway) readCall(w http.ResponseWriter, r *http.Request, id string) (*call, *Failure) {
@@ -115,7 +115,7 @@
 	if c.key != "" {
 		e.Header.Set(engine.KeyHeader, c.key)
 	}
-	a, err := engine.Send(g.Engines, e, time.Now().Add(g.Spans.Key))
+	a, err := engine.Send(g.Engines, e, clock.Now().Add(g.Spans.Key))
 	if err != nil {
 		return g.lostCall(ctx, c, address, err)
 	}
@@ -126,7 +126,7 @@
 		return &Failure{Code: CodeLost, Ran: Unknown, Message: "the answer of " + c.service.Name() + " broke off", Retry: g.Spans.Retry}
 	}
 	g.Retries.Success()
-	g.watch.Answered(c.content, time.Now())
+	g.watch.Answered(c.content, clock.Now())
 	copyHeader(out.Header(), a.Header)
 	out.give(a.StatusCode, body)
 	return nil
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/wire"
 )
@@ -30,14 +31,14 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (a *answer) WriteHeader(status int) {
-	a.first = time.Now()
+	a.first = clock.Now()
 	a.writer.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter.
 func (a *answer) Write(b []byte) (int, error) {
 	if a.first.IsZero() {
-		a.first = time.Now()
+		a.first = clock.Now()
 	}
 	n, err := a.writer.Write(b)
 	a.gone = a.gone || err != nil
@@ -149,7 +150,7 @@
 	if err != nil {
 		return events, false
 	}
-	a, err := engine.Send(g.Engines, e, time.Now().Add(g.Spans.Resume))
+	a, err := engine.Send(g.Engines, e, clock.Now().Add(g.Spans.Resume))
 	if err != nil {
 		return events, false
 	}
--- a/member/loop.go
+++ b/member/loop.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc/codes"
@@ -101,7 +102,7 @@
 	l.init()
 	tick := time.NewTicker(l.Interval / quickPart)
 	defer tick.Stop()
-	last := time.Now()
+	last := clock.Now()
 	quick := quickBeats
 	l.beat(ctx)
 	spreadVersion := l.Table.Version() // of the view whose changes were spread
@@ -127,13 +128,13 @@
 		case <-changed:
 		case <-paused:
 			paused = nil
-		case now := <-tick.C:
+		case <-tick.C:
 			if quick--; quick == 0 {
 				tick.Reset(l.Interval)
 			}
-			l.watchPause(time.Since(last))
-			last = time.Now()
-			l.Table.Tick(now)
+			l.watchPause(clock.Since(last))
+			last = clock.Now()
+			l.Table.Tick(last)
 			l.beat(ctx)
 		}
 	}
@@ -146,7 +147,7 @@
 		return
 	}
 	l.Log.Info("Process was paused; what it knew is distrusted", "gap", gap.String())
-	l.Table.Paused(time.Now())
+	l.Table.Paused(clock.Now())
 	if l.OnPause != nil {
 		l.OnPause(gap)
 	}
@@ -227,16 +228,16 @@
 		return
 	}
 	if err == nil {
-		l.Table.Exchanged(m.Name(), time.Now())
+		l.Table.Exchanged(m.Name(), clock.Now())
 		l.take(answer, m.Address())
 		return
 	}
 	if refused(err) {
-		l.Table.Gone(m.Name(), time.Now())
+		l.Table.Gone(m.Name(), clock.Now())
 		l.Log.Info("Member is gone", "member", m.Name(), "err", err.Error())
 		return
 	}
-	l.Table.Missed(m.Name(), time.Now())
+	l.Table.Missed(m.Name(), clock.Now())
 	l.Log.Info("Member does not answer", "member", m.Name(), "err", err.Error())
 }
 
@@ -274,7 +275,7 @@
 	from := FromWire(h.GetFrom())
 	before, _ := l.Table.Find(from.name)
 	l.take(h, from.address)
-	l.Table.Exchanged(from.name, time.Now())
+	l.Table.Exchanged(from.name, clock.Now())
 	_, known := l.Table.Find(from.name)
 	theirs := view{digest: h.GetView(), living: int(h.GetMembers())}
 	whole := l.disagreements.note(before, from, theirs, l.Table.view())
@@ -294,6 +295,6 @@
 	for _, m := range h.GetNews() {
 		told = append(told, FromWire(m))
 	}
-	l.Table.Merge(told, time.Now())
+	l.Table.Merge(told, clock.Now())
 	l.Extras.Heard(h, address)
 }
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/topology"
 )
 
@@ -20,7 +21,7 @@
 // it was asked, and who raised one since gives no order before its report is new enough.
 func (l *Loader) claim(o *owned) func(context.Context) {
 	return func(ctx context.Context) {
-		asked := time.Now()
+		asked := clock.Now()
 		handed := l.takeOver(ctx, o)
 		for ctx.Err() == nil && l.stillClaiming(o) {
 			e, fence, raised := l.raise(ctx, o)
@@ -30,7 +31,7 @@
 				}
 				continue
 			}
-			if handed.Resigned && time.Since(asked) < reportLag {
+			if handed.Resigned && clock.Since(asked) < reportLag {
 				l.own(ctx, o, fence, handed.Holding, true)
 				return
 			}
@@ -108,7 +109,7 @@
 
 // own begins to give orders to an endpoint that holds h, by its report or as handed over.
 func (l *Loader) own(ctx context.Context, o *owned, fence uint64, h Holding, handed bool) {
-	now := time.Now()
+	now := clock.Now()
 	l.mu.Lock()
 	if l.owned[o.endpoint.ID()] != o || o.phase != claiming {
 		l.mu.Unlock()
@@ -182,7 +183,7 @@
 		return
 	}
 	l.Log.Info("Endpoint has seen a higher fence and is given up", "endpoint", o.endpoint.ID(), "fence", fence)
-	o.phase, o.since = yielded, time.Now()
+	o.phase, o.since = yielded, clock.Now()
 	o.refused++
 	l.forgetLocked(o)
 }
@@ -208,7 +209,7 @@
 		return
 	}
 	l.Log.Info("Endpoint is asked anew what it holds", "endpoint", o.endpoint.ID(), "cause", why)
-	o.phase, o.since = claiming, time.Now()
+	o.phase, o.since = claiming, clock.Now()
 	l.forgetLocked(o)
 	o.reclaim = true
 }
--- a/placement/load.go
+++ b/placement/load.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/topology"
 	"github.com/pkg/errors"
 )
@@ -127,13 +128,13 @@
 	if s == nil {
 		return
 	}
-	ordered, begun := time.Now(), time.Time{}
-	for time.Since(ordered) < loadMost {
+	ordered, begun := clock.Now(), time.Time{}
+	for clock.Since(ordered) < loadMost {
 		out, err := l.order(ctx, o, claim, Order{Adapter: a, Version: version})
 		if err != nil {
 			return
 		}
-		now, pause := time.Now(), askAgain
+		now, pause := clock.Now(), askAgain
 		switch out {
 		case Done:
 			l.loaded(o, a, s, begun, now)
@@ -239,7 +240,7 @@
 		return
 	}
 	l.Log.Info("Load is given up", "adapter", a.String(), "endpoint", o.endpoint.ID())
-	l.unpaceLocked(s, 0, time.Now())
+	l.unpaceLocked(s, 0, clock.Now())
 	s.end()
 	delete(o.slots, a)
 	o.orders--
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/policy"
 	"cairnwick.example/topology"
@@ -113,12 +114,12 @@
 		case <-l.wake:
 		case <-next.C:
 		}
-		sleep(ctx, time.Until(nextStep))
-		begun := time.Now()
+		sleep(ctx, clock.Until(nextStep))
+		begun := clock.Now()
 		for _, task := range l.step(begun) {
 			spawn(task)
 		}
-		nextStep = time.Now().Add(max(stepPause, stepPart*time.Since(begun)))
+		nextStep = clock.Now().Add(max(stepPause, stepPart*clock.Since(begun)))
 		next.Reset(l.pause())
 	}
 	for range running {
@@ -152,7 +153,7 @@
 		pause = queuePause
 	}
 	if !l.due.IsZero() {
-		pause = min(pause, max(time.Until(l.due), 0))
+		pause = min(pause, max(clock.Until(l.due), 0))
 	}
 	return pause
 }
--- a/placement/model.go
+++ b/placement/model.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/topology"
 )
 
@@ -60,14 +61,14 @@
 
 // fetchModel orders a base model and repeats the order until the endpoint holds it.
 func (l *Loader) fetchModel(ctx context.Context, o *owned, claim int, model string) {
-	begun := time.Now()
-	for time.Since(begun) < modelMost {
+	begun := clock.Now()
+	for clock.Since(begun) < modelMost {
 		out, err := l.order(ctx, o, claim, Order{Adapter: topology.Adapter{Model: model}})
 		if err != nil {
 			return
 		}
 		if out == Done {
-			l.modelLoaded(o, claim, model, time.Since(begun))
+			l.modelLoaded(o, claim, model, clock.Since(begun))
 			return
 		}
 		if out != Begun && out != Busy {
--- a/placement/own.go
+++ b/placement/own.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/policy"
 	"cairnwick.example/topology"
 )
@@ -130,7 +131,7 @@
 func (l *Loader) forgetLocked(o *owned) {
 	l.endWantsLocked(o.endpoint.ID())
 	for _, s := range o.slots {
-		l.unpaceLocked(s, 0, time.Now())
+		l.unpaceLocked(s, 0, clock.Now())
 		s.end()
 	}
 	o.slots = make(map[topology.Adapter]*slot)
--- a/placement/resign.go
+++ b/placement/resign.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/topology"
 )
 
@@ -85,10 +86,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	o := l.owned[endpoint]
-	if l.left.IsZero() || o == nil || o.phase != owning || !l.ordersLocked(time.Now()) {
+	if l.left.IsZero() || o == nil || o.phase != owning || !l.ordersLocked(clock.Now()) {
 		return nil, nil, nil
 	}
-	o.phase, o.since = resigned, time.Now()
+	o.phase, o.since = resigned, clock.Now()
 	answered := make(chan struct{})
 	if o.calls == 0 {
 		close(answered)
@@ -155,7 +156,7 @@
 func (l *Loader) callBegins(o *owned, claim int) (*topology.Endpoint, uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	owns := o.phase == owning && o.claims == claim && l.owned[o.endpoint.ID()] == o && l.ordersLocked(time.Now())
+	owns := o.phase == owning && o.claims == claim && l.owned[o.endpoint.ID()] == o && l.ordersLocked(clock.Now())
 	if owns {
 		o.calls++
 	}
--- a/placement/retire.go
+++ b/placement/retire.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/topology"
 )
 
@@ -149,7 +150,7 @@
 // retire unloads an adapter that leaves since the time, when no box uses it any more.
 func (l *Loader) retire(ctx context.Context, o *owned, claim int, a topology.Adapter, since time.Time) {
 	for {
-		wait, leaves := l.quietIn(o, claim, a, since, time.Now())
+		wait, leaves := l.quietIn(o, claim, a, since, clock.Now())
 		if !leaves {
 			return
 		}
@@ -214,15 +215,15 @@
 
 // unload empties a slot. Only the endpoint's word that it is empty counts.
 func (l *Loader) unload(ctx context.Context, o *owned, claim int, a topology.Adapter) {
-	begun := time.Now()
+	begun := clock.Now()
 	until := begun.Add(loadMost)
-	for pause := askAgain; time.Now().Before(until); pause = min(2*pause, askMost) {
+	for pause := askAgain; clock.Now().Before(until); pause = min(2*pause, askMost) {
 		out, err := l.order(ctx, o, claim, Order{Unload: true, Adapter: a})
 		if err != nil {
 			return
 		}
 		if out == Done {
-			l.unloaded(o, claim, a, time.Since(begun))
+			l.unloaded(o, claim, a, clock.Since(begun))
 			return
 		}
 		if out != Begun && out != Busy {
--- a/placement/want.go
+++ b/placement/want.go
@@ -7,6 +7,7 @@
 	"sort"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/policy"
 	"cairnwick.example/topology"
@@ -70,16 +71,16 @@
 // caller is told when to come back instead.
 func (l *Loader) Want(ctx context.Context, w forward.Wanted) (forward.Placed, error) {
 	l.Init()
-	now := time.Now()
+	now := clock.Now()
 	limit := now.Add(max(w.Most, 0))
 	for q := (&waiter{Wanted: w, asked: now}); ; q.again = true {
-		p, wait := l.look(q, time.Now(), limit)
+		p, wait := l.look(q, clock.Now(), limit)
 		if wait == nil {
 			l.Log.V(1).Info("Adapter was asked for", "request", w.Request, "adapter", w.Adapter.String(),
 				"endpoint", w.Endpoint.ID(), "ready", p.Ready, "reason", p.Reason, "retry_ms", p.Retry.Milliseconds())
 			return p, nil
 		}
-		timer := time.NewTimer(min(time.Until(limit), lookAgain))
+		timer := time.NewTimer(min(clock.Until(limit), lookAgain))
 		select {
 		case <-ctx.Done():
 			timer.Stop()
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 )
 
@@ -31,12 +32,12 @@
 // Acquire implements the Scheduler service: it answers with a grant at once,
 // after a wait, or with a refusal as soon as it is known.
 func (s *Scheduler) Acquire(ctx context.Context, q *wire.AcquireRequest) (*wire.AcquireReply, error) {
-	arrived := time.Now()
+	arrived := clock.Now()
 	a, e := s.acquire(ctx, q, arrived)
-	s.note(q, a, time.Since(arrived))
+	s.note(q, a, clock.Since(arrived))
 	if e != nil {
 		e.mu.Lock()
-		a.Facts = e.factsLocked(q.GetAdapter(), s.widthLocked(e, q, time.Now()), time.Now())
+		a.Facts = e.factsLocked(q.GetAdapter(), s.widthLocked(e, q, clock.Now()), clock.Now())
 		e.mu.Unlock()
 	}
 	return a, nil
@@ -92,7 +93,7 @@
 
 // wait holds a request until it is granted, refused or given up.
 func (s *Scheduler) wait(ctx context.Context, e *endpoint, w *waiter) *wire.AcquireReply {
-	timer := time.NewTimer(time.Until(w.deadline))
+	timer := time.NewTimer(clock.Until(w.deadline))
 	defer timer.Stop()
 	select {
 	case a := <-w.reply:
@@ -102,7 +103,7 @@
 	}
 	e.mu.Lock()
 	removed := e.removeLocked(w)
-	a := s.overdueLocked(e, w, time.Now())
+	a := s.overdueLocked(e, w, clock.Now())
 	e.mu.Unlock()
 	if !removed {
 		return s.deliver(ctx, e, <-w.reply)
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/policy"
 	"cairnwick.example/wire"
@@ -133,7 +134,7 @@
 	waiters := e.waiters
 	e.waiters = nil
 	e.demands = make(map[string]*demand)
-	s.countWantedLocked(e, time.Now())
+	s.countWantedLocked(e, clock.Now())
 	for _, w := range waiters {
 		w.refuse(r, 0, e.owner)
 	}
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/policy"
 	"cairnwick.example/wire"
@@ -64,7 +65,7 @@
 
 // giveBack ends a grant and lets the next requests run.
 func (s *Scheduler) giveBack(e *endpoint, q *wire.ReleaseRequest) {
-	now := time.Now()
+	now := clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s.sightedLocked(e, q, now)
@@ -209,7 +210,7 @@
 // readReport reads the endpoint's own word on what runs, and ends what it shows
 // to be over: grants of gateways that are gone, and slots that were unsure.
 func (s *Scheduler) readReport(ctx context.Context, e *endpoint) error {
-	begun := time.Now()
+	begun := clock.Now()
 	r, err := e.client.Report(ctx)
 	if err != nil {
 		return errors.Wrap(err, "scheduler: report")
@@ -234,6 +235,6 @@
 			sl.unsure = time.Time{}
 		}
 	}
-	s.serveWaitersLocked(e, time.Now())
+	s.serveWaitersLocked(e, clock.Now())
 	return nil
 }
--- a/scheduler/keys.go
+++ b/scheduler/keys.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -138,7 +139,7 @@
 	if !s.isKeyHome(q.GetKey()) {
 		return &wire.BeginKeyReply{State: wire.KeyState_KEY_STATE_NOT_HOME}, nil
 	}
-	state, holder := s.Keys.Begin(q.GetKey(), q.GetRequest(), time.Now())
+	state, holder := s.Keys.Begin(q.GetKey(), q.GetRequest(), time.Now()) // keys carry the time of day
 	return &wire.BeginKeyReply{State: state, Request: holder}, nil
 }
 
@@ -156,7 +157,7 @@
 	leaving := s.leaving
 	s.mu.Unlock()
 	serving := s.schedulers()
-	return !leaving && s.Members.Fresh(time.Now()) && Owner(key, serving) == s.Name && majority(serving, s.Listed())
+	return !leaving && s.Members.Fresh(clock.Now()) && Owner(key, serving) == s.Name && majority(serving, s.Listed())
 }
 
 // majority tells whether the serving are more than half of the listed; of two halves
--- a/scheduler/orders.go
+++ b/scheduler/orders.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
@@ -53,7 +54,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	u = engine.Authority{Fence: o.fence, Until: e.seen.Add(s.Spans.Trust)}
-	return u, o.currentLocked() && e.trustedLocked(time.Now(), s.Spans.Trust)
+	return u, o.currentLocked() && e.trustedLocked(clock.Now(), s.Spans.Trust)
 }
 
 // unload empties a slot and reserves it for the load; false ends the order.
@@ -79,7 +80,7 @@
 		return false
 	}
 	delete(e.slots, o.unload)
-	e.slots[o.load] = &slot{state: loading, since: time.Now()}
+	e.slots[o.load] = &slot{state: loading, since: clock.Now()}
 	return true
 }
 
@@ -106,9 +107,9 @@
 		s.undo(o)
 		return
 	}
-	begun := time.Now()
+	begun := clock.Now()
 	err := e.client.Load(ctx, u, o.load, o.path)
-	now := time.Now()
+	now := clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !o.currentLocked() {
@@ -128,7 +129,7 @@
 
 // failedLocked takes in an order that was refused or got no answer.
 func (s *Scheduler) failedLocked(e *endpoint, o order, err error) {
-	now := time.Now()
+	now := clock.Now()
 	s.Log.Info("Order failed", "endpoint", e.name, "load", o.load, "unload", o.unload, "err", err.Error())
 	delete(e.slots, o.load)
 	if sl := e.slots[o.unload]; sl != nil && sl.state == unloading {
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/member"
 	"cairnwick.example/wire"
@@ -24,7 +25,7 @@
 	e.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, s.Spans.Verify)
 	defer cancel()
-	begun := time.Now()
+	begun := clock.Now()
 	var err error
 	switch p {
 	case claiming:
@@ -80,9 +81,9 @@
 	e.fence = fence
 	e.seen = begun
 	e.claimed, e.taken = begun, time.Time{}
-	s.setSlotsLocked(e, sight.Boot(), models, time.Now().Add(s.grantsOutlive(before)))
+	s.setSlotsLocked(e, sight.Boot(), models, clock.Now().Add(s.grantsOutlive(before)))
 	s.Log.Info("Endpoint is owned", "endpoint", e.name, "fence", fence.String(), "adapters", len(models))
-	s.serveWaitersLocked(e, time.Now())
+	s.serveWaitersLocked(e, clock.Now())
 	return nil
 }
 
@@ -100,7 +101,7 @@
 // setSlotsLocked describes the slots anew. Each is unsure for as long as grants of
 // an earlier owner may still be used.
 func (s *Scheduler) setSlotsLocked(e *endpoint, boot string, models []string, unsure time.Time) {
-	now := time.Now()
+	now := clock.Now()
 	e.boot = boot
 	e.slots = make(map[string]*slot)
 	for _, n := range models {
@@ -120,12 +121,12 @@
 		return nil
 	}
 	if e.spec.ChecksFences() && sight.Boot() == e.boot && fence.Less(sight.Fence()) {
-		s.loseLocked(e, sight.Fence(), time.Now())
+		s.loseLocked(e, sight.Fence(), clock.Now())
 		e.mu.Unlock()
 		return nil
 	}
 	if sight.Boot() != e.boot {
-		s.restartedLocked(e, time.Now())
+		s.restartedLocked(e, clock.Now())
 		e.mu.Unlock()
 		return nil
 	}
@@ -138,7 +139,7 @@
 		e.seen = begun
 	}
 	wanted := e.reportWanted || e.oldGrantLocked(begun, s.Spans)
-	s.serveWaitersLocked(e, time.Now())
+	s.serveWaitersLocked(e, clock.Now())
 	e.mu.Unlock()
 	if wanted {
 		return s.readReport(ctx, e)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -24,6 +24,7 @@
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/clock"
 	"cairnwick.example/daemon"
 	"cairnwick.example/decision"
 	"cairnwick.example/engine"
@@ -159,7 +160,7 @@
 	tick := time.NewTicker(ownInterval)
 	defer tick.Stop()
 	for {
-		s.assign(time.Now())
+		s.assign(clock.Now())
 		select {
 		case <-ctx.Done():
 			return nil
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 )
 
@@ -16,7 +17,7 @@
 	for _, e := range s.all() {
 		e.mu.Lock()
 		if e.phase != foreign {
-			list = append(list, e.statusLocked(time.Now()))
+			list = append(list, e.statusLocked(clock.Now()))
 		}
 		e.mu.Unlock()
 	}
--- /dev/null
+++ b/scheduler/suspend_test.go
@@ -0,0 +1,23 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"cairnwick.example/clock"
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+)
+
+// A machine was suspended for longer than a look at a fence vouches for ownership. Its steady clock
+// did not count that, so the scheduler took its look for news, while another owned the endpoint.
+func TestAnOwnerThatWasSuspendedGivesNoGrant(t *testing.T) {
+	b := newBench(t, "a@1")
+	b.own()
+	pass := b.scheduler.Spans.Trust + time.Millisecond
+	clock.Suspend(pass)
+	b.Cleanup(func() { clock.Suspend(-pass) })
+	b.Assert(b.ask("a@1", "urgent").GetRefusal().GetReason(), quicktest.Equals, wire.Reason_REASON_ENDPOINT_DOWN)
+}
--- a/share/follow.go
+++ b/share/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
@@ -147,7 +148,7 @@
 		if err != nil {
 			return broken(ctx, err)
 		}
-		came := time.Now()
+		came := clock.Now()
 		silent.Reset(SilentAfter)
 		t.Hear(u.GetItems()...)
 		heard(u, came)
