--- a/clock/clock.go
+++ b/clock/clock.go
@@ -14,9 +14,17 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
+// Check returns an error where the system does not tell the time since the machine started, so that
+// suspensions don't count.
+func Check() error {
+	var t unix.Timespec
+	return errors.Wrap(unix.ClockGettime(unix.CLOCK_BOOTTIME, &t), "clock: time since the machine started")
+}
+
 // Now returns the present time. The difference of two counts time in which the machine was suspended.
 func Now() time.Time {
 	now := time.Now()
@@ -75,8 +83,8 @@
 	return c.total + c.simulated
 }
 
-// sinceBoot returns how long ago the machine started; zero where the system does not tell, and
-// suspensions then don't count.
+// sinceBoot returns how long ago the machine started; zero where the system does not tell, of which
+// Check has told.
 func sinceBoot() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -11,6 +11,7 @@
 
 func TestATimeInWhichTheMachineWasSuspendedCounts(t *testing.T) {
 	c := quicktest.New(t)
+	c.Assert(Check(), quicktest.IsNil)
 	asleep := time.Duration(0)
 	k := newCounter(func() time.Duration { return sinceBoot() + asleep })
 	c.Assert(k.suspended(time.Now()), quicktest.Equals, time.Duration(0))
--- a/daemon/run.go
+++ b/daemon/run.go
@@ -7,6 +7,7 @@
 	"net"
 	"time"
 
+	"cairnwick.example/clock"
 	"github.com/pkg/errors"
 )
 
@@ -24,6 +25,9 @@
 	if err != nil {
 		return errors.Wrap(err, "daemon: operators' port")
 	}
+	if err := clock.Check(); err != nil {
+		n.Log.Info("Suspensions of the machine are not counted", "err", err.Error())
+	}
 	n.Log.Info("Daemon starts", "peers", peers.Addr().String(), "operators", operators.Addr().String(), "version", Version)
 	inner, end := context.WithCancel(context.Background())
 	defer end()
--- a/edge/node.go
+++ b/edge/node.go
@@ -179,6 +179,9 @@
 	if err != nil {
 		return err
 	}
+	if err := clock.Check(); err != nil {
+		n.Log.Info("Suspensions of the machine are not counted", "err", err.Error())
+	}
 	n.Log.Info("Box starts", "callers", n.Settings.Callers, "peers", n.Settings.Peers)
 	inner, end := context.WithCancel(context.Background())
 	defer end()
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -57,7 +57,7 @@
 
 // Left implements forward.Quarantine.
 func (q *quarantined) Left(c quarantine.Content, now time.Time) (time.Duration, bool) {
-	return q.node.state.judge.Kept().Left(c, now)
+	return q.node.state.tracker.Kept().Left(c, now)
 }
 
 // Ended implements forward.Quarantine.
@@ -94,11 +94,11 @@
 	}
 }
 
-// count counts an end of an endpoint, and tells all boxes of the requests that it convicts. A leader
+// count counts an end of an endpoint, and tells all boxes of the requests that it puts into quarantine. A leader
 // brings nothing more to the endpoint until its entry has lapsed.
 func (q *quarantined) count(endpoint string, contents []quarantine.Content, now time.Time) {
 	q.node.loader.Ended(endpoint, clock.Now().Add(q.node.current.Load().Bounds.Lapse))
-	for _, c := range q.node.state.judge.Note(endpoint, contents, now) {
+	for _, c := range q.node.state.tracker.Note(endpoint, contents, now) {
 		q.node.items.Merge(&wire.Item{
 			Key:        quarantinePrefix + c.String(),
 			Version:    uint64(now.Add(quarantine.KeptFor).UnixMicro()),
@@ -115,7 +115,7 @@
 		return
 	}
 	until := time.UnixMicro(int64(i.GetVersion()))
-	if s.judge.Kept().Add(c, until) {
+	if s.tracker.Kept().Add(c, until) {
 		s.log.Info("Request is kept from endpoints", "content", c.String(), "until", until.UTC().Format(time.RFC3339))
 	}
 }
@@ -149,7 +149,7 @@
 }
 
 func (q *quarantined) expire(now time.Time) {
-	for _, c := range q.node.state.judge.Kept().Expire(now) {
+	for _, c := range q.node.state.tracker.Kept().Expire(now) {
 		q.node.items.Forget(quarantinePrefix + c.String())
 		q.node.Log.Info("Request may reach endpoints again", "content", c.String())
 	}
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -69,9 +69,9 @@
 	begun := time.Now().Add(-quarantine.KeptFor - time.Second)
 	over := &wire.Item{Key: quarantinePrefix + contentOf("fatal").String(), Version: uint64(begun.Add(quarantine.KeptFor).UnixMicro())}
 	n.items.Merge(over)
-	c.Assert(n.state.judge.Kept().Len(), quicktest.Equals, 1)
+	c.Assert(n.state.tracker.Kept().Len(), quicktest.Equals, 1)
 	n.kept.expire(time.Now())
-	c.Assert(n.state.judge.Kept().Len(), quicktest.Equals, 0)
+	c.Assert(n.state.tracker.Kept().Len(), quicktest.Equals, 0)
 	c.Assert(n.items.Keys(), quicktest.HasLen, 0)
 	n.items.Hear(over)
 	c.Assert(n.items.Keys(), quicktest.HasLen, 0)
@@ -88,7 +88,7 @@
 	}
 	n.kept.hear(&wire.EndedRequest{Ends: []*wire.EndpointEnd{nil, {}}}, now)
 	n.items.Merge(&wire.Item{Key: quarantinePrefix + "no content", Version: 1 << 62})
-	c.Assert(n.state.judge.Kept().Len(), quicktest.Equals, 1)
+	c.Assert(n.state.tracker.Kept().Len(), quicktest.Equals, 1)
 	c.Assert(keeps(n, "fatal", now), quicktest.IsTrue)
 }
 
--- a/edge/state.go
+++ b/edge/state.go
@@ -23,8 +23,8 @@
 	fences  *placement.Fences
 	log     logr.Logger
 
-	slots slots
-	judge quarantine.Judge // of requests under which endpoints ended
+	slots   slots
+	tracker quarantine.Tracker // of requests under which endpoints ended
 
 	mu           sync.Mutex
 	lives        map[string]string // by the key of an endpoint's fact: the ID of the life that it told of last
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -44,7 +44,7 @@
 	return f
 }
 
-// watchAttempt has the endpoint looked at that broke off an answer, and clears what one answered.
+// watchAttempt has the endpoint looked at that broke off an answer, and notes which requests one answered.
 func (g *Gateway) watchAttempt(ctx context.Context, q *request, h heldGrant, f *Failure) {
 	switch {
 	case f == nil:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -78,7 +78,7 @@
 	calls    *schedulerCalls
 	releases chan release
 	watch    *quarantine.Watch
-	judge    quarantine.Judge
+	tracker  quarantine.Tracker
 	ends     chan *wire.EndpointEnd // that the other gateways have not been told
 	inFlight atomic.Int64
 	leaving  atomic.Bool
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -69,16 +69,16 @@
 }
 
 func (g *Gateway) count(endpoint string, contents []quarantine.Content, now time.Time) {
-	for _, c := range g.judge.Note(endpoint, contents, now) {
+	for _, c := range g.tracker.Note(endpoint, contents, now) {
 		until := now.Add(quarantine.KeptFor)
-		g.judge.Kept().Add(c, until)
+		g.tracker.Kept().Add(c, until)
 		g.Log.Info("Request is kept from endpoints", "content", c.String(), "until", until.UTC().Format(time.RFC3339))
 	}
 }
 
 // quarantined refuses a request under which endpoints ended; nil: it may run.
 func (g *Gateway) quarantined(c quarantine.Content) *Failure {
-	left, kept := g.judge.Kept().Left(c, time.Now())
+	left, kept := g.tracker.Kept().Left(c, time.Now())
 	if !kept {
 		return nil
 	}
@@ -98,7 +98,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-expire.C:
-			for _, c := range g.judge.Kept().Expire(time.Now()) {
+			for _, c := range g.tracker.Kept().Expire(time.Now()) {
 				g.Log.Info("Request may reach endpoints again", "content", c.String())
 			}
 		case e := <-g.ends:
--- a/quarantine/answered.go
+++ b/quarantine/answered.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// answeredFor is how long an answer clears a request: what many callers ask for, such as a page
+	// answeredFor is how long an answer keeps a request from being suspected: what many callers ask for, such as a page
 	// that all of them open, is answered many times a minute.
 	answeredFor = time.Minute
 	// mostAnswered bounds what is remembered; at 60 bytes each two generations take 0.5 MB. A box with
@@ -16,7 +16,7 @@
 	mostAnswered = 4096
 )
 
-// Answered is the requests that endpoints lately answered whole, which clears them: they did not end
+// Answered is the requests that endpoints lately answered whole, so that they are not suspected: they did not end
 // under those. It is safe for concurrent use; the zero value is empty.
 type Answered struct {
 	mu     sync.Mutex
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -23,6 +23,7 @@
 type List struct {
 	mu    sync.Mutex
 	until map[Content]time.Time
+	over  []Content // dropped since the last call of Expire
 }
 
 // Add keeps a request from endpoints until a time; it tells whether that is news.
@@ -52,6 +53,7 @@
 		}
 	}
 	delete(l.until, first)
+	l.over = append(l.over, first)
 }
 
 // Left tells how much longer a request is kept from endpoints; false: it is not.
@@ -65,11 +67,13 @@
 	return u.Sub(now.Round(0)), true // by the time of day, as u is
 }
 
-// Expire drops the requests whose time is over, and returns them.
+// Expire drops the requests whose time is over, and returns them with those that others took the
+// place of since the last call.
 func (l *List) Expire(now time.Time) []Content {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var over []Content
+	over := l.over
+	l.over = nil
 	for c, u := range l.until {
 		if !now.Before(u) {
 			over = append(over, c)
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -41,7 +41,7 @@
 }
 
 // Requests of others run where endpoints end. What explains those ends takes them off the others.
-func TestARequestThatOnlyRanBesideIsCleared(t *testing.T) {
+func TestARequestThatOnlyRanBesideIsSuspectedNoMore(t *testing.T) {
 	c := quicktest.New(t)
 	var k Counter
 	fatal, beside := content(1), content(2)
@@ -115,9 +115,10 @@
 	c.Assert(l.Len(), quicktest.Equals, mostKept)
 	_, held := l.Left(content(0), start)
 	c.Assert(held, quicktest.IsFalse)
+	c.Assert(l.Expire(start), quicktest.DeepEquals, []Content{content(0)}) // who keeps more of it can forget that
 }
 
-func TestAnAnswerClearsARequestForAWhile(t *testing.T) {
+func TestAnAnsweredRequestIsRememberedForAWhile(t *testing.T) {
 	c := quicktest.New(t)
 	var a Answered
 	a.Add(content(1), start)
--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -88,7 +88,7 @@
 }
 
 // Run looks at each endpoint that cut off requests, until ctx ends. What an endpoint cuts off
-// during a look is judged by it too.
+// during a look counts by it too.
 func (w *Watch) Run(ctx context.Context) error {
 	waiting := make(map[place][]Content)
 	looked := make(chan look)
@@ -101,7 +101,7 @@
 			}
 			waiting[c.place] = append(waiting[c.place], c.content)
 		case l := <-looked:
-			w.judge(l, waiting[l.place], time.Now())
+			w.conclude(l, waiting[l.place], time.Now())
 			delete(waiting, l.place)
 		}
 	}
@@ -111,8 +111,8 @@
 	return nil
 }
 
-// judge notes what a look at an endpoint showed for the requests that it cut off.
-func (w *Watch) judge(l look, cut []Content, now time.Time) {
+// conclude notes what a look at an endpoint showed for the requests that it cut off.
+func (w *Watch) conclude(l look, cut []Content, now time.Time) {
 	w.count(l.ended, len(cut))
 	if l.ended {
 		w.Ended(l.place.endpoint, slices.DeleteFunc(cut, func(c Content) bool { return w.answered.Has(c, now) }))
