--- a/forward/endings.go
+++ b/forward/endings.go
@@ -10,7 +10,8 @@
 	"cairnwick.example/quarantine"
 )
 
-// newWatch returns what finds out which endpoints ended under requests of this box.
+// newWatch returns what finds out which endpoints ended under requests of this box, and what it
+// then does.
 func (g *Gateway) newWatch() *quarantine.Watch {
 	return &quarantine.Watch{
 		HasEnded: func(ctx context.Context, address string) bool {
