--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -13,6 +13,8 @@
 	"cairnwick.example/member"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/wire"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // quarantinePrefix begins the keys of the requests that are kept from endpoints; the content follows.
@@ -27,8 +29,6 @@
 	endsFor = 8 * time.Second
 	// mostEnds bounds what waits to be told, and what one message may hold: endpoints that end together.
 	mostEnds = 1024
-	// mostEndContents bounds the requests of one end: more than an endpoint runs at a time.
-	mostEndContents = 512
 	// expirePause is between two looks for requests that need not be kept away any more.
 	expirePause = 10 * time.Second
 )
@@ -64,9 +64,10 @@
 func (q *quarantined) Ended(endpoint string, contents []quarantine.Content) {
 	now := time.Now()
 	q.count(endpoint, contents, now)
-	e := &endpointEnd{wire: &wire.EndpointEnd{Endpoint: endpoint}, until: now.Add(endsFor), told: make(map[string]bool)}
-	for _, c := range contents[:min(len(contents), mostEndContents)] {
-		e.wire.Contents = append(e.wire.Contents, c[:])
+	e := &endpointEnd{
+		wire:  &wire.EndpointEnd{Endpoint: endpoint, Contents: quarantine.Encode(contents)},
+		until: now.Add(endsFor),
+		told:  make(map[string]bool),
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -77,25 +78,19 @@
 	q.ends = append(q.ends, e)
 	select {
 	case q.wake <- struct{}{}:
-	default:
+	default: // it will tell anyway
 	}
 }
 
 // hear takes in what another box saw.
 func (q *quarantined) hear(m *wire.EndedRequest, now time.Time) {
 	for _, e := range m.GetEnds()[:min(len(m.GetEnds()), mostEnds)] {
-		var contents []quarantine.Content
-		for _, raw := range e.GetContents()[:min(len(e.GetContents()), mostEndContents)] {
-			if c, ok := quarantine.ContentOfBytes(raw); ok {
-				contents = append(contents, c)
-			}
-		}
-		q.count(e.GetEndpoint(), contents, now)
+		q.count(e.GetEndpoint(), quarantine.Decode(e.GetContents()), now)
 	}
 }
 
-// count counts an end of an endpoint, and tells all boxes of the requests that it puts into quarantine. A leader
-// brings nothing more to the endpoint until its entry has lapsed.
+// count counts an end of an endpoint, and tells all boxes of the requests that it puts into
+// quarantine. A leader brings nothing more to the endpoint until its entry has lapsed.
 func (q *quarantined) count(endpoint string, contents []quarantine.Content, now time.Time) {
 	q.node.loader.Ended(endpoint, clock.Now().Add(q.node.current.Load().Bounds.Lapse))
 	for _, c := range q.node.state.tracker.Note(endpoint, contents, now) {
@@ -211,7 +206,11 @@
 	for _, e := range ends {
 		r.Ends = append(r.Ends, e.wire)
 	}
-	if _, err := wire.NewPeerClient(q.node.peers.dialer.Conn(m.Address())).Ended(call, r); err != nil {
+	_, err := wire.NewPeerClient(q.node.peers.dialer.Conn(m.Address())).Ended(call, r)
+	if status.Code(err) == codes.Unimplemented {
+		return toldEnds{leader: m.Name(), ends: ends} // of an older version: it counts nothing
+	}
+	if err != nil {
 		q.node.Log.Info("Leader was not told under which requests endpoints ended", "leader", m.Name(), "err", err.Error())
 		return toldEnds{}
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -43,12 +43,8 @@
 		return
 	}
 	g.count(endpoint, suspects, time.Now())
-	e := &wire.EndpointEnd{Endpoint: endpoint}
-	for _, c := range suspects {
-		e.Contents = append(e.Contents, c[:])
-	}
 	select {
-	case g.ends <- e:
+	case g.ends <- &wire.EndpointEnd{Endpoint: endpoint, Contents: quarantine.Encode(suspects)}:
 	default:
 		g.Log.Info("End of an endpoint is not told to others: too many wait", "endpoint", endpoint)
 	}
@@ -58,13 +54,7 @@
 // three endpoints of a data centre are what a request can end there.
 func (g *Gateway) Ended(q *wire.EndedRequest) {
 	for _, e := range q.GetEnds() {
-		var contents []quarantine.Content
-		for _, raw := range e.GetContents() {
-			if c, ok := quarantine.ContentOfBytes(raw); ok {
-				contents = append(contents, c)
-			}
-		}
-		g.count(e.GetEndpoint(), contents, time.Now())
+		g.count(e.GetEndpoint(), quarantine.Decode(e.GetContents()), time.Now())
 	}
 }
 
--- a/quarantine/content.go
+++ b/quarantine/content.go
@@ -39,15 +39,7 @@
 // ParseContent reads what String returned; false where it is none.
 func ParseContent(text string) (c Content, ok bool) {
 	raw, err := hex.DecodeString(text)
-	if err != nil {
-		return Content{}, false
-	}
-	return ContentOfBytes(raw)
-}
-
-// ContentOfBytes reads the bytes of a content; false where they are none.
-func ContentOfBytes(raw []byte) (c Content, ok bool) {
-	if len(raw) != contentSize {
+	if err != nil || len(raw) != contentSize {
 		return Content{}, false
 	}
 	return Content(raw), true
@@ -56,6 +48,29 @@
 // String returns the content in hexadecimal digits.
 func (c Content) String() string { return hex.EncodeToString(c[:]) }
 
+// mostTold bounds the contents that one message names of one endpoint: more than an endpoint runs at a time.
+const mostTold = 512
+
+// Encode returns contents for a message to another process.
+func Encode(list []Content) [][]byte {
+	raw := make([][]byte, 0, min(len(list), mostTold))
+	for _, c := range list[:min(len(list), mostTold)] {
+		raw = append(raw, c[:])
+	}
+	return raw
+}
+
+// Decode reads the contents of a message of another process; what is none is passed over.
+func Decode(raw [][]byte) []Content {
+	var list []Content
+	for _, r := range raw[:min(len(raw), mostTold)] {
+		if len(r) == contentSize {
+			list = append(list, Content(r))
+		}
+	}
+	return list
+}
+
 // mostTexts bounds the contents that one line of a log names.
 const mostTexts = 32
 
