--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -37,3 +37,10 @@
 	timer := time.Until(Timer(deadline))
 	c.Assert(timer <= 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%v", timer))
 }
+
+// 83 ns, where time.Now takes 75.
+func BenchmarkNow(b *testing.B) {
+	for b.Loop() {
+		Now()
+	}
+}
--- a/quarantine/content_test.go
+++ b/quarantine/content_test.go
@@ -30,3 +30,11 @@
 		c.Check(ok, quicktest.IsFalse)
 	}
 }
+
+// Each request is named once: 1.9 microseconds with a body of 2 KB, where none was named before.
+func BenchmarkContentOf(b *testing.B) {
+	body := make([]byte, 2<<10)
+	for b.Loop() {
+		ContentOf("POST", "h.example", "/v1/completions", "org", body)
+	}
+}
