--- a/quarantine/answered.go
+++ b/quarantine/answered.go
@@ -11,7 +11,7 @@
 	// answeredFor is how long an answer keeps a request from being suspected: what many callers ask for, such as a page
 	// that all of them open, is answered many times a minute.
 	answeredFor = time.Minute
-	// mostAnswered bounds what is remembered; at 60 bytes each two generations take 0.5 MB. A box with
+	// mostAnswered bounds what is remembered; two full generations take 0.9 MB of heap. A box with
 	// 100 requests a second remembers 40 s.
 	mostAnswered = 4096
 )
--- a/quarantine/counter.go
+++ b/quarantine/counter.go
@@ -11,15 +11,15 @@
 const (
 	// MostEnds is how many endpoints may end under one request before it is kept from the rest. One
 	// says nothing: an endpoint runs some ten requests at a time, and ends under all of them. Two
-	// happen to requests that are sent again while endpoints end for another cause; that a request
-	// without a part in it is there three times, and the one that has not found before, is rare.
+	// happen to requests that only ran beside, where callers send them again while endpoints end for
+	// another cause: by the model of the tests 81 such requests would be refused, with three 4.
 	MostEnds = 3
 
 	// suspectFor is how long an end counts. Callers come back within seconds or by a schedule of
 	// minutes; endpoints that end hours apart under one request do so by chance more often than by it.
 	suspectFor = time.Hour
-	// mostSuspects bounds what is counted: requests that ran at endpoints that ended. At 160
-	// bytes each the two generations take 2.6 MB at the most.
+	// mostSuspects bounds what is counted: requests that ran at endpoints that ended. Two full
+	// generations with one end each take 2.4 MB of heap.
 	mostSuspects = 8192
 	// mostExplained bounds the endpoints of which it is known under what they ended.
 	mostExplained = 1024
--- a/quarantine/list.go
+++ b/quarantine/list.go
@@ -13,8 +13,8 @@
 	// requests of others. A request that was repaired has other content, and an endpoint that was runs
 	// it an hour later.
 	KeptFor = time.Hour
-	// mostKept bounds the list; a new one takes the place of the one that ends first. At 100 bytes
-	// each it takes 0.4 MB.
+	// mostKept bounds the list; a new one takes the place of the one that ends first. A full one
+	// takes 0.4 MB of heap.
 	mostKept = 4096
 )
 
