--- a/placement/ended.go
+++ b/placement/ended.go
@@ -5,8 +5,9 @@
 import "time"
 
 // Ended hears that an endpoint ended, as a box found out that sent it requests. Its entry stays until
-// it lapses; until then no request is brought to it and nothing is loaded there. Who asked for an
-// adapter that it held was named the same endpoint again, ten times in 20 ms, and refused at last.
+// it lapses; until then no request is brought to it and nothing is loaded there. It guards against
+// naming it to each box that asks for an adapter that it held: one request was brought there ten times
+// within 20 ms, by its box's log, and then refused.
 func (l *Loader) Ended(endpoint string, until time.Time) {
 	l.Init()
 	l.mu.Lock()
