--- a/edge/keys_test.go
+++ b/edge/keys_test.go
@@ -177,16 +177,22 @@
 	c.Assert(stopSecond(), quicktest.IsNil)
 }
 
-// A word was heard of the source 200 ms before it was sent, and took 4 s to its follower: it lay in a
-// connection that a cut held up, or the follower stood still. The follower that counts from when
-// it came takes word that is 4.2 s old for one of 0.2 s.
-func TestAWordIsAsOldAsTheQuestionThatItAnswers(t *testing.T) {
-	c := quicktest.New(t)
+// strictNode returns the parts of a node that serve by keys for 4 s after a word on them.
+func strictNode(c *quicktest.C) *Node {
 	n := &Node{Settings: Settings{Bounds: Bounds{StrictKeys: true, Revocation: 4 * time.Second}}, view: topology.NewView()}
 	n.current.Store(&n.Settings)
 	config, err := keyedDecoder{}.Config([]byte("v"))
 	c.Assert(err, quicktest.IsNil)
 	n.view.SetConfig(config)
+	return n
+}
+
+// A word was heard of the source 200 ms before it was sent, and took 4 s to its follower: it lay in a
+// connection that a cut held up, or the follower stood still. The follower that counts from when
+// it came takes word that is 4.2 s old for one of 0.2 s.
+func TestAWordIsAsOldAsTheQuestionThatItAnswers(t *testing.T) {
+	c := quicktest.New(t)
+	n := strictNode(c)
 	now := time.Now()
 	c.Assert(n.trustsKeys(now), quicktest.IsFalse) // no word yet
 	asked := now.Add(-4 * time.Second)
--- a/edge/suspend_test.go
+++ b/edge/suspend_test.go
@@ -8,7 +8,6 @@
 
 	"cairnwick.example/clock"
 	"cairnwick.example/share"
-	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
 
@@ -22,11 +21,7 @@
 // it served by that key for seconds.
 func TestAfterASuspensionABoxServesByNoKeyUntilItHasHeardAnew(t *testing.T) {
 	c := quicktest.New(t)
-	n := &Node{Settings: Settings{Bounds: Bounds{StrictKeys: true, Revocation: 4 * time.Second}}, view: topology.NewView()}
-	n.current.Store(&n.Settings)
-	config, err := keyedDecoder{}.Config([]byte("v"))
-	c.Assert(err, quicktest.IsNil)
-	n.view.SetConfig(config)
+	n := strictNode(c)
 	n.vouched.raise(clock.Now())
 	c.Assert(n.trustsKeys(clock.Now()), quicktest.IsTrue)
 	suspend(c, 4*time.Second)
