Read the clock that counts suspensions where answers are looked up by age

What an endpoint answered was noted by package clock's time and looked up by the steady clock's: after a suspension the two differ by its length. Without one nothing changes.

--- a/quarantine/watch.go
+++ b/quarantine/watch.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cairnwick.example/clock"
 )
 
 // mostCuts is how many requests that were cut off wait to be looked into: as many as a box holds
@@ -56,7 +58,7 @@
 	ended bool
 }
 
-// Answered notes that an endpoint answered a request whole.
+// Answered notes that an endpoint answered a request whole; now is a time of package clock.
 func (w *Watch) Answered(c Content, now time.Time) { w.answered.Add(c, now) }
 
 // Cut notes that an endpoint broke off the answer to a request.
@@ -101,7 +103,7 @@
 			}
 			waiting[c.place] = append(waiting[c.place], c.content)
 		case l := <-looked:
-			w.conclude(l, waiting[l.place], time.Now())
+			w.conclude(l, waiting[l.place], clock.Now())
 			delete(waiting, l.place)
 		}
 	}
