Show which endpoints name a limit, and what each box sends them

Nothing told what an endpoint says besides its answer, so that an endpoint that got too much looked like any other: no line, no metric. Boxes read the limit now, log when one begins, changes or ends, and count what they send to such endpoints (edge_limits). No decision goes by it yet. Bad values: one that can't be read leaves what was known; zero is a limit; one beyond what anybody sends is none; of two the lower counts.

--- a/edge/node.go
+++ b/edge/node.go
@@ -46,6 +46,7 @@
 	levels   levels
 	spending *spending
 	kept     *quarantined
+	limits   *limits
 	vouched  vouched
 	leaving  atomic.Bool
 	fresh    freshness
@@ -77,6 +78,8 @@
 	n.usage = newUsage(n)
 	n.spending = newSpending(n)
 	n.kept = newQuarantined(n)
+	n.limits = newLimits(n)
+	n.state.gone = n.limits.forget
 	n.loader = &placement.Loader{
 		Box:         s.Box,
 		View:        n.view,
@@ -102,6 +105,7 @@
 		Observer:   n.usage,
 		Admission:  admission{node: n},
 		Quarantine: n.kept,
+		Limits:     n.limits,
 		Boxes:      func() int { return n.peers.budgetBoxes(clock.Now()) },
 		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, clock.Now()) },
 		Cut:        func(centre string) bool { return n.peers.clusterView().silent[centre] },
--- a/edge/state.go
+++ b/edge/state.go
@@ -22,6 +22,7 @@
 	decoder Decoder
 	fences  *placement.Fences
 	log     logr.Logger
+	gone    func(endpoint string) // hears that a life of an endpoint is over; nil: nobody does
 
 	slots   slots
 	tracker quarantine.Tracker // of requests under which endpoints ended
@@ -148,6 +149,9 @@
 	}
 	s.view.RemoveEndpoint(before)
 	s.forgetSlots(before)
+	if s.gone != nil {
+		s.gone(before)
+	}
 	s.log.Info(why, "endpoint", before, "revision", i.GetVersion())
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -149,6 +149,7 @@
 func (g *Gateway) judge(q *request, u *upstream, t target, a *http.Response) *Refusal {
 	v := g.Protocol.ReadAnswer(a, q.call, t.endpoint.ID())
 	u.heardIdle(v.IdleTimeout)
+	g.hearLimit(q, t, v)
 	switch {
 	case v.Elsewhere:
 		u.unreachable(clock.Now())
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -30,6 +30,7 @@
 	if q.call.Adapter.Name != "" {
 		d.run = g.Observer.Begun(t.endpoint, q.call)
 	}
+	g.Limits.Sent(t.endpoint.ID())
 	q.attempts++
 	q.sentAt, q.sentTo, q.version, q.predicted, q.firstAt = d.sent, t.endpoint, t.version, d.predicted, time.Time{}
 	return d
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -16,6 +16,7 @@
 
 	"cairnwick.example/access"
 	"cairnwick.example/quarantine"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
 )
 
@@ -53,6 +54,9 @@
 	NotHeld     bool          // the endpoint holds no such adapter or version
 	Encoded     bool          // the body is not the endpoint's plain body
 	IdleTimeout time.Duration // after which the endpoint closes an unused connection; zero: not said
+
+	Limit       ratelimit.Limit // that the endpoint names
+	LimitUnread error           // it names something that can't be read; Limit says nothing then
 }
 
 // Protocol is how callers and endpoints say these things in headers.
@@ -118,6 +122,16 @@
 	Ended(endpoint string, contents []quarantine.Content)
 }
 
+// Limits knows the endpoints that name how many requests they take from all boxes together.
+type Limits interface {
+	// Sent hears that a request is being sent to an endpoint.
+	Sent(endpoint string)
+	// Said hears what an answer of an endpoint says of its limit, and when the request was sent.
+	Said(endpoint string, l ratelimit.Limit, sent time.Time)
+	// Unread hears that what an answer says of the limit can't be read.
+	Unread(endpoint string, err error)
+}
+
 // Run is one call at an endpoint.
 type Run interface {
 	Read()  // the endpoint answers, so it has read the prompt; later calls change nothing
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -26,6 +26,7 @@
 	Observer   Observer
 	Admission  Admission
 	Quarantine Quarantine
+	Limits     Limits
 	Boxes      func() int                                               // boxes that share the budget of retries; zero: not known yet
 	Level      func(dataCentre string) (cost time.Duration, known bool) // of a load there, by who decides for its endpoints
 	Cut        func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead: it is out of touch
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"cairnwick.example/access"
 	"cairnwick.example/quarantine"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
@@ -76,6 +77,18 @@
 // Ended implements Quarantine.
 func (noQuarantine) Ended(string, []quarantine.Content) {}
 
+// noLimits knows of no endpoint that names a limit.
+type noLimits struct{}
+
+// Sent implements Limits.
+func (noLimits) Sent(string) {}
+
+// Said implements Limits.
+func (noLimits) Said(string, ratelimit.Limit, time.Time) {}
+
+// Unread implements Limits.
+func (noLimits) Unread(string, error) {}
+
 type noObserver struct{}
 
 // Begun implements Observer.
@@ -116,6 +129,7 @@
 		Placer:     noPlacer{},
 		Observer:   noObserver{},
 		Quarantine: noQuarantine{},
+		Limits:     noLimits{},
 		Boxes:      func() int { return 1 },
 		Level:      func(string) (time.Duration, bool) { return 0, false },
 		Cut:        func(string) bool { return false },
--- /dev/null
+++ b/ratelimit/limit_test.go
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package ratelimit
+
+import (
+	"math"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestALimitIsReadFromWhatAnEndpointNames(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		values []string
+		rate   float64
+		named  bool
+		unread bool
+	}{
+		{name: "no header"},
+		{name: "a decimal number", values: []string{"9.4"}, rate: 9.4, named: true},
+		{name: "with spaces", values: []string{" 5 "}, rate: 5, named: true},
+		{name: "zero: none are taken", values: []string{"0"}, named: true},
+		{name: "below zero by a sign alone", values: []string{"-0"}, named: true},
+		{name: "below zero", values: []string{"-3"}, unread: true},
+		{name: "no number", values: []string{"many"}, unread: true},
+		{name: "empty", values: []string{""}, unread: true},
+		{name: "NaN", values: []string{"NaN"}, unread: true},
+		{name: "infinite: no limit", values: []string{"inf"}},
+		{name: "below all numbers", values: []string{"-inf"}, unread: true},
+		{name: "too large for a float: no limit", values: []string{"1e999"}},
+		{name: "beyond what anybody sends: no limit", values: []string{"1e300"}},
+		{name: "two values: the lower", values: []string{"7", "5"}, rate: 5, named: true},
+		{name: "one of two can be read", values: []string{"x", "5"}, rate: 5, named: true},
+		{name: "two in one header", values: []string{"7, 5"}, unread: true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			l, err := Parse(x.values)
+			c.Check(l.Named(), quicktest.Equals, x.named)
+			c.Check(l.Rate(), quicktest.Equals, x.rate)
+			c.Check(err != nil, quicktest.Equals, x.unread)
+		})
+	}
+}
+
+// FuzzParse: a limit that is named is a number that can be counted with.
+func FuzzParse(f *testing.F) {
+	f.Add("9.4", "5")
+	f.Add("NaN", "1e300")
+	f.Add("-1", "inf")
+	f.Add("0x1p-1074", "")
+	f.Fuzz(func(t *testing.T, a, b string) {
+		l, err := Parse([]string{a, b})
+		if l.Named() && err != nil {
+			t.Errorf("%q, %q: a limit and an error: %v", a, b, err)
+		}
+		if !(l.Rate() >= 0 && l.Rate() <= mostRate) || math.IsNaN(l.Rate()) {
+			t.Errorf("%q, %q: %v", a, b, l.Rate())
+		}
+		if !l.Named() && l.Rate() != 0 {
+			t.Errorf("%q, %q: no limit of %v", a, b, l.Rate())
+		}
+	})
+}
