--- a/edge/ended_test.go
+++ b/edge/ended_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cairnwick.example/forward"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
@@ -34,8 +35,10 @@
 func (plainProtocol) Describes(string) bool { return false }
 
 // ReadAnswer implements forward.Protocol.
-func (plainProtocol) ReadAnswer(*http.Response, forward.Call, string) forward.Answer {
-	return forward.Answer{Own: true, Signed: true}
+func (plainProtocol) ReadAnswer(a *http.Response, _ forward.Call, _ string) forward.Answer {
+	v := forward.Answer{Own: true, Signed: true}
+	v.Limit, v.LimitUnread = ratelimit.Parse(a.Header.Values("Limit"))
+	return v
 }
 
 // ComeBack implements forward.Protocol.
@@ -140,6 +143,7 @@
 	}
 	r.Host = "h"
 	r.Header.Set("Id", id)
+	r.Header.Set("Box", n.Settings.Box)
 	a, err := http.DefaultClient.Do(r)
 	if err != nil {
 		return 0, ""
@@ -150,7 +154,7 @@
 
 // fleetOf starts so many boxes before a service, two in each data centre, and waits until they serve.
 // What it returns ends a box early.
-func fleetOf(c *quicktest.C, f *fragile, boxes int) (nodes []*Node, end func(box int)) {
+func fleetOf(c *quicktest.C, s Source, d Decoder, boxes int) (nodes []*Node, end func(box int)) {
 	var seeds []string
 	stops := make(map[int]func() error)
 	end = func(box int) {
@@ -162,7 +166,7 @@
 	for b := range boxes {
 		n := newNode(c, fmt.Sprintf("box-%d", b), seeds...)
 		n.Settings.DataCentre = fmt.Sprintf("dc-%d", b/2)
-		n.Source, n.Decoder, n.Protocol = f, serviceDecoder{}, plainProtocol{}
+		n.Source, n.Decoder, n.Protocol = s, d, plainProtocol{}
 		nodes = append(nodes, n)
 		seeds = []string{nodes[0].Settings.Peers}
 		stops[b] = start(n)
@@ -199,7 +203,7 @@
 	c := quicktest.New(t)
 	const boxes, copies, allowed = 4, 12, 3
 	f := newFragile(c, copies+1, "fatal")
-	nodes, _ := fleetOf(c, f, boxes)
+	nodes, _ := fleetOf(c, f, serviceDecoder{}, boxes)
 	for i := range copies {
 		status, comeBack := post(nodes[i%boxes], fmt.Sprintf("copy-%d", i), "fatal")
 		if status == http.StatusServiceUnavailable {
@@ -222,7 +226,7 @@
 	c := quicktest.New(t)
 	const boxes = 4
 	f := newFragile(c, 8, "fatal")
-	nodes, end := fleetOf(c, f, boxes)
+	nodes, end := fleetOf(c, f, serviceDecoder{}, boxes)
 	for _, b := range []int{1, 0} {
 		post(nodes[b], "copy", "fatal")
 		time.Sleep(betweenCopies)
@@ -247,7 +251,7 @@
 	c := quicktest.New(t)
 	const boxes = 4
 	f := newFragile(c, 3*boxes, "fatal")
-	nodes, _ := fleetOf(c, f, boxes)
+	nodes, _ := fleetOf(c, f, serviceDecoder{}, boxes)
 	for range 5 {
 		var copies sync.WaitGroup
 		for _, n := range nodes {
--- /dev/null
+++ b/edge/limits_test.go
@@ -0,0 +1,190 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// What the users allow: an endpoint's limit, and half of it and five requests besides, in some window,
+// from boxes that it had told a while before.
+const (
+	limitWindow  = 4 * time.Second
+	limitBeyond  = 1.5
+	limitBesides = 5
+	toldBefore   = 500 * time.Millisecond
+)
+
+// arrival is a request that reached an endpoint.
+type arrival struct {
+	at  time.Time
+	box string
+}
+
+// needyEndpoint answers requests, and names a limit in its answers while it has one.
+type needyEndpoint struct {
+	address string
+
+	mu       sync.Mutex
+	limit    string
+	told     map[string]time.Time // by box: when it was told first, since the limit was set
+	arrivals []arrival            // since then
+}
+
+// ServeHTTP implements http.Handler.
+func (e *needyEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	box := r.Header.Get("Box")
+	e.mu.Lock()
+	e.arrivals = append(e.arrivals, arrival{at: time.Now(), box: box})
+	limit := e.limit
+	e.mu.Unlock()
+	if limit == "" {
+		return
+	}
+	w.Header().Set("Limit", limit)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, known := e.told[box]; !known {
+		e.told[box] = time.Now()
+	}
+}
+
+// name sets the limit that the endpoint names from now on; empty: none.
+func (e *needyEndpoint) name(limit string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit, e.told, e.arrivals = limit, make(map[string]time.Time), nil
+}
+
+// most returns the most requests that came in some window from boxes that had been told before.
+func (e *needyEndpoint) most() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var counted []time.Time
+	for _, a := range e.arrivals {
+		if told, known := e.told[a.box]; known && a.at.Sub(told) >= toldBefore {
+			counted = append(counted, a.at)
+		}
+	}
+	most, first := 0, 0
+	for i, at := range counted {
+		for at.Sub(counted[first]) > limitWindow {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// got returns how many requests came since the limit was set.
+func (e *needyEndpoint) got() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.arrivals)
+}
+
+// needy is a service whose endpoints may name limits. It publishes them, in two data centres by turns.
+type needy struct{ endpoints []*needyEndpoint }
+
+func newNeedy(c *quicktest.C, count int) *needy {
+	s := &needy{}
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		c.Assert(err, quicktest.IsNil)
+		e := &needyEndpoint{address: l.Addr().String(), told: make(map[string]time.Time)}
+		server := &http.Server{Handler: e}
+		done := make(chan error, 1)
+		go func() { done <- server.Serve(l) }()
+		c.Cleanup(func() {
+			_ = server.Close()
+			<-done
+		})
+		s.endpoints = append(s.endpoints, e)
+	}
+	return s
+}
+
+// List implements Source.
+func (s *needy) List(_ context.Context, c Collection) (Batch, error) {
+	b := Batch{Revision: 1}
+	if c == Settled {
+		b.Facts = []Fact{{Key: "config", Revision: 1, Value: []byte("v")}}
+		return b, nil
+	}
+	for i, e := range s.endpoints {
+		value := fmt.Sprintf("dc-%d/%s", i%2, e.address)
+		b.Facts = append(b.Facts, Fact{Key: fmt.Sprintf("e/%d", i), Revision: 1, Value: []byte(value)})
+	}
+	return b, nil
+}
+
+// Watch implements Source.
+func (s *needy) Watch(ctx context.Context, _ Collection, after uint64, wait time.Duration) (Batch, error) {
+	sleep(ctx, wait)
+	return Batch{Revision: after}, nil
+}
+
+// centreDecoder reads endpoints whose fact's value is their data centre and address.
+type centreDecoder struct{ serviceDecoder }
+
+// Endpoint implements Decoder.
+func (centreDecoder) Endpoint(key string, value []byte) (*topology.Endpoint, error) {
+	centre, address, _ := strings.Cut(string(value), "/")
+	return topology.NewEndpoint(topology.EndpointSpec{ID: key, Service: "s", Address: address, DataCentre: centre, Slots: 8}), nil
+}
+
+// answers counts answers by status.
+type answers struct {
+	mu    sync.Mutex
+	count map[int]int
+}
+
+// press sends so many requests a second to the boxes in turn, for so long, and returns the answers.
+func press(nodes []*Node, rate int, span time.Duration) map[int]int {
+	got := &answers{count: make(map[int]int)}
+	var all sync.WaitGroup
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	for i := range int(span.Seconds() * float64(rate)) {
+		<-tick.C
+		all.Go(func() {
+			status, _ := post(nodes[i%len(nodes)], strconv.Itoa(i), "x")
+			got.mu.Lock()
+			defer got.mu.Unlock()
+			got.count[status]++
+		})
+	}
+	all.Wait()
+	return got.count
+}
+
+// Users saw an endpoint in need get twice what it takes: it named 9.4 requests a second in its answers
+// and got 95 in 4 s, another one 5.4 and 43, from boxes that had read those answers.
+//
+// The order of events: the endpoint names its limit, to one box after the other, as they get its
+// answers. Each box goes on to send it what it sent before; seven boxes did, for as long as it said so.
+func TestAnEndpointThatNamesALimitGetsNoMoreFromAllBoxesTogether(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	const boxes, limit = 4, 5
+	s := newNeedy(c, 4)
+	nodes, _ := fleetOf(c, s, centreDecoder{}, boxes)
+	s.endpoints[0].name(strconv.Itoa(limit))
+	got := press(nodes, 80, 8*time.Second)
+	allowed := int(limitBeyond*limit*limitWindow.Seconds()) + limitBesides
+	most := s.endpoints[0].most()
+	c.Check(most <= allowed, quicktest.IsTrue, quicktest.Commentf("%d requests in %v; allowed %d", most, limitWindow, allowed))
+	c.Check(s.endpoints[0].got() >= limit, quicktest.IsTrue) // it takes as many as it says
+	c.Check(got, quicktest.DeepEquals, map[int]int{http.StatusOK: 80 * 8})
+}
