Tests of boxes: a port that a box is to listen on is given to nobody else

Seen once, beside a second run of the same tests: two tests waited for eight minutes for boxes to find each other. In each of them three of four boxes ran (by the goroutines of the dump): one had not got its address. Ports came from those that the system gives to connections, and were free only until the next connection. They come from below now.

--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -5,13 +5,16 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"regexp"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,12 +63,26 @@
 	return 0, errors.New("no endpoints here")
 }
 
-// freeAddress returns a loopback address that nobody listens on.
+// The ports that tests give to boxes. They are below those that the system gives to connections: one of
+// those may be taken again before the box listens on it, by a caller or by another box.
+const firstPort, lastPort = 10_000, 32_000
+
+// nextPort is the next one to try; processes that test at the same time begin at unlike ones.
+var nextPort atomic.Int64
+
+// freeAddress returns a loopback address that nobody listens on, and that no other test here gets.
 func freeAddress(c *quicktest.C) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, quicktest.IsNil)
-	defer l.Close()
-	return l.Addr().String()
+	nextPort.CompareAndSwap(0, 1+rand.Int64N(lastPort-firstPort))
+	for range lastPort - firstPort {
+		port := firstPort + nextPort.Add(1)%(lastPort-firstPort)
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			c.Assert(l.Close(), quicktest.IsNil)
+			return l.Addr().String()
+		}
+	}
+	c.Fatal("no free port")
+	return ""
 }
 
 func newNode(c *quicktest.C, box string, seeds ...string) *Node {
