Requests that an endpoint in need has no room for get a copy elsewhere, whoever has room by then

Cause: the box is told that there is no room and asks the leader for the adapter; a moment later the endpoint takes one more, the leader names it since it holds the adapter, and the box, which goes by what it was told, refuses. The box says now that its request goes elsewhere, and the leader names no endpoint with a limit where others can be had.

--- a/edge/ask.go
+++ b/edge/ask.go
@@ -30,6 +30,7 @@
 		Returned:   w.Returned,
 		Denied:     w.Denied,
 		Tokens:     int64(w.Tokens),
+		Elsewhere:  w.Elsewhere,
 	})
 	if err != nil {
 		return forward.Placed{}, errors.Wrapf(err, "edge: leader %s", m.Name())
@@ -75,6 +76,8 @@
 		Returned: q.GetReturned(),
 		Denied:   q.GetDenied(),
 		Tokens:   int(q.GetTokens()),
+
+		Elsewhere: q.GetElsewhere(),
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -89,6 +89,8 @@
 	Returned bool    // the caller was refused before and has less time left
 	Denied   bool    // the endpoint said that it does not hold the adapter
 	Tokens   int     // of its prompt
+
+	Elsewhere bool // endpoints that name limits had no room for the request: it goes to others, if there are any
 }
 
 // Placed is what became of a request for an adapter.
--- a/forward/home.go
+++ b/forward/home.go
@@ -193,6 +193,8 @@
 		Returned: q.returned(),
 		Denied:   q.denied == e.ID(),
 		Tokens:   q.call.TokensIn,
+
+		Elsewhere: len(q.full) > 0,
 	}
 }
 
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -157,8 +157,11 @@
 	s.c.Assert(needy.Load(), quicktest.Equals, int64(0))
 }
 
-// wantedAt notes where an adapter is asked for, and says that it is ready there.
+// wantedAt notes where an adapter is asked for, and says that it is ready there; at its holder, where
+// the request does not say that there was no room for it.
 type wantedAt struct {
+	holder string
+
 	mu   sync.Mutex
 	list []string
 }
@@ -168,14 +171,25 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.list = append(p.list, w.Endpoint.ID())
+	if p.holder != "" && !w.Elsewhere {
+		return Placed{Ready: true, Endpoint: p.holder, Version: 1}, nil
+	}
 	return Placed{Ready: true, Endpoint: w.Endpoint.ID(), Version: 1}, nil
 }
 
-// The one that holds the adapter takes no more: a copy is loaded where no limit is named.
+// Callers of adapters that only an endpoint in need held were refused, one in sixteen, while others had
+// room for a copy.
+//
+// The order of events: the endpoint takes no more, so the box asks the leader for the adapter elsewhere.
+// By then the endpoint takes one more again, and the leader names it, as it holds the adapter. The box,
+// which was told that there is no room, refuses.
+//
+// The evidence: 6.35 in 100 requests refused on a day on which two of twelve endpoints named limits, none
+// on the day without a count.
 func TestAnAdapterIsLoadedElsewhereWhereItsHolderTakesNoMore(t *testing.T) {
 	p := &wantedAt{}
 	s, _ := askTwoCentres(t, p, "2s")
-	p.list = nil
+	p.list, p.holder = nil, "e1"
 	s.gateway.View.SetHeld("e1", map[topology.Adapter]topology.Held{{Model: "m", Name: "a"}: {Version: 1, Ready: true}})
 	s.limit(map[string]int{"e1": 0})
 	q, err := http.NewRequest(http.MethodPost, s.front.URL+"/", nil)
