Our own interface: the owner of an engine that names a limit hands out its grants at that rate

Gateways tell the owner with each call for a grant what they heard; the owner counts (the same Counter), takes the engine for one of as few places as come at that rate, so that its adapters get further homes, and refuses who would wait longer than a load elsewhere takes.

The stand-in names limits on command and counts what is beyond.

--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -130,3 +130,33 @@
 	}
 	fmt.Fprintf(ts.Stdout(), "%s\n", all[args[1]])
 }
+
+// cmdPress sends requests for adapters in turn to boxes on the users' platform, in turn, and prints how
+// many got which status: press edges=1.1,2.1 rate=40 for=2s adapters=6.
+func cmdPress(ts *testscript.TestScript, _ bool, args []string) {
+	o, _ := options(args)
+	w := worldOf(ts)
+	span, err := time.ParseDuration(o["for"])
+	ts.Check(err)
+	rate, adapters := number(ts, o, "rate", 40), number(ts, o, "adapters", 6)
+	var urls []string
+	for _, e := range strings.Split(o["edges"], ",") {
+		c, b := place(ts, e)
+		urls = append(urls, "http://"+w.fleet.CallersAddress(c, b)+"/a/x")
+	}
+	count := int(span.Seconds() * float64(rate))
+	answers := make(chan sent, count)
+	tick := time.NewTicker(time.Second / time.Duration(rate))
+	defer tick.Stop()
+	for i := range count {
+		<-tick.C
+		headers := []string{"Host:h.example", fmt.Sprintf("Model:advice/a%d", i%adapters+1), "Token-Usage:10,2"}
+		go func() { answers <- send(urls[i%len(urls)], load.NewKey(), "{}", headers) }()
+	}
+	statuses := make(map[int]int)
+	for range count {
+		statuses[(<-answers).status]++
+	}
+	fmt.Fprintln(ts.Stdout(), statuses)
+	ts.Logf("%v", statuses)
+}
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -78,6 +78,7 @@
 			"send":        cmdSend,
 			"answered":    cmdAnswered,
 			"metric":      cmdMetric,
+			"press":       cmdPress,
 			"enginesleft": cmdEnginesLeft,
 		},
 	})
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -134,8 +134,11 @@
 		return true
 	}
 	k.line = now
-	s.node.Log.Info("Endpoint names a limit", "endpoint", endpoint, "named", w.Limit.Named(), "a_second", w.Limit.Rate(),
-		"sent", k.counts.Sent, "granted", k.counts.Granted, "denied", k.counts.Denied)
+	line := "Endpoint names a limit"
+	if !w.Limit.Named() {
+		line = "Endpoint names no limit any more"
+	}
+	s.node.Log.Info(line, "endpoint", endpoint, "a_second", w.Limit.Rate(), "sent", k.counts.Sent, "granted", k.counts.Granted, "denied", k.counts.Denied)
 	return true
 }
 
@@ -158,7 +161,7 @@
 	if denied > 0 {
 		return forward.Taken{Wait: denied}
 	}
-	q := &wire.TakeRequest{Box: s.node.peers.box, Word: wordOut(e.ID(), word, now), Rank: int32(rank), PatienceMicros: patience.Microseconds()}
+	q := &wire.TakeRequest{Box: s.node.peers.box, Word: wire.NewLimitWord(e.ID(), word, now), Rank: int32(rank), PatienceMicros: patience.Microseconds()}
 	a := s.ask(ctx, e.DataCentre(), q)
 	return s.taken(e.ID(), word, a, rank, clock.Now())
 }
@@ -235,7 +238,7 @@
 		return
 	}
 	now := clock.Now()
-	limit := limitIn(&l)
+	limit := l.Limit()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.entryLocked(endpoint)
@@ -277,24 +280,3 @@
 	}
 	return list
 }
-
-// limitIn reads a limit of a message.
-func limitIn(l *wire.RateLimit) ratelimit.Limit {
-	if !l.GetNamed() {
-		return ratelimit.Limit{}
-	}
-	return ratelimit.Of(l.GetRate())
-}
-
-func wordIn(w *wire.LimitWord, now time.Time) ratelimit.Word {
-	age := time.Duration(max(w.GetAgeMicros(), 0)) * time.Microsecond
-	return ratelimit.Word{Limit: limitIn(w.GetLimit()), At: now.Add(-age)}
-}
-
-func wordOut(endpoint string, w ratelimit.Word, now time.Time) *wire.LimitWord {
-	return &wire.LimitWord{
-		Endpoint:  endpoint,
-		Limit:     &wire.RateLimit{Named: w.Limit.Named(), Rate: w.Limit.Rate()},
-		AgeMicros: now.Sub(w.At).Microseconds(),
-	}
-}
--- a/edge/limits_lead.go
+++ b/edge/limits_lead.go
@@ -43,7 +43,7 @@
 	}
 	s.mu.Unlock()
 	s.counter.Hear(id, own, now)
-	s.counter.Hear(id, wordIn(w, now), now)
+	s.counter.Hear(id, w.Word(now), now)
 	if l := s.counter.Limit(id); s.isNews(id, l, now) {
 		s.publish(id, l)
 	}
@@ -65,7 +65,7 @@
 
 // publish tells all boxes the limit of an endpoint.
 func (s *limits) publish(endpoint string, l ratelimit.Limit) {
-	raw, err := proto.Marshal(&wire.RateLimit{Named: l.Named(), Rate: l.Rate()})
+	raw, err := proto.Marshal(wire.NewRateLimit(l))
 	if err != nil {
 		s.node.Log.Error(err, "Limit can't be encoded", "endpoint", endpoint)
 		return
--- a/edge/limits_tell.go
+++ b/edge/limits_tell.go
@@ -106,7 +106,7 @@
 	now := clock.Now()
 	q := &wire.LimitsRequest{Box: s.node.peers.box}
 	for id, w := range u.words {
-		q.Words = append(q.Words, wordOut(id, w, now))
+		q.Words = append(q.Words, wire.NewLimitWord(id, w, now))
 	}
 	a := s.sendWords(ctx, u.leader, q, now)
 	if !a.GetLeads() {
--- a/engine/client.go
+++ b/engine/client.go
@@ -23,6 +23,7 @@
 	KeyHeader      = "Cairn-Key"    // of a request that is not repeatable
 	ReasonHeader   = "Cairn-Reason" // on refusals: the Code
 	EventsHeader   = "Cairn-Events" // on a resumed stream: the event it begins with
+	LimitHeader    = "Cairn-Limit"  // on answers to requests: how many a second the endpoint takes from all gateways together
 	maxOrderAnswer = 1 << 20        // bytes read of an order's answer
 )
 
--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -77,6 +77,7 @@
 		Revision:   q.catalog.Revision(),
 		Box:        g.Name,
 		Width:      int32(q.width),
+		Limit:      g.limits.of(endpoint, clock.Now()),
 	})
 	if err == nil && owner.DataCentre() != g.Centre {
 		g.reach.note(owner.DataCentre(), clock.Now().Add(reachFor))
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,11 +65,13 @@
 		r.Outcome = wire.Outcome_OUTCOME_NOT_SENT
 		return badRequest("body: %v", err)
 	}
+	sent := clock.Now()
 	a, err := engine.Send(g.Engines, e, h.sendBy)
 	if err != nil {
 		return g.lost(live, h, run, r, err)
 	}
 	defer a.Body.Close()
+	g.hearLimit(h.endpoint, a.Header, sent, clock.Now())
 	r.Fence = a.Header.Get(engine.FenceHeader)
 	r.Boot = a.Header.Get(engine.BootHeader)
 	if a.StatusCode >= http.StatusBadRequest {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -73,6 +73,7 @@
 	Log         logr.Logger
 
 	beliefs  *beliefs
+	limits   limits
 	reach    *reach
 	prefixes *prefixes
 	calls    *schedulerCalls
--- a/ratelimit/counter.go
+++ b/ratelimit/counter.go
@@ -150,6 +150,17 @@
 	return time.Duration(missing / n.perSecond() * float64(time.Second)), true
 }
 
+// Turns returns how long an endpoint takes for so many requests.
+func (c *Counter) Turns(endpoint string, requests int) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := c.endpoints[endpoint]
+	if n == nil || n.bucket == nil {
+		return 0
+	}
+	return time.Duration(float64(requests) / n.perSecond() * float64(time.Second))
+}
+
 // Limit returns the limit that is counted by; the zero value where the endpoint names none.
 func (c *Counter) Limit(endpoint string) Limit {
 	c.mu.Lock()
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -52,6 +52,7 @@
 	if !ok {
 		return refusal(wire.Reason_REASON_UNKNOWN_ADAPTER, s.Spans.Verify, ""), e
 	}
+	s.hearLimit(e, q.GetLimit(), arrived)
 	w, answer := s.enter(e, q, class, arrived)
 	if answer != nil {
 		return answer, e
@@ -77,7 +78,7 @@
 		deadline: now.Add(time.Duration(q.GetWaitMicros()) * time.Microsecond),
 		reply:    make(chan *wire.AcquireReply, 1),
 	}
-	if s.freeLocked(e, q.GetAdapter(), now) && !s.heldBackLocked(e, w, s.patientLocked(e)+1, now) {
+	if s.freeLocked(e, q.GetAdapter(), now) && !s.heldBackLocked(e, w, s.patientLocked(e)+1, now) && s.takeRoomLocked(e, now) {
 		return nil, s.grantLocked(e, w, now, wire.Reason_REASON_ADAPTER_READY)
 	}
 	if a := s.admitLocked(e, w, now); a != nil {
--- a/scheduler/admit.go
+++ b/scheduler/admit.go
@@ -64,6 +64,9 @@
 		Caller:    waitingOf(e.waiters, w.request.GetCaller()),
 		CallerMax: s.callerMost(w.request.GetCaller()),
 	})
+	if room := s.waitForRoom(e, s.aheadLocked(e, w), now); verdict == policy.Wait && room > e.loadTime {
+		verdict, retry = policy.RefuseDeadline, room // another endpoint can have loaded the adapter by then
+	}
 	if verdict != policy.Wait && !s.readyLocked(e, adapter) {
 		e.demandLocked(adapter, now)
 		s.planLocked(e, now)
@@ -103,7 +106,8 @@
 // estimateLocked is how long a new request would wait: for a place, and for
 // its adapter's load behind the loads before it.
 func (s *Scheduler) estimateLocked(e *endpoint, w *waiter, now time.Time) time.Duration {
-	place := policy.WaitForPlace(e.running(), e.limitLocked(), s.aheadLocked(e, w), e.service)
+	ahead := s.aheadLocked(e, w)
+	place := max(policy.WaitForPlace(e.running(), e.limitLocked(), ahead, e.service), s.waitForRoom(e, ahead, now))
 	sl := e.slots[w.request.GetAdapter()]
 	if sl != nil && sl.state == ready {
 		return place
@@ -152,5 +156,5 @@
 		return 1
 	}
 	whole := p.Rate(now, s.Spans.HalfLife) * float64(max(1, q.GetWidth()))
-	return policy.Width(whole, e.service, e.spec.Running(), s.HomeShare)
+	return policy.Width(whole, e.service, max(e.mostLocked(), 1), s.HomeShare)
 }
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -3,6 +3,7 @@
 package scheduler
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/policy"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/wire"
 )
 
@@ -46,14 +48,16 @@
 	grants       map[uint64]*grant // not given back
 	waiters      []*waiter         // in order of arrival
 	rates        map[string]*policy.Popularity
-	limit        float64       // of requests running; adapts below spec.Running()
-	service      time.Duration // moving mean of a request's time at the engine
-	loadTime     time.Duration // moving mean of a load's time
+	limit        float64         // of requests running; adapts below spec.Running()
+	takes        ratelimit.Limit // that it names, by the latest word
+	service      time.Duration   // moving mean of a request's time at the engine
+	loadTime     time.Duration   // moving mean of a load's time
 	failed       map[string]failure
 	loadsWanted  int                // adapters to load, as last counted
 	demands      map[string]*demand // adapters whose requests were refused because they are not loaded
 	reportWanted bool               // a report may show slots to be free
 	closedUntil  time.Time          // until then it gets nothing new: it said that it is leaving
+	roomTimer    *time.Timer        // serves those that wait once the endpoint takes one more; nil: it names no limit, or nobody waits
 }
 
 // slotState says what a slot holds.
@@ -144,7 +148,17 @@
 func (e *endpoint) running() int { return len(e.grants) }
 
 // limitLocked is how many requests may run.
-func (e *endpoint) limitLocked() int { return max(1, min(int(e.limit), e.spec.Running())) }
+func (e *endpoint) limitLocked() int { return max(1, min(int(e.limit), e.mostLocked())) }
+
+// mostLocked is how many requests it can run at a time. One that names how many it takes counts as one
+// that runs as many at a time as come at that rate: so its adapters get further homes, and requests
+// choose those that are less full.
+func (e *endpoint) mostLocked() int {
+	if !e.takes.Named() {
+		return e.spec.Running()
+	}
+	return min(int(math.Ceil(e.takes.Rate()*e.service.Seconds())), e.spec.Running())
+}
 
 // rateLocked returns the popularity of an adapter, forgetting the faintest when
 // there are too many.
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -139,7 +139,7 @@
 	}
 	for e.running() < e.limitLocked() {
 		i := policy.NextWaiter(s.waitFactsLocked(e, now))
-		if i < 0 {
+		if i < 0 || !s.takeRoomLocked(e, now) {
 			break
 		}
 		w := e.waiters[i]
--- a/scheduler/own.go
+++ b/scheduler/own.go
@@ -9,6 +9,7 @@
 	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"cairnwick.example/member"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
 )
@@ -175,6 +176,8 @@
 // waiting.
 func (s *Scheduler) restartedLocked(e *endpoint, now time.Time) {
 	s.Log.Info("Endpoint restarted empty", "endpoint", e.name)
+	s.limits.Forget(e.name) // each life names its own
+	e.takes = ratelimit.Limit{}
 	e.phase = claiming
 	e.slots = make(map[string]*slot)
 	e.nextLook = now
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -31,6 +31,7 @@
 	"cairnwick.example/member"
 	"cairnwick.example/metrics"
 	"cairnwick.example/policy"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 )
@@ -84,7 +85,8 @@
 	looks       chan *endpoint // to look at
 	orders      chan order     // to carry out
 	budget      *storeBudget
-	loadsWanted atomic.Int64 // at all endpoints, and not begun
+	limits      ratelimit.Counter // by endpoint; its lock is taken last and alone
+	loadsWanted atomic.Int64      // at all endpoints, and not begun
 	stats       stats
 }
 
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -46,6 +46,9 @@
 }
 
 func (e *Engine) complete(w http.ResponseWriter, q *http.Request) {
+	for _, l := range e.Limit() {
+		w.Header().Add(engine.LimitHeader, l)
+	}
 	var body completion
 	if err := json.NewDecoder(io.LimitReader(q.Body, 8<<20)).Decode(&body); err != nil {
 		refuse(w, http.StatusBadRequest, engine.CodeBadRequest, err.Error())
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -51,6 +51,7 @@
 	prefixes  prefixCache
 	keys      map[string]int // runs by key
 	ran       []string       // every run by its request's id
+	limit     limit          // has a lock of its own
 }
 
 // slot holds one adapter.
@@ -261,6 +262,8 @@
 	m.HandleFunc("POST /control/leave", e.leave)
 	m.HandleFunc("POST /control/restart", e.restart)
 	m.HandleFunc("POST /control/fail-loads", e.setFailLoads)
+	m.HandleFunc("POST /control/limit", e.setLimit)
+	m.HandleFunc("GET /control/limit", e.showLimit)
 	if e.Other != nil {
 		m.Handle("/", e.Other)
 	}
