What an endpoint in need takes goes to the adapters that no other one holds

Cause: requests that another endpoint could serve took what the endpoint in need takes, so all of its adapters were asked for in vain and got copies elsewhere, which pushed others out; and its own slots lay idle, since nothing was loaded there any more.

Now a request that another endpoint without a limit can serve takes only what would be lost else, and an endpoint that takes more than it gets is as good as any for a load.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -27,6 +27,9 @@
 	// deniedMost is the longest that a box passes an endpoint over by one answer of its leader,
 	// which may be less than what that tells callers: other boxes may have left room since.
 	deniedMost = 100 * time.Millisecond
+	// spareAgain is between two questions of a box for what others leave of an endpoint's limit: it is of
+	// little use, and 380 boxes ask one leader.
+	spareAgain = time.Second
 	// limitLine is between two lines about one endpoint's limit, and between two facts that tell all
 	// boxes a new value of it: it may change with each answer, and only who counts needs the value.
 	// Ten endpoints whose limits change so cost a box half a kilobyte a second with it, and five
@@ -61,11 +64,11 @@
 }
 
 // denial is a leader's answer that an endpoint takes no more, which stands for later requests of the
-// same rank or less urgent ones.
+// same kind, and for all that would get less.
 type denial struct {
 	until time.Time
 	back  time.Time // when callers are told to come back
-	rank  int
+	want  ratelimit.Ask
 }
 
 // LimitCounts is what one box did with an endpoint that names a limit, since it named one first.
@@ -155,27 +158,33 @@
 }
 
 // Take implements forward.Limits.
-func (s *limits) Take(ctx context.Context, e *topology.Endpoint, rank int, patience time.Duration) forward.Taken {
+func (s *limits) Take(ctx context.Context, e *topology.Endpoint, want ratelimit.Ask) forward.Taken {
 	now := clock.Now()
-	word, denied := s.look(e.ID(), rank, now)
+	word, denied := s.look(e.ID(), want, now)
 	if denied > 0 {
 		return forward.Taken{Wait: denied}
 	}
-	q := &wire.TakeRequest{Box: s.node.peers.box, Word: wire.NewLimitWord(e.ID(), word, now), Rank: int32(rank), PatienceMicros: patience.Microseconds()}
+	q := &wire.TakeRequest{
+		Box:            s.node.peers.box,
+		Word:           wire.NewLimitWord(e.ID(), word, now),
+		Rank:           int32(want.Rank),
+		PatienceMicros: want.Patience.Microseconds(),
+		Spare:          want.Spare,
+	}
 	a := s.ask(ctx, e.DataCentre(), q)
-	return s.taken(e.ID(), word, a, rank, clock.Now())
+	return s.taken(e.ID(), word, a, want, clock.Now())
 }
 
 // look returns what is known of an endpoint's limit, and how long a request has to wait by what its
 // leader answered before; zero: the leader is asked.
-func (s *limits) look(endpoint string, rank int, now time.Time) (w ratelimit.Word, denied time.Duration) {
+func (s *limits) look(endpoint string, want ratelimit.Ask, now time.Time) (w ratelimit.Word, denied time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.known[endpoint]
 	if k == nil {
 		return w, 0
 	}
-	if rank >= k.denied.rank && now.Before(k.denied.until) {
+	if now.Before(k.denied.until) && !want.Before(k.denied.want) {
 		k.counts.Denied++
 		return k.word, max(k.denied.back.Sub(now), time.Millisecond)
 	}
@@ -203,7 +212,7 @@
 
 // taken notes what became of a request for an endpoint. Where nobody counts for the endpoint it gets none:
 // each box alone can't know what the others send.
-func (s *limits) taken(endpoint string, asked ratelimit.Word, a *wire.TakeReply, rank int, now time.Time) forward.Taken {
+func (s *limits) taken(endpoint string, asked ratelimit.Word, a *wire.TakeReply, want ratelimit.Ask, now time.Time) forward.Taken {
 	wait := time.Duration(a.GetWaitMicros()) * time.Microsecond
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,7 +235,11 @@
 		return forward.Taken{OK: true, Wait: wait}
 	}
 	k.counts.Denied++
-	k.denied = denial{until: now.Add(min(wait, deniedMost)), back: now.Add(wait), rank: rank}
+	again := min(wait, deniedMost)
+	if want.Spare {
+		again = spareAgain
+	}
+	k.denied = denial{until: now.Add(again), back: now.Add(wait), want: want}
 	return forward.Taken{Wait: wait}
 }
 
--- a/edge/limits_lead.go
+++ b/edge/limits_lead.go
@@ -18,7 +18,11 @@
 		return &wire.TakeReply{}
 	}
 	s.hear(q.GetWord(), now)
-	g := s.counter.Take(id, int(q.GetRank()), time.Duration(q.GetPatienceMicros())*time.Microsecond, now)
+	g := s.counter.Take(id, ratelimit.Ask{
+		Rank:     int(q.GetRank()),
+		Patience: time.Duration(q.GetPatienceMicros()) * time.Microsecond,
+		Spare:    q.GetSpare(),
+	}, now)
 	return &wire.TakeReply{Leads: true, Limited: g.Limited, Granted: g.OK, WaitMicros: g.Wait.Microseconds()}
 }
 
@@ -80,11 +84,11 @@
 	})
 }
 
-// room tells how long it takes until an endpoint takes one more request, and whether it names a limit,
-// for the one that decides where adapters are loaded.
-func (s *limits) room(endpoint string, now time.Time) (wait time.Duration, limited bool) {
-	if wait, limited = s.counter.Room(endpoint, now); limited {
-		return wait, true
+// room returns what an endpoint takes, for the one that decides where adapters are loaded.
+func (s *limits) room(endpoint string, now time.Time) ratelimit.Room {
+	r := s.counter.Room(endpoint, now)
+	if !r.Limited && s.Limited(endpoint) { // nobody has asked this box for it yet
+		return ratelimit.Room{Limited: true}
 	}
-	return 0, s.Limited(endpoint) // nobody has asked this box for it yet
+	return r
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -128,9 +128,8 @@
 type Limits interface {
 	// Limited tells whether an endpoint names a limit.
 	Limited(endpoint string) bool
-	// Take asks for one of the requests that such an endpoint takes, for one of a rank, 0 the most
-	// urgent, that can wait so long.
-	Take(ctx context.Context, e *topology.Endpoint, rank int, patience time.Duration) Taken
+	// Take asks for one of the requests that such an endpoint takes.
+	Take(ctx context.Context, e *topology.Endpoint, a ratelimit.Ask) Taken
 	// Sent hears that a request is being sent to an endpoint.
 	Sent(endpoint string)
 	// Said hears what an answer of an endpoint says of its limit, and when the request was sent.
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -84,7 +84,7 @@
 func (noLimits) Limited(string) bool { return false }
 
 // Take implements Limits.
-func (noLimits) Take(context.Context, *topology.Endpoint, int, time.Duration) Taken {
+func (noLimits) Take(context.Context, *topology.Endpoint, ratelimit.Ask) Taken {
 	return Taken{OK: true}
 }
 
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnwick.example/clock"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
 )
 
@@ -57,7 +58,7 @@
 // hasRoom takes one of the requests that an endpoint takes which names a limit, and waits for its time.
 // Where there is none the request is not offered to it again.
 func (g *Gateway) hasRoom(ctx context.Context, q *request, e *topology.Endpoint) bool {
-	r := g.Limits.Take(ctx, e, q.config.Rank(q.route, q.organisation), g.patienceFor(q, e))
+	r := g.Limits.Take(ctx, e, g.askFor(q, e))
 	if !r.OK {
 		if q.full == nil {
 			q.full = make(map[string]time.Duration)
@@ -74,19 +75,22 @@
 	return true
 }
 
-// patienceFor is how long a request waits for room at an endpoint: not at all where another one that
-// may have what it needs names no limit.
-func (g *Gateway) patienceFor(q *request, e *topology.Endpoint) time.Duration {
+// askFor returns what the request asks of an endpoint that names a limit: what others leave, where another
+// one without a limit has what it needs; else it waits a little.
+func (g *Gateway) askFor(q *request, e *topology.Endpoint) ratelimit.Ask {
+	a := ratelimit.Ask{Rank: q.config.Rank(q.route, q.organisation)}
 	others := g.View.Endpoints(q.service.Name())
 	if q.call.Adapter.Name != "" && q.service.Engine() != nil {
 		others = among(g.View.Holders(q.call.Adapter), others)
 	}
 	for _, o := range untried(others, q.tried) {
 		if o.ID() != e.ID() && !g.Limits.Limited(o.ID()) {
-			return 0
+			a.Spare = true
+			return a
 		}
 	}
-	return time.Duration(roomPart * float64(q.route.Target()))
+	a.Patience = time.Duration(roomPart * float64(q.route.Target()))
+	return a
 }
 
 // withRoom returns those that had room for the request, as far as they were asked.
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -34,7 +34,7 @@
 }
 
 // Take implements Limits.
-func (l *givenLimits) Take(_ context.Context, e *topology.Endpoint, _ int, _ time.Duration) Taken {
+func (l *givenLimits) Take(_ context.Context, e *topology.Endpoint, _ ratelimit.Ask) Taken {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.taken = append(l.taken, e.ID())
--- a/placement/copies.go
+++ b/placement/copies.go
@@ -80,7 +80,7 @@
 }
 
 // without returns the endpoints of a data centre that could hold an adapter and do not, without
-// those that name a limit, by the adapter's rendezvous order.
+// those that get all that they take, by the adapter's rendezvous order.
 func (l *Loader) without(centre string, a topology.Adapter, now time.Time) []string {
 	held := make(map[string]bool)
 	for _, id := range l.in(centre, a) {
@@ -88,8 +88,7 @@
 	}
 	var names []string
 	for _, e := range l.View.All() {
-		_, limited := l.Room(e.ID(), now)
-		if e.DataCentre() == centre && e.HasModel(a.Model) && !e.Draining() && !held[e.ID()] && !limited {
+		if e.DataCentre() == centre && e.HasModel(a.Model) && !e.Draining() && !held[e.ID()] && !l.isTaken(e.ID(), now) {
 			names = append(names, e.ID())
 		}
 	}
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -10,6 +10,7 @@
 	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/policy"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
 	"github.com/go-logr/logr"
 )
@@ -39,9 +40,8 @@
 	// from it. Where none did and one did not answer, that one may give orders for so long.
 	// Nobody leaves: nothing, at once.
 	AskToResign func(ctx context.Context, e *topology.Endpoint) (Handover, time.Duration)
-	// Room tells how long it takes until an endpoint takes one more request, and whether it names a
-	// limit of how many it takes; nil: none does.
-	Room func(endpoint string, now time.Time) (wait time.Duration, limited bool)
+	// Room returns what an endpoint takes that may name a limit; nil: none does.
+	Room func(endpoint string, now time.Time) ratelimit.Room
 	// Lease is how long two boxes that both think that they own an endpoint must not take
 	// turns; a refused one keeps away for somewhat longer.
 	Lease func() time.Duration
--- a/placement/room.go
+++ b/placement/room.go
@@ -5,30 +5,32 @@
 import (
 	"time"
 
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
 )
 
 // noLimits is Room where endpoints name no limits.
-func noLimits(string, time.Time) (time.Duration, bool) { return 0, false }
+func noLimits(string, time.Time) ratelimit.Room { return ratelimit.Room{Spare: true} }
 
-// isLimited tells whether an endpoint names a limit of how many requests it takes: it gets no further
-// adapters where another one can be had, since each brings it requests.
-func (l *Loader) isLimited(o *owned, now time.Time) bool {
-	_, limited := l.Room(o.endpoint.ID(), now)
-	return limited
+// isTaken tells whether an endpoint names a limit and gets all that it takes: no adapter is loaded there
+// where another one can be had, since each brings it requests. One that takes more than it gets is as
+// good as any: its slots are of use to adapters that few ask for.
+func (l *Loader) isTaken(endpoint string, now time.Time) bool {
+	r := l.Room(endpoint, now)
+	return r.Limited && !r.Spare
 }
 
 // isCrowded tells whether an endpoint takes no more requests just now.
 func (l *Loader) isCrowded(o *owned, now time.Time) bool {
-	wait, limited := l.Room(o.endpoint.ID(), now)
-	return limited && wait > 0
+	r := l.Room(o.endpoint.ID(), now)
+	return r.Limited && r.Wait > 0
 }
 
-// hasOthersLocked tells whether an adapter may be loaded in a data centre at an endpoint that names no
-// limit.
+// hasOthersLocked tells whether an adapter may be loaded in a data centre at an endpoint that takes more
+// requests.
 func (l *Loader) hasOthersLocked(a topology.Adapter, centre string, now time.Time) bool {
-	for _, o := range l.owned {
-		if o.serves(now) && o.models[a.Model] && o.endpoint.DataCentre() == centre && !l.isLimited(o, now) {
+	for id, o := range l.owned {
+		if o.serves(now) && o.models[a.Model] && o.endpoint.DataCentre() == centre && !l.isTaken(id, now) {
 			return true
 		}
 	}
--- a/placement/room_test.go
+++ b/placement/room_test.go
@@ -8,14 +8,15 @@
 	"time"
 
 	"cairnwick.example/forward"
+	"cairnwick.example/ratelimit"
 	"github.com/frankban/quicktest"
 )
 
 // crowd makes endpoints name limits and take no more; it is set before the loader runs.
 func (b *bench) crowd(endpoints map[string]time.Duration) {
-	b.loader.Room = func(id string, _ time.Time) (time.Duration, bool) {
+	b.loader.Room = func(id string, _ time.Time) ratelimit.Room {
 		wait, limited := endpoints[id]
-		return wait, limited
+		return ratelimit.Room{Limited: limited, Wait: wait, Spare: !limited}
 	}
 }
 
--- a/placement/site.go
+++ b/placement/site.go
@@ -17,7 +17,7 @@
 )
 
 // siteLocked returns where an adapter is loaded: the endpoint of the usual one's data centre
-// at which it costs the least, of those that name no limit where there are any. Only endpoints that
+// at which it costs the least, of those that take more requests where there are any. Only endpoints that
 // this box owns count.
 func (l *Loader) siteLocked(a topology.Adapter, usual *owned, now time.Time) *owned {
 	best, least := usual, l.siteRankLocked(usual, a, true, now)
@@ -34,9 +34,9 @@
 
 // siteRank orders endpoints where an adapter may be loaded.
 type siteRank struct {
-	gone    bool // it ended, or leaves
-	limited bool // it names a limit
-	cost    time.Duration
+	gone  bool // it ended, or leaves
+	taken bool // it names a limit, and gets all that it takes
+	cost  time.Duration
 }
 
 // before tells whether an endpoint of this rank goes before one of another.
@@ -44,14 +44,14 @@
 	switch {
 	case r.gone != o.gone:
 		return o.gone
-	case r.limited != o.limited:
-		return o.limited
+	case r.taken != o.taken:
+		return o.taken
 	}
 	return r.cost < o.cost
 }
 
 func (l *Loader) siteRankLocked(o *owned, a topology.Adapter, usual bool, now time.Time) siteRank {
-	return siteRank{gone: !o.serves(now), limited: l.isLimited(o, now), cost: l.factsLocked(o, a, usual, now).Cost()}
+	return siteRank{gone: !o.serves(now), taken: l.isTaken(o.endpoint.ID(), now), cost: l.factsLocked(o, a, usual, now).Cost()}
 }
 
 // wantedAtLocked returns the endpoint of a data centre where a load of an adapter waits
@@ -133,7 +133,7 @@
 		if t == nil || p == denied || !p.serves(now) || p.endpoint.DataCentre() != centre {
 			continue
 		}
-		if (w.Elsewhere && l.isLimited(p, now) || l.isCrowded(p, now)) && l.hasOthersLocked(a, centre, now) {
+		if (w.Elsewhere && l.isTaken(id, now) || l.isCrowded(p, now)) && l.hasOthersLocked(a, centre, now) {
 			continue // a copy elsewhere serves those that it has no room for
 		}
 		serves := t.ready && t.version >= w.Version && !(t.leaving && (t.unloading || t.outdated))
--- a/ratelimit/counter.go
+++ b/ratelimit/counter.go
@@ -95,6 +95,23 @@
 // perSecond is how many requests a second are handed out.
 func (n *count) perSecond() float64 { return max(n.word.Limit.Rate(), leastRate) }
 
+// Ask is a request that would go to an endpoint.
+type Ask struct {
+	Rank     int           // 0 is the most urgent
+	Patience time.Duration // how long it can wait
+	// Spare says that another endpoint without a limit can serve it: it takes only what others leave.
+	// So what an endpoint takes goes to the adapters that no other one holds, and those need no copy.
+	Spare bool
+}
+
+// Before tells whether a request may get what another one did not.
+func (a Ask) Before(o Ask) bool {
+	if a.Spare != o.Spare {
+		return o.Spare
+	}
+	return a.Rank < o.Rank
+}
+
 // Grant is the answer to one request that would go to an endpoint.
 type Grant struct {
 	Limited bool          // the endpoint names a limit; else all requests may go
@@ -102,24 +119,36 @@
 	Wait    time.Duration // not OK: until such a request is likely granted
 }
 
-// Take answers a request that would go to an endpoint and can wait so long for it. Of a more urgent
-// rank, 0 first, more of that time counts: what is scarce for all goes to the most urgent.
-func (c *Counter) Take(endpoint string, rank int, patience time.Duration, now time.Time) Grant {
+// Take answers a request that would go to an endpoint. Of a more urgent rank more of the time that it can
+// wait counts: what is scarce for all goes to the most urgent.
+func (c *Counter) Take(endpoint string, a Ask, now time.Time) Grant {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.endpoints[endpoint]
 	if n == nil || n.bucket == nil {
 		return Grant{OK: true}
 	}
+	if a.Spare && !n.hasSpare(now) {
+		return Grant{Limited: true, Wait: n.waitFor(float64(n.bucket.Burst()), now)}
+	}
 	r := n.bucket.ReserveN(now, 1)
 	wait := r.DelayFrom(now)
-	if wait <= max(patience, 0)/time.Duration(1+max(rank, 0)) {
+	if wait <= max(a.Patience, 0)/time.Duration(1+max(a.Rank, 0)) {
 		return Grant{Limited: true, OK: true, Wait: wait}
 	}
 	r.CancelAt(now)
 	return Grant{Limited: true, Wait: n.comeBack(wait, now)}
 }
 
+// hasSpare tells whether nobody took anything for a while: what comes now would be lost.
+func (n *count) hasSpare(now time.Time) bool { return n.waitFor(float64(n.bucket.Burst()), now) <= 0 }
+
+// waitFor returns how long it takes until so many may be taken at once.
+func (n *count) waitFor(requests float64, now time.Time) time.Duration {
+	missing := requests - n.bucket.TokensAt(now)
+	return time.Duration(max(missing, 0) / n.perSecond() * float64(time.Second))
+}
+
 // comeBack tells a refused caller when to come back, each one a turn after the one before: told the
 // same moment, all but one would be refused again.
 func (n *count) comeBack(wait time.Duration, now time.Time) time.Duration {
@@ -135,19 +164,22 @@
 	return at.Sub(now)
 }
 
-// Room tells how long it takes until an endpoint takes one more request, and whether it names a limit.
-func (c *Counter) Room(endpoint string, now time.Time) (wait time.Duration, limited bool) {
+// Room is what an endpoint takes just now.
+type Room struct {
+	Limited bool          // it names a limit; else it takes all
+	Wait    time.Duration // until it takes one more request
+	Spare   bool          // it takes more than it is sent
+}
+
+// Room returns what an endpoint takes at now.
+func (c *Counter) Room(endpoint string, now time.Time) Room {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := c.endpoints[endpoint]
 	if n == nil || n.bucket == nil {
-		return 0, false
-	}
-	missing := 1 - n.bucket.TokensAt(now)
-	if missing <= 0 {
-		return 0, true
+		return Room{Spare: true}
 	}
-	return time.Duration(missing / n.perSecond() * float64(time.Second)), true
+	return Room{Limited: true, Wait: n.waitFor(1, now), Spare: n.hasSpare(now)}
 }
 
 // Turns returns how long an endpoint takes for so many requests.
--- a/ratelimit/counter_test.go
+++ b/ratelimit/counter_test.go
@@ -31,7 +31,7 @@
 			r := rand.New(rand.NewPCG(1, uint64(perSecond*10)))
 			var sent []time.Time
 			for now := start; now.Before(at(40 * time.Second)); now = now.Add(time.Duration(r.ExpFloat64() * float64(time.Millisecond))) {
-				if g := k.Take("e", r.IntN(3), time.Duration(r.IntN(80))*time.Millisecond, now); g.OK {
+				if g := k.Take("e", Ask{Rank: r.IntN(3), Patience: time.Duration(r.IntN(80)) * time.Millisecond, Spare: r.IntN(4) == 0}, now); g.OK {
 					sent = append(sent, now.Add(g.Wait))
 				}
 			}
@@ -53,9 +53,8 @@
 	c := quicktest.New(t)
 	k := new(Counter)
 	c.Check(k.Hear("e", Word{At: start}, start), quicktest.IsFalse)
-	c.Check(k.Take("e", 9, 0, start), quicktest.Equals, Grant{OK: true})
-	_, limited := k.Room("e", start)
-	c.Check(limited, quicktest.IsFalse)
+	c.Check(k.Take("e", Ask{Rank: 9}, start), quicktest.Equals, Grant{OK: true})
+	c.Check(k.Room("e", start), quicktest.Equals, Room{Spare: true})
 }
 
 func TestAWordThatIsOlderChangesNothing(t *testing.T) {
@@ -64,11 +63,11 @@
 	c.Check(k.Hear("e", Word{Limit: Of(2), At: at(2 * time.Second)}, at(2*time.Second)), quicktest.IsTrue)
 	c.Check(k.Hear("e", Word{Limit: Of(5), At: at(time.Second)}, at(2*time.Second)), quicktest.IsFalse)
 	c.Check(k.Hear("e", Word{At: at(time.Second)}, at(2*time.Second)), quicktest.IsFalse) // sent before
-	c.Check(k.Take("e", 0, 0, at(2*time.Second)).Limited, quicktest.IsTrue)
+	c.Check(k.Take("e", Ask{}, at(2*time.Second)).Limited, quicktest.IsTrue)
 	c.Check(k.Hear("e", Word{At: at(3 * time.Second)}, at(3*time.Second)), quicktest.IsTrue)
-	c.Check(k.Take("e", 0, 0, at(3*time.Second)), quicktest.Equals, Grant{OK: true})
+	c.Check(k.Take("e", Ask{}, at(3*time.Second)), quicktest.Equals, Grant{OK: true})
 	c.Check(k.Hear("e", Word{Limit: Of(2), At: at(2 * time.Second)}, at(3*time.Second)), quicktest.IsFalse)
-	c.Check(k.Take("e", 0, 0, at(3*time.Second)), quicktest.Equals, Grant{OK: true})
+	c.Check(k.Take("e", Ask{}, at(3*time.Second)), quicktest.Equals, Grant{OK: true})
 }
 
 func TestALowerLimitCountsAtOnce(t *testing.T) {
@@ -78,7 +77,7 @@
 	k.Hear("e", Word{Limit: Of(2), At: now}, now)
 	granted := 0
 	for range 50 {
-		if k.Take("e", 0, 0, now).OK {
+		if k.Take("e", Ask{}, now).OK {
 			granted++
 		}
 	}
@@ -92,7 +91,7 @@
 	granted := make(map[int]int)
 	for now := start; now.Before(at(20 * time.Second)); now = now.Add(5 * time.Millisecond) {
 		rank := int(now.Sub(start)/(5*time.Millisecond)) % 2 * 2
-		if k.Take("e", rank, 200*time.Millisecond, now).OK {
+		if k.Take("e", Ask{Rank: rank, Patience: 200 * time.Millisecond}, now).OK {
 			granted[rank]++
 		}
 	}
@@ -106,12 +105,12 @@
 	k := counterOf(5)
 	var back []time.Time
 	for range 6 {
-		g := k.Take("e", 0, 0, start)
+		g := k.Take("e", Ask{}, start)
 		c.Assert(g.OK, quicktest.IsFalse)
 		back = append(back, start.Add(g.Wait))
 	}
 	for i, b := range back {
-		c.Check(k.Take("e", 0, 0, b).OK, quicktest.IsTrue, quicktest.Commentf("caller %d after %v", i, b.Sub(start)))
+		c.Check(k.Take("e", Ask{}, b).OK, quicktest.IsTrue, quicktest.Commentf("caller %d after %v", i, b.Sub(start)))
 	}
 }
 
@@ -120,11 +119,33 @@
 	k := counterOf(0)
 	granted := 0
 	for now := start; now.Before(at(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
-		if k.Take("e", 0, 0, now).OK {
+		if k.Take("e", Ask{}, now).OK {
 			granted++
 		}
 	}
 	c.Check(granted >= 9 && granted <= 11, quicktest.IsTrue, quicktest.Commentf("%d", granted))
 	k.Forget("e")
-	c.Check(k.Take("e", 0, 0, at(20*time.Second)), quicktest.Equals, Grant{OK: true})
+	c.Check(k.Take("e", Ask{}, at(20*time.Second)), quicktest.Equals, Grant{OK: true})
+}
+
+// Requests that others can serve take only what is left: none while others want all, and all that would
+// be lost else.
+func TestRequestsThatOthersCanServeTakeWhatIsLeft(t *testing.T) {
+	c := quicktest.New(t)
+	k := counterOf(10)
+	granted := make(map[bool]int)
+	for now := start; now.Before(at(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
+		step := int(now.Sub(start) / (10 * time.Millisecond))
+		if now.Before(at(10*time.Second)) && step%5 == 0 && k.Take("e", Ask{}, now).OK {
+			granted[false]++
+		}
+		if k.Take("e", Ask{Spare: true}, now).OK {
+			granted[true]++
+		}
+	}
+	c.Check(granted[false] >= 98, quicktest.IsTrue, quicktest.Commentf("%v", granted))
+	c.Check(granted[true] >= 95 && granted[true] <= 105, quicktest.IsTrue, quicktest.Commentf("%v", granted))
+	c.Check(Ask{}.Before(Ask{Spare: true}), quicktest.IsTrue)
+	c.Check(Ask{Rank: 1}.Before(Ask{Rank: 2}), quicktest.IsTrue)
+	c.Check(Ask{Spare: true}.Before(Ask{Rank: 2}), quicktest.IsFalse)
 }
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cairnwick.example/clock"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/wire"
 )
 
@@ -24,13 +25,12 @@
 // takeRoomLocked takes one of the requests that an endpoint takes which names a limit. Each grant is one
 // send. Where there is none, those that wait are served when there is.
 func (s *Scheduler) takeRoomLocked(e *endpoint, now time.Time) bool {
-	g := s.limits.Take(e.name, 0, 0, now) // who goes first is decided among those that wait
+	g := s.limits.Take(e.name, ratelimit.Ask{}, now) // who goes first is decided among those that wait
 	if g.OK {
 		return true
 	}
 	if e.roomTimer == nil {
-		wait, _ := s.limits.Room(e.name, now)
-		e.roomTimer = time.AfterFunc(wait, func() { s.roomAgain(e) })
+		e.roomTimer = time.AfterFunc(s.limits.Room(e.name, now).Wait, func() { s.roomAgain(e) })
 	}
 	return false
 }
@@ -45,9 +45,5 @@
 
 // waitForRoom is how long a request waits until an endpoint takes it after so many others.
 func (s *Scheduler) waitForRoom(e *endpoint, ahead int, now time.Time) time.Duration {
-	wait, limited := s.limits.Room(e.name, now)
-	if !limited {
-		return 0
-	}
-	return wait + s.limits.Turns(e.name, ahead)
+	return s.limits.Room(e.name, now).Wait + s.limits.Turns(e.name, ahead)
 }
