A request asks for more of a limit once the others have failed; tests of words and facts

A request that another endpoint could serve was offered only what is left of a limit; when the other one turned it away it was refused, though the first had room for it. It asks again then. By a test that fails without it.

--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"strconv"
@@ -13,8 +14,12 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/clock"
+	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
+	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 )
 
 // What the users allow: an endpoint's limit, and half of it and five requests besides, in some window,
@@ -268,3 +273,83 @@
 	}
 	c.Check(stop(), quicktest.IsNil)
 }
+
+// newLimited returns the parts of a node that knows one endpoint, and that it names a limit by a fact.
+func newLimited(c *quicktest.C) (n *Node, now time.Time) {
+	n = newNode(c, "box-1")
+	n.build()
+	n.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: "e1", Service: "s", DataCentre: "dc"}))
+	n.limits.publish("e1", ratelimit.Of(5))
+	c.Assert(n.limits.Limited("e1"), quicktest.IsTrue)
+	return n, clock.Now()
+}
+
+func TestAFactEndsALimitAndNothingElseDoes(t *testing.T) {
+	c := quicktest.New(t)
+	n, now := newLimited(c)
+	n.items.Merge(&wire.Item{Key: limitsPrefix + "e1", Version: 1 << 62, Value: []byte("no limit")})
+	c.Check(n.limits.Limited("e1"), quicktest.IsTrue)
+	n.limits.Unread("e1", errors.New("no number"))
+	c.Check(n.limits.Limited("e1"), quicktest.IsTrue)
+	n.limits.Said("e1", ratelimit.Limit{}, now.Add(-time.Second)) // its request was sent before
+	c.Check(n.limits.Limited("e1"), quicktest.IsTrue)
+	n.limits.publish("e1", ratelimit.Limit{})
+	c.Check(n.limits.Limited("e1"), quicktest.IsFalse)
+}
+
+// The time of day went back: a limit that begins or ends then is told in a newer version all the same.
+func TestALimitIsToldThoughTheTimeOfDayWentBack(t *testing.T) {
+	c := quicktest.New(t)
+	n, _ := newLimited(c)
+	ahead := n.items.Version(limitsPrefix+"e1") + uint64(time.Hour.Microseconds())
+	n.items.Merge(&wire.Item{Key: limitsPrefix + "e1", Version: ahead, Value: nil})
+	c.Assert(n.limits.Limited("e1"), quicktest.IsFalse) // a fact without a value names none
+	n.limits.publish("e1", ratelimit.Of(3))
+	c.Check(n.limits.Limited("e1"), quicktest.IsTrue)
+	c.Check(n.items.Version(limitsPrefix+"e1"), quicktest.Equals, ahead+1)
+}
+
+// Limits may change with each answer; all boxes are told of those that differ much, and not at once.
+func TestAllBoxesAreToldFewOfTheValuesThatALimitTakes(t *testing.T) {
+	c := quicktest.New(t)
+	n, now := newLimited(c)
+	c.Check(n.limits.isNews("e1", ratelimit.Of(5.5), now.Add(time.Minute)), quicktest.IsFalse)
+	c.Check(n.limits.isNews("e1", ratelimit.Of(9), now), quicktest.IsFalse)
+	c.Check(n.limits.isNews("e1", ratelimit.Of(9), now.Add(time.Minute)), quicktest.IsTrue)
+	c.Check(n.limits.isNews("e1", ratelimit.Limit{}, now), quicktest.IsTrue)
+}
+
+// A new life under the same address is another endpoint, and names its own limit.
+func TestWhatIsGoneHasNoLimit(t *testing.T) {
+	c := quicktest.New(t)
+	n, _ := newLimited(c)
+	n.limits.publish("unknown", ratelimit.Of(1)) // as a box tells that has not heard of its end
+	n.limits.forgetGone()
+	c.Check(n.limits.Limited("unknown"), quicktest.IsFalse)
+	c.Check(n.limits.Limited("e1"), quicktest.IsTrue)
+	n.view.RemoveEndpoint("e1")
+	n.limits.forgetGone()
+	c.Check(n.limits.Limited("e1"), quicktest.IsFalse)
+	c.Check(n.items.Keys(), quicktest.HasLen, 0)
+}
+
+// Where nobody counts for an endpoint it gets nothing, and whatever a message says a box serves on.
+func TestWhereNobodyCountsNothingIsTaken(t *testing.T) {
+	c := quicktest.New(t)
+	n, now := newLimited(c)
+	c.Check(n.limits.answer(&wire.TakeRequest{}, now).GetLeads(), quicktest.IsFalse)
+	c.Check(n.limits.hearAll(&wire.LimitsRequest{Words: []*wire.LimitWord{nil, {Endpoint: "e1", Limit: &wire.RateLimit{Named: true, Rate: math.NaN()}}}}, now).GetLeads(), quicktest.IsFalse)
+	taken := n.limits.Take(context.Background(), n.view.Endpoint("e1"), ratelimit.Ask{})
+	c.Check(taken.OK, quicktest.IsFalse)
+	c.Check(taken.Wait > 0, quicktest.IsTrue)
+	c.Check(n.limits.report()["e1"].Denied, quicktest.Equals, int64(1))
+}
+
+// A leader says that the endpoint names no limit any more, before the fact has come that says so.
+func TestTheLeadersWordEndsALimit(t *testing.T) {
+	c := quicktest.New(t)
+	n, now := newLimited(c)
+	word, _ := n.limits.look("e1", ratelimit.Ask{}, now)
+	c.Check(n.limits.taken("e1", word, &wire.TakeReply{Leads: true}, ratelimit.Ask{}, now).OK, quicktest.IsTrue)
+	c.Check(n.limits.Limited("e1"), quicktest.IsFalse)
+}
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -42,11 +42,10 @@
 		if f != nil {
 			return t, f
 		}
-		id := t.endpoint.ID()
-		if _, full := q.full[id]; full { // who decides for the endpoints knows no other one
+		if g.wasFull(q, t.endpoint) { // who decides for the endpoints knows no other one
 			return t, q.noRoom()
 		}
-		if !g.Limits.Limited(id) || g.hasRoom(ctx, q, t.endpoint) {
+		if !g.Limits.Limited(t.endpoint.ID()) || g.hasRoom(ctx, q, t.endpoint) {
 			return t, g.maySend(q, clock.Now())
 		}
 		if ctx.Err() != nil {
@@ -56,14 +55,15 @@
 }
 
 // hasRoom takes one of the requests that an endpoint takes which names a limit, and waits for its time.
-// Where there is none the request is not offered to it again.
+// Where there is none the request goes there no more, unless it gets on by nothing else.
 func (g *Gateway) hasRoom(ctx context.Context, q *request, e *topology.Endpoint) bool {
-	r := g.Limits.Take(ctx, e, g.askFor(q, e))
+	a := g.askFor(q, e)
+	r := g.Limits.Take(ctx, e, a)
 	if !r.OK {
 		if q.full == nil {
-			q.full = make(map[string]time.Duration)
+			q.full = make(map[string]noRoom)
 		}
-		q.full[e.ID()] = r.Wait
+		q.full[e.ID()] = noRoom{ask: a, wait: r.Wait}
 		return false
 	}
 	if r.Wait > 0 {
@@ -75,6 +75,19 @@
 	return true
 }
 
+// noRoom is the answer that an endpoint which names a limit takes no more.
+type noRoom struct {
+	ask  ratelimit.Ask
+	wait time.Duration // until it likely takes such a request
+}
+
+// wasFull tells whether an endpoint had no room for the request, which would get none by asking again:
+// only where the others have failed meanwhile it asks for more than they leave.
+func (g *Gateway) wasFull(q *request, e *topology.Endpoint) bool {
+	n, asked := q.full[e.ID()]
+	return asked && !g.askFor(q, e).Before(n.ask)
+}
+
 // askFor returns what the request asks of an endpoint that names a limit: what others leave, where another
 // one without a limit has what it needs; else it waits a little.
 func (g *Gateway) askFor(q *request, e *topology.Endpoint) ratelimit.Ask {
@@ -100,7 +113,7 @@
 	}
 	var some []*topology.Endpoint
 	for _, e := range list {
-		if _, full := q.full[e.ID()]; full {
+		if g.wasFull(q, e) {
 			continue
 		}
 		if len(q.full) < fullMost || !g.Limits.Limited(e.ID()) {
@@ -124,11 +137,10 @@
 // noRoom refuses a request for which no endpoint has room: its caller may come back when the first of
 // those that were asked has.
 func (q *request) noRoom() *Refusal {
-	back := noneRetry
-	first := true
-	for _, wait := range q.full {
-		if first || wait < back {
-			back, first = wait, false
+	var back time.Duration
+	for _, n := range q.full {
+		if back == 0 || n.wait < back {
+			back = n.wait
 		}
 	}
 	return &Refusal{Code: CodeEndpointLimit, Retry: back, Detail: "the endpoints that could serve it take no more requests"}
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -19,6 +19,8 @@
 type givenLimits struct {
 	noLimits
 
+	noneLeft bool // for requests that others can serve
+
 	mu    sync.Mutex
 	left  map[string]int // of an endpoint that names a limit
 	taken []string       // endpoints that were asked for
@@ -34,11 +36,11 @@
 }
 
 // Take implements Limits.
-func (l *givenLimits) Take(_ context.Context, e *topology.Endpoint, _ ratelimit.Ask) Taken {
+func (l *givenLimits) Take(_ context.Context, e *topology.Endpoint, a ratelimit.Ask) Taken {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.taken = append(l.taken, e.ID())
-	if l.left[e.ID()] == 0 {
+	if l.left[e.ID()] == 0 || (a.Spare && l.noneLeft) {
 		return Taken{Wait: time.Duration(len(l.taken)) * 300 * time.Millisecond}
 	}
 	l.left[e.ID()]--
@@ -115,6 +117,22 @@
 	s.c.Assert(len(l.taken), quicktest.Equals, fullMost)
 }
 
+// A request that another endpoint could serve was offered what is left of a limit, and got nothing. Then
+// the other one turned it away, and it was refused, though the first one had room for it.
+func TestARequestAsksForMoreOnceTheOthersHaveFailed(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	needy := s.endpoint(t, answerOK)
+	s.endpoint(t, refuseUnrun)
+	s.move("e2", "far")
+	l := s.limit(map[string]int{"e1": 1})
+	l.noneLeft = true
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	s.c.Assert(needy.Load(), quicktest.Equals, int64(1))
+	s.c.Assert(l.taken, quicktest.DeepEquals, []string{"e1", "e1"})
+}
+
 // A retry and a stream that goes on are sends like the first one: both take from the limit.
 func TestARetryAndAStreamThatGoesOnTakeFromTheLimit(t *testing.T) {
 	for _, x := range []struct {
--- a/forward/request.go
+++ b/forward/request.go
@@ -32,17 +32,17 @@
 	organisation  *access.Organisation // nil: the route asks for no key
 	spent         float64              // of the organisation's quota, for a run that has not begun
 	body          []byte
-	content       quarantine.Content       // zero: the body has not been read
-	attempts      int                      // requests sent to endpoints
-	ran           int                      // of these, those that may have run
-	tried         map[string]bool          // endpoints that failed it
-	full          map[string]time.Duration // endpoints that name a limit and had no room for it: until they likely have
-	mayHaveRun    bool                     // an attempt may have run
-	noOwnerLogged bool                     // a line tells that nobody answered for an endpoint that should load its adapter
-	budgeted      bool                     // the next attempt has been taken from the budget of retries already
-	withheld      bool                     // the budget kept it from another attempt
-	denied        string                   // the endpoint that said it does not hold the adapter
-	sentAt        time.Time                // of the last attempt
+	content       quarantine.Content // zero: the body has not been read
+	attempts      int                // requests sent to endpoints
+	ran           int                // of these, those that may have run
+	tried         map[string]bool    // endpoints that failed it
+	full          map[string]noRoom  // endpoints that name a limit and had no room for it
+	mayHaveRun    bool               // an attempt may have run
+	noOwnerLogged bool               // a line tells that nobody answered for an endpoint that should load its adapter
+	budgeted      bool               // the next attempt has been taken from the budget of retries already
+	withheld      bool               // the budget kept it from another attempt
+	denied        string             // the endpoint that said it does not hold the adapter
+	sentAt        time.Time          // of the last attempt
 	sentTo        *topology.Endpoint
 	version       int64         // of the adapter at the last attempt; zero: any
 	queued        time.Duration // of waited, until the load began
