--- a/measure/storm.go
+++ b/measure/storm.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -25,6 +26,9 @@
 	Time time.Duration
 	Seed uint64
 	Rate float64 // requests a second
+	// Limit is how many requests a second one engine of each data centre says that it takes; zero: all
+	// engines take all. What comes beyond is a breach, with no allowance for faults.
+	Limit float64
 }
 
 const (
@@ -72,6 +76,9 @@
 		return err
 	}
 	r := &storm{Storm: s, fleet: f, rand: rand.New(rand.NewPCG(s.Seed, 1)), rules: make(map[int]standin.Rule)}
+	if err := r.limit(ctx); err != nil {
+		return err
+	}
 	reports := make(chan load.Report, 1)
 	go func() { reports <- load.Run(ctx, r.plan()) }()
 	if err := r.blow(ctx); err != nil {
@@ -82,7 +89,51 @@
 	if err != nil {
 		return err
 	}
-	return r.print(w, report, seen)
+	over, err := r.overLimits(ctx, w)
+	if err != nil {
+		return err
+	}
+	if err := r.print(w, report, seen); err != nil {
+		return err
+	}
+	if over > 0 {
+		return ErrBreach
+	}
+	return nil
+}
+
+// limit makes the first engine of each data centre name a limit.
+func (r *storm) limit(ctx context.Context) error {
+	if r.Limit <= 0 {
+		return nil
+	}
+	for c := 1; c <= stormCentres; c++ {
+		url := fmt.Sprintf("http://%s/control/limit?a_second=%v", r.fleet.EngineAddress(c, 1), r.Limit)
+		if err := fleet.Post(ctx, url); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// overLimits writes what came to the engines that name limits, and returns how much of it was beyond them.
+func (r *storm) overLimits(ctx context.Context, w io.Writer) (over int, err error) {
+	if r.Limit <= 0 {
+		return 0, nil
+	}
+	for c := 1; c <= stormCentres; c++ {
+		raw, err := fleet.Get(ctx, "http://"+r.fleet.EngineAddress(c, 1)+"/control/limit")
+		if err != nil {
+			return 0, err
+		}
+		var n standin.LimitCounts
+		if err := json.Unmarshal(raw, &n); err != nil {
+			return 0, errors.Wrap(err, "measure: counts of a limit")
+		}
+		fmt.Fprintf(w, "%s names %v a second: came=%d over=%d\n", fleet.EndpointName(c, 1), r.Limit, n.Came, n.Over)
+		over += n.Over
+	}
+	return over, nil
 }
 
 func (r *storm) plan() load.Plan {
