Our own interface: a gateway tells that a limit is over which another one heard

Callers of an engine whose need was over went on to be refused: the gateway that heard its limit ended, and the others, which get answers without one, passed that over since they had heard none. A grant says now whether its engine is limited, and an answer without a limit is told then. By a test that fails without it.

Besides, without a change of what is decided: calls about limits are counted as kinds of their own, and one loop tells leaders what a box learnt, of ends and of limits.

--- a/edge/limits_tell.go
+++ b/edge/limits_tell.go
@@ -18,25 +18,7 @@
 // run tells leaders what endpoints said of their limits, and forgets endpoints that are gone, until
 // ctx ends.
 func (s *limits) run(ctx context.Context) error {
-	expire := time.NewTicker(expirePause)
-	defer expire.Stop()
-	var again <-chan time.Time // when leaders that did not answer are told anew; nil: all were told
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-expire.C:
-			s.forgetGone()
-			continue
-		case <-s.wake:
-		case <-again:
-		}
-		again = nil
-		if !s.tell(ctx) {
-			again = time.After(leaderAgain)
-		}
-	}
-	return nil
+	return teller{Wake: s.wake, Tell: s.tell, Again: leaderAgain, Expire: s.forgetGone}.Run(ctx)
 }
 
 // forgetGone forgets endpoints that this box does not know: a box that had not heard of their end
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -29,7 +29,8 @@
 	endsFor = 8 * time.Second
 	// mostEnds bounds what waits to be told, and what one message may hold: endpoints that end together.
 	mostEnds = 1024
-	// expirePause is between two looks for requests that need not be kept away any more.
+	// expirePause is between two looks for what is over: requests that need not be kept away any more, limits
+	// of endpoints that are gone.
 	expirePause = 10 * time.Second
 )
 
@@ -122,25 +123,13 @@
 
 // run tells leaders of endpoints that ended, and forgets requests whose time is over, until ctx ends.
 func (q *quarantined) run(ctx context.Context) error {
-	expire := time.NewTicker(expirePause)
-	defer expire.Stop()
-	var again <-chan time.Time // when leaders that did not answer are told anew; nil: all were told
-	for ctx.Err() == nil {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-expire.C:
-			q.expire(time.Now())
-			continue
-		case <-q.wake:
-		case <-again:
-		}
-		again = nil
-		if !q.tell(ctx, time.Now()) {
-			again = time.After(endsAgain)
-		}
+	t := teller{
+		Wake:   q.wake,
+		Tell:   func(ctx context.Context) bool { return q.tell(ctx, time.Now()) },
+		Again:  endsAgain,
+		Expire: func() { q.expire(time.Now()) },
 	}
-	return nil
+	return t.Run(ctx)
 }
 
 func (q *quarantined) expire(now time.Time) {
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -30,6 +30,8 @@
 	kindSettle    = "settle"         // draws from quotas, and the answer
 	kindLend      = "lend"           // moves a part of the quotas between data centres, and the answer
 	kindEnded     = "ended"          // endpoints that ended while they ran requests, and the answer
+	kindTake      = "take"           // of the requests that an endpoint takes which names a limit
+	kindLimits    = "limits"         // what endpoints say of their limits
 	kindUnknown   = "other"          // of a newer version
 )
 
@@ -62,6 +64,10 @@
 		return kindLend
 	case *wire.EndedRequest, *wire.EndedReply:
 		return kindEnded
+	case *wire.TakeRequest, *wire.TakeReply:
+		return kindTake
+	case *wire.LimitsRequest, *wire.LimitsReply:
+		return kindLimits
 	}
 	return kindUnknown
 }
--- a/forward/home.go
+++ b/forward/home.go
@@ -27,7 +27,7 @@
 		return target{endpoint: e, version: g.View.Newest(a)}, nil
 	}
 	if others := g.unlimited(list); len(others) > 0 {
-		list = others // an endpoint in need gets no further adapters
+		list = others // who decides may still choose one with a limit that takes more than it gets
 	}
 	for {
 		t, f, settling := g.askHomes(ctx, q, list)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -71,7 +71,7 @@
 		return g.lost(live, h, run, r, err)
 	}
 	defer a.Body.Close()
-	g.hearLimit(h.endpoint, a.Header, sent, clock.Now())
+	g.hearLimit(h, a.Header, sent, clock.Now())
 	r.Fence = a.Header.Get(engine.FenceHeader)
 	r.Boot = a.Header.Get(engine.BootHeader)
 	if a.StatusCode >= http.StatusBadRequest {
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -17,12 +17,13 @@
 // zero value knows nothing.
 type limits struct {
 	mu    sync.Mutex
-	words map[string]ratelimit.Word // by endpoint; of those that named a limit once
+	words map[string]ratelimit.Word // by endpoint; of those that named a limit once, or that are limited
 }
 
 // hear takes in what an answer says of a limit, whose request was sent at sent. It tells whether the limit
-// is another one than before.
-func (l *limits) hear(endpoint string, said ratelimit.Limit, sent, now time.Time) bool {
+// is another one than before. Of an endpoint that names none and never did nothing is kept, unless its
+// owner limits it, by the word of another gateway.
+func (l *limits) hear(endpoint string, said ratelimit.Limit, limited bool, sent, now time.Time) bool {
 	w := ratelimit.Word{Limit: said, At: now}
 	if !said.Named() {
 		w.At = sent
@@ -30,7 +31,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before, known := l.words[endpoint]
-	if (!known && !said.Named()) || !w.At.After(before.At) {
+	if (!known && !limited && !said.Named()) || !w.At.After(before.At) {
 		return false
 	}
 	if l.words == nil {
@@ -51,14 +52,14 @@
 	return wire.NewLimitWord(endpoint, w, now)
 }
 
-// hearLimit takes in what the head of an answer says.
-func (g *Gateway) hearLimit(endpoint string, h http.Header, sent, now time.Time) {
+// hearLimit takes in what the head of an answer says, which a grant brought.
+func (g *Gateway) hearLimit(held heldGrant, h http.Header, sent, now time.Time) {
 	l, err := ratelimit.Parse(h.Values(engine.LimitHeader))
 	if err != nil {
-		g.Log.V(1).Info("Endpoint's limit can't be read; what was known before stays", "endpoint", endpoint, "err", err.Error())
+		g.Log.V(1).Info("Endpoint's limit can't be read; what was known before stays", "endpoint", held.endpoint, "err", err.Error())
 		return
 	}
-	if g.limits.hear(endpoint, l, sent, now) {
-		g.Log.V(1).Info("Endpoint names a limit", "endpoint", endpoint, "named", l.Named(), "a_second", l.Rate())
+	if g.limits.hear(held.endpoint, l, held.grant.GetLimited(), sent, now) {
+		g.Log.V(1).Info("Endpoint names another limit than before", "endpoint", held.endpoint, "named", l.Named(), "a_second", l.Rate())
 	}
 }
--- a/scheduler/limits.go
+++ b/scheduler/limits.go
@@ -19,7 +19,7 @@
 	e.mu.Lock()
 	e.takes = l
 	e.mu.Unlock()
-	s.Log.Info("Endpoint names a limit", "endpoint", e.name, "named", l.Named(), "a_second", l.Rate())
+	s.Log.Info("Endpoint names another limit than before", "endpoint", e.name, "named", l.Named(), "a_second", l.Rate())
 }
 
 // takeRoomLocked takes one of the requests that an endpoint takes which names a limit. Each grant is one
--- a/scheduler/limits_test.go
+++ b/scheduler/limits_test.go
@@ -52,6 +52,7 @@
 	for range 4 {
 		a := b.askKnowing(ratelimit.Of(20), time.Second)
 		b.Assert(a.GetGrant(), quicktest.IsNotNil)
+		b.Assert(a.GetGrant().GetLimited(), quicktest.IsTrue)
 		b.release(a, wire.Outcome_OUTCOME_COMPLETED)
 	}
 }
