Test fleets get addresses that no other fleet has; a fault that can't be induced is named

Addresses came from the number of the process and of the fleet within it, so that fleets of two processes whose numbers differ by 250 share theirs. That this was the cause is not shown: it is one that fits both.

--- a/fleet/address.go
+++ b/fleet/address.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/netip"
 	"os"
 	"strconv"
@@ -29,18 +30,30 @@
 const (
 	platformNumber = 1
 	proxyNumber    = 2
+	takenNumber    = 3  // nobody answers there: a fleet has these addresses
 	firstService   = 10 // below the first service, which is counted from 1
 	centreNumbers  = 40 // of one data centre
 	firstEngine    = 20 // within a data centre, below its first engine
 	lastNumber     = 254
 )
 
+// networksTried is how many a fleet may find taken: some dozen fleets run at a time.
+const networksTried = 100
+
 var fleets atomic.Int32 // begun by this process
 
-// newNetwork returns the first three numbers of a fleet's loopback addresses,
-// other than those of fleets that other processes started.
-func newNetwork() string {
-	return fmt.Sprintf("127.%d.%d", 16+int(fleets.Add(1))%200, 1+os.Getpid()%250)
+// newNetwork returns the first three numbers of a fleet's loopback addresses, and what keeps other fleets
+// from them until it is closed. By numbers of processes alone two fleets of unlike processes could get the same
+// ones, and each one's processes would answer for the other's.
+func newNetwork() (network string, taken net.Listener) {
+	for n := range networksTried {
+		network = fmt.Sprintf("127.%d.%d", 16+int(fleets.Add(1))%200, 1+(os.Getpid()+n)%250)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, takenNumber, standinPort))
+		if err == nil {
+			return network, l
+		}
+	}
+	return network, nil // its processes will say that their addresses are in use
 }
 
 // ip returns the fleet's address with a last number.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"os"
 	"sync"
 	"time"
@@ -24,8 +25,9 @@
 type Fleet struct {
 	Spec Spec
 
-	network  string   // first three numbers of every address
-	identity Identity // of every daemon, with TLS
+	network  string       // first three numbers of every address
+	taken    net.Listener // keeps other fleets from the network; nil: nothing does
+	identity Identity     // of every daemon, with TLS
 
 	mu        sync.Mutex
 	processes map[string]*process // by name, running ones
@@ -34,7 +36,8 @@
 
 // New returns a fleet that is not started.
 func New(s Spec) *Fleet {
-	return &Fleet{Spec: s, network: newNetwork(), processes: make(map[string]*process)}
+	network, taken := newNetwork()
+	return &Fleet{Spec: s, network: network, taken: taken, processes: make(map[string]*process)}
 }
 
 // Start starts every process and returns when every daemon is ready.
--- a/fleet/process.go
+++ b/fleet/process.go
@@ -119,4 +119,7 @@
 	for _, p := range list {
 		<-p.ended
 	}
+	if f.taken != nil {
+		_ = f.taken.Close() // nobody connects to it
+	}
 }
--- a/measure/faults.go
+++ b/measure/faults.go
@@ -14,6 +14,7 @@
 	"cairnwick.example/load"
 	"cairnwick.example/member"
 	"cairnwick.example/standin"
+	"github.com/pkg/errors"
 )
 
 // fault is one kind of failure at one place. Inject begins it and calm ends it.
@@ -57,7 +58,7 @@
 // inject begins a fault and notes when.
 func (r *storm) inject(ctx context.Context, n int, f fault) error {
 	r.done = append(r.done, struckFault{name: f.name, begun: time.Now()})
-	return f.inject(ctx, n)
+	return errors.Wrapf(f.inject(ctx, n), "measure: fault %q", f.name)
 }
 
 // calm ends a fault and notes when.
