--- a/fleet/process.go
+++ b/fleet/process.go
@@ -72,7 +72,22 @@
 	if p == nil {
 		return errors.Errorf("fleet: no process %s", name)
 	}
-	return p.command.Process.Signal(s)
+	if err := p.command.Process.Signal(s); err != nil {
+		return errors.Wrapf(err, "fleet: %s, whose log ends: %s", name, f.tail(name))
+	}
+	return nil
+}
+
+// tailMost is how much of a log an error tells, in bytes.
+const tailMost = 1000
+
+// tail returns the end of a process's log.
+func (f *Fleet) tail(name string) string {
+	text, err := os.ReadFile(f.file(name, ".log"))
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(len(text)-tailMost, 0):])
 }
 
 // stopTimeout is how long a process has to end by itself.
