A limit is counted in the order of time, in whichever order calls come

Cause: a call reads the clock, waits for a lock or the processor, and takes at its older time after later ones; the bucket counts the time in between twice then. By a test 399 are granted where 60 are allowed; in order of time, 60. Times never go back now.

Ruled out: grants used late (they expire, by the same clock), retries of the connection (only what was not sent), a change of owner (none in that run).

--- a/ratelimit/counter.go
+++ b/ratelimit/counter.go
@@ -46,6 +46,17 @@
 	word     Word
 	bucket   *rate.Limiter // nil while no limit is named
 	promised time.Time     // when the last of the refused callers was told to come back
+	latest   time.Time     // of the times that were passed in
+}
+
+// inOrder returns now, or the latest time that was passed in before: calls may wait for a lock or for the
+// processor after they have read the clock, and a bucket that is asked for an older time counts the time
+// in between twice.
+func (n *count) inOrder(now time.Time) time.Time {
+	if now.After(n.latest) {
+		n.latest = now
+	}
+	return n.latest
 }
 
 // Hear takes in a word of an endpoint; it tells whether the limit is another one now. An older word
@@ -70,7 +81,7 @@
 	changed := n.word.Limit != w.Limit
 	n.word = w
 	if changed {
-		n.adjust(now)
+		n.adjust(n.inOrder(now))
 	}
 	return changed
 }
@@ -128,6 +139,7 @@
 	if n == nil || n.bucket == nil {
 		return Grant{OK: true}
 	}
+	now = n.inOrder(now)
 	if a.Spare && !n.hasSpare(now) {
 		return Grant{Limited: true, Wait: n.waitFor(float64(n.bucket.Burst()), now)}
 	}
@@ -179,6 +191,7 @@
 	if n == nil || n.bucket == nil {
 		return Room{Spare: true}
 	}
+	now = n.inOrder(now)
 	return Room{Limited: true, Wait: n.waitFor(1, now), Spare: n.hasSpare(now)}
 }
 
--- a/ratelimit/counter_test.go
+++ b/ratelimit/counter_test.go
@@ -149,3 +149,29 @@
 	c.Check(Ask{Rank: 1}.Before(Ask{Rank: 2}), quicktest.IsTrue)
 	c.Check(Ask{Spare: true}.Before(Ask{Rank: 2}), quicktest.IsFalse)
 }
+
+// An engine that named three requests a second got 24 in 4 s on a machine with three busy processes for
+// each core; 23 are allowed.
+//
+// The order of events: a call reads the clock and waits for a lock, or for the processor. Others that
+// read it later go first. Then the first one takes, at its older time.
+//
+// The cause: a bucket that is asked for an older time than before counts the time in between twice.
+//
+// The evidence: by times in order the same calls are granted what the limit allows.
+func TestCallsThatComeOutOfOrderGetNoMore(t *testing.T) {
+	c := quicktest.New(t)
+	k := counterOf(3)
+	granted := 0
+	for now := start; now.Before(at(20 * time.Second)); now = now.Add(50 * time.Millisecond) {
+		for _, late := range []time.Duration{0, 300 * time.Millisecond, 20 * time.Millisecond} {
+			if k.Take("e", Ask{}, now.Add(-late)).OK {
+				granted++
+			}
+			k.Room("e", now.Add(-late))
+			k.Hear("e", Word{Limit: Of(3 + float64(granted%2)/10), At: now}, now.Add(-late))
+		}
+	}
+	c.Check(granted <= 20*3+3, quicktest.IsTrue, quicktest.Commentf("%d", granted))
+	c.Check(granted >= 20*3-2, quicktest.IsTrue, quicktest.Commentf("%d", granted))
+}
