A test of what is left of a limit, which passed without the mechanism

Requests that others can serve asked at the same moments as the others, after them, so that they got nothing in any case. They do not go in step now; red with the mechanism out.

--- a/ratelimit/counter_test.go
+++ b/ratelimit/counter_test.go
@@ -136,14 +136,14 @@
 	granted := make(map[bool]int)
 	for now := start; now.Before(at(20 * time.Second)); now = now.Add(10 * time.Millisecond) {
 		step := int(now.Sub(start) / (10 * time.Millisecond))
-		if now.Before(at(10*time.Second)) && step%5 == 0 && k.Take("e", Ask{}, now).OK {
+		if now.Before(at(10*time.Second)) && step%7 == 3 && k.Take("e", Ask{}, now).OK {
 			granted[false]++
 		}
 		if k.Take("e", Ask{Spare: true}, now).OK {
 			granted[true]++
 		}
 	}
-	c.Check(granted[false] >= 98, quicktest.IsTrue, quicktest.Commentf("%v", granted))
+	c.Check(granted[false] >= 97, quicktest.IsTrue, quicktest.Commentf("%v", granted))
 	c.Check(granted[true] >= 95 && granted[true] <= 105, quicktest.IsTrue, quicktest.Commentf("%v", granted))
 	c.Check(Ask{}.Before(Ask{Spare: true}), quicktest.IsTrue)
 	c.Check(Ask{Rank: 1}.Before(Ask{Rank: 2}), quicktest.IsTrue)
