Sight: what an endpoint says in its answers of leaving and of back-offs is read, logged and counted

Logs could not tell an endpoint that is full from one that asks to be left alone, nor when one said that it leaves. platform reads both, with the limit and the idle time, into one Notice; a line for each that is news, and edge_notices counts what was sent there all the same. Package backoff reads the time. Nothing is decided by it yet.

--- /dev/null
+++ b/backoff/parse_test.go
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package backoff
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+func TestWhatAnEndpointAsksForIsRead(t *testing.T) {
+	for _, x := range []struct {
+		values []string
+		want   time.Duration
+		unread bool
+	}{
+		{values: nil},
+		{values: []string{"3"}, want: 3 * time.Second},
+		{values: []string{" 0.25 "}, want: 250 * time.Millisecond},
+		{values: []string{"0"}},
+		{values: []string{"1", "2.5"}, want: 2500 * time.Millisecond},
+		{values: []string{"never", "2"}, want: 2 * time.Second},
+		{values: []string{"1e300"}, want: Longest},
+		{values: []string{"1e999"}, want: Longest},
+		{values: []string{"inf"}, want: Longest},
+		{values: []string{"-inf"}, unread: true},
+		{values: []string{"-1"}, unread: true},
+		{values: []string{"NaN"}, unread: true},
+		{values: []string{""}, unread: true},
+		{values: []string{"Thu, 03 Dec 2026 07:00:00 GMT"}, unread: true},
+	} {
+		c := quicktest.New(t)
+		got, err := Parse(x.values)
+		c.Check(got, quicktest.Equals, x.want, quicktest.Commentf("%q", x.values))
+		c.Check(err != nil, quicktest.Equals, x.unread, quicktest.Commentf("%q", x.values))
+	}
+}
+
+// FuzzParse: whatever is asked for is between nothing and Longest, and never both read and not.
+func FuzzParse(f *testing.F) {
+	f.Add("3", "")
+	f.Add("NaN", "1e300")
+	f.Add("-1", "0")
+	f.Fuzz(func(t *testing.T, first, second string) {
+		d, err := Parse([]string{first, second})
+		if d < 0 || d > Longest || (d > 0 && err != nil) {
+			t.Errorf("%q and %q are %v, and %v", first, second, d, err)
+		}
+	})
+}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -148,8 +148,7 @@
 // judge tells whether an answer belongs to the call and whether it ran.
 func (g *Gateway) judge(q *request, u *upstream, t target, a *http.Response) *Refusal {
 	v := g.Protocol.ReadAnswer(a, q.call, t.endpoint.ID())
-	u.heardIdle(v.IdleTimeout)
-	g.hearLimit(q, t, v)
+	g.takeNotice(q, u, t, v)
 	switch {
 	case v.Elsewhere:
 		u.unreachable(clock.Now())
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -31,6 +31,7 @@
 		d.run = g.Observer.Begun(t.endpoint, q.call)
 	}
 	g.Limits.Sent(t.endpoint.ID())
+	g.notices.sent(t.endpoint.ID(), d.sent)
 	q.attempts++
 	q.sentAt, q.sentTo, q.version, q.predicted, q.firstAt = d.sent, t.endpoint, t.version, d.predicted, time.Time{}
 	return d
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -47,16 +47,14 @@
 
 // Answer is what the head of an endpoint's answer says.
 type Answer struct {
-	Own         bool          // it answers this call and no other
-	Signed      bool          // an endpoint vouches for it
-	NotRun      bool          // the endpoint says that the request did not run
-	Elsewhere   bool          // another life or service has the address
-	NotHeld     bool          // the endpoint holds no such adapter or version
-	Encoded     bool          // the body is not the endpoint's plain body
-	IdleTimeout time.Duration // after which the endpoint closes an unused connection; zero: not said
-
-	Limit       ratelimit.Limit // that the endpoint names
-	LimitUnread error           // it names something that can't be read; Limit says nothing then
+	Own       bool // it answers this call and no other
+	Signed    bool // an endpoint vouches for it
+	NotRun    bool // the endpoint says that the request did not run
+	Elsewhere bool // another life or service has the address
+	NotHeld   bool // the endpoint holds no such adapter or version
+	Encoded   bool // the body is not the endpoint's plain body
+
+	Notice // of the endpoint that answers
 }
 
 // Protocol is how callers and endpoints say these things in headers.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -38,6 +38,7 @@
 
 	begun     time.Time // when this box began to count its shares of the retries
 	upstreams upstreams
+	notices   notices
 	watchOnce sync.Once
 	watched   *quarantine.Watch // by watch
 	centres   centres
@@ -55,7 +56,7 @@
 	g.begin(clock.Now())
 	ended := make(chan error, 1)
 	go func() { ended <- g.watch().Run(ctx) }()
-	g.upstreams.watch(ctx, g.View)
+	g.forget(ctx)
 	return <-ended
 }
 
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -25,7 +25,6 @@
 // endpoint may name one; that there is none only its own answer to this request tells.
 func (g *Gateway) hearLimit(q *request, t target, v Answer) {
 	switch {
-	case v.Elsewhere: // of another endpoint
 	case v.LimitUnread != nil:
 		g.Limits.Unread(t.endpoint.ID(), v.LimitUnread)
 	case v.Limit.Named() || (v.Own && v.Signed):
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -13,6 +13,7 @@
 	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
 )
 
 // givenLimits knows endpoints that name limits, and hands out so many requests for each.
@@ -219,14 +220,15 @@
 func TestOnlyAnEndpointsOwnAnswerEndsALimit(t *testing.T) {
 	c := quicktest.New(t)
 	l := &givenLimits{}
-	g := &Gateway{Limits: l}
-	at := target{endpoint: topology.NewEndpoint(topology.EndpointSpec{ID: "e1"})}
-	g.hearLimit(&request{}, at, Answer{Elsewhere: true, Limit: ratelimit.Of(3)})
-	g.hearLimit(&request{}, at, Answer{Own: true})
-	g.hearLimit(&request{}, at, Answer{LimitUnread: http.ErrBodyNotAllowed, Own: true, Signed: true})
+	g := &Gateway{Limits: l, Log: logr.Discard()}
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1"})
+	hear := func(a Answer) { g.takeNotice(&request{}, newUpstream(e), target{endpoint: e}, a) }
+	hear(Answer{Elsewhere: true, Notice: Notice{Limit: ratelimit.Of(3)}})
+	hear(Answer{Own: true})
+	hear(Answer{Own: true, Signed: true, Notice: Notice{LimitUnread: http.ErrBodyNotAllowed}})
 	c.Check(l.said, quicktest.HasLen, 0)
-	g.hearLimit(&request{}, at, Answer{Limit: ratelimit.Of(3)})
-	g.hearLimit(&request{}, at, Answer{Own: true, Signed: true})
+	hear(Answer{Notice: Notice{Limit: ratelimit.Of(3)}})
+	hear(Answer{Own: true, Signed: true})
 	c.Check(l.said, quicktest.HasLen, 2)
 	c.Check([]bool{l.said[0].Named(), l.said[1].Named()}, quicktest.DeepEquals, []bool{true, false})
 }
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -248,11 +248,13 @@
 // no harm meanwhile.
 const forgetPause = 250 * time.Millisecond
 
-// watch forgets gone endpoints as the view changes, until ctx ends.
-func (t *upstreams) watch(ctx context.Context, v *topology.View) {
+// forget forgets gone endpoints as the view changes, until ctx ends.
+func (g *Gateway) forget(ctx context.Context) {
+	known := func(id string) bool { return g.View.Endpoint(id) != nil }
 	for ctx.Err() == nil {
-		changed := v.Changed()
-		t.keep(func(id string) bool { return v.Endpoint(id) != nil })
+		changed := g.View.Changed()
+		g.upstreams.keep(known)
+		g.notices.keep(known)
 		select {
 		case <-ctx.Done():
 			return
