--- a/edge/ended_test.go
+++ b/edge/ended_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/backoff"
 	"cairnwick.example/forward"
 	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
@@ -36,8 +37,11 @@
 
 // ReadAnswer implements forward.Protocol.
 func (plainProtocol) ReadAnswer(a *http.Response, _ forward.Call, _ string) forward.Answer {
-	v := forward.Answer{Own: true, Signed: true}
-	v.Limit, v.LimitUnread = ratelimit.Parse(a.Header.Values("Limit"))
+	h := a.Header
+	v := forward.Answer{Own: true, Signed: true, NotRun: h.Get("Not-Run") != ""}
+	v.Limit, v.LimitUnread = ratelimit.Parse(h.Values("Limit"))
+	v.Leaving = h.Get("Leaving") != ""
+	v.Backoff, v.BackoffUnread = backoff.Parse(h.Values("Back-Off"))
 	return v
 }
 
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -37,13 +37,15 @@
 	box string
 }
 
-// needyEndpoint answers requests, and names a limit in its answers while it has one.
+// needyEndpoint answers requests, and says in its answers what it was told to say.
 type needyEndpoint struct {
 	address string
 
 	mu       sync.Mutex
-	limit    string
-	told     map[string]time.Time // by box: when it was told first, since the limit was set
+	header   string // that it writes; empty: none
+	value    string
+	refuses  bool                 // it turns requests away
+	told     map[string]time.Time // by box: when it was told first, since that was set
 	arrivals []arrival            // since then
 }
 
@@ -51,25 +53,36 @@
 func (e *needyEndpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	box := r.Header.Get("Box")
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.arrivals = append(e.arrivals, arrival{at: time.Now(), box: box})
-	limit := e.limit
-	e.mu.Unlock()
-	if limit == "" {
+	if e.header == "" {
 		return
 	}
-	w.Header().Set("Limit", limit)
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	w.Header().Set(e.header, e.value)
+	if e.refuses {
+		w.Header().Set("Not-Run", "yes")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
 	if _, known := e.told[box]; !known {
 		e.told[box] = time.Now()
 	}
 }
 
-// name sets the limit that the endpoint names from now on; empty: none.
-func (e *needyEndpoint) name(limit string) {
+// say sets what the endpoint says in its answers from now on; an empty header: nothing.
+func (e *needyEndpoint) say(header, value string, refuses bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.limit, e.told, e.arrivals = limit, make(map[string]time.Time), nil
+	e.header, e.value, e.refuses = header, value, refuses
+	e.told, e.arrivals = make(map[string]time.Time), nil
+}
+
+// name sets the limit that the endpoint names from now on; empty: none.
+func (e *needyEndpoint) name(limit string) {
+	if limit == "" {
+		e.say("", "", false)
+		return
+	}
+	e.say("Limit", limit, false)
 }
 
 // most returns the most requests that came in some window from boxes that had been told before.
