An endpoint that says in its answers that it leaves gets nothing new

What callers saw: nothing yet; requests and loads went to an endpoint for 13 s after it had said that it leaves, while the store was away, and what it ran when it ended would have been lost to them. Cause: that an endpoint leaves was known by its entry in the store alone; no box read it in answers. Class: what an endpoint says in an answer is heard by nobody. Mend: the view takes a life that said so for one that drains, whatever the store says of it later, so every decision that asks Draining follows: first attempts, retries, streams that go on, requests that waited, loads, copies. Answers to orders and reports are read too. The box that hears it tells the leaders of all data centres as it tells them of ends (one outbox for both), and leaders tell all boxes by a fact. Ruled out: a word that is read and lost again (arrivals did not pause), ways round it (first attempts). Why it holds: only an answer to this very request says so, a life that leaves does not come back, and the next life has another name.

--- a/cmd/cairnwick/main.go
+++ b/cmd/cairnwick/main.go
@@ -41,16 +41,18 @@
 	defer flush()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	control := platform.NewControl()
 	n := &edge.Node{
 		Settings: s,
 		Source:   platform.NewStore(store),
 		Decoder:  platform.Decoder{},
 		Protocol: platform.Protocol{},
-		Control:  platform.NewControl(),
+		Control:  control,
 		Log:      log,
 		Lines:    lines,
 		Profile:  c.Profile,
 	}
+	control.Notice = n.HearNotice
 	reloaded := make(chan struct{})
 	go func() {
 		reload(ctx, n, hangups)
--- a/edge/node.go
+++ b/edge/node.go
@@ -45,15 +45,19 @@
 	usage    *usage
 	levels   levels
 	spending *spending
-	kept     *quarantined
+	outbox   *outbox
+	kept     quarantined
 	limits   *limits
-	vouched  vouched
-	leaving  atomic.Bool
-	fresh    freshness
-	calls    calls
-	known    known
-	away     atomic.Bool   // whether the source does not answer
-	listed   atomic.Uint64 // the source's revision when this box listed the endpoints last
+
+	departures departures
+
+	vouched vouched
+	leaving atomic.Bool
+	fresh   freshness
+	calls   calls
+	known   known
+	away    atomic.Bool   // whether the source does not answer
+	listed  atomic.Uint64 // the source's revision when this box listed the endpoints last
 }
 
 const (
@@ -77,7 +81,9 @@
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.word}
 	n.usage = newUsage(n)
 	n.spending = newSpending(n)
-	n.kept = newQuarantined(n)
+	n.outbox = newOutbox(n)
+	n.kept = quarantined{node: n}
+	n.departures = departures{node: n}
 	n.limits = newLimits(n)
 	n.state.limits = n.limits
 	n.loader = &placement.Loader{
@@ -111,6 +117,7 @@
 		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, clock.Now()) },
 		Cut:        func(centre string) bool { return n.peers.clusterView().silent[centre] },
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
+		Leaving:    n.departures.heard,
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.Log,
 		Pressed:    n.Lines.Pressed,
@@ -173,6 +180,10 @@
 	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, now)
 }
 
+// HearNotice takes in what an endpoint says of itself in an answer to an order or a report. Call it only
+// while Run serves.
+func (n *Node) HearNotice(endpoint string, said forward.Notice) { n.gateway.HearNotice(endpoint, said) }
+
 // task is something that runs until its context ends.
 type task func(context.Context) error
 
@@ -196,7 +207,7 @@
 	held := n.Settings.Bounds.Grace - noticeFor - endMargin // what is held when the end begins has so long
 	tasks := []task{
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLead, n.gateway.Run, n.logTraffic,
-		n.spending.run, n.spending.borrow, n.kept.run, n.limits.run,
+		n.spending.run, n.spending.borrow, n.outbox.run, n.limits.run,
 		n.reader(Settled).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
 		httpTask(n.gateway, listeners.callers, held, max(n.Settings.Limits.Descriptors/callerPart, mostAsking)),
--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 )
 
@@ -55,6 +57,12 @@
 // The order of events: the store falls silent. An endpoint begins to leave, and says so in all its
 // answers; the store takes its entry only 13 s later. Each box that passes such an answer on goes on to
 // send requests there, and the leader of its data centre to order loads.
+//
+// The cause: boxes knew that an endpoint leaves by its entry in the store alone, and no box read its answers
+// for it.
+//
+// The evidence: no line of any box named the leaving before the store was back, and arrivals and loads at
+// the endpoint went on until then; with the mend taken out 55 requests come here too late.
 func TestAnEndpointThatLeavesByItsAnswersGetsNothingNew(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
@@ -67,6 +75,69 @@
 	c.Check(got, quicktest.DeepEquals, map[int]int{http.StatusOK: 80 * 5})
 }
 
+// The first answers tell one box each, and all boxes leave the endpoint alone.
+func TestAllBoxesHearThatAnEndpointLeaves(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	s := newNeedy(c, 2)
+	nodes, end := fleetOf(c, s, centreDecoder{}, 4)
+	nodes[3].departures.heard("e/1") // as if it had been told: it leads nothing
+	for _, n := range nodes {
+		awaitLeaving(c, n, "e/1")
+		c.Check(n.view.Endpoint("e/0").Draining(), quicktest.IsFalse)
+	}
+	end(0) // its data centre's leader
+	started := newNode(c, "box-9", nodes[1].Settings.Peers)
+	started.Settings.DataCentre = "dc-0"
+	started.Source, started.Decoder, started.Protocol = s, centreDecoder{}, plainProtocol{}
+	stop := start(started)
+	variablesOf(c, started)
+	awaitLeaving(c, started, "e/1")
+	c.Check(stop(), quicktest.IsNil)
+}
+
+// awaitLeaving waits until a box believes that an endpoint leaves.
+func awaitLeaving(c *quicktest.C, n *Node, endpoint string) {
+	for tries := 0; ; tries++ {
+		if e := n.view.Endpoint(endpoint); e != nil && e.Draining() {
+			return
+		}
+		c.Assert(tries < 500, quicktest.IsTrue, quicktest.Commentf("%s", n.Settings.Box))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// A fact that an endpoint leaves ends with the endpoint; boxes that have not heard of its end may tell it again.
+func TestFactsOfEndpointsThatAreGoneAreForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-1")
+	n.build()
+	n.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: "e1", Service: "s"}))
+	n.departures.hear(&wire.EndedRequest{Leaving: []string{"e1", "", "unknown"}})
+	n.departures.forgetGone()
+	c.Check(n.items.Keys(), quicktest.DeepEquals, []string{leavingPrefix + "e1"})
+	n.view.RemoveEndpoint("e1")
+	n.departures.forgetGone()
+	c.Check(n.items.Keys(), quicktest.HasLen, 0)
+	n.departures.hear(&wire.EndedRequest{Leaving: []string{"e1"}})
+	n.departures.forgetGone()
+	c.Check(n.items.Keys(), quicktest.HasLen, 0)
+}
+
+// The store's entry of an endpoint is written anew while it says that it serves; the endpoint itself said
+// that it leaves.
+func TestTheSourceDoesNotTakeBackThatAnEndpointLeaves(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-1")
+	n.Decoder = serviceDecoder{}
+	n.build()
+	entry := func(revision uint64) { n.items.Merge(&wire.Item{Key: "e/1", Version: revision, Value: []byte("a:1")}) }
+	entry(1)
+	n.departures.heard("e/1")
+	entry(2)
+	c.Check(n.view.Endpoint("e/1").Draining(), quicktest.IsTrue)
+}
+
 // Users saw an endpoint that had turned a box away, and had asked it to send nothing for three seconds, get
 // 24 requests from it in that time; 29 in 100 requests were refused while two thirds of the endpoints
 // served.
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -26,7 +26,7 @@
 	n.items = share.NewTable()
 	n.state = &state{view: topology.NewView(), table: n.items, decoder: n.Decoder, log: n.Log}
 	n.items.OnChange, n.items.IsOver = n.state.apply, n.isOver
-	n.kept = newQuarantined(n)
+	n.kept = quarantined{node: n}
 	n.current.Store(&n.Settings)
 	n.loader = &placement.Loader{Limits: func() placement.RateLimits { return placement.DefaultRateLimits }}
 	return n
@@ -101,12 +101,12 @@
 	n.kept.Ended("e1", []quarantine.Content{contentOf("fatal")})
 	gone := member.New("gone", "", roleBox, "dc", 1)
 	answers := member.New("answers", "", roleBox, "dc", 1)
-	e := n.kept.waiting()[0]
+	e := n.outbox.waiting()[0]
 	e.told["answers"] = true
-	c.Assert(n.kept.drop([]member.Member{answers, gone}, now), quicktest.IsFalse)
-	c.Assert(n.kept.drop([]member.Member{answers, gone}, now.Add(endsFor-time.Second)), quicktest.IsFalse)
+	c.Assert(n.outbox.drop([]member.Member{answers, gone}, now), quicktest.IsFalse)
+	c.Assert(n.outbox.drop([]member.Member{answers, gone}, now.Add(newsFor-time.Second)), quicktest.IsFalse)
 	e.told["gone"] = true
-	c.Assert(n.kept.drop([]member.Member{answers, gone}, now), quicktest.IsTrue)
+	c.Assert(n.outbox.drop([]member.Member{answers, gone}, now), quicktest.IsTrue)
 	n.kept.Ended("e2", []quarantine.Content{contentOf("fatal")})
-	c.Assert(n.kept.drop([]member.Member{gone}, now.Add(2*endsFor)), quicktest.IsTrue)
+	c.Assert(n.outbox.drop([]member.Member{gone}, now.Add(2*newsFor)), quicktest.IsTrue)
 }
--- a/edge/state.go
+++ b/edge/state.go
@@ -52,6 +52,10 @@
 			s.applyQuarantine(rest, i)
 			continue
 		}
+		if rest, ok := strings.CutPrefix(i.GetKey(), leavingPrefix); ok {
+			s.applyLeaving(rest)
+			continue
+		}
 		if rest, ok := strings.CutPrefix(i.GetKey(), limitsPrefix); ok {
 			if s.limits != nil {
 				s.limits.applyLimit(rest, i)
@@ -126,11 +130,11 @@
 	id := e.ID()
 	s.endLife(i, id, "Endpoint has started again")
 	old := s.view.Endpoint(id)
-	if old == nil || old.Draining() != e.Draining() {
+	s.view.SetEndpoint(e)
+	if known := s.view.Endpoint(id); old == nil || old.Draining() != known.Draining() {
 		s.log.Info("Endpoint is known", "endpoint", id, "address", e.Address(), "endpoint_data_centre", e.DataCentre(),
-			"draining", e.Draining(), "revision", i.GetVersion())
+			"draining", known.Draining(), "revision", i.GetVersion())
 	}
-	s.view.SetEndpoint(e)
 	if !s.showSlots(id) {
 		s.view.SetHeld(id, heldLongAgo(e)) // better than nothing until its owner tells
 	}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -31,6 +31,7 @@
 	Level      func(dataCentre string) (cost time.Duration, known bool) // of a load there, by who decides for its endpoints
 	Cut        func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead: it is out of touch
 	Budget     func() BudgetLimits                                      // by the settings in force
+	Leaving    func(endpoint string)                                    // hears which endpoint said in an answer that it leaves; nil: nobody does
 	MostHeld   int                                                      // requests held at a time; more are refused
 	Log        logr.Logger
 	Pressed    func() bool // whether the log is behind: successes are not logged then
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -44,7 +44,8 @@
 		if g.wasFull(q, t.endpoint) { // who decides for the endpoints knows no other one
 			return t, q.noRoom()
 		}
-		if !g.Limits.Limited(t.endpoint.ID()) || g.hasRoom(ctx, q, t.endpoint) {
+		hasRoom := !g.Limits.Limited(t.endpoint.ID()) || g.hasRoom(ctx, q, t.endpoint)
+		if hasRoom && g.stays(t.endpoint.ID()) { // it may have begun to leave while the request waited for its turn
 			return t, g.maySend(q, clock.Now())
 		}
 		if ctx.Err() != nil {
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -31,15 +31,34 @@
 		return
 	}
 	g.hearLimit(q, t, v)
-	id, now := t.endpoint.ID(), clock.Now()
-	if v.Leaving && v.Own && g.notices.leaves(id) {
-		g.Log.Info("Endpoint says that it leaves", "endpoint", id, "request", q.call.ID)
+	n := v.Notice
+	n.Leaving = n.Leaving && v.Own // it ends all use of this life, so only an answer to this very request says so
+	g.HearNotice(t.endpoint.ID(), n)
+}
+
+// HearNotice takes in what an answer of an endpoint says of leaving and of back-offs: to a request, or to
+// another call that the box made.
+func (g *Gateway) HearNotice(endpoint string, n Notice) {
+	if n.Leaving {
+		g.hearLeaving(endpoint)
+	}
+	if n.BackoffUnread != nil && g.notices.mayLog(endpoint, clock.Now()) {
+		g.Log.Info("Endpoint's back-off can't be read", "endpoint", endpoint, "err", n.BackoffUnread.Error())
+	}
+	if n.Backoff > 0 && g.notices.asks(endpoint, n.Backoff, clock.Now()) {
+		g.Log.Info("Endpoint asks for a back-off", "endpoint", endpoint, "backoff_ms", n.Backoff.Milliseconds())
 	}
-	if v.BackoffUnread != nil {
-		g.Log.Info("Endpoint's back-off can't be read", "endpoint", id, "request", q.call.ID, "err", v.BackoffUnread.Error())
+}
+
+// hearLeaving takes in that an endpoint says that it leaves. Its entry at the source may say so much later:
+// with the source away, requests and loads went there for 13 s more.
+func (g *Gateway) hearLeaving(endpoint string) {
+	if !g.notices.leaves(endpoint) {
+		return
 	}
-	if v.Backoff > 0 && g.notices.asks(id, v.Backoff, now) {
-		g.Log.Info("Endpoint asks for a back-off", "endpoint", id, "request", q.call.ID, "backoff_ms", v.Backoff.Milliseconds())
+	g.Log.Info("Endpoint says that it leaves", "endpoint", endpoint)
+	if g.View.Leave(endpoint) && g.Leaving != nil {
+		g.Leaving(endpoint)
 	}
 }
 
@@ -52,6 +71,7 @@
 // notice is what one life of an endpoint told this box.
 type notice struct {
 	leaving  bool
+	unread   time.Time // when a line last told that what it asks for can't be read
 	until    time.Time // of the latest back-off; zero: none was asked for
 	backoffs int64
 	ignored  int64 // requests sent since it said that it leaves, or before a back-off was over
@@ -98,6 +118,21 @@
 	return news
 }
 
+// unreadLine is between two lines that what one endpoint asks for can't be read: each answer may ask.
+const unreadLine = time.Second
+
+// mayLog tells whether a line may tell that what an endpoint asks for can't be read.
+func (n *notices) mayLog(endpoint string, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	k := n.ofLocked(endpoint)
+	if !k.unread.IsZero() && now.Sub(k.unread) < unreadLine {
+		return false
+	}
+	k.unread = now
+	return true
+}
+
 // sent notes a request to an endpoint.
 func (n *notices) sent(endpoint string, now time.Time) {
 	n.mu.Lock()
--- a/topology/topology_test.go
+++ b/topology/topology_test.go
@@ -3,6 +3,7 @@
 package topology
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/frankban/quicktest"
@@ -100,3 +101,40 @@
 	e := &EngineSpec{MB: 1e300, AdapterSlots: 16, Models: []ModelSpec{{Name: "m", MB: 1, AdapterMB: 1e-300}}}
 	c.Assert(e.SlotsBeside(map[string]bool{"m": true}), quicktest.Equals, 16)
 }
+
+// While its source was silent an endpoint said in its answers that it leaves; the source's older word, that it
+// serves, came again afterwards.
+func TestAnEndpointThatSaidThatItLeavesDoesNotComeBack(t *testing.T) {
+	c := quicktest.New(t)
+	v := NewView()
+	serves := NewEndpoint(EndpointSpec{ID: "e1@1", Service: "s"})
+	v.SetEndpoint(serves)
+	changed := v.Changed()
+	c.Assert(v.Leave("e1@1"), quicktest.IsTrue)
+	c.Assert(v.Leave("e1@1"), quicktest.IsFalse)
+	<-changed
+	c.Assert(v.Endpoint("e1@1").Draining(), quicktest.IsTrue)
+	c.Assert(v.Endpoints("s")[0].Draining(), quicktest.IsTrue)
+	v.SetEndpoint(serves)
+	c.Assert(v.Endpoint("e1@1").Draining(), quicktest.IsTrue)
+	v.RemoveEndpoint("e1@1")
+	v.SetEndpoint(serves)
+	c.Assert(v.Endpoint("e1@1").Draining(), quicktest.IsTrue)
+	v.SetEndpoint(NewEndpoint(EndpointSpec{ID: "e1@2", Service: "s"})) // the next life
+	c.Assert(v.Endpoint("e1@2").Draining(), quicktest.IsFalse)
+	c.Assert(v.Leave("e2@1"), quicktest.IsTrue) // another box told so before the source did
+	v.SetEndpoint(NewEndpoint(EndpointSpec{ID: "e2@1", Service: "s"}))
+	c.Assert(v.Endpoint("e2@1").Draining(), quicktest.IsTrue)
+}
+
+func TestTheLivesThatAreRememberedToLeaveAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	v := NewView()
+	for i := range 2 * leavingMost {
+		v.Leave(fmt.Sprint(i))
+	}
+	c.Assert(v.leaving.lives, quicktest.HasLen, leavingMost)
+	c.Assert(v.leaving.order, quicktest.HasLen, leavingMost)
+	c.Assert(v.Leave(fmt.Sprint(2*leavingMost-1)), quicktest.IsFalse)
+	c.Assert(v.Leave("0"), quicktest.IsTrue)
+}
--- a/topology/view.go
+++ b/topology/view.go
@@ -21,6 +21,7 @@
 	held      map[string]map[Adapter]Held // by endpoint
 	holders   map[Adapter]map[string]Held // by adapter, then endpoint
 	memories  map[string]*memory          // by endpoint
+	leaving   leaving                     // by their own word; SetEndpoint can't take it back
 	latest    map[Adapter]string          // endpoint that began to hold an adapter last, though it may not any more
 	changed   chan struct{}               // closed at the next change of endpoints
 }
@@ -59,6 +60,13 @@
 func (v *View) SetEndpoint(e *Endpoint) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.setEndpointLocked(e)
+}
+
+func (v *View) setEndpointLocked(e *Endpoint) {
+	if v.leaving.lives[e.ID()] {
+		e = e.leaves()
+	}
 	if old := v.endpoints[e.ID()]; old != nil && old.Service() != e.Service() {
 		v.unlistLocked(old)
 	}
@@ -67,6 +75,21 @@
 	v.changedLocked()
 }
 
+// Leave notes that a life of an endpoint said that it leaves, which may not be known yet; it tells
+// whether that is news. From then on it is draining, whatever its source says of it: that may be older,
+// and may be silent for long.
+func (v *View) Leave(id string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.leaving.add(id) {
+		return false
+	}
+	if e := v.endpoints[id]; e != nil {
+		v.setEndpointLocked(e)
+	}
+	return true
+}
+
 // RemoveEndpoint forgets an endpoint and what it held.
 func (v *View) RemoveEndpoint(id string) {
 	v.mu.Lock()
