A request is not brought back to the endpoint that turned it away

What callers saw: requests that one endpoint turned away were refused though others serve: each was sent to the same endpoint up to four times in 30 ms, and used up retries that all boxes share. Cause: the box left the endpoint out and asked a leader where the adapter is; the leader knew nothing of the refusal and named the endpoint that holds it. Class: what one box knows of an endpoint is not asked for where another decides. The same hole was found for endpoints that ended and for those that name limits, each mended alone; now a question carries what the request must avoid. Ruled out: avoiding what lost or cut off an answer too, since the connection may be at fault. Why it holds: the leader leaves these endpoints out where it looks for a holder, a load that waits and a site, and the box refuses such a word of a leader that does not know of it.

--- a/edge/ask.go
+++ b/edge/ask.go
@@ -31,6 +31,7 @@
 		Denied:     w.Denied,
 		Tokens:     int64(w.Tokens),
 		Elsewhere:  w.Elsewhere,
+		Avoid:      w.Avoid,
 	})
 	if err != nil {
 		return forward.Placed{}, errors.Wrapf(err, "edge: leader %s", m.Name())
@@ -78,6 +79,7 @@
 		Tokens:   int(q.GetTokens()),
 
 		Elsewhere: q.GetElsewhere(),
+		Avoid:     q.GetAvoid(),
 	}
 }
 
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -157,6 +157,7 @@
 		g.View.Drop(t.endpoint.ID(), q.call.Adapter)
 		f := g.turnedAway(q, t, CodeNotLoaded, "the endpoint does not hold the adapter")
 		delete(q.tried, t.endpoint.ID()) // it can be loaded there
+		delete(q.refused, t.endpoint.ID())
 		q.denied = t.endpoint.ID()
 		return f
 	case v.NotRun:
@@ -176,6 +177,7 @@
 // turnedAway records an endpoint's proof that the request did not run.
 func (g *Gateway) turnedAway(q *request, t target, c Code, detail string) *Refusal {
 	q.tried[t.endpoint.ID()] = true
+	q.refused[t.endpoint.ID()] = true
 	g.recordAttempt(q, "refused", detail)
 	return &Refusal{Code: c, Retry: shedRetry, Detail: detail}
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -88,7 +88,8 @@
 	Denied   bool    // the endpoint said that it does not hold the adapter
 	Tokens   int     // of its prompt
 
-	Elsewhere bool // endpoints that name limits had no room for the request: it goes to others, if there are any
+	Elsewhere bool     // endpoints that name limits had no room for the request: it goes to others, if there are any
+	Avoid     []string // endpoints that can't serve the request, though they may hold the adapter
 }
 
 // Placed is what became of a request for an adapter.
--- a/forward/home.go
+++ b/forward/home.go
@@ -155,6 +155,9 @@
 		if e = g.View.Endpoint(p.Endpoint); e == nil {
 			return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "the endpoint is not known here"}
 		}
+		if q.refused[e.ID()] { // a box of an older version decides, which is not told what to avoid
+			return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "only an endpoint that turned the request away holds the adapter"}
+		}
 	}
 	if !g.stays(e.ID()) {
 		return g.placeElsewhere(ctx, q, e)
@@ -195,6 +198,7 @@
 		Tokens:   q.call.TokensIn,
 
 		Elsewhere: len(q.full) > 0,
+		Avoid:     slices.Sorted(maps.Keys(q.refused)),
 	}
 }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -36,6 +36,7 @@
 	attempts      int                // requests sent to endpoints
 	ran           int                // of these, those that may have run
 	tried         map[string]bool    // endpoints that failed it
+	refused       map[string]bool    // of these, those that turned it away: nobody is to bring it there again
 	full          map[string]noRoom  // endpoints that name a limit and had no room for it
 	mayHaveRun    bool               // an attempt may have run
 	noOwnerLogged bool               // a line tells that nobody answered for an endpoint that should load its adapter
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -26,7 +26,7 @@
 // serve tries endpoints until the answer was given, which it returns as nil.
 func (g *Gateway) serve(ctx context.Context, q *request, out *answer) *Refusal {
 	g.budget(q.service.Name()).First(clock.Now())
-	q.tried = make(map[string]bool)
+	q.tried, q.refused = make(map[string]bool), make(map[string]bool)
 	var last *Refusal
 	for q.attempts < mostAttempts {
 		t, f := g.find(ctx, q)
--- a/placement/ended_test.go
+++ b/placement/ended_test.go
@@ -3,9 +3,11 @@
 package placement
 
 import (
+	"context"
 	"testing"
 	"time"
 
+	"cairnwick.example/forward"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
@@ -79,3 +81,47 @@
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(p.Ready, quicktest.IsTrue)
 }
+
+// An endpoint that holds an adapter turned a request for it away. Asked where else it can go, its leader
+// named the same endpoint, four times within 30 ms.
+//
+// The evidence: of 668 attempts that were turned away, 89 went to an endpoint that had turned the same request
+// away before.
+func TestARequestIsNotBroughtToAnEndpointThatItAvoids(t *testing.T) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	p, err := b.want(adapter(1), 5*time.Second)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p.Endpoint, quicktest.Equals, "e1")
+	b.addEndpoint("e2")
+	b.awaitBoth()
+	other := b.loader.View.Endpoint("e2")
+	w := forward.Wanted{Endpoint: other, Adapter: adapter(1), Wait: 5 * time.Second, Most: 5 * time.Second, Avoid: []string{"e1"}}
+	for range 2 { // it is loaded, and then held there
+		p, err = b.loader.Want(context.Background(), w)
+		c.Assert(err, quicktest.IsNil)
+		c.Assert(p.Ready, quicktest.IsTrue)
+		c.Assert(p.Endpoint, quicktest.Equals, "e2")
+	}
+	w.Adapter = adapter(2) // held nowhere: its load costs the same at both
+	p, err = b.loader.Want(context.Background(), w)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p.Endpoint, quicktest.Equals, "e2")
+}
+
+// A load that others wait for at an endpoint which a request avoids does not serve it.
+func TestARequestDoesNotWaitForALoadWhereItCannotGo(t *testing.T) {
+	c := quicktest.New(t)
+	b := prepare(4)
+	b.addEndpoint("e2")
+	b.start(t)
+	b.awaitBoth()
+	now := time.Now()
+	b.loader.mu.Lock()
+	defer b.loader.mu.Unlock()
+	b.loader.wants[wantKey{endpoint: "e1", adapter: adapter(1)}] = &want{done: make(chan struct{})}
+	w := &waiter{Wanted: forward.Wanted{Adapter: adapter(1)}}
+	c.Assert(b.loader.wantedAtLocked(w, "dc", now), quicktest.Equals, b.loader.owned["e1"])
+	w.Avoid = []string{"e1"}
+	c.Assert(b.loader.wantedAtLocked(w, "dc", now), quicktest.IsNil)
+}
--- a/placement/load.go
+++ b/placement/load.go
@@ -64,7 +64,7 @@
 	if w.copies || o.slots[key.adapter] != nil {
 		return o
 	}
-	better := l.siteLocked(key.adapter, o, now)
+	better := l.siteLocked(key.adapter, o, nil, now)
 	to := wantKey{endpoint: better.endpoint.ID(), adapter: key.adapter}
 	if better == o || l.wants[to] != nil || better.slots[key.adapter] != nil {
 		return o
--- a/placement/site.go
+++ b/placement/site.go
@@ -3,6 +3,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"cairnwick.example/policy"
@@ -17,12 +18,12 @@
 )
 
 // siteLocked returns where an adapter is loaded: the endpoint of the usual one's data centre
-// at which it costs the least, of those that take more requests where there are any. Only endpoints that
-// this box owns count.
-func (l *Loader) siteLocked(a topology.Adapter, usual *owned, now time.Time) *owned {
+// at which it costs the least, of those that take more requests where there are any, and of none that is
+// to be avoided but the usual one. Only endpoints that this box owns count.
+func (l *Loader) siteLocked(a topology.Adapter, usual *owned, avoid []string, now time.Time) *owned {
 	best, least := usual, l.siteRankLocked(usual, a, true, now)
-	for _, o := range l.owned {
-		if o == usual || !o.serves(now) || !o.models[a.Model] || o.endpoint.DataCentre() != usual.endpoint.DataCentre() {
+	for id, o := range l.owned {
+		if o == usual || slices.Contains(avoid, id) || !o.serves(now) || !o.models[a.Model] || o.endpoint.DataCentre() != usual.endpoint.DataCentre() {
 			continue
 		}
 		if r := l.siteRankLocked(o, a, false, now); r.before(least) {
@@ -54,11 +55,12 @@
 	return siteRank{gone: !o.serves(now), taken: l.isTaken(o.endpoint.ID(), now), cost: l.factsLocked(o, a, usual, now).Cost()}
 }
 
-// wantedAtLocked returns the endpoint of a data centre where a load of an adapter waits
-// already; nil for none.
-func (l *Loader) wantedAtLocked(a topology.Adapter, centre string, now time.Time) *owned {
+// wantedAtLocked returns the endpoint of a data centre where a load that serves a request waits already;
+// nil for none.
+func (l *Loader) wantedAtLocked(w *waiter, centre string, now time.Time) *owned {
 	for id, o := range l.owned {
-		if w := l.wants[wantKey{endpoint: id, adapter: a}]; w != nil && !w.copies && o.serves(now) && o.endpoint.DataCentre() == centre {
+		q := l.wants[wantKey{endpoint: id, adapter: w.Adapter}]
+		if q != nil && !q.copies && !w.avoids(id) && o.serves(now) && o.endpoint.DataCentre() == centre {
 			return o
 		}
 	}
@@ -130,7 +132,7 @@
 	a, centre := w.Adapter, asked.endpoint.DataCentre()
 	for id, p := range l.owned {
 		t := p.slots[a]
-		if t == nil || p == denied || !p.serves(now) || p.endpoint.DataCentre() != centre {
+		if t == nil || p == denied || w.avoids(id) || !p.serves(now) || p.endpoint.DataCentre() != centre {
 			continue
 		}
 		if (w.Elsewhere && l.isTaken(id, now) || l.isCrowded(p, now)) && l.hasOthersLocked(a, centre, now) {
--- a/placement/want.go
+++ b/placement/want.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -57,6 +58,10 @@
 	load  *want  // the load that it counts as waiting for; nil: none
 }
 
+// avoids tells whether an endpoint can't serve the request. Without it who asks for an adapter would be
+// brought back to the endpoint that holds it and has just turned the request away.
+func (w *waiter) avoids(endpoint string) bool { return slices.Contains(w.Avoid, endpoint) }
+
 // queued is how much of the wait passed before the load began.
 func (w *waiter) queued(s *slot) time.Duration {
 	if !w.again || s.begun.Before(w.asked) {
@@ -153,10 +158,10 @@
 			return forward.Placed{Ready: true, Endpoint: at.endpoint.ID(), Version: s.version, Queued: w.queued(s)}, nil, nil
 		}
 	}
-	if at := l.wantedAtLocked(w.Adapter, o.endpoint.DataCentre(), now); at != nil {
+	if at := l.wantedAtLocked(w, o.endpoint.DataCentre(), now); at != nil {
 		o = at
 	} else if !w.Denied {
-		o = l.siteLocked(w.Adapter, o, now)
+		o = l.siteLocked(w.Adapter, o, w.Avoid, now)
 	}
 	if !o.serves(now) { // no other one of the data centre does: those elsewhere may
 		return forward.Placed{Settling: true, Retry: o.goneUntil.Sub(now), Reason: "the endpoint ended"}, nil, nil
