Our own interface: an engine that says in its answers that it leaves gets nothing new

What callers saw: nothing yet. Cause: as on the users' platform; a gateway read it in refusals alone.

--- a/engine/client.go
+++ b/engine/client.go
@@ -17,14 +17,15 @@
 
 // The headers that the protocol adds.
 const (
-	FenceHeader    = "Cairn-Fence"  // on orders: the order's; on answers: the highest seen
-	BootHeader     = "Cairn-Boot"   // on answers: changes when the endpoint restarts empty
-	RequestHeader  = "X-Request-Id" // names the run, for cancel and resume
-	KeyHeader      = "Cairn-Key"    // of a request that is not repeatable
-	ReasonHeader   = "Cairn-Reason" // on refusals: the Code
-	EventsHeader   = "Cairn-Events" // on a resumed stream: the event it begins with
-	LimitHeader    = "Cairn-Limit"  // on answers to requests: how many a second the endpoint takes from all gateways together
-	maxOrderAnswer = 1 << 20        // bytes read of an order's answer
+	FenceHeader    = "Cairn-Fence"   // on orders: the order's; on answers: the highest seen
+	BootHeader     = "Cairn-Boot"    // on answers: changes when the endpoint restarts empty
+	RequestHeader  = "X-Request-Id"  // names the run, for cancel and resume
+	KeyHeader      = "Cairn-Key"     // of a request that is not repeatable
+	ReasonHeader   = "Cairn-Reason"  // on refusals: the Code
+	EventsHeader   = "Cairn-Events"  // on a resumed stream: the event it begins with
+	LeavingHeader  = "Cairn-Leaving" // on answers: 1 while the endpoint leaves
+	LimitHeader    = "Cairn-Limit"   // on answers to requests: how many a second the endpoint takes from all gateways together
+	maxOrderAnswer = 1 << 20         // bytes read of an order's answer
 )
 
 // Endpoint is what the scheduler needs of one model server. Every method
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,6 +72,7 @@
 	}
 	defer a.Body.Close()
 	g.hearLimit(h, a.Header, sent, clock.Now())
+	r.Leaving = a.Header.Get(engine.LeavingHeader) == "1"
 	r.Fence = a.Header.Get(engine.FenceHeader)
 	r.Boot = a.Header.Get(engine.BootHeader)
 	if a.StatusCode >= http.StatusBadRequest {
@@ -165,7 +166,7 @@
 	r.Outcome = wire.Outcome_OUTCOME_REFUSED
 	r.NotLoaded = e.Code == engine.CodeNotLoaded
 	r.Busy = e.Code == engine.CodeBusy
-	r.Leaving = e.Code == engine.CodeLeaving
+	r.Leaving = r.Leaving || e.Code == engine.CodeLeaving
 	switch e.Code {
 	case engine.CodeBadRequest:
 		return badRequest("%s", e.Message)
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -57,6 +57,11 @@
 	if body.Tokens <= 0 {
 		body.Tokens = defaultTokens
 	}
+	if seconds := e.Backoff(); seconds != "" {
+		w.Header().Set("Retry-After", seconds)
+		refuse(w, http.StatusServiceUnavailable, engine.CodeBusy, "The engine wants no more requests for a while.")
+		return
+	}
 	r, code := e.admit(q, body)
 	if r == nil {
 		refuse(w, statusOf(code), code, fmt.Sprintf("The model `%s` was refused: %s.", body.Model, code))
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -52,6 +52,8 @@
 	keys      map[string]int // runs by key
 	ran       []string       // every run by its request's id
 	limit     limit          // has a lock of its own
+	backoffs  backoffs       // the same
+	tells     bool           // its answers say that it leaves, while it does
 }
 
 // slot holds one adapter.
@@ -264,19 +266,31 @@
 	m.HandleFunc("POST /control/fail-loads", e.setFailLoads)
 	m.HandleFunc("POST /control/limit", e.setLimit)
 	m.HandleFunc("GET /control/limit", e.showLimit)
+	m.HandleFunc("POST /control/backoff", e.setBackoff)
+	m.HandleFunc("GET /control/backoff", e.showBackoff)
 	if e.Other != nil {
 		m.Handle("/", e.Other)
 	}
 	return e.mark(m)
 }
 
-// mark puts the fence and the boot on every answer.
+// Leaving tells whether the engine's answers say that it leaves, for another dialect.
+func (e *Engine) Leaving() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.tells && !e.leaving.IsZero()
+}
+
+// mark puts the fence and the boot on every answer, and whether the engine leaves.
 func (e *Engine) mark(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
 		w.Header().Set(engine.FenceHeader, e.fence.String())
 		w.Header().Set(engine.BootHeader, e.boot)
 		e.mu.Unlock()
+		if e.Leaving() {
+			w.Header().Set(engine.LeavingHeader, "1")
+		}
 		next.ServeHTTP(w, r)
 	})
 }
--- a/standin/orders.go
+++ b/standin/orders.go
@@ -235,11 +235,12 @@
 	_ = json.NewEncoder(w).Encode(e.ran)
 }
 
-// leave makes the engine leave, as its own operators do.
-func (e *Engine) leave(w http.ResponseWriter, _ *http.Request) {
+// leave makes the engine leave, as its own operators do; its answers say so where it is told to.
+func (e *Engine) leave(w http.ResponseWriter, q *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.leaving = time.Now()
+	e.tells = q.URL.Query().Get("tells") == "yes"
 	w.WriteHeader(http.StatusNoContent)
 }
 
