Our own interface: an engine that asks for a back-off is left alone by the gateway that it asked

What callers saw: requests that one of two engines turned away were given to the same engine up to three times in a row, while the other one served. Cause: the time that a refusal names was told to the caller and kept by nobody. Mend: the gateway keeps it by the same table as the boxes of the users' platform, chooses among the other engines, looks again once it has a grant, and where all want nothing refuses with the time of the first. The engine's owner goes on giving grants to other gateways: the engine asked one.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -76,7 +76,7 @@
 	r.Fence = a.Header.Get(engine.FenceHeader)
 	r.Boot = a.Header.Get(engine.BootHeader)
 	if a.StatusCode >= http.StatusBadRequest {
-		return refusedByEndpoint(a, r)
+		return g.refusedByEndpoint(h, a, r)
 	}
 	out.Header().Set(EndpointHeader, h.endpoint)
 	out.Header().Set(WaitedHeader, strconv.FormatInt(h.grant.GetWaitedMicros()/1000, 10))
@@ -152,7 +152,7 @@
 }
 
 // refusedByEndpoint reads the endpoint's own refusal.
-func refusedByEndpoint(a *http.Response, r *wire.ReleaseRequest) *Failure {
+func (g *Gateway) refusedByEndpoint(h heldGrant, a *http.Response, r *wire.ReleaseRequest) *Failure {
 	text, err := io.ReadAll(io.LimitReader(a.Body, maxRefusal))
 	if err != nil {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
@@ -167,6 +167,9 @@
 	r.NotLoaded = e.Code == engine.CodeNotLoaded
 	r.Busy = e.Code == engine.CodeBusy
 	r.Leaving = r.Leaving || e.Code == engine.CodeLeaving
+	if e.Code == engine.CodeBusy {
+		g.hearBackoff(h.endpoint, e.Retry)
+	}
 	switch e.Code {
 	case engine.CodeBadRequest:
 		return badRequest("%s", e.Message)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairnwick.example/backoff"
 	"cairnwick.example/catalog"
 	"cairnwick.example/daemon"
 	"cairnwick.example/decision"
@@ -74,6 +75,7 @@
 
 	beliefs  *beliefs
 	limits   limits
+	backoffs backoff.Table
 	reach    *reach
 	prefixes *prefixes
 	calls    *schedulerCalls
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -4,6 +4,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cairnwick.example/catalog"
@@ -60,8 +61,10 @@
 // overflow of many keys.
 func (g *Gateway) stages(q *request) [][]string {
 	base := q.model.Adapter().Base()
+	now := clock.Now()
 	var stages [][]string
 	add := func(names []string) {
+		names = slices.DeleteFunc(names, func(n string) bool { return g.backoffs.Left(n, now) > 0 })
 		if len(names) > 0 {
 			stages = append(stages, names)
 		}
@@ -71,7 +74,7 @@
 	}
 	add(servingIn(q.catalog, base, map[string]bool{g.Centre: true}))
 	for _, c := range policy.Rank(q.model.String(), q.catalog.DataCentres()) {
-		if c != g.Centre && g.reach.reached(c, clock.Now()) {
+		if c != g.Centre && g.reach.reached(c, now) {
 			add(servingIn(q.catalog, base, map[string]bool{c: true}))
 		}
 	}
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"cairnwick.example/backoff"
+	"cairnwick.example/clock"
 	"cairnwick.example/wire"
 )
 
@@ -45,11 +47,19 @@
 		last = sooner(last, f)
 	}
 	if last == nil {
-		return &Failure{Code: CodeNoEndpoint, Ran: NotRun, Message: "no endpoint serves " + q.model.Adapter().Base(), Retry: g.Spans.Retry}
+		return g.noneOpen(q)
 	}
 	return last
 }
 
+// noneOpen refuses a request for which no endpoint may be asked.
+func (g *Gateway) noneOpen(q *request) *Failure {
+	if left := g.backoffLeast(q); left > 0 {
+		return &Failure{Code: CodeRefused, Ran: NotRun, Message: "the endpoints that could serve it want nothing for a while", Retry: backoff.ComeBack(left)}
+	}
+	return &Failure{Code: CodeNoEndpoint, Ran: NotRun, Message: "no endpoint serves " + q.model.Adapter().Base(), Retry: g.Spans.Retry}
+}
+
 // otherCentreMayServe tells whether another data centre may do better.
 func otherCentreMayServe(c Code) bool {
 	switch c {
@@ -111,7 +121,7 @@
 		if f != nil {
 			return f
 		}
-		if f = g.quarantined(q.content); f != nil { // it came so far while the request waited
+		if f = g.mayRun(q, endpoint); f != nil { // it came so far while the request waited
 			g.release(h.owner, &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId(), Outcome: wire.Outcome_OUTCOME_NOT_SENT})
 			return f
 		}
@@ -119,8 +129,16 @@
 		if f == nil || f.Ran != NotRun || f.Code != CodeRefused || ctx.Err() != nil {
 			return f
 		}
-		if q.attempts >= maxAttempts || !g.Retries.Take() {
+		if q.attempts >= maxAttempts || g.backoffs.Left(endpoint, clock.Now()) > 0 || !g.Retries.Take() {
 			return f
 		}
 	}
 }
+
+// mayRun tells why a request must not be given to an endpoint for which it has a grant; nil: it may.
+func (g *Gateway) mayRun(q *request, endpoint string) *Failure {
+	if f := g.quarantined(q.content); f != nil {
+		return f
+	}
+	return g.backingOff(endpoint)
+}
