A look at an endpoint goes on until its process has had time to end

Cause: the look at one of the three was over 0.3 s after its answer had broken off, while its process still exited and its listener still took connections, and took it for alive. Mend: a look goes on for 2 s; a process that ends closes the connection, which is asked after, so a look takes no longer than the process. An endpoint that lives is known to 2 s later, which only a counter shows; what it cuts off meanwhile counts by the same look. Ruled out: a lost line of the gateway's log (an end that is not seen writes none). TestAnEndpointThatTakesLongToEndHasEnded: red with 0.3 s.

--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -5,10 +5,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"time"
@@ -17,6 +19,7 @@
 	"cairnwick.example/fleet"
 	"cairnwick.example/load"
 	"cairnwick.example/operator"
+	"cairnwick.example/quarantine"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -292,3 +295,20 @@
 		ts.Fatalf("%d engines are left", left)
 	}
 }
+
+// cmdEndsSeen waits until a gateway has seen so many engines end: endsseen gateway1.1 2.
+func cmdEndsSeen(ts *testscript.TestScript, _ bool, args []string) {
+	c, b := place(ts, strings.TrimPrefix(args[0], "gateway"))
+	wanted, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	await(ts, 15*time.Second, args[0]+" has not seen so many ends", func() string {
+		var ends quarantine.Ends
+		if err := json.Unmarshal(vars(worldOf(ts).fleet.OperatorsAddress(c, b, "gateway"))["gateway_endpoint_ends"], &ends); err != nil {
+			return err.Error()
+		}
+		if ends.Endpoints < int64(wanted) {
+			return args[1]
+		}
+		return ""
+	})
+}
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -80,6 +80,7 @@
 			"metric":      cmdMetric,
 			"press":       cmdPress,
 			"enginesleft": cmdEnginesLeft,
+			"endsseen":    cmdEndsSeen,
 		},
 	})
 }
--- a/engine/ended.go
+++ b/engine/ended.go
@@ -13,8 +13,9 @@
 )
 
 // endsWithin is how long a process that ends may take from breaking off its answers to closing its
-// listener: the system closes both as it exits, in an order of its own, some milliseconds apart.
-const endsWithin = 300 * time.Millisecond
+// listener: the system closes both as it exits, in an order of its own, some milliseconds apart, and on a
+// busy machine far more. Where it is taken for alive too soon, its request ends one endpoint more.
+const endsWithin = 2 * time.Second
 
 // HasEnded tells whether nothing listens at an endpoint's address any more: a connection that is
 // refused is proof, one that gets no answer is none. One that is opened is watched for a while, and
--- a/engine/ended_test.go
+++ b/engine/ended_test.go
@@ -38,6 +38,15 @@
 	c.Assert(HasEnded(context.Background(), plainDial, l.Addr().String()), quicktest.IsTrue)
 }
 
+// A fourth endpoint ended under one request, now and then on a busy machine: the look at one of the three before
+// was over while its process still exited, half a second after its answer had broken off, and took it for alive.
+func TestAnEndpointThatTakesLongToEndHasEnded(t *testing.T) {
+	c := quicktest.New(t)
+	l := newListener(c)
+	time.AfterFunc(700*time.Millisecond, func() { _ = l.Close() })
+	c.Assert(HasEnded(context.Background(), plainDial, l.Addr().String()), quicktest.IsTrue)
+}
+
 // An endpoint that has all the connections it takes closes a further one, and lives.
 func TestAnEndpointThatClosesTheConnectionAndListensHasNotEnded(t *testing.T) {
 	c := quicktest.New(t)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	endedTimeout = time.Second // for another gateway's answer, which takes a millisecond
-	endsBuffer   = 256         // ends that wait to be told; more are counted here alone
+	endedTimeout = time.Second     // for another gateway's answer, which takes a millisecond
+	lookTimeout  = 3 * time.Second // for a look whether an engine ended: two connections, and the time that one takes to end
+	endsBuffer   = 256             // ends that wait to be told; more are counted here alone
 )
 
 // Peers tells other daemons.
@@ -28,7 +29,7 @@
 func (g *Gateway) newWatch() *quarantine.Watch {
 	return &quarantine.Watch{
 		HasEnded: func(ctx context.Context, address string) bool {
-			ctx, cancel := context.WithTimeout(ctx, endedTimeout)
+			ctx, cancel := context.WithTimeout(ctx, lookTimeout)
 			defer cancel()
 			return engine.HasEnded(ctx, g.Dial, address)
 		},
