A back-off outlasts an endpoint's entry that lapses and comes back; names of the outbox

The time was forgotten with the entry, and the same life may come back within it: two requests a back-off are all that is allowed then. What is over is forgotten at the next word instead, so nothing needs the list of endpoints.

--- a/edge/departures.go
+++ b/edge/departures.go
@@ -24,14 +24,14 @@
 // heard hears that an endpoint said it to this box.
 func (d departures) heard(endpoint string) {
 	d.publish(endpoint)
-	if !d.node.outbox.add(&news{leaving: endpoint}, time.Now()) {
+	if !d.node.outbox.add(&message{leaving: endpoint}, time.Now()) {
 		d.node.Log.Info("Endpoint that leaves is not told to others: too many wait", "endpoint", endpoint)
 	}
 }
 
 // hear takes in what another box was told.
 func (d departures) hear(m *wire.EndedRequest) {
-	for _, e := range m.GetLeaving()[:min(len(m.GetLeaving()), mostNews)] {
+	for _, e := range m.GetLeaving()[:min(len(m.GetLeaving()), mostMessages)] {
 		d.publish(e)
 	}
 }
--- a/edge/outbox.go
+++ b/edge/outbox.go
@@ -15,13 +15,13 @@
 )
 
 const (
-	newsCall  = 400 * time.Millisecond // for a leader's answer, which takes a millisecond in a data centre
-	newsAgain = 100 * time.Millisecond // between two tries to tell a leader
-	// newsFor is how long a leader that does not answer is told anew: one that died has a successor
+	tellCall  = 400 * time.Millisecond // for a leader's answer, which takes a millisecond in a data centre
+	tellAgain = 100 * time.Millisecond // between two tries to tell a leader
+	// tellFor is how long a leader that does not answer is told anew: one that died has a successor
 	// by then, and one that is cut off hears what its own data centre sees.
-	newsFor = 8 * time.Second
-	// mostNews bounds what waits to be told, and what one message may hold: endpoints that end together.
-	mostNews = 1024
+	tellFor = 8 * time.Second
+	// mostMessages bounds what waits to be told, and what one message may hold: endpoints that end together.
+	mostMessages = 1024
 )
 
 // outbox is what the leaders of all data centres must hear of endpoints from this box: each leader
@@ -30,12 +30,12 @@
 	node *Node
 	wake chan struct{} // holds one when there is something to tell
 
-	mu   sync.Mutex
-	news []*news // that some leaders have not been told
+	mu       sync.Mutex
+	messages []*message // that some leaders have not been told
 }
 
-// news is one thing that this box saw of an endpoint.
-type news struct {
+// message is one thing that this box saw of an endpoint.
+type message struct {
 	end     *wire.EndpointEnd // it ended under requests; nil: it did not
 	leaving string            // it said that it leaves; empty: it did not
 	until   time.Time         // it is told as long
@@ -45,14 +45,14 @@
 func newOutbox(n *Node) *outbox { return &outbox{node: n, wake: make(chan struct{}, 1)} }
 
 // add has leaders told something; it tells whether there was room for it.
-func (o *outbox) add(n *news, now time.Time) bool {
-	n.until, n.told = now.Add(newsFor), make(map[string]bool)
+func (o *outbox) add(n *message, now time.Time) bool {
+	n.until, n.told = now.Add(tellFor), make(map[string]bool)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if len(o.news) >= mostNews {
+	if len(o.messages) >= mostMessages {
 		return false
 	}
-	o.news = append(o.news, n)
+	o.messages = append(o.messages, n)
 	select {
 	case o.wake <- struct{}{}:
 	default: // it will tell anyway
@@ -65,7 +65,7 @@
 	t := teller{
 		Wake:   o.wake,
 		Tell:   func(ctx context.Context) bool { return o.tell(ctx, time.Now()) },
-		Again:  newsAgain,
+		Again:  tellAgain,
 		Expire: o.expire,
 	}
 	return t.Run(ctx)
@@ -76,19 +76,19 @@
 	o.node.departures.forgetGone()
 }
 
-// toldNews is what a leader was told; nothing where it did not answer.
-type toldNews struct {
-	leader string
-	news   []*news
+// toldMessages is what a leader was told; nothing where it did not answer.
+type toldMessages struct {
+	leader   string
+	messages []*message
 }
 
 // tell tells each leader what it has not been told. It returns whether all were.
 func (o *outbox) tell(ctx context.Context, now time.Time) bool {
 	all, leaders := o.waiting(), o.leaders()
-	answers := make(chan toldNews, len(leaders))
+	answers := make(chan toldMessages, len(leaders))
 	calls := 0
 	for _, m := range leaders {
-		untold := slices.DeleteFunc(slices.Clone(all), func(n *news) bool { return n.told[m.Name()] })
+		untold := slices.DeleteFunc(slices.Clone(all), func(n *message) bool { return n.told[m.Name()] })
 		if len(untold) == 0 {
 			continue
 		}
@@ -97,7 +97,7 @@
 	}
 	for range calls {
 		a := <-answers
-		for _, n := range a.news {
+		for _, n := range a.messages {
 			n.told[a.leader] = true
 		}
 	}
@@ -105,10 +105,10 @@
 }
 
 // waiting returns what some leaders have not been told.
-func (o *outbox) waiting() []*news {
+func (o *outbox) waiting() []*message {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return slices.Clone(o.news)
+	return slices.Clone(o.messages)
 }
 
 // leaders returns the boxes that lead data centres, but for this one.
@@ -125,8 +125,8 @@
 }
 
 // tellOne tells one leader.
-func (o *outbox) tellOne(ctx context.Context, m member.Member, untold []*news) toldNews {
-	call, cancel := context.WithTimeout(ctx, newsCall)
+func (o *outbox) tellOne(ctx context.Context, m member.Member, untold []*message) toldMessages {
+	call, cancel := context.WithTimeout(ctx, tellCall)
 	defer cancel()
 	r := &wire.EndedRequest{Box: o.node.peers.box}
 	for _, n := range untold {
@@ -139,22 +139,22 @@
 	}
 	_, err := wire.NewPeerClient(o.node.peers.dialer.Conn(m.Address())).Ended(call, r)
 	if status.Code(err) == codes.Unimplemented {
-		return toldNews{leader: m.Name(), news: untold} // of an older version: it hears of no endpoints
+		return toldMessages{leader: m.Name(), messages: untold} // of an older version: it hears of no endpoints
 	}
 	if err != nil {
 		o.node.Log.Info("Leader was not told of endpoints that ended or leave", "leader", m.Name(), "err", err.Error())
-		return toldNews{}
+		return toldMessages{}
 	}
-	return toldNews{leader: m.Name(), news: untold}
+	return toldMessages{leader: m.Name(), messages: untold}
 }
 
 // drop forgets what every leader was told, or what is too old. It returns whether nothing is left.
 func (o *outbox) drop(leaders []member.Member, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.news = slices.DeleteFunc(o.news, func(n *news) bool {
+	o.messages = slices.DeleteFunc(o.messages, func(n *message) bool {
 		untold := func(m member.Member) bool { return !n.told[m.Name()] }
 		return !now.Before(n.until) || !slices.ContainsFunc(leaders, untold)
 	})
-	return len(o.news) == 0
+	return len(o.messages) == 0
 }
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -33,14 +33,14 @@
 	now := time.Now()
 	q.count(endpoint, contents, now)
 	end := &wire.EndpointEnd{Endpoint: endpoint, Contents: quarantine.Encode(contents)}
-	if !q.node.outbox.add(&news{end: end}, now) {
+	if !q.node.outbox.add(&message{end: end}, now) {
 		q.node.Log.Info("End of an endpoint is not told to others: too many wait", "endpoint", endpoint)
 	}
 }
 
 // hear takes in what another box saw.
 func (q quarantined) hear(m *wire.EndedRequest, now time.Time) {
-	for _, e := range m.GetEnds()[:min(len(m.GetEnds()), mostNews)] {
+	for _, e := range m.GetEnds()[:min(len(m.GetEnds()), mostMessages)] {
 		q.count(e.GetEndpoint(), quarantine.Decode(e.GetContents()), now)
 	}
 }
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -44,7 +44,7 @@
 	if n.Leaving {
 		g.hearLeaving(endpoint)
 	}
-	if n.BackoffUnread != nil && g.notices.mayLog(endpoint, clock.Now()) {
+	if n.BackoffUnread != nil && g.notices.mayLogUnread(endpoint, clock.Now()) {
 		g.Log.Info("Endpoint's back-off can't be read", "endpoint", endpoint, "err", n.BackoffUnread.Error())
 	}
 	if n.Backoff > 0 && g.notices.asks(endpoint, n.Backoff, clock.Now()) {
@@ -52,8 +52,8 @@
 	}
 }
 
-// hearLeaving takes in that an endpoint says that it leaves. Its entry at the source may say so much later:
-// with the source away, requests and loads went there for 13 s more.
+// hearLeaving takes in that an endpoint says that it leaves. Its entry at the source may say so much later,
+// or never.
 func (g *Gateway) hearLeaving(endpoint string) {
 	if !g.notices.leaves(endpoint) {
 		return
@@ -153,8 +153,8 @@
 // unreadLine is between two lines that what one endpoint asks for can't be read: each answer may ask.
 const unreadLine = time.Second
 
-// mayLog tells whether a line may tell that what an endpoint asks for can't be read.
-func (n *notices) mayLog(endpoint string, now time.Time) bool {
+// mayLogUnread tells whether a line may tell that what an endpoint asks for can't be read.
+func (n *notices) mayLogUnread(endpoint string, now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	k := n.ofLocked(endpoint)
@@ -174,9 +174,8 @@
 	}
 }
 
-// keep forgets endpoints that are gone.
+// keep forgets what endpoints that are gone said. Back-offs stay: an entry may lapse and come back.
 func (n *notices) keep(known func(id string) bool) {
-	n.backoffs.Keep(known)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for id := range n.byEndpoint {
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -214,3 +214,15 @@
 	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
 	s.c.Assert([]int64{left.Load(), other.Load()}, quicktest.DeepEquals, []int64{0, 1})
 }
+
+// An endpoint's entry lapses while the source is away, and comes back: the same life wants nothing still.
+func TestABackOffOutlastsAnEntryThatLapses(t *testing.T) {
+	s := newSite(t, once(time.Second))
+	s.endpoint(t, answerOK)
+	e := s.gateway.View.Endpoint("e1")
+	s.gateway.HearNotice("e1", Notice{Backoff: time.Minute})
+	s.gateway.View.RemoveEndpoint("e1")
+	s.gateway.notices.keep(func(string) bool { return false })
+	s.gateway.View.SetEndpoint(e)
+	s.c.Assert(s.gateway.takes("e1", time.Now()), quicktest.IsFalse)
+}
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -55,7 +55,7 @@
 	return c
 }
 
-// stages returns the endpoints to try, a group after another: where the scope is
+// stages returns the endpoints to try but for those that asked for a back-off, a group after another: where the scope is
 // the region, those of all its data centres that can be reached; then those of
 // the own data centre; then those of the others, in an order that spreads the
 // overflow of many keys.
