--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -30,7 +30,8 @@
 	Seed uint64        `arg:"--seed" default:"1" help:"of faults and load"`
 	Rate float64       `arg:"--rate" default:"40" help:"requests a second"`
 
-	Limit float64 `arg:"--limit" default:"0" help:"requests a second that one engine of each data centre says that it takes; 0: all take all"`
+	Limit   float64 `arg:"--limit" default:"0" help:"requests a second that one engine of each data centre says that it takes; 0: all take all"`
+	Backoff float64 `arg:"--backoff" default:"0" help:"seconds for which one engine of each data centre wants nothing, each time that it turns a request away; 0: none does"`
 }
 
 type policiesCommand struct {
@@ -110,7 +111,7 @@
 	case a.Capacity != nil:
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
-		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate, Limit: a.Storm.Limit}.Run(ctx, os.Stdout)
+		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate, Limit: a.Storm.Limit, Backoff: a.Storm.Backoff}.Run(ctx, os.Stdout)
 	case a.Scarce != nil:
 		err = measure.Scarce{Seed: a.Scarce.Seed, Time: a.Scarce.Time, Rate: a.Scarce.Rate}.Run(os.Stdout)
 	case a.Where != nil:
--- a/measure/storm.go
+++ b/measure/storm.go
@@ -29,6 +29,9 @@
 	// Limit is how many requests a second one engine of each data centre says that it takes; zero: all
 	// engines take all. What comes beyond is a breach, with no allowance for faults.
 	Limit float64
+	// Backoff is for how many seconds the last engine of each data centre wants nothing from a gateway, each
+	// time that it turns a request away; it does so all the time. Zero: no engine does.
+	Backoff float64
 }
 
 const (
@@ -79,6 +82,9 @@
 	if err := r.limit(ctx); err != nil {
 		return err
 	}
+	if err := r.backOff(ctx); err != nil {
+		return err
+	}
 	reports := make(chan load.Report, 1)
 	go func() { reports <- load.Run(ctx, r.plan()) }()
 	if err := r.blow(ctx); err != nil {
@@ -96,12 +102,52 @@
 	if err := r.print(w, report, seen); err != nil {
 		return err
 	}
-	if over > 0 {
+	ignored, err := r.ignoredBackoffs(ctx, w)
+	if err != nil {
+		return err
+	}
+	if over > 0 || ignored {
 		return ErrBreach
 	}
 	return nil
 }
 
+// backOff makes the last engine of each data centre turn requests away and ask for back-offs.
+func (r *storm) backOff(ctx context.Context) error {
+	if r.Backoff <= 0 {
+		return nil
+	}
+	for c := 1; c <= stormCentres; c++ {
+		url := fmt.Sprintf("http://%s/control/backoff?seconds=%v", r.fleet.EngineAddress(c, stormEngines), r.Backoff)
+		if err := fleet.Post(ctx, url); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ignoredBackoffs writes what came to the engines that ask for back-offs, and tells whether one got more than
+// it may while it wanted nothing: two requests from each gateway but the one whose request began it.
+func (r *storm) ignoredBackoffs(ctx context.Context, w io.Writer) (ignored bool, err error) {
+	if r.Backoff <= 0 {
+		return false, nil
+	}
+	for c := 1; c <= stormCentres; c++ {
+		raw, err := fleet.Get(ctx, "http://"+r.fleet.EngineAddress(c, stormEngines)+"/control/backoff")
+		if err != nil {
+			return false, err
+		}
+		var n standin.BackoffCounts
+		if err := json.Unmarshal(raw, &n); err != nil {
+			return false, errors.Wrap(err, "measure: counts of back-offs")
+		}
+		most := 2 * n.Asked * (stormCentres*stormBoxes - 1)
+		fmt.Fprintf(w, "%s asks for %v s: came=%d during=%d most=%d\n", fleet.EndpointName(c, stormEngines), r.Backoff, n.Came, n.During, most)
+		ignored = ignored || n.During > most
+	}
+	return ignored, nil
+}
+
 // limit makes the first engine of each data centre name a limit.
 func (r *storm) limit(ctx context.Context) error {
 	if r.Limit <= 0 {
--- a/standin/backoff.go
+++ b/standin/backoff.go
@@ -21,6 +21,7 @@
 	since  time.Time // the first answer of the present back-off
 	came   int       // requests since the command
 	during int       // of these, those that came while it wanted none
+	asked  int       // back-offs that began
 }
 
 // arrive notes a request, and returns what its answer asks for; empty: it may run.
@@ -35,6 +36,7 @@
 	switch ago := now.Sub(b.since); {
 	case ago >= d:
 		b.since = now
+		b.asked++
 	case ago > backoffHeard:
 		b.during++
 	}
@@ -50,7 +52,7 @@
 	e.backoffs.mu.Lock()
 	defer e.backoffs.mu.Unlock()
 	e.backoffs.asks, e.backoffs.since = q.URL.Query().Get("seconds"), time.Time{}
-	e.backoffs.came, e.backoffs.during = 0, 0
+	e.backoffs.came, e.backoffs.during, e.backoffs.asked = 0, 0, 0
 	w.WriteHeader(http.StatusNoContent)
 }
 
@@ -58,11 +60,12 @@
 type BackoffCounts struct {
 	Came   int `json:"came"`
 	During int `json:"during"` // while it wanted nothing, whoever sent it
+	Asked  int `json:"asked"`  // back-offs, one after the other
 }
 
 func (e *Engine) showBackoff(w http.ResponseWriter, _ *http.Request) {
 	e.backoffs.mu.Lock()
-	c := BackoffCounts{Came: e.backoffs.came, During: e.backoffs.during}
+	c := BackoffCounts{Came: e.backoffs.came, During: e.backoffs.during, Asked: e.backoffs.asked}
 	e.backoffs.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(c) // the reader may be gone
 }
