A request that reaches nobody goes on to an endpoint that serves

Cause, traced by the boxes' logs: the box tried each endpoint that it had not heard to have ended, and the first one again, by the word of a leader that counts on its entry's end; attempts that reach nobody counted like those that endpoints turn away, and four were used up. Mend: what was not reached does not count among the four, up to eight endpoints; and a leader is told with the question which endpoints were not there, as those that turned the request away. Ruled out: the box's own view (all four entries were there), the source.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -138,6 +139,10 @@
 	g.recordAttempt(q, "lost", err.Error())
 	q.tried[u.endpoint.ID()] = true
 	if !sent {
+		q.unreached++
+		if isDial(err) {
+			q.refused[u.endpoint.ID()] = true
+		}
 		return &Refusal{Code: CodeNoEndpoint, Unsent: true, Retry: shedRetry, Detail: err.Error()}
 	}
 	q.mayHaveRun = true
@@ -145,6 +150,13 @@
 	return &Refusal{Code: CodeLost, Ran: true, Detail: err.Error()}
 }
 
+// isDial tells whether no connection was made; else one that had rested was broken, and the endpoint may
+// be there.
+func isDial(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
+
 // judge tells whether an answer belongs to the call and whether it ran.
 func (g *Gateway) judge(q *request, u *upstream, t target, a *http.Response) *Refusal {
 	v := g.Protocol.ReadAnswer(a, q.call, t.endpoint.ID())
@@ -213,7 +225,7 @@
 // another one. The failure is not passed on then, so the budget is asked first.
 func (g *Gateway) tryAnother(q *request, t target) bool {
 	q.ran++
-	if !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() || q.attempts >= mostAttempts {
+	if !q.route.MayRepeat() || q.ran >= q.route.MaxAttempts() || !q.hasAttempts() {
 		return false
 	}
 	q.tried[t.endpoint.ID()] = true
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -62,11 +62,11 @@
 func TestWhereAllEndpointsWantNothingTheCallerIsToldWhenTheFirstDoes(t *testing.T) {
 	s := newSite(t, once(time.Minute))
 	near, far := s.endpoint(t, says("Back-Off", "30", refuseUnrun)), s.endpoint(t, says("Back-Off", "10", refuseUnrun))
-	a, text, err := s.ask("/") // finds it out
+	a, _, err := s.ask("/") // finds it out
 	s.c.Assert(err, quicktest.IsNil)
 	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
 	checkBack(s.c, a)
-	a, text, err = s.ask("/")
+	a, text, err := s.ask("/")
 	s.c.Assert(err, quicktest.IsNil)
 	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
 	s.c.Assert(text, quicktest.Equals, "endpoint_backoff\n")
--- a/forward/request.go
+++ b/forward/request.go
@@ -34,9 +34,10 @@
 	body          []byte
 	content       quarantine.Content // zero: the body has not been read
 	attempts      int                // requests sent to endpoints
+	unreached     int                // of these, those that reached nobody
 	ran           int                // of these, those that may have run
 	tried         map[string]bool    // endpoints that failed it
-	refused       map[string]bool    // of these, those that turned it away: nobody is to bring it there again
+	refused       map[string]bool    // of these, those that turned it away or were not there: nobody is to bring it there again
 	full          map[string]noRoom  // endpoints that name a limit and had no room for it
 	mayHaveRun    bool               // an attempt may have run
 	noOwnerLogged bool               // a line tells that nobody answered for an endpoint that should load its adapter
@@ -57,6 +58,11 @@
 
 func (q *request) left(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
+// hasAttempts tells whether the request may be sent once more.
+func (q *request) hasAttempts() bool {
+	return q.attempts-q.unreached < mostAttempts && q.unreached < mostUnreached
+}
+
 // usedBefore is how much less time than the route gives a caller must have left to
 // have come back: more than clocks and the way here explain.
 const usedBefore = 40 * time.Millisecond
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -3,6 +3,8 @@
 package forward
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -84,3 +86,32 @@
 	}
 	s.c.Assert(s.gateway.usable(list, nil, now), quicktest.HasLen, 4)
 }
+
+// An innocent request was refused while an endpoint served: three others had just ended, and a box that had not
+// heard of it tried each of them, and the first one again, by the word of a leader. That were four attempts,
+// as many as a request gets.
+//
+// The cause: attempts that reach nobody counted like those that endpoints turn away, and a leader was not told
+// which endpoints the request had not reached.
+//
+// The evidence: four lines of one request, "not reached: connection refused", the first and the last for the same
+// endpoint; 5 of 8 runs on a busy machine.
+func TestARequestThatReachesNobodyGoesOnToAnEndpointThatServes(t *testing.T) {
+	s := newSite(t, once(5*time.Second))
+	for range mostUnreached - 1 {
+		s.dark(t)
+	}
+	serves := s.endpoint(t, answerOK)
+	s.move(fmt.Sprintf("e%d", s.count), "far") // the last one to be tried
+	a, _, err := s.ask("/")
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Assert(a.StatusCode, quicktest.Equals, http.StatusOK)
+	s.c.Assert(serves.Load(), quicktest.Equals, int64(1))
+}
+
+func TestARequestIsNotBroughtBackToAnEndpointThatItDidNotReach(t *testing.T) {
+	s, _ := askTwoCentres(t, elsewherePlacer("e3"), "2s")
+	s.dark(t)
+	s.c.Assert(s.askAdapter(), quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(s.gateway.Retries()["app"].Unsent, quicktest.Equals, int64(1))
+}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -15,6 +15,9 @@
 	shedRetry    = 200 * time.Millisecond // a full endpoint has room again
 	noneRetry    = 500 * time.Millisecond // an endpoint may be back
 	mostAttempts = 4                      // sends for one request, refused ones included
+	// mostUnreached is how many endpoints a request may find gone besides: where many end together others
+	// serve, and where more in a row can't be reached the way there is cut.
+	mostUnreached = 8
 )
 
 // target is where one attempt goes.
@@ -28,7 +31,7 @@
 	g.budget(q.service.Name()).First(clock.Now())
 	q.tried, q.refused = make(map[string]bool), make(map[string]bool)
 	var last *Refusal
-	for q.attempts < mostAttempts {
+	for q.hasAttempts() {
 		t, f := g.find(ctx, q)
 		if f != nil {
 			return g.sum(q, f)
