--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -55,6 +55,13 @@
 	l.said = append(l.said, s)
 }
 
+// allow lets an endpoint take so many requests.
+func (l *givenLimits) allow(endpoint string, requests int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.left[endpoint] = requests
+}
+
 func (s *site) limit(left map[string]int) *givenLimits {
 	l := &givenLimits{left: left}
 	s.gateway.Limits = l
@@ -152,7 +159,7 @@
 			l := s.limit(map[string]int{"e2": 0})
 			_, _, _ = s.ask("/") // its answer is a failure, or broken off
 			s.c.Check(needy.Load(), quicktest.Equals, int64(0))
-			l.left["e2"] = 1
+			l.allow("e2", 1)
 			_, text, err := s.ask("/")
 			s.c.Check(err, quicktest.IsNil)
 			s.c.Check(text, quicktest.Contains, "piece 4")
