--- a/placement/ended_test.go
+++ b/placement/ended_test.go
@@ -34,6 +34,18 @@
 	}
 }
 
+// holdingFirst returns a loader of two endpoints, of which the first one alone holds the first adapter.
+func holdingFirst(t *testing.T) (*quicktest.C, *bench) {
+	c := quicktest.New(t)
+	b := newBench(t, 4)
+	p, err := b.want(adapter(1), 5*time.Second)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(p.Endpoint, quicktest.Equals, "e1")
+	b.addEndpoint("e2")
+	b.awaitBoth()
+	return c, b
+}
+
 // A stream that was cut off when its endpoint ended was brought to the same endpoint ten times within
 // 20 ms, took a retry from the budget each time, and was refused at last.
 //
@@ -43,16 +55,10 @@
 //
 // The evidence: ten lines of one request with one endpoint, "not reached: connection refused".
 func TestAnEndpointThatEndedIsNotNamedAgain(t *testing.T) {
-	c := quicktest.New(t)
-	b := newBench(t, 4)
-	p, err := b.want(adapter(1), 5*time.Second)
-	c.Assert(err, quicktest.IsNil)
-	c.Assert(p.Endpoint, quicktest.Equals, "e1")
-	b.addEndpoint("e2")
-	b.awaitBoth()
+	c, b := holdingFirst(t)
 	b.loader.Ended("e1", time.Now().Add(time.Minute))
 	for range 2 {
-		p, err = b.want(adapter(1), 5*time.Second)
+		p, err := b.want(adapter(1), 5*time.Second)
 		c.Assert(err, quicktest.IsNil)
 		c.Assert(p.Ready, quicktest.IsTrue)
 		c.Assert(p.Endpoint, quicktest.Equals, "e2")
@@ -88,23 +94,17 @@
 // The evidence: of 668 attempts that were turned away, 89 went to an endpoint that had turned the same request
 // away before.
 func TestARequestIsNotBroughtToAnEndpointThatItAvoids(t *testing.T) {
-	c := quicktest.New(t)
-	b := newBench(t, 4)
-	p, err := b.want(adapter(1), 5*time.Second)
-	c.Assert(err, quicktest.IsNil)
-	c.Assert(p.Endpoint, quicktest.Equals, "e1")
-	b.addEndpoint("e2")
-	b.awaitBoth()
+	c, b := holdingFirst(t)
 	other := b.loader.View.Endpoint("e2")
 	w := forward.Wanted{Endpoint: other, Adapter: adapter(1), Wait: 5 * time.Second, Most: 5 * time.Second, Avoid: []string{"e1"}}
 	for range 2 { // it is loaded, and then held there
-		p, err = b.loader.Want(context.Background(), w)
+		p, err := b.loader.Want(context.Background(), w)
 		c.Assert(err, quicktest.IsNil)
 		c.Assert(p.Ready, quicktest.IsTrue)
 		c.Assert(p.Endpoint, quicktest.Equals, "e2")
 	}
 	w.Adapter = adapter(2) // held nowhere: its load costs the same at both
-	p, err = b.loader.Want(context.Background(), w)
+	p, err := b.loader.Want(context.Background(), w)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(p.Endpoint, quicktest.Equals, "e2")
 }
