--- a/forward/home.go
+++ b/forward/home.go
@@ -182,7 +182,11 @@
 
 // placeElsewhere places a request anew whose endpoint takes no new ones any more.
 func (g *Gateway) placeElsewhere(ctx context.Context, q *request, left *topology.Endpoint) (target, *Refusal) {
-	g.Log.Info("Endpoint began to leave, or asked for a back-off, while a request waited for a load there", "request", q.call.ID, "endpoint", left.ID())
+	line := "Endpoint began to leave while a request waited for a load there"
+	if g.BackoffLeft(left.ID(), clock.Now()) > 0 {
+		line = "Endpoint asked for a back-off while a request waited for a load there"
+	}
+	g.Log.Info(line, "request", q.call.ID, "endpoint", left.ID())
 	q.tried[left.ID()] = true
 	if ctx.Err() != nil {
 		return target{}, &Refusal{Code: CodeNotLoaded, Retry: noneRetry, Detail: "the endpoint takes no new requests"}
