--- a/edge/limits.go
+++ b/edge/limits.go
@@ -32,8 +32,6 @@
 	spareAgain = time.Second
 	// limitLine is between two lines about one endpoint's limit, and between two facts that tell all
 	// boxes a new value of it: it may change with each answer, and only who counts needs the value.
-	// Ten endpoints whose limits change so cost a box half a kilobyte a second with it, and five
-	// times as much without.
 	limitLine = time.Second
 	// limitPart is the part of a limit by which it must have changed for all boxes to be told.
 	limitPart = 0.25
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -140,8 +140,8 @@
 
 // budgetBoxes returns how many boxes share what all may send again; zero as long as the
 // first view of the others is not whole, and where this box should know others and does not.
-// Boxes that fell silent count too: on four sides of a cut, shares by those that answer alone
-// added up to 1,008 extra retries where 182 were allowed.
+// Boxes that fell silent count too: on the sides of a cut, shares by those that answer alone would add
+// up to the whole on each side.
 func (p *peers) budgetBoxes(now time.Time) int {
 	p.mu.Lock()
 	settled, met := p.settledLocked(now), !p.met.IsZero()
--- a/forward/budget.go
+++ b/forward/budget.go
@@ -15,8 +15,7 @@
 }
 
 // How a box's share is used. What it saves and what it earns in a window may fall into one
-// window, so both together stay below the share: 75 boxes that each saved ten besides sent
-// 1,004 in a window that allowed 938.
+// window, so both together stay below the share.
 const (
 	ratioPart = 0.7  // of the retries that first attempts earn: requests are counted elsewhere too
 	ratioKept = 0.25 // of the same, by the first attempts of the last window: so much may be saved, and both together stay below what either window allows
@@ -27,9 +26,8 @@
 
 // Budget is one box's share of the retries to one service. A box with many callers earns more
 // by their requests than its share of the extra ones, and needs them together: an endpoint that
-// refuses one of its requests refuses the next ones too. Where each of 195 boxes could save
-// one retry alone, every second request that an endpoint refused was given up, with a tenth of what
-// all may send again in use.
+// refuses one of its requests refuses the next ones too. Where each of many boxes could save one retry
+// alone, most of what all may send again would lie unused while requests are given up.
 type Budget struct {
 	Limits func() BudgetLimits
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -126,8 +126,7 @@
 }
 
 // quarantined refuses a request under which endpoints ended. The next endpoint would end too, with
-// the requests of others that it runs: 21 endpoints ended under one request within 15 s, as counted
-// at the endpoints, and 198 of 1,441 requests failed in ten of these seconds, as their callers saw.
+// the requests of others that it runs.
 func (g *Gateway) quarantined(q *request, now time.Time) *Refusal {
 	left, kept := g.Quarantine.Left(q.content, now)
 	if !kept {
--- a/placement/ended.go
+++ b/placement/ended.go
@@ -6,8 +6,7 @@
 
 // Ended hears that an endpoint ended, as a box found out that sent it requests. Its entry stays until
 // it lapses; until then no request is brought to it and nothing is loaded there. It guards against
-// naming it to each box that asks for an adapter that it held: one request was brought there ten times
-// within 20 ms, by its box's log, and then refused.
+// naming it to each box that asks for an adapter that it held.
 func (l *Loader) Ended(endpoint string, until time.Time) {
 	l.Init()
 	l.mu.Lock()
--- a/topology/view.go
+++ b/topology/view.go
@@ -112,8 +112,8 @@
 	return list, place, found
 }
 
-// listLocked puts an endpoint into a new list of its service. To sort all anew for each one took a
-// box that starts before 3,000 endpoints 1.25 s of a whole core, and six of its part of one.
+// listLocked puts an endpoint into a new list of its service. To sort all anew for each one would take a
+// box that starts before thousands of endpoints most of its start.
 func (v *View) listLocked(e *Endpoint) {
 	list, place, found := v.findLocked(e)
 	list = slices.Clone(list) // readers keep the old one
