One piece of code where the change had two: a limit's word, commands to engines of the soak, a box that joins

The rule from when a named limit counts stood in edge and in gateway (ratelimit.NewWord serves both); the soak's limits and back-offs each went round the engines to command and to read them; two tests started a further box in the same words.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -100,10 +100,7 @@
 // Said implements forward.Limits.
 func (s *limits) Said(endpoint string, l ratelimit.Limit, sent time.Time) {
 	now := clock.Now()
-	w := ratelimit.Word{Limit: l, At: now}
-	if !l.Named() {
-		w.At = sent
-	}
+	w := ratelimit.NewWord(l, sent, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.learnLocked(endpoint, w, now) {
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -162,6 +162,16 @@
 	return topology.NewEndpoint(topology.EndpointSpec{ID: key, Service: "s", Address: address, DataCentre: centre, Slots: 8}), nil
 }
 
+// join starts one more box of the first data centre, which knows another one.
+func join(c *quicktest.C, s Source, known *Node) (started *Node, stop func() error) {
+	started = newNode(c, "box-9", known.Settings.Peers)
+	started.Settings.DataCentre = "dc-0"
+	started.Source, started.Decoder, started.Protocol = s, centreDecoder{}, plainProtocol{}
+	stop = start(started)
+	variablesOf(c, started)
+	return started, stop
+}
+
 // answers counts answers by status.
 type answers struct {
 	mu    sync.Mutex
@@ -275,11 +285,7 @@
 	<-ended
 	allowed := int(limitBeyond*limit*limitWindow.Seconds()) + limitBesides
 	c.Check(s.endpoints[0].most() <= allowed, quicktest.IsTrue, quicktest.Commentf("%d requests in %v; allowed %d", s.endpoints[0].most(), limitWindow, allowed))
-	started := newNode(c, "box-9", nodes[1].Settings.Peers)
-	started.Settings.DataCentre = "dc-0"
-	started.Source, started.Decoder, started.Protocol = s, centreDecoder{}, plainProtocol{}
-	stop := start(started)
-	variablesOf(c, started)
+	started, stop := join(c, s, nodes[1])
 	for tries := 0; !started.limits.Limited("e/0"); tries++ {
 		c.Assert(tries < 500, quicktest.IsTrue)
 		time.Sleep(10 * time.Millisecond)
--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -90,11 +90,7 @@
 		c.Check(n.view.Endpoint("e/0").Draining(), quicktest.IsFalse)
 	}
 	end(0) // its data centre's leader
-	started := newNode(c, "box-9", nodes[1].Settings.Peers)
-	started.Settings.DataCentre = "dc-0"
-	started.Source, started.Decoder, started.Protocol = s, centreDecoder{}, plainProtocol{}
-	stop := start(started)
-	variablesOf(c, started)
+	started, stop := join(c, s, nodes[1])
 	awaitLeaving(c, started, "e/1")
 	c.Check(stop(), quicktest.IsNil)
 }
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -24,10 +24,7 @@
 // is another one than before. Of an endpoint that names none and never did nothing is kept, unless its
 // owner limits it, by the word of another gateway.
 func (l *limits) hear(endpoint string, said ratelimit.Limit, limited bool, sent, now time.Time) bool {
-	w := ratelimit.Word{Limit: said, At: now}
-	if !said.Named() {
-		w.At = sent
-	}
+	w := ratelimit.NewWord(said, sent, now)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	before, known := l.words[endpoint]
--- a/measure/storm.go
+++ b/measure/storm.go
@@ -117,15 +117,28 @@
 	if r.Backoff <= 0 {
 		return nil
 	}
+	return r.commandEngines(ctx, stormEngines, fmt.Sprintf("backoff?seconds=%v", r.Backoff))
+}
+
+// commandEngines gives one engine of each data centre a command of its stand-in.
+func (r *storm) commandEngines(ctx context.Context, engine int, command string) error {
 	for c := 1; c <= stormCentres; c++ {
-		url := fmt.Sprintf("http://%s/control/backoff?seconds=%v", r.fleet.EngineAddress(c, stormEngines), r.Backoff)
-		if err := fleet.Post(ctx, url); err != nil {
+		if err := fleet.Post(ctx, "http://"+r.fleet.EngineAddress(c, engine)+"/control/"+command); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// engineCounts reads what an engine counted of a command into to.
+func (r *storm) engineCounts(ctx context.Context, centre, engine int, command string, to any) error {
+	raw, err := fleet.Get(ctx, "http://"+r.fleet.EngineAddress(centre, engine)+"/control/"+command)
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(json.Unmarshal(raw, to), "measure: counts of %s", command)
+}
+
 // ignoredBackoffs writes what came to the engines that ask for back-offs, and tells whether one got more than
 // it may while it wanted nothing: two requests from each gateway but the one whose request began it.
 func (r *storm) ignoredBackoffs(ctx context.Context, w io.Writer) (ignored bool, err error) {
@@ -133,13 +146,9 @@
 		return false, nil
 	}
 	for c := 1; c <= stormCentres; c++ {
-		raw, err := fleet.Get(ctx, "http://"+r.fleet.EngineAddress(c, stormEngines)+"/control/backoff")
-		if err != nil {
-			return false, err
-		}
 		var n standin.BackoffCounts
-		if err := json.Unmarshal(raw, &n); err != nil {
-			return false, errors.Wrap(err, "measure: counts of back-offs")
+		if err := r.engineCounts(ctx, c, stormEngines, "backoff", &n); err != nil {
+			return false, err
 		}
 		most := 2 * n.Asked * (stormCentres*stormBoxes - 1)
 		fmt.Fprintf(w, "%s asks for %v s: came=%d during=%d most=%d\n", fleet.EndpointName(c, stormEngines), r.Backoff, n.Came, n.During, most)
@@ -153,13 +162,7 @@
 	if r.Limit <= 0 {
 		return nil
 	}
-	for c := 1; c <= stormCentres; c++ {
-		url := fmt.Sprintf("http://%s/control/limit?a_second=%v", r.fleet.EngineAddress(c, 1), r.Limit)
-		if err := fleet.Post(ctx, url); err != nil {
-			return err
-		}
-	}
-	return nil
+	return r.commandEngines(ctx, 1, fmt.Sprintf("limit?a_second=%v", r.Limit))
 }
 
 // overLimits writes what came to the engines that name limits, and returns how much of it was beyond them.
@@ -168,13 +171,9 @@
 		return 0, nil
 	}
 	for c := 1; c <= stormCentres; c++ {
-		raw, err := fleet.Get(ctx, "http://"+r.fleet.EngineAddress(c, 1)+"/control/limit")
-		if err != nil {
-			return 0, err
-		}
 		var n standin.LimitCounts
-		if err := json.Unmarshal(raw, &n); err != nil {
-			return 0, errors.Wrap(err, "measure: counts of a limit")
+		if err := r.engineCounts(ctx, c, 1, "limit", &n); err != nil {
+			return 0, err
 		}
 		fmt.Fprintf(w, "%s names %v a second: came=%d over=%d\n", fleet.EndpointName(c, 1), r.Limit, n.Came, n.Over)
 		over += n.Over
--- a/ratelimit/counter.go
+++ b/ratelimit/counter.go
@@ -31,6 +31,15 @@
 	At time.Time
 }
 
+// NewWord returns what an answer says that came at came, to a request sent at sent. That a limit is named
+// holds from the answer on; that none is, from the request on: what another answer named meanwhile is newer.
+func NewWord(l Limit, sent, came time.Time) Word {
+	if !l.Named() {
+		return Word{At: sent}
+	}
+	return Word{Limit: l, At: came}
+}
+
 // Counter hands out the requests that endpoints take which name limits. For each endpoint one box
 // counts at a time, and boxes ask it before each send, so the sum over all boxes keeps to the limit,
 // however many there are. A box that begins to count hands out nothing for a moment: the one before
