Boxes log that the store was restored and count the facts they ignore

The incident's logs cannot tell a restored store from one that forgot its history, nor a fact that never came from one that was read and taken for older. Boxes read the number that the store sends with each answer, log when it changes, log each fact of the store that they ignore, and count those that other boxes send. Nothing else changes.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -29,6 +29,8 @@
 	m.Set("edge_limits", expvar.Func(func() any { return n.limits.report() }))
 	m.Set("edge_notices", expvar.Func(func() any { return n.gateway.Notices() }))
 	m.Set("edge_retries", expvar.Func(func() any { return n.gateway.Retries() }))
+	m.Set("edge_source_restores", expvar.Func(func() any { return n.ignored.restores.Load() }))
+	m.Set("edge_facts_ignored", expvar.Func(func() any { return n.ignored.report() }))
 	m.Set("edge_source_age", expvar.Func(func() any { return n.sourceAges() }))
 	m.Set("edge_held", expvar.Func(func() any { return n.gateway.Held() }))
 	m.Set("edge_config", expvar.Func(func() any { return n.configVersion() }))
--- a/edge/node.go
+++ b/edge/node.go
@@ -56,6 +56,7 @@
 	leaving atomic.Bool
 	fresh   freshness
 	calls   calls
+	ignored ignored
 	known   known
 	away    atomic.Bool   // whether the source does not answer
 	listed  atomic.Uint64 // the source's revision when this box listed the endpoints last
@@ -77,6 +78,7 @@
 	n.items.OnChange = n.state.apply
 	n.items.IsOver, n.items.IsOld = n.isOver, n.isOld
 	n.items.Same = n.isSameEndpoint
+	n.items.OnIgnored = n.noteIgnored
 	n.messages = &daemon.Messages{Kind: n.messageKind, Near: func(ip string) (bool, bool) { return n.peers.near(ip) }}
 	n.peers = n.buildPeers()
 	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.word}
@@ -272,5 +274,6 @@
 		heard:      func(w readOutcome) { n.noteRead(c, w) },
 		listed:     func(revision uint64) { n.noteListed(c, revision) },
 		counted:    n.calls.count,
+		restored:   func() { n.ignored.restores.Add(1) },
 	}
 }
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -44,8 +44,10 @@
 	ages       func() map[string]int64 // of the source's word, for the log
 	listed     func(revision uint64)   // hears of a list before it is taken
 	counted    func(reason string)     // hears of each call before it is made
+	restored   func()                  // is called when the source came back from an older copy
 
 	after       uint64    // revision that is known; zero: nothing
+	epoch       uint64    // of the source's last answer
 	begun       time.Time // of the last call
 	asOf        time.Time // the table is as the source said then; zero: never
 	failing     bool
@@ -202,6 +204,7 @@
 		return false, err
 	}
 	r.back(now)
+	r.noteEpoch(b)
 	r.after = b.Revision
 	r.take(b.Facts, now)
 	r.asOf = now
@@ -211,6 +214,16 @@
 	return len(b.Facts) > 0, nil
 }
 
+// noteEpoch logs that the source was restored from an older copy since its last answer.
+func (r *reader) noteEpoch(b Batch) {
+	if r.epoch != b.Epoch && r.epoch != 0 {
+		r.restored()
+		r.log.Info("Source was restored from an older copy", "collection", r.collection.String(),
+			"epoch_before", r.epoch, "epoch", b.Epoch, "revision", b.Revision)
+	}
+	r.epoch = b.Epoch
+}
+
 // reason tells why the next call is made.
 func (r *reader) reason() string {
 	switch {
@@ -234,6 +247,7 @@
 	}
 	now := clock.Now()
 	r.back(now)
+	r.noteEpoch(b)
 	r.after, r.forgotten, r.afterOutage = b.Revision, false, false
 	r.listed(b.Revision)
 	r.snapshot(b, now)
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -87,6 +87,7 @@
 		ages:       func() map[string]int64 { return nil },
 		listed:     func(uint64) {},
 		counted:    func(string) {},
+		restored:   func() {},
 	}, t
 }
 
--- a/edge/source.go
+++ b/edge/source.go
@@ -35,6 +35,7 @@
 type Batch struct {
 	Facts    []Fact
 	Revision uint64
+	Epoch    uint64 // rises each time that the source is restored from an older copy; zero: it does not say
 }
 
 // ErrForgotten says that a source no longer knows what changed since a revision.
--- a/share/table.go
+++ b/share/table.go
@@ -33,6 +33,10 @@
 	// use; nil: every version is told.
 	Same func(old, now *wire.Item) bool
 
+	// OnIgnored is called with the items that were not taken because this box knows something newer;
+	// told says that another box sent them. Set it before use; nil: nobody asks.
+	OnIgnored func(items []*wire.Item, told bool)
+
 	mu      sync.Mutex
 	entries map[string]*list.Element // by key
 	log     *list.List               // of *entry, by rising seq
@@ -61,20 +65,26 @@
 func (t *Table) merge(items []*wire.Item, told bool) {
 	t.applied.Lock()
 	defer t.applied.Unlock()
-	accepted := t.accept(items, told)
+	accepted, ignored := t.accept(items, told)
 	if len(accepted) > 0 && t.OnChange != nil {
 		t.OnChange(accepted)
 	}
+	if len(ignored) > 0 && t.OnIgnored != nil {
+		t.OnIgnored(ignored, told)
+	}
 }
 
-// accept takes in items and returns those that are news; told says that another box told them.
-func (t *Table) accept(items []*wire.Item, told bool) []*wire.Item {
+// accept applies items. It returns those that are news, and those that are older than what is known;
+// told says that another box sent them.
+func (t *Table) accept(items []*wire.Item, told bool) (accepted, ignored []*wire.Item) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var accepted []*wire.Item
 	for _, i := range items {
 		old := t.entries[i.GetKey()]
 		if t.isKnownLocked(old, i, told) {
+			if old != nil && old.Value.(*entry).item.GetVersion() != i.GetVersion() {
+				ignored = append(ignored, i)
+			}
 			continue
 		}
 		if old != nil {
@@ -92,7 +102,7 @@
 		close(t.changed)
 		t.changed = make(chan struct{})
 	}
-	return accepted
+	return accepted, ignored
 }
 
 // isKnownLocked tells whether an item is not newer than what this box knows; old is the table's
