--- a/standin/facts.go
+++ b/standin/facts.go
@@ -34,6 +34,7 @@
 	Facts    []Fact // by key
 	More     bool   // keys follow
 	Revision uint64 // of the newest change of any key
+	Epoch    uint64 // restores from a copy until then
 }
 
 // changedLocked keeps a change for those who watch, and wakes them.
@@ -82,7 +83,7 @@
 	if p.mode == ModeDown {
 		return Page{}, ErrDown
 	}
-	a := Page{Revision: p.index}
+	a := Page{Revision: p.index, Epoch: p.epoch}
 	for k, v := range p.values {
 		if strings.HasPrefix(k, prefix) && k > after {
 			a.Facts = append(a.Facts, Fact{Key: k, Value: v.body, Revision: v.index})
@@ -91,21 +92,20 @@
 	return a, nil
 }
 
-// Watch returns the changes under a prefix after a revision and the newest revision, once
-// there is a change or the time is over.
-func (p *Platform) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Fact, uint64, error) {
+// Watch returns the changes under a prefix after a revision, once there is a change or the time is over.
+func (p *Platform) Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (Page, error) {
 	p.mu.Lock()
 	p.calls++
 	p.mu.Unlock()
 	over := time.After(wait)
 	for ended := false; ; {
-		facts, revision, changed, err := p.since(prefix, after)
-		if err != nil || len(facts) > 0 || ended {
-			return facts, revision, err
+		a, changed, err := p.since(prefix, after)
+		if err != nil || len(a.Facts) > 0 || ended {
+			return a, err
 		}
 		select {
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return Page{}, ctx.Err()
 		case <-changed:
 		case <-over:
 			ended = true
@@ -114,19 +114,20 @@
 }
 
 // since returns the changes under a prefix after a revision.
-func (p *Platform) since(prefix string, after uint64) (list []Fact, revision uint64, changed <-chan struct{}, err error) {
+func (p *Platform) since(prefix string, after uint64) (a Page, changed <-chan struct{}, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.mode == ModeDown {
-		return nil, 0, nil, ErrDown
+		return Page{}, nil, ErrDown
 	}
-	if after < p.forgot {
-		return nil, 0, nil, ErrForgotten
+	if after < p.forgot || after > p.index {
+		return Page{}, nil, ErrForgotten
 	}
+	a = Page{Revision: p.index, Epoch: p.epoch}
 	for _, f := range p.history {
 		if f.Revision > after && strings.HasPrefix(f.Key, prefix) {
-			list = append(list, f)
+			a.Facts = append(a.Facts, f)
 		}
 	}
-	return list, p.index, p.changed, nil
+	return a, p.changed, nil
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -12,7 +12,7 @@
 
 // Platform is a stand-in key-value service in Consul's HTTP style with
 // blocking reads; List and Watch are for other dialects. Users put values; it can be
-// down or stale on command. The zero value is ready for Handler.
+// down, stale or restored from a copy on command. The zero value is ready for Handler.
 type Platform struct {
 	Lag time.Duration // before a put is seen by readers
 
@@ -22,8 +22,10 @@
 	mode    string // "", "down" or "stale"
 	calls   int
 	changed chan struct{}
-	history []Fact // the newest changes, oldest first; at most HistoryKept
-	forgot  uint64 // revision of the newest change that history has lost
+	history []Fact        // the newest changes, oldest first; at most HistoryKept
+	forgot  uint64        // revision of the newest change that history has lost
+	copied  *platformCopy // nil: none was made
+	epoch   uint64        // restores from a copy so far
 }
 
 // platformValue keeps the value before, for a stale platform to serve.
@@ -51,6 +53,8 @@
 	m.HandleFunc("PUT /v1/kv/{key...}", p.put)
 	m.HandleFunc("DELETE /v1/kv/{key...}", p.remove)
 	m.HandleFunc("POST /control/mode", p.setMode)
+	m.HandleFunc("POST /control/copy", p.makeCopy)
+	m.HandleFunc("POST /control/restore", p.restore)
 	m.HandleFunc("GET /control/calls", p.showCalls)
 	return m
 }
