What a restored store publishes again is in force, and its copy takes nothing back

What callers saw: configurations 27 and 30 were never in force, so requests were served by 23, and an endpoint that drained got requests from boxes that follow a leader, after the store came back from an older copy.

Cause: boxes keep of each fact the one with the highest revision of the store. After the restoration revisions are given out again, so what was written again under a lower one was taken for old: by the table of facts, and by boxes that follow, up to the revision that they had read before. A watch could also go on from a revision of before and miss what was written under it.

Now: a Revision holds the store's epoch before its number, so all comparisons hold. A watch of an epoch that is over is forgotten history. An endpoint that was gone is used again once its entry is written anew, or outlives two lapses.

Ruled out: a pair of numbers everywhere, with the same outcome and 14 comparisons to change (docs/design/restored-source.md).

--- a/edge/ended_test.go
+++ b/edge/ended_test.go
@@ -122,19 +122,19 @@
 
 // List implements Source.
 func (f *fragile) List(_ context.Context, c Collection) (Batch, error) {
-	b := Batch{Revision: 1}
+	b := Batch{Revision: rev(1)}
 	if c == Settled {
-		b.Facts = []Fact{{Key: "config", Revision: 1, Value: []byte("v")}}
+		b.Facts = []Fact{{Key: "config", Revision: rev(1), Value: []byte("v")}}
 		return b, nil
 	}
 	for i, a := range f.addresses {
-		b.Facts = append(b.Facts, Fact{Key: fmt.Sprintf("e/%d", i), Revision: 1, Value: []byte(a)})
+		b.Facts = append(b.Facts, Fact{Key: fmt.Sprintf("e/%d", i), Revision: rev(1), Value: []byte(a)})
 	}
 	return b, nil
 }
 
 // Watch implements Source.
-func (f *fragile) Watch(ctx context.Context, _ Collection, after uint64, wait time.Duration) (Batch, error) {
+func (f *fragile) Watch(ctx context.Context, _ Collection, after Revision, wait time.Duration) (Batch, error) {
 	sleep(ctx, wait)
 	return Batch{Revision: after}, nil
 }
--- a/edge/explore_test.go
+++ b/edge/explore_test.go
@@ -110,7 +110,7 @@
 		}
 		known := s.now.Add(-age - w.way(s, i, b))
 		for r, c := range s.changes {
-			if version := b.table.Version("e/1"); c.at.Before(known) && version < uint64(r+1) && (version != 0 || !s.leftSince(r)) {
+			if version := b.table.Version("e/1"); c.at.Before(known) && version < uint64(rev(uint64(r+1))) && (version != 0 || !s.leftSince(r)) {
 				return fmt.Sprintf("%s says that it heard the source %v ago, and has not heard of revision %d of %v ago", boxName(i), age, r+1, s.now.Sub(c.at))
 			}
 		}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -120,17 +120,17 @@
 	}
 	heard := now.Add(-said.Age)
 	w := p.words[name]
-	w.told = now
+	w.told, w.settled = now, Revision(said.Settled)
 	if heard.After(w.heard) {
 		w.heard = heard
 	}
 	if w.first == 0 {
-		w.first = said.Endpoints
+		w.first = Revision(said.Endpoints)
 	}
 	p.words[name] = w
-	p.known.raise(Settled, mark{revision: said.Settled, asOf: heard})
+	p.known.raise(Settled, mark{revision: Revision(said.Settled), asOf: heard})
 	if p.isComplete(w) {
-		p.known.raise(Endpoints, mark{revision: said.Endpoints, asOf: heard})
+		p.known.raise(Endpoints, mark{revision: Revision(said.Endpoints), asOf: heard})
 	}
 }
 
@@ -145,13 +145,18 @@
 // long, or where this box leads.
 func (p *peers) wordAgo(now time.Time) (time.Duration, bool) {
 	w, ok := p.latestWord()
-	return now.Sub(w.heard), ok && w.isFresh(now, p.behind())
+	return now.Sub(w.heard), ok && p.knowsEpoch(w) && w.isFresh(now, p.behind())
+}
+
+// knowsEpoch reports whether a followed box has learned that the source was restored, as far as this box knows of it.
+func (p *peers) knowsEpoch(w word) bool {
+	return w.settled.Epoch() >= p.known.of(Settled).revision.Epoch()
 }
 
 // heardAgo tells the same where this box cannot have missed what left before.
 func (p *peers) heardAgo(now time.Time) (time.Duration, bool) {
 	w, ok := p.latestWord()
-	return now.Sub(w.heard), ok && p.isComplete(w) && w.isFresh(now, p.behind())
+	return now.Sub(w.heard), ok && p.knowsEpoch(w) && p.isComplete(w) && w.isFresh(now, p.behind())
 }
 
 // toldAgo tells how long ago the source was heard by the word of the box that is followed,
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -21,20 +21,20 @@
 // List implements Source.
 func (s *mutableSource) List(_ context.Context, c Collection) (Batch, error) {
 	if c != Endpoints || s.left.Load() {
-		return Batch{Revision: 9}, nil
+		return Batch{Revision: rev(9)}, nil
 	}
-	return Batch{Facts: published("e/1"), Revision: 5}, nil
+	return Batch{Facts: published("e/1"), Revision: rev(5)}, nil
 }
 
 // Watch implements Source.
-func (s *mutableSource) Watch(ctx context.Context, c Collection, after uint64, wait time.Duration) (Batch, error) {
+func (s *mutableSource) Watch(ctx context.Context, c Collection, after Revision, wait time.Duration) (Batch, error) {
 	if s.silent {
 		<-ctx.Done()
 		return Batch{}, ctx.Err()
 	}
 	sleep(ctx, wait)
-	if c == Endpoints && s.left.Load() && after < 9 {
-		return Batch{Facts: []Fact{{Key: "e/1", Revision: 9, Removed: true}}, Revision: 9}, nil
+	if c == Endpoints && s.left.Load() && after < rev(9) {
+		return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(9), Removed: true}}, Revision: rev(9)}, nil
 	}
 	return Batch{Revision: after}, nil
 }
--- a/edge/freshness.go
+++ b/edge/freshness.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -90,9 +91,9 @@
 }
 
 // noteListed notes the revision of a list of the source.
-func (n *Node) noteListed(c Collection, revision uint64) {
+func (n *Node) noteListed(c Collection, revision Revision) {
 	if c == Endpoints {
-		n.listed.Store(revision)
+		n.listed.Store(uint64(revision))
 	}
 }
 
@@ -124,7 +125,7 @@
 func (n *Node) word() (share.Word, bool) {
 	settled, endpoints := n.known.of(Settled), n.known.of(Endpoints) // first: they hold at least up to then
 	age, ok := n.readAgo()
-	return share.Word{Age: age, Settled: settled.revision, Endpoints: endpoints.revision}, ok
+	return share.Word{Age: age, Settled: uint64(settled.revision), Endpoints: uint64(endpoints.revision)}, ok
 }
 
 // mustRead tells whether this box reads a collection of the source: it leads its data
@@ -155,18 +156,23 @@
 
 // isOld tells of a fact about an endpoint, in a newer version than this box has, whether it is older
 // than what this box knows: up to a revision it misses nothing, but was not told of versions that
-// say the same as the one before.
+// say the same as the one before. What boxes keep against a restored copy is said by no such version.
 func (n *Node) isOld(i *wire.Item) bool {
-	return n.Decoder.Kind(i.GetKey()) == KindEndpoint && i.GetVersion() <= n.known.of(Endpoints).revision
+	v := revisionOf(i)
+	return n.Decoder.Kind(i.GetKey()) == KindEndpoint && v <= n.known.of(Endpoints).revision && !v.IsKept() && !v.IsConfirmed()
 }
 
-// isSameEndpoint tells whether two versions of a fact describe an endpoint alike. An endpoint writes
-// its entry anew whenever an adapter comes or goes, which boxes hear from its owner: such an entry
-// need not be told to all boxes as well.
-func (n *Node) isSameEndpoint(old, now *wire.Item) bool {
-	if n.Decoder.Kind(now.GetKey()) != KindEndpoint || old.GetRemoved() || now.GetRemoved() {
+// isSame reports whether two versions of a fact say the same. A restored source gives all facts with other revisions,
+// and an endpoint writes its entry anew whenever an adapter comes or goes, which boxes get from its owner: such a
+// fact need not be sent to all boxes as well.
+func (n *Node) isSame(old, now *wire.Item) bool {
+	kind := n.Decoder.Kind(now.GetKey())
+	if kind == KindOther || revisionOf(now).IsKept() || revisionOf(now).IsConfirmed() || old.GetRemoved() || now.GetRemoved() {
 		return false
 	}
+	if kind != KindEndpoint {
+		return bytes.Equal(old.GetValue(), now.GetValue()) && bytes.Equal(old.GetPacked(), now.GetPacked())
+	}
 	a, errA := n.endpointOf(old)
 	b, errB := n.endpointOf(now)
 	return errA == nil && errB == nil && a.Alike(b)
--- a/edge/ignored.go
+++ b/edge/ignored.go
@@ -38,6 +38,6 @@
 		}
 		n.ignored.read.Add(1)
 		n.Log.Info("Fact from the source is older than the one known and is ignored", "key", i.GetKey(),
-			"revision", i.GetVersion(), "known_revision", n.items.Version(i.GetKey()))
+			"revision", revisionOf(i).String(), "known_revision", revisionOf(n.items.Get(i.GetKey())).String())
 	}
 }
--- a/edge/keys_test.go
+++ b/edge/keys_test.go
@@ -60,13 +60,13 @@
 		return Batch{}, errors.New("no answer")
 	}
 	if c == Endpoints {
-		return Batch{Facts: []Fact{{Key: "e/1", Revision: 1, Value: []byte("v")}}, Revision: 1}, nil
+		return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(1), Value: []byte("v")}}, Revision: rev(1)}, nil
 	}
-	return Batch{Facts: []Fact{{Key: "config", Revision: 1, Value: []byte("v")}}, Revision: 1}, nil
+	return Batch{Facts: []Fact{{Key: "config", Revision: rev(1), Value: []byte("v")}}, Revision: rev(1)}, nil
 }
 
 // Watch implements Source.
-func (s *keyedSource) Watch(ctx context.Context, c Collection, after uint64, wait time.Duration) (Batch, error) {
+func (s *keyedSource) Watch(ctx context.Context, c Collection, after Revision, wait time.Duration) (Batch, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c == Settled && len(s.changes) > 0 && !s.silent.Load() {
@@ -151,9 +151,9 @@
 	n := newKeyedNode(c, "box-1", s, true)
 	stop := start(n)
 	becomes(c, n, true)
-	s.publish(Fact{Key: "config", Revision: 5, Value: []byte("bad")})
+	s.publish(Fact{Key: "config", Revision: rev(5), Value: []byte("bad")})
 	becomes(c, n, false)
-	s.publish(Fact{Key: "config", Revision: 6, Value: []byte("good")})
+	s.publish(Fact{Key: "config", Revision: rev(6), Value: []byte("good")})
 	becomes(c, n, true)
 	c.Assert(stop(), quicktest.IsNil)
 }
@@ -281,7 +281,7 @@
 	table.OnChange = st.apply
 	a := topology.Adapter{Model: "m", Name: "a9"}
 	fact := func(revision uint64, value string) {
-		r.take([]Fact{{Key: "e/1", Revision: revision, Value: []byte(value)}}, time.Now())
+		r.take([]Fact{{Key: "e/1", Revision: rev(revision), Value: []byte(value)}}, time.Now())
 	}
 	fact(1, "one")
 	st.publish("dc", "one", 1<<40, map[topology.Adapter]topology.Held{a: {Version: 1, Ready: true}})
@@ -298,7 +298,7 @@
 	c.Assert(v.All(), quicktest.HasLen, 0)
 	fact(9, "two")
 	c.Assert(v.All(), quicktest.HasLen, 1)
-	r.take([]Fact{{Key: "e/1", Revision: 12, Removed: true}}, time.Now())
+	r.take([]Fact{{Key: "e/1", Revision: rev(12), Removed: true}}, time.Now())
 	c.Assert(v.All(), quicktest.HasLen, 0)
 }
 
--- a/edge/known.go
+++ b/edge/known.go
@@ -18,7 +18,7 @@
 
 // mark is a revision of the source, and when that was the latest one.
 type mark struct {
-	revision uint64
+	revision Revision
 	asOf     time.Time
 }
 
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -135,20 +135,20 @@
 
 // List implements Source.
 func (s *needy) List(_ context.Context, c Collection) (Batch, error) {
-	b := Batch{Revision: 1}
+	b := Batch{Revision: rev(1)}
 	if c == Settled {
-		b.Facts = []Fact{{Key: "config", Revision: 1, Value: []byte("v")}}
+		b.Facts = []Fact{{Key: "config", Revision: rev(1), Value: []byte("v")}}
 		return b, nil
 	}
 	for i, e := range s.endpoints {
 		value := fmt.Sprintf("dc-%d/%s", i%2, e.address)
-		b.Facts = append(b.Facts, Fact{Key: fmt.Sprintf("e/%d", i), Revision: 1, Value: []byte(value)})
+		b.Facts = append(b.Facts, Fact{Key: fmt.Sprintf("e/%d", i), Revision: rev(1), Value: []byte(value)})
 	}
 	return b, nil
 }
 
 // Watch implements Source.
-func (s *needy) Watch(ctx context.Context, _ Collection, after uint64, wait time.Duration) (Batch, error) {
+func (s *needy) Watch(ctx context.Context, _ Collection, after Revision, wait time.Duration) (Batch, error) {
 	sleep(ctx, wait)
 	return Batch{Revision: after}, nil
 }
--- a/edge/model_test.go
+++ b/edge/model_test.go
@@ -37,7 +37,7 @@
 // modelBox is what one box knows. Zero times are never.
 type modelBox struct {
 	items    []*wire.Item // oldest first
-	after    uint64
+	after    Revision
 	asOf     time.Time
 	failing  bool
 	trusted  time.Time
@@ -144,7 +144,7 @@
 	r.forgotten = b.relist
 	n.known.raise(Endpoints, mark{revision: b.known.revision, asOf: moved(b.known.asOf, by)})
 	r.known = func() mark { return n.known.of(Endpoints) }
-	r.listed = func(revision uint64) { n.noteListed(Endpoints, revision) }
+	r.listed = func(revision Revision) { n.noteListed(Endpoints, revision) }
 	t.IsOver, t.IsOld = n.isOver, n.isOld
 	n.current.Store(&Settings{}) // bounds as where none is set
 	if !b.answered.IsZero() {
@@ -200,15 +200,17 @@
 }
 
 // facts are what changed after a revision, up to a time.
-func (m *stepSource) facts(after uint64, until time.Time) Batch {
+func (m *stepSource) facts(after Revision, until time.Time) Batch {
 	var b Batch
+	count := 0
 	for _, c := range m.state.changes {
 		if !c.at.After(until) {
-			b.Revision++
+			count++
 		}
 	}
+	b.Revision = rev(uint64(count))
 	if b.Revision > after {
-		b.Facts = []Fact{{Key: "e/1", Revision: b.Revision, Removed: m.state.changes[b.Revision-1].removed}}
+		b.Facts = []Fact{{Key: "e/1", Revision: b.Revision, Removed: m.state.changes[count-1].removed}}
 	}
 	return b
 }
@@ -228,7 +230,7 @@
 }
 
 // Watch implements Source.
-func (m *stepSource) Watch(_ context.Context, _ Collection, after uint64, wait time.Duration) (Batch, error) {
+func (m *stepSource) Watch(_ context.Context, _ Collection, after Revision, wait time.Duration) (Batch, error) {
 	until := m.state.now
 	if m.slow {
 		until = until.Add(min(wait-m.after, 0))
--- a/edge/node.go
+++ b/edge/node.go
@@ -59,7 +59,7 @@
 	ignored ignored
 	known   known
 	away    atomic.Bool   // whether the source does not answer
-	listed  atomic.Uint64 // the source's revision when this box listed the endpoints last
+	listed  atomic.Uint64 // the Revision of the last list of endpoints
 }
 
 const (
@@ -77,7 +77,7 @@
 	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
 	n.items.OnChange = n.state.apply
 	n.items.IsOver, n.items.IsOld = n.isOver, n.isOld
-	n.items.Same = n.isSameEndpoint
+	n.items.Same, n.items.Outlives = n.isSame, n.outlives
 	n.items.OnIgnored = n.noteIgnored
 	n.messages = &daemon.Messages{Kind: n.messageKind, Near: func(ip string) (bool, bool) { return n.peers.near(ip) }}
 	n.peers = n.buildPeers()
@@ -272,7 +272,7 @@
 		away:       &n.away,
 		lapse:      func() time.Duration { return n.current.Load().Bounds.Lapse },
 		heard:      func(w readOutcome) { n.noteRead(c, w) },
-		listed:     func(revision uint64) { n.noteListed(c, revision) },
+		listed:     func(revision Revision) { n.noteListed(c, revision) },
 		counted:    n.calls.count,
 		restored:   func() { n.ignored.restores.Add(1) },
 	}
--- a/edge/node_test.go
+++ b/edge/node_test.go
@@ -31,10 +31,12 @@
 type emptySource struct{}
 
 // List implements Source.
-func (emptySource) List(context.Context, Collection) (Batch, error) { return Batch{Revision: 1}, nil }
+func (emptySource) List(context.Context, Collection) (Batch, error) {
+	return Batch{Revision: rev(1)}, nil
+}
 
 // Watch implements Source.
-func (emptySource) Watch(ctx context.Context, _ Collection, after uint64, wait time.Duration) (Batch, error) {
+func (emptySource) Watch(ctx context.Context, _ Collection, after Revision, wait time.Duration) (Batch, error) {
 	sleep(ctx, wait)
 	return Batch{Revision: after}, nil
 }
--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -130,7 +130,9 @@
 	n := newNode(c, "box-1")
 	n.Decoder = serviceDecoder{}
 	n.build()
-	entry := func(revision uint64) { n.items.Merge(&wire.Item{Key: "e/1", Version: revision, Value: []byte("a:1")}) }
+	entry := func(revision uint64) {
+		n.items.Merge(&wire.Item{Key: "e/1", Version: uint64(rev(revision)), Value: []byte("a:1")})
+	}
 	entry(1)
 	n.departures.heard("e/1")
 	entry(2)
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -62,9 +62,10 @@
 
 // word is what a followed box said of the source.
 type word struct {
-	told  time.Time // when it last said that it is heard
-	heard time.Time // when it was heard, by its word
-	first uint64    // up to which revision it knew of endpoints, by its first word since it is followed; zero: none yet, or an older version's
+	settled Revision  // up to which it knew of configuration, by its last word
+	told    time.Time // when it last said that it is heard
+	heard   time.Time // when it was heard, by its word
+	first   Revision  // up to which revision it knew of endpoints, by its first word since it is followed; zero: none yet, or an older version's
 }
 
 // isFresh tells whether a word still says something of the source at now.
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -75,7 +75,7 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: 1, asOf: now})
+	p.known.raise(Endpoints, mark{revision: rev(1), asOf: now})
 	p.hear("b", share.Word{Age: 500 * time.Millisecond, Endpoints: 1}, now)
 	ago, ok := p.heardAgo(now)
 	c.Assert(ok, quicktest.IsTrue)
@@ -92,7 +92,7 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: 1, asOf: now})
+	p.known.raise(Endpoints, mark{revision: rev(1), asOf: now})
 	p.hear("b", share.Word{Endpoints: 1}, now)
 	_, ok := p.heardAgo(now.Add(share.SilentAfter - time.Millisecond))
 	c.Assert(ok, quicktest.IsTrue)
@@ -110,15 +110,15 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: 6, asOf: now})
-	for revision := uint64(7); revision < 9; revision++ { // it is followed, and followed anew
+	p.known.raise(Endpoints, mark{revision: rev(6), asOf: now})
+	for _, revision := range []Revision{rev(7), rev(8)} { // it is followed, and followed anew
 		p.begin("b")
-		p.hear("b", share.Word{Age: 300 * time.Millisecond, Endpoints: revision}, now)
+		p.hear("b", share.Word{Age: 300 * time.Millisecond, Endpoints: uint64(revision)}, now)
 		c.Assert(p.informed(now), quicktest.IsFalse)
-		c.Assert(p.known.of(Endpoints).revision, quicktest.Equals, revision-1)
+		c.Assert(p.known.of(Endpoints).revision < revision, quicktest.IsTrue)
 		p.known.raise(Endpoints, mark{revision: revision, asOf: now}) // by its own reading
 		c.Assert(p.informed(now), quicktest.IsTrue)
-		p.hear("b", share.Word{Endpoints: revision}, now) // later words need no later reading
+		p.hear("b", share.Word{Endpoints: uint64(revision)}, now) // later words need no later reading
 		c.Assert(p.informed(now), quicktest.IsTrue)
 		now = now.Add(time.Second)
 	}
@@ -140,15 +140,15 @@
 	for _, everything := range []bool{false, true} {
 		p := peersOf(box("a", "dc", 1, 400), box("b", "other", 2, 400))
 		now := time.Now()
-		p.known.raise(Endpoints, mark{revision: 6, asOf: now.Add(-time.Second)})
+		p.known.raise(Endpoints, mark{revision: rev(6), asOf: now.Add(-time.Second)})
 		s := source{name: "b", everything: everything}
 		p.begin("b")
-		p.took(s, &wire.Update{Reading: true, SettledRevision: 6, EndpointsRevision: 6}, now)
-		p.took(s, &wire.Update{Reading: true, SettledRevision: 9, EndpointsRevision: 9}, now)
-		c.Check(p.known.of(Settled).revision, quicktest.Equals, uint64(9)) // that is told to all
-		want := uint64(6)
+		p.took(s, &wire.Update{Reading: true, SettledRevision: uint64(rev(6)), EndpointsRevision: uint64(rev(6))}, now)
+		p.took(s, &wire.Update{Reading: true, SettledRevision: uint64(rev(9)), EndpointsRevision: uint64(rev(9))}, now)
+		c.Check(p.known.of(Settled).revision, quicktest.Equals, rev(9)) // that is told to all
+		want := rev(6)
 		if everything {
-			want = 9
+			want = rev(9)
 		}
 		c.Check(p.known.of(Endpoints).revision, quicktest.Equals, want)
 	}
@@ -160,12 +160,12 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: 6, asOf: now})
+	p.known.raise(Endpoints, mark{revision: rev(6), asOf: now})
 	p.begin("b")
-	p.hear("b", share.Word{Endpoints: 6}, now)
+	p.hear("b", share.Word{Endpoints: uint64(rev(6))}, now)
 	c.Assert(p.informed(now), quicktest.IsTrue)
-	p.hear("b", share.Word{Endpoints: 9}, now)
-	c.Assert(p.known.of(Endpoints).revision, quicktest.Equals, uint64(9))
+	p.hear("b", share.Word{Endpoints: uint64(rev(9))}, now)
+	c.Assert(p.known.of(Endpoints).revision, quicktest.Equals, rev(9))
 }
 
 // A data centre whose boxes all left for a moment, one after the other, was taken for
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -21,6 +21,7 @@
 	failMost    = 600 * time.Millisecond  // a source that is back is read within it
 	failGrowth  = 2                       // times as long is the pause after the next one
 	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
+	copyLapses  = 2                       // times a lapse after which an entry of a restored copy would be gone
 	wordFor     = 600 * time.Millisecond  // a box finds its leader within it, and hears what that reads
 	wordLook    = 50 * time.Millisecond   // how often it looks meanwhile
 	standbyLook = 100 * time.Millisecond  // how often a box that does not read looks whether it must
@@ -42,12 +43,12 @@
 	lapse      func() time.Duration // entries of endpoints may lapse where the source is away for so long
 	heard      func(o readOutcome)
 	ages       func() map[string]int64 // of the source's word, for the log
-	listed     func(revision uint64)   // hears of a list before it is taken
+	listed     func(revision Revision) // hears of a list before it is taken
 	counted    func(reason string)     // hears of each call before it is made
 	restored   func()                  // is called when the source came back from an older copy
 
-	after       uint64    // revision that is known; zero: nothing
-	epoch       uint64    // of the source's last answer
+	after       Revision  // up to which nothing is missing; zero: nothing is known
+	epoch       uint64    // of the source's last list
 	begun       time.Time // of the last call
 	asOf        time.Time // the table is as the source said then; zero: never
 	failing     bool
@@ -56,13 +57,15 @@
 	holding     bool      // the source said that something is gone, which is not believed yet
 	forgotten   bool      // the next list makes up for history that the source has forgotten
 	afterOutage bool      // the next list tells which endpoints have lapsed
+	doubted     time.Time // until then an entry of a restored copy may be of an endpoint that is gone
+	doubtedIn   uint64    // the epoch of that copy
 }
 
 // readOutcome is how a reader's call went.
 type readOutcome struct {
 	begun    time.Time // when the call was made: the source answered later, however long its answer took
 	asOf     time.Time // the table is as the source said then
-	revision uint64    // of the source, as of then
+	revision Revision  // of the source, as of then
 	heard    bool      // the call went well, and nothing that it told is held back
 }
 
@@ -165,6 +168,10 @@
 	if r.after != 0 || r.forgotten || r.afterOutage {
 		return
 	}
+	if r.hasDoubted() {
+		r.afterOutage = true
+		return
+	}
 	if m := r.known(); m.revision != 0 {
 		r.after, r.asOf = m.revision, m.asOf
 	}
@@ -195,7 +202,7 @@
 	b, err := r.source.Watch(ctx, r.collection, r.after, wait)
 	now := clock.Now()
 	if errors.As(err, &ErrForgotten{}) {
-		r.log.Info("Source forgot its history and is listed anew", "collection", r.collection.String(), "revision", r.after)
+		r.log.Info("Source forgot its history and is listed anew", "collection", r.collection.String(), "revision", r.after.String())
 		r.back(now)
 		r.after, r.forgotten = 0, true
 		return false, nil
@@ -204,7 +211,6 @@
 		return false, err
 	}
 	r.back(now)
-	r.noteEpoch(b)
 	r.after = b.Revision
 	r.take(b.Facts, now)
 	r.asOf = now
@@ -214,14 +220,25 @@
 	return len(b.Facts) > 0, nil
 }
 
-// noteEpoch logs that the source was restored from an older copy since its last answer.
-func (r *reader) noteEpoch(b Batch) {
-	if r.epoch != b.Epoch && r.epoch != 0 {
-		r.restored()
-		r.log.Info("Source was restored from an older copy", "collection", r.collection.String(),
-			"epoch_before", r.epoch, "epoch", b.Epoch, "revision", b.Revision)
+// noteEpoch compares a list's epoch with that of what this box knows. Where the source was restored from an older
+// copy, endpoints that are missing get time to write their entries again.
+func (r *reader) noteEpoch(b Batch, now time.Time) {
+	before, epoch := max(r.epoch, r.known().revision.Epoch()), b.Revision.Epoch()
+	r.epoch = epoch
+	if before == 0 || before >= epoch {
+		return
+	}
+	r.restored()
+	r.trusted = later(r.trusted, now.Add(lapseGrace))
+	r.log.Info("Source was restored from an older copy", "collection", r.collection.String(), "epoch_before", before,
+		"revision_before", r.known().revision.String(), "revision", b.Revision.String())
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	r.epoch = b.Epoch
+	return b
 }
 
 // reason tells why the next call is made.
@@ -247,7 +264,7 @@
 	}
 	now := clock.Now()
 	r.back(now)
-	r.noteEpoch(b)
+	r.noteEpoch(b, now)
 	r.after, r.forgotten, r.afterOutage = b.Revision, false, false
 	r.listed(b.Revision)
 	r.snapshot(b, now)
@@ -285,7 +302,7 @@
 		r.trusted = now.Add(lapseGrace)
 		r.uncertain = true
 	}
-	r.log.Info("Source answers again", "collection", r.collection.String(), "revision", r.after, "away_ms", away.Milliseconds())
+	r.log.Info("Source answers again", "collection", r.collection.String(), "revision", r.after.String(), "away_ms", away.Milliseconds())
 }
 
 // note tells how a call went, and logs when the source is lost. A box that holds something
@@ -294,7 +311,7 @@
 	r.heard(readOutcome{begun: r.begun, asOf: r.asOf, revision: r.after, heard: err == nil && r.after != 0 && !r.holding})
 	if err != nil && !r.failing {
 		r.failing = true
-		r.log.Info("Source does not answer", "collection", r.collection.String(), "revision", r.after, "err", err.Error())
+		r.log.Info("Source does not answer", "collection", r.collection.String(), "revision", r.after.String(), "err", err.Error())
 	}
 	r.noteAway()
 }
@@ -309,13 +326,14 @@
 			r.holding = true
 			continue
 		}
-		items = append(items, share.Pack(&wire.Item{Key: f.Key, Version: f.Revision, Value: f.Value, Removed: f.Removed, Settled: r.collection == Settled}))
+		items = append(items, share.Pack(&wire.Item{Key: f.Key, Version: uint64(f.Revision), Value: f.Value, Removed: f.Removed, Settled: r.collection == Settled}))
 	}
 	r.table.Merge(items...)
 }
 
 // snapshot merges a whole list: endpoints that are not in it are gone.
 func (r *reader) snapshot(b Batch, now time.Time) {
+	r.confirm(b, now)
 	listed := make(map[string]bool, len(b.Facts))
 	for _, f := range b.Facts {
 		listed[f.Key] = true
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -60,7 +60,7 @@
 }
 
 // Watch implements Source.
-func (s *script) Watch(_ context.Context, _ Collection, _ uint64, wait time.Duration) (Batch, error) {
+func (s *script) Watch(_ context.Context, _ Collection, _ Revision, wait time.Duration) (Batch, error) {
 	s.waits = append(s.waits, wait)
 	next := s.watch[0]
 	if len(s.watch) > 1 {
@@ -85,7 +85,7 @@
 		lapse:      func() time.Duration { return time.Second },
 		heard:      func(readOutcome) {},
 		ages:       func() map[string]int64 { return nil },
-		listed:     func(uint64) {},
+		listed:     func(Revision) {},
 		counted:    func(string) {},
 		restored:   func() {},
 	}, t
@@ -94,7 +94,7 @@
 func published(keys ...string) []Fact {
 	var list []Fact
 	for _, k := range keys {
-		list = append(list, Fact{Key: k, Revision: 1})
+		list = append(list, Fact{Key: k, Revision: rev(1)})
 	}
 	return list
 }
@@ -107,9 +107,9 @@
 func TestAnEndpointThatIsRemovedIsGoneAtOnce(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Facts: published("e/1", "e/2"), Revision: 5}},
+		list: []Batch{{Facts: published("e/1", "e/2"), Revision: rev(5)}},
 		watch: []func() (Batch, error){func() (Batch, error) {
-			return Batch{Facts: []Fact{{Key: "e/1", Revision: 6, Removed: true}}, Revision: 6}, nil
+			return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(6), Removed: true}}, Revision: rev(6)}, nil
 		}},
 	}
 	r, table := newReader(s)
@@ -121,7 +121,7 @@
 func TestAnEndpointThatIsMissingInANewListIsGone(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Facts: published("e/1", "e/2"), Revision: 5}, {Facts: published("e/2"), Revision: 9}},
+		list: []Batch{{Facts: published("e/1", "e/2"), Revision: rev(5)}, {Facts: published("e/2"), Revision: rev(9)}},
 		watch: []func() (Batch, error){
 			func() (Batch, error) { return Batch{}, ErrForgotten{} },
 		},
@@ -137,13 +137,13 @@
 func TestAnEndpointThatLapsedInAnOutageHasTimeToComeBack(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Facts: published("e/1"), Revision: 5}, {Facts: nil, Revision: 30}},
+		list: []Batch{{Facts: published("e/1"), Revision: rev(5)}, {Facts: nil, Revision: rev(30)}},
 		watch: []func() (Batch, error){
 			func() (Batch, error) { return Batch{}, errors.New("no answer") },
 			func() (Batch, error) {
-				return Batch{Facts: []Fact{{Key: "e/1", Revision: 20, Removed: true}}, Revision: 20}, nil
+				return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(20), Removed: true}}, Revision: rev(20)}, nil
 			},
-			func() (Batch, error) { return Batch{Revision: 21}, nil },
+			func() (Batch, error) { return Batch{Revision: rev(21)}, nil },
 		},
 	}
 	r, table := newReader(s)
@@ -162,11 +162,11 @@
 func TestAnEndpointThatLeavesAfterOneFailedCallIsGoneAtOnce(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Facts: published("e/1"), Revision: 5}},
+		list: []Batch{{Facts: published("e/1"), Revision: rev(5)}},
 		watch: []func() (Batch, error){
 			func() (Batch, error) { return Batch{}, errors.New("the watch was cut") },
 			func() (Batch, error) {
-				return Batch{Facts: []Fact{{Key: "e/1", Revision: 20, Removed: true}}, Revision: 20}, nil
+				return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(20), Removed: true}}, Revision: rev(20)}, nil
 			},
 		},
 	}
@@ -182,10 +182,10 @@
 func TestABoxThatStoodByHoldsNothingBackForAnOldOutage(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Facts: published("e/1"), Revision: 5}, {Facts: nil, Revision: 30}},
+		list: []Batch{{Facts: published("e/1"), Revision: rev(5)}, {Facts: nil, Revision: rev(30)}},
 		watch: []func() (Batch, error){
 			func() (Batch, error) { return Batch{}, errors.New("no answer") },
-			func() (Batch, error) { return Batch{Revision: 31}, nil },
+			func() (Batch, error) { return Batch{Revision: rev(31)}, nil },
 		},
 	}
 	r, table := newReader(s)
@@ -216,12 +216,12 @@
 func TestABoxThatHoldsBackWhatTheSourceSaidIsNoSourceForOthers(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Facts: published("e/1"), Revision: 5}, {Facts: nil, Revision: 30}},
+		list: []Batch{{Facts: published("e/1"), Revision: rev(5)}, {Facts: nil, Revision: rev(30)}},
 		watch: []func() (Batch, error){
 			func() (Batch, error) { return Batch{}, errors.New("no answer") },
-			func() (Batch, error) { return Batch{Revision: 10}, nil },
+			func() (Batch, error) { return Batch{Revision: rev(10)}, nil },
 			func() (Batch, error) {
-				return Batch{Facts: []Fact{{Key: "e/1", Revision: 20, Removed: true}}, Revision: 20}, nil
+				return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(20), Removed: true}}, Revision: rev(20)}, nil
 			},
 		},
 	}
@@ -242,10 +242,10 @@
 func TestAfterAFailureWatchesAreShort(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Revision: 5}},
+		list: []Batch{{Revision: rev(5)}},
 		watch: []func() (Batch, error){
 			func() (Batch, error) { return Batch{}, errors.New("no answer") },
-			func() (Batch, error) { return Batch{Revision: 6}, nil },
+			func() (Batch, error) { return Batch{Revision: rev(6)}, nil },
 		},
 	}
 	r, _ := newReader(s)
@@ -264,7 +264,7 @@
 // same soon: three calls in five of a quiet day.
 func TestABoxThatIsToldSoonDoesNotWatchTheSource(t *testing.T) {
 	c := quicktest.New(t)
-	s := &script{list: []Batch{{Revision: 5}}, watch: []func() (Batch, error){func() (Batch, error) { return Batch{Revision: 6}, nil }}}
+	s := &script{list: []Batch{{Revision: rev(5)}}, watch: []func() (Batch, error){func() (Batch, error) { return Batch{Revision: rev(6)}, nil }}}
 	r, _ := newReader(s)
 	looks := 0
 	r.leads = func() bool { return false }
@@ -289,14 +289,14 @@
 	if time.Now().Before(s.back) {
 		return Batch{}, errors.New("away")
 	}
-	return Batch{Revision: 5}, nil
+	return Batch{Revision: rev(5)}, nil
 }
 
 // List implements Source.
 func (s *awaySource) List(context.Context, Collection) (Batch, error) { return s.call() }
 
 // Watch implements Source.
-func (s *awaySource) Watch(ctx context.Context, _ Collection, _ uint64, wait time.Duration) (Batch, error) {
+func (s *awaySource) Watch(ctx context.Context, _ Collection, _ Revision, wait time.Duration) (Batch, error) {
 	sleep(ctx, wait)
 	return s.call()
 }
@@ -371,14 +371,14 @@
 func TestAnEndpointThatLeftBeforeABoxStartedIsNotBroughtBackByAnother(t *testing.T) {
 	c := quicktest.New(t)
 	n := &Node{Decoder: plainDecoder{}}
-	r, table := newReader(&script{list: []Batch{{Facts: published("e/2"), Revision: 5}}})
-	r.listed = func(revision uint64) { n.noteListed(Endpoints, revision) }
+	r, table := newReader(&script{list: []Batch{{Facts: published("e/2"), Revision: rev(5)}}})
+	r.listed = func(revision Revision) { n.noteListed(Endpoints, revision) }
 	table.IsOver = n.isOver
 	step(r)
-	table.Hear(&wire.Item{Key: "e/1", Version: 4}, &wire.Item{Key: "e/3", Version: 6})
+	table.Hear(&wire.Item{Key: "e/1", Version: uint64(rev(4))}, &wire.Item{Key: "e/3", Version: uint64(rev(6))})
 	keys := table.Keys()
 	slices.Sort(keys)
 	c.Assert(keys, quicktest.DeepEquals, []string{"e/2", "e/3"})
-	table.Hear(&wire.Item{Key: "e/4", Version: 4, Removed: true}) // others may still need it
-	c.Assert(table.Version("e/4"), quicktest.Equals, uint64(4))
+	table.Hear(&wire.Item{Key: "e/4", Version: uint64(rev(4)), Removed: true}) // others may still need it
+	c.Assert(table.Version("e/4"), quicktest.Equals, uint64(rev(4)))
 }
--- /dev/null
+++ b/edge/restore_test.go
@@ -0,0 +1,180 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnwick.example/share"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// wordDecoder reads the values of testdata/restored.txt.
+type wordDecoder struct{}
+
+// Kind implements Decoder.
+func (wordDecoder) Kind(key string) Kind {
+	switch {
+	case key == "config":
+		return KindConfig
+	case strings.HasPrefix(key, "v/"):
+		return KindVersion
+	}
+	return KindEndpoint
+}
+
+// Config implements Decoder.
+func (wordDecoder) Config(value []byte) (*topology.Config, error) {
+	v, err := strconv.ParseUint(string(value), 10, 64)
+	return topology.NewConfig(v, nil, nil, topology.Limits{}), err
+}
+
+// Endpoint implements Decoder.
+func (wordDecoder) Endpoint(key string, value []byte) (*topology.Endpoint, error) {
+	state, second, _ := strings.Cut(string(value), "+")
+	spec := topology.EndpointSpec{ID: key, Draining: state == "draining"}
+	if second != "" {
+		n, err := strconv.ParseInt(second, 10, 64)
+		if err != nil {
+			return nil, err
+		}
+		spec.ID, spec.Started = key+"@"+second, time.Unix(n, 0)
+	}
+	return topology.NewEndpoint(spec), nil
+}
+
+// Version implements Decoder.
+func (wordDecoder) Version(value []byte) (topology.Adapter, int64, error) {
+	v, err := strconv.ParseInt(string(value), 10, 64)
+	return topology.Adapter{Model: "m", Name: "a"}, v, err
+}
+
+// restoredBox is the box of one case.
+type restoredBox struct {
+	table  *share.Table
+	reader *reader
+	source *script
+}
+
+func newRestoredBox() *restoredBox {
+	b := &restoredBox{source: &script{}}
+	b.reader, b.table = newReader(b.source)
+	b.reader.decoder = wordDecoder{}
+	n := &Node{Decoder: wordDecoder{}}
+	b.table.Outlives, b.table.Same, b.table.IsOld, b.table.IsOver = n.outlives, n.isSame, n.isOld, n.isOver
+	b.reader.known = func() mark { return n.known.of(Endpoints) }
+	b.reader.listed = func(r Revision) { n.noteListed(Endpoints, r) }
+	return b
+}
+
+// do runs one command; it returns what is wrong.
+func (b *restoredBox) do(words []string) error {
+	switch words[0] {
+	case "read", "receive":
+		i, err := parseItem(words[1], words[2])
+		if err != nil {
+			return err
+		}
+		if words[0] == "read" {
+			b.table.Merge(i)
+		} else {
+			b.table.Hear(i)
+		}
+		return nil
+	case "list":
+		return b.list(words[1], words[2:])
+	case "wait":
+		d, err := time.ParseDuration(words[1])
+		b.reader.trusted, b.reader.doubted = b.reader.trusted.Add(-d), b.reader.doubted.Add(-d)
+		return err
+	case "want":
+		want, err := parseItem(words[2], words[1])
+		if err != nil {
+			return err
+		}
+		if got := b.table.Get(want.GetKey()); got.String() != want.String() {
+			return errors.Errorf("got %v at %s", got, revisionOf(got))
+		}
+		return nil
+	}
+	return errors.Errorf("unknown command %s", words[0])
+}
+
+func (b *restoredBox) list(at string, entries []string) error {
+	r, err := parseRevision(at)
+	if err != nil {
+		return err
+	}
+	batch := Batch{Revision: r}
+	for _, e := range entries {
+		entry, number, _ := strings.Cut(e, "@")
+		key, value, _ := strings.Cut(entry, "=")
+		f, err := parseRevision(fmt.Sprintf("%d/%s", r.Epoch(), number))
+		if err != nil {
+			return err
+		}
+		batch.Facts = append(batch.Facts, Fact{Key: key, Revision: f, Value: []byte(value)})
+	}
+	b.source.list = []Batch{batch}
+	b.reader.after = 0
+	b.reader.forgotten = true // so that it is no watch
+	_, err = b.reader.step(context.Background())
+	b.reader.note(err)
+	return err
+}
+
+func parseItem(at, fact string) (*wire.Item, error) {
+	r, err := parseRevision(at)
+	key, value, _ := strings.Cut(fact, "=")
+	i := &wire.Item{Key: key, Version: uint64(r)}
+	if value == "gone" {
+		i.Removed = true
+	} else {
+		i.Value = []byte(value)
+	}
+	return i, err
+}
+
+func parseRevision(text string) (Revision, error) {
+	number := strings.TrimRight(text, "kc")
+	epoch, count, _ := strings.Cut(number, "/")
+	e, errEpoch := strconv.ParseUint(epoch, 10, 64)
+	n, errCount := strconv.ParseUint(count, 10, 64)
+	if errEpoch != nil || errCount != nil {
+		return 0, errors.Errorf("revision %q: write EPOCH/NUMBER", text)
+	}
+	r, err := NewRevision(e, n)
+	if strings.Contains(text, "k") {
+		r = r.Kept()
+	}
+	if strings.Contains(text, "c") {
+		r = r.Confirmed()
+	}
+	return r, err
+}
+
+func TestWhatABoxKeepsWhenItsSourceIsRestoredFromAnOlderCopy(t *testing.T) {
+	raw, err := os.ReadFile("testdata/restored.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, text := range strings.Split(string(raw), "\ncase ")[1:] {
+		lines := strings.Split(strings.TrimSpace(text), "\n")
+		t.Run(lines[0], func(t *testing.T) {
+			c := quicktest.New(t)
+			b := newRestoredBox()
+			for _, l := range lines[1:] {
+				c.Assert(b.do(strings.Fields(l)), quicktest.IsNil, quicktest.Commentf("%s", l))
+			}
+		})
+	}
+}
--- a/edge/source.go
+++ b/edge/source.go
@@ -25,8 +25,8 @@
 
 // Fact is one published fact, not yet decoded.
 type Fact struct {
-	Key      string // unique over all collections
-	Revision uint64 // of the source; rises with each change of anything
+	Key      string   // unique over all collections
+	Revision Revision // of its last change; rises with each change of anything
 	Value    []byte
 	Removed  bool
 }
@@ -34,11 +34,11 @@
 // Batch is what a source told, as of a revision.
 type Batch struct {
 	Facts    []Fact
-	Revision uint64
-	Epoch    uint64 // rises each time that the source is restored from an older copy; zero: it does not say
+	Revision Revision
 }
 
-// ErrForgotten says that a source no longer knows what changed since a revision.
+// ErrForgotten says that a source does not know what changed since a revision: its history is gone, or it was restored
+// from an older copy.
 type ErrForgotten struct{}
 
 func (ErrForgotten) Error() string { return "source: the history since that revision is gone" }
@@ -48,7 +48,7 @@
 	// List returns everything in a collection.
 	List(ctx context.Context, c Collection) (Batch, error)
 	// Watch returns what changed after a revision, at the latest after wait.
-	Watch(ctx context.Context, c Collection, after uint64, wait time.Duration) (Batch, error)
+	Watch(ctx context.Context, c Collection, after Revision, wait time.Duration) (Batch, error)
 }
 
 // Kind says what a fact describes.
--- a/edge/state.go
+++ b/edge/state.go
@@ -87,7 +87,7 @@
 			return err
 		}
 		s.view.SetNewest(a, v)
-		s.log.Info("Adapter has a new version", "adapter", a.String(), "adapter_version", v, "revision", i.GetVersion())
+		s.log.Info("Adapter has a new version", "adapter", a.String(), "adapter_version", v, "revision", revisionOf(i).String())
 	}
 	return nil
 }
@@ -108,7 +108,7 @@
 	}
 	before := s.view.Config()
 	if s.view.SetConfig(c) {
-		s.log.Info("Configuration is in force", "config", c.Version(), "revision", i.GetVersion())
+		s.log.Info("Configuration is in force", "config", c.Version(), "revision", revisionOf(i).String())
 		s.logKeys(before, c)
 	}
 	return nil
@@ -133,7 +133,7 @@
 	s.view.SetEndpoint(e)
 	if known := s.view.Endpoint(id); old == nil || old.Draining() != known.Draining() {
 		s.log.Info("Endpoint is known", "endpoint", id, "address", e.Address(), "endpoint_data_centre", e.DataCentre(),
-			"draining", known.Draining(), "revision", i.GetVersion())
+			"draining", known.Draining(), "revision", revisionOf(i).String())
 	}
 	if !s.showSlots(id) {
 		s.view.SetHeld(id, heldLongAgo(e)) // better than nothing until its owner tells
@@ -162,7 +162,7 @@
 	if s.limits != nil {
 		s.limits.forget(before)
 	}
-	s.log.Info(why, "endpoint", before, "revision", i.GetVersion())
+	s.log.Info(why, "endpoint", before, "revision", revisionOf(i).String())
 }
 
 // heldLongAgo returns what an endpoint published that it holds. It may be wrong by
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -26,16 +26,16 @@
 func TestAnEndpointThatLeavesStaysSoWhileTheSourceIsAway(t *testing.T) {
 	c := quicktest.New(t)
 	fact := func(revision uint64, value string) Fact {
-		return Fact{Key: "e/1", Revision: revision, Value: []byte(value)}
+		return Fact{Key: "e/1", Revision: rev(revision), Value: []byte(value)}
 	}
 	s := &script{
-		list: []Batch{{Facts: []Fact{fact(3, "serves")}, Revision: 3}},
+		list: []Batch{{Facts: []Fact{fact(3, "serves")}, Revision: rev(3)}},
 		watch: []func() (Batch, error){
-			func() (Batch, error) { return Batch{Facts: []Fact{fact(7, "leaves")}, Revision: 7}, nil },
+			func() (Batch, error) { return Batch{Facts: []Fact{fact(7, "leaves")}, Revision: rev(7)}, nil },
 			func() (Batch, error) { return Batch{}, errors.New("no answer") },
-			func() (Batch, error) { return Batch{Facts: []Fact{fact(5, "serves")}, Revision: 5}, nil },
+			func() (Batch, error) { return Batch{Facts: []Fact{fact(5, "serves")}, Revision: rev(5)}, nil },
 			func() (Batch, error) {
-				return Batch{Facts: []Fact{{Key: "e/1", Revision: 20, Removed: true}}, Revision: 20}, nil
+				return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(20), Removed: true}}, Revision: rev(20)}, nil
 			},
 		},
 	}
--- a/edge/takeover_test.go
+++ b/edge/takeover_test.go
@@ -29,9 +29,9 @@
 // List implements Source.
 func (modelSource) List(_ context.Context, c Collection) (Batch, error) {
 	if c == Settled {
-		return Batch{Facts: []Fact{{Key: "c/1", Revision: 1}}, Revision: 1}, nil
+		return Batch{Facts: []Fact{{Key: "c/1", Revision: rev(1)}}, Revision: rev(1)}, nil
 	}
-	return Batch{Facts: []Fact{{Key: "e/1", Revision: 1}}, Revision: 1}, nil
+	return Batch{Facts: []Fact{{Key: "e/1", Revision: rev(1)}}, Revision: rev(1)}, nil
 }
 
 // modelDecoder decodes what modelSource publishes.
--- a/edge/traffic_test.go
+++ b/edge/traffic_test.go
@@ -45,9 +45,9 @@
 func TestCallsToTheSourceAreCountedByTheirReason(t *testing.T) {
 	c := quicktest.New(t)
 	s := &script{
-		list: []Batch{{Facts: published("e/1"), Revision: 5}, {Facts: published("e/1"), Revision: 9}},
+		list: []Batch{{Facts: published("e/1"), Revision: rev(5)}, {Facts: published("e/1"), Revision: rev(9)}},
 		watch: []func() (Batch, error){
-			func() (Batch, error) { return Batch{Revision: 6}, nil },
+			func() (Batch, error) { return Batch{Revision: rev(6)}, nil },
 			func() (Batch, error) { return Batch{}, ErrForgotten{} },
 		},
 	}
--- a/share/table.go
+++ b/share/table.go
@@ -33,6 +33,11 @@
 	// use; nil: every version is told.
 	Same func(old, now *wire.Item) bool
 
+	// Outlives reports whether what older says stands though newer has a higher version, or the same: the
+	// source of the facts was restored from a copy that is older than older. The fact is then kept under the
+	// returned version. read says that this box knew older and has read newer from the source itself. Set it
+	// before use; nil: the higher version always wins.
+	Outlives func(older, newer *wire.Item, read bool) (version uint64, outlives bool)
 	// OnIgnored is called with the items that were not taken because this box knows something newer;
 	// told says that another box sent them. Set it before use; nil: nobody asks.
 	OnIgnored func(items []*wire.Item, told bool)
@@ -81,15 +86,22 @@
 	defer t.mu.Unlock()
 	for _, i := range items {
 		old := t.entries[i.GetKey()]
-		if t.isKnownLocked(old, i, told) {
-			if old != nil && old.Value.(*entry).item.GetVersion() != i.GetVersion() {
-				ignored = append(ignored, i)
+		if old == nil {
+			if told && t.IsOver != nil && t.IsOver(i) {
+				continue
 			}
-			continue
-		}
-		if old != nil {
-			if e := old.Value.(*entry); t.Same != nil && t.Same(e.item, i) {
-				e.item = i
+		} else {
+			known := old.Value.(*entry)
+			merged := t.merged(known.item, i, told)
+			if merged == nil {
+				if known.item.GetVersion() != i.GetVersion() {
+					ignored = append(ignored, i)
+				}
+				continue
+			}
+			i = merged
+			if t.Same != nil && t.Same(known.item, i) {
+				known.item = i
 				continue
 			}
 			t.log.Remove(old)
@@ -105,16 +117,36 @@
 	return accepted, ignored
 }
 
-// isKnownLocked tells whether an item is not newer than what this box knows; old is the table's
-// entry of its key, nil for none.
-func (t *Table) isKnownLocked(old *list.Element, i *wire.Item, told bool) bool {
-	if old == nil {
-		return told && t.IsOver != nil && t.IsOver(i)
+// merged returns the item to know in place of the known one after another of its key came, nil where it stays; told
+// says that another box sent it.
+func (t *Table) merged(known, came *wire.Item, told bool) *wire.Item {
+	if known.GetVersion() >= came.GetVersion() {
+		if v, ok := t.outlives(came, known, false); ok {
+			return withVersion(came, v)
+		}
+		return nil
+	}
+	if told && t.IsOld != nil && t.IsOld(came) {
+		return nil
 	}
-	if old.Value.(*entry).item.GetVersion() >= i.GetVersion() {
-		return true
+	if v, ok := t.outlives(known, came, !told); ok {
+		return withVersion(known, v)
 	}
-	return told && t.IsOld != nil && t.IsOld(i)
+	return came
+}
+
+func (t *Table) outlives(older, newer *wire.Item, read bool) (uint64, bool) {
+	if t.Outlives == nil {
+		return 0, false
+	}
+	return t.Outlives(older, newer, read)
+}
+
+// withVersion returns an item that is the same but for its version.
+func withVersion(i *wire.Item, version uint64) *wire.Item {
+	w := withoutValue(i)
+	w.Version, w.Value, w.Packed = version, i.GetValue(), i.GetPacked()
+	return w
 }
 
 // Since returns the items accepted after seq, oldest first, the new seq, and a
@@ -159,6 +191,28 @@
 	return list
 }
 
+// Get returns the item of a key; nil when it is not known. Do not change it.
+func (t *Table) Get(key string) *wire.Item {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.entries[key]; e != nil {
+		return e.Value.(*entry).item
+	}
+	return nil
+}
+
+// Any reports whether ok holds for one of the items.
+func (t *Table) Any(ok func(i *wire.Item) bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.entries {
+		if ok(e.Value.(*entry).item) {
+			return true
+		}
+	}
+	return false
+}
+
 // Forget drops an item that nobody needs any more, without telling others.
 func (t *Table) Forget(key string) {
 	t.mu.Lock()
--- a/topology/endpoint.go
+++ b/topology/endpoint.go
@@ -31,7 +31,8 @@
 
 // EndpointSpec is one life of an endpoint as its source describes it.
 type EndpointSpec struct {
-	ID         string // changes with each start
+	ID         string    // changes with each start
+	Started    time.Time // of this life; zero: not published
 	Service    string
 	Address    string // IP:port
 	DataCentre string
@@ -51,6 +52,9 @@
 // ID names this life of the endpoint.
 func (e *Endpoint) ID() string { return e.spec.ID }
 
+// Started returns when this life began; zero where that is not published.
+func (e *Endpoint) Started() time.Time { return e.spec.Started }
+
 // Service returns the name of the service.
 func (e *Endpoint) Service() string { return e.spec.Service }
 
