--- a/clock/clock.go
+++ b/clock/clock.go
@@ -75,7 +75,7 @@
 func (c *counter) suspended(now time.Time) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now.Sub(c.looked) >= lookAgain {
+	if !now.Before(c.began) && now.Sub(c.looked) >= lookAgain { // a time before that is of a test's own clock
 		boot := c.boot()
 		c.looked = time.Now()
 		c.total = max(c.total, boot-c.beganBoot-c.looked.Sub(c.began))
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -44,3 +45,13 @@
 		Now()
 	}
 }
+
+// Tests under simulated time compared ages of two clocks that were years apart, so that no age was ever low.
+func TestUnderSimulatedTimeNoSuspensionIsCounted(t *testing.T) {
+	k := newCounter(sinceBoot)
+	synctest.Test(t, func(t *testing.T) {
+		quicktest.Assert(t, k.suspended(time.Now()), quicktest.Equals, time.Duration(0))
+		time.Sleep(time.Hour)
+		quicktest.Assert(t, k.suspended(time.Now()), quicktest.Equals, time.Duration(0))
+	})
+}
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -63,6 +63,7 @@
 	table  *share.Table
 	reader *reader
 	source *script
+	node   *Node
 }
 
 func newRestoredBox() *restoredBox {
@@ -70,6 +71,7 @@
 	b.reader, b.table = newReader(b.source)
 	b.reader.decoder = wordDecoder{}
 	n := &Node{Decoder: wordDecoder{}}
+	b.node = n
 	b.table.Outlives, b.table.Same, b.table.IsOld, b.table.IsOver = n.outlives, n.isSame, n.isOld, n.isOver
 	b.reader.known = func() mark { return n.known.of(Endpoints) }
 	b.reader.listed = func(r Revision) { n.noteListed(Endpoints, r) }
@@ -178,3 +180,77 @@
 		})
 	}
 }
+
+func TestWhatIsKeptAgainstACopyIsTakenThoughItsRevisionWasRead(t *testing.T) {
+	c := quicktest.New(t)
+	b := newRestoredBox()
+	b.node.known.raise(Endpoints, mark{revision: revIn(2, 180), asOf: time.Now()})
+	c.Assert(b.do([]string{"read", "2/150", "e/1=ready"}), quicktest.IsNil)
+	c.Assert(b.do([]string{"receive", "2/150k", "e/1=draining"}), quicktest.IsNil)
+	c.Assert(b.do([]string{"want", "e/1=draining", "2/150k"}), quicktest.IsNil)
+	c.Assert(b.do([]string{"receive", "2/150c", "e/1=ready"}), quicktest.IsNil)
+	c.Assert(b.do([]string{"want", "e/1=draining", "2/150kc"}), quicktest.IsNil)
+}
+
+func TestWhatIsKeptAgainstACopyIsSentToOthers(t *testing.T) {
+	c := quicktest.New(t)
+	b := newRestoredBox()
+	c.Assert(b.do([]string{"read", "1/200", "e/1=draining"}), quicktest.IsNil)
+	_, before, _ := b.table.Since(0)
+	c.Assert(b.do([]string{"read", "2/150", "e/1=ready"}), quicktest.IsNil)
+	items, _, _ := b.table.Since(before)
+	c.Assert(items, quicktest.HasLen, 1)
+	c.Assert(revisionOf(items[0]), quicktest.Equals, revIn(2, 150).Kept())
+}
+
+func TestFactsThatSayTheSameAfterARestorationAreNotSentAgain(t *testing.T) {
+	c := quicktest.New(t)
+	b := newRestoredBox()
+	for _, fact := range []string{"e/1=ready", "config=7", "v/a=5"} {
+		c.Assert(b.do([]string{"read", "1/200", fact}), quicktest.IsNil)
+	}
+	_, before, _ := b.table.Since(0)
+	for _, fact := range []string{"e/1=ready", "config=7", "v/a=5"} {
+		c.Assert(b.do([]string{"read", "2/150", fact}), quicktest.IsNil)
+		c.Assert(b.do([]string{"want", fact, "2/150"}), quicktest.IsNil)
+	}
+	items, _, _ := b.table.Since(before)
+	c.Assert(items, quicktest.HasLen, 0)
+}
+
+// A box that begins to read where another one stopped would watch for a change of an entry that does not change.
+func TestABoxThatBeginsToReadListsWhereItKeepsAnEndpointAsGone(t *testing.T) {
+	c := quicktest.New(t)
+	b := newRestoredBox()
+	c.Assert(b.do([]string{"receive", "2/150k", "e/1=gone"}), quicktest.IsNil)
+	b.node.known.raise(Endpoints, mark{revision: revIn(2, 180), asOf: time.Now()})
+	b.reader.resume()
+	c.Assert(b.reader.after, quicktest.Equals, Revision(0))
+	c.Assert(b.do([]string{"receive", "2/190", "e/1=ready"}), quicktest.IsNil)
+	b.reader.afterOutage = false
+	b.reader.resume()
+	c.Assert(b.reader.after, quicktest.Equals, revIn(2, 180))
+}
+
+// Its facts lose against those of the new epoch, so the box would miss what is published until the leader learns of it.
+func TestABoxDoesNotRelyOnALeaderOfTheEpochBefore(t *testing.T) {
+	c := quicktest.New(t)
+	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
+	now := time.Now()
+	hear := func(r Revision) { p.hear("b", share.Word{Settled: uint64(r), Endpoints: uint64(r)}, now) }
+	relies := func() bool {
+		_, told := p.wordAgo(now)
+		return told && p.informed(now)
+	}
+	p.known.raise(Endpoints, mark{revision: revIn(1, 200), asOf: now})
+	p.begin("b")
+	hear(revIn(1, 200))
+	c.Assert(relies(), quicktest.IsTrue)
+	for _, k := range []Collection{Settled, Endpoints} {
+		p.known.raise(k, mark{revision: revIn(2, 150), asOf: now})
+	}
+	hear(revIn(1, 200))
+	c.Assert(relies(), quicktest.IsFalse)
+	hear(revIn(2, 160))
+	c.Assert(relies(), quicktest.IsTrue)
+}
