A head published after the key-value service was restored is in force in time

What operators saw: on our own interface a head that was published while daemons could not reach the service, after it came back from an older copy, was in force only after half a minute, of 12 s allowed. The same cause as in the incident of the restored store: the head had the very index that daemons had read last, so their watches waited for a change.

Now a daemon reads the head anew after a call that failed. restored.txtar failed before (revision 3 not in force within 12 s) and passes. Costs one read of a small document after each failure.

Looked at besides: heads follow each other by digests, and plans are made on the head in force at daemons, so an older head of the copy takes nothing back; members refute a higher incarnation; fences are raised above a refused one.

--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -139,6 +139,7 @@
 		v, err := r.Platform.Watch(ctx, kvstore.HeadKey, index, r.Wait)
 		if err != nil {
 			r.Log.V(1).Info("Platform gave no head", "err", err.Error())
+			index = 0 // it may come back from an older copy, which gives the index out again
 			sleep(ctx, r.Pause)
 			continue
 		}
