A soak of boxes whose store is restored from older copies

cairn-measure restores, on a seed: the stand-in of the store comes back from a copy, once or twice, also away before, while boxes are killed, frozen and started and configurations come. By the boxes' metrics no box goes back, each configuration is in force at all, and a box that starts learns what another one of its data centre has in force.

--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -34,6 +34,11 @@
 	Backoff float64 `arg:"--backoff" default:"0" help:"seconds for which one engine of each data centre wants nothing, each time that it turns a request away; 0: none does"`
 }
 
+type restoresCommand struct {
+	Time time.Duration `arg:"--time" default:"1m" help:"time of the run"`
+	Seed uint64        `arg:"--seed" default:"1" help:"of what happens"`
+}
+
 type policiesCommand struct {
 	Time     time.Duration `arg:"--time" default:"30s" help:"time of one run"`
 	Warm     time.Duration `arg:"--warm" default:"15s" help:"time of warming up before it"`
@@ -76,6 +81,7 @@
 	Future   *futureCommand   `arg:"subcommand:future" help:"what a policy that knew the future could have had, from logs"`
 	Policies *policiesCommand `arg:"subcommand:policies" help:"the chosen policies and the baselines, in the users' sizes"`
 	Storm    *stormCommand    `arg:"subcommand:storm" help:"mixed failures under load, with the stand-ins as witnesses"`
+	Restores *restoresCommand `arg:"subcommand:restores" help:"a store that comes back from older copies, while boxes come and go"`
 	Path     *pathCommand     `arg:"subcommand:path" help:"latency through cairnwick and straight to the engine"`
 	Capacity *capacityCommand `arg:"subcommand:capacity" help:"how what a daemon uses grows"`
 	Bin      string           `arg:"--bin" default:"bin" help:"folder of the programs"`
@@ -112,6 +118,8 @@
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
 		err = measure.Storm{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate, Limit: a.Storm.Limit, Backoff: a.Storm.Backoff}.Run(ctx, os.Stdout)
+	case a.Restores != nil:
+		err = measure.Restores{Bin: a.Bin, Dir: dir, Time: a.Restores.Time, Seed: a.Restores.Seed}.Run(ctx, os.Stdout)
 	case a.Scarce != nil:
 		err = measure.Scarce{Seed: a.Scarce.Seed, Time: a.Scarce.Time, Rate: a.Scarce.Rate}.Run(os.Stdout)
 	case a.Where != nil:
--- a/fleet/edge.go
+++ b/fleet/edge.go
@@ -69,6 +69,12 @@
 	return f.waitFor(ctx, "http://"+f.ReadyAddress(centre, box)+"/")
 }
 
+// PublishEdgeConfig publishes the configuration under another version.
+func (f *Fleet) PublishEdgeConfig(ctx context.Context, version uint64) error {
+	text := strings.Replace(edgeConfig, `"version": 7`, fmt.Sprintf(`"version": %d`, version), 1)
+	return f.Put(ctx, platformtest.ConfigKey, []byte(text))
+}
+
 // PublishEdge publishes the configuration and an entry for each engine.
 func (f *Fleet) PublishEdge(ctx context.Context) error {
 	if err := f.Put(ctx, platformtest.ConfigKey, []byte(edgeConfig)); err != nil {
