--- a/clock/clock.go
+++ b/clock/clock.go
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package clock tells the time for decisions that hang on an age: how recent a word of another box
+// Package clock gives the time for decisions that depend on an age: how recent another box's status
 // is, how long a lease still runs, whether a request is still in time.
 //
 // The steady reading of time.Time stands still while the machine is suspended, and the time of day
-// may jump. A box that was suspended for five seconds would take what it heard before for news: it
+// may jump. A box that was suspended for five seconds would take what it received before for news: it
 // would serve by keys that were taken away, and write under grants that have ended. Times of this
 // package count a suspension. They are for each other: a timer, a deadline of a connection or of a
 // context and the time of day need those of package time.
@@ -18,7 +18,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Check returns an error where the system does not tell the time since the machine started, so that
+// Check returns an error where the system does not give the time since the machine started, so that
 // suspensions don't count.
 func Check() error {
 	var t unix.Timespec
@@ -83,8 +83,8 @@
 	return c.total + c.simulated
 }
 
-// sinceBoot returns how long ago the machine started; zero where the system does not tell, of which
-// Check has told.
+// sinceBoot returns how long ago the machine started; zero where the system does not say, which
+// Check reports.
 func sinceBoot() time.Duration {
 	var t unix.Timespec
 	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
--- a/cmd/cairnctl/request_test.go
+++ b/cmd/cairnctl/request_test.go
@@ -48,9 +48,9 @@
 	c.Assert(told, quicktest.Not(quicktest.Contains), "endpoint=e2")
 }
 
-const beliefLog = `{"time":"2026-05-01T10:00:00Z","msg":"Box relies on what its leader reads","box":"b1","collection":"endpoints","source_age":{"told_ms":90}}
-{"time":"2026-05-01T10:00:01Z","msg":"Box reads the source by itself","box":"b1","collection":"endpoints","source_age":{"told_ms":1100}}
-{"time":"2026-05-01T10:00:01Z","msg":"Box reads the source by itself","box":"b2","collection":"endpoints","source_age":{"told_ms":1100}}
+const beliefLog = `{"time":"2026-05-01T10:00:00Z","msg":"Stopped reading the source: the leader's updates are current","box":"b1","collection":"endpoints","source_age":{"told_ms":90}}
+{"time":"2026-05-01T10:00:01Z","msg":"Reads the source: the leader's updates are not current","box":"b1","collection":"endpoints","source_age":{"told_ms":1100}}
+{"time":"2026-05-01T10:00:01Z","msg":"Reads the source: the leader's updates are not current","box":"b2","collection":"endpoints","source_age":{"told_ms":1100}}
 {"time":"2026-05-01T10:00:02Z","msg":"Source does not answer","box":"b1","collection":"endpoints","err":"refused"}
 {"time":"2026-05-01T10:00:30Z","msg":"Endpoint is gone","box":"b2","endpoint":"e1","revision":9}
 {"time":"2026-05-01T10:00:30.1Z","msg":"Attempt failed","box":"b1","request":"r1","endpoint":"e1","outcome":"lost","cause":"refused"}
@@ -67,7 +67,7 @@
 func TestWhatABoxBelievedOfItsSourceIsTold(t *testing.T) {
 	c := quicktest.New(t)
 	told := tellOf(c, "r1", beliefLog)
-	c.Assert(told, quicktest.Contains, "10:00:01.000 Box reads the source by itself  box=b1")
+	c.Assert(told, quicktest.Contains, "10:00:01.000 Reads the source: the leader's updates are not current  box=b1")
 	c.Assert(told, quicktest.Contains, `source_age={"told_ms":1100}`)
 	c.Assert(told, quicktest.Contains, "Source does not answer")
 	c.Assert(told, quicktest.Contains, "Source answers again")
--- a/edge/explore_test.go
+++ b/edge/explore_test.go
@@ -190,7 +190,7 @@
 		fmt.Fprint(&k, "|", b.after, " ", b.listed, " ", age(b.asOf), b.failing, age(b.trusted), b.unsure, b.holding, age(b.answered), age(b.begun), age(b.failed), b.held, b.known.revision, age(b.known.asOf), b.relist, b.epoch, age(b.doubted), b.copyOf, ";")
 		items(b.items)
 		for _, n := range slices.Sorted(maps.Keys(b.words)) {
-			fmt.Fprint(&k, n, age(b.words[n].told), " ", age(b.words[n].heard), " ", b.words[n].first, " ", b.words[n].way)
+			fmt.Fprint(&k, n, age(b.words[n].received), " ", age(b.words[n].readAt), " ", b.words[n].first, " ", b.words[n].way)
 		}
 	}
 	for _, l := range s.links {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -73,112 +73,111 @@
 	return list
 }
 
-// follow merges what one box tells until the stream ends.
+// follow merges what one box sends until the stream ends.
 func (p *peers) follow(ctx context.Context, s source) {
 	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
 	c := wire.NewShareClient(p.dialer.Conn(s.address))
 	p.begin(s.name)
-	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update, came time.Time) { p.took(s, u, came) })
+	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update, came time.Time) { p.apply(s, u, came) })
 	if ctx.Err() == nil {
 		p.log.Info("Stream from a box ended", "followed", s.name, "err", err.Error())
 		p.loop.Probe(s.name)
 	}
 }
 
-// took notes a message of a followed box, whose facts were taken in. One that is followed only for what
-// it alone knows tells of no endpoints that the source publishes, so its word says nothing of those.
-func (p *peers) took(s source, u *wire.Update, came time.Time) {
+// apply records the status in a message of a followed box, whose facts were merged. One that is followed only for
+// what it alone knows sends no endpoints of the source, so its status says nothing of those.
+func (p *peers) apply(s source, u *wire.Update, came time.Time) {
 	p.table.Seen(s.name, came)
 	if !u.GetReading() {
 		return
 	}
-	said := share.Word{Age: time.Duration(u.GetAgeMicros()) * time.Microsecond, Settled: u.GetSettledRevision()}
+	said := share.Status{Age: time.Duration(u.GetAgeMicros()) * time.Microsecond, Settled: u.GetSettledRevision()}
 	if s.everything {
 		said.Endpoints = u.GetEndpointsRevision()
 	}
-	p.hear(s.name, said, came)
+	p.receiveStatus(s.name, said, came)
 }
 
-// begin notes that a box is followed anew. It may have started again since, and list the
-// source without what has left; what this box kept meanwhile it would never tell of. So its
-// word counts once this box knows the source up to the first word of it.
+// begin records that a box is followed anew. It may have started again since, and listed the source without what had
+// left; it would never send the removal of what this box kept meanwhile. So its status counts once this box has read
+// the source up to the first one of the stream.
 func (p *peers) begin(name string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if w, ok := p.words[name]; ok {
+	if w, ok := p.statuses[name]; ok {
 		w.first = 0
-		p.words[name] = w
+		p.statuses[name] = w
 	}
 }
 
-// hear notes how far the source was heard, by what a box that is followed said at now.
-func (p *peers) hear(name string, said share.Word, now time.Time) {
+// receiveStatus records how far a followed box has read the source, by its status that came at now.
+func (p *peers) receiveStatus(name string, said share.Status, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.words == nil {
-		p.words = make(map[string]word)
+	if p.statuses == nil {
+		p.statuses = make(map[string]leaderStatus)
 	}
-	heard := now.Add(-said.Age)
-	w := p.words[name]
-	w.told, w.settled = now, Revision(said.Settled)
-	if heard.After(w.heard) {
-		w.heard = heard
+	read := now.Add(-said.Age)
+	w := p.statuses[name]
+	w.received, w.settled = now, Revision(said.Settled)
+	if read.After(w.readAt) {
+		w.readAt = read
 	}
 	if w.first == 0 {
 		w.first = Revision(said.Endpoints)
 	}
-	p.words[name] = w
-	p.known.raise(Settled, mark{revision: Revision(said.Settled), asOf: heard})
+	p.statuses[name] = w
+	p.known.advance(Settled, checkpoint{revision: Revision(said.Settled), asOf: read})
 	if p.isComplete(w) {
-		p.known.raise(Endpoints, mark{revision: Revision(said.Endpoints), asOf: heard})
+		p.known.advance(Endpoints, checkpoint{revision: Revision(said.Endpoints), asOf: read})
 	}
 }
 
-// isComplete tells whether this box misses no removal of an endpoint up to a word: it knew all
-// up to the first one of that stream, which has told the rest.
-func (p *peers) isComplete(w word) bool {
+// isComplete reports whether this box misses no removal of an endpoint up to a status: it knew all up to the first one
+// of that stream, which has sent the rest.
+func (p *peers) isComplete(w leaderStatus) bool {
 	return w.first != 0 && w.first <= p.known.of(Endpoints).revision
 }
 
-// wordAgo tells how long ago the source was heard by the leader, as far as the box that
-// is followed tells; false where that is too long ago, where that box has said nothing for
-// long, or where this box leads.
-func (p *peers) wordAgo(now time.Time) (time.Duration, bool) {
-	w, ok := p.latestWord()
-	return now.Sub(w.heard), ok && p.knowsEpoch(w) && w.isFresh(now, p.behind())
+// statusAge returns how long ago the leader read the source, by the status of the followed box; false where that is too
+// long ago, where that box has sent nothing for long, or where this box leads.
+func (p *peers) statusAge(now time.Time) (time.Duration, bool) {
+	w, ok := p.latestStatus()
+	return now.Sub(w.readAt), ok && p.knowsEpoch(w) && w.isFresh(now, p.behind())
 }
 
 // knowsEpoch reports whether a followed box has learned that the source was restored, as far as this box knows of it.
-func (p *peers) knowsEpoch(w word) bool {
+func (p *peers) knowsEpoch(w leaderStatus) bool {
 	return w.settled.Epoch() >= p.known.of(Settled).revision.Epoch()
 }
 
-// heardAgo tells the same where this box cannot have missed what left before.
-func (p *peers) heardAgo(now time.Time) (time.Duration, bool) {
-	w, ok := p.latestWord()
-	return now.Sub(w.heard), ok && p.knowsEpoch(w) && p.isComplete(w) && w.isFresh(now, p.behind())
+// completeStatusAge returns the same where this box cannot have missed what left before.
+func (p *peers) completeStatusAge(now time.Time) (time.Duration, bool) {
+	w, ok := p.latestStatus()
+	return now.Sub(w.readAt), ok && p.knowsEpoch(w) && p.isComplete(w) && w.isFresh(now, p.behind())
 }
 
-// toldAgo tells how long ago the source was heard by the word of the box that is followed,
-// however old; false where it has said nothing yet, or where this box leads.
-func (p *peers) toldAgo(now time.Time) (time.Duration, bool) {
-	w, ok := p.latestWord()
-	return now.Sub(w.heard), ok && !w.told.IsZero()
+// latestStatusAge returns how long ago the source was read by the status of the followed box, however old; false where
+// it has sent none yet, or where this box leads.
+func (p *peers) latestStatusAge(now time.Time) (time.Duration, bool) {
+	w, ok := p.latestStatus()
+	return now.Sub(w.readAt), ok && !w.received.IsZero()
 }
 
-// latestWord returns what the box that is followed said last; false where this box leads.
-func (p *peers) latestWord() (word, bool) {
+// latestStatus returns the last status of the followed box; false where this box leads.
+func (p *peers) latestStatus() (leaderStatus, bool) {
 	m, _, ok := p.clusterView().parent()
 	if !ok {
-		return word{}, false
+		return leaderStatus{}, false
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.words[m.Name()], true
+	return p.statuses[m.Name()], true
 }
 
-// informed tells whether this box is told what a leader that reads the source reads.
+// informed reports whether this box receives what a leader that reads the source reads.
 func (p *peers) informed(now time.Time) bool {
-	_, ok := p.heardAgo(now)
+	_, ok := p.completeStatusAge(now)
 	return ok
 }
--- a/edge/ignored.go
+++ b/edge/ignored.go
@@ -15,7 +15,7 @@
 	received atomic.Int64 // from other boxes
 }
 
-// ignoredReport is what the metrics tell of ignored facts.
+// ignoredReport is what the metrics show of ignored facts.
 type ignoredReport struct {
 	Read     int64 `json:"read"`     // from the source
 	Received int64 `json:"received"` // from other boxes
@@ -27,8 +27,8 @@
 
 // noteIgnored counts facts that the table did not take. Those of other boxes arrive late on any day; one that the
 // source itself gives is logged.
-func (n *Node) noteIgnored(items []*wire.Item, told bool) {
-	if told {
+func (n *Node) noteIgnored(items []*wire.Item, received bool) {
+	if received {
 		n.ignored.received.Add(int64(len(items)))
 		return
 	}
--- a/edge/items_fuzz_test.go
+++ b/edge/items_fuzz_test.go
@@ -40,9 +40,9 @@
 		table := share.NewTable()
 		s := &state{view: topology.NewView(), table: table, decoder: plainDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
 		table.OnChange = s.apply
-		table.Hear(&wire.Item{Key: "e/1", Version: 2})
-		table.Hear(u.GetItems()...)
-		table.Hear(&wire.Item{Key: "e/good", Version: 1<<64 - 1})
+		table.Receive(&wire.Item{Key: "e/1", Version: 2})
+		table.Receive(u.GetItems()...)
+		table.Receive(&wire.Item{Key: "e/good", Version: 1<<64 - 1})
 		if table.Version("e/1") < 2 || s.view.Endpoint("e/good") == nil {
 			t.Error("a good item is lost")
 		}
--- a/edge/known.go
+++ b/edge/known.go
@@ -7,37 +7,36 @@
 	"time"
 )
 
-// known is up to where this box misses nothing of what the source published: by what it read
-// itself, and by the words of the boxes that it followed. A box that must read again goes on
-// from there: a watch of what changed since costs one small answer, where a list of all costs
-// half a megabyte with some thousand routes. The zero value knows nothing.
-type known struct {
-	mu    sync.Mutex
-	marks map[Collection]mark
+// checkpoints holds, per collection, the revision up to which this box misses nothing, by its own reads and by the
+// statuses of the boxes that it followed. A watch can resume there: it costs one small answer, where a list of all
+// costs half a megabyte with some thousand routes. The zero value knows nothing.
+type checkpoints struct {
+	mu     sync.Mutex
+	latest map[Collection]checkpoint
 }
 
-// mark is a revision of the source, and when that was the latest one.
-type mark struct {
+// checkpoint is a revision of the source, and when that was the latest one.
+type checkpoint struct {
 	revision Revision
 	asOf     time.Time
 }
 
-// raise notes that nothing of a collection is missing up to a mark.
-func (k *known) raise(c Collection, m mark) {
+// advance records that nothing of a collection is missing up to a checkpoint.
+func (k *checkpoints) advance(c Collection, m checkpoint) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.marks == nil {
-		k.marks = make(map[Collection]mark)
+	if k.latest == nil {
+		k.latest = make(map[Collection]checkpoint)
 	}
-	old := k.marks[c]
+	old := k.latest[c]
 	if m.revision > old.revision || (m.revision == old.revision && m.asOf.After(old.asOf)) {
-		k.marks[c] = m
+		k.latest[c] = m
 	}
 }
 
-// of returns up to where nothing of a collection is missing; a zero revision: nothing is known.
-func (k *known) of(c Collection) mark {
+// of returns the checkpoint of a collection; a zero revision: nothing is known.
+func (k *checkpoints) of(c Collection) checkpoint {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.marks[c]
+	return k.latest[c]
 }
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -59,7 +59,7 @@
 	return counts
 }
 
-// leads tells whether this box leads its own data centre.
+// leads reports whether this box leads its own data centre.
 func (n *Node) leads() bool {
 	var m member.Member
 	m, ok := n.peers.clusterView().leader(n.peers.centre)
--- a/edge/model_test.go
+++ b/edge/model_test.go
@@ -30,7 +30,7 @@
 // modelWord is a word with the time that messages for it were on their way: nobody can tell
 // that time, so it is allowed for.
 type modelWord struct {
-	word
+	leaderStatus
 	way time.Duration
 }
 
@@ -46,21 +46,21 @@
 	listed   uint64
 	answered time.Time // as freshness keeps it; zero: not heard
 	words    map[string]modelWord
-	begun    time.Time // of the call under way; zero: none
-	failed   time.Time // when calls began to fail since it reads; zero: they do not
-	held     bool      // as unsure, at the answer before
-	known    mark      // of the endpoints
-	epoch    uint64    // of its last list
-	doubted  time.Time // until when a copy's entry may be of an endpoint that is gone
-	copyOf   uint64    // the epoch of that copy
-	relist   bool      // only a list tells what it missed
+	begun    time.Time  // of the call under way; zero: none
+	failed   time.Time  // when calls began to fail since it reads; zero: they do not
+	held     bool       // as unsure, at the answer before
+	known    checkpoint // of the endpoints
+	epoch    uint64     // of its last list
+	doubted  time.Time  // until when a copy's entry may be of an endpoint that is gone
+	copyOf   uint64     // the epoch of that copy
+	relist   bool       // only a list tells what it missed
 }
 
 // modelMessage is one message of a stream.
 type modelMessage struct {
 	items   []*wire.Item
 	reading bool
-	word    share.Word
+	word    share.Status
 	sent    time.Time
 	way     time.Duration
 }
@@ -150,18 +150,18 @@
 	r.epoch, r.doubted, r.doubtedIn = b.epoch, moved(b.doubted, by), b.copyOf
 	t.Outlives = n.outlives
 	r.forgotten = b.relist
-	n.known.raise(Endpoints, mark{revision: b.known.revision, asOf: moved(b.known.asOf, by)})
-	r.known = func() mark { return n.known.of(Endpoints) }
+	n.checkpoints.advance(Endpoints, checkpoint{revision: b.known.revision, asOf: moved(b.known.asOf, by)})
+	r.checkpoint = func() checkpoint { return n.checkpoints.of(Endpoints) }
 	r.listed = func(revision Revision) { n.noteListed(Endpoints, revision) }
-	t.IsOver, t.IsOld = n.isOver, n.isOld
+	t.HasEnded, t.IsSuperseded = n.hasEnded, n.isSuperseded
 	n.current.Store(&Settings{}) // bounds as where none is set
 	if !b.answered.IsZero() {
-		n.fresh.note(Endpoints, readOutcome{asOf: moved(b.answered, by), heard: true})
-		n.fresh.note(Settled, readOutcome{asOf: moved(s.now, by), heard: true})
+		n.fresh.note(Endpoints, readOutcome{asOf: moved(b.answered, by), current: true})
+		n.fresh.note(Settled, readOutcome{asOf: moved(s.now, by), current: true})
 	}
-	r.heard = func(word readOutcome) {
+	r.report = func(word readOutcome) {
 		n.noteRead(Endpoints, word)
-		n.fresh.note(Settled, readOutcome{asOf: time.Now(), heard: true})
+		n.fresh.note(Settled, readOutcome{asOf: time.Now(), current: true})
 	}
 	v := &clusterView{until: time.Unix(math.MaxInt32, 0)}
 	if p := w.parents[i]; p >= 0 {
@@ -170,11 +170,11 @@
 	p := w.peers[i]
 	v.version = p.table.Version()
 	p.clusterViews.latest = v
-	p.words = make(map[string]word)
+	p.statuses = make(map[string]leaderStatus)
 	for k, m := range b.words {
-		p.words[k] = word{told: moved(m.told, by), heard: moved(m.heard, by), first: m.first}
+		p.statuses[k] = leaderStatus{received: moved(m.received, by), readAt: moved(m.readAt, by), first: m.first}
 	}
-	p.known = &n.known
+	p.known = &n.checkpoints
 	n.peers = p
 	return live{node: n, reader: r, table: t}
 }
@@ -188,14 +188,14 @@
 	b.trusted, b.unsure, b.holding = moved(r.trusted, -by), r.uncertain, r.holding
 	b.relist = r.forgotten || r.afterOutage
 	b.epoch, b.doubted, b.copyOf = r.epoch, moved(r.doubted, -by), r.doubtedIn
-	k := l.node.known.of(Endpoints)
-	b.known = mark{revision: k.revision, asOf: moved(k.asOf, -by)}
+	k := l.node.checkpoints.of(Endpoints)
+	b.known = checkpoint{revision: k.revision, asOf: moved(k.asOf, -by)}
 	b.listed, b.answered = l.node.listed.Load(), time.Time{}
 	if at, ok := l.node.fresh.answered[Endpoints]; ok {
 		b.answered = moved(at, -by)
 	}
-	for k, m := range l.node.peers.words {
-		b.words[k] = modelWord{word: word{told: moved(m.told, -by), heard: moved(m.heard, -by), first: m.first}, way: b.words[k].way}
+	for k, m := range l.node.peers.statuses {
+		b.words[k] = modelWord{leaderStatus: leaderStatus{received: moved(m.received, -by), readAt: moved(m.readAt, -by), first: m.first}, way: b.words[k].way}
 	}
 }
 
@@ -223,7 +223,7 @@
 	by := time.Since(n.now)
 	b := w.make(n, p, by)
 	m := modelMessage{sent: n.now}
-	m.word, m.reading = b.node.word()
+	m.word, m.reading = b.node.status()
 	m.way = w.way(n, p, b)
 	items, _, _ := b.table.Since(0)
 	l := &n.links[i]
@@ -236,7 +236,7 @@
 func (w *modelWorld) way(n *modelState, i int, b live) time.Duration {
 	now := time.Now()
 	own, reads := b.node.fresh.ago(now)
-	told, informed := b.node.peers.heardAgo(now)
+	told, informed := b.node.peers.completeStatusAge(now)
 	if informed && (!reads || told <= own) {
 		return n.boxes[i].words[boxName(w.parents[i])].way
 	}
@@ -260,14 +260,14 @@
 	l.queue, l.heard = l.queue[1:], n.now
 	by := time.Since(n.now)
 	b := w.make(n, i, by)
-	b.table.Hear(m.items...)
+	b.table.Receive(m.items...)
 	from := boxName(w.parents[i])
 	if m.reading {
-		old := b.node.peers.words[from]
+		old := b.node.peers.statuses[from]
 		now := time.Now()
-		b.node.peers.hear(from, m.word, now)
+		b.node.peers.receiveStatus(from, m.word, now)
 		n.keep(i, b, by)
-		if b.node.peers.words[from].heard.After(old.heard) {
+		if b.node.peers.statuses[from].readAt.After(old.readAt) {
 			k := n.boxes[i].words[from]
 			k.way = m.way + n.now.Sub(m.sent)
 			n.boxes[i].words[from] = k
--- a/edge/node.go
+++ b/edge/node.go
@@ -52,14 +52,14 @@
 
 	departures departures
 
-	vouched vouched
-	leaving atomic.Bool
-	fresh   freshness
-	calls   calls
-	ignored ignored
-	known   known
-	away    atomic.Bool   // whether the source does not answer
-	listed  atomic.Uint64 // the Revision of the last list of endpoints
+	vouched     vouched
+	leaving     atomic.Bool
+	fresh       freshness
+	calls       calls
+	ignored     ignored
+	checkpoints checkpoints
+	away        atomic.Bool   // whether the source does not answer
+	listed      atomic.Uint64 // the Revision of the last list of endpoints
 }
 
 const (
@@ -76,12 +76,12 @@
 	fences := &placement.Fences{Box: s.Number}
 	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
 	n.items.OnChange = n.state.apply
-	n.items.IsOver, n.items.IsOld = n.isOver, n.isOld
+	n.items.HasEnded, n.items.IsSuperseded = n.hasEnded, n.isSuperseded
 	n.items.Same, n.items.Outlives = n.isSame, n.outlives
 	n.items.OnIgnored = n.noteIgnored
 	n.messages = &daemon.Messages{Kind: n.messageKind, Near: func(ip string) (bool, bool) { return n.peers.near(ip) }}
 	n.peers = n.buildPeers()
-	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.word}
+	n.shared = &share.Server{Table: n.items, DataCentre: s.DataCentre, Reading: n.status}
 	n.usage = newUsage(n)
 	n.spending = newSpending(n)
 	n.outbox = newOutbox(n)
@@ -148,7 +148,7 @@
 		reads:   n.reads,
 		seeds:   func() []string { return otherSeeds(n.current.Load().Seeds, s.Peers) },
 		behind:  n.behind,
-		known:   &n.known,
+		known:   &n.checkpoints,
 	}
 	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro())).
 		WithCapacity(int(s.Limits.Cores * 1000))
@@ -178,7 +178,7 @@
 // Heard implements member.Extras.
 func (noExtras) Heard(*wire.Heartbeat, string) {}
 
-// owns tells whether this box gives orders to an endpoint.
+// owns reports whether this box gives orders to an endpoint.
 func (n *Node) owns(e *topology.Endpoint, now time.Time) (bool, time.Time) {
 	return n.peers.leads(e.DataCentre(), n.current.Load().Bounds.Lease, now)
 }
@@ -264,14 +264,14 @@
 		decoder:    n.Decoder,
 		table:      n.items,
 		wanted:     func() bool { return n.mustRead(c) },
-		known:      func() mark { return n.known.of(c) },
+		checkpoint: func() checkpoint { return n.checkpoints.of(c) },
 		leads:      func() bool { return n.peers.clusterView().steps == 0 && clock.Since(n.peers.started) > settleFor },
 		log:        n.Log,
 		ages:       n.sourceAges,
 		behind:     n.behind,
 		away:       &n.away,
 		lapse:      func() time.Duration { return n.current.Load().Bounds.Lapse },
-		heard:      func(w readOutcome) { n.noteRead(c, w) },
+		report:     func(w readOutcome) { n.noteRead(c, w) },
 		listed:     func(revision Revision) { n.noteListed(c, revision) },
 		counted:    n.calls.count,
 		restored:   func() { n.ignored.restores.Add(1) },
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -21,14 +21,14 @@
 	heartbeat  = 300 * time.Millisecond // a dead neighbour is suspected after one and a half
 	suspectFor = 900 * time.Millisecond // and dead after three more
 	forgetDead = 10 * time.Minute       // the dead are looked for so long, in case a cut heals
-	freshFor   = 2 * time.Second        // how long an exchange would vouch for the view; no box asks
+	freshFor   = 2 * time.Second        // how long an exchange would confirm the view; no box asks
 	pauseLimit = time.Second            // a longer gap between two beats is a pause of this process
 	neighbours = 2                      // the next ones on the ring, to which heartbeats go
 	peerDial   = 400 * time.Millisecond // a box that is dark drops the opening packet; the next try may meet it up
 	silentFor  = 550 * time.Millisecond // just below two heartbeats in a row without a byte: the connection may be silent for good while new ones work; what is lost once comes again after 200 ms
 	settleFor  = 700 * time.Millisecond // after the start, for the view to become whole: the first second's beats are quick
-	metFor     = 300 * time.Millisecond // the same after the first other box was heard of
-	aloneFor   = 2 * time.Second        // after the start, where no other box is heard of: the seeds may be late
+	metFor     = 300 * time.Millisecond // the same after the first other box was met
+	aloneFor   = 2 * time.Second        // after the start, where no other box was met: the seeds may be late
 	askSlack   = 300 * time.Millisecond // on top of what a request can wait
 	lookPause  = 100 * time.Millisecond // between two looks at who leads
 	usePause   = 500 * time.Millisecond // between two whole reports of use
@@ -47,30 +47,30 @@
 	items   *share.Table
 	log     logr.Logger
 	started time.Time
-	reads   func() bool          // whether this box hears the source of the configuration
+	reads   func() bool          // whether this box reads the source of the configuration
 	seeds   func() []string      // other boxes that should be there, at their addresses
 	behind  func() time.Duration // how far this box may be behind that source
-	known   *known               // up to where this box misses nothing of the source
+	known   *checkpoints         // of the source, by this box
 
 	clusterViews clusterViews
 
-	mu      sync.Mutex
-	met     time.Time             // when another box was first heard of
-	leaders map[string]leadership // by data centre
-	words   map[string]word       // by box that is followed
+	mu       sync.Mutex
+	met      time.Time               // when another box was first met
+	leaders  map[string]leadership   // by data centre
+	statuses map[string]leaderStatus // by box that is followed
 }
 
-// word is what a followed box said of the source.
-type word struct {
-	settled Revision  // up to which it knew of configuration, by its last word
-	told    time.Time // when it last said that it is heard
-	heard   time.Time // when it was heard, by its word
-	first   Revision  // up to which revision it knew of endpoints, by its first word since it is followed; zero: none yet, or an older version's
+// leaderStatus is what a followed box sent of how far the source was read.
+type leaderStatus struct {
+	received time.Time // when the last status came
+	readAt   time.Time // when the source was read, by the status
+	settled  Revision  // checkpoint of the configuration in the last status
+	first    Revision  // checkpoint of endpoints in the first status of the stream; zero: none yet, or an older version's
 }
 
-// isFresh tells whether a word still says something of the source at now.
-func (w word) isFresh(now time.Time, behind time.Duration) bool {
-	return now.Sub(w.heard) < wordTime(behind) && now.Sub(w.told) < share.SilentAfter
+// isFresh reports whether a status still counts at now.
+func (w leaderStatus) isFresh(now time.Time, behind time.Duration) bool {
+	return now.Sub(w.readAt) < statusTime(behind) && now.Sub(w.received) < share.SilentAfter
 }
 
 // leadership is who leads a data centre, and since when.
@@ -80,7 +80,7 @@
 	from   time.Time // when it may give orders
 }
 
-// leads tells whether this box leads a data centre, and from when on it may give
+// leads reports whether this box leads a data centre, and from when on it may give
 // orders there. A new leader waits for the lease of the one before, unless that
 // one is known to have ended.
 func (p *peers) leads(centre string, lease time.Duration, now time.Time) (bool, time.Time) {
@@ -111,7 +111,7 @@
 }
 
 // settledLocked is when this box's first view of the others can be trusted. One that
-// claimed endpoints before it had heard of anybody would take them from their owners.
+// claimed endpoints before it had met anybody would take them from their owners.
 func (p *peers) settledLocked(now time.Time) time.Time {
 	if p.met.IsZero() && len(p.table.All()) > 1 {
 		p.met = now
@@ -133,7 +133,7 @@
 	return p.settledLocked(now)
 }
 
-// works tells whether a box is believed to serve.
+// works reports whether a box is believed to serve.
 func (p *peers) works(name string) bool {
 	m, ok := p.table.Find(name)
 	return ok && m.Serving()
@@ -153,8 +153,8 @@
 	return max(p.clusterView().boxes, 1)
 }
 
-// near tells whether the box at an IP number is of the own data centre; known is false for one
-// that has not been heard of.
+// near reports whether the box at an IP number is of the own data centre; known is false for one
+// that is not known.
 func (p *peers) near(ip string) (near, known bool) {
 	for _, m := range p.table.All() {
 		if host, _, err := net.SplitHostPort(m.Address()); err == nil && host == ip {
--- a/edge/peers_test.go
+++ b/edge/peers_test.go
@@ -24,7 +24,7 @@
 func peersOf(self member.Member, others ...member.Member) *peers {
 	t := member.NewTable(self, member.Limits{SuspectFor: time.Second, ForgetDead: time.Minute, Wide: true})
 	t.Merge(others, time.Now())
-	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }, seeds: func() []string { return nil }, behind: func() time.Duration { return defaultBehind }, known: new(known)}
+	return &peers{box: self.Name(), centre: self.DataCentre(), table: t, log: logr.Discard(), started: time.Now(), reads: func() bool { return true }, seeds: func() []string { return nil }, behind: func() time.Duration { return defaultBehind }, known: new(checkpoints)}
 }
 
 func TestTheOldestOfTheStrongBoxesLeads(t *testing.T) {
@@ -75,16 +75,16 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: rev(1), asOf: now})
-	p.hear("b", share.Word{Age: 500 * time.Millisecond, Endpoints: 1}, now)
-	ago, ok := p.heardAgo(now)
+	p.known.advance(Endpoints, checkpoint{revision: rev(1), asOf: now})
+	p.receiveStatus("b", share.Status{Age: 500 * time.Millisecond, Endpoints: 1}, now)
+	ago, ok := p.completeStatusAge(now)
 	c.Assert(ok, quicktest.IsTrue)
 	c.Assert(ago, quicktest.Equals, 500*time.Millisecond)
-	late := now.Add(wordTime(defaultBehind) - 500*time.Millisecond)
-	p.hear("b", share.Word{Age: late.Sub(now) + time.Second, Endpoints: 1}, late) // a word that took longer changes nothing
-	_, ok = p.heardAgo(late.Add(-time.Millisecond))
+	late := now.Add(statusTime(defaultBehind) - 500*time.Millisecond)
+	p.receiveStatus("b", share.Status{Age: late.Sub(now) + time.Second, Endpoints: 1}, late) // a word that took longer changes nothing
+	_, ok = p.completeStatusAge(late.Add(-time.Millisecond))
 	c.Assert(ok, quicktest.IsTrue)
-	_, ok = p.heardAgo(late)
+	_, ok = p.completeStatusAge(late)
 	c.Assert(ok, quicktest.IsFalse)
 }
 
@@ -92,11 +92,11 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: rev(1), asOf: now})
-	p.hear("b", share.Word{Endpoints: 1}, now)
-	_, ok := p.heardAgo(now.Add(share.SilentAfter - time.Millisecond))
+	p.known.advance(Endpoints, checkpoint{revision: rev(1), asOf: now})
+	p.receiveStatus("b", share.Status{Endpoints: 1}, now)
+	_, ok := p.completeStatusAge(now.Add(share.SilentAfter - time.Millisecond))
 	c.Assert(ok, quicktest.IsTrue)
-	_, ok = p.heardAgo(now.Add(share.SilentAfter))
+	_, ok = p.completeStatusAge(now.Add(share.SilentAfter))
 	c.Assert(ok, quicktest.IsFalse)
 }
 
@@ -110,15 +110,15 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: rev(6), asOf: now})
+	p.known.advance(Endpoints, checkpoint{revision: rev(6), asOf: now})
 	for _, revision := range []Revision{rev(7), rev(8)} { // it is followed, and followed anew
 		p.begin("b")
-		p.hear("b", share.Word{Age: 300 * time.Millisecond, Endpoints: uint64(revision)}, now)
+		p.receiveStatus("b", share.Status{Age: 300 * time.Millisecond, Endpoints: uint64(revision)}, now)
 		c.Assert(p.informed(now), quicktest.IsFalse)
 		c.Assert(p.known.of(Endpoints).revision < revision, quicktest.IsTrue)
-		p.known.raise(Endpoints, mark{revision: revision, asOf: now}) // by its own reading
+		p.known.advance(Endpoints, checkpoint{revision: revision, asOf: now}) // by its own reading
 		c.Assert(p.informed(now), quicktest.IsTrue)
-		p.hear("b", share.Word{Endpoints: uint64(revision)}, now) // later words need no later reading
+		p.receiveStatus("b", share.Status{Endpoints: uint64(revision)}, now) // later words need no later reading
 		c.Assert(p.informed(now), quicktest.IsTrue)
 		now = now.Add(time.Second)
 	}
@@ -140,11 +140,11 @@
 	for _, everything := range []bool{false, true} {
 		p := peersOf(box("a", "dc", 1, 400), box("b", "other", 2, 400))
 		now := time.Now()
-		p.known.raise(Endpoints, mark{revision: rev(6), asOf: now.Add(-time.Second)})
+		p.known.advance(Endpoints, checkpoint{revision: rev(6), asOf: now.Add(-time.Second)})
 		s := source{name: "b", everything: everything}
 		p.begin("b")
-		p.took(s, &wire.Update{Reading: true, SettledRevision: uint64(rev(6)), EndpointsRevision: uint64(rev(6))}, now)
-		p.took(s, &wire.Update{Reading: true, SettledRevision: uint64(rev(9)), EndpointsRevision: uint64(rev(9))}, now)
+		p.apply(s, &wire.Update{Reading: true, SettledRevision: uint64(rev(6)), EndpointsRevision: uint64(rev(6))}, now)
+		p.apply(s, &wire.Update{Reading: true, SettledRevision: uint64(rev(9)), EndpointsRevision: uint64(rev(9))}, now)
 		c.Check(p.known.of(Settled).revision, quicktest.Equals, rev(9)) // that is told to all
 		want := rev(6)
 		if everything {
@@ -160,11 +160,11 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	p.known.raise(Endpoints, mark{revision: rev(6), asOf: now})
+	p.known.advance(Endpoints, checkpoint{revision: rev(6), asOf: now})
 	p.begin("b")
-	p.hear("b", share.Word{Endpoints: uint64(rev(6))}, now)
+	p.receiveStatus("b", share.Status{Endpoints: uint64(rev(6))}, now)
 	c.Assert(p.informed(now), quicktest.IsTrue)
-	p.hear("b", share.Word{Endpoints: uint64(rev(9))}, now)
+	p.receiveStatus("b", share.Status{Endpoints: uint64(rev(9))}, now)
 	c.Assert(p.known.of(Endpoints).revision, quicktest.Equals, rev(9))
 }
 
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -25,7 +25,7 @@
 	n := &Node{Settings: Settings{DataCentre: "dc"}, Decoder: plainDecoder{}, Log: logr.Discard()}
 	n.items = share.NewTable()
 	n.state = &state{view: topology.NewView(), table: n.items, decoder: n.Decoder, log: n.Log}
-	n.items.OnChange, n.items.IsOver = n.state.apply, n.isOver
+	n.items.OnChange, n.items.HasEnded = n.state.apply, n.hasEnded
 	n.kept = quarantined{node: n}
 	n.current.Store(&n.Settings)
 	n.loader = &placement.Loader{Limits: func() placement.RateLimits { return placement.DefaultRateLimits }}
@@ -58,7 +58,7 @@
 	c.Assert(keeps(leader, "fatal", now), quicktest.IsTrue)
 	c.Assert(keeps(leader, "beside", now), quicktest.IsFalse)
 	items, _, _ := leader.items.Since(0)
-	follower.items.Hear(items...)
+	follower.items.Receive(items...)
 	c.Assert(keeps(follower, "fatal", now), quicktest.IsTrue)
 }
 
@@ -73,7 +73,7 @@
 	n.kept.expire(time.Now())
 	c.Assert(n.state.tracker.Kept().Len(), quicktest.Equals, 0)
 	c.Assert(n.items.Keys(), quicktest.HasLen, 0)
-	n.items.Hear(over)
+	n.items.Receive(over)
 	c.Assert(n.items.Keys(), quicktest.HasLen, 0)
 }
 
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -22,8 +22,8 @@
 	failGrowth  = 2                       // times as long is the pause after the next one
 	lapseGrace  = 2500 * time.Millisecond // endpoints that are missing after an outage have so long to come back
 	copyLapses  = 2                       // times a lapse after which an entry of a restored copy would be gone
-	wordFor     = 600 * time.Millisecond  // a box finds its leader within it, and hears what that reads
-	wordLook    = 50 * time.Millisecond   // how often it looks meanwhile
+	leaderWait  = 600 * time.Millisecond  // a box finds its leader within it, and receives what that reads
+	leaderPoll  = 50 * time.Millisecond   // how often it looks meanwhile
 	standbyLook = 100 * time.Millisecond  // how often a box that does not read looks whether it must
 )
 
@@ -34,17 +34,17 @@
 	source     Source
 	decoder    Decoder
 	table      *share.Table
-	wanted     func() bool // whether this box reads now
-	known      func() mark // up to where nothing is missing, by whatever this box heard
-	leads      func() bool // whether others rely on what it reads
+	wanted     func() bool       // whether this box reads now
+	checkpoint func() checkpoint // up to where nothing is missing, by what this box read or received
+	leads      func() bool       // whether others rely on what it reads
 	log        logr.Logger
 	behind     func() time.Duration // how far this box may be behind the source
 	away       *atomic.Bool         // whether the source does not answer the reader of endpoints; of both readers
 	lapse      func() time.Duration // entries of endpoints may lapse where the source is away for so long
-	heard      func(o readOutcome)
-	ages       func() map[string]int64 // of the source's word, for the log
-	listed     func(revision Revision) // hears of a list before it is taken
-	counted    func(reason string)     // hears of each call before it is made
+	report     func(o readOutcome)
+	ages       func() map[string]int64 // of the last reads, for the log
+	listed     func(revision Revision) // is called with a list before it is applied
+	counted    func(reason string)     // is called before each call
 	restored   func()                  // is called when the source came back from an older copy
 
 	after       Revision  // up to which nothing is missing; zero: nothing is known
@@ -56,7 +56,7 @@
 	uncertain   bool      // something was missing before trusted
 	holding     bool      // the source said that something is gone, which is not believed yet
 	forgotten   bool      // the next list makes up for history that the source has forgotten
-	afterOutage bool      // the next list tells which endpoints have lapsed
+	afterOutage bool      // the next list shows which endpoints have lapsed
 	doubted     time.Time // until then an entry of a restored copy may be of an endpoint that is gone
 	doubtedIn   uint64    // the epoch of that copy
 }
@@ -66,7 +66,7 @@
 	begun    time.Time // when the call was made: the source answered later, however long its answer took
 	asOf     time.Time // the table is as the source said then
 	revision Revision  // of the source, as of then
-	heard    bool      // the call went well, and nothing that it told is held back
+	current  bool      // the call succeeded, and nothing of it is held back
 }
 
 // run reads until ctx ends.
@@ -92,7 +92,7 @@
 			r.awaitAnswer(ctx)
 		case listed:
 			pause = failPause
-			r.awaitWord(ctx)
+			r.waitForLeader(ctx)
 		case found:
 			pause = failPause
 			sleep(ctx, r.batchPause())
@@ -104,7 +104,7 @@
 }
 
 // nextPause is how long this box waits after the next call to a source that fails. A leader is
-// relied upon. Any other box is told as soon as its leader hears the source, and needs its own
+// relied upon. Any other box learns it as soon as its leader reads the source, and needs its own
 // calls only where its way to the source alone is open: after a second try, in case an answer was
 // lost, it finds that out within the time that it may be behind. In an outage of 8 s a box that
 // may be 2 s behind makes 6 calls by both readers, where tries each 1.5 s made 16 (counted under
@@ -135,16 +135,16 @@
 	}
 }
 
-// awaitWord gives the leader some time to tell what it reads before this box watches the
-// source as well: after a start of all boxes their watches would be most of the calls to it.
-func (r *reader) awaitWord(ctx context.Context) {
-	for until := clock.Now().Add(wordFor); ctx.Err() == nil && clock.Now().Before(until) && !r.leads() && r.wanted(); {
-		sleep(ctx, wordLook)
+// waitForLeader gives the leader time to publish its read before this box opens its own watch
+// as well: after a start of all boxes their watches would be most of the calls to it.
+func (r *reader) waitForLeader(ctx context.Context) {
+	for until := clock.Now().Add(leaderWait); ctx.Err() == nil && clock.Now().Before(until) && !r.leads() && r.wanted(); {
+		sleep(ctx, leaderPoll)
 	}
 }
 
-// stopReading forgets what only holds while this box reads: it goes on later from what it is
-// told meanwhile. Endpoints that may have lapsed keep their time to come back, and are listed
+// stopReading forgets what only holds while this box reads: it goes on later from what it
+// receives meanwhile. Endpoints that may have lapsed keep their time to come back, and are listed
 // then.
 func (r *reader) stopReading(now time.Time) {
 	if r.failing && now.Sub(r.asOf) >= r.lapse() {
@@ -155,14 +155,14 @@
 	r.noteAway()
 }
 
-// noteAway tells the other reader of this box whether the source answers.
+// noteAway shares with the other reader of this box whether the source answers.
 func (r *reader) noteAway() {
 	if r.collection == Endpoints {
 		r.away.Store(r.failing)
 	}
 }
 
-// resume goes on from what this box was told while it did not read, unless only a list tells
+// resume goes on from the checkpoint that this box reached while it did not read, unless only a list shows
 // what it may have missed.
 func (r *reader) resume() {
 	if r.after != 0 || r.forgotten || r.afterOutage {
@@ -172,21 +172,21 @@
 		r.afterOutage = true
 		return
 	}
-	if m := r.known(); m.revision != 0 {
+	if m := r.checkpoint(); m.revision != 0 {
 		r.after, r.asOf = m.revision, m.asOf
 	}
 }
 
 // standBy waits until this box must read.
 func (r *reader) standBy(ctx context.Context) {
-	r.log.Info("Box relies on what its leader reads", "collection", r.collection.String(), "source_age", r.ages())
+	r.log.Info("Stopped reading the source: the leader's updates are current", "collection", r.collection.String(), "source_age", r.ages())
 	for ctx.Err() == nil && !r.wanted() {
 		sleep(ctx, standbyLook)
 	}
-	r.log.Info("Box reads the source by itself", "collection", r.collection.String(), "source_age", r.ages())
+	r.log.Info("Reads the source: the leader's updates are not current", "collection", r.collection.String(), "source_age", r.ages())
 }
 
-// step makes one call; it tells whether anything was found.
+// step makes one call; it reports whether anything was found.
 func (r *reader) step(ctx context.Context) (bool, error) {
 	begun := clock.Now()
 	r.begun = begun
@@ -223,7 +223,7 @@
 // noteEpoch compares a list's epoch with that of what this box knows. Where the source was restored from an older
 // copy, endpoints that are missing get time to write their entries again.
 func (r *reader) noteEpoch(b Batch, now time.Time) {
-	before, epoch := max(r.epoch, r.known().revision.Epoch()), b.Revision.Epoch()
+	before, epoch := max(r.epoch, r.checkpoint().revision.Epoch()), b.Revision.Epoch()
 	r.epoch = epoch
 	if before == 0 || before >= epoch {
 		return
@@ -231,7 +231,7 @@
 	r.restored()
 	r.trusted = later(r.trusted, now.Add(lapseGrace))
 	r.log.Info("Source was restored from an older copy", "collection", r.collection.String(), "epoch_before", before,
-		"revision_before", r.known().revision.String(), "revision", b.Revision.String())
+		"revision_before", r.checkpoint().revision.String(), "revision", b.Revision.String())
 }
 
 func later(a, b time.Time) time.Time {
@@ -241,7 +241,7 @@
 	return b
 }
 
-// reason tells why the next call is made.
+// reason names why the next call is made.
 func (r *reader) reason() string {
 	switch {
 	case r.asOf.IsZero():
@@ -305,10 +305,10 @@
 	r.log.Info("Source answers again", "collection", r.collection.String(), "revision", r.after.String(), "away_ms", away.Milliseconds())
 }
 
-// note tells how a call went, and logs when the source is lost. A box that holds something
+// note reports how a call went, and logs when the source is lost. A box that holds something
 // back is no source for others: the outage may have been its own alone.
 func (r *reader) note(err error) {
-	r.heard(readOutcome{begun: r.begun, asOf: r.asOf, revision: r.after, heard: err == nil && r.after != 0 && !r.holding})
+	r.report(readOutcome{begun: r.begun, asOf: r.asOf, revision: r.after, current: err == nil && r.after != 0 && !r.holding})
 	if err != nil && !r.failing {
 		r.failing = true
 		r.log.Info("Source does not answer", "collection", r.collection.String(), "revision", r.after.String(), "err", err.Error())
--- a/edge/reader_test.go
+++ b/edge/reader_test.go
@@ -77,13 +77,13 @@
 		decoder:    plainDecoder{},
 		table:      t,
 		wanted:     func() bool { return true },
-		known:      func() mark { return mark{} },
+		checkpoint: func() checkpoint { return checkpoint{} },
 		leads:      func() bool { return true },
 		log:        logr.Discard(),
 		behind:     func() time.Duration { return defaultBehind },
 		away:       new(atomic.Bool),
 		lapse:      func() time.Duration { return time.Second },
-		heard:      func(readOutcome) {},
+		report:     func(readOutcome) {},
 		ages:       func() map[string]int64 { return nil },
 		listed:     func(Revision) {},
 		counted:    func(string) {},
@@ -227,7 +227,7 @@
 	}
 	r, _ := newReader(s)
 	var heard []bool
-	r.heard = func(w readOutcome) { heard = append(heard, w.heard) }
+	r.report = func(w readOutcome) { heard = append(heard, w.current) }
 	step(r)
 	r.asOf = time.Now().Add(-r.lapse())
 	for range 3 {
@@ -272,7 +272,7 @@
 		looks++
 		return looks < 3
 	}
-	ctx, end := context.WithTimeout(context.Background(), 2*wordFor)
+	ctx, end := context.WithTimeout(context.Background(), 2*leaderWait)
 	defer end()
 	c.Assert(r.run(ctx), quicktest.IsNil)
 	c.Assert(s.waits, quicktest.HasLen, 0)
@@ -313,8 +313,8 @@
 		r, _ := newReader(s)
 		r.collection, r.away = collection, asked
 		r.leads = leads
-		r.heard = func(w readOutcome) {
-			if w.heard {
+		r.report = func(w readOutcome) {
+			if w.current {
 				heard[i].CompareAndSwap(0, int64(time.Since(s.back)))
 			}
 		}
@@ -373,12 +373,12 @@
 	n := &Node{Decoder: plainDecoder{}}
 	r, table := newReader(&script{list: []Batch{{Facts: published("e/2"), Revision: rev(5)}}})
 	r.listed = func(revision Revision) { n.noteListed(Endpoints, revision) }
-	table.IsOver = n.isOver
+	table.HasEnded = n.hasEnded
 	step(r)
-	table.Hear(&wire.Item{Key: "e/1", Version: uint64(rev(4))}, &wire.Item{Key: "e/3", Version: uint64(rev(6))})
+	table.Receive(&wire.Item{Key: "e/1", Version: uint64(rev(4))}, &wire.Item{Key: "e/3", Version: uint64(rev(6))})
 	keys := table.Keys()
 	slices.Sort(keys)
 	c.Assert(keys, quicktest.DeepEquals, []string{"e/2", "e/3"})
-	table.Hear(&wire.Item{Key: "e/4", Version: uint64(rev(4)), Removed: true}) // others may still need it
+	table.Receive(&wire.Item{Key: "e/4", Version: uint64(rev(4)), Removed: true}) // others may still need it
 	c.Assert(table.Version("e/4"), quicktest.Equals, uint64(rev(4)))
 }
--- a/edge/restore_test.go
+++ b/edge/restore_test.go
@@ -72,8 +72,8 @@
 	b.reader.decoder = wordDecoder{}
 	n := &Node{Decoder: wordDecoder{}}
 	b.node = n
-	b.table.Outlives, b.table.Same, b.table.IsOld, b.table.IsOver = n.outlives, n.isSame, n.isOld, n.isOver
-	b.reader.known = func() mark { return n.known.of(Endpoints) }
+	b.table.Outlives, b.table.Same, b.table.IsSuperseded, b.table.HasEnded = n.outlives, n.isSame, n.isSuperseded, n.hasEnded
+	b.reader.checkpoint = func() checkpoint { return n.checkpoints.of(Endpoints) }
 	b.reader.listed = func(r Revision) { n.noteListed(Endpoints, r) }
 	return b
 }
@@ -89,7 +89,7 @@
 		if words[0] == "read" {
 			b.table.Merge(i)
 		} else {
-			b.table.Hear(i)
+			b.table.Receive(i)
 		}
 		return nil
 	case "list":
@@ -184,7 +184,7 @@
 func TestWhatIsKeptAgainstACopyIsTakenThoughItsRevisionWasRead(t *testing.T) {
 	c := quicktest.New(t)
 	b := newRestoredBox()
-	b.node.known.raise(Endpoints, mark{revision: revIn(2, 180), asOf: time.Now()})
+	b.node.checkpoints.advance(Endpoints, checkpoint{revision: revIn(2, 180), asOf: time.Now()})
 	c.Assert(b.do([]string{"read", "2/150", "e/1=ready"}), quicktest.IsNil)
 	c.Assert(b.do([]string{"receive", "2/150k", "e/1=draining"}), quicktest.IsNil)
 	c.Assert(b.do([]string{"want", "e/1=draining", "2/150k"}), quicktest.IsNil)
@@ -223,7 +223,7 @@
 	c := quicktest.New(t)
 	b := newRestoredBox()
 	c.Assert(b.do([]string{"receive", "2/150k", "e/1=gone"}), quicktest.IsNil)
-	b.node.known.raise(Endpoints, mark{revision: revIn(2, 180), asOf: time.Now()})
+	b.node.checkpoints.advance(Endpoints, checkpoint{revision: revIn(2, 180), asOf: time.Now()})
 	b.reader.resume()
 	c.Assert(b.reader.after, quicktest.Equals, Revision(0))
 	c.Assert(b.do([]string{"receive", "2/190", "e/1=ready"}), quicktest.IsNil)
@@ -237,17 +237,17 @@
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 2, 400), box("b", "dc", 1, 400))
 	now := time.Now()
-	hear := func(r Revision) { p.hear("b", share.Word{Settled: uint64(r), Endpoints: uint64(r)}, now) }
+	hear := func(r Revision) { p.receiveStatus("b", share.Status{Settled: uint64(r), Endpoints: uint64(r)}, now) }
 	relies := func() bool {
-		_, told := p.wordAgo(now)
+		_, told := p.statusAge(now)
 		return told && p.informed(now)
 	}
-	p.known.raise(Endpoints, mark{revision: revIn(1, 200), asOf: now})
+	p.known.advance(Endpoints, checkpoint{revision: revIn(1, 200), asOf: now})
 	p.begin("b")
 	hear(revIn(1, 200))
 	c.Assert(relies(), quicktest.IsTrue)
 	for _, k := range []Collection{Settled, Endpoints} {
-		p.known.raise(k, mark{revision: revIn(2, 150), asOf: now})
+		p.known.advance(k, checkpoint{revision: revIn(2, 150), asOf: now})
 	}
 	hear(revIn(1, 200))
 	c.Assert(relies(), quicktest.IsFalse)
--- a/edge/slots_test.go
+++ b/edge/slots_test.go
@@ -55,7 +55,7 @@
 			term++
 			published = 0
 			for _, o := range owners {
-				o.table.Hear(late...)
+				o.table.Receive(late...)
 			}
 		}
 		a := topology.Adapter{Model: "m", Name: fmt.Sprint("a", r.IntN(10))}
@@ -78,10 +78,10 @@
 		}
 		c.Assert(len(items) <= most, quicktest.IsTrue, quicktest.Commentf("step %d told %d slots", step, len(items)))
 		r.Shuffle(len(items), func(i, j int) { items[i], items[j] = items[j], items[i] })
-		other.table.Hear(items...)
+		other.table.Receive(items...)
 		late = append(late, items...)
 		if r.IntN(3) == 0 && len(late) > 9 {
-			other.table.Hear(late[r.IntN(len(late))]) // again
+			other.table.Receive(late[r.IntN(len(late))]) // again
 		}
 		c.Assert(other.holds(), quicktest.DeepEquals, held, quicktest.Commentf("step %d", step))
 		c.Assert(o.holds(), quicktest.DeepEquals, held, quicktest.Commentf("step %d, the owner", step))
--- a/edge/source.go
+++ b/edge/source.go
@@ -31,7 +31,7 @@
 	Removed  bool
 }
 
-// Batch is what a source told, as of a revision.
+// Batch is an answer of a source, as of a revision.
 type Batch struct {
 	Facts    []Fact
 	Revision Revision
--- a/edge/state.go
+++ b/edge/state.go
@@ -28,11 +28,11 @@
 	tracker quarantine.Tracker // of requests under which endpoints ended
 
 	mu           sync.Mutex
-	lives        map[string]string // by the key of an endpoint's fact: the ID of the life that it told of last
+	lives        map[string]string // by the key of an endpoint's fact: the ID of the life that it named last
 	unreadConfig uint64            // revision of the latest configuration that can't be read; zero: the latest one could
 }
 
-// unread tells whether a newer configuration than that in force could not be read.
+// unread reports whether a newer configuration than that in force could not be read.
 func (s *state) unread() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -42,7 +42,7 @@
 // apply takes accepted items into the view. One that cannot be read changes
 // nothing: the last good one stays.
 func (s *state) apply(items []*wire.Item) {
-	touched := make(map[string]bool) // endpoints whose slots were told
+	touched := make(map[string]bool) // endpoints whose slots were received
 	for _, i := range items {
 		if rest, ok := strings.CutPrefix(i.GetKey(), slotsPrefix); ok {
 			touched[s.applySlot(rest, i)] = true
@@ -136,12 +136,12 @@
 			"draining", known.Draining(), "revision", revisionOf(i).String())
 	}
 	if !s.showSlots(id) {
-		s.view.SetHeld(id, heldLongAgo(e)) // better than nothing until its owner tells
+		s.view.SetHeld(id, heldLongAgo(e)) // better than nothing until its owner publishes
 	}
 	return nil
 }
 
-// endLife notes which life of an endpoint its key tells of now, empty for none. All that was
+// endLife records which life of an endpoint its key names now, empty for none. All that was
 // known of the life before is forgotten: one that started again holds and runs nothing of it.
 func (s *state) endLife(i *wire.Item, id, why string) {
 	s.mu.Lock()
--- a/edge/suspend_test.go
+++ b/edge/suspend_test.go
@@ -37,10 +37,10 @@
 	n := &Node{Settings: Settings{Bounds: Bounds{Drain: 2 * time.Second, Apply: 2 * time.Second}}}
 	n.current.Store(&n.Settings)
 	for _, k := range []Collection{Settled, Endpoints} {
-		n.fresh.note(k, readOutcome{heard: true, asOf: clock.Now()})
+		n.fresh.note(k, readOutcome{current: true, asOf: clock.Now()})
 	}
 	c.Assert(n.reads(), quicktest.IsTrue)
-	told := word{told: clock.Now(), heard: clock.Now()}
+	told := leaderStatus{received: clock.Now(), readAt: clock.Now()}
 	c.Assert(told.isFresh(clock.Now(), n.behind()), quicktest.IsTrue)
 	suspend(c, max(2*time.Second, share.SilentAfter))
 	c.Assert(n.reads(), quicktest.IsFalse)
--- a/keeper/relay.go
+++ b/keeper/relay.go
@@ -16,20 +16,20 @@
 // PeerSource makes the source for the peer at an address.
 type PeerSource func(address string) Source
 
-// Relay keeps a Keeper current: from peers by what heartbeats tell, and from
+// Relay keeps a Keeper current: from peers by their heartbeats, and from
 // the platform where this daemon is one of the watchers. Set every field before
 // Run.
 type Relay struct {
 	Keeper   *Keeper
 	Platform *kvstore.Client
 	Peers    PeerSource
-	Nudge    func()      // tells the neighbours now that there is news
+	Nudge    func()      // sends heartbeats now, since there is news
 	Watches  func() bool // whether this daemon watches the platform now
 	Log      logr.Logger
 	Wait     time.Duration // of one watch
 	Pause    time.Duration // before a failed read is tried again
 
-	told chan hint
+	hints chan hint
 }
 
 // hint says that a peer holds a head that may be news.
@@ -39,7 +39,7 @@
 }
 
 // Init makes the relay ready for heartbeats; call it before Run.
-func (r *Relay) Init() { r.told = make(chan hint, 64) }
+func (r *Relay) Init() { r.hints = make(chan hint, 64) }
 
 // Fill implements member.Extras.
 func (r *Relay) Fill(h *wire.Heartbeat) { r.Keeper.Fill(h) }
@@ -48,8 +48,8 @@
 func (r *Relay) Heard(h *wire.Heartbeat, address string) {
 	for start := range r.Keeper.unknown(h) {
 		select {
-		case r.told <- hint{address: address, start: []byte(start)}:
-		default: // the next heartbeat tells again
+		case r.hints <- hint{address: address, start: []byte(start)}:
+		default: // the next heartbeat has it again
 		}
 	}
 }
@@ -73,7 +73,7 @@
 		select {
 		case <-ctx.Done():
 			return <-watched
-		case h := <-r.told:
+		case h := <-r.hints:
 			r.follow(ctx, h)
 		case <-timer.C:
 		case <-time.After(r.Pause):
@@ -81,7 +81,7 @@
 	}
 }
 
-// follow fetches a head that a peer told of.
+// follow fetches a head that a peer holds.
 func (r *Relay) follow(ctx context.Context, h hint) {
 	if _, inForce, held := r.Keeper.Find(h.start); held && inForce {
 		return
@@ -106,7 +106,7 @@
 	return nil
 }
 
-// offer hands a head to the keeper and tells whether it was judged; one whose
+// offer hands a head to the keeper and reports whether it was judged; one whose
 // shards could not be fetched has to be offered again.
 func (r *Relay) offer(ctx context.Context, raw []byte, inForce bool, from Source, name string) bool {
 	v, err := r.Keeper.Offer(ctx, raw, inForce, from)
--- a/share/follow.go
+++ b/share/follow.go
@@ -26,14 +26,14 @@
 type Server struct {
 	Table      *Table
 	DataCentre string // of this box
-	// Reading tells how far this box, or one that it follows, has heard the store of
+	// Reading returns how far this box, or one that it follows, has read the store of
 	// the configuration; false: none did lately, as far as it knows.
-	Reading func() (w Word, ok bool)
+	Reading func() (w Status, ok bool)
 }
 
-// Word says how far a box has heard the store of the configuration.
-type Word struct {
-	Age       time.Duration // since the store was heard
+// Status says how far a box has read the store of the configuration.
+type Status struct {
+	Age       time.Duration // since the last successful read
 	Settled   uint64        // the store's revision up to which no settled fact is missing; zero: not known
 	Endpoints uint64        // the same of lives of endpoints
 }
@@ -43,14 +43,14 @@
 	f := newFollower(q, s.DataCentre)
 	var seq uint64
 	for {
-		w, reading := s.Reading() // before the items: what was heard by then is among them
+		w, reading := s.Reading() // before the items: what was read by then is among them
 		items, last, changed := s.Table.Since(seq)
 		seq = last
-		word := &wire.Update{}
+		status := &wire.Update{}
 		if reading {
-			word = &wire.Update{Reading: true, AgeMicros: w.Age.Microseconds(), SettledRevision: w.Settled, EndpointsRevision: w.Endpoints}
+			status = &wire.Update{Reading: true, AgeMicros: w.Age.Microseconds(), SettledRevision: w.Settled, EndpointsRevision: w.Endpoints}
 		}
-		if err := f.send(stream, items, word); err != nil {
+		if err := f.send(stream, items, status); err != nil {
 			return err
 		}
 		if err := pause(stream.Context(), changed); err != nil {
@@ -93,7 +93,7 @@
 	return f
 }
 
-// needs tells whether the follower asked for an item and has not got it.
+// needs reports whether the follower asked for an item and has not got it.
 func (f *follower) needs(i *wire.Item) bool {
 	if !f.request.GetEverything() && !i.GetSettled() && i.GetDataCentre() != f.dataCentre {
 		return false
@@ -101,9 +101,9 @@
 	return f.known[i.GetKey()] < i.GetVersion()
 }
 
-// send sends the items that the follower needs, and word with the last of them: it
+// send sends the items that the follower needs, and the status with the last of them: it
 // holds of them all. A message without any is a beat.
-func (f *follower) send(stream grpc.ServerStreamingServer[wire.Update], items []*wire.Item, word *wire.Update) error {
+func (f *follower) send(stream grpc.ServerStreamingServer[wire.Update], items []*wire.Item, status *wire.Update) error {
 	u := &wire.Update{}
 	for _, i := range items {
 		if !f.needs(i) {
@@ -123,17 +123,16 @@
 			u = &wire.Update{}
 		}
 	}
-	word.Items = u.Items
-	return stream.Send(word)
+	status.Items = u.Items
+	return stream.Send(status)
 }
 
 // ErrSilent says that a followed box said nothing for too long.
 var ErrSilent = errors.New("share: the followed box is silent")
 
-// Follow merges what the box behind c tells, until the stream breaks, falls
-// silent, or ctx ends. What the table has need not be told. Each message is told to heard after
-// it was merged, with the time at which it came.
-func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, heard func(u *wire.Update, came time.Time)) error {
+// Follow merges what the box behind c sends, until the stream breaks, falls silent, or ctx ends. What the
+// table has need not be sent. received is called with each message after it was merged, and when it came.
+func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, received func(u *wire.Update, came time.Time)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	silent := time.AfterFunc(SilentAfter, func() { cancel(ErrSilent) })
@@ -150,8 +149,8 @@
 		}
 		came := clock.Now()
 		silent.Reset(SilentAfter)
-		t.Hear(u.GetItems()...)
-		heard(u, came)
+		t.Receive(u.GetItems()...)
+		received(u, came)
 	}
 }
 
--- a/share/packed_test.go
+++ b/share/packed_test.go
@@ -81,7 +81,7 @@
 	from, to := NewTable(), NewTable()
 	from.Merge(item("same", 3), item("newer", 4), item("unknown", 1), Pack(&wire.Item{Key: "config", Version: 9, Value: routes(100)}))
 	to.Merge(item("same", 3), item("newer", 2), Pack(&wire.Item{Key: "config", Version: 9, Value: routes(100)}))
-	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: func() (Word, bool) { return Word{}, true }}})
+	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: func() (Status, bool) { return Status{}, true }}})
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var told []string
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -47,11 +47,11 @@
 func TestWhatAnotherBoxToldIsNotTakenInWhereItIsKnownToBeOver(t *testing.T) {
 	c := quicktest.New(t)
 	a := NewTable()
-	a.IsOver = func(i *wire.Item) bool { return i.GetVersion() <= 2 }
-	a.Hear(item("x", 2), item("y", 3))
+	a.HasEnded = func(i *wire.Item) bool { return i.GetVersion() <= 2 }
+	a.Receive(item("x", 2), item("y", 3))
 	c.Assert(a.Keys(), quicktest.DeepEquals, []string{"y"})
 	a.Merge(item("x", 2)) // this box's own word
-	a.Hear(item("x", 1))
+	a.Receive(item("x", 1))
 	c.Assert(a.Version("x"), quicktest.Equals, uint64(2))
 }
 
@@ -88,10 +88,10 @@
 	c := quicktest.New(t)
 	a := NewTable()
 	a.Merge(item("k", 1))
-	a.IsOld = func(i *wire.Item) bool { return i.GetVersion() <= 6 }
-	a.Hear(item("k", 3))
+	a.IsSuperseded = func(i *wire.Item) bool { return i.GetVersion() <= 6 }
+	a.Receive(item("k", 3))
 	c.Assert(a.Version("k"), quicktest.Equals, uint64(1))
-	a.Hear(item("k", 7))
+	a.Receive(item("k", 7))
 	c.Assert(a.Version("k"), quicktest.Equals, uint64(7))
 }
 
@@ -145,7 +145,7 @@
 	c := quicktest.New(t)
 	from, to := NewTable(), NewTable()
 	from.Merge(item("early", 1), &wire.Item{Key: "foreign", Version: 1, DataCentre: "d2"})
-	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: func() (Word, bool) { return Word{Age: time.Second, Endpoints: 7}, true }}})
+	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: func() (Status, bool) { return Status{Age: time.Second, Endpoints: 7}, true }}})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
@@ -179,9 +179,9 @@
 	for i := range batchMost + 1 {
 		from.Merge(item(fmt.Sprint("k", i), 1))
 	}
-	read := func() (Word, bool) { // the store is read at the last moment
+	read := func() (Status, bool) { // the store is read at the last moment
 		from.Merge(item("removal", 2))
-		return Word{}, true
+		return Status{}, true
 	}
 	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", Reading: read}})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/share/table.go
+++ b/share/table.go
@@ -1,8 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package share spreads versioned facts between boxes: each box keeps all of
+// Package share replicates versioned facts between boxes: each box keeps all of
 // them in memory, streams them to those that follow it, and merges what it
-// hears. Of two facts with the same key the higher version wins, so the order
+// receives. Of two facts with the same key the higher version wins, so the order
 // and the path of messages do not matter.
 //
 // Lock order: Table.mu is taken alone; OnChange is called without it.
@@ -17,20 +17,20 @@
 
 // Table is one box's copy of the facts. It is safe for concurrent use.
 type Table struct {
-	// OnChange hears every accepted item, in the order of acceptance. Set it
+	// OnChange is called with every accepted item, in the order of acceptance. Set it
 	// before use.
 	OnChange func(items []*wire.Item)
-	// IsOver tells of a fact that is not in the table whether it had ended before this box
-	// began to know of it: another box that has not heard of the end may still tell of the
-	// fact, and Hear passes it over. Set it before use; nil: none is over.
-	IsOver func(i *wire.Item) bool
-	// IsOld tells of a fact in a newer version than the table's whether it is older than this box's
-	// knowledge all the same: an even newer one said the same as the table does. Hear passes it
-	// over. Set it before use; nil: none is.
-	IsOld func(i *wire.Item) bool
-	// Same tells whether a newer version of a fact says nothing that others need to be told. It is
-	// kept, for those that begin to follow, and neither told nor heard by OnChange. Set it before
-	// use; nil: every version is told.
+	// HasEnded reports whether a fact that is not in the table had ended before this box began to
+	// know of it: a box that has not learned of the end may still send it, and Receive ignores
+	// it. Set it before use; nil: none has.
+	HasEnded func(i *wire.Item) bool
+	// IsSuperseded reports whether a fact that was received is older than this box's knowledge though its
+	// version is above the table's: an even newer one said the same as the table does. Receive ignores
+	// it. Set it before use; nil: none is.
+	IsSuperseded func(i *wire.Item) bool
+	// Same reports whether a newer version of a fact says nothing that others need. It is kept, for
+	// those that begin to follow, and neither sent nor given to OnChange. Set it before use; nil: every
+	// version is sent.
 	Same func(old, now *wire.Item) bool
 
 	// Outlives reports whether what older says stands though newer has a higher version, or the same: the
@@ -39,8 +39,8 @@
 	// before use; nil: the higher version always wins.
 	Outlives func(older, newer *wire.Item, read bool) (version uint64, outlives bool)
 	// OnIgnored is called with the items that were not taken because this box knows something newer;
-	// told says that another box sent them. Set it before use; nil: nobody asks.
-	OnIgnored func(items []*wire.Item, told bool)
+	// received says that another box sent them. Set it before use; nil: nobody asks.
+	OnIgnored func(items []*wire.Item, received bool)
 
 	mu      sync.Mutex
 	entries map[string]*list.Element // by key
@@ -60,39 +60,39 @@
 	return &Table{entries: make(map[string]*list.Element), log: list.New(), changed: make(chan struct{})}
 }
 
-// Merge takes in items; those that are not newer than what is known change
+// Merge applies items; those that are not newer than what is known change
 // nothing.
 func (t *Table) Merge(items ...*wire.Item) { t.merge(items, false) }
 
-// Hear takes in what another box told, as Merge does, without new facts that are over.
-func (t *Table) Hear(items ...*wire.Item) { t.merge(items, true) }
+// Receive merges what another box sent, without new facts that have ended.
+func (t *Table) Receive(items ...*wire.Item) { t.merge(items, true) }
 
-func (t *Table) merge(items []*wire.Item, told bool) {
+func (t *Table) merge(items []*wire.Item, received bool) {
 	t.applied.Lock()
 	defer t.applied.Unlock()
-	accepted, ignored := t.accept(items, told)
+	accepted, ignored := t.accept(items, received)
 	if len(accepted) > 0 && t.OnChange != nil {
 		t.OnChange(accepted)
 	}
 	if len(ignored) > 0 && t.OnIgnored != nil {
-		t.OnIgnored(ignored, told)
+		t.OnIgnored(ignored, received)
 	}
 }
 
 // accept applies items. It returns those that are news, and those that are older than what is known;
-// told says that another box sent them.
-func (t *Table) accept(items []*wire.Item, told bool) (accepted, ignored []*wire.Item) {
+// received says that another box sent them.
+func (t *Table) accept(items []*wire.Item, received bool) (accepted, ignored []*wire.Item) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, i := range items {
 		old := t.entries[i.GetKey()]
 		if old == nil {
-			if told && t.IsOver != nil && t.IsOver(i) {
+			if received && t.HasEnded != nil && t.HasEnded(i) {
 				continue
 			}
 		} else {
 			known := old.Value.(*entry)
-			merged := t.merged(known.item, i, told)
+			merged := t.merged(known.item, i, received)
 			if merged == nil {
 				if known.item.GetVersion() != i.GetVersion() {
 					ignored = append(ignored, i)
@@ -117,19 +117,19 @@
 	return accepted, ignored
 }
 
-// merged returns the item to know in place of the known one after another of its key came, nil where it stays; told
-// says that another box sent it.
-func (t *Table) merged(known, came *wire.Item, told bool) *wire.Item {
+// merged returns the item to know in place of the known one after another of its key came, nil where it stays;
+// received says that another box sent it.
+func (t *Table) merged(known, came *wire.Item, received bool) *wire.Item {
 	if known.GetVersion() >= came.GetVersion() {
 		if v, ok := t.outlives(came, known, false); ok {
 			return withVersion(came, v)
 		}
 		return nil
 	}
-	if told && t.IsOld != nil && t.IsOld(came) {
+	if received && t.IsSuperseded != nil && t.IsSuperseded(came) {
 		return nil
 	}
-	if v, ok := t.outlives(known, came, !told); ok {
+	if v, ok := t.outlives(known, came, !received); ok {
 		return withVersion(known, v)
 	}
 	return came
--- a/topology/endpoint.go
+++ b/topology/endpoint.go
@@ -67,7 +67,7 @@
 // Slots returns how many requests it works on at once.
 func (e *Endpoint) Slots() int { return max(e.spec.Slots, 1) }
 
-// Draining tells whether it is about to leave.
+// Draining reports whether it is about to leave.
 func (e *Endpoint) Draining() bool { return e.spec.Draining }
 
 // Models returns the base models that it holds; do not change it.
@@ -76,7 +76,7 @@
 // Adapters returns the adapters that it held some time ago; do not change it.
 func (e *Endpoint) Adapters() map[Adapter]int64 { return e.spec.Adapters }
 
-// Alike tells whether another description of the endpoint says the same of it, but for the adapters
+// Alike reports whether another description of the endpoint says the same of it, but for the adapters
 // that it held some time ago.
 func (e *Endpoint) Alike(o *Endpoint) bool {
 	a, b := e.spec, o.spec
@@ -84,7 +84,7 @@
 		a.Draining == b.Draining && a.Leaves == b.Leaves && slices.Equal(a.Models, b.Models)
 }
 
-// HasModel tells whether it holds the base model.
+// HasModel reports whether it holds the base model.
 func (e *Endpoint) HasModel(name string) bool {
 	for _, m := range e.spec.Models {
 		if m == name {
