A stand-in engine's report is no older than its lag where its steps stand still

On a busy machine steps may stand still for longer than the lag that the engine publishes; a run that began meanwhile is missing in the report then, so its owner may unload its adapter by rights, and the engine counts a breach. The test failed before: a run of 200 ms is not in a report whose lag is 20 ms.

--- a/standin/orders.go
+++ b/standin/orders.go
@@ -180,7 +180,11 @@
 func (e *Engine) metrics(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.dropReportsLocked(time.Now())
+	now := time.Now()
+	if now.Sub(e.reports[len(e.reports)-1].at) > e.ReportLag { // steps stand still on a busy machine
+		e.noteReportLocked(now)
+	}
+	e.dropReportsLocked(now)
 	r := e.reports[0]
 	fmt.Fprintf(w, "# TYPE %s gauge\n%s{model_name=%q} %d\n", engine.RunningMetric, engine.RunningMetric, e.Base, len(r.running))
 	fmt.Fprintf(w, "# TYPE %s gauge\n%s{model_name=%q} %d\n", engine.WaitingMetric, engine.WaitingMetric, e.Base, len(r.waiting))
--- a/standin/standin_test.go
+++ b/standin/standin_test.go
@@ -270,3 +270,18 @@
 	b.Assert(list, quicktest.HasLen, 2)
 	b.Assert(list[1].Kind, quicktest.Equals, engine.CacheRemoved)
 }
+
+// A soak on a busy machine saw an adapter unloaded while it ran: the engine's steps had stood still for longer than the
+// age that it publishes for its reports.
+func TestAReportIsNoOlderThanItsLagWhereStepsStandStill(t *testing.T) {
+	const lag = 20 * time.Millisecond
+	b := newBench(t, func(e *Engine) { e.StepTime, e.ReportLag = time.Second, lag })
+	b.load("roses@1")
+	ended := make(chan string, 1)
+	go func() { ended <- b.run("roses@1", "x") }()
+	defer func() { <-ended }()
+	time.Sleep(10 * lag)
+	r, err := b.client.Report(context.Background())
+	b.Assert(err, quicktest.IsNil)
+	b.Assert(r.InUse("roses@1"), quicktest.IsTrue)
+}
