--- a/edge/restore.go
+++ b/edge/restore.go
@@ -26,22 +26,23 @@
 	stands := false
 	switch kind {
 	case KindConfig:
-		stands = n.isNewerConfig(older, newer)
+		stands = isHigher(n.configVersionOf, older, newer)
 	case KindVersion:
-		stands = n.isNewerVersion(older, newer)
+		stands = isHigher(n.adapterVersionOf, older, newer)
 	case KindEndpoint:
 		stands = n.isLaterOfEndpoint(older, newer, read)
 	}
 	return uint64(b.Kept()), stands
 }
 
-// isNewerConfig reports whether a is a configuration of a higher version than b. What can't be read is no newer one.
-func (n *Node) isNewerConfig(a, b *wire.Item) bool {
-	va, errA := n.configVersionOf(a)
-	vb, errB := n.configVersionOf(b)
+// isHigher reports whether a names a higher version than b. What can't be read names none.
+func isHigher(versionOf func(i *wire.Item) (uint64, error), a, b *wire.Item) bool {
+	va, errA := versionOf(a)
+	vb, errB := versionOf(b)
 	return errA == nil && errB == nil && va > vb
 }
 
+// configVersionOf returns the version of a configuration.
 func (n *Node) configVersionOf(i *wire.Item) (uint64, error) {
 	value, err := share.Value(i)
 	if err != nil {
@@ -54,20 +55,14 @@
 	return c.Version(), nil
 }
 
-// isNewerVersion reports whether a names a higher version of an adapter than b.
-func (n *Node) isNewerVersion(a, b *wire.Item) bool {
-	va, errA := n.adapterVersionOf(a)
-	vb, errB := n.adapterVersionOf(b)
-	return errA == nil && errB == nil && va > vb
-}
-
-func (n *Node) adapterVersionOf(i *wire.Item) (int64, error) {
+// adapterVersionOf returns the version that a fact names of an adapter; the decoder takes none below zero.
+func (n *Node) adapterVersionOf(i *wire.Item) (uint64, error) {
 	value, err := share.Value(i)
 	if err != nil {
 		return 0, err
 	}
 	_, v, err := n.Decoder.Version(value)
-	return v, err
+	return uint64(v), err
 }
 
 // isLaterOfEndpoint reports whether a says something of an endpoint that b, an entry of a higher revision, can't take
