An adapter whose grants outlive a claim is not unloaded while it runs

Cause: a scheduler that does not know how an order ended claims the endpoint anew and describes its slots anew, each with no grant. Grants given before the claim stay good; when one ended it was taken off the new slot's count, which fell below zero, so the next grant brought it to zero: the adapter seemed unused, and was unloaded for another one.

Now grants are counted by adapter beside the slots, by the two functions that add and end a grant; a claim does not touch the count, and a load of an adapter does not either. The unit test failed before.

--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -45,7 +45,8 @@
 	looking      bool         // a look is queued or under way
 	nextLook     time.Time
 	slots        map[string]*slot  // by adapter@version; at most spec.Slots()
-	grants       map[uint64]*grant // not given back
+	grants       map[uint64]*grant // not given back; through claims of the same owner
+	inUse        map[string]int    // how many of them, by adapter@version; never zero
 	waiters      []*waiter         // in order of arrival
 	rates        map[string]*policy.Popularity
 	limit        float64         // of requests running; adapts below spec.Running()
@@ -74,7 +75,6 @@
 // slot is one adapter at the engine.
 type slot struct {
 	state  slotState
-	grants int       // not given back
 	unsure time.Time // a request may begin on it until then, and run after; zero: none unaccounted
 	used   time.Time // when a grant was last given
 	since  time.Time // when the state began
@@ -110,6 +110,7 @@
 		spec:     spec,
 		slots:    make(map[string]*slot),
 		grants:   make(map[uint64]*grant),
+		inUse:    make(map[string]int),
 		rates:    make(map[string]*policy.Popularity),
 		limit:    float64(spec.Running()),
 		service:  firstService,
@@ -134,7 +135,7 @@
 	e.phase = foreign
 	e.fence = engine.Fence{}
 	e.slots = make(map[string]*slot)
-	e.grants = make(map[uint64]*grant)
+	e.grants, e.inUse = make(map[uint64]*grant), make(map[string]int)
 	waiters := e.waiters
 	e.waiters = nil
 	e.demands = make(map[string]*demand)
@@ -144,6 +145,26 @@
 	}
 }
 
+// addGrantLocked adds a grant that was given.
+func (e *endpoint) addGrantLocked(id uint64, g *grant) {
+	e.grants[id] = g
+	e.inUse[g.adapter]++
+}
+
+// endGrantLocked takes a grant away, and returns it; nil: there is none.
+func (e *endpoint) endGrantLocked(id uint64) *grant {
+	g := e.grants[id]
+	if g == nil {
+		return nil
+	}
+	delete(e.grants, id)
+	e.inUse[g.adapter]--
+	if e.inUse[g.adapter] == 0 {
+		delete(e.inUse, g.adapter)
+	}
+	return g
+}
+
 // running is how many grants are not given back.
 func (e *endpoint) running() int { return len(e.grants) }
 
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -26,9 +26,8 @@
 func (s *Scheduler) grantLocked(e *endpoint, w *waiter, now time.Time, r wire.Reason) *wire.AcquireReply {
 	id := rand.Uint64()
 	adapter := w.request.GetAdapter()
-	e.grants[id] = &grant{adapter: adapter, caller: w.request.GetCaller(), given: now, sendBy: now.Add(s.Spans.SendWindow)}
+	e.addGrantLocked(id, &grant{adapter: adapter, caller: w.request.GetCaller(), given: now, sendBy: now.Add(s.Spans.SendWindow)})
 	sl := e.slots[adapter]
-	sl.grants++
 	sl.used = now
 	waited := now.Sub(w.arrived)
 	return &wire.AcquireReply{Grant: &wire.Grant{
@@ -73,11 +72,10 @@
 	if q.GetLeaving() {
 		e.closedUntil = now.Add(closedFor)
 	}
-	g := e.grants[q.GetId()]
+	g := e.endGrantLocked(q.GetId())
 	if g == nil {
 		return // of an earlier ownership, or given back already
 	}
-	delete(e.grants, q.GetId())
 	s.endLocked(e, g, q, now)
 	s.adaptLocked(e, q)
 	s.serveWaitersLocked(e, now)
@@ -89,7 +87,6 @@
 	if sl == nil {
 		return
 	}
-	sl.grants--
 	if q.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN && sl.unsure.Before(now) {
 		sl.unsure = now // it may still run; a report must show that it does not
 	}
@@ -225,10 +222,7 @@
 	shown := begun.Add(-e.spec.ReportLag()) // the state shown is at least this new
 	for id, g := range e.grants {
 		if g.sendBy.Before(shown) && !r.InUse(g.adapter) {
-			delete(e.grants, id)
-			if sl := e.slots[g.adapter]; sl != nil {
-				sl.grants--
-			}
+			e.endGrantLocked(id)
 		}
 	}
 	for n, sl := range e.slots {
--- a/scheduler/planning.go
+++ b/scheduler/planning.go
@@ -158,7 +158,7 @@
 
 func (s *Scheduler) slotFactsLocked(e *endpoint, name string, sl *slot, now time.Time) policy.SlotFacts {
 	return policy.SlotFacts{
-		Busy:     sl.state != ready || sl.grants > 0 || !sl.unsure.IsZero() || e.wantsLocked(name),
+		Busy:     sl.state != ready || e.inUse[name] > 0 || !sl.unsure.IsZero() || e.wantsLocked(name),
 		LastUsed: sl.used,
 		LoadCost: e.loadTime,
 		Rate:     e.rateLocked(name, now, s.Spans.HalfLife).Rate(now, s.Spans.HalfLife),
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -125,6 +125,29 @@
 	b.Assert(b.scheduler.slotFactsLocked(e, "a@1", e.slots["a@1"], time.Now()).Busy, quicktest.IsFalse)
 }
 
+// A claim reads anew what the endpoint holds. Grants of before it that ended were taken off the count of those given
+// after it, so an adapter with a running request could be unloaded.
+func TestAnAdapterWithAGrantIsBusyAfterGrantsOfBeforeAClaimHaveEnded(t *testing.T) {
+	b := newBench(t, "a@1")
+	e := b.own()
+	before := b.ask("a@1", "urgent")
+	e.mu.Lock()
+	b.scheduler.unclearLocked(e, time.Now())
+	b.scheduler.queueLookLocked(e)
+	e.mu.Unlock()
+	b.scheduler.look(context.Background(), <-b.scheduler.looks)
+	b.Assert(e.phase, quicktest.Equals, owned)
+	busy := func() bool {
+		e.slots["a@1"].unsure = time.Time{} // a report has shown that nothing else runs
+		return b.scheduler.slotFactsLocked(e, "a@1", e.slots["a@1"], time.Now()).Busy
+	}
+	b.Assert(busy(), quicktest.IsTrue)
+	b.release(before, wire.Outcome_OUTCOME_COMPLETED)
+	b.Assert(busy(), quicktest.IsFalse)
+	b.Assert(b.ask("a@1", "urgent").GetGrant(), quicktest.IsNotNil)
+	b.Assert(busy(), quicktest.IsTrue)
+}
+
 func TestGrantsOfAGatewayThatIsGoneEnd(t *testing.T) {
 	b := newBench(t, "a@1")
 	e := b.own()
--- a/scheduler/status.go
+++ b/scheduler/status.go
@@ -37,7 +37,7 @@
 		AgeMicros: now.Sub(e.seen).Microseconds(),
 	}
 	for n, sl := range e.slots {
-		st.Slots = append(st.Slots, &wire.SlotStatus{Adapter: n, State: sl.state.String(), Grants: int32(sl.grants)})
+		st.Slots = append(st.Slots, &wire.SlotStatus{Adapter: n, State: sl.state.String(), Grants: int32(e.inUse[n])})
 	}
 	slices.SortFunc(st.Slots, func(a, b *wire.SlotStatus) int { return strings.Compare(a.Adapter, b.Adapter) })
 	return st
