--- a/backoff/parse.go
+++ b/backoff/parse.go
@@ -1,8 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
-// Package backoff keeps to the times for which endpoints want nothing from one box: an endpoint that
-// turns a request away may say how long it is to be left alone. Nothing here does input or output, and
-// time is passed in.
+// Package backoff keeps the Retry-After intervals that endpoints set for one box when they reject a
+// request. Nothing here does input or output, and time is passed in.
 package backoff
 
 import (
@@ -14,12 +13,12 @@
 	"github.com/pkg/errors"
 )
 
-// Longest bounds what an endpoint may ask for: one that wants nothing for longer has to leave.
+// Longest bounds a back-off: an endpoint that is out of use for longer has to drain.
 const Longest = time.Hour
 
-// Parse reads for how long an endpoint wants nothing, in decimal seconds; zero: it does not ask. Of
-// several values the longest counts, since it holds for each. Above Longest it is Longest. An error says
-// that something is asked which can't be read, such as a time of day: clocks disagree.
+// Parse reads a back-off in decimal seconds; zero: none is set. Of several values the longest counts. What is
+// above Longest is cut to it. An error means that a value can't be read, such as a time of day: clocks
+// disagree.
 func Parse(values []string) (time.Duration, error) {
 	var longest time.Duration
 	var unread error
--- a/backoff/table.go
+++ b/backoff/table.go
@@ -10,16 +10,15 @@
 	"time"
 )
 
-// Table is the endpoints that asked this box to be left alone, and until when. An endpoint whose entry goes
-// and comes back meanwhile is still left alone: the same life counts on. It is safe for concurrent use; the
-// zero value holds none.
+// Table holds the endpoints that are in a back-off, and until when. An endpoint whose entry goes and comes back
+// meanwhile is still in it: the incarnation is the same. It is safe for concurrent use; the zero value holds none.
 type Table struct {
 	mu    sync.Mutex
-	until map[string]time.Time // by endpoint; those that are over stay until the next word
+	until map[string]time.Time // by endpoint; expired ones stay until the next Ask
 }
 
-// Ask notes that an endpoint wants nothing for so long. An earlier word that holds for longer stays: the
-// endpoint counts each. It tells whether the endpoint was used until now.
+// Ask starts or extends an endpoint's back-off; it never shortens one. It reports whether the endpoint was in
+// use before.
 func (t *Table) Ask(endpoint string, d time.Duration, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -31,7 +30,7 @@
 	return used
 }
 
-// forgetLocked forgets endpoints whose time is over.
+// forgetLocked drops expired back-offs.
 func (t *Table) forgetLocked(now time.Time) {
 	if t.until == nil {
 		t.until = make(map[string]time.Time)
@@ -39,14 +38,14 @@
 	maps.DeleteFunc(t.until, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
-// Left returns for how long an endpoint wants nothing more; zero: it may be used.
+// Left returns how long an endpoint stays in its back-off; zero: it may be used.
 func (t *Table) Left(endpoint string, now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return max(t.until[endpoint].Sub(now), 0)
 }
 
-// Under returns the endpoints that want nothing now, sorted.
+// Under returns the endpoints that are in a back-off now, sorted.
 func (t *Table) Under(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -60,11 +59,11 @@
 	return list
 }
 
-// spreadPart is the part of a time by which callers are told to come back later than others: all that are
+// spreadPart is the part of a back-off by which callers come back later than others: all that are
 // refused during one back-off would come back at its end.
 const spreadPart = 0.25
 
-// ComeBack returns when a caller may come back to endpoints that want nothing for so long.
+// ComeBack returns when a caller may come back to endpoints whose back-offs last so long.
 func ComeBack(left time.Duration) time.Duration {
 	return left + time.Duration(rand.Float64()*spreadPart*float64(left))
 }
--- a/edge/node.go
+++ b/edge/node.go
@@ -120,7 +120,7 @@
 		Level:      func(centre string) (time.Duration, bool) { return n.levels.of(centre, clock.Now()) },
 		Cut:        func(centre string) bool { return n.peers.clusterView().silent[centre] },
 		Budget:     func() forward.BudgetLimits { return n.current.Load().Budget },
-		Leaving:    n.departures.heard,
+		Leaving:    n.departures.observe,
 		MostHeld:   max(s.Limits.Descriptors, heldPart*64) / heldPart,
 		Log:        n.Log,
 		Pressed:    n.Lines.Pressed,
--- a/edge/notice_test.go
+++ b/edge/notice_test.go
@@ -84,7 +84,7 @@
 	c := quicktest.New(t)
 	s := newNeedy(c, 2)
 	nodes, end := fleetOf(c, s, centreDecoder{}, 4)
-	nodes[3].departures.heard("e/1") // as if it had been told: it leads nothing
+	nodes[3].departures.observe("e/1") // as if it had been told: it leads nothing
 	for _, n := range nodes {
 		awaitLeaving(c, n, "e/1")
 		c.Check(n.view.Endpoint("e/0").Draining(), quicktest.IsFalse)
@@ -112,13 +112,13 @@
 	n := newNode(c, "box-1")
 	n.build()
 	n.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: "e1", Service: "s"}))
-	n.departures.hear(&wire.EndedRequest{Leaving: []string{"e1", "", "unknown"}})
+	n.departures.receive(&wire.EndedRequest{Leaving: []string{"e1", "", "unknown"}})
 	n.departures.forgetGone()
 	c.Check(n.items.Keys(), quicktest.DeepEquals, []string{leavingPrefix + "e1"})
 	n.view.RemoveEndpoint("e1")
 	n.departures.forgetGone()
 	c.Check(n.items.Keys(), quicktest.HasLen, 0)
-	n.departures.hear(&wire.EndedRequest{Leaving: []string{"e1"}})
+	n.departures.receive(&wire.EndedRequest{Leaving: []string{"e1"}})
 	n.departures.forgetGone()
 	c.Check(n.items.Keys(), quicktest.HasLen, 0)
 }
@@ -134,7 +134,7 @@
 		n.items.Merge(&wire.Item{Key: "e/1", Version: uint64(rev(revision)), Value: []byte("a:1")})
 	}
 	entry(1)
-	n.departures.heard("e/1")
+	n.departures.observe("e/1")
 	entry(2)
 	c.Check(n.view.Endpoint("e/1").Draining(), quicktest.IsTrue)
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -30,7 +30,7 @@
 func (s peerServer) Ended(_ context.Context, q *wire.EndedRequest) (*wire.EndedReply, error) {
 	s.node.peers.table.Seen(q.GetBox(), clock.Now())
 	s.node.kept.hear(q, time.Now())
-	s.node.departures.hear(q)
+	s.node.departures.receive(q)
 	return &wire.EndedReply{}, nil
 }
 
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -58,7 +58,7 @@
 	if !g.notices.leaves(endpoint) {
 		return
 	}
-	g.Log.Info("Endpoint says that it leaves", "endpoint", endpoint)
+	g.Log.Info("Endpoint announced draining", "endpoint", endpoint)
 	if g.View.Leave(endpoint) && g.Leaving != nil {
 		g.Leaving(endpoint)
 	}
