--- /dev/null
+++ b/balance/speed.go
@@ -0,0 +1,162 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package balance
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	speedHalfLife    = 2 * time.Second // of an observation: endpoints become slow, and recover, within seconds
+	speedPrior       = 2.0             // observations that the prior of an ordinary speed counts as
+	maxSlowdownRatio = 8.0             // bound of one observed ratio, either way, so that one stalled connection doesn't outweigh the rest
+	minWeight        = 0.05            // weight below which an endpoint's observations are dropped
+	slowThreshold    = 2.0             // slowdown from which an endpoint is reported as slow
+	recoverThreshold = 1.4             // slowdown below which it is no longer; the gap avoids repeated reports
+)
+
+// Observation summarises prompts that one endpoint has read.
+type Observation struct {
+	Prompts int           // number of them
+	Tokens  int           // sum over them of the prompt tokens that the endpoint read until its first token, the prompt's own included
+	Took    time.Duration // sum over them of the times to first token
+}
+
+// Speeds predicts the time to first token at each endpoint: a model for all endpoints together, times
+// the slowdown of the endpoint. The zero value is ready to use.
+type Speeds struct {
+	model     readModel
+	endpoints map[string]*slowdown
+}
+
+// slowdown is the ratio of observed times to those of the model, as a decaying mean of logarithms.
+type slowdown struct {
+	logSum    float64
+	weight    float64 // of the observations, as of updatedAt
+	updatedAt time.Time
+	reported  bool // as slow
+}
+
+// decay reduces the weights of the observations to what they count at now.
+func (s *slowdown) decay(now time.Time) {
+	if age := now.Sub(s.updatedAt); age > 0 {
+		f := math.Exp2(-age.Seconds() / speedHalfLife.Seconds())
+		s.logSum *= f
+		s.weight *= f
+		s.updatedAt = now
+	}
+}
+
+func (s *slowdown) factor(now time.Time) float64 {
+	s.decay(now)
+	return math.Exp(s.logSum / (s.weight + speedPrior))
+}
+
+// Observe records prompts that an endpoint has read. It ignores summaries without prompts or with
+// values that can't be.
+func (s *Speeds) Observe(endpoint string, o Observation, now time.Time) {
+	if o.Prompts <= 0 || o.Tokens < 0 || o.Took <= 0 {
+		return
+	}
+	n := float64(o.Prompts)
+	tokens, took := float64(o.Tokens)/n, o.Took.Seconds()/n
+	ratio := took / s.model.predict(tokens)
+	s.model.observe(tokens, took, n)
+	if s.endpoints == nil {
+		s.endpoints = make(map[string]*slowdown)
+	}
+	e := s.endpoints[endpoint]
+	if e == nil {
+		e = &slowdown{updatedAt: now}
+		s.endpoints[endpoint] = e
+	}
+	e.decay(now)
+	e.logSum += n * math.Log(min(max(ratio, 1/maxSlowdownRatio), maxSlowdownRatio))
+	e.weight += n
+}
+
+// FirstToken predicts the time to first token at an endpoint that reads a number of prompt tokens until then.
+func (s *Speeds) FirstToken(endpoint string, tokens int, now time.Time) time.Duration {
+	return time.Duration(s.Slowdown(endpoint, now) * s.model.predict(float64(tokens)) * float64(time.Second))
+}
+
+// ReadTime predicts how long an endpoint takes to read a number of prompt tokens, without the constant
+// part of the time to first token.
+func (s *Speeds) ReadTime(endpoint string, tokens int, now time.Time) time.Duration {
+	return s.FirstToken(endpoint, tokens, now) - s.FirstToken(endpoint, 0, now)
+}
+
+// Slowdown returns how many times as long as the model an endpoint takes. An endpoint that is unknown, or
+// has not been observed for several seconds, has the slowdown 1, so it is tried again.
+func (s *Speeds) Slowdown(endpoint string, now time.Time) float64 {
+	e := s.endpoints[endpoint]
+	if e == nil {
+		return 1
+	}
+	return e.factor(now)
+}
+
+// Changed reports whether an endpoint has become slow or has recovered since the last call, and which.
+func (s *Speeds) Changed(endpoint string, now time.Time) (slow, changed bool) {
+	e := s.endpoints[endpoint]
+	if e == nil {
+		return false, false
+	}
+	f := e.factor(now)
+	switch {
+	case !e.reported && f >= slowThreshold, e.reported && f < recoverThreshold:
+		e.reported = !e.reported
+		return e.reported, true
+	}
+	return e.reported, false
+}
+
+// Prune drops endpoints that were not observed recently.
+func (s *Speeds) Prune(now time.Time) {
+	for id, e := range s.endpoints {
+		if e.decay(now); e.weight < minWeight {
+			delete(s.endpoints, id)
+		}
+	}
+}
+
+// readModel predicts the time to first token at an endpoint of ordinary speed by a linear regression with
+// decaying weights: a constant time, and a time per token. The zero value predicts from the prior.
+type readModel struct {
+	count, sumX, sumY, sumXX, sumXY float64 // X: thousands of tokens, Y: seconds
+}
+
+const (
+	modelObservations = 512.0 // observations after which the weight of one falls to 1/e: some seconds of one data centre
+	priorBase         = 0.05  // prior: seconds for an empty prompt
+	priorPerKiloToken = 0.04  // prior: seconds for a thousand tokens
+	priorKiloTokens   = 4.0   // prompt length of half of the prior's observations; the others are of empty prompts
+	priorWeight       = 8.0   // observations that the prior counts as
+)
+
+func (m *readModel) observe(tokens, seconds, n float64) {
+	f := math.Exp(-n / modelObservations)
+	x := tokens / 1000
+	m.count = m.count*f + n
+	m.sumX = m.sumX*f + n*x
+	m.sumY = m.sumY*f + n*seconds
+	m.sumXX = m.sumXX*f + n*x*x
+	m.sumXY = m.sumXY*f + n*x*seconds
+}
+
+// minFirstToken is the shortest time that the model predicts, in seconds, so that ratios to it stay finite.
+const minFirstToken = 0.001
+
+func (m *readModel) predict(tokens float64) float64 {
+	const half = priorWeight / 2
+	priorTime := priorBase + priorPerKiloToken*priorKiloTokens
+	n := m.count + priorWeight
+	x := m.sumX + half*priorKiloTokens
+	y := m.sumY + half*(priorBase+priorTime)
+	xx := m.sumXX + half*priorKiloTokens*priorKiloTokens
+	xy := m.sumXY + half*priorKiloTokens*priorTime
+	slope := max((n*xy-x*y)/(n*xx-x*x), 0) // the two points of the prior keep the divisor above zero
+	base := max((y-slope*x)/n, 0)
+	return max(base+slope*tokens/1000, minFirstToken)
+}
