Leaders choose endpoints by speed and work

Cause: a box counts its own requests by request slots; 71 boxes each know a 71st of an endpoint's work, and none its speed. Change: where memory binds before request slots, the leader of a data centre chooses the endpoint of each request from the unread tokens, the memory and the speed of its endpoints; usage reports carry what it needs; queue limits by kind.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -84,6 +84,9 @@
 	// overload new requests keep the queues at their limit; what lies above it is left to those that were
 	// asked to return.
 	returnAllowance = 0.25
+	// targetMargin is the part of the target that the expected time to first token may take: half of the responses
+	// come later than expected.
+	targetMargin = 0.75
 	// copyThreshold is the part of the target from which an endpoint's expected time to first token calls
 	// for one more copy of the adapter: a load takes some 0.3 of a target, so a copy that is begun later
 	// than this is ready too late for the requests that need it.
@@ -118,7 +121,7 @@
 func (r Request) chooseInTime(list []Candidate) (Decision, bool) {
 	best, lowest := -1, time.Duration(0)
 	for i, c := range list {
-		if c.firstToken() > r.Target || c.Queue > r.queueLimit() || !c.hasRoom(false) {
+		if c.firstToken() > time.Duration(targetMargin*float64(r.Target)) || c.Queue > r.queueLimit() || !c.hasRoom(false) {
 			continue
 		}
 		cost := c.firstToken()
--- a/balance/speed.go
+++ b/balance/speed.go
@@ -63,6 +63,19 @@
 	tokens, took := float64(o.Tokens)/n, o.Took.Seconds()/n
 	ratio := took / s.model.predict(tokens)
 	s.model.observe(tokens, took, n)
+	s.record(endpoint, ratio, n, now)
+}
+
+// ObserveFailures records requests that an endpoint failed. Each counts as a prompt that took maxSlowdownRatio times as
+// long as usual: the endpoint is avoided like a slow one, and like one it is tried again after some seconds.
+func (s *Speeds) ObserveFailures(endpoint string, count int, now time.Time) {
+	if count > 0 {
+		s.record(endpoint, maxSlowdownRatio, float64(count), now)
+	}
+}
+
+// record adds n observations of a ratio to an endpoint.
+func (s *Speeds) record(endpoint string, ratio, n float64, now time.Time) {
 	if s.endpoints == nil {
 		s.endpoints = make(map[string]*slowdown)
 	}
--- a/edge/ask.go
+++ b/edge/ask.go
@@ -32,6 +32,13 @@
 		Tokens:     int64(w.PromptTokens),
 		Elsewhere:  w.AvoidLimited,
 		Avoid:      w.Avoid,
+
+		Balance:       w.Balance,
+		Box:           w.Box,
+		OutputTokens:  int64(w.OutputTokens),
+		TargetMicros:  w.Target.Microseconds(),
+		QueueMicros:   w.QueueLimit.Microseconds(),
+		ElapsedMicros: w.Elapsed.Microseconds(),
 	})
 	if err != nil {
 		return forward.PlacementResult{}, errors.Wrapf(err, "edge: leader %s", m.Name())
@@ -44,6 +51,9 @@
 		QueueTime:     time.Duration(a.GetQueuedMicros()) * time.Microsecond,
 		RetryAfter:    time.Duration(a.GetRetryMicros()) * time.Microsecond,
 		Reason:        a.GetReason(),
+		AheadTokens:   int(a.GetAheadTokens()),
+		FirstToken:    time.Duration(a.GetFirstTokenMicros()) * time.Microsecond,
+		Busy:          a.GetBusy(),
 	}, nil
 }
 
@@ -80,6 +90,13 @@
 
 		AvoidLimited: q.GetElsewhere(),
 		Avoid:        q.GetAvoid(),
+
+		Balance:      q.GetBalance(),
+		Box:          q.GetBox(),
+		OutputTokens: int(q.GetOutputTokens()),
+		Target:       time.Duration(q.GetTargetMicros()) * time.Microsecond,
+		QueueLimit:   time.Duration(q.GetQueueMicros()) * time.Microsecond,
+		Elapsed:      time.Duration(q.GetElapsedMicros()) * time.Microsecond,
 	}
 }
 
@@ -90,6 +107,7 @@
 // Place implements forward.Placer.
 func (p placer) Place(ctx context.Context, w forward.AdapterRequest) (forward.PlacementResult, error) {
 	m, ok := p.node.peers.clusterView().leader(w.Endpoint.DataCentre())
+	w.Box = p.node.peers.box
 	if !ok || m.Name() == p.node.peers.box || p.node.loader.OrdersWhileLeaving(w.Endpoint.ID()) {
 		return p.node.loader.Place(ctx, w)
 	}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/balance"
 	"cairnwick.example/clock"
 	"cairnwick.example/placement"
 	"cairnwick.example/topology"
@@ -65,6 +66,10 @@
 		Reason:      p.Reason,
 
 		QueuedMicros: p.QueueTime.Microseconds(),
+
+		AheadTokens:      int64(p.AheadTokens),
+		FirstTokenMicros: p.FirstToken.Microseconds(),
+		Busy:             p.Busy,
 	}, nil
 }
 
@@ -128,6 +133,13 @@
 			Started:       int(u.GetCount()),
 			Running:       int(u.GetRunning()),
 			PrefillTokens: int(u.GetReading()),
+			MemoryTokens:  int(u.GetMemory()),
+			Failed:        int(u.GetFailed()),
+			Read: balance.Observation{
+				Prompts: int(u.GetPromptsRead()),
+				Tokens:  int(u.GetTokensRead()),
+				Took:    time.Duration(u.GetReadMicros()) * time.Microsecond,
+			},
 		})
 	}
 	n.loader.RecordUsage(q.GetBox(), uses, q.GetPart(), now)
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/balance"
 	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/topology"
@@ -31,6 +32,7 @@
 	leaders   map[string]string         // by data centre: its leader at the last check
 	counts    map[usageKey]int          // requests started since the last report
 	inFlight  map[usageKey]inFlightLoad // requests in progress
+	reads     map[usageKey]promptReads  // at endpoints that are balanced by work; since the last report
 	changed   map[usageKey]bool         // entries not yet reported to the leader
 	remote    map[topology.Adapter]int  // requests sent to other data centres, not yet reported to this one's leader
 	reporting map[string]bool           // data centres with a report in progress
@@ -40,6 +42,14 @@
 type inFlightLoad struct {
 	requests     int
 	unreadTokens int // prompt tokens that the endpoint has not processed
+	memoryTokens int // tokens of prompts and outputs, at endpoints that are balanced by work
+}
+
+// promptReads are prompts that an endpoint has read, and requests that it failed.
+type promptReads struct {
+	balance.Observation
+
+	failed int
 }
 
 func newUsage(n *Node) *usage {
@@ -50,6 +60,7 @@
 		leaders:   make(map[string]string),
 		counts:    make(map[usageKey]int),
 		inFlight:  make(map[usageKey]inFlightLoad),
+		reads:     make(map[usageKey]promptReads),
 		changed:   make(map[usageKey]bool),
 		remote:    make(map[topology.Adapter]int),
 		reporting: make(map[string]bool),
@@ -59,49 +70,91 @@
 // RequestStarted implements forward.Observer.
 func (u *usage) RequestStarted(e *topology.Endpoint, c forward.Call) forward.Run {
 	r := &callTracker{usage: u, key: usageKey{endpoint: e.ID(), centre: e.DataCentre(), adapter: c.Adapter}, unreadTokens: c.PromptTokens}
+	if r.balanced = u.node.isMemoryBound(e); r.balanced {
+		r.memoryTokens = c.PromptTokens + c.MaxOutputTokens
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.counts[r.key]++
-	if r.key.centre != u.node.peers.centre {
+	if r.key.centre != u.node.peers.centre && c.Adapter.Name != "" {
 		u.remote[c.Adapter]++
 	}
-	u.changeLocked(r.key, 1, r.unreadTokens)
+	u.changeLocked(r.key, inFlightLoad{requests: 1, unreadTokens: r.unreadTokens, memoryTokens: r.memoryTokens})
 	return r
 }
 
+// isMemoryBound reports whether requests to an endpoint are balanced by work.
+func (n *Node) isMemoryBound(e *topology.Endpoint) bool {
+	c := n.view.Config()
+	if c == nil || c.Service(e.Service()) == nil {
+		return false
+	}
+	return c.Service(e.Service()).Engine().IsMemoryBound()
+}
+
 // callTracker implements forward.Run for one call. Guarded by usage.mu.
 type callTracker struct {
 	usage        *usage
 	key          usageKey
-	unreadTokens int // tokens of its prompt that the endpoint has not processed
+	unreadTokens int  // tokens of its prompt that the endpoint has not processed
+	memoryTokens int  // tokens of its prompt and output; zero unless balanced
+	balanced     bool // the endpoint is balanced by work
+	read         bool
+	hasFailed    bool
 	ended        bool
 }
 
 // PromptRead implements forward.Run.
-func (r *callTracker) PromptRead() {
+func (r *callTracker) PromptRead(ahead int, took time.Duration) {
 	r.usage.mu.Lock()
 	defer r.usage.mu.Unlock()
+	if r.read || r.ended {
+		return
+	}
+	r.read = true
+	if r.balanced && ahead > 0 {
+		o := r.usage.reads[r.key]
+		o.Prompts++
+		o.Tokens += ahead
+		o.Took += took
+		r.usage.reads[r.key] = o
+	}
 	if r.unreadTokens > 0 {
-		r.usage.changeLocked(r.key, 0, -r.unreadTokens)
+		r.usage.changeLocked(r.key, inFlightLoad{unreadTokens: -r.unreadTokens})
 		r.unreadTokens = 0
 	}
 }
 
+// Failed implements forward.Run.
+func (r *callTracker) Failed() {
+	r.usage.mu.Lock()
+	defer r.usage.mu.Unlock()
+	if !r.balanced || r.hasFailed {
+		return
+	}
+	r.hasFailed = true
+	o := r.usage.reads[r.key]
+	o.failed++
+	r.usage.reads[r.key] = o
+	r.usage.changeLocked(r.key, inFlightLoad{})
+}
+
 // Finished implements forward.Run.
 func (r *callTracker) Finished() {
 	r.usage.mu.Lock()
 	defer r.usage.mu.Unlock()
 	if !r.ended {
 		r.ended = true
-		r.usage.changeLocked(r.key, -1, -r.unreadTokens)
+		r.usage.changeLocked(r.key, inFlightLoad{requests: -1, unreadTokens: -r.unreadTokens, memoryTokens: -r.memoryTokens})
 	}
 }
 
 // changeLocked adjusts the load of an entry and schedules a report to the leader.
-func (u *usage) changeLocked(k usageKey, requests, unreadTokens int) {
+func (u *usage) changeLocked(k usageKey, by inFlightLoad) {
 	w := u.inFlight[k]
-	w.requests += requests
-	w.unreadTokens += unreadTokens
+	w.requests += by.requests
+	w.unreadTokens += by.unreadTokens
+	w.memoryTokens += by.memoryTokens
 	u.inFlight[k] = w
 	if w.requests <= 0 {
 		delete(u.inFlight, k)
@@ -212,21 +265,30 @@
 		for k := range u.counts {
 			keys[k] = true
 		}
+		for k := range u.reads {
+			keys[k] = true
+		}
 	}
 	for k := range keys {
 		if u.reporting[k.centre] {
 			continue
 		}
-		w := u.inFlight[k]
+		w, o := u.inFlight[k], u.reads[k]
 		add(k.centre, &wire.Usage{
-			Endpoint: k.endpoint,
-			Adapter:  k.adapter.String(),
-			Count:    int32(u.counts[k]),
-			Running:  int32(w.requests),
-			Reading:  int64(w.unreadTokens),
+			Endpoint:    k.endpoint,
+			Adapter:     k.adapter.String(),
+			Count:       int32(u.counts[k]),
+			Running:     int32(w.requests),
+			Reading:     int64(w.unreadTokens),
+			Memory:      int64(w.memoryTokens),
+			PromptsRead: int32(o.Prompts),
+			TokensRead:  int64(o.Tokens),
+			ReadMicros:  o.Took.Microseconds(),
+			Failed:      int32(o.failed),
 		})
 		delete(u.changed, k)
 		delete(u.counts, k)
+		delete(u.reads, k)
 	}
 	if own := u.node.peers.centre; full && !u.reporting[own] {
 		for a, n := range u.remote {
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -25,7 +25,7 @@
 
 func TestEachUsageChangeIsReported(t *testing.T) {
 	c := quicktest.New(t)
-	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	u := newUsage(&Node{view: topology.NewView(), peers: &peers{box: "box", centre: "near"}})
 	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
 	r := u.RequestStarted(e, forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}, PromptTokens: 900})
 	for _, step := range []struct {
@@ -33,7 +33,7 @@
 		running, reading int
 	}{
 		{func() {}, 1, 900},
-		{r.PromptRead, 1, 0},
+		{func() { r.PromptRead(0, 0) }, 1, 0},
 		{r.Finished, 0, 0},
 	} {
 		step.change()
@@ -44,7 +44,7 @@
 		c.Assert(int(q.GetUsage()[0].GetReading()), quicktest.Equals, step.reading)
 		c.Assert(collectReport(u, false), quicktest.IsNil) // already reported
 	}
-	r.PromptRead() // no effect after the end, like a second Ended
+	r.PromptRead(0, 0) // no effect after the end, like a second Ended
 	r.Finished()
 	c.Assert(collectReport(u, false), quicktest.IsNil)
 	c.Assert(collectReport(u, true), quicktest.IsNil) // nothing is in progress
@@ -53,7 +53,7 @@
 // If reports arrived out of order an adapter could stay in use for ever.
 func TestReportsToALeaderAreSequential(t *testing.T) {
 	c := quicktest.New(t)
-	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	u := newUsage(&Node{view: topology.NewView(), peers: &peers{box: "box", centre: "near"}})
 	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
 	call := forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}}
 	r := u.RequestStarted(e, call)
@@ -74,7 +74,7 @@
 // of those for the most requested adapter one in three.
 func TestRemoteRequestsAreSentWithFullReports(t *testing.T) {
 	c := quicktest.New(t)
-	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	u := newUsage(&Node{view: topology.NewView(), peers: &peers{box: "box", centre: "near"}})
 	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
 	near := topology.NewEndpoint(topology.EndpointSpec{ID: "e2", DataCentre: "near"})
 	call := forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}}
@@ -102,7 +102,7 @@
 // adapters before, or waited for the report.
 func TestNewLeaderGetsAllRequestsInProgress(t *testing.T) {
 	c := quicktest.New(t)
-	u := newUsage(&Node{peers: &peers{box: "box", centre: "near"}})
+	u := newUsage(&Node{view: topology.NewView(), peers: &peers{box: "box", centre: "near"}})
 	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "far"})
 	u.RequestStarted(e, forward.Call{Adapter: topology.Adapter{Model: "m", Name: "a"}})
 	led := func(name string) *clusterView {
--- a/forward/adapter.go
+++ b/forward/adapter.go
@@ -166,7 +166,8 @@
 	if !g.accepts(e.ID(), now) {
 		return g.selectAnother(ctx, q, e)
 	}
-	return target{endpoint: g.View.Endpoint(e.ID()), version: max(p.Version, g.View.LatestVersion(q.call.Adapter))}, nil
+	return target{endpoint: g.View.Endpoint(e.ID()), version: max(p.Version, g.View.LatestVersion(q.call.Adapter)),
+		aheadTokens: p.AheadTokens, firstToken: p.FirstToken}, nil
 }
 
 // isExcluded reports whether a request must not go to an endpoint, though it may hold the adapter.
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -31,10 +31,14 @@
 	defer d.finish()
 	resp, f := g.send(ctx, q, d.upstream, t, q.call.LastEventID)
 	if f != nil {
+		d.recordFailure(ctx, f)
 		return f
 	}
 	defer resp.Body.Close()
-	return g.relay(ctx, q, out, d, t, resp)
+	if f = g.relay(ctx, q, out, d, t, resp); f != nil {
+		d.recordFailure(ctx, f)
+	}
+	return f
 }
 
 // send sends the request and charges its organisation's quota for it, unless it was provably not
@@ -220,6 +224,9 @@
 	if resp.StatusCode >= http.StatusInternalServerError && g.mayRetryFailure(q, t) {
 		return &Refusal{Code: CodeNoAnswer, MayHaveRun: true, Detail: "the endpoint responded with " + resp.Status}
 	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		d.recordFailure(ctx, &Refusal{Code: CodeNoAnswer})
+	}
 	out.writeHead(resp, len(body))
 	out.write(body)
 	return nil
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -3,6 +3,7 @@
 package forward
 
 import (
+	"context"
 	"time"
 
 	"cairnwick.example/clock"
@@ -14,7 +15,8 @@
 	request             *request
 	upstream            *upstream
 	run                 Run // nil if the request needs no adapter
-	unreadTokens        int // prompt tokens of this box that the endpoint has not read, including the request's
+	unreadTokens        int // prompt tokens that the endpoint has not read, including the request's: of this box, or of all if an owner chose it
+	aheadTokens         int // unreadTokens, if an owner chose the endpoint; else zero
 	predictedFirstToken time.Duration
 	sentAt              time.Time
 	promptRead          bool      // a part of the response came
@@ -27,7 +29,10 @@
 	d := &dispatch{gateway: g, request: q, upstream: u, sentAt: clock.Now()}
 	d.unreadTokens = u.startRequest(q.call.PromptTokens)
 	d.predictedFirstToken = g.predictFirstToken(d.unreadTokens)
-	if q.call.Adapter.Name != "" {
+	if t.aheadTokens > 0 {
+		d.unreadTokens, d.aheadTokens, d.predictedFirstToken = t.aheadTokens, t.aheadTokens, t.firstToken
+	}
+	if q.call.Adapter.Name != "" || isBalanced(q) {
 		d.run = g.Observer.RequestStarted(t.endpoint, q.call)
 	}
 	g.Limits.RequestSent(t.endpoint.ID())
@@ -50,11 +55,19 @@
 	d.request.firstTokenAt = now
 	d.upstream.promptRead(d.request.call.PromptTokens)
 	if d.run != nil {
-		d.run.PromptRead()
+		d.run.PromptRead(d.aheadTokens, now.Sub(d.sentAt))
 		d.gateway.observeFirstToken(d.unreadTokens, now.Sub(d.sentAt))
 	}
 }
 
+// recordFailure records that the endpoint failed the request. An adapter that is not loaded, a caller that has gone
+// and a deadline that has passed say nothing of the endpoint's state.
+func (d *dispatch) recordFailure(ctx context.Context, f *Refusal) {
+	if d.run != nil && ctx.Err() == nil && f.Code != CodeNotLoaded && f.Code != CodeCallerGone {
+		d.run.Failed()
+	}
+}
+
 // finish records that the endpoint no longer works on the request.
 func (d *dispatch) finish() {
 	if !d.promptRead {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -90,6 +90,15 @@
 
 	AvoidLimited bool     // endpoints with a rate limit had no capacity for the request: prefer others
 	Avoid        []string // endpoints that can't serve the request, though they may hold the adapter
+
+	// Balance asks the owner to choose among endpoints that hold the adapter too, by their speed and work.
+	// The fields below are only set with it.
+	Balance      bool
+	Box          string        // that asks; set on the way to the owner
+	OutputTokens int           // that the request may generate
+	Target       time.Duration // until the route's latency target; negative: that has passed
+	QueueLimit   time.Duration // the longest time that prompts ahead of the request's may take
+	Elapsed      time.Duration // with Retried: since the caller's first attempt
 }
 
 // PlacementResult is the answer to an AdapterRequest.
@@ -101,6 +110,11 @@
 	QueueTime     time.Duration // part of the wait before the load began
 	RetryAfter    time.Duration // when not ready: until it is expected to be
 	Reason        string        // when not ready: why
+
+	// With AdapterRequest.Balance:
+	AheadTokens int           // when ready: prompt tokens that the endpoint reads until the request's first token, its own included
+	FirstToken  time.Duration // when ready: expected time to first token
+	Busy        bool          // when not ready: no endpoint of the data centre serves the request in time; one of another may
 }
 
 // Placer has adapters loaded. It returns when the adapter is ready, or as soon as it
@@ -143,8 +157,11 @@
 	Wait time.Duration // not OK: until a request is likely granted
 }
 
-// Run is one call at an endpoint. Both methods are idempotent.
+// Run is one call at an endpoint. All methods are idempotent.
 type Run interface {
-	PromptRead() // the endpoint began to respond, so it has read the prompt
+	// PromptRead is called when the endpoint began to respond, so it has read the prompt. ahead is the number of
+	// prompt tokens that it had to read until then, if an owner chose the endpoint, or zero.
+	PromptRead(ahead int, took time.Duration)
+	Failed() // the endpoint failed the call
 	Finished()
 }
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -112,7 +112,10 @@
 type noRun struct{}
 
 // PromptRead implements Run.
-func (noRun) PromptRead() {}
+func (noRun) PromptRead(int, time.Duration) {}
+
+// Failed implements Run.
+func (noRun) Failed() {}
 
 // Finished implements Run.
 func (noRun) Finished() {}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -24,6 +24,10 @@
 type target struct {
 	endpoint *topology.Endpoint
 	version  int64 // of the adapter; zero: any
+
+	// If an owner chose the endpoint by speed and work:
+	aheadTokens int           // prompt tokens that the endpoint reads until the request's first token, its own included
+	firstToken  time.Duration // expected time to first token
 }
 
 // serve tries endpoints until one has responded, and returns nil then.
@@ -102,6 +106,9 @@
 	if len(list) == 0 {
 		return target{}, q.limitRefusal()
 	}
+	if isBalanced(q) {
+		return g.balanceRequest(ctx, q, list)
+	}
 	if q.call.Adapter.Name == "" || q.service.Engine() == nil {
 		return target{endpoint: g.leastLoaded(list, now)}, nil
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -40,6 +40,7 @@
 		u.resetConnections()
 		g.reportBroken(u, q)
 	}
+	d.recordFailure(ctx, &Refusal{Code: CodeTruncated})
 	g.recordAttempt(q, "cut", err.Error())
 	for g.mayResume(ctx, q, out) {
 		if g.resume(ctx, q, s) {
@@ -78,6 +79,7 @@
 	u := d.upstream
 	resp, f := g.send(ctx, q, u, t, s.lastID)
 	if f != nil {
+		d.recordFailure(ctx, f)
 		q.retryReserved = f.Unsent
 		return false
 	}
--- /dev/null
+++ b/placement/balance.go
@@ -0,0 +1,275 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"time"
+
+	"cairnwick.example/balance"
+	"cairnwick.example/forward"
+	"cairnwick.example/topology"
+)
+
+// Requests for endpoints whose memory limits them are balanced by work: the owner of the endpoints chooses one for each
+// request, since it alone knows the work of all boxes. Package balance decides; this file collects the facts.
+
+// grant is a request that a box was told to send to an endpoint and has not reported yet.
+type grant struct {
+	box     string
+	adapter topology.Adapter
+	tokens  int // of the prompt
+	memory  int // tokens of prompt and output
+	at      time.Time
+}
+
+// grantTimeout is how long a grant counts at most: boxes report a request within some 25 ms, and one that has used up
+// its processor share some 100 ms later.
+const grantTimeout = 500 * time.Millisecond
+
+// expireGrants drops the grants that were not used.
+func (o *ownedEndpoint) expireGrants(now time.Time) {
+	expired := 0
+	for expired < len(o.grants) && now.Sub(o.grants[expired].at) >= grantTimeout {
+		expired++
+	}
+	o.grants = o.grants[expired:]
+}
+
+// settleGrants drops the oldest grants of a box for an adapter, whose requests it has reported.
+func (o *ownedEndpoint) settleGrants(box string, a topology.Adapter, started int) {
+	kept := o.grants[:0]
+	for _, g := range o.grants {
+		if started > 0 && g.box == box && g.adapter == a {
+			started--
+			continue
+		}
+		kept = append(kept, g)
+	}
+	o.grants = kept
+}
+
+// granted returns the tokens of the grants of an endpoint.
+func (o *ownedEndpoint) granted() (tokens, memory int) {
+	for _, g := range o.grants {
+		tokens += g.tokens
+		memory += g.memory
+	}
+	return tokens, memory
+}
+
+// recordWorkLocked records what a box reported of prompts that an endpoint read and of requests that it failed.
+func (l *Loader) recordWorkLocked(o *ownedEndpoint, box string, u Use, now time.Time) {
+	if u.Started > 0 {
+		o.settleGrants(box, u.Adapter, u.Started)
+	}
+	l.speeds.Observe(u.Endpoint, u.Read, now)
+	l.speeds.ObserveFailures(u.Endpoint, u.Failed, now)
+	if slow, changed := l.speeds.Changed(u.Endpoint, now); changed {
+		message := "Endpoint is slow or fails requests"
+		if !slow {
+			message = "Endpoint has recovered its speed"
+		}
+		l.Log.Info(message, "endpoint", u.Endpoint, "slowdown", l.speeds.Slowdown(u.Endpoint, now))
+	}
+}
+
+// queuedTokensLocked returns the prompt tokens that an endpoint has to read, including those of requests on their way and
+// of those that wait for loads there.
+func (l *Loader) queuedTokensLocked(o *ownedEndpoint, now time.Time) int {
+	o.expireGrants(now)
+	tokens, _ := o.granted()
+	return l.inFlight.prefillTokens(o.endpoint.ID()) + tokens + o.waitingTokens
+}
+
+// stallMargin is how much longer than predicted an endpoint may take to read a prompt before it counts as stalled:
+// boxes report in batches.
+const stallMargin = 100 * time.Millisecond
+
+// queueTimeLocked returns how long an endpoint takes to read the prompts that it has. If it has read none for longer
+// than predicted, that time is added.
+func (l *Loader) queueTimeLocked(o *ownedEndpoint, now time.Time) time.Duration {
+	id := o.endpoint.ID()
+	queue := l.speeds.ReadTime(id, l.queuedTokensLocked(o, now), now)
+	if since, waiting := l.inFlight.stalledSince(id); waiting {
+		expected := l.speeds.FirstToken(id, l.inFlight.prefillTokens(id), now)
+		queue += max(now.Sub(since)-expected-stallMargin, 0)
+	}
+	return queue
+}
+
+// balanceLocked answers a request that is balanced by work, or returns a channel to wait on and the endpoint of the load
+// that it waits for.
+func (l *Loader) balanceLocked(home *ownedEndpoint, w *waiter, denied *ownedEndpoint, now, limit time.Time) (forward.PlacementResult, <-chan struct{}, *ownedEndpoint) {
+	elapsed := now.Sub(w.requestedAt)
+	r := balance.Request{
+		Target:     w.Target - elapsed,
+		QueueLimit: w.QueueLimit,
+		MaxWait:    limit.Sub(now),
+		Returned:   w.Retried && l.returns.IsDue(w.Elapsed),
+	}
+	centre := home.endpoint.DataCentre()
+	holders := l.candidatesLocked(w, centre, denied, true, now)
+	d := balance.Choose(r, holders.list)
+	chosen := holders
+	if d.Reason != balance.InTime && w.Adapter.Name != "" {
+		if all := l.candidatesLocked(w, centre, denied, false, now); len(all.list) > 0 {
+			chosen = all
+			d = balance.Choose(r, all.list)
+		}
+	}
+	if d.Index < 0 {
+		return l.refuseBusyLocked(w, r, d, chosen, now), nil, nil
+	}
+	o, c := chosen.endpoints[d.Index], chosen.list[d.Index]
+	if d.AddCopy && w.Adapter.Name != "" {
+		l.addCopyLocked(o, w, c, now)
+	}
+	switch c.Availability {
+	case balance.Loading:
+		s := o.slots[w.Adapter]
+		p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, "it is being loaded")
+		return p, done, o
+	case balance.Loadable:
+		p, done := l.enqueueLocked(o, w, now, limit)
+		if done == nil {
+			return l.refuseLoadLocked(r, p), nil, nil
+		}
+		return p, done, o
+	}
+	return l.grantLocked(o, w, d, now), nil, nil
+}
+
+// grantLocked tells a box to send its request to an endpoint.
+func (l *Loader) grantLocked(o *ownedEndpoint, w *waiter, d balance.Decision, now time.Time) forward.PlacementResult {
+	l.decisions[d.Reason.String()]++
+	p := forward.PlacementResult{Ready: true, Endpoint: o.endpoint.ID(), AheadTokens: l.queuedTokensLocked(o, now) + w.PromptTokens, FirstToken: d.FirstToken}
+	if s := o.slots[w.Adapter]; s != nil {
+		if s.evicting {
+			l.cancelEvictionLocked(o, w.Adapter)
+		}
+		s.lastUsed, s.lastAnnounced = now, now
+		p.Version, p.QueueTime = s.version, w.queueTime(s)
+	}
+	o.grants = append(o.grants, grant{box: w.Box, adapter: w.Adapter, tokens: w.PromptTokens, memory: w.PromptTokens + w.OutputTokens, at: now})
+	return p
+}
+
+// refuseBusyLocked refuses a request that no endpoint of the data centre serves, with the time to come back.
+func (l *Loader) refuseBusyLocked(w *waiter, r balance.Request, d balance.Decision, chosen candidates, now time.Time) forward.PlacementResult {
+	l.decisions[d.Reason.String()]++
+	p := forward.PlacementResult{Busy: true, Reason: d.Reason.String()}
+	work := l.speeds.FirstToken("", w.PromptTokens, now)
+	after, offered := l.returns.Assign(now, d.Relief+retryMargin, work, time.Duration(returnFraction*float64(r.MaxWait)), len(chosen.list))
+	if !offered {
+		p.RetryAfter, p.Reason = max(r.MaxWait, retryMargin), p.Reason+": no room in time"
+		return p
+	}
+	p.RetryAfter = after
+	return p
+}
+
+// refuseLoadLocked completes the refusal of a request whose load would be too late.
+func (l *Loader) refuseLoadLocked(r balance.Request, p forward.PlacementResult) forward.PlacementResult {
+	l.decisions[balance.LoadTooLate.String()]++
+	p.Busy = true
+	if p.RetryAfter > time.Duration(returnFraction*float64(r.MaxWait)) {
+		p.RetryAfter, p.Reason = max(min(p.RetryAfter, r.MaxWait), retryMargin), p.Reason+": no room in time"
+	}
+	return p
+}
+
+// returnFraction is the part of a caller's remaining time after which it comes back at the latest, whatever it
+// was told.
+const returnFraction = 1.0 / 3
+
+// candidates are the endpoints that may serve a request, with the facts that decide.
+type candidates struct {
+	list      []balance.Candidate
+	endpoints []*ownedEndpoint
+}
+
+// candidatesLocked returns the endpoints of a data centre that may serve a request: those that hold its adapter or are loading it, or
+// all on which it may be loaded too.
+func (l *Loader) candidatesLocked(w *waiter, centre string, denied *ownedEndpoint, holdersOnly bool, now time.Time) candidates {
+	var list candidates
+	for id, o := range l.owned {
+		if o.endpoint.DataCentre() != centre || !o.isAvailable(now) || w.avoids(id) || !o.models[w.Adapter.Model] || l.isThrottled(o, now) ||
+			(w.AvoidLimited && l.isSaturated(id, now)) {
+			continue
+		}
+		c := balance.Candidate{Availability: balance.Ready}
+		if w.Adapter.Name != "" {
+			c.Availability, c.Delay = l.availabilityLocked(o, w, denied, now)
+		}
+		if c.Availability == 0 || (holdersOnly && c.Availability == balance.Loadable) {
+			continue
+		}
+		if c.Availability == balance.Loadable {
+			c.Delay = l.loadDelayLocked(o, w.Adapter, now)
+		}
+		l.addWorkLocked(&c, o, w, now)
+		list.list = append(list.list, c)
+		list.endpoints = append(list.endpoints, o)
+	}
+	return list
+}
+
+// availabilityLocked returns when an endpoint can serve requests for an adapter; zero: it can't.
+func (l *Loader) availabilityLocked(o *ownedEndpoint, w *waiter, denied *ownedEndpoint, now time.Time) (balance.Availability, time.Duration) {
+	s := o.slots[w.Adapter]
+	switch {
+	case s == nil:
+		return balance.Loadable, 0
+	case o == denied:
+		return balance.Loadable, 0 // it reported that it does not hold the adapter
+	case !s.ready && s.done != nil:
+		return balance.Loading, max(s.expectedLoadTime-now.Sub(s.loadBegan), 0)
+	case s.ready && s.version >= w.Version && !s.outdated && !s.unloading:
+		return balance.Ready, 0
+	case s.ready && s.version < w.Version && !s.unloading:
+		return balance.Loadable, 0
+	}
+	return 0, 0
+}
+
+// loadDelayLocked returns how long it takes until an adapter is loaded at an endpoint.
+func (l *Loader) loadDelayLocked(o *ownedEndpoint, a topology.Adapter, now time.Time) time.Duration {
+	load := l.coldLoadTime
+	if l.isWarmLocked(o, a) {
+		load = l.warmLoadTime
+	} else if len(l.queue) > 0 {
+		load += l.loadLimiter.queueDelay(len(l.queue), l.coldLoadTime)
+	}
+	if o.loadsInFlight >= maxConcurrentLoads {
+		load += l.coldLoadTime / maxConcurrentLoads
+	}
+	return load + l.freeSlotDelayLocked(o, o.queuedLoads, now)
+}
+
+// addWorkLocked adds an endpoint's work to the facts about it.
+func (l *Loader) addWorkLocked(c *balance.Candidate, o *ownedEndpoint, w *waiter, now time.Time) {
+	id := o.endpoint.ID()
+	c.Queue = l.queueTimeLocked(o, now)
+	c.Own = l.speeds.FirstToken(id, w.PromptTokens, now)
+	if g := l.engineSpec(o.endpoint); g != nil && g.MemoryTokens > 0 {
+		_, granted := o.granted()
+		c.Memory = g.MemoryTokens
+		c.FreeMemory = g.MemoryTokens - l.inFlight.memoryTokens(id) - granted - w.PromptTokens - w.OutputTokens
+	}
+}
+
+// addCopyLocked requests one more copy of an adapter whose endpoint is busy, on the endpoint where it costs least, if that one has
+// a free slot and less than half the queue. One copy is requested at a time.
+func (l *Loader) addCopyLocked(o *ownedEndpoint, w *waiter, busy balance.Candidate, now time.Time) {
+	for id, p := range l.owned {
+		if s := p.slots[w.Adapter]; l.pendingLoads[placementKey{endpoint: id, adapter: w.Adapter}] != nil || (s != nil && !s.ready) {
+			return
+		}
+	}
+	best := l.chooseEndpointLocked(w.Adapter, o, append(l.holdersIn(o.endpoint.DataCentre(), w.Adapter), w.Avoid...), now)
+	if best == o || l.queueTimeLocked(best, now) > busy.Queue/2 || l.freeSlotDelayLocked(best, best.queuedLoads, now) > idleUnloadTime {
+		return
+	}
+	l.decisions["copy"]++
+	l.requestCopyLocked(best.endpoint.ID(), w.Adapter, now, func(q *pendingLoad) { q.demand.Add(fullEndpointDemand, now, demandHalfLife) })
+}
--- a/placement/copies.go
+++ b/placement/copies.go
@@ -39,7 +39,7 @@
 // requestCopiesForDemandLocked requests copies of an adapter that is not loaded anywhere yet
 // when its unserved requests would occupy more than one endpoint.
 func (l *Loader) requestCopiesForDemandLocked(o *ownedEndpoint, q *pendingLoad, a topology.Adapter, now time.Time) {
-	copies := int(float64(q.unservedRequests) / o.comfortableRequests())
+	copies := int(float64(q.unservedRequests) / l.comfortableRequests(o))
 	for _, id := range l.copyCandidates(o.endpoint.DataCentre(), a, now) {
 		if q.copiesRequested >= copies {
 			return
@@ -48,7 +48,7 @@
 			continue
 		}
 		q.copiesRequested++
-		l.requestCopyLocked(id, a, now, func(w *pendingLoad) { w.demand.Add(o.comfortableRequests(), now, demandHalfLife) })
+		l.requestCopyLocked(id, a, now, func(w *pendingLoad) { w.demand.Add(l.comfortableRequests(o), now, demandHalfLife) })
 	}
 }
 
--- a/placement/inflight.go
+++ b/placement/inflight.go
@@ -14,12 +14,14 @@
 	boxes     map[string]boxUsage
 	endpoints map[string]workload
 	adapters  map[placementKey]workload // per endpoint and adapter
+	readAt    map[string]time.Time      // by endpoint with unprocessed prompts: when one was last processed, or the first arrived
 }
 
 // workload is a number of requests in progress.
 type workload struct {
 	requests      int
 	prefillTokens int // tokens of their prompts that the endpoint has not processed
+	memoryTokens  int // tokens of their prompts and outputs; reported for endpoints that are balanced by work
 }
 
 // boxUsage is the latest usage reported by a box.
@@ -29,7 +31,7 @@
 }
 
 func newInFlightTable() inFlightTable {
-	return inFlightTable{boxes: make(map[string]boxUsage), endpoints: make(map[string]workload), adapters: make(map[placementKey]workload)}
+	return inFlightTable{boxes: make(map[string]boxUsage), endpoints: make(map[string]workload), adapters: make(map[placementKey]workload), readAt: make(map[string]time.Time)}
 }
 
 // endpointRequests returns how many requests of all boxes are in progress at an endpoint.
@@ -40,6 +42,25 @@
 	return r.endpoints[endpoint].prefillTokens
 }
 
+// memoryTokens returns how many tokens the requests in progress at an endpoint may hold in its memory.
+func (r *inFlightTable) memoryTokens(endpoint string) int { return r.endpoints[endpoint].memoryTokens }
+
+// stalledSince returns since when an endpoint has processed none of its prompts; false: it has none.
+func (r *inFlightTable) stalledSince(endpoint string) (time.Time, bool) {
+	at, waiting := r.readAt[endpoint]
+	return at, waiting && r.prefillTokens(endpoint) > 0
+}
+
+// recordProgress updates readAt after a report that changed an endpoint's prompt tokens.
+func (r *inFlightTable) recordProgress(endpoint string, before int, now time.Time) {
+	switch after := r.prefillTokens(endpoint); {
+	case after <= 0:
+		delete(r.readAt, endpoint)
+	case after < before, before <= 0:
+		r.readAt[endpoint] = now
+	}
+}
+
 // adapterRequests returns how many of them use an adapter.
 func (r *inFlightTable) adapterRequests(endpoint string, a topology.Adapter) int {
 	return r.adapters[placementKey{endpoint: endpoint, adapter: a}].requests
@@ -56,10 +77,11 @@
 	b.receivedAt = now
 	for _, u := range uses {
 		k := placementKey{endpoint: u.Endpoint, adapter: u.Adapter}
-		w := workload{requests: u.Running, prefillTokens: u.PrefillTokens}
-		ran := r.adapters[k].requests > 0 || b.adapters[k].requests > 0
+		w := workload{requests: u.Running, prefillTokens: u.PrefillTokens, memoryTokens: u.MemoryTokens}
+		ran, unread := r.adapters[k].requests > 0 || b.adapters[k].requests > 0, r.prefillTokens(k.endpoint)
 		r.add(k, w.minus(b.adapters[k]))
 		b.adapters[k] = w
+		r.recordProgress(k.endpoint, unread, now)
 		if ran && r.adapters[k].requests == 0 {
 			idled++
 		}
@@ -96,9 +118,9 @@
 }
 
 func (a workload) plus(b workload) workload {
-	return workload{requests: a.requests + b.requests, prefillTokens: a.prefillTokens + b.prefillTokens}
+	return workload{requests: a.requests + b.requests, prefillTokens: a.prefillTokens + b.prefillTokens, memoryTokens: a.memoryTokens + b.memoryTokens}
 }
 
 func (a workload) minus(b workload) workload {
-	return workload{requests: a.requests - b.requests, prefillTokens: a.prefillTokens - b.prefillTokens}
+	return workload{requests: a.requests - b.requests, prefillTokens: a.prefillTokens - b.prefillTokens, memoryTokens: a.memoryTokens - b.memoryTokens}
 }
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/balance"
 	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/policy"
@@ -54,6 +55,9 @@
 	modelLoadBucket    tokenBucket            // limits loads of base models
 	loadLimiter        loadLimiter            // limits loads of adapters
 	inFlight           inFlightTable          // requests in progress, as reported by the boxes
+	speeds             balance.Speeds         // of the endpoints that are balanced by work
+	returns            balance.Returns        // of callers that were refused there
+	decisions          map[string]int64       // for requests that are balanced by work, by reason
 	idleTransitions    policy.DecayingCounter // adapters that became idle
 	meanWorth          map[int]float64        // by priority, smoothed over recent requests
 	coldLoadTime       time.Duration          // smoothed time of a load from the store
@@ -82,6 +86,7 @@
 		l.cacheSize = initialCacheSize
 		l.loadLimiter = newLoadLimiter()
 		l.meanWorth = make(map[int]float64)
+		l.decisions = make(map[string]int64)
 		l.inFlight = newInFlightTable()
 		l.wake = make(chan struct{}, 1)
 		if l.Headroom == nil {
@@ -173,6 +178,7 @@
 	if now.Sub(l.ownershipCheckedAt) >= ownershipInterval || (!l.nextClaimAt.IsZero() && !now.Before(l.nextClaimAt)) {
 		l.ownershipCheckedAt = now
 		l.inFlight.expire(now)
+		l.speeds.Prune(now)
 		if l.leavingSince.IsZero() {
 			tasks = l.updateOwnershipLocked(now)
 		} else {
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -147,6 +148,9 @@
 	if w.NotLoaded {
 		denied = o
 	}
+	if w.Balance {
+		return l.balanceLocked(o, w, denied, now, limit)
+	}
 	if at, s := l.findHolderLocked(o, w, denied, now); s != nil {
 		if !s.ready {
 			p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, "it is being loaded")
@@ -230,8 +234,11 @@
 	if l.isWarmLocked(o, w.Adapter) {
 		load, wait = l.warmLoadTime, 0
 	}
-	wait = max(wait, l.freeSlotDelayLocked(o, q.queuedAhead, now))
-	p, done := l.waitOrRetry(wait+load, q.done, now, limit, "loads that more requests ask for go first")
+	reason := "loads that more requests ask for go first"
+	if slotWait := l.freeSlotDelayLocked(o, q.queuedAhead, now); slotWait > wait {
+		wait, reason = slotWait, "all adapter slots are in use"
+	}
+	p, done := l.waitOrRetry(wait+load, q.done, now, limit, reason)
 	if done != nil && w.pending != q {
 		w.leaveQueue()
 		w.pending = q
@@ -257,6 +264,7 @@
 	minRequestWeight    = 0.7 // of the smallest request relative to a mean one: size orders adapters that are requested equally often
 	maxRequestWeight    = 1.5 // of the largest request
 	worthSmoothing      = 64  // requests over which the mean worth is smoothed
+	urgencyHalving      = 2.0 // steps of priority by which a request counts half as much: urgent loads go first, and the others still collect demand
 )
 
 // requestWeightLocked returns how much an unserved request counts: more the more work it
@@ -272,6 +280,9 @@
 	mean += (w.Value - mean) / worthSmoothing
 	l.meanWorth[w.Priority] = mean
 	weight := min(minRequestWeight+(1-minRequestWeight)*w.Value/mean, maxRequestWeight)
+	if w.Balance {
+		weight *= math.Exp2(-float64(w.Priority) / urgencyHalving)
+	}
 	if w.Retried {
 		return weight * retryWeight
 	}
--- a/placement/prefill.go
+++ b/placement/prefill.go
@@ -11,6 +11,9 @@
 // prefillDelayLocked returns how long an endpoint takes to prefill the prompts that wait there,
 // including those in transit and those that wait for loads there.
 func (l *Loader) prefillDelayLocked(o *ownedEndpoint, now time.Time) time.Duration {
+	if l.engineSpec(o.endpoint).IsMemoryBound() {
+		return l.queueTimeLocked(o, now)
+	}
 	return l.PrefillTime(l.inFlight.prefillTokens(o.endpoint.ID()) + int(o.announcedTokens.Count(now, announcedHalfLife)) + o.waitingTokens)
 }
 
--- a/placement/usage.go
+++ b/placement/usage.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"cairnwick.example/balance"
 	"cairnwick.example/topology"
 )
 
@@ -16,6 +17,11 @@
 	Started       int // requests sent since the box's last report
 	Running       int // requests in progress
 	PrefillTokens int // tokens of their prompts that the endpoint has not processed
+
+	// At endpoints that are balanced by work:
+	MemoryTokens int                 // tokens of the requests in progress, prompts and outputs
+	Read         balance.Observation // prompts that the endpoint has read since the box's last report
+	Failed       int                 // requests that failed there since then
 }
 
 const (
@@ -37,8 +43,11 @@
 		if u.Started > 0 {
 			l.countRequestsLocked(u.Adapter, float64(u.Started), now)
 		}
-		if o := l.owned[u.Endpoint]; o != nil && o.slots[u.Adapter] != nil {
-			o.slots[u.Adapter].lastUsed = now
+		if o := l.owned[u.Endpoint]; o != nil {
+			if s := o.slots[u.Adapter]; s != nil {
+				s.lastUsed = now
+			}
+			l.recordWorkLocked(o, box, u, now)
 		}
 	}
 	var full []hotAdapter
@@ -66,7 +75,7 @@
 	var hot []hotAdapter
 	for id := range endpoints {
 		o := l.owned[id]
-		if o == nil || o.phase != owning || float64(l.inFlight.endpointRequests(id)) < o.comfortableRequests() {
+		if o == nil || o.phase != owning || float64(l.inFlight.endpointRequests(id)) < l.comfortableRequests(o) {
 			continue
 		}
 		busiest, most := topology.Adapter{}, 0
@@ -91,10 +100,18 @@
 			n += l.inFlight.adapterRequests(id, a)
 		}
 	}
-	return int(math.Ceil(float64(n) / o.comfortableRequests()))
+	return int(math.Ceil(float64(n) / l.comfortableRequests(o)))
 }
 
-// comfortableRequests is the number of concurrent requests from which an endpoint counts as full.
-func (o *ownedEndpoint) comfortableRequests() float64 {
-	return fullThreshold * float64(o.endpoint.Slots())
+// comfortableRequests is the number of concurrent requests from which an endpoint counts as full. If its memory limits
+// them before its slots do, it is the number of such requests as run there that fill the part of its memory.
+func (l *Loader) comfortableRequests(o *ownedEndpoint) float64 {
+	slots := float64(o.endpoint.Slots())
+	if g := l.engineSpec(o.endpoint); g.IsMemoryBound() {
+		w := l.inFlight.endpoints[o.endpoint.ID()]
+		if w.requests > 0 && w.memoryTokens > 0 {
+			slots = min(slots, float64(g.MemoryTokens)*float64(w.requests)/float64(w.memoryTokens))
+		}
+	}
+	return fullThreshold * slots
 }
--- a/topology/config.go
+++ b/topology/config.go
@@ -123,6 +123,17 @@
 	MemoryMB     float64 // for the weights of base models and adapters on an endpoint
 	AdapterSlots int     // adapters that an endpoint holds
 	LoadsPerSec  float64 // base model loads that the weight store allows over all endpoints
+	MemoryTokens int     // tokens that the requests at an endpoint may hold in its memory; zero: not published
+}
+
+// minTokensPerSlot is the memory that a request of ordinary length needs. With less for each request slot, slots
+// don't show how many requests an endpoint can run.
+const minTokensPerSlot = 2048
+
+// IsMemoryBound reports whether the endpoints' memory limits how many requests they run before their
+// request slots do. Requests are then balanced by work instead of by slots.
+func (e *EngineSpec) IsMemoryBound() bool {
+	return e != nil && e.MemoryTokens > 0 && e.BatchSize > 0 && e.MemoryTokens/e.BatchSize < minTokensPerSlot
 }
 
 // Model returns the base model with the name, or nil.
@@ -189,6 +200,7 @@
 	limits        RequestLimits
 	callers       *access.Directory // nil if callers need no keys
 	priorityRanks priorityRanks     // zero if callers need no keys; then only the route counts
+	targets       map[string]serviceTargets
 }
 
 // NewConfig returns a configuration.
@@ -203,6 +215,7 @@
 	for _, s := range services {
 		c.services[s.Name()] = s
 	}
+	c.targets = newServiceTargets(routes)
 	return c
 }
 
--- a/topology/priority.go
+++ b/topology/priority.go
@@ -37,13 +37,21 @@
 	if len(k.organisations) < 2 {
 		return r.Priority()
 	}
-	organisation := len(k.organisations) - 1 // without an organisation: as urgent as the least urgent one
-	if o != nil {
-		organisation = max(slices.Index(k.organisations, o.Priority()), 0)
-	}
-	rank := organisation*len(k.routes) + max(slices.Index(k.routes, r.Priority()), 0)
+	rank := k.organisationStep(o)*len(k.routes) + max(slices.Index(k.routes, r.Priority()), 0)
 	if highest := len(k.organisations)*len(k.routes) - 1; highest > maxRank {
 		return rank * maxRank / highest
 	}
 	return rank
 }
+
+// organisationStep returns how many distinct priorities of organisations are more urgent than o's. Without an
+// organisation a request is as urgent as one of the least urgent organisation.
+func (k priorityRanks) organisationStep(o *access.Organisation) int {
+	switch {
+	case len(k.organisations) == 0:
+		return 0
+	case o == nil:
+		return len(k.organisations) - 1
+	}
+	return max(slices.Index(k.organisations, o.Priority()), 0)
+}
