placement: one load for each adapter that requests ask for

Cause: a waiting request that was looked at again chose another endpoint, and each choice began a load: 3,677 loads for 1,128 adapters in 24 s. Change: a requested load goes before a new one.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -9,9 +9,10 @@
 
 // Availabilities of an adapter at an endpoint.
 const (
-	Ready    Availability = iota + 1 // it is loaded
-	Loading                          // it is being loaded
-	Loadable                         // it can be loaded
+	Ready     Availability = iota + 1 // it is loaded
+	Loading                           // it is being loaded
+	Requested                         // its load has been requested and has not begun
+	Loadable                          // it can be loaded
 )
 
 // Request is a request that needs an adapter.
@@ -39,6 +40,14 @@
 // burst of requests in time finds room.
 const spareMemory = 0.2
 
+// cost orders candidates: the expected time to first token, and what a load of the adapter costs others.
+func (c Candidate) cost() time.Duration {
+	if c.Availability == Loadable {
+		return c.firstToken() + loadPenalty
+	}
+	return c.firstToken()
+}
+
 // hasRoom reports whether the request fits the endpoint's memory.
 func (c Candidate) hasRoom(late bool) bool {
 	if c.Memory <= 0 {
@@ -117,21 +126,9 @@
 	return r.refuse(list)
 }
 
-// chooseInTime returns the candidate with the lowest cost among those within the target and the queue limit.
+// chooseInTime returns the candidate with the lowest cost among those within the target.
 func (r Request) chooseInTime(list []Candidate) (Decision, bool) {
-	best, lowest := -1, time.Duration(0)
-	for i, c := range list {
-		if c.firstToken() > time.Duration(targetMargin*float64(r.Target)) || c.Queue > r.queueLimit() || !c.hasRoom(false) {
-			continue
-		}
-		cost := c.firstToken()
-		if c.Availability == Loadable {
-			cost += loadPenalty
-		}
-		if best < 0 || cost < lowest {
-			best, lowest = i, cost
-		}
-	}
+	best := r.cheapest(list, time.Duration(targetMargin*float64(r.Target)), false)
 	if best < 0 {
 		return Decision{}, false
 	}
@@ -140,21 +137,28 @@
 	return Decision{Index: best, Reason: InTime, FirstToken: c.firstToken(), AddCopy: busy}, true
 }
 
-// chooseLate returns the candidate that serves the request soonest, if it has room to spare.
+// chooseLate returns the candidate with the lowest cost that serves the request before its caller gives up, if it has room
+// to spare.
 func (r Request) chooseLate(list []Candidate) (Decision, bool) {
+	best := r.cheapest(list, r.MaxWait, true)
+	if best < 0 {
+		return Decision{}, false
+	}
+	return Decision{Index: best, Reason: Late, FirstToken: list[best].firstToken()}, true
+}
+
+// cheapest returns the index of the candidate with the lowest cost that serves the request within the given time, or -1.
+func (r Request) cheapest(list []Candidate, within time.Duration, late bool) int {
 	best := -1
 	for i, c := range list {
-		if c.firstToken() > r.MaxWait || c.Queue > r.queueLimit() || !c.hasRoom(true) {
+		if c.firstToken() > within || c.Queue > r.queueLimit() || !c.hasRoom(late) {
 			continue
 		}
-		if best < 0 || c.firstToken() < list[best].firstToken() {
+		if best < 0 || c.cost() < list[best].cost() {
 			best = i
 		}
 	}
-	if best < 0 {
-		return Decision{}, false
-	}
-	return Decision{Index: best, Reason: Late, FirstToken: list[best].firstToken()}, true
+	return best
 }
 
 // refuse returns the refusal with the reason of the candidate that would serve first.
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -121,7 +121,7 @@
 func TestContinuousChangesAreReportedPromptly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := quicktest.New(t)
-		u := newUsage(&Node{peers: peersOf(box("box", "near", 1, 400)), loader: &placement.Loader{
+		u := newUsage(&Node{view: topology.NewView(), peers: peersOf(box("box", "near", 1, 400)), loader: &placement.Loader{
 			Limits: func() placement.RateLimits { return placement.DefaultRateLimits },
 		}})
 		u.node.loader.Init()
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -129,8 +129,10 @@
 		s := o.slots[w.Adapter]
 		p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, "it is being loaded")
 		return p, done, o
-	case balance.Loadable:
+	case balance.Requested, balance.Loadable:
 		p, done := l.enqueueLocked(o, w, now, limit)
+		l.Log.V(1).Info("Load is requested", "request", w.RequestID, "adapter", w.Adapter.String(), "holders", len(holders.list), "reason", d.Reason.String(),
+			"endpoint", o.endpoint.ID(), "first_token_ms", d.FirstToken.Milliseconds(), "delay_ms", c.Delay.Milliseconds(), "target_ms", r.Target.Milliseconds(), "queue_limit_ms", r.QueueLimit.Milliseconds(), "waits", done != nil)
 		if done == nil {
 			return l.refuseLoadLocked(r, p), nil, nil
 		}
@@ -206,6 +208,9 @@
 		}
 		if c.Availability == balance.Loadable {
 			c.Delay = l.loadDelayLocked(o, w.Adapter, now)
+			if l.pendingLoads[placementKey{endpoint: id, adapter: w.Adapter}] != nil {
+				c.Availability = balance.Requested
+			}
 		}
 		l.addWorkLocked(&c, o, w, now)
 		list.list = append(list.list, c)
@@ -271,5 +276,6 @@
 		return
 	}
 	l.decisions["copy"]++
+	l.Log.V(1).Info("Copy of an adapter is requested", "adapter", w.Adapter.String(), "busy_endpoint", o.endpoint.ID(), "queue_ms", busy.Queue.Milliseconds(), "endpoint", best.endpoint.ID())
 	l.requestCopyLocked(best.endpoint.ID(), w.Adapter, now, func(q *pendingLoad) { q.demand.Add(fullEndpointDemand, now, demandHalfLife) })
 }
