--- /dev/null
+++ b/balance/returns_test.go
@@ -0,0 +1,78 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package balance
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against callers that all return at once: at any time those due take a quarter of the endpoints' time.
+func TestRetryTimesLeaveRoomForNewRequests(t *testing.T) {
+	c := quicktest.New(t)
+	var r Returns
+	const work, endpoints = 120 * time.Millisecond, 6 // a quarter of 6 endpoints reads such a prompt in 80 ms
+	last := time.Duration(-1)
+	for i := range 20 {
+		delay, ok := r.Assign(start, 500*time.Millisecond, work, 10*time.Second, endpoints)
+		c.Assert(ok, quicktest.IsTrue)
+		c.Check(delay, quicktest.Equals, 500*time.Millisecond+time.Duration(i)*80*time.Millisecond)
+		c.Check(delay > last, quicktest.IsTrue)
+		last = delay
+	}
+}
+
+// Guards against a retry time before the endpoints have room again, also if no one else was refused.
+func TestRetryTimeIsNotBeforeRelief(t *testing.T) {
+	c := quicktest.New(t)
+	var r Returns
+	_, _ = r.Assign(start, 0, time.Millisecond, time.Second, 1)
+	delay, ok := r.Assign(start, 700*time.Millisecond, time.Millisecond, time.Second, 1)
+	c.Check(ok, quicktest.IsTrue)
+	c.Check(delay, quicktest.Equals, 700*time.Millisecond)
+	delay, ok = r.Assign(start.Add(time.Minute), -time.Second, time.Millisecond, time.Second, 1)
+	c.Check(ok, quicktest.IsTrue)
+	c.Check(delay, quicktest.Equals, time.Duration(0), quicktest.Commentf("times that have passed don't delay a caller"))
+}
+
+// Guards against offers that the caller can't use, and against room that is kept for such an offer.
+func TestNoRetryTimeIsOfferedBeyondTheCallersTime(t *testing.T) {
+	c := quicktest.New(t)
+	var r Returns
+	_, ok := r.Assign(start, 1001*time.Millisecond, time.Second, time.Second, 1)
+	c.Check(ok, quicktest.IsFalse)
+	delay, ok := r.Assign(start, time.Second, time.Second, time.Second, 1)
+	c.Check(ok, quicktest.IsTrue)
+	c.Check(delay, quicktest.Equals, time.Second)
+	_, ok = r.Assign(start, 0, time.Second, time.Second, 1)
+	c.Check(ok, quicktest.IsFalse, quicktest.Commentf("the next time is 5 s from now"))
+}
+
+// Guards against one caller with much time, refused until a distant time, who leaves all others without an
+// offer: the time before that is free.
+func TestDistantRetryTimeLeavesNearerOnes(t *testing.T) {
+	c := quicktest.New(t)
+	var r Returns
+	_, ok := r.Assign(start, 8*time.Second, 120*time.Millisecond, 10*time.Second, 60)
+	c.Assert(ok, quicktest.IsTrue)
+	delay, ok := r.Assign(start, 200*time.Millisecond, 120*time.Millisecond, 1600*time.Millisecond, 60)
+	c.Check(ok, quicktest.IsTrue)
+	c.Check(delay, quicktest.Equals, 200*time.Millisecond)
+	c.Check(r.IsDue(delay), quicktest.IsTrue)
+}
+
+// Guards against callers that repeat at once and thereby pass those that wait as asked.
+func TestEarlyReturnGainsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	var r Returns
+	_, ok := r.Assign(start, time.Second, 10*time.Millisecond, 2*time.Second, 1)
+	c.Assert(ok, quicktest.IsTrue)
+	c.Check(r.IsDue(0), quicktest.IsFalse)
+	c.Check(r.IsDue(499*time.Millisecond), quicktest.IsFalse)
+	c.Check(r.IsDue(500*time.Millisecond), quicktest.IsTrue)
+	c.Check(r.IsDue(time.Second), quicktest.IsTrue)
+}
