balance: a refusal names what binds; late requests too load only where it pays

Cause: a request within its target was refused for memory although memory took it and the queue bound; a load that ended just before the caller left was called a queue with a relief of zero; a late request loaded an adapter to save 10 ms; a negative queue limit refused requests at an endpoint without a queue; sums of long times became negative. Change: refuse, the cost of a candidate, the limit and the sums.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -2,7 +2,10 @@
 
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Availability says when an endpoint can serve requests for an adapter.
 type Availability int
@@ -33,7 +36,25 @@
 }
 
 // firstToken returns the expected time to first token.
-func (c Candidate) firstToken() time.Duration { return max(c.Delay, c.Queue) + c.Own }
+func (c Candidate) firstToken() time.Duration {
+	return add(max(c.Delay, c.Queue, 0), max(c.Own, 0))
+}
+
+// cost returns the expected time to first token, plus what a load that isn't under way has to save.
+func (c Candidate) cost() time.Duration {
+	if c.Availability == Loadable {
+		return add(c.firstToken(), loadPenalty)
+	}
+	return c.firstToken()
+}
+
+// add returns the sum of two times that are not negative, at most the longest time.
+func add(a, b time.Duration) time.Duration {
+	if b > math.MaxInt64-a {
+		return math.MaxInt64
+	}
+	return a + b
+}
 
 // spareMemory is the part of an endpoint's memory that requests which are late anyway leave free, so that a
 // burst of requests in time finds room.
@@ -93,12 +114,14 @@
 	loadPenalty = 300 * time.Millisecond
 )
 
-// queueLimit returns the longest queue that the request may join.
+// queueLimit returns the longest queue that the request may join. It is never negative: an endpoint without
+// a queue delays nothing more urgent, so it takes requests of each kind.
 func (r Request) queueLimit() time.Duration {
+	limit := max(r.QueueLimit, 0)
 	if r.Returned {
-		return r.QueueLimit + time.Duration(returnAllowance*float64(r.QueueLimit))
+		return add(limit, time.Duration(returnAllowance*float64(limit)))
 	}
-	return r.QueueLimit
+	return limit
 }
 
 // Choose selects the candidate that serves a request soonest. A candidate is used within the request's
@@ -121,11 +144,7 @@
 		if c.firstToken() > r.Target || c.Queue > r.queueLimit() || !c.hasRoom(false) {
 			continue
 		}
-		cost := c.firstToken()
-		if c.Availability == Loadable {
-			cost += loadPenalty
-		}
-		if best < 0 || cost < lowest {
+		if cost := c.cost(); best < 0 || cost < lowest {
 			best, lowest = i, cost
 		}
 	}
@@ -137,14 +156,14 @@
 	return Decision{Index: best, Reason: InTime, FirstToken: c.firstToken(), AddCopy: busy}, true
 }
 
-// chooseLate returns the candidate that serves the request soonest, if it has room to spare.
+// chooseLate returns the candidate with the lowest cost among those with room to spare.
 func (r Request) chooseLate(list []Candidate) (Decision, bool) {
 	best := -1
 	for i, c := range list {
 		if c.firstToken() > r.MaxWait || c.Queue > r.queueLimit() || !c.hasRoom(true) {
 			continue
 		}
-		if best < 0 || c.firstToken() < list[best].firstToken() {
+		if best < 0 || c.cost() < list[best].cost() {
 			best = i
 		}
 	}
@@ -158,11 +177,11 @@
 func (r Request) refuse(list []Candidate) Decision {
 	d := Decision{Index: -1, Reason: NoneAvailable}
 	for _, c := range list {
-		reason, relief := QueueTooLong, c.Queue-r.queueLimit()
+		reason, relief := QueueTooLong, max(max(c.Queue, 0)-r.queueLimit(), c.firstToken()-max(r.MaxWait, 0))
 		switch {
-		case !c.hasRoom(true):
+		case !c.hasRoom(c.firstToken() > r.Target):
 			reason, relief = MemoryFull, c.Queue
-		case c.Delay > r.MaxWait:
+		case c.Delay > 0 && add(c.Delay, max(c.Own, 0)) > r.MaxWait:
 			reason, relief = LoadTooLate, c.Delay
 		}
 		if relief = max(relief, 0); d.Reason == NoneAvailable || relief < d.Relief {
