balance: one stuck connection doesn't change the model of all endpoints

Cause: the bound of a ratio held for the endpoint's slowdown only: one observation of five minutes raised the prediction for other endpoints from 162 to 859 ms. Counts that can't be were taken as they came: a report of MaxInt prompts set a slowdown of 0.125. Change: the model learns the bounded time; reports of over 65536 prompts, or of 2^24 tokens a prompt, are ignored; a predicted time never overflows.

--- a/balance/speed.go
+++ b/balance/speed.go
@@ -53,16 +53,24 @@
 	return math.Exp(s.logSum / (s.weight + speedPrior))
 }
 
+// Bounds of an observation, far above what an endpoint reads between two reports. Larger values are errors
+// of the reporter, and sums of their squares would leave no digits for the others.
+const (
+	maxPrompts = 1 << 16
+	maxTokens  = 1 << 24 // for each prompt
+)
+
 // Observe records prompts that an endpoint has read. It ignores summaries without prompts or with
 // values that can't be.
 func (s *Speeds) Observe(endpoint string, o Observation, now time.Time) {
-	if o.Prompts <= 0 || o.Tokens < 0 || o.Took <= 0 {
+	if o.Prompts <= 0 || o.Prompts > maxPrompts || o.Tokens < 0 || o.Tokens/o.Prompts >= maxTokens || o.Took <= 0 {
 		return
 	}
 	n := float64(o.Prompts)
 	tokens, took := float64(o.Tokens)/n, o.Took.Seconds()/n
-	ratio := took / s.model.predict(tokens)
-	s.model.observe(tokens, took, n)
+	predicted := s.model.predict(tokens)
+	ratio := min(max(took/predicted, 1/maxSlowdownRatio), maxSlowdownRatio)
+	s.model.observe(tokens, ratio*predicted, n)
 	if s.endpoints == nil {
 		s.endpoints = make(map[string]*slowdown)
 	}
@@ -72,13 +80,17 @@
 		s.endpoints[endpoint] = e
 	}
 	e.decay(now)
-	e.logSum += n * math.Log(min(max(ratio, 1/maxSlowdownRatio), maxSlowdownRatio))
+	e.logSum += n * math.Log(ratio)
 	e.weight += n
 }
 
 // FirstToken predicts the time to first token at an endpoint that reads a number of prompt tokens until then.
 func (s *Speeds) FirstToken(endpoint string, tokens int, now time.Time) time.Duration {
-	return time.Duration(s.Slowdown(endpoint, now) * s.model.predict(float64(tokens)) * float64(time.Second))
+	ns := s.Slowdown(endpoint, now) * s.model.predict(float64(max(tokens, 0))) * float64(time.Second)
+	if ns >= math.MaxInt64 { // out of range, the conversion could return a negative time
+		return math.MaxInt64
+	}
+	return time.Duration(ns)
 }
 
 // ReadTime predicts how long an endpoint takes to read a number of prompt tokens, without the constant
