balance: a distant retry time leaves the nearer ones free

Change: times are assigned in slots of 250 ms; a caller is due after half of the shortest delay assigned at the time of its first attempt, so IsDue takes the time.

--- a/balance/returns.go
+++ b/balance/returns.go
@@ -12,33 +12,80 @@
 // at once. It holds no promise of a single caller: requests that return are let in ahead of new ones by
 // Choose, whichever box they reach. So nothing is lost with the box that refused them. The zero value is ready to use.
 type Returns struct {
-	next      time.Time     // first time that is not assigned yet
-	lastDelay time.Duration // the delay assigned last
+	slots [returnSlots]slot // by the time of the return, in a ring
+	given [returnSlots]slot // by the time of the refusal, in a ring
 }
 
+// Time is divided into slots, so that a return assigned to a distant time leaves the time before it free. The
+// slots cover 32 s: callers are asked to return within a third of their remaining time.
+const (
+	returnSlots  = 128
+	slotDuration = 250 * time.Millisecond
+)
+
+// slot is a part of time. A ring's entry with another index is of a time that has passed.
+type slot struct {
+	index int64
+	free  time.Time     // first time in it that is not assigned yet
+	delay time.Duration // the shortest delay that was assigned in it
+}
+
+func slotIndex(t time.Time) int64 { return t.UnixNano() / int64(slotDuration) }
+
 // Assign returns when a refused caller should come back: not before relief, and after those that were
 // refused before it. work is the time of one endpoint that the request takes, endpoints how many share the
 // work. It returns false if that is later than latest; nothing is assigned then.
 func (r *Returns) Assign(now time.Time, relief, work, latest time.Duration, endpoints int) (time.Duration, bool) {
-	due := now.Add(max(relief, 0))
-	if r.next.After(due) {
-		due = r.next
+	latest = min(latest, (returnSlots-1)*slotDuration)
+	if relief = max(relief, 0); relief > latest {
+		return 0, false
+	}
+	due := now.Add(relief)
+	for !due.After(now.Add(latest)) {
+		index := slotIndex(due)
+		if s := r.slots[index%returnSlots]; s.index == index && s.free.After(due) {
+			due = s.free
+		}
+		if slotIndex(due) == index {
+			break
+		}
 	}
 	delay := due.Sub(now)
 	if delay > latest {
 		return 0, false
 	}
-	r.next = due.Add(time.Duration(float64(work) / (returnCapacity * float64(max(endpoints, 1)))))
-	r.lastDelay = delay
+	interval := time.Duration(float64(max(work, 0)) / (returnCapacity * float64(max(endpoints, 1))))
+	r.take(due, due.Add(min(interval, (returnSlots-1)*slotDuration)))
+	g := &r.given[slotIndex(now)%returnSlots]
+	if g.index != slotIndex(now) {
+		*g = slot{index: slotIndex(now), delay: delay}
+	}
+	g.delay = min(g.delay, delay)
 	return delay, true
 }
 
+// take marks the time until the given one as assigned, in each slot that it reaches.
+func (r *Returns) take(from, until time.Time) {
+	for i := slotIndex(from); i <= slotIndex(until); i++ {
+		s := &r.slots[i%returnSlots]
+		if s.index != i {
+			*s = slot{index: i}
+		}
+		if until.After(s.free) {
+			s.free = until
+		}
+	}
+}
+
 // IsDue reports whether a caller that comes back the given time after its first attempt has waited as it was
-// asked to. A caller that repeats at once is treated like a new one.
-func (r *Returns) IsDue(elapsed time.Duration) bool {
-	return elapsed >= time.Duration(dueFraction*float64(r.lastDelay))
+// asked to. A caller that repeats at once is treated like a new one. The delay assigned last wouldn't do: it
+// grows during a flood, and callers refused at its beginning would count as early.
+func (r *Returns) IsDue(now time.Time, elapsed time.Duration) bool {
+	index := slotIndex(now.Add(-elapsed))
+	g := r.given[max(index, 0)%returnSlots]
+	return g.index != index || elapsed >= time.Duration(dueFraction*float64(g.delay))
 }
 
-// dueFraction is the part of the assigned delay from which on a returning caller counts as due: delays differ
-// between callers that were refused one after the other.
+// dueFraction is the part of the shortest delay assigned at the time of the first attempt from which on a
+// returning caller counts as due: the refusal comes somewhat later than the attempt.
 const dueFraction = 0.5
