--- a/balance/speed.go
+++ b/balance/speed.go
@@ -36,8 +36,15 @@
 	weight    float64 // of the observations, as of updatedAt
 	updatedAt time.Time
 	reported  bool // as slow
+
+	cached   float64 // factor at cachedAt; zero: not known
+	cachedAt time.Time
 }
 
+// factorInterval is how long a computed factor is used again: it decays by less than 0.4% in this time, and
+// the exponentials would take most of the time of a choice among hundreds of endpoints.
+const factorInterval = 10 * time.Millisecond
+
 // decay reduces the weights of the observations to what they count at now.
 func (s *slowdown) decay(now time.Time) {
 	if age := now.Sub(s.updatedAt); age > 0 {
@@ -49,8 +56,12 @@
 }
 
 func (s *slowdown) factor(now time.Time) float64 {
+	if age := now.Sub(s.cachedAt); s.cached > 0 && age >= 0 && age < factorInterval {
+		return s.cached
+	}
 	s.decay(now)
-	return math.Exp(s.logSum / (s.weight + speedPrior))
+	s.cached, s.cachedAt = math.Exp(s.logSum/(s.weight+speedPrior)), now
+	return s.cached
 }
 
 // Bounds of an observation, far above what an endpoint reads between two reports. Larger values are errors
@@ -82,21 +93,36 @@
 	e.decay(now)
 	e.logSum += n * math.Log(ratio)
 	e.weight += n
+	e.cached = 0
 }
 
 // FirstToken predicts the time to first token at an endpoint that reads a number of prompt tokens until then.
 func (s *Speeds) FirstToken(endpoint string, tokens int, now time.Time) time.Duration {
-	ns := s.Slowdown(endpoint, now) * s.model.predict(float64(max(tokens, 0))) * float64(time.Second)
-	if ns >= math.MaxInt64 { // out of range, the conversion could return a negative time
-		return math.MaxInt64
-	}
-	return time.Duration(ns)
+	return duration(s.Slowdown(endpoint, now) * s.model.predict(float64(max(tokens, 0))))
 }
 
 // ReadTime predicts how long an endpoint takes to read a number of prompt tokens, without the constant
 // part of the time to first token.
 func (s *Speeds) ReadTime(endpoint string, tokens int, now time.Time) time.Duration {
-	return s.FirstToken(endpoint, tokens, now) - s.FirstToken(endpoint, 0, now)
+	_, slope := s.model.line()
+	return duration(s.Slowdown(endpoint, now) * slope * float64(max(tokens, 0)) / 1000)
+}
+
+// Predict returns how long an endpoint takes to read the prompt tokens ahead of a prompt, and then the prompt's
+// own until its first token: ReadTime of the first and the rest of FirstToken, for one look-up of the endpoint.
+func (s *Speeds) Predict(endpoint string, ahead, own int, now time.Time) (queue, rest time.Duration) {
+	base, slope := s.model.line()
+	f := s.Slowdown(endpoint, now)
+	queue = duration(f * slope * float64(max(ahead, 0)) / 1000)
+	return queue, duration(f * max(base+slope*float64(max(own, 0))/1000, minFirstToken))
+}
+
+// duration converts seconds, at most to the longest time: out of range, the conversion could return a negative one.
+func duration(seconds float64) time.Duration {
+	if ns := seconds * float64(time.Second); ns < math.MaxInt64 {
+		return time.Duration(ns)
+	}
+	return math.MaxInt64
 }
 
 // Slowdown returns how many times as long as the model an endpoint takes. An endpoint that is unknown, or
@@ -137,6 +163,9 @@
 // decaying weights: a constant time, and a time per token. The zero value predicts from the prior.
 type readModel struct {
 	count, sumX, sumY, sumXX, sumXY float64 // X: thousands of tokens, Y: seconds
+
+	base, slope float64 // the line, if fitted
+	fitted      bool
 }
 
 const (
@@ -155,12 +184,22 @@
 	m.sumY = m.sumY*f + n*seconds
 	m.sumXX = m.sumXX*f + n*x*x
 	m.sumXY = m.sumXY*f + n*x*seconds
+	m.fitted = false
 }
 
 // minFirstToken is the shortest time that the model predicts, in seconds, so that ratios to it stay finite.
 const minFirstToken = 0.001
 
 func (m *readModel) predict(tokens float64) float64 {
+	base, slope := m.line()
+	return max(base+slope*tokens/1000, minFirstToken)
+}
+
+// line returns the time of an empty prompt, in seconds, and the time per thousand tokens.
+func (m *readModel) line() (base, slope float64) {
+	if m.fitted {
+		return m.base, m.slope
+	}
 	const half = priorWeight / 2
 	priorTime := priorBase + priorPerKiloToken*priorKiloTokens
 	n := m.count + priorWeight
@@ -168,7 +207,7 @@
 	y := m.sumY + half*(priorBase+priorTime)
 	xx := m.sumXX + half*priorKiloTokens*priorKiloTokens
 	xy := m.sumXY + half*priorKiloTokens*priorTime
-	slope := max((n*xy-x*y)/(n*xx-x*x), 0) // the two points of the prior keep the divisor above zero
-	base := max((y-slope*x)/n, 0)
-	return max(base+slope*tokens/1000, minFirstToken)
+	m.slope = max((n*xy-x*y)/(n*xx-x*x), 0) // the two points of the prior keep the divisor above zero
+	m.base, m.fitted = max((y-m.slope*x)/n, 0), true
+	return m.base, m.slope
 }
--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -117,5 +117,8 @@
 		c.Check(ratio > 0.8 && ratio < 1.25, quicktest.IsTrue, quicktest.Commentf("%d tokens: %.2f", tokens, ratio))
 	}
 	c.Check(s.ReadTime("endpoint-0", 0, now), quicktest.Equals, time.Duration(0))
+	queue, rest := s.Predict("endpoint-0", 5000, 3000, now)
+	c.Check(queue, quicktest.Equals, s.ReadTime("endpoint-0", 5000, now))
+	c.Check((queue+rest-s.FirstToken("endpoint-0", 8000, now)).Abs() < time.Microsecond, quicktest.IsTrue)
 	c.Check(s.ReadTime("endpoint-0", 3000, now) < s.FirstToken("endpoint-0", 3000, now), quicktest.IsTrue)
 }
