--- a/balance/choose.go
+++ b/balance/choose.go
@@ -23,6 +23,11 @@
 	QueueLimit time.Duration // longest time that prompts ahead of its own may take, so that more urgent requests stay in time
 	MaxWait    time.Duration // from now, after which a response is of no more use to the caller
 	Returned   bool          // the caller was refused before and came back when it was asked to
+
+	// ReturnLimit takes the place of QueueLimit, if it is longer, for a request that returned: the queue limit of the
+	// most urgent kind of the service. Under overload that kind keeps queues at its limit, so a less urgent
+	// request that returns would otherwise be refused again.
+	ReturnLimit time.Duration
 }
 
 // Candidate is an endpoint that may serve a request.
@@ -119,6 +124,7 @@
 func (r Request) queueLimit() time.Duration {
 	limit := max(r.QueueLimit, 0)
 	if r.Returned {
+		limit = max(limit, r.ReturnLimit)
 		return add(limit, time.Duration(returnAllowance*float64(limit)))
 	}
 	return limit
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -56,6 +56,8 @@
 			r.QueueLimit = parseTime(c, value)
 		case "wait":
 			r.MaxWait = parseTime(c, value)
+		case "returnlimit":
+			r.ReturnLimit = parseTime(c, value)
 		case "returned":
 			r.Returned = true
 		default:
--- a/balance/fuzz_test.go
+++ b/balance/fuzz_test.go
@@ -39,7 +39,7 @@
 		}
 		s.Changed("a", now.Add(time.Duration(wait)))
 		s.Prune(now.Add(time.Duration(took)))
-		r := Request{Target: time.Duration(target), QueueLimit: time.Duration(limit), MaxWait: time.Duration(wait), Returned: returned}
+		r := Request{Target: time.Duration(target), QueueLimit: time.Duration(limit), MaxWait: time.Duration(wait), Returned: returned, ReturnLimit: time.Duration(delay)}
 		list := []Candidate{
 			{Availability: Availability(prompts), Delay: time.Duration(delay), Queue: time.Duration(queue), Own: time.Duration(took), FreeMemory: int(tokens), Memory: int(prompts)},
 			{Availability: Loadable, Delay: time.Duration(queue), Queue: time.Duration(took), Own: time.Duration(delay)},
--- a/balance/stepper_test.go
+++ b/balance/stepper_test.go
@@ -137,7 +137,7 @@
 	k := s.kinds[c.kind]
 	elapsed := s.now.Sub(c.first)
 	r := Request{Target: k.target - elapsed, QueueLimit: s.limit(c.kind), MaxWait: k.timeout - elapsed,
-		Returned: c.returned && s.returns.IsDue(s.now, elapsed)}
+		Returned: c.returned && s.returns.IsDue(s.now, elapsed), ReturnLimit: s.limit(0)}
 	var list [holders]Candidate
 	var ahead [holders]int
 	for i, e := range s.holders[c.adapter] {
