--- a/balance/returns.go
+++ b/balance/returns.go
@@ -2,11 +2,15 @@
 
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // returnCapacity is the part of the endpoints' time that returning requests may take up, so that those
-// asked to come back at one time find room then: what returnAllowance leaves them is a quarter of a queue.
-const returnCapacity = 0.25
+// asked to come back at one time find room then. With a quarter, returning requests of less urgent kinds kept new
+// ones of those kinds out for six seconds after a flood.
+const returnCapacity = 0.1
 
 // Returns spaces the times at which refused callers are asked to come back, so that they don't all return
 // at once. It holds no promise of a single caller: requests that return are let in ahead of new ones by
@@ -54,7 +58,7 @@
 	if delay > latest {
 		return 0, false
 	}
-	interval := time.Duration(float64(max(work, 0)) / (returnCapacity * float64(max(endpoints, 1))))
+	interval := time.Duration(math.Round(float64(max(work, 0)) / (returnCapacity * float64(max(endpoints, 1)))))
 	r.take(due, due.Add(min(interval, (returnSlots-1)*slotDuration)))
 	g := &r.given[slotIndex(now)%returnSlots]
 	if g.index != slotIndex(now) {
