balance: retry times before 1970 don't index outside the ring

Cause: the index of a slot was negative for such a time (clocks of tests, a box without a set clock), and Assign panicked. Change: the place in the ring is computed unsigned.

--- a/balance/returns.go
+++ b/balance/returns.go
@@ -36,6 +36,9 @@
 
 func slotIndex(t time.Time) int64 { return t.UnixNano() / int64(slotDuration) }
 
+// ring returns the place of a slot, also of one before 1970.
+func ring(index int64) int { return int(uint64(index) % returnSlots) }
+
 // Assign returns when a refused caller should come back: not before relief, and after those that were
 // refused before it. work is the time of one endpoint that the request takes, endpoints how many share the
 // work. It returns false if that is later than latest; nothing is assigned then.
@@ -47,7 +50,7 @@
 	due := now.Add(relief)
 	for !due.After(now.Add(latest)) {
 		index := slotIndex(due)
-		if s := r.slots[index%returnSlots]; s.index == index && s.free.After(due) {
+		if s := r.slots[ring(index)]; s.index == index && s.free.After(due) {
 			due = s.free
 		}
 		if slotIndex(due) == index {
@@ -60,7 +63,7 @@
 	}
 	interval := time.Duration(math.Round(float64(max(work, 0)) / (returnCapacity * float64(max(endpoints, 1)))))
 	r.take(due, due.Add(min(interval, (returnSlots-1)*slotDuration)))
-	g := &r.given[slotIndex(now)%returnSlots]
+	g := &r.given[ring(slotIndex(now))]
 	if g.index != slotIndex(now) {
 		*g = slot{index: slotIndex(now), delay: delay}
 	}
@@ -71,7 +74,7 @@
 // take marks the time until the given one as assigned, in each slot that it reaches.
 func (r *Returns) take(from, until time.Time) {
 	for i := slotIndex(from); i <= slotIndex(until); i++ {
-		s := &r.slots[i%returnSlots]
+		s := &r.slots[ring(i)]
 		if s.index != i {
 			*s = slot{index: i}
 		}
@@ -86,7 +89,7 @@
 // grows during a flood, and callers refused at its beginning would count as early.
 func (r *Returns) IsDue(now time.Time, elapsed time.Duration) bool {
 	index := slotIndex(now.Add(-elapsed))
-	g := r.given[max(index, 0)%returnSlots]
+	g := r.given[ring(index)]
 	return g.index != index || elapsed >= time.Duration(dueFraction*float64(g.delay))
 }
 
--- a/balance/returns_test.go
+++ b/balance/returns_test.go
@@ -109,4 +109,7 @@
 	}
 	_, ok := r.Assign(start.Add(time.Minute), 0, 0, time.Second, 1)
 	c.Check(ok, quicktest.IsTrue)
+	_, ok = r.Assign(time.Unix(-1000, 0), 0, 0, time.Second, 1)
+	c.Check(ok && r.IsDue(time.Unix(-1000, 0), time.Second), quicktest.IsTrue)
+	_, _ = r.Assign(time.Time{}, 0, time.Second, time.Second, 1)
 }
