--- a/balance/choose.go
+++ b/balance/choose.go
@@ -2,7 +2,10 @@
 
 package balance
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Availability says when an endpoint can serve requests for an adapter.
 type Availability int
@@ -20,7 +23,13 @@
 	Target     time.Duration // from now until the latency target of its route; negative: that has passed
 	QueueLimit time.Duration // longest time that prompts ahead of its own may take, so that more urgent requests stay in time
 	MaxWait    time.Duration // from now, after which a response is of no more use to the caller
+	MaxPause   time.Duration // longest time between two events of a stream that is still in time; zero: not known
 	Returned   bool          // the caller was refused before and came back when it was asked to
+
+	// ReturnLimit takes the place of QueueLimit, if it is longer, for a request that returned: the queue limit of the
+	// most urgent kind of the service. Under overload that kind keeps queues at its limit, so a less urgent
+	// request that returns would otherwise be refused again.
+	ReturnLimit time.Duration
 }
 
 // Candidate is an endpoint that may serve a request.
@@ -29,25 +38,42 @@
 	Delay        time.Duration // until the adapter is loaded; zero if it is ready
 	Queue        time.Duration // to read the prompts ahead of the request's own
 	Own          time.Duration // to read the request's own prompt, until its first token
+	Pause        time.Duration // between two events of its streams while it reads prompts without a break; zero: not known
 	FreeMemory   int           // tokens that its memory still takes, the request's subtracted; negative: the request does not fit
 	Memory       int           // tokens that its memory holds; zero: not known
 }
 
 // firstToken returns the expected time to first token.
-func (c Candidate) firstToken() time.Duration { return max(c.Delay, c.Queue) + c.Own }
-
-// spareMemory is the part of an endpoint's memory that requests which are late anyway leave free, so that a
-// burst of requests in time finds room.
-const spareMemory = 0.2
+func (c Candidate) firstToken() time.Duration {
+	return add(max(c.Delay, c.Queue, 0), max(c.Own, 0))
+}
 
-// cost orders candidates: the expected time to first token, and what a load of the adapter costs others.
+// cost returns the expected time to first token, plus what a load that isn't under way has to save.
 func (c Candidate) cost() time.Duration {
 	if c.Availability == Loadable {
-		return c.firstToken() + loadPenalty
+		return add(c.firstToken(), loadPenalty)
 	}
 	return c.firstToken()
 }
 
+// add returns the sum of two times that are not negative, at most the longest time.
+func add(a, b time.Duration) time.Duration {
+	if b > math.MaxInt64-a {
+		return math.MaxInt64
+	}
+	return a + b
+}
+
+// spareMemory is the part of an endpoint's memory that requests which are late anyway leave free, so that a
+// burst of requests in time finds room.
+const spareMemory = 0.2
+
+// pause returns the longest time that reading the prompts ahead and the request's own delays an event of the streams
+// that run at the endpoint.
+func (c Candidate) pause() time.Duration {
+	return min(c.Pause, add(max(c.Queue, 0), max(c.Own, 0)))
+}
+
 // hasRoom reports whether the request fits the endpoint's memory.
 func (c Candidate) hasRoom(late bool) bool {
 	if c.Memory <= 0 {
@@ -93,9 +119,15 @@
 	// overload new requests keep the queues at their limit; what lies above it is left to those that were
 	// asked to return.
 	returnAllowance = 0.25
-	// targetMargin is the part of the target that the expected time to first token may take: half of the responses
-	// come later than expected.
+	// targetMargin is the part of a target, or of a queue limit, that the expected time may take: half of the
+	// responses come later than expected.
 	targetMargin = 0.75
+	// ownFraction is the part of the queue limit up to which a request's own prompt counts towards it: all of an
+	// ordinary prompt does, and a long one is not refused for its length alone.
+	ownFraction = 0.25
+	// lateFraction is the part of the queue limit that a request may queue which is late anyway: it takes what
+	// requests in time leave unused.
+	lateFraction = 0.5
 	// copyThreshold is the part of the target from which an endpoint's expected time to first token calls
 	// for one more copy of the adapter: a load takes some 0.3 of a target, so a copy that is begun later
 	// than this is ready too late for the requests that need it.
@@ -105,12 +137,25 @@
 	loadPenalty = 300 * time.Millisecond
 )
 
-// queueLimit returns the longest queue that the request may join.
+// queueLimit returns the longest queue that the request may join. It is never negative: an endpoint without
+// a queue delays nothing more urgent, so it takes requests of each kind.
 func (r Request) queueLimit() time.Duration {
+	limit := max(r.QueueLimit, 0)
 	if r.Returned {
-		return r.QueueLimit + time.Duration(returnAllowance*float64(r.QueueLimit))
+		limit = max(limit, r.ReturnLimit)
+		limit = add(limit, time.Duration(returnAllowance*float64(limit)))
 	}
-	return r.QueueLimit
+	return time.Duration(targetMargin * float64(limit))
+}
+
+// mayQueue reports whether the request may join the queue of a candidate. Without a queue it always may.
+func (r Request) mayQueue(c Candidate, late bool) bool {
+	limit := r.queueLimit()
+	if late && !r.Returned {
+		limit = time.Duration(lateFraction * float64(limit))
+	}
+	own := min(max(c.Own, 0), time.Duration(ownFraction*float64(limit)))
+	return c.Queue <= 0 || add(c.Queue, own) <= limit
 }
 
 // Choose selects the candidate that serves a request soonest. A candidate is used within the request's
@@ -151,7 +196,10 @@
 func (r Request) cheapest(list []Candidate, within time.Duration, late bool) int {
 	best := -1
 	for i, c := range list {
-		if c.firstToken() > within || c.Queue > r.queueLimit() || !c.hasRoom(late) {
+		if c.firstToken() > within || !r.mayQueue(c, late) || !c.hasRoom(late) {
+			continue
+		}
+		if !late && r.MaxPause > 0 && c.pause() > r.MaxPause {
 			continue
 		}
 		if best < 0 || c.cost() < list[best].cost() {
@@ -165,11 +213,11 @@
 func (r Request) refuse(list []Candidate) Decision {
 	d := Decision{Index: -1, Reason: NoneAvailable}
 	for _, c := range list {
-		reason, relief := QueueTooLong, c.Queue-r.queueLimit()
+		reason, relief := QueueTooLong, max(max(c.Queue, 0)-r.queueLimit(), c.firstToken()-max(r.MaxWait, 0))
 		switch {
-		case !c.hasRoom(true):
+		case !c.hasRoom(c.firstToken() > r.Target):
 			reason, relief = MemoryFull, c.Queue
-		case c.Delay > r.MaxWait:
+		case c.Delay > 0 && add(c.Delay, max(c.Own, 0)) > r.MaxWait:
 			reason, relief = LoadTooLate, c.Delay
 		}
 		if relief = max(relief, 0); d.Reason == NoneAvailable || relief < d.Relief {
--- a/balance/speed.go
+++ b/balance/speed.go
@@ -27,6 +27,7 @@
 // the slowdown of the endpoint. The zero value is ready to use.
 type Speeds struct {
 	model     readModel
+	pauses    pauseModel
 	endpoints map[string]*slowdown
 }
 
@@ -36,8 +37,15 @@
 	weight    float64 // of the observations, as of updatedAt
 	updatedAt time.Time
 	reported  bool // as slow
+
+	cached   float64 // factor at cachedAt; zero: not known
+	cachedAt time.Time
 }
 
+// factorInterval is how long a computed factor is used again: it decays by less than 0.4% in this time, and
+// the exponentials would take most of the time of a choice among hundreds of endpoints.
+const factorInterval = 10 * time.Millisecond
+
 // decay reduces the weights of the observations to what they count at now.
 func (s *slowdown) decay(now time.Time) {
 	if age := now.Sub(s.updatedAt); age > 0 {
@@ -49,27 +57,39 @@
 }
 
 func (s *slowdown) factor(now time.Time) float64 {
+	if age := now.Sub(s.cachedAt); s.cached > 0 && age >= 0 && age < factorInterval {
+		return s.cached
+	}
 	s.decay(now)
-	return math.Exp(s.logSum / (s.weight + speedPrior))
+	s.cached, s.cachedAt = math.Exp(s.logSum/(s.weight+speedPrior)), now
+	return s.cached
 }
 
+// Bounds of an observation, far above what an endpoint reads between two reports. Larger values are errors
+// of the reporter, and sums of their squares would leave no digits for the others.
+const (
+	maxPrompts = 1 << 16
+	maxTokens  = 1 << 24 // for each prompt
+)
+
 // Observe records prompts that an endpoint has read. It ignores summaries without prompts or with
 // values that can't be.
 func (s *Speeds) Observe(endpoint string, o Observation, now time.Time) {
-	if o.Prompts <= 0 || o.Tokens < 0 || o.Took <= 0 {
+	if o.Prompts <= 0 || o.Prompts > maxPrompts || o.Tokens < 0 || o.Tokens/o.Prompts >= maxTokens || o.Took <= 0 {
 		return
 	}
 	n := float64(o.Prompts)
 	tokens, took := float64(o.Tokens)/n, o.Took.Seconds()/n
-	ratio := took / s.model.predict(tokens)
-	s.model.observe(tokens, took, n)
+	predicted := s.model.predict(tokens)
+	ratio := min(max(took/predicted, 1/maxSlowdownRatio), maxSlowdownRatio)
+	s.model.observe(tokens, ratio*predicted, n)
 	s.record(endpoint, ratio, n, now)
 }
 
 // ObserveFailures records requests that an endpoint failed. Each counts as a prompt that took maxSlowdownRatio times as
 // long as usual: the endpoint is avoided like a slow one, and like one it is tried again after some seconds.
 func (s *Speeds) ObserveFailures(endpoint string, count int, now time.Time) {
-	if count > 0 {
+	if count > 0 && count <= maxPrompts {
 		s.record(endpoint, maxSlowdownRatio, float64(count), now)
 	}
 }
@@ -85,19 +105,38 @@
 		s.endpoints[endpoint] = e
 	}
 	e.decay(now)
-	e.logSum += n * math.Log(min(max(ratio, 1/maxSlowdownRatio), maxSlowdownRatio))
+	e.logSum += n * math.Log(ratio)
 	e.weight += n
+	e.cached = 0
 }
 
 // FirstToken predicts the time to first token at an endpoint that reads a number of prompt tokens until then.
 func (s *Speeds) FirstToken(endpoint string, tokens int, now time.Time) time.Duration {
-	return time.Duration(s.Slowdown(endpoint, now) * s.model.predict(float64(tokens)) * float64(time.Second))
+	return duration(s.Slowdown(endpoint, now) * s.model.predict(float64(max(tokens, 0))))
 }
 
 // ReadTime predicts how long an endpoint takes to read a number of prompt tokens, without the constant
 // part of the time to first token.
 func (s *Speeds) ReadTime(endpoint string, tokens int, now time.Time) time.Duration {
-	return s.FirstToken(endpoint, tokens, now) - s.FirstToken(endpoint, 0, now)
+	_, slope := s.model.line()
+	return duration(s.Slowdown(endpoint, now) * slope * float64(max(tokens, 0)) / 1000)
+}
+
+// Predict returns how long an endpoint takes to read the prompt tokens ahead of a prompt, and then the prompt's
+// own until its first token: ReadTime of the first and the rest of FirstToken, for one look-up of the endpoint.
+func (s *Speeds) Predict(endpoint string, ahead, own int, now time.Time) (queue, rest time.Duration) {
+	base, slope := s.model.line()
+	f := s.Slowdown(endpoint, now)
+	queue = duration(f * slope * float64(max(ahead, 0)) / 1000)
+	return queue, duration(f * max(base+slope*float64(max(own, 0))/1000, minFirstToken))
+}
+
+// duration converts seconds, at most to the longest time: out of range, the conversion could return a negative one.
+func duration(seconds float64) time.Duration {
+	if ns := seconds * float64(time.Second); ns < math.MaxInt64 {
+		return time.Duration(ns)
+	}
+	return math.MaxInt64
 }
 
 // Slowdown returns how many times as long as the model an endpoint takes. An endpoint that is unknown, or
@@ -138,6 +177,9 @@
 // decaying weights: a constant time, and a time per token. The zero value predicts from the prior.
 type readModel struct {
 	count, sumX, sumY, sumXX, sumXY float64 // X: thousands of tokens, Y: seconds
+
+	base, slope float64 // the line, if fitted
+	fitted      bool
 }
 
 const (
@@ -156,12 +198,22 @@
 	m.sumY = m.sumY*f + n*seconds
 	m.sumXX = m.sumXX*f + n*x*x
 	m.sumXY = m.sumXY*f + n*x*seconds
+	m.fitted = false
 }
 
 // minFirstToken is the shortest time that the model predicts, in seconds, so that ratios to it stay finite.
 const minFirstToken = 0.001
 
 func (m *readModel) predict(tokens float64) float64 {
+	base, slope := m.line()
+	return max(base+slope*tokens/1000, minFirstToken)
+}
+
+// line returns the time of an empty prompt, in seconds, and the time per thousand tokens.
+func (m *readModel) line() (base, slope float64) {
+	if m.fitted {
+		return m.base, m.slope
+	}
 	const half = priorWeight / 2
 	priorTime := priorBase + priorPerKiloToken*priorKiloTokens
 	n := m.count + priorWeight
@@ -169,7 +221,7 @@
 	y := m.sumY + half*(priorBase+priorTime)
 	xx := m.sumXX + half*priorKiloTokens*priorKiloTokens
 	xy := m.sumXY + half*priorKiloTokens*priorTime
-	slope := max((n*xy-x*y)/(n*xx-x*x), 0) // the two points of the prior keep the divisor above zero
-	base := max((y-slope*x)/n, 0)
-	return max(base+slope*tokens/1000, minFirstToken)
+	m.slope = max((n*xy-x*y)/(n*xx-x*x), 0) // the two points of the prior keep the divisor above zero
+	m.base, m.fitted = max((y-m.slope*x)/n, 0), true
+	return m.base, m.slope
 }
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -140,6 +140,8 @@
 				Tokens:  int(u.GetTokensRead()),
 				Took:    time.Duration(u.GetReadMicros()) * time.Microsecond,
 			},
+			Streams: int(u.GetStreams()),
+			Pauses:  time.Duration(u.GetPauseMicros()) * time.Microsecond,
 		})
 	}
 	n.loader.RecordUsage(q.GetBox(), uses, q.GetPart(), now)
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -45,11 +45,13 @@
 	memoryTokens int // tokens of prompts and outputs, at endpoints that are balanced by work
 }
 
-// promptReads are prompts that an endpoint has read, and requests that it failed.
+// promptReads are prompts that an endpoint has read, requests that it failed, and streams that ended there.
 type promptReads struct {
 	balance.Observation
 
-	failed int
+	failed  int
+	streams int           // that ended
+	pauses  time.Duration // sum of their longest pauses
 }
 
 func newUsage(n *Node) *usage {
@@ -140,11 +142,17 @@
 }
 
 // Finished implements forward.Run.
-func (r *callTracker) Finished() {
+func (r *callTracker) Finished(pause time.Duration) {
 	r.usage.mu.Lock()
 	defer r.usage.mu.Unlock()
 	if !r.ended {
 		r.ended = true
+		if r.balanced && pause > 0 {
+			o := r.usage.reads[r.key]
+			o.streams++
+			o.pauses += pause
+			r.usage.reads[r.key] = o
+		}
 		r.usage.changeLocked(r.key, inFlightLoad{requests: -1, unreadTokens: -r.unreadTokens, memoryTokens: -r.memoryTokens})
 	}
 }
@@ -285,6 +293,8 @@
 			TokensRead:  int64(o.Tokens),
 			ReadMicros:  o.Took.Microseconds(),
 			Failed:      int32(o.failed),
+			Streams:     int32(o.streams),
+			PauseMicros: o.pauses.Microseconds(),
 		})
 		delete(u.changed, k)
 		delete(u.counts, k)
--- a/edge/usage_test.go
+++ b/edge/usage_test.go
@@ -34,7 +34,7 @@
 	}{
 		{func() {}, 1, 900},
 		{func() { r.PromptRead(0, 0) }, 1, 0},
-		{r.Finished, 0, 0},
+		{func() { r.Finished(0) }, 0, 0},
 	} {
 		step.change()
 		q := collectReport(u, false)
@@ -45,7 +45,7 @@
 		c.Assert(collectReport(u, false), quicktest.IsNil) // already reported
 	}
 	r.PromptRead(0, 0) // no effect after the end, like a second Ended
-	r.Finished()
+	r.Finished(0)
 	c.Assert(collectReport(u, false), quicktest.IsNil)
 	c.Assert(collectReport(u, true), quicktest.IsNil) // nothing is in progress
 }
@@ -60,7 +60,7 @@
 	u.reporting["far"] = true
 	c.Assert(collectReport(u, false), quicktest.IsNil)
 	c.Assert(collectReport(u, true), quicktest.IsNil)
-	r.Finished()
+	r.Finished(0)
 	u.finishReport("far")
 	q := collectReport(u, false)
 	c.Assert(q.GetUsage(), quicktest.HasLen, 1)
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -19,8 +19,9 @@
 	aheadTokens         int // unreadTokens, if an owner chose the endpoint; else zero
 	predictedFirstToken time.Duration
 	sentAt              time.Time
-	promptRead          bool      // a part of the response came
-	lastPartAt          time.Time // when the latest part of the response came
+	promptRead          bool          // a part of the response came
+	lastPartAt          time.Time     // when the latest part of the response came
+	longestPause        time.Duration // between two parts of the response
 }
 
 // newDispatch records that a request is being sent to an endpoint.
@@ -47,7 +48,8 @@
 	now := clock.Now()
 	d.gateway.recordActivity(d.upstream, now)
 	if d.promptRead {
-		d.request.maxEventGap = max(d.request.maxEventGap, now.Sub(d.lastPartAt))
+		d.longestPause = max(d.longestPause, now.Sub(d.lastPartAt))
+		d.request.maxEventGap = max(d.request.maxEventGap, d.longestPause)
 		d.lastPartAt = now
 		return
 	}
@@ -75,7 +77,7 @@
 	}
 	d.upstream.endRequest()
 	if d.run != nil {
-		d.run.Finished()
+		d.run.Finished(d.longestPause)
 	}
 }
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,6 +98,8 @@
 	OutputTokens int           // that the request may generate
 	Target       time.Duration // until the route's latency target; negative: that has passed
 	QueueLimit   time.Duration // the longest time that prompts ahead of the request's may take
+	ReturnLimit  time.Duration // with Retried: the QueueLimit of the service's most urgent requests
+	MaxPause     time.Duration // the route's target for the time between two events; zero: it has none
 	Elapsed      time.Duration // with Retried: since the caller's first attempt
 }
 
@@ -163,5 +165,7 @@
 	// prompt tokens that it had to read until then, if an owner chose the endpoint, or zero.
 	PromptRead(ahead int, took time.Duration)
 	Failed() // the endpoint failed the call
-	Finished()
+	// Finished is called at the end of the call. pause is the longest time between two events of its stream; zero: it had
+	// fewer than two.
+	Finished(pause time.Duration)
 }
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -118,7 +118,7 @@
 func (noRun) Failed() {}
 
 // Finished implements Run.
-func (noRun) Finished() {}
+func (noRun) Finished(time.Duration) {}
 
 // testSite is a gateway with endpoints behind it.
 type testSite struct {
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -64,6 +64,9 @@
 	}
 	l.speeds.Observe(u.Endpoint, u.Read, now)
 	l.speeds.ObserveFailures(u.Endpoint, u.Failed, now)
+	if u.Streams > 0 {
+		l.speeds.ObservePause(u.Endpoint, u.Pauses/time.Duration(u.Streams), now)
+	}
 	if slow, changed := l.speeds.Changed(u.Endpoint, now); changed {
 		message := "Endpoint is slow or fails requests"
 		if !slow {
@@ -105,7 +108,10 @@
 		Target:     w.Target - elapsed,
 		QueueLimit: w.QueueLimit,
 		MaxWait:    limit.Sub(now),
-		Returned:   w.Retried && l.returns.IsDue(w.Elapsed),
+		MaxPause:   w.MaxPause,
+		Returned:   w.Retried && l.returns.IsDue(now, w.Elapsed),
+
+		ReturnLimit: w.ReturnLimit,
 	}
 	centre := home.endpoint.DataCentre()
 	holders := l.candidatesLocked(w, centre, denied, true, now)
@@ -256,6 +262,7 @@
 	id := o.endpoint.ID()
 	c.Queue = l.queueTimeLocked(o, now)
 	c.Own = l.speeds.FirstToken(id, w.PromptTokens, now)
+	c.Pause = l.speeds.Pause(id, now)
 	if g := l.engineSpec(o.endpoint); g != nil && g.MemoryTokens > 0 {
 		_, granted := o.granted()
 		c.Memory = g.MemoryTokens
--- a/placement/usage.go
+++ b/placement/usage.go
@@ -22,6 +22,8 @@
 	MemoryTokens int                 // tokens of the requests in progress, prompts and outputs
 	Read         balance.Observation // prompts that the endpoint has read since the box's last report
 	Failed       int                 // requests that failed there since then
+	Streams      int                 // streams that ended there since then
+	Pauses       time.Duration       // sum of the longest pauses between two events of each
 }
 
 const (
--- a/topology/config.go
+++ b/topology/config.go
@@ -69,6 +69,9 @@
 // LatencyTarget returns the target time until the response or its first event.
 func (r *Route) LatencyTarget() time.Duration { return r.spec.LatencyTarget }
 
+// EventGapTarget returns the target time between two events of a stream; zero: the route has none.
+func (r *Route) EventGapTarget() time.Duration { return r.spec.EventGapTarget }
+
 // ClientTimeout returns how long a caller waits for the first data; zero means until its deadline.
 func (r *Route) ClientTimeout() time.Duration { return r.spec.ClientTimeout }
 
--- a/topology/queue_limit.go
+++ b/topology/queue_limit.go
@@ -75,3 +75,11 @@
 	fraction := max(1-rankStepFraction*float64(step), minQueueFraction)
 	return time.Duration(fraction * float64(shortest))
 }
+
+// LongestQueueLimit returns the queue limit of the most urgent requests of a service.
+func (c *Config) LongestQueueLimit(service string) time.Duration {
+	if t := c.targets[service]; len(t.shortest) > 0 {
+		return t.shortest[0]
+	}
+	return 0
+}
