placement: the last free adapter slots are kept for more urgent requests

Cause: a stream of 57 events keeps a slot in use for ten times as long as one of 8; the most urgent kind was served worst. Change: a less urgent request has its adapter loaded only below a part of the slots in use.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -38,6 +38,7 @@
 	Delay        time.Duration // until the adapter is loaded; zero if it is ready
 	Queue        time.Duration // to read the prompts ahead of the request's own
 	Own          time.Duration // to read the request's own prompt, until its first token
+	Busy         time.Duration // for which it has read prompts without a break
 	Pause        time.Duration // between two events of its streams while it reads prompts without a break; zero: not known
 	FreeMemory   int           // tokens that its memory still takes, the request's subtracted; negative: the request does not fit
 	Memory       int           // tokens that its memory holds; zero: not known
@@ -68,10 +69,10 @@
 // burst of requests in time finds room.
 const spareMemory = 0.2
 
-// pause returns the longest time that reading the prompts ahead and the request's own delays an event of the streams
-// that run at the endpoint.
+// pause returns the longest time between two events of the streams that run at the endpoint if it reads the request's
+// prompt too: a long time without a break, but not beyond its length, since events come between the parts of prompts.
 func (c Candidate) pause() time.Duration {
-	return min(c.Pause, add(max(c.Queue, 0), max(c.Own, 0)))
+	return min(c.Pause, add(max(c.Busy, 0), add(max(c.Queue, 0), max(c.Own, 0))))
 }
 
 // hasRoom reports whether the request fits the endpoint's memory.
@@ -199,8 +200,8 @@
 		if c.firstToken() > within || !r.mayQueue(c, late) || !c.hasRoom(late) {
 			continue
 		}
-		if !late && r.MaxPause > 0 && c.pause() > r.MaxPause {
-			continue
+		if r.MaxPause > 0 && c.pause() > r.MaxPause {
+			continue // the streams that run there would be late
 		}
 		if best < 0 || c.cost() < list[best].cost() {
 			best = i
--- a/balance/pause.go
+++ b/balance/pause.go
@@ -7,7 +7,7 @@
 const (
 	// pauseQuantile is the part of the streams whose longest pauses stay within the estimate. Streams that ran while
 	// their endpoint read nothing have short pauses and say little of one that reads without a break.
-	pauseQuantile = 0.9
+	pauseQuantile = 0.97
 	pauseStep     = 0.02 // part by which one stream moves the estimate
 	minPause      = 5 * time.Millisecond
 	maxPause      = 10 * time.Second // bound of one observation
--- a/edge/ask.go
+++ b/edge/ask.go
@@ -38,7 +38,7 @@
 		OutputTokens:  int64(w.OutputTokens),
 		TargetMicros:  w.Target.Microseconds(),
 		QueueMicros:   w.QueueLimit.Microseconds(),
-		ReturnMicros:  w.ReturnLimit.Microseconds(),
+		UrgentMicros:  w.UrgentLimit.Microseconds(),
 		PauseMicros:   w.MaxPause.Microseconds(),
 		ElapsedMicros: w.Elapsed.Microseconds(),
 	})
@@ -98,7 +98,7 @@
 		OutputTokens: int(q.GetOutputTokens()),
 		Target:       time.Duration(q.GetTargetMicros()) * time.Microsecond,
 		QueueLimit:   time.Duration(q.GetQueueMicros()) * time.Microsecond,
-		ReturnLimit:  time.Duration(q.GetReturnMicros()) * time.Microsecond,
+		UrgentLimit:  time.Duration(q.GetUrgentMicros()) * time.Microsecond,
 		MaxPause:     time.Duration(q.GetPauseMicros()) * time.Microsecond,
 		Elapsed:      time.Duration(q.GetElapsedMicros()) * time.Microsecond,
 	}
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -103,9 +103,9 @@
 	r.OutputTokens = q.call.MaxOutputTokens
 	r.Target = q.route.LatencyTarget() - now.Sub(q.received)
 	r.QueueLimit = q.config.QueueLimit(q.route, q.organisation, q.service.Name())
+	r.UrgentLimit = q.config.LongestQueueLimit(q.service.Name())
 	r.MaxPause = q.route.EventGapTarget()
 	if r.Retried {
-		r.ReturnLimit = q.config.LongestQueueLimit(q.service.Name())
 		r.Elapsed = q.route.Timeout() - q.call.Deadline
 		r.Target -= r.Elapsed
 	}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -93,9 +93,9 @@
 func (l *Loader) queueTimeLocked(o *ownedEndpoint, now time.Time) time.Duration {
 	id := o.endpoint.ID()
 	queue := l.speeds.ReadTime(id, l.queuedTokensLocked(o, now), now)
-	if since, waiting := l.inFlight.stalledSince(id); waiting {
+	if p, busy := l.inFlight.readingOf(id); busy {
 		expected := l.speeds.FirstToken(id, l.inFlight.prefillTokens(id), now)
-		queue += max(now.Sub(since)-expected-stallMargin, 0)
+		queue += max(now.Sub(p.progressAt)-expected-stallMargin, 0)
 	}
 	return queue
 }
@@ -111,13 +111,16 @@
 		MaxPause:   w.MaxPause,
 		Returned:   w.Retried && l.returns.IsDue(now, w.Elapsed),
 
-		ReturnLimit: w.ReturnLimit,
+		ReturnLimit: w.UrgentLimit,
 	}
 	centre := home.endpoint.DataCentre()
 	holders := l.candidatesLocked(w, centre, denied, true, now)
 	d := balance.Choose(r, holders.list)
 	chosen := holders
 	if d.Reason != balance.InTime && w.Adapter.Name != "" {
+		if len(holders.list) == 0 && !l.mayUseSlotLocked(w, centre, now) {
+			return l.refuseSlotLocked(w, r, now), nil, nil
+		}
 		if all := l.candidatesLocked(w, centre, denied, false, now); len(all.list) > 0 {
 			chosen = all
 			d = balance.Choose(r, all.list)
@@ -186,6 +189,51 @@
 	return p
 }
 
+// mayUseSlotLocked reports whether a request may have its adapter loaded. The last free slots of a data centre are kept
+// for more urgent requests: a stream of a less urgent one may keep a slot in use for many times as long as theirs.
+func (l *Loader) mayUseSlotLocked(w *waiter, centre string, now time.Time) bool {
+	if w.QueueLimit >= w.UrgentLimit || w.UrgentLimit <= 0 {
+		return true
+	}
+	return l.slotUseLocked(centre, now) <= float64(w.QueueLimit)/float64(w.UrgentLimit)
+}
+
+// slotUseLocked returns the part of the adapter slots of a data centre that are in use or being filled.
+func (l *Loader) slotUseLocked(centre string, now time.Time) float64 {
+	taken, slots := 0, 0
+	for _, o := range l.owned {
+		g := l.engineSpec(o.endpoint)
+		if g == nil || o.endpoint.DataCentre() != centre || !o.isAvailable(now) {
+			continue
+		}
+		slots += g.AdapterCapacity(o.models)
+		for a, s := range o.slots {
+			if !s.ready || !l.isIdleLocked(o, a, s, now) {
+				taken++
+			}
+		}
+	}
+	return float64(taken) / float64(max(slots, 1))
+}
+
+// refuseSlotLocked refuses a request for which no slot is left.
+func (l *Loader) refuseSlotLocked(w *waiter, r balance.Request, now time.Time) forward.PlacementResult {
+	l.decisions[reasonSlotsKept]++
+	l.countRequestsLocked(w.Adapter, 1, now)
+	return l.refuseLoadLocked(r, forward.PlacementResult{RetryAfter: l.slotWaitAnywhereLocked(now) + l.coldLoadTime + retryMargin, Reason: reasonSlotsKept})
+}
+
+const reasonSlotsKept = "free adapter slots are kept for more urgent requests"
+
+// slotWaitAnywhereLocked estimates from the recent rate at which adapters become idle when the next slot is free.
+func (l *Loader) slotWaitAnywhereLocked(now time.Time) time.Duration {
+	rate := l.idleTransitions.Rate(now, idleRateHalfLife)
+	if rate <= 0 {
+		return maxSlotWait
+	}
+	return min(time.Duration(float64(time.Second)/rate), maxSlotWait)
+}
+
 // returnFraction is the part of a caller's remaining time after which it comes back at the latest, whatever it
 // was told.
 const returnFraction = 1.0 / 3
@@ -263,6 +311,9 @@
 	c.Queue = l.queueTimeLocked(o, now)
 	c.Own = l.speeds.FirstToken(id, w.PromptTokens, now)
 	c.Pause = l.speeds.Pause(id, now)
+	if p, busy := l.inFlight.readingOf(id); busy {
+		c.Busy = now.Sub(p.since)
+	}
 	if g := l.engineSpec(o.endpoint); g != nil && g.MemoryTokens > 0 {
 		_, granted := o.granted()
 		c.Memory = g.MemoryTokens
--- a/placement/inflight.go
+++ b/placement/inflight.go
@@ -14,7 +14,13 @@
 	boxes     map[string]boxUsage
 	endpoints map[string]workload
 	adapters  map[placementKey]workload // per endpoint and adapter
-	readAt    map[string]time.Time      // by endpoint with unprocessed prompts: when one was last processed, or the first arrived
+	reading   map[string]reading        // by endpoint with unprocessed prompts
+}
+
+// reading says since when an endpoint processes prompts.
+type reading struct {
+	since      time.Time // it had none before
+	progressAt time.Time // when one was last processed, or since
 }
 
 // workload is a number of requests in progress.
@@ -31,7 +37,7 @@
 }
 
 func newInFlightTable() inFlightTable {
-	return inFlightTable{boxes: make(map[string]boxUsage), endpoints: make(map[string]workload), adapters: make(map[placementKey]workload), readAt: make(map[string]time.Time)}
+	return inFlightTable{boxes: make(map[string]boxUsage), endpoints: make(map[string]workload), adapters: make(map[placementKey]workload), reading: make(map[string]reading)}
 }
 
 // endpointRequests returns how many requests of all boxes are in progress at an endpoint.
@@ -45,19 +51,23 @@
 // memoryTokens returns how many tokens the requests in progress at an endpoint may hold in its memory.
 func (r *inFlightTable) memoryTokens(endpoint string) int { return r.endpoints[endpoint].memoryTokens }
 
-// stalledSince returns since when an endpoint has processed none of its prompts; false: it has none.
-func (r *inFlightTable) stalledSince(endpoint string) (time.Time, bool) {
-	at, waiting := r.readAt[endpoint]
-	return at, waiting && r.prefillTokens(endpoint) > 0
+// readingOf returns since when an endpoint processes prompts; false: it has none.
+func (r *inFlightTable) readingOf(endpoint string) (reading, bool) {
+	p, busy := r.reading[endpoint]
+	return p, busy
 }
 
-// recordProgress updates readAt after a report that changed an endpoint's prompt tokens.
+// recordProgress updates reading after a report that changed an endpoint's prompt tokens.
 func (r *inFlightTable) recordProgress(endpoint string, before int, now time.Time) {
+	p, busy := r.reading[endpoint]
 	switch after := r.prefillTokens(endpoint); {
 	case after <= 0:
-		delete(r.readAt, endpoint)
-	case after < before, before <= 0:
-		r.readAt[endpoint] = now
+		delete(r.reading, endpoint)
+	case !busy:
+		r.reading[endpoint] = reading{since: now, progressAt: now}
+	case after < before:
+		p.progressAt = now
+		r.reading[endpoint] = p
 	}
 }
 
@@ -115,6 +125,9 @@
 	if r.endpoints[k.endpoint] = e; e == (workload{}) {
 		delete(r.endpoints, k.endpoint)
 	}
+	if e.prefillTokens <= 0 {
+		delete(r.reading, k.endpoint)
+	}
 }
 
 func (a workload) plus(b workload) workload {
