--- a/placement/balance.go
+++ b/placement/balance.go
@@ -118,7 +118,7 @@
 	d := balance.Choose(r, holders.list)
 	chosen := holders
 	if d.Reason != balance.InTime && w.Adapter.Name != "" {
-		if len(holders.list) == 0 && !l.mayUseSlotLocked(w, centre, now) {
+		if len(holders.list) == 0 && !l.mayUseSlotLocked(w, r, centre, now) {
 			return l.refuseSlotLocked(w, r, now), nil, nil
 		}
 		if all := l.candidatesLocked(w, centre, denied, false, now); len(all.list) > 0 {
@@ -169,33 +169,46 @@
 func (l *Loader) refuseBusyLocked(w *waiter, r balance.Request, d balance.Decision, chosen candidates, now time.Time) forward.PlacementResult {
 	l.decisions[d.Reason.String()]++
 	p := forward.PlacementResult{Busy: true, Reason: d.Reason.String()}
-	work := l.speeds.FirstToken("", w.PromptTokens, now)
-	after, offered := l.returns.Assign(now, d.Relief+retryMargin, work, time.Duration(returnFraction*float64(r.MaxWait)), len(chosen.list))
+	l.setRetryLocked(&p, r, &l.returns, d.Relief, l.speeds.FirstToken("", w.PromptTokens, now), len(chosen.list), now)
+	return p
+}
+
+// setRetryLocked sets when a refused caller should come back. If that is later than it can use, it is told that there is
+// no room, and comes back at its own choice at the end of its time.
+func (l *Loader) setRetryLocked(p *forward.PlacementResult, r balance.Request, returns *balance.Returns, relief, work time.Duration, servers int, now time.Time) {
+	after, offered := returns.Assign(now, relief+retryMargin, work, time.Duration(returnFraction*float64(r.MaxWait)), servers)
 	if !offered {
-		p.RetryAfter, p.Reason = max(r.MaxWait, retryMargin), p.Reason+": no room in time"
-		return p
+		after = max(r.MaxWait, retryMargin)
+		p.Reason += noRoomSuffix
 	}
 	p.RetryAfter = after
-	return p
 }
 
+// noRoomSuffix is added to the reason of a refusal whose caller can't be served in the time that it has.
+const noRoomSuffix = ": no room in time"
+
 // refuseLoadLocked completes the refusal of a request whose load would be too late.
 func (l *Loader) refuseLoadLocked(r balance.Request, p forward.PlacementResult) forward.PlacementResult {
 	l.decisions[balance.LoadTooLate.String()]++
 	p.Busy = true
 	if p.RetryAfter > time.Duration(returnFraction*float64(r.MaxWait)) {
-		p.RetryAfter, p.Reason = max(min(p.RetryAfter, r.MaxWait), retryMargin), p.Reason+": no room in time"
+		p.RetryAfter, p.Reason = max(r.MaxWait, retryMargin), p.Reason+noRoomSuffix
 	}
 	return p
 }
 
 // mayUseSlotLocked reports whether a request may have its adapter loaded. The last free slots of a data centre are kept
-// for more urgent requests: a stream of a less urgent one may keep a slot in use for many times as long as theirs.
-func (l *Loader) mayUseSlotLocked(w *waiter, centre string, now time.Time) bool {
+// for more urgent requests: a stream of a less urgent one may keep a slot in use for many times as long as theirs. A
+// request that returned as it was asked to may use half of what is kept.
+func (l *Loader) mayUseSlotLocked(w *waiter, r balance.Request, centre string, now time.Time) bool {
 	if w.QueueLimit >= w.UrgentLimit || w.UrgentLimit <= 0 {
 		return true
 	}
-	return l.slotUseLocked(centre, now) <= float64(w.QueueLimit)/float64(w.UrgentLimit)
+	allowed := float64(w.QueueLimit) / float64(w.UrgentLimit)
+	if r.Returned {
+		allowed += (1 - allowed) / 2
+	}
+	return l.slotUseLocked(centre, now) <= allowed
 }
 
 // slotUseLocked returns the part of the adapter slots of a data centre that are in use or being filled.
@@ -216,11 +229,15 @@
 	return float64(taken) / float64(max(slots, 1))
 }
 
-// refuseSlotLocked refuses a request for which no slot is left.
+// refuseSlotLocked refuses a request for which no slot is left. Callers are asked to return at the rate at which slots
+// become free for them.
 func (l *Loader) refuseSlotLocked(w *waiter, r balance.Request, now time.Time) forward.PlacementResult {
 	l.decisions[reasonSlotsKept]++
 	l.countRequestsLocked(w.Adapter, 1, now)
-	return l.refuseLoadLocked(r, forward.PlacementResult{RetryAfter: l.slotWaitAnywhereLocked(now) + l.coldLoadTime + retryMargin, Reason: reasonSlotsKept})
+	p := forward.PlacementResult{Busy: true, Reason: reasonSlotsKept}
+	wait := l.slotWaitAnywhereLocked(now)
+	l.setRetryLocked(&p, r, &l.slotReturns, wait+l.coldLoadTime, wait, 1, now)
+	return p
 }
 
 const reasonSlotsKept = "free adapter slots are kept for more urgent requests"
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -56,7 +56,8 @@
 	loadLimiter        loadLimiter            // limits loads of adapters
 	inFlight           inFlightTable          // requests in progress, as reported by the boxes
 	speeds             balance.Speeds         // of the endpoints that are balanced by work
-	returns            balance.Returns        // of callers that were refused there
+	returns            balance.Returns        // of callers that were refused there because of queues or memory
+	slotReturns        balance.Returns        // of callers that were refused because no adapter slot was left
 	decisions          map[string]int64       // for requests that are balanced by work, by reason
 	idleTransitions    policy.DecayingCounter // adapters that became idle
 	meanWorth          map[int]float64        // by priority, smoothed over recent requests
