--- a/placement/balance.go
+++ b/placement/balance.go
@@ -100,9 +100,24 @@
 	return queue
 }
 
+// ownsAnyLocked reports whether this box gives orders to an endpoint of a data centre.
+func (l *Loader) ownsAnyLocked(centre string) bool {
+	for _, o := range l.owned {
+		if o.phase == owning && o.endpoint.DataCentre() == centre {
+			return true
+		}
+	}
+	return false
+}
+
 // balanceLocked answers a request that is balanced by work, or returns a channel to wait on and the endpoint of the load
-// that it waits for.
-func (l *Loader) balanceLocked(home *ownedEndpoint, w *waiter, denied *ownedEndpoint, now, limit time.Time) (forward.PlacementResult, <-chan struct{}, *ownedEndpoint) {
+// that it waits for. asked is the endpoint that the request names; nil: this box does not own it. Any endpoint of its data
+// centre may serve, so one that has just ended doesn't matter.
+func (l *Loader) balanceLocked(asked *ownedEndpoint, w *waiter, now, limit time.Time) (forward.PlacementResult, <-chan struct{}, *ownedEndpoint) {
+	var denied *ownedEndpoint
+	if w.NotLoaded {
+		denied = asked
+	}
 	elapsed := now.Sub(w.requestedAt)
 	r := balance.Request{
 		Target:     w.Target - elapsed,
@@ -113,7 +128,7 @@
 
 		ReturnLimit: w.UrgentLimit,
 	}
-	centre := home.endpoint.DataCentre()
+	centre := w.Endpoint.DataCentre()
 	holders := l.candidatesLocked(w, centre, denied, true, now)
 	d := balance.Choose(r, holders.list)
 	chosen := holders
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -138,6 +138,9 @@
 // tryPlaceLocked answers a request, or returns a channel to wait on and the endpoint of the load.
 func (l *Loader) tryPlaceLocked(w *waiter, now, limit time.Time) (forward.PlacementResult, <-chan struct{}, *ownedEndpoint) {
 	o := l.owned[w.Endpoint.ID()]
+	if w.Balance && l.ownsAnyLocked(w.Endpoint.DataCentre()) {
+		return l.balanceLocked(o, w, now, limit)
+	}
 	if o == nil || o.phase != owning {
 		return forward.PlacementResult{OwnerChanging: true, RetryAfter: l.settleDelayLocked(w.Endpoint, o, now), Reason: "the endpoint's owner has not settled"}, nil, nil
 	}
@@ -148,9 +151,6 @@
 	if w.NotLoaded {
 		denied = o
 	}
-	if w.Balance {
-		return l.balanceLocked(o, w, denied, now, limit)
-	}
 	if at, s := l.findHolderLocked(o, w, denied, now); s != nil {
 		if !s.ready {
 			p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, "it is being loaded")
