operator: keep the last complete round when calls end at the time limit

Cause: WaitForHead dropped a round that the time limit cut off only if ctx had ended by its own check. The transport and the daemons check the deadline too, so calls can fail with DeadlineExceeded just before. The incomplete round then replaced the result of the complete one: no daemon was behind, one was unreachable, and cairnctl follow exited with 3 where 6 (the configuration has moved on) is right. Change: a round also counts as cut off if one of its calls failed with DeadlineExceeded while the caller's limit was nearer than the call's own. It never replaces the result of a complete round.

--- a/operator/client.go
+++ b/operator/client.go
@@ -12,6 +12,8 @@
 
 	"cairnwick.example/daemon"
 	"cairnwick.example/wire"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // Client calls any number of daemons. Use New to create one.
@@ -39,6 +41,7 @@
 type Unreachable struct {
 	Address string
 	Cause   error
+	cutOff  bool // the call failed at the caller's time limit, before its own
 }
 
 func (c *Client) operatorClient(address string) wire.OperatorClient {
@@ -76,9 +79,13 @@
 func (c *Client) callEach(ctx context.Context, addresses []string, call func(ctx context.Context, address string) error) []Unreachable {
 	var unreachable []Unreachable
 	for _, a := range addresses {
+		limit, limited := ctx.Deadline()
+		limited = limited && time.Until(limit) < callTimeout
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		if err := call(callCtx, a); err != nil {
-			unreachable = append(unreachable, Unreachable{Address: a, Cause: err})
+			u := Unreachable{Address: a, Cause: err}
+			u.cutOff = limited && status.Code(err) == codes.DeadlineExceeded
+			unreachable = append(unreachable, u)
 		}
 		cancel()
 	}
--- a/operator/configuration.go
+++ b/operator/configuration.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cairnwick.example/catalog"
@@ -72,15 +73,10 @@
 func (c *Client) WaitForHead(ctx context.Context, addresses []string, head catalog.Head) (behind map[string]catalog.Head, unreachable []Unreachable) {
 	for {
 		found, failed := c.Heads(ctx, addresses)
-		if ctx.Err() != nil && len(behind)+len(unreachable) > 0 {
-			return behind, unreachable // of the previous round, since ctx ended during this one
-		}
-		unreachable = failed
-		behind = make(map[string]catalog.Head)
-		for a, h := range found {
-			if h.Digest() != head.Digest() && !h.DescendsFrom(head) {
-				behind[a] = h
-			}
+		// An incomplete round does not replace the result of a complete one.
+		if len(behind) == 0 || !isCutOff(ctx, failed) {
+			unreachable = failed
+			behind = headsBehind(found, head)
 		}
 		if len(behind) == 0 || ctx.Err() != nil {
 			return behind, unreachable
@@ -93,4 +89,21 @@
 	}
 }
 
+// isCutOff reports whether the time limit of ctx ended a round of calls. A call may fail at the
+// limit before ctx ends in this process: the daemon and the transport check the deadline too.
+func isCutOff(ctx context.Context, failed []Unreachable) bool {
+	return ctx.Err() != nil || slices.ContainsFunc(failed, func(u Unreachable) bool { return u.cutOff })
+}
+
+// headsBehind returns the heads that are neither the wanted one nor a successor of it.
+func headsBehind(found map[string]catalog.Head, want catalog.Head) map[string]catalog.Head {
+	behind := make(map[string]catalog.Head)
+	for a, h := range found {
+		if h.Digest() != want.Digest() && !h.DescendsFrom(want) {
+			behind[a] = h
+		}
+	}
+	return behind
+}
+
 const headPollInterval = 100 * time.Millisecond
