edge: split reports of limits, and don't confirm what is ignored

Cause: a leader applies at most maxReportedLimits limits of one message, but its reply confirmed the whole message, so the sender counted the rest as reported. Change: the sender splits a report into messages of at most that size. A leader does not confirm a larger one, as an older box may still send.

--- a/edge/limits_notify.go
+++ b/edge/limits_notify.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"cairnwick.example/clock"
@@ -12,7 +14,7 @@
 	"cairnwick.example/wire"
 )
 
-// maxReportedLimits bounds the number of limits that are accepted in one message.
+// maxReportedLimits bounds the number of limits in one message.
 const maxReportedLimits = 4096
 
 // run reports announced limits to the leaders, and removes the state of endpoints that are gone, until ctx ends.
@@ -83,26 +85,34 @@
 	return list, complete
 }
 
-// notifyLeader sends a report to one leader. It reports whether that box leads all the endpoints in it and
-// accepted it.
+// notifyLeader sends a report to one leader, in as many messages as it takes. It reports whether that box leads all
+// the endpoints in it and accepted it.
 func (s *limits) notifyLeader(ctx context.Context, u limitsReport) bool {
-	now := clock.Now()
-	q := &wire.LimitsRequest{Box: s.node.peers.box}
-	for id, w := range u.limits {
-		q.Words = append(q.Words, wire.NewLimitWord(id, w, now))
-	}
-	a := s.sendReport(ctx, u.leader, q, now)
-	if !a.GetLeads() {
-		return false
+	accepted := true
+	for ids := range slices.Chunk(slices.Collect(maps.Keys(u.limits)), maxReportedLimits) {
+		now := clock.Now()
+		q := &wire.LimitsRequest{Box: s.node.peers.box}
+		for _, id := range ids {
+			q.Words = append(q.Words, wire.NewLimitWord(id, u.limits[id], now))
+		}
+		if !s.sendReport(ctx, u.leader, q, now).GetLeads() {
+			accepted = false
+			continue
+		}
+		s.markReported(u.limits, ids)
 	}
+	return accepted
+}
+
+// markReported records that a leader accepted the limits of these endpoints, except for those that changed since.
+func (s *limits) markReported(sent map[string]ratelimit.Observation, ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, w := range u.limits {
-		if k := s.known[id]; k != nil && k.latest == w {
+	for _, id := range ids {
+		if k := s.known[id]; k != nil && k.latest == sent[id] {
 			k.unreported = false
 		}
 	}
-	return true
 }
 
 // sendReport delivers a request to a leader, which may be this box. If the call fails, Leads is false in the reply.
@@ -120,10 +130,12 @@
 	return a
 }
 
-// handleReport applies the limits that a box reports, for the endpoints that this box leads.
+// handleReport applies the limits that a box reports, for the endpoints that this box leads. A message with more than
+// maxReportedLimits is not confirmed, since the rest of it is ignored.
 func (s *limits) handleReport(q *wire.LimitsRequest, now time.Time) *wire.LimitsReply {
-	a := &wire.LimitsReply{Leads: true}
-	for _, w := range q.GetWords()[:min(len(q.GetWords()), maxReportedLimits)] {
+	words := q.GetWords()
+	a := &wire.LimitsReply{Leads: len(words) <= maxReportedLimits}
+	for _, w := range words[:min(len(words), maxReportedLimits)] {
 		if !s.leads(w.GetEndpoint(), now) {
 			a.Leads = false
 			continue
