Makefile: build cairnwick too

Cause: the commands blocked and restores of cairn-measure start bin/cairnwick, which make build left out. Change: cairnwick is one of PROGRAMS.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # SPDX-License-Identifier: Apache-2.0
 
-PROGRAMS = cairn-gateway cairn-scheduler cairnctl cairn-demo cairn-measure standin-engine standin-platform standin-proxy standin-service
+PROGRAMS = cairnwick cairn-gateway cairn-scheduler cairnctl cairn-demo cairn-measure standin-engine standin-platform standin-proxy standin-service
 
 STATICCHECK = honnef.co/go/tools/cmd/staticcheck@v0.8.2
 REVIVE = github.com/mgechev/revive@v1.17.0
