--- a/operator/print.go
+++ b/operator/print.go
@@ -20,7 +20,6 @@
 	wire.Reason_REASON_QUEUE_FULL:      "too many requests were waiting",
 	wire.Reason_REASON_LEAVING:         "the endpoint or the daemon was leaving",
 	wire.Reason_REASON_LOAD_FAILED:     "the adapter could not be loaded",
-	wire.Reason_REASON_NO_SLOT:         "every slot held an adapter in use",
 	wire.Reason_REASON_UNKNOWN_ADAPTER: "the scheduler's configuration did not contain the adapter",
 	wire.Reason_REASON_ENDPOINT_DOWN:   "the endpoint had not answered recently",
 	wire.Reason_REASON_NOT_READY:       "ownership of the endpoint was not established",
