--- a/e2e/pages_test.go
+++ b/e2e/pages_test.go
@@ -33,6 +33,47 @@
 	}
 }
 
+// Guards against man pages that lack options and commands which the programs have, or describe others.
+func TestManPagesNameAllOptions(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	option, command := regexp.MustCompile(`--[a-z][a-z-]*`), regexp.MustCompile(`(?m)^  ([a-z]+) +[a-z]`)
+	for _, program := range []string{"cairn-gateway", "cairn-scheduler", "cairnctl"} {
+		help := helpText(c, program)
+		var commands []string
+		if _, list, found := strings.Cut(help, "Commands:\n"); found {
+			for _, m := range command.FindAllStringSubmatch(list, -1) {
+				commands = append(commands, m[1])
+				help += helpText(c, program, m[1])
+			}
+		}
+		for _, m := range command.FindAllStringSubmatch(help, -1) { // also the commands of a command
+			commands = append(commands, m[1])
+		}
+		page := strings.ReplaceAll(readPage(c, filepath.Join("man", program+".1")), `\-`, "-")
+		for _, name := range commands {
+			c.Check(page, quicktest.Matches, `(?s).*\b`+name+`\b.*`)
+		}
+		described := uniqueMatches(option, page)
+		delete(described, "--base") // of the intent create
+		c.Check(described, quicktest.DeepEquals, uniqueMatches(option, help), quicktest.Commentf("%s", program))
+	}
+}
+
+func helpText(c *quicktest.C, program string, command ...string) string {
+	out, err := exec.Command(filepath.Join(binDir, program), append(command, "--help")...).Output()
+	c.Assert(err, quicktest.IsNil)
+	return string(out)
+}
+
+func uniqueMatches(e *regexp.Regexp, text string) map[string]bool {
+	found := make(map[string]bool)
+	for _, m := range e.FindAllString(text, -1) {
+		found[m] = true
+	}
+	return found
+}
+
 func TestMetricsPageIsCurrent(t *testing.T) {
 	c := quicktest.New(t)
 	f := startFleet(c, fleet.Spec{Centres: 1, Boxes: 1, Engines: 1, Adapters: 2})
