edge: bounds of the test of refused requests follow its measured duration

Cause: the test bounded the served requests for a sending of 6 s and a second more (140), while under load its sending takes longer. Eight runs on two cores beside busy processes took 6.5 to 9.1 s and served 19.9 to 20.3 requests a second, with a limit of 20: 129 in 6.5 s, 148 in 7.4 s, 183 in 9.1 s. Four of them failed, those of more than 7 s. Change: the bounds are computed from the measured times: at least 0.8 of the limit while sending (96 in 6 s, as before), at most the limit over the whole time and one second more (140 in 6 s, as before). The check of 8 s for 6 s of sending bounds the time after the last request to 2 s, also if the sending took longer.

--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -181,8 +181,16 @@
 // sendLoad sends requests to the boxes in turn, at a rate per second for a time span, and counts the responses by
 // status. A 503 response without a retry delay counts as status 0.
 func sendLoad(nodes []*Node, rate int, span time.Duration) map[int]int {
+	count, _ := sendTimedLoad(nodes, rate, span)
+	return count
+}
+
+// sendTimedLoad is like sendLoad and also returns how long the sending took. It takes longer than the time span if
+// this process gets too little processor time to keep the rate.
+func sendTimedLoad(nodes []*Node, rate int, span time.Duration) (count map[int]int, sending time.Duration) {
 	got := &answers{count: make(map[int]int)}
 	var all sync.WaitGroup
+	begun := time.Now()
 	tick := time.NewTicker(time.Second / time.Duration(rate))
 	defer tick.Stop()
 	for i := range int(span.Seconds() * float64(rate)) {
@@ -197,8 +205,9 @@
 			got.count[status]++
 		})
 	}
+	sending = time.Since(begun)
 	all.Wait()
-	return got.count
+	return got.count, sending
 }
 
 // Guards against boxes that ignore announced limits: one endpoint announced 9.4 requests a second and got 95 in 4 s,
@@ -232,10 +241,12 @@
 	}
 	sendLoad(nodes, 80, 500*time.Millisecond)
 	begun := time.Now()
-	got := sendLoad(nodes, 80, 6*time.Second)
-	c.Check(time.Since(begun) < 8*time.Second, quicktest.IsTrue)
-	served := got[http.StatusOK]
-	c.Check(served >= 2*limit*6*8/10 && served <= 2*limit*7, quicktest.IsTrue, quicktest.Commentf("%v", got))
+	got, sending := sendTimedLoad(nodes, 80, 6*time.Second)
+	elapsed := time.Since(begun)
+	c.Check(elapsed-sending < 2*time.Second, quicktest.IsTrue, quicktest.Commentf("%v after the last request", elapsed-sending))
+	served := float64(got[http.StatusOK])
+	least, most := 0.8*2*limit*sending.Seconds(), 2*limit*(elapsed.Seconds()+1)
+	c.Check(served >= least && served <= most, quicktest.IsTrue, quicktest.Commentf("%v in %v; %.0f to %.0f expected", got, elapsed, least, most))
 	c.Check(got[http.StatusOK]+got[http.StatusServiceUnavailable], quicktest.Equals, 80*6)
 	for _, e := range s.endpoints {
 		c.Check(e.maxInWindow() <= int(allowedRatio*limit*limitWindow.Seconds())+allowedExtra, quicktest.IsTrue, quicktest.Commentf("%d", e.maxInWindow()))
