--- a/measure/faults.go
+++ b/measure/faults.go
@@ -19,9 +19,16 @@
 
 // fault is one kind of failure at one place. Inject starts it and calm reverts it.
 type fault struct {
-	name   string
-	inject func(context.Context, int) error
-	revert func(context.Context, int) error
+	name    string
+	inject  func(context.Context, int) error
+	revert  func(context.Context, int) error
+	kills   string // the process that it kills, if any
+	freezes string // the process that it freezes, if any
+}
+
+// canFollow reports whether the fault can be injected while the other one is active: a killed process can't be frozen.
+func (f fault) canFollow(active fault) bool {
+	return f.name != active.name && (f.freezes == "" || f.freezes != active.kills)
 }
 
 // randomFault picks a random fault and a random place for it.
@@ -78,7 +85,8 @@
 func (r *faultRun) killDaemon(c, b int, role string) fault {
 	name := fleet.DaemonName(c, b, role)
 	return fault{
-		name: "kill " + name,
+		name:  "kill " + name,
+		kills: name,
 		inject: func(context.Context, int) error {
 			_ = r.fleet.Terminate(name, syscall.SIGKILL) // a killed process ends with an error
 			return nil
@@ -90,9 +98,10 @@
 func (r *faultRun) freezeDaemon(c, b int, role string) fault {
 	name := fleet.DaemonName(c, b, role)
 	return fault{
-		name:   "freeze " + name,
-		inject: func(context.Context, int) error { return r.fleet.Signal(name, syscall.SIGSTOP) },
-		revert: func(context.Context, int) error { return r.fleet.Signal(name, syscall.SIGCONT) },
+		name:    "freeze " + name,
+		freezes: name,
+		inject:  func(context.Context, int) error { return r.fleet.Signal(name, syscall.SIGSTOP) },
+		revert:  func(context.Context, int) error { return r.fleet.Signal(name, syscall.SIGCONT) },
 	}
 }
 
