--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -120,15 +120,38 @@
 
 // cmdMetric prints a metric of a box on the users' platform: metric edge1.1 edge_refusals.
 func cmdMetric(ts *testscript.TestScript, _ bool, args []string) {
-	c, b := parsePosition(ts, strings.TrimPrefix(args[0], "edge"))
-	raw, err := fleet.Get(context.Background(), "http://"+stateOf(ts).fleet.OperatorsAddress(c, b, "gateway")+"/metrics")
+	value, err := edgeMetric(ts, args[0], args[1])
 	ts.Check(err)
-	all := make(map[string]json.RawMessage)
-	ts.Check(json.Unmarshal(raw, &all))
-	if all[args[1]] == nil {
+	if value == "" {
 		ts.Fatalf("metric %s is missing", args[1])
 	}
-	fmt.Fprintf(ts.Stdout(), "%s\n", all[args[1]])
+	fmt.Fprintf(ts.Stdout(), "%s\n", value)
+}
+
+// cmdWaitMetric waits until a metric of a box on the users' platform has a value: waitmetric edge1.1 NAME VALUE.
+func cmdWaitMetric(ts *testscript.TestScript, _ bool, args []string) {
+	waitUntil(ts, 30*time.Second, args[1]+" of "+args[0]+" is not "+args[2], func() string {
+		value, err := edgeMetric(ts, args[0], args[1])
+		if err != nil {
+			return err.Error()
+		}
+		if value != args[2] {
+			return "it is " + value
+		}
+		return ""
+	})
+}
+
+// edgeMetric returns a metric of a box, such as edge1.1; empty if it is missing.
+func edgeMetric(ts *testscript.TestScript, box, name string) (string, error) {
+	c, b := parsePosition(ts, strings.TrimPrefix(box, "edge"))
+	raw, err := fleet.Get(context.Background(), "http://"+stateOf(ts).fleet.OperatorsAddress(c, b, "gateway")+"/metrics")
+	if err != nil {
+		return "", err
+	}
+	all := make(map[string]json.RawMessage)
+	err = json.Unmarshal(raw, &all)
+	return string(all[name]), err
 }
 
 // cmdSendLoad sends requests to boxes on the users' platform at a constant rate, with the boxes and the adapters
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -78,6 +78,7 @@
 			"send":             cmdSend,
 			"waitresponse":     cmdWaitResponse,
 			"metric":           cmdMetric,
+			"waitmetric":       cmdWaitMetric,
 			"sendload":         cmdSendLoad,
 			"reachableengines": cmdReachableEngines,
 			"waitterminations": cmdWaitTerminations,
