forward: bound the memory for request bodies and responses

Change: Gateway.MaxHeldBytes turns on the budget. Bodies are counted as their buffers grow and refused with 503 overloaded. Responses go through a responseBuffer; plain ones above 1 MB are relayed while they are read. A disconnected caller counts as caller_gone. Without a bound the code paths are those of before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -211,6 +211,9 @@
 		return g.relayStream(ctx, q, out, d, t, resp)
 	}
 	u := d.upstream
+	if out.buffer != nil {
+		return g.relayBuffered(ctx, q, out, u, t, resp)
+	}
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
 	failed := err != nil || len(body) > maxBufferedBody
 	u.recordOutcome(failed || resp.StatusCode >= http.StatusInternalServerError)
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -33,6 +33,7 @@
 	RetryLimits   func() RetryLimits                                       // of the settings in force
 	OnDraining    func(endpoint string)                                    // called once for each endpoint that announces draining in a response; nil: no callback
 	MaxInFlight   int                                                      // requests; more are refused
+	MaxHeldBytes  int64                                                    // bound of request bodies and responses together; zero: none
 	Log           logr.Logger
 	LogBacklogged func() bool // whether the log is behind: successes are not logged then
 	Stats         *Stats
@@ -43,6 +44,8 @@
 	watchOnce   sync.Once
 	watcher     *quarantine.Monitor // use watch
 	dataCentres dataCentres
+	heldOnce    sync.Once
+	held        *heldBytes // use heldBytes
 	inFlight    atomic.Int64
 	draining    atomic.Bool
 	sampleCount atomic.Uint64
@@ -70,6 +73,15 @@
 // Ends returns counts of the endpoints that ended under requests of this box.
 func (g *Gateway) Ends() quarantine.TerminationCounts { return g.watch().Counts() }
 
+// heldBytes returns the budget of the memory for callers.
+func (g *Gateway) heldBytes() *heldBytes {
+	g.heldOnce.Do(func() { g.held = newHeldBytes(g.MaxHeldBytes) })
+	return g.held
+}
+
+// HeldBytes returns the memory that this box uses for callers.
+func (g *Gateway) HeldBytes() HeldByteCounts { return g.heldBytes().counts() }
+
 // start sets the time from which this box earns its share of the extra retries.
 func (g *Gateway) start(now time.Time) {
 	g.mu.Lock()
@@ -127,6 +139,7 @@
 	q.connection.limitUnadmitted(clock.SystemTime(received))
 	out := &callerResponse{writer: w, isCallHeader: g.Protocol.IsCallHeader}
 	defer g.recoverPanic(out, q)
+	defer g.releaseBody(q)
 	if g.inFlight.Add(1) > int64(g.MaxInFlight) {
 		g.refuse(w, q, &Refusal{Code: CodeOverloaded, RetryAfter: overloadRetryAfter})
 		return
@@ -138,11 +151,19 @@
 	q.connection.limitResponse(clock.SystemTime(q.deadline))
 	ctx, cancel := context.WithDeadline(r.Context(), clock.SystemTime(q.deadline))
 	defer cancel()
+	if g.MaxHeldBytes > 0 {
+		out.buffer = newResponseBuffer(ctx, g.heldBytes(), w, clock.SystemTime(q.deadline).Add(writeGrace), cancel)
+		defer out.abandon()
+	}
 	f := g.chargeQuota(ctx, q)
 	if f == nil {
 		f = g.serve(ctx, q, out)
 		g.refundQuota(q)
 	}
+	if disconnected := out.finish(r.Context()); disconnected != nil {
+		g.respondFailure(r.Context(), out, q, disconnected) // not ctx, which the disconnection cancelled
+		return
+	}
 	if f != nil {
 		g.respondFailure(ctx, out, q, f)
 		return
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -117,6 +117,9 @@
 // Finished implements Run.
 func (noRun) Finished() {}
 
+// siteBound is the MaxHeldBytes of new sites. Only tests that don't run in parallel change it.
+var siteBound int64
+
 // testSite is a gateway with endpoints behind it.
 type testSite struct {
 	c       *quicktest.C
@@ -150,6 +153,7 @@
 		Unreachable:   func(string) bool { return false },
 		RetryLimits:   func() RetryLimits { return RetryLimits{Ratio: 0.2, Extra: 1e6, Window: 10 * time.Second} },
 		MaxInFlight:   100,
+		MaxHeldBytes:  siteBound,
 		Log:           logr.Discard(),
 		LogBacklogged: func() bool { return false },
 		Stats:         NewStats(),
--- a/forward/request.go
+++ b/forward/request.go
@@ -3,7 +3,6 @@
 package forward
 
 import (
-	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -32,6 +31,7 @@
 	organisation  *access.Organisation // nil: the route is public
 	charged       float64              // units of the organisation's quota for an execution that has not begun
 	body          []byte
+	heldBody      int64                  // bytes of body that count towards MaxHeldBytes
 	content       quarantine.Fingerprint // zero: the body has not been read
 	attempts      int                    // requests sent to endpoints
 	unsent        int                    // of these, those of which no byte was sent
@@ -138,16 +138,16 @@
 func (g *Gateway) readBody(w http.ResponseWriter, q *request) *Refusal {
 	q.connection.limitBodyRead(clock.SystemTime(q.deadline))
 	limit := q.config.Limits().MaxBodyBytes
-	var buffer bytes.Buffer
-	if n := q.inbound.ContentLength; n > 0 && n <= limit {
-		buffer.Grow(int(n))
-	}
-	_, err := buffer.ReadFrom(http.MaxBytesReader(w, q.inbound.Body, limit))
+	body, err := g.bufferBody(q, http.MaxBytesReader(w, q.inbound.Body, limit), limit)
 	if err == nil {
-		q.body = buffer.Bytes()
+		q.body = body
 		q.content = quarantine.NewFingerprint(q.inbound.Method, hostOf(q.inbound), q.inbound.RequestURI, q.organisationName(), q.body)
 		return nil
 	}
+	if err == errBodyRefused {
+		w.Header().Set("Connection", "close") // net/http reads the rest of the body before it responds otherwise
+		return &Refusal{Code: CodeOverloaded, RetryAfter: overloadRetryAfter, Detail: err.Error()}
+	}
 	if isBodyTooLarge(err) {
 		return &Refusal{Code: CodeBodyTooLarge}
 	}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -107,10 +107,14 @@
 func (s *eventRelay) copy(resp *http.Response, onEvent func()) error {
 	in := bufio.NewReaderSize(resp.Body, 4<<10)
 	var event []byte
+	defer s.out.holdPartial(0)
 	lineStart := 0 // start of the last line: a long one arrives in pieces
 	for {
 		chunk, err := in.ReadSlice('\n')
-		event = append(event, chunk...)
+		event = s.extend(event, chunk)
+		if s.out.callerGone {
+			return io.ErrClosedPipe
+		}
 		if len(event) > maxEventBytes {
 			return s.finish(resp, event, bufio.ErrBufferFull)
 		}
@@ -127,7 +131,7 @@
 		lineStart = 0
 		onEvent()
 		s.relay(resp, event)
-		event = event[:0]
+		event = s.reuse(event)
 		if s.out.callerGone {
 			return io.ErrClosedPipe
 		}
@@ -137,6 +141,29 @@
 	}
 }
 
+// maxReusedEvent is the largest buffer of an event that is kept for the next one, and that the box's bound does not
+// count, in bytes: as large as the buffer for reading.
+const maxReusedEvent = 4 << 10
+
+// extend appends to an incomplete event.
+func (s *eventRelay) extend(event, chunk []byte) []byte {
+	size := cap(event)
+	event = append(event, chunk...)
+	if cap(event) != size && cap(event) > maxReusedEvent {
+		s.out.holdPartial(cap(event))
+	}
+	return event
+}
+
+// reuse returns an empty buffer for the next event.
+func (s *eventRelay) reuse(event []byte) []byte {
+	if cap(event) <= maxReusedEvent {
+		return event[:0]
+	}
+	s.out.holdPartial(0)
+	return nil
+}
+
 // finish returns nil if the end of the body is the end of the stream. It flushes the events relayed
 // before.
 func (s *eventRelay) finish(resp *http.Response, partial []byte, err error) error {
