--- a/edge/listen.go
+++ b/edge/listen.go
@@ -54,6 +54,32 @@
 // listeners are the listening sockets of a box.
 type listeners struct{ callers, ready, peers, metrics net.Listener }
 
+// callerSendBuffer is the size of the kernel's buffer for what is sent to a caller, in bytes. The kernel grows the buffer to
+// megabytes by itself, for each caller that does not read; and a writer can go on only when a third of the buffer is
+// free, so that a slow caller with a large one seems to take nothing for many seconds. 128 KB allows 2.5 MB/s over a
+// round trip of 50 ms.
+const callerSendBuffer = 128 << 10
+
+// limitSendBuffers limits the send buffers of callers' connections if the box has a memory limit.
+func (n *Node) limitSendBuffers(l net.Listener) net.Listener {
+	if n.Settings.Limits.MemoryMB == 0 {
+		return l
+	}
+	return sendBufferListener{l}
+}
+
+// sendBufferListener limits the send buffers of the connections that it accepts.
+type sendBufferListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l sendBufferListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetWriteBuffer(callerSendBuffer) // fails only if the connection is already closed
+	}
+	return c, err
+}
+
 func (n *Node) listen() (listeners, error) {
 	var l listeners
 	for _, p := range []struct {
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -32,6 +32,7 @@
 	m.Set("edge_facts_ignored", expvar.Func(func() any { return n.ignored.report() }))
 	m.Set("edge_source_age", expvar.Func(func() any { return n.sourceAges() }))
 	m.Set("edge_held", expvar.Func(func() any { return n.gateway.InFlight() }))
+	m.Set("edge_held_bytes", expvar.Func(func() any { return n.gateway.HeldBytes() }))
 	m.Set("edge_config", expvar.Func(func() any { return n.configVersion() }))
 	m.Set("edge_endpoints", expvar.Func(func() any { return len(n.view.All()) }))
 	m.Set("edge_members", expvar.Func(func() any { return n.membersByState() }))
--- a/edge/node.go
+++ b/edge/node.go
@@ -63,8 +63,12 @@
 }
 
 const (
-	memoryLimitFraction   = 0.7 // fraction of the box's memory that is the garbage collector's soft limit
-	descriptorsPerRequest = 4   // file descriptors per request in flight: the caller's, the endpoint's, and spare ones
+	memoryLimitFraction = 0.7 // fraction of the box's memory that is the garbage collector's soft limit
+	// heldMemoryDivisor is the divisor that gives the share of the box's memory that request bodies and responses may
+	// use. The collector lets the heap double between two runs, so a quarter of live data takes up to half of the
+	// memory; the rest is left to connections, facts and metrics.
+	heldMemoryDivisor     = 4
+	descriptorsPerRequest = 4 // file descriptors per request in flight: the caller's, the endpoint's, and spare ones
 )
 
 // build creates the components and connects them.
@@ -122,6 +126,7 @@
 		RetryLimits:   func() forward.RetryLimits { return n.current.Load().Budget },
 		OnDraining:    n.departures.observe,
 		MaxInFlight:   max(s.Limits.Descriptors, descriptorsPerRequest*64) / descriptorsPerRequest,
+		MaxHeldBytes:  int64(s.Limits.MemoryMB) << 20 / heldMemoryDivisor,
 		Log:           n.Log,
 		LogBacklogged: n.Lines.Backlogged,
 		Stats:         forward.NewStats(),
@@ -226,7 +231,7 @@
 		n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run,
 		n.reader(Configuration).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
-		httpTask(n.gateway, listeners.callers, drainTime, max(n.Settings.Limits.Descriptors/callerConnDivisor, maxAuxiliaryConns)),
+		httpTask(n.gateway, n.limitSendBuffers(listeners.callers), drainTime, max(n.Settings.Limits.Descriptors/callerConnDivisor, maxAuxiliaryConns)),
 		httpTask(n.readinessHandler(), listeners.ready, drainTime, maxAuxiliaryConns),
 		httpTask(n.metrics(), listeners.metrics, drainTime, maxAuxiliaryConns),
 	}
