--- a/placement/balance.go
+++ b/placement/balance.go
@@ -7,6 +7,7 @@
 
 	"cairnwick.example/balance"
 	"cairnwick.example/forward"
+	"cairnwick.example/policy"
 	"cairnwick.example/topology"
 )
 
@@ -219,6 +220,9 @@
 	if w.QueueLimit >= w.UrgentLimit || w.UrgentLimit <= 0 {
 		return true
 	}
+	if n := l.slotRefusals[w.Adapter]; n != nil && n.Count(now, demandHalfLife) >= maxSlotRefusals {
+		return true
+	}
 	allowed := float64(w.QueueLimit) / float64(w.UrgentLimit)
 	if r.Returned {
 		allowed += (1 - allowed) / 2
@@ -249,12 +253,31 @@
 func (l *Loader) refuseSlotLocked(w *waiter, r balance.Request, now time.Time) forward.PlacementResult {
 	l.decisions[reasonSlotsKept]++
 	l.countRequestsLocked(w.Adapter, 1, now)
+	n := l.slotRefusals[w.Adapter]
+	if n == nil {
+		n = &policy.DecayingCounter{}
+		l.slotRefusals[w.Adapter] = n
+	}
+	n.Add(1, now, demandHalfLife)
 	p := forward.PlacementResult{Busy: true, Reason: reasonSlotsKept}
 	wait := l.slotWaitAnywhereLocked(now)
 	l.setRetryLocked(&p, r, &l.slotReturns, wait+l.coldLoadTime, wait, 1, now)
 	return p
 }
 
+// maxSlotRefusals is how many recent requests for an adapter are refused for want of a slot before one is let in, so that
+// an adapter which only less urgent callers ask for does not starve.
+const maxSlotRefusals = 1.5
+
+// pruneSlotRefusalsLocked drops adapters that were not refused for a long time.
+func (l *Loader) pruneSlotRefusalsLocked(now time.Time) {
+	for a, n := range l.slotRefusals {
+		if n.Count(now, demandHalfLife) < 0.1 {
+			delete(l.slotRefusals, a)
+		}
+	}
+}
+
 const reasonSlotsKept = "free adapter slots are kept for more urgent requests"
 
 // slotWaitAnywhereLocked estimates from the recent rate at which adapters become idle when the next slot is free.
--- a/placement/load.go
+++ b/placement/load.go
@@ -112,6 +112,7 @@
 		s.holdsPermit = true
 	}
 	s.done = make(chan struct{})
+	delete(l.slotRefusals, a)
 	o.loadsInFlight++
 	l.publishLocked(o)
 	l.Log.Info("Load begins", "adapter", a.String(), "adapter_version", version, "endpoint", o.endpoint.ID(),
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -52,19 +52,20 @@
 	owned              map[string]*ownedEndpoint // by endpoint
 	pendingLoads       map[placementKey]*pendingLoad
 	requestRates       map[topology.Adapter]*policy.DecayingCounter
-	modelLoadBucket    tokenBucket            // limits loads of base models
-	loadLimiter        loadLimiter            // limits loads of adapters
-	inFlight           inFlightTable          // requests in progress, as reported by the boxes
-	speeds             balance.Speeds         // of the endpoints that are balanced by work
-	returns            balance.Returns        // of callers that were refused there because of queues or memory
-	slotReturns        balance.Returns        // of callers that were refused because no adapter slot was left
-	decisions          map[string]int64       // for requests that are balanced by work, by reason
-	idleTransitions    policy.DecayingCounter // adapters that became idle
-	meanWorth          map[int]float64        // by priority, smoothed over recent requests
-	coldLoadTime       time.Duration          // smoothed time of a load from the store
-	warmLoadTime       time.Duration          // smoothed time of a load from an endpoint's host memory
-	cacheSize          int                    // estimated number of adapters that an endpoint's host memory caches
-	minLoadCost        time.Duration          // cost of a load at the cheapest endpoint, as of minLoadCostAt
+	modelLoadBucket    tokenBucket                                  // limits loads of base models
+	loadLimiter        loadLimiter                                  // limits loads of adapters
+	inFlight           inFlightTable                                // requests in progress, as reported by the boxes
+	speeds             balance.Speeds                               // of the endpoints that are balanced by work
+	returns            balance.Returns                              // of callers that were refused there because of queues or memory
+	slotReturns        balance.Returns                              // of callers that were refused because no adapter slot was left
+	slotRefusals       map[topology.Adapter]*policy.DecayingCounter // requests refused because free slots are kept, since the adapter's last load
+	decisions          map[string]int64                             // for requests that are balanced by work, by reason
+	idleTransitions    policy.DecayingCounter                       // adapters that became idle
+	meanWorth          map[int]float64                              // by priority, smoothed over recent requests
+	coldLoadTime       time.Duration                                // smoothed time of a load from the store
+	warmLoadTime       time.Duration                                // smoothed time of a load from an endpoint's host memory
+	cacheSize          int                                          // estimated number of adapters that an endpoint's host memory caches
+	minLoadCost        time.Duration                                // cost of a load at the cheapest endpoint, as of minLoadCostAt
 	minLoadCostKnown   bool
 	minLoadCostAt      time.Time
 	ownershipCheckedAt time.Time
@@ -88,6 +89,7 @@
 		l.loadLimiter = newLoadLimiter()
 		l.meanWorth = make(map[int]float64)
 		l.decisions = make(map[string]int64)
+		l.slotRefusals = make(map[topology.Adapter]*policy.DecayingCounter)
 		l.inFlight = newInFlightTable()
 		l.wake = make(chan struct{}, 1)
 		if l.Headroom == nil {
@@ -180,6 +182,7 @@
 		l.ownershipCheckedAt = now
 		l.inFlight.expire(now)
 		l.speeds.Prune(now)
+		l.pruneSlotRefusalsLocked(now)
 		if l.leavingSince.IsZero() {
 			tasks = l.updateOwnershipLocked(now)
 		} else {
