--- a/placement/balance.go
+++ b/placement/balance.go
@@ -137,9 +137,9 @@
 		if len(holders.list) == 0 && !l.mayUseSlotLocked(w, r, centre, now) {
 			return l.refuseSlotLocked(w, r, now), nil, nil
 		}
-		all := l.candidatesLocked(w, centre, denied, false, now)
-		if better := balance.Choose(r, all.list); better.Reason == balance.InTime || len(holders.list) == 0 {
-			chosen, d = all, better // a further copy is only loaded for a request that it serves in time
+		if all := l.candidatesLocked(w, centre, denied, false, now); len(all.list) > 0 {
+			chosen = all
+			d = balance.Choose(r, all.list)
 		}
 	}
 	if d.Index < 0 {
