balance: the relief of a refusal agrees with what refused it

Cause: the relief subtracted the whole queue limit, without the margin, the request's own prompt, the late fraction and the pause, so a caller that came back then met the same refusal. A prompt longer than MaxPause was refused by an endpoint without a queue too.

Change: relief is computed from the conditions of Choose, with the request's target and its caller's time running on. A refusal that no time relieves has a relief beyond the caller's time, so no retry is offered. A passed target is never in time. An endpoint without a queue takes a request also if its streams pause. The fuzz bound is three quarters of the target for a request in time and the caller's time for a late one (before: the longer of target and caller's time), and covers the pause.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -149,14 +149,24 @@
 	return time.Duration(targetMargin * float64(limit))
 }
 
-// mayQueue reports whether the request may join the queue of a candidate. Without a queue it always may.
-func (r Request) mayQueue(c Candidate, late bool) bool {
+// longestQueue returns the longest queue of a candidate that the request may join.
+func (r Request) longestQueue(c Candidate, late bool) time.Duration {
 	limit := r.queueLimit()
 	if late && !r.Returned {
 		limit = time.Duration(lateFraction * float64(limit))
 	}
-	own := min(max(c.Own, 0), time.Duration(ownFraction*float64(limit)))
-	return c.Queue <= 0 || add(c.Queue, own) <= limit
+	return limit - min(max(c.Own, 0), time.Duration(ownFraction*float64(limit)))
+}
+
+// mayQueue reports whether the request may join the queue of a candidate. Without a queue it always may.
+func (r Request) mayQueue(c Candidate, late bool) bool {
+	return c.Queue <= 0 || c.Queue <= r.longestQueue(c, late)
+}
+
+// pausesStreams reports whether the streams that run at a candidate would be late if it read the request's prompt too.
+// An endpoint without a queue takes the request all the same: waiting would not make the pause shorter.
+func (r Request) pausesStreams(c Candidate) bool {
+	return r.MaxPause > 0 && c.Queue > 0 && c.pause() > r.MaxPause
 }
 
 // Choose selects the candidate that serves a request soonest. A candidate is used within the request's
@@ -174,6 +184,9 @@
 
 // chooseInTime returns the candidate with the lowest cost among those within the target.
 func (r Request) chooseInTime(list []Candidate) (Decision, bool) {
+	if r.Target < 0 { // the margin of a time just below zero rounds to zero
+		return Decision{}, false
+	}
 	best := r.cheapest(list, time.Duration(targetMargin*float64(r.Target)), false)
 	if best < 0 {
 		return Decision{}, false
@@ -197,12 +210,9 @@
 func (r Request) cheapest(list []Candidate, within time.Duration, late bool) int {
 	best := -1
 	for i, c := range list {
-		if c.firstToken() > within || !r.mayQueue(c, late) || !c.hasRoom(late) {
+		if c.firstToken() > within || !r.mayQueue(c, late) || !c.hasRoom(late) || r.pausesStreams(c) {
 			continue
 		}
-		if r.MaxPause > 0 && c.pause() > r.MaxPause {
-			continue // the streams that run there would be late
-		}
 		if best < 0 || c.cost() < list[best].cost() {
 			best = i
 		}
@@ -214,16 +224,56 @@
 func (r Request) refuse(list []Candidate) Decision {
 	d := Decision{Index: -1, Reason: NoneAvailable}
 	for _, c := range list {
-		reason, relief := QueueTooLong, max(max(c.Queue, 0)-r.queueLimit(), c.firstToken()-max(r.MaxWait, 0))
-		switch {
-		case !c.hasRoom(c.firstToken() > r.Target):
-			reason, relief = MemoryFull, c.Queue
-		case c.Delay > 0 && add(c.Delay, max(c.Own, 0)) > r.MaxWait:
-			reason, relief = LoadTooLate, c.Delay
-		}
-		if relief = max(relief, 0); d.Reason == NoneAvailable || relief < d.Relief {
+		if reason, relief := r.relief(c); d.Reason == NoneAvailable || relief < d.Relief {
 			d.Reason, d.Relief = reason, relief
 		}
 	}
 	return d
 }
+
+// relief returns why a candidate refuses the request, and the time until it would take it. Its queue and its load become
+// shorter in that time, and so do the request's target and the time that its caller waits.
+func (r Request) relief(c Candidate) (Reason, time.Duration) {
+	first := c.firstToken()
+	timely, ok := r.timelyRelief(c)
+	if first <= r.MaxWait && c.hasRoom(true) {
+		if late := r.queueRelief(c, true); !ok || late < timely {
+			return QueueTooLong, late
+		}
+	}
+	switch {
+	case ok:
+		return QueueTooLong, timely
+	case c.Delay > 0 && add(c.Delay, max(c.Own, 0)) > r.MaxWait:
+		return LoadTooLate, c.Delay
+	case first > r.MaxWait: // for as long as the queue becomes shorter, the caller's time does too
+		return QueueTooLong, first
+	}
+	return MemoryFull, max(c.Queue, 0)
+}
+
+// queueRelief returns the time until the request may join the queue of a candidate, and the streams that run there are in time.
+func (r Request) queueRelief(c Candidate, late bool) time.Duration {
+	if r.pausesStreams(c) {
+		return c.Queue // the endpoint reads without a break until then
+	}
+	return max(max(c.Queue, 0)-r.longestQueue(c, late), 0)
+}
+
+// timelyRelief returns the time until a candidate serves the request within its target, or false if it never does. While
+// the queue or the load becomes shorter, the expected time falls faster than the part of the target that it may take.
+func (r Request) timelyRelief(c Candidate) (time.Duration, bool) {
+	if r.Target < 0 || !c.hasRoom(false) {
+		return 0, false
+	}
+	relief := r.queueRelief(c, false)
+	excess := float64(c.firstToken()) - targetMargin*float64(r.Target)
+	if excess <= 0 {
+		return relief, true
+	}
+	gain := math.Ceil(excess / (1 - targetMargin))
+	if gain > float64(max(c.Queue, c.Delay)) {
+		return 0, false
+	}
+	return max(relief, time.Duration(gain)), true
+}
--- a/balance/fuzz_test.go
+++ b/balance/fuzz_test.go
@@ -39,9 +39,9 @@
 		}
 		s.Changed("a", now.Add(time.Duration(wait)))
 		s.Prune(now.Add(time.Duration(took)))
-		r := Request{Target: time.Duration(target), QueueLimit: time.Duration(limit), MaxWait: time.Duration(wait), Returned: returned, ReturnLimit: time.Duration(delay)}
+		r := Request{Target: time.Duration(target), QueueLimit: time.Duration(limit), MaxWait: time.Duration(wait), MaxPause: time.Duration(age), Returned: returned, ReturnLimit: time.Duration(delay)}
 		list := []Candidate{
-			{Availability: Availability(prompts), Delay: time.Duration(delay), Queue: time.Duration(queue), Own: time.Duration(took), FreeMemory: int(tokens), Memory: int(prompts)},
+			{Availability: Availability(prompts), Delay: time.Duration(delay), Queue: time.Duration(queue), Own: time.Duration(took), Busy: time.Duration(delay), Pause: time.Duration(target), FreeMemory: int(tokens), Memory: int(prompts)},
 			{Availability: Loadable, Delay: time.Duration(queue), Queue: time.Duration(took), Own: time.Duration(delay)},
 			{Availability: Ready, Queue: s.ReadTime("a", int(tokens), now), Own: s.FirstToken("a", int(tokens), now)},
 		}
@@ -50,7 +50,11 @@
 			if d.FirstToken < 0 || d.Relief < 0 || d.Index >= n || d.Reason < InTime || d.Reason > NoneAvailable {
 				t.Fatalf("%+v from %+v and %+v", d, r, list[:n])
 			}
-			if d.Index >= 0 && (d.FirstToken > max(r.Target, r.MaxWait) || list[d.Index].Memory > 0 && list[d.Index].FreeMemory < 0) {
+			within := r.MaxWait
+			if d.Reason == InTime {
+				within = r.Target - r.Target/4 // targetMargin
+			}
+			if d.Index >= 0 && (float64(d.FirstToken) > float64(within) || list[d.Index].Memory > 0 && list[d.Index].FreeMemory < 0) {
 				t.Fatalf("%+v is beyond the bounds of %+v and %+v", d, r, list[:n])
 			}
 		}
