--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -42,7 +42,7 @@
 		}
 		c.Check(got, quicktest.Equals, want, quicktest.Commentf("%s", in))
 	}
-	c.Assert(cases > 30, quicktest.IsTrue)
+	c.Assert(cases > 60, quicktest.IsTrue)
 }
 
 func parseRequest(c *quicktest.C, s string) Request {
@@ -56,6 +56,8 @@
 			r.QueueLimit = parseTime(c, value)
 		case "wait":
 			r.MaxWait = parseTime(c, value)
+		case "pause":
+			r.MaxPause = parseTime(c, value)
 		case "returnlimit":
 			r.ReturnLimit = parseTime(c, value)
 		case "returned":
@@ -77,6 +79,8 @@
 			k.Availability = Ready
 		case "loading":
 			k.Availability = Loading
+		case "requested":
+			k.Availability = Requested
 		case "loadable":
 			k.Availability = Loadable
 		case "delay":
@@ -85,6 +89,10 @@
 			k.Queue = parseTime(c, value)
 		case "own":
 			k.Own = parseTime(c, value)
+		case "busy":
+			k.Busy = parseTime(c, value)
+		case "pause":
+			k.Pause = parseTime(c, value)
 		case "free":
 			k.FreeMemory, err = strconv.Atoi(value)
 		case "memory":
