--- a/balance/load_test.go
+++ b/balance/load_test.go
@@ -141,6 +141,48 @@
 	}
 }
 
+// chooseLateUpToLimit is Choose without lateFraction: late requests may queue as long as those in time.
+func chooseLateUpToLimit(r Request, list []Candidate) Decision {
+	d := Choose(r, list)
+	if d.Reason == InTime || r.Returned {
+		return d
+	}
+	late := r
+	late.Target, late.QueueLimit = -1, time.Duration(float64(r.QueueLimit)/lateFraction)
+	if l := Choose(late, list); l.Index >= 0 {
+		return l
+	}
+	return d
+}
+
+// Guards against late requests that keep queues at their limit, so that every request is late. At loads below 2 few
+// requests are late and the two differ by chance, by up to 0.4% over four seeds; from 2 on more must be in time.
+func TestLateRequestsCostNoneInTime(t *testing.T) {
+	c := quicktest.New(t)
+	for _, load := range []float64{1.2, 1.5, 2, 3} {
+		var timely, before int
+		for seed := range uint64(4) {
+			count := func(choose func(Request, []Candidate) Decision) int {
+				s := &stepper{kinds: threeKinds, rate: steady(load), length: 40 * time.Second, delay: 100 * time.Millisecond, seed: seed, choose: choose}
+				n, timely := 0, inTime(threeKinds)
+				for _, k := range s.run() {
+					if timely(k) {
+						n++
+					}
+				}
+				return n
+			}
+			timely, before = timely+count(Choose), before+count(chooseLateUpToLimit)
+		}
+		c.Logf("load %.1f: %d in time, %d if late requests queue up to the limit", load, timely, before)
+		enough := timely > before
+		if load < 2 {
+			enough = float64(timely) >= 0.99*float64(before)
+		}
+		c.Check(enough, quicktest.IsTrue, quicktest.Commentf("load %.1f: %d in time, %d before", load, timely, before))
+	}
+}
+
 // Guards against retry times that promise room which new requests take.
 func TestCallersThatReturnAsAskedAreServedAfterAFlood(t *testing.T) {
 	c := quicktest.New(t)
--- a/balance/speed_test.go
+++ b/balance/speed_test.go
@@ -122,3 +122,27 @@
 	c.Check((queue+rest-s.FirstToken("endpoint-0", 8000, now)).Abs() < time.Microsecond, quicktest.IsTrue)
 	c.Check(s.ReadTime("endpoint-0", 3000, now) < s.FirstToken("endpoint-0", 3000, now), quicktest.IsTrue)
 }
+
+// Guards against an endpoint that fails requests at once and thereby looks fast, against failures that change the
+// predictions for other endpoints, and against an endpoint that failed and is never tried again.
+func TestFailedRequestsCountAsSlowOnes(t *testing.T) {
+	c := quicktest.New(t)
+	var failed, slow Speeds
+	now := observe(&failed, start, 20, ordinary(20))
+	_ = observe(&slow, start, 20, ordinary(20))
+	before, own := failed.FirstToken("endpoint-1", 3000, now), failed.Slowdown("endpoint-0", now)
+	for _, count := range []int{0, -1, maxPrompts + 1, math.MaxInt, math.MinInt} {
+		failed.ObserveFailures("endpoint-0", count, now)
+		c.Check(failed.Slowdown("endpoint-0", now), quicktest.Equals, own, quicktest.Commentf("%d failures", count))
+	}
+	failed.ObserveFailures("endpoint-0", 10, now)
+	took := time.Duration(10 * maxSlowdownRatio * slow.model.predict(2000) * float64(time.Second))
+	slow.Observe("endpoint-0", Observation{Prompts: 10, Tokens: 10 * 2000, Took: took}, now)
+	ratio := failed.Slowdown("endpoint-0", now) / slow.Slowdown("endpoint-0", now)
+	c.Check(ratio > 0.99 && ratio < 1.01, quicktest.IsTrue, quicktest.Commentf("%.3f of a slow one's", ratio))
+	c.Check(failed.Slowdown("endpoint-0", now) > slowThreshold, quicktest.IsTrue, quicktest.Commentf("%.2f", failed.Slowdown("endpoint-0", now)))
+	c.Check(failed.FirstToken("endpoint-1", 3000, now), quicktest.Equals, before)
+	c.Check(failed.Slowdown("endpoint-0", now.Add(10*time.Second)) < recoverThreshold, quicktest.IsTrue)
+	failed.ObserveFailures("new", 1, now)
+	c.Check(failed.Slowdown("new", now) > 1.9, quicktest.IsTrue, quicktest.Commentf("%.2f", failed.Slowdown("new", now)))
+}
--- a/balance/stepper_test.go
+++ b/balance/stepper_test.go
@@ -63,6 +63,7 @@
 	replaceAt time.Duration                 // when a new decider without speeds starts; zero: never
 	length    time.Duration
 	seed      uint64
+	choose    func(Request, []Candidate) Decision // nil: Choose
 
 	now     time.Time
 	rand    *rand.Rand
@@ -147,7 +148,7 @@
 		queue, own := s.speeds.Predict(name(e), ahead[i], c.tokens, s.now)
 		list[i] = Candidate{Availability: Ready, Queue: queue, Own: own}
 	}
-	d := Choose(r, list[:])
+	d := s.decideBy(r, list[:])
 	c.reason = d.Reason
 	c.at = s.now
 	s.calls = append(s.calls, c)
@@ -166,6 +167,14 @@
 	*w = append(*w, c)
 }
 
+// decideBy asks the decision function that the run uses.
+func (s *stepper) decideBy(r Request, list []Candidate) Decision {
+	if s.choose != nil {
+		return s.choose(r, list)
+	}
+	return Choose(r, list)
+}
+
 // step ends the prompt that an endpoint has read, and begins the next.
 func (s *stepper) step(e *reader) {
 	if e.reading != nil {
