balance: Choose computes its queue bound once

Cause: each candidate was copied several times, and its bounds, which are the same for all candidates, were computed again from floats.

Change: the queue bound is computed once for a choice, candidates are passed by pointer, and those that cost no less than the best so far are skipped first. The explicit case of no queue is gone: the bound is never below zero.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -45,12 +45,12 @@
 }
 
 // firstToken returns the expected time to first token.
-func (c Candidate) firstToken() time.Duration {
+func (c *Candidate) firstToken() time.Duration {
 	return add(max(c.Delay, c.Queue, 0), max(c.Own, 0))
 }
 
 // cost returns the expected time to first token, plus what a load that isn't under way has to save.
-func (c Candidate) cost() time.Duration {
+func (c *Candidate) cost() time.Duration {
 	if c.Availability == Loadable {
 		return add(c.firstToken(), loadPenalty)
 	}
@@ -71,12 +71,12 @@
 
 // pause returns the longest time between two events of the streams that run at the endpoint if it reads the request's
 // prompt too: a long time without a break, but not beyond its length, since events come between the parts of prompts.
-func (c Candidate) pause() time.Duration {
+func (c *Candidate) pause() time.Duration {
 	return min(c.Pause, add(max(c.Busy, 0), add(max(c.Queue, 0), max(c.Own, 0))))
 }
 
 // hasRoom reports whether the request fits the endpoint's memory.
-func (c Candidate) hasRoom(late bool) bool {
+func (c *Candidate) hasRoom(late bool) bool {
 	if c.Memory <= 0 {
 		return true
 	}
@@ -149,23 +149,28 @@
 	return time.Duration(targetMargin * float64(limit))
 }
 
-// longestQueue returns the longest queue of a candidate that the request may join.
-func (r Request) longestQueue(c Candidate, late bool) time.Duration {
+// queueBound is the longest queue that a request may join: the limit, less its own prompt up to a part of the limit. It is
+// never negative, so a request may always join an endpoint without a queue.
+type queueBound struct {
+	limit, maxOwn time.Duration
+}
+
+func (r Request) queueBound(late bool) queueBound {
 	limit := r.queueLimit()
 	if late && !r.Returned {
 		limit = time.Duration(lateFraction * float64(limit))
 	}
-	return limit - min(max(c.Own, 0), time.Duration(ownFraction*float64(limit)))
+	return queueBound{limit: limit, maxOwn: time.Duration(ownFraction * float64(limit))}
 }
 
-// mayQueue reports whether the request may join the queue of a candidate. Without a queue it always may.
-func (r Request) mayQueue(c Candidate, late bool) bool {
-	return c.Queue <= 0 || c.Queue <= r.longestQueue(c, late)
+// longestQueue returns the longest queue of a candidate that the request may join.
+func (b queueBound) longestQueue(c *Candidate) time.Duration {
+	return b.limit - min(max(c.Own, 0), b.maxOwn)
 }
 
 // pausesStreams reports whether the streams that run at a candidate would be late if it read the request's prompt too.
 // An endpoint without a queue takes the request all the same: waiting would not make the pause shorter.
-func (r Request) pausesStreams(c Candidate) bool {
+func (r Request) pausesStreams(c *Candidate) bool {
 	return r.MaxPause > 0 && c.Queue > 0 && c.pause() > r.MaxPause
 }
 
@@ -191,7 +196,7 @@
 	if best < 0 {
 		return Decision{}, false
 	}
-	c := list[best]
+	c := &list[best]
 	busy := c.Queue > time.Duration(copyThreshold*float64(r.QueueLimit))
 	return Decision{Index: best, Reason: InTime, FirstToken: c.firstToken(), AddCopy: busy}, true
 }
@@ -208,13 +213,15 @@
 
 // cheapest returns the index of the candidate with the lowest cost that serves the request within the given time, or -1.
 func (r Request) cheapest(list []Candidate, within time.Duration, late bool) int {
-	best := -1
-	for i, c := range list {
-		if c.firstToken() > within || !r.mayQueue(c, late) || !c.hasRoom(late) || r.pausesStreams(c) {
+	best, lowest := -1, time.Duration(0)
+	bound := r.queueBound(late)
+	for i := range list {
+		c := &list[i]
+		if best >= 0 && c.cost() >= lowest {
 			continue
 		}
-		if best < 0 || c.cost() < list[best].cost() {
-			best = i
+		if c.firstToken() <= within && c.Queue <= bound.longestQueue(c) && c.hasRoom(late) && !r.pausesStreams(c) {
+			best, lowest = i, c.cost()
 		}
 	}
 	return best
@@ -223,8 +230,8 @@
 // refuse returns the refusal with the reason of the candidate that would serve first.
 func (r Request) refuse(list []Candidate) Decision {
 	d := Decision{Index: -1, Reason: NoneAvailable}
-	for _, c := range list {
-		if reason, relief := r.relief(c); d.Reason == NoneAvailable || relief < d.Relief {
+	for i := range list {
+		if reason, relief := r.relief(&list[i]); d.Reason == NoneAvailable || relief < d.Relief {
 			d.Reason, d.Relief = reason, relief
 		}
 	}
@@ -233,7 +240,7 @@
 
 // relief returns why a candidate refuses the request, and the time until it would take it. Its queue and its load become
 // shorter in that time, and so do the request's target and the time that its caller waits.
-func (r Request) relief(c Candidate) (Reason, time.Duration) {
+func (r Request) relief(c *Candidate) (Reason, time.Duration) {
 	first := c.firstToken()
 	timely, ok := r.timelyRelief(c)
 	if first <= r.MaxWait && c.hasRoom(true) {
@@ -253,16 +260,16 @@
 }
 
 // queueRelief returns the time until the request may join the queue of a candidate, and the streams that run there are in time.
-func (r Request) queueRelief(c Candidate, late bool) time.Duration {
+func (r Request) queueRelief(c *Candidate, late bool) time.Duration {
 	if r.pausesStreams(c) {
 		return c.Queue // the endpoint reads without a break until then
 	}
-	return max(max(c.Queue, 0)-r.longestQueue(c, late), 0)
+	return max(max(c.Queue, 0)-r.queueBound(late).longestQueue(c), 0)
 }
 
 // timelyRelief returns the time until a candidate serves the request within its target, or false if it never does. While
 // the queue or the load becomes shorter, the expected time falls faster than the part of the target that it may take.
-func (r Request) timelyRelief(c Candidate) (time.Duration, bool) {
+func (r Request) timelyRelief(c *Candidate) (time.Duration, bool) {
 	if r.Target < 0 || !c.hasRoom(false) {
 		return 0, false
 	}
