balance: cached slowdowns keep their time as an integer

Cause: half of a prediction's time went into time.Time.Sub, which has to tell monotonic from other times and to bound the result.

Change: the time of the cached factor is held in nanoseconds of Unix time.

--- a/balance/speed.go
+++ b/balance/speed.go
@@ -39,7 +39,7 @@
 	reported  bool // as slow
 
 	cached   float64 // factor at cachedAt; zero: not known
-	cachedAt time.Time
+	cachedAt int64   // nanoseconds of Unix time, since comparing a time.Time takes longer than the rest of a prediction
 }
 
 // factorInterval is how long a computed factor is used again: it decays by less than 0.4% in this time, and
@@ -57,11 +57,12 @@
 }
 
 func (s *slowdown) factor(now time.Time) float64 {
-	if age := now.Sub(s.cachedAt); s.cached > 0 && age >= 0 && age < factorInterval {
+	at := now.UnixNano()
+	if age := at - s.cachedAt; s.cached > 0 && age >= 0 && age < int64(factorInterval) {
 		return s.cached
 	}
 	s.decay(now)
-	s.cached, s.cachedAt = math.Exp(s.logSum/(s.weight+speedPrior)), now
+	s.cached, s.cachedAt = math.Exp(s.logSum/(s.weight+speedPrior)), at
 	return s.cached
 }
 
