balance: a first long pause is forgotten

Cause: the estimate began at the first stream's pause, up to 10 s. It falls by 0.06% with each stream, so endpoints would be passed over for thousands.

Change: the first estimate is at most 100 ms; it rises by 2% with each longer pause.

--- a/balance/pause.go
+++ b/balance/pause.go
@@ -11,6 +11,9 @@
 	pauseStep     = 0.02 // part by which one stream moves the estimate
 	minPause      = 5 * time.Millisecond
 	maxPause      = 10 * time.Second // bound of one observation
+	// firstPause bounds the estimate after the first stream. The estimate rises by 2% for a longer pause and falls by
+	// 0.06% for a shorter one, so that it would take thousands of streams to forget a first one of seconds.
+	firstPause = 100 * time.Millisecond
 )
 
 // pauseModel estimates the longest pause between two events of a stream at an endpoint of ordinary speed that reads
@@ -25,7 +28,7 @@
 	pause = min(max(pause, minPause), maxPause)
 	switch {
 	case m.estimate == 0:
-		m.estimate = pause
+		m.estimate = min(pause, firstPause)
 	case pause > m.estimate:
 		m.estimate += time.Duration(pauseStep * pauseQuantile * float64(m.estimate))
 	default:
--- a/balance/pause_test.go
+++ b/balance/pause_test.go
@@ -65,6 +65,17 @@
 	c.Check(s.Pause("a", start) <= maxPause+maxPause/10, quicktest.IsTrue, quicktest.Commentf("%v", s.Pause("a", start)))
 }
 
+// Guards against a first stream that hangs and makes all endpoints seem to pause too long for thousands of streams.
+func TestFirstPauseIsForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	var s Speeds
+	s.ObservePause("a", time.Hour, start)
+	for range 100 {
+		s.ObservePause("a", 50*time.Millisecond, start)
+	}
+	c.Check(s.Pause("a", start) < 200*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", s.Pause("a", start)))
+}
+
 // Guards against pauses of slow endpoints that count as those of ordinary ones, and against slow endpoints that are
 // expected to pause no longer than those.
 func TestSlowEndpointsScalePauses(t *testing.T) {
