balance: a flood's callers leave time for near returns

Cause: after a flood its callers hold the return times of the next five seconds.

Change: returns assigned more than a second before their time leave the last fifth of each slot to others.

--- a/balance/returns.go
+++ b/balance/returns.go
@@ -27,6 +27,14 @@
 	slotDuration = 250 * time.Millisecond
 )
 
+// After a flood its callers have the slots of the next seconds. Those refused then for a queue that ends soon would be
+// asked to return behind them, when their target has passed, so returns that are assigned longer than nearReturn before
+// their time leave the last part of each slot to others.
+const (
+	nearReturn = time.Second
+	nearPart   = slotDuration / 5
+)
+
 // slot is a part of time. A ring's entry with another index is of a time that has passed.
 type slot struct {
 	index int64
@@ -52,6 +60,10 @@
 		index := slotIndex(due)
 		if s := r.slots[ring(index)]; s.index == index && s.free.After(due) {
 			due = s.free
+			rest := time.Duration((index+1)*int64(slotDuration) - due.UnixNano())
+			if rest > 0 && rest < nearPart && due.Sub(now) > nearReturn {
+				due = due.Add(rest)
+			}
 		}
 		if slotIndex(due) == index {
 			break
--- a/balance/returns_test.go
+++ b/balance/returns_test.go
@@ -69,6 +69,26 @@
 	c.Check(r.IsDue(start.Add(delay), delay), quicktest.IsTrue)
 }
 
+// Guards against a flood whose callers take all time of the next seconds: callers refused later, for a queue that ends
+// soon, would return after their target.
+func TestFloodLeavesTimeForNearReturns(t *testing.T) {
+	c := quicktest.New(t)
+	var r Returns
+	flood := 0
+	for {
+		if _, ok := r.Assign(start, 20*time.Millisecond, 123*time.Millisecond, 5*time.Second, 30); !ok {
+			break
+		}
+		flood++
+	}
+	c.Check(flood > 90, quicktest.IsTrue, quicktest.Commentf("%d of 122 that a tenth of the time serves", flood))
+	for i := range 8 {
+		now := start.Add(2*time.Second + time.Duration(i)*slotDuration)
+		delay, ok := r.Assign(now, 20*time.Millisecond, 123*time.Millisecond, 5*time.Second, 30)
+		c.Check(ok && delay <= slotDuration, quicktest.IsTrue, quicktest.Commentf("%v at %v", delay, now.Sub(start)))
+	}
+}
+
 // Guards against callers that repeat at once and thereby pass those that wait as asked.
 func TestEarlyReturnGainsNothing(t *testing.T) {
 	c := quicktest.New(t)
