placement: full usage reports keep the time of an endpoint's last progress

A full report removed the box's counts before it added the new ones. An endpoint whose prompts were all of one box then lost the time since which it had been stalled, with each report. Progress was also missed if a report held as many new tokens as read ones. Reported reads and decreases of a box's own counts are progress now.

--- a/placement/inflight.go
+++ b/placement/inflight.go
@@ -57,15 +57,16 @@
 	return p, busy
 }
 
-// recordProgress updates reading after a report that changed an endpoint's prompt tokens.
-func (r *inFlightTable) recordProgress(endpoint string, before int, now time.Time) {
+// recordProgress updates reading after a report on an endpoint; read: the endpoint has processed a prompt since the
+// report before.
+func (r *inFlightTable) recordProgress(endpoint string, read bool, now time.Time) {
 	p, busy := r.reading[endpoint]
-	switch after := r.prefillTokens(endpoint); {
-	case after <= 0:
+	switch {
+	case r.prefillTokens(endpoint) <= 0:
 		delete(r.reading, endpoint)
 	case !busy:
 		r.reading[endpoint] = reading{since: now, progressAt: now}
-	case after < before:
+	case read:
 		p.progressAt = now
 		r.reading[endpoint] = p
 	}
@@ -80,22 +81,32 @@
 // how many adapters became idle at their endpoints.
 func (r *inFlightTable) update(box string, uses []Use, partial bool, now time.Time) (idled int) {
 	b, known := r.boxes[box]
+	before := b.adapters
 	if !partial || !known {
 		r.removeBox(box)
 		b.adapters = make(map[placementKey]workload)
 	}
 	b.receivedAt = now
+	read := make(map[string]bool) // by endpoint: it has processed prompts
 	for _, u := range uses {
 		k := placementKey{endpoint: u.Endpoint, adapter: u.Adapter}
 		w := workload{requests: u.Running, prefillTokens: u.PrefillTokens, memoryTokens: u.MemoryTokens}
-		ran, unread := r.adapters[k].requests > 0 || b.adapters[k].requests > 0, r.prefillTokens(k.endpoint)
+		read[k.endpoint] = read[k.endpoint] || u.Read.Prompts > 0 || w.prefillTokens < before[k].prefillTokens
+		ran := r.adapters[k].requests > 0 || b.adapters[k].requests > 0
 		r.add(k, w.minus(b.adapters[k]))
 		b.adapters[k] = w
-		r.recordProgress(k.endpoint, unread, now)
 		if ran && r.adapters[k].requests == 0 {
 			idled++
 		}
 	}
+	for k, w := range before {
+		if _, reported := b.adapters[k]; !reported {
+			read[k.endpoint] = read[k.endpoint] || w.prefillTokens > 0
+		}
+	}
+	for endpoint, progress := range read {
+		r.recordProgress(endpoint, progress, now)
+	}
 	r.boxes[box] = b
 	return idled
 }
@@ -107,6 +118,11 @@
 			r.removeBox(box)
 		}
 	}
+	for endpoint := range r.reading {
+		if r.prefillTokens(endpoint) <= 0 {
+			delete(r.reading, endpoint)
+		}
+	}
 }
 
 func (r *inFlightTable) removeBox(box string) {
@@ -125,9 +141,6 @@
 	if r.endpoints[k.endpoint] = e; e == (workload{}) {
 		delete(r.endpoints, k.endpoint)
 	}
-	if e.prefillTokens <= 0 {
-		delete(r.reading, k.endpoint)
-	}
 }
 
 func (a workload) plus(b workload) workload {
--- /dev/null
+++ b/placement/work_test.go
@@ -0,0 +1,95 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"cairnwick.example/balance"
+	"cairnwick.example/forward"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+const (
+	balancedMemory = 20000 // tokens of an endpoint
+	balancedSlots  = 5     // adapter slots of an endpoint
+)
+
+// newBalancedLoader returns a loader whose endpoints are limited by memory.
+func newBalancedLoader(ids ...string) (*Loader, map[string]*ownedEndpoint) {
+	l, list := newIdleLoader(ids...)
+	engine := &topology.EngineSpec{Models: []topology.ModelSpec{{Name: model}}, AdapterSlots: balancedSlots, LoadsPerSec: 10, BatchSize: 16, MemoryTokens: balancedMemory}
+	l.View.SetConfig(topology.NewConfig(2, nil, []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "llm", Engine: engine})}, topology.RequestLimits{}))
+	return l, list
+}
+
+// hold marks an adapter as loaded at endpoints.
+func hold(n int, list ...*ownedEndpoint) {
+	for _, o := range list {
+		o.slots[adapter(n)] = &slot{ready: true}
+	}
+}
+
+// balancedWaiter returns a request of the most urgent kind.
+func balancedWaiter(o *ownedEndpoint, n int, now time.Time) *waiter {
+	return &waiter{requestedAt: now, AdapterRequest: forward.AdapterRequest{
+		Endpoint: o.endpoint, Adapter: adapter(n), TargetWait: 2 * time.Second, MaxWait: 10 * time.Second, PromptTokens: 1000,
+		Balance: true, Box: "box", OutputTokens: 200, Target: 2 * time.Second, QueueLimit: 2 * time.Second, UrgentLimit: 2 * time.Second,
+	}}
+}
+
+// ask evaluates a request once.
+func ask(l *Loader, w *waiter, now time.Time) (forward.PlacementResult, bool) {
+	p, wait := l.tryPlace(w, now, w.requestedAt.Add(w.MaxWait))
+	return p, wait != nil
+}
+
+// A full report of the only box with prompts at an endpoint restarted the time since its last progress, so that a stalled
+// endpoint looked free after each one.
+func TestFullReportKeepsTimeOfStall(t *testing.T) {
+	c := quicktest.New(t)
+	r := newInFlightTable()
+	now := time.Now()
+	use := []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 1, PrefillTokens: 1000}}
+	r.update("box", use, false, now)
+	r.update("box", use, false, now.Add(500*time.Millisecond))
+	p, busy := r.readingOf("e1")
+	c.Assert(busy, quicktest.IsTrue)
+	c.Assert(p.progressAt, quicktest.Equals, now)
+	c.Assert(p.since, quicktest.Equals, now)
+}
+
+// Progress was seen only as a decrease of an endpoint's tokens: one that read a prompt while the next arrived, or whose
+// requests were missing from a full report, seemed stalled.
+func TestReadPromptIsProgress(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	later := now.Add(time.Second)
+	other := Use{Endpoint: "e1", Adapter: adapter(2), Running: 1, PrefillTokens: 500}
+	use := Use{Endpoint: "e1", Adapter: adapter(1), Running: 1, PrefillTokens: 1000}
+	next := use
+	next.Read = balance.Observation{Prompts: 1, Tokens: 1000, Took: time.Second}
+	for _, report := range [][]Use{{next, other}, {other}} {
+		r := newInFlightTable()
+		r.update("box", []Use{use, other}, false, now)
+		r.update("box", report, false, later)
+		p, _ := r.readingOf("e1")
+		c.Assert(p.progressAt, quicktest.Equals, later)
+		c.Assert(p.since, quicktest.Equals, now)
+	}
+}
+
+// The counts of a box that died left its endpoints marked as reading.
+func TestExpiredBoxLeavesNoStall(t *testing.T) {
+	c := quicktest.New(t)
+	r := newInFlightTable()
+	now := time.Now()
+	r.update("box", []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 1, PrefillTokens: 1000, MemoryTokens: 1200}}, false, now)
+	r.expire(now.Add(usageReportExpiry))
+	_, busy := r.readingOf("e1")
+	c.Assert(busy, quicktest.IsFalse)
+	c.Assert(r.memoryTokens("e1"), quicktest.Equals, 0)
+	c.Assert(r.reading, quicktest.HasLen, 0)
+}
