placement: values in requests and usage reports of other boxes are bounded

A negative token count made an endpoint look empty to all boxes, a huge one overflowed the sums, and a huge negative priority gave a load infinite weight. Both tests fail without the bounds.

--- a/placement/pending.go
+++ b/placement/pending.go
@@ -77,6 +77,7 @@
 // late, the caller is told when to retry instead.
 func (l *Loader) Place(ctx context.Context, w forward.AdapterRequest) (forward.PlacementResult, error) {
 	l.Init()
+	w = boundedRequest(w)
 	now := clock.Now()
 	limit := now.Add(max(w.MaxWait, 0))
 	for q := (&waiter{AdapterRequest: w, requestedAt: now}); ; q.counted = true {
--- a/placement/usage.go
+++ b/placement/usage.go
@@ -35,6 +35,11 @@
 // RecordUsage records a box's report on the endpoints of this box. A partial report leaves what
 // the box reported earlier on other adapters unchanged.
 func (l *Loader) RecordUsage(box string, uses []Use, partial bool, now time.Time) {
+	bounded := make([]Use, len(uses))
+	for i, u := range uses {
+		bounded[i] = boundedUse(u)
+	}
+	uses = bounded
 	l.mu.Lock()
 	if n := l.inFlight.update(box, uses, partial, now); n > 0 {
 		l.idleTransitions.Add(float64(n), now, idleRateHalfLife)
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -93,3 +93,47 @@
 	c.Assert(r.memoryTokens("e1"), quicktest.Equals, 0)
 	c.Assert(r.reading, quicktest.HasLen, 0)
 }
+
+// A negative count in one box's report made an endpoint look empty to all, and huge ones overflowed the sums.
+func TestAbsurdReportIsBounded(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	huge := int(^uint(0) >> 1)
+	l.RecordUsage("good", []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 1, PrefillTokens: 1000, MemoryTokens: 1200}}, false, now)
+	l.RecordUsage("bad", []Use{{Endpoint: "e1", Adapter: adapter(1), Started: -5, Running: -9, PrefillTokens: -huge, MemoryTokens: -huge, Failed: -1, Streams: -1, Pauses: -time.Hour}}, false, now)
+	c.Assert(l.inFlight.prefillTokens("e1"), quicktest.Equals, 1000)
+	c.Assert(l.inFlight.memoryTokens("e1"), quicktest.Equals, 1200)
+	for _, box := range []string{"bad", "bad2", "bad3"} {
+		l.RecordUsage(box, []Use{{Endpoint: "e1", Adapter: adapter(1), Started: huge, Running: huge, PrefillTokens: huge, MemoryTokens: huge, Failed: huge, Streams: huge, Pauses: 1 << 62, Read: balance.Observation{Prompts: huge, Tokens: huge, Took: 1 << 62}}}, false, now)
+	}
+	c.Assert(l.inFlight.memoryTokens("e1") > balancedMemory, quicktest.IsTrue)
+	c.Assert(l.queueTimeLocked(list["e1"], now) >= 0, quicktest.IsTrue)
+	l.inFlight.expire(now.Add(usageReportExpiry))
+	c.Assert(l.inFlight.memoryTokens("e1"), quicktest.Equals, 0)
+}
+
+// A negative token count in a request made room for others, and a huge priority or wait gave a load infinite weight or
+// let a request wait for ever.
+func TestAbsurdRequestIsBounded(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	hold(1, list["e1"])
+	w := balancedWaiter(list["e1"], 1, now)
+	w.PromptTokens, w.OutputTokens, w.Priority, w.MaxWait, w.Elapsed = -5000, -5000, -5000, 1<<62, -1<<62
+	w.AdapterRequest = boundedRequest(w.AdapterRequest)
+	c.Assert(w.MaxWait, quicktest.Equals, maxRequestTime)
+	c.Assert(w.Priority, quicktest.Equals, 0)
+	c.Assert(w.Elapsed, quicktest.Equals, time.Duration(0))
+	_, _ = l.Place(t.Context(), balancedRequest(list["e1"], -5000))
+	tokens, memory := list["e1"].granted()
+	c.Assert(tokens, quicktest.Equals, 0)
+	c.Assert(memory, quicktest.Equals, 200)
+}
+
+func balancedRequest(o *ownedEndpoint, tokens int) forward.AdapterRequest {
+	w := balancedWaiter(o, 1, time.Now()).AdapterRequest
+	w.PromptTokens = tokens
+	return w
+}
