placement: the wait for an adapter slot doesn't overflow after a quiet time

The quotient of a second and the decayed rate of idle adapters exceeded the range of a duration after some 66 s. The test fails without the change.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -245,10 +245,10 @@
 // slotWaitAnywhereLocked estimates from the recent rate at which adapters become idle when the next slot is free.
 func (l *Loader) slotWaitAnywhereLocked(now time.Time) time.Duration {
 	rate := l.idleTransitions.Rate(now, idleRateHalfLife)
-	if rate <= 0 {
+	if rate*maxSlotWait.Seconds() <= 1 { // the quotient may exceed the range of a duration
 		return maxSlotWait
 	}
-	return min(time.Duration(float64(time.Second)/rate), maxSlotWait)
+	return time.Duration(float64(time.Second) / rate)
 }
 
 // returnFraction is the part of a caller's remaining time after which it comes back at the latest, whatever it
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -137,3 +137,16 @@
 	w.PromptTokens = tokens
 	return w
 }
+
+// After a minute without an idle adapter the wait for a slot exceeded the range of a duration and became negative, so
+// that refused callers were asked to come back at once.
+func TestSlotWaitAfterLongQuietTime(t *testing.T) {
+	c := quicktest.New(t)
+	l, _ := newBalancedLoader("e1")
+	now := time.Now()
+	l.idleTransitions.Add(1, now, idleRateHalfLife)
+	for _, age := range []time.Duration{time.Minute, 2 * time.Minute, time.Hour} {
+		c.Assert(l.slotWaitAnywhereLocked(now.Add(age)), quicktest.Equals, maxSlotWait)
+	}
+	c.Assert(l.slotWaitAnywhereLocked(now) < maxSlotWait, quicktest.IsTrue)
+}
