placement: loads that are requested already are seen as such

A requested load counted as ahead of itself, so that each request asked for one more elsewhere. It was not seen at an endpoint that had lost the adapter or was still unloading an older version, and requests that waited for it were refused when the free slots became few. Three tests fail without the change.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -261,8 +261,8 @@
 	endpoints []*ownedEndpoint
 }
 
-// candidatesLocked returns the endpoints of a data centre that may serve a request: those that hold its adapter or are loading it, or
-// all on which it may be loaded too.
+// candidatesLocked returns the endpoints of a data centre that may serve a request: those that hold its adapter, are
+// loading it or have its load requested, or all on which it may be loaded too.
 func (l *Loader) candidatesLocked(w *waiter, centre string, denied *ownedEndpoint, holdersOnly bool, now time.Time) candidates {
 	var list candidates
 	for id, o := range l.owned {
@@ -277,11 +277,8 @@
 		if c.Availability == 0 || (holdersOnly && c.Availability == balance.Loadable) {
 			continue
 		}
-		if c.Availability == balance.Loadable {
+		if c.Availability == balance.Loadable || c.Availability == balance.Requested {
 			c.Delay = l.loadDelayLocked(o, w.Adapter, now)
-			if l.pendingLoads[placementKey{endpoint: id, adapter: w.Adapter}] != nil {
-				c.Availability = balance.Requested
-			}
 		}
 		l.addWorkLocked(&c, o, w, now)
 		list.list = append(list.list, c)
@@ -293,33 +290,40 @@
 // availabilityLocked returns when an endpoint can serve requests for an adapter; zero: it can't.
 func (l *Loader) availabilityLocked(o *ownedEndpoint, w *waiter, denied *ownedEndpoint, now time.Time) (balance.Availability, time.Duration) {
 	s := o.slots[w.Adapter]
+	requested := l.pendingLoads[placementKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}] != nil
 	switch {
-	case s == nil:
-		return balance.Loadable, 0
-	case o == denied:
-		return balance.Loadable, 0 // it reported that it does not hold the adapter
-	case !s.ready && s.done != nil:
+	case s != nil && o != denied && !s.ready && s.done != nil:
 		return balance.Loading, max(s.expectedLoadTime-now.Sub(s.loadBegan), 0)
-	case s.ready && s.version >= w.Version && !s.outdated && !s.unloading:
+	case s != nil && o != denied && s.ready && s.version >= w.Version && !s.outdated && !s.unloading:
 		return balance.Ready, 0
+	case requested:
+		return balance.Requested, 0
+	case s == nil, o == denied: // denied: it reported that it does not hold the adapter
+		return balance.Loadable, 0
 	case s.ready && s.version < w.Version && !s.unloading:
 		return balance.Loadable, 0
 	}
 	return 0, 0
 }
 
-// loadDelayLocked returns how long it takes until an adapter is loaded at an endpoint.
+// loadDelayLocked returns how long it takes until an adapter is loaded at an endpoint. A load that is requested already
+// waits for those that are ranked ahead of it, a new one for all.
 func (l *Loader) loadDelayLocked(o *ownedEndpoint, a topology.Adapter, now time.Time) time.Duration {
-	load := l.coldLoadTime
+	key := placementKey{endpoint: o.endpoint.ID(), adapter: a}
+	ahead, storeDelay := o.queuedLoads, time.Duration(0)
+	if q := l.pendingLoads[key]; q != nil {
+		ahead, storeDelay = q.queuedAhead, l.queueDelayLocked(key, q, now)
+	} else if len(l.queue) > 0 {
+		storeDelay = l.loadLimiter.queueDelay(len(l.queue), l.coldLoadTime)
+	}
+	load := l.coldLoadTime + storeDelay
 	if l.isWarmLocked(o, a) {
 		load = l.warmLoadTime
-	} else if len(l.queue) > 0 {
-		load += l.loadLimiter.queueDelay(len(l.queue), l.coldLoadTime)
 	}
 	if o.loadsInFlight >= maxConcurrentLoads {
 		load += l.coldLoadTime / maxConcurrentLoads
 	}
-	return load + l.freeSlotDelayLocked(o, o.queuedLoads, now)
+	return load + l.freeSlotDelayLocked(o, ahead, now)
 }
 
 // addWorkLocked adds an endpoint's work to the facts about it.
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -150,3 +150,80 @@
 	}
 	c.Assert(l.slotWaitAnywhereLocked(now) < maxSlotWait, quicktest.IsTrue)
 }
+
+// pendingLoadsOf returns at how many endpoints a load of an adapter is requested.
+func pendingLoadsOf(l *Loader, n int) (count int) {
+	for k := range l.pendingLoads {
+		if k.adapter == adapter(n) {
+			count++
+		}
+	}
+	return count
+}
+
+// busySlots fills an endpoint's adapter slots with adapters in use.
+func busySlots(l *Loader, o *ownedEndpoint, count int, now time.Time) {
+	var uses []Use
+	for i := range count {
+		o.slots[adapter(100+i)] = &slot{ready: true}
+		uses = append(uses, Use{Endpoint: o.endpoint.ID(), Adapter: adapter(100 + i), Running: 1})
+	}
+	l.RecordUsage("box-"+o.endpoint.ID(), uses, false, now)
+}
+
+// A requested load counted as ahead of itself where all slots were in use. Other endpoints seemed to have the adapter
+// sooner, and each request asked for one more load.
+func TestManyRequestsShareOneLoad(t *testing.T) {
+	c := quicktest.New(t)
+	for _, taken := range []int{0, balancedSlots} {
+		l, list := newBalancedLoader("e1", "e2", "e3")
+		now := time.Now()
+		for _, o := range list {
+			busySlots(l, o, taken, now)
+		}
+		for range 4 { // more would fill an endpoint, and call for copies
+			w := balancedWaiter(list["e1"], 1, now)
+			w.PromptTokens = 10
+			_, waits := ask(l, w, now)
+			c.Assert(waits, quicktest.IsTrue)
+			l.rankPendingLocked(now)
+		}
+		c.Assert(pendingLoadsOf(l, 1), quicktest.Equals, 1)
+	}
+}
+
+// An endpoint that had lost an adapter was not seen as loading it from the second look on: the request was refused though
+// its load was requested, or had it loaded elsewhere too.
+func TestReloadOfLostAdapterIsAwaited(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	hold(1, list["e1"])
+	w := balancedWaiter(list["e1"], 1, now)
+	w.NotLoaded = true
+	_, waits := ask(l, w, now)
+	c.Assert(waits, quicktest.IsTrue)
+	w.NotLoaded, w.counted = false, true
+	p, waits := ask(l, w, now.Add(recheckInterval))
+	c.Assert(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
+	c.Assert(pendingLoadsOf(l, 1), quicktest.Equals, 1)
+}
+
+// A less urgent request was refused for want of a slot while it waited for its load, which was then made for nobody.
+func TestWaitingRequestKeepsItsSlot(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	busySlots(l, list["e1"], 1, now)
+	w := balancedWaiter(list["e1"], 1, now)
+	w.QueueLimit = w.UrgentLimit / 2
+	_, waits := ask(l, w, now)
+	c.Assert(waits, quicktest.IsTrue)
+	w.counted = true
+	busySlots(l, list["e1"], 4, now)
+	_, waits = ask(l, w, now)
+	c.Assert(waits, quicktest.IsTrue)
+	p, waits := ask(l, func() *waiter { o := balancedWaiter(list["e1"], 2, now); o.QueueLimit = o.UrgentLimit / 2; return o }(), now)
+	c.Assert(waits, quicktest.IsFalse)
+	c.Assert(p.Reason, quicktest.Matches, reasonSlotsKept+".*")
+}
