placement: an early return stays one while it waits

The slot of the first attempt was computed from the time of each look at a waiting request, so it moved on, and a caller that came back too early counted as due. The test fails without the change.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -109,7 +109,7 @@
 		QueueLimit: w.QueueLimit,
 		MaxWait:    limit.Sub(now),
 		MaxPause:   w.MaxPause,
-		Returned:   w.Retried && l.returns.IsDue(now, w.Elapsed) && l.slotReturns.IsDue(now, w.Elapsed),
+		Returned:   w.Retried && l.returns.IsDue(w.requestedAt, w.Elapsed) && l.slotReturns.IsDue(w.requestedAt, w.Elapsed),
 
 		ReturnLimit: w.UrgentLimit,
 	}
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -227,3 +227,24 @@
 	c.Assert(waits, quicktest.IsFalse)
 	c.Assert(p.Reason, quicktest.Matches, reasonSlotsKept+".*")
 }
+
+// Whether a caller had come back too early was judged by the time of each look, so that it counted as one that returned as
+// it was asked to once it had waited for a moment.
+func TestEarlyReturnStaysEarlyWhileItWaits(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	refusedAt := time.Now()
+	arrived := refusedAt.Add(500 * time.Millisecond)
+	now := arrived.Add(800 * time.Millisecond)
+	hold(1, list["e1"])
+	_, offered := l.returns.Assign(refusedAt, 3*time.Second, 0, 4*time.Second, 1)
+	c.Assert(offered, quicktest.IsTrue)
+	l.RecordUsage("box-1", []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 1, PrefillTokens: 38000, MemoryTokens: 10}}, false, now)
+	w := balancedWaiter(list["e1"], 1, arrived)
+	w.Retried, w.Elapsed = true, arrived.Sub(refusedAt)
+	p, _ := ask(l, w, now)
+	c.Assert(p.Ready, quicktest.IsFalse)
+	w.Elapsed = 3 * time.Second // of a caller that was refused before any other
+	p, _ = ask(l, w, now)
+	c.Assert(p.Ready, quicktest.IsTrue)
+}
