placement: a requested copy doesn't take requests from holders that are in time

Since requested loads are seen at endpoints, requests waited for a background copy though its holder would have served them in time. TestCopyOfBusyAdapter shows it.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -114,16 +114,19 @@
 		ReturnLimit: w.UrgentLimit,
 	}
 	centre := home.endpoint.DataCentre()
-	holders := l.candidatesLocked(w, centre, denied, true, now)
+	holders := l.candidatesLocked(w, centre, denied, balance.Loading, now)
 	d := balance.Choose(r, holders.list)
 	chosen := holders
 	if d.Reason != balance.InTime && w.Adapter.Name != "" {
+		last := balance.Loadable
 		if len(holders.list) == 0 && !l.mayUseSlotLocked(w, r, centre, now) {
-			return l.refuseSlotLocked(w, r, now), nil, nil
+			last = balance.Requested // that load takes a slot anyway
 		}
-		if all := l.candidatesLocked(w, centre, denied, false, now); len(all.list) > 0 {
+		if all := l.candidatesLocked(w, centre, denied, last, now); len(all.list) > 0 {
 			chosen = all
 			d = balance.Choose(r, all.list)
+		} else if last == balance.Requested {
+			return l.refuseSlotLocked(w, r, now), nil, nil
 		}
 	}
 	if d.Index < 0 {
@@ -261,9 +264,9 @@
 	endpoints []*ownedEndpoint
 }
 
-// candidatesLocked returns the endpoints of a data centre that may serve a request: those that hold its adapter, are
-// loading it or have its load requested, or all on which it may be loaded too.
-func (l *Loader) candidatesLocked(w *waiter, centre string, denied *ownedEndpoint, holdersOnly bool, now time.Time) candidates {
+// candidatesLocked returns the endpoints of a data centre that may serve a request and whose availability for its adapter
+// is the last given or an earlier one.
+func (l *Loader) candidatesLocked(w *waiter, centre string, denied *ownedEndpoint, last balance.Availability, now time.Time) candidates {
 	var list candidates
 	for id, o := range l.owned {
 		if o.endpoint.DataCentre() != centre || !o.isAvailable(now) || w.avoids(id) || !o.models[w.Adapter.Model] || l.isThrottled(o, now) ||
@@ -274,7 +277,7 @@
 		if w.Adapter.Name != "" {
 			c.Availability, c.Delay = l.availabilityLocked(o, w, denied, now)
 		}
-		if c.Availability == 0 || (holdersOnly && c.Availability == balance.Loadable) {
+		if c.Availability == 0 || c.Availability > last {
 			continue
 		}
 		if c.Availability == balance.Loadable || c.Availability == balance.Requested {
