--- a/placement/work_play_test.go
+++ b/placement/work_play_test.go
@@ -191,7 +191,8 @@
 	l.RecordUsage("box-1", stalled, false, now)
 	chosen := choices(l, list["e2"], 100, now.Add(time.Second), func(at time.Time) {
 		l.RecordUsage("box-1", stalled, false, at)
-		l.RecordUsage("box", []Use{{Endpoint: "e2", Adapter: adapter(1), Started: 1, Running: 1, MemoryTokens: 200}}, false, at)
+		l.RecordUsage("box", []Use{{Endpoint: "e2", Adapter: adapter(1), Started: 1, Running: 1, PrefillTokens: 1000, MemoryTokens: 1200, // it has more to read, and reads
+			Read: balance.Observation{Prompts: 1, Tokens: 1100, Took: 94 * time.Millisecond}}}, false, at)
 	})
 	c.Assert(chosen["e1"], quicktest.Equals, 0)
 	c.Assert(chosen["e2"], quicktest.Equals, 100)
--- a/placement/work_refuse_test.go
+++ b/placement/work_refuse_test.go
@@ -35,6 +35,7 @@
 		c.Run(k.name, func(c *quicktest.C) {
 			l, list := newBalancedLoader("e1", "e2", "e3")
 			now := time.Now()
+			busySlots(l, list["e1"], balancedSlots-1, now)
 			hold(1, list["e1"])
 			l.View.SetAdapterStates("e1", map[topology.Adapter]topology.AdapterState{adapter(1): {Ready: true}})
 			queueAt(l, "e1", k.queue, now)
