--- a/placement/work_refuse_test.go
+++ b/placement/work_refuse_test.go
@@ -14,7 +14,7 @@
 
 // queueAt reports prompts that an endpoint has to read.
 func queueAt(l *Loader, id string, tokens int, now time.Time) {
-	l.RecordUsage("box-queue-"+id, []Use{{Endpoint: id, Adapter: adapter(1), Running: 1, PrefillTokens: tokens, MemoryTokens: 100}}, false, now)
+	l.RecordUsage("box-queue-"+id, []Use{{Endpoint: id, Adapter: adapter(1), Running: 1, PrefillTokens: tokens, MemoryTokens: 100}}, true, now)
 }
 
 // No copy was made of an adapter whose only holder was busy, or one for each of its requests, or one where it was of no use.
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -168,7 +168,7 @@
 		o.slots[adapter(100+i)] = &slot{ready: true}
 		uses = append(uses, Use{Endpoint: o.endpoint.ID(), Adapter: adapter(100 + i), Running: 1})
 	}
-	l.RecordUsage("box-"+o.endpoint.ID(), uses, false, now)
+	l.RecordUsage("box-"+o.endpoint.ID(), uses, true, now) // a full report of a full endpoint calls for copies
 }
 
 // A requested load counted as ahead of itself where all slots were in use. Other endpoints seemed to have the adapter
