--- a/placement/work_play_test.go
+++ b/placement/work_play_test.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -221,3 +222,33 @@
 	})
 	c.Assert(again["e2"] >= 35, quicktest.IsTrue, quicktest.Commentf("%v", again))
 }
+
+// The state of work is guarded by Loader.mu: under the race detector this shows what is not. A request whose load never
+// begins ends with its caller's time.
+func TestBoxesAskAndReportAtOnce(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1", "e2")
+	hold(1, list["e1"], list["e2"])
+	l.coldLoadTime = 10 * time.Millisecond
+	request := balancedRequest(list["e1"], 100)
+	var all sync.WaitGroup
+	for i := range 8 {
+		all.Go(func() {
+			box := fmt.Sprintf("box-%d", i)
+			for n := range 30 {
+				w := request
+				w.Box, w.Adapter, w.MaxWait = box, adapter(1+n%3), 20*time.Millisecond
+				if p, err := l.Place(t.Context(), w); err != nil || (!p.Ready && p.Reason == "") {
+					t.Errorf("%+v, %v", p, err)
+				}
+				l.RecordUsage(box, []Use{{Endpoint: "e1", Adapter: w.Adapter, Started: 1, Running: 1, PrefillTokens: n, MemoryTokens: 200,
+					Read: balance.Observation{Prompts: 1, Tokens: 100, Took: time.Millisecond}, Failed: n % 2, Streams: 1, Pauses: time.Millisecond}}, n%5 != 0, time.Now())
+				l.step(time.Now())
+				_, _ = l.MinLoadCost(time.Now())
+				l.Ended("e3", time.Now())
+			}
+		})
+	}
+	all.Wait()
+	c.Assert(list["e1"].waitingTokens, quicktest.Equals, 0)
+}
