--- a/placement/balance.go
+++ b/placement/balance.go
@@ -14,50 +14,6 @@
 // Requests for endpoints whose memory limits them are balanced by work: the owner of the endpoints chooses one for each
 // request, since it alone knows the work of all boxes. Package balance decides; this file collects the facts.
 
-// grant is a request that a box was told to send to an endpoint and has not reported yet.
-type grant struct {
-	box     string
-	adapter topology.Adapter
-	tokens  int // of the prompt
-	memory  int // tokens of prompt and output
-	at      time.Time
-}
-
-// grantTimeout is how long a grant counts at most: boxes report a request within some 25 ms, and one that has used up
-// its processor share some 100 ms later.
-const grantTimeout = 500 * time.Millisecond
-
-// expireGrants drops the grants that were not used.
-func (o *ownedEndpoint) expireGrants(now time.Time) {
-	expired := 0
-	for expired < len(o.grants) && now.Sub(o.grants[expired].at) >= grantTimeout {
-		expired++
-	}
-	o.grants = o.grants[expired:]
-}
-
-// settleGrants drops the oldest grants of a box for an adapter, whose requests it has reported.
-func (o *ownedEndpoint) settleGrants(box string, a topology.Adapter, started int) {
-	kept := o.grants[:0]
-	for _, g := range o.grants {
-		if started > 0 && g.box == box && g.adapter == a {
-			started--
-			continue
-		}
-		kept = append(kept, g)
-	}
-	o.grants = kept
-}
-
-// granted returns the tokens of the grants of an endpoint.
-func (o *ownedEndpoint) granted() (tokens, memory int) {
-	for _, g := range o.grants {
-		tokens += g.tokens
-		memory += g.memory
-	}
-	return tokens, memory
-}
-
 // recordWorkLocked records what a box reported of prompts that an endpoint read and of requests that it failed.
 func (l *Loader) recordWorkLocked(o *ownedEndpoint, box string, u Use, now time.Time) {
 	if u.Started > 0 {
@@ -115,34 +71,20 @@
 // that it waits for. asked is the endpoint that the request names; nil: this box does not own it. Any endpoint of its data
 // centre may serve, so one that has just ended doesn't matter.
 func (l *Loader) balanceLocked(asked *ownedEndpoint, w *waiter, now, limit time.Time) (forward.PlacementResult, <-chan struct{}, *ownedEndpoint) {
-	var denied *ownedEndpoint
-	if w.NotLoaded {
-		denied = asked
-	}
-	elapsed := now.Sub(w.requestedAt)
 	r := balance.Request{
-		Target:     w.Target - elapsed,
+		Target:     w.Target - now.Sub(w.requestedAt),
 		QueueLimit: w.QueueLimit,
 		MaxWait:    limit.Sub(now),
 		MaxPause:   w.MaxPause,
-		Returned:   w.Retried && l.returns.IsDue(now, w.Elapsed) && l.slotReturns.IsDue(now, w.Elapsed),
+		Returned:   w.Retried && l.returns.IsDue(w.requestedAt, w.Elapsed) && l.slotReturns.IsDue(w.requestedAt, w.Elapsed),
 
 		ReturnLimit: w.UrgentLimit,
 	}
-	centre := w.Endpoint.DataCentre()
-	holders := l.candidatesLocked(w, centre, denied, true, now)
-	d := balance.Choose(r, holders.list)
-	chosen := holders
-	if d.Reason != balance.InTime && w.Adapter.Name != "" {
-		if len(holders.list) == 0 && !l.mayUseSlotLocked(w, r, centre, now) {
-			return l.refuseSlotLocked(w, r, now), nil, nil
-		}
-		if all := l.candidatesLocked(w, centre, denied, false, now); len(all.list) > 0 {
-			chosen = all
-			d = balance.Choose(r, all.list)
-		}
-	}
-	if d.Index < 0 {
+	chosen, d := l.chooseBalancedLocked(asked, w, r, now)
+	switch {
+	case d.Reason == reasonNoSlot:
+		return l.refuseSlotLocked(w, r, now), nil, nil
+	case d.Index < 0:
 		return l.refuseBusyLocked(w, r, d, chosen, now), nil, nil
 	}
 	o, c := chosen.endpoints[d.Index], chosen.list[d.Index]
@@ -156,8 +98,8 @@
 		return p, done, o
 	case balance.Requested, balance.Loadable:
 		p, done := l.enqueueLocked(o, w, now, limit)
-		l.Log.V(1).Info("Load is requested", "request", w.RequestID, "adapter", w.Adapter.String(), "holders", len(holders.list), "reason", d.Reason.String(),
-			"endpoint", o.endpoint.ID(), "first_token_ms", d.FirstToken.Milliseconds(), "delay_ms", c.Delay.Milliseconds(), "target_ms", r.Target.Milliseconds(), "queue_limit_ms", r.QueueLimit.Milliseconds(), "waits", done != nil)
+		l.Log.V(1).Info("Load is requested", "request", w.RequestID, "adapter", w.Adapter.String(), "reason", d.Reason.String(),
+			"endpoint", o.endpoint.ID(), "first_token_ms", d.FirstToken.Milliseconds(), "delay_ms", c.Delay.Milliseconds(), "waits", done != nil)
 		if done == nil {
 			return l.refuseLoadLocked(r, p), nil, nil
 		}
@@ -166,6 +108,35 @@
 	return l.grantLocked(o, w, d, now), nil, nil
 }
 
+// reasonNoSlot is the reason of a decision without a candidate, since free adapter slots are kept for more urgent requests.
+const reasonNoSlot = balance.Reason(0)
+
+// chooseBalancedLocked chooses among the endpoints that hold the adapter or are loading it and, if none of them serves
+// the request in time, among those on which it may be loaded.
+func (l *Loader) chooseBalancedLocked(asked *ownedEndpoint, w *waiter, r balance.Request, now time.Time) (candidates, balance.Decision) {
+	var denied *ownedEndpoint
+	if w.NotLoaded {
+		denied = asked
+	}
+	holders := l.candidatesLocked(w, denied, balance.Loading, now)
+	d := balance.Choose(r, holders.list)
+	if d.Reason == balance.InTime || w.Adapter.Name == "" {
+		return holders, d
+	}
+	last := balance.Loadable
+	if len(holders.list) == 0 && !l.mayUseSlotLocked(w, r, now) {
+		last = balance.Requested // that load takes a slot anyway
+	}
+	all := l.candidatesLocked(w, denied, last, now)
+	switch {
+	case len(all.list) > 0:
+		return all, balance.Choose(r, all.list)
+	case last == balance.Requested:
+		return all, balance.Decision{Index: -1, Reason: reasonNoSlot}
+	}
+	return holders, d
+}
+
 // grantLocked tells a box to send its request to an endpoint.
 func (l *Loader) grantLocked(o *ownedEndpoint, w *waiter, d balance.Decision, now time.Time) forward.PlacementResult {
 	l.decisions[d.Reason.String()]++
@@ -192,7 +163,8 @@
 // setRetryLocked sets when a refused caller should come back. If that is later than it can use, it is told that there is
 // no room, and comes back at its own choice at the end of its time.
 func (l *Loader) setRetryLocked(p *forward.PlacementResult, r balance.Request, returns *balance.Returns, relief, work time.Duration, servers int, now time.Time) {
-	after, offered := returns.Assign(now, relief+retryMargin, work, time.Duration(returnFraction*float64(r.MaxWait)), servers)
+	latest := time.Duration(returnFraction * float64(r.MaxWait))
+	after, offered := returns.Assign(now, min(relief, latest)+retryMargin, work, latest, servers)
 	if !offered {
 		after = max(r.MaxWait, retryMargin)
 		p.Reason += noRoomSuffix
@@ -213,82 +185,6 @@
 	return p
 }
 
-// mayUseSlotLocked reports whether a request may have its adapter loaded. The last free slots of a data centre are kept
-// for more urgent requests: a stream of a less urgent one may keep a slot in use for many times as long as theirs. A
-// request that returned as it was asked to may use half of what is kept.
-func (l *Loader) mayUseSlotLocked(w *waiter, r balance.Request, centre string, now time.Time) bool {
-	if w.QueueLimit >= w.UrgentLimit || w.UrgentLimit <= 0 {
-		return true
-	}
-	if n := l.slotRefusals[w.Adapter]; n != nil && n.Count(now, demandHalfLife) >= maxSlotRefusals {
-		return true
-	}
-	allowed := float64(w.QueueLimit) / float64(w.UrgentLimit)
-	if r.Returned {
-		allowed += (1 - allowed) / 2
-	}
-	return l.slotUseLocked(centre, now) <= allowed
-}
-
-// slotUseLocked returns the part of the adapter slots of a data centre that are in use or being filled.
-func (l *Loader) slotUseLocked(centre string, now time.Time) float64 {
-	taken, slots := 0, 0
-	for _, o := range l.owned {
-		g := l.engineSpec(o.endpoint)
-		if g == nil || o.endpoint.DataCentre() != centre || !o.isAvailable(now) {
-			continue
-		}
-		slots += g.AdapterCapacity(o.models)
-		for a, s := range o.slots {
-			if !s.ready || !l.isIdleLocked(o, a, s, now) {
-				taken++
-			}
-		}
-	}
-	return float64(taken) / float64(max(slots, 1))
-}
-
-// refuseSlotLocked refuses a request for which no slot is left. Callers are asked to return at the rate at which slots
-// become free for them.
-func (l *Loader) refuseSlotLocked(w *waiter, r balance.Request, now time.Time) forward.PlacementResult {
-	l.decisions[reasonSlotsKept]++
-	l.countRequestsLocked(w.Adapter, 1, now)
-	n := l.slotRefusals[w.Adapter]
-	if n == nil {
-		n = &policy.DecayingCounter{}
-		l.slotRefusals[w.Adapter] = n
-	}
-	n.Add(1, now, demandHalfLife)
-	p := forward.PlacementResult{Busy: true, Reason: reasonSlotsKept}
-	wait := l.slotWaitAnywhereLocked(now)
-	l.setRetryLocked(&p, r, &l.slotReturns, wait+l.coldLoadTime, wait, 1, now)
-	return p
-}
-
-// maxSlotRefusals is how many recent requests for an adapter are refused for want of a slot before one is let in, so that
-// an adapter which only less urgent callers ask for does not starve.
-const maxSlotRefusals = 1.5
-
-// pruneSlotRefusalsLocked drops adapters that were not refused for a long time.
-func (l *Loader) pruneSlotRefusalsLocked(now time.Time) {
-	for a, n := range l.slotRefusals {
-		if n.Count(now, demandHalfLife) < 0.1 {
-			delete(l.slotRefusals, a)
-		}
-	}
-}
-
-const reasonSlotsKept = "free adapter slots are kept for more urgent requests"
-
-// slotWaitAnywhereLocked estimates from the recent rate at which adapters become idle when the next slot is free.
-func (l *Loader) slotWaitAnywhereLocked(now time.Time) time.Duration {
-	rate := l.idleTransitions.Rate(now, idleRateHalfLife)
-	if rate <= 0 {
-		return maxSlotWait
-	}
-	return min(time.Duration(float64(time.Second)/rate), maxSlotWait)
-}
-
 // returnFraction is the part of a caller's remaining time after which it comes back at the latest, whatever it
 // was told.
 const returnFraction = 1.0 / 3
@@ -299,12 +195,13 @@
 	endpoints []*ownedEndpoint
 }
 
-// candidatesLocked returns the endpoints of a data centre that may serve a request: those that hold its adapter or are loading it, or
-// all on which it may be loaded too.
-func (l *Loader) candidatesLocked(w *waiter, centre string, denied *ownedEndpoint, holdersOnly bool, now time.Time) candidates {
+// candidatesLocked returns the endpoints of the request's service and data centre that may serve it and whose availability
+// for its adapter is the last given or an earlier one.
+func (l *Loader) candidatesLocked(w *waiter, denied *ownedEndpoint, last balance.Availability, now time.Time) candidates {
 	var list candidates
+	centre, service := w.Endpoint.DataCentre(), w.Endpoint.Service()
 	for id, o := range l.owned {
-		if o.endpoint.DataCentre() != centre || !o.isAvailable(now) || w.avoids(id) || !o.models[w.Adapter.Model] || l.isThrottled(o, now) ||
+		if o.endpoint.DataCentre() != centre || o.endpoint.Service() != service || !o.isAvailable(now) || w.avoids(id) || !o.models[w.Adapter.Model] || l.isThrottled(o, now) ||
 			(w.AvoidLimited && l.isSaturated(id, now)) {
 			continue
 		}
@@ -312,14 +209,11 @@
 		if w.Adapter.Name != "" {
 			c.Availability, c.Delay = l.availabilityLocked(o, w, denied, now)
 		}
-		if c.Availability == 0 || (holdersOnly && c.Availability == balance.Loadable) {
+		if c.Availability == 0 || c.Availability > last {
 			continue
 		}
-		if c.Availability == balance.Loadable {
+		if c.Availability == balance.Loadable || c.Availability == balance.Requested {
 			c.Delay = l.loadDelayLocked(o, w.Adapter, now)
-			if l.pendingLoads[placementKey{endpoint: id, adapter: w.Adapter}] != nil {
-				c.Availability = balance.Requested
-			}
 		}
 		l.addWorkLocked(&c, o, w, now)
 		list.list = append(list.list, c)
@@ -331,33 +225,40 @@
 // availabilityLocked returns when an endpoint can serve requests for an adapter; zero: it can't.
 func (l *Loader) availabilityLocked(o *ownedEndpoint, w *waiter, denied *ownedEndpoint, now time.Time) (balance.Availability, time.Duration) {
 	s := o.slots[w.Adapter]
+	requested := l.pendingLoads[placementKey{endpoint: o.endpoint.ID(), adapter: w.Adapter}] != nil
 	switch {
-	case s == nil:
-		return balance.Loadable, 0
-	case o == denied:
-		return balance.Loadable, 0 // it reported that it does not hold the adapter
-	case !s.ready && s.done != nil:
+	case s != nil && o != denied && !s.ready && s.done != nil:
 		return balance.Loading, max(s.expectedLoadTime-now.Sub(s.loadBegan), 0)
-	case s.ready && s.version >= w.Version && !s.outdated && !s.unloading:
+	case s != nil && o != denied && s.ready && s.version >= w.Version && !s.outdated && !s.unloading:
 		return balance.Ready, 0
+	case requested:
+		return balance.Requested, 0
+	case s == nil, o == denied: // denied: it reported that it does not hold the adapter
+		return balance.Loadable, 0
 	case s.ready && s.version < w.Version && !s.unloading:
 		return balance.Loadable, 0
 	}
 	return 0, 0
 }
 
-// loadDelayLocked returns how long it takes until an adapter is loaded at an endpoint.
+// loadDelayLocked returns how long it takes until an adapter is loaded at an endpoint. A load that is requested already
+// waits for those that are ranked ahead of it, a new one for all.
 func (l *Loader) loadDelayLocked(o *ownedEndpoint, a topology.Adapter, now time.Time) time.Duration {
-	load := l.coldLoadTime
+	key := placementKey{endpoint: o.endpoint.ID(), adapter: a}
+	ahead, storeDelay := o.queuedLoads, time.Duration(0)
+	if q := l.pendingLoads[key]; q != nil {
+		ahead, storeDelay = q.queuedAhead, l.queueDelayLocked(key, q, now)
+	} else if len(l.queue) > 0 {
+		storeDelay = l.loadLimiter.queueDelay(len(l.queue), l.coldLoadTime)
+	}
+	load := l.coldLoadTime + storeDelay
 	if l.isWarmLocked(o, a) {
 		load = l.warmLoadTime
-	} else if len(l.queue) > 0 {
-		load += l.loadLimiter.queueDelay(len(l.queue), l.coldLoadTime)
 	}
 	if o.loadsInFlight >= maxConcurrentLoads {
 		load += l.coldLoadTime / maxConcurrentLoads
 	}
-	return load + l.freeSlotDelayLocked(o, o.queuedLoads, now)
+	return load + l.freeSlotDelayLocked(o, ahead, now)
 }
 
 // addWorkLocked adds an endpoint's work to the facts about it.
