edge: values in messages of other boxes are bounded where they enter

Cause: microseconds of AskRequest, AskReply and Usage were multiplied without a bound, so a huge time became a negative one; negative counts reduced what other boxes had reported for an endpoint.

--- a/edge/ask.go
+++ b/edge/ask.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"time"
 
 	"cairnwick.example/forward"
 	"cairnwick.example/member"
@@ -45,18 +44,7 @@
 	if err != nil {
 		return forward.PlacementResult{}, errors.Wrapf(err, "edge: leader %s", m.Name())
 	}
-	return forward.PlacementResult{
-		Ready:         a.GetReady(),
-		OwnerChanging: a.GetSettling(),
-		Endpoint:      a.GetEndpoint(),
-		Version:       a.GetVersion(),
-		QueueTime:     time.Duration(a.GetQueuedMicros()) * time.Microsecond,
-		RetryAfter:    time.Duration(a.GetRetryMicros()) * time.Microsecond,
-		Reason:        a.GetReason(),
-		AheadTokens:   int(a.GetAheadTokens()),
-		FirstToken:    time.Duration(a.GetFirstTokenMicros()) * time.Microsecond,
-		Busy:          a.GetBusy(),
-	}, nil
+	return resultFromReply(a), nil
 }
 
 // cancelWhenNotServing cancels a call to a box as soon as the box is no longer considered serving. Otherwise a frozen
@@ -75,6 +63,22 @@
 	}
 }
 
+// resultFromReply converts an AskReply of a leader.
+func resultFromReply(a *wire.AskReply) forward.PlacementResult {
+	return forward.PlacementResult{
+		Ready:         a.GetReady(),
+		OwnerChanging: a.GetSettling(),
+		Endpoint:      a.GetEndpoint(),
+		Version:       a.GetVersion(),
+		QueueTime:     positiveMessageTime(a.GetQueuedMicros()),
+		RetryAfter:    positiveMessageTime(a.GetRetryMicros()),
+		Reason:        a.GetReason(),
+		AheadTokens:   messageCount(a.GetAheadTokens()),
+		FirstToken:    positiveMessageTime(a.GetFirstTokenMicros()),
+		Busy:          a.GetBusy(),
+	}
+}
+
 // wantedFromRequest converts an AskRequest of another box.
 func wantedFromRequest(q *wire.AskRequest, e *topology.Endpoint) forward.AdapterRequest {
 	return forward.AdapterRequest{
@@ -82,25 +86,25 @@
 		Endpoint:     e,
 		Adapter:      topology.ParseAdapter(q.GetAdapter()),
 		Version:      q.GetVersion(),
-		TargetWait:   time.Duration(q.GetWaitMicros()) * time.Microsecond,
-		MaxWait:      time.Duration(q.GetMostMicros()) * time.Microsecond,
+		TargetWait:   messageTime(q.GetWaitMicros()),
+		MaxWait:      messageTime(q.GetMostMicros()),
 		Priority:     int(q.GetPriority()),
 		Value:        q.GetWorth(),
 		Retried:      q.GetReturned(),
 		NotLoaded:    q.GetDenied(),
-		PromptTokens: int(q.GetTokens()),
+		PromptTokens: messageCount(q.GetTokens()),
 
 		AvoidLimited: q.GetElsewhere(),
 		Avoid:        q.GetAvoid(),
 
 		Balance:      q.GetBalance(),
 		Box:          q.GetBox(),
-		OutputTokens: int(q.GetOutputTokens()),
-		Target:       time.Duration(q.GetTargetMicros()) * time.Microsecond,
-		QueueLimit:   time.Duration(q.GetQueueMicros()) * time.Microsecond,
-		UrgentLimit:  time.Duration(q.GetUrgentMicros()) * time.Microsecond,
-		MaxPause:     time.Duration(q.GetPauseMicros()) * time.Microsecond,
-		Elapsed:      time.Duration(q.GetElapsedMicros()) * time.Microsecond,
+		OutputTokens: messageCount(q.GetOutputTokens()),
+		Target:       messageTime(q.GetTargetMicros()),
+		QueueLimit:   positiveMessageTime(q.GetQueueMicros()),
+		UrgentLimit:  positiveMessageTime(q.GetUrgentMicros()),
+		MaxPause:     positiveMessageTime(q.GetPauseMicros()),
+		Elapsed:      positiveMessageTime(q.GetElapsedMicros()),
 	}
 }
 
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -8,6 +8,7 @@
 
 	"cairnwick.example/balance"
 	"cairnwick.example/clock"
+	"cairnwick.example/forward"
 	"cairnwick.example/placement"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
@@ -57,6 +58,11 @@
 	if err != nil {
 		return nil, status.FromContextError(err).Err()
 	}
+	return replyFromResult(p), nil
+}
+
+// replyFromResult converts the loader's answer to an AskRequest.
+func replyFromResult(p forward.PlacementResult) *wire.AskReply {
 	return &wire.AskReply{
 		Ready:       p.Ready,
 		Settling:    p.OwnerChanging,
@@ -70,7 +76,7 @@
 		AheadTokens:      int64(p.AheadTokens),
 		FirstTokenMicros: p.FirstToken.Microseconds(),
 		Busy:             p.Busy,
-	}, nil
+	}
 }
 
 // Use implements the Share service.
@@ -122,29 +128,33 @@
 	now := clock.Now()
 	var uses []placement.Use
 	for _, u := range q.GetUsage() {
-		a := topology.ParseAdapter(u.GetAdapter())
 		if u.GetFar() > 0 {
-			n.loader.RecordRemoteRequests(n.Settings.DataCentre, a, int(u.GetFar()), now)
+			n.loader.RecordRemoteRequests(n.Settings.DataCentre, topology.ParseAdapter(u.GetAdapter()), messageCount(u.GetFar()), now)
 			continue
 		}
-		uses = append(uses, placement.Use{
-			Endpoint:      u.GetEndpoint(),
-			Adapter:       a,
-			Started:       int(u.GetCount()),
-			Running:       int(u.GetRunning()),
-			PrefillTokens: int(u.GetReading()),
-			MemoryTokens:  int(u.GetMemory()),
-			Failed:        int(u.GetFailed()),
-			Read: balance.Observation{
-				Prompts: int(u.GetPromptsRead()),
-				Tokens:  int(u.GetTokensRead()),
-				Took:    time.Duration(u.GetReadMicros()) * time.Microsecond,
-			},
-			Streams: int(u.GetStreams()),
-			Pauses:  time.Duration(u.GetPauseMicros()) * time.Microsecond,
-		})
+		uses = append(uses, useFromReport(u))
 	}
 	n.loader.RecordUsage(q.GetBox(), uses, q.GetPart(), now)
 	cost, known := n.loader.MinLoadCost(now)
 	return &wire.UseReply{LevelMicros: cost.Microseconds(), LevelKnown: known}
 }
+
+// useFromReport converts a box's report on an adapter at an endpoint.
+func useFromReport(u *wire.Usage) placement.Use {
+	return placement.Use{
+		Endpoint:      u.GetEndpoint(),
+		Adapter:       topology.ParseAdapter(u.GetAdapter()),
+		Started:       messageCount(u.GetCount()),
+		Running:       messageCount(u.GetRunning()),
+		PrefillTokens: messageCount(u.GetReading()),
+		MemoryTokens:  messageCount(u.GetMemory()),
+		Failed:        messageCount(u.GetFailed()),
+		Read: balance.Observation{
+			Prompts: messageCount(u.GetPromptsRead()),
+			Tokens:  messageCount(u.GetTokensRead()),
+			Took:    positiveMessageTime(u.GetReadMicros()),
+		},
+		Streams: messageCount(u.GetStreams()),
+		Pauses:  positiveMessageTime(u.GetPauseMicros()),
+	}
+}
