forward: owners avoid the endpoints that a balanced request has tried or can't use

Cause: Avoid lacked the endpoints that had failed the request after it was sent, so a repeated request returned to the same one. It was computed over all endpoints of the service, so where the only data centre with the request's base model was avoided for the moment, all its endpoints were in Avoid and the request was refused. Change: Avoid has the endpoints of the asked data centre that hold the base model and that the request would not use. Result: TestEndpointThatFailedTheRequestIsInAvoid and TestOnlyDataCentreWithTheModelIsNotInAvoid fail before and pass after. The other tests of balanced requests pass before and after.

--- a/forward/balance.go
+++ b/forward/balance.go
@@ -109,7 +109,7 @@
 		r.Elapsed = q.route.Timeout() - q.call.Deadline
 		r.Target -= r.Elapsed
 	}
-	r.Avoid = append(r.Avoid, g.unhealthy(q, now)...)
+	r.Avoid = append(r.Avoid, g.unusable(q, e.DataCentre(), now)...)
 	if held {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, max(time.Duration(ownerWaitFraction*float64(r.Target)), minOwnerWait))
@@ -118,16 +118,17 @@
 	return g.Placer.Place(ctx, r)
 }
 
-// unhealthy returns the endpoints that this box would not use, which the owner may not know yet.
-func (g *Gateway) unhealthy(q *request, now time.Time) []string {
-	list := g.View.Endpoints(q.service.Name())
-	usable := make(map[string]bool, len(list))
-	for _, e := range g.usable(list, nil, now) {
+// unusable returns the endpoints of a data centre to which this box would not send the request, since it has tried them or
+// found them unhealthy: the owner may not know yet.
+func (g *Gateway) unusable(q *request, centre string, now time.Time) []string {
+	capable := g.capable(q)
+	usable := make(map[string]bool, len(capable))
+	for _, e := range g.usable(capable, q.tried, now) {
 		usable[e.ID()] = true
 	}
 	var avoid []string
-	for _, e := range list {
-		if !usable[e.ID()] && g.isAvailable(e, now) && g.upstreams.known(e.ID()) {
+	for _, e := range capable {
+		if e.DataCentre() == centre && !usable[e.ID()] && g.isAvailable(e, now) {
 			avoid = append(avoid, e.ID())
 		}
 	}
--- /dev/null
+++ b/forward/balance_test.go
@@ -0,0 +1,269 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// Guards against a box that uses the holder that it sees itself: it knows only its own requests there.
+func TestOwnersChoiceIsUsedThoughAnotherEndpointHoldsTheAdapter(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, readyAt("e2"))
+	s.add(t, "dc", true, answerOK)
+	s.add(t, "dc", false, answerOK)
+	for range 4 {
+		s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	}
+	s.c.Assert(s.calls["e2"].Load(), quicktest.Equals, int64(4))
+	s.c.Assert(s.calls["e1"].Load(), quicktest.Equals, int64(0))
+	for _, w := range s.placer.requests() {
+		s.c.Assert(w.Balance, quicktest.IsTrue)
+	}
+}
+
+// Guards against base-model requests that go by the box's own view: they take the same time and memory of the endpoints.
+func TestBaseModelRequestsAreBalanced(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, readyAt("e2"))
+	s.add(t, "dc", false, answerOK)
+	s.add(t, "dc", false, answerOK)
+	for range 4 {
+		s.c.Assert(s.status("m"), quicktest.Equals, http.StatusOK)
+	}
+	s.c.Assert(s.calls["e2"].Load(), quicktest.Equals, int64(4))
+	list := s.placer.requests()
+	s.c.Assert(list, quicktest.HasLen, 4)
+	s.c.Assert(list[0].Balance, quicktest.IsTrue)
+	s.c.Assert(list[0].Adapter, quicktest.Equals, topology.Adapter{Model: "m"})
+}
+
+// Guards against a change for services that publish no memory, or enough for their slots: a holder is used without a call, and
+// an owner is asked for a load only.
+func TestServiceThatIsNotMemoryBoundTakesTheOldPath(t *testing.T) {
+	for _, engine := range []topology.EngineSpec{
+		{AdapterSlots: 2, BatchSize: 96},
+		{AdapterSlots: 2, BatchSize: 16, MemoryTokens: 121_000},
+	} {
+		s := newBalancedSite(t, onceRoute(2*time.Second), engine, readyAt("e2"))
+		s.add(t, "dc", true, answerOK)
+		s.add(t, "dc", false, answerOK)
+		s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+		s.c.Assert(s.status("m"), quicktest.Equals, http.StatusOK)
+		s.c.Assert(s.calls["e1"].Load() > 0, quicktest.IsTrue)
+		s.c.Assert(s.placer.requests(), quicktest.HasLen, 0)
+		s.c.Assert(s.status("m/other"), quicktest.Equals, http.StatusOK)
+		list := s.placer.requests()
+		s.c.Assert(list, quicktest.HasLen, 1)
+		s.c.Assert(list[0].Balance, quicktest.IsFalse)
+		s.c.Assert(list[0].OutputTokens, quicktest.Equals, 0)
+		s.c.Assert(list[0].Target, quicktest.Equals, time.Duration(0))
+		s.c.Assert(list[0].QueueLimit, quicktest.Equals, time.Duration(0))
+	}
+}
+
+// Guards against a full data centre that refuses requests while another has capacity, and against requests that ask each
+// data centre in turn.
+func TestBusyGoesOnToAtMostThreeDataCentres(t *testing.T) {
+	free := ""
+	s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, func(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+		if w.Endpoint.DataCentre() == free {
+			return PlacementResult{Ready: true, Endpoint: w.Endpoint.ID()}, nil
+		}
+		return PlacementResult{Busy: true, RetryAfter: 70 * time.Millisecond, Reason: "busy"}, nil
+	})
+	for _, centre := range []string{"dc", "d2", "d3", "d4"} {
+		s.add(t, centre, true, answerOK)
+	}
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusServiceUnavailable)
+	asked := centresOf(s.placer.requests())
+	s.c.Assert(asked, quicktest.HasLen, 3)
+	s.c.Assert(asked[0], quicktest.Equals, "dc")
+	s.c.Assert(slices.Compact(slices.Sorted(slices.Values(asked))), quicktest.HasLen, 3)
+	free = asked[1]
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	s.c.Assert(centresOf(s.placer.requests()), quicktest.DeepEquals, asked[:2])
+}
+
+// Guards against requests that wait for a silent leader until their deadline, though an endpoint that the box sees holds
+// their adapter: half of the remaining target is the longest wait at each of three data centres.
+func TestSilentOwnersAreNotWaitedForIfAHolderIsSeen(t *testing.T) {
+	const target = 600 * time.Millisecond
+	r := onceRoute(5 * time.Second)
+	r.LatencyTarget = target
+	s := newBalancedSite(t, r, memoryBound, func(ctx context.Context, _ AdapterRequest) (PlacementResult, error) {
+		<-ctx.Done()
+		return PlacementResult{}, ctx.Err()
+	})
+	s.add(t, "dc", true, answerOK)
+	began := time.Now()
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	took := time.Since(began)
+	s.c.Assert(took >= target/2 && took < target, quicktest.IsTrue, quicktest.Commentf("%v", took))
+	s.add(t, "d2", false, answerOK)
+	s.add(t, "d3", false, answerOK)
+	s.add(t, "d4", false, answerOK)
+	began = time.Now()
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	took = time.Since(began)
+	s.c.Assert(took < target/2+2*minOwnerWait+100*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", took))
+	s.c.Assert(s.placer.requests(), quicktest.HasLen, 1+3)
+}
+
+// Guards against a wait of a fraction of a target that has passed: the request returns late, and an owner that answers in some
+// milliseconds must still be heard.
+func TestOwnerIsHeardThoughTheTargetHasPassed(t *testing.T) {
+	r := onceRoute(5 * time.Second)
+	r.LatencyTarget = time.Nanosecond
+	s := newBalancedSite(t, r, memoryBound, func(ctx context.Context, _ AdapterRequest) (PlacementResult, error) {
+		select {
+		case <-time.After(20 * time.Millisecond):
+			return PlacementResult{Ready: true, Endpoint: "e2"}, nil
+		case <-ctx.Done():
+			return PlacementResult{}, ctx.Err()
+		}
+	})
+	s.add(t, "dc", true, answerOK)
+	s.add(t, "dc", false, answerOK)
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	s.c.Assert(s.calls["e2"].Load(), quicktest.Equals, int64(1))
+}
+
+// Guards against a data centre that is cut off and refuses its requests, though it sees a holder.
+func TestHolderIsUsedWhileNoOwnerAnswers(t *testing.T) {
+	for name, answer := range map[string]PlacementResult{
+		"changing": {OwnerChanging: true, RetryAfter: time.Second},
+		"error":    {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, func(context.Context, AdapterRequest) (PlacementResult, error) {
+				if !answer.OwnerChanging {
+					return PlacementResult{}, errors.New("no leader")
+				}
+				return answer, nil
+			})
+			s.add(t, "dc", false, answerOK)
+			s.add(t, "dc", true, answerOK)
+			s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+			s.c.Assert(s.calls["e2"].Load(), quicktest.Equals, int64(1))
+		})
+	}
+}
+
+// Guards against figures of the owner that get lost: the leader learns speeds from the tokens ahead, and the log and the metric of
+// errors compare with the expected time.
+func TestOwnersFiguresReachObserverAndPrediction(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, func(context.Context, AdapterRequest) (PlacementResult, error) {
+		return PlacementResult{Ready: true, Endpoint: "e1", AheadTokens: 4321, FirstToken: 987 * time.Millisecond}, nil
+	})
+	s.add(t, "dc", true, streamOne)
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	ahead, _, _ := s.runs.snapshot()
+	s.c.Assert(ahead, quicktest.DeepEquals, []int{4321})
+	q := &request{service: s.gateway.View.Config().Service("app"), call: Call{Adapter: topology.Adapter{Model: "m", Name: "a"}}}
+	d := s.gateway.newDispatch(q, target{endpoint: s.gateway.View.Endpoint("e1"), aheadTokens: 4321, firstToken: 987 * time.Millisecond})
+	s.c.Assert(q.predictedFirstToken, quicktest.Equals, 987*time.Millisecond)
+	s.c.Assert(d.unreadTokens, quicktest.Equals, 4321)
+	d.finish()
+}
+
+// Guards against an owner of an older version: it answers without tokens ahead, and the box predicts by its own view.
+func TestAnswerWithoutFiguresIsUsedAsBefore(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, readyAt("e1"))
+	s.add(t, "dc", true, streamOne)
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	ahead, _, _ := s.runs.snapshot()
+	s.c.Assert(ahead, quicktest.DeepEquals, []int{0})
+}
+
+// Guards against an owner that sends requests to an endpoint that refuses this box's connections.
+func TestUnhealthyEndpointsAreInAvoid(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, readyAt("e1"))
+	s.add(t, "dc", true, answerOK)
+	s.add(t, "dc", true, answerOK)
+	s.add(t, "dc", true, answerOK)
+	s.gateway.upstreams.get(s.gateway.View.Endpoint("e2")).markDown(time.Now())
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	s.c.Assert(s.placer.requests()[0].Avoid, quicktest.DeepEquals, []string{"e2"})
+}
+
+// Guards against a repeated request that the owner sends to the endpoint that has just failed it.
+func TestEndpointThatFailedTheRequestIsInAvoid(t *testing.T) {
+	s := newBalancedSite(t, repeatableRoute(2*time.Second), memoryBound, func(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+		for _, id := range []string{"e1", "e2"} {
+			if !slices.Contains(w.Avoid, id) {
+				return PlacementResult{Ready: true, Endpoint: id}, nil
+			}
+		}
+		return PlacementResult{Busy: true}, nil
+	})
+	s.add(t, "dc", true, dropConnection)
+	s.add(t, "dc", true, answerOK)
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	_, failed, _ := s.runs.snapshot()
+	s.c.Assert(failed, quicktest.DeepEquals, []string{"e1"}) // once
+}
+
+// Guards against requests that are refused though an endpoint could serve them: a data centre that the box avoids was asked
+// since no other one has the model, and all its endpoints were in Avoid.
+func TestOnlyDataCentreWithTheModelIsNotInAvoid(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, readyAt("e1"))
+	s.add(t, "d2", true, answerOK)
+	s.endpoint(t, answerOK) // in the own data centre, without the model
+	s.gateway.dataCentres.avoid("d2", time.Now())
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	s.c.Assert(s.placer.requests()[0].Avoid, quicktest.HasLen, 0)
+}
+
+// Guards against callers that leave and make their endpoint count as failing, and against runs that never end.
+func TestCallerThatLeftIsNoFailure(t *testing.T) {
+	arrived := make(chan bool, 1)
+	s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, readyAt("e1"))
+	s.add(t, "dc", true, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // net/http detects a closed connection only after the body
+		arrived <- true
+		<-r.Context().Done()
+	})
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-arrived
+		leave()
+	}()
+	_, err := s.call(ctx, "m/a")
+	s.c.Assert(err, quicktest.Not(quicktest.IsNil))
+	s.eventuallyFinished()
+	_, failed, _ := s.runs.snapshot()
+	s.c.Assert(failed, quicktest.HasLen, 0)
+}
+
+// Guards against callers that leave while an owner is asked, and whose call to it goes on.
+func TestCallerThatLeavesEndsTheCallToTheOwner(t *testing.T) {
+	asked, ended := make(chan bool, 8), make(chan bool, 8)
+	s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(ctx context.Context, _ AdapterRequest) (PlacementResult, error) {
+		asked <- true
+		<-ctx.Done()
+		ended <- true
+		return PlacementResult{}, ctx.Err()
+	})
+	s.add(t, "dc", false, answerOK)
+	ctx, leave := context.WithCancel(context.Background())
+	go func() {
+		<-asked
+		leave()
+	}()
+	_, err := s.call(ctx, "m/a")
+	s.c.Assert(err, quicktest.Not(quicktest.IsNil))
+	select {
+	case <-ended:
+	case <-time.After(2 * time.Second):
+		s.c.Fatal("the call to the owner goes on")
+	}
+	s.c.Assert(s.calls["e1"].Load(), quicktest.Equals, int64(0))
+}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -93,12 +93,8 @@
 // selectEndpoint selects the endpoint for the next attempt.
 func (g *Gateway) selectEndpoint(ctx context.Context, q *request) (target, *Refusal) {
 	now := clock.Now()
-	list := g.View.Endpoints(q.service.Name())
-	if q.service.Engine() != nil && q.call.Adapter.Model != "" {
-		list = withModel(list, q.call.Adapter.Model)
-	}
-	capable := list
-	list = g.usable(capable, q.tried, now) // filtered after withModel, since usable avoids endpoints only if others are left
+	capable := g.capable(q)
+	list := g.usable(capable, q.tried, now) // filtered after withModel, since usable avoids endpoints only if others are left
 	if len(list) == 0 {
 		return target{}, g.noEndpoint(capable, now)
 	}
@@ -115,6 +111,15 @@
 	return g.placeAdapter(ctx, q, list)
 }
 
+// capable returns the endpoints of the request's service that hold its base model.
+func (g *Gateway) capable(q *request) []*topology.Endpoint {
+	list := g.View.Endpoints(q.service.Name())
+	if q.service.Engine() != nil && q.call.Adapter.Model != "" {
+		list = withModel(list, q.call.Adapter.Model)
+	}
+	return list
+}
+
 // noEndpoint refuses a request that no endpoint can serve. If all of them are in a back-off the caller
 // is told when the first one ends.
 func (g *Gateway) noEndpoint(capable []*topology.Endpoint, now time.Time) *Refusal {
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -252,13 +252,6 @@
 	return u
 }
 
-// known reports whether an endpoint was used.
-func (t *upstreams) known(id string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.byID[id] != nil
-}
-
 // prune drops the upstreams of removed endpoints; requests in flight there
 // continue.
 func (t *upstreams) prune(known func(id string) bool) {
