topology: routes without a latency target have a queue limit

Cause: a route without target_latency_ms, which is valid, had the queue limit 0 and a target that had always passed, so its requests were balanced to idle endpoints only and refused elsewhere. A priority of which no route has a target counted as the most urgent one. Change: such a route's timeout takes the place of the target. Result: the three cases without a target in TestQueueLimit fail before and pass after; the other cases, and TestIsMemoryBound and TestLongestQueueLimit, pass before and after.

--- a/forward/balance.go
+++ b/forward/balance.go
@@ -101,7 +101,7 @@
 	now := clock.Now()
 	r.Balance = true
 	r.OutputTokens = q.call.MaxOutputTokens
-	r.Target = q.route.LatencyTarget() - now.Sub(q.received)
+	r.Target = q.route.TargetOrTimeout() - now.Sub(q.received)
 	r.QueueLimit = q.config.QueueLimit(q.route, q.organisation, q.service.Name())
 	r.UrgentLimit = q.config.LongestQueueLimit(q.service.Name())
 	r.MaxPause = q.route.EventGapTarget()
--- a/topology/config.go
+++ b/topology/config.go
@@ -69,6 +69,14 @@
 // LatencyTarget returns the target time until the response or its first event.
 func (r *Route) LatencyTarget() time.Duration { return r.spec.LatencyTarget }
 
+// TargetOrTimeout returns the latency target, or the timeout if the route has no target.
+func (r *Route) TargetOrTimeout() time.Duration {
+	if r.spec.LatencyTarget > 0 {
+		return r.spec.LatencyTarget
+	}
+	return r.spec.Timeout
+}
+
 // EventGapTarget returns the target time between two events of a stream; zero: the route has none.
 func (r *Route) EventGapTarget() time.Duration { return r.spec.EventGapTarget }
 
--- a/topology/queue_limit.go
+++ b/topology/queue_limit.go
@@ -56,15 +56,15 @@
 }
 
 // QueueLimit returns how long the prompts ahead of a request's own may take at an endpoint of a service: the
-// route's latency target, or a part of the shortest target of requests that are more urgent. The organisation is
+// route's latency target (its timeout if it has none), or a part of the shortest target of requests that are more urgent. The organisation is
 // nil on a route that requires no key.
 func (c *Config) QueueLimit(r *Route, o *access.Organisation, service string) time.Duration {
 	t := c.targets[service]
 	if len(t.priorities) == 0 {
-		return r.LatencyTarget()
+		return r.TargetOrTimeout()
 	}
-	step := max(slices.Index(t.priorities, r.Priority()), 0)
-	shortest := r.LatencyTarget()
+	step, _ := slices.BinarySearch(t.priorities, r.Priority()) // a priority whose routes have no target isn't listed
+	shortest := r.TargetOrTimeout()
 	if step > 0 {
 		shortest = min(shortest, t.shortest[step-1])
 	}
