topology: a memory that no ordinary request fits counts as not published

Cause: with kv_cache_tokens from 1 to 2047 each request of ordinary length was refused, as it fits no endpoint's memory. Such a configuration was valid, and served, before the field was read. Change: a service is memory-bound only from 2048 tokens, which one request of ordinary length needs. Result: the cases of 2047 tokens in TestIsMemoryBound fail before and pass after.

--- a/topology/config.go
+++ b/topology/config.go
@@ -138,13 +138,13 @@
 }
 
 // minTokensPerSlot is the memory that a request of ordinary length needs. With less for each request slot, slots
-// don't show how many requests an endpoint can run.
+// don't show how many requests an endpoint can run. A whole memory of less can't be meant: no request would fit.
 const minTokensPerSlot = 2048
 
 // IsMemoryBound reports whether the endpoints' memory limits how many requests they run before their
 // request slots do. Requests are then balanced by work instead of by slots.
 func (e *EngineSpec) IsMemoryBound() bool {
-	return e != nil && e.MemoryTokens > 0 && e.BatchSize > 0 && e.MemoryTokens/e.BatchSize < minTokensPerSlot
+	return e != nil && e.MemoryTokens >= minTokensPerSlot && e.BatchSize > 0 && e.MemoryTokens/e.BatchSize < minTokensPerSlot
 }
 
 // Model returns the base model with the name, or nil.
--- a/topology/queue_limit_test.go
+++ b/topology/queue_limit_test.go
@@ -12,7 +12,8 @@
 	"github.com/frankban/quicktest"
 )
 
-// Guards against a change for endpoints with memory for each of their slots, and for a memory that is not published.
+// Guards against a change for endpoints with memory for each of their slots, and against a memory that is not published, or that
+// no request fits, which would make each request be refused.
 func TestIsMemoryBound(t *testing.T) {
 	c := quicktest.New(t)
 	c.Check((*EngineSpec)(nil).IsMemoryBound(), quicktest.IsFalse)
@@ -24,6 +25,8 @@
 		{96, 96*2048 - 1, true},
 		{96, 96 * 2048, false},
 		{96, 2048, true},
+		{96, 2047, false},
+		{1, 2047, false},
 		{1, 2048, false},
 		{2, 4095, true},
 		{96, 0, false},
