forward: failures of endpoints are those of resumed streams too, and not those of callers

Cause: a resumed stream that broke off was not reported as a failure of its endpoint. A write to a caller that had gone was, if it failed before the request's context ended. Change: a broken resumed stream, and a 5xx response to a resumption, is reported; nothing is after a failed write.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -35,7 +35,7 @@
 		return f
 	}
 	defer resp.Body.Close()
-	if f = g.relay(ctx, q, out, d, t, resp); f != nil {
+	if f = g.relay(ctx, q, out, d, t, resp); f != nil && !out.callerGone {
 		d.recordFailure(ctx, f)
 	}
 	return f
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -40,7 +40,9 @@
 		u.resetConnections()
 		g.reportBroken(u, q)
 	}
-	d.recordFailure(ctx, &Refusal{Code: CodeTruncated})
+	if !out.callerGone {
+		d.recordFailure(ctx, &Refusal{Code: CodeTruncated})
+	}
 	g.recordAttempt(q, "cut", err.Error())
 	for g.mayResume(ctx, q, out) {
 		if g.resume(ctx, q, s) {
@@ -87,6 +89,9 @@
 	q.executions++
 	q.tried[t.endpoint.ID()] = true
 	if !isStream(resp) {
+		if resp.StatusCode >= http.StatusInternalServerError {
+			d.recordFailure(ctx, &Refusal{Code: CodeNoAnswer})
+		}
 		return false
 	}
 	err := s.copy(resp, d.partReceived)
@@ -94,6 +99,9 @@
 	if err != nil && ctx.Err() == nil {
 		g.reportBroken(u, q)
 	}
+	if err != nil && !s.out.callerGone {
+		d.recordFailure(ctx, &Refusal{Code: CodeTruncated})
+	}
 	return err == nil
 }
 
