forward: a refusal without busy of an owner is not final where a holder is seen

Cause: an owner of an older version, or one to whom the asked endpoint is leaving, refuses without busy. The box refused the request then, though it saw a holder of the adapter that it would have used before. Change: the request goes on to the next data centre, and to the holder if no owner chooses an endpoint. Result: TestHolderIsUsedWhileNoOwnerAnswers/older fails before and passes after.

--- a/forward/balance.go
+++ b/forward/balance.go
@@ -63,7 +63,7 @@
 }
 
 // askOwners asks the owners of up to maxBalanceCentres data centres until one does not refuse the request. noOwner
-// reports that none of them answered.
+// reports that none of them answered, or none that knows how to balance.
 func (g *Gateway) askOwners(ctx context.Context, q *request, list, ready []*topology.Endpoint) (t target, f *Refusal, noOwner bool) {
 	noOwner = true
 	for range maxBalanceCentres {
@@ -82,6 +82,8 @@
 		case !p.Ready && p.Busy:
 			noOwner = false
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
+		case !p.Ready && len(ready) > 0: // an owner of an older version, or the endpoint leaves: the holder may serve
+			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
 		default:
 			t, f = g.applyPlacement(ctx, q, e, p)
 			return t, f, false
--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -136,15 +136,17 @@
 	s.c.Assert(s.calls["e2"].Load(), quicktest.Equals, int64(1))
 }
 
-// Guards against a data centre that is cut off and refuses its requests, though it sees a holder.
+// Guards against a data centre that is cut off and refuses its requests, though it sees a holder, and against the refusal of an
+// owner of an older version, which answers for a load only.
 func TestHolderIsUsedWhileNoOwnerAnswers(t *testing.T) {
 	for name, answer := range map[string]PlacementResult{
 		"changing": {OwnerChanging: true, RetryAfter: time.Second},
+		"older":    {RetryAfter: time.Second, Reason: "the endpoint leaves"},
 		"error":    {},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newBalancedSite(t, onceRoute(2*time.Second), memoryBound, func(context.Context, AdapterRequest) (PlacementResult, error) {
-				if !answer.OwnerChanging {
+				if answer.RetryAfter == 0 {
 					return PlacementResult{}, errors.New("no leader")
 				}
 				return answer, nil
