edge: leaders of older versions don't load base models as adapters

Cause: they ignore AskRequest.balance, and order a load of the adapter without a name that a balanced request for a base model names. (Found by reading; not run against an older build.) Change: such a request names its endpoint with a prefix, for which they return an error; the box then uses its own view.

--- a/edge/ask.go
+++ b/edge/ask.go
@@ -19,7 +19,7 @@
 	go p.cancelWhenNotServing(ctx, cancel, m.Name())
 	a, err := wire.NewShareClient(p.dialer.Conn(m.Address())).Ask(ctx, &wire.AskRequest{
 		Request:    w.RequestID,
-		Endpoint:   w.Endpoint.ID(),
+		Endpoint:   askedEndpoint(w),
 		Adapter:    w.Adapter.String(),
 		Version:    w.Version,
 		WaitMicros: w.TargetWait.Microseconds(),
@@ -47,6 +47,18 @@
 	return resultFromReply(a), nil
 }
 
+// balancedPrefix marks the endpoint of a request for a base model. Leaders of older versions would load the base model as an
+// adapter; they know no endpoint of such a name and return an error, so that the box uses its own view.
+const balancedPrefix = "balanced:"
+
+// askedEndpoint returns the endpoint as an AskRequest names it.
+func askedEndpoint(w forward.AdapterRequest) string {
+	if w.Balance && w.Adapter.Name == "" {
+		return balancedPrefix + w.Endpoint.ID()
+	}
+	return w.Endpoint.ID()
+}
+
 // cancelWhenNotServing cancels a call to a box as soon as the box is no longer considered serving. Otherwise a frozen
 // box would hold its callers until their timeout.
 func (p *peers) cancelWhenNotServing(ctx context.Context, cancel context.CancelFunc, name string) {
--- a/edge/ask_test.go
+++ b/edge/ask_test.go
@@ -13,6 +13,7 @@
 	"cairnwick.example/daemon"
 	"cairnwick.example/forward"
 	"cairnwick.example/member"
+	"cairnwick.example/placement"
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
@@ -76,6 +77,26 @@
 	c.Assert(arrived, quicktest.DeepEquals, sent)
 }
 
+// Guards against leaders of older versions that load a base model as an adapter: they must not know the endpoint, and those of
+// this version must.
+func TestBaseModelRequestsAreNotForOlderLeaders(t *testing.T) {
+	c := quicktest.New(t)
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "dc"})
+	base, adapter := topology.Adapter{Model: "m"}, topology.Adapter{Model: "m", Name: "a"}
+	c.Check(askedEndpoint(forward.AdapterRequest{Endpoint: e, Adapter: adapter, Balance: true}), quicktest.Equals, "e1")
+	c.Check(askedEndpoint(forward.AdapterRequest{Endpoint: e, Adapter: adapter}), quicktest.Equals, "e1")
+	name := askedEndpoint(forward.AdapterRequest{Endpoint: e, Adapter: base, Balance: true})
+	v := topology.NewView()
+	v.SetEndpoint(e)
+	c.Check(v.Endpoint(name), quicktest.IsNil) // what a leader of an older version looks up
+	n := &Node{view: v, loader: &placement.Loader{
+		Limits: func() placement.RateLimits { return placement.DefaultRateLimits }, View: v, Owns: func(*topology.Endpoint, time.Time) (bool, time.Time) { return true, time.Time{} },
+	}}
+	a, err := shareServer{node: n}.Ask(context.Background(), &wire.AskRequest{Endpoint: name, Adapter: base.String(), Balance: true, Tokens: 10})
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(a.GetSettling(), quicktest.IsTrue) // known, and not claimed yet
+}
+
 // Guards against values of other boxes that are negative or overflow: microseconds were multiplied without a bound, so a
 // huge time arrived as a negative one, and a negative count reduced what others had reported.
 func TestValuesOfOtherBoxesAreBounded(t *testing.T) {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"cairnwick.example/balance"
@@ -50,7 +51,7 @@
 
 // Ask implements the Share service.
 func (s shareServer) Ask(ctx context.Context, q *wire.AskRequest) (*wire.AskReply, error) {
-	e := s.node.view.Endpoint(q.GetEndpoint())
+	e := s.node.view.Endpoint(strings.TrimPrefix(q.GetEndpoint(), balancedPrefix))
 	if e == nil {
 		return nil, status.Error(codes.NotFound, "edge: unknown endpoint")
 	}
