Metric edge_balance: the state of endpoints that are balanced by work

The loader counts decisions by reason, and nothing showed them. The metric has them, and for each endpoint that the box owns its slowdown, the work that the boxes reported and the requests assigned but not reported.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -37,6 +37,7 @@
 	m.Set("edge_members", expvar.Func(func() any { return n.membersByState() }))
 	m.Set("edge_leads", expvar.Func(func() any { return n.leads() }))
 	m.Set("edge_loader", expvar.Func(func() any { return n.loader.Counts() }))
+	m.Set("edge_balance", expvar.Func(func() any { return n.loader.BalanceCounts() }))
 	m.Set("edge_messages", n.messages)
 	m.Set("edge_source_calls", expvar.Func(func() any { return n.sourceCalls.counts() }))
 	m.Set("edge_log_lines_left_out", expvar.Func(func() any { return n.Lines.Dropped() }))
