forward: a request whose caller left while an owner was asked is not counted at a holder

Cause: the cancelled call to the owner looked like an owner that does not answer, so the request went on to a holder: it was counted there, and the log said that no leader answered. Change: such a request ends. Result: TestCallerThatLeavesEndsTheCallToTheOwner, now with a holder, fails before and passes after.

--- a/forward/balance.go
+++ b/forward/balance.go
@@ -37,14 +37,14 @@
 	}
 	for {
 		t, f, noOwner := g.askOwners(ctx, q, list, ready)
-		if !noOwner {
+		if !noOwner || ctx.Err() != nil {
 			return t, f
 		}
 		now := clock.Now()
 		if e := g.leastLoaded(ready, now); e != nil {
 			return target{endpoint: e, version: g.View.LatestVersion(q.call.Adapter)}, nil
 		}
-		if ctx.Err() != nil || f.RetryAfter > q.usefulTime(now)-g.predictFirstToken(q.call.PromptTokens) {
+		if f.RetryAfter > q.usefulTime(now)-g.predictFirstToken(q.call.PromptTokens) {
 			return t, f
 		}
 		select {
@@ -75,7 +75,9 @@
 		q.placementTime, q.queueTime = clock.Since(q.received), p.QueueTime
 		switch {
 		case err != nil:
-			g.logNoOwner(q, e, err)
+			if ctx.Err() == nil { // else the caller has left, or its time is over
+				g.logNoOwner(q, e, err)
+			}
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "no leader answers"})
 		case p.OwnerChanging:
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -245,7 +245,8 @@
 	s.c.Assert(failed, quicktest.HasLen, 0)
 }
 
-// Guards against callers that leave while an owner is asked, and whose call to it goes on.
+// Guards against callers that leave while an owner is asked, and whose call to it goes on, or whose request is counted at
+// a holder of the adapter.
 func TestCallerThatLeavesEndsTheCallToTheOwner(t *testing.T) {
 	asked, ended := make(chan bool, 8), make(chan bool, 8)
 	s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(ctx context.Context, _ AdapterRequest) (PlacementResult, error) {
@@ -254,7 +255,7 @@
 		ended <- true
 		return PlacementResult{}, ctx.Err()
 	})
-	s.add(t, "dc", false, answerOK)
+	s.add(t, "dc", true, answerOK)
 	ctx, leave := context.WithCancel(context.Background())
 	go func() {
 		<-asked
@@ -267,5 +268,12 @@
 	case <-time.After(2 * time.Second):
 		s.c.Fatal("the call to the owner goes on")
 	}
+	for range 200 {
+		if s.gateway.InFlight() == 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
 	s.c.Assert(s.calls["e1"].Load(), quicktest.Equals, int64(0))
+	s.c.Assert(s.runs.started, quicktest.Equals, 0)
 }
