--- a/forward/balance.go
+++ b/forward/balance.go
@@ -37,14 +37,14 @@
 	}
 	for {
 		t, f, noOwner := g.askOwners(ctx, q, list, ready)
-		if !noOwner {
+		if !noOwner || ctx.Err() != nil {
 			return t, f
 		}
 		now := clock.Now()
 		if e := g.leastLoaded(ready, now); e != nil {
 			return target{endpoint: e, version: g.View.LatestVersion(q.call.Adapter)}, nil
 		}
-		if ctx.Err() != nil || f.RetryAfter > q.usefulTime(now)-g.predictFirstToken(q.call.PromptTokens) {
+		if f.RetryAfter > q.usefulTime(now)-g.predictFirstToken(q.call.PromptTokens) {
 			return t, f
 		}
 		select {
@@ -63,7 +63,7 @@
 }
 
 // askOwners asks the owners of up to maxBalanceCentres data centres until one does not refuse the request. noOwner
-// reports that none of them answered.
+// reports that none of them answered, or none that knows how to balance.
 func (g *Gateway) askOwners(ctx context.Context, q *request, list, ready []*topology.Endpoint) (t target, f *Refusal, noOwner bool) {
 	noOwner = true
 	for range maxBalanceCentres {
@@ -75,13 +75,17 @@
 		q.placementTime, q.queueTime = clock.Since(q.received), p.QueueTime
 		switch {
 		case err != nil:
-			g.logNoOwner(q, e, err)
+			if ctx.Err() == nil { // else the caller has left, or its time is over
+				g.logNoOwner(q, e, err)
+			}
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "no leader answers"})
 		case p.OwnerChanging:
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
 		case !p.Ready && p.Busy:
 			noOwner = false
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
+		case !p.Ready && len(ready) > 0: // an owner of an older version, or the endpoint leaves: the holder may serve
+			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
 		default:
 			t, f = g.applyPlacement(ctx, q, e, p)
 			return t, f, false
@@ -101,7 +105,7 @@
 	now := clock.Now()
 	r.Balance = true
 	r.OutputTokens = q.call.MaxOutputTokens
-	r.Target = q.route.LatencyTarget() - now.Sub(q.received)
+	r.Target = q.route.TargetOrTimeout() - now.Sub(q.received)
 	r.QueueLimit = q.config.QueueLimit(q.route, q.organisation, q.service.Name())
 	r.UrgentLimit = q.config.LongestQueueLimit(q.service.Name())
 	r.MaxPause = q.route.EventGapTarget()
@@ -109,7 +113,7 @@
 		r.Elapsed = q.route.Timeout() - q.call.Deadline
 		r.Target -= r.Elapsed
 	}
-	r.Avoid = append(r.Avoid, g.unhealthy(q, now)...)
+	r.Avoid = append(r.Avoid, g.unusable(q, e.DataCentre(), now)...)
 	if held {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, max(time.Duration(ownerWaitFraction*float64(r.Target)), minOwnerWait))
@@ -118,16 +122,17 @@
 	return g.Placer.Place(ctx, r)
 }
 
-// unhealthy returns the endpoints that this box would not use, which the owner may not know yet.
-func (g *Gateway) unhealthy(q *request, now time.Time) []string {
-	list := g.View.Endpoints(q.service.Name())
-	usable := make(map[string]bool, len(list))
-	for _, e := range g.usable(list, nil, now) {
+// unusable returns the endpoints of a data centre to which this box would not send the request, since it has tried them or
+// found them unhealthy: the owner may not know yet.
+func (g *Gateway) unusable(q *request, centre string, now time.Time) []string {
+	capable := g.capable(q)
+	usable := make(map[string]bool, len(capable))
+	for _, e := range g.usable(capable, q.tried, now) {
 		usable[e.ID()] = true
 	}
 	var avoid []string
-	for _, e := range list {
-		if !usable[e.ID()] && g.isAvailable(e, now) && g.upstreams.known(e.ID()) {
+	for _, e := range capable {
+		if e.DataCentre() == centre && !usable[e.ID()] && g.isAvailable(e, now) {
 			avoid = append(avoid, e.ID())
 		}
 	}
