--- a/placement/balance.go
+++ b/placement/balance.go
@@ -7,7 +7,6 @@
 
 	"cairnwick.example/balance"
 	"cairnwick.example/forward"
-	"cairnwick.example/policy"
 	"cairnwick.example/topology"
 )
 
