balance: a refusal of a request that fits no memory names the memory

Cause: a request whose caller has no time left was refused for the queue, also where the memory binds. The test of placement that asked for it met the exemption of adapters that are refused repeatedly, which now has a test of its own.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -253,6 +253,8 @@
 		return QueueTooLong, timely
 	case c.Delay > 0 && add(c.Delay, max(c.Own, 0)) > r.MaxWait:
 		return LoadTooLate, c.Delay
+	case !c.hasRoom(false):
+		return MemoryFull, max(c.Queue, 0)
 	case first > r.MaxWait: // for as long as the queue becomes shorter, the caller's time does too
 		return QueueTooLong, first
 	}
--- a/placement/work_refuse_test.go
+++ b/placement/work_refuse_test.go
@@ -112,6 +112,7 @@
 			w.MaxWait, w.Target = left, min(left, w.Target)
 			k.set(l, list["e1"], w, now)
 			for range 50 { // their retry times are spaced
+				delete(l.slotRefusals, w.Adapter) // an adapter that is refused repeatedly is let in
 				p, waits := ask(l, w, now)
 				note := quicktest.Commentf("%s, %s left: %+v", k.reason, left, p)
 				c.Assert(waits || p.Ready, quicktest.IsFalse, note)
@@ -127,6 +128,23 @@
 	}
 }
 
+// An adapter that only less urgent callers asked for was never loaded while more urgent ones kept the slots in use.
+func TestAdapterThatIsRefusedForSlotsDoesNotStarve(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1", "e2")
+	now := time.Now()
+	busySlots(l, list["e1"], balancedSlots, now)
+	w := balancedWaiter(list["e1"], 1, now)
+	w.QueueLimit = 2 * w.UrgentLimit / 5
+	for range 2 {
+		p, waits := ask(l, w, now)
+		c.Assert(waits, quicktest.IsFalse)
+		c.Assert(strings.TrimSuffix(p.Reason, noRoomSuffix), quicktest.Equals, reasonSlotsKept)
+	}
+	_, waits := ask(l, w, now)
+	c.Assert(waits, quicktest.IsTrue)
+}
+
 // A new leader took the endpoints of the one before for empty until their requests had ended.
 func TestNewLeaderKnowsWorkFromFullReports(t *testing.T) {
 	c := quicktest.New(t)
