--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -57,7 +57,11 @@
 		n = &policy.DecayingCounter{}
 		l.slotRefusals[w.Adapter] = n
 	}
-	n.Add(1, now, demandHalfLife)
+	weight := 1.0
+	if w.Retried {
+		weight = retryWeight
+	}
+	n.Add(weight, now, demandHalfLife)
 	p := forward.PlacementResult{Busy: true, Reason: reasonSlotsKept}
 	wait := l.slotWaitAnywhereLocked(now)
 	l.setRetryLocked(&p, r, &l.slotReturns, wait+l.coldLoadTime, wait, 1, now)
@@ -66,7 +70,7 @@
 
 // maxSlotRefusals is how many recent requests for an adapter are refused for want of a slot before one is let in, so that
 // an adapter which only less urgent callers ask for does not starve.
-const maxSlotRefusals = 1.5
+const maxSlotRefusals = 2.5
 
 // pruneSlotRefusalsLocked drops adapters that were not refused for a long time.
 func (l *Loader) pruneSlotRefusalsLocked(now time.Time) {
