forward, placement: no loads in further data centres for requests that come late

Cause: a request that the data centre with its adapter could not serve in time went on to others, whose leaders loaded the adapter although the request would be late there too; such loads took adapter slots from requests in time. Change: a question to a further data centre says so (Declined), and its leader loads only for a request in time.

--- a/edge/ask_test.go
+++ b/edge/ask_test.go
@@ -45,6 +45,7 @@
 		RequestID: "q1", Endpoint: e, Adapter: topology.Adapter{Model: "m", Name: "a"}, Version: 3, TargetWait: time.Second, MaxWait: 2 * time.Second,
 		Priority: 4, Value: 5.5, Retried: true, NotLoaded: true, PromptTokens: 600, AvoidLimited: true, Avoid: []string{"e2", "e3"},
 		Balance: true, Box: "box", OutputTokens: 700, Target: -8 * time.Millisecond, QueueLimit: 9 * time.Millisecond,
+		Declined:    true,
 		UrgentLimit: 10 * time.Millisecond, MaxPause: 11 * time.Millisecond, Elapsed: 12 * time.Millisecond,
 	}
 	answered := forward.PlacementResult{
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -82,7 +82,7 @@
 		case p.OwnerChanging:
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
 		case !p.Ready && p.Busy:
-			noOwner = false
+			noOwner, q.declined = false, true
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
 		case !p.Ready && len(ready) > 0: // an owner of an older version, or the endpoint leaves: the holder may serve
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
@@ -109,6 +109,7 @@
 	r.QueueLimit = q.config.QueueLimit(q.route, q.organisation, q.service.Name())
 	r.UrgentLimit = q.config.LongestQueueLimit(q.service.Name())
 	r.MaxPause = q.route.EventGapTarget()
+	r.Declined = q.declined
 	if r.Retried {
 		r.Elapsed = q.route.Timeout() - q.call.Deadline
 		r.Target -= r.Elapsed
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -98,6 +98,7 @@
 	OutputTokens int           // that the request may generate
 	Target       time.Duration // until the route's latency target; negative: that has passed
 	QueueLimit   time.Duration // the longest time that prompts ahead of the request's may take
+	Declined     bool          // another data centre could not serve it in time: a load is only worth it if it is in time
 	UrgentLimit  time.Duration // the QueueLimit of the service's most urgent requests
 	MaxPause     time.Duration // the route's target for the time between two events; zero: it has none
 	Elapsed      time.Duration // with Retried: since the caller's first attempt
--- a/forward/request.go
+++ b/forward/request.go
@@ -41,6 +41,7 @@
 	limitDenials  map[string]limitDenial // by endpoint with a rate limit
 	mayHaveRun    bool                   // an attempt may have been executed
 	noOwnerLogged bool                   // logNoOwner has logged
+	declined      bool                   // the owner of a data centre could not serve it in time
 	retryReserved bool                   // the next attempt has already been taken from the retry budget
 	retryWithheld bool                   // the retry budget denied another attempt
 	notLoadedAt   string                 // endpoint that reported that it does not hold the adapter
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -129,7 +129,11 @@
 	all := l.candidatesLocked(w, denied, last, now)
 	switch {
 	case len(all.list) > 0:
-		return all, balance.Choose(r, all.list)
+		d = balance.Choose(r, all.list)
+		if w.Declined && d.Reason == balance.Late && all.list[d.Index].Availability == balance.Loadable {
+			d = balance.Decision{Index: -1, Reason: balance.LoadTooLate, Relief: all.list[d.Index].Delay}
+		}
+		return all, d
 	case last == balance.Requested:
 		return all, balance.Decision{Index: -1, Reason: reasonNoSlot}
 	}
