--- a/edge/message_bounds.go
+++ b/edge/message_bounds.go
@@ -12,7 +12,7 @@
 )
 
 // messageCount returns a count that another box sent; a negative one counts as zero.
-func messageCount[T int32 | int64](n T) int { return int(min(max(int64(n), 0), maxMessageCount)) }
+func messageCount(n int64) int { return int(min(max(n, 0), maxMessageCount)) }
 
 // messageTime returns a time that another box sent in microseconds. It may be negative: a target may have passed.
 func messageTime(micros int64) time.Duration {
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -130,7 +130,7 @@
 	var uses []placement.Use
 	for _, u := range q.GetUsage() {
 		if u.GetFar() > 0 {
-			n.loader.RecordRemoteRequests(n.Settings.DataCentre, topology.ParseAdapter(u.GetAdapter()), messageCount(u.GetFar()), now)
+			n.loader.RecordRemoteRequests(n.Settings.DataCentre, topology.ParseAdapter(u.GetAdapter()), messageCount(int64(u.GetFar())), now)
 			continue
 		}
 		uses = append(uses, useFromReport(u))
@@ -145,17 +145,17 @@
 	return placement.Use{
 		Endpoint:      u.GetEndpoint(),
 		Adapter:       topology.ParseAdapter(u.GetAdapter()),
-		Started:       messageCount(u.GetCount()),
-		Running:       messageCount(u.GetRunning()),
+		Started:       messageCount(int64(u.GetCount())),
+		Running:       messageCount(int64(u.GetRunning())),
 		PrefillTokens: messageCount(u.GetReading()),
 		MemoryTokens:  messageCount(u.GetMemory()),
-		Failed:        messageCount(u.GetFailed()),
+		Failed:        messageCount(int64(u.GetFailed())),
 		Read: balance.Observation{
-			Prompts: messageCount(u.GetPromptsRead()),
+			Prompts: messageCount(int64(u.GetPromptsRead())),
 			Tokens:  messageCount(u.GetTokensRead()),
 			Took:    positiveMessageTime(u.GetReadMicros()),
 		},
-		Streams: messageCount(u.GetStreams()),
+		Streams: messageCount(int64(u.GetStreams())),
 		Pauses:  positiveMessageTime(u.GetPauseMicros()),
 	}
 }
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -140,7 +140,7 @@
 	return holders, d
 }
 
-// grantLocked tells a box to send its request to an endpoint.
+// grantLocked assigns a request to an endpoint.
 func (l *Loader) grantLocked(o *ownedEndpoint, w *waiter, d balance.Decision, now time.Time) forward.PlacementResult {
 	l.decisions[d.Reason.String()]++
 	p := forward.PlacementResult{Ready: true, Endpoint: o.endpoint.ID(), AheadTokens: l.queuedTokensLocked(o, now) + w.PromptTokens, FirstToken: d.FirstToken}
@@ -163,8 +163,8 @@
 	return p
 }
 
-// setRetryLocked sets when a refused caller should come back. If that is later than it can use, it is told that there is
-// no room, and comes back at its own choice at the end of its time.
+// setRetryLocked sets when a refused caller should come back. If that is later than it can use, the reason says that there
+// is no room, and the time to come back is all that the caller has left.
 func (l *Loader) setRetryLocked(p *forward.PlacementResult, r balance.Request, returns *balance.Returns, relief, work time.Duration, servers int, now time.Time) {
 	latest := time.Duration(returnFraction * float64(r.MaxWait))
 	after, offered := returns.Assign(now, min(relief, latest)+retryMargin, work, latest, servers)
@@ -188,8 +188,8 @@
 	return p
 }
 
-// returnFraction is the part of a caller's remaining time after which it comes back at the latest, whatever it
-// was told.
+// returnFraction is the part of a caller's remaining time after which it comes back at the latest, whatever
+// its Retry-After.
 const returnFraction = 1.0 / 3
 
 // candidates are the endpoints that may serve a request, with the facts that decide.
--- a/placement/bounds.go
+++ b/placement/bounds.go
@@ -19,18 +19,16 @@
 	maxRequestRank      = 9
 )
 
-func clamp[T int | time.Duration](v, low, high T) T { return min(max(v, low), high) }
-
 // boundedRequest returns a request with its values within bounds.
 func boundedRequest(w forward.AdapterRequest) forward.AdapterRequest {
-	w.PromptTokens = clamp(w.PromptTokens, 0, maxRequestTokens)
-	w.OutputTokens = clamp(w.OutputTokens, 0, maxRequestTokens)
-	w.Priority = clamp(w.Priority, 0, maxRequestRank)
+	w.PromptTokens = min(max(w.PromptTokens, 0), maxRequestTokens)
+	w.OutputTokens = min(max(w.OutputTokens, 0), maxRequestTokens)
+	w.Priority = min(max(w.Priority, 0), maxRequestRank)
 	for _, d := range []*time.Duration{&w.TargetWait, &w.MaxWait, &w.Target} {
-		*d = clamp(*d, -maxRequestTime, maxRequestTime)
+		*d = min(max(*d, -maxRequestTime), maxRequestTime)
 	}
 	for _, d := range []*time.Duration{&w.QueueLimit, &w.UrgentLimit, &w.MaxPause, &w.Elapsed} {
-		*d = clamp(*d, 0, maxRequestTime)
+		*d = min(max(*d, 0), maxRequestTime)
 	}
 	return w
 }
@@ -38,10 +36,10 @@
 // boundedUse returns a use with its values within bounds. Package balance bounds the times and drops prompts read that can't be.
 func boundedUse(u Use) Use {
 	for _, n := range []*int{&u.Started, &u.Running, &u.Failed, &u.Streams} {
-		*n = clamp(*n, 0, maxReportedRequests)
+		*n = min(max(*n, 0), maxReportedRequests)
 	}
 	for _, n := range []*int{&u.PrefillTokens, &u.MemoryTokens} {
-		*n = clamp(*n, 0, maxReportedTokens)
+		*n = min(max(*n, 0), maxReportedTokens)
 	}
 	if u.Read.Prompts < 0 || u.Read.Prompts > maxReportedRequests {
 		u.Read = balance.Observation{}
--- a/placement/grants.go
+++ b/placement/grants.go
@@ -8,7 +8,7 @@
 	"cairnwick.example/topology"
 )
 
-// grant is a request that a box was told to send to an endpoint and has not reported yet.
+// grant is a request that was assigned to an endpoint and that its box has not reported yet.
 type grant struct {
 	box     string
 	adapter topology.Adapter
--- a/placement/ownership.go
+++ b/placement/ownership.go
@@ -42,7 +42,7 @@
 	ordersInFlight  int                    // orders without a response yet
 	ordersDone      chan struct{}          // closed when ordersInFlight reaches zero; nil: no goroutine waits
 	endedUntil      time.Time              // a box observed that the endpoint ended; it is not used until then, when its entry has expired
-	grants          []grant                // requests that boxes were told to send here and have not reported yet; oldest first
+	grants          []grant                // requests assigned to it that their boxes have not reported yet; oldest first
 	stateUncertain  bool                   // since the last claim an order got no response or another owner was noticed
 }
 
