placement: free adapter slots are kept as more urgent requests need them

Cause: a fixed part of the slots was kept for each step of rank, up to 0.6 where organisations differ in priority too, whatever the more urgent requests needed. Now as many free slots are kept as the requests of more urgent ranks needed in the last seconds, for 2 s.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -123,8 +123,11 @@
 		return holders, d
 	}
 	last := balance.Loadable
-	if len(holders.list) == 0 && !l.mayUseSlotLocked(w, r, now) {
-		last = balance.Requested // that load takes a slot anyway
+	if len(holders.list) == 0 {
+		l.countSlotDemandLocked(w, now)
+		if !l.mayUseSlotLocked(w, r, now) {
+			last = balance.Requested // that load takes a slot anyway
+		}
 	}
 	all := l.candidatesLocked(w, denied, last, now)
 	switch {
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -59,6 +59,7 @@
 	returns            balance.Returns                              // of callers that were refused there because of queues or memory
 	slotReturns        balance.Returns                              // of callers that were refused because no adapter slot was left
 	slotRefusals       map[topology.Adapter]*policy.DecayingCounter // requests refused because free slots are kept, since the adapter's last load
+	slotDemand         map[slotPool]*slotDemand                     // recent requests that need a slot
 	decisions          map[string]int64                             // for requests that are balanced by work, by reason
 	idleTransitions    policy.DecayingCounter                       // adapters that became idle
 	meanWorth          map[int]float64                              // by priority, smoothed over recent requests
@@ -89,6 +90,7 @@
 		l.loadLimiter = newLoadLimiter()
 		l.meanWorth = make(map[int]float64)
 		l.decisions = make(map[string]int64)
+		l.slotDemand = make(map[slotPool]*slotDemand)
 		l.slotRefusals = make(map[topology.Adapter]*policy.DecayingCounter)
 		l.inFlight = newInFlightTable()
 		l.wake = make(chan struct{}, 1)
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -11,40 +11,86 @@
 	"cairnwick.example/topology"
 )
 
-// mayUseSlotLocked reports whether a request may have its adapter loaded. The last free slots of a data centre are kept
-// for more urgent requests: a stream of a less urgent one may keep a slot in use for many times as long as theirs. A
-// request that returned as it was asked to may use half of what is kept. Copies of an adapter that an endpoint holds
-// don't count: without them its requests would only queue there.
+// slotPool identifies the adapter slots of a service's endpoints in a data centre, which requests compete for.
+type slotPool struct{ centre, service string }
+
+// slotDemand counts the recent requests of each rank whose adapter no endpoint of a pool held.
+type slotDemand [maxRequestRank + 1]policy.DecayingCounter
+
+const (
+	// slotDemandHalfLife is of the count of requests that need a slot: demand moves to other adapters within seconds.
+	slotDemandHalfLife = 2 * time.Second
+	// slotReserveTime is for how long the free slots of a pool suffice for its more urgent requests: a slot that a less
+	// urgent request takes stays in use for a few seconds.
+	slotReserveTime = 2 * time.Second
+	// returnReserveFraction is the part of the reserve that a request leaves free which returned as it was asked to.
+	returnReserveFraction = 0.5
+)
+
+// countSlotDemandLocked counts a request whose adapter no endpoint of its data centre holds or loads.
+func (l *Loader) countSlotDemandLocked(w *waiter, now time.Time) {
+	if w.counted || w.Declined {
+		return
+	}
+	key := slotPool{centre: w.Endpoint.DataCentre(), service: w.Endpoint.Service()}
+	d := l.slotDemand[key]
+	if d == nil {
+		d = &slotDemand{}
+		l.slotDemand[key] = d
+	}
+	weight := 1.0
+	if w.Retried {
+		weight = retryWeight
+	}
+	d[w.Priority].Add(weight, now, slotDemandHalfLife)
+}
+
+// mayUseSlotLocked reports whether a request may have its adapter loaded. As many free slots of its data centre are kept
+// as more urgent requests are likely to need within slotReserveTime: a stream of a less urgent one may keep a slot in
+// use for many times as long as theirs. Copies of an adapter that an endpoint holds don't count: without them its
+// requests would only queue there.
 func (l *Loader) mayUseSlotLocked(w *waiter, r balance.Request, now time.Time) bool {
-	if w.QueueLimit >= w.UrgentLimit || w.UrgentLimit <= 0 {
-		return true
+	reserve := l.slotReserveLocked(w, now)
+	if r.Returned {
+		reserve *= returnReserveFraction
 	}
-	if n := l.slotRefusals[w.Adapter]; n != nil && n.Count(now, demandHalfLife) >= maxSlotRefusals {
+	if reserve < 1 || float64(l.freeSlotsLocked(w.Endpoint, now)) >= reserve {
 		return true
 	}
-	allowed := float64(w.QueueLimit) / float64(w.UrgentLimit)
-	if r.Returned {
-		allowed += (1 - allowed) / 2
+	n := l.slotRefusals[w.Adapter]
+	return n != nil && n.Count(now, demandHalfLife) >= maxSlotRefusals
+}
+
+// slotReserveLocked returns how many free slots are kept for requests that are more urgent than the given one.
+func (l *Loader) slotReserveLocked(w *waiter, now time.Time) float64 {
+	d := l.slotDemand[slotPool{centre: w.Endpoint.DataCentre(), service: w.Endpoint.Service()}]
+	if d == nil {
+		return 0
+	}
+	rate := 0.0
+	for i := range w.Priority {
+		rate += d[i].Rate(now, slotDemandHalfLife)
 	}
-	return l.slotUseLocked(w.Endpoint, now) <= allowed
+	return rate * slotReserveTime.Seconds()
 }
 
-// slotUseLocked returns the part of the adapter slots in an endpoint's service and data centre that are in use or being filled.
-func (l *Loader) slotUseLocked(e *topology.Endpoint, now time.Time) float64 {
-	taken, slots := 0, 0
+// freeSlotsLocked returns how many adapter slots in an endpoint's service and data centre are neither in use nor being filled.
+func (l *Loader) freeSlotsLocked(e *topology.Endpoint, now time.Time) int {
+	free := 0
 	for _, o := range l.owned {
 		g := l.engineSpec(o.endpoint)
 		if g == nil || o.endpoint.DataCentre() != e.DataCentre() || o.endpoint.Service() != e.Service() || !o.isAvailable(now) {
 			continue
 		}
-		slots += g.AdapterCapacity(o.models)
+		taken := 0
 		for a, s := range o.slots {
 			if !s.ready || !l.isIdleLocked(o, a, s, now) {
 				taken++
 			}
 		}
+		free += max(g.AdapterCapacity(o.models)-taken, 0)
 	}
-	return float64(taken) / float64(max(slots, 1))
+	return free
 }
 
 // refuseSlotLocked refuses a request for which no slot is left. Callers are asked to return at the rate at which slots
--- /dev/null
+++ b/placement/slot_limit_test.go
@@ -0,0 +1,176 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package placement
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+func poolOf(o *ownedEndpoint) slotPool {
+	return slotPool{centre: o.endpoint.DataCentre(), service: o.endpoint.Service()}
+}
+
+// demandOf returns the demand of count requests of a rank at now.
+func demandOf(priority int, count float64, now time.Time) *slotDemand {
+	d := &slotDemand{}
+	d[priority].Add(count, now, slotDemandHalfLife)
+	return d
+}
+
+// Streams of less urgent requests kept all adapter slots in use, and the most urgent kind was refused most. Then a fixed
+// part of the slots was kept for urgent kinds, and half of the slots stayed free while others were refused.
+func TestFreeSlotsAreKeptAsMoreUrgentRequestsNeedThem(t *testing.T) {
+	c := quicktest.New(t)
+	for _, k := range []struct {
+		demand   float64 // requests of rank 1 that needed a slot just now: 1.39 slots are kept for two of them
+		taken    int
+		priority int
+		returned bool
+		loaded   bool
+	}{
+		{0, 4, 9, false, true},
+		{0, 5, 9, false, true}, // it waits for a slot
+		{2, 3, 2, false, true},
+		{2, 4, 2, false, false},
+		{2, 5, 2, true, true}, // less than one is kept from a request that returned
+		{6, 3, 2, true, false},
+		{6, 5, 1, false, true},
+		{6, 5, 0, false, true},
+	} {
+		l, list := newBalancedLoader("e1")
+		now := time.Now()
+		busySlots(l, list["e1"], k.taken, now)
+		l.slotDemand[poolOf(list["e1"])] = demandOf(1, k.demand, now)
+		w := balancedWaiter(list["e1"], 1, now)
+		w.Priority, w.Retried, w.Elapsed = k.priority, k.returned, time.Second
+		p, waits := ask(l, w, now)
+		c.Assert(waits, quicktest.Equals, k.loaded, quicktest.Commentf("%+v: %+v", k, p))
+		c.Assert(pendingLoadsOf(l, 1) == 1, quicktest.Equals, k.loaded)
+		if !k.loaded {
+			c.Assert(strings.HasPrefix(p.Reason, reasonSlotsKept), quicktest.IsTrue)
+			c.Assert(p.Busy, quicktest.IsTrue)
+		}
+	}
+}
+
+// slotPlay steps through time with requests that each need an adapter which no endpoint holds.
+type slotPlay struct {
+	loader *Loader
+	list   map[string]*ownedEndpoint
+	now    time.Time
+	runs   map[topology.Adapter]*playStream
+	next   int         // the next adapter
+	asked  map[int]int // requests by rank
+	served map[int]int
+	inUse  int // sum over the steps of the slots in use or being filled
+	steps  int
+}
+
+type playStream struct {
+	priority int
+	askedAt  time.Time
+	length   time.Duration
+	endpoint string // empty: it waits for its load
+	until    time.Time
+}
+
+const (
+	slotPlayStep = 10 * time.Millisecond
+	slotPlayLoad = 300 * time.Millisecond
+	slotPlayWait = time.Second // longest wait for a load that counts as served
+)
+
+func newSlotPlay(endpoints int) *slotPlay {
+	var ids []string
+	for i := range endpoints {
+		ids = append(ids, fmt.Sprintf("e%d", i))
+	}
+	l, list := newBalancedLoader(ids...)
+	l.loadLimiter.limit = maxLoadLimit
+	return &slotPlay{loader: l, list: list, now: time.Now(), runs: make(map[topology.Adapter]*playStream), asked: make(map[int]int), served: make(map[int]int)}
+}
+
+// ask has a caller ask for an adapter of its own, whose stream takes the given time.
+func (p *slotPlay) ask(priority int, length time.Duration) {
+	p.next++
+	w := balancedWaiter(p.list["e0"], p.next, p.now)
+	w.Priority, w.PromptTokens = priority, 10
+	p.asked[priority]++
+	if _, waits := ask(p.loader, w, p.now); waits {
+		p.runs[w.Adapter] = &playStream{priority: priority, askedAt: p.now, length: length}
+	}
+}
+
+// step begins loads, and ends loads, streams and evictions.
+func (p *slotPlay) step() {
+	p.now = p.now.Add(slotPlayStep)
+	l := p.loader
+	l.startLoadsLocked(p.now)
+	for id, o := range p.list {
+		for a, s := range o.slots {
+			p.stepSlot(id, o, a, s)
+		}
+	}
+	var uses []Use
+	for a, r := range p.runs {
+		if r.endpoint == "" {
+			continue
+		}
+		if p.now.Before(r.until) {
+			uses = append(uses, Use{Endpoint: r.endpoint, Adapter: a, Running: 1})
+		} else {
+			delete(p.runs, a)
+		}
+	}
+	l.RecordUsage("box", uses, false, p.now)
+	p.inUse += len(p.list)*balancedSlots - l.freeSlotsLocked(p.list["e0"].endpoint, p.now)
+	p.steps++
+}
+
+func (p *slotPlay) stepSlot(id string, o *ownedEndpoint, a topology.Adapter, s *slot) {
+	switch {
+	case s.unloading:
+		delete(o.slots, a)
+	case !s.ready && p.now.Sub(s.loadBegan) >= slotPlayLoad:
+		s.ready, s.lastUsed = true, p.now
+		p.loader.releasePermitLocked(s, 0, p.now)
+		o.loadsInFlight--
+		if r := p.runs[a]; r != nil {
+			r.endpoint, r.until = id, p.now.Add(r.length)
+			if p.now.Sub(r.askedAt) <= slotPlayWait {
+				p.served[r.priority]++
+			}
+		}
+	}
+}
+
+// Load: long streams of a less urgent kind need four times the slots that there are, beside an urgent kind whose need rises
+// to double within a second. The urgent callers find slots, and few slots stay free meanwhile.
+func TestUrgentRequestsFindSlotsBesideFloodOfLongStreams(t *testing.T) {
+	c := quicktest.New(t)
+	p := newSlotPlay(12) // 60 slots
+	for i := range 3000 {
+		urgent := 25 // steps between two urgent requests: 4 a second
+		if i > 1500 {
+			urgent = 12
+		}
+		if i%urgent == 0 {
+			p.ask(0, 700*time.Millisecond)
+		}
+		if i%2 == 0 { // 50 a second
+			p.ask(2, 5*time.Second)
+		}
+		p.step()
+	}
+	share := float64(p.served[0]) / float64(p.asked[0])
+	c.Check(share >= 0.95, quicktest.IsTrue, quicktest.Commentf("of the urgent requests, %.3f are served within %s", share, slotPlayWait))
+	used := float64(p.inUse) / float64(p.steps*60)
+	c.Check(used >= 0.7, quicktest.IsTrue, quicktest.Commentf("on average %.3f of the slots are in use", used))
+	c.Check(p.served[2] > 0, quicktest.IsTrue)
+}
