placement, balance: while adapter slots are scarce, requests share copies, and late ones take no slot

Requests that would be late all the same had a third of the loads made, each for one more copy, and requests were spread over all copies, so that none became idle. Changes: while more slots are needed than are free or become free, a request goes to the endpoint with the most requests for its adapter that serves it within half of the target, and one that would be late takes no slot. Kept slots count how fast slots become free. Where the owner assigns each request, an adapter is idle after 60 ms instead of 250: it knows what is on its way. Refusals have codes of their own (endpoints_busy, adapter_slots_in_use) and say if there is no room before the deadline; decisions count the reason of each. cairnctl balance shows endpoints, slots and decisions.

--- a/balance/choose.go
+++ b/balance/choose.go
@@ -26,6 +26,10 @@
 	MaxPause   time.Duration // longest time between two events of a stream that is still in time; zero: not known
 	Returned   bool          // the caller was refused before and came back when it was asked to
 
+	// Pack prefers the endpoint with the most requests for the adapter, so that other copies become idle and their
+	// slots free.
+	Pack bool
+
 	// ReturnLimit takes the place of QueueLimit, if it is longer, for a request that returned: the queue limit of the
 	// most urgent kind of the service. Under overload that kind keeps queues at its limit, so a less urgent
 	// request that returns would otherwise be refused again.
@@ -42,6 +46,7 @@
 	Pause        time.Duration // between two events of its streams while it reads prompts without a break; zero: not known
 	FreeMemory   int           // tokens that its memory still takes, the request's subtracted; negative: the request does not fit
 	Memory       int           // tokens that its memory holds; zero: not known
+	Running      int           // requests for the adapter in progress there
 }
 
 // firstToken returns the expected time to first token.
@@ -133,6 +138,9 @@
 	// for one more copy of the adapter: a load takes some 0.3 of a target, so a copy that is begun later
 	// than this is ready too late for the requests that need it.
 	copyThreshold = 0.5
+	// packThreshold is the part of the target up to which an endpoint's expected time to first token may rise so that
+	// another copy of the adapter becomes idle. The rest is for the next requests.
+	packThreshold = 0.5
 	// loadPenalty is how much sooner an endpoint that has to load the adapter must serve than one that
 	// holds it: a load takes bandwidth of the weight store and an adapter slot from other requests.
 	loadPenalty = 300 * time.Millisecond
@@ -192,7 +200,13 @@
 	if r.Target < 0 { // the margin of a time just below zero rounds to zero
 		return Decision{}, false
 	}
-	best := r.cheapest(list, time.Duration(targetMargin*float64(r.Target)), false)
+	best := -1
+	if r.Pack {
+		best = r.busiest(list, time.Duration(packThreshold*float64(r.Target)))
+	}
+	if best < 0 {
+		best = r.cheapest(list, time.Duration(targetMargin*float64(r.Target)), false)
+	}
 	if best < 0 {
 		return Decision{}, false
 	}
@@ -220,13 +234,35 @@
 		if best >= 0 && c.cost() >= lowest {
 			continue
 		}
-		if c.firstToken() <= within && c.Queue <= bound.longestQueue(c) && c.hasRoom(late) && !r.pausesStreams(c) {
+		if c.firstToken() <= within && r.accepts(c, bound, late) {
 			best, lowest = i, c.cost()
 		}
 	}
 	return best
 }
 
+// busiest returns the index of the candidate that holds the adapter and has the most requests for it, among those that
+// serve the request within the given time, or -1.
+func (r Request) busiest(list []Candidate, within time.Duration) int {
+	best := -1
+	bound := r.queueBound(false)
+	for i := range list {
+		c := &list[i]
+		if c.Availability != Ready || c.Running == 0 || (best >= 0 && c.Running <= list[best].Running) {
+			continue
+		}
+		if c.firstToken() <= within && r.accepts(c, bound, false) {
+			best = i
+		}
+	}
+	return best
+}
+
+// accepts reports whether a candidate has room for the request, and its streams stay in time.
+func (r Request) accepts(c *Candidate, bound queueBound, late bool) bool {
+	return c.Queue <= bound.longestQueue(c) && c.hasRoom(late) && !r.pausesStreams(c)
+}
+
 // refuse returns the refusal with the reason of the candidate that would serve first.
 func (r Request) refuse(list []Candidate) Decision {
 	d := Decision{Index: -1, Reason: NoneAvailable}
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -128,3 +128,28 @@
 	c.Check(served[true] >= 95, quicktest.IsTrue, quicktest.Commentf("%d of 100 returning requests", served[true]))
 	c.Check(served[false] < 150, quicktest.IsTrue, quicktest.Commentf("%d of 300 new requests", served[false]))
 }
+
+// Requests were spread over all copies of an adapter, so that each copy kept a slot in use that other adapters lacked.
+func TestRequestsShareBusiestCopyWhileSlotsAreScarce(t *testing.T) {
+	c := quicktest.New(t)
+	for _, k := range []struct {
+		pack   bool
+		busier Candidate
+		chosen int
+	}{
+		{false, Candidate{Queue: 200 * time.Millisecond}, 1},
+		{true, Candidate{Queue: 200 * time.Millisecond}, 0},
+		{true, Candidate{Queue: 500 * time.Millisecond}, 1}, // the next requests would be late
+		{true, Candidate{Queue: 200 * time.Millisecond, Memory: 100, FreeMemory: -1}, 1},
+		{true, Candidate{Availability: Loading, Delay: 100 * time.Millisecond}, 1},
+	} {
+		list := []Candidate{k.busier, {Availability: Ready, Running: 1, Own: 100 * time.Millisecond}, {Availability: Loadable}}
+		list[0].Running, list[0].Own = 5, 100*time.Millisecond
+		if list[0].Availability == 0 {
+			list[0].Availability = Ready
+		}
+		d := Choose(Request{Target: time.Second, QueueLimit: time.Second, MaxWait: 5 * time.Second, Pack: k.pack}, list)
+		c.Check(d.Index, quicktest.Equals, k.chosen, quicktest.Commentf("%+v: %+v", k, d))
+		c.Check(d.Reason, quicktest.Equals, InTime)
+	}
+}
--- a/balance/pause_test.go
+++ b/balance/pause_test.go
@@ -96,3 +96,14 @@
 	c.Check((s.Pause("unknown", now)-plain).Abs() < plain/50, quicktest.IsTrue, quicktest.Commentf("%v, %v", s.Pause("unknown", now), plain))
 	c.Check(ratio > 0.99*slowdown && ratio < 1.01*slowdown, quicktest.IsTrue, quicktest.Commentf("%.3f, slowdown %.3f", ratio, slowdown))
 }
+
+// Load: a new owner of endpoints whose streams pause for 400 ms. It assigned prompts as if there were no pauses for hundreds of
+// streams.
+func TestPausesAreLearnedFromFewStreams(t *testing.T) {
+	c := quicktest.New(t)
+	var s Speeds
+	for range 15 {
+		s.ObservePause("a", 400*time.Millisecond, start)
+	}
+	c.Check(s.Pause("a", start) > 350*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", s.Pause("a", start)))
+}
--- a/cmd/cairnctl/command.go
+++ b/cmd/cairnctl/command.go
@@ -36,6 +36,7 @@
 	Follow  *followCommand  `arg:"subcommand:follow" help:"wait until a published plan is in force"`
 	Key     *keyCommand     `arg:"subcommand:key" help:"print a new key for a non-idempotent request"`
 	Story   *storyCommand   `arg:"subcommand:story" help:"show from logs what happened to a request, or count the causes of failed requests"`
+	Balance *balanceCommand `arg:"subcommand:balance" help:"show how leaders balance requests by work, from the metrics of boxes"`
 	Watch   *watchCommand   `arg:"subcommand:watch" help:"follow decisions as they are made"`
 	Cert    string          `arg:"--tls-certificate" help:"file with the operator's certificate, PEM"`
 	CertKey string          `arg:"--tls-key" help:"file with its key, PEM"`
@@ -79,14 +80,17 @@
 	if a.Story != nil {
 		return a.Story.execute(os.Stdin, out, errs)
 	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if a.Balance != nil {
+		return a.Balance.execute(ctx, out, errs)
+	}
 	selected := a.subcommand()
 	if selected == nil || a.Daemons == "" {
 		p.WriteUsage(errs)
 		fmt.Fprintln(errs, "give a command, and --daemons or CAIRN_DAEMONS")
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	c, err := operator.New(&daemon.Identity{Certificate: a.Cert, Key: a.CertKey, Authority: a.Root})
 	if err != nil {
 		fmt.Fprintln(errs, err)
--- a/edge/ask.go
+++ b/edge/ask.go
@@ -89,9 +89,21 @@
 		AheadTokens:   messageCount(a.GetAheadTokens()),
 		FirstToken:    positiveMessageTime(a.GetFirstTokenMicros()),
 		Busy:          a.GetBusy(),
+		Code:          placementCode(a.GetCode()),
+		NoRoom:        a.GetNoRoom(),
 	}
 }
 
+// placementCode returns the code of a refusal by a leader. One that this box doesn't know, from a newer build, is the default:
+// codes are labels of metrics.
+func placementCode(code string) forward.Code {
+	switch c := forward.Code(code); c {
+	case forward.CodeEndpointsBusy, forward.CodeNoSlot, forward.CodeNotLoaded:
+		return c
+	}
+	return ""
+}
+
 // wantedFromRequest converts an AskRequest of another box.
 func wantedFromRequest(q *wire.AskRequest, e *topology.Endpoint) forward.AdapterRequest {
 	return forward.AdapterRequest{
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -77,6 +77,8 @@
 		AheadTokens:      int64(p.AheadTokens),
 		FirstTokenMicros: p.FirstToken.Microseconds(),
 		Busy:             p.Busy,
+		Code:             string(p.Code),
+		NoRoom:           p.NoRoom,
 	}
 }
 
--- a/forward/adapter.go
+++ b/forward/adapter.go
@@ -56,7 +56,7 @@
 			g.logNoOwner(q, e, err)
 			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "no leader answers"})
 		case p.OwnerChanging:
-			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
+			f = earlierRetry(f, p.refusal())
 		default:
 			t, f = g.applyPlacement(ctx, q, e, p)
 			return t, f, false
@@ -69,6 +69,15 @@
 	return target{}, f, true
 }
 
+// refusal returns the refusal of a request that was not placed.
+func (p PlacementResult) refusal() *Refusal {
+	f := &Refusal{Code: p.Code, RetryAfter: p.RetryAfter, NoRoom: p.NoRoom, Detail: p.Reason}
+	if f.Code == "" {
+		f.Code = CodeNotLoaded
+	}
+	return f
+}
+
 // logNoOwner logs once per request that an endpoint has no owner: the request asks again ten times a
 // second.
 func (g *Gateway) logNoOwner(q *request, e *topology.Endpoint, err error) {
@@ -152,7 +161,7 @@
 func (g *Gateway) applyPlacement(ctx context.Context, q *request, e *topology.Endpoint, p PlacementResult) (target, *Refusal) {
 	now := clock.Now()
 	if !p.Ready && g.accepts(e.ID(), now) {
-		return target{}, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason}
+		return target{}, p.refusal()
 	}
 	if p.Ready && p.Endpoint != e.ID() { // the owner chose another endpoint
 		if e = g.View.Endpoint(p.Endpoint); e == nil {
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -83,15 +83,15 @@
 				return target{}, f, true // the holder is as close as this box; elsewhere the adapter would be loaded again
 			}
 		case p.OwnerChanging:
-			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
+			f = earlierRetry(f, p.refusal())
 			if slices.Contains(ready, e) {
 				return target{}, f, true
 			}
 		case !p.Ready && p.Busy:
 			noOwner, q.declined = false, true
-			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
+			f = earlierRetry(f, p.refusal())
 		case !p.Ready && len(ready) > 0: // an owner of an older version, or the endpoint leaves: the holder may serve
-			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: p.RetryAfter, Detail: p.Reason})
+			f = earlierRetry(f, p.refusal())
 		default:
 			t, f = g.applyPlacement(ctx, q, e, p)
 			return t, f, false
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -118,6 +118,8 @@
 	AheadTokens int           // when ready: prompt tokens that the endpoint reads until the request's first token, its own included
 	FirstToken  time.Duration // when ready: expected time to first token
 	Busy        bool          // when not ready: no endpoint of the data centre serves the request in time; one of another may
+	Code        Code          // when not ready: what lacks; empty: CodeNotLoaded
+	NoRoom      bool          // when not ready: the request isn't expected to be served before its caller gives up
 }
 
 // Placer has adapters loaded. It returns when the adapter is ready, or as soon as it
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -30,6 +30,10 @@
 	CodeShutdown          Code = "box_ends"      // the shutdown grace period is over
 	CodeInternal          Code = "fault"         // a panic in this program
 	CodeQuarantined       Code = "quarantined"   // endpoints ended while they ran such a request
+	// CodeEndpointsBusy: prompts ahead or memory leave no room at the endpoints that could serve the request in time.
+	CodeEndpointsBusy Code = "endpoints_busy"
+	// CodeNoSlot: the endpoints' adapter slots are in use, or are kept for more urgent requests.
+	CodeNoSlot Code = "adapter_slots_in_use"
 	// CodeEndpointLimit: the endpoints that could serve the request have reached their rate limits.
 	CodeEndpointLimit Code = "endpoint_limit"
 	// CodeBackoff: the endpoints that could serve the request are in a back-off.
@@ -47,6 +51,7 @@
 	MayHaveRun bool          // the request may have been executed
 	Unsent     bool          // no byte of the request left this box
 	RetryAfter time.Duration // for the caller; zero: minRetryAfter
+	NoRoom     bool          // the request isn't expected to be served before its deadline; RetryAfter is the time until then
 	Detail     string
 }
 
@@ -98,5 +103,9 @@
 		h.Set("Connection", "close") // a box with a newer copy may answer
 	}
 	w.WriteHeader(status)
-	_, _ = fmt.Fprintf(w, "%s\n", f.Code) // the caller may be gone
+	text := string(f.Code)
+	if f.NoRoom {
+		text += ": no room before the request's deadline"
+	}
+	_, _ = fmt.Fprintln(w, text) // the caller may be gone
 }
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -94,6 +94,7 @@
 		QueueLimit: w.QueueLimit,
 		MaxWait:    limit.Sub(now),
 		MaxPause:   w.MaxPause,
+		Pack:       l.slotsAreScarceLocked(w, now),
 		Returned:   w.Retried && l.returns.IsDue(w.requestedAt, w.Elapsed) && l.slotReturns.IsDue(w.requestedAt, w.Elapsed),
 
 		ReturnLimit: w.UrgentLimit,
@@ -112,7 +113,7 @@
 	switch c.Availability {
 	case balance.Loading:
 		s := o.slots[w.Adapter]
-		p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, "it is being loaded")
+		p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, reasonLoading)
 		return p, done, o
 	case balance.Requested, balance.Loadable:
 		p, done := l.enqueueLocked(o, w, now, limit)
@@ -130,7 +131,8 @@
 const reasonNoSlot = balance.Reason(0)
 
 // chooseBalancedLocked chooses among the endpoints that hold the adapter or are loading it and, if none of them serves
-// the request in time, among those on which it may be loaded.
+// the request in time, among those on which it may be loaded. While slots are scarce, none is taken for a request that
+// would be late all the same.
 func (l *Loader) chooseBalancedLocked(asked *ownedEndpoint, w *waiter, r balance.Request, now time.Time) (candidates, balance.Decision) {
 	var denied *ownedEndpoint
 	if w.NotLoaded {
@@ -152,7 +154,12 @@
 	switch {
 	case len(all.list) > 0:
 		d = balance.Choose(r, all.list)
-		if w.Declined && d.Reason == balance.Late && all.list[d.Index].Availability == balance.Loadable {
+		if d.Reason != balance.Late || all.list[d.Index].Availability != balance.Loadable {
+			return all, d
+		}
+		if scarce := l.slotsAreScarceLocked(w, now); scarce && len(holders.list) > 0 {
+			return holders, balance.Choose(r, holders.list)
+		} else if scarce || w.Declined {
 			d = balance.Decision{Index: -1, Reason: balance.LoadTooLate, Relief: all.list[d.Index].Delay}
 		}
 		return all, d
@@ -180,7 +187,10 @@
 // refuseBusyLocked refuses a request that no endpoint of the data centre serves, with the time to come back.
 func (l *Loader) refuseBusyLocked(w *waiter, r balance.Request, d balance.Decision, chosen candidates, now time.Time) forward.PlacementResult {
 	l.decisions[d.Reason.String()]++
-	p := forward.PlacementResult{Busy: true, Reason: d.Reason.String()}
+	p := forward.PlacementResult{Busy: true, Code: forward.CodeEndpointsBusy, Reason: d.Reason.String()}
+	if d.Reason == balance.LoadTooLate || d.Reason == balance.NoneAvailable {
+		p.Code = forward.CodeNotLoaded
+	}
 	l.setRetryLocked(&p, r, &l.returns, d.Relief, l.speeds.FirstToken("", w.PromptTokens, now), len(chosen.list), now)
 	return p
 }
@@ -192,6 +202,7 @@
 	after, offered := returns.Assign(now, min(relief, latest)+retryMargin, work, latest, servers)
 	if !offered {
 		after = max(r.MaxWait, retryMargin)
+		p.NoRoom = true
 		p.Reason += noRoomSuffix
 	}
 	p.RetryAfter = after
@@ -202,10 +213,13 @@
 
 // refuseLoadLocked completes the refusal of a request whose load would be too late.
 func (l *Loader) refuseLoadLocked(r balance.Request, p forward.PlacementResult) forward.PlacementResult {
-	l.decisions[balance.LoadTooLate.String()]++
+	l.decisions[p.Reason]++
 	p.Busy = true
+	if p.Reason == reasonSlotsInUse {
+		p.Code = forward.CodeNoSlot
+	}
 	if p.RetryAfter > time.Duration(returnFraction*float64(r.MaxWait)) {
-		p.RetryAfter, p.Reason = max(r.MaxWait, retryMargin), p.Reason+noRoomSuffix
+		p.RetryAfter, p.NoRoom, p.Reason = max(r.MaxWait, retryMargin), true, p.Reason+noRoomSuffix
 	}
 	return p
 }
@@ -292,6 +306,7 @@
 	c.Queue = l.queueTimeLocked(o, now)
 	c.Own = l.speeds.FirstToken(id, w.PromptTokens, now)
 	c.Pause = l.speeds.Pause(id, now)
+	c.Running = l.inFlight.adapterRequests(id, w.Adapter) + o.grantsFor(w.Adapter)
 	if p, busy := l.inFlight.readingOf(id); busy {
 		c.Busy = now.Sub(p.since)
 	}
--- a/placement/balance_counts.go
+++ b/placement/balance_counts.go
@@ -11,9 +11,18 @@
 // BalanceCounts is a snapshot of the loader's state for endpoints that are balanced by work.
 type BalanceCounts struct {
 	Endpoints map[string]EndpointWork `json:"endpoints"` // owned by this box
+	Slots     map[string]SlotCounts   `json:"slots"`     // by data centre and service, as in "dc-1/llm"
 	Decisions map[string]int64        `json:"decisions"` // by reason
 }
 
+// SlotCounts are the adapter slots of a service's endpoints in one data centre, of those that this box owns.
+type SlotCounts struct {
+	Free     int     `json:"free"`     // not in use and not being filled
+	Needed   float64 `json:"needed"`   // requests per second whose adapter no endpoint held
+	Released float64 `json:"released"` // slots per second that were emptied for other adapters
+	Reserved float64 `json:"reserved"` // free slots that the least urgent requests leave to more urgent ones
+}
+
 // EndpointWork is the work of one endpoint, of the requests of all boxes.
 type EndpointWork struct {
 	Slowdown     float64 `json:"slowdown"`      // times as long as endpoints in general take to read a prompt
@@ -28,7 +37,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := clock.Now()
-	c := BalanceCounts{Endpoints: make(map[string]EndpointWork), Decisions: maps.Clone(l.decisions)}
+	c := BalanceCounts{Endpoints: make(map[string]EndpointWork), Slots: make(map[string]SlotCounts), Decisions: maps.Clone(l.decisions)}
 	for id, o := range l.owned {
 		if o.phase != owning || !l.engineSpec(o.endpoint).IsMemoryBound() {
 			continue
@@ -40,6 +49,9 @@
 			MemoryTokens: l.inFlight.memoryTokens(id),
 			Grants:       len(o.grants),
 		}
+		if name := o.endpoint.DataCentre() + "/" + o.endpoint.Service(); c.Slots[name] == (SlotCounts{}) {
+			c.Slots[name] = l.slotCountsLocked(o.endpoint, now)
+		}
 	}
 	return c
 }
--- a/placement/balance_counts_test.go
+++ b/placement/balance_counts_test.go
@@ -40,7 +40,13 @@
 	p, err := b.loader.Place(context.Background(), r)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(p.Busy, quicktest.IsTrue)
+	b.loader.slotDemand[slotPool{centre: "dc", service: "llm"}] = demandOf(1, 2, clock.Now())
 	got := b.loader.BalanceCounts()
+	slots := got.Slots["dc/llm"]
+	c.Assert(slots.Free, quicktest.Equals, slotCount-1)
+	c.Assert(slots.Needed > 0.6 && slots.Needed < 0.7, quicktest.IsTrue, quicktest.Commentf("%+v", slots))
+	c.Assert(slots.Reserved > 2*slots.Needed, quicktest.IsTrue, quicktest.Commentf("%+v", slots))
+	got.Slots = nil
 	c.Assert(got, quicktest.DeepEquals, BalanceCounts{
 		Endpoints: map[string]EndpointWork{"e1": {Slowdown: 1, Grants: 2}},
 		Decisions: map[string]int64{balance.InTime.String(): 2, balance.MemoryFull.String(): 1},
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -28,6 +28,9 @@
 	// quarter of the unloads met a request, and 18 endpoints together were blocked for 791 of
 	// 1,044 s.
 	idleThreshold = 250 * time.Millisecond
+	// balancedIdleThreshold takes its place where this box assigns each request to an endpoint: it knows the requests
+	// that are on their way. The waiting requests of a load are assigned within some milliseconds of its end.
+	balancedIdleThreshold = 60 * time.Millisecond
 	// usageSyncTime is how long after it began to own an endpoint a box has received all boxes'
 	// usage there: they report to a new leader within some 0.3 s of learning of it, and it owns
 	// nothing before it has waited reportLag for a report. After a handover it did not wait for a
@@ -130,7 +133,13 @@
 	if now.Sub(o.since) < syncTime {
 		return false
 	}
-	return l.inFlight.adapterRequests(o.endpoint.ID(), a) == 0 && now.Sub(s.lastUsed) >= idleThreshold && now.Sub(s.lastAnnounced) >= idleThreshold
+	if l.inFlight.adapterRequests(o.endpoint.ID(), a) > 0 {
+		return false
+	}
+	if l.engineSpec(o.endpoint).IsMemoryBound() { // boxes use it as this box assigned it to them
+		return o.grantsFor(a) == 0 && now.Sub(s.lastUsed) >= balancedIdleThreshold && now.Sub(s.lastAnnounced) >= balancedIdleThreshold
+	}
+	return now.Sub(s.lastUsed) >= idleThreshold && now.Sub(s.lastAnnounced) >= idleThreshold
 }
 
 // beginEvictionLocked marks an adapter as being evicted and returns the task that unloads it.
@@ -142,6 +151,7 @@
 		"unused_ms", now.Sub(s.lastUsed).Milliseconds(), "a_second", l.requestRateLocked(a, now), "fence", o.fence)
 	claim := o.claims
 	if s.unloading {
+		l.slotDemandLocked(o.endpoint).released.Add(1, now, slotDemandHalfLife)
 		return func(ctx context.Context) { l.unload(ctx, o, claim, a) }
 	}
 	return func(ctx context.Context) { l.evictWhenIdle(ctx, o, claim, a, now) }
--- a/placement/grants.go
+++ b/placement/grants.go
@@ -51,3 +51,14 @@
 	}
 	return tokens, memory
 }
+
+// grantsFor returns the number of grants of an endpoint for an adapter.
+func (o *ownedEndpoint) grantsFor(a topology.Adapter) int {
+	n := 0
+	for _, g := range o.grants {
+		if g.adapter == a {
+			n++
+		}
+	}
+	return n
+}
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -157,7 +157,7 @@
 	}
 	if at, s := l.findHolderLocked(o, w, denied, now); s != nil {
 		if !s.ready {
-			p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, "it is being loaded")
+			p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, reasonLoading)
 			return p, done, at
 		}
 		if !s.evicting || l.cancelEvictionLocked(at, w.Adapter) {
@@ -212,6 +212,13 @@
 	return forward.PlacementResult{RetryAfter: remaining + retryMargin, Reason: reason}, nil
 }
 
+// Reasons of refusals because of loads.
+const (
+	reasonLoading    = "it is being loaded"
+	reasonLoadsFirst = "loads that more requests ask for go first"
+	reasonSlotsInUse = "all adapter slots are in use"
+)
+
 // enqueueLocked records that an adapter is needed, and lets the request wait when the
 // load will complete before limit.
 func (l *Loader) enqueueLocked(o *ownedEndpoint, w *waiter, now, limit time.Time) (forward.PlacementResult, <-chan struct{}) {
@@ -242,9 +249,9 @@
 	if l.isWarmLocked(o, w.Adapter) {
 		load, wait = l.warmLoadTime, 0
 	}
-	reason := "loads that more requests ask for go first"
+	reason := reasonLoadsFirst
 	if slotWait := l.freeSlotDelayLocked(o, q.queuedAhead, now); slotWait > wait {
-		wait, reason = slotWait, "all adapter slots are in use"
+		wait, reason = slotWait, reasonSlotsInUse
 	}
 	p, done := l.waitOrRetry(wait+load, q.done, now, limit, reason)
 	if done != nil && w.pending != q {
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -14,43 +14,70 @@
 // slotPool identifies the adapter slots of a service's endpoints in a data centre, which requests compete for.
 type slotPool struct{ centre, service string }
 
-// slotDemand counts the recent requests of each rank whose adapter no endpoint of a pool held.
-type slotDemand [maxRequestRank + 1]policy.DecayingCounter
+// slotDemand is the recent demand for the slots of a pool, and their supply.
+type slotDemand struct {
+	needed   [maxRequestRank + 1]policy.DecayingCounter // requests whose adapter no endpoint of the pool held, by rank
+	released policy.DecayingCounter                     // slots that were emptied for other adapters
+}
 
 const (
-	// slotDemandHalfLife is of the count of requests that need a slot: demand moves to other adapters within seconds.
+	// slotDemandHalfLife is of the counts of slots needed and released: demand moves to other adapters within seconds.
 	slotDemandHalfLife = 2 * time.Second
-	// slotReserveTime is for how long the free slots of a pool suffice for its more urgent requests: a slot that a less
-	// urgent request takes stays in use for a few seconds.
+	// slotReserveTime is for how long the free slots of a pool, and those that become free meanwhile, suffice for its
+	// more urgent requests: a slot that a less urgent request takes stays in use for a few seconds.
 	slotReserveTime = 2 * time.Second
+	// slotBurstTime is for how long the free slots alone suffice for them: requests come in bursts, and a
+	// slot that becomes free is not empty before a load from the store takes as long.
+	slotBurstTime = 300 * time.Millisecond
 	// returnReserveFraction is the part of the reserve that a request leaves free which returned as it was asked to.
 	returnReserveFraction = 0.5
 )
 
-// countSlotDemandLocked counts a request whose adapter no endpoint of its data centre holds or loads.
-func (l *Loader) countSlotDemandLocked(w *waiter, now time.Time) {
-	if w.counted || w.Declined {
-		return
-	}
-	key := slotPool{centre: w.Endpoint.DataCentre(), service: w.Endpoint.Service()}
+// slotDemandLocked returns the demand for the slots of an endpoint's pool.
+func (l *Loader) slotDemandLocked(e *topology.Endpoint) *slotDemand {
+	key := slotPool{centre: e.DataCentre(), service: e.Service()}
 	d := l.slotDemand[key]
 	if d == nil {
 		d = &slotDemand{}
 		l.slotDemand[key] = d
 	}
+	return d
+}
+
+// neededBy returns the requests per second of ranks below the given one that needed a slot.
+func (d *slotDemand) neededBy(rank int, now time.Time) float64 {
+	needed := 0.0
+	for i := range rank {
+		needed += d.needed[i].Rate(now, slotDemandHalfLife)
+	}
+	return needed
+}
+
+// reserve returns how many free slots are kept for requests of ranks below the given one.
+func (d *slotDemand) reserve(rank int, now time.Time) float64 {
+	needed := d.neededBy(rank, now)
+	shortage := max(needed-d.released.Rate(now, slotDemandHalfLife), 0)
+	return shortage*slotReserveTime.Seconds() + needed*slotBurstTime.Seconds()
+}
+
+// countSlotDemandLocked counts a request whose adapter no endpoint of its data centre holds or loads.
+func (l *Loader) countSlotDemandLocked(w *waiter, now time.Time) {
+	if w.counted || w.Declined {
+		return
+	}
 	weight := 1.0
 	if w.Retried {
 		weight = retryWeight
 	}
-	d[w.Priority].Add(weight, now, slotDemandHalfLife)
+	l.slotDemandLocked(w.Endpoint).needed[w.Priority].Add(weight, now, slotDemandHalfLife)
 }
 
 // mayUseSlotLocked reports whether a request may have its adapter loaded. As many free slots of its data centre are kept
-// as more urgent requests are likely to need within slotReserveTime: a stream of a less urgent one may keep a slot in
-// use for many times as long as theirs. Copies of an adapter that an endpoint holds don't count: without them its
+// as more urgent requests are likely to need: a stream of a less urgent one may keep a slot in use for many times as
+// long as theirs. Copies of an adapter that an endpoint holds don't count: without them its
 // requests would only queue there.
 func (l *Loader) mayUseSlotLocked(w *waiter, r balance.Request, now time.Time) bool {
-	reserve := l.slotReserveLocked(w, now)
+	reserve := l.slotDemandLocked(w.Endpoint).reserve(w.Priority, now)
 	if r.Returned {
 		reserve *= returnReserveFraction
 	}
@@ -61,17 +88,11 @@
 	return n != nil && n.Count(now, demandHalfLife) >= maxSlotRefusals
 }
 
-// slotReserveLocked returns how many free slots are kept for requests that are more urgent than the given one.
-func (l *Loader) slotReserveLocked(w *waiter, now time.Time) float64 {
-	d := l.slotDemand[slotPool{centre: w.Endpoint.DataCentre(), service: w.Endpoint.Service()}]
-	if d == nil {
-		return 0
-	}
-	rate := 0.0
-	for i := range w.Priority {
-		rate += d[i].Rate(now, slotDemandHalfLife)
-	}
-	return rate * slotReserveTime.Seconds()
+// slotsAreScarceLocked reports whether requests of all ranks are likely to need more slots of a request's data centre than
+// are free.
+func (l *Loader) slotsAreScarceLocked(w *waiter, now time.Time) bool {
+	need := l.slotDemandLocked(w.Endpoint).reserve(maxRequestRank+1, now)
+	return need >= 1 && float64(l.freeSlotsLocked(w.Endpoint, now)) < need
 }
 
 // freeSlotsLocked returns how many adapter slots in an endpoint's service and data centre are neither in use nor being filled.
@@ -93,6 +114,17 @@
 	return free
 }
 
+// slotCountsLocked returns the state of an endpoint's pool.
+func (l *Loader) slotCountsLocked(e *topology.Endpoint, now time.Time) SlotCounts {
+	d := l.slotDemandLocked(e)
+	return SlotCounts{
+		Free:     l.freeSlotsLocked(e, now),
+		Needed:   d.neededBy(maxRequestRank+1, now),
+		Released: d.released.Rate(now, slotDemandHalfLife),
+		Reserved: d.reserve(maxRequestRank, now),
+	}
+}
+
 // refuseSlotLocked refuses a request for which no slot is left. Callers are asked to return at the rate at which slots
 // become free for them.
 func (l *Loader) refuseSlotLocked(w *waiter, r balance.Request, now time.Time) forward.PlacementResult {
@@ -108,7 +140,7 @@
 		weight = retryWeight
 	}
 	n.Add(weight, now, demandHalfLife)
-	p := forward.PlacementResult{Busy: true, Reason: reasonSlotsKept}
+	p := forward.PlacementResult{Busy: true, Code: forward.CodeNoSlot, Reason: reasonSlotsKept}
 	wait := l.slotWaitAnywhereLocked(now)
 	l.setRetryLocked(&p, r, &l.slotReturns, wait+l.coldLoadTime, wait, 1, now)
 	return p
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -19,7 +19,7 @@
 // demandOf returns the demand of count requests of a rank at now.
 func demandOf(priority int, count float64, now time.Time) *slotDemand {
 	d := &slotDemand{}
-	d[priority].Add(count, now, slotDemandHalfLife)
+	d.needed[priority].Add(count, now, slotDemandHalfLife)
 	return d
 }
 
@@ -28,7 +28,7 @@
 func TestFreeSlotsAreKeptAsMoreUrgentRequestsNeedThem(t *testing.T) {
 	c := quicktest.New(t)
 	for _, k := range []struct {
-		demand   float64 // requests of rank 1 that needed a slot just now: 1.39 slots are kept for two of them
+		demand   float64 // requests of rank 1 that needed a slot just now: 1.59 slots are kept for two of them
 		taken    int
 		priority int
 		returned bool
@@ -174,3 +174,63 @@
 	c.Check(used >= 0.7, quicktest.IsTrue, quicktest.Commentf("on average %.3f of the slots are in use", used))
 	c.Check(p.served[2] > 0, quicktest.IsTrue)
 }
+
+// Requests that would be late all the same took a third of the adapter slots for copies, and kept them in use.
+func TestLateRequestTakesNoSlotWhileSlotsAreScarce(t *testing.T) {
+	c := quicktest.New(t)
+	for _, k := range []struct {
+		demand float64
+		held   bool
+		loads  bool
+	}{
+		{0, true, true},
+		{0, false, true},
+		{20, true, false},
+		{20, false, false},
+	} {
+		l, list := newBalancedLoader("e1", "e2")
+		now := time.Now()
+		l.slotDemand[poolOf(list["e1"])] = demandOf(0, k.demand, now)
+		w := balancedWaiter(list["e1"], 1, now)
+		w.Target = -time.Second
+		if k.held {
+			hold(1, list["e1"])
+			queueAt(l, "e1", 60000, now)
+		}
+		p, waits := ask(l, w, now)
+		c.Assert(waits, quicktest.Equals, k.loads, quicktest.Commentf("%+v: %+v", k, p))
+		c.Assert(pendingLoadsOf(l, 1) == 1, quicktest.Equals, k.loads)
+		if !k.loads {
+			c.Assert(p.Busy, quicktest.IsTrue)
+		}
+	}
+}
+
+// Load: requests for one adapter at two endpoints that hold it, while other adapters need slots. One endpoint suffices for
+// them, so that the slot at the other becomes free.
+func TestUnneededCopyBecomesIdleWhileSlotsAreScarce(t *testing.T) {
+	c := quicktest.New(t)
+	for _, scarce := range []bool{false, true} {
+		l, list := newBalancedLoader("e1", "e2")
+		now := time.Now()
+		hold(1, list["e1"], list["e2"])
+		l.RecordUsage("box", []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 2, PrefillTokens: 500}, {Endpoint: "e2", Adapter: adapter(1), Running: 1}}, false, now)
+		if scarce {
+			l.slotDemand[poolOf(list["e1"])] = demandOf(0, 20, now)
+		}
+		chosen := make(map[string]int)
+		for range 10 {
+			if scarce {
+				l.slotDemand[poolOf(list["e1"])] = demandOf(0, 20, now)
+			}
+			p, _ := ask(l, balancedWaiter(list["e1"], 1, now), now)
+			chosen[p.Endpoint]++
+			list[p.Endpoint].grants = nil // the prompt is read before the next one comes
+		}
+		if scarce {
+			c.Check(chosen, quicktest.DeepEquals, map[string]int{"e1": 10})
+		} else {
+			c.Check(chosen, quicktest.DeepEquals, map[string]int{"e2": 10})
+		}
+	}
+}
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -216,14 +216,15 @@
 	now := time.Now()
 	busySlots(l, list["e1"], 1, now)
 	w := balancedWaiter(list["e1"], 1, now)
-	w.QueueLimit = w.UrgentLimit / 2
+	w.Priority = 1
+	l.slotDemand[poolOf(list["e1"])] = demandOf(0, 2, now)
 	_, waits := ask(l, w, now)
 	c.Assert(waits, quicktest.IsTrue)
 	w.counted = true
 	busySlots(l, list["e1"], 4, now)
 	_, waits = ask(l, w, now)
 	c.Assert(waits, quicktest.IsTrue)
-	p, waits := ask(l, func() *waiter { o := balancedWaiter(list["e1"], 2, now); o.QueueLimit = o.UrgentLimit / 2; return o }(), now)
+	p, waits := ask(l, func() *waiter { o := balancedWaiter(list["e1"], 2, now); o.Priority = 1; return o }(), now)
 	c.Assert(waits, quicktest.IsFalse)
 	c.Assert(p.Reason, quicktest.Matches, reasonSlotsKept+".*")
 }
