--- a/placement/balance_counts.go
+++ b/placement/balance_counts.go
@@ -17,7 +17,7 @@
 
 // SlotCounts are the adapter slots of a service's endpoints in one data centre, of those that this box owns.
 type SlotCounts struct {
-	Free     int     `json:"free"`     // not in use and not being filled
+	Free     int     `json:"free"`     // not in use and not being filled, less the loads that wait; may be negative
 	Needed   float64 `json:"needed"`   // requests per second whose adapter no endpoint held
 	Released float64 `json:"released"` // slots per second that were emptied for other adapters
 	Reserved float64 `json:"reserved"` // free slots that the least urgent requests leave to more urgent ones
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -26,9 +26,9 @@
 	// slotReserveTime is for how long the free slots of a pool, and those that become free meanwhile, suffice for its
 	// more urgent requests: a slot that a less urgent request takes stays in use for a few seconds.
 	slotReserveTime = 2 * time.Second
-	// slotBurstTime is for how long the free slots alone suffice for them: requests come in bursts, and a
-	// slot that becomes free is not empty before a load from the store takes as long.
-	slotBurstTime = 300 * time.Millisecond
+	// slotBurstTime is for how long the free slots alone suffice for them: requests come in bursts, and one that waits
+	// for longer than this before its load begins is late.
+	slotBurstTime = 500 * time.Millisecond
 	// returnReserveFraction is the part of the reserve that a request leaves free which returned as it was asked to.
 	returnReserveFraction = 0.5
 )
@@ -95,7 +95,8 @@
 	return need >= 1 && float64(l.freeSlotsLocked(w.Endpoint, now)) < need
 }
 
-// freeSlotsLocked returns how many adapter slots in an endpoint's service and data centre are neither in use nor being filled.
+// freeSlotsLocked returns how many adapter slots in an endpoint's service and data centre are neither in use nor being filled,
+// less the loads that wait to begin there. It is negative if more loads wait.
 func (l *Loader) freeSlotsLocked(e *topology.Endpoint, now time.Time) int {
 	free := 0
 	for _, o := range l.owned {
@@ -103,13 +104,12 @@
 		if g == nil || o.endpoint.DataCentre() != e.DataCentre() || o.endpoint.Service() != e.Service() || !o.isAvailable(now) {
 			continue
 		}
-		taken := 0
+		free += g.AdapterCapacity(o.models) - o.queuedLoads
 		for a, s := range o.slots {
 			if !s.ready || !l.isIdleLocked(o, a, s, now) {
-				taken++
+				free--
 			}
 		}
-		free += max(g.AdapterCapacity(o.models)-taken, 0)
 	}
 	return free
 }
