edge, member: a box that starts learns what only other boxes know

Cause: while all others are leaving, the first box that is back leads all data centres and follows nobody, so it never receives the facts that leaving boxes still have. Counts below the threshold went with the leaders that had them. And a box that starts served callers for 0.2 s before its stream delivered: it tried one seed per round, and looked ten times a second for whom to follow.

A box that leads follows two leaving boxes of each data centre; boxes send new leaders the ends of endpoints of the last ten minutes, with their age; a box that starts contacts three seeds at once, follows at once, and is ready once it has received facts, or after 0.5 s.

--- a/edge/ask_test.go
+++ b/edge/ask_test.go
@@ -50,7 +50,7 @@
 	}
 	answered := forward.PlacementResult{
 		Ready: true, OwnerChanging: true, Endpoint: "e2", Version: 4, QueueTime: 5 * time.Millisecond, RetryAfter: 6 * time.Millisecond,
-		Reason: "reason", AheadTokens: 7, FirstToken: 8 * time.Millisecond, Busy: true,
+		Reason: "reason", AheadTokens: 7, FirstToken: 8 * time.Millisecond, Busy: true, Code: forward.CodeNoSlot, NoRoom: true,
 	}
 	for _, v := range []reflect.Value{reflect.ValueOf(sent), reflect.ValueOf(answered)} {
 		for i := range v.NumField() { // a field that is added later must be set above
@@ -119,6 +119,7 @@
 		quicktest.DeepEquals, forward.PlacementResult{})
 	c.Check(resultFromReply(&wire.AskReply{RetryMicros: math.MaxInt64, FirstTokenMicros: math.MaxInt64, AheadTokens: math.MaxInt64}),
 		quicktest.DeepEquals, forward.PlacementResult{RetryAfter: maxMessageTime, FirstToken: maxMessageTime, AheadTokens: maxMessageCount})
+	c.Check(resultFromReply(&wire.AskReply{Code: "code of a newer build"}), quicktest.DeepEquals, forward.PlacementResult{})
 	c.Check(useFromReport(&wire.Usage{Count: -1, Running: -1, Reading: -1, Memory: -1, PromptsRead: -1, TokensRead: -1, ReadMicros: -1, Failed: -1, Streams: -1, PauseMicros: -1}),
 		quicktest.DeepEquals, useFromReport(&wire.Usage{}))
 	use := useFromReport(&wire.Usage{Reading: math.MaxInt64, Memory: math.MaxInt64, TokensRead: math.MaxInt64, ReadMicros: math.MaxInt64, PauseMicros: math.MaxInt64})
--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -26,6 +26,10 @@
 	// the traffic of a box does not grow with the size of the data centre.
 	maxFollowers = 6
 
+	// maxDeparting is how many leaving boxes of a data centre a leader follows. Each has all facts that boxes
+	// publish there; the second is for one that stops first.
+	maxDeparting = 2
+
 	// clusterViewTTL is how long a clusterView is valid while no member changes. Only takeovers depend on the time.
 	clusterViewTTL = time.Second
 )
@@ -42,6 +46,7 @@
 	hasFallback    bool                     // whether fallbackLeader is set
 	upstream       member.Member            // the box that this one follows
 	hops           int                      // from this box to the leader of its data centre; zero: it leads
+	departing      []member.Member          // leaving boxes that have the facts of their data centres, for boxes that lead
 }
 
 // clusterViews caches the latest clusterView.
@@ -85,9 +90,27 @@
 	}
 	slices.Sort(v.centres)
 	v.chooseUpstream(box, centre, serving)
+	for _, list := range byCentre {
+		v.departing = append(v.departing, departing(list, box)...)
+	}
 	return v
 }
 
+// departing returns the leaving boxes of a data centre to follow: the oldest ones, which have led it or followed its leader
+// for the longest time.
+func departing(list []member.Member, self string) []member.Member {
+	var leaving []member.Member
+	for _, m := range list {
+		if m.State() == member.Leaving && m.Name() != self {
+			leaving = append(leaving, m)
+		}
+	}
+	slices.SortFunc(leaving, func(a, b member.Member) int {
+		return cmp.Or(cmp.Compare(a.Incarnation(), b.Incarnation()), cmp.Compare(a.Name(), b.Name()))
+	})
+	return leaving[:min(len(leaving), maxDeparting)]
+}
+
 // addDataCentre determines the leader of a data centre: the oldest serving box of sufficient capacity there, or the
 // oldest one anywhere if no box serves there. If one of them died recently, a network partition is more likely than a
 // data centre without boxes, so no box elsewhere leads it until takeoverDelay has passed.
--- /dev/null
+++ b/edge/end_history.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"cairnwick.example/wire"
+)
+
+const (
+	// maxHistoryEnds bounds the endpoints of an endHistory.
+	maxHistoryEnds = 256
+	// maxHistoryContents bounds the requests that are kept for one endpoint, of all boxes together: some ten run at once.
+	maxHistoryContents = 256
+	// historyTime is how long an end is kept. Leaders count it for an hour; callers retry a request that ended
+	// endpoints within seconds or minutes.
+	historyTime = 10 * time.Minute
+)
+
+// endHistory keeps recent ends of endpoints with the requests that ran there, as far as this box observed or received them.
+// The zero value is empty.
+type endHistory struct{ ends map[string]*recordedEnd }
+
+type recordedEnd struct {
+	contents [][]byte
+	at       time.Time // when the end was observed last
+}
+
+// add records a report; reports of several boxes on one endpoint are combined.
+func (h *endHistory) add(end *wire.EndpointEnd, now time.Time) {
+	if h.ends == nil {
+		h.ends = make(map[string]*recordedEnd)
+	}
+	r := h.ends[end.GetEndpoint()]
+	if r == nil {
+		h.makeRoom(now)
+		r = &recordedEnd{}
+		h.ends[end.GetEndpoint()] = r
+	}
+	if at := now.Add(-positiveMessageTime(end.GetAgeMicros())); at.After(r.at) {
+		r.at = at
+	}
+	for _, c := range end.GetContents() {
+		known := slices.ContainsFunc(r.contents, func(o []byte) bool { return bytes.Equal(o, c) })
+		if !known && len(r.contents) < maxHistoryContents {
+			r.contents = append(r.contents, c)
+		}
+	}
+}
+
+// makeRoom removes expired ends and, if there are too many others, the oldest.
+func (h *endHistory) makeRoom(now time.Time) {
+	maps.DeleteFunc(h.ends, func(_ string, r *recordedEnd) bool { return now.Sub(r.at) >= historyTime })
+	if len(h.ends) < maxHistoryEnds {
+		return
+	}
+	oldest := slices.MinFunc(slices.Collect(maps.Keys(h.ends)), func(a, b string) int {
+		return cmp.Or(h.ends[a].at.Compare(h.ends[b].at), cmp.Compare(a, b))
+	})
+	delete(h.ends, oldest)
+}
+
+// recent returns the ends that have not expired, by endpoint.
+func (h *endHistory) recent(now time.Time) []*wire.EndpointEnd {
+	var list []*wire.EndpointEnd
+	for _, e := range slices.Sorted(maps.Keys(h.ends)) {
+		if r := h.ends[e]; now.Sub(r.at) < historyTime {
+			list = append(list, &wire.EndpointEnd{Endpoint: e, Contents: slices.Clone(r.contents), AgeMicros: now.Sub(r.at).Microseconds()})
+		}
+	}
+	return list
+}
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -10,11 +10,16 @@
 	"cairnwick.example/wire"
 )
 
+// followChangeDelay is how long changes of members are collected before the boxes to follow are chosen again. A box that
+// starts should follow at once: until then it knows nothing that only boxes know, such as quarantined requests.
+const followChangeDelay = 5 * time.Millisecond
+
 // followAll keeps a stream open from each box that this one follows, until ctx ends.
 func (p *peers) followAll(ctx context.Context) error {
 	running := make(map[followTarget]context.CancelFunc)
 	ended := make(chan followTarget)
 	for ctx.Err() == nil {
+		changed := p.table.Changed()
 		wanted := p.followTargets()
 		for s := range wanted {
 			if running[s] != nil {
@@ -38,6 +43,8 @@
 			running[s]()
 			delete(running, s)
 			sleep(ctx, leaderCheckInterval)
+		case <-changed:
+			sleep(ctx, followChangeDelay)
 		case <-time.After(leaderCheckInterval):
 		}
 	}
@@ -56,7 +63,9 @@
 
 // followTargets returns the boxes to follow now. The boxes of a data centre follow its leader, some through
 // other boxes; leaders follow each other. Traffic between data centres is expensive, so a leader that
-// reads the source itself takes from other leaders only the facts that the source does not have.
+// reads the source itself takes from other leaders only the facts that the source does not have. It takes those from
+// leaving boxes too: when all boxes restart within the time that leaving takes, the first one to return leads, and only
+// boxes that are leaving have them.
 func (p *peers) followTargets() map[followTarget]bool {
 	list := make(map[followTarget]bool)
 	if m, _, ok := p.clusterView().parent(); ok {
@@ -69,9 +78,22 @@
 			list[followTarget{name: m.Name(), address: m.Address(), everything: !p.readsSource()}] = true
 		}
 	}
+	for _, m := range o.departing {
+		list[followTarget{name: m.Name(), address: m.Address()}] = true
+	}
 	return list
 }
 
+// hasFacts reports whether this box has received what only other boxes know, as far as they answer: it follows nobody, or
+// has received a message of a box that it follows, or has waited for one for initialFactsTimeout.
+func (p *peers) hasFacts(now time.Time) bool {
+	return p.receivedFacts.Load() || now.Sub(p.started) >= initialFactsTimeout || len(p.followTargets()) == 0
+}
+
+// initialFactsTimeout bounds how long a box that starts is not ready for want of facts that only boxes have. A box that
+// answers sends them within some milliseconds of the first contact.
+const initialFactsTimeout = 500 * time.Millisecond
+
 // follow merges the updates of one box until the stream ends.
 func (p *peers) follow(ctx context.Context, s followTarget) {
 	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
@@ -88,6 +110,7 @@
 // stream without everything carries no endpoint entries, so its status does not cover them.
 func (p *peers) apply(s followTarget, u *wire.Update, received time.Time) {
 	p.table.RecordContact(s.name, received)
+	p.receivedFacts.Store(true)
 	if !u.GetReading() {
 		return
 	}
--- a/edge/leave.go
+++ b/edge/leave.go
@@ -39,7 +39,8 @@
 
 // isReady reports whether the box can serve callers.
 func (n *Node) isReady() bool {
-	return !n.leaving.Load() && n.view.Config() != nil && len(n.view.All()) > 0 && n.keysStayCurrent(clock.Now())
+	now := clock.Now()
+	return !n.leaving.Load() && n.view.Config() != nil && len(n.view.All()) > 0 && n.peers.hasFacts(now) && n.keysStayCurrent(now)
 }
 
 func (n *Node) readinessHandler() http.Handler {
--- a/edge/outbox.go
+++ b/edge/outbox.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -27,20 +28,33 @@
 
 // outbox holds this box's observations of endpoints until the leaders of all data centres have received them. Each
 // leader acts on them and publishes a fact in its own data centre, so no observation is lost when one leader crashes.
+// A new leader gets what was observed before it led.
 type outbox struct {
 	node *Node
 	wake chan struct{} // signals that a message is pending
 
 	mu       sync.Mutex
 	messages []*message // not yet delivered to every leader
+	history  endHistory
+	known    map[string]bool // leaders that get the history no more, by leaderKey
 }
 
 // message is one observation of an endpoint by this box.
 type message struct {
 	end       *wire.EndpointEnd // the endpoint ended while it ran requests; nil: it did not
 	leaving   string            // ID of an endpoint that announced draining; empty: none did
+	to        string            // leaderKey of the only recipient; empty: all leaders
 	expires   time.Time         // when retries stop
-	delivered map[string]bool   // by box, whether it received the message; only used by run
+	delivered map[string]bool   // by leaderKey, whether the leader received the message; only used by run
+}
+
+// leaderKey identifies one run of a box that leads: after a restart it has lost what it received.
+func leaderKey(m member.Member) string { return fmt.Sprintf("%s/%d", m.Name(), m.Incarnation()) }
+
+// isFor reports whether a leader must receive a message and has not.
+func (n *message) isFor(m member.Member) bool {
+	key := leaderKey(m)
+	return !n.delivered[key] && (n.to == "" || n.to == key)
 }
 
 func newOutbox(n *Node) *outbox { return &outbox{node: n, wake: make(chan struct{}, 1)} }
@@ -61,6 +75,39 @@
 	return true
 }
 
+// record keeps an endpoint's end for leaders to come.
+func (o *outbox) record(end *wire.EndpointEnd, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.history.add(end, now)
+}
+
+// sendHistory queues the ends of endpoints that were observed before for boxes that have begun to lead.
+func (o *outbox) sendHistory(now time.Time) {
+	leaders := o.leaders()
+	o.mu.Lock()
+	known := make(map[string]bool, len(leaders))
+	var ends []*message
+	for _, m := range leaders {
+		key := leaderKey(m)
+		known[key] = true
+		if o.known[key] {
+			continue
+		}
+		for _, e := range o.history.recent(now) {
+			ends = append(ends, &message{end: e, to: key})
+		}
+	}
+	o.known = known
+	o.mu.Unlock()
+	for _, m := range ends {
+		if !o.add(m, now) {
+			o.node.Log.Info("Report of an endpoint's end dropped: too many messages pending", "endpoint", m.end.GetEndpoint())
+			return
+		}
+	}
+}
+
 // run delivers messages and removes expired state until ctx ends.
 func (o *outbox) run(ctx context.Context) error {
 	t := notifier{
@@ -79,7 +126,7 @@
 
 // delivery lists the messages that a leader received; none if it did not answer.
 type delivery struct {
-	leader   string
+	leader   string // leaderKey
 	messages []*message
 }
 
@@ -90,7 +137,7 @@
 	deliveries := make(chan delivery, len(leaders))
 	calls := 0
 	for _, m := range leaders {
-		undelivered := slices.DeleteFunc(slices.Clone(all), func(n *message) bool { return n.delivered[m.Name()] })
+		undelivered := slices.DeleteFunc(slices.Clone(all), func(n *message) bool { return !n.isFor(m) })
 		if len(undelivered) == 0 {
 			continue
 		}
@@ -141,13 +188,13 @@
 	}
 	_, err := wire.NewPeerClient(o.node.peers.dialer.Conn(m.Address())).Ended(call, r)
 	if status.Code(err) == codes.Unimplemented {
-		return delivery{leader: m.Name(), messages: undelivered} // an older version without this method: it can't be notified
+		return delivery{leader: leaderKey(m), messages: undelivered} // an older version without this method: it can't be notified
 	}
 	if err != nil {
 		o.node.Log.Info("Failed to notify leader of endpoints that ended or are draining", "leader", m.Name(), "err", err.Error())
 		return delivery{}
 	}
-	return delivery{leader: m.Name(), messages: undelivered}
+	return delivery{leader: leaderKey(m), messages: undelivered}
 }
 
 // removeDone removes messages that every leader has received and those that have expired. It reports whether none is
@@ -156,8 +203,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.messages = slices.DeleteFunc(o.messages, func(n *message) bool {
-		isMissing := func(m member.Member) bool { return !n.delivered[m.Name()] }
-		return !now.Before(n.expires) || !slices.ContainsFunc(leaders, isMissing)
+		return !now.Before(n.expires) || !slices.ContainsFunc(leaders, n.isFor)
 	})
 	return len(o.messages) == 0
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairnwick.example/daemon"
@@ -52,7 +53,8 @@
 	maxStaleness func() time.Duration // maximum staleness of this box relative to that source
 	checkpoints  *checkpoints         // up to which this box knows the source
 
-	clusterViews clusterViews
+	clusterViews  clusterViews
+	receivedFacts atomic.Bool // a followed box has sent a message
 
 	mu           sync.Mutex
 	firstContact time.Time               // first contact with another box; zero: none yet
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -32,8 +32,9 @@
 // Ended implements forward.Quarantine.
 func (q requestQuarantine) Ended(endpoint string, contents []quarantine.Fingerprint) {
 	now := time.Now()
-	q.record(endpoint, contents, now)
+	q.record(endpoint, contents, 0, now)
 	end := &wire.EndpointEnd{Endpoint: endpoint, Contents: quarantine.Encode(contents)}
+	q.node.outbox.record(end, now)
 	if !q.node.outbox.add(&message{end: end}, now) {
 		q.node.Log.Info("Report of an endpoint's end dropped: too many messages pending", "endpoint", endpoint)
 	}
@@ -42,14 +43,19 @@
 // receive applies the reports of another box.
 func (q requestQuarantine) receive(m *wire.EndedRequest, now time.Time) {
 	for _, e := range m.GetEnds()[:min(len(m.GetEnds()), maxPendingMessages)] {
-		q.record(e.GetEndpoint(), quarantine.Decode(e.GetContents()), now)
+		contents := quarantine.Decode(e.GetContents())
+		age := positiveMessageTime(e.GetAgeMicros())
+		q.record(e.GetEndpoint(), contents, age, now)
+		q.node.outbox.record(&wire.EndpointEnd{Endpoint: e.GetEndpoint(), Contents: quarantine.Encode(contents), AgeMicros: age.Microseconds()}, now)
 	}
 }
 
-// record counts the end of an endpoint against the requests that it ran, and publishes those that are quarantined
-// by it. The loader assigns the endpoint no more loads until its entry has lapsed.
-func (q requestQuarantine) record(endpoint string, contents []quarantine.Fingerprint, now time.Time) {
-	q.node.loader.Ended(endpoint, clock.Now().Add(q.node.current.Load().Bounds.RegistrationTTL))
+// record counts the end of an endpoint, observed some time ago, against the requests that it ran, and publishes those
+// that are quarantined by it. The loader assigns the endpoint no more loads until its entry has lapsed.
+func (q requestQuarantine) record(endpoint string, contents []quarantine.Fingerprint, age time.Duration, now time.Time) {
+	if left := q.node.current.Load().Bounds.RegistrationTTL - age; left > 0 {
+		q.node.loader.Ended(endpoint, clock.Now().Add(left))
+	}
 	for _, c := range q.node.state.tracker.RecordTermination(endpoint, contents, now) {
 		q.node.items.Merge(&wire.Item{
 			Key:        quarantinePrefix + c.String(),
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -27,6 +28,7 @@
 	n.state = &state{view: topology.NewView(), table: n.items, decoder: n.Decoder, log: n.Log}
 	n.items.OnChange, n.items.HasEnded = n.state.apply, n.hasEnded
 	n.quarantine = requestQuarantine{node: n}
+	n.outbox = newOutbox(n)
 	n.current.Store(&n.Settings)
 	n.loader = &placement.Loader{Limits: func() placement.RateLimits { return placement.DefaultRateLimits }}
 	return n
@@ -102,11 +104,99 @@
 	gone := member.New("gone", "", roleBox, "dc", 1)
 	answers := member.New("answers", "", roleBox, "dc", 1)
 	e := n.outbox.pending()[0]
-	e.delivered["answers"] = true
+	e.delivered[leaderKey(answers)] = true
 	c.Assert(n.outbox.removeDone([]member.Member{answers, gone}, now), quicktest.IsFalse)
 	c.Assert(n.outbox.removeDone([]member.Member{answers, gone}, now.Add(notifyMaxAge-time.Second)), quicktest.IsFalse)
-	e.delivered["gone"] = true
+	e.delivered[leaderKey(gone)] = true
 	c.Assert(n.outbox.removeDone([]member.Member{answers, gone}, now), quicktest.IsTrue)
 	n.quarantine.Ended("e2", []quarantine.Fingerprint{contentOf("fatal")})
 	c.Assert(n.outbox.removeDone([]member.Member{gone}, now.Add(2*notifyMaxAge)), quicktest.IsTrue)
 }
+
+// eventuallyQuarantined waits until a node keeps a request from endpoints.
+func eventuallyQuarantined(c *quicktest.C, n *Node, body string) {
+	eventually(c, "the request is quarantined", func() bool { return isQuarantined(n, body, time.Now()) })
+}
+
+// publishQuarantine publishes a quarantined request at a box.
+func publishQuarantine(n *Node, body string) {
+	for _, e := range []string{"e1", "e2", "e3"} {
+		n.quarantine.record(e, []quarantine.Fingerprint{contentOf(body)}, 0, time.Now())
+	}
+}
+
+// When all boxes restarted within the time that leaving takes, the first one to return led and followed none of those
+// that had the list, which were leaving. Three more endpoints ended of a request that was known.
+func TestFirstBoxAfterARestartOfAllLearnsTheQuarantine(t *testing.T) {
+	c := quicktest.New(t)
+	first, second := newNode(c, "box-1"), newNode(c, "box-2")
+	second.Settings.Seeds = []string{first.Settings.Peers}
+	for _, n := range []*Node{first, second} {
+		stop := start(n)
+		defer func() { c.Check(stop(), quicktest.IsNil) }()
+		variablesOf(c, n)
+	}
+	publishQuarantine(first, "fatal")
+	eventuallyQuarantined(c, second, "fatal")
+	first.peers.table.Leave()
+	second.peers.table.Leave()
+	third := newNode(c, "box-3", first.Settings.Peers, second.Settings.Peers)
+	stop := start(third)
+	defer func() { c.Check(stop(), quicktest.IsNil) }()
+	variablesOf(c, third)
+	eventuallyQuarantined(c, third, "fatal")
+	c.Assert(third.leads(), quicktest.IsTrue)
+}
+
+// What was counted of a request below the threshold ended with the leaders that counted it: two more endpoints than the
+// threshold ended of it.
+func TestNewLeaderCountsEarlierEnds(t *testing.T) {
+	c := quicktest.New(t)
+	first, second := newNode(c, "box-1"), newNode(c, "box-2")
+	second.Settings.Seeds = []string{first.Settings.Peers}
+	stopFirst := start(first)
+	variablesOf(c, first)
+	stop := start(second)
+	defer func() { c.Check(stop(), quicktest.IsNil) }()
+	variablesOf(c, second)
+	eventually(c, "the first box leads", func() bool {
+		m, ok := second.peers.clusterView().leader("dc")
+		return ok && m.Name() == "box-1"
+	})
+	first.quarantine.receive(endedRequest("e1", "fatal"), time.Now())
+	first.quarantine.receive(endedRequest("e2", "fatal"), time.Now())
+	first.peers.table.Leave()
+	eventually(c, "the second box leads", func() bool { return second.leads() })
+	eventually(c, "the ends have been sent", func() bool {
+		second.outbox.mu.Lock()
+		defer second.outbox.mu.Unlock()
+		return len(second.outbox.history.ends) == 2
+	})
+	second.quarantine.receive(endedRequest("e3", "fatal"), time.Now())
+	c.Assert(isQuarantined(second, "fatal", time.Now()), quicktest.IsTrue)
+	c.Assert(stopFirst(), quicktest.IsNil)
+}
+
+// Guards against memory that grows with the ends of endpoints, and against an old end that keeps an endpoint of the same
+// name from loads.
+func TestEndHistoryIsBounded(t *testing.T) {
+	c := quicktest.New(t)
+	var h endHistory
+	now := time.Now()
+	c.Assert(h.recent(now), quicktest.HasLen, 0)
+	for i := range 2 * maxHistoryEnds {
+		for j := range 2 * maxHistoryContents / 100 {
+			body := contentOf(fmt.Sprint(i, j))
+			h.add(&wire.EndpointEnd{Endpoint: fmt.Sprint("e", i), Contents: [][]byte{body[:], body[:]}}, now.Add(time.Duration(i)))
+		}
+	}
+	list := h.recent(now)
+	c.Assert(list, quicktest.HasLen, maxHistoryEnds)
+	c.Assert(list[0].GetContents(), quicktest.HasLen, 2*maxHistoryContents/100)
+	c.Assert(h.recent(now.Add(historyTime+time.Second)), quicktest.HasLen, 0)
+	h.add(&wire.EndpointEnd{Endpoint: "old", AgeMicros: historyTime.Microseconds()}, now)
+	h.add(&wire.EndpointEnd{Endpoint: "odd", AgeMicros: -5}, now)
+	for _, e := range h.recent(now) {
+		c.Assert(e.GetEndpoint(), quicktest.Not(quicktest.Equals), "old")
+	}
+}
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -26,9 +26,9 @@
 	orderMargin = 200 * time.Millisecond
 )
 
-// watchLeadership wakes the loader as soon as the set of data centres that this box leads changes,
-// until ctx ends. Other boxes may already know of the change, and their load requests would wait
-// otherwise.
+// watchLeadership wakes the loader as soon as the set of data centres that this box leads changes, until
+// ctx ends. Other boxes may already know of the change, and their load requests would wait otherwise. It
+// also sends new leaders what this box knows of endpoints that ended.
 func (n *Node) watchLeadership(ctx context.Context) error {
 	var before []string
 	for ctx.Err() == nil {
@@ -37,6 +37,7 @@
 			before = led
 			n.loader.RefreshOwnership()
 		}
+		n.outbox.sendHistory(time.Now())
 		select {
 		case <-ctx.Done():
 		case <-changed:
--- a/edge/takeover_test.go
+++ b/edge/takeover_test.go
@@ -243,6 +243,7 @@
 			},
 			Publish: func(string, uint64, map[topology.Adapter]topology.AdapterState) {},
 		}
+		n.outbox = newOutbox(n)
 		ctx, stop := context.WithCancel(context.Background())
 		ended := make(chan error, 2)
 		for _, run := range []task{n.loader.Run, n.watchLeadership} {
--- a/member/loop.go
+++ b/member/loop.go
@@ -39,7 +39,10 @@
 
 	// The first rounds are faster, so that daemons that start together discover each other quickly;
 	// until then they disagree on which daemon is responsible for what.
-	fastRounds      = 10
+	fastRounds = 10
+	// initialSeeds is how many seeds a daemon contacts at once when it starts: with one at a time, it may take some
+	// rounds to find one that is up, and until then it knows nothing that only other daemons know.
+	initialSeeds    = 3
 	fastRoundFactor = 3
 
 	// minGossipInterval is the minimum time between two exchanges with a random member that spread changes.
@@ -102,6 +105,7 @@
 	defer tick.Stop()
 	last := clock.Now()
 	fastRoundsLeft := fastRounds
+	l.contactSeeds(ctx)
 	l.runRound(ctx)
 	gossipedVersion := l.Table.Version()
 	var gossipDelay <-chan time.Time // nil if gossip is allowed now
@@ -194,6 +198,31 @@
 	}
 }
 
+// contactSeeds exchanges heartbeats with some random seeds at once, and returns after the first answer or when all have
+// failed.
+func (l *HeartbeatLoop) contactSeeds(ctx context.Context) {
+	seeds := slices.DeleteFunc(l.Seeds(), l.Table.isLiveAddress)
+	rand.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+	seeds = seeds[:min(len(seeds), initialSeeds)]
+	done := make(chan struct{}, len(seeds))
+	for _, address := range seeds {
+		go func() {
+			l.exchangeWithAddress(ctx, address)
+			done <- struct{}{}
+		}()
+	}
+	for range seeds {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
+		if len(l.Table.Members()) > 1 {
+			return
+		}
+	}
+}
+
 // exchangeWithSeed exchanges heartbeats with a random seed that is not a live member of the table.
 func (l *HeartbeatLoop) exchangeWithSeed(ctx context.Context) {
 	seeds := slices.DeleteFunc(l.Seeds(), l.Table.isLiveAddress)
--- a/member/loop_test.go
+++ b/member/loop_test.go
@@ -125,3 +125,25 @@
 	net.runRounds(4) // until the views agree
 	c.Assert(FromWire(a.NewHeartbeat(false).GetFrom()).Address(), quicktest.Equals, "a:1")
 }
+
+// Guards against a daemon that starts and knows of no other for some rounds, since the seed that it tries first is down.
+func TestStartingDaemonContactsSeveralSeeds(t *testing.T) {
+	c := quicktest.New(t)
+	net := make(memoryNetwork)
+	net.join("a")
+	l := net.join("b", "down-1:1", "a:1", "down-2:1")
+	l.Interval = time.Hour // no further round
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- l.Run(ctx) }()
+	for range 1000 {
+		if _, ok := l.Table.Find("a"); ok {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	_, known := l.Table.Find("a")
+	c.Check(known, quicktest.IsTrue)
+	cancel()
+	c.Assert(<-done, quicktest.IsNil)
+}
