--- a/placement/balance.go
+++ b/placement/balance.go
@@ -94,7 +94,6 @@
 		QueueLimit: w.QueueLimit,
 		MaxWait:    limit.Sub(now),
 		MaxPause:   w.MaxPause,
-		Pack:       l.slotsAreScarceLocked(w, now),
 		Returned:   w.Retried && l.returns.IsDue(w.requestedAt, w.Elapsed) && l.slotReturns.IsDue(w.requestedAt, w.Elapsed),
 
 		ReturnLimit: w.UrgentLimit,
@@ -138,7 +137,9 @@
 	if w.NotLoaded {
 		denied = asked
 	}
+	pool := l.poolStateLocked(w.Endpoint, now)
 	holders := l.candidatesLocked(w, denied, balance.Loading, now)
+	r.Pack = w.Adapter.Name != "" && len(holders.list) > 1 && pool.isScarce()
 	d := balance.Choose(r, holders.list)
 	if d.Reason == balance.InTime || w.Adapter.Name == "" {
 		return holders, d
@@ -146,7 +147,7 @@
 	last := balance.Loadable
 	if len(holders.list) == 0 {
 		l.countSlotDemandLocked(w, now)
-		if !l.mayUseSlotLocked(w, r, now) {
+		if !l.mayUseSlotLocked(w, r, pool, now) {
 			last = balance.Requested // that load takes a slot anyway
 		}
 	}
@@ -157,9 +158,10 @@
 		if d.Reason != balance.Late || all.list[d.Index].Availability != balance.Loadable {
 			return all, d
 		}
-		if scarce := l.slotsAreScarceLocked(w, now); scarce && len(holders.list) > 0 {
+		if len(holders.list) > 0 && pool.isScarce() {
 			return holders, balance.Choose(r, holders.list)
-		} else if scarce || w.Declined {
+		}
+		if w.Declined || pool.isScarce() {
 			d = balance.Decision{Index: -1, Reason: balance.LoadTooLate, Relief: all.list[d.Index].Delay}
 		}
 		return all, d
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -76,23 +76,43 @@
 // as more urgent requests are likely to need: a stream of a less urgent one may keep a slot in use for many times as
 // long as theirs. Copies of an adapter that an endpoint holds don't count: without them its
 // requests would only queue there.
-func (l *Loader) mayUseSlotLocked(w *waiter, r balance.Request, now time.Time) bool {
-	reserve := l.slotDemandLocked(w.Endpoint).reserve(w.Priority, now)
+func (l *Loader) mayUseSlotLocked(w *waiter, r balance.Request, p *poolState, now time.Time) bool {
+	reserve := p.demand.reserve(w.Priority, now)
 	if r.Returned {
 		reserve *= returnReserveFraction
 	}
-	if reserve < 1 || float64(l.freeSlotsLocked(w.Endpoint, now)) >= reserve {
+	if reserve < 1 || float64(p.freeSlots()) >= reserve {
 		return true
 	}
 	n := l.slotRefusals[w.Adapter]
 	return n != nil && n.Count(now, demandHalfLife) >= maxSlotRefusals
 }
 
-// slotsAreScarceLocked reports whether requests of all ranks are likely to need more slots of a request's data centre than
-// are free.
-func (l *Loader) slotsAreScarceLocked(w *waiter, now time.Time) bool {
-	need := l.slotDemandLocked(w.Endpoint).reserve(maxRequestRank+1, now)
-	return need >= 1 && float64(l.freeSlotsLocked(w.Endpoint, now)) < need
+// poolState is the state of a pool during one decision. It counts the free slots once, and only if they matter.
+type poolState struct {
+	loader   *Loader
+	endpoint *topology.Endpoint // of the pool
+	demand   *slotDemand
+	now      time.Time
+	free     int
+	counted  bool
+}
+
+func (l *Loader) poolStateLocked(e *topology.Endpoint, now time.Time) *poolState {
+	return &poolState{loader: l, endpoint: e, demand: l.slotDemandLocked(e), now: now}
+}
+
+func (p *poolState) freeSlots() int {
+	if !p.counted {
+		p.free, p.counted = p.loader.freeSlotsLocked(p.endpoint, p.now), true
+	}
+	return p.free
+}
+
+// isScarce reports whether requests of all ranks are likely to need more slots than are free.
+func (p *poolState) isScarce() bool {
+	need := p.demand.reserve(maxRequestRank+1, p.now)
+	return need >= 1 && float64(p.freeSlots()) < need
 }
 
 // freeSlotsLocked returns how many adapter slots in an endpoint's service and data centre are neither in use nor being filled,
