placement: pauses of streams are learned where endpoints read without a break

Cause: the estimate is a quantile over all streams, most of which run while their endpoint reads a prompt now and then and pause for 50 ms. A pause now counts only if its endpoint has just read for 0.4 s without a break.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -20,7 +20,7 @@
 	}
 	l.speeds.Observe(u.Endpoint, u.Read, now)
 	l.speeds.ObserveFailures(u.Endpoint, u.Failed, now)
-	if u.Streams > 0 {
+	if u.Streams > 0 && l.inFlight.hadLongRead(u.Endpoint, now) {
 		l.speeds.ObservePause(u.Endpoint, u.Pauses/time.Duration(u.Streams), now)
 	}
 	if slow, changed := l.speeds.Changed(u.Endpoint, now); changed {
--- a/placement/inflight.go
+++ b/placement/inflight.go
@@ -15,8 +15,17 @@
 	endpoints map[string]workload
 	adapters  map[placementKey]workload // per endpoint and adapter
 	reading   map[string]reading        // by endpoint with unprocessed prompts
+	longReads map[string]time.Time      // by endpoint: when it last had processed prompts for longReadTime without a break
 }
 
+const (
+	// longReadTime is how long an endpoint must have processed prompts without a break for the pauses of its streams to
+	// show how long they are at most. At endpoints that process one prompt now and then they are much shorter.
+	longReadTime = 400 * time.Millisecond
+	// longReadRecency is how long ago that may have been when a stream ends: streams take some seconds.
+	longReadRecency = 3 * time.Second
+)
+
 // reading says since when an endpoint processes prompts.
 type reading struct {
 	since      time.Time // it had none before
@@ -37,7 +46,7 @@
 }
 
 func newInFlightTable() inFlightTable {
-	return inFlightTable{boxes: make(map[string]boxUsage), endpoints: make(map[string]workload), adapters: make(map[placementKey]workload), reading: make(map[string]reading)}
+	return inFlightTable{boxes: make(map[string]boxUsage), endpoints: make(map[string]workload), adapters: make(map[placementKey]workload), reading: make(map[string]reading), longReads: make(map[string]time.Time)}
 }
 
 // endpointRequests returns how many requests of all boxes are in progress at an endpoint.
@@ -61,6 +70,9 @@
 // report before.
 func (r *inFlightTable) recordProgress(endpoint string, read bool, now time.Time) {
 	p, busy := r.reading[endpoint]
+	if busy && now.Sub(p.since) >= longReadTime {
+		r.longReads[endpoint] = now
+	}
 	switch {
 	case r.prefillTokens(endpoint) <= 0:
 		delete(r.reading, endpoint)
@@ -72,6 +84,12 @@
 	}
 }
 
+// hadLongRead reports whether an endpoint recently processed prompts without a break for longReadTime.
+func (r *inFlightTable) hadLongRead(endpoint string, now time.Time) bool {
+	at, ok := r.longReads[endpoint]
+	return ok && now.Sub(at) <= longReadRecency
+}
+
 // adapterRequests returns how many of them use an adapter.
 func (r *inFlightTable) adapterRequests(endpoint string, a topology.Adapter) int {
 	return r.adapters[placementKey{endpoint: endpoint, adapter: a}].requests
@@ -118,6 +136,11 @@
 			r.removeBox(box)
 		}
 	}
+	for endpoint, at := range r.longReads {
+		if now.Sub(at) > longReadRecency {
+			delete(r.longReads, endpoint)
+		}
+	}
 	for endpoint := range r.reading {
 		if r.prefillTokens(endpoint) <= 0 {
 			delete(r.reading, endpoint)
--- a/placement/work_test.go
+++ b/placement/work_test.go
@@ -283,3 +283,28 @@
 	r, _ := ask(l, w, w.requestedAt)
 	c.Assert(r.OwnerChanging, quicktest.IsTrue)
 }
+
+// Load: an endpoint whose streams pause for 600 ms while it reads prompts without a break, beside many that read one prompt now
+// and then, whose streams pause for 50 ms. The estimate followed those, and streams at busy endpoints were late.
+func TestPausesAreLearnedWhereEndpointsReadWithoutABreak(t *testing.T) {
+	c := quicktest.New(t)
+	l, _ := newBalancedLoader("e1", "e2")
+	now := time.Now()
+	report := func(id string, tokens int, pause time.Duration) {
+		l.RecordUsage("box-"+id, []Use{{Endpoint: id, Adapter: adapter(1), Running: 1, PrefillTokens: tokens, Streams: 1, Pauses: pause}}, true, now)
+	}
+	for range 200 {
+		for range 9 {
+			report("e2", 0, 50*time.Millisecond)
+		}
+		report("e1", 1000, 0)
+		now = now.Add(longReadTime)
+		report("e1", 0, 600*time.Millisecond)
+		now = now.Add(longReadRecency / 2)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.Check(l.speeds.Pause("e1", now) > 500*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%v", l.speeds.Pause("e1", now)))
+	l.inFlight.expire(now.Add(longReadRecency + time.Second))
+	c.Check(l.inFlight.longReads, quicktest.HasLen, 0)
+}
