forward, edge: a data centre whose leader can't be reached is avoided, and leaders' answers go before silence

Causes: each request waited for the leader on the other side again, up to half of what it had left, and the refusal took the shortest retry time: that of the silence, not of the leader that had said that there is no room. Now a box that finds a leader unreachable avoids its data centre for a second, as requests that are not balanced do, and refusals go by what leaders answered.

--- a/edge/ask.go
+++ b/edge/ask.go
@@ -10,13 +10,17 @@
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
 // requestLoad requests an adapter load from the leader of the endpoint's data centre, and waits for the result.
 func (p *peers) requestLoad(ctx context.Context, m member.Member, w forward.AdapterRequest) (forward.PlacementResult, error) {
+	ctx, cancelCause := context.WithCancelCause(ctx)
+	defer cancelCause(nil)
 	ctx, cancel := context.WithTimeout(ctx, max(w.MaxWait, w.TargetWait, 0)+askTimeoutMargin)
 	defer cancel()
-	go p.cancelWhenNotServing(ctx, cancel, m.Name())
+	go p.cancelWhenNotServing(ctx, func() { cancelCause(forward.ErrOwnerUnreachable) }, m.Name())
 	a, err := wire.NewShareClient(p.dialer.Conn(m.Address())).Ask(ctx, &wire.AskRequest{
 		Request:    w.RequestID,
 		Endpoint:   askedEndpoint(w),
@@ -42,6 +46,9 @@
 		PauseMicros:   w.MaxPause.Microseconds(),
 		ElapsedMicros: w.Elapsed.Microseconds(),
 	})
+	if status.Code(err) == codes.Unavailable || errors.Is(context.Cause(ctx), forward.ErrOwnerUnreachable) {
+		return forward.PlacementResult{}, errors.Wrapf(forward.ErrOwnerUnreachable, "edge: leader %s: %v", m.Name(), err)
+	}
 	if err != nil {
 		return forward.PlacementResult{}, errors.Wrapf(err, "edge: leader %s", m.Name())
 	}
--- a/edge/ask_test.go
+++ b/edge/ask_test.go
@@ -17,6 +17,7 @@
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
 )
@@ -129,3 +130,32 @@
 	c.Check(use.Read.Took, quicktest.Equals, maxMessageTime)
 	c.Check(use.Pauses, quicktest.Equals, maxMessageTime)
 }
+
+// Guards against an unreachable leader that counts as a slow one, whose data centre is asked again by each request, and against
+// a slow one that counts as unreachable.
+func TestUnreachableLeaderIsToldFromASlowOne(t *testing.T) {
+	c := quicktest.New(t)
+	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1", DataCentre: "dc"})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	server := grpc.NewServer()
+	l := scriptedLeader{endpoint: e, asked: make(chan forward.AdapterRequest)} // answers nothing
+	wire.RegisterShareServer(server, l)
+	go func() { _ = server.Serve(listener) }() // until Stop
+	c.Cleanup(server.Stop)
+	slow, gone := member.New("slow", listener.Addr().String(), roleBox, "dc", 1), member.New("gone", "127.0.0.1:1", roleBox, "dc", 1)
+	p := peersOf(box("box", "dc", 2, 400), slow, gone)
+	p.dialer = &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: new(net.Dialer).DialContext}
+	c.Cleanup(p.dialer.Close)
+	request := forward.AdapterRequest{Endpoint: e, MaxWait: 10 * time.Millisecond}
+
+	_, err = p.requestLoad(context.Background(), gone, request)
+	c.Check(errors.Is(err, forward.ErrOwnerUnreachable), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	_, err = p.requestLoad(context.Background(), slow, request)
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(errors.Is(err, forward.ErrOwnerUnreachable), quicktest.IsFalse, quicktest.Commentf("%v", err))
+	<-l.asked
+	p.table.RecordRefusal("slow", time.Now())
+	_, err = p.requestLoad(context.Background(), slow, request)
+	c.Check(errors.Is(err, forward.ErrOwnerUnreachable), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
--- a/forward/balance.go
+++ b/forward/balance.go
@@ -10,6 +10,7 @@
 	"cairnwick.example/clock"
 	"cairnwick.example/policy"
 	"cairnwick.example/topology"
+	"github.com/pkg/errors"
 )
 
 const (
@@ -63,9 +64,11 @@
 }
 
 // askOwners asks the owners of up to maxBalanceCentres data centres until one does not refuse the request. noOwner
-// reports that none of them answered, or none that knows how to balance.
+// reports that none of them answered, or none that knows how to balance. What an owner answered goes before the
+// silence of others: it knows when there is room.
 func (g *Gateway) askOwners(ctx context.Context, q *request, list, ready []*topology.Endpoint) (t target, f *Refusal, noOwner bool) {
 	noOwner = true
+	silent := &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "no leader was asked in time"}
 	for range maxBalanceCentres {
 		if len(list) == 0 || ctx.Err() != nil {
 			break
@@ -73,18 +76,17 @@
 		e := g.balanceTarget(q.call.Adapter, list, ready)
 		p, err := g.placeBalanced(ctx, q, e, len(ready) > 0)
 		q.placementTime, q.queueTime = clock.Since(q.received), p.QueueTime
+		isHolder := slices.Contains(ready, e)
 		switch {
 		case err != nil:
-			if ctx.Err() == nil { // else the caller has left, or its time is over
-				g.logNoOwner(q, e, err)
-			}
-			f = earlierRetry(f, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "no leader answers"})
-			if e.DataCentre() == g.DataCentre && slices.Contains(ready, e) {
-				return target{}, f, true // the holder is as close as this box; elsewhere the adapter would be loaded again
+			silent.Detail = "no leader answers"
+			g.recordSilentOwner(ctx, q, e, err)
+			if isHolder && e.DataCentre() == g.DataCentre {
+				return target{}, silent, true // the holder is as close as this box; elsewhere the adapter would be loaded again
 			}
 		case p.OwnerChanging:
 			f = earlierRetry(f, p.refusal())
-			if slices.Contains(ready, e) {
+			if isHolder {
 				return target{}, f, true
 			}
 		case !p.Ready && p.Busy:
@@ -99,11 +101,26 @@
 		list = outsideDataCentre(list, e.DataCentre())
 	}
 	if f == nil {
-		f = &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "no leader was asked in time"}
+		f = silent
 	}
 	return target{}, f, noOwner
 }
 
+// ErrOwnerUnreachable is returned by a Placer if the box that should answer can't be reached.
+var ErrOwnerUnreachable = errors.New("forward: the owner of the endpoint is unreachable")
+
+// recordSilentOwner records that the owner of an endpoint did not answer a request. If it can't be reached, its data centre
+// is avoided for a moment: further requests would each wait as long. An owner that is slow may be reached.
+func (g *Gateway) recordSilentOwner(ctx context.Context, q *request, e *topology.Endpoint, err error) {
+	if ctx.Err() != nil {
+		return // the caller has left, or its time is over
+	}
+	if errors.Is(err, ErrOwnerUnreachable) && e.DataCentre() != g.DataCentre {
+		g.dataCentres.avoid(e.DataCentre(), clock.Now())
+	}
+	g.logNoOwner(q, e, err)
+}
+
 // placeBalanced asks one owner. If an endpoint holds the adapter, the wait for the answer leaves time to use that
 // one without it.
 func (g *Gateway) placeBalanced(ctx context.Context, q *request, e *topology.Endpoint, held bool) (PlacementResult, error) {
--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -13,6 +12,7 @@
 
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 )
 
 // Guards against a box that uses the holder that it sees itself: it knows only its own requests there.
@@ -290,3 +290,42 @@
 	s.c.Assert(s.calls["e1"].Load(), quicktest.Equals, int64(0))
 	s.c.Assert(s.runs.started, quicktest.Equals, 0)
 }
+
+// Guards against requests that each wait for the owner in a data centre that is cut off: the next one goes elsewhere at once.
+func TestDataCentreOfUnreachableOwnerIsAvoided(t *testing.T) {
+	for _, unreachable := range []bool{true, false} {
+		s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+			switch {
+			case w.Endpoint.DataCentre() != "d2":
+				return PlacementResult{Ready: true, Endpoint: "e2"}, nil
+			case unreachable:
+				return PlacementResult{}, errors.Wrap(ErrOwnerUnreachable, "no route")
+			}
+			return PlacementResult{}, context.DeadlineExceeded // it may be slow, or wait for a load
+		})
+		s.add(t, "d2", true, answerOK)
+		s.add(t, "dc", false, answerOK)
+		for range 2 {
+			s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+		}
+		asked := []string{"d2", "dc", "dc"}
+		if !unreachable {
+			asked = []string{"d2", "dc", "d2", "dc"}
+		}
+		s.c.Assert(centresOf(s.placer.requests()), quicktest.DeepEquals, asked)
+	}
+}
+
+// Guards against a retry time of half a second, since one owner was silent, where another has answered that there is no room.
+func TestAnswerOfAnOwnerGoesBeforeTheSilenceOfAnother(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+		if w.Endpoint.DataCentre() == "dc" {
+			return PlacementResult{Busy: true, RetryAfter: 4 * time.Second, NoRoom: true, Code: CodeEndpointsBusy, Reason: "full"}, nil
+		}
+		return PlacementResult{}, errors.Wrap(ErrOwnerUnreachable, "no route")
+	})
+	s.add(t, "dc", false, answerOK)
+	s.add(t, "d2", false, answerOK)
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Assert(s.gateway.Stats.Refusals.String(), quicktest.Contains, string(CodeEndpointsBusy))
+}
