--- a/balance/choose.go
+++ b/balance/choose.go
@@ -24,7 +24,6 @@
 	QueueLimit time.Duration // longest time that prompts ahead of its own may take, so that more urgent requests stay in time
 	MaxWait    time.Duration // from now, after which a response is of no more use to the caller
 	MaxPause   time.Duration // longest time between two events of a stream that is still in time; zero: not known
-	Output     int           // tokens that it may generate
 	Returned   bool          // the caller was refused before and came back when it was asked to
 
 	// Pack prefers the endpoint with the most requests for the adapter, so that other copies become idle and their
@@ -55,17 +54,12 @@
 	return add(max(c.Delay, c.Queue, 0), max(c.Own, 0))
 }
 
-// cost returns the expected time to first token at a candidate, plus what a load that isn't under way has to save, and
-// what a long stream has to save where it would pause for too long.
-func (r Request) cost(c *Candidate) time.Duration {
-	cost := c.firstToken()
+// cost returns the expected time to first token, plus what a load that isn't under way has to save.
+func (c *Candidate) cost() time.Duration {
 	if c.Availability == Loadable {
-		cost = add(cost, loadPenalty)
+		return add(c.firstToken(), loadPenalty)
 	}
-	if r.MaxPause > 0 && c.Pause > r.MaxPause {
-		cost = add(cost, time.Duration(min(float64(max(r.Output, 0))/longOutput, 1)*float64(pausePenalty)))
-	}
-	return cost
+	return c.firstToken()
 }
 
 // add returns the sum of two times that are not negative, at most the longest time.
@@ -150,11 +144,6 @@
 	// loadPenalty is how much sooner an endpoint that has to load the adapter must serve than one that
 	// holds it: a load takes bandwidth of the weight store and an adapter slot from other requests.
 	loadPenalty = 300 * time.Millisecond
-	// pausePenalty is how much sooner an endpoint whose streams pause too long while it reads prompts must serve a long
-	// stream than one whose streams don't: more than half of the long streams there are late. A short
-	// stream may end before the next prompt comes.
-	pausePenalty = 300 * time.Millisecond
-	longOutput   = 100 // tokens from which a stream is long
 )
 
 // queueLimit returns the longest queue that the request may join. It is never negative: an endpoint without
@@ -242,11 +231,11 @@
 	bound := r.queueBound(late)
 	for i := range list {
 		c := &list[i]
-		if best >= 0 && r.cost(c) >= lowest {
+		if best >= 0 && c.cost() >= lowest {
 			continue
 		}
 		if c.firstToken() <= within && r.accepts(c, bound, late) {
-			best, lowest = i, r.cost(c)
+			best, lowest = i, c.cost()
 		}
 	}
 	return best
--- a/balance/choose_test.go
+++ b/balance/choose_test.go
@@ -153,26 +153,3 @@
 		c.Check(d.Reason, quicktest.Equals, InTime)
 	}
 }
-
-// Long streams were placed at endpoints whose streams pause for too long while they read prompts, though faster ones were
-// about as free, and short streams took those.
-func TestLongStreamsAvoidEndpointsWithLongPauses(t *testing.T) {
-	c := quicktest.New(t)
-	slow := Candidate{Availability: Ready, Own: 100 * time.Millisecond, Pause: 600 * time.Millisecond}
-	fast := Candidate{Availability: Ready, Own: 200 * time.Millisecond, Pause: 300 * time.Millisecond}
-	for _, k := range []struct {
-		output int
-		other  Candidate
-		chosen int
-	}{
-		{200, fast, 1},
-		{24, fast, 0},
-		{0, fast, 0},
-		{-1, fast, 0},
-		{200, Candidate{Availability: Loadable, Delay: 300 * time.Millisecond, Own: 100 * time.Millisecond}, 0},
-		{200, Candidate{Availability: Ready, Own: 100 * time.Millisecond, Queue: 400 * time.Millisecond}, 0},
-	} {
-		d := Choose(Request{Target: time.Second, QueueLimit: time.Second, MaxWait: 5 * time.Second, MaxPause: 500 * time.Millisecond, Output: k.output}, []Candidate{slow, k.other})
-		c.Check(d.Index, quicktest.Equals, k.chosen, quicktest.Commentf("%+v: %+v", k, d))
-	}
-}
--- a/placement/balance.go
+++ b/placement/balance.go
@@ -94,7 +94,6 @@
 		QueueLimit: w.QueueLimit,
 		MaxWait:    limit.Sub(now),
 		MaxPause:   w.MaxPause,
-		Output:     w.OutputTokens,
 		Returned:   w.Retried && l.returns.IsDue(w.requestedAt, w.Elapsed) && l.slotReturns.IsDue(w.requestedAt, w.Elapsed),
 
 		ReturnLimit: w.UrgentLimit,
