--- a/placement/loader.go
+++ b/placement/loader.go
@@ -70,6 +70,7 @@
 	minLoadCostKnown   bool
 	minLoadCostAt      time.Time
 	ownershipCheckedAt time.Time
+	ratesPrunedAt      time.Time
 	nextClaimAt        time.Time // when the next endpoint may be claimed; zero: no claim is scheduled
 	queue              []rank    // ranks of the pending loads from the store, highest first, as of the last ranking
 	wake               chan struct{}
@@ -185,6 +186,7 @@
 		l.inFlight.expire(now)
 		l.speeds.Prune(now)
 		l.pruneSlotRefusalsLocked(now)
+		l.pruneRequestRatesLocked(now)
 		if l.leavingSince.IsZero() {
 			tasks = l.updateOwnershipLocked(now)
 		} else {
@@ -247,6 +249,28 @@
 	return r.Rate(now, requestRateHalfLife)
 }
 
+const (
+	// minRequestCount is the decayed number of requests below which an adapter's rate is forgotten: one request counts
+	// this little after 40 s.
+	minRequestCount = 0.01
+	// pruneInterval is the time between two removals of forgotten rates, of which there may be thousands.
+	pruneInterval = 5 * time.Second
+)
+
+// pruneRequestRatesLocked forgets adapters that were not requested for a long time. Callers choose the names of adapters, so
+// their number has no bound.
+func (l *Loader) pruneRequestRatesLocked(now time.Time) {
+	if now.Sub(l.ratesPrunedAt) < pruneInterval {
+		return
+	}
+	l.ratesPrunedAt = now
+	for a, r := range l.requestRates {
+		if r.Count(now, requestRateHalfLife) < minRequestCount {
+			delete(l.requestRates, a)
+		}
+	}
+}
+
 // publishLocked announces to all boxes what an endpoint holds; adapters being evicted are
 // left out.
 func (l *Loader) publishLocked(o *ownedEndpoint) {
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -347,3 +347,19 @@
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(out, quicktest.Equals, Fenced) // an order of the previous owner
 }
+
+// Guards against memory that grows with the number of adapters that callers ever named.
+func TestRatesOfAdaptersAreForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	l, _ := newIdleLoader("e1")
+	now := time.Now()
+	for i := range 1000 {
+		l.countRequestsLocked(adapter(i), 1, now)
+	}
+	l.pruneRequestRatesLocked(now)
+	c.Assert(l.requestRates, quicktest.HasLen, 1000)
+	now = now.Add(10 * requestRateHalfLife)
+	l.countRequestsLocked(adapter(7), 1, now)
+	l.pruneRequestRatesLocked(now)
+	c.Assert(l.requestRates, quicktest.HasLen, 1)
+}
