edge: requests to rate-limited endpoints wait 150 ms for their leader

A leader that is suspended for 100 ms answers within that. With 250 ms a request that tries several endpoints of a silent leader waited longer for each than the 200 ms for which an endpoint is skipped.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -22,7 +22,7 @@
 	// takeTimeout is how long a request waits for the leader, which normally answers within a few milliseconds. A leader
 	// that has used up its processor share is suspended for 100 ms, and answers then: with a shorter timeout all
 	// requests to its endpoints were denied meanwhile.
-	takeTimeout = 250 * time.Millisecond
+	takeTimeout = 150 * time.Millisecond
 	// noLeaderDenialTime is how long an endpoint is skipped after its leader did not answer. Boxes agree on a new
 	// leader within a second; without the skip each request in that time would wait for takeTimeout.
 	noLeaderDenialTime = 200 * time.Millisecond
