--- a/placement/evict.go
+++ b/placement/evict.go
@@ -137,6 +137,7 @@
 		return false
 	}
 	if l.engineSpec(o.endpoint).IsMemoryBound() { // boxes use it as this box assigned it to them
+		o.expireGrants(now)
 		return o.grantsFor(a) == 0 && now.Sub(s.lastUsed) >= balancedIdleThreshold && now.Sub(s.lastAnnounced) >= balancedIdleThreshold
 	}
 	return now.Sub(s.lastUsed) >= idleThreshold && now.Sub(s.lastAnnounced) >= idleThreshold
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -234,3 +234,15 @@
 		}
 	}
 }
+
+// Guards against a grant that its box never used and that kept the adapter's slot in use for ever: grants expired only when
+// the endpoint was a candidate of a later request.
+func TestUnusedGrantKeepsSlotInUseForItsTimeoutOnly(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	hold(1, list["e1"])
+	_, _ = ask(l, balancedWaiter(list["e1"], 1, now), now)
+	c.Assert(l.freeSlotsLocked(list["e1"].endpoint, now.Add(grantTimeout/2)), quicktest.Equals, balancedSlots-1)
+	c.Assert(l.freeSlotsLocked(list["e1"].endpoint, now.Add(grantTimeout)), quicktest.Equals, balancedSlots)
+}
