forward: a request refused by one owner is not sent there while another changes

A request that the leader of the own data centre had refused as busy was sent to an endpoint there all the same, beyond its queue limit or memory. Cause: while the owner of a holder in a second data centre had not settled, the box chose among the holders of all data centres, and prefers near ones. It now chooses among the holders of the data centre whose owner gave no answer. A call that ended because the caller left still starts nothing. TestBusyHolderIsNotUsedWhileAnotherChangesOwners fails without the change: the busy endpoint got the request.

--- a/forward/balance.go
+++ b/forward/balance.go
@@ -81,13 +81,13 @@
 		case err != nil:
 			silent.Detail = "no leader answers"
 			g.recordSilentOwner(ctx, q, e, err)
-			if isHolder && e.DataCentre() == g.DataCentre {
-				return target{}, silent, true // the holder is as close as this box; elsewhere the adapter would be loaded again
+			if isHolder && e.DataCentre() == g.DataCentre && ctx.Err() == nil {
+				return g.unassigned(q, ready, e.DataCentre()), nil, false // elsewhere the adapter would be loaded again
 			}
 		case p.OwnerChanging:
 			f = earlierRetry(f, p.refusal())
-			if isHolder {
-				return target{}, f, true
+			if isHolder && ctx.Err() == nil {
+				return g.unassigned(q, ready, e.DataCentre()), nil, false
 			}
 		case !p.Ready && p.Busy:
 			noOwner, q.declined = false, true
@@ -121,6 +121,13 @@
 	g.logNoOwner(q, e, err)
 }
 
+// unassigned returns the holder in a data centre that seems the best to this box, as no owner there assigns the request. Owners
+// of other data centres may have refused it: their endpoints are left out.
+func (g *Gateway) unassigned(q *request, ready []*topology.Endpoint, centre string) target {
+	local := slices.DeleteFunc(slices.Clone(ready), func(e *topology.Endpoint) bool { return e.DataCentre() != centre })
+	return target{endpoint: g.leastLoaded(local, clock.Now()), version: g.View.LatestVersion(q.call.Adapter)}
+}
+
 // placeBalanced asks one owner. If an endpoint holds the adapter, the wait for the answer leaves time to use that
 // one without it.
 func (g *Gateway) placeBalanced(ctx context.Context, q *request, e *topology.Endpoint, held bool) (PlacementResult, error) {
--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -130,6 +130,22 @@
 	s.c.Assert(centresOf(s.placer.requests()), quicktest.DeepEquals, []string{"d2"})
 }
 
+// Guards against a request that is sent to an endpoint whose owner has just refused it: the owner of another data centre's
+// holder had not settled, and the box chose among the holders of all data centres.
+func TestBusyHolderIsNotUsedWhileAnotherChangesOwners(t *testing.T) {
+	s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+		if w.Endpoint.DataCentre() == "dc" {
+			return PlacementResult{Busy: true, RetryAfter: time.Second, Reason: "busy"}, nil
+		}
+		return PlacementResult{OwnerChanging: true, RetryAfter: time.Second, Reason: "the endpoint's owner has not settled"}, nil
+	})
+	busy := s.add(t, "dc", true, answerOK)
+	changing := s.add(t, "d2", true, answerOK)
+	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
+	s.c.Assert(s.calls[busy].Load(), quicktest.Equals, int64(0))
+	s.c.Assert(s.calls[changing].Load(), quicktest.Equals, int64(1))
+}
+
 // Guards against a wait of a fraction of a target that has passed: the request returns late, and an owner that answers in some
 // milliseconds must still be heard.
 func TestOwnerIsHeardThoughTheTargetHasPassed(t *testing.T) {
