placement: requests that share a load need one slot

Less urgent requests were refused with "free adapter slots are kept for more urgent requests" although five of five slots were free: twenty urgent requests for one adapter, whose load waited, counted as twenty slots needed. A request whose adapter has a load requested in its data centre is no longer counted. TestRequestsThatShareALoadNeedOneSlot fails without the change.

--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -60,9 +60,10 @@
 	return shortage*slotReserveTime.Seconds() + needed*slotBurstTime.Seconds()
 }
 
-// countSlotDemandLocked counts a request whose adapter no endpoint of its data centre holds or loads.
+// countSlotDemandLocked counts a request whose adapter no endpoint of its data centre holds or loads. One that shares a
+// load which another request asked for needs no further slot.
 func (l *Loader) countSlotDemandLocked(w *waiter, now time.Time) {
-	if w.counted || w.Declined {
+	if w.counted || w.Declined || l.isLoadRequestedLocked(w) {
 		return
 	}
 	weight := 1.0
@@ -72,6 +73,17 @@
 	l.slotDemandLocked(w.Endpoint).needed[w.Priority].Add(weight, now, slotDemandHalfLife)
 }
 
+// isLoadRequestedLocked reports whether a load of a request's adapter waits in its pool.
+func (l *Loader) isLoadRequestedLocked(w *waiter) bool {
+	for id, o := range l.owned {
+		if o.endpoint.DataCentre() == w.Endpoint.DataCentre() && o.endpoint.Service() == w.Endpoint.Service() &&
+			l.pendingLoads[placementKey{endpoint: id, adapter: w.Adapter}] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // mayUseSlotLocked reports whether a request may have its adapter loaded. As many free slots of its data centre are kept
 // as more urgent requests are likely to need: a stream of a less urgent one may keep a slot in use for many times as
 // long as theirs. Copies of an adapter that an endpoint holds don't count: without them its
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -246,3 +246,21 @@
 	c.Assert(l.freeSlotsLocked(list["e1"].endpoint, now.Add(grantTimeout/2)), quicktest.Equals, balancedSlots-1)
 	c.Assert(l.freeSlotsLocked(list["e1"].endpoint, now.Add(grantTimeout)), quicktest.Equals, balancedSlots)
 }
+
+// Guards against requests that share one load and count as many slots needed: twenty urgent callers of one adapter kept
+// all free slots from other adapters, though they take one slot.
+func TestRequestsThatShareALoadNeedOneSlot(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	for range 20 {
+		w := balancedWaiter(list["e1"], 1, now)
+		w.PromptTokens = 10
+		_, _ = ask(l, w, now)
+	}
+	c.Assert(pendingLoadsOf(l, 1), quicktest.Equals, 1)
+	w := balancedWaiter(list["e1"], 2, now)
+	w.PromptTokens, w.Priority = 10, 2
+	p, waits := ask(l, w, now)
+	c.Assert(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
+}
