placement: a load in progress is awaited beside a holder whose owner is unknown

A request that waited for a load at an endpoint of this leader was told that the owner had not settled, and its box, if it did not see the other holder, had the adapter loaded in another data centre. unsettledHolderLocked looked only at adapters that are published as ready, so it missed loads in progress and adapters not published yet. It now looks at the slots of the endpoints that this box owns. TestLoadAtOwnedEndpointIsAwaitedBesideUnsettledHolder fails without the change.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -68,7 +68,7 @@
 
 // unsettledHolderLocked returns an endpoint that holds a request's adapter according to its previous owner, if this box
 // doesn't own it yet and none that it owns holds or loads the adapter. A load elsewhere would be a second one.
-func (l *Loader) unsettledHolderLocked(w *waiter) *topology.Endpoint {
+func (l *Loader) unsettledHolderLocked(w *waiter, now time.Time) *topology.Endpoint {
 	if w.Adapter.Name == "" {
 		return nil
 	}
@@ -82,9 +82,21 @@
 		}
 		unsettled = e
 	}
+	if unsettled != nil && l.isHeldOrLoadingLocked(w, now) { // a load that is in progress isn't published as ready
+		return nil
+	}
 	return unsettled
 }
 
+// isHeldOrLoadingLocked reports whether an endpoint that this box owns holds or loads a request's adapter.
+func (l *Loader) isHeldOrLoadingLocked(w *waiter, now time.Time) bool {
+	var denied *ownedEndpoint
+	if w.NotLoaded {
+		denied = l.owned[w.Endpoint.ID()]
+	}
+	return len(l.candidatesLocked(w, denied, balance.Loading, now).list) > 0
+}
+
 // balanceLocked answers a request that is balanced by work, or returns a channel to wait on and the endpoint of the load
 // that it waits for. asked is the endpoint that the request names; nil: this box does not own it. Any endpoint of its data
 // centre may serve, so one that has just ended doesn't matter.
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -140,7 +140,7 @@
 func (l *Loader) tryPlaceLocked(w *waiter, now, limit time.Time) (forward.PlacementResult, <-chan struct{}, *ownedEndpoint) {
 	o := l.owned[w.Endpoint.ID()]
 	if w.Balance && l.ownsAnyLocked(w.Endpoint) {
-		if e := l.unsettledHolderLocked(w); e != nil {
+		if e := l.unsettledHolderLocked(w, now); e != nil {
 			return l.ownerChangingLocked(e, now), nil, nil
 		}
 		return l.balanceLocked(o, w, now, limit)
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -264,3 +264,16 @@
 	p, waits := ask(l, w, now)
 	c.Assert(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
 }
+
+// Guards against a second load, asked for at the same time: a leader that owns only some endpoints answered that the owner had
+// not settled, though an endpoint that it owns was loading the adapter, and the box had it loaded in another data centre.
+func TestLoadAtOwnedEndpointIsAwaitedBesideUnsettledHolder(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1", "e2")
+	now := time.Now()
+	l.View.SetAdapterStates("e2", map[topology.Adapter]topology.AdapterState{adapter(1): {Ready: true}})
+	list["e2"].phase, list["e2"].since = claiming, now
+	list["e1"].slots[adapter(1)] = &slot{loadBegan: now, expectedLoadTime: 300 * time.Millisecond, done: make(chan struct{})}
+	p, waits := ask(l, balancedWaiter(list["e1"], 1, now), now)
+	c.Assert(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
+}
