placement: a load that begins takes one of the free slots, not two

Less urgent requests were refused for slots although enough were free. TestLoadThatBeginsTakesOneSlot fails without the change with 3 free slots of 5 instead of 4.

--- a/placement/load.go
+++ b/placement/load.go
@@ -52,6 +52,9 @@
 			continue
 		}
 		delete(l.pendingLoads, key)
+		if !w.isCopyOnly(now) {
+			l.owned[r.key.endpoint].begunLoads++
+		}
 		tasks = append(tasks, l.beginLoadLocked(o, key.adapter, w.version, cold, now))
 		w.notifyWaiters()
 	}
--- a/placement/ownership.go
+++ b/placement/ownership.go
@@ -34,6 +34,7 @@
 	announcedTokens policy.DecayingCounter // prompt tokens that boxes were told to send here and have not reported yet
 	waitingTokens   int                    // prompt tokens of requests that wait for loads here
 	queuedLoads     int                    // loads that wait for a slot here, as of the last ranking
+	begunLoads      int                    // of those, loads that have begun since
 	needsReclaim    bool                   // a new claim is needed to learn what it holds
 	models          map[string]bool        // base models that it holds
 	loadingModel    bool                   // a base model is being loaded
--- a/placement/rank.go
+++ b/placement/rank.go
@@ -62,7 +62,7 @@
 	})
 	l.queue = l.queue[:0]
 	for _, o := range l.owned {
-		o.queuedLoads = 0
+		o.queuedLoads, o.begunLoads = 0, 0
 	}
 	for _, r := range list {
 		if o := l.owned[r.key.endpoint]; o != nil && !r.load.isCopyOnly(now) {
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -136,7 +136,7 @@
 		if g == nil || o.endpoint.DataCentre() != e.DataCentre() || o.endpoint.Service() != e.Service() || !o.isAvailable(now) {
 			continue
 		}
-		free += g.AdapterCapacity(o.models) - o.queuedLoads
+		free += g.AdapterCapacity(o.models) - (o.queuedLoads - o.begunLoads)
 		for a, s := range o.slots {
 			if !s.ready || !l.isIdleLocked(o, a, s, now) {
 				free--
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -277,3 +277,18 @@
 	p, waits := ask(l, balancedWaiter(list["e1"], 1, now), now)
 	c.Assert(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
 }
+
+// Guards against a load that counts twice from when it begins until loads are ranked again: as waiting and as being filled.
+// Less urgent requests were refused although enough slots were free.
+func TestLoadThatBeginsTakesOneSlot(t *testing.T) {
+	c := quicktest.New(t)
+	p := newSlotPlay(1)
+	free := func() int { return p.loader.freeSlotsLocked(p.list["e0"].endpoint, p.now) }
+	p.ask(0, time.Second)
+	c.Assert(free(), quicktest.Equals, balancedSlots-1)
+	p.loader.startLoadsLocked(p.now)
+	c.Assert(p.list["e0"].slots, quicktest.HasLen, 1)
+	c.Assert(free(), quicktest.Equals, balancedSlots-1)
+	p.ask(0, time.Second)
+	c.Assert(free(), quicktest.Equals, balancedSlots-2)
+}
