placement: tests of the count of released slots and of the shorter idle threshold

All tests passed when evictions were not counted as released slots, and when adapters were idle after 250 ms where a leader assigns all requests. TestReleasedSlotsReduceReserve and TestAdapterIsIdleSoonerWhereRequestsAreAssigned fail then.

--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -292,3 +292,39 @@
 	p.ask(0, time.Second)
 	c.Assert(free(), quicktest.Equals, balancedSlots-2)
 }
+
+// Guards against free slots that are kept although as many become free as more urgent requests need: without the count of
+// evictions, less urgent requests were refused beside idle adapters.
+func TestReleasedSlotsReduceReserve(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	for i := range balancedSlots {
+		hold(i, list["e1"])
+	}
+	d := demandOf(0, 2, now)
+	l.slotDemand[poolOf(list["e1"])] = d
+	before := d.reserve(1, now)
+	evictions := len(l.evictLocked(map[*ownedEndpoint]int{list["e1"]: 2}, now))
+	c.Assert(evictions >= 2, quicktest.IsTrue)
+	c.Assert(d.released.Count(now, slotDemandHalfLife), quicktest.Equals, float64(evictions))
+	c.Assert(before > 1 && d.reserve(1, now) < 1, quicktest.IsTrue, quicktest.Commentf("%v, then %v", before, d.reserve(1, now)))
+}
+
+// Guards against slots that stay in use for 250 ms after each request where this box assigns all requests, and against the
+// short threshold elsewhere: boxes send requests there that this box learns of later.
+func TestAdapterIsIdleSoonerWhereRequestsAreAssigned(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	for _, balanced := range []bool{true, false} {
+		l, list := newIdleLoader("e1")
+		if balanced {
+			l, list = newBalancedLoader("e1")
+		}
+		s := &slot{ready: true, lastUsed: now}
+		list["e1"].slots[adapter(1)] = s
+		c.Check(l.isIdleLocked(list["e1"], adapter(1), s, now.Add(balancedIdleThreshold/2)), quicktest.IsFalse)
+		c.Check(l.isIdleLocked(list["e1"], adapter(1), s, now.Add(100*time.Millisecond)), quicktest.Equals, balanced)
+		c.Check(l.isIdleLocked(list["e1"], adapter(1), s, now.Add(idleThreshold)), quicktest.IsTrue)
+	}
+}
