placement, balance: comments on slot counts and on the pause estimate

The count of needed slots leaves out requests that share a load, and the estimate of pauses falls by at most 1.5% for one stream, not 3%: the first step after the first stream is half of 3%.

--- a/balance/pause.go
+++ b/balance/pause.go
@@ -11,7 +11,7 @@
 	pauseStep     = 0.02 // part by which one stream moves the estimate, after the first fifty
 	minPause      = 5 * time.Millisecond
 	maxPause      = 10 * time.Second // bound of one observation
-	// firstPause bounds the estimate after the first stream. The estimate falls by at most 3% for each shorter pause, later
+	// firstPause bounds the estimate after the first stream. The estimate falls by at most 1.5% for each shorter pause, later
 	// by 0.06%, so that it would take thousands of streams to forget a first one of seconds.
 	firstPause = 100 * time.Millisecond
 )
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -16,12 +16,12 @@
 
 // slotDemand is the recent demand for the slots of a pool, and their supply.
 type slotDemand struct {
-	needed   [maxRequestRank + 1]policy.DecayingCounter // requests whose adapter no endpoint of the pool held, by rank
+	needed   [maxRequestRank + 1]policy.DecayingCounter // requests that need a slot of their own, by rank
 	released policy.DecayingCounter                     // slots that were emptied for other adapters
 }
 
 const (
-	// slotDemandHalfLife is of the counts of slots needed and released: demand moves to other adapters within seconds.
+	// slotDemandHalfLife is the half-life of the counts of slots needed and released: demand moves to other adapters within seconds.
 	slotDemandHalfLife = 2 * time.Second
 	// slotReserveTime is for how long the free slots of a pool, and those that become free meanwhile, suffice for its
 	// more urgent requests: a slot that a less urgent request takes stays in use for a few seconds.
@@ -86,8 +86,8 @@
 
 // mayUseSlotLocked reports whether a request may have its adapter loaded. As many free slots of its data centre are kept
 // as more urgent requests are likely to need: a stream of a less urgent one may keep a slot in use for many times as
-// long as theirs. Copies of an adapter that an endpoint holds don't count: without them its
-// requests would only queue there.
+// long as theirs. Copies of an adapter that an endpoint holds don't count: without them its requests would only queue
+// there.
 func (l *Loader) mayUseSlotLocked(w *waiter, r balance.Request, p *poolState, now time.Time) bool {
 	reserve := p.demand.reserve(w.Priority, now)
 	if r.Returned {
