forward, placement: tests of the codes of refusals and of the note that no room is left

No test noticed when a refusal by a leader lost its code or the note "no room before the request's deadline". TestRefusalNamesWhatBinds also checks both at the leader; TestRefusalSaysWhatTheOwnerLacks checks what a caller reads, and fails without the note.

--- a/forward/balance_site_test.go
+++ b/forward/balance_site_test.go
@@ -136,6 +136,12 @@
 
 // call sends one request for an adapter or a base model.
 func (s balancedSite) call(ctx context.Context, adapter string) (int, error) {
+	status, _, err := s.answer(ctx, adapter)
+	return status, err
+}
+
+// answer sends one request and returns the status and the text of the response.
+func (s balancedSite) answer(ctx context.Context, adapter string) (status int, text string, err error) {
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, s.server.URL+"/", strings.NewReader("the body"))
 	s.c.Assert(err, quicktest.IsNil)
 	q.Host = "site.example"
@@ -143,11 +149,11 @@
 	q.Header.Set("Adapter", adapter)
 	resp, err := http.DefaultClient.Do(q)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer resp.Body.Close()
-	_, err = io.ReadAll(resp.Body)
-	return resp.StatusCode, err
+	body, err := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(body), err
 }
 
 func (s balancedSite) status(adapter string) int {
--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -146,6 +146,29 @@
 	s.c.Assert(s.calls[changing].Load(), quicktest.Equals, int64(1))
 }
 
+// Guards against refusals that name loads whatever lacks, and against callers that are not told that no retry will be served. A
+// leader of an older build sends no code.
+func TestRefusalSaysWhatTheOwnerLacks(t *testing.T) {
+	for _, k := range []struct {
+		code   Code
+		noRoom bool
+		text   string
+	}{
+		{"", false, "adapter_not_loaded\n"},
+		{CodeNoSlot, false, "adapter_slots_in_use\n"},
+		{CodeEndpointsBusy, true, "endpoints_busy: no room before the request's deadline\n"},
+	} {
+		s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(context.Context, AdapterRequest) (PlacementResult, error) {
+			return PlacementResult{Busy: true, RetryAfter: time.Second, Code: k.code, NoRoom: k.noRoom}, nil
+		})
+		s.add(t, "dc", true, answerOK)
+		status, text, err := s.answer(t.Context(), "m/a")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Assert(status, quicktest.Equals, http.StatusServiceUnavailable)
+		s.c.Assert(text, quicktest.Equals, k.text)
+	}
+}
+
 // Guards against a wait of a fraction of a target that has passed: the request returns late, and an owner that answers in some
 // milliseconds must still be heard.
 func TestOwnerIsHeardThoughTheTargetHasPassed(t *testing.T) {
--- a/placement/work_refuse_test.go
+++ b/placement/work_refuse_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnwick.example/balance"
+	"cairnwick.example/forward"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
@@ -60,16 +61,17 @@
 	c := quicktest.New(t)
 	for _, k := range []struct {
 		reason string
+		code   forward.Code
 		set    func(l *Loader, o *ownedEndpoint, w *waiter, now time.Time)
 	}{
-		{balance.QueueTooLong.String(), func(l *Loader, o *ownedEndpoint, _ *waiter, now time.Time) { hold(1, o); queueAt(l, "e1", 60000, now) }},
-		{balance.MemoryFull.String(), func(l *Loader, o *ownedEndpoint, _ *waiter, now time.Time) {
+		{balance.QueueTooLong.String(), forward.CodeEndpointsBusy, func(l *Loader, o *ownedEndpoint, _ *waiter, now time.Time) { hold(1, o); queueAt(l, "e1", 60000, now) }},
+		{balance.MemoryFull.String(), forward.CodeEndpointsBusy, func(l *Loader, o *ownedEndpoint, _ *waiter, now time.Time) {
 			hold(1, o)
 			l.RecordUsage("box", []Use{{Endpoint: "e1", Adapter: adapter(1), Running: 9, MemoryTokens: balancedMemory - 100}}, false, now)
 		}},
-		{balance.MemoryFull.String(), func(_ *Loader, o *ownedEndpoint, w *waiter, _ time.Time) { hold(1, o); w.OutputTokens = balancedMemory }},
-		{balance.LoadTooLate.String(), func(l *Loader, _ *ownedEndpoint, _ *waiter, _ time.Time) { l.coldLoadTime = time.Minute }},
-		{reasonSlotsKept, func(l *Loader, o *ownedEndpoint, w *waiter, now time.Time) {
+		{balance.MemoryFull.String(), forward.CodeEndpointsBusy, func(_ *Loader, o *ownedEndpoint, w *waiter, _ time.Time) { hold(1, o); w.OutputTokens = balancedMemory }},
+		{balance.LoadTooLate.String(), forward.CodeNotLoaded, func(l *Loader, _ *ownedEndpoint, _ *waiter, _ time.Time) { l.coldLoadTime = time.Minute }},
+		{reasonSlotsKept, forward.CodeNoSlot, func(l *Loader, o *ownedEndpoint, w *waiter, now time.Time) {
 			busySlots(l, o, balancedSlots, now)
 			w.Priority = 1
 			l.slotDemand[poolOf(o)] = demandOf(0, 10, now)
@@ -87,6 +89,8 @@
 				note := quicktest.Commentf("%s, %s left: %+v", k.reason, left, p)
 				c.Assert(waits || p.Ready, quicktest.IsFalse, note)
 				c.Assert(strings.TrimSuffix(p.Reason, noRoomSuffix), quicktest.Equals, k.reason, note)
+				c.Assert(p.Code, quicktest.Equals, k.code, note)
+				c.Assert(p.NoRoom, quicktest.Equals, strings.HasSuffix(p.Reason, noRoomSuffix), note)
 				c.Assert(p.RetryAfter > 0, quicktest.IsTrue, note)
 				if strings.HasSuffix(p.Reason, noRoomSuffix) {
 					c.Assert(p.RetryAfter, quicktest.Equals, max(left, retryMargin), note)
