placement: an endpoint that lost an adapter, or has an older version, is not waited for

A request for a newer version of an adapter, or one that an endpoint had just answered with "not loaded", was told that the owner of that endpoint had not settled, and was loaded in another data centre or refused. Such endpoints no longer count as holders that are not owned yet. TestUnsettledEndpointWithoutTheAdapterIsNotWaitedFor fails without the change for both.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -69,7 +69,7 @@
 // unsettledHolderLocked returns an endpoint that holds a request's adapter according to its previous owner, if this box
 // doesn't own it yet and none that it owns holds or loads the adapter. A load elsewhere would be a second one.
 func (l *Loader) unsettledHolderLocked(w *waiter, now time.Time) *topology.Endpoint {
-	if w.Adapter.Name == "" {
+	if w.Adapter.Name == "" || w.Version > l.View.LatestVersion(w.Adapter) {
 		return nil
 	}
 	var unsettled *topology.Endpoint
@@ -77,7 +77,11 @@
 		if e.DataCentre() != w.Endpoint.DataCentre() || e.Service() != w.Endpoint.Service() || e.Draining() || w.avoids(e.ID()) {
 			continue
 		}
-		if o := l.owned[e.ID()]; o != nil && o.phase == owning {
+		if w.NotLoaded && e.ID() == w.Endpoint.ID() {
+			continue
+		}
+		o := l.owned[e.ID()]
+		if o != nil && o.phase == owning {
 			return nil
 		}
 		unsettled = e
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -328,3 +328,22 @@
 		c.Check(l.isIdleLocked(list["e1"], adapter(1), s, now.Add(idleThreshold)), quicktest.IsTrue)
 	}
 }
+
+// Guards against an adapter that is not loaded because of an endpoint that can't serve the request: it has an older version, or
+// reported that it does not hold the adapter.
+func TestUnsettledEndpointWithoutTheAdapterIsNotWaitedFor(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1", "e2")
+	now := time.Now()
+	l.View.SetAdapterStates("e2", map[topology.Adapter]topology.AdapterState{adapter(1): {Ready: true, Version: 1}})
+	list["e2"].phase, list["e2"].since = claiming, now
+	newer := balancedWaiter(list["e1"], 1, now)
+	newer.Version = 2
+	lost := balancedWaiter(list["e2"], 1, now)
+	lost.NotLoaded = true
+	for _, w := range []*waiter{newer, lost} {
+		l.pendingLoads = make(map[placementKey]*pendingLoad)
+		p, waits := ask(l, w, now)
+		c.Check(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
+	}
+}
