placement: adapters of an endpoint that does not answer its claims are loaded elsewhere

After a change of leaders, requests for adapters of an endpoint that was frozen or unreachable for the new leader were never loaded in its data centre: the leader answered that the owner had not settled for as long as the claim lasted, and each box had to find out by failed requests. TestEndpointWithLongClaimIsNotWaitedFor fails without the change.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -66,6 +66,10 @@
 	return false
 }
 
+// longClaimTime is how long a claim may take before the endpoint's adapters are loaded elsewhere: an endpoint that does not
+// answer its claims would keep them from being loaded. Claims usually take typicalClaimTime.
+const longClaimTime = 4 * typicalClaimTime
+
 // unsettledHolderLocked returns an endpoint that holds a request's adapter according to its previous owner, if this box
 // doesn't own it yet and none that it owns holds or loads the adapter. A load elsewhere would be a second one.
 func (l *Loader) unsettledHolderLocked(w *waiter, now time.Time) *topology.Endpoint {
@@ -84,6 +88,9 @@
 		if o != nil && o.phase == owning {
 			return nil
 		}
+		if o != nil && o.phase == claiming && now.Sub(o.since) >= longClaimTime {
+			continue
+		}
 		unsettled = e
 	}
 	if unsettled != nil && l.isHeldOrLoadingLocked(w, now) { // a load that is in progress isn't published as ready
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -347,3 +347,17 @@
 		c.Check(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
 	}
 }
+
+// Guards against an endpoint that does not answer its claims, and so kept the adapters that its previous owner published from
+// being loaded elsewhere in the data centre.
+func TestEndpointWithLongClaimIsNotWaitedFor(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1", "e2")
+	now := time.Now()
+	l.View.SetAdapterStates("e2", map[topology.Adapter]topology.AdapterState{adapter(1): {Ready: true}})
+	list["e2"].phase, list["e2"].since = claiming, now
+	p, _ := ask(l, balancedWaiter(list["e1"], 1, now.Add(longClaimTime/2)), now.Add(longClaimTime/2))
+	c.Assert(p.OwnerChanging, quicktest.IsTrue)
+	p, waits := ask(l, balancedWaiter(list["e1"], 1, now.Add(longClaimTime)), now.Add(longClaimTime))
+	c.Assert(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
+}
