edge: history queued for a new leader is not removed by a delivery to the old one

A request could end more endpoints than the threshold after a change of leaders: the new leader had not received the ends that were counted before it led.

Cause: a delivery determines the leaders when it begins and lasts up to 400 ms if the old leader does not answer. When it ended, it removed messages that no leader of its list lacked, among them history that was queued meanwhile for the new one. That history was not queued again.

A message to one leader now stays until it is delivered or expires, or until that box leads no more.

Result: TestHistoryForANewLeaderSurvivesADeliveryToTheOldOne failed before and passes.

--- a/edge/outbox.go
+++ b/edge/outbox.go
@@ -99,6 +99,7 @@
 		}
 	}
 	o.known = known
+	o.messages = slices.DeleteFunc(o.messages, func(n *message) bool { return n.to != "" && !known[n.to] })
 	o.mu.Unlock()
 	for _, m := range ends {
 		if !o.add(m, now) {
@@ -198,12 +199,13 @@
 }
 
 // removeDone removes messages that every leader has received and those that have expired. It reports whether none is
-// left.
+// left. A message to one leader may be newer than the list of leaders: it was queued while older ones were being sent.
 func (o *outbox) removeDone(leaders []member.Member, now time.Time) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.messages = slices.DeleteFunc(o.messages, func(n *message) bool {
-		return !now.Before(n.expires) || !slices.ContainsFunc(leaders, n.isFor)
+		missing := slices.ContainsFunc(leaders, n.isFor) || (n.to != "" && !n.delivered[n.to])
+		return !now.Before(n.expires) || !missing
 	})
 	return len(o.messages) == 0
 }
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -113,6 +113,26 @@
 	c.Assert(n.outbox.removeDone([]member.Member{gone}, now.Add(2*notifyMaxAge)), quicktest.IsTrue)
 }
 
+// Guards against history that is lost: a leader that doesn't answer holds up a delivery while the next one begins to lead,
+// and the end of that delivery removed what had been queued for the next one.
+func TestHistoryForANewLeaderSurvivesADeliveryToTheOldOne(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-1")
+	n.build()
+	now := time.Now()
+	former, next := member.New("former", "", roleBox, "dc", 1), member.New("next", "", roleBox, "dc", 2)
+	n.outbox.record(endedRequest("e1", "fatal").GetEnds()[0], now)
+	n.peers.table.Merge([]member.Member{next}, now)
+	n.outbox.sendHistory(now)
+	c.Assert(n.outbox.pending(), quicktest.HasLen, 1)
+	c.Assert(n.outbox.removeDone([]member.Member{former}, now), quicktest.IsFalse)
+	c.Assert(n.outbox.removeDone([]member.Member{former}, now.Add(notifyMaxAge)), quicktest.IsTrue)
+	n.peers.table.Merge([]member.Member{former}, now)
+	n.outbox.sendHistory(now)
+	c.Assert(n.outbox.pending(), quicktest.HasLen, 1)
+	c.Assert(n.outbox.pending()[0].to, quicktest.Equals, leaderKey(former))
+}
+
 // eventuallyQuarantined waits until a node keeps a request from endpoints.
 func eventuallyQuarantined(c *quicktest.C, n *Node, body string) {
 	eventually(c, "the request is quarantined", func() bool { return isQuarantined(n, body, time.Now()) })
