edge: history for new leaders leaves room for observations

The report of an endpoint's end, or of a drain announcement, was dropped with "too many messages pending" after a change of several leaders in which endpoints had ended.

Cause: each earlier end was a message for each new leader: 256 ends and four new leaders fill the queue of 1024 messages, for up to 8 s if one of them does not answer. History beyond that was dropped too, and not queued again.

The history for one leader is now one message.

Result: TestHistoryLeavesRoomForObservations failed before and passes.

--- a/edge/outbox.go
+++ b/edge/outbox.go
@@ -39,13 +39,14 @@
 	known    map[string]bool // leaders that get the history no more, by leaderKey
 }
 
-// message is one observation of an endpoint by this box.
+// message is one observation of an endpoint by this box, or the history for one leader. The history is one message, so
+// that that of several new leaders leaves room for observations.
 type message struct {
-	end       *wire.EndpointEnd // the endpoint ended while it ran requests; nil: it did not
-	leaving   string            // ID of an endpoint that announced draining; empty: none did
-	to        string            // leaderKey of the only recipient; empty: all leaders
-	expires   time.Time         // when retries stop
-	delivered map[string]bool   // by leaderKey, whether the leader received the message; only used by run
+	ends      []*wire.EndpointEnd // endpoints that ended while they ran requests
+	leaving   string              // ID of an endpoint that announced draining; empty: none did
+	to        string              // leaderKey of the only recipient; empty: all leaders
+	expires   time.Time           // when retries stop
+	delivered map[string]bool     // by leaderKey, whether the leader received the message; only used by run
 }
 
 // leaderKey identifies one run of a box that leads: after a restart it has lost what it received.
@@ -87,24 +88,23 @@
 	leaders := o.leaders()
 	o.mu.Lock()
 	known := make(map[string]bool, len(leaders))
-	var ends []*message
+	var histories []*message
 	for _, m := range leaders {
 		key := leaderKey(m)
 		known[key] = true
 		if o.known[key] {
 			continue
 		}
-		for _, e := range o.history.recent(now) {
-			ends = append(ends, &message{end: e, to: key})
+		if ends := o.history.recent(now); len(ends) > 0 {
+			histories = append(histories, &message{ends: ends, to: key})
 		}
 	}
 	o.known = known
 	o.messages = slices.DeleteFunc(o.messages, func(n *message) bool { return n.to != "" && !known[n.to] })
 	o.mu.Unlock()
-	for _, m := range ends {
+	for _, m := range histories {
 		if !o.add(m, now) {
-			o.node.Log.Info("Report of an endpoint's end dropped: too many messages pending", "endpoint", m.end.GetEndpoint())
-			return
+			o.node.Log.Info("Earlier ends of endpoints dropped: too many messages pending", "leader", m.to, "ends", len(m.ends))
 		}
 	}
 }
@@ -180,9 +180,7 @@
 	defer cancel()
 	r := &wire.EndedRequest{Box: o.node.peers.box}
 	for _, n := range undelivered {
-		if n.end != nil {
-			r.Ends = append(r.Ends, n.end)
-		}
+		r.Ends = append(r.Ends, n.ends...)
 		if n.leaving != "" {
 			r.Leaving = append(r.Leaving, n.leaving)
 		}
--- a/edge/quarantine.go
+++ b/edge/quarantine.go
@@ -35,7 +35,7 @@
 	q.record(endpoint, contents, 0, now)
 	end := &wire.EndpointEnd{Endpoint: endpoint, Contents: quarantine.Encode(contents)}
 	q.node.outbox.record(end, now)
-	if !q.node.outbox.add(&message{end: end}, now) {
+	if !q.node.outbox.add(&message{ends: []*wire.EndpointEnd{end}}, now) {
 		q.node.Log.Info("Report of an endpoint's end dropped: too many messages pending", "endpoint", endpoint)
 	}
 }
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -133,6 +133,33 @@
 	c.Assert(n.outbox.pending()[0].to, quicktest.Equals, leaderKey(former))
 }
 
+// Guards against observations that are lost, since the history for several new leaders has filled the queue.
+func TestHistoryLeavesRoomForObservations(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-1")
+	n.build()
+	now := time.Now()
+	for i := range maxHistoryEnds {
+		n.outbox.record(endedRequest(fmt.Sprint("e", i), "fatal").GetEnds()[0], now)
+	}
+	var leaders []member.Member
+	for i := range 5 {
+		leaders = append(leaders, member.New(fmt.Sprint("leader-", i), "", roleBox, fmt.Sprint("dc-", i), 1))
+	}
+	n.peers.table.Merge(leaders, now)
+	n.outbox.sendHistory(now)
+	c.Assert(n.outbox.add(&message{leaving: "e"}, now), quicktest.IsTrue)
+	for _, m := range leaders {
+		ends := 0
+		for _, p := range n.outbox.pending() {
+			if p.isFor(m) {
+				ends += len(p.ends)
+			}
+		}
+		c.Check(ends, quicktest.Equals, maxHistoryEnds)
+	}
+}
+
 // eventuallyQuarantined waits until a node keeps a request from endpoints.
 func eventuallyQuarantined(c *quicktest.C, n *Node, body string) {
 	eventually(c, "the request is quarantined", func() bool { return isQuarantined(n, body, time.Now()) })
