edge: a box with seeds is not ready before its first contact

A box that starts answered a readiness probe with 200, then with 503, and then with 200 again, or served callers without the quarantined requests, if it had its configuration before another box responded.

Cause: before the first contact it knows no box to follow, which counted as if no other box had facts.

A box that has seeds is now ready only after a contact, or after 0.5 s as before.

Result: TestBoxWithSeedsIsNotReadyBeforeContact failed before and passes.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -87,7 +87,11 @@
 // hasFacts reports whether this box has received what only other boxes know, as far as they answer: it follows nobody, or
 // has received a message of a box that it follows, or has waited for one for initialFactsTimeout.
 func (p *peers) hasFacts(now time.Time) bool {
-	return p.receivedFacts.Load() || now.Sub(p.started) >= initialFactsTimeout || len(p.followTargets()) == 0
+	if p.receivedFacts.Load() || now.Sub(p.started) >= initialFactsTimeout {
+		return true
+	}
+	hasContact := len(p.table.Members()) > 1 // before, it does not know whom to follow
+	return (hasContact || len(p.seeds()) == 0) && len(p.followTargets()) == 0
 }
 
 // initialFactsTimeout bounds how long a box that starts is not ready for want of facts that only boxes have. A box that
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/member"
 	"github.com/frankban/quicktest"
 )
 
@@ -72,3 +73,19 @@
 	source.left.Store(true)
 	eventually(c, "the follower knows that the endpoint left", func() bool { return follower.view.Endpoint("e/1") == nil })
 }
+
+// Guards against a box that counts as ready before its first contact: it has no box to follow yet, and doesn't know that
+// others have facts.
+func TestBoxWithSeedsIsNotReadyBeforeContact(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-2", "127.0.0.1:1")
+	n.build()
+	started := n.peers.started
+	c.Check(n.peers.hasFacts(started), quicktest.IsFalse)
+	c.Check(n.peers.hasFacts(started.Add(initialFactsTimeout)), quicktest.IsTrue)
+	alone := newNode(c, "box-1")
+	alone.build()
+	c.Check(alone.peers.hasFacts(alone.peers.started), quicktest.IsTrue)
+	n.peers.table.Merge([]member.Member{member.New("box-3", "", roleBox, "dc", 1<<60)}, started)
+	c.Check(n.peers.hasFacts(started), quicktest.IsTrue) // it leads, and no other box has facts
+}
