edge, share: a box that starts is ready after the whole first list

A box that started served callers before it knew which requests are quarantined, if the box that it follows knew more than 256 facts.

Cause: it counted as ready with the first message. That has the 256 facts that changed least recently; each endpoint is one. The latest, such as quarantined requests, are in the last message.

It now counts as ready with the first message of fewer than 256 facts, which is the last of a list.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -85,7 +85,7 @@
 }
 
 // hasFacts reports whether this box has received what only other boxes know, as far as they answer: it follows nobody, or
-// has received a message of a box that it follows, or has waited for one for initialFactsTimeout.
+// has received all that a box that it follows knew, or has waited for that for initialFactsTimeout.
 func (p *peers) hasFacts(now time.Time) bool {
 	if p.receivedFacts.Load() || now.Sub(p.started) >= initialFactsTimeout {
 		return true
@@ -114,7 +114,9 @@
 // stream without everything carries no endpoint entries, so its status does not cover them.
 func (p *peers) apply(s followTarget, u *wire.Update, received time.Time) {
 	p.table.RecordContact(s.name, received)
-	p.receivedFacts.Store(true)
+	if len(u.GetItems()) < share.MaxBatchItems { // the last message of a list: the latest facts come last
+		p.receivedFacts.Store(true)
+	}
 	if !u.GetReading() {
 		return
 	}
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"cairnwick.example/member"
+	"cairnwick.example/share"
+	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 )
 
@@ -89,3 +91,18 @@
 	n.peers.table.Merge([]member.Member{member.New("box-3", "", roleBox, "dc", 1<<60)}, started)
 	c.Check(n.peers.hasFacts(started), quicktest.IsTrue) // it leads, and no other box has facts
 }
+
+// Guards against a box that counts as ready while most of a long list is still to come: with thousands of endpoints, the
+// latest facts, such as quarantined requests, are in the last message.
+func TestBoxIsReadyAfterTheWholeFirstList(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-2")
+	n.build()
+	n.peers.table.Merge([]member.Member{member.New("box-1", "", roleBox, "dc", 1)}, time.Now())
+	from := followTarget{name: "box-1", everything: true}
+	c.Check(n.peers.hasFacts(n.peers.started), quicktest.IsFalse)
+	n.peers.apply(from, &wire.Update{Items: make([]*wire.Item, share.MaxBatchItems)}, time.Now())
+	c.Check(n.peers.hasFacts(n.peers.started), quicktest.IsFalse)
+	n.peers.apply(from, &wire.Update{Items: make([]*wire.Item, 3)}, time.Now())
+	c.Check(n.peers.hasFacts(n.peers.started), quicktest.IsTrue)
+}
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -54,7 +54,7 @@
 	checkpoints  *checkpoints         // up to which this box knows the source
 
 	clusterViews  clusterViews
-	receivedFacts atomic.Bool // a followed box has sent a message
+	receivedFacts atomic.Bool // a followed box has sent all that it knew
 
 	mu           sync.Mutex
 	firstContact time.Time               // first contact with another box; zero: none yet
--- a/share/follow.go
+++ b/share/follow.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	batchDelay    = 40 * time.Millisecond // changes within this time are sent in one message
-	maxBatchItems = 256                   // keeps a message far below gRPC's limit of 4 MB
+	batchDelay = 40 * time.Millisecond // changes within this time are sent in one message
+	// MaxBatchItems is the number of items in each message of a list but the last, which has fewer. It keeps a message far
+	// below the limit of gRPC, 4 MB.
+	MaxBatchItems = 256
 	// HeartbeatInterval is the time without changes after which a stream sends a message without items.
 	HeartbeatInterval = 300 * time.Millisecond
 	// IdleTimeout is the time without messages after which a stream counts as broken. It allows for two
@@ -116,7 +118,7 @@
 			}
 		}
 		u.Items = append(u.Items, i)
-		if len(u.Items) == maxBatchItems {
+		if len(u.Items) == MaxBatchItems {
 			if err := stream.Send(u); err != nil {
 				return err
 			}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -176,7 +176,7 @@
 func TestReadStatusCoversItemsSentBeforeIt(t *testing.T) {
 	c := quicktest.New(t)
 	from, to := NewTable(), NewTable()
-	for i := range maxBatchItems + 1 {
+	for i := range MaxBatchItems + 1 {
 		from.Merge(item(fmt.Sprint("k", i), 1))
 	}
 	read := func() (ReadStatus, bool) { // a read of the store just before the status is taken
@@ -191,7 +191,7 @@
 		messages++
 		if u.GetReading() {
 			c.Check(to.Version("removal"), quicktest.Equals, uint64(2))
-			c.Check(to.Keys(), quicktest.HasLen, maxBatchItems+2)
+			c.Check(to.Keys(), quicktest.HasLen, MaxBatchItems+2)
 			cancel()
 		}
 	})
