edge: older ends do not replace recent ones in a full history

Cause: room was made before the time of the added end was known. One that was older than all others, or had expired, as in the history of another box, replaced the oldest of the recent ones.

The oldest is now removed after the addition; it may be the added one.

--- a/edge/end_history.go
+++ b/edge/end_history.go
@@ -38,13 +38,13 @@
 	}
 	r := h.ends[end.GetEndpoint()]
 	if r == nil {
-		h.makeRoom(now)
 		r = &recordedEnd{}
 		h.ends[end.GetEndpoint()] = r
 	}
 	if at := now.Add(-positiveMessageTime(end.GetAgeMicros())); at.After(r.at) {
 		r.at = at
 	}
+	h.removeExcess(now)
 	for _, c := range end.GetContents() {
 		known := slices.ContainsFunc(r.contents, func(o []byte) bool { return bytes.Equal(o, c) })
 		if !known && len(r.contents) < maxHistoryContents {
@@ -53,10 +53,14 @@
 	}
 }
 
-// makeRoom removes expired ends and, if there are too many others, the oldest.
-func (h *endHistory) makeRoom(now time.Time) {
+// removeExcess removes, if there are too many ends, the expired ones, or else the oldest. The oldest may be the one that was
+// just added.
+func (h *endHistory) removeExcess(now time.Time) {
+	if len(h.ends) <= maxHistoryEnds {
+		return
+	}
 	maps.DeleteFunc(h.ends, func(_ string, r *recordedEnd) bool { return now.Sub(r.at) >= historyTime })
-	if len(h.ends) < maxHistoryEnds {
+	if len(h.ends) <= maxHistoryEnds {
 		return
 	}
 	oldest := slices.MinFunc(slices.Collect(maps.Keys(h.ends)), func(a, b string) int {
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -224,6 +224,22 @@
 	c.Assert(stopFirst(), quicktest.IsNil)
 }
 
+// Guards against recent ends that are lost, since the history is full and a leader or another box sends older ones.
+func TestOlderEndsDoNotReplaceRecentOnes(t *testing.T) {
+	c := quicktest.New(t)
+	var h endHistory
+	now := time.Now()
+	for i := range maxHistoryEnds {
+		h.add(&wire.EndpointEnd{Endpoint: fmt.Sprint("e", i)}, now)
+	}
+	h.add(&wire.EndpointEnd{Endpoint: "older", AgeMicros: time.Minute.Microseconds()}, now)
+	h.add(&wire.EndpointEnd{Endpoint: "expired", AgeMicros: historyTime.Microseconds()}, now)
+	for _, e := range h.recent(now) {
+		c.Check(e.GetEndpoint(), quicktest.Not(quicktest.Equals), "older")
+	}
+	c.Assert(h.recent(now), quicktest.HasLen, maxHistoryEnds)
+}
+
 // Guards against memory that grows with the ends of endpoints, and against an old end that keeps an endpoint of the same
 // name from loads.
 func TestEndHistoryIsBounded(t *testing.T) {
