edge: leaders follow boxes that are leaving now, not those that left long ago

A leader kept opening streams to boxes whose machine was gone, for up to ten minutes and with a log line each, and did not follow boxes that were still leaving and knew quarantined requests.

Cause: only a refused connection ends the entry of a leaving box early; otherwise it stays for deadRetention. The two oldest of these boxes were followed.

A box is now followed for 30 s after the leader learned that it leaves.

--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -29,8 +29,11 @@
 	// maxDeparting is how many leaving boxes of a data centre a leader follows. Each has all facts that boxes
 	// publish there; the second is for one that stops first.
 	maxDeparting = 2
+	// maxDepartingTime is how long a leaving box is followed. It stops within its grace period, 8 s by default; one whose
+	// machine is gone refuses no connection and stays listed for deadRetention.
+	maxDepartingTime = 30 * time.Second
 
-	// clusterViewTTL is how long a clusterView is valid while no member changes. Only takeovers depend on the time.
+	// clusterViewTTL is how long a clusterView is valid while no member changes. Only takeovers and departing boxes depend on the time.
 	clusterViewTTL = time.Second
 )
 
@@ -91,17 +94,17 @@
 	slices.Sort(v.centres)
 	v.chooseUpstream(box, centre, serving)
 	for _, list := range byCentre {
-		v.departing = append(v.departing, departing(list, box)...)
+		v.departing = append(v.departing, departing(list, box, now)...)
 	}
 	return v
 }
 
 // departing returns the leaving boxes of a data centre to follow: the oldest ones, which have led it or followed its leader
 // for the longest time.
-func departing(list []member.Member, self string) []member.Member {
+func departing(list []member.Member, self string, now time.Time) []member.Member {
 	var leaving []member.Member
 	for _, m := range list {
-		if m.State() == member.Leaving && m.Name() != self {
+		if m.State() == member.Leaving && m.Name() != self && now.Sub(m.Since()) < maxDepartingTime {
 			leaving = append(leaving, m)
 		}
 	}
--- a/edge/follow_test.go
+++ b/edge/follow_test.go
@@ -106,3 +106,25 @@
 	n.peers.apply(from, &wire.Update{Items: make([]*wire.Item, 3)}, time.Now())
 	c.Check(n.peers.hasFacts(n.peers.started), quicktest.IsTrue)
 }
+
+// leavingBox returns a box that is leaving.
+func leavingBox(name string, started uint64) member.Member {
+	t := member.NewTable(box(name, "dc", started, 400), member.TableOptions{})
+	t.Leave()
+	return t.Self()
+}
+
+// Guards against a leader that follows boxes that stopped long ago, and not those that are leaving now: a box whose machine
+// is gone refuses no connection, and stays listed as leaving for ten minutes.
+func TestLeaderDoesNotFollowBoxesThatLeftLongAgo(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	p := peersOf(box("a", "dc", 9, 400))
+	p.table.Merge([]member.Member{leavingBox("b", 1), leavingBox("c", 2)}, now.Add(-maxDepartingTime))
+	c.Check(p.followTargets(), quicktest.HasLen, 0)
+	p.table.Merge([]member.Member{leavingBox("d", 3), leavingBox("e", 4), leavingBox("f", 5)}, now)
+	c.Check(p.followTargets(), quicktest.DeepEquals, map[followTarget]bool{
+		{name: "d", address: "d:1"}: true,
+		{name: "e", address: "e:1"}: true,
+	})
+}
