edge: a request to a leader has no more ends than it applies

A leader did not count some ends of endpoints, though the box that observed them had sent them.

Cause: a leader applies 1024 ends of one request. Since the history for a leader is one message, 1024 messages can have more ends than that; the rest was ignored and counted as delivered.

A request now has at most 1024 ends; the others follow in the next one.

Result: TestRequestHasNoMoreEndsThanALeaderApplies failed before and passes.

--- a/edge/outbox.go
+++ b/edge/outbox.go
@@ -143,6 +143,7 @@
 			continue
 		}
 		calls++
+		undelivered = forOneRequest(undelivered)
 		go func() { deliveries <- o.deliverTo(ctx, m, undelivered) }()
 	}
 	for range calls {
@@ -154,6 +155,17 @@
 	return o.removeDone(leaders, now)
 }
 
+// forOneRequest returns the first messages, with no more ends of endpoints than a leader applies of one request.
+func forOneRequest(list []*message) []*message {
+	ends := 0
+	for i, n := range list {
+		if ends += len(n.ends); ends > maxPendingMessages {
+			return list[:i]
+		}
+	}
+	return list
+}
+
 // pending returns the messages that some leaders have not received.
 func (o *outbox) pending() []*message {
 	o.mu.Lock()
--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -160,6 +161,34 @@
 	}
 }
 
+// Guards against reports that count as delivered though the leader ignored them: it applies a bounded number of ends of one
+// request, and a message with history has many.
+func TestRequestHasNoMoreEndsThanALeaderApplies(t *testing.T) {
+	c := quicktest.New(t)
+	leader, n := newNode(c, "box-1"), newNode(c, "box-2")
+	stop := start(leader)
+	defer func() { c.Check(stop(), quicktest.IsNil) }()
+	variablesOf(c, leader)
+	n.build()
+	defer n.peers.dialer.Close()
+	now := time.Now()
+	for i := range maxHistoryEnds {
+		n.outbox.record(endedRequest(fmt.Sprint("earlier-", i), "fatal").GetEnds()[0], now)
+	}
+	for i := range maxPendingMessages - 2 {
+		c.Assert(n.outbox.add(&message{ends: endedRequest(fmt.Sprint("e", i)).GetEnds()}, now), quicktest.IsTrue)
+	}
+	n.peers.table.Merge([]member.Member{leader.peers.table.Self()}, now)
+	n.outbox.sendHistory(now)
+	for range 10 {
+		if n.outbox.deliver(context.Background(), now) {
+			break
+		}
+	}
+	c.Assert(n.outbox.pending(), quicktest.HasLen, 0)
+	c.Assert(isQuarantined(leader, "fatal", now), quicktest.IsTrue)
+}
+
 // eventuallyQuarantined waits until a node keeps a request from endpoints.
 func eventuallyQuarantined(c *quicktest.C, n *Node, body string) {
 	eventually(c, "the request is quarantined", func() bool { return isQuarantined(n, body, time.Now()) })
