--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -189,6 +189,24 @@
 	c.Assert(isQuarantined(leader, "fatal", now), quicktest.IsTrue)
 }
 
+// Guards against a leader that restarts under its name and does not get the history again.
+func TestRestartedLeaderGetsTheHistoryAgain(t *testing.T) {
+	c := quicktest.New(t)
+	n := newNode(c, "box-1")
+	n.build()
+	now := time.Now()
+	n.outbox.record(endedRequest("e1", "fatal").GetEnds()[0], now)
+	for _, started := range []uint64{1, 2} {
+		m := member.New("leader", "", roleBox, "dc", started)
+		n.peers.table.Merge([]member.Member{m}, now)
+		for range 2 { // a change of other members sends nothing again
+			n.outbox.sendHistory(now)
+		}
+		c.Assert(n.outbox.pending(), quicktest.HasLen, 1)
+		c.Check(n.outbox.pending()[0].isFor(m), quicktest.IsTrue)
+	}
+}
+
 // eventuallyQuarantined waits until a node keeps a request from endpoints.
 func eventuallyQuarantined(c *quicktest.C, n *Node, body string) {
 	eventually(c, "the request is quarantined", func() bool { return isQuarantined(n, body, time.Now()) })
@@ -224,6 +242,31 @@
 	c.Assert(third.leads(), quicktest.IsTrue)
 }
 
+// Guards against a first box after a restart of all that depends on one leaving box: the one that it heard first may stop
+// before a fact arrives that only the other one has.
+func TestFirstBoxFollowsAnotherLeavingBoxWhenOneStops(t *testing.T) {
+	c := quicktest.New(t)
+	first, second := newNode(c, "box-1"), newNode(c, "box-2")
+	second.Settings.Seeds = []string{first.Settings.Peers}
+	stopFirst := start(first)
+	variablesOf(c, first)
+	stopSecond := start(second)
+	defer func() { c.Check(stopSecond(), quicktest.IsNil) }()
+	variablesOf(c, second)
+	eventually(c, "the boxes know each other", func() bool { return first.peers.clusterView().boxes == 2 && second.peers.clusterView().boxes == 2 })
+	second.peers.table.Leave()
+	first.peers.table.Leave()
+	third := newNode(c, "box-3", first.Settings.Peers, second.Settings.Peers)
+	stop := start(third)
+	defer func() { c.Check(stop(), quicktest.IsNil) }()
+	variablesOf(c, third)
+	eventually(c, "both leaving boxes are followed", func() bool { return len(third.peers.followTargets()) == 2 })
+	c.Assert(stopFirst(), quicktest.IsNil)
+	c.Assert(isQuarantined(third, "fatal", time.Now()), quicktest.IsFalse)
+	publishQuarantine(second, "fatal")
+	eventuallyQuarantined(c, third, "fatal")
+}
+
 // What was counted of a request below the threshold ended with the leaders that counted it: two more endpoints than the
 // threshold ended of it.
 func TestNewLeaderCountsEarlierEnds(t *testing.T) {
