--- a/edge/quarantine_test.go
+++ b/edge/quarantine_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/forward"
 	"cairnwick.example/member"
 	"cairnwick.example/placement"
 	"cairnwick.example/quarantine"
@@ -296,6 +297,31 @@
 	c.Assert(stopFirst(), quicktest.IsNil)
 }
 
+// Guards against an endpoint that is kept from loads though it lives: a box was wrong about its end, the endpoint renewed its
+// entry, and a new leader receives the old report.
+func TestOldEndDoesNotKeepAnEndpointFromLoads(t *testing.T) {
+	c := quicktest.New(t)
+	h := &fakeEndpoint{ready: make(map[topology.Adapter]int64), reports: make(map[string]int)}
+	nodes, stops := startAt(c, h, 1)
+	defer func() { c.Check(stops[0](), quicktest.IsNil) }()
+	n := nodes[0]
+	settings := *n.current.Load()
+	settings.Bounds.RegistrationTTL = 20 * time.Second
+	n.current.Store(&settings)
+	awaitLoad(n, "a")
+	isReady := func() bool {
+		w := forward.AdapterRequest{Endpoint: n.view.Endpoint("e/1"), Adapter: topology.Adapter{Model: "m", Name: "a"}, Version: 1}
+		p, err := (placer{node: n}).Place(context.Background(), w)
+		return err == nil && p.Ready
+	}
+	report := endedRequest("e/1", "fatal")
+	report.Ends[0].AgeMicros = settings.Bounds.RegistrationTTL.Microseconds()
+	n.quarantine.receive(report, time.Now())
+	c.Check(isReady(), quicktest.IsTrue)
+	n.quarantine.receive(endedRequest("e/1", "fatal"), time.Now())
+	c.Check(isReady(), quicktest.IsFalse)
+}
+
 // Guards against recent ends that are lost, since the history is full and a leader or another box sends older ones.
 func TestOlderEndsDoNotReplaceRecentOnes(t *testing.T) {
 	c := quicktest.New(t)
