quarantine: a repeated report keeps the attribution of a termination

A fatal request could terminate more endpoints than the threshold: not those that it had terminated together with another request that is quarantined.

Cause: a report with a quarantined request attributes the termination to that without condition, also if the termination had been attributed before, with the endpoints that terminated under the cause. Repeated reports are more frequent since boxes send new leaders the earlier ones, combined of several boxes.

A known attribution now stays.

Result: TestRepeatedReportKeepsTheAttribution failed before and passes.

--- a/quarantine/counter.go
+++ b/quarantine/counter.go
@@ -55,7 +55,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.initLocked()
-	if slices.ContainsFunc(requests, isQuarantined) {
+	// A cause that is known stays: the report may be a repeated one of a termination before the quarantine.
+	if _, known := c.attributed.get(endpoint, now); !known && slices.ContainsFunc(requests, isQuarantined) {
 		c.attributed.put(endpoint, nil, now)
 	}
 	var found []Fingerprint
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -32,6 +32,25 @@
 	c.Assert(k.RecordTermination("e3", []Fingerprint{fatal, other}, notQuarantined, start), quicktest.DeepEquals, []Fingerprint{fatal})
 }
 
+// Guards against a fatal request that is not quarantined: another one ran beside it by chance, was reported first, and is
+// quarantined; then a box sends an earlier termination again, with both.
+func TestRepeatedReportKeepsTheAttribution(t *testing.T) {
+	c := quicktest.New(t)
+	var k Tracker
+	fatal, beside := fingerprint(1), fingerprint(2)
+	for _, e := range []string{"e1", "e2", "e3"} {
+		for _, f := range k.RecordTermination(e, []Fingerprint{beside}, start) {
+			k.List().Add(f, start.Add(Duration))
+		}
+	}
+	_, listed := k.List().Remaining(beside, start)
+	c.Assert(listed, quicktest.IsTrue)
+	c.Assert(k.RecordTermination("e1", []Fingerprint{fatal}, start), quicktest.HasLen, 0)
+	c.Assert(k.RecordTermination("e2", []Fingerprint{fatal}, start), quicktest.HasLen, 0)
+	c.Assert(k.RecordTermination("e1", []Fingerprint{beside, fatal}, start), quicktest.HasLen, 0) // again
+	c.Assert(k.RecordTermination("e3", []Fingerprint{fatal}, start), quicktest.DeepEquals, []Fingerprint{fatal})
+}
+
 func TestOldTerminationsDoNotCount(t *testing.T) {
 	c := quicktest.New(t)
 	var k Counter
