placement: adapters whose requests are always late are loaded in the end

Guarded by a test: while slots are scarce, requests that would be late take none; an adapter that only a kind with a target shorter than a load asks for was never loaded. Three recent refusals now let one in, as where slots are kept.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -181,19 +181,28 @@
 		if d.Reason != balance.Late || all.list[d.Index].Availability != balance.Loadable {
 			return all, d
 		}
-		if len(holders.list) > 0 && pool.isScarce() {
-			return holders, balance.Choose(r, holders.list)
-		}
-		if w.Declined || pool.isScarce() {
-			d = balance.Decision{Index: -1, Reason: balance.LoadTooLate, Relief: all.list[d.Index].Delay}
-		}
-		return all, d
+		return l.withoutNewSlotLocked(w, r, pool, holders, all, d)
 	case last == balance.Requested:
 		return all, balance.Decision{Index: -1, Reason: reasonNoSlot}
 	}
 	return holders, d
 }
 
+// withoutNewSlotLocked decides about a request that would be late at the endpoint where its adapter costs least to load. While
+// slots are scarce none is taken for it, unless requests for the adapter were refused often.
+func (l *Loader) withoutNewSlotLocked(w *waiter, r balance.Request, pool *poolState, holders, all candidates, d balance.Decision) (candidates, balance.Decision) {
+	scarce := pool.isScarce()
+	switch {
+	case scarce && len(holders.list) > 0:
+		return holders, balance.Choose(r, holders.list)
+	case scarce && !l.isOftenRefusedLocked(w.Adapter, pool.now):
+		l.countSlotRefusalLocked(w, pool.now)
+	case !w.Declined:
+		return all, d
+	}
+	return all, balance.Decision{Index: -1, Reason: balance.LoadTooLate, Relief: all.list[d.Index].Delay}
+}
+
 // grantLocked assigns a request to an endpoint.
 func (l *Loader) grantLocked(o *ownedEndpoint, w *waiter, d balance.Decision, now time.Time) forward.PlacementResult {
 	l.decisions[d.Reason.String()]++
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -96,10 +96,29 @@
 	if reserve < 1 || float64(p.freeSlots()) >= reserve {
 		return true
 	}
-	n := l.slotRefusals[w.Adapter]
+	return l.isOftenRefusedLocked(w.Adapter, now)
+}
+
+// isOftenRefusedLocked reports whether requests for an adapter were refused so often, since slots lack, that one is let in.
+func (l *Loader) isOftenRefusedLocked(a topology.Adapter, now time.Time) bool {
+	n := l.slotRefusals[a]
 	return n != nil && n.Count(now, demandHalfLife) >= maxSlotRefusals
 }
 
+// countSlotRefusalLocked counts a request that is refused since slots lack.
+func (l *Loader) countSlotRefusalLocked(w *waiter, now time.Time) {
+	n := l.slotRefusals[w.Adapter]
+	if n == nil {
+		n = &policy.DecayingCounter{}
+		l.slotRefusals[w.Adapter] = n
+	}
+	weight := 1.0
+	if w.Retried {
+		weight = retryWeight
+	}
+	n.Add(weight, now, demandHalfLife)
+}
+
 // poolState is the state of a pool during one decision. It counts the free slots once, and only if they matter.
 type poolState struct {
 	loader   *Loader
@@ -162,16 +181,7 @@
 func (l *Loader) refuseSlotLocked(w *waiter, r balance.Request, now time.Time) forward.PlacementResult {
 	l.decisions[reasonSlotsKept]++
 	l.countRequestsLocked(w.Adapter, 1, now)
-	n := l.slotRefusals[w.Adapter]
-	if n == nil {
-		n = &policy.DecayingCounter{}
-		l.slotRefusals[w.Adapter] = n
-	}
-	weight := 1.0
-	if w.Retried {
-		weight = retryWeight
-	}
-	n.Add(weight, now, demandHalfLife)
+	l.countSlotRefusalLocked(w, now)
 	p := forward.PlacementResult{Busy: true, Code: forward.CodeNoSlot, Reason: reasonSlotsKept}
 	wait := l.slotWaitAnywhereLocked(now)
 	l.setRetryLocked(&p, r, &l.slotReturns, wait+l.coldLoadTime, wait, 1, now)
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -361,3 +361,21 @@
 	p, waits := ask(l, balancedWaiter(list["e1"], 1, now.Add(longClaimTime)), now.Add(longClaimTime))
 	c.Assert(waits, quicktest.IsTrue, quicktest.Commentf("%+v", p))
 }
+
+// Guards against a kind whose target is always shorter than a load, and whose adapters would never be loaded while slots are
+// scarce.
+func TestAdapterWhoseRequestsAreAlwaysLateDoesNotStarve(t *testing.T) {
+	c := quicktest.New(t)
+	l, list := newBalancedLoader("e1")
+	now := time.Now()
+	l.slotDemand[poolOf(list["e1"])] = demandOf(0, 20, now)
+	w := balancedWaiter(list["e1"], 1, now)
+	w.Target = 0
+	for range 3 {
+		p, waits := ask(l, w, now)
+		c.Assert(waits, quicktest.IsFalse)
+		c.Assert(p.Busy, quicktest.IsTrue)
+	}
+	_, waits := ask(l, w, now)
+	c.Assert(waits, quicktest.IsTrue)
+}
