--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -120,7 +120,7 @@
 // Guards against a second load of an adapter while its endpoint changes owners: owners of other data centres were asked, and
 // loaded it.
 func TestHolderIsUsedWhileItsOwnerChanges(t *testing.T) {
-	s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+	s := newBalancedSite(t, onceRoute(5*time.Second), memoryBound, func(context.Context, AdapterRequest) (PlacementResult, error) {
 		return PlacementResult{OwnerChanging: true, RetryAfter: time.Second, Reason: "the endpoint's owner has not settled"}, nil
 	})
 	s.add(t, "d2", true, answerOK)
