standin: engines turn slow on command and count requests beyond their batch

Cause: a soak with uneven endpoints needs engines of unlike speed, and a witness for an engine that gets more requests at once than its limit.

POST /control/slowdown?factor=N makes each token take N times the normal time: the engine skips steps. The counter over_limit counts the requests that arrive while as many others as the batch takes are unfinished. Requests whose caller has disconnected count while they run.

--- a/standin/complete.go
+++ b/standin/complete.go
@@ -101,6 +101,9 @@
 	} else {
 		r.prefill = e.PrefillSteps
 	}
+	if e.unfinishedLocked() >= e.BatchSize {
+		e.counts.OverLimit++
+	}
 	e.runs[request] = r
 	e.waiting = append(e.waiting, r)
 	return r, ""
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -53,7 +53,8 @@
 	requestIDs       []string       // request IDs of all runs, in order
 	limit            limit          // has its own lock
 	backoff          backoffState   // has its own lock
-	announcesLeaving bool           // responses carry the leaving header while the engine is leaving
+	slowdown         slowdown
+	announcesLeaving bool // responses carry the leaving header while the engine is leaving
 }
 
 // slot is an adapter slot that is in use.
@@ -75,6 +76,7 @@
 	WrongVersion    int `json:"wrong_version"`     // violation: a run on another version than expected
 	RepeatedKeys    int `json:"key_twice"`         // violation: an idempotency key ran again on this engine
 	NewAfterLeaving int `json:"new_after_leaving"` // violation: new request after LeavingGrace
+	OverLimit       int `json:"over_limit"`        // requests that arrived while BatchSize others were unfinished
 	Loads           int `json:"loads"`
 	FailedLoads     int `json:"failed_loads"`
 	Unloads         int `json:"unloads"`
@@ -94,6 +96,7 @@
 	n.WrongVersion += o.WrongVersion
 	n.RepeatedKeys += o.RepeatedKeys
 	n.NewAfterLeaving += o.NewAfterLeaving
+	n.OverLimit += o.OverLimit
 	n.Loads += o.Loads
 	n.FailedLoads += o.FailedLoads
 	n.Unloads += o.Unloads
@@ -161,11 +164,15 @@
 	e.prefixes = prefixCache{capacity: e.PrefixCacheSize, delay: e.EventDelay, dropEvery: e.DropEventEvery, nextSequence: e.prefixes.nextSequence}
 }
 
-// step produces one token for every request of the batch.
+// step produces one token for every request of the batch, unless a slowdown skips the step.
 func (e *Engine) step(now time.Time) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.removeEndedLocked(now)
+	if e.slowdown.skipsStep() {
+		e.recordReportLocked(now)
+		return
+	}
 	e.fillBatchLocked()
 	if len(e.batch) > 0 {
 		e.counts.Steps++
@@ -268,6 +275,7 @@
 	m.HandleFunc("GET /control/limit", e.showLimit)
 	m.HandleFunc("POST /control/backoff", e.setBackoff)
 	m.HandleFunc("GET /control/backoff", e.showBackoff)
+	m.HandleFunc("POST /control/slowdown", e.setSlowdown)
 	if e.Fallback != nil {
 		m.Handle("/", e.Fallback)
 	}
