load: a request that returns keeps its key, its deadline and its first start

Cause: a rejected request that was sent again got another idempotency key, so that engines could not recognise that it ran twice, and its second outcome was only counted if it was complete.

The second attempt carries the key of the first and the time that is left of its deadline; it is not sent if none is left. Report.Retries has its outcome, measured from the first attempt. Second attempts also count as broken and as incorrect, and their IDs are among those rejected as not executed, so that runs check them as they check first attempts.

--- a/load/plan.go
+++ b/load/plan.go
@@ -20,7 +20,7 @@
 	Weight   float64 // relative frequency among the kinds
 	Tokens   int     // mean; drawn uniformly from 0.5 to 1.5 times this
 	Stream   bool
-	WithKey  bool          // not repeatable: each request has its own idempotency key
+	WithKey  bool          // not repeatable: each request has its own idempotency key, also when it is sent again
 	Deadline time.Duration // zero: the default of the class
 }
 
@@ -39,7 +39,7 @@
 	ShiftAfter      time.Duration // from then on, other adapters are popular; zero: never
 	Kinds           []RequestKind
 	Timeout         time.Duration // client timeout
-	RetryRejected   bool          // rejected requests are sent once more after the time that the gateway suggests
+	RetryRejected   bool          // rejected requests are sent once more after the time that the gateway suggests, if their deadline allows it
 	ExplicitVersion bool          // request the version explicitly instead of the live one
 	AnyVersion      bool          // the live version may change: the response is checked against the version in its header
 	Duplicate       bool          // send each request that has a key twice, concurrently, through random gateways
@@ -56,6 +56,7 @@
 	duplicateGateway string // gateway for the duplicate; "" for none
 	version          string // "@" and version to request; "" for the live one
 	anyVersion       bool   // any version may be used
+	key              string // idempotency key; "" for none
 }
 
 const (
@@ -145,9 +146,9 @@
 	if a.kind.Deadline > 0 {
 		q.Header["Cairn-Deadline"] = a.kind.Deadline.String()
 	}
-	if a.kind.WithKey {
+	if a.key != "" {
 		q.Header["Cairn-Repeatable"] = "no"
-		q.Header["Idempotency-Key"] = NewKey()
+		q.Header["Idempotency-Key"] = a.key
 	}
 	return q
 }
--- a/load/run.go
+++ b/load/run.go
@@ -18,8 +18,8 @@
 	Complete        int // complete responses with correct tokens
 	NotRun          int // rejected as not executed
 	Unknown         int // failed, possibly after execution
-	Broken          int // connection ended without a complete response or an error
-	Incorrect       int // complete response with tokens that are missing or of another request
+	Broken          int // connection ended without a complete response or an error; includes retries
+	Incorrect       int // complete response with tokens that are missing or of another request; includes retries
 	Codes           map[string]int
 	Retried         int // rejected requests that were sent once more after the suggested time
 	RetriedComplete int // of these, those with a complete response then
@@ -29,7 +29,8 @@
 	LongestGap   time.Duration   // longest interval between the ends of complete responses
 
 	Outcomes  []Outcome // one entry per request
-	NotRunIDs []string  // IDs of the requests rejected as not executed
+	Retries   []Outcome // outcomes of the rejected requests that were sent once more, measured from their first attempt
+	NotRunIDs []string  // IDs of the attempts rejected as not executed
 	Errors    []string  // first errors, at most maxErrors
 }
 
@@ -40,6 +41,7 @@
 	Ended      time.Time
 	Complete   bool
 	Broken     bool // no complete response and no error code
+	NotRun     bool // rejected as not executed
 	Class      string
 	Caller     string
 	Code       string        // error code
@@ -90,10 +92,13 @@
 		}
 		all.Go(func() {
 			started := time.Now()
+			if a.kind.WithKey {
+				a.key = NewKey()
+			}
 			r := send(ctx, c, a)
 			rec.record(a, r, started)
 			if p.RetryRejected && r.response.Execution == "not_run" && r.response.RetryAfter > 0 {
-				rec.retryOnce(ctx, c, a, r.response.RetryAfter)
+				rec.retryOnce(ctx, c, a, r.response.RetryAfter, started)
 			}
 		})
 	}
@@ -162,13 +167,7 @@
 	defer rec.mu.Unlock()
 	p := &rec.report
 	p.Sent++
-	complete := r.err == nil && r.contentErr == nil && r.response.Complete
-	broken := r.err != nil || (r.contentErr == nil && !r.response.Complete && r.response.Code == "")
-	p.Outcomes = append(p.Outcomes, Outcome{
-		Gateway: a.gateway, Started: started, Ended: time.Now(), Complete: complete, Broken: broken,
-		Class: a.kind.Class, Caller: a.kind.Caller, Code: r.response.Code, RetryAfter: r.response.RetryAfter, Adapter: a.adapter,
-		LoadStall: r.response.LoadStall(),
-	})
+	p.Outcomes = append(p.Outcomes, newOutcome(a, r, started))
 	switch {
 	case r.err != nil:
 		p.Broken++
@@ -193,17 +192,46 @@
 
 const maxRetryDelay = 10 * time.Second // longer suggested delays are not waited for
 
-// retryOnce sends a rejected request once more after the suggested delay and records the result.
-func (rec *recorder) retryOnce(ctx context.Context, c *fleet.Client, a arrival, delay time.Duration) {
+// retryOnce sends a rejected request once more after the suggested delay and records the result. A request with
+// a deadline is sent only if the deadline has not passed by then, and with the time that is left.
+func (rec *recorder) retryOnce(ctx context.Context, c *fleet.Client, a arrival, delay time.Duration, started time.Time) {
+	if a.kind.Deadline > 0 {
+		a.kind.Deadline -= time.Since(started) + delay
+		if a.kind.Deadline <= 0 {
+			return
+		}
+	}
 	if delay > maxRetryDelay || !sleepUntil(ctx, time.Now().Add(delay)) {
 		return
 	}
 	r := send(ctx, c, a)
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
-	rec.report.Retried++
-	if r.err == nil && r.response.Complete {
-		rec.report.RetriedComplete++
+	p := &rec.report
+	p.Retried++
+	outcome := newOutcome(a, r, started)
+	p.Retries = append(p.Retries, outcome)
+	switch {
+	case outcome.Complete:
+		p.RetriedComplete++
+	case outcome.NotRun:
+		p.NotRunIDs = append(p.NotRunIDs, r.response.RequestID)
+	case r.contentErr != nil:
+		p.Incorrect++
+		rec.recordErrorLocked(r.contentErr)
+	case outcome.Broken:
+		p.Broken++
+	}
+}
+
+func newOutcome(a arrival, r result, started time.Time) Outcome {
+	return Outcome{
+		Gateway: a.gateway, Started: started, Ended: time.Now(),
+		Complete: r.err == nil && r.contentErr == nil && r.response.Complete,
+		Broken:   r.err != nil || (r.contentErr == nil && !r.response.Complete && r.response.Code == ""),
+		NotRun:   r.err == nil && r.response.Execution == "not_run",
+		Class:    a.kind.Class, Caller: a.kind.Caller, Code: r.response.Code, RetryAfter: r.response.RetryAfter, Adapter: a.adapter,
+		LoadStall: r.response.LoadStall(),
 	}
 }
 
