--- a/load/load_test.go
+++ b/load/load_test.go
@@ -96,5 +96,6 @@
 	for _, e := range report.Retries {
 		c.Check(e.Class, quicktest.Equals, "again")
 		c.Check(e.NotRun, quicktest.IsTrue)
+		c.Check(e.Sent.Sub(e.Started) >= 10*time.Millisecond, quicktest.IsTrue)
 	}
 }
--- a/load/run.go
+++ b/load/run.go
@@ -38,6 +38,7 @@
 type Outcome struct {
 	Gateway    string
 	Started    time.Time
+	Sent       time.Time // start of the last attempt
 	Ended      time.Time
 	Complete   bool
 	Broken     bool // no complete response and no error code
@@ -204,12 +205,14 @@
 	if delay > maxRetryDelay || !sleepUntil(ctx, time.Now().Add(delay)) {
 		return
 	}
+	sent := time.Now()
 	r := send(ctx, c, a)
 	rec.mu.Lock()
 	defer rec.mu.Unlock()
 	p := &rec.report
 	p.Retried++
 	outcome := newOutcome(a, r, started)
+	outcome.Sent = sent
 	p.Retries = append(p.Retries, outcome)
 	switch {
 	case outcome.Complete:
@@ -226,7 +229,7 @@
 
 func newOutcome(a arrival, r result, started time.Time) Outcome {
 	return Outcome{
-		Gateway: a.gateway, Started: started, Ended: time.Now(),
+		Gateway: a.gateway, Started: started, Sent: started, Ended: time.Now(),
 		Complete: r.err == nil && r.contentErr == nil && r.response.Complete,
 		Broken:   r.err != nil || (r.contentErr == nil && !r.response.Complete && r.response.Code == ""),
 		NotRun:   r.err == nil && r.response.Execution == "not_run",
--- a/measure/fault_injection.go
+++ b/measure/fault_injection.go
@@ -32,6 +32,9 @@
 	// Backoff is the back-off, in seconds, that the last engine of each data centre asks of a gateway whenever
 	// it rejects a request; it rejects all requests. Zero: no engine does so.
 	Backoff float64
+	// Uneven gives engines unlike speeds and sends requests of three kinds near the fleet's capacity; the report
+	// counts each kind.
+	Uneven bool
 }
 
 const (
@@ -39,6 +42,7 @@
 	faultBoxes       = 2
 	faultEngines     = 2
 	faultAdapters    = 24
+	faultBatchSize   = 8
 	quietTail        = 6 * time.Second // fault-free time at the end of the run
 )
 
@@ -69,7 +73,7 @@
 	f := fleet.New(fleet.Spec{
 		Bin: s.Bin, Dir: s.Dir, Proxied: true,
 		Centres: faultDataCentres, Boxes: faultBoxes, Engines: faultEngines, Services: 1,
-		Adapters: faultAdapters, Slots: 4, BatchSize: 8,
+		Adapters: faultAdapters, Slots: 4, BatchSize: faultBatchSize,
 		EngineArgs:        []string{"--step", "5ms", "--report-lag", "200ms", "--leaving-grace", "8s"},
 		PlatformArgs:      []string{"--store-rate", "40", "--load-time", "100ms"},
 		SchedulerSettings: []string{"store_rate=40", "key_margin=1s"},
@@ -87,10 +91,15 @@
 	}
 	reports := make(chan load.Report, 1)
 	go func() { reports <- load.Run(ctx, r.loadPlan()) }()
+	slowed := make(chan error, 1)
+	go func() { slowed <- r.slowEngines(ctx) }()
 	if err := r.injectFaults(ctx); err != nil {
 		return err
 	}
 	report := <-reports
+	if err := <-slowed; err != nil {
+		return err
+	}
 	witness, err := f.Observations(ctx)
 	if err != nil {
 		return err
@@ -99,17 +108,15 @@
 	if err != nil {
 		return err
 	}
-	if err := r.printReport(w, report, witness); err != nil {
+	atOnce, err := r.checkUneven(ctx, w, report)
+	if err != nil {
 		return err
 	}
 	ignored, err := r.checkBackoffs(ctx, w)
 	if err != nil {
 		return err
 	}
-	if over > 0 || ignored {
-		return ErrBreach
-	}
-	return nil
+	return r.printReport(w, report, witness, over > 0 || atOnce > 0 || ignored)
 }
 
 // setBackoffs makes the last engine of each data centre reject requests and ask for back-offs.
@@ -200,6 +207,9 @@
 			{Class: fleet.UrgentClass, Caller: "desk", Weight: 1, Tokens: 6},
 		},
 	}
+	if r.Uneven {
+		p.Kinds, p.Duplicate, p.RetryRejected = unevenKinds(), false, true
+	}
 	for c := 1; c <= faultDataCentres; c++ {
 		for b := 1; b <= faultBoxes; b++ {
 			p.Gateways = append(p.Gateways, r.fleet.CallersAddress(c, b))
@@ -239,7 +249,8 @@
 	return time.Duration(1000+r.rand.IntN(3000)) * time.Millisecond
 }
 
-func (r *faultRun) printReport(w io.Writer, report load.Report, witness fleet.Observations) error {
+// printReport returns ErrBreach if a guarantee was broken, according to the report, the witness or an earlier check.
+func (r *faultRun) printReport(w io.Writer, report load.Report, witness fleet.Observations, breached bool) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(t, "fault\tlasted s\tlongest gap s\tlongest gap at one gateway s\tslowest answer s")
 	for _, f := range r.faults {
@@ -255,7 +266,7 @@
 		fmt.Fprintln(w, c)
 	}
 	broken := report.Broken - r.lostToKills(report)
-	if witness.Violations(report.NotRunIDs) > 0 || report.Incorrect > 0 || broken > 0 {
+	if breached || witness.Violations(report.NotRunIDs) > 0 || report.Incorrect > 0 || broken > 0 {
 		return ErrBreach
 	}
 	fmt.Fprintln(w, "no breach: every request got a final answer or was held by a gateway that was killed")
--- a/measure/faults.go
+++ b/measure/faults.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -200,7 +201,7 @@
 // they were held by it when it was killed, or sent to it before it had started again.
 func (r *faultRun) lostToKills(report load.Report) int {
 	n := 0
-	for _, e := range report.Outcomes {
+	for _, e := range slices.Concat(report.Outcomes, report.Retries) {
 		if !e.Broken {
 			continue
 		}
@@ -220,7 +221,7 @@
 	for c := 1; c <= faultDataCentres; c++ {
 		for b := 1; b <= faultBoxes; b++ {
 			down := f.name == "kill "+fleet.DaemonName(c, b, member.Gateway) && e.Gateway == r.fleet.CallersAddress(c, b)
-			if down && e.Ended.After(f.start) && e.Started.Before(f.end.Add(gatewayStartTime)) {
+			if down && e.Ended.After(f.start) && e.Sent.Before(f.end.Add(gatewayStartTime)) {
 				return true
 			}
 		}
