gateway: an execution whose response broke off is cancelled before its grant is released

Cause: the gateway released the grant of a response that broke off, and the execution ran on unless its caller had left; the scheduler granted its place to the next request. The workers that release grants now cancel it first, for at most 0.3 s, so that no caller waits for it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,11 +38,14 @@
 		q.mayHaveRun = true
 	}
 	r.ServiceMicros = clock.Since(startedAt).Microseconds()
-	g.release(h.owner, r)
+	g.release(pendingRelease{owner: h.owner, request: r, address: h.grant.GetAddress(), runID: q.runID()})
 	g.recordAttempt(q, h, f)
 	return f
 }
 
+// runID identifies the execution of the latest attempt at its endpoint.
+func (q *request) runID() string { return fmt.Sprintf("%s.%d", q.id, q.attempts) }
+
 // reportAttempt reports the outcome to the termination detector: a response that broke off has it check the
 // endpoint, and a request that was answered is not suspected.
 func (g *Gateway) reportAttempt(ctx context.Context, q *request, h heldGrant, f *Failure) {
@@ -57,7 +60,7 @@
 // send sends the request and relays the response. It sets in r what the scheduler needs to know
 // about the outcome.
 func (g *Gateway) send(ctx context.Context, q *request, out *callerResponse, h heldGrant, r *wire.ReleaseRequest) *Failure {
-	runID := fmt.Sprintf("%s.%d", q.id, q.attempts)
+	runID := q.runID()
 	attemptCtx, stop, resetIdle := g.attemptContext(ctx, q)
 	defer stop()
 	req, err := g.engineRequest(attemptCtx, q, h, runID)
@@ -134,18 +137,18 @@
 	}
 	r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 	if ctx.Err() != nil {
-		g.cancelExecution(h, runID, r)
+		g.cancelExecution(h.grant.GetAddress(), runID, r, cancelTimeout)
 	}
 	return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: h.endpoint + " sent no response", RetryAfter: g.RetryAfter}
 }
 
-// cancelExecution cancels an execution at the endpoint after its caller has left or its time is over.
-func (g *Gateway) cancelExecution(h heldGrant, runID string, r *wire.ReleaseRequest) {
-	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
+// cancelExecution cancels an execution at the endpoint: its caller has left, its time is over, or its response broke off.
+func (g *Gateway) cancelExecution(address, runID string, r *wire.ReleaseRequest, timeout time.Duration) {
+	ctx, stop := context.WithTimeout(context.Background(), timeout)
 	defer stop()
-	c := &engine.Client{Address: h.grant.GetAddress(), HTTP: g.EngineClient}
+	c := &engine.Client{Address: address, HTTP: g.EngineClient}
 	if err := c.Cancel(ctx, runID); err != nil {
-		g.Log.V(1).Info("Execution could not be cancelled", "request", runID, "endpoint", h.endpoint, "err", err.Error())
+		g.Log.V(1).Info("Execution could not be cancelled", "request", runID, "endpoint", r.GetEndpoint(), "err", err.Error())
 		return
 	}
 	r.Outcome = wire.Outcome_OUTCOME_REFUSED // it has ended, and its duration must not count as a service time
--- a/gateway/release.go
+++ b/gateway/release.go
@@ -14,10 +14,16 @@
 type pendingRelease struct {
 	owner   member.Member
 	request *wire.ReleaseRequest
+	address string // of the endpoint
+	runID   string // of the execution there; empty: the request was not sent
 }
 
-// releaseTimeout limits one Release or EndKey call.
-const releaseTimeout = 2 * time.Second
+const (
+	releaseTimeout = 2 * time.Second // limits one Release or EndKey call
+	// brokenRunTimeout limits the call that cancels an execution whose response broke off. An endpoint whose
+	// connections broke answers at once on a new one; one that is gone must not delay the release of other grants.
+	brokenRunTimeout = 300 * time.Millisecond
+)
 
 // releaseWorker releases grants until ctx ends and none is pending.
 func (g *Gateway) releaseWorker(ctx context.Context) error {
@@ -44,8 +50,12 @@
 }
 
 // sendRelease releases a grant, without retries: if the call fails, the scheduler learns from the
-// endpoint's report that the request has ended.
+// endpoint's report that the request has ended. An execution whose response broke off is cancelled first: it would
+// run on, and with the next request the endpoint would have more than its limit.
 func (g *Gateway) sendRelease(r pendingRelease) {
+	if r.request.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN && r.runID != "" {
+		g.cancelExecution(r.address, r.runID, r.request, brokenRunTimeout)
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
 	_, err := g.Schedulers.Scheduler(r.owner.Address()).Release(ctx, r.request)
@@ -55,9 +65,8 @@
 }
 
 // release queues a grant for the workers, or releases it itself if the queue is full.
-func (g *Gateway) release(owner member.Member, q *wire.ReleaseRequest) {
-	g.states.addGrants(q.GetEndpoint(), -1)
-	r := pendingRelease{owner: owner, request: q}
+func (g *Gateway) release(r pendingRelease) {
+	g.states.addGrants(r.request.GetEndpoint(), -1)
 	select {
 	case g.releases <- r:
 	default:
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -124,7 +124,7 @@
 			return f
 		}
 		if f = g.checkSendable(q, endpoint); f != nil { // quarantined or in a back-off since the request began to wait
-			g.release(h.owner, &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId(), Outcome: wire.Outcome_OUTCOME_NOT_SENT})
+			g.release(pendingRelease{owner: h.owner, request: &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId(), Outcome: wire.Outcome_OUTCOME_NOT_SENT}})
 			return f
 		}
 		f = g.attempt(ctx, q, out, h)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -86,7 +86,7 @@
 	if !complete {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 		if ctx.Err() != nil {
-			g.cancelExecution(h, runID, r)
+			g.cancelExecution(h.grant.GetAddress(), runID, r, cancelTimeout)
 		}
 		return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: "the response of " + h.endpoint + " was truncated or too large", RetryAfter: g.RetryAfter}
 	}
@@ -132,7 +132,7 @@
 	}
 	r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 	if out.callerGone || ctx.Err() != nil {
-		g.cancelExecution(h, runID, r)
+		g.cancelExecution(h.grant.GetAddress(), runID, r, cancelTimeout)
 	}
 	return &Failure{Code: CodeTruncated, Ran: MayHaveRun, Message: "the stream of " + h.endpoint + " broke off", RetryAfter: g.RetryAfter}
 }
