--- a/catalog/build.go
+++ b/catalog/build.go
@@ -210,6 +210,9 @@
 	b.checkState(field+"state", f.State)
 	b.requirePositive(field+"slots", f.Slots)
 	b.requirePositive(field+"running", f.MaxRunning)
+	if f.MemoryTokens < 0 {
+		b.addProblem(field+"memory_tokens", "negative", "set the tokens that fit in the endpoint's memory, or leave it out")
+	}
 	b.catalog.endpoints[f.Name] = Endpoint{
 		name:         f.Name,
 		dataCentre:   f.DataCentre,
@@ -217,6 +220,7 @@
 		address:      f.Address,
 		slots:        f.Slots,
 		maxRunning:   f.MaxRunning,
+		memoryTokens: f.MemoryTokens,
 		checksFences: f.ChecksFences,
 		reportLag:    time.Duration(f.ReportLag),
 		state:        f.State,
--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -98,6 +98,7 @@
 	address      string // IP:port
 	slots        int    // adapters it can hold; positive
 	maxRunning   int    // requests in one batch; positive
+	memoryTokens int    // tokens that fit in its memory; zero: not published
 	checksFences bool
 	reportLag    time.Duration // maximum age of its reports
 	state        State
@@ -121,6 +122,15 @@
 // MaxRunning returns the maximum number of requests in the endpoint's batch.
 func (e Endpoint) MaxRunning() int { return e.maxRunning }
 
+// minTokensPerRequest is the memory that a request of ordinary length needs; topology.EngineSpec uses the same value.
+const minTokensPerRequest = 2048
+
+// IsMemoryBound reports whether the endpoint's memory limits how many requests it runs before its batch does.
+// Requests are then placed by the expected time to first token instead of by utilisation.
+func (e Endpoint) IsMemoryBound() bool {
+	return e.memoryTokens >= minTokensPerRequest && e.maxRunning > 0 && e.memoryTokens/e.maxRunning < minTokensPerRequest
+}
+
 // ChecksFences reports whether the endpoint rejects orders whose fencing token is
 // lower than the highest that it has seen.
 func (e Endpoint) ChecksFences() bool { return e.checksFences }
--- a/catalog/shard.go
+++ b/catalog/shard.go
@@ -56,6 +56,7 @@
 	Address      string   `json:"address"`
 	Slots        int      `json:"slots"`
 	MaxRunning   int      `json:"running"`
+	MemoryTokens int      `json:"memory_tokens,omitempty"`
 	ChecksFences bool     `json:"checks_fences,omitempty"`
 	ReportLag    Duration `json:"report_lag,omitempty"`
 	State        State    `json:"state,omitempty"`
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -187,6 +187,7 @@
 		Adapters:          intOption(ts, o, "adapters", 10),
 		Slots:             intOption(ts, o, "slots", 4),
 		BatchSize:         intOption(ts, o, "batch", 8),
+		MemoryTokens:      intOption(ts, o, "memory", 0),
 		NoFences:          o["fences"] == "no",
 		Proxied:           o["proxied"] == "yes",
 		TLS:               o["tls"] == "yes",
--- a/fleet/publish.go
+++ b/fleet/publish.go
@@ -96,6 +96,7 @@
 				Address:      f.daemonAddress(f.engineIP(c, e), standinPort),
 				Slots:        f.Spec.Slots,
 				MaxRunning:   f.Spec.BatchSize,
+				MemoryTokens: f.Spec.MemoryTokens,
 				ChecksFences: !f.Spec.NoFences,
 				ReportLag:    catalog.Duration(reportLag),
 			})
--- a/fleet/spec.go
+++ b/fleet/spec.go
@@ -24,6 +24,7 @@
 	PerShard          int      // adapters per shard; zero: defaultAdaptersPerShard
 	Slots             int      // adapter slots per engine
 	BatchSize         int      // batch size of an engine
+	MemoryTokens      int      // published memory of an engine, in tokens; zero: not published
 	EngineArgs        []string // additional flags of the engines
 	PlatformArgs      []string // additional flags of the platform
 	GatewaySettings   []string // additional settings of gateways, NAME=VALUE
