gateway, scheduler: endpoints are chosen by expected time to first token

Schedulers learn the speed of each incarnation with balance.Speeds from the first tokens of streams, which gateways report with the new call FirstToken if the grant asks for it, and send the expected time with the state of the endpoint. Gateways prefer the shortest time among the alternatives of the placement's choice (policy.PreferSoonest) and try slow endpoints again. A request whose first token is expected after its deadline is refused at once (policy.FirstTokenForecast) instead of being queued. Elsewhere no time is sent and nothing changes.

--- a/gateway/acquire.go
+++ b/gateway/acquire.go
@@ -55,7 +55,7 @@
 	}
 	g.states.addGrants(endpoint, 1)
 	sendBy := sentAt.Add(time.Duration(grant.GetSendMicros()) * time.Microsecond)
-	return heldGrant{owner: owner, grant: grant, endpoint: endpoint, sendBy: sendBy}, nil
+	return heldGrant{owner: owner, grant: grant, endpoint: endpoint, adapter: q.model.String(), sendBy: sendBy}, nil
 }
 
 // callAcquire calls Acquire at the owner. If the call fails the owner is probed, so that a dead one is
@@ -78,6 +78,9 @@
 		Box:        g.Name,
 		Width:      int32(q.width),
 		Limit:      g.limits.get(endpoint, clock.Now()),
+
+		PromptTokens:   int64(q.promptTokens),
+		DeadlineMicros: max(q.remaining().Microseconds(), 1), // zero means that it is not known
 	})
 	if err == nil && owner.DataCentre() != g.DataCentre {
 		g.reachability.extend(owner.DataCentre(), clock.Now().Add(reachableTTL))
@@ -124,6 +127,7 @@
 	owner    member.Member
 	grant    *wire.Grant
 	endpoint string
+	adapter  string    // with its version
 	sendBy   time.Time // when the grant expires if the request has not been sent
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -85,7 +85,7 @@
 	out.Header().Set(WaitedHeader, strconv.FormatInt(h.grant.GetWaitedMicros()/1000, 10))
 	out.Header().Set(StallHeader, strconv.FormatInt(h.grant.GetLoadMicros()/1000, 10))
 	if q.stream {
-		return g.relayStream(ctx, out, streamRun{held: h, runID: runID, resetIdle: resetIdle}, resp, r)
+		return g.relayStream(ctx, out, streamRun{held: h, sentAt: sentAt, runID: runID, resetIdle: resetIdle}, resp, r)
 	}
 	return g.relayComplete(attemptCtx, out, h, runID, resp, r)
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -84,10 +84,10 @@
 	c := quicktest.New(t)
 	w := httptest.NewRecorder()
 	out := &callerResponse{writer: w}
-	events, done := copyEvents(out, strings.NewReader("data: one\n\ndata: two\n\ndata: thr"), 0, func() {})
+	events, done := copyEvents(out, strings.NewReader("data: one\n\ndata: two\n\ndata: thr"), 0, func([]byte) {})
 	c.Assert(events, quicktest.Equals, 2)
 	c.Assert(done, quicktest.IsFalse)
-	events, done = copyEvents(out, strings.NewReader("data: three\n\ndata: [DONE]\n\n"), events, func() {})
+	events, done = copyEvents(out, strings.NewReader("data: three\n\ndata: [DONE]\n\n"), events, func([]byte) {})
 	c.Assert(events, quicktest.Equals, 3)
 	c.Assert(done, quicktest.IsTrue)
 	c.Assert(w.Body.String(), quicktest.Equals, "data: one\n\ndata: two\n\ndata: three\n\ndata: [DONE]\n\n")
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -22,13 +22,15 @@
 	for i, n := range names {
 		facts[i].Warm = n == warm
 	}
-	order, scores := g.Placement.Order(policy.PlacementRequest{
+	place := policy.PlacementRequest{
 		Key:       q.model.String(),
 		Names:     names,
 		States:    facts,
 		HomeCount: width,
 		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	})
+	}
+	order, scores := g.Placement.Order(place)
+	order = policy.PreferSoonest(order, g.Placement.Alternatives(place, order), facts)
 	d := g.newDecision(q, "place", time.Now())
 	ranked := make([]string, len(order))
 	for rank, i := range order {
--- a/gateway/release.go
+++ b/gateway/release.go
@@ -6,16 +6,20 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/member"
 	"cairnwick.example/wire"
 )
 
-// pendingRelease is a grant to release.
+// pendingRelease is a grant to release, or the first token of its request to report.
 type pendingRelease struct {
 	owner   member.Member
 	request *wire.ReleaseRequest
 	address string // of the endpoint
 	runID   string // of the execution there; empty: the request was not sent
+
+	adapter    string                  // of firstToken
+	firstToken *wire.FirstTokenRequest // set instead of request: a first token to report
 }
 
 const (
@@ -58,6 +62,14 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
+	if r.firstToken != nil {
+		reply, err := g.Schedulers.Scheduler(r.owner.Address()).FirstToken(ctx, r.firstToken)
+		if err != nil {
+			g.Log.V(1).Info("First token could not be reported", "scheduler", r.owner.Name(), "err", err.Error())
+		}
+		g.states.update(r.firstToken.GetEndpoint(), r.adapter, reply.GetFacts(), clock.Now())
+		return
+	}
 	_, err := g.Schedulers.Scheduler(r.owner.Address()).Release(ctx, r.request)
 	if err != nil {
 		g.Log.V(1).Info("Grant could not be released", "scheduler", r.owner.Name(), "err", err.Error())
@@ -73,3 +85,13 @@
 		g.sendRelease(r)
 	}
 }
+
+// reportFirstToken reports the time to first token to the scheduler, unless all workers are busy: the scheduler
+// learns from the other requests.
+func (g *Gateway) reportFirstToken(h heldGrant, took time.Duration) {
+	r := pendingRelease{owner: h.owner, adapter: h.adapter, firstToken: &wire.FirstTokenRequest{Endpoint: h.endpoint, Id: h.grant.GetId(), TookMicros: took.Microseconds()}}
+	select {
+	case g.releases <- r:
+	default:
+	}
+}
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -34,27 +34,29 @@
 const (
 	anonymous     = "anonymous"
 	maxCallerName = 64
+	bytesPerToken = 4 // of a prompt, on average; the schedulers' model of reading times absorbs a constant error
 )
 
 // request is a caller's request for a model.
 type request struct {
-	id         string
-	key        string // "" when the request is repeatable
-	path       string // of the engine's API
-	class      catalog.Class
-	caller     string
-	receivedAt time.Time
-	deadline   time.Time
-	model      catalog.Model
-	catalog    *catalog.Catalog // the revision that resolved the model
-	stream     bool
-	body       map[string]json.RawMessage
-	attempts   int // executions started at endpoints
-	candidates int // endpoints tried
-	content    quarantine.Fingerprint
-	prefix     uint64 // hash of the adapter and the start of the prompt
-	width      int    // number of endpoints over which the adapter spreads, as last known
-	mayHaveRun bool   // an attempt without a complete response may have been executed
+	id           string
+	key          string // "" when the request is repeatable
+	path         string // of the engine's API
+	class        catalog.Class
+	caller       string
+	receivedAt   time.Time
+	deadline     time.Time
+	model        catalog.Model
+	catalog      *catalog.Catalog // the revision that resolved the model
+	stream       bool
+	body         map[string]json.RawMessage
+	attempts     int // executions started at endpoints
+	candidates   int // endpoints tried
+	content      quarantine.Fingerprint
+	promptTokens int    // estimated length of the prompt
+	prefix       uint64 // hash of the adapter and the start of the prompt
+	width        int    // number of endpoints over which the adapter spreads, as last known
+	mayHaveRun   bool   // an attempt without a complete response may have been executed
 }
 
 func newRequestID() string {
@@ -194,7 +196,9 @@
 		return &Failure{Code: code, Ran: NotRun, Message: fmt.Sprintf("model: no %s %q", unknown.Kind, unknown.Name)}
 	}
 	q.model = m
-	q.prefix = hashPrefix(m.String(), string(q.body["prompt"])+string(q.body["messages"]))
+	prompt := string(q.body["prompt"]) + string(q.body["messages"])
+	q.promptTokens = (len(prompt) + bytesPerToken - 1) / bytesPerToken
+	q.prefix = hashPrefix(m.String(), prompt)
 	return nil
 }
 
--- a/gateway/state_cache.go
+++ b/gateway/state_cache.go
@@ -81,7 +81,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.endpointLocked(endpoint)
-	e.facts = policy.EndpointState{Running: int(reported.GetRunning()), Limit: int(reported.GetLimit()), Waiting: int(reported.GetWaiting())}
+	e.facts = policy.EndpointState{Running: int(reported.GetRunning()), Limit: int(reported.GetLimit()), Waiting: int(reported.GetWaiting()), FirstToken: boundedFirstToken(reported.GetFirstTokenMicros())}
 	e.updatedAt = now
 	a := c.adapterLocked(adapter)
 	a.updatedAt = now
@@ -93,6 +93,13 @@
 	}
 }
 
+// maxFirstToken bounds the expected times of schedulers. Longer ones all mean that the endpoint is not usable.
+const maxFirstToken = time.Hour
+
+func boundedFirstToken(micros int64) time.Duration {
+	return time.Duration(min(max(micros, 0), maxFirstToken.Microseconds())) * time.Microsecond
+}
+
 func (c *stateCache) endpointLocked(name string) *endpointState {
 	e := c.endpoints[name]
 	if e == nil {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -109,6 +109,7 @@
 // streamRun is an execution whose events are relayed.
 type streamRun struct {
 	held      heldGrant
+	sentAt    time.Time
 	runID     string // the engine's ID of the execution
 	resetIdle func() // restarts the idle timeout
 }
@@ -118,7 +119,14 @@
 func (g *Gateway) relayStream(ctx context.Context, out *callerResponse, s streamRun, resp *http.Response, r *wire.ReleaseRequest) *Failure {
 	out.Header().Set("Content-Type", "text/event-stream")
 	h, runID := s.held, s.runID
-	events, done := copyEvents(out, resp.Body, 0, s.resetIdle)
+	reported := !h.grant.GetReportFirstToken()
+	events, done := copyEvents(out, resp.Body, 0, func(line []byte) {
+		s.resetIdle()
+		if !reported && bytes.HasPrefix(line, dataPrefix) {
+			reported = true
+			g.reportFirstToken(h, clock.Since(s.sentAt))
+		}
+	})
 	for range maxResumes {
 		if done || out.callerGone || ctx.Err() != nil {
 			break
@@ -159,13 +167,13 @@
 	if !resumed {
 		return events, false
 	}
-	return copyEvents(out, resp.Body, events, func() { timer.Reset(g.Timeouts.Idle) })
+	return copyEvents(out, resp.Body, events, func([]byte) { timer.Reset(g.Timeouts.Idle) })
 }
 
 // copyEvents relays complete events up to the closing one; one that breaks off in the middle is
-// dropped. It calls resetIdle for each line. It returns events plus the number relayed, and whether the
+// dropped. It calls onLine for each line. It returns events plus the number relayed, and whether the
 // closing event was relayed.
-func copyEvents(out *callerResponse, body io.Reader, events int, resetIdle func()) (int, bool) {
+func copyEvents(out *callerResponse, body io.Reader, events int, onLine func(line []byte)) (int, bool) {
 	in := bufio.NewReader(body)
 	var event []byte
 	for {
@@ -173,7 +181,7 @@
 		if err != nil {
 			return events, false
 		}
-		resetIdle()
+		onLine(line)
 		event = append(event, line...)
 		if len(bytes.TrimSpace(line)) > 0 {
 			continue
--- a/policy/place.go
+++ b/policy/place.go
@@ -19,6 +19,8 @@
 	Warm    bool          // the prompt prefix is probably cached
 	Known   bool          // a state has been received
 	Age     time.Duration // since the state was received
+
+	FirstToken time.Duration // expected time to first token of a further request, without loads; zero: not known
 }
 
 // utilisation is 1 for a full batch with an empty queue, and 0 if the capacity is not known.
@@ -33,6 +35,9 @@
 // the endpoint; higher is better.
 type Placement interface {
 	Order(r PlacementRequest) (order []int, scores []float64)
+	// Alternatives returns the endpoints that may take the place of the first one of the order if they serve the
+	// request sooner, in the same order and with the first one. The others are fallbacks.
+	Alternatives(r PlacementRequest, order []int) []int
 }
 
 // PlacementRequest is a request to place. Names and States have the same indexes.
@@ -76,9 +81,9 @@
 	warmBonus   = 0.25 // the same for a cached prefix, which is only a hint and serves as a tie-break
 )
 
-func (homes) Order(r PlacementRequest) ([]int, []float64) {
+func (p homes) Order(r PlacementRequest) ([]int, []float64) {
 	ranked := indexesOf(r.Names, Rank(r.Key, r.Names))
-	homeCount := min(max(r.HomeCount, 1), len(ranked))
+	homeCount := p.homeCount(r)
 	scores := make([]float64, len(r.Names))
 	for place, i := range ranked {
 		scores[i] = -r.States[i].utilisation() - float64(max(0, place-homeCount+1))
@@ -103,6 +108,20 @@
 	return append(order, ranked[homeCount:]...), scores
 }
 
+func (homes) homeCount(r PlacementRequest) int { return min(max(r.HomeCount, 1), len(r.Names)) }
+
+// Alternatives returns the home endpoints. If the first one has the adapter loaded, only those that have it too are
+// returned, since a load takes longer than most prompts.
+func (p homes) Alternatives(r PlacementRequest, order []int) []int {
+	var list []int
+	for _, i := range order[:p.homeCount(r)] {
+		if r.States[i].Loaded || !r.States[order[0]].Loaded {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // bestWarm returns the endpoint with the highest score among those with a cached prefix, or -1.
 func bestWarm(list []int, states []EndpointState, scores []float64) int {
 	best := -1
@@ -142,6 +161,9 @@
 	return ranked, scores
 }
 
+// Alternatives returns the first endpoint: the others are used only if it fails.
+func (hashOnly) Alternatives(_ PlacementRequest, order []int) []int { return order[:1] }
+
 // leastLoaded uses only the utilisation; ties are ordered at random.
 type leastLoaded struct{}
 
@@ -153,6 +175,9 @@
 	return sortByScore(r.Rand.Perm(len(r.Names)), scores), scores
 }
 
+// Alternatives returns all endpoints.
+func (leastLoaded) Alternatives(_ PlacementRequest, order []int) []int { return order }
+
 // random ignores the state of the endpoints.
 type random struct{}
 
@@ -160,6 +185,9 @@
 	return r.Rand.Perm(len(r.Names)), make([]float64, len(r.Names))
 }
 
+// Alternatives returns the first endpoint, since the choice ignores the state of the endpoints.
+func (random) Alternatives(_ PlacementRequest, order []int) []int { return order[:1] }
+
 // HomeCount returns the number of home endpoints that an adapter needs so that its own running
 // requests fill at most maxUtilisation of each one's limit.
 func HomeCount(rate float64, service time.Duration, limit int, maxUtilisation float64) int {
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -37,7 +37,7 @@
 	s.recordReply(req, reply, clock.Since(arrived))
 	if e != nil {
 		e.mu.Lock()
-		reply.Facts = e.factsLocked(req.GetAdapter(), s.homeCountLocked(e, req, clock.Now()), clock.Now())
+		reply.Facts = s.factsLocked(e, req, clock.Now())
 		e.mu.Unlock()
 	}
 	return reply, nil
@@ -78,6 +78,9 @@
 		deadline: now.Add(time.Duration(req.GetWaitMicros()) * time.Microsecond),
 		reply:    make(chan *wire.AcquireReply, 1),
 	}
+	if reply := s.refuseLateLocked(e, w, now); reply != nil {
+		return nil, reply
+	}
 	if s.canRunNowLocked(e, req.GetAdapter(), now) && !s.shouldDeferLocked(e, w, s.countDeferrableLocked(e)+1, now) && s.takeRateLimitLocked(e, now) {
 		return nil, s.issueGrantLocked(e, w, now, wire.Reason_REASON_ADAPTER_READY)
 	}
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -58,6 +58,7 @@
 	unmetDemands   map[string]*unmetDemand // adapters whose requests were refused because they are not loaded
 	reportNeeded   bool                    // a report may show that slots are unused
 	leavingUntil   time.Time               // no new requests until then, because the endpoint announced that it is leaving
+	firstTokenAt   time.Time               // when the last first token was observed in this run of the engine
 	rateLimitTimer *time.Timer             // serves the queue when the rate limit allows one more request; nil: no limit, or none has to wait for it
 }
 
@@ -244,14 +245,16 @@
 }
 
 // factsLocked returns the state of the endpoint that is sent with every reply.
-func (e *endpoint) factsLocked(adapter string, width int, now time.Time) *wire.EndpointFacts {
-	s := e.slots[adapter]
+func (s *Scheduler) factsLocked(e *endpoint, req *wire.AcquireRequest, now time.Time) *wire.EndpointFacts {
+	sl := e.slots[req.GetAdapter()]
 	return &wire.EndpointFacts{
 		Running:   int32(e.running()),
 		Limit:     int32(e.concurrencyLimitLocked()),
 		Waiting:   int32(len(e.waiters)),
 		AgeMicros: now.Sub(e.verifiedAt).Microseconds(),
-		Width:     int32(width),
-		Loaded:    s != nil && s.state == ready,
+		Width:     int32(s.homeCountLocked(e, req, now)),
+		Loaded:    sl != nil && sl.state == ready,
+
+		FirstTokenMicros: s.expectedFirstTokenLocked(e, req, now).Microseconds(),
 	}
 }
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -20,13 +20,21 @@
 	caller       string
 	issuedAt     time.Time
 	sendDeadline time.Time // by this scheduler's clock; the gateway starts to send before it
+
+	request      *wire.AcquireRequest // nil where memory does not limit the endpoint
+	promptTokens int                  // length of its prompt
+	aheadTokens  int                  // prompt tokens that the endpoint reads until its first token, its own included
+	readBy       time.Time            // the prompt counts as read from then on
+	read         bool                 // its first token was reported
 }
 
 // issueGrantLocked issues a grant to a waiter whose adapter is ready.
 func (s *Scheduler) issueGrantLocked(e *endpoint, w *waiter, now time.Time, reason wire.Reason) *wire.AcquireReply {
 	id := rand.Uint64()
 	adapter := w.request.GetAdapter()
-	e.addGrantLocked(id, &grant{adapter: adapter, caller: w.request.GetCaller(), issuedAt: now, sendDeadline: now.Add(s.Timing.SendWindow)})
+	g := &grant{adapter: adapter, caller: w.request.GetCaller(), issuedAt: now, sendDeadline: now.Add(s.Timing.SendWindow)}
+	s.trackPromptLocked(e, g, w.request, now)
+	e.addGrantLocked(id, g)
 	sl := e.slots[adapter]
 	sl.lastUsed = now
 	waited := now.Sub(w.arrived)
@@ -40,6 +48,8 @@
 		LoadMicros:   w.loadWait(now, sl).Microseconds(),
 		Priority:     int32(w.class.Priority()),
 		Limited:      e.rateLimit.IsSet(),
+
+		ReportFirstToken: e.spec.IsMemoryBound(),
 	}}
 }
 
--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -179,6 +179,7 @@
 	s.Log.Info("Endpoint restarted empty", "endpoint", e.name)
 	s.rateLimits.Forget(e.name) // a restarted engine announces its own limit
 	e.rateLimit = ratelimit.Limit{}
+	e.firstTokenAt = time.Time{}
 	e.ownership = claiming
 	e.slots = make(map[string]*slot)
 	e.nextProbe = now
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -14,7 +14,7 @@
 // issues grants and plans loads. Workers execute the loads and unloads.
 //
 // Lock order: Scheduler.mu before endpoint.mu; neither is held during a call to an endpoint.
-// KeyLedger.mu and lockedBudget.mu are taken last, never together.
+// KeyLedger.mu, lockedBudget.mu and lockedSpeeds.mu are taken last, never together.
 package scheduler
 
 import (
@@ -85,6 +85,7 @@
 	probes       chan *endpoint // endpoints to probe
 	loadTasks    chan loadTask  // loads and unloads to execute
 	storeBudget  *lockedBudget
+	speeds       lockedSpeeds      // of the endpoints' incarnations
 	rateLimits   ratelimit.Limiter // by endpoint; its lock is taken last, with no other after it
 	pendingLoads atomic.Int64      // at all endpoints, not yet begun
 	stats        stats
--- a/scheduler/setup.go
+++ b/scheduler/setup.go
@@ -119,6 +119,7 @@
 	expvar.Publish("scheduler_callers", s.stats.Callers)
 	expvar.Publish("scheduler_reasons", s.stats.Reasons)
 	expvar.Publish("scheduler_load", s.stats.LoadTime)
+	expvar.Publish("scheduler_speeds", expvar.Func(func() any { return s.endpointSpeeds() }))
 	expvar.Publish("scheduler_outstanding", expvar.Func(func() any {
 		grants, waiting := s.Outstanding()
 		return map[string]int{"grants": grants, "waiting": waiting}
