--- a/standin/engine.go
+++ b/standin/engine.go
@@ -170,7 +170,6 @@
 	defer e.mu.Unlock()
 	e.removeEndedLocked(now)
 	if e.slowdown.skipsStep() {
-		e.recordReportLocked(now)
 		return
 	}
 	e.fillBatchLocked()
