forward: a caller that takes nothing is counted if its handler ends first

What callers saw: TestStandingCallerIsDisconnected sometimes read Disconnected:0. The count of disconnected callers was too low, and the log did not give the reason of the disconnection.

Cause: when a write times out, net/http cancels the request's context before Write returns. The handler then found its caller gone and abandoned the response before the writer reported the timeout; only the first reason is kept, so the caller counted as one that left.

Ruled out: a counter that the test reads just before it is raised. The handler waits for the writer, which raises it before it ends, and the test waits for the handler.

Change: abandon checks whether the pending write has reached its deadline, and disconnects the caller for that reason then.

--- a/forward/response_buffer.go
+++ b/forward/response_buffer.go
@@ -58,6 +58,8 @@
 	complete bool  // nothing more is appended
 	finished bool  // the handler is about to return: the connection may carry another request
 	failure  error // why nothing more is written; nil: the caller is connected
+	// writeUntil is the write deadline of the pending write; zero without one, and if that is the deadline of the response.
+	writeUntil time.Time
 }
 
 // newResponseBuffer returns a buffer whose writer ends with finish or abandon. The end of ctx does not end it: what was
@@ -236,8 +238,10 @@
 	b.blocks[0] = nil
 	b.blocks = b.blocks[1:]
 	until := time.Now().Add(b.budget.stallTimeout)
+	b.writeUntil = until
 	if b.deadline.Before(until) {
 		until = b.deadline
+		b.writeUntil = time.Time{}
 	}
 	_ = b.controller.SetWriteDeadline(until)
 	return block, false, nil
@@ -260,6 +264,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.untaken -= len(block)
+	b.writeUntil = time.Time{}
 	signal(b.room)
 	return nil
 }
@@ -329,7 +334,21 @@
 }
 
 // abandon ends the response and drops what the caller has not taken. It returns why the response ended earlier, if it did.
+//
+// When a write times out, net/http cancels the request's context before it returns the error to the writer. The handler
+// may therefore abandon the response first; the caller is disconnected for the timeout in that case too.
 func (b *responseBuffer) abandon() error {
-	b.fail(errAbandoned)
+	if b.writeTimedOut() {
+		b.disconnect(errStalled)
+	} else {
+		b.fail(errAbandoned)
+	}
 	return b.finish()
 }
+
+// writeTimedOut reports whether the caller has taken nothing of the pending write for stallTimeout.
+func (b *responseBuffer) writeTimedOut() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.writeUntil.IsZero() && !time.Now().Before(b.writeUntil)
+}
--- a/forward/response_buffer_test.go
+++ b/forward/response_buffer_test.go
@@ -61,6 +61,66 @@
 	})
 }
 
+// failingWriter is a response writer that, like net/http, reports a failed write to the handler before Write returns.
+type failingWriter struct {
+	pipeWriter
+	onFailure func()
+}
+
+// Write implements http.ResponseWriter.
+func (w failingWriter) Write(p []byte) (int, error) {
+	n, err := w.pipeWriter.Write(p)
+	if err != nil {
+		w.onFailure()
+	}
+	return n, err
+}
+
+// Guards against a caller that takes nothing and counts as one that left: net/http cancels the request's context as soon
+// as a write times out, and the handler then abandons the response before the writer has reported the timeout. A caller
+// whose connection fails earlier, or that takes nothing until the deadline of the response, is not counted.
+func TestStalledCallerIsCountedIfHandlerEndsFirst(t *testing.T) {
+	for name, test := range map[string]struct {
+		deadline time.Duration // of the response
+		leavesAt time.Duration // when the caller's connection is closed; 0: never
+		want     error
+	}{
+		"stalled":  {deadline: time.Hour, want: errStalled},
+		"left":     {deadline: time.Hour, leavesAt: 9 * time.Second, want: errAbandoned},
+		"deadline": {deadline: 9 * time.Second, want: errAbandoned},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := quicktest.New(t)
+				h := newHeldBytes(8 << 20)
+				box, caller := net.Pipe()
+				defer box.Close()
+				defer caller.Close()
+				handlerEnds := make(chan struct{})
+				var b *responseBuffer
+				w := failingWriter{pipeWriter{box}, func() {
+					close(handlerEnds)
+					<-b.failed
+				}}
+				b = newResponseBuffer(context.Background(), h, w, time.Now().Add(test.deadline), func() {})
+				b.start()
+				c.Assert(b.append([]byte("event")), quicktest.IsNil)
+				b.flush()
+				if test.leavesAt > 0 {
+					time.AfterFunc(test.leavesAt, func() { caller.Close() })
+				}
+				<-handlerEnds
+				c.Assert(b.abandon(), quicktest.Equals, test.want)
+				disconnected := int64(0)
+				if test.want == errStalled {
+					disconnected = 1
+				}
+				c.Assert(h.counts(), quicktest.Equals, HeldByteCounts{Limit: 8 << 20, Disconnected: disconnected})
+			})
+		})
+	}
+}
+
 // Guards against a stream without events for a while that counts as a caller that takes nothing.
 func TestIdleStreamIsNotDisconnected(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
