forward: a limited holder that has capacity again is asked again

One adapter was refused for five seconds before its load elsewhere began.

Cause: the endpoint denied the request, which then waited for a load elsewhere. While it waited, the leader checked every 100 ms whether an endpoint could serve it, and named the holder as soon as its limit had capacity for one request. The box had noted the denial and refused the request without asking. The capacity stayed unused, so the next waiting request was refused in the same way. The refusals cluster at just over 200 ms of waiting, also on the box that is the leader.

Ruled out: takeTimeout. Half of the refusals came from the leader itself, which asks no other box.

Change: if the owner chooses an endpoint again 100 ms or more after the denial, the leader is asked for capacity again. An owner without an alternative chooses it at once, and the request is refused as before. All requests still go through the leader's count.

Result: the new test fails without the change.

--- a/forward/limit.go
+++ b/forward/limit.go
@@ -19,6 +19,10 @@
 	// maxLimitDenials is how many endpoints may deny capacity before a request gives up on those with a rate
 	// limit. Each is a call to another box, and where that many are at their limits the rest are too.
 	maxLimitDenials = 4
+	// capacityRecheckInterval is how long after a denial the endpoint is asked again if the owner chose it again. An
+	// owner without an alternative chooses it at once, and would do so forever. One that waits for a load elsewhere
+	// chooses it when it has capacity again.
+	capacityRecheckInterval = 100 * time.Millisecond
 )
 
 // observeLimit records the rate limit that a response announces. Any response of the endpoint may announce
@@ -41,7 +45,7 @@
 		if f != nil {
 			return t, f
 		}
-		if g.wasDenied(q, t.endpoint) { // the owner chose it again, though it has no capacity
+		if g.wasDenied(q, t.endpoint) && !q.mayAskAgain(t.endpoint, clock.Now()) { // the owner chose it again, though it has no capacity
 			return t, q.limitRefusal()
 		}
 		acquired := !g.Limits.HasLimit(t.endpoint.ID()) || g.acquireCapacity(ctx, q, t.endpoint)
@@ -63,7 +67,7 @@
 		if q.limitDenials == nil {
 			q.limitDenials = make(map[string]limitDenial)
 		}
-		q.limitDenials[e.ID()] = limitDenial{request: ask, wait: result.Wait}
+		q.limitDenials[e.ID()] = limitDenial{request: ask, at: clock.Now(), wait: result.Wait}
 		return false
 	}
 	if result.Wait > 0 {
@@ -78,9 +82,15 @@
 // limitDenial records that an endpoint had no capacity left in its rate limit.
 type limitDenial struct {
 	request ratelimit.Request
+	at      time.Time
 	wait    time.Duration // until such a request is likely granted
 }
 
+// mayAskAgain reports whether an endpoint that denied the request and was chosen again may have capacity by now.
+func (q *request) mayAskAgain(e *topology.Endpoint, now time.Time) bool {
+	return now.Sub(q.limitDenials[e.ID()].at) >= capacityRecheckInterval
+}
+
 // wasDenied reports whether an endpoint denied the request, and would deny it again. A request asks for more
 // than before, not only for spare capacity, once its alternatives have failed.
 func (g *Gateway) wasDenied(q *request, e *topology.Endpoint) bool {
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -218,6 +218,55 @@
 	s.c.Assert(p.requested, quicktest.DeepEquals, []string{"e2"})
 }
 
+// waitingPlacer is a recordingPlacer whose load elsewhere does not begin: after a wait it names the holder, which has
+// capacity again by then unless denied is set.
+type waitingPlacer struct {
+	recordingPlacer
+	limits *fakeLimits
+	wait   time.Duration
+	denied bool
+}
+
+// Place implements Placer.
+func (p *waitingPlacer) Place(ctx context.Context, w AdapterRequest) (PlacementResult, error) {
+	if p.holder != "" && w.AvoidLimited {
+		time.Sleep(p.wait)
+		if !p.denied {
+			p.limits.allow(p.holder, 1)
+		}
+		return PlacementResult{Ready: true, Endpoint: p.holder, Version: 1}, nil
+	}
+	return p.recordingPlacer.Place(ctx, w)
+}
+
+// Guards against callers that are refused though the only holder of their adapter has capacity: they wait for a load
+// elsewhere, which is delayed, and the leader names the holder as soon as that has capacity again. Also guards against
+// asking without a pause while the leader, without an alternative, names a holder that has no capacity.
+func TestHolderIsAskedAgainAfterWaitForLoadElsewhere(t *testing.T) {
+	for name, test := range map[string]struct {
+		wait   time.Duration
+		denied bool
+		status int
+	}{
+		"capacity after a wait":    {wait: capacityRecheckInterval, status: http.StatusOK},
+		"denied after each wait":   {wait: capacityRecheckInterval, denied: true, status: http.StatusServiceUnavailable},
+		"denied and named at once": {denied: true, status: http.StatusServiceUnavailable},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := &waitingPlacer{wait: test.wait, denied: test.denied}
+			s, _ := askAdapters(t, p, "2s")
+			p.holder = "e1"
+			s.gateway.View.SetAdapterStates("e1", map[topology.Adapter]topology.AdapterState{{Model: "m", Name: "a"}: {Version: 1, Ready: true}})
+			p.limits = s.limit(map[string]int{"e1": 0})
+			begun := time.Now()
+			s.c.Assert(s.askAdapter(), quicktest.Equals, test.status)
+			asked := len(p.limits.asked)
+			s.c.Assert(asked <= 1+int(time.Since(begun)/capacityRecheckInterval), quicktest.IsTrue, quicktest.Commentf("asked %d times", asked))
+			s.c.Assert(asked > 1 || test.wait == 0, quicktest.IsTrue)
+		})
+	}
+}
+
 // A response of another incarnation at the address says nothing about this endpoint. One that may not be the
 // endpoint's own can set a limit, but not remove one.
 func TestOnlySignedMatchingResponseRemovesLimit(t *testing.T) {
