scheduler: queued requests leave an endpoint that is shutting down

Cause: the announcement made the scheduler refuse new requests, but not those that it had queued for the endpoint. It went on granting them as running requests ended. The queue is long where processes stand still: at 40 requests per second a pause of 1.5 s leaves 60.

Ruled out: the end of leavingPause (30 s) within the run, and gateways that send on old grants, which expire after the send window.

Change: the queued requests are refused with the reason leaving, as new ones are, so that the gateways try other endpoints.

Result: the new test fails without the change.

--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -137,10 +137,15 @@
 	e.fence = engine.Fence{}
 	e.slots = make(map[string]*slot)
 	e.grants, e.inUse = make(map[uint64]*grant), make(map[string]int)
-	waiters := e.waiters
-	e.waiters = nil
 	e.unmetDemands = make(map[string]*unmetDemand)
+	e.refuseWaitersLocked(reason)
 	s.updatePendingLoadsLocked(e, clock.Now())
+}
+
+// refuseWaitersLocked refuses all queued requests.
+func (e *endpoint) refuseWaitersLocked(reason wire.Reason) {
+	waiters := e.waiters
+	e.waiters = nil
 	for _, w := range waiters {
 		w.refuse(reason, 0, e.owner)
 	}
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -81,6 +81,8 @@
 	s.checkReleaseLocked(e, req, now)
 	if req.GetLeaving() {
 		e.leavingUntil = now.Add(leavingPause)
+		e.refuseWaitersLocked(wire.Reason_REASON_LEAVING)
+		s.updatePendingLoadsLocked(e, now)
 	}
 	g := e.removeGrantLocked(req.GetId())
 	if g == nil {
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -187,6 +187,27 @@
 	f.Assert(f.acquire("a@1", "urgent").GetRefusal().GetReason(), quicktest.Equals, wire.Reason_REASON_LEAVING)
 }
 
+// Guards against queued requests that are sent to an endpoint after it announced that it is leaving, long after if the
+// queue is long: they are refused at once, so that they can go to another endpoint.
+func TestLeavingEndpointRefusesQueuedRequests(t *testing.T) {
+	f := newFixture(t, "a@1")
+	f.scheduler.Timing.OwnershipTTL = time.Minute
+	f.own()
+	first, second := f.acquire("a@1", "urgent"), f.acquire("a@1", "urgent")
+	queued := make(chan *wire.AcquireReply, 2)
+	for range cap(queued) {
+		go func() { queued <- f.acquire("a@1", "counter") }()
+	}
+	for n := 0; n < cap(queued); _, n = f.scheduler.Outstanding() {
+		time.Sleep(time.Millisecond)
+	}
+	f.release(second, wire.Outcome_OUTCOME_COMPLETED)
+	f.Assert((<-queued).GetGrant(), quicktest.IsNotNil) // it has not announced it yet
+	_, err := f.scheduler.Release(context.Background(), &wire.ReleaseRequest{Endpoint: "e1", Id: first.GetGrant().GetId(), Outcome: wire.Outcome_OUTCOME_COMPLETED, Leaving: true})
+	f.Assert(err, quicktest.IsNil)
+	f.Assert((<-queued).GetRefusal().GetReason(), quicktest.Equals, wire.Reason_REASON_LEAVING)
+}
+
 func TestRepeatedLoadFailuresRefuseWaitingRequests(t *testing.T) {
 	f := newFixture(t)
 	f.engine.loadError = &engine.RefusedError{Code: engine.CodeLoadFailed}
