--- a/access/pool.go
+++ b/access/pool.go
@@ -207,7 +207,7 @@
 	return list
 }
 
-// backlogWindow is the time within which refused callers are expected to retry. They are told times of a few
+// backlogWindow is the time within which refused callers are expected to retry. Their retry times are a few
 // hundred milliseconds.
 const backlogWindow = time.Second
 
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -67,7 +67,7 @@
 // higher than the one that was denied.
 type denial struct {
 	until   time.Time
-	retryAt time.Time // when callers are told to retry
+	retryAt time.Time // retry time for refused callers
 	ask     ratelimit.Request
 }
 
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -155,7 +155,7 @@
 	r.shareReachability()
 }
 
-// shareReachability tells the other reader of this box whether the source responds.
+// shareReachability notifies the other reader of this box whether the source responds.
 func (r *reader) shareReachability() {
 	if r.collection == Endpoints {
 		r.unreachable.Store(r.failing)
--- a/edge/spending.go
+++ b/edge/spending.go
@@ -57,7 +57,7 @@
 
 	waiting     []*waiter
 	refuseUntil time.Time // until then requests that would have to wait are refused
-	retryAt     time.Time // when refused callers are told to retry
+	retryAt     time.Time // retry time for refused callers
 }
 
 // waiter is a request that waits for units.
--- a/forward/admission.go
+++ b/forward/admission.go
@@ -40,7 +40,7 @@
 }
 
 // quotaWaitFraction is the part of a route's target latency that a request waits for a quota that is used up.
-// Callers over their quota are told so soon. A longer wait is not worth the time that the response needs,
+// Callers over their quota are refused soon. A longer wait is not worth the time that the response needs,
 // since other requests of the same organisation may use up the units that become free.
 const quotaWaitFraction = 0.125
 
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -70,7 +70,7 @@
 	IsCallHeader(name string) bool
 	// ParseResponse reads the head of the endpoint's response to c.
 	ParseResponse(resp *http.Response, c Call, endpoint string) Response
-	// SetRetryAfter tells a refused caller when to try again.
+	// SetRetryAfter sets when a refused caller may try again.
 	SetRetryAfter(h http.Header, after time.Duration)
 }
 
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -24,7 +24,7 @@
 // sent; enforced is whether the endpoint's owner enforces a limit. It reports whether the limit changed.
 //
 // An endpoint that announces no limit gets an entry only if its owner enforces one, which the owner learnt from
-// another gateway: the owner has to be told that it is over.
+// another gateway: the owner must be notified that it is over.
 func (l *limitTable) observe(endpoint string, limit ratelimit.Limit, enforced bool, sentAt, now time.Time) bool {
 	observed := ratelimit.NewObservation(limit, sentAt, now)
 	l.mu.Lock()
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -135,7 +135,7 @@
 }
 
 // reportBrokenCall has the termination detector check an address that broke off a response. Incarnations of a
-// service at one address cannot be told apart, so each call that breaks off counts as one of its own.
+// service at one address cannot be distinguished, so each call that breaks off counts as one of its own.
 func (g *Gateway) reportBrokenCall(ctx context.Context, c *serviceCall, address string) {
 	if ctx.Err() == nil {
 		g.watcher.RecordInterruption(address+" under "+c.id, address, c.content)
--- a/placement/evict.go
+++ b/placement/evict.go
@@ -15,7 +15,7 @@
 // progress. Boxes report promptly which adapters they start and stop using, so an idle slot
 // is emptied at once when a load needs it. A request that arrives during the unload is
 // refused by the endpoint as not run, and its adapter is reloaded from host memory. An adapter
-// in use is evicted only for a newer version of itself: the boxes are told not to use it any
+// in use is evicted only for a newer version of itself: the boxes are asked not to use it any
 // more, and it is unloaded when none does.
 
 const (
--- a/placement/ownership.go
+++ b/placement/ownership.go
@@ -31,7 +31,7 @@
 	publications    uint64    // count of publications
 	slots           map[topology.Adapter]*slot
 	loadsInFlight   int                    // loads in progress
-	announcedTokens policy.DecayingCounter // prompt tokens that boxes were told to send here and have not reported yet
+	announcedTokens policy.DecayingCounter // prompt tokens of requests that boxes were assigned here and have not reported yet
 	waitingTokens   int                    // prompt tokens of requests that wait for loads here
 	queuedLoads     int                    // loads that wait for a slot here, as of the last ranking
 	begunLoads      int                    // of those, loads that have begun since
@@ -51,7 +51,7 @@
 type slot struct {
 	version          int64
 	ready            bool
-	evicting         bool          // boxes are told not to use it; it will be unloaded
+	evicting         bool          // announced to the boxes; it will be unloaded
 	evictionBegan    time.Time     // set while evicting
 	unloading        bool          // set while evicting: the unload order may have been sent
 	outdated         bool          // a newer version is needed
@@ -62,7 +62,7 @@
 	heldBefore       bool // the endpoint held it before
 	expectedLoadTime time.Duration
 	lastUsed         time.Time
-	lastAnnounced    time.Time // when a box was last told that it is ready, publications aside
+	lastAnnounced    time.Time // when it was last announced to a box as ready, publications aside
 }
 
 // updateOwnershipLocked follows the cluster view: it claims the endpoints that this box should
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -74,7 +74,7 @@
 // Place implements forward.Placer for the endpoints of this box. A request waits while its
 // load is expected to complete in time to be useful to the caller. The expectation changes with
 // the other pending loads, so it is re-evaluated periodically; when the load would come too
-// late, the caller is told when to retry instead.
+// late, the caller gets a retry time instead.
 func (l *Loader) Place(ctx context.Context, w forward.AdapterRequest) (forward.PlacementResult, error) {
 	l.Init()
 	w = boundedRequest(w)
--- a/placement/prefill.go
+++ b/placement/prefill.go
@@ -4,7 +4,7 @@
 
 import "time"
 
-// announcedHalfLife is the half-life of the prompt tokens that boxes were told to send to an
+// announcedHalfLife is the half-life of the prompt tokens that boxes were assigned at an
 // endpoint and have not reported yet: boxes report within some 25 ms.
 const announcedHalfLife = 25 * time.Millisecond
 
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -12,7 +12,7 @@
 
 const (
 	// minRate is the number of requests per second that are sent to an endpoint that accepts fewer, or none:
-	// only a response tells boxes that its overload is over. Two in 4 s are below the five that may be in
+	// only a response shows boxes that its overload is over. Two in 4 s are below the five that may be in
 	// flight to any endpoint.
 	minRate = 0.5
 	// burstWindow sets the burst: the requests that the limit allows in this time. Callers do not send at
@@ -54,7 +54,7 @@
 type endpointLimiter struct {
 	observed    Observation
 	bucket      *rate.Limiter // nil if there is no limit
-	lastRetryAt time.Time     // latest time at which a refused caller was told to retry
+	lastRetryAt time.Time     // latest retry time given to a refused caller
 	latestNow   time.Time     // latest time that was passed in
 }
 
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -81,7 +81,7 @@
 	stateSince       time.Time // when the slot entered its state
 }
 
-// unmetDemand counts refused requests for an adapter. Their callers were told when to retry, so
+// unmetDemand counts refused requests for an adapter. Their callers got a retry time, so
 // the adapter is loaded in the meantime.
 type unmetDemand struct {
 	count int
