--- a/forward/serve.go
+++ b/forward/serve.go
@@ -121,7 +121,7 @@
 }
 
 // noEndpoint refuses a request that no endpoint can serve. If all of them are in a back-off the caller
-// gets the retry time when the first one ends.
+// gets the time until the first one ends as its retry time.
 func (g *Gateway) noEndpoint(capable []*topology.Endpoint, now time.Time) *Refusal {
 	if after, known := g.earliestAvailable(capable, now); known && after > 0 {
 		return &Refusal{Code: CodeBackoff, RetryAfter: after, Detail: "all endpoints that could serve the request are in a back-off"}
