placement: urgent requests that may be late take a slot before less urgent ones

Causes: a late request yielded to the demand of all ranks, and one was late from three quarters of its target on, though half of those come in time. Now it yields to its own rank and more urgent ones, and only beyond its target.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -188,10 +188,12 @@
 	return holders, d
 }
 
-// withoutNewSlotLocked decides about a request that would be late at the endpoint where its adapter costs least to load. While
-// slots are scarce none is taken for it, unless requests for the adapter were refused often.
+// withoutNewSlotLocked decides about a request that may be late at the endpoint where its adapter costs least to load. While
+// requests of its rank and more urgent ones lack slots, none is taken if it would be late for sure, unless requests for the
+// adapter were refused often. An expected time between the target and the part of it that Choose allows is as often
+// in time as not.
 func (l *Loader) withoutNewSlotLocked(w *waiter, r balance.Request, pool *poolState, holders, all candidates, d balance.Decision) (candidates, balance.Decision) {
-	scarce := pool.isScarce()
+	scarce := d.FirstToken > r.Target && pool.isScarceFor(w.Priority)
 	switch {
 	case scarce && len(holders.list) > 0:
 		return holders, balance.Choose(r, holders.list)
--- a/placement/slot_limit.go
+++ b/placement/slot_limit.go
@@ -141,8 +141,11 @@
 }
 
 // isScarce reports whether requests of all ranks are likely to need more slots than are free.
-func (p *poolState) isScarce() bool {
-	need := p.demand.reserve(maxRequestRank+1, p.now)
+func (p *poolState) isScarce() bool { return p.isScarceFor(maxRequestRank) }
+
+// isScarceFor reports whether requests of a rank and more urgent ones are likely to need more slots than are free.
+func (p *poolState) isScarceFor(rank int) bool {
+	need := p.demand.reserve(rank+1, p.now)
 	return need >= 1 && float64(p.freeSlots()) < need
 }
 
--- a/placement/slot_limit_test.go
+++ b/placement/slot_limit_test.go
@@ -179,20 +179,24 @@
 func TestLateRequestTakesNoSlotWhileSlotsAreScarce(t *testing.T) {
 	c := quicktest.New(t)
 	for _, k := range []struct {
-		demand float64
-		held   bool
-		loads  bool
+		demand   float64 // of rank 1
+		priority int
+		target   time.Duration
+		held     bool
+		loads    bool
 	}{
-		{0, true, true},
-		{0, false, true},
-		{20, true, false},
-		{20, false, false},
+		{0, 1, -time.Second, true, true},
+		{0, 1, -time.Second, false, true},
+		{20, 1, -time.Second, true, false},
+		{20, 1, -time.Second, false, false},
+		{20, 0, -time.Second, false, true},           // nothing as urgent lacks slots
+		{20, 1, 450 * time.Millisecond, false, true}, // the load and the prompt take 0.4 s, more than the margin allows
 	} {
 		l, list := newBalancedLoader("e1", "e2")
 		now := time.Now()
-		l.slotDemand[poolOf(list["e1"])] = demandOf(0, k.demand, now)
+		l.slotDemand[poolOf(list["e1"])] = demandOf(1, k.demand, now)
 		w := balancedWaiter(list["e1"], 1, now)
-		w.Target = -time.Second
+		w.Target, w.Priority = k.target, k.priority
 		if k.held {
 			hold(1, list["e1"])
 			queueAt(l, "e1", 60000, now)
