forward, edge: what a box knows of its links to endpoints is logged and counted

The dialer of connections to endpoints can be set, so that tests can cut one box off. No decision changes.

--- a/edge/node.go
+++ b/edge/node.go
@@ -11,6 +11,7 @@
 
 	"cairnwick.example/clock"
 	"cairnwick.example/daemon"
+	"cairnwick.example/engine"
 	"cairnwick.example/forward"
 	"cairnwick.example/logging"
 	"cairnwick.example/member"
@@ -32,6 +33,7 @@
 	Control  placement.Control
 	Log      logr.Logger
 	Lines    *logging.BoundedWriter // the output of Log
+	Dial     engine.DialFunc        // opens connections to endpoints; nil: the default dialer
 	Profile  bool                   // whether the metrics address also serves pprof profiles
 
 	current    atomic.Pointer[Settings] // replaced by Reload
@@ -125,6 +127,7 @@
 		Unreachable:   func(centre string) bool { return n.peers.clusterView().unreachable[centre] },
 		RetryLimits:   func() forward.RetryLimits { return n.current.Load().Budget },
 		OnDraining:    n.departures.observe,
+		Dial:          n.Dial,
 		MaxInFlight:   max(s.Limits.Descriptors, descriptorsPerRequest*64) / descriptorsPerRequest,
 		MaxHeldBytes:  int64(s.Limits.MemoryMB) << 20 / heldMemoryDivisor,
 		Log:           n.Log,
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -181,6 +181,7 @@
 		q.notLoadedAt = t.endpoint.ID()
 		return f
 	case head.NotExecuted:
+		g.notices.recordRejection(t.endpoint.ID())
 		if head.Backoff == 0 {
 			u.recordRefusal(clock.Now())
 		}
--- a/forward/balance_test.go
+++ b/forward/balance_test.go
@@ -243,7 +243,7 @@
 	s.add(t, "dc", true, answerOK)
 	s.add(t, "dc", true, answerOK)
 	s.add(t, "dc", true, answerOK)
-	s.gateway.upstreams.get(s.gateway.View.Endpoint("e2")).markDown(time.Now())
+	s.gateway.upstream(s.gateway.View.Endpoint("e2")).markDown(time.Now())
 	s.c.Assert(s.status("m/a"), quicktest.Equals, http.StatusOK)
 	s.c.Assert(s.placer.requests()[0].Avoid, quicktest.DeepEquals, []string{"e2"})
 }
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -26,7 +26,7 @@
 
 // newDispatch records that a request is being sent to an endpoint.
 func (g *Gateway) newDispatch(q *request, t target) *dispatch {
-	u := g.upstreams.get(t.endpoint)
+	u := g.upstream(t.endpoint)
 	d := &dispatch{gateway: g, request: q, upstream: u, sentAt: clock.Now()}
 	d.unreadTokens = u.startRequest(q.call.PromptTokens)
 	d.predictedFirstToken = g.predictFirstToken(d.unreadTokens)
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cairnwick.example/clock"
+	"cairnwick.example/engine"
 	"cairnwick.example/policy"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
@@ -32,6 +33,7 @@
 	Unreachable   func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead
 	RetryLimits   func() RetryLimits                                       // of the settings in force
 	OnDraining    func(endpoint string)                                    // called once for each endpoint that announces draining in a response; nil: no callback
+	Dial          engine.DialFunc                                          // opens connections to endpoints; nil: the default dialer
 	MaxInFlight   int                                                      // requests; more are refused
 	MaxHeldBytes  int64                                                    // bound of request bodies and responses together; zero: none
 	Log           logr.Logger
@@ -40,6 +42,7 @@
 
 	startedAt   time.Time // when this box began to earn its shares of the retries
 	upstreams   upstreams
+	links       links
 	notices     noticeTable
 	watchOnce   sync.Once
 	watcher     *quarantine.Monitor // use watch
@@ -64,6 +67,14 @@
 	return <-watched
 }
 
+// dial returns the function that opens connections to endpoints.
+func (g *Gateway) dial() engine.DialFunc {
+	if g.Dial != nil {
+		return g.Dial
+	}
+	return newDialer().DialContext
+}
+
 // watch returns the detector of endpoints that ended; requests may come before Run.
 func (g *Gateway) watch() *quarantine.Monitor {
 	g.watchOnce.Do(func() { g.watcher = g.newWatch() })
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -274,7 +274,7 @@
 	l := &fakeLimits{}
 	g := &Gateway{Limits: l, Log: logr.Discard()}
 	e := topology.NewEndpoint(topology.EndpointSpec{ID: "e1"})
-	observe := func(a Response) { g.observeResponse(&request{}, newUpstream(e), target{endpoint: e}, a) }
+	observe := func(a Response) { g.observeResponse(&request{}, g.upstream(e), target{endpoint: e}, a) }
 	observe(Response{WrongEndpoint: true, Notice: Notice{Limit: ratelimit.PerSecond(3)}})
 	observe(Response{MatchesCall: true})
 	observe(Response{MatchesCall: true, Signed: true, Notice: Notice{LimitErr: http.ErrBodyNotAllowed}})
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -111,6 +111,7 @@
 	draining        bool
 	invalidLoggedAt time.Time // when an invalid back-off was last logged
 	backoffs        int64
+	rejections      int64 // requests of this box that it rejected
 	ignored         int64 // requests sent after it announced draining, or during a back-off
 }
 
@@ -119,6 +120,7 @@
 	Draining         bool  `json:"leaving"`
 	Backoffs         int64 `json:"backoffs"`        // responses that asked for one
 	BackoffRemaining int64 `json:"backoff_left_ms"` // of the current one
+	Rejections       int64 `json:"rejections"`      // requests that it rejected for any other reason than a missing adapter
 	Ignored          int64 `json:"ignored"`         // requests sent nevertheless
 }
 
@@ -166,6 +168,13 @@
 	return true
 }
 
+// recordRejection records that an endpoint rejected a request.
+func (n *noticeTable) recordRejection(endpoint string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.entryLocked(endpoint).rejections++
+}
+
 // recordSent records a request to an endpoint.
 func (n *noticeTable) recordSent(endpoint string, now time.Time) {
 	n.mu.Lock()
@@ -197,6 +206,7 @@
 			Draining:         entry.draining,
 			Backoffs:         entry.backoffs,
 			BackoffRemaining: g.BackoffRemaining(id, now).Milliseconds(),
+			Rejections:       entry.rejections,
 			Ignored:          entry.ignored,
 		}
 	}
--- a/forward/notice_test.go
+++ b/forward/notice_test.go
@@ -114,7 +114,7 @@
 			s.endpoint(t, answerOK)
 			e := s.gateway.View.Endpoint("e1")
 			x.answer.Notice = Notice{Draining: true, Backoff: time.Minute}
-			s.gateway.observeResponse(&request{}, newUpstream(e), target{endpoint: e}, x.answer)
+			s.gateway.observeResponse(&request{}, s.gateway.upstream(e), target{endpoint: e}, x.answer)
 			s.c.Check(s.gateway.View.Endpoint("e1").Draining(), quicktest.Equals, x.leaving)
 			s.c.Check(s.gateway.BackoffRemaining("e1", time.Now()) > 0, quicktest.Equals, x.backoff)
 		})
--- a/forward/retry_test.go
+++ b/forward/retry_test.go
@@ -35,7 +35,7 @@
 		s.endpoint(t, answerOK)
 	}
 	list := s.gateway.View.Endpoints("app")
-	shedding := s.gateway.upstreams.get(list[0])
+	shedding := s.gateway.upstream(list[0])
 	now := time.Now()
 	count := func(after time.Duration) int { return len(s.gateway.usable(list, nil, now.Add(after))) }
 	shedding.recordRefusal(now)
@@ -68,8 +68,8 @@
 	list := s.gateway.View.Endpoints("app")
 	now := time.Now()
 	for _, e := range list[:2] {
-		s.gateway.upstreams.get(e).recordRefusal(now)
-		s.gateway.upstreams.get(e).recordRefusal(now)
+		s.gateway.upstream(e).recordRefusal(now)
+		s.gateway.upstream(e).recordRefusal(now)
 	}
 	s.c.Assert(s.gateway.usable(list, nil, now), quicktest.HasLen, 4)
 }
--- a/forward/select.go
+++ b/forward/select.go
@@ -26,10 +26,10 @@
 	var reachable, healthy []*topology.Endpoint
 	lowest := 1.0
 	for _, e := range untried {
-		lowest = min(lowest, g.upstreams.get(e).health(now).failureRate)
+		lowest = min(lowest, g.upstream(e).health(now).failureRate)
 	}
 	for _, e := range untried {
-		h := g.upstreams.get(e).health(now)
+		h := g.upstream(e).health(now)
 		if h.down {
 			continue
 		}
@@ -64,7 +64,7 @@
 	var best *topology.Endpoint
 	lowest := 0.0
 	for _, e := range list {
-		h := g.upstreams.get(e).health(now)
+		h := g.upstream(e).health(now)
 		score := float64(h.inFlight)/float64(e.Slots()) + failurePenalty*h.failureRate + rand.Float64()*0.01
 		if e.DataCentre() != g.DataCentre {
 			score += remotePenalty
--- a/forward/select_test.go
+++ b/forward/select_test.go
@@ -196,7 +196,7 @@
 	s := newSite(t, onceRoute(5*time.Second))
 	now := time.Now()
 	for range 2 {
-		s.gateway.upstreams.get(s.gateway.View.Endpoint(s.addRefusing(t))).markDown(now)
+		s.gateway.upstream(s.gateway.View.Endpoint(s.addRefusing(t))).markDown(now)
 	}
 	list := s.gateway.View.Endpoints("app")
 	s.c.Assert(s.gateway.usable(list, nil, now), quicktest.HasLen, 2) // there are no others
--- a/forward/termination.go
+++ b/forward/termination.go
@@ -15,7 +15,7 @@
 func (g *Gateway) newWatch() *quarantine.Monitor {
 	return &quarantine.Monitor{
 		IsTerminated: func(ctx context.Context, address string) bool {
-			return engine.HasExited(ctx, newDialer().DialContext, address)
+			return engine.HasExited(ctx, g.dial(), address)
 		},
 		OnTermination: g.endpointEnded,
 	}
@@ -25,7 +25,7 @@
 func (g *Gateway) endpointEnded(endpoint string, suspects []quarantine.Fingerprint) {
 	g.Log.Info("Endpoint ended under requests", "endpoint", endpoint, "contents", quarantine.Strings(suspects))
 	if e := g.View.Endpoint(endpoint); e != nil {
-		g.upstreams.get(e).markDown(clock.Now())
+		g.upstream(e).markDown(clock.Now())
 	}
 	g.Quarantine.Ended(endpoint, suspects)
 }
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -42,6 +42,7 @@
 // upstream holds the connections to one incarnation of an endpoint, and its health.
 type upstream struct {
 	endpoint *topology.Endpoint
+	dial     engine.DialFunc // opens connections to the endpoint
 
 	mu             sync.Mutex
 	transport      *http.Transport
@@ -58,15 +59,15 @@
 	sheddingUntil  time.Time // avoided until then
 }
 
-func newUpstream(e *topology.Endpoint) *upstream {
-	u := &upstream{endpoint: e}
+func newUpstream(e *topology.Endpoint, dial engine.DialFunc) *upstream {
+	u := &upstream{endpoint: e, dial: dial}
 	u.reconnect(idleTimeout)
 	return u
 }
 
 // reconnect replaces the transport by one with the idle timeout.
 func (u *upstream) reconnect(idle time.Duration) {
-	t := engine.NewTransport(newDialer().DialContext, maxIdleConns)
+	t := engine.NewTransport(u.dial, maxIdleConns)
 	t.IdleConnTimeout = idle
 	old := u.transport
 	u.transport, u.idleTimeout = t, idle
@@ -238,7 +239,13 @@
 	byID map[string]*upstream
 }
 
-func (t *upstreams) get(e *topology.Endpoint) *upstream {
+// upstream returns the upstream of an endpoint.
+func (g *Gateway) upstream(e *topology.Endpoint) *upstream {
+	return g.upstreams.get(e, func(ctx context.Context, _, _ string) (net.Conn, error) { return g.dialEndpoint(ctx, e) })
+}
+
+// get returns the upstream of an endpoint. It is created with dial if the endpoint was not used before.
+func (t *upstreams) get(e *topology.Endpoint, dial engine.DialFunc) *upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byID == nil {
@@ -246,7 +253,7 @@
 	}
 	u := t.byID[e.ID()]
 	if u == nil {
-		u = newUpstream(e)
+		u = newUpstream(e, dial)
 		t.byID[e.ID()] = u
 	}
 	return u
