--- a/e2e/edge_test.go
+++ b/e2e/edge_test.go
@@ -155,13 +155,13 @@
 }
 
 // cmdSendLoad sends requests to boxes on the users' platform at a constant rate, with the boxes and the adapters
-// in rotation, and prints the number of responses by status: sendload edges=1.1,2.1 rate=40 duration=2s adapters=6.
+// in rotation, and prints the number of responses by status: sendload edges=1.1,2.1 rate=40 duration=2s adapters=6 tokens=2.
 func cmdSendLoad(ts *testscript.TestScript, _ bool, args []string) {
 	o, _ := parseOptions(args)
 	state := stateOf(ts)
 	duration, err := time.ParseDuration(o["duration"])
 	ts.Check(err)
-	rate, adapters := intOption(ts, o, "rate", 40), intOption(ts, o, "adapters", 6)
+	rate, adapters, tokens := intOption(ts, o, "rate", 40), intOption(ts, o, "adapters", 6), intOption(ts, o, "tokens", 2)
 	var urls []string
 	for _, e := range strings.Split(o["edges"], ",") {
 		c, b := parsePosition(ts, e)
@@ -173,7 +173,7 @@
 	defer tick.Stop()
 	for i := range count {
 		<-tick.C
-		headers := []string{"Host:h.example", fmt.Sprintf("Model:advice/a%d", i%adapters+1), "Token-Usage:10,2"}
+		headers := []string{"Host:h.example", fmt.Sprintf("Model:advice/a%d", i%adapters+1), fmt.Sprintf("Token-Usage:10,%d", tokens)}
 		go func() { responses <- send(urls[i%len(urls)], load.NewKey(), "{}", headers) }()
 	}
 	statuses := make(map[int]int)
--- a/edge/ended_test.go
+++ b/edge/ended_test.go
@@ -161,8 +161,8 @@
 const fleetStartTimeout = time.Minute
 
 // startFleet starts boxes in front of a service, two in each data centre, and waits until they serve. The function end
-// stops a box before the test ends.
-func startFleet(c *quicktest.C, s Source, d Decoder, boxes int) (nodes []*Node, end func(box int)) {
+// stops a box before the test ends. Each box is passed to configure before it starts.
+func startFleet(c *quicktest.C, s Source, d Decoder, boxes int, configure ...func(*Node)) (nodes []*Node, end func(box int)) {
 	var seeds []string
 	stops := make(map[int]func() error)
 	end = func(box int) {
@@ -175,6 +175,9 @@
 		n := newNode(c, fmt.Sprintf("box-%d", b), seeds...)
 		n.Settings.DataCentre = fmt.Sprintf("dc-%d", b/2)
 		n.Source, n.Decoder, n.Protocol = s, d, plainProtocol{}
+		for _, f := range configure {
+			f(n)
+		}
 		nodes = append(nodes, n)
 		seeds = []string{nodes[0].Settings.Peers}
 		stops[b] = start(n)
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -87,7 +87,10 @@
 	if !e.leaving.IsZero() && e.RefusesNew {
 		return nil, engine.CodeLeaving
 	}
-	if len(e.waiting) >= e.QueueLimit {
+	if now := time.Now(); len(e.waiting) >= e.fragility.queueLimit(e.QueueLimit, now) {
+		if e.fragility.reject(now) {
+			e.resetLocked()
+		}
 		return nil, engine.CodeBusy
 	}
 	request := q.Header.Get(engine.RequestIDHeader)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -53,6 +53,7 @@
 	requestIDs       []string       // request IDs of all runs, in order
 	limit            limit          // has its own lock
 	backoff          backoffState   // has its own lock
+	fragility        fragility      // has its own lock
 	slowdown         slowdown
 	announcesLeaving bool // responses carry the leaving header while the engine is leaving
 }
@@ -275,10 +276,12 @@
 	m.HandleFunc("POST /control/backoff", e.setBackoff)
 	m.HandleFunc("GET /control/backoff", e.showBackoff)
 	m.HandleFunc("POST /control/slowdown", e.setSlowdown)
+	m.HandleFunc("POST "+fragilityPath, e.setFragility)
+	m.HandleFunc("GET "+fragilityPath, e.showFragility)
 	if e.Fallback != nil {
 		m.Handle("/", e.Fallback)
 	}
-	return e.withHeaders(m)
+	return e.dropWhileDown(e.withHeaders(m))
 }
 
 // Leaving reports whether responses must carry the leaving header. It is also for handlers of other protocols.
