forward, edge: a box that is cut off from the endpoints sends requests through other boxes

What callers saw: at boxes that had lost their links to all endpoints, 55 of 502 first tries were served, 989 of 993 at the others; the rest waited 0.9 to 2.5 s and got 503.

Cause: a box knew one way to an endpoint, its own link, and took that link's failure for the endpoints'. It tried one endpoint after the other, 0.3 s each; one that led a data centre went on leading it, so that no box could have adapters loaded there (355 of 504 refusals: the endpoint's owner had not settled).

Evidence: 909 attempts from four boxes ended with a timeout as they connected, none elsewhere; the second cut, of boxes that lead nothing, was as bad.

Change: a box records whether it can open connections to a service's endpoints. After three different ones failed with none between that worked it takes itself for cut off; it probes three at a first failure and where nothing at all answers for 0.35 s, and each 0.25 s until one accepts. Meanwhile it opens connections through up to four other boxes, which copy the bytes and decide nothing, so each request is still counted, retried and answered once. A box that is cut off itself declines. What it had held against the endpoints is forgotten, and an endpoint counts as ended only if another box can't connect either. Once another box has reached an endpoint, a cut box says so in its heartbeats: the next box of its data centre that has links gives the orders, or one elsewhere if none has.

--- a/daemon/dialer.go
+++ b/daemon/dialer.go
@@ -27,6 +27,7 @@
 	// connection is replaced; zero: no limit.
 	SilenceTimeout time.Duration
 	Messages       *MessageCounter // counts the messages; may be nil
+	StreamWindow   int32           // bytes in flight on one stream; zero: flowControlWindow
 
 	mu    sync.Mutex
 	conns map[string]*grpc.ClientConn // by address
@@ -48,12 +49,16 @@
 		return c
 	}
 	monitor := &silenceMonitor{dial: d.Dial, timeout: d.SilenceTimeout}
+	window := d.StreamWindow
+	if window == 0 {
+		window = flowControlWindow
+	}
 	options := []grpc.DialOption{
 		grpc.WithTransportCredentials(d.Credentials),
 		grpc.WithContextDialer(monitor.dialContext),
 		grpc.WithUnaryInterceptor(monitor.unary),
 		grpc.WithStreamInterceptor(monitor.stream),
-		grpc.WithStaticStreamWindowSize(flowControlWindow),
+		grpc.WithStaticStreamWindowSize(window),
 		grpc.WithStaticConnWindowSize(flowControlWindow),
 		grpc.WithReadBufferSize(connBuffer),
 		grpc.WithWriteBufferSize(connBuffer),
--- a/edge/ask.go
+++ b/edge/ask.go
@@ -147,7 +147,7 @@
 
 // Place implements forward.Placer.
 func (p placer) Place(ctx context.Context, w forward.AdapterRequest) (forward.PlacementResult, error) {
-	m, ok := p.node.peers.clusterView().leader(w.Endpoint.DataCentre())
+	m, ok := p.node.peers.clusterView().commander(w.Endpoint.DataCentre())
 	w.Box = p.node.peers.box
 	if !ok || m.Name() == p.node.peers.box || p.node.loader.OrdersWhileLeaving(w.Endpoint.ID()) {
 		return p.node.loader.Place(ctx, w)
--- a/edge/clusterview.go
+++ b/edge/clusterview.go
@@ -45,6 +45,7 @@
 	centres        []string                 // data centres with a serving box, sorted
 	unreachable    map[string]bool          // data centres without a serving box, where one died less than takeoverDelay ago or all are dead
 	leaders        map[string]member.Member // by data centre with a known box; the zero Member: none
+	commanders     map[string]member.Member // by data centre: the box that gives its endpoints orders, if that is not the leader
 	fallbackLeader member.Member            // the oldest box of sufficient capacity anywhere: leads data centres without a known box, and, in time, those without a serving box
 	hasFallback    bool                     // whether fallbackLeader is set
 	upstream       member.Member            // the box that this one follows
@@ -74,7 +75,7 @@
 }
 
 func newClusterView(box, centre string, all []member.Member, now time.Time) *clusterView {
-	v := &clusterView{unreachable: make(map[string]bool), leaders: make(map[string]member.Member)}
+	v := &clusterView{unreachable: make(map[string]bool), leaders: make(map[string]member.Member), commanders: make(map[string]member.Member)}
 	var serving []member.Member
 	byCentre := make(map[string][]member.Member)
 	for _, m := range all {
@@ -90,6 +91,7 @@
 	v.fallbackLeader, v.hasFallback = oldestCapable(serving)
 	for c, list := range byCentre {
 		v.addDataCentre(c, list, now)
+		v.addCommander(c, serving)
 	}
 	slices.Sort(v.centres)
 	v.chooseUpstream(box, centre, serving)
@@ -149,6 +151,22 @@
 	v.leaders[centre] = member.Member{} // none
 }
 
+// addCommander determines the box that gives orders to the endpoints of a data centre if its leader can't reach them: the
+// oldest box there that can, or else the oldest one anywhere. If no box can, it is the leader.
+func (v *clusterView) addCommander(centre string, serving []member.Member) {
+	if !v.leaders[centre].CutOff() {
+		return
+	}
+	linked := slices.DeleteFunc(slices.Clone(serving), member.Member.CutOff)
+	local := slices.DeleteFunc(slices.Clone(linked), func(m member.Member) bool { return m.DataCentre() != centre })
+	for _, candidates := range [][]member.Member{local, linked} {
+		if m, ok := oldestCapable(candidates); ok {
+			v.commanders[centre] = m
+			return
+		}
+	}
+}
+
 // oldestCapable returns the oldest box whose capacity is at least the strongest one's divided by
 // leaderCapacityDivisor.
 func oldestCapable(list []member.Member) (best member.Member, ok bool) {
@@ -228,11 +246,19 @@
 	return v.fallbackLeader, v.hasFallback
 }
 
-// dataCentresLedBy returns the data centres that a box leads, sorted; only those with a known box.
-func (v *clusterView) dataCentresLedBy(box string) []string {
+// commander returns the box that gives orders to the endpoints of a data centre; false if there is none.
+func (v *clusterView) commander(centre string) (member.Member, bool) {
+	if m, ok := v.commanders[centre]; ok {
+		return m, true
+	}
+	return v.leader(centre)
+}
+
+// dataCentresCommandedBy returns the data centres to whose endpoints a box gives orders, sorted; only those with a known box.
+func (v *clusterView) dataCentresCommandedBy(box string) []string {
 	var list []string
-	for c, m := range v.leaders {
-		if m.Name() == box {
+	for c := range v.leaders {
+		if m, ok := v.commander(c); ok && m.Name() == box {
 			list = append(list, c)
 		}
 	}
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -190,7 +190,7 @@
 
 // askLeader asks the leader of a data centre. If there is none or it does not answer, Leads is false in the reply.
 func (s *limits) askLeader(ctx context.Context, centre string, q *wire.TakeRequest) *wire.TakeReply {
-	m, ok := s.node.peers.clusterView().leader(centre)
+	m, ok := s.node.peers.clusterView().commander(centre)
 	if !ok {
 		return &wire.TakeReply{}
 	}
--- a/edge/limits_notify.go
+++ b/edge/limits_notify.go
@@ -70,7 +70,7 @@
 		if !k.unreported || e == nil {
 			continue
 		}
-		m, ok := view.leader(e.DataCentre())
+		m, ok := view.commander(e.DataCentre())
 		if !ok {
 			complete = false
 			continue
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -38,14 +38,15 @@
 	return nil
 }
 
-// servePeers serves the gRPC calls of other boxes until ctx ends.
-func servePeers(ctx context.Context, s *grpc.Server, l net.Listener) error {
+// servePeers serves the gRPC calls of other boxes until ctx ends and awaitCalls has returned.
+func servePeers(ctx context.Context, s *grpc.Server, l net.Listener, awaitCalls func()) error {
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	select {
 	case err := <-served:
 		return errors.Wrap(err, "edge: serve peers")
 	case <-ctx.Done():
+		awaitCalls()
 		s.Stop()
 		return errors.Wrap(<-served, "edge: serve peers")
 	}
--- a/edge/node.go
+++ b/edge/node.go
@@ -53,6 +53,8 @@
 	limits     *limits
 
 	departures departures
+	relay      *relay
+	tunnels    tunnels
 
 	configFreshness   configFreshness
 	leaving           atomic.Bool
@@ -94,11 +96,13 @@
 	n.quarantine = requestQuarantine{node: n}
 	n.departures = departures{node: n}
 	n.limits = newLimits(n)
+	n.relay = newRelay(n)
+	n.tunnels = tunnels{node: n, most: int64(max(s.Limits.Descriptors/tunnelDescriptorsDivisor, minTunnels))}
 	n.state.limits = n.limits
 	n.loader = &placement.Loader{
 		Box:         s.Box,
 		View:        n.view,
-		Control:     n.Control,
+		Control:     observedControl{Control: n.Control, failed: func(e *topology.Endpoint) { n.gateway.SuspectLinks(e) }},
 		Limits:      func() placement.RateLimits { return n.current.Load().Rate },
 		Log:         n.Log,
 		Fences:      fences,
@@ -114,25 +118,27 @@
 	}
 	n.loader.Init()
 	n.gateway = &forward.Gateway{
-		DataCentre:    s.DataCentre,
-		View:          n.view,
-		Protocol:      n.Protocol,
-		Placer:        placer{node: n},
-		Observer:      n.usage,
-		Admission:     admission{node: n},
-		Quarantine:    n.quarantine,
-		Limits:        n.limits,
-		Boxes:         func() int { return n.peers.budgetBoxes(clock.Now()) },
-		LoadCost:      func(centre string) (time.Duration, bool) { return n.loadCosts.get(centre, clock.Now()) },
-		Unreachable:   func(centre string) bool { return n.peers.clusterView().unreachable[centre] },
-		RetryLimits:   func() forward.RetryLimits { return n.current.Load().Budget },
-		OnDraining:    n.departures.observe,
-		Dial:          n.Dial,
-		MaxInFlight:   max(s.Limits.Descriptors, descriptorsPerRequest*64) / descriptorsPerRequest,
-		MaxHeldBytes:  int64(s.Limits.MemoryMB) << 20 / heldMemoryDivisor,
-		Log:           n.Log,
-		LogBacklogged: n.Lines.Backlogged,
-		Stats:         forward.NewStats(),
+		DataCentre:     s.DataCentre,
+		View:           n.view,
+		Protocol:       n.Protocol,
+		Placer:         placer{node: n},
+		Observer:       n.usage,
+		Admission:      admission{node: n},
+		Quarantine:     n.quarantine,
+		Limits:         n.limits,
+		Boxes:          func() int { return n.peers.budgetBoxes(clock.Now()) },
+		LoadCost:       func(centre string) (time.Duration, bool) { return n.loadCosts.get(centre, clock.Now()) },
+		Unreachable:    func(centre string) bool { return n.peers.clusterView().unreachable[centre] },
+		RetryLimits:    func() forward.RetryLimits { return n.current.Load().Budget },
+		OnDraining:     n.departures.observe,
+		Dial:           n.Dial,
+		Relay:          n.relay,
+		OnLinksChanged: n.reportLinks,
+		MaxInFlight:    max(s.Limits.Descriptors, descriptorsPerRequest*64) / descriptorsPerRequest,
+		MaxHeldBytes:   int64(s.Limits.MemoryMB) << 20 / heldMemoryDivisor,
+		Log:            n.Log,
+		LogBacklogged:  n.Lines.Backlogged,
+		Stats:          forward.NewStats(),
 	}
 }
 
@@ -233,13 +239,16 @@
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLeadership, n.gateway.Run, n.logTraffic,
 		n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run,
 		n.reader(Configuration).run, n.reader(Endpoints).run,
-		func(ctx context.Context) error { return servePeers(ctx, server, listeners.peers) },
+		func(ctx context.Context) error {
+			return servePeers(ctx, server, listeners.peers, func() { n.tunnels.awaitEnd(drainTime) })
+		},
 		httpTask(n.gateway, n.limitSendBuffers(listeners.callers), drainTime, max(n.Settings.Limits.Descriptors/callerConnDivisor, maxAuxiliaryConns)),
 		httpTask(n.readinessHandler(), listeners.ready, drainTime, maxAuxiliaryConns),
 		httpTask(n.metrics(), listeners.metrics, drainTime, maxAuxiliaryConns),
 	}
 	err = n.runAll(ctx, inner, end, tasks)
 	n.peers.dialer.Close()
+	n.relay.dialer.Close()
 	n.Log.Info("Box stopped")
 	return err
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -85,7 +85,7 @@
 // leads reports whether this box leads a data centre, and from when on it may issue commands to the endpoints
 // there. A new leader waits until the lease of the previous one has expired, unless that one no longer serves.
 func (p *peers) leads(centre string, lease time.Duration, now time.Time) (bool, time.Time) {
-	m, ok := p.clusterView().leader(centre)
+	m, ok := p.clusterView().commander(centre)
 	if !ok {
 		return false, now
 	}
@@ -98,7 +98,7 @@
 	old, known := p.leaders[centre]
 	if !known || old.name != m.Name() {
 		from := now
-		if now.After(trusted) && p.isServing(old.name) {
+		if now.After(trusted) && p.mayCommand(old.name) {
 			from = now.Add(lease + lease/4)
 		}
 		p.leaders[centre] = leadership{name: m.Name(), previous: old.name, commandsFrom: from}
@@ -134,6 +134,13 @@
 	return p.viewTrustedFromLocked(now)
 }
 
+// mayCommand reports whether a box that commanded endpoints may still do so: it serves and has not reported that it is
+// cut off from them.
+func (p *peers) mayCommand(name string) bool {
+	m, ok := p.table.Find(name)
+	return ok && m.Serving() && !m.CutOff()
+}
+
 // isServing reports whether a box is considered serving.
 func (p *peers) isServing(name string) bool {
 	m, ok := p.table.Find(name)
--- /dev/null
+++ b/edge/relay.go
@@ -0,0 +1,273 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"cairnwick.example/clock"
+	"cairnwick.example/daemon"
+	"cairnwick.example/forward"
+	"cairnwick.example/member"
+	"cairnwick.example/placement"
+	"cairnwick.example/policy"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/pkg/errors"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+)
+
+const (
+	// relayBoxes is how many other boxes a box that is cut off from endpoints uses. It bounds its connections to them.
+	relayBoxes = 4
+	// maxRelayTries is how many boxes one connection tries. Boxes that are cut off themselves decline at once.
+	maxRelayTries = 3
+	// relayTimeout is the timeout of a connection through one box, which itself connects within 300 ms.
+	relayTimeout = 500 * time.Millisecond
+	// declinedTime is how long a box is not asked again after it declined or did not answer.
+	declinedTime = time.Second
+	// relayWindow bounds the bytes in flight of one connection, which this box holds in memory until they are read.
+	relayWindow = 64 << 10
+	// relayChunk is the size of the messages that carry a connection's data, in bytes.
+	relayChunk = 16 << 10
+)
+
+// relay opens connections to endpoints through other boxes. It implements forward.Relay.
+type relay struct {
+	node   *Node
+	dialer *daemon.Dialer // apart from other calls: a connection may be silent for long while a prompt is read
+
+	mu       sync.Mutex
+	declined map[string]time.Time // until when a box is not asked
+	open     map[string]int       // connections through a box
+}
+
+func newRelay(n *Node) *relay {
+	d := &net.Dialer{Timeout: peerDialTimeout}
+	return &relay{
+		node:     n,
+		dialer:   &daemon.Dialer{Credentials: insecure.NewCredentials(), Dial: d.DialContext, StreamWindow: relayWindow},
+		declined: make(map[string]time.Time),
+		open:     make(map[string]int),
+	}
+}
+
+// Dial implements forward.Relay. An endpoint to which another box can't connect either is unreachable; a box that is cut off
+// itself, has no room or does not answer is replaced by the next.
+func (r *relay) Dial(ctx context.Context, e *topology.Endpoint) (net.Conn, error) {
+	for _, m := range r.candidates(clock.Now()) {
+		c, err := r.dialThrough(ctx, m, e)
+		switch {
+		case err == nil:
+			return c, nil
+		case ctx.Err() != nil:
+			return nil, errors.Wrap(ctx.Err(), "edge: connect through another box")
+		case status.Code(err) == codes.FailedPrecondition:
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+		case status.Code(err) == codes.Aborted:
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
+		}
+		r.decline(m.Name(), err)
+	}
+	return nil, forward.ErrNoRelay
+}
+
+// candidates returns the boxes to try, the one with the fewest connections of this box first. They are a few of all boxes
+// that are not known to be cut off; each box has its own order of them, so that the work of many spreads evenly.
+func (r *relay) candidates(now time.Time) []member.Member {
+	byName := make(map[string]member.Member)
+	var names []string
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.node.peers.table.Members() {
+		if m.Role() != roleBox || !m.Serving() || m.CutOff() || m.Name() == r.node.peers.box || now.Before(r.declined[m.Name()]) {
+			continue
+		}
+		byName[m.Name()] = m
+		names = append(names, m.Name())
+	}
+	names = policy.Rank(r.node.peers.box, names)
+	names = slices.Clone(names[:min(len(names), relayBoxes)])
+	slices.SortStableFunc(names, func(a, b string) int { return cmp.Compare(r.open[a], r.open[b]) })
+	var list []member.Member
+	for _, n := range names[:min(len(names), maxRelayTries)] {
+		list = append(list, byName[n])
+	}
+	return list
+}
+
+// decline has a box not asked for declinedTime.
+func (r *relay) decline(box string, err error) {
+	r.node.Log.V(1).Info("Box opens no connection to an endpoint for this one", "member", box, "err", err.Error())
+	now := clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.declined[box] = now.Add(declinedTime)
+	for b, until := range r.declined {
+		if now.After(until) {
+			delete(r.declined, b)
+		}
+	}
+}
+
+// dialThrough opens a connection through one box.
+func (r *relay) dialThrough(ctx context.Context, m member.Member, e *topology.Endpoint) (net.Conn, error) {
+	stream, cancel, err := r.openTunnel(ctx, m, e)
+	if err != nil {
+		return nil, err
+	}
+	c := &tunnelConn{stream: stream, cancel: cancel, remote: e.Address(), closed: func() { r.count(m.Name(), -1) }}
+	r.count(m.Name(), 1)
+	return c, nil
+}
+
+// openTunnel opens a tunnel and waits until the box has connected to the endpoint. The tunnel ends when the box no longer serves.
+func (r *relay) openTunnel(ctx context.Context, m member.Member, e *topology.Endpoint) (wire.Share_TunnelClient, context.CancelFunc, error) {
+	inner, cancel := context.WithCancel(context.Background()) // outlives the dial
+	unconnected := context.AfterFunc(ctx, cancel)
+	timer := time.AfterFunc(relayTimeout, cancel)
+	stream, err := wire.NewShareClient(r.dialer.Conn(m.Address())).Tunnel(inner)
+	if err == nil {
+		err = stream.Send(&wire.TunnelRequest{Box: r.node.peers.box, Endpoint: e.ID()})
+	}
+	if err == nil || errors.Is(err, io.EOF) { // after EOF, Recv returns the reason
+		_, err = stream.Recv()
+	}
+	if !timer.Stop() || !unconnected() {
+		err = errors.New("edge: the box did not connect in time")
+	}
+	if err != nil {
+		cancel()
+		return nil, nil, err
+	}
+	go r.node.peers.cancelWhenNotServing(inner, cancel, m.Name())
+	return stream, cancel, nil
+}
+
+// count changes the number of connections through a box.
+func (r *relay) count(box string, by int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.open[box] += by; r.open[box] == 0 {
+		delete(r.open, box)
+	}
+}
+
+// tunnelConn is a connection to an endpoint through another box.
+type tunnelConn struct {
+	stream grpc.BidiStreamingClient[wire.TunnelRequest, wire.TunnelReply]
+	cancel context.CancelFunc
+	remote string
+	closed func()
+	once   sync.Once
+
+	unread []byte // used by Read only
+}
+
+// Read implements net.Conn. It returns io.EOF only if the endpoint closed the connection.
+func (c *tunnelConn) Read(b []byte) (int, error) {
+	for len(c.unread) == 0 {
+		reply, err := c.stream.Recv()
+		if err != nil {
+			return 0, err
+		}
+		c.unread = reply.GetData()
+	}
+	n := copy(b, c.unread)
+	c.unread = c.unread[n:]
+	return n, nil
+}
+
+// Write implements net.Conn.
+func (c *tunnelConn) Write(b []byte) (int, error) {
+	written := 0
+	for written < len(b) {
+		part := b[written:min(len(b), written+relayChunk)]
+		if err := c.stream.Send(&wire.TunnelRequest{Data: part}); err != nil {
+			return written, errors.Wrap(err, "edge: write through another box")
+		}
+		written += len(part)
+	}
+	return written, nil
+}
+
+// Close implements net.Conn.
+func (c *tunnelConn) Close() error {
+	c.once.Do(func() {
+		c.cancel()
+		c.closed()
+	})
+	return nil
+}
+
+// LocalAddr implements net.Conn.
+func (c *tunnelConn) LocalAddr() net.Addr { return tunnelAddr("tunnel") }
+
+// RemoteAddr implements net.Conn.
+func (c *tunnelConn) RemoteAddr() net.Addr { return tunnelAddr(c.remote) }
+
+// SetDeadline implements net.Conn. Deadlines are not supported; requests end by their contexts.
+func (c *tunnelConn) SetDeadline(time.Time) error { return nil }
+
+// SetReadDeadline implements net.Conn.
+func (c *tunnelConn) SetReadDeadline(time.Time) error { return nil }
+
+// SetWriteDeadline implements net.Conn.
+func (c *tunnelConn) SetWriteDeadline(time.Time) error { return nil }
+
+// tunnelAddr is the address of a tunnelConn.
+type tunnelAddr string
+
+// Network implements net.Addr.
+func (tunnelAddr) Network() string { return "tunnel" }
+
+// String implements net.Addr.
+func (a tunnelAddr) String() string { return string(a) }
+
+// observedControl reports the endpoints that did not respond to a call.
+type observedControl struct {
+	placement.Control
+
+	failed func(e *topology.Endpoint)
+}
+
+// Report implements placement.Control.
+func (o observedControl) Report(ctx context.Context, e *topology.Endpoint) (placement.Inventory, error) {
+	h, err := o.Control.Report(ctx, e)
+	if err != nil {
+		o.failed(e)
+	}
+	return h, err
+}
+
+// Order implements placement.Control.
+func (o observedControl) Order(ctx context.Context, e *topology.Endpoint, d placement.Order) (placement.Outcome, error) {
+	out, err := o.Control.Order(ctx, e, d)
+	if err != nil {
+		o.failed(e)
+	}
+	return out, err
+}
+
+// reportLinks publishes whether this box is cut off from endpoints that other boxes reach. If it leads a data centre, another
+// box takes over, and this one ranks as the youngest.
+func (n *Node) reportLinks(cutOff bool) {
+	led := false
+	v := n.peers.clusterView()
+	for c := range v.leaders {
+		m, ok := v.commander(c)
+		led = led || (ok && m.Name() == n.peers.box)
+	}
+	n.peers.table.SetCutOff(cutOff, cutOff && led, time.Now())
+	n.peers.loop.NotifyNeighbours()
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -126,6 +126,11 @@
 	return s.node.limits.handleReport(q, now), nil
 }
 
+// Tunnel implements the Share service.
+func (s shareServer) Tunnel(stream wire.Share_TunnelServer) error {
+	return s.node.tunnels.serve(stream)
+}
+
 // recordUsage records the usage that a box reported, and returns the current cost of a load.
 func (n *Node) recordUsage(q *wire.UseRequest) *wire.UseReply {
 	now := clock.Now()
--- a/edge/takeover.go
+++ b/edge/takeover.go
@@ -33,7 +33,7 @@
 	var before []string
 	for ctx.Err() == nil {
 		changed := n.peers.table.Changed()
-		if led := n.peers.clusterView().dataCentresLedBy(n.peers.box); !slices.Equal(led, before) {
+		if led := n.peers.clusterView().dataCentresCommandedBy(n.peers.box); !slices.Equal(led, before) {
 			before = led
 			n.loader.RefreshOwnership()
 		}
--- a/edge/takeover_test.go
+++ b/edge/takeover_test.go
@@ -265,8 +265,8 @@
 func TestDataCentresLedByBox(t *testing.T) {
 	c := quicktest.New(t)
 	p := peersOf(box("a", "dc", 1, 400), box("b", "dc", 2, 400), box("f", "far", 3, 400))
-	c.Assert(p.clusterView().dataCentresLedBy("a"), quicktest.DeepEquals, []string{"dc"})
-	c.Assert(p.clusterView().dataCentresLedBy("b"), quicktest.HasLen, 0)
+	c.Assert(p.clusterView().dataCentresCommandedBy("a"), quicktest.DeepEquals, []string{"dc"})
+	c.Assert(p.clusterView().dataCentresCommandedBy("b"), quicktest.HasLen, 0)
 	leave(p, box("f", "far", 3, 400), time.Now())
-	c.Assert(p.clusterView().dataCentresLedBy("a"), quicktest.DeepEquals, []string{"dc", "far"})
+	c.Assert(p.clusterView().dataCentresCommandedBy("a"), quicktest.DeepEquals, []string{"dc", "far"})
 }
--- a/edge/usage.go
+++ b/edge/usage.go
@@ -216,7 +216,7 @@
 	defer u.mu.Unlock()
 	moved := make(map[string]string)
 	for k := range u.inFlight {
-		m, ok := v.leader(k.centre)
+		m, ok := v.commander(k.centre)
 		if ok && u.leaders[k.centre] != m.Name() {
 			moved[k.centre] = m.Name()
 			u.changed[k] = true
@@ -311,7 +311,7 @@
 
 // sendReport sends a report to one leader. Running requests of a lost report are sent again in the next full one.
 func (u *usage) sendReport(ctx context.Context, centre string, q *wire.UseRequest) {
-	m, ok := u.node.peers.clusterView().leader(centre)
+	m, ok := u.node.peers.clusterView().commander(centre)
 	if !ok {
 		return
 	}
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -54,15 +54,15 @@
 
 // roundTrip sends the request and reads the head of the response.
 func (g *Gateway) roundTrip(ctx context.Context, q *request, u *upstream, t target, lastEvent string) (*http.Response, *Refusal) {
-	r, err := g.newOutbound(ctx, q, t, lastEvent)
-	if err != nil {
-		return nil, &Refusal{Code: CodeBadRequest, Detail: err.Error()}
-	}
 	stopWatch := g.watchSilence(u)
-	resp, err := engine.Send(u.client(), r, time.Time{})
+	resp, relayed, err := g.exchange(ctx, q, u, t, lastEvent)
 	stopWatch()
-	if err != nil {
-		return nil, g.recordLost(ctx, q, u, err)
+	var lost *engine.NoResponseError
+	switch {
+	case errors.As(err, &lost):
+		return nil, g.recordLost(ctx, q, u, lost, relayed)
+	case err != nil:
+		return nil, &Refusal{Code: CodeBadRequest, Detail: err.Error()}
 	}
 	g.recordActivity(u, clock.Now())
 	if f := g.checkResponse(q, u, t, resp); f != nil {
@@ -75,16 +75,20 @@
 // recordActivity notes that data came from an endpoint.
 func (g *Gateway) recordActivity(u *upstream, now time.Time) {
 	u.recordActivity(now)
+	g.links.recordActivity(u.endpoint.Service(), now)
 	g.dataCentres.recordActivity(u.endpoint.DataCentre(), now)
 }
 
 // watchSilence counts the request as silent once its response takes longer than silentAfter. After
-// silenceTimeout without any data it records a failure of the data centre and closes the idle
-// connections, which may be dead too. The returned function stops the watch.
+// silenceTimeout without any data it has the links to the endpoints checked, records a failure of the data
+// centre and closes the idle connections, which may be dead too. The returned function stops the watch.
 func (g *Gateway) watchSilence(u *upstream) func() {
 	sent := clock.Now()
 	silenceTimer := time.AfterFunc(silenceTimeout, func() {
-		g.dataCentres.recordSilence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, clock.Now())
+		g.links.recordSilence(u.endpoint.Service(), sent)
+		if !g.links.isCutOff(u.endpoint.Service()) {
+			g.dataCentres.recordSilence(u.endpoint.DataCentre(), u.endpoint.ID(), sent, clock.Now())
+		}
 		u.closeIdleIfSilent(sent)
 	})
 	done := make(chan struct{}, 1)
@@ -130,13 +134,15 @@
 	return r, nil
 }
 
-// recordLost records an attempt without a response.
-func (g *Gateway) recordLost(ctx context.Context, q *request, u *upstream, err error) *Refusal {
-	var lost *engine.NoResponseError
-	sent := !errors.As(err, &lost) || lost.Sent
+// recordLost records an attempt without a response. It says nothing of the endpoint if this box's own link may have
+// failed.
+func (g *Gateway) recordLost(ctx context.Context, q *request, u *upstream, err *engine.NoResponseError, relayed bool) *Refusal {
+	sent := err.Sent
 	if ctx.Err() == nil {
-		u.recordOutcome(true)
 		u.resetConnections()
+	}
+	if ctx.Err() == nil && !g.isOwnFault(u, relayed) {
+		u.recordOutcome(true)
 		if !sent {
 			u.markDown(clock.Now())
 			g.dataCentres.recordFailure(u.endpoint.DataCentre(), u.endpoint.ID(), clock.Now())
--- a/forward/data_centres.go
+++ b/forward/data_centres.go
@@ -85,3 +85,11 @@
 	defer c.mu.Unlock()
 	return now.Before(c.avoidedUntil[centre])
 }
+
+// forgiveFailures clears the failures of all data centres.
+func (c *dataCentres) forgiveFailures() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clear(c.avoidedUntil)
+	clear(c.failures)
+}
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -20,25 +20,27 @@
 // Gateway is the HTTP handler for callers' requests. Set the exported fields before
 // Run and before the first request.
 type Gateway struct {
-	DataCentre    string
-	View          *topology.View
-	Protocol      Protocol
-	Placer        Placer
-	Observer      Observer
-	Admission     Admission
-	Quarantine    Quarantine
-	Limits        Limits
-	Boxes         func() int                                               // boxes that share the retry budget; zero: not known yet
-	LoadCost      func(dataCentre string) (cost time.Duration, known bool) // of a load there, as reported by its leader
-	Unreachable   func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead
-	RetryLimits   func() RetryLimits                                       // of the settings in force
-	OnDraining    func(endpoint string)                                    // called once for each endpoint that announces draining in a response; nil: no callback
-	Dial          engine.DialFunc                                          // opens connections to endpoints; nil: the default dialer
-	MaxInFlight   int                                                      // requests; more are refused
-	MaxHeldBytes  int64                                                    // bound of request bodies and responses together; zero: none
-	Log           logr.Logger
-	LogBacklogged func() bool // whether the log is behind: successes are not logged then
-	Stats         *Stats
+	DataCentre     string
+	View           *topology.View
+	Protocol       Protocol
+	Placer         Placer
+	Observer       Observer
+	Admission      Admission
+	Quarantine     Quarantine
+	Limits         Limits
+	Boxes          func() int                                               // boxes that share the retry budget; zero: not known yet
+	LoadCost       func(dataCentre string) (cost time.Duration, known bool) // of a load there, as reported by its leader
+	Unreachable    func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead
+	RetryLimits    func() RetryLimits                                       // of the settings in force
+	OnDraining     func(endpoint string)                                    // called once for each endpoint that announces draining in a response; nil: no callback
+	Relay          Relay                                                    // nil: no other box helps
+	OnLinksChanged func(cutOff bool)                                        // called when this box becomes cut off from endpoints that others reach, or reaches them again; nil: no callback
+	Dial           engine.DialFunc                                          // opens connections to endpoints; nil: the default dialer
+	MaxInFlight    int                                                      // requests; more are refused
+	MaxHeldBytes   int64                                                    // bound of request bodies and responses together; zero: none
+	Log            logr.Logger
+	LogBacklogged  func() bool // whether the log is behind: successes are not logged then
+	Stats          *Stats
 
 	startedAt   time.Time // when this box began to earn its shares of the retries
 	upstreams   upstreams
@@ -58,12 +60,16 @@
 	firstToken policy.FirstTokenEstimator // of all endpoints that run models
 }
 
-// Run drops state of removed endpoints and detects endpoints that ended, until ctx ends.
+// Run drops state of removed endpoints, detects endpoints that ended and probes the links to the others, until ctx ends.
 func (g *Gateway) Run(ctx context.Context) error {
 	g.start(clock.Now())
-	watched := make(chan error, 1)
+	watched, probed := make(chan error, 1), make(chan error, 1)
 	go func() { watched <- g.watch().Run(ctx) }()
+	go func() { probed <- g.probeLinks(ctx) }()
 	g.pruneLoop(ctx)
+	if err := <-probed; err != nil {
+		return err
+	}
 	return <-watched
 }
 
--- a/forward/termination.go
+++ b/forward/termination.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net"
 
 	"cairnwick.example/clock"
 	"cairnwick.example/engine"
@@ -14,13 +15,32 @@
 // callback.
 func (g *Gateway) newWatch() *quarantine.Monitor {
 	return &quarantine.Monitor{
-		IsTerminated: func(ctx context.Context, address string) bool {
-			return engine.HasExited(ctx, g.dial(), address)
-		},
+		IsTerminated:  g.hasExited,
 		OnTermination: g.endpointEnded,
 	}
 }
 
+// hasExited reports whether nothing listens at an endpoint's address any more. If this box finds that and another box
+// connects there, its own link has failed.
+func (g *Gateway) hasExited(ctx context.Context, address string) bool {
+	e := g.upstreams.at(address)
+	if e == nil || g.Relay == nil {
+		return engine.HasExited(ctx, g.dial(), address)
+	}
+	if g.links.isCutOff(e.Service()) {
+		return engine.HasExited(ctx, func(ctx context.Context, _, _ string) (net.Conn, error) { return g.dialRelay(ctx, e) }, address)
+	}
+	if !engine.HasExited(ctx, g.dial(), address) {
+		return false
+	}
+	c, err := g.dialRelay(ctx, e)
+	if err != nil {
+		return true
+	}
+	_ = c.Close() // nothing was sent
+	return false
+}
+
 // endpointEnded handles the end of an endpoint; suspects are the requests that may have caused it.
 func (g *Gateway) endpointEnded(endpoint string, suspects []quarantine.Fingerprint) {
 	g.Log.Info("Endpoint ended under requests", "endpoint", endpoint, "contents", quarantine.Strings(suspects))
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -43,6 +43,7 @@
 type upstream struct {
 	endpoint *topology.Endpoint
 	dial     engine.DialFunc // opens connections to the endpoint
+	relayed  *http.Transport // for connections through other boxes, each for one request
 
 	mu             sync.Mutex
 	transport      *http.Transport
@@ -59,8 +60,9 @@
 	sheddingUntil  time.Time // avoided until then
 }
 
-func newUpstream(e *topology.Endpoint, dial engine.DialFunc) *upstream {
-	u := &upstream{endpoint: e, dial: dial}
+func newUpstream(e *topology.Endpoint, dial, dialRelay engine.DialFunc) *upstream {
+	u := &upstream{endpoint: e, dial: dial, relayed: engine.NewTransport(dialRelay, 0)}
+	u.relayed.DisableKeepAlives = true // the next request may go directly again, or through another box
 	u.reconnect(idleTimeout)
 	return u
 }
@@ -100,6 +102,11 @@
 	return &http.Client{Transport: u.transport, CheckRedirect: noRedirect}
 }
 
+// relayClient returns the client for requests through other boxes.
+func (u *upstream) relayClient() *http.Client {
+	return &http.Client{Transport: u.relayed, CheckRedirect: noRedirect}
+}
+
 // noRedirect relays redirects to the caller instead of following them.
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
@@ -213,6 +220,14 @@
 	u.downUntil = now.Add(u.downTime)
 }
 
+// forgiveFailures clears the endpoint's failures.
+func (u *upstream) forgiveFailures() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.failureRate, u.outcomes = 0, 0
+	u.downUntil, u.downTime = time.Time{}, 0
+}
+
 // health is what the selection of endpoints uses of an upstream.
 type health struct {
 	inFlight       int
@@ -241,11 +256,15 @@
 
 // upstream returns the upstream of an endpoint.
 func (g *Gateway) upstream(e *topology.Endpoint) *upstream {
-	return g.upstreams.get(e, func(ctx context.Context, _, _ string) (net.Conn, error) { return g.dialEndpoint(ctx, e) })
+	return g.upstreams.get(e, func() *upstream {
+		direct := func(ctx context.Context, _, _ string) (net.Conn, error) { return g.DialEndpoint(ctx, e) }
+		relayed := func(ctx context.Context, _, _ string) (net.Conn, error) { return g.dialRelay(ctx, e) }
+		return newUpstream(e, direct, relayed)
+	})
 }
 
-// get returns the upstream of an endpoint. It is created with dial if the endpoint was not used before.
-func (t *upstreams) get(e *topology.Endpoint, dial engine.DialFunc) *upstream {
+// get returns the upstream of an endpoint, which create returns if the endpoint was not used before.
+func (t *upstreams) get(e *topology.Endpoint, create func() *upstream) *upstream {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.byID == nil {
@@ -253,12 +272,35 @@
 	}
 	u := t.byID[e.ID()]
 	if u == nil {
-		u = newUpstream(e, dial)
+		u = create()
 		t.byID[e.ID()] = u
 	}
 	return u
 }
 
+// forgiveFailures clears the failures of all endpoints of a service.
+func (t *upstreams) forgiveFailures(service string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range t.byID {
+		if u.endpoint.Service() == service {
+			u.forgiveFailures()
+		}
+	}
+}
+
+// at returns the endpoint in use at an address; nil if there is none.
+func (t *upstreams) at(address string) *topology.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, u := range t.byID {
+		if u.endpoint.Address() == address {
+			return u.endpoint
+		}
+	}
+	return nil
+}
+
 // prune drops the upstreams of removed endpoints; requests in flight there
 // continue.
 func (t *upstreams) prune(known func(id string) bool) {
--- a/member/member.go
+++ b/member/member.go
@@ -50,6 +50,7 @@
 	incarnation uint64
 	state       State
 	capacity    int       // thousandths of a CPU core; zero if not known
+	cutOff      bool      // it can open no connections to the endpoints, though others can
 	since       time.Time // when this daemon learned the state
 }
 
@@ -83,6 +84,9 @@
 // Capacity returns how many thousandths of a CPU core the daemon may use, zero if not known.
 func (m Member) Capacity() int { return m.capacity }
 
+// CutOff reports whether the daemon can open no connections to the endpoints, though others can.
+func (m Member) CutOff() bool { return m.cutOff }
+
 // State returns the daemon's state.
 func (m Member) State() State { return m.state }
 
@@ -102,6 +106,7 @@
 		Incarnation: m.incarnation,
 		State:       wire.MemberState(m.state),
 		Capacity:    uint32(max(m.capacity, 0)),
+		CutOff:      m.cutOff,
 	}
 }
 
@@ -115,6 +120,7 @@
 		incarnation: w.GetIncarnation(),
 		state:       State(w.GetState()),
 		capacity:    int(w.GetCapacity()),
+		cutOff:      w.GetCutOff(),
 	}
 }
 
--- a/member/table.go
+++ b/member/table.go
@@ -120,6 +120,23 @@
 	t.changedLocked(t.self.name)
 }
 
+// SetCutOff sets whether this daemon can open no connections to the endpoints, though others can. The incarnation rises,
+// so that the entry supersedes the previous one; with reset it is taken from the clock, and the daemon ranks as the
+// youngest member: another one has taken over its work.
+func (t *Table) SetCutOff(cutOff, reset bool, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.self.cutOff == cutOff {
+		return
+	}
+	t.self.cutOff = cutOff
+	t.self.incarnation++
+	if reset {
+		t.self.incarnation = max(t.self.incarnation, uint64(max(now.UnixMicro(), 0)))
+	}
+	t.changedLocked(t.self.name)
+}
+
 // isLiveAddress reports whether an address belongs to this daemon or to a member that is not dead.
 func (t *Table) isLiveAddress(address string) bool {
 	t.mu.Lock()
