ratelimit, edge: endpoints that crash when they reject many requests are not made to

What callers saw: all twelve endpoints of a service crashed within 1.4 s (three may), each with what it ran; for seconds nobody of the busiest kind was served, and callers got 502.

Cause: endpoints announced how many rejections in a second they survive, and no box read it. Each box learned of a rejection for itself and avoided the endpoint for a tenth of a second after two in a row, so seven boxes brought 17 about within a second, and each retry was an arrival at the next endpoint. The class is an amount over all boxes that each handles alone.

Evidence: 655 arrivals and 237 rejections in the second of the first crash, 535 of 537 in the next; no log line names the announcement.

Change: the announcement is part of the limit that the box which gives an endpoint orders already counts for all boxes. Boxes ask it before each send, and tell it what they have there and what was rejected (at once). An endpoint that has not answered yet, as after a restart, is taken to be like the others of its service.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -35,6 +35,8 @@
 	// limitUpdateInterval is the shortest time between two log lines, and between two published values, of one
 	// endpoint's limit: it may change with each response, and only the leader needs each exact value.
 	limitUpdateInterval = time.Second
+	// loadReportDelay is how long changes of a box's load at endpoints with a limit of rejections are batched.
+	loadReportDelay = 50 * time.Millisecond
 	// limitChangeRatio is the relative change of a limit from which on the new value is published to all boxes.
 	limitChangeRatio = 0.25
 )
@@ -48,8 +50,11 @@
 	wake    chan struct{}     // signals that a limit has to be reported
 
 	mu                 sync.Mutex
-	known              map[string]*limitState // by endpoint; mu must not be held while facts are merged, since applyLimit locks it
-	unreadableLoggedAt time.Time              // when an unreadable limit was last logged
+	known              map[string]*limitState           // by endpoint; mu must not be held while facts are merged, since applyLimit locks it
+	loads              map[string]*endpointLoad         // by endpoint
+	services           map[string]ratelimit.Observation // by service: the latest limit of rejections of any of its endpoints
+	reportPending      bool                             // a wake-up for a changed load is scheduled
+	unreadableLoggedAt time.Time                        // when an unreadable limit was last logged
 }
 
 // limitState is what this box knows of an endpoint that announces a limit or used to.
@@ -63,6 +68,18 @@
 	counts      LimitCounts
 }
 
+// endpointLoad is this box's load at an endpoint.
+type endpointLoad struct {
+	inFlight int           // including reserved ones
+	reserved int           // requests that may be sent but have not been yet
+	rejected uint64        // since the start
+	asking   chan struct{} // holds a token while the leader is asked, by one request at a time: it adds what it grants to the load that it is told
+	askers   int           // requests that ask or wait to ask
+}
+
+// isIdle reports whether there is nothing to remember.
+func (l *endpointLoad) isIdle() bool { return l.inFlight == 0 && l.rejected == 0 && l.askers == 0 }
+
 // denial is a leader's answer that an endpoint has no capacity left. It also applies to later requests that rank no
 // higher than the one that was denied.
 type denial struct {
@@ -79,40 +96,192 @@
 }
 
 func newLimits(n *Node) *limits {
-	return &limits{node: n, wake: make(chan struct{}, 1), known: make(map[string]*limitState)}
+	return &limits{
+		node:     n,
+		wake:     make(chan struct{}, 1),
+		known:    make(map[string]*limitState),
+		loads:    make(map[string]*endpointLoad),
+		services: make(map[string]ratelimit.Observation),
+	}
 }
 
 // HasLimit implements forward.Limits.
 func (s *limits) HasLimit(endpoint string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.known[endpoint]
-	return k != nil && k.latest.Limit.IsSet()
+	return s.latestLocked(endpoint).Limit.IsSet()
+}
+
+// isFragile reports whether an endpoint limits the number of rejections.
+func (s *limits) isFragile(endpoint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latestLocked(endpoint).Limit.IsFragile()
+}
+
+// latestLocked returns the latest known limit of an endpoint. One that has not answered yet, as after a restart, is taken to
+// survive as few rejections as the others of its service.
+func (s *limits) latestLocked(endpoint string) ratelimit.Observation {
+	if k := s.known[endpoint]; k != nil {
+		return k.latest
+	}
+	if e := s.node.view.Endpoint(endpoint); e != nil {
+		return s.services[e.Service()]
+	}
+	return ratelimit.Observation{}
+}
+
+// observeServiceLocked records the limit of rejections that an endpoint of a service announced, or that it announced none.
+func (s *limits) observeServiceLocked(endpoint string, w ratelimit.Observation) {
+	e := s.node.view.Endpoint(endpoint)
+	if e == nil {
+		return
+	}
+	before, known := s.services[e.Service()]
+	if known && !w.At.After(before.At) {
+		return
+	}
+	if w.Limit.IsFragile() {
+		s.services[e.Service()] = ratelimit.Observation{Limit: ratelimit.Limit{}.WithRejections(float64(w.Limit.Rejections())), At: w.At}
+	} else if known {
+		s.services[e.Service()] = ratelimit.Observation{At: w.At}
+	}
 }
 
 // RequestSent implements forward.Limits.
 func (s *limits) RequestSent(endpoint string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if l := s.loadLocked(endpoint); l.reserved > 0 {
+		l.reserved--
+	} else {
+		l.inFlight++
+	}
 	if k := s.known[endpoint]; k != nil {
 		k.counts.Sent++
 	}
 }
 
+// Release implements forward.Limits.
+func (s *limits) Release(endpoint string) {
+	s.mu.Lock()
+	if l := s.loadLocked(endpoint); l.reserved > 0 {
+		l.reserved--
+	} else {
+		l.inFlight++ // it was not reserved: there was no limit then
+	}
+	s.mu.Unlock()
+	s.RequestEnded(endpoint)
+}
+
+// RequestEnded implements forward.Limits.
+func (s *limits) RequestEnded(endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loadLocked(endpoint)
+	if l.inFlight--; l.isIdle() {
+		delete(s.loads, endpoint)
+	}
+	k := s.known[endpoint]
+	if k == nil || !k.latest.Limit.IsFragile() {
+		return
+	}
+	k.unreported = true
+	if !s.reportPending {
+		s.reportPending = true
+		time.AfterFunc(loadReportDelay, s.reportLoads)
+	}
+}
+
+// RequestRejected implements forward.Limits.
+func (s *limits) RequestRejected(endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loadLocked(endpoint).rejected++
+	if k := s.known[endpoint]; k != nil && k.latest.Limit.IsFragile() {
+		k.unreported = true
+		s.wakeUp()
+	}
+}
+
+func (s *limits) loadLocked(endpoint string) *endpointLoad {
+	l := s.loads[endpoint]
+	if l == nil {
+		l = &endpointLoad{asking: make(chan struct{}, 1)}
+		s.loads[endpoint] = l
+	}
+	return l
+}
+
+// reportLoads has changed loads reported to the leaders.
+func (s *limits) reportLoads() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reportPending = false
+	s.wakeUp()
+}
+
+// wakeUp signals that something has to be reported.
+func (s *limits) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default: // a wake-up is already pending
+	}
+}
+
+// wordLocked returns the message with an observed limit of an endpoint and this box's load there.
+func (s *limits) wordLocked(endpoint string, w ratelimit.Observation, now time.Time) *wire.LimitWord {
+	m := wire.NewLimitWord(endpoint, w, now)
+	if l := s.loads[endpoint]; l != nil {
+		m.InFlight, m.Rejected = int32(l.inFlight), l.rejected
+	}
+	return m
+}
+
+// startAsking waits until no other request of this box asks the leader of an endpoint; it reports whether that was in time.
+func (s *limits) startAsking(ctx context.Context, endpoint string) bool {
+	s.mu.Lock()
+	l := s.loadLocked(endpoint)
+	l.askers++
+	s.mu.Unlock()
+	select {
+	case l.asking <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		l.askers--
+		return false
+	}
+}
+
+// stopAsking ends a question, and reserves the request if it was granted.
+func (s *limits) stopAsking(endpoint string, granted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loadLocked(endpoint)
+	<-l.asking
+	l.askers--
+	if granted {
+		l.inFlight++
+		l.reserved++
+	} else if l.isIdle() {
+		delete(s.loads, endpoint)
+	}
+}
+
 // ObserveLimit implements forward.Limits.
 func (s *limits) ObserveLimit(endpoint string, l ratelimit.Limit, sent time.Time) {
 	now := clock.Now()
 	w := ratelimit.NewObservation(l, sent, now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.observeServiceLocked(endpoint, w)
 	if !s.updateLocked(endpoint, w, now) {
 		return
 	}
 	s.known[endpoint].unreported = true
-	select {
-	case s.wake <- struct{}{}:
-	default: // a wake-up is already pending
-	}
+	s.wakeUp()
 }
 
 // updateLocked applies an announcement unless a newer one is known. It reports whether the limit changed.
@@ -135,10 +304,15 @@
 	}
 	k.loggedAt = now
 	message := "Endpoint announced a rate limit"
-	if !w.Limit.IsSet() {
+	switch {
+	case !w.Limit.IsSet() && before.HasRate():
 		message = "Endpoint no longer announces a rate limit"
+	case !w.Limit.IsSet():
+		message = "Endpoint no longer announces a limit of rejections"
+	case !w.Limit.HasRate():
+		message = "Endpoint announced a limit of rejections"
 	}
-	s.node.Log.Info(message, "endpoint", endpoint, "a_second", w.Limit.Rate(), "sent", k.counts.Sent, "granted", k.counts.Granted, "denied", k.counts.Denied)
+	s.node.Log.Info(message, "endpoint", endpoint, "a_second", w.Limit.Rate(), "rejections", w.Limit.Rejections(), "fragile", w.Limit.IsFragile(), "sent", k.counts.Sent, "granted", k.counts.Granted, "denied", k.counts.Denied)
 	return true
 }
 
@@ -155,15 +329,28 @@
 }
 
 // Acquire implements forward.Limits.
-func (s *limits) Acquire(ctx context.Context, e *topology.Endpoint, want ratelimit.Request) forward.AcquireResult {
+func (s *limits) Acquire(ctx context.Context, e *topology.Endpoint, want ratelimit.Request) (result forward.AcquireResult) {
+	if !s.isFragile(e.ID()) {
+		return s.ask(ctx, e, want)
+	}
+	if !s.startAsking(ctx, e.ID()) {
+		return forward.AcquireResult{Wait: noLeaderDenialTime}
+	}
+	result = s.ask(ctx, e, want)
+	s.stopAsking(e.ID(), result.OK)
+	return result
+}
+
+// ask asks the leader for one request of an endpoint's limit, unless it has just denied such a request.
+func (s *limits) ask(ctx context.Context, e *topology.Endpoint, want ratelimit.Request) forward.AcquireResult {
 	now := clock.Now()
-	latest, wait := s.cached(e.ID(), want, now)
+	latest, word, wait := s.cached(e.ID(), want, now)
 	if wait > 0 {
 		return forward.AcquireResult{Wait: wait}
 	}
 	q := &wire.TakeRequest{
 		Box:            s.node.peers.box,
-		Word:           wire.NewLimitWord(e.ID(), latest, now),
+		Word:           word,
 		Rank:           int32(want.Rank),
 		PatienceMicros: want.MaxWait.Microseconds(),
 		Spare:          want.SpareOnly,
@@ -172,20 +359,18 @@
 	return s.applyReply(e.ID(), latest, a, want, clock.Now())
 }
 
-// cached returns the latest known limit of an endpoint and, if an earlier denial applies to the request, how long it
-// has to wait. If that is zero the leader has to be asked.
-func (s *limits) cached(endpoint string, want ratelimit.Request, now time.Time) (latest ratelimit.Observation, wait time.Duration) {
+// cached returns the latest known limit of an endpoint, the message with it and, if an earlier denial applies to the
+// request, how long it has to wait. If that is zero the leader has to be asked.
+func (s *limits) cached(endpoint string, want ratelimit.Request, now time.Time) (latest ratelimit.Observation, word *wire.LimitWord, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	k := s.known[endpoint]
-	if k == nil {
-		return latest, 0
-	}
-	if now.Before(k.denied.until) && !want.Before(k.denied.ask) {
+	latest = s.latestLocked(endpoint)
+	word = s.wordLocked(endpoint, latest, now)
+	if k := s.known[endpoint]; k != nil && now.Before(k.denied.until) && !want.Before(k.denied.ask) {
 		k.counts.Denied++
-		return k.latest, max(k.denied.retryAt.Sub(now), time.Millisecond)
+		return latest, word, max(k.denied.retryAt.Sub(now), time.Millisecond)
 	}
-	return k.latest, 0
+	return latest, word, 0
 }
 
 // askLeader asks the leader of a data centre. If there is none or it does not answer, Leads is false in the reply.
@@ -214,7 +399,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.known[endpoint]
-	if k == nil { // the endpoint was removed in the meantime
+	if k == nil { // the endpoint was removed in the meantime, or has not answered yet
 		return forward.AcquireResult{OK: a.GetLeads() && (a.GetGranted() || !a.GetLimited()), Wait: wait}
 	}
 	switch {
@@ -253,6 +438,7 @@
 	defer s.mu.Unlock()
 	k := s.entryLocked(endpoint)
 	k.published, k.publishedAt = limit, now
+	s.observeServiceLocked(endpoint, ratelimit.Observation{Limit: limit, At: now})
 	s.updateLocked(endpoint, ratelimit.Observation{Limit: limit, At: now}, now)
 }
 
@@ -273,12 +459,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.known, endpoint)
+	if l := s.loads[endpoint]; l != nil && l.inFlight == 0 && l.askers == 0 {
+		delete(s.loads, endpoint)
+	}
 }
 
 // limitReport is the entry of one endpoint in the metrics.
 type limitReport struct {
-	Named bool    `json:"named"`
-	Rate  float64 `json:"a_second"`
+	Named      bool    `json:"named"`
+	Rate       float64 `json:"a_second"`
+	Fragile    bool    `json:"fragile"`
+	Rejections int     `json:"rejections"` // per second that it survives
 	LimitCounts
 }
 
@@ -287,7 +478,8 @@
 	defer s.mu.Unlock()
 	list := make(map[string]limitReport, len(s.known))
 	for e, k := range s.known {
-		list[e] = limitReport{Named: k.latest.Limit.IsSet(), Rate: k.latest.Limit.Rate(), LimitCounts: k.counts}
+		list[e] = limitReport{Named: k.latest.Limit.HasRate(), Rate: k.latest.Limit.Rate(), Fragile: k.latest.Limit.IsFragile(),
+			Rejections: k.latest.Limit.Rejections(), LimitCounts: k.counts}
 	}
 	return list
 }
--- a/edge/limits_leader.go
+++ b/edge/limits_leader.go
@@ -22,10 +22,19 @@
 		Rank:      int(q.GetRank()),
 		MaxWait:   time.Duration(q.GetPatienceMicros()) * time.Microsecond,
 		SpareOnly: q.GetSpare(),
+		Load:      q.GetWord().Load(q.GetBox(), s.slots(id)),
 	}, now)
 	return &wire.TakeReply{Leads: true, Limited: g.Limited, Granted: g.OK, WaitMicros: g.Wait.Microseconds()}
 }
 
+// slots returns the number of requests that an endpoint runs at once; zero if it is not known.
+func (s *limits) slots(endpoint string) int {
+	if e := s.node.view.Endpoint(endpoint); e != nil {
+		return e.Slots()
+	}
+	return 0
+}
+
 // leads reports whether this box enforces the limit of an endpoint: it owns the endpoint, and its ownership has
 // begun.
 func (s *limits) leads(endpoint string, now time.Time) bool {
@@ -62,7 +71,7 @@
 	if k == nil {
 		return l.IsSet()
 	}
-	if k.published.IsSet() != l.IsSet() {
+	if k.published.HasRate() != l.HasRate() || k.published.IsFragile() != l.IsFragile() || k.published.Rejections() != l.Rejections() {
 		return true
 	}
 	return math.Abs(l.Rate()-k.published.Rate()) > limitChangeRatio*k.published.Rate() && now.Sub(k.publishedAt) >= limitUpdateInterval
@@ -88,8 +97,15 @@
 // room returns the remaining capacity of an endpoint, for placement decisions.
 func (s *limits) room(endpoint string, now time.Time) ratelimit.Headroom {
 	r := s.counter.Headroom(endpoint, now)
-	if !r.Limited && s.HasLimit(endpoint) { // the counter does not know the limit until a box asks for the endpoint
+	if !r.Limited && s.hasRate(endpoint) { // the counter does not know the limit until a box asks for the endpoint
 		return ratelimit.Headroom{Limited: true}
 	}
 	return r
 }
+
+// hasRate reports whether an endpoint limits the number of requests.
+func (s *limits) hasRate(endpoint string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.latestLocked(endpoint).Limit.HasRate()
+}
--- a/edge/limits_notify.go
+++ b/edge/limits_notify.go
@@ -92,25 +92,40 @@
 	for ids := range slices.Chunk(slices.Collect(maps.Keys(u.limits)), maxReportedLimits) {
 		now := clock.Now()
 		q := &wire.LimitsRequest{Box: s.node.peers.box}
-		for _, id := range ids {
-			q.Words = append(q.Words, wire.NewLimitWord(id, u.limits[id], now))
-		}
+		q.Words = s.words(ids, u.limits, now)
 		if !s.sendReport(ctx, u.leader, q, now).GetLeads() {
 			accepted = false
-			continue
+			s.markUnreported(ids)
 		}
-		s.markReported(u.limits, ids)
 	}
 	return accepted
 }
 
-// markReported records that a leader accepted the limits of these endpoints, except for those that changed since.
-func (s *limits) markReported(sent map[string]ratelimit.Observation, ids []string) {
+// words returns the messages about endpoints, and notes that their loads are being reported.
+func (s *limits) words(ids []string, observed map[string]ratelimit.Observation, now time.Time) []*wire.LimitWord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*wire.LimitWord
+	for _, id := range ids {
+		if k := s.known[id]; k != nil {
+			k.unreported = false // a change after this is reported again
+		}
+		w := s.wordLocked(id, observed[id], now)
+		if l := s.loads[id]; l != nil {
+			w.InFlight += int32(len(l.asking)) // it may have been granted
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
+// markUnreported has endpoints reported again, since the leader did not accept the report.
+func (s *limits) markUnreported(ids []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, id := range ids {
-		if k := s.known[id]; k != nil && k.latest == sent[id] {
-			k.unreported = false
+		if k := s.known[id]; k != nil {
+			k.unreported = true
 		}
 	}
 }
@@ -141,6 +156,7 @@
 			continue
 		}
 		s.receive(w, now)
+		s.counter.Report(w.GetEndpoint(), w.Load(q.GetBox(), s.slots(w.GetEndpoint())), now)
 	}
 	return a
 }
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -375,7 +375,7 @@
 func TestLeaderReplyEndsALimit(t *testing.T) {
 	c := quicktest.New(t)
 	n, now := newLimitedNode(c)
-	latest, _ := n.limits.cached("e1", ratelimit.Request{}, now)
+	latest, _, _ := n.limits.cached("e1", ratelimit.Request{}, now)
 	c.Check(n.limits.applyReply("e1", latest, &wire.TakeReply{Leads: true}, ratelimit.Request{}, now).OK, quicktest.IsTrue)
 	c.Check(n.limits.HasLimit("e1"), quicktest.IsFalse)
 }
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -188,6 +188,7 @@
 		return f
 	case head.NotExecuted:
 		g.notices.recordRejection(t.endpoint.ID())
+		g.Limits.RequestRejected(t.endpoint.ID())
 		if head.Backoff == 0 {
 			u.recordRefusal(clock.Now())
 		}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -76,6 +76,7 @@
 		d.upstream.promptRead(d.request.call.PromptTokens)
 	}
 	d.upstream.endRequest()
+	d.gateway.Limits.RequestEnded(d.upstream.endpoint.ID())
 	if d.run != nil {
 		d.run.Finished(d.longestPause)
 	}
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -142,14 +142,19 @@
 	Ended(endpoint string, contents []quarantine.Fingerprint)
 }
 
-// Limits tracks the endpoints that announce a rate limit, which all boxes share.
+// Limits tracks the endpoints that announce a limit of requests or of rejections, which all boxes share.
 type Limits interface {
-	// HasLimit reports whether an endpoint has a rate limit.
+	// HasLimit reports whether an endpoint has a limit.
 	HasLimit(endpoint string) bool
-	// Acquire reserves one request of an endpoint's rate limit.
+	// Acquire reserves one request of an endpoint's limit.
 	Acquire(ctx context.Context, e *topology.Endpoint, a ratelimit.Request) AcquireResult
-	// RequestSent is called before a request is sent to an endpoint.
+	// Release returns a reserved request that is not sent.
+	Release(endpoint string)
+	// RequestSent is called before a request is sent to an endpoint, RequestEnded when it no longer runs there, and
+	// before that RequestRejected if the endpoint had no room for it.
 	RequestSent(endpoint string)
+	RequestEnded(endpoint string)
+	RequestRejected(endpoint string)
 	// ObserveLimit records the limit that a response announced, and when its request was sent.
 	ObserveLimit(endpoint string, l ratelimit.Limit, sent time.Time)
 	// InvalidLimit records that the limit in a response could not be parsed.
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -95,9 +95,18 @@
 	return AcquireResult{OK: true}
 }
 
+// Release implements Limits.
+func (noLimits) Release(string) {}
+
 // RequestSent implements Limits.
 func (noLimits) RequestSent(string) {}
 
+// RequestEnded implements Limits.
+func (noLimits) RequestEnded(string) {}
+
+// RequestRejected implements Limits.
+func (noLimits) RequestRejected(string) {}
+
 // ObserveLimit implements Limits.
 func (noLimits) ObserveLimit(string, ratelimit.Limit, time.Time) {}
 
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -49,8 +49,16 @@
 			return t, q.limitRefusal()
 		}
 		acquired := !g.Limits.HasLimit(t.endpoint.ID()) || g.acquireCapacity(ctx, q, t.endpoint)
-		if now := clock.Now(); acquired && g.accepts(t.endpoint.ID(), now) { // it may have changed while the request waited
-			return t, g.maySend(q, now)
+		if acquired {
+			now := clock.Now()
+			if !g.accepts(t.endpoint.ID(), now) { // it may have changed while the request waited
+				g.Limits.Release(t.endpoint.ID())
+			} else if f = g.maySend(q, now); f != nil {
+				g.Limits.Release(t.endpoint.ID())
+				return t, f
+			} else {
+				return t, nil
+			}
 		}
 		if ctx.Err() != nil {
 			return t, q.limitRefusal()
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -53,9 +53,10 @@
 // endpointLimiter enforces the limit of one endpoint.
 type endpointLimiter struct {
 	observed    Observation
-	bucket      *rate.Limiter // nil if there is no limit
-	lastRetryAt time.Time     // latest retry time given to a refused caller
-	latestNow   time.Time     // latest time that was passed in
+	bucket      *rate.Limiter   // nil if there is no limit of requests
+	rejections  *rejectionGuard // nil if there is no limit of rejections
+	lastRetryAt time.Time       // latest retry time given to a refused caller
+	latestNow   time.Time       // latest time that was passed in
 }
 
 // monotonic returns now, or the latest time that was passed in if that is later. A call may wait for a lock
@@ -97,7 +98,15 @@
 
 // applyLimit updates the bucket to the observed limit.
 func (e *endpointLimiter) applyLimit(now time.Time) {
-	if !e.observed.Limit.IsSet() {
+	switch l := e.observed.Limit; {
+	case !l.IsFragile():
+		e.rejections = nil
+	case e.rejections == nil:
+		e.rejections = newRejectionGuard(l.Rejections(), now)
+	default:
+		e.rejections.limit = l.Rejections()
+	}
+	if !e.observed.Limit.HasRate() {
 		e.bucket = nil
 		return
 	}
@@ -123,6 +132,7 @@
 	// that would be lost otherwise. So the capacity of a limited endpoint goes to adapters that are
 	// loaded nowhere else, and those need no copy.
 	SpareOnly bool
+	Load      // of the box that asks
 }
 
 // Before reports whether a request has precedence over another one.
@@ -146,10 +156,28 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.endpoints[endpoint]
-	if e == nil || e.bucket == nil {
+	if e == nil || !e.observed.Limit.IsSet() {
 		return Result{OK: true}
 	}
 	now = e.monotonic(now)
+	if e.rejections != nil {
+		e.rejections.report(a.Load, now)
+		if wait := e.rejections.check(a, now); wait > 0 {
+			return Result{Limited: true, Wait: e.retryAfter(wait, e.rejections.interval(now), now)}
+		}
+	}
+	granted := Result{Limited: true, OK: true}
+	if e.bucket != nil {
+		granted = e.takeFromBucket(a, now)
+	}
+	if granted.OK && e.rejections != nil {
+		e.rejections.grant(a, now)
+	}
+	return granted
+}
+
+// takeFromBucket permits or refuses a request by the limit of requests.
+func (e *endpointLimiter) takeFromBucket(a Request, now time.Time) Result {
 	if a.SpareOnly && !e.hasSpare(now) {
 		return Result{Limited: true, Wait: e.waitFor(float64(e.bucket.Burst()), now)}
 	}
@@ -159,7 +187,16 @@
 		return Result{Limited: true, OK: true, Wait: wait}
 	}
 	r.CancelAt(now)
-	return Result{Limited: true, Wait: e.retryAfter(wait, now)}
+	return Result{Limited: true, Wait: e.retryAfter(wait, time.Duration(float64(time.Second)/e.rate()), now)}
+}
+
+// Report records the load of a box at an endpoint.
+func (l *Limiter) Report(endpoint string, load Load, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e := l.endpoints[endpoint]; e != nil && e.rejections != nil {
+		e.rejections.report(load, e.monotonic(now))
+	}
 }
 
 // hasSpare reports whether the bucket is full, so that further tokens would be lost.
@@ -175,8 +212,7 @@
 
 // retryAfter returns the Retry-After of a refused caller. Each caller gets a time of its own, one interval after
 // the previous one: if they all retried at once, all but one would be refused again.
-func (e *endpointLimiter) retryAfter(wait time.Duration, now time.Time) time.Duration {
-	interval := time.Duration(float64(time.Second) / e.rate())
+func (e *endpointLimiter) retryAfter(wait, interval time.Duration, now time.Time) time.Duration {
 	at := now.Add(wait)
 	if next := e.lastRetryAt.Add(interval); next.After(at) {
 		at = next
@@ -200,10 +236,18 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.endpoints[endpoint]
-	if e == nil || e.bucket == nil {
+	if e == nil || !e.observed.Limit.IsSet() {
 		return Headroom{HasSpare: true}
 	}
 	now = e.monotonic(now)
+	if e.rejections != nil {
+		if wait := e.rejections.check(Request{}, now); wait > 0 {
+			return Headroom{Limited: true, Wait: wait}
+		}
+	}
+	if e.bucket == nil {
+		return Headroom{HasSpare: true}
+	}
 	return Headroom{Limited: true, Wait: e.waitFor(1, now), HasSpare: e.hasSpare(now)}
 }
 
--- a/wire/limit.go
+++ b/wire/limit.go
@@ -9,14 +9,20 @@
 )
 
 // NewRateLimit converts a limit to its message.
-func NewRateLimit(l ratelimit.Limit) *RateLimit { return &RateLimit{Named: l.IsSet(), Rate: l.Rate()} }
+func NewRateLimit(l ratelimit.Limit) *RateLimit {
+	return &RateLimit{Named: l.HasRate(), Rate: l.Rate(), Fragile: l.IsFragile(), Rejections: int64(l.Rejections())}
+}
 
-// Limit converts a message to the limit. A rate that is NaN or out of range means no limit.
+// Limit converts a message to the limit. A number that is NaN or out of range means no limit.
 func (l *RateLimit) Limit() ratelimit.Limit {
-	if !l.GetNamed() {
-		return ratelimit.Limit{}
+	var limit ratelimit.Limit
+	if l.GetNamed() {
+		limit = ratelimit.PerSecond(l.GetRate())
+	}
+	if l.GetFragile() {
+		limit = limit.WithRejections(float64(l.GetRejections()))
 	}
-	return ratelimit.PerSecond(l.GetRate())
+	return limit
 }
 
 // NewLimitWord converts an observation of an endpoint's limit to its message, which holds the age of the
@@ -30,3 +36,8 @@
 	age := time.Duration(max(w.GetAgeMicros(), 0)) * time.Microsecond
 	return ratelimit.Observation{Limit: w.GetLimit().Limit(), At: now.Add(-age)}
 }
+
+// Load returns the sender's load at the endpoint. slots is the number of requests that the endpoint runs at once.
+func (w *LimitWord) Load(box string, slots int) ratelimit.Load {
+	return ratelimit.Load{Box: box, InFlight: int(w.GetInFlight()), Rejected: w.GetRejected(), Slots: slots}
+}
