--- a/engine/client.go
+++ b/engine/client.go
@@ -17,15 +17,16 @@
 
 // The headers that the protocol adds to those of the engines.
 const (
-	FenceHeader      = "Cairn-Fence"   // on orders: the fence of the order; on responses: the highest fence seen
-	BootHeader       = "Cairn-Boot"    // on responses: changes when the endpoint restarts without adapters
-	RequestIDHeader  = "X-Request-Id"  // identifies the execution, to cancel or resume it
-	KeyHeader        = "Cairn-Key"     // idempotency key of a request that must not be executed twice
-	ReasonHeader     = "Cairn-Reason"  // on error responses: the Code
-	EventsHeader     = "Cairn-Events"  // on a resumed stream: the number of its first event
-	LeavingHeader    = "Cairn-Leaving" // on responses: 1 while the endpoint drains
-	RateLimitHeader  = "Cairn-Limit"   // on responses to requests: requests per second that the endpoint accepts from all gateways together
-	maxResponseBytes = 1 << 20         // of a response to any call except a completion
+	FenceHeader      = "Cairn-Fence"      // on orders: the fence of the order; on responses: the highest fence seen
+	BootHeader       = "Cairn-Boot"       // on responses: changes when the endpoint restarts without adapters
+	RequestIDHeader  = "X-Request-Id"     // identifies the execution, to cancel or resume it
+	KeyHeader        = "Cairn-Key"        // idempotency key of a request that must not be executed twice
+	ReasonHeader     = "Cairn-Reason"     // on error responses: the Code
+	EventsHeader     = "Cairn-Events"     // on a resumed stream: the number of its first event
+	LeavingHeader    = "Cairn-Leaving"    // on responses: 1 while the endpoint drains
+	RateLimitHeader  = "Cairn-Limit"      // on responses to requests: requests per second that the endpoint accepts from all gateways together
+	RejectionsHeader = "Cairn-Rejections" // on responses: rejections per second that the endpoint survives
+	maxResponseBytes = 1 << 20            // of a response to any call except a completion
 )
 
 // Endpoint is the scheduler's interface to one model server. Every method
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -54,11 +54,14 @@
 // observeLimit records the rate limit in the headers of a response to a request sent under a grant.
 func (g *Gateway) observeLimit(held heldGrant, h http.Header, sentAt, now time.Time) {
 	limit, err := ratelimit.Parse(h.Values(engine.RateLimitHeader))
+	if err == nil {
+		limit, err = ratelimit.ParseRejections(limit, h.Values(engine.RejectionsHeader))
+	}
 	if err != nil {
 		g.Log.V(1).Info("Failed to parse the endpoint's rate limit; keeping the last known one", "endpoint", held.endpoint, "err", err.Error())
 		return
 	}
 	if g.limits.observe(held.endpoint, limit, held.grant.GetLimited(), sentAt, now) {
-		g.Log.V(1).Info("Endpoint's rate limit changed", "endpoint", held.endpoint, "named", limit.IsSet(), "a_second", limit.Rate())
+		g.Log.V(1).Info("Endpoint's rate limit changed", "endpoint", held.endpoint, "named", limit.HasRate(), "a_second", limit.Rate(), "fragile", limit.IsFragile(), "rejections", limit.Rejections())
 	}
 }
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -59,6 +59,7 @@
 	reportNeeded   bool                    // a report may show that slots are unused
 	leavingUntil   time.Time               // no new requests until then, because the endpoint announced that it is leaving
 	firstTokenAt   time.Time               // when the last first token was observed in this run of the engine
+	rejected       uint64                  // requests that the engine rejected because its queue was full
 	rateLimitTimer *time.Timer             // serves the queue when the rate limit allows one more request; nil: no limit, or none has to wait for it
 }
 
@@ -182,7 +183,7 @@
 // endpoint with a rate limit this is the concurrency that results from requests at that rate, so
 // that its adapters get further homes and requests prefer endpoints with more spare capacity.
 func (e *endpoint) maxConcurrencyLocked() int {
-	if !e.rateLimit.IsSet() {
+	if !e.rateLimit.HasRate() {
 		return e.spec.MaxRunning()
 	}
 	return min(int(math.Ceil(e.rateLimit.Rate()*e.serviceTime.Seconds())), e.spec.MaxRunning())
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -84,6 +84,9 @@
 		e.refuseWaitersLocked(wire.Reason_REASON_LEAVING)
 		s.updatePendingLoadsLocked(e, now)
 	}
+	if req.GetBusy() {
+		e.rejected++
+	}
 	g := e.removeGrantLocked(req.GetId())
 	if g == nil {
 		return // of an earlier ownership, or already released
--- a/scheduler/ratelimit.go
+++ b/scheduler/ratelimit.go
@@ -19,13 +19,14 @@
 	e.mu.Lock()
 	e.rateLimit = limit
 	e.mu.Unlock()
-	s.Log.Info("Endpoint's rate limit changed", "endpoint", e.name, "named", limit.IsSet(), "a_second", limit.Rate())
+	s.Log.Info("Endpoint's rate limit changed", "endpoint", e.name, "named", limit.HasRate(), "a_second", limit.Rate(), "fragile", limit.IsFragile(), "rejections", limit.Rejections())
 }
 
 // takeRateLimitLocked takes one request from an endpoint's rate limit. Each grant is for one request
 // sent. If the limit allows none now, a timer serves the queue when it does.
 func (s *Scheduler) takeRateLimitLocked(e *endpoint, now time.Time) bool {
-	permit := s.rateLimits.Take(e.name, ratelimit.Request{}, now) // the order of requests is decided in the queue here
+	load := ratelimit.Load{InFlight: e.running(), Rejected: e.rejected, Slots: e.spec.MaxRunning()}
+	permit := s.rateLimits.Take(e.name, ratelimit.Request{Load: load}, now) // the order of requests is decided in the queue here
 	if permit.OK {
 		return true
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -291,7 +291,7 @@
 	return e.announcesLeaving && !e.leaving.IsZero()
 }
 
-// withHeaders sets the fence, boot and leaving headers on every response.
+// withHeaders sets the fence, boot, leaving and rejections headers on every response.
 func (e *Engine) withHeaders(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
@@ -301,6 +301,9 @@
 		if e.Leaving() {
 			w.Header().Set(engine.LeavingHeader, "1")
 		}
+		if limit := e.RejectionLimit(); limit != "" {
+			w.Header().Set(engine.RejectionsHeader, limit)
+		}
 		next.ServeHTTP(w, r)
 	})
 }
