edge: endpoints that limit rejections are used while their leader does not answer

A leader that is replaced counts nothing for the lease and a quarter, and endpoints with limits get nothing meanwhile. With all endpoints of a service announcing one, a data centre would serve nothing for 3.75 s. A box whose leader has not answered now sends an endpoint as many requests as are its equal part of those that the endpoint runs at once, so all boxes together cause no rejection. Limits of requests are kept as before. By reading; not measured.

--- a/edge/limits.go
+++ b/edge/limits.go
@@ -70,11 +70,12 @@
 
 // endpointLoad is this box's load at an endpoint.
 type endpointLoad struct {
-	inFlight int           // including reserved ones
-	reserved int           // requests that may be sent but have not been yet
-	rejected uint64        // since the start
-	asking   chan struct{} // holds a token while the leader is asked, by one request at a time: it adds what it grants to the load that it is told
-	askers   int           // requests that ask or wait to ask
+	inFlight   int           // including reserved ones
+	reserved   int           // requests that may be sent but have not been yet
+	rejected   uint64        // since the start
+	asking     chan struct{} // holds a token while the leader is asked, by one request at a time: it adds what it grants to the load that it is told
+	askers     int           // requests that ask or wait to ask
+	aloneUntil time.Time     // until when the leader is not asked, since it did not answer
 }
 
 // isIdle reports whether there is nothing to remember.
@@ -336,11 +337,31 @@
 	if !s.startAsking(ctx, e.ID()) {
 		return forward.AcquireResult{Wait: noLeaderDenialTime}
 	}
-	result = s.ask(ctx, e, want)
+	if alone, ok := s.acquireAlone(e, clock.Now()); ok {
+		result = alone
+	} else {
+		result = s.ask(ctx, e, want)
+	}
 	s.stopAsking(e.ID(), result.OK)
 	return result
 }
 
+// acquireAlone decides on a request to an endpoint whose leader has just not answered: all boxes together send no more
+// than the endpoint runs at once, so that it rejects none. ok is false if the leader has to be asked.
+func (s *limits) acquireAlone(e *topology.Endpoint, now time.Time) (result forward.AcquireResult, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.loadLocked(e.ID())
+	if !now.Before(l.aloneUntil) || s.latestLocked(e.ID()).Limit.HasRate() {
+		return result, false
+	}
+	boxes := s.node.peers.budgetBoxes(now)
+	if boxes > 0 && l.inFlight < e.Slots()/boxes {
+		return forward.AcquireResult{OK: true}, true
+	}
+	return forward.AcquireResult{Wait: l.aloneUntil.Sub(now)}, true
+}
+
 // ask asks the leader for one request of an endpoint's limit, unless it has just denied such a request.
 func (s *limits) ask(ctx context.Context, e *topology.Endpoint, want ratelimit.Request) forward.AcquireResult {
 	now := clock.Now()
@@ -398,6 +419,9 @@
 	wait := time.Duration(a.GetWaitMicros()) * time.Microsecond
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !a.GetLeads() && sent.Limit.IsFragile() {
+		s.loadLocked(endpoint).aloneUntil = now.Add(noLeaderDenialTime)
+	}
 	k := s.known[endpoint]
 	if k == nil { // the endpoint was removed in the meantime, or has not answered yet
 		return forward.AcquireResult{OK: a.GetLeads() && (a.GetGranted() || !a.GetLimited()), Wait: wait}
@@ -405,6 +429,9 @@
 	switch {
 	case !a.GetLeads():
 		k.counts.Denied++
+		if k.latest.Limit.IsFragile() && !k.latest.Limit.HasRate() {
+			return forward.AcquireResult{Wait: noLeaderDenialTime} // the next request is decided without the leader
+		}
 		k.denied = denial{until: now.Add(noLeaderDenialTime), retryAt: now.Add(noLeaderDenialTime)}
 		return forward.AcquireResult{Wait: noLeaderDenialTime}
 	case !a.GetLimited():
