edge: tests of connections through other boxes; links are not probed while data comes

Tests: bytes unchanged both ways (3 MB), a reset connection never reads as complete, a closed one is closed at the endpoint, a box without room or without the endpoint declines.

--- /dev/null
+++ b/edge/tunnels_test.go
@@ -0,0 +1,128 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"cairnwick.example/forward"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// tunnelPair starts two boxes and an endpoint that handles each connection with serve.
+func tunnelPair(c *quicktest.C, serve func(net.Conn)) (asking, helping *Node, e *topology.Endpoint) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	c.Cleanup(func() { _ = l.Close() })
+	go func() { // ends when the listener is closed
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	asking = newNode(c, "box-1")
+	helping = newNode(c, "box-2", asking.Settings.Peers)
+	for _, n := range []*Node{asking, helping} {
+		n.Source, n.Decoder = modelSource{}, addressedDecoder{address: l.Addr().String()}
+		stop := start(n)
+		c.Cleanup(func() { c.Check(stop(), quicktest.IsNil) })
+	}
+	for string(variablesOf(c, asking)["edge_members"]) != `{"alive":2}` || helping.view.Endpoint("e/1") == nil {
+		time.Sleep(20 * time.Millisecond)
+	}
+	return asking, helping, helping.view.Endpoint("e/1")
+}
+
+func TestTunnelCarriesDataUnchangedInBothDirections(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	asking, helping, e := tunnelPair(c, func(conn net.Conn) {
+		defer conn.Close()
+		_, _ = io.CopyN(conn, conn, 3<<20)
+	})
+	conn, err := asking.relay.Dial(context.Background(), e)
+	c.Assert(err, quicktest.IsNil)
+	defer conn.Close()
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 3<<16)
+	written := make(chan error, 1)
+	go func() {
+		_, err := conn.Write(sent)
+		written <- err
+	}()
+	received, err := io.ReadAll(conn) // until the endpoint closes the connection
+	c.Assert(err, quicktest.IsNil)
+	c.Check(<-written, quicktest.IsNil)
+	c.Check(bytes.Equal(received, sent), quicktest.IsTrue)
+	for helping.tunnels.open.Load() > 0 {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// A response without a length ends with its connection: one that is reset must not look complete.
+func TestReadFromResetTunnelFails(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	asking, _, e := tunnelPair(c, func(conn net.Conn) {
+		_, _ = conn.Write([]byte("part"))
+		_, _ = conn.Read(make([]byte, 1)) // until the test has read the part
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	})
+	conn, err := asking.relay.Dial(context.Background(), e)
+	c.Assert(err, quicktest.IsNil)
+	defer conn.Close()
+	b := make([]byte, 4)
+	_, err = io.ReadFull(conn, b)
+	c.Assert(err, quicktest.IsNil)
+	_, err = conn.Write([]byte("x"))
+	c.Assert(err, quicktest.IsNil)
+	_, err = conn.Read(b)
+	c.Assert(err, quicktest.IsNotNil)
+	c.Check(errors.Is(err, io.EOF), quicktest.IsFalse)
+}
+
+func TestClosedTunnelClosesTheConnectionToTheEndpoint(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	closed := make(chan string, 1000) // what was read from a connection until it was closed; probes send nothing
+	asking, _, e := tunnelPair(c, func(conn net.Conn) {
+		read, _ := io.ReadAll(conn)
+		closed <- string(read)
+	})
+	conn, err := asking.relay.Dial(context.Background(), e)
+	c.Assert(err, quicktest.IsNil)
+	_, err = conn.Write([]byte("request"))
+	c.Assert(err, quicktest.IsNil)
+	time.Sleep(50 * time.Millisecond) // closing it cancels what has not been sent
+	c.Assert(conn.Close(), quicktest.IsNil)
+	for read := range closed {
+		if read == "request" {
+			break
+		}
+	}
+}
+
+// A box without room for more connections of others, or without the endpoint in its view, declines, so that another is asked.
+func TestBoxDeclinesTunnels(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	asking, helping, e := tunnelPair(c, func(conn net.Conn) { _ = conn.Close() })
+	unknown := topology.NewEndpoint(topology.EndpointSpec{ID: "e/9", Service: "llm", Address: e.Address(), DataCentre: "dc"})
+	_, err := asking.relay.Dial(context.Background(), unknown)
+	c.Check(errors.Is(err, forward.ErrNoRelay), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	time.Sleep(declinedTime)
+	helping.tunnels.open.Add(helping.tunnels.most)
+	_, err = asking.relay.Dial(context.Background(), e)
+	c.Check(errors.Is(err, forward.ErrNoRelay), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	helping.tunnels.open.Add(-helping.tunnels.most)
+}
--- a/forward/links.go
+++ b/forward/links.go
@@ -293,8 +293,10 @@
 }
 
 // SuspectLinks has this box check whether it can open connections to the endpoints of a service. It is called when a call
-// to one of them got no response.
-func (g *Gateway) SuspectLinks(e *topology.Endpoint) { g.links.recordSilence(e.Service(), clock.Now()) }
+// to one of them got no response. If other data came from them lately, the links work.
+func (g *Gateway) SuspectLinks(e *topology.Endpoint) {
+	g.links.recordSilence(e.Service(), clock.Now().Add(-silenceTimeout))
+}
 
 // probeLinks probes the endpoints of services from which this box may be cut off, until ctx ends.
 func (g *Gateway) probeLinks(ctx context.Context) error {
