edge, member: a box that was cut off ranks as the youngest; connections through a box that shuts down go on

And a box that announced its shutdown ended the connections that it carried for others at once, with the requests on them; now it only gets no new ones, and ends after them.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -131,7 +131,7 @@
 	return c, nil
 }
 
-// openTunnel opens a tunnel and waits until the box has connected to the endpoint. The tunnel ends when the box no longer serves.
+// openTunnel opens a tunnel and waits until the box has connected to the endpoint. The tunnel ends when the box is dead.
 func (r *relay) openTunnel(ctx context.Context, m member.Member, e *topology.Endpoint) (wire.Share_TunnelClient, context.CancelFunc, error) {
 	inner, cancel := context.WithCancel(context.Background()) // outlives the dial
 	unconnected := context.AfterFunc(ctx, cancel)
@@ -150,10 +150,27 @@
 		cancel()
 		return nil, nil, err
 	}
-	go r.node.peers.cancelWhenNotServing(inner, cancel, m.Name())
+	go r.cancelWhenDead(inner, cancel, m.Name())
 	return stream, cancel, nil
 }
 
+// cancelWhenDead cancels a tunnel as soon as its box is considered dead. One that shuts down still carries the data of
+// requests in flight.
+func (r *relay) cancelWhenDead(ctx context.Context, cancel context.CancelFunc, box string) {
+	table := r.node.peers.table
+	for ctx.Err() == nil {
+		changed := table.Changed()
+		if m, known := table.Find(box); !known || m.State() == member.Dead {
+			cancel()
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
 // count changes the number of connections through a box.
 func (r *relay) count(box string, by int) {
 	r.mu.Lock()
@@ -259,15 +276,8 @@
 	return out, err
 }
 
-// reportLinks publishes whether this box is cut off from endpoints that other boxes reach. If it leads a data centre, another
-// box takes over, and this one ranks as the youngest.
+// reportLinks publishes whether this box is cut off from endpoints that other boxes reach.
 func (n *Node) reportLinks(cutOff bool) {
-	led := false
-	v := n.peers.clusterView()
-	for c := range v.leaders {
-		m, ok := v.commander(c)
-		led = led || (ok && m.Name() == n.peers.box)
-	}
-	n.peers.table.SetCutOff(cutOff, cutOff && led, time.Now())
+	n.peers.table.SetCutOff(cutOff, time.Now())
 	n.peers.loop.NotifyNeighbours()
 }
--- a/edge/tunnels_test.go
+++ b/edge/tunnels_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cairnwick.example/forward"
+	"cairnwick.example/member"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -112,6 +113,26 @@
 	}
 }
 
+func TestTunnelWorksWhileItsBoxShutsDown(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	asking, helping, e := tunnelPair(c, func(conn net.Conn) { _, _ = io.Copy(conn, conn) })
+	conn, err := asking.relay.Dial(context.Background(), e)
+	c.Assert(err, quicktest.IsNil)
+	defer conn.Close()
+	helping.peers.table.Leave()
+	helping.peers.loop.NotifyNeighbours()
+	for m, _ := asking.peers.table.Find("box-2"); m.State() != member.Leaving; m, _ = asking.peers.table.Find("box-2") {
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, err = conn.Write([]byte("echo"))
+	c.Assert(err, quicktest.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, 4))
+	c.Check(err, quicktest.IsNil)
+	_, err = asking.relay.Dial(context.Background(), e) // new ones go elsewhere
+	c.Check(errors.Is(err, forward.ErrNoRelay), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
+
 // A box without room for more connections of others, or without the endpoint in its view, declines, so that another is asked.
 func TestBoxDeclinesTunnels(t *testing.T) {
 	t.Parallel()
--- a/member/table.go
+++ b/member/table.go
@@ -121,9 +121,9 @@
 }
 
 // SetCutOff sets whether this daemon can open no connections to the endpoints, though others can. The incarnation rises,
-// so that the entry supersedes the previous one; with reset it is taken from the clock, and the daemon ranks as the
-// youngest member: another one has taken over its work.
-func (t *Table) SetCutOff(cutOff, reset bool, now time.Time) {
+// so that the entry supersedes the previous one. A daemon that is cut off takes it from the clock and so ranks as the
+// youngest member: others take over its work, and keep it.
+func (t *Table) SetCutOff(cutOff bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.self.cutOff == cutOff {
@@ -131,7 +131,7 @@
 	}
 	t.self.cutOff = cutOff
 	t.self.incarnation++
-	if reset {
+	if cutOff {
 		t.self.incarnation = max(t.self.incarnation, uint64(max(now.UnixMicro(), 0)))
 	}
 	t.changedLocked(t.self.name)
