--- a/forward/links.go
+++ b/forward/links.go
@@ -70,7 +70,7 @@
 )
 
 // recordConnect records whether a connection to an endpoint of a service with that many endpoints could be opened.
-func (l *links) recordConnect(service, endpoint string, endpoints int, opened bool, now time.Time) linkChange {
+func (l *links) recordConnect(service, endpoint string, endpoints int, opened bool) linkChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.serviceLocked(service)
@@ -274,7 +274,7 @@
 // before it found out that it is cut off from them is forgotten: the cause was its own link.
 func (g *Gateway) recordConnect(e *topology.Endpoint, err error) {
 	service := e.Service()
-	switch g.links.recordConnect(service, e.ID(), len(g.View.Endpoints(service)), err == nil, clock.Now()) {
+	switch g.links.recordConnect(service, e.ID(), len(g.View.Endpoints(service)), err == nil) {
 	case linkLost:
 		g.Log.Info("No connection to the service's endpoints can be opened", "service", service, "endpoint", e.ID(), "err", err.Error())
 		g.upstreams.forgiveFailures(service)
