edge: endpoints that limit rejections are used while the leader changes

Rejections are bounded by what is heard of them, so a new leader counts them at once; and without any leader each box may send one request, and pauses for a second after a rejection, if the endpoint survives twice as many rejections as there are boxes.

--- a/edge/limit_loads.go
+++ b/edge/limit_loads.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
@@ -17,6 +18,7 @@
 	inFlight   int           // including reserved ones
 	reserved   int           // requests that may be sent but have not been yet
 	rejected   uint64        // since the start
+	rejectedAt time.Time     // of the last one
 	asking     chan struct{} // holds a token while the leader is asked, by one request at a time: it adds what it grants to the load that it is told
 	askers     int           // requests that ask or wait to ask
 	aloneUntil time.Time     // until when the leader is not asked, since it did not answer
@@ -74,7 +76,9 @@
 func (s *limits) RequestRejected(endpoint string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.loadLocked(endpoint).rejected++
+	l := s.loadLocked(endpoint)
+	l.rejected++
+	l.rejectedAt = clock.Now()
 	if k := s.known[endpoint]; k != nil && k.latest.Limit.IsFragile() {
 		k.unreported = true
 		s.wakeUp()
@@ -149,17 +153,27 @@
 	}
 }
 
+// rejectionPause is how long a box that asks no leader sends nothing to an endpoint that has rejected its request.
+const rejectionPause = time.Second
+
 // acquireAlone decides on a request to an endpoint whose leader has just not answered: all boxes together send no more
-// than the endpoint runs at once, so that it rejects none. ok is false if the leader has to be asked.
+// than the endpoint runs at once, or one request each if it survives twice as many rejections. ok is false if the leader
+// has to be asked.
 func (s *limits) acquireAlone(e *topology.Endpoint, now time.Time) (result forward.AcquireResult, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := s.loadLocked(e.ID())
-	if !now.Before(l.aloneUntil) || s.latestLocked(e.ID()).Limit.HasRate() {
+	l, limit := s.loadLocked(e.ID()), s.latestLocked(e.ID()).Limit
+	if !now.Before(l.aloneUntil) || limit.HasRate() {
 		return result, false
 	}
-	boxes := s.node.peers.budgetBoxes(now)
-	if boxes > 0 && l.inFlight < e.Slots()/boxes {
+	share := 0
+	if boxes := s.node.peers.budgetBoxes(now); boxes > 0 {
+		share = e.Slots() / boxes
+		if 2*boxes <= limit.Rejections() {
+			share = max(share, 1)
+		}
+	}
+	if l.inFlight < share && now.Sub(l.rejectedAt) >= rejectionPause {
 		return forward.AcquireResult{OK: true}, true
 	}
 	return forward.AcquireResult{Wait: l.aloneUntil.Sub(now)}, true
--- a/edge/limits_leader.go
+++ b/edge/limits_leader.go
@@ -14,7 +14,7 @@
 // handleTake answers a box that asks to send a request to a rate-limited endpoint.
 func (s *limits) handleTake(q *wire.TakeRequest, now time.Time) *wire.TakeReply {
 	id := q.GetWord().GetEndpoint()
-	if !s.leads(id, now) {
+	if !s.leads(q.GetWord(), now) {
 		return &wire.TakeReply{}
 	}
 	s.receive(q.GetWord(), now)
@@ -36,13 +36,17 @@
 }
 
 // leads reports whether this box enforces the limit of an endpoint: it owns the endpoint, and its ownership has
-// begun.
-func (s *limits) leads(endpoint string, now time.Time) bool {
-	e := s.node.view.Endpoint(endpoint)
+// begun. A limit of rejections alone is enforced at once: a previous leader that still counts can't cause more
+// rejections than this one hears of.
+func (s *limits) leads(w *wire.LimitWord, now time.Time) bool {
+	e := s.node.view.Endpoint(w.GetEndpoint())
 	if e == nil {
 		return false
 	}
 	leads, from := s.node.owns(e, now)
+	if l := w.GetLimit().Limit(); l.IsFragile() && !l.HasRate() && !s.hasRate(e.ID()) {
+		return leads
+	}
 	return leads && !now.Before(from)
 }
 
--- a/edge/limits_notify.go
+++ b/edge/limits_notify.go
@@ -151,7 +151,7 @@
 	words := q.GetWords()
 	a := &wire.LimitsReply{Leads: len(words) <= maxReportedLimits}
 	for _, w := range words[:min(len(words), maxReportedLimits)] {
-		if !s.leads(w.GetEndpoint(), now) {
+		if !s.leads(w, now) {
 			a.Leads = false
 			continue
 		}
--- a/edge/limits_notify_test.go
+++ b/edge/limits_notify_test.go
@@ -25,7 +25,7 @@
 		n.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "s", DataCentre: "dc"}))
 		ids = append(ids, id)
 	}
-	for tries := 0; !n.limits.leads(ids[0], clock.Now()); tries++ {
+	for tries := 0; !n.limits.leads(&wire.LimitWord{Endpoint: ids[0]}, clock.Now()); tries++ {
 		c.Assert(tries < 1000, quicktest.IsTrue)
 		time.Sleep(10 * time.Millisecond)
 	}
