forward: what no box can send is refused at once

Found by reading: a cut-off box to which no other box opened connections tried each endpoint again by its own link, up to twelve at 0.3 s each, before it refused. It is known that these do not accept: probes look each 0.25 s. The endpoints that have not failed yet are still tried.

--- a/forward/links.go
+++ b/forward/links.go
@@ -162,6 +162,14 @@
 	return s != nil && s.cutOff
 }
 
+// hasFailed reports whether an endpoint accepted no connection since the last one of its service that did.
+func (l *links) hasFailed(e *topology.Endpoint) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.services[e.Service()]
+	return s != nil && s.failed[e.ID()]
+}
+
 // onLost has f called when this box becomes cut off from a service, until remove is called. f must not block.
 func (l *links) onLost(service string, f func()) (remove func()) {
 	l.mu.Lock()
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -55,7 +55,7 @@
 		return nil, true, err
 	}
 	resp, err = engine.Send(u.relayClient(), r, time.Time{})
-	if err != nil && errors.Is(err, ErrNoRelay) {
+	if errors.Is(err, ErrNoRelay) && !g.links.hasFailed(u.endpoint) { // those that have failed are probed
 		resp, err = g.sendDirect(ctx, q, u, t, lastEvent)
 		return resp, false, err
 	}
