--- a/edge/limits.go
+++ b/edge/limits.go
@@ -41,12 +41,12 @@
 	limitChangeRatio = 0.25
 )
 
-// limits enforces the rate limits that endpoints announce for all boxes together. The leader of an endpoint's data
-// centre counts the requests to it; the other boxes report announcements to the leader, ask it before each send, and
-// learn from a published fact which endpoints are limited.
+// limits enforces the limits of requests and of rejections that endpoints announce for all boxes together. The box that
+// commands an endpoint, below its leader, counts the requests to it; the other boxes report announcements and loads to the
+// leader, ask it before each send, and learn from a published fact which endpoints are limited.
 type limits struct {
 	node    *Node
-	counter ratelimit.Limiter // for endpoints in the data centres that this box leads
+	counter ratelimit.Limiter // for endpoints that this box commands
 	wake    chan struct{}     // signals that a limit has to be reported
 
 	mu                 sync.Mutex
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -82,8 +82,8 @@
 	commandsFrom time.Time // when it may issue commands
 }
 
-// leads reports whether this box leads a data centre, and from when on it may issue commands to the endpoints
-// there. A new leader waits until the lease of the previous one has expired, unless that one no longer serves.
+// leads reports whether this box commands the endpoints of a data centre, and from when on. A new commander waits until
+// the lease of the previous one has expired, unless that one no longer serves or is cut off from them.
 func (p *peers) leads(centre string, lease time.Duration, now time.Time) (bool, time.Time) {
 	m, ok := p.clusterView().commander(centre)
 	if !ok {
