ratelimit: rejections are bounded while two boxes count, and messages in what they name

Found by reading. While views differ or the network is partitioned two boxes may count for one endpoint, each for those that ask it: with three fifths of its limit each they could bring it down. Each risks 0.45 of it now (TestEndpointSurvivesTwoCounters). With few rejections to spare, room is tried less often. A message could name any number of requests in flight, any number of rejections and any box, each of which cost memory and time: 4,096 are counted (TestLoadsOfAnySizeAreBounded).

--- a/edge/limit_loads.go
+++ b/edge/limit_loads.go
@@ -19,7 +19,7 @@
 	reserved   int           // requests that may be sent but have not been yet
 	rejected   uint64        // since the start
 	rejectedAt time.Time     // of the last one
-	asking     chan struct{} // holds a token while the leader is asked, by one request at a time: it adds what it grants to the load that it is told
+	asking     chan struct{} // holds a token while the leader is asked, by one request at a time: it adds what it grants to the load in the question
 	askers     int           // requests that ask or wait to ask
 	aloneUntil time.Time     // until when the leader is not asked, since it did not answer
 }
--- a/edge/limits_leader.go
+++ b/edge/limits_leader.go
@@ -36,8 +36,7 @@
 }
 
 // leads reports whether this box enforces the limit of an endpoint: it owns the endpoint, and its ownership has
-// begun. A limit of rejections alone is enforced at once: a previous leader that still counts can't cause more
-// rejections than this one hears of.
+// begun. A limit of rejections alone is enforced at once: each of two boxes that count grants less than half of it.
 func (s *limits) leads(w *wire.LimitWord, now time.Time) bool {
 	e := s.node.view.Endpoint(w.GetEndpoint())
 	if e == nil {
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -104,7 +104,7 @@
 	case e.rejections == nil:
 		e.rejections = newRejectionGuard(l.Rejections(), now)
 	default:
-		e.rejections.limit = l.Rejections()
+		e.rejections.limit = min(l.Rejections(), maxCounted)
 	}
 	if !e.observed.Limit.HasRate() {
 		e.bucket = nil
--- a/ratelimit/rejections.go
+++ b/ratelimit/rejections.go
@@ -9,14 +9,25 @@
 const (
 	// rejectionWindow is the time over which an endpoint counts its rejections, and some more for messages on their way.
 	rejectionWindow = 1100 * time.Millisecond
-	// rejectionShare is the part of the endpoint's limit that is used: some rejections are not reported in time.
-	rejectionShare = 0.6
+	// rejectionShare is the part of the endpoint's limit that is used. It is below a half, since two boxes may count for
+	// the endpoint while views differ or the network is partitioned, each with the boxes that ask it.
+	rejectionShare = 0.45
+	// safeReportTime is how long after a grant its rejection is usually unknown here: a few messages between boxes.
+	safeReportTime = 20 * time.Millisecond
+	// minSafeBudget is what safe requests may risk where the budget is less: an endpoint that survives three rejections would
+	// otherwise get nothing for a second after each.
+	minSafeBudget = 2
+	// maxCounted bounds what is counted of one endpoint: rejections and requests in flight of a box, and boxes. It is more
+	// than any endpoint has, and messages may name any number.
+	maxCounted = 4096
 	// rejectionReportTime is how long after a grant its rejection may still be unknown here.
 	rejectionReportTime = 100 * time.Millisecond
 	// roomGrowthInterval is how long an endpoint that is full must have rejected nothing before one more request in
-	// roomGrowthDivisor is tried there.
-	roomGrowthInterval = time.Second
-	roomGrowthDivisor  = 32
+	// roomGrowthDivisor is tried there, a rejection at a time of those that are risked. The longer interval is for endpoints
+	// with a budget of one, which get nothing for rejectionWindow after a trial that fails.
+	roomGrowthInterval    = time.Second
+	maxRoomGrowthInterval = 8 * time.Second
+	roomGrowthDivisor     = 32
 	// rankReserveDivisor: each rank leaves this part of the room to more urgent requests, up to half of it.
 	rankReserveDivisor = 16
 	// safeRoomShare is the part of the room in which requests are not expected to be rejected after a rejection.
@@ -42,7 +53,7 @@
 type rejectionGuard struct {
 	limit      int // rejections per second that the endpoint survives
 	boxes      map[string]boxLoad
-	grants     []trial     // of requests that may still turn out to be rejected; oldest first
+	grants     []trial     // whose rejection would not be known yet; oldest first
 	rejections []time.Time // within rejectionWindow; oldest first
 	completed  []time.Time // within completionWindow; oldest first
 	room       int         // requests in flight that fit; zero: not known
@@ -54,7 +65,8 @@
 // trial is the grant of a request that may be rejected.
 type trial struct {
 	at       time.Time
-	inFlight int // with the request; zero: a request has been rejected since
+	inFlight int  // with the request; zero: a request has been rejected since
+	safe     bool // it was not expected to be rejected
 }
 
 // boxLoad is the last reported load of a box, with the grants since.
@@ -67,16 +79,19 @@
 // newRejectionGuard returns a guard that assumes that half of the rejections that are allowed have just happened: the
 // previous guard may have granted the requests.
 func newRejectionGuard(limit int, now time.Time) *rejectionGuard {
-	g := &rejectionGuard{limit: limit, boxes: make(map[string]boxLoad)}
-	for range g.budget() / 2 {
-		g.rejections = append(g.rejections, now)
-	}
+	g := &rejectionGuard{limit: min(limit, maxCounted), boxes: make(map[string]boxLoad)}
+	g.rejections = appendTimes(nil, g.budget()/2, now)
 	return g
 }
 
 // budget returns how many rejections are risked within rejectionWindow. Without any risk no request could be sent.
 func (g *rejectionGuard) budget() int { return max(int(rejectionShare*float64(g.limit)), 1) }
 
+// growthInterval returns the time without rejections after which the room grows.
+func (g *rejectionGuard) growthInterval() time.Duration {
+	return max(maxRoomGrowthInterval/time.Duration(g.budget()), roomGrowthInterval)
+}
+
 // report applies the load of a box.
 func (g *rejectionGuard) report(l Load, now time.Time) {
 	g.expire(now)
@@ -84,14 +99,15 @@
 		g.slots = l.Slots
 	}
 	before, known := g.boxes[l.Box]
-	inFlight := max(l.InFlight, 0)
+	if !known && len(g.boxes) >= maxCounted {
+		return
+	}
+	inFlight := min(max(l.InFlight, 0), maxCounted)
 	rejected := 0
 	if known && l.Rejected > before.rejected {
-		rejected = int(min(l.Rejected-before.rejected, maxRate))
-	}
-	for range max(before.inFlight-inFlight-rejected, 0) {
-		g.completed = append(g.completed, now)
+		rejected = int(min(l.Rejected-before.rejected, maxCounted))
 	}
+	g.completed = appendTimes(g.completed, max(before.inFlight-inFlight-rejected, 0), now)
 	g.boxes[l.Box] = boxLoad{inFlight: inFlight, rejected: l.Rejected, at: now}
 	if rejected > 0 {
 		g.reject(rejected, now)
@@ -100,9 +116,7 @@
 
 // reject records rejections. What is in flight then is what fits, but a few rejections with slots left have another reason.
 func (g *rejectionGuard) reject(count int, now time.Time) {
-	for range min(count, g.limit+1) {
-		g.rejections = append(g.rejections, now)
-	}
+	g.rejections = appendTimes(g.rejections, min(count, g.limit+1), now)
 	fits := max(g.inFlight(), g.slots/2, 1)
 	if g.room == 0 || fits < g.room {
 		g.room = fits
@@ -129,11 +143,7 @@
 	if left := g.allowed(a, inFlight, now) - inFlight; left <= 0 {
 		return time.Duration(1-left) * g.interval(now)
 	}
-	risked, budget := len(g.rejections)+len(g.grants), g.budget()
-	if g.isSafe(inFlight) {
-		risked, budget = len(g.rejections), max(budget, min(g.limit-1, 2))
-	}
-	if risked < budget {
+	if g.mayRisk(g.isSafe(inFlight), now) {
 		return 0
 	}
 	next := now.Add(rejectionWindow)
@@ -148,10 +158,25 @@
 	return max(next.Sub(now), time.Millisecond)
 }
 
-// isSafe reports whether a request is not expected to be rejected: the endpoint has many free slots and rejects nothing, or
-// it has accepted as many requests.
+// mayRisk reports whether one more request may be granted that is safe or not. Safe ones may be rejected too if the room has
+// just shrunk: those of a moment, together with the rejections, stay below what the endpoint survives.
+func (g *rejectionGuard) mayRisk(safe bool, now time.Time) bool {
+	risked, budget := len(g.rejections), g.budget()
+	if safe {
+		budget = max(min(g.limit-1, minSafeBudget), budget)
+	}
+	for _, t := range g.grants {
+		if !t.safe || (safe && now.Sub(t.at) < safeReportTime) {
+			risked++
+		}
+	}
+	return risked < budget
+}
+
+// isSafe reports whether a request is not expected to be rejected: the endpoint has many free slots, or it has accepted as
+// many requests.
 func (g *rejectionGuard) isSafe(inFlight int) bool {
-	return (inFlight < g.slots/2 && len(g.rejections) == 0) || inFlight < g.proven
+	return inFlight < max(g.slots/2, g.proven)
 }
 
 // allowed returns how many requests may be in flight for the request to be granted; the room grows while it is exhausted
@@ -160,7 +185,7 @@
 	if g.room == 0 {
 		return inFlight + 1
 	}
-	if inFlight >= g.room && now.Sub(g.roomSet) >= roomGrowthInterval {
+	if inFlight >= g.room && now.Sub(g.roomSet) >= g.growthInterval() {
 		g.room += max(g.room/roomGrowthDivisor, 1)
 		g.roomSet = now
 	}
@@ -174,9 +199,8 @@
 // grant records that a request is sent.
 func (g *rejectionGuard) grant(a Request, now time.Time) {
 	b := g.boxes[a.Box]
-	if inFlight := g.inFlight(); !g.isSafe(inFlight) {
-		g.grants = append(g.grants, trial{at: now, inFlight: inFlight + 1})
-	}
+	inFlight := g.inFlight()
+	g.grants = append(g.grants, trial{at: now, inFlight: inFlight + 1, safe: g.isSafe(inFlight)})
 	b.inFlight++
 	b.at = now
 	g.boxes[a.Box] = b
@@ -204,6 +228,14 @@
 	}
 }
 
+// appendTimes appends a time count times, up to a length of maxCounted.
+func appendTimes(list []time.Time, count int, t time.Time) []time.Time {
+	for range min(count, maxCounted-len(list)) {
+		list = append(list, t)
+	}
+	return list
+}
+
 // dropBefore removes the times before a limit; they are in order.
 func dropBefore(list []time.Time, limit time.Time) []time.Time {
 	first := 0
--- a/ratelimit/rejections_test.go
+++ b/ratelimit/rejections_test.go
@@ -91,6 +91,50 @@
 	}
 }
 
+// Two boxes may count for an endpoint at the same time, each for the boxes that ask it.
+func TestEndpointSurvivesTwoCounters(t *testing.T) {
+	c := quicktest.New(t)
+	r := rand.New(rand.NewPCG(7, 2))
+	e := &fragileEndpoint{slots: 8, queue: 8, survives: 16}
+	counters := []*Limiter{new(Limiter), new(Limiter)}
+	boxes := []*simulatedBox{{name: "a"}, {name: "b"}}
+	for _, l := range counters {
+		l.Observe("e", Observation{Limit: Limit{}.WithRejections(16), At: start}, start)
+	}
+	for now := start; now.Before(at(30 * time.Second)); now = now.Add(time.Duration(r.ExpFloat64() * float64(time.Millisecond))) {
+		if now.After(at(10 * time.Second)) {
+			e.queue = 0
+		}
+		i := r.IntN(2)
+		l, b := counters[i], boxes[i]
+		if !l.Take("e", Request{Load: b.load(now, e.slots)}, now).OK {
+			continue
+		}
+		if e.arrive(now, 100*time.Millisecond) {
+			b.ends = append(b.ends, now.Add(100*time.Millisecond))
+		} else {
+			b.rejected++
+		}
+		l.Report("e", b.load(now, e.slots), now)
+	}
+	c.Check(e.crashed, quicktest.IsFalse)
+}
+
+// A message may name any number and any box.
+func TestLoadsOfAnySizeAreBounded(t *testing.T) {
+	c := quicktest.New(t)
+	l := new(Limiter)
+	l.Observe("e", Observation{Limit: Limit{}.WithRejections(1e6), At: start}, start)
+	for i := range 2 * maxCounted {
+		l.Report("e", Load{Box: fmt.Sprint(i), InFlight: math.MaxInt32, Rejected: 1}, start)
+		l.Report("e", Load{Box: fmt.Sprint(i), Rejected: math.MaxUint64}, start)
+	}
+	g := l.endpoints["e"].rejections
+	c.Check(len(g.boxes) <= maxCounted, quicktest.IsTrue)
+	c.Check(len(g.rejections) <= 2*maxCounted, quicktest.IsTrue, quicktest.Commentf("%d", len(g.rejections)))
+	c.Check(len(g.completed) <= maxCounted, quicktest.IsTrue, quicktest.Commentf("%d", len(g.completed)))
+}
+
 // More urgent requests find room while less urgent ones fill the endpoint.
 func TestRoomIsReservedForMoreUrgentRequests(t *testing.T) {
 	c := quicktest.New(t)
