forward: what a cut-off box goes through is not reported of the endpoints

member: an entry that a member of an older version passed on, without the field, ended a cut-off; two entries that differ in nothing else now keep it (TestEntryWithoutTheFieldDoesNotEndACutOff).

--- a/access/account.go
+++ b/access/account.go
@@ -55,7 +55,7 @@
 	a.randomised = a.randomised && paid <= 0
 }
 
-// Forgive writes off debt while no pool answers, one credit limit per window. This lets the box serve
+// Forgive writes off the overdraft while no pool answers, one credit limit per window. This lets the box serve
 // within the overshoot that the operator allows, and no further.
 func (a *Account) Forgive(creditLimit float64, window time.Duration, now time.Time) {
 	if !a.forgivenAt.IsZero() && window > 0 && a.owed > 0 {
--- a/access/quota.go
+++ b/access/quota.go
@@ -79,7 +79,7 @@
 }
 
 // The permitted excess over a quota is divided between callers and the inaccuracy of the distributed count.
-// An account can spend up to three times its credit limit in a window: the debt at its end, the units drawn
+// An account can spend up to three times its credit limit in a window: the overdraft at its end, the units drawn
 // ahead at its start, and those forgiven without a leader. The unassigned remainder covers leader changes
 // and requests that are larger than a pool.
 const (
--- a/edge/limit_loads.go
+++ b/edge/limit_loads.go
@@ -110,8 +110,8 @@
 	}
 }
 
-// wordLocked returns the message with an observed limit of an endpoint and this box's load there.
-func (s *limits) wordLocked(endpoint string, w ratelimit.Observation, now time.Time) *wire.LimitWord {
+// loadReportLocked returns the message with an observed limit of an endpoint and this box's load there.
+func (s *limits) loadReportLocked(endpoint string, w ratelimit.Observation, now time.Time) *wire.LimitWord {
 	m := wire.NewLimitWord(endpoint, w, now)
 	if l := s.loads[endpoint]; l != nil {
 		m.InFlight, m.Rejected = int32(l.inFlight), l.rejected
--- a/edge/limits.go
+++ b/edge/limits.go
@@ -214,13 +214,13 @@
 // ask asks the leader for one request of an endpoint's limit, unless it has just denied such a request.
 func (s *limits) ask(ctx context.Context, e *topology.Endpoint, want ratelimit.Request) forward.AcquireResult {
 	now := clock.Now()
-	latest, word, wait := s.cached(e.ID(), want, now)
+	latest, report, wait := s.cached(e.ID(), want, now)
 	if wait > 0 {
 		return forward.AcquireResult{Wait: wait}
 	}
 	q := &wire.TakeRequest{
 		Box:            s.node.peers.box,
-		Word:           word,
+		Word:           report,
 		Rank:           int32(want.Rank),
 		PatienceMicros: want.MaxWait.Microseconds(),
 		Spare:          want.SpareOnly,
@@ -231,16 +231,16 @@
 
 // cached returns the latest known limit of an endpoint, the message with it and, if an earlier denial applies to the
 // request, how long it has to wait. If that is zero the leader has to be asked.
-func (s *limits) cached(endpoint string, want ratelimit.Request, now time.Time) (latest ratelimit.Observation, word *wire.LimitWord, wait time.Duration) {
+func (s *limits) cached(endpoint string, want ratelimit.Request, now time.Time) (latest ratelimit.Observation, report *wire.LimitWord, wait time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	latest = s.latestLocked(endpoint)
-	word = s.wordLocked(endpoint, latest, now)
+	report = s.loadReportLocked(endpoint, latest, now)
 	if k := s.known[endpoint]; k != nil && now.Before(k.denied.until) && !want.Before(k.denied.ask) {
 		k.counts.Denied++
-		return latest, word, max(k.denied.retryAt.Sub(now), time.Millisecond)
+		return latest, report, max(k.denied.retryAt.Sub(now), time.Millisecond)
 	}
-	return latest, word, 0
+	return latest, report, 0
 }
 
 // askLeader asks the leader of a data centre. If there is none or it does not answer, Leads is false in the reply.
--- a/edge/limits_notify.go
+++ b/edge/limits_notify.go
@@ -92,7 +92,7 @@
 	for ids := range slices.Chunk(slices.Collect(maps.Keys(u.limits)), maxReportedLimits) {
 		now := clock.Now()
 		q := &wire.LimitsRequest{Box: s.node.peers.box}
-		q.Words = s.words(ids, u.limits, now)
+		q.Words = s.loadReports(ids, u.limits, now)
 		if !s.sendReport(ctx, u.leader, q, now).GetLeads() {
 			accepted = false
 			s.markUnreported(ids)
@@ -101,8 +101,8 @@
 	return accepted
 }
 
-// words returns the messages about endpoints, and notes that their loads are being reported.
-func (s *limits) words(ids []string, observed map[string]ratelimit.Observation, now time.Time) []*wire.LimitWord {
+// loadReports returns the messages about endpoints, and notes that their loads are being reported.
+func (s *limits) loadReports(ids []string, observed map[string]ratelimit.Observation, now time.Time) []*wire.LimitWord {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []*wire.LimitWord
@@ -110,7 +110,7 @@
 		if k := s.known[id]; k != nil {
 			k.unreported = false // a change after this is reported again
 		}
-		w := s.wordLocked(id, observed[id], now)
+		w := s.loadReportLocked(id, observed[id], now)
 		if l := s.loads[id]; l != nil {
 			w.InFlight += int32(len(l.asking)) // it may have been granted
 		}
--- a/forward/dispatch.go
+++ b/forward/dispatch.go
@@ -57,15 +57,25 @@
 	d.request.firstTokenAt = now
 	d.upstream.promptRead(d.request.call.PromptTokens)
 	if d.run != nil {
+		if d.linkFailed() {
+			d.run.PromptRead(0, 0)
+			return
+		}
 		d.run.PromptRead(d.aheadTokens, now.Sub(d.sentAt))
 		d.gateway.observeFirstToken(d.unreadTokens, now.Sub(d.sentAt))
 	}
 }
 
-// recordFailure records that the endpoint failed the request. An adapter that is not loaded, a caller that has gone
-// and a deadline that has passed say nothing of the endpoint's state.
+// linkFailed reports whether this box was cut off from the endpoint's service at some time since the request was sent, so
+// that its failure or its time says nothing of the endpoint.
+func (d *dispatch) linkFailed() bool {
+	return d.gateway.links.wasCutOffSince(d.upstream.endpoint.Service(), d.sentAt)
+}
+
+// recordFailure records that the endpoint failed the request. An adapter that is not loaded, a caller that has gone,
+// a deadline that has passed and a link that has failed say nothing of the endpoint's state.
 func (d *dispatch) recordFailure(ctx context.Context, f *Refusal) {
-	if d.run != nil && ctx.Err() == nil && f.Code != CodeNotLoaded && f.Code != CodeCallerGone {
+	if d.run != nil && ctx.Err() == nil && !d.linkFailed() && f.Code != CodeNotLoaded && f.Code != CodeCallerGone {
 		d.run.Failed()
 	}
 }
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -161,5 +161,5 @@
 			retryAfter = n.wait
 		}
 	}
-	return &Refusal{Code: CodeEndpointLimit, RetryAfter: retryAfter, Detail: "the endpoints that could serve the request have reached their rate limits"}
+	return &Refusal{Code: CodeEndpointLimit, RetryAfter: retryAfter, Detail: "the endpoints that could serve the request have reached their limits"}
 }
--- a/forward/links.go
+++ b/forward/links.go
@@ -36,6 +36,7 @@
 	failed        map[string]bool // endpoints that accepted no connection since the last one of the service that did
 	suspected     bool            // a round of probes is due
 	cutOff        bool            // minFailedEndpoints have failed
+	cutOffUntil   time.Time       // end of the last time that cutOff was set; zero: there was none
 	confirmed     bool            // cutOff, and another box has connected to an endpoint of the service since
 	onLost        map[int]func()  // called when cutOff becomes true, under the lock of links
 	nextOnLost    int             // key of the next entry of onLost
@@ -70,7 +71,7 @@
 )
 
 // recordConnect records whether a connection to an endpoint of a service with that many endpoints could be opened.
-func (l *links) recordConnect(service, endpoint string, endpoints int, opened bool) linkChange {
+func (l *links) recordConnect(service, endpoint string, endpoints int, opened bool, now time.Time) linkChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.serviceLocked(service)
@@ -81,7 +82,7 @@
 		if !s.cutOff {
 			return linkUnchanged
 		}
-		s.cutOff, s.confirmed = false, false
+		s.cutOff, s.confirmed, s.cutOffUntil = false, false, now
 		return linkRestored
 	}
 	s.failures++
@@ -162,6 +163,14 @@
 	return s != nil && s.cutOff
 }
 
+// wasCutOffSince reports whether this box has been cut off from a service at some time since t.
+func (l *links) wasCutOffSince(service string, t time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.services[service]
+	return s != nil && (s.cutOff || s.cutOffUntil.After(t))
+}
+
 // hasFailed reports whether an endpoint accepted no connection since the last one of its service that did.
 func (l *links) hasFailed(e *topology.Endpoint) bool {
 	l.mu.Lock()
@@ -282,7 +291,7 @@
 // before it found out that it is cut off from them is forgotten: the cause was its own link.
 func (g *Gateway) recordConnect(e *topology.Endpoint, err error) {
 	service := e.Service()
-	switch g.links.recordConnect(service, e.ID(), len(g.View.Endpoints(service)), err == nil) {
+	switch g.links.recordConnect(service, e.ID(), len(g.View.Endpoints(service)), err == nil, clock.Now()) {
 	case linkLost:
 		g.Log.Info("No connection to the service's endpoints can be opened", "service", service, "endpoint", e.ID(), "err", err.Error())
 		g.upstreams.forgiveFailures(service)
--- a/forward/links_test.go
+++ b/forward/links_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 )
@@ -11,15 +12,29 @@
 func TestBoxIsCutOffWhenSeveralEndpointsAcceptNoConnection(t *testing.T) {
 	c := quicktest.New(t)
 	var l links
-	c.Check(l.recordConnect("s", "e1", 12, false), quicktest.Equals, linkUnchanged)
-	c.Check(l.recordConnect("s", "e1", 12, false), quicktest.Equals, linkUnchanged) // the same endpoint again
-	c.Check(l.recordConnect("s", "e2", 12, false), quicktest.Equals, linkUnchanged)
-	c.Check(l.recordConnect("s", "e3", 12, true), quicktest.Equals, linkUnchanged) // only two have failed
-	c.Check(l.recordConnect("s", "e4", 12, false), quicktest.Equals, linkUnchanged)
-	c.Check(l.recordConnect("s", "e5", 12, false), quicktest.Equals, linkUnchanged)
-	c.Check(l.recordConnect("s", "e6", 12, false), quicktest.Equals, linkLost)
-	c.Check(l.recordConnect("other", "o1", 1, false), quicktest.Equals, linkLost)
-	c.Check(l.recordConnect("s", "e1", 12, true), quicktest.Equals, linkRestored)
+	now := time.Now()
+	c.Check(l.recordConnect("s", "e1", 12, false, now), quicktest.Equals, linkUnchanged)
+	c.Check(l.recordConnect("s", "e1", 12, false, now), quicktest.Equals, linkUnchanged) // the same endpoint again
+	c.Check(l.recordConnect("s", "e2", 12, false, now), quicktest.Equals, linkUnchanged)
+	c.Check(l.recordConnect("s", "e3", 12, true, now), quicktest.Equals, linkUnchanged) // only two have failed
+	c.Check(l.recordConnect("s", "e4", 12, false, now), quicktest.Equals, linkUnchanged)
+	c.Check(l.recordConnect("s", "e5", 12, false, now), quicktest.Equals, linkUnchanged)
+	c.Check(l.recordConnect("s", "e6", 12, false, now), quicktest.Equals, linkLost)
+	c.Check(l.recordConnect("other", "o1", 1, false, now), quicktest.Equals, linkLost)
+	c.Check(l.recordConnect("s", "e1", 12, true, now), quicktest.Equals, linkRestored)
 	c.Check(l.counts()["other"], quicktest.Equals, LinkCounts{CutOff: true, Failed: 1, Unreachable: 1, CutOffTimes: 1})
 	c.Check(l.counts()["s"], quicktest.Equals, LinkCounts{Connected: 2, Failed: 6, CutOffTimes: 1})
 }
+
+// What a request went through while this box was cut off says nothing of the endpoint, also after the links are back.
+func TestTimeOfTheLastCutOffIsRemembered(t *testing.T) {
+	c := quicktest.New(t)
+	var l links
+	now := time.Now()
+	c.Check(l.wasCutOffSince("s", now), quicktest.IsFalse)
+	l.recordConnect("s", "e1", 1, false, now)
+	c.Check(l.wasCutOffSince("s", now.Add(time.Hour)), quicktest.IsTrue)
+	l.recordConnect("s", "e1", 1, true, now.Add(time.Second))
+	c.Check(l.wasCutOffSince("s", now.Add(500*time.Millisecond)), quicktest.IsTrue)
+	c.Check(l.wasCutOffSince("s", now.Add(2*time.Second)), quicktest.IsFalse)
+}
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -34,7 +34,7 @@
 	CodeEndpointsBusy Code = "endpoints_busy"
 	// CodeNoSlot: the endpoints' adapter slots are in use, or are kept for more urgent requests.
 	CodeNoSlot Code = "adapter_slots_in_use"
-	// CodeEndpointLimit: the endpoints that could serve the request have reached their rate limits.
+	// CodeEndpointLimit: the endpoints that could serve the request have reached their limits.
 	CodeEndpointLimit Code = "endpoint_limit"
 	// CodeBackoff: the endpoints that could serve the request are in a back-off.
 	CodeBackoff Code = "endpoint_backoff"
--- a/forward/relay_test.go
+++ b/forward/relay_test.go
@@ -70,3 +70,40 @@
 	s.c.Check(dials.Load(), quicktest.Equals, int64(4)) // each endpoint once, by the first request
 	s.c.Check(s.gateway.Links()["app"].Confirmed, quicktest.IsFalse)
 }
+
+// countingRun counts the failures and the times that are reported of an endpoint.
+type countingRun struct{ failures, times int }
+
+// PromptRead implements Run.
+func (r *countingRun) PromptRead(ahead int, _ time.Duration) {
+	if ahead > 0 {
+		r.times++
+	}
+}
+
+// Failed implements Run.
+func (r *countingRun) Failed() { r.failures++ }
+
+// Finished implements Run.
+func (r *countingRun) Finished(time.Duration) {}
+
+// A box that is cut off would have its leader avoid sound endpoints for all boxes.
+func TestFailuresOfCutOffBoxAreNotReported(t *testing.T) {
+	for _, cutOff := range []bool{false, true} {
+		s, _ := cutOffSite(t, &testRelay{})
+		e := s.gateway.View.Endpoint("e1")
+		run := &countingRun{}
+		d := &dispatch{gateway: s.gateway, request: &request{}, upstream: s.gateway.upstream(e), run: run, aheadTokens: 100, sentAt: time.Now()}
+		want := countingRun{failures: 1, times: 1}
+		if cutOff {
+			for _, other := range s.gateway.View.Endpoints("app") {
+				_, err := s.gateway.DialEndpoint(context.Background(), other)
+				s.c.Assert(err, quicktest.IsNotNil)
+			}
+			want = countingRun{}
+		}
+		d.recordFailure(context.Background(), &Refusal{Code: CodeNoAnswer})
+		d.partReceived()
+		s.c.Check(*run, quicktest.Equals, want)
+	}
+}
--- a/member/cut_off_test.go
+++ b/member/cut_off_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 )
 
@@ -27,3 +28,19 @@
 		c.Check(seen.Serving(), quicktest.IsTrue)
 	}
 }
+
+// A member of an older version passes the entry on without the field.
+func TestEntryWithoutTheFieldDoesNotEndACutOff(t *testing.T) {
+	c := quicktest.New(t)
+	now := time.Now()
+	cut := FromWire(&wire.Member{Name: "a", Role: "box", DataCentre: "dc", Incarnation: 7, State: wire.MemberState(Alive), CutOff: true})
+	stripped := cut
+	stripped.cutOff = false
+	for _, order := range [][]Member{{cut, stripped}, {stripped, cut}} {
+		table := NewTable(New("b", "b:1", "box", "dc", 2), TableOptions{})
+		table.RecordContact("a", now)
+		table.Merge(order, now)
+		seen, _ := table.Find("a")
+		c.Check(seen.CutOff(), quicktest.IsTrue)
+	}
+}
--- a/member/gossip.go
+++ b/member/gossip.go
@@ -42,7 +42,7 @@
 	if known && !m.supersedes(old) {
 		return
 	}
-	if known && m.incarnation == old.incarnation && m.state != Leaving && t.recentlyObservedLocked(m.name, now) {
+	if known && m.incarnation == old.incarnation && m.state != old.state && m.state != Leaving && t.recentlyObservedLocked(m.name, now) {
 		t.observations.claims[m.name] = m // contradicts direct contact; passed to the member, which refutes it
 		return
 	}
--- a/member/member.go
+++ b/member/member.go
@@ -124,10 +124,14 @@
 	}
 }
 
-// supersedes reports whether m has a higher incarnation than old, or a worse state at the same one.
+// supersedes reports whether m has a higher incarnation than old, or a worse state at the same one. Members of older
+// versions pass entries on without cutOff: of two entries that differ in nothing else, the one that has it is right.
 func (m Member) supersedes(old Member) bool {
 	if m.incarnation != old.incarnation {
 		return m.incarnation > old.incarnation
 	}
-	return m.state > old.state
+	if m.state != old.state {
+		return m.state > old.state
+	}
+	return m.cutOff && !old.cutOff
 }
