forward, edge: probes of all boxes together are bounded; tunnels only for members

Found by reading. Where a service's endpoints have all ended each box probed three of them each 0.25 s: 380 boxes would open 1,520 connections a second to each of three endpoints that start again. An endpoint gets at most 20 a second from all (TestProbesOfAllBoxesTogetherAreBounded). A tunnel is opened for members only; messages that were sent are not reused for other data, as grpc asks; connections to boxes that carry nothing are closed when the links are back.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"io"
@@ -210,7 +211,7 @@
 	written := 0
 	for written < len(b) {
 		part := b[written:min(len(b), written+relayChunk)]
-		if err := c.stream.Send(&wire.TunnelRequest{Data: part}); err != nil {
+		if err := c.stream.Send(&wire.TunnelRequest{Data: bytes.Clone(part)}); err != nil {
 			return written, errors.Wrap(err, "edge: write through another box")
 		}
 		written += len(part)
@@ -280,4 +281,20 @@
 func (n *Node) reportLinks(cutOff bool) {
 	n.peers.table.SetCutOff(cutOff, time.Now())
 	n.peers.loop.NotifyNeighbours()
+	if !cutOff {
+		n.relay.closeUnused()
+	}
+}
+
+// closeUnused closes the connections to boxes that carry nothing.
+func (r *relay) closeUnused() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	used := make(map[string]bool)
+	for box := range r.open {
+		if m, known := r.node.peers.table.Find(box); known {
+			used[m.Address()] = true
+		}
+	}
+	r.dialer.CloseUnused(used)
 }
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -3,6 +3,7 @@
 package edge
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync/atomic"
@@ -50,7 +51,10 @@
 		return err
 	}
 	e := t.node.view.Endpoint(first.GetEndpoint())
+	_, known := t.node.peers.table.Find(first.GetBox())
 	switch {
+	case !known:
+		return status.Error(codes.PermissionDenied, "edge: unknown box")
 	case e == nil:
 		return status.Error(codes.NotFound, "edge: unknown endpoint")
 	case t.node.gateway.CutOff(e):
@@ -92,7 +96,7 @@
 	for {
 		n, err := c.Read(b)
 		if n > 0 {
-			if sendErr := stream.Send(&wire.TunnelReply{Data: b[:n]}); sendErr != nil {
+			if sendErr := stream.Send(&wire.TunnelReply{Data: bytes.Clone(b[:n])}); sendErr != nil {
 				return sendErr
 			}
 		}
--- a/forward/links.go
+++ b/forward/links.go
@@ -21,6 +21,9 @@
 	linkProbes = 3
 	// linkProbeInterval is the minimum time between two rounds of probes of one service.
 	linkProbeInterval = 250 * time.Millisecond
+	// maxProbeRate is how many probes a second an endpoint gets from all boxes together while all of them are cut off: each
+	// takes it a millisecond, and it may be about to start.
+	maxProbeRate = 20
 )
 
 // links tracks for each service whether this box can open connections to its endpoints. Existing connections say
@@ -213,22 +216,27 @@
 	confirm bool            // it is not known yet whether another box reaches the endpoints
 }
 
-// dueProbes returns the rounds that are due, and when the next one is; zero: none is scheduled.
-func (l *links) dueProbes(now time.Time) (due []probeRound, next time.Time) {
+// dueProbes returns the rounds that are due, and when the next one is; zero: none is scheduled. interval returns the time
+// between two rounds for a service.
+func (l *links) dueProbes(interval func(service string) time.Duration, now time.Time) (due []probeRound, next time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for name, s := range l.services {
 		if !s.suspected && !s.cutOff {
 			continue
 		}
-		at := s.probedAt.Add(linkProbeInterval)
+		wait := linkProbeInterval
+		if s.cutOff {
+			wait = interval(name)
+		}
+		at := s.probedAt.Add(wait)
 		if now.Before(at) {
 			next = earlier(next, at)
 			continue
 		}
 		s.suspected, s.probedAt = false, now
 		if s.cutOff {
-			next = earlier(next, now.Add(linkProbeInterval))
+			next = earlier(next, now.Add(wait))
 		}
 		r := probeRound{service: name, failed: make(map[string]bool, len(s.failed)), confirm: s.cutOff && !s.confirmed}
 		for e := range s.failed {
@@ -318,7 +326,7 @@
 // probeLinks probes the endpoints of services from which this box may be cut off, until ctx ends.
 func (g *Gateway) probeLinks(ctx context.Context) error {
 	for ctx.Err() == nil {
-		due, next := g.links.dueProbes(clock.Now())
+		due, next := g.links.dueProbes(g.probeInterval, clock.Now())
 		g.probeAll(ctx, due)
 		var timer <-chan time.Time // nil: no round is scheduled
 		if !next.IsZero() {
@@ -333,6 +341,14 @@
 	return nil
 }
 
+// probeInterval returns the time between two rounds of probes of a service from which this box is cut off, as all boxes may
+// be. It does not delay requests: they go through the first box that reaches an endpoint again.
+func (g *Gateway) probeInterval(service string) time.Duration {
+	probes := float64(linkProbes * g.Boxes())
+	rate := float64(maxProbeRate * max(len(g.View.Endpoints(service)), 1))
+	return max(time.Duration(probes/rate*float64(time.Second)), linkProbeInterval)
+}
+
 // probeAll carries out rounds of probes.
 func (g *Gateway) probeAll(ctx context.Context, rounds []probeRound) {
 	done := make(chan struct{})
--- a/forward/links_test.go
+++ b/forward/links_test.go
@@ -38,3 +38,19 @@
 	c.Check(l.wasCutOffSince("s", now.Add(500*time.Millisecond)), quicktest.IsTrue)
 	c.Check(l.wasCutOffSince("s", now.Add(2*time.Second)), quicktest.IsFalse)
 }
+
+// All boxes are cut off where a service's endpoints have all ended: 380 boxes would open 1,520 connections a second to each of
+// three endpoints that start again.
+func TestProbesOfAllBoxesTogetherAreBounded(t *testing.T) {
+	s := newSite(t, onceRoute(time.Second))
+	for range 3 {
+		s.endpoint(t, answerOK)
+	}
+	for _, boxes := range []int{1, 7, 380} {
+		s.gateway.Boxes = func() int { return boxes }
+		interval := s.gateway.probeInterval("app")
+		s.c.Check(interval >= linkProbeInterval, quicktest.IsTrue)
+		perEndpoint := float64(boxes*linkProbes) / 3 / interval.Seconds()
+		s.c.Check(perEndpoint <= 1.001*maxProbeRate, quicktest.IsTrue, quicktest.Commentf("%d boxes: %.0f a second", boxes, perEndpoint))
+	}
+}
