forward, edge: only links to endpoints that run models concern other boxes; a box that shuts down carries tunnels to their end

A box that lost only its links to a plain service gave up the orders to endpoints that it reaches, by reading. Its own tunnels decline such endpoints anyhow. TestTunnelOutlivesTheCallersOfItsBox shuts the helping box down for real; it is red without the wait in servePeers.

--- a/edge/tunnels_test.go
+++ b/edge/tunnels_test.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -17,8 +18,8 @@
 	"github.com/pkg/errors"
 )
 
-// tunnelPair starts two boxes and an endpoint that handles each connection with serve.
-func tunnelPair(c *quicktest.C, serve func(net.Conn)) (asking, helping *Node, e *topology.Endpoint) {
+// tunnelPair starts two boxes and an endpoint that handles each connection with serve. stop stops the helping box.
+func tunnelPair(c *quicktest.C, serve func(net.Conn)) (asking, helping *Node, e *topology.Endpoint, stop func() error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
@@ -33,21 +34,22 @@
 	}()
 	asking = newNode(c, "box-1")
 	helping = newNode(c, "box-2", asking.Settings.Peers)
+	helping.Settings.Bounds.Grace = 20 * time.Second
 	for _, n := range []*Node{asking, helping} {
 		n.Source, n.Decoder = modelSource{}, addressedDecoder{address: l.Addr().String()}
-		stop := start(n)
-		c.Cleanup(func() { c.Check(stop(), quicktest.IsNil) })
+		stop = sync.OnceValue(start(n))
+		c.Cleanup(func(stop func() error) func() { return func() { c.Check(stop(), quicktest.IsNil) } }(stop))
 	}
 	for string(variablesOf(c, asking)["edge_members"]) != `{"alive":2}` || helping.view.Endpoint("e/1") == nil {
 		time.Sleep(20 * time.Millisecond)
 	}
-	return asking, helping, helping.view.Endpoint("e/1")
+	return asking, helping, helping.view.Endpoint("e/1"), stop
 }
 
 func TestTunnelCarriesDataUnchangedInBothDirections(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
-	asking, helping, e := tunnelPair(c, func(conn net.Conn) {
+	asking, helping, e, _ := tunnelPair(c, func(conn net.Conn) {
 		defer conn.Close()
 		_, _ = io.CopyN(conn, conn, 3<<20)
 	})
@@ -73,7 +75,7 @@
 func TestReadFromResetTunnelFails(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
-	asking, _, e := tunnelPair(c, func(conn net.Conn) {
+	asking, _, e, _ := tunnelPair(c, func(conn net.Conn) {
 		_, _ = conn.Write([]byte("part"))
 		_, _ = conn.Read(make([]byte, 1)) // until the test has read the part
 		_ = conn.(*net.TCPConn).SetLinger(0)
@@ -96,7 +98,7 @@
 	t.Parallel()
 	c := quicktest.New(t)
 	closed := make(chan string, 1000) // what was read from a connection until it was closed; probes send nothing
-	asking, _, e := tunnelPair(c, func(conn net.Conn) {
+	asking, _, e, _ := tunnelPair(c, func(conn net.Conn) {
 		read, _ := io.ReadAll(conn)
 		closed <- string(read)
 	})
@@ -116,7 +118,7 @@
 func TestTunnelWorksWhileItsBoxShutsDown(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
-	asking, helping, e := tunnelPair(c, func(conn net.Conn) { _, _ = io.Copy(conn, conn) })
+	asking, helping, e, _ := tunnelPair(c, func(conn net.Conn) { _, _ = io.Copy(conn, conn) })
 	conn, err := asking.relay.Dial(context.Background(), e)
 	c.Assert(err, quicktest.IsNil)
 	defer conn.Close()
@@ -133,11 +135,36 @@
 	c.Check(errors.Is(err, forward.ErrNoRelay), quicktest.IsTrue, quicktest.Commentf("%v", err))
 }
 
+// A box that shuts down carries the requests of others until they have ended.
+func TestTunnelOutlivesTheCallersOfItsBox(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	asking, helping, e, stop := tunnelPair(c, func(conn net.Conn) { _, _ = io.Copy(conn, conn) })
+	conn, err := asking.relay.Dial(context.Background(), e)
+	c.Assert(err, quicktest.IsNil)
+	stopped := make(chan error, 1)
+	go func() { stopped <- stop() }()
+	for { // until the box accepts no callers
+		probe, err := net.Dial("tcp", helping.Settings.Callers)
+		if err != nil {
+			break
+		}
+		c.Assert(probe.Close(), quicktest.IsNil)
+		time.Sleep(20 * time.Millisecond)
+	}
+	_, err = conn.Write([]byte("echo"))
+	c.Assert(err, quicktest.IsNil)
+	_, err = io.ReadFull(conn, make([]byte, 4))
+	c.Check(err, quicktest.IsNil)
+	c.Assert(conn.Close(), quicktest.IsNil)
+	c.Check(<-stopped, quicktest.IsNil)
+}
+
 // A box without room for more connections of others, or without the endpoint in its view, declines, so that another is asked.
 func TestBoxDeclinesTunnels(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
-	asking, helping, e := tunnelPair(c, func(conn net.Conn) { _ = conn.Close() })
+	asking, helping, e, _ := tunnelPair(c, func(conn net.Conn) { _ = conn.Close() })
 	unknown := topology.NewEndpoint(topology.EndpointSpec{ID: "e/9", Service: "llm", Address: e.Address(), DataCentre: "dc"})
 	_, err := asking.relay.Dial(context.Background(), unknown)
 	c.Check(errors.Is(err, forward.ErrNoRelay), quicktest.IsTrue, quicktest.Commentf("%v", err))
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -34,7 +34,7 @@
 	RetryLimits    func() RetryLimits                                       // of the settings in force
 	OnDraining     func(endpoint string)                                    // called once for each endpoint that announces draining in a response; nil: no callback
 	Relay          Relay                                                    // nil: no other box helps
-	OnLinksChanged func(cutOff bool)                                        // called when this box becomes cut off from endpoints that others reach, or reaches them again; nil: no callback
+	OnLinksChanged func(cutOff bool)                                        // called with whether this box is cut off from endpoints that run models and that others reach, when that may have changed; nil: no callback
 	Dial           engine.DialFunc                                          // opens connections to endpoints; nil: the default dialer
 	MaxInFlight    int                                                      // requests; more are refused
 	MaxHeldBytes   int64                                                    // bound of request bodies and responses together; zero: none
--- a/forward/links.go
+++ b/forward/links.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -197,16 +198,17 @@
 	}
 }
 
-// anyConfirmed reports whether this box is cut off from a service whose endpoints another box reaches.
-func (l *links) anyConfirmed() bool {
+// confirmed returns the services from which this box is cut off while another box reaches their endpoints.
+func (l *links) confirmed() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, s := range l.services {
+	var list []string
+	for name, s := range l.services {
 		if s.confirmed {
-			return true
+			list = append(list, name)
 		}
 	}
-	return false
+	return list
 }
 
 // probeRound is a round of probes of one service.
@@ -310,11 +312,16 @@
 	}
 }
 
-// linksChanged calls OnLinksChanged.
+// linksChanged calls OnLinksChanged. Only endpoints that run models get orders, so the links to others concern nobody else.
 func (g *Gateway) linksChanged() {
-	if g.OnLinksChanged != nil {
-		g.OnLinksChanged(g.links.anyConfirmed())
+	config := g.View.Config()
+	if g.OnLinksChanged == nil || config == nil {
+		return
 	}
+	g.OnLinksChanged(slices.ContainsFunc(g.links.confirmed(), func(name string) bool {
+		s := config.Service(name)
+		return s != nil && s.Engine() != nil
+	}))
 }
 
 // SuspectLinks has this box check whether it can open connections to the endpoints of a service. It is called when a call
