--- a/forward/links.go
+++ b/forward/links.go
@@ -16,11 +16,12 @@
 
 const (
 	// minFailedEndpoints is how many endpoints of a service must have failed to accept a connection of this box, without one
-	// that accepted, before the box takes itself for cut off from the service. A service with fewer endpoints needs all.
+	// that accepted, before the box takes itself for cut off from the service. A service with fewer endpoints needs all. Two
+	// may end together; of three random ones one accepts if the links work.
 	minFailedEndpoints = 3
-	// linkProbes is how many endpoints a box connects to when it suspects that it is cut off.
+	// linkProbes is how many endpoints a box connects to when it suspects that it is cut off: enough to conclude it at once.
 	linkProbes = 3
-	// linkProbeInterval is the minimum time between two rounds of probes of one service.
+	// linkProbeInterval is the minimum time between two rounds of probes of one service, each of which takes up to dialTimeout.
 	linkProbeInterval = 250 * time.Millisecond
 	// maxProbeRate is how many probes a second an endpoint gets from all boxes together while all of them are cut off: each
 	// takes it a millisecond, and it may be about to start.
