--- a/edge/limits_leader.go
+++ b/edge/limits_leader.go
@@ -74,10 +74,13 @@
 	if k == nil {
 		return l.IsSet()
 	}
-	if k.published.HasRate() != l.HasRate() || k.published.IsFragile() != l.IsFragile() || k.published.Rejections() != l.Rejections() {
+	if k.published.HasRate() != l.HasRate() || k.published.IsFragile() != l.IsFragile() {
 		return true
 	}
-	return math.Abs(l.Rate()-k.published.Rate()) > limitChangeRatio*k.published.Rate() && now.Sub(k.publishedAt) >= limitUpdateInterval
+	if now.Sub(k.publishedAt) < limitUpdateInterval {
+		return false
+	}
+	return l.Rejections() != k.published.Rejections() || math.Abs(l.Rate()-k.published.Rate()) > limitChangeRatio*k.published.Rate()
 }
 
 // publish publishes the limit of an endpoint to all boxes.
--- a/edge/limits_test.go
+++ b/edge/limits_test.go
@@ -343,6 +343,12 @@
 	c.Check(n.limits.shouldPublish("e1", ratelimit.PerSecond(9), now), quicktest.IsFalse)
 	c.Check(n.limits.shouldPublish("e1", ratelimit.PerSecond(9), now.Add(time.Minute)), quicktest.IsTrue)
 	c.Check(n.limits.shouldPublish("e1", ratelimit.Limit{}, now), quicktest.IsTrue)
+	fragile := ratelimit.PerSecond(5).WithRejections(16)
+	c.Check(n.limits.shouldPublish("e1", fragile, now), quicktest.IsTrue)
+	n.limits.publish("e1", fragile)
+	now = clock.Now()
+	c.Check(n.limits.shouldPublish("e1", ratelimit.PerSecond(5).WithRejections(9), now), quicktest.IsFalse)
+	c.Check(n.limits.shouldPublish("e1", ratelimit.PerSecond(5).WithRejections(9), now.Add(time.Minute)), quicktest.IsTrue)
 }
 
 // An endpoint restarted at the same address has another ID and announces its own limit.
