forward: a box is cut off only if one round of probes reaches no data centre

Cause: any three failed connections without one that opened made a box take itself for cut off. Three endpoints that end together, or a data centre whose network is cut, are tried one after the other, so they were enough.

Change: a failed connection only has the endpoints probed; a box is cut off if a whole round fails, with one endpoint of each data centre, its own first. The Retry-After of what a cut-off box can't send is the time that the cut has lasted, at most 2 s (was 0.2 s).

The tests of boxes without links (edge) pass as before.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -157,7 +157,7 @@
 		if isDialError(err) {
 			q.excluded[u.endpoint.ID()] = true
 		}
-		return &Refusal{Code: CodeNoEndpoint, Unsent: true, RetryAfter: refusedRetryAfter, Detail: err.Error()}
+		return &Refusal{Code: CodeNoEndpoint, Unsent: true, RetryAfter: g.linkRetryAfter(u.endpoint.Service(), refusedRetryAfter), Detail: err.Error()}
 	}
 	q.mayHaveRun = true
 	q.executions++
--- a/forward/links.go
+++ b/forward/links.go
@@ -3,26 +3,20 @@
 package forward
 
 import (
-	"context"
-	"math/rand/v2"
-	"net"
-	"slices"
 	"sync"
 	"time"
 
-	"cairnwick.example/clock"
 	"cairnwick.example/topology"
 )
 
 const (
-	// minFailedEndpoints is how many endpoints of a service must have failed to accept a connection of this box, without one
-	// that accepted, before the box takes itself for cut off from the service. A service with fewer endpoints needs all. Two
-	// may end together; of three random ones one accepts if the links work.
-	minFailedEndpoints = 3
-	// linkProbes is how many endpoints a box connects to when it suspects that it is cut off: enough to conclude it at once.
+	// linkProbes is how many endpoints a box connects to when it suspects that it is cut off: enough for most fleets to have
+	// one in each data centre. It is cut off if none accepts; a service with fewer endpoints needs all.
 	linkProbes = 3
 	// linkProbeInterval is the minimum time between two rounds of probes of one service, each of which takes up to dialTimeout.
 	linkProbeInterval = 250 * time.Millisecond
+	// maxLinkRetryAfter bounds the Retry-After of requests that a cut-off box can't send: few callers wait longer.
+	maxLinkRetryAfter = 2 * time.Second
 	// maxProbeRate is how many probes a second an endpoint gets from all boxes together while all of them are cut off: each
 	// takes it a millisecond, and it may be about to start.
 	maxProbeRate = 20
@@ -40,7 +34,8 @@
 type serviceLinks struct {
 	failed        map[string]bool // endpoints that accepted no connection since the last one of the service that did
 	suspected     bool            // a round of probes is due
-	cutOff        bool            // minFailedEndpoints have failed
+	cutOff        bool            // all probes of a round failed, and no connection was opened since
+	cutOffSince   time.Time       // when cutOff was last set
 	cutOffUntil   time.Time       // end of the last time that cutOff was set; zero: there was none
 	confirmed     bool            // cutOff, and another box has connected to an endpoint of the service since
 	onLost        map[int]func()  // called when cutOff becomes true, under the lock of links
@@ -75,28 +70,37 @@
 	linkRestored
 )
 
-// recordConnect records whether a connection to an endpoint of a service with that many endpoints could be opened.
-func (l *links) recordConnect(service, endpoint string, endpoints int, opened bool, now time.Time) linkChange {
+// recordConnect records whether a connection to an endpoint could be opened. A failure has the service's endpoints probed:
+// several that ended together may have been tried first.
+func (l *links) recordConnect(service, endpoint string, opened bool, now time.Time) linkChange {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := l.serviceLocked(service)
-	if opened {
-		s.connected++
-		clear(s.failed)
-		s.suspected = false
-		if !s.cutOff {
-			return linkUnchanged
-		}
-		s.cutOff, s.confirmed, s.cutOffUntil = false, false, now
-		return linkRestored
+	if !opened {
+		s.failures++
+		s.failed[endpoint] = true
+		l.suspectLocked(s)
+		return linkUnchanged
 	}
-	s.failures++
-	s.failed[endpoint] = true
-	l.suspectLocked(s)
-	if s.cutOff || len(s.failed) < max(min(minFailedEndpoints, endpoints), 1) {
+	s.connected++
+	clear(s.failed)
+	s.suspected = false
+	if !s.cutOff {
 		return linkUnchanged
 	}
-	s.cutOff = true
+	s.cutOff, s.confirmed, s.cutOffUntil = false, false, now
+	return linkRestored
+}
+
+// recordProbesFailed records that all probes of a round failed. Another connection may have been opened meanwhile.
+func (l *links) recordProbesFailed(service string, probes int, now time.Time) linkChange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.serviceLocked(service)
+	if s.cutOff || len(s.failed) < probes {
+		return linkUnchanged
+	}
+	s.cutOff, s.cutOffSince = true, now
 	s.interruptions++
 	for _, f := range s.onLost {
 		f()
@@ -104,6 +108,16 @@
 	return linkLost
 }
 
+// cutOffTime returns how long this box has been cut off from a service; zero if it is not.
+func (l *links) cutOffTime(service string, now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s := l.services[service]; s != nil && s.cutOff {
+		return now.Sub(s.cutOffSince)
+	}
+	return 0
+}
+
 // recordRelay records whether a connection could be opened through another box. It reports whether that confirms that
 // this box is cut off.
 func (l *links) recordRelay(service string, opened bool) (confirms bool) {
@@ -160,6 +174,14 @@
 	return l.wakeLocked()
 }
 
+// isUnconfirmed reports whether this box is cut off from a service and it is not known whether another one reaches it.
+func (l *links) isUnconfirmed(service string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.services[service]
+	return s != nil && s.cutOff && !s.confirmed
+}
+
 // isCutOff reports whether this box can open no connection to the service's endpoints.
 func (l *links) isCutOff(service string) bool {
 	l.mu.Lock()
@@ -216,7 +238,6 @@
 type probeRound struct {
 	service string
 	failed  map[string]bool // endpoints that have failed already
-	confirm bool            // it is not known yet whether another box reaches the endpoints
 }
 
 // dueProbes returns the rounds that are due, and when the next one is; zero: none is scheduled. interval returns the time
@@ -241,7 +262,7 @@
 		if s.cutOff {
 			next = earlier(next, now.Add(wait))
 		}
-		r := probeRound{service: name, failed: make(map[string]bool, len(s.failed)), confirm: s.cutOff && !s.confirmed}
+		r := probeRound{service: name, failed: make(map[string]bool, len(s.failed))}
 		for e := range s.failed {
 			r.failed[e] = true
 		}
@@ -281,122 +302,3 @@
 	}
 	return list
 }
-
-// CutOff reports whether this box can open no connection to the endpoints of an endpoint's service.
-func (g *Gateway) CutOff(e *topology.Endpoint) bool { return g.links.isCutOff(e.Service()) }
-
-// Links returns the state of this box's links to the endpoints, by service.
-func (g *Gateway) Links() map[string]LinkCounts { return g.links.counts() }
-
-// DialEndpoint opens a connection to an endpoint by this box's own link, and records whether it could be opened.
-func (g *Gateway) DialEndpoint(ctx context.Context, e *topology.Endpoint) (net.Conn, error) {
-	c, err := g.dial()(ctx, "tcp", e.Address())
-	if err != nil && ctx.Err() != nil {
-		return nil, err // the request ended
-	}
-	g.recordConnect(e, err)
-	return c, err
-}
-
-// recordConnect records the result of opening a connection to an endpoint. What this box observed of a service's endpoints
-// before it found out that it is cut off from them is forgotten: the cause was its own link.
-func (g *Gateway) recordConnect(e *topology.Endpoint, err error) {
-	service := e.Service()
-	switch g.links.recordConnect(service, e.ID(), len(g.View.Endpoints(service)), err == nil, clock.Now()) {
-	case linkLost:
-		g.Log.Info("No connection to the service's endpoints can be opened", "service", service, "endpoint", e.ID(), "err", err.Error())
-		g.upstreams.forgiveFailures(service)
-		g.dataCentres.forgiveFailures()
-	case linkRestored:
-		g.Log.Info("Connections to the service's endpoints can be opened again", "service", service, "endpoint", e.ID())
-		g.linksChanged()
-	}
-}
-
-// linksChanged calls OnLinksChanged. Only endpoints that run models get orders, so the links to others concern nobody else.
-func (g *Gateway) linksChanged() {
-	config := g.View.Config()
-	if g.OnLinksChanged == nil || config == nil {
-		return
-	}
-	g.OnLinksChanged(slices.ContainsFunc(g.links.confirmed(), func(name string) bool {
-		s := config.Service(name)
-		return s != nil && s.Engine() != nil
-	}))
-}
-
-// SuspectLinks has this box check whether it can open connections to the endpoints of a service. It is called when a call
-// to one of them got no response. If other data came from them lately, the links work.
-func (g *Gateway) SuspectLinks(e *topology.Endpoint) {
-	g.links.recordSilence(e.Service(), clock.Now().Add(-silenceTimeout))
-}
-
-// probeLinks probes the endpoints of services from which this box may be cut off, until ctx ends.
-func (g *Gateway) probeLinks(ctx context.Context) error {
-	for ctx.Err() == nil {
-		due, next := g.links.dueProbes(g.probeInterval, clock.Now())
-		g.probeAll(ctx, due)
-		var timer <-chan time.Time // nil: no round is scheduled
-		if !next.IsZero() {
-			timer = time.After(clock.Until(next))
-		}
-		select {
-		case <-ctx.Done():
-		case <-g.links.wakeUps():
-		case <-timer:
-		}
-	}
-	return nil
-}
-
-// probeInterval returns the time between two rounds of probes of a service from which this box is cut off, as all boxes may
-// be. It does not delay requests: they go through the first box that reaches an endpoint again.
-func (g *Gateway) probeInterval(service string) time.Duration {
-	probes := float64(linkProbes * g.Boxes())
-	rate := float64(maxProbeRate * max(len(g.View.Endpoints(service)), 1))
-	return max(time.Duration(probes/rate*float64(time.Second)), linkProbeInterval)
-}
-
-// probeAll carries out rounds of probes.
-func (g *Gateway) probeAll(ctx context.Context, rounds []probeRound) {
-	done := make(chan struct{})
-	count := 0
-	run := func(dial func(context.Context, *topology.Endpoint) (net.Conn, error), e *topology.Endpoint) {
-		count++
-		go func() {
-			if c, err := dial(ctx, e); err == nil {
-				_ = c.Close() // nothing was sent
-			}
-			done <- struct{}{}
-		}()
-	}
-	for _, r := range rounds {
-		sample := g.probeSample(r)
-		for _, e := range sample {
-			run(g.DialEndpoint, e)
-		}
-		if r.confirm && g.Relay != nil && len(sample) > 0 {
-			run(g.dialRelay, sample[0])
-		}
-	}
-	for range count {
-		<-done
-	}
-}
-
-// probeSample returns the endpoints that a round of probes connects to: random ones, those that have not failed first.
-func (g *Gateway) probeSample(r probeRound) []*topology.Endpoint {
-	list := g.View.Endpoints(r.service)
-	var sample, failed []*topology.Endpoint
-	for _, i := range rand.Perm(len(list)) {
-		switch e := list[i]; {
-		case e.Draining():
-		case r.failed[e.ID()]:
-			failed = append(failed, e)
-		default:
-			sample = append(sample, e)
-		}
-	}
-	sample = append(sample, failed...)
-	return sample[:min(len(sample), linkProbes)]
-}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -96,7 +96,7 @@
 	capable := g.capable(q)
 	list := g.usable(capable, q.tried, now) // filtered after withModel, since usable avoids endpoints only if others are left
 	if len(list) == 0 {
-		return target{}, g.noEndpoint(capable, now)
+		return target{}, g.noEndpoint(q, capable, now)
 	}
 	list = g.withCapacity(q, list)
 	if len(list) == 0 {
@@ -122,9 +122,9 @@
 
 // noEndpoint refuses a request that no endpoint can serve. If all of them are in a back-off the caller
 // gets the time until the first one ends as its retry time.
-func (g *Gateway) noEndpoint(capable []*topology.Endpoint, now time.Time) *Refusal {
+func (g *Gateway) noEndpoint(q *request, capable []*topology.Endpoint, now time.Time) *Refusal {
 	if after, known := g.earliestAvailable(capable, now); known && after > 0 {
 		return &Refusal{Code: CodeBackoff, RetryAfter: after, Detail: "all endpoints that could serve the request are in a back-off"}
 	}
-	return &Refusal{Code: CodeNoEndpoint, RetryAfter: unavailableRetryAfter, Detail: "no usable endpoint of the service is left"}
+	return &Refusal{Code: CodeNoEndpoint, RetryAfter: g.linkRetryAfter(q.service.Name(), unavailableRetryAfter), Detail: "no usable endpoint of the service is left"}
 }
