scheduler, ratelimit: a wait of less than a microsecond is not reported as none

Cause, by reading: the time was truncated to microseconds, and the wait for a token to nanoseconds. A gateway takes zero for "not known".

Both are rounded up. TestRetryTimeOfRefusalIsRoundedUp is red with the old code.

--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -207,7 +207,7 @@
 // waitFor returns the time until that many tokens are available.
 func (e *endpointLimiter) waitFor(requests float64, now time.Time) time.Duration {
 	missing := requests - e.bucket.TokensAt(now)
-	return time.Duration(max(missing, 0) / e.rate() * float64(time.Second))
+	return time.Duration(math.Ceil(max(missing, 0) / e.rate() * float64(time.Second)))
 }
 
 // retryAfter returns the Retry-After of a refused caller. Each caller gets a time of its own, one interval after
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -26,7 +26,8 @@
 }
 
 func refusal(reason wire.Reason, retryAfter time.Duration, owner string) *wire.AcquireReply {
-	return &wire.AcquireReply{Refusal: &wire.Refusal{Reason: reason, RetryMicros: retryAfter.Microseconds(), Owner: owner}}
+	micros := (retryAfter + time.Microsecond - 1).Microseconds() // rounded up, since zero means that the time is not known
+	return &wire.AcquireReply{Refusal: &wire.Refusal{Reason: reason, RetryMicros: micros, Owner: owner}}
 }
 
 // Acquire implements the Scheduler service. It replies with a grant, immediately or after a wait,
--- a/scheduler/ratelimit_test.go
+++ b/scheduler/ratelimit_test.go
@@ -45,6 +45,14 @@
 	f.Assert(granted >= perSecond/2 && granted <= perSecond+5, quicktest.IsTrue, quicktest.Commentf("%d", granted))
 }
 
+// A wait of less than a microsecond is not reported as none.
+func TestRetryTimeOfRefusalIsRoundedUp(t *testing.T) {
+	for wait, want := range map[time.Duration]int64{0: 0, 1: 1, time.Microsecond: 1, time.Microsecond + 1: 2} {
+		got := refusal(wire.Reason_REASON_NO_WAIT, wait, "").GetRefusal().GetRetryMicros()
+		quicktest.Check(t, got, quicktest.Equals, want, quicktest.Commentf("%v", wait))
+	}
+}
+
 // Queued requests are served when the rate limit allows one more, even if no other event serves the queue.
 func TestRequestWaitsForRateLimit(t *testing.T) {
 	f := newFixture(t, "a@1")
