policy, scheduler, gateway: a queue that was reported counts no longer than it takes

Cause: a scheduler reports one expected time, the queue ahead included. A gateway that last heard of the fast engine in a burst kept 53 ms of it against 12 ms of the slow one, and the excess over the shortest time was halved only each 2 s: some 9 s until it counted as equal.

Change: the scheduler reports the queue's part, of which a gateway takes off the time that has passed since; the half-life of the excess is 1 s. A slow engine is so tried by each gateway each 4 s instead of each 8 s. Decisions show the expected times that they compared.

--- a/gateway/first_token_test.go
+++ b/gateway/first_token_test.go
@@ -18,9 +18,10 @@
 	now := time.Now()
 	for micros, want := range map[int64]time.Duration{0: 0, -1: 0, 250_000: 250 * time.Millisecond, 1 << 62: maxFirstToken} {
 		states := newStateCache()
-		states.update("e1", "a@1", &wire.EndpointFacts{Running: 1, Limit: 2, FirstTokenMicros: micros}, now)
+		states.update("e1", "a@1", &wire.EndpointFacts{Running: 1, Limit: 2, FirstTokenMicros: micros, QueueMicros: 100_000}, now)
 		list, _ := states.get("a@1", []string{"e1"}, now)
 		c.Check(list[0].FirstToken, quicktest.Equals, want)
+		c.Check(list[0].Queue, quicktest.Equals, min(want, 100*time.Millisecond))
 		list, _ = states.get("a@1", []string{"e1"}, now.Add(stateTTL+time.Millisecond))
 		c.Check(list[0].FirstToken, quicktest.Equals, time.Duration(0))
 	}
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -3,8 +3,10 @@
 package gateway
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"cairnwick.example/catalog"
@@ -54,6 +56,9 @@
 	case !f.Known:
 		c.Note = "no recent state"
 	}
+	if f.FirstToken > 0 {
+		c.Note = strings.TrimPrefix(fmt.Sprintf("%s, first token was expected after %v %v ago", c.Note, f.FirstToken.Round(time.Millisecond), f.Age.Round(time.Millisecond)), ", ")
+	}
 	return c
 }
 
--- a/gateway/state_cache.go
+++ b/gateway/state_cache.go
@@ -81,7 +81,14 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	e := c.endpointLocked(endpoint)
-	e.facts = policy.EndpointState{Running: int(reported.GetRunning()), Limit: int(reported.GetLimit()), Waiting: int(reported.GetWaiting()), FirstToken: boundedFirstToken(reported.GetFirstTokenMicros())}
+	firstToken := boundedFirstToken(reported.GetFirstTokenMicros())
+	e.facts = policy.EndpointState{
+		Running:    int(reported.GetRunning()),
+		Limit:      int(reported.GetLimit()),
+		Waiting:    int(reported.GetWaiting()),
+		FirstToken: firstToken,
+		Queue:      min(boundedFirstToken(reported.GetQueueMicros()), firstToken),
+	}
 	e.updatedAt = now
 	a := c.adapterLocked(adapter)
 	a.updatedAt = now
--- a/policy/place.go
+++ b/policy/place.go
@@ -21,6 +21,7 @@
 	Age     time.Duration // since the state was received
 
 	FirstToken time.Duration // expected time to first token of a further request, without loads; zero: not known
+	Queue      time.Duration // part of FirstToken that passes until the requests ahead are served
 }
 
 // utilisation is 1 for a full batch with an empty queue, and 0 if the capacity is not known.
--- a/policy/soonest.go
+++ b/policy/soonest.go
@@ -10,8 +10,8 @@
 
 const (
 	// firstTokenHalfLife is the half-life of the excess of an expected time over the shortest one, so that an endpoint
-	// that was slow is tried again. Package balance uses the same for the observations behind the time.
-	firstTokenHalfLife = 2 * time.Second
+	// that was slow is tried again: one of three times the shortest time after 4 s, one of thirty times after 8 s.
+	firstTokenHalfLife = time.Second
 	// firstTokenTolerance is the relative difference up to which two times count as equal. Predictions are no more
 	// accurate than that, and without it requests would leave an endpoint with a cached prefix for a millisecond.
 	firstTokenTolerance = 0.1
@@ -29,9 +29,9 @@
 	var candidates []int
 	shortest := time.Duration(math.MaxInt64)
 	for _, i := range alternatives {
-		if t := states[i].FirstToken; t > 0 {
+		if states[i].FirstToken > 0 {
 			candidates = append(candidates, i)
-			shortest = min(shortest, t)
+			shortest = min(shortest, states[i].currentFirstToken())
 		}
 	}
 	best := soonest(candidates, states, shortest)
@@ -51,7 +51,7 @@
 		if agedFirstToken(states[i], shortest) > limit {
 			continue
 		}
-		if states[i].FirstToken > limit {
+		if states[i].currentFirstToken() > limit {
 			return i
 		}
 		if best < 0 {
@@ -64,7 +64,13 @@
 // agedFirstToken returns the expected time of an endpoint, whose excess over the shortest one decays with its age.
 func agedFirstToken(s EndpointState, shortest time.Duration) time.Duration {
 	decay := math.Exp2(-s.Age.Seconds() / firstTokenHalfLife.Seconds())
-	return shortest + time.Duration(float64(s.FirstToken-shortest)*decay)
+	return shortest + time.Duration(float64(s.currentFirstToken()-shortest)*decay)
+}
+
+// currentFirstToken returns the expected time to first token less the part of the queue that has been served since the
+// state was received.
+func (s EndpointState) currentFirstToken() time.Duration {
+	return s.FirstToken - min(s.Queue, s.Age)
 }
 
 // FirstTokenForecast is what is expected of a request at one endpoint.
--- a/policy/soonest_test.go
+++ b/policy/soonest_test.go
@@ -14,6 +14,7 @@
 	const ms = time.Millisecond
 	slow, fast, unknown := EndpointState{FirstToken: 300 * ms}, EndpointState{FirstToken: 100 * ms}, EndpointState{}
 	near := EndpointState{FirstToken: 105 * ms}
+	queued, drained := EndpointState{FirstToken: 300 * ms, Queue: 250 * ms}, EndpointState{FirstToken: 300 * ms, Queue: 250 * ms, Age: 300 * ms}
 	recent, old := EndpointState{FirstToken: 300 * ms, Age: 4 * time.Second}, EndpointState{FirstToken: 300 * ms, Age: 10 * time.Second}
 	for name, k := range map[string]struct {
 		states []EndpointState
@@ -25,6 +26,8 @@
 		"equal times keep the order":              {[]EndpointState{near, fast}, 0},
 		"an old time is tried again":              {[]EndpointState{fast, old}, 1},
 		"a time of seconds ago still counts":      {[]EndpointState{fast, recent}, 0},
+		"a queue counts":                          {[]EndpointState{fast, queued}, 0},
+		"a queue is served as time passes":        {[]EndpointState{fast, drained}, 1},
 		"the first of several endpoints is moved": {[]EndpointState{slow, slow, fast}, 2},
 	} {
 		order := []int{0, 1, 2}[:len(k.states)]
--- a/scheduler/endpoint.go
+++ b/scheduler/endpoint.go
@@ -253,6 +253,7 @@
 // factsLocked returns the state of the endpoint that is sent with every reply.
 func (s *Scheduler) factsLocked(e *endpoint, req *wire.AcquireRequest, now time.Time) *wire.EndpointFacts {
 	sl := e.slots[req.GetAdapter()]
+	firstToken, queue := s.expectedFirstTokenLocked(e, req, now)
 	return &wire.EndpointFacts{
 		Running:   int32(e.running()),
 		Limit:     int32(e.concurrencyLimitLocked()),
@@ -261,6 +262,7 @@
 		Width:     int32(s.homeCountLocked(e, req, now)),
 		Loaded:    sl != nil && sl.state == ready,
 
-		FirstTokenMicros: s.expectedFirstTokenLocked(e, req, now).Microseconds(),
+		FirstTokenMicros: firstToken.Microseconds(),
+		QueueMicros:      queue.Microseconds(),
 	}
 }
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -121,14 +121,15 @@
 }
 
 // expectedFirstTokenLocked returns the expected time to first token of a further request like this one, without
-// loads; zero if the endpoint is not limited by its memory.
-func (s *Scheduler) expectedFirstTokenLocked(e *endpoint, req *wire.AcquireRequest, now time.Time) time.Duration {
+// loads, and the part of it that passes until the requests ahead are served; zero if the endpoint is not limited by its
+// memory.
+func (s *Scheduler) expectedFirstTokenLocked(e *endpoint, req *wire.AcquireRequest, now time.Time) (firstToken, queue time.Duration) {
 	if !e.spec.IsMemoryBound() || e.ownership != owned {
-		return 0
+		return 0, 0
 	}
 	wait := policy.EstimateBatchWait(e.running(), e.concurrencyLimitLocked(), len(e.waiters), e.serviceTime)
 	f := s.forecastLocked(e, req, wait, now)
-	return f.Ahead + f.Own
+	return f.Ahead + f.Own, f.Ahead
 }
 
 // FirstToken implements the Scheduler service.
