scheduler, gateway: a release reports the first token that nothing else has

Cause: the first token of a stream is reported by one of eight workers and its release by another. With responses of two tokens the release often arrives first; the grant has ended then, nothing is learned, and the gateway gets no new state. The report was also dropped while all workers were busy.

Change: a release carries the time to first token, which counts if it is the first report, and its reply the engine's state where memory limits it; so the state that a gateway has of running requests is renewed as they end. TestReleaseReportsTheFirstTokenIfNothingElseHas covers both orders.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -38,7 +38,7 @@
 		q.mayHaveRun = true
 	}
 	r.ServiceMicros = clock.Since(startedAt).Microseconds()
-	g.release(pendingRelease{owner: h.owner, request: r, address: h.grant.GetAddress(), runID: q.runID()})
+	g.release(pendingRelease{owner: h.owner, request: r, address: h.grant.GetAddress(), runID: q.runID(), adapter: h.adapter})
 	g.recordAttempt(q, h, f)
 	return f
 }
--- a/gateway/release.go
+++ b/gateway/release.go
@@ -18,7 +18,7 @@
 	address string // of the endpoint
 	runID   string // of the execution there; empty: the request was not sent
 
-	adapter    string                  // of firstToken
+	adapter    string                  // of the request; empty: it was not sent
 	firstToken *wire.FirstTokenRequest // set instead of request: a first token to report
 }
 
@@ -70,10 +70,13 @@
 		g.states.update(r.firstToken.GetEndpoint(), r.adapter, reply.GetFacts(), clock.Now())
 		return
 	}
-	_, err := g.Schedulers.Scheduler(r.owner.Address()).Release(ctx, r.request)
+	reply, err := g.Schedulers.Scheduler(r.owner.Address()).Release(ctx, r.request)
 	if err != nil {
 		g.Log.V(1).Info("Grant could not be released", "scheduler", r.owner.Name(), "err", err.Error())
 	}
+	if r.adapter != "" {
+		g.states.update(r.request.GetEndpoint(), r.adapter, reply.GetFacts(), clock.Now())
+	}
 }
 
 // release queues a grant for the workers, or releases it itself if the queue is full.
@@ -86,8 +89,8 @@
 	}
 }
 
-// reportFirstToken reports the time to first token to the scheduler, unless all workers are busy: the scheduler
-// learns from the other requests.
+// reportFirstToken reports the time to first token to the scheduler, unless all workers are busy: the release of the
+// grant reports it, too.
 func (g *Gateway) reportFirstToken(h heldGrant, took time.Duration) {
 	r := pendingRelease{owner: h.owner, adapter: h.adapter, firstToken: &wire.FirstTokenRequest{Endpoint: h.endpoint, Id: h.grant.GetId(), TookMicros: took.Microseconds()}}
 	select {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -124,7 +124,9 @@
 		s.resetIdle()
 		if !reported && bytes.HasPrefix(line, dataPrefix) {
 			reported = true
-			g.reportFirstToken(h, clock.Since(s.sentAt))
+			took := clock.Since(s.sentAt)
+			r.FirstTokenMicros = took.Microseconds()
+			g.reportFirstToken(h, took)
 		}
 	})
 	for range maxResumes {
--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -68,13 +68,14 @@
 // Release implements the Scheduler service.
 func (s *Scheduler) Release(_ context.Context, req *wire.ReleaseRequest) (*wire.ReleaseReply, error) {
 	if e := s.findEndpoint(req.GetEndpoint()); e != nil {
-		s.releaseGrant(e, req)
+		return &wire.ReleaseReply{Facts: s.releaseGrant(e, req)}, nil
 	}
 	return &wire.ReleaseReply{}, nil
 }
 
-// releaseGrant ends a grant and serves the queue.
-func (s *Scheduler) releaseGrant(e *endpoint, req *wire.ReleaseRequest) {
+// releaseGrant ends a grant and serves the queue. It returns the new state of the endpoint if memory limits it; nil if the
+// grant has ended before.
+func (s *Scheduler) releaseGrant(e *endpoint, req *wire.ReleaseRequest) *wire.EndpointFacts {
 	now := clock.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -89,11 +90,16 @@
 	}
 	g := e.removeGrantLocked(req.GetId())
 	if g == nil {
-		return // of an earlier ownership, or already released
+		return nil // of an earlier ownership, or already released
 	}
+	s.recordFirstTokenLocked(e, g, req.GetFirstTokenMicros(), now)
 	s.updateSlotLocked(e, g, req, now)
 	s.adaptConcurrencyLocked(e, req)
 	s.serveWaitersLocked(e, now)
+	if g.request == nil {
+		return nil
+	}
+	return s.factsLocked(e, g.request, now)
 }
 
 // updateSlotLocked updates the slot that a released grant was for.
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -141,15 +141,23 @@
 	return &wire.FirstTokenReply{Facts: s.observeFirstToken(e, req, clock.Now())}, nil
 }
 
-// observeFirstToken learns the speed of an endpoint from the first token of a granted request. It returns the new state
-// of the endpoint, so that the gateway knows at once what a trial of a slow endpoint has shown; nil if the grant has
-// ended.
+// observeFirstToken records the first token of a granted request. It returns the new state of the endpoint, so that the
+// gateway knows at once what a trial of a slow endpoint has shown; nil if the grant has ended.
 func (s *Scheduler) observeFirstToken(e *endpoint, req *wire.FirstTokenRequest, now time.Time) *wire.EndpointFacts {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	g := e.grants[req.GetId()]
-	if g == nil || g.request == nil || g.read || req.GetTookMicros() <= 0 {
-		return nil // has ended, not asked for, repeated or not measured
+	if g == nil || !s.recordFirstTokenLocked(e, g, req.GetTookMicros(), now) {
+		return nil
+	}
+	return s.factsLocked(e, g.request, now)
+}
+
+// recordFirstTokenLocked learns the speed of an endpoint from the first token of a granted request. It reports whether it
+// did: the time may not have been asked for, be reported again, or not be measured.
+func (s *Scheduler) recordFirstTokenLocked(e *endpoint, g *grant, micros int64, now time.Time) bool {
+	if g.request == nil || g.read || micros <= 0 {
+		return false
 	}
 	g.read = true
 	weight := 1
@@ -157,12 +165,12 @@
 		weight = trialWeight
 	}
 	e.firstTokenAt = now
-	took := time.Duration(min(req.GetTookMicros(), maxFirstToken.Microseconds())) * time.Microsecond
+	took := time.Duration(min(micros, maxFirstToken.Microseconds())) * time.Microsecond
 	slow, changed := s.speeds.observe(e.incarnationLocked(), balance.Observation{Prompts: weight, Tokens: weight * g.aheadTokens, Took: time.Duration(weight) * took}, now)
 	if changed {
 		s.logSpeedLocked(e, slow, now)
 	}
-	return s.factsLocked(e, g.request, now)
+	return true
 }
 
 func (s *Scheduler) logSpeedLocked(e *endpoint, slow bool, now time.Time) {
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -230,3 +230,27 @@
 	x.Assert(promptTokens(&wire.AcquireRequest{PromptTokens: -5}), quicktest.Equals, 1)
 	x.Assert(promptTokens(&wire.AcquireRequest{PromptTokens: 1 << 62}), quicktest.Equals, maxPromptTokens)
 }
+
+// The release of a short response may overtake the report of its first token.
+func TestReleaseReportsTheFirstTokenIfNothingElseHas(t *testing.T) {
+	const readTime = 100 * time.Millisecond
+	for _, reportedBefore := range []bool{false, true} {
+		x := newSimulated(t, true, readTime)
+		now := time.Now()
+		granted := x.request(time.Minute, now)
+		id := granted.GetGrant().GetId()
+		if reportedBefore {
+			x.scheduler.observeFirstToken(x.endpoint, &wire.FirstTokenRequest{Id: id, TookMicros: readTime.Microseconds()}, now)
+		}
+		req := &wire.ReleaseRequest{Endpoint: "e1", Id: id, Outcome: wire.Outcome_OUTCOME_COMPLETED, FirstTokenMicros: 1 << 40}
+		if !reportedBefore {
+			req.FirstTokenMicros = readTime.Microseconds()
+		}
+		facts := x.scheduler.releaseGrant(x.endpoint, req)
+		x.Check(x.endpoint.firstTokenAt.IsZero(), quicktest.IsFalse)
+		x.Check(facts.GetRunning(), quicktest.Equals, int32(0))
+		learned := time.Duration(facts.GetFirstTokenMicros()) * time.Microsecond
+		x.Check(learned < 2*readTime, quicktest.IsTrue, quicktest.Commentf("%v", learned))
+		x.Check(x.scheduler.releaseGrant(x.endpoint, req), quicktest.IsNil)
+	}
+}
