placement: an endpoint whose claim takes long does not hold up requests

Cause: an order that gets no answer has the endpoint claimed again. Where endpoints publish no memory, a request that was sent to that endpoint got "ask again" for as long as the claim lasted.

--- a/placement/pending.go
+++ b/placement/pending.go
@@ -145,16 +145,19 @@
 		}
 		return l.balanceLocked(o, w, now, limit)
 	}
+	var denied *ownedEndpoint
+	if w.NotLoaded {
+		denied = o
+	}
+	if o != nil && o.phase == claiming && now.Sub(o.since) >= longClaimTime {
+		o = l.chooseEndpointLocked(w.Adapter, o, w.Avoid, now)
+	}
 	if o == nil || o.phase != owning {
 		return l.ownerChangingLocked(w.Endpoint, now), nil, nil
 	}
 	if o.endpoint.Draining() {
 		return forward.PlacementResult{RetryAfter: retryMargin, Reason: "the endpoint leaves"}, nil, nil
 	}
-	var denied *ownedEndpoint
-	if w.NotLoaded {
-		denied = o
-	}
 	if at, s := l.findHolderLocked(o, w, denied, now); s != nil {
 		if !s.ready {
 			p, done := l.waitOrRetry(s.expectedLoadTime-now.Sub(s.loadBegan), s.done, now, limit, reasonLoading)
--- a/placement/site_test.go
+++ b/placement/site_test.go
@@ -54,6 +54,28 @@
 	c.Assert(l.pendingLoads, quicktest.HasLen, 1)
 }
 
+// Requests waited until they were refused for an endpoint that answered no orders, beside others of its data centre.
+func TestLoadGoesElsewhereIfAClaimTakesLong(t *testing.T) {
+	c := quicktest.New(t)
+	for _, notLoaded := range []bool{false, true} {
+		l, list := newIdleLoader("e1", "e2")
+		now := time.Now()
+		list["e1"].phase, list["e1"].since = claiming, now
+		w := patientWaiter(list["e1"], 1)
+		w.NotLoaded = notLoaded
+		p, wait := l.tryPlace(w, now, now.Add(time.Minute))
+		c.Assert(wait, quicktest.IsNil)
+		c.Assert(p.OwnerChanging, quicktest.IsTrue) // it may hold the adapter
+		now = now.Add(longClaimTime)
+		_, wait = l.tryPlace(w, now, now.Add(time.Minute))
+		c.Assert(wait, quicktest.IsNotNil)
+		c.Assert(l.pendingLoads[placementKey{endpoint: "e2", adapter: adapter(1)}], quicktest.IsNotNil)
+		list["e2"].phase = yielded
+		p, _ = l.tryPlace(patientWaiter(list["e1"], 2), now, now.Add(time.Minute))
+		c.Assert(p.OwnerChanging, quicktest.IsTrue)
+	}
+}
+
 func TestAdapterIsLoadedWhereItIsCached(t *testing.T) {
 	c := quicktest.New(t)
 	l, list := newIdleLoader("e1", "e2")
