forward: probes after failed connections are bounded over all boxes, too

Found by reading: an endpoint that has ended and is still listed has each box probe three others up to four times a second, as long as connections to it fail; 380 boxes would open 1,520 connections a second to each of the three. Only probes of boxes that are cut off had a bound.

Both have the same now, 20 a second at an endpoint from all boxes. The first round after a quiet time is not delayed. TestRepeatedSuspicionsAreBoundedToo is red without it; the tests of boxes without links pass.

--- a/forward/links.go
+++ b/forward/links.go
@@ -13,12 +13,12 @@
 	// linkProbes is how many endpoints a box connects to when it suspects that it is cut off: enough for most fleets to have
 	// one in each data centre. It is cut off if none accepts; a service with fewer endpoints needs all.
 	linkProbes = 3
-	// linkProbeInterval is the minimum time between two rounds of probes of one service, each of which takes up to dialTimeout.
+	// linkProbeInterval is the least time between two rounds of probes of one service, each of which takes up to dialTimeout.
 	linkProbeInterval = 250 * time.Millisecond
 	// maxLinkRetryAfter bounds the Retry-After of requests that a cut-off box can't send: few callers wait longer.
 	maxLinkRetryAfter = 2 * time.Second
-	// maxProbeRate is how many probes a second an endpoint gets from all boxes together while all of them are cut off: each
-	// takes it a millisecond, and it may be about to start.
+	// maxProbeRate is how many probes a second an endpoint gets from all boxes together, while all of them are cut off or find
+	// that another one has ended: each takes it a millisecond, and it may be about to start.
 	maxProbeRate = 20
 )
 
@@ -249,10 +249,7 @@
 		if !s.suspected && !s.cutOff {
 			continue
 		}
-		wait := linkProbeInterval
-		if s.cutOff {
-			wait = interval(name)
-		}
+		wait := interval(name)
 		at := s.probedAt.Add(wait)
 		if now.Before(at) {
 			next = earlier(next, at)
--- a/forward/links_test.go
+++ b/forward/links_test.go
@@ -117,3 +117,21 @@
 		s.c.Check(perEndpoint <= 1.001*maxProbeRate, quicktest.IsTrue, quicktest.Commentf("%d boxes: %.0f a second", boxes, perEndpoint))
 	}
 }
+
+// A box that keeps failing to connect to an endpoint that has ended would probe the others four times a second.
+func TestRepeatedSuspicionsAreBoundedToo(t *testing.T) {
+	s := newSite(t, onceRoute(time.Second))
+	s.endpoint(t, answerOK)
+	e := s.gateway.View.Endpoints("app")[0]
+	s.gateway.Boxes = func() int { return 380 }
+	now := clock.Now()
+	rounds := func(at time.Time) int {
+		s.gateway.links.recordConnect("app", e.ID(), false, at)
+		due, next := s.gateway.links.dueProbes(s.gateway.probeInterval, at)
+		s.c.Check(len(due) == 1 || next.After(at), quicktest.IsTrue)
+		return len(due)
+	}
+	s.c.Check(rounds(now), quicktest.Equals, 1)
+	s.c.Check(rounds(now.Add(linkProbeInterval)), quicktest.Equals, 0)
+	s.c.Check(rounds(now.Add(s.gateway.probeInterval("app"))), quicktest.Equals, 1)
+}
--- a/forward/probe.go
+++ b/forward/probe.go
@@ -89,8 +89,8 @@
 	return nil
 }
 
-// probeInterval returns the time between two rounds of probes of a service from which this box is cut off, as all boxes may
-// be. It does not delay requests: they go through the first box that reaches an endpoint again.
+// probeInterval returns the time between two rounds of probes of a service. All boxes may probe it: they are cut off, or one of
+// its endpoints has ended. It delays no first round, and no requests: those of a box that is cut off go through others.
 func (g *Gateway) probeInterval(service string) time.Duration {
 	probes := float64(linkProbes * g.Boxes())
 	rate := float64(maxProbeRate * max(len(g.View.Endpoints(service)), 1))
