--- a/gateway/first_token_test.go
+++ b/gateway/first_token_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"cairnwick.example/member"
+	"cairnwick.example/policy"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 )
@@ -27,6 +28,13 @@
 	}
 }
 
+// A decision shows the times that it compared.
+func TestCandidateShowsExpectedFirstToken(t *testing.T) {
+	state := policy.EndpointState{Loaded: true, Known: true, Age: 8552 * time.Millisecond, FirstToken: 53 * time.Millisecond}
+	quicktest.Check(t, newCandidate("e1", 0, state).GetNote(), quicktest.Equals, "adapter probably loaded, first token expected after 53ms as of 8.552s ago")
+	quicktest.Check(t, newCandidate("e1", 0, policy.EndpointState{}).GetNote(), quicktest.Equals, "no recent state")
+}
+
 // Guards against callers that wait for reports of first tokens when the workers are busy.
 func TestFirstTokenIsDroppedIfWorkersAreBusy(t *testing.T) {
 	c := quicktest.New(t)
--- a/gateway/placement.go
+++ b/gateway/placement.go
@@ -47,19 +47,19 @@
 }
 
 func newCandidate(name string, score float64, f policy.EndpointState) *wire.Candidate {
-	c := &wire.Candidate{Endpoint: name, Score: score, AgeMicros: f.Age.Microseconds()}
+	var notes []string
 	switch {
 	case f.Warm:
-		c.Note = "prefix probably cached"
+		notes = append(notes, "prefix probably cached")
 	case f.Loaded:
-		c.Note = "adapter probably loaded"
+		notes = append(notes, "adapter probably loaded")
 	case !f.Known:
-		c.Note = "no recent state"
+		notes = append(notes, "no recent state")
 	}
 	if f.FirstToken > 0 {
-		c.Note = strings.TrimPrefix(fmt.Sprintf("%s, first token was expected after %v %v ago", c.Note, f.FirstToken.Round(time.Millisecond), f.Age.Round(time.Millisecond)), ", ")
+		notes = append(notes, fmt.Sprintf("first token expected after %v as of %v ago", f.FirstToken.Round(time.Millisecond), f.Age.Round(time.Millisecond)))
 	}
-	return c
+	return &wire.Candidate{Endpoint: name, Score: score, AgeMicros: f.Age.Microseconds(), Note: strings.Join(notes, ", ")}
 }
 
 // stages returns groups of endpoints in the order to try them, without those in a back-off: with
