scheduler: no time to first token is reported of an endpoint that was not observed

Cause: a scheduler whose gateways had seen no first token of an endpoint reported the prior of its model, 53 to 175 ms in the logs of slow-endpoint, as if it were known; gateways preferred a slow endpoint that they had observed, for seconds.

Now it reports none, which counts as not known, and utilisation decides until the first token.

--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -122,9 +122,9 @@
 
 // expectedFirstTokenLocked returns the expected time to first token of a further request like this one, without
 // loads, and the part of it that passes until the requests ahead are served; zero if the endpoint is not limited by its
-// memory.
+// memory, or nothing has been observed of its speed.
 func (s *Scheduler) expectedFirstTokenLocked(e *endpoint, req *wire.AcquireRequest, now time.Time) (firstToken, queue time.Duration) {
-	if !e.spec.IsMemoryBound() || e.ownership != owned {
+	if !e.spec.IsMemoryBound() || e.ownership != owned || e.firstTokenAt.IsZero() {
 		return 0, 0
 	}
 	wait := policy.EstimateBatchWait(e.running(), e.concurrencyLimitLocked(), len(e.waiters), e.serviceTime)
--- a/scheduler/speed_test.go
+++ b/scheduler/speed_test.go
@@ -254,3 +254,13 @@
 		x.Check(x.scheduler.releaseGrant(x.endpoint, req), quicktest.IsNil)
 	}
 }
+
+// The model of all endpoints counted as a time of one that it had not observed: a fast one was avoided until it aged.
+func TestTimeIsReportedOnceOneWasObserved(t *testing.T) {
+	x := newSimulated(t, true, 100*time.Millisecond)
+	now := time.Now()
+	granted := x.request(time.Minute, now)
+	x.Check(granted.GetFacts().GetFirstTokenMicros(), quicktest.Equals, int64(0))
+	facts := x.scheduler.observeFirstToken(x.endpoint, &wire.FirstTokenRequest{Id: granted.GetGrant().GetId(), TookMicros: 100_000}, now)
+	x.Check(facts.GetFirstTokenMicros() > 0, quicktest.IsTrue)
+}
