forward, edge: streams that are resumed or taken up are logged with the endpoints' software

No line named an endpoint's software version, and a request that takes a stream up looked like any other.

--- a/edge/state.go
+++ b/edge/state.go
@@ -133,7 +133,7 @@
 	s.view.SetEndpoint(e)
 	if known := s.view.Endpoint(id); old == nil || old.Draining() != known.Draining() {
 		s.log.Info("Endpoint is known", "endpoint", id, "address", e.Address(), "endpoint_data_centre", e.DataCentre(),
-			"draining", known.Draining(), "revision", revisionOf(i).String())
+			"software", e.Software(), "draining", known.Draining(), "revision", revisionOf(i).String())
 	}
 	if !s.updateHeld(id) {
 		s.view.SetAdapterStates(id, publishedAdapters(e)) // until its owner publishes the slots
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -27,6 +27,7 @@
 // attempt sends the request once and relays the response; nil means that the
 // caller got all of it.
 func (g *Gateway) attempt(ctx context.Context, q *request, out *callerResponse, t target) *Refusal {
+	g.recordTakeUp(q, t)
 	d := g.newDispatch(q, t)
 	defer d.finish()
 	resp, f := g.send(ctx, q, d.upstream, t, q.call.LastEventID)
--- a/forward/events_fuzz_test.go
+++ b/forward/events_fuzz_test.go
@@ -21,7 +21,7 @@
 		body = iotest.OneByteReader(body)
 	}
 	w := httptest.NewRecorder()
-	s := &eventRelay{out: &callerResponse{writer: w, isCallHeader: func(string) bool { return false }}}
+	s := &eventRelay{out: &callerResponse{writer: w, isCallHeader: func(string) bool { return false }}, began: func() {}}
 	resp := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(body)}
 	err := s.copy(resp, func() {})
 	return w.Body.String(), s, err
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -28,6 +28,7 @@
 	PromptTokens    int
 	MaxOutputTokens int    // limit of the tokens to generate
 	LastEventID     string // of a stream that the caller resumes
+	Resumes         string // ID of the caller's attempt that brought the first event of that stream
 
 	TokensStated bool // the caller states the number of tokens
 	Credential   access.Credential
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -55,6 +55,8 @@
 	draining    atomic.Bool
 	sampleCount atomic.Uint64
 
+	streamCounters streamCounters
+
 	mu         sync.Mutex
 	budgets    map[string]*RetryBudget    // by service; mu is taken before a RetryBudget's
 	firstToken policy.FirstTokenEstimator // of all endpoints that run models
--- a/forward/record.go
+++ b/forward/record.go
@@ -58,7 +58,7 @@
 		return
 	}
 	g.Log.Info("Request was answered", "request", q.call.ID, "route", q.route.Name(), "organisation", q.organisationName(), "endpoint", q.sentTo.ID(),
-		"adapter", q.call.Adapter.String(), "adapter_version", q.version, "config", q.config.Version(),
+		"software", q.sentTo.Software(), "resumes", q.call.Resumes, "adapter", q.call.Adapter.String(), "adapter_version", q.version, "config", q.config.Version(),
 		"status", out.status, "attempts", q.attempts, "waited_ms", q.placementTime.Milliseconds(), "queued_ms", q.queueTime.Milliseconds(),
 		"sent_ms", q.sentAt.Sub(q.received).Milliseconds(), "predicted_ms", q.predictedFirstToken.Milliseconds(),
 		"first_ms", out.firstByteAt.Sub(q.received).Milliseconds(), "target_ms", q.route.LatencyTarget().Milliseconds(),
@@ -83,7 +83,7 @@
 	took := clock.Since(q.sentAt)
 	g.Stats.FailedAttempts.Observe(outcome, took)
 	g.Log.Info("Attempt failed", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
-		"content", q.content.String(), "outcome", outcome, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
+		"software", q.sentTo.Software(), "content", q.content.String(), "outcome", outcome, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
 		"took_ms", took.Milliseconds(), "cause", detail)
 }
 
@@ -94,7 +94,7 @@
 	if q.organisation != nil {
 		g.Stats.OrganisationRefusals.Observe(q.organisationName()+" "+string(f.Code), took)
 	}
-	route, version, endpoint := "", uint64(0), ""
+	route, version, endpoint, software := "", uint64(0), "", ""
 	if q.route != nil {
 		route = q.route.Name()
 	}
@@ -102,10 +102,10 @@
 		version = q.config.Version()
 	}
 	if q.sentTo != nil {
-		endpoint = q.sentTo.ID()
+		endpoint, software = q.sentTo.ID(), q.sentTo.Software()
 	}
 	g.Log.Info("Request failed", "request", q.call.ID, "content", q.content.String(), "route", route, "organisation", q.organisationName(), "reason", string(f.Code),
 		"status", f.status(), "may_have_run", f.MayHaveRun, "begun", started, "adapter", q.call.Adapter.String(),
-		"endpoint", endpoint, "attempts", q.attempts, "retry_withheld", q.retryWithheld, "config", version, "waited_ms", q.placementTime.Milliseconds(),
+		"endpoint", endpoint, "software", software, "resumes", q.call.Resumes, "attempts", q.attempts, "retry_withheld", q.retryWithheld, "config", version, "waited_ms", q.placementTime.Milliseconds(),
 		"took_ms", took.Milliseconds(), "retry_ms", f.RetryAfter.Milliseconds(), "cause", f.Detail)
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -47,9 +47,10 @@
 	notLoadedAt   string                 // endpoint that reported that it does not hold the adapter
 	sentAt        time.Time              // of the last attempt
 	sentTo        *topology.Endpoint
-	version       int64         // of the adapter at the last attempt; zero: any
-	queueTime     time.Duration // part of placementTime before the load began
-	placementTime time.Duration // from receipt until the adapter was ready, or was found not to be
+	streamedBy    *topology.Endpoint // sent the first event of the response; nil: no event was relayed
+	version       int64              // of the adapter at the last attempt; zero: any
+	queueTime     time.Duration      // part of placementTime before the load began
+	placementTime time.Duration      // from receipt until the adapter was ready, or was found not to be
 	// predictedFirstToken is the predicted time to the first token of the last attempt.
 	predictedFirstToken time.Duration
 	maxEventGap         time.Duration // the longest time between two events of its stream
--- /dev/null
+++ b/forward/resumption.go
@@ -0,0 +1,61 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"sync/atomic"
+
+	"cairnwick.example/topology"
+)
+
+// StreamCounts counts the streams of routes that allow them to be resumed.
+type StreamCounts struct {
+	Begun   int64 `json:"begun"`    // their first event was relayed
+	Resumed int64 `json:"resumed"`  // broke off, and were sent to another endpoint within the same response
+	TakenUp int64 `json:"taken_up"` // broke off, and a caller's next attempt was sent to an endpoint
+}
+
+// streamCounters are the counters behind StreamCounts.
+type streamCounters struct {
+	begun, resumed, takenUp atomic.Int64
+}
+
+// Streams returns counts of the streams that may be resumed.
+func (g *Gateway) Streams() StreamCounts {
+	c := &g.streamCounters
+	return StreamCounts{Begun: c.begun.Load(), Resumed: c.resumed.Load(), TakenUp: c.takenUp.Load()}
+}
+
+// streamBegan records the first event of a response.
+func (g *Gateway) streamBegan(q *request, e *topology.Endpoint) {
+	q.streamedBy = e
+	if !q.takesUpStream() && q.route.IsReexecutable() {
+		g.streamCounters.begun.Add(1)
+	}
+}
+
+// takesUpStream reports whether the caller asks for the rest of a stream whose events it has in part.
+func (q *request) takesUpStream() bool {
+	return q.route.Kind() == topology.Streaming && (q.call.LastEventID != "" || q.call.Resumes != "")
+}
+
+// recordTakeUp logs and counts the next attempt of a caller for the rest of a stream.
+func (g *Gateway) recordTakeUp(q *request, t target) {
+	if !q.takesUpStream() {
+		return
+	}
+	g.streamCounters.takenUp.Add(1)
+	g.Log.Info("Stream is taken up", "request", q.call.ID, "route", q.route.Name(), "resumes", q.call.Resumes, "last_event", q.call.LastEventID,
+		"endpoint", t.endpoint.ID(), "software", t.endpoint.Software())
+}
+
+// recordResumption logs and counts a stream that goes on at another endpoint within the same response.
+func (g *Gateway) recordResumption(q *request, t target, lastEvent string) {
+	g.streamCounters.resumed.Add(1)
+	began, software := "", ""
+	if q.streamedBy != nil {
+		began, software = q.streamedBy.ID(), q.streamedBy.Software()
+	}
+	g.Log.Info("Stream is resumed", "request", q.call.ID, "route", q.route.Name(), "last_event", lastEvent,
+		"began_at", began, "began_software", software, "endpoint", t.endpoint.ID(), "software", t.endpoint.Software())
+}
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -27,7 +27,7 @@
 // if its route allows that.
 func (g *Gateway) relayStream(ctx context.Context, q *request, out *callerResponse, d *dispatch, t target, resp *http.Response) *Refusal {
 	u := d.upstream
-	s := &eventRelay{out: out, lastID: q.call.LastEventID}
+	s := &eventRelay{out: out, lastID: q.call.LastEventID, began: func() { g.streamBegan(q, q.sentTo) }}
 	err := s.copy(resp, d.partReceived)
 	u.recordOutcome(err != nil && ctx.Err() == nil)
 	if err == nil {
@@ -76,6 +76,7 @@
 		q.executions = q.route.MaxAttempts() // no endpoint to resume at
 		return false
 	}
+	g.recordResumption(q, t, s.lastID)
 	d := g.newDispatch(q, t)
 	defer d.finish()
 	u := d.upstream
@@ -110,6 +111,7 @@
 type eventRelay struct {
 	out    *callerResponse
 	lastID string // ID of the last relayed event; empty: none
+	began  func() // called before the first event of the response is relayed
 }
 
 // copy relays complete events until the end of the stream, for which it returns nil. It drops an event
@@ -200,6 +202,7 @@
 		return
 	}
 	if !s.out.started {
+		s.began()
 		s.out.writeHead(resp, -1)
 	}
 	if id != "" {
--- a/topology/endpoint.go
+++ b/topology/endpoint.go
@@ -37,6 +37,7 @@
 	Service    string
 	Address    string // IP:port
 	DataCentre string
+	Software   string            // version of the software that it runs; versions have no order. Empty: not known
 	Slots      int               // requests that it processes concurrently
 	Draining   bool              // it is about to shut down
 	DrainTime  time.Duration     // with Draining: time until shutdown if published, else zero
@@ -65,6 +66,9 @@
 // DataCentre returns the data centre in which the endpoint runs.
 func (e *Endpoint) DataCentre() string { return e.spec.DataCentre }
 
+// Software returns the version of the software that the endpoint runs, empty if not known.
+func (e *Endpoint) Software() string { return e.spec.Software }
+
 // Slots returns how many requests the endpoint processes concurrently.
 func (e *Endpoint) Slots() int { return max(e.spec.Slots, 1) }
 
@@ -83,7 +87,7 @@
 func (e *Endpoint) EqualIgnoringAdapters(o *Endpoint) bool {
 	a, b := e.spec, o.spec
 	return a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.DataCentre == b.DataCentre && a.Slots == b.Slots &&
-		a.Draining == b.Draining && a.DrainTime == b.DrainTime && slices.Equal(a.Models, b.Models)
+		a.Software == b.Software && a.Draining == b.Draining && a.DrainTime == b.DrainTime && slices.Equal(a.Models, b.Models)
 }
 
 // HasModel reports whether the endpoint holds the base model.
