forward: a stream is resumed only at the software version that began it

Callers saw streams whose events come from two software versions of one service, which do not fit together. Cause: a stream that breaks off within a response was resumed at whatever endpoint holds the adapter. From its first event on, a response now has an origin, the service and the version of the software of the endpoint that sent it; selection, retries and the question to the owner of another data centre leave out all other endpoints. Before the first event the endpoint may change as before. An endpoint without a known version matches only its own instance, and an instance whose entry changes its version has none.

Test sites publish a version for their endpoints, as the users' endpoints do: streams between two endpoints without one no longer go on.

--- a/forward/adapter.go
+++ b/forward/adapter.go
@@ -167,9 +167,9 @@
 		if e = g.View.Endpoint(p.Endpoint); e == nil {
 			return target{}, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "the chosen endpoint is not in this box's view"}
 		}
-		if g.isExcluded(q, e.ID(), now) { // owners of an older version ignore AdapterRequest.Avoid
+		if !q.matches(e) || g.isExcluded(q, e.ID(), now) { // owners of an older version ignore AdapterRequest.Avoid
 			return target{}, &Refusal{Code: CodeNotLoaded, RetryAfter: max(unavailableRetryAfter, backoff.RetryAfter(g.BackoffRemaining(e.ID(), now))),
-				Detail: "the chosen endpoint has failed the request or is in a back-off"}
+				Detail: "the chosen endpoint can't continue the stream, has failed the request or is in a back-off"}
 		}
 	}
 	if !g.accepts(e.ID(), now) {
@@ -184,9 +184,17 @@
 	return q.excluded[endpoint] || g.BackoffRemaining(endpoint, now) > 0
 }
 
-// excludedEndpoints returns the endpoints that a request must not go to, though they may hold its adapter.
-func (g *Gateway) excludedEndpoints(q *request, now time.Time) []string {
+// excludedEndpoints returns the endpoints that a request must not go to, though they may hold its adapter. Of those that do
+// not match the origin of its stream it returns only those of the data centre that is asked.
+func (g *Gateway) excludedEndpoints(q *request, centre string, now time.Time) []string {
 	list := append(g.notices.backoffs.Active(now), slices.Collect(maps.Keys(q.excluded))...)
+	if q.origin != nil {
+		for _, e := range g.View.Endpoints(q.service.Name()) {
+			if e.DataCentre() == centre && !q.matches(e) {
+				list = append(list, e.ID())
+			}
+		}
+	}
 	slices.Sort(list)
 	return slices.Compact(list)
 }
@@ -222,7 +230,7 @@
 		PromptTokens: q.call.PromptTokens,
 
 		AvoidLimited: len(q.limitDenials) > 0,
-		Avoid:        g.excludedEndpoints(q, now),
+		Avoid:        g.excludedEndpoints(q, e.DataCentre(), now),
 	}
 }
 
--- a/forward/adapter_test.go
+++ b/forward/adapter_test.go
@@ -41,7 +41,7 @@
 		s.endpoint(t, answerOK)
 		id := fmt.Sprintf("e%d", s.count)
 		s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-			ID: id, Service: "app", Address: s.gateway.View.Endpoint(id).Address(), DataCentre: centre, Slots: 4, Models: []string{"m"},
+			ID: id, Service: "app", Address: s.gateway.View.Endpoint(id).Address(), DataCentre: centre, Software: "v1", Slots: 4, Models: []string{"m"},
 		}))
 	}
 	s.gateway.Placer = placer
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -253,7 +253,7 @@
 	}
 	q.tried[t.endpoint.ID()] = true
 	now := clock.Now()
-	others := g.withoutLimit(g.usable(g.View.Endpoints(q.service.Name()), q.tried, now)) // those with a rate limit may have no capacity
+	others := g.withoutLimit(g.usable(q.matching(g.View.Endpoints(q.service.Name())), q.tried, now)) // those with a rate limit may have no capacity
 	if len(others) == 0 || q.remaining(now) < firstByteTime || !g.takeRetry(q, now) {
 		return false
 	}
--- a/forward/balance_site_test.go
+++ b/forward/balance_site_test.go
@@ -127,7 +127,7 @@
 	s.endpoint(t, h)
 	id := fmt.Sprintf("e%d", s.count)
 	e := s.gateway.View.Endpoint(id)
-	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "app", Address: e.Address(), DataCentre: centre, Slots: 4, Models: []string{"m"}}))
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "app", Address: e.Address(), DataCentre: centre, Software: "v1", Slots: 4, Models: []string{"m"}}))
 	if ready {
 		s.gateway.View.SetAdapterStates(id, map[topology.Adapter]topology.AdapterState{{Model: "m", Name: "a"}: {Version: 1, Ready: true}})
 	}
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -192,6 +192,7 @@
 		Service:    "app",
 		Address:    e.Listener.Addr().String(),
 		DataCentre: "dc",
+		Software:   "v1",
 		Slots:      4,
 	}))
 	return &calls
--- a/forward/limit.go
+++ b/forward/limit.go
@@ -110,7 +110,7 @@
 // without a limit could serve it, or else any capacity after a short wait.
 func (g *Gateway) limitRequest(q *request, e *topology.Endpoint) ratelimit.Request {
 	ask := ratelimit.Request{Rank: q.config.Rank(q.route, q.organisation)}
-	others := g.View.Endpoints(q.service.Name())
+	others := q.matching(g.View.Endpoints(q.service.Name()))
 	if q.call.Adapter.Name != "" && q.service.Engine() != nil {
 		others = intersect(g.View.EndpointsReady(q.call.Adapter), others)
 	}
--- a/forward/links_test.go
+++ b/forward/links_test.go
@@ -23,7 +23,7 @@
 		for i := range count {
 			id := fmt.Sprintf("%s-%d", centre, i)
 			addresses[id+":1"] = id
-			s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "app", Address: id + ":1", DataCentre: centre, Slots: 4}))
+			s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "app", Address: id + ":1", DataCentre: centre, Software: "v1", Slots: 4}))
 		}
 	}
 	s.gateway.Dial = func(_ context.Context, _, address string) (net.Conn, error) {
--- a/forward/rejected_test.go
+++ b/forward/rejected_test.go
@@ -15,7 +15,7 @@
 // setDataCentre moves an endpoint of the site to a data centre, and sets its base models.
 func (s *testSite) setDataCentre(id, centre string, models ...string) {
 	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-		ID: id, Service: "app", Address: s.gateway.View.Endpoint(id).Address(), DataCentre: centre, Slots: 4, Models: models,
+		ID: id, Service: "app", Address: s.gateway.View.Endpoint(id).Address(), DataCentre: centre, Software: "v1", Slots: 4, Models: models,
 	}))
 }
 
--- a/forward/request.go
+++ b/forward/request.go
@@ -12,6 +12,7 @@
 
 	"cairnwick.example/access"
 	"cairnwick.example/clock"
+	"cairnwick.example/forward/origin"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/topology"
 	"github.com/cespare/xxhash/v2"
@@ -47,10 +48,10 @@
 	notLoadedAt   string                 // endpoint that reported that it does not hold the adapter
 	sentAt        time.Time              // of the last attempt
 	sentTo        *topology.Endpoint
-	streamedBy    *topology.Endpoint // sent the first event of the response; nil: no event was relayed
-	version       int64              // of the adapter at the last attempt; zero: any
-	queueTime     time.Duration      // part of placementTime before the load began
-	placementTime time.Duration      // from receipt until the adapter was ready, or was found not to be
+	origin        *origin.Origin // of the stream that the response continues: no other endpoints are used; nil: none has begun
+	version       int64          // of the adapter at the last attempt; zero: any
+	queueTime     time.Duration  // part of placementTime before the load began
+	placementTime time.Duration  // from receipt until the adapter was ready, or was found not to be
 	// predictedFirstToken is the predicted time to the first token of the last attempt.
 	predictedFirstToken time.Duration
 	maxEventGap         time.Duration // the longest time between two events of its stream
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -5,6 +5,7 @@
 import (
 	"sync/atomic"
 
+	"cairnwick.example/forward/origin"
 	"cairnwick.example/topology"
 )
 
@@ -26,14 +27,28 @@
 	return StreamCounts{Begun: c.begun.Load(), Resumed: c.resumed.Load(), TakenUp: c.takenUp.Load()}
 }
 
-// streamBegan records the first event of a response.
+// streamBegan records the first event of a response, from which on the stream goes on only at what began it.
 func (g *Gateway) streamBegan(q *request, e *topology.Endpoint) {
-	q.streamedBy = e
+	if q.origin == nil {
+		o := origin.Of(e)
+		q.origin = &o
+	}
 	if !q.takesUpStream() && q.route.IsReexecutable() {
 		g.streamCounters.begun.Add(1)
 	}
 }
 
+// matches reports whether the request may go to an endpoint, by the origin of the stream that it continues.
+func (q *request) matches(e *topology.Endpoint) bool { return q.origin == nil || q.origin.Matches(e) }
+
+// matching returns the endpoints of the list that the request may go to, by the origin of the stream that it continues.
+func (q *request) matching(list []*topology.Endpoint) []*topology.Endpoint {
+	if q.origin == nil {
+		return list
+	}
+	return q.origin.Filter(list)
+}
+
 // takesUpStream reports whether the caller asks for the rest of a stream whose events it has in part.
 func (q *request) takesUpStream() bool {
 	return q.route.Kind() == topology.Streaming && (q.call.LastEventID != "" || q.call.Resumes != "")
@@ -52,10 +67,10 @@
 // recordResumption logs and counts a stream that goes on at another endpoint within the same response.
 func (g *Gateway) recordResumption(q *request, t target, lastEvent string) {
 	g.streamCounters.resumed.Add(1)
-	began, software := "", ""
-	if q.streamedBy != nil {
-		began, software = q.streamedBy.ID(), q.streamedBy.Software()
+	began := ""
+	if q.origin != nil {
+		began = q.origin.Software
 	}
 	g.Log.Info("Stream is resumed", "request", q.call.ID, "route", q.route.Name(), "last_event", lastEvent,
-		"began_at", began, "began_software", software, "endpoint", t.endpoint.ID(), "software", t.endpoint.Software())
+		"began_software", began, "endpoint", t.endpoint.ID(), "software", t.endpoint.Software())
 }
--- a/forward/select_test.go
+++ b/forward/select_test.go
@@ -118,7 +118,7 @@
 	if p.drained == "" {
 		p.drained = w.Endpoint.ID()
 		p.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-			ID: p.drained, Service: "app", Address: w.Endpoint.Address(), DataCentre: "dc", Slots: 4, Models: []string{"m"}, Draining: true,
+			ID: p.drained, Service: "app", Address: w.Endpoint.Address(), DataCentre: "dc", Software: "v1", Slots: 4, Models: []string{"m"}, Draining: true,
 		}))
 	}
 	return PlacementResult{Ready: true, Endpoint: w.Endpoint.ID()}, nil
@@ -140,7 +140,7 @@
 		calls[id] = n
 		e := s.gateway.View.Endpoint(id)
 		s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-			ID: id, Service: "app", Address: e.Address(), DataCentre: "dc", Slots: 4, Models: []string{"m"},
+			ID: id, Service: "app", Address: e.Address(), DataCentre: "dc", Software: "v1", Slots: 4, Models: []string{"m"},
 		}))
 	}
 	p := &drainingPlacer{view: s.gateway.View}
@@ -170,7 +170,7 @@
 	s.endpoint(t, answerOK)
 	id := fmt.Sprintf("e%d", s.count)
 	e := s.gateway.View.Endpoint(id)
-	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "app", Address: "127.0.0.1:1", DataCentre: e.DataCentre(), Slots: 100}))
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: id, Service: "app", Address: "127.0.0.1:1", DataCentre: e.DataCentre(), Software: "v1", Slots: 100}))
 	return id
 }
 
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -111,9 +111,10 @@
 	return g.placeAdapter(ctx, q, list)
 }
 
-// capable returns the endpoints of the request's service that hold its base model.
+// capable returns the endpoints of the request's service that hold its base model, and that match the origin of the stream
+// which it continues, if any.
 func (g *Gateway) capable(q *request) []*topology.Endpoint {
-	list := g.View.Endpoints(q.service.Name())
+	list := q.matching(g.View.Endpoints(q.service.Name()))
 	if q.service.Engine() != nil && q.call.Adapter.Model != "" {
 		list = withModel(list, q.call.Adapter.Model)
 	}
--- a/forward/silence_test.go
+++ b/forward/silence_test.go
@@ -36,7 +36,7 @@
 		Service:    "app",
 		Address:    l.Addr().String(),
 		DataCentre: "dc",
-		Slots:      4,
+		Software:   "v1", Slots: 4,
 	}))
 	s.gateway.View.RemoveEndpoint(e.ID())
 	return p
--- a/forward/slow_reader_test.go
+++ b/forward/slow_reader_test.go
@@ -65,7 +65,7 @@
 		h(w, r)
 	}))
 	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-		ID: "small", Service: "app", Address: e.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
+		ID: "small", Service: "app", Address: e.Listener.Addr().String(), DataCentre: "dc", Software: "v1", Slots: 4,
 	}))
 }
 
--- a/forward/stream_test.go
+++ b/forward/stream_test.go
@@ -104,6 +104,6 @@
 	s.c.Check(err, quicktest.IsNil)
 	s.c.Check(l.Close(), quicktest.IsNil)
 	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-		ID: id, Service: "app", Address: l.Addr().String(), DataCentre: "dc", Slots: 4,
+		ID: id, Service: "app", Address: l.Addr().String(), DataCentre: "dc", Software: "v1", Slots: 4,
 	}))
 }
--- a/forward/suspend_test.go
+++ b/forward/suspend_test.go
@@ -32,7 +32,7 @@
 	s.gateway.View.SetConfig(topology.NewConfig(2, []*topology.Route{topology.NewRoute(r)}, services, topology.RequestLimits{MaxBodyBytes: 1 << 10}))
 	calls := s.endpoint(t, answerOK)
 	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-		ID: "e1", Service: "app", Address: s.gateway.View.Endpoint("e1").Address(), DataCentre: "dc", Slots: 4, Models: []string{"m"},
+		ID: "e1", Service: "app", Address: s.gateway.View.Endpoint("e1").Address(), DataCentre: "dc", Software: "v1", Slots: 4, Models: []string{"m"},
 	}))
 	pass := 5 * time.Second
 	s.gateway.Placer = suspendingPlacer{duration: pass}
--- a/forward/termination_test.go
+++ b/forward/termination_test.go
@@ -30,7 +30,7 @@
 	}))
 	t.Cleanup(server.Close)
 	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
-		ID: id, Service: "app", Address: server.Listener.Addr().String(), DataCentre: "dc", Slots: 4,
+		ID: id, Service: "app", Address: server.Listener.Addr().String(), DataCentre: "dc", Software: "v1", Slots: 4,
 	}))
 }
 
--- a/topology/endpoint.go
+++ b/topology/endpoint.go
@@ -69,6 +69,13 @@
 // Software returns the version of the software that the endpoint runs, empty if not known.
 func (e *Endpoint) Software() string { return e.spec.Software }
 
+// withUnknownSoftware returns a copy of the endpoint whose software is not known.
+func (e *Endpoint) withUnknownSoftware() *Endpoint {
+	spec := e.spec
+	spec.Software = ""
+	return &Endpoint{spec: spec}
+}
+
 // Slots returns how many requests the endpoint processes concurrently.
 func (e *Endpoint) Slots() int { return max(e.spec.Slots, 1) }
 
--- a/topology/view.go
+++ b/topology/view.go
@@ -67,9 +67,13 @@
 	if v.draining.ids[e.ID()] {
 		e = e.asDraining()
 	}
-	if old := v.endpoints[e.ID()]; old != nil && old.Service() != e.Service() {
+	old := v.endpoints[e.ID()]
+	if old != nil && old.Service() != e.Service() {
 		v.removeFromServiceLocked(old)
 	}
+	if old != nil && old.Software() != e.Software() { // one instance runs one software: none of the values can be relied on
+		e = e.withUnknownSoftware()
+	}
 	v.endpoints[e.ID()] = e
 	v.addToServiceLocked(e)
 	v.changedLocked()
