forward, edge: a caller's next attempt goes on at the software that began its stream

Cause: the box that they came back to, mostly another one, sent Last-Event-Id to any endpoint; nothing said where a stream began.

A box now records the origin of a stream (service and version, or the instance if its version is not known) at its first event, without holding it up, and sends it to four other boxes, two in its data centre. A box that is asked to go on asks all that may store it, and sends the request to matching endpoints of that service only, whatever the route's weights say.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -28,6 +28,7 @@
 	m.Set("edge_limits", expvar.Func(func() any { return n.limits.report() }))
 	m.Set("edge_links", expvar.Func(func() any { return n.gateway.Links() }))
 	m.Set("edge_streams", expvar.Func(func() any { return n.gateway.Streams() }))
+	m.Set("edge_origins", expvar.Func(func() any { return n.origins.report() }))
 	m.Set("edge_notices", expvar.Func(func() any { return n.gateway.Notices() }))
 	m.Set("edge_retries", expvar.Func(func() any { return n.gateway.RetryCounts() }))
 	m.Set("edge_source_restores", expvar.Func(func() any { return n.ignored.restores.Load() }))
--- a/edge/node.go
+++ b/edge/node.go
@@ -52,6 +52,7 @@
 	outbox     *outbox
 	quarantine requestQuarantine
 	limits     *limits
+	origins    *origins
 
 	departures departures
 	relay      *relay
@@ -97,6 +98,7 @@
 	n.quarantine = requestQuarantine{node: n}
 	n.departures = departures{node: n}
 	n.limits = newLimits(n)
+	n.origins = newOrigins(n)
 	n.relay = newRelay(n)
 	n.tunnels = tunnels{node: n, most: int64(max(s.Limits.Descriptors/tunnelDescriptorsDivisor, minTunnels))}
 	n.state.limits = n.limits
@@ -127,6 +129,7 @@
 		Admission:      admission{node: n},
 		Quarantine:     n.quarantine,
 		Limits:         n.limits,
+		Origins:        n.origins,
 		Boxes:          func() int { return n.peers.budgetBoxes(clock.Now()) },
 		LoadCost:       func(centre string) (time.Duration, bool) { return n.loadCosts.get(centre, clock.Now()) },
 		Unreachable:    func(centre string) bool { return n.peers.clusterView().unreachable[centre] },
@@ -246,7 +249,7 @@
 	drainTime := n.Settings.Bounds.Grace - leaveNoticeTime - shutdownMargin // how long requests in flight have to finish during shutdown
 	tasks := []task{
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLeadership, n.gateway.Run, n.logTraffic,
-		n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run,
+		n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run, n.origins.sender.run,
 		n.reader(Configuration).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error {
 			return servePeers(ctx, server, listeners.peers, func() { n.tunnels.awaitEnd(drainTime) })
--- /dev/null
+++ b/edge/origins.go
@@ -0,0 +1,160 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"cairnwick.example/clock"
+	"cairnwick.example/forward/origin"
+	"cairnwick.example/member"
+	"cairnwick.example/wire"
+)
+
+const (
+	// maxOrigins bounds the origins of streams that a box stores, some 200 bytes each.
+	maxOrigins = 1 << 15
+	// maxOriginTime bounds how long an origin of another box is stored, whatever that box asks for.
+	maxOriginTime = 15 * time.Minute
+	// originLookupTimeout is how long a caller that resumes a stream waits for boxes that do not answer, while none of the
+	// others knows the stream. A box that has used up its processor share is suspended for 100 ms.
+	originLookupTimeout = 250 * time.Millisecond
+	// maxOriginLookups bounds the lookups at the same time, since each asks many boxes and callers choose what to look up.
+	maxOriginLookups = 64
+)
+
+// origins stores which software began each stream that may be resumed, and finds out about those that began at other boxes.
+// A box sends the origins of its streams to a few others at their first event. A box that is asked to resume a stream asks
+// all boxes that may store its origin.
+type origins struct {
+	node    *Node
+	table   origin.Table
+	lookups chan struct{} // a slot of each lookup in progress
+	sender  originSender
+
+	found, notFound atomic.Int64 // lookups of streams that began at another box
+}
+
+func newOrigins(n *Node) *origins {
+	o := &origins{node: n, table: origin.Table{MaxRecords: maxOrigins}, lookups: make(chan struct{}, maxOriginLookups)}
+	o.sender = originSender{origins: o, wake: make(chan struct{}, 1)}
+	return o
+}
+
+// StreamBegan implements forward.Origins. It does not wait for other boxes.
+func (o *origins) StreamBegan(k origin.Key, began origin.Origin, keep time.Duration) {
+	r := origin.Record{Key: k, Origin: began, Expires: clock.Now().Add(min(keep, maxOriginTime))}
+	if o.table.Add(r, true) {
+		o.sender.add(r)
+	}
+}
+
+// FindOrigin implements forward.Origins.
+func (o *origins) FindOrigin(ctx context.Context, k origin.Key) (origin.Origin, bool) {
+	if r, known := o.table.Find(k, clock.Now()); known {
+		return r.Origin, true
+	}
+	select {
+	case o.lookups <- struct{}{}:
+		defer func() { <-o.lookups }()
+	default:
+		return origin.Origin{}, false
+	}
+	r, known := o.ask(ctx, k)
+	if !known {
+		o.notFound.Add(1)
+		return origin.Origin{}, false
+	}
+	o.found.Add(1)
+	o.table.Add(r, false)
+	return r.Origin, true
+}
+
+// ask asks the boxes that may know the origin of a stream, all at the same time, and returns the first one found.
+func (o *origins) ask(ctx context.Context, k origin.Key) (origin.Record, bool) {
+	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
+	defer cancel()
+	boxes := originDirectory(o.node.peers.otherBoxes())
+	answers := make(chan *wire.StreamOrigin, len(boxes))
+	for _, m := range boxes {
+		go func() { answers <- o.askBox(ctx, m, k) }()
+	}
+	for range boxes {
+		if r, ok := recordFromWire(<-answers, clock.Now()); ok && r.Key == k {
+			return r, true
+		}
+	}
+	return origin.Record{}, false
+}
+
+// askBox asks one box, and returns nil if it does not know the stream or does not answer.
+func (o *origins) askBox(ctx context.Context, m member.Member, k origin.Key) *wire.StreamOrigin {
+	q := &wire.FindOriginRequest{Box: o.node.peers.box, Key: k[:]}
+	a, err := wire.NewShareClient(o.node.peers.dialer.Conn(m.Address())).FindOrigin(ctx, q)
+	if err != nil {
+		o.node.Log.V(1).Info("Box does not answer where a stream began", "member", m.Name(), "err", err.Error())
+		return nil
+	}
+	return a.GetOrigin()
+}
+
+// handleFind answers another box that asks where a stream began.
+func (o *origins) handleFind(q *wire.FindOriginRequest) *wire.FindOriginReply {
+	k, ok := origin.ParseKey(q.GetKey())
+	if !ok {
+		return &wire.FindOriginReply{}
+	}
+	now := clock.Now()
+	r, known := o.table.Find(k, now)
+	if !known {
+		return &wire.FindOriginReply{}
+	}
+	return &wire.FindOriginReply{Origin: recordToWire(r, now)}
+}
+
+// handleRecord stores the origins of streams that began at another box.
+func (o *origins) handleRecord(q *wire.RecordOriginsRequest) {
+	now := clock.Now()
+	list := q.GetOrigins()
+	for _, w := range list[:min(len(list), maxOriginsPerMessage)] {
+		if r, ok := recordFromWire(w, now); ok {
+			o.table.Add(r, false)
+		}
+	}
+}
+
+// recordFromWire converts a message; false if it has no valid key or names nothing that a stream can go on at.
+func recordFromWire(w *wire.StreamOrigin, now time.Time) (origin.Record, bool) {
+	k, ok := origin.ParseKey(w.GetKey())
+	r := origin.Record{
+		Key:     k,
+		Origin:  origin.Origin{Service: w.GetService(), Software: w.GetSoftware(), Endpoint: w.GetEndpoint()},
+		Expires: now.Add(min(positiveMessageTime(w.GetKeepMicros()), maxOriginTime)),
+	}
+	return r, ok && r.Origin.IsKnown()
+}
+
+// recordToWire converts a record to a message.
+func recordToWire(r origin.Record, now time.Time) *wire.StreamOrigin {
+	return &wire.StreamOrigin{
+		Key:        r.Key[:],
+		Service:    r.Origin.Service,
+		Software:   r.Origin.Software,
+		Endpoint:   r.Origin.Endpoint,
+		KeepMicros: r.Expires.Sub(now).Microseconds(),
+	}
+}
+
+// originsReport is the entry of the metrics.
+type originsReport struct {
+	Stored   int   `json:"stored"`
+	Own      int   `json:"own"`
+	Found    int64 `json:"found"`
+	NotFound int64 `json:"not_found"`
+}
+
+func (o *origins) report() originsReport {
+	return originsReport{Stored: o.table.Len(), Own: len(o.table.Own(clock.Now())), Found: o.found.Load(), NotFound: o.notFound.Load()}
+}
--- /dev/null
+++ b/edge/origins_test.go
@@ -0,0 +1,129 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package edge
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"cairnwick.example/forward/origin"
+	"cairnwick.example/member"
+	"cairnwick.example/topology"
+	"cairnwick.example/wire"
+	"github.com/frankban/quicktest"
+)
+
+// boxesOf returns boxes that are spread over data centres.
+func boxesOf(count, centres int) []member.Member {
+	var list []member.Member
+	for i := range count {
+		list = append(list, linkedBox(fmt.Sprintf("box-%03d", i), fmt.Sprintf("dc-%d", i%centres), uint64(i+1), false))
+	}
+	return list
+}
+
+func without(list []member.Member, gone map[string]bool) []member.Member {
+	var rest []member.Member
+	for _, m := range list {
+		if !gone[m.Name()] {
+			rest = append(rest, m)
+		}
+	}
+	return rest
+}
+
+// foundShare kills half of all boxes and returns the share of the killed ones of whose streams a box that is left finds the
+// origins, and the largest number of boxes that one box sends origins to or receives them from, or asks.
+func foundShare(boxes []member.Member, rng *rand.Rand) (share float64, sends, receives, asks int) {
+	killed := make(map[string]bool)
+	for _, i := range rng.Perm(len(boxes))[:len(boxes)/2] {
+		killed[boxes[i].Name()] = true
+	}
+	alive := without(boxes, killed)
+	directory := make(map[string]bool)
+	for _, m := range originDirectory(alive) {
+		directory[m.Name()] = true
+	}
+	received := make(map[string]int)
+	found := 0
+	for _, m := range boxes {
+		partners := originPartners(m.Name(), m.DataCentre(), without(boxes, map[string]bool{m.Name(): true}))
+		sends = max(sends, len(partners))
+		known := false
+		for _, p := range partners {
+			received[p.Name()]++
+			receives = max(receives, received[p.Name()])
+			known = known || directory[p.Name()]
+		}
+		if known && killed[m.Name()] {
+			found++
+		}
+	}
+	return float64(found) / float64(len(killed)), sends, receives, len(directory)
+}
+
+// Guards against streams that can't go on after many boxes are killed together, and against costs that grow with the boxes.
+func TestOriginsSurviveTheLossOfHalfOfAllBoxes(t *testing.T) {
+	c := quicktest.New(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, x := range []struct{ boxes, centres int }{{7, 3}, {74, 3}, {380, 6}} {
+		const rounds = 50
+		total := 0.0
+		for range rounds {
+			share, sends, receives, asks := foundShare(boxesOf(x.boxes, x.centres), rng)
+			total += share
+			c.Check(sends <= originCopies, quicktest.IsTrue)
+			mean := float64(originCopies*x.boxes) / float64(min(x.boxes, maxOriginDirectory))
+			c.Check(float64(receives) <= 4*mean, quicktest.IsTrue, quicktest.Commentf("a box of %d receives the origins of %d, %.1f on average", x.boxes, receives, mean))
+			c.Check(asks <= maxOriginDirectory, quicktest.IsTrue)
+		}
+		t.Logf("%d boxes: %.3f found", x.boxes, total/rounds)
+		c.Check(total/rounds >= 0.9, quicktest.IsTrue, quicktest.Commentf("%d boxes: %.3f found", x.boxes, total/rounds))
+	}
+}
+
+func TestBothSidesOfAPartitionStoreOrigins(t *testing.T) {
+	c := quicktest.New(t)
+	boxes := boxesOf(12, 3)
+	for _, m := range boxes {
+		local := 0
+		partners := originPartners(m.Name(), m.DataCentre(), without(boxes, map[string]bool{m.Name(): true}))
+		for _, p := range partners {
+			if p.DataCentre() == m.DataCentre() {
+				local++
+			}
+		}
+		c.Check(partners, quicktest.HasLen, originCopies)
+		c.Check(local, quicktest.Equals, localOriginCopies)
+	}
+	c.Check(originPartners("a", "dc", nil), quicktest.HasLen, 0)
+	c.Check(originPartners("box-000", "dc-0", boxes[1:2]), quicktest.HasLen, 1)
+	c.Check(originPartners("a", "dc-0", boxesOf(5, 1)), quicktest.HasLen, originCopies)
+}
+
+func FuzzOriginMessage(f *testing.F) {
+	f.Add([]byte("0123456789abcdef"), "s", "v1", "", int64(time.Minute/time.Microsecond))
+	f.Add([]byte(nil), "", "", "", int64(-1))
+	f.Add([]byte("0123456789abcdef"), "s", "", "e1", int64(1)<<62)
+	f.Fuzz(func(t *testing.T, key []byte, service, software, endpoint string, keep int64) {
+		c := quicktest.New(t)
+		now := time.Now()
+		r, ok := recordFromWire(&wire.StreamOrigin{Key: key, Service: service, Software: software, Endpoint: endpoint, KeepMicros: keep}, now)
+		if !ok {
+			return
+		}
+		c.Check(len(key), quicktest.Equals, len(r.Key))
+		c.Check(r.Expires.Before(now) || r.Expires.Sub(now) > maxOriginTime, quicktest.IsFalse)
+		other := topology.NewEndpoint(topology.EndpointSpec{ID: "another", Service: service, Software: software + "x"})
+		c.Check(r.Origin.Matches(other), quicktest.IsFalse)
+		again, ok := recordFromWire(recordToWire(r, now), now)
+		c.Check(ok, quicktest.IsTrue)
+		c.Check(again.Origin, quicktest.Equals, r.Origin)
+		table := origin.Table{MaxRecords: 1}
+		table.Add(r, false)
+		_, known := table.Find(r.Key, now)
+		c.Check(known, quicktest.Equals, now.Before(r.Expires))
+	})
+}
--- a/edge/serve.go
+++ b/edge/serve.go
@@ -166,3 +166,14 @@
 		Pauses:  positiveMessageTime(u.GetPauseMicros()),
 	}
 }
+
+// RecordOrigins implements the Share service.
+func (s shareServer) RecordOrigins(_ context.Context, q *wire.RecordOriginsRequest) (*wire.RecordOriginsReply, error) {
+	s.node.origins.handleRecord(q)
+	return &wire.RecordOriginsReply{}, nil
+}
+
+// FindOrigin implements the Share service.
+func (s shareServer) FindOrigin(_ context.Context, q *wire.FindOriginRequest) (*wire.FindOriginReply, error) {
+	return s.node.origins.handleFind(q), nil
+}
--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -256,3 +256,64 @@
 	c.Check(mixed, quicktest.Equals, 0)
 	c.Check(complete >= 0.95*count, quicktest.IsTrue, quicktest.Commentf("%d of %d streams are complete", complete, count))
 }
+
+// Guards against streams that can't be resumed since the box that began them has ended.
+func TestStreamsOfEndedBoxesAreTakenUp(t *testing.T) {
+	t.Parallel()
+	for _, ended := range []int{1, 3} {
+		t.Run(strconv.Itoa(ended), func(t *testing.T) {
+			t.Parallel()
+			c := quicktest.New(t)
+			const count = 120
+			nodes, end := startStreamFleet(c, newStreamService(c, "v1", "v1", "v1", "v1.1", "v1.1", "v1.1"), 6)
+			results := takeUpStreams(nodes[:ended], nodes[ended:], count, func() {
+				inParallel(ended, end)
+			})
+			complete, mixed := countStreams(results)
+			c.Check(mixed, quicktest.Equals, 0)
+			c.Check(complete >= 0.9*count, quicktest.IsTrue, quicktest.Commentf("%d of %d streams are complete", complete, count))
+		})
+	}
+}
+
+// Guards against streams that go on at other software once no endpoint runs the software that began them.
+func TestStreamWhoseSoftwareIsGoneIsRefused(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	const count = 40
+	s := newStreamService(c, "v1", "v1", "v1.1", "v1.1")
+	nodes, _ := startStreamFleet(c, s, 2)
+	results := takeUpStreams(nodes, nodes, count, func() {
+		s.remove("v1")
+		for _, n := range nodes {
+			for len(n.view.All()) != 2 {
+				time.Sleep(10 * time.Millisecond)
+			}
+		}
+	})
+	refused := 0
+	for _, r := range results {
+		if r.status == http.StatusServiceUnavailable {
+			refused++
+			c.Check(r.software["v1.1"], quicktest.IsFalse)
+		}
+	}
+	complete, mixed := countStreams(results)
+	c.Check(mixed, quicktest.Equals, 0)
+	c.Check(refused > 0, quicktest.IsTrue)
+	c.Check(complete+refused, quicktest.Equals, count)
+}
+
+// Guards against a stream that goes on although nobody knows what began it.
+func TestUnknownStreamIsRefused(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	nodes, _ := startStreamFleet(c, newStreamService(c, "v1", "v1"), 2)
+	for _, resumes := range []string{"", "nobody", "self", strings.Repeat("x", 4000)} {
+		r := &streamResult{events: 3, software: make(map[string]bool)}
+		openStream(nodes[0], "self", resumes, r, streamLength)
+		c.Check(r.status, quicktest.Equals, http.StatusServiceUnavailable)
+		c.Check(r.events, quicktest.Equals, 3)
+	}
+	c.Check(nodes[0].origins.notFound.Load(), quicktest.Equals, int64(3))
+}
--- a/edge/traffic.go
+++ b/edge/traffic.go
@@ -32,6 +32,8 @@
 	kindEnded     = "ended"          // endpoints that ended while they ran requests or are draining, and the reply
 	kindTake      = "take"           // draws from the rate limit of an endpoint, and the reply
 	kindLimits    = "limits"         // rate limits that endpoints announced, and the reply
+	kindOrigins   = "origins"        // software that began streams, and the reply
+	kindFind      = "find_origin"    // asks which software began a stream, and the reply
 	kindUnknown   = "other"          // message of a newer version
 )
 
@@ -68,6 +70,10 @@
 		return kindTake
 	case *wire.LimitsRequest, *wire.LimitsReply:
 		return kindLimits
+	case *wire.RecordOriginsRequest, *wire.RecordOriginsReply:
+		return kindOrigins
+	case *wire.FindOriginRequest, *wire.FindOriginReply:
+		return kindFind
 	}
 	return kindUnknown
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/forward/origin"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
@@ -162,6 +163,14 @@
 	InvalidLimit(endpoint string, err error)
 }
 
+// Origins tracks which software began each stream that may be resumed, for all boxes together.
+type Origins interface {
+	// StreamBegan records the origin of a stream at its first event, for as long as the stream may be resumed. It must not block.
+	StreamBegan(k origin.Key, o origin.Origin, keep time.Duration)
+	// FindOrigin returns the origin of a stream; false if no box that answers knows it.
+	FindOrigin(ctx context.Context, k origin.Key) (origin.Origin, bool)
+}
+
 // AcquireResult is the answer to Limits.Acquire.
 type AcquireResult struct {
 	OK   bool          // the request may be sent, after Wait
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -28,6 +28,7 @@
 	Admission      Admission
 	Quarantine     Quarantine
 	Limits         Limits
+	Origins        Origins
 	Boxes          func() int                                               // boxes that share the retry budget; zero: not known yet
 	LoadCost       func(dataCentre string) (cost time.Duration, known bool) // of a load there, as reported by its leader
 	Unreachable    func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead
@@ -174,7 +175,10 @@
 		out.buffer = newResponseBuffer(ctx, g.heldBytes(), w, clock.SystemTime(q.deadline).Add(writeGrace), cancel)
 		defer out.abandon()
 	}
-	f := g.chargeQuota(ctx, q)
+	f := g.findOrigin(ctx, q)
+	if f == nil {
+		f = g.chargeQuota(ctx, q)
+	}
 	if f == nil {
 		f = g.serve(ctx, q, out)
 		g.refundQuota(q)
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -15,6 +15,7 @@
 
 	"cairnwick.example/access"
 	"cairnwick.example/backoff"
+	"cairnwick.example/forward/origin"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
@@ -27,7 +28,7 @@
 
 // ParseCall implements Protocol.
 func (plainProtocol) ParseCall(h http.Header) (Call, error) {
-	c := Call{ID: h.Get("Id"), Adapter: topology.ParseAdapter(h.Get("Adapter")), LastEventID: h.Get("Test-Last-Event-Id")}
+	c := Call{ID: h.Get("Id"), Adapter: topology.ParseAdapter(h.Get("Adapter")), LastEventID: h.Get("Test-Last-Event-Id"), Resumes: h.Get("Test-Resumes")}
 	c.Credential = access.NewCredential(h.Values("Key"))
 	if d, err := time.ParseDuration(h.Get("Test-Deadline")); err == nil {
 		c.Deadline = d
@@ -113,6 +114,20 @@
 // InvalidLimit implements Limits.
 func (noLimits) InvalidLimit(string, error) {}
 
+// siteOrigins are the origins of the streams of one box.
+type siteOrigins struct{ table origin.Table }
+
+// StreamBegan implements Origins.
+func (o *siteOrigins) StreamBegan(k origin.Key, began origin.Origin, keep time.Duration) {
+	o.table.Add(origin.Record{Key: k, Origin: began, Expires: time.Now().Add(keep)}, true)
+}
+
+// FindOrigin implements Origins.
+func (o *siteOrigins) FindOrigin(_ context.Context, k origin.Key) (origin.Origin, bool) {
+	r, known := o.table.Find(k, time.Now())
+	return r.Origin, known
+}
+
 type noObserver struct{}
 
 // RequestStarted implements Observer.
@@ -160,6 +175,7 @@
 		Observer:      noObserver{},
 		Quarantine:    noQuarantine{},
 		Limits:        noLimits{},
+		Origins:       &siteOrigins{table: origin.Table{MaxRecords: 1000}},
 		Boxes:         func() int { return 1 },
 		LoadCost:      func(string) (time.Duration, bool) { return 0, false },
 		Unreachable:   func(string) bool { return false },
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -36,6 +36,10 @@
 	CodeNoSlot Code = "adapter_slots_in_use"
 	// CodeEndpointLimit: the endpoints that could serve the request have reached their limits.
 	CodeEndpointLimit Code = "endpoint_limit"
+	// CodeStreamUnknown: the caller resumes a stream of which no box knows what software began it.
+	CodeStreamUnknown Code = "stream_not_known"
+	// CodeStreamLost: the route has no endpoint with the software that began the stream.
+	CodeStreamLost Code = "stream_software_gone"
 	// CodeBackoff: the endpoints that could serve the request are in a back-off.
 	CodeBackoff Code = "endpoint_backoff"
 
@@ -51,6 +55,7 @@
 	MayHaveRun bool          // the request may have been executed
 	Unsent     bool          // no byte of the request left this box
 	RetryAfter time.Duration // for the caller; zero: minRetryAfter
+	Final      bool          // no time is known at which the request would be served: RetryAfter is not sent
 	NoRoom     bool          // the request isn't expected to be served before its deadline; RetryAfter is the time until then
 	Detail     string
 }
@@ -96,7 +101,7 @@
 	status := f.status()
 	h := w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if !f.Final && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		g.Protocol.SetRetryAfter(h, max(f.RetryAfter, minRetryAfter))
 	}
 	if f.Code == CodeKeysStale {
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -3,7 +3,9 @@
 package forward
 
 import (
+	"context"
 	"sync/atomic"
+	"time"
 
 	"cairnwick.example/forward/origin"
 	"cairnwick.example/topology"
@@ -33,9 +35,39 @@
 		o := origin.Of(e)
 		q.origin = &o
 	}
-	if !q.takesUpStream() && q.route.IsReexecutable() {
+	if q.route.Kind() != topology.Streaming || !q.route.IsReexecutable() {
+		return
+	}
+	attempt := q.call.Resumes
+	if !q.takesUpStream() {
 		g.streamCounters.begun.Add(1)
+		attempt = q.call.ID
+	}
+	g.Origins.StreamBegan(origin.NewKey(q.content, attempt), *q.origin, q.route.Timeout()+resumeGrace)
+}
+
+// resumeGrace is how long after a route's timeout the origin of a stream is kept: clocks and delays differ, and a caller that
+// names no deadline may come back after it.
+const resumeGrace = 5 * time.Second
+
+// findOrigin finds out what began the stream that the caller resumes, and selects the service that did. Other software can't
+// continue it, so it is refused if that is not known, or if the route no longer leads there.
+func (g *Gateway) findOrigin(ctx context.Context, q *request) *Refusal {
+	if !q.takesUpStream() {
+		return nil
+	}
+	if q.call.Resumes == "" {
+		return &Refusal{Code: CodeStreamUnknown, Final: true, Detail: "the caller does not name the attempt that began the stream"}
+	}
+	o, known := g.Origins.FindOrigin(ctx, origin.NewKey(q.content, q.call.Resumes))
+	if !known {
+		return &Refusal{Code: CodeStreamUnknown, Final: true, Detail: "no box that answers knows what software began the stream"}
+	}
+	if !q.route.LeadsTo(o.Service) || q.config.Service(o.Service) == nil {
+		return &Refusal{Code: CodeStreamLost, Final: true, Detail: "the route no longer leads to the service that began the stream: " + o.Service}
 	}
+	q.origin, q.service = &o, q.config.Service(o.Service)
+	return nil
 }
 
 // matches reports whether the request may go to an endpoint, by the origin of the stream that it continues.
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -71,3 +72,101 @@
 		s.c.Assert(err == nil || strings.Contains(text, "v2"), quicktest.IsTrue, quicktest.Commentf("%v", err))
 	}
 }
+
+// streamAttempt sends an attempt of a stream; resumes is the attempt that began it, empty for the first one.
+func (s *testSite) streamAttempt(id, resumes, lastEvent string) (status int, retryAfter, text string) {
+	r, err := http.NewRequest(http.MethodPost, s.server.URL+"/", strings.NewReader("the body"))
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	r.Header.Set("Id", id)
+	if resumes != "" {
+		r.Header.Set("Test-Resumes", resumes)
+		r.Header.Set("Test-Last-Event-Id", lastEvent)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	s.c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body) // the test endpoints may break it off
+	return resp.StatusCode, resp.Header.Get("Test-Retry-After"), string(body)
+}
+
+// setServices replaces the configuration by one with a route to services with the given weights.
+func (s *testSite) setServices(version uint64, weights ...topology.WeightedService) {
+	r := resumableRoute(2 * time.Second)
+	r.Host, r.Services, r.MaxAttempts = "site.example", weights, 1
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app"}), topology.NewService(topology.ServiceSpec{Name: "other"})}
+	s.gateway.View.SetConfig(topology.NewConfig(version, []*topology.Route{topology.NewRoute(r)}, services, topology.RequestLimits{MaxBodyBytes: 1 << 10}))
+}
+
+// moveEndpoint replaces the last endpoint by one of another service.
+func (s *testSite) moveEndpoint(service string) {
+	e := s.gateway.View.Endpoint(fmt.Sprintf("e%d", s.count))
+	s.gateway.View.RemoveEndpoint(e.ID())
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+		ID: e.ID(), Service: service, Address: e.Address(), DataCentre: "dc", Slots: 4, Software: e.Software(),
+	}))
+}
+
+// Guards against a route that is split between services and sends a caller's second attempt to another one.
+func TestTakeUpGoesToTheServiceThatBeganTheStream(t *testing.T) {
+	s := newSite(t)
+	s.setServices(1, topology.WeightedService{Name: "app", Weight: 1}, topology.WeightedService{Name: "other", Weight: 1})
+	for _, service := range []string{"app", "other"} {
+		s.softwareEndpoint(t, "v1")
+		s.moveEndpoint(service)
+	}
+	app, other := s.calls["e1"], s.calls["e2"]
+	for i := range 20 {
+		began := fmt.Sprintf("first-%d", i)
+		before := app.Load()
+		_, _, text := s.streamAttempt(began, "", "")
+		s.c.Assert(strings.Count(text, "data: v1\n"), quicktest.Equals, 2)
+		atApp := app.Load() > before
+		before, beforeOther := app.Load(), other.Load()
+		status, _, text := s.streamAttempt(fmt.Sprintf("second-%d", i), began, "2")
+		s.c.Check(status, quicktest.Equals, http.StatusOK)
+		s.c.Check(strings.Count(text, "data: v1\n"), quicktest.Equals, 2)
+		s.c.Check(app.Load()-before == 1, quicktest.Equals, atApp)
+		s.c.Check(other.Load()-beforeOther == 1, quicktest.Equals, !atApp)
+	}
+	began := make(map[bool]string) // by whether the service is app: an attempt that it began
+	for i := range 20 {
+		id, before := fmt.Sprintf("moved-%d", i), app.Load()
+		s.streamAttempt(id, "", "")
+		began[app.Load() > before] = id
+	}
+	s.setServices(2, topology.WeightedService{Name: "other", Weight: 1})
+	s.c.Check(s.refusal("next", began[true]), quicktest.Equals, string(CodeStreamLost))
+	s.c.Check(s.refusal("next", began[false]), quicktest.Equals, "")
+}
+
+// refusal returns the code with which a take-up is refused without a time to come back; empty if it is served.
+func (s *testSite) refusal(id, resumes string) string {
+	status, retryAfter, text := s.streamAttempt(id, resumes, "2")
+	if status == http.StatusOK {
+		return ""
+	}
+	s.c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Check(retryAfter, quicktest.Equals, "")
+	return strings.TrimSpace(text)
+}
+
+// Guards against a refusal that names a time at which the stream could not go on either.
+func TestTakeUpThatCanNotGoOnIsRefusedWithoutATime(t *testing.T) {
+	s := newSite(t)
+	s.setServices(1, topology.WeightedService{Name: "app", Weight: 1})
+	s.softwareEndpoint(t, "v1")
+	s.softwareEndpoint(t, "v1")
+	s.streamAttempt("first", "", "")
+	s.c.Check(s.refusal("second", "never seen"), quicktest.Equals, string(CodeStreamUnknown))
+	s.c.Check(s.refusal("first", "second"), quicktest.Equals, string(CodeStreamUnknown))
+	s.c.Check(s.refusal("second", "first"), quicktest.Equals, "")
+	s.c.Check(s.refusal("third", "first"), quicktest.Equals, "") // a take-up of a take-up names the first attempt
+	for _, id := range []string{"e1", "e2"} {
+		s.gateway.View.RemoveEndpoint(id)
+	}
+	s.softwareEndpoint(t, "v2")
+	calls := s.calls["e3"]
+	s.c.Check(s.refusal("fourth", "first"), quicktest.Equals, string(CodeStreamLost))
+	s.c.Check(calls.Load(), quicktest.Equals, int64(0))
+}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -124,6 +124,9 @@
 // noEndpoint refuses a request that no endpoint can serve. If all of them are in a back-off the caller
 // gets the time until the first one ends as its retry time.
 func (g *Gateway) noEndpoint(q *request, capable []*topology.Endpoint, now time.Time) *Refusal {
+	if q.origin != nil && len(capable) == 0 {
+		return &Refusal{Code: CodeStreamLost, Final: true, Detail: "no endpoint runs the software that began the stream: " + q.origin.Software}
+	}
 	if after, known := g.earliestAvailable(capable, now); known && after > 0 {
 		return &Refusal{Code: CodeBackoff, RetryAfter: after, Detail: "all endpoints that could serve the request are in a back-off"}
 	}
--- a/topology/config.go
+++ b/topology/config.go
@@ -103,6 +103,13 @@
 // Public reports whether callers need no key, even if the configuration has organisations.
 func (r *Route) Public() bool { return r.spec.Public }
 
+// LeadsTo reports whether requests of the route may go to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.spec.Services, func(s WeightedService) bool {
+		return s.Name == service && (s.Weight > 0 || len(r.spec.Services) == 1)
+	})
+}
+
 // SelectService returns the service of a request by weight. point is the request's own number in [0, 1).
 func (r *Route) SelectService(point float64) string {
 	total := 0
