--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -80,6 +80,8 @@
 			"metric":           cmdMetric,
 			"waitmetric":       cmdWaitMetric,
 			"sendload":         cmdSendLoad,
+			"streams":          cmdStreams,
+			"waitstreams":      cmdWaitStreams,
 			"reachableengines": cmdReachableEngines,
 			"waitterminations": cmdWaitTerminations,
 		},
@@ -92,9 +94,10 @@
 	client     fleet.Client
 	loadReport chan load.Report // the report of the load in the background
 	cancelLoad context.CancelFunc
-	proxyRules []standin.Rule  // current rules of the proxy
-	notRunIDs  []string        // IDs of requests that were rejected as not run
-	response   chan sendResult // the result of the request in the background
+	proxyRules []standin.Rule      // current rules of the proxy
+	notRunIDs  []string            // IDs of requests that were rejected as not run
+	response   chan sendResult     // the result of the request in the background
+	streams    chan []streamCaller // the streams in the background, once all have ended
 }
 
 type stateKey struct{}
--- a/standin/api.go
+++ b/standin/api.go
@@ -250,10 +250,14 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-func (e *Engine) restart(w http.ResponseWriter, _ *http.Request) {
+// restart restarts the engine, with another version of its software if the query names one.
+func (e *Engine) restart(w http.ResponseWriter, q *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.resetLocked()
+	if q.URL.Query().Has("software") {
+		e.software = q.URL.Query().Get("software")
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -37,6 +37,7 @@
 
 	mu               sync.Mutex
 	boot             string
+	software         string // version, set by a restart
 	fence            engine.Fence
 	slots            map[string]*slot // by adapter name; at most Slots entries
 	runs             map[string]*run  // by request ID; kept for ResumeWindow after they end
--- a/standin/protocol.go
+++ b/standin/protocol.go
@@ -23,6 +23,13 @@
 	return e.boot
 }
 
+// Software returns the version of the engine's software; empty if it was never set.
+func (e *Engine) Software() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.software
+}
+
 // LoadedAdapters lists the adapters that were loaded by Order, each as ADAPTER@VERSION.
 type LoadedAdapters struct {
 	Ready   []string
@@ -162,7 +169,10 @@
 }
 
 // Response is the response to a request that was admitted.
-type Response struct{ run *run }
+type Response struct {
+	run      *run
+	software string // of the engine when it admitted the request
+}
 
 // Start admits a request for the slot MODEL/ADAPTER, or returns the code to reject it with.
 // If tokens is not positive, the default number is used.
@@ -174,7 +184,7 @@
 	if r == nil {
 		return nil, code
 	}
-	return &Response{run: r}, ""
+	return &Response{run: r, software: e.Software()}, ""
 }
 
 // Content returns the adapter@version that the request runs on.
@@ -191,3 +201,31 @@
 	_, _ = io.Copy(io.Discard, q.Body) // the request's body is not used
 	writeFinal(q.Context(), w, r.run)
 }
+
+// WriteEvents writes the response as a stream of events that name the engine's software. Their IDs are numbers that go on after
+// the given one, whatever software sent the events before it. A stream that does not end in order is broken off.
+func (r *Response) WriteEvents(w http.ResponseWriter, q *http.Request, after int) {
+	r.run.addReader()
+	defer r.run.removeReader()
+	w.Header().Set("Content-Type", "text/event-stream")
+	flush := http.NewResponseController(w)
+	for n := 0; ; {
+		produced, changed, state := r.run.progress()
+		for ; n < produced; n++ {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", after+n+1, r.software)
+		}
+		_ = flush.Flush()
+		switch state {
+		case nil:
+			return
+		case errRunning:
+		default:
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-q.Context().Done():
+			return
+		case <-changed:
+		}
+	}
+}
