forward, edge: a stream goes on without a record while one version alone can have begun it

A box that has read the source lately, and has known the service for long enough, now takes the only version that its endpoints run and ran for the origin; others are asked for the same. For that to be a proof, resumable streams begin at a version only once a box has known it for the longest lag of views, unless most endpoints run it, and a configuration that moves them to another service is noticed. Tests: TestSoleSoftwareIsOnlyUsedIfNoOtherCanHaveBegunTheStream, TestNewSoftwareBeginsNoResumableStreamAtFirst; TestUnknownStreamIsRefused counts one lookup more, since callers that name no attempt are looked up, too.

--- a/edge/node.go
+++ b/edge/node.go
@@ -133,6 +133,7 @@
 		Boxes:          func() int { return n.peers.budgetBoxes(clock.Now()) },
 		LoadCost:       func(centre string) (time.Duration, bool) { return n.loadCosts.get(centre, clock.Now()) },
 		Unreachable:    func(centre string) bool { return n.peers.clusterView().unreachable[centre] },
+		ViewDelay:      n.behind,
 		RetryLimits:    func() forward.RetryLimits { return n.current.Load().Budget },
 		OnDraining:     n.departures.observe,
 		Dial:           n.Dial,
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnwick.example/clock"
+	"cairnwick.example/forward"
 	"cairnwick.example/forward/origin"
 	"cairnwick.example/member"
 	"cairnwick.example/wire"
@@ -52,9 +53,9 @@
 }
 
 // FindOrigin implements forward.Origins.
-func (o *origins) FindOrigin(ctx context.Context, k origin.Key) (origin.Origin, bool) {
-	if r, known := o.table.Find(k, clock.Now()); known {
-		return r.Origin, true
+func (o *origins) FindOrigin(ctx context.Context, q forward.OriginQuery) (origin.Origin, bool) {
+	if known, ok := o.local(q); ok {
+		return known, true
 	}
 	select {
 	case o.lookups <- struct{}{}:
@@ -62,27 +63,57 @@
 	default:
 		return origin.Origin{}, false
 	}
-	r, known := o.ask(ctx, k)
-	if !known {
+	r, ok := o.ask(ctx, q)
+	if !ok {
 		o.notFound.Add(1)
 		return origin.Origin{}, false
 	}
 	o.found.Add(1)
-	o.table.Add(r, false)
+	if q.HasKey {
+		o.table.Add(r, false)
+	}
 	return r.Origin, true
 }
 
+// local returns the origin of a stream if this box knows it.
+func (o *origins) local(q forward.OriginQuery) (origin.Origin, bool) {
+	if r, known := o.table.Find(q.Key, clock.Now()); known && q.HasKey {
+		return r.Origin, true
+	}
+	return o.sole(q)
+}
+
+// staleBoxTime is how long a box that reaches neither the source nor other boxes may go on using endpoints that have left.
+const staleBoxTime = time.Minute
+
+// sole returns the origin that all streams of a service must have: its endpoints have run one version since the stream may have
+// begun. A box begins streams at a new version only once it has known it for the longest time by which the view of a
+// box that reaches the source lags behind, so this box, if it does, knows all versions that have begun streams.
+func (o *origins) sole(q forward.OriginQuery) (origin.Origin, bool) {
+	lag := o.node.behind()
+	if age, ok := o.node.sourceAge(); q.Service == "" || !ok || age >= lag {
+		return origin.Origin{}, false
+	}
+	since := clock.Now().Add(-q.Age - 2*lag)
+	software, ok := o.node.view.SoleSoftware(q.Service, since, since.Add(-staleBoxTime))
+	return origin.Origin{Service: q.Service, Software: software}, ok && o.node.view.StreamsStayedSince(since)
+}
+
 // ask asks the boxes that may know the origin of a stream, all at the same time, and returns the first one found.
-func (o *origins) ask(ctx context.Context, k origin.Key) (origin.Record, bool) {
+func (o *origins) ask(ctx context.Context, q forward.OriginQuery) (origin.Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
+	m := &wire.FindOriginRequest{Box: o.node.peers.box, Service: q.Service, AgeMicros: q.Age.Microseconds()}
+	if q.HasKey {
+		m.Key = q.Key[:]
+	}
 	boxes := originDirectory(o.node.peers.otherBoxes())
 	answers := make(chan *wire.StreamOrigin, len(boxes))
-	for _, m := range boxes {
-		go func() { answers <- o.askBox(ctx, m, k) }()
+	for _, b := range boxes {
+		go func() { answers <- o.askBox(ctx, b, m) }()
 	}
 	for range boxes {
-		if r, ok := recordFromWire(<-answers, clock.Now()); ok && r.Key == k {
+		if r, ok := recordFromWire(<-answers, clock.Now()); ok && r.Key == q.Key {
 			return r, true
 		}
 	}
@@ -90,28 +121,27 @@
 }
 
 // askBox asks one box, and returns nil if it does not know the stream or does not answer.
-func (o *origins) askBox(ctx context.Context, m member.Member, k origin.Key) *wire.StreamOrigin {
-	q := &wire.FindOriginRequest{Box: o.node.peers.box, Key: k[:]}
-	a, err := wire.NewShareClient(o.node.peers.dialer.Conn(m.Address())).FindOrigin(ctx, q)
+func (o *origins) askBox(ctx context.Context, b member.Member, m *wire.FindOriginRequest) *wire.StreamOrigin {
+	a, err := wire.NewShareClient(o.node.peers.dialer.Conn(b.Address())).FindOrigin(ctx, m)
 	if err != nil {
-		o.node.Log.V(1).Info("Box does not answer where a stream began", "member", m.Name(), "err", err.Error())
+		o.node.Log.V(1).Info("Box does not answer where a stream began", "member", b.Name(), "err", err.Error())
 		return nil
 	}
 	return a.GetOrigin()
 }
 
 // handleFind answers another box that asks where a stream began.
-func (o *origins) handleFind(q *wire.FindOriginRequest) *wire.FindOriginReply {
-	k, ok := origin.ParseKey(q.GetKey())
-	if !ok {
-		return &wire.FindOriginReply{}
-	}
+func (o *origins) handleFind(m *wire.FindOriginRequest) *wire.FindOriginReply {
+	q := forward.OriginQuery{Service: m.GetService(), Age: positiveMessageTime(m.GetAgeMicros())}
+	q.Key, q.HasKey = origin.ParseKey(m.GetKey())
 	now := clock.Now()
-	r, known := o.table.Find(k, now)
-	if !known {
-		return &wire.FindOriginReply{}
+	if r, known := o.table.Find(q.Key, now); known && q.HasKey {
+		return &wire.FindOriginReply{Origin: recordToWire(r, now)}
+	}
+	if sole, ok := o.sole(q); ok {
+		return &wire.FindOriginReply{Origin: recordToWire(origin.Record{Key: q.Key, Origin: sole, Expires: now.Add(q.Age)}, now)}
 	}
-	return &wire.FindOriginReply{Origin: recordToWire(r, now)}
+	return &wire.FindOriginReply{}
 }
 
 // handleRecord stores the origins of streams that began at another box.
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/clock"
+	"cairnwick.example/forward"
 	"cairnwick.example/forward/origin"
 	"cairnwick.example/member"
 	"cairnwick.example/topology"
@@ -127,3 +129,53 @@
 		c.Check(known, quicktest.Equals, now.Before(r.Expires))
 	})
 }
+
+// soleNode returns a node that knows a service with the given software and has read the source at asOf.
+func soleNode(c *quicktest.C, asOf time.Time, software ...string) *Node {
+	n := newNode(c, "box-1")
+	n.build()
+	config, err := streamDecoder{}.Config(nil)
+	c.Assert(err, quicktest.IsNil)
+	n.view.SetConfig(config)
+	for i, name := range software {
+		n.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: fmt.Sprintf("e%d", i), Service: "s", Software: name}))
+	}
+	for _, collection := range []Collection{Configuration, Endpoints} {
+		n.fresh.record(collection, readResult{current: true, asOf: asOf})
+	}
+	return n
+}
+
+// Guards against a stream that goes on at the only software that this box knows, although others may have begun it.
+func TestSoleSoftwareIsOnlyUsedIfNoOtherCanHaveBegunTheStream(t *testing.T) {
+	c := quicktest.New(t)
+	now := clock.Now()
+	n := soleNode(c, now, "v1", "v1")
+	justNow := forward.OriginQuery{Service: "s", Age: -2 * n.behind()} // began after the node learned of the service
+	o, known := n.origins.sole(justNow)
+	c.Assert(known, quicktest.IsTrue)
+	c.Assert(o, quicktest.Equals, origin.Origin{Service: "s", Software: "v1"})
+	for name, q := range map[string]forward.OriginQuery{
+		"it may have begun before this box knew the service": {Service: "s", Age: time.Second},
+		"the route leads to several services":                {Age: justNow.Age},
+		"another service":                                    {Service: "other", Age: justNow.Age},
+	} {
+		_, known := n.origins.sole(q)
+		c.Check(known, quicktest.IsFalse, quicktest.Commentf("%s", name))
+	}
+	for name, n := range map[string]*Node{
+		"two versions":                   soleNode(c, now, "v1", "v2"),
+		"a version that is not known":    soleNode(c, now, "v1", ""),
+		"the source was read long ago":   soleNode(c, now.Add(-n.behind()), "v1"),
+		"no endpoint":                    soleNode(c, now),
+		"another version was there then": removeEndpoint(soleNode(c, now, "v1", "v2"), "e1"),
+	} {
+		_, known := n.origins.sole(justNow)
+		c.Check(known, quicktest.IsFalse, quicktest.Commentf("%s", name))
+	}
+}
+
+func removeEndpoint(n *Node, id string) *Node {
+	n.view.RemoveEndpoint(id)
+	return n
+}
--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -315,5 +315,5 @@
 		c.Check(r.status, quicktest.Equals, http.StatusServiceUnavailable)
 		c.Check(r.events, quicktest.Equals, 3)
 	}
-	c.Check(nodes[0].origins.notFound.Load(), quicktest.Equals, int64(3))
+	c.Check(nodes[0].origins.notFound.Load(), quicktest.Equals, int64(4))
 }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -168,7 +168,15 @@
 	// StreamBegan records the origin of a stream at its first event, for as long as the stream may be resumed. It must not block.
 	StreamBegan(k origin.Key, o origin.Origin, keep time.Duration)
 	// FindOrigin returns the origin of a stream; false if no box that answers knows it.
-	FindOrigin(ctx context.Context, k origin.Key) (origin.Origin, bool)
+	FindOrigin(ctx context.Context, q OriginQuery) (origin.Origin, bool)
+}
+
+// OriginQuery describes a stream that a caller resumes.
+type OriginQuery struct {
+	Key     origin.Key
+	HasKey  bool          // the caller names the attempt that began the stream
+	Service string        // the only one that the route leads to; empty: there are several
+	Age     time.Duration // the stream began this long ago at most
 }
 
 // AcquireResult is the answer to Limits.Acquire.
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -32,6 +32,7 @@
 	Boxes          func() int                                               // boxes that share the retry budget; zero: not known yet
 	LoadCost       func(dataCentre string) (cost time.Duration, known bool) // of a load there, as reported by its leader
 	Unreachable    func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead
+	ViewDelay      func() time.Duration                                     // how far the views of boxes that reach the source lag behind it at most
 	RetryLimits    func() RetryLimits                                       // of the settings in force
 	OnDraining     func(endpoint string)                                    // called once for each endpoint that announces draining in a response; nil: no callback
 	Relay          Relay                                                    // nil: no other box helps
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -123,8 +123,8 @@
 }
 
 // FindOrigin implements Origins.
-func (o *siteOrigins) FindOrigin(_ context.Context, k origin.Key) (origin.Origin, bool) {
-	r, known := o.table.Find(k, time.Now())
+func (o *siteOrigins) FindOrigin(_ context.Context, q OriginQuery) (origin.Origin, bool) {
+	r, known := o.table.Find(q.Key, time.Now())
 	return r.Origin, known
 }
 
@@ -179,6 +179,7 @@
 		Boxes:         func() int { return 1 },
 		LoadCost:      func(string) (time.Duration, bool) { return 0, false },
 		Unreachable:   func(string) bool { return false },
+		ViewDelay:     func() time.Duration { return 0 },
 		RetryLimits:   func() RetryLimits { return RetryLimits{Ratio: 0.2, Extra: 1e6, Window: 10 * time.Second} },
 		MaxInFlight:   100,
 		MaxHeldBytes:  siteBound,
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -56,10 +57,12 @@
 	if !q.takesUpStream() {
 		return nil
 	}
-	if q.call.Resumes == "" {
-		return &Refusal{Code: CodeStreamUnknown, Final: true, Detail: "the caller does not name the attempt that began the stream"}
+	query := OriginQuery{Age: q.route.Timeout() + resumeGrace}
+	query.Service, _ = q.route.SoleService()
+	if q.call.Resumes != "" {
+		query.Key, query.HasKey = origin.NewKey(q.content, q.call.Resumes), true
 	}
-	o, known := g.Origins.FindOrigin(ctx, origin.NewKey(q.content, q.call.Resumes))
+	o, known := g.Origins.FindOrigin(ctx, query)
 	if !known {
 		return &Refusal{Code: CodeStreamUnknown, Final: true, Detail: "no box that answers knows what software began the stream"}
 	}
@@ -70,6 +73,22 @@
 	return nil
 }
 
+// withoutNewSoftware leaves out endpoints of a version that has just become known, for a request that may begin a resumable
+// stream: boxes that have not learned of the version yet take another one for the only one. If there are no other endpoints
+// it returns the list.
+func (g *Gateway) withoutNewSoftware(q *request, list []*topology.Endpoint) []*topology.Endpoint {
+	if q.origin != nil || q.route.Kind() != topology.Streaming || !q.route.Resumable() {
+		return list
+	}
+	others := slices.DeleteFunc(slices.Clone(list), func(e *topology.Endpoint) bool {
+		return g.View.IsNewSoftware(e.Service(), e.Software(), g.ViewDelay())
+	})
+	if len(others) == 0 {
+		return list
+	}
+	return others
+}
+
 // matches reports whether the request may go to an endpoint, by the origin of the stream that it continues.
 func (q *request) matches(e *topology.Endpoint) bool { return q.origin == nil || q.origin.Matches(e) }
 
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -170,3 +170,30 @@
 	s.c.Check(s.refusal("fourth", "first"), quicktest.Equals, string(CodeStreamLost))
 	s.c.Check(calls.Load(), quicktest.Equals, int64(0))
 }
+
+// Guards against streams that begin at a version of which other boxes have not learned yet.
+func TestNewSoftwareBeginsNoResumableStreamAtFirst(t *testing.T) {
+	s := newSite(t, resumableRoute(2*time.Second))
+	delay := time.Minute
+	s.gateway.ViewDelay = func() time.Duration { return delay }
+	for _, software := range []string{"v1", "v1", "v2"} {
+		s.softwareEndpoint(t, software)
+	}
+	old, fresh := s.calls["e1"], s.calls["e3"]
+	for range 20 {
+		_, _, _ = s.ask("/")
+	}
+	s.c.Check(fresh.Load(), quicktest.Equals, int64(0))
+	s.c.Check(old.Load() > 0, quicktest.IsTrue)
+	delay = 0
+	for range 20 {
+		_, _, _ = s.ask("/")
+	}
+	s.c.Check(fresh.Load() > 0, quicktest.IsTrue)
+	delay = time.Minute
+	s.gateway.View.RemoveEndpoint("e1")
+	s.gateway.View.RemoveEndpoint("e2")
+	before := fresh.Load()
+	_, _, _ = s.ask("/") // the others are gone
+	s.c.Check(fresh.Load() > before, quicktest.IsTrue)
+}
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -98,7 +98,7 @@
 	if len(list) == 0 {
 		return target{}, g.noEndpoint(q, capable, now)
 	}
-	list = g.withCapacity(q, list)
+	list = g.withCapacity(q, g.withoutNewSoftware(q, list))
 	if len(list) == 0 {
 		return target{}, q.limitRefusal()
 	}
--- a/topology/view.go
+++ b/topology/view.go
@@ -7,12 +7,16 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"time"
+
+	"cairnwick.example/clock"
 )
 
 // View is a box's current knowledge of configuration, endpoints and adapters. It is safe for concurrent use.
 // The values that it returns are immutable.
 type View struct {
-	config atomic.Pointer[Config]
+	config       atomic.Pointer[Config]
+	streamsMoved atomic.Pointer[time.Time] // when a configuration last sent resumable streams to other services than before; nil: there was none
 
 	mu                 sync.RWMutex
 	endpoints          map[string]*Endpoint                // by ID
@@ -23,6 +27,7 @@
 	evictions          map[string]*evictionHistory         // by endpoint
 	draining           drainingSet                         // as announced by the endpoints; SetEndpoint can't revert it
 	lastHolder         map[Adapter]string                  // endpoint last reported with the adapter, even if evicted since
+	software           map[string]*softwareHistory         // by service
 	changed            chan struct{}                       // closed at the next change of endpoints
 }
 
@@ -36,6 +41,7 @@
 		endpointsByAdapter: make(map[Adapter]map[string]AdapterState),
 		evictions:          make(map[string]*evictionHistory),
 		lastHolder:         make(map[Adapter]string),
+		software:           make(map[string]*softwareHistory),
 		changed:            make(chan struct{}),
 	}
 }
@@ -51,6 +57,10 @@
 			return false
 		}
 		if v.config.CompareAndSwap(current, c) {
+			if movesStreams(current, c) {
+				now := clock.Now()
+				v.streamsMoved.Store(&now)
+			}
 			return true
 		}
 	}
@@ -76,6 +86,7 @@
 	}
 	v.endpoints[e.ID()] = e
 	v.addToServiceLocked(e)
+	v.softwareChangedLocked(old, e)
 	v.changedLocked()
 }
 
@@ -106,6 +117,7 @@
 	v.setAdapterStatesLocked(id, nil)
 	delete(v.evictions, id)
 	v.removeFromServiceLocked(e)
+	v.softwareChangedLocked(e, nil)
 	v.changedLocked()
 }
 
