gateway: a stream is not resumed at an engine that has restarted

Callers of our own interface could get events of two runs of an engine: a stream that breaks off is resumed at the address that the grant names, by the execution's ID and the number of events, and nothing checked that the engine there is the one that began it. It may have restarted with other software. Now its boot ID must be the one of the first response; else the stream ends as cut, and the log says why.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -111,6 +111,7 @@
 	held      heldGrant
 	sentAt    time.Time
 	runID     string // the engine's ID of the execution
+	bootID    string // of the engine when the execution began
 	resetIdle func() // restarts the idle timeout
 }
 
@@ -119,6 +120,7 @@
 func (g *Gateway) relayStream(ctx context.Context, out *callerResponse, s streamRun, resp *http.Response, r *wire.ReleaseRequest) *Failure {
 	out.Header().Set("Content-Type", "text/event-stream")
 	h, runID := s.held, s.runID
+	s.bootID = resp.Header.Get(engine.BootHeader)
 	reported := !h.grant.GetReportFirstToken()
 	events, done := copyEvents(out, resp.Body, 0, func(line []byte) {
 		s.resetIdle()
@@ -165,6 +167,10 @@
 		return events, false
 	}
 	defer resp.Body.Close()
+	if boot := resp.Header.Get(engine.BootHeader); boot != s.bootID { // it may run other software since
+		g.Log.Info("Stream is not resumed: its engine has restarted", "request", s.runID, "endpoint", s.held.endpoint, "boot", boot, "boot_before", s.bootID)
+		return events, false
+	}
 	resumed := resp.StatusCode == http.StatusOK && resp.Header.Get(engine.EventsHeader) == strconv.Itoa(events)
 	if !resumed {
 		return events, false
