forward: the load for a stream that is resumed goes first

A resumed stream can't go to the endpoints of other software, where its adapter may be loaded, and its caller has a part of the response. If no endpoint of its software holds the adapter, the load is asked for with the most urgent rank: it may use the slots kept for these and goes before less urgent ones. TestAdapterOfResumedStreamIsLoadedFirstAtItsSoftware is red without it (rank 3).

--- a/forward/adapter.go
+++ b/forward/adapter.go
@@ -223,7 +223,7 @@
 		Version:      g.View.LatestVersion(q.call.Adapter),
 		TargetWait:   q.route.LatencyTarget() - now.Sub(q.received) - firstToken,
 		MaxWait:      q.usefulTime(now) - firstToken,
-		Priority:     q.config.Rank(q.route, q.organisation),
+		Priority:     q.loadRank(),
 		Value:        float64(q.call.PromptTokens + outputWeight*q.call.MaxOutputTokens),
 		Retried:      q.isRetry(),
 		NotLoaded:    q.notLoadedAt == e.ID(),
@@ -234,6 +234,18 @@
 	}
 }
 
+// loadRank returns the priority of a load for the request. One that continues a stream can't go to endpoints of other software,
+// where the adapter may be loaded, and its caller has got a part of the response: its load goes first.
+func (q *request) loadRank() int {
+	if q.origin != nil {
+		return mostUrgentRank
+	}
+	return q.config.Rank(q.route, q.organisation)
+}
+
+// mostUrgentRank is the rank of the most urgent requests.
+const mostUrgentRank = 0
+
 // outputWeight is how many prompt tokens cost as much as one generated
 // token.
 const outputWeight = 10
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -3,10 +3,12 @@
 package forward
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -197,3 +199,57 @@
 	_, _, _ = s.ask("/") // the others are gone
 	s.c.Check(fresh.Load() > before, quicktest.IsTrue)
 }
+
+// loadingPlacer answers that an adapter is loaded at the preferred endpoint, and keeps the requests.
+type loadingPlacer struct {
+	mu       sync.Mutex
+	requests []AdapterRequest
+}
+
+// Place implements Placer.
+func (p *loadingPlacer) Place(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.requests = append(p.requests, w)
+	return PlacementResult{Ready: true, Endpoint: w.Endpoint.ID()}, nil
+}
+
+// Guards against a stream that can't go on since no other endpoint of its software holds the adapter, or whose load waits for
+// those of less urgent requests.
+func TestAdapterOfResumedStreamIsLoadedFirstAtItsSoftware(t *testing.T) {
+	s := newSite(t)
+	r := resumableRoute(2 * time.Second)
+	r.Host, r.Services, r.Priority = "site.example", []topology.WeightedService{{Name: "app", Weight: 1}}, 3
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app", Engine: &topology.EngineSpec{AdapterSlots: 2}})}
+	s.gateway.View.SetConfig(topology.NewConfig(2, []*topology.Route{topology.NewRoute(r)}, services, topology.RequestLimits{MaxBodyBytes: 1 << 10}))
+	placer := &loadingPlacer{}
+	s.gateway.Placer = placer
+	adapter := topology.Adapter{Model: "m", Name: "a"}
+	for i, software := range []string{"v1", "v1", "v2"} {
+		s.softwareEndpoint(t, software)
+		id := fmt.Sprintf("e%d", s.count)
+		e := s.gateway.View.Endpoint(id)
+		s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+			ID: id, Service: "app", Address: e.Address(), DataCentre: "dc", Slots: 4, Software: software, Models: []string{"m"},
+		}))
+		if i != 1 {
+			s.gateway.View.SetAdapterStates(id, map[topology.Adapter]topology.AdapterState{adapter: {Ready: true}})
+		}
+	}
+	s.gateway.upstream(s.gateway.View.Endpoint("e3")).startRequest(0) // e1 is the least loaded holder
+	r1, err := http.NewRequest(http.MethodPost, s.server.URL+"/", strings.NewReader("the body"))
+	s.c.Assert(err, quicktest.IsNil)
+	r1.Host = "site.example"
+	r1.Header.Set("Id", "call-1")
+	r1.Header.Set("Adapter", "m/a")
+	resp, err := http.DefaultClient.Do(r1)
+	s.c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Check(strings.Count(string(text), "data: v1\n"), quicktest.Equals, 4)
+	s.c.Assert(placer.requests, quicktest.HasLen, 1)
+	s.c.Check(placer.requests[0].Endpoint.ID(), quicktest.Equals, "e2")
+	s.c.Check(placer.requests[0].Priority, quicktest.Equals, 0)
+	s.c.Check(placer.requests[0].Avoid, quicktest.DeepEquals, []string{"e3"})
+}
