daemon: gateways and schedulers that are cut off from the engines reach them through other boxes

Callers of a gateway whose box had lost its links to all engines got nothing: 0 of 175 requests completed (35 answer_lost, 131 deadline_unreachable, 9 no_place) while two other boxes reach them. Cause: a daemon knew one way to an engine, and neither the gateway nor the scheduler of the box counted its links. Each now probes engines when nothing came from any for a second; if none of three answers, and one does through another box, requests go through others, in connections that copy bytes (daemon/tunnel, moved out of edge), and those that may be executed again or resumed don't wait for the link.

--- a/daemon/health.go
+++ b/daemon/health.go
@@ -57,6 +57,7 @@
 		return count
 	}))
 	n.traffic.publish()
+	expvar.Publish("cairn_links", n.links)
 	expvar.Publish("cairn_goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	expvar.Publish("cairn_platform_calls", expvar.Func(func() any { return n.BoxList.Client.Calls() }))
 }
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -54,6 +54,7 @@
 	loop       *member.HeartbeatLoop
 	syncer     *keeper.Syncer
 	traffic    *Traffic
+	links      *links
 	tasks      []Task
 	ready      atomic.Bool
 	leaving    atomic.Bool
@@ -72,6 +73,8 @@
 	n.Record = decision.NewHistory(v.Count(Decisions))
 	n.traffic = &Traffic{}
 	n.Dialer = &Dialer{Credentials: creds, Dial: countingDialer(&n.traffic.Peers, dialTimeout, v.Text(Source))}
+	n.links = newLinks(n, &Dialer{Credentials: creds, Dial: countingDialer(&n.traffic.Peers, dialTimeout, v.Text(Source)), StreamWindow: linkTunnelWindow})
+	n.Add(n.links.run)
 	client := &kvstore.Client{
 		Address: v.Text(Platform),
 		Timeout: platformTimeout,
--- a/daemon/silence_test.go
+++ b/daemon/silence_test.go
@@ -22,6 +22,11 @@
 	wire.UnimplementedShareServer
 }
 
+// Tunnel implements both services.
+func (echoPeer) Tunnel(wire.Peer_TunnelServer) error {
+	return status.Error(codes.Unimplemented, "no tunnels")
+}
+
 // Exchange implements the Peer service.
 func (echoPeer) Exchange(context.Context, *wire.Heartbeat) (*wire.Heartbeat, error) {
 	return &wire.Heartbeat{}, nil
--- a/daemon/traffic.go
+++ b/daemon/traffic.go
@@ -43,9 +43,9 @@
 }
 
 // EndpointClient returns an HTTP client for endpoints that keeps up to idle unused
-// connections to each.
+// connections to each. While this box is cut off from the endpoints, requests go through other boxes.
 func (n *Node) EndpointClient(idle int) *http.Client {
-	return &http.Client{Transport: engine.NewTransport(n.EndpointDial(), idle)}
+	return &http.Client{Transport: &linkTransport{links: n.links, direct: engine.NewTransport(n.EndpointDial(), idle)}}
 }
 
 // EndpointDial returns the function that opens connections to endpoints.
--- a/edge/relay.go
+++ b/edge/relay.go
@@ -3,10 +3,8 @@
 package edge
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"io"
 	"net"
 	"slices"
 	"sync"
@@ -15,6 +13,7 @@
 
 	"cairnwick.example/clock"
 	"cairnwick.example/daemon"
+	"cairnwick.example/daemon/tunnel"
 	"cairnwick.example/forward"
 	"cairnwick.example/member"
 	"cairnwick.example/placement"
@@ -22,7 +21,6 @@
 	"cairnwick.example/topology"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
-	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
@@ -39,8 +37,6 @@
 	declinedTime = time.Second
 	// relayWindow bounds the bytes in flight of one connection, which this box holds in memory until they are read.
 	relayWindow = 64 << 10
-	// relayChunk is the size of the messages that carry a connection's data, in bytes.
-	relayChunk = 16 << 10
 )
 
 // relay opens connections to endpoints through other boxes. It implements forward.Relay.
@@ -121,38 +117,18 @@
 	}
 }
 
-// dialThrough opens a connection through one box.
+// dialThrough opens a connection through one box, which ends when that box is dead.
 func (r *relay) dialThrough(ctx context.Context, m member.Member, e *topology.Endpoint) (net.Conn, error) {
-	stream, cancel, err := r.openTunnel(ctx, m, e)
+	open := func(ctx context.Context) (tunnel.Client, error) {
+		return wire.NewShareClient(r.dialer.Conn(m.Address())).Tunnel(ctx)
+	}
+	stream, streamCtx, cancel, err := tunnel.Open(ctx, relayTimeout, open, &wire.TunnelRequest{Box: r.node.peers.box, Endpoint: e.ID()})
 	if err != nil {
 		return nil, err
 	}
-	c := &tunnelConn{stream: stream, cancel: cancel, remote: e.Address(), closed: func() { r.count(m.Name(), -1) }}
+	go r.cancelWhenDead(streamCtx, cancel, m.Name())
 	r.count(m.Name(), 1)
-	return c, nil
-}
-
-// openTunnel opens a tunnel and waits until the box has connected to the endpoint. The tunnel ends when the box is dead.
-func (r *relay) openTunnel(ctx context.Context, m member.Member, e *topology.Endpoint) (wire.Share_TunnelClient, context.CancelFunc, error) {
-	inner, cancel := context.WithCancel(context.Background()) // outlives the dial
-	unconnected := context.AfterFunc(ctx, cancel)
-	timer := time.AfterFunc(relayTimeout, cancel)
-	stream, err := wire.NewShareClient(r.dialer.Conn(m.Address())).Tunnel(inner)
-	if err == nil {
-		err = stream.Send(&wire.TunnelRequest{Box: r.node.peers.box, Endpoint: e.ID()})
-	}
-	if err == nil || errors.Is(err, io.EOF) { // after EOF, Recv returns the reason
-		_, err = stream.Recv()
-	}
-	if !timer.Stop() || !unconnected() {
-		err = errors.New("edge: the box did not connect in time")
-	}
-	if err != nil {
-		cancel()
-		return nil, nil, err
-	}
-	go r.cancelWhenDead(inner, cancel, m.Name())
-	return stream, cancel, nil
+	return tunnel.NewConn(stream, cancel, e.Address(), func() { r.count(m.Name(), -1) }), nil
 }
 
 // cancelWhenDead cancels a tunnel as soon as its box is considered dead. One that shuts down still carries the data of
@@ -181,77 +157,6 @@
 	}
 }
 
-// tunnelConn is a connection to an endpoint through another box.
-type tunnelConn struct {
-	stream grpc.BidiStreamingClient[wire.TunnelRequest, wire.TunnelReply]
-	cancel context.CancelFunc
-	remote string
-	closed func()
-	once   sync.Once
-
-	unread []byte // used by Read only
-}
-
-// Read implements net.Conn. It returns io.EOF only if the endpoint closed the connection.
-func (c *tunnelConn) Read(b []byte) (int, error) {
-	for len(c.unread) == 0 {
-		reply, err := c.stream.Recv()
-		if err != nil {
-			return 0, err
-		}
-		c.unread = reply.GetData()
-	}
-	n := copy(b, c.unread)
-	c.unread = c.unread[n:]
-	return n, nil
-}
-
-// Write implements net.Conn.
-func (c *tunnelConn) Write(b []byte) (int, error) {
-	written := 0
-	for written < len(b) {
-		part := b[written:min(len(b), written+relayChunk)]
-		if err := c.stream.Send(&wire.TunnelRequest{Data: bytes.Clone(part)}); err != nil {
-			return written, errors.Wrap(err, "edge: write through another box")
-		}
-		written += len(part)
-	}
-	return written, nil
-}
-
-// Close implements net.Conn.
-func (c *tunnelConn) Close() error {
-	c.once.Do(func() {
-		c.cancel()
-		c.closed()
-	})
-	return nil
-}
-
-// LocalAddr implements net.Conn.
-func (c *tunnelConn) LocalAddr() net.Addr { return tunnelAddr("tunnel") }
-
-// RemoteAddr implements net.Conn.
-func (c *tunnelConn) RemoteAddr() net.Addr { return tunnelAddr(c.remote) }
-
-// SetDeadline implements net.Conn. Deadlines are not supported; requests end by their contexts.
-func (c *tunnelConn) SetDeadline(time.Time) error { return nil }
-
-// SetReadDeadline implements net.Conn.
-func (c *tunnelConn) SetReadDeadline(time.Time) error { return nil }
-
-// SetWriteDeadline implements net.Conn.
-func (c *tunnelConn) SetWriteDeadline(time.Time) error { return nil }
-
-// tunnelAddr is the address of a tunnelConn.
-type tunnelAddr string
-
-// Network implements net.Addr.
-func (tunnelAddr) Network() string { return "tunnel" }
-
-// String implements net.Addr.
-func (a tunnelAddr) String() string { return string(a) }
-
 // observedControl reports the endpoints that did not respond to a call.
 type observedControl struct {
 	placement.Control
--- a/edge/tunnels.go
+++ b/edge/tunnels.go
@@ -3,14 +3,12 @@
 package edge
 
 import (
-	"bytes"
-	"io"
-	"net"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"cairnwick.example/clock"
+	"cairnwick.example/daemon/tunnel"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc/codes"
@@ -74,37 +72,5 @@
 	if err := stream.Send(&wire.TunnelReply{}); err != nil {
 		return err
 	}
-	return copyBoth(stream, c)
-}
-
-// copyBoth copies data between a tunnel and a connection. It returns nil only if the endpoint closed the connection: a
-// response that is broken off must not look complete.
-func copyBoth(stream wire.Share_TunnelServer, c net.Conn) error {
-	go func() { // ends with the stream, which ends when this function returns
-		defer c.Close() // ends the reads below
-		for {
-			m, err := stream.Recv()
-			if err != nil {
-				return
-			}
-			if _, err := c.Write(m.GetData()); err != nil {
-				return
-			}
-		}
-	}()
-	b := make([]byte, relayChunk)
-	for {
-		n, err := c.Read(b)
-		if n > 0 {
-			if sendErr := stream.Send(&wire.TunnelReply{Data: bytes.Clone(b[:n])}); sendErr != nil {
-				return sendErr
-			}
-		}
-		switch {
-		case errors.Is(err, io.EOF):
-			return nil // the stream's context ends with it, and so does the other direction
-		case err != nil:
-			return status.Error(codes.Aborted, err.Error())
-		}
-	}
+	return tunnel.Copy(stream, c)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -63,6 +63,9 @@
 	runID := q.runID()
 	attemptCtx, stop, resetIdle := g.attemptContext(ctx, q)
 	defer stop()
+	if q.key == "" {
+		attemptCtx = engine.WithAbandon(attemptCtx)
+	}
 	req, err := g.engineRequest(attemptCtx, q, h, runID)
 	if err != nil {
 		r.Outcome = wire.Outcome_OUTCOME_NOT_SENT
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -153,7 +153,7 @@
 // relayed so far. It returns the same as copyEvents.
 func (g *Gateway) resume(ctx context.Context, out *callerResponse, s streamRun, events int) (int, bool) {
 	sleep(ctx, resumeDelay)
-	resumeCtx, cancel := context.WithCancel(ctx)
+	resumeCtx, cancel := context.WithCancel(engine.WithAbandon(ctx))
 	defer cancel()
 	timer := time.AfterFunc(g.Timeouts.Idle, cancel)
 	defer timer.Stop()
