--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -85,6 +85,11 @@
 // cmdControl sends a POST request to a control path of a stand-in: control engine1.1
 // /control/restart.
 func cmdControl(ts *testscript.TestScript, _ bool, args []string) {
+	if at, isEngine := strings.CutPrefix(args[0], "engine"); isEngine { // it may still be starting
+		c, n := parsePosition(ts, at)
+		_, err := stateOf(ts).fleet.BootID(context.Background(), c, n)
+		ts.Check(err)
+	}
 	ts.Check(fleet.Post(context.Background(), "http://"+resolveURL(ts, args[0]+args[1])))
 }
 
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -15,7 +15,6 @@
 
 	"cairnwick.example/access"
 	"cairnwick.example/backoff"
-	"cairnwick.example/forward/origin"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/ratelimit"
 	"cairnwick.example/topology"
@@ -114,20 +113,6 @@
 // InvalidLimit implements Limits.
 func (noLimits) InvalidLimit(string, error) {}
 
-// siteOrigins are the origins of the streams of one box.
-type siteOrigins struct{ table origin.Table }
-
-// StreamBegan implements Origins.
-func (o *siteOrigins) StreamBegan(k origin.Key, began origin.Origin, keep time.Duration) {
-	o.table.Add(origin.Record{Key: k, Origin: began, Expires: time.Now().Add(keep)}, true)
-}
-
-// FindOrigin implements Origins.
-func (o *siteOrigins) FindOrigin(_ context.Context, q OriginQuery) (origin.Origin, bool) {
-	r, known := o.table.Find(q.Key, time.Now())
-	return r.Origin, known
-}
-
 type noObserver struct{}
 
 // RequestStarted implements Observer.
@@ -175,7 +160,7 @@
 		Observer:      noObserver{},
 		Quarantine:    noQuarantine{},
 		Limits:        noLimits{},
-		Origins:       &siteOrigins{table: origin.Table{MaxRecords: 1000}},
+		Origins:       newSiteOrigins(),
 		Boxes:         func() int { return 1 },
 		LoadCost:      func(string) (time.Duration, bool) { return 0, false },
 		Unreachable:   func(string) bool { return false },
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -12,10 +12,27 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/forward/origin"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
 )
 
+// siteOrigins are the origins of the streams of one box.
+type siteOrigins struct{ table origin.Table }
+
+// StreamBegan implements Origins.
+func (o *siteOrigins) StreamBegan(k origin.Key, began origin.Origin, keep time.Duration) {
+	o.table.Add(origin.Record{Key: k, Origin: began, Expires: time.Now().Add(keep)}, true)
+}
+
+// FindOrigin implements Origins.
+func (o *siteOrigins) FindOrigin(_ context.Context, q OriginQuery) (origin.Origin, bool) {
+	r, known := o.table.Find(q.Key, time.Now())
+	return r.Origin, known
+}
+
+func newSiteOrigins() *siteOrigins { return &siteOrigins{table: origin.Table{MaxRecords: 1000}} }
+
 // softwareEndpoint adds an endpoint whose events name its software. It breaks off each stream that it begins.
 func (s *testSite) softwareEndpoint(t *testing.T, software string) {
 	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
