--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -236,10 +236,6 @@
 	return topology.RouteSpec{Name: "rep", Prefix: "/", Kind: topology.Idempotent, Timeout: timeout, LatencyTarget: timeout, MaxAttempts: 2}
 }
 
-func resumableRoute(timeout time.Duration) topology.RouteSpec {
-	return topology.RouteSpec{Name: "res", Prefix: "/", Kind: topology.Streaming, Timeout: timeout, LatencyTarget: timeout, MaxAttempts: 2, Resumable: true}
-}
-
 func answerOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") }
 
 func refuseNotExecuted(w http.ResponseWriter, _ *http.Request) {
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -17,6 +17,10 @@
 	"github.com/frankban/quicktest"
 )
 
+func resumableRoute(timeout time.Duration) topology.RouteSpec {
+	return topology.RouteSpec{Name: "res", Prefix: "/", Kind: topology.Streaming, Timeout: timeout, LatencyTarget: timeout, MaxAttempts: 2, Resumable: true}
+}
+
 // siteOrigins are the origins of the streams of one box.
 type siteOrigins struct{ table origin.Table }
 
