placement: a load that waits does not move to an endpoint that its request can't use

A load that a resumed stream had asked for could move, while it waited for a slot, to an endpoint of other software: the endpoints that a request names as ones to avoid were heeded as the load was queued, not as it moved. Its caller would wait on, with the load queued anew each time. Loads now keep what their requests avoid. TestPendingLoadDoesNotMoveToAvoidedEndpoint is red without it. By reading; not seen in a run.

--- a/placement/load.go
+++ b/placement/load.go
@@ -67,7 +67,7 @@
 	if w.isCopy || o.slots[key.adapter] != nil {
 		return o
 	}
-	better := l.chooseEndpointLocked(key.adapter, o, nil, now)
+	better := l.chooseEndpointLocked(key.adapter, o, w.avoid, now)
 	to := placementKey{endpoint: better.endpoint.ID(), adapter: key.adapter}
 	if better == o || l.pendingLoads[to] != nil || better.slots[key.adapter] != nil {
 		return o
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -34,6 +34,7 @@
 	unservedRequests int                    // requests that asked for it and were not served
 	copiesRequested  int                    // additional copies requested because of them
 	isCopy           bool                   // it is an additional copy, for this endpoint only
+	avoid            []string               // endpoints that can't serve some of the requests that asked for it: it does not move there
 	done             chan struct{}          // closed when the load has begun or is cancelled
 	ended            bool
 }
@@ -237,6 +238,7 @@
 	}
 	q.version = max(q.version, w.Version)
 	q.lastRequested = now
+	q.addAvoided(w.Avoid)
 	if t := w.requestedAt.Add(w.TargetWait); t.After(q.deadline) {
 		q.deadline = t
 	}
@@ -265,6 +267,16 @@
 	return p, done
 }
 
+// addAvoided records endpoints that can't serve a request for the load.
+func (w *pendingLoad) addAvoided(endpoints []string) {
+	if len(endpoints) == 0 {
+		return
+	}
+	w.avoid = append(w.avoid, endpoints...)
+	slices.Sort(w.avoid)
+	w.avoid = slices.Compact(w.avoid)
+}
+
 // queueDelayLocked returns how long a load waits behind those ranked ahead of it, as of the
 // last ranking of the queue.
 func (l *Loader) queueDelayLocked(key placementKey, q *pendingLoad, now time.Time) time.Duration {
