placement: endpoints of another service with the same base model are not used

Choice of an endpoint, holders, pending loads and alternatives now compare the service, too. Copies for popular adapters still count over services.

--- a/placement/ended_test.go
+++ b/placement/ended_test.go
@@ -114,8 +114,8 @@
 	b.loader.mu.Lock()
 	defer b.loader.mu.Unlock()
 	b.loader.pendingLoads[placementKey{endpoint: "e1", adapter: adapter(1)}] = &pendingLoad{done: make(chan struct{})}
-	w := &waiter{AdapterRequest: forward.AdapterRequest{Adapter: adapter(1)}}
-	c.Assert(b.loader.pendingEndpointLocked(w, "dc", now), quicktest.Equals, b.loader.owned["e1"])
+	w := &waiter{AdapterRequest: forward.AdapterRequest{Endpoint: b.endpoint, Adapter: adapter(1)}}
+	c.Assert(b.loader.pendingEndpointLocked(w, now), quicktest.Equals, b.loader.owned["e1"])
 	w.Avoid = []string{"e1"}
-	c.Assert(b.loader.pendingEndpointLocked(w, "dc", now), quicktest.IsNil)
+	c.Assert(b.loader.pendingEndpointLocked(w, now), quicktest.IsNil)
 }
--- a/placement/headroom.go
+++ b/placement/headroom.go
@@ -27,11 +27,11 @@
 	return r.Limited && r.Wait > 0
 }
 
-// hasAlternativeLocked reports whether a data centre has an endpoint that accepts more requests
+// hasAlternativeLocked reports whether the home's service has an endpoint in its data centre that accepts more requests
 // and on which the adapter may be loaded.
-func (l *Loader) hasAlternativeLocked(a topology.Adapter, centre string, now time.Time) bool {
+func (l *Loader) hasAlternativeLocked(a topology.Adapter, home *topology.Endpoint, now time.Time) bool {
 	for id, o := range l.owned {
-		if o.isAvailable(now) && o.models[a.Model] && o.endpoint.DataCentre() == centre && !l.isSaturated(id, now) {
+		if o.isAvailable(now) && o.models[a.Model] && isSameSite(o.endpoint, home) && !l.isSaturated(id, now) {
 			return true
 		}
 	}
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -170,7 +170,7 @@
 			return forward.PlacementResult{Ready: true, Endpoint: at.endpoint.ID(), Version: s.version, QueueTime: w.queueTime(s)}, nil, nil
 		}
 	}
-	if at := l.pendingEndpointLocked(w, o.endpoint.DataCentre(), now); at != nil {
+	if at := l.pendingEndpointLocked(w, now); at != nil {
 		o = at
 	} else if !w.NotLoaded {
 		o = l.chooseEndpointLocked(w.Adapter, o, w.Avoid, now)
--- a/placement/site.go
+++ b/placement/site.go
@@ -17,13 +17,18 @@
 	minSlotWait      = 100 * time.Millisecond // lower bound
 )
 
-// chooseEndpointLocked returns where to load an adapter: the endpoint with the least cost in the
-// data centre of the usual endpoint, preferring endpoints that accept more requests. Endpoints
+// isSameSite reports whether two endpoints run the same service in the same data centre, so that either may serve a request.
+func isSameSite(a, b *topology.Endpoint) bool {
+	return a.DataCentre() == b.DataCentre() && a.Service() == b.Service()
+}
+
+// chooseEndpointLocked returns where to load an adapter: the endpoint with the least cost of the
+// usual endpoint's service in its data centre, preferring endpoints that accept more requests. Endpoints
 // in avoid are excluded, except the usual one, as are endpoints that this box does not own.
 func (l *Loader) chooseEndpointLocked(a topology.Adapter, usual *ownedEndpoint, avoid []string, now time.Time) *ownedEndpoint {
 	best, lowest := usual, l.endpointRankLocked(usual, a, true, now)
 	for id, o := range l.owned {
-		if o == usual || slices.Contains(avoid, id) || !o.isAvailable(now) || !o.models[a.Model] || o.endpoint.DataCentre() != usual.endpoint.DataCentre() {
+		if o == usual || slices.Contains(avoid, id) || !o.isAvailable(now) || !o.models[a.Model] || !isSameSite(o.endpoint, usual.endpoint) {
 			continue
 		}
 		if r := l.endpointRankLocked(o, a, false, now); r.before(lowest) {
@@ -55,12 +60,12 @@
 	return endpointRank{unavailable: !o.isAvailable(now), saturated: l.isSaturated(o.endpoint.ID(), now), cost: l.siteFactsLocked(o, a, usual, now).Cost()}
 }
 
-// pendingEndpointLocked returns the endpoint of a data centre with a pending load that would
-// serve a request; nil for none.
-func (l *Loader) pendingEndpointLocked(w *waiter, centre string, now time.Time) *ownedEndpoint {
+// pendingEndpointLocked returns the endpoint of a request's service and data centre with a pending load that would
+// serve it; nil for none.
+func (l *Loader) pendingEndpointLocked(w *waiter, now time.Time) *ownedEndpoint {
 	for id, o := range l.owned {
 		q := l.pendingLoads[placementKey{endpoint: id, adapter: w.Adapter}]
-		if q != nil && !q.isCopy && !w.avoids(id) && o.isAvailable(now) && o.endpoint.DataCentre() == centre {
+		if q != nil && !q.isCopy && !w.avoids(id) && o.isAvailable(now) && isSameSite(o.endpoint, w.Endpoint) {
 			return o
 		}
 	}
@@ -126,17 +131,17 @@
 	return cost, known
 }
 
-// findHolderLocked returns the endpoint of a data centre that holds an adapter ready in the
+// findHolderLocked returns the endpoint of the home's service and data centre that holds an adapter ready in the
 // version that a request needs, with the fewest prompt tokens to process, or else one where it is
 // being loaded.
 func (l *Loader) findHolderLocked(home *ownedEndpoint, w *waiter, denied *ownedEndpoint, now time.Time) (o *ownedEndpoint, s *slot) {
-	a, centre := w.Adapter, home.endpoint.DataCentre()
+	a := w.Adapter
 	for id, p := range l.owned {
 		t := p.slots[a]
-		if t == nil || p == denied || w.avoids(id) || !p.isAvailable(now) || p.endpoint.DataCentre() != centre {
+		if t == nil || p == denied || w.avoids(id) || !p.isAvailable(now) || !isSameSite(p.endpoint, home.endpoint) {
 			continue
 		}
-		if (w.AvoidLimited && l.isSaturated(id, now) || l.isThrottled(p, now)) && l.hasAlternativeLocked(a, centre, now) {
+		if (w.AvoidLimited && l.isSaturated(id, now) || l.isThrottled(p, now)) && l.hasAlternativeLocked(a, home.endpoint, now) {
 			continue // a copy elsewhere serves the requests that exceed the limit
 		}
 		serves := t.ready && t.version >= w.Version && !(t.evicting && (t.unloading || t.outdated))
