--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -40,6 +40,12 @@
 	Seed uint64        `arg:"--seed" default:"1" help:"seed of the steps"`
 }
 
+type versionsCommand struct {
+	Time time.Duration `arg:"--time" default:"1m" help:"duration of the streams"`
+	Seed uint64        `arg:"--seed" default:"1" help:"seed of the faults"`
+	Rate float64       `arg:"--rate" default:"20" help:"streams per second"`
+}
+
 type policiesCommand struct {
 	Time     time.Duration `arg:"--time" default:"30s" help:"duration of one run"`
 	Warm     time.Duration `arg:"--warm" default:"15s" help:"duration of the warm-up before each run"`
@@ -83,6 +89,7 @@
 	Policies *policiesCommand `arg:"subcommand:policies" help:"compare the default policies with baselines on the users' deployments"`
 	Storm    *stormCommand    `arg:"subcommand:storm" help:"inject mixed faults under load and check the guarantees at the stand-ins"`
 	Restores *restoresCommand `arg:"subcommand:restores" help:"restore the store from older backups while boxes fail and restart"`
+	Versions *versionsCommand `arg:"subcommand:versions" help:"replace engines by other software versions while boxes fail, and check that no stream is mixed"`
 	Path     *pathCommand     `arg:"subcommand:path" help:"compare latency through cairnwick with direct requests to the engine"`
 	Capacity *capacityCommand `arg:"subcommand:capacity" help:"measure how the resource usage of daemons scales"`
 	Bin      string           `arg:"--bin" default:"bin" help:"directory of the programs"`
@@ -121,6 +128,8 @@
 		err = measure.FaultInjection{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate, Limit: a.Storm.Limit, Backoff: a.Storm.Backoff, Uneven: a.Storm.Uneven}.Run(ctx, os.Stdout)
 	case a.Restores != nil:
 		err = measure.StoreRestores{Bin: a.Bin, Dir: dir, Time: a.Restores.Time, Seed: a.Restores.Seed}.Run(ctx, os.Stdout)
+	case a.Versions != nil:
+		err = measure.SoftwareVersions{Bin: a.Bin, Dir: dir, Time: a.Versions.Time, Seed: a.Versions.Seed, Rate: a.Versions.Rate}.Run(ctx, os.Stdout)
 	case a.Scarce != nil:
 		err = measure.PlacementSimulation{Seed: a.Scarce.Seed, Time: a.Scarce.Time, Rate: a.Scarce.Rate}.Run(os.Stdout)
 	case a.Where != nil:
--- a/e2e/script_test.go
+++ b/e2e/script_test.go
@@ -94,10 +94,10 @@
 	client     fleet.Client
 	loadReport chan load.Report // the report of the load in the background
 	cancelLoad context.CancelFunc
-	proxyRules []standin.Rule      // current rules of the proxy
-	notRunIDs  []string            // IDs of requests that were rejected as not run
-	response   chan sendResult     // the result of the request in the background
-	streams    chan []streamCaller // the streams in the background, once all have ended
+	proxyRules []standin.Rule         // current rules of the proxy
+	notRunIDs  []string               // IDs of requests that were rejected as not run
+	response   chan sendResult        // the result of the request in the background
+	streams    chan load.StreamCounts // of the streams in the background, once all have ended
 }
 
 type stateKey struct{}
--- a/fleet/edge.go
+++ b/fleet/edge.go
@@ -35,6 +35,8 @@
 	EdgeSettings string
 	//go:embed users/config.json
 	edgeConfig string
+	//go:embed users/streams.json
+	streamConfig string // its route's streams may be resumed
 	//go:embed users/server.json
 	edgeRegistration string
 )
@@ -118,3 +120,27 @@
 	_, err := doRequest(ctx, http.MethodDelete, "http://"+f.PlatformAddress()+"/v1/kv/"+key, nil)
 	return errors.Wrapf(err, "fleet: delete key %s", key)
 }
+
+// PublishStreamConfig publishes a configuration with a route whose streams may be resumed.
+func (f *Fleet) PublishStreamConfig(ctx context.Context) error {
+	return f.Put(ctx, platformtest.ConfigKey, []byte(streamConfig))
+}
+
+// RestartEngine restarts an engine with a version of its software, and publishes its registration. It returns the registration's
+// key.
+func (f *Fleet) RestartEngine(ctx context.Context, centre, number int, software string) (key string, err error) {
+	if _, err := f.BootID(ctx, centre, number); err != nil { // it may still be starting
+		return "", err
+	}
+	if err := Post(ctx, "http://"+f.EngineAddress(centre, number)+"/control/restart?software="+software); err != nil {
+		return "", err
+	}
+	bootID, err := f.BootID(ctx, centre, number)
+	if err != nil {
+		return "", err
+	}
+	registration := strings.NewReplacer("$ADDRESS", f.EngineAddress(centre, number), `"zone": "dc1"`,
+		fmt.Sprintf(`"zone": %q, "version": %q`, CentreName(centre), software)).Replace(edgeRegistration)
+	key = platformtest.EndpointKey(bootID)
+	return key, f.Put(ctx, key, []byte(registration))
+}
--- /dev/null
+++ b/measure/software_versions.go
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"syscall"
+	"time"
+
+	"cairnwick.example/fleet"
+	"cairnwick.example/load"
+)
+
+// SoftwareVersions reads streams from boxes on the users' platform while boxes are killed, frozen, stopped and started again and
+// engines are replaced by other software versions, on a fixed seed. Both series overlap. It checks that no caller gets
+// events of two versions. Set the fields before Run.
+type SoftwareVersions struct {
+	Bin  string
+	Dir  string
+	Time time.Duration
+	Seed uint64
+	Rate float64 // streams per second
+}
+
+const (
+	versionCentres  = 2
+	versionBoxes    = 2 // of each data centre
+	versionEngines  = 3 // of each data centre
+	versionAdapters = 6
+	streamEvents    = 60
+	ownedDelay      = 3 * time.Second // from the start of the boxes until the engines have owners
+)
+
+// Run writes the report to w. It returns ErrBreach if a stream holds events of two versions.
+func (s SoftwareVersions) Run(ctx context.Context, w io.Writer) error {
+	f := fleet.New(fleet.Spec{Bin: s.Bin, Dir: s.Dir, Centres: versionCentres, Engines: versionEngines, Adapters: 9, Slots: 9, BatchSize: 16})
+	defer f.Stop()
+	if err := f.Start(ctx); err != nil {
+		return err
+	}
+	r := versionsRun{SoftwareVersions: s, fleet: f, registrations: make(map[[2]int]string)}
+	if err := r.start(ctx); err != nil {
+		return err
+	}
+	list := r.callers()
+	inner, cancel := context.WithCancel(ctx)
+	ended := make(chan error, 2)
+	go func() { ended <- r.failBoxes(inner) }()
+	go func() { ended <- r.replaceEngines(inner) }()
+	load.RunStreams(ctx, s.Rate, list)
+	cancel()
+	for range 2 {
+		if err := <-ended; err != nil && ctx.Err() == nil && inner.Err() == nil {
+			return err
+		}
+	}
+	n := load.CountStreams(list)
+	fmt.Fprintf(w, "seed=%d streams=%d begun=%d complete=%d mixed=%d taken_up=%d gone_on=%d refusals=%d\n",
+		s.Seed, n.Streams, n.Begun, n.Complete, n.Mixed, n.TakenUp, n.GoneOn, n.Refusals)
+	if n.Mixed > 0 {
+		return ErrBreach
+	}
+	fmt.Fprintln(w, "no breach: no stream holds events of two software versions")
+	return nil
+}
+
+// versionsRun is one run of SoftwareVersions.
+type versionsRun struct {
+	SoftwareVersions
+
+	fleet         *fleet.Fleet
+	registrations map[[2]int]string // keys, by engine; used by start and replaceEngines
+}
+
+func (r versionsRun) start(ctx context.Context) error {
+	if err := r.fleet.PublishStreamConfig(ctx); err != nil {
+		return err
+	}
+	for c := 1; c <= versionCentres; c++ {
+		for e := 1; e <= versionEngines; e++ {
+			if err := r.replaceEngine(ctx, [2]int{c, e}, fmt.Sprintf("v%d", e%2)); err != nil {
+				return err
+			}
+		}
+	}
+	for c := 1; c <= versionCentres; c++ {
+		for b := 1; b <= versionBoxes; b++ {
+			if err := r.fleet.StartEdge(ctx, c, b, fleet.EdgeSettings, nil); err != nil {
+				return err
+			}
+		}
+	}
+	time.Sleep(ownedDelay)
+	return nil
+}
+
+// callers returns the callers of all streams, with boxes and adapters in rotation.
+func (r versionsRun) callers() []*load.StreamCaller {
+	var urls []string
+	for c := 1; c <= versionCentres; c++ {
+		for b := 1; b <= versionBoxes; b++ {
+			urls = append(urls, "http://"+r.fleet.CallersAddress(c, b)+"/a/x")
+		}
+	}
+	list := make([]*load.StreamCaller, int(r.Time.Seconds()*r.Rate))
+	for i := range list {
+		first := i % len(urls)
+		list[i] = &load.StreamCaller{
+			URLs: append(append([]string{}, urls[first:]...), urls[:first]...), Host: "h.example", Model: fmt.Sprintf("advice/a%d", i%versionAdapters+1), Events: streamEvents,
+		}
+	}
+	return list
+}
+
+// pause waits for a random time of less than limit; false if ctx ended.
+func pause(ctx context.Context, random *rand.Rand, limit time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration(random.Int64N(int64(limit)))):
+		return true
+	}
+}
+
+// failBoxes kills, freezes and stops boxes, up to half of them at the same time, until ctx ends.
+func (r versionsRun) failBoxes(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(r.Seed, 1))
+	for pause(ctx, random, 2*time.Second) {
+		var failed [][2]int
+		for range 1 + random.IntN(versionCentres*versionBoxes/2) {
+			failed = append(failed, [2]int{1 + random.IntN(versionCentres), 1 + random.IntN(versionBoxes)})
+		}
+		fault := random.IntN(3)
+		for _, at := range failed {
+			r.failBox(at, fault)
+		}
+		pause(ctx, random, time.Second)
+		for _, at := range failed {
+			if err := r.restoreBox(at, fault); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// The faults of a box.
+const (
+	freezeBox = iota
+	killBox
+	stopBox
+)
+
+// failBox induces a fault. A box that was chosen twice has failed already.
+func (r versionsRun) failBox(at [2]int, fault int) {
+	name := fleet.DaemonName(at[0], at[1], "edge")
+	switch fault {
+	case freezeBox:
+		_ = r.fleet.Signal(name, syscall.SIGSTOP)
+	case killBox:
+		_ = r.fleet.Terminate(name, syscall.SIGKILL)
+	case stopBox:
+		_ = r.fleet.Terminate(name, syscall.SIGTERM)
+	}
+}
+
+// restoreBox ends a fault.
+func (r versionsRun) restoreBox(at [2]int, fault int) error {
+	name := fleet.DaemonName(at[0], at[1], "edge")
+	if fault == freezeBox {
+		return r.fleet.Signal(name, syscall.SIGCONT)
+	}
+	if r.fleet.PID(name) != 0 {
+		return nil // chosen twice, and started
+	}
+	return r.fleet.StartEdge(context.Background(), at[0], at[1], fleet.EdgeSettings, nil)
+}
+
+// replaceEngines restarts engines with other versions until ctx ends.
+func (r versionsRun) replaceEngines(ctx context.Context) error {
+	random := rand.New(rand.NewPCG(r.Seed, 2))
+	for pause(ctx, random, 3*time.Second) {
+		software := fmt.Sprintf("v%d", random.IntN(4))
+		if err := r.replaceEngine(ctx, [2]int{1 + random.IntN(versionCentres), 1 + random.IntN(versionEngines)}, software); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// replaceEngine restarts an engine with a version, in place of its previous run.
+func (r versionsRun) replaceEngine(ctx context.Context, at [2]int, software string) error {
+	if before := r.registrations[at]; before != "" {
+		if err := r.fleet.Delete(ctx, before); err != nil {
+			return err
+		}
+	}
+	key, err := r.fleet.RestartEngine(ctx, at[0], at[1], software)
+	r.registrations[at] = key
+	return err
+}
