--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -149,7 +149,7 @@
 
 // ParseCall implements forward.Protocol.
 func (streamProtocol) ParseCall(h http.Header) (forward.Call, error) {
-	return forward.Call{ID: h.Get("Id"), LastEventID: h.Get("Last-Event-Id"), Resumes: h.Get("Resumes")}, nil
+	return forward.Call{ID: h.Get("Id"), LastEventID: h.Get("Last-Event-Id"), Resumes: h.Get("Test-Resumes")}, nil
 }
 
 // SetDirectives implements forward.Protocol.
@@ -189,7 +189,7 @@
 	q.Header.Set("Id", id)
 	if r.events > 0 {
 		q.Header.Set("Last-Event-Id", strconv.Itoa(r.events))
-		q.Header.Set("Resumes", resumes)
+		q.Header.Set("Test-Resumes", resumes)
 	}
 	resp, err := http.DefaultClient.Do(q)
 	if err != nil {
