edge: loads at endpoints that have ended are forgotten

A box keeps its load at each endpoint, and of one that has rejected a request it kept it for ever: an endpoint gets another ID with each start, and only those that had announced a limit were forgotten, and only while nothing was in flight. A box that runs for months would grow by one entry for each such start.

Now what is known of loads is looked through with the announced limits, every time those are.

--- a/edge/limit_loads_test.go
+++ b/edge/limit_loads_test.go
@@ -82,3 +82,23 @@
 	result, _ = s.acquireAlone(e, now)
 	c.Check(result.OK, quicktest.IsFalse)
 }
+
+// Endpoints get another ID with each start; a box that kept the load of each that once rejected a request would grow for
+// as long as it runs.
+func TestLoadAtEndedEndpointIsForgotten(t *testing.T) {
+	c := quicktest.New(t)
+	n := newFragileNode(c, 8, 16)
+	s := n.limits
+	for _, id := range []string{"e1", "e2"} { // only e1 has announced a limit
+		s.RequestSent(id)
+		s.RequestRejected(id)
+	}
+	n.view.RemoveEndpoint("e1")
+	n.view.RemoveEndpoint("e2")
+	s.forgetGone()
+	c.Check(s.loads, quicktest.HasLen, 2) // requests are in flight
+	s.RequestEnded("e1")
+	s.RequestEnded("e2")
+	s.forgetGone()
+	c.Check(s.loads, quicktest.HasLen, 0)
+}
--- a/edge/limits_notify.go
+++ b/edge/limits_notify.go
@@ -32,6 +32,11 @@
 			gone = append(gone, e)
 		}
 	}
+	for e := range s.loads {
+		if s.known[e] == nil && s.node.view.Endpoint(e) == nil {
+			gone = append(gone, e)
+		}
+	}
 	s.mu.Unlock()
 	for _, e := range gone {
 		s.forget(e)
