edge: one helping box that is refused is not the endpoint's refusal

A box that is cut off connects through another one.

An endpoint now refuses once two boxes were refused, or all that answered. One that hangs is believed at once as before: a second box would double the wait of 0.3 s.

--- a/edge/relay.go
+++ b/edge/relay.go
@@ -31,6 +31,8 @@
 	relayBoxes = 4
 	// maxRelayTries is how many boxes one connection tries. Boxes that are cut off themselves decline at once.
 	maxRelayTries = 3
+	// refusalsNeeded is how many boxes must have been refused by an endpoint before it counts as refusing.
+	refusalsNeeded = 2
 	// relayTimeout is the timeout of a connection through one box, which itself connects within 300 ms.
 	relayTimeout = 500 * time.Millisecond
 	// declinedTime is how long a box is not asked again after it declined or did not answer.
@@ -59,9 +61,11 @@
 	}
 }
 
-// Dial implements forward.Relay. An endpoint to which another box can't connect either is unreachable; a box that is cut off
-// itself, has no room or does not answer is replaced by the next.
+// Dial implements forward.Relay. An endpoint that refuses the connections of two other boxes, or does not answer one, is
+// unreachable: one box alone may have been refused because it is cut off itself and does not know yet. A box that is known to be
+// cut off, has no room or does not answer is replaced by the next.
 func (r *relay) Dial(ctx context.Context, e *topology.Endpoint) (net.Conn, error) {
+	refused := 0
 	for _, m := range r.candidates(clock.Now()) {
 		c, err := r.dialThrough(ctx, m, e)
 		switch {
@@ -70,15 +74,24 @@
 		case ctx.Err() != nil:
 			return nil, errors.Wrap(ctx.Err(), "edge: connect through another box")
 		case status.Code(err) == codes.FailedPrecondition:
-			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED}
+			if refused++; refused == refusalsNeeded {
+				return nil, errRefused()
+			}
+			continue
 		case status.Code(err) == codes.Aborted:
 			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: err}
 		}
 		r.decline(m.Name(), err)
 	}
+	if refused > 0 {
+		return nil, errRefused()
+	}
 	return nil, forward.ErrNoRelay
 }
 
+// errRefused returns the error of a connection that the endpoint refused.
+func errRefused() error { return &net.OpError{Op: "dial", Net: "tcp", Err: syscall.ECONNREFUSED} }
+
 // candidates returns the boxes to try, the one with the fewest connections of this box first. They are a few of all boxes
 // that are not known to be cut off; each box has its own order of them, so that the work of many spreads evenly.
 func (r *relay) candidates(now time.Time) []member.Member {
--- a/edge/tunnels_test.go
+++ b/edge/tunnels_test.go
@@ -5,12 +5,15 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/forward"
 	"cairnwick.example/member"
 	"cairnwick.example/topology"
@@ -20,6 +23,25 @@
 
 // tunnelPair starts two boxes and an endpoint that handles each connection with serve. stop stops the helping box.
 func tunnelPair(c *quicktest.C, serve func(net.Conn)) (asking, helping *Node, e *topology.Endpoint, stop func() error) {
+	nodes, stop := tunnelNodes(c, serve, 2, nil)
+	return nodes[0], nodes[1], nodes[1].view.Endpoint("e/1"), stop
+}
+
+// Guards against a refusal by the endpoint itself that is lost among boxes that help.
+func TestRefusalByTheEndpointIsReturned(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	nodes, _ := tunnelNodes(c, func(conn net.Conn) { _ = conn.Close() }, 4, func(n *Node) {
+		n.Dial = func(_ context.Context, network, _ string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+		}
+	})
+	_, err := nodes[0].relay.Dial(context.Background(), nodes[0].view.Endpoint("e/1"))
+	c.Check(errors.Is(err, syscall.ECONNREFUSED), quicktest.IsTrue, quicktest.Commentf("%v", err))
+}
+
+// tunnelNodes starts boxes and an endpoint that handles each connection with serve. stop stops the last box.
+func tunnelNodes(c *quicktest.C, serve func(net.Conn), boxes int, configure func(*Node)) (nodes []*Node, stop func() error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, quicktest.IsNil)
 	c.Cleanup(func() { _ = l.Close() })
@@ -32,18 +54,44 @@
 			go serve(conn)
 		}
 	}()
-	asking = newNode(c, "box-1")
-	helping = newNode(c, "box-2", asking.Settings.Peers)
-	helping.Settings.Bounds.Grace = 20 * time.Second
-	for _, n := range []*Node{asking, helping} {
+	var seeds []string
+	for i := range boxes {
+		n := newNode(c, fmt.Sprintf("box-%d", i+1), seeds...)
+		seeds = []string{n.Settings.Peers}
+		if i > 0 {
+			n.Settings.Bounds.Grace = 20 * time.Second
+		}
 		n.Source, n.Decoder = modelSource{}, addressedDecoder{address: l.Addr().String()}
+		if configure != nil {
+			configure(n)
+		}
+		nodes = append(nodes, n)
 		stop = sync.OnceValue(start(n))
 		c.Cleanup(func(stop func() error) func() { return func() { c.Check(stop(), quicktest.IsNil) } }(stop))
 	}
-	for string(variablesOf(c, asking)["edge_members"]) != `{"alive":2}` || helping.view.Endpoint("e/1") == nil {
-		time.Sleep(20 * time.Millisecond)
+	for _, n := range nodes {
+		for string(variablesOf(c, n)["edge_members"]) != fmt.Sprintf(`{"alive":%d}`, boxes) || n.view.Endpoint("e/1") == nil {
+			time.Sleep(20 * time.Millisecond)
+		}
 	}
-	return asking, helping, helping.view.Endpoint("e/1"), stop
+	return nodes, stop
+}
+
+// Guards against a helping box that has just been cut off itself, and whose refused connection counts as the endpoint's
+// refusal.
+func TestRefusedConnectionOfOneHelperIsNotTheEndpointsRefusal(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	links := make(map[string]*testLink)
+	nodes, _ := tunnelNodes(c, func(conn net.Conn) { _ = conn.Close() }, 3, func(n *Node) {
+		l := newTestLink()
+		links[n.Settings.Box], n.Dial = l, l.dial
+	})
+	asking, e := nodes[0], nodes[0].view.Endpoint("e/1")
+	links[asking.relay.candidates(clock.Now())[0].Name()].set(refuse)
+	conn, err := asking.relay.Dial(context.Background(), e)
+	c.Assert(err, quicktest.IsNil)
+	c.Check(conn.Close(), quicktest.IsNil)
 }
 
 func TestTunnelCarriesDataUnchangedInBothDirections(t *testing.T) {
