edge: callers that come back at the same time wait for their lookup

When boxes are killed, the callers of all their streams come to the boxes that are left within some hundredths of a second. A box looks up 64 streams at a time, and refused all others at once (503, stream_not_known) though their origins were there: in a test with two boxes 65 of 512 that come together were found.

A lookup now waits for its turn, at most as long as a lookup takes (0.25 s). One takes a millisecond where the box that has the record answers: 512 of 512 are found.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -57,12 +57,11 @@
 	if known, ok := o.local(q); ok {
 		return known, true
 	}
-	select {
-	case o.lookups <- struct{}{}:
-		defer func() { <-o.lookups }()
-	default:
+	if !o.startLookup(ctx) {
+		o.notFound.Add(1)
 		return origin.Origin{}, false
 	}
+	defer func() { <-o.lookups }()
 	r, ok := o.ask(ctx, q)
 	if !ok {
 		o.notFound.Add(1)
@@ -75,6 +74,19 @@
 	return r.Origin, true
 }
 
+// startLookup waits until fewer than maxOriginLookups are in progress; it reports whether that was in time. Callers of killed
+// boxes come back at the same time.
+func (o *origins) startLookup(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
+	defer cancel()
+	select {
+	case o.lookups <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // local returns the origin of a stream if this box knows it.
 func (o *origins) local(q forward.OriginQuery) (origin.Origin, bool) {
 	if r, known := o.table.Find(q.Key, clock.Now()); known && q.HasKey {
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -3,8 +3,10 @@
 package edge
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -179,3 +181,33 @@
 	n.view.RemoveEndpoint(id)
 	return n
 }
+
+// Guards against callers of killed boxes that come to the boxes that are left at the same time, and are refused because all look
+// up where their streams began.
+func TestManyStreamsAreLookedUpAtTheSameTime(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	nodes, _ := tunnelNodes(c, func(conn net.Conn) { _ = conn.Close() }, 2, nil)
+	began := origin.Origin{Service: "s", Software: "v1"}
+	const streams = 8 * maxOriginLookups
+	var queries []forward.OriginQuery
+	for i := range streams {
+		k := origin.Key{byte(i), byte(i >> 8)}
+		nodes[1].origins.table.Add(origin.Record{Key: k, Origin: began, Expires: clock.Now().Add(time.Minute)}, false)
+		queries = append(queries, forward.OriginQuery{Key: k, HasKey: true})
+	}
+	found := make(chan bool, streams)
+	for _, q := range queries {
+		go func() {
+			o, ok := nodes[0].origins.FindOrigin(context.Background(), q)
+			found <- ok && o == began
+		}()
+	}
+	count := 0
+	for range queries {
+		if <-found {
+			count++
+		}
+	}
+	c.Check(count, quicktest.Equals, streams)
+}
