edge: origins of streams are sent and found while a box shuts down

A box that shuts down serves the requests of its callers for some seconds after it has announced that; but it no longer sent where their streams began, answered no lookups, and other boxes did not ask it. What began in that time was known to no other box once its connection broke (503, stream_not_known), and in a release that restarts all boxes at about the same time few boxes that store copies were left to ask.

Now it sends origins and answers lookups until the requests of its callers have ended, and others ask boxes that leave, too. All other calls are ended and refused as before from the end of the notice on: it decides nothing any more, and what it publishes would be old. That holds for boxes that carry connections for others as well, which kept their streams of facts open meanwhile.

--- a/daemon/peers.go
+++ b/daemon/peers.go
@@ -27,7 +27,7 @@
 
 // NewServer returns the gRPC server for other daemons, with the same small buffers as
 // the Dialer's connections. m counts the messages and may be nil.
-func NewServer(creds credentials.TransportCredentials, m *MessageCounter) *grpc.Server {
+func NewServer(creds credentials.TransportCredentials, m *MessageCounter, further ...grpc.ServerOption) *grpc.Server {
 	options := []grpc.ServerOption{
 		grpc.Creds(creds),
 		grpc.ReadBufferSize(connBuffer),
@@ -39,7 +39,7 @@
 	if m != nil {
 		options = append(options, grpc.StatsHandler(serverStats{counter: m}))
 	}
-	return grpc.NewServer(options...)
+	return grpc.NewServer(append(options, further...)...)
 }
 
 // peerServer implements the Peer service for other daemons.
--- a/edge/node.go
+++ b/edge/node.go
@@ -244,18 +244,27 @@
 	n.Log.Info("Box starts", "callers", n.Settings.Callers, "peers", n.Settings.Peers)
 	inner, end := context.WithCancel(context.Background())
 	defer end()
-	server := daemon.NewServer(insecure.NewCredentials(), n.messages)
+	drained, endDrain := context.WithCancel(context.Background()) // ends once the requests of callers have
+	defer endDrain()
+	server := daemon.NewServer(insecure.NewCredentials(), n.messages, endCallsWith(inner)...)
 	wire.RegisterPeerServer(server, peerServer{node: n})
 	wire.RegisterShareServer(server, shareServer{node: n})
 	drainTime := n.Settings.Bounds.Grace - leaveNoticeTime - shutdownMargin // how long requests in flight have to finish during shutdown
 	tasks := []task{
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLeadership, n.gateway.Run, n.logTraffic,
-		n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run, n.origins.sender.run,
+		n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run,
 		n.reader(Configuration).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error {
-			return servePeers(ctx, server, listeners.peers, func() { n.tunnels.awaitEnd(drainTime) })
+			return servePeers(ctx, server, listeners.peers, func() {
+				n.tunnels.awaitEnd(drainTime)
+				<-drained.Done()
+			})
+		},
+		func(context.Context) error { return n.origins.sender.run(drained) },
+		func(ctx context.Context) error {
+			defer endDrain()
+			return httpTask(n.gateway, n.limitSendBuffers(listeners.callers), drainTime, max(n.Settings.Limits.Descriptors/callerConnDivisor, maxAuxiliaryConns))(ctx)
 		},
-		httpTask(n.gateway, n.limitSendBuffers(listeners.callers), drainTime, max(n.Settings.Limits.Descriptors/callerConnDivisor, maxAuxiliaryConns)),
 		httpTask(n.readinessHandler(), listeners.ready, drainTime, maxAuxiliaryConns),
 		httpTask(n.metrics(), listeners.metrics, drainTime, maxAuxiliaryConns),
 	}
--- a/edge/origin_sender.go
+++ b/edge/origin_sender.go
@@ -198,6 +198,24 @@
 	return list
 }
 
+// originHolders returns the boxes that may have the origin of a stream: the directory, and those that were part of it until they
+// announced their shutdown, which may be nearly all in a release.
+func (p *peers) originHolders() []member.Member {
+	boxes := p.otherBoxes()
+	holders := originDirectory(boxes)
+	for _, m := range p.table.Members() {
+		if m.Role() == roleBox && m.State() == member.Leaving && m.Name() != p.box {
+			boxes = append(boxes, m)
+		}
+	}
+	for _, m := range originDirectory(boxes) {
+		if m.State() == member.Leaving {
+			holders = append(holders, m)
+		}
+	}
+	return holders
+}
+
 // originDirectory returns those of the boxes that may store origins. They change little as boxes come and go.
 func originDirectory(boxes []member.Member) []member.Member {
 	return firstRanked(originDirectoryKey, boxes, maxOriginDirectory)
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -119,7 +119,7 @@
 	if q.HasKey {
 		m.Key = q.Key[:]
 	}
-	boxes := originDirectory(o.node.peers.otherBoxes())
+	boxes := o.node.peers.originHolders()
 	answers := make(chan *wire.StreamOrigin, len(boxes))
 	for _, b := range boxes {
 		go func() { answers <- o.askBox(ctx, b, m) }()
--- a/edge/streams_test.go
+++ b/edge/streams_test.go
@@ -72,9 +72,15 @@
 	s.changed = make(chan struct{})
 }
 
+// lateEventPath is the path of streams that begin late.
+const lateEventPath = "/late"
+
 func streamHandler(software string) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero: from the start
+		if last == 0 && r.URL.Path == lateEventPath {
+			time.Sleep(leaveNoticeTime + 300*time.Millisecond)
+		}
 		w.Header().Set("Content-Type", "text/event-stream")
 		for i := last + 1; i <= streamLength && r.Context().Err() == nil; i++ {
 			_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, software)
@@ -179,9 +185,13 @@
 
 // openStream sends one attempt of a stream, and reads its events until the caller has as many as it wants.
 func openStream(n *Node, id, resumes string, r *streamResult, want int) {
+	openStreamAt(n, "/x", id, resumes, r, want)
+}
+
+func openStreamAt(n *Node, path, id, resumes string, r *streamResult, want int) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Settings.Callers+"/x", strings.NewReader("prompt"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.Settings.Callers+path, strings.NewReader("prompt"))
 	if err != nil {
 		return
 	}
