scheduler: a grant that is a trial says so

TestScripts/slow-endpoint failed now and then: a request with 40 ms was served while both engines were 20 times as slow. In a scratch copy that logs each forecast 2 of 10 runs failed, both by a trial: the engine had had no first token for 3.2 and 3.8 s, since the other one was enough for the load, and an idle engine that was not observed for 2 s admits one request to learn whether it is still slow. That is as designed; but nothing said so: the grant looked like any other, and the test took for granted that both engines had been used.

The grant of a trial has a reason of its own now, which cairnctl explain shows.

--- a/operator/print.go
+++ b/operator/print.go
@@ -24,6 +24,7 @@
 	wire.Reason_REASON_ENDPOINT_DOWN:   "the endpoint had not answered recently",
 	wire.Reason_REASON_NOT_READY:       "ownership of the endpoint was not established",
 	wire.Reason_REASON_NO_WAIT:         "the class may not wait and the batch had no room",
+	wire.Reason_REASON_TRIAL:           "it was expected to be late, and shows whether the endpoint is still slow",
 }
 
 // ReasonText returns an explanation of a reason, or "" for an unknown one.
--- a/policy/soonest.go
+++ b/policy/soonest.go
@@ -83,6 +83,12 @@
 	Age      time.Duration // since the last one, if Observed
 }
 
+// IsTrial reports whether a request is admitted only because the speed of the idle endpoint was not observed recently.
+func (f FirstTokenForecast) IsTrial() bool {
+	_, refuse := f.Refuse()
+	return !refuse && f.Ahead+f.Own > f.Deadline
+}
+
 // Refuse reports whether a request is refused because its first token is expected after its deadline, and the time
 // after which it is expected to be admitted if no other request arrives. An idle endpoint admits any request if its
 // speed was not observed recently.
--- a/scheduler/acquire.go
+++ b/scheduler/acquire.go
@@ -18,9 +18,18 @@
 	arrived       time.Time
 	deadline      time.Time               // after which the request is refused
 	loadWaitStart time.Time               // when it began to wait for a load; zero: never
+	trial         bool                    // expected to be late, and admitted to observe the endpoint's speed
 	reply         chan *wire.AcquireReply // buffered for one reply; written once, under endpoint.mu
 }
 
+// immediateReason returns the reason of a grant that is issued without a wait.
+func (w *waiter) immediateReason() wire.Reason {
+	if w.trial {
+		return wire.Reason_REASON_TRIAL
+	}
+	return wire.Reason_REASON_ADAPTER_READY
+}
+
 func (w *waiter) refuse(reason wire.Reason, retryAfter time.Duration, owner string) {
 	w.reply <- refusal(reason, retryAfter, owner)
 }
@@ -83,7 +92,7 @@
 		return nil, reply
 	}
 	if s.canRunNowLocked(e, req.GetAdapter(), now) && !s.shouldDeferLocked(e, w, s.countDeferrableLocked(e)+1, now) && s.takeRateLimitLocked(e, now) {
-		return nil, s.issueGrantLocked(e, w, now, wire.Reason_REASON_ADAPTER_READY)
+		return nil, s.issueGrantLocked(e, w, now, w.immediateReason())
 	}
 	if reply := s.admitLocked(e, w, now); reply != nil {
 		return nil, reply
--- a/scheduler/speed.go
+++ b/scheduler/speed.go
@@ -109,7 +109,9 @@
 	if !e.spec.IsMemoryBound() || w.request.GetDeadlineMicros() <= 0 {
 		return nil
 	}
-	retryAfter, refuse := s.forecastLocked(e, w.request, s.estimatedWaitLocked(e, w, now), now).Refuse()
+	forecast := s.forecastLocked(e, w.request, s.estimatedWaitLocked(e, w, now), now)
+	w.trial = forecast.IsTrial()
+	retryAfter, refuse := forecast.Refuse()
 	if !refuse {
 		return nil
 	}
