measure: boxes are frozen for up to 6 s under streams of several versions

Frozen boxes of the soak of versions woke up within a second, before their view could be older than any box may rely on (2 s). A box that wakes up with endpoints that others have seen leave is what the proof of the only version has to stand.

--- a/measure/software_versions.go
+++ b/measure/software_versions.go
@@ -137,7 +137,7 @@
 		for _, at := range failed {
 			r.failBox(at, fault)
 		}
-		pause(ctx, random, time.Second)
+		pause(ctx, random, faultTime(fault))
 		for _, at := range failed {
 			if err := r.restoreBox(at, fault); err != nil {
 				return err
@@ -154,6 +154,15 @@
 	stopBox
 )
 
+// faultTime bounds how long a fault lasts. A box that is frozen for longer than its view may lag wakes up with endpoints that
+// others have seen leave.
+func faultTime(fault int) time.Duration {
+	if fault == freezeBox {
+		return 6 * time.Second
+	}
+	return time.Second
+}
+
 // failBox induces a fault. A box that was chosen twice has failed already.
 func (r versionsRun) failBox(at [2]int, fault int) {
 	name := fleet.DaemonName(at[0], at[1], "edge")
