measure: refusals of streams that are taken up are counted by their code

A run of the soak of versions, or of waitstreams in a script, told how many attempts to continue a stream were refused, but not why: whether the software was gone, as engines are replaced, or nobody knew what began the stream, which is a loss.

--- a/e2e/streams_test.go
+++ b/e2e/streams_test.go
@@ -46,8 +46,8 @@
 func cmdWaitStreams(ts *testscript.TestScript, _ bool, args []string) {
 	o, _ := parseOptions(args)
 	n := <-stateOf(ts).streams
-	text := fmt.Sprintf("streams=%d begun=%d complete=%d mixed=%d takenup=%d goneon=%d refusals=%d",
-		n.Streams, n.Begun, n.Complete, n.Mixed, n.TakenUp, n.GoneOn, n.Refusals)
+	text := fmt.Sprintf("streams=%d begun=%d complete=%d mixed=%d takenup=%d goneon=%d refusals=%d codes=%v",
+		n.Streams, n.Begun, n.Complete, n.Mixed, n.TakenUp, n.GoneOn, n.Refusals, n.Codes)
 	fmt.Fprintln(ts.Stdout(), text)
 	ts.Logf("%s", text)
 	if least := intOption(ts, o, "takeups", 0); n.TakenUp < least {
--- a/load/streams.go
+++ b/load/streams.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -32,12 +33,12 @@
 	software map[string]bool
 	attempts int
 	takeUps  int
-	refused  int
+	refused  map[string]int // by the code of the refusal
 }
 
 // Run tries until the stream is complete or the caller gives up.
 func (s *StreamCaller) Run() {
-	s.software = make(map[string]bool)
+	s.software, s.refused = make(map[string]bool), make(map[string]int)
 	for s.attempts < maxStreamAttempts && !s.Complete() {
 		if s.attempts > 0 {
 			time.Sleep(streamRetryDelay)
@@ -60,7 +61,13 @@
 func (s *StreamCaller) TakeUps() int { return s.takeUps }
 
 // Refused returns how many of these were refused.
-func (s *StreamCaller) Refused() int { return s.refused }
+func (s *StreamCaller) Refused() int {
+	n := 0
+	for _, count := range s.refused {
+		n += count
+	}
+	return n
+}
 
 // try sends one attempt.
 func (s *StreamCaller) try(url string) {
@@ -87,10 +94,17 @@
 	if resp.StatusCode == http.StatusOK {
 		s.read(resp, id)
 	} else if s.Begun() {
-		s.refused++
+		s.refused[refusalCode(resp.Body)]++
 	}
 }
 
+// refusalCode returns the code of a refusal, with which its body begins.
+func refusalCode(body io.Reader) string {
+	line, _ := bufio.NewReader(io.LimitReader(body, 1<<10)).ReadString('\n') // without a body: no code
+	code, _, _ := strings.Cut(strings.TrimSpace(line), ":")
+	return code
+}
+
 // read reads events until the response ends.
 func (s *StreamCaller) read(resp *http.Response, id string) {
 	in := bufio.NewScanner(resp.Body)
@@ -112,17 +126,21 @@
 	Streams  int
 	Begun    int // with an event
 	Complete int
-	Mixed    int // with events of several software versions
-	TakenUp  int // broke off, and were asked for again
-	GoneOn   int // of these, those that are complete
-	Refusals int // of attempts to continue a stream
+	Mixed    int            // with events of several software versions
+	TakenUp  int            // broke off, and were asked for again
+	GoneOn   int            // of these, those that are complete
+	Refusals int            // of attempts to continue a stream
+	Codes    map[string]int // of these refusals
 }
 
 // CountStreams sums up callers that have ended.
 func CountStreams(list []*StreamCaller) StreamCounts {
-	n := StreamCounts{Streams: len(list)}
+	n := StreamCounts{Streams: len(list), Codes: make(map[string]int)}
 	for _, s := range list {
-		n.Refusals += s.refused
+		n.Refusals += s.Refused()
+		for code, count := range s.refused {
+			n.Codes[code] += count
+		}
 		if s.Begun() {
 			n.Begun++
 		}
--- a/measure/software_versions.go
+++ b/measure/software_versions.go
@@ -58,8 +58,8 @@
 		}
 	}
 	n := load.CountStreams(list)
-	fmt.Fprintf(w, "seed=%d streams=%d begun=%d complete=%d mixed=%d taken_up=%d gone_on=%d refusals=%d\n",
-		s.Seed, n.Streams, n.Begun, n.Complete, n.Mixed, n.TakenUp, n.GoneOn, n.Refusals)
+	fmt.Fprintf(w, "seed=%d streams=%d begun=%d complete=%d mixed=%d taken_up=%d gone_on=%d refusals=%d codes=%v\n",
+		s.Seed, n.Streams, n.Begun, n.Complete, n.Mixed, n.TakenUp, n.GoneOn, n.Refusals, n.Codes)
 	if n.Mixed > 0 {
 		return ErrBreach
 	}
