placement: copies of an adapter are made and counted within the service

Copies for a popular adapter were counted over all services of a data centre that run its base model, and could be placed at an endpoint of another one, which never serves its requests: a slot and a load in vain, while the requests waited on.

Holders, candidates and the number of copies that are needed are those of the service's endpoints in the data centre now. Reports of requests that another data centre served name no service, so their one copy is still placed in any.

TestCopiesAreMadeWithinTheService is red without it: the copy went to the other service's endpoint.

--- a/placement/balance.go
+++ b/placement/balance.go
@@ -361,7 +361,7 @@
 			return
 		}
 	}
-	best := l.chooseEndpointLocked(w.Adapter, o, append(l.holdersIn(o.endpoint.DataCentre(), w.Adapter), w.Avoid...), now)
+	best := l.chooseEndpointLocked(w.Adapter, o, append(l.holdersIn(endpointPool(o.endpoint), w.Adapter), w.Avoid...), now)
 	if best == o || l.queueTimeLocked(best, now) > busy.Queue/2 || l.freeSlotDelayLocked(best, best.queuedLoads, now) > idleUnloadTime {
 		return
 	}
--- a/placement/usage.go
+++ b/placement/usage.go
@@ -72,9 +72,9 @@
 
 // hotAdapter is the busiest adapter of a full endpoint.
 type hotAdapter struct {
-	centre  string
+	pool    pool
 	adapter topology.Adapter
-	copies  int // endpoints that its requests in progress in the data centre would fill
+	copies  int // endpoints that its requests in progress in the pool would fill
 }
 
 // hotAdaptersLocked returns the busiest adapter of each full endpoint among those given.
@@ -92,18 +92,18 @@
 			}
 		}
 		if most > 0 {
-			hot = append(hot, hotAdapter{centre: o.endpoint.DataCentre(), adapter: busiest, copies: l.copiesNeededLocked(o, busiest)})
+			hot = append(hot, hotAdapter{pool: endpointPool(o.endpoint), adapter: busiest, copies: l.copiesNeededLocked(o, busiest)})
 		}
 	}
 	return hot
 }
 
 // copiesNeededLocked returns how many endpoints of this size an adapter's requests in progress in
-// the data centre would fill.
+// the pool would fill.
 func (l *Loader) copiesNeededLocked(o *ownedEndpoint, a topology.Adapter) int {
 	n := 0
 	for id, p := range l.owned {
-		if p.endpoint.DataCentre() == o.endpoint.DataCentre() {
+		if endpointPool(p.endpoint) == endpointPool(o.endpoint) {
 			n += l.inFlight.adapterRequests(id, a)
 		}
 	}
