forward: a take-up that names no attempt is not recorded

A caller that continues a stream without naming the attempt that began it was recorded under an empty ID, sent to four other boxes and kept for the route's timeout, though no caller can ask for such a record: a lookup without an ID has no key. Records of all such callers with the same request shared one key, and were useless.

TestTakeUpThatNamesNoAttemptIsNotRecorded is red without it.

--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -44,6 +44,9 @@
 		g.streamCounters.begun.Add(1)
 		attempt = q.call.ID
 	}
+	if attempt == "" {
+		return // the caller continues a stream without naming it, and can't name it later either
+	}
 	g.Origins.StreamBegan(origin.NewKey(q.content, attempt), *q.origin, q.route.Timeout()+resumeGrace)
 }
 
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -104,6 +104,8 @@
 	r.Header.Set("Id", id)
 	if resumes != "" {
 		r.Header.Set("Test-Resumes", resumes)
+	}
+	if lastEvent != "" {
 		r.Header.Set("Test-Last-Event-Id", lastEvent)
 	}
 	resp, err := http.DefaultClient.Do(r)
@@ -194,6 +196,20 @@
 	s.c.Check(calls.Load(), quicktest.Equals, int64(0))
 }
 
+// Guards against records that no caller can ask for, which other boxes would store, too.
+func TestTakeUpThatNamesNoAttemptIsNotRecorded(t *testing.T) {
+	s := newSite(t)
+	s.setServices(1, topology.WeightedService{Name: "app", Weight: 1})
+	s.softwareEndpoint(t, "v1")
+	origins := newSiteOrigins()
+	s.gateway.Origins = origins
+	origins.StreamBegan(origin.Key{}, origin.Origin{Service: "app", Software: "v1"}, time.Minute) // known without a key
+	status, _, text := s.streamAttempt("second", "", "2")
+	s.c.Check(status, quicktest.Equals, http.StatusOK)
+	s.c.Check(strings.Contains(text, "id: 4"), quicktest.IsTrue, quicktest.Commentf("%s", text))
+	s.c.Check(origins.table.Len(), quicktest.Equals, 1)
+}
+
 // Guards against streams that begin at a version of which other boxes have not learned yet.
 func TestNewSoftwareBeginsNoResumableStreamAtFirst(t *testing.T) {
 	s := newSite(t, resumableRoute(2*time.Second))
