forward: an endpoint that the owner knows before this box is not the end of a request

Callers saw: 503, adapter_not_loaded, at once, while a service's endpoints were replaced. Cause: the leader of a data centre had chosen an endpoint that had just started, or one that had just ended, and that the box which asked it did not know (yet); or one that the box had meanwhile learned to avoid. The box then refused the request, though it could ask again: a request names the endpoints that it can't use. Streams that are taken up meet this most, as their callers come back during releases.

The box now asks again with that endpoint among those to avoid, three choices at the most.

TestChosenEndpointThatIsNotKnownIsReplaced: 503 before, 200 now; it also checks that a box does not ask for ever.

--- a/forward/adapter.go
+++ b/forward/adapter.go
@@ -165,11 +165,11 @@
 	}
 	if p.Ready && p.Endpoint != e.ID() { // the owner chose another endpoint
 		if e = g.View.Endpoint(p.Endpoint); e == nil {
-			return target{}, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "the chosen endpoint is not in this box's view"}
+			return g.selectKnown(ctx, q, p.Endpoint, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "the chosen endpoint is not in this box's view"})
 		}
 		if !q.matches(e) || g.isExcluded(q, e.ID(), now) { // owners of an older version ignore AdapterRequest.Avoid
-			return target{}, &Refusal{Code: CodeNotLoaded, RetryAfter: max(unavailableRetryAfter, backoff.RetryAfter(g.BackoffRemaining(e.ID(), now))),
-				Detail: "the chosen endpoint can't continue the stream, has failed the request or is in a back-off"}
+			return g.selectKnown(ctx, q, e.ID(), &Refusal{Code: CodeNotLoaded, RetryAfter: max(unavailableRetryAfter, backoff.RetryAfter(g.BackoffRemaining(e.ID(), now))),
+				Detail: "the chosen endpoint can't continue the stream, has failed the request or is in a back-off"})
 		}
 	}
 	if !g.accepts(e.ID(), now) {
@@ -179,6 +179,20 @@
 		aheadTokens: p.AheadTokens, firstToken: p.FirstToken}, nil
 }
 
+// maxUnusableChoices is how many endpoints that this box can't use an owner may choose for one request: it may have learned of
+// new ones before, or not yet of what ended.
+const maxUnusableChoices = 3
+
+// selectKnown selects another endpoint in place of one that the owner chose and this box can't use; otherwise is the refusal if that
+// has happened too often.
+func (g *Gateway) selectKnown(ctx context.Context, q *request, chosen string, otherwise *Refusal) (target, *Refusal) {
+	if q.misplaced++; q.misplaced >= maxUnusableChoices || ctx.Err() != nil {
+		return target{}, otherwise
+	}
+	q.excluded[chosen] = true
+	return g.selectEndpoint(ctx, q)
+}
+
 // isExcluded reports whether a request must not go to an endpoint, though it may hold the adapter.
 func (g *Gateway) isExcluded(q *request, endpoint string, now time.Time) bool {
 	return q.excluded[endpoint] || g.BackoffRemaining(endpoint, now) > 0
--- a/forward/adapter_test.go
+++ b/forward/adapter_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -114,3 +115,24 @@
 		s.c.Check(got.DataCentre(), quicktest.Equals, f.want, quicktest.Commentf(name))
 	}
 }
+
+// aheadPlacer chooses endpoints that have just started, of which the box that asks has not learned yet, unless they are to be avoided.
+type aheadPlacer struct{ started []string }
+
+// Place implements Placer.
+func (p aheadPlacer) Place(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+	for _, id := range p.started {
+		if !slices.Contains(w.Avoid, id) {
+			return PlacementResult{Ready: true, Endpoint: id}, nil
+		}
+	}
+	return PlacementResult{Ready: true, Endpoint: w.Endpoint.ID()}, nil
+}
+
+// Guards against requests that are refused because the leader knows an endpoint before the box that asks it.
+func TestChosenEndpointThatIsNotKnownIsReplaced(t *testing.T) {
+	s, statuses := askAdapters(t, aheadPlacer{started: []string{"e8", "e9"}}, "2s", "a", "b")
+	s.c.Check(statuses, quicktest.DeepEquals, []int{http.StatusOK, http.StatusOK})
+	s, statuses = askAdapters(t, aheadPlacer{started: []string{"e5", "e6", "e7", "e8", "e9"}}, "2s", "a")
+	s.c.Check(statuses, quicktest.DeepEquals, []int{http.StatusServiceUnavailable}) // it does not ask for ever
+}
--- a/forward/request.go
+++ b/forward/request.go
@@ -39,6 +39,7 @@
 	executions    int                    // of these, those that may have been executed
 	tried         map[string]bool        // endpoints that failed it
 	excluded      map[string]bool        // of these, those that rejected it or refused the connection: placement must not choose them again
+	misplaced     int                    // endpoints that owners chose for it and this box could not use
 	limitDenials  map[string]limitDenial // by endpoint with a rate limit
 	mayHaveRun    bool                   // an attempt may have been executed
 	noOwnerLogged bool                   // logNoOwner has logged
