edge: origins of streams are sent only while another box may need them

Boxes told four others of each resumable stream, although while one version alone serves any box that has run for long enough knows what began them.

--- a/edge/origin_sender.go
+++ b/edge/origin_sender.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cairnwick.example/clock"
+	"cairnwick.example/forward"
 	"cairnwick.example/forward/origin"
 	"cairnwick.example/member"
 	"cairnwick.example/policy"
@@ -29,6 +30,9 @@
 	originTimeout = 400 * time.Millisecond
 	// originRetryDelay is the time after which a message is repeated to a box that did not answer.
 	originRetryDelay = 100 * time.Millisecond
+	// heldCheckInterval is the time between two checks whether records that were not sent are needed, besides those after changes of
+	// endpoints: this box may have lost the source.
+	heldCheckInterval = 250 * time.Millisecond
 	// maxOriginsPerMessage bounds the records in one message.
 	maxOriginsPerMessage = 1024
 	// originDirectoryKey ranks the boxes for the directory, the same for all boxes.
@@ -42,12 +46,20 @@
 	wake    chan struct{} // signals that a record was added
 
 	mu    sync.Mutex
-	added []origin.Record // not yet queued
+	added []origin.Record           // not yet queued
+	held  map[origin.Key]heldOrigin // not sent, since the version that began the streams is the only one
 
 	queues map[string]*originQueue // by leaderKey; used by run only
 	ended  chan originDelivery     // of the deliveries in progress; used by run only
 }
 
+// heldOrigin is a record that is not sent for the time being.
+type heldOrigin struct {
+	origin.Record
+
+	age time.Duration // that its stream may reach
+}
+
 // originQueue holds the records that one box has not received.
 type originQueue struct {
 	member  member.Member
@@ -73,20 +85,70 @@
 	}
 }
 
+// hold keeps a record of a stream whose software is the only one: other boxes know its origin without it. It is sent once they may not.
+func (s *originSender) hold(r origin.Record, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.held == nil {
+		s.held = make(map[origin.Key]heldOrigin)
+	}
+	if len(s.held) < maxOrigins {
+		s.held[r.Key] = heldOrigin{Record: r, age: age}
+	}
+}
+
+// releaseHeld queues the records of services of which other boxes may not know the only version any more, and drops expired ones.
+func (s *originSender) releaseHeld(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	age := make(map[string]time.Duration) // by service: the longest of its records
+	for k, r := range s.held {
+		if !now.Before(r.Expires) {
+			delete(s.held, k)
+			continue
+		}
+		age[r.Origin.Service] = max(age[r.Origin.Service], r.age)
+	}
+	for service, longest := range age {
+		if _, sole := s.origins.sole(forward.OriginQuery{Service: service, Age: longest}); sole {
+			continue
+		}
+		for k, r := range s.held {
+			if r.Origin.Service == service {
+				s.added = append(s.added, r.Record)
+				delete(s.held, k)
+			}
+		}
+	}
+}
+
+// isHeld reports whether a record has not been sent on purpose.
+func (s *originSender) isHeld(r origin.Record) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, held := s.held[r.Key]
+	return held
+}
+
 // run sends records until ctx ends.
 func (s *originSender) run(ctx context.Context) error {
 	s.queues, s.ended = make(map[string]*originQueue), make(chan originDelivery)
 	expire := time.NewTicker(expireInterval)
 	defer expire.Stop()
+	check := time.NewTicker(heldCheckInterval)
+	defer check.Stop()
 	inProgress := 0
 	for ctx.Err() == nil {
-		changed := s.origins.node.peers.table.Changed()
+		changed, endpointsChanged := s.origins.node.peers.table.Changed(), s.origins.node.view.Changed()
+		s.releaseHeld(clock.Now())
 		s.updateQueues()
 		started, retry := s.startDeliveries(ctx)
 		inProgress += started
 		select {
 		case <-ctx.Done():
 		case <-changed:
+		case <-endpointsChanged:
+		case <-check.C:
 		case <-s.wake:
 		case <-retry:
 		case <-expire.C:
@@ -116,7 +178,7 @@
 		key := leaderKey(m)
 		partners[key] = true
 		if s.queues[key] == nil {
-			s.queues[key] = &originQueue{member: m, records: s.origins.table.Own(clock.Now())}
+			s.queues[key] = &originQueue{member: m, records: slices.DeleteFunc(s.origins.table.Own(clock.Now()), s.isHeld)}
 		}
 	}
 	for key := range s.queues {
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -51,9 +51,14 @@
 // StreamBegan implements forward.Origins. It does not wait for other boxes.
 func (o *origins) StreamBegan(k origin.Key, began origin.Origin, keep time.Duration) {
 	r := origin.Record{Key: k, Origin: began, Expires: clock.Now().Add(min(keep, maxOriginTime))}
-	if o.table.Add(r, true) {
-		o.sender.add(r)
+	if !o.table.Add(r, true) {
+		return
 	}
+	if _, sole := o.sole(forward.OriginQuery{Service: began.Service, Age: keep}); sole {
+		o.sender.hold(r, keep)
+		return
+	}
+	o.sender.add(r)
 }
 
 // FindOrigin implements forward.Origins.
@@ -133,7 +138,8 @@
 	return sole.Service == q.Service && o.node.view.AdoptSoleSoftware(claim, now.Add(-2*lag))
 }
 
-// ask asks the boxes that may know the origin of a stream, all at the same time, and returns the first one found.
+// ask asks other boxes for the origin of a stream: a few that may know that one version alone can have begun it, and then those that
+// may have its record.
 func (o *origins) ask(ctx context.Context, q forward.OriginQuery) (origin.Record, bool) {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
@@ -141,10 +147,16 @@
 	if q.HasKey {
 		m.Key = q.Key[:]
 	}
-	boxes := o.node.peers.soleWitnesses()
-	if q.HasKey {
-		boxes = o.node.peers.originHolders()
+	if o.mayBeSole(q) {
+		if r, ok := o.askBoxes(ctx, o.node.peers.soleWitnesses(), m, q); ok || !q.HasKey {
+			return r, ok
+		}
 	}
+	return o.askBoxes(ctx, o.node.peers.originHolders(), m, q)
+}
+
+// askBoxes asks boxes, all at the same time, and returns the first origin that one knows.
+func (o *origins) askBoxes(ctx context.Context, boxes []member.Member, m *wire.FindOriginRequest, q forward.OriginQuery) (origin.Record, bool) {
 	answers := make(chan *wire.FindOriginReply, len(boxes))
 	for _, b := range boxes {
 		go func() { answers <- o.askBox(ctx, b, m) }()
--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -261,3 +261,46 @@
 	}
 	c.Check(len(chosen) > 50, quicktest.IsTrue) // the work spreads over all
 }
+
+// Guards against calls for each stream that no box needs: a quarter of the processor time of boxes with many short streams.
+func TestOriginsAreSentOnlyWhileOthersMayNeedThem(t *testing.T) {
+	c := quicktest.New(t)
+	n := soleNode(c, clock.Now(), "v1", "v1")
+	read := func() {
+		for _, collection := range []Collection{Configuration, Endpoints} {
+			n.fresh.record(collection, readResult{current: true, asOf: clock.Now()})
+		}
+	}
+	s := &n.origins.sender
+	begin := func(key byte) {
+		n.origins.StreamBegan(origin.Key{key}, origin.Origin{Service: "s", Software: "v1"}, 20*time.Second)
+	}
+	begin(1)
+	c.Check(s.added, quicktest.HasLen, 1) // this box has not known the service for long enough
+	suspend(c, 20*time.Second+3*n.behind())
+	read()
+	begin(2)
+	c.Check(s.added, quicktest.HasLen, 1)
+	s.releaseHeld(clock.Now())
+	c.Check(s.added, quicktest.HasLen, 1)
+	c.Check(s.isHeld(origin.Record{Key: origin.Key{2}}), quicktest.IsTrue)
+
+	n.view.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: "e9", Service: "s", Software: "v2"}))
+	s.releaseHeld(clock.Now())
+	c.Check(s.added, quicktest.HasLen, 2) // the stream began before there was another version
+	begin(3)
+	c.Check(s.added, quicktest.HasLen, 3)
+
+	n.view.RemoveEndpoint("e9")
+	suspend(c, 20*time.Second+3*n.behind()+staleBoxTime)
+	read()
+	begin(4)
+	c.Check(s.added, quicktest.HasLen, 3)
+	suspend(c, n.behind()) // the source is no longer read
+	s.releaseHeld(clock.Now())
+	c.Check(s.added, quicktest.HasLen, 4)
+	begin(5)
+	suspend(c, time.Minute)
+	s.releaseHeld(clock.Now())
+	c.Check(s.held, quicktest.HasLen, 0)
+}
