--- a/edge/origin_sender.go
+++ b/edge/origin_sender.go
@@ -130,6 +130,12 @@
 	return held
 }
 
+func (s *originSender) heldCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.held)
+}
+
 // run sends records until ctx ends.
 func (s *originSender) run(ctx context.Context) error {
 	s.queues, s.ended = make(map[string]*originQueue), make(chan originDelivery)
--- a/edge/origins.go
+++ b/edge/origins.go
@@ -236,10 +236,11 @@
 type originsReport struct {
 	Stored   int   `json:"stored"`
 	Own      int   `json:"own"`
+	Held     int   `json:"held"` // of these, those that other boxes do not need
 	Found    int64 `json:"found"`
 	NotFound int64 `json:"not_found"`
 }
 
 func (o *origins) report() originsReport {
-	return originsReport{Stored: o.table.Len(), Own: len(o.table.Own(clock.Now())), Found: o.found.Load(), NotFound: o.notFound.Load()}
+	return originsReport{Stored: o.table.Len(), Own: len(o.table.Own(clock.Now())), Held: o.sender.heldCount(), Found: o.found.Load(), NotFound: o.notFound.Load()}
 }
