engine: a request of which the connection took no byte is not sent

Callers saw: 502, answer_lost, as if their request might have run, though the endpoint's process had ended before it was sent. Cause: an idle connection is used again before its end has been read; the write fails with EPIPE, and the request counted as sent since a write had begun.

A first write that fails because the peer has closed the connection, with no byte taken, sends nothing: the request is refused as not run, or goes elsewhere. After any byte, and for other errors, it counts as sent as before.

TestRequestOfWhichNoByteWasTakenIsNotSent is red without it.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
+	"syscall"
 	"time"
 
 	"cairnwick.example/clock"
@@ -45,7 +46,8 @@
 // Write implements net.Conn. It checks the time immediately before the system call.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
-	late := !c.writeBegun && !c.sendBy.IsZero() && clock.Now().After(c.sendBy)
+	first := !c.writeBegun
+	late := first && !c.sendBy.IsZero() && clock.Now().After(c.sendBy)
 	if !late {
 		c.writeBegun = true
 	}
@@ -53,7 +55,18 @@
 	if late {
 		return 0, ErrExpired
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	if first && n == 0 && isClosedByPeer(err) {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.writeBegun = false
+	}
+	return n, err
+}
+
+// isClosedByPeer reports whether a write failed because the peer had closed the connection, as one of a process that has ended.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
 }
 
 // DialFunc opens connections.
--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -7,8 +7,10 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -112,3 +114,41 @@
 	c.Assert(wasSent(c, send(client, address, inOneMinute())), quicktest.IsTrue)
 	c.Assert(requests.Load(), quicktest.Equals, int64(2))
 }
+
+// closedConn is a connection that the peer has closed after it took some bytes.
+type closedConn struct {
+	net.Conn
+
+	taken int
+	err   error
+}
+
+// Write implements net.Conn.
+func (c closedConn) Write([]byte) (int, error) {
+	return c.taken, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", c.err)}
+}
+
+// Guards against a request that counts as perhaps executed though its endpoint had ended before, and its connection with it.
+func TestRequestOfWhichNoByteWasTakenIsNotSent(t *testing.T) {
+	for name, k := range map[string]struct {
+		conn closedConn
+		sent bool
+	}{
+		"closed before":          {closedConn{err: syscall.EPIPE}, false},
+		"reset before":           {closedConn{err: syscall.ECONNRESET}, false},
+		"reset after some bytes": {closedConn{taken: 1, err: syscall.ECONNRESET}, true},
+		"another error":          {closedConn{err: syscall.EIO}, true},
+	} {
+		c := &guardedConn{Conn: k.conn}
+		c.startRequest(time.Time{})
+		_, err := c.Write([]byte("POST"))
+		quicktest.New(t).Check(err, quicktest.IsNotNil)
+		quicktest.New(t).Check(c.requestSent(), quicktest.Equals, k.sent, quicktest.Commentf("%s", name))
+	}
+	c := &guardedConn{Conn: closedConn{taken: 4}}
+	c.startRequest(time.Time{})
+	_, _ = c.Write([]byte("POST"))
+	c.Conn = closedConn{err: syscall.EPIPE}
+	_, _ = c.Write([]byte("body"))
+	quicktest.New(t).Check(c.requestSent(), quicktest.IsTrue)
+}
