--- a/fleet/process.go
+++ b/fleet/process.go
@@ -64,7 +64,21 @@
 	return nil
 }
 
-// Signal sends a signal to a process.
+// stateInterval is the time between two checks of a process's state.
+const stateInterval = time.Millisecond
+
+// awaitStopped waits until a process that got SIGSTOP has stopped: its threads go on until one of them handles the signal,
+// which takes long on a busy machine.
+func awaitStopped(pid int) {
+	for begun := time.Now(); time.Since(begun) < stopTimeout; time.Sleep(stateInterval) {
+		fields, err := readStat(pid)
+		if err != nil || strings.HasPrefix(fields[0], "T") {
+			return // it has stopped, or ended
+		}
+	}
+}
+
+// Signal sends a signal to a process. After SIGSTOP it returns once the process has stopped.
 func (f *Fleet) Signal(name string, s syscall.Signal) error {
 	f.mu.Lock()
 	p := f.processes[name]
@@ -75,6 +89,9 @@
 	if err := p.command.Process.Signal(s); err != nil {
 		return errors.Wrapf(err, "fleet: signal %s; end of its log: %s", name, f.tail(name))
 	}
+	if s == syscall.SIGSTOP {
+		awaitStopped(p.command.Process.Pid)
+	}
 	return nil
 }
 
--- a/fleet/usage.go
+++ b/fleet/usage.go
@@ -27,11 +27,10 @@
 	if pid == 0 {
 		return Usage{}, errors.Errorf("fleet: process %s is not running", name)
 	}
-	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	fields, err := readStat(pid)
 	if err != nil {
-		return Usage{}, errors.Wrap(err, "fleet: read process usage")
+		return Usage{}, err
 	}
-	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
 	const userField, systemField, pagesField = 11, 12, 21 // indexes after the process name
 	return Usage{
 		CPU:    time.Duration(parseInt(fields[userField])+parseInt(fields[systemField])) * clockTick,
@@ -39,6 +38,15 @@
 	}, nil
 }
 
+// readStat returns the fields of /proc/PID/stat after the process name, the first of which is the state.
+func readStat(pid int) ([]string, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet: read process state")
+	}
+	return strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:])), nil
+}
+
 func parseInt(text string) int64 {
 	n, err := strconv.ParseInt(text, 10, 64)
 	if err != nil {
