--- a/placement/copies.go
+++ b/placement/copies.go
@@ -15,7 +15,9 @@
 	service string // empty: of all services
 }
 
-func endpointPool(e *topology.Endpoint) pool { return pool{centre: e.DataCentre(), service: e.Service()} }
+func endpointPool(e *topology.Endpoint) pool {
+	return pool{centre: e.DataCentre(), service: e.Service()}
+}
 
 func (p pool) contains(e *topology.Endpoint) bool {
 	return e.DataCentre() == p.centre && (p.service == "" || e.Service() == p.service)
