--- a/edge/streams_leaving_test.go
+++ b/edge/streams_leaving_test.go
@@ -71,9 +71,9 @@
 		end(0)
 	}()
 	find := func() {
-		o, found := nodes[1].origins.FindOrigin(context.Background(), forward.OriginQuery{Key: k})
+		_, found := nodes[1].origins.FindOrigin(context.Background(), forward.OriginQuery{Key: k})
 		c.Check(found, quicktest.IsFalse) // the key is not set
-		o, found = nodes[1].origins.FindOrigin(context.Background(), forward.OriginQuery{Key: k, HasKey: true})
+		o, found := nodes[1].origins.FindOrigin(context.Background(), forward.OriginQuery{Key: k, HasKey: true})
 		c.Check(found, quicktest.IsTrue)
 		c.Check(o, quicktest.Equals, began)
 		nodes[1].origins.table.Expire(clock.Now().Add(time.Hour)) // so that it asks again
