Known red: a gap in reading the source does not end the proof of the only version

A box that was frozen or cut off for longer than its view may lag, and whose view then skips a version that came, began streams and left meanwhile, takes another version for the only one. A stream of a caller that names no attempt may go on at it. Found by reading; the test shows that the box still has its proof after two minutes without a read.

--- a/edge/origins_test.go
+++ b/edge/origins_test.go
@@ -304,3 +304,15 @@
 	s.releaseHeld(clock.Now())
 	c.Check(s.held, quicktest.HasLen, 0)
 }
+
+// Guards against a box that has read nothing for a while, in which another version may have come, begun streams and left.
+func TestGapInReadingTheSourceEndsTheProof(t *testing.T) {
+	c := quicktest.New(t)
+	n := soleNode(c, clock.Now(), "v1", "v1")
+	suspend(c, 2*time.Minute)
+	for _, collection := range []Collection{Configuration, Endpoints} {
+		n.fresh.record(collection, readResult{current: true, asOf: clock.Now()})
+	}
+	_, known := n.origins.sole(forward.OriginQuery{Service: "s", Age: 20 * time.Second})
+	c.Check(known, quicktest.IsFalse)
+}
