Add review case 1: a rejection sent twice makes a request run twice

A surplus copy of a rejection, which names another request, is taken for the rejection of the next request on its connection. The script shows it with stand-ins and the real program; nothing is fixed.

--- /dev/null
+++ b/review/harness/main.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+
+// Command harness plays the scripts of the review: it starts the project's own program as separate processes, and is itself
+// the platform's store, the servers and the clients, on loopback addresses. It exits with 1 if a rule was broken, 0 if all
+// held, and 2 if the case could not run.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitFailed = 2
+	// startTimeout bounds the start of the boxes.
+	startTimeout = 15 * time.Second
+)
+
+// world is what a case runs in.
+type world struct {
+	Root    string // of the repository
+	Folder  string // temporary
+	Trouble bool   // with the disruption
+	Record  *record
+
+	store         *store
+	storeListener net.Listener
+	boxes         []*box
+}
+
+// cases returns the broken rules, a line each.
+var cases = map[string]func(*world) ([]string, error){
+	"surplus-rejection": surplusRejection,
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER-OF-THE-RECORD")
+		return exitFailed
+	}
+	root, err := os.Getwd()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	folder, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	defer os.RemoveAll(folder)
+	w := &world{Root: root, Folder: folder, Trouble: os.Getenv("TROUBLE") != "0", Record: newRecord()}
+	broken, err := w.play(cases[os.Args[1]])
+	if keep := os.Getenv("LOGS"); keep != "" {
+		w.keepLogs(keep)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	verdict := append([]string{w.Record.counts(), fmt.Sprintf("trouble: %t, broken rules: %d", w.Trouble, len(broken))}, broken...)
+	for _, l := range verdict {
+		fmt.Println(l)
+	}
+	if err := w.Record.write(os.Args[2], verdict); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	if len(broken) > 0 {
+		return exitBroken
+	}
+	return exitHeld
+}
+
+// play starts the store, plays a case and ends all processes.
+func (w *world) play(c func(*world) ([]string, error)) ([]string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	w.store, w.storeListener = newStore(), l
+	go w.store.serve(l)
+	defer func() {
+		for _, b := range w.boxes {
+			b.kill()
+		}
+	}()
+	return c(w)
+}
+
+// startBoxes starts one box in each of the zones and waits until all are ready.
+func (w *world) startBoxes(zones ...string) error {
+	for i, z := range zones {
+		b, err := newBox(fmt.Sprintf("frontend-%s-%d", z, i+1), z, fmt.Sprintf("127.0.0.%d", 11+i))
+		if err != nil {
+			return err
+		}
+		w.boxes = append(w.boxes, b)
+	}
+	for _, b := range w.boxes {
+		if err := b.start(w.Root, w.Folder, w.storeListener.Addr().String(), w.boxes); err != nil {
+			return err
+		}
+	}
+	return awaitReady(w.boxes, startTimeout)
+}
+
+// keepLogs copies the logs of the boxes.
+func (w *world) keepLogs(to string) {
+	for _, b := range w.boxes {
+		if raw, err := os.ReadFile(filepath.Join(w.Folder, b.name+".log")); err == nil {
+			_ = os.WriteFile(filepath.Join(to, b.name+".log"), raw, 0o600)
+		}
+	}
+}
+
+// limits are the limits of requests in the configuration.
+var limits = map[string]any{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
