Add review case 2: a new leader orders a second base model

A leader that takes over while a server loads a base model orders another one, which exceeds the server's memory. The script shows it with stand-ins and the real program; nothing is fixed.

--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -36,6 +36,7 @@
 // cases returns the broken rules, a line each.
 var cases = map[string]func(*world) ([]string, error){
 	"surplus-rejection": surplusRejection,
+	"second-model":      secondModel,
 }
 
 func main() { os.Exit(run()) }
