Add review case 2: two boxes own the same endpoints in turns

A box whose seeds have all left leads after two seconds without contact, and never reads the settings that name other seeds.

--- a/review/harness/box.go
+++ b/review/harness/box.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	leaving bool // it got SIGTERM
+	isFirst bool // it starts with the whole system
 	ended   chan error
 }
 
@@ -59,7 +60,7 @@
 region = "kigali"
 internal_port_range = [%d,%d]
 seed_nodes = [%s]
-is_bootstrap = true
+is_bootstrap = %t
 fault_counted = false
 discovery = "platform"
 entry = "virtual_ip"
@@ -118,15 +119,21 @@
 min_ttl_ms = 1000
 `
 
-// start starts the process with the command of the deploy file, in the repository's root.
-func (b *box) start(root, folder, storeAddress string, all []*box) error {
-	var seeds []string
-	for _, o := range all {
-		seeds = append(seeds, fmt.Sprintf("%q", o.control))
+// writeSettings writes the settings file, as the platform does at a start and when the settings change.
+func (b *box) writeSettings(folder, storeAddress string, seeds []*box) (path string, err error) {
+	var addresses []string
+	for _, o := range seeds {
+		addresses = append(addresses, fmt.Sprintf("%q", o.control))
 	}
-	text := fmt.Sprintf(settingsText, b.name, b.ip, b.zone, b.ports[0], b.ports[1], strings.Join(seeds, ","), b.callers, b.ready, b.control, storeAddress)
-	path := filepath.Join(folder, b.name+".toml")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+	text := fmt.Sprintf(settingsText, b.name, b.ip, b.zone, b.ports[0], b.ports[1], strings.Join(addresses, ","), b.isFirst, b.callers, b.ready, b.control, storeAddress)
+	path = filepath.Join(folder, b.name+".toml")
+	return path, os.WriteFile(path, []byte(text), 0o600)
+}
+
+// start starts the process with the command of the deploy file, in the repository's root.
+func (b *box) start(root, folder, storeAddress string, seeds []*box) error {
+	path, err := b.writeSettings(folder, storeAddress, seeds)
+	if err != nil {
 		return err
 	}
 	out, err := os.OpenFile(filepath.Join(folder, b.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -172,6 +179,16 @@
 	_ = b.process.Process.Signal(syscall.SIGTERM)
 }
 
+// awaitEnd waits for the end of a process that got SIGTERM.
+func (b *box) awaitEnd() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.process != nil {
+		<-b.ended
+		b.process = nil
+	}
+}
+
 // isRunning reports whether the process was started and not stopped.
 func (b *box) isRunning() bool {
 	b.mu.Lock()
--- a/review/harness/engine.go
+++ b/review/harness/engine.go
@@ -7,7 +7,9 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -21,7 +23,8 @@
 	Slots     int
 	WeightsMB float64
 	ModelMB   map[string]float64
-	LoadTime  time.Duration
+	LoadTime  time.Duration // of a base model
+	Adapters  int           // places for adapters
 	Events    int           // of a stream
 	Gap       time.Duration // between two events
 	Store     *store
@@ -33,18 +36,29 @@
 	mu       sync.Mutex
 	models   []string
 	loading  string // model of the order under way
+	adapters map[string]*adapter
 	fence    uint64 // the highest one seen
 	sequence int
 	fallen   bool
-	orders   []order // accepted loads
+	loads    []order // of base models, accepted
+	orders   []order // all
 	reports  []reportAt
 }
 
-// order is an order that the server accepted.
+// adapter is an adapter that a server holds or loads.
+type adapter struct {
+	ready     bool
+	unloading bool // it goes when its last run ends
+	runs      int
+}
+
+// order is an order that reached a server.
 type order struct {
 	At     time.Time
 	Holder string
 	Model  string
+	Fence  uint64
+	Status int // of the answer
 }
 
 // reportAt is what the server reported of itself from a time on.
@@ -53,8 +67,12 @@
 	raw []byte
 }
 
-// reportLag is how old the data of a report is.
-const reportLag = 200 * time.Millisecond
+const (
+	reportLag   = 200 * time.Millisecond // how old the data of a report is
+	adapterTime = 250 * time.Millisecond // the load of an adapter
+	maxPending  = 4                      // adapters on their way to one server
+	orderTime   = 3 * time.Millisecond   // until an order is answered
+)
 
 // start listens, and writes the server's entry.
 func (e *engine) start(models ...string) error {
@@ -62,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	e.listener, e.models = l, models
+	e.listener, e.models, e.adapters = l, models, make(map[string]*adapter)
 	m := http.NewServeMux()
 	m.HandleFunc("GET /api/report", e.report)
 	m.HandleFunc("POST /api/order", e.order)
@@ -81,7 +99,23 @@
 func (e *engine) heldLocked() []any {
 	list := []any{}
 	for _, m := range e.models {
-		list = append(list, map[string]any{"name": m, "version": 1, "adapters": []string{}})
+		held := []string{}
+		for n, a := range e.adapters {
+			if a.ready && strings.HasPrefix(n, m+"/") {
+				held = append(held, strings.TrimPrefix(n, m+"/")+"@1")
+			}
+		}
+		list = append(list, map[string]any{"name": m, "version": 1, "adapters": held})
+	}
+	return list
+}
+
+func (e *engine) pendingLocked() []string {
+	list := []string{}
+	for n, a := range e.adapters {
+		if !a.ready {
+			list = append(list, n+"@1")
+		}
 	}
 	return list
 }
@@ -92,7 +126,7 @@
 		"version": "v1", "slots": e.Slots, "state": "ready", "cold_remaining_ms": 0, "stage": "colocated",
 		"models": e.heldLocked(), "sequence": e.sequence})
 	raw, err := json.Marshal(map[string]any{"stage": "colocated", "models": e.heldLocked(), "utilization": e.loading != "",
-		"sequence": e.sequence, "queued": 0, "active": 0, "kv_used": 0, "kv_capacity": 219357, "handles": 0, "pending": []string{}})
+		"sequence": e.sequence, "queued": 0, "active": 0, "kv_used": 0, "kv_capacity": 219357, "handles": 0, "pending": e.pendingLocked()})
 	if err != nil {
 		panic(err) // a value of this program
 	}
@@ -138,23 +172,83 @@
 	if e.isOther(w, r) {
 		return
 	}
-	if err != nil || d.Holder == "" || d.Fence == 0 || d.Operation != "loading" || d.Adapter != "" || e.ModelMB[d.Model] == 0 {
+	if err != nil || d.Holder == "" || d.Fence == 0 || e.ModelMB[d.Model] == 0 || (d.Operation != "loading" && d.Adapter == "") {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	time.Sleep(orderTime)
+	what := d.Model
+	if d.Adapter != "" {
+		what += "/" + d.Adapter
+	}
 	e.mu.Lock()
-	status := e.acceptLocked(d.Holder, d.Model, d.Fence)
+	var status int
+	switch {
+	case d.Fence < e.fence:
+		status = http.StatusPreconditionFailed
+	case d.Adapter == "":
+		e.fence = d.Fence
+		status = e.acceptLocked(d.Holder, d.Model)
+	case d.Operation == "loading":
+		e.fence = d.Fence
+		status = e.loadAdapterLocked(what)
+	default:
+		e.fence = d.Fence
+		status = e.unloadAdapterLocked(what)
+	}
+	e.orders = append(e.orders, order{At: time.Now(), Holder: d.Holder, Model: what, Fence: d.Fence, Status: status})
 	e.mu.Unlock()
-	e.Record.add("server %s: %s orders it to load %s with fence %d: %d", e.ID, d.Holder, d.Model, d.Fence, status)
+	e.Record.add("server %s: %s orders %s of %s with fence %d: %d", e.ID, d.Holder, d.Operation, what, d.Fence, status)
 	w.WriteHeader(status)
 }
 
-// acceptLocked carries out an order to load a base model, and returns the status of its answer.
-func (e *engine) acceptLocked(holder, model string, fence uint64) int {
-	if fence < e.fence {
-		return http.StatusPreconditionFailed
+// loadAdapterLocked carries out an order to load an adapter.
+func (e *engine) loadAdapterLocked(name string) int {
+	a := e.adapters[name]
+	switch {
+	case a != nil && a.ready && !a.unloading:
+		return http.StatusOK
+	case a != nil && a.unloading:
+		return http.StatusConflict
+	case a != nil:
+		return http.StatusAccepted
+	case len(e.adapters) >= e.Adapters || len(e.pendingLocked()) >= maxPending:
+		return http.StatusConflict
+	}
+	a = &adapter{}
+	e.adapters[name] = a
+	e.sequence++
+	e.changedLocked()
+	time.AfterFunc(adapterTime, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		a.ready = true
+		e.changedLocked()
+	})
+	return http.StatusAccepted
+}
+
+// unloadAdapterLocked carries out an order to unload an adapter: at once, or when its runs have ended.
+func (e *engine) unloadAdapterLocked(name string) int {
+	a := e.adapters[name]
+	if a == nil {
+		return http.StatusOK
+	}
+	if !a.ready {
+		return http.StatusConflict
 	}
-	e.fence = fence
+	if a.runs > 0 {
+		a.unloading = true
+		return http.StatusAccepted
+	}
+	delete(e.adapters, name)
+	e.sequence++
+	e.changedLocked()
+	return http.StatusOK
+}
+
+// acceptLocked carries out an order to load a base model, and returns the status of its answer.
+func (e *engine) acceptLocked(holder, model string) int {
 	if e.loading == model {
 		return http.StatusAccepted
 	}
@@ -168,7 +262,7 @@
 		}
 		total += e.ModelMB[m]
 	}
-	e.orders = append(e.orders, order{At: time.Now(), Holder: holder, Model: model})
+	e.loads = append(e.loads, order{At: time.Now(), Holder: holder, Model: model, Status: http.StatusAccepted})
 	e.sequence++
 	if total > e.WeightsMB {
 		e.fallen = true
@@ -196,15 +290,16 @@
 	id, model := r.Header.Get("Attempt-Id"), r.Header.Get("Model")
 	w.Header().Set("Attempt-Id", id)
 	e.mu.Lock()
-	held := false
-	for _, m := range e.models {
-		held = held || m == model
-	}
+	status, a := e.beginLocked(model)
 	e.mu.Unlock()
-	if !held {
-		w.WriteHeader(http.StatusMisdirectedRequest)
+	if status != http.StatusOK {
+		if status == http.StatusServiceUnavailable {
+			w.Header().Set("Not-Executed", "1")
+		}
+		w.WriteHeader(status)
 		return
 	}
+	defer e.end(model, a)
 	e.Record.ran(id, e.ID)
 	w.Header().Set("Server-Signature", e.ID+"."+id)
 	w.Header().Set("Weight-Versions", "1")
@@ -220,11 +315,45 @@
 	}
 }
 
-// accepted returns the loads that the server accepted, and whether it has fallen.
+// beginLocked returns the status of the answer to a request for a model or an adapter; with 200 a run of the adapter has begun.
+func (e *engine) beginLocked(name string) (int, *adapter) {
+	model, _, isAdapter := strings.Cut(name, "/")
+	if !slices.Contains(e.models, model) {
+		return http.StatusMisdirectedRequest, nil
+	}
+	if !isAdapter {
+		return http.StatusOK, nil
+	}
+	a := e.adapters[name]
+	switch {
+	case a == nil:
+		return http.StatusMisdirectedRequest, nil
+	case !a.ready || a.unloading:
+		return http.StatusServiceUnavailable, nil
+	}
+	a.runs++
+	return http.StatusOK, a
+}
+
+// end ends a run.
+func (e *engine) end(name string, a *adapter) {
+	if a == nil {
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.runs--; a.runs == 0 && a.unloading {
+		delete(e.adapters, name)
+		e.sequence++
+		e.changedLocked()
+	}
+}
+
+// accepted returns the loads of base models that the server accepted, and whether it has fallen.
 func (e *engine) accepted() ([]order, bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]order(nil), e.orders...), e.fallen
+	return slices.Clone(e.loads), e.fallen
 }
 
 // hasModel reports whether the server holds a base model.
@@ -233,3 +362,10 @@
 	defer e.mu.Unlock()
 	return len(e.models) > 0
 }
+
+// allOrders returns all orders that reached the server.
+func (e *engine) allOrders() []order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -37,6 +37,7 @@
 var cases = map[string]func(*world) ([]string, error){
 	"surplus-rejection": surplusRejection,
 	"second-model":      secondModel,
+	"two-holders":       twoHolders,
 }
 
 func main() { os.Exit(run()) }
@@ -97,23 +98,42 @@
 	return c(w)
 }
 
-// startBoxes starts one box in each of the zones and waits until all are ready.
+// addBox adds a box that is not started.
+func (w *world) addBox(zone string) (*box, error) {
+	n := len(w.boxes) + 1
+	b, err := newBox(fmt.Sprintf("frontend-%s-%d", zone, n), zone, fmt.Sprintf("127.0.0.%d", 10+n))
+	if err != nil {
+		return nil, err
+	}
+	w.boxes = append(w.boxes, b)
+	return b, nil
+}
+
+// startBoxes starts one box in each of the zones and waits until all are ready. The first one of each zone is a seed.
 func (w *world) startBoxes(zones ...string) error {
-	for i, z := range zones {
-		b, err := newBox(fmt.Sprintf("frontend-%s-%d", z, i+1), z, fmt.Sprintf("127.0.0.%d", 11+i))
+	var seeds []*box
+	seen := make(map[string]bool)
+	for _, z := range zones {
+		b, err := w.addBox(z)
 		if err != nil {
 			return err
 		}
-		w.boxes = append(w.boxes, b)
+		b.isFirst = true
+		if !seen[z] {
+			seen[z] = true
+			seeds = append(seeds, b)
+		}
 	}
 	for _, b := range w.boxes {
-		if err := b.start(w.Root, w.Folder, w.storeListener.Addr().String(), w.boxes); err != nil {
+		if err := b.start(w.Root, w.Folder, w.storeAddress(), seeds); err != nil {
 			return err
 		}
 	}
 	return awaitReady(w.boxes, startTimeout)
 }
 
+func (w *world) storeAddress() string { return w.storeListener.Addr().String() }
+
 // keepLogs copies the logs of the boxes.
 func (w *world) keepLogs(to string) {
 	for _, b := range w.boxes {
