--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -9,7 +9,9 @@
 	"fmt"
 	"net"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -68,13 +70,14 @@
 		return exitFailed
 	}
 	verdict := append([]string{w.Record.counts(), fmt.Sprintf("trouble: %t, broken rules: %d", w.Trouble, len(broken))}, broken...)
-	for _, l := range verdict {
-		fmt.Println(l)
-	}
 	if err := w.Record.write(os.Args[2], verdict); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
+	signal.Ignore(syscall.SIGPIPE) // the exit code counts, whoever reads the output
+	for _, l := range verdict {
+		fmt.Println(l)
+	}
 	if len(broken) > 0 {
 		return exitBroken
 	}
