--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -46,7 +46,7 @@
 
 func run() int {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER-OF-THE-RECORD")
+		fmt.Fprintln(os.Stderr, "usage: harness CASE RECORD")
 		return exitFailed
 	}
 	root, err := os.Getwd()
--- a/review/harness/record.go
+++ b/review/harness/record.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"os"
-	"path/filepath"
 	"sort"
 	"sync"
 	"time"
@@ -100,9 +99,9 @@
 	return fmt.Sprintf("%d requests sent, answers by status %v, %d ran", len(r.sent), by, len(r.runs))
 }
 
-// write writes the verdict and the record to record.txt in a folder.
-func (r *record) write(folder string, verdict []string) error {
-	f, err := os.Create(filepath.Join(folder, "record.txt"))
+// write writes the verdict and the record to a file.
+func (r *record) write(path string, verdict []string) error {
+	f, err := os.Create(path)
 	if err != nil {
 		return err
 	}
