--- a/daemon/accept_gate.go
+++ b/daemon/accept_gate.go
@@ -65,7 +65,7 @@
 		now := clock.Now()
 		g.recordDelay(now.Sub(due))
 		if n := g.Closed(); n > logged && now.Sub(loggedAt) >= gateLogInterval {
-			g.Log.Info("New connections are closed unread, since the box is overloaded", "connections", n-logged, "timer_delay_ms", g.meanDelay().Milliseconds())
+			g.Log.Info("New connections are closed unread, since the box is overloaded", "connections", n-logged, "timer_delay_ms", g.MeanDelay().Milliseconds())
 			logged, loggedAt = n, now
 		}
 	}
@@ -78,7 +78,8 @@
 	g.late.Store(mean + (sample-mean)/delaySmoothing)
 }
 
-func (g *AcceptGate) meanDelay() time.Duration { return time.Duration(g.late.Load()) }
+// MeanDelay returns how late timers of this daemon are in the mean.
+func (g *AcceptGate) MeanDelay() time.Duration { return time.Duration(g.late.Load()) }
 
 // accepts reports whether a new connection is accepted.
 func (g *AcceptGate) accepts(now time.Time) bool {
@@ -93,7 +94,7 @@
 }
 
 func (g *AcceptGate) isOverloaded() bool {
-	return g.meanDelay() >= maxMeanDelay || (g.Full != nil && g.Full())
+	return g.MeanDelay() >= maxMeanDelay || (g.Full != nil && g.Full())
 }
 
 // gatedListener closes the connections that its gate does not let in.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -26,6 +26,7 @@
 	m.Set("edge_endpoint_ends", expvar.Func(func() any { return n.gateway.Ends() }))
 	m.Set("edge_quarantined", expvar.Func(func() any { return n.state.tracker.List().Len() }))
 	m.Set("edge_connections_closed", expvar.Func(func() any { return n.gate.Closed() }))
+	m.Set("edge_timer_delay_ms", expvar.Func(func() any { return n.gate.MeanDelay().Milliseconds() }))
 	m.Set("edge_limits", expvar.Func(func() any { return n.limits.report() }))
 	m.Set("edge_links", expvar.Func(func() any { return n.gateway.Links() }))
 	m.Set("edge_streams", expvar.Func(func() any { return n.gateway.Streams() }))
--- a/edge/state.go
+++ b/edge/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/clock"
 	"cairnwick.example/placement"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/share"
@@ -105,7 +106,9 @@
 	if i.GetRemoved() {
 		return nil // a removal leaves the last configuration in force
 	}
+	begun := clock.Now()
 	c, err := s.decoder.Config(value)
+	took := clock.Since(begun)
 	s.mu.Lock()
 	s.undecodedConfig = 0
 	if err != nil {
@@ -117,7 +120,7 @@
 	}
 	before := s.view.Config()
 	if s.view.SetConfig(c) {
-		s.log.Info("Configuration is in force", "config", c.Version(), "revision", revisionOf(i).String())
+		s.log.Info("Configuration is in force", "config", c.Version(), "revision", revisionOf(i).String(), "bytes", len(value), "decode_ms", took.Milliseconds())
 		s.logKeys(before, c)
 	}
 	return nil
