platform, kvstore: a response is bounded by its progress and its bytes, not by a constant time

Callers of boxes on links of 10 Mbit/s were handled by a configuration that was 27 s old.

Cause: a read of the configuration had 0.7 s as a list, and 0.55 or 0.8 s as a watch after a failure, whatever its size. One of 4,500 routes takes 1.2 MB on the wire, 0.98 s of such a link when it is idle, so the box could never end a read of its own, began each one at the first byte, and filled its link with them.

Change: package transfer. A call ends when its response does not begin in time, pauses for a second, or has fewer than 16 KB/s on average beyond some pauses; a body beyond its bound is an error, where the beginning of a value counted as the value. A process that is late itself waits a little longer, since the response may be there. A head has at most 64 KB (net/http: 10 MB). A watch says when its response began: that is the time at which the box was current, however long the rest took.

--- a/daemon/node.go
+++ b/daemon/node.go
@@ -22,6 +22,7 @@
 	"cairnwick.example/logging"
 	"cairnwick.example/member"
 	"cairnwick.example/settings"
+	"cairnwick.example/transfer"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 	"google.golang.org/grpc"
@@ -81,6 +82,8 @@
 		HTTP: &http.Client{Transport: &http.Transport{
 			DialContext:         countingDialer(&n.traffic.Platform, dialTimeout, v.Text(Source)),
 			MaxIdleConnsPerHost: platformIdleConns,
+
+			MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 		}},
 	}
 	n.BoxList = &BoxList{Client: client, RefreshInterval: n.boxListInterval}
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -214,6 +214,9 @@
 	r.after = b.Revision
 	r.mergeFacts(b.Facts, now)
 	r.asOf = now
+	if !b.BeganAt.IsZero() {
+		r.asOf = b.BeganAt
+	}
 	if timedOut := started.Add(wait); len(b.Facts) == 0 && timedOut.Before(now) {
 		r.asOf = timedOut // the rest is the time that the response took to arrive
 	}
--- a/edge/source.go
+++ b/edge/source.go
@@ -35,6 +35,9 @@
 type Batch struct {
 	Facts    []Fact
 	Revision Revision
+	// BeganAt is when the response to a watch began to arrive, by package clock: a large one takes long, and the source may
+	// have changed since. Zero: not known.
+	BeganAt time.Time
 }
 
 // ErrHistoryLost reports that a source no longer has the changes since a revision: its history was
--- a/kvstore/kvstore.go
+++ b/kvstore/kvstore.go
@@ -9,13 +9,13 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
 
+	"cairnwick.example/transfer"
 	"github.com/pkg/errors"
 )
 
@@ -26,8 +26,10 @@
 	BoxesKey    = "cairnwick/boxes"
 )
 
-// maxResponseBytes limits how much of a response is read.
-const maxResponseBytes = 2 << 20
+const (
+	maxResponseBytes = 2 << 20  // of a value
+	minRate          = 16 << 10 // bytes per second of a value, on average
+)
 
 // ErrNotFound means that the platform has no such key.
 var ErrNotFound = errors.New("kvstore: no such key")
@@ -47,7 +49,7 @@
 // Client reads keys. Set the exported fields before use; it is safe for concurrent use.
 type Client struct {
 	Address string        // URL of the service
-	Timeout time.Duration // of a Read; Watch adds it to its wait
+	Timeout time.Duration // until the response to a Read begins, and without data in it; Watch adds it to its wait
 	HTTP    *http.Client
 
 	calls atomic.Int64 // reads and watches started
@@ -72,8 +74,8 @@
 
 func (c *Client) get(ctx context.Context, key string, query url.Values, timeout time.Duration) (Value, error) {
 	c.calls.Add(1)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
+	ctx, call := transfer.Limits{Head: timeout, Silence: c.Timeout, MinRate: minRate, MaxBytes: maxResponseBytes}.Start(ctx)
+	defer call.Stop()
 	query.Set("raw", "true")
 	address := fmt.Sprintf("%s/v1/kv/%s?%s", c.Address, key, query.Encode())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, address, nil)
@@ -82,20 +84,21 @@
 	}
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
-		return Value{}, errors.Wrap(err, "kvstore: send request")
+		return Value{}, errors.Wrap(transfer.Cause(ctx, err), "kvstore: send request")
 	}
 	defer resp.Body.Close()
-	return readValue(resp)
+	v, err := readValue(resp, call)
+	return v, transfer.Cause(ctx, err)
 }
 
-func readValue(resp *http.Response) (Value, error) {
+func readValue(resp *http.Response, call *transfer.Call) (Value, error) {
 	if resp.StatusCode == http.StatusNotFound {
 		return Value{}, ErrNotFound
 	}
 	if resp.StatusCode != http.StatusOK {
 		return Value{}, errors.Errorf("kvstore: unexpected status %d", resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := call.ReadBody(resp.Body)
 	if err != nil {
 		return Value{}, errors.Wrap(err, "kvstore: read response")
 	}
