--- a/engine/transport.go
+++ b/engine/transport.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cairnwick.example/clock"
+	"cairnwick.example/transfer"
 	"github.com/pkg/errors"
 )
 
@@ -88,6 +89,8 @@
 		IdleConnTimeout:     90 * time.Second,
 		WriteBufferSize:     4 << 10,
 		ReadBufferSize:      4 << 10,
+
+		MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 	}
 }
 
