daemon: what was accepted goes before new connections; those that wait are closed unread

Callers of boxes that got most new connections were served late or not at all, and these boxes were late at their configuration and failed their readiness checks.

Cause: the gate closed connections when timers were late by 100 ms in the mean of half a second. A process with one processor does not get there: its accept loop runs before the work that waits, so that it read 900 requests in 3 s, of which it can serve 300, and all of them waited for one another and for the heartbeats.

Change: before it lets a connection in, the accept loop yields until all that can run has run. If that takes 20 ms, or if connections have waited without a break for 20 ms, those that wait are closed unread until none waits. Responses of an overloaded daemon close their connections.

Why it holds: nothing goes by a constant number of connections or requests; how much is accepted follows from how fast the work that was accepted is done.

--- a/daemon/accept_gate.go
+++ b/daemon/accept_gate.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,15 +17,17 @@
 
 // AcceptGate closes new connections before anything is read from them while this daemon has more work than it can do:
 // their callers can send the request through another daemon at once, which they can't once it has been read. Connections
-// that were accepted before are served on, and a few new ones are accepted at any time. Set the exported fields before
-// Listen and Run.
+// that were accepted before are served on, but are closed after their next response, and a few new ones are accepted at any
+// time. What was accepted goes before what was not, so heartbeats and updates wait little behind callers. Set the exported
+// fields before Listen and Run.
 type AcceptGate struct {
 	// Full reports whether the daemon can take no further request; nil: never.
 	Full func() bool
 	Log  logr.Logger
 
-	late   atomic.Int64 // mean delay of timers, in nanoseconds
-	closed atomic.Int64
+	late         atomic.Int64 // mean delay of timers, in nanoseconds
+	closed       atomic.Int64
+	overloadedAt atomic.Int64 // Unix time in nanoseconds at which the processor was last found overloaded
 
 	mu       sync.Mutex
 	acceptAt time.Time // when the next connection is accepted, though the daemon is overloaded
@@ -41,10 +45,33 @@
 	// for seconds is taken for dead.
 	maxClosedTime   = 500 * time.Millisecond
 	gateLogInterval = time.Second
+	// maxProcessorWait is how long work may wait for the processor until no further connection is accepted. A request waits
+	// for it several times, and callers of short ones expect their responses within a tenth of a second.
+	maxProcessorWait = 20 * time.Millisecond
+	// minAcceptWait is the time that Accept takes if no connection was there: longer than a system call.
+	minAcceptWait = 200 * time.Microsecond
+	// maxBacklogTime is how long connections may have waited without a break until all that wait are closed.
+	maxBacklogTime = 20 * time.Millisecond
+	// waitValidity is how long a wait that was too long counts. Connections are closed meanwhile without another
+	// measurement, each of which takes as long as the wait.
+	waitValidity = 10 * time.Millisecond
+	// overloadMemory is how long the processor counts as overloaded after it was found so.
+	overloadMemory = time.Second
 )
 
 // Listen wraps a listener.
-func (g *AcceptGate) Listen(l net.Listener) net.Listener { return gatedListener{Listener: l, gate: g} }
+func (g *AcceptGate) Listen(l net.Listener) net.Listener { return &gatedListener{Listener: l, gate: g} }
+
+// Handler wraps the handler of a listener's server. While the daemon is overloaded its responses close their connections, so
+// that the callers' next requests can go to other daemons.
+func (g *AcceptGate) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g.IsOverloaded() {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
 
 // Closed returns the number of connections that were closed unread.
 func (g *AcceptGate) Closed() int64 { return g.closed.Load() }
@@ -81,9 +108,34 @@
 // MeanDelay returns how late timers of this daemon are in the mean.
 func (g *AcceptGate) MeanDelay() time.Duration { return time.Duration(g.late.Load()) }
 
+// IsOverloaded reports whether this daemon has had more work than its processor can do within the last second.
+func (g *AcceptGate) IsOverloaded() bool {
+	return g.isLate() || time.Since(time.Unix(0, g.overloadedAt.Load())) < overloadMemory
+}
+
+// processorIsBusy reports whether work has to wait too long for the processor: the goroutine yields, and is run again after
+// all that can run has been. So work that was accepted goes before further connections, which may thus have to wait
+// themselves.
+func (g *AcceptGate) processorIsBusy(standingBacklog bool) bool {
+	now := time.Now()
+	if standingBacklog {
+		g.overloadedAt.Store(now.UnixNano())
+	}
+	if now.Sub(time.Unix(0, g.overloadedAt.Load())) < waitValidity {
+		return true
+	}
+	runtime.Gosched()
+	again := time.Now()
+	if again.Sub(now) < maxProcessorWait {
+		return false
+	}
+	g.overloadedAt.Store(again.UnixNano())
+	return true
+}
+
 // accepts reports whether a new connection is accepted.
-func (g *AcceptGate) accepts(now time.Time) bool {
-	overloaded := g.isOverloaded()
+func (g *AcceptGate) accepts(now time.Time, standingBacklog bool) bool {
+	overloaded := g.processorIsBusy(standingBacklog) || g.isOverloaded()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if overloaded && now.Before(g.acceptAt) {
@@ -93,25 +145,41 @@
 	return true
 }
 
-func (g *AcceptGate) isOverloaded() bool {
-	return g.MeanDelay() >= maxMeanDelay || (g.Full != nil && g.Full())
-}
+func (g *AcceptGate) isOverloaded() bool { return g.isLate() || (g.Full != nil && g.Full()) }
 
-// gatedListener closes the connections that its gate does not let in.
+func (g *AcceptGate) isLate() bool { return g.MeanDelay() >= maxMeanDelay }
+
+// gatedListener closes the connections that its gate does not let in. Accept must not be called concurrently.
 type gatedListener struct {
 	net.Listener
 
-	gate *AcceptGate
+	gate    *AcceptGate
+	backlog backlog
 }
 
 // Accept implements net.Listener.
-func (l gatedListener) Accept() (net.Conn, error) {
+func (l *gatedListener) Accept() (net.Conn, error) {
 	for {
+		begun := time.Now()
 		c, err := l.Listener.Accept()
-		if err != nil || l.gate.accepts(clock.Now()) {
+		if err != nil || l.gate.accepts(clock.Now(), l.backlog.isStanding(begun, time.Now())) {
 			return c, err
 		}
 		l.gate.closed.Add(1)
 		_ = c.Close() // nothing was read
 	}
 }
+
+// backlog tells from the times that Accept takes whether connections wait to be accepted.
+type backlog struct {
+	emptyAt time.Time // when it was last seen empty
+}
+
+// isStanding reports whether connections have waited all the time for maxBacklogTime. A call of Accept took from begun to
+// now.
+func (b *backlog) isStanding(begun, now time.Time) bool {
+	if b.emptyAt.IsZero() || now.Sub(begun) >= minAcceptWait {
+		b.emptyAt = now
+	}
+	return now.Sub(b.emptyAt) >= maxBacklogTime
+}
--- a/daemon/accept_gate_load_test.go
+++ b/daemon/accept_gate_load_test.go
@@ -50,7 +50,7 @@
 	done := make(chan error, 1)
 	go func() { done <- gate.Run(ctx) }()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}
-	callers := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	callers := httptest.NewUnstartedServer(gate.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		work(workPerStep)
 		a, err := client.Get(backend)
 		if err != nil {
@@ -60,7 +60,7 @@
 		_ = a.Body.Close()
 		work(workPerStep)
 		_, _ = io.WriteString(w, "fine")
-	}))
+	})))
 	callers.Listener = gate.Listen(callers.Listener)
 	callers.Start()
 	control := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fine") }))
@@ -148,3 +148,28 @@
 	c.Check(float64(heartbeats.served) >= 0.95*float64(heartbeats.served+heartbeats.late+heartbeats.unread), quicktest.IsTrue)
 	c.Check(load.served >= 100, quicktest.IsTrue) // it does not save its processor by closing all
 }
+
+// Guards against a daemon that goes on reading more than it can serve from connections that are open.
+func TestOverloadedDaemonServesWhatItReadsFromOpenConnections(t *testing.T) {
+	c := quicktest.New(t)
+	const clients, pause = 100, 100 * time.Millisecond // up to a thousand requests per second
+	callers, control := startOverloaded(c)
+	var load, heartbeats loadCounts
+	var all sync.WaitGroup
+	for range clients {
+		all.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for begun := time.Now(); time.Since(begun) < loadSpan; time.Sleep(pause) {
+				load.call(client, callers, loadDeadline)
+			}
+		})
+	}
+	beat := &http.Client{}
+	for begun := time.Now(); time.Since(begun) < loadSpan; time.Sleep(controlPause) {
+		heartbeats.call(beat, control, controlLimit)
+	}
+	all.Wait()
+	c.Logf("requests: %d served, %d late, %d unread; heartbeats: %d served, %d late", load.served, load.late, load.unread, heartbeats.served, heartbeats.late)
+	c.Check(float64(load.served) >= 0.8*float64(load.served+load.late), quicktest.IsTrue)
+	c.Check(float64(heartbeats.served) >= 0.95*float64(heartbeats.served+heartbeats.late+heartbeats.unread), quicktest.IsTrue)
+}
--- a/daemon/accept_gate_test.go
+++ b/daemon/accept_gate_test.go
@@ -91,10 +91,24 @@
 	g := &AcceptGate{Full: func() bool { return true }}
 	accepted, now := 0, time.Now()
 	for range 1000 { // one connection every ten milliseconds
-		if g.accepts(now) {
+		if g.accepts(now, false) {
 			accepted++
 		}
 		now = now.Add(10 * time.Millisecond)
 	}
 	c.Check(accepted, quicktest.Equals, 20)
 }
+
+// Connections that wait for as long as it takes to accept them are no backlog; those that wait one after the other are.
+func TestBacklogIsStandingOnlyWithoutABreak(t *testing.T) {
+	c := quicktest.New(t)
+	start := time.Now()
+	var b backlog
+	c.Check(b.isStanding(start, start), quicktest.IsFalse)
+	c.Check(b.isStanding(start.Add(maxBacklogTime/2), start.Add(maxBacklogTime/2)), quicktest.IsFalse)
+	c.Check(b.isStanding(start.Add(maxBacklogTime), start.Add(maxBacklogTime)), quicktest.IsTrue)
+	again := start.Add(2 * maxBacklogTime)
+	c.Check(b.isStanding(again, again.Add(minAcceptWait)), quicktest.IsFalse)
+	again = again.Add(minAcceptWait)
+	c.Check(b.isStanding(again.Add(maxBacklogTime/2), again.Add(maxBacklogTime/2)), quicktest.IsFalse)
+}
