--- a/edge/node.go
+++ b/edge/node.go
@@ -139,6 +139,7 @@
 		Unreachable:    func(centre string) bool { return n.peers.clusterView().unreachable[centre] },
 		ViewDelay:      n.behind,
 		RetryLimits:    func() forward.RetryLimits { return n.current.Load().Budget },
+		ReadDelay:      func() time.Duration { return n.gate.MeanDelay() },
 		OnDraining:     n.departures.observe,
 		Dial:           n.Dial,
 		Relay:          n.relay,
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -62,6 +62,8 @@
 	stopWatch()
 	var lost *engine.NoResponseError
 	switch {
+	case errors.Is(err, engine.ErrExpired):
+		return nil, &Refusal{Code: CodeTimeout, Unsent: true, Detail: "deadline passed before the request was sent"}
 	case errors.As(err, &lost):
 		return nil, g.recordLost(ctx, q, u, lost, relayed)
 	case err != nil:
--- a/forward/caller_conn.go
+++ b/forward/caller_conn.go
@@ -41,13 +41,21 @@
 // limitBodyRead sets the deadline for the body, and leaves time for the response if the body is late.
 func (c callerConn) limitBodyRead(deadline time.Time) {
 	_ = c.controller.SetReadDeadline(deadline)
-	_ = c.controller.SetWriteDeadline(deadline.Add(writeGrace))
+	c.limitWrite(deadline)
 }
 
 // limitResponse sets the deadline for the response and removes that for reads. From here on reads only
 // detect that the caller left, and an expired deadline would look the same.
 func (c callerConn) limitResponse(deadline time.Time) {
 	_ = c.controller.SetReadDeadline(time.Time{})
+	c.limitWrite(deadline)
+}
+
+// limitWrite sets the deadline for writes. A request that was read after its deadline still gets a response.
+func (c callerConn) limitWrite(deadline time.Time) {
+	if now := time.Now(); deadline.Before(now) {
+		deadline = now
+	}
 	_ = c.controller.SetWriteDeadline(deadline.Add(writeGrace))
 }
 
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -34,6 +34,7 @@
 	Unreachable    func(dataCentre string) bool                             // whether all boxes of a data centre are believed dead
 	ViewDelay      func() time.Duration                                     // how far the views of boxes that reach the source lag behind it at most
 	RetryLimits    func() RetryLimits                                       // of the settings in force
+	ReadDelay      func() time.Duration                                     // how long requests have waited unread when they are read; nil: not at all
 	OnDraining     func(endpoint string)                                    // called once for each endpoint that announces draining in a response; nil: no callback
 	Relay          Relay                                                    // nil: no other box helps
 	OnLinksChanged func(cutOff bool)                                        // called with whether this box is cut off from endpoints that run models and that others reach, when that may have changed; nil: no callback
@@ -167,6 +168,9 @@
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := clock.Now()
+	if g.ReadDelay != nil {
+		received = received.Add(-g.ReadDelay())
+	}
 	defer g.inFlight.Add(-1)
 	if g.draining.Load() {
 		w.Header().Set("Connection", "close")
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -6,7 +6,6 @@
 	"context"
 	"net"
 	"net/http"
-	"time"
 
 	"cairnwick.example/engine"
 	"cairnwick.example/topology"
@@ -54,7 +53,7 @@
 	if err != nil {
 		return nil, true, err
 	}
-	resp, err = engine.Send(u.relayClient(), r, time.Time{})
+	resp, err = engine.Send(u.relayClient(), r, q.deadline)
 	if errors.Is(err, ErrNoRelay) && !g.links.hasFailed(u.endpoint) { // those that have failed are probed
 		resp, err = g.sendDirect(ctx, q, u, t, lastEvent)
 		return resp, false, err
@@ -74,7 +73,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return engine.Send(u.client(), r, time.Time{})
+	return engine.Send(u.client(), r, q.deadline)
 }
 
 // wasSent reports whether any byte of a request without a response may have been sent.
