share: a stream on which a message arrives is not idle

Boxes on narrow or busy links got the same large fact again and again, and read the configuration from its source meanwhile, over the same link.

Cause: a stream ended 750 ms after its last whole message, whatever was arriving. The next one sends all known versions and the message from its first byte. The same 750 ms decided whether the box reads for itself.

Change: the idle timer and the age of a status count data on the connection, for ten seconds without a message at most; how old the source's state may be is bounded as before. A timer that is late itself waits a little longer, since the message may be there.

--- a/daemon/dialer.go
+++ b/daemon/dialer.go
@@ -29,8 +29,9 @@
 	Messages       *MessageCounter // counts the messages; may be nil
 	StreamWindow   int32           // bytes in flight on one stream; zero: flowControlWindow
 
-	mu    sync.Mutex
-	conns map[string]*grpc.ClientConn // by address
+	mu       sync.Mutex
+	conns    map[string]*grpc.ClientConn // by address
+	monitors map[string]*silenceMonitor  // by address, those of conns
 }
 
 const (
@@ -75,12 +76,24 @@
 		panic(errors.Wrap(err, "daemon: connection options")) // a programming error; the address is not checked here
 	}
 	if d.conns == nil {
-		d.conns = make(map[string]*grpc.ClientConn)
+		d.conns, d.monitors = make(map[string]*grpc.ClientConn), make(map[string]*silenceMonitor)
 	}
-	d.conns[address] = c
+	d.conns[address], d.monitors[address] = c, monitor
 	return c
 }
 
+// LastReceived returns when data last came from the daemon at an address, by package clock; the zero time if none has, or if
+// there is no connection.
+func (d *Dialer) LastReceived(address string) time.Time {
+	d.mu.Lock()
+	m := d.monitors[address]
+	d.mu.Unlock()
+	if m == nil {
+		return time.Time{}
+	}
+	return m.lastReceived()
+}
+
 // CloseUnused closes the connections to all addresses but those in used.
 func (d *Dialer) CloseUnused(used map[string]bool) {
 	d.mu.Lock()
@@ -89,6 +102,7 @@
 		if !used[address] {
 			_ = c.Close() // an error does not matter, since the connection is not used any more
 			delete(d.conns, address)
+			delete(d.monitors, address)
 		}
 	}
 }
--- a/daemon/silence.go
+++ b/daemon/silence.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/engine"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -24,6 +25,7 @@
 	conn         *monitoredConn // the current one; nil before the first
 	waiting      int            // calls and streams that wait for the peer
 	waitingSince time.Time      // when calls began to wait without anything read on conn; zero: no such wait
+	receivedAt   time.Time      // when data was last read on any connection to the peer, by package clock; zero: never
 }
 
 // monitoredConn reports received data to its monitor.
@@ -59,11 +61,19 @@
 func (s *silenceMonitor) received(c *monitoredConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.receivedAt = clock.Now()
 	if c == s.conn {
 		s.waitingSince = time.Time{}
 	}
 }
 
+// lastReceived returns when data was last read from the peer.
+func (s *silenceMonitor) lastReceived() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.receivedAt
+}
+
 // callStarted records the start of a call, or of a stream's wait for a message, that the peer
 // should answer soon.
 func (s *silenceMonitor) callStarted() {
--- a/edge/follow.go
+++ b/edge/follow.go
@@ -103,7 +103,8 @@
 	q := &wire.FollowRequest{Box: p.box, Everything: s.everything}
 	c := wire.NewShareClient(p.dialer.Conn(s.address))
 	p.resetStream(s.name)
-	err := share.Follow(ctx, c, q, p.items, func(u *wire.Update, received time.Time) { p.apply(s, u, received) })
+	lastData := func() time.Time { return p.lastData(s.address) }
+	err := share.Follow(ctx, c, q, p.items, lastData, func(u *wire.Update, received time.Time) { p.apply(s, u, received) })
 	if ctx.Err() == nil {
 		p.log.Info("Update stream from box ended", "followed", s.name, "err", err.Error())
 		p.loop.Probe(s.name)
@@ -204,8 +205,15 @@
 		return leaderStatus{}, false
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.statuses[m.Name()], true
+	w := p.statuses[m.Name()]
+	p.mu.Unlock()
+	if w.received.IsZero() || p.lastData == nil {
+		return w, true
+	}
+	if at := p.lastData(m.Address()); at.After(w.received) {
+		w.received = at // the next message may be a large one that is arriving
+	}
+	return w, true
 }
 
 // leaderIsCurrent reports whether this box receives, without gaps, what a leader with a recent read of
--- a/edge/node.go
+++ b/edge/node.go
@@ -176,6 +176,7 @@
 		checkpoints:  &n.checkpoints,
 		onStatus:     n.extendCoverage,
 	}
+	p.lastData = func(address string) time.Time { return p.dialer.LastReceived(address) }
 	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro())).
 		WithCapacity(int(s.Limits.Cores * 1000))
 	p.table = member.NewTable(self, member.TableOptions{SuspectTimeout: suspectTimeout, DeadRetention: deadRetention, FreshFor: exchangeFreshness, AllDataCentres: true})
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -48,11 +48,12 @@
 	items        *share.Table
 	log          logr.Logger
 	started      time.Time
-	readsSource  func() bool          // whether this box reads the source of the configuration
-	seeds        func() []string      // addresses of other boxes that should exist, by the settings
-	maxStaleness func() time.Duration // maximum staleness of this box relative to that source
-	checkpoints  *checkpoints         // up to which this box knows the source
-	onStatus     func(now time.Time)  // called after each status of a followed box
+	readsSource  func() bool                    // whether this box reads the source of the configuration
+	seeds        func() []string                // addresses of other boxes that should exist, by the settings
+	maxStaleness func() time.Duration           // maximum staleness of this box relative to that source
+	lastData     func(address string) time.Time // when data last came from a box, by package clock; nil: not known
+	checkpoints  *checkpoints                   // up to which this box knows the source
+	onStatus     func(now time.Time)            // called after each status of a followed box
 
 	clusterViews  clusterViews
 	receivedFacts atomic.Bool // a followed box has sent all that it knew
--- a/share/compress_test.go
+++ b/share/compress_test.go
@@ -80,7 +80,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var sent []string
-	err := Follow(ctx, client, &wire.FollowRequest{Everything: true}, to, func(u *wire.Update, _ time.Time) {
+	err := Follow(ctx, client, &wire.FollowRequest{Everything: true}, to, nil, func(u *wire.Update, _ time.Time) {
 		for _, i := range u.GetItems() {
 			sent = append(sent, i.GetKey())
 		}
--- a/share/follow.go
+++ b/share/follow.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"cairnwick.example/clock"
@@ -22,6 +23,14 @@
 	// IdleTimeout is the time without messages after which a stream counts as broken. It allows for two
 	// lost heartbeats and some delay.
 	IdleTimeout = 750 * time.Millisecond
+	// maxMessageTime limits how long a stream may go without a message while data arrives: one with a large fact takes long over a
+	// narrow link.
+	maxMessageTime = 10 * time.Second
+	// minLateness is the delay of the idle timer from which this process counts as late itself. A message may then be
+	// there already.
+	minLateness = 20 * time.Millisecond
+	// maxLateExtensions limits how often in a row a late process waits longer for a message.
+	maxLateExtensions = 4
 )
 
 // Server streams a table to its followers.
@@ -133,13 +142,13 @@
 var ErrIdleTimeout = errors.New("share: followed box sent no message within the idle timeout")
 
 // Follow merges the items sent by the box behind c until the stream breaks, is idle for too long, or ctx ends. It
-// tells the box which versions the table has, so that they are not sent. onReceived is called with each message
-// after it was merged, and the time at which it arrived.
-func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, onReceived func(u *wire.Update, at time.Time)) error {
+// tells the box which versions the table has, so that they are not sent. lastData returns when data last came from the box, by
+// package clock; nil: not known. onReceived is called with each message after it was merged, and the time at which it arrived.
+func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, lastData func() time.Time, onReceived func(u *wire.Update, at time.Time)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	idle := time.AfterFunc(IdleTimeout, func() { cancel(ErrIdleTimeout) })
-	defer idle.Stop()
+	idle := startIdleTimer(lastData, func() { cancel(ErrIdleTimeout) })
+	defer idle.timer.Stop()
 	q.Packed, q.Known = true, t.knownVersions()
 	stream, err := c.Follow(ctx, q)
 	if err != nil {
@@ -151,12 +160,63 @@
 			return streamError(ctx, err)
 		}
 		at := clock.Now()
-		idle.Reset(IdleTimeout)
+		idle.received(at)
 		t.Receive(u.GetItems()...)
 		onReceived(u, at)
 	}
 }
 
+// idleTimer ends a stream that is idle. One on which a message is arriving is not.
+type idleTimer struct {
+	lastData func() time.Time // nil: not known
+	end      func()
+	timer    *time.Timer
+
+	mu         sync.Mutex
+	message    time.Time // when the last message arrived
+	due        time.Time
+	extensions int // since the last message, because this process was late
+}
+
+func startIdleTimer(lastData func() time.Time, end func()) *idleTimer {
+	now := clock.Now()
+	i := &idleTimer{lastData: lastData, end: end, message: now, due: now.Add(IdleTimeout)}
+	i.mu.Lock() // the timer may fire at once
+	defer i.mu.Unlock()
+	i.timer = time.AfterFunc(IdleTimeout, i.expire)
+	return i
+}
+
+// received records a message.
+func (i *idleTimer) received(now time.Time) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.message, i.due, i.extensions = now, now.Add(IdleTimeout), 0
+	i.timer.Reset(IdleTimeout)
+}
+
+// expire ends the stream unless data has arrived meanwhile or this process is late.
+func (i *idleTimer) expire() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := clock.Now()
+	late := now.Sub(i.due)
+	if i.lastData != nil && now.Sub(i.message) < maxMessageTime {
+		if due := i.lastData().Add(IdleTimeout); due.After(now) {
+			i.due, i.extensions = due, 0
+			i.timer.Reset(due.Sub(now))
+			return
+		}
+	}
+	if late >= minLateness && i.extensions < maxLateExtensions {
+		i.extensions++
+		i.due = now.Add(min(late, IdleTimeout))
+		i.timer.Reset(i.due.Sub(now))
+		return
+	}
+	i.end()
+}
+
 // streamError returns the cause of the context's end if it ended, else err.
 func streamError(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cairnwick.example/wire"
@@ -149,7 +150,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() {
-		done <- Follow(ctx, client, &wire.FollowRequest{}, to, func(u *wire.Update, _ time.Time) {
+		done <- Follow(ctx, client, &wire.FollowRequest{}, to, nil, func(u *wire.Update, _ time.Time) {
 			c.Check(u.GetReading(), quicktest.IsTrue)
 			c.Check(u.GetAgeMicros(), quicktest.Equals, time.Second.Microseconds())
 			c.Check(u.GetEndpointsRevision(), quicktest.Equals, uint64(7))
@@ -167,7 +168,7 @@
 func TestIdleStreamCountsAsBroken(t *testing.T) {
 	c := quicktest.New(t)
 	client := serve(c, shareServer{silent: true})
-	err := Follow(context.Background(), client, &wire.FollowRequest{}, NewTable(), func(*wire.Update, time.Time) {})
+	err := Follow(context.Background(), client, &wire.FollowRequest{}, NewTable(), nil, func(*wire.Update, time.Time) {})
 	c.Assert(errors.Is(err, ErrIdleTimeout), quicktest.IsTrue)
 }
 
@@ -187,7 +188,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	messages := 0
-	err := Follow(ctx, client, &wire.FollowRequest{}, to, func(u *wire.Update, _ time.Time) {
+	err := Follow(ctx, client, &wire.FollowRequest{}, to, nil, func(u *wire.Update, _ time.Time) {
 		messages++
 		if u.GetReading() {
 			c.Check(to.Version("removal"), quicktest.Equals, uint64(2))
@@ -198,3 +199,29 @@
 	c.Assert(err, quicktest.IsNotNil)
 	c.Assert(messages, quicktest.Equals, 2)
 }
+
+// Guards against a stream that ends while a large message arrives, and against one that never ends while other calls get data.
+func TestStreamIsIdleOnlyWithoutData(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := quicktest.New(t)
+		data, ended := time.Now(), time.Time{}
+		begun := time.Now()
+		i := startIdleTimer(func() time.Time { return data }, func() { ended = time.Now() })
+		defer i.timer.Stop()
+		for time.Since(begun) < 2*IdleTimeout {
+			time.Sleep(IdleTimeout / 2)
+			data = time.Now()
+		}
+		c.Check(ended.IsZero(), quicktest.IsTrue)
+		time.Sleep(2 * IdleTimeout)
+		c.Check(ended.Sub(data), quicktest.Equals, IdleTimeout)
+		i.received(time.Now())
+		ended = time.Time{}
+		message := time.Now()
+		for ended.IsZero() {
+			data = time.Now()
+			time.Sleep(IdleTimeout / 2)
+		}
+		c.Check(ended.Sub(message) >= maxMessageTime && ended.Sub(message) <= maxMessageTime+2*IdleTimeout, quicktest.IsTrue)
+	})
+}
