daemon: a daemon that is alone closes connections only when it is full

Change: the gate asks whether another daemon serves. The bounds from which it closes are 30 ms of waiting for the processor and 60 ms of a standing backlog, since clients that all reconnect at once are served within that.

--- a/daemon/accept_gate.go
+++ b/daemon/accept_gate.go
@@ -23,7 +23,10 @@
 type AcceptGate struct {
 	// Full reports whether the daemon can take no further request; nil: never.
 	Full func() bool
-	Log  logr.Logger
+	// Alone reports whether no other daemon could serve a caller whose connection is closed; nil: never. Only a daemon that is full
+	// closes connections then.
+	Alone func() bool
+	Log   logr.Logger
 
 	late         atomic.Int64 // mean delay of timers, in nanoseconds
 	closed       atomic.Int64
@@ -47,11 +50,11 @@
 	gateLogInterval = time.Second
 	// maxProcessorWait is how long work may wait for the processor until no further connection is accepted. A request waits
 	// for it several times, and callers of short ones expect their responses within a tenth of a second.
-	maxProcessorWait = 20 * time.Millisecond
+	maxProcessorWait = 30 * time.Millisecond
 	// minAcceptWait is the time that Accept takes if no connection was there: longer than a system call.
 	minAcceptWait = 200 * time.Microsecond
 	// maxBacklogTime is how long connections may have waited without a break until all that wait are closed.
-	maxBacklogTime = 20 * time.Millisecond
+	maxBacklogTime = 60 * time.Millisecond
 	// waitValidity is how long a wait that was too long counts. Connections are closed meanwhile without another
 	// measurement, each of which takes as long as the wait.
 	waitValidity = 10 * time.Millisecond
@@ -66,7 +69,7 @@
 // that the callers' next requests can go to other daemons.
 func (g *AcceptGate) Handler(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if g.IsOverloaded() {
+		if g.IsOverloaded() && !g.isAlone() {
 			w.Header().Set("Connection", "close")
 		}
 		h.ServeHTTP(w, r)
@@ -135,7 +138,8 @@
 
 // accepts reports whether a new connection is accepted.
 func (g *AcceptGate) accepts(now time.Time, standingBacklog bool) bool {
-	overloaded := g.processorIsBusy(standingBacklog) || g.isOverloaded()
+	busy := g.processorIsBusy(standingBacklog) || g.isLate()
+	overloaded := g.isFull() || (busy && !g.isAlone())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if overloaded && now.Before(g.acceptAt) {
@@ -145,7 +149,9 @@
 	return true
 }
 
-func (g *AcceptGate) isOverloaded() bool { return g.isLate() || (g.Full != nil && g.Full()) }
+func (g *AcceptGate) isFull() bool { return g.Full != nil && g.Full() }
+
+func (g *AcceptGate) isAlone() bool { return g.Alone != nil && g.Alone() }
 
 func (g *AcceptGate) isLate() bool { return g.MeanDelay() >= maxMeanDelay }
 
--- a/edge/node.go
+++ b/edge/node.go
@@ -150,7 +150,7 @@
 		LogBacklogged:  n.Lines.Backlogged,
 		Stats:          forward.NewStats(),
 	}
-	n.gate = &daemon.AcceptGate{Full: n.gateway.IsFull, Log: n.Log}
+	n.gate = &daemon.AcceptGate{Full: n.gateway.IsFull, Alone: n.peers.isAlone, Log: n.Log}
 }
 
 // Reload applies new settings: seeds, bounds and limits. The box keeps the name and the addresses that it started
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -143,6 +143,16 @@
 	return ok && m.Serving() && !m.CutOff()
 }
 
+// isAlone reports whether no other box is considered serving.
+func (p *peers) isAlone() bool {
+	for _, m := range p.table.Members() {
+		if m.Role() == roleBox && m.Name() != p.box && m.Serving() {
+			return false
+		}
+	}
+	return true
+}
+
 // isServing reports whether a box is considered serving.
 func (p *peers) isServing(name string) bool {
 	m, ok := p.table.Find(name)
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -102,7 +102,7 @@
 	n.Drain = g.Drain
 	n.OnEndpointsEnded = g.ReceiveEnded
 	n.Drained = func() bool { return g.InFlight() == 0 }
-	gate := &daemon.AcceptGate{Full: g.IsFull, Log: n.Log}
+	gate := &daemon.AcceptGate{Full: g.IsFull, Alone: func() bool { return len(n.Table.Serving(n.Role)) <= 1 }, Log: n.Log}
 	expvar.Publish("gateway_connections_closed", expvar.Func(func() any { return gate.Closed() }))
 	n.Add(g.Run)
 	n.Add(gate.Run)
