--- a/daemon/accept_gate.go
+++ b/daemon/accept_gate.go
@@ -59,7 +59,7 @@
 	// measurement, each of which takes as long as the wait.
 	waitValidity = 10 * time.Millisecond
 	// overloadMemory is how long the processor counts as overloaded after it was found so.
-	overloadMemory = time.Second
+	overloadMemory = 100 * time.Millisecond
 )
 
 // Listen wraps a listener.
@@ -111,7 +111,7 @@
 // MeanDelay returns how late timers of this daemon are in the mean.
 func (g *AcceptGate) MeanDelay() time.Duration { return time.Duration(g.late.Load()) }
 
-// IsOverloaded reports whether this daemon has had more work than its processor can do within the last second.
+// IsOverloaded reports whether this daemon has had more work than its processor can do lately.
 func (g *AcceptGate) IsOverloaded() bool {
 	return g.isLate() || time.Since(time.Unix(0, g.overloadedAt.Load())) < overloadMemory
 }
