forward: a response counts only once it is known to belong to the request

Cause: checkResponse decided on a wrong endpoint, a missing adapter and a rejection, and limits, back-offs and idle timeouts were taken, before the request's ID was compared; a second attempt after a missing adapter shared the connection, and has the same ID.

Change: the ID is compared first, and a response that does not match is one whose outcome is unknown. A further attempt at the same endpoint uses a connection of its own.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -179,6 +179,9 @@
 // checkResponse checks whether a response belongs to the call and whether the request was executed.
 func (g *Gateway) checkResponse(q *request, u *upstream, t target, resp *http.Response) *Refusal {
 	head := g.Protocol.ParseResponse(resp, q.call, t.endpoint.ID())
+	if !head.MatchesCall {
+		return g.recordInvalid(q, u) // nothing that it says is meant for this request
+	}
 	g.observeResponse(q, u, t, head)
 	switch {
 	case head.WrongEndpoint:
@@ -198,18 +201,23 @@
 			u.recordRefusal(clock.Now())
 		}
 		return g.recordRefused(q, t, CodeRefusedByEndpoint, "the endpoint rejected the request: "+resp.Status)
-	case !head.MatchesCall || head.Encoded || (resp.StatusCode < http.StatusMultipleChoices && !head.Signed):
-		u.resetConnections()
-		u.recordOutcome(true)
-		q.mayHaveRun = true
-		q.executions++
-		q.tried[t.endpoint.ID()] = true
-		g.recordAttempt(q, "spoilt", invalidResponse)
-		return &Refusal{Code: CodeInvalidResponse, MayHaveRun: true, Detail: invalidResponse}
+	case head.Encoded || (isSuccess(resp) && !head.Signed):
+		return g.recordInvalid(q, u)
 	}
 	return nil
 }
 
+// recordInvalid records a response that is none: the request may have been executed.
+func (g *Gateway) recordInvalid(q *request, u *upstream) *Refusal {
+	u.resetConnections()
+	u.recordOutcome(true)
+	q.mayHaveRun = true
+	q.executions++
+	q.tried[u.endpoint.ID()] = true
+	g.recordAttempt(q, "spoilt", invalidResponse)
+	return &Refusal{Code: CodeInvalidResponse, MayHaveRun: true, Detail: invalidResponse}
+}
+
 // recordRefused records that an endpoint rejected the request without executing it.
 func (g *Gateway) recordRefused(q *request, t target, c Code, detail string) *Refusal {
 	q.tried[t.endpoint.ID()] = true
--- a/forward/limit_test.go
+++ b/forward/limit_test.go
@@ -267,8 +267,8 @@
 	}
 }
 
-// A response of another incarnation at the address says nothing about this endpoint. One that may not be the
-// endpoint's own can set a limit, but not remove one.
+// A response of another incarnation at the address, or to another request, says nothing about this endpoint. One that may not
+// be the endpoint's own can set a limit, but not remove one.
 func TestOnlySignedMatchingResponseRemovesLimit(t *testing.T) {
 	c := quicktest.New(t)
 	l := &fakeLimits{}
@@ -278,8 +278,10 @@
 	observe(Response{WrongEndpoint: true, Notice: Notice{Limit: ratelimit.PerSecond(3)}})
 	observe(Response{MatchesCall: true})
 	observe(Response{MatchesCall: true, Signed: true, Notice: Notice{LimitErr: http.ErrBodyNotAllowed}})
-	c.Check(l.observed, quicktest.HasLen, 0)
 	observe(Response{Notice: Notice{Limit: ratelimit.PerSecond(3)}})
+	observe(Response{Signed: true})
+	c.Check(l.observed, quicktest.HasLen, 0)
+	observe(Response{MatchesCall: true, Notice: Notice{Limit: ratelimit.PerSecond(3)}})
 	observe(Response{MatchesCall: true, Signed: true})
 	c.Check(l.observed, quicktest.HasLen, 2)
 	c.Check([]bool{l.observed[0].IsSet(), l.observed[1].IsSet()}, quicktest.DeepEquals, []bool{true, false})
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -25,17 +25,18 @@
 	BackoffErr error // the announced back-off cannot be parsed; Backoff is zero then
 }
 
-// observeResponse applies what the head of a response announces of the endpoint. It ignores a response of
-// another endpoint at the address.
+// observeResponse applies what the head of a response to this very request announces of the endpoint. It ignores a response
+// of another endpoint at the address.
 func (g *Gateway) observeResponse(q *request, u *upstream, t target, head Response) {
+	if !head.MatchesCall {
+		return
+	}
 	u.setIdleTimeout(head.IdleTimeout)
 	if head.WrongEndpoint {
 		return
 	}
 	g.observeLimit(q, t, head)
-	n := head.Notice
-	n.Draining = n.Draining && head.MatchesCall // draining is final for this incarnation, so only a response to this very request may announce it
-	g.ObserveNotice(t.endpoint.ID(), n)
+	g.ObserveNotice(t.endpoint.ID(), head.Notice)
 }
 
 // ObserveNotice applies the draining and back-off of a notice, from the response to a request or to
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -73,7 +73,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return engine.Send(u.client(), r, q.deadline)
+	client := u.client()
+	if q.sentAnyTo[u.endpoint.ID()] {
+		client = u.singleUseClient()
+	}
+	q.noteSentTo(u.endpoint)
+	return engine.Send(client, r, q.deadline)
 }
 
 // wasSent reports whether any byte of a request without a response may have been sent.
--- a/forward/request.go
+++ b/forward/request.go
@@ -48,6 +48,7 @@
 	declined      bool                   // the owner of a data centre could not serve it in time
 	retryReserved bool                   // the next attempt has already been taken from the retry budget
 	retryWithheld bool                   // the retry budget denied another attempt
+	sentAnyTo     map[string]bool        // endpoints to which any attempt was sent by this box's own link
 	notLoadedAt   string                 // endpoint that reported that it does not hold the adapter
 	sentAt        time.Time              // of the last attempt
 	sentTo        *topology.Endpoint
@@ -63,6 +64,14 @@
 
 func (q *request) remaining(now time.Time) time.Duration { return q.deadline.Sub(now) }
 
+// noteSentTo records that an attempt goes to an endpoint by this box's own link.
+func (q *request) noteSentTo(e *topology.Endpoint) {
+	if q.sentAnyTo == nil {
+		q.sentAnyTo = make(map[string]bool)
+	}
+	q.sentAnyTo[e.ID()] = true
+}
+
 // hasAttempts reports whether the request may be sent once more.
 func (q *request) hasAttempts() bool {
 	return q.attempts-q.unsent < maxAttempts && q.unsent < maxUnsent
--- a/forward/upstream.go
+++ b/forward/upstream.go
@@ -44,6 +44,7 @@
 	endpoint *topology.Endpoint
 	dial     engine.DialFunc // opens connections to the endpoint
 	relayed  *http.Transport // for connections through other boxes, each for one request
+	single   *http.Transport // for connections that are used for one request each
 
 	mu             sync.Mutex
 	transport      *http.Transport
@@ -61,8 +62,9 @@
 }
 
 func newUpstream(e *topology.Endpoint, dial, dialRelay engine.DialFunc) *upstream {
-	u := &upstream{endpoint: e, dial: dial, relayed: engine.NewTransport(dialRelay, 0)}
+	u := &upstream{endpoint: e, dial: dial, relayed: engine.NewTransport(dialRelay, 0), single: engine.NewTransport(dial, 0)}
 	u.relayed.DisableKeepAlives = true // the next request may go directly again, or through another box
+	u.single.DisableKeepAlives = true
 	u.reconnect(idleTimeout)
 	return u
 }
@@ -102,6 +104,12 @@
 	return &http.Client{Transport: u.transport, CheckRedirect: noRedirect}
 }
 
+// singleUseClient returns the client for a request's further attempts at the endpoint. Responses to them have the ID of the
+// first one, of which a copy may still come on its connection.
+func (u *upstream) singleUseClient() *http.Client {
+	return &http.Client{Transport: u.single, CheckRedirect: noRedirect}
+}
+
 // relayClient returns the client for requests through other boxes.
 func (u *upstream) relayClient() *http.Client {
 	return &http.Client{Transport: u.relayed, CheckRedirect: noRedirect}
