forward: a target that begins with two slashes reaches the endpoint as it was written

POST //a/b?x=1 reached the endpoint as POST http://a/b?x=1, with the host a: net/http writes the opaque part of a URL that begins with two slashes with its scheme. Such a target is sent by its path now; one that cannot be sent as it is written is refused with 400. Our own interface's paths are fixed, so none of its targets is passed on.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -113,12 +113,15 @@
 // newOutbound creates the request to an endpoint, with the caller's method, path and
 // body.
 func (g *Gateway) newOutbound(ctx context.Context, q *request, t target, lastEvent string) (*http.Request, error) {
-	path, query, hasQuery := strings.Cut(q.inbound.RequestURI, "?")
+	target, err := targetURL(t.endpoint.Address(), q.inbound.RequestURI)
+	if err != nil {
+		return nil, err
+	}
 	r, err := http.NewRequestWithContext(ctx, q.inbound.Method, "http://"+t.endpoint.Address()+"/", nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "forward: create request")
 	}
-	r.URL = &url.URL{Scheme: "http", Host: t.endpoint.Address(), Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	r.URL = target
 	r.Host = q.inbound.Host
 	r.Header = endToEnd(q.inbound.Header, g.Protocol.IsCallHeader)
 	if r.Header["User-Agent"] == nil {
@@ -139,6 +142,23 @@
 	return r, nil
 }
 
+// targetURL returns the URL with which net/http sends a request target to an address as it is written.
+func targetURL(address, target string) (*url.URL, error) {
+	path, query, hasQuery := strings.Cut(target, "?")
+	u := &url.URL{Scheme: "http", Host: address, Opaque: path, RawQuery: query, ForceQuery: hasQuery && query == ""}
+	if strings.HasPrefix(path, "//") { // net/http would write an opaque part with the scheme
+		decoded, err := url.PathUnescape(path)
+		if err != nil {
+			return nil, errors.Wrap(err, "forward: request target")
+		}
+		u.Opaque, u.Path, u.RawPath = "", decoded, path
+	}
+	if u.RequestURI() != target {
+		return nil, errors.Errorf("forward: request target %q cannot be sent as it is written", target)
+	}
+	return u, nil
+}
+
 // recordLost records an attempt without a response. It says nothing of the endpoint if this box's own link may have
 // failed.
 func (g *Gateway) recordLost(ctx context.Context, q *request, u *upstream, err *engine.NoResponseError, relayed bool) *Refusal {
