placement: an endpoint that carries out an order is claimed once that has ended

Cause: the report's field for an order under way was not read, so the endpoint counted as empty and idle; and an order that was rejected for another one (409) was repeated until it was accepted. Change: the claim waits until the report shows no order; after a first 409 the endpoint is asked before it is ordered anything.

--- a/placement/claim.go
+++ b/placement/claim.go
@@ -20,10 +20,13 @@
 // leaving and hands over what the endpoint holds, no report is needed: that owner had the highest
 // fence when it was asked, and a box that has raised one since gives no order before its
 // own report is recent enough.
+// An endpoint that carries out an order of a previous owner is claimed once that has ended: what it will hold then is not known
+// before.
 func (l *Loader) claim(o *ownedEndpoint) func(context.Context) {
 	return func(ctx context.Context) {
 		asked := clock.Now()
 		handed := l.requestHandover(ctx, o)
+		waiting := false
 		for ctx.Err() == nil && l.isClaiming(o) {
 			e, fence, raised := l.raiseFence(ctx, o)
 			if !raised {
@@ -42,11 +45,15 @@
 			call, cancel := context.WithTimeout(ctx, callTimeout)
 			h, err := l.Control.Report(call, e)
 			cancel()
-			if err == nil {
+			switch {
+			case err != nil:
+				l.Log.Info("Endpoint report failed; retrying claim", "endpoint", e.ID(), "err", err.Error())
+			case h.Ordering:
+				l.logOrdering(e, &waiting)
+			default:
 				l.takeOwnership(ctx, o, fence, h, false)
 				return
 			}
-			l.Log.Info("Endpoint report failed; retrying claim", "endpoint", e.ID(), "err", err.Error())
 			if !sleep(ctx, claimRetryInterval) {
 				return
 			}
@@ -54,6 +61,14 @@
 	}
 }
 
+// logOrdering logs once for each claim that an endpoint carries out an order.
+func (l *Loader) logOrdering(e *topology.Endpoint, logged *bool) {
+	if !*logged {
+		l.Log.Info("Endpoint carries out an order about a base model; its claim waits", "endpoint", e.ID())
+	}
+	*logged = true
+}
+
 // requestHandover asks the previous owner to hand over an endpoint that this box has not owned.
 // An owner that is leaving and does not answer may still give orders, and raising the fence
 // would make the two boxes alternate; so this waits until that owner must have stopped.
--- a/placement/model.go
+++ b/placement/model.go
@@ -59,9 +59,10 @@
 	return best
 }
 
-// loadModel orders a base model and repeats the order until the endpoint holds it.
+// loadModel orders a base model and repeats the order until the endpoint holds it. An endpoint that is busy with the order of
+// another owner is claimed anew: the order may be followed by one that changes what it holds.
 func (l *Loader) loadModel(ctx context.Context, o *ownedEndpoint, claim int, model string) {
-	started := clock.Now()
+	started, accepted := clock.Now(), false
 	for clock.Since(started) < modelLoadTimeout {
 		out, err := l.sendOrder(ctx, o, claim, Order{Adapter: topology.Adapter{Model: model}})
 		if err != nil {
@@ -71,9 +72,14 @@
 			l.finishModelLoad(o, claim, model, clock.Since(started))
 			return
 		}
+		if out == Busy && !accepted {
+			l.requestReclaim(o, claim, "another order about a base model is under way")
+			return
+		}
 		if out != Accepted && out != Busy {
 			break
 		}
+		accepted = true
 		if !sleep(ctx, maxPollInterval) {
 			return
 		}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -26,6 +26,7 @@
 	Models   []string
 	Ready    map[topology.Adapter]int64
 	Pending  map[topology.Adapter]int64 // being loaded; they occupy slots too
+	Ordering bool                       // an order about a base model is under way, so Models will change
 }
 
 // Order asks an endpoint to load or to unload an adapter.
