cairnwick: settings that change without a signal are read again

Their file is looked at each second now. What a box without contact may take over is as before, and stays open.

--- a/cmd/cairnwick/main.go
+++ b/cmd/cairnwick/main.go
@@ -29,7 +29,9 @@
 	signal.Notify(hangups, syscall.SIGHUP) // before anything else: without a handler SIGHUP ends the process
 	var args arguments
 	arg.MustParse(&args)
-	settings, store, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
+	path := os.Getenv(platform.SettingsVariable)
+	content, _ := os.ReadFile(path) // ReadSettings reports an error
+	settings, store, err := platform.ReadSettings(path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return daemon.ExitSettings
@@ -54,8 +56,9 @@
 	}
 	control.Notice = node.HandleNotice
 	reloaded := make(chan struct{})
+	r := &reloader{Path: path, Content: content, Reload: node.Reload, Hangups: hangups, Log: log, Interval: settingsInterval}
 	go func() {
-		reloadOnHangup(ctx, node, hangups)
+		r.Run(ctx)
 		close(reloaded)
 	}()
 	err = node.Run(ctx)
@@ -80,21 +83,3 @@
 		}
 	}
 }
-
-// reloadOnHangup reads the settings again on each SIGHUP, until ctx ends. Settings that cannot be read
-// change nothing.
-func reloadOnHangup(ctx context.Context, node *edge.Node, hangups <-chan os.Signal) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		settings, _, err := platform.ReadSettings(os.Getenv(platform.SettingsVariable))
-		if err != nil {
-			node.Log.Error(err, "Failed to reload settings; keeping the current ones")
-			continue
-		}
-		node.Reload(settings)
-	}
-}
