--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -106,7 +106,9 @@
 	expvar.Publish("gateway_connections_closed", expvar.Func(func() any { return gate.Closed() }))
 	n.Add(g.Run)
 	n.Add(gate.Run)
-	n.Add(func(ctx context.Context) error { return daemon.ServeHTTP(ctx, gate.Listen(l), gate.Handler(g.Handler())) })
+	n.Add(func(ctx context.Context) error {
+		return daemon.ServeHTTP(ctx, gate.Listen(l), gate.Handler(g.Handler()))
+	})
 	return n.Run(ctx)
 }
 
