daemon: a busy machine hides no standing backlog, and the sign of overload outlasts its measurement

Causes: whether connections waited was told by how long Accept took, which a process that is not run makes longer too; and responses closed their connections for a tenth of a second after each measurement, which took longer than that. Now the socket is asked whether a connection waits, and the sign lasts for twice the wait that was found. The gate is inside the listener that sets send buffers, which hid the socket.

--- a/daemon/accept_gate.go
+++ b/daemon/accept_gate.go
@@ -9,10 +9,12 @@
 	"runtime"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cairnwick.example/clock"
 	"github.com/go-logr/logr"
+	"golang.org/x/sys/unix"
 )
 
 // AcceptGate closes new connections before anything is read from them while this daemon has more work than it can do:
@@ -31,6 +33,7 @@
 	late         atomic.Int64 // mean delay of timers, in nanoseconds
 	closed       atomic.Int64
 	overloadedAt atomic.Int64 // Unix time in nanoseconds at which the processor was last found overloaded
+	waited       atomic.Int64 // how long the accept loop waited for the processor then, in nanoseconds
 
 	mu       sync.Mutex
 	acceptAt time.Time // when the next connection is accepted, though the daemon is overloaded
@@ -51,14 +54,13 @@
 	// maxProcessorWait is how long work may wait for the processor until no further connection is accepted. A request waits
 	// for it several times, and callers of short ones expect their responses within a tenth of a second.
 	maxProcessorWait = 30 * time.Millisecond
-	// minAcceptWait is the time that Accept takes if no connection was there: longer than a system call.
-	minAcceptWait = 200 * time.Microsecond
 	// maxBacklogTime is how long connections may have waited without a break until all that wait are closed.
 	maxBacklogTime = 60 * time.Millisecond
 	// waitValidity is how long a wait that was too long counts. Connections are closed meanwhile without another
 	// measurement, each of which takes as long as the wait.
 	waitValidity = 10 * time.Millisecond
-	// overloadMemory is how long the processor counts as overloaded after it was found so.
+	// overloadMemory is how long the processor counts as overloaded after it was found so, or twice the wait that was found if
+	// that is longer: the next measurement takes as long.
 	overloadMemory = 100 * time.Millisecond
 )
 
@@ -113,7 +115,7 @@
 
 // IsOverloaded reports whether this daemon has had more work than its processor can do lately.
 func (g *AcceptGate) IsOverloaded() bool {
-	return g.isLate() || time.Since(time.Unix(0, g.overloadedAt.Load())) < overloadMemory
+	return g.isLate() || time.Since(time.Unix(0, g.overloadedAt.Load())) < max(overloadMemory, 2*time.Duration(g.waited.Load()))
 }
 
 // processorIsBusy reports whether work has to wait too long for the processor: the goroutine yields, and is run again after
@@ -132,6 +134,7 @@
 	if again.Sub(now) < maxProcessorWait {
 		return false
 	}
+	g.waited.Store(int64(again.Sub(now)))
 	g.overloadedAt.Store(again.UnixNano())
 	return true
 }
@@ -166,9 +169,9 @@
 // Accept implements net.Listener.
 func (l *gatedListener) Accept() (net.Conn, error) {
 	for {
-		begun := time.Now()
+		waiting := hasPending(l.Listener)
 		c, err := l.Listener.Accept()
-		if err != nil || l.gate.accepts(clock.Now(), l.backlog.isStanding(begun, time.Now())) {
+		if err != nil || l.gate.accepts(clock.Now(), l.backlog.isStanding(waiting, time.Now())) {
 			return c, err
 		}
 		l.gate.closed.Add(1)
@@ -176,15 +179,33 @@
 	}
 }
 
-// backlog tells from the times that Accept takes whether connections wait to be accepted.
+// hasPending reports whether a connection waits to be accepted; false if that cannot be told.
+func hasPending(l net.Listener) bool {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) {
+		n, err := unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+		pending = err == nil && n > 0
+	})
+	return err == nil && pending
+}
+
+// backlog tells for how long connections have waited to be accepted without a break.
 type backlog struct {
-	emptyAt time.Time // when it was last seen empty
+	emptyAt time.Time // when none waited
 }
 
-// isStanding reports whether connections have waited all the time for maxBacklogTime. A call of Accept took from begun to
-// now.
-func (b *backlog) isStanding(begun, now time.Time) bool {
-	if b.emptyAt.IsZero() || now.Sub(begun) >= minAcceptWait {
+// isStanding reports whether connections have waited all the time for maxBacklogTime. waiting says whether one was there
+// before it was accepted.
+func (b *backlog) isStanding(waiting bool, now time.Time) bool {
+	if !waiting {
 		b.emptyAt = now
 	}
 	return now.Sub(b.emptyAt) >= maxBacklogTime
--- a/daemon/accept_gate_test.go
+++ b/daemon/accept_gate_test.go
@@ -104,13 +104,30 @@
 	c := quicktest.New(t)
 	start := time.Now()
 	var b backlog
-	c.Check(b.isStanding(start, start), quicktest.IsFalse)
-	c.Check(b.isStanding(start.Add(maxBacklogTime/2), start.Add(maxBacklogTime/2)), quicktest.IsFalse)
-	c.Check(b.isStanding(start.Add(maxBacklogTime), start.Add(maxBacklogTime)), quicktest.IsTrue)
+	c.Check(b.isStanding(false, start), quicktest.IsFalse)
+	c.Check(b.isStanding(true, start.Add(maxBacklogTime/2)), quicktest.IsFalse)
+	c.Check(b.isStanding(true, start.Add(maxBacklogTime)), quicktest.IsTrue)
 	again := start.Add(2 * maxBacklogTime)
-	c.Check(b.isStanding(again, again.Add(minAcceptWait)), quicktest.IsFalse)
-	again = again.Add(minAcceptWait)
-	c.Check(b.isStanding(again.Add(maxBacklogTime/2), again.Add(maxBacklogTime/2)), quicktest.IsFalse)
+	c.Check(b.isStanding(false, again), quicktest.IsFalse)
+	c.Check(b.isStanding(true, again.Add(maxBacklogTime/2)), quicktest.IsFalse)
+}
+
+func TestPendingConnectionIsSeenBeforeItIsAccepted(t *testing.T) {
+	c := quicktest.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, quicktest.IsNil)
+	defer l.Close()
+	c.Check(hasPending(l), quicktest.IsFalse)
+	conn, err := net.Dial("tcp", l.Addr().String())
+	c.Assert(err, quicktest.IsNil)
+	defer conn.Close()
+	for !hasPending(l) {
+		time.Sleep(time.Millisecond)
+	}
+	accepted, err := l.Accept()
+	c.Assert(err, quicktest.IsNil)
+	defer accepted.Close()
+	c.Check(hasPending(l), quicktest.IsFalse)
 }
 
 // Guards against a box that closes connections although no other box is left to take them.
--- a/edge/node.go
+++ b/edge/node.go
@@ -271,7 +271,7 @@
 		func(context.Context) error { return n.origins.sender.run(drained) },
 		func(ctx context.Context) error {
 			defer endDrain()
-			return httpTask(n.gate.Handler(n.gateway), n.gate.Listen(n.limitSendBuffers(listeners.callers)), drainTime, max(n.Settings.Limits.Descriptors/callerConnDivisor, maxAuxiliaryConns))(ctx)
+			return httpTask(n.gate.Handler(n.gateway), n.limitSendBuffers(n.gate.Listen(listeners.callers)), drainTime, max(n.Settings.Limits.Descriptors/callerConnDivisor, maxAuxiliaryConns))(ctx)
 		},
 		httpTask(n.readinessHandler(), listeners.ready, drainTime, maxAuxiliaryConns),
 		httpTask(n.metrics(), listeners.metrics, drainTime, maxAuxiliaryConns),
