daemon: the sign of overload is kept by the steady clock

It was kept as a time of day, which may jump: after a step back of seconds, all new connections would have been closed for as long. The first connection that was there before the daemon listened counted as a standing backlog. Both by reading.

--- a/daemon/accept_gate.go
+++ b/daemon/accept_gate.go
@@ -30,15 +30,20 @@
 	Alone func() bool
 	Log   logr.Logger
 
-	late         atomic.Int64 // mean delay of timers, in nanoseconds
-	closed       atomic.Int64
-	overloadedAt atomic.Int64 // Unix time in nanoseconds at which the processor was last found overloaded
-	waited       atomic.Int64 // how long the accept loop waited for the processor then, in nanoseconds
+	late   atomic.Int64 // mean delay of timers, in nanoseconds
+	closed atomic.Int64
+	last   atomic.Pointer[overload] // nil: the processor was never found overloaded
 
 	mu       sync.Mutex
 	acceptAt time.Time // when the next connection is accepted, though the daemon is overloaded
 }
 
+// overload is a sign that there is more work than the processor can do.
+type overload struct {
+	at     time.Time
+	waited time.Duration // how long the accept loop waited for the processor
+}
+
 const (
 	delayInterval = 100 * time.Millisecond // between two measurements of how late timers are
 	// maxDelaySample limits the effect of one measurement: a suspension of the machine is not a lack of processor time.
@@ -115,27 +120,32 @@
 
 // IsOverloaded reports whether this daemon has had more work than its processor can do lately.
 func (g *AcceptGate) IsOverloaded() bool {
-	return g.isLate() || time.Since(time.Unix(0, g.overloadedAt.Load())) < max(overloadMemory, 2*time.Duration(g.waited.Load()))
+	last := g.last.Load()
+	return g.isLate() || (last != nil && time.Since(last.at) < max(overloadMemory, 2*last.waited))
 }
 
 // processorIsBusy reports whether work has to wait too long for the processor: the goroutine yields, and is run again after
 // all that can run has been. So work that was accepted goes before further connections, which may thus have to wait
 // themselves.
 func (g *AcceptGate) processorIsBusy(standingBacklog bool) bool {
-	now := time.Now()
+	now, last := time.Now(), g.last.Load()
 	if standingBacklog {
-		g.overloadedAt.Store(now.UnixNano())
+		sign := &overload{at: now}
+		if last != nil {
+			sign.waited = last.waited
+		}
+		g.last.Store(sign)
+		return true
 	}
-	if now.Sub(time.Unix(0, g.overloadedAt.Load())) < waitValidity {
+	if last != nil && now.Sub(last.at) < waitValidity {
 		return true
 	}
 	runtime.Gosched()
-	again := time.Now()
-	if again.Sub(now) < maxProcessorWait {
+	waited := time.Since(now)
+	if waited < maxProcessorWait {
 		return false
 	}
-	g.waited.Store(int64(again.Sub(now)))
-	g.overloadedAt.Store(again.UnixNano())
+	g.last.Store(&overload{at: time.Now(), waited: waited})
 	return true
 }
 
@@ -199,13 +209,13 @@
 
 // backlog tells for how long connections have waited to be accepted without a break.
 type backlog struct {
-	emptyAt time.Time // when none waited
+	emptyAt time.Time // when none waited; zero: not known yet
 }
 
 // isStanding reports whether connections have waited all the time for maxBacklogTime. waiting says whether one was there
 // before it was accepted.
 func (b *backlog) isStanding(waiting bool, now time.Time) bool {
-	if !waiting {
+	if !waiting || b.emptyAt.IsZero() {
 		b.emptyAt = now
 	}
 	return now.Sub(b.emptyAt) >= maxBacklogTime
