--- a/daemon/accept_gate.go
+++ b/daemon/accept_gate.go
@@ -58,7 +58,8 @@
 	// maxProcessorWait is how long work may wait for the processor until no further connection is accepted. A request waits
 	// for it several times, and callers of short ones expect their responses within a tenth of a second.
 	maxProcessorWait = 30 * time.Millisecond
-	// maxBacklogTime is how long connections may have waited without a break until all that wait are closed.
+	// maxBacklogTime is how long connections may have waited without a break until all that wait are closed, within the tenth
+	// of a second in which callers of short requests expect their responses.
 	maxBacklogTime = 60 * time.Millisecond
 	// overloadMemory is how long the processor counts as overloaded after it was found so, or twice the wait that was found if
 	// that is longer: the next measurement takes as long.
@@ -207,7 +208,7 @@
 	}
 }
 
-// hasPending reports whether a connection waits to be accepted; false if that cannot be told.
+// hasPending reports whether a connection waits to be accepted; false if that is not known.
 func hasPending(l net.Listener) bool {
 	s, ok := l.(syscall.Conn)
 	if !ok {
@@ -225,7 +226,7 @@
 	return err == nil && pending
 }
 
-// backlog tells for how long connections have waited to be accepted without a break.
+// backlog measures for how long connections have waited to be accepted without a break.
 type backlog struct {
 	emptyAt time.Time // when none waited; zero: not known yet
 }
--- a/share/follow.go
+++ b/share/follow.go
@@ -142,7 +142,7 @@
 var ErrIdleTimeout = errors.New("share: followed box sent no message within the idle timeout")
 
 // Follow merges the items sent by the box behind c until the stream breaks, is idle for too long, or ctx ends. It
-// tells the box which versions the table has, so that they are not sent. lastData returns when data last came from the box, by
+// names the versions that the table has, which the box then does not send. lastData returns when data last came from the box, by
 // package clock; nil: not known. onReceived is called with each message after it was merged, and the time at which it arrived.
 func Follow(ctx context.Context, c wire.ShareClient, q *wire.FollowRequest, t *Table, lastData func() time.Time, onReceived func(u *wire.Update, at time.Time)) error {
 	ctx, cancel := context.WithCancelCause(ctx)
