forward: a request reads on to its response behind one to another request

Cause: a response with another ID ended the attempt and its connection, though the ID tells the two apart.

Change: connections to endpoints discard responses with the ID of another request until the request's own one comes: 4 at most, of 1 MB each, within the request's deadline. What has no ID, no length, or is no response ends the connection as before; after a response without an ID the connection is used for no other request. Endpoints' counters ("surplus") and a log line tell of them.

TestRequestGetsItsResponseBehindALateCopy and TestRejectionBehindALateCopyIsARejection failed before (502). TestRejectionOfAnotherRequestIsNoResponse and TestResponseToAnotherRequestIsDropped ask the same of endpoints that send nothing after such a response, once with the connection closed (502) and once open (504 at the deadline, since the response may still come); nothing is run twice or believed in either.

--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -27,6 +27,7 @@
 	EventLag     time.Duration `arg:"--event-lag" default:"1s" help:"delay until a cache event can be read"`
 	EventGap     int           `arg:"--event-gap" default:"0" help:"every n-th cache event is lost; 0: none"`
 	NoFences     bool          `arg:"--no-fences" help:"accept orders without checking their fence"`
+	HidesIDs     bool          `arg:"--hides-request-ids" help:"do not return the IDs of requests"`
 	RefusesNew   bool          `arg:"--refuses-new" help:"reject new requests when leaving"`
 	EndsUnder    string        `arg:"--ends-under" help:"exit when a request's body contains this text; empty: never"`
 	EndsAsBegins string        `arg:"--ends-as-it-begins" help:"exit when it begins to respond to a request of the platform whose prompt has this part; empty: never"`
@@ -52,6 +53,7 @@
 		EventDelay:      a.EventLag,
 		DropEventEvery:  a.EventGap,
 		ChecksFences:    !a.NoFences,
+		HidesRequestIDs: a.HidesIDs,
 		RefusesNew:      a.RefusesNew,
 		LeavingGrace:    a.LeavingGrace,
 		Store:           standin.StoreFetcher(a.Store),
@@ -64,5 +66,5 @@
 	if a.EndsAsBegins != "" {
 		h = platformtest.CrashOnPart(h, a.EndsAsBegins, func() { os.Exit(exitOnRequest) })
 	}
-	os.Exit(standin.Main(a.Listen, h, e.Run))
+	os.Exit(standin.Main(a.Listen, h, e.Run, &e.Repeats))
 }
--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -32,5 +32,5 @@
 	store := s.Handler()
 	m.Handle("/store/", store)
 	m.Handle("/control/store", store)
-	os.Exit(standin.Main(a.Listen, m, nil))
+	os.Exit(standin.Main(a.Listen, m, nil, nil))
 }
--- a/cmd/standin-proxy/main.go
+++ b/cmd/standin-proxy/main.go
@@ -27,5 +27,5 @@
 		}
 		proxy.Routes = append(proxy.Routes, standin.Route{Listen: listen, Target: target})
 	}
-	os.Exit(standin.Main(a.Listen, proxy.Handler(), proxy.Run))
+	os.Exit(standin.Main(a.Listen, proxy.Handler(), proxy.Run, nil))
 }
--- a/cmd/standin-service/main.go
+++ b/cmd/standin-service/main.go
@@ -20,5 +20,5 @@
 	var a arguments
 	arg.MustParse(&a)
 	s := &standin.Service{Latency: a.Time}
-	os.Exit(standin.Main(a.Listen, s.Handler(), nil))
+	os.Exit(standin.Main(a.Listen, s.Handler(), nil, &s.Repeats))
 }
--- a/edge/ended_test.go
+++ b/edge/ended_test.go
@@ -36,6 +36,9 @@
 // IsCallHeader implements forward.Protocol.
 func (plainProtocol) IsCallHeader(string) bool { return false }
 
+// IDHeader implements forward.Protocol.
+func (plainProtocol) IDHeader() string { return "" }
+
 // ParseResponse implements forward.Protocol.
 func (plainProtocol) ParseResponse(a *http.Response, _ forward.Call, _ string) forward.Response {
 	h := a.Header
--- a/engine/client.go
+++ b/engine/client.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 )
 
@@ -19,7 +20,7 @@
 const (
 	FenceHeader      = "Cairn-Fence"      // on orders: the fence of the order; on responses: the highest fence seen
 	BootHeader       = "Cairn-Boot"       // on responses: changes when the endpoint restarts without adapters
-	RequestIDHeader  = "X-Request-Id"     // identifies the execution, to cancel or resume it
+	RequestIDHeader  = "X-Request-Id"     // identifies the execution, to cancel or resume it, and the response, if the endpoint returns it
 	KeyHeader        = "Cairn-Key"        // idempotency key of a request that must not be executed twice
 	ReasonHeader     = "Cairn-Reason"     // on error responses: the Code
 	EventsHeader     = "Cairn-Events"     // on a resumed stream: the number of its first event
@@ -173,7 +174,7 @@
 	if err != nil {
 		return nil, nil, &NoResponseError{Cause: err}
 	}
-	resp, err := Send(c.HTTP, r, lease.ExpiresAt)
+	resp, err := Send(c.HTTP, r, lease.ExpiresAt, ResponseID{})
 	if err != nil {
 		return nil, nil, err
 	}
@@ -188,6 +189,24 @@
 	return resp, content, nil
 }
 
+// Call sends a request as Send does, under the ID in its RequestIDHeader or a new one. A response with the ID of another
+// request is a *NoResponseError.
+func Call(client *http.Client, req *http.Request, sendBy time.Time) (*http.Response, error) {
+	if req.Header.Get(RequestIDHeader) == "" {
+		req.Header.Set(RequestIDHeader, uuid.NewString())
+	}
+	id := ResponseID{Header: RequestIDHeader, Value: req.Header.Get(RequestIDHeader)}
+	resp, err := Send(client, req, sendBy, id)
+	if err != nil {
+		return nil, err
+	}
+	if !id.matches(resp.Header) {
+		_ = resp.Body.Close() // nothing that it says is meant for this request
+		return nil, &NoResponseError{Sent: true, Cause: ErrForeignResponse}
+	}
+	return resp, nil
+}
+
 func (c *Client) newRequest(ctx context.Context, method, path string, f Fence, body any) (*http.Request, error) {
 	var reader io.Reader
 	if body != nil {
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -21,21 +21,27 @@
 var ErrExpired = errors.New("engine: grant or lease expired before the request was written")
 
 // guardedConn fails the first write of a request if its time has passed, and records
-// whether any byte of the request was passed to the operating system.
+// whether any byte of the request was passed to the operating system. It discards
+// responses to other requests.
 type guardedConn struct {
 	net.Conn
 
+	received []byte // received and not yet read; used by Read alone
+
 	mu         sync.Mutex
 	sendBy     time.Time // limit for the current request's first write; zero: none
 	writeBegun bool      // some of the current request may have been sent
+	awaits     awaited   // its response
 }
 
 // startRequest prepares the connection for the next request.
-func (c *guardedConn) startRequest(sendBy time.Time) {
+func (c *guardedConn) startRequest(method string, sendBy time.Time, id ResponseID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.sendBy = sendBy
 	c.writeBegun = false
+	c.awaits.id = id
+	c.awaits.sentHead = c.awaits.sentHead || method == http.MethodHead
 }
 
 func (c *guardedConn) requestSent() bool {
@@ -98,7 +104,11 @@
 // automatic retries of net/http are disabled. Without a response it returns a
 // *NoResponseError, which says whether any byte may have been sent. A response of any
 // status is returned unchanged; the caller must close its body.
-func Send(client *http.Client, req *http.Request, sendBy time.Time) (*http.Response, error) {
+//
+// Responses with the ID of another request that come before the response are discarded, a few of them and short ones. The
+// caller must compare the ID of the response, since more of them end that. After a response without an ID the connection is
+// closed.
+func Send(client *http.Client, req *http.Request, sendBy time.Time, id ResponseID) (*http.Response, error) {
 	req.GetBody = nil // net/http cannot retry without it
 	var mu sync.Mutex
 	var conn *guardedConn
@@ -107,7 +117,7 @@
 		if !ok {
 			return
 		}
-		guarded.startRequest(sendBy)
+		guarded.startRequest(req.Method, sendBy, id)
 		mu.Lock()
 		conn = guarded
 		mu.Unlock()
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -200,6 +200,7 @@
 func (g *Gateway) checkResponse(q *request, u *upstream, t target, resp *http.Response) *Refusal {
 	head := g.Protocol.ParseResponse(resp, q.call, t.endpoint.ID())
 	if !head.MatchesCall {
+		g.recordSurplus(u.endpoint.ID())
 		return g.recordInvalid(q, u) // nothing that it says is meant for this request
 	}
 	g.observeResponse(q, u, t, head)
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -74,6 +74,8 @@
 	// IsCallHeader reports whether a header is part of the call's metadata. Such headers reach
 	// endpoints unchanged, even if Connection lists them.
 	IsCallHeader(name string) bool
+	// IDHeader returns the header in which endpoints return the ID of the call that they respond to.
+	IDHeader() string
 	// ParseResponse reads the head of the endpoint's response to c.
 	ParseResponse(resp *http.Response, c Call, endpoint string) Response
 	// SetRetryAfter sets when a refused caller may try again.
--- a/forward/notice.go
+++ b/forward/notice.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// recordSurplus records that an endpoint sent a response to another request in the place of a response.
+func (g *Gateway) recordSurplus(endpoint string) {
+	if g.notices.recordSurplus(endpoint, clock.Now()) {
+		g.Log.Info("Endpoint sent a response to another request", "endpoint", endpoint)
+	}
+}
+
 // observeDraining records that an endpoint announced draining. Its entry in the source may follow much
 // later, or never.
 func (g *Gateway) observeDraining(endpoint string) {
@@ -114,6 +121,8 @@
 	backoffs        int64
 	rejections      int64 // requests of this box that it rejected
 	ignored         int64 // requests sent after it announced draining, or during a back-off
+	surplus         int64 // responses to other requests of this box in the place of a response
+	surplusLoggedAt time.Time
 }
 
 // NoticeCounts counts the announcements of an endpoint to this box, for the metrics.
@@ -123,6 +132,7 @@
 	BackoffRemaining int64 `json:"backoff_left_ms"` // of the current one
 	Rejections       int64 `json:"rejections"`      // requests that it rejected for any other reason than a missing adapter
 	Ignored          int64 `json:"ignored"`         // requests sent nevertheless
+	Surplus          int64 `json:"surplus"`         // responses with the ID of another request, in the place of a response
 }
 
 func (n *noticeTable) entryLocked(endpoint string) *endpointNotice {
@@ -153,8 +163,8 @@
 	return n.backoffs.Extend(endpoint, d, now)
 }
 
-// invalidLogInterval is the minimum time between two log lines about invalid back-offs of one endpoint: every
-// response may have one.
+// invalidLogInterval is the minimum time between two log lines about invalid back-offs, or about surplus responses, of one
+// endpoint: every response may have one.
 const invalidLogInterval = time.Second
 
 // mayLogInvalid reports whether an invalid back-off of the endpoint may be logged now.
@@ -176,6 +186,19 @@
 	n.entryLocked(endpoint).rejections++
 }
 
+// recordSurplus records that an endpoint sent a response to another request. It reports whether that may be logged now.
+func (n *noticeTable) recordSurplus(endpoint string, now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	entry := n.entryLocked(endpoint)
+	entry.surplus++
+	if !entry.surplusLoggedAt.IsZero() && now.Sub(entry.surplusLoggedAt) < invalidLogInterval {
+		return false
+	}
+	entry.surplusLoggedAt = now
+	return true
+}
+
 // recordSent records a request to an endpoint.
 func (n *noticeTable) recordSent(endpoint string, now time.Time) {
 	n.mu.Lock()
@@ -209,6 +232,7 @@
 			BackoffRemaining: g.BackoffRemaining(id, now).Milliseconds(),
 			Rejections:       entry.rejections,
 			Ignored:          entry.ignored,
+			Surplus:          entry.surplus,
 		}
 	}
 	return list
--- a/forward/relay.go
+++ b/forward/relay.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return nil, true, err
 	}
-	resp, err = engine.Send(u.relayClient(), r, q.deadline)
+	resp, err = engine.Send(u.relayClient(), r, q.deadline, g.responseID(q, u))
 	if errors.Is(err, ErrNoRelay) && !g.links.hasFailed(u.endpoint) { // those that have failed are probed
 		resp, err = g.sendDirect(ctx, q, u, t, lastEvent)
 		return resp, false, err
@@ -78,7 +78,12 @@
 		client = u.singleUseClient()
 	}
 	q.noteSentTo(u.endpoint)
-	return engine.Send(client, r, q.deadline)
+	return engine.Send(client, r, q.deadline, g.responseID(q, u))
+}
+
+// responseID returns the ID by which the response to the request is found on a connection.
+func (g *Gateway) responseID(q *request, u *upstream) engine.ResponseID {
+	return engine.ResponseID{Header: g.Protocol.IDHeader(), Value: q.call.ID, OnSurplus: func() { g.recordSurplus(u.endpoint.ID()) }}
 }
 
 // wasSent reports whether any byte of a request without a response may have been sent.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return events, false
 	}
-	resp, err := engine.Send(g.EngineClient, req, clock.Now().Add(g.Timeouts.Resume))
+	resp, err := engine.Send(g.EngineClient, req, clock.Now().Add(g.Timeouts.Resume), engine.ResponseID{})
 	if err != nil {
 		return events, false
 	}
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -34,6 +34,8 @@
 	LeavingGrace    time.Duration // new requests later than this after leaving count as violations
 	Store           func(ctx context.Context, path string) (string, error)
 	Fallback        http.Handler // serves all other paths, for instance another protocol; may be nil
+	HidesRequestIDs bool         // responses do not have the request's ID
+	Repeats         Repeater     // set with /control/repeat; it must wrap the listener
 
 	mu               sync.Mutex
 	boot             string
@@ -277,6 +279,8 @@
 	m.HandleFunc("POST /control/backoff", e.setBackoff)
 	m.HandleFunc("GET /control/backoff", e.showBackoff)
 	m.HandleFunc("POST /control/slowdown", e.setSlowdown)
+	m.HandleFunc("POST /control/repeat", e.Repeats.setShare)
+	m.HandleFunc("GET /control/repeat", e.Repeats.showCount)
 	m.HandleFunc("POST "+fragilityPath, e.setFragility)
 	m.HandleFunc("GET "+fragilityPath, e.showFragility)
 	if e.Fallback != nil {
@@ -292,13 +296,16 @@
 	return e.announcesLeaving && !e.leaving.IsZero()
 }
 
-// withHeaders sets the fence, boot, leaving and rejections headers on every response.
+// withHeaders sets the request ID, fence, boot, leaving and rejections headers on every response.
 func (e *Engine) withHeaders(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		e.mu.Lock()
 		w.Header().Set(engine.FenceHeader, e.fence.String())
 		w.Header().Set(engine.BootHeader, e.boot)
 		e.mu.Unlock()
+		if id := r.Header.Get(engine.RequestIDHeader); id != "" && !e.HidesRequestIDs {
+			w.Header().Set(engine.RequestIDHeader, id)
+		}
 		if e.Leaving() {
 			w.Header().Set(engine.LeavingHeader, "1")
 		}
--- a/standin/main.go
+++ b/standin/main.go
@@ -15,8 +15,8 @@
 
 // Main serves h on address until SIGTERM or SIGINT and returns the exit code.
 // If run is not nil, it runs alongside the server with a context that is
-// cancelled by the signal.
-func Main(address string, h http.Handler, run func(context.Context) error) int {
+// cancelled by the signal. If repeats is not nil, it may have responses sent once more.
+func Main(address string, h http.Handler, run func(context.Context) error, repeats *Repeater) int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	l, err := net.Listen("tcp", address)
@@ -24,6 +24,9 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 1
 	}
+	if repeats != nil {
+		l = repeats.Wrap(l)
+	}
 	ended := make(chan error, 1)
 	if run == nil {
 		ended <- nil
--- /dev/null
+++ b/standin/repeat.go
@@ -0,0 +1,126 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package standin
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// maxRepeatedBytes limits a response that is sent again.
+const maxRepeatedBytes = 1 << 20
+
+// Repeater has a server send some of its responses once more, late: in the place of the next response on the connection. A
+// connection that the server closes after a response sends it once.
+type Repeater struct {
+	mu    sync.Mutex
+	share float64
+	count int // responses sent again
+}
+
+// SetShare sets the share of the responses that are sent again, from 0 to 1.
+func (r *Repeater) SetShare(share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.share = share
+}
+
+// Count returns how many responses were sent again.
+func (r *Repeater) Count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.count
+}
+
+// Wrap returns a listener with the connections of l.
+func (r *Repeater) Wrap(l net.Listener) net.Listener {
+	return &repeatListener{Listener: l, repeater: r}
+}
+
+// isDue decides whether a response is sent again.
+func (r *Repeater) isDue() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	due := rand.Float64() < r.share
+	if due {
+		r.count++
+	}
+	return due
+}
+
+// setShare handles POST /control/repeat, which sets the share of the responses that are sent again.
+func (r *Repeater) setShare(w http.ResponseWriter, q *http.Request) {
+	share, err := strconv.ParseFloat(q.FormValue("share"), 64)
+	if err != nil || share < 0 || share > 1 {
+		http.Error(w, "share: must be a number from 0 to 1", http.StatusBadRequest)
+		return
+	}
+	r.SetShare(share)
+}
+
+// showCount handles GET /control/repeat.
+func (r *Repeater) showCount(w http.ResponseWriter, _ *http.Request) {
+	fmt.Fprintf(w, "{\"repeated\":%d}\n", r.Count())
+}
+
+type repeatListener struct {
+	net.Listener
+
+	repeater *Repeater
+}
+
+// Accept implements net.Listener.
+func (l *repeatListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &repeatConn{Conn: c, repeater: l.repeater}, nil
+}
+
+// repeatConn repeats responses of a server that reads each request after its response to the one before.
+type repeatConn struct {
+	net.Conn
+
+	repeater *Repeater
+
+	mu   sync.Mutex
+	sent []byte // the last response; empty: it is too long
+	copy []byte // to be sent before the next response
+}
+
+// Read implements net.Conn.
+func (c *repeatConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n > 0 && len(c.sent) > 0 {
+		if len(c.sent) <= maxRepeatedBytes && c.repeater.isDue() {
+			c.copy = c.sent
+		}
+		c.sent = nil
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *repeatConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.copy) > 0 {
+		late := c.copy
+		c.copy = nil
+		if _, err := c.Conn.Write(late); err != nil {
+			return 0, err
+		}
+	}
+	n, err := c.Conn.Write(b)
+	if len(c.sent) <= maxRepeatedBytes {
+		c.sent = append(c.sent, b[:n]...)
+	}
+	return n, err
+}
--- a/standin/service.go
+++ b/standin/service.go
@@ -16,6 +16,7 @@
 // idempotency key. Set Time before calling Handler.
 type Service struct {
 	Latency time.Duration // latency of a request
+	Repeats Repeater      // set with /control/repeat; it must wrap the listener
 
 	mu   sync.Mutex
 	keys map[string]int // requests by idempotency key
@@ -27,6 +28,8 @@
 	m := http.NewServeMux()
 	m.HandleFunc("/", s.echo)
 	m.HandleFunc("GET /control/keys", s.showKeys)
+	m.HandleFunc("POST /control/repeat", s.Repeats.setShare)
+	m.HandleFunc("GET /control/repeat", s.Repeats.showCount)
 	return m
 }
 
@@ -39,6 +42,9 @@
 	}
 	time.Sleep(s.Latency)
 	w.Header().Set("Content-Type", "application/json")
+	if id := q.Header.Get(engine.RequestIDHeader); id != "" {
+		w.Header().Set(engine.RequestIDHeader, id)
+	}
 	fmt.Fprintf(w, "{\"method\":%q,\"path\":%q,\"key\":%q}\n", q.Method, q.URL.Path, key)
 }
 
