gateway, engine: a response of an engine is believed only if it is for the call

With engines that send some responses a second time, late, a caller got the completion of another caller, a loaded adapter counted as not loaded and the reverse, and a scheduler took the copy of one response for that to its order, report or cancellation, and freed the place of a request that still ran.

Cause: calls to engines carried an ID only for completions, and no response was compared with it.

Change: every call carries an X-Request-Id. A response with another ID is discarded, as on the platform's interface; one that cannot be is an unknown outcome.

--- a/daemon/health.go
+++ b/daemon/health.go
@@ -12,6 +12,7 @@
 	"runtime"
 	"time"
 
+	"cairnwick.example/engine"
 	"github.com/pkg/errors"
 )
 
@@ -58,6 +59,7 @@
 	}))
 	n.traffic.publish()
 	expvar.Publish("cairn_links", n.links)
+	expvar.Publish("cairn_surplus_responses", expvar.Func(func() any { return engine.SurplusResponses() }))
 	expvar.Publish("cairn_goroutines", expvar.Func(func() any { return runtime.NumGoroutine() }))
 	expvar.Publish("cairn_platform_calls", expvar.Func(func() any { return n.BoxList.Client.Calls() }))
 }
--- a/engine/client.go
+++ b/engine/client.go
@@ -174,7 +174,7 @@
 	if err != nil {
 		return nil, nil, &NoResponseError{Cause: err}
 	}
-	resp, err := Send(c.HTTP, r, lease.ExpiresAt, ResponseID{})
+	resp, err := Call(c.HTTP, r, lease.ExpiresAt)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -201,6 +201,7 @@
 		return nil, err
 	}
 	if !id.matches(resp.Header) {
+		surplusResponses.Add(1)
 		_ = resp.Body.Close() // nothing that it says is meant for this request
 		return nil, &NoResponseError{Sent: true, Cause: ErrForeignResponse}
 	}
--- a/engine/response_match.go
+++ b/engine/response_match.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 
 	"cairnwick.example/transfer"
 	"github.com/pkg/errors"
@@ -27,6 +28,11 @@
 // errSurplusTooLong means that a response to another request is too long to be discarded.
 var errSurplusTooLong = errors.Errorf("engine: a response to another request is longer than %d bytes", maxSurplusBytes)
 
+var surplusResponses atomic.Int64
+
+// SurplusResponses returns how many responses to other requests came in the place of a response, at all endpoints.
+func SurplusResponses() int64 { return surplusResponses.Load() }
+
 // ResponseID is the ID of a request, and the header in which the endpoint returns it. The zero value matches every response.
 type ResponseID struct {
 	Header    string
@@ -100,6 +106,7 @@
 		if err != nil || !discarded {
 			return err
 		}
+		surplusResponses.Add(1)
 		if a.id.OnSurplus != nil {
 			a.id.OnSurplus()
 		}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,7 +74,7 @@
 		return badRequest("body: %v", err)
 	}
 	sentAt := clock.Now()
-	resp, err := engine.Send(g.EngineClient, req, h.sendBy, engine.ResponseID{})
+	resp, err := engine.Call(g.EngineClient, req, h.sendBy)
 	if err != nil {
 		return g.sendFailure(attemptCtx, h, runID, r, err)
 	}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -117,7 +117,7 @@
 	if c.key != "" {
 		req.Header.Set(engine.KeyHeader, c.key)
 	}
-	resp, err := engine.Send(g.EngineClient, req, clock.Now().Add(g.Timeouts.KeyClaim), engine.ResponseID{})
+	resp, err := engine.Call(g.EngineClient, req, clock.Now().Add(g.Timeouts.KeyClaim))
 	if err != nil {
 		return g.serviceCallFailure(ctx, c, address, err)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -172,7 +172,7 @@
 	if err != nil {
 		return events, false
 	}
-	resp, err := engine.Send(g.EngineClient, req, clock.Now().Add(g.Timeouts.Resume), engine.ResponseID{})
+	resp, err := engine.Call(g.EngineClient, req, clock.Now().Add(g.Timeouts.Resume))
 	if err != nil {
 		return events, false
 	}
