forward: tests of attempts through other boxes and of connections that are reset

By test, no fault found: a further attempt through another box has a connection of its own, since each such connection carries one request; requests in flight on other connections outlive resetConnections.

--- a/forward/foreign_response_test.go
+++ b/forward/foreign_response_test.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/standin"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
@@ -165,3 +167,82 @@
 	s.c.Check(s.gateway.Notices()["repeating"].Surplus, quicktest.Equals, int64(repeats.Count()))
 	s.c.Check(repeats.Count(), quicktest.Equals, 4)
 }
+
+// Guards against a late copy of the response to an attempt through another box that is taken for that to the next attempt.
+func TestSecondAttemptThroughAnotherBoxUsesAnotherConnection(t *testing.T) {
+	relay := &testRelay{}
+	s, _ := cutOffSite(t, relay)
+	s.probe()
+	relay.dials.Store(0)
+	var mu sync.Mutex
+	var callers []string
+	for _, e := range s.gateway.View.Endpoints("app") {
+		s.gateway.View.RemoveEndpoint(e.ID())
+	}
+	calls, repeats := s.repeatingEndpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		callers = append(callers, r.RemoteAddr)
+		if len(callers)%2 == 1 {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		answerOK(w, r)
+	})
+	e := s.gateway.View.Endpoint("repeating")
+	u, q := s.gateway.upstream(e), &request{inbound: httptest.NewRequest(http.MethodPost, "/", nil), call: Call{ID: "call-1"}}
+	q.inbound.Header.Set("Id", "call-1")
+	q.config = s.gateway.View.Config()
+	q.deadline, q.route, q.service = clock.Now().Add(5*time.Second), topology.NewRoute(onceRoute(5*time.Second)), topology.NewService(topology.ServiceSpec{Name: "app"})
+	for n := range 6 {
+		resp, relayed, err := s.gateway.exchange(t.Context(), q, u, target{endpoint: e}, "")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Check(relayed, quicktest.IsTrue)
+		s.c.Check(resp.StatusCode == http.StatusOK, quicktest.Equals, n%2 == 1)
+		s.c.Check(resp.Body.Close(), quicktest.IsNil)
+	}
+	s.c.Check(calls.Load(), quicktest.Equals, int64(6))
+	s.c.Check(relay.dials.Load(), quicktest.Equals, int64(6))
+	s.c.Check(repeats.Count(), quicktest.Equals, 0) // each connection ended after its response
+	slices.Sort(callers)
+	s.c.Check(slices.Compact(callers), quicktest.HasLen, 6)
+}
+
+// Guards against a response that is lost because another connection to the endpoint brought one that is for no request.
+func TestRequestsInFlightOutliveAConnectionThatIsReset(t *testing.T) {
+	s := newSite(t, onceRoute(5*time.Second))
+	release, arrived := make(chan struct{}), make(chan struct{}, 8)
+	s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+		switch r.Header.Get("Id")[:4] {
+		case "slow":
+			arrived <- struct{}{}
+			<-release
+			answerOK(w, r)
+		case "none":
+			w.Header().Del("Id")
+			answerOK(w, r)
+		default:
+			answerOK(w, r)
+		}
+	})
+	statuses := make(chan int, 8)
+	for n := range 4 {
+		go func() {
+			status, _ := s.askAs(fmt.Sprintf("slow-%d", n))
+			statuses <- status
+		}()
+	}
+	for range 4 {
+		<-arrived
+	}
+	for n := range 3 {
+		status, _ := s.askAs(fmt.Sprintf("none-%d", n))
+		s.c.Check(status, quicktest.Equals, http.StatusBadGateway)
+		status, _ = s.askAs(fmt.Sprintf("next-%d", n))
+		s.c.Check(status, quicktest.Equals, http.StatusOK)
+	}
+	close(release)
+	for range 4 {
+		s.c.Check(<-statuses, quicktest.Equals, http.StatusOK)
+	}
+}
--- a/standin/repeat.go
+++ b/standin/repeat.go
@@ -45,11 +45,14 @@
 func (r *Repeater) isDue() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	due := rand.Float64() < r.share
-	if due {
-		r.count++
-	}
-	return due
+	return rand.Float64() < r.share
+}
+
+// recordSent counts a response that was sent again.
+func (r *Repeater) recordSent() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.count++
 }
 
 // setShare handles POST /control/repeat, which sets the share of the responses that are sent again.
@@ -117,6 +120,7 @@
 		if _, err := c.Conn.Write(late); err != nil {
 			return 0, err
 		}
+		c.repeater.recordSent()
 	}
 	n, err := c.Conn.Write(b)
 	if len(c.sent) <= maxRepeatedBytes {
