--- a/measure/fault_injection.go
+++ b/measure/fault_injection.go
@@ -35,6 +35,11 @@
 	// Uneven gives engines unlike speeds and sends requests of three kinds near the fleet's capacity; the report
 	// counts each kind.
 	Uneven bool
+	// Repeats is the share of their responses that the first engine of each data centre and the services send once more, in the
+	// place of the next response on the connection.
+	Repeats float64
+	// HidesRequestIDs has no engine return the IDs of requests, by which such responses are told apart.
+	HidesRequestIDs bool
 }
 
 const (
@@ -70,11 +75,15 @@
 // Run writes the report to w. It returns ErrBreach if a guarantee was broken or a request got
 // no final answer.
 func (s FaultInjection) Run(ctx context.Context, w io.Writer) error {
+	engineArgs := []string{"--step", "5ms", "--report-lag", "200ms", "--leaving-grace", "8s"}
+	if s.HidesRequestIDs {
+		engineArgs = append(engineArgs, "--hides-request-ids")
+	}
 	f := fleet.New(fleet.Spec{
 		Bin: s.Bin, Dir: s.Dir, Proxied: true,
 		Centres: faultDataCentres, Boxes: faultBoxes, Engines: faultEngines, Services: 1,
 		Adapters: faultAdapters, Slots: 4, BatchSize: faultBatchSize,
-		EngineArgs:        []string{"--step", "5ms", "--report-lag", "200ms", "--leaving-grace", "8s"},
+		EngineArgs:        engineArgs,
 		PlatformArgs:      []string{"--store-rate", "40", "--load-time", "100ms"},
 		SchedulerSettings: []string{"store_rate=40", "key_margin=1s"},
 	})
@@ -89,6 +98,9 @@
 	if err := r.setBackoffs(ctx); err != nil {
 		return err
 	}
+	if err := r.setRepeats(ctx); err != nil {
+		return err
+	}
 	reports := make(chan load.Report, 1)
 	go func() { reports <- load.Run(ctx, r.loadPlan()) }()
 	slowed := make(chan error, 1)
@@ -116,6 +128,9 @@
 	if err != nil {
 		return err
 	}
+	if err := r.printRepeats(ctx, w); err != nil {
+		return err
+	}
 	return r.printReport(w, report, witness, over > 0 || atOnce > 0 || ignored)
 }
 
@@ -165,6 +180,35 @@
 	return ignored, nil
 }
 
+// setRepeats has the first engine of each data centre and the services send a share of their responses twice.
+func (r *faultRun) setRepeats(ctx context.Context) error {
+	if r.Repeats <= 0 {
+		return nil
+	}
+	command := fmt.Sprintf("repeat?share=%v", r.Repeats)
+	if err := r.controlEngines(ctx, 1, command); err != nil {
+		return err
+	}
+	return fleet.Post(ctx, "http://"+r.fleet.ServiceAddress(1)+"/control/"+command)
+}
+
+// printRepeats prints how many responses were sent twice.
+func (r *faultRun) printRepeats(ctx context.Context, w io.Writer) error {
+	if r.Repeats <= 0 {
+		return nil
+	}
+	total := 0
+	for c := 1; c <= faultDataCentres; c++ {
+		var n struct{ Repeated int }
+		if err := r.engineCounts(ctx, c, 1, "repeat", &n); err != nil {
+			return err
+		}
+		total += n.Repeated
+	}
+	fmt.Fprintf(w, "engines sent %d responses twice\n", total)
+	return nil
+}
+
 // setLimits makes the first engine of each data centre announce a rate limit.
 func (r *faultRun) setLimits(ctx context.Context) error {
 	if r.Limit <= 0 {
--- a/standin/repeat.go
+++ b/standin/repeat.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -15,7 +16,7 @@
 const maxRepeatedBytes = 1 << 20
 
 // Repeater has a server send some of its responses once more, late: in the place of the next response on the connection. A
-// connection that the server closes after a response sends it once.
+// connection that the server closes after a response sends it once, and test controls are left alone.
 type Repeater struct {
 	mu    sync.Mutex
 	share float64
@@ -91,9 +92,11 @@
 
 	repeater *Repeater
 
-	mu   sync.Mutex
-	sent []byte // the last response; empty: it is too long
-	copy []byte // to be sent before the next response
+	mu        sync.Mutex
+	begun     bool   // a request came
+	isControl bool   // it is a test control
+	sent      []byte // the last response; longer than maxRepeatedBytes: not all of it
+	copy      []byte // to be sent before the next response
 }
 
 // Read implements net.Conn.
@@ -101,11 +104,11 @@
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && len(c.sent) > 0 {
-		if len(c.sent) <= maxRepeatedBytes && c.repeater.isDue() {
+	if n > 0 && (!c.begun || len(c.sent) > 0) {
+		if len(c.sent) <= maxRepeatedBytes && !c.isControl && c.repeater.isDue() {
 			c.copy = c.sent
 		}
-		c.sent = nil
+		c.begun, c.sent, c.isControl = true, nil, bytes.Contains(b[:n], []byte(" /control/"))
 	}
 	return n, err
 }
@@ -114,7 +117,7 @@
 func (c *repeatConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.copy) > 0 {
+	if len(c.copy) > 0 && !c.isControl {
 		late := c.copy
 		c.copy = nil
 		if _, err := c.Conn.Write(late); err != nil {
