placement: a box without contact claims no endpoint that takes another box's orders

A claim also waited for good for an endpoint whose report always shows an order under way.

Cause: "no contact" was taken for "alone", and a refused order ended the claims for five quarters of a lease only.

Change: a box that has seeds and no contact claims an endpoint once it has accepted no order for a second, by two of its reports, and comes back only after ten leases once it was refused.

--- a/edge/node.go
+++ b/edge/node.go
@@ -117,6 +117,7 @@
 		Leaders:     func() int { return len(n.peers.clusterView().centres) },
 		Owns:        n.owns,
 		AskToResign: n.peers.requestHandover,
+		HasContact:  n.peers.hasContact,
 		Headroom:    n.room,
 		PrefillTime: func(tokens int) time.Duration { return n.gateway.PromptReadTime(tokens) },
 		Publish: func(endpoint string, version uint64, held map[topology.Adapter]topology.AdapterState) {
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -129,6 +129,14 @@
 	return trusted
 }
 
+// hasContact reports whether this box has had contact with another box, or knows of none by its settings.
+func (p *peers) hasContact() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.viewTrustedFromLocked(time.Now()) // notes the first contact
+	return !p.firstContact.IsZero() || len(p.seeds()) == 0
+}
+
 // viewTrustedFrom returns from when on this box's initial view of the others can be trusted.
 func (p *peers) viewTrustedFrom(now time.Time) time.Time {
 	p.mu.Lock()
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -10,8 +10,15 @@
 	"cairnwick.example/topology"
 )
 
-// claimRetryInterval is the pause after a failed attempt to claim an endpoint.
-const claimRetryInterval = 300 * time.Millisecond
+const (
+	claimRetryInterval = 300 * time.Millisecond // the pause after a failed attempt to claim an endpoint
+	// ownerCheckTime is how long an endpoint has to take no order of another owner until a box without contact to any other
+	// claims it. Under load an owner gives several orders in that time.
+	ownerCheckTime = time.Second
+	// loneBackoffLeases is for how many leases a box without contact claims no endpoint after a refusal: the owner is alive, and
+	// contact with it settles who owns the endpoint.
+	loneBackoffLeases = 10
+)
 
 // claim raises the fence at an endpoint, learns what it holds, and then owns it. The fence
 // comes first: from then on the endpoint refuses orders of the previous owner, who may not know
@@ -21,12 +28,13 @@
 // fence when it was asked, and a box that has raised one since gives no order before its
 // own report is recent enough.
 // An endpoint that carries out an order of a previous owner is claimed once that has ended: what it will hold then is not known
-// before.
+// before. After modelLoadTimeout it is claimed all the same, and asked again before it is ordered a base model.
 func (l *Loader) claim(o *ownedEndpoint) func(context.Context) {
 	return func(ctx context.Context) {
+		l.awaitNoOrders(ctx, o)
 		asked := clock.Now()
 		handed := l.requestHandover(ctx, o)
-		waiting := false
+		waiting := time.Time{}
 		for ctx.Err() == nil && l.isClaiming(o) {
 			e, fence, raised := l.raiseFence(ctx, o)
 			if !raised {
@@ -48,8 +56,7 @@
 			switch {
 			case err != nil:
 				l.Log.Info("Endpoint report failed; retrying claim", "endpoint", e.ID(), "err", err.Error())
-			case h.Ordering:
-				l.logOrdering(e, &waiting)
+			case h.Ordering && l.isWorthWaiting(e, &waiting):
 			default:
 				l.takeOwnership(ctx, o, fence, h, false)
 				return
@@ -61,12 +68,50 @@
 	}
 }
 
-// logOrdering logs once for each claim that an endpoint carries out an order.
-func (l *Loader) logOrdering(e *topology.Endpoint, logged *bool) {
-	if !*logged {
+// isWorthWaiting reports whether the claim of an endpoint that carries out an order still waits for its end. since is when it
+// began to wait; zero: it has not.
+func (l *Loader) isWorthWaiting(e *topology.Endpoint, since *time.Time) bool {
+	if since.IsZero() {
+		*since = clock.Now()
 		l.Log.Info("Endpoint carries out an order about a base model; its claim waits", "endpoint", e.ID())
 	}
-	*logged = true
+	return clock.Since(*since) < modelLoadTimeout
+}
+
+// hasContact reports whether this box has had contact with another box, or knows that there is none.
+func (l *Loader) hasContact() bool { return l.HasContact == nil || l.HasContact() }
+
+// awaitNoOrders waits while this box has no contact with any other box, and the endpoint takes orders of one.
+func (l *Loader) awaitNoOrders(ctx context.Context, o *ownedEndpoint) {
+	logged := false
+	for ctx.Err() == nil && !l.hasContact() && l.isClaiming(o) {
+		before, err := l.readSequence(ctx, o)
+		if err != nil || !sleep(ctx, ownerCheckTime) {
+			return
+		}
+		after, err := l.readSequence(ctx, o)
+		if err != nil || after == before {
+			return
+		}
+		if !logged {
+			l.Log.Info("Endpoint takes orders of another box; its claim waits for contact with that box", "endpoint", o.endpoint.ID())
+			logged = true
+		}
+	}
+}
+
+// readSequence returns the number of orders that an endpoint has accepted.
+func (l *Loader) readSequence(ctx context.Context, o *ownedEndpoint) (uint64, error) {
+	l.mu.Lock()
+	e := o.endpoint
+	l.mu.Unlock()
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	h, err := l.Control.Report(call, e)
+	if err != nil {
+		l.Log.Info("Endpoint report failed before its claim", "endpoint", e.ID(), "err", err.Error())
+	}
+	return h.Sequence, err
 }
 
 // requestHandover asks the previous owner to hand over an endpoint that this box has not owned.
@@ -212,6 +257,9 @@
 // claimBackoffLocked returns how long this box backs off from an endpoint that refused it:
 // longer than the lease, so that two boxes that both consider themselves owner do not alternate.
 func (l *Loader) claimBackoffLocked(o *ownedEndpoint) time.Duration {
+	if !l.hasContact() {
+		return loneBackoffLeases * l.Lease()
+	}
 	if o.since.Sub(l.startedAt) < l.Lease() {
 		return startupClaimBackoff
 	}
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -44,6 +44,8 @@
 	// Headroom returns the remaining capacity of an endpoint that announces a rate limit; nil: no
 	// endpoint does.
 	Headroom func(endpoint string, now time.Time) ratelimit.Headroom
+	// HasContact reports whether this box has had contact with another box, or knows that there is none; nil: it has.
+	HasContact func() bool
 	// Lease is the ownership lease. A box whose claim was refused retries after somewhat longer,
 	// so that two boxes that both consider themselves owner do not alternate.
 	Lease func() time.Duration
