soak: engines with room for one of two base models

The stand-in engine can have base models that orders load, with reports that lag, and crashes when it is ordered beyond its memory; responses can be lost (/control/lose). cairn-measure base-models restarts such engines while boxes are killed, frozen, stopped and started, and checks that none is ordered beyond its memory and that each holds a base model in the end.

The faults of boxes of the soak of software versions are shared; they are as they were.

--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -48,6 +48,13 @@
 	Rate float64       `arg:"--rate" default:"20" help:"streams per second"`
 }
 
+type baseModelsCommand struct {
+	Time  time.Duration `arg:"--time" default:"12s" help:"duration of one run"`
+	Seed  uint64        `arg:"--seed" default:"1" help:"first seed of the faults"`
+	Seeds int           `arg:"--seeds" default:"1" help:"number of runs, each with the next seed"`
+	Boxes int           `arg:"--boxes" default:"7" help:"boxes of all data centres together"`
+}
+
 type policiesCommand struct {
 	Time     time.Duration `arg:"--time" default:"30s" help:"duration of one run"`
 	Warm     time.Duration `arg:"--warm" default:"15s" help:"duration of the warm-up before each run"`
@@ -84,17 +91,18 @@
 }
 
 type arguments struct {
-	Blocked  *blockedCommand  `arg:"subcommand:blocked" help:"compare latency while the log's reader reads and while it is blocked"`
-	Scarce   *scarceCommand   `arg:"subcommand:scarce" help:"simulate adapter placement with few slots and long prompts"`
-	Where    *whereCommand    `arg:"subcommand:where" help:"break down request latency by cause, from logs"`
-	Future   *futureCommand   `arg:"subcommand:future" help:"compute the bound of an offline optimal policy, from logs"`
-	Policies *policiesCommand `arg:"subcommand:policies" help:"compare the default policies with baselines on the users' deployments"`
-	Storm    *stormCommand    `arg:"subcommand:storm" help:"inject mixed faults under load and check the guarantees at the stand-ins"`
-	Restores *restoresCommand `arg:"subcommand:restores" help:"restore the store from older backups while boxes fail and restart"`
-	Versions *versionsCommand `arg:"subcommand:versions" help:"replace engines by other software versions while boxes fail, and check that no stream is mixed"`
-	Path     *pathCommand     `arg:"subcommand:path" help:"compare latency through cairnwick with direct requests to the engine"`
-	Capacity *capacityCommand `arg:"subcommand:capacity" help:"measure how the resource usage of daemons scales"`
-	Bin      string           `arg:"--bin" default:"bin" help:"directory of the programs"`
+	Blocked    *blockedCommand    `arg:"subcommand:blocked" help:"compare latency while the log's reader reads and while it is blocked"`
+	Scarce     *scarceCommand     `arg:"subcommand:scarce" help:"simulate adapter placement with few slots and long prompts"`
+	Where      *whereCommand      `arg:"subcommand:where" help:"break down request latency by cause, from logs"`
+	Future     *futureCommand     `arg:"subcommand:future" help:"compute the bound of an offline optimal policy, from logs"`
+	Policies   *policiesCommand   `arg:"subcommand:policies" help:"compare the default policies with baselines on the users' deployments"`
+	Storm      *stormCommand      `arg:"subcommand:storm" help:"inject mixed faults under load and check the guarantees at the stand-ins"`
+	Restores   *restoresCommand   `arg:"subcommand:restores" help:"restore the store from older backups while boxes fail and restart"`
+	BaseModels *baseModelsCommand `arg:"subcommand:base-models" help:"restart engines that have room for one of two base models while boxes fail and answers are lost, and check that none is ordered beyond its memory"`
+	Versions   *versionsCommand   `arg:"subcommand:versions" help:"replace engines by other software versions while boxes fail, and check that no stream is mixed"`
+	Path       *pathCommand       `arg:"subcommand:path" help:"compare latency through cairnwick with direct requests to the engine"`
+	Capacity   *capacityCommand   `arg:"subcommand:capacity" help:"measure how the resource usage of daemons scales"`
+	Bin        string             `arg:"--bin" default:"bin" help:"directory of the programs"`
 }
 
 // Description implements go-arg.
@@ -132,6 +140,8 @@
 		err = measure.StoreRestores{Bin: a.Bin, Dir: dir, Time: a.Restores.Time, Seed: a.Restores.Seed}.Run(ctx, os.Stdout)
 	case a.Versions != nil:
 		err = measure.SoftwareVersions{Bin: a.Bin, Dir: dir, Time: a.Versions.Time, Seed: a.Versions.Seed, Rate: a.Versions.Rate}.Run(ctx, os.Stdout)
+	case a.BaseModels != nil:
+		err = measure.BaseModels{Bin: a.Bin, Dir: dir, Time: a.BaseModels.Time, Seed: a.BaseModels.Seed, Seeds: a.BaseModels.Seeds, Boxes: a.BaseModels.Boxes}.Run(ctx, os.Stdout)
 	case a.Scarce != nil:
 		err = measure.PlacementSimulation{Seed: a.Scarce.Seed, Time: a.Scarce.Time, Rate: a.Scarce.Rate}.Run(os.Stdout)
 	case a.Where != nil:
--- a/cmd/standin-engine/main.go
+++ b/cmd/standin-engine/main.go
@@ -27,6 +27,8 @@
 	EventLag     time.Duration `arg:"--event-lag" default:"1s" help:"delay until a cache event can be read"`
 	EventGap     int           `arg:"--event-gap" default:"0" help:"every n-th cache event is lost; 0: none"`
 	NoFences     bool          `arg:"--no-fences" help:"accept orders without checking their fence"`
+	BaseModels   []string      `arg:"--base-models" help:"base models that orders may load, of which one fits; empty: the base model is loaded all the time"`
+	BaseTime     time.Duration `arg:"--base-model-time" default:"1s" help:"duration of the load of a base model"`
 	HidesIDs     bool          `arg:"--hides-request-ids" help:"do not return the IDs of requests"`
 	RefusesNew   bool          `arg:"--refuses-new" help:"reject new requests when leaving"`
 	EndsUnder    string        `arg:"--ends-under" help:"exit when a request's body contains this text; empty: never"`
@@ -54,6 +56,9 @@
 		DropEventEvery:  a.EventGap,
 		ChecksFences:    !a.NoFences,
 		HidesRequestIDs: a.HidesIDs,
+		BaseModels:      a.BaseModels,
+		BaseModelRoom:   1,
+		BaseModelTime:   a.BaseTime,
 		RefusesNew:      a.RefusesNew,
 		LeavingGrace:    a.LeavingGrace,
 		Store:           standin.StoreFetcher(a.Store),
--- a/measure/software_versions.go
+++ b/measure/software_versions.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"syscall"
 	"time"
 
 	"cairnwick.example/fleet"
@@ -48,7 +47,8 @@
 	list := r.callers()
 	inner, cancel := context.WithCancel(ctx)
 	ended := make(chan error, 2)
-	go func() { ended <- r.failBoxes(inner) }()
+	faults := boxFaults{fleet: f, seed: s.Seed, centres: versionCentres, boxes: versionBoxes}
+	go func() { ended <- faults.run(inner) }()
 	go func() { ended <- r.replaceEngines(inner) }()
 	load.RunStreams(ctx, s.Rate, list)
 	cancel()
@@ -125,69 +125,6 @@
 	}
 }
 
-// failBoxes kills, freezes and stops boxes, up to half of them at the same time, until ctx ends.
-func (r versionsRun) failBoxes(ctx context.Context) error {
-	random := rand.New(rand.NewPCG(r.Seed, 1))
-	for pause(ctx, random, 2*time.Second) {
-		var failed [][2]int
-		for range 1 + random.IntN(versionCentres*versionBoxes/2) {
-			failed = append(failed, [2]int{1 + random.IntN(versionCentres), 1 + random.IntN(versionBoxes)})
-		}
-		fault := random.IntN(3)
-		for _, at := range failed {
-			r.failBox(at, fault)
-		}
-		pause(ctx, random, faultTime(fault))
-		for _, at := range failed {
-			if err := r.restoreBox(at, fault); err != nil {
-				return err
-			}
-		}
-	}
-	return nil
-}
-
-// The faults of a box.
-const (
-	freezeBox = iota
-	killBox
-	stopBox
-)
-
-// faultTime bounds how long a fault lasts. A box that is frozen for longer than its view may lag wakes up with endpoints that
-// others have seen leave.
-func faultTime(fault int) time.Duration {
-	if fault == freezeBox {
-		return 6 * time.Second
-	}
-	return time.Second
-}
-
-// failBox induces a fault. A box that was chosen twice has failed already.
-func (r versionsRun) failBox(at [2]int, fault int) {
-	name := fleet.DaemonName(at[0], at[1], "edge")
-	switch fault {
-	case freezeBox:
-		_ = r.fleet.Signal(name, syscall.SIGSTOP)
-	case killBox:
-		_ = r.fleet.Terminate(name, syscall.SIGKILL)
-	case stopBox:
-		_ = r.fleet.Terminate(name, syscall.SIGTERM)
-	}
-}
-
-// restoreBox ends a fault.
-func (r versionsRun) restoreBox(at [2]int, fault int) error {
-	name := fleet.DaemonName(at[0], at[1], "edge")
-	if fault == freezeBox {
-		return r.fleet.Signal(name, syscall.SIGCONT)
-	}
-	if r.fleet.PID(name) != 0 {
-		return nil // chosen twice, and started
-	}
-	return r.fleet.StartEdge(context.Background(), at[0], at[1], fleet.EdgeSettings, nil)
-}
-
 // replaceEngines restarts engines with other versions until ctx ends.
 func (r versionsRun) replaceEngines(ctx context.Context) error {
 	random := rand.New(rand.NewPCG(r.Seed, 2))
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -33,9 +33,12 @@
 	RefusesNew      bool          // rejects new requests while leaving
 	LeavingGrace    time.Duration // new requests later than this after leaving count as violations
 	Store           func(ctx context.Context, path string) (string, error)
-	Fallback        http.Handler // serves all other paths, for instance another protocol; may be nil
-	HidesRequestIDs bool         // responses do not have the request's ID
-	Repeats         Repeater     // set with /control/repeat; it must wrap the listener
+	Fallback        http.Handler  // serves all other paths, for instance another protocol; may be nil
+	BaseModels      []string      // that orders may load; empty: Base is loaded all the time
+	BaseModelRoom   int           // how many of them fit; an engine that is ordered to load more crashes
+	BaseModelTime   time.Duration // duration of the load of a base model
+	HidesRequestIDs bool          // responses do not have the request's ID
+	Repeats         Repeater      // set with /control/repeat; it must wrap the listener
 
 	mu               sync.Mutex
 	boot             string
@@ -52,6 +55,7 @@
 	failLoads        int              // how many of the next loads fail
 	counts           Counts
 	prefixes         prefixCache
+	baseModels       baseModels
 	keys             map[string]int // number of runs by idempotency key
 	requestIDs       []string       // request IDs of all runs, in order
 	limit            limit          // has its own lock
@@ -92,6 +96,8 @@
 	StepTokens      int `json:"step_tokens"`  // tokens produced in these steps
 	PrefixHits      int `json:"prefix_hits"`  // runs whose prompt prefix was cached
 	OrdersLoads     int `json:"orders_loads"` // load orders received
+	OverMemory      int `json:"over_memory"`  // violation: ordered to load more base models than it has room for
+	BaseModelLoads  int `json:"base_model_loads"`
 }
 
 // Add returns the sum of both counts.
@@ -112,6 +118,8 @@
 	n.StepTokens += o.StepTokens
 	n.PrefixHits += o.PrefixHits
 	n.OrdersLoads += o.OrdersLoads
+	n.OverMemory += o.OverMemory
+	n.BaseModelLoads += o.BaseModelLoads
 	return n
 }
 
@@ -161,6 +169,8 @@
 	e.boot = uuid.NewString()
 	e.fence = engine.Fence{}
 	e.orderCount = 0
+	e.baseModels = baseModels{}
+	e.recordBaseModelsLocked(time.Now())
 	e.slots = make(map[string]*slot)
 	e.runs = make(map[string]*run)
 	e.waiting, e.batch = nil, nil
@@ -281,6 +291,8 @@
 	m.HandleFunc("POST /control/slowdown", e.setSlowdown)
 	m.HandleFunc("POST /control/repeat", e.Repeats.setShare)
 	m.HandleFunc("GET /control/repeat", e.Repeats.showCount)
+	m.HandleFunc("POST /control/lose", e.Repeats.setLost)
+	m.HandleFunc("GET /control/base-models", e.showBaseModels)
 	m.HandleFunc("POST "+fragilityPath, e.setFragility)
 	m.HandleFunc("GET "+fragilityPath, e.showFragility)
 	if e.Fallback != nil {
--- a/standin/protocol.go
+++ b/standin/protocol.go
@@ -72,7 +72,8 @@
 // Order requests that an adapter of the engine's model is loaded or unloaded.
 type Order struct {
 	Operation Operation
-	Adapter   string // empty: the base model, which is always loaded
+	Model     string // base model
+	Adapter   string // empty: the base model
 	Version   int64  // to load; zero: version 1
 	Fence     engine.Fence
 }
@@ -98,6 +99,12 @@
 		return Fenced
 	}
 	e.fence = o.Fence
+	if o.Adapter == "" && len(e.BaseModels) > 0 {
+		if o.Operation == Load {
+			return e.loadBaseModelLocked(o.Model)
+		}
+		return Invalid
+	}
 	e.orderCount++
 	switch {
 	case o.Adapter == "":
--- a/standin/repeat.go
+++ b/standin/repeat.go
@@ -20,7 +20,8 @@
 type Repeater struct {
 	mu    sync.Mutex
 	share float64
-	count int // responses sent again
+	lost  float64 // share of the responses that are not sent, with their connection closed
+	count int     // responses sent again
 }
 
 // SetShare sets the share of the responses that are sent again, from 0 to 1.
@@ -56,6 +57,26 @@
 	r.count++
 }
 
+// isLost decides whether a response is lost.
+func (r *Repeater) isLost() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return rand.Float64() < r.lost
+}
+
+// setLost handles POST /control/lose, which sets the share of the responses that are lost: the call is carried out, and its
+// connection closed.
+func (r *Repeater) setLost(w http.ResponseWriter, q *http.Request) {
+	share, err := strconv.ParseFloat(q.FormValue("share"), 64)
+	if err != nil || share < 0 || share > 1 {
+		http.Error(w, "share: must be a number from 0 to 1", http.StatusBadRequest)
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = share
+}
+
 // setShare handles POST /control/repeat, which sets the share of the responses that are sent again.
 func (r *Repeater) setShare(w http.ResponseWriter, q *http.Request) {
 	share, err := strconv.ParseFloat(q.FormValue("share"), 64)
@@ -117,6 +138,9 @@
 func (c *repeatConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(c.sent) == 0 && !c.isControl && c.repeater.isLost() {
+		_ = c.Conn.Close() // the write below fails
+	}
 	if len(c.copy) > 0 && !c.isControl {
 		late := c.copy
 		c.copy = nil
