standin: test controls are told from requests by all of the request's first bytes

The server may read one byte of a request ahead, so that the soak got a late copy of its own control call (seeds 26 to 50 of base-models ended with a decoding error of the harness).

--- a/standin/repeat.go
+++ b/standin/repeat.go
@@ -113,23 +113,31 @@
 
 	repeater *Repeater
 
-	mu        sync.Mutex
-	begun     bool   // a request came
-	isControl bool   // it is a test control
-	sent      []byte // the last response; longer than maxRepeatedBytes: not all of it
-	copy      []byte // to be sent before the next response
+	mu      sync.Mutex
+	request []byte // start of the last request
+	sent    []byte // the response to it; longer than maxRepeatedBytes: not all of it
+	copy    []byte // to be sent before the next response
 }
 
+// requestStart is how many bytes of a request are kept: they hold its method and the start of its path.
+const requestStart = 64
+
+// isControlLocked reports whether the last request is a test control.
+func (c *repeatConn) isControlLocked() bool { return bytes.Contains(c.request, []byte(" /control/")) }
+
 // Read implements net.Conn.
 func (c *repeatConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n > 0 && (!c.begun || len(c.sent) > 0) {
-		if len(c.sent) <= maxRepeatedBytes && !c.isControl && c.repeater.isDue() {
+	if n > 0 && len(c.sent) > 0 {
+		if len(c.sent) <= maxRepeatedBytes && !c.isControlLocked() && c.repeater.isDue() {
 			c.copy = c.sent
 		}
-		c.begun, c.sent, c.isControl = true, nil, bytes.Contains(b[:n], []byte(" /control/"))
+		c.request, c.sent = nil, nil
+	}
+	if more := min(n, requestStart-len(c.request)); more > 0 {
+		c.request = append(c.request, b[:more]...)
 	}
 	return n, err
 }
@@ -138,10 +146,10 @@
 func (c *repeatConn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.sent) == 0 && !c.isControl && c.repeater.isLost() {
+	if len(c.sent) == 0 && !c.isControlLocked() && c.repeater.isLost() {
 		_ = c.Conn.Close() // the write below fails
 	}
-	if len(c.copy) > 0 && !c.isControl {
+	if len(c.copy) > 0 && !c.isControlLocked() {
 		late := c.copy
 		c.copy = nil
 		if _, err := c.Conn.Write(late); err != nil {
