engine: the header that decides about a response is the one that net/http reads

A response with an empty ID before the own one was taken for the own one, and its connection kept (FuzzResponseIsOfTheRequest, found in 12 s; nobody is known to send such a response). The first such header counts now, as in net/http; 40 s of fuzzing find nothing more.

--- a/engine/response_match.go
+++ b/engine/response_match.go
@@ -197,15 +197,13 @@
 	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
 }
 
-// headerValue returns the first value of a header that is not empty.
+// headerValue returns the first value of a header; false if there is none, or it is empty.
 func headerValue(head []byte, name string) (value string, found bool) {
 	for line := range bytes.Lines(head) {
 		key, text, ok := bytes.Cut(line, []byte(":"))
-		if !ok || !strings.EqualFold(string(key), name) {
-			continue
-		}
-		if text = bytes.TrimSpace(text); len(text) > 0 {
-			return string(text), true
+		if ok && strings.EqualFold(string(key), name) {
+			text = bytes.TrimSpace(text)
+			return string(text), len(text) > 0
 		}
 	}
 	return "", false
