placement: an endpoint claimed during an order gets no base model before it is claimed anew

A base model that takes longer could end its load between the report and the first order, which then exceeded the endpoint's memory, so that it ends (LIMIT).

Cause: the claim took an endpoint with an order under way for one without base models. Found by reading.

Change: such an endpoint gets no order about a base model, and is claimed anew after 30 s, by a newer report.

TestEndpointClaimedDuringAnOrderGetsNoBaseModel failed before.

--- a/placement/claim.go
+++ b/placement/claim.go
@@ -28,7 +28,7 @@
 // fence when it was asked, and a box that has raised one since gives no order before its
 // own report is recent enough.
 // An endpoint that carries out an order of a previous owner is claimed once that has ended: what it will hold then is not known
-// before. After modelLoadTimeout it is claimed all the same, and asked again before it is ordered a base model.
+// before. After modelLoadTimeout it is claimed all the same, gets no order about a base model, and is claimed anew after that time.
 func (l *Loader) claim(o *ownedEndpoint) func(context.Context) {
 	return func(ctx context.Context) {
 		l.awaitNoOrders(ctx, o)
@@ -59,6 +59,9 @@
 			case h.Ordering && l.isWorthWaiting(e, &waiting):
 			default:
 				l.takeOwnership(ctx, o, fence, h, false)
+				if h.Ordering {
+					l.reclaimLater(ctx, o)
+				}
 				return
 			}
 			if !sleep(ctx, claimRetryInterval) {
@@ -78,6 +81,16 @@
 	return clock.Since(*since) < modelLoadTimeout
 }
 
+// reclaimLater claims an endpoint anew that was claimed while it carried out an order about a base model.
+func (l *Loader) reclaimLater(ctx context.Context, o *ownedEndpoint) {
+	l.mu.Lock()
+	claim := o.claims
+	l.mu.Unlock()
+	if sleep(ctx, modelLoadTimeout) {
+		l.requestReclaim(o, claim, "an order about a base model was under way")
+	}
+}
+
 // hasContact reports whether this box has had contact with another box, or knows that there is none.
 func (l *Loader) hasContact() bool { return l.HasContact == nil || l.HasContact() }
 
@@ -183,7 +196,7 @@
 	o.claims++
 	claim := o.claims
 	o.slots = make(map[topology.Adapter]*slot)
-	o.models, o.loadingModel = make(map[string]bool), false
+	o.models, o.loadingModel = make(map[string]bool), h.Ordering
 	for _, m := range h.Models {
 		o.models[m] = true
 	}
--- a/placement/model_takeover_test.go
+++ b/placement/model_takeover_test.go
@@ -176,3 +176,21 @@
 	h, err := r.Control.Report(ctx, e)
 	return r.report(h), err
 }
+
+// Guards against a base model that is ordered beyond the memory of an endpoint whose order before took longer than its claim waited.
+func TestEndpointClaimedDuringAnOrderGetsNoBaseModel(t *testing.T) {
+	c := quicktest.New(t)
+	for _, ordering := range []bool{true, false} {
+		b := newModelFixture(&singleModelEndpoint{})
+		l := b.loader
+		l.Init()
+		o := &ownedEndpoint{endpoint: b.endpoint, phase: claiming}
+		l.owned["e1"] = o
+		l.takeOwnership(c.Context(), o, 1, Inventory{Ordering: ordering}, false)
+		l.mu.Lock()
+		tasks := l.startModelLoadsLocked(time.Now())
+		tasks = append(tasks, l.startModelLoadsLocked(time.Now().Add(10*time.Second))...) // the rate allows one by then
+		l.mu.Unlock()
+		c.Check(len(tasks) == 0, quicktest.Equals, ordering)
+	}
+}
