forward: logs and metrics say what proves that an attempt was not executed

By what a box concluded that a request had not run could not be told from its logs: a rejection and a 421 had the same outcome, "lost" stood for requests that were sent and for those that were not, and a refusal of an endpoint that was relayed looked like any response.

"Attempt failed" has the proof and the status, "Request failed" the proofs of all attempts, a status that promises without a proof has a line of its own, and the metric edge_proofs counts them. What is decided is unchanged.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -18,6 +18,7 @@
 	m.Set("edge_first_byte", stats.FirstByte)
 	m.Set("edge_refusals", stats.Refusals)
 	m.Set("edge_failed_attempts", stats.FailedAttempts)
+	m.Set("edge_proofs", expvar.Func(func() any { return n.gateway.Proofs() }))
 	m.Set("edge_prediction_error", stats.PredictionError)
 	m.Set("edge_organisations", stats.Organisations)
 	m.Set("edge_organisation_refusals", stats.OrganisationRefusals)
--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -175,15 +175,16 @@
 			g.reportBroken(u, q)
 		}
 	}
-	g.recordAttempt(q, "lost", err.Error())
 	q.tried[u.endpoint.ID()] = true
 	if !sent {
+		g.recordAttempt(q, failedAttempt{outcome: "lost", proof: unsent, detail: err.Error()})
 		q.unsent++
 		if isDialError(err) {
 			q.excluded[u.endpoint.ID()] = true
 		}
 		return &Refusal{Code: CodeNoEndpoint, Unsent: true, RetryAfter: g.linkRetryAfter(u.endpoint.Service(), refusedRetryAfter), Detail: err.Error()}
 	}
+	g.recordAttempt(q, failedAttempt{outcome: "lost", proof: noProof, detail: err.Error()})
 	q.mayHaveRun = true
 	q.executions++
 	return &Refusal{Code: CodeNoAnswer, MayHaveRun: true, Detail: err.Error()}
@@ -201,16 +202,16 @@
 	head := g.Protocol.ParseResponse(resp, q.call, t.endpoint.ID())
 	if !head.MatchesCall {
 		g.recordSurplus(u.endpoint.ID())
-		return g.recordInvalid(q, u) // nothing that it says is meant for this request
+		return g.recordInvalid(q, u, resp) // nothing that it says is meant for this request
 	}
 	g.observeResponse(q, u, t, head)
 	switch {
 	case head.WrongEndpoint:
 		u.markDown(clock.Now())
-		return g.recordRefused(q, t, CodeNoEndpoint, "another endpoint answered at the address")
+		return g.recordRefused(q, t, CodeNoEndpoint, failedAttempt{proof: misdirected, status: resp.StatusCode, detail: "another endpoint answered at the address"})
 	case head.AdapterNotLoaded:
 		g.View.RemoveAdapter(t.endpoint.ID(), q.call.Adapter)
-		f := g.recordRefused(q, t, CodeNotLoaded, "the endpoint does not hold the adapter")
+		f := g.recordRefused(q, t, CodeNotLoaded, failedAttempt{proof: misdirected, status: resp.StatusCode, detail: "the endpoint does not hold the adapter"})
 		delete(q.tried, t.endpoint.ID()) // it can be loaded there
 		delete(q.excluded, t.endpoint.ID())
 		q.notLoadedAt = t.endpoint.ID()
@@ -221,34 +222,45 @@
 		if head.Backoff == 0 {
 			u.recordRefusal(clock.Now())
 		}
-		return g.recordRefused(q, t, CodeRefusedByEndpoint, "the endpoint rejected the request: "+resp.Status)
+		return g.recordRefused(q, t, CodeRefusedByEndpoint, failedAttempt{proof: rejected, status: resp.StatusCode, detail: "the endpoint rejected the request: " + resp.Status})
 	case head.Encoded || (isSuccess(resp) && !head.Signed):
-		return g.recordInvalid(q, u)
+		return g.recordInvalid(q, u, resp)
+	}
+	if promisesNotExecuted(resp.StatusCode) {
+		g.recordUnproven(q, t, resp)
 	}
 	return nil
 }
 
+// recordUnproven logs and counts a response whose status promises that the request was not executed, without a proof.
+func (g *Gateway) recordUnproven(q *request, t target, resp *http.Response) {
+	g.proofCounters.unproven.Add(1)
+	g.Log.Info("Endpoint refused a request without proof that it was not executed", "request", q.call.ID, "route", q.route.Name(),
+		"endpoint", t.endpoint.ID(), "status", resp.StatusCode, "attempt", q.attempts)
+}
+
 // recordInvalid records a response that is none: the request may have been executed.
-func (g *Gateway) recordInvalid(q *request, u *upstream) *Refusal {
+func (g *Gateway) recordInvalid(q *request, u *upstream, resp *http.Response) *Refusal {
 	u.resetConnections()
 	u.recordOutcome(true)
 	q.mayHaveRun = true
 	q.executions++
 	q.tried[u.endpoint.ID()] = true
-	g.recordAttempt(q, "spoilt", invalidResponse)
+	g.recordAttempt(q, failedAttempt{outcome: "spoilt", proof: noProof, status: resp.StatusCode, detail: invalidResponse})
 	return &Refusal{Code: CodeInvalidResponse, MayHaveRun: true, Detail: invalidResponse}
 }
 
 // recordRefused records that an endpoint rejected the request without executing it.
-func (g *Gateway) recordRefused(q *request, t target, c Code, detail string) *Refusal {
+func (g *Gateway) recordRefused(q *request, t target, c Code, a failedAttempt) *Refusal {
 	q.tried[t.endpoint.ID()] = true
 	q.excluded[t.endpoint.ID()] = true
-	g.recordAttempt(q, "refused", detail)
+	a.outcome = "refused"
+	g.recordAttempt(q, a)
 	retryAfter := refusedRetryAfter
 	if after, known := g.earliestAvailable(g.View.Endpoints(q.service.Name()), clock.Now()); known {
 		retryAfter = max(retryAfter, after)
 	}
-	return &Refusal{Code: c, RetryAfter: retryAfter, Detail: detail}
+	return &Refusal{Code: c, RetryAfter: retryAfter, Detail: a.detail}
 }
 
 // relay sends the response to the caller, at once or event by event.
@@ -315,6 +327,6 @@
 	q.mayHaveRun = true
 	q.executions++
 	q.tried[u.endpoint.ID()] = true
-	g.recordAttempt(q, "cut", detail)
+	g.recordAttempt(q, failedAttempt{outcome: "cut", proof: noProof, detail: detail})
 	return &Refusal{Code: CodeTruncated, MayHaveRun: true, Detail: detail}
 }
--- a/forward/gateway.go
+++ b/forward/gateway.go
@@ -60,6 +60,7 @@
 	sampleCount atomic.Uint64
 
 	streamCounters streamCounters
+	proofCounters  proofCounters
 
 	mu         sync.Mutex
 	budgets    map[string]*RetryBudget    // by service; mu is taken before a RetryBudget's
--- a/forward/record.go
+++ b/forward/record.go
@@ -90,13 +90,23 @@
 	return q.call.PromptParts[:min(len(q.call.PromptParts), maxLoggedParts)]
 }
 
-// recordAttempt logs and counts an attempt without a usable response.
-func (g *Gateway) recordAttempt(q *request, outcome, detail string) {
+// failedAttempt is an attempt without a usable response.
+type failedAttempt struct {
+	outcome string
+	proof   proof
+	status  int // of the response; zero: there was none
+	detail  string
+}
+
+// recordAttempt logs and counts a failed attempt.
+func (g *Gateway) recordAttempt(q *request, a failedAttempt) {
 	took := clock.Since(q.sentAt)
-	g.Stats.FailedAttempts.Observe(outcome, took)
+	g.Stats.FailedAttempts.Observe(a.outcome, took)
+	g.proofCounters.add(a.proof)
+	q.proofs = append(q.proofs, a.proof)
 	g.Log.Info("Attempt failed", "request", q.call.ID, "route", q.route.Name(), "endpoint", q.sentTo.ID(),
-		"software", q.sentTo.Software(), "content", q.content.String(), "parts", q.loggedParts(), "begun", !q.firstTokenAt.IsZero(), "outcome", outcome, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
-		"took_ms", took.Milliseconds(), "cause", detail)
+		"software", q.sentTo.Software(), "content", q.content.String(), "parts", q.loggedParts(), "begun", !q.firstTokenAt.IsZero(), "outcome", a.outcome, "proof", string(a.proof), "status", a.status, "attempt", q.attempts, "adapter", q.call.Adapter.String(), "adapter_version", q.version,
+		"took_ms", took.Milliseconds(), "cause", a.detail)
 }
 
 // recordFailure logs and counts the final response to a request that was not served.
@@ -118,6 +128,6 @@
 	}
 	g.Log.Info("Request failed", "request", q.call.ID, "content", q.content.String(), "parts", q.loggedParts(), "route", route, "organisation", q.organisationName(), "reason", string(f.Code),
 		"status", f.status(), "may_have_run", f.MayHaveRun, "begun", started, "adapter", q.call.Adapter.String(),
-		"endpoint", endpoint, "software", software, "resumes", q.call.Resumes, "attempts", q.attempts, "retry_withheld", q.retryWithheld, "config", version, "waited_ms", q.placementTime.Milliseconds(),
+		"endpoint", endpoint, "software", software, "resumes", q.call.Resumes, "attempts", q.attempts, "proofs", q.proofs, "retry_withheld", q.retryWithheld, "config", version, "waited_ms", q.placementTime.Milliseconds(),
 		"took_ms", took.Milliseconds(), "retry_ms", f.RetryAfter.Milliseconds(), "cause", f.Detail)
 }
--- a/forward/request.go
+++ b/forward/request.go
@@ -44,6 +44,7 @@
 	misplaced     int                    // endpoints that owners chose for it and this box could not use
 	limitDenials  map[string]limitDenial // by endpoint with a rate limit
 	mayHaveRun    bool                   // an attempt may have been executed
+	proofs        []proof                // of the failed attempts, in order
 	noOwnerLogged bool                   // logNoOwner has logged
 	declined      bool                   // the owner of a data centre could not serve it in time
 	retryReserved bool                   // the next attempt has already been taken from the retry budget
--- a/forward/stream.go
+++ b/forward/stream.go
@@ -43,7 +43,7 @@
 	if !out.callerGone {
 		d.recordFailure(ctx, &Refusal{Code: CodeTruncated})
 	}
-	g.recordAttempt(q, "cut", err.Error())
+	g.recordAttempt(q, failedAttempt{outcome: "cut", proof: noProof, status: resp.StatusCode, detail: err.Error()})
 	for g.mayResume(ctx, q, out) {
 		if g.resume(ctx, q, s) {
 			return nil
