forward: red test of refusals of endpoints that prove nothing

An endpoint's 408, 421, 429 or 503 without Not-Executed reaches the caller as a promise that the request was not executed.

--- a/forward/proof_test.go
+++ b/forward/proof_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -63,3 +64,40 @@
 		s.c.Check(s.gateway.Proofs(), quicktest.Equals, ProofCounts{Unsent: 1})
 	})
 }
+
+// Guards against a status of an endpoint that is relayed as the box's promise that the request was not executed.
+func TestUnprovenRefusalIsNotRelayed(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for name, held := range map[string]int64{"at once": 0, "buffered": 1 << 20} {
+			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
+				s := newSite(t, onceRoute(time.Second))
+				s.gateway.MaxHeldBytes = held
+				refuse := func(w http.ResponseWriter, _ *http.Request) {
+					w.Header().Set("Test-Backoff", "0.3")
+					w.WriteHeader(status)
+					_, _ = io.WriteString(w, "of the endpoint")
+				}
+				first, second := s.endpoint(t, refuse), s.endpoint(t, refuse)
+				resp, text, err := s.ask("/")
+				s.c.Assert(err, quicktest.IsNil)
+				s.c.Check(resp.StatusCode, quicktest.Equals, http.StatusBadGateway)
+				s.c.Check(resp.Header.Get("Signed"), quicktest.Equals, "")
+				s.c.Check(text, quicktest.Not(quicktest.Contains), "of the endpoint")
+				s.c.Check(first.Load()+second.Load(), quicktest.Equals, int64(1))
+				s.c.Check(s.gateway.Proofs().Unproven, quicktest.Equals, int64(1))
+			})
+		}
+	}
+}
+
+// A caller that may repeat its request gets the refusal as the endpoint sent it.
+func TestUnprovenRefusalOfARepeatableRequestIsRelayed(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		s := newSite(t, repeatableRoute(time.Second))
+		s.endpoint(t, respondWith(status, ""))
+		resp, _, err := s.ask("/")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Check(resp.StatusCode, quicktest.Equals, status)
+		s.c.Check(resp.Header.Get("Signed"), quicktest.Equals, "yes")
+	}
+}
