forward: a refusal of an endpoint that proves nothing is no promise to the caller

What callers saw: 503 (408, 421, 429) for requests that had run, which they may send again. Cause: the response of an endpoint was relayed whatever its status; 408, 421, 429 and 503 promise that the request was not executed, and only Not-Executed (or 421) in a response to this request proves it.

A request that may run once gets 502 of the box's own instead, and no further attempt. Requests that may be repeated get the response unchanged, since their callers may repeat them whatever it says.

It holds since the check is in checkResponse, which every response to a request passes before any of it is relayed.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -227,16 +227,27 @@
 		return g.recordInvalid(q, u, resp)
 	}
 	if promisesNotExecuted(resp.StatusCode) {
-		g.recordUnproven(q, t, resp)
+		return g.recordUnproven(q, u, resp)
 	}
 	return nil
 }
 
-// recordUnproven logs and counts a response whose status promises that the request was not executed, without a proof.
-func (g *Gateway) recordUnproven(q *request, t target, resp *http.Response) {
+// recordUnproven records a response whose status promises that the request was not executed, without a proof. It is relayed only
+// to callers that may repeat the request whatever happened to it.
+func (g *Gateway) recordUnproven(q *request, u *upstream, resp *http.Response) *Refusal {
 	g.proofCounters.unproven.Add(1)
 	g.Log.Info("Endpoint refused a request without proof that it was not executed", "request", q.call.ID, "route", q.route.Name(),
-		"endpoint", t.endpoint.ID(), "status", resp.StatusCode, "attempt", q.attempts)
+		"endpoint", u.endpoint.ID(), "status", resp.StatusCode, "attempt", q.attempts)
+	if q.route.IsReexecutable() {
+		return nil
+	}
+	u.recordOutcome(true)
+	q.mayHaveRun = true
+	q.executions++
+	q.tried[u.endpoint.ID()] = true
+	detail := "the endpoint responded with " + resp.Status + " and did not say whether it executed the request"
+	g.recordAttempt(q, failedAttempt{outcome: "unproven", proof: noProof, status: resp.StatusCode, detail: detail})
+	return &Refusal{Code: CodeUnprovenRefusal, MayHaveRun: true, Detail: detail}
 }
 
 // recordInvalid records a response that is none: the request may have been executed.
--- a/forward/refusal.go
+++ b/forward/refusal.go
@@ -24,6 +24,7 @@
 	CodeNoAnswer          Code = "answer_lost"
 	CodeInvalidResponse   Code = "answer_spoilt"
 	CodeTruncated         Code = "answer_cut"
+	CodeUnprovenRefusal   Code = "refusal_unproven" // an endpoint refused the request and did not prove that it was not executed
 	CodeTimeout           Code = "timeout"
 	CodeCallerGone        Code = "caller_gone"
 	CodeBodyTimeout       Code = "body_too_late" // the body did not arrive before the request's deadline
