engine: only a documented reason with a status that fits proves that a request was not executed

What callers saw: "ran": "not_run", or a second execution of a request that may run once, after an engine had refused it with a reason that the protocol does not name (such as 503 "preempted"), a documented one in another spelling, two reasons, or a reason with a status that contradicts it (500 busy).

Cause: RefusedError.NotExecuted was true for every reason but "failed", while docs/ENGINES.md promises it for the documented ones alone.

TestOnlyDocumentedReasonsProveThatNothingRan failed before for 10 of its 24 responses, all of them refusals that prove nothing.

Why it holds: the proof is set where the response is read, from a table of the documented reasons and their statuses; whatever is not in it leaves it unset.

--- a/engine/client.go
+++ b/engine/client.go
@@ -246,27 +246,32 @@
 	if json.Unmarshal(body, &e) != nil {
 		e.Error.Message = resp.Status
 	}
+	code, proven := refusalCode(resp, e.Error.Type)
 	return &RefusedError{
-		Code:         refusalCode(resp, e.Error.Type),
+		Code:         code,
 		Message:      e.Error.Message,
 		HighestFence: ParseState(resp.Header).fence,
 		RetryAfter:   parseRetryAfter(resp),
+		proven:       proven,
 	}
 }
 
-// refusalCode returns the code in the reason header. For engines that do not send
-// the header it derives the code from the status and the error type.
-func refusalCode(resp *http.Response, errorType string) Code {
-	if c := resp.Header.Get(ReasonHeader); c != "" {
-		return Code(c)
+// refusalCode returns the code in the reason header, and whether it proves that the request was not executed. For engines
+// that do not send the header it derives the code from the status and the error type.
+func refusalCode(resp *http.Response, errorType string) (code Code, proven bool) {
+	if code, proven, ok := statedReason(resp); ok {
+		return code, proven
+	}
+	if len(resp.Header.Values(ReasonHeader)) > 0 {
+		return CodeFailed, false
 	}
 	if resp.StatusCode == http.StatusNotFound && errorType == "NotFoundError" {
-		return CodeNotLoaded
+		return CodeNotLoaded, true
 	}
 	if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusUnprocessableEntity {
-		return CodeBadRequest
+		return CodeBadRequest, true
 	}
-	return CodeFailed
+	return CodeFailed, false
 }
 
 // maxRetryAfterSeconds limits an engine's Retry-After to one day; no caller waits longer.
--- a/engine/errors.go
+++ b/engine/errors.go
@@ -4,13 +4,16 @@
 
 import (
 	"fmt"
+	"net/http"
+	"slices"
 	"time"
 )
 
 // Code is the reason for which an endpoint refused a call.
 type Code string
 
-// The reasons for a refusal. All except CodeFailed prove that nothing was executed.
+// The reasons for a refusal. All except CodeFailed prove that nothing was executed, if the endpoint states them and the status
+// fits.
 const (
 	CodeStaleFence Code = "stale_fence" // the order's fence is lower than the highest seen
 	CodeNotLoaded  Code = "not_loaded"  // the adapter is not loaded
@@ -23,20 +26,47 @@
 	CodeFailed     Code = "failed"      // internal failure; the request may have been executed
 )
 
+// reasonStatuses are the statuses that fit each reason. A reason with another status contradicts it, and proves nothing.
+var reasonStatuses = map[Code][]int{
+	CodeStaleFence: {http.StatusConflict},
+	CodeNotLoaded:  {http.StatusNotFound},
+	CodeNoSlot:     {http.StatusConflict},
+	CodeLoadFailed: {http.StatusServiceUnavailable},
+	CodeStoreBusy:  {http.StatusTooManyRequests, http.StatusServiceUnavailable},
+	CodeLeaving:    {http.StatusServiceUnavailable},
+	CodeBusy:       {http.StatusTooManyRequests, http.StatusServiceUnavailable},
+	CodeBadRequest: {http.StatusBadRequest, http.StatusConflict, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity},
+}
+
+// statedReason returns the documented reason in a response's header, spelt as documented; false if there is none, or more than
+// one. proven reports whether it fits the status.
+func statedReason(resp *http.Response) (code Code, proven, ok bool) {
+	values := resp.Header.Values(ReasonHeader)
+	if len(values) != 1 {
+		return "", false, false
+	}
+	code = Code(values[0])
+	statuses, ok := reasonStatuses[code]
+	return code, slices.Contains(statuses, resp.StatusCode), ok
+}
+
 // RefusedError is an error response of an endpoint.
 type RefusedError struct {
 	Code         Code
 	Message      string
 	HighestFence Fence         // with CodeStaleFence: the fence that superseded the order's
 	RetryAfter   time.Duration // zero if the endpoint named none
+
+	proven bool // the response proves that the request was not executed
 }
 
 func (e *RefusedError) Error() string {
 	return fmt.Sprintf("engine: endpoint refused the call: %s: %s", e.Code, e.Message)
 }
 
-// NotExecuted reports whether the refusal proves that the request was not executed.
-func (e *RefusedError) NotExecuted() bool { return e.Code != CodeFailed }
+// NotExecuted reports whether the refusal proves that the request was not executed. Only a documented reason does, with a status
+// that fits it.
+func (e *RefusedError) NotExecuted() bool { return e.proven }
 
 // NoResponseError means that an endpoint sent no complete response.
 type NoResponseError struct {
--- /dev/null
+++ b/engine/refusal_test.go
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+// refusalCase is an error response to a call.
+type refusalCase struct {
+	status  int
+	headers string // each line with its end; OWN stands for the ID of the call
+	body    string
+	proven  bool
+}
+
+func (k refusalCase) response(id string) string {
+	headers := strings.ReplaceAll(k.headers, "OWN", id)
+	return fmt.Sprintf("HTTP/1.1 %d Status\r\n%sContent-Length: %d\r\n\r\n%s", k.status, headers, len(k.body), k.body)
+}
+
+// serveResponses responds to each request on a connection with what next returns.
+func serveResponses(next func(id string) string) func(net.Conn) {
+	return func(conn net.Conn) {
+		defer conn.Close()
+		in := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(in)
+			if err != nil {
+				return
+			}
+			if _, err := io.Copy(io.Discard, r.Body); err != nil {
+				return
+			}
+			if _, err := io.WriteString(conn, next(r.Header.Get(RequestIDHeader))); err != nil {
+				return
+			}
+		}
+	}
+}
+
+// refusalOf returns the refusal of a call that gets this response on a new connection.
+func refusalOf(c *quicktest.C, k refusalCase) *RefusedError {
+	address := acceptConns(c, serveResponses(k.response))
+	client := &Client{Address: address, HTTP: newClient()}
+	var refused *RefusedError
+	c.Assert(errors.As(client.Cancel(context.Background(), "run"), &refused), quicktest.IsTrue)
+	return refused
+}
+
+const ownID = "X-Request-Id: OWN\r\n"
+
+// Guards against a request that may have run and counts as not run, by a reason that the protocol does not name, or names for
+// other responses.
+func TestOnlyDocumentedReasonsProveThatNothingRan(t *testing.T) {
+	c := quicktest.New(t)
+	for _, k := range []refusalCase{
+		{status: 404, headers: ownID + "Cairn-Reason: not_loaded\r\n", proven: true},
+		{status: 409, headers: ownID + "Cairn-Reason: no_slot\r\n", proven: true},
+		{status: 409, headers: ownID + "Cairn-Reason: stale_fence\r\n", proven: true},
+		{status: 429, headers: ownID + "Cairn-Reason: store_busy\r\n", proven: true},
+		{status: 503, headers: ownID + "Cairn-Reason: load_failed\r\n", proven: true},
+		{status: 503, headers: ownID + "Cairn-Reason: leaving\r\n", proven: true},
+		{status: 503, headers: ownID + "Cairn-Reason: busy\r\n", proven: true},
+		{status: 429, headers: ownID + "Cairn-Reason: busy\r\n", proven: true},
+		{status: 400, headers: ownID + "cairn-reason:  bad_request \r\n", proven: true},
+
+		{status: 503, headers: ownID + "Cairn-Reason: failed\r\n"},
+		{status: 503, headers: ownID + "Cairn-Reason: preempted\r\n"},
+		{status: 429, headers: ownID + "Cairn-Reason: overloaded\r\n"},
+		{status: 503, headers: ownID + "Cairn-Reason: Busy\r\n"},
+		{status: 503, headers: ownID + "Cairn-Reason: busy, failed\r\n"},
+		{status: 503, headers: ownID + "Cairn-Reason: busy\r\nCairn-Reason: failed\r\n"},
+		{status: 503, headers: ownID + "Cairn-Reason: busy\r\nCairn-Reason: busy\r\n"},
+		{status: 500, headers: ownID + "Cairn-Reason: busy\r\n"},
+		{status: 504, headers: ownID + "Cairn-Reason: leaving\r\n"},
+		{status: 500, headers: ownID + "Cairn-Reason: bad_request\r\n"},
+		{status: 503, headers: ownID + "Cairn-Reason: not_loaded\r\n"},
+		{status: 503, headers: ownID},
+		{status: 429, headers: ownID},
+		{status: 408, headers: ownID},
+		{status: 421, headers: ownID},
+	} {
+		c.Check(refusalOf(c, k).NotExecuted(), quicktest.Equals, k.proven, quicktest.Commentf("%d %q", k.status, k.headers))
+	}
+}
