engine: a refusal without the ID of its request proves nothing

What callers saw: "ran": "not_run" after a response that need not be for their request: one without an ID on a connection whose earlier responses have IDs, such as one that the engine sends when it closes an idle connection, or one with two IDs.

Cause: a response without an ID, or whose first ID is that of the request, counts as the response to it, and whatever it says counted as proof.

TestRefusalProvesNothingWithoutTheIDOfItsRequest failed before in 4 of its 7 cases.

Why it holds: Call, which knows the request and whether its connection was used before, says whether the response is certainly for the request, and Refusal proves nothing otherwise. Responses are delivered as before. An engine that returns no IDs gets one request on each connection, so its refusals still prove what they say.

--- a/engine/client.go
+++ b/engine/client.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -184,19 +186,38 @@
 		return nil, nil, &NoResponseError{Sent: true, Cause: err}
 	}
 	if resp.StatusCode >= http.StatusBadRequest {
-		return nil, nil, ParseRefusal(resp, content)
+		return nil, nil, resp.Refusal(content)
 	}
-	return resp, content, nil
+	return resp.Response, content, nil
+}
+
+// Response is the response to a request that was sent with Call.
+type Response struct {
+	*http.Response
+
+	// identified says that the response is for the request: it has the request's ID, once. An endpoint that returns no IDs gets
+	// one request on each connection, so a response without one is for the request if no other was sent on its connection.
+	identified bool
+}
+
+// Refusal reads a response of status 400 or above, as ParseRefusal does. It proves that the request was not executed only if it
+// is for this request.
+func (r *Response) Refusal(body []byte) *RefusedError {
+	refused := ParseRefusal(r.Response, body)
+	refused.proven = refused.proven && r.identified
+	return refused
 }
 
 // Call sends a request as Send does, under the ID in its RequestIDHeader or a new one. A response with the ID of another
 // request is a *NoResponseError.
-func Call(client *http.Client, req *http.Request, sendBy time.Time) (*http.Response, error) {
+func Call(client *http.Client, req *http.Request, sendBy time.Time) (*Response, error) {
 	if req.Header.Get(RequestIDHeader) == "" {
 		req.Header.Set(RequestIDHeader, uuid.NewString())
 	}
 	id := ResponseID{Header: RequestIDHeader, Value: req.Header.Get(RequestIDHeader)}
-	resp, err := Send(client, req, sendBy, id)
+	var reused atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
+	resp, err := Send(client, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), sendBy, id)
 	if err != nil {
 		return nil, err
 	}
@@ -205,7 +226,9 @@
 		_ = resp.Body.Close() // nothing that it says is meant for this request
 		return nil, &NoResponseError{Sent: true, Cause: ErrForeignResponse}
 	}
-	return resp, nil
+	values := resp.Header.Values(RequestIDHeader)
+	identified := len(values) == 1 && values[0] == id.Value
+	return &Response{Response: resp, identified: identified || (len(values) == 0 && !reused.Load())}, nil
 }
 
 func (c *Client) newRequest(ctx context.Context, method, path string, f Fence, body any) (*http.Request, error) {
@@ -240,7 +263,7 @@
 
 // ParseRefusal reads an endpoint's response of status 400 or above. A response
 // without a known reason counts as a failure after which the request may have been
-// executed.
+// executed. The response must be for the request; see Response.Refusal.
 func ParseRefusal(resp *http.Response, body []byte) *RefusedError {
 	var e errorResponse
 	if json.Unmarshal(body, &e) != nil {
--- a/engine/refusal_test.go
+++ b/engine/refusal_test.go
@@ -10,7 +10,9 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
@@ -94,3 +96,55 @@
 		c.Check(refusalOf(c, k).NotExecuted(), quicktest.Equals, k.proven, quicktest.Commentf("%d %q", k.status, k.headers))
 	}
 }
+
+// Guards against the refusal of another request, or one that its sender did not mean for any, that proves that this one did not
+// run: without the ID of this request, or with two.
+func TestRefusalProvesNothingWithoutTheIDOfItsRequest(t *testing.T) {
+	c := quicktest.New(t)
+	busy := refusalCase{status: 503, headers: "Cairn-Reason: busy\r\n"}
+	for _, k := range []struct {
+		before  string // headers of the response to an earlier request on the connection; empty: there was none
+		headers string
+		proven  bool
+	}{
+		{headers: ownID, proven: true},
+		{before: ownID, headers: ownID, proven: true},
+		{headers: "", proven: true}, // an engine that returns no IDs; it gets one request on each connection
+		{before: ownID, headers: ""},
+		{before: ownID, headers: "X-Request-Id: \r\n"},
+		{headers: ownID + ownID},
+		{headers: ownID + "X-Request-Id: other\r\n"},
+	} {
+		responses := []string{busy.headers + k.headers}
+		if k.before != "" {
+			responses = append([]string{k.before}, responses...)
+		}
+		var conns atomic.Int64
+		serve := func(conn net.Conn) {
+			conns.Add(1)
+			n := 0
+			serveResponses(func(id string) string {
+				n++
+				return refusalCase{status: 503, headers: responses[n-1]}.response(id)
+			})(conn)
+		}
+		client := &Client{Address: acceptConns(c, serve), HTTP: newClient()}
+		var refused *RefusedError
+		for range responses {
+			c.Assert(errors.As(client.Cancel(context.Background(), "run"), &refused), quicktest.IsTrue)
+		}
+		c.Check(refused.NotExecuted(), quicktest.Equals, k.proven, quicktest.Commentf("%q after %q", k.headers, k.before))
+		c.Check(refused.Code, quicktest.Equals, CodeBusy)
+		c.Check(conns.Load(), quicktest.Equals, int64(1))
+	}
+}
+
+// Guards against a response that may be for another request and counts as a refusal, since a second ID is this request's.
+func TestRefusalWithTheIDOfAnotherRequestIsNone(t *testing.T) {
+	c := quicktest.New(t)
+	k := refusalCase{status: 503, headers: "Cairn-Reason: busy\r\nX-Request-Id: other\r\n" + ownID}
+	client := &Client{Address: acceptConns(c, serveResponses(k.response)), HTTP: newClient()}
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond) // the response is discarded
+	defer cancel()
+	c.Check(wasSent(c, client.Cancel(ctx, "run")), quicktest.IsTrue)
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -90,9 +90,9 @@
 	out.Header().Set(WaitedHeader, strconv.FormatInt(h.grant.GetWaitedMicros()/1000, 10))
 	out.Header().Set(StallHeader, strconv.FormatInt(h.grant.GetLoadMicros()/1000, 10))
 	if q.stream {
-		return g.relayStream(ctx, out, streamRun{request: q, held: h, sentAt: sentAt, runID: runID, resetIdle: resetIdle}, resp, r)
+		return g.relayStream(ctx, out, streamRun{request: q, held: h, sentAt: sentAt, runID: runID, resetIdle: resetIdle}, resp.Response, r)
 	}
-	return g.relayComplete(attemptCtx, out, h, runID, resp, r)
+	return g.relayComplete(attemptCtx, out, h, runID, resp.Response, r)
 }
 
 // attemptContext returns the context of an attempt. For a stream it ends after an idle timeout, which
@@ -160,13 +160,13 @@
 }
 
 // endpointFailure reads an error response of the endpoint.
-func (g *Gateway) endpointFailure(h heldGrant, resp *http.Response, r *wire.ReleaseRequest) *Failure {
+func (g *Gateway) endpointFailure(h heldGrant, resp *engine.Response, r *wire.ReleaseRequest) *Failure {
 	text, err := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
 	if err != nil {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 		return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: "the error response of " + h.endpoint + " was truncated"}
 	}
-	refused := engine.ParseRefusal(resp, text)
+	refused := resp.Refusal(text)
 	if !refused.NotExecuted() {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 		return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: refused.Message, RetryAfter: refused.RetryAfter}
