engine: redirects are not followed

What callers saw: "ran": "not_run" for a request that had been executed, if its endpoint responded with a redirect and the second request could not be written before the grant expired; up to ten requests for one; a service's redirect followed instead of returned; a redirected load that counted as done.

Cause: the client for endpoints had net/http follow redirects. Whether a request was written is known of the last one alone.

TestRedirectIsNotFollowed failed before: "request not sent", after the endpoint had got the request. So did TestOrderThatIsRedirectedMayHaveBeenCarriedOut, in each case, and TestRedirectOfAnEngineIsNoCompletion (ten requests).

Why it holds: Call, through which the own interface sends everything, returns redirects as they are; an engine's response above 299 is an error response, without a documented reason one after which the request may have run.

--- a/engine/client.go
+++ b/engine/client.go
@@ -185,7 +185,7 @@
 	if err != nil {
 		return nil, nil, &NoResponseError{Sent: true, Cause: err}
 	}
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, nil, resp.Refusal(content)
 	}
 	return resp.Response, content, nil
@@ -200,7 +200,7 @@
 	identified bool
 }
 
-// Refusal reads a response of status 400 or above, as ParseRefusal does. It proves that the request was not executed only if it
+// Refusal reads a response that is no success, as ParseRefusal does. It proves that the request was not executed only if it
 // is for this request.
 func (r *Response) Refusal(body []byte) *RefusedError {
 	refused := ParseRefusal(r.Response, body)
@@ -208,8 +208,12 @@
 	return refused
 }
 
+// noRedirect has net/http return a redirect as it is. It would send a second request by itself, and what is known about that one,
+// such as that it was not written, would be reported for the first, which was executed.
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Call sends a request as Send does, under the ID in its RequestIDHeader or a new one. A response with the ID of another
-// request is a *NoResponseError.
+// request is a *NoResponseError. Redirects are not followed.
 func Call(client *http.Client, req *http.Request, sendBy time.Time) (*Response, error) {
 	if req.Header.Get(RequestIDHeader) == "" {
 		req.Header.Set(RequestIDHeader, uuid.NewString())
@@ -217,7 +221,9 @@
 	id := ResponseID{Header: RequestIDHeader, Value: req.Header.Get(RequestIDHeader)}
 	var reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
-	resp, err := Send(client, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), sendBy, id)
+	single := *client
+	single.CheckRedirect = noRedirect
+	resp, err := Send(&single, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), sendBy, id)
 	if err != nil {
 		return nil, err
 	}
@@ -261,7 +267,7 @@
 	} `json:"error"`
 }
 
-// ParseRefusal reads an endpoint's response of status 400 or above. A response
+// ParseRefusal reads an endpoint's response of status 300 or above. A response
 // without a known reason counts as a failure after which the request may have been
 // executed. The response must be for the request; see Response.Refusal.
 func ParseRefusal(resp *http.Response, body []byte) *RefusedError {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -83,7 +83,7 @@
 	r.Leaving = resp.Header.Get(engine.LeavingHeader) == "1"
 	r.Fence = resp.Header.Get(engine.FenceHeader)
 	r.Boot = resp.Header.Get(engine.BootHeader)
-	if resp.StatusCode >= http.StatusBadRequest {
+	if resp.StatusCode >= http.StatusMultipleChoices {
 		return g.endpointFailure(h, resp, r)
 	}
 	out.Header().Set(EndpointHeader, h.endpoint)
