engine: a status without a reason does not prove that a request was not executed

What callers saw: "ran": "not_run", and a second execution with the same key, after an engine that states no reasons responded 400, 422, or 404 with NotFoundError to a request that had begun.

Cause: these statuses without Cairn-Reason counted as proof. Engines that validate a request before they queue it give them before it runs, but engines also respond 400 when an error ends a running request whose response is not streamed, and the gateway cannot tell the two apart.

Why it holds: the code that is derived from a status still says what is wrong, so the scheduler learns that an adapter is not loaded, a repeatable request is sent again after such a 404 within the same limits, and a bad request is not; the proof is not set, so a request with a key ends with "unknown", and its key with it.

--- a/engine/client.go
+++ b/engine/client.go
@@ -286,7 +286,8 @@
 }
 
 // refusalCode returns the code in the reason header, and whether it proves that the request was not executed. For engines
-// that do not send the header it derives the code from the status and the error type.
+// that do not send the header it derives the code from the status and the error type. That proves nothing: engines give the same
+// statuses when a request fails after it began.
 func refusalCode(resp *http.Response, errorType string) (code Code, proven bool) {
 	if code, proven, ok := statedReason(resp); ok {
 		return code, proven
@@ -295,10 +296,10 @@
 		return CodeFailed, false
 	}
 	if resp.StatusCode == http.StatusNotFound && errorType == "NotFoundError" {
-		return CodeNotLoaded, true
+		return CodeNotLoaded, false
 	}
 	if resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusUnprocessableEntity {
-		return CodeBadRequest, true
+		return CodeBadRequest, false
 	}
 	return CodeFailed, false
 }
--- a/engine/refusal_test.go
+++ b/engine/refusal_test.go
@@ -148,3 +148,25 @@
 	defer cancel()
 	c.Check(wasSent(c, client.Cancel(ctx, "run")), quicktest.IsTrue)
 }
+
+// Guards against a request that ran and counts as not run since its engine, which states no reasons, responded with a status that
+// engines also use for what goes wrong after the request began.
+func TestStatusWithoutAReasonProvesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	const notFound, invalid = `{"error":{"type":"NotFoundError"}}`, `{"error":{"type":"BadRequestError"}}`
+	for _, k := range []struct {
+		refusalCase
+
+		code Code
+	}{
+		{refusalCase{status: 404, headers: ownID, body: notFound}, CodeNotLoaded},
+		{refusalCase{status: 400, headers: ownID, body: invalid}, CodeBadRequest},
+		{refusalCase{status: 422, headers: ownID, body: invalid}, CodeBadRequest},
+		{refusalCase{status: 404, headers: ownID + "Cairn-Reason: evicted\r\n", body: notFound}, CodeFailed},
+		{refusalCase{status: 400, headers: ownID + "Cairn-Reason: aborted\r\n", body: invalid}, CodeFailed},
+	} {
+		refused := refusalOf(c, k.refusalCase)
+		c.Check(refused.NotExecuted(), quicktest.IsFalse, quicktest.Commentf("%d %q", k.status, k.headers))
+		c.Check(refused.Code, quicktest.Equals, k.code)
+	}
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -167,12 +167,12 @@
 		return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: "the error response of " + h.endpoint + " was truncated"}
 	}
 	refused := resp.Refusal(text)
+	r.NotLoaded = refused.Code == engine.CodeNotLoaded
 	if !refused.NotExecuted() {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
-		return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: refused.Message, RetryAfter: refused.RetryAfter}
+		return unprovenFailure(refused)
 	}
 	r.Outcome = wire.Outcome_OUTCOME_REFUSED
-	r.NotLoaded = refused.Code == engine.CodeNotLoaded
 	r.Busy = refused.Code == engine.CodeBusy
 	r.Leaving = r.Leaving || refused.Code == engine.CodeLeaving
 	if refused.Code == engine.CodeBusy {
@@ -187,6 +187,19 @@
 	return &Failure{Code: CodeRefusedByEndpoint, Ran: NotRun, Message: refused.Message, RetryAfter: max(refused.RetryAfter, time.Second)}
 }
 
+// unprovenFailure returns the failure of a request that its endpoint refused without a proof that it was not executed. What the
+// endpoint says is wrong decides whether another attempt may succeed, if the request is repeatable.
+func unprovenFailure(refused *engine.RefusedError) *Failure {
+	f := &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: refused.Message, RetryAfter: refused.RetryAfter}
+	switch refused.Code {
+	case engine.CodeBadRequest:
+		f.Code, f.RetryAfter = CodeBadRequest, 0
+	case engine.CodeNotLoaded:
+		f.Code, f.RetryAfter = CodeRefusedByEndpoint, max(refused.RetryAfter, time.Second)
+	}
+	return f
+}
+
 // recordAttempt records the outcome of an attempt as a decision.
 func (g *Gateway) recordAttempt(q *request, h heldGrant, f *Failure) {
 	d := g.newDecision(q, "run", time.Now())
--- a/gateway/route.go
+++ b/gateway/route.go
@@ -114,8 +114,8 @@
 	return q.key == "" && !out.started() && q.attempts < maxAttempts && g.RetryBudget.Take()
 }
 
-// tryEndpoint runs the request at one endpoint. It retries there while the endpoint's refusals
-// prove that the request was not executed and the retry budget allows it.
+// tryEndpoint runs the request at one endpoint. It retries there while the endpoint refuses the
+// request, the request was provably not executed or is repeatable, and the retry budget allows it.
 func (g *Gateway) tryEndpoint(ctx context.Context, q *request, out *callerResponse, endpoint, dataCentre string) *Failure {
 	q.candidates++
 	for {
@@ -128,7 +128,10 @@
 			return f
 		}
 		f = g.attempt(ctx, q, out, h)
-		if f == nil || f.Ran != NotRun || f.Code != CodeRefusedByEndpoint || ctx.Err() != nil {
+		if f == nil || f.Code != CodeRefusedByEndpoint || ctx.Err() != nil {
+			return f
+		}
+		if f.Ran != NotRun && q.key != "" {
 			return f
 		}
 		if q.attempts >= maxAttempts || g.backoffs.Remaining(endpoint, clock.Now()) > 0 || !g.RetryBudget.Take() {
