gateway: the status of a plain service is no promise

What callers saw: a service's 408, 421, 429 or 503, or a body with "ran": "not_run" that it sent, looked like a refusal of ours, which promises that the call did not run. The key of such a call, and of any other that failed at its service, counted as one whose call ran, which nothing proves either.

Cause: a service's response was relayed with nothing that says whose it is, and every whole response ended its key as executed.

Weighed: to replace such a response by a failure of ours (its content is lost, and a whole response is to be delivered), to mark the responses of services (callers of today's errors have to know the mark), to state ran for both. The last: the header Cairn-Ran is on every error of ours and every response of a service, and a service cannot set it. It is "unknown" for a service's response that is no success, and the key ends as unknown.

--- a/gateway/failure.go
+++ b/gateway/failure.go
@@ -67,6 +67,14 @@
 	return fmt.Sprintf("gateway: %s (%s): %s", f.Code, f.Ran, f.Message)
 }
 
+// ran says whether the request was executed; nil: it was served.
+func (f *Failure) ran() Ran {
+	if f == nil {
+		return HasRun
+	}
+	return f.Ran
+}
+
 // detail returns the failure in the form that decisions record.
 func (f *Failure) detail() string { return string(f.Code) + " (" + string(f.Ran) + "): " + f.Message }
 
@@ -122,6 +130,7 @@
 func (f *Failure) write(w http.ResponseWriter, request string) {
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
+	h.Set(RanHeader, string(f.Ran))
 	if f.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(f.RetryAfter.Seconds()))))
 	}
--- a/gateway/keys.go
+++ b/gateway/keys.go
@@ -15,16 +15,17 @@
 // runWithKey runs a request. One with an idempotency key is not repeatable: it runs only after it has
 // claimed the key at the key's home, the scheduler that stores its state, and then reports the
 // outcome there.
-func (g *Gateway) runWithKey(ctx context.Context, key, id string, run func() *Failure) *Failure {
+func (g *Gateway) runWithKey(ctx context.Context, key, id string, run func() (Ran, *Failure)) *Failure {
 	if key == "" {
-		return run()
+		_, f := run()
+		return f
 	}
 	home, f := g.beginKey(ctx, key, id)
 	if f != nil {
 		return f
 	}
-	f = run()
-	g.endKey(home, key, id, f)
+	ran, f := run()
+	g.endKey(home, key, id, ran)
 	return f
 }
 
@@ -88,19 +89,23 @@
 	return &Failure{Code: CodeKeyUnknown, Ran: MayHaveRun, Message: "an earlier attempt with this key may have been executed"}
 }
 
+// keyOutcome returns the state of a key whose attempt has ended. One that has certainly not run releases the key.
+func keyOutcome(ran Ran) wire.KeyState {
+	switch ran {
+	case NotRun:
+		return wire.KeyState_KEY_STATE_CLAIMED
+	case HasRun:
+		return wire.KeyState_KEY_STATE_RAN
+	}
+	return wire.KeyState_KEY_STATE_UNKNOWN
+}
+
 // endKey reports the outcome of an attempt to the key's home. If the call fails, the key stays in
 // progress there, so that no other attempt runs.
-func (g *Gateway) endKey(home member.Member, key, id string, f *Failure) {
-	state := wire.KeyState_KEY_STATE_RAN
-	if f != nil {
-		state = wire.KeyState_KEY_STATE_UNKNOWN
-		if f.Ran == NotRun {
-			state = wire.KeyState_KEY_STATE_CLAIMED
-		}
-	}
+func (g *Gateway) endKey(home member.Member, key, id string, ran Ran) {
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
-	_, err := g.Schedulers.Scheduler(home.Address()).EndKey(ctx, &wire.EndKeyRequest{Key: key, Request: id, State: state})
+	_, err := g.Schedulers.Scheduler(home.Address()).EndKey(ctx, &wire.EndKeyRequest{Key: key, Request: id, State: keyOutcome(ran)})
 	if err != nil {
 		g.Log.Info("Outcome of a key could not be reported to its home", "key", key, "home", home.Name(), "err", err.Error())
 	}
--- a/gateway/models.go
+++ b/gateway/models.go
@@ -26,7 +26,10 @@
 	h.Set(ModelHeader, q.model.String())
 	h.Set(RevisionHeader, strconv.FormatInt(q.catalog.Revision(), 10))
 	out := &callerResponse{writer: w, id: id}
-	f = g.runWithKey(r.Context(), q.key, id, func() *Failure { return g.route(r.Context(), q, out) })
+	f = g.runWithKey(r.Context(), q.key, id, func() (Ran, *Failure) {
+		f := g.route(r.Context(), q, out)
+		return f.ran(), f
+	})
 	g.stats.Duration.Observe(q.class.Name(), clock.Since(startedAt))
 	g.stats.CallerDuration.Observe(q.caller, clock.Since(startedAt))
 	if out.started() {
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -24,6 +24,7 @@
 	RepeatableHeader = "Cairn-Repeatable" // "no": executed at most once
 	KeyHeader        = "Idempotency-Key"  // a UUID of version 7
 	RequestHeader    = "X-Request-Id"     // on responses
+	RanHeader        = "Cairn-Ran"        // on errors and on responses of plain services: a Ran
 	ModelHeader      = "Cairn-Model"      // on responses: adapter@version
 	RevisionHeader   = "Cairn-Revision"   // on responses: of the configuration
 	EndpointHeader   = "Cairn-Endpoint"   // on responses
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -28,6 +28,16 @@
 	body       []byte
 	content    quarantine.Fingerprint
 	repeatable bool
+	status     int // of the response that was relayed
+}
+
+// ran says whether the call was executed, after f or the response that was relayed. A service states no proof that it did not run
+// a call, whatever its status is, and only a success shows that it did.
+func (c *serviceCall) ran(f *Failure) Ran {
+	if f == nil && (c.status < http.StatusOK || c.status >= http.StatusMultipleChoices) {
+		return MayHaveRun
+	}
+	return f.ran()
 }
 
 // serveService serves a call to a plain service.
@@ -38,7 +48,10 @@
 	c, f := g.parseServiceCall(w, r, id)
 	out := &callerResponse{writer: w, id: id}
 	if f == nil {
-		f = g.runWithKey(r.Context(), c.key, id, func() *Failure { return g.callService(r.Context(), c, out) })
+		f = g.runWithKey(r.Context(), c.key, id, func() (Ran, *Failure) {
+			f := g.callService(r.Context(), c, out)
+			return c.ran(f), f
+		})
 	}
 	if f != nil {
 		g.finishWithFailure(out, nil, id, startedAt, f)
@@ -129,7 +142,10 @@
 	}
 	g.RetryBudget.RecordSuccess()
 	g.watcher.RecordResponse(c.content, clock.Now())
+	c.status = resp.StatusCode
 	copyEndToEndHeaders(out.Header(), resp.Header)
+	out.Header().Set(RequestHeader, c.id)
+	out.Header().Set(RanHeader, string(c.ran(nil)))
 	out.writeComplete(resp.StatusCode, body)
 	return nil
 }
