gateway: a cancelled request that got no response may still run

What callers saw: nothing at once. The scheduler took the slot of a request whose caller had left, or whose time was over, for free as soon as the engine confirmed the cancellation. The cancellation goes on another connection and can overtake the request; an engine confirms it for runs that it does not know, so an adapter could be unloaded under the request that then came. The failure for the caller and the state of the key were "unknown" before, and are.

Cause: cancelExecution set OUTCOME_REFUSED after every confirmed cancellation.

TestCancelledRequestWithoutAResponseMayStillRun failed before, plain and streamed: OUTCOME_REFUSED instead of OUTCOME_UNKNOWN.

Why it holds: only a run that began to respond is known to the engine for sure, so only its outcome follows from the cancellation; any other stays unknown, and its slot busy until a report shows that nothing uses it. No request is cancelled twice.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -26,7 +26,7 @@
 // attempt sends the request once to the endpoint of a grant, and releases the grant.
 func (g *Gateway) attempt(ctx context.Context, q *request, out *callerResponse, h heldGrant) *Failure {
 	q.attempts++
-	q.responseBegan = false
+	q.responseBegan, q.responded, q.cancelled = false, false, false
 	startedAt := clock.Now()
 	g.stats.LoadStall.Observe(q.class.Name(), time.Duration(h.grant.GetLoadMicros())*time.Microsecond)
 	r := &wire.ReleaseRequest{Endpoint: h.endpoint, Id: h.grant.GetId()}
@@ -39,7 +39,11 @@
 		q.mayHaveRun = true
 	}
 	r.ServiceMicros = clock.Since(startedAt).Microseconds()
-	g.release(pendingRelease{owner: h.owner, request: r, address: h.grant.GetAddress(), runID: q.runID(), adapter: h.adapter})
+	p := pendingRelease{owner: h.owner, request: r, address: h.grant.GetAddress(), runID: q.runID(), responded: q.responded, adapter: h.adapter}
+	if q.cancelled {
+		p.runID = ""
+	}
+	g.release(p)
 	g.recordAttempt(q, h, f)
 	return f
 }
@@ -76,9 +80,10 @@
 	sentAt := clock.Now()
 	resp, err := engine.Call(g.EngineClient, req, h.sendBy)
 	if err != nil {
-		return g.sendFailure(attemptCtx, h, runID, r, err)
+		return g.sendFailure(attemptCtx, q, h, r, err)
 	}
 	defer resp.Body.Close()
+	q.responded = true
 	g.observeLimit(h, resp.Header, sentAt, clock.Now())
 	r.Leaving = resp.Header.Get(engine.LeavingHeader) == "1"
 	r.Fence = resp.Header.Get(engine.FenceHeader)
@@ -129,8 +134,9 @@
 	return req, nil
 }
 
-// sendFailure returns the failure of an attempt that got no response.
-func (g *Gateway) sendFailure(ctx context.Context, h heldGrant, runID string, r *wire.ReleaseRequest, err error) *Failure {
+// sendFailure returns the failure of an attempt that got no response. An execution that is cancelled then may still begin: the
+// cancellation can overtake the request, and endpoints confirm the cancellation of runs that they do not know.
+func (g *Gateway) sendFailure(ctx context.Context, q *request, h heldGrant, r *wire.ReleaseRequest, err error) *Failure {
 	var lost *engine.NoResponseError
 	if errors.As(err, &lost) && !lost.Sent {
 		r.Outcome = wire.Outcome_OUTCOME_NOT_SENT
@@ -142,21 +148,22 @@
 	}
 	r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 	if ctx.Err() != nil {
-		g.cancelExecution(h.grant.GetAddress(), runID, r, cancelTimeout)
+		q.cancelled = g.cancelExecution(h.grant.GetAddress(), q.runID(), h.endpoint, cancelTimeout)
 	}
 	return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: h.endpoint + " sent no response", RetryAfter: g.RetryAfter}
 }
 
-// cancelExecution cancels an execution at the endpoint: its caller has left, its time is over, or its response broke off.
-func (g *Gateway) cancelExecution(address, runID string, r *wire.ReleaseRequest, timeout time.Duration) {
+// cancelExecution cancels an execution at the endpoint: its caller has left, its time is over, or its response broke off. It
+// reports whether the endpoint confirmed that. An execution that had begun to respond has ended then.
+func (g *Gateway) cancelExecution(address, runID, endpoint string, timeout time.Duration) bool {
 	ctx, stop := context.WithTimeout(context.Background(), timeout)
 	defer stop()
 	c := &engine.Client{Address: address, HTTP: g.EngineClient}
 	if err := c.Cancel(ctx, runID); err != nil {
-		g.Log.V(1).Info("Execution could not be cancelled", "request", runID, "endpoint", r.GetEndpoint(), "err", err.Error())
-		return
+		g.Log.V(1).Info("Execution could not be cancelled", "request", runID, "endpoint", endpoint, "err", err.Error())
+		return false
 	}
-	r.Outcome = wire.Outcome_OUTCOME_REFUSED // it has ended, and its duration must not count as a service time
+	return true
 }
 
 // endpointFailure reads an error response of the endpoint.
--- a/gateway/release.go
+++ b/gateway/release.go
@@ -16,7 +16,9 @@
 	owner   member.Member
 	request *wire.ReleaseRequest
 	address string // of the endpoint
-	runID   string // of the execution there; empty: the request was not sent
+	runID   string // of the execution there, to cancel it if its outcome is unknown; empty: there is nothing to cancel
+
+	responded bool // the execution began to respond, so that it has ended once it is cancelled
 
 	adapter    string                  // of the request; empty: it was not sent
 	firstToken *wire.FirstTokenRequest // set instead of request: a first token to report
@@ -57,8 +59,8 @@
 // endpoint's report that the request has ended. An execution whose response broke off is cancelled first: it would
 // run on, and with the next request the endpoint would have more than its limit.
 func (g *Gateway) sendRelease(r pendingRelease) {
-	if r.request.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN && r.runID != "" {
-		g.cancelExecution(r.address, r.runID, r.request, brokenRunTimeout)
+	if r.request.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN && r.runID != "" && g.cancelExecution(r.address, r.runID, r.request.GetEndpoint(), brokenRunTimeout) && r.responded {
+		r.request.Outcome = wire.Outcome_OUTCOME_REFUSED
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
 	defer cancel()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -91,8 +91,8 @@
 	body, complete := readComplete(resp, json.Valid)
 	if !complete {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
-		if ctx.Err() != nil {
-			g.cancelExecution(h.grant.GetAddress(), runID, r, cancelTimeout)
+		if ctx.Err() != nil && g.cancelExecution(h.grant.GetAddress(), runID, h.endpoint, cancelTimeout) {
+			r.Outcome = wire.Outcome_OUTCOME_REFUSED // it has ended, and its duration must not count as a service time
 		}
 		return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: "the response of " + h.endpoint + " was truncated or too large", RetryAfter: g.RetryAfter}
 	}
@@ -153,8 +153,8 @@
 		return nil
 	}
 	r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
-	if out.callerGone || ctx.Err() != nil {
-		g.cancelExecution(h.grant.GetAddress(), runID, r, cancelTimeout)
+	if (out.callerGone || ctx.Err() != nil) && g.cancelExecution(h.grant.GetAddress(), runID, h.endpoint, cancelTimeout) {
+		r.Outcome = wire.Outcome_OUTCOME_REFUSED // as in relayComplete
 	}
 	return &Failure{Code: CodeTruncated, Ran: MayHaveRun, Message: "the stream of " + h.endpoint + " broke off", RetryAfter: g.RetryAfter}
 }
