scheduler: an adapter that is not loaded, by a response that proves nothing, is looked up

What callers saw: nothing at once. After an engine that states no reasons responded 404 with NotFoundError, the slot counted as empty though the request may run on its adapter: another adapter could take its place.

Cause: a release with not_loaded deleted the slot whatever its outcome was.

TestAdapterIsBusyAfterAnUnprovenNotLoaded failed before: the slot was gone.

Why it holds: with an unknown outcome the scheduler claims the endpoint anew and reads which adapters it holds. Those that it still holds are busy until a report shows that nothing uses them. A refusal with a stated reason deletes the slot as before.

The other two tests pin what holds: a grant that is taken back is not delivered, and a report ends no grant that may still be used.

--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -111,7 +111,14 @@
 	if req.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN && sl.unaccountedUntil.Before(now) {
 		sl.unaccountedUntil = now // it may still run; only a report can show that it does not
 	}
-	if req.GetNotLoaded() && sl.state == ready && sl.stateSince.Before(g.issuedAt) {
+	notLoaded := req.GetNotLoaded() && sl.state == ready && sl.stateSince.Before(g.issuedAt)
+	switch {
+	case !notLoaded:
+	case req.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN:
+		if e.ownership == owned {
+			s.resyncLocked(e, now) // the request may run on it nevertheless
+		}
+	default:
 		delete(e.slots, g.adapter)
 		e.nextProbe = now // the slot table is wrong: read which adapters the engine holds
 	}
