gateway, scheduler: tests that only a proof releases an idempotency key

They pin what holds: a lost reply to a claim, a home that does not reply, a lost outcome, an outcome that is not known, a claim that is sent twice, an outcome that is reported twice.

--- a/gateway/sending_test.go
+++ b/gateway/sending_test.go
@@ -48,6 +48,9 @@
 	// acquire replies to the n-th call of Acquire, from 0; nil: the call fails.
 	acquire func(n int, endpoint string) *wire.AcquireReply
 
+	lostBegins int  // replies to BeginKey that are lost
+	losesEnds  bool // no EndKey arrives
+
 	mu       sync.Mutex
 	acquired int
 	released []*wire.ReleaseRequest
@@ -79,6 +82,11 @@
 func (s *fakeScheduler) BeginKey(_ context.Context, q *wire.BeginKeyRequest, _ ...grpc.CallOption) (*wire.BeginKeyReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.lostBegins > 0 {
+		s.lostBegins--
+		s.claims[q.GetKey()] = true
+		return nil, context.DeadlineExceeded
+	}
 	if s.claims[q.GetKey()] {
 		return &wire.BeginKeyReply{State: wire.KeyState_KEY_STATE_IN_PROGRESS}, nil
 	}
@@ -90,6 +98,9 @@
 func (s *fakeScheduler) EndKey(_ context.Context, q *wire.EndKeyRequest, _ ...grpc.CallOption) (*wire.EndKeyReply, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.losesEnds {
+		return nil, context.DeadlineExceeded
+	}
 	s.ended = append(s.ended, q.GetState())
 	return &wire.EndKeyReply{}, nil
 }
@@ -134,12 +145,23 @@
 	g.Catalog = func() *catalog.Catalog { return k }
 }
 
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
+
 // serveOnce serves one request of a caller. One that is not repeatable gets a key.
 func (g *Gateway) serveOnce(method, path, body string, repeatable bool) *httptest.ResponseRecorder {
-	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	key := ""
 	if !repeatable {
+		key = newKey()
+	}
+	return g.serveWithKey(method, path, body, key)
+}
+
+// serveWithKey serves one request of a caller; without a key it is repeatable.
+func (g *Gateway) serveWithKey(method, path, body, key string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	if key != "" {
 		r.Header.Set(RepeatableHeader, "no")
-		r.Header.Set(KeyHeader, uuid.Must(uuid.NewV7()).String())
+		r.Header.Set(KeyHeader, key)
 	}
 	w := httptest.NewRecorder()
 	g.Handler().ServeHTTP(w, r)
--- a/scheduler/keys_test.go
+++ b/scheduler/keys_test.go
@@ -103,3 +103,33 @@
 	f.scheduler.ListedSchedulers = func() []string { return []string{"a/scheduler", "b/scheduler", "box/scheduler"} }
 	f.Assert(f.scheduler.isKeyHome(key), quicktest.IsFalse)
 }
+
+// Guards against a key that is free again after an attempt that may have run.
+func TestKeyThatMayHaveRunIsNotClaimedAgain(t *testing.T) {
+	c := quicktest.New(t)
+	for _, state := range []wire.KeyState{wire.KeyState_KEY_STATE_RAN, wire.KeyState_KEY_STATE_UNKNOWN, wire.KeyState_KEY_STATE_UNSPECIFIED} {
+		k, key := newTestLedger(4), newKey(c)
+		beginKey(k, key, "one")
+		k.End(key, "one", state)
+		c.Check(beginKey(k, key, "two"), quicktest.Equals, state)
+		c.Check(beginKey(k, key, "one"), quicktest.Equals, state)
+	}
+}
+
+// Guards against a key whose outcome changes to "not run" afterwards.
+func TestOutcomeOfAKeyIsFinal(t *testing.T) {
+	c := quicktest.New(t)
+	k, key := newTestLedger(4), newKey(c)
+	beginKey(k, key, "one")
+	k.End(key, "one", wire.KeyState_KEY_STATE_RAN)
+	k.End(key, "one", wire.KeyState_KEY_STATE_CLAIMED)
+	c.Check(beginKey(k, key, "two"), quicktest.Equals, wire.KeyState_KEY_STATE_RAN)
+}
+
+// Guards against two executions of a request whose claim was sent twice, since the reply to the first was lost.
+func TestRepeatedClaimOfAKeyIsNotGranted(t *testing.T) {
+	c := quicktest.New(t)
+	k, key := newTestLedger(4), newKey(c)
+	c.Check(beginKey(k, key, "one"), quicktest.Equals, wire.KeyState_KEY_STATE_CLAIMED)
+	c.Check(beginKey(k, key, "one"), quicktest.Equals, wire.KeyState_KEY_STATE_IN_PROGRESS)
+}
