--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -93,3 +93,23 @@
 		c.Check(r.GetOutcome(), quicktest.Equals, wire.Outcome_OUTCOME_REFUSED)
 	}
 }
+
+// Guards against a completion that is taken for a refusal, since its head has a reason for one.
+func TestReasonOnASuccessIsIgnored(t *testing.T) {
+	c := quicktest.New(t)
+	for _, reason := range []string{"busy", "not_loaded", "leaving"} {
+		address, requests := refusingEngine(c, http.StatusOK, reason, `{"choices":[]}`)
+		g := newSendingGateway(c)
+		s := &fakeScheduler{acquire: func(int, string) *wire.AcquireReply { return grantAt(address) }}
+		g.schedule(s)
+		w := g.serveOnce(http.MethodPost, "/v1/completions", `{"model": "a", "prompt": "x"}`, false)
+		c.Check(w.Code, quicktest.Equals, http.StatusOK)
+		c.Check(w.Body.String(), quicktest.Equals, `{"choices":[]}`)
+		c.Check(requests.Load(), quicktest.Equals, int64(1))
+		c.Check(s.ended, quicktest.DeepEquals, []wire.KeyState{wire.KeyState_KEY_STATE_RAN})
+		c.Check(g.flushReleases(), quicktest.IsNil)
+		c.Assert(s.released, quicktest.HasLen, 1)
+		c.Check(s.released[0].GetOutcome(), quicktest.Equals, wire.Outcome_OUTCOME_COMPLETED)
+		c.Check(s.released[0].GetNotLoaded() || s.released[0].GetBusy() || s.released[0].GetLeaving(), quicktest.IsFalse)
+	}
+}
