scheduler: a release without an outcome leaves the slot busy

What callers saw: nothing; no gateway of this version releases a grant without an outcome.

Cause: only OUTCOME_UNKNOWN counted as a request that may still run. A missing outcome, or one that a later version adds, counted as the proof that it has ended, and the slot as free.

TestMissingOutcomeKeepsSlotBusy failed before.

Why it holds: the outcomes that prove an end are listed; any other is unknown.

--- a/scheduler/grants.go
+++ b/scheduler/grants.go
@@ -102,19 +102,30 @@
 	return s.factsLocked(e, g.request, now)
 }
 
+// hasUnknownOutcome reports whether the request of a released grant may still run: its outcome is unknown, or none that this
+// scheduler knows.
+func hasUnknownOutcome(req *wire.ReleaseRequest) bool {
+	switch req.GetOutcome() {
+	case wire.Outcome_OUTCOME_COMPLETED, wire.Outcome_OUTCOME_NOT_SENT, wire.Outcome_OUTCOME_REFUSED:
+		return false
+	}
+	return true
+}
+
 // updateSlotLocked updates the slot that a released grant was for.
 func (s *Scheduler) updateSlotLocked(e *endpoint, g *grant, req *wire.ReleaseRequest, now time.Time) {
 	sl := e.slots[g.adapter]
 	if sl == nil {
 		return
 	}
-	if req.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN && sl.unaccountedUntil.Before(now) {
+	unknown := hasUnknownOutcome(req)
+	if unknown && sl.unaccountedUntil.Before(now) {
 		sl.unaccountedUntil = now // it may still run; only a report can show that it does not
 	}
 	notLoaded := req.GetNotLoaded() && sl.state == ready && sl.stateSince.Before(g.issuedAt)
 	switch {
 	case !notLoaded:
-	case req.GetOutcome() == wire.Outcome_OUTCOME_UNKNOWN:
+	case unknown:
 		if e.ownership == owned {
 			s.resyncLocked(e, now) // the request may run on it nevertheless
 		}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -115,6 +115,17 @@
 	f.Assert(f.scheduler.slotStateLocked(e, "a@1", e.slots["a@1"], time.Now()).Busy, quicktest.IsTrue)
 }
 
+// Guards against a slot that counts as free after a release that does not say what became of the request.
+func TestMissingOutcomeKeepsSlotBusy(t *testing.T) {
+	f := newFixture(t, "a@1")
+	e := f.own()
+	for _, outcome := range []wire.Outcome{wire.Outcome_OUTCOME_UNSPECIFIED, wire.Outcome(99)} {
+		e.slots["a@1"].unaccountedUntil = time.Time{}
+		f.release(f.acquire("a@1", "urgent"), outcome)
+		f.Assert(f.scheduler.slotStateLocked(e, "a@1", e.slots["a@1"], time.Now()).Busy, quicktest.IsTrue)
+	}
+}
+
 func TestAdapterWithGrantIsBusy(t *testing.T) {
 	f := newFixture(t, "a@1")
 	e := f.own()
