cairn-measure storm: engines and a service that refuse requests after they began

The soak of the own interface had no refusal that proves nothing, so a gateway that believes one passed it. Their bodies claim "ran": "not_run". Rejected requests are sent once more with their key, and so are keyed service calls that were promised not to have run; a promise that the witness contradicts is a breach.

--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -30,11 +30,12 @@
 	Seed uint64        `arg:"--seed" default:"1" help:"seed of faults and load"`
 	Rate float64       `arg:"--rate" default:"40" help:"requests per second"`
 
-	Limit   float64 `arg:"--limit" default:"0" help:"requests per second that one engine of each data centre announces as its limit; 0: no limit"`
-	Backoff float64 `arg:"--backoff" default:"0" help:"back-off in seconds that one engine of each data centre asks for whenever it rejects a request; it rejects all; 0: none does"`
-	Repeats float64 `arg:"--repeats" default:"0" help:"share of their responses, to any call, that one engine of each data centre and the services send once more, in the place of the next one"`
-	HideIDs bool    `arg:"--hide-request-ids" help:"no engine returns the IDs of requests"`
-	Uneven  bool    `arg:"--uneven" help:"engines of unlike speed, some of which turn slow and recover, and callers of three kinds; reports each kind"`
+	Limit    float64 `arg:"--limit" default:"0" help:"requests per second that one engine of each data centre announces as its limit; 0: no limit"`
+	Backoff  float64 `arg:"--backoff" default:"0" help:"back-off in seconds that one engine of each data centre asks for whenever it rejects a request; it rejects all; 0: none does"`
+	Repeats  float64 `arg:"--repeats" default:"0" help:"share of their responses, to any call, that one engine of each data centre and the services send once more, in the place of the next one"`
+	HideIDs  bool    `arg:"--hide-request-ids" help:"no engine returns the IDs of requests"`
+	Refusals float64 `arg:"--late-refusals" default:"0" help:"share of their requests that one engine of each data centre and the services refuse after they began, with responses that prove nothing"`
+	Uneven   bool    `arg:"--uneven" help:"engines of unlike speed, some of which turn slow and recover, and callers of three kinds; reports each kind"`
 }
 
 type restoresCommand struct {
@@ -135,7 +136,7 @@
 	case a.Capacity != nil:
 		err = measure.Capacity{Bin: a.Bin, Dir: dir, Time: a.Capacity.Time, Only: a.Capacity.Only}.Run(ctx, os.Stdout)
 	case a.Storm != nil:
-		err = measure.FaultInjection{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate, Limit: a.Storm.Limit, Backoff: a.Storm.Backoff, Uneven: a.Storm.Uneven, Repeats: a.Storm.Repeats, HidesRequestIDs: a.Storm.HideIDs}.Run(ctx, os.Stdout)
+		err = measure.FaultInjection{Bin: a.Bin, Dir: dir, Time: a.Storm.Time, Seed: a.Storm.Seed, Rate: a.Storm.Rate, Limit: a.Storm.Limit, Backoff: a.Storm.Backoff, Uneven: a.Storm.Uneven, Repeats: a.Storm.Repeats, HidesRequestIDs: a.Storm.HideIDs, LateRefusals: a.Storm.Refusals}.Run(ctx, os.Stdout)
 	case a.Restores != nil:
 		err = measure.StoreRestores{Bin: a.Bin, Dir: dir, Time: a.Restores.Time, Seed: a.Restores.Seed}.Run(ctx, os.Stdout)
 	case a.Versions != nil:
--- a/measure/fault_injection.go
+++ b/measure/fault_injection.go
@@ -40,6 +40,10 @@
 	Repeats float64
 	// HidesRequestIDs has no engine return the IDs of requests, by which such responses are told apart.
 	HidesRequestIDs bool
+	// LateRefusals is the share of their requests that the last engine of each data centre and the services refuse after they began,
+	// with responses that do not prove that a request did not run. Rejected requests are sent once more, and so are service
+	// calls with a key that got a promise that they did not run.
+	LateRefusals float64
 }
 
 const (
@@ -92,23 +96,21 @@
 		return err
 	}
 	r := &faultRun{FaultInjection: s, fleet: f, rand: rand.New(rand.NewPCG(s.Seed, 1)), rules: make(map[int]standin.Rule)}
-	if err := r.setLimits(ctx); err != nil {
-		return err
-	}
-	if err := r.setBackoffs(ctx); err != nil {
-		return err
-	}
-	if err := r.setRepeats(ctx); err != nil {
-		return err
+	for _, set := range []func(context.Context) error{r.setLimits, r.setBackoffs, r.setRepeats, r.setLateRefusals} {
+		if err := set(ctx); err != nil {
+			return err
+		}
 	}
 	reports := make(chan load.Report, 1)
 	go func() { reports <- load.Run(ctx, r.loadPlan()) }()
+	calls := make(chan serviceCalls, 1)
+	go func() { calls <- r.callServices(ctx) }()
 	slowed := make(chan error, 1)
 	go func() { slowed <- r.slowEngines(ctx) }()
 	if err := r.injectFaults(ctx); err != nil {
 		return err
 	}
-	report := <-reports
+	report, called := <-reports, <-calls
 	if err := <-slowed; err != nil {
 		return err
 	}
@@ -131,7 +133,11 @@
 	if err := r.printRepeats(ctx, w); err != nil {
 		return err
 	}
-	return r.printReport(w, report, witness, over > 0 || atOnce > 0 || ignored)
+	lied, err := r.checkServiceCalls(ctx, w, called)
+	if err != nil {
+		return err
+	}
+	return r.printReport(w, report, witness, over > 0 || atOnce > 0 || ignored || lied)
 }
 
 // setBackoffs makes the last engine of each data centre reject requests and ask for back-offs.
@@ -254,6 +260,7 @@
 	if r.Uneven {
 		p.Kinds, p.Duplicate, p.RetryRejected = unevenKinds(), false, true
 	}
+	p.RetryRejected = p.RetryRejected || r.LateRefusals > 0
 	for c := 1; c <= faultDataCentres; c++ {
 		for b := 1; b <= faultBoxes; b++ {
 			p.Gateways = append(p.Gateways, r.fleet.CallersAddress(c, b))
--- a/standin/complete.go
+++ b/standin/complete.go
@@ -69,6 +69,10 @@
 	}
 	r.addReader()
 	defer r.removeReader()
+	if refusal, late := e.LateRefusals.next(); late {
+		refuseLate(q.Context(), w, refusal, r)
+		return
+	}
 	if body.Stream {
 		stream(q.Context(), w, r, 0)
 		return
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -39,6 +39,7 @@
 	BaseModelTime   time.Duration // duration of the load of a base model
 	HidesRequestIDs bool          // responses do not have the request's ID
 	Repeats         Repeater      // set with /control/repeat; it must wrap the listener
+	LateRefusals    LateRefuser   // set with /control/refuse-late
 
 	mu               sync.Mutex
 	boot             string
@@ -292,6 +293,8 @@
 	m.HandleFunc("POST /control/repeat", e.Repeats.setShare)
 	m.HandleFunc("GET /control/repeat", e.Repeats.showCount)
 	m.HandleFunc("POST /control/lose", e.Repeats.setLost)
+	m.HandleFunc("POST /control/refuse-late", e.LateRefusals.set)
+	m.HandleFunc("GET /control/refuse-late", e.LateRefusals.showCount)
 	m.HandleFunc("GET /control/base-models", e.showBaseModels)
 	m.HandleFunc("POST "+fragilityPath, e.setFragility)
 	m.HandleFunc("GET "+fragilityPath, e.showFragility)
