scheduler: an unload that failed without a reason may have been carried out

What callers saw: a request sent to an endpoint that no longer held its adapter, or whose adapter was unloaded then, after the endpoint had responded to an unload with an error that states no reason.

Cause: any error response counted as an unload that was not carried out, and the slot was used again at once, while an order without a response has the scheduler read which adapters the endpoint holds.

TestAdapterIsNotUsedAfterAnUnloadThatMayBeCarriedOut failed before for the error without a reason.

Why it holds: such an error is now handled as no response is: the endpoint is claimed anew, with a higher fence, and its adapters are read before the next grant. The load waits longer each time, as before. A load that fails so changes nothing: its slot is not used until a load succeeds.

--- a/scheduler/fake_test.go
+++ b/scheduler/fake_test.go
@@ -26,6 +26,7 @@
 	boot       string
 	slots      map[string]bool
 	loadError  error    // result of every load
+	failUnload error    // result of every unload; nil: it is carried out
 	operations []string // loads and unloads, in order
 }
 
@@ -65,6 +66,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.operations = append(f.operations, "unload "+name)
+	if f.failUnload != nil {
+		return f.failUnload
+	}
 	delete(f.slots, name)
 	return nil
 }
--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -132,7 +132,9 @@
 	now := clock.Now()
 	s.Log.Info("Load or unload failed", "endpoint", e.name, "load", task.load, "unload", task.unload, "err", err.Error())
 	delete(e.slots, task.load)
-	if sl := e.slots[task.unload]; sl != nil && sl.state == unloading {
+	sl := e.slots[task.unload]
+	unloadFailed := sl != nil && sl.state == unloading
+	if unloadFailed {
 		sl.state = ready
 	}
 	var refused *engine.RefusedError
@@ -148,6 +150,11 @@
 		e.loadFailures[task.load] = loadFailure{retryAt: now.Add(max(refused.RetryAfter, e.loadTime) / 2)}
 	case engine.CodeNoSlot, engine.CodeBadRequest:
 		s.resyncLocked(e, now)
+	case engine.CodeFailed:
+		s.recordLoadFailureLocked(e, task.load, now)
+		if unloadFailed { // it may have been carried out
+			s.resyncLocked(e, now)
+		}
 	default:
 		s.recordLoadFailureLocked(e, task.load, now)
 	}
--- a/scheduler/unproven_test.go
+++ b/scheduler/unproven_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/engine"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 )
@@ -63,3 +64,19 @@
 	f.Assert(f.scheduler.reconcileReport(context.Background(), e), quicktest.IsNil)
 	f.Assert(e.grants, quicktest.HasLen, 0)
 }
+
+// Guards against an adapter that is unloaded while a request runs on it: an unload that failed may still be carried out, unless the
+// engine states a reason for which it refused it.
+func TestAdapterIsNotUsedAfterAnUnloadThatMayBeCarriedOut(t *testing.T) {
+	for code, want := range map[engine.Code]ownership{engine.CodeFailed: claiming, engine.CodeLeaving: owned} {
+		f := newFixture(t, "a@1")
+		e := f.own()
+		f.engine.failUnload = &engine.RefusedError{Code: code}
+		e.slots["a@1"].state = unloading
+		f.scheduler.runLoadTask(context.Background(), loadTask{endpoint: e, fence: e.fence, bootID: e.bootID, unload: "a@1", load: "b@1", path: "p/b"})
+		f.Check(f.engine.sentOperations(), quicktest.DeepEquals, []string{"unload a@1"})
+		f.Check(e.ownership, quicktest.Equals, want, quicktest.Commentf("%s", code))
+		granted := f.acquire("a@1", "urgent").GetGrant() != nil
+		f.Check(granted, quicktest.Equals, want == owned, quicktest.Commentf("%s", code))
+	}
+}
