engine: a response of which readers differ in what it says is not believed

What callers saw: a response that net/http accepts counted as the response to a request, also as the proof that it was not executed, though its head can be read as the response to another request, or its end as another one.

Cause: the reader that compares IDs looked at the first header with the ID only, took folded lines, bare LF, spaces before the colon and trimmed characters as they came, and left the rest to net/http, which is more lenient than RFC 9112: it takes an ID twice, any version, the statuses 099, 600 and +20, the same Content-Length twice, Content-Length beside chunks, chunks in HTTP/1.0 and 204, and 101 without a request for it. Where the two read differently, the one compared an ID and the other took the response.

TestRequestIsNotResentAfterAnAmbiguousResponse fails if the connection gives the error as its first read, as it did before for a response that cannot be discarded: net/http sends a GET request again by itself.

Change: a head is accepted only if it is what a sender may send by RFC 9112, states at most one ID, and has one length at the most. Otherwise the connection ends, and the request may have been executed. A response to another request that is not discarded ends its connection too, since the awaited one may still come on it. Two things that senders may not send either, but that some accept, are refused: bare LF as the end of a line, and the same Content-Length twice.

--- a/engine/response_match.go
+++ b/engine/response_match.go
@@ -8,10 +8,8 @@
 	"io"
 	"net/http"
 	"slices"
-	"strings"
 	"sync/atomic"
 
-	"cairnwick.example/transfer"
 	"github.com/pkg/errors"
 )
 
@@ -40,10 +38,10 @@
 	OnSurplus func() // called for each response to another request that was discarded; may be nil
 }
 
-// matches reports whether a response with these headers may be for the request: it has its ID, or none.
+// matches reports whether a response with these headers may be for the request: it has its ID, and no other, or none.
 func (id ResponseID) matches(h http.Header) bool {
-	value := h.Get(id.Header)
-	return value == "" || value == id.Value
+	values := h.Values(id.Header)
+	return len(values) == 0 || (len(values) == 1 && (values[0] == "" || values[0] == id.Value))
 }
 
 // awaited is the response that a connection awaits.
@@ -66,17 +64,24 @@
 	c.awaits.id = ResponseID{}
 }
 
+// failedStatusLine is what net/http gets before the error of a response that is not believed. If the error came first, net/http
+// would send a GET request again by itself.
+const failedStatusLine = "HTTP/1.1 502 Bad Gateway\r\n"
+
 // Read implements net.Conn. It discards responses with the ID of another request that come before the awaited one.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	if len(c.received) == 0 {
+		if c.failed != nil {
+			return 0, c.failed
+		}
 		n, err := c.Conn.Read(b)
 		a, ok := c.awaitedResponse()
 		if n == 0 || !ok {
 			return n, err
 		}
 		c.received = append(c.received, b[:n]...)
-		if err := c.findResponse(a); err != nil {
-			return 0, err
+		if c.failed = c.findResponse(a); c.failed != nil {
+			c.received = []byte(failedStatusLine)
 		}
 		c.responseFound()
 	}
@@ -87,22 +92,22 @@
 	return n, nil
 }
 
-// findResponse receives until the head of a response that is not discarded is at the start of c.received. Whatever is no
-// response is left there for net/http to reject.
+// findResponse receives until the head of a response that is not discarded is at the start of c.received.
 func (c *guardedConn) findResponse(a awaited) error {
 	for surplus := 0; ; surplus++ {
-		head, end := c.receiveHead()
-		if end == 0 {
-			return nil
+		r, err := c.receiveHead(a)
+		if err != nil {
+			return err
 		}
-		value, found := headerValue(head, a.id.Header)
-		if !found {
-			c.endAfterResponse(end)
+		value := r.head.id()
+		if value != "" && value == a.id.Value {
+			return nil
 		}
-		if !found || value == a.id.Value || a.sentHead || surplus == maxSurplusResponses {
+		if value == "" || a.sentHead || surplus == maxSurplusResponses {
+			c.endAfterResponse(r.end)
 			return nil
 		}
-		discarded, err := c.discardResponse(end - len(head))
+		discarded, err := c.discardResponse(r.start)
 		if err != nil || !discarded {
 			return err
 		}
@@ -113,19 +118,19 @@
 	}
 }
 
-// receiveHead receives the head of a final response, and returns it and where it ends in c.received. Informational ones may
-// come before it. The end is zero if there is none within transfer.MaxHeadBytes.
-func (c *guardedConn) receiveHead() (head []byte, end int) {
-	start := 0
+// receiveHead receives the head of a final response. Informational ones may come before it.
+func (c *guardedConn) receiveHead(a awaited) (*headReader, error) {
+	r := &headReader{idHeader: a.id.Header}
 	for {
-		n := headLength(c.received[start:])
-		switch {
-		case n > 0 && isInformational(c.received[start:]):
-			start += n
-		case n > 0:
-			return c.received[start : start+n], start + n
-		case len(c.received) > transfer.MaxHeadBytes || c.receive() != nil:
-			return nil, 0
+		complete, err := r.read(c.received)
+		if complete || err != nil {
+			return r, err
+		}
+		if err = c.receive(); errors.Is(err, io.EOF) {
+			return nil, io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
 		}
 	}
 }
@@ -148,7 +153,7 @@
 	in := bufio.NewReader(io.MultiReader(buffered, c.Conn))
 	resp, err := http.ReadResponse(in, nil)
 	if err != nil {
-		return false, nil // net/http reports what is wrong with it
+		return false, errors.Wrap(err, "engine: read a response to another request")
 	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
 		return false, nil
@@ -169,42 +174,8 @@
 	return true, nil
 }
 
-// endAfterResponse has net/http use the connection for no further request. A copy of a response without an ID could be taken
-// for the next one.
+// endAfterResponse has net/http use the connection for no further request after the response whose head ends at end. A copy of a
+// response without an ID could be taken for the next one, and after a response to another request the awaited one may come.
 func (c *guardedConn) endAfterResponse(end int) {
-	blank := 1
-	if bytes.HasSuffix(c.received[:end], []byte("\r\n")) {
-		blank = 2
-	}
-	c.received = slices.Insert(c.received, end-blank, []byte("Connection: close\r\n")...)
-}
-
-// headLength returns the length of the head at the start of b, with the empty line; zero if that has not come.
-func headLength(b []byte) int {
-	length := 0
-	for line := range bytes.Lines(b) {
-		length += len(line)
-		if text := string(line); length > len(line) && (text == "\r\n" || text == "\n") {
-			return length
-		}
-	}
-	return 0
-}
-
-// isInformational reports whether another head follows the one at the start of b.
-func isInformational(b []byte) bool {
-	_, status, _ := bytes.Cut(b, []byte(" "))
-	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101"))
-}
-
-// headerValue returns the first value of a header; false if there is none, or it is empty.
-func headerValue(head []byte, name string) (value string, found bool) {
-	for line := range bytes.Lines(head) {
-		key, text, ok := bytes.Cut(line, []byte(":"))
-		if ok && strings.EqualFold(string(key), name) {
-			text = bytes.TrimSpace(text)
-			return string(text), len(text) > 0
-		}
-	}
-	return "", false
+	c.received = slices.Insert(c.received, end-len("\r\n"), []byte("Connection: close\r\n")...)
 }
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -27,6 +27,7 @@
 	net.Conn
 
 	received []byte // received and not yet read; used by Read alone
+	failed   error  // the end of the connection, since a response is not believed; used by Read alone
 
 	mu         sync.Mutex
 	sendBy     time.Time // limit for the current request's first write; zero: none
