engine: net/http gets a response that was compared, and nothing after it

What callers saw: an endpoint sent more than its response, a part of the response to another request included. The next request on the connection got a response made of both, for example with the 503 and the reason of the other, under its own ID.

Cause: net/http reads all that has come into its buffer. It drops a connection with bytes beyond a response if it looks before the next request is started there. If it looks later, the bytes in its buffer are the start of that request's response, and the comparison of IDs, which sees the connection alone, takes the rest for the whole.

Change: the connection knows where the response ends, by its length, its chunks or its status, and returns no byte beyond it. What came beyond is compared like any other response if the next request was started by then, and otherwise ends the connection. So every head that net/http reads was compared. A chunk size that readers read differently ends the response.

--- a/engine/response_head.go
+++ b/engine/response_head.go
@@ -142,6 +142,11 @@
 	return nil
 }
 
+// endsWithConnection reports whether the end of the connection ends the body.
+func (h *responseHead) endsWithConnection() bool {
+	return len(h.lengths)+len(h.codings) == 0 && h.status != http.StatusNoContent && h.status != http.StatusNotModified
+}
+
 // id returns the ID; empty if there is none.
 func (h *responseHead) id() string {
 	if len(h.ids) == 0 {
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -26,8 +26,11 @@
 type guardedConn struct {
 	net.Conn
 
-	received []byte // received and not yet read; used by Read alone
-	failed   error  // the end of the connection, since a response is not believed; used by Read alone
+	// Used by Read alone:
+	received []byte     // received and not yet read
+	headLeft int        // the start of it that belongs to the head of the current response
+	body     bodyReader // of the current response
+	failed   error      // ends the connection, since a response is not believed
 
 	mu         sync.Mutex
 	sendBy     time.Time // limit for the current request's first write; zero: none
@@ -41,8 +44,7 @@
 	defer c.mu.Unlock()
 	c.sendBy = sendBy
 	c.writeBegun = false
-	c.awaits.id = id
-	c.awaits.sentHead = c.awaits.sentHead || method == http.MethodHead
+	c.awaits.await(method, id)
 }
 
 func (c *guardedConn) requestSent() bool {
