--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -22,7 +22,7 @@
 const maxBufferedBody = 16 << 20
 
 // invalidResponse is the detail of a response that checkResponse does not accept.
-const invalidResponse = "the response is not for this request, not signed, or encoded"
+const invalidResponse = "the response is not for this request, not signed, contradictory, or encoded"
 
 // attempt sends the request once and relays the response; nil means that the
 // caller got all of it.
@@ -223,7 +223,7 @@
 			u.recordRefusal(clock.Now())
 		}
 		return g.recordRefused(q, t, CodeRefusedByEndpoint, failedAttempt{proof: rejected, status: resp.StatusCode, detail: "the endpoint rejected the request: " + resp.Status})
-	case head.Encoded || (isSuccess(resp) && !head.Signed):
+	case head.IsContradictory || head.Encoded || (isSuccess(resp) && !head.Signed):
 		return g.recordInvalid(q, u, resp)
 	}
 	if promisesNotExecuted(resp.StatusCode) {
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -56,6 +56,7 @@
 	MatchesCall      bool // it answers this call and no other
 	Signed           bool // signed by an endpoint
 	NotExecuted      bool // the endpoint states that the request was not executed
+	IsContradictory  bool // it states that, and the contrary, so it proves nothing
 	WrongEndpoint    bool // another incarnation or service has the address
 	AdapterNotLoaded bool // the endpoint does not hold the adapter, or not that version
 	Encoded          bool // the body has a content encoding
--- a/forward/gateway_test.go
+++ b/forward/gateway_test.go
@@ -56,6 +56,7 @@
 		MatchesCall:      resp.Header.Get("Id") == c.ID,
 		Signed:           resp.Header.Get("Signed") != "",
 		NotExecuted:      resp.Header.Get("Test-Not-Run") != "",
+		IsContradictory:  resp.Header.Get("Test-Contradictory") != "",
 		AdapterNotLoaded: resp.Header.Get("Test-Adapter-Not-Loaded") != "",
 		WrongEndpoint:    resp.Header.Get("Test-Wrong-Endpoint") != "",
 	}
--- a/forward/rejected_test.go
+++ b/forward/rejected_test.go
@@ -34,6 +34,20 @@
 	s.c.Assert([]int64{refused.Load(), ran.Load()}, quicktest.DeepEquals, []int64{1, 1})
 }
 
+// Guards against a response that contradicts itself and is relayed, so that its status promises that the request was not executed.
+func TestContradictoryResponseIsNoResponse(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusMisdirectedRequest, http.StatusServiceUnavailable} {
+		s := newSite(t, onceRoute(2*time.Second))
+		contradictory := withHeader("Test-Contradictory", "1", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+		first, second := s.endpoint(t, withHeader("Signed", "1", contradictory)), s.endpoint(t, withHeader("Signed", "1", contradictory))
+		resp, _, err := s.ask("/")
+		s.c.Assert(err, quicktest.IsNil)
+		s.c.Check(resp.StatusCode, quicktest.Equals, http.StatusBadGateway, quicktest.Commentf("status %d", status))
+		s.c.Check(resp.Header.Get("Signed"), quicktest.Equals, "")
+		s.c.Check(first.Load()+second.Load(), quicktest.Equals, int64(1))
+	}
+}
+
 // A rejected request does not go to an unreachable data centre.
 func TestRejectedRequestSkipsUnreachableDataCentre(t *testing.T) {
 	s := newSite(t, onceRoute(2*time.Second))
