--- a/engine/transport.go
+++ b/engine/transport.go
@@ -110,7 +110,7 @@
 //
 // Responses with the ID of another request that come before the response are discarded, a few of them and short ones. The
 // caller must compare the ID of the response, since more of them end that. After a response without an ID the connection is
-// closed.
+// closed. A response that readers of HTTP read differently counts as none: ErrAmbiguousResponse.
 func Send(client *http.Client, req *http.Request, sendBy time.Time, id ResponseID) (*http.Response, error) {
 	req.GetBody = nil // net/http cannot retry without it
 	var mu sync.Mutex
