engine: whether a request was sent is known for each attempt

What callers saw: a request that an endpoint had received counted as not sent. It was answered with 503, which promises that it has not run, or went to another endpoint.

Cause: guardedConn.writeBegun belonged to the connection, and the next request on it cleared it. net/http makes a connection idle before it delivers a short response; if the first request's context ends in between, its Send asked the connection after the next request had taken it.

Evidence: TestNextRequestOnConnectionDoesNotMakeRequestUnsent, which forces that order, and TestUnsentRequestsDidNotArrive failed before.

Change: an attempt records its first write; connections and Send ask it. An attempt holds no request or context, so an idle connection keeps none in memory. The other new tests passed before too.

TestRequestOfWhichNoByteWasTakenIsNotSent asks the attempt in place of the connection; its cases are the same.

--- a/engine/response_match.go
+++ b/engine/response_match.go
@@ -155,7 +155,7 @@
 		}
 		value := r.head.id()
 		isForeign := value != "" && value != a.id.Value
-		if !isForeign && !c.requestSent() {
+		if !isForeign && !c.currentAttempt().mayBeSent() {
 			return errUnsolicited // it came before the request
 		}
 		if a.id.Header == "" || (value != "" && !isForeign) {
--- /dev/null
+++ b/engine/sent_test.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package engine
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+)
+
+const emptyResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+
+// recorder is a server that records the requests whose head it has read, and lets a function handle each.
+type recorder struct {
+	address string
+	handle  func(conn net.Conn, in *bufio.Reader, r *http.Request, n int) bool // n counts from 1; false closes the connection
+
+	open sync.WaitGroup // connections
+
+	mu      sync.Mutex
+	arrived []string // methods and paths
+}
+
+func newRecorder(c *quicktest.C, handle func(net.Conn, *bufio.Reader, *http.Request, int) bool) *recorder {
+	s := &recorder{handle: handle}
+	l := newListener(c)
+	s.address = l.Addr().String()
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			s.open.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *recorder) serve(conn net.Conn) {
+	defer s.open.Done()
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.arrived = append(s.arrived, r.Method+" "+r.URL.Path)
+		n := len(s.arrived)
+		s.mu.Unlock()
+		if !s.handle(conn, in, r, n) {
+			return
+		}
+	}
+}
+
+// requests returns the requests that arrived.
+func (s *recorder) requests() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.arrived...)
+}
+
+// drain waits until the server has read what clients wrote; all other connections must have been closed.
+func (s *recorder) drain(c *quicktest.C) { drain(c, s.address, &s.open) }
+
+// drain waits until a server has accepted all connections and ended those that are open.
+func drain(c *quicktest.C, address string, open *sync.WaitGroup) {
+	last, err := net.Dial("tcp", address) // accepted after all others
+	c.Assert(err, quicktest.IsNil)
+	defer last.Close()
+	_, err = io.WriteString(last, "GET /last HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	c.Assert(err, quicktest.IsNil)
+	_, err = io.Copy(io.Discard, last)
+	c.Assert(err, quicktest.IsNil)
+	open.Wait()
+}
+
+// respondEmpty reads the body and responds without one.
+func respondEmpty(conn net.Conn, _ *bufio.Reader, r *http.Request, _ int) bool {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return false
+	}
+	_, err := io.WriteString(conn, emptyResponse)
+	return err == nil && !r.Close
+}
+
+// sendRequest sends a request, closes its response and returns the error of Send.
+func sendRequest(client *http.Client, r *http.Request, sendBy time.Time) error {
+	resp, err := Send(client, r, sendBy, ResponseID{})
+	if err == nil {
+		resp.Body.Close()
+	}
+	return err
+}
+
+func newRequest(ctx context.Context, c *quicktest.C, method, address string, body io.Reader) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+address, body)
+	c.Assert(err, quicktest.IsNil)
+	return r
+}
+
+// Guards against a request that counts as not sent because the next one on its connection has not been written. The connection
+// is idle when the response is read, and the first Send has not returned then.
+func TestNextRequestOnConnectionDoesNotMakeRequestUnsent(t *testing.T) {
+	c := quicktest.New(t)
+	s := newRecorder(c, respondEmpty)
+	client := newClient()
+	idle, firstFailed, taken := make(chan struct{}), make(chan struct{}), make(chan struct{})
+
+	ctx, cancel := context.WithCancel(context.Background())
+	first := newRequest(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{PutIdleConn: func(error) {
+		close(idle)
+		<-firstFailed // keeps net/http from delivering the response
+	}}), c, http.MethodPost, s.address+"/first", strings.NewReader("{}"))
+	firstResult := make(chan error, 1)
+	go func() { firstResult <- sendRequest(client, first, time.Time{}) }()
+	<-idle
+
+	second := newRequest(httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c.Check(info.Reused, quicktest.IsTrue)
+		close(taken)
+		<-firstFailed // nothing of the second request is written until then
+	}}), c, http.MethodPost, s.address+"/second", strings.NewReader("{}"))
+	secondResult := make(chan error, 1)
+	go func() { secondResult <- sendRequest(client, second, time.Time{}) }()
+	<-taken
+	cancel()
+	err := <-firstResult
+	close(firstFailed)
+	c.Check(errors.Is(err, context.Canceled), quicktest.IsTrue)
+	c.Check(wasSent(c, err), quicktest.IsTrue)
+	c.Check(wasSent(c, <-secondResult), quicktest.IsFalse) // its connection ended with the first request
+	c.Check(s.requests(), quicktest.DeepEquals, []string{"POST /first"})
+}
+
+// Guards against a failure of requests that net/http may try again: nothing was written, since the endpoint had closed the idle
+// connection.
+func TestRequestIsTriedAgainIfNothingWasWritten(t *testing.T) {
+	c := quicktest.New(t)
+	s := newRecorder(c, respondEmpty)
+	broken := make(chan struct{})
+	dials := 0
+	client := &http.Client{Transport: NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if dials++; dials == 1 {
+			conn = brokenConn{Conn: conn, broken: broken}
+		}
+		return conn, err
+	}, 4)}
+	c.Assert(sendRequest(client, newRequest(context.Background(), c, http.MethodGet, s.address+"/first", nil), time.Time{}), quicktest.IsNil)
+	close(broken)
+	c.Check(sendRequest(client, newRequest(context.Background(), c, http.MethodGet, s.address+"/second", nil), time.Time{}), quicktest.IsNil)
+	c.Check(s.requests(), quicktest.DeepEquals, []string{"GET /first", "GET /second"})
+}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -6,12 +6,10 @@
 	"context"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"syscall"
 	"time"
 
-	"cairnwick.example/clock"
 	"cairnwick.example/transfer"
 	"github.com/pkg/errors"
 )
@@ -20,9 +18,7 @@
 // nothing was sent.
 var ErrExpired = errors.New("engine: grant or lease expired before the request was written")
 
-// guardedConn fails the first write of a request if its time has passed, and records
-// whether any byte of the request was passed to the operating system. It discards
-// responses to other requests.
+// guardedConn asks the attempt whose request it carries before each write. It discards responses to other requests.
 type guardedConn struct {
 	net.Conn
 
@@ -32,44 +28,38 @@
 	body     bodyReader // of the current response
 	failed   error      // ends the connection, since a response is not believed
 
-	mu         sync.Mutex
-	sendBy     time.Time // limit for the current request's first write; zero: none
-	writeBegun bool      // some of the current request may have been sent
-	awaits     awaited   // its response
+	mu      sync.Mutex
+	attempt *attempt // of the current request; nil before the first
+	awaits  awaited  // its response
 }
 
-// startRequest prepares the connection for the next request.
-func (c *guardedConn) startRequest(method string, sendBy time.Time, id ResponseID) {
+// startRequest prepares the connection for the next request. net/http does that only after it has written the one before in full.
+func (c *guardedConn) startRequest(a *attempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.sendBy = sendBy
-	c.writeBegun = false
-	c.awaits.await(method, id)
+	c.attempt = a
+	c.awaits.await(a.method, a.id)
 }
 
-func (c *guardedConn) requestSent() bool {
+func (c *guardedConn) currentAttempt() *attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.writeBegun
+	return c.attempt
 }
 
 // Write implements net.Conn. It checks the time immediately before the system call.
 func (c *guardedConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	first := !c.writeBegun
-	late := first && !c.sendBy.IsZero() && clock.Now().After(c.sendBy)
-	if !late {
-		c.writeBegun = true
+	a := c.currentAttempt()
+	if a == nil { // not a request of Send
+		return c.Conn.Write(b)
 	}
-	c.mu.Unlock()
-	if late {
-		return 0, ErrExpired
+	first, err := a.beginWrite()
+	if err != nil {
+		return 0, err
 	}
 	n, err := c.Conn.Write(b)
 	if first && n == 0 && isClosedByPeer(err) {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.writeBegun = false
+		a.undoWrite()
 	}
 	return n, err
 }
@@ -103,33 +93,20 @@
 	}
 }
 
-// Send sends one request to an endpoint, by sendBy or not at all, and at most once:
-// automatic retries of net/http are disabled. Without a response it returns a
-// *NoResponseError, which says whether any byte may have been sent. A response of any
-// status is returned unchanged; the caller must close its body.
+// Send sends one request to an endpoint, by sendBy or not at all, and at most once: automatic retries
+// of net/http happen only while nothing has been written. Without a response it returns a *NoResponseError, which says
+// whether any byte may have been sent. A response of any status is returned
+// unchanged; the caller must close its body.
 //
 // Responses with the ID of another request that come before the response are discarded, a few of them and short ones. The
 // caller must compare the ID of the response, since more of them end that. After a response without an ID the connection is
 // closed. A response that readers of HTTP read differently counts as none: ErrAmbiguousResponse.
 func Send(client *http.Client, req *http.Request, sendBy time.Time, id ResponseID) (*http.Response, error) {
-	req.GetBody = nil // net/http cannot retry without it
-	var mu sync.Mutex
-	var conn *guardedConn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		guarded, ok := info.Conn.(*guardedConn)
-		if !ok {
-			return
-		}
-		guarded.startRequest(req.Method, sendBy, id)
-		mu.Lock()
-		conn = guarded
-		mu.Unlock()
-	}}
-	resp, err := client.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
-	if err == nil {
-		return resp, nil
+	req.GetBody = nil // net/http cannot send a body again without it
+	a := &attempt{method: req.Method, sendBy: sendBy, id: id}
+	resp, err := client.Do(req.WithContext(a.traced(req.Context())))
+	if err != nil {
+		return nil, a.end(err)
 	}
-	mu.Lock()
-	defer mu.Unlock()
-	return nil, &NoResponseError{Sent: conn != nil && conn.requestSent(), Cause: err}
+	return resp, nil
 }
--- a/engine/transport_test.go
+++ b/engine/transport_test.go
@@ -140,15 +140,17 @@
 		"another error":          {closedConn{err: syscall.EIO}, true},
 	} {
 		c := &guardedConn{Conn: k.conn}
-		c.startRequest(http.MethodPost, time.Time{}, ResponseID{})
+		a := &attempt{method: http.MethodPost}
+		c.startRequest(a)
 		_, err := c.Write([]byte("POST"))
 		quicktest.New(t).Check(err, quicktest.IsNotNil)
-		quicktest.New(t).Check(c.requestSent(), quicktest.Equals, k.sent, quicktest.Commentf("%s", name))
+		quicktest.New(t).Check(a.mayBeSent(), quicktest.Equals, k.sent, quicktest.Commentf("%s", name))
 	}
 	c := &guardedConn{Conn: closedConn{taken: 4}}
-	c.startRequest(http.MethodPost, time.Time{}, ResponseID{})
+	a := &attempt{method: http.MethodPost}
+	c.startRequest(a)
 	_, _ = c.Write([]byte("POST"))
 	c.Conn = closedConn{err: syscall.EPIPE}
 	_, _ = c.Write([]byte("body"))
-	quicktest.New(t).Check(c.requestSent(), quicktest.IsTrue)
+	quicktest.New(t).Check(a.mayBeSent(), quicktest.IsTrue)
 }
