engine: a request on a connection that cannot be observed counts as sent

What callers saw: over TLS, with the default transport, or through a wrapper of either, a request that its endpoint had received counted as not sent, and the time limit of a grant was not checked.

Cause: Send concluded "not sent" whenever it saw no connection of NewTransport.

Evidence: TestRequestOnUnobservedConnectionMayHaveBeenSent (five kinds of transport) and TestSendAfterExpiryBetweenConnectionAndWriteWritesNothing (a transport that is not of NewTransport) failed before.

Change: such a request counts as sent once the transport has a connection for it, and the time limit is checked then. Not sent is proven by the absence of a connection, if the transport is net/http's or has called the trace of the request, and by a context that had ended before. TestRequestWithoutConnectionIsNotSent guards against the opposite error: failed dials, handshakes and contexts.

--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
@@ -21,21 +22,47 @@
 	sendBy time.Time // limit for the first write; zero: none
 	id     ResponseID
 
-	mu    sync.Mutex
-	begun bool // some of the request may have been written
-	ended bool // Send has returned an error; nothing may be written any more
+	mu       sync.Mutex
+	begun    bool  // some of the request may have been written
+	ended    bool  // Send has returned an error; nothing may be written any more
+	observed bool  // the transport says when it has a connection for the request
+	refused  error // why a connection that cannot be observed was not used
 }
 
 // traced returns a context by which connections find the attempt.
 func (a *attempt) traced(ctx context.Context) context.Context {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*guardedConn); ok {
-			c.startRequest(a)
-		}
-	}}
+	trace := &httptrace.ClientTrace{GotConn: a.useConn}
+	if !a.observed {
+		trace.GetConn = a.observe
+	}
 	return httptrace.WithClientTrace(ctx, trace)
 }
 
+// observe records that the transport calls the trace.
+func (a *attempt) observe(string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.observed = true
+}
+
+// useConn prepares a connection that the transport has chosen. The writes of one that was not made by NewTransport cannot be
+// observed: the request counts as sent from here on, and if it must not be sent the connection is closed.
+func (a *attempt) useConn(info httptrace.GotConnInfo) {
+	if c, ok := info.Conn.(*guardedConn); ok {
+		c.startRequest(a)
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.observed = true
+	if _, err := a.mayBegin(); err != nil {
+		a.refused = err
+		_ = info.Conn.Close() // its writes fail then
+		return
+	}
+	a.begun = true
+}
+
 // mayBegin reports whether nothing has been written for this attempt, or why nothing may be written.
 func (a *attempt) mayBegin() (first bool, err error) {
 	switch {
@@ -79,5 +106,17 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
-	return &NoResponseError{Sent: a.begun, Cause: cause}
+	if a.refused != nil {
+		cause = a.refused
+	}
+	return &NoResponseError{Sent: a.begun || !a.observed, Cause: cause}
+}
+
+// callsTraces reports whether a transport is known to call the trace of a request whenever it has a connection for it.
+func callsTraces(t http.RoundTripper) bool {
+	if t == nil {
+		t = http.DefaultTransport
+	}
+	_, ok := t.(*http.Transport)
+	return ok
 }
--- a/engine/sent_test.go
+++ b/engine/sent_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"strings"
 	"sync"
@@ -147,6 +148,77 @@
 	c.Check(s.requests(), quicktest.DeepEquals, []string{"POST /first"})
 }
 
+// Guards against a request that counts as not sent since its connection is one that cannot be observed.
+func TestRequestOnUnobservedConnectionMayHaveBeenSent(t *testing.T) {
+	closing := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			conn.Close()
+		}
+	})
+	plain, secure := httptest.NewServer(closing), httptest.NewTLSServer(closing)
+	defer plain.Close()
+	defer secure.Close()
+	for name, k := range map[string]struct {
+		client *http.Client
+		url    string
+	}{
+		"transport of others": {plain.Client(), plain.URL},
+		"default transport":   {&http.Client{}, plain.URL},
+		"TLS":                 {secure.Client(), secure.URL},
+		"wrapped transport":   {&http.Client{Transport: wrappedTransport{plain.Client().Transport}}, plain.URL},
+		"untraced transport":  {&http.Client{Transport: untracedTransport{newClient().Transport}}, plain.URL},
+	} {
+		c := quicktest.New(t)
+		r, err := http.NewRequest(http.MethodPost, k.url, strings.NewReader("{}"))
+		c.Assert(err, quicktest.IsNil)
+		c.Check(wasSent(c, sendRequest(k.client, r, time.Time{})), quicktest.IsTrue, quicktest.Commentf("%s", name))
+	}
+}
+
+// wrappedTransport is a transport of another type.
+type wrappedTransport struct{ http.RoundTripper }
+
+// untracedTransport is a transport that calls no trace.
+type untracedTransport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (t untracedTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	return t.RoundTripper.RoundTrip(r.WithContext(context.Background()))
+}
+
+// Guards against failures before a connection was had that count as perhaps sent, with any transport.
+func TestRequestWithoutConnectionIsNotSent(t *testing.T) {
+	c := quicktest.New(t)
+	_, port, err := net.SplitHostPort(newListener(c).Addr().String())
+	c.Assert(err, quicktest.IsNil)
+	unused := net.JoinHostPort("127.0.0.2", port) // no other process can listen on it for all addresses
+	silent := newListener(c)                      // does not take part in a TLS handshake
+	ended, cancel := context.WithCancel(context.Background())
+	cancel()
+	for name, client := range map[string]*http.Client{
+		"NewTransport": newClient(),
+		"default":      {},
+		"wrapped":      {Transport: wrappedTransport{newClient().Transport}},
+	} {
+		comment := quicktest.Commentf("%s", name)
+		r := newRequest(context.Background(), c, http.MethodPost, unused, strings.NewReader("{}"))
+		c.Check(wasSent(c, sendRequest(client, r, time.Time{})), quicktest.IsFalse, comment)
+		r = newRequest(ended, c, http.MethodPost, silent.Addr().String(), strings.NewReader("{}"))
+		err := sendRequest(client, r, time.Time{})
+		c.Check(errors.Is(err, context.Canceled), quicktest.IsTrue, comment)
+		c.Check(wasSent(c, err), quicktest.IsFalse, comment)
+		soon, stop := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer stop()
+		r = newRequest(soon, c, http.MethodPost, silent.Addr().String(), strings.NewReader("{}"))
+		r.URL.Scheme = "https"
+		c.Check(wasSent(c, sendRequest(client, r, time.Time{})), quicktest.IsFalse, comment)
+	}
+}
+
+// newPlainClient returns a client whose transport is not one of NewTransport.
+func newPlainClient() *http.Client { return &http.Client{Transport: &http.Transport{}} }
+
 // Guards against a failure of requests that net/http may try again: nothing was written, since the endpoint had closed the idle
 // connection.
 func TestRequestIsTriedAgainIfNothingWasWritten(t *testing.T) {
--- a/engine/sent_write_test.go
+++ b/engine/sent_write_test.go
@@ -18,6 +18,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/clock"
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 )
@@ -185,6 +186,28 @@
 	c.Check(s.requests(), quicktest.HasLen, 0)
 }
 
+// Guards against a request that is written after its time, on new and on reused connections: the machine is suspended
+// between the choice of the connection and the write.
+func TestSendAfterExpiryBetweenConnectionAndWriteWritesNothing(t *testing.T) {
+	c := quicktest.New(t)
+	for _, newSender := range []func() *http.Client{newClient, newPlainClient} {
+		for _, reused := range []bool{false, true} {
+			s := newRecorder(c, respondEmpty)
+			client := newSender()
+			if reused {
+				c.Assert(sendRequest(client, newRequest(context.Background(), c, http.MethodPost, s.address+"/first", nil), time.Time{}), quicktest.IsNil)
+			}
+			before := len(s.requests())
+			ctx := httptrace.WithClientTrace(context.Background(), &httptrace.ClientTrace{GetConn: func(string) { clock.SimulateSuspend(time.Minute) }})
+			err := sendRequest(client, newRequest(ctx, c, http.MethodPost, s.address+"/", strings.NewReader("{}")), clock.Now().Add(10*time.Second))
+			clock.SimulateSuspend(-time.Minute)
+			c.Check(errors.Is(err, ErrExpired), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			c.Check(wasSent(c, err), quicktest.IsFalse)
+			c.Check(s.requests(), quicktest.HasLen, before)
+		}
+	}
+}
+
 // failingBody is a body whose reader fails after its content.
 type failingBody struct{ io.Reader }
 
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -95,15 +95,24 @@
 
 // Send sends one request to an endpoint, by sendBy or not at all, and at most once: automatic retries
 // of net/http happen only while nothing has been written. Without a response it returns a *NoResponseError, which says
-// whether any byte may have been sent. A response of any status is returned
+// whether any byte may have been sent: no proof to the contrary means that it may. A response of any status is returned
 // unchanged; the caller must close its body.
 //
+// What was written is known for connections of NewTransport alone. On others a request counts as sent once the transport has a
+// connection for it, and sendBy is checked then.
+//
 // Responses with the ID of another request that come before the response are discarded, a few of them and short ones. The
 // caller must compare the ID of the response, since more of them end that. After a response without an ID the connection is
 // closed. A response that readers of HTTP read differently counts as none: ErrAmbiguousResponse.
 func Send(client *http.Client, req *http.Request, sendBy time.Time, id ResponseID) (*http.Response, error) {
+	if err := context.Cause(req.Context()); err != nil {
+		if req.Body != nil {
+			_ = req.Body.Close() // as net/http does; there is nothing more to do with it
+		}
+		return nil, &NoResponseError{Cause: err}
+	}
 	req.GetBody = nil // net/http cannot send a body again without it
-	a := &attempt{method: req.Method, sendBy: sendBy, id: id}
+	a := &attempt{method: req.Method, sendBy: sendBy, id: id, observed: callsTraces(client.Transport)}
 	resp, err := client.Do(req.WithContext(a.traced(req.Context())))
 	if err != nil {
 		return nil, a.end(err)
