engine: net/http does not send a request again after some of it was written

What callers saw: a call without a body that was marked as not repeatable ran twice. The endpoint had read it on a reused connection and closed that. If the second try wrote nothing, as after the time limit of a grant, the request counted as not sent.

Cause: net/http repeats requests without a body by itself: GET, HEAD, OPTIONS and TRACE, others with an Idempotency-Key or X-Idempotency-Key, and any after a write that failed and reported no byte, also where bytes may have gone out. Without GetBody it only refrains if there is a body.

Evidence: TestRequestWithoutBodyIsNotResentOnReusedConnection (ten kinds of requests, two kinds of transport), TestRequestIsNotResentAfterWriteOfUnknownOutcome, TestSecondTryThatWroteNothingLeavesRequestSent and TestUnsentRequestsDidNotArrive failed before.

Change: the Proxy of NewTransport, which net/http calls before each try, ends a request of which something may have been written. An attempt is written to one connection only, and any other is refused, so that other transports do not repeat it either. A second try after one that wrote nothing still takes place (TestRequestIsTriedAgainIfNothingWasWritten passed before, too).

Ruled out, by reading: a body in place of none changes what is sent (chunks, or a wait of net/http for the first byte); a context to cancel has to live as long as the response; to refuse the write alone would close idle connections one after the other.

--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -6,6 +6,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"net/url"
 	"sync"
 	"time"
 
@@ -13,6 +14,10 @@
 	"github.com/pkg/errors"
 )
 
+// ErrConnectionLost means that a connection ended after some of the request may have been written. It stands in the place of a
+// second try of net/http.
+var ErrConnectionLost = errors.New("engine: the connection ended after some of the request may have been written")
+
 // errEnded means that Send had returned an error before the first write of its request.
 var errEnded = errors.New("engine: the request has ended")
 
@@ -23,19 +28,23 @@
 	id     ResponseID
 
 	mu       sync.Mutex
-	begun    bool  // some of the request may have been written
-	ended    bool  // Send has returned an error; nothing may be written any more
-	observed bool  // the transport says when it has a connection for the request
-	refused  error // why a connection that cannot be observed was not used
+	begun    bool         // some of the request may have been written
+	writer   *guardedConn // the connection that it was written to; nil if that cannot be observed
+	ended    bool         // Send has returned an error; nothing may be written any more
+	observed bool         // the transport says when it has a connection for the request
+	refused  error        // why a connection that cannot be observed was not used
 }
 
-// traced returns a context by which connections find the attempt.
+// attemptKey is the key of the attempt in the context of its request.
+type attemptKey struct{}
+
+// traced returns a context by which connections and the transport find the attempt.
 func (a *attempt) traced(ctx context.Context) context.Context {
 	trace := &httptrace.ClientTrace{GotConn: a.useConn}
 	if !a.observed {
 		trace.GetConn = a.observe
 	}
-	return httptrace.WithClientTrace(ctx, trace)
+	return httptrace.WithClientTrace(context.WithValue(ctx, attemptKey{}, a), trace)
 }
 
 // observe records that the transport calls the trace.
@@ -55,7 +64,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.observed = true
-	if _, err := a.mayBegin(); err != nil {
+	if _, err := a.mayBegin(nil); err != nil {
 		a.refused = err
 		_ = info.Conn.Close() // its writes fail then
 		return
@@ -63,26 +72,28 @@
 	a.begun = true
 }
 
-// mayBegin reports whether nothing has been written for this attempt, or why nothing may be written.
-func (a *attempt) mayBegin() (first bool, err error) {
+// mayBegin reports whether c has not been written to for this attempt, or why nothing may be written.
+func (a *attempt) mayBegin(c *guardedConn) (first bool, err error) {
 	switch {
 	case a.ended:
 		return false, errEnded
-	case a.begun:
+	case a.begun && a.writer == c && c != nil:
 		return false, nil
+	case a.begun:
+		return false, ErrConnectionLost
 	case !a.sendBy.IsZero() && clock.Now().After(a.sendBy):
 		return false, ErrExpired
 	}
 	return true, nil
 }
 
-// beginWrite records that a connection will be written to, and reports whether that is the first write. An error means that nothing may be
+// beginWrite records that c will be written to, and reports whether that is the first write. An error means that nothing may be
 // written.
-func (a *attempt) beginWrite() (first bool, err error) {
+func (a *attempt) beginWrite(c *guardedConn) (first bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if first, err = a.mayBegin(); first {
-		a.begun = true
+	if first, err = a.mayBegin(c); first {
+		a.begun, a.writer = true, c
 	}
 	return first, err
 }
@@ -91,7 +102,7 @@
 func (a *attempt) undoWrite() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.begun = false
+	a.begun, a.writer = false, nil
 }
 
 // mayBeSent reports whether some of the request may have been written.
@@ -112,6 +123,15 @@
 	return &NoResponseError{Sent: a.begun || !a.observed, Cause: cause}
 }
 
+// refuseSecondTry ends a request that net/http is about to send again by itself. As the Proxy of a transport it is called before
+// each try, and its error ends the request.
+func refuseSecondTry(r *http.Request) (*url.URL, error) {
+	if a, ok := r.Context().Value(attemptKey{}).(*attempt); ok && a.mayBeSent() {
+		return nil, ErrConnectionLost
+	}
+	return nil, nil
+}
+
 // callsTraces reports whether a transport is known to call the trace of a request whenever it has a connection for it.
 func callsTraces(t http.RoundTripper) bool {
 	if t == nil {
--- a/engine/sent_parallel_test.go
+++ b/engine/sent_parallel_test.go
@@ -216,8 +216,8 @@
 	return sendRequest(client, req, sendBy)
 }
 
-// Guards against requests that count as not sent though the server received them, and that have bytes of others, when
-// connections are shared by many.
+// Guards against requests that count as not sent though the server received them, that arrive twice, and that have bytes of others,
+// when connections are shared by many.
 func TestUnsentRequestsDidNotArrive(t *testing.T) {
 	c := quicktest.New(t)
 	s := &faultServer{C: c}
@@ -233,12 +233,15 @@
 	client.CloseIdleConnections()
 	drain(c, address, &s.open)
 
-	arrived, received := 0, 0
+	arrived, twice, received := 0, 0, 0
 	for id := range s.arrived {
 		n := s.arrived[id].Load()
 		if n > 0 {
 			arrived++
 		}
+		if n > 1 {
+			twice++
+		}
 	}
 	for _, id := range unsent {
 		if s.arrived[id].Load() > 0 {
@@ -247,5 +250,6 @@
 	}
 	c.Logf("%d requests, %d arrived, %d counted as not sent", requests, arrived, len(unsent))
 	c.Check(received, quicktest.Equals, 0, quicktest.Commentf("requests that counted as not sent and arrived"))
+	c.Check(twice, quicktest.Equals, 0, quicktest.Commentf("requests that arrived twice"))
 	c.Check(s.foreign.Load(), quicktest.Equals, int64(0), quicktest.Commentf("requests with bytes of others"))
 }
--- a/engine/sent_test.go
+++ b/engine/sent_test.go
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/clock"
 	"github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 )
@@ -99,6 +100,11 @@
 	return err == nil && !r.Close
 }
 
+// respondFirst responds to the first request alone, and closes the connection when it has read another.
+func respondFirst(conn net.Conn, in *bufio.Reader, r *http.Request, n int) bool {
+	return n == 1 && respondEmpty(conn, in, r, n)
+}
+
 // sendRequest sends a request, closes its response and returns the error of Send.
 func sendRequest(client *http.Client, r *http.Request, sendBy time.Time) error {
 	resp, err := Send(client, r, sendBy, ResponseID{})
@@ -216,9 +222,80 @@
 	}
 }
 
+// replayable returns requests that net/http sends again by itself.
+func replayable(c *quicktest.C, address string) []*http.Request {
+	var list []*http.Request
+	for _, m := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace} {
+		list = append(list, newRequest(context.Background(), c, m, address+"/second", nil))
+	}
+	for _, key := range []string{"Idempotency-Key", "X-Idempotency-Key"} {
+		for _, m := range []string{http.MethodPost, http.MethodDelete} {
+			r := newRequest(context.Background(), c, m, address+"/second", nil)
+			r.Header.Set(key, "k")
+			list = append(list, r)
+		}
+		r := newRequest(context.Background(), c, http.MethodPost, address+"/second", strings.NewReader(""))
+		r.Header.Set(key, "k")
+		list = append(list, r)
+	}
+	return list
+}
+
+// Guards against a second try of net/http, which sends requests without a body again after a reused connection was closed.
+func TestRequestWithoutBodyIsNotResentOnReusedConnection(t *testing.T) {
+	c := quicktest.New(t)
+	for _, newSender := range []func() *http.Client{newClient, newPlainClient} {
+		for i := range replayable(c, "unused") {
+			s := newRecorder(c, respondFirst)
+			client := newSender()
+			r := replayable(c, s.address)[i]
+			comment := quicktest.Commentf("%s %v", r.Method, r.Header)
+			c.Check(sendRequest(client, newRequest(context.Background(), c, http.MethodGet, s.address+"/first", nil), time.Time{}), quicktest.IsNil)
+			err := sendRequest(client, r, time.Time{})
+			c.Check(err, quicktest.IsNotNil, comment)
+			c.Check(s.requests(), quicktest.DeepEquals, []string{"GET /first", r.Method + " /second"}, comment)
+			if err != nil {
+				c.Check(wasSent(c, err), quicktest.IsTrue, comment)
+			}
+		}
+	}
+}
+
 // newPlainClient returns a client whose transport is not one of NewTransport.
 func newPlainClient() *http.Client { return &http.Client{Transport: &http.Transport{}} }
 
+// Guards against a request that counts as not sent because a second try of net/http wrote nothing: it came too late, after the
+// machine was suspended, or found no connection.
+func TestSecondTryThatWroteNothingLeavesRequestSent(t *testing.T) {
+	for name, failSecond := range map[string]func(*quicktest.C) error{
+		"expired": func(c *quicktest.C) error {
+			clock.SimulateSuspend(time.Minute)
+			c.Cleanup(func() { clock.SimulateSuspend(-time.Minute) })
+			return nil
+		},
+		"no connection": func(*quicktest.C) error { return errors.New("no connection") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s := newRecorder(c, respondFirst)
+			dials := 0
+			client := &http.Client{Transport: NewTransport(func(ctx context.Context, network, address string) (net.Conn, error) {
+				if dials++; dials == 2 {
+					if err := failSecond(c); err != nil {
+						return nil, err
+					}
+				}
+				return (&net.Dialer{}).DialContext(ctx, network, address)
+			}, 4)}
+			sendBy := clock.Now().Add(30 * time.Second)
+			c.Assert(sendRequest(client, newRequest(context.Background(), c, http.MethodGet, s.address+"/first", nil), sendBy), quicktest.IsNil)
+			err := sendRequest(client, newRequest(context.Background(), c, http.MethodGet, s.address+"/second", nil), sendBy)
+			c.Check(wasSent(c, err), quicktest.IsTrue)
+			c.Check(s.requests(), quicktest.HasLen, 2)
+		})
+	}
+}
+
 // Guards against a failure of requests that net/http may try again: nothing was written, since the endpoint had closed the idle
 // connection.
 func TestRequestIsTriedAgainIfNothingWasWritten(t *testing.T) {
--- a/engine/sent_write_test.go
+++ b/engine/sent_write_test.go
@@ -82,6 +82,31 @@
 	}
 }
 
+// Guards against a second try of net/http after a write that failed otherwise than by a closed connection: bytes may have gone out,
+// as through another box.
+func TestRequestIsNotResentAfterWriteOfUnknownOutcome(t *testing.T) {
+	c := quicktest.New(t)
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodDelete} {
+		s := newRecorder(c, respondEmpty)
+		broken := make(chan struct{})
+		var dials atomic.Int32
+		client := clientOver(func(conn net.Conn) net.Conn {
+			if dials.Add(1) == 1 {
+				return brokenConn{Conn: conn, broken: broken, err: syscall.EIO}
+			}
+			return conn
+		})
+		c.Assert(sendRequest(client, newRequest(context.Background(), c, method, s.address+"/first", nil), time.Time{}), quicktest.IsNil)
+		close(broken)
+		err := sendRequest(client, newRequest(context.Background(), c, method, s.address+"/second", nil), time.Time{})
+		c.Check(err, quicktest.IsNotNil, quicktest.Commentf(method))
+		c.Check(s.requests(), quicktest.DeepEquals, []string{method + " /first"})
+		if err != nil {
+			c.Check(wasSent(c, err), quicktest.IsTrue)
+		}
+	}
+}
+
 // blockingConn is a connection whose writes block until it is closed.
 type blockingConn struct {
 	net.Conn
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -53,7 +53,7 @@
 	if a == nil { // not a request of Send
 		return c.Conn.Write(b)
 	}
-	first, err := a.beginWrite()
+	first, err := a.beginWrite(c)
 	if err != nil {
 		return 0, err
 	}
@@ -73,9 +73,11 @@
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewTransport returns a transport for endpoints. It opens connections with dial, keeps
-// them alive, uses no compression and supports the time limit of Send.
+// them alive, uses no compression and supports the time limit of Send. Its Proxy prevents second tries and must not
+// be replaced.
 func NewTransport(dial DialFunc, idlePerHost int) *http.Transport {
 	return &http.Transport{
+		Proxy: refuseSecondTry,
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			c, err := dial(ctx, network, address)
 			if err != nil {
