engine: Send follows no redirect

What callers saw: an endpoint that answered a call with a redirect got, or had another server get, a second request within one Send; a call without a body was repeated as it was after 307 and 308. The gateways of our own interface and the scheduler use clients without a rule for redirects.

Cause: http.Client follows redirects unless it is told not to, and Send left that to its callers.

Evidence: TestRedirectIsNotFollowed failed before (GET, POST, PUT and DELETE, 302 and 307).

Change: Send returns redirects unchanged, as its documentation says of all responses.

--- a/engine/sent_test.go
+++ b/engine/sent_test.go
@@ -315,3 +315,21 @@
 	c.Check(sendRequest(client, newRequest(context.Background(), c, http.MethodGet, s.address+"/second", nil), time.Time{}), quicktest.IsNil)
 	c.Check(s.requests(), quicktest.DeepEquals, []string{"GET /first", "GET /second"})
 }
+
+// Guards against redirects that are followed: each is another request to an endpoint.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	c := quicktest.New(t)
+	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodDelete} {
+		for _, status := range []string{"302 Found", "307 Temporary Redirect"} {
+			s := newRecorder(c, func(conn net.Conn, _ *bufio.Reader, _ *http.Request, _ int) bool {
+				_, err := io.WriteString(conn, "HTTP/1.1 "+status+"\r\nLocation: /other\r\nContent-Length: 0\r\n\r\n")
+				return err == nil
+			})
+			resp, err := Send(newClient(), newRequest(context.Background(), c, method, s.address+"/", nil), time.Time{}, ResponseID{})
+			c.Assert(err, quicktest.IsNil)
+			resp.Body.Close()
+			c.Check(resp.Status, quicktest.Equals, status)
+			c.Check(s.requests(), quicktest.DeepEquals, []string{method + " /"})
+		}
+	}
+}
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// Send sends one request to an endpoint, by sendBy or not at all, and at most once: automatic retries
-// of net/http happen only while nothing has been written. Without a response it returns a *NoResponseError, which says
+// Send sends one request to an endpoint, by sendBy or not at all, and at most once: redirects are not followed, and automatic
+// retries of net/http happen only while nothing has been written. Without a response it returns a *NoResponseError, which says
 // whether any byte may have been sent: no proof to the contrary means that it may. A response of any status is returned
 // unchanged; the caller must close its body.
 //
@@ -115,9 +115,14 @@
 	}
 	req.GetBody = nil // net/http cannot send a body again without it
 	a := &attempt{method: req.Method, sendBy: sendBy, id: id, observed: callsTraces(client.Transport)}
-	resp, err := client.Do(req.WithContext(a.traced(req.Context())))
+	once := *client
+	once.CheckRedirect = returnRedirect
+	resp, err := once.Do(req.WithContext(a.traced(req.Context())))
 	if err != nil {
 		return nil, a.end(err)
 	}
 	return resp, nil
 }
+
+// returnRedirect has net/http return a redirect instead of following it.
+func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
