--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -87,8 +87,8 @@
 	return true, nil
 }
 
-// beginWrite records that c will be written to, and reports whether that is the first write. An error means that nothing may be
-// written.
+// beginWrite records that c will be written to, and reports whether that is the first write. An error means that nothing may
+// be written.
 func (a *attempt) beginWrite(c *guardedConn) (first bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -112,7 +112,8 @@
 	return a.begun
 }
 
-// end ends the attempt with the error of the transport. It prevents later writes, so that a request that counts as not sent stays so.
+// end ends the attempt with the error of the transport. It prevents later writes, so that a request that counts as not sent
+// stays so.
 func (a *attempt) end(cause error) *NoResponseError {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/engine/sent_write_test.go
+++ b/engine/sent_write_test.go
@@ -316,7 +316,8 @@
 			time.Sleep(time.Millisecond)
 		}
 		for range 3 {
-			c.Check(sendRequest(client, newRequest(context.Background(), c, http.MethodPost, s.address+"/next", strings.NewReader("{}")), time.Time{}), quicktest.IsNil, comment)
+			next := newRequest(context.Background(), c, http.MethodPost, s.address+"/next", strings.NewReader("{}"))
+			c.Check(sendRequest(client, next, time.Time{}), quicktest.IsNil, comment)
 		}
 		writer.Close()
 		<-result
