--- a/engine/client.go
+++ b/engine/client.go
@@ -208,12 +208,8 @@
 	return refused
 }
 
-// noRedirect has net/http return a redirect as it is. It would send a second request by itself, and what is known about that one,
-// such as that it was not written, would be reported for the first, which was executed.
-func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-
 // Call sends a request as Send does, under the ID in its RequestIDHeader or a new one. A response with the ID of another
-// request is a *NoResponseError. Redirects are not followed.
+// request is a *NoResponseError.
 func Call(client *http.Client, req *http.Request, sendBy time.Time) (*Response, error) {
 	if req.Header.Get(RequestIDHeader) == "" {
 		req.Header.Set(RequestIDHeader, uuid.NewString())
@@ -221,9 +217,7 @@
 	id := ResponseID{Header: RequestIDHeader, Value: req.Header.Get(RequestIDHeader)}
 	var reused atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
-	single := *client
-	single.CheckRedirect = noRedirect
-	resp, err := Send(&single, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), sendBy, id)
+	resp, err := Send(client, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), sendBy, id)
 	if err != nil {
 		return nil, err
 	}
--- a/engine/redirect_test.go
+++ b/engine/redirect_test.go
@@ -17,7 +17,7 @@
 
 // Guards against a request that ran and counts as not sent, since its endpoint responded with a redirect to an address at which
 // the second request could not be written in time, and against requests that the caller did not send.
-func TestRedirectIsNotFollowed(t *testing.T) {
+func TestRedirectThatCannotBeFollowedInTimeWasSent(t *testing.T) {
 	c := quicktest.New(t)
 	var other, first atomic.Int64
 	target := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { other.Add(1) }))
--- a/engine/response_body_test.go
+++ b/engine/response_body_test.go
@@ -9,14 +9,13 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/frankban/quicktest"
 )
 
 // sendOn sends a request with an ID on the connection.
 func sendOn(c *quicktest.C, conn *guardedConn, method, id string) {
-	conn.startRequest(method, time.Time{}, ResponseID{Header: RequestIDHeader, Value: id})
+	conn.startRequest(&attempt{method: method, id: ResponseID{Header: RequestIDHeader, Value: id}})
 	_, err := conn.Write([]byte(method))
 	c.Assert(err, quicktest.IsNil)
 }
@@ -124,7 +123,8 @@
 		c := quicktest.New(t)
 		near, far := net.Pipe()
 		conn := &guardedConn{Conn: near}
-		conn.startRequest(http.MethodGet, time.Time{}, ResponseID{Header: RequestIDHeader, Value: "own"})
+		a := &attempt{method: http.MethodGet, id: ResponseID{Header: RequestIDHeader, Value: "own"}}
+		conn.startRequest(a)
 		go func() {
 			defer far.Close()
 			_, _ = io.WriteString(far, raw) // a failure shows in the read
@@ -132,7 +132,7 @@
 		got, err := io.ReadAll(conn)
 		c.Check(string(got), quicktest.Equals, failedStatusLine)
 		c.Check(err, quicktest.Equals, errUnsolicited)
-		c.Check(conn.requestSent(), quicktest.IsFalse)
+		c.Check(a.mayBeSent(), quicktest.IsFalse)
 	}
 }
 
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -124,5 +124,6 @@
 	return resp, nil
 }
 
-// returnRedirect has net/http return a redirect instead of following it.
+// returnRedirect has net/http return a redirect. It would send a second request by itself, and what is known of that one, such as
+// that it was not written, would be reported for the first, which may have been executed.
 func returnRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/gateway/service_status_test.go
+++ b/gateway/service_status_test.go
@@ -88,9 +88,13 @@
 // Guards against a response that names two requests, or none.
 func TestResponseOfAServiceNamesItsRequestOnce(t *testing.T) {
 	c := quicktest.New(t)
-	for _, ids := range [][]string{nil, {"OWN", "other"}} {
+	for _, k := range []struct {
+		ids    []string
+		status int
+		ran    Ran
+	}{{nil, http.StatusOK, HasRun}, {[]string{"OWN", "other"}, http.StatusBadGateway, MayHaveRun}} {
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			for _, id := range ids {
+			for _, id := range k.ids {
 				if id == "OWN" {
 					id = r.Header.Get(engine.RequestIDHeader)
 				}
@@ -101,7 +105,8 @@
 		g.useServices(c, s.Listener.Addr().String())
 		g.schedule(&fakeScheduler{})
 		w := g.serveOnce(http.MethodPost, "/services/s/any", "x", true)
-		c.Check(w.Code, quicktest.Equals, http.StatusOK)
+		c.Check(w.Code, quicktest.Equals, k.status)
+		c.Check(w.Header().Get(RanHeader), quicktest.Equals, string(k.ran))
 		c.Check(w.Header().Values(RequestHeader), quicktest.HasLen, 1)
 		s.Close()
 	}
