tunnel: a closed connection sends nothing any more

A connection through another box accepted writes after Close, and the endpoint got them. Close only cancels the stream, and gRPC learns of that in another goroutine; until then Send succeeds. net.Conn promises the opposite, and whether a request counts as unsent rests on it: bytes that are written after the connection has been closed must not reach the endpoint. No caller saw it: net/http waits for its writer before it reports a failed request, so that such a write is noticed, but nothing promises that.

Close now sets a flag that Write checks before each message: a write that begins after Close fails, and one that began before it has been noted as begun by the engine.

--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairnwick.example/wire"
@@ -92,7 +93,8 @@
 	closed func()
 	once   sync.Once
 
-	unread []byte // used by Read only
+	ended  atomic.Bool // Close has been called
+	unread []byte      // used by Read only
 }
 
 // NewConn returns the connection over a tunnel to an endpoint's address. closed is called once, by Close.
@@ -114,10 +116,14 @@
 	return n, nil
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It sends nothing once Close has been called; the stream itself would, since gRPC learns in another
+// goroutine that it has been cancelled.
 func (c *Conn) Write(b []byte) (int, error) {
 	written := 0
 	for written < len(b) {
+		if c.ended.Load() {
+			return written, net.ErrClosed
+		}
 		part := b[written:min(len(b), written+chunk)]
 		if err := c.stream.Send(&wire.TunnelRequest{Data: bytes.Clone(part)}); err != nil {
 			return written, errors.Wrap(err, "tunnel: write through another box")
@@ -130,6 +136,7 @@
 // Close implements net.Conn.
 func (c *Conn) Close() error {
 	c.once.Do(func() {
+		c.ended.Store(true)
 		c.cancel()
 		c.closed()
 	})
