--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -32,6 +32,9 @@
 
 // Open opens a tunnel, sends the first message, and waits until the other box has connected to the endpoint. The returned
 // function ends the tunnel, which outlives ctx.
+//
+// Data must only be sent after that reply: until then gRPC may open the stream once more by itself and replay what was sent,
+// and the endpoint would get it from two connections. An error therefore means that no data was sent.
 func Open(ctx context.Context, timeout time.Duration, open func(context.Context) (Client, error), first *wire.TunnelRequest) (Client, context.Context, context.CancelFunc, error) {
 	inner, cancel := context.WithCancel(context.Background())
 	unconnected := context.AfterFunc(ctx, cancel)
