forward: routes of the table of promises allow three attempts

A route that may run once usually has max_attempts 1, which alone kept a second attempt away: with the check of the route's kind taken out the table stayed green.

--- a/forward/refusal_proof_test.go
+++ b/forward/refusal_proof_test.go
@@ -77,13 +77,16 @@
 	return resp
 }
 
-// proofRoutes returns routes of all kinds.
+// proofRoutes returns routes of all kinds. The number of attempts that a route allows is no reason to execute a request twice that may
+// run once.
 func proofRoutes(timeout time.Duration) []topology.RouteSpec {
-	stream := resumableRoute(timeout)
-	stream.Name, stream.Resumable, stream.MaxAttempts = "stream", false, 1
-	resumable, repeatable := resumableRoute(timeout), repeatableRoute(timeout)
-	resumable.MaxAttempts, repeatable.MaxAttempts = 3, 3
-	return []topology.RouteSpec{onceRoute(timeout), stream, resumable, repeatable}
+	once, stream, resumable, repeatable := onceRoute(timeout), resumableRoute(timeout), resumableRoute(timeout), repeatableRoute(timeout)
+	stream.Name, stream.Resumable = "stream", false
+	routes := []topology.RouteSpec{once, stream, resumable, repeatable}
+	for i := range routes {
+		routes[i].MaxAttempts = 3
+	}
+	return routes
 }
 
 // Guards against refusals that promise that a request was not executed after an attempt that may have been, and against requests that
