tunnel: reads end at their deadline

A box that is cut off checks through another box whether an endpoint has ended. If the endpoint lives and leaves the connection open, the check did not end, also when the box shut down: SetReadDeadline of a connection through another box did nothing, and HasExited relies on it for its 300 ms and for the end of its context. It showed as a run of the edge tests that was ended after 9 minutes, in TestBoxesWithoutLinksToEndpointsServeThroughOtherBoxes/reset, with the box's monitor in such a read for 4 minutes.

The test failed before: both checks had not ended after 10 s. The deadline now cancels the stream, and the read returns os.ErrDeadlineExceeded, which HasExited takes for an endpoint that lives.

--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -98,6 +99,10 @@
 
 	ended  atomic.Bool // Close has been called
 	unread []byte      // used by Read only
+
+	mu       sync.Mutex
+	timer    *time.Timer // of the read deadline; nil: none
+	deadline time.Time   // of reads; zero: none
 }
 
 // NewConn returns the connection over a tunnel to an endpoint's address. closed is called once, by Close.
@@ -109,6 +114,9 @@
 func (c *Conn) Read(b []byte) (int, error) {
 	for len(c.unread) == 0 {
 		reply, err := c.stream.Recv()
+		if err != nil && c.readExpired() {
+			return 0, os.ErrDeadlineExceeded
+		}
 		if err != nil {
 			return 0, err
 		}
@@ -140,6 +148,7 @@
 func (c *Conn) Close() error {
 	c.once.Do(func() {
 		c.ended.Store(true)
+		_ = c.SetReadDeadline(time.Time{}) // it returns nil
 		c.cancel()
 		c.closed()
 	})
@@ -152,13 +161,31 @@
 // RemoteAddr implements net.Conn.
 func (c *Conn) RemoteAddr() net.Addr { return address(c.remote) }
 
-// SetDeadline implements net.Conn. Deadlines are not supported; requests end by their contexts.
+// SetDeadline implements net.Conn. It is not supported; requests end by their contexts.
 func (c *Conn) SetDeadline(time.Time) error { return nil }
 
-// SetReadDeadline implements net.Conn.
-func (c *Conn) SetReadDeadline(time.Time) error { return nil }
+// SetReadDeadline implements net.Conn. A read that its deadline ends also ends the stream: no later one succeeds.
+func (c *Conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	if c.deadline = t; !t.IsZero() {
+		c.timer = time.AfterFunc(time.Until(t), c.cancel)
+	}
+	return nil
+}
+
+// readExpired reports whether the read deadline has passed.
+func (c *Conn) readExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+}
 
-// SetWriteDeadline implements net.Conn.
+// SetWriteDeadline implements net.Conn. It is not supported.
 func (c *Conn) SetWriteDeadline(time.Time) error { return nil }
 
 // address is the address of a Conn.
