--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -56,6 +56,21 @@
 	Boxes int           `arg:"--boxes" default:"7" help:"boxes of all data centres together"`
 }
 
+type executionsCommand struct {
+	Time      time.Duration `arg:"--time" default:"20s" help:"duration of the load of one run"`
+	Seed      uint64        `arg:"--seed" default:"1" help:"first seed of faults and load"`
+	Seeds     int           `arg:"--seeds" default:"1" help:"number of runs, each with the next seed"`
+	Boxes     int           `arg:"--boxes" default:"7" help:"boxes of all data centres together"`
+	Endpoints int           `arg:"--endpoints" default:"12" help:"endpoints of both services together"`
+	Adapters  int           `arg:"--adapters" default:"0" help:"number of adapters; 0: each is held by one model server alone; 5: by all of them"`
+	Rate      float64       `arg:"--rate" default:"300" help:"requests per second"`
+	Attempts  int           `arg:"--attempts" default:"1" help:"max_attempts of the routes whose requests may be executed at most once"`
+	Faults    []string      `arg:"--faults" help:"kinds of faults: copies, overload, unproven, resets, half-closes, silences, freezes, kills, takeovers, missing-adapters, boxes, crashing-part, release; default: all"`
+	Copies    float64       `arg:"--copies" default:"0.1" help:"share of responses that are sent again"`
+	CopyForms []string      `arg:"--copy-forms" help:"forms of copies: late, at-once, part, several, timer; default: all"`
+	Unproven  float64       `arg:"--unproven" default:"0.02" help:"share of executed requests that get 408, 429 or 503 without Not-Executed"`
+}
+
 type policiesCommand struct {
 	Time     time.Duration `arg:"--time" default:"30s" help:"duration of one run"`
 	Warm     time.Duration `arg:"--warm" default:"15s" help:"duration of the warm-up before each run"`
@@ -100,6 +115,7 @@
 	Storm      *stormCommand      `arg:"subcommand:storm" help:"inject mixed faults under load and check the guarantees at the stand-ins"`
 	Restores   *restoresCommand   `arg:"subcommand:restores" help:"restore the store from older backups while boxes fail and restart"`
 	BaseModels *baseModelsCommand `arg:"subcommand:base-models" help:"restart engines that have room for one of two base models while boxes fail and answers are lost, and check that none is ordered beyond its memory"`
+	Executions *executionsCommand `arg:"subcommand:executions" help:"fail endpoints and boxes under load and check that no refused request was executed and none twice"`
 	Versions   *versionsCommand   `arg:"subcommand:versions" help:"replace engines by other software versions while boxes fail, and check that no stream is mixed"`
 	Path       *pathCommand       `arg:"subcommand:path" help:"compare latency through cairnwick with direct requests to the engine"`
 	Capacity   *capacityCommand   `arg:"subcommand:capacity" help:"measure how the resource usage of daemons scales"`
@@ -143,6 +159,12 @@
 		err = measure.SoftwareVersions{Bin: a.Bin, Dir: dir, Time: a.Versions.Time, Seed: a.Versions.Seed, Rate: a.Versions.Rate}.Run(ctx, os.Stdout)
 	case a.BaseModels != nil:
 		err = measure.BaseModels{Bin: a.Bin, Dir: dir, Time: a.BaseModels.Time, Seed: a.BaseModels.Seed, Seeds: a.BaseModels.Seeds, Boxes: a.BaseModels.Boxes}.Run(ctx, os.Stdout)
+	case a.Executions != nil:
+		q := a.Executions
+		err = measure.Executions{
+			Bin: a.Bin, Dir: dir, Time: q.Time, Seed: q.Seed, Seeds: q.Seeds, Boxes: q.Boxes, Endpoints: q.Endpoints, Adapters: q.Adapters, Rate: q.Rate,
+			Attempts: q.Attempts, Faults: q.Faults, Copies: q.Copies, CopyForms: q.CopyForms, Unproven: q.Unproven,
+		}.Run(ctx, os.Stdout)
 	case a.Scarce != nil:
 		err = measure.PlacementSimulation{Seed: a.Scarce.Seed, Time: a.Scarce.Time, Rate: a.Scarce.Rate}.Run(os.Stdout)
 	case a.Where != nil:
--- a/measure/base_models.go
+++ b/measure/base_models.go
@@ -98,10 +98,7 @@
 	go func() { ended <- r.register(registering) }()
 	failing, cancel := context.WithTimeout(ctx, r.Time)
 	defer cancel()
-	faults := boxFaults{fleet: r.fleet, seed: r.seed, centres: baseModelCentres, boxes: boxes}
-	if r.Boxes < boxes*baseModelCentres {
-		faults.missing = [2]int{baseModelCentres, boxes}
-	}
+	faults := boxFaults{fleet: r.fleet, seed: r.seed, centres: baseModelCentres, boxes: boxes, total: r.Boxes}
 	go func() { ended <- faults.run(failing) }()
 	go func() { ended <- r.restartEngines(failing) }()
 	for range 2 {
--- a/measure/box_faults.go
+++ b/measure/box_faults.go
@@ -14,11 +14,17 @@
 
 // boxFaults induces faults in boxes on the users' platform, on a fixed seed.
 type boxFaults struct {
-	fleet   *fleet.Fleet
-	seed    uint64
-	centres int
-	boxes   int    // of each data centre
-	missing [2]int // a box that does not exist; zero: all do
+	fleet    *fleet.Fleet
+	seed     uint64
+	centres  int
+	boxes    int    // of each data centre
+	total    int    // of all data centres together, filled in turn; zero: boxes in each
+	settings string // of the boxes; empty: fleet.EdgeSettings
+}
+
+// isMissing reports whether a box does not exist because total is less than the boxes of all data centres.
+func (r boxFaults) isMissing(at [2]int) bool {
+	return r.total > 0 && (at[0]-1)*r.boxes+at[1] > r.total
 }
 
 // run kills, freezes and stops boxes, up to half of them at the same time, until ctx ends.
@@ -26,11 +32,11 @@
 	random := rand.New(rand.NewPCG(r.seed, 1))
 	for pause(ctx, random, 2*time.Second) {
 		var failed [][2]int
-		for range 1 + random.IntN(r.centres*r.boxes/2) {
+		for range 1 + random.IntN(max(r.centres*r.boxes/2, 1)) {
 			failed = append(failed, [2]int{1 + random.IntN(r.centres), 1 + random.IntN(r.boxes)})
 		}
 		fault := random.IntN(3)
-		failed = slices.DeleteFunc(failed, func(at [2]int) bool { return at == r.missing })
+		failed = slices.DeleteFunc(failed, r.isMissing)
 		for _, at := range failed {
 			r.fail(at, fault)
 		}
@@ -82,5 +88,9 @@
 	if r.fleet.PID(name) != 0 {
 		return nil // chosen twice, and started
 	}
-	return r.fleet.StartEdge(context.Background(), at[0], at[1], fleet.EdgeSettings, nil)
+	settings := r.settings
+	if settings == "" {
+		settings = fleet.EdgeSettings
+	}
+	return r.fleet.StartEdge(context.Background(), at[0], at[1], settings, nil)
 }
