--- /dev/null
+++ b/measure/executions_test.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package measure
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"cairnwick.example/platform/platformtest"
+	"github.com/frankban/quicktest"
+)
+
+// Guards against a fault run that counts a broken promise as kept, a repetition as allowed, or one that is allowed as broken.
+func TestFaultRunJudgesExecutions(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	once, resumable, plain := executionKinds[0], executionKinds[1], executionKinds[2]
+	executed, rejected := platformtest.Attempt{Executed: true, Status: 200}, platformtest.Attempt{Status: 503}
+	for _, test := range []struct {
+		kind           executionKind
+		status         int
+		attempts       []platformtest.Attempt
+		refused, twice byService
+	}{
+		{once, http.StatusServiceUnavailable, []platformtest.Attempt{executed}, byService{streams: 1}, byService{}},
+		{once, http.StatusTooManyRequests, []platformtest.Attempt{executed, rejected}, byService{streams: 1}, byService{}},
+		{plain, http.StatusRequestTimeout, []platformtest.Attempt{rejected, executed}, byService{plain: 1}, byService{}},
+		{plain, http.StatusMisdirectedRequest, []platformtest.Attempt{executed, executed}, byService{plain: 1}, byService{plain: 1}},
+		{once, http.StatusOK, []platformtest.Attempt{executed, executed}, byService{}, byService{streams: 1}},
+		{once, 0, []platformtest.Attempt{executed, rejected, executed}, byService{}, byService{streams: 1}},
+		{once, http.StatusBadGateway, []platformtest.Attempt{rejected, executed}, byService{}, byService{}},
+		{once, http.StatusServiceUnavailable, []platformtest.Attempt{rejected, rejected}, byService{}, byService{}},
+		{resumable, http.StatusServiceUnavailable, []platformtest.Attempt{executed, executed}, byService{}, byService{}},
+	} {
+		var n executionsReport
+		n.judge(&executionCall{kind: test.kind, status: test.status}, test.attempts, time.Time{})
+		c.Check(n.refused, quicktest.Equals, test.refused, quicktest.Commentf("%+v", test))
+		c.Check(n.twice, quicktest.Equals, test.twice, quicktest.Commentf("%+v", test))
+		c.Check(n.breached(), quicktest.Equals, test.refused != byService{} || test.twice != byService{})
+	}
+}
+
+// Guards against settings of a fault run that are ignored.
+func TestFaultRunRejectsUnknownNames(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	valid := Executions{Boxes: 2, Endpoints: 4, Faults: ExecutionFaults(), CopyForms: platformtest.CopyForms()}
+	c.Check(valid.validate(), quicktest.IsNil)
+	for message, change := range map[string]func(*Executions){
+		".*unknown fault \"none\".*":   func(s *Executions) { s.Faults = []string{"none"} },
+		".*unknown form \"none\".*":    func(s *Executions) { s.CopyForms = []string{"none"} },
+		".*at least one box and two.*": func(s *Executions) { s.Boxes = 0 },
+	} {
+		s := valid
+		change(&s)
+		c.Check(s.validate(), quicktest.ErrorMatches, message)
+	}
+}
