--- a/measure/executions.go
+++ b/measure/executions.go
@@ -159,7 +159,7 @@
 	failing, stop := context.WithCancel(ctx)
 	defer stop()
 	ended := r.startFaults(failing)
-	r.callers = newExecutionCallers(r.Executions, r.boxAddresses())
+	r.callers = newExecutionCallers(r.Executions, r.balancer())
 	r.callers.run(ctx, r.faults.CrashPart)
 	stop()
 	for err := range ended {
@@ -207,12 +207,12 @@
 	return list
 }
 
-func (r *executionsRun) boxAddresses() []string {
-	var list []string
+func (r *executionsRun) balancer() *balancer {
+	var list []*balancedBox
 	for _, b := range r.boxes() {
-		list = append(list, r.fleet.CallersAddress(b[0], b[1]))
+		list = append(list, &balancedBox{callers: r.fleet.CallersAddress(b[0], b[1]), ready: r.fleet.ReadyAddress(b[0], b[1])})
 	}
-	return list
+	return newBalancer(list)
 }
 
 // startBoxes starts the boxes, a few at a time.
--- a/measure/executions_callers.go
+++ b/measure/executions_callers.go
@@ -55,18 +55,18 @@
 	kind       executionKind
 	box        string
 	at         time.Time
-	status     int  // zero: no response
-	broken     bool // the response broke off
-	foreign    bool // the response belongs to another request
-	excerpt    string
+	status     int    // zero: no response
+	broken     bool   // the response broke off
+	foreign    bool   // the response belongs to another request
+	excerpt    string // start of the body of a failure, or the error
 	retryAfter time.Duration
 }
 
 // executionCallers send requests at a fixed rate.
 type executionCallers struct {
-	spec  Executions
-	boxes []string
-	http  http.Client
+	spec     Executions
+	balancer *balancer
+	http     http.Client
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -74,14 +74,18 @@
 	calls  []*executionCall
 }
 
-func newExecutionCallers(s Executions, boxes []string) *executionCallers {
+func newExecutionCallers(s Executions, b *balancer) *executionCallers {
 	transport := &http.Transport{MaxIdleConnsPerHost: 100, IdleConnTimeout: 4 * time.Second, DisableCompression: true}
-	return &executionCallers{spec: s, boxes: boxes, http: http.Client{Transport: transport}, random: rand.New(rand.NewPCG(s.Seed, 3))}
+	return &executionCallers{spec: s, balancer: b, http: http.Client{Transport: transport}, random: rand.New(rand.NewPCG(s.Seed, 3))}
 }
 
 // run sends requests for the time of the run and waits for their responses.
 func (c *executionCallers) run(ctx context.Context, crashPart string) {
-	var running sync.WaitGroup
+	var running, checks sync.WaitGroup
+	checking, stop := context.WithCancel(ctx)
+	checks.Go(func() { c.balancer.run(checking) })
+	defer checks.Wait()
+	defer stop()
 	begun := time.Now()
 	for n := 0; ; n++ {
 		due := begun.Add(time.Duration(float64(n) / c.spec.Rate * float64(time.Second)))
@@ -152,14 +156,14 @@
 	c.next++
 	one := &executionCall{id: fmt.Sprintf("%016x", uint64(c.next)<<24|uint64(c.random.IntN(1<<24))), kind: q.kind, at: time.Now()}
 	c.calls = append(c.calls, one)
-	one.box = c.boxes[c.random.IntN(len(c.boxes))]
+	one.box = c.balancer.choose(c.random)
 	return one
 }
 
 func (c *executionCallers) otherBox() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.boxes[c.random.IntN(len(c.boxes))]
+	return c.balancer.choose(c.random)
 }
 
 // call sends one attempt. A box that accepts no connection is replaced by another one, as a load balancer does.
@@ -173,6 +177,7 @@
 			c.read(resp, one)
 			break
 		}
+		one.excerpt = err.Error()
 		var refused *net.OpError
 		if !errors.As(err, &refused) || refused.Op != "dial" {
 			break
--- a/measure/executions_test.go
+++ b/measure/executions_test.go
@@ -3,6 +3,7 @@
 package measure
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"testing"
 	"time"
@@ -57,3 +58,28 @@
 		c.Check(s.validate(), quicktest.ErrorMatches, message)
 	}
 }
+
+// Guards against callers that go on sending to boxes that are not ready, or stop when none is.
+func TestBalancerTakesOutBoxesThatAreNotReady(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	first, second := &balancedBox{callers: "first"}, &balancedBox{callers: "second"}
+	b := newBalancer([]*balancedBox{first, second})
+	chosen := func() map[string]bool {
+		names := make(map[string]bool)
+		for range 99 {
+			names[b.choose(random)] = true
+		}
+		return names
+	}
+	b.record(first, false)
+	c.Check(chosen(), quicktest.DeepEquals, map[string]bool{"first": true, "second": true}) // a single miss
+	b.record(first, false)
+	c.Check(chosen(), quicktest.DeepEquals, map[string]bool{"second": true})
+	b.record(second, false)
+	b.record(second, false)
+	c.Check(chosen(), quicktest.DeepEquals, map[string]bool{"first": true, "second": true})
+	b.record(first, true)
+	c.Check(chosen(), quicktest.DeepEquals, map[string]bool{"first": true})
+}
