--- a/measure/executions_report.go
+++ b/measure/executions_report.go
@@ -34,6 +34,7 @@
 	refused  byService      // promised not to be executed, and executed
 	twice    byService      // executed more than once, though at most once is allowed
 	first    int            // refused ones that their first endpoint executed; the others were rejected there
+	unproven int            // refused ones that an endpoint executed and refused without a proof
 	foreign  int            // responses that belong to another request
 	counts   platformtest.WitnessCounts
 	cases    []string
@@ -84,6 +85,9 @@
 		if attempts[0].Executed {
 			n.first++
 		}
+		if slices.ContainsFunc(attempts, func(a platformtest.Attempt) bool { return a.Executed && slices.Contains(promises, a.Status) }) {
+			n.unproven++
+		}
 		broken = append(broken, "REFUSED")
 	}
 	if executed > 1 {
@@ -117,9 +121,9 @@
 	for _, s := range names {
 		shares = append(shares, fmt.Sprintf("%s=%d (%.1f%%)", s, n.statuses[s], 100*float64(n.statuses[s])/float64(n.requests)))
 	}
-	fmt.Fprintf(w, "seed=%d boxes=%d endpoints=%d adapters=%d requests=%d %s foreign=%d REFUSED=%d (streams %d, plain %d; first attempt executed %d) TWICE=%d (streams %d, plain %d)",
+	fmt.Fprintf(w, "seed=%d boxes=%d endpoints=%d adapters=%d requests=%d %s foreign=%d REFUSED=%d (streams %d, plain %d; first attempt executed %d, refusal by an endpoint without a proof %d) TWICE=%d (streams %d, plain %d)",
 		n.spec.Seed, n.spec.Boxes, n.spec.Endpoints, n.spec.Adapters, n.requests, strings.Join(shares, " "), n.foreign,
-		n.refused.streams+n.refused.plain, n.refused.streams, n.refused.plain, n.first, n.twice.streams+n.twice.plain, n.twice.streams, n.twice.plain)
+		n.refused.streams+n.refused.plain, n.refused.streams, n.refused.plain, n.first, n.unproven, n.twice.streams+n.twice.plain, n.twice.streams, n.twice.plain)
 	fmt.Fprintf(w, " attempts=%d executed=%d copies=%d rejections=%d (421: %d) unproven=%d broken_connections=%d crashes=%d orders=%d\n",
 		n.counts.Attempts, n.counts.Executed, n.counts.Copies, n.counts.Rejected, n.counts.Misplaced, n.counts.Unproven, n.counts.Broken, n.counts.Crashes, n.counts.OrdersDone)
 	for _, c := range n.cases {
--- a/measure/executions_test.go
+++ b/measure/executions_test.go
@@ -42,6 +42,18 @@
 	}
 }
 
+// Guards against refused requests that are assigned to the wrong cause.
+func TestFaultRunTellsCausesApart(t *testing.T) {
+	t.Parallel()
+	c := quicktest.New(t)
+	executed, rejected, unproven := platformtest.Attempt{Executed: true, Status: 200}, platformtest.Attempt{Status: 503}, platformtest.Attempt{Executed: true, Status: 503}
+	var n executionsReport
+	for _, attempts := range [][]platformtest.Attempt{{executed}, {rejected, executed}, {unproven}, {rejected, unproven}} {
+		n.judge(&executionCall{kind: executionKinds[0], status: http.StatusServiceUnavailable}, attempts, time.Time{})
+	}
+	c.Check([]int{n.refused.streams, n.first, n.unproven}, quicktest.DeepEquals, []int{4, 2, 2})
+}
+
 // Guards against settings of a fault run that are ignored.
 func TestFaultRunRejectsUnknownNames(t *testing.T) {
 	t.Parallel()
