--- a/measure/executions.go
+++ b/measure/executions.go
@@ -91,6 +91,12 @@
 	if s.Boxes < 1 || s.Endpoints < 2 {
 		return errors.New("measure: executions: at least one box and two endpoints are needed")
 	}
+	if s.Rate <= 0 || s.Adapters < 0 {
+		return errors.New("measure: executions: rate: must be positive; adapters: must not be negative")
+	}
+	if min(s.Copies, s.Unproven) < 0 || max(s.Copies, s.Unproven) > 1 {
+		return errors.New("measure: executions: copies, unproven: must be from 0 to 1")
+	}
 	for _, f := range s.Faults {
 		if !slices.Contains(ExecutionFaults(), f) {
 			return errors.Errorf("measure: executions: unknown fault %q: must be one of %v", f, ExecutionFaults())
--- a/measure/executions_test.go
+++ b/measure/executions_test.go
@@ -58,11 +58,13 @@
 func TestFaultRunRejectsUnknownNames(t *testing.T) {
 	t.Parallel()
 	c := quicktest.New(t)
-	valid := Executions{Boxes: 2, Endpoints: 4, Faults: ExecutionFaults(), CopyForms: platformtest.CopyForms()}
+	valid := Executions{Boxes: 2, Endpoints: 4, Rate: 1, Faults: ExecutionFaults(), CopyForms: platformtest.CopyForms()}
 	c.Check(valid.validate(), quicktest.IsNil)
 	for message, change := range map[string]func(*Executions){
 		".*unknown fault \"none\".*":   func(s *Executions) { s.Faults = []string{"none"} },
 		".*unknown form \"none\".*":    func(s *Executions) { s.CopyForms = []string{"none"} },
+		".*rate: must be positive.*":   func(s *Executions) { s.Rate = 0 },
+		".*must be from 0 to 1":        func(s *Executions) { s.Unproven = 2 },
 		".*at least one box and two.*": func(s *Executions) { s.Boxes = 0 },
 	} {
 		s := valid
