forward: the head and the body of a request are written at once

net/http writes the head of a request apart from its body, unless the body is one of the readers that it knows: two system calls and two packets for each request to an endpoint. It also sent an empty body of a POST in chunks.

--- a/forward/attempt.go
+++ b/forward/attempt.go
@@ -127,8 +127,9 @@
 	if r.Header["User-Agent"] == nil {
 		r.Header["User-Agent"] = nil // keeps net/http from adding its own
 	}
-	r.Body = singleUseBody{bytes.NewReader(q.body)}
-	r.ContentLength = int64(len(q.body))
+	if r.ContentLength = int64(len(q.body)); len(q.body) > 0 {
+		r.Body = io.NopCloser(bytes.NewReader(q.body)) // net/http writes it with the head, which it does only for readers that it knows
+	}
 	g.Protocol.SetDirectives(r.Header, Directives{
 		Endpoint:    t.endpoint.ID(),
 		Remaining:   q.remaining(clock.Now()),
--- a/forward/request.go
+++ b/forward/request.go
@@ -3,7 +3,6 @@
 package forward
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -205,9 +204,3 @@
 func hashFraction(id string) float64 {
 	return float64(xxhash.Sum64String(id)>>11) / (1 << 53)
 }
-
-// singleUseBody is a body that net/http can't send again on its own.
-type singleUseBody struct{ io.Reader }
-
-// Close implements io.Closer.
-func (singleUseBody) Close() error { return nil }
