gateway: a call to a service with one address may be sent there twice

The gateway went on to another address only, so a repeatable call to a service with one address got 502 whenever the service had closed an idle connection just before. A single address is tried twice, within the retry budget and only if the call may be repeated or was not sent. TestRepeatableCallIsRepeatedAtAnOnlyAddress failed before: 502.

--- a/gateway/second_sending_test.go
+++ b/gateway/second_sending_test.go
@@ -83,3 +83,17 @@
 		}
 	}
 }
+
+// Guards against a repeatable call that fails since its service, which has one address, closed the connection that was used again.
+func TestRepeatableCallIsRepeatedAtAnOnlyAddress(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		c := quicktest.New(t)
+		address, _ := closingService(c)
+		g := newSendingGateway(c)
+		g.useServices(c, address)
+		g.schedule(&fakeScheduler{})
+		for range 3 { // the service closes the connection of the second call, which is then sent again
+			c.Check(g.serveOnce(method, "/services/s/any", "", true).Code, quicktest.Equals, http.StatusOK)
+		}
+	}
+}
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -92,12 +92,17 @@
 }
 
 // callService tries the addresses of a service in random order, as long as the call has provably not
-// been executed or is repeatable, and the retry budget allows it.
+// been executed or is repeatable, and the retry budget allows it. A single address is tried twice, since the service may have
+// closed an idle connection just before it was used.
 func (g *Gateway) callService(ctx context.Context, c *serviceCall, out *callerResponse) *Failure {
 	addresses := c.service.Addresses()
 	var last *Failure
 	mayHaveRun := false // an earlier attempt may have been executed
-	for n, i := range rand.Perm(len(addresses)) {
+	order := rand.Perm(len(addresses))
+	if len(order) == 1 {
+		order = append(order, order[0])
+	}
+	for n, i := range order {
 		if n > 0 && !g.RetryBudget.Take() {
 			return last
 		}
