engine: the first request on an idle connection is identified

Callers of an engine that returns no request IDs got an error that says that their request may have run, and no further attempt, though the engine had refused it with a documented reason.

Cause: such a refusal is believed only if no other request was sent on its connection. That was concluded from net/http, which calls a connection reused as soon as it was idle. One that was opened for a request that ended meanwhile has carried nothing.

The connection itself knows which requests were sent on it. That also saves a second trace on each call, which httptrace combines with the first by reflection.

--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -33,6 +33,7 @@
 	ended    bool         // Send has returned an error; nothing may be written any more
 	observed bool         // the transport says when it has a connection for the request
 	refused  error        // why a connection that cannot be observed was not used
+	isFirst  bool         // no request was sent before on its connection
 }
 
 // attemptKey is the key of the attempt in the context of its request.
@@ -58,9 +59,10 @@
 // observed: the request counts as sent from here on, and if it must not be sent the connection is closed.
 func (a *attempt) useConn(info httptrace.GotConnInfo) {
 	if c, ok := info.Conn.(*guardedConn); ok {
-		c.startRequest(a)
+		a.setFirst(c.startRequest(a))
 		return
 	}
+	a.setFirst(!info.Reused)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.observed = true
@@ -72,6 +74,21 @@
 	a.begun = true
 }
 
+// setFirst records whether no request was sent before on the connection. net/http calls one reused that was idle, though the
+// request for which it was opened may have ended before.
+func (a *attempt) setFirst(first bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isFirst = first
+}
+
+// isFirstOnConn reports whether no request was sent before on the connection.
+func (a *attempt) isFirstOnConn() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.isFirst
+}
+
 // mayBegin reports whether c has not been written to for this attempt, or why nothing may be written.
 func (a *attempt) mayBegin(c *guardedConn) (first bool, err error) {
 	switch {
--- a/engine/client.go
+++ b/engine/client.go
@@ -8,10 +8,8 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -215,9 +213,7 @@
 		req.Header.Set(RequestIDHeader, uuid.NewString())
 	}
 	id := ResponseID{Header: RequestIDHeader, Value: req.Header.Get(RequestIDHeader)}
-	var reused atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { reused.Store(info.Reused) }}
-	resp, err := Send(client, req.WithContext(httptrace.WithClientTrace(req.Context(), trace)), sendBy, id)
+	resp, a, err := sendAttempt(client, req, sendBy, id)
 	if err != nil {
 		return nil, err
 	}
@@ -228,7 +224,7 @@
 	}
 	values := resp.Header.Values(RequestIDHeader)
 	identified := len(values) == 1 && values[0] == id.Value
-	return &Response{Response: resp, identified: identified || (len(values) == 0 && !reused.Load())}, nil
+	return &Response{Response: resp, identified: identified || (len(values) == 0 && a.isFirstOnConn())}, nil
 }
 
 func (c *Client) newRequest(ctx context.Context, method, path string, f Fence, body any) (*http.Request, error) {
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -33,12 +33,15 @@
 	awaits  awaited  // its response
 }
 
-// startRequest prepares the connection for the next request. net/http does that only after it has written the one before in full.
-func (c *guardedConn) startRequest(a *attempt) {
+// startRequest prepares the connection for the next request, and reports whether it is the first one. net/http does that only
+// after it has written the one before in full.
+func (c *guardedConn) startRequest(a *attempt) (first bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	first = c.attempt == nil
 	c.attempt = a
 	c.awaits.await(a.method, a.id)
+	return first
 }
 
 func (c *guardedConn) currentAttempt() *attempt {
@@ -107,11 +110,17 @@
 // caller must compare the ID of the response, since more of them end that. After a response without an ID the connection is
 // closed. A response that readers of HTTP read differently counts as none: ErrAmbiguousResponse.
 func Send(client *http.Client, req *http.Request, sendBy time.Time, id ResponseID) (*http.Response, error) {
+	resp, _, err := sendAttempt(client, req, sendBy, id)
+	return resp, err
+}
+
+// sendAttempt sends a request as Send does, and returns what is known of its sending; nil if the request had ended before.
+func sendAttempt(client *http.Client, req *http.Request, sendBy time.Time, id ResponseID) (*http.Response, *attempt, error) {
 	if err := context.Cause(req.Context()); err != nil {
 		if req.Body != nil {
 			_ = req.Body.Close() // as net/http does; there is nothing more to do with it
 		}
-		return nil, &NoResponseError{Cause: err}
+		return nil, nil, &NoResponseError{Cause: err}
 	}
 	req.GetBody = nil // net/http cannot send a body again without it
 	a := &attempt{method: req.Method, sendBy: sendBy, id: id, observed: callsTraces(client.Transport)}
@@ -119,9 +128,9 @@
 	once.CheckRedirect = returnRedirect
 	resp, err := once.Do(req.WithContext(a.traced(req.Context())))
 	if err != nil {
-		return nil, a.end(err)
+		return nil, a, a.end(err)
 	}
-	return resp, nil
+	return resp, a, nil
 }
 
 // returnRedirect has net/http return a redirect. It would send a second request by itself, and what is known of that one, such as
