engine: an order is confirmed only by a response that is for it

Callers could share an engine's slot with a request that still ran, or wait for an adapter that was not loaded: the gateway took a cancellation for confirmed, and the scheduler an order for carried out, by a success without an ID on a connection whose earlier responses had IDs. Such a response may be a copy that lost its header, or one to another call. Refusals of this kind prove nothing since; successes were still believed.

TestSuccessWithoutTheIDOfItsCallConfirmsNothing failed before: the cancellation returned no error. It is an error now after which the call may have been carried out, and the scheduler reads what the engine holds. Engines that return no IDs get one call on each connection, so their responses are still believed. An empty ID counts as none there too, as in the reader of responses.

--- a/engine/client.go
+++ b/engine/client.go
@@ -186,6 +186,9 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, nil, resp.Refusal(content)
 	}
+	if !resp.identified { // it may confirm another call
+		return nil, nil, &NoResponseError{Sent: true, Cause: ErrForeignResponse}
+	}
 	return resp.Response, content, nil
 }
 
@@ -193,7 +196,7 @@
 type Response struct {
 	*http.Response
 
-	// identified says that the response is for the request: it has the request's ID, once. An endpoint that returns no IDs gets
+	// identified says that the response is for the request: it has the request's ID, and no other. An endpoint that returns no IDs gets
 	// one request on each connection, so a response without one is for the request if no other was sent on its connection.
 	identified bool
 }
@@ -222,9 +225,8 @@
 		_ = resp.Body.Close() // nothing that it says is meant for this request
 		return nil, &NoResponseError{Sent: true, Cause: ErrForeignResponse}
 	}
-	values := resp.Header.Values(RequestIDHeader)
-	identified := len(values) == 1 && values[0] == id.Value
-	return &Response{Response: resp, identified: identified || (len(values) == 0 && a.isFirstOnConn())}, nil
+	value := resp.Header.Get(RequestIDHeader) // the only one
+	return &Response{Response: resp, identified: value == id.Value || (value == "" && a.isFirstOnConn())}, nil
 }
 
 func (c *Client) newRequest(ctx context.Context, method, path string, f Fence, body any) (*http.Request, error) {
--- a/engine/first_request_test.go
+++ b/engine/first_request_test.go
@@ -47,3 +47,21 @@
 	c.Assert(errors.As(<-second, &refused), quicktest.IsTrue)
 	c.Check(refused.NotExecuted(), quicktest.IsTrue)
 }
+
+// Guards against an order or a cancellation that counts as confirmed by a response to another one, on an engine that returns IDs.
+func TestSuccessWithoutTheIDOfItsCallConfirmsNothing(t *testing.T) {
+	c := quicktest.New(t)
+	for _, ids := range []string{"", "X-Request-Id: \r\n"} {
+		n := 0
+		client := &Client{HTTP: newClient(), Address: acceptConns(c, serveResponses(func(id string) string {
+			if n++; n == 1 {
+				return refusalCase{status: 200, headers: ownID}.response(id)
+			}
+			return refusalCase{status: 200, headers: ids}.response(id)
+		}))}
+		c.Assert(client.Cancel(context.Background(), "first"), quicktest.IsNil)
+		err := client.Cancel(context.Background(), "second")
+		c.Assert(err, quicktest.IsNotNil, quicktest.Commentf("%q", ids))
+		c.Check(wasSent(c, err), quicktest.IsTrue)
+	}
+}
