scheduler: an unload that was refused with a contradictory reason may have been carried out

Callers got grants for an adapter that the engine may just have unloaded, or was still to unload while their requests ran: an unload that failed with a reason such as leaving or store_busy counted as refused, also if its status (500, 504) contradicted the reason or the response was not for this order. Only the code failed was excluded, since the code is all that was asked.

TestAdapterIsNotUsedAfterAnUnloadThatWasRefusedWithoutProof failed before, in all four cases without a proof. What decides now is whether the refusal proves that nothing was executed; else the scheduler reads what the engine holds.

TestAdapterIsNotUsedAfterAnUnloadThatMayBeCarriedOut made its refusals without a response, so they could not prove anything; they are parsed from one now, with the same two reasons and the same expectations.

--- a/scheduler/loads.go
+++ b/scheduler/loads.go
@@ -150,14 +150,12 @@
 		e.loadFailures[task.load] = loadFailure{retryAt: now.Add(max(refused.RetryAfter, e.loadTime) / 2)}
 	case engine.CodeNoSlot, engine.CodeBadRequest:
 		s.resyncLocked(e, now)
-	case engine.CodeFailed:
-		s.recordLoadFailureLocked(e, task.load, now)
-		if unloadFailed { // it may have been carried out
-			s.resyncLocked(e, now)
-		}
 	default:
 		s.recordLoadFailureLocked(e, task.load, now)
 	}
+	if unloadFailed && !refused.NotExecuted() && e.ownership == owned { // it may have been carried out
+		s.resyncLocked(e, now)
+	}
 }
 
 // resyncLocked claims the endpoint again to read which adapters it holds, because the result of a
--- a/scheduler/unproven_test.go
+++ b/scheduler/unproven_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -71,7 +72,7 @@
 	for code, want := range map[engine.Code]ownership{engine.CodeFailed: claiming, engine.CodeLeaving: owned} {
 		f := newFixture(t, "a@1")
 		e := f.own()
-		f.engine.failUnload = &engine.RefusedError{Code: code}
+		f.engine.failUnload = newRefusal(http.StatusServiceUnavailable, string(code))
 		e.slots["a@1"].state = unloading
 		f.scheduler.runLoadTask(context.Background(), loadTask{endpoint: e, fence: e.fence, bootID: e.bootID, unload: "a@1", load: "b@1", path: "p/b"})
 		f.Check(f.engine.sentOperations(), quicktest.DeepEquals, []string{"unload a@1"})
@@ -80,3 +81,34 @@
 		f.Check(granted, quicktest.Equals, want == owned, quicktest.Commentf("%s", code))
 	}
 }
+
+// Guards against the same by a reason that proves nothing, since its status contradicts it.
+func TestAdapterIsNotUsedAfterAnUnloadThatWasRefusedWithoutProof(t *testing.T) {
+	for _, k := range []struct {
+		status int
+		reason string
+		want   ownership
+	}{
+		{http.StatusServiceUnavailable, "leaving", owned},
+		{http.StatusServiceUnavailable, "busy", owned},
+		{http.StatusInternalServerError, "leaving", claiming},
+		{http.StatusGatewayTimeout, "busy", claiming},
+		{http.StatusInternalServerError, "store_busy", claiming},
+		{http.StatusInternalServerError, "load_failed", claiming},
+	} {
+		f := newFixture(t, "a@1")
+		e := f.own()
+		f.engine.failUnload = newRefusal(k.status, k.reason)
+		e.slots["a@1"].state = unloading
+		f.scheduler.runLoadTask(context.Background(), loadTask{endpoint: e, fence: e.fence, bootID: e.bootID, unload: "a@1", load: "b@1", path: "p/b"})
+		f.Check(f.engine.sentOperations(), quicktest.DeepEquals, []string{"unload a@1"})
+		f.Check(e.ownership, quicktest.Equals, k.want, quicktest.Commentf("%d %s", k.status, k.reason))
+		granted := f.acquire("a@1", "urgent").GetGrant() != nil
+		f.Check(granted, quicktest.Equals, k.want == owned, quicktest.Commentf("%d %s", k.status, k.reason))
+	}
+}
+
+// newRefusal returns the refusal that an engine states with a reason and a status.
+func newRefusal(status int, reason string) *engine.RefusedError {
+	return engine.ParseRefusal(&http.Response{StatusCode: status, Header: http.Header{engine.ReasonHeader: {reason}}}, nil)
+}
