gateway: a completion that may be for another request is no response

A caller could get the completion of another request, its key counted as run and its slot as free while its own request still ran, and a resumed stream could go on with the events of another one: the gateway believed a success without an ID also on a connection whose earlier responses had IDs. On such a connection it may be a copy that lost its header.

It is a lost response now. A refusal of this kind no longer shows that the run began to respond, after which a confirmed cancellation frees the slot. Plain services stay as they are, since they may return IDs with some responses only.

--- a/engine/client.go
+++ b/engine/client.go
@@ -186,7 +186,7 @@
 	if resp.StatusCode >= http.StatusMultipleChoices {
 		return nil, nil, resp.Refusal(content)
 	}
-	if !resp.identified { // it may confirm another call
+	if !resp.IsIdentified() { // it may confirm another call
 		return nil, nil, &NoResponseError{Sent: true, Cause: ErrForeignResponse}
 	}
 	return resp.Response, content, nil
@@ -201,6 +201,10 @@
 	identified bool
 }
 
+// IsIdentified reports whether the response is known to be for the request. What another one says must not be believed of an
+// engine; plain services may return IDs with some of their responses only.
+func (r *Response) IsIdentified() bool { return r.identified }
+
 // Refusal reads a response that is no success, as ParseRefusal does. It proves that the request was not executed only if it
 // is for this request.
 func (r *Response) Refusal(body []byte) *RefusedError {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -83,7 +83,10 @@
 		return g.sendFailure(attemptCtx, q, h, r, err)
 	}
 	defer resp.Body.Close()
-	q.responded = true
+	q.responded = resp.IsIdentified()
+	if !q.responded && resp.StatusCode < http.StatusMultipleChoices { // it may be for another request
+		return g.sendFailure(attemptCtx, q, h, r, &engine.NoResponseError{Sent: true, Cause: engine.ErrForeignResponse})
+	}
 	g.observeLimit(h, resp.Header, sentAt, clock.Now())
 	r.Leaving = resp.Header.Get(engine.LeavingHeader) == "1"
 	r.Fence = resp.Header.Get(engine.FenceHeader)
--- a/gateway/request.go
+++ b/gateway/request.go
@@ -56,7 +56,7 @@
 	content       quarantine.Fingerprint
 	parts         []quarantine.Part // of its prompt, those that other requests may share
 	responseBegan bool              // the endpoint of the last attempt sent a part of a response
-	responded     bool              // the last attempt got the head of a response
+	responded     bool              // the last attempt got the head of a response that is known to be for it
 	cancelled     bool              // the execution of the last attempt, which did not respond, was cancelled
 	promptTokens  int               // estimated length of the prompt
 	prefix        uint64            // hash of the adapter and the start of the prompt
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -181,7 +181,7 @@
 		g.Log.Info("Stream is not resumed: its engine has restarted", "request", s.runID, "endpoint", s.held.endpoint, "boot", boot, "boot_before", s.bootID)
 		return events, false
 	}
-	resumed := resp.StatusCode == http.StatusOK && resp.Header.Get(engine.EventsHeader) == strconv.Itoa(events)
+	resumed := resp.IsIdentified() && resp.StatusCode == http.StatusOK && resp.Header.Get(engine.EventsHeader) == strconv.Itoa(events)
 	if !resumed {
 		return events, false
 	}
