engine: a test of refusals with two IDs does not depend on the machine's load

It had 300 ms to dial and to write its request, and failed if that took longer, since nothing had been sent then. What is asserted is unchanged. By reading; no such failure was seen.

--- a/engine/refusal_test.go
+++ b/engine/refusal_test.go
@@ -144,7 +144,7 @@
 	for _, ids := range []string{other + ownID, ownID + other, ownID + ownID} {
 		k := refusalCase{status: 503, headers: "Cairn-Reason: busy\r\n" + ids}
 		client := &Client{Address: acceptConns(c, serveResponses(k.response)), HTTP: newClient()}
-		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond) // such a response may be discarded
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 		defer cancel()
 		c.Check(wasSent(c, client.Cancel(ctx, "run")), quicktest.IsTrue, quicktest.Commentf("%q", ids))
 	}
