engine: test that no connection is opened for a second try that is not made

refuseSecondTry could be taken out and all tests of engine and gateway stayed green: the connections themselves refuse the write of a second try. What it saves is the connection, which endpoints bound. With the mechanism taken out the test now sees two dials.

--- a/engine/sent_write_test.go
+++ b/engine/sent_write_test.go
@@ -101,6 +101,7 @@
 		err := sendRequest(client, newRequest(context.Background(), c, method, s.address+"/second", nil), time.Time{})
 		c.Check(err, quicktest.IsNotNil, quicktest.Commentf(method))
 		c.Check(s.requests(), quicktest.DeepEquals, []string{method + " /first"})
+		c.Check(dials.Load(), quicktest.Equals, int32(1)) // no connection is opened for a second try
 		if err != nil {
 			c.Check(wasSent(c, err), quicktest.IsTrue)
 		}
