gateway: test that a late cancellation does not end a request without a response

A request whose connection broke is cancelled with its release. That the engine confirms it proves nothing, as at the end of a deadline, since the request may still be on its way.

--- a/gateway/cancel_test.go
+++ b/gateway/cancel_test.go
@@ -91,3 +91,28 @@
 		c.Check(cancellations, quicktest.Equals, int64(1))
 	}
 }
+
+// Guards against a slot that counts as free while a request whose connection broke may still be on its way: the engine confirms the
+// cancellation of a run that it does not know yet.
+func TestRequestWithoutAResponseMayStillRunThoughItIsCancelledLater(t *testing.T) {
+	c := quicktest.New(t)
+	var cancellations atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodDelete {
+			cancellations.Add(1)
+			w.WriteHeader(http.StatusNoContent)
+			return
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer s.Close()
+	g := newSendingGateway(c)
+	scheduler := &fakeScheduler{acquire: func(int, string) *wire.AcquireReply { return grantAt(s.Listener.Addr().String()) }}
+	g.schedule(scheduler)
+	f := failureOf(c, g.serveOnce(http.MethodPost, modelsPath, modelBody, false))
+	c.Check(f.Ran, quicktest.Equals, MayHaveRun)
+	c.Check(g.flushReleases(), quicktest.IsNil)
+	c.Assert(scheduler.released, quicktest.HasLen, 1)
+	c.Check(scheduler.released[0].GetOutcome(), quicktest.Equals, wire.Outcome_OUTCOME_UNKNOWN)
+	c.Check(cancellations.Load(), quicktest.Equals, int64(1))
+}
