--- a/engine/attempt.go
+++ b/engine/attempt.go
@@ -32,7 +32,7 @@
 	writer   *guardedConn // the connection that it was written to; nil if that cannot be observed
 	ended    bool         // Send has returned an error; nothing may be written any more
 	observed bool         // the transport says when it has a connection for the request
-	refused  error        // why a connection that cannot be observed was not used
+	unusable error        // why a connection that cannot be observed was not used
 	isFirst  bool         // no request was sent before on its connection
 }
 
@@ -67,7 +67,7 @@
 	defer a.mu.Unlock()
 	a.observed = true
 	if _, err := a.mayBegin(nil); err != nil {
-		a.refused = err
+		a.unusable = err
 		_ = info.Conn.Close() // its writes fail then
 		return
 	}
@@ -89,12 +89,13 @@
 	return a.isFirst
 }
 
-// mayBegin reports whether c has not been written to for this attempt, or why nothing may be written.
+// mayBegin reports whether a write to c is the first one for this attempt, or why nothing may be written. c is nil for a
+// connection that cannot be observed.
 func (a *attempt) mayBegin(c *guardedConn) (first bool, err error) {
 	switch {
 	case a.ended:
 		return false, errEnded
-	case a.begun && a.writer == c && c != nil:
+	case a.begun && c != nil && a.writer == c:
 		return false, nil
 	case a.begun:
 		return false, ErrConnectionLost
@@ -135,8 +136,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
-	if a.refused != nil {
-		cause = a.refused
+	if a.unusable != nil {
+		cause = a.unusable
 	}
 	return &NoResponseError{Sent: a.begun || !a.observed, Cause: cause}
 }
--- a/engine/response_body.go
+++ b/engine/response_body.go
@@ -11,36 +11,36 @@
 // maxChunkLine limits a line with the size of a chunk, and one of a trailer, as net/http does.
 const maxChunkLine = 4 << 10
 
-// bodyReader finds where the body of a response ends. The zero value is the end.
-type bodyReader struct {
+// bodyScanner finds where the body of a response ends. The zero value is the end.
+type bodyScanner struct {
 	left      int64  // bytes until the end or the next line; negative: the body ends with the connection
 	chunked   bool   // the last line is still to come
 	inTrailer bool   // the last chunk has come
 	line      []byte // the start of a line
 }
 
-// newBodyReader returns the reader of the body that follows a head.
-func newBodyReader(h *responseHead, isHeadRequest bool) (bodyReader, error) {
+// newBodyScanner returns the reader of the body that follows a head.
+func newBodyScanner(h *responseHead, isHeadRequest bool) (bodyScanner, error) {
 	switch {
 	case isHeadRequest || h.status == http.StatusNoContent || h.status == http.StatusNotModified:
-		return bodyReader{}, nil
+		return bodyScanner{}, nil
 	case len(h.codings) > 0:
-		return bodyReader{chunked: true}, nil
+		return bodyScanner{chunked: true}, nil
 	case h.endsWithConnection():
-		return bodyReader{left: -1}, nil
+		return bodyScanner{left: -1}, nil
 	}
 	length, err := strconv.ParseInt(h.lengths[0], 10, 64)
 	if err != nil {
-		return bodyReader{}, ambiguous("Content-Length %q", h.lengths)
+		return bodyScanner{}, ambiguous("Content-Length %q", h.lengths)
 	}
-	return bodyReader{left: length}, nil
+	return bodyScanner{left: length}, nil
 }
 
 // isAtEnd reports whether the whole body was read.
-func (r *bodyReader) isAtEnd() bool { return r.left == 0 && !r.chunked }
+func (r *bodyScanner) isAtEnd() bool { return r.left == 0 && !r.chunked }
 
 // read returns how many of the next bytes belong to the body.
-func (r *bodyReader) read(b []byte) (int, error) {
+func (r *bodyScanner) read(b []byte) (int, error) {
 	used := 0
 	for used < len(b) && !r.isAtEnd() {
 		if r.left < 0 {
@@ -62,7 +62,7 @@
 }
 
 // readLine reads a line, or the start of one, and returns its length.
-func (r *bodyReader) readLine(b []byte) (int, error) {
+func (r *bodyScanner) readLine(b []byte) (int, error) {
 	n := bytes.IndexByte(b, '\n') + 1
 	isWhole := n > 0
 	if !isWhole {
@@ -89,7 +89,7 @@
 }
 
 // readSize reads the size of a chunk, after which its data and a line end follow.
-func (r *bodyReader) readSize(line []byte) error {
+func (r *bodyScanner) readSize(line []byte) error {
 	digits, _, _ := bytes.Cut(line, []byte(";"))
 	size, err := strconv.ParseUint(string(bytes.TrimRight(digits, " \t")), 16, 62)
 	if err != nil {
--- a/engine/response_match.go
+++ b/engine/response_match.go
@@ -178,7 +178,7 @@
 // acceptResponse has Read return the response with the head that was read.
 func (c *guardedConn) acceptResponse(r *headReader, a awaited) (err error) {
 	c.headLeft = r.end
-	c.body, err = newBodyReader(&r.head, a.isHead)
+	c.body, err = newBodyScanner(&r.head, a.isHead)
 	return err
 }
 
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -25,7 +25,7 @@
 	// Used by Read alone:
 	received []byte     // received and not yet read
 	headLeft int        // the start of it that belongs to the head of the current response
-	body     bodyReader // of the current response
+	body     bodyScanner // of the current response
 	failed   error      // ends the connection, since a response is not believed
 
 	mu      sync.Mutex
