--- a/engine/transport.go
+++ b/engine/transport.go
@@ -23,10 +23,10 @@
 	net.Conn
 
 	// Used by Read alone:
-	received []byte     // received and not yet read
-	headLeft int        // the start of it that belongs to the head of the current response
+	received []byte      // received and not yet read
+	headLeft int         // the start of it that belongs to the head of the current response
 	body     bodyScanner // of the current response
-	failed   error      // ends the connection, since a response is not believed
+	failed   error       // ends the connection, since a response is not believed
 
 	mu      sync.Mutex
 	attempt *attempt // of the current request; nil before the first
