--- a/measure/executions.go
+++ b/measure/executions.go
@@ -21,7 +21,8 @@
 
 // Executions sends requests to boxes on the users' platform while endpoints and boxes fail in overlapping series, on a fixed seed. It
 // compares what callers got with what endpoints executed: no request that may be executed at most once is executed after or before a
-// response that promises that it is not, and none is executed twice. Set the fields before Run.
+// response that promises that it is not, none is executed twice, and no caller gets the response to
+// another request. Set the fields before Run.
 type Executions struct {
 	Bin       string
 	Dir       string
@@ -83,7 +84,7 @@
 	if breached {
 		return ErrBreach
 	}
-	fmt.Fprintln(w, "no breach: no refused request was executed, and none that may be executed once was executed twice")
+	fmt.Fprintln(w, "no breach: no refused request was executed, none that may be executed once was executed twice, and no caller got another one's response")
 	return nil
 }
 
--- a/measure/executions_report.go
+++ b/measure/executions_report.go
@@ -108,7 +108,9 @@
 	return b.String()
 }
 
-func (n executionsReport) breached() bool { return n.refused != byService{} || n.twice != byService{} }
+func (n executionsReport) breached() bool {
+	return n.refused != byService{} || n.twice != byService{} || n.foreign > 0
+}
 
 // write writes the line of the run, and the first cases.
 func (n executionsReport) write(w io.Writer) {
