--- a/review/harness-2/main.go
+++ b/review/harness-2/main.go
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 
 // Command harness-2 runs boxes of cairnwick as processes, with stand-ins for the store, the servers and the clients, and plays one
-// case. The cases 5 and 6 of the review use it; "mix" was used to look for faults. It exits with 1 if the case's rule was broken, 0 if it held and 2 if the case could not run.
+// case. The cases 5 and 6 of the review use it. It exits with 1 if the case's rule was broken, 0 if it held and 2 if the case could not run.
 package main
 
 import (
@@ -147,15 +147,8 @@
 	return b
 }
 
-func (b *box) writeSettings(seeds []string, more string) {
-	list := ""
-	for i, s := range seeds {
-		if i > 0 {
-			list += ","
-		}
-		list += fmt.Sprintf("%q", fmt.Sprintf("%s:%d", s, peerPort))
-	}
-	text := fmt.Sprintf(`node_name = %q
+// settingsText is the settings file of a box.
+const settingsText = `node_name = %q
 role = "edge"
 machine_class = "frontend"
 serves = ["frontend","control_plane"]
@@ -221,7 +214,17 @@
 history_s = 20
 max_value_bytes = 1048576
 min_ttl_ms = 1000
-%s`, b.name, b.ip, b.zone, firstPort, lastPort, list, b.ip, callerPort, b.ip, readyPort, b.ip, peerPort, b.rig.store.address, more)
+%s`
+
+func (b *box) writeSettings(seeds []string, more string) {
+	list := ""
+	for i, s := range seeds {
+		if i > 0 {
+			list += ","
+		}
+		list += fmt.Sprintf("%q", fmt.Sprintf("%s:%d", s, peerPort))
+	}
+	text := fmt.Sprintf(settingsText, b.name, b.ip, b.zone, firstPort, lastPort, list, b.ip, callerPort, b.ip, readyPort, b.ip, peerPort, b.rig.store.address, more)
 	if err := os.WriteFile(b.settings, []byte(text), 0o600); err != nil {
 		fail(err)
 	}
