placement: fences have a random number of the process

Cause: the low 22 bits of a fence were those of the IPv4 address. Boxes whose addresses differ in the ten bits above claim in the same second with the same fence, and the endpoint can't tell them apart. What owners publish had the term and a count for a version, so that two holders of one term published different contents under equal versions.

Change: a random number of the process instead; versions of publications are ordered as fences are, and the owner claims anew before their count runs out.

Why it holds: the number depends on no address. Two processes that claim an endpoint in the same second and do not know of each other share one in 1 of 4 million cases; boxes that know of each other use other terms.

--- a/edge/config_decoder_test.go
+++ b/edge/config_decoder_test.go
@@ -36,7 +36,7 @@
 func newSlowState() (s *state, d slowDecoder, release func()) {
 	d = slowDecoder{begun: make(chan struct{}, 8), released: make(chan struct{}), decoded: new(atomic.Int64)}
 	table := share.NewTable()
-	s = &state{view: topology.NewView(), table: table, decoder: d, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+	s = &state{view: topology.NewView(), table: table, decoder: d, fences: &placement.Fences{Process: 1}, log: logr.Discard()}
 	table.Prepare, table.OnChange = s.prepare, s.apply
 	return s, d, func() { close(d.released) }
 }
--- a/edge/items_fuzz_test.go
+++ b/edge/items_fuzz_test.go
@@ -41,7 +41,7 @@
 			return
 		}
 		table := share.NewTable()
-		s := &state{view: topology.NewView(), table: table, decoder: plainDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+		s := &state{view: topology.NewView(), table: table, decoder: plainDecoder{}, fences: &placement.Fences{Process: 1}, log: logr.Discard()}
 		s.disputed, s.quarantined = func([]quarantine.Fingerprint, time.Time) {}, func(quarantine.Fingerprint) {}
 		table.OnChange = s.apply
 		table.Receive(&wire.Item{Key: "e/1", Version: 2})
--- a/edge/keys_test.go
+++ b/edge/keys_test.go
@@ -278,7 +278,7 @@
 	c := quicktest.New(t)
 	r, table := newReader(nil)
 	v := topology.NewView()
-	st := &state{view: v, table: table, decoder: restartDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+	st := &state{view: v, table: table, decoder: restartDecoder{}, fences: &placement.Fences{Process: 1}, log: logr.Discard()}
 	table.OnChange = st.apply
 	a := topology.Adapter{Model: "m", Name: "a9"}
 	fact := func(revision uint64, value string) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -42,6 +42,7 @@
 	view       *topology.View
 	items      *share.Table
 	state      *state
+	fences     *placement.Fences
 	peers      *peers
 	shared     *share.Server
 	messages   *daemon.MessageCounter
@@ -86,8 +87,10 @@
 	n.current.Store(&n.Settings)
 	n.view = topology.NewView()
 	n.items = share.NewTable()
-	fences := &placement.Fences{Box: s.Number}
-	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: fences, log: n.Log}
+	if n.fences == nil {
+		n.fences = placement.NewFences()
+	}
+	n.state = &state{view: n.view, table: n.items, decoder: n.Decoder, fences: n.fences, log: n.Log}
 	n.items.Prepare, n.items.OnChange = n.state.prepare, n.state.apply
 	n.items.HasEnded, n.items.IsSuperseded = n.hasEnded, n.isSuperseded
 	n.items.IsEquivalent, n.items.ResolveRollback = n.isSame, n.outlives
@@ -112,7 +115,7 @@
 		Control:     observedControl{Control: n.Control, failed: func(e *topology.Endpoint) { n.gateway.SuspectLinks(e) }},
 		Limits:      func() placement.RateLimits { return n.current.Load().Rate },
 		Log:         n.Log,
-		Fences:      fences,
+		Fences:      n.fences,
 		Lease:       func() time.Duration { return n.current.Load().Bounds.Lease },
 		Leaders:     func() int { return len(n.peers.clusterView().centres) },
 		Owns:        n.owns,
--- a/edge/settings.go
+++ b/edge/settings.go
@@ -16,7 +16,6 @@
 type Settings struct {
 	Box        string
 	DataCentre string
-	Number     uint32 // unique per box; its low bits are part of fencing tokens
 	Callers    string // IP:port for callers
 	Ready      string // IP:port for the load balancer's readiness checks
 	Peers      string // IP:port for other boxes
--- a/edge/slots.go
+++ b/edge/slots.go
@@ -35,7 +35,7 @@
 // ownerReport is what the latest owner of an endpoint published about its slots. Facts of earlier owners about other
 // slots are ignored.
 type ownerReport struct {
-	term    uint64       // of the owner's fencing token
+	owner   uint64       // of the publications, which increases with the owner's fencing token
 	held    map[int]slot // by slot number; empty slots have no entry
 	highest int          // highest slot number in any fact so far
 }
@@ -48,7 +48,7 @@
 
 // publishedSlots is what this box published about an endpoint's slots with one fencing token.
 type publishedSlots struct {
-	term  uint64
+	owner uint64
 	slots []slot // by slot number
 }
 
@@ -68,25 +68,25 @@
 		s.log.Info("Failed to decode fact; keeping the last valid one", "key", i.GetKey(), "version", i.GetVersion(), "err", err.Error())
 		return ""
 	}
-	id, term := rest[:cut], placement.Term(i.GetVersion())
-	s.fences.Observe(term)
+	id, owner := rest[:cut], placement.Owner(i.GetVersion())
+	s.fences.Observe(placement.Term(i.GetVersion()))
 	s.slots.mu.Lock()
 	defer s.slots.mu.Unlock()
 	if s.slots.reports == nil {
 		s.slots.reports = make(map[string]*ownerReport)
 	}
 	o := s.slots.reports[id]
-	if o == nil || o.term < term {
+	if o == nil || o.owner < owner {
 		highest := -1
 		if o != nil {
 			highest = o.highest
 		}
-		o = &ownerReport{term: term, held: make(map[int]slot), highest: highest}
+		o = &ownerReport{owner: owner, held: make(map[int]slot), highest: highest}
 		s.slots.reports[id] = o
 	}
 	o.highest = max(o.highest, number)
 	switch {
-	case o.term > term: // from an earlier owner
+	case o.owner > owner: // from an earlier owner
 	case w.GetAdapter() == "":
 		delete(o.held, number)
 	default:
@@ -135,7 +135,7 @@
 // publish publishes an endpoint's slots to all boxes: those that changed, or all of them with a new fencing token.
 func (s *state) publish(centre, endpoint string, version uint64, held map[topology.Adapter]topology.AdapterState) {
 	var items []*wire.Item
-	for number, t := range s.slots.diff(endpoint, placement.Term(version), held) {
+	for number, t := range s.slots.diff(endpoint, placement.Owner(version), held) {
 		w := &wire.Slot{Version: t.held.Version, Ready: t.held.Ready}
 		if t.adapter.Name != "" {
 			w.Adapter = t.adapter.String()
@@ -151,7 +151,7 @@
 }
 
 // diff records what an endpoint holds now, and returns the slots to publish by number. An adapter stays in its slot.
-func (t *slots) diff(endpoint string, term uint64, held map[topology.Adapter]topology.AdapterState) map[int]slot {
+func (t *slots) diff(endpoint string, owner uint64, held map[topology.Adapter]topology.AdapterState) map[int]slot {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.published == nil {
@@ -159,8 +159,8 @@
 	}
 	changed := make(map[int]slot)
 	k := t.published[endpoint]
-	if k == nil || k.term != term {
-		k = &publishedSlots{term: term}
+	if k == nil || k.owner != owner {
+		k = &publishedSlots{owner: owner}
 		t.published[endpoint] = k
 		changed[0] = slot{} // publish at least one slot, so that boxes know the owner even if nothing is held
 	}
--- a/edge/slots_test.go
+++ b/edge/slots_test.go
@@ -20,7 +20,7 @@
 // newState returns the state of a box that knows the endpoint e/1.
 func newState() *state {
 	t := share.NewTable()
-	s := &state{view: topology.NewView(), table: t, decoder: plainDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+	s := &state{view: topology.NewView(), table: t, decoder: plainDecoder{}, fences: &placement.Fences{Process: 1}, log: logr.Discard()}
 	t.OnChange = s.apply
 	t.Merge(&wire.Item{Key: "e/1", Version: 1})
 	return s
@@ -122,3 +122,25 @@
 	c.Assert(items, quicktest.HasLen, 1)
 	c.Assert(proto.Size(items[0]) <= 90, quicktest.IsTrue, quicktest.Commentf("%d bytes", proto.Size(items[0])))
 }
+
+// Guards against a mixture of what two holders of one term published about an endpoint.
+func TestHolderOfTheHigherFenceOfATermIsTheOwner(t *testing.T) {
+	c := quicktest.New(t)
+	lower, higher, other := newState(), newState(), newState()
+	const term = 1_800_000_000
+	held := make(map[topology.Adapter]topology.AdapterState)
+	for i := range 5 {
+		held[topology.Adapter{Model: "m", Name: fmt.Sprint("a", i)}] = topology.AdapterState{Ready: true}
+		lower.publish("dc", "e/1", term<<24|1<<16|uint64(i+1), maps.Clone(held))
+	}
+	owned := map[topology.Adapter]topology.AdapterState{{Model: "m", Name: "a9"}: {Ready: true}}
+	higher.publish("dc", "e/1", term<<24|2<<16|1, owned)
+	for _, from := range []*state{lower, higher, lower} {
+		items, _, _ := from.table.ItemsSince(0)
+		other.table.Receive(items...)
+	}
+	c.Check(other.heldAdapters(), quicktest.DeepEquals, owned)
+	items, _, _ := higher.table.ItemsSince(0)
+	lower.table.Receive(items...)
+	c.Check(lower.heldAdapters(), quicktest.DeepEquals, owned)
+}
--- a/edge/state_test.go
+++ b/edge/state_test.go
@@ -42,7 +42,7 @@
 	r, table := newReader(s)
 	r.decoder = drainingDecoder{}
 	v := topology.NewView()
-	st := &state{view: v, table: table, decoder: drainingDecoder{}, fences: &placement.Fences{Box: 1}, log: logr.Discard()}
+	st := &state{view: v, table: table, decoder: drainingDecoder{}, fences: &placement.Fences{Process: 1}, log: logr.Discard()}
 	table.OnChange = st.apply
 	step(r)
 	c.Assert(v.Endpoint("e/1").Draining(), quicktest.IsFalse)
--- a/edge/takeover_test.go
+++ b/edge/takeover_test.go
@@ -128,7 +128,7 @@
 		if i > 0 {
 			n.Settings.Seeds = []string{nodes[0].Settings.Peers}
 		}
-		n.Settings.Number = uint32(9 - i) // in the same term, the later box's fence is the lower one
+		n.fences = &placement.Fences{Process: uint32(9 - i)} // in the same term, the later box's fence is the lower one
 		n.Source, n.Decoder, n.Control = modelSource{}, modelDecoder{}, fakeControl{box: n.Settings.Box, endpoint: h}
 		nodes, stops = append(nodes, n), append(stops, start(n))
 		variablesOf(c, n)
@@ -234,7 +234,7 @@
 			Control: fakeControl{box: "second", endpoint: h},
 			Limits:  func() placement.RateLimits { return placement.DefaultRateLimits },
 			Log:     logr.Discard(),
-			Fences:  &placement.Fences{Box: 2},
+			Fences:  &placement.Fences{Process: 2},
 			Lease:   func() time.Duration { return time.Second },
 			Leaders: func() int { return 1 },
 			Owns:    n.owns,
--- a/placement/claim.go
+++ b/placement/claim.go
@@ -190,7 +190,7 @@
 		l.mu.Unlock()
 		return
 	}
-	o.fence = fence
+	o.fence, o.publications = fence, 0
 	o.phase, o.since, o.loadsInFlight = owning, now, 0
 	o.handedOver, o.stateUncertain = handedOver, false
 	o.claims++
@@ -283,15 +283,27 @@
 func (l *Loader) requestReclaim(o *ownedEndpoint, claim int, why string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if o.phase != owning || o.claims != claim {
-		return
+	if o.phase == owning && o.claims == claim {
+		l.reclaimLocked(o, why)
 	}
+}
+
+func (l *Loader) reclaimLocked(o *ownedEndpoint, why string) {
 	l.Log.Info("Endpoint state is uncertain; claiming it again", "endpoint", o.endpoint.ID(), "cause", why)
 	o.phase, o.since = claiming, clock.Now()
 	l.resetStateLocked(o)
 	o.needsReclaim = true
 }
 
+// renewFencesLocked claims endpoints again, with a new fence, before the count of publications under the current one runs out.
+func (l *Loader) renewFencesLocked() {
+	for _, o := range l.owned {
+		if o.phase == owning && o.publications >= maxPublications/2 {
+			l.reclaimLocked(o, "its fence has had many publications")
+		}
+	}
+}
+
 // startReclaimsLocked returns the claims that requestReclaim asked for. A leaving box claims
 // nothing.
 func (l *Loader) startReclaimsLocked() []func(context.Context) {
--- a/placement/fence.go
+++ b/placement/fence.go
@@ -3,14 +3,20 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 )
 
 const (
-	boxBits         = 22 // low bits of a fence: the box, so that no two boxes use the same fence
-	termBits        = 31 // Unix seconds until 2038 and later; a fence stays below 2^53, the limit of integers in JSON numbers
-	publicationBits = 24 // low bits of a publication's version: the count of publications under one fence; the term is above them
+	processBits = 22 // low bits of a fence: a random number of the process, since addresses have more bits than are left
+	termBits    = 31 // Unix seconds until 2038 and later; a fence stays below 2^53, the limit of integers in JSON numbers
+
+	// The version of a publication has the fence's term in its high bits, then the highest bits of the process number, so that
+	// publications are ordered as fences are, and then the count of publications under that fence.
+	ownerBits       = 8
+	countBits       = 16
+	maxPublications = 1<<countBits - 1
 
 	// termRaiseFactor is the base of how far a refused box raises its term; the exponent is the
 	// number of consecutive refusals. Three refusals pass an owner whose clock was an hour ahead.
@@ -22,18 +28,21 @@
 	maxTerm       = 1<<termBits - 1
 )
 
-// Fences generates the fences of one box. A fence consists of a term and the box number. Terms
-// follow the wall clock, so that a box without any state is usually above all earlier owners.
+// Fences generates the fences of one process. A fence consists of a term and the process number.
+// Terms follow the wall clock, so that a box without any state is usually above all earlier owners.
 // For that they must not run ahead of the clock, so all endpoints that are claimed while a
 // term is the highest use the same one.
 type Fences struct {
-	Box uint32 // low bits of a number unique to the box
+	Process uint32 // its low bits tell apart boxes that claim an endpoint in the same second without knowing of each other
 
 	mu      sync.Mutex
 	highest uint64 // term observed, or used and abandoned
 	current uint64 // term in use; zero: none
 }
 
+// NewFences returns the fences of a process with a random number.
+func NewFences() *Fences { return &Fences{Process: rand.Uint32N(1 << processBits)} }
+
 // Observe records the term of another box's fence. Terms that no box generates are ignored:
 // after the highest possible term no box could raise a fence any more.
 func (f *Fences) Observe(observed uint64) {
@@ -60,7 +69,7 @@
 	if f.current < lowest {
 		f.current = min(max(uint64(max(now.Unix(), 0)), lowest), maxTerm)
 	}
-	return f.current<<boxBits | uint64(f.Box)&(1<<boxBits-1)
+	return f.current<<processBits | uint64(f.Process)&(1<<processBits-1)
 }
 
 // Advance makes the next fence a new one: orders with the last one may still be in transit.
@@ -71,7 +80,15 @@
 }
 
 // term returns the part of a fence that increases.
-func term(fence uint64) uint64 { return fence >> boxBits }
+func term(fence uint64) uint64 { return fence >> processBits }
+
+// publicationVersion returns the version of a publication under a fence.
+func publicationVersion(fence, count uint64) uint64 {
+	return fence>>(processBits-ownerBits)<<countBits | min(count, maxPublications)
+}
+
+// Term returns the term in a publication's version.
+func Term(version uint64) uint64 { return version >> (ownerBits + countBits) }
 
-// Term returns the term in a publication's version, which increases with each owner.
-func Term(version uint64) uint64 { return version >> publicationBits }
+// Owner returns the part of a publication's version that stands for the owner. It increases with the owner's fence.
+func Owner(version uint64) uint64 { return version >> countBits }
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -191,6 +191,7 @@
 		l.pruneRequestRatesLocked(now)
 		if l.leavingSince.IsZero() {
 			tasks = l.updateOwnershipLocked(now)
+			l.renewFencesLocked()
 		} else {
 			l.pruneWhileLeavingLocked(now)
 		}
@@ -283,7 +284,7 @@
 		}
 	}
 	o.publications++
-	l.Publish(o.endpoint.ID(), term(o.fence)<<publicationBits|o.publications, held)
+	l.Publish(o.endpoint.ID(), publicationVersion(o.fence, o.publications), held)
 }
 
 var _ forward.Placer = (*Loader)(nil)
--- a/placement/loader_test.go
+++ b/placement/loader_test.go
@@ -134,7 +134,7 @@
 		Control:     fake,
 		Limits:      func() RateLimits { return DefaultRateLimits },
 		Log:         logr.Discard(),
-		Fences:      &Fences{Box: 1},
+		Fences:      &Fences{Process: 1},
 		Lease:       func() time.Duration { return 100 * time.Millisecond },
 		Leaders:     func() int { return 1 },
 		PrefillTime: func(tokens int) time.Duration { return time.Duration(tokens) * 25 * time.Microsecond },
@@ -260,13 +260,13 @@
 func TestNextFenceIsAboveAllKnownFences(t *testing.T) {
 	c := quicktest.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	f := &Fences{Box: 7}
+	f := &Fences{Process: 7}
 	first := f.Next(now, 0, 0)
 	c.Assert(f.Next(now, first, 0) > first, quicktest.IsTrue)
 	f.Observe(term(first) + 5000) // from an owner whose clock is ahead
 	c.Assert(term(f.Next(now, 0, 0)), quicktest.Equals, term(first)+5001)
 	c.Assert(f.Next(now, 0, 0) < 1<<53, quicktest.IsTrue)
-	c.Assert(f.Next(now, 0, 0)&(1<<boxBits-1), quicktest.Equals, uint64(7))
+	c.Assert(f.Next(now, 0, 0)&(1<<processBits-1), quicktest.Equals, uint64(7))
 	given := f.Next(now, 0, 0)
 	f.Advance()
 	c.Assert(f.Next(now, 0, 0) > given, quicktest.IsTrue)
@@ -277,7 +277,7 @@
 func TestTermsDoNotRunAheadOfTheClock(t *testing.T) {
 	c := quicktest.New(t)
 	now := time.Unix(1_800_000_000, 0)
-	f := &Fences{Box: 7}
+	f := &Fences{Process: 7}
 	first := f.Next(now, 0, 0)
 	for range 20 { // endpoints claimed together
 		c.Assert(f.Next(now, 0, 0), quicktest.Equals, first)
@@ -291,7 +291,7 @@
 // ahead. The new owner backed off for the lease, although no box owned them.
 func TestEndpointThatRefusesFirstFenceIsClaimedAgainAtOnce(t *testing.T) {
 	c := quicktest.New(t)
-	ahead := (&Fences{Box: 2}).Next(time.Now().Add(30*time.Second), 0, 0)
+	ahead := (&Fences{Process: 2}).Next(time.Now().Add(30*time.Second), 0, 0)
 	b := newFixture(4)
 	b.fake.fence = ahead
 	b.loader.Lease = func() time.Duration { return time.Hour }
--- a/placement/model_test.go
+++ b/placement/model_test.go
@@ -157,7 +157,7 @@
 		w.boxes[i] = b
 		l := b.loader
 		l.Box, l.Control, l.Log = fmt.Sprintf("box%d", i), b, logr.Discard()
-		l.Fences = &Fences{Box: uint32(i + 1)}
+		l.Fences = &Fences{Process: uint32(i + 1)}
 		l.Owns = func(*topology.Endpoint, time.Time) (bool, time.Time) {
 			w.mu.Lock()
 			defer w.mu.Unlock()
--- a/placement/ownership.go
+++ b/placement/ownership.go
@@ -28,7 +28,7 @@
 	since           time.Time // start of the phase
 	fence           uint64    // the last one shown to the endpoint
 	refusals        int       // consecutive refused fences
-	publications    uint64    // count of publications
+	publications    uint64    // count of publications under the fence
 	slots           map[topology.Adapter]*slot
 	loadsInFlight   int                    // loads in progress
 	announcedTokens policy.DecayingCounter // prompt tokens of requests that boxes were assigned here and have not reported yet
--- a/placement/resign_test.go
+++ b/placement/resign_test.go
@@ -113,7 +113,7 @@
 func newSharedFixture(f *sharedEndpoint, name string, number uint32, before *Loader) *fixture {
 	b := newFixture(4)
 	b.loader.Box, b.loader.Control = name, f
-	b.loader.Fences = &Fences{Box: number}
+	b.loader.Fences = &Fences{Process: number}
 	if before != nil {
 		b.loader.AskToResign = func(ctx context.Context, e *topology.Endpoint) (Handover, time.Duration) {
 			return before.Resign(ctx, e.ID()), 0
@@ -231,7 +231,7 @@
 		}},
 		{"another box has claimed it", func(f *sharedEndpoint, _ *fixture) {
 			f.mu.Lock()
-			f.fence += 1 << boxBits
+			f.fence += 1 << processBits
 			f.mu.Unlock()
 		}},
 		{"an adapter is unloaded when its requests end", func(_ *sharedEndpoint, first *fixture) {
