scheduler: two processes of one name have different fences

Callers would have seen: adapters in use that were unloaded, and loads beyond an engine's slots, after a restart in which the old and the new process of a scheduler claimed an endpoint at the same time.

Cause: a fence was the term and the box's name. Both processes read the same term, claimed the next one under the same name, and neither saw that it was not the only owner.

Evidence: TestSchedulersOfOneNameUseDifferentFences failed before: both had 1.box.

Change: a fence ends with a random number of the process. An engine that compares the text after the term takes it for part of the name. TestLoadedAdapterIsGrantedImmediately expects the number, too.

--- a/scheduler/ownership.go
+++ b/scheduler/ownership.go
@@ -65,7 +65,7 @@
 		return errors.Wrap(err, "scheduler: probe endpoint")
 	}
 	previous := state.Fence()
-	fence := previous.Next(s.Box)
+	fence := previous.Next(s.Box, s.process)
 	if checksFences {
 		if state, err = e.client.Claim(ctx, fence); err != nil {
 			return errors.Wrap(err, "scheduler: claim endpoint")
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -19,6 +19,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -85,6 +86,7 @@
 	probes       chan *endpoint // endpoints to probe
 	loadTasks    chan loadTask  // loads and unloads to execute
 	storeBudget  *lockedBudget
+	process      uint32            // random, in this scheduler's fences
 	speeds       lockedSpeeds      // of the endpoints' incarnations
 	rateLimits   ratelimit.Limiter // by endpoint; its lock is taken last, with no other after it
 	pendingLoads atomic.Int64      // at all endpoints, not yet begun
@@ -114,6 +116,7 @@
 	s.probes = make(chan *endpoint, taskBuffer)
 	s.loadTasks = make(chan loadTask, taskBuffer)
 	s.storeBudget = &lockedBudget{}
+	s.process = max(rand.Uint32(), 1)
 	s.stats = stats{
 		LoadWait: metrics.NewHistogram(),
 		Wait:     metrics.NewHistogram(),
