placement: a claim raises its fence at an endpoint without a base model, too

Cause: a claim went on without an order if the endpoint's entry named no base model. The leader before, cut off from the other boxes only, had ordered one, and loaded adapters after the report that the new leader took for complete.

Change: such an endpoint is claimed by the order to load a base model, on condition that it has accepted no order since its report; one that holds or loads a base model by its report is claimed as others are. A base model that the endpoint holds at the owner's first order is no longer taken for its own (TestBaseModelOfAnotherOwnerIsReadAgain, red before).

Why it holds: the endpoint accepts the order only if nobody else's has come in between, and from then on refuses lower fences; what it holds is known without another report.

--- a/placement/claim.go
+++ b/placement/claim.go
@@ -29,6 +29,7 @@
 // own report is recent enough.
 // An endpoint that carries out an order of a previous owner is claimed once that has ended: what it will hold then is not known
 // before. After modelLoadTimeout it is claimed all the same, gets no order about a base model, and is claimed anew after that time.
+// An endpoint that holds nothing, as after its start, is claimed by the order to load a base model.
 func (l *Loader) claim(o *ownedEndpoint) func(context.Context) {
 	return func(ctx context.Context) {
 		l.awaitNoOrders(ctx, o)
@@ -36,29 +37,33 @@
 		handed := l.requestHandover(ctx, o)
 		waiting := time.Time{}
 		for ctx.Err() == nil && l.isClaiming(o) {
-			e, fence, raised := l.raiseFence(ctx, o)
+			r, raised := l.raiseFence(ctx, o)
 			if !raised {
 				if !sleep(ctx, claimRetryInterval) {
 					return
 				}
 				continue
 			}
+			if r.loading != "" {
+				l.ownLoadingEndpoint(ctx, o, r)
+				return
+			}
 			if handed.Resigned && clock.Since(asked) < reportLag {
-				l.takeOwnership(ctx, o, fence, handed.Inventory, true)
+				l.takeOwnership(ctx, o, r.fence, handed.Inventory, true)
 				return
 			}
 			if !sleep(ctx, reportLag) {
 				return
 			}
 			call, cancel := context.WithTimeout(ctx, callTimeout)
-			h, err := l.Control.Report(call, e)
+			h, err := l.Control.Report(call, r.endpoint)
 			cancel()
 			switch {
 			case err != nil:
-				l.Log.Info("Endpoint report failed; retrying claim", "endpoint", e.ID(), "err", err.Error())
-			case h.Ordering && l.isWorthWaiting(e, &waiting):
+				l.Log.Info("Endpoint report failed; retrying claim", "endpoint", r.endpoint.ID(), "err", err.Error())
+			case h.Ordering && l.isWorthWaiting(r.endpoint, &waiting):
 			default:
-				l.takeOwnership(ctx, o, fence, h, false)
+				l.takeOwnership(ctx, o, r.fence, h, false)
 				if h.Ordering {
 					l.reclaimLater(ctx, o)
 				}
@@ -149,30 +154,86 @@
 	return Handover{}
 }
 
-// raiseFence shows an endpoint a new fence with an order that changes nothing: to load a base
-// model that it holds. An endpoint without a base model can't load adapters for the previous
-// owner, and is claimed without such an order.
-func (l *Loader) raiseFence(ctx context.Context, o *ownedEndpoint) (e *topology.Endpoint, fence uint64, raised bool) {
+// raisedFence is a fence that an endpoint has accepted.
+type raisedFence struct {
+	endpoint *topology.Endpoint
+	fence    uint64
+	loading  string // the base model whose load showed the fence, at an endpoint that held nothing; empty: there was none
+}
+
+// raiseFence shows an endpoint a new fence with an order that changes nothing: to load a base model that it holds.
+func (l *Loader) raiseFence(ctx context.Context, o *ownedEndpoint) (raisedFence, bool) {
 	l.mu.Lock()
 	e, previous, refusals := o.endpoint, o.fence, o.refusals
 	l.mu.Unlock()
-	fence = l.Fences.Next(time.Now(), previous, refusals)
-	if len(e.Models()) == 0 {
-		return e, fence, true
+	fence := l.Fences.Next(time.Now(), previous, refusals)
+	models := e.Models()
+	if len(models) == 0 {
+		return l.raiseFenceByLoad(ctx, o, e, fence)
+	}
+	_, raised := l.showFence(ctx, o, e, Order{Adapter: topology.Adapter{Model: models[0]}, Fence: fence, Holder: l.Box})
+	return raisedFence{endpoint: e, fence: fence}, raised
+}
+
+// raiseFenceByLoad shows a fence to an endpoint whose entry names no base model. The entry may be older than an order of the previous
+// owner, which may also be in transit, so the endpoint is to accept the load only if it has accepted no order since its report.
+func (l *Loader) raiseFenceByLoad(ctx context.Context, o *ownedEndpoint, e *topology.Endpoint, fence uint64) (raisedFence, bool) {
+	r := raisedFence{endpoint: e, fence: fence}
+	l.mu.Lock()
+	model, allowed := l.rarestModel(e), l.modelLoadBucket.has(clock.Now())
+	l.mu.Unlock()
+	if model == "" || e.Draining() || !allowed {
+		return r, false
 	}
+	call, cancel := context.WithTimeout(ctx, callTimeout)
+	h, err := l.Control.Report(call, e)
+	cancel()
+	if err != nil {
+		l.Log.Info("Endpoint report failed; retrying claim", "endpoint", e.ID(), "err", err.Error())
+		return r, false
+	}
+	if len(h.Models) > 0 {
+		_, raised := l.showFence(ctx, o, e, Order{Adapter: topology.Adapter{Model: h.Models[0]}, Fence: fence, Holder: l.Box})
+		return r, raised
+	}
+	if h.Ordering || !l.takeModelLoad() {
+		return r, false
+	}
+	d := Order{Adapter: topology.Adapter{Model: model}, Fence: fence, Holder: l.Box, IsConditional: true, Sequence: h.Sequence}
+	out, raised := l.showFence(ctx, o, e, d)
+	if out == Accepted {
+		r.loading = model
+	}
+	return r, raised
+}
+
+// takeModelLoad reports whether the store's rate allows the load of a base model now, and counts it.
+func (l *Loader) takeModelLoad() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.modelLoadBucket.take(clock.Now())
+}
+
+// showFence sends an order of a claim. It reports whether the endpoint has accepted its fence.
+func (l *Loader) showFence(ctx context.Context, o *ownedEndpoint, e *topology.Endpoint, d Order) (Outcome, bool) {
 	call, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	d := Order{Adapter: topology.Adapter{Model: e.Models()[0]}, Fence: fence, Holder: l.Box}
 	out, err := l.Control.Order(call, e, d)
 	switch {
 	case err != nil:
 		l.Log.Info("Claim failed: endpoint did not answer", "endpoint", e.ID(), "err", err.Error())
 	case out == Fenced:
-		l.handleClaimRefused(o, e, fence)
-	case out == Done || out == Accepted:
-		return e, fence, true
+		l.handleClaimRefused(o, e, d.Fence)
+	}
+	return out, err == nil && (out == Done || out == Accepted)
+}
+
+// ownLoadingEndpoint takes an endpoint over that held nothing when it accepted this box's order to load a base model, and follows that load.
+func (l *Loader) ownLoadingEndpoint(ctx context.Context, o *ownedEndpoint, r raisedFence) {
+	l.Log.Info("Base model load begins", "model", r.loading, "endpoint", r.endpoint.ID(), "fence", r.fence)
+	if claim, ok := l.takeOwnership(ctx, o, r.fence, Inventory{Ordering: true}, false); ok {
+		l.loadModel(ctx, o, claim, r.loading, true)
 	}
-	return e, 0, false
 }
 
 func (l *Loader) isClaiming(o *ownedEndpoint) bool {
@@ -182,19 +243,19 @@
 }
 
 // takeOwnership starts giving orders to an endpoint that holds h, according to its report or
-// the handover.
-func (l *Loader) takeOwnership(ctx context.Context, o *ownedEndpoint, fence uint64, h Inventory, handedOver bool) {
+// the handover. It returns the number of the claim; false if the endpoint is no longer claimed.
+func (l *Loader) takeOwnership(ctx context.Context, o *ownedEndpoint, fence uint64, h Inventory, handedOver bool) (claim int, ok bool) {
 	now := clock.Now()
 	l.mu.Lock()
 	if l.owned[o.endpoint.ID()] != o || o.phase != claiming {
 		l.mu.Unlock()
-		return
+		return 0, false
 	}
 	o.fence, o.publications = fence, 0
 	o.phase, o.since, o.loadsInFlight = owning, now, 0
 	o.handedOver, o.stateUncertain = handedOver, false
 	o.claims++
-	claim := o.claims
+	claim = o.claims
 	o.slots = make(map[topology.Adapter]*slot)
 	o.models, o.loadingModel = make(map[string]bool), h.Ordering
 	for _, m := range h.Models {
@@ -228,6 +289,7 @@
 		<-ended
 	}
 	l.wakeUp()
+	return claim, true
 }
 
 // handleClaimRefused handles an endpoint's refusal of the fence of a claim. The first refusal
--- a/placement/loader.go
+++ b/placement/loader.go
@@ -216,7 +216,7 @@
 }
 
 // updateRateShareLocked sets this box's share of the store's load rate in proportion to the
-// endpoints that it owns.
+// endpoints that it owns or claims.
 func (l *Loader) updateRateShareLocked() {
 	total, owned, storeRate := 0, 0, 0.0
 	for _, e := range l.View.All() {
@@ -226,7 +226,7 @@
 		}
 		storeRate = max(storeRate, g.LoadsPerSec)
 		total++
-		if o := l.owned[e.ID()]; o != nil && o.phase == owning {
+		if o := l.owned[e.ID()]; o != nil && (o.phase == owning || o.phase == claiming) {
 			owned++
 		}
 	}
--- a/placement/model.go
+++ b/placement/model.go
@@ -22,22 +22,22 @@
 		if o.phase != owning || o.loadingModel || len(o.models) > 0 || o.endpoint.Draining() {
 			continue
 		}
-		m := l.rarestModel(o)
+		m := l.rarestModel(o.endpoint)
 		if m == "" || !l.modelLoadBucket.take(now) {
 			continue
 		}
 		o.loadingModel = true
 		claim := o.claims
 		l.Log.Info("Base model load begins", "model", m, "endpoint", o.endpoint.ID(), "fence", o.fence)
-		tasks = append(tasks, func(ctx context.Context) { l.loadModel(ctx, o, claim, m) })
+		tasks = append(tasks, func(ctx context.Context) { l.loadModel(ctx, o, claim, m, false) })
 	}
 	return tasks
 }
 
 // rarestModel returns the base model that fits the endpoint's memory and that the fewest
 // endpoints hold; empty when none fits.
-func (l *Loader) rarestModel(o *ownedEndpoint) string {
-	g := l.engineSpec(o.endpoint)
+func (l *Loader) rarestModel(e *topology.Endpoint) string {
+	g := l.engineSpec(e)
 	if g == nil {
 		return ""
 	}
@@ -47,8 +47,8 @@
 			continue
 		}
 		n := 0
-		for _, e := range l.View.Endpoints(o.endpoint.Service()) {
-			if e.HasModel(m.Name) && !e.Draining() {
+		for _, other := range l.View.Endpoints(e.Service()) {
+			if other.HasModel(m.Name) && !other.Draining() {
 				n++
 			}
 		}
@@ -59,21 +59,22 @@
 	return best
 }
 
-// loadModel orders a base model and repeats the order until the endpoint holds it. An endpoint that is busy with the order of
-// another owner is claimed anew: the order may be followed by one that changes what it holds.
-func (l *Loader) loadModel(ctx context.Context, o *ownedEndpoint, claim int, model string) {
-	started, accepted := clock.Now(), false
+// loadModel orders a base model and repeats the order until the endpoint holds it. accepted says that the endpoint has accepted the
+// order before. An endpoint that is busy with the order of another owner, or holds what another owner has loaded, is claimed anew:
+// what else it holds is not known.
+func (l *Loader) loadModel(ctx context.Context, o *ownedEndpoint, claim int, model string, accepted bool) {
+	started := clock.Now()
 	for clock.Since(started) < modelLoadTimeout {
 		out, err := l.sendOrder(ctx, o, claim, Order{Adapter: topology.Adapter{Model: model}})
 		if err != nil {
 			return
 		}
-		if out == Done {
-			l.finishModelLoad(o, claim, model, clock.Since(started))
+		if !accepted && (out == Busy || out == Done) {
+			l.requestReclaim(o, claim, "another owner has ordered a base model")
 			return
 		}
-		if out == Busy && !accepted {
-			l.requestReclaim(o, claim, "another order about a base model is under way")
+		if out == Done {
+			l.finishModelLoad(o, claim, model, clock.Since(started))
 			return
 		}
 		if out != Accepted && out != Busy {
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -36,6 +36,9 @@
 	Version int64  // to load; zero: the latest
 	Fence   uint64 // of the sending box
 	Holder  string // name of the sending box
+
+	IsConditional bool   // rejected as Busy unless Sequence is the number of orders accepted so far
+	Sequence      uint64 // with IsConditional
 }
 
 // Outcome is an endpoint's response to an order.
@@ -45,7 +48,7 @@
 const (
 	Done        Outcome = iota + 1 // the adapter is loaded, or unloaded
 	Accepted                       // the order is being carried out
-	Busy                           // another order is in progress
+	Busy                           // another order is in progress, or one was accepted since Order.Sequence
 	Fenced                         // the endpoint has seen a higher fence
 	Misdirected                    // another instance or service has the address
 	Rejected                       // the endpoint considers the order invalid
--- a/placement/rate.go
+++ b/placement/rate.go
@@ -45,10 +45,15 @@
 	b.refilledAt = now
 }
 
+// has reports whether there is a token for one load.
+func (b *tokenBucket) has(now time.Time) bool {
+	b.refill(now)
+	return b.tokens >= 1
+}
+
 // take takes a token for one load, if there is one.
 func (b *tokenBucket) take(now time.Time) bool {
-	b.refill(now)
-	if b.tokens < 1 {
+	if !b.has(now) {
 		return false
 	}
 	b.tokens--
--- a/standin/protocol.go
+++ b/standin/protocol.go
@@ -76,6 +76,8 @@
 	Adapter   string // empty: the base model
 	Version   int64  // to load; zero: version 1
 	Fence     engine.Fence
+
+	ExpectedOrders *uint64 // if set, the order is Busy unless that many have been accepted since the last restart
 }
 
 // Outcome is the result of an order.
@@ -99,6 +101,9 @@
 		return Fenced
 	}
 	e.fence = o.Fence
+	if o.ExpectedOrders != nil && *o.ExpectedOrders != e.orderCount {
+		return Busy
+	}
 	if o.Adapter == "" && len(e.BaseModels) > 0 {
 		if o.Operation == Load {
 			return e.loadBaseModelLocked(o.Model)
