forward: resumable streams wait for new software without exceptions

Callers saw (an operator's report): streams that were joined from two software versions, at a box that was out of step while endpoints of a new version joined.

Cause: other boxes may take one version for the only one because streams begin at a new version only once it has been known for the longest lag. A version that most endpoints ran, or that alone was left among the candidates, was used at once.

Evidence: TestSoleSoftwareIsWhatBeganEachStreamInAFastRelease (a model of all lags) failed on: a stream of v2 goes on at v1.

Change: no exceptions, but for a box that has just started and finds a single version; a proof needs a view of half the age. If no other endpoint is left the request is refused with the time until one may be used. TestSoftwareOfMostEndpointsIsNotNew and the end of TestNewSoftwareBeginsNoResumableStreamAtFirst expected the exceptions; they now expect the wait, and the time of the refusal.

--- a/edge/origins.go
+++ b/edge/origins.go
@@ -111,13 +111,18 @@
 // staleBoxTime is how long a box that reaches neither the source nor other boxes may go on using endpoints that have left.
 const staleBoxTime = time.Minute
 
+// maxProofAge returns how old the last read of the source may be for a proof that one version alone serves. Boxes wait for the whole
+// lag until they begin streams at another version; half of it is left for messages that are delayed in transit, and for boxes
+// that have just started, which begin streams at once if they find a single version.
+func maxProofAge(lag time.Duration) time.Duration { return lag / 2 }
+
 // sole returns the origin that all streams of a service must have: its endpoints have run one version since the stream may have
 // begun. A box begins streams at a new version only once it has known it for the longest time by which the view of a
 // box that reaches the source lags behind, so this box, if it has done so without a gap, knows all versions that have begun
 // streams.
 func (o *origins) sole(q forward.OriginQuery) (origin.Origin, bool) {
 	now, lag := clock.Now(), o.node.behind()
-	if age, ok := o.node.sourceAge(); q.Service == "" || !ok || age >= lag {
+	if age, ok := o.node.sourceAge(); q.Service == "" || !ok || age >= maxProofAge(lag) {
 		return origin.Origin{}, false
 	}
 	o.node.extendCoverage(now)
--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -76,20 +75,32 @@
 	return nil
 }
 
-// withoutNewSoftware leaves out endpoints of a version that has just become known, for a request that may begin a resumable
-// stream: boxes that have not learned of the version yet take another one for the only one. If there are no other endpoints
-// it returns the list.
-func (g *Gateway) withoutNewSoftware(q *request, list []*topology.Endpoint) []*topology.Endpoint {
-	if q.origin != nil || q.route.Kind() != topology.Streaming || !q.route.Resumable() {
-		return list
+// newSoftwareFor returns for how much longer a request must not go to an endpoint since it may begin a resumable stream there: boxes that
+// have not learned of the endpoint's software yet may take another version for the only one.
+func (g *Gateway) newSoftwareFor(q *request, e *topology.Endpoint) time.Duration {
+	if !q.mayBeginResumable() {
+		return 0
 	}
-	others := slices.DeleteFunc(slices.Clone(list), func(e *topology.Endpoint) bool {
-		return g.View.IsNewSoftware(e.Service(), e.Software(), g.ViewDelay())
-	})
-	if len(others) == 0 {
-		return list
+	return g.View.SoftwareNewFor(e.Service(), e.Software(), g.ViewDelay())
+}
+
+// mayBeginResumable reports whether the request may begin a stream that may be resumed.
+func (q *request) mayBeginResumable() bool {
+	return q.origin == nil && q.route.Kind() == topology.Streaming && q.route.Resumable()
+}
+
+// withoutNewSoftware returns the endpoints of the list that a request may go to, and how long it takes until one of the others is
+// another one; zero if there are none.
+func (g *Gateway) withoutNewSoftware(q *request, list []*topology.Endpoint) (known []*topology.Endpoint, wait time.Duration) {
+	for _, e := range list {
+		left := g.newSoftwareFor(q, e)
+		if left == 0 {
+			known = append(known, e)
+		} else if wait == 0 || left < wait {
+			wait = left
+		}
 	}
-	return others
+	return known, wait
 }
 
 // matches reports whether the request may go to an endpoint, by the origin of the stream that it continues.
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/forward/origin"
 	"cairnwick.example/topology"
 	"github.com/frankban/quicktest"
@@ -215,9 +216,11 @@
 	s := newSite(t, resumableRoute(2*time.Second))
 	delay := time.Minute
 	s.gateway.ViewDelay = func() time.Duration { return delay }
-	for _, software := range []string{"v1", "v1", "v2"} {
-		s.softwareEndpoint(t, software)
-	}
+	s.softwareEndpoint(t, "v1")
+	s.softwareEndpoint(t, "v1")
+	clock.SimulateSuspend(time.Hour)
+	defer clock.SimulateSuspend(-time.Hour)
+	s.softwareEndpoint(t, "v2")
 	old, fresh := s.calls["e1"], s.calls["e3"]
 	for range 20 {
 		_, _, _ = s.ask("/")
@@ -233,8 +236,28 @@
 	s.gateway.View.RemoveEndpoint("e1")
 	s.gateway.View.RemoveEndpoint("e2")
 	before := fresh.Load()
-	_, _, _ = s.ask("/") // the others are gone
-	s.c.Check(fresh.Load() > before, quicktest.IsTrue)
+	resp, _, err := s.ask("/") // the others are gone
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Check(resp.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
+	after, err := time.ParseDuration(resp.Header.Get("Test-Retry-After"))
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Check(after > delay-5*time.Second && after <= delay, quicktest.IsTrue, quicktest.Commentf("%v", after))
+	s.c.Check(fresh.Load(), quicktest.Equals, before)
+}
+
+// askForAdapter sends a request for an adapter, and returns the status and the body of the response.
+func (s *testSite) askForAdapter(id string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, s.server.URL+"/", strings.NewReader("the body"))
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	r.Header.Set("Id", id)
+	r.Header.Set("Adapter", "m/a")
+	resp, err := http.DefaultClient.Do(r)
+	s.c.Assert(err, quicktest.IsNil)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	s.c.Assert(err, quicktest.IsNil)
+	return resp.StatusCode, string(text)
 }
 
 // loadingPlacer answers that an adapter is loaded at the preferred endpoint, and keeps the requests.
@@ -274,17 +297,8 @@
 		}
 	}
 	s.gateway.upstream(s.gateway.View.Endpoint("e3")).startRequest(0) // e1 is the least loaded holder
-	r1, err := http.NewRequest(http.MethodPost, s.server.URL+"/", strings.NewReader("the body"))
-	s.c.Assert(err, quicktest.IsNil)
-	r1.Host = "site.example"
-	r1.Header.Set("Id", "call-1")
-	r1.Header.Set("Adapter", "m/a")
-	resp, err := http.DefaultClient.Do(r1)
-	s.c.Assert(err, quicktest.IsNil)
-	defer resp.Body.Close()
-	text, err := io.ReadAll(resp.Body)
-	s.c.Assert(err, quicktest.IsNil)
-	s.c.Check(strings.Count(string(text), "data: v1\n"), quicktest.Equals, 4)
+	_, text := s.askForAdapter("call-1")
+	s.c.Check(strings.Count(text, "data: v1\n"), quicktest.Equals, 4)
 	s.c.Assert(placer.requests, quicktest.HasLen, 1)
 	s.c.Check(placer.requests[0].Endpoint.ID(), quicktest.Equals, "e2")
 	s.c.Check(placer.requests[0].Priority, quicktest.Equals, 0)
--- a/forward/serve.go
+++ b/forward/serve.go
@@ -93,12 +93,15 @@
 // selectEndpoint selects the endpoint for the next attempt.
 func (g *Gateway) selectEndpoint(ctx context.Context, q *request) (target, *Refusal) {
 	now := clock.Now()
-	capable := g.capable(q)
-	list := g.usable(capable, q.tried, now) // filtered after withModel, since usable avoids endpoints only if others are left
+	capable, newFor := g.withoutNewSoftware(q, g.capable(q))
+	list := g.usable(capable, q.tried, now) // filtered last, since usable avoids endpoints only if others are left
+	if len(list) == 0 && newFor > 0 {
+		return target{}, &Refusal{Code: CodeNoEndpoint, RetryAfter: newFor, Detail: "the software of the endpoints that could serve the request has just become known"}
+	}
 	if len(list) == 0 {
 		return target{}, g.noEndpoint(q, capable, now)
 	}
-	list = g.withCapacity(q, g.withoutNewSoftware(q, list))
+	list = g.withCapacity(q, list)
 	if len(list) == 0 {
 		return target{}, q.limitRefusal()
 	}
--- a/topology/software.go
+++ b/topology/software.go
@@ -112,25 +112,20 @@
 	return true
 }
 
-// IsNewSoftware reports whether a version became known less than age ago while most endpoints of the service run others.
-func (v *View) IsNewSoftware(service, software string, age time.Duration) bool {
+// SoftwareNewFor returns for how much longer a version counts as new: until it has been known for age. A box whose view lags
+// behind by less does not know of it before. A version that is the only one that this view has ever known, as after a start, is not new.
+func (v *View) SoftwareNewFor(service, software string, age time.Duration) time.Duration {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 	h := v.software[service]
 	if h == nil {
-		return false
+		return 0
 	}
 	first, known := h.firstSeen[software]
-	if !known || clock.Since(first) >= age {
-		return false
-	}
-	running := 0
-	for _, e := range v.services[service] {
-		if e.Software() == software {
-			running++
-		}
+	if !known || (len(h.firstSeen) == 1 && len(h.lastSeen) == 0) {
+		return 0
 	}
-	return 2*running < len(v.services[service])
+	return max(age-clock.Since(first), 0)
 }
 
 // expire forgets versions that no endpoint has run for long, once there are many.
--- a/topology/software_model_test.go
+++ b/topology/software_model_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,7 +53,7 @@
 func (b *laggingView) begins() map[string]bool {
 	may := make(map[string]bool)
 	for _, e := range b.view.Endpoints("s") {
-		if !b.view.IsNewSoftware("s", e.Software(), maxLag*modelStep) {
+		if b.view.SoftwareNewFor("s", e.Software(), maxLag*modelStep) == 0 {
 			may[e.Software()] = true
 		}
 	}
@@ -97,6 +98,19 @@
 	}
 }
 
+// Guards against a stream that begins at a version which most endpoints run before a box whose view lags behind knows of it.
+func TestSoleSoftwareIsWhatBeganEachStreamInAFastRelease(t *testing.T) {
+	c := quicktest.New(t)
+	changes := []sourceChange{
+		{step: 8, id: "e3", version: "v2"}, {step: 8, id: "e4", version: "v2"}, {step: 8, id: "e5", version: "v2"},
+		{step: 8, id: "e0", version: "v1", removed: true}, {step: 9, id: "e1", version: "v1", removed: true},
+	}
+	forEachLag(len(changes), func(beginnerLags []int) {
+		beginnerLags = append([]int(nil), beginnerLags...)
+		forEachLag(len(changes), func(lags []int) { c.Assert(conflict(changes, beginnerLags, lags), quicktest.Equals, "") })
+	})
+}
+
 // conflict returns a description of a stream that goes on at another version, empty if there is none.
 func conflict(changes []sourceChange, beginnerLags, resumerLags []int) string {
 	beginner, resumer := &laggingView{NewView(), beginnerLags}, &laggingView{NewView(), resumerLags}
@@ -145,7 +159,9 @@
 func (b *laggingView) start(step int, changes []sourceChange) {
 	b.view.SetConfig(modelConfig())
 	for _, id := range []string{"e0", "e1", "e2"} {
-		b.view.SetEndpoint(NewEndpoint(EndpointSpec{ID: id, Service: "s", Software: "v1"}))
+		if !removedBy(changes, b.lags, id, step) {
+			b.view.SetEndpoint(NewEndpoint(EndpointSpec{ID: id, Service: "s", Software: "v1"}))
+		}
 	}
 	for i, ch := range changes { // the state of the source at some time, nothing of what was before
 		if known := ch.step+b.lags[i] <= step; known && !ch.removed && !removedBy(changes, b.lags, ch.id, step) {
@@ -235,3 +251,41 @@
 	}
 	c.Check(total > 0, quicktest.IsTrue) // the box goes on with streams before it has known the service for long enough itself
 }
+
+// Guards against a box that starts during a release and begins streams at a version that others, which take another one for the only
+// one, do not know. Their views lag behind by half of the longest lag at most when they do.
+func TestStartedBoxBeginsStreamsWhereOthersExpectThem(t *testing.T) {
+	c := quicktest.New(t)
+	changes := []sourceChange{
+		{step: 8, id: "e3", version: "v2"},
+		{step: 9, id: "e0", version: "v1", removed: true}, {step: 10, id: "e1", version: "v1", removed: true}, {step: 11, id: "e2", version: "v1", removed: true},
+	}
+	begun := 0
+	forEachOrderedLag(changes, func(proofLags []int) {
+		if slices.Max(proofLags) > maxLag/2 {
+			return
+		}
+		forEachOrderedLag(changes, func(lags []int) {
+			for start := 7; start < 15; start++ {
+				resumer, starter := &laggingView{NewView(), proofLags}, &laggingView{NewView(), lags}
+				resumer.start(-1, changes)
+				clock.SimulateSuspend(2 * time.Minute) // it is old
+				for step := range modelSteps {
+					clock.SimulateSuspend(modelStep)
+					resumer.learn(step, changes)
+					if step == start {
+						starter.start(step, changes)
+					} else if step > start {
+						starter.learn(step, changes)
+					}
+					sole, ok := resumer.sole()
+					for version := range starter.begins() {
+						begun++
+						c.Assert(!ok || sole == version, quicktest.IsTrue, quicktest.Commentf("lags %v and %v, start at %d: at step %d a stream of %s goes on at %s", proofLags, lags, start, step, version, sole))
+					}
+				}
+			}
+		})
+	})
+	c.Check(begun > 0, quicktest.IsTrue)
+}
--- a/topology/software_test.go
+++ b/topology/software_test.go
@@ -69,15 +69,19 @@
 	c.Check(ok, quicktest.IsFalse)
 }
 
-func TestSoftwareOfMostEndpointsIsNotNew(t *testing.T) {
+// Guards against a version that counts as known since most endpoints run it: boxes that lag behind do not know of it.
+func TestSoftwareIsNewHoweverManyEndpointsRunIt(t *testing.T) {
 	c := quicktest.New(t)
-	v := softwareView("v1", "v1", "v2")
-	c.Check(v.IsNewSoftware("s", "v1", time.Minute), quicktest.IsFalse)
-	c.Check(v.IsNewSoftware("s", "v2", time.Minute), quicktest.IsTrue)
-	c.Check(v.IsNewSoftware("s", "v2", 0), quicktest.IsFalse)
-	c.Check(v.IsNewSoftware("other", "v2", time.Minute), quicktest.IsFalse)
+	v := softwareView("v1", "v2", "v2")
+	for _, software := range []string{"v1", "v2"} {
+		left := v.SoftwareNewFor("s", software, time.Minute)
+		c.Check(left > 59*time.Second && left <= time.Minute, quicktest.IsTrue, quicktest.Commentf("%s: %v", software, left))
+		c.Check(v.SoftwareNewFor("s", software, 0), quicktest.Equals, time.Duration(0))
+	}
 	v.RemoveEndpoint("e0")
-	c.Check(v.IsNewSoftware("s", "v2", time.Minute), quicktest.IsFalse)
+	c.Check(v.SoftwareNewFor("s", "v2", time.Minute) > 0, quicktest.IsTrue)
+	c.Check(softwareView("v1", "v1").SoftwareNewFor("s", "v1", time.Minute), quicktest.Equals, time.Duration(0)) // after a start
+	c.Check(v.SoftwareNewFor("other", "v2", time.Minute), quicktest.Equals, time.Duration(0))
 }
 
 func TestConfigurationThatMovesResumableStreamsIsNoticed(t *testing.T) {
