forward: an owner's choice begins no resumable stream at new software

Callers would have seen: streams that were joined from two software versions.

Cause: the owner of a data centre chooses where an adapter is loaded, and an endpoint that has just started has free slots. Its choice was compared with the origin of a stream, which a new one does not have; new software was left out of the box's own candidates only.

Evidence: TestOwnersChoiceOfNewSoftwareBeginsNoResumableStream failed on: the request went to e2, and the owner was not asked to avoid it.

Change: endpoints of new software are among those that owners avoid, and a choice of one leads to another selection, as for other endpoints that the box can't use.

--- a/forward/adapter.go
+++ b/forward/adapter.go
@@ -167,9 +167,9 @@
 		if e = g.View.Endpoint(p.Endpoint); e == nil {
 			return g.selectKnown(ctx, q, p.Endpoint, &Refusal{Code: CodeNotLoaded, RetryAfter: unavailableRetryAfter, Detail: "the chosen endpoint is not in this box's view"})
 		}
-		if !q.matches(e) || g.isExcluded(q, e.ID(), now) { // owners of an older version ignore AdapterRequest.Avoid
+		if !q.matches(e) || g.newSoftwareFor(q, e) > 0 || g.isExcluded(q, e.ID(), now) { // owners of an older version ignore AdapterRequest.Avoid
 			return g.selectKnown(ctx, q, e.ID(), &Refusal{Code: CodeNotLoaded, RetryAfter: max(unavailableRetryAfter, backoff.RetryAfter(g.BackoffRemaining(e.ID(), now))),
-				Detail: "the chosen endpoint can't continue the stream, has failed the request or is in a back-off"})
+				Detail: "the chosen endpoint can't continue the stream, runs software that has just become known, has failed the request or is in a back-off"})
 		}
 	}
 	if !g.accepts(e.ID(), now) {
@@ -198,13 +198,13 @@
 	return q.excluded[endpoint] || g.BackoffRemaining(endpoint, now) > 0
 }
 
-// excludedEndpoints returns the endpoints that a request must not go to, though they may hold its adapter. Of those that do
-// not match the origin of its stream it returns only those of the data centre that is asked.
+// excludedEndpoints returns the endpoints that a request must not go to, though they may hold its adapter. Of those whose
+// software it must not use it returns only those of the data centre that is asked.
 func (g *Gateway) excludedEndpoints(q *request, centre string, now time.Time) []string {
 	list := append(g.notices.backoffs.Active(now), slices.Collect(maps.Keys(q.excluded))...)
-	if q.origin != nil {
+	if q.origin != nil || q.mayBeginResumable() {
 		for _, e := range g.View.Endpoints(q.service.Name()) {
-			if e.DataCentre() == centre && !q.matches(e) {
+			if e.DataCentre() == centre && (!q.matches(e) || g.newSoftwareFor(q, e) > 0) {
 				list = append(list, e.ID())
 			}
 		}
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -245,6 +245,46 @@
 	s.c.Check(fresh.Load(), quicktest.Equals, before)
 }
 
+// Guards against streams that begin at new software since the owner has their adapters loaded there.
+func TestOwnersChoiceOfNewSoftwareBeginsNoResumableStream(t *testing.T) {
+	s := newSite(t)
+	r := resumableRoute(2 * time.Second)
+	r.Host, r.Services = "site.example", []topology.WeightedService{{Name: "app", Weight: 1}}
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app", Engine: &topology.EngineSpec{AdapterSlots: 2}})}
+	s.gateway.View.SetConfig(topology.NewConfig(2, []*topology.Route{topology.NewRoute(r)}, services, topology.RequestLimits{MaxBodyBytes: 1 << 10}))
+	for _, software := range []string{"v1", "v2"} {
+		s.softwareEndpoint(t, software)
+		id := fmt.Sprintf("e%d", s.count)
+		e := s.gateway.View.Endpoint(id)
+		s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{
+			ID: id, Service: "app", Address: e.Address(), DataCentre: "dc", Slots: 4, Software: software, Models: []string{"m"},
+		}))
+		if software == "v1" {
+			clock.SimulateSuspend(time.Hour)
+			defer clock.SimulateSuspend(-time.Hour)
+		}
+	}
+	s.gateway.ViewDelay = func() time.Duration { return time.Minute }
+	placer := &choosingPlacer{endpoint: "e2"}
+	s.gateway.Placer = placer
+	status, _ := s.askForAdapter("call-1")
+	s.c.Check(status, quicktest.Equals, http.StatusServiceUnavailable)
+	s.c.Check(s.calls["e2"].Load(), quicktest.Equals, int64(0))
+	s.c.Check(placer.avoided, quicktest.DeepEquals, []string{"e2"})
+}
+
+// choosingPlacer chooses one endpoint, whatever the request avoids.
+type choosingPlacer struct {
+	endpoint string
+	avoided  []string // by the latest request
+}
+
+// Place implements Placer.
+func (p *choosingPlacer) Place(_ context.Context, w AdapterRequest) (PlacementResult, error) {
+	p.avoided = w.Avoid
+	return PlacementResult{Ready: true, Endpoint: p.endpoint}, nil
+}
+
 // askForAdapter sends a request for an adapter, and returns the status and the body of the response.
 func (s *testSite) askForAdapter(id string) (int, string) {
 	r, err := http.NewRequest(http.MethodPost, s.server.URL+"/", strings.NewReader("the body"))
