forward: the proof of what began a stream reaches back to its beginning

Callers would have seen: streams that were joined from two software versions, if they come back later than the route's timeout, or more than once, to a box that has run for 21 s.

Cause: the proof that one version alone serves held for the route's timeout and five seconds. A stream may be older: a caller comes back when it likes, and one that was taken up breaks off again.

Evidence: TestOriginIsSoughtAsFarBackAsAStreamMayHaveBegun failed for routes of 2 s, 12 s and a minute (7 s, 17 s and 65 s back).

Change: proofs and records reach back for four timeouts, a minute at least, and five seconds.

--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -46,12 +46,23 @@
 	if attempt == "" {
 		return // the caller continues a stream without naming it, and can't name it later either
 	}
-	g.Origins.StreamBegan(origin.NewKey(q.content, attempt), *q.origin, q.route.Timeout()+resumeGrace)
+	g.Origins.StreamBegan(origin.NewKey(q.content, attempt), *q.origin, maxStreamAge(q.route))
 }
 
-// resumeGrace is how long after a route's timeout the origin of a stream is kept: clocks and delays differ, and a caller that
-// names no deadline may come back after it.
-const resumeGrace = 5 * time.Second
+const (
+	// resumeGrace is added to the longest age of a stream: clocks and delays differ.
+	resumeGrace = 5 * time.Second
+	// maxTakeUps is how many attempts of a caller, each of which lasts for the route's timeout, a stream may consist of.
+	maxTakeUps = 4
+	// minStreamAge is how long after its first event a caller may come back for the rest of any stream, whatever the route's timeout.
+	minStreamAge = time.Minute
+)
+
+// maxStreamAge returns how long ago a stream that a caller resumes may have begun. A caller that names no deadline may come back
+// later than the route's timeout, and a stream that was taken up may break off again.
+func maxStreamAge(r *topology.Route) time.Duration {
+	return max(maxTakeUps*r.Timeout(), minStreamAge) + resumeGrace
+}
 
 // findOrigin finds out what began the stream that the caller resumes, and selects the service that did. Other software can't
 // continue it, so it is refused if that is not known, or if the route no longer leads there.
@@ -59,7 +70,7 @@
 	if !q.takesUpStream() {
 		return nil
 	}
-	query := OriginQuery{Age: q.route.Timeout() + resumeGrace}
+	query := OriginQuery{Age: maxStreamAge(q.route)}
 	query.Service, _ = q.route.SoleService()
 	if q.call.Resumes != "" {
 		query.Key, query.HasKey = origin.NewKey(q.content, q.call.Resumes), true
--- a/forward/resumption_test.go
+++ b/forward/resumption_test.go
@@ -23,7 +23,10 @@
 }
 
 // siteOrigins are the origins of the streams of one box.
-type siteOrigins struct{ table origin.Table }
+type siteOrigins struct {
+	table origin.Table
+	asked []OriginQuery
+}
 
 // StreamBegan implements Origins.
 func (o *siteOrigins) StreamBegan(k origin.Key, began origin.Origin, keep time.Duration) {
@@ -32,6 +35,7 @@
 
 // FindOrigin implements Origins.
 func (o *siteOrigins) FindOrigin(_ context.Context, q OriginQuery) (origin.Origin, bool) {
+	o.asked = append(o.asked, q)
 	r, known := o.table.Find(q.Key, time.Now())
 	return r.Origin, known
 }
@@ -197,6 +201,22 @@
 	s.c.Check(calls.Load(), quicktest.Equals, int64(0))
 }
 
+// Guards against a proof of what began a stream that does not reach back to its beginning: the caller comes back late, or the stream has
+// been taken up and has broken off several times.
+func TestOriginIsSoughtAsFarBackAsAStreamMayHaveBegun(t *testing.T) {
+	for timeout, age := range map[time.Duration]time.Duration{2 * time.Second: 30 * time.Second, 12 * time.Second: 48 * time.Second, time.Minute: 4 * time.Minute} {
+		r := resumableRoute(timeout)
+		r.Services = []topology.WeightedService{{Name: "app", Weight: 1}}
+		s := newSite(t, r)
+		s.softwareEndpoint(t, "v1")
+		origins := newSiteOrigins()
+		s.gateway.Origins = origins
+		_, _, _ = s.streamAttempt("second", "first", "2")
+		s.c.Assert(origins.asked, quicktest.HasLen, 1)
+		s.c.Check(origins.asked[0].Age >= age, quicktest.IsTrue, quicktest.Commentf("%v: %v", timeout, origins.asked[0].Age))
+	}
+}
+
 // Guards against records that no caller can ask for, which other boxes would store, too.
 func TestTakeUpThatNamesNoAttemptIsNotRecorded(t *testing.T) {
 	s := newSite(t)
