edge: what waited while the process was stopped is not recent

Callers would have seen: streams that were joined from two software versions, at a box that was stopped for up to two seconds during a release.

Cause: the age of a box's view was counted from when it read a response of the source or a status of another box. What had arrived while the process was stopped was read when it ran on, and counted as new although it was as old as the pause.

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"cairnwick.example/clock"
 	"cairnwick.example/share"
 	"cairnwick.example/wire"
 )
@@ -149,7 +150,11 @@
 	if p.statuses == nil {
 		p.statuses = make(map[string]leaderStatus)
 	}
-	read := now.Add(-status.Age)
+	sent := now
+	if p.sentBy != nil {
+		sent = p.sentBy(clock.Now())
+	}
+	read := earlier(sent, now).Add(-status.Age)
 	w := p.statuses[name]
 	w.received, w.settled = now, Revision(status.SettledRevision)
 	if read.After(w.readAt) {
--- a/edge/node.go
+++ b/edge/node.go
@@ -65,6 +65,7 @@
 	leaving           atomic.Bool
 	fresh             freshness
 	covered           coverage
+	pauses            pauses
 	sourceCalls       sourceCalls
 	ignored           ignored
 	checkpoints       checkpoints
@@ -179,6 +180,7 @@
 		maxStaleness: n.behind,
 		checkpoints:  &n.checkpoints,
 		onStatus:     n.extendCoverage,
+		sentBy:       n.pauses.sentBy,
 	}
 	p.lastData = func(address string) time.Time { return p.dialer.LastReceived(address) }
 	self := member.New(s.Box, s.Peers, roleBox, s.DataCentre, uint64(time.Now().UnixMicro())).
@@ -264,7 +266,7 @@
 	drainTime := n.Settings.Bounds.Grace - leaveNoticeTime - shutdownMargin // how long requests in flight have to finish during shutdown
 	tasks := []task{
 		n.peers.loop.Run, n.peers.followAll, n.usage.run, n.loader.Run, n.watchLeadership, n.gateway.Run, n.logTraffic,
-		n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run, n.gate.Run,
+		n.pauses.run, n.spending.run, n.spending.requestLoans, n.outbox.run, n.limits.run, n.gate.Run,
 		n.reader(Configuration).run, n.reader(Endpoints).run,
 		func(ctx context.Context) error {
 			return servePeers(ctx, server, listeners.peers, func() {
@@ -328,5 +330,6 @@
 		onList:       func(revision Revision) { n.recordList(c, revision) },
 		onCall:       n.sourceCalls.count,
 		onRestore:    func() { n.ignored.restores.Add(1) },
+		sentBy:       n.pauses.sentBy,
 	}
 }
--- a/edge/peers.go
+++ b/edge/peers.go
@@ -54,6 +54,7 @@
 	lastData     func(address string) time.Time // when data last came from a box, by package clock; nil: not known
 	checkpoints  *checkpoints                   // up to which this box knows the source
 	onStatus     func(now time.Time)            // called after each status of a followed box
+	sentBy       func(now time.Time) time.Time  // the earliest time at which a message that was read at now may have been sent; nil: that time
 
 	clusterViews  clusterViews
 	receivedFacts atomic.Bool // a followed box has sent all that it knew
--- a/edge/reader.go
+++ b/edge/reader.go
@@ -45,6 +45,8 @@
 	onList       func(revision Revision) // called with the revision of a list before the list is applied
 	onCall       func(reason string)     // called before each call, with the reason for it
 	onRestore    func()                  // called when the source was restored from an older copy
+	// sentBy returns the earliest time at which a response that was read at now may have been sent; nil: that time.
+	sentBy func(now time.Time) time.Time
 
 	after             Revision  // the latest revision without gaps; zero: none
 	epoch             uint64    // of the last list
@@ -217,8 +219,11 @@
 	if !b.BeganAt.IsZero() {
 		r.asOf = b.BeganAt
 	}
+	if r.sentBy != nil {
+		r.asOf = earlier(r.asOf, r.sentBy(now))
+	}
 	if timedOut := started.Add(wait); len(b.Facts) == 0 && timedOut.Before(now) {
-		r.asOf = timedOut // the rest is the time that the response took to arrive
+		r.asOf = timedOut // the rest is the time that the response took to arrive, or a pause of this process
 	}
 	return len(b.Facts) > 0, nil
 }
@@ -244,6 +249,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // callReason returns the reason for the next call, as counted in the metrics.
 func (r *reader) callReason() string {
 	switch {
