gateway: an event of an engine's stream is bounded

Cause: on our own interface the lines of a stream were read whole, however long, and kept until an empty one. The platform's path has a limit of 1 MB for one event.

Change: a stream ends with an event of more than 1 MB, as one that breaks off; lines are read in pieces.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -188,19 +188,28 @@
 	return copyEvents(out, resp.Body, events, func([]byte) { timer.Reset(g.Timeouts.Idle) })
 }
 
-// copyEvents relays complete events up to the closing one; one that breaks off in the middle is
-// dropped. It calls onLine for each line. It returns events plus the number relayed, and whether the
+// maxEventBytes limits one event of a stream.
+const maxEventBytes = 1 << 20
+
+// copyEvents relays complete events up to the closing one; one that breaks off in the middle, or is longer than maxEventBytes, is
+// dropped and ends the stream. It calls onLine for each line. It returns events plus the number relayed, and whether the
 // closing event was relayed.
 func copyEvents(out *callerResponse, body io.Reader, events int, onLine func(line []byte)) (int, bool) {
 	in := bufio.NewReader(body)
 	var event []byte
+	lineStart := 0 // start of the last line of event: a long one arrives in pieces
 	for {
-		line, err := in.ReadBytes('\n')
-		if err != nil {
+		piece, err := in.ReadSlice('\n')
+		event = append(event, piece...)
+		if len(event) > maxEventBytes || (err != nil && err != bufio.ErrBufferFull) {
 			return events, false
 		}
+		if err != nil {
+			continue
+		}
+		line := event[lineStart:]
+		lineStart = len(event)
 		onLine(line)
-		event = append(event, line...)
 		if len(bytes.TrimSpace(line)) > 0 {
 			continue
 		}
@@ -214,7 +223,7 @@
 		if bytes.HasPrefix(event, dataPrefix) {
 			events++
 		}
-		event = event[:0]
+		event, lineStart = event[:0], 0
 		if in.Buffered() == 0 {
 			out.flush()
 		}
