gateway: complete responses share a limit of memory

Callers would have seen: connections that close since the gateway has run out of memory, when engines or plain services send responses without end.

Cause: on our own interface each complete response may take 16 MB, for up to 4,096 requests in flight, and they were not counted together.

Change: transfer.Budget counts buffers as they grow; if it is exceeded the largest responses are given up, as ones that were truncated. The setting max_responses has the limit, 256 MB by default.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"cairnwick.example/metrics"
 	"cairnwick.example/policy"
 	"cairnwick.example/quarantine"
+	"cairnwick.example/transfer"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 )
@@ -67,6 +68,7 @@
 	Timeouts     Timeouts
 	RetryAfter   time.Duration // for refused callers, if nothing better is known
 	MaxBody      int64         // bytes of a caller's body
+	MaxResponses int64         // bytes of all complete responses that are read or written; zero: no limit
 	MaxInFlight  int           // requests; more are refused
 	MaxPrefixes  int           // prompt prefixes whose last endpoint is remembered; zero: none
 	Decisions    *decision.History
@@ -80,6 +82,7 @@
 	calls          *schedulerCalls
 	releases       chan pendingRelease
 	watcher        *quarantine.Monitor
+	responses      *transfer.Budget // those that are read whole
 	tracker        quarantine.Tracker
 	pendingReports chan *wire.EndedRequest // not yet sent to the other gateways
 	inFlight       atomic.Int64
@@ -116,6 +119,7 @@
 	g.prefixes = newPrefixTable(g.MaxPrefixes)
 	g.releases = make(chan pendingRelease, releaseBuffer)
 	g.watcher = g.newWatcher()
+	g.responses = &transfer.Budget{Limit: g.MaxResponses}
 	g.pendingReports = make(chan *wire.EndedRequest, maxPendingReports)
 	g.stats = stats{
 		Duration:       metrics.NewFamily(familyLimit),
--- a/gateway/services.go
+++ b/gateway/services.go
@@ -140,7 +140,9 @@
 		return g.serviceCallFailure(ctx, c, address, err)
 	}
 	defer resp.Body.Close()
-	body, complete := readComplete(resp.Response, func(body []byte) bool { return len(body) > 0 })
+	held := g.beginResponse(out, resp.Response)
+	defer held.End()
+	body, complete := readComplete(held, resp.Response, func(body []byte) bool { return len(body) > 0 })
 	if !complete {
 		g.reportBrokenCall(ctx, c, address)
 		return &Failure{Code: CodeNoResponse, Ran: MayHaveRun, Message: "the response of " + c.service.Name() + " was truncated or too large", RetryAfter: g.RetryAfter}
--- a/gateway/setup.go
+++ b/gateway/setup.go
@@ -27,6 +27,7 @@
 	optStreamIdle     = "stream_idle"
 	optMaxBody        = "max_body"
 	optMaxInFlight    = "max_in_flight"
+	optMaxResponses   = "max_responses"
 	optWarmPrefixes   = "warm_prefixes"
 	optRetryShare     = "retry_share"
 	optRetryBurst     = "retry_burst"
@@ -43,6 +44,7 @@
 	{Name: optResumeWait, Kind: settings.Duration, Default: time.Second, Help: "timeout for resuming a stream that broke off"},
 	{Name: optStreamIdle, Kind: settings.Duration, Default: 30 * time.Second, Min: 10 * time.Millisecond, Help: "idle timeout of a stream"},
 	{Name: optMaxBody, Kind: settings.Count, Default: 1 << 20, Min: 1, Help: "largest request body, in bytes"},
+	{Name: optMaxResponses, Kind: settings.Count, Default: 256 << 20, Min: 1 << 20, Help: "bytes of all responses that are not streams, as they are read and written; if more are needed the largest are given up"},
 	{Name: optMaxInFlight, Kind: settings.Count, Default: 4096, Min: 1, Help: "requests in flight; more are refused"},
 	{Name: optWarmPrefixes, Kind: settings.Count, Default: 8192, Help: "prompt prefixes whose last endpoint is remembered, since its cache may still hold them; 0: none"},
 	{Name: optRetryShare, Kind: settings.Number, Default: 0.1, Help: "retries allowed per successful request"},
@@ -89,9 +91,11 @@
 		RetryAfter:  v.Duration(optRetryAfter),
 		MaxBody:     int64(v.Count(optMaxBody)),
 		MaxInFlight: v.Count(optMaxInFlight),
-		MaxPrefixes: v.Count(optWarmPrefixes),
-		Decisions:   n.Record,
-		Log:         n.Log,
+
+		MaxResponses: int64(v.Count(optMaxResponses)),
+		MaxPrefixes:  v.Count(optWarmPrefixes),
+		Decisions:    n.Record,
+		Log:          n.Log,
 	}
 	g.Init()
 	g.publishMetrics()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -12,10 +12,12 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"cairnwick.example/clock"
 	"cairnwick.example/engine"
+	"cairnwick.example/transfer"
 	"cairnwick.example/wire"
 )
 
@@ -25,6 +27,7 @@
 	id          string
 	firstByteAt time.Time // when the first byte was written; zero: none yet
 	callerGone  bool      // a write failed
+	isWriting   atomic.Bool
 }
 
 // Header implements http.ResponseWriter.
@@ -55,8 +58,17 @@
 	}
 }
 
+// abandonWrite ends the pending write of a complete response.
+func (r *callerResponse) abandonWrite() {
+	if r.isWriting.Load() {
+		_ = http.NewResponseController(r.writer).SetWriteDeadline(time.Now()) // fails only if the connection is closed
+	}
+}
+
 // writeComplete writes a complete response.
 func (r *callerResponse) writeComplete(status int, body []byte) {
+	r.isWriting.Store(true)
+	defer r.isWriting.Store(false)
 	r.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	r.WriteHeader(status)
 	_, _ = r.Write(body) // too late to retry: the request was executed
@@ -74,21 +86,32 @@
 	panic(http.ErrAbortHandler)
 }
 
-// readComplete reads an endpoint's response; false if it is truncated or too large. If a successful response has neither a
-// length nor chunks, only the end of its connection ends it, as a crash does: it is complete if isWhole reports so.
-func readComplete(resp *http.Response, isWhole func(body []byte) bool) ([]byte, bool) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBody+1))
-	if err != nil || len(body) > maxBufferedBody {
+// readComplete reads an endpoint's response; false if it is truncated or too large, or is given up since the memory for responses is
+// full. If a successful response has neither a length nor chunks, only the end of its connection ends it, as a crash does: it is
+// complete if isWhole reports so.
+func readComplete(u *transfer.Use, resp *http.Response, isWhole func(body []byte) bool) ([]byte, bool) {
+	body, err := u.ReadAll(resp.Body, maxBufferedBody)
+	if err != nil {
 		return nil, false
 	}
 	unframed := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody
 	return body, !unframed || resp.StatusCode >= http.StatusMultipleChoices || isWhole(body)
 }
 
+// beginResponse counts a response that is read whole. If it is given up, reading ends, or writing it to a caller that does not take it.
+func (g *Gateway) beginResponse(out *callerResponse, resp *http.Response) *transfer.Use {
+	return g.responses.Begin(func() {
+		_ = resp.Body.Close() // the reader gets the error
+		out.abandonWrite()
+	})
+}
+
 // relayComplete reads the complete response before it writes any of it, so that the caller never gets
 // a truncated one.
 func (g *Gateway) relayComplete(ctx context.Context, out *callerResponse, h heldGrant, runID string, resp *http.Response, r *wire.ReleaseRequest) *Failure {
-	body, complete := readComplete(resp, json.Valid)
+	held := g.beginResponse(out, resp)
+	defer held.End()
+	body, complete := readComplete(held, resp, json.Valid)
 	if !complete {
 		r.Outcome = wire.Outcome_OUTCOME_UNKNOWN
 		if ctx.Err() != nil && g.cancelExecution(h.grant.GetAddress(), runID, h.endpoint, cancelTimeout) {
--- a/gateway/unframed_test.go
+++ b/gateway/unframed_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"testing"
 
+	"cairnwick.example/transfer"
 	"github.com/frankban/quicktest"
 )
 
@@ -36,7 +37,7 @@
 		}))
 		resp, err := http.Get(server.URL)
 		c.Assert(err, quicktest.IsNil)
-		_, complete := readComplete(resp, json.Valid)
+		_, complete := readComplete((&transfer.Budget{}).Begin(func() {}), resp, json.Valid)
 		c.Check(complete, quicktest.Equals, f.complete, quicktest.Commentf("%s: %s", f.head, f.body))
 		_ = resp.Body.Close()
 		server.Close()
