edge, daemon: heads of callers' requests are bounded

Callers would have seen: connections that close since a box has run out of memory, when some hundred connections send heads of up to a megabyte.

Cause: the servers had net/http's limit of 1 MB for the head of a request, for each of some thousand connections, though 16 KB are published.

Change: 64 KB, as for responses.

--- a/daemon/health.go
+++ b/daemon/health.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cairnwick.example/engine"
+	"cairnwick.example/transfer"
 	"github.com/pkg/errors"
 )
 
@@ -72,7 +73,7 @@
 // ServeHTTP serves h on l until ctx ends. Requests in flight then have closeTimeout to
 // finish.
 func ServeHTTP(ctx context.Context, l net.Listener, h http.Handler) error {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	s := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: transfer.MaxHeadBytes}
 	served := make(chan error, 1)
 	go func() { served <- s.Serve(l) }()
 	select {
--- a/edge/listen.go
+++ b/edge/listen.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cairnwick.example/forward"
+	"cairnwick.example/transfer"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
 )
@@ -104,6 +105,12 @@
 // httpTask returns a task that serves a handler. Idle connections are closed while more than open are open; most bounds
 // the shutdown.
 func httpTask(h http.Handler, l net.Listener, shutdownTimeout time.Duration, maxOpen int) task {
-	s := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, ConnState: newIdleCloser(maxOpen).connStateChanged}
+	s := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: readHeaderTimeout,
+		MaxHeaderBytes:    transfer.MaxHeadBytes,
+		IdleTimeout:       idleTimeout,
+		ConnState:         newIdleCloser(maxOpen).connStateChanged,
+	}
 	return func(ctx context.Context) error { return serveHTTP(ctx, s, l, shutdownTimeout) }
 }
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -23,8 +23,8 @@
 	MaxBytes int64         // of the body
 }
 
-// MaxHeadBytes is the maximum size of the head of a response. Heads have some hundred bytes; net/http allows ten megabytes, which
-// is more than a small box can spare for each connection.
+// MaxHeadBytes is the maximum size of the head of a request or a response. Heads have some hundred bytes; net/http allows one megabyte
+// and ten, which is more than a small box can spare for each connection.
 const MaxHeadBytes = 64 << 10
 
 const (
