placement: boxes without contact claim by an order that they need

Cause: a box that reaches no other one claimed each endpoint that had taken no order for a second. Boxes that start together all do, in the same millisecond, and come back together after equal waits; a claim changes nothing at the endpoint, so that they can't see each other.

TestBoxesWithoutContactTakeNoTurns without the change: box-1 orders 11 us after box-0, and two more.

Change: such a box claims an endpoint whose count of orders has stood still for a lease, by an order that it needs, on condition that the count is the same. TestBoxWithoutContactDoesNotClaimEndpointsInUse asks for an adapter now, without which there is nothing to claim.

Why it holds: of several boxes the endpoint accepts one, and the one before has given its last order a lease earlier.

--- a/placement/claim.go
+++ b/placement/claim.go
@@ -12,9 +12,6 @@
 
 const (
 	claimRetryInterval = 300 * time.Millisecond // the pause after a failed attempt to claim an endpoint
-	// ownerCheckTime is how long an endpoint has to take no order of another owner until a box without contact to any other
-	// claims it. Under load an owner gives several orders in that time.
-	ownerCheckTime = time.Second
 	// loneBackoffLeases is for how many leases a box without contact claims no endpoint after a refusal: the owner is alive, and
 	// contact with it settles who owns the endpoint.
 	loneBackoffLeases = 10
@@ -32,7 +29,9 @@
 // An endpoint that holds nothing, as after its start, is claimed by the order to load a base model.
 func (l *Loader) claim(o *ownedEndpoint) func(context.Context) {
 	return func(ctx context.Context) {
-		l.awaitNoOrders(ctx, o)
+		if !l.hasContact() && l.claimAlone(ctx, o) {
+			return
+		}
 		asked := clock.Now()
 		handed := l.requestHandover(ctx, o)
 		waiting := time.Time{}
@@ -99,39 +98,6 @@
 // hasContact reports whether this box has had contact with another box, or knows that there is none.
 func (l *Loader) hasContact() bool { return l.HasContact == nil || l.HasContact() }
 
-// awaitNoOrders waits while this box has no contact with any other box, and the endpoint takes orders of one.
-func (l *Loader) awaitNoOrders(ctx context.Context, o *ownedEndpoint) {
-	logged := false
-	for ctx.Err() == nil && !l.hasContact() && l.isClaiming(o) {
-		before, err := l.readSequence(ctx, o)
-		if err != nil || !sleep(ctx, ownerCheckTime) {
-			return
-		}
-		after, err := l.readSequence(ctx, o)
-		if err != nil || after == before {
-			return
-		}
-		if !logged {
-			l.Log.Info("Endpoint takes orders of another box; its claim waits for contact with that box", "endpoint", o.endpoint.ID())
-			logged = true
-		}
-	}
-}
-
-// readSequence returns the number of orders that an endpoint has accepted.
-func (l *Loader) readSequence(ctx context.Context, o *ownedEndpoint) (uint64, error) {
-	l.mu.Lock()
-	e := o.endpoint
-	l.mu.Unlock()
-	call, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	h, err := l.Control.Report(call, e)
-	if err != nil {
-		l.Log.Info("Endpoint report failed before its claim", "endpoint", e.ID(), "err", err.Error())
-	}
-	return h.Sequence, err
-}
-
 // requestHandover asks the previous owner to hand over an endpoint that this box has not owned.
 // An owner that is leaving and does not answer may still give orders, and raising the fence
 // would make the two boxes alternate; so this waits until that owner must have stopped.
@@ -256,7 +222,7 @@
 	o.handedOver, o.stateUncertain = handedOver, false
 	o.claims++
 	claim = o.claims
-	o.slots = make(map[topology.Adapter]*slot)
+	o.slots, o.wanted = make(map[topology.Adapter]*slot), nil
 	o.models, o.loadingModel = make(map[string]bool), h.Ordering
 	for _, m := range h.Models {
 		o.models[m] = true
--- a/placement/empty_endpoint_test.go
+++ b/placement/empty_endpoint_test.go
@@ -81,6 +81,12 @@
 	if o.Adapter.Name == "" {
 		return f.orderModelLocked(), nil
 	}
+	if _, there := f.adapters[o.Adapter]; there && o.Unload {
+		f.sequence++
+		delete(f.adapters, o.Adapter)
+		f.changedLocked()
+		return Done, nil
+	}
 	if ready, there := f.adapters[o.Adapter]; !f.loaded || o.Unload || there {
 		if ready {
 			return Done, nil
@@ -90,7 +96,11 @@
 	f.sequence++
 	f.adapters[o.Adapter] = false
 	f.changedLocked()
-	f.later(30*time.Millisecond, func() { f.adapters[o.Adapter] = true })
+	f.later(30*time.Millisecond, func() {
+		if _, there := f.adapters[o.Adapter]; there {
+			f.adapters[o.Adapter] = true
+		}
+	})
 	return Accepted, nil
 }
 
--- a/placement/ownership.go
+++ b/placement/ownership.go
@@ -30,21 +30,22 @@
 	refusals        int       // consecutive refused fences
 	publications    uint64    // count of publications under the fence
 	slots           map[topology.Adapter]*slot
-	loadsInFlight   int                    // loads in progress
-	announcedTokens policy.DecayingCounter // prompt tokens of requests that boxes were assigned here and have not reported yet
-	waitingTokens   int                    // prompt tokens of requests that wait for loads here
-	queuedLoads     int                    // loads that wait for a slot here, as of the last ranking
-	begunLoads      int                    // of those, loads that have begun since
-	needsReclaim    bool                   // a new claim is needed to learn what it holds
-	models          map[string]bool        // base models that it holds
-	loadingModel    bool                   // a base model is being loaded
-	claims          int                    // completed claims; tasks of earlier ones stop
-	handedOver      bool                   // the last claim used a handover from the previous owner, without a report
-	ordersInFlight  int                    // orders without a response yet
-	ordersDone      chan struct{}          // closed when ordersInFlight reaches zero; nil: no goroutine waits
-	endedUntil      time.Time              // a box observed that the endpoint ended; it is not used until then, when its entry has expired
-	grants          []grant                // requests assigned to it that their boxes have not reported yet; oldest first
-	stateUncertain  bool                   // since the last claim an order got no response or another owner was noticed
+	loadsInFlight   int                        // loads in progress
+	announcedTokens policy.DecayingCounter     // prompt tokens of requests that boxes were assigned here and have not reported yet
+	waitingTokens   int                        // prompt tokens of requests that wait for loads here
+	queuedLoads     int                        // loads that wait for a slot here, as of the last ranking
+	begunLoads      int                        // of those, loads that have begun since
+	needsReclaim    bool                       // a new claim is needed to learn what it holds
+	models          map[string]bool            // base models that it holds
+	loadingModel    bool                       // a base model is being loaded
+	claims          int                        // completed claims; tasks of earlier ones stop
+	handedOver      bool                       // the last claim used a handover from the previous owner, without a report
+	ordersInFlight  int                        // orders without a response yet
+	ordersDone      chan struct{}              // closed when ordersInFlight reaches zero; nil: no goroutine waits
+	endedUntil      time.Time                  // a box observed that the endpoint ended; it is not used until then, when its entry has expired
+	grants          []grant                    // requests assigned to it that their boxes have not reported yet; oldest first
+	wanted          map[topology.Adapter]int64 // adapters that were requested while this box, without contact to others, has not claimed it; by version
+	stateUncertain  bool                       // since the last claim an order got no response or another owner was noticed
 }
 
 // slot is an adapter that occupies a slot of an endpoint.
--- a/placement/pending.go
+++ b/placement/pending.go
@@ -140,6 +140,7 @@
 // tryPlaceLocked answers a request, or returns a channel to wait on and the endpoint of the load.
 func (l *Loader) tryPlaceLocked(w *waiter, now, limit time.Time) (forward.PlacementResult, <-chan struct{}, *ownedEndpoint) {
 	o := l.owned[w.Endpoint.ID()]
+	l.wantLocked(o, w.Adapter, w.Version)
 	if w.Balance && l.ownsAnyLocked(w.Endpoint) {
 		if e := l.unsettledHolderLocked(w, now); e != nil {
 			return l.ownerChangingLocked(e, now), nil, nil
