--- a/edge/ended_test.go
+++ b/edge/ended_test.go
@@ -167,13 +167,8 @@
 // stops a box before the test ends. Each box is passed to configure before it starts.
 func startFleet(c *quicktest.C, s Source, d Decoder, boxes int, configure ...func(*Node)) (nodes []*Node, end func(box int)) {
 	var seeds []string
-	stops := make(map[int]func() error)
-	end = func(box int) {
-		if stop := stops[box]; stop != nil {
-			delete(stops, box)
-			c.Check(stop(), quicktest.IsNil)
-		}
-	}
+	var ends []func() // each may be called several times, and beside the others
+	end = func(box int) { ends[box]() }
 	for b := range boxes {
 		n := newNode(c, fmt.Sprintf("box-%d", b), seeds...)
 		n.Settings.DataCentre = fmt.Sprintf("dc-%d", b/2)
@@ -183,8 +178,9 @@
 		}
 		nodes = append(nodes, n)
 		seeds = []string{nodes[0].Settings.Peers}
-		stops[b] = start(n)
-		c.Cleanup(func() { end(b) })
+		stop := start(n)
+		ends = append(ends, sync.OnceFunc(func() { c.Check(stop(), quicktest.IsNil) }))
+		c.Cleanup(ends[b])
 	}
 	begun := time.Now()
 	for _, n := range nodes {
