--- a/placement/claim_alone.go
+++ b/placement/claim_alone.go
@@ -21,7 +21,8 @@
 // claimAlone claims an endpoint for a box that has no contact with any other box. Others may be in the same situation, or own the
 // endpoint, and know of each other only by the endpoint's count of orders. So this box claims an endpoint that has accepted no order for a
 // lease, and does so by an order that it needs, which raises the count and is accepted only if no other one came first. An owner
-// whose endpoint was claimed so has given its last order a lease before, so that boxes never order there in turns. It returns false once there is contact.
+// whose endpoint was claimed so has given its last order a lease before, so that boxes never order there in turns. It returns false
+// once there is contact, and the claim goes on as usual.
 func (l *Loader) claimAlone(ctx context.Context, o *ownedEndpoint) bool {
 	var sequence uint64
 	var quietSince time.Time // zero: the count is not known
@@ -65,7 +66,7 @@
 	e, previous, refusals := o.endpoint, o.fence, o.refusals
 	d, needed := l.firstOrderLocked(o, h)
 	l.mu.Unlock()
-	if !needed || e.Draining() {
+	if !needed {
 		return false
 	}
 	d.Fence, d.Holder = l.Fences.Next(time.Now(), previous, refusals), l.Box
@@ -89,9 +90,12 @@
 	return true
 }
 
-// firstOrderLocked returns the order with which this box would begin to own an endpoint that holds h: to load a base model, or an adapter that
-// was requested there, or to unload one if there is no room for it.
+// firstOrderLocked returns the order with which this box would begin to own an endpoint that holds h: to load a base model, or an
+// adapter that was requested there, or to unload one if there is no room for it.
 func (l *Loader) firstOrderLocked(o *ownedEndpoint, h Inventory) (d Order, needed bool) {
+	if o.endpoint.Draining() {
+		return Order{}, false
+	}
 	if len(h.Models) == 0 {
 		model := l.rarestModel(o.endpoint)
 		return Order{Adapter: topology.Adapter{Model: model}}, model != "" && l.modelLoadBucket.take(clock.Now())
