--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -12,6 +12,7 @@
 
 	"cairnwick.example/measure"
 	"github.com/alexflint/go-arg"
+	"github.com/pkg/errors"
 )
 
 type pathCommand struct {
@@ -47,6 +48,21 @@
 	Time time.Duration `arg:"--time" default:"1m" help:"duration of the streams"`
 	Seed uint64        `arg:"--seed" default:"1" help:"seed of the faults"`
 	Rate float64       `arg:"--rate" default:"20" help:"streams per second"`
+
+	Restart       string        `arg:"--restart" help:"replace all engines, and then kill boxes at the same moment: all, half, or those of a data centre (centre)"`
+	LongestReturn time.Duration `arg:"--longest-return" help:"longest time until callers come back for the rest of a stream [default: 200 ms]"`
+}
+
+// run checks the arguments and runs the command.
+func (c *versionsCommand) run(ctx context.Context, bin, dir string) error {
+	switch c.Restart {
+	case "", measure.RestartAll, measure.RestartHalf, measure.RestartCentre:
+	default:
+		return errors.Errorf("--restart %q: use %s, %s or %s", c.Restart, measure.RestartAll, measure.RestartHalf, measure.RestartCentre)
+	}
+	return measure.SoftwareVersions{
+		Bin: bin, Dir: dir, Time: c.Time, Seed: c.Seed, Rate: c.Rate, Restart: c.Restart, LongestReturn: c.LongestReturn,
+	}.Run(ctx, os.Stdout)
 }
 
 type baseModelsCommand struct {
@@ -156,7 +172,7 @@
 	case a.Restores != nil:
 		err = measure.StoreRestores{Bin: a.Bin, Dir: dir, Time: a.Restores.Time, Seed: a.Restores.Seed}.Run(ctx, os.Stdout)
 	case a.Versions != nil:
-		err = measure.SoftwareVersions{Bin: a.Bin, Dir: dir, Time: a.Versions.Time, Seed: a.Versions.Seed, Rate: a.Versions.Rate}.Run(ctx, os.Stdout)
+		err = a.Versions.run(ctx, a.Bin, dir)
 	case a.BaseModels != nil:
 		err = measure.BaseModels{Bin: a.Bin, Dir: dir, Time: a.BaseModels.Time, Seed: a.BaseModels.Seed, Seeds: a.BaseModels.Seeds, Boxes: a.BaseModels.Boxes}.Run(ctx, os.Stdout)
 	case a.Executions != nil:
--- a/load/streams.go
+++ b/load/streams.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
@@ -27,6 +28,9 @@
 	Host   string
 	Model  string // MODEL/ADAPTER
 	Events int    // of the complete stream
+	// LongestReturn is the longest time until the caller comes back for the rest of a stream, which is drawn for each attempt; zero:
+	// it comes back soon.
+	LongestReturn time.Duration
 
 	begunBy  string // ID of the attempt that brought the first event
 	received int
@@ -41,13 +45,21 @@
 	s.software, s.refused = make(map[string]bool), make(map[string]int)
 	for s.attempts < maxStreamAttempts && !s.Complete() {
 		if s.attempts > 0 {
-			time.Sleep(streamRetryDelay)
+			time.Sleep(s.returnDelay())
 		}
 		s.attempts++
 		s.try(s.URLs[(s.attempts-1)%len(s.URLs)])
 	}
 }
 
+// returnDelay returns the time until the next attempt.
+func (s *StreamCaller) returnDelay() time.Duration {
+	if s.LongestReturn == 0 || !s.Begun() {
+		return streamRetryDelay
+	}
+	return streamRetryDelay/2 + rand.N(s.LongestReturn)
+}
+
 // Begun reports whether the caller got an event.
 func (s *StreamCaller) Begun() bool { return s.received > 0 }
 
--- a/measure/software_versions.go
+++ b/measure/software_versions.go
@@ -22,8 +22,20 @@
 	Time time.Duration
 	Seed uint64
 	Rate float64 // streams per second
+
+	// Restart has all engines replaced by the next version from time to time, and then boxes killed at the same moment: RestartAll,
+	// RestartHalf or RestartCentre. Empty: engines and boxes fail one by one.
+	Restart       string
+	LongestReturn time.Duration // until callers come back for the rest of a stream; zero: soon
 }
 
+// The boxes that are killed at the same moment.
+const (
+	RestartAll    = "all"
+	RestartHalf   = "half"
+	RestartCentre = "centre" // those of a data centre
+)
+
 const (
 	versionCentres  = 2
 	versionBoxes    = 2 // of each data centre
@@ -46,13 +58,18 @@
 	}
 	list := r.callers()
 	inner, cancel := context.WithCancel(ctx)
-	ended := make(chan error, 2)
 	faults := boxFaults{fleet: f, seed: s.Seed, centres: versionCentres, boxes: versionBoxes}
-	go func() { ended <- faults.run(inner) }()
-	go func() { ended <- r.replaceEngines(inner) }()
+	series := []func(context.Context) error{faults.run, r.replaceEngines}
+	if s.Restart != "" {
+		series = []func(context.Context) error{func(ctx context.Context) error { return r.turnOver(ctx, faults) }}
+	}
+	ended := make(chan error, len(series))
+	for _, run := range series {
+		go func() { ended <- run(inner) }()
+	}
 	load.RunStreams(ctx, s.Rate, list)
 	cancel()
-	for range 2 {
+	for range series {
 		if err := <-ended; err != nil && ctx.Err() == nil && inner.Err() == nil {
 			return err
 		}
@@ -110,6 +127,7 @@
 		first := i % len(urls)
 		list[i] = &load.StreamCaller{
 			URLs: append(append([]string{}, urls[first:]...), urls[:first]...), Host: "h.example", Model: fmt.Sprintf("advice/a%d", i%versionAdapters+1), Events: streamEvents,
+			LongestReturn: r.LongestReturn,
 		}
 	}
 	return list
@@ -137,6 +155,50 @@
 	return nil
 }
 
+// turnOverTime is the longest time between two releases. By then boxes have run for long enough to know which versions there were.
+const turnOverTime = 50 * time.Second
+
+// turnOver replaces all engines by the next version, one soon after the other, and then kills boxes at the same moment, until ctx ends.
+func (r versionsRun) turnOver(ctx context.Context, boxes boxFaults) error {
+	random := rand.New(rand.NewPCG(r.Seed, 3))
+	for version := 2; pause(ctx, random, turnOverTime); version++ {
+		for c := 1; c <= versionCentres; c++ {
+			for e := 1; e <= versionEngines; e++ {
+				if err := r.replaceEngine(ctx, [2]int{c, e}, fmt.Sprintf("v%d", version)); err != nil {
+					return err
+				}
+				pause(ctx, random, 300*time.Millisecond)
+			}
+		}
+		pause(ctx, random, 3*time.Second)
+		killed := r.chooseBoxes(random)
+		for _, at := range killed {
+			boxes.fail(at, killBox)
+		}
+		pause(ctx, random, faultTime(killBox))
+		for _, at := range killed {
+			if err := boxes.restore(at, killBox); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// chooseBoxes returns the boxes that are killed at the same moment.
+func (r versionsRun) chooseBoxes(random *rand.Rand) [][2]int {
+	centre := 1 + random.IntN(versionCentres)
+	var chosen [][2]int
+	for c := 1; c <= versionCentres; c++ {
+		for b := 1; b <= versionBoxes; b++ {
+			if r.Restart == RestartAll || (r.Restart == RestartCentre && c == centre) || (r.Restart == RestartHalf && (b+c)%2 == 0) {
+				chosen = append(chosen, [2]int{c, b})
+			}
+		}
+	}
+	return chosen
+}
+
 // replaceEngine restarts an engine with a version, in place of its previous run.
 func (r versionsRun) replaceEngine(ctx context.Context, at [2]int, software string) error {
 	if before := r.registrations[at]; before != "" {
