--- a/forward/resumption.go
+++ b/forward/resumption.go
@@ -86,7 +86,7 @@
 	return nil
 }
 
-// newSoftwareFor returns for how much longer a request must not go to an endpoint since it may begin a resumable stream there: boxes that
+// newSoftwareFor returns for how much longer a request must not go to an endpoint, where it may begin a resumable stream: boxes that
 // have not learned of the endpoint's software yet may take another version for the only one.
 func (g *Gateway) newSoftwareFor(q *request, e *topology.Endpoint) time.Duration {
 	if !q.mayBeginResumable() {
@@ -100,8 +100,8 @@
 	return q.origin == nil && q.route.Kind() == topology.Streaming && q.route.Resumable()
 }
 
-// withoutNewSoftware returns the endpoints of the list that a request may go to, and how long it takes until one of the others is
-// another one; zero if there are none.
+// withoutNewSoftware returns the endpoints of the list whose software is not too new for a request, and the time until the first of
+// the others may be used; zero if there are no others.
 func (g *Gateway) withoutNewSoftware(q *request, list []*topology.Endpoint) (known []*topology.Endpoint, wait time.Duration) {
 	for _, e := range list {
 		left := g.newSoftwareFor(q, e)
