engine: a reset during the upload is not the end of a response

Callers got a part of a response as a whole one: an endpoint answered a long upload with a 200 without a length, sent a part and reset the connection while the request was still being written.

Cause: the kernel reports a reset once. If the write of the request gets ECONNRESET, the next read returns what came before, and then a plain end of file. A response without a length or chunks ends there.

Evidence: the new tests run on a connection on which the write gets the error and returns after the read, an order that the scheduler may choose at any time.

Change: when a read ends, the kernel is asked for the state of the connection and for the bytes that it received, of which a FIN counts as one. What the write returned is used besides, for connections whose socket cannot be asked.

--- a/engine/transport.go
+++ b/engine/transport.go
@@ -20,7 +20,7 @@
 
 // guardedConn asks the attempt whose request it carries before each write. It discards responses to other requests.
 type guardedConn struct {
-	net.Conn
+	net.Conn // of DetectResets
 
 	// Used by Read alone:
 	received []byte      // received and not yet read
@@ -86,7 +86,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &guardedConn{Conn: c}, nil
+			return &guardedConn{Conn: DetectResets(c)}, nil
 		},
 		DisableCompression:  true,
 		MaxIdleConnsPerHost: idlePerHost,
--- /dev/null
+++ b/forward/broken_response_test.go
@@ -0,0 +1,122 @@
+// SPDX-License-Identifier: Apache-2.0
+
+package forward
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cairnwick.example/standin"
+	"cairnwick.example/topology"
+	"github.com/frankban/quicktest"
+)
+
+// uploadSize is more than the buffers of a connection hold, so that a request of this size is being written until it is read.
+const uploadSize = 12 << 20
+
+// rawSite is a gateway with one endpoint that sends the bytes of a test.
+func rawSite(t *testing.T, route topology.RouteSpec, server *standin.RawServer) *testSite {
+	s := newSite(t, route)
+	route.Host, route.Services = "site.example", []topology.WeightedService{{Name: "app", Weight: 1}}
+	services := []*topology.Service{topology.NewService(topology.ServiceSpec{Name: "app"})}
+	s.gateway.View.SetConfig(topology.NewConfig(2, []*topology.Route{topology.NewRoute(route)}, services, topology.RequestLimits{MaxBodyBytes: 2 * uploadSize}))
+	address, err := server.Start()
+	s.c.Assert(err, quicktest.IsNil)
+	t.Cleanup(server.Close)
+	t.Cleanup(func() { s.gateway.upstreams.prune(func(string) bool { return false }) })
+	s.gateway.View.SetEndpoint(topology.NewEndpoint(topology.EndpointSpec{ID: "raw", Service: "app", Address: address, DataCentre: "dc", Software: "v1", Slots: 4}))
+	return s
+}
+
+// upload sends a request with a body of a size, and returns the response and what was received of its body.
+func (s *testSite) upload(size int) (*http.Response, string, error) {
+	r, err := http.NewRequest(http.MethodPost, s.server.URL+"/", strings.NewReader(strings.Repeat("u", size)))
+	s.c.Assert(err, quicktest.IsNil)
+	r.Host = "site.example"
+	r.Header.Set("Id", "call-1")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, string(body), err
+}
+
+// unframedHead is the head of a response without a length or chunks.
+func unframedHead(status int, contentType string) string {
+	return fmt.Sprintf("HTTP/1.1 %d Status\r\nContent-Type: %s\r\nId: call-1\r\nSigned: 1\r\nConnection: close\r\n\r\n", status, contentType)
+}
+
+// Guards against a part of a response without a length that is taken for a whole one: its endpoint reset the connection, and the
+// write of the request consumed that error, so that reads return a plain end.
+func TestResponseThatIsResetDuringTheUploadIsTruncated(t *testing.T) {
+	const event = "id: 1\ndata: x\n\n"
+	for name, response := range map[string]string{
+		"text":               unframedHead(http.StatusOK, "text/plain") + "part",
+		"long text":          unframedHead(http.StatusOK, "text/plain") + strings.Repeat("part", 100_000),
+		"JSON":               unframedHead(http.StatusOK, "application/json") + "{}",
+		"events":             unframedHead(http.StatusOK, streamType) + event,
+		"in an event":        unframedHead(http.StatusOK, streamType) + event + "id: 2\nda",
+		"no body":            unframedHead(http.StatusOK, "text/plain"),
+		"failure":            unframedHead(http.StatusInternalServerError, "text/plain") + "part",
+		"unproven rejection": unframedHead(http.StatusTooManyRequests, "text/plain") + "part",
+		"HTTP/1.0":           strings.Replace(unframedHead(http.StatusOK, "text/plain"), "HTTP/1.1", "HTTP/1.0", 1) + "part",
+	} {
+		for _, route := range []topology.RouteSpec{onceRoute(5 * time.Second), repeatableRoute(5 * time.Second)} {
+			for _, bound := range []int64{0, 64 << 20} {
+				t.Run(fmt.Sprintf("%s, %v, bound %d", name, route.Kind, bound), func(t *testing.T) {
+					siteBound = bound
+					defer func() { siteBound = 0 }()
+					server := &standin.RawServer{Respond: func(*http.Request) string { return response }, End: standin.EndReset}
+					s := rawSite(t, route, server)
+					s.gateway.Dial = standin.DialWriterFirst
+					resp, body, err := s.upload(uploadSize)
+					if err == nil {
+						s.c.Check(resp.StatusCode, quicktest.Equals, http.StatusBadGateway, quicktest.Commentf("%q", body))
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a mend of the fault above by which endpoints that respond before they have read the request lose their responses.
+func TestResponseThatEndsInOrderDuringTheUploadIsRelayed(t *testing.T) {
+	const body = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
+	length := fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n", len(body))
+	for _, contentType := range []string{"text/plain", streamType} {
+		unframed := unframedHead(http.StatusOK, contentType)
+		framed := strings.TrimSuffix(unframed, "\r\n\r\n") + length
+		for name, k := range map[string]struct {
+			response string
+			end      func(*net.TCPConn, io.Reader)
+		}{
+			"no length, read":  {unframed + body, standin.EndRead},
+			"no length, early": {unframed + body, standin.EndEarly},
+			"length, early":    {framed + body, standin.EndEarly},
+		} {
+			for _, size := range []int{8, uploadSize} {
+				for _, bound := range []int64{0, 64 << 20} {
+					t.Run(fmt.Sprintf("%s, %s, %d bytes, bound %d", contentType, name, size, bound), func(t *testing.T) {
+						siteBound = bound
+						defer func() { siteBound = 0 }()
+						server := &standin.RawServer{Respond: func(*http.Request) string { return k.response }, End: k.end}
+						s := rawSite(t, onceRoute(5*time.Second), server)
+						for range 5 {
+							resp, got, err := s.upload(size)
+							s.c.Assert(err, quicktest.IsNil)
+							s.c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
+							s.c.Check(got, quicktest.Equals, body)
+						}
+					})
+				}
+			}
+		}
+	}
+}
--- a/metrics/traffic.go
+++ b/metrics/traffic.go
@@ -36,6 +36,9 @@
 	traffic *Traffic
 }
 
+// NetConn returns the connection whose traffic is counted.
+func (c *countedConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements net.Conn.
 func (c *countedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
