tunnel: a reset at the other box is not the end of a response

Cause: Copy takes an end of file of the endpoint's connection for an orderly close. Its other goroutine writes the request, and gets and drops the error of the reset. The box that asked cannot ask the socket.

--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairnwick.example/engine"
 	"cairnwick.example/wire"
 	"github.com/pkg/errors"
 	"google.golang.org/grpc"
@@ -60,6 +61,7 @@
 // Copy copies data between a tunnel and a connection until either side closes it. It returns nil only if the endpoint closed the
 // connection: a response that is broken off must not look complete.
 func Copy(stream Server, c net.Conn) error {
+	c = engine.DetectResets(c)
 	go func() { // ends with the stream, which ends when this function returns
 		defer c.Close() // ends the reads below
 		for {
--- a/daemon/tunnel/tunnel_test.go
+++ b/daemon/tunnel/tunnel_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cairnwick.example/engine"
 	"cairnwick.example/wire"
 	"github.com/frankban/quicktest"
 	"google.golang.org/grpc"
@@ -98,6 +99,7 @@
 	server   *grpc.Server
 	refuse   func() error                            // called before it connects to the endpoint, if set
 	write    func(c net.Conn, b []byte) (int, error) // replaces writes to the endpoint, if set
+	dial     engine.DialFunc                         // opens the connection to the endpoint; nil: a net.Dialer
 
 	mu    sync.Mutex
 	dials int // connections to the endpoint
@@ -110,6 +112,9 @@
 	box *box
 }
 
+// NetConn returns the connection.
+func (c boxConn) NetConn() net.Conn { return c.Conn }
+
 // Write implements net.Conn.
 func (c boxConn) Write(b []byte) (int, error) {
 	if c.box.write == nil {
@@ -128,7 +133,11 @@
 			return err
 		}
 	}
-	c, err := net.Dial("tcp", b.endpoint)
+	dial := b.dial
+	if dial == nil {
+		dial = new(net.Dialer).DialContext
+	}
+	c, err := dial(stream.Context(), "tcp", b.endpoint)
 	if err != nil {
 		return status.Error(codes.FailedPrecondition, err.Error())
 	}
