engine: a response stays though the rest of the request can't be written

Callers got 502 though an endpoint had sent a whole response: it responded before it had read a long request, and closed or reset the connection.

Cause: net/http closes a connection after a failed write, and with it drops the part of the response that it has not read. tunnel.Copy did the same for the box that had asked.

Change: if the kernel says that the connection has ended, or a tunnel's stream has, Write discards the rest without an error. Reads then return what was received and wait for nothing more, so the response or its lack decides.

--- a/daemon/tunnel/reset_test.go
+++ b/daemon/tunnel/reset_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -48,10 +49,22 @@
 	}
 }
 
-// The mend of the fault above must not take an orderly close for a reset.
+// The mend of the fault above must not take an orderly close for a reset. Guards, too, against a whole response that is lost since the
+// rest of the request cannot be written.
 func TestOrderlyCloseEndsTheTunnel(t *testing.T) {
-	server := &standin.RawServer{Respond: func(*http.Request) string { return unframedHead + "whole" }, End: standin.EndRead}
-	got, err := uploadThrough(t, server, nil)
-	quicktest.New(t).Check(err, quicktest.IsNil)
-	quicktest.New(t).Check(got, quicktest.Equals, "whole")
+	const framedHead = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+	for name, k := range map[string]struct {
+		head string
+		end  func(*net.TCPConn, io.Reader)
+	}{
+		"read":               {unframedHead, standin.EndRead},
+		"early":              {unframedHead, standin.EndEarly},
+		"early, then reset":  {unframedHead, standin.EndEarlyThenReset},
+		"reset, with length": {framedHead, standin.EndReset},
+	} {
+		server := &standin.RawServer{Respond: func(*http.Request) string { return k.head + "whole" }, End: k.end}
+		got, err := uploadThrough(t, server, nil)
+		quicktest.New(t).Check(err, quicktest.IsNil, quicktest.Commentf("%s", name))
+		quicktest.New(t).Check(got, quicktest.Equals, "whole", quicktest.Commentf("%s", name))
+	}
 }
--- a/engine/reset.go
+++ b/engine/reset.go
@@ -59,20 +59,39 @@
 // and its response is complete all the same. Of a connection that this process has closed meanwhile nothing is known, so it counts as
 // reset.
 func (d *resetDetector) isReset() bool {
-	socket, ok := unwrapConn(d.Conn).(syscall.Conn)
-	if !ok {
+	info, err := tcpInfo(d.Conn)
+	if err == errNoSocket {
 		return false
 	}
+	return err != nil || (info.State == tcpClose && info.Bytes_received <= d.received)
+}
+
+// hasEnded reports whether the connection is known to have ended, so that reads return what was received before, and wait for nothing.
+func (d *resetDetector) hasEnded() bool {
+	info, err := tcpInfo(d.Conn)
+	return err == nil && info.State == tcpClose
+}
+
+// errNoSocket means that a connection has no socket that can be asked.
+var errNoSocket = errors.New("engine: not a TCP connection")
+
+// tcpInfo returns what the kernel knows of a connection. An error other than errNoSocket means that this process has closed it.
+func tcpInfo(c net.Conn) (*unix.TCPInfo, error) {
+	socket, ok := unwrapConn(c).(syscall.Conn)
+	if !ok {
+		return nil, errNoSocket
+	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return nil, err
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = raw.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err == nil && infoErr != nil {
+		return nil, errNoSocket
 	}
-	reset := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		reset = err == nil && info.State == tcpClose && info.Bytes_received <= d.received
-	})
-	return err != nil || reset
+	return info, err
 }
 
 // unwrapConn returns the innermost connection that c wraps.
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -50,7 +51,9 @@
 	return c.attempt
 }
 
-// Write implements net.Conn. It checks the time immediately before the system call.
+// Write implements net.Conn. It checks the time immediately before the system call. If the peer has ended the connection after some
+// of the request was written, Write returns no error and discards the rest: the peer may have sent a whole response before, and
+// net/http would close the connection before it has read that. Reads find out what there is.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	a := c.currentAttempt()
 	if a == nil { // not a request of Send
@@ -61,12 +64,24 @@
 		return 0, err
 	}
 	n, err := c.Conn.Write(b)
-	if first && n == 0 && isClosedByPeer(err) {
+	switch {
+	case first && n == 0 && isClosedByPeer(err):
 		a.undoWrite()
+	case c.hasEnded(err):
+		return len(b), nil
 	}
 	return n, err
 }
 
+// hasEnded reports whether a write failed because the other side has ended the connection, so that reads wait for nothing more.
+func (c *guardedConn) hasEnded(writeErr error) bool {
+	if errors.Is(writeErr, io.EOF) { // of a connection through another box
+		return true
+	}
+	d, ok := c.Conn.(*resetDetector)
+	return ok && isClosedByPeer(writeErr) && d.hasEnded()
+}
+
 // isClosedByPeer reports whether a write failed because the peer had closed the connection, as one of a process that has ended.
 func isClosedByPeer(err error) bool {
 	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET)
--- a/forward/broken_response_test.go
+++ b/forward/broken_response_test.go
@@ -93,13 +93,18 @@
 	for _, contentType := range []string{"text/plain", streamType} {
 		unframed := unframedHead(http.StatusOK, contentType)
 		framed := strings.TrimSuffix(unframed, "\r\n\r\n") + length
+		chunked := strings.TrimSuffix(unframed, "\r\n\r\n") + fmt.Sprintf("\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(body), body)
 		for name, k := range map[string]struct {
 			response string
 			end      func(*net.TCPConn, io.Reader)
 		}{
-			"no length, read":  {unframed + body, standin.EndRead},
-			"no length, early": {unframed + body, standin.EndEarly},
-			"length, early":    {framed + body, standin.EndEarly},
+			"no length, read":                {unframed + body, standin.EndRead},
+			"no length, early":               {unframed + body, standin.EndEarly},
+			"no length, early, then a reset": {unframed + body, standin.EndEarlyThenReset},
+			"length, early":                  {framed + body, standin.EndEarly},
+			"length, reset":                  {framed + body, standin.EndReset},
+			"length, unread":                 {framed + body, standin.EndUnread},
+			"chunks, reset":                  {chunked, standin.EndReset},
 		} {
 			for _, size := range []int{8, uploadSize} {
 				for _, bound := range []int64{0, 64 << 20} {
@@ -108,7 +113,10 @@
 						defer func() { siteBound = 0 }()
 						server := &standin.RawServer{Respond: func(*http.Request) string { return k.response }, End: k.end}
 						s := rawSite(t, onceRoute(5*time.Second), server)
-						for range 5 {
+						for n := range 5 {
+							if isReset := strings.HasSuffix(name, "reset"); isReset && size == uploadSize && n > 0 {
+								s.gateway.Dial = standin.DialWriterFirst
+							}
 							resp, got, err := s.upload(size)
 							s.c.Assert(err, quicktest.IsNil)
 							s.c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
--- a/standin/raw.go
+++ b/standin/raw.go
@@ -74,6 +74,9 @@
 	_ = c.Close()
 }
 
+// EndUnread closes the connection, which resets it if some of the request has arrived unread.
+func EndUnread(c *net.TCPConn, _ io.Reader) { _ = c.Close() }
+
 // EndRead closes the connection once the request has been read.
 func EndRead(c *net.TCPConn, unread io.Reader) {
 	_, _ = io.Copy(io.Discard, unread)
@@ -85,3 +88,10 @@
 	_ = c.CloseWrite()
 	_, _ = io.Copy(io.Discard, c)
 }
+
+// EndEarlyThenReset closes the server's side of the connection, and resets it while the request is still being written.
+func EndEarlyThenReset(c *net.TCPConn, unread io.Reader) {
+	_ = c.CloseWrite()
+	_, _ = io.CopyN(io.Discard, unread, 64<<10)
+	EndReset(c, unread)
+}
