catalog: a deeply nested document does not end the daemons

A head or a shard of the key-value service that is nested some 600,000 levels deep, in 1 MB, ended every gateway and scheduler that read it, again after each start: "fatal error: stack overflow".

Cause: the parser of JSON with comments calls itself for each level.

The configuration in force stays, and the next head comes into force.

--- a/catalog/head.go
+++ b/catalog/head.go
@@ -116,6 +116,9 @@
 	if len(raw) > MaxDocumentSize {
 		return errors.Errorf("%d bytes: split the document, the maximum size is %d", len(raw), MaxDocumentSize)
 	}
+	if err := checkNesting(raw); err != nil {
+		return err
+	}
 	plain, err := hujson.Standardize(bytes.Clone(raw))
 	if err != nil {
 		return errors.Wrap(err, "not JSON with comments")
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -155,3 +155,23 @@
 	c.Assert(err, quicktest.ErrorMatches, "keeper: fetch shard all of revision 1: no such shard")
 	c.Assert(offer(c, k, s, h, false), quicktest.Equals, Candidate)
 }
+
+// Guards against a document of another writer that ends a daemon, or after which it follows no further one.
+func TestHeadAfterADeeplyNestedOneComesIntoForce(t *testing.T) {
+	c := quicktest.New(t)
+	k, s := newKeeper(), memorySource{}
+	first := publish(s, catalog.Head{}, "a")
+	offer(c, k, s, first, true)
+	deep := []byte(strings.Repeat("[", catalog.MaxDocumentSize))
+	_, err := k.Offer(context.Background(), deep, false, s)
+	c.Check(err, quicktest.IsNotNil)
+	s[catalog.Digest(deep)] = deep
+	h, err := catalog.NewHead(first, map[string][]byte{"all": deep})
+	c.Assert(err, quicktest.IsNil)
+	_, err = k.Offer(context.Background(), h.Raw(), false, s)
+	c.Check(err, quicktest.IsNotNil)
+	c.Check(inForce(k), quicktest.Equals, first.Digest())
+	second := publish(s, first, "b")
+	offer(c, k, s, second, true)
+	c.Check(inForce(k), quicktest.Equals, second.Digest())
+}
