share: messages end after a megabyte of values, too

A box that got the store's entries from another one stopped following it if several large ones came together: the stream ended, and again after each attempt.

Cause: a message had up to 256 items, each with a value of up to 1 MB; gRPC accepts 4 MB.

Change: a message is full with 256 items or 1 MB of values. Receivers tell a full message from the last one of a list by the same rule (IsFullBatch).

--- a/edge/follow.go
+++ b/edge/follow.go
@@ -116,7 +116,7 @@
 // stream without everything carries no endpoint entries, so its status does not cover them.
 func (p *peers) apply(s followTarget, u *wire.Update, received time.Time) {
 	p.table.RecordContact(s.name, received)
-	if len(u.GetItems()) < share.MaxBatchItems { // the last message of a list: the latest facts come last
+	if !share.IsFullBatch(u.GetItems()) { // the last message of a list: the latest facts come last
 		p.receivedFacts.Store(true)
 	}
 	if !u.GetReading() {
--- a/share/follow.go
+++ b/share/follow.go
@@ -15,9 +15,11 @@
 
 const (
 	batchDelay = 40 * time.Millisecond // changes within this time are sent in one message
-	// MaxBatchItems is the number of items in each message of a list but the last, which has fewer. It keeps a message far
-	// below the limit of gRPC, 4 MB.
+	// MaxBatchItems is the maximum number of items in a message of a list.
 	MaxBatchItems = 256
+	// fullBatchBytes is the size of the values in a message from which on the next item is in another one. With one item more, each
+	// of which has 1 MB at most, it stays below the limit of gRPC, 4 MB.
+	fullBatchBytes = 1 << 20
 	// HeartbeatInterval is the time without changes after which a stream sends a message without items.
 	HeartbeatInterval = 300 * time.Millisecond
 	// IdleTimeout is the time without messages after which a stream counts as broken. It allows for two
@@ -116,6 +118,7 @@
 // it covers all items. A message without items is a heartbeat.
 func (f *follower) send(stream grpc.ServerStreamingServer[wire.Update], items []*wire.Item, status *wire.Update) error {
 	u := &wire.Update{}
+	size := 0
 	for _, i := range items {
 		if !f.needs(i) {
 			continue
@@ -127,17 +130,32 @@
 			}
 		}
 		u.Items = append(u.Items, i)
-		if len(u.Items) == MaxBatchItems {
+		size += valueSize(i)
+		if isFull(len(u.Items), size) {
 			if err := stream.Send(u); err != nil {
 				return err
 			}
-			u = &wire.Update{}
+			u, size = &wire.Update{}, 0
 		}
 	}
 	status.Items = u.Items
 	return stream.Send(status)
 }
 
+// IsFullBatch reports whether a message with these items is not the last one of a list.
+func IsFullBatch(items []*wire.Item) bool {
+	size := 0
+	for _, i := range items {
+		size += valueSize(i)
+	}
+	return isFull(len(items), size)
+}
+
+func isFull(items, bytes int) bool { return items >= MaxBatchItems || bytes >= fullBatchBytes }
+
+// valueSize returns the size of an item's value as it is sent.
+func valueSize(i *wire.Item) int { return len(i.GetValue()) + len(i.GetPacked()) }
+
 // ErrIdleTimeout is returned by Follow if the followed box sent no message within IdleTimeout.
 var ErrIdleTimeout = errors.New("share: followed box sent no message within the idle timeout")
 
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -3,6 +3,7 @@
 package share
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"net"
@@ -225,3 +226,34 @@
 		c.Check(ended.Sub(message) >= maxMessageTime && ended.Sub(message) <= maxMessageTime+2*IdleTimeout, quicktest.IsTrue)
 	})
 }
+
+// Guards against a follower that never gets a list, since some large items make a message longer than gRPC accepts.
+func TestFollowerReceivesManyLargeItems(t *testing.T) {
+	c := quicktest.New(t)
+	const large = 1 << 20
+	from, to := NewTable(), NewTable()
+	for n := range 12 {
+		i := item(fmt.Sprint("k", n), 1)
+		i.Value = bytes.Repeat([]byte{byte(n)}, large)
+		from.Merge(i)
+	}
+	from.Merge(item("last", 2))
+	client := serve(c, shareServer{server: &Server{Table: from, DataCentre: "d1", ReadStatus: func() (ReadStatus, bool) { return ReadStatus{}, true }}})
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var full, last int
+	err := Follow(ctx, client, &wire.FollowRequest{}, to, nil, func(u *wire.Update, _ time.Time) {
+		if IsFullBatch(u.GetItems()) {
+			full++
+			return
+		}
+		last++
+		c.Check(u.GetReading(), quicktest.IsTrue)
+		c.Check(to.Version("last"), quicktest.Equals, uint64(2))
+		cancel()
+	})
+	c.Check(errors.Is(err, context.Canceled), quicktest.IsTrue, quicktest.Commentf("%v", err))
+	c.Check(full > 1, quicktest.IsTrue)
+	c.Check(last, quicktest.Equals, 1)
+	c.Check(to.Keys(), quicktest.HasLen, 13)
+}
