measure: broken responses in the soak of executions

cairn-measure executions has the faults of the incident: status 000, blanks and control bytes in names, heads that break off, a part of a response and a reset, and a reset while a long request is still being written. Callers compare each body with what the endpoint meant to send.

The random numbers of the other faults stay as they were when these are not chosen.

--- a/cmd/cairn-measure/command.go
+++ b/cmd/cairn-measure/command.go
@@ -81,7 +81,7 @@
 	Adapters  int           `arg:"--adapters" default:"0" help:"number of adapters; 0: each is held by one model server alone; 5: by all of them"`
 	Rate      float64       `arg:"--rate" default:"300" help:"requests per second"`
 	Attempts  int           `arg:"--attempts" default:"1" help:"max_attempts of the routes whose requests may be executed at most once"`
-	Faults    []string      `arg:"--faults" help:"kinds of faults: copies, overload, unproven, resets, half-closes, silences, freezes, kills, takeovers, missing-adapters, boxes, crashing-part, release; default: all"`
+	Faults    []string      `arg:"--faults" help:"kinds of faults: copies, overload, unproven, resets, half-closes, silences, freezes, kills, takeovers, missing-adapters, boxes, crashing-part, release, broken-responses; default: all"`
 	Copies    float64       `arg:"--copies" default:"0.1" help:"share of responses that are sent again"`
 	CopyForms []string      `arg:"--copy-forms" help:"forms of copies: late, at-once, part, several, timer; default: all"`
 	Unproven  float64       `arg:"--unproven" default:"0.02" help:"share of executed requests that get 408, 429 or 503 without Not-Executed"`
--- a/measure/executions.go
+++ b/measure/executions.go
@@ -22,7 +22,7 @@
 // Executions sends requests to boxes on the users' platform while endpoints and boxes fail in overlapping series, on a fixed seed. It
 // compares what callers got with what endpoints executed: no request that may be executed at most once is executed after or before a
 // response that promises that it is not, none is executed twice, and no caller gets the response to
-// another request. Set the fields before Run.
+// another request, or a broken response as a whole one. Set the fields before Run.
 type Executions struct {
 	Bin       string
 	Dir       string
@@ -84,7 +84,7 @@
 	if breached {
 		return ErrBreach
 	}
-	fmt.Fprintln(w, "no breach: no refused request was executed, none that may be executed once was executed twice, and no caller got another one's response")
+	fmt.Fprintln(w, "no breach: no refused request was executed, none that may be executed once was executed twice, and no caller got another one's response, or a broken one as whole")
 	return nil
 }
 
@@ -140,8 +140,8 @@
 }
 
 // induces reports whether a kind of fault is chosen.
-func (r *executionsRun) induces(fault string) bool {
-	return len(r.Faults) == 0 || slices.Contains(r.Faults, fault)
+func (s Executions) induces(fault string) bool {
+	return len(s.Faults) == 0 || slices.Contains(s.Faults, fault)
 }
 
 // modelServers returns how many of the endpoints serve models; the others are plain.
--- a/measure/executions_callers.go
+++ b/measure/executions_callers.go
@@ -39,6 +39,8 @@
 
 const (
 	maxExecutionBody  = 14 << 10
+	longBody          = 6 << 20     // more than the buffers of a connection hold
+	longShare         = 0.01        // of requests to the plain service
 	deadlineAllowance = time.Second // that a caller waits beyond the deadline
 	crashingPart      = "bad7"
 	crashingShare     = 0.002 // of streams that may not be resumed
@@ -58,6 +60,7 @@
 	status     int    // zero: no response
 	broken     bool   // the response broke off
 	foreign    bool   // the response belongs to another request
+	mixed      bool   // the response looks complete, and is not what an endpoint meant to send, or has no valid status
 	excerpt    string // start of the body of a failure, or the error
 	retryAfter time.Duration
 }
@@ -118,6 +121,9 @@
 		q.prompt += "," + crashPart + ":300"
 	}
 	q.prompt += fmt.Sprintf(",e%x:1500", c.random.Uint32())
+	if !q.kind.streams && c.spec.induces(faultBrokenResponses) && c.random.Float64() < longShare {
+		q.body = bytes.Repeat([]byte("b"), longBody)
+	}
 	return q
 }
 
@@ -209,6 +215,8 @@
 	body, err := io.ReadAll(resp.Body)
 	one.status, one.broken = resp.StatusCode, err != nil
 	one.foreign = !platformtest.Answers(resp.Header, one.id)
+	isWhole := bytes.Equal(body, platformtest.WholeBody(one.kind.streams, one.id))
+	one.mixed = resp.StatusCode < http.StatusOK || (resp.StatusCode < http.StatusMultipleChoices && err == nil && !isWhole)
 	if resp.StatusCode != http.StatusOK {
 		one.excerpt = fmt.Sprintf("%.*q", excerptBytes, body)
 	}
--- a/measure/executions_endpoints.go
+++ b/measure/executions_endpoints.go
@@ -64,7 +64,7 @@
 		{"name": "models", "max_connections": 870, "engine": {"slots": %d, "weights_mb": 16000, "adapter_slots": %d, "loads_per_s": 27, "models": [
 			{"name": "m", "weights_mb": 15000, "adapters": %d, "adapter_size_mb": 10}]}},
 		{"name": "app", "max_connections": 490}],
-		"limits": {"max_body_bytes": 65536, "max_header_bytes": 16384, "header_timeout_ms": 5000, "idle_timeout_ms": 5000}}`,
+		"limits": {"max_body_bytes": 8388608, "max_header_bytes": 16384, "header_timeout_ms": 5000, "idle_timeout_ms": 5000}}`,
 		attempts, attempts, modelSlots, heldAdapters, r.Adapters)
 }
 
--- a/measure/executions_faults.go
+++ b/measure/executions_faults.go
@@ -25,13 +25,14 @@
 	faultBoxFailures     = "boxes"
 	faultCrashingPart    = "crashing-part"
 	faultRelease         = "release"
+	faultBrokenResponses = "broken-responses"
 )
 
 // ExecutionFaults returns all kinds of faults.
 func ExecutionFaults() []string {
 	return []string{
 		faultCopies, faultOverload, faultUnproven, faultResets, faultHalfCloses, faultSilences, faultFreezes, faultKills, faultTakeovers,
-		faultMissingAdapters, faultBoxFailures, faultCrashingPart, faultRelease,
+		faultMissingAdapters, faultBoxFailures, faultCrashingPart, faultRelease, faultBrokenResponses,
 	}
 }
 
@@ -40,6 +41,8 @@
 	resetShare     = 0.03
 	halfCloseShare = 0.03
 	silenceShare   = 0.005
+	brokenShare    = 0.03
+	uploadShare    = 0.5 // of long requests
 )
 
 // faultSeries is a series of faults, which runs until ctx ends.
@@ -68,6 +71,9 @@
 			return boxFaults{fleet: r.fleet, seed: r.Seed, centres: r.centres, boxes: r.each, total: r.Boxes, settings: executionSettings}.run(ctx)
 		},
 		faultRelease: r.release,
+		faultBrokenResponses: r.alternate(func(s *platformtest.FaultShares, on float64) {
+			s.Broken, s.Uploads = on*brokenShare, on*uploadShare
+		}),
 	}
 	var chosen []faultSeries
 	for _, f := range ExecutionFaults() {
--- a/measure/executions_report.go
+++ b/measure/executions_report.go
@@ -36,6 +36,7 @@
 	first    int            // refused ones that their first endpoint executed; the others were rejected there
 	unproven int            // refused ones that an endpoint executed and refused without a proof
 	foreign  int            // responses that belong to another request
+	mixed    int            // responses that look complete, and are not what an endpoint meant to send
 	counts   platformtest.WitnessCounts
 	cases    []string
 }
@@ -51,6 +52,12 @@
 		if c.foreign {
 			n.foreign++
 		}
+		if c.mixed {
+			n.mixed++
+			if len(n.cases) < shownCases {
+				n.cases = append(n.cases, describeCase("MIXED", c, r.witness.Attempts(c.id), begun))
+			}
+		}
 		n.judge(c, r.witness.Attempts(c.id), begun)
 	}
 	return n
@@ -109,7 +116,7 @@
 }
 
 func (n executionsReport) breached() bool {
-	return n.refused != byService{} || n.twice != byService{} || n.foreign > 0
+	return n.refused != byService{} || n.twice != byService{} || n.foreign > 0 || n.mixed > 0
 }
 
 // write writes the line of the run, and the first cases.
@@ -123,8 +130,8 @@
 	for _, s := range names {
 		shares = append(shares, fmt.Sprintf("%s=%d (%.1f%%)", s, n.statuses[s], 100*float64(n.statuses[s])/float64(n.requests)))
 	}
-	fmt.Fprintf(w, "seed=%d boxes=%d endpoints=%d adapters=%d requests=%d %s foreign=%d REFUSED=%d (streams %d, plain %d; first attempt executed %d, refusal by an endpoint without a proof %d) TWICE=%d (streams %d, plain %d)",
-		n.spec.Seed, n.spec.Boxes, n.spec.Endpoints, n.spec.Adapters, n.requests, strings.Join(shares, " "), n.foreign,
+	fmt.Fprintf(w, "seed=%d boxes=%d endpoints=%d adapters=%d requests=%d %s foreign=%d MIXED=%d REFUSED=%d (streams %d, plain %d; first attempt executed %d, refusal by an endpoint without a proof %d) TWICE=%d (streams %d, plain %d)",
+		n.spec.Seed, n.spec.Boxes, n.spec.Endpoints, n.spec.Adapters, n.requests, strings.Join(shares, " "), n.foreign, n.mixed,
 		n.refused.streams+n.refused.plain, n.refused.streams, n.refused.plain, n.first, n.unproven, n.twice.streams+n.twice.plain, n.twice.streams, n.twice.plain)
 	fmt.Fprintf(w, " attempts=%d executed=%d copies=%d rejections=%d (421: %d) unproven=%d broken_connections=%d crashes=%d orders=%d\n",
 		n.counts.Attempts, n.counts.Executed, n.counts.Copies, n.counts.Rejected, n.counts.Misplaced, n.counts.Unproven, n.counts.Broken, n.counts.Crashes, n.counts.OrdersDone)
