daemon: an odd address of another box does not end the process

A daemon that called a box whose published address held a percent sign or a control character ended, and again after each start: "panic: daemon: connection options: parse ...: invalid URL escape".

Cause: grpc.NewClient takes the address as a part of a URL. Its error counted as a programming error.

Change: the address is escaped.

--- a/daemon/dialer.go
+++ b/daemon/dialer.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/url"
 	"sync"
 	"time"
 
@@ -71,9 +72,9 @@
 	if d.Messages != nil {
 		options = append(options, grpc.WithStatsHandler(d.Messages.newConnStats(address)))
 	}
-	c, err := grpc.NewClient("passthrough:///"+address, options...)
+	c, err := grpc.NewClient("passthrough:///"+url.PathEscape(address), options...) // which another process may have published
 	if err != nil {
-		panic(errors.Wrap(err, "daemon: connection options")) // a programming error; the address is not checked here
+		panic(errors.Wrap(err, "daemon: connection options")) // a programming error
 	}
 	if d.conns == nil {
 		d.conns, d.monitors = make(map[string]*grpc.ClientConn), make(map[string]*silenceMonitor)
