--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -90,15 +90,19 @@
 	return err
 }
 
-// ErrTooLong means that a body is longer than MaxBytes.
-var ErrTooLong = errors.New("transfer: response is too long")
+// TooLongError reports a body of more than Limit bytes.
+type TooLongError struct{ Limit int64 }
 
-// ReadBody reads the body of the call's response. A body beyond MaxBytes is an ErrTooLong.
+func (e *TooLongError) Error() string {
+	return fmt.Sprintf("transfer: response is longer than %d bytes", e.Limit)
+}
+
+// ReadBody reads the body of the call's response. A body beyond MaxBytes is a *TooLongError.
 func (c *Call) ReadBody(body io.Reader) ([]byte, error) {
 	c.progress(0)
 	content, err := io.ReadAll(io.LimitReader(progressReader{Reader: body, call: c}, c.limits.MaxBytes+1))
 	if err == nil && int64(len(content)) > c.limits.MaxBytes {
-		return nil, errors.Wrapf(ErrTooLong, "more than %d bytes", c.limits.MaxBytes)
+		return nil, &TooLongError{Limit: c.limits.MaxBytes}
 	}
 	return content, err
 }
