kvstore: an odd entry in the list of boxes leaves the others in use

Daemons followed the platform's list of boxes no more, and one that started had none, while one entry of it had a field of another type or a number too large. Entries with an address or a port that can't be used were called.

Cause: the list is one document, which was decoded as a whole.

Change: entries are decoded one by one. One that can't be used is left out, and a line of the log says why.

--- a/daemon/boxes.go
+++ b/daemon/boxes.go
@@ -9,6 +9,7 @@
 
 	"cairnwick.example/kvstore"
 	"cairnwick.example/member"
+	"github.com/go-logr/logr"
 )
 
 // BoxList caches the platform's list of boxes, which may be out of date. It is used to
@@ -17,9 +18,11 @@
 type BoxList struct {
 	Client          *kvstore.Client
 	RefreshInterval func() time.Duration // time between two reads of the list
+	Log             logr.Logger
 
-	mu   sync.Mutex
-	list []kvstore.Daemon // as last read; empty before the first read
+	mu      sync.Mutex
+	list    []kvstore.Daemon // as last read; empty before the first read
+	skipped int              // entries of the list as last read that can't be used
 }
 
 const (
@@ -49,13 +52,16 @@
 	if err != nil {
 		return false
 	}
-	list, err := kvstore.ParseBoxes(value.Body())
+	list, skipped, err := kvstore.ParseBoxes(value.Body())
 	if err != nil {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.list = list
+	if len(skipped) > 0 && len(skipped) != b.skipped {
+		b.Log.Info("Entries of the platform's list of boxes can't be used", "entries", len(skipped), "err", skipped[0].Error())
+	}
+	b.list, b.skipped = list, len(skipped)
 	return true
 }
 
--- a/daemon/node.go
+++ b/daemon/node.go
@@ -86,7 +86,7 @@
 			MaxResponseHeaderBytes: transfer.MaxHeadBytes,
 		}},
 	}
-	n.BoxList = &BoxList{Client: client, RefreshInterval: n.boxListInterval}
+	n.BoxList = &BoxList{Client: client, RefreshInterval: n.boxListInterval, Log: n.Log}
 	self := member.New(n.Name(), n.advertisedAddress(), role, n.dataCentre, uint64(time.Now().UnixMicro()))
 	n.Table = member.NewTable(self, member.TableOptions{
 		SuspectTimeout: v.Duration(SuspectFor),
--- a/daemon/odd_boxes_test.go
+++ b/daemon/odd_boxes_test.go
@@ -5,10 +5,13 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
+	"cairnwick.example/kvstore"
 	"github.com/frankban/quicktest"
 	"google.golang.org/grpc/credentials/insecure"
 )
@@ -33,3 +36,28 @@
 		})
 	}
 }
+
+// Guards against a list of boxes that daemons follow no more since one entry of it is odd.
+func TestOddEntryInTheListOfBoxesLeavesTheOthers(t *testing.T) {
+	const good = `{"name":"b%d/scheduler","data_centre":"d","role":"scheduler","address":"127.0.0.1:80%d"}`
+	deep := func(n int) string { return strings.Repeat("[", n) + strings.Repeat("]", n) }
+	odd := []string{
+		"1", "null", `"x"`, "[]", "{}", "1e400", deep(5000), `{"name":1}`, `{"name":"b","address":80}`, `{"name":"b","leaving":1e400}`, `{"name":"b","address":` + deep(5000) + `}`,
+	}
+	for _, a := range oddAddresses {
+		odd = append(odd, fmt.Sprintf(`{"name":"odd/scheduler","data_centre":"d","role":"scheduler","address":%s}`, strings.ReplaceAll(fmt.Sprintf("%q", a), `\x`, `\u00`)))
+	}
+	for _, entry := range odd {
+		t.Run(fmt.Sprintf("%.60s", entry), func(t *testing.T) {
+			c := quicktest.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("X-Consul-Index", "1")
+				fmt.Fprintf(w, "[%s,%s,%s]", fmt.Sprintf(good, 1, 1), entry, fmt.Sprintf(good, 2, 2))
+			}))
+			defer s.Close()
+			b := &BoxList{Client: &kvstore.Client{Address: s.URL, Timeout: time.Minute, HTTP: s.Client()}}
+			c.Check(b.Refresh(t.Context()), quicktest.IsTrue)
+			c.Check(b.SchedulerNames("d"), quicktest.DeepEquals, []string{"b1/scheduler", "b2/scheduler"})
+		})
+	}
+}
--- a/kvstore/kvstore.go
+++ b/kvstore/kvstore.go
@@ -9,8 +9,11 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
+	"net/netip"
 	"net/url"
+	"regexp"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -118,11 +121,45 @@
 	Leaving    bool   `json:"leaving,omitempty"`
 }
 
-// ParseBoxes parses the list of boxes.
-func ParseBoxes(raw []byte) ([]Daemon, error) {
-	var list []Daemon
-	if err := json.Unmarshal(raw, &list); err != nil {
-		return nil, errors.Wrap(err, "kvstore: parse list of boxes")
+// ParseBoxes parses the list of boxes. An entry that cannot be used does not affect the others: another writer may have left it.
+// skipped says what is wrong with such entries.
+func ParseBoxes(raw []byte) (list []Daemon, skipped []error, err error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(raw, &entries); err != nil {
+		return nil, nil, errors.Wrap(err, "kvstore: parse list of boxes")
 	}
-	return list, nil
+	for n, entry := range entries {
+		var d Daemon
+		err := json.Unmarshal(entry, &d)
+		if err == nil {
+			err = d.validate()
+		}
+		if err != nil {
+			skipped = append(skipped, errors.Wrapf(err, "kvstore: list of boxes: entry %d", n))
+			continue
+		}
+		list = append(list, d)
+	}
+	return list, skipped, nil
+}
+
+// hostName is a valid name of a host.
+var hostName = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9.-]{0,252})$`)
+
+// validate returns an error for the first field that makes an entry unusable.
+func (d Daemon) validate() error {
+	if d.Name == "" {
+		return errors.New("name: must be a non-empty string")
+	}
+	host, port, err := net.SplitHostPort(d.Address)
+	if err != nil {
+		return errors.Errorf("address: %.100q is not a host and a port", d.Address)
+	}
+	if _, err := netip.ParseAddr(host); err != nil && !hostName.MatchString(host) {
+		return errors.Errorf("address: %.100q is not an IP address or the name of a host", host)
+	}
+	if n, err := strconv.ParseUint(port, 10, 16); err != nil || n == 0 {
+		return errors.Errorf("address: port %.100q is not a number from 1 to 65535", port)
+	}
+	return nil
 }
--- a/kvstore/kvstore_test.go
+++ b/kvstore/kvstore_test.go
@@ -62,6 +62,6 @@
 }
 
 func TestInvalidListOfBoxesIsError(t *testing.T) {
-	_, err := kvstore.ParseBoxes([]byte("{"))
+	_, _, err := kvstore.ParseBoxes([]byte("{"))
 	quicktest.Assert(t, err, quicktest.ErrorMatches, "kvstore: parse list of boxes.*")
 }
