--- a/forward/broken_response_test.go
+++ b/forward/broken_response_test.go
@@ -194,3 +194,29 @@
 		checkFailure(t, fmt.Sprintf("surplus %q", response), surplus+response, standin.EndRead, false)
 	}
 }
+
+// Guards against a stream that ends after a part of it, though its route allows another endpoint to go on.
+func TestStreamThatIsResetDuringTheUploadIsResumed(t *testing.T) {
+	const first, rest = "id: 1\ndata: x\n\n", "id: 2\ndata: y\n\n"
+	var s *testSite
+	server := &standin.RawServer{End: standin.EndReset, Respond: func(*http.Request) string {
+		s.endpoint(t, func(w http.ResponseWriter, r *http.Request) {
+			s.c.Check(r.Header.Get("Test-Last-Event-Id"), quicktest.Equals, "1")
+			w.Header().Set("Content-Type", streamType)
+			_, _ = io.WriteString(w, rest)
+		})
+		return unframedHead(http.StatusOK, streamType) + first
+	}}
+	s = rawSite(t, resumableRoute(5*time.Second), server)
+	raw := s.gateway.View.Endpoint("raw").Address()
+	s.gateway.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+		if address == raw {
+			return standin.DialWriterFirst(ctx, network, address)
+		}
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}
+	resp, body, err := s.upload(uploadSize)
+	s.c.Assert(err, quicktest.IsNil)
+	s.c.Check(resp.StatusCode, quicktest.Equals, http.StatusOK)
+	s.c.Check(body, quicktest.Equals, first+rest)
+}
