--- a/daemon/tunnel/reset_test.go
+++ b/daemon/tunnel/reset_test.go
@@ -49,8 +49,8 @@
 	}
 }
 
-// The mend of the fault above must not take an orderly close for a reset. Guards, too, against a whole response that is lost since the
-// rest of the request cannot be written.
+// Guards against an orderly close that counts as a reset, and against a whole response that is lost since the rest of the request
+// cannot be written.
 func TestOrderlyCloseEndsTheTunnel(t *testing.T) {
 	const framedHead = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
 	for name, k := range map[string]struct {
--- a/forward/broken_response_test.go
+++ b/forward/broken_response_test.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// Guards against a mend of the fault above by which endpoints that respond before they have read the request lose their responses.
+// An endpoint may respond before it has read the request: its response is whole if it ends in order.
 func TestResponseThatEndsInOrderDuringTheUploadIsRelayed(t *testing.T) {
 	const body = "id: 1\ndata: x\n\nid: 2\ndata: y\n\n"
 	length := fmt.Sprintf("\r\nContent-Length: %d\r\n\r\n", len(body))
--- a/gateway/broken_response_test.go
+++ b/gateway/broken_response_test.go
@@ -83,7 +83,7 @@
 	}
 }
 
-// Guards against a mend of the fault above by which servers that respond before they have read the request lose their responses.
+// A server may respond before it has read the request: its response is whole if it ends in order.
 func TestResponseThatEndsInOrderDuringTheUploadIsComplete(t *testing.T) {
 	c := quicktest.New(t)
 	const body = `{"choices":[]}`
