tunnel: a failed write to an endpoint that is still there ends the connection

Evidence: TestFailedWriteToALiveEndpointBreaksTheTunnel waited for the whole of its 10 s before the change, and passes.

--- a/daemon/tunnel/reset_test.go
+++ b/daemon/tunnel/reset_test.go
@@ -3,6 +3,7 @@
 package tunnel
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	"cairnwick.example/engine"
 	"cairnwick.example/standin"
 	"github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 )
 
 // uploadSize is more than the buffers on the way hold, so that a request of this size is being written until it is read.
@@ -68,3 +70,17 @@
 		quicktest.New(t).Check(got, quicktest.Equals, "whole", quicktest.Commentf("%s", name))
 	}
 }
+
+// Guards against a box that keeps a connection on which a part of a request is missing: its write failed, and the endpoint waits for the
+// rest.
+func TestFailedWriteToALiveEndpointBreaksTheTunnel(t *testing.T) {
+	c := quicktest.New(t)
+	e := newEndpoint(c)
+	b := &box{endpoint: e.listener.Addr().String(), write: func(net.Conn, []byte) (int, error) { return 0, errors.New("no buffer space") }}
+	dial := dialer(c, b.start(c))
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	begun := time.Now()
+	c.Check(sendThrough(ctx, dial, "request"), quicktest.IsNotNil)
+	c.Check(ctx.Err(), quicktest.IsNil, quicktest.Commentf("after %v", time.Since(begun)))
+}
--- a/daemon/tunnel/tunnel.go
+++ b/daemon/tunnel/tunnel.go
@@ -64,16 +64,19 @@
 	c = engine.DetectResets(c)
 	go func() { // ends with the stream, which ends when this function returns
 		defer c.Close() // ends the reads below
-		isOpen := true
+		hasEnded := false
 		for {
 			m, err := stream.Recv()
 			if err != nil {
 				return
 			}
-			if isOpen { // otherwise a whole response may have come before; the reads below end after it
-				_, err = c.Write(m.GetData())
-				isOpen = err == nil
+			if hasEnded { // a whole response may have come before; the reads below end after it
+				continue
 			}
+			if _, err = c.Write(m.GetData()); err != nil && !engine.HasEnded(c, err) {
+				return
+			}
+			hasEnded = err != nil
 		}
 	}()
 	b := make([]byte, chunk)
--- a/engine/reset.go
+++ b/engine/reset.go
@@ -66,12 +66,6 @@
 	return err != nil || (info.State == tcpClose && info.Bytes_received <= d.received)
 }
 
-// hasEnded reports whether the connection is known to have ended, so that reads return what was received before, and wait for nothing.
-func (d *resetDetector) hasEnded() bool {
-	info, err := tcpInfo(d.Conn)
-	return err == nil && info.State == tcpClose
-}
-
 // errNoSocket means that a connection has no socket that can be asked.
 var errNoSocket = errors.New("engine: not a TCP connection")
 
--- a/engine/transport.go
+++ b/engine/transport.go
@@ -67,19 +67,23 @@
 	switch {
 	case first && n == 0 && isClosedByPeer(err):
 		a.undoWrite()
-	case c.hasEnded(err):
+	case HasEnded(c.Conn, err):
 		return len(b), nil
 	}
 	return n, err
 }
 
-// hasEnded reports whether a write failed because the other side has ended the connection, so that reads wait for nothing more.
-func (c *guardedConn) hasEnded(writeErr error) bool {
+// HasEnded reports whether a write failed because the other side has ended the connection, which is proven: reads return what was
+// received before, and wait for nothing more.
+func HasEnded(c net.Conn, writeErr error) bool {
 	if errors.Is(writeErr, io.EOF) { // of a connection through another box
 		return true
 	}
-	d, ok := c.Conn.(*resetDetector)
-	return ok && isClosedByPeer(writeErr) && d.hasEnded()
+	if !isClosedByPeer(writeErr) {
+		return false
+	}
+	info, err := tcpInfo(c)
+	return err == nil && info.State == tcpClose
 }
 
 // isClosedByPeer reports whether a write failed because the peer had closed the connection, as one of a process that has ended.
