--- a/forward/exchange_test.go
+++ b/forward/exchange_test.go
@@ -31,7 +31,8 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", e.Address())
 }
 
-// brokenConn breaks at its first write, after it has passed on a part of it.
+// brokenConn breaks at its first write, after it has passed on a part of it. No byte of a response comes through: it could come before
+// the write has returned.
 type brokenConn struct {
 	net.Conn
 
@@ -41,6 +42,12 @@
 
 var errBroken = errors.New("the box that carries the connection has ended")
 
+// Read implements net.Conn.
+func (c brokenConn) Read([]byte) (int, error) {
+	_, _ = io.Copy(io.Discard, c.Conn)
+	return 0, errBroken
+}
+
 // Write implements net.Conn.
 func (c brokenConn) Write(b []byte) (int, error) {
 	n, _ := c.Conn.Write(b[:c.pass(len(b))])
