keeper: documents that are not accepted are not quoted in full in the log

A head of our own interface that is not accepted was quoted in the log, up to 1 MB in one line, as entries were on the users' platform. Boxes and daemons cut such errors by one function now, logging.ShortError.

Names in the platform's list of boxes have at most 200 bytes, as elsewhere: they are logged, and sent to other daemons.

--- a/daemon/odd_boxes_test.go
+++ b/daemon/odd_boxes_test.go
@@ -44,6 +44,9 @@
 	odd := []string{
 		"1", "null", `"x"`, "[]", "{}", "1e400", deep(5000), `{"name":1}`, `{"name":"b","address":80}`, `{"name":"b","leaving":1e400}`, `{"name":"b","address":` + deep(5000) + `}`,
 	}
+	for _, field := range []string{"name", "data_centre", "role"} {
+		odd = append(odd, strings.Replace(`{"data_centre":"d","role":"scheduler","address":"127.0.0.1:80","name":"b","`+field+`":"x"}`, `"x"`, `"`+strings.Repeat("x", 1000)+`"`, 1))
+	}
 	for _, a := range oddAddresses {
 		odd = append(odd, fmt.Sprintf(`{"name":"odd/scheduler","data_centre":"d","role":"scheduler","address":%s}`, strings.ReplaceAll(fmt.Sprintf("%q", a), `\x`, `\u00`)))
 	}
--- a/edge/state.go
+++ b/edge/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cairnwick.example/access"
+	"cairnwick.example/logging"
 	"cairnwick.example/placement"
 	"cairnwick.example/quarantine"
 	"cairnwick.example/share"
@@ -73,7 +74,7 @@
 			continue
 		}
 		if err := s.applyOne(i); err != nil {
-			s.log.Info("Failed to decode fact; keeping the last valid one", "key", i.GetKey(), "version", i.GetVersion(), "err", shorten(err.Error()))
+			s.log.Info("Failed to decode fact; keeping the last valid one", "key", i.GetKey(), "version", i.GetVersion(), "err", logging.ShortError(err).Error())
 		}
 	}
 	for id := range updated {
@@ -81,17 +82,6 @@
 	}
 }
 
-// maxLoggedError limits the text of an error that quotes a published value, in bytes: a value may have a megabyte.
-const maxLoggedError = 400
-
-// shorten returns the start of a text that is too long for a log line.
-func shorten(text string) string {
-	if len(text) <= maxLoggedError {
-		return text
-	}
-	return strings.ToValidUTF8(text[:maxLoggedError], "") + "..."
-}
-
 func (s *state) applyOne(i *wire.Item) error {
 	value, err := share.Value(i)
 	if err != nil {
--- a/keeper/keeper_test.go
+++ b/keeper/keeper_test.go
@@ -3,12 +3,14 @@
 package keeper
 
 import (
+	"bytes"
 	"context"
 	"strings"
 	"testing"
 	"time"
 
 	"cairnwick.example/catalog"
+	"cairnwick.example/logging"
 	"github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -175,3 +177,19 @@
 	offer(c, k, s, second, true)
 	c.Check(inForce(k), quicktest.Equals, second.Digest())
 }
+
+// Guards against a line of the log that is as long as a published document.
+func TestErrorOfADocumentIsLoggedInShort(t *testing.T) {
+	c := quicktest.New(t)
+	for name, raw := range map[string]string{
+		"long number":  `{"revision": ` + strings.Repeat("9", 1_000_000) + `}`,
+		"long field":   `{"` + strings.Repeat("x", 1_000_000) + `": 1}`,
+		"long comment": "/*" + strings.Repeat("x", 1_000_000),
+	} {
+		var lines bytes.Buffer
+		s := &Syncer{Keeper: newKeeper(), Log: logging.New(&lines, "box", "dc", "gateway", false)}
+		s.offer(context.Background(), []byte(raw), false, memorySource{}, "platform")
+		c.Check(lines.String(), quicktest.Contains, "Configuration was not accepted", quicktest.Commentf("%s", name))
+		c.Check(lines.Len() < 4<<10, quicktest.IsTrue, quicktest.Commentf("%s: %d bytes", name, lines.Len()))
+	}
+}
--- a/keeper/syncer.go
+++ b/keeper/syncer.go
@@ -8,6 +8,7 @@
 
 	"cairnwick.example/catalog"
 	"cairnwick.example/kvstore"
+	"cairnwick.example/logging"
 	"cairnwick.example/wire"
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
@@ -111,7 +112,7 @@
 func (s *Syncer) offer(ctx context.Context, raw []byte, inForce bool, from Source, name string) bool {
 	v, err := s.Keeper.Offer(ctx, raw, inForce, from)
 	if err != nil {
-		s.Log.Error(err, "Configuration was not accepted", "from", name, "verdict", v.String())
+		s.Log.Error(logging.ShortError(err), "Configuration was not accepted", "from", name, "verdict", v.String())
 		return v != 0
 	}
 	if v == Rival {
--- a/kvstore/kvstore.go
+++ b/kvstore/kvstore.go
@@ -143,13 +143,19 @@
 	return list, skipped, nil
 }
 
+// maxName is the length in bytes of the longest name in the list of boxes. Names are logged and sent to other daemons.
+const maxName = 200
+
 // hostName is a valid name of a host.
 var hostName = regexp.MustCompile(`^[A-Za-z0-9]([A-Za-z0-9.-]{0,252})$`)
 
 // validate returns an error for the first field that makes an entry unusable.
 func (d Daemon) validate() error {
-	if d.Name == "" {
-		return errors.New("name: must be a non-empty string")
+	if d.Name == "" || len(d.Name) > maxName {
+		return errors.Errorf("name: must have 1 to %d bytes", maxName)
+	}
+	if len(d.DataCentre) > maxName || len(d.Role) > maxName {
+		return errors.Errorf("data_centre, role: must have at most %d bytes", maxName)
 	}
 	host, port, err := net.SplitHostPort(d.Address)
 	if err != nil {
--- a/logging/logging.go
+++ b/logging/logging.go
@@ -5,8 +5,10 @@
 package logging
 
 import (
+	"errors"
 	"io"
 	"log/slog"
+	"strings"
 
 	"github.com/go-logr/logr"
 )
@@ -22,3 +24,16 @@
 	h := slog.NewJSONHandler(w, &slog.HandlerOptions{Level: level})
 	return logr.FromSlogHandler(h).WithValues("box", box, "data_centre", dataCentre, "role", role)
 }
+
+// maxErrorText is the maximum length in bytes of the text of an error that quotes what another process published: a document may have a
+// megabyte.
+const maxErrorText = 400
+
+// ShortError returns an error for a log line: err, or one with the start of its text if that is too long.
+func ShortError(err error) error {
+	text := err.Error()
+	if len(text) <= maxErrorText {
+		return err
+	}
+	return errors.New(strings.ToValidUTF8(text[:maxErrorText], "") + "...")
+}
