--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -154,8 +154,12 @@
 			}
 			served := 0
 			for range 50 {
-				if resp, text, err := s.ask("/"); err == nil && resp.StatusCode == http.StatusOK && text == "fine" {
+				begun := time.Now()
+				resp, text, err := s.ask("/")
+				if err == nil && resp.StatusCode == http.StatusOK && text == "fine" {
 					served++
+				} else {
+					t.Logf("after %v: %q, error %v", time.Since(begun), text, err)
 				}
 				time.Sleep(20 * time.Millisecond)
 			}
